Serve a request from caller to upstream under a submitted manifest

Cause: an empty repository; the whole path comes first, thin. Conclusion: the path stands; each part is to be deepened under faults.

--- /dev/null
+++ b/fakes/json-http.ts
@@ -0,0 +1,93 @@
+/**
+Helpers shared by the stand-ins: reading bodies, answering JSON, listening and closing.
+*/
+import {Buffer} from 'node:buffer';
+import {
+	type IncomingMessage,
+	type OutgoingHttpHeaders,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+
+/**
+Reads a request body to its end. Returns undefined if it is longer than `limit` bytes, and throws if it was cut.
+*/
+export async function readBody(
+	request: IncomingMessage,
+	limit = Number.POSITIVE_INFINITY,
+): Promise<Uint8Array | undefined> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		size += chunk.length;
+		if (size <= limit) {
+			chunks.push(chunk);
+		}
+	}
+
+	return size <= limit ? Buffer.concat(chunks) : undefined;
+}
+
+/**
+Parses JSON bytes. Returns undefined if they are not JSON.
+*/
+export function parseJson(bytes: Uint8Array): unknown {
+	try {
+		return JSON.parse(new TextDecoder().decode(bytes)) as unknown;
+	} catch {
+		return undefined;
+	}
+}
+
+/**
+Answers with a JSON body, if the response can still be written.
+*/
+export function sendJson(
+	response: ServerResponse,
+	status: number,
+	body: unknown,
+	headers: OutgoingHttpHeaders = {},
+): void {
+	if (response.destroyed || response.headersSent) {
+		return;
+	}
+
+	const text = JSON.stringify(body);
+	response.writeHead(status, {
+		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(text),
+		...headers,
+	});
+	response.end(text);
+}
+
+/**
+Starts listening and returns the base URL.
+*/
+export async function listenOn(
+	server: Server,
+	host: string,
+	port: number,
+): Promise<string> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	const address = server.address();
+	if (!address || typeof address === 'string') {
+		throw new Error('The server has no port');
+	}
+
+	return `http://${host.includes(':') ? `[${host}]` : host}:${address.port}`;
+}
+
+/**
+Stops listening and waits until the last request in flight has been answered.
+*/
+export async function closeServer(server: Server): Promise<void> {
+	await new Promise<void>((resolve) => {
+		server.close(() => {
+			resolve();
+		});
+	});
+}
--- /dev/null
+++ b/src/coordination/interleave-by-team.ts
@@ -0,0 +1,31 @@
+import type {Submission} from '../protocol/configuration.js';
+
+/**
+ * Orders submissions round-robin by team, keeping each team's own order.
+ *
+ * @param submissions - submissions in order of arrival
+ * @returns the same submissions, one of each team in turn
+ * @example
+ * interleaveByTeam([a1, a2, b1]); // [a1, b1, a2]
+ */
+export function interleaveByTeam(
+	submissions: readonly Submission[],
+): readonly Submission[] {
+	const queues = new Map<string, Submission[]>();
+	for (const submission of submissions) {
+		const queue = queues.get(submission.manifest.team) ?? [];
+		queue.push(submission);
+		queues.set(submission.manifest.team, queue);
+	}
+
+	const ordered: Submission[] = [];
+	for (let turn = 0; ordered.length < submissions.length; turn++) {
+		for (const queue of queues.values()) {
+			if (queue[turn]) {
+				ordered.push(queue[turn]!);
+			}
+		}
+	}
+
+	return ordered;
+}
--- /dev/null
+++ b/src/protocol/configuration.ts
@@ -0,0 +1,131 @@
+/**
+ * Types and schemas of the configuration, its log entries and the outcomes of
+ * a submission.
+ */
+import {z} from 'zod';
+import {
+	manifestSchema,
+	nameSchema,
+	policySchema,
+	routeSchema,
+	serviceSchema,
+} from './manifest.js';
+
+/** Identifier that an operator chooses for a submission. */
+export const submissionIdSchema = z
+	.string()
+	.min(1)
+	.max(128)
+	.regex(/^[\w.:\-]+$/v);
+
+/** An accepted manifest within a log entry. */
+export const commitSchema = z.strictObject({
+	submissionId: submissionIdSchema,
+	acceptedAtMs: z.number().min(0),
+	manifest: manifestSchema,
+});
+
+/** One entry of the configuration log; `digest` is that of the result. */
+export const logEntrySchema = z.strictObject({
+	version: z.int().min(1),
+	digest: z.string(),
+	commits: z.array(commitSchema).min(1),
+});
+
+/** Record of an accepted submission, kept to answer repeats. */
+export const submissionRecordSchema = z.strictObject({
+	id: submissionIdSchema,
+	revision: z.int().min(1),
+	version: z.int().min(1),
+	acceptedAtMs: z.number().min(0),
+});
+
+/** The part of the configuration that one team owns. */
+export const teamConfigurationSchema = z.strictObject({
+	revision: z.int().min(1),
+	version: z.int().min(1),
+	services: z.record(nameSchema, serviceSchema),
+	policies: z.record(nameSchema, policySchema),
+	routes: z.array(routeSchema),
+	submissions: z.array(submissionRecordSchema),
+	digest: z.string(),
+});
+
+/** The whole configuration at one version. */
+export const configurationSchema = z.strictObject({
+	version: z.int().min(0),
+	digest: z.string(),
+	teams: z.record(nameSchema, teamConfigurationSchema),
+});
+
+export type Commit = z.infer<typeof commitSchema>;
+export type LogEntry = z.infer<typeof logEntrySchema>;
+export type SubmissionRecord = z.infer<typeof submissionRecordSchema>;
+export type TeamConfiguration = z.infer<typeof teamConfigurationSchema>;
+export type Configuration = z.infer<typeof configurationSchema>;
+
+/** A manifest with the identifier under which it was submitted. */
+export type Submission = {
+	readonly submissionId: string;
+	readonly manifest: Manifest;
+};
+
+export type Manifest = z.infer<typeof manifestSchema>;
+
+/** Kinds of reason for which a manifest or entry is refused. */
+const problemCodes = [
+	'schema',
+	'conflict',
+	'unknown-service',
+	'unknown-policy',
+	'duplicate-route',
+	'foreign-path',
+	'service-in-use',
+	'quota',
+	'version-gap',
+	'digest',
+] as const;
+
+/** Progress of a data centre, as its roots write it to the platform. */
+export const dataCentreStatusSchema = z.strictObject({
+	dataCentre: z.string(),
+	version: z.int().min(0),
+	members: z.int().min(0),
+	writtenAtMs: z.number(),
+	writer: z.string(),
+});
+
+export type DataCentreStatus = z.infer<typeof dataCentreStatusSchema>;
+
+/** One reason for a refusal, as it is sent to operators. */
+export const problemSchema = z.strictObject({
+	code: z.enum(problemCodes),
+	place: z.string(),
+	message: z.string(),
+});
+
+const submissionId = submissionIdSchema;
+
+/** Final or provisional answer to a submission. */
+export const submissionOutcomeSchema = z.discriminatedUnion('kind', [
+	z.strictObject({
+		kind: z.literal('accepted'),
+		submissionId,
+		version: z.int(),
+		revision: z.int(),
+	}),
+	z.strictObject({
+		kind: z.literal('refused'),
+		submissionId,
+		currentRevision: z.int(),
+		problems: z.array(problemSchema),
+	}),
+	z.strictObject({kind: z.literal('unavailable'), submissionId}),
+	z.strictObject({kind: z.literal('unknown'), submissionId}),
+]);
+
+export type Problem = Readonly<z.infer<typeof problemSchema>>;
+export type ProblemCode = Problem['code'];
+export type SubmissionOutcome = Readonly<
+	z.infer<typeof submissionOutcomeSchema>
+>;
--- /dev/null
+++ b/src/protocol/constants.ts
@@ -0,0 +1,37 @@
+/**
+ * Named constants shared by every layer, with their units in their names.
+ */
+
+export const bytesPerKibibyte = 1024;
+export const maxManifestBytes = 64 * bytesPerKibibyte;
+export const maxRoutesPerTeam = 256;
+export const maxServicesPerTeam = 128;
+export const maxChangesPerMinutePerTeam = 60;
+export const submissionRecordsPerTeam = 64;
+export const msPerMinute = 60_000;
+
+export const rootsPerDataCentre = 2;
+export const treeFanOut = 4;
+export const pollWaitMs = 10_000;
+export const pollTimeoutMs = 15_000;
+export const watchWaitMs = 10_000;
+export const platformTimeoutMs = 3000;
+export const statusIntervalMs = 1000;
+export const logEntriesPerPoll = 64;
+export const snapshotIntervalEntries = 256;
+export const retryBaseMs = 100;
+export const retryCapMs = 3000;
+
+export const upstreamLeaseMs = 3000;
+export const exchangeIntervalMs = 1000;
+export const suspectAfterMs = 5000;
+export const deadAfterMs = 10_000;
+export const forgetAfterMs = 60_000;
+
+export const maxAttempts = 3;
+export const defaultDeadlineMs = 2000;
+export const defaultSlots = 6;
+export const defaultConnections = 110;
+export const maxBodyBytes = 1024 * bytesPerKibibyte;
+export const retryAfterSeconds = 1;
+export const ledgerRetentionMs = 60_000;
--- /dev/null
+++ b/src/protocol/request.ts
@@ -0,0 +1,60 @@
+/**
+ * Header names and outcomes of a request on its way from caller to upstream.
+ */
+
+export const outcomeHeader = 'boragehitch-outcome';
+export const reasonHeader = 'boragehitch-reason';
+export const requestIdHeader = 'boragehitch-request-id';
+export const attemptHeader = 'boragehitch-attempt';
+export const deadlineHeader = 'boragehitch-deadline-ms';
+export const serviceHeader = 'boragehitch-service';
+export const teamHeader = 'boragehitch-team';
+export const repeatableHeader = 'boragehitch-repeatable';
+export const loadHeader = 'boragehitch-load';
+export const shedHeader = 'boragehitch-shed';
+export const depthHeader = 'boragehitch-depth';
+
+/** Outcome of an attempt or of a whole request. */
+export type OutcomeKind = 'answered' | 'not-run' | 'unknown';
+
+/** Reasons for an outcome other than `answered`. */
+export const outcomeReasons = [
+	'no-route',
+	'pending',
+	'no-upstream',
+	'team-limit',
+	'saturated',
+	'deadline',
+	'leaving',
+	'fenced',
+	'shed',
+	'not-sent',
+	'body-too-large',
+	'bad-request',
+	'cancelled',
+	'connection-lost',
+	'truncated',
+] as const;
+
+export type OutcomeReason = (typeof outcomeReasons)[number];
+
+/** A route with everything resolved that a request needs. */
+export type CompiledRoute = {
+	readonly team: string;
+	readonly name: string;
+	readonly path: string;
+	readonly methods: ReadonlySet<string>;
+	readonly service: string;
+	readonly repeatable: boolean;
+	readonly deadlineMs: number;
+	readonly maxAttempts: number;
+	readonly concurrency: number;
+	readonly maxBodyBytes: number;
+	readonly sheddingMeansNotRun: boolean;
+};
+
+/** Compiled routes by first path segment, longest path first. */
+export type RouteTable = {
+	readonly version: number;
+	readonly byTeam: ReadonlyMap<string, readonly CompiledRoute[]>;
+};
--- /dev/null
+++ b/src/state/validate-manifest.ts
@@ -0,0 +1,139 @@
+import type {
+	Configuration,
+	Manifest,
+	Problem,
+} from '../protocol/configuration.js';
+import type {Route, Service} from '../protocol/manifest.js';
+import {resolveService} from './resolve-service.js';
+
+function findService(
+	configuration: Configuration,
+	manifest: Manifest,
+	fullName: string,
+): Service | undefined {
+	const [team = '', name = ''] = fullName.split('/');
+	if (team === manifest.team) {
+		return manifest.services[name];
+	}
+
+	const service = configuration.teams[team]?.services[name];
+	return service?.shared ? service : undefined;
+}
+
+function checkRoute(
+	configuration: Configuration,
+	manifest: Manifest,
+	route: Route,
+): Problem[] {
+	const problems: Problem[] = [];
+	const place = `routes.${route.name}`;
+	const fullName = resolveService(manifest.team, route.service);
+	if (!findService(configuration, manifest, fullName)) {
+		problems.push({
+			code: 'unknown-service',
+			place: `${place}.service`,
+			message: `service ${fullName} is not defined or not shared`,
+		});
+	}
+
+	if (!Object.hasOwn(manifest.policies, route.policy)) {
+		problems.push({
+			code: 'unknown-policy',
+			place: `${place}.policy`,
+			message: `policy ${route.policy} is not defined`,
+		});
+	}
+
+	if (!`${route.path}/`.startsWith(`/${manifest.team}/`)) {
+		problems.push({
+			code: 'foreign-path',
+			place: `${place}.path`,
+			message: `path must be under /${manifest.team}`,
+		});
+	}
+
+	return problems;
+}
+
+function findDuplicateRoutes(manifest: Manifest): Problem[] {
+	const seen = new Set<string>();
+	const problems: Problem[] = [];
+	for (const route of manifest.routes) {
+		const methods = route.methods.length > 0 ? route.methods : ['*'];
+		const keys = [
+			`name ${route.name}`,
+			...methods.map((method) => `${method} ${route.path}`),
+		];
+		if (keys.some((key) => seen.has(key))) {
+			problems.push({
+				code: 'duplicate-route',
+				place: `routes.${route.name}`,
+				message: 'another route has the same name, or path and method',
+			});
+		}
+
+		for (const key of keys) {
+			seen.add(key);
+		}
+	}
+
+	return problems;
+}
+
+function findBrokenReferences(
+	configuration: Configuration,
+	manifest: Manifest,
+): Problem[] {
+	const problems: Problem[] = [];
+	for (const [team, other] of Object.entries(configuration.teams)) {
+		if (team === manifest.team) {
+			continue;
+		}
+
+		for (const route of other.routes) {
+			const [owner, name = ''] = resolveService(team, route.service).split('/');
+			if (owner === manifest.team && !manifest.services[name]?.shared) {
+				problems.push({
+					code: 'service-in-use',
+					place: `services.${name}`,
+					message: `route ${route.name} of team ${team} uses this service`,
+				});
+			}
+		}
+	}
+
+	return problems;
+}
+
+/**
+ * Validates a manifest against the whole configuration that it would change.
+ *
+ * @param configuration - the configuration the manifest would be applied to
+ * @param manifest - a manifest that has passed its schema
+ * @returns every problem found; empty when the manifest can be accepted
+ * @example
+ * validateManifest(createConfiguration(), manifest).length; // 0
+ */
+export function validateManifest(
+	configuration: Configuration,
+	manifest: Manifest,
+): readonly Problem[] {
+	const current = configuration.teams[manifest.team]?.revision ?? 0;
+	if (manifest.replaces !== current) {
+		return [
+			{
+				code: 'conflict',
+				place: 'replaces',
+				message: `current revision is ${current}`,
+			},
+		];
+	}
+
+	return [
+		...manifest.routes.flatMap((route) =>
+			checkRoute(configuration, manifest, route),
+		),
+		...findDuplicateRoutes(manifest),
+		...findBrokenReferences(configuration, manifest),
+	];
+}
--- /dev/null
+++ b/src/transport/start-node.ts
@@ -0,0 +1,135 @@
+import type {Settings} from '../protocol/settings.js';
+import {createForwarder} from './create-forwarder.js';
+import type {Logger} from './create-logger.js';
+import {createPeerClients} from './create-peer-client.js';
+import {createPlatformClient} from './create-platform-client.js';
+import {startAdministrationTask} from './start-administration-task.js';
+import {startCallerTask} from './start-caller-task.js';
+import {startCommitTask} from './start-commit-task.js';
+import {startConfigurationTask} from './start-configuration-task.js';
+import {startGateTask} from './start-gate-task.js';
+import {startMembersTask} from './start-members-task.js';
+import {startPeerServer} from './start-peer-server.js';
+
+/** A running node. */
+export type RunningNode = {
+	readonly callers: string;
+	readonly peers: string;
+	readonly administration: string;
+	/** Leaves, finishes what is in flight, and stops. */
+	stop(): Promise<void>;
+};
+
+/**
+ * Starts a node: all its tasks, joined by messages.
+ *
+ * @param settings - checked settings
+ * @param logger - where the node logs
+ * @returns the running node
+ * @example
+ * const node = await startNode(settings, createLogger('info', 'abdali-1'));
+ */
+export async function startNode(
+	settings: Settings,
+	logger: Logger,
+): Promise<RunningNode> {
+	const {name, dataCentre} = settings.node;
+	const platform = createPlatformClient(settings.platform.url);
+	const peers = createPeerClients();
+	const gate = startGateTask({logger});
+	const forwarder = createForwarder(peers);
+	const caller = await startCallerTask({
+		name,
+		dataCentre,
+		address: settings.node.callers,
+		gate,
+		forwarder,
+		logger,
+	});
+	const configuration = startConfigurationTask({
+		name,
+		dataCentre,
+		platform,
+		peers,
+		logger,
+		onConfiguration: caller.tellConfiguration,
+	});
+	const commit = startCommitTask({
+		platform,
+		readConfiguration: configuration.readConfiguration,
+		onEntries: configuration.tellEntries,
+	});
+	const peerServer = await startPeerServer({
+		address: settings.node.peers,
+		gate,
+		logger,
+		handlers: {
+			handlePoll: configuration.handlePoll,
+			handleExchange: (exchange) => members.handleExchange(exchange),
+			handleAsk: gate.ask,
+		},
+	});
+	const members = startMembersTask({
+		self: {
+			name,
+			dataCentre,
+			address: peerServer.address,
+			incarnation: Date.now(),
+			sequence: 0,
+			state: 'alive',
+			upstreams: [],
+		},
+		seeds: settings.members.seeds,
+		peers,
+		platform,
+		logger,
+		onView(view) {
+			caller.tellView(view);
+			configuration.tellView(view);
+		},
+	});
+	members.tell({kind: 'tick'});
+	configuration.tellView(members.readView());
+	const administration = await startAdministrationTask({
+		address: settings.node.administration,
+		commit,
+		platform,
+		readConfiguration: configuration.readConfiguration,
+		readView: members.readView,
+		announce(id, announcement) {
+			gate.announce(id, announcement);
+			members.tell({kind: 'announce', id, announcement});
+		},
+		withdraw(id) {
+			members.tell({kind: 'withdraw', id});
+			gate.withdraw(id);
+		},
+	});
+	logger.info('node started', {
+		callers: caller.address,
+		peers: peerServer.address,
+		administration: administration.address,
+	});
+
+	return {
+		callers: caller.address,
+		peers: peerServer.address,
+		administration: administration.address,
+		async stop() {
+			logger.info('node stopping');
+			await members.leave();
+			await gate.drain();
+			await caller.stop();
+			configuration.stop();
+			members.stop();
+			await Promise.all([peerServer.stop(), administration.stop()]);
+			await Promise.all([
+				gate.stop(),
+				forwarder.stop(),
+				peers.stop(),
+				platform.stop(),
+			]);
+			logger.info('node stopped');
+		},
+	};
+}
