--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,18 @@
+/**
+ * Runs a benchmark: `npm run bench -- NAME [OPTIONS]`.
+ */
+import process from 'node:process';
+
+type Benchmark = (argv: readonly string[]) => Promise<void>;
+
+const benchmarks: Readonly<Record<string, () => Promise<Benchmark>>> = {};
+
+const [name = '', ...argv] = process.argv.slice(2);
+const load = benchmarks[name];
+if (load) {
+	const run = await load();
+	await run(argv);
+} else {
+	console.error(`benchmarks: ${Object.keys(benchmarks).join(', ')}`);
+	process.exitCode = 2;
+}
--- /dev/null
+++ b/faults/main.ts
@@ -0,0 +1,22 @@
+/**
+ * Prints the fault matrix: `npm run faults -- [AREA]`.
+ */
+import process from 'node:process';
+import type {FaultCase} from './fault-case.js';
+import {formatFaultMatrix} from './format-fault-matrix.js';
+import {runFaultCases} from './run-fault-cases.js';
+
+const areas: Readonly<Record<string, () => Promise<readonly FaultCase[]>>> = {};
+
+const wanted = process.argv[2];
+let failed = 0;
+for (const [area, listCases] of Object.entries(areas)) {
+	if (!wanted || wanted === area) {
+		const results = runFaultCases(await listCases());
+		console.log(formatFaultMatrix(results));
+		failed += results.filter(({violations}) => violations.length > 0).length;
+	}
+}
+
+console.log(`faults: ${failed} failed`);
+process.exitCode = failed === 0 ? 0 : 1;
