--- /dev/null
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -0,0 +1,16 @@
+import type {Configuration} from '../../../protocol/configuration.js';
+import type {Announcement, MembersView} from '../../../protocol/member.js';
+import type {PlatformClient} from '../../create-platform-client.js';
+import type {CommitTask} from '../../start-commit-task.js';
+
+/** Options of `startAdministrationTask`: what its handlers read and tell. */
+export type AdministrationTaskOptions = {
+	/** Where to listen, as `IP:PORT`. */
+	readonly address: string;
+	readonly commit: CommitTask;
+	readonly platform: PlatformClient;
+	readonly readConfiguration: () => Configuration;
+	readonly readView: () => MembersView;
+	readonly announce: (id: string, announcement: Announcement) => void;
+	readonly withdraw: (id: string) => void;
+};
