Give every command help, checked arguments and its own exit codes

The explain route takes method and path as a query, since a path in the URL would be normalised on the way. Ruled out: a command-line library (util.parseArgs is house style).

--- /dev/null
+++ b/src/cli/format-help.ts
@@ -0,0 +1,42 @@
+import type {CommandSpec} from './command.js';
+
+const column = 24;
+
+/**
+ * Formats the first line of a command's help.
+ *
+ * @param spec - what the command takes
+ * @returns the usage line
+ */
+function formatUsage(spec: CommandSpec): string {
+	const options = spec.options.map(({name, placeholder, isRequired}) => {
+		const option = placeholder ? `--${name} ${placeholder}` : `--${name}`;
+		return isRequired ? option : `[${option}]`;
+	});
+	return ['boragehitch', spec.name, ...spec.operands, ...options].join(' ');
+}
+
+/**
+ * Formats the help of a command.
+ *
+ * @param spec - what the command takes
+ * @returns the help, several lines
+ * @example
+ * formatHelp(spec).startsWith('Usage: boragehitch');
+ */
+export function formatHelp(spec: CommandSpec): string {
+	const options = spec.options.map(({name, placeholder, description}) => {
+		const option = placeholder ? `--${name} ${placeholder}` : `--${name}`;
+		return `  ${option.padEnd(column)}${description}`;
+	});
+	return [
+		`Usage: ${formatUsage(spec)}`,
+		'',
+		spec.summary,
+		'',
+		'Options:',
+		...options,
+		`  ${'--help'.padEnd(column)}show this help`,
+		...(spec.notes.length > 0 ? ['', ...spec.notes] : []),
+	].join('\n');
+}
--- a/src/cli/run-command.ts
+++ b/src/cli/run-command.ts
@@ -1,50 +1,76 @@
+import type {Command, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
-import {runNode} from './run-node.js';
-import {runQuery} from './run-query.js';
-import {runSubmit} from './run-submit.js';
+import {formatHelp} from './format-help.js';
+import {parseCommandLine} from './parse-command-line.js';
+import {checkSpec, runCheck} from './run-check.js';
+import {explainSpec, runExplain} from './run-explain.js';
+import {nodeSpec, runNode} from './run-node.js';
+import {runStatus, statusSpec} from './run-status.js';
+import {runSubmit, submitSpec} from './run-submit.js';
+import {runVersions, versionsSpec} from './run-versions.js';
 
-const help = `Usage: boragehitch COMMAND [OPTIONS]
+const commands: readonly Command[] = [
+	{spec: nodeSpec, run: runNode},
+	{spec: submitSpec, run: runSubmit},
+	{spec: statusSpec, run: runStatus},
+	{spec: versionsSpec, run: runVersions},
+	{spec: explainSpec, run: runExplain},
+	{spec: checkSpec, run: runCheck},
+];
 
-Commands:
-  node --config FILE.ini              run a node
-  submit MANIFEST --node ADDRESS      submit a manifest
-  status [VERSION] --node ADDRESS     show whether a version is in force
-  versions --node ADDRESS             show the version that a node runs
-`;
+function formatOverview(): string {
+	const lines = commands.map(
+		({spec}) =>
+			`  ${[spec.name, ...spec.operands].join(' ').padEnd(22)}${spec.summary}`,
+	);
+	return [
+		'Usage: boragehitch COMMAND [ARGUMENTS]',
+		'',
+		'Commands:',
+		...lines,
+		'',
+		'boragehitch COMMAND --help shows what a command takes.',
+	].join('\n');
+}
 
 /**
  * Runs one command of the command line.
  *
  * @param argv - arguments after the program's name
+ * @param terminal - where to read and write
  * @returns the exit code
  * @example
- * await runCommand(['--help']); // 0
+ * await runCommand(['--help'], createTerminal()); // 0
  */
-export async function runCommand(argv: readonly string[]): Promise<ExitCode> {
-	const [command, ...rest] = argv;
-	switch (command) {
-		case 'node': {
-			return runNode(rest);
-		}
-
-		case 'submit': {
-			return runSubmit(rest);
-		}
+export async function runCommand(
+	argv: readonly string[],
+	terminal: Terminal,
+): Promise<ExitCode> {
+	const [name = '', ...rest] = argv;
+	if (name === '--help' || name === '-h') {
+		terminal.print(formatOverview());
+		return exitCodes.ok;
+	}
 
-		case 'status':
-		case 'versions': {
-			return runQuery(command, rest);
-		}
+	const command = commands.find(({spec}) => spec.name === name);
+	if (!command) {
+		const problem = name ? `unknown command '${name}'` : 'COMMAND is missing';
+		terminal.printError(`boragehitch: ${problem}\n\n${formatOverview()}`);
+		return exitCodes.usage;
+	}
 
-		case '--help':
-		case undefined: {
-			console.log(help);
-			return command ? exitCodes.ok : exitCodes.usage;
-		}
+	if (rest.includes('--help')) {
+		terminal.print(formatHelp(command.spec));
+		return exitCodes.ok;
+	}
 
-		default: {
-			console.error(`unknown command: ${command}\n\n${help}`);
-			return exitCodes.usage;
-		}
+	const input = parseCommandLine(command.spec, rest);
+	if (input.isErr()) {
+		terminal.printError(
+			`boragehitch ${name}: ${input.error}; see boragehitch ${name} --help`,
+		);
+		return exitCodes.usage;
 	}
+
+	return command.run(input.value, terminal);
 }
--- a/src/cli/run-node.ts
+++ b/src/cli/run-node.ts
@@ -1,9 +1,30 @@
 import process from 'node:process';
-import {parseArgs} from 'node:util';
 import {createLogger} from '../transport/create-logger.js';
 import {startNode} from '../transport/start-node.js';
+import {readFileOperand} from './_lib/read-file-operand.js';
+import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
-import {readSettings} from './read-settings.js';
+import {parseSettings} from './parse-settings.js';
+
+/** What `node` takes. */
+export const nodeSpec: CommandSpec = {
+	name: 'node',
+	summary: 'Runs a node until SIGTERM or SIGINT, which stop it gracefully.',
+	operands: [],
+	options: [
+		{
+			name: 'config',
+			placeholder: 'FILE.ini',
+			description: 'settings file, see docs/CONFIGURATION.md',
+			isRequired: true,
+		},
+	],
+	notes: [
+		'Prints its addresses as one JSON line when it is ready; logs go to standard',
+		'error as JSON lines. Exit codes: 0 stopped gracefully, 1 failed, 2 wrong command',
+		'line or settings.',
+	],
+};
 
 async function waitForSignal(): Promise<void> {
 	await new Promise<void>((resolve) => {
@@ -18,30 +39,37 @@
 /**
  * Runs a node until it is told to stop by SIGTERM or SIGINT.
  *
- * @param argv - arguments of the command
+ * @param input - the parsed command line
+ * @param terminal - where to write
  * @returns the exit code
  * @example
- * await runNode(['--config', 'node.ini']);
+ * await runNode({operands: [], values: {config: 'node.ini'}, flags}, terminal);
  */
-export async function runNode(argv: readonly string[]): Promise<ExitCode> {
-	const {values} = parseArgs({
-		args: [...argv],
-		options: {config: {type: 'string'}},
-	});
-	const settings = await readSettings(values.config ?? 'node.ini');
+export async function runNode(
+	input: CommandInput,
+	terminal: Terminal,
+): Promise<ExitCode> {
+	const file = input.values.config!;
+	const text = await readFileOperand(file, terminal);
+	const settings = text
+		.mapErr((problem): readonly string[] => [problem])
+		.andThen((value) => parseSettings(file, value));
 	if (settings.isErr()) {
-		console.error(settings.error.join('\n'));
+		terminal.printError(settings.error.join('\n'));
 		return exitCodes.usage;
 	}
 
 	const {node, log} = settings.value;
-	const running = await startNode(
-		settings.value,
-		createLogger(log.level, node.name),
-	);
-	const {callers, peers, administration} = running;
-	console.log(JSON.stringify({callers, peers, administration}));
-	await waitForSignal();
-	await running.stop();
-	return exitCodes.ok;
+	const logger = createLogger(log.level, node.name);
+	try {
+		const running = await startNode(settings.value, logger);
+		const {callers, peers, administration} = running;
+		terminal.print(JSON.stringify({callers, peers, administration}));
+		await waitForSignal();
+		await running.stop();
+		return exitCodes.ok;
+	} catch (error) {
+		terminal.printError(`boragehitch node: ${String(error)}`);
+		return exitCodes.failed;
+	}
 }
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,11 +1,27 @@
 /**
  * Schema and types of a node's settings, as read from an INI file.
+ *
+ * The description of each setting says what is allowed; it is part of the
+ * messages of refused files and of docs/CONFIGURATION.md.
  */
 import {z} from 'zod';
 
-const addressSchema = z
+const addressPattern =
+	/^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)\.){3}(?:25[0-5]|2[0-4]\d|1?\d?\d):\d{1,5}$/v;
+const maxPort = 65_535;
+
+function isAddress(text: string): boolean {
+	return addressPattern.test(text) && Number(text.split(':')[1]) <= maxPort;
+}
+
+/** An IPv4 address and a port. */
+export const addressSchema = z
 	.string()
-	.regex(/^[\d.]+:\d{1,5}$/v, 'expected IP:PORT, for example 10.0.0.7:8080');
+	.refine(isAddress, 'not IP:PORT with a port from 0 to 65535');
+
+const listenSchema = addressSchema.describe(
+	'IP:PORT, port 0 to 65535; 0 takes a free one',
+);
 
 const addressListSchema = z
 	.string()
@@ -18,30 +34,92 @@
 	)
 	.pipe(z.array(addressSchema));
 
+const ratioSchema = z
+	.string()
+	.regex(/^\d+(?:\.\d+)?$/v, 'not a decimal number')
+	.default('0.01')
+	.transform(Number)
+	.pipe(z.number().max(1));
+
+const nodeSchema = z
+	.strictObject({
+		name: z
+			.string()
+			.regex(/^[\w.\-]{1,64}$/v)
+			.describe('1 to 64 letters, digits, dots, hyphens or underscores'),
+		dataCentre: z
+			.string()
+			.regex(/^[a-z][a-z\d\-]{0,62}$/v)
+			.describe(
+				'1 to 63 lower-case letters, digits or hyphens, a letter first',
+			),
+		callers: listenSchema,
+		peers: listenSchema,
+		administration: listenSchema,
+	})
+	.superRefine((node, context) => {
+		const used = new Set<string>();
+		for (const key of ['callers', 'peers', 'administration'] as const) {
+			const address = node[key];
+			if (used.has(address) && !address.endsWith(':0')) {
+				context.addIssue({
+					code: 'custom',
+					path: [key],
+					message: 'the address is used by another listener',
+				});
+			}
+
+			used.add(address);
+		}
+	});
+
+const traceSchema = z
+	.strictObject({
+		export: z
+			.enum(['none', 'log', 'otlp'])
+			.default('none')
+			.describe('none, log or otlp'),
+		url: z
+			.url({protocol: /^https?$/v})
+			.optional()
+			.describe('http or https URL of an OTLP receiver; needed for otlp'),
+		sampleRatio: ratioSchema.describe('decimal number from 0 to 1'),
+	})
+	.refine(({export: target, url}) => target !== 'otlp' || url !== undefined, {
+		path: ['url'],
+		error: 'needed when export is otlp',
+	});
+
 /** Settings of one node. */
 export const settingsSchema = z.strictObject({
-	node: z.strictObject({
-		name: z.string().regex(/^[\w.\-]{1,64}$/v),
-		dataCentre: z.string().regex(/^[a-z][a-z\d\-]{0,62}$/v),
-		callers: addressSchema,
-		peers: addressSchema,
-		administration: addressSchema,
+	node: nodeSchema,
+	platform: z.strictObject({
+		url: z
+			.url({protocol: /^https?$/v})
+			.regex(/^[^:]+:\/\/[^\/?#]+$/v)
+			.describe('http or https URL without a path'),
 	}),
-	platform: z.strictObject({url: z.url({protocol: /^https?$/v})}),
-	members: z.strictObject({seeds: addressListSchema}).default({seeds: []}),
+	members: z
+		.strictObject({
+			seeds: addressListSchema.describe('IP:PORT list, separated by commas'),
+		})
+		.prefault({}),
 	log: z
 		.strictObject({
-			level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+			level: z
+				.enum(['error', 'warn', 'info', 'debug'])
+				.default('info')
+				.describe('error, warn, info or debug'),
 		})
-		.default({level: 'info'}),
-	trace: z
+		.prefault({}),
+	trace: traceSchema.prefault({}),
+	metrics: z
 		.strictObject({
-			export: z.enum(['none', 'log', 'otlp']).default('none'),
-			url: z.url().optional(),
-			sampleRatio: z.coerce.number().min(0).max(1).default(0.01),
+			statsd: addressSchema
+				.optional()
+				.describe('IP:PORT of a StatsD receiver (UDP)'),
 		})
-		.default({export: 'none', sampleRatio: 0.01}),
-	metrics: z.strictObject({statsd: addressSchema.optional()}).default({}),
+		.prefault({}),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
--- a/src/transport/_lib/administration/add-configuration-routes.ts
+++ b/src/transport/_lib/administration/add-configuration-routes.ts
@@ -26,10 +26,15 @@
 			}));
 			sendJson(response, 200, {version, digest, teams: revisions});
 		})
-		.get('/explain/:method/*', (request, response) => {
-			const path = `/${String(request.params.wild ?? '')}`;
+		.get('/explain', (request, response) => {
+			const {method, path} = request.query;
+			if (typeof method !== 'string' || typeof path !== 'string') {
+				sendJson(response, 400, {error: 'needs one method and one path'});
+				return;
+			}
+
 			const table = compileRoutes(readConfiguration());
-			const route = matchRoute(table, String(request.params.method), path);
+			const route = matchRoute(table, method, path.split('?', 1)[0]!);
 			const hosts = route && readView().candidates.get(route.service);
 			sendJson(response, route ? 200 : 404, {
 				version: table.version,
