--- a/src/protocol/list-settings.ts
+++ b/src/protocol/list-settings.ts
@@ -43,7 +43,7 @@
 			section,
 			key,
 			allowed: property.description,
-			default: property.default,
+			default: property.default === '' ? undefined : property.default,
 			isRequired: required.includes(key),
 		})),
 	);
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -57,6 +57,10 @@
 		peers: listenSchema,
 		administration: listenSchema,
 	})
+	.refine(({peers}) => !peers.startsWith('0.0.0.0:'), {
+		path: ['peers'],
+		error: 'other nodes cannot reach 0.0.0.0',
+	})
 	.superRefine((node, context) => {
 		const used = new Set<string>();
 		for (const key of ['callers', 'peers', 'administration'] as const) {
