Report requests, attempts and gate passages to an observer

Cause: spans and metrics need each hop's ids, outcome, times and trace context. Change: caller and gate tasks take an optional observer ({createTraceparent, onRequest, onAttempt, onGate}, src/protocol/observer.ts); traceparent goes from caller through the gate to the upstream. Emitting spans in the tasks themselves was ruled out: the tasks stay free of a tracing library.

--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -23,6 +23,8 @@
 	readonly remainingMs: number;
 	/** Aborted when the caller has given up. */
 	readonly signal: AbortSignal;
+	/** Trace context of the hop that sends the attempt, W3C `traceparent`. */
+	readonly traceparent?: string;
 };
 
 /** Load of a gate, as piggybacked on answers. */
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -13,6 +13,7 @@
 export const loadHeader = 'boragehitch-load';
 export const shedHeader = 'boragehitch-shed';
 export const depthHeader = 'boragehitch-depth';
+export const traceparentHeader = 'traceparent';
 
 /** Outcome of an attempt or of a whole request. */
 export type OutcomeKind = 'answered' | 'not-run' | 'unknown';
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -12,6 +12,7 @@
 	serviceHeader,
 	shedHeader,
 	teamHeader,
+	traceparentHeader,
 	outcomeReasons,
 	type OutcomeReason,
 } from '../protocol/request.js';
@@ -80,6 +81,9 @@
 					headers: {
 						...copyHeaders(attempt.headers),
 						'content-length': undefined,
+						...(attempt.traceparent && {
+							[traceparentHeader]: attempt.traceparent,
+						}),
 						[requestIdHeader]: attempt.requestId,
 						[attemptHeader]: attempt.id,
 						[teamHeader]: attempt.team,
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -9,11 +9,12 @@
 import type {Configuration} from '../protocol/configuration.js';
 import {retryAfterSeconds} from '../protocol/constants.js';
 import type {Candidate, MembersView} from '../protocol/member.js';
+import type {RequestObserver} from '../protocol/observer.js';
 import {
 	depthHeader,
 	outcomeHeader,
 	reasonHeader,
-	requestIdHeader,
+	traceparentHeader,
 	type CompiledRoute,
 	type OutcomeReason,
 	type RouteTable,
@@ -39,6 +40,7 @@
 	readonly gate: GateTask;
 	readonly forwarder: Forwarder;
 	readonly logger: Logger;
+	readonly observer?: RequestObserver;
 	readonly now?: () => number;
 	readonly random?: () => number;
 };
@@ -59,6 +61,10 @@
 	readonly deadlineAt: number;
 	readonly requestId: string;
 	readonly isNested: boolean;
+	attempts: number;
+	readonly startedAtMs: number;
+	readonly parentTraceparent: string | undefined;
+	readonly traceparent: string | undefined;
 };
 
 const statusByKind = {'not-run': 503, unknown: 504} as const;
@@ -74,7 +80,7 @@
 export async function startCallerTask(
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
-	const {name, dataCentre, gate, forwarder, logger} = options;
+	const {name, dataCentre, gate, forwarder, logger, observer = {}} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	let table: RouteTable = compileRoutes(createConfiguration());
 	let view: MembersView | undefined;
@@ -99,6 +105,12 @@
 		);
 	}
 
+	function createTraceparent(parent: string | undefined): string | undefined {
+		return observer.createTraceparent
+			? observer.createTraceparent(parent)
+			: parent;
+	}
+
 	function noteLoad(
 		host: string,
 		change: number,
@@ -134,12 +146,29 @@
 			body,
 			remainingMs: deadlineAt - now(),
 			signal,
+			traceparent: createTraceparent(exchange.traceparent),
 		};
 		noteLoad(host.host, 1);
+		const startedAtMs = now();
 		const result = await (host.host === name
 			? gate.runAttempt(attempt)
 			: forwarder.forwardAttempt(host.address, attempt));
 		noteLoad(host.host, -1, result);
+		observer.onAttempt?.({
+			requestId,
+			attemptId: attempt.id,
+			attempt: attempts,
+			host: host.host,
+			team: route.team,
+			service: route.service,
+			outcome: result.kind,
+			reason: result.kind === 'answered' ? undefined : result.reason,
+			status: result.kind === 'answered' ? result.status : 0,
+			startedAtMs,
+			durationMs: now() - startedAtMs,
+			parentTraceparent: exchange.traceparent,
+			traceparent: attempt.traceparent,
+		});
 		return result;
 	}
 
@@ -160,6 +189,7 @@
 			}
 
 			tried.add(host.host);
+			exchange.attempts = attempts;
 			const result = await runAttempt(exchange, host, attempts, signal);
 			if (result.kind === 'answered') {
 				return result;
@@ -191,6 +221,21 @@
 			cancelling.abort();
 		});
 		const result = await runAttempts(exchange, cancelling.signal);
+		observer.onRequest?.({
+			requestId: exchange.requestId,
+			route: exchange.route.name,
+			method: exchange.request.method ?? 'GET',
+			attempts: exchange.attempts,
+			team: exchange.route.team,
+			service: exchange.route.service,
+			outcome: result.kind,
+			reason: result.kind === 'answered' ? undefined : result.reason,
+			status: result.kind === 'answered' ? result.status : 0,
+			startedAtMs: exchange.startedAtMs,
+			durationMs: now() - exchange.startedAtMs,
+			parentTraceparent: exchange.parentTraceparent,
+			traceparent: exchange.traceparent,
+		});
 		if (result.kind !== 'answered') {
 			const {kind, reason, retryAfterSeconds: retryAfter} = result;
 			sendOutcome(response, kind, reason, retryAfter);
@@ -230,6 +275,7 @@
 				return;
 			}
 
+			const parentTraceparent = request.headers[traceparentHeader]?.toString();
 			await answerExchange({
 				request,
 				response,
@@ -238,6 +284,10 @@
 				deadlineAt: startedAt + route.deadlineMs,
 				requestId: randomUUID(),
 				isNested: request.headers[depthHeader] !== undefined,
+				attempts: 0,
+				startedAtMs: startedAt,
+				parentTraceparent,
+				traceparent: createTraceparent(parentTraceparent),
 			});
 		} finally {
 			inFlightByTeam.set(route.team, inFlightByTeam.get(route.team)! - 1);
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -11,10 +11,12 @@
 import type {Attempt, AttemptResult, GateLoad} from '../protocol/attempt.js';
 import {ledgerRetentionMs, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
+import type {RequestObserver} from '../protocol/observer.js';
 import {
 	deadlineHeader,
 	requestIdHeader,
 	shedHeader,
+	traceparentHeader,
 	type OutcomeReason,
 } from '../protocol/request.js';
 import {copyHeaders} from './_lib/copy-headers.js';
@@ -25,6 +27,7 @@
 /** Options of `startGateTask`. */
 export type GateTaskOptions = {
 	readonly logger: Logger;
+	readonly observer?: RequestObserver;
 	readonly now?: () => number;
 };
 
@@ -58,7 +61,7 @@
  * startGateTask({logger}).ask('unseen'); // 'fenced'
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
-	const {logger, now = () => performance.now()} = options;
+	const {logger, observer = {}, now = () => performance.now()} = options;
 	const upstreams = new Map<string, LocalUpstream>();
 	const ledger = new Map<string, LedgerRecord>();
 	const active = new Set<Attempt>();
@@ -128,6 +131,9 @@
 				headers: {
 					...copyHeaders(attempt.headers),
 					'content-length': undefined,
+					...(attempt.traceparent && {
+						[traceparentHeader]: attempt.traceparent,
+					}),
 					[requestIdHeader]: attempt.requestId,
 					[deadlineHeader]: String(Math.floor(remainingMs)),
 				},
@@ -161,6 +167,62 @@
 		}
 	}
 
+	async function queueAttempt(
+		attempt: Attempt,
+		onStart: () => void,
+	): Promise<AttemptResult> {
+		if (isDraining) {
+			return refuse('not-run', 'leaving');
+		}
+
+		const upstream = findUpstream(attempt.service);
+		if (!upstream) {
+			return refuse('not-run', 'no-upstream');
+		}
+
+		const {queue, announcement} = upstream;
+		if (queue.size >= announcement.slots * queueSlotsRatio) {
+			return refuse('not-run', 'saturated', readLoad(upstream));
+		}
+
+		const deadlineAt = now() + attempt.remainingMs;
+		active.add(attempt);
+		try {
+			return await queue.add(async () => {
+				onStart();
+				return sendAttempt(upstream, attempt, deadlineAt);
+			});
+		} finally {
+			active.delete(attempt);
+		}
+	}
+
+	async function observeAttempt(attempt: Attempt): Promise<AttemptResult> {
+		const startedAtMs = now();
+		const traceparent = observer.createTraceparent
+			? observer.createTraceparent(attempt.traceparent)
+			: attempt.traceparent;
+		let queuedMs = 0;
+		const result = await queueAttempt({...attempt, traceparent}, () => {
+			queuedMs = now() - startedAtMs;
+		});
+		observer.onGate?.({
+			requestId: attempt.requestId,
+			attemptId: attempt.id,
+			team: attempt.team,
+			service: attempt.service,
+			outcome: result.kind,
+			reason: result.kind === 'answered' ? undefined : result.reason,
+			status: result.kind === 'answered' ? result.status : 0,
+			startedAtMs,
+			durationMs: now() - startedAtMs,
+			queuedMs,
+			parentTraceparent: attempt.traceparent,
+			traceparent,
+		});
+		return result;
+	}
+
 	const timer = setInterval(clearLedger, ledgerRetentionMs / 10);
 
 	return {
@@ -186,31 +248,7 @@
 			upstreams.delete(id);
 			void known?.pool.close();
 		},
-		async runAttempt(attempt) {
-			if (isDraining) {
-				return refuse('not-run', 'leaving');
-			}
-
-			const upstream = findUpstream(attempt.service);
-			if (!upstream) {
-				return refuse('not-run', 'no-upstream');
-			}
-
-			const {queue, announcement} = upstream;
-			if (queue.size >= announcement.slots * queueSlotsRatio) {
-				return refuse('not-run', 'saturated', readLoad(upstream));
-			}
-
-			const deadlineAt = now() + attempt.remainingMs;
-			active.add(attempt);
-			try {
-				return await queue.add(async () =>
-					sendAttempt(upstream, attempt, deadlineAt),
-				);
-			} finally {
-				active.delete(attempt);
-			}
-		},
+		runAttempt: observeAttempt,
 		ask(id) {
 			const step = stepLedgerRecord(ledger.get(id), 'ask', now());
 			ledger.set(id, step.record);
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -15,6 +15,7 @@
 	serviceHeader,
 	shedHeader,
 	teamHeader,
+	traceparentHeader,
 } from '../protocol/request.js';
 import {copyHeaders} from './_lib/copy-headers.js';
 import {formatLoad} from './_lib/format-load.js';
@@ -106,6 +107,7 @@
 			body: body.value,
 			remainingMs: Number(headers[deadlineHeader] ?? defaultDeadlineMs),
 			signal: cancelling.signal,
+			traceparent: headers[traceparentHeader]?.toString(),
 		});
 		await sendResult(response, result);
 	}
