--- /dev/null
+++ b/src/coordination/create-ledger.ts
@@ -0,0 +1,216 @@
+import {
+	ledgerBucketMs,
+	maxKeptBytes,
+	maxLedgerRecords,
+	stampLifetimeMs,
+} from '../protocol/constants.js';
+import type {GateStamp} from '../protocol/stamp.js';
+import {
+	stepLedgerRecord,
+	type LedgerMessage,
+	type LedgerRecord,
+	type LedgerStep,
+} from './step-ledger-record.js';
+
+/** What the ledger needs to know of an attempt. */
+export type LedgerAttempt = {
+	readonly id: string;
+	readonly stamp?: GateStamp | undefined;
+	/** Idempotency key of the caller, unique within team and service. */
+	readonly key?: string | undefined;
+};
+
+/** Options of `createLedger`. */
+export type LedgerOptions = {
+	/** Random name of the gate's process. */
+	readonly epoch: string;
+	/** How long a stamp is valid, ms; `stampLifetimeMs` when absent. */
+	readonly lifetimeMs?: number;
+	/** Most records of attempts that are over; `maxLedgerRecords` when absent. */
+	readonly maxRecords?: number;
+	/** Most bytes of kept answers; `maxKeptBytes` when absent. */
+	readonly maxBytes?: number;
+};
+
+/** An answer that is kept for a caller's node that asks for it again. */
+export type KeptAnswer<T> = {readonly value: T; readonly bytes: number};
+
+/** A gate's memory of attempts, bounded in records, bytes and time. */
+export type Ledger<T> = {
+	/** The stamp to hand out now. */
+	readStamp(now: number): GateStamp;
+	/** Notes an attempt that has arrived and tells whether it may run. */
+	admit(attempt: LedgerAttempt, now: number): LedgerStep['answer'];
+	/** Notes that an attempt has not run and never will. */
+	refuse(attempt: LedgerAttempt, now: number): void;
+	/** Notes that an attempt is over; forgets it at once if it may be repeated. */
+	end(
+		attempt: LedgerAttempt,
+		now: number,
+		answer: KeptAnswer<T> | 'forget' | undefined,
+	): void;
+	/** Tells what became of an attempt, fencing one that has not arrived. */
+	ask(attempt: LedgerAttempt, now: number): LedgerStep['answer'];
+	/** Finds the attempt that holds an idempotency key. */
+	findKeyHolder(key: string): string | undefined;
+	/** Tells whether an attempt is known never to have run. */
+	isFenced(id: string): boolean;
+	/** Reads the kept answer of an attempt, if there is still one. */
+	readAnswer(id: string): T | undefined;
+	readSize(): {readonly records: number; readonly bytes: number};
+};
+
+type Entry = {readonly record: LedgerRecord; readonly key: string | undefined};
+
+/**
+ * Creates the ledger of a gate.
+ *
+ * Records are grouped by the time of their stamps. A group is forgotten when
+ * its stamps have expired, or earlier when there are too many records: then the
+ * horizon rises, and attempts with stamps from before it are refused.
+ *
+ * @param options - see `LedgerOptions`
+ * @returns the ledger; times passed to it are monotonic ms
+ * @example
+ * createLedger({epoch: 'a'}).admit({id: '1', stamp: undefined}, 0); // 'stale'
+ */
+export function createLedger<T>(options: LedgerOptions): Ledger<T> {
+	const {epoch, lifetimeMs = stampLifetimeMs} = options;
+	const {maxRecords = maxLedgerRecords, maxBytes = maxKeptBytes} = options;
+	const entries = new Map<string, Entry>();
+	const groups = new Map<number, string[]>();
+	const answers = new Map<string, KeptAnswer<T>>();
+	const holders = new Map<string, string>();
+	let horizonMs = Number.NEGATIVE_INFINITY;
+	let keptBytes = 0;
+	let finished = 0;
+
+	function isValid(stamp: GateStamp | undefined, now: number): boolean {
+		return (
+			stamp?.epoch === epoch &&
+			stamp.timeMs > horizonMs &&
+			stamp.timeMs <= now &&
+			now - stamp.timeMs < lifetimeMs
+		);
+	}
+
+	function dropAnswer(id: string): void {
+		keptBytes -= answers.get(id)?.bytes ?? 0;
+		answers.delete(id);
+	}
+
+	function forget(id: string): void {
+		const key = entries.get(id)?.key;
+		if (key !== undefined && holders.get(key) === id) {
+			holders.delete(key);
+		}
+
+		entries.delete(id);
+		dropAnswer(id);
+	}
+
+	function forgetGroup(group: number): void {
+		for (const id of groups.get(group) ?? []) {
+			if (entries.get(id)?.record.kind !== 'running') {
+				forget(id);
+				finished--;
+			}
+		}
+
+		groups.delete(group);
+		horizonMs = Math.max(horizonMs, (group + 1) * ledgerBucketMs);
+	}
+
+	function forgetGroups(now: number): void {
+		for (const group of groups.keys()) {
+			const isExpired = now - (group + 1) * ledgerBucketMs >= lifetimeMs;
+			if (!isExpired && finished <= maxRecords) {
+				break;
+			}
+
+			forgetGroup(group);
+		}
+	}
+
+	function putInGroup(id: string, now: number): void {
+		// The group is that of the present, which no stamp of the attempt is after.
+		const group = Math.floor(now / ledgerBucketMs);
+		const ids = groups.get(group);
+		if (ids) {
+			ids.push(id);
+		} else {
+			groups.set(group, [id]);
+		}
+
+		finished++;
+		forgetGroups(now);
+	}
+
+	function tell(
+		attempt: LedgerAttempt,
+		message: LedgerMessage,
+		now: number,
+	): LedgerStep['answer'] {
+		const {id, stamp, key} = attempt;
+		const before = entries.get(id);
+		const isStampValid = before !== undefined || isValid(stamp, now);
+		const step = stepLedgerRecord(before?.record, message, isStampValid);
+		if (!step.record || step.record === before?.record) {
+			return step.answer;
+		}
+
+		entries.set(id, {record: step.record, key: before?.key ?? key});
+		if (step.record.kind !== 'running' && isOpen(before)) {
+			putInGroup(id, now);
+		}
+
+		return step.answer;
+	}
+
+	function isOpen(entry: Entry | undefined): boolean {
+		return !entry || entry.record.kind === 'running';
+	}
+
+	function keepAnswer(id: string, answer: KeptAnswer<T>): void {
+		answers.set(id, answer);
+		keptBytes += answer.bytes;
+		for (const oldest of answers.keys()) {
+			if (keptBytes <= maxBytes) {
+				break;
+			}
+
+			dropAnswer(oldest);
+		}
+	}
+
+	return {
+		readStamp: (now) => ({epoch, timeMs: Math.floor(now)}),
+		admit(attempt, now) {
+			const answer = tell(attempt, 'admit', now);
+			if (answer === 'run' && attempt.key !== undefined) {
+				holders.set(attempt.key, attempt.id);
+			}
+
+			return answer;
+		},
+		refuse(attempt, now) {
+			tell(attempt, 'refuse', now);
+		},
+		end(attempt, now, answer) {
+			if (answer === 'forget') {
+				forget(attempt.id);
+				return;
+			}
+
+			tell(attempt, 'end', now);
+			if (answer && entries.has(attempt.id)) {
+				keepAnswer(attempt.id, answer);
+			}
+		},
+		ask: (attempt, now) => tell(attempt, 'ask', now),
+		findKeyHolder: (key) => holders.get(key),
+		isFenced: (id) => entries.get(id)?.record.kind === 'fenced',
+		readAnswer: (id) => answers.get(id)?.value,
+		readSize: () => ({records: entries.size, bytes: keptBytes}),
+	};
+}
--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -1,9 +1,10 @@
-import type {OutcomeKind} from '../protocol/request.js';
+import type {OutcomeKind, OutcomeReason} from '../protocol/request.js';
 
 /** What the decision to retry depends on. */
 export type RetryInput = {
 	/** Outcome of the last attempt. */
 	readonly outcome: Exclude<OutcomeKind, 'answered'>;
+	readonly reason: OutcomeReason;
 	/** Whether the request may run more than once. */
 	readonly repeatable: boolean;
 	/** Attempts made so far. */
@@ -17,20 +18,42 @@
 	readonly isNested: boolean;
 };
 
+/** Whether another attempt is made, and whether it draws on the budget. */
+export type RetryDecision = 'stop' | 'retry' | 'reroute';
+
+/**
+ * Tells whether a refusal only says that the host was the wrong one to ask, so
+ * that going to another adds no load.
+ */
+function isMisrouted(reason: OutcomeReason): boolean {
+	return (
+		reason === 'leaving' || reason === 'no-upstream' || reason === 'not-sent'
+	);
+}
+
 /**
  * Decides whether an attempt that was not answered is followed by another.
  *
+ * Only what has not run, or may run again, is tried again. Of nested calls only
+ * the node nearest to the client retries; a misrouted attempt goes to another
+ * host at any depth and without drawing on the budget.
+ *
  * @param input - see `RetryInput`
- * @returns true when another attempt may be made
+ * @returns `stop`; `retry`, which costs a token; or `reroute`, which does not
  * @example
- * decideRetry({outcome: 'unknown', repeatable: false, ...rest}); // false
+ * decideRetry({outcome: 'unknown', repeatable: false, ...rest}); // 'stop'
  */
-export function decideRetry(input: RetryInput): boolean {
-	return (
-		(input.repeatable || input.outcome === 'not-run') &&
-		!input.isNested &&
-		input.attempts < input.maxAttempts &&
-		input.remainingMs > 0 &&
-		input.budget >= 1
-	);
+export function decideRetry(input: RetryInput): RetryDecision {
+	const {outcome, reason, repeatable, isNested, budget} = input;
+	const mayRun = repeatable || outcome === 'not-run';
+	const hasRoom = input.attempts < input.maxAttempts && input.remainingMs > 0;
+	if (!mayRun || !hasRoom) {
+		return 'stop';
+	}
+
+	if (outcome === 'not-run' && isMisrouted(reason)) {
+		return 'reroute';
+	}
+
+	return !isNested && budget >= 1 ? 'retry' : 'stop';
 }
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -1,71 +1,164 @@
+import {
+	loadTrustMs,
+	minInUseShare,
+	slowStartMs,
+	spillShare as defaultSpillShare,
+} from '../protocol/constants.js';
 import type {Candidate} from '../protocol/member.js';
-
-/** What a caller's node knows of the load of a host. */
-export type HostLoad = {
-	/** Requests that this node has in flight on the host. */
-	readonly ownInFlight: number;
-	/** Load that the host last reported, as a share of its slots. */
-	readonly reportedShare: number;
-};
+import type {HostRecord} from './step-host-record.js';
 
 /** Options of `pickHost`. */
 export type PickOptions = {
 	/** Data centre that is preferred. */
 	readonly dataCentre: string;
-	/** Hosts already tried for this request. */
+	/** Monotonic ms. */
+	readonly now: number;
+	/** Hosts already tried for this request; none when absent. */
 	readonly exclude?: ReadonlySet<string>;
-	/** Load share of the own data centre above which others are used too. */
+	/**
+	 * Load share of the own data centre above which others are used too;
+	 * `spillShare` of the constants when absent.
+	 */
 	readonly spillShare?: number;
 };
 
+type Records = ReadonlyMap<string, HostRecord>;
+
+function isEjected(record: HostRecord | undefined, now: number): boolean {
+	return record !== undefined && record.ejectedUntil > now;
+}
+
+/**
+ * Keeps the hosts that are not ejected, unless too few were left: then the
+ * cause is hardly the hosts, and all are used.
+ */
+function selectHealthy(
+	candidates: readonly Candidate[],
+	records: Records,
+	now: number,
+): readonly Candidate[] {
+	const healthy = candidates.filter(
+		({host}) => !isEjected(records.get(host), now),
+	);
+	return healthy.length < candidates.length * minInUseShare
+		? candidates
+		: healthy;
+}
+
+function computeMeanShare(
+	candidates: readonly Candidate[],
+	records: Records,
+	now: number,
+): number {
+	let sum = 0;
+	let count = 0;
+	for (const {host} of candidates) {
+		const record = records.get(host);
+		if (record && now - record.reportedAt < loadTrustMs) {
+			sum += record.reportedShare;
+			count++;
+		}
+	}
+
+	return count === 0 ? 0 : sum / count;
+}
+
+/**
+ * Computes a host's load as a share of its slots: own requests in flight, and
+ * the reported load, which counts less the older it is and never as much lower
+ * than the average.
+ */
 function computeShare(
 	candidate: Candidate,
-	load: HostLoad | undefined,
+	record: HostRecord | undefined,
+	meanShare: number,
+	now: number,
 ): number {
-	if (!load) {
-		return 0;
+	if (!record) {
+		return meanShare;
+	}
+
+	const trust = Math.max(0, 1 - (now - record.reportedAt) / loadTrustMs);
+	const reported = Math.max(record.reportedShare, meanShare / 2);
+	const believed = trust * reported + (1 - trust) * meanShare;
+	return record.ownInFlight / candidate.slots + believed;
+}
+
+/** Share of its normal requests that a host gets while it starts slowly. */
+function computeWarmth(record: HostRecord | undefined, now: number): number {
+	const age = now - (record?.warmSince ?? now);
+	return Math.min(1, Math.max(0.1, age / slowStartMs));
+}
+
+function chooseOfTwo(
+	pool: readonly Candidate[],
+	records: Records,
+	random: () => number,
+	now: number,
+): Candidate {
+	const meanShare = computeMeanShare(pool, records, now);
+	const index = Math.floor(random() * pool.length);
+	const step = 1 + Math.floor(random() * (pool.length - 1));
+	const first = pool[index]!;
+	const second = pool[(index + step) % pool.length]!;
+	const [firstCost, secondCost] = [first, second].map((candidate) => {
+		const record = records.get(candidate.host);
+		const share = computeShare(candidate, record, meanShare, now);
+		return (share + 1 / candidate.slots) / computeWarmth(record, now);
+	});
+	return secondCost! < firstCost! ? second : first;
+}
+
+function isNearFull(
+	local: readonly Candidate[],
+	records: Records,
+	limit: number,
+	now: number,
+): boolean {
+	let sum = 0;
+	for (const candidate of local) {
+		sum += computeShare(candidate, records.get(candidate.host), 0, now);
 	}
 
-	return load.ownInFlight / candidate.slots + load.reportedShare;
+	return sum >= limit * local.length;
 }
 
 /**
  * Picks the host for a request: the less loaded of two chosen at random
  * (Mitzenmacher, 2001), in the own data centre unless that is near full.
  *
+ * Ejected hosts are left out while enough others remain. A reported load counts
+ * less with age; a host without a fresh one counts as average, not as idle.
+ *
  * @param candidates - hosts with a ready upstream of the service
- * @param loads - what is known of hosts' loads, by host name
+ * @param records - what is known of hosts, by host name
  * @param random - source of numbers from 0 up to 1
  * @param options - see `PickOptions`
  * @returns the host, or undefined when there is none
  * @example
- * pickHost(candidates, new Map(), Math.random, {dataCentre: 'abdali'});
+ * pickHost(candidates, new Map(), Math.random, {dataCentre: 'abdali', now: 0});
  */
 export function pickHost(
 	candidates: readonly Candidate[],
-	loads: ReadonlyMap<string, HostLoad>,
+	records: ReadonlyMap<string, HostRecord>,
 	random: () => number,
 	options: PickOptions,
 ): Candidate | undefined {
-	const {dataCentre, exclude = new Set<string>(), spillShare = 0.8} = options;
-	const usable = candidates.filter(({host}) => !exclude.has(host));
+	const {dataCentre, now, exclude, spillShare = defaultSpillShare} = options;
+	const untried = exclude?.size
+		? candidates.filter(({host}) => !exclude.has(host))
+		: candidates;
+	const usable = selectHealthy(untried, records, now);
+	if (usable.length <= 1) {
+		return usable[0];
+	}
+
 	const local = usable.filter(
 		(candidate) => candidate.dataCentre === dataCentre,
 	);
-	const localShare =
-		local.reduce(
-			(sum, candidate) =>
-				sum + computeShare(candidate, loads.get(candidate.host)),
-			0,
-		) / Math.max(1, local.length);
-	const pool = local.length > 0 && localShare < spillShare ? local : usable;
-	if (pool.length === 0) {
-		return undefined;
-	}
-
-	const first = pool[Math.floor(random() * pool.length)]!;
-	const second = pool[Math.floor(random() * pool.length)]!;
-	const firstShare = computeShare(first, loads.get(first.host));
-	const secondShare = computeShare(second, loads.get(second.host));
-	return secondShare < firstShare ? second : first;
+	const pool =
+		local.length > 0 && !isNearFull(local, records, spillShare, now)
+			? local
+			: usable;
+	return pool.length === 1 ? pool[0] : chooseOfTwo(pool, records, random, now);
 }
--- /dev/null
+++ b/src/coordination/pick-key-host.ts
@@ -0,0 +1,32 @@
+import type {Candidate} from '../protocol/member.js';
+import {computeWeight} from './_lib/compute-weight.js';
+
+/**
+ * Picks the host for all requests with one idempotency key, by rendezvous
+ * hashing (Thaler and Ravishankar, 1998).
+ *
+ * Requests with the same key meet the same ledger while the host with the
+ * highest weight stays a candidate.
+ *
+ * @param candidates - hosts with a ready upstream of the service
+ * @param key - the key with its team and service
+ * @returns the host, or undefined when there is none
+ * @example
+ * pickKeyHost([], 'kitchens/payables/4711'); // undefined
+ */
+export function pickKeyHost(
+	candidates: readonly Candidate[],
+	key: string,
+): Candidate | undefined {
+	let best: Candidate | undefined;
+	let bestWeight = '';
+	for (const candidate of candidates) {
+		const weight = computeWeight(candidate.host, key);
+		if (weight > bestWeight) {
+			best = candidate;
+			bestWeight = weight;
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/src/coordination/step-host-record.ts
@@ -0,0 +1,160 @@
+import {
+	ejectionBaseMs,
+	ejectionCapMs,
+	ejectionErrorShare,
+	ejectionMinSamples,
+} from '../protocol/constants.js';
+import type {GateLoad} from '../protocol/attempt.js';
+
+/** What a caller's node knows of a host, from its own requests. */
+export type HostRecord = {
+	/** Requests that this node has in flight on the host. */
+	readonly ownInFlight: number;
+	/** Load that the host last reported, as a share of its slots. */
+	readonly reportedShare: number;
+	/** When it was reported, monotonic ms; negative infinity when never. */
+	readonly reportedAt: number;
+	/** Share of recent attempts that failed, 0 to 1. */
+	readonly errorShare: number;
+	/** Mean time of recent answers, ms; 0 before the first. */
+	readonly latencyMs: number;
+	/** Attempts that ended since the host was last put back. */
+	readonly samples: number;
+	/** Since when the host has been in use, monotonic ms. */
+	readonly warmSince: number;
+	/** Until when the host is not picked, monotonic ms. */
+	readonly ejectedUntil: number;
+	/** Ejections in a row. */
+	readonly ejections: number;
+};
+
+/** What happened with an attempt on a host. */
+export type HostMessage =
+	| {readonly kind: 'sent'}
+	| {
+			readonly kind: 'ended';
+			/** `refused` says nothing about the host's health. */
+			readonly outcome: 'answered' | 'failed' | 'refused';
+			readonly latencyMs: number;
+			readonly load: GateLoad | undefined;
+	  };
+
+/** What a step depends on besides record and message. */
+export type HostContext = {
+	/** Monotonic ms. */
+	readonly now: number;
+	/** A number from 0 up to 1. */
+	readonly random: number;
+	/** Mean time of answers over the hosts of the service, ms; 0 if unknown. */
+	readonly serviceLatencyMs: number;
+};
+
+const sampleWeight = 0.1;
+const slowFactor = 5;
+const maxShare = 8;
+
+/** Creates the record of a host that has just been heard of. */
+function createHostRecord(now: number): HostRecord {
+	return {
+		ownInFlight: 0,
+		reportedShare: 0,
+		reportedAt: Number.NEGATIVE_INFINITY,
+		errorShare: 0,
+		latencyMs: 0,
+		samples: 0,
+		warmSince: now,
+		ejectedUntil: Number.NEGATIVE_INFINITY,
+		ejections: 0,
+	};
+}
+
+function readShare(load: GateLoad): number {
+	return Math.min(maxShare, (load.inFlight + load.queued) / load.slots);
+}
+
+function isPlausible(load: GateLoad): boolean {
+	return load.slots > 0 && load.inFlight <= load.slots;
+}
+
+function shouldEject(record: HostRecord, context: HostContext): boolean {
+	const {serviceLatencyMs, now} = context;
+	return (
+		record.ejectedUntil <= now &&
+		record.samples >= ejectionMinSamples &&
+		(record.errorShare > ejectionErrorShare ||
+			(serviceLatencyMs > 0 &&
+				record.latencyMs > slowFactor * serviceLatencyMs))
+	);
+}
+
+function eject(record: HostRecord, context: HostContext): HostRecord {
+	const ceiling = Math.min(
+		ejectionCapMs,
+		ejectionBaseMs * 2 ** record.ejections,
+	);
+	const ejectedUntil = context.now + ejectionBaseMs + context.random * ceiling;
+	return {
+		...record,
+		ejectedUntil,
+		ejections: record.ejections + 1,
+		warmSince: ejectedUntil,
+		errorShare: 0,
+		latencyMs: 0,
+		samples: 0,
+	};
+}
+
+/**
+ * Advances what is known of a host by one message.
+ *
+ * A host whose attempts mostly fail, or whose answers take many times the mean
+ * of its service, is ejected for a jittered time that doubles with each
+ * ejection in a row; afterwards it starts slowly.
+ *
+ * @param record - the record before, undefined when there is none
+ * @param message - what happened
+ * @param context - see `HostContext`
+ * @returns the record after
+ * @example
+ * stepHostRecord(undefined, {kind: 'sent'}, context).ownInFlight; // 1
+ */
+export function stepHostRecord(
+	record: HostRecord | undefined,
+	message: HostMessage,
+	context: HostContext,
+): HostRecord {
+	const before = record ?? createHostRecord(context.now);
+	switch (message.kind) {
+		case 'sent': {
+			return {...before, ownInFlight: before.ownInFlight + 1};
+		}
+
+		case 'ended': {
+			const {outcome, latencyMs, load} = message;
+			const ownInFlight = Math.max(0, before.ownInFlight - 1);
+			const isKnown = load !== undefined && isPlausible(load);
+			const reported: HostRecord = {
+				...before,
+				ownInFlight,
+				reportedShare: isKnown ? readShare(load) : before.reportedShare,
+				reportedAt: isKnown ? context.now : before.reportedAt,
+			};
+			if (outcome === 'refused') {
+				return reported;
+			}
+
+			const error = outcome === 'failed' ? 1 : 0;
+			const mean = before.latencyMs === 0 ? latencyMs : before.latencyMs;
+			const after: HostRecord = {
+				...reported,
+				errorShare:
+					before.errorShare + sampleWeight * (error - before.errorShare),
+				latencyMs: error ? mean : mean + sampleWeight * (latencyMs - mean),
+				samples: before.samples + 1,
+				ejections:
+					before.samples > 10 * ejectionMinSamples ? 0 : before.ejections,
+			};
+			return shouldEject(after, context) ? eject(after, context) : after;
+		}
+	}
+}
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -3,7 +3,9 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
+import {z} from 'zod';
 import type {OutcomeReason} from './request.js';
+import type {GateStamp} from './stamp.js';
 
 /** One attempt at a request. */
 export type Attempt = {
@@ -18,15 +20,32 @@
 	/** Path with query. */
 	readonly path: string;
 	readonly headers: IncomingHttpHeaders;
-	readonly body: Uint8Array;
+	/** The whole body, or a stream when it is longer than is buffered. */
+	readonly body: Uint8Array | Readable;
 	/** Time left until the deadline, ms. */
 	readonly remainingMs: number;
-	/** Aborted when the caller has given up. */
+	/** How many calls of other upstreams the request comes through. */
+	readonly depth: number;
+	/** Newest stamp that is known of the gate. */
+	readonly stamp: GateStamp | undefined;
+	/** Idempotency key of the caller with its team and service. */
+	readonly key: string | undefined;
+	/** Aborted when nobody wants the answer any more. */
 	readonly signal: AbortSignal;
 	/** Trace context of the hop that sends the attempt, W3C `traceparent`. */
-	readonly traceparent?: string;
+	readonly traceparent: string | undefined;
 };
 
+/** Names an attempt whose fate is asked for. */
+export const attemptQuestionSchema = z.strictObject({
+	id: z.string().max(256),
+	stamp: z
+		.strictObject({epoch: z.string().max(64), timeMs: z.number()})
+		.optional(),
+});
+
+export type AttemptQuestion = z.infer<typeof attemptQuestionSchema>;
+
 /** Load of a gate, as piggybacked on answers. */
 export type GateLoad = {
 	readonly inFlight: number;
@@ -40,12 +59,21 @@
 			readonly kind: 'answered';
 			readonly status: number;
 			readonly headers: IncomingHttpHeaders;
-			readonly body: Readable;
+			/** The whole body, or a stream that fails unless it ends whole. */
+			readonly body: Uint8Array | Readable;
 			readonly load: GateLoad | undefined;
+			readonly stamp: GateStamp | undefined;
 	  }
 	| {
 			readonly kind: 'not-run' | 'unknown';
 			readonly reason: OutcomeReason;
 			readonly retryAfterSeconds: number;
 			readonly load: GateLoad | undefined;
+			readonly stamp: GateStamp | undefined;
 	  };
+
+/** What a caller's node has of an attempt that it forwarded. */
+export type ForwardResult =
+	| AttemptResult
+	/** The connection failed after the attempt may have been sent. */
+	| {readonly kind: 'lost'; readonly reason: OutcomeReason};
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -34,4 +34,39 @@
 export const defaultConnections = 110;
 export const maxBodyBytes = 1024 * bytesPerKibibyte;
 export const retryAfterSeconds = 1;
-export const ledgerRetentionMs = 60_000;
+export const msPerSecond = 1000;
+export const queueSlotsRatio = 4;
+export const maxCallerInFlight = 2048;
+export const maxDepth = 16;
+export const latencyRefreshMs = 500;
+
+export const stampLifetimeMs = 75_000;
+export const ledgerBucketMs = 250;
+export const maxLedgerRecords = 32_768;
+export const maxKeptAnswerBytes = 64 * bytesPerKibibyte;
+export const maxKeptBytes = 4096 * bytesPerKibibyte;
+
+export const askAfterMs = 500;
+export const askTimeoutMs = 500;
+export const askRetryMs = 100;
+export const maxAsks = 3;
+export const maxRestamps = 2;
+export const deadlineMarginMs = 10;
+export const connectTimeoutMs = 250;
+export const idleConnectionMs = 2000;
+export const maxBufferedBytes = 64 * bytesPerKibibyte;
+
+export const retryBackoffBaseMs = 10;
+export const retryBackoffCapMs = 250;
+export const retryBudgetShare = 0.1;
+export const retryBudgetFloor = 10;
+export const retryBudgetWindowMs = 10_000;
+
+export const spillShare = 0.8;
+export const loadTrustMs = 1000;
+export const slowStartMs = 5000;
+export const minInUseShare = 0.5;
+export const ejectionBaseMs = 1000;
+export const ejectionCapMs = 30_000;
+export const ejectionErrorShare = 0.5;
+export const ejectionMinSamples = 10;
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -13,6 +13,9 @@
 export const loadHeader = 'boragehitch-load';
 export const shedHeader = 'boragehitch-shed';
 export const depthHeader = 'boragehitch-depth';
+export const stampHeader = 'boragehitch-stamp';
+export const keyHeader = 'boragehitch-key';
+export const idempotencyKeyHeader = 'idempotency-key';
 export const traceparentHeader = 'traceparent';
 
 /** Outcome of an attempt or of a whole request. */
@@ -34,6 +37,9 @@
 	'bad-request',
 	'cancelled',
 	'connection-lost',
+	'gate-unreachable',
+	'stale-stamp',
+	'forgotten',
 	'truncated',
 ] as const;
 
--- a/src/transport/_lib/copy-headers.ts
+++ b/src/transport/_lib/copy-headers.ts
@@ -14,27 +14,34 @@
 	'expect',
 ]);
 
+const ownPrefix = 'boragehitch-';
+
+function listNamed(connection: string): readonly string[] {
+	return connection.split(',').map((name) => name.trim().toLowerCase());
+}
+
 /**
  * Copies headers without hop-by-hop ones (RFC 9110, section 7.6.1) and without
  * this system's own.
  *
  * @param headers - headers as received
- * @returns headers to send on
+ * @returns headers to send on; a new object that the caller may add to
  */
 export function copyHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
-	const named = new Set(
-		String(headers.connection ?? '')
-			.split(',')
-			.map((name) => name.trim().toLowerCase()),
-	);
+	const {connection} = headers;
+	const isPlain =
+		connection === undefined ||
+		connection === 'keep-alive' ||
+		connection === 'close';
+	const named = isPlain ? [] : listNamed(connection);
 	const copy: IncomingHttpHeaders = {};
-	for (const [name, value] of Object.entries(headers)) {
+	for (const name of Object.keys(headers)) {
 		if (
 			!hopByHop.has(name) &&
-			!named.has(name) &&
-			!name.startsWith('boragehitch-')
+			!name.startsWith(ownPrefix) &&
+			!named.includes(name)
 		) {
-			copy[name] = value;
+			copy[name] = headers[name];
 		}
 	}
 
--- /dev/null
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -0,0 +1,54 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Attempt} from '../../protocol/attempt.js';
+import {
+	attemptHeader,
+	deadlineHeader,
+	depthHeader,
+	keyHeader,
+	repeatableHeader,
+	requestIdHeader,
+	serviceHeader,
+	shedHeader,
+	stampHeader,
+	teamHeader,
+	traceparentHeader,
+} from '../../protocol/request.js';
+import {copyHeaders} from './copy-headers.js';
+import {formatStamp} from './format-stamp.js';
+
+/**
+ * Creates the headers with which an attempt goes to a gate.
+ *
+ * @param attempt - the attempt
+ * @returns the caller's headers with those of the attempt
+ */
+export function createAttemptHeaders(attempt: Attempt): IncomingHttpHeaders {
+	const headers = copyHeaders(attempt.headers);
+	headers[requestIdHeader] = attempt.requestId;
+	headers[attemptHeader] = attempt.id;
+	headers[teamHeader] = attempt.team;
+	headers[serviceHeader] = attempt.service;
+	headers[deadlineHeader] = String(Math.floor(attempt.remainingMs));
+	headers[depthHeader] = String(attempt.depth);
+	if (attempt.repeatable) {
+		headers[repeatableHeader] = 'true';
+	}
+
+	if (attempt.sheddingMeansNotRun) {
+		headers[shedHeader] = 'not-run';
+	}
+
+	if (attempt.stamp) {
+		headers[stampHeader] = formatStamp(attempt.stamp);
+	}
+
+	if (attempt.key !== undefined) {
+		headers[keyHeader] = attempt.key;
+	}
+
+	if (attempt.traceparent !== undefined) {
+		headers[traceparentHeader] = attempt.traceparent;
+	}
+
+	return headers;
+}
--- /dev/null
+++ b/src/transport/_lib/create-job-runner.ts
@@ -0,0 +1,201 @@
+import {Readable} from 'node:stream';
+import {finished} from 'node:stream/promises';
+import type {Ledger} from '../../coordination/create-ledger.js';
+import {stepServiceTime} from '../../coordination/step-service-time.js';
+import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
+import type {RequestObserver} from '../../protocol/observer.js';
+import type {OutcomeReason} from '../../protocol/request.js';
+import {createUpstreamRequest} from './create-upstream-request.js';
+import {
+	enterLocalQueue,
+	leaveLocalQueue,
+	readLocalLoad,
+	type Job,
+	type LocalUpstream,
+} from './local-upstream.js';
+import {readUpstreamOutcome} from './read-upstream-outcome.js';
+import {sendRequest} from './send-request.js';
+
+/** Options of `createJobRunner`. */
+export type JobRunnerOptions = {
+	readonly ledger: Ledger<AttemptResult>;
+	readonly observer: RequestObserver;
+	/** Makes the result of an attempt that is refused before it is sent. */
+	readonly refuse: (
+		reason: OutcomeReason,
+		upstream: LocalUpstream,
+	) => AttemptResult;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** The admitted attempts of a gate, from queue to end. */
+export type JobRunner = {
+	enqueue(attempt: Attempt, upstream: LocalUpstream): Job;
+	findJob(id: string): Job | undefined;
+	/** Refuses a queued job. */
+	drop(job: Job, reason: OutcomeReason): void;
+	/** Refuses all queued jobs of an upstream that is leaving. */
+	dropQueued(upstream: LocalUpstream): void;
+	/** Ends a job whose answer is not wanted any more, wherever it is. */
+	endEarly(job: Job, reason: 'deadline' | 'cancelled'): void;
+	/** Waits until there are no jobs. */
+	waitUntilIdle(): Promise<void>;
+};
+
+function selectKeptAnswer(attempt: Attempt, result: AttemptResult) {
+	if (attempt.repeatable) {
+		return 'forget';
+	}
+
+	return result.kind === 'answered' && !(result.body instanceof Readable)
+		? {value: result, bytes: result.body.length}
+		: undefined;
+}
+
+async function waitForEnd(stream: Readable): Promise<void> {
+	try {
+		await finished(stream);
+	} catch {
+		// Whoever reads the stream sees the failure.
+	}
+}
+
+/**
+ * Creates the runner of a gate's admitted attempts.
+ *
+ * Each attempt gets a slot of its upstream in fair order, is sent at most once,
+ * and has its end noted in the ledger.
+ *
+ * @param options - see `JobRunnerOptions`
+ * @returns the runner
+ */
+export function createJobRunner(options: JobRunnerOptions): JobRunner {
+	const {ledger, observer, refuse, now} = options;
+	const jobs = new Map<string, Job>();
+	let onIdle: (() => void) | undefined;
+
+	function endJob(job: Job, result: AttemptResult, isRefused: boolean): void {
+		if (job.phase === 'over') {
+			return;
+		}
+
+		job.phase = 'over';
+		const {attempt} = job;
+		if (isRefused) {
+			ledger.refuse(attempt, now());
+		} else {
+			ledger.end(attempt, now(), selectKeptAnswer(attempt, result));
+		}
+
+		jobs.delete(attempt.id);
+		job.resolve(result);
+		if (jobs.size === 0) {
+			onIdle?.();
+		}
+	}
+
+	/** Refuses a queued job; it has not been sent. */
+	function dropJob(job: Job, reason: OutcomeReason): void {
+		leaveLocalQueue(job);
+		endJob(job, refuse(reason, job.upstream), true);
+	}
+
+	function endEarly(job: Job, reason: 'deadline' | 'cancelled'): void {
+		if (job.phase === 'queued') {
+			dropJob(job, reason);
+		} else if (job.phase === 'sent') {
+			job.endedBy ??= reason;
+			job.sent?.abort();
+		}
+	}
+
+	function dropQueued(upstream: LocalUpstream): void {
+		for (const job of [...upstream.queued.values()].flat()) {
+			dropJob(job, 'leaving');
+		}
+	}
+
+	async function runJob(job: Job): Promise<void> {
+		if (job.phase !== 'queued') {
+			return;
+		}
+
+		const {upstream, attempt} = job;
+		leaveLocalQueue(job);
+		upstream.fairQueue.serve(job.startTag);
+		upstream.inFlight++;
+		job.phase = 'sent';
+		job.sentAt = now();
+		const remainingMs = job.deadlineAt - job.sentAt;
+		job.sent = sendRequest(
+			upstream.pool,
+			createUpstreamRequest(attempt, remainingMs, job.traceparent),
+		);
+		const outcome = await job.sent.outcome;
+		const result = readUpstreamOutcome(outcome, attempt, {
+			endedBy: job.endedBy,
+			load: readLocalLoad(upstream),
+			stamp: ledger.readStamp(now()),
+		});
+		if (result.kind === 'answered' && result.body instanceof Readable) {
+			job.resolve(result);
+			await waitForEnd(result.body);
+		}
+
+		upstream.inFlight--;
+		const endedAt = now();
+		upstream.serviceTime = stepServiceTime(
+			upstream.serviceTime,
+			endedAt - job.sentAt,
+			endedAt,
+		);
+		endJob(job, result, result.kind === 'not-run');
+		if (upstream.inFlight === 0 && upstream.queuedCount === 0) {
+			upstream.fairQueue.reset();
+		}
+	}
+
+	function enqueue(attempt: Attempt, upstream: LocalUpstream): Job {
+		let resolve!: Job['resolve'];
+		const result = new Promise<AttemptResult>((settle) => {
+			resolve = settle;
+		});
+		const admittedAt = now();
+		const job: Job = {
+			attempt,
+			upstream,
+			traceparent: observer.createTraceparent
+				? observer.createTraceparent(attempt.traceparent)
+				: attempt.traceparent,
+			admittedAt,
+			deadlineAt: admittedAt + attempt.remainingMs,
+			startTag: upstream.fairQueue.enter(attempt.team),
+			result,
+			resolve,
+			phase: 'queued',
+			sentAt: 0,
+			sent: undefined,
+			endedBy: undefined,
+		};
+		enterLocalQueue(job);
+		jobs.set(attempt.id, job);
+		void upstream.queue.add(async () => runJob(job), {priority: -job.startTag});
+		return job;
+	}
+
+	return {
+		enqueue,
+		findJob: (id) => jobs.get(id),
+		drop: dropJob,
+		dropQueued,
+		endEarly,
+		async waitUntilIdle() {
+			if (jobs.size > 0) {
+				await new Promise<void>((resolve) => {
+					onIdle = resolve;
+				});
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/transport/_lib/create-service-router.ts
@@ -0,0 +1,254 @@
+import {pickHost} from '../../coordination/pick-host.js';
+import {pickKeyHost} from '../../coordination/pick-key-host.js';
+import {
+	stepHostRecord,
+	type HostMessage,
+	type HostRecord,
+} from '../../coordination/step-host-record.js';
+import {
+	stepRetryBudget,
+	type RetryBudget,
+} from '../../coordination/step-retry-budget.js';
+import type {ForwardResult} from '../../protocol/attempt.js';
+import {latencyRefreshMs, stampLifetimeMs} from '../../protocol/constants.js';
+import type {Candidate, MembersView} from '../../protocol/member.js';
+import type {OutcomeReason} from '../../protocol/request.js';
+import type {GateStamp} from '../../protocol/stamp.js';
+import type {Forwarder} from '../create-forwarder.js';
+import type {GateTask} from '../start-gate-task.js';
+import {computeMedian} from './compute-median.js';
+import type {GatePort} from './gate-port.js';
+import type {AttemptEnd} from './run-request.js';
+
+/** Options of `createServiceRouter`. */
+export type ServiceRouterOptions = {
+	readonly name: string;
+	readonly dataCentre: string;
+	readonly gate: GateTask;
+	readonly forwarder: Forwarder;
+	/** Monotonic ms. */
+	readonly now: () => number;
+	readonly random: () => number;
+};
+
+/** Picks gates for one request. */
+export type GateSelection = {
+	/** Picks a gate that was not tried yet, if there is one. */
+	pickGate(): GatePort | OutcomeReason;
+	/**
+	 * Gets a new stamp of the gate that will be picked first, for a request that
+	 * cannot be sent again after a refused stamp.
+	 */
+	refreshStamp(): Promise<void>;
+};
+
+/** What a caller's node knows of hosts, and the budgets of its retries. */
+export type ServiceRouter = {
+	tellView(view: MembersView): void;
+	select(service: string, key: string | undefined): GateSelection;
+	noteAttempt(end: AttemptEnd, now: number): void;
+	countRequest(team: string, service: string): void;
+	readBudget(team: string, service: string): number;
+	spendBudget(team: string, service: string): void;
+};
+
+type HeldStamp = {readonly stamp: GateStamp; readonly receivedAt: number};
+
+const serverErrorStatus = 500;
+
+function judgeResult(
+	result: ForwardResult,
+): (HostMessage & {kind: 'ended'})['outcome'] {
+	switch (result.kind) {
+		case 'answered': {
+			return result.status >= serverErrorStatus ? 'failed' : 'answered';
+		}
+
+		case 'not-run': {
+			return result.reason === 'not-sent' ? 'failed' : 'refused';
+		}
+
+		case 'unknown':
+		case 'lost': {
+			return result.reason === 'cancelled' ? 'refused' : 'failed';
+		}
+	}
+}
+
+/**
+ * Creates a caller's node's knowledge of hosts.
+ *
+ * @param options - see `ServiceRouterOptions`
+ * @returns the router, with no hosts known
+ */
+export function createServiceRouter(
+	options: ServiceRouterOptions,
+): ServiceRouter {
+	const {name, dataCentre, gate, forwarder, now, random} = options;
+	const records = new Map<string, HostRecord>();
+	const stamps = new Map<string, HeldStamp>();
+	const budgets = new Map<string, RetryBudget>();
+	const latencies = new Map<
+		string,
+		{readonly ms: number; readonly at: number}
+	>();
+	let candidates: MembersView['candidates'] = new Map();
+
+	function readServiceLatency(service: string): number {
+		const known = latencies.get(service);
+		if (known && now() - known.at < latencyRefreshMs) {
+			return known.ms;
+		}
+
+		const hosts = candidates.get(service) ?? [];
+		const ms = computeMedian(
+			hosts
+				.map(({host}) => records.get(host)?.latencyMs ?? 0)
+				.filter((latencyMs) => latencyMs > 0),
+		);
+		latencies.set(service, {ms, at: now()});
+		return ms;
+	}
+
+	function noteHost(host: string, service: string, message: HostMessage): void {
+		const context = {
+			now: now(),
+			random: random(),
+			serviceLatencyMs:
+				message.kind === 'ended' ? readServiceLatency(service) : 0,
+		};
+		records.set(host, stepHostRecord(records.get(host), message, context));
+	}
+
+	function createLocalPort(host: Candidate): GatePort {
+		return {
+			host,
+			isLocal: true,
+			readStamp: gate.readStamp,
+			runAttempt: gate.runAttempt,
+			ask: async (question) => gate.ask(question),
+			fetchAnswer: gate.fetchAnswer,
+			async cancel(id) {
+				gate.cancel(id);
+			},
+		};
+	}
+
+	function createRemotePort(host: Candidate): GatePort {
+		const {address} = host;
+		return {
+			host,
+			isLocal: false,
+			readStamp: () => stamps.get(address)?.stamp,
+			runAttempt: async (attempt) => forwarder.forwardAttempt(address, attempt),
+			ask: async (question) => forwarder.ask(address, question),
+			fetchAnswer: async (id, remainingMs, signal) =>
+				forwarder.fetchAnswer(address, id, remainingMs, signal),
+			cancel: async (id) => forwarder.cancel(address, id),
+		};
+	}
+
+	async function refreshStamp(address: string): Promise<void> {
+		const held = stamps.get(address);
+		if (held && now() - held.receivedAt < stampLifetimeMs / 2) {
+			return;
+		}
+
+		const stamp = await forwarder.readStamp(address);
+		if (stamp) {
+			stamps.set(address, {stamp, receivedAt: now()});
+		}
+	}
+
+	function pickCandidate(
+		service: string,
+		key: string | undefined,
+		tried: ReadonlySet<string>,
+	): Candidate | undefined {
+		const hosts = candidates.get(service) ?? [];
+		if (key !== undefined) {
+			return pickKeyHost(hosts, key);
+		}
+
+		const pick = {dataCentre, now: now()};
+		return (
+			pickHost(hosts, records, random, {...pick, exclude: tried}) ??
+			pickHost(hosts, records, random, pick)
+		);
+	}
+
+	function stepBudget(
+		team: string,
+		service: string,
+		message: 'request' | 'retry' | 'tick',
+	): RetryBudget {
+		const id = `${team} ${service}`;
+		const budget = stepRetryBudget(budgets.get(id), message, now());
+		budgets.set(id, budget);
+		return budget;
+	}
+
+	return {
+		tellView(view) {
+			candidates = view.candidates;
+			const known = new Set(view.members.map((member) => member.name));
+			const addresses = new Set(view.members.map((member) => member.address));
+			for (const host of records.keys()) {
+				if (!known.has(host)) {
+					records.delete(host);
+				}
+			}
+
+			for (const address of stamps.keys()) {
+				if (!addresses.has(address)) {
+					stamps.delete(address);
+				}
+			}
+		},
+		select(service, key) {
+			const tried = new Set<string>();
+			let prepared: Candidate | undefined;
+			return {
+				pickGate() {
+					const host = prepared ?? pickCandidate(service, key, tried);
+					prepared = undefined;
+					if (!host) {
+						return 'pending';
+					}
+
+					tried.add(host.host);
+					noteHost(host.host, service, {kind: 'sent'});
+					return host.host === name
+						? createLocalPort(host)
+						: createRemotePort(host);
+				},
+				async refreshStamp() {
+					prepared = pickCandidate(service, key, tried);
+					if (prepared && prepared.host !== name) {
+						await refreshStamp(prepared.address);
+					}
+				},
+			};
+		},
+		noteAttempt({gate: port, attempt, result, startedAt}, endedAt) {
+			const {host, address} = port.host;
+			if (result.kind !== 'lost' && result.stamp) {
+				stamps.set(address, {stamp: result.stamp, receivedAt: endedAt});
+			}
+
+			noteHost(host, attempt.service, {
+				kind: 'ended',
+				outcome: judgeResult(result),
+				latencyMs: endedAt - startedAt,
+				load: result.kind === 'lost' ? undefined : result.load,
+			});
+		},
+		countRequest(team, service) {
+			stepBudget(team, service, 'request');
+		},
+		readBudget: (team, service) => stepBudget(team, service, 'tick').tokens,
+		spendBudget(team, service) {
+			stepBudget(team, service, 'retry');
+		},
+	};
+}
--- a/src/transport/_lib/format-load.ts
+++ b/src/transport/_lib/format-load.ts
@@ -9,20 +9,3 @@
 export function formatLoad(load: GateLoad): string {
 	return `${load.inFlight}/${load.queued}/${load.slots}`;
 }
-
-/**
- * Parses the load header.
- *
- * @param text - header value
- * @returns the load, or undefined when the text is not a plausible one
- */
-export function parseLoad(text: unknown): GateLoad | undefined {
-	const match = /^(\d{1,6})\/(\d{1,6})\/(\d{1,6})$/v.exec(String(text));
-	return match
-		? {
-				inFlight: Number(match[1]),
-				queued: Number(match[2]),
-				slots: Number(match[3]),
-			}
-		: undefined;
-}
--- /dev/null
+++ b/src/transport/_lib/gate-port.ts
@@ -0,0 +1,24 @@
+import type {LedgerStep} from '../../coordination/step-ledger-record.js';
+import type {
+	Attempt,
+	AttemptQuestion,
+	ForwardResult,
+} from '../../protocol/attempt.js';
+import type {Candidate} from '../../protocol/member.js';
+import type {GateStamp} from '../../protocol/stamp.js';
+
+/** A gate as a request uses it, be it local or of another host. */
+export type GatePort = {
+	readonly host: Candidate;
+	/** Whether the gate is in this process, so that nothing can be lost. */
+	readonly isLocal: boolean;
+	readStamp(): GateStamp | undefined;
+	runAttempt(attempt: Attempt): Promise<ForwardResult>;
+	ask(question: AttemptQuestion): Promise<LedgerStep['answer'] | 'failed'>;
+	fetchAnswer(
+		id: string,
+		remainingMs: number,
+		signal: AbortSignal,
+	): Promise<ForwardResult>;
+	cancel(id: string): Promise<void>;
+};
--- /dev/null
+++ b/src/transport/_lib/parse-load.ts
@@ -0,0 +1,18 @@
+import type {GateLoad} from '../../protocol/attempt.js';
+
+/**
+ * Parses the load header.
+ *
+ * @param text - header value
+ * @returns the load, or undefined when the text is not a plausible one
+ */
+export function parseLoad(text: unknown): GateLoad | undefined {
+	const match = /^(\d{1,6})\/(\d{1,6})\/(\d{1,6})$/v.exec(String(text));
+	return match
+		? {
+				inFlight: Number(match[1]),
+				queued: Number(match[2]),
+				slots: Number(match[3]),
+			}
+		: undefined;
+}
--- /dev/null
+++ b/src/transport/_lib/read-attempt.ts
@@ -0,0 +1,54 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Readable} from 'node:stream';
+import type {Attempt} from '../../protocol/attempt.js';
+import {defaultDeadlineMs} from '../../protocol/constants.js';
+import {
+	attemptHeader,
+	deadlineHeader,
+	depthHeader,
+	keyHeader,
+	repeatableHeader,
+	requestIdHeader,
+	serviceHeader,
+	shedHeader,
+	stampHeader,
+	teamHeader,
+	traceparentHeader,
+} from '../../protocol/request.js';
+import {parseStamp} from './parse-stamp.js';
+
+/** What of an attempt is not in its headers. */
+export type AttemptParts = {
+	readonly method: string;
+	readonly path: string;
+	readonly body: Uint8Array | Readable;
+	readonly signal: AbortSignal;
+};
+
+/**
+ * Reads an attempt from the headers with which it came to a gate.
+ *
+ * @param headers - headers as received
+ * @param parts - see `AttemptParts`
+ * @returns the attempt
+ */
+export function readAttempt(
+	headers: IncomingHttpHeaders,
+	parts: AttemptParts,
+): Attempt {
+	return {
+		...parts,
+		id: String(headers[attemptHeader]),
+		requestId: String(headers[requestIdHeader]),
+		team: String(headers[teamHeader]),
+		service: String(headers[serviceHeader]),
+		repeatable: headers[repeatableHeader] === 'true',
+		sheddingMeansNotRun: headers[shedHeader] === 'not-run',
+		headers,
+		remainingMs: Number(headers[deadlineHeader] ?? defaultDeadlineMs),
+		depth: Number(headers[depthHeader] ?? 0),
+		stamp: parseStamp(headers[stampHeader]),
+		key: headers[keyHeader]?.toString(),
+		traceparent: headers[traceparentHeader]?.toString(),
+	};
+}
--- /dev/null
+++ b/src/transport/_lib/read-gate-outcome.ts
@@ -0,0 +1,69 @@
+import {Readable} from 'node:stream';
+import type {ForwardResult} from '../../protocol/attempt.js';
+import {retryAfterSeconds} from '../../protocol/constants.js';
+import {
+	loadHeader,
+	outcomeHeader,
+	outcomeReasons,
+	reasonHeader,
+	stampHeader,
+	type OutcomeReason,
+} from '../../protocol/request.js';
+import {parseLoad} from './parse-load.js';
+import {parseStamp} from './parse-stamp.js';
+import type {SendOutcome} from './send-request.js';
+
+function parseReason(value: unknown): OutcomeReason {
+	return outcomeReasons.find((reason) => reason === value) ?? 'connection-lost';
+}
+
+/**
+ * Reads the result of a forwarded attempt from the outcome on its connection.
+ *
+ * @param outcome - what became of the request to the gate
+ * @returns the gate's result, or `lost` when there is none
+ */
+export function readGateOutcome(outcome: SendOutcome): ForwardResult {
+	switch (outcome.kind) {
+		case 'answered': {
+			const {status, headers, body} = outcome;
+			const load = parseLoad(headers[loadHeader]);
+			const stamp = parseStamp(headers[stampHeader]);
+			const kind = headers[outcomeHeader];
+			if (kind === 'answered') {
+				return {kind, status, headers, body, load, stamp};
+			}
+
+			if (body instanceof Readable) {
+				body.destroy();
+			}
+
+			if (kind !== 'not-run' && kind !== 'unknown') {
+				return {kind: 'lost', reason: 'connection-lost'};
+			}
+
+			const seconds = Number(headers['retry-after'] ?? retryAfterSeconds);
+			const reason = parseReason(headers[reasonHeader]);
+			return {kind, reason, retryAfterSeconds: seconds, load, stamp};
+		}
+
+		case 'not-sent': {
+			return {
+				kind: 'not-run',
+				reason: 'not-sent',
+				retryAfterSeconds,
+				load: undefined,
+				stamp: undefined,
+			};
+		}
+
+		case 'lost':
+		case 'aborted': {
+			return {kind: 'lost', reason: 'connection-lost'};
+		}
+
+		case 'truncated': {
+			return {kind: 'lost', reason: 'truncated'};
+		}
+	}
+}
--- /dev/null
+++ b/src/transport/_lib/read-upstream-outcome.ts
@@ -0,0 +1,81 @@
+import {Readable} from 'node:stream';
+import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
+import {retryAfterSeconds} from '../../protocol/constants.js';
+import {shedHeader, type OutcomeReason} from '../../protocol/request.js';
+import type {GateStamp} from '../../protocol/stamp.js';
+import type {SendOutcome} from './send-request.js';
+
+/** What a gate adds to the outcome at its upstream. */
+export type UpstreamContext = {
+	/** Why the gate ended the request early, if it did. */
+	readonly endedBy: 'deadline' | 'cancelled' | undefined;
+	readonly load: GateLoad;
+	readonly stamp: GateStamp;
+};
+
+const statusServiceUnavailable = 503;
+
+function isShed(outcome: SendOutcome, attempt: Attempt): boolean {
+	return (
+		outcome.kind === 'answered' &&
+		outcome.status === statusServiceUnavailable &&
+		outcome.headers[shedHeader] === 'not-run' &&
+		attempt.sheddingMeansNotRun
+	);
+}
+
+/**
+ * Reads the result of an attempt from its outcome at the upstream.
+ *
+ * @param outcome - what became of the request to the upstream
+ * @param attempt - the attempt
+ * @param context - see `UpstreamContext`
+ * @returns `not-run` only when nothing was sent, or when the upstream has shed
+ * and its service declares that shedding means not run
+ */
+export function readUpstreamOutcome(
+	outcome: SendOutcome,
+	attempt: Attempt,
+	context: UpstreamContext,
+): AttemptResult {
+	const {endedBy, load, stamp} = context;
+	function end(
+		kind: 'not-run' | 'unknown',
+		reason: OutcomeReason,
+		retryAfter = retryAfterSeconds,
+	): AttemptResult {
+		return {kind, reason, retryAfterSeconds: retryAfter, load, stamp};
+	}
+
+	switch (outcome.kind) {
+		case 'answered': {
+			const {status, headers, body} = outcome;
+			if (!isShed(outcome, attempt)) {
+				return {kind: 'answered', status, headers, body, load, stamp};
+			}
+
+			if (body instanceof Readable) {
+				body.destroy();
+			}
+
+			const seconds = Number(headers['retry-after']);
+			return end('not-run', 'shed', seconds > 0 ? seconds : undefined);
+		}
+
+		case 'not-sent': {
+			return end('not-run', endedBy ?? 'not-sent');
+		}
+
+		case 'lost': {
+			return end('unknown', 'connection-lost');
+		}
+
+		case 'truncated': {
+			return end('unknown', 'truncated');
+		}
+
+		case 'aborted': {
+			return end('unknown', endedBy ?? 'cancelled');
+		}
+	}
+}
--- /dev/null
+++ b/src/transport/_lib/report-attempt-event.ts
@@ -0,0 +1,39 @@
+import type {RequestObserver} from '../../protocol/observer.js';
+import type {AttemptEnd} from './run-request.js';
+
+/**
+ * Reports to an observer that an attempt has ended at the caller's node.
+ *
+ * @param observer - who is told
+ * @param end - the attempt
+ * @param parentTraceparent - trace context of the request
+ * @param now - monotonic ms
+ */
+export function reportAttemptEvent(
+	observer: RequestObserver,
+	end: AttemptEnd,
+	parentTraceparent: string | undefined,
+	now: number,
+): void {
+	if (!observer.onAttempt) {
+		return;
+	}
+
+	const {attempt, result, startedAt} = end;
+	const isAnswered = result.kind === 'answered';
+	observer.onAttempt({
+		requestId: attempt.requestId,
+		attemptId: attempt.id,
+		attempt: end.number,
+		host: end.gate.host.host,
+		team: attempt.team,
+		service: attempt.service,
+		outcome: result.kind === 'lost' ? 'unknown' : result.kind,
+		reason: isAnswered ? undefined : result.reason,
+		status: isAnswered ? result.status : 0,
+		startedAtMs: startedAt,
+		durationMs: now - startedAt,
+		parentTraceparent,
+		traceparent: attempt.traceparent,
+	});
+}
--- /dev/null
+++ b/src/transport/_lib/report-request-event.ts
@@ -0,0 +1,52 @@
+import type {IncomingMessage} from 'node:http';
+import type {RequestObserver} from '../../protocol/observer.js';
+import type {CompiledRoute} from '../../protocol/request.js';
+import type {RequestEnd} from './run-request.js';
+
+/** What of a request is reported besides its end. */
+export type ReportedRequest = {
+	readonly request: IncomingMessage;
+	readonly route: CompiledRoute;
+	readonly requestId: string;
+	/** Monotonic ms. */
+	readonly startedAt: number;
+	readonly parentTraceparent: string | undefined;
+	readonly traceparent: string | undefined;
+};
+
+/**
+ * Reports to an observer that a request has got its final outcome.
+ *
+ * @param observer - who is told
+ * @param reported - the request
+ * @param end - its end
+ * @param now - monotonic ms
+ */
+export function reportRequestEvent(
+	observer: RequestObserver,
+	reported: ReportedRequest,
+	end: RequestEnd,
+	now: number,
+): void {
+	if (!observer.onRequest) {
+		return;
+	}
+
+	const {request, route, startedAt} = reported;
+	const isAnswered = end.outcome === 'answered';
+	observer.onRequest({
+		requestId: reported.requestId,
+		route: route.name,
+		method: request.method ?? 'GET',
+		attempts: end.attempts,
+		team: route.team,
+		service: route.service,
+		outcome: end.outcome,
+		reason: isAnswered ? undefined : end.reason,
+		status: isAnswered ? end.answer.status : 0,
+		startedAtMs: startedAt,
+		durationMs: now - startedAt,
+		parentTraceparent: reported.parentTraceparent,
+		traceparent: reported.traceparent,
+	});
+}
--- /dev/null
+++ b/src/transport/_lib/run-request.ts
@@ -0,0 +1,276 @@
+import {Readable} from 'node:stream';
+import {
+	initialRequestState,
+	stepRequest,
+	type RequestEffect,
+	type RequestMessage,
+	type RequestTerms,
+} from '../../coordination/step-request.js';
+import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
+import {
+	askAfterMs,
+	deadlineMarginMs,
+	retryAfterSeconds,
+} from '../../protocol/constants.js';
+import type {OutcomeReason} from '../../protocol/request.js';
+import type {GatePort} from './gate-port.js';
+import type {Answer} from './send-answer.js';
+
+/** What of an attempt is the same for all attempts of a request. */
+export type AttemptTemplate = Omit<
+	Attempt,
+	'id' | 'remainingMs' | 'stamp' | 'signal' | 'traceparent'
+>;
+
+/** Options of `runRequest`. */
+export type RunRequestOptions = {
+	readonly terms: RequestTerms;
+	readonly template: AttemptTemplate;
+	/** Aborted when the client has gone. */
+	readonly signal: AbortSignal;
+	/** Picks the gate of the next attempt, or says why there is none. */
+	readonly pickGate: () => GatePort | OutcomeReason;
+	readonly createTraceparent: () => string | undefined;
+	/** Told of each attempt that has ended. */
+	readonly onAttemptEnd: (end: AttemptEnd) => void;
+	readonly readBudget: () => number;
+	readonly spendBudget: () => void;
+	/** Monotonic ms. */
+	readonly now: () => number;
+	readonly random: () => number;
+};
+
+/** One attempt that has ended. */
+export type AttemptEnd = {
+	readonly number: number;
+	readonly gate: GatePort;
+	readonly attempt: Attempt;
+	readonly result: ForwardResult;
+	readonly startedAt: number;
+};
+
+/** The end of a request. */
+export type RequestEnd = {readonly attempts: number} & (
+	| {readonly outcome: 'answered'; readonly answer: Answer}
+	| {
+			readonly outcome: 'not-run' | 'unknown';
+			readonly reason: OutcomeReason;
+			readonly retryAfterSeconds: number;
+	  }
+);
+
+type OpenAttempt = {
+	readonly gate: GatePort;
+	readonly attempt: Attempt;
+	readonly controller: AbortController;
+};
+
+/**
+ * Runs a request to its one final outcome, by the decisions of `stepRequest`.
+ *
+ * @param options - see `RunRequestOptions`
+ * @returns the end of the request; does not reject
+ */
+export async function runRequest(
+	options: RunRequestOptions,
+): Promise<RequestEnd> {
+	const {terms, template, signal, now} = options;
+	let state = initialRequestState;
+	let open: OpenAttempt | undefined;
+	let answer: Answer | undefined;
+	let silenceTimer: NodeJS.Timeout | undefined;
+	let waitTimer: NodeJS.Timeout | undefined;
+
+	return new Promise((resolve) => {
+		function tell(message: RequestMessage): void {
+			const context = {
+				terms,
+				now: now(),
+				random: options.random(),
+				budget: options.readBudget(),
+			};
+			const step = stepRequest(state, message, context);
+			state = step.state;
+			for (const effect of step.effects) {
+				perform(effect);
+			}
+		}
+
+		function perform(effect: RequestEffect): void {
+			switch (effect.kind) {
+				case 'send': {
+					startAttempt(effect.attempt, effect.sameHost);
+					break;
+				}
+
+				case 'ask': {
+					void ask(effect.attempt);
+					break;
+				}
+
+				case 'fetch': {
+					void fetchAnswer(effect.attempt);
+					break;
+				}
+
+				case 'wait': {
+					waitTimer = setTimeout(tell, effect.durationMs, {kind: 'wait-over'});
+					break;
+				}
+
+				case 'abandon': {
+					abandon(effect.cancel);
+					break;
+				}
+
+				case 'spend-budget': {
+					options.spendBudget();
+					break;
+				}
+
+				case 'finish': {
+					finish(effect);
+					break;
+				}
+			}
+		}
+
+		function startAttempt(number: number, sameHost: boolean): void {
+			const gate = sameHost && open ? open.gate : options.pickGate();
+			if (typeof gate === 'string') {
+				tell({kind: 'no-host', reason: gate});
+				return;
+			}
+
+			const startedAt = now();
+			const controller = new AbortController();
+			const remainingMs = terms.deadlineAt - startedAt;
+			const attempt: Attempt = {
+				...template,
+				id: `${template.requestId}/${number}`,
+				remainingMs: Math.max(remainingMs / 2, remainingMs - deadlineMarginMs),
+				stamp: gate.readStamp(),
+				signal: controller.signal,
+				traceparent: options.createTraceparent(),
+			};
+			open = {gate, attempt, controller};
+			clearTimeout(silenceTimer);
+			if (!gate.isLocal) {
+				silenceTimer = setTimeout(tell, askAfterMs, {
+					kind: 'silent',
+					attempt: number,
+				});
+			}
+
+			void runAttempt(number, open, startedAt);
+		}
+
+		async function runAttempt(
+			number: number,
+			{gate, attempt}: OpenAttempt,
+			startedAt: number,
+		): Promise<void> {
+			const result = await gate.runAttempt(attempt);
+			options.onAttemptEnd({number, gate, attempt, result, startedAt});
+			handleResult(number, result);
+		}
+
+		function handleResult(number: number, result: ForwardResult): void {
+			if (result.kind === 'lost') {
+				tell({kind: 'lost', attempt: number, reason: result.reason});
+				return;
+			}
+
+			if (result.kind !== 'answered') {
+				const {kind, reason, retryAfterSeconds: retryAfter} = result;
+				tell({
+					kind: 'ended',
+					attempt: number,
+					outcome: kind,
+					reason,
+					retryAfterSeconds: retryAfter,
+				});
+				return;
+			}
+
+			if (state.phase === 'done' || state.attempts !== number) {
+				dropAnswer(result);
+				return;
+			}
+
+			answer = result;
+			tell({kind: 'answered', attempt: number});
+		}
+
+		async function ask(number: number): Promise<void> {
+			const {gate, attempt} = open!;
+			const {id, stamp} = attempt;
+			const known = await gate.ask({id, stamp});
+			tell(
+				known === 'failed'
+					? {kind: 'ask-failed', attempt: number}
+					: {kind: 'known', attempt: number, answer: known},
+			);
+		}
+
+		async function fetchAnswer(number: number): Promise<void> {
+			const {gate, attempt, controller} = open!;
+			const remainingMs = terms.deadlineAt - now();
+			const result = await gate.fetchAnswer(
+				attempt.id,
+				remainingMs,
+				controller.signal,
+			);
+			if (result.kind === 'lost') {
+				tell({kind: 'fetch-lost', attempt: number});
+			} else {
+				handleResult(number, result);
+			}
+		}
+
+		function abandon(shouldCancel: boolean): void {
+			const {gate, attempt, controller} = open!;
+			controller.abort();
+			if (shouldCancel && !attempt.repeatable) {
+				void gate.cancel(attempt.id);
+			}
+		}
+
+		function finish(effect: RequestEffect & {kind: 'finish'}): void {
+			clearTimeout(silenceTimer);
+			clearTimeout(waitTimer);
+			clearTimeout(deadlineTimer);
+			signal.removeEventListener('abort', cancel);
+			const {attempts} = state;
+			if (effect.outcome === 'answered') {
+				resolve({outcome: 'answered', answer: answer!, attempts});
+				return;
+			}
+
+			resolve({
+				outcome: effect.outcome,
+				reason: effect.reason!,
+				retryAfterSeconds: effect.retryAfterSeconds ?? retryAfterSeconds,
+				attempts,
+			});
+		}
+
+		function cancel(): void {
+			tell({kind: 'cancelled'});
+		}
+
+		const deadlineTimer = setTimeout(
+			tell,
+			Math.max(0, terms.deadlineAt - now()),
+			{kind: 'deadline'},
+		);
+		signal.addEventListener('abort', cancel);
+		tell({kind: 'start'});
+	});
+}
+
+function dropAnswer({body}: Answer): void {
+	if (body instanceof Readable) {
+		body.destroy();
+	}
+}
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -4,6 +4,8 @@
 export type RunningServer = {
 	readonly server: Server;
 	readonly address: string;
+	/** Asks clients, with each further answer, to close their connections. */
+	drain(): void;
 	/** Stops listening and waits for requests in flight. */
 	stop(): Promise<void>;
 };
@@ -40,6 +42,9 @@
 	return {
 		server,
 		address: `${host}:${boundPort}`,
+		drain() {
+			isStopping = true;
+		},
 		async stop() {
 			isStopping = true;
 			await new Promise<void>((resolve) => {
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -1,126 +1,178 @@
-import {Agent} from 'undici';
-import type {Attempt, AttemptResult} from '../protocol/attempt.js';
-import {retryAfterSeconds} from '../protocol/constants.js';
+import {createTRPCClient, httpLink} from '@trpc/client';
+import {Agent, fetch as undiciFetch, type Dispatcher} from 'undici';
+import type {LedgerStep} from '../coordination/step-ledger-record.js';
+import type {
+	Attempt,
+	AttemptQuestion,
+	ForwardResult,
+} from '../protocol/attempt.js';
 import {
-	attemptHeader,
-	deadlineHeader,
-	loadHeader,
-	outcomeHeader,
-	reasonHeader,
-	repeatableHeader,
-	requestIdHeader,
-	serviceHeader,
-	shedHeader,
-	teamHeader,
-	traceparentHeader,
-	outcomeReasons,
-	type OutcomeReason,
-} from '../protocol/request.js';
-import {copyHeaders} from './_lib/copy-headers.js';
-import {parseLoad} from './_lib/format-load.js';
-import type {PeerClients} from './create-peer-client.js';
+	askTimeoutMs,
+	connectTimeoutMs,
+	idleConnectionMs,
+} from '../protocol/constants.js';
+import type {GateStamp} from '../protocol/stamp.js';
+import {attemptHeader, deadlineHeader} from '../protocol/request.js';
+import {createAttemptHeaders} from './_lib/create-attempt-headers.js';
+import {readGateOutcome} from './_lib/read-gate-outcome.js';
+import {selectBody} from './_lib/select-body.js';
+import {
+	sendRequest,
+	type SendOutcome,
+	type SentRequest,
+} from './_lib/send-request.js';
+import {withFreshConnection} from './_lib/with-fresh-connection.js';
+import type {PeerRouter} from './create-peer-router.js';
 
 /** Sends attempts to the gates of other hosts. */
 export type Forwarder = {
-	forwardAttempt(address: string, attempt: Attempt): Promise<AttemptResult>;
+	forwardAttempt(address: string, attempt: Attempt): Promise<ForwardResult>;
+	/** Asks a gate, on a new connection, what became of an attempt. */
+	ask(
+		address: string,
+		question: AttemptQuestion,
+	): Promise<LedgerStep['answer'] | 'failed'>;
+	/** Fetches an attempt's answer, on a new connection; waits while it runs. */
+	fetchAnswer(
+		address: string,
+		id: string,
+		remainingMs: number,
+		signal: AbortSignal,
+	): Promise<ForwardResult>;
+	/** Gets a stamp of a gate; undefined when it cannot be reached. */
+	readStamp(address: string): Promise<GateStamp | undefined>;
+	/** Tells a gate, on a new connection, that nobody wants an answer. */
+	cancel(address: string, id: string): Promise<void>;
 	stop(): Promise<void>;
 };
 
 /** Path prefix under which a gate takes forwarded attempts. */
 export const gatePrefix = '/gate';
 
-const askTimeoutMs = 500;
+/** Path under which a gate gives the answers of attempts. */
+export const answersPath = '/answers';
+
+/** Open connections of a caller's node to one gate. */
+const maxGateConnections = 64;
+
+async function awaitOutcome(
+	sent: SentRequest,
+	signal: AbortSignal,
+): Promise<SendOutcome> {
+	const abort = (): void => {
+		sent.abort();
+	};
+
+	signal.addEventListener('abort', abort, {once: true});
+	if (signal.aborted) {
+		abort();
+	}
+
+	return sent.outcome;
+}
 
-function parseReason(value: unknown): OutcomeReason {
-	return outcomeReasons.find((reason) => reason === value) ?? 'connection-lost';
+function createClient(dispatcher: Dispatcher, address: string) {
+	return createTRPCClient<PeerRouter>({
+		links: [
+			httpLink({
+				url: `http://${address}/trpc`,
+				fetch: async (url, options) =>
+					undiciFetch(String(url), {
+						method: 'POST',
+						headers: {'content-type': 'application/json'},
+						body: typeof options?.body === 'string' ? options.body : undefined,
+						signal: options?.signal,
+						dispatcher,
+					}),
+			}),
+		],
+	});
 }
 
 /**
  * Creates the forwarder of a caller's node.
  *
- * When an attempt's connection fails, the gate is asked on another connection
- * what became of the attempt; asking fences one that has not started.
+ * Attempts use pooled connections, none of which has been idle for longer than
+ * `idleConnectionMs`. Questions and fetches each use a new connection, since a
+ * pooled one may have fallen silent.
  *
- * @param peers - clients of other nodes, for asking
  * @returns the forwarder
  * @example
- * await createForwarder(peers).forwardAttempt('127.0.0.1:8081', attempt);
+ * await createForwarder().forwardAttempt('127.0.0.1:8081', attempt);
  */
-export function createForwarder(peers: PeerClients): Forwarder {
-	const agent = new Agent({connections: 32, pipelining: 1});
-
-	async function resolveLostAttempt(
-		address: string,
-		id: string,
-	): Promise<AttemptResult> {
-		const load = undefined;
-		try {
-			const answer = await peers
-				.getClient(address)
-				.ask.mutate({id}, {signal: AbortSignal.timeout(askTimeoutMs)});
-			return answer === 'fenced'
-				? {kind: 'not-run', reason: 'fenced', retryAfterSeconds, load}
-				: {kind: 'unknown', reason: 'connection-lost', retryAfterSeconds, load};
-		} catch {
-			return {
-				kind: 'unknown',
-				reason: 'connection-lost',
-				retryAfterSeconds,
-				load,
-			};
-		}
-	}
+export function createForwarder(): Forwarder {
+	const agent = new Agent({
+		connections: maxGateConnections,
+		pipelining: 1,
+		connectTimeout: connectTimeoutMs,
+		keepAliveTimeout: idleConnectionMs,
+		keepAliveMaxTimeout: idleConnectionMs,
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
 
 	return {
 		async forwardAttempt(address, attempt) {
+			const headers = createAttemptHeaders(attempt);
+			const sent = sendRequest(agent, {
+				origin: `http://${address}`,
+				method: attempt.method,
+				path: gatePrefix + attempt.path,
+				headers,
+				body: selectBody(attempt.body, headers),
+				idempotent: false,
+			});
+			return readGateOutcome(await awaitOutcome(sent, attempt.signal));
+		},
+		async ask(address, question) {
 			try {
-				const response = await agent.request({
-					origin: `http://${address}`,
-					method: attempt.method,
-					path: `${gatePrefix}${attempt.path}`,
-					headers: {
-						...copyHeaders(attempt.headers),
-						'content-length': undefined,
-						...(attempt.traceparent && {
-							[traceparentHeader]: attempt.traceparent,
-						}),
-						[requestIdHeader]: attempt.requestId,
-						[attemptHeader]: attempt.id,
-						[teamHeader]: attempt.team,
-						[serviceHeader]: attempt.service,
-						[repeatableHeader]: String(attempt.repeatable),
-						[shedHeader]: attempt.sheddingMeansNotRun ? 'not-run' : 'unknown',
-						[deadlineHeader]: String(Math.floor(attempt.remainingMs)),
-					},
-					body: attempt.body.length > 0 ? attempt.body : undefined,
-					signal: AbortSignal.any([
-						attempt.signal,
-						AbortSignal.timeout(Math.ceil(attempt.remainingMs)),
-					]),
-				});
-				const load = parseLoad(response.headers[loadHeader]);
-				const outcome = response.headers[outcomeHeader];
-				if (outcome === 'not-run' || outcome === 'unknown') {
-					await response.body.dump();
-					return {
-						kind: outcome,
-						reason: parseReason(response.headers[reasonHeader]),
-						retryAfterSeconds: Number(
-							response.headers['retry-after'] ?? retryAfterSeconds,
-						),
-						load,
-					};
-				}
-
-				return {
-					kind: 'answered',
-					status: response.statusCode,
-					headers: response.headers,
-					body: response.body,
-					load,
+				return await withFreshConnection(address, async (connection) =>
+					createClient(connection, address).ask.mutate(question, {
+						signal: AbortSignal.timeout(askTimeoutMs),
+					}),
+				);
+			} catch {
+				return 'failed';
+			}
+		},
+		fetchAnswer: async (address, id, remainingMs, signal) =>
+			withFreshConnection(address, async (connection) => {
+				const headers = {
+					[attemptHeader]: id,
+					[deadlineHeader]: String(Math.floor(remainingMs)),
 				};
+				const sent = sendRequest(connection, {
+					method: 'GET',
+					path: answersPath,
+					headers,
+				});
+				const outcome = await awaitOutcome(sent, signal);
+				// A fetch that was not sent tells nothing of the attempt.
+				return outcome.kind === 'not-sent'
+					? {kind: 'lost', reason: 'gate-unreachable'}
+					: readGateOutcome(outcome);
+			}),
+		async readStamp(address) {
+			try {
+				return await withFreshConnection(address, async (connection) =>
+					createClient(connection, address).stamp.mutate(undefined, {
+						signal: AbortSignal.timeout(askTimeoutMs),
+					}),
+				);
+			} catch {
+				return undefined;
+			}
+		},
+		async cancel(address, id) {
+			try {
+				await withFreshConnection(address, async (connection) =>
+					createClient(connection, address).cancel.mutate(
+						{id},
+						{signal: AbortSignal.timeout(askTimeoutMs)},
+					),
+				);
 			} catch {
-				return resolveLostAttempt(address, attempt.id);
+				// The attempt ends at its deadline.
 			}
 		},
 		async stop() {
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -1,5 +1,4 @@
 import {initTRPC} from '@trpc/server';
-import {z} from 'zod';
 import {
 	exchangeSchema,
 	pollSchema,
@@ -7,13 +6,20 @@
 	type Poll,
 	type PollAnswer,
 } from '../protocol/peer.js';
-import type {LedgerRecord} from '../coordination/step-ledger-record.js';
+import type {GateStamp} from '../protocol/stamp.js';
+import type {LedgerStep} from '../coordination/step-ledger-record.js';
+import {
+	attemptQuestionSchema,
+	type AttemptQuestion,
+} from '../protocol/attempt.js';
 
 /** The handlers that a node's tasks give to the peer router. */
 export type PeerHandlers = {
 	handlePoll(poll: Poll): Promise<PollAnswer>;
 	handleExchange(exchange: Exchange): Exchange;
-	handleAsk(id: string): LedgerRecord['kind'];
+	handleAsk(question: AttemptQuestion): LedgerStep['answer'];
+	handleCancel(id: string): void;
+	handleStamp(): GateStamp;
 };
 
 /**
@@ -22,7 +28,7 @@
  * @param handlers - what answers each call
  * @returns the tRPC router
  * @example
- * createPeerRouter({handlePoll, handleExchange, handleAsk});
+ * createPeerRouter({handlePoll, handleExchange, handleAsk, handleCancel});
  */
 export function createPeerRouter(handlers: PeerHandlers) {
 	const t = initTRPC.create();
@@ -34,8 +40,14 @@
 			.input(exchangeSchema)
 			.mutation(({input}) => handlers.handleExchange(input)),
 		ask: t.procedure
-			.input(z.strictObject({id: z.string().max(256)}))
-			.mutation(({input}) => handlers.handleAsk(input.id)),
+			.input(attemptQuestionSchema)
+			.mutation(({input}) => handlers.handleAsk(input)),
+		stamp: t.procedure.mutation(() => handlers.handleStamp()),
+		cancel: t.procedure
+			.input(attemptQuestionSchema.pick({id: true}))
+			.mutation(({input}) => {
+				handlers.handleCancel(input.id);
+			}),
 	});
 }
 
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -1,19 +1,16 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import polka from 'polka';
-import {computeBackoff} from '../coordination/compute-backoff.js';
-import {decideRetry} from '../coordination/decide-retry.js';
-import {pickHost, type HostLoad} from '../coordination/pick-host.js';
-import type {Attempt, AttemptResult} from '../protocol/attempt.js';
+import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import type {Configuration} from '../protocol/configuration.js';
-import {retryAfterSeconds} from '../protocol/constants.js';
-import type {Candidate, MembersView} from '../protocol/member.js';
+import {maxDepth, retryAfterSeconds} from '../protocol/constants.js';
+import type {MembersView} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
+	deadlineHeader,
 	depthHeader,
+	idempotencyKeyHeader,
 	outcomeHeader,
-	reasonHeader,
 	traceparentHeader,
 	type CompiledRoute,
 	type OutcomeReason,
@@ -22,12 +19,16 @@
 import {compileRoutes} from '../state/compile-routes.js';
 import {createConfiguration} from '../state/create-configuration.js';
 import {matchRoute} from '../state/match-route.js';
-import {copyHeaders} from './_lib/copy-headers.js';
-import {readBody} from './_lib/read-body.js';
-import {sendJson} from './_lib/send-json.js';
 import {createListener} from './_lib/create-listener.js';
+import {createServiceRouter} from './_lib/create-service-router.js';
+import {isUnambiguousPath} from './_lib/is-unambiguous-path.js';
+import {readRequestBody} from './_lib/read-request-body.js';
+import {reportAttemptEvent} from './_lib/report-attempt-event.js';
+import {reportRequestEvent} from './_lib/report-request-event.js';
+import {runRequest, type RequestEnd} from './_lib/run-request.js';
+import {sendAnswer} from './_lib/send-answer.js';
+import {sendOutcome} from './_lib/send-outcome.js';
 import {startServer} from './_lib/start-server.js';
-import {waitMs} from './_lib/wait-ms.js';
 import type {Forwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
 import type {GateTask} from './start-gate-task.js';
@@ -41,7 +42,9 @@
 	readonly forwarder: Forwarder;
 	readonly logger: Logger;
 	readonly observer?: RequestObserver;
+	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
+	/** Numbers from 0 up to 1; `Math.random` when absent. */
 	readonly random?: () => number;
 };
 
@@ -50,24 +53,48 @@
 	readonly address: string;
 	tellConfiguration(configuration: Configuration): void;
 	tellView(view: MembersView): void;
+	/** Lets callers know that connections are to be closed. */
+	drain(): void;
 	stop(): Promise<void>;
 };
 
-type Exchange = {
+/** A request that has a route. */
+type RoutedRequest = {
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly route: CompiledRoute;
-	readonly body: Uint8Array;
-	readonly deadlineAt: number;
 	readonly requestId: string;
-	readonly isNested: boolean;
-	attempts: number;
-	readonly startedAtMs: number;
+	/** Monotonic ms. */
+	readonly startedAt: number;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
 };
 
-const statusByKind = {'not-run': 503, unknown: 504} as const;
+const answeredHeaders = {[outcomeHeader]: 'answered'};
+
+function refuse(response: ServerResponse, reason: OutcomeReason): void {
+	sendOutcome(response, {outcome: 'not-run', reason, retryAfterSeconds});
+}
+
+function readDepth(request: IncomingMessage): number {
+	const depth = Number(request.headers[depthHeader] ?? 0);
+	return Number.isInteger(depth) && depth >= 0 ? depth : 0;
+}
+
+function readDeadline(request: IncomingMessage, route: CompiledRoute): number {
+	const wanted = Number(request.headers[deadlineHeader] ?? route.deadlineMs);
+	return wanted >= 0 ? Math.min(route.deadlineMs, wanted) : route.deadlineMs;
+}
+
+function readKey(
+	request: IncomingMessage,
+	route: CompiledRoute,
+): string | undefined {
+	const key = request.headers[idempotencyKeyHeader];
+	return typeof key === 'string' && !route.repeatable
+		? `${route.team}/${route.service}/${encodeURIComponent(key)}`
+		: undefined;
+}
 
 /**
  * Starts the task that takes callers' requests and answers each of them.
@@ -80,30 +107,12 @@
 export async function startCallerTask(
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
-	const {name, dataCentre, gate, forwarder, logger, observer = {}} = options;
+	const {logger, observer = {}} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
-	let table: RouteTable = compileRoutes(createConfiguration());
-	let view: MembersView | undefined;
-	const loads = new Map<string, HostLoad>();
+	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
-
-	function sendOutcome(
-		response: ServerResponse,
-		kind: 'not-run' | 'unknown',
-		reason: OutcomeReason,
-		retryAfter: number,
-	): void {
-		sendJson(
-			response,
-			statusByKind[kind],
-			{outcome: kind, reason},
-			{
-				[outcomeHeader]: kind,
-				[reasonHeader]: reason,
-				...(kind === 'not-run' && {'retry-after': String(retryAfter)}),
-			},
-		);
-	}
+	let table: RouteTable = compileRoutes(createConfiguration());
+	let inFlight = 0;
 
 	function createTraceparent(parent: string | undefined): string | undefined {
 		return observer.createTraceparent
@@ -111,142 +120,116 @@
 			: parent;
 	}
 
-	function noteLoad(
-		host: string,
-		change: number,
-		result?: AttemptResult,
-	): void {
-		const known = loads.get(host) ?? {ownInFlight: 0, reportedShare: 0};
-		const load = result?.load;
-		loads.set(host, {
-			ownInFlight: known.ownInFlight + change,
-			reportedShare: load
-				? (load.inFlight + load.queued) / Math.max(1, load.slots)
-				: known.reportedShare,
-		});
+	function countInFlight(team: string, change: 1 | -1): void {
+		const count = (inFlightByTeam.get(team) ?? 0) + change;
+		inFlight += change;
+		if (count === 0) {
+			inFlightByTeam.delete(team);
+		} else {
+			inFlightByTeam.set(team, count);
+		}
 	}
 
-	async function runAttempt(
-		exchange: Exchange,
-		host: Candidate,
-		attempts: number,
-		signal: AbortSignal,
-	): Promise<AttemptResult> {
-		const {request, route, body, requestId, deadlineAt} = exchange;
-		const attempt: Attempt = {
-			id: `${requestId}/${attempts}`,
-			requestId,
-			team: route.team,
-			service: route.service,
-			repeatable: route.repeatable,
-			sheddingMeansNotRun: route.sheddingMeansNotRun,
-			method: request.method ?? 'GET',
-			path: request.url ?? '/',
-			headers: request.headers,
-			body,
-			remainingMs: deadlineAt - now(),
-			signal,
-			traceparent: createTraceparent(exchange.traceparent),
-		};
-		noteLoad(host.host, 1);
-		const startedAtMs = now();
-		const result = await (host.host === name
-			? gate.runAttempt(attempt)
-			: forwarder.forwardAttempt(host.address, attempt));
-		noteLoad(host.host, -1, result);
-		observer.onAttempt?.({
-			requestId,
-			attemptId: attempt.id,
-			attempt: attempts,
-			host: host.host,
-			team: route.team,
-			service: route.service,
-			outcome: result.kind,
-			reason: result.kind === 'answered' ? undefined : result.reason,
-			status: result.kind === 'answered' ? result.status : 0,
-			startedAtMs,
-			durationMs: now() - startedAtMs,
-			parentTraceparent: exchange.traceparent,
-			traceparent: attempt.traceparent,
+	function canTake({team, concurrency}: CompiledRoute): boolean {
+		const teamInFlight = inFlightByTeam.get(team) ?? 0;
+		return decideCallerAdmission({
+			inFlight,
+			teamInFlight,
+			activeTeams: inFlightByTeam.size + (teamInFlight === 0 ? 1 : 0),
+			concurrency,
 		});
-		return result;
 	}
 
-	async function runAttempts(
-		exchange: Exchange,
+	async function runRouted(
+		routed: RoutedRequest,
 		signal: AbortSignal,
-	): Promise<AttemptResult> {
-		const {route, deadlineAt, isNested} = exchange;
-		const tried = new Set<string>();
-		for (let attempts = 1; ; attempts++) {
-			const candidates = view?.candidates.get(route.service) ?? [];
-			const host =
-				pickHost(candidates, loads, random, {dataCentre, exclude: tried}) ??
-				pickHost(candidates, loads, random, {dataCentre});
-			if (!host) {
-				const reason = 'pending';
-				return {kind: 'not-run', reason, retryAfterSeconds, load: undefined};
-			}
-
-			tried.add(host.host);
-			exchange.attempts = attempts;
-			const result = await runAttempt(exchange, host, attempts, signal);
-			if (result.kind === 'answered') {
-				return result;
-			}
-
-			const shouldRetry = decideRetry({
-				outcome: result.kind,
-				repeatable: route.repeatable,
-				attempts,
-				maxAttempts: route.maxAttempts,
-				remainingMs: deadlineAt - now(),
-				budget: 1,
-				isNested,
-			});
-			if (!shouldRetry || signal.aborted) {
-				return result;
-			}
+	): Promise<RequestEnd> {
+		const {request, route, requestId} = routed;
+		const {team, service, sheddingMeansNotRun} = route;
+		const read = await readRequestBody(request, {maxBytes: route.maxBodyBytes});
+		if (read.kind === 'refused') {
+			const {reason} = read;
+			return {outcome: 'not-run', reason, retryAfterSeconds, attempts: 0};
+		}
 
-			if (tried.size >= candidates.length) {
-				await waitMs(computeBackoff(attempts, random()), signal);
-			}
+		const {body} = read;
+		const isStreamed = !(body instanceof Uint8Array);
+		const repeatable = route.repeatable && !isStreamed;
+		const key = readKey(request, route);
+		const depth = readDepth(request);
+		const selection = router.select(service, key);
+		if (isStreamed) {
+			await selection.refreshStamp();
 		}
+
+		return runRequest({
+			terms: {
+				repeatable,
+				isNested: depth > 0,
+				maxAttempts: isStreamed ? 1 : route.maxAttempts,
+				deadlineAt: routed.startedAt + readDeadline(request, route),
+			},
+			template: {
+				requestId,
+				team,
+				service,
+				repeatable,
+				sheddingMeansNotRun,
+				method: request.method ?? 'GET',
+				path: request.url ?? '/',
+				headers: request.headers,
+				body,
+				depth,
+				key,
+			},
+			signal,
+			pickGate: selection.pickGate,
+			createTraceparent: () => createTraceparent(routed.traceparent),
+			onAttemptEnd(end) {
+				router.noteAttempt(end, now());
+				reportAttemptEvent(observer, end, routed.traceparent, now());
+			},
+			readBudget: () => router.readBudget(team, service),
+			spendBudget() {
+				router.spendBudget(team, service);
+			},
+			now,
+			random,
+		});
 	}
 
-	async function answerExchange(exchange: Exchange): Promise<void> {
-		const {response} = exchange;
+	async function answerRouted(routed: RoutedRequest): Promise<void> {
+		const {response} = routed;
 		const cancelling = new AbortController();
 		response.once('close', () => {
-			cancelling.abort();
-		});
-		const result = await runAttempts(exchange, cancelling.signal);
-		observer.onRequest?.({
-			requestId: exchange.requestId,
-			route: exchange.route.name,
-			method: exchange.request.method ?? 'GET',
-			attempts: exchange.attempts,
-			team: exchange.route.team,
-			service: exchange.route.service,
-			outcome: result.kind,
-			reason: result.kind === 'answered' ? undefined : result.reason,
-			status: result.kind === 'answered' ? result.status : 0,
-			startedAtMs: exchange.startedAtMs,
-			durationMs: now() - exchange.startedAtMs,
-			parentTraceparent: exchange.parentTraceparent,
-			traceparent: exchange.traceparent,
+			if (!response.writableFinished) {
+				cancelling.abort();
+			}
 		});
-		if (result.kind !== 'answered') {
-			const {kind, reason, retryAfterSeconds: retryAfter} = result;
-			sendOutcome(response, kind, reason, retryAfter);
-			return;
+		router.countRequest(routed.route.team, routed.route.service);
+		const end = await runRouted(routed, cancelling.signal);
+		try {
+			if (end.outcome === 'answered') {
+				await sendAnswer(response, end.answer, answeredHeaders);
+			} else {
+				sendOutcome(response, end);
+			}
+		} finally {
+			reportRequestEvent(observer, routed, end, now());
 		}
+	}
 
-		response.writeHead(result.status, {
-			...copyHeaders(result.headers),
-			[outcomeHeader]: 'answered',
-		});
-		await pipeline(result.body, response);
+	function findRoute(
+		request: IncomingMessage,
+	): CompiledRoute | 'bad-request' | 'no-route' {
+		const {url = '/', method = 'GET'} = request;
+		const end = url.indexOf('?');
+		const path = end === -1 ? url : url.slice(0, end);
+		if (!isUnambiguousPath(path) || readDepth(request) > maxDepth) {
+			return 'bad-request';
+		}
+
+		return matchRoute(table, method, path) ?? 'no-route';
 	}
 
 	async function handleRequest(
@@ -254,49 +237,37 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const startedAt = now();
-		const path = (request.url ?? '/').split('?', 1)[0]!;
-		const route = matchRoute(table, request.method ?? 'GET', path);
-		if (!route) {
-			sendOutcome(response, 'not-run', 'no-route', retryAfterSeconds);
+		const route = findRoute(request);
+		if (typeof route === 'string') {
+			refuse(response, route);
 			return;
 		}
 
-		const inFlight = inFlightByTeam.get(route.team) ?? 0;
-		if (inFlight >= route.concurrency) {
-			sendOutcome(response, 'not-run', 'team-limit', retryAfterSeconds);
+		if (!canTake(route)) {
+			refuse(response, 'team-limit');
 			return;
 		}
 
-		inFlightByTeam.set(route.team, inFlight + 1);
+		const parentTraceparent = request.headers[traceparentHeader]?.toString();
+		countInFlight(route.team, 1);
 		try {
-			const body = await readBody(request, route.maxBodyBytes);
-			if (body.isErr()) {
-				sendOutcome(response, 'not-run', 'body-too-large', retryAfterSeconds);
-				return;
-			}
-
-			const parentTraceparent = request.headers[traceparentHeader]?.toString();
-			await answerExchange({
+			await answerRouted({
 				request,
 				response,
 				route,
-				body: body.value,
-				deadlineAt: startedAt + route.deadlineMs,
 				requestId: randomUUID(),
-				isNested: request.headers[depthHeader] !== undefined,
-				attempts: 0,
-				startedAtMs: startedAt,
+				startedAt,
 				parentTraceparent,
 				traceparent: createTraceparent(parentTraceparent),
 			});
 		} finally {
-			inFlightByTeam.set(route.team, inFlightByTeam.get(route.team)! - 1);
+			countInFlight(route.team, -1);
 		}
 	}
 
 	const app = polka().use((request, response) => {
 		handleRequest(request, response).catch((error: unknown) => {
-			logger.warn('request failed', {error: String(error)});
+			logger.debug('answer not sent whole', {error: String(error)});
 			response.destroy();
 		});
 	});
@@ -307,9 +278,8 @@
 		tellConfiguration(configuration) {
 			table = compileRoutes(configuration);
 		},
-		tellView(next) {
-			view = next;
-		},
+		tellView: router.tellView,
+		drain: server.drain,
 		stop: server.stop,
 	};
 }
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -1,33 +1,40 @@
+import {randomUUID} from 'node:crypto';
 import {Readable} from 'node:stream';
-import {Pool} from 'undici';
-import PQueue from 'p-queue';
-import {isLedgerRecordExpired} from '../coordination/is-ledger-record-expired.js';
-import {
-	stepLedgerRecord,
-	type LedgerMessage,
-	type LedgerRecord,
-	type LedgerStep,
-} from '../coordination/step-ledger-record.js';
-import type {Attempt, AttemptResult, GateLoad} from '../protocol/attempt.js';
-import {ledgerRetentionMs, retryAfterSeconds} from '../protocol/constants.js';
+import {createLedger} from '../coordination/create-ledger.js';
+import {decideAdmission} from '../coordination/decide-admission.js';
+import {readServiceTime} from '../coordination/read-service-time.js';
+import type {LedgerStep} from '../coordination/step-ledger-record.js';
+import type {
+	Attempt,
+	AttemptQuestion,
+	AttemptResult,
+} from '../protocol/attempt.js';
+import {queueSlotsRatio, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
+import type {OutcomeReason} from '../protocol/request.js';
+import type {GateStamp} from '../protocol/stamp.js';
+import {createJobRunner} from './_lib/create-job-runner.js';
 import {
-	deadlineHeader,
-	requestIdHeader,
-	shedHeader,
-	traceparentHeader,
-	type OutcomeReason,
-} from '../protocol/request.js';
-import {copyHeaders} from './_lib/copy-headers.js';
-import {readErrorCode} from './_lib/read-error-code.js';
-import {waitMs} from './_lib/wait-ms.js';
+	countAhead,
+	createLocalUpstream,
+	findLocalUpstream,
+	findLongestQueue,
+	readLocalLoad,
+	type Job,
+	type LocalUpstream,
+} from './_lib/local-upstream.js';
+import {raceResult} from './_lib/race-result.js';
+import {reportGateEvent} from './_lib/report-gate-event.js';
 import type {Logger} from './create-logger.js';
 
 /** Options of `startGateTask`. */
 export type GateTaskOptions = {
 	readonly logger: Logger;
 	readonly observer?: RequestObserver;
+	/** Random name of the process; a new UUID when absent. */
+	readonly epoch?: string;
+	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
 };
 
@@ -36,232 +43,205 @@
 	announce(id: string, announcement: Announcement): void;
 	withdraw(id: string): void;
 	runAttempt(attempt: Attempt): Promise<AttemptResult>;
-	/** Answers what is known of an attempt, fencing it when nothing is. */
-	ask(id: string): LedgerRecord['kind'];
+	/** Tells what became of an attempt, fencing one that has not arrived. */
+	ask(question: AttemptQuestion): LedgerStep['answer'];
+	/** Waits for the answer of an attempt, or gives the kept one. */
+	fetchAnswer(
+		id: string,
+		remainingMs: number,
+		signal: AbortSignal,
+	): Promise<AttemptResult>;
+	/** Ends an attempt whose answer nobody wants any more. */
+	cancel(id: string): void;
+	readStamp(): GateStamp;
 	/** Refuses new attempts and waits for those in flight. */
 	drain(): Promise<void>;
 	stop(): Promise<void>;
 };
 
-type LocalUpstream = {
-	announcement: Announcement;
-	readonly pool: Pool;
-	readonly queue: PQueue;
-	inFlight: number;
-};
-
-const queueSlotsRatio = 4;
-
 /**
  * Starts the gate of a host.
  *
  * @param options - see `GateTaskOptions`
  * @returns the running task
  * @example
- * startGateTask({logger}).ask('unseen'); // 'fenced'
+ * startGateTask({logger}).readStamp().epoch;
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
-	const {logger, observer = {}, now = () => performance.now()} = options;
+	const {observer = {}, epoch = randomUUID()} = options;
+	const {now = () => performance.now()} = options;
 	const upstreams = new Map<string, LocalUpstream>();
-	const ledger = new Map<string, LedgerRecord>();
-	const active = new Set<Attempt>();
+	const ledger = createLedger<AttemptResult>({epoch});
 	let isDraining = false;
 
-	function tellLedger(
-		id: string,
-		message: LedgerMessage,
-	): LedgerStep['answer'] {
-		const step = stepLedgerRecord(ledger.get(id), message, now());
-		ledger.set(id, step.record);
-		return step.answer;
-	}
-
-	function clearLedger(): void {
-		for (const [id, record] of ledger) {
-			if (isLedgerRecordExpired(record, now())) {
-				ledger.delete(id);
-			}
-		}
-	}
-
 	function refuse(
 		kind: 'not-run' | 'unknown',
 		reason: OutcomeReason,
-		load?: GateLoad,
+		upstream?: LocalUpstream,
+		retryAfter = retryAfterSeconds,
 	): AttemptResult {
-		return {kind, reason, retryAfterSeconds, load};
+		const load = upstream && readLocalLoad(upstream);
+		const stamp = ledger.readStamp(now());
+		return {kind, reason, retryAfterSeconds: retryAfter, load, stamp};
 	}
 
-	function findUpstream(service: string): LocalUpstream | undefined {
-		const ready = [...upstreams.values()].filter(
-			({announcement}) =>
-				announcement.state === 'ready' &&
-				`${announcement.team}/${announcement.service}` === service,
-		);
-		return ready.toSorted((a, b) => a.inFlight - b.inFlight)[0];
-	}
+	const runner = createJobRunner({
+		ledger,
+		observer,
+		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
+		now,
+	});
+
+	function admit(attempt: Attempt): Job | AttemptResult {
+		const upstream = isDraining
+			? 'leaving'
+			: findLocalUpstream(upstreams.values(), attempt.service);
+		if (typeof upstream === 'string') {
+			return refuse('not-run', upstream);
+		}
 
-	function readLoad(upstream: LocalUpstream): GateLoad {
-		return {
+		const longest = findLongestQueue(upstream);
+		const {slots} = upstream.announcement;
+		const admission = decideAdmission({
+			remainingMs: attempt.remainingMs,
+			slots,
 			inFlight: upstream.inFlight,
-			queued: upstream.queue.size,
-			slots: upstream.announcement.slots,
-		};
-	}
-
-	async function sendAttempt(
-		upstream: LocalUpstream,
-		attempt: Attempt,
-		deadlineAt: number,
-	): Promise<AttemptResult> {
-		const remainingMs = deadlineAt - now();
-		if (remainingMs <= 0 || attempt.signal.aborted) {
-			return refuse('not-run', 'deadline', readLoad(upstream));
+			ahead: countAhead(upstream, attempt.team),
+			queued: upstream.queuedCount,
+			ownQueued: upstream.queued.get(attempt.team)?.length ?? 0,
+			longestQueued: longest.length,
+			maxQueued: slots * queueSlotsRatio,
+			serviceMs: readServiceTime(upstream.serviceTime, now()),
+		});
+		if (admission.kind === 'refuse') {
+			const {reason, retryAfterSeconds: retryAfter} = admission;
+			return refuse('not-run', reason, upstream, retryAfter);
 		}
 
-		if (tellLedger(attempt.id, 'start') !== 'run') {
-			return refuse('not-run', 'fenced', readLoad(upstream));
+		if (admission.pushOut) {
+			runner.drop(longest.at(-1)!, 'saturated');
 		}
 
-		upstream.inFlight++;
-		try {
-			const response = await upstream.pool.request({
-				method: attempt.method,
-				path: attempt.path,
-				headers: {
-					...copyHeaders(attempt.headers),
-					'content-length': undefined,
-					...(attempt.traceparent && {
-						[traceparentHeader]: attempt.traceparent,
-					}),
-					[requestIdHeader]: attempt.requestId,
-					[deadlineHeader]: String(Math.floor(remainingMs)),
-				},
-				body: attempt.body.length > 0 ? attempt.body : undefined,
-				signal: AbortSignal.any([
-					attempt.signal,
-					AbortSignal.timeout(Math.ceil(remainingMs)),
-				]),
-			});
-			const body = new Uint8Array(await response.body.arrayBuffer());
-			if (response.statusCode === 503 && response.headers[shedHeader]) {
-				const kind = attempt.sheddingMeansNotRun ? 'not-run' : 'unknown';
-				return refuse(kind, 'shed', readLoad(upstream));
-			}
+		return runner.enqueue(attempt, upstream);
+	}
 
-			return {
-				kind: 'answered',
-				status: response.statusCode,
-				headers: response.headers,
-				body: Readable.from([body]),
-				load: readLoad(upstream),
-			};
-		} catch (error) {
-			logger.debug('attempt failed', {id: attempt.id, error: String(error)});
-			return readErrorCode(error) === 'ECONNREFUSED'
-				? refuse('not-run', 'not-sent', readLoad(upstream))
-				: refuse('unknown', 'connection-lost', readLoad(upstream));
-		} finally {
-			upstream.inFlight--;
-			tellLedger(attempt.id, 'finish');
+	async function runAdmitted(attempt: Attempt): Promise<AttemptResult> {
+		const admitted = admit(attempt);
+		if ('kind' in admitted) {
+			ledger.refuse(attempt, now());
+			return admitted;
 		}
-	}
 
-	async function queueAttempt(
-		attempt: Attempt,
-		onStart: () => void,
-	): Promise<AttemptResult> {
-		if (isDraining) {
-			return refuse('not-run', 'leaving');
+		const job = admitted;
+		const timer = setTimeout(
+			runner.endEarly,
+			attempt.remainingMs,
+			job,
+			'deadline',
+		);
+		const cancel = (): void => {
+			runner.endEarly(job, 'cancelled');
+		};
+
+		attempt.signal.addEventListener('abort', cancel, {once: true});
+		if (attempt.signal.aborted) {
+			cancel();
 		}
 
-		const upstream = findUpstream(attempt.service);
-		if (!upstream) {
-			return refuse('not-run', 'no-upstream');
+		const result = await job.result;
+		if (job.phase === 'over') {
+			clearTimeout(timer);
 		}
 
-		const {queue, announcement} = upstream;
-		if (queue.size >= announcement.slots * queueSlotsRatio) {
-			return refuse('not-run', 'saturated', readLoad(upstream));
+		reportGateEvent(observer, job, result, now());
+		return result;
+	}
+
+	async function joinAttempt(
+		id: string,
+		remainingMs: number,
+		signal: AbortSignal,
+	): Promise<AttemptResult> {
+		const job = runner.findJob(id);
+		if (!job) {
+			return ledger.isFenced(id)
+				? refuse('not-run', 'fenced')
+				: (ledger.readAnswer(id) ?? refuse('unknown', 'forgotten'));
 		}
 
-		const deadlineAt = now() + attempt.remainingMs;
-		active.add(attempt);
-		try {
-			return await queue.add(async () => {
-				onStart();
-				return sendAttempt(upstream, attempt, deadlineAt);
-			});
-		} finally {
-			active.delete(attempt);
+		const result = await raceResult(job.result, remainingMs, signal);
+		if (!result) {
+			return refuse('unknown', 'deadline');
 		}
-	}
 
-	async function observeAttempt(attempt: Attempt): Promise<AttemptResult> {
-		const startedAtMs = now();
-		const traceparent = observer.createTraceparent
-			? observer.createTraceparent(attempt.traceparent)
-			: attempt.traceparent;
-		let queuedMs = 0;
-		const result = await queueAttempt({...attempt, traceparent}, () => {
-			queuedMs = now() - startedAtMs;
-		});
-		observer.onGate?.({
-			requestId: attempt.requestId,
-			attemptId: attempt.id,
-			team: attempt.team,
-			service: attempt.service,
-			outcome: result.kind,
-			reason: result.kind === 'answered' ? undefined : result.reason,
-			status: result.kind === 'answered' ? result.status : 0,
-			startedAtMs,
-			durationMs: now() - startedAtMs,
-			queuedMs,
-			parentTraceparent: attempt.traceparent,
-			traceparent,
-		});
-		return result;
+		return result.kind === 'answered' && result.body instanceof Readable
+			? refuse('unknown', 'forgotten')
+			: result;
 	}
 
-	const timer = setInterval(clearLedger, ledgerRetentionMs / 10);
+	function withdraw(id: string): void {
+		const known = upstreams.get(id);
+		if (known) {
+			upstreams.delete(id);
+			runner.dropQueued(known);
+			void known.pool.close();
+		}
+	}
 
 	return {
 		announce(id, announcement) {
 			const known = upstreams.get(id);
 			if (known?.announcement.address === announcement.address) {
 				known.announcement = announcement;
+				known.queue.concurrency = announcement.slots;
+				if (announcement.state === 'leaving') {
+					runner.dropQueued(known);
+				}
+
 				return;
 			}
 
-			upstreams.set(id, {
-				announcement,
-				pool: new Pool(`http://${announcement.address}`, {
-					connections: announcement.connections,
-					pipelining: 1,
-				}),
-				queue: new PQueue({concurrency: announcement.slots}),
-				inFlight: 0,
-			});
+			withdraw(id);
+			upstreams.set(id, createLocalUpstream(announcement));
 		},
-		withdraw(id) {
-			const known = upstreams.get(id);
-			upstreams.delete(id);
-			void known?.pool.close();
+		withdraw,
+		async runAttempt(attempt) {
+			const {id, key, remainingMs, signal} = attempt;
+			const holder = key === undefined ? undefined : ledger.findKeyHolder(key);
+			const answer = holder ? 'running' : ledger.admit(attempt, now());
+			switch (answer) {
+				case 'run': {
+					return runAdmitted(attempt);
+				}
+
+				case 'stale': {
+					return refuse('not-run', 'stale-stamp');
+				}
+
+				case 'fenced': {
+					return refuse('not-run', 'fenced');
+				}
+
+				case 'running':
+				case 'ended': {
+					return joinAttempt(holder ?? id, remainingMs, signal);
+				}
+			}
 		},
-		runAttempt: observeAttempt,
-		ask(id) {
-			const step = stepLedgerRecord(ledger.get(id), 'ask', now());
-			ledger.set(id, step.record);
-			return step.record.kind;
+		ask: (question) => ledger.ask(question, now()),
+		fetchAnswer: joinAttempt,
+		cancel(id) {
+			const job = runner.findJob(id);
+			if (job) {
+				runner.endEarly(job, 'cancelled');
+			}
 		},
+		readStamp: () => ledger.readStamp(now()),
 		async drain() {
 			isDraining = true;
-			while (active.size > 0) {
-				await waitMs(10);
-			}
+			await runner.waitUntilIdle();
 		},
 		async stop() {
-			clearInterval(timer);
 			await Promise.all(
 				[...upstreams.values()].map(async ({pool}) => pool.destroy()),
 			);
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -37,7 +37,7 @@
 	const platform = createPlatformClient(settings.platform.url);
 	const peers = createPeerClients();
 	const gate = startGateTask({logger});
-	const forwarder = createForwarder(peers);
+	const forwarder = createForwarder();
 	const caller = await startCallerTask({
 		name,
 		dataCentre,
@@ -67,6 +67,8 @@
 			handlePoll: configuration.handlePoll,
 			handleExchange: (exchange) => members.handleExchange(exchange),
 			handleAsk: gate.ask,
+			handleCancel: gate.cancel,
+			handleStamp: gate.readStamp,
 		},
 	});
 	const members = startMembersTask({
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -1,29 +1,25 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import polka from 'polka';
 import type {AttemptResult} from '../protocol/attempt.js';
-import {defaultDeadlineMs, maxBodyBytes} from '../protocol/constants.js';
+import {maxBodyBytes} from '../protocol/constants.js';
 import {
 	attemptHeader,
 	deadlineHeader,
 	loadHeader,
 	outcomeHeader,
 	reasonHeader,
-	repeatableHeader,
-	requestIdHeader,
-	serviceHeader,
-	shedHeader,
-	teamHeader,
-	traceparentHeader,
+	stampHeader,
 } from '../protocol/request.js';
-import {copyHeaders} from './_lib/copy-headers.js';
 import {formatLoad} from './_lib/format-load.js';
-import {readBody} from './_lib/read-body.js';
+import {formatStamp} from './_lib/format-stamp.js';
+import {readAttempt} from './_lib/read-attempt.js';
+import {readRequestBody} from './_lib/read-request-body.js';
+import {sendAnswer} from './_lib/send-answer.js';
 import {sendJson} from './_lib/send-json.js';
 import {createListener} from './_lib/create-listener.js';
 import {startServer, type RunningServer} from './_lib/start-server.js';
-import {gatePrefix} from './create-forwarder.js';
+import {answersPath, gatePrefix} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
 import {createPeerRouter, type PeerHandlers} from './create-peer-router.js';
 import type {GateTask} from './start-gate-task.js';
@@ -36,31 +32,40 @@
 	readonly logger: Logger;
 };
 
+/** Longest body of a forwarded attempt; routes have lower limits. */
+const maxForwardedBytes = 16 * maxBodyBytes;
+
+function createOwnHeaders(result: AttemptResult): Record<string, string> {
+	const headers: Record<string, string> = {[outcomeHeader]: result.kind};
+	if (result.load) {
+		headers[loadHeader] = formatLoad(result.load);
+	}
+
+	if (result.stamp) {
+		headers[stampHeader] = formatStamp(result.stamp);
+	}
+
+	return headers;
+}
+
 async function sendResult(
 	response: ServerResponse,
 	result: AttemptResult,
 ): Promise<void> {
-	const load: Record<string, string> = result.load
-		? {[loadHeader]: formatLoad(result.load)}
-		: {};
+	const own = createOwnHeaders(result);
 	if (result.kind === 'answered') {
-		response.writeHead(result.status, {
-			...copyHeaders(result.headers),
-			...load,
-			[outcomeHeader]: 'answered',
-		});
-		await pipeline(result.body, response);
+		await sendAnswer(response, result, own);
 		return;
 	}
 
+	const {kind, reason} = result;
 	sendJson(
 		response,
-		result.kind === 'not-run' ? 503 : 504,
-		{outcome: result.kind, reason: result.reason},
+		kind === 'not-run' ? 503 : 504,
+		{outcome: kind, reason},
 		{
-			...load,
-			[outcomeHeader]: result.kind,
-			[reasonHeader]: result.reason,
+			...own,
+			[reasonHeader]: reason,
 			'retry-after': String(result.retryAfterSeconds),
 		},
 	);
@@ -83,46 +88,68 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		const cancelling = new AbortController();
-		response.once('close', () => {
-			cancelling.abort();
+		const body = await readRequestBody(request, {
+			maxBytes: maxForwardedBytes,
 		});
-		const body = await readBody(request, 16 * maxBodyBytes);
-		if (body.isErr()) {
+		if (body.kind === 'refused') {
 			response.destroy();
 			return;
 		}
 
-		const {headers} = request;
-		const result = await gate.runAttempt({
-			id: String(headers[attemptHeader]),
-			requestId: String(headers[requestIdHeader]),
-			team: String(headers[teamHeader]),
-			service: String(headers[serviceHeader]),
-			repeatable: headers[repeatableHeader] === 'true',
-			sheddingMeansNotRun: headers[shedHeader] === 'not-run',
+		const cancelling = new AbortController();
+		const attempt = readAttempt(request.headers, {
 			method: request.method ?? 'GET',
 			path: (request.url ?? '').slice(gatePrefix.length),
-			headers,
-			body: body.value,
-			remainingMs: Number(headers[deadlineHeader] ?? defaultDeadlineMs),
+			body: body.body,
 			signal: cancelling.signal,
-			traceparent: headers[traceparentHeader]?.toString(),
 		});
+		response.once('close', () => {
+			// Without its connection an attempt that may not be repeated goes on,
+			// so that its answer can be fetched over another one.
+			if (attempt.repeatable && !response.writableFinished) {
+				cancelling.abort();
+			}
+		});
+		await sendResult(response, await gate.runAttempt(attempt));
+	}
+
+	async function handleFetch(
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		const cancelling = new AbortController();
+		response.once('close', () => {
+			cancelling.abort();
+		});
+		const result = await gate.fetchAnswer(
+			String(request.headers[attemptHeader]),
+			Number(request.headers[deadlineHeader]),
+			cancelling.signal,
+		);
 		await sendResult(response, result);
 	}
 
+	async function handleGateRequest(
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		return request.url === answersPath
+			? handleFetch(request, response)
+			: handleAttempt(request, response);
+	}
+
 	const handleCall = createHTTPHandler({
 		router: createPeerRouter(handlers),
 		basePath: '/trpc/',
 	});
 	const app = polka().use((request, response) => {
-		if (!request.url.startsWith(`${gatePrefix}/`)) {
+		const {url} = request;
+		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
 			handleCall(request, response);
 			return;
 		}
 
-		handleAttempt(request, response).catch((error: unknown) => {
+		handleGateRequest(request, response).catch((error: unknown) => {
 			logger.debug('attempt not answered', {error: String(error)});
 			response.destroy();
 		});
