--- /dev/null
+++ b/src/coordination/_lib/delivery/plan-calls.ts
@@ -0,0 +1,298 @@
+import {
+	callGraceMs,
+	logListLimit,
+	noticeIntervalMs,
+	platformTimeoutMs,
+	pollTimeoutMs,
+	pollWaitMs,
+	startProbeIntervalMs,
+	statusIntervalMs,
+	watchWaitMs,
+} from '../../../protocol/constants.js';
+import type {Member} from '../../../protocol/member.js';
+import type {Poll} from '../../../protocol/peer.js';
+import type {PlatformCall} from '../../../protocol/platform.js';
+import {formatLogKey, logPrefix} from '../../../state/format-log-key.js';
+import {
+	formatSnapshotKey,
+	snapshotHeadKey,
+} from '../../../state/format-snapshot-key.js';
+import type {
+	CallPurpose,
+	DeliveryState,
+	DeliveryStep,
+	SourceMode,
+} from '../../delivery-state.js';
+import {computeRoots} from '../../compute-roots.js';
+import {computeProgress} from './compute-progress.js';
+import {
+	addCall,
+	hasCall,
+	readNewest,
+	runParts,
+	type DeliveryContext,
+	type DeliveryPart,
+} from './delivery-context.js';
+
+const none: DeliveryStep['effects'] = [];
+
+/** Starts a call to the platform. */
+export function startPlatformCall(
+	state: DeliveryState,
+	purpose: CallPurpose,
+	call: PlatformCall,
+	now: number,
+): DeliveryStep {
+	const waitMs = call.kind === 'watch' ? call.waitMs : 0;
+	const endsAt = now + waitMs + platformTimeoutMs + callGraceMs;
+	const added = addCall(state, {purpose, endsAt});
+	return {
+		state: added.state,
+		effects: [{kind: 'call', callId: added.callId, call}],
+	};
+}
+
+type PollOptions = {
+	readonly kind: 'pull' | 'repair' | 'notice';
+	readonly waitMs: number;
+	/** Whether the node reports to the other as its child. */
+	readonly isChild: boolean;
+};
+
+function startPoll(
+	state: DeliveryState,
+	member: Member,
+	options: PollOptions,
+	context: DeliveryContext,
+): DeliveryStep {
+	const {now} = context;
+	const newest = readNewest(state);
+	const progress = options.isChild ? computeProgress(state) : undefined;
+	const refused =
+		state.refusedSnapshot.until > now ? state.refusedSnapshot.version : 0;
+	const poll: Poll = {
+		name: state.name,
+		haveVersion: newest.version,
+		haveDigest: newest.digest,
+		afterVersion: Math.max(newest.version, refused),
+		wantSnapshot: state.needsSnapshot,
+		safeVersion: state.safeVersion,
+		progress,
+		waitMs: options.waitMs,
+	};
+	const timeoutMs = options.waitMs + pollTimeoutMs - pollWaitMs;
+	const {kind} = options;
+	const purpose = {kind, member: member.name, startedAt: now};
+	const endsAt = now + timeoutMs + callGraceMs;
+	const added = addCall(state, {purpose, endsAt});
+	const {callId} = added;
+	return {
+		state: progress
+			? {...added.state, noticed: {text: formatNotice(state), at: now}}
+			: added.state,
+		effects: [{kind: 'poll', callId, address: member.address, poll, timeoutMs}],
+	};
+}
+
+function formatNotice(state: DeliveryState): string {
+	const {version} = readNewest(state);
+	return JSON.stringify([version, state.safeVersion, computeProgress(state)]);
+}
+
+function createSourceCall(
+	state: DeliveryState,
+	context: DeliveryContext,
+): PlatformCall {
+	const mode: SourceMode = state.source;
+	switch (mode.kind) {
+		case 'head': {
+			return {kind: 'read', key: snapshotHeadKey};
+		}
+
+		case 'chunk': {
+			const {head, texts} = mode;
+			return {kind: 'read', key: formatSnapshotKey(head.version, texts.length)};
+		}
+
+		case 'catch-up': {
+			const {version} = readNewest(state);
+			const {ringSize} = context.rules;
+			const isWrapped = (version + 1) % ringSize === 0;
+			const after = isWrapped ? '' : formatLogKey(version, ringSize);
+			return {kind: 'list', prefix: logPrefix, after, limit: logListLimit};
+		}
+
+		case 'watch': {
+			const {revision: after} = mode;
+			return {kind: 'watch', prefix: logPrefix, after, waitMs: watchWaitMs};
+		}
+	}
+}
+
+const planSource: DeliveryPart = (state, context) => {
+	const isDue =
+		state.position?.kind === 'root' &&
+		context.now >= state.sourceAt &&
+		!hasCall(state, 'source');
+	return isDue
+		? startPlatformCall(
+				state,
+				{kind: 'source', mode: state.source},
+				createSourceCall(state, context),
+				context.now,
+			)
+		: {state, effects: none};
+};
+
+function planNextSlotRead(
+	state: DeliveryState,
+	purpose: 'probe' | 'start-probe',
+	context: DeliveryContext,
+): DeliveryStep {
+	const next = readNewest(state).version + 1;
+	const key = formatLogKey(next, context.rules.ringSize);
+	const call: PlatformCall = {kind: 'read', key};
+	return startPlatformCall(state, {kind: purpose}, call, context.now);
+}
+
+const planProbe: DeliveryPart = (state, context) => {
+	const {now, rules} = context;
+	const isDue =
+		state.position?.kind === 'root' &&
+		state.source.kind === 'watch' &&
+		now >= state.probeAt &&
+		!hasCall(state, 'probe');
+	return isDue
+		? planNextSlotRead(
+				{...state, probeAt: now + rules.probeIntervalMs},
+				'probe',
+				context,
+			)
+		: {state, effects: none};
+};
+
+const planStartProbe: DeliveryPart = (state, context) => {
+	const {now} = context;
+	const isDue =
+		!state.isSettled &&
+		state.position?.kind === 'child' &&
+		readNewest(state).version > 0 &&
+		now >= state.startProbeAt &&
+		!hasCall(state, 'start-probe');
+	return isDue
+		? planNextSlotRead(
+				{...state, startProbeAt: now + startProbeIntervalMs},
+				'start-probe',
+				context,
+			)
+		: {state, effects: none};
+};
+
+function listSources(state: DeliveryState): readonly Member[] {
+	const dataCentres = new Set(state.members.map(({dataCentre}) => dataCentre));
+	return [...dataCentres]
+		.flatMap((dataCentre) => computeRoots(state.members, dataCentre))
+		.filter(({name}) => name !== state.name);
+}
+
+function pickParent(
+	state: DeliveryState,
+	context: DeliveryContext,
+): Member | undefined {
+	const {position, pullFailures} = state;
+	if (position?.kind === 'child' && pullFailures === 0) {
+		return position.parents[0];
+	}
+
+	const sources =
+		position?.kind === 'child' ? position.parents : listSources(state);
+	return sources[Math.floor(context.random() * sources.length)];
+}
+
+const planPull: DeliveryPart = (state, context) => {
+	const isRoot = state.position?.kind === 'root';
+	const isWanted =
+		state.position !== undefined &&
+		(!isRoot || state.sourceFailures > 0 || state.needsSnapshot);
+	if (!isWanted || context.now < state.pullAt || hasCall(state, 'pull')) {
+		return {state, effects: none};
+	}
+
+	const member = pickParent(state, context);
+	return member
+		? startPoll(
+				state,
+				member,
+				{kind: 'pull', waitMs: pollWaitMs, isChild: !isRoot},
+				context,
+			)
+		: {state, effects: none};
+};
+
+const planRepair: DeliveryPart = (state, context) => {
+	const {heard} = state;
+	const isDue =
+		heard !== undefined &&
+		heard.version > readNewest(state).version &&
+		context.now - heard.since >= context.rules.repairAfterMs &&
+		!hasCall(state, 'repair');
+	const member = isDue && state.members.find(({name}) => name === heard.name);
+	return member
+		? startPoll(
+				state,
+				member,
+				{kind: 'repair', waitMs: 0, isChild: false},
+				context,
+			)
+		: {state, effects: none};
+};
+
+/** Lists whom a node tells of its progress outside its long polls. */
+function listNoticed(state: DeliveryState): readonly Member[] {
+	const {position} = state;
+	if (position?.kind === 'child') {
+		return position.parents.slice(0, 1);
+	}
+
+	return computeRoots(state.members, state.dataCentre, state.name).filter(
+		({name}) => name !== state.name,
+	);
+}
+
+const planNotice: DeliveryPart = (state, context) => {
+	const {now} = context;
+	const {position, noticed} = state;
+	if (!position || now - noticed.at < noticeIntervalMs) {
+		return {state, effects: none};
+	}
+
+	const isRepeated =
+		position.kind === 'root' && now - noticed.at >= statusIntervalMs;
+	const text = formatNotice(state);
+	if (text === noticed.text && !isRepeated) {
+		return {state, effects: none};
+	}
+
+	const parts = listNoticed(state).map((member): DeliveryPart => (before) => {
+		const isChild =
+			position.kind === 'child' || position.first.name === member.name;
+		return startPoll(
+			before,
+			member,
+			{kind: 'notice', waitMs: 0, isChild},
+			context,
+		);
+	});
+	const step = runParts({state, effects: none}, parts, context);
+	return {...step, state: {...step.state, noticed: {text, at: now}}};
+};
+
+/** Starts every call that a node should have in flight. */
+export const planCalls: readonly DeliveryPart[] = [
+	planSource,
+	planProbe,
+	planStartProbe,
+	planPull,
+	planRepair,
+	planNotice,
+];
--- /dev/null
+++ b/src/coordination/_lib/delivery/update-running.ts
@@ -0,0 +1,83 @@
+import type {DeliveryState, DeliveryStep} from '../../delivery-state.js';
+import {holderExpiryMs} from '../../../protocol/constants.js';
+import {readNewest, type DeliveryContext} from './delivery-context.js';
+
+/**
+ * Raises the version known to be safe to run.
+ *
+ * A version is safe once enough other hosts of the data centre hold it, so
+ * that it outlives the ones that run it first.
+ *
+ * @param state - the state before
+ * @param context - time and rules
+ * @returns the state after
+ */
+export function updateSafeVersion(
+	state: DeliveryState,
+	context: DeliveryContext,
+): DeliveryStep {
+	const others = state.members.filter(
+		(member) =>
+			member.name !== state.name &&
+			member.dataCentre === state.dataCentre &&
+			member.state === 'alive',
+	);
+	const required = Math.min(context.rules.requiredHolders, others.length);
+	const newest = readNewest(state).version;
+	const versions = [...state.holders.values()]
+		.filter(({at}) => at > context.now - holderExpiryMs)
+		.map(({version}) => version)
+		.toSorted((a, b) => b - a);
+	const held = required === 0 ? newest : (versions[required - 1] ?? 0);
+	const safeVersion = Math.max(state.safeVersion, Math.min(newest, held));
+	return {state: {...state, safeVersion}, effects: []};
+}
+
+function updateSettled(
+	state: DeliveryState,
+	context: DeliveryContext,
+): DeliveryState {
+	const {firstContactAt, isSettled} = state;
+	const hasWaited =
+		firstContactAt !== undefined &&
+		context.now - firstContactAt >= context.rules.settleMs;
+	return {...state, isSettled: isSettled || hasWaited};
+}
+
+/**
+ * Runs the newest held version that may be run, if it is above the present.
+ *
+ * A first version after a start is run only when nothing newer can have been
+ * run before: the platform's log ends with it, or the other nodes had time to
+ * spread what any of them holds; and never below a version known to be safe.
+ *
+ * @param state - the state before
+ * @param context - time and rules
+ * @returns the state after, with at most one `run` effect
+ */
+export function updateRunning(
+	state: DeliveryState,
+	context: DeliveryContext,
+): DeliveryStep {
+	const settled = updateSettled(state, context);
+	const {held, safeVersion, runningVersion} = settled;
+	const configuration = held.findLast(({version}) => version <= safeVersion);
+	if (!configuration || configuration.version <= (runningVersion ?? 0)) {
+		return {state: settled, effects: []};
+	}
+
+	const mayStart =
+		settled.isSettled && readNewest(settled).version >= safeVersion;
+	if (runningVersion === undefined && !mayStart) {
+		return {state: settled, effects: []};
+	}
+
+	return {
+		state: {
+			...settled,
+			runningVersion: configuration.version,
+			held: held.filter(({version}) => version >= configuration.version),
+		},
+		effects: [{kind: 'run', configuration}],
+	};
+}
--- a/src/coordination/compute-position.ts
+++ b/src/coordination/compute-position.ts
@@ -1,6 +1,6 @@
 import {rootsPerDataCentre, treeFanOut} from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
-import {computeWeight} from './_lib/compute-weight.js';
+import {orderMembers} from './_lib/order-members.js';
 
 /** A node's position in the delivery tree of its data centre. */
 export type Position =
@@ -24,15 +24,7 @@
 	members: readonly Member[],
 	self: Member,
 ): Position {
-	const ordered = members
-		.filter(
-			(member) =>
-				member.dataCentre === self.dataCentre &&
-				(member.state === 'alive' || member.name === self.name),
-		)
-		.map((member) => ({member, weight: computeWeight(member.name, 'tree')}))
-		.toSorted((a, b) => (a.weight < b.weight ? -1 : 1))
-		.map(({member}) => member);
+	const ordered = orderMembers(members, self.dataCentre, self.name);
 	const index = ordered.findIndex(({name}) => name === self.name);
 	if (index < rootsPerDataCentre) {
 		return {kind: 'root', rank: Math.max(0, index), first: ordered[0] ?? self};
--- /dev/null
+++ b/src/coordination/compute-roots.ts
@@ -0,0 +1,24 @@
+import {rootsPerDataCentre} from '../protocol/constants.js';
+import type {Member} from '../protocol/member.js';
+import {orderMembers} from './_lib/order-members.js';
+
+/**
+ * Computes the roots of a data centre's delivery tree.
+ *
+ * @param members - known members, in any order
+ * @param dataCentre - the data centre
+ * @param selfName - a node that counts as live whatever its record says
+ * @returns the roots, first one first
+ * @example
+ * computeRoots(members, 'abdali').length; // 2
+ */
+export function computeRoots(
+	members: readonly Member[],
+	dataCentre: string,
+	selfName = '',
+): readonly Member[] {
+	return orderMembers(members, dataCentre, selfName).slice(
+		0,
+		rootsPerDataCentre,
+	);
+}
--- a/src/coordination/interleave-by-team.ts
+++ b/src/coordination/interleave-by-team.ts
@@ -8,17 +8,17 @@
  * @example
  * interleaveByTeam([a1, a2, b1]); // [a1, b1, a2]
  */
-export function interleaveByTeam(
-	submissions: readonly Submission[],
-): readonly Submission[] {
-	const queues = new Map<string, Submission[]>();
+export function interleaveByTeam<Item extends Submission>(
+	submissions: readonly Item[],
+): readonly Item[] {
+	const queues = new Map<string, Item[]>();
 	for (const submission of submissions) {
 		const queue = queues.get(submission.manifest.team) ?? [];
 		queue.push(submission);
 		queues.set(submission.manifest.team, queue);
 	}
 
-	const ordered: Submission[] = [];
+	const ordered: Item[] = [];
 	for (let turn = 0; ordered.length < submissions.length; turn++) {
 		for (const queue of queues.values()) {
 			if (queue[turn]) {
--- /dev/null
+++ b/src/coordination/step-commit.ts
@@ -0,0 +1,112 @@
+import {
+	logRingSize,
+	maxWaitingPerTeam,
+	snapshotIntervalEntries,
+} from '../protocol/constants.js';
+import {
+	readBack,
+	readNextSlot,
+	startGroup,
+} from './_lib/commit/continue-commit.js';
+import {handleCommitAnswer} from './_lib/commit/handle-commit-answer.js';
+import type {
+	CommitContext,
+	CommitMessage,
+	CommitOptions,
+	CommitState,
+	CommitStep,
+	Ticket,
+} from './commit-state.js';
+
+function addTicket(
+	state: CommitState,
+	ticket: Ticket,
+	context: CommitContext,
+): CommitStep {
+	const ofTeam = state.waiting.filter(
+		({manifest}) => manifest.team === ticket.manifest.team,
+	);
+	if (ofTeam.length >= maxWaitingPerTeam) {
+		const outcome = {
+			kind: 'unavailable',
+			submissionId: ticket.submissionId,
+		} as const;
+		return {state, effects: [{kind: 'reply', ticket: ticket.ticket, outcome}]};
+	}
+
+	const next = {...state, waiting: [...state.waiting, ticket]};
+	return state.phase.kind === 'idle'
+		? startGroup(next, context.ringSize)
+		: {state: next, effects: []};
+}
+
+function resume(state: CommitState, context: CommitContext): CommitStep {
+	if (state.phase.kind !== 'pausing') {
+		return {state, effects: []};
+	}
+
+	const {before} = state.phase;
+	return before.kind === 'reading'
+		? readNextSlot(state, context.ringSize).step
+		: readBack(state, before.decision, before.tries, context.ringSize);
+}
+
+function adoptBase(state: CommitState, base: CommitState['base']): CommitState {
+	const mayAdopt = state.phase.kind === 'idle' && state.group.length === 0;
+	return mayAdopt && base.version > state.base.version
+		? {...state, base}
+		: state;
+}
+
+/**
+ * Advances the commit machine by one message.
+ *
+ * A group of submissions is accepted by one conditional write of the next log
+ * slot, at the object version that was read. An older process that wakes
+ * fails that condition. A lost answer is resolved by reading the slot back;
+ * `unknown` is answered only while the write may still take effect.
+ *
+ * @param state - the state before; left as it is
+ * @param message - the message to handle
+ * @param options - see `CommitOptions`
+ * @returns the state after and the effects to carry out
+ * @example
+ * stepCommit(createCommitState(base), {kind: 'submit', ticket}, {now, random});
+ */
+export function stepCommit(
+	state: CommitState,
+	message: CommitMessage,
+	options: CommitOptions,
+): CommitStep {
+	const context = {
+		ringSize: logRingSize,
+		snapshotInterval: snapshotIntervalEntries,
+		...options,
+	};
+	switch (message.kind) {
+		case 'submit': {
+			return addTicket(state, message.ticket, context);
+		}
+
+		case 'configuration': {
+			return {state: adoptBase(state, message.configuration), effects: []};
+		}
+
+		case 'snapshot-stored': {
+			const snapshotVersion = Math.max(state.snapshotVersion, message.version);
+			return {state: {...state, snapshotVersion}, effects: []};
+		}
+
+		case 'answer': {
+			return message.callId === state.callId
+				? handleCommitAnswer(state, message.outcome, context)
+				: {state, effects: []};
+		}
+
+		case 'timer': {
+			return message.callId === state.callId
+				? resume(state, context)
+				: {state, effects: []};
+		}
+	}
+}
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -58,6 +58,16 @@
 	teams: z.record(nameSchema, teamConfigurationSchema),
 });
 
+/** The newest complete snapshot; each chunk has its digest here. */
+export const snapshotHeadSchema = z.strictObject({
+	version: z.int().min(1),
+	digest: z.string(),
+	chunks: z.array(z.string()).min(1),
+	/** Version of the snapshot before, kept for readers that are under way. */
+	previous: z.int().min(0),
+});
+
+export type SnapshotHead = z.infer<typeof snapshotHeadSchema>;
 export type Commit = z.infer<typeof commitSchema>;
 export type LogEntry = z.infer<typeof logEntrySchema>;
 export type SubmissionRecord = z.infer<typeof submissionRecordSchema>;
@@ -86,23 +96,39 @@
 	'digest',
 ] as const;
 
-/** Progress of a data centre, as its roots write it to the platform. */
+/** One reason for a refusal, as it is sent to operators. */
+export const problemSchema = z.strictObject({
+	code: z.enum(problemCodes),
+	place: z.string(),
+	message: z.string(),
+});
+
+/** Progress of a data centre, as its first root writes it to the platform. */
 export const dataCentreStatusSchema = z.strictObject({
 	dataCentre: z.string(),
+	/** Highest version that all its live members were seen to run; only rises. */
 	version: z.int().min(0),
+	/** Lowest version that a member runs now. */
+	lowestVersion: z.int().min(0),
+	/** Members that report, and live members that are known. */
 	members: z.int().min(0),
+	expectedMembers: z.int().min(0),
+	laggards: z.array(z.string()),
+	refusals: z.array(
+		z.strictObject({
+			name: z.string(),
+			version: z.int(),
+			problem: problemSchema,
+		}),
+	),
 	writtenAtMs: z.number(),
 	writer: z.string(),
 });
 
-export type DataCentreStatus = z.infer<typeof dataCentreStatusSchema>;
+/** Highest version that was ever said to be in force everywhere. */
+export const inForceSchema = z.strictObject({version: z.int().min(0)});
 
-/** One reason for a refusal, as it is sent to operators. */
-export const problemSchema = z.strictObject({
-	code: z.enum(problemCodes),
-	place: z.string(),
-	message: z.string(),
-});
+export type DataCentreStatus = z.infer<typeof dataCentreStatusSchema>;
 
 const submissionId = submissionIdSchema;
 
--- /dev/null
+++ b/src/protocol/platform.ts
@@ -0,0 +1,65 @@
+/**
+ * Types of the calls to the platform's object API and of their outcomes.
+ */
+
+/** An object of the platform with its version. */
+export type PlatformObject = {
+	readonly key: string;
+	readonly version: number;
+	readonly value: unknown;
+};
+
+/** Outcome of a read. */
+export type ReadOutcome =
+	| {readonly kind: 'found'; readonly object: PlatformObject}
+	| {readonly kind: 'absent'}
+	| {readonly kind: 'unavailable'};
+
+/** Outcome of a conditional write; `unknown` may have taken effect. */
+export type WriteOutcome =
+	| {readonly kind: 'written'; readonly version: number}
+	| {readonly kind: 'conflict'}
+	| {readonly kind: 'unavailable'}
+	| {readonly kind: 'unknown'};
+
+/** Outcome of a list or a watch. */
+export type ListOutcome =
+	| {
+			readonly kind: 'items';
+			readonly items: readonly PlatformObject[];
+			readonly revision: number;
+			readonly more: boolean;
+	  }
+	| {readonly kind: 'compacted'}
+	| {readonly kind: 'unavailable'};
+
+/** Condition of a write: absent, or at a given version. */
+export type WriteCondition =
+	| {readonly kind: 'absent'}
+	| {readonly kind: 'version'; readonly version: number};
+
+/** A call to the platform, as an effect of a state machine. */
+export type PlatformCall =
+	| {readonly kind: 'read'; readonly key: string}
+	| {
+			readonly kind: 'write';
+			readonly key: string;
+			readonly value: unknown;
+			readonly condition: WriteCondition;
+	  }
+	| {readonly kind: 'delete'; readonly key: string; readonly version: number}
+	| {
+			readonly kind: 'list';
+			readonly prefix: string;
+			readonly after: string;
+			readonly limit: number;
+	  }
+	| {
+			readonly kind: 'watch';
+			readonly prefix: string;
+			readonly after: number;
+			readonly waitMs: number;
+	  };
+
+/** Outcome of any call to the platform. */
+export type PlatformOutcome = ReadOutcome | WriteOutcome | ListOutcome;
--- /dev/null
+++ b/src/state/encode-snapshot.ts
@@ -0,0 +1,33 @@
+import canonicalize from 'canonicalize';
+import type {Configuration} from '../protocol/configuration.js';
+import {snapshotChunkLength} from '../protocol/constants.js';
+import {computeTextDigest} from './_lib/compute-text-digest.js';
+
+/** One chunk of an encoded snapshot, with the digest of its text. */
+export type SnapshotChunk = {readonly text: string; readonly digest: string};
+
+/**
+ * Encodes a configuration as chunks that each fit a platform object.
+ *
+ * The same configuration always gives the same chunks, so that two writers of
+ * one version write the same objects.
+ *
+ * @param configuration - the configuration
+ * @param chunkLength - most characters in a chunk
+ * @returns the chunks in order
+ * @example
+ * encodeSnapshot(createConfiguration()).length; // 1
+ */
+export function encodeSnapshot(
+	configuration: Configuration,
+	chunkLength = snapshotChunkLength,
+): readonly SnapshotChunk[] {
+	const text = canonicalize(configuration) ?? '';
+	const chunks: SnapshotChunk[] = [];
+	for (let start = 0; start < text.length; start += chunkLength) {
+		const part = text.slice(start, start + chunkLength);
+		chunks.push({text: part, digest: computeTextDigest(part)});
+	}
+
+	return chunks;
+}
--- a/src/state/validate-manifest.ts
+++ b/src/state/validate-manifest.ts
@@ -13,10 +13,18 @@
 ): Service | undefined {
 	const [team = '', name = ''] = fullName.split('/');
 	if (team === manifest.team) {
-		return manifest.services[name];
+		return Object.hasOwn(manifest.services, name)
+			? manifest.services[name]
+			: undefined;
 	}
 
-	const service = configuration.teams[team]?.services[name];
+	const owner = Object.hasOwn(configuration.teams, team)
+		? configuration.teams[team]
+		: undefined;
+	const service =
+		owner && Object.hasOwn(owner.services, name)
+			? owner.services[name]
+			: undefined;
 	return service?.shared ? service : undefined;
 }
 
@@ -92,7 +100,10 @@
 
 		for (const route of other.routes) {
 			const [owner, name = ''] = resolveService(team, route.service).split('/');
-			if (owner === manifest.team && !manifest.services[name]?.shared) {
+			const isShared =
+				Object.hasOwn(manifest.services, name) &&
+				manifest.services[name]?.shared;
+			if (owner === manifest.team && !isShared) {
 				problems.push({
 					code: 'service-in-use',
 					place: `services.${name}`,
--- a/src/transport/_lib/administration/add-status-routes.ts
+++ b/src/transport/_lib/administration/add-status-routes.ts
@@ -1,9 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Polka} from 'polka';
-import {
-	dataCentreStatusSchema,
-	type DataCentreStatus,
-} from '../../../protocol/configuration.js';
+import {readVersionStatus} from '../../read-version-status.js';
 import {sendJson} from '../send-json.js';
 import type {AdministrationTaskOptions} from './administration-options.js';
 
@@ -15,31 +12,33 @@
  */
 export function addStatusRoutes(
 	app: Polka,
-	options: Pick<AdministrationTaskOptions, 'platform' | 'readConfiguration'>,
+	options: Pick<
+		AdministrationTaskOptions,
+		'platform' | 'readNewest' | 'readView'
+	>,
 ): void {
-	const {platform, readConfiguration} = options;
+	const {platform, readNewest, readView} = options;
 
 	async function handleStatus(
 		version: number,
 		response: ServerResponse,
 	): Promise<void> {
-		const outcome = await platform.listObjects('status/');
-		if (outcome.kind !== 'items') {
+		const dataCentres = new Set(
+			readView()
+				.members.filter(({state}) => state === 'alive' || state === 'suspect')
+				.map(({dataCentre}) => dataCentre),
+		);
+		const status = await readVersionStatus(version, {
+			platform,
+			acceptedVersion: readNewest().version,
+			dataCentres: [...dataCentres],
+		});
+		if (!status) {
 			sendJson(response, 503, {error: 'platform unavailable'});
 			return;
 		}
 
-		const dataCentres: DataCentreStatus[] = outcome.items.flatMap(({value}) => {
-			const parsed = dataCentreStatusSchema.safeParse(value);
-			return parsed.success ? [parsed.data] : [];
-		});
-		const isAccepted = readConfiguration().version >= version;
-		const isInForce =
-			isAccepted &&
-			dataCentres.length > 0 &&
-			dataCentres.every((status) => status.version >= version);
-		const state = isInForce ? 'in-force' : isAccepted ? 'accepted' : 'unknown';
-		sendJson(response, 200, {version, state, dataCentres});
+		sendJson(response, 200, status);
 	}
 
 	app
@@ -47,6 +46,6 @@
 			void handleStatus(Number(request.params.version), response);
 		})
 		.get('/status', (_request, response) => {
-			void handleStatus(readConfiguration().version, response);
+			void handleStatus(readNewest().version, response);
 		});
 }
--- a/src/transport/_lib/administration/administration-options.ts
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -9,7 +9,10 @@
 	readonly address: string;
 	readonly commit: CommitTask;
 	readonly platform: PlatformClient;
+	/** Reads the configuration that the node runs. */
 	readonly readConfiguration: () => Configuration;
+	/** Reads the newest configuration that the node holds. */
+	readonly readNewest: () => Configuration;
 	readonly readView: () => MembersView;
 	readonly announce: (id: string, announcement: Announcement) => void;
 	readonly withdraw: (id: string) => void;
--- a/src/transport/create-platform-client.ts
+++ b/src/transport/create-platform-client.ts
@@ -1,6 +1,12 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import {platformTimeoutMs} from '../protocol/constants.js';
+import type {
+	ListOutcome,
+	ReadOutcome,
+	WriteCondition,
+	WriteOutcome,
+} from '../protocol/platform.js';
 import {readErrorCode} from './_lib/read-error-code.js';
 
 const objectSchema = z.object({
@@ -15,38 +21,6 @@
 });
 const writeAnswerSchema = z.object({version: z.number()});
 
-/** An object of the platform with its version. */
-export type PlatformObject = z.infer<typeof objectSchema>;
-
-/** Outcome of a read. */
-export type ReadOutcome =
-	| {readonly kind: 'found'; readonly object: PlatformObject}
-	| {readonly kind: 'absent'}
-	| {readonly kind: 'unavailable'};
-
-/** Outcome of a conditional write; `unknown` may have taken effect. */
-export type WriteOutcome =
-	| {readonly kind: 'written'; readonly version: number}
-	| {readonly kind: 'conflict'}
-	| {readonly kind: 'unavailable'}
-	| {readonly kind: 'unknown'};
-
-/** Outcome of a list or a watch. */
-export type ListOutcome =
-	| {
-			readonly kind: 'items';
-			readonly items: readonly PlatformObject[];
-			readonly revision: number;
-			readonly more: boolean;
-	  }
-	| {readonly kind: 'compacted'}
-	| {readonly kind: 'unavailable'};
-
-/** Condition of a write: absent, or at a given version. */
-export type WriteCondition =
-	| {readonly kind: 'absent'}
-	| {readonly kind: 'version'; readonly version: number};
-
 /** Client of the platform's object API. */
 export type PlatformClient = {
 	readObject(key: string): Promise<ReadOutcome>;
@@ -56,7 +30,11 @@
 		condition: WriteCondition,
 	): Promise<WriteOutcome>;
 	deleteObject(key: string, version: number): Promise<WriteOutcome>;
-	listObjects(prefix: string, after?: string): Promise<ListOutcome>;
+	listObjects(
+		prefix: string,
+		after?: string,
+		limit?: number,
+	): Promise<ListOutcome>;
 	watchObjects(
 		prefix: string,
 		after: number,
@@ -103,7 +81,7 @@
 		return {kind: 'conflict'};
 	}
 
-	return {kind: answer.status === 503 ? 'unavailable' : 'unknown'};
+	return {kind: 'unknown'};
 }
 
 function classifyList(answer: Answer): ListOutcome {
@@ -181,8 +159,12 @@
 				await callPlatform('DELETE', `/objects/${key}`, {headers}),
 			);
 		},
-		async listObjects(prefix, after = '') {
-			const query = new URLSearchParams({prefix, after, limit: '500'});
+		async listObjects(prefix, after = '', limit = 500) {
+			const query = new URLSearchParams({
+				prefix,
+				after,
+				limit: String(limit),
+			});
 			return classifyList(
 				await callPlatform('GET', `/objects?${query.toString()}`),
 			);
--- a/src/transport/start-commit-task.ts
+++ b/src/transport/start-commit-task.ts
@@ -1,21 +1,26 @@
-import {computeBackoff} from '../coordination/compute-backoff.js';
-import {decideCommit} from '../coordination/decide-commit.js';
-import {
-	type Configuration,
-	type LogEntry,
-	type Submission,
-	type SubmissionOutcome,
-	logEntrySchema,
+import type {
+	CommitEffect,
+	CommitMessage,
+	Ticket,
+} from '../coordination/commit-state.js';
+import {createCommitState} from '../coordination/create-commit-state.js';
+import {createSnapshotState} from '../coordination/create-snapshot-state.js';
+import {stepCommit} from '../coordination/step-commit.js';
+import type {SnapshotMessage} from '../coordination/snapshot-state.js';
+import {stepSnapshot} from '../coordination/step-snapshot.js';
+import type {
+	Configuration,
+	LogEntry,
+	Submission,
+	SubmissionOutcome,
 } from '../protocol/configuration.js';
-import {applyEntry} from '../state/apply-entry.js';
-import {formatLogKey, logPrefix} from './_lib/format-log-key.js';
-import {waitMs} from './_lib/wait-ms.js';
+import {runPlatformCall} from './_lib/run-platform-call.js';
 import type {PlatformClient} from './create-platform-client.js';
 
 /** Options of `startCommitTask`. */
 export type CommitTaskOptions = {
 	readonly platform: PlatformClient;
-	/** Reads the configuration that the node runs. */
+	/** Reads the newest configuration that the node holds. */
 	readonly readConfiguration: () => Configuration;
 	/** Called with entries found in, or added to, the log. */
 	readonly onEntries: (entries: readonly LogEntry[]) => void;
@@ -28,18 +33,11 @@
 	submit(submission: Submission): Promise<SubmissionOutcome>;
 };
 
-type Pending = {
-	readonly submission: Submission;
-	readonly resolve: (outcome: SubmissionOutcome) => void;
-};
-
-const maxCommitTries = 10;
-
 /**
- * Starts the task that accepts submissions by conditional creates in the log.
+ * Starts the task that accepts submissions by conditional writes in the log.
  *
  * Submissions that arrive while a group is being committed form the next
- * group.
+ * groups. The decisions are those of `stepCommit` and `stepSnapshot`.
  *
  * @param options - see `CommitTaskOptions`
  * @returns the running task
@@ -49,123 +47,78 @@
 export function startCommitTask(options: CommitTaskOptions): CommitTask {
 	const {platform, readConfiguration, onEntries} = options;
 	const {now = Date.now, random = Math.random} = options;
-	let latest = readConfiguration();
-	let waiting: Pending[] = [];
-	let isRunning = false;
-
-	async function readLog(): Promise<boolean> {
-		const own = readConfiguration();
-		latest = own.version > latest.version ? own : latest;
-		for (;;) {
-			const outcome = await platform.listObjects(
-				logPrefix,
-				formatLogKey(latest.version),
-			);
-			if (outcome.kind !== 'items') {
-				return false;
-			}
-
-			const entries = outcome.items.map(({value}) =>
-				logEntrySchema.parse(value),
-			);
-			for (const entry of entries) {
-				const result = applyEntry(latest, entry);
-				if (result.isErr()) {
-					return false;
-				}
-
-				latest = result.value;
-			}
-
-			onEntries(entries);
-			if (!outcome.more) {
-				return true;
-			}
+	const resolvers = new Map<number, (outcome: SubmissionOutcome) => void>();
+	let state = createCommitState(readConfiguration());
+	let snapshot = createSnapshotState();
+	let lastTicket = 0;
+
+	function tell(message: CommitMessage): void {
+		const step = stepCommit(state, message, {now: now(), random});
+		state = step.state;
+		for (const effect of step.effects) {
+			carryOut(effect);
 		}
 	}
 
-	async function isOwnEntry(entry: LogEntry): Promise<boolean | undefined> {
-		const outcome = await platform.readObject(formatLogKey(entry.version));
-		if (outcome.kind === 'unavailable') {
-			return undefined;
+	function tellSnapshot(message: SnapshotMessage): void {
+		const step = stepSnapshot(snapshot, message);
+		snapshot = step.state;
+		for (const effect of step.effects) {
+			if (effect.kind === 'stored') {
+				tell({kind: 'snapshot-stored', version: effect.version});
+			} else {
+				const {callId, call} = effect;
+				void runPlatformCall(platform, call).then((outcome) => {
+					tellSnapshot({kind: 'answer', callId, outcome});
+				});
+			}
 		}
-
-		return (
-			outcome.kind === 'found' &&
-			logEntrySchema.parse(outcome.object.value).digest === entry.digest
-		);
 	}
 
-	async function commitGroup(
-		group: readonly Submission[],
-	): Promise<readonly SubmissionOutcome[]> {
-		const answerAll = (kind: 'unavailable' | 'unknown') =>
-			group.map(({submissionId}) => ({kind, submissionId}));
-		for (let attempt = 1; attempt <= maxCommitTries; attempt++) {
-			if (!(await readLog())) {
-				return answerAll('unavailable');
-			}
-
-			const {entry, outcomes} = decideCommit(latest, group, now());
-			if (!entry) {
-				return outcomes;
+	function carryOut(effect: CommitEffect): void {
+		switch (effect.kind) {
+			case 'call': {
+				const {callId, call} = effect;
+				void runPlatformCall(platform, call).then((outcome) => {
+					tell({kind: 'answer', callId, outcome});
+				});
+				break;
 			}
 
-			const written = await platform.writeObject(
-				formatLogKey(entry.version),
-				entry,
-				{kind: 'absent'},
-			);
-			if (written.kind === 'unavailable') {
-				return answerAll('unavailable');
+			case 'wait': {
+				const {callId, delayMs} = effect;
+				setTimeout(() => {
+					tell({kind: 'timer', callId});
+				}, delayMs);
+				break;
 			}
 
-			const isOwn =
-				written.kind === 'written' ||
-				(written.kind === 'unknown' && (await isOwnEntry(entry)));
-			if (isOwn) {
-				onEntries([entry]);
-				return outcomes;
+			case 'reply': {
+				resolvers.get(effect.ticket)?.(effect.outcome);
+				resolvers.delete(effect.ticket);
+				break;
 			}
 
-			if (isOwn === undefined) {
-				return answerAll('unknown');
+			case 'entries': {
+				onEntries(effect.entries);
+				break;
 			}
 
-			await waitMs(computeBackoff(attempt, random()));
-		}
-
-		return answerAll('unavailable');
-	}
-
-	async function runGroups(): Promise<void> {
-		if (isRunning) {
-			return;
-		}
-
-		isRunning = true;
-		while (waiting.length > 0) {
-			const group = waiting;
-			waiting = [];
-			const outcomes = await commitGroup(
-				group.map(({submission}) => submission),
-			);
-			const byId = new Map(
-				outcomes.map((outcome) => [outcome.submissionId, outcome]),
-			);
-			for (const {submission, resolve} of group) {
-				resolve(byId.get(submission.submissionId)!);
+			case 'store-snapshot': {
+				tellSnapshot({kind: 'store', configuration: effect.configuration});
+				break;
 			}
 		}
-
-		isRunning = false;
 	}
 
 	return {
 		async submit(submission) {
+			tell({kind: 'configuration', configuration: readConfiguration()});
+			lastTicket++;
+			const ticket: Ticket = {...submission, ticket: lastTicket};
 			return new Promise((resolve) => {
-				waiting.push({submission, resolve});
-				void runGroups();
+				resolvers.set(ticket.ticket, resolve);
+				tell({kind: 'submit', ticket});
 			});
 		},
 	};
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -1,34 +1,19 @@
-import {computeBackoff} from '../coordination/compute-backoff.js';
-import {
-	computePosition,
-	type Position,
-} from '../coordination/compute-position.js';
-import {
-	type Configuration,
-	type LogEntry,
-	logEntrySchema,
-} from '../protocol/configuration.js';
-import {
-	logEntriesPerPoll,
-	pollTimeoutMs,
-	pollWaitMs,
-	statusIntervalMs,
-	watchWaitMs,
-} from '../protocol/constants.js';
+import {createDeliveryState} from '../coordination/create-delivery-state.js';
+import type {
+	DeliveryEffect,
+	DeliveryMessage,
+	DeliveryState,
+} from '../coordination/delivery-state.js';
+import {stepDelivery} from '../coordination/step-delivery.js';
+import type {Configuration, LogEntry} from '../protocol/configuration.js';
+import {deliveryTickMs} from '../protocol/constants.js';
 import type {MembersView} from '../protocol/member.js';
-import {
-	pollAnswerSchema,
-	type Poll,
-	type PollAnswer,
-	type Progress,
-} from '../protocol/peer.js';
-import {applyEntry} from '../state/apply-entry.js';
+import type {Poll, PollAnswer} from '../protocol/peer.js';
 import {createConfiguration} from '../state/create-configuration.js';
-import {waitMs} from './_lib/wait-ms.js';
+import {runPlatformCall} from './_lib/run-platform-call.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './create-platform-client.js';
-import {formatLogKey, logPrefix} from './_lib/format-log-key.js';
 
 /** Options of `startConfigurationTask`. */
 export type ConfigurationTaskOptions = {
@@ -39,23 +24,29 @@
 	readonly logger: Logger;
 	/** Called with each version that the node runs from now on. */
 	readonly onConfiguration: (configuration: Configuration) => void;
+	/** Monotonic ms since the epoch. */
+	readonly now?: () => number;
 	readonly random?: () => number;
 };
 
-/** The task that keeps a node's configuration current and serves children. */
+/** The task that keeps a node's configuration current and serves others. */
 export type ConfigurationTask = {
 	tellView(view: MembersView): void;
 	/** Offers entries that this node has seen accepted. */
 	tellEntries(entries: readonly LogEntry[]): void;
+	/** Tells that another node was heard to hold a version. */
+	tellHeard(name: string, version: number): void;
 	handlePoll(poll: Poll): Promise<PollAnswer>;
+	/** Reads the configuration that the node runs. */
 	readConfiguration(): Configuration;
+	/** Reads the newest configuration that the node holds. */
+	readNewest(): Configuration;
 	stop(): void;
 };
 
-type ChildReport = {readonly progress: Progress; readonly at: number};
-
 /**
- * Starts the configuration task of a node.
+ * Starts the configuration task of a node: sockets and timers round
+ * `stepDelivery`.
  *
  * @param options - see `ConfigurationTaskOptions`
  * @returns the running task
@@ -65,244 +56,118 @@
 export function startConfigurationTask(
 	options: ConfigurationTaskOptions,
 ): ConfigurationTask {
-	const {name, platform, peers, logger, onConfiguration} = options;
-	const {random = Math.random} = options;
-	let configuration = createConfiguration();
-	let entries: readonly LogEntry[] = [];
-	let position: Position | undefined;
-	let revision = 0;
-	let isLoaded = false;
-	let failures = 0;
-	let reported = '';
-	const children = new Map<string, ChildReport>();
-	const waiters = new Set<() => void>();
+	const {name, dataCentre, platform, peers, logger, onConfiguration} = options;
+	const {
+		now = () => performance.timeOrigin + performance.now(),
+		random = Math.random,
+	} = options;
+	let state: DeliveryState = createDeliveryState(name, dataCentre);
+	let running = createConfiguration();
+	let lastPollId = 0;
+	const resolvers = new Map<number, (answer: PollAnswer) => void>();
 	const stopping = new AbortController();
 
-	function applyEntries(received: readonly LogEntry[]): boolean {
-		const before = configuration;
-		for (const entry of received) {
-			if (entry.version <= configuration.version) {
-				continue;
-			}
-
-			const result = applyEntry(configuration, entry);
-			if (result.isErr()) {
-				logger.error('entry refused', {
-					version: entry.version,
-					problem: result.error,
-				});
-				break;
-			}
-
-			configuration = result.value;
-			entries = [...entries, entry].slice(-4 * logEntriesPerPoll);
-		}
-
-		if (configuration === before) {
-			return false;
-		}
-
-		onConfiguration(configuration);
-		for (const wake of waiters) {
-			wake();
-		}
-
-		return true;
-	}
-
-	function computeProgress(): Progress {
-		const oldest = performance.now() - 2 * pollTimeoutMs;
-		let {version} = configuration;
-		let members = 1;
-		for (const [child, report] of children) {
-			if (report.at < oldest) {
-				children.delete(child);
-				continue;
-			}
-
-			version = Math.min(version, report.progress.version);
-			members += report.progress.members;
-		}
-
-		return {version, members};
-	}
-
-	function parseEntries(items: ReadonlyArray<{value: unknown}>): LogEntry[] {
-		return items.flatMap(({value}) => {
-			const parsed = logEntrySchema.safeParse(value);
-			return parsed.success ? [parsed.data] : [];
-		});
-	}
-
-	async function loadFromPlatform(): Promise<boolean> {
-		const after = formatLogKey(configuration.version);
-		const outcome = await platform.listObjects(logPrefix, after);
-		if (outcome.kind !== 'items') {
-			return false;
-		}
-
-		applyEntries(parseEntries(outcome.items));
-		if (!outcome.more) {
-			revision = outcome.revision;
-			isLoaded = true;
-		}
-
-		return true;
-	}
-
-	async function watchPlatform(): Promise<boolean> {
-		if (!isLoaded) {
-			return loadFromPlatform();
+	function tell(message: DeliveryMessage): void {
+		if (stopping.signal.aborted) {
+			return;
 		}
 
-		const outcome = await platform.watchObjects(
-			logPrefix,
-			revision,
-			watchWaitMs,
-		);
-		if (outcome.kind === 'items') {
-			applyEntries(parseEntries(outcome.items));
-			revision = outcome.revision;
-			return true;
+		const step = stepDelivery(state, message, {now: now(), random});
+		state = step.state;
+		for (const effect of step.effects) {
+			carryOut(effect);
 		}
-
-		isLoaded = false;
-		return false;
 	}
 
-	async function pollPeer(address: string, wait: number): Promise<boolean> {
-		const poll: Poll = {
-			name,
-			haveVersion: configuration.version,
-			haveDigest: configuration.digest,
-			progress: computeProgress(),
-			waitMs: wait,
-		};
+	async function pollPeer(
+		effect: Extract<DeliveryEffect, {kind: 'poll'}>,
+	): Promise<void> {
+		const {callId, address, poll, timeoutMs} = effect;
 		try {
-			const answer = pollAnswerSchema.parse(
-				await peers.getClient(address).poll.mutate(poll, {
-					signal: AbortSignal.timeout(wait + pollTimeoutMs - pollWaitMs),
-				}),
-			);
-			if (answer.kind === 'entries') {
-				applyEntries(answer.entries);
-			} else if (
-				answer.kind === 'snapshot' &&
-				answer.configuration.version > configuration.version
-			) {
-				configuration = answer.configuration;
-				onConfiguration(configuration);
-			}
-
-			return true;
+			const value: unknown = await peers
+				.getClient(address)
+				.poll.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)});
+			tell({kind: 'poll-answer', callId, outcome: {kind: 'answered', value}});
 		} catch (error) {
-			logger.debug('poll failed', {address, error: String(error)});
-			return false;
-		}
-	}
-
-	async function runOnce(): Promise<boolean> {
-		if (!position || position.kind === 'root') {
-			return watchPlatform();
+			const reason = String(error);
+			logger.debug('poll failed', {address, error: reason});
+			tell({kind: 'poll-answer', callId, outcome: {kind: 'failed', reason}});
 		}
-
-		const parent = position.parents[failures % position.parents.length]!;
-		return pollPeer(parent.address, pollWaitMs);
 	}
 
-	async function runLoop(): Promise<void> {
-		while (!stopping.signal.aborted) {
-			const isDone = await runOnce();
-			failures = isDone ? 0 : failures + 1;
-			if (!isDone) {
-				await waitMs(computeBackoff(failures, random()), stopping.signal);
+	function carryOut(effect: DeliveryEffect): void {
+		switch (effect.kind) {
+			case 'call': {
+				const {callId, call} = effect;
+				void runPlatformCall(platform, call).then((outcome) => {
+					tell({kind: 'platform-answer', callId, outcome});
+				});
+				break;
 			}
-		}
-	}
 
-	async function reportProgress(): Promise<void> {
-		if (position?.kind !== 'root') {
-			return;
-		}
+			case 'poll': {
+				void pollPeer(effect);
+				break;
+			}
 
-		if (position.rank > 0) {
-			await pollPeer(position.first.address, 0);
-			return;
-		}
+			case 'answer': {
+				resolvers.get(effect.pollId)?.(effect.answer);
+				resolvers.delete(effect.pollId);
+				break;
+			}
 
-		const progress = computeProgress();
-		const text = JSON.stringify(progress);
-		if (text === reported) {
-			return;
-		}
+			case 'run': {
+				running = effect.configuration;
+				onConfiguration(running);
+				break;
+			}
 
-		const key = `status/${options.dataCentre}`;
-		const current = await platform.readObject(key);
-		if (current.kind === 'unavailable') {
-			return;
+			case 'log': {
+				logger[effect.level](effect.message, effect.fields);
+				break;
+			}
 		}
-
-		const status = {
-			dataCentre: options.dataCentre,
-			...progress,
-			writtenAtMs: Date.now(),
-			writer: name,
-		};
-		const outcome = await platform.writeObject(
-			key,
-			status,
-			current.kind === 'found'
-				? {kind: 'version', version: current.object.version}
-				: {kind: 'absent'},
-		);
-		reported = outcome.kind === 'written' ? text : '';
 	}
 
-	const statusTimer = setInterval(() => {
-		void reportProgress();
-	}, statusIntervalMs);
-	void runLoop();
+	const timer = setInterval(() => {
+		tell({kind: 'tick'});
+	}, deliveryTickMs);
 
 	return {
 		tellView(view) {
-			position = computePosition(view.members, view.self);
+			tell({kind: 'view', members: view.members});
 		},
 		tellEntries(entries) {
-			applyEntries(entries);
+			tell({kind: 'entries', entries});
+		},
+		tellHeard(name, version) {
+			tell({kind: 'heard', name, version});
 		},
 		async handlePoll(poll) {
-			children.set(poll.name, {progress: poll.progress, at: performance.now()});
-			if (poll.haveVersion >= configuration.version && poll.waitMs > 0) {
-				await new Promise<void>((resolve) => {
-					const timer = setTimeout(finish, poll.waitMs);
-					function finish(): void {
-						clearTimeout(timer);
-						waiters.delete(finish);
-						resolve();
-					}
-
-					waiters.add(finish);
-				});
-			}
-
-			if (poll.haveVersion >= configuration.version) {
-				return {kind: 'unchanged'};
-			}
-
-			const missing = entries.filter(({version}) => version > poll.haveVersion);
-			if (missing[0]?.version === poll.haveVersion + 1) {
-				return {kind: 'entries', entries: missing.slice(0, logEntriesPerPoll)};
-			}
-
-			return {kind: 'snapshot', configuration};
+			lastPollId++;
+			const pollId = lastPollId;
+			return new Promise((resolve) => {
+				resolvers.set(pollId, resolve);
+				tell({kind: 'poll', pollId, poll});
+			});
 		},
-		readConfiguration: () => configuration,
+		readConfiguration: () => running,
+		readNewest: () => state.held.at(-1)!,
 		stop() {
 			stopping.abort();
-			clearInterval(statusTimer);
-			for (const wake of waiters) {
-				wake();
+			clearInterval(timer);
+			const {version} = running;
+			for (const resolve of resolvers.values()) {
+				resolve({
+					kind: 'unchanged',
+					name,
+					version,
+					safeVersion: 0,
+					holders: [],
+				});
 			}
+
+			resolvers.clear();
 		},
 	};
 }
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -56,7 +56,7 @@
 	});
 	const commit = startCommitTask({
 		platform,
-		readConfiguration: configuration.readConfiguration,
+		readConfiguration: configuration.readNewest,
 		onEntries: configuration.tellEntries,
 	});
 	const peerServer = await startPeerServer({
@@ -97,6 +97,7 @@
 		commit,
 		platform,
 		readConfiguration: configuration.readConfiguration,
+		readNewest: configuration.readNewest,
 		readView: members.readView,
 		announce(id, announcement) {
 			gate.announce(id, announcement);
