--- /dev/null
+++ b/faults/_lib/requests/run-request-case.ts
@@ -0,0 +1,116 @@
+import {createScheduler} from '../../../harness/create-scheduler.js';
+import {applyFault, type RequestFault} from './apply-fault.js';
+import {startRequest, type HeldStamps} from './fake-caller.js';
+import {findViolations} from './find-violations.js';
+import {productMechanisms, type Mechanisms} from './mechanisms.js';
+import {
+	lateDuplicateMs,
+	type FakeHost,
+	type Step,
+	type World,
+} from './world.js';
+
+/** A fault and the step at which it occurs. */
+export type PlacedFault = {readonly fault: RequestFault; readonly step: Step};
+
+/** Options of `runRequestCase`. */
+export type RequestCaseOptions = {
+	readonly seed: number;
+	readonly repeatable: boolean;
+	readonly faults: readonly PlacedFault[];
+	/** Those of the product when absent. */
+	readonly mechanisms?: Mechanisms;
+};
+
+const maxRecords = 64;
+const endMs = 2 * lateDuplicateMs;
+const firstRequestMs = 100;
+const targetId = 'b';
+
+function createHost(name: string, mechanisms: Mechanisms): FakeHost {
+	return {
+		name,
+		ledger: mechanisms.createLedger({epoch: `${name}-0`, maxRecords}),
+		generation: 0,
+		isGateAlive: true,
+		isLeaving: false,
+		leftAt: Number.POSITIVE_INFINITY,
+		gateFrozenUntil: 0,
+		upstreamGeneration: 0,
+		isUpstreamAlive: true,
+		upstreamFrozenUntil: 0,
+		isShedding: false,
+		truncates: false,
+		serviceMs: 1,
+		inFlight: 0,
+		queue: [],
+		waiters: new Map(),
+		connections: new Set(),
+		starts: [],
+	};
+}
+
+function createWorld(options: RequestCaseOptions): World {
+	const {seed, repeatable, mechanisms = productMechanisms} = options;
+	return {
+		scheduler: createScheduler(seed),
+		mechanisms,
+		repeatable,
+		hosts: ['abdali-1', 'abdali-2'].map((name) => createHost(name, mechanisms)),
+		requests: [],
+		isCallerAlive: true,
+		answerDelayMs: 0,
+		duplicateAfterMs: [],
+		cutToGateUntil: 0,
+		cutToCallerUntil: 0,
+		onStep() {
+			// Set below.
+		},
+	};
+}
+
+/** Faults that make the steps `ask` and `retry` happen at all. */
+function listPreparations(faults: readonly PlacedFault[]): PlacedFault[] {
+	const wanted = new Set(faults.map(({step}) => step));
+	return [
+		...(wanted.has('ask')
+			? [{fault: 'silent-after-gate', step: 'send'} as const]
+			: []),
+		...(wanted.has('retry')
+			? [{fault: 'gate-leaves', step: 'send'} as const]
+			: []),
+	];
+}
+
+/**
+ * Runs one case: three requests, with faults at steps of the second.
+ *
+ * @param options - see `RequestCaseOptions`
+ * @returns what broke an invariant, empty when all held
+ */
+export function runRequestCase(options: RequestCaseOptions): readonly string[] {
+	const world = createWorld(options);
+	const {scheduler} = world;
+	const stamps: HeldStamps = new Map();
+	const pending = [...listPreparations(options.faults), ...options.faults];
+	world.onStep = (step, requestId, place) => {
+		if (requestId !== targetId) {
+			return;
+		}
+
+		for (const placed of pending.filter((one) => one.step === step)) {
+			pending.splice(pending.indexOf(placed), 1);
+			applyFault(world, placed.fault, requestId, place);
+		}
+	};
+
+	for (const [index, id] of ['warm', 'a', targetId, 'c'].entries()) {
+		const at = index === 0 ? 0 : firstRequestMs + index * 0.3;
+		scheduler.schedule(at, () => {
+			startRequest(world, id, stamps);
+		});
+	}
+
+	scheduler.runUntil(endMs);
+	return findViolations(world, options);
+}
--- a/faults/main.ts
+++ b/faults/main.ts
@@ -3,10 +3,13 @@
  */
 import process from 'node:process';
 import type {FaultCase} from './fault-case.js';
+import {listRequestsCases} from './list-requests-cases.js';
 import {formatFaultMatrix} from './format-fault-matrix.js';
 import {runFaultCases} from './run-fault-cases.js';
 
-const areas: Readonly<Record<string, () => Promise<readonly FaultCase[]>>> = {};
+const areas: Readonly<Record<string, () => Promise<readonly FaultCase[]>>> = {
+	requests: async () => listRequestsCases(),
+};
 
 const wanted = process.argv[2];
 let failed = 0;
--- a/src/coordination/create-ledger.ts
+++ b/src/coordination/create-ledger.ts
@@ -51,7 +51,7 @@
 	): void;
 	/** Tells what became of an attempt, fencing one that has not arrived. */
 	ask(attempt: LedgerAttempt, now: number): LedgerStep['answer'];
-	/** Finds the attempt that holds an idempotency key. */
+	/** Finds the attempt that holds an idempotency key: one that may have run. */
 	findKeyHolder(key: string): string | undefined;
 	/** Tells whether an attempt is known never to have run. */
 	isFenced(id: string): boolean;
@@ -171,6 +171,10 @@
 		return !entry || entry.record.kind === 'running';
 	}
 
+	function isFenced(id: string): boolean {
+		return entries.get(id)?.record.kind === 'fenced';
+	}
+
 	function keepAnswer(id: string, answer: KeptAnswer<T>): void {
 		answers.set(id, answer);
 		keptBytes += answer.bytes;
@@ -207,9 +211,14 @@
 				keepAnswer(attempt.id, answer);
 			}
 		},
-		ask: (attempt, now) => tell(attempt, 'ask', now),
-		findKeyHolder: (key) => holders.get(key),
-		isFenced: (id) => entries.get(id)?.record.kind === 'fenced',
+		// An attempt without a stamp is never admitted, so it needs no record.
+		ask: (attempt, now) =>
+			attempt.stamp ? tell(attempt, 'ask', now) : 'fenced',
+		findKeyHolder(key) {
+			const id = holders.get(key);
+			return id !== undefined && !isFenced(id) ? id : undefined;
+		},
+		isFenced,
 		readAnswer: (id) => answers.get(id)?.value,
 		readSize: () => ({records: entries.size, bytes: keptBytes}),
 	};
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -3,6 +3,8 @@
 
 /** What the gate knows when an attempt arrives. */
 export type AdmissionInput = {
+	/** State of the service's upstream on the host; `leaving` too when the node is. */
+	readonly state: 'ready' | 'leaving' | 'no-upstream';
 	/** Time left until the attempt's deadline, ms. */
 	readonly remainingMs: number;
 	readonly slots: number;
@@ -52,7 +54,11 @@
  * decideAdmission({...input, inFlight: 0, slots: 6}).kind; // 'admit'
  */
 export function decideAdmission(input: AdmissionInput): Admission {
-	const {slots, inFlight, ahead, serviceMs, remainingMs} = input;
+	const {state, slots, inFlight, ahead, serviceMs, remainingMs} = input;
+	if (state !== 'ready') {
+		return refuse(state, 0);
+	}
+
 	const isFree = inFlight < slots && ahead === 0;
 	const turns = isFree ? 0 : (ahead + 1) / slots;
 	const waitMs = turns * serviceMs;
--- /dev/null
+++ b/src/coordination/step-request.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {initialRequestState, type RequestMessage} from './request-state.js';
+import {stepRequest} from './step-request.js';
+
+const attempt = fc.integer({min: 1, max: 3});
+const message: fc.Arbitrary<RequestMessage> = fc.oneof(
+	fc.record({
+		kind: fc.constant('ended' as const),
+		attempt,
+		outcome: fc.constantFrom('not-run' as const, 'unknown' as const),
+		reason: fc.constantFrom('leaving' as const, 'stale-stamp' as const),
+	}),
+	fc.record({
+		kind: fc.constant('lost' as const),
+		attempt,
+		reason: fc.constant('connection-lost' as const),
+		hadStamp: fc.boolean(),
+	}),
+	fc.record({
+		kind: fc.constantFrom(
+			'answered' as const,
+			'silent' as const,
+			'ask-failed' as const,
+			'fetch-lost' as const,
+		),
+		attempt,
+	}),
+	fc.record({
+		kind: fc.constant('known' as const),
+		attempt,
+		answer: fc.constantFrom(
+			'running' as const,
+			'ended' as const,
+			'fenced' as const,
+			'stale' as const,
+		),
+	}),
+	fc.constantFrom<RequestMessage>(
+		{kind: 'wait-over'},
+		{kind: 'deadline'},
+		{kind: 'cancelled'},
+		{kind: 'no-host', reason: 'pending'},
+	),
+);
+
+/** Tells a request messages and lists the effects. */
+function run(messages: readonly RequestMessage[], repeatable: boolean) {
+	const terms = {
+		repeatable,
+		isNested: false,
+		maxAttempts: 3,
+		deadlineAt: 1000,
+	};
+	let state = initialRequestState;
+	return messages.flatMap((told) => {
+		const context = {terms, now: 0, random: 0.5, budget: 10};
+		const step = stepRequest(state, told, context);
+		state = step.state;
+		return step.effects;
+	});
+}
+
+test('a request ends once, and nothing follows its end', () => {
+	fc.assert(
+		fc.property(
+			fc.array(message, {maxLength: 30}),
+			fc.boolean(),
+			(messages, repeatable) => {
+				const effects = run(
+					[{kind: 'start'}, ...messages, {kind: 'deadline'}],
+					repeatable,
+				);
+				const ends = effects.filter(({kind}) => kind === 'finish');
+				assert.equal(ends.length, 1);
+				assert.equal(effects.at(-1)?.kind, 'finish');
+			},
+		),
+		{seed: 1, numRuns: 2000},
+	);
+});
+
+test('after an attempt that may have run the end is not `not-run`', () => {
+	fc.assert(
+		fc.property(fc.array(message, {maxLength: 20}), (messages) => {
+			const lost: RequestMessage = {
+				kind: 'lost',
+				attempt: 1,
+				reason: 'connection-lost',
+				hadStamp: true,
+			};
+			const effects = run(
+				[{kind: 'start'}, lost, ...messages, {kind: 'deadline'}],
+				true,
+			);
+			const end = effects.at(-1);
+			assert.ok(end?.kind === 'finish' && end.outcome !== 'not-run');
+		}),
+		{seed: 2, numRuns: 2000},
+	);
+});
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -4,11 +4,11 @@
 	createFairQueue,
 	type FairQueue,
 } from '../../coordination/create-fair-queue.js';
+import type {AdmissionInput} from '../../coordination/decide-admission.js';
 import type {ServiceTime} from '../../coordination/step-service-time.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
 import {connectTimeoutMs, idleConnectionMs} from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
-import type {OutcomeReason} from '../../protocol/request.js';
 import type {SentRequest} from './send-request.js';
 
 /** An attempt that a gate has admitted. */
@@ -71,19 +71,26 @@
 	};
 }
 
+/** A service's upstream on the host. */
+export type FoundUpstream = {
+	readonly state: AdmissionInput['state'];
+	/** Defined when the state is `ready`. */
+	readonly upstream: LocalUpstream | undefined;
+};
+
 /**
  * Finds the least loaded upstream of a service.
  *
  * @param upstreams - all upstreams of the host
  * @param service - full name of the service
- * @returns the upstream, or the reason why none can take work
+ * @returns the upstream if one is ready, and how the service stands on the host
  */
 export function findLocalUpstream(
 	upstreams: Iterable<LocalUpstream>,
 	service: string,
-): LocalUpstream | OutcomeReason {
+): FoundUpstream {
 	let found: LocalUpstream | undefined;
-	let reason: OutcomeReason = 'no-upstream';
+	let isLeaving = false;
 	for (const upstream of upstreams) {
 		const {announcement} = upstream;
 		if (`${announcement.team}/${announcement.service}` !== service) {
@@ -91,13 +98,17 @@
 		}
 
 		if (announcement.state === 'leaving') {
-			reason = 'leaving';
+			isLeaving = true;
 		} else if (!found || upstream.inFlight < found.inFlight) {
 			found = upstream;
 		}
 	}
 
-	return found ?? reason;
+	if (found) {
+		return {state: 'ready', upstream: found};
+	}
+
+	return {state: isLeaving ? 'leaving' : 'no-upstream', upstream: undefined};
 }
 
 /**
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -1,11 +1,11 @@
 import {Readable} from 'node:stream';
 import {
 	initialRequestState,
-	stepRequest,
 	type RequestEffect,
 	type RequestMessage,
 	type RequestTerms,
-} from '../../coordination/step-request.js';
+} from '../../coordination/request-state.js';
+import {stepRequest} from '../../coordination/step-request.js';
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
 import {
 	askAfterMs,
@@ -172,12 +172,17 @@
 		): Promise<void> {
 			const result = await gate.runAttempt(attempt);
 			options.onAttemptEnd({number, gate, attempt, result, startedAt});
-			handleResult(number, result);
+			handleResult(number, result, attempt.stamp !== undefined);
 		}
 
-		function handleResult(number: number, result: ForwardResult): void {
+		function handleResult(
+			number: number,
+			result: ForwardResult,
+			hadStamp: boolean,
+		): void {
 			if (result.kind === 'lost') {
-				tell({kind: 'lost', attempt: number, reason: result.reason});
+				const {reason} = result;
+				tell({kind: 'lost', attempt: number, reason, hadStamp});
 				return;
 			}
 
@@ -224,7 +229,7 @@
 			if (result.kind === 'lost') {
 				tell({kind: 'fetch-lost', attempt: number});
 			} else {
-				handleResult(number, result);
+				handleResult(number, result, true);
 			}
 		}
 
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -93,25 +93,23 @@
 	});
 
 	function admit(attempt: Attempt): Job | AttemptResult {
-		const upstream = isDraining
-			? 'leaving'
-			: findLocalUpstream(upstreams.values(), attempt.service);
-		if (typeof upstream === 'string') {
-			return refuse('not-run', upstream);
-		}
-
-		const longest = findLongestQueue(upstream);
-		const {slots} = upstream.announcement;
+		const {state, upstream} = findLocalUpstream(
+			upstreams.values(),
+			attempt.service,
+		);
+		const longest = upstream ? findLongestQueue(upstream) : [];
+		const slots = upstream?.announcement.slots ?? 0;
 		const admission = decideAdmission({
+			state: isDraining ? 'leaving' : state,
 			remainingMs: attempt.remainingMs,
 			slots,
-			inFlight: upstream.inFlight,
-			ahead: countAhead(upstream, attempt.team),
-			queued: upstream.queuedCount,
-			ownQueued: upstream.queued.get(attempt.team)?.length ?? 0,
+			inFlight: upstream?.inFlight ?? 0,
+			ahead: upstream ? countAhead(upstream, attempt.team) : 0,
+			queued: upstream?.queuedCount ?? 0,
+			ownQueued: upstream?.queued.get(attempt.team)?.length ?? 0,
 			longestQueued: longest.length,
 			maxQueued: slots * queueSlotsRatio,
-			serviceMs: readServiceTime(upstream.serviceTime, now()),
+			serviceMs: readServiceTime(upstream?.serviceTime, now()),
 		});
 		if (admission.kind === 'refuse') {
 			const {reason, retryAfterSeconds: retryAfter} = admission;
@@ -122,7 +120,7 @@
 			runner.drop(longest.at(-1)!, 'saturated');
 		}
 
-		return runner.enqueue(attempt, upstream);
+		return runner.enqueue(attempt, upstream!);
 	}
 
 	async function runAdmitted(attempt: Attempt): Promise<AttemptResult> {
