--- /dev/null
+++ b/src/coordination/_lib/members/answers.ts
@@ -0,0 +1,145 @@
+/**
+ * Helpers that handle answers of other members, and the lack of one.
+ */
+import type {ExchangeAnswer} from '../../../protocol/member.js';
+import type {
+	MembersMessage,
+	MembersState,
+	MembersStep,
+} from '../../members-state.js';
+import {confirmContact, failContact} from './bridges.js';
+import {endNameCheck, judgeTwin} from './identity.js';
+import {finishJoin} from './join.js';
+import {mergeRecords} from './merge.js';
+import {confirmProbe, relayProbe} from './probe.js';
+import {runActions} from './run-actions.js';
+import {describeSender, encodeRecords, sendRequest} from './send.js';
+import {abortSync, compareDigests, takeBucket} from './sync.js';
+
+type AnswerMessage = Extract<MembersMessage, {readonly kind: 'answer'}>;
+
+function vouch(state: MembersState, name: string): MembersStep {
+	const asked = state.vouchers.get(name);
+	if (!asked) {
+		return {state, effects: []};
+	}
+
+	const vouchers = new Map(state.vouchers);
+	vouchers.delete(name);
+	const request = {
+		kind: 'vouch' as const,
+		from: describeSender(state),
+		name,
+	};
+	return {
+		state: {...state, vouchers},
+		effects: asked.map((address) => sendRequest(address, request)),
+	};
+}
+
+function sendOwnRecord(
+	state: MembersState,
+	address: string,
+	now: number,
+): MembersStep {
+	if (state.role !== 'member') {
+		return {state, effects: []};
+	}
+
+	const request = {
+		kind: 'ping' as const,
+		from: describeSender(state),
+		records: encodeRecords(state, [state.self.name], now),
+	};
+	return {state, effects: [sendRequest(address, request)]};
+}
+
+function handleAck(
+	state: MembersState,
+	message: AnswerMessage,
+	answer: Extract<ExchangeAnswer, {readonly kind: 'ack'}>,
+	now: number,
+): MembersStep {
+	const {address, request} = message;
+	const {from} = answer;
+	if (request.kind !== 'ping') {
+		return {state, effects: []};
+	}
+
+	const isTwin =
+		from.name === state.self.name && from.address !== state.self.address;
+	return runActions(confirmProbe(state, from.name), [
+		(next) => vouch(next, from.name),
+		(next) =>
+			isTwin ? judgeTwin(next, from, now) : endNameCheck(next, address, now),
+		(next) => mergeRecords(next, answer.records, now),
+		(next) =>
+			answer.needsRecord
+				? sendOwnRecord(next, address, now)
+				: {state: next, effects: []},
+	]);
+}
+
+function handleKind(
+	state: MembersState,
+	message: AnswerMessage,
+	now: number,
+): MembersStep {
+	const {address, answer} = message;
+	const isSyncing = state.sync?.address === address;
+	switch (answer.kind) {
+		case 'ack': {
+			return handleAck(state, message, answer, now);
+		}
+
+		case 'digests': {
+			return isSyncing
+				? runActions(state, [
+						(next) => compareDigests(next, answer),
+						finishJoin,
+					])
+				: {state, effects: []};
+		}
+
+		case 'bucket': {
+			return runActions(state, [
+				(next) => takeBucket(next, address, answer, now),
+				finishJoin,
+			]);
+		}
+
+		case 'busy': {
+			return {
+				state: isSyncing ? abortSync(state) : state,
+				effects: [],
+			};
+		}
+	}
+}
+
+/** Handles another member's answer. */
+export function handleAnswer(
+	state: MembersState,
+	message: AnswerMessage,
+	now: number,
+): MembersStep {
+	const {address, answer} = message;
+	return runActions(state, [
+		(next) => confirmContact(next, answer.from.dataCentre, address, now),
+		(next) => handleKind(next, message, now),
+	]);
+}
+
+/** Handles the lack of an answer. */
+export function handleFailure(
+	state: MembersState,
+	address: string,
+	now: number,
+	random: () => number,
+): MembersStep {
+	const next = state.sync?.address === address ? abortSync(state) : state;
+	return runActions(failContact(next, address), [
+		(next) => endNameCheck(next, address, now),
+		(next) => relayProbe(next, address, now, random),
+	]);
+}
--- /dev/null
+++ b/src/coordination/_lib/members/join.ts
@@ -0,0 +1,226 @@
+/**
+ * Helpers of the start: seeds, the first records, and the seeds object.
+ */
+import {
+	joinPatienceMs,
+	joinWindowMsPerMember,
+	maxJoinWindowMs,
+	maxSeeds,
+	joinRetryMs,
+	membersPeriodMs,
+	seedsRefreshMs,
+	seedsRetryCapMs,
+	seedsRetryMs,
+	seedsRetryMsPerMember,
+	seedsWriteIntervalMs,
+} from '../../../protocol/constants.js';
+import {listMembers} from '../../../state/list-members.js';
+import {computeBridges} from '../../compute-bridges.js';
+import type {
+	MembersEffect,
+	MembersState,
+	MembersStep,
+	SeedsOutcome,
+} from '../../members-state.js';
+import {listNeighbours} from './probe.js';
+import {countOwnMembers, markChanged} from './records.js';
+import {isLive, pickSome} from './send.js';
+import {startSync} from './sync.js';
+
+type SeedsRead = Extract<SeedsOutcome, {readonly kind: 'read'}>;
+
+/** Starts to take part: the own record is spread from now on. */
+export function becomeMember(state: MembersState): MembersStep {
+	return state.role === 'joining' && !state.nameCheck
+		? markChanged({...state, role: 'member'}, [state.self.name])
+		: {state, effects: []};
+}
+
+/** Takes part once the own data centre's records are there. */
+export function finishJoin(state: MembersState): MembersStep {
+	const isAwaited = state.sync?.remaining.some(
+		([dataCentre]) => dataCentre === state.self.dataCentre,
+	);
+	return isAwaited ? {state, effects: []} : becomeMember(state);
+}
+
+/**
+ * Computes the delay before the seeds object is read again: full jitter over a
+ * window that grows with each read in vain and with the last known size.
+ */
+function computeReadDelayMs(state: MembersState, random: number): number {
+	const {failures, memberCount} = state.seeds;
+	const growing = membersPeriodMs * 2 ** Math.min(failures, 10);
+	const cap = state.seeds.isAvailable
+		? Math.max(seedsRetryMs, memberCount * seedsRetryMsPerMember)
+		: seedsRetryCapMs;
+	return membersPeriodMs / 2 + random * Math.min(growing, cap);
+}
+
+function pickSeed(
+	state: MembersState,
+	random: () => number,
+): string | undefined {
+	const known = listMembers(state.table)
+		.filter((member) => isLive(member))
+		.map(({address}) => address);
+	const pool = [...new Set([...state.seeds.addresses, ...known])].filter(
+		(address) => address !== state.self.address,
+	);
+	return pickSome(pool, 1, random)[0];
+}
+
+/** Asks a seed for its records while the node knows nobody. */
+export function seekMembers(
+	state: MembersState,
+	now: number,
+	random: () => number,
+): MembersStep {
+	const {role, seeds, sync} = state;
+	const isLonely = listNeighbours(state).length === 0;
+	const isSettled = role !== 'joining' && !isLonely && !state.isIncomplete;
+	if (isSettled || sync !== undefined || now < seeds.joinAt) {
+		return {state, effects: []};
+	}
+
+	const address = pickSeed(state, random);
+	if (address === undefined) {
+		return {state, effects: []};
+	}
+
+	const joinAt = now + random() * joinRetryMs;
+	return startSync(
+		{...state, isIncomplete: false, seeds: {...seeds, joinAt}},
+		address,
+		now,
+	);
+}
+
+/** Takes part without an answer when none came in time. */
+export function endPatience(state: MembersState, now: number): MembersStep {
+	const isOver =
+		now - state.startedAt >= joinPatienceMs && now >= state.seeds.joinAt;
+	return isOver && state.sync === undefined
+		? becomeMember(state)
+		: {state, effects: []};
+}
+
+/** Reads the seeds object when that is due. */
+export function refreshSeeds(
+	state: MembersState,
+	now: number,
+	random: () => number,
+): MembersStep {
+	const {seeds, self, role} = state;
+	if (now < seeds.readAt || role === 'refused' || role === 'left') {
+		return {state, effects: []};
+	}
+
+	const neighbours = listNeighbours(state);
+	const isFirst = computeBridges([self, ...neighbours])[0]?.name === self.name;
+	const isLonely = neighbours.length === 0;
+	const delayMs = isLonely
+		? computeReadDelayMs(state, random())
+		: seedsRefreshMs * (0.5 + random());
+	const next = {...state, seeds: {...seeds, readAt: now + delayMs}};
+	return {
+		state: next,
+		effects: isLonely || isFirst ? [{kind: 'read-seeds'}] : [],
+	};
+}
+
+function writeSeeds(
+	state: MembersState,
+	outcome: SeedsRead,
+	now: number,
+): MembersEffect[] {
+	const wallMs = now + state.wallOffsetMs;
+	const isRecent =
+		outcome.version !== undefined &&
+		wallMs - outcome.writtenMs < seedsWriteIntervalMs;
+	const members = [state.self, ...listNeighbours(state)];
+	const isFirst = computeBridges(members)[0]?.name === state.self.name;
+	if (isRecent || !isFirst || state.role !== 'member') {
+		return [];
+	}
+
+	const live = new Set(members.map(({address}) => address));
+	const valid = outcome.ownAddresses.filter((address) => live.has(address));
+	const wanted = Math.min(maxSeeds, live.size);
+	const isGood =
+		valid.length >= (wanted * 2) / 3 &&
+		outcome.memberCount <= 2 * members.length &&
+		members.length <= 2 * outcome.memberCount;
+	if (isGood) {
+		return [];
+	}
+
+	const rest = [...live].filter((address) => !valid.includes(address));
+	return [
+		{
+			kind: 'write-seeds',
+			addresses: [...valid, ...rest].slice(0, maxSeeds),
+			memberCount: members.length,
+			version: outcome.version,
+		},
+	];
+}
+
+function findStranger(
+	state: MembersState,
+	addresses: readonly string[],
+	random: () => number,
+): string | undefined {
+	const known = new Set(listMembers(state.table).map(({address}) => address));
+	const strangers = addresses.filter(
+		(address) => address !== state.self.address && !known.has(address),
+	);
+	return pickSome(strangers, 1, random)[0];
+}
+
+/** Handles what was read of the seeds objects. */
+export function takeSeeds(
+	state: MembersState,
+	outcome: SeedsOutcome,
+	now: number,
+	random: () => number,
+): MembersStep {
+	const failures = state.seeds.failures + 1;
+	if (outcome.kind === 'unavailable') {
+		const seeds = {...state.seeds, failures, isAvailable: false};
+		return {state: {...state, seeds}, effects: []};
+	}
+
+	const isLonely = listNeighbours(state).length === 0;
+	const windowMs = Math.min(
+		maxJoinWindowMs,
+		joinWindowMsPerMember *
+			Math.max(outcome.memberCount, countOwnMembers(state)),
+	);
+	const seeds = {
+		...state.seeds,
+		addresses: [...new Set([...state.seeds.settings, ...outcome.addresses])],
+		failures: isLonely ? failures : 0,
+		isAvailable: true,
+		memberCount: outcome.memberCount,
+		joinAt:
+			state.role === 'joining' ? now + random() * windowMs : state.seeds.joinAt,
+	};
+	const next = {...state, seeds};
+	if (state.role === 'joining') {
+		return windowMs < membersPeriodMs
+			? seekMembers({...next, seeds: {...seeds, joinAt: now}}, now, random)
+			: {state: next, effects: []};
+	}
+
+	const writes = writeSeeds(next, outcome, now);
+	const stranger = isLonely
+		? undefined
+		: findStranger(next, outcome.addresses, random);
+	if (stranger === undefined || next.sync) {
+		return {state: next, effects: writes};
+	}
+
+	const synced = startSync(next, stranger, now);
+	return {state: synced.state, effects: [...writes, ...synced.effects]};
+}
--- /dev/null
+++ b/src/coordination/_lib/members/merge.ts
@@ -0,0 +1,74 @@
+/**
+ * Helpers that merge records received from other members.
+ */
+import {
+	maxDataCentres,
+	maxIncarnationAheadMs,
+	maxMembersPerDataCentre,
+} from '../../../protocol/constants.js';
+import type {Member, MemberRecord} from '../../../protocol/member.js';
+import {decodeMember} from '../../../state/decode-member.js';
+import {findMember} from '../../../state/find-member.js';
+import {bucketsPerDataCentre} from '../../../state/member-table.js';
+import {mergeMember} from '../../../state/merge-member.js';
+import type {MembersState, MembersStep} from '../../members-state.js';
+import {judgeClaim} from './identity.js';
+import {putRecords} from './records.js';
+
+function isAdmissible(
+	state: MembersState,
+	record: MemberRecord,
+	current: Member | undefined,
+	now: number,
+): boolean {
+	const newest = now + state.wallOffsetMs + maxIncarnationAheadMs;
+	if (record.incarnation > newest) {
+		return false;
+	}
+
+	if (current) {
+		return true;
+	}
+
+	const buckets = state.table.get(record.dataCentre);
+	if (!buckets) {
+		return state.table.size < maxDataCentres;
+	}
+
+	const largest = Math.max(...buckets.map(({members}) => members.size));
+	return largest < maxMembersPerDataCentre / bucketsPerDataCentre;
+}
+
+/** Merges records received from another member. */
+export function mergeRecords(
+	state: MembersState,
+	records: readonly MemberRecord[],
+	now: number,
+): MembersStep {
+	const changed = new Map<string, Member>();
+	let step: MembersStep = {state, effects: []};
+	for (const record of records) {
+		if (record.name === state.self.name) {
+			const judged = judgeClaim(step.state, record, now);
+			step = {
+				state: judged.state,
+				effects: [...step.effects, ...judged.effects],
+			};
+			continue;
+		}
+
+		const current =
+			changed.get(record.name) ?? findMember(state.table, record.name);
+		if (!isAdmissible(state, record, current, now)) {
+			continue;
+		}
+
+		const merged = mergeMember(current, decodeMember(record, now));
+		if (merged !== current) {
+			changed.set(record.name, merged);
+		}
+	}
+
+	const put = putRecords(step.state, [...changed.values()], now);
+	return {state: put.state, effects: [...step.effects, ...put.effects]};
+}
--- /dev/null
+++ b/src/coordination/_lib/members/period.ts
@@ -0,0 +1,91 @@
+/**
+ * Helpers of what a node does each period.
+ */
+import {membersPeriodMs, syncPeriodMs} from '../../../protocol/constants.js';
+import {listMembers} from '../../../state/list-members.js';
+import type {MembersState, MembersStep} from '../../members-state.js';
+import {runBridge} from './bridges.js';
+import {recheckName} from './identity.js';
+import {endPatience, refreshSeeds, seekMembers} from './join.js';
+import {endProbe, endSuspicions, listNeighbours, startProbe} from './probe.js';
+import {forgetMembers} from './records.js';
+import {runActions} from './run-actions.js';
+import {pickSome, sendPing} from './send.js';
+import {abortSync, startSync} from './sync.js';
+
+/** Compares records with a random neighbour from time to time. */
+function syncNeighbour(
+	state: MembersState,
+	now: number,
+	random: () => number,
+): MembersStep {
+	const target = pickSome(listNeighbours(state), 1, random)[0];
+	const isDue = random() < membersPeriodMs / syncPeriodMs;
+	if (!isDue || state.sync !== undefined || !target) {
+		return {state, effects: []};
+	}
+
+	return startSync(state, target.address, now);
+}
+
+/** Asks a dead member from time to time: it may only have been cut off. */
+function askDead(
+	state: MembersState,
+	now: number,
+	random: () => number,
+): MembersStep {
+	if (random() >= membersPeriodMs / syncPeriodMs) {
+		return {state, effects: []};
+	}
+
+	const dead = listMembers(state.table, state.self.dataCentre).filter(
+		(member) => member.state === 'dead',
+	);
+	const target = pickSome(dead, 1, random)[0];
+	return target ? sendPing(state, target.address, now) : {state, effects: []};
+}
+
+function endSync(state: MembersState, now: number): MembersState {
+	const isLate =
+		state.sync !== undefined &&
+		now - state.sync.startedAt > 4 * membersPeriodMs;
+	return isLate ? abortSync(state) : state;
+}
+
+/** Does what is due in a period. */
+export function runPeriod(
+	state: MembersState,
+	now: number,
+	random: () => number,
+): MembersStep {
+	switch (state.role) {
+		case 'left': {
+			return {state, effects: []};
+		}
+
+		case 'refused': {
+			return recheckName(state, now);
+		}
+
+		case 'joining': {
+			return runActions(endSync(state, now), [
+				(next) => refreshSeeds(next, now, random),
+				(next) => seekMembers(next, now, random),
+				(next) => endPatience(next, now),
+			]);
+		}
+
+		case 'member': {
+			return runActions(forgetMembers(endSync(state, now), now), [
+				(next) => endSuspicions(next, now),
+				(next) => endProbe(next, now),
+				(next) => startProbe(next, now, random),
+				(next) => askDead(next, now, random),
+				(next) => runBridge(next, now, random),
+				(next) => syncNeighbour(next, now, random),
+				(next) => refreshSeeds(next, now, random),
+				(next) => seekMembers(next, now, random),
+			]);
+		}
+	}
+}
--- /dev/null
+++ b/src/coordination/_lib/members/probe.ts
@@ -0,0 +1,137 @@
+/**
+ * Helpers of failure detection (SWIM, Das, Gupta and Motivala, 2002).
+ */
+import {indirectProbeMs, indirectProbes} from '../../../protocol/constants.js';
+import type {Member} from '../../../protocol/member.js';
+import {findMember} from '../../../state/find-member.js';
+import {listMembers} from '../../../state/list-members.js';
+import type {MembersState, MembersStep} from '../../members-state.js';
+import {putRecords} from './records.js';
+import {
+	describeSender,
+	isLive,
+	pickSome,
+	sendPing,
+	sendRequest,
+} from './send.js';
+
+/** Lists the other live members of the own data centre. */
+export function listNeighbours(state: MembersState): readonly Member[] {
+	return listMembers(state.table, state.self.dataCentre).filter((member) =>
+		isLive(member),
+	);
+}
+
+function changeState(
+	state: MembersState,
+	names: readonly string[],
+	change: {readonly from: Member['state']; readonly to: Member['state']},
+	now: number,
+): MembersStep {
+	const records = names.flatMap((name) => {
+		const member = findMember(state.table, name);
+		return member?.state === change.from ? [{...member, state: change.to}] : [];
+	});
+	return putRecords(state, records, now);
+}
+
+/** Declares dead the members whose suspicions were not refuted in time. */
+export function endSuspicions(state: MembersState, now: number): MembersStep {
+	const names = [...state.suspicions]
+		.filter(([, endsAt]) => endsAt <= now)
+		.map(([name]) => name);
+	return changeState(state, names, {from: 'suspect', to: 'dead'}, now);
+}
+
+/** Suspects the probed member when nobody vouched for it in time. */
+export function endProbe(state: MembersState, now: number): MembersStep {
+	const {probe} = state;
+	if (!probe || probe.endsAt > now) {
+		return {state, effects: []};
+	}
+
+	return changeState(
+		{...state, probe: undefined},
+		[probe.name],
+		{from: 'alive', to: 'suspect'},
+		now,
+	);
+}
+
+/** Probes the next member of the round, which visits all in random order. */
+export function startProbe(
+	state: MembersState,
+	now: number,
+	random: () => number,
+): MembersStep {
+	if (state.probe) {
+		return {state, effects: []};
+	}
+
+	const order =
+		state.order.length > 0
+			? state.order
+			: pickSome(
+					listNeighbours(state).map(({name}) => name),
+					Infinity,
+					random,
+				);
+	const [name, ...rest] = order;
+	const member = name === undefined ? undefined : findMember(state.table, name);
+	if (!member || !isLive(member)) {
+		return {state: {...state, order: rest}, effects: []};
+	}
+
+	return sendPing(
+		{
+			...state,
+			order: rest,
+			probe: {
+				name: member.name,
+				address: member.address,
+				stage: 'direct',
+				endsAt: now + 2 * indirectProbeMs,
+			},
+		},
+		member.address,
+		now,
+	);
+}
+
+/** Ends a probe that was answered, by the member or through another. */
+export function confirmProbe(state: MembersState, name: string): MembersState {
+	return state.probe?.name === name ? {...state, probe: undefined} : state;
+}
+
+/** Asks other members to probe a member that did not answer. */
+export function relayProbe(
+	state: MembersState,
+	address: string,
+	now: number,
+	random: () => number,
+): MembersStep {
+	const {probe} = state;
+	if (probe?.address !== address || probe.stage !== 'direct') {
+		return {state, effects: []};
+	}
+
+	const others = listNeighbours(state).filter(
+		({name, state: memberState}) =>
+			name !== probe.name && memberState === 'alive',
+	);
+	const request = {
+		kind: 'relay' as const,
+		from: describeSender(state),
+		name: probe.name,
+		address,
+	};
+	return {
+		state: {
+			...state,
+			probe: {...probe, stage: 'indirect', endsAt: now + indirectProbeMs},
+		},
+		effects: pickSome(others, indirectProbes, random).map((member) =>
+			sendRequest(member.address, request),
+		),
+	};
+}
--- /dev/null
+++ b/src/coordination/_lib/members/records.ts
@@ -0,0 +1,144 @@
+/**
+ * Helpers that change the known records.
+ */
+import {
+	maxTombstones,
+	membersPeriodMs,
+	retransmitMultiplier,
+	spreadDelayMs,
+	suspicionMultiplier,
+	tombstoneMs,
+} from '../../../protocol/constants.js';
+import type {Member, Upstream} from '../../../protocol/member.js';
+import {putMembers} from '../../../state/put-members.js';
+import type {
+	MembersEffect,
+	MembersState,
+	MembersStep,
+} from '../../members-state.js';
+import {isLive} from './send.js';
+
+/** Counts the members of the own data centre, the own node included. */
+export function countOwnMembers(state: MembersState): number {
+	const buckets = state.table.get(state.self.dataCentre) ?? [];
+	return buckets.reduce((sum, {members}) => sum + members.size, 1);
+}
+
+/** Marks changed records for sending. */
+export function markChanged(
+	state: MembersState,
+	names: readonly string[],
+): MembersStep {
+	if (names.length === 0) {
+		return {state, effects: []};
+	}
+
+	const times = Math.ceil(
+		retransmitMultiplier * Math.log10(countOwnMembers(state) + 1),
+	);
+	const updates = new Map(
+		names.map((name) => [name, Math.max(1, times)] as const),
+	);
+	for (const [name, remaining] of state.updates) {
+		if (!updates.has(name)) {
+			updates.set(name, remaining);
+		}
+	}
+
+	const next = {
+		...state,
+		updates,
+		fresh: new Set([...state.fresh, ...names]),
+		relays: new Set([...state.relays, ...names]),
+		isSpreadPlanned: true,
+	};
+	const effects: MembersEffect[] = state.isSpreadPlanned
+		? []
+		: [{kind: 'plan-spread', delayMs: spreadDelayMs}];
+	return {state: next, effects};
+}
+
+/** Changes the own record and marks it for sending. */
+export function changeSelf(
+	state: MembersState,
+	change: Partial<Pick<Member, 'state' | 'unreachable'>> & {
+		readonly upstreams?: readonly Upstream[];
+		readonly incarnation?: number;
+	},
+): MembersStep {
+	const self = {
+		...state.self,
+		...change,
+		sequence: state.self.sequence + 1,
+	};
+	return markChanged({...state, self}, [self.name]);
+}
+
+function computeSuspicionMs(state: MembersState): number {
+	const scale = Math.max(1, Math.log10(countOwnMembers(state)));
+	return suspicionMultiplier * scale * membersPeriodMs;
+}
+
+/** Puts records in place and keeps suspicions and tombstones true to them. */
+export function putRecords(
+	state: MembersState,
+	records: readonly Member[],
+	now: number,
+): MembersStep {
+	if (records.length === 0) {
+		return {state, effects: []};
+	}
+
+	const suspicions = new Map(state.suspicions);
+	const tombstones = new Map(state.tombstones);
+	for (const {name, dataCentre, state: memberState} of records) {
+		if (memberState !== 'suspect') {
+			suspicions.delete(name);
+		} else if (dataCentre === state.self.dataCentre && !suspicions.has(name)) {
+			suspicions.set(name, now + computeSuspicionMs(state));
+		}
+
+		if (memberState === 'alive' || memberState === 'suspect') {
+			tombstones.delete(name);
+		} else if (!tombstones.has(name)) {
+			tombstones.set(name, now + tombstoneMs);
+		}
+	}
+
+	const slim = records.map((member) =>
+		isLive(member) ? member : {...member, upstreams: []},
+	);
+	const excess = [...tombstones.keys()].slice(
+		0,
+		Math.max(0, tombstones.size - maxTombstones),
+	);
+	for (const name of excess) {
+		tombstones.delete(name);
+	}
+
+	return markChanged(
+		{
+			...state,
+			suspicions,
+			tombstones,
+			table: putMembers(state.table, slim, excess),
+		},
+		slim.map(({name}) => name),
+	);
+}
+
+/** Forgets members whose tombstones have ended. */
+export function forgetMembers(state: MembersState, now: number): MembersState {
+	const ended = [...state.tombstones].filter(([, endsAt]) => endsAt <= now);
+	if (ended.length === 0) {
+		return state;
+	}
+
+	const names = ended.map(([name]) => name);
+	const tombstones = new Map(state.tombstones);
+	for (const name of names) {
+		tombstones.delete(name);
+	}
+
+	return {...state, tombstones, table: putMembers(state.table, [], names)};
+}
--- /dev/null
+++ b/src/coordination/_lib/members/requests.ts
@@ -0,0 +1,109 @@
+/**
+ * Helpers that handle requests of other members.
+ */
+import {spreadFanOut} from '../../../protocol/constants.js';
+import type {Exchange, Sender} from '../../../protocol/member.js';
+import {findMember} from '../../../state/find-member.js';
+import type {MembersState, MembersStep} from '../../members-state.js';
+import {judgeTwin} from './identity.js';
+import {mergeRecords} from './merge.js';
+import {confirmProbe} from './probe.js';
+import {runActions} from './run-actions.js';
+import {
+	answerWith,
+	describeSender,
+	encodeRecords,
+	sendPing,
+	takeUpdates,
+} from './send.js';
+import {answerBucket, answerDigests} from './sync.js';
+
+/** Tells a sender what the answerer wrongly or not yet knows of it. */
+function answerPing(
+	state: MembersState,
+	from: Sender,
+	now: number,
+): MembersStep {
+	const known = findMember(state.table, from.name);
+	const isWrong =
+		known &&
+		(known.state !== 'alive' ||
+			known.incarnation > from.incarnation ||
+			known.address !== from.address);
+	const needsRecord =
+		!known ||
+		known.incarnation < from.incarnation ||
+		(known.incarnation === from.incarnation && known.sequence < from.sequence);
+	const taken = takeUpdates(state, now);
+	const records = isWrong ? encodeRecords(taken.state, [from.name], now) : [];
+	const answer = {
+		kind: 'ack' as const,
+		from: describeSender(state),
+		records: [...records, ...taken.records],
+		needsRecord,
+	};
+	return {state: taken.state, effects: [answerWith(answer)]};
+}
+
+function acknowledge(state: MembersState): MembersStep {
+	const answer = {
+		kind: 'ack' as const,
+		from: describeSender(state),
+		records: [],
+		needsRecord: false,
+	};
+	return {state, effects: [answerWith(answer)]};
+}
+
+function judgeSender(
+	state: MembersState,
+	from: Sender,
+	now: number,
+): MembersStep {
+	return from.name === state.self.name && from.address !== state.self.address
+		? judgeTwin(state, from, now)
+		: {state, effects: []};
+}
+
+/** Handles another member's request. */
+export function handleRequest(
+	state: MembersState,
+	request: Exchange,
+	now: number,
+): MembersStep {
+	switch (request.kind) {
+		case 'ping': {
+			return runActions(state, [
+				(next) => judgeSender(next, request.from, now),
+				(next) => mergeRecords(next, request.records, now),
+				(next) => answerPing(next, request.from, now),
+			]);
+		}
+
+		case 'relay': {
+			const {name, address, from} = request;
+			const asked = state.vouchers.get(name) ?? [];
+			const vouchers = new Map(
+				[...state.vouchers, [name, [...asked, from.address]] as const].slice(
+					-spreadFanOut * 8,
+				),
+			);
+			return runActions({...state, vouchers}, [
+				acknowledge,
+				(next) => sendPing(next, address, now),
+			]);
+		}
+
+		case 'vouch': {
+			return acknowledge(confirmProbe(state, request.name));
+		}
+
+		case 'digests': {
+			return answerDigests(state, request);
+		}
+
+		case 'bucket': {
+			return answerBucket(state, request, now);
+		}
+	}
+}
--- /dev/null
+++ b/src/coordination/_lib/members/sync.ts
@@ -0,0 +1,250 @@
+/**
+ * Helpers of anti-entropy: digests first, then the buckets that differ.
+ */
+import {
+	maxBucketAnswersPerSecond,
+	maxBucketsPerSync,
+	maxRecordsPerBucket,
+} from '../../../protocol/constants.js';
+import type {
+	Exchange,
+	ExchangeAnswer,
+	Member,
+	RecordVersion,
+} from '../../../protocol/member.js';
+import {encodeMember} from '../../../state/encode-member.js';
+import {
+	bucketsPerDataCentre,
+	type MemberTable,
+} from '../../../state/member-table.js';
+import {mergeMember} from '../../../state/merge-member.js';
+import {putMembers} from '../../../state/put-members.js';
+import type {MembersState, MembersStep} from '../../members-state.js';
+import {mergeRecords} from './merge.js';
+import {
+	answerWith,
+	describeSender,
+	encodeRecords,
+	isLive,
+	sendRequest,
+} from './send.js';
+
+type DigestsRequest = Extract<Exchange, {readonly kind: 'digests'}>;
+type DigestsAnswer = Extract<ExchangeAnswer, {readonly kind: 'digests'}>;
+type BucketRequest = Extract<Exchange, {readonly kind: 'bucket'}>;
+type BucketAnswer = Extract<ExchangeAnswer, {readonly kind: 'bucket'}>;
+
+/** The known members with the own record, once it may be spread. */
+function listAll(state: MembersState): MemberTable {
+	return state.role === 'member'
+		? putMembers(state.table, [state.self])
+		: state.table;
+}
+
+function listDigests(table: MemberTable, dataCentre: string): number[] {
+	const buckets = table.get(dataCentre);
+	return Array.from(
+		{length: bucketsPerDataCentre},
+		(_, index) => buckets?.[index]?.digest ?? 0,
+	);
+}
+
+function computeRoot(digests: readonly number[]): number {
+	return digests.reduce((sum, digest) => (sum + digest) % 2 ** 32, 0);
+}
+
+/** Starts a comparison of records with the member at an address. */
+export function startSync(
+	state: MembersState,
+	address: string,
+	now: number,
+): MembersStep {
+	const table = listAll(state);
+	const roots = Object.fromEntries(
+		[...table.keys()].map((dataCentre) => [
+			dataCentre,
+			computeRoot(listDigests(table, dataCentre)),
+		]),
+	);
+	const sync = {address, startedAt: now, remaining: []};
+	return {
+		state: {...state, sync},
+		effects: [
+			sendRequest(address, {
+				kind: 'digests',
+				from: describeSender(state),
+				roots,
+			}),
+		],
+	};
+}
+
+/** Answers a comparison: digests of the data centres that differ. */
+export function answerDigests(
+	state: MembersState,
+	request: DigestsRequest,
+): MembersStep {
+	const table = listAll(state);
+	const names = new Set([...table.keys(), ...Object.keys(request.roots)]);
+	const buckets: Record<string, number[]> = {};
+	for (const name of names) {
+		const digests = listDigests(table, name);
+		if (computeRoot(digests) !== (request.roots[name] ?? 0)) {
+			buckets[name] = digests;
+		}
+	}
+
+	const answer = {
+		kind: 'digests' as const,
+		from: describeSender(state),
+		buckets,
+	};
+	return {state, effects: [answerWith(answer)]};
+}
+
+function listVersions(
+	table: MemberTable,
+	dataCentre: string,
+	bucket: number,
+): RecordVersion[] {
+	const members = table.get(dataCentre)?.[bucket]?.members.values() ?? [];
+	return [...members]
+		.slice(0, maxRecordsPerBucket)
+		.map((member) => [
+			member.name,
+			member.incarnation,
+			member.sequence,
+			member.state,
+		]);
+}
+
+/** Asks for the next bucket that differs; ends the comparison after the last. */
+export function continueSync(state: MembersState): MembersStep {
+	const {sync} = state;
+	const [next, ...remaining] = sync?.remaining ?? [];
+	if (!sync || !next) {
+		return {state: {...state, sync: undefined}, effects: []};
+	}
+
+	const [dataCentre, bucket] = next;
+	const request: BucketRequest = {
+		kind: 'bucket',
+		from: describeSender(state),
+		dataCentre,
+		bucket,
+		versions: listVersions(listAll(state), dataCentre, bucket),
+	};
+	return {
+		state: {...state, sync: {...sync, remaining}},
+		effects: [sendRequest(sync.address, request)],
+	};
+}
+
+/** Gives up a comparison; the rest of it is made good with another member. */
+export function abortSync(state: MembersState): MembersState {
+	return state.sync ? {...state, sync: undefined, isIncomplete: true} : state;
+}
+
+/** Handles the digests of another member: the own data centre goes first. */
+export function compareDigests(
+	state: MembersState,
+	answer: DigestsAnswer,
+): MembersStep {
+	const table = listAll(state);
+	const own = state.self.dataCentre;
+	const differing = Object.entries(answer.buckets).flatMap(
+		([dataCentre, theirs]) =>
+			listDigests(table, dataCentre).flatMap((digest, bucket) =>
+				digest === theirs[bucket] ? [] : [[dataCentre, bucket] as const],
+			),
+	);
+	const remaining = [
+		...differing.filter(([dataCentre]) => dataCentre === own),
+		...differing.filter(([dataCentre]) => dataCentre !== own),
+	].slice(0, maxBucketsPerSync);
+	const sync = state.sync && {...state.sync, remaining};
+	return continueSync({...state, sync});
+}
+
+function isNewer(member: Member, version: RecordVersion): boolean {
+	const [name, incarnation, sequence, memberState] = version;
+	const theirs = {...member, name, incarnation, sequence, state: memberState};
+	return mergeMember(theirs, member) !== theirs;
+}
+
+function isOlder(member: Member, version: RecordVersion): boolean {
+	const [name, incarnation, sequence, memberState] = version;
+	const theirs = {...member, name, incarnation, sequence, state: memberState};
+	return mergeMember(member, theirs) !== member;
+}
+
+/** Answers a request for a bucket: what is newer here, and what is there. */
+export function answerBucket(
+	state: MembersState,
+	request: BucketRequest,
+	now: number,
+): MembersStep {
+	const {rates} = state;
+	const from = describeSender(state);
+	const isNewWindow = now - rates.windowAt >= 1000;
+	const answered = isNewWindow ? 0 : rates.bucketAnswers;
+	if (answered >= maxBucketAnswersPerSecond) {
+		return {state, effects: [answerWith({kind: 'busy', from})]};
+	}
+
+	const table = listAll(state);
+	const members =
+		table.get(request.dataCentre)?.[request.bucket]?.members ??
+		new Map<string, Member>();
+	const theirs = new Map(
+		request.versions.map((version) => [version[0], version] as const),
+	);
+	const records = [...members.values()]
+		.filter((member) => {
+			const version = theirs.get(member.name);
+			return version ? isNewer(member, version) : isLive(member);
+		})
+		.slice(0, maxRecordsPerBucket)
+		.map((member) => encodeMember(member, now));
+	const wanted = request.versions
+		.filter((version) => {
+			const member = members.get(version[0]);
+			const isTheirsLive = version[3] === 'alive' || version[3] === 'suspect';
+			return member ? isOlder(member, version) : isTheirsLive;
+		})
+		.map(([name]) => name);
+	const windowAt = isNewWindow ? now : rates.windowAt;
+	return {
+		state: {
+			...state,
+			rates: {...rates, windowAt, bucketAnswers: answered + 1},
+		},
+		effects: [answerWith({kind: 'bucket', from, records, wanted})],
+	};
+}
+
+/** Handles the records of a bucket, and sends those that are wanted. */
+export function takeBucket(
+	state: MembersState,
+	address: string,
+	answer: BucketAnswer,
+	now: number,
+): MembersStep {
+	const merged = mergeRecords(state, answer.records, now);
+	const next = continueSync(merged.state);
+	const wanted = encodeRecords(next.state, answer.wanted, now);
+	const push =
+		wanted.length > 0
+			? [
+					sendRequest(address, {
+						kind: 'ping',
+						from: describeSender(next.state),
+						records: wanted,
+					}),
+				]
+			: [];
+	return {
+		state: next.state,
+		effects: [...merged.effects, ...push, ...next.effects],
+	};
+}
--- a/src/coordination/compute-candidates.ts
+++ b/src/coordination/compute-candidates.ts
@@ -1,45 +1,77 @@
 import type {Candidate, Member} from '../protocol/member.js';
 
+/** How much a member's record is to be trusted; lower is better. */
+type Tier = 0 | 1 | 2;
+
+function computeTier(
+	member: Member,
+	unreachable: ReadonlySet<string>,
+): Tier | undefined {
+	if (member.state === 'dead' || member.state === 'left') {
+		return undefined;
+	}
+
+	if (unreachable.has(member.dataCentre)) {
+		return 2;
+	}
+
+	return member.state === 'suspect' ? 1 : 0;
+}
+
+function listOwnCandidates(
+	member: Member,
+): ReadonlyArray<readonly [string, Candidate]> {
+	const {name, address, dataCentre} = member;
+	const byService = new Map<string, Candidate>();
+	for (const {state, service, slots, since} of member.upstreams) {
+		if (state === 'ready') {
+			const known = byService.get(service);
+			byService.set(service, {
+				host: name,
+				address,
+				dataCentre,
+				slots: (known?.slots ?? 0) + slots,
+				sinceMs: Math.min(known?.sinceMs ?? Infinity, since),
+			});
+		}
+	}
+
+	return [...byService];
+}
+
 /**
  * Computes, for each service, the hosts that have a ready upstream of it.
  *
- * @param members - known members; only live and suspected ones count
+ * Suspected hosts count only where no other is known, and hosts of data
+ * centres that cannot be reached only where there are neither.
+ *
+ * @param members - known members
+ * @param unreachable - data centres that the own one cannot reach
  * @returns candidates by full service name
  * @example
  * computeCandidates([]).size; // 0
  */
 export function computeCandidates(
 	members: readonly Member[],
+	unreachable: ReadonlySet<string> = new Set(),
 ): ReadonlyMap<string, readonly Candidate[]> {
 	const byService = new Map<string, Candidate[]>();
+	const tiers = new Map<string, Tier>();
 	for (const member of members) {
-		if (member.state === 'dead' || member.state === 'left') {
+		const tier = computeTier(member, unreachable);
+		if (tier === undefined) {
 			continue;
 		}
 
-		const slotsByService = new Map<string, number>();
-		for (const upstream of member.upstreams) {
-			if (upstream.state === 'ready') {
-				const slots = slotsByService.get(upstream.service) ?? 0;
-				slotsByService.set(upstream.service, slots + upstream.slots);
+		for (const [service, candidate] of listOwnCandidates(member)) {
+			const best = tiers.get(service) ?? 2;
+			if (tier < best || !byService.has(service)) {
+				tiers.set(service, tier);
+				byService.set(service, [candidate]);
+			} else if (tier === best) {
+				byService.get(service)!.push(candidate);
 			}
 		}
-
-		for (const [service, slots] of slotsByService) {
-			const candidates = byService.get(service) ?? [];
-			candidates.push({
-				host: member.name,
-				address: member.address,
-				dataCentre: member.dataCentre,
-				slots,
-				sinceMs: Math.min(
-					...member.upstreams
-						.filter((upstream) => upstream.service === service)
-						.map(({since}) => since),
-				),
-			});
-			byService.set(service, candidates);
-		}
 	}
 
 	return byService;
--- /dev/null
+++ b/src/coordination/create-members-state.ts
@@ -0,0 +1,66 @@
+import {seedsReadJitterMs} from '../protocol/constants.js';
+import type {Member} from '../protocol/member.js';
+import type {MembersState} from './members-state.js';
+
+/** Options of `createMembersState`. */
+export type MembersStateOptions = {
+	/** Addresses of seeds from the settings; none by default. */
+	readonly seeds?: readonly string[];
+	/** Wall-clock time in ms; by default the self record's incarnation. */
+	readonly wallMs?: number;
+};
+
+/**
+ * Creates the membership state of a node that has just started.
+ *
+ * @param self - the node's own record
+ * @param now - monotonic time in ms
+ * @param random - a number from 0 up to 1, which spreads the first read of
+ *   the seeds object
+ * @param options - see `MembersStateOptions`
+ * @returns the state
+ * @example
+ * createMembersState(self, performance.now(), Math.random()).role; // 'joining'
+ */
+export function createMembersState(
+	self: Member,
+	now: number,
+	random: number,
+	options: MembersStateOptions = {},
+): MembersState {
+	const {seeds = [], wallMs = self.incarnation} = options;
+	return {
+		self,
+		role: 'joining',
+		startedMs: wallMs,
+		startedAt: now,
+		wallOffsetMs: wallMs - now,
+		table: new Map(),
+		suspicions: new Map(),
+		tombstones: new Map(),
+		updates: new Map(),
+		fresh: new Set(),
+		relays: new Set(),
+		leases: new Map(),
+		probe: undefined,
+		order: [],
+		sync: undefined,
+		isIncomplete: false,
+		contacts: new Map(),
+		seeds: {
+			settings: seeds,
+			addresses: seeds,
+			failures: 0,
+			isAvailable: true,
+			memberCount: 0,
+			readAt: now + random * seedsReadJitterMs,
+			joinAt: now,
+		},
+		vouchers: new Map(),
+		rates: {windowAt: now, bucketAnswers: 0, refutedAt: -Infinity},
+		nameCheck: undefined,
+		steppedAt: now,
+		wokeAt: -Infinity,
+		isSpreadPlanned: false,
+	};
+}
--- /dev/null
+++ b/src/coordination/step-members.test.ts
@@ -0,0 +1,189 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {
+	Announcement,
+	Exchange,
+	MemberRecord,
+	Sender,
+} from '../protocol/member.js';
+import {maxIncarnationAheadMs} from '../protocol/constants.js';
+import {listMembers} from '../state/list-members.js';
+import {computeMembersView} from './compute-members-view.js';
+import {createMembersState} from './create-members-state.js';
+import type {
+	MembersMessage,
+	MembersState,
+	MembersStep,
+} from './members-state.js';
+import {stepMembers} from './step-members.js';
+
+const wallMs = 1_700_000_000_000;
+const announcement: Announcement = {
+	team: 'kitchens',
+	service: 'pricebook',
+	address: '10.0.0.1:9000',
+	slots: 6,
+	connections: 110,
+	state: 'ready',
+};
+const record: MemberRecord = {
+	name: 'abdali-2',
+	dataCentre: 'abdali',
+	address: '10.0.0.2:8081',
+	incarnation: wallMs,
+	sequence: 0,
+	state: 'alive',
+	upstreams: [],
+};
+
+function createState(): MembersState {
+	const self = {
+		...record,
+		name: 'abdali-1',
+		address: '10.0.0.1:8081',
+		upstreams: [],
+	};
+	const state = createMembersState(self, 0, 0.5, {wallMs});
+	return {...state, role: 'member'};
+}
+
+function step(state: MembersState, message: MembersMessage, now: number) {
+	return stepMembers(state, message, now, () => 0.99);
+}
+
+function sayState(
+	state: MembersState,
+	change: Partial<Announcement>,
+	now: number,
+): MembersStep {
+	return step(
+		state,
+		{
+			kind: 'announce',
+			id: 'u',
+			announcement: {...announcement, ...change},
+		},
+		now,
+	);
+}
+
+function ping(records: readonly MemberRecord[], from: Partial<Sender> = {}) {
+	const {name, dataCentre, address, incarnation, sequence} = record;
+	const request: Exchange = {
+		kind: 'ping',
+		from: {
+			name,
+			dataCentre,
+			address,
+			incarnation,
+			sequence,
+			startedMs: wallMs,
+			...from,
+		},
+		records: [...records],
+	};
+	return {kind: 'request' as const, request};
+}
+
+test('a leaving upstream stays so within its incarnation', () => {
+	const cases: ReadonlyArray<
+		readonly [string, ReadonlyArray<Partial<Announcement> | 'withdraw'>, string]
+	> = [
+		['renewed', [{}, {}], 'ready'],
+		['leaves', [{}, {state: 'leaving'}], 'leaving'],
+		['late ready after leaving', [{}, {state: 'leaving'}, {}], 'leaving'],
+		['late ready after withdrawal', [{}, 'withdraw', {}], ''],
+		['new life', [{}, {state: 'leaving'}, {incarnation: 2}], 'ready'],
+		['new address', [{}, {state: 'leaving'}, {address: '10.0.0.1:9'}], 'ready'],
+		[
+			'old life after the new',
+			[{incarnation: 2}, {incarnation: 1, state: 'leaving'}],
+			'ready',
+		],
+	];
+	for (const [name, changes, expected] of cases) {
+		let state = createState();
+		for (const [index, change] of changes.entries()) {
+			const now = 100 * index;
+			state =
+				change === 'withdraw'
+					? step(state, {kind: 'withdraw', id: 'u'}, now).state
+					: sayState(state, change, now).state;
+		}
+
+		assert.equal(
+			state.self.upstreams.map((upstream) => upstream.state).join(' '),
+			expected,
+			name,
+		);
+	}
+});
+
+test('a process that wakes does not speak for a lapsed lease', () => {
+	const announced = sayState(createState(), {}, 0).state;
+	const asked = step(announced, ping([]), 4000);
+	assert.deepEqual(asked.state.self.upstreams, []);
+	const buffered = sayState(asked.state, {}, 4000);
+	assert.deepEqual(buffered.state.self.upstreams, []);
+	const renewed = sayState(buffered.state, {}, 5000);
+	assert.equal(renewed.state.self.upstreams.length, 1);
+});
+
+test('claims about the own node are refuted at a bounded rate', () => {
+	const claim = (incarnation: number): MemberRecord => ({
+		...record,
+		name: 'abdali-1',
+		address: '10.0.0.1:8081',
+		incarnation,
+		state: 'suspect',
+	});
+	const first = step(createState(), ping([claim(wallMs)]), 10).state;
+	assert.equal(first.self.incarnation, wallMs + 1);
+	const second = step(first, ping([claim(wallMs + 1)]), 20).state;
+	assert.equal(second.self.incarnation, wallMs + 1);
+	const third = step(second, ping([claim(wallMs + 1)]), 1500).state;
+	assert.equal(third.self.incarnation, wallMs + 2);
+});
+
+test('records from too far ahead are dropped', () => {
+	const future = {...record, incarnation: wallMs + 2 * maxIncarnationAheadMs};
+	const {state} = step(createState(), ping([future]), 10);
+	assert.deepEqual(listMembers(state.table), []);
+});
+
+test('the later of two live hosts with one name takes no part', () => {
+	const twin = {name: 'abdali-1', address: '10.0.0.9:8081'};
+	const earlier = step(
+		createState(),
+		ping([], {...twin, startedMs: wallMs + 5}),
+		10,
+	);
+	assert.equal(earlier.state.role, 'member');
+	const later = step(
+		createState(),
+		ping([], {...twin, startedMs: wallMs - 5}),
+		10,
+	);
+	assert.equal(later.state.role, 'refused');
+	assert.ok(later.effects.some(({kind}) => kind === 'log'));
+});
+
+test('a candidate is dated on the own clock and suspects come last', () => {
+	const upstream = {
+		id: 'u',
+		service: 'kitchens/pricebook',
+		slots: 6,
+		state: 'ready' as const,
+		ageMs: 200,
+	};
+	const records: MemberRecord[] = [
+		{...record, upstreams: [upstream]},
+		{...record, name: 'abdali-3', upstreams: [upstream], state: 'suspect'},
+	];
+	const {state} = step(createState(), ping(records), 1000);
+	const found = computeMembersView(state).candidates.get('kitchens/pricebook');
+	assert.deepEqual(
+		found?.map(({host, sinceMs}) => [host, sinceMs]),
+		[['abdali-2', 800]],
+	);
+});
--- a/src/coordination/step-members.ts
+++ b/src/coordination/step-members.ts
@@ -1,204 +1,118 @@
+import {upstreamLeaseMs} from '../protocol/constants.js';
+import {handleAnswer, handleFailure} from './_lib/members/answers.js';
+import {takeSeeds} from './_lib/members/join.js';
+import {runPeriod} from './_lib/members/period.js';
+import {handleRequest} from './_lib/members/requests.js';
+import {runActions} from './_lib/members/run-actions.js';
+import {leaveMembers, spreadChanges} from './_lib/members/spread.js';
 import {
-	deadAfterMs,
-	forgetAfterMs,
-	suspectAfterMs,
-	upstreamLeaseMs,
-} from '../protocol/constants.js';
-import type {Announcement, Member, Upstream} from '../protocol/member.js';
-import {mergeMember} from '../state/merge-member.js';
-
-/** State of a node's membership task. */
-export type MembersState = {
-	readonly self: Member;
-	/** Records of other members by name. */
-	readonly others: ReadonlyMap<string, Member>;
-	/** When each other member was last heard of, monotonic ms. */
-	readonly heardAt: ReadonlyMap<string, number>;
-	/** When each local upstream's lease ends, monotonic ms. */
-	readonly leaseEndsAt: ReadonlyMap<string, number>;
-};
-
-/** What a membership task can be told. */
-export type MembersMessage =
-	| {
-			readonly kind: 'announce';
-			readonly id: string;
-			readonly announcement: Announcement;
-	  }
-	| {readonly kind: 'withdraw'; readonly id: string}
-	| {readonly kind: 'records'; readonly records: readonly Member[]}
-	| {readonly kind: 'heard'; readonly name: string}
-	| {readonly kind: 'leave'}
-	| {readonly kind: 'tick'};
-
-function raiseSequence(self: Member, upstreams: readonly Upstream[]): Member {
-	return {...self, sequence: self.sequence + 1, upstreams: [...upstreams]};
-}
-
-function announceUpstream(
-	state: MembersState,
-	id: string,
-	announcement: Announcement,
-	now: number,
-): MembersState {
-	const {team, service, slots, state: readiness} = announcement;
-	const leaseEndsAt = new Map(state.leaseEndsAt).set(id, now + upstreamLeaseMs);
-	const known = state.self.upstreams.find((upstream) => upstream.id === id);
-	const next: Upstream = {
-		id,
-		service: `${team}/${service}`,
-		slots,
-		state: readiness,
-		since: known?.since ?? now,
-	};
-	if (known && JSON.stringify(known) === JSON.stringify(next)) {
-		return {...state, leaseEndsAt};
-	}
-
-	const rest = state.self.upstreams.filter((upstream) => upstream.id !== id);
-	return {
-		...state,
-		leaseEndsAt,
-		self: raiseSequence(state.self, [...rest, next]),
-	};
-}
-
-function withdrawUpstreams(
-	state: MembersState,
-	ids: ReadonlySet<string>,
-): MembersState {
-	const rest = state.self.upstreams.filter(({id}) => !ids.has(id));
-	if (rest.length === state.self.upstreams.length) {
+	announceUpstream,
+	expireLeases,
+	withdrawUpstream,
+} from './_lib/members/upstreams.js';
+import type {
+	MembersMessage,
+	MembersState,
+	MembersStep,
+} from './members-state.js';
+
+type Random = () => number;
+
+/** Delays every judgement of others by the time that the process stood still. */
+function wake(state: MembersState, now: number): MembersState {
+	const gapMs = now - state.steppedAt;
+	if (gapMs < upstreamLeaseMs) {
 		return state;
 	}
 
-	const leaseEndsAt = new Map(
-		[...state.leaseEndsAt].filter(([id]) => !ids.has(id)),
-	);
-	return {...state, leaseEndsAt, self: raiseSequence(state.self, rest)};
-}
-
-function refuteRecord(self: Member, received: Member): Member {
-	const isNewer =
-		received.incarnation > self.incarnation ||
-		(received.incarnation === self.incarnation &&
-			received.sequence > self.sequence);
-	if (!isNewer && received.state === 'alive') {
-		return self;
-	}
-
 	return {
-		...self,
-		incarnation: Math.max(self.incarnation, received.incarnation + 1),
-		sequence: self.sequence + 1,
+		...state,
+		wokeAt: now,
+		probe: undefined,
+		sync: undefined,
+		suspicions: new Map(
+			[...state.suspicions].map(([name, endsAt]) => [name, endsAt + gapMs]),
+		),
+		contacts: new Map(
+			[...state.contacts].map(([name, contact]) => [
+				name,
+				{...contact, answeredAt: contact.answeredAt + gapMs},
+			]),
+		),
 	};
 }
 
-function mergeRecords(
+function handleMessage(
 	state: MembersState,
-	records: readonly Member[],
+	message: MembersMessage,
 	now: number,
-): MembersState {
-	const others = new Map(state.others);
-	const heardAt = new Map(state.heardAt);
-	let {self} = state;
-	for (const record of records) {
-		if (record.name === self.name) {
-			self = self.state === 'left' ? self : refuteRecord(self, record);
-			continue;
+	random: Random,
+): MembersStep {
+	switch (message.kind) {
+		case 'announce': {
+			return announceUpstream(state, message.id, message.announcement, now);
 		}
 
-		const current = others.get(record.name);
-		const merged = mergeMember(current, record);
-		if (merged !== current) {
-			others.set(record.name, merged);
-			heardAt.set(record.name, now);
+		case 'withdraw': {
+			return withdrawUpstream(state, message.id, now);
 		}
-	}
 
-	return {...state, self, others, heardAt};
-}
+		case 'request': {
+			return handleRequest(state, message.request, now);
+		}
 
-function judgeSilence(member: Member, silentMs: number): Member {
-	if (member.state === 'alive' && silentMs >= suspectAfterMs) {
-		return {...member, state: 'suspect'};
-	}
+		case 'answer': {
+			return handleAnswer(state, message, now);
+		}
 
-	if (member.state === 'suspect' && silentMs >= deadAfterMs) {
-		return {...member, state: 'dead'};
-	}
+		case 'failure': {
+			return handleFailure(state, message.address, now, random);
+		}
 
-	return member;
-}
+		case 'seeds': {
+			return takeSeeds(state, message.outcome, now, random);
+		}
 
-function judgeMembers(state: MembersState, now: number): MembersState {
-	const others = new Map<string, Member>();
-	const heardAt = new Map(state.heardAt);
-	for (const [name, member] of state.others) {
-		const silentMs = now - (heardAt.get(name) ?? now);
-		const isGone = member.state === 'dead' || member.state === 'left';
-		if (isGone && silentMs >= forgetAfterMs) {
-			heardAt.delete(name);
-			continue;
+		case 'spread': {
+			return spreadChanges(state, now, random);
 		}
 
-		others.set(name, judgeSilence(member, silentMs));
-	}
+		case 'leave': {
+			return leaveMembers(state, now, random);
+		}
 
-	const lapsed = new Set(
-		[...state.leaseEndsAt].filter(([, end]) => end <= now).map(([id]) => id),
-	);
-	return withdrawUpstreams({...state, others, heardAt}, lapsed);
+		case 'tick': {
+			return runPeriod(state, now, random);
+		}
+	}
 }
 
 /**
- * Advances a membership task by one message.
+ * Advances a node's membership by one message.
+ *
+ * Leases that have ended are withdrawn before anything is said, so a process
+ * that was paused does not speak for them when it wakes.
  *
  * @param state - the state before; left as it is
  * @param message - the message to handle
  * @param now - monotonic time in ms
- * @returns the state after
+ * @param random - source of numbers from 0 up to 1
+ * @returns the state after, and what the task is to do
  * @example
- * stepMembers(state, {kind: 'tick'}, 1000);
+ * stepMembers(state, {kind: 'tick'}, 1000, Math.random).effects;
  */
 export function stepMembers(
 	state: MembersState,
 	message: MembersMessage,
 	now: number,
-): MembersState {
-	switch (message.kind) {
-		case 'announce': {
-			return announceUpstream(state, message.id, message.announcement, now);
-		}
-
-		case 'withdraw': {
-			return withdrawUpstreams(state, new Set([message.id]));
-		}
-
-		case 'records': {
-			return mergeRecords(state, message.records, now);
-		}
-
-		case 'heard': {
-			const heardAt = new Map(state.heardAt).set(message.name, now);
-			const member = state.others.get(message.name);
-			const others =
-				member?.state === 'suspect'
-					? new Map(state.others).set(message.name, {
-							...member,
-							state: 'alive' as const,
-						})
-					: state.others;
-			return {...state, heardAt, others};
-		}
-
-		case 'leave': {
-			const self = {...raiseSequence(state.self, []), state: 'left' as const};
-			return {...state, self, leaseEndsAt: new Map()};
-		}
-
-		case 'tick': {
-			return judgeMembers(state, now);
-		}
-	}
+	random: () => number,
+): MembersStep {
+	const step = runActions(wake(state, now), [
+		(next) => expireLeases(next, now),
+		(next) => handleMessage(next, message, now, random),
+	]);
+	return {
+		state: {...step.state, steppedAt: Math.max(now, state.steppedAt)},
+		effects: step.effects,
+	};
 }
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -12,7 +12,6 @@
 	maxNamesPerReport,
 	requiredHolders,
 } from './constants.js';
-import {memberSchema} from './member.js';
 
 const versionSchema = z.int().min(0);
 const nodeNameSchema = z.string().max(64);
@@ -76,14 +75,7 @@
 	}),
 ]);
 
-/** One side of an exchange of member records. */
-export const exchangeSchema = z.strictObject({
-	from: z.string().max(64),
-	records: z.array(memberSchema).max(50_000),
-});
-
 export type Refusal = z.infer<typeof refusalSchema>;
 export type Progress = z.infer<typeof progressSchema>;
 export type Poll = z.infer<typeof pollSchema>;
 export type PollAnswer = z.infer<typeof pollAnswerSchema>;
-export type Exchange = z.infer<typeof exchangeSchema>;
--- /dev/null
+++ b/src/state/list-members.ts
@@ -0,0 +1,24 @@
+import type {Member} from '../protocol/member.js';
+import type {MemberTable} from './member-table.js';
+
+/**
+ * Lists the members of a table.
+ *
+ * @param table - the known members
+ * @param dataCentre - the data centre wanted; all when absent
+ * @returns the members, in no particular order
+ * @example
+ * listMembers(new Map()); // []
+ */
+export function listMembers(
+	table: MemberTable,
+	dataCentre?: string,
+): readonly Member[] {
+	const groups =
+		dataCentre === undefined
+			? [...table.values()]
+			: [table.get(dataCentre) ?? []];
+	return groups.flatMap((buckets) =>
+		buckets.flatMap(({members}) => [...members.values()]),
+	);
+}
--- a/src/state/merge-member.ts
+++ b/src/state/merge-member.ts
@@ -1,6 +1,6 @@
 import type {Member} from '../protocol/member.js';
 
-const stateRank: Readonly<Record<Member['state'], number>> = {
+const rankByState: Readonly<Record<Member['state'], number>> = {
 	alive: 0,
 	suspect: 1,
 	dead: 2,
@@ -8,14 +8,16 @@
 };
 
 /**
- * Merges two records of the same member, keeping the newer one.
+ * Merges two records of the same member.
  *
- * A higher incarnation wins, then a higher sequence, then the graver state, so
- * that the result does not depend on the order of messages.
+ * A higher incarnation wins. Within one incarnation the content of the higher
+ * sequence and the graver state are kept, so only the member itself can end a
+ * suspicion, by a new incarnation, and a late record revives nobody. The
+ * result does not depend on the order or number of messages.
  *
  * @param current - the record known so far, if any
  * @param received - the record received
- * @returns the record to keep
+ * @returns the record to keep; `current` itself when nothing changes
  * @example
  * mergeMember(undefined, member) === member; // true
  */
@@ -23,19 +25,18 @@
 	current: Member | undefined,
 	received: Member,
 ): Member {
-	if (!current) {
+	if (!current || received.incarnation > current.incarnation) {
 		return received;
 	}
 
-	if (received.incarnation !== current.incarnation) {
-		return received.incarnation > current.incarnation ? received : current;
+	if (received.incarnation < current.incarnation) {
+		return current;
 	}
 
-	if (received.sequence !== current.sequence) {
-		return received.sequence > current.sequence ? received : current;
-	}
-
-	return stateRank[received.state] > stateRank[current.state]
-		? received
-		: current;
+	const content = received.sequence > current.sequence ? received : current;
+	const state =
+		rankByState[received.state] > rankByState[current.state]
+			? received.state
+			: current.state;
+	return content.state === state ? content : {...content, state};
 }
--- a/src/transport/_lib/administration/add-member-routes.ts
+++ b/src/transport/_lib/administration/add-member-routes.ts
@@ -28,8 +28,8 @@
 			const json = await readJson(request, response);
 			const parsed = json && announcementSchema.safeParse(json.value);
 			if (parsed?.success) {
-				announce(readId(request.params.id), parsed.data);
-				sendJson(response, 200, {});
+				const outcome = announce(readId(request.params.id), parsed.data);
+				sendJson(response, outcome === 'accepted' ? 200 : 409, {outcome});
 			} else if (parsed) {
 				sendJson(response, 422, {problems: parsed.error.issues});
 			}
--- a/src/transport/_lib/administration/administration-options.ts
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -14,6 +14,10 @@
 	/** Reads the newest configuration that the node holds. */
 	readonly readNewest: () => Configuration;
 	readonly readView: () => MembersView;
-	readonly announce: (id: string, announcement: Announcement) => void;
+	/** Returns `ignored` for an announcement that is late or out of order. */
+	readonly announce: (
+		id: string,
+		announcement: Announcement,
+	) => 'accepted' | 'ignored';
 	readonly withdraw: (id: string) => void;
 };
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -1,11 +1,10 @@
 import {initTRPC} from '@trpc/server';
 import {
 	exchangeSchema,
-	pollSchema,
 	type Exchange,
-	type Poll,
-	type PollAnswer,
-} from '../protocol/peer.js';
+	type ExchangeAnswer,
+} from '../protocol/member.js';
+import {pollSchema, type Poll, type PollAnswer} from '../protocol/peer.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import {
@@ -16,7 +15,7 @@
 /** The handlers that a node's tasks give to the peer router. */
 export type PeerHandlers = {
 	handlePoll(poll: Poll): Promise<PollAnswer>;
-	handleExchange(exchange: Exchange): Exchange;
+	handleExchange(exchange: Exchange): ExchangeAnswer;
 	handleAsk(question: AttemptQuestion): LedgerStep['answer'];
 	handleCancel(id: string): void;
 	handleStamp(): GateStamp;
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -1,13 +1,25 @@
 import {z} from 'zod';
-import {computeCandidates} from '../coordination/compute-candidates.js';
+import {computeMembersView} from '../coordination/compute-members-view.js';
+import {createMembersState} from '../coordination/create-members-state.js';
+import type {
+	MembersEffect,
+	MembersMessage,
+	SeedsOutcome,
+} from '../coordination/members-state.js';
+import {stepMembers} from '../coordination/step-members.js';
 import {
-	stepMembers,
-	type MembersMessage,
-	type MembersState,
-} from '../coordination/step-members.js';
-import {exchangeIntervalMs, platformTimeoutMs} from '../protocol/constants.js';
-import type {Member, MembersView} from '../protocol/member.js';
-import type {Exchange} from '../protocol/peer.js';
+	exchangeTimeoutMs,
+	maxSeeds,
+	membersPeriodMs,
+} from '../protocol/constants.js';
+import {
+	exchangeAnswerSchema,
+	type Announcement,
+	type Exchange,
+	type ExchangeAnswer,
+	type Member,
+	type MembersView,
+} from '../protocol/member.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './create-platform-client.js';
@@ -21,23 +33,33 @@
 	readonly logger: Logger;
 	/** Called with each new view. */
 	readonly onView: (view: MembersView) => void;
+	/** Called with each upstream whose lease was not renewed. */
+	readonly onLapse?: (id: string) => void;
 	readonly now?: () => number;
 	readonly random?: () => number;
 };
 
+/** Whether an announcement counted; an ignored one is late or out of order. */
+export type AnnouncementOutcome = 'accepted' | 'ignored';
+
 /** The task that keeps the view of live members and announced upstreams. */
 export type MembersTask = {
-	tell(message: MembersMessage): void;
-	handleExchange(exchange: Exchange): Exchange;
+	announce(id: string, announcement: Announcement): AnnouncementOutcome;
+	withdraw(id: string): void;
+	handleExchange(exchange: Exchange): ExchangeAnswer;
 	readView(): MembersView;
 	/** Spreads that this node leaves. */
 	leave(): Promise<void>;
 	stop(): void;
 };
 
-const maxSeeds = 24;
+const seedsPrefix = 'members/';
 
-const seedsSchema = z.object({addresses: z.array(z.string())});
+const seedsSchema = z.object({
+	addresses: z.array(z.string().regex(/^[\d.]+:\d+$/v)).max(4 * maxSeeds),
+	memberCount: z.int().min(0).default(0),
+	writtenMs: z.number().default(0),
+});
 
 /**
  * Starts the membership task of a node.
@@ -48,146 +70,179 @@
  * startMembersTask({self, seeds: [], peers, platform, logger, onView});
  */
 export function startMembersTask(options: MembersTaskOptions): MembersTask {
-	const {self, peers, platform, logger, onView} = options;
+	const {self, peers, platform, logger, onView, onLapse} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
-	let state: MembersState = {
-		self,
-		others: new Map(),
-		heardAt: new Map(),
-		leaseEndsAt: new Map(),
-	};
-	let {seeds} = options;
+	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
+	const timers = new Set<NodeJS.Timeout>();
+	const sending = new Set<Promise<void>>();
+	let state = createMembersState(self, now(), random(), {
+		seeds: options.seeds,
+		wallMs: Date.now(),
+	});
+	let view: MembersView | undefined;
 	let isStopped = false;
 
 	function readView(): MembersView {
-		const members = [state.self, ...state.others.values()];
-		return {
-			self: state.self,
-			members,
-			candidates: computeCandidates(members),
-		};
+		view ??= computeMembersView(state);
+		return view;
 	}
 
-	function tell(message: MembersMessage): void {
+	function tell(message: MembersMessage): readonly MembersEffect[] {
+		if (isStopped) {
+			return [];
+		}
+
 		const before = state;
-		state = stepMembers(state, message, now());
-		if (before.self !== state.self || hasChanged(before, state)) {
+		const step = stepMembers(state, message, now(), random);
+		state = step.state;
+		for (const effect of step.effects) {
+			runEffect(effect);
+		}
+
+		if (before.self !== state.self || before.table !== state.table) {
+			view = undefined;
+			reportLapses(before.self, message);
 			onView(readView());
 		}
+
+		return step.effects;
 	}
 
-	function hasChanged(before: MembersState, after: MembersState): boolean {
-		if (before.others.size !== after.others.size) {
-			return true;
+	function reportLapses(before: Member, message: MembersMessage): void {
+		const left = new Set(state.self.upstreams.map(({id}) => id));
+		const isAsked = message.kind === 'withdraw' || message.kind === 'leave';
+		for (const {id} of isAsked ? [] : before.upstreams) {
+			if (!left.has(id)) {
+				logger.warn('lease of upstream lapsed', {id});
+				onLapse?.(id);
+			}
 		}
+	}
 
-		for (const [name, member] of after.others) {
-			if (before.others.get(name) !== member) {
-				return true;
+	function runEffect(effect: MembersEffect): void {
+		switch (effect.kind) {
+			case 'send': {
+				const sent = send(effect.address, effect.request);
+				sending.add(sent);
+				void sent.then(() => sending.delete(sent));
+				break;
 			}
-		}
 
-		return false;
-	}
+			case 'plan-spread': {
+				const timer = setTimeout(() => {
+					timers.delete(timer);
+					tell({kind: 'spread'});
+				}, effect.delayMs);
+				timers.add(timer);
+				break;
+			}
 
-	function listRecords(): Member[] {
-		return [state.self, ...state.others.values()];
-	}
+			case 'read-seeds': {
+				void readSeeds();
+				break;
+			}
 
-	function pickTargets(count: number): string[] {
-		const alive = [...state.others.values()]
-			.filter(
-				(member) => member.state === 'alive' || member.state === 'suspect',
-			)
-			.map(({address}) => address);
-		const pool =
-			alive.length > 0
-				? alive
-				: seeds.filter((address) => address !== self.address);
-		return Array.from(
-			{length: Math.min(count, pool.length)},
-			() => pool[Math.floor(random() * pool.length)]!,
-		);
+			case 'write-seeds': {
+				void writeSeeds(effect);
+				break;
+			}
+
+			case 'log': {
+				logger[effect.level](effect.text, {member: effect.member});
+				break;
+			}
+
+			case 'answer':
+			case 'announcement': {
+				break;
+			}
+		}
 	}
 
-	async function exchangeWith(address: string): Promise<void> {
+	async function send(address: string, request: Exchange): Promise<void> {
 		try {
-			const answer = await peers
-				.getClient(address)
-				.exchange.mutate(
-					{from: self.name, records: listRecords()},
-					{signal: AbortSignal.timeout(exchangeIntervalMs)},
-				);
-			tell({kind: 'records', records: answer.records});
-			tell({kind: 'heard', name: answer.from});
+			const answer = exchangeAnswerSchema.parse(
+				await peers.getClient(address).exchange.mutate(request, {
+					signal: AbortSignal.timeout(exchangeTimeoutMs),
+				}),
+			);
+			tell({kind: 'answer', address, request, answer});
 		} catch (error) {
 			logger.debug('exchange failed', {address, error: String(error)});
+			tell({kind: 'failure', address, request});
 		}
 	}
 
-	async function refreshSeeds(): Promise<void> {
-		const key = `members/${self.dataCentre}`;
-		const outcome = await platform.listObjects('members/');
+	async function loadSeeds(): Promise<SeedsOutcome> {
+		const outcome = await platform.listObjects(seedsPrefix);
 		if (outcome.kind !== 'items') {
-			return;
+			return {kind: 'unavailable'};
 		}
 
-		const lists = outcome.items.map(({value}) => seedsSchema.parse(value));
-		seeds = [
-			...new Set([
-				...options.seeds,
-				...lists.flatMap(({addresses}) => addresses),
-			]),
-		];
-		const own = outcome.items.find((item) => item.key === key);
-		const addresses = own ? seedsSchema.parse(own.value).addresses : [];
-		if (addresses.includes(self.address) || addresses.length >= maxSeeds) {
-			return;
-		}
+		const lists = outcome.items.flatMap(({key, version, value}) => {
+			const parsed = seedsSchema.safeParse(value);
+			return parsed.success ? [{key, version, ...parsed.data}] : [];
+		});
+		const own = lists.find(({key}) => key === seedsKey);
+		const stored = outcome.items.find(({key}) => key === seedsKey);
+		return {
+			kind: 'read',
+			addresses: lists.flatMap(({addresses}) => addresses),
+			memberCount: own?.memberCount ?? 0,
+			writtenMs: own?.writtenMs ?? 0,
+			version: stored?.version,
+			ownAddresses: own?.addresses ?? [],
+		};
+	}
 
-		await platform.writeObject(
-			key,
-			{addresses: [...addresses, self.address]},
-			own ? {kind: 'version', version: own.version} : {kind: 'absent'},
-		);
+	async function readSeeds(): Promise<void> {
+		tell({kind: 'seeds', outcome: await loadSeeds()});
 	}
 
-	async function runTick(): Promise<void> {
-		tell({kind: 'tick'});
-		await Promise.all(
-			pickTargets(2).map(async (address) => exchangeWith(address)),
+	async function writeSeeds(
+		effect: Extract<MembersEffect, {readonly kind: 'write-seeds'}>,
+	): Promise<void> {
+		const {addresses, memberCount, version} = effect;
+		await platform.writeObject(
+			seedsKey,
+			{addresses, memberCount, writtenMs: Date.now()},
+			version === undefined ? {kind: 'absent'} : {kind: 'version', version},
 		);
 	}
 
-	const timer = setInterval(() => {
-		void runTick();
-	}, exchangeIntervalMs);
-	const seedTimer = setInterval(() => {
-		if (state.others.size === 0) {
-			void refreshSeeds();
-		}
-	}, platformTimeoutMs);
-	void refreshSeeds().then(runTick);
+	const ticker = setInterval(() => {
+		tell({kind: 'tick'});
+	}, membersPeriodMs);
+	tell({kind: 'tick'});
 
 	return {
-		tell,
+		announce(id, announcement) {
+			const effects = tell({kind: 'announce', id, announcement});
+			const effect = effects.find(({kind}) => kind === 'announcement');
+			return effect?.kind === 'announcement' ? effect.outcome : 'ignored';
+		},
+		withdraw(id) {
+			tell({kind: 'withdraw', id});
+		},
 		readView,
-		handleExchange(exchange) {
-			tell({kind: 'records', records: exchange.records});
-			tell({kind: 'heard', name: exchange.from});
-			return {from: self.name, records: listRecords()};
+		handleExchange(request) {
+			const effects = tell({kind: 'request', request});
+			const effect = effects.find(({kind}) => kind === 'answer');
+			if (effect?.kind !== 'answer') {
+				throw new Error('a stopped node answers no exchange');
+			}
+
+			return effect.answer;
 		},
 		async leave() {
 			tell({kind: 'leave'});
-			await Promise.all(
-				pickTargets(4).map(async (address) => exchangeWith(address)),
-			);
+			await Promise.all(sending);
 		},
 		stop() {
-			if (!isStopped) {
-				isStopped = true;
-				clearInterval(timer);
-				clearInterval(seedTimer);
+			isStopped = true;
+			clearInterval(ticker);
+			for (const timer of timers) {
+				clearTimeout(timer);
 			}
 		},
 	};
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -89,8 +89,8 @@
 			caller.tellView(view);
 			configuration.tellView(view);
 		},
+		onLapse: gate.withdraw,
 	});
-	members.tell({kind: 'tick'});
 	configuration.tellView(members.readView());
 	const administration = await startAdministrationTask({
 		address: settings.node.administration,
@@ -100,11 +100,15 @@
 		readNewest: configuration.readNewest,
 		readView: members.readView,
 		announce(id, announcement) {
-			gate.announce(id, announcement);
-			members.tell({kind: 'announce', id, announcement});
+			const outcome = members.announce(id, announcement);
+			if (outcome === 'accepted') {
+				gate.announce(id, announcement);
+			}
+
+			return outcome;
 		},
 		withdraw(id) {
-			members.tell({kind: 'withdraw', id});
+			members.withdraw(id);
 			gate.withdraw(id);
 		},
 	});
