Trace each hop, send metrics and keep logging off the request path

Change: create-tracer builds spans from the observer's events after the hop has ended (request, attempt, gate, upstream call), queues them in bounded memory and exports them as JSON lines or by OTLP over HTTP. create-metrics adds up counters, samples times and sends them with hot-shots. Control bytes are read from the sockets, by purpose. The logger drops lines below its level before winston. A failed export is a warning: before that, a receiver that answered 400 made the stop of a node throw (found by the test). Ruled out: OpenTelemetry's own tracer, whose spans cannot take the identifiers that were sent already; one hot-shots call for each count.

Slots and queue of the gate are not gauges yet, since the gate has no reading of them.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -128,3 +128,10 @@
 export const ejectionCapMs = 30_000;
 export const ejectionErrorShare = 0.5;
 export const ejectionMinSamples = 10;
+
+export const traceQueueSpans = 2048;
+export const traceExportIntervalMs = 1000;
+export const traceExportTimeoutMs = 3000;
+export const metricsIntervalMs = 10_000;
+export const metricsFlushMs = 1000;
+export const metricsPacketBytes = 1432;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -34,12 +34,15 @@
 	)
 	.pipe(z.array(addressSchema));
 
-const ratioSchema = z
-	.string()
-	.regex(/^\d+(?:\.\d+)?$/v, 'not a decimal number')
-	.default('0.01')
-	.transform(Number)
-	.pipe(z.number().max(1));
+function createRatioSchema(fallback: string) {
+	return z
+		.string()
+		.regex(/^\d+(?:\.\d+)?$/v, 'not a decimal number')
+		.default(fallback)
+		.transform(Number)
+		.pipe(z.number().max(1))
+		.describe('decimal number from 0 to 1');
+}
 
 const nodeSchema = z
 	.strictObject({
@@ -87,7 +90,7 @@
 			.url({protocol: /^https?$/v})
 			.optional()
 			.describe('http or https URL of an OTLP receiver; needed for otlp'),
-		sampleRatio: ratioSchema.describe('decimal number from 0 to 1'),
+		sampleRatio: createRatioSchema('0.01'),
 	})
 	.refine(({export: target, url}) => target !== 'otlp' || url !== undefined, {
 		path: ['url'],
@@ -122,6 +125,7 @@
 			statsd: addressSchema
 				.optional()
 				.describe('IP:PORT of a StatsD receiver (UDP)'),
+			sampleRatio: createRatioSchema('0.1'),
 		})
 		.prefault({}),
 });
--- /dev/null
+++ b/src/transport/_lib/combine-observers.ts
@@ -0,0 +1,36 @@
+import type {RequestObserver} from '../../protocol/observer.js';
+
+/**
+ * Combines observers into one that tells each of them in turn.
+ *
+ * Handlers that no observer has stay absent, so that tasks skip them.
+ *
+ * @param observers - the observers; the first that makes trace contexts does
+ * @returns the combined observer
+ */
+export function combineObservers(
+	observers: readonly RequestObserver[],
+): RequestObserver {
+	function combine<Event>(
+		handlers: ReadonlyArray<((event: Event) => void) | undefined>,
+	): ((event: Event) => void) | undefined {
+		const present = handlers.filter((handler) => handler !== undefined);
+		if (present.length < 2) {
+			return present[0];
+		}
+
+		return (event) => {
+			for (const handler of present) {
+				handler(event);
+			}
+		};
+	}
+
+	return {
+		createTraceparent: observers.find((item) => item.createTraceparent)
+			?.createTraceparent,
+		onRequest: combine(observers.map(({onRequest}) => onRequest)),
+		onAttempt: combine(observers.map(({onAttempt}) => onAttempt)),
+		onGate: combine(observers.map(({onGate}) => onGate)),
+	};
+}
--- /dev/null
+++ b/src/transport/_lib/create-byte-counter.ts
@@ -0,0 +1,67 @@
+import type {Socket} from 'node:net';
+
+/** Bytes on the sockets of one purpose, headers included. */
+export type ByteCount = {
+	readonly purpose: string;
+	readonly sent: number;
+	readonly received: number;
+};
+
+/** Counts the bytes on sockets by purpose. */
+export type ByteCounter = {
+	/** Counts a socket from its first byte; again has no effect. */
+	track(purpose: string, socket: Socket): void;
+	/** Returns what has passed since the last call. */
+	take(): readonly ByteCount[];
+};
+
+type Tracked = {
+	readonly purpose: string;
+	readonly sent: number;
+	readonly received: number;
+};
+
+/**
+ * Creates a counter of bytes on sockets.
+ *
+ * @returns the counter
+ */
+export function createByteCounter(): ByteCounter {
+	const tracked = new Map<Socket, Tracked>();
+	let counts = new Map<string, ByteCount>();
+
+	function collect(socket: Socket): void {
+		const {purpose, sent, received} = tracked.get(socket)!;
+		const {bytesWritten, bytesRead} = socket;
+		const known = counts.get(purpose);
+		counts.set(purpose, {
+			purpose,
+			sent: (known?.sent ?? 0) + bytesWritten - sent,
+			received: (known?.received ?? 0) + bytesRead - received,
+		});
+		tracked.set(socket, {purpose, sent: bytesWritten, received: bytesRead});
+	}
+
+	return {
+		track(purpose, socket) {
+			if (tracked.has(socket)) {
+				return;
+			}
+
+			tracked.set(socket, {purpose, sent: 0, received: 0});
+			socket.once('close', () => {
+				collect(socket);
+				tracked.delete(socket);
+			});
+		},
+		take() {
+			for (const socket of tracked.keys()) {
+				collect(socket);
+			}
+
+			const taken = [...counts.values()];
+			counts = new Map();
+			return taken;
+		},
+	};
+}
--- a/src/transport/create-logger.ts
+++ b/src/transport/create-logger.ts
@@ -1,32 +1,61 @@
 import winston from 'winston';
 
-/** The part of a logger that tasks use. */
-export type Logger = Pick<
-	winston.Logger,
-	'error' | 'warn' | 'info' | 'debug' | 'child'
->;
+const levels = ['error', 'warn', 'info', 'debug'] as const;
+
+/** Levels of log lines, gravest first. */
+export type LogLevel = (typeof levels)[number];
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** What tasks log with: one method for each level. */
+export type Logger = Readonly<
+	Record<LogLevel, (message: string, fields?: Fields) => void>
+> & {
+	/** Creates a logger whose lines all have further fields. */
+	child(fields: Fields): Logger;
+};
+
+function ignoreLine(): void {
+	// The level is not written.
+}
+
+function wrapLogger(logger: winston.Logger, level: LogLevel): Logger {
+	const written = new Set(levels.slice(0, levels.indexOf(level) + 1));
+	const choose = (name: LogLevel) =>
+		written.has(name)
+			? (message: string, fields: Fields = {}) => {
+					logger.log(name, message, fields);
+				}
+			: ignoreLine;
+	return {
+		error: choose('error'),
+		warn: choose('warn'),
+		info: choose('info'),
+		debug: choose('debug'),
+		child: (fields) => wrapLogger(logger.child(fields), level),
+	};
+}
 
 /**
  * Creates a logger that writes JSON lines to standard error.
  *
+ * Lines below the level never reach winston, which would format them first.
+ *
  * @param level - lowest level that is written
  * @param node - name of the node, part of every line
  * @returns the logger
  * @example
  * createLogger('info', 'abdali-1').info('ready', {port: 8080});
  */
-export function createLogger(level: string, node: string): Logger {
-	return winston.createLogger({
+export function createLogger(level: LogLevel, node: string): Logger {
+	const logger = winston.createLogger({
 		level,
 		defaultMeta: {node},
 		format: winston.format.combine(
 			winston.format.timestamp(),
 			winston.format.json(),
 		),
-		transports: [
-			new winston.transports.Console({
-				stderrLevels: ['error', 'warn', 'info', 'debug'],
-			}),
-		],
+		transports: [new winston.transports.Console({stderrLevels: [...levels]})],
 	});
+	return wrapLogger(logger, level);
 }
--- /dev/null
+++ b/src/transport/create-metrics.ts
@@ -0,0 +1,164 @@
+import {StatsD} from 'hot-shots';
+import {
+	metricsFlushMs,
+	metricsIntervalMs,
+	metricsPacketBytes,
+} from '../protocol/constants.js';
+import type {MetricName} from '../protocol/metric-names.js';
+import type {AttemptEvent, RequestObserver} from '../protocol/observer.js';
+import type {Settings} from '../protocol/settings.js';
+import type {ByteCount} from './_lib/create-byte-counter.js';
+import {createCounters, type Tags} from './_lib/create-counters.js';
+import type {Logger} from './create-logger.js';
+
+/** A value that is read at each interval. */
+export type GaugeReading = {
+	readonly name: MetricName;
+	readonly value: number;
+	readonly tags?: Tags;
+};
+
+/** Options of `createMetrics`. */
+export type MetricsOptions = {
+	/** Receiver, `IP:PORT`, and share of times; no metrics without receiver. */
+	readonly metrics: Settings['metrics'];
+	readonly name: string;
+	readonly dataCentre: string;
+	readonly logger: Logger;
+	/** Reads the gauges; called once in each interval. */
+	readonly readGauges?: () => readonly GaugeReading[];
+	/** Takes the control bytes since the last call, once in each interval. */
+	readonly takeBytes?: () => readonly ByteCount[];
+	/** Time between two readings of the gauges, ms. */
+	readonly intervalMs?: number;
+};
+
+/** Sends counts, times and gauges to a StatsD receiver. */
+export type Metrics = {
+	readonly observer: RequestObserver;
+	/** Sends what is waiting and stops. */
+	stop(): Promise<void>;
+};
+
+const maxOpenRequests = 10_000;
+
+/**
+ * Creates the attempts' part of a request's time, by request.
+ *
+ * @returns functions that add an attempt and take the sum
+ */
+function createAttemptTimes() {
+	const times = new Map<string, number>();
+	return {
+		add({requestId, durationMs}: AttemptEvent) {
+			if (times.size < maxOpenRequests || times.has(requestId)) {
+				times.set(requestId, (times.get(requestId) ?? 0) + durationMs);
+			}
+		},
+		take(requestId: string): number | undefined {
+			const time = times.get(requestId);
+			times.delete(requestId);
+			return time;
+		},
+	};
+}
+
+/**
+ * Creates the metrics of a node, sent with hot-shots; see docs/METRICS.md.
+ *
+ * Counters are added up and sent once a second, times are sampled, and lines
+ * are gathered in packets, so that a request pays for none of these.
+ *
+ * @param options - see `MetricsOptions`
+ * @returns the metrics; they do nothing when there is no receiver
+ * @example
+ * createMetrics({metrics: settings.metrics, name, dataCentre, logger}).observer;
+ */
+export function createMetrics(options: MetricsOptions): Metrics {
+	const {metrics, name, dataCentre, logger, readGauges = () => []} = options;
+	const {statsd, sampleRatio} = metrics;
+	const {intervalMs = metricsIntervalMs, takeBytes = () => []} = options;
+	if (statsd === undefined) {
+		return {
+			observer: {},
+			async stop() {
+				// Nothing was started.
+			},
+		};
+	}
+
+	const [host, port] = statsd.split(':');
+	const client = new StatsD({
+		host,
+		port: Number(port),
+		prefix: 'boragehitch.',
+		globalTags: {node: name, dataCentre},
+		maxBufferSize: metricsPacketBytes,
+		bufferFlushInterval: metricsFlushMs,
+		errorHandler(error) {
+			logger.debug('metrics not sent', {error: String(error)});
+		},
+	});
+	const attemptTimes = createAttemptTimes();
+
+	const counters = createCounters<MetricName>();
+
+	function time(metric: MetricName, ms: number, team: string): void {
+		client.timing(metric, ms, sampleRatio, {team});
+	}
+
+	function sendCounters(): void {
+		for (const {name: metric, value, tags} of counters.take()) {
+			client.increment(metric, value, {...tags});
+		}
+	}
+
+	const flushTimer = setInterval(sendCounters, metricsFlushMs);
+
+	const timer = setInterval(() => {
+		for (const {name: metric, value, tags} of readGauges()) {
+			client.gauge(metric, value, {...tags});
+		}
+
+		for (const {purpose, sent, received} of takeBytes()) {
+			counters.add('control.bytes_sent', sent, {purpose});
+			counters.add('control.bytes_received', received, {purpose});
+		}
+	}, intervalMs);
+
+	return {
+		observer: {
+			onRequest(event) {
+				const {team, outcome, reason = 'none', durationMs} = event;
+				counters.add('requests', 1, {team, outcome, reason});
+				time('request.duration_ms', durationMs, team);
+				const attempted = attemptTimes.take(event.requestId);
+				if (attempted !== undefined) {
+					time('request.added_ms', Math.max(0, durationMs - attempted), team);
+				}
+			},
+			onAttempt(event) {
+				const {team, outcome, reason = 'none'} = event;
+				counters.add('attempts', 1, {team, outcome, reason});
+				time('attempt.duration_ms', event.durationMs, team);
+				attemptTimes.add(event);
+			},
+			onGate(event) {
+				const {team, outcome, reason = 'none'} = event;
+				counters.add('gate.attempts', 1, {team, outcome, reason});
+				time('gate.duration_ms', event.durationMs, team);
+				time('gate.queued_ms', event.queuedMs, team);
+			},
+		},
+		async stop() {
+			clearInterval(timer);
+			clearInterval(flushTimer);
+			sendCounters();
+			await new Promise<void>((resolve) => {
+				client.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+}
--- a/src/transport/create-platform-client.ts
+++ b/src/transport/create-platform-client.ts
@@ -1,4 +1,5 @@
-import {Agent, request} from 'undici';
+import type {Socket} from 'node:net';
+import {request} from 'undici';
 import {z} from 'zod';
 import {platformTimeoutMs} from '../protocol/constants.js';
 import type {
@@ -7,6 +8,7 @@
 	WriteCondition,
 	WriteOutcome,
 } from '../protocol/platform.js';
+import {createCountedAgent} from './_lib/create-counted-agent.js';
 import {readErrorCode} from './_lib/read-error-code.js';
 
 const objectSchema = z.object({
@@ -96,18 +98,34 @@
 	return {kind: 'items', ...listAnswerSchema.parse(answer.body)};
 }
 
+/** Options of `createPlatformClient`. */
+export type PlatformClientOptions = {
+	/** Called with each new socket and what it is for. */
+	readonly track?: (purpose: string, socket: Socket) => void;
+};
+
 /**
  * Creates a client of the platform's object API.
  *
  * Every call ends in an outcome; a write whose answer was lost is `unknown`.
  *
  * @param baseUrl - base URL of the platform
+ * @param options - see `PlatformClientOptions`
  * @returns the client
  * @example
  * await createPlatformClient('http://127.0.0.1:9000').readObject('a');
  */
-export function createPlatformClient(baseUrl: string): PlatformClient {
-	const agent = new Agent({connections: 16, pipelining: 1});
+export function createPlatformClient(
+	baseUrl: string,
+	options: PlatformClientOptions = {},
+): PlatformClient {
+	const {track} = options;
+	const agent = createCountedAgent(
+		{connections: 16, pipelining: 1},
+		(socket) => {
+			track?.('platform', socket);
+		},
+	);
 
 	async function callPlatform(
 		method: 'GET' | 'PUT' | 'DELETE',
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -1,8 +1,13 @@
 import type {Settings} from '../protocol/settings.js';
+import {createByteCounter} from './_lib/create-byte-counter.js';
+import {combineObservers} from './_lib/combine-observers.js';
+import {listGauges} from './_lib/list-gauges.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
+import {createMetrics} from './create-metrics.js';
 import {createPeerClients} from './create-peer-client.js';
 import {createPlatformClient} from './create-platform-client.js';
+import {createTracer} from './create-tracer.js';
 import {startAdministrationTask} from './start-administration-task.js';
 import {startCallerTask} from './start-caller-task.js';
 import {startCommitTask} from './start-commit-task.js';
@@ -34,9 +39,33 @@
 	logger: Logger,
 ): Promise<RunningNode> {
 	const {name, dataCentre} = settings.node;
-	const platform = createPlatformClient(settings.platform.url);
-	const peers = createPeerClients();
-	const gate = startGateTask({logger});
+	const bytes = createByteCounter();
+	const platform = createPlatformClient(settings.platform.url, {
+		track: bytes.track,
+	});
+	const peers = createPeerClients({track: bytes.track});
+	const tracer = createTracer({
+		trace: settings.trace,
+		name,
+		dataCentre,
+		logger,
+	});
+	let viewHeardAt = performance.now();
+	const metrics = createMetrics({
+		metrics: settings.metrics,
+		name,
+		dataCentre,
+		logger,
+		takeBytes: bytes.take,
+		readGauges: () =>
+			listGauges(
+				configuration.readConfiguration(),
+				members.readView(),
+				performance.now() - viewHeardAt,
+			),
+	});
+	const observer = combineObservers([tracer.observer, metrics.observer]);
+	const gate = startGateTask({logger, observer});
 	const forwarder = createForwarder();
 	const caller = await startCallerTask({
 		name,
@@ -45,6 +74,7 @@
 		gate,
 		forwarder,
 		logger,
+		observer,
 	});
 	const configuration = startConfigurationTask({
 		name,
@@ -63,9 +93,13 @@
 		address: settings.node.peers,
 		gate,
 		logger,
+		track: bytes.track,
 		handlers: {
 			handlePoll: configuration.handlePoll,
-			handleExchange: (exchange) => members.handleExchange(exchange),
+			handleExchange(exchange) {
+				viewHeardAt = performance.now();
+				return members.handleExchange(exchange);
+			},
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -135,6 +169,8 @@
 				forwarder.stop(),
 				peers.stop(),
 				platform.stop(),
+				tracer.stop(),
+				metrics.stop(),
 			]);
 			logger.info('node stopped');
 		},
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import polka from 'polka';
 import type {AttemptResult} from '../protocol/attempt.js';
@@ -14,6 +15,7 @@
 import {formatLoad} from './_lib/format-load.js';
 import {formatStamp} from './_lib/format-stamp.js';
 import {readAttempt} from './_lib/read-attempt.js';
+import {readPurpose} from './_lib/read-purpose.js';
 import {readRequestBody} from './_lib/read-request-body.js';
 import {sendAnswer} from './_lib/send-answer.js';
 import {sendJson} from './_lib/send-json.js';
@@ -30,6 +32,8 @@
 	readonly gate: GateTask;
 	readonly handlers: PeerHandlers;
 	readonly logger: Logger;
+	/** Called with the socket of each call and what it is for. */
+	readonly track?: (purpose: string, socket: Socket) => void;
 };
 
 /** Longest body of a forwarded attempt; routes have lower limits. */
@@ -145,6 +149,7 @@
 	const app = polka().use((request, response) => {
 		const {url} = request;
 		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
+			options.track?.(readPurpose(url), request.socket);
 			handleCall(request, response);
 			return;
 		}
