Measure the added time of calls one deep and profile the nodes

Cause: nothing told how much time the two hops add, nor where it goes.

Change: a load generator process, a chain of upstreams that call on, and a benchmark that alternates direct calls and calls through the nodes; a summary of processor profiles. Programs of a fleet take arguments of the runtime.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,7 +5,16 @@
 
 type Benchmark = (argv: readonly string[]) => Promise<void>;
 
-const benchmarks: Readonly<Record<string, () => Promise<Benchmark>>> = {};
+const benchmarks: Readonly<Record<string, () => Promise<Benchmark>>> = {
+	async profile() {
+		const {profileRequests} = await import('./profile-requests.js');
+		return profileRequests;
+	},
+	async requests() {
+		const {benchRequests} = await import('./requests.js');
+		return benchRequests;
+	},
+};
 
 const [name = '', ...argv] = process.argv.slice(2);
 const load = benchmarks[name];
--- a/harness/resolve-program.ts
+++ b/harness/resolve-program.ts
@@ -1,12 +1,14 @@
 import {fileURLToPath} from 'node:url';
 
-/** Programs that a fleet consists of. */
-export type Program = 'node' | 'platform' | 'upstream';
+/** Programs that a fleet, or a benchmark of it, consists of. */
+export type Program = 'node' | 'platform' | 'upstream' | 'chain' | 'load';
 
 const paths: Readonly<Record<Program, string>> = {
 	node: 'src/cli/main.js',
 	platform: 'fakes/platform-main.js',
 	upstream: 'fakes/upstream-main.js',
+	chain: 'bench/_lib/chain-main.js',
+	load: 'bench/_lib/load-main.js',
 };
 
 /**
--- a/harness/start-host.ts
+++ b/harness/start-host.ts
@@ -15,6 +15,8 @@
 	readonly seeds?: readonly string[];
 	readonly serviceMs?: number;
 	readonly logLevel?: string;
+	/** Arguments of the runtime for the node, such as `--cpu-prof`. */
+	readonly runtimeArguments?: readonly string[];
 	/** Further sections of the settings file. */
 	readonly settings?: Readonly<
 		Record<string, Readonly<Record<string, string>>>
@@ -43,7 +45,8 @@
  */
 export async function startHost(options: HostOptions): Promise<Host> {
 	const {name, dataCentre, platformUrl, team, service} = options;
-	const {seeds = [], serviceMs = 1, logLevel = 'warn', settings = {}} = options;
+	const {seeds = [], serviceMs = 1, logLevel = 'warn'} = options;
+	const {runtimeArguments, settings = {}} = options;
 	const folder = await mkdtemp(path.join(tmpdir(), 'boragehitch-'));
 	const file = path.join(folder, 'node.ini');
 	await writeFile(
@@ -62,7 +65,11 @@
 			...settings,
 		}),
 	);
-	const node = await startProcess('node', ['node', '--config', file]);
+	const node = await startProcess(
+		'node',
+		['node', '--config', file],
+		runtimeArguments,
+	);
 	const upstream = service
 		? await startProcess('upstream', [
 				'--service',
--- a/harness/start-process.ts
+++ b/harness/start-process.ts
@@ -27,6 +27,7 @@
  *
  * @param program - which program
  * @param argv - its arguments
+ * @param runtimeArguments - arguments of the runtime, such as `--cpu-prof`
  * @returns the running process
  * @throws when the process ends or stays silent before it is ready
  * @example
@@ -35,10 +36,13 @@
 export async function startProcess(
 	program: Program,
 	argv: readonly string[],
+	runtimeArguments: readonly string[] = [],
 ): Promise<FleetProcess> {
-	const child = spawn(process.execPath, [resolveProgram(program), ...argv], {
-		stdio: ['ignore', 'pipe', 'pipe'],
-	});
+	const child = spawn(
+		process.execPath,
+		[...runtimeArguments, resolveProgram(program), ...argv],
+		{stdio: ['ignore', 'pipe', 'pipe']},
+	);
 	let log = '';
 	child.stderr.on('data', (chunk) => {
 		log = (log + String(chunk)).slice(-maxLogLength);
