Measure the delivery of configuration by three ways

Cause: nothing told what the tree costs against a naive way, in time and in bytes.

Change: a benchmark over real node processes, naive watchers over real sockets and a simulated gossip push; a counter of bytes on a node's control sockets, shown as controlBytes in GET /health; a debug line for each version run. Polling every node for its version was ruled out: at 200 nodes the polls would load the machine more than the delivery.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,10 @@
 		const {profileRequests} = await import('./profile-requests.js');
 		return profileRequests;
 	},
+	async config() {
+		const {benchConfig} = await import('./config.js');
+		return benchConfig;
+	},
 	async requests() {
 		const {benchRequests} = await import('./requests.js');
 		return benchRequests;
--- a/src/transport/_lib/administration/add-configuration-routes.ts
+++ b/src/transport/_lib/administration/add-configuration-routes.ts
@@ -13,9 +13,12 @@
  */
 export function addConfigurationRoutes(
 	app: Polka,
-	options: Pick<AdministrationTaskOptions, 'readConfiguration' | 'readView'>,
+	options: Pick<
+		AdministrationTaskOptions,
+		'readConfiguration' | 'readView' | 'readControlBytes'
+	>,
 ): void {
-	const {readConfiguration, readView} = options;
+	const {readConfiguration, readView, readControlBytes} = options;
 	app
 		.get('/versions', (_request, response) => {
 			const {version, digest, teams} = readConfiguration();
@@ -43,6 +46,9 @@
 			});
 		})
 		.get('/health', (_request, response) => {
-			sendJson(response, 200, {version: readConfiguration().version});
+			sendJson(response, 200, {
+				version: readConfiguration().version,
+				controlBytes: readControlBytes(),
+			});
 		});
 }
--- a/src/transport/_lib/administration/administration-options.ts
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -14,6 +14,8 @@
 	/** Reads the newest configuration that the node holds. */
 	readonly readNewest: () => Configuration;
 	readonly readView: () => MembersView;
+	/** Reads the bytes of control traffic so far, both ways. */
+	readonly readControlBytes: () => number;
 	/** Returns `ignored` for an announcement that is late or out of order. */
 	readonly announce: (
 		id: string,
--- a/src/transport/_lib/create-byte-counter.ts
+++ b/src/transport/_lib/create-byte-counter.ts
@@ -13,6 +13,8 @@
 	track(purpose: string, socket: Socket): void;
 	/** Returns what has passed since the last call. */
 	take(): readonly ByteCount[];
+	/** Returns all that has passed, sent and received. */
+	readTotal(): number;
 };
 
 type Tracked = {
@@ -29,6 +31,7 @@
 export function createByteCounter(): ByteCounter {
 	const tracked = new Map<Socket, Tracked>();
 	let counts = new Map<string, ByteCount>();
+	let total = 0;
 
 	function collect(socket: Socket): void {
 		const {purpose, sent, received} = tracked.get(socket)!;
@@ -39,9 +42,16 @@
 			sent: (known?.sent ?? 0) + bytesWritten - sent,
 			received: (known?.received ?? 0) + bytesRead - received,
 		});
+		total += bytesWritten - sent + bytesRead - received;
 		tracked.set(socket, {purpose, sent: bytesWritten, received: bytesRead});
 	}
 
+	function collectAll(): void {
+		for (const socket of tracked.keys()) {
+			collect(socket);
+		}
+	}
+
 	return {
 		track(purpose, socket) {
 			if (tracked.has(socket)) {
@@ -55,13 +65,14 @@
 			});
 		},
 		take() {
-			for (const socket of tracked.keys()) {
-				collect(socket);
-			}
-
+			collectAll();
 			const taken = [...counts.values()];
 			counts = new Map();
 			return taken;
 		},
+		readTotal() {
+			collectAll();
+			return total;
+		},
 	};
 }
--- a/src/transport/create-metrics.test.ts
+++ b/src/transport/create-metrics.test.ts
@@ -91,4 +91,5 @@
 		{purpose: 'poll', sent: message.length, received},
 	]);
 	assert.deepEqual(counter.take(), []);
+	assert.ok(counter.readTotal() > 0);
 });
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -118,6 +118,7 @@
 
 			case 'run': {
 				running = effect.configuration;
+				logger.debug('version running', {version: running.version});
 				onConfiguration(running);
 				break;
 			}
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -133,6 +133,7 @@
 		readConfiguration: configuration.readConfiguration,
 		readNewest: configuration.readNewest,
 		readView: members.readView,
+		readControlBytes: bytes.readTotal,
 		announce(id, announcement) {
 			const outcome = members.announce(id, announcement);
 			if (outcome === 'accepted') {
