Add the fault matrix of members

Cause: nothing drove the membership decisions through faults.

Change: 13 faults at 6 steps, singles then pairs, on a fleet of 12 nodes in one process that runs the product's stepMembers on the scheduler; invariants on offers of departed upstreams, expelled members, lapsed leases, equal views and seed writes. Eight naive variants each fail the same cases. Found and mended: a node that asked a dead member at its own address pinged itself without end; answers used up the retransmissions meant for neighbours; the leaving of an upstream waited for the batching delay; a node that returned during a platform outage knew nobody, and now takes its callers as seeds.

A death counts from the end of the last fault, as nobody judges a data centre whose members are all down.

--- /dev/null
+++ b/faults/list-members-cases.ts
@@ -0,0 +1,66 @@
+import type {stepMembers} from '../src/coordination/step-members.js';
+import {membersFaults} from './_lib/members/members-faults.js';
+import {membersSteps, runMembersCase} from './_lib/members/run-members-case.js';
+import type {FaultCase} from './fault-case.js';
+
+/** Options of `listMembersCases`. */
+export type MembersCasesOptions = {
+	/** What a node's step does; the product's by default. */
+	readonly step?: typeof stepMembers;
+	/** Seeds of the single faults. */
+	readonly seeds?: readonly number[];
+	/** Whether each pair strikes at every step, and not at one in turn. */
+	readonly isFull?: boolean;
+};
+
+const hourMs = 3_600_000;
+const pairSeed = 11;
+
+function createCase(
+	faults: FaultCase['faults'],
+	step: string,
+	seed: number,
+	run: FaultCase['run'],
+): FaultCase {
+	return {area: 'members', faults, step, seed, run};
+}
+
+/**
+ * Lists the cases of the matrix of members: each fault at each step, then
+ * each pair of faults.
+ *
+ * @param options - see `MembersCasesOptions`
+ * @returns the cases
+ * @example
+ * runFaultCases(listMembersCases({seeds: [1]}));
+ */
+export function listMembersCases(
+	options: MembersCasesOptions = {},
+): readonly FaultCase[] {
+	const {step: stepNode, seeds = [1, 2], isFull = true} = options;
+	const singles = membersFaults.flatMap((fault) =>
+		membersSteps.flatMap((step) =>
+			seeds.map((seed) =>
+				createCase([fault], step, seed, () =>
+					runMembersCase([fault], step, seed, {
+						step: stepNode,
+						cutMs: step === 'quiet' ? hourMs : undefined,
+					}),
+				),
+			),
+		),
+	);
+	const pairs = membersFaults.flatMap((first, index) =>
+		membersFaults.slice(index).map((second) => [first, second] as const),
+	);
+	const paired = pairs.flatMap((faults, index) =>
+		membersSteps
+			.filter((_, place) => isFull || place === index % membersSteps.length)
+			.map((step) =>
+				createCase(faults, step, pairSeed, () =>
+					runMembersCase(faults, step, pairSeed, {step: stepNode}),
+				),
+			),
+	);
+	return [...singles, ...paired];
+}
--- /dev/null
+++ b/faults/members.test.ts
@@ -0,0 +1,190 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {
+	MembersMessage,
+	MembersState,
+	MembersStep,
+} from '../src/coordination/members-state.js';
+import {stepMembers} from '../src/coordination/step-members.js';
+import type {MemberRecord, Sender} from '../src/protocol/member.js';
+import {listMembers} from '../src/state/list-members.js';
+import {putMembers} from '../src/state/put-members.js';
+import type {MembersFault} from './_lib/members/members-faults.js';
+import {
+	runMembersCase,
+	type MembersStepName,
+} from './_lib/members/run-members-case.js';
+import {formatFaultMatrix} from './format-fault-matrix.js';
+import {listMembersCases} from './list-members-cases.js';
+import {runFaultCases} from './run-fault-cases.js';
+
+type Step = typeof stepMembers;
+
+test('the matrix of members holds', () => {
+	const results = runFaultCases(listMembersCases({seeds: [1], isFull: false}));
+	const failed = results.filter(({violations}) => violations.length > 0);
+	assert.equal(failed.length, 0, formatFaultMatrix(failed));
+});
+
+function dropRecords(
+	message: MembersMessage,
+	isKept: (record: MemberRecord) => boolean,
+): MembersMessage {
+	if (message.kind === 'request' && message.request.kind === 'ping') {
+		const records = message.request.records.filter((record) => isKept(record));
+		return {...message, request: {...message.request, records}};
+	}
+
+	if (message.kind === 'answer' && message.answer.kind === 'ack') {
+		const records = message.answer.records.filter((record) => isKept(record));
+		return {...message, answer: {...message.answer, records}};
+	}
+
+	if (message.kind === 'answer' && message.answer.kind === 'bucket') {
+		const records = message.answer.records.filter((record) => isKept(record));
+		return {...message, answer: {...message.answer, records}};
+	}
+
+	return message;
+}
+
+function dropSends(
+	step: MembersStep,
+	isDropped: (address: string, kind: string) => boolean,
+): MembersStep {
+	return {
+		...step,
+		effects: step.effects.filter(
+			(effect) =>
+				effect.kind !== 'send' ||
+				!isDropped(effect.address, effect.request.kind),
+		),
+	};
+}
+
+const keepLeases: Step = (state, message, now, random) => {
+	const leases = new Map(
+		[...state.leases].map(([id, lease]) => [id, {...lease, endsAt: Infinity}]),
+	);
+	return stepMembers({...state, leases}, message, now, random);
+};
+
+const acceptLateReady: Step = (state, message, now, random) => {
+	const leases = new Map(message.kind === 'announce' ? [] : state.leases);
+	return stepMembers({...state, leases}, message, now, random);
+};
+
+const neverRefute: Step = (state, message, now, random) =>
+	stepMembers(
+		state,
+		dropRecords(message, ({name}) => name !== state.self.name),
+		now,
+		random,
+	);
+
+const neverCompare: Step = (state, message, now, random) =>
+	dropSends(
+		stepMembers(state, message, now, random),
+		(_, kind) => state.role === 'member' && kind === 'digests',
+	);
+
+function isDeadAt(state: MembersState, address: string): boolean {
+	const known = listMembers(state.table).filter(
+		(member) => member.address === address,
+	);
+	return known.length > 0 && known.every((member) => member.state === 'dead');
+}
+
+const neverAskDead: Step = (state, message, now, random) =>
+	dropSends(
+		stepMembers(state, message, now, random),
+		(address) => message.kind === 'tick' && isDeadAt(state, address),
+	);
+
+/** Hides that a sender has the own name. */
+const acceptTwin: Step = (state, message, now, random) => {
+	const {self} = state;
+	const isTwin = ({name, address}: Sender) =>
+		name === self.name && address !== self.address;
+	if (message.kind === 'request' && isTwin(message.request.from)) {
+		const from = {...message.request.from, name: 'another'};
+		return stepMembers(
+			state,
+			{...message, request: {...message.request, from}},
+			now,
+			random,
+		);
+	}
+
+	if (message.kind === 'answer' && isTwin(message.answer.from)) {
+		const from = {...message.answer.from, name: 'another'};
+		return stepMembers(
+			state,
+			{...message, answer: {...message.answer, from}},
+			now,
+			random,
+		);
+	}
+
+	return stepMembers(state, message, now, random);
+};
+
+const forgetAtOnce: Step = (state, message, now, random) => {
+	const step = stepMembers(state, message, now, random);
+	const gone = [...step.state.tombstones.keys()];
+	const table = putMembers(step.state.table, [], gone);
+	return {...step, state: {...step.state, table}};
+};
+
+const neverProbe: Step = (state, message, now, random) =>
+	stepMembers({...state, order: ['nobody']}, message, now, random);
+
+const writeAlways: Step = (state, message, now, random) =>
+	stepMembers(
+		message.kind === 'seeds' ? {...state, wallOffsetMs: 1e15} : state,
+		message,
+		now,
+		random,
+	);
+
+const naiveCases: ReadonlyArray<
+	readonly [string, Step, MembersFault[], MembersStepName]
+> = [
+	['leases that outlive a pause', keepLeases, ['freeze'], 'quiet'],
+	[
+		'a late ready that counts',
+		acceptLateReady,
+		['crossing-announce-leave'],
+		'quiet',
+	],
+	['no refutation', neverRefute, ['freeze'], 'quiet'],
+	['no comparison of digests', neverCompare, ['data-centre-cut'], 'join'],
+	['two hosts with one name', acceptTwin, ['same-name'], 'quiet'],
+	['no tombstones', forgetAtOnce, ['kill'], 'quiet'],
+	['no probes', neverProbe, ['kill'], 'quiet'],
+	['seeds written without a bound', writeAlways, ['herd-kill'], 'quiet'],
+];
+
+for (const [name, step, faults, at] of naiveCases) {
+	test(`the matrix fails with ${name} and holds without`, () => {
+		const seeds = [1, 2, 3];
+		const broken = seeds.some(
+			(seed) => runMembersCase(faults, at, seed, {step}).length > 0,
+		);
+		assert.ok(broken);
+		assert.deepEqual(
+			seeds.flatMap((seed) => runMembersCase(faults, at, seed)),
+			[],
+		);
+	});
+}
+
+test('a split data centre joins again only if the dead are asked', () => {
+	const run = (step?: Step) =>
+		runMembersCase(['split-data-centre'], 'quiet', 1, {
+			step,
+			dataCentres: ['a'],
+		});
+	assert.notDeepEqual(run(neverAskDead), []);
+	assert.deepEqual(run(), []);
+});
--- a/harness/create-members-fleet.ts
+++ b/harness/create-members-fleet.ts
@@ -46,6 +46,8 @@
 	readonly deliver?: (from: FleetNode, to: FleetNode) => Delivery;
 	/** Sees each request sent. */
 	readonly onSend?: (from: FleetNode, request: Exchange) => void;
+	/** Sees each announcement handled, with the time at which it was sent. */
+	readonly onRenew?: (node: FleetNode, id: string, sentAtMs: number) => void;
 	/** Bytes of headers of a request and its answer; bytes uncounted without. */
 	readonly headerBytes?: number;
 	/** Adds up the time spent in steps, ms. */
@@ -87,7 +89,7 @@
 	scheduler: Scheduler,
 	options: MembersFleetOptions = {},
 ) {
-	const {step = stepMembers, headerBytes, onSend, readCpuMs} = options;
+	const {step = stepMembers, headerBytes, onSend, onRenew, readCpuMs} = options;
 	const {deliver = () => ({requestDelaysMs: [1], isAnswered: true})} = options;
 	const nodes = new Map<string, FleetNode>();
 	const platform = createMembersPlatform(scheduler);
@@ -215,17 +217,27 @@
 	/** Repeats an action each period, from a random part of the first one on. */
 	function repeat(node: FleetNode, periodMs: number, action: () => void): void {
 		const run = () => {
-			if (node.condition === 'dead') {
-				return;
+			if (node.condition !== 'dead') {
+				action();
+				scheduler.schedule(periodMs, run);
 			}
-
-			occur(node, action);
-			scheduler.schedule(periodMs, run);
 		};
 
 		scheduler.schedule(scheduler.random() * periodMs, run);
 	}
 
+	function renew(
+		node: FleetNode,
+		id: string,
+		announcement: Announcement,
+	): void {
+		const sentAtMs = scheduler.now();
+		occur(node, () => {
+			tell(node, {kind: 'announce', id, announcement});
+			onRenew?.(node, id, sentAtMs);
+		});
+	}
+
 	return {
 		nodes,
 		platform,
@@ -261,11 +273,13 @@
 			};
 			nodes.set(address, node);
 			repeat(node, membersPeriodMs, () => {
-				tell(node, {kind: 'tick'});
+				if (node.condition === 'running') {
+					tell(node, {kind: 'tick'});
+				}
 			});
 			repeat(node, announcePeriodMs, () => {
 				for (const [id, announcement] of node.upstreams) {
-					tell(node, {kind: 'announce', id, announcement});
+					renew(node, id, announcement);
 				}
 			});
 			return node;
@@ -273,10 +287,24 @@
 		/** Announces an upstream now and keeps renewing it. */
 		announce(node: FleetNode, id: string, announcement: Announcement): void {
 			node.upstreams.set(id, announcement);
+			renew(node, id, announcement);
+		},
+		/** Delivers an announcement once that was sent before others. */
+		announceLate(
+			node: FleetNode,
+			id: string,
+			announcement: Announcement,
+		): void {
 			occur(node, () => {
 				tell(node, {kind: 'announce', id, announcement});
 			});
 		},
+		withdraw(node: FleetNode, id: string): void {
+			node.upstreams.delete(id);
+			occur(node, () => {
+				tell(node, {kind: 'withdraw', id});
+			});
+		},
 		kill(node: FleetNode): void {
 			node.condition = 'dead';
 		},
--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -66,6 +66,9 @@
 		return {state, effects: []};
 	}
 
+	const hasOwnRecord = request.records.some(
+		({name}) => name === state.self.name,
+	);
 	const isTwin =
 		from.name === state.self.name && from.address !== state.self.address;
 	return runActions(confirmProbe(state, from.name), [
@@ -74,7 +77,7 @@
 			isTwin ? judgeTwin(next, from, now) : endNameCheck(next, address, now),
 		(next) => mergeRecords(next, answer.records, now),
 		(next) =>
-			answer.needsRecord
+			answer.needsRecord && !hasOwnRecord
 				? sendOwnRecord(next, address, now)
 				: {state: next, effects: []},
 	]);
--- a/src/coordination/_lib/members/records.ts
+++ b/src/coordination/_lib/members/records.ts
@@ -34,7 +34,7 @@
 	}
 
 	const times = Math.ceil(
-		retransmitMultiplier * Math.log10(countOwnMembers(state) + 1),
+		retransmitMultiplier * Math.log2(countOwnMembers(state) + 1),
 	);
 	const updates = new Map(
 		names.map((name) => [name, Math.max(1, times)] as const),
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -1,7 +1,7 @@
 /**
  * Helpers that handle requests of other members.
  */
-import {spreadFanOut} from '../../../protocol/constants.js';
+import {maxSeeds, spreadFanOut} from '../../../protocol/constants.js';
 import type {Exchange, Sender} from '../../../protocol/member.js';
 import {findMember} from '../../../state/find-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
@@ -65,6 +65,19 @@
 		: {state, effects: []};
 }
 
+/** Notes who called, as a seed, while the node knows nobody. */
+function noteCaller(state: MembersState, from: Sender): MembersState {
+	const {addresses} = state.seeds;
+	const isKnown = addresses.includes(from.address);
+	const isLonely = !state.table.has(state.self.dataCentre);
+	if (isKnown || !isLonely || addresses.length >= 4 * maxSeeds) {
+		return state;
+	}
+
+	const seeds = {...state.seeds, addresses: [...addresses, from.address]};
+	return {...state, seeds};
+}
+
 /** Handles another member's request. */
 export function handleRequest(
 	state: MembersState,
@@ -73,7 +86,7 @@
 ): MembersStep {
 	switch (request.kind) {
 		case 'ping': {
-			return runActions(state, [
+			return runActions(noteCaller(state, request.from), [
 				(next) => judgeSender(next, request.from, now),
 				(next) => mergeRecords(next, request.records, now),
 				(next) => answerPing(next, request.from, now),
--- a/src/coordination/_lib/members/spread.ts
+++ b/src/coordination/_lib/members/spread.ts
@@ -1,13 +1,15 @@
 /**
  * Helpers that spread changes without waiting for the next period.
  */
-import {spreadFanOut} from '../../../protocol/constants.js';
+import {
+	maxRecordsPerMessage,
+	spreadFanOut,
+} from '../../../protocol/constants.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {relayChanges} from './bridges.js';
 import {listNeighbours} from './probe.js';
 import {changeSelf} from './records.js';
-import {runActions} from './run-actions.js';
-import {pickSome, sendPing} from './send.js';
+import {describeSender, encodeRecords, pickSome, sendRequest} from './send.js';
 
 /** Sends fresh changes to a few neighbours and, as a bridge, further. */
 export function spreadChanges(
@@ -25,17 +27,18 @@
 	}
 
 	const targets = pickSome(listNeighbours(planned), spreadFanOut, random);
-	const spread = runActions(
-		{...relayed.state, fresh: new Set()},
-		targets.map(
-			({address}) =>
-				(next) =>
-					sendPing(next, address, now),
-		),
-	);
+	const names = [...planned.fresh].slice(-maxRecordsPerMessage);
+	const request = {
+		kind: 'ping' as const,
+		from: describeSender(planned),
+		records: encodeRecords(planned, names, now),
+	};
 	return {
-		state: spread.state,
-		effects: [...relayed.effects, ...spread.effects],
+		state: {...relayed.state, fresh: new Set()},
+		effects: [
+			...relayed.effects,
+			...targets.map(({address}) => sendRequest(address, request)),
+		],
 	};
 }
 
--- a/src/coordination/step-members.ts
+++ b/src/coordination/step-members.ts
@@ -42,6 +42,21 @@
 	};
 }
 
+/** Spreads a change of the own record without the delay that collects more. */
+function spreadAtOnce(
+	before: MembersState,
+	step: MembersStep,
+	now: number,
+	random: Random,
+): MembersStep {
+	if (step.state.self === before.self) {
+		return step;
+	}
+
+	const spread = spreadChanges(step.state, now, random);
+	return {state: spread.state, effects: [...step.effects, ...spread.effects]};
+}
+
 function handleMessage(
 	state: MembersState,
 	message: MembersMessage,
@@ -50,11 +65,16 @@
 ): MembersStep {
 	switch (message.kind) {
 		case 'announce': {
-			return announceUpstream(state, message.id, message.announcement, now);
+			const {id, announcement} = message;
+			const step = announceUpstream(state, id, announcement, now);
+			return announcement.state === 'leaving'
+				? spreadAtOnce(state, step, now, random)
+				: step;
 		}
 
 		case 'withdraw': {
-			return withdrawUpstream(state, message.id, now);
+			const step = withdrawUpstream(state, message.id, now);
+			return spreadAtOnce(state, step, now, random);
 		}
 
 		case 'request': {
@@ -111,8 +131,11 @@
 		(next) => expireLeases(next, now),
 		(next) => handleMessage(next, message, now, random),
 	]);
+	const {address} = state.self;
 	return {
 		state: {...step.state, steppedAt: Math.max(now, state.steppedAt)},
-		effects: step.effects,
+		effects: step.effects.filter(
+			(effect) => effect.kind !== 'send' || effect.address !== address,
+		),
 	};
 }
