Answer bad input at the administration API with a clear error

Cause: DELETE /upstreams/%zz ended the node (exit 1: decodeURIComponent throws, and polka 0.5 catches nothing). A route path with dot segments was accepted and could never match. JSON with a key given twice took the last. A body over its size broke the connection before the answer; a wrong submission id was refused in a form that the command line read as unknown; /status/seven asked for NaN.

Change: every handler runs in createHandler, which answers 500 and logs. Manifests are refused as outcomes at every stage; identifiers, versions and addresses are checked; content types other than JSON get 415. The status command shows members that are behind and those that refuse. Ruled out: an own clientError answer for messages that are not HTTP, since it could write into an answer that is under way; Node's plain 400 and 431 stay.

--- a/src/cli/_lib/format-status.ts
+++ b/src/cli/_lib/format-status.ts
@@ -7,10 +7,18 @@
 	dataCentres: z.array(
 		z.looseObject({
 			dataCentre: z.string(),
-			version: z.number(),
-			state: z.string().optional(),
-			members: z.number().optional(),
-			reason: z.string().optional(),
+			state: z.string(),
+			lowestVersion: z.number(),
+			members: z.number(),
+			expectedMembers: z.number(),
+			laggards: z.array(z.string()),
+			refusals: z.array(
+				z.looseObject({
+					name: z.string(),
+					version: z.number(),
+					problem: z.looseObject({place: z.string(), message: z.string()}),
+				}),
+			),
 		}),
 	),
 });
@@ -19,27 +27,28 @@
 
 type DataCentre = Status['dataCentres'][number];
 
-function formatDataCentre(dataCentre: DataCentre, version: number): string {
-	const state =
-		dataCentre.state ??
-		(dataCentre.version >= version ? 'in-force' : 'accepted');
-	const members =
-		dataCentre.members === undefined ? '' : `, ${dataCentre.members} members`;
-	const reason = dataCentre.reason ? `: ${dataCentre.reason}` : '';
-	return `  ${dataCentre.dataCentre}: ${state}, runs ${dataCentre.version}${members}${reason}`;
+function formatDataCentre(dataCentre: DataCentre): readonly string[] {
+	const {state, lowestVersion, members, expectedMembers} = dataCentre;
+	const {laggards, refusals} = dataCentre;
+	const behind = laggards.length > 0 ? `, behind: ${laggards.join(', ')}` : '';
+	return [
+		`  ${dataCentre.dataCentre}: ${state}, ${members} of ${expectedMembers} members report, lowest version ${lowestVersion}${behind}`,
+		...refusals.map(
+			({name, version, problem}) =>
+				`    ${name} refuses version ${version}: ${problem.place}: ${problem.message}`,
+		),
+	];
 }
 
 /**
  * Formats the status of a version for a reader.
  *
  * @param status - the status
- * @returns one line, and one for each data centre
+ * @returns one line, and one or more for each data centre
  */
 export function formatStatus(status: Status): string {
 	return [
 		`version ${status.version}: ${status.state}`,
-		...status.dataCentres.map((dataCentre) =>
-			formatDataCentre(dataCentre, status.version),
-		),
+		...status.dataCentres.flatMap((dataCentre) => formatDataCentre(dataCentre)),
 	].join('\n');
 }
--- a/src/cli/run-command.test.ts
+++ b/src/cli/run-command.test.ts
@@ -167,9 +167,26 @@
 });
 
 test('status, versions and explain, for readers and as JSON', async (t) => {
+	const problem = {code: 'digest', place: 'digest', message: 'differs'};
 	const dataCentres = [
-		{dataCentre: 'abdali', version: 7, members: 3},
-		{dataCentre: 'marka', version: 6, members: 2},
+		{
+			dataCentre: 'abdali',
+			state: 'in-force',
+			lowestVersion: 7,
+			members: 3,
+			expectedMembers: 3,
+			laggards: [],
+			refusals: [],
+		},
+		{
+			dataCentre: 'marka',
+			state: 'refused',
+			lowestVersion: 6,
+			members: 2,
+			expectedMembers: 3,
+			laggards: ['marka-2'],
+			refusals: [{name: 'marka-2', version: 7, problem}],
+		},
 	];
 	const route = {
 		team: 'kitchens',
--- a/src/protocol/manifest.ts
+++ b/src/protocol/manifest.ts
@@ -13,10 +13,15 @@
 } from './constants.js';
 
 const namePattern = /^[a-z](?:[a-z\d\-]{0,61}[a-z\d])?$/v;
-const routePathPattern = /^(?:\/[\w.~\-]+)+$/v;
+const routePathPattern = /^(?:\/(?!\.{1,2}(?:\/|$))[\w.~\-]+)+$/v;
 
 /** Name of a team, service, policy or route: lower case, digits and hyphens. */
-export const nameSchema = z.string().regex(namePattern);
+export const nameSchema = z
+	.string()
+	.regex(
+		namePattern,
+		'not 1 to 63 lower-case letters, digits or hyphens, a letter first',
+	);
 
 /** A service: the group of upstreams that answers a team's requests. */
 export const serviceSchema = z.strictObject({
@@ -42,7 +47,13 @@
 /** A route: requests under a path prefix go to a service under a policy. */
 export const routeSchema = z.strictObject({
 	name: nameSchema,
-	path: z.string().max(256).regex(routePathPattern),
+	path: z
+		.string()
+		.max(256)
+		.regex(
+			routePathPattern,
+			'not /SEGMENT/SEGMENT of letters, digits and _ . ~ - without dot segments',
+		),
 	methods: z
 		.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']))
 		.default([]),
--- a/src/transport/_lib/administration/add-configuration-routes.ts
+++ b/src/transport/_lib/administration/add-configuration-routes.ts
@@ -1,8 +1,11 @@
+import type {ServerResponse} from 'node:http';
 import type {Polka} from 'polka';
 import {compileRoutes} from '../../../state/compile-routes.js';
 import {matchRoute} from '../../../state/match-route.js';
+import {isUnambiguousPath} from '../is-unambiguous-path.js';
 import {sendJson} from '../send-json.js';
 import type {AdministrationTaskOptions} from './administration-options.js';
+import {createHandler, type AdministrationRequest} from './create-handler.js';
 
 /**
  * Adds the routes that show what this node runs: its version, the revisions of
@@ -15,40 +18,61 @@
 	app: Polka,
 	options: Pick<
 		AdministrationTaskOptions,
-		'readConfiguration' | 'readView' | 'readControlBytes'
+		'readConfiguration' | 'readView' | 'readControlBytes' | 'logger'
 	>,
 ): void {
-	const {readConfiguration, readView, readControlBytes} = options;
-	app
-		.get('/versions', (_request, response) => {
-			const {version, digest, teams} = readConfiguration();
-			const revisions = Object.entries(teams).map(([team, part]) => ({
-				team,
-				revision: part.revision,
-				version: part.version,
-			}));
-			sendJson(response, 200, {version, digest, teams: revisions});
-		})
-		.get('/explain', (request, response) => {
-			const {method, path} = request.query;
-			if (typeof method !== 'string' || typeof path !== 'string') {
-				sendJson(response, 400, {error: 'needs one method and one path'});
-				return;
-			}
+	const {readConfiguration, readView, readControlBytes, logger} = options;
+
+	function handleVersions(
+		_request: AdministrationRequest,
+		response: ServerResponse,
+	): void {
+		const {version, digest, teams} = readConfiguration();
+		const revisions = Object.entries(teams).map(([team, part]) => ({
+			team,
+			revision: part.revision,
+			version: part.version,
+		}));
+		sendJson(response, 200, {version, digest, teams: revisions});
+	}
+
+	function handleExplain(
+		request: AdministrationRequest,
+		response: ServerResponse,
+	): void {
+		const {method, path: target} = request.query;
+		if (typeof method !== 'string' || typeof target !== 'string') {
+			sendJson(response, 400, {error: 'needs one method and one path'});
+			return;
+		}
 
-			const table = compileRoutes(readConfiguration());
-			const route = matchRoute(table, method, path.split('?', 1)[0]!);
-			const hosts = route && readView().candidates.get(route.service);
-			sendJson(response, route ? 200 : 404, {
-				version: table.version,
-				route: route && {...route, methods: [...route.methods]},
-				hosts: hosts ?? [],
-			});
-		})
-		.get('/health', (_request, response) => {
-			sendJson(response, 200, {
-				version: readConfiguration().version,
-				controlBytes: readControlBytes(),
-			});
+		const path = target.split('?', 1)[0]!;
+		if (!isUnambiguousPath(path)) {
+			const error = `${JSON.stringify(path)} is ambiguous; requests for it are refused`;
+			sendJson(response, 400, {error});
+			return;
+		}
+
+		const table = compileRoutes(readConfiguration());
+		const route = matchRoute(table, method, path);
+		const hosts = route && readView().candidates.get(route.service);
+		sendJson(response, route ? 200 : 404, {
+			version: table.version,
+			route: route && {...route, methods: [...route.methods]},
+			hosts: hosts ?? [],
 		});
+	}
+
+	app
+		.get('/versions', createHandler(logger, handleVersions))
+		.get('/explain', createHandler(logger, handleExplain))
+		.get(
+			'/health',
+			createHandler(logger, (_request, response) => {
+				sendJson(response, 200, {
+					version: readConfiguration().version,
+					controlBytes: readControlBytes(),
+				});
+			}),
+		);
 }
--- a/src/transport/_lib/administration/add-manifest-routes.ts
+++ b/src/transport/_lib/administration/add-manifest-routes.ts
@@ -1,15 +1,17 @@
 import {randomUUID} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {Polka} from 'polka';
 import {
 	submissionIdSchema,
+	type Problem,
 	type SubmissionOutcome,
 } from '../../../protocol/configuration.js';
 import {retryAfterSeconds} from '../../../protocol/constants.js';
-import {manifestSchema} from '../../../protocol/manifest.js';
+import {parseManifest} from '../../../protocol/parse-manifest.js';
 import {sendJson} from '../send-json.js';
 import type {AdministrationTaskOptions} from './administration-options.js';
-import {readJson} from './read-json.js';
+import {createHandler, type AdministrationRequest} from './create-handler.js';
+import {readJsonText} from './read-json-text.js';
 
 const statusByOutcome: Readonly<Record<SubmissionOutcome['kind'], number>> = {
 	accepted: 200,
@@ -18,52 +20,71 @@
 	unknown: 504,
 };
 
+/** Stands in an answer for an identifier that is not one. */
+const invalidId = 'invalid';
+
 /**
  * Adds the route on which operators submit manifests.
  *
+ * Every answer has the form of an outcome, also to a body that is not JSON.
+ *
  * @param app - the application
  * @param options - the task that commits submissions
  */
 export function addManifestRoutes(
 	app: Polka,
-	options: Pick<AdministrationTaskOptions, 'commit'>,
+	options: Pick<AdministrationTaskOptions, 'commit' | 'logger'>,
 ): void {
-	const {commit} = options;
+	const {commit, logger} = options;
 
 	async function handleSubmit(
-		request: IncomingMessage,
+		request: AdministrationRequest,
 		response: ServerResponse,
 	): Promise<void> {
-		const json = await readJson(request, response);
-		if (!json) {
-			return;
-		}
-
-		const submissionId = String(
+		const id = submissionIdSchema.safeParse(
 			request.headers['idempotency-key'] ?? randomUUID(),
 		);
-		const manifest = manifestSchema.safeParse(json.value);
-		if (
-			!manifest.success ||
-			!submissionIdSchema.safeParse(submissionId).success
-		) {
-			const problems = (manifest.error?.issues ?? []).map((issue) => ({
-				code: 'schema' as const,
-				place: issue.path.join('.'),
-				message: issue.message,
-			}));
-			sendJson(response, 422, {
+		const submissionId = id.data ?? invalidId;
+
+		function refuse(status: number, problems: readonly Problem[]): void {
+			const outcome: SubmissionOutcome = {
 				kind: 'refused',
 				submissionId,
 				currentRevision: 0,
-				problems,
-			} satisfies SubmissionOutcome);
+				problems: [...problems],
+			};
+			const headers: Record<string, string> =
+				status === 413 ? {connection: 'close'} : {};
+			sendJson(response, status, outcome, headers);
+		}
+
+		const text = await readJsonText(request);
+		if (text.isErr()) {
+			const {status, message} = text.error;
+			if (status === 0) {
+				response.destroy();
+			} else {
+				refuse(status, [{code: 'schema', place: 'body', message}]);
+			}
+
+			return;
+		}
+
+		if (!id.success) {
+			const message = '1 to 128 letters, digits or _ . : - are allowed';
+			refuse(400, [{code: 'schema', place: 'idempotency-key', message}]);
+			return;
+		}
+
+		const manifest = parseManifest(text.value);
+		if (manifest.isErr()) {
+			refuse(statusByOutcome.refused, manifest.error);
 			return;
 		}
 
 		const outcome = await commit.submit({
 			submissionId,
-			manifest: manifest.data,
+			manifest: manifest.value,
 		});
 		const headers: Record<string, string> =
 			outcome.kind === 'unavailable'
@@ -72,7 +93,5 @@
 		sendJson(response, statusByOutcome[outcome.kind], outcome, headers);
 	}
 
-	app.post('/manifests', (request, response) => {
-		void handleSubmit(request, response);
-	});
+	app.post('/manifests', createHandler(logger, handleSubmit));
 }
--- a/src/transport/_lib/administration/add-member-routes.ts
+++ b/src/transport/_lib/administration/add-member-routes.ts
@@ -1,11 +1,23 @@
+import type {ServerResponse} from 'node:http';
 import type {Polka} from 'polka';
 import {announcementSchema} from '../../../protocol/member.js';
+import {addressSchema} from '../../../protocol/settings.js';
 import {sendJson} from '../send-json.js';
 import type {AdministrationTaskOptions} from './administration-options.js';
+import {createHandler, type AdministrationRequest} from './create-handler.js';
 import {readJson} from './read-json.js';
 
-function readId(parameter: unknown): string {
-	return decodeURIComponent(String(parameter));
+function readId(parameter: unknown): string | undefined {
+	try {
+		const id = decodeURIComponent(String(parameter));
+		return /^[\u0021-\u007E]{1,64}$/v.test(id) ? id : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function isUpstreamAddress(address: string): boolean {
+	return addressSchema.safeParse(address).success && !address.endsWith(':0');
 }
 
 /**
@@ -19,26 +31,81 @@
 	app: Polka,
 	options: Pick<
 		AdministrationTaskOptions,
-		'announce' | 'withdraw' | 'readView'
+		'announce' | 'withdraw' | 'readView' | 'logger'
 	>,
 ): void {
-	const {announce, withdraw, readView} = options;
-	app
-		.put('/upstreams/:id', async (request, response) => {
-			const json = await readJson(request, response);
-			const parsed = json && announcementSchema.safeParse(json.value);
-			if (parsed?.success) {
-				const outcome = announce(readId(request.params.id), parsed.data);
-				sendJson(response, outcome === 'accepted' ? 200 : 409, {outcome});
-			} else if (parsed) {
-				sendJson(response, 422, {problems: parsed.error.issues});
-			}
-		})
-		.delete('/upstreams/:id', (request, response) => {
-			withdraw(readId(request.params.id));
-			sendJson(response, 200, {});
-		})
-		.get('/members', (_request, response) => {
-			sendJson(response, 200, readView().members);
+	const {announce, withdraw, readView, logger} = options;
+
+	function refuseId(response: ServerResponse): void {
+		sendJson(response, 400, {
+			error: 'the identifier is not 1 to 64 printable characters',
 		});
+	}
+
+	async function handleAnnounce(
+		request: AdministrationRequest,
+		response: ServerResponse,
+	): Promise<void> {
+		const id = readId(request.params.id);
+		if (id === undefined) {
+			refuseId(response);
+			return;
+		}
+
+		const json = await readJson(request);
+		if (json.isErr()) {
+			const {status, message} = json.error;
+			if (status === 0) {
+				response.destroy();
+			} else {
+				sendJson(response, status, {error: message}, {connection: 'close'});
+			}
+
+			return;
+		}
+
+		const parsed = announcementSchema.safeParse(json.value);
+		if (!parsed.success) {
+			const problems = parsed.error.issues.map((issue) => ({
+				place: issue.path.join('.'),
+				message: issue.message,
+			}));
+			sendJson(response, 422, {error: 'not an announcement', problems});
+			return;
+		}
+
+		if (!isUpstreamAddress(parsed.data.address)) {
+			const message = 'not IP:PORT with a port from 1 to 65535';
+			const problems = [{place: 'address', message}];
+			sendJson(response, 422, {error: 'not an announcement', problems});
+			return;
+		}
+
+		const outcome = announce(id, parsed.data);
+		sendJson(response, outcome === 'accepted' ? 200 : 409, {outcome});
+	}
+
+	function handleWithdraw(
+		request: AdministrationRequest,
+		response: ServerResponse,
+	): void {
+		const id = readId(request.params.id);
+		if (id === undefined) {
+			refuseId(response);
+			return;
+		}
+
+		withdraw(id);
+		sendJson(response, 200, {});
+	}
+
+	app
+		.put('/upstreams/:id', createHandler(logger, handleAnnounce))
+		.delete('/upstreams/:id', createHandler(logger, handleWithdraw))
+		.get(
+			'/members',
+			createHandler(logger, (_request, response) => {
+				sendJson(response, 200, readView().members);
+			}),
+		);
 }
--- a/src/transport/_lib/administration/add-status-routes.ts
+++ b/src/transport/_lib/administration/add-status-routes.ts
@@ -3,6 +3,9 @@
 import {readVersionStatus} from '../../read-version-status.js';
 import {sendJson} from '../send-json.js';
 import type {AdministrationTaskOptions} from './administration-options.js';
+import {createHandler} from './create-handler.js';
+
+const versionPattern = /^\d{1,15}$/v;
 
 /**
  * Adds the routes on which operators read the progress of a version.
@@ -14,10 +17,10 @@
 	app: Polka,
 	options: Pick<
 		AdministrationTaskOptions,
-		'platform' | 'readNewest' | 'readView'
+		'platform' | 'readNewest' | 'readView' | 'logger'
 	>,
 ): void {
-	const {platform, readNewest, readView} = options;
+	const {platform, readNewest, readView, logger} = options;
 
 	async function handleStatus(
 		version: number,
@@ -42,10 +45,22 @@
 	}
 
 	app
-		.get('/status/:version', (request, response) => {
-			void handleStatus(Number(request.params.version), response);
-		})
-		.get('/status', (_request, response) => {
-			void handleStatus(readNewest().version, response);
-		});
+		.get(
+			'/status/:version',
+			createHandler(logger, async (request, response) => {
+				const version = String(request.params.version);
+				if (versionPattern.test(version)) {
+					await handleStatus(Number(version), response);
+					return;
+				}
+
+				sendJson(response, 400, {error: 'the version is not a whole number'});
+			}),
+		)
+		.get(
+			'/status',
+			createHandler(logger, async (_request, response) =>
+				handleStatus(readNewest().version, response),
+			),
+		);
 }
--- a/src/transport/_lib/administration/administration-options.ts
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -1,5 +1,6 @@
 import type {Configuration} from '../../../protocol/configuration.js';
 import type {Announcement, MembersView} from '../../../protocol/member.js';
+import type {Logger} from '../../create-logger.js';
 import type {PlatformClient} from '../../create-platform-client.js';
 import type {CommitTask} from '../../start-commit-task.js';
 
@@ -22,4 +23,5 @@
 		announcement: Announcement,
 	) => 'accepted' | 'ignored';
 	readonly withdraw: (id: string) => void;
+	readonly logger: Logger;
 };
--- a/src/transport/_lib/administration/read-json.ts
+++ b/src/transport/_lib/administration/read-json.ts
@@ -1,30 +1,31 @@
-import {Buffer} from 'node:buffer';
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import {maxManifestBytes} from '../../../protocol/constants.js';
-import {readBody} from '../read-body.js';
-import {sendJson} from '../send-json.js';
+import type {IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {findDuplicateKeys} from '../../../protocol/find-duplicate-keys.js';
+import {readJsonText, type BodyRefusal} from './read-json-text.js';
 
 /**
- * Reads a JSON body; answers the request itself when there is none.
+ * Reads a JSON body; a key that is given twice is refused.
  *
  * @param request - the request
- * @param response - where a refusal is sent
- * @returns the value, or undefined when the request was refused
+ * @returns the value, or why it is not taken
  */
 export async function readJson(
 	request: IncomingMessage,
-	response: ServerResponse,
-): Promise<{readonly value: unknown} | undefined> {
-	const body = await readBody(request, maxManifestBytes);
-	if (body.isErr()) {
-		sendJson(response, 413, {error: `body over ${maxManifestBytes} bytes`});
-		return undefined;
-	}
-
-	try {
-		return {value: JSON.parse(Buffer.from(body.value).toString()) as unknown};
-	} catch (error) {
-		sendJson(response, 400, {error: `not JSON: ${String(error)}`});
-		return undefined;
-	}
+): Promise<Result<unknown, BodyRefusal>> {
+	const text = await readJsonText(request);
+	return text.andThen((json) => {
+		try {
+			const value: unknown = JSON.parse(json);
+			const [duplicate] = findDuplicateKeys(json);
+			return duplicate
+				? err({
+						status: 400 as const,
+						message: `${duplicate.join('.')} is given twice`,
+					})
+				: ok(value);
+		} catch (error) {
+			const reason = error instanceof Error ? error.message : String(error);
+			return err({status: 400 as const, message: `not JSON: ${reason}`});
+		}
+	});
 }
--- a/src/transport/start-administration-task.ts
+++ b/src/transport/start-administration-task.ts
@@ -5,6 +5,7 @@
 import {addStatusRoutes} from './_lib/administration/add-status-routes.js';
 import type {AdministrationTaskOptions} from './_lib/administration/administration-options.js';
 import {createListener} from './_lib/create-listener.js';
+import {sendJson} from './_lib/send-json.js';
 import {startServer, type RunningServer} from './_lib/start-server.js';
 
 /**
@@ -19,7 +20,12 @@
 export async function startAdministrationTask(
 	options: AdministrationTaskOptions,
 ): Promise<RunningServer> {
-	const app = polka();
+	const app = polka({
+		onNoMatch(request, response) {
+			const {method, path} = request;
+			sendJson(response, 404, {error: `no resource ${method} ${path}`});
+		},
+	});
 	addManifestRoutes(app, options);
 	addStatusRoutes(app, options);
 	addConfigurationRoutes(app, options);
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -128,6 +128,7 @@
 	configuration.tellView(members.readView());
 	const administration = await startAdministrationTask({
 		address: settings.node.administration,
+		logger,
 		commit,
 		platform,
 		readConfiguration: configuration.readConfiguration,
