--- a/faults/_lib/members/members-context.ts
+++ b/faults/_lib/members/members-context.ts
@@ -45,7 +45,7 @@
 }
 
 /** Names the upstream of a host. */
-export function nameUpstream(node: FleetNode): string {
+export function createUpstreamId(node: FleetNode): string {
 	return `${node.name}-pricebook`;
 }
 
@@ -70,20 +70,20 @@
 	const node = context.fleet.start(name, dataCentre, [], address);
 	context.fleet.announce(
 		node,
-		nameUpstream(node),
+		createUpstreamId(node),
 		createAnnouncement({incarnation: Math.floor(context.scheduler.now())}),
 	);
 	return node;
 }
 
 /** Notes that a fault lasts until a time. */
-export function extendFault(context: MembersContext, endMs: number): void {
+export function addFaultTime(context: MembersContext, endMs: number): void {
 	context.endsAtMs = Math.max(context.endsAtMs, endMs);
 }
 
 /** Notes that the network lets views fall behind until a time. */
-export function disturbNetwork(context: MembersContext, endMs: number): void {
+export function breakNetwork(context: MembersContext, endMs: number): void {
 	const {network} = context;
 	network.disturbedUntilMs = Math.max(network.disturbedUntilMs, endMs);
-	extendFault(context, endMs);
+	addFaultTime(context, endMs);
 }
--- a/faults/_lib/members/members-faults.ts
+++ b/faults/_lib/members/members-faults.ts
@@ -4,9 +4,9 @@
 import type {FleetNode} from '../../../harness/create-members-fleet.js';
 import {
 	createAnnouncement,
-	disturbNetwork,
-	extendFault,
-	nameUpstream,
+	breakNetwork,
+	addFaultTime,
+	createUpstreamId,
 	pickNode,
 	startMember,
 	type MembersContext,
@@ -56,7 +56,7 @@
 		});
 	}
 
-	extendFault(context, scheduler.now() + herdReturnMs + herdSpreadMs);
+	addFaultTime(context, scheduler.now() + herdReturnMs + herdSpreadMs);
 }
 
 function freezeNode(context: MembersContext): void {
@@ -66,7 +66,7 @@
 	scheduler.schedule(1500, () => {
 		node.upstreams.clear();
 	});
-	extendFault(context, scheduler.now() + freezeMs);
+	addFaultTime(context, scheduler.now() + freezeMs);
 }
 
 function replaceNode(context: MembersContext): void {
@@ -77,7 +77,7 @@
 	scheduler.schedule(500, () => {
 		startMember(context, name, node.address);
 	});
-	extendFault(context, scheduler.now() + 500);
+	addFaultTime(context, scheduler.now() + 500);
 }
 
 function setCut(
@@ -90,7 +90,7 @@
 	scheduler.schedule(durationMs, () => {
 		network.cuts.delete(isCut);
 	});
-	disturbNetwork(context, scheduler.now() + durationMs);
+	breakNetwork(context, scheduler.now() + durationMs);
 }
 
 function isInHalf({name}: FleetNode): boolean {
@@ -131,13 +131,13 @@
 	scheduler.schedule(platformOutMs, () => {
 		fleet.platform.setDown(false);
 	});
-	extendFault(context, scheduler.now() + platformOutMs);
+	addFaultTime(context, scheduler.now() + platformOutMs);
 }
 
 function flapUpstream(context: MembersContext): void {
 	const {fleet, scheduler} = context;
 	const node = pickNode(context);
-	const id = nameUpstream(node);
+	const id = createUpstreamId(node);
 	for (let index = 0; index <= flaps; index++) {
 		scheduler.schedule(index * flapMs, () => {
 			const state = index % 2 === 0 ? 'leaving' : 'ready';
@@ -146,13 +146,13 @@
 		});
 	}
 
-	extendFault(context, scheduler.now() + flaps * flapMs);
+	addFaultTime(context, scheduler.now() + flaps * flapMs);
 }
 
 function crossAnnouncements(context: MembersContext): void {
 	const {fleet, scheduler} = context;
 	const node = pickNode(context);
-	const id = nameUpstream(node);
+	const id = createUpstreamId(node);
 	const announcement = node.upstreams.get(id)!;
 	fleet.announce(node, id, {...announcement, state: 'leaving'});
 	for (const delayMs of [20, 200, 1200]) {
@@ -164,7 +164,7 @@
 	scheduler.schedule(1000, () => {
 		fleet.withdraw(node, id);
 	});
-	extendFault(context, scheduler.now() + 1200);
+	addFaultTime(context, scheduler.now() + 1200);
 }
 
 function disorderMessages(context: MembersContext): void {
@@ -173,18 +173,15 @@
 	scheduler.schedule(cutNodeMs, () => {
 		network.isDisordered = false;
 	});
-	disturbNetwork(context, scheduler.now() + cutNodeMs);
+	breakNetwork(context, scheduler.now() + cutNodeMs);
 }
 
 /** Inflicts a fault on a fleet, now. */
-export function inflictFault(
-	context: MembersContext,
-	fault: MembersFault,
-): void {
+export function startFault(context: MembersContext, fault: MembersFault): void {
 	switch (fault) {
 		case 'kill': {
 			context.fleet.kill(pickNode(context));
-			extendFault(context, context.scheduler.now());
+			addFaultTime(context, context.scheduler.now());
 			break;
 		}
 
@@ -236,7 +233,7 @@
 
 		case 'same-name': {
 			startMember(context, pickNode(context).name);
-			extendFault(context, context.scheduler.now());
+			addFaultTime(context, context.scheduler.now());
 			break;
 		}
 
--- a/faults/_lib/members/run-members-case.ts
+++ b/faults/_lib/members/run-members-case.ts
@@ -20,13 +20,13 @@
 } from './check-members.js';
 import {
 	createAnnouncement,
-	nameUpstream,
+	createUpstreamId,
 	pickNode,
 	startMember,
 	type MembersContext,
 	type NetworkState,
 } from './members-context.js';
-import {inflictFault, type MembersFault} from './members-faults.js';
+import {startFault, type MembersFault} from './members-faults.js';
 
 /** Steps of the fleet's work at which faults strike. */
 export const membersSteps = [
@@ -100,7 +100,7 @@
 		case 'upstream-leaves': {
 			scheduler.schedule(settledAtMs, () => {
 				const node = pickNode(context);
-				const id = nameUpstream(node);
+				const id = createUpstreamId(node);
 				const announcement = node.upstreams.get(id) ?? createAnnouncement();
 				fleet.announce(node, id, {...announcement, state: 'leaving'});
 			});
@@ -235,7 +235,7 @@
 	const strikesAtMs = prepareStep(context, step);
 	for (const [index, fault] of faults.entries()) {
 		scheduler.schedule(strikesAtMs + index * secondFaultMs, () => {
-			inflictFault(context, fault);
+			startFault(context, fault);
 		});
 	}
 
