Try the configuration under every fault at every step

Cause: nothing showed that the invariants hold under faults.

Change: a generated matrix of fourteen faults at eleven steps, alone and in pairs, over the product's pure machines with a fake platform, network and clock; checks on each host's whole history and on what operators were told. It found three faults, mended here: a restarted root ran the second newest version that it held; another data centre's word made a version safe to run; a node settled by the answers of peers that held nothing themselves. Polls after a failure now open a new connection, and failed reports are repeated.

--- /dev/null
+++ b/faults/config-alone.test.ts
@@ -0,0 +1,11 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {formatFaultMatrix} from './format-fault-matrix.js';
+import {listConfigCases} from './list-config-cases.js';
+import {runFaultCases} from './run-fault-cases.js';
+
+test('the invariants hold under each fault alone at each step', () => {
+	const results = runFaultCases(listConfigCases({kinds: ['alone']}));
+	const failed = results.filter(({violations}) => violations.length > 0);
+	assert.equal(failed.length, 0, formatFaultMatrix(failed));
+});
--- /dev/null
+++ b/faults/list-config-cases.ts
@@ -0,0 +1,70 @@
+import type {FaultCase} from './fault-case.js';
+import {
+	faults,
+	steps,
+	type Fault,
+	type Step,
+	type Variant,
+} from './_lib/config/config-world.js';
+import {runConfigWorld} from './_lib/config/run-config-world.js';
+
+/** Which cases `listConfigCases` lists. */
+export type ConfigCaseOptions = {
+	/** One fault, or two together; default both. */
+	readonly kinds?: ReadonlyArray<'alone' | 'pairs'>;
+	/** One pair in how many; default 1, every pair at every step. */
+	readonly everyNthPair?: number;
+	/** Naive parts in place of the product's; default none. */
+	readonly variant?: Variant;
+};
+
+function createCase(
+	names: readonly Fault[],
+	step: Step,
+	seed: number,
+	variant: Variant | undefined,
+): FaultCase {
+	return {
+		area: 'config',
+		faults: names,
+		step,
+		seed,
+		run: () => runConfigWorld({faults: names, step, seed, variant}),
+	};
+}
+
+/**
+ * Lists the cases of the configuration: every fault at every step, alone and
+ * in pairs, the same one twice included.
+ *
+ * @param options - see `ConfigCaseOptions`
+ * @returns the cases; the number of a case is its seed
+ * @example
+ * runFaultCases(listConfigCases({kinds: ['alone']}));
+ */
+export function listConfigCases(
+	options: ConfigCaseOptions = {},
+): readonly FaultCase[] {
+	const {kinds = ['alone', 'pairs'], everyNthPair = 1, variant} = options;
+	const cases: FaultCase[] = [];
+	let seed = 0;
+	for (const [index, first] of faults.entries()) {
+		for (const step of steps) {
+			seed++;
+			if (kinds.includes('alone')) {
+				cases.push(createCase([first], step, seed, variant));
+			}
+		}
+
+		for (const second of faults.slice(index)) {
+			for (const step of steps) {
+				seed++;
+				if (kinds.includes('pairs') && seed % everyNthPair === 0) {
+					cases.push(createCase([first, second], step, seed, variant));
+				}
+			}
+		}
+	}
+
+	return cases;
+}
--- a/faults/main.ts
+++ b/faults/main.ts
@@ -3,12 +3,14 @@
  */
 import process from 'node:process';
 import type {FaultCase} from './fault-case.js';
+import {listConfigCases} from './list-config-cases.js';
 import {listMembersCases} from './list-members-cases.js';
 import {listRequestsCases} from './list-requests-cases.js';
 import {formatFaultMatrix} from './format-fault-matrix.js';
 import {runFaultCases} from './run-fault-cases.js';
 
 const areas: Readonly<Record<string, () => Promise<readonly FaultCase[]>>> = {
+	config: async () => listConfigCases(),
 	requests: async () => listRequestsCases(),
 	members: async () => listMembersCases(),
 };
--- a/src/coordination/_lib/delivery/delivery-context.ts
+++ b/src/coordination/_lib/delivery/delivery-context.ts
@@ -21,6 +21,8 @@
 	readonly repairAfterMs: number;
 	/** Time between a root's reads of the next log slot, ms. */
 	readonly probeIntervalMs: number;
+	/** Most children of a node. */
+	readonly fanOut: number;
 	/** Slots of the log. */
 	readonly ringSize: number;
 	readonly applyEntry: (
--- a/src/coordination/_lib/delivery/handle-peer.ts
+++ b/src/coordination/_lib/delivery/handle-peer.ts
@@ -30,6 +30,20 @@
 	};
 }
 
+/** Raises the safe version by the word of a node of the same data centre. */
+function noteSafeVersion(
+	state: DeliveryState,
+	name: string,
+	safeVersion: number,
+): DeliveryState {
+	const isSame = state.members.some(
+		(member) => member.name === name && member.dataCentre === state.dataCentre,
+	);
+	return isSame && safeVersion > state.safeVersion
+		? {...state, safeVersion}
+		: state;
+}
+
 /**
  * Takes a poll of another node; it is answered now or when there is news.
  *
@@ -45,14 +59,17 @@
 	poll: Poll,
 	now: number,
 ): DeliveryState {
-	const noted = noteHolder(state, poll.name, poll.haveVersion, now);
+	const noted = noteSafeVersion(
+		noteHolder(state, poll.name, poll.haveVersion, now),
+		poll.name,
+		poll.safeVersion,
+	);
 	const children = poll.progress
 		? new Map(state.children).set(poll.name, {progress: poll.progress, at: now})
 		: state.children;
 	return {
 		...noted,
 		children,
-		safeVersion: Math.max(state.safeVersion, poll.safeVersion),
 		polls: [...state.polls, {pollId, poll, endsAt: now + poll.waitMs}],
 	};
 }
@@ -73,7 +90,12 @@
 			return {...state, heard: undefined};
 		}
 
-		case 'notice':
+		case 'notice': {
+			const noticeFailures = state.noticeFailures + 1;
+			const noticed = {...state.noticed, text: ''};
+			return {...state, noticeFailures, noticed};
+		}
+
 		case 'source':
 		case 'probe':
 		case 'start-probe':
@@ -142,16 +164,19 @@
 		}
 	}
 
-	next = {
-		...noteHolder(next, answer.name, answer.version, now),
-		safeVersion: Math.max(next.safeVersion, answer.safeVersion),
-		firstContactAt: next.firstContactAt ?? now,
-	};
+	next = noteHolder(next, answer.name, answer.version, now);
+	next = noteSafeVersion(next, answer.name, answer.safeVersion);
+	const hasRun = answer.safeVersion > 0;
+	next = hasRun ? {...next, firstContactAt: next.firstContactAt ?? now} : next;
 	if (call.purpose.kind === 'pull') {
 		const pause = answer.kind === 'unchanged' ? unchangedPauseMs : 0;
 		next = {...next, pullFailures: 0, pullAt: now + pause};
 	}
 
+	if (call.purpose.kind === 'notice') {
+		next = {...next, noticeFailures: 0};
+	}
+
 	const heldBefore = readNewest(next).version;
 	const step = acceptAnswer(next, answer, context);
 	const isHelpful =
--- a/src/coordination/_lib/delivery/plan-calls.ts
+++ b/src/coordination/_lib/delivery/plan-calls.ts
@@ -3,14 +3,12 @@
 	logListLimit,
 	noticeIntervalMs,
 	platformTimeoutMs,
-	pollTimeoutMs,
 	pollWaitMs,
 	startProbeIntervalMs,
 	statusIntervalMs,
 	watchWaitMs,
 } from '../../../protocol/constants.js';
 import type {Member} from '../../../protocol/member.js';
-import type {Poll} from '../../../protocol/peer.js';
 import type {PlatformCall} from '../../../protocol/platform.js';
 import {formatLogKey, logPrefix} from '../../../state/format-log-key.js';
 import {
@@ -24,7 +22,6 @@
 	SourceMode,
 } from '../../delivery-state.js';
 import {computeRoots} from '../../compute-roots.js';
-import {computeProgress} from './compute-progress.js';
 import {
 	addCall,
 	hasCall,
@@ -33,6 +30,7 @@
 	type DeliveryContext,
 	type DeliveryPart,
 } from './delivery-context.js';
+import {formatNotice, startPoll} from './start-poll.js';
 
 const none: DeliveryStep['effects'] = [];
 
@@ -52,53 +50,6 @@
 	};
 }
 
-type PollOptions = {
-	readonly kind: 'pull' | 'repair' | 'notice';
-	readonly waitMs: number;
-	/** Whether the node reports to the other as its child. */
-	readonly isChild: boolean;
-};
-
-function startPoll(
-	state: DeliveryState,
-	member: Member,
-	options: PollOptions,
-	context: DeliveryContext,
-): DeliveryStep {
-	const {now} = context;
-	const newest = readNewest(state);
-	const progress = options.isChild ? computeProgress(state) : undefined;
-	const refused =
-		state.refusedSnapshot.until > now ? state.refusedSnapshot.version : 0;
-	const poll: Poll = {
-		name: state.name,
-		haveVersion: newest.version,
-		haveDigest: newest.digest,
-		afterVersion: Math.max(newest.version, refused),
-		wantSnapshot: state.needsSnapshot,
-		safeVersion: state.safeVersion,
-		progress,
-		waitMs: options.waitMs,
-	};
-	const timeoutMs = options.waitMs + pollTimeoutMs - pollWaitMs;
-	const {kind} = options;
-	const purpose = {kind, member: member.name, startedAt: now};
-	const endsAt = now + timeoutMs + callGraceMs;
-	const added = addCall(state, {purpose, endsAt});
-	const {callId} = added;
-	return {
-		state: progress
-			? {...added.state, noticed: {text: formatNotice(state), at: now}}
-			: added.state,
-		effects: [{kind: 'poll', callId, address: member.address, poll, timeoutMs}],
-	};
-}
-
-function formatNotice(state: DeliveryState): string {
-	const {version} = readNewest(state);
-	return JSON.stringify([version, state.safeVersion, computeProgress(state)]);
-}
-
 function createSourceCall(
 	state: DeliveryState,
 	context: DeliveryContext,
@@ -223,7 +174,12 @@
 		? startPoll(
 				state,
 				member,
-				{kind: 'pull', waitMs: pollWaitMs, isChild: !isRoot},
+				{
+					kind: 'pull',
+					waitMs: pollWaitMs,
+					isChild: !isRoot,
+					isFresh: state.pullFailures > 0,
+				},
 				context,
 			)
 		: {state, effects: none};
@@ -241,7 +197,7 @@
 		? startPoll(
 				state,
 				member,
-				{kind: 'repair', waitMs: 0, isChild: false},
+				{kind: 'repair', waitMs: 0, isChild: false, isFresh: true},
 				context,
 			)
 		: {state, effects: none};
@@ -259,10 +215,17 @@
 	);
 }
 
+function computeNoticePause(failures: number): number {
+	return Math.min(statusIntervalMs, noticeIntervalMs * 2 ** failures);
+}
+
 const planNotice: DeliveryPart = (state, context) => {
 	const {now} = context;
 	const {position, noticed} = state;
-	if (!position || now - noticed.at < noticeIntervalMs) {
+	if (
+		!position ||
+		now - noticed.at < computeNoticePause(state.noticeFailures)
+	) {
 		return {state, effects: none};
 	}
 
@@ -279,7 +242,7 @@
 		return startPoll(
 			before,
 			member,
-			{kind: 'notice', waitMs: 0, isChild},
+			{kind: 'notice', waitMs: 0, isChild, isFresh: state.noticeFailures > 0},
 			context,
 		);
 	});
--- a/src/coordination/_lib/delivery/update-running.ts
+++ b/src/coordination/_lib/delivery/update-running.ts
@@ -6,7 +6,8 @@
  * Raises the version known to be safe to run.
  *
  * A version is safe once enough other hosts of the data centre hold it, so
- * that it outlives the ones that run it first.
+ * that it outlives the ones that run it first. What other data centres call
+ * safe does not count: a host that restarts asks its own data centre.
  *
  * @param state - the state before
  * @param context - time and rules
@@ -24,7 +25,8 @@
 	);
 	const required = Math.min(context.rules.requiredHolders, others.length);
 	const newest = readNewest(state).version;
-	const versions = [...state.holders.values()]
+	const versions = others
+		.flatMap(({name}) => state.holders.get(name) ?? [])
 		.filter(({at}) => at > context.now - holderExpiryMs)
 		.map(({version}) => version)
 		.toSorted((a, b) => b - a);
@@ -33,15 +35,17 @@
 	return {state: {...state, safeVersion}, effects: []};
 }
 
-function updateSettled(
+function updateStartFloor(
 	state: DeliveryState,
 	context: DeliveryContext,
 ): DeliveryState {
-	const {firstContactAt, isSettled} = state;
+	const {firstContactAt, isSettled, startFloor} = state;
 	const hasWaited =
 		firstContactAt !== undefined &&
 		context.now - firstContactAt >= context.rules.settleMs;
-	return {...state, isSettled: isSettled || hasWaited};
+	return startFloor === undefined && (isSettled || hasWaited)
+		? {...state, isSettled: true, startFloor: readNewest(state).version}
+		: state;
 }
 
 /**
@@ -49,7 +53,8 @@
  *
  * A first version after a start is run only when nothing newer can have been
  * run before: the platform's log ends with it, or the other nodes had time to
- * spread what any of them holds; and never below a version known to be safe.
+ * spread what any of them holds. It is then at least the newest version held
+ * at that time, and the newest one known to be safe.
  *
  * @param state - the state before
  * @param context - time and rules
@@ -59,7 +64,7 @@
 	state: DeliveryState,
 	context: DeliveryContext,
 ): DeliveryStep {
-	const settled = updateSettled(state, context);
+	const settled = updateStartFloor(state, context);
 	const {held, safeVersion, runningVersion} = settled;
 	const configuration = held.findLast(({version}) => version <= safeVersion);
 	if (!configuration || configuration.version <= (runningVersion ?? 0)) {
@@ -67,7 +72,9 @@
 	}
 
 	const mayStart =
-		settled.isSettled && readNewest(settled).version >= safeVersion;
+		settled.startFloor !== undefined &&
+		configuration.version >= settled.startFloor &&
+		configuration.version === safeVersion;
 	if (runningVersion === undefined && !mayStart) {
 		return {state: settled, effects: []};
 	}
--- a/src/coordination/compute-position.ts
+++ b/src/coordination/compute-position.ts
@@ -16,6 +16,7 @@
  *
  * @param members - known members, in any order
  * @param self - the node whose position is wanted
+ * @param fanOut - most children of a node
  * @returns root, or child with its parents in order of preference
  * @example
  * computePosition([self], self).kind; // 'root'
@@ -23,6 +24,7 @@
 export function computePosition(
 	members: readonly Member[],
 	self: Member,
+	fanOut = treeFanOut,
 ): Position {
 	const ordered = orderMembers(members, self.dataCentre, self.name);
 	const index = ordered.findIndex(({name}) => name === self.name);
@@ -30,7 +32,7 @@
 		return {kind: 'root', rank: Math.max(0, index), first: ordered[0] ?? self};
 	}
 
-	const parentIndex = Math.floor((index - rootsPerDataCentre) / treeFanOut);
+	const parentIndex = Math.floor((index - rootsPerDataCentre) / fanOut);
 	const parents = [ordered[parentIndex]!, ...ordered.slice(0, parentIndex)];
 	return {kind: 'child', parents};
 }
--- a/src/coordination/delivery-state.ts
+++ b/src/coordination/delivery-state.ts
@@ -67,6 +67,9 @@
 	readonly runningVersion: number | undefined;
 	/** Whether a first version may be run: nothing newer can have been run. */
 	readonly isSettled: boolean;
+	/** Newest version held when the node had settled; the first to run. */
+	readonly startFloor: number | undefined;
+	/** When a node that knows a safe version first answered. */
 	readonly firstContactAt: number | undefined;
 	readonly safeVersion: number;
 	/** Other nodes' held versions by name. */
@@ -92,6 +95,7 @@
 		| undefined;
 	/** What the parent, or the other roots, were last told, and when. */
 	readonly noticed: {readonly text: string; readonly at: number};
+	readonly noticeFailures: number;
 	readonly children: ReadonlyMap<string, ChildReport>;
 	readonly polls: readonly WaitingPoll[];
 	readonly status: {
@@ -141,6 +145,8 @@
 			readonly address: string;
 			readonly poll: Poll;
 			readonly timeoutMs: number;
+			/** Whether to open a new connection. */
+			readonly isFresh: boolean;
 	  }
 	| {
 			readonly kind: 'answer';
--- a/src/coordination/step-delivery.ts
+++ b/src/coordination/step-delivery.ts
@@ -4,6 +4,7 @@
 	repairAfterMs,
 	requiredHolders,
 	settleMs,
+	treeFanOut,
 } from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
 import {applyEntry} from '../state/apply-entry.js';
@@ -51,6 +52,7 @@
 	settleMs,
 	repairAfterMs,
 	probeIntervalMs,
+	fanOut: treeFanOut,
 	ringSize: logRingSize,
 	applyEntry,
 	validateConfiguration,
@@ -94,9 +96,10 @@
 function takeView(
 	state: DeliveryState,
 	members: readonly Member[],
+	context: DeliveryContext,
 ): DeliveryState {
 	const self = members.find(({name}) => name === state.name);
-	const position = self && computePosition(members, self);
+	const position = self && computePosition(members, self, context.rules.fanOut);
 	return {...state, members, position};
 }
 
@@ -107,7 +110,7 @@
 ): DeliveryStep {
 	switch (message.kind) {
 		case 'view': {
-			return {state: takeView(state, message.members), effects: []};
+			return {state: takeView(state, message.members, context), effects: []};
 		}
 
 		case 'tick': {
--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -10,7 +10,11 @@
 
 /** Clients of other nodes by address; one connection pool for each call. */
 export type PeerClients = {
-	getClient(address: string): PeerClient;
+	/** Returns a client; a fresh one opens connections of its own. */
+	getClient(
+		address: string,
+		options?: {readonly isFresh?: boolean},
+	): PeerClient;
 	stop(): Promise<void>;
 };
 
@@ -20,6 +24,14 @@
 	readonly track?: (purpose: string, socket: Socket) => void;
 };
 
+function formatOwnKey(
+	purpose: string,
+	address: string,
+	renewal: number,
+): string {
+	return `${purpose} ${address} ${renewal}`;
+}
+
 /**
  * Creates the clients with which a node calls other nodes.
  *
@@ -35,8 +47,12 @@
 	const agents = new Map<string, Agent>();
 	const clients = new Map<string, PeerClient>();
 
-	function getAgent(purpose: string): Agent {
-		const known = agents.get(purpose);
+	const renewals = new Map<string, number>();
+
+	function getAgent(purpose: string, address: string): Agent {
+		const renewal = renewals.get(address);
+		const key = renewal ? formatOwnKey(purpose, address, renewal) : purpose;
+		const known = agents.get(key);
 		if (known) {
 			return known;
 		}
@@ -47,12 +63,27 @@
 				track?.(purpose, socket);
 			},
 		);
-		agents.set(purpose, agent);
+		agents.set(key, agent);
 		return agent;
 	}
 
+	function renewConnections(address: string): void {
+		const renewal = renewals.get(address) ?? 0;
+		renewals.set(address, renewal + 1);
+		for (const [key, agent] of agents) {
+			if (key.endsWith(` ${address} ${renewal}`)) {
+				agents.delete(key);
+				void agent.close();
+			}
+		}
+	}
+
 	return {
-		getClient(address) {
+		getClient(address, {isFresh = false} = {}) {
+			if (isFresh) {
+				renewConnections(address);
+			}
+
 			const known = clients.get(address);
 			if (known) {
 				return known;
@@ -70,7 +101,7 @@
 								body:
 									typeof options?.body === 'string' ? options.body : undefined,
 								signal: options?.signal,
-								dispatcher: getAgent(readPurpose(String(url))),
+								dispatcher: getAgent(readPurpose(String(url)), address),
 							}),
 					}),
 				],
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -82,10 +82,10 @@
 	async function pollPeer(
 		effect: Extract<DeliveryEffect, {kind: 'poll'}>,
 	): Promise<void> {
-		const {callId, address, poll, timeoutMs} = effect;
+		const {callId, address, poll, timeoutMs, isFresh} = effect;
 		try {
 			const value: unknown = await peers
-				.getClient(address)
+				.getClient(address, {isFresh})
 				.poll.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)});
 			tell({kind: 'poll-answer', callId, outcome: {kind: 'answered', value}});
 		} catch (error) {
