Keep the fault world's own time of suspicion

Change: the world of the configuration's faults has a constant of its own. Conclusion: the matrix does not depend on the membership's timing.

--- a/faults/_lib/config/describe-member.ts
+++ b/faults/_lib/config/describe-member.ts
@@ -1,7 +1,7 @@
-import {suspectAfterMs} from '../../../src/protocol/constants.js';
 import type {Member} from '../../../src/protocol/member.js';
 import type {SimNode} from './config-world.js';
 
+const suspectAfterMs = 5000;
 const deadAfterMs = 2500;
 
 /**
