--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -35,6 +35,7 @@
 	'not-sent',
 	'body-too-large',
 	'bad-request',
+	'upgrade',
 	'cancelled',
 	'connection-lost',
 	'gate-unreachable',
--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -18,6 +18,7 @@
 const statusByReason: Partial<Record<OutcomeReason, number>> = {
 	'bad-request': 400,
 	'no-route': 404,
+	upgrade: 501,
 	'body-too-large': 413,
 };
 
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -1,4 +1,20 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
+import {
+	headersTimeoutMs,
+	maxHeaderBytes,
+	requestTimeoutMs,
+	serverIdleMs,
+} from '../../protocol/constants.js';
+import {outcomeHeader, reasonHeader} from '../../protocol/request.js';
+
+const connectRefusal = [
+	'HTTP/1.1 501 Not Implemented',
+	`${outcomeHeader}: not-run`,
+	`${reasonHeader}: upgrade`,
+	'content-length: 0',
+	'connection: close',
+	'\r\n',
+].join('\r\n');
 
 /** An HTTP server that can be stopped without cutting requests. */
 export type RunningServer = {
@@ -24,7 +40,12 @@
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
 	const server = createServer(
-		{keepAliveTimeout: 60_000, requestTimeout: 60_000},
+		{
+			keepAliveTimeout: serverIdleMs,
+			headersTimeout: headersTimeoutMs,
+			requestTimeout: requestTimeoutMs,
+			maxHeaderSize: maxHeaderBytes,
+		},
 		(request, response) => {
 			if (isStopping) {
 				response.setHeader('connection', 'close');
@@ -33,6 +54,9 @@
 			listener(request, response);
 		},
 	);
+	server.on('connect', (_request, socket) => {
+		socket.end(connectRefusal);
+	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(Number(port), host, resolve);
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -221,7 +221,7 @@
 
 	function findRoute(
 		request: IncomingMessage,
-	): CompiledRoute | 'bad-request' | 'no-route' {
+	): CompiledRoute | 'bad-request' | 'no-route' | 'upgrade' {
 		const {url = '/', method = 'GET'} = request;
 		const end = url.indexOf('?');
 		const path = end === -1 ? url : url.slice(0, end);
@@ -229,6 +229,11 @@
 			return 'bad-request';
 		}
 
+		const {upgrade} = request.headers;
+		if (upgrade !== undefined && upgrade !== 'h2c') {
+			return 'upgrade';
+		}
+
 		return matchRoute(table, method, path) ?? 'no-route';
 	}
 
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -1,3 +1,4 @@
+import {lingerMs} from '../protocol/constants.js';
 import type {Settings} from '../protocol/settings.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {combineObservers} from './_lib/combine-observers.js';
@@ -8,6 +9,7 @@
 import {createPeerClients} from './create-peer-client.js';
 import {createPlatformClient} from './create-platform-client.js';
 import {createTracer} from './create-tracer.js';
+import {waitMs} from './_lib/wait-ms.js';
 import {startAdministrationTask} from './start-administration-task.js';
 import {startCallerTask} from './start-caller-task.js';
 import {startCommitTask} from './start-commit-task.js';
@@ -160,8 +162,12 @@
 		administration: administration.address,
 		async stop() {
 			logger.info('node stopping');
+			caller.drain();
+			peerServer.drain();
 			await members.leave();
-			await gate.drain();
+			// Until then all idle connections of other nodes have been closed by
+			// them, so that no attempt meets a connection that closes here.
+			await Promise.all([gate.drain(), waitMs(lingerMs)]);
 			await caller.stop();
 			configuration.stop();
 			members.stop();
