--- a/bench/_lib/start-chain.ts
+++ b/bench/_lib/start-chain.ts
@@ -6,8 +6,10 @@
 
 /** A fleet in which each service calls the next. */
 export type Chain = {
-	/** Caller addresses of the nodes that have no upstream, as URLs. */
+	/** Caller's URL of the first node without an upstream. */
 	readonly edgeUrl: string;
+	/** Caller's URLs of the other nodes without an upstream. */
+	readonly otherEdgeUrls: readonly string[];
 	/** URLs of the upstreams of the first service. */
 	readonly firstUrls: readonly string[];
 	/** Node processes by role. */
@@ -24,6 +26,8 @@
 	readonly serviceMs: number;
 	readonly deadlineMs: number;
 	readonly slots?: number;
+	/** Nodes without an upstream beside the first. */
+	readonly otherEdges?: number;
 	/** Arguments of the runtime for the nodes, such as `--cpu-prof`. */
 	readonly runtimeArguments?: readonly string[];
 };
@@ -53,7 +57,7 @@
  */
 export async function startChain(options: ChainOptions): Promise<Chain> {
 	const {depth, hostsPerService, serviceMs, deadlineMs} = options;
-	const {slots = 6, runtimeArguments = []} = options;
+	const {slots = 6, otherEdges = 0, runtimeArguments = []} = options;
 	const platform = await startProcess('platform', []);
 	const started: Array<{stop(): Promise<unknown>}> = [platform];
 	const startNode = async (name: string) => {
@@ -70,6 +74,11 @@
 	};
 
 	const edge = await startNode('edge');
+	const others: FleetProcess[] = [];
+	for (let index = 0; index < otherEdges; index++) {
+		others.push(await startNode(`edge-${index}`));
+	}
+
 	const gates: FleetProcess[] = [];
 	let next: FleetProcess[] = [];
 	for (let level = depth; level >= 1; level--) {
@@ -102,6 +111,7 @@
 
 	const chain: Chain = {
 		edgeUrl: `http://${edge.ready.callers}`,
+		otherEdgeUrls: others.map(({ready}) => `http://${ready.callers}`),
 		firstUrls: next.map(({ready}) => ready.url!),
 		edge,
 		gates,
@@ -111,7 +121,7 @@
 		},
 	};
 	const isReady = await pollUntil(async () => {
-		for (const node of [edge, ...gates]) {
+		for (const node of [edge, ...others, ...gates]) {
 			for (let level = 1; level <= depth; level++) {
 				const url = `http://${node.ready.callers}/bench/s${level}`;
 				const {statusCode, body} = await request(url);
