--- a/src/transport/_lib/is-unambiguous-path.test.ts
+++ b/src/transport/_lib/is-unambiguous-path.test.ts
@@ -21,7 +21,7 @@
 		'/a/%2E./b',
 		'/a%2fb',
 		'/a%5Cb',
-		'/a\\b',
+		String.raw`/a\b`,
 		'/a%00b',
 	]) {
 		assert.ok(!isUnambiguousPath(path), path);
