Make a route live only where an upstream of its service is known

Cause: the route table held routes to services without a known upstream; the refusal as pending came only when a host was to be picked. Change: the table is compiled from the configuration and the names of the services with an upstream, and swapped whole when either changes; a request for a pending route is refused as not run before its body is read. Conclusion: no live route points at a service that the node does not have.

--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -59,6 +59,8 @@
 	readonly concurrency: number;
 	readonly maxBodyBytes: number;
 	readonly sheddingMeansNotRun: boolean;
+	/** Whether an upstream of the service is known; else the route is pending. */
+	readonly isLive: boolean;
 };
 
 /** Compiled routes by first path segment, longest path first. */
--- a/src/transport/_lib/administration/add-configuration-routes.ts
+++ b/src/transport/_lib/administration/add-configuration-routes.ts
@@ -53,9 +53,10 @@
 			return;
 		}
 
-		const table = compileRoutes(readConfiguration());
+		const {candidates} = readView();
+		const table = compileRoutes(readConfiguration(), candidates);
 		const route = matchRoute(table, method, path);
-		const hosts = route && readView().candidates.get(route.service);
+		const hosts = route && candidates.get(route.service);
 		sendJson(response, route ? 200 : 404, {
 			version: table.version,
 			route: route && {...route, methods: [...route.methods]},
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -18,6 +18,7 @@
 } from '../protocol/request.js';
 import {compileRoutes} from '../state/compile-routes.js';
 import {createConfiguration} from '../state/create-configuration.js';
+import {hasSameKeys} from '../state/has-same-keys.js';
 import {matchRoute} from '../state/match-route.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -111,7 +112,9 @@
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
-	let table: RouteTable = compileRoutes(createConfiguration());
+	let configuration = createConfiguration();
+	let candidates: MembersView['candidates'] = new Map();
+	let table = compileRoutes(configuration, candidates);
 	let inFlight = 0;
 
 	function createTraceparent(parent: string | undefined): string | undefined {
@@ -221,10 +224,9 @@
 
 	function findRoute(
 		request: IncomingMessage,
-	): CompiledRoute | 'bad-request' | 'no-route' | 'upgrade' {
+	): CompiledRoute | 'bad-request' | 'no-route' | 'upgrade' | 'pending' {
 		const {url = '/', method = 'GET'} = request;
-		const end = url.indexOf('?');
-		const path = end === -1 ? url : url.slice(0, end);
+		const [path = '/'] = url.split('?', 1);
 		if (!isUnambiguousPath(path) || readDepth(request) > maxDepth) {
 			return 'bad-request';
 		}
@@ -234,7 +236,8 @@
 			return 'upgrade';
 		}
 
-		return matchRoute(table, method, path) ?? 'no-route';
+		const route = matchRoute(table, method, path);
+		return route?.isLive === false ? 'pending' : (route ?? 'no-route');
 	}
 
 	async function handleRequest(
@@ -280,10 +283,18 @@
 
 	return {
 		address: server.address,
-		tellConfiguration(configuration) {
-			table = compileRoutes(configuration);
+		tellConfiguration(next) {
+			configuration = next;
+			table = compileRoutes(configuration, candidates);
+		},
+		tellView(view) {
+			router.tellView(view);
+			const isSame = hasSameKeys(candidates, view.candidates);
+			candidates = view.candidates;
+			if (!isSame) {
+				table = compileRoutes(configuration, candidates);
+			}
 		},
-		tellView: router.tellView,
 		drain: server.drain,
 		stop: server.stop,
 	};
