--- a/faults/_lib/config/memoize-apply-entry.ts
+++ b/faults/_lib/config/create-cached-apply-entry.ts
@@ -2,12 +2,12 @@
 import {applyEntry} from '../../../src/state/apply-entry.js';
 
 /**
- * Makes an `applyEntry` that works out each entry once for all the nodes of a
+ * Creates an `applyEntry` that works out each entry once for all the nodes of a
  * world. Only for worlds in which nobody changes an entry.
  *
  * @returns the function
  */
-export function memoizeApplyEntry(): DeliveryRules['applyEntry'] {
+export function createCachedApplyEntry(): DeliveryRules['applyEntry'] {
 	const known = new Map<string, ReturnType<typeof applyEntry>>();
 	return (configuration, entry) => {
 		const key = `${configuration.digest} ${entry.version} ${entry.digest}`;
--- a/faults/_lib/config/run-config-world.ts
+++ b/faults/_lib/config/run-config-world.ts
@@ -6,7 +6,7 @@
 import {createFakeNetwork} from './create-fake-network.js';
 import {createFakePlatform} from './create-fake-platform.js';
 import {createSimNode} from './create-sim-node.js';
-import {memoizeApplyEntry} from './memoize-apply-entry.js';
+import {createCachedApplyEntry} from './create-cached-apply-entry.js';
 import {startOperators, type Verdict} from './start-operators.js';
 
 /** One run: faults at a step, and the seed of everything else. */
@@ -83,7 +83,10 @@
 		network: createFakeNetwork(scheduler),
 		variant: {
 			...run.variant,
-			delivery: {applyEntry: memoizeApplyEntry(), ...run.variant?.delivery},
+			delivery: {
+				applyEntry: createCachedApplyEntry(),
+				...run.variant?.delivery,
+			},
 		},
 		violations: [],
 		nodes: new Map(),
--- a/src/state/has-same-keys.ts
+++ b/src/state/is-same-key-set.ts
@@ -5,9 +5,9 @@
  * @param b - the other map
  * @returns whether each key of one is a key of the other
  * @example
- * hasSameKeys(new Map([['a', 1]]), new Map([['a', 2]])); // true
+ * isSameKeySet(new Map([['a', 1]]), new Map([['a', 2]])); // true
  */
-export function hasSameKeys<Key>(
+export function isSameKeySet<Key>(
 	a: ReadonlyMap<Key, unknown>,
 	b: ReadonlyMap<Key, unknown>,
 ): boolean {
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -14,11 +14,10 @@
 	traceparentHeader,
 	type CompiledRoute,
 	type OutcomeReason,
-	type RouteTable,
 } from '../protocol/request.js';
 import {compileRoutes} from '../state/compile-routes.js';
 import {createConfiguration} from '../state/create-configuration.js';
-import {hasSameKeys} from '../state/has-same-keys.js';
+import {isSameKeySet} from '../state/is-same-key-set.js';
 import {matchRoute} from '../state/match-route.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -289,7 +288,7 @@
 		},
 		tellView(view) {
 			router.tellView(view);
-			const isSame = hasSameKeys(candidates, view.candidates);
+			const isSame = isSameKeySet(candidates, view.candidates);
 			candidates = view.candidates;
 			if (!isSame) {
 				table = compileRoutes(configuration, candidates);
