--- a/src/coordination/decide-status.ts
+++ b/src/coordination/decide-status.ts
@@ -52,7 +52,9 @@
 	const isRefused = status.refusals.some(
 		(refusal) => refusal.version === version,
 	);
-	const isSilent = now - status.writtenAtMs > statusSilentAfterMs;
+	const hasReported = status.writer !== '';
+	const isSilent =
+		!hasReported || now - status.writtenAtMs > statusSilentAfterMs;
 	if (isSilent) {
 		return {...status, missingMembers, state: 'silent'};
 	}
