--- /dev/null
+++ b/src/coordination/decide-admission.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {createFairQueue} from './create-fair-queue.js';
+import {decideAdmission, type AdmissionInput} from './decide-admission.js';
+import {decideRetry, type RetryInput} from './decide-retry.js';
+import {stepRetryBudget, type RetryBudget} from './step-retry-budget.js';
+
+const full: AdmissionInput = {
+	state: 'ready',
+	remainingMs: 2000,
+	slots: 6,
+	inFlight: 6,
+	ahead: 24,
+	queued: 24,
+	ownQueued: 4,
+	longestQueued: 10,
+	maxQueued: 24,
+	serviceMs: 10,
+};
+
+const admissions: ReadonlyArray<
+	readonly [string, Partial<AdmissionInput>, string]
+> = [
+	['a free slot', {inFlight: 0, ahead: 0, queued: 0}, 'admit'],
+	['room in the queue', {queued: 20}, 'admit'],
+	['a full queue of another team', {}, 'admit pushing out'],
+	['a full queue of its own', {ownQueued: 10}, 'saturated'],
+	['a deadline before its turn', {remainingMs: 40}, 'deadline'],
+	['a deadline that has passed', {remainingMs: 0}, 'deadline'],
+	['a leaving upstream', {state: 'leaving', queued: 0}, 'leaving'],
+	['no upstream', {state: 'no-upstream', slots: 0}, 'no-upstream'],
+];
+
+for (const [name, change, expected] of admissions) {
+	test(`admission with ${name}: ${expected}`, () => {
+		const admission = decideAdmission({...full, ...change});
+		const text =
+			admission.kind === 'refuse'
+				? admission.reason
+				: `admit${admission.pushOut ? ' pushing out' : ''}`;
+		assert.equal(text, expected);
+	});
+}
+
+test('a team with ten times the requests gets no more than its share', () => {
+	const queue = createFairQueue();
+	const tags = [
+		...Array.from({length: 100}, () => ({team: 'noisy', tag: 0})),
+		...Array.from({length: 10}, () => ({team: 'quiet', tag: 0})),
+	].map(({team}) => ({team, tag: queue.enter(team)}));
+	const order = tags.toSorted((a, b) => a.tag - b.tag);
+	const lastQuiet = order.findLastIndex(({team}) => team === 'quiet');
+	assert.ok(lastQuiet < 20);
+});
+
+const lookup: RetryInput = {
+	outcome: 'not-run',
+	reason: 'saturated',
+	repeatable: false,
+	attempts: 1,
+	maxAttempts: 3,
+	remainingMs: 100,
+	budget: 1,
+	isNested: false,
+};
+
+const retries: ReadonlyArray<readonly [Partial<RetryInput>, string]> = [
+	[{}, 'retry'],
+	[{outcome: 'unknown', reason: 'connection-lost'}, 'stop'],
+	[{outcome: 'unknown', repeatable: true}, 'retry'],
+	[{isNested: true}, 'stop'],
+	[{budget: 0.9}, 'stop'],
+	[{remainingMs: 0}, 'stop'],
+	[{attempts: 3}, 'stop'],
+	[{reason: 'leaving', isNested: true, budget: 0}, 'reroute'],
+	[{reason: 'leaving', attempts: 3}, 'stop'],
+];
+
+for (const [change, expected] of retries) {
+	test(`retry with ${JSON.stringify(change)}: ${expected}`, () => {
+		assert.equal(decideRetry({...lookup, ...change}), expected);
+	});
+}
+
+test('retries are a tenth of the requests, besides a few', () => {
+	let budget: RetryBudget | undefined;
+	let made = 0;
+	for (let now = 0; now < 1000; now++) {
+		budget = stepRetryBudget(budget, 'request', now);
+		if (budget.tokens >= 1) {
+			budget = stepRetryBudget(budget, 'retry', now);
+			made++;
+		}
+	}
+
+	assert.ok(made >= 100 && made <= 115, String(made));
+});
--- /dev/null
+++ b/src/coordination/pick-host.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import type {Candidate} from '../protocol/member.js';
+import {pickHost} from './pick-host.js';
+import {stepHostRecord, type HostRecord} from './step-host-record.js';
+
+const now = 100_000;
+const candidates: readonly Candidate[] = [
+	'abdali-1',
+	'abdali-2',
+	'abdali-3',
+	'marka-1',
+].map((host) => ({
+	host,
+	address: host,
+	dataCentre: host.split('-')[0]!,
+	slots: 6,
+	sinceMs: 0,
+}));
+
+const idle: HostRecord = {
+	ownInFlight: 0,
+	reportedShare: 0.3,
+	reportedAt: now,
+	errorShare: 0,
+	latencyMs: 1,
+	samples: 100,
+	warmSince: 0,
+	ejectedUntil: 0,
+	ejections: 0,
+};
+
+/** Share of 4000 picks that each host gets. */
+function sharePicks(changes: Readonly<Record<string, Partial<HostRecord>>>) {
+	const generator = xoroshiro128plus(7);
+	const records = new Map(
+		candidates.map(({host}) => [host, {...idle, ...changes[host]}]),
+	);
+	const counts: Record<string, number> = {};
+	for (let index = 0; index < 4000; index++) {
+		const picked = pickHost(
+			candidates,
+			records,
+			() => uniformFloat64(generator),
+			{dataCentre: 'abdali', now},
+		);
+		counts[picked!.host] = (counts[picked!.host] ?? 0) + 1 / 4000;
+	}
+
+	return counts;
+}
+
+const ejected = {ejectedUntil: now + 1000};
+const full = {ownInFlight: 6};
+
+const cases: ReadonlyArray<
+	readonly [string, Parameters<typeof sharePicks>[0], string, number, number]
+> = [
+	['a host of the own data centre', {}, 'abdali-1', 0.25, 0.4],
+	['a host of another data centre', {}, 'marka-1', 0, 0],
+	['an ejected host', {'abdali-1': ejected}, 'abdali-1', 0, 0],
+	[
+		'a host while too many are ejected',
+		{'abdali-1': ejected, 'abdali-2': ejected, 'abdali-3': ejected},
+		'abdali-1',
+		0.2,
+		0.4,
+	],
+	[
+		'another data centre when the own one is full',
+		{'abdali-1': full, 'abdali-2': full, 'abdali-3': full},
+		'marka-1',
+		0.4,
+		0.6,
+	],
+	['a cold host', {'abdali-1': {warmSince: now}}, 'abdali-1', 0, 0.15],
+	['a busy host', {'abdali-1': {ownInFlight: 3}}, 'abdali-1', 0, 0.15],
+	[
+		'a host that always says it is idle',
+		{'abdali-1': {reportedShare: 0, ownInFlight: 2}},
+		'abdali-1',
+		0,
+		0.25,
+	],
+	[
+		'a host whose load is not known',
+		{'abdali-1': {reportedAt: 0, reportedShare: 0}},
+		'abdali-1',
+		0.2,
+		0.45,
+	],
+];
+
+for (const [name, changes, host, least, most] of cases) {
+	test(`pick: the share of ${name}`, () => {
+		const share = sharePicks(changes)[host] ?? 0;
+		assert.ok(share >= least && share <= most, String(share));
+	});
+}
+
+test('a host that fails is ejected and comes back slowly', () => {
+	const context = {now, random: 0.5, serviceLatencyMs: 1};
+	let record: HostRecord = idle;
+	for (let index = 0; index < 20 && record.ejectedUntil <= now; index++) {
+		record = stepHostRecord(
+			record,
+			{kind: 'ended', outcome: 'failed', latencyMs: 1, load: undefined},
+			context,
+		);
+	}
+
+	assert.ok(record.ejectedUntil > now);
+	assert.equal(record.warmSince, record.ejectedUntil);
+	assert.equal(record.samples, 0);
+});
