--- a/bench/main.ts
+++ b/bench/main.ts
@@ -18,6 +18,10 @@
 		const {benchRequests} = await import('./requests.js');
 		return benchRequests;
 	},
+	async members() {
+		const {benchMembers} = await import('./members.js');
+		return benchMembers;
+	},
 };
 
 const [name = '', ...argv] = process.argv.slice(2);
--- a/harness/create-members-platform.ts
+++ b/harness/create-members-platform.ts
@@ -41,6 +41,10 @@
 	return {
 		writes,
 		readPeakCallsPerSecond: () => Math.max(0, ...callsBySecond.values()),
+		/** Puts an object in place, as if written before the start. */
+		put(dataCentre: string, object: SeedsObject): void {
+			objects.set(dataCentre, object);
+		},
 		setDown(value: boolean): void {
 			isDown = value;
 		},
--- a/src/coordination/_lib/members/spread.ts
+++ b/src/coordination/_lib/members/spread.ts
@@ -2,15 +2,46 @@
  * Helpers that spread changes without waiting for the next period.
  */
 import {
-	maxRecordsPerMessage,
+	maxSpreadRecordsPerSecond,
+	msPerSecond,
 	spreadFanOut,
 } from '../../../protocol/constants.js';
-import type {MembersState, MembersStep} from '../../members-state.js';
+import type {
+	MembersState,
+	MembersStep,
+	RateState,
+} from '../../members-state.js';
 import {relayChanges} from './bridges.js';
 import {listNeighbours} from './probe.js';
 import {changeSelf} from './records.js';
 import {describeSender, encodeRecords, pickSome, sendRequest} from './send.js';
 
+/**
+ * Takes the fresh changes that are sent at once: the own one always, others up
+ * to a number a second. The rest goes with probes, so that a herd's return
+ * does not become a storm.
+ */
+function takeSpread(
+	state: MembersState,
+	now: number,
+): {readonly rates: RateState; readonly names: readonly string[]} {
+	const {self, fresh, rates} = state;
+	const isNewWindow = now - rates.spreadWindowAt >= msPerSecond;
+	const spread = isNewWindow ? 0 : rates.spreadRecords;
+	const own = [self.name].filter((name) => fresh.has(name));
+	const others = [...fresh]
+		.filter((name) => name !== self.name)
+		.slice(0, Math.max(0, maxSpreadRecordsPerSecond - spread));
+	return {
+		names: [...own, ...others],
+		rates: {
+			...rates,
+			spreadWindowAt: isNewWindow ? now : rates.spreadWindowAt,
+			spreadRecords: spread + others.length,
+		},
+	};
+}
+
 /** Sends fresh changes to a few neighbours and, as a bridge, further. */
 export function spreadChanges(
 	state: MembersState,
@@ -27,17 +58,19 @@
 	}
 
 	const targets = pickSome(listNeighbours(planned), spreadFanOut, random);
-	const names = [...planned.fresh].slice(-maxRecordsPerMessage);
+	const {rates, names} = takeSpread(planned, now);
 	const request = {
 		kind: 'ping' as const,
 		from: describeSender(planned),
 		records: encodeRecords(planned, names, now),
 	};
 	return {
-		state: {...relayed.state, fresh: new Set()},
+		state: {...relayed.state, rates, fresh: new Set()},
 		effects: [
 			...relayed.effects,
-			...targets.map(({address}) => sendRequest(address, request)),
+			...(names.length === 0 ? [] : targets).map(({address}) =>
+				sendRequest(address, request),
+			),
 		],
 	};
 }
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -66,6 +66,8 @@
 	readonly windowAt: number;
 	readonly bucketAnswers: number;
 	readonly refutedAt: number;
+	readonly spreadWindowAt: number;
+	readonly spreadRecords: number;
 };
 
 /** Another host that seems to have the own name, while it is asked. */
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -59,6 +59,7 @@
 export const retransmitMultiplier = 2;
 export const spreadFanOut = 3;
 export const spreadDelayMs = 50;
+export const maxSpreadRecordsPerSecond = 16;
 export const maxRecordsPerMessage = 24;
 export const maxRecordsPerBucket = 512;
 export const tombstoneMs = 24 * 60 * msPerMinute;
