Stop servers whose connections have no request in flight

Node's report showed one inbound peer connection on which no request had come: closeIdleConnections counts such a connection as busy for 60 s. A connection that becomes idle after the stop began stayed open as well, and a child that polled again on a kept connection was never answered.

Ruled out: the upstream stand-in (220 to 290 ms), the platform's watch, load.

--- a/src/cli/_lib/format-status.ts
+++ b/src/cli/_lib/format-status.ts
@@ -27,10 +27,14 @@
 
 type DataCentre = Status['dataCentres'][number];
 
-function formatDataCentre(dataCentre: DataCentre): readonly string[] {
+function formatDataCentre(
+	dataCentre: DataCentre,
+	version: number,
+): readonly string[] {
 	const {state, lowestVersion, members, expectedMembers} = dataCentre;
 	const {laggards, refusals} = dataCentre;
-	const behind = laggards.length > 0 ? `, behind: ${laggards.join(', ')}` : '';
+	const isBehind = lowestVersion < version && laggards.length > 0;
+	const behind = isBehind ? `, behind: ${laggards.join(', ')}` : '';
 	return [
 		`  ${dataCentre.dataCentre}: ${state}, ${members} of ${expectedMembers} members report, lowest version ${lowestVersion}${behind}`,
 		...refusals.map(
@@ -49,6 +53,8 @@
 export function formatStatus(status: Status): string {
 	return [
 		`version ${status.version}: ${status.state}`,
-		...status.dataCentres.flatMap((dataCentre) => formatDataCentre(dataCentre)),
+		...status.dataCentres.flatMap((dataCentre) =>
+			formatDataCentre(dataCentre, status.version),
+		),
 	].join('\n');
 }
--- /dev/null
+++ b/src/transport/_lib/start-server.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createConnection} from 'node:net';
+import test from 'node:test';
+import {startServer} from './start-server.js';
+
+const limitMs = 5000;
+
+async function stopsInTime(stopped: Promise<void>): Promise<boolean> {
+	const late = new Promise<false>((resolve) => {
+		setTimeout(() => {
+			resolve(false);
+		}, limitMs).unref();
+	});
+	return Promise.race([stopped.then(() => true), late]);
+}
+
+test('a connection without any request does not hold up the stop', async () => {
+	const server = await startServer('127.0.0.1:0', (_request, response) => {
+		response.end();
+	});
+	const [host, port] = server.address.split(':');
+	const socket = createConnection(Number(port), host);
+	await Promise.all([
+		once(socket, 'connect'),
+		once(server.server, 'connection'),
+	]);
+	const isInTime = await stopsInTime(server.stop());
+	socket.destroy();
+	assert.ok(isInTime);
+});
+
+test('a request in flight is answered before the stop ends', async () => {
+	const server = await startServer('127.0.0.1:0', (_request, response) => {
+		setTimeout(() => {
+			response.end('whole');
+		}, 700);
+	});
+	const [host, port] = server.address.split(':');
+	const socket = createConnection(Number(port), host);
+	let answer = '';
+	socket.on('data', (chunk) => {
+		answer += String(chunk);
+	});
+	socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+	await once(server.server, 'request');
+	assert.ok(await stopsInTime(server.stop()));
+	assert.match(answer, /whole/v);
+});
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	headersTimeoutMs,
 	maxHeaderBytes,
@@ -26,9 +27,15 @@
 	stop(): Promise<void>;
 };
 
+/** Time for a request that is on its way over an unused connection. */
+const closeIntervalMs = 200;
+
 /**
  * Starts an HTTP server.
  *
+ * Node counts a connection that has had no request as busy; on a stop such
+ * connections are closed after a short time like idle ones.
+ *
  * @param address - IP and port, as `IP:PORT`; port 0 takes a free one
  * @param listener - handles each request
  * @returns the running server
@@ -39,6 +46,7 @@
 ): Promise<RunningServer> {
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
+	const unused = new Set<Socket>();
 	const server = createServer(
 		{
 			keepAliveTimeout: serverIdleMs,
@@ -47,6 +55,7 @@
 			maxHeaderSize: maxHeaderBytes,
 		},
 		(request, response) => {
+			unused.delete(request.socket);
 			if (isStopping) {
 				response.setHeader('connection', 'close');
 			}
@@ -57,6 +66,21 @@
 	server.on('connect', (_request, socket) => {
 		socket.end(connectRefusal);
 	});
+	server.on('connection', (socket) => {
+		unused.add(socket);
+		socket.once('close', () => {
+			unused.delete(socket);
+		});
+	});
+
+	/** Closes connections on which no request is in flight. */
+	function closeUnused(): void {
+		server.closeIdleConnections();
+		for (const socket of unused) {
+			socket.destroy();
+		}
+	}
+
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(Number(port), host, resolve);
@@ -71,12 +95,14 @@
 		},
 		async stop() {
 			isStopping = true;
+			const timer = setInterval(closeUnused, closeIntervalMs);
 			await new Promise<void>((resolve) => {
 				server.close(() => {
 					resolve();
 				});
 				server.closeIdleConnections();
 			});
+			clearInterval(timer);
 		},
 	};
 }
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -130,6 +130,11 @@
 		}
 	}
 
+	function createUnchanged(): PollAnswer {
+		const {version} = running;
+		return {kind: 'unchanged', name, version, safeVersion: 0, holders: []};
+	}
+
 	const timer = setInterval(() => {
 		tell({kind: 'tick'});
 	}, deliveryTickMs);
@@ -145,6 +150,10 @@
 			tell({kind: 'heard', name, version});
 		},
 		async handlePoll(poll) {
+			if (stopping.signal.aborted) {
+				return createUnchanged();
+			}
+
 			lastPollId++;
 			const pollId = lastPollId;
 			return new Promise((resolve) => {
@@ -157,15 +166,8 @@
 		stop() {
 			stopping.abort();
 			clearInterval(timer);
-			const {version} = running;
 			for (const resolve of resolvers.values()) {
-				resolve({
-					kind: 'unchanged',
-					name,
-					version,
-					safeVersion: 0,
-					holders: [],
-				});
+				resolve(createUnchanged());
 			}
 
 			resolvers.clear();
