Make the demonstration an operator's session that leaves no process behind

Cause: the demonstration spoke to the API by itself and not by the command line; a failure while hosts were starting, or Ctrl-C, left processes behind.

Ruled out: nothing can be done on SIGKILL of the demonstration itself.

--- a/demo/run-demo.ts
+++ b/demo/run-demo.ts
@@ -1,211 +1,154 @@
+#!/usr/bin/env node
 /**
  * Demonstration: two data centres of Costline Hosting as separate processes,
  * from a submitted manifest to requests served while a host stops.
  */
-import {randomUUID} from 'node:crypto';
 import process from 'node:process';
 import {request} from 'undici';
-import {z} from 'zod';
 import {pollUntil} from '../harness/poll-until.js';
-import {startHost, type Host} from '../harness/start-host.js';
-import {startProcess, type FleetProcess} from '../harness/start-process.js';
-import {
-	submissionOutcomeSchema,
-	type SubmissionOutcome,
-} from '../src/protocol/configuration.js';
+import type {Host} from '../harness/start-host.js';
+import {listProcesses} from '../harness/list-processes.js';
+import {stopProcesses} from '../harness/stop-processes.js';
+import {callService} from './call-service.js';
 import {createCostlineManifest} from './costline-manifest.js';
+import {runLoad} from './run-load.js';
+import {runOperatorCommand} from './run-operator-command.js';
+import {startFleet} from './start-fleet.js';
 
-const statusSchema = z.object({
-	state: z.string(),
-	dataCentres: z.array(z.unknown()),
-});
-const echoSchema = z.object({
-	upstream: z.string().default(''),
-	runs: z.number().default(0),
-});
+const timeLimitMs = 45_000;
+const startedAt = performance.now();
 
-type Answer = {
-	readonly status: number;
-	readonly body: z.infer<typeof echoSchema>;
-};
-
-const timeLimitMs = 55_000;
-const services = ['pricebook', 'payables', 'pantry'];
-const running: Array<{stop(): Promise<unknown>}> = [];
-
-function check(isTrue: boolean, message: string): void {
-	if (!isTrue) {
-		throw new Error(message);
-	}
+function print(line: string): void {
+	const seconds = (performance.now() - startedAt) / 1000;
+	console.log(`${seconds.toFixed(1).padStart(5)} s  ${line}`);
 }
 
-async function submit(
-	host: Host,
-	manifest: unknown,
-): Promise<SubmissionOutcome> {
-	const {body} = await request(
-		`http://${host.node.ready.administration}/manifests`,
-		{
-			method: 'POST',
-			headers: {'idempotency-key': randomUUID()},
-			body: JSON.stringify(manifest),
-		},
-	);
-	return submissionOutcomeSchema.parse(await body.json());
+async function countMembers(host: Host): Promise<number> {
+	const url = `http://${host.node.ready.administration}/members`;
+	const {body} = await request(url);
+	const members: unknown = await body.json();
+	return Array.isArray(members) ? members.length : 0;
 }
 
-async function isInForce(host: Host, version: number): Promise<boolean> {
-	const {body} = await request(
-		`http://${host.node.ready.administration}/status/${version}`,
-	);
-	const status = statusSchema.parse(await body.json());
-	return status.state === 'in-force' && status.dataCentres.length === 2;
+async function waitFor(
+	what: string,
+	condition: () => Promise<boolean>,
+): Promise<void> {
+	if (!(await pollUntil(condition, 15_000))) {
+		throw new Error(`${what}: not within 15 s`);
+	}
 }
 
-async function call(
-	host: Host,
-	method: 'GET' | 'POST',
-	path: string,
-): Promise<Answer> {
-	const {statusCode, body} = await request(
-		`http://${host.node.ready.callers}${path}`,
-		{
-			method,
-			...(method === 'POST' && {body: JSON.stringify({amount: 12})}),
-		},
-	);
-	return {status: statusCode, body: echoSchema.parse(await body.json())};
+async function waitForRoutes(hosts: readonly Host[]): Promise<void> {
+	await waitFor('routes live on every host', async () => {
+		const calls = await Promise.all(
+			hosts.flatMap((host) => [
+				callService(host, 'GET', '/kitchens/prices/lamb'),
+				callService(host, 'GET', '/kitchens/stock/lamb'),
+			]),
+		);
+		return calls.every(({status}) => status === 200);
+	});
 }
 
-async function startFleet(platform: FleetProcess): Promise<Host[]> {
-	const hosts: Host[] = [];
-	for (const dataCentre of ['abdali', 'marka']) {
-		const started = await Promise.all(
-			services.map(async (service, index) =>
-				startHost({
-					name: `${dataCentre}-${index + 1}`,
-					dataCentre,
-					platformUrl: platform.ready.url!,
-					team: 'kitchens',
-					service,
-				}),
-			),
+async function showUpdateUnderLoad(hosts: readonly Host[]): Promise<void> {
+	const [first, ...others] = hosts;
+	const leaving = others.at(-1)!;
+	const node = ['--node', first!.node.ready.administration!];
+	const stopping = new AbortController();
+	const load = runLoad(hosts.slice(0, -1), stopping.signal);
+	try {
+		await runOperatorCommand(
+			['submit', '-', ...node],
+			'ok',
+			createCostlineManifest(1, 3000),
 		);
-		hosts.push(...started);
+		await runOperatorCommand(['status', '2', '--wait', '15', ...node], 'ok');
+		print(`stopping host ${leaving.name} under load`);
+		await leaving.stop();
+		print(`host ${leaving.name} has stopped gracefully`);
+	} finally {
+		stopping.abort();
 	}
 
-	running.push(...hosts);
-	return hosts;
-}
-
-async function runLoad(
-	hosts: readonly Host[],
-	until: Promise<unknown>,
-): Promise<{sent: number; lost: number}> {
-	const done = new AbortController();
-	void until.finally(() => {
-		done.abort();
-	});
-	let sent = 0;
-	let lost = 0;
-	async function runClient(host: Host, index: number): Promise<void> {
-		while (!done.signal.aborted) {
-			const isPost = index % 2 === 0;
-			const path = isPost ? '/kitchens/invoices' : '/kitchens/prices/lamb';
-			sent++;
-			try {
-				const {status} = await call(host, isPost ? 'POST' : 'GET', path);
-				lost += status === 200 ? 0 : 1;
-			} catch {
-				lost++;
-			}
-		}
+	const {sent, lost} = await load;
+	const lostCount = [...lost.values()].reduce((sum, count) => sum + count, 0);
+	print(`load: ${sent} requests, ${lostCount} lost`);
+	if (lostCount > 0) {
+		throw new Error(`lost: ${JSON.stringify([...lost])}`);
 	}
-
-	await Promise.all(hosts.map(async (host, index) => runClient(host, index)));
-	return {sent, lost};
 }
 
 async function runDemo(): Promise<void> {
-	const platform = await startProcess('platform', []);
-	running.push(platform);
-	const hosts = await startFleet(platform);
-	const first = hosts[0];
-	const fourth = hosts[3];
-	console.log(`started: platform and ${hosts.length} hosts in 2 data centres`);
-
-	const accepted = await submit(first!, createCostlineManifest(0));
-	check(accepted.kind === 'accepted', JSON.stringify(accepted));
-	const startedAt = performance.now();
-	check(
-		await pollUntil(async () => isInForce(first!, 1), 15_000),
-		'version 1 did not come in force',
+	const {hosts} = await startFleet();
+	print(`started the platform and ${hosts.length} hosts in 2 data centres`);
+	print(`processes: ${listProcesses().join(' ')}`);
+	const [first, , third] = hosts;
+	const last = hosts.at(-1)!;
+	const node = ['--node', first!.node.ready.administration!];
+	await waitFor(
+		'members known',
+		async () => (await countMembers(first!)) === hosts.length,
 	);
-	const tookMs = Math.round(performance.now() - startedAt);
-	console.log(`version 1: accepted, in force after ${tookMs} ms`);
 
-	const ready = await pollUntil(async () => {
-		const calls = await Promise.all(
-			hosts.flatMap((host) => [
-				call(host, 'GET', '/kitchens/prices/lamb'),
-				call(host, 'GET', '/kitchens/stock/lamb'),
-			]),
-		);
-		return calls.every(({status}) => status === 200);
-	}, 15_000);
-	check(ready, 'routes did not become live on every host');
-	const lookup = await call(fourth!, 'GET', '/kitchens/prices/lamb');
-	console.log(`lookup: ${lookup.status} from ${lookup.body.upstream}`);
-	const post = await call(first!, 'POST', '/kitchens/invoices');
-	console.log(
-		`invoice post: ${post.status} from ${post.body.upstream}, runs ${post.body.runs}`,
+	await runOperatorCommand(
+		['submit', '-', ...node],
+		'ok',
+		createCostlineManifest(0),
 	);
-	check(post.body.runs === 1, 'the invoice post did not run once');
-
-	const refused = await submit(first!, {
-		...createCostlineManifest(1),
-		services: {},
-	});
-	if (refused.kind !== 'refused') {
-		throw new Error('a dangling manifest was not refused');
+	await runOperatorCommand(['status', '1', '--wait', '15', ...node], 'ok');
+	await waitForRoutes(hosts);
+	print('routes are live on every host');
+
+	const lookup = await callService(last, 'GET', '/kitchens/prices/lamb');
+	print(`lookup at ${last.name}: ${lookup.status} from ${lookup.upstream}`);
+	const post = await callService(first!, 'POST', '/kitchens/invoices');
+	print(
+		`invoice post at ${first!.name}: ${post.status} from ${post.upstream}, runs: ${post.runs}`,
+	);
+	if (post.status !== 200 || post.runs !== 1) {
+		throw new Error('the invoice post did not run once');
 	}
 
-	const [problem] = refused.problems;
-	console.log(
-		`dangling manifest: refused, ${problem?.place}: ${problem?.message}`,
+	await runOperatorCommand(
+		['explain', 'GET', '/kitchens/prices/lamb', ...node],
+		'ok',
 	);
-
-	const update = (async () => {
-		const second = await submit(fourth!, createCostlineManifest(1, 3000));
-		check(second.kind === 'accepted', JSON.stringify(second));
-		const inForce = await pollUntil(async () => isInForce(first!, 2), 15_000);
-		check(inForce, 'version 2 did not come in force');
-		await hosts[5]!.stop();
-	})();
-	const survivors = hosts.slice(0, 5);
-	const [load] = await Promise.all([runLoad(survivors, update), update]);
-	console.log('version 2: accepted and in force under load; one host stopped');
-	console.log(`load: ${load.sent} requests, ${load.lost} lost`);
-	check(load.lost === 0, 'requests were lost');
+	await runOperatorCommand(
+		['submit', '-', '--node', third!.node.ready.administration!],
+		'refused',
+		{...createCostlineManifest(1), services: {}},
+	);
+	await showUpdateUnderLoad(hosts);
 }
 
-async function stopAll(): Promise<void> {
-	await Promise.all(running.toReversed().map(async (item) => item.stop()));
+/** Rejects at the time limit, or when a signal asks for the end. */
+async function waitForEnd(): Promise<never> {
+	return new Promise((_resolve, reject) => {
+		setTimeout(() => {
+			reject(new Error(`not done within ${timeLimitMs / 1000} s`));
+		}, timeLimitMs).unref();
+		for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+			process.on(signal, () => {
+				reject(new Error(`interrupted by ${signal}`));
+			});
+		}
+	});
 }
 
-const timer = setTimeout(() => {
-	console.log('demo: failed: time limit');
-	process.exitCode = 1;
-	void stopAll();
-}, timeLimitMs);
-try {
-	await runDemo();
-	await stopAll();
-	console.log('demo: ok');
-} catch (error) {
-	console.log(`demo: failed: ${String(error)}`);
-	process.exitCode = 1;
-	await stopAll();
-} finally {
-	clearTimeout(timer);
+async function runWithinLimits(): Promise<string | undefined> {
+	try {
+		await Promise.race([runDemo(), waitForEnd()]);
+		return undefined;
+	} catch (error) {
+		return error instanceof Error ? error.message : String(error);
+	}
 }
+
+const failure = await runWithinLimits();
+const left = await stopProcesses();
+const problem =
+	failure ??
+	(left.length > 0 ? `processes left: ${left.join(' ')}` : undefined);
+console.log(problem ? `demo: failed: ${problem}` : 'demo: ok');
+process.exit(problem ? 1 : 0);
--- a/harness/start-host.ts
+++ b/harness/start-host.ts
@@ -1,4 +1,4 @@
-import {mkdtemp, writeFile} from 'node:fs/promises';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {stringify} from 'ini';
@@ -70,6 +70,7 @@
 		['node', '--config', file],
 		runtimeArguments,
 	);
+	await rm(folder, {recursive: true});
 	const upstream = service
 		? await startProcess('upstream', [
 				'--service',
--- a/harness/start-process.ts
+++ b/harness/start-process.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {z} from 'zod';
+import {runningChildren} from './_lib/running-children.js';
 import {resolveProgram, type Program} from './resolve-program.js';
 
 /** A running process of a fleet. */
@@ -43,12 +44,14 @@
 		[...runtimeArguments, resolveProgram(program), ...argv],
 		{stdio: ['ignore', 'pipe', 'pipe']},
 	);
+	runningChildren.add(child);
 	let log = '';
 	child.stderr.on('data', (chunk) => {
 		log = (log + String(chunk)).slice(-maxLogLength);
 	});
 	const exited = new Promise<number | undefined>((resolve) => {
 		child.once('exit', (code) => {
+			runningChildren.delete(child);
 			resolve(code ?? undefined);
 		});
 	});
