--- /dev/null
+++ b/src/transport/_lib/create-request-log.ts
@@ -0,0 +1,34 @@
+import type {RequestObserver} from '../../protocol/observer.js';
+import type {Logger, LogLevel} from '../create-logger.js';
+
+/**
+ * Creates an observer that logs each request and attempt that was not
+ * answered, with its identifier.
+ *
+ * @param logger - where to log, at level debug
+ * @param level - lowest level that is written
+ * @returns the observer; empty above debug, so that requests cost nothing
+ */
+export function createRequestLog(
+	logger: Logger,
+	level: LogLevel,
+): RequestObserver {
+	if (level !== 'debug') {
+		return {};
+	}
+
+	return {
+		onRequest({requestId, team, service, outcome, reason, attempts}) {
+			if (outcome !== 'answered') {
+				const fields = {requestId, team, service, outcome, reason, attempts};
+				logger.debug('request not answered', fields);
+			}
+		},
+		onAttempt({requestId, attemptId, host, outcome, reason}) {
+			if (outcome !== 'answered') {
+				const fields = {requestId, attemptId, host, outcome, reason};
+				logger.debug('attempt not answered', fields);
+			}
+		},
+	};
+}
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -2,6 +2,7 @@
 import type {Settings} from '../protocol/settings.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {combineObservers} from './_lib/combine-observers.js';
+import {createRequestLog} from './_lib/create-request-log.js';
 import {listGauges} from './_lib/list-gauges.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -66,7 +67,11 @@
 				performance.now() - viewHeardAt,
 			),
 	});
-	const observer = combineObservers([tracer.observer, metrics.observer]);
+	const observer = combineObservers([
+		tracer.observer,
+		metrics.observer,
+		createRequestLog(logger, settings.log.level),
+	]);
 	const gate = startGateTask({logger, observer});
 	const forwarder = createForwarder();
 	const caller = await startCallerTask({
