--- a/bench/config.ts
+++ b/bench/config.ts
@@ -119,20 +119,23 @@
 	const before = readRunContext(command, seed);
 	console.log(`load average ${before.loadAverage.join(' ')}`);
 	const results: WayResult[] = [];
+	const store = async (ways: readonly WayResult[]) => {
+		const {loadAverage} = readRunContext(command, seed);
+		await writeMeasurement('config', {
+			context: {...before, loadAverageAfter: loadAverage},
+			...summarizePhases(ways, 'tree'),
+			runs: ways,
+		});
+	};
+
 	for (const nodes of values.nodes.split(',').map(Number)) {
 		results.push(
 			await measureFleet(nodes, startTreeFleet, plans),
 			await measureFleet(nodes, startNaiveFleet, plans),
 			simulateWay(nodes, plans),
 		);
+		await store(results);
 	}
 
-	const {loadAverage} = readRunContext(command, seed);
-	const summary = summarizePhases(results, 'tree');
-	await writeMeasurement('config', {
-		context: {...before, loadAverageAfter: loadAverage},
-		...summary,
-		runs: results,
-	});
-	console.log(JSON.stringify(formatLastLine(summary)));
+	console.log(JSON.stringify(formatLastLine(summarizePhases(results, 'tree'))));
 }
