Forget what nodes held that are no longer heard of

Cause: a node kept a record of every node that ever polled it. Conclusion: the state is bounded by the live members.

--- a/src/coordination/_lib/delivery/update-running.ts
+++ b/src/coordination/_lib/delivery/update-running.ts
@@ -2,6 +2,25 @@
 import {holderExpiryMs} from '../../../protocol/constants.js';
 import {readNewest, type DeliveryContext} from './delivery-context.js';
 
+/**
+ * Forgets what nodes held that have not been heard of lately.
+ *
+ * @param state - the state before
+ * @param now - monotonic ms
+ * @returns the state after
+ */
+export function expireHolders(
+	state: DeliveryState,
+	now: number,
+): DeliveryState {
+	const holders = [...state.holders].filter(
+		([, {at}]) => at > now - holderExpiryMs,
+	);
+	return holders.length === state.holders.size
+		? state
+		: {...state, holders: new Map(holders)};
+}
+
 /**
  * Raises the version known to be safe to run.
  *
--- a/src/coordination/step-delivery.ts
+++ b/src/coordination/step-delivery.ts
@@ -26,6 +26,7 @@
 import {planCalls} from './_lib/delivery/plan-calls.js';
 import {planStatus} from './_lib/delivery/report-status.js';
 import {
+	expireHolders,
 	updateRunning,
 	updateSafeVersion,
 } from './_lib/delivery/update-running.js';
@@ -115,7 +116,8 @@
 
 		case 'tick': {
 			const step = failOverdueCalls(state, context);
-			return {...step, state: expireChildren(step.state, context.now)};
+			const kept = expireHolders(step.state, context.now);
+			return {...step, state: expireChildren(kept, context.now)};
 		}
 
 		case 'entries': {
