--- a/bench/_lib/start-tree-fleet.ts
+++ b/bench/_lib/start-tree-fleet.ts
@@ -12,7 +12,7 @@
 const healthSchema = z.object({version: z.number(), controlBytes: z.number()});
 const acceptedSchema = z.object({version: z.number(), revision: z.number()});
 const readyTimeoutMs = 60_000;
-const startsAtOnce = 8;
+const startsAtOnce = 4;
 
 type RunLog = {readonly host: Host; readonly runs: Map<number, number>};
 
