Keep a slot free for others beside a team above its share

Cause: the quiet team's p99 was 178 to 503 ms beside a noisy one and 55 ms alone (real processes, load average 17). In the simulation with fixed service times it was 85 to 98 ms against 40.6: every slot was held by the noisy team, and a quiet attempt waited for one to end. Change: a team that lately started more than its equal share leaves a sixth of the slots free while others are active; the next attempt is the lowest start tag among the teams to which a slot is open (pickNextTeam). Ruled out: fair tags alone with a lower limit (a blocked head of the queue holds up the others: p99 207 ms with two slots reserved); equal caps (115 ms); a third or a half of the slots (p99 52 to 58 and 47 to 58 ms, at 134 and 98 noisy answers a second against 177 with a sixth and 212 with none).

--- a/bench/_lib/compute-roles.ts
+++ b/bench/_lib/compute-roles.ts
@@ -26,7 +26,7 @@
 }
 
 /** Adds figures with weights; one that is missing makes the sum missing. */
-export function sumFigures(
+export function computeSum(
 	parts: ReadonlyArray<readonly [number, Figure]>,
 ): Figure {
 	const isMissing = parts.some(([, {value}]) => value === undefined);
@@ -64,19 +64,19 @@
 		[changes, readSlope(slopes.changeBytes)],
 		[configChanges, readSlope(slopes.configBytes)],
 	] as const;
-	const cpuMsPerSecond = sumFigures([
+	const cpuMsPerSecond = computeSum([
 		[1, createFigure(real?.quietCpuMsPerSecond)],
 		[1, readSlope(slopes.quietCpu)],
 		[changes, readSlope(slopes.changeCpu)],
 		[configChanges, readSlope(slopes.configCpu)],
 	]);
-	const memoryBytes = sumFigures([
+	const memoryBytes = computeSum([
 		[1, createFigure(real?.rssBytes)],
 		[1, readSlope(slopes.memory)],
 	]);
 	return {
 		plain: {
-			bytesPerSecond: sumFigures([
+			bytesPerSecond: computeSum([
 				[1, readSlope(slopes.quietBytes)],
 				...memberBytes,
 			]),
@@ -85,7 +85,7 @@
 			memoryBytes,
 		},
 		bridge: {
-			bytesPerSecond: sumFigures([
+			bytesPerSecond: computeSum([
 				[1, readSlope(slopes.bridgeBytes)],
 				...memberBytes,
 			]),
--- a/bench/_lib/compute-slopes.ts
+++ b/bench/_lib/compute-slopes.ts
@@ -1,5 +1,5 @@
 import {designSize, serversPerDataCentre} from './design-size.js';
-import {fitLine, type Line, type Point} from './fit-line.js';
+import {computeLine, type Line, type Point} from './fit-line.js';
 import type {Measurements} from './measurement-files.js';
 
 /** A quantity, how it grows, and its value at the size to design for. */
@@ -29,7 +29,7 @@
 function createSlope<T>(input: SlopeInput<T>): Slope {
 	const {name, unit, against, at, rows = [], x, y} = input;
 	const points = rows.map((row) => ({x: x(row), y: y(row)}));
-	const line = fitLine(points);
+	const line = computeLine(points);
 	const value = line && Math.max(0, line.intercept + line.slope * at);
 	return {name, unit, against, at, points, line, value};
 }
--- a/bench/_lib/create-simulated-gate.ts
+++ b/bench/_lib/create-simulated-gate.ts
@@ -1,11 +1,18 @@
 import type {Scheduler} from '../../harness/create-scheduler.js';
+import {computeOpenSlots} from '../../src/coordination/compute-open-slots.js';
 import {createFairQueue} from '../../src/coordination/create-fair-queue.js';
 import {decideAdmission} from '../../src/coordination/decide-admission.js';
+import {pickNextTeam} from '../../src/coordination/pick-next-team.js';
 import {readServiceTime} from '../../src/coordination/read-service-time.js';
+import {readTeamUse} from '../../src/coordination/read-team-use.js';
 import {
 	stepServiceTime,
 	type ServiceTime,
 } from '../../src/coordination/step-service-time.js';
+import {
+	stepTeamUse,
+	type TeamUse,
+} from '../../src/coordination/step-team-use.js';
 import type {GateLoad} from '../../src/protocol/attempt.js';
 import {queueSlotsRatio} from '../../src/protocol/constants.js';
 
@@ -16,8 +23,10 @@
 export type SimulatedGateOptions = {
 	readonly scheduler: Scheduler;
 	readonly slots: number;
-	/** Mean of the exponential service time, ms. */
+	/** Mean of the service time, ms. */
 	readonly serviceMs: number;
+	/** Distribution of the service time; exponential when absent. */
+	readonly serviceTimes?: 'exponential' | 'fixed';
 	readonly behaviour: HostBehaviour;
 	/** Whether the product's admission and fair order are used. */
 	readonly hasAdmission: boolean;
@@ -64,8 +73,10 @@
 	options: SimulatedGateOptions,
 ): SimulatedGate {
 	const {scheduler, slots, serviceMs, behaviour, hasAdmission} = options;
+	const {serviceTimes = 'exponential'} = options;
 	const {now, random} = scheduler;
 	const fairQueue = createFairQueue();
+	const teamUses = new Map<string, TeamUse>();
 	let queue: Job[] = [];
 	let serviceTime: ServiceTime | undefined;
 	let inFlight = 0;
@@ -86,31 +97,47 @@
 			return failureMs;
 		}
 
-		const mean = -Math.log(1 - random()) * serviceMs;
+		const factor = serviceTimes === 'fixed' ? 1 : -Math.log(1 - random());
+		const mean = factor * serviceMs;
 		const factors = {slow: slowFactor, lying: lyingFactor};
 		return behaviour === 'slow' || behaviour === 'lying'
 			? mean * factors[behaviour]
 			: mean;
 	}
 
+	function readUses(): ReadonlyMap<string, number> {
+		return new Map(
+			[...teamUses].map(([team, use]) => [team, readTeamUse(use, now())]),
+		);
+	}
+
+	function takeFair(): Job | undefined {
+		const startTags = new Map(
+			queue.toReversed().map(({team, startTag}) => [team, startTag]),
+		);
+		const uses = readUses();
+		const team = pickNextTeam({slots, inFlight, startTags, uses});
+		const index = queue.findIndex((job) => job.team === team);
+		return index === -1 ? undefined : queue.splice(index, 1)[0];
+	}
+
 	function takeNext(): Job | undefined {
-		let best = 0;
-		for (const [index, job] of queue.entries()) {
-			best = job.startTag < queue[best]!.startTag ? index : best;
+		if (hasAdmission) {
+			return takeFair();
 		}
 
-		return queue.splice(hasAdmission ? best : 0, 1)[0];
+		return inFlight < slots ? queue.shift() : undefined;
 	}
 
 	function startNext(): void {
-		while (inFlight < slots && queue.length > 0) {
-			const job = takeNext()!;
+		for (let job = takeNext(); job; job = takeNext()) {
 			if (hasAdmission && job.deadlineAt <= now()) {
 				job.answer({kind: 'refused', load: readLoad()});
 				continue;
 			}
 
 			fairQueue.serve(job.startTag);
+			teamUses.set(job.team, stepTeamUse(teamUses.get(job.team), now()));
 			startJob(job);
 		}
 
@@ -146,7 +173,7 @@
 		const admission = decideAdmission({
 			state: 'ready',
 			remainingMs: deadlineAt - now(),
-			slots,
+			slots: computeOpenSlots(slots, readUses(), team),
 			inFlight,
 			ahead,
 			queued: queue.length,
--- a/bench/_lib/fit-line.test.ts
+++ b/bench/_lib/fit-line.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {fitLine} from './fit-line.js';
+import {computeLine} from './fit-line.js';
 
 test('fits a line by least squares and tells how well', () => {
-	const exact = fitLine([0, 1, 2].map((x) => ({x, y: 3 * x - 1})));
+	const exact = computeLine([0, 1, 2].map((x) => ({x, y: 3 * x - 1})));
 	assert.deepEqual(exact, {slope: 3, intercept: -1, r2: 1});
-	const rough = fitLine([0, 1, 2].map((x) => ({x, y: x === 1 ? 3 : 0})));
+	const rough = computeLine([0, 1, 2].map((x) => ({x, y: x === 1 ? 3 : 0})));
 	assert.equal(rough?.slope, 0);
 	assert.equal(rough.r2, 0);
-	assert.equal(fitLine([{x: 1, y: 1}]), undefined);
+	assert.equal(computeLine([{x: 1, y: 1}]), undefined);
 });
--- a/bench/_lib/fit-line.ts
+++ b/bench/_lib/fit-line.ts
@@ -19,9 +19,9 @@
  * @param points - at least two, at different places
  * @returns the line, or undefined when there are too few points
  * @example
- * fitLine([{x: 0, y: 1}, {x: 1, y: 3}])?.slope; // 2
+ * computeLine([{x: 0, y: 1}, {x: 1, y: 3}])?.slope; // 2
  */
-export function fitLine(points: readonly Point[]): Line | undefined {
+export function computeLine(points: readonly Point[]): Line | undefined {
 	const meanX = computeMean(points.map(({x}) => x));
 	const meanY = computeMean(points.map(({y}) => y));
 	const sum = (compute: (point: Point) => number) =>
--- /dev/null
+++ b/src/coordination/pick-next-team.ts
@@ -0,0 +1,38 @@
+import {computeOpenSlots} from './compute-open-slots.js';
+
+/** What the choice of the next attempt depends on. */
+export type NextTeamInput = {
+	readonly slots: number;
+	readonly inFlight: number;
+	/** Start tag of the first waiting attempt of each team that has one. */
+	readonly startTags: ReadonlyMap<string, number>;
+	/** Aged starts of each team, waiting or not. */
+	readonly uses: ReadonlyMap<string, number>;
+};
+
+/**
+ * Picks the team whose first waiting attempt takes a slot next: the lowest
+ * start tag among the teams to which a slot is open.
+ *
+ * @param input - see `NextTeamInput`
+ * @returns the team, or undefined when no waiting team may take a slot
+ * @example
+ * pickNextTeam({slots: 6, inFlight: 6, startTags, uses}); // undefined
+ */
+export function pickNextTeam(input: NextTeamInput): string | undefined {
+	const {slots, inFlight, startTags, uses} = input;
+	if (inFlight >= slots) {
+		return undefined;
+	}
+
+	let next: string | undefined;
+	let lowest = Number.POSITIVE_INFINITY;
+	for (const [team, startTag] of startTags) {
+		if (startTag < lowest && inFlight < computeOpenSlots(slots, uses, team)) {
+			next = team;
+			lowest = startTag;
+		}
+	}
+
+	return next;
+}
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -95,6 +95,7 @@
 export const retryAfterSeconds = 1;
 export const msPerSecond = 1000;
 export const queueSlotsRatio = 4;
+export const reservedSlotsRatio = 1 / 6;
 export const serverIdleMs = 60_000;
 export const headersTimeoutMs = 10_000;
 export const requestTimeoutMs = 60_000;
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -10,6 +10,7 @@
 	enterLocalQueue,
 	leaveLocalQueue,
 	readLocalLoad,
+	takeNextJob,
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
@@ -32,6 +33,8 @@
 /** The admitted attempts of a gate, from queue to end. */
 export type JobRunner = {
 	enqueue(attempt: Attempt, upstream: LocalUpstream): Job;
+	/** Starts the queued jobs for which an upstream has slots. */
+	startJobs(upstream: LocalUpstream): void;
 	findJob(id: string): Job | undefined;
 	/** Refuses a queued job. */
 	drop(job: Job, reason: OutcomeReason): void;
@@ -116,22 +119,30 @@
 		}
 	}
 
-	async function runJob(job: Job): Promise<void> {
-		if (job.phase !== 'queued') {
-			return;
+	function startJobs(upstream: LocalUpstream): void {
+		for (
+			let job = takeNextJob(upstream, now());
+			job;
+			job = takeNextJob(upstream, now())
+		) {
+			const next = job;
+			next.phase = 'sent';
+			next.sentAt = now();
+			void upstream.queue.add(async () => runJob(next));
 		}
+	}
 
+	async function runJob(job: Job): Promise<void> {
 		const {upstream, attempt} = job;
-		leaveLocalQueue(job);
-		upstream.fairQueue.serve(job.startTag);
-		upstream.inFlight++;
-		job.phase = 'sent';
-		job.sentAt = now();
 		const remainingMs = job.deadlineAt - job.sentAt;
 		job.sent = sendRequest(
 			upstream.pool,
 			createUpstreamRequest(attempt, remainingMs, job.traceparent),
 		);
+		if (job.endedBy) {
+			job.sent.abort();
+		}
+
 		const outcome = await job.sent.outcome;
 		const result = readUpstreamOutcome(outcome, attempt, {
 			endedBy: job.endedBy,
@@ -151,6 +162,7 @@
 			endedAt,
 		);
 		endJob(job, result, result.kind === 'not-run');
+		startJobs(upstream);
 		if (upstream.inFlight === 0 && upstream.queuedCount === 0) {
 			upstream.fairQueue.reset();
 		}
@@ -180,12 +192,13 @@
 		};
 		enterLocalQueue(job);
 		jobs.set(attempt.id, job);
-		void upstream.queue.add(async () => runJob(job), {priority: -job.startTag});
+		startJobs(upstream);
 		return job;
 	}
 
 	return {
 		enqueue,
+		startJobs,
 		findJob: (id) => jobs.get(id),
 		drop: dropJob,
 		dropQueued,
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -16,6 +16,7 @@
 import type {GateStamp} from '../protocol/stamp.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {
+	computeLocalOpenSlots,
 	countAhead,
 	createLocalUpstream,
 	findLocalUpstream,
@@ -102,7 +103,9 @@
 		const admission = decideAdmission({
 			state: isDraining ? 'leaving' : state,
 			remainingMs: attempt.remainingMs,
-			slots,
+			slots: upstream
+				? computeLocalOpenSlots(upstream, attempt.team, now())
+				: slots,
 			inFlight: upstream?.inFlight ?? 0,
 			ahead: upstream ? countAhead(upstream, attempt.team) : 0,
 			queued: upstream?.queuedCount ?? 0,
@@ -192,6 +195,7 @@
 			if (known?.announcement.address === announcement.address) {
 				known.announcement = announcement;
 				known.queue.concurrency = announcement.slots;
+				runner.startJobs(known);
 				if (announcement.state === 'leaving') {
 					runner.dropQueued(known);
 				}
