--- a/bench/_lib/simulate-isolation.ts
+++ b/bench/_lib/simulate-isolation.ts
@@ -1,8 +1,7 @@
 import {createScheduler} from '../../harness/create-scheduler.js';
-import type {Candidate} from '../../src/protocol/member.js';
 import {computePercentile} from './compute-percentile.js';
 import {createSimulatedCaller} from './create-simulated-caller.js';
-import {createSimulatedGate} from './create-simulated-gate.js';
+import {createSimulatedHosts} from './create-simulated-hosts.js';
 
 /** What isolation came to in one run. */
 export type IsolationResult = {
@@ -38,26 +37,14 @@
 ): IsolationResult {
 	const scheduler = createScheduler(seed);
 	const {now, random} = scheduler;
-	const candidates = Array.from({length: hosts}, (_, index): Candidate => ({
-		host: `host-${index}`,
-		address: '',
-		dataCentre: 'abdali',
+	const {candidates, gates} = createSimulatedHosts({
+		scheduler,
 		slots,
-		sinceMs: 0,
-	}));
-	const gates = new Map(
-		candidates.map(({host}) => [
-			host,
-			createSimulatedGate({
-				scheduler,
-				slots,
-				serviceMs,
-				behaviour: 'healthy',
-				hasAdmission: true,
-				serviceTimes: 'fixed',
-			}),
-		]),
-	);
+		serviceMs,
+		serviceTimes: 'fixed',
+		behaviours: Array.from({length: hosts}, () => 'healthy'),
+		hasAdmission: true,
+	});
 	const policy = {
 		name: 'chosen',
 		pick: 'chosen',
--- a/bench/_lib/simulate-policy.ts
+++ b/bench/_lib/simulate-policy.ts
@@ -1,11 +1,8 @@
 import {createScheduler} from '../../harness/create-scheduler.js';
-import type {Candidate} from '../../src/protocol/member.js';
 import {computePercentile} from './compute-percentile.js';
 import {createSimulatedCaller, type Policy} from './create-simulated-caller.js';
-import {
-	createSimulatedGate,
-	type HostBehaviour,
-} from './create-simulated-gate.js';
+import type {HostBehaviour} from './create-simulated-gate.js';
+import {createSimulatedHosts} from './create-simulated-hosts.js';
 
 /** A load on ten hosts, one of which may misbehave. */
 export type Scenario = {
@@ -56,25 +53,15 @@
 ): PolicyResult {
 	const scheduler = createScheduler(seed);
 	const {now, random} = scheduler;
-	const candidates = Array.from({length: hosts}, (_, index): Candidate => ({
-		host: `host-${index}`,
-		address: '',
-		dataCentre: 'abdali',
+	const {candidates, gates} = createSimulatedHosts({
+		scheduler,
 		slots,
-		sinceMs: 0,
-	}));
-	const gates = new Map(
-		candidates.map(({host}, index) => [
-			host,
-			createSimulatedGate({
-				scheduler,
-				slots,
-				serviceMs,
-				behaviour: index === 0 ? scenario.oneHost : 'healthy',
-				hasAdmission: policy.hasAdmission,
-			}),
-		]),
-	);
+		serviceMs,
+		behaviours: Array.from({length: hosts}, (_, index) =>
+			index === 0 ? scenario.oneHost : 'healthy',
+		),
+		hasAdmission: policy.hasAdmission,
+	});
 	const nodes = Array.from({length: callers}, () =>
 		createSimulatedCaller({scheduler, policy, candidates, gates, deadlineMs}),
 	);
