Hold back a team by the slots that it holds, not by what it used before

The quiet team had lately used more than the newcomer, so it was the one held back, while the newcomer filled every slot that became free. Change: the reserve holds for a team that has its equal share of the slots in use; recent use only tells which teams are active. Ruled out: a longer or shorter memory of use (the order still flips late).

--- a/bench/_lib/create-simulated-gate.ts
+++ b/bench/_lib/create-simulated-gate.ts
@@ -1,5 +1,8 @@
 import type {Scheduler} from '../../harness/create-scheduler.js';
-import {computeOpenSlots} from '../../src/coordination/compute-open-slots.js';
+import {
+	computeOpenSlots,
+	type TeamActivity,
+} from '../../src/coordination/compute-open-slots.js';
 import {createFairQueue} from '../../src/coordination/create-fair-queue.js';
 import {decideAdmission} from '../../src/coordination/decide-admission.js';
 import {pickNextTeam} from '../../src/coordination/pick-next-team.js';
@@ -77,6 +80,7 @@
 	const {now, random} = scheduler;
 	const fairQueue = createFairQueue();
 	const teamUses = new Map<string, TeamUse>();
+	const running = new Map<string, number>();
 	let queue: Job[] = [];
 	let serviceTime: ServiceTime | undefined;
 	let inFlight = 0;
@@ -105,18 +109,29 @@
 			: mean;
 	}
 
-	function readUses(): ReadonlyMap<string, number> {
+	function readTeams(): ReadonlyMap<string, TeamActivity> {
 		return new Map(
-			[...teamUses].map(([team, use]) => [team, readTeamUse(use, now())]),
+			[...teamUses].map(([team, use]) => [
+				team,
+				{
+					use: readTeamUse(use, now()),
+					inFlight: running.get(team) ?? 0,
+				},
+			]),
 		);
 	}
 
+	function countRunning(team: string, change: 1 | -1): void {
+		inFlight += change;
+		running.set(team, (running.get(team) ?? 0) + change);
+	}
+
 	function takeFair(): Job | undefined {
 		const startTags = new Map(
 			queue.toReversed().map(({team, startTag}) => [team, startTag]),
 		);
-		const uses = readUses();
-		const team = pickNextTeam({slots, inFlight, startTags, uses});
+		const teams = readTeams();
+		const team = pickNextTeam({slots, inFlight, startTags, teams});
 		const index = queue.findIndex((job) => job.team === team);
 		return index === -1 ? undefined : queue.splice(index, 1)[0];
 	}
@@ -149,10 +164,10 @@
 	function startJob(job: Job): void {
 		const startedAt = now();
 		const kind = isDown() ? 'failed' : 'answered';
-		inFlight++;
+		countRunning(job.team, 1);
 		runs++;
 		scheduler.schedule(drawServiceMs(), () => {
-			inFlight--;
+			countRunning(job.team, -1);
 			serviceTime = stepServiceTime(serviceTime, now() - startedAt, now());
 			job.answer({kind, load: readLoad()});
 			startNext();
@@ -173,7 +188,7 @@
 		const admission = decideAdmission({
 			state: 'ready',
 			remainingMs: deadlineAt - now(),
-			slots: computeOpenSlots(slots, readUses(), team),
+			slots: computeOpenSlots(slots, readTeams(), team),
 			inFlight,
 			ahead,
 			queued: queue.length,
--- a/bench/_lib/simulate-isolation.ts
+++ b/bench/_lib/simulate-isolation.ts
@@ -19,6 +19,7 @@
 const deadlineMs = 800;
 const seconds = 20;
 const msPerSecond = 1000;
+const noisyStartMs = 5000;
 const capacity = (hosts * slots * msPerSecond) / serviceMs;
 
 /**
@@ -83,7 +84,9 @@
 
 	startTeam('quiet', 0.3);
 	if (noisyShare > 0) {
-		startTeam('noisy', noisyShare);
+		scheduler.schedule(noisyStartMs, () => {
+			startTeam('noisy', noisyShare);
+		});
 	}
 
 	scheduler.runUntil((seconds + 2) * msPerSecond);
--- a/src/coordination/compute-open-slots.ts
+++ b/src/coordination/compute-open-slots.ts
@@ -2,35 +2,41 @@
 
 const activeUse = 0.5;
 
+/** What a gate knows of one team at an upstream. */
+export type TeamActivity = {
+	/** Aged count of started attempts, see `readTeamUse`. */
+	readonly use: number;
+	/** Attempts that are in a slot. */
+	readonly inFlight: number;
+};
+
 /**
  * Computes how many slots may be in use for a team to take one more.
  *
- * A team that lately used more than its equal share leaves a part of the slots
- * free for the others, so that their attempts find one without waiting for an
- * attempt of the first to end. A team by itself may use every slot.
+ * A team that holds its equal share of the slots leaves a part of the rest
+ * free for the others that were lately active, so that their attempts find a
+ * slot without waiting for an attempt of the first to end. A team below its
+ * share, or by itself, may use every slot.
  *
  * @param slots - slots of the upstream
- * @param uses - aged starts of each team, see `readTeamUse`
+ * @param teams - activity of each team
  * @param team - the team that wants a slot
  * @returns the number of slots in use below which the team may take one
  * @example
- * computeOpenSlots(6, new Map([['a', 90], ['b', 10]]), 'a'); // 5
+ * computeOpenSlots(6, new Map([['a', {use: 90, inFlight: 3}]]), 'a'); // 6
  */
 export function computeOpenSlots(
 	slots: number,
-	uses: ReadonlyMap<string, number>,
+	teams: ReadonlyMap<string, TeamActivity>,
 	team: string,
 ): number {
-	let activeTeams = 0;
-	let total = 0;
-	for (const use of uses.values()) {
-		if (use >= activeUse) {
-			activeTeams++;
-			total += use;
-		}
+	const own = teams.get(team);
+	let activeTeams = own && own.use >= activeUse ? 0 : 1;
+	for (const {use} of teams.values()) {
+		activeTeams += use >= activeUse ? 1 : 0;
 	}
 
-	const isAboveShare = (uses.get(team) ?? 0) * activeTeams > total;
+	const hasShare = (own?.inFlight ?? 0) >= slots / activeTeams;
 	const reserved = Math.min(slots - 1, Math.ceil(slots * reservedSlotsRatio));
-	return activeTeams > 1 && isAboveShare ? slots - reserved : slots;
+	return activeTeams > 1 && hasShare ? slots - reserved : slots;
 }
--- a/src/coordination/pick-next-team.ts
+++ b/src/coordination/pick-next-team.ts
@@ -1,4 +1,4 @@
-import {computeOpenSlots} from './compute-open-slots.js';
+import {computeOpenSlots, type TeamActivity} from './compute-open-slots.js';
 
 /** What the choice of the next attempt depends on. */
 export type NextTeamInput = {
@@ -6,8 +6,8 @@
 	readonly inFlight: number;
 	/** Start tag of the first waiting attempt of each team that has one. */
 	readonly startTags: ReadonlyMap<string, number>;
-	/** Aged starts of each team, waiting or not. */
-	readonly uses: ReadonlyMap<string, number>;
+	/** Activity of each team, waiting or not. */
+	readonly teams: ReadonlyMap<string, TeamActivity>;
 };
 
 /**
@@ -17,10 +17,10 @@
  * @param input - see `NextTeamInput`
  * @returns the team, or undefined when no waiting team may take a slot
  * @example
- * pickNextTeam({slots: 6, inFlight: 6, startTags, uses}); // undefined
+ * pickNextTeam({slots: 6, inFlight: 6, startTags, teams}); // undefined
  */
 export function pickNextTeam(input: NextTeamInput): string | undefined {
-	const {slots, inFlight, startTags, uses} = input;
+	const {slots, inFlight, startTags, teams} = input;
 	if (inFlight >= slots) {
 		return undefined;
 	}
@@ -28,7 +28,7 @@
 	let next: string | undefined;
 	let lowest = Number.POSITIVE_INFINITY;
 	for (const [team, startTag] of startTags) {
-		if (startTag < lowest && inFlight < computeOpenSlots(slots, uses, team)) {
+		if (startTag < lowest && inFlight < computeOpenSlots(slots, teams, team)) {
 			next = team;
 			lowest = startTag;
 		}
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -9,6 +9,7 @@
 import {
 	enterLocalQueue,
 	leaveLocalQueue,
+	leaveSlot,
 	readLocalLoad,
 	takeNextJob,
 	type Job,
@@ -154,7 +155,7 @@
 			await waitForEnd(result.body);
 		}
 
-		upstream.inFlight--;
+		leaveSlot(job);
 		const endedAt = now();
 		upstream.serviceTime = stepServiceTime(
 			upstream.serviceTime,
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -5,7 +5,10 @@
 	type FairQueue,
 } from '../../coordination/create-fair-queue.js';
 import type {AdmissionInput} from '../../coordination/decide-admission.js';
-import {computeOpenSlots} from '../../coordination/compute-open-slots.js';
+import {
+	computeOpenSlots,
+	type TeamActivity,
+} from '../../coordination/compute-open-slots.js';
 import {pickNextTeam} from '../../coordination/pick-next-team.js';
 import {readTeamUse} from '../../coordination/read-team-use.js';
 import type {ServiceTime} from '../../coordination/step-service-time.js';
@@ -48,6 +51,8 @@
 	queuedCount: number;
 	/** What each team has lately started here. */
 	readonly teamUses: Map<string, TeamUse>;
+	/** Jobs of each team that are in a slot. */
+	readonly running: Map<string, number>;
 	inFlight: number;
 	serviceTime: ServiceTime | undefined;
 };
@@ -75,6 +80,7 @@
 		queued: new Map(),
 		queuedCount: 0,
 		teamUses: new Map(),
+		running: new Map(),
 		inFlight: 0,
 		serviceTime: undefined,
 	};
@@ -198,12 +204,18 @@
 	return ahead;
 }
 
-function readUses(
+function readTeams(
 	upstream: LocalUpstream,
 	now: number,
-): ReadonlyMap<string, number> {
+): ReadonlyMap<string, TeamActivity> {
 	return new Map(
-		[...upstream.teamUses].map(([team, use]) => [team, readTeamUse(use, now)]),
+		[...upstream.teamUses].map(([team, use]) => [
+			team,
+			{
+				use: readTeamUse(use, now),
+				inFlight: upstream.running.get(team) ?? 0,
+			},
+		]),
 	);
 }
 
@@ -223,7 +235,7 @@
 	const {slots} = upstream.announcement;
 	return upstream.teamUses.size < 2
 		? slots
-		: computeOpenSlots(slots, readUses(upstream, now), team);
+		: computeOpenSlots(slots, readTeams(upstream, now), team);
 }
 
 /**
@@ -245,19 +257,42 @@
 		startTags: new Map(
 			[...upstream.queued].map(([name, jobs]) => [name, jobs[0]!.startTag]),
 		),
-		uses: readUses(upstream, now),
+		teams: readTeams(upstream, now),
 	});
 	const job = team === undefined ? undefined : upstream.queued.get(team)?.[0];
 	if (job) {
 		leaveLocalQueue(job);
 		upstream.fairQueue.serve(job.startTag);
-		upstream.inFlight++;
+		countRunning(upstream, job.attempt.team, 1);
 		noteUse(upstream, job.attempt.team, now);
 	}
 
 	return job;
 }
 
+/**
+ * Notes that a job has left its slot.
+ *
+ * @param job - the job
+ */
+export function leaveSlot({upstream, attempt}: Job): void {
+	countRunning(upstream, attempt.team, -1);
+}
+
+function countRunning(
+	upstream: LocalUpstream,
+	team: string,
+	change: 1 | -1,
+): void {
+	const count = (upstream.running.get(team) ?? 0) + change;
+	upstream.inFlight += change;
+	if (count === 0) {
+		upstream.running.delete(team);
+	} else {
+		upstream.running.set(team, count);
+	}
+}
+
 function noteUse(upstream: LocalUpstream, team: string, now: number): void {
 	const {teamUses} = upstream;
 	teamUses.set(team, stepTeamUse(teamUses.get(team), now));
