Count no host as less loaded than the average of the others

A reported zero still counted as half of the average. Change: a reported load counts at least as the mean of the other hosts' reports, so reports only turn requests away.

--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -45,42 +45,56 @@
 		: healthy;
 }
 
-function computeMeanShare(
+/** Mean of the fresh reported loads of a pool. */
+type PoolShare = {readonly mean: number; readonly reports: number};
+
+const noReports: PoolShare = {mean: 0, reports: 0};
+
+function computePoolShare(
 	candidates: readonly Candidate[],
 	records: Records,
 	now: number,
-): number {
+): PoolShare {
 	let sum = 0;
-	let count = 0;
+	let reports = 0;
 	for (const {host} of candidates) {
 		const record = records.get(host);
 		if (record && now - record.reportedAt < loadTrustMs) {
 			sum += record.reportedShare;
-			count++;
+			reports++;
 		}
 	}
 
-	return count === 0 ? 0 : sum / count;
+	return reports === 0 ? noReports : {mean: sum / reports, reports};
+}
+
+function computeMeanOfOthers(
+	{mean, reports}: PoolShare,
+	reportedShare: number,
+): number {
+	return reports > 1 ? (mean * reports - reportedShare) / (reports - 1) : mean;
 }
 
 /**
  * Computes a host's load as a share of its slots: own requests in flight, and
- * the reported load, which counts less the older it is and never as much lower
- * than the average.
+ * the reported load, which counts less the older it is and never less than the
+ * average of the others, so that a host that reports too little attracts
+ * nothing.
  */
 function computeShare(
 	candidate: Candidate,
 	record: HostRecord | undefined,
-	meanShare: number,
+	pool: PoolShare,
 	now: number,
 ): number {
 	if (!record) {
-		return meanShare;
+		return pool.mean;
 	}
 
 	const trust = Math.max(0, 1 - (now - record.reportedAt) / loadTrustMs);
-	const reported = Math.max(record.reportedShare, meanShare / 2);
-	const believed = trust * reported + (1 - trust) * meanShare;
+	const others = computeMeanOfOthers(pool, record.reportedShare);
+	const reported = Math.max(record.reportedShare, others);
+	const believed = trust * reported + (1 - trust) * pool.mean;
 	return record.ownInFlight / candidate.slots + believed;
 }
 
@@ -96,14 +110,14 @@
 	random: () => number,
 	now: number,
 ): Candidate {
-	const meanShare = computeMeanShare(pool, records, now);
+	const poolShare = computePoolShare(pool, records, now);
 	const index = Math.floor(random() * pool.length);
 	const step = 1 + Math.floor(random() * (pool.length - 1));
 	const first = pool[index]!;
 	const second = pool[(index + step) % pool.length]!;
 	const [firstCost, secondCost] = [first, second].map((candidate) => {
 		const record = records.get(candidate.host);
-		const share = computeShare(candidate, record, meanShare, now);
+		const share = computeShare(candidate, record, poolShare, now);
 		return (share + 1 / candidate.slots) / computeWarmth(record, now);
 	});
 	return secondCost! < firstCost! ? second : first;
@@ -117,7 +131,7 @@
 ): boolean {
 	let sum = 0;
 	for (const candidate of local) {
-		sum += computeShare(candidate, records.get(candidate.host), 0, now);
+		sum += computeShare(candidate, records.get(candidate.host), noReports, now);
 	}
 
 	return sum >= limit * local.length;
