--- a/fakes/announcer.ts
+++ b/fakes/announcer.ts
@@ -1,11 +1,11 @@
 /**
-Announces an upstream to its node, and renews the announcement before its lease ends.
-*/
+ * Announces an upstream to its node, and renews the announcement before its lease ends.
+ */
 import {Agent, request} from 'undici';
 
 /**
-What the node is told of an upstream.
-*/
+ * What the node is told of an upstream.
+ */
 export type Announcement = {
 	readonly team: string;
 	readonly service: string;
@@ -19,8 +19,8 @@
 const timeoutMs = 1000;
 
 /**
-Sends announcements one at a time. A failed one is made good by the next tick.
-*/
+ * Sends announcements one at a time. A failed one is made good by the next tick.
+ */
 export class Announcer {
 	#announcement: Announcement;
 	#timer: NodeJS.Timeout | undefined;
@@ -34,8 +34,8 @@
 	}
 
 	/**
-	Sends the first announcement and then one each second.
-	*/
+	 * Sends the first announcement and then one each second.
+	 */
 	async start(): Promise<void> {
 		this.#timer = setInterval(() => {
 			void this.#announce();
@@ -44,16 +44,16 @@
 	}
 
 	/**
-	Announces that the upstream is leaving, and goes on renewing that.
-	*/
+	 * Announces that the upstream is leaving, and goes on renewing that.
+	 */
 	async leave(): Promise<void> {
 		this.#announcement = {...this.#announcement, state: 'leaving'};
 		await this.#announce();
 	}
 
 	/**
-	Ends the announcements and withdraws the upstream.
-	*/
+	 * Ends the announcements and withdraws the upstream.
+	 */
 	async withdraw(): Promise<void> {
 		clearInterval(this.#timer);
 		await this.#last;
--- a/fakes/json-http.ts
+++ b/fakes/json-http.ts
@@ -1,6 +1,6 @@
 /**
-Helpers shared by the stand-ins: reading bodies, answering JSON, listening and closing.
-*/
+ * Helpers shared by the stand-ins: reading bodies, answering JSON, listening and closing.
+ */
 import {Buffer} from 'node:buffer';
 import {
 	type IncomingMessage,
@@ -10,8 +10,8 @@
 } from 'node:http';
 
 /**
-Reads a request body to its end. Returns undefined if it is longer than `limit` bytes, and throws if it was cut.
-*/
+ * Reads a request body to its end. Returns undefined if it is longer than `limit` bytes, and throws if it was cut.
+ */
 export async function readBody(
 	request: IncomingMessage,
 	limit = Number.POSITIVE_INFINITY,
@@ -29,8 +29,8 @@
 }
 
 /**
-Parses JSON bytes. Returns undefined if they are not JSON.
-*/
+ * Parses JSON bytes. Returns undefined if they are not JSON.
+ */
 export function parseJson(bytes: Uint8Array): unknown {
 	try {
 		return JSON.parse(new TextDecoder().decode(bytes)) as unknown;
@@ -40,8 +40,8 @@
 }
 
 /**
-Answers with a JSON body, if the response can still be written.
-*/
+ * Answers with a JSON body, if the response can still be written.
+ */
 export function sendJson(
 	response: ServerResponse,
 	status: number,
@@ -62,8 +62,8 @@
 }
 
 /**
-Starts listening and returns the base URL.
-*/
+ * Starts listening and returns the base URL.
+ */
 export async function listenOn(
 	server: Server,
 	host: string,
@@ -82,8 +82,8 @@
 }
 
 /**
-Stops listening and waits until the last request in flight has been answered.
-*/
+ * Stops listening and waits until the last request in flight has been answered.
+ */
 export async function closeServer(server: Server): Promise<void> {
 	await new Promise<void>((resolve) => {
 		server.close(() => {
--- a/fakes/object-store.ts
+++ b/fakes/object-store.ts
@@ -1,10 +1,10 @@
 /**
-An in-memory store of versioned objects with one global revision counter and a bounded history.
-*/
+ * An in-memory store of versioned objects with one global revision counter and a bounded history.
+ */
 
 /**
-An object as stored. A change that removed the object has the value null.
-*/
+ * An object as stored. A change that removed the object has the value null.
+ */
 export type StoredObject = {
 	readonly key: string;
 	readonly version: number;
@@ -12,13 +12,13 @@
 };
 
 /**
-The outcome of a conditional write. `version` is the new one, or on a conflict the present one (0 if absent).
-*/
+ * The outcome of a conditional write. `version` is the new one, or on a conflict the present one (0 if absent).
+ */
 export type WriteOutcome = {readonly done: boolean; readonly version: number};
 
 /**
-One page of a listing.
-*/
+ * One page of a listing.
+ */
 export type ObjectPage = {
 	readonly items: StoredObject[];
 	readonly revision: number;
@@ -28,8 +28,8 @@
 const keptChanges = 10_000;
 
 /**
-Holds the objects. Each change takes the next revision as the version of its object.
-*/
+ * Holds the objects. Each change takes the next revision as the version of its object.
+ */
 export class ObjectStore {
 	#revision = 0;
 	#sortedKeys: string[] | undefined;
@@ -38,22 +38,22 @@
 	readonly #listeners = new Set<(change: StoredObject) => void>();
 
 	/**
-	The revision of the last change.
-	*/
+	 * The revision of the last change.
+	 */
 	get revision(): number {
 		return this.#revision;
 	}
 
 	/**
-	Returns the object under a key, if any.
-	*/
+	 * Returns the object under a key, if any.
+	 */
 	get(key: string): StoredObject | undefined {
 		return this.#objects.get(key);
 	}
 
 	/**
-	Writes a value if the present version is `expected`, where 0 means absent.
-	*/
+	 * Writes a value if the present version is `expected`, where 0 means absent.
+	 */
 	write(key: string, expected: number, value: unknown): WriteOutcome {
 		const version = this.get(key)?.version ?? 0;
 		if (version !== expected) {
@@ -71,8 +71,8 @@
 	}
 
 	/**
-	Removes an object if its present version is `expected`.
-	*/
+	 * Removes an object if its present version is `expected`.
+	 */
 	remove(key: string, expected: number): WriteOutcome {
 		const version = this.get(key)?.version ?? 0;
 		if (version === 0 || version !== expected) {
@@ -88,8 +88,8 @@
 	}
 
 	/**
-	Lists objects by key, starting behind `after`.
-	*/
+	 * Lists objects by key, starting behind `after`.
+	 */
 	list(prefix: string, after: string, limit: number): ObjectPage {
 		this.#sortedKeys ??= [...this.#objects.keys()].toSorted(compareKeys);
 		const keys = this.#sortedKeys.filter(
@@ -103,8 +103,8 @@
 	}
 
 	/**
-	Returns the changes under a prefix after a revision, or undefined if the history no longer reaches back to it.
-	*/
+	 * Returns the changes under a prefix after a revision, or undefined if the history no longer reaches back to it.
+	 */
 	readChanges(prefix: string, after: number): StoredObject[] | undefined {
 		const oldest = Math.max(0, this.#revision - keptChanges);
 		if (after < oldest) {
@@ -118,8 +118,8 @@
 	}
 
 	/**
-	Calls `listener` on each change. Returns a function that ends this.
-	*/
+	 * Calls `listener` on each change. Returns a function that ends this.
+	 */
 	subscribe(listener: (change: StoredObject) => void): () => void {
 		this.#listeners.add(listener);
 		return () => {
--- a/fakes/platform-main.ts
+++ b/fakes/platform-main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /**
-Runs the platform stand-in as a process: prints its URL as one JSON line and stops on SIGTERM.
-*/
+ * Runs the platform stand-in as a process: prints its URL as one JSON line and stops on SIGTERM.
+ */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {startPlatform} from './platform-stand-in.js';
--- a/fakes/platform-stand-in.ts
+++ b/fakes/platform-stand-in.ts
@@ -1,6 +1,6 @@
 /**
-A stand-in for the platform's object store: conditional writes, listings and watches over HTTP, with faults on demand.
-*/
+ * A stand-in for the platform's object store: conditional writes, listings and watches over HTTP, with faults on demand.
+ */
 import {
 	createServer,
 	type IncomingMessage,
@@ -16,10 +16,18 @@
 	sendJson,
 } from './json-http.js';
 import {ObjectStore, type WriteOutcome} from './object-store.js';
+import {
+	findCallKind,
+	isObjectPath,
+	readExpectedVersion,
+	readInteger,
+	readKey,
+	type CallKind,
+} from './platform-requests.js';
 
 /**
-The faults that the stand-in shows. Setting them replaces all earlier ones.
-*/
+ * The faults that the stand-in shows. Setting them replaces all earlier ones.
+ */
 export type PlatformFaults = {
 	/** Each data call answers 503 at once, and running watches are destroyed. */
 	readonly down?: boolean;
@@ -32,8 +40,8 @@
 };
 
 /**
-The data calls received so far, and the watches that wait now.
-*/
+ * The data calls received so far, and the watches that wait now.
+ */
 export type PlatformCalls = {
 	readonly reads: number;
 	readonly writes: number;
@@ -42,8 +50,8 @@
 };
 
 /**
-Where and how the stand-in runs.
-*/
+ * Where and how the stand-in runs.
+ */
 export type PlatformOptions = {
 	readonly host?: string;
 	readonly port?: number;
@@ -51,8 +59,8 @@
 };
 
 /**
-A running stand-in.
-*/
+ * A running stand-in.
+ */
 export type Platform = {
 	readonly url: string;
 	/** Answers what is in flight, waiting watches at once and empty, and closes. */
@@ -66,15 +74,13 @@
 	answerEmpty(): void;
 };
 
-type CallKind = 'reads' | 'writes' | 'watches';
-
 const maxBodyBytes = 1024 * 1024;
 const maxWaitMs = 30_000;
 const defaultLimit = 1000;
 
 /**
-Starts the platform stand-in.
-*/
+ * Starts the platform stand-in.
+ */
 export async function startPlatform(
 	options: PlatformOptions = {},
 ): Promise<Platform> {
@@ -362,53 +368,3 @@
 		);
 	}
 }
-
-function findCallKind(
-	method: string | undefined,
-	path: string,
-): CallKind | undefined {
-	if (method === 'GET' && path === '/watch') {
-		return 'watches';
-	}
-
-	if (method === 'GET' && (path === '/objects' || isObjectPath(path))) {
-		return 'reads';
-	}
-
-	const writes = method === 'PUT' || method === 'DELETE';
-	return writes && isObjectPath(path) ? 'writes' : undefined;
-}
-
-function isObjectPath(path: string): boolean {
-	return path.startsWith('/objects/') && path.length > '/objects/'.length;
-}
-
-function readKey(url: URL): string | undefined {
-	try {
-		return decodeURIComponent(url.pathname.slice('/objects/'.length));
-	} catch {
-		return undefined;
-	}
-}
-
-function readInteger(
-	query: URLSearchParams,
-	name: string,
-	fallback: number,
-): number | undefined {
-	const value = Number(query.get(name) ?? fallback);
-	return Number.isSafeInteger(value) && value >= 0 ? value : undefined;
-}
-
-function readExpectedVersion(request: IncomingMessage): number | undefined {
-	const match = request.headers['if-match'];
-	const noneMatch = request.headers['if-none-match'];
-	if (request.method === 'PUT' && noneMatch === '*' && match === undefined) {
-		return 0;
-	}
-
-	const isQuoted = match?.startsWith('"') === true && match.endsWith('"');
-	const version = isQuoted ? Number(match.slice(1, -1)) : 0;
-	const isVersion = Number.isSafeInteger(version) && version > 0;
-	return isVersion && noneMatch === undefined ? version : undefined;
-}
--- a/fakes/upstream-main.ts
+++ b/fakes/upstream-main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /**
-Runs an upstream stand-in as a process: prints its URL as one JSON line, and leaves its node and stops on SIGTERM.
-*/
+ * Runs an upstream stand-in as a process: prints its URL as one JSON line, and leaves its node and stops on SIGTERM.
+ */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {startUpstream} from './upstream-stand-in.js';
--- a/fakes/upstream-stand-in.ts
+++ b/fakes/upstream-stand-in.ts
@@ -1,6 +1,6 @@
 /**
-A stand-in for one instance of a team's service: it echoes requests within its slots, counts runs, and announces itself to a node.
-*/
+ * A stand-in for one instance of a team's service: it echoes requests within its slots, counts runs, and announces itself to a node.
+ */
 import {Buffer} from 'node:buffer';
 import {
 	createServer,
@@ -20,8 +20,8 @@
 } from './json-http.js';
 
 /**
-How the stand-in misbehaves. Setting it replaces the earlier behaviour.
-*/
+ * How the stand-in misbehaves. Setting it replaces the earlier behaviour.
+ */
 export type UpstreamBehaviour = {
 	/** The fixed value of the load header, in place of the true load. */
 	readonly misleadingLoad?: string;
@@ -38,8 +38,8 @@
 };
 
 /**
-What the stand-in is and where it runs.
-*/
+ * What the stand-in is and where it runs.
+ */
 export type UpstreamOptions = {
 	readonly service: string;
 	readonly team: string;
@@ -57,8 +57,8 @@
 };
 
 /**
-A running stand-in.
-*/
+ * A running stand-in.
+ */
 export type Upstream = {
 	readonly url: string;
 	/** Runs by request id. Requests without an id are under the empty string. */
@@ -75,8 +75,8 @@
 const pollMs = 20;
 
 /**
-Starts an upstream stand-in, after one attempt to announce it.
-*/
+ * Starts an upstream stand-in, after one attempt to announce it.
+ */
 export async function startUpstream(
 	options: UpstreamOptions,
 ): Promise<Upstream> {
@@ -269,8 +269,8 @@
 	}
 
 	/**
-	Waits for the service time. Returns false if the client left before its end.
-	*/
+	 * Waits for the service time. Returns false if the client left before its end.
+	 */
 	async #work(response: ServerResponse): Promise<boolean> {
 		const {errorStatus, delayMs = 0} = this.behaviour;
 		const {serviceMs = 1, coldStartMs = 0} = this.#options;
