Keep a loaded node within 128 MB and record the run of configuration

The young generation of the runtime grows with the load. Ruled out: a bound of 64 MB on the old generation too (97 to 101 MB, but it would end a node that needs more), 4 MB semi-spaces (121 to 133 MB).

--- a/harness/start-host.ts
+++ b/harness/start-host.ts
@@ -4,6 +4,9 @@
 import {stringify} from 'ini';
 import {startProcess, type FleetProcess} from './start-process.js';
 
+/** Arguments of the runtime with which a node is run, as in `cli/main`. */
+const nodeRuntimeArguments = ['--max-semi-space-size=2'];
+
 /** Options of `startHost`. */
 export type HostOptions = {
 	readonly name: string;
@@ -46,7 +49,7 @@
 export async function startHost(options: HostOptions): Promise<Host> {
 	const {name, dataCentre, platformUrl, team, service} = options;
 	const {seeds = [], serviceMs = 1, logLevel = 'warn'} = options;
-	const {runtimeArguments, settings = {}} = options;
+	const {runtimeArguments = nodeRuntimeArguments, settings = {}} = options;
 	const folder = await mkdtemp(path.join(tmpdir(), 'boragehitch-'));
 	const file = path.join(folder, 'node.ini');
 	await writeFile(
