--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -6,12 +6,11 @@
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
+import {leaveSlot, takeNextJob} from './local-slots.js';
 import {
 	enterLocalQueue,
 	leaveLocalQueue,
-	leaveSlot,
 	readLocalLoad,
-	takeNextJob,
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -15,8 +15,8 @@
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
+import {computeLocalOpenSlots} from './_lib/local-slots.js';
 import {
-	computeLocalOpenSlots,
 	countAhead,
 	createLocalUpstream,
 	findLocalUpstream,
