--- /dev/null
+++ b/scripts/build-target.ts
@@ -0,0 +1,23 @@
+/**
+ * Bundles the program into target/, as the users' platform runs it: one entry
+ * file, and files beside it for what is loaded only when needed.
+ */
+import {build} from 'esbuild';
+
+await build({
+	entryPoints: {boragehitch: 'src/cli/main.ts'},
+	outdir: 'target',
+	outExtension: {'.js': '.mjs'},
+	bundle: true,
+	splitting: true,
+	minify: true,
+	keepNames: false,
+	platform: 'node',
+	target: 'node20',
+	format: 'esm',
+	mainFields: ['module', 'main'],
+	banner: {
+		// Some libraries are CommonJS and load modules of Node by require.
+		js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
+	},
+});
--- a/src/cli/run-node.ts
+++ b/src/cli/run-node.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
+import {settingsFileVariable} from '../../platform/wire-names.js';
 import {createLogger} from '../transport/create-logger.js';
-import {startNode} from '../transport/start-node.js';
 import {readFileOperand} from './_lib/read-file-operand.js';
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
@@ -14,12 +14,14 @@
 	options: [
 		{
 			name: 'config',
-			placeholder: 'FILE.ini',
-			description: 'settings file, see docs/CONFIGURATION.md',
-			isRequired: true,
+			placeholder: 'FILE',
+			description:
+				'settings file, see docs/CONFIGURATION.md; without it the one that the platform names',
 		},
 	],
 	notes: [
+		'A FILE whose name ends in .ini has this system\u2019s own settings; any other is the',
+		'file that the platform writes for each process.',
 		'Prints its addresses as one JSON line when it is ready; logs go to standard',
 		'error as JSON lines. Exit codes: 0 stopped gracefully, 1 failed, 2 wrong command',
 		'line or settings.',
@@ -49,7 +51,19 @@
 	input: CommandInput,
 	terminal: Terminal,
 ): Promise<ExitCode> {
-	const file = input.values.config!;
+	const file = input.values.config ?? process.env[settingsFileVariable];
+	if (file === undefined) {
+		terminal.printError(
+			`boragehitch node: neither --config nor ${settingsFileVariable} is given`,
+		);
+		return exitCodes.usage;
+	}
+
+	if (!file.endsWith('.ini')) {
+		const {runPlatformNode} = await import('./run-platform-node.js');
+		return runPlatformNode(file, terminal);
+	}
+
 	const text = await readFileOperand(file, terminal);
 	const settings = text
 		.mapErr((problem): readonly string[] => [problem])
@@ -62,6 +76,8 @@
 	const {node, log} = settings.value;
 	const logger = createLogger(log.level, node.name);
 	try {
+		// Loaded here, since a node of the platform needs less.
+		const {startNode} = await import('../transport/start-node.js');
 		const running = await startNode(settings.value, logger);
 		const {callers, peers, administration} = running;
 		terminal.print(JSON.stringify({callers, peers, administration}));
--- /dev/null
+++ b/src/cli/run-platform-node.ts
@@ -0,0 +1,134 @@
+import {readFile, stat} from 'node:fs/promises';
+import process from 'node:process';
+import {createControlListener} from '../../platform/create-control-listener.js';
+import {createStoreClient} from '../../platform/create-store-client.js';
+import {platformEdge} from '../../platform/edge.js';
+import {readNodeSettings} from '../../platform/read-node-settings.js';
+import {createLogger} from '../transport/create-logger.js';
+import {
+	startMeshNode,
+	type RunningMeshNode,
+} from '../transport/start-mesh-node.js';
+import {readFileOperand} from './_lib/read-file-operand.js';
+import type {Terminal} from './command.js';
+import {exitCodes, type ExitCode} from './exit-codes.js';
+
+/** Time between looks at whether the settings file has changed, ms. */
+const settingsCheckMs = 1000;
+
+/** Time for what is left of a stopped node, ms. */
+const leftoverMs = 100;
+
+async function waitForStop(): Promise<void> {
+	await new Promise<void>((resolve) => {
+		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+			process.once(signal, () => {
+				resolve();
+			});
+		}
+	});
+}
+
+async function readChangeTime(file: string): Promise<number> {
+	try {
+		const {mtimeMs} = await stat(file);
+		return mtimeMs;
+	} catch {
+		// A file that is being replaced is looked at again.
+		return 0;
+	}
+}
+
+/** Reloads the settings on SIGHUP and when the file has changed. */
+function watchSettings(
+	file: string,
+	node: RunningMeshNode,
+	terminal: Terminal,
+): NodeJS.Timeout {
+	let text = '';
+	let changedAt = 0;
+	async function reload(): Promise<void> {
+		const next = await readFile(file, 'utf8');
+		if (next === text) {
+			return;
+		}
+
+		const isFirst = text === '';
+		text = next;
+		const settings = readNodeSettings(file, next);
+		if (settings.isErr()) {
+			terminal.printError(settings.error.join('\n'));
+		} else if (!isFirst) {
+			node.reload(settings.value);
+		}
+	}
+
+	async function check(): Promise<void> {
+		const time = await readChangeTime(file);
+		if (time !== changedAt) {
+			changedAt = time;
+			await reload();
+		}
+	}
+
+	function start(action: () => Promise<void>): void {
+		action().catch((error: unknown) => {
+			terminal.printError(`${file}: not read again: ${String(error)}`);
+		});
+	}
+
+	process.on('SIGHUP', () => {
+		start(reload);
+	});
+	start(check);
+	return setInterval(start, settingsCheckMs, check);
+}
+
+/**
+ * Runs a node that the users' platform has started, until SIGTERM or SIGINT.
+ *
+ * @param file - the settings file of the platform
+ * @param terminal - where to write
+ * @returns the exit code
+ * @example
+ * await runPlatformNode('/etc/boragehitch/boot.yaml', terminal);
+ */
+export async function runPlatformNode(
+	file: string,
+	terminal: Terminal,
+): Promise<ExitCode> {
+	const text = await readFileOperand(file, terminal);
+	const settings = text
+		.mapErr((problem): readonly string[] => [problem])
+		.andThen((value) => readNodeSettings(file, value));
+	if (settings.isErr()) {
+		terminal.printError(settings.error.join('\n'));
+		return exitCodes.usage;
+	}
+
+	const logger = createLogger('info', settings.value.name);
+	try {
+		const node = await startMeshNode(
+			settings.value,
+			{
+				store: createStoreClient(settings.value.store, {logger}),
+				edge: platformEdge,
+				createAnnouncementListener: (handlers) =>
+					createControlListener({...handlers, logger}),
+			},
+			logger,
+		);
+		const timer = watchSettings(file, node, terminal);
+		await waitForStop();
+		clearInterval(timer);
+		await node.stop();
+		// Connections that clients keep open must not hold up the end.
+		setTimeout(() => {
+			process.exit();
+		}, leftoverMs).unref();
+		return exitCodes.ok;
+	} catch (error) {
+		terminal.printError(`boragehitch node: ${String(error)}`);
+		return exitCodes.failed;
+	}
+}
--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -3,11 +3,11 @@
  */
 import {
 	maxUpstreamsPerHost,
-	upstreamLeaseMs,
 	upstreamRenewMs,
 	upstreamTombstoneMs,
 } from '../../../protocol/constants.js';
 import type {Announcement, Upstream} from '../../../protocol/member.js';
+import {formatService} from '../../../state/format-service.js';
 import type {
 	MembersState,
 	MembersStep,
@@ -15,6 +15,36 @@
 } from '../../members-state.js';
 import {changeSelf} from './records.js';
 
+/** Tells whether a later upstream has taken over the address. */
+function isSucceeded(
+	state: MembersState,
+	id: string,
+	{address, incarnation = 0}: Announcement,
+): boolean {
+	return [...state.leases].some(
+		([otherId, other]) =>
+			otherId !== id &&
+			other.address === address &&
+			other.incarnation > incarnation,
+	);
+}
+
+/** Finds the upstreams whose address a later one has taken over. */
+function findPredecessors(
+	state: MembersState,
+	id: string,
+	{address, incarnation = 0}: Announcement,
+): ReadonlySet<string> {
+	const earlier = [...state.leases].filter(
+		([otherId, other]) =>
+			otherId !== id &&
+			other.address === address &&
+			other.state !== 'gone' &&
+			other.incarnation < incarnation,
+	);
+	return new Set(earlier.map(([otherId]) => otherId));
+}
+
 function isStale(
 	state: MembersState,
 	lease: UpstreamLease | undefined,
@@ -29,11 +59,15 @@
 		return state.self.upstreams.length >= maxUpstreamsPerHost;
 	}
 
-	const {incarnation = 0, address} = announcement;
+	const {incarnation = 0, sequence = lease.sequence, address} = announcement;
 	if (incarnation !== lease.incarnation) {
 		return incarnation < lease.incarnation;
 	}
 
+	if (sequence < lease.sequence) {
+		return true;
+	}
+
 	const hasLeft = lease.state === 'gone' || lease.state === 'leaving';
 	const isSame = address === lease.address;
 	return hasLeft && isSame && announcement.state === 'ready';
@@ -54,15 +88,40 @@
 	now: number,
 ): MembersStep {
 	const lease = state.leases.get(id);
-	if (state.role === 'left' || isStale(state, lease, announcement, now)) {
+	if (
+		state.role === 'left' ||
+		isStale(state, lease, announcement, now) ||
+		isSucceeded(state, id, announcement)
+	) {
 		return {state, effects: [{kind: 'announcement', outcome: 'ignored'}]};
 	}
 
+	const ended = endLeases(
+		state,
+		findPredecessors(state, id, announcement),
+		now,
+	);
+	const announced = renewLease(ended.state, id, announcement, now);
+	return {
+		state: announced.state,
+		effects: [...ended.effects, ...announced.effects],
+	};
+}
+
+function renewLease(
+	state: MembersState,
+	id: string,
+	announcement: Announcement,
+	now: number,
+): MembersStep {
+	const lease = state.leases.get(id);
 	const {team, service, slots, address, incarnation = 0} = announcement;
+	const {sequence = 0} = announcement;
 	const leases = new Map(state.leases).set(id, {
-		endsAt: now + upstreamLeaseMs,
+		endsAt: now + state.leaseMs,
 		incarnation,
 		address,
+		sequence,
 		state: announcement.state,
 	});
 	const known = state.self.upstreams.find((upstream) => upstream.id === id);
@@ -70,7 +129,7 @@
 		lease?.incarnation === incarnation && lease.address === address;
 	const next: Upstream = {
 		id,
-		service: `${team}/${service}`,
+		service: formatService({team, service}),
 		slots,
 		state: announcement.state,
 		since: known && isSameLife ? known.since : now,
--- /dev/null
+++ b/src/coordination/compute-retry-share.ts
@@ -0,0 +1,39 @@
+import type {RetryBudgetOptions} from './step-retry-budget.js';
+
+/** Bounds on the retries of all nodes together. */
+export type FleetRetryBounds = {
+	/** Part of a service's requests that may reach a second upstream. */
+	readonly ratio: number;
+	/** Requests that may do so besides, in a window. */
+	readonly slack: number;
+	readonly windowMs: number;
+};
+
+/**
+ * Part of the bounds that the nodes use: a node can spend in one window what it
+ * saved in the one before, and repeated runs repeat their calls.
+ */
+const usedPart = 0.4;
+
+/**
+ * Computes a node's part of the retries that all nodes may make together.
+ *
+ * Nodes don't talk about it: each takes its own requests' share of the ratio
+ * and an equal part of the slack.
+ *
+ * @param bounds - bounds on all nodes together
+ * @param members - number of nodes
+ * @returns the node's own bounds
+ * @example
+ * computeRetryShare({ratio: 0.2, slack: 50, windowMs: 10_000}, 10).floor; // 2
+ */
+export function computeRetryShare(
+	bounds: FleetRetryBounds,
+	members: number,
+): RetryBudgetOptions {
+	return {
+		share: usedPart * bounds.ratio,
+		floor: (usedPart * bounds.slack) / Math.max(1, members),
+		windowMs: bounds.windowMs,
+	};
+}
--- /dev/null
+++ b/src/coordination/create-document-state.ts
@@ -0,0 +1,28 @@
+import type {DocumentLoop, DocumentState} from './document-state.js';
+
+const idleLoop: DocumentLoop = {call: undefined, failures: 0, nextAt: 0};
+
+/**
+ * Creates the state of a document machine that has just started.
+ *
+ * @param name - name of the node
+ * @returns the state, with no document
+ * @example
+ * createDocumentState('abdali-1').document; // undefined
+ */
+export function createDocumentState(name: string): DocumentState {
+	return {
+		name,
+		isRoot: true,
+		peers: [],
+		peerIndex: 0,
+		document: undefined,
+		confirmedAt: Number.NEGATIVE_INFINITY,
+		peerAnsweredAt: Number.NEGATIVE_INFINITY,
+		revision: undefined,
+		storeLoop: idleLoop,
+		peerLoop: idleLoop,
+		polls: [],
+		lastCallId: 0,
+	};
+}
--- a/src/coordination/create-members-state.ts
+++ b/src/coordination/create-members-state.ts
@@ -1,4 +1,4 @@
-import {seedsReadJitterMs} from '../protocol/constants.js';
+import {seedsReadJitterMs, upstreamLeaseMs} from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
 import type {MembersState} from './members-state.js';
 
@@ -8,6 +8,8 @@
 	readonly seeds?: readonly string[];
 	/** Wall-clock time in ms; by default the self record's incarnation. */
 	readonly wallMs?: number;
+	/** How long an announcement counts, ms; `upstreamLeaseMs` when absent. */
+	readonly leaseMs?: number | undefined;
 };
 
 /**
@@ -29,10 +31,12 @@
 	options: MembersStateOptions = {},
 ): MembersState {
 	const {seeds = [], wallMs = self.incarnation} = options;
+	const {leaseMs = upstreamLeaseMs} = options;
 	return {
 		self,
 		role: 'joining',
 		startedMs: wallMs,
+		leaseMs,
 		startedAt: now,
 		wallOffsetMs: wallMs - now,
 		table: new Map(),
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -20,6 +20,8 @@
 	readonly endsAt: number;
 	readonly incarnation: number;
 	readonly address: string;
+	/** Number of the last announcement. */
+	readonly sequence: number;
 	readonly state: Announcement['state'] | 'gone';
 };
 
@@ -85,6 +87,8 @@
 	readonly self: Member;
 	readonly role: MembersRole;
 	readonly startedMs: number;
+	/** How long an announcement counts, ms. */
+	readonly leaseMs: number;
 	readonly startedAt: number;
 	/** Wall-clock time less monotonic time, ms. */
 	readonly wallOffsetMs: number;
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -14,6 +14,8 @@
 	readonly maxAttempts: number;
 	/** Monotonic ms. */
 	readonly deadlineAt: number;
+	/** Until when an answer has its full value, monotonic ms. */
+	readonly objectiveAt?: number | undefined;
 };
 
 /** State of a request at its caller's node. */
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -28,6 +28,14 @@
 	readonly depth: number;
 	/** Newest stamp that is known of the gate. */
 	readonly stamp: GateStamp | undefined;
+	/** Service on whose host the request began, if that is known. */
+	readonly origin?: string | undefined;
+	/** Rank among the attempts that wait for a slot; 0 goes first. */
+	readonly priority?: number | undefined;
+	/** Time left in which an answer has its full value, ms. */
+	readonly objectiveMs?: number | undefined;
+	/** Called with each sign that the gate still has the attempt. */
+	readonly onSignOfLife?: (() => void) | undefined;
 	/** Idempotency key of the caller with its team and service. */
 	readonly key: string | undefined;
 	/** Aborted when nobody wants the answer any more. */
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -42,6 +42,20 @@
 export const statusSilentAfterMs = 15_000;
 export const watchWaitMs = 10_000;
 export const platformTimeoutMs = 3000;
+/** Longest wait of a watch on a document; bounds how long a silent one hides a change from its node. */
+export const documentWatchMs = 3000;
+/** Longest wait of a poll for a document; bounds how long a silent source is trusted. */
+export const documentPollMs = 800;
+/** Time that an answer about a document may take beyond the wait. */
+export const documentGraceMs = 400;
+/** Age above which a node's copy of a document does not count as confirmed; a watch, a poll and their grace. */
+export const documentStaleMs = 5000;
+/** Time without an answer of a peer after which a node reads the store itself. */
+export const documentPatienceMs = 1000;
+/** First and longest delay after a failed call for a document. */
+export const documentRetryMs = 100;
+export const documentRetryCapMs = 1000;
+export const documentTickMs = 100;
 export const statusIntervalMs = 1000;
 export const logEntriesPerPoll = 64;
 export const retryBaseMs = 100;
@@ -49,7 +63,8 @@
 
 export const upstreamLeaseMs = 3000;
 export const upstreamRenewMs = 1000;
-export const upstreamTombstoneMs = 3000;
+/** Longest delay of an announcement that is still told from a new one. */
+export const upstreamTombstoneMs = 60_000;
 export const maxUpstreamsPerHost = 16;
 export const membersPeriodMs = 1000;
 export const exchangeTimeoutMs = 500;
@@ -103,6 +118,8 @@
 export const lingerMs = 3000;
 export const maxCallerInFlight = 2048;
 export const maxDepth = 16;
+/** Requests in flight of a route of a document; the node's own bound is lower. */
+export const maxDocumentConcurrency = 10_000;
 export const latencyRefreshMs = 500;
 
 export const stampLifetimeMs = 75_000;
@@ -111,7 +128,10 @@
 export const maxKeptAnswerBytes = 64 * bytesPerKibibyte;
 export const maxKeptBytes = 4096 * bytesPerKibibyte;
 
-export const askAfterMs = 500;
+/** Silence after which an attempt's connection is no longer trusted. */
+export const askAfterMs = 1000;
+/** Time between the signs of life of an attempt that takes long. */
+export const signOfLifeMs = 400;
 export const askTimeoutMs = 500;
 export const askRetryMs = 100;
 export const maxAsks = 3;
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -15,6 +15,8 @@
 	address: z.string().regex(/^[\d.]+:\d+$/v),
 	/** Identifies one life of the upstream; a later one has a higher number. */
 	incarnation: z.int().min(0).optional(),
+	/** Counts the announcements of one life; a late one has a lower number. */
+	sequence: z.int().min(0).optional(),
 	slots: z.int().min(1).max(1024),
 	connections: z.int().min(1).max(4096),
 	state: z.enum(['ready', 'leaving']),
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -1,6 +1,7 @@
 /**
  * Header names and outcomes of a request on its way from caller to upstream.
  */
+import type {RouteTarget} from './routing-document.js';
 
 export const outcomeHeader = 'boragehitch-outcome';
 export const reasonHeader = 'boragehitch-reason';
@@ -15,6 +16,9 @@
 export const depthHeader = 'boragehitch-depth';
 export const stampHeader = 'boragehitch-stamp';
 export const keyHeader = 'boragehitch-key';
+export const originHeader = 'boragehitch-origin';
+export const priorityHeader = 'boragehitch-priority';
+export const objectiveHeader = 'boragehitch-objective-ms';
 export const idempotencyKeyHeader = 'idempotency-key';
 export const traceparentHeader = 'traceparent';
 
@@ -42,6 +46,9 @@
 	'stale-stamp',
 	'forgotten',
 	'truncated',
+	'wrong-instance',
+	'misplaced',
+	'no-configuration',
 ] as const;
 
 export type OutcomeReason = (typeof outcomeReasons)[number];
@@ -53,6 +60,12 @@
 	readonly path: string;
 	readonly methods: ReadonlySet<string>;
 	readonly service: string;
+	/** Services among which the requests are shared; only `service` if absent. */
+	readonly targets?: readonly RouteTarget[] | undefined;
+	/** Rank among the requests that wait for a slot; 0 goes first. */
+	readonly priority?: number | undefined;
+	/** Time within which an answer has its full value, ms. */
+	readonly objectiveMs?: number | undefined;
 	readonly repeatable: boolean;
 	readonly deadlineMs: number;
 	readonly maxAttempts: number;
@@ -63,8 +76,17 @@
 	readonly isLive: boolean;
 };
 
-/** Compiled routes by first path segment, longest path first. */
-export type RouteTable = {
-	readonly version: number;
-	readonly byTeam: ReadonlyMap<string, readonly CompiledRoute[]>;
-};
+/** Compiled routes, to be matched with `matchRoute`. */
+export type RouteTable =
+	/** Routes of manifests by first path segment, longest path first. */
+	| {
+			readonly kind: 'manifests';
+			readonly version: number;
+			readonly byTeam: ReadonlyMap<string, readonly CompiledRoute[]>;
+	  }
+	/** Routes of a document by host name, then by path prefix. */
+	| {
+			readonly kind: 'document';
+			readonly version: number;
+			readonly byHost: ReadonlyMap<string, ReadonlyMap<string, CompiledRoute>>;
+	  };
--- /dev/null
+++ b/src/protocol/routing-document.ts
@@ -0,0 +1,77 @@
+/**
+ * Schemas and types of a routing document: a whole configuration that an
+ * operator writes at once and that the platform has accepted.
+ */
+import {z} from 'zod';
+
+/** A service that requests may go to, with its part of them. */
+export const routeTargetSchema = z.strictObject({
+	service: z.string(),
+	/** Part of the route's requests, relative to the other targets. */
+	weight: z.number().min(0),
+});
+
+/** A route of a document: requests for a host name under a path prefix. */
+export const documentRouteSchema = z.strictObject({
+	name: z.string(),
+	host: z.string(),
+	pathPrefix: z.string(),
+	/** Whether a request may run more than once. */
+	repeatable: z.boolean(),
+	/** Longest time until the final answer, ms. */
+	timeoutMs: z.number().positive(),
+	/** Time within which an answer has its full value, ms. */
+	objectiveMs: z.number().positive(),
+	/** Rank among the requests that wait for a slot; 0 goes first. */
+	priority: z.int().min(0),
+	/** Most upstreams to which one request may be sent. */
+	maxAttempts: z.int().min(1),
+	targets: z.array(routeTargetSchema).min(1),
+});
+
+/** What a document says of a service. */
+export const documentServiceSchema = z.strictObject({
+	healthPath: z.string(),
+	/** Most connections that an upstream accepts. */
+	connections: z.int().min(1),
+});
+
+/** Bounds on what a client may send. */
+export const clientLimitsSchema = z.strictObject({
+	maxHeaderBytes: z.number().positive(),
+	maxBodyBytes: z.number().positive(),
+	headerTimeoutMs: z.number().positive(),
+	/** How long a client may leave a connection idle, ms. */
+	idleTimeoutMs: z.number().positive(),
+});
+
+/** A whole configuration. */
+export const routingDocumentSchema = z.strictObject({
+	version: z.int().min(0),
+	routes: z.array(documentRouteSchema),
+	services: z.record(z.string(), documentServiceSchema),
+	limits: clientLimitsSchema.optional(),
+});
+
+export type RouteTarget = z.infer<typeof routeTargetSchema>;
+export type DocumentRoute = z.infer<typeof documentRouteSchema>;
+export type ClientLimits = z.infer<typeof clientLimitsSchema>;
+export type RoutingDocument = z.infer<typeof routingDocumentSchema>;
+
+/** A node's request for a document newer than the one it has. */
+export const documentPollSchema = z.strictObject({
+	name: z.string().max(64),
+	/** Version that the asking node runs; -1 when it has none. */
+	version: z.int().min(-1),
+	waitMs: z.int().min(0).max(60_000),
+});
+
+/** The answer to a poll; the document is there when it is newer. */
+export const documentAnswerSchema = z.strictObject({
+	/** Time since the answering node's copy was last confirmed, ms. */
+	ageMs: z.number().min(0),
+	document: routingDocumentSchema.optional(),
+});
+
+export type DocumentPoll = z.infer<typeof documentPollSchema>;
+export type DocumentAnswer = z.infer<typeof documentAnswerSchema>;
--- a/src/state/compile-routes.test.ts
+++ b/src/state/compile-routes.test.ts
@@ -24,7 +24,8 @@
 
 test('a route is live only where an upstream of its service is known', () => {
 	const table = compileRoutes(configuration, new Set(['kitchens/pantry']));
-	const isLive = (path: string) => matchRoute(table, 'GET', path)?.isLive;
+	const isLive = (path: string) =>
+		matchRoute(table, {method: 'GET', host: '', path})?.isLive;
 	assert.equal(isLive('/kitchens/pantry/lamb'), true);
 	assert.equal(isLive('/kitchens/pricebook'), false);
 	assert.equal(isLive('/kitchens/other'), undefined);
--- a/src/state/compile-routes.ts
+++ b/src/state/compile-routes.ts
@@ -41,7 +41,7 @@
  * @param services - full names of the services with a known upstream
  * @returns the route table, to be swapped in whole
  * @example
- * compileRoutes(createConfiguration(), new Set()).byTeam.size; // 0
+ * compileRoutes(createConfiguration(), new Set()).version; // 0
  */
 export function compileRoutes(
 	configuration: Configuration,
@@ -53,5 +53,5 @@
 			compileTeam(configuration, name, services),
 		]),
 	);
-	return {version: configuration.version, byTeam};
+	return {kind: 'manifests', version: configuration.version, byTeam};
 }
--- /dev/null
+++ b/src/state/format-service.ts
@@ -0,0 +1,18 @@
+/** A service as it is announced. */
+export type NamedService = {
+	/** Team that owns it; empty where services have no owners. */
+	readonly team: string;
+	readonly service: string;
+};
+
+/**
+ * Formats the full name of a service.
+ *
+ * @param named - team and name
+ * @returns `TEAM/SERVICE`, or the name alone without a team
+ * @example
+ * formatService({team: 'kitchens', service: 'pricebook'}); // 'kitchens/pricebook'
+ */
+export function formatService({team, service}: NamedService): string {
+	return team ? `${team}/${service}` : service;
+}
--- a/src/state/match-route.ts
+++ b/src/state/match-route.ts
@@ -1,5 +1,15 @@
 import type {CompiledRoute, RouteTable} from '../protocol/request.js';
 
+/** What of a request selects its route. */
+export type RouteQuery = {
+	/** HTTP method, upper case. */
+	readonly method: string;
+	/** Value of the `Host` header. */
+	readonly host: string;
+	/** Path, without the query. */
+	readonly path: string;
+};
+
 function matchesPath(route: CompiledRoute, path: string): boolean {
 	return (
 		path.startsWith(route.path) &&
@@ -7,21 +17,9 @@
 	);
 }
 
-/**
- * Finds the route of a request: the longest matching path of the team named by
- * the first path segment.
- *
- * @param table - the compiled routes
- * @param method - the HTTP method, upper case
- * @param path - the path, without the query
- * @returns the route, or undefined when there is none
- * @example
- * matchRoute(table, 'GET', '/kitchens/prices/lamb')?.service;
- */
-export function matchRoute(
-	table: RouteTable,
-	method: string,
-	path: string,
+function matchTeamRoute(
+	table: RouteTable & {readonly kind: 'manifests'},
+	{method, path}: RouteQuery,
 ): CompiledRoute | undefined {
 	const end = path.indexOf('/', 1);
 	const team = path.slice(1, end === -1 ? undefined : end);
@@ -33,3 +31,58 @@
 				matchesPath(route, path),
 		);
 }
+
+function removePort(host: string): string {
+	const colon = host.lastIndexOf(':');
+	return colon === -1 ? host : host.slice(0, colon);
+}
+
+function matchHostRoute(
+	table: RouteTable & {readonly kind: 'document'},
+	{host, path}: RouteQuery,
+): CompiledRoute | undefined {
+	const routes =
+		table.byHost.get(host) ?? table.byHost.get(removePort(host).toLowerCase());
+	if (!routes) {
+		return undefined;
+	}
+
+	// Each prefix ends with a slash, so only the path's slashes can end one.
+	for (
+		let end = path.lastIndexOf('/');
+		end >= 0;
+		end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)
+	) {
+		const route = routes.get(path.slice(0, end + 1));
+		if (route) {
+			return route;
+		}
+	}
+
+	return undefined;
+}
+
+/**
+ * Finds the route of a request: the longest path that matches, among the routes
+ * of the team named by the first path segment, or of the host name.
+ *
+ * @param table - the compiled routes
+ * @param query - see `RouteQuery`
+ * @returns the route, or undefined when there is none
+ * @example
+ * matchRoute(table, {method: 'GET', host, path: '/kitchens/prices/lamb'});
+ */
+export function matchRoute(
+	table: RouteTable,
+	query: RouteQuery,
+): CompiledRoute | undefined {
+	switch (table.kind) {
+		case 'manifests': {
+			return matchTeamRoute(table, query);
+		}
+
+		case 'document': {
+			return matchHostRoute(table, query);
+		}
+	}
+}
--- a/src/transport/_lib/administration/add-configuration-routes.ts
+++ b/src/transport/_lib/administration/add-configuration-routes.ts
@@ -55,7 +55,7 @@
 
 		const {candidates} = readView();
 		const table = compileRoutes(readConfiguration(), candidates);
-		const route = matchRoute(table, method, path);
+		const route = matchRoute(table, {method, host: '', path});
 		const hosts = route && candidates.get(route.service);
 		sendJson(response, route ? 200 : 404, {
 			version: table.version,
--- a/src/transport/_lib/copy-headers.ts
+++ b/src/transport/_lib/copy-headers.ts
@@ -10,7 +10,6 @@
 	'trailer',
 	'transfer-encoding',
 	'upgrade',
-	'host',
 	'expect',
 ]);
 
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -5,6 +5,9 @@
 	deadlineHeader,
 	depthHeader,
 	keyHeader,
+	objectiveHeader,
+	originHeader,
+	priorityHeader,
 	repeatableHeader,
 	requestIdHeader,
 	serviceHeader,
@@ -30,6 +33,18 @@
 	headers[serviceHeader] = attempt.service;
 	headers[deadlineHeader] = String(Math.floor(attempt.remainingMs));
 	headers[depthHeader] = String(attempt.depth);
+	if (attempt.priority !== undefined) {
+		headers[priorityHeader] = String(attempt.priority);
+	}
+
+	if (attempt.objectiveMs !== undefined) {
+		headers[objectiveHeader] = String(Math.floor(attempt.objectiveMs));
+	}
+
+	if (attempt.origin !== undefined) {
+		headers[originHeader] = attempt.origin;
+	}
+
 	if (attempt.repeatable) {
 		headers[repeatableHeader] = 'true';
 	}
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -3,6 +3,7 @@
 import type {Ledger} from '../../coordination/create-ledger.js';
 import {stepServiceTime} from '../../coordination/step-service-time.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
+import type {Edge} from '../../protocol/edge.js';
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
@@ -21,6 +22,7 @@
 export type JobRunnerOptions = {
 	readonly ledger: Ledger<AttemptResult>;
 	readonly observer: RequestObserver;
+	readonly edge: Edge;
 	/** Makes the result of an attempt that is refused before it is sent. */
 	readonly refuse: (
 		reason: OutcomeReason,
@@ -74,7 +76,7 @@
  * @returns the runner
  */
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
-	const {ledger, observer, refuse, now} = options;
+	const {ledger, observer, edge, refuse, now} = options;
 	const jobs = new Map<string, Job>();
 	let onIdle: (() => void) | undefined;
 
@@ -136,8 +138,12 @@
 		const {upstream, attempt} = job;
 		const remainingMs = job.deadlineAt - job.sentAt;
 		job.sent = sendRequest(
-			upstream.pool,
-			createUpstreamRequest(attempt, remainingMs, job.traceparent),
+			createUpstreamRequest(attempt, edge, {
+				remainingMs,
+				traceparent: job.traceparent,
+				instance: upstream.id,
+			}),
+			{agent: upstream.agent, address: upstream.announcement.address},
 		);
 		if (job.endedBy) {
 			job.sent.abort();
@@ -145,6 +151,7 @@
 
 		const outcome = await job.sent.outcome;
 		const result = readUpstreamOutcome(outcome, attempt, {
+			edge,
 			endedBy: job.endedBy,
 			load: readLocalLoad(upstream),
 			stamp: ledger.readStamp(now()),
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -8,6 +8,7 @@
 import {
 	stepRetryBudget,
 	type RetryBudget,
+	type RetryBudgetOptions,
 } from '../../coordination/step-retry-budget.js';
 import type {ForwardResult} from '../../protocol/attempt.js';
 import {latencyRefreshMs, stampLifetimeMs} from '../../protocol/constants.js';
@@ -29,6 +30,8 @@
 	/** Monotonic ms. */
 	readonly now: () => number;
 	readonly random: () => number;
+	/** Bounds of the retries of this node, given the number of all nodes. */
+	readonly computeRetryBudget?: (members: number) => RetryBudgetOptions;
 };
 
 /** Picks gates for one request. */
@@ -93,6 +96,7 @@
 		{readonly ms: number; readonly at: number}
 	>();
 	let candidates: MembersView['candidates'] = new Map();
+	let budgetOptions = options.computeRetryBudget?.(1);
 
 	function readServiceLatency(service: string): number {
 		const known = latencies.get(service);
@@ -183,7 +187,12 @@
 		message: 'request' | 'retry' | 'tick',
 	): RetryBudget {
 		const id = `${team} ${service}`;
-		const budget = stepRetryBudget(budgets.get(id), message, now());
+		const budget = stepRetryBudget(
+			budgets.get(id),
+			message,
+			now(),
+			budgetOptions,
+		);
 		budgets.set(id, budget);
 		return budget;
 	}
@@ -191,6 +200,7 @@
 	return {
 		tellView(view) {
 			candidates = view.candidates;
+			budgetOptions = options.computeRetryBudget?.(view.members.length);
 			const known = new Set(view.members.map((member) => member.name));
 			const addresses = new Set(view.members.map((member) => member.address));
 			for (const host of records.keys()) {
--- a/src/transport/_lib/create-upstream-request.ts
+++ b/src/transport/_lib/create-upstream-request.ts
@@ -1,40 +1,30 @@
-import type {Dispatcher} from 'undici';
 import type {Attempt} from '../../protocol/attempt.js';
-import {
-	deadlineHeader,
-	depthHeader,
-	requestIdHeader,
-	traceparentHeader,
-} from '../../protocol/request.js';
+import type {Edge, UpstreamContext} from '../../protocol/edge.js';
 import {copyHeaders} from './copy-headers.js';
 import {selectBody} from './select-body.js';
+import type {OutgoingRequest} from './send-request.js';
 
 /**
  * Creates the request that a gate sends to its upstream for an attempt.
  *
  * @param attempt - the attempt
- * @param remainingMs - time left until the deadline
- * @param traceparent - trace context of the gate's hop
- * @returns the request for a connection pool
+ * @param edge - headers that the upstream understands
+ * @param context - see `UpstreamContext`
+ * @returns the request
  */
 export function createUpstreamRequest(
 	attempt: Attempt,
-	remainingMs: number,
-	traceparent: string | undefined,
-): Dispatcher.DispatchOptions {
-	const headers = copyHeaders(attempt.headers);
-	headers[requestIdHeader] = attempt.requestId;
-	headers[deadlineHeader] = String(Math.floor(remainingMs));
-	headers[depthHeader] = String(attempt.depth + 1);
-	if (traceparent !== undefined) {
-		headers[traceparentHeader] = traceparent;
-	}
-
+	edge: Edge,
+	context: UpstreamContext,
+): OutgoingRequest {
+	const headers = Object.assign(
+		copyHeaders(attempt.headers),
+		edge.createUpstreamHeaders(attempt, context),
+	);
 	return {
 		method: attempt.method,
 		path: attempt.path,
 		headers,
 		body: selectBody(attempt.body, headers),
-		idempotent: false,
 	};
 }
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -1,5 +1,5 @@
 import PQueue from 'p-queue';
-import {Pool} from 'undici';
+import type {Agent} from 'node:http';
 import {
 	createFairQueue,
 	type FairQueue,
@@ -8,8 +8,9 @@
 import type {ServiceTime} from '../../coordination/step-service-time.js';
 import type {TeamUse} from '../../coordination/step-team-use.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
-import {connectTimeoutMs, idleConnectionMs} from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
+import {formatService} from '../../state/format-service.js';
+import {createPooledAgent} from './create-pooled-agent.js';
 import type {SentRequest} from './send-request.js';
 
 /** An attempt that a gate has admitted. */
@@ -34,8 +35,10 @@
 
 /** An upstream on the gate's own host. */
 export type LocalUpstream = {
+	/** Identifier under which it announced itself. */
+	readonly id: string;
 	announcement: Announcement;
-	readonly pool: Pool;
+	readonly agent: Agent;
 	readonly queue: PQueue;
 	readonly fairQueue: FairQueue;
 	/** Queued jobs of each team, oldest first. */
@@ -52,21 +55,18 @@
 /**
  * Creates the gate's record of an upstream, with its connections and slots.
  *
+ * @param id - identifier under which the upstream announced itself
  * @param announcement - how the upstream announced itself
  * @returns the record
  */
-export function createLocalUpstream(announcement: Announcement): LocalUpstream {
+export function createLocalUpstream(
+	id: string,
+	announcement: Announcement,
+): LocalUpstream {
 	return {
+		id,
 		announcement,
-		pool: new Pool(`http://${announcement.address}`, {
-			connections: announcement.connections,
-			pipelining: 1,
-			connectTimeout: connectTimeoutMs,
-			keepAliveTimeout: idleConnectionMs,
-			keepAliveMaxTimeout: idleConnectionMs,
-			headersTimeout: 0,
-			bodyTimeout: 0,
-		}),
+		agent: createPooledAgent({maxSockets: announcement.connections}),
 		queue: new PQueue({concurrency: announcement.slots}),
 		fairQueue: createFairQueue(),
 		queued: new Map(),
@@ -100,7 +100,7 @@
 	let isLeaving = false;
 	for (const upstream of upstreams) {
 		const {announcement} = upstream;
-		if (`${announcement.team}/${announcement.service}` !== service) {
+		if (formatService(announcement) !== service) {
 			continue;
 		}
 
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -7,6 +7,9 @@
 	deadlineHeader,
 	depthHeader,
 	keyHeader,
+	objectiveHeader,
+	originHeader,
+	priorityHeader,
 	repeatableHeader,
 	requestIdHeader,
 	serviceHeader,
@@ -25,6 +28,10 @@
 	readonly signal: AbortSignal;
 };
 
+function readNumber(value: string | string[] | undefined): number | undefined {
+	return value === undefined ? undefined : Number(value);
+}
+
 /**
  * Reads an attempt from the headers with which it came to a gate.
  *
@@ -47,6 +54,9 @@
 		headers,
 		remainingMs: Number(headers[deadlineHeader] ?? defaultDeadlineMs),
 		depth: Number(headers[depthHeader] ?? 0),
+		origin: headers[originHeader]?.toString(),
+		priority: readNumber(headers[priorityHeader]),
+		objectiveMs: readNumber(headers[objectiveHeader]),
 		stamp: parseStamp(headers[stampHeader]),
 		key: headers[keyHeader]?.toString(),
 		traceparent: headers[traceparentHeader]?.toString(),
--- a/src/transport/_lib/read-upstream-outcome.ts
+++ b/src/transport/_lib/read-upstream-outcome.ts
@@ -1,44 +1,48 @@
 import {Readable} from 'node:stream';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
 import {retryAfterSeconds} from '../../protocol/constants.js';
-import {shedHeader, type OutcomeReason} from '../../protocol/request.js';
+import type {AnswerVerdict, Edge} from '../../protocol/edge.js';
+import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
 import type {SendOutcome} from './send-request.js';
 
 /** What a gate adds to the outcome at its upstream. */
-export type UpstreamContext = {
+export type OutcomeContext = {
+	readonly edge: Edge;
 	/** Why the gate ended the request early, if it did. */
 	readonly endedBy: 'deadline' | 'cancelled' | undefined;
 	readonly load: GateLoad;
 	readonly stamp: GateStamp;
 };
 
-const statusServiceUnavailable = 503;
+type Refusal = {
+	readonly kind: 'not-run' | 'unknown';
+	readonly reason: OutcomeReason;
+};
 
-function isShed(outcome: SendOutcome, attempt: Attempt): boolean {
-	return (
-		outcome.kind === 'answered' &&
-		outcome.status === statusServiceUnavailable &&
-		outcome.headers[shedHeader] === 'not-run' &&
-		attempt.sheddingMeansNotRun
-	);
-}
+/** What an answer means that is not the upstream's answer to the attempt. */
+const refusals: Readonly<Record<Exclude<AnswerVerdict, 'answered'>, Refusal>> =
+	{
+		shed: {kind: 'not-run', reason: 'shed'},
+		'wrong-instance': {kind: 'not-run', reason: 'wrong-instance'},
+		misplaced: {kind: 'unknown', reason: 'misplaced'},
+	};
 
 /**
  * Reads the result of an attempt from its outcome at the upstream.
  *
  * @param outcome - what became of the request to the upstream
  * @param attempt - the attempt
- * @param context - see `UpstreamContext`
+ * @param context - see `OutcomeContext`
  * @returns `not-run` only when nothing was sent, or when the upstream has shed
  * and its service declares that shedding means not run
  */
 export function readUpstreamOutcome(
 	outcome: SendOutcome,
 	attempt: Attempt,
-	context: UpstreamContext,
+	context: OutcomeContext,
 ): AttemptResult {
-	const {endedBy, load, stamp} = context;
+	const {edge, endedBy, load, stamp} = context;
 	function end(
 		kind: 'not-run' | 'unknown',
 		reason: OutcomeReason,
@@ -50,7 +54,8 @@
 	switch (outcome.kind) {
 		case 'answered': {
 			const {status, headers, body} = outcome;
-			if (!isShed(outcome, attempt)) {
+			const verdict = edge.judgeAnswer(outcome, attempt);
+			if (verdict === 'answered') {
 				return {kind: 'answered', status, headers, body, load, stamp};
 			}
 
@@ -59,7 +64,8 @@
 			}
 
 			const seconds = Number(headers['retry-after']);
-			return end('not-run', 'shed', seconds > 0 ? seconds : undefined);
+			const {kind, reason} = refusals[verdict];
+			return end(kind, reason, seconds > 0 ? seconds : undefined);
 		}
 
 		case 'not-sent': {
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -19,8 +19,17 @@
 /** What of an attempt is the same for all attempts of a request. */
 export type AttemptTemplate = Omit<
 	Attempt,
-	'id' | 'remainingMs' | 'stamp' | 'signal' | 'traceparent'
->;
+	| 'id'
+	| 'remainingMs'
+	| 'objectiveMs'
+	| 'stamp'
+	| 'signal'
+	| 'traceparent'
+	| 'onSignOfLife'
+> & {
+	/** First part of the identifiers of the attempts. */
+	readonly idPrefix: string;
+};
 
 /** Options of `runRequest`. */
 export type RunRequestOptions = {
@@ -147,11 +156,16 @@
 			const remainingMs = terms.deadlineAt - startedAt;
 			const attempt: Attempt = {
 				...template,
-				id: `${template.requestId}/${number}`,
+				id: `${template.idPrefix}/${number}`,
 				remainingMs: Math.max(remainingMs / 2, remainingMs - deadlineMarginMs),
+				objectiveMs: Math.max(
+					0,
+					(terms.objectiveAt ?? terms.deadlineAt) - startedAt,
+				),
 				stamp: gate.readStamp(),
 				signal: controller.signal,
 				traceparent: options.createTraceparent(),
+				onSignOfLife: gate.isLocal ? undefined : () => silenceTimer?.refresh(),
 			};
 			open = {gate, attempt, controller};
 			clearTimeout(silenceTimer);
--- a/src/transport/_lib/select-body.ts
+++ b/src/transport/_lib/select-body.ts
@@ -5,8 +5,8 @@
  * Selects the body to send for one that was received, with a length to match.
  *
  * @param body - the body, empty when there is none
- * @param headers - headers to send; the length is removed from them unless it
- * is that of a stream
+ * @param headers - headers to send; the length in them is set to that of the
+ * body, and left as it is for a stream
  * @returns the body, or undefined when there is none
  */
 export function selectBody(
@@ -17,6 +17,11 @@
 		return body;
 	}
 
-	delete headers['content-length'];
-	return body.length > 0 ? body : undefined;
+	if (body.length === 0 && headers['content-length'] !== '0') {
+		delete headers['content-length'];
+		return undefined;
+	}
+
+	headers['content-length'] = String(body.length);
+	return body;
 }
--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import type {Edge} from '../../protocol/edge.js';
 import {
 	outcomeHeader,
 	reasonHeader,
@@ -27,10 +28,12 @@
  *
  * @param response - where to send it
  * @param unanswered - the outcome
+ * @param edge - headers that the client understands
  */
 export function sendOutcome(
 	response: ServerResponse,
 	unanswered: Unanswered,
+	edge: Edge,
 ): void {
 	const {outcome, reason, retryAfterSeconds} = unanswered;
 	const status =
@@ -42,7 +45,7 @@
 		[reasonHeader]: reason,
 	};
 	if (status === statusByOutcome['not-run']) {
-		headers['retry-after'] = String(retryAfterSeconds);
+		headers['retry-after'] = edge.formatRetryAfter(retryAfterSeconds);
 	}
 
 	if (reason === 'body-too-large') {
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -1,8 +1,14 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingHttpHeaders} from 'node:http';
+import {
+	request as startRequest,
+	type Agent,
+	type ClientRequest,
+	type IncomingHttpHeaders,
+	type IncomingMessage,
+} from 'node:http';
+import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
-import type {Dispatcher} from 'undici';
-import {maxBufferedBytes} from '../../protocol/constants.js';
+import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 
 /** What became of a request on one connection. */
 export type SendOutcome =
@@ -22,165 +28,266 @@
 	/** It was aborted after it may have been sent. */
 	| {readonly kind: 'aborted'};
 
-/** A request that has been handed to a connection pool. */
+/** A request to be sent. */
+export type OutgoingRequest = {
+	readonly method: string;
+	/** Path with query. */
+	readonly path: string;
+	readonly headers: IncomingHttpHeaders;
+	readonly body?: Uint8Array | Readable | undefined;
+};
+
+/** Options of `sendRequest`. */
+export type SendOptions = {
+	/** Connections to use. */
+	readonly agent: Agent;
+	/** IP and port of the other end. */
+	readonly address: string;
+	/** Called with each interim answer (1xx). */
+	readonly onInterim?: (() => void) | undefined;
+};
+
+/** A request that has been handed to a connection. */
 export type SentRequest = {
 	readonly outcome: Promise<SendOutcome>;
 	/** Ends the request; a connection on which it was sent is closed. */
 	abort(): void;
 };
 
-/** Reads the body of one answer, whole up to a bound and else as a stream. */
-class AnswerHandler implements Dispatcher.DispatchHandler {
+const statusNotModified = 304;
+const statusNoContent = 204;
+
+/** One request on one connection, up to its outcome. */
+class Sending {
 	readonly outcome: Promise<SendOutcome>;
+	readonly #request: ClientRequest;
 	#resolve!: (outcome: SendOutcome) => void;
-	#controller: Dispatcher.DispatchController | undefined;
+	#connectTimer: NodeJS.Timeout | undefined;
+	#isSent = false;
 	#isAborted = false;
-	#status = 0;
-	#headers: IncomingHttpHeaders = {};
+	#hasFailed = false;
+	#isOver = false;
+	#answer: IncomingMessage | undefined;
 	#chunks: Uint8Array[] = [];
 	#size = 0;
-	#stream: Readable | undefined;
+	#isStreamed = false;
 
-	constructor() {
+	constructor(outgoing: OutgoingRequest, options: SendOptions) {
 		this.outcome = new Promise((resolve) => {
 			this.#resolve = resolve;
 		});
+		const [host, port] = options.address.split(':');
+		const {method, path, headers, body} = outgoing;
+		const request = startRequest({
+			agent: options.agent,
+			host,
+			port,
+			method,
+			path,
+			headers: {...headers},
+			setHost: headers.host === undefined,
+		});
+		this.#request = request;
+		request.on('socket', (socket) => {
+			this.#watchSocket(socket);
+		});
+		request.on('response', (answer) => {
+			this.#handleAnswer(answer);
+		});
+		request.on('error', (error) => {
+			this.#fail(error);
+		});
+		request.on('close', () => {
+			this.#fail(new Error('the connection was closed'));
+		});
+		if (options.onInterim) {
+			request.on('information', options.onInterim);
+		}
+
+		this.#sendBody(body);
 	}
 
 	abort(): void {
-		this.#isAborted = true;
-		if (this.#controller) {
-			this.#controller.abort(new Error('aborted'));
-		} else {
-			this.#resolve({kind: 'not-sent'});
+		if (!this.#isOver) {
+			this.#isAborted = true;
+			this.#request.destroy(new Error('aborted'));
 		}
 	}
 
-	onRequestStart(controller: Dispatcher.DispatchController): void {
-		if (this.#isAborted) {
-			controller.abort(new Error('aborted before it was sent'));
+	#watchSocket(socket: Socket): void {
+		if (!socket.connecting) {
+			this.#isSent = true;
 			return;
 		}
 
-		this.#controller = controller;
+		this.#connectTimer = setTimeout(() => {
+			this.#request.destroy(new Error('no connection in time'));
+		}, connectTimeoutMs);
+		socket.once('connect', () => {
+			clearTimeout(this.#connectTimer);
+			// Node writes the head of the request on the connection's first turn.
+			this.#isSent = !this.#isAborted;
+		});
 	}
 
-	onResponseStart(
-		_controller: Dispatcher.DispatchController,
-		status: number,
-		headers: IncomingHttpHeaders,
-	): void {
-		if (status >= 200) {
-			this.#status = status;
-			this.#headers = headers;
+	#sendBody(body: Uint8Array | Readable | undefined): void {
+		const request = this.#request;
+		if (!(body instanceof Readable)) {
+			request.end(body);
+			return;
 		}
-	}
 
-	onResponseData(
-		controller: Dispatcher.DispatchController,
-		chunk: Uint8Array,
-	): void {
-		if (this.#stream) {
-			if (!this.#stream.push(chunk)) {
-				controller.pause();
-			}
+		body.on('error', (error) => {
+			request.destroy(error);
+		});
+		body.pipe(request);
+	}
 
-			return;
-		}
+	#handleAnswer(answer: IncomingMessage): void {
+		this.#answer = answer;
+		answer.on('error', (error) => {
+			this.#fail(error);
+		});
+		answer.on('aborted', () => {
+			this.#fail(new Error('the answer was cut'));
+		});
+		answer.on('data', this.#takeChunk);
+		answer.on('end', () => {
+			this.#end();
+		});
+	}
 
+	readonly #takeChunk = (chunk: Uint8Array): void => {
 		this.#chunks.push(chunk);
 		this.#size += chunk.length;
 		if (this.#size > maxBufferedBytes) {
-			this.#startStream(controller);
+			this.#startStream();
+		}
+	};
+
+	#startStream(): void {
+		const answer = this.#answer!;
+		const chunks = this.#chunks;
+		this.#isStreamed = true;
+		this.#chunks = [];
+		answer.off('data', this.#takeChunk);
+		answer.pause();
+		const stream = new Readable({
+			read() {
+				answer.resume();
+			},
+			destroy: (error, callback) => {
+				if (!answer.complete || this.#hasFailed) {
+					this.#request.destroy(error ?? new Error('not read to its end'));
+				}
+
+				callback(error);
+			},
+		});
+		for (const chunk of chunks) {
+			stream.push(chunk);
 		}
+
+		answer.on('data', (chunk: Uint8Array) => {
+			if (!stream.push(chunk)) {
+				answer.pause();
+			}
+		});
+		answer.on('end', () => {
+			if (!this.#hasFailed) {
+				stream.push(null);
+			}
+		});
+		this.#onFailure = (error) => {
+			stream.destroy(error);
+		};
+
+		this.#settle(this.#createAnswered(stream));
 	}
 
-	onResponseEnd(): void {
-		if (this.#stream) {
-			this.#stream.push(null);
+	#onFailure: ((error: Error) => void) | undefined;
+
+	#end(): void {
+		// After a reset Node ends an answer without a length like a whole one.
+		if (this.#hasFailed || this.#isStreamed) {
 			return;
 		}
 
 		const chunks = this.#chunks;
 		const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-		this.#answer(body);
+		const length = Number(
+			this.#answer!.headers['content-length'] ?? body.length,
+		);
+		this.#settle(
+			length === body.length || this.#hasNoBody()
+				? this.#createAnswered(body)
+				: {kind: 'truncated'},
+		);
 	}
 
-	onResponseError(
-		_controller: Dispatcher.DispatchController,
-		error: Error,
-	): void {
-		this.fail(error);
+	#hasNoBody(): boolean {
+		const status = this.#answer!.statusCode;
+		return (
+			this.#request.method === 'HEAD' ||
+			status === statusNotModified ||
+			status === statusNoContent
+		);
 	}
 
-	fail(error: Error): void {
-		if (this.#stream) {
-			this.#stream.destroy(error);
-		} else if (!this.#controller) {
-			this.#resolve({kind: 'not-sent'});
-		} else if (this.#isAborted) {
-			this.#resolve({kind: 'aborted'});
-		} else {
-			this.#resolve({kind: this.#status === 0 ? 'lost' : 'truncated'});
-		}
+	#createAnswered(body: Uint8Array | Readable): SendOutcome {
+		const {statusCode = 0, headers} = this.#answer!;
+		return {kind: 'answered', status: statusCode, headers, body};
 	}
 
-	#startStream(controller: Dispatcher.DispatchController): void {
-		const stream = new Readable({
-			read() {
-				controller.resume();
-			},
-			destroy(error, callback) {
-				if (error) {
-					controller.abort(error);
-				} else if (!stream.readableEnded) {
-					controller.abort(new Error('not read to its end'));
-				}
+	#fail(error: Error): void {
+		clearTimeout(this.#connectTimer);
+		if (this.#isStreamed) {
+			if (!this.#answer!.complete || this.#hasFailed) {
+				this.#hasFailed = true;
+				this.#onFailure?.(error);
+			}
 
-				callback(error);
-			},
-		});
-		for (const chunk of this.#chunks) {
-			stream.push(chunk);
+			return;
 		}
 
-		this.#chunks = [];
-		this.#stream = stream;
-		controller.pause();
-		this.#answer(stream);
+		this.#hasFailed = true;
+		if (!this.#isSent) {
+			this.#settle({kind: 'not-sent'});
+		} else if (this.#isAborted) {
+			this.#settle({kind: 'aborted'});
+		} else {
+			this.#settle({kind: this.#answer ? 'truncated' : 'lost'});
+		}
 	}
 
-	#answer(body: Uint8Array | Readable): void {
-		const status = this.#status;
-		this.#resolve({kind: 'answered', status, headers: this.#headers, body});
+	#settle(outcome: SendOutcome): void {
+		clearTimeout(this.#connectTimer);
+		if (!this.#isOver) {
+			this.#isOver = !this.#isStreamed;
+			this.#resolve(outcome);
+		}
 	}
 }
 
 /**
- * Sends a request through a connection pool, at most once.
+ * Sends a request on a connection of an agent, at most once.
  *
  * The outcome says whether any byte may have been sent; errors are outcomes.
  * The body of a long answer comes as a stream with back pressure.
  *
- * @param dispatcher - the pool
- * @param options - the request
+ * @param outgoing - the request
+ * @param options - see `SendOptions`
  * @returns its outcome, and how to abort it
  */
 export function sendRequest(
-	dispatcher: Dispatcher,
-	options: Dispatcher.DispatchOptions,
+	outgoing: OutgoingRequest,
+	options: SendOptions,
 ): SentRequest {
-	const handler = new AnswerHandler();
-	try {
-		dispatcher.dispatch(options, handler);
-	} catch (error) {
-		handler.fail(error instanceof Error ? error : new Error(String(error)));
-	}
-
+	const sending = new Sending(outgoing, options);
 	return {
-		outcome: handler.outcome,
+		outcome: sending.outcome,
 		abort() {
-			handler.abort();
+			sending.abort();
 		},
 	};
 }
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -1,19 +1,17 @@
+import {Agent} from 'node:http';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import {Agent, fetch as undiciFetch, type Dispatcher} from 'undici';
+import {fetch as undiciFetch, type Dispatcher} from 'undici';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
 	AttemptQuestion,
 	ForwardResult,
 } from '../protocol/attempt.js';
-import {
-	askTimeoutMs,
-	connectTimeoutMs,
-	idleConnectionMs,
-} from '../protocol/constants.js';
+import {askTimeoutMs} from '../protocol/constants.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {attemptHeader, deadlineHeader} from '../protocol/request.js';
 import {createAttemptHeaders} from './_lib/create-attempt-headers.js';
+import {createPooledAgent} from './_lib/create-pooled-agent.js';
 import {readGateOutcome} from './_lib/read-gate-outcome.js';
 import {selectBody} from './_lib/select-body.js';
 import {
@@ -101,27 +99,21 @@
  * await createForwarder().forwardAttempt('127.0.0.1:8081', attempt);
  */
 export function createForwarder(): Forwarder {
-	const agent = new Agent({
-		connections: maxGateConnections,
-		pipelining: 1,
-		connectTimeout: connectTimeoutMs,
-		keepAliveTimeout: idleConnectionMs,
-		keepAliveMaxTimeout: idleConnectionMs,
-		headersTimeout: 0,
-		bodyTimeout: 0,
-	});
+	const agent = createPooledAgent({maxSockets: maxGateConnections});
+	const freshAgent = new Agent({keepAlive: false});
 
 	return {
 		async forwardAttempt(address, attempt) {
 			const headers = createAttemptHeaders(attempt);
-			const sent = sendRequest(agent, {
-				origin: `http://${address}`,
-				method: attempt.method,
-				path: gatePrefix + attempt.path,
-				headers,
-				body: selectBody(attempt.body, headers),
-				idempotent: false,
-			});
+			const sent = sendRequest(
+				{
+					method: attempt.method,
+					path: gatePrefix + attempt.path,
+					headers,
+					body: selectBody(attempt.body, headers),
+				},
+				{agent, address, onInterim: attempt.onSignOfLife},
+			);
 			return readGateOutcome(await awaitOutcome(sent, attempt.signal));
 		},
 		async ask(address, question) {
@@ -135,23 +127,21 @@
 				return 'failed';
 			}
 		},
-		fetchAnswer: async (address, id, remainingMs, signal) =>
-			withFreshConnection(address, async (connection) => {
-				const headers = {
-					[attemptHeader]: id,
-					[deadlineHeader]: String(Math.floor(remainingMs)),
-				};
-				const sent = sendRequest(connection, {
-					method: 'GET',
-					path: answersPath,
-					headers,
-				});
-				const outcome = await awaitOutcome(sent, signal);
-				// A fetch that was not sent tells nothing of the attempt.
-				return outcome.kind === 'not-sent'
-					? {kind: 'lost', reason: 'gate-unreachable'}
-					: readGateOutcome(outcome);
-			}),
+		async fetchAnswer(address, id, remainingMs, signal) {
+			const headers = {
+				[attemptHeader]: id,
+				[deadlineHeader]: String(Math.floor(remainingMs)),
+			};
+			const sent = sendRequest(
+				{method: 'GET', path: answersPath, headers},
+				{agent: freshAgent, address},
+			);
+			const outcome = await awaitOutcome(sent, signal);
+			// A fetch that was not sent tells nothing of the attempt.
+			return outcome.kind === 'not-sent'
+				? {kind: 'lost', reason: 'gate-unreachable'}
+				: readGateOutcome(outcome);
+		},
 		async readStamp(address) {
 			try {
 				return await withFreshConnection(address, async (connection) =>
@@ -176,7 +166,8 @@
 			}
 		},
 		async stop() {
-			await agent.destroy();
+			agent.destroy();
+			freshAgent.destroy();
 		},
 	};
 }
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -1,10 +1,15 @@
-import {initTRPC} from '@trpc/server';
+import {initTRPC, TRPCError} from '@trpc/server';
 import {
 	exchangeSchema,
 	type Exchange,
 	type ExchangeAnswer,
 } from '../protocol/member.js';
 import {pollSchema, type Poll, type PollAnswer} from '../protocol/peer.js';
+import {
+	documentPollSchema,
+	type DocumentAnswer,
+	type DocumentPoll,
+} from '../protocol/routing-document.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import {
@@ -19,6 +24,8 @@
 	handleAsk(question: AttemptQuestion): LedgerStep['answer'];
 	handleCancel(id: string): void;
 	handleStamp(): GateStamp;
+	/** Answers polls for documents; absent where there are none. */
+	handleDocument?(poll: DocumentPoll): Promise<DocumentAnswer>;
 };
 
 /**
@@ -35,6 +42,15 @@
 		poll: t.procedure
 			.input(pollSchema)
 			.mutation(async ({input}) => handlers.handlePoll(input)),
+		document: t.procedure
+			.input(documentPollSchema)
+			.mutation(async ({input}): Promise<DocumentAnswer> => {
+				if (!handlers.handleDocument) {
+					throw new TRPCError({code: 'NOT_IMPLEMENTED'});
+				}
+
+				return handlers.handleDocument(input);
+			}),
 		exchange: t.procedure
 			.input(exchangeSchema)
 			.mutation(({input}) => handlers.handleExchange(input)),
--- /dev/null
+++ b/src/transport/own-edge.ts
@@ -0,0 +1,53 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Edge} from '../protocol/edge.js';
+import {
+	deadlineHeader,
+	depthHeader,
+	idempotencyKeyHeader,
+	requestIdHeader,
+	shedHeader,
+	traceparentHeader,
+} from '../protocol/request.js';
+
+const statusServiceUnavailable = 503;
+
+function readNumber(
+	headers: IncomingHttpHeaders,
+	name: string,
+): number | undefined {
+	const value = headers[name];
+	const number = Number(value);
+	return value !== undefined && number >= 0 ? number : undefined;
+}
+
+/** The project's own headers towards callers and upstreams. */
+export const ownEdge: Edge = {
+	refusesAmbiguousPaths: true,
+	readCaller(headers) {
+		const depth = readNumber(headers, depthHeader) ?? 0;
+		const key = headers[idempotencyKeyHeader];
+		return {
+			requestId: undefined,
+			deadlineMs: readNumber(headers, deadlineHeader),
+			depth: Number.isInteger(depth) ? depth : 0,
+			idempotencyKey: typeof key === 'string' ? key : undefined,
+		};
+	},
+	createUpstreamHeaders(attempt, {remainingMs, traceparent}) {
+		return {
+			[requestIdHeader]: attempt.requestId,
+			[deadlineHeader]: String(Math.floor(remainingMs)),
+			[depthHeader]: String(attempt.depth + 1),
+			...(traceparent !== undefined && {[traceparentHeader]: traceparent}),
+		};
+	},
+	judgeAnswer({status, headers}, attempt) {
+		const isShed =
+			status === statusServiceUnavailable &&
+			headers[shedHeader] === 'not-run' &&
+			attempt.sheddingMeansNotRun;
+		return isShed ? 'shed' : 'answered';
+	},
+	readLoad: () => undefined,
+	formatRetryAfter: (seconds) => String(Math.ceil(seconds)),
+};
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -2,21 +2,23 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
+import {pickTarget} from '../coordination/pick-target.js';
+import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
 import type {Configuration} from '../protocol/configuration.js';
 import {maxDepth, retryAfterSeconds} from '../protocol/constants.js';
+import type {CallerTerms, Edge} from '../protocol/edge.js';
 import type {MembersView} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
-	deadlineHeader,
-	depthHeader,
-	idempotencyKeyHeader,
 	outcomeHeader,
 	traceparentHeader,
 	type CompiledRoute,
 	type OutcomeReason,
+	type RouteTable,
 } from '../protocol/request.js';
+import type {RoutingDocument} from '../protocol/routing-document.js';
+import {compileDocument} from '../state/compile-document.js';
 import {compileRoutes} from '../state/compile-routes.js';
-import {createConfiguration} from '../state/create-configuration.js';
 import {isSameKeySet} from '../state/is-same-key-set.js';
 import {matchRoute} from '../state/match-route.js';
 import {createListener} from './_lib/create-listener.js';
@@ -31,6 +33,7 @@
 import {startServer} from './_lib/start-server.js';
 import type {Forwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
+import {ownEdge} from './own-edge.js';
 import type {GateTask} from './start-gate-task.js';
 
 /** Options of `startCallerTask`. */
@@ -42,17 +45,32 @@
 	readonly forwarder: Forwarder;
 	readonly logger: Logger;
 	readonly observer?: RequestObserver;
+	/** Headers that the callers understand; the project's own when absent. */
+	readonly edge?: Edge;
+	/** Service on the own host, for which its requests are sent. */
+	readonly readOrigin?: () => string | undefined;
+	/** Bounds of the retries of this node, given the number of all nodes. */
+	readonly computeRetryBudget?: (members: number) => RetryBudgetOptions;
 	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
 	/** Numbers from 0 up to 1; `Math.random` when absent. */
 	readonly random?: () => number;
 };
 
+/** Where the routes of requests come from. */
+export type RouteSource =
+	/** Manifests of teams, accepted by this system. */
+	| {readonly kind: 'manifests'; readonly configuration: Configuration}
+	/** A whole document, accepted by the platform. */
+	| {readonly kind: 'document'; readonly document: RoutingDocument};
+
 /** The task that takes callers' requests. */
 export type CallerTask = {
 	readonly address: string;
-	tellConfiguration(configuration: Configuration): void;
+	tellRoutes(source: RouteSource): void;
 	tellView(view: MembersView): void;
+	/** Time since a request last began or was in flight, ms. */
+	readIdleMs(): number;
 	/** Lets callers know that connections are to be closed. */
 	drain(): void;
 	stop(): Promise<void>;
@@ -63,6 +81,8 @@
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly route: CompiledRoute;
+	readonly terms: CallerTerms;
+	/** The caller's identifier, or a new one. */
 	readonly requestId: string;
 	/** Monotonic ms. */
 	readonly startedAt: number;
@@ -72,30 +92,34 @@
 
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
-function refuse(response: ServerResponse, reason: OutcomeReason): void {
-	sendOutcome(response, {outcome: 'not-run', reason, retryAfterSeconds});
-}
-
-function readDepth(request: IncomingMessage): number {
-	const depth = Number(request.headers[depthHeader] ?? 0);
-	return Number.isInteger(depth) && depth >= 0 ? depth : 0;
-}
-
-function readDeadline(request: IncomingMessage, route: CompiledRoute): number {
-	const wanted = Number(request.headers[deadlineHeader] ?? route.deadlineMs);
-	return wanted >= 0 ? Math.min(route.deadlineMs, wanted) : route.deadlineMs;
+function computeDeadlineMs(terms: CallerTerms, route: CompiledRoute): number {
+	return Math.min(route.deadlineMs, terms.deadlineMs ?? route.deadlineMs);
 }
 
-function readKey(
-	request: IncomingMessage,
+function formatKey(
+	{idempotencyKey}: CallerTerms,
 	route: CompiledRoute,
 ): string | undefined {
-	const key = request.headers[idempotencyKeyHeader];
-	return typeof key === 'string' && !route.repeatable
-		? `${route.team}/${route.service}/${encodeURIComponent(key)}`
+	return idempotencyKey !== undefined && !route.repeatable
+		? `${route.team}/${route.service}/${encodeURIComponent(idempotencyKey)}`
 		: undefined;
 }
 
+function compileSource(
+	source: RouteSource,
+	candidates: MembersView['candidates'],
+): RouteTable {
+	switch (source.kind) {
+		case 'manifests': {
+			return compileRoutes(source.configuration, candidates);
+		}
+
+		case 'document': {
+			return compileDocument(source.document);
+		}
+	}
+}
+
 /**
  * Starts the task that takes callers' requests and answers each of them.
  *
@@ -107,14 +131,37 @@
 export async function startCallerTask(
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
-	const {logger, observer = {}} = options;
+	const {logger, observer = {}, edge = ownEdge} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
-	let configuration = createConfiguration();
+	const targetNumbers = new Map<string, number>();
+	const idPrefix = randomUUID();
+	let lastId = 0;
+	let source: RouteSource | undefined;
 	let candidates: MembersView['candidates'] = new Map();
-	let table = compileRoutes(configuration, candidates);
+	let table: RouteTable | undefined;
 	let inFlight = 0;
+	let lastActiveAt = now();
+
+	function refuse(response: ServerResponse, reason: OutcomeReason): void {
+		sendOutcome(
+			response,
+			{outcome: 'not-run', reason, retryAfterSeconds},
+			edge,
+		);
+	}
+
+	/** Chooses the service of a request where several share the route. */
+	function chooseService(route: CompiledRoute): CompiledRoute {
+		if (!route.targets) {
+			return route;
+		}
+
+		const number = targetNumbers.get(route.name) ?? Math.floor(random() * 1000);
+		targetNumbers.set(route.name, number + 1);
+		return {...route, service: pickTarget(route.targets, number)};
+	}
 
 	function createTraceparent(parent: string | undefined): string | undefined {
 		return observer.createTraceparent
@@ -125,6 +172,7 @@
 	function countInFlight(team: string, change: 1 | -1): void {
 		const count = (inFlightByTeam.get(team) ?? 0) + change;
 		inFlight += change;
+		lastActiveAt = now();
 		if (count === 0) {
 			inFlightByTeam.delete(team);
 		} else {
@@ -146,7 +194,7 @@
 		routed: RoutedRequest,
 		signal: AbortSignal,
 	): Promise<RequestEnd> {
-		const {request, route, requestId} = routed;
+		const {request, route, requestId, terms} = routed;
 		const {team, service, sheddingMeansNotRun} = route;
 		const read = await readRequestBody(request, {maxBytes: route.maxBodyBytes});
 		if (read.kind === 'refused') {
@@ -157,21 +205,27 @@
 		const {body} = read;
 		const isStreamed = !(body instanceof Uint8Array);
 		const repeatable = route.repeatable && !isStreamed;
-		const key = readKey(request, route);
-		const depth = readDepth(request);
+		const key = formatKey(terms, route);
+		const {depth} = terms;
 		const selection = router.select(service, key);
 		if (isStreamed) {
 			await selection.refreshStamp();
 		}
 
+		const deadlineMs = computeDeadlineMs(terms, route);
+		lastId++;
 		return runRequest({
 			terms: {
 				repeatable,
 				isNested: depth > 0,
 				maxAttempts: isStreamed ? 1 : route.maxAttempts,
-				deadlineAt: routed.startedAt + readDeadline(request, route),
+				deadlineAt: routed.startedAt + deadlineMs,
+				objectiveAt:
+					routed.startedAt +
+					Math.min(deadlineMs, route.objectiveMs ?? deadlineMs),
 			},
 			template: {
+				idPrefix: `${idPrefix}.${lastId}`,
 				requestId,
 				team,
 				service,
@@ -182,6 +236,8 @@
 				headers: request.headers,
 				body,
 				depth,
+				origin: options.readOrigin?.(),
+				priority: route.priority,
 				key,
 			},
 			signal,
@@ -214,7 +270,7 @@
 			if (end.outcome === 'answered') {
 				await sendAnswer(response, end.answer, answeredHeaders);
 			} else {
-				sendOutcome(response, end);
+				sendOutcome(response, end, edge);
 			}
 		} finally {
 			reportRequestEvent(observer, routed, end, now());
@@ -223,10 +279,12 @@
 
 	function findRoute(
 		request: IncomingMessage,
-	): CompiledRoute | 'bad-request' | 'no-route' | 'upgrade' | 'pending' {
+		{depth}: CallerTerms,
+	): CompiledRoute | OutcomeReason {
 		const {url = '/', method = 'GET'} = request;
 		const [path = '/'] = url.split('?', 1);
-		if (!isUnambiguousPath(path) || readDepth(request) > maxDepth) {
+		const isRefused = edge.refusesAmbiguousPaths && !isUnambiguousPath(path);
+		if (isRefused || depth > maxDepth) {
 			return 'bad-request';
 		}
 
@@ -235,7 +293,12 @@
 			return 'upgrade';
 		}
 
-		const route = matchRoute(table, method, path);
+		if (!table) {
+			return 'no-configuration';
+		}
+
+		const {host = ''} = request.headers;
+		const route = matchRoute(table, {method, host, path});
 		return route?.isLive === false ? 'pending' : (route ?? 'no-route');
 	}
 
@@ -244,12 +307,15 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const startedAt = now();
-		const route = findRoute(request);
-		if (typeof route === 'string') {
-			refuse(response, route);
+		const terms = edge.readCaller(request.headers);
+		const found = findRoute(request, terms);
+		if (typeof found === 'string') {
+			refuse(response, found);
 			return;
 		}
 
+		const route = chooseService(found);
+
 		if (!canTake(route)) {
 			refuse(response, 'team-limit');
 			return;
@@ -262,7 +328,8 @@
 				request,
 				response,
 				route,
-				requestId: randomUUID(),
+				terms,
+				requestId: terms.requestId ?? randomUUID(),
 				startedAt,
 				parentTraceparent,
 				traceparent: createTraceparent(parentTraceparent),
@@ -282,18 +349,19 @@
 
 	return {
 		address: server.address,
-		tellConfiguration(next) {
-			configuration = next;
-			table = compileRoutes(configuration, candidates);
+		tellRoutes(next) {
+			source = next;
+			table = compileSource(source, candidates);
 		},
 		tellView(view) {
 			router.tellView(view);
 			const isSame = isSameKeySet(candidates, view.candidates);
 			candidates = view.candidates;
-			if (!isSame) {
-				table = compileRoutes(configuration, candidates);
+			if (!isSame && source?.kind === 'manifests') {
+				table = compileSource(source, candidates);
 			}
 		},
+		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
 		drain: server.drain,
 		stop: server.stop,
 	};
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -12,6 +12,7 @@
 import {queueSlotsRatio, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
+import type {Edge} from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
@@ -28,11 +29,14 @@
 import {raceResult} from './_lib/race-result.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
 import type {Logger} from './create-logger.js';
+import {ownEdge} from './own-edge.js';
 
 /** Options of `startGateTask`. */
 export type GateTaskOptions = {
 	readonly logger: Logger;
 	readonly observer?: RequestObserver;
+	/** Headers that the upstreams understand; the project's own when absent. */
+	readonly edge?: Edge;
 	/** Random name of the process; a new UUID when absent. */
 	readonly epoch?: string;
 	/** Monotonic ms; `performance.now` when absent. */
@@ -69,7 +73,7 @@
  * startGateTask({logger}).readStamp().epoch;
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
-	const {observer = {}, epoch = randomUUID()} = options;
+	const {observer = {}, edge = ownEdge, epoch = randomUUID()} = options;
 	const {now = () => performance.now()} = options;
 	const upstreams = new Map<string, LocalUpstream>();
 	const ledger = createLedger<AttemptResult>({epoch});
@@ -89,6 +93,7 @@
 	const runner = createJobRunner({
 		ledger,
 		observer,
+		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
 		now,
 	});
@@ -185,7 +190,6 @@
 		if (known) {
 			upstreams.delete(id);
 			runner.dropQueued(known);
-			void known.pool.close();
 		}
 	}
 
@@ -204,7 +208,7 @@
 			}
 
 			withdraw(id);
-			upstreams.set(id, createLocalUpstream(announcement));
+			upstreams.set(id, createLocalUpstream(id, announcement));
 		},
 		withdraw,
 		async runAttempt(attempt) {
@@ -244,9 +248,9 @@
 			await runner.waitUntilIdle();
 		},
 		async stop() {
-			await Promise.all(
-				[...upstreams.values()].map(async ({pool}) => pool.destroy()),
-			);
+			for (const {agent} of upstreams.values()) {
+				agent.destroy();
+			}
 		},
 	};
 }
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -35,6 +35,8 @@
 	readonly onView: (view: MembersView) => void;
 	/** Called with each upstream whose lease was not renewed. */
 	readonly onLapse?: (id: string) => void;
+	/** How long an announcement counts, ms; `upstreamLeaseMs` when absent. */
+	readonly leaseMs?: number | undefined;
 	readonly now?: () => number;
 	readonly random?: () => number;
 };
@@ -48,6 +50,8 @@
 	withdraw(id: string): void;
 	handleExchange(exchange: Exchange): ExchangeAnswer;
 	readView(): MembersView;
+	/** Whether the node takes part: it knows the others, or found none. */
+	isMember(): boolean;
 	/** Spreads that this node leaves. */
 	leave(): Promise<void>;
 	stop(): void;
@@ -78,6 +82,7 @@
 	let state = createMembersState(self, now(), random(), {
 		seeds: options.seeds,
 		wallMs: Date.now(),
+		leaseMs: options.leaseMs,
 	});
 	let view: MembersView | undefined;
 	let isStopped = false;
@@ -225,6 +230,7 @@
 			tell({kind: 'withdraw', id});
 		},
 		readView,
+		isMember: () => state.role === 'member',
 		handleExchange(request) {
 			const effects = tell({kind: 'request', request});
 			const effect = effects.find(({kind}) => kind === 'answer');
--- /dev/null
+++ b/src/transport/start-mesh-node.ts
@@ -0,0 +1,223 @@
+import type {RequestListener} from 'node:http';
+import {computeRetryShare} from '../coordination/compute-retry-share.js';
+import {upstreamLeaseMs} from '../protocol/constants.js';
+import type {Edge} from '../protocol/edge.js';
+import type {Announcement} from '../protocol/member.js';
+import type {MeshSettings} from '../protocol/mesh-settings.js';
+import {createReadiness} from './_lib/create-readiness.js';
+import {sendJson} from './_lib/send-json.js';
+import {startServer} from './_lib/start-server.js';
+import {waitUntilQuiet} from './_lib/wait-until-quiet.js';
+import {createForwarder} from './create-forwarder.js';
+import type {Logger} from './create-logger.js';
+import {createPeerClients} from './create-peer-client.js';
+import type {PlatformClient} from './create-platform-client.js';
+import {startCallerTask} from './start-caller-task.js';
+import {startDocumentTask, type DocumentStore} from './start-document-task.js';
+import {startGateTask} from './start-gate-task.js';
+import {startMembersTask} from './start-members-task.js';
+import {startPeerServer} from './start-peer-server.js';
+
+/** What a platform brings to a node. */
+export type MeshPlatform = {
+	readonly store: PlatformClient & DocumentStore;
+	readonly edge: Edge;
+	/** Creates the listener for what upstreams say of themselves. */
+	readonly createAnnouncementListener: (handlers: {
+		readonly announce: (id: string, announcement: Announcement) => void;
+		readonly withdraw: (id: string) => void;
+	}) => RequestListener;
+};
+
+/** A running node. */
+export type RunningMeshNode = {
+	/** Takes over settings that have changed. */
+	reload(settings: MeshSettings): void;
+	/** Leaves, finishes what is in flight, and stops. */
+	stop(): Promise<void>;
+};
+
+/** Announcements that may be missed before an upstream counts as gone. */
+const missedAnnouncements = 6;
+
+/** Part of the grace period after which a stop no longer waits for clients. */
+const graceShare = 0.85;
+
+/** Least time that a stopping node goes on serving, ms; the platform's readiness checks take two seconds. */
+const minDrainMs = 2500;
+
+/** Time without requests after which no client is left, ms. */
+const quietMs = 700;
+
+/**
+ * Starts a node whose platform keeps the configuration: all its tasks, joined
+ * by messages.
+ *
+ * @param first - settings at the start
+ * @param platform - what the platform brings
+ * @param logger - where the node logs
+ * @returns the running node
+ * @example
+ * const node = await startMeshNode(settings, platform, logger);
+ */
+export async function startMeshNode(
+	first: MeshSettings,
+	platform: MeshPlatform,
+	logger: Logger,
+): Promise<RunningMeshNode> {
+	let settings = first;
+	const {name, dataCentre} = first;
+	const {store, edge} = platform;
+	const peers = createPeerClients();
+	const gate = startGateTask({logger, edge});
+	const forwarder = createForwarder();
+	const caller = await startCallerTask({
+		name,
+		dataCentre,
+		address: first.callers,
+		gate,
+		forwarder,
+		logger,
+		edge,
+		readOrigin: () => settings.service,
+		computeRetryBudget: (members) =>
+			computeRetryShare(
+				{
+					ratio: settings.retryRatio,
+					slack: settings.retrySlack,
+					windowMs: settings.retryWindowMs,
+				},
+				members,
+			),
+	});
+	const document = startDocumentTask({
+		name,
+		store,
+		peers,
+		logger,
+		onDocument(next) {
+			caller.tellRoutes({kind: 'document', document: next});
+		},
+	});
+	const peerServer = await startPeerServer({
+		address: first.peers,
+		gate,
+		logger,
+		handlers: {
+			async handlePoll() {
+				throw new Error('this node has no log of manifests');
+			},
+			handleDocument: document.handlePoll,
+			handleExchange: (exchange) => members.handleExchange(exchange),
+			handleAsk: gate.ask,
+			handleCancel: gate.cancel,
+			handleStamp: gate.readStamp,
+		},
+	});
+	const members = startMembersTask({
+		self: {
+			name,
+			dataCentre,
+			address: first.peers,
+			incarnation: Date.now(),
+			sequence: 0,
+			state: 'alive',
+			upstreams: [],
+		},
+		seeds: [],
+		peers,
+		platform: store,
+		logger,
+		leaseMs: Math.max(
+			upstreamLeaseMs,
+			missedAnnouncements * first.announceIntervalMs,
+		),
+		onView(view) {
+			caller.tellView(view);
+			document.tellView(view);
+		},
+		onLapse: gate.withdraw,
+	});
+
+	function announce(id: string, announcement: Announcement): void {
+		const outcome = members.announce(id, announcement);
+		// The acknowledgement of a leaving binds, whatever else is known.
+		if (outcome === 'accepted' || announcement.state === 'leaving') {
+			gate.announce(id, announcement);
+		}
+	}
+
+	const announcements = await startServer(
+		first.announcements,
+		platform.createAnnouncementListener({
+			announce,
+			withdraw(id) {
+				gate.withdraw(id);
+				members.withdraw(id);
+			},
+		}),
+	);
+	const readiness = createReadiness({
+		hasConfiguration: () => document.readDocument() !== undefined,
+		hasMembers: members.isMember,
+	});
+	const readinessServer = await startServer(
+		first.readiness,
+		(_request, response) => {
+			const state = readiness.read();
+			sendJson(response, state === 'ready' ? 200 : 503, {state});
+		},
+	);
+	logger.info('node started', {
+		callers: first.callers,
+		peers: first.peers,
+		service: first.service,
+	});
+
+	return {
+		reload(next) {
+			settings = next;
+			logger.info('settings reloaded', {service: next.service});
+		},
+		async stop() {
+			const startedAt = performance.now();
+			logger.info('node stopping', {graceMs: settings.graceMs});
+			readiness.drain();
+			caller.drain();
+			peerServer.drain();
+			await members.leave();
+			await Promise.all([
+				gate.drain(),
+				waitUntilQuiet({
+					readIdleMs: caller.readIdleMs,
+					quietMs,
+					minMs: minDrainMs,
+					maxMs: settings.graceMs * graceShare,
+				}),
+			]);
+			logger.info('node drained', {
+				durationMs: Math.round(performance.now() - startedAt),
+			});
+			document.stop();
+			members.stop();
+			forwarder.stop().catch((error: unknown) => {
+				logger.warn('forwarder not stopped', {error: String(error)});
+			});
+			await Promise.race([
+				Promise.all([
+					caller.stop(),
+					peerServer.stop(),
+					announcements.stop(),
+					readinessServer.stop(),
+				]),
+				waitUntilQuiet({
+					readIdleMs: () => 0,
+					quietMs,
+					minMs: 0,
+					maxMs: settings.graceMs - (performance.now() - startedAt) - quietMs,
+				}),
+			]);
+			logger.info('node stopped');
+		},
+	};
+}
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -89,7 +89,9 @@
 		platform,
 		peers,
 		logger,
-		onConfiguration: caller.tellConfiguration,
+		onConfiguration(next) {
+			caller.tellRoutes({kind: 'manifests', configuration: next});
+		},
 	});
 	const commit = startCommitTask({
 		platform,
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -3,7 +3,7 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import polka from 'polka';
 import type {AttemptResult} from '../protocol/attempt.js';
-import {maxBodyBytes} from '../protocol/constants.js';
+import {maxBodyBytes, signOfLifeMs} from '../protocol/constants.js';
 import {
 	attemptHeader,
 	deadlineHeader,
@@ -114,7 +114,12 @@
 				cancelling.abort();
 			}
 		});
-		await sendResult(response, await gate.runAttempt(attempt));
+		const signs = setInterval(() => {
+			response.writeProcessing();
+		}, signOfLifeMs);
+		const result = await gate.runAttempt(attempt);
+		clearInterval(signs);
+		await sendResult(response, result);
 	}
 
 	async function handleFetch(
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,5 +1,5 @@
 const config = [
-	{ignores: ['dist/**', 'node_modules/**']},
+	{ignores: ['dist/**', 'node_modules/**', 'target/**', 'journal/**']},
 	{
 		prettier: 'compat',
 		rules: {
