--- a/bench/_lib/create-simulated-gate.ts
+++ b/bench/_lib/create-simulated-gate.ts
@@ -185,17 +185,24 @@
 			(sum, count) => sum + Math.min(count, own + 1),
 			0,
 		);
+		const openSlots = computeOpenSlots(slots, readTeams(), team);
+		const serviceMs = readServiceTime(serviceTime, now());
+		const waitMs = ((ahead + 1) / openSlots) * serviceMs;
 		const admission = decideAdmission({
 			state: 'ready',
 			remainingMs: deadlineAt - now(),
-			slots: computeOpenSlots(slots, readTeams(), team),
+			slots: openSlots,
 			inFlight,
 			ahead,
 			queued: queue.length,
 			ownQueued: own,
 			longestQueued: Math.max(0, ...counts.values()),
 			maxQueued: slots * queueSlotsRatio,
-			serviceMs: readServiceTime(serviceTime, now()),
+			serviceMs,
+			waitMs,
+			lateWaitMs: waitMs,
+			objectiveMs: deadlineAt - now(),
+			utilization: 0,
 		});
 		if (admission.kind === 'admit' && admission.pushOut) {
 			pushOutLongest(counts);
--- a/bench/_lib/start-naive-fleet.ts
+++ b/bench/_lib/start-naive-fleet.ts
@@ -2,7 +2,8 @@
 import {startProcess} from '../../harness/start-process.js';
 import {naivePrefix, startNaiveNode} from '../../naive/start-naive-node.js';
 import {createByteCounter} from '../../src/transport/_lib/create-byte-counter.js';
-import {createPlatformClient} from '../../src/transport/create-platform-client.js';
+import {createStoreClient} from '../../platform/create-store-client.js';
+import {createLogger} from '../../src/transport/create-logger.js';
 import type {ConfigFleet} from './config-fleet.js';
 import {createTeamManifest} from './create-team-manifest.js';
 import {readPlatformCalls} from './read-platform-calls.js';
@@ -20,7 +21,9 @@
 export async function startNaiveFleet(nodes: number): Promise<ConfigFleet> {
 	const platform = await startProcess('platform', []);
 	const platformUrl = platform.ready.url!;
-	const writer = createPlatformClient(platformUrl, createByteCounter());
+	const writer = createStoreClient(new URL(platformUrl).host, {
+		logger: createLogger('error', 'bench'),
+	});
 	const versions = new Map<string, number>();
 	let lastChange = 0;
 
--- a/faults/_lib/requests/fake-gate.ts
+++ b/faults/_lib/requests/fake-gate.ts
@@ -191,6 +191,10 @@
 		longestQueued: host.queue.length,
 		maxQueued: 8,
 		serviceMs: host.serviceMs,
+		waitMs: ((host.queue.length + 1) / slots) * host.serviceMs,
+		lateWaitMs: ((host.queue.length + 1) / slots) * host.serviceMs,
+		objectiveMs: attempt.remainingMs,
+		utilization: 0,
 	});
 	if (admission.kind === 'refuse') {
 		settle(world, host, attempt, {kind: 'not-run', reason: 'leaving'});
--- a/naive/start-naive-node.ts
+++ b/naive/start-naive-node.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
+import {createStoreClient} from '../platform/create-store-client.js';
 import {manifestSchema, type Manifest} from '../src/protocol/manifest.js';
 import {createByteCounter} from '../src/transport/_lib/create-byte-counter.js';
-import {createPlatformClient} from '../src/transport/create-platform-client.js';
+import {createLogger} from '../src/transport/create-logger.js';
 
 /** Prefix of the objects that hold one team's manifest each. */
 export const naivePrefix = 'naive/';
@@ -39,7 +40,12 @@
 	onConfiguration: (change: number, manifests: readonly Manifest[]) => void,
 ): NaiveNode {
 	const counter = createByteCounter();
-	const platform = createPlatformClient(platformUrl, {track: counter.track});
+	const platform = createStoreClient(new URL(platformUrl).host, {
+		logger: createLogger('error', 'naive'),
+		onSocket(socket) {
+			counter.track('platform', socket);
+		},
+	});
 	const stopping = new AbortController();
 	let size = 0;
 	let revision = 0;
--- a/scripts/build-target.ts
+++ b/scripts/build-target.ts
@@ -7,6 +7,7 @@
 await build({
 	entryPoints: {boragehitch: 'src/cli/main.ts'},
 	outdir: 'target',
+	// eslint-disable-next-line @typescript-eslint/naming-convention
 	outExtension: {'.js': '.mjs'},
 	bundle: true,
 	splitting: true,
--- a/src/cli/_lib/call-node.ts
+++ b/src/cli/_lib/call-node.ts
@@ -1,4 +1,3 @@
-import {Agent} from 'undici';
 import {readErrorCode} from '../../transport/_lib/read-error-code.js';
 
 /** Answer of a node's administration API, or why there is none. */
@@ -44,7 +43,11 @@
 	options: CallOptions = {},
 ): Promise<NodeAnswer> {
 	const {method = 'GET', headers = {}, body, timeoutMs = 10_000} = options;
-	const agent = new Agent({connect: {timeout: Math.min(timeoutMs, 3000)}});
+	// Loaded here, since a node needs no client of nodes.
+	const undici = await import('undici');
+	const agent = new undici.Agent({
+		connect: {timeout: Math.min(timeoutMs, 3000)},
+	});
 	try {
 		const response = await agent.request({
 			origin: `http://${address}`,
--- a/src/cli/_lib/format-status.ts
+++ b/src/cli/_lib/format-status.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The part of a status answer that the command line reads. */
 export const statusSchema = z.looseObject({
--- a/src/cli/run-node.ts
+++ b/src/cli/run-node.ts
@@ -1,4 +1,5 @@
 import process from 'node:process';
+import {createStoreClient} from '../../platform/create-store-client.js';
 import {settingsFileVariable} from '../../platform/wire-names.js';
 import {createLogger} from '../transport/create-logger.js';
 import {readFileOperand} from './_lib/read-file-operand.js';
@@ -78,7 +79,10 @@
 	try {
 		// Loaded here, since a node of the platform needs less.
 		const {startNode} = await import('../transport/start-node.js');
-		const running = await startNode(settings.value, logger);
+		const store = new URL(settings.value.platform.url).host;
+		const running = await startNode(settings.value, logger, (onSocket) =>
+			createStoreClient(store, {logger, onSocket}),
+		);
 		const {callers, peers, administration} = running;
 		terminal.print(JSON.stringify({callers, peers, administration}));
 		await waitForSignal();
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -124,6 +124,7 @@
 		await node.stop();
 		// Connections that clients keep open must not hold up the end.
 		setTimeout(() => {
+			// eslint-disable-next-line unicorn/no-process-exit
 			process.exit();
 		}, leftoverMs).unref();
 		return exitCodes.ok;
--- a/src/cli/run-versions.ts
+++ b/src/cli/run-versions.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {callNode} from './_lib/call-node.js';
 import {nodeOptions, readNodeOptions} from './_lib/node-options.js';
 import {printAnswer} from './_lib/print-answer.js';
--- a/src/coordination/decide-admission.test.ts
+++ b/src/coordination/decide-admission.test.ts
@@ -16,6 +16,10 @@
 	longestQueued: 10,
 	maxQueued: 24,
 	serviceMs: 10,
+	waitMs: 41.7,
+	lateWaitMs: 41.7,
+	objectiveMs: 2000,
+	utilization: 1,
 };
 
 const admissions: ReadonlyArray<
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -1,4 +1,3 @@
-import {msPerSecond, retryAfterSeconds} from '../protocol/constants.js';
 import type {OutcomeReason} from '../protocol/request.js';
 
 /** What the gate knows when an attempt arrives. */
@@ -18,59 +17,87 @@
 	/** Queued attempts of the team that has most. */
 	readonly longestQueued: number;
 	readonly maxQueued: number;
-	/** Aged mean time that the upstream takes, ms. */
+	/** Expected time of the attempt at the upstream, ms. */
 	readonly serviceMs: number;
+	/** Expected wait among those that can be in time, ms. */
+	readonly waitMs: number;
+	/** Expected wait behind all that is queued, ms. */
+	readonly lateWaitMs: number;
+	/** Time left in which an answer has its full value, ms. */
+	readonly objectiveMs: number;
+	/** Share of the slots that attempts in time take up. */
+	readonly utilization: number;
 };
 
 /** Whether an attempt may enter the queue. */
 export type Admission =
 	/** It may, after an attempt of the longest team was pushed out if so said. */
-	| {readonly kind: 'admit'; readonly pushOut: boolean}
 	| {
-			readonly kind: 'refuse';
-			readonly reason: OutcomeReason;
-			readonly retryAfterSeconds: number;
-	  };
+			readonly kind: 'admit';
+			readonly pushOut: boolean;
+			/** Whether its answer will come after its objective. */
+			readonly isLate: boolean;
+	  }
+	| {readonly kind: 'refuse'; readonly reason: OutcomeReason};
 
-function refuse(reason: OutcomeReason, waitMs: number): Admission {
-	const seconds = Math.ceil(waitMs / msPerSecond);
-	return {
-		kind: 'refuse',
-		reason,
-		retryAfterSeconds: Math.max(retryAfterSeconds, seconds),
-	};
+/** Share of the slots that must be left for attempts that can only be late. */
+const minSpareShare = 0.1;
+
+function refuse(reason: OutcomeReason): Admission {
+	return {kind: 'refuse', reason};
+}
+
+/**
+ * Tells whether an attempt that can only be late may wait: while the others
+ * leave slots free, and will have done so before its deadline.
+ */
+function hasRoomForLate(input: AdmissionInput): boolean {
+	const spareShare = 1 - input.utilization;
+	return (
+		spareShare >= minSpareShare &&
+		input.lateWaitMs / spareShare + input.serviceMs <= input.remainingMs
+	);
 }
 
 /**
  * Decides whether a gate takes an attempt that has arrived.
  *
- * An attempt that could not be answered within its deadline is refused at once.
+ * An attempt that could not be answered within its deadline is refused at once,
+ * and so is one that could only be late while those in time take all slots.
  * When the queue is full, a team that has fewer attempts in it than another
  * pushes out the newest of that other team.
  *
  * @param input - see `AdmissionInput`
- * @returns whether to admit it, or why not and when to come again
+ * @returns whether to admit it, or why not
  * @example
  * decideAdmission({...input, inFlight: 0, slots: 6}).kind; // 'admit'
  */
 export function decideAdmission(input: AdmissionInput): Admission {
 	const {state, slots, inFlight, ahead, serviceMs, remainingMs} = input;
 	if (state !== 'ready') {
-		return refuse(state, 0);
+		return refuse(state);
 	}
 
 	const isFree = inFlight < slots && ahead === 0;
-	const turns = isFree ? 0 : (ahead + 1) / slots;
-	const waitMs = turns * serviceMs;
+	const waitMs = isFree ? 0 : input.waitMs;
 	if (remainingMs <= 0 || waitMs + serviceMs > remainingMs) {
-		return refuse('deadline', waitMs);
+		return refuse('deadline');
+	}
+
+	const isLate = waitMs + serviceMs > input.objectiveMs;
+	if (isFree) {
+		return {kind: 'admit', pushOut: false, isLate};
+	}
+
+	if (isLate && !hasRoomForLate(input)) {
+		return refuse('saturated');
 	}
 
-	if (isFree || input.queued < input.maxQueued) {
-		return {kind: 'admit', pushOut: false};
+	if (input.queued < input.maxQueued) {
+		return {kind: 'admit', pushOut: false, isLate};
 	}
 
 	return input.ownQueued + 1 < input.longestQueued
-		? {kind: 'admit', pushOut: true}
-		: refuse('saturated', waitMs);
+		? {kind: 'admit', pushOut: true, isLate}
+		: refuse('saturated');
 }
--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -1,4 +1,5 @@
 import type {OutcomeKind, OutcomeReason} from '../protocol/request.js';
+import {isMisrouted} from './is-misrouted.js';
 
 /** What the decision to retry depends on. */
 export type RetryInput = {
@@ -21,16 +22,6 @@
 /** Whether another attempt is made, and whether it draws on the budget. */
 export type RetryDecision = 'stop' | 'retry' | 'reroute';
 
-/**
- * Tells whether a refusal only says that the host was the wrong one to ask, so
- * that going to another adds no load.
- */
-function isMisrouted(reason: OutcomeReason): boolean {
-	return (
-		reason === 'leaving' || reason === 'no-upstream' || reason === 'not-sent'
-	);
-}
-
 /**
  * Decides whether an attempt that was not answered is followed by another.
  *
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -1,6 +1,9 @@
 import {
 	loadTrustMs,
+	comparedHosts,
+	farAdvantage,
 	minInUseShare,
+	nearObjectivePart,
 	slowStartMs,
 	spillShare as defaultSpillShare,
 } from '../protocol/constants.js';
@@ -20,8 +23,13 @@
 	 * `spillShare` of the constants when absent.
 	 */
 	readonly spillShare?: number;
+	/** Time within which an answer has its full value, ms, if that is known. */
+	readonly objectiveMs?: number | undefined;
 };
 
+/** Highest share of failures that is believed, so that a cost stays finite. */
+const maxErrorShare = 0.9;
+
 type Records = ReadonlyMap<string, HostRecord>;
 
 function isEjected(record: HostRecord | undefined, now: number): boolean {
@@ -104,23 +112,60 @@
 	return Math.min(1, Math.max(0.1, age / slowStartMs));
 }
 
-function chooseOfTwo(
+/** A host with what a request there is expected to cost. */
+type Offer = {
+	readonly candidate: Candidate;
+	/** Expected time until the answer, ms; in slots' turns where times are not known. */
+	readonly cost: number;
+	/** Whether the cost is a time. */
+	readonly isTime: boolean;
+};
+
+/** Weight of a free host's load, which spreads requests before any wait. */
+const idleWeight = 0.25;
+
+function computeOffer(
+	candidate: Candidate,
+	record: HostRecord | undefined,
+	pool: PoolShare,
+	now: number,
+): Offer {
+	const share = computeShare(candidate, record, pool, now);
+	const load = share + 1 / candidate.slots;
+	const waitTurns = Math.max(0, load - 1);
+	const serviceMs = record?.serviceMs ?? 0;
+	const turns = 1 + waitTurns + idleWeight * Math.min(1, load);
+	const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
+	const divisor = computeWarmth(record, now) * (1 - errorShare);
+	return {
+		candidate,
+		cost: ((serviceMs || 1) * turns) / divisor,
+		isTime: serviceMs > 0,
+	};
+}
+
+/** Takes some of the pool at random, and the one with the best offer of them. */
+function findBestOffer(
 	pool: readonly Candidate[],
 	records: Records,
 	random: () => number,
 	now: number,
-): Candidate {
+): Offer | undefined {
 	const poolShare = computePoolShare(pool, records, now);
-	const index = Math.floor(random() * pool.length);
-	const step = 1 + Math.floor(random() * (pool.length - 1));
-	const first = pool[index]!;
-	const second = pool[(index + step) % pool.length]!;
-	const [firstCost, secondCost] = [first, second].map((candidate) => {
+	const count = Math.min(comparedHosts, pool.length);
+	const start = Math.floor(random() * pool.length);
+	const stride = Math.max(1, Math.floor(pool.length / count));
+	let best: Offer | undefined;
+	for (let index = 0; index < count; index++) {
+		const candidate = pool[(start + index * stride) % pool.length]!;
 		const record = records.get(candidate.host);
-		const share = computeShare(candidate, record, poolShare, now);
-		return (share + 1 / candidate.slots) / computeWarmth(record, now);
-	});
-	return secondCost! < firstCost! ? second : first;
+		const offer = computeOffer(candidate, record, poolShare, now);
+		if (!best || offer.cost < best.cost) {
+			best = offer;
+		}
+	}
+
+	return best;
 }
 
 function isNearFull(
@@ -137,12 +182,28 @@
 	return sum >= limit * local.length;
 }
 
+/** Tells whether a near host's offer leaves no reason to look further. */
+function isNearEnough(
+	offer: Offer,
+	local: readonly Candidate[],
+	records: Records,
+	options: PickOptions,
+): boolean {
+	const {objectiveMs, now, spillShare = defaultSpillShare} = options;
+	return objectiveMs !== undefined && offer.isTime
+		? offer.cost <= nearObjectivePart * objectiveMs
+		: !isNearFull(local, records, spillShare, now);
+}
+
 /**
- * Picks the host for a request: the less loaded of two chosen at random
- * (Mitzenmacher, 2001), in the own data centre unless that is near full.
+ * Picks the host for a request: the one with the shortest expected time of a
+ * few chosen at random, in the own data centre unless that would endanger the
+ * request's objective and another data centre is clearly better.
  *
  * Ejected hosts are left out while enough others remain. A reported load counts
  * less with age; a host without a fresh one counts as average, not as idle.
+ * Answers an uneven load: bytes between data centres are dear, and a queue at a
+ * near host is dearer only when the request would be late.
  *
  * @param candidates - hosts with a ready upstream of the service
  * @param records - what is known of hosts, by host name
@@ -158,7 +219,7 @@
 	random: () => number,
 	options: PickOptions,
 ): Candidate | undefined {
-	const {dataCentre, now, exclude, spillShare = defaultSpillShare} = options;
+	const {dataCentre, now, exclude} = options;
 	const untried = exclude?.size
 		? candidates.filter(({host}) => !exclude.has(host))
 		: candidates;
@@ -170,9 +231,16 @@
 	const local = usable.filter(
 		(candidate) => candidate.dataCentre === dataCentre,
 	);
-	const pool =
-		local.length > 0 && !isNearFull(local, records, spillShare, now)
-			? local
-			: usable;
-	return pool.length === 1 ? pool[0] : chooseOfTwo(pool, records, random, now);
+	const near = findBestOffer(local, records, random, now);
+	if (near && isNearEnough(near, local, records, options)) {
+		return near.candidate;
+	}
+
+	const remote = usable.filter(
+		(candidate) => candidate.dataCentre !== dataCentre,
+	);
+	const far = findBestOffer(remote, records, random, now);
+	return near && (!far || far.cost > near.cost * farAdvantage)
+		? near.candidate
+		: far?.candidate;
 }
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -37,6 +37,8 @@
 	readonly attempts: number;
 	/** Attempts repeated only because the gate did not accept the stamp. */
 	readonly restamps: number;
+	/** Attempts at hosts that turned out to be the wrong ones. */
+	readonly reroutes: number;
 	/** Questions about the current attempt. */
 	readonly asks: number;
 	/** Whether an earlier attempt may have run. */
@@ -131,6 +133,7 @@
 	phase: 'new',
 	attempts: 0,
 	restamps: 0,
+	reroutes: 0,
 	asks: 0,
 	mayHaveRun: false,
 	isOpen: false,
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -3,6 +3,8 @@
 	ejectionCapMs,
 	ejectionErrorShare,
 	ejectionMinSamples,
+	unreachableBaseMs,
+	unreachableCapMs,
 } from '../protocol/constants.js';
 import type {GateLoad} from '../protocol/attempt.js';
 
@@ -10,8 +12,10 @@
 export type HostRecord = {
 	/** Requests that this node has in flight on the host. */
 	readonly ownInFlight: number;
-	/** Load that the host last reported, as a share of its slots. */
+	/** Load by others that the host last reported, as a share of its slots. */
 	readonly reportedShare: number;
+	/** Mean time that its upstream takes, ms; 0 when not known. */
+	readonly serviceMs?: number;
 	/** When it was reported, monotonic ms; negative infinity when never. */
 	readonly reportedAt: number;
 	/** Share of recent attempts that failed, 0 to 1. */
@@ -26,6 +30,8 @@
 	readonly ejectedUntil: number;
 	/** Ejections in a row. */
 	readonly ejections: number;
+	/** Attempts in a row that could not be sent. */
+	readonly unreachable?: number;
 };
 
 /** What happened with an attempt on a host. */
@@ -34,7 +40,7 @@
 	| {
 			readonly kind: 'ended';
 			/** `refused` says nothing about the host's health. */
-			readonly outcome: 'answered' | 'failed' | 'refused';
+			readonly outcome: 'answered' | 'failed' | 'refused' | 'unreachable';
 			readonly latencyMs: number;
 			readonly load: GateLoad | undefined;
 	  };
@@ -68,8 +74,24 @@
 	};
 }
 
-function readShare(load: GateLoad): number {
-	return Math.min(maxShare, (load.inFlight + load.queued) / load.slots);
+/** The load that others than this node have put on the host. */
+function readShare(load: GateLoad, ownInFlight: number): number {
+	const others = Math.max(0, load.inFlight + load.queued - ownInFlight);
+	return Math.min(maxShare, others / load.slots);
+}
+
+/**
+ * Leaves out for a short time a host that could not be connected to. Answers
+ * the load pattern of a partition, where each try costs a connect timeout.
+ */
+function leaveOut(record: HostRecord, context: HostContext): HostRecord {
+	const unreachable = (record.unreachable ?? 0) + 1;
+	const durationMs = Math.min(
+		unreachableCapMs,
+		unreachableBaseMs * 2 ** (unreachable - 1),
+	);
+	const ejectedUntil = context.now + durationMs * (0.75 + context.random / 2);
+	return {...record, unreachable, ejectedUntil};
 }
 
 function isPlausible(load: GateLoad): boolean {
@@ -136,17 +158,25 @@
 			const reported: HostRecord = {
 				...before,
 				ownInFlight,
-				reportedShare: isKnown ? readShare(load) : before.reportedShare,
+				reportedShare: isKnown
+					? readShare(load, before.ownInFlight)
+					: before.reportedShare,
+				serviceMs: load?.serviceMs ?? before.serviceMs ?? 0,
 				reportedAt: isKnown ? context.now : before.reportedAt,
 			};
 			if (outcome === 'refused') {
-				return reported;
+				return {...reported, unreachable: 0};
+			}
+
+			if (outcome === 'unreachable') {
+				return leaveOut(reported, context);
 			}
 
 			const error = outcome === 'failed' ? 1 : 0;
 			const mean = before.latencyMs === 0 ? latencyMs : before.latencyMs;
 			const after: HostRecord = {
 				...reported,
+				unreachable: 0,
 				errorShare:
 					before.errorShare + sampleWeight * (error - before.errorShare),
 				latencyMs: error ? mean : mean + sampleWeight * (latencyMs - mean),
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -1,7 +1,13 @@
-import {askRetryMs, maxAsks, maxRestamps} from '../protocol/constants.js';
+import {
+	askRetryMs,
+	maxAsks,
+	maxReroutes,
+	maxRestamps,
+} from '../protocol/constants.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import {computeRetryDelay} from './compute-retry-delay.js';
 import {decideRetry} from './decide-retry.js';
+import {isMisrouted} from './is-misrouted.js';
 import type {
 	AttemptEnding,
 	RequestContext,
@@ -44,7 +50,10 @@
 	context: RequestContext,
 ): RequestStep {
 	const {terms, now, random, budget} = context;
-	const tries = state.attempts - state.restamps;
+	const tries = state.attempts - state.restamps - state.reroutes;
+	// A try at the wrong host reached no upstream; those have a bound of their own.
+	const isWrongHost =
+		ending.outcome === 'not-run' && isMisrouted(ending.reason);
 	const after: RequestState = {
 		...state,
 		isOpen: false,
@@ -58,7 +67,8 @@
 	const decision = decideRetry({
 		...terms,
 		...ending,
-		attempts: tries,
+		attempts: isWrongHost ? state.reroutes : tries,
+		maxAttempts: isWrongHost ? maxReroutes : terms.maxAttempts,
 		remainingMs: terms.deadlineAt - now - delayMs,
 		budget,
 	});
@@ -68,7 +78,7 @@
 		}
 
 		case 'reroute': {
-			return send(after, false);
+			return send({...after, reroutes: state.reroutes + 1}, false);
 		}
 
 		case 'retry': {
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -3,7 +3,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {OutcomeReason} from './request.js';
 import type {GateStamp} from './stamp.js';
 
@@ -14,6 +14,8 @@
 	readonly requestId: string;
 	readonly team: string;
 	readonly service: string;
+	/** Name of the request's route. */
+	readonly route?: string | undefined;
 	readonly repeatable: boolean;
 	readonly sheddingMeansNotRun: boolean;
 	readonly method: string;
@@ -59,6 +61,8 @@
 	readonly inFlight: number;
 	readonly queued: number;
 	readonly slots: number;
+	/** Mean time that the upstream takes, ms. */
+	readonly serviceMs?: number | undefined;
 };
 
 /** Result of one attempt. */
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -2,7 +2,7 @@
  * Types and schemas of the configuration, its log entries and the outcomes of
  * a submission.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	manifestSchema,
 	nameSchema,
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -136,6 +136,8 @@
 export const askRetryMs = 100;
 export const maxAsks = 3;
 export const maxRestamps = 2;
+/** Tries at hosts that turn out to be the wrong ones; each costs about a round trip. */
+export const maxReroutes = 4;
 export const deadlineMarginMs = 10;
 export const connectTimeoutMs = 250;
 export const idleConnectionMs = 2000;
@@ -149,11 +151,21 @@
 
 export const spillShare = 0.8;
 export const loadTrustMs = 1000;
-export const slowStartMs = 5000;
+/** Time over which a new host's share grows: upstreams are slow for about three seconds after their start. */
+export const slowStartMs = 3000;
+/** Hosts that are compared for one request. */
+export const comparedHosts = 4;
+/** Part of a request's objective that a near host may take before a far one is considered. */
+export const nearObjectivePart = 0.6;
+/** How much better a far host must be to be taken: bytes between data centres are dear. */
+export const farAdvantage = 0.75;
 export const minInUseShare = 0.5;
 export const ejectionBaseMs = 1000;
 export const ejectionCapMs = 30_000;
 export const ejectionErrorShare = 0.5;
+/** First and longest time for which an unreachable host is left out; the first is a connect timeout. */
+export const unreachableBaseMs = 250;
+export const unreachableCapMs = 2000;
 export const ejectionMinSamples = 10;
 
 export const traceQueueSpans = 2048;
--- a/src/protocol/edge.ts
+++ b/src/protocol/edge.ts
@@ -46,6 +46,8 @@
 
 /** The names and meanings of headers towards callers and upstreams. */
 export type Edge = {
+	/** Whether a path that can be read in more than one way is refused. */
+	readonly refusesAmbiguousPaths: boolean;
 	readCaller(headers: IncomingHttpHeaders): CallerTerms;
 	/** Gives the headers that are set on a request to an upstream. */
 	createUpstreamHeaders(
@@ -57,6 +59,4 @@
 	readLoad(headers: IncomingHttpHeaders): GateLoad | undefined;
 	/** Writes a delay in the form that callers understand. */
 	formatRetryAfter(seconds: number): string;
-	/** Whether a path that can be read in more than one way is refused. */
-	readonly refusesAmbiguousPaths: boolean;
 };
--- a/src/protocol/list-settings.ts
+++ b/src/protocol/list-settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {settingsSchema} from './settings.js';
 
 /** A setting as its schema describes it. */
--- a/src/protocol/manifest.ts
+++ b/src/protocol/manifest.ts
@@ -1,7 +1,7 @@
 /**
  * Schema and types of a manifest: the routes, services and policies of one team.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	defaultConnections,
 	defaultDeadlineMs,
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -1,7 +1,7 @@
 /**
  * Types and schemas of members (nodes) and of the upstreams they announce.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	maxDataCentres,
 	maxRecordsPerBucket,
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas and types of the messages between nodes.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	configurationSchema,
 	logEntrySchema,
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -16,6 +16,7 @@
 export const depthHeader = 'boragehitch-depth';
 export const stampHeader = 'boragehitch-stamp';
 export const keyHeader = 'boragehitch-key';
+export const routeHeader = 'boragehitch-route';
 export const originHeader = 'boragehitch-origin';
 export const priorityHeader = 'boragehitch-priority';
 export const objectiveHeader = 'boragehitch-objective-ms';
--- a/src/protocol/routing-document.ts
+++ b/src/protocol/routing-document.ts
@@ -2,7 +2,7 @@
  * Schemas and types of a routing document: a whole configuration that an
  * operator writes at once and that the platform has accepted.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A service that requests may go to, with its part of them. */
 export const routeTargetSchema = z.strictObject({
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -4,7 +4,7 @@
  * The description of each setting says what is allowed; it is part of the
  * messages of refused files and of docs/CONFIGURATION.md.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const addressPattern =
 	/^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)\.){3}(?:25[0-5]|2[0-4]\d|1?\d?\d):\d{1,5}$/v;
--- a/src/state/format-log-key.ts
+++ b/src/state/format-log-key.ts
@@ -1,7 +1,7 @@
 import {logRingSize} from '../protocol/constants.js';
 
 /** Prefix of the keys of log entries in the platform. */
-export const logPrefix = 'config/log/';
+export const logPrefix = 'log/';
 
 /**
  * Formats the platform key of the log slot that holds a version.
@@ -12,7 +12,7 @@
  * @param ringSize - number of slots
  * @returns the key
  * @example
- * formatLogKey(1); // 'config/log/0001'
+ * formatLogKey(1); // 'log/0001'
  */
 export function formatLogKey(version: number, ringSize = logRingSize): string {
 	return `${logPrefix}${String(version % ringSize).padStart(4, '0')}`;
--- a/src/transport/_lib/administration/administration-options.ts
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -1,7 +1,7 @@
 import type {Configuration} from '../../../protocol/configuration.js';
 import type {Announcement, MembersView} from '../../../protocol/member.js';
 import type {Logger} from '../../create-logger.js';
-import type {PlatformClient} from '../../create-platform-client.js';
+import type {PlatformClient} from '../../platform-client.js';
 import type {CommitTask} from '../../start-commit-task.js';
 
 /** Options of `startAdministrationTask`: what its handlers read and tell. */
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -10,6 +10,7 @@
 	priorityHeader,
 	repeatableHeader,
 	requestIdHeader,
+	routeHeader,
 	serviceHeader,
 	shedHeader,
 	stampHeader,
@@ -33,6 +34,10 @@
 	headers[serviceHeader] = attempt.service;
 	headers[deadlineHeader] = String(Math.floor(attempt.remainingMs));
 	headers[depthHeader] = String(attempt.depth);
+	if (attempt.route !== undefined) {
+		headers[routeHeader] = attempt.route;
+	}
+
 	if (attempt.priority !== undefined) {
 		headers[priorityHeader] = String(attempt.priority);
 	}
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -1,7 +1,6 @@
 import {Readable} from 'node:stream';
 import {finished} from 'node:stream/promises';
 import type {Ledger} from '../../coordination/create-ledger.js';
-import {stepServiceTime} from '../../coordination/step-service-time.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
 import type {Edge} from '../../protocol/edge.js';
 import type {RequestObserver} from '../../protocol/observer.js';
@@ -11,6 +10,7 @@
 import {
 	enterLocalQueue,
 	leaveLocalQueue,
+	noteServiceTime,
 	readLocalLoad,
 	type Job,
 	type LocalUpstream,
@@ -34,7 +34,7 @@
 
 /** The admitted attempts of a gate, from queue to end. */
 export type JobRunner = {
-	enqueue(attempt: Attempt, upstream: LocalUpstream): Job;
+	enqueue(attempt: Attempt, upstream: LocalUpstream, isLate: boolean): Job;
 	/** Starts the queued jobs for which an upstream has slots. */
 	startJobs(upstream: LocalUpstream): void;
 	findJob(id: string): Job | undefined;
@@ -163,11 +163,10 @@
 
 		leaveSlot(job);
 		const endedAt = now();
-		upstream.serviceTime = stepServiceTime(
-			upstream.serviceTime,
-			endedAt - job.sentAt,
-			endedAt,
-		);
+		if (result.kind === 'answered') {
+			noteServiceTime(upstream, attempt.route, endedAt - job.sentAt, endedAt);
+		}
+
 		endJob(job, result, result.kind === 'not-run');
 		startJobs(upstream);
 		if (upstream.inFlight === 0 && upstream.queuedCount === 0) {
@@ -175,7 +174,11 @@
 		}
 	}
 
-	function enqueue(attempt: Attempt, upstream: LocalUpstream): Job {
+	function enqueue(
+		attempt: Attempt,
+		upstream: LocalUpstream,
+		isLate: boolean,
+	): Job {
 		let resolve!: Job['resolve'];
 		const result = new Promise<AttemptResult>((settle) => {
 			resolve = settle;
@@ -190,6 +193,8 @@
 			admittedAt,
 			deadlineAt: admittedAt + attempt.remainingMs,
 			startTag: upstream.fairQueue.enter(attempt.team),
+			isLate,
+			priority: attempt.priority ?? 0,
 			result,
 			resolve,
 			phase: 'queued',
--- /dev/null
+++ b/src/transport/_lib/create-peer-fetch.ts
@@ -0,0 +1,100 @@
+import {Buffer} from 'node:buffer';
+import type {Agent} from 'node:http';
+import {sendRequest, type SendOutcome} from './send-request.js';
+
+/** What of a request the tRPC client sets. */
+export type PeerFetchInit = {
+	readonly body?: unknown;
+	// The client's own type allows null.
+	// eslint-disable-next-line @typescript-eslint/no-restricted-types
+	readonly signal?: AbortSignal | null | undefined;
+};
+
+/** What of a response the tRPC client reads. */
+export type PeerFetchAnswer = {
+	readonly ok: boolean;
+	json(): Promise<unknown>;
+	text(): Promise<string>;
+};
+
+/** Sends a call of the tRPC client; rejects when it is not answered whole. */
+export type PeerFetch = (
+	url: string,
+	init?: PeerFetchInit,
+) => Promise<PeerFetchAnswer>;
+
+const statusOk = 200;
+
+async function readText(outcome: SendOutcome): Promise<string> {
+	if (outcome.kind !== 'answered') {
+		throw new Error(`call not answered: ${outcome.kind}`);
+	}
+
+	const {body} = outcome;
+	return body instanceof Uint8Array
+		? Buffer.from(body).toString()
+		: Buffer.concat(await body.toArray()).toString();
+}
+
+/**
+ * Creates the function with which a tRPC client sends its calls.
+ *
+ * @param address - IP and port of the other node
+ * @param selectAgent - chooses the connections for a URL
+ * @returns the function
+ */
+export function createPeerFetch(
+	address: string,
+	selectAgent: (url: string) => Agent,
+): PeerFetch {
+	return async (url, init = {}) => {
+		const body = Buffer.from(typeof init.body === 'string' ? init.body : '');
+		const {pathname, search} = new URL(url);
+		const sent = sendRequest(
+			{
+				method: 'POST',
+				path: pathname + search,
+				headers: {
+					host: address,
+					'content-type': 'application/json',
+					'content-length': String(body.length),
+				},
+				body,
+			},
+			{agent: selectAgent(url), address},
+		);
+		const {signal} = init;
+		if (signal?.aborted) {
+			sent.abort();
+		}
+
+		signal?.addEventListener('abort', sent.abort, {once: true});
+		try {
+			const outcome = await sent.outcome;
+			const text = await readText(outcome);
+			return {
+				ok: outcome.kind === 'answered' && outcome.status === statusOk,
+				json: async () => JSON.parse(text) as unknown,
+				text: async () => text,
+			};
+		} finally {
+			signal?.removeEventListener('abort', sent.abort);
+		}
+	};
+}
+
+/**
+ * Gives a peer fetch the signature that the tRPC client calls.
+ *
+ * @param send - the peer fetch
+ * @returns the same function for a URL of either type
+ */
+export function adaptFetch(
+	send: PeerFetch,
+): (
+	url: URL | Request | string,
+	init?: PeerFetchInit,
+) => Promise<PeerFetchAnswer> {
+	return async (url, init) =>
+		send(url instanceof Request ? url.url : String(url), init);
+}
--- a/src/transport/_lib/create-pooled-agent.ts
+++ b/src/transport/_lib/create-pooled-agent.ts
@@ -1,4 +1,5 @@
 import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
+import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {idleConnectionMs} from '../../protocol/constants.js';
 
@@ -7,12 +8,37 @@
 	this.destroy();
 }
 
+/** Options of `createPooledAgent`, besides those of Node's agent. */
+export type PooledAgentOptions = AgentOptions & {
+	/** Called with each new connection. */
+	readonly onSocket?: ((socket: Socket) => void) | undefined;
+};
+
 /** Keeps connections open, and closes idle ones on which bytes arrive. */
 class PooledAgent extends Agent {
+	readonly #onSocket: PooledAgentOptions['onSocket'];
+
+	constructor({onSocket, ...options}: PooledAgentOptions) {
+		super(options);
+		this.#onSocket = onSocket;
+	}
+
+	override createConnection(
+		...parameters: Parameters<Agent['createConnection']>
+	): ReturnType<Agent['createConnection']> {
+		const connection = super.createConnection(...parameters);
+		if (connection instanceof Socket) {
+			this.#onSocket?.(connection);
+		}
+
+		return connection;
+	}
+
+	// eslint-disable-next-line @typescript-eslint/strict-void-return
 	override keepSocketAlive(stream: Duplex): boolean {
 		// Node's own typing leaves out that the result decides about reuse.
-		// eslint-disable-next-line @typescript-eslint/no-confusing-void-expression
-		const isKept = super.keepSocketAlive(stream) as unknown as boolean;
+		const keep: (stream: Duplex) => unknown = super.keepSocketAlive.bind(this);
+		const isKept = keep(stream) === true;
 		if (isKept) {
 			stream.on('data', closeOnData);
 		}
@@ -32,10 +58,10 @@
  * An idle connection is closed after `idleConnectionMs`, or sooner when the
  * server says so (`Keep-Alive`), and at once when bytes arrive on it.
  *
- * @param options - options of Node's agent that differ
+ * @param options - see `PooledAgentOptions`
  * @returns the agent
  */
-export function createPooledAgent(options: AgentOptions = {}): Agent {
+export function createPooledAgent(options: PooledAgentOptions = {}): Agent {
 	return new PooledAgent({
 		keepAlive: true,
 		scheduling: 'lifo',
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -48,7 +48,11 @@
 /** What a caller's node knows of hosts, and the budgets of its retries. */
 export type ServiceRouter = {
 	tellView(view: MembersView): void;
-	select(service: string, key: string | undefined): GateSelection;
+	select(
+		service: string,
+		key: string | undefined,
+		objectiveMs?: number,
+	): GateSelection;
 	noteAttempt(end: AttemptEnd, now: number): void;
 	countRequest(team: string, service: string): void;
 	readBudget(team: string, service: string): number;
@@ -68,7 +72,7 @@
 		}
 
 		case 'not-run': {
-			return result.reason === 'not-sent' ? 'failed' : 'refused';
+			return result.reason === 'not-sent' ? 'unreachable' : 'refused';
 		}
 
 		case 'unknown':
@@ -168,13 +172,14 @@
 		service: string,
 		key: string | undefined,
 		tried: ReadonlySet<string>,
+		objectiveMs: number | undefined,
 	): Candidate | undefined {
 		const hosts = candidates.get(service) ?? [];
 		if (key !== undefined) {
 			return pickKeyHost(hosts, key);
 		}
 
-		const pick = {dataCentre, now: now()};
+		const pick = {dataCentre, now: now(), objectiveMs};
 		return (
 			pickHost(hosts, records, random, {...pick, exclude: tried}) ??
 			pickHost(hosts, records, random, pick)
@@ -215,12 +220,13 @@
 				}
 			}
 		},
-		select(service, key) {
+		select(service, key, objectiveMs) {
 			const tried = new Set<string>();
 			let prepared: Candidate | undefined;
 			return {
 				pickGate() {
-					const host = prepared ?? pickCandidate(service, key, tried);
+					const host =
+						prepared ?? pickCandidate(service, key, tried, objectiveMs);
 					prepared = undefined;
 					if (!host) {
 						return 'pending';
@@ -233,7 +239,7 @@
 						: createRemotePort(host);
 				},
 				async refreshStamp() {
-					prepared = pickCandidate(service, key, tried);
+					prepared = pickCandidate(service, key, tried, objectiveMs);
 					if (prepared && prepared.host !== name) {
 						await refreshStamp(prepared.address);
 					}
--- a/src/transport/_lib/format-load.ts
+++ b/src/transport/_lib/format-load.ts
@@ -7,5 +7,7 @@
  * @returns `inFlight/queued/slots`
  */
 export function formatLoad(load: GateLoad): string {
-	return `${load.inFlight}/${load.queued}/${load.slots}`;
+	const {inFlight, queued, slots, serviceMs} = load;
+	const text = `${inFlight}/${queued}/${slots}`;
+	return serviceMs === undefined ? text : `${text}/${Math.round(serviceMs)}`;
 }
--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -80,6 +80,7 @@
 	if (job) {
 		leaveLocalQueue(job);
 		upstream.fairQueue.serve(job.startTag);
+		upstream.sent.add(job);
 		countRunning(upstream, job.attempt.team, 1);
 		noteUse(upstream, job.attempt.team, now);
 	}
@@ -92,7 +93,9 @@
  *
  * @param job - the job
  */
-export function leaveSlot({upstream, attempt}: Job): void {
+export function leaveSlot(job: Job): void {
+	const {upstream, attempt} = job;
+	upstream.sent.delete(job);
 	countRunning(upstream, attempt.team, -1);
 }
 
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -1,18 +1,28 @@
-import PQueue from 'p-queue';
 import type {Agent} from 'node:http';
+import PQueue from 'p-queue';
+import {compareWaiting} from '../../coordination/compare-waiting.js';
+import {computeWaitMs} from '../../coordination/compute-wait.js';
 import {
 	createFairQueue,
 	type FairQueue,
 } from '../../coordination/create-fair-queue.js';
 import type {AdmissionInput} from '../../coordination/decide-admission.js';
-import type {ServiceTime} from '../../coordination/step-service-time.js';
+import {readServiceTime} from '../../coordination/read-service-time.js';
+import {
+	stepServiceTime,
+	type ServiceTime,
+} from '../../coordination/step-service-time.js';
 import type {TeamUse} from '../../coordination/step-team-use.js';
+import type {Utilization} from '../../coordination/step-utilization.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import type {SentRequest} from './send-request.js';
 
+/** Least expected rest of a running request, ms: one that takes longer than expected may end at any time. */
+const minRestMs = 2;
+
 /** An attempt that a gate has admitted. */
 export type Job = {
 	readonly attempt: Attempt;
@@ -23,6 +33,9 @@
 	readonly admittedAt: number;
 	readonly deadlineAt: number;
 	readonly startTag: number;
+	/** Whether its answer was expected after its objective. */
+	readonly isLate: boolean;
+	readonly priority: number;
 	readonly result: Promise<AttemptResult>;
 	readonly resolve: (result: AttemptResult) => void;
 	phase: 'queued' | 'sent' | 'over';
@@ -41,7 +54,7 @@
 	readonly agent: Agent;
 	readonly queue: PQueue;
 	readonly fairQueue: FairQueue;
-	/** Queued jobs of each team, oldest first. */
+	/** Queued jobs of each team, in the order in which they go. */
 	readonly queued: Map<string, Job[]>;
 	queuedCount: number;
 	/** What each team has lately started here. */
@@ -49,7 +62,13 @@
 	/** Jobs of each team that are in a slot. */
 	readonly running: Map<string, number>;
 	inFlight: number;
+	/** Jobs that have been sent. */
+	readonly sent: Set<Job>;
+	/** Mean time of all requests, and of those of each route. */
 	serviceTime: ServiceTime | undefined;
+	readonly routeTimes: Map<string, ServiceTime>;
+	/** Work of the jobs that were admitted to be in time. */
+	utilization: Utilization | undefined;
 };
 
 /**
@@ -74,7 +93,10 @@
 		teamUses: new Map(),
 		running: new Map(),
 		inFlight: 0,
+		sent: new Set(),
 		serviceTime: undefined,
+		routeTimes: new Map(),
+		utilization: undefined,
 	};
 }
 
@@ -129,6 +151,97 @@
 		inFlight: upstream.inFlight,
 		queued: upstream.queuedCount,
 		slots: upstream.announcement.slots,
+		serviceMs: upstream.serviceTime?.meanMs,
+	};
+}
+
+/**
+ * Reads the expected time of a request at an upstream.
+ *
+ * @param upstream - the upstream
+ * @param route - name of the request's route, if it has one
+ * @param now - monotonic ms
+ * @returns the time, ms; 0 before the first answer
+ */
+export function readExpectedTime(
+	upstream: LocalUpstream,
+	route: string | undefined,
+	now: number,
+): number {
+	const known =
+		route === undefined ? undefined : upstream.routeTimes.get(route);
+	return readServiceTime(known ?? upstream.serviceTime, now);
+}
+
+/**
+ * Notes how long a request has taken.
+ *
+ * @param upstream - the upstream
+ * @param route - name of the request's route, if it has one
+ * @param durationMs - time from its sending to its end
+ * @param now - monotonic ms
+ */
+export function noteServiceTime(
+	upstream: LocalUpstream,
+	route: string | undefined,
+	durationMs: number,
+	now: number,
+): void {
+	const {routeTimes} = upstream;
+	upstream.serviceTime = stepServiceTime(upstream.serviceTime, durationMs, now);
+	if (route !== undefined) {
+		routeTimes.set(
+			route,
+			stepServiceTime(routeTimes.get(route), durationMs, now),
+		);
+	}
+}
+
+/** Expected waits at an upstream, ms. */
+export type LocalWait = {
+	/** Among the requests that can be in time. */
+	readonly waitMs: number;
+	/** Behind all that is queued. */
+	readonly lateWaitMs: number;
+};
+
+/**
+ * Computes how long a new request would wait at an upstream.
+ *
+ * @param upstream - the upstream
+ * @param priority - the request's priority
+ * @param now - monotonic ms
+ * @returns the waits
+ */
+export function computeLocalWait(
+	upstream: LocalUpstream,
+	priority: number,
+	now: number,
+): LocalWait {
+	const {slots} = upstream.announcement;
+	if (upstream.inFlight < slots && upstream.queuedCount === 0) {
+		return {waitMs: 0, lateWaitMs: 0};
+	}
+
+	const expectedMs = ({attempt}: Job): number =>
+		readExpectedTime(upstream, attempt.route, now);
+	const runningMs = [...upstream.sent].map((job) =>
+		Math.max(minRestMs, job.sentAt + expectedMs(job) - now),
+	);
+	const queued = [...upstream.queued.values()].flat();
+	const next = {isLate: false, priority, admittedAt: now};
+	const ahead = queued.filter((job) => compareWaiting(job, next) <= 0);
+	return {
+		waitMs: computeWaitMs({
+			slots,
+			runningMs,
+			aheadMs: ahead.map((job) => expectedMs(job)),
+		}),
+		lateWaitMs: computeWaitMs({
+			slots,
+			runningMs,
+			aheadMs: queued.map((job) => expectedMs(job)),
+		}),
 	};
 }
 
@@ -148,7 +261,7 @@
 }
 
 /**
- * Puts a job among the queued ones of its team.
+ * Puts a job among the queued ones of its team, at its place in their order.
  *
  * @param job - the job
  */
@@ -156,7 +269,8 @@
 	const {upstream, attempt} = job;
 	const own = upstream.queued.get(attempt.team);
 	if (own) {
-		own.push(job);
+		const index = own.findLastIndex((other) => compareWaiting(other, job) <= 0);
+		own.splice(index + 1, 0, job);
 	} else {
 		upstream.queued.set(attempt.team, [job]);
 	}
--- a/src/transport/_lib/run-platform-call.ts
+++ b/src/transport/_lib/run-platform-call.ts
@@ -1,5 +1,5 @@
 import type {PlatformCall, PlatformOutcome} from '../../protocol/platform.js';
-import type {PlatformClient} from '../create-platform-client.js';
+import type {PlatformClient} from '../platform-client.js';
 
 /**
  * Carries out a platform call that a state machine has asked for.
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -165,7 +165,11 @@
 				stamp: gate.readStamp(),
 				signal: controller.signal,
 				traceparent: options.createTraceparent(),
-				onSignOfLife: gate.isLocal ? undefined : () => silenceTimer?.refresh(),
+				onSignOfLife: gate.isLocal
+					? undefined
+					: () => {
+							silenceTimer?.refresh();
+						},
 			};
 			open = {gate, attempt, controller};
 			clearTimeout(silenceTimer);
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -71,6 +71,7 @@
 	#chunks: Uint8Array[] = [];
 	#size = 0;
 	#isStreamed = false;
+	#onFailure: ((error: Error) => void) | undefined;
 
 	constructor(outgoing: OutgoingRequest, options: SendOptions) {
 		this.outcome = new Promise((resolve) => {
@@ -205,8 +206,6 @@
 		this.#settle(this.#createAnswered(stream));
 	}
 
-	#onFailure: ((error: Error) => void) | undefined;
-
 	#end(): void {
 		// After a reset Node ends an answer without a length like a whole one.
 		if (this.#hasFailed || this.#isStreamed) {
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -1,6 +1,5 @@
 import {Agent} from 'node:http';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import {fetch as undiciFetch, type Dispatcher} from 'undici';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
@@ -11,6 +10,7 @@
 import type {GateStamp} from '../protocol/stamp.js';
 import {attemptHeader, deadlineHeader} from '../protocol/request.js';
 import {createAttemptHeaders} from './_lib/create-attempt-headers.js';
+import {adaptFetch, createPeerFetch} from './_lib/create-peer-fetch.js';
 import {createPooledAgent} from './_lib/create-pooled-agent.js';
 import {readGateOutcome} from './_lib/read-gate-outcome.js';
 import {selectBody} from './_lib/select-body.js';
@@ -19,7 +19,6 @@
 	type SendOutcome,
 	type SentRequest,
 } from './_lib/send-request.js';
-import {withFreshConnection} from './_lib/with-fresh-connection.js';
 import type {PeerRouter} from './create-peer-router.js';
 
 /** Sends attempts to the gates of other hosts. */
@@ -69,19 +68,12 @@
 	return sent.outcome;
 }
 
-function createClient(dispatcher: Dispatcher, address: string) {
+function createClient(agent: Agent, address: string) {
 	return createTRPCClient<PeerRouter>({
 		links: [
 			httpLink({
 				url: `http://${address}/trpc`,
-				fetch: async (url, options) =>
-					undiciFetch(String(url), {
-						method: 'POST',
-						headers: {'content-type': 'application/json'},
-						body: typeof options?.body === 'string' ? options.body : undefined,
-						signal: options?.signal,
-						dispatcher,
-					}),
+				fetch: adaptFetch(createPeerFetch(address, () => agent)),
 			}),
 		],
 	});
@@ -118,11 +110,9 @@
 		},
 		async ask(address, question) {
 			try {
-				return await withFreshConnection(address, async (connection) =>
-					createClient(connection, address).ask.mutate(question, {
-						signal: AbortSignal.timeout(askTimeoutMs),
-					}),
-				);
+				return await createClient(freshAgent, address).ask.mutate(question, {
+					signal: AbortSignal.timeout(askTimeoutMs),
+				});
 			} catch {
 				return 'failed';
 			}
@@ -144,22 +134,18 @@
 		},
 		async readStamp(address) {
 			try {
-				return await withFreshConnection(address, async (connection) =>
-					createClient(connection, address).stamp.mutate(undefined, {
-						signal: AbortSignal.timeout(askTimeoutMs),
-					}),
-				);
+				return await createClient(freshAgent, address).stamp.mutate(undefined, {
+					signal: AbortSignal.timeout(askTimeoutMs),
+				});
 			} catch {
 				return undefined;
 			}
 		},
 		async cancel(address, id) {
 			try {
-				await withFreshConnection(address, async (connection) =>
-					createClient(connection, address).cancel.mutate(
-						{id},
-						{signal: AbortSignal.timeout(askTimeoutMs)},
-					),
+				await createClient(freshAgent, address).cancel.mutate(
+					{id},
+					{signal: AbortSignal.timeout(askTimeoutMs)},
 				);
 			} catch {
 				// The attempt ends at its deadline.
--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -1,7 +1,8 @@
+import type {Agent} from 'node:http';
 import type {Socket} from 'node:net';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import {fetch as undiciFetch, type Agent} from 'undici';
-import {createCountedAgent} from './_lib/create-counted-agent.js';
+import {adaptFetch, createPeerFetch} from './_lib/create-peer-fetch.js';
+import {createPooledAgent} from './_lib/create-pooled-agent.js';
 import {readPurpose} from './_lib/read-purpose.js';
 import type {PeerRouter} from './create-peer-router.js';
 
@@ -24,6 +25,12 @@
 	readonly track?: (purpose: string, socket: Socket) => void;
 };
 
+/** Connections to one node for calls of one purpose. */
+const maxPeerConnections = 4;
+
+/** Time after which an idle connection to a node is closed, ms; above the periods of calls. */
+const peerIdleMs = 30_000;
+
 function formatOwnKey(
 	purpose: string,
 	address: string,
@@ -57,12 +64,13 @@
 			return known;
 		}
 
-		const agent = createCountedAgent(
-			{connections: 4, keepAliveTimeout: 30_000},
-			(socket) => {
+		const agent = createPooledAgent({
+			maxSockets: maxPeerConnections,
+			timeout: peerIdleMs,
+			onSocket(socket) {
 				track?.(purpose, socket);
 			},
-		);
+		});
 		agents.set(key, agent);
 		return agent;
 	}
@@ -73,7 +81,8 @@
 		for (const [key, agent] of agents) {
 			if (key.endsWith(` ${address} ${renewal}`)) {
 				agents.delete(key);
-				void agent.close();
+				// Calls in flight on it have their own timeouts.
+				agent.destroy();
 			}
 		}
 	}
@@ -93,16 +102,11 @@
 				links: [
 					httpLink({
 						url: `http://${address}/trpc`,
-
-						fetch: async (url, options) =>
-							undiciFetch(String(url), {
-								method: 'POST',
-								headers: {'content-type': 'application/json'},
-								body:
-									typeof options?.body === 'string' ? options.body : undefined,
-								signal: options?.signal,
-								dispatcher: getAgent(readPurpose(String(url)), address),
-							}),
+						fetch: adaptFetch(
+							createPeerFetch(address, (url) =>
+								getAgent(readPurpose(url), address),
+							),
+						),
 					}),
 				],
 			});
@@ -110,9 +114,9 @@
 			return client;
 		},
 		async stop() {
-			await Promise.all(
-				[...agents.values()].map(async (agent) => agent.destroy()),
-			);
+			for (const agent of agents.values()) {
+				agent.destroy();
+			}
 		},
 	};
 }
--- a/src/transport/read-version-status.ts
+++ b/src/transport/read-version-status.ts
@@ -7,7 +7,7 @@
 	inForceSchema,
 } from '../protocol/configuration.js';
 import type {PlatformObject, WriteCondition} from '../protocol/platform.js';
-import type {PlatformClient} from './create-platform-client.js';
+import type {PlatformClient} from './platform-client.js';
 
 /** Options of `readVersionStatus`. */
 export type VersionStatusOptions = {
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -207,7 +207,7 @@
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatKey(terms, route);
 		const {depth} = terms;
-		const selection = router.select(service, key);
+		const selection = router.select(service, key, route.objectiveMs);
 		if (isStreamed) {
 			await selection.refreshStamp();
 		}
@@ -229,6 +229,7 @@
 				requestId,
 				team,
 				service,
+				route: route.name,
 				repeatable,
 				sheddingMeansNotRun,
 				method: request.method ?? 'GET',
--- a/src/transport/start-commit-task.ts
+++ b/src/transport/start-commit-task.ts
@@ -15,7 +15,7 @@
 	SubmissionOutcome,
 } from '../protocol/configuration.js';
 import {runPlatformCall} from './_lib/run-platform-call.js';
-import type {PlatformClient} from './create-platform-client.js';
+import type {PlatformClient} from './platform-client.js';
 
 /** Options of `startCommitTask`. */
 export type CommitTaskOptions = {
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -13,7 +13,7 @@
 import {runPlatformCall} from './_lib/run-platform-call.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
-import type {PlatformClient} from './create-platform-client.js';
+import type {PlatformClient} from './platform-client.js';
 
 /** Options of `startConfigurationTask`. */
 export type ConfigurationTaskOptions = {
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -1,8 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import {Readable} from 'node:stream';
 import {createLedger} from '../coordination/create-ledger.js';
+import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {decideAdmission} from '../coordination/decide-admission.js';
-import {readServiceTime} from '../coordination/read-service-time.js';
+import {
+	readUtilization,
+	stepUtilization,
+} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
@@ -18,13 +22,16 @@
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {computeLocalOpenSlots} from './_lib/local-slots.js';
 import {
+	computeLocalWait,
 	countAhead,
 	createLocalUpstream,
 	findLocalUpstream,
 	findLongestQueue,
+	readExpectedTime,
 	readLocalLoad,
 	type Job,
 	type LocalUpstream,
+	type LocalWait,
 } from './_lib/local-upstream.js';
 import {raceResult} from './_lib/race-result.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
@@ -41,6 +48,8 @@
 	readonly epoch?: string;
 	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
+	/** Numbers from 0 up to 1; `Math.random` when absent. */
+	readonly random?: () => number;
 };
 
 /** The task that alone sends requests to the upstreams on its host. */
@@ -74,7 +83,7 @@
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
 	const {observer = {}, edge = ownEdge, epoch = randomUUID()} = options;
-	const {now = () => performance.now()} = options;
+	const {now = () => performance.now(), random = Math.random} = options;
 	const upstreams = new Map<string, LocalUpstream>();
 	const ledger = createLedger<AttemptResult>({epoch});
 	let isDraining = false;
@@ -98,6 +107,19 @@
 		now,
 	});
 
+	function readExpectation(
+		upstream: LocalUpstream | undefined,
+		{route, priority = 0}: Attempt,
+	): LocalWait & {readonly serviceMs: number} {
+		const at = now();
+		return upstream
+			? {
+					...computeLocalWait(upstream, priority, at),
+					serviceMs: readExpectedTime(upstream, route, at),
+				}
+			: {waitMs: 0, lateWaitMs: 0, serviceMs: 0};
+	}
+
 	function admit(attempt: Attempt): Job | AttemptResult {
 		const {state, upstream} = findLocalUpstream(
 			upstreams.values(),
@@ -105,9 +127,15 @@
 		);
 		const longest = upstream ? findLongestQueue(upstream) : [];
 		const slots = upstream?.announcement.slots ?? 0;
+		const at = now();
+		const {remainingMs, objectiveMs = remainingMs} = attempt;
+		const expected = readExpectation(upstream, attempt);
 		const admission = decideAdmission({
 			state: isDraining ? 'leaving' : state,
-			remainingMs: attempt.remainingMs,
+			remainingMs,
+			objectiveMs,
+			...expected,
+			utilization: readUtilization(upstream?.utilization, slots, at),
 			slots: upstream
 				? computeLocalOpenSlots(upstream, attempt.team, now())
 				: slots,
@@ -117,18 +145,29 @@
 			ownQueued: upstream?.queued.get(attempt.team)?.length ?? 0,
 			longestQueued: longest.length,
 			maxQueued: slots * queueSlotsRatio,
-			serviceMs: readServiceTime(upstream?.serviceTime, now()),
 		});
 		if (admission.kind === 'refuse') {
-			const {reason, retryAfterSeconds: retryAfter} = admission;
-			return refuse('not-run', reason, upstream, retryAfter);
+			const retryAfter = computeRetryAfter({
+				...expected,
+				remainingMs,
+				random: random(),
+			});
+			return refuse('not-run', admission.reason, upstream, retryAfter);
 		}
 
 		if (admission.pushOut) {
 			runner.drop(longest.at(-1)!, 'saturated');
 		}
 
-		return runner.enqueue(attempt, upstream!);
+		if (!admission.isLate) {
+			upstream!.utilization = stepUtilization(
+				upstream!.utilization,
+				expected.serviceMs,
+				at,
+			);
+		}
+
+		return runner.enqueue(attempt, upstream!, admission.isLate);
 	}
 
 	async function runAdmitted(attempt: Attempt): Promise<AttemptResult> {
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {computeMembersView} from '../coordination/compute-members-view.js';
 import {createMembersState} from '../coordination/create-members-state.js';
 import type {
@@ -22,7 +22,7 @@
 } from '../protocol/member.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
-import type {PlatformClient} from './create-platform-client.js';
+import type {PlatformClient} from './platform-client.js';
 
 /** Options of `startMembersTask`. */
 export type MembersTaskOptions = {
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -11,7 +11,7 @@
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
 import {createPeerClients} from './create-peer-client.js';
-import type {PlatformClient} from './create-platform-client.js';
+import type {PlatformClient} from './platform-client.js';
 import {startCallerTask} from './start-caller-task.js';
 import {startDocumentTask, type DocumentStore} from './start-document-task.js';
 import {startGateTask} from './start-gate-task.js';
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {lingerMs} from '../protocol/constants.js';
 import type {Settings} from '../protocol/settings.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
@@ -8,7 +9,7 @@
 import type {Logger} from './create-logger.js';
 import {createMetrics} from './create-metrics.js';
 import {createPeerClients} from './create-peer-client.js';
-import {createPlatformClient} from './create-platform-client.js';
+import type {PlatformClient} from './platform-client.js';
 import {createTracer} from './create-tracer.js';
 import {waitMs} from './_lib/wait-ms.js';
 import {startAdministrationTask} from './start-administration-task.js';
@@ -19,6 +20,11 @@
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
 
+/** Creates a client of the platform, and shows each of its connections. */
+export type CreatePlatform = (
+	onSocket: (socket: Socket) => void,
+) => PlatformClient;
+
 /** A running node. */
 export type RunningNode = {
 	readonly callers: string;
@@ -33,18 +39,20 @@
  *
  * @param settings - checked settings
  * @param logger - where the node logs
+ * @param createPlatform - creates the client of the platform
  * @returns the running node
  * @example
- * const node = await startNode(settings, createLogger('info', 'abdali-1'));
+ * const node = await startNode(settings, logger, createPlatform);
  */
 export async function startNode(
 	settings: Settings,
 	logger: Logger,
+	createPlatform: CreatePlatform,
 ): Promise<RunningNode> {
 	const {name, dataCentre} = settings.node;
 	const bytes = createByteCounter();
-	const platform = createPlatformClient(settings.platform.url, {
-		track: bytes.track,
+	const platform = createPlatform((socket) => {
+		bytes.track('platform', socket);
 	});
 	const peers = createPeerClients({track: bytes.track});
 	const tracer = createTracer({
--- a/xo.config.js
+++ b/xo.config.js
@@ -7,6 +7,11 @@
 			'no-await-in-loop': 'off',
 		},
 	},
+	{
+		// These files hold the names that the platform puts on the wire.
+		files: ['platform/**', 'fakes/platform-*.ts'],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
 	{
 		files: ['**/*.test.ts'],
 		rules: {
