Test the adapter, the document machine and the sender; place by a route's own times

Change: hosts of unknown times count as the mean of the known ones, and a gate reports the time of the request's own route.

--- /dev/null
+++ b/src/coordination/compare-waiting.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {compareWaiting, type WaitingRequest} from './compare-waiting.js';
+
+/** Load of a minute in which a third more comes than can be served. */
+const slots = 6;
+const serviceMs = 60;
+const objectiveMs = 200;
+const arrivalMs = (serviceMs / slots) * 0.75;
+
+/** Counts answers within the objective when a slot goes to the first in order. */
+function countInTime(
+	compare: (a: WaitingRequest, b: WaitingRequest) => number,
+	canWait: (waiting: number) => boolean,
+): number {
+	const free = Array.from<number>({length: slots}).fill(0);
+	let waiting: WaitingRequest[] = [];
+	let inTime = 0;
+	for (let now = 0; now < 60_000; now += arrivalMs) {
+		for (;;) {
+			const slot = free.indexOf(Math.min(...free));
+			if (waiting.length === 0 || free[slot]! > now) {
+				break;
+			}
+
+			const [next, ...rest] = waiting.toSorted(compare);
+			waiting = rest;
+			free[slot] = Math.max(free[slot]!, next!.admittedAt) + serviceMs;
+			inTime += free[slot] <= next!.admittedAt + objectiveMs ? 1 : 0;
+		}
+
+		if (canWait(waiting.length)) {
+			waiting.push({isLate: false, priority: 0, admittedAt: now});
+		}
+	}
+
+	return inTime;
+}
+
+test('overload: refusing what would be late keeps the slots for answers in time', () => {
+	const inFirstComeOrder = countInTime(compareWaiting, () => true);
+	const maxWaiting = ((objectiveMs - serviceMs) / serviceMs) * slots - slots;
+	const withRefusals = countInTime(
+		compareWaiting,
+		(waiting) => waiting < maxWaiting,
+	);
+	const capacity = 60_000 / (serviceMs / slots);
+	assert.ok(inFirstComeOrder < capacity * 0.1, String(inFirstComeOrder));
+	assert.ok(withRefusals > capacity * 0.9, String(withRefusals));
+});
+
+test('order: in time first, then urgent ones, then older ones', () => {
+	const waiting: readonly WaitingRequest[] = [
+		{isLate: true, priority: 0, admittedAt: 1},
+		{isLate: false, priority: 2, admittedAt: 2},
+		{isLate: false, priority: 1, admittedAt: 4},
+		{isLate: false, priority: 1, admittedAt: 3},
+	];
+	assert.deepEqual(
+		waiting.toSorted(compareWaiting).map(({admittedAt}) => admittedAt),
+		[3, 4, 2, 1],
+	);
+});
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -25,6 +25,8 @@
 	readonly spillShare?: number;
 	/** Time within which an answer has its full value, ms, if that is known. */
 	readonly objectiveMs?: number | undefined;
+	/** Name of the request's route, if it has one. */
+	readonly route?: string | undefined;
 };
 
 /** Highest share of failures that is believed, so that a cost stays finite. */
@@ -54,7 +56,10 @@
 }
 
 /** Mean of the fresh reported loads of a pool. */
-type PoolShare = {readonly mean: number; readonly reports: number};
+type PoolShare = {
+	readonly mean: number;
+	readonly reports: number;
+};
 
 const noReports: PoolShare = {mean: 0, reports: 0};
 
@@ -124,23 +129,60 @@
 /** Weight of a free host's load, which spreads requests before any wait. */
 const idleWeight = 0.25;
 
+/** Expected times at a host, ms. */
+type HostTimes = {
+	/** Of the request itself. */
+	readonly ownMs: number;
+	/** Of any request that it waits for. */
+	readonly serviceMs: number;
+};
+
+function readTimes(
+	record: HostRecord | undefined,
+	route: string | undefined,
+): HostTimes | undefined {
+	const serviceMs = record?.serviceMs ?? 0;
+	const known = route === undefined ? undefined : record?.routeMs?.get(route);
+	const ownMs = known ?? serviceMs;
+	return ownMs > 0 ? {ownMs, serviceMs: serviceMs || ownMs} : undefined;
+}
+
+/** Means of the times of hosts that are known, for those that are not. */
+function computeMeanTimes(
+	pool: readonly Candidate[],
+	records: Records,
+	route: string | undefined,
+): HostTimes | undefined {
+	const known = pool
+		.map(({host}) => readTimes(records.get(host), route))
+		.filter((times) => times !== undefined);
+	const mean = (read: (times: HostTimes) => number): number =>
+		known.reduce((sum, times) => sum + read(times), 0) / known.length;
+	return known.length === 0
+		? undefined
+		: {
+				ownMs: mean(({ownMs}) => ownMs),
+				serviceMs: mean(({serviceMs}) => serviceMs),
+			};
+}
+
 function computeOffer(
 	candidate: Candidate,
 	record: HostRecord | undefined,
 	pool: PoolShare,
+	times: HostTimes | undefined,
 	now: number,
 ): Offer {
-	const share = computeShare(candidate, record, pool, now);
-	const load = share + 1 / candidate.slots;
-	const waitTurns = Math.max(0, load - 1);
-	const serviceMs = record?.serviceMs ?? 0;
-	const turns = 1 + waitTurns + idleWeight * Math.min(1, load);
+	const load = computeShare(candidate, record, pool, now) + 1 / candidate.slots;
+	const {ownMs, serviceMs} = times ?? {ownMs: 1, serviceMs: 1};
+	const waitMs = Math.max(0, load - 1) * serviceMs;
+	const busyMs = idleWeight * Math.min(1, load) * ownMs;
 	const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
 	const divisor = computeWarmth(record, now) * (1 - errorShare);
 	return {
 		candidate,
-		cost: ((serviceMs || 1) * turns) / divisor,
-		isTime: serviceMs > 0,
+		cost: (ownMs + waitMs + busyMs) / divisor,
+		isTime: times !== undefined,
 	};
 }
 
@@ -149,8 +191,9 @@
 	pool: readonly Candidate[],
 	records: Records,
 	random: () => number,
-	now: number,
+	{now, route}: PickOptions,
 ): Offer | undefined {
+	const meanTimes = computeMeanTimes(pool, records, route);
 	const poolShare = computePoolShare(pool, records, now);
 	const count = Math.min(comparedHosts, pool.length);
 	const start = Math.floor(random() * pool.length);
@@ -159,7 +202,8 @@
 	for (let index = 0; index < count; index++) {
 		const candidate = pool[(start + index * stride) % pool.length]!;
 		const record = records.get(candidate.host);
-		const offer = computeOffer(candidate, record, poolShare, now);
+		const times = readTimes(record, route) ?? meanTimes;
+		const offer = computeOffer(candidate, record, poolShare, times, now);
 		if (!best || offer.cost < best.cost) {
 			best = offer;
 		}
@@ -231,7 +275,7 @@
 	const local = usable.filter(
 		(candidate) => candidate.dataCentre === dataCentre,
 	);
-	const near = findBestOffer(local, records, random, now);
+	const near = findBestOffer(local, records, random, options);
 	if (near && isNearEnough(near, local, records, options)) {
 		return near.candidate;
 	}
@@ -239,7 +283,7 @@
 	const remote = usable.filter(
 		(candidate) => candidate.dataCentre !== dataCentre,
 	);
-	const far = findBestOffer(remote, records, random, now);
+	const far = findBestOffer(remote, records, random, options);
 	return near && (!far || far.cost > near.cost * farAdvantage)
 		? near.candidate
 		: far?.candidate;
--- /dev/null
+++ b/src/coordination/step-document.test.ts
@@ -0,0 +1,212 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {Member} from '../protocol/member.js';
+import type {RoutingDocument} from '../protocol/routing-document.js';
+import {createDocumentState} from './create-document-state.js';
+import type {
+	DocumentEffect,
+	DocumentMessage,
+	DocumentState,
+} from './document-state.js';
+import {stepDocument} from './step-document.js';
+
+function createDocument(version: number): RoutingDocument {
+	return {version, routes: [], services: {}};
+}
+
+function createMember(name: string, dataCentre = 'abdali'): Member {
+	return {
+		name,
+		dataCentre,
+		address: `10.0.0.1:${name.length}${name.codePointAt(0)}`,
+		incarnation: 1,
+		sequence: 1,
+		state: 'alive',
+		upstreams: [],
+	};
+}
+
+/** A machine with its clock and the effects of its last step. */
+function createMachine(name = 'a') {
+	let state: DocumentState = createDocumentState(name);
+	let effects: readonly DocumentEffect[] = [];
+	return {
+		tell(message: DocumentMessage, now: number) {
+			const step = stepDocument(state, message, now);
+			state = step.state;
+			effects = step.effects;
+			return effects;
+		},
+		find<Kind extends DocumentEffect['kind']>(kind: Kind) {
+			return effects.find(
+				(effect): effect is DocumentEffect & {readonly kind: Kind} =>
+					effect.kind === kind,
+			);
+		},
+		read: () => state,
+	};
+}
+
+test('a node reads the store, runs the document and watches on', () => {
+	const machine = createMachine();
+	machine.tell({kind: 'tick'}, 0);
+	const {callId} = machine.find('read')!;
+	machine.tell(
+		{
+			kind: 'stored',
+			callId,
+			outcome: {kind: 'read', document: createDocument(3), revision: 9},
+		},
+		5,
+	);
+	assert.equal(machine.find('run')?.document.version, 3);
+	assert.equal(machine.find('watch')?.revision, 9);
+});
+
+test('an older document never replaces the running one', () => {
+	const machine = createMachine();
+	for (const [now, version] of [7, 5, 7].entries()) {
+		machine.tell({kind: 'tick'}, now * 10);
+		const call = machine.read().storeLoop.call!;
+		machine.tell(
+			{
+				kind: 'stored',
+				callId: call.id,
+				outcome: {
+					kind: 'read',
+					document: createDocument(version),
+					revision: 9,
+				},
+			},
+			now * 10 + 1,
+		);
+	}
+
+	assert.equal(machine.read().document?.version, 7);
+});
+
+test('a lost history is read again', () => {
+	const machine = createMachine();
+	machine.tell({kind: 'tick'}, 0);
+	const first = machine.find('read')!;
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: first.callId,
+			outcome: {kind: 'read', document: createDocument(1), revision: 4},
+		},
+		1,
+	);
+	const watch = machine.find('watch')!;
+	machine.tell(
+		{kind: 'stored', callId: watch.callId, outcome: {kind: 'compacted'}},
+		2,
+	);
+	assert.ok(machine.find('read'));
+});
+
+test('a watch that has fallen silent is given up and begun anew', () => {
+	const machine = createMachine();
+	machine.tell({kind: 'tick'}, 0);
+	const {callId} = machine.find('read')!;
+	machine.tell(
+		{
+			kind: 'stored',
+			callId,
+			outcome: {kind: 'read', document: createDocument(1), revision: 4},
+		},
+		1,
+	);
+	const {timeoutMs} = machine.find('watch')!;
+	machine.tell({kind: 'tick'}, timeoutMs + 2);
+	machine.tell({kind: 'tick'}, timeoutMs + 500);
+	assert.equal(machine.find('watch')?.revision, 4);
+});
+
+/** A child of a data centre of four nodes, which all have records. */
+function createChild() {
+	const members = ['a', 'b', 'c', 'd'].map((name) => createMember(name));
+	for (const {name} of members) {
+		const machine = createMachine(name);
+		machine.tell({kind: 'view', members}, 0);
+		if (!machine.read().isRoot) {
+			return machine;
+		}
+	}
+
+	throw new Error('no child among four nodes');
+}
+
+test('a child waits at a parent and leaves the store alone', () => {
+	const machine = createChild();
+	const poll = machine.find('poll')!;
+	machine.tell(
+		{
+			kind: 'polled',
+			callId: poll.callId,
+			outcome: {
+				kind: 'answered',
+				answer: {ageMs: 10, document: createDocument(2)},
+			},
+		},
+		5,
+	);
+	assert.equal(machine.find('run')?.document.version, 2);
+	assert.equal(machine.find('poll')?.poll.version, 2);
+	const late = machine.read().storeLoop.call?.endsAt ?? 0;
+	machine.tell({kind: 'tick'}, Math.max(400, late + 1));
+	assert.equal(machine.find('read'), undefined);
+});
+
+test('a child whose parents are silent asks others, then reads the store', () => {
+	const machine = createChild();
+	const asked = new Set<string>();
+	let hasRead = false;
+	for (let now = 0; now < 3000; now += 100) {
+		for (const effect of machine.tell({kind: 'tick'}, now)) {
+			if (effect.kind === 'poll') {
+				asked.add(effect.address);
+			}
+
+			hasRead ||= effect.kind === 'read' && now < 2000;
+		}
+	}
+
+	assert.ok(asked.size >= 2);
+	assert.ok(hasRead);
+});
+
+test('a stale answer counts as none', () => {
+	const machine = createChild();
+	const {callId} = machine.find('poll')!;
+	machine.tell(
+		{
+			kind: 'polled',
+			callId,
+			outcome: {kind: 'answered', answer: {ageMs: 9000}},
+		},
+		10,
+	);
+	assert.equal(machine.read().peerIndex, 1);
+});
+
+test('waiting polls are answered when a newer document is there, or in time', () => {
+	const machine = createMachine();
+	const poll = {name: 'b', version: -1, waitMs: 800};
+	machine.tell({kind: 'poll', pollId: 1, poll}, 0);
+	const {callId} = machine.find('read')!;
+	machine.tell(
+		{
+			kind: 'stored',
+			callId,
+			outcome: {kind: 'read', document: createDocument(1), revision: 4},
+		},
+		20,
+	);
+	assert.equal(machine.find('answer')?.answer.document?.version, 1);
+	machine.tell({kind: 'poll', pollId: 2, poll: {...poll, version: 1}}, 30);
+	assert.equal(machine.find('answer'), undefined);
+	machine.tell({kind: 'tick'}, 900);
+	assert.equal(machine.find('answer')?.pollId, 2);
+	assert.equal(machine.find('answer')?.answer.document, undefined);
+});
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -16,6 +16,8 @@
 	readonly reportedShare: number;
 	/** Mean time that its upstream takes, ms; 0 when not known. */
 	readonly serviceMs?: number;
+	/** Expected time of the requests of a route at its upstream, ms. */
+	readonly routeMs?: ReadonlyMap<string, number>;
 	/** When it was reported, monotonic ms; negative infinity when never. */
 	readonly reportedAt: number;
 	/** Share of recent attempts that failed, 0 to 1. */
@@ -42,6 +44,8 @@
 			/** `refused` says nothing about the host's health. */
 			readonly outcome: 'answered' | 'failed' | 'refused' | 'unreachable';
 			readonly latencyMs: number;
+			/** Name of the request's route, if it has one. */
+			readonly route?: string | undefined;
 			readonly load: GateLoad | undefined;
 	  };
 
@@ -74,6 +78,17 @@
 	};
 }
 
+const noTimes: ReadonlyMap<string, number> = new Map();
+
+function putRouteTime(
+	times = noTimes,
+	{route, load}: HostMessage & {readonly kind: 'ended'},
+): ReadonlyMap<string, number> {
+	return route === undefined || load?.routeMs === undefined
+		? times
+		: new Map(times).set(route, load.routeMs);
+}
+
 /** The load that others than this node have put on the host. */
 function readShare(load: GateLoad, ownInFlight: number): number {
 	const others = Math.max(0, load.inFlight + load.queued - ownInFlight);
@@ -162,6 +177,7 @@
 					? readShare(load, before.ownInFlight)
 					: before.reportedShare,
 				serviceMs: load?.serviceMs ?? before.serviceMs ?? 0,
+				routeMs: putRouteTime(before.routeMs, message),
 				reportedAt: isKnown ? context.now : before.reportedAt,
 			};
 			if (outcome === 'refused') {
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -63,6 +63,8 @@
 	readonly slots: number;
 	/** Mean time that the upstream takes, ms. */
 	readonly serviceMs?: number | undefined;
+	/** Mean time that it takes for requests of the attempt's route, ms. */
+	readonly routeMs?: number | undefined;
 };
 
 /** Result of one attempt. */
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -153,7 +153,7 @@
 		const result = readUpstreamOutcome(outcome, attempt, {
 			edge,
 			endedBy: job.endedBy,
-			load: readLocalLoad(upstream),
+			load: readLocalLoad(upstream, attempt.route),
 			stamp: ledger.readStamp(now()),
 		});
 		if (result.kind === 'answered' && result.body instanceof Readable) {
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,4 +1,4 @@
-import {pickHost} from '../../coordination/pick-host.js';
+import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
 import {
 	stepHostRecord,
@@ -45,13 +45,16 @@
 	refreshStamp(): Promise<void>;
 };
 
+/** What of a request's route matters for its host. */
+export type RouteTerms = Pick<PickOptions, 'objectiveMs' | 'route'>;
+
 /** What a caller's node knows of hosts, and the budgets of its retries. */
 export type ServiceRouter = {
 	tellView(view: MembersView): void;
 	select(
 		service: string,
 		key: string | undefined,
-		objectiveMs?: number,
+		terms?: RouteTerms,
 	): GateSelection;
 	noteAttempt(end: AttemptEnd, now: number): void;
 	countRequest(team: string, service: string): void;
@@ -172,14 +175,14 @@
 		service: string,
 		key: string | undefined,
 		tried: ReadonlySet<string>,
-		objectiveMs: number | undefined,
+		terms: RouteTerms,
 	): Candidate | undefined {
 		const hosts = candidates.get(service) ?? [];
 		if (key !== undefined) {
 			return pickKeyHost(hosts, key);
 		}
 
-		const pick = {dataCentre, now: now(), objectiveMs};
+		const pick = {dataCentre, now: now(), ...terms};
 		return (
 			pickHost(hosts, records, random, {...pick, exclude: tried}) ??
 			pickHost(hosts, records, random, pick)
@@ -220,13 +223,12 @@
 				}
 			}
 		},
-		select(service, key, objectiveMs) {
+		select(service, key, terms = {}) {
 			const tried = new Set<string>();
 			let prepared: Candidate | undefined;
 			return {
 				pickGate() {
-					const host =
-						prepared ?? pickCandidate(service, key, tried, objectiveMs);
+					const host = prepared ?? pickCandidate(service, key, tried, terms);
 					prepared = undefined;
 					if (!host) {
 						return 'pending';
@@ -239,7 +241,7 @@
 						: createRemotePort(host);
 				},
 				async refreshStamp() {
-					prepared = pickCandidate(service, key, tried, objectiveMs);
+					prepared = pickCandidate(service, key, tried, terms);
 					if (prepared && prepared.host !== name) {
 						await refreshStamp(prepared.address);
 					}
@@ -256,6 +258,7 @@
 				kind: 'ended',
 				outcome: judgeResult(result),
 				latencyMs: endedAt - startedAt,
+				route: attempt.route,
 				load: result.kind === 'lost' ? undefined : result.load,
 			});
 		},
--- a/src/transport/_lib/format-load.ts
+++ b/src/transport/_lib/format-load.ts
@@ -7,7 +7,9 @@
  * @returns `inFlight/queued/slots`
  */
 export function formatLoad(load: GateLoad): string {
-	const {inFlight, queued, slots, serviceMs} = load;
+	const {inFlight, queued, slots, serviceMs, routeMs = serviceMs} = load;
 	const text = `${inFlight}/${queued}/${slots}`;
-	return serviceMs === undefined ? text : `${text}/${Math.round(serviceMs)}`;
+	return serviceMs === undefined || routeMs === undefined
+		? text
+		: `${text}/${Math.round(serviceMs)}/${Math.round(routeMs)}`;
 }
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -144,14 +144,20 @@
  * Reads the load of an upstream.
  *
  * @param upstream - the upstream
+ * @param route - name of the route whose time is given too
  * @returns its load, as piggybacked on answers
  */
-export function readLocalLoad(upstream: LocalUpstream): GateLoad {
+export function readLocalLoad(
+	upstream: LocalUpstream,
+	route?: string,
+): GateLoad {
 	return {
 		inFlight: upstream.inFlight,
 		queued: upstream.queuedCount,
 		slots: upstream.announcement.slots,
 		serviceMs: upstream.serviceTime?.meanMs,
+		routeMs:
+			route === undefined ? undefined : upstream.routeTimes.get(route)?.meanMs,
 	};
 }
 
--- /dev/null
+++ b/src/transport/_lib/send-request.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Socket} from 'node:net';
+import {Readable} from 'node:stream';
+import test, {type TestContext} from 'node:test';
+import {createPooledAgent} from './create-pooled-agent.js';
+import {sendRequest, type SendOutcome} from './send-request.js';
+
+type Handler = (socket: Socket, request: string, count: number) => void;
+
+/** Starts a server that is given each request's text; requests are short. */
+async function start(t: TestContext, handler: Handler) {
+	const sockets = new Set<Socket>();
+	let count = 0;
+	const server = createServer((socket) => {
+		sockets.add(socket);
+		socket.on('error', () => {
+			sockets.delete(socket);
+		});
+		socket.on('data', (data) => {
+			count++;
+			handler(socket, String(data), count);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const bound = server.address();
+	const port = typeof bound === 'object' ? bound?.port : 0;
+	const agent = createPooledAgent();
+	t.after(() => {
+		agent.destroy();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		server.close();
+	});
+	const address = `127.0.0.1:${port}`;
+	const outgoing = {method: 'GET', path: '/', headers: {host: 'a'}};
+	return {
+		sockets,
+		send: () => sendRequest(outgoing, {agent, address}),
+	};
+}
+
+async function describeOutcome(outcome: SendOutcome): Promise<string> {
+	if (outcome.kind !== 'answered') {
+		return outcome.kind;
+	}
+
+	if (outcome.body instanceof Readable) {
+		try {
+			const {length} = await outcome.body.toArray();
+			return `streamed ${length > 0 ? 'whole' : 'nothing'}`;
+		} catch {
+			return 'stream broken';
+		}
+	}
+
+	return `${outcome.status} ${String(outcome.body)}`;
+}
+
+const whole = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+const open = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart';
+const long = `HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${'x'.repeat(100_000)}`;
+
+const cases: ReadonlyArray<readonly [string, Handler, string]> = [
+	['a whole answer', (socket) => socket.write(whole), '200 ok'],
+	[
+		'an answer that ends with its connection',
+		(socket) => socket.end(open),
+		'200 part',
+	],
+	[
+		'an answer without a length whose connection is reset',
+		(socket) => {
+			socket.write(open, () => {
+				setTimeout(() => socket.resetAndDestroy(), 20);
+			});
+		},
+		'truncated',
+	],
+	[
+		'a long answer without a length whose connection is reset',
+		(socket) => {
+			socket.write(long, () => {
+				setTimeout(() => socket.resetAndDestroy(), 50);
+			});
+		},
+		'stream broken',
+	],
+	[
+		'an answer cut before its length',
+		(socket) => socket.end(whole.slice(0, -1)),
+		'truncated',
+	],
+	['a connection closed at once', (socket) => socket.destroy(), 'lost'],
+	[
+		'bytes that are no answer',
+		(socket) => socket.write('hello\r\n\r\n'),
+		'lost',
+	],
+];
+
+for (const [name, handler, expected] of cases) {
+	test(`${name}: ${expected}`, async (t) => {
+		const {send} = await start(t, handler);
+		assert.equal(await describeOutcome(await send().outcome), expected);
+	});
+}
+
+test('a second answer on an idle connection is not taken for the next one', async (t) => {
+	const {send, sockets} = await start(t, (socket, _request, count) => {
+		socket.write(whole);
+		if (count === 1) {
+			setTimeout(() => {
+				socket.write(whole.replace('ok', 'no'));
+			}, 20);
+		}
+	});
+	assert.equal(await describeOutcome(await send().outcome), '200 ok');
+	await new Promise((resolve) => {
+		setTimeout(resolve, 60);
+	});
+	assert.equal(await describeOutcome(await send().outcome), '200 ok');
+	assert.equal(sockets.size, 2);
+});
+
+test('a connection is used again', async (t) => {
+	const {send, sockets} = await start(t, (socket) => socket.write(whole));
+	await send().outcome;
+	await send().outcome;
+	assert.equal(sockets.size, 1);
+});
+
+test('an address without a listener: nothing was sent', async () => {
+	const agent = createPooledAgent();
+	const {outcome} = sendRequest(
+		{method: 'GET', path: '/', headers: {}},
+		{agent, address: '127.0.0.1:1'},
+	);
+	assert.deepEqual(await outcome, {kind: 'not-sent'});
+});
+
+test('an aborted request may have been sent', async (t) => {
+	const {send} = await start(t, () => undefined);
+	const sent = send();
+	setTimeout(sent.abort, 50);
+	assert.equal(await describeOutcome(await sent.outcome), 'aborted');
+});
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -207,7 +207,10 @@
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatKey(terms, route);
 		const {depth} = terms;
-		const selection = router.select(service, key, route.objectiveMs);
+		const selection = router.select(service, key, {
+			objectiveMs: route.objectiveMs,
+			route: route.name,
+		});
 		if (isStreamed) {
 			await selection.refreshStamp();
 		}
