Tell a reset from the end of an answer without a length

Ruled out: content-length and chunked answers, which Node checks. Change: such an answer is truncated when its connection has no peer any more. Test: send-request.test, 'reset with its last bytes', failed before.

--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -80,6 +80,13 @@
 		},
 		'truncated',
 	],
+	[
+		'an answer without a length that is reset with its last bytes',
+		(socket) => {
+			socket.write(open, () => socket.resetAndDestroy());
+		},
+		'truncated',
+	],
 	[
 		'a long answer without a length whose connection is reset',
 		(socket) => {
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -57,6 +57,14 @@
 const statusNotModified = 304;
 const statusNoContent = 204;
 
+/** Tells whether only the end of the connection ends an answer's body. */
+function isEndedByConnection({headers}: IncomingMessage): boolean {
+	return (
+		headers['content-length'] === undefined &&
+		headers['transfer-encoding'] === undefined
+	);
+}
+
 /** One request on one connection, up to its outcome. */
 class Sending {
 	readonly outcome: Promise<SendOutcome>;
@@ -152,12 +160,29 @@
 		answer.on('aborted', () => {
 			this.#fail(new Error('the answer was cut'));
 		});
+		if (isEndedByConnection(answer)) {
+			this.#watchEnd(answer.socket);
+		}
+
 		answer.on('data', this.#takeChunk);
 		answer.on('end', () => {
 			this.#end();
 		});
 	}
 
+	/**
+	 * Tells a reset from an end. A reset that arrives together with the last
+	 * bytes is reported by libuv as an ordinary end, but the connection has no
+	 * peer any more.
+	 */
+	#watchEnd(socket: Socket): void {
+		socket.prependOnceListener('end', () => {
+			if (socket.remoteAddress === undefined) {
+				this.#fail(new Error('the connection was reset'));
+			}
+		});
+	}
+
 	readonly #takeChunk = (chunk: Uint8Array): void => {
 		this.#chunks.push(chunk);
 		this.#size += chunk.length;
