Serve those who can be in time first, and calls of running requests before them

Change: earliest objective first within a priority; the age of a request from the usual deadline of its route; short attempts are never late; late ones wait only where a third of the slots is spare; a full host's refusal goes on to one that is not known to be full; clients that can be in time are told to come soon.

--- a/bench/_lib/create-simulated-gate.ts
+++ b/bench/_lib/create-simulated-gate.ts
@@ -199,6 +199,7 @@
 			longestQueued: Math.max(0, ...counts.values()),
 			maxQueued: slots * queueSlotsRatio,
 			serviceMs,
+			meanServiceMs: serviceMs,
 			waitMs,
 			lateWaitMs: waitMs,
 			objectiveMs: deadlineAt - now(),
--- a/faults/_lib/requests/fake-gate.ts
+++ b/faults/_lib/requests/fake-gate.ts
@@ -191,6 +191,7 @@
 		longestQueued: host.queue.length,
 		maxQueued: 8,
 		serviceMs: host.serviceMs,
+		meanServiceMs: host.serviceMs,
 		waitMs: ((host.queue.length + 1) / slots) * host.serviceMs,
 		lateWaitMs: ((host.queue.length + 1) / slots) * host.serviceMs,
 		objectiveMs: attempt.remainingMs,
--- a/src/coordination/compare-waiting.test.ts
+++ b/src/coordination/compare-waiting.test.ts
@@ -25,12 +25,17 @@
 
 			const [next, ...rest] = waiting.toSorted(compare);
 			waiting = rest;
-			free[slot] = Math.max(free[slot]!, next!.admittedAt) + serviceMs;
-			inTime += free[slot] <= next!.admittedAt + objectiveMs ? 1 : 0;
+			const startsAt = Math.max(free[slot]!, next!.objectiveAt - objectiveMs);
+			free[slot] = startsAt + serviceMs;
+			inTime += free[slot] <= next!.objectiveAt ? 1 : 0;
 		}
 
 		if (canWait(waiting.length)) {
-			waiting.push({isLate: false, priority: 0, admittedAt: now});
+			waiting.push({
+				isLate: false,
+				priority: 0,
+				objectiveAt: now + objectiveMs,
+			});
 		}
 	}
 
@@ -49,15 +54,15 @@
 	assert.ok(withRefusals > capacity * 0.9, String(withRefusals));
 });
 
-test('order: in time first, then urgent ones, then older ones', () => {
+test('order: in time first, then urgent ones, then those due first', () => {
 	const waiting: readonly WaitingRequest[] = [
-		{isLate: true, priority: 0, admittedAt: 1},
-		{isLate: false, priority: 2, admittedAt: 2},
-		{isLate: false, priority: 1, admittedAt: 4},
-		{isLate: false, priority: 1, admittedAt: 3},
+		{isLate: true, priority: 0, objectiveAt: 1},
+		{isLate: false, priority: 2, objectiveAt: 2},
+		{isLate: false, priority: 1, objectiveAt: 4},
+		{isLate: false, priority: 1, objectiveAt: 3},
 	];
 	assert.deepEqual(
-		waiting.toSorted(compareWaiting).map(({admittedAt}) => admittedAt),
+		waiting.toSorted(compareWaiting).map(({objectiveAt}) => objectiveAt),
 		[3, 4, 2, 1],
 	);
 });
--- a/src/coordination/compare-waiting.ts
+++ b/src/coordination/compare-waiting.ts
@@ -4,17 +4,18 @@
 	readonly isLate: boolean;
 	/** 0 goes first. */
 	readonly priority: number;
-	/** When it came, monotonic ms. */
-	readonly admittedAt: number;
+	/** Until when an answer has its full value, monotonic ms. */
+	readonly objectiveAt: number;
 };
 
 /**
  * Compares two waiting requests of a team: those that can be in time go first,
- * then the more urgent ones, then the older ones.
+ * then the more urgent ones, then those whose objective ends first.
  *
  * Answers a load above what the upstreams can serve: a slot that goes to a
  * request whose answer comes late is missing for one that would be in time, and
- * in first-come order soon all are late.
+ * in first-come order soon all are late. Calls of running requests have short
+ * objectives and so go first; a running request that waits for one holds a slot.
  *
  * @param a - a waiting request
  * @param b - another one
@@ -26,6 +27,6 @@
 	return (
 		Number(a.isLate) - Number(b.isLate) ||
 		a.priority - b.priority ||
-		a.admittedAt - b.admittedAt
+		a.objectiveAt - b.objectiveAt
 	);
 }
--- a/src/coordination/compute-retry-after.test.ts
+++ b/src/coordination/compute-retry-after.test.ts
@@ -2,17 +2,23 @@
 import test from 'node:test';
 import {computeRetryAfter} from './compute-retry-after.js';
 
-const input = {waitMs: 200, serviceMs: 50, remainingMs: 2000, random: 0.5};
+const input = {
+	waitMs: 200,
+	serviceMs: 50,
+	objectiveMs: 200,
+	remainingMs: 2000,
+	random: 0.5,
+};
 
-test('the delay follows the expected wait', () => {
-	assert.equal(computeRetryAfter(input), 0.15);
-	assert.equal(computeRetryAfter({...input, waitMs: 400}), 0.35);
+test('a client that can be in time comes when the queue is short enough', () => {
+	assert.equal(computeRetryAfter(input), 0.05);
+	assert.equal(computeRetryAfter({...input, waitMs: 100}), 0.02);
 });
 
-test('the delay leaves time for another try', () => {
-	assert.equal(computeRetryAfter({...input, waitMs: 5000}), 0.6);
+test('a client that can only be late waits longer, and has time for a try', () => {
+	assert.equal(computeRetryAfter({...input, objectiveMs: 0}), 0.6);
 	assert.equal(
-		computeRetryAfter({...input, waitMs: 5000, remainingMs: 100}),
+		computeRetryAfter({...input, objectiveMs: 0, remainingMs: 100}),
 		0.03,
 	);
 });
--- a/src/coordination/compute-retry-after.ts
+++ b/src/coordination/compute-retry-after.ts
@@ -6,6 +6,8 @@
 	readonly waitMs: number;
 	/** Expected time of the request, ms. */
 	readonly serviceMs: number;
+	/** Time left in which an answer has its full value, ms. */
+	readonly objectiveMs: number;
 	/** Time left until the deadline, ms. */
 	readonly remainingMs: number;
 	/** A number from 0 up to 1, which spreads the returns. */
@@ -21,18 +23,23 @@
 /**
  * Computes when a refused client should come again.
  *
- * It is told to return when a slot is expected to be free, less the queue that
- * it may join. Returns are spread over half of the delay, so that the clients
+ * A client that can still be answered within its objective is told to come as
+ * soon as the queue will be short enough for that; one that cannot waits longer,
+ * until the load may have passed. Returns are spread, so that the clients
  * refused in a burst do not come back as one.
  *
  * @param input - see `RetryAfterInput`
  * @returns the delay, s, with fractions
  * @example
- * computeRetryAfter({waitMs: 100, serviceMs: 20, remainingMs: 900, random: 0});
+ * computeRetryAfter({waitMs: 100, serviceMs: 20, objectiveMs: 110, remainingMs: 900, random: 0}); // 0.02
  */
 export function computeRetryAfter(input: RetryAfterInput): number {
-	const {waitMs, serviceMs, remainingMs, random} = input;
-	const delayMs = Math.max(minDelayMs, waitMs - serviceMs, serviceMs / 2);
-	const spreadMs = delayMs * (0.75 + random / 2);
-	return Math.min(spreadMs, remainingMs * remainingPart) / msPerSecond;
+	const {waitMs, serviceMs, objectiveMs, remainingMs, random} = input;
+	const longestMs = remainingMs * remainingPart;
+	const excessMs = waitMs + serviceMs - objectiveMs;
+	const canBeInTime = objectiveMs - serviceMs > 2 * minDelayMs;
+	const delayMs = canBeInTime
+		? Math.max(minDelayMs, excessMs)
+		: Math.max(waitMs, longestMs);
+	return Math.min(delayMs * (0.75 + random / 2), longestMs) / msPerSecond;
 }
--- a/src/coordination/decide-admission.test.ts
+++ b/src/coordination/decide-admission.test.ts
@@ -16,6 +16,7 @@
 	longestQueued: 10,
 	maxQueued: 24,
 	serviceMs: 10,
+	meanServiceMs: 10,
 	waitMs: 41.7,
 	lateWaitMs: 41.7,
 	objectiveMs: 2000,
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -19,6 +19,8 @@
 	readonly maxQueued: number;
 	/** Expected time of the attempt at the upstream, ms. */
 	readonly serviceMs: number;
+	/** Expected time of any attempt at the upstream, ms. */
+	readonly meanServiceMs: number;
 	/** Expected wait among those that can be in time, ms. */
 	readonly waitMs: number;
 	/** Expected wait behind all that is queued, ms. */
@@ -40,8 +42,21 @@
 	  }
 	| {readonly kind: 'refuse'; readonly reason: OutcomeReason};
 
-/** Share of the slots that must be left for attempts that can only be late. */
-const minSpareShare = 0.1;
+/**
+ * Share of the slots that attempts in time must leave free for attempts that
+ * can only be late; below it upstreams with uneven times are in effect full.
+ */
+const minSpareShare = 0.3;
+
+/** Part of the time left that a late attempt may wait. */
+const lateWaitPart = 0.5;
+
+/** Part of the mean time below which an attempt takes little from others. */
+const shortPart = 0.5;
+
+/** Time for the way back and for the scatter of times, as a part of the expected time and in ms. */
+const scatterPart = 0.1;
+const wayBackMs = 10;
 
 function refuse(reason: OutcomeReason): Admission {
 	return {kind: 'refuse', reason};
@@ -53,12 +68,22 @@
  */
 function hasRoomForLate(input: AdmissionInput): boolean {
 	const spareShare = 1 - input.utilization;
+	const waitMs = input.lateWaitMs / spareShare;
 	return (
 		spareShare >= minSpareShare &&
-		input.lateWaitMs / spareShare + input.serviceMs <= input.remainingMs
+		waitMs + input.serviceMs <= input.remainingMs * lateWaitPart
 	);
 }
 
+/** Tells whether an answer is expected after the objective. */
+function isExpectedLate(
+	{serviceMs, objectiveMs, remainingMs}: AdmissionInput,
+	waitMs: number,
+): boolean {
+	const expectedMs = waitMs + serviceMs * (1 + scatterPart) + wayBackMs;
+	return objectiveMs < remainingMs && expectedMs > objectiveMs;
+}
+
 /**
  * Decides whether a gate takes an attempt that has arrived.
  *
@@ -84,7 +109,9 @@
 		return refuse('deadline');
 	}
 
-	const isLate = waitMs + serviceMs > input.objectiveMs;
+	// A short attempt is mostly a call for which a longer one holds its slot.
+	const isShort = serviceMs < input.meanServiceMs * shortPart;
+	const isLate = !isShort && isExpectedLate(input, waitMs);
 	if (isFree) {
 		return {kind: 'admit', pushOut: false, isLate};
 	}
--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -17,6 +17,8 @@
 	readonly budget: number;
 	/** Whether a node nearer to the client already retries this call. */
 	readonly isNested: boolean;
+	/** Whether another host is not known to be full; not known when absent. */
+	readonly hasRoom?: boolean;
 };
 
 /** Whether another attempt is made, and whether it draws on the budget. */
@@ -27,7 +29,8 @@
  *
  * Only what has not run, or may run again, is tried again. Of nested calls only
  * the node nearest to the client retries; a misrouted attempt goes to another
- * host at any depth and without drawing on the budget.
+ * host at any depth and without drawing on the budget, and so does one that a
+ * full host has refused while another may have room: it reached no upstream.
  *
  * @param input - see `RetryInput`
  * @returns `stop`; `retry`, which costs a token; or `reroute`, which does not
@@ -37,12 +40,13 @@
 export function decideRetry(input: RetryInput): RetryDecision {
 	const {outcome, reason, repeatable, isNested, budget} = input;
 	const mayRun = repeatable || outcome === 'not-run';
-	const hasRoom = input.attempts < input.maxAttempts && input.remainingMs > 0;
-	if (!mayRun || !hasRoom) {
+	const hasTries = input.attempts < input.maxAttempts && input.remainingMs > 0;
+	if (!mayRun || !hasTries) {
 		return 'stop';
 	}
 
-	if (outcome === 'not-run' && isMisrouted(reason)) {
+	const isFull = reason === 'saturated' && input.hasRoom === true;
+	if (outcome === 'not-run' && (isMisrouted(reason) || isFull)) {
 		return 'reroute';
 	}
 
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -55,6 +55,18 @@
 		: healthy;
 }
 
+/** Keeps the hosts that have room for requests of the route, if there are any. */
+function selectRoomy(
+	candidates: readonly Candidate[],
+	records: Records,
+	{now, route = ''}: PickOptions,
+): readonly Candidate[] {
+	const roomy = candidates.filter(
+		({host}) => (records.get(host)?.fullUntil?.get(route) ?? 0) <= now,
+	);
+	return roomy.length === 0 ? candidates : roomy;
+}
+
 /** Mean of the fresh reported loads of a pool. */
 type PoolShare = {
 	readonly mean: number;
@@ -267,7 +279,11 @@
 	const untried = exclude?.size
 		? candidates.filter(({host}) => !exclude.has(host))
 		: candidates;
-	const usable = selectHealthy(untried, records, now);
+	const usable = selectRoomy(
+		selectHealthy(untried, records, now),
+		records,
+		options,
+	);
 	if (usable.length <= 1) {
 		return usable[0];
 	}
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -120,6 +120,8 @@
 	readonly random: number;
 	/** Tokens left in the retry budget of team and service. */
 	readonly budget: number;
+	/** Whether a host that was not tried is not known to be full. */
+	readonly hasRoom?: boolean;
 };
 
 /** A request's state after a message, and what is to be done. */
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -32,6 +32,8 @@
 	readonly ejectedUntil: number;
 	/** Ejections in a row. */
 	readonly ejections: number;
+	/** Until when the host has no room for requests of a route, monotonic ms. */
+	readonly fullUntil?: ReadonlyMap<string, number>;
 	/** Attempts in a row that could not be sent. */
 	readonly unreachable?: number;
 };
@@ -42,7 +44,13 @@
 	| {
 			readonly kind: 'ended';
 			/** `refused` says nothing about the host's health. */
-			readonly outcome: 'answered' | 'failed' | 'refused' | 'unreachable';
+			readonly outcome:
+				| 'answered'
+				| 'failed'
+				| 'refused'
+				/** The host has no room for requests of this route. */
+				| 'full'
+				| 'unreachable';
 			readonly latencyMs: number;
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
@@ -59,6 +67,9 @@
 	readonly serviceLatencyMs: number;
 };
 
+/** Time for which a host that had no room is not asked again, ms; about one request. */
+const fullMs = 30;
+
 const sampleWeight = 0.1;
 const slowFactor = 5;
 const maxShare = 8;
@@ -180,6 +191,12 @@
 				routeMs: putRouteTime(before.routeMs, message),
 				reportedAt: isKnown ? context.now : before.reportedAt,
 			};
+			if (outcome === 'full') {
+				const fullUntil = new Map(before.fullUntil);
+				fullUntil.set(message.route ?? '', context.now + fullMs);
+				return {...reported, unreachable: 0, fullUntil};
+			}
+
 			if (outcome === 'refused') {
 				return {...reported, unreachable: 0};
 			}
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -52,8 +52,9 @@
 	const {terms, now, random, budget} = context;
 	const tries = state.attempts - state.restamps - state.reroutes;
 	// A try at the wrong host reached no upstream; those have a bound of their own.
+	const isFull = ending.reason === 'saturated' && context.hasRoom === true;
 	const isWrongHost =
-		ending.outcome === 'not-run' && isMisrouted(ending.reason);
+		ending.outcome === 'not-run' && (isMisrouted(ending.reason) || isFull);
 	const after: RequestState = {
 		...state,
 		isOpen: false,
@@ -71,6 +72,7 @@
 		maxAttempts: isWrongHost ? maxReroutes : terms.maxAttempts,
 		remainingMs: terms.deadlineAt - now - delayMs,
 		budget,
+		hasRoom: context.hasRoom,
 	});
 	switch (decision) {
 		case 'stop': {
--- a/src/coordination/step-utilization.test.ts
+++ b/src/coordination/step-utilization.test.ts
@@ -1,10 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {
-	readUtilization,
-	stepUtilization,
-	type Utilization,
-} from './step-utilization.js';
+import {readUtilization} from './read-utilization.js';
+import {stepUtilization, type Utilization} from './step-utilization.js';
 
 test('steady work is read as its share of the slots', () => {
 	let utilization: Utilization | undefined;
--- a/src/coordination/step-utilization.ts
+++ b/src/coordination/step-utilization.ts
@@ -7,7 +7,7 @@
 };
 
 /** Time over which work is averaged; several times a request's, ms. */
-const windowMs = 1000;
+export const utilizationWindowMs = 1000;
 
 /**
  * Adds a request's expected time to the utilization of an upstream.
@@ -25,25 +25,7 @@
 	now: number,
 ): Utilization {
 	const rest = before
-		? before.workMs * Math.exp((before.at - now) / windowMs)
+		? before.workMs * Math.exp((before.at - now) / utilizationWindowMs)
 		: 0;
 	return {workMs: rest + workMs, at: now};
 }
-
-/**
- * Reads the share of an upstream's slots that is taken up.
- *
- * @param utilization - the utilization, undefined when there is none
- * @param slots - slots of the upstream
- * @param now - monotonic ms
- * @returns the share, above 1 in overload
- * @example
- * readUtilization({workMs: 3000, at: 0}, 6, 0); // 0.5
- */
-export function readUtilization(
-	utilization: Utilization | undefined,
-	slots: number,
-	now: number,
-): number {
-	return stepUtilization(utilization, 0, now).workMs / windowMs / slots;
-}
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -18,6 +18,7 @@
 import type {Forwarder} from '../create-forwarder.js';
 import type {GateTask} from '../start-gate-task.js';
 import {computeMedian} from './compute-median.js';
+import {isRoomy} from '../../coordination/is-roomy.js';
 import type {GatePort} from './gate-port.js';
 import type {AttemptEnd} from './run-request.js';
 
@@ -38,6 +39,8 @@
 export type GateSelection = {
 	/** Picks a gate that was not tried yet, if there is one. */
 	pickGate(): GatePort | OutcomeReason;
+	/** Whether a host that was not tried yet is not known to be full. */
+	hasRoom(): boolean;
 	/**
 	 * Gets a new stamp of the gate that will be picked first, for a request that
 	 * cannot be sent again after a refused stamp.
@@ -62,20 +65,28 @@
 	spendBudget(team: string, service: string): void;
 };
 
+type Ended = HostMessage & {readonly kind: 'ended'};
+
 type HeldStamp = {readonly stamp: GateStamp; readonly receivedAt: number};
 
 const serverErrorStatus = 500;
 
-function judgeResult(
-	result: ForwardResult,
-): (HostMessage & {kind: 'ended'})['outcome'] {
+function judgeRefusal(reason: OutcomeReason): Ended['outcome'] {
+	if (reason === 'not-sent') {
+		return 'unreachable';
+	}
+
+	return reason === 'saturated' ? 'full' : 'refused';
+}
+
+function judgeResult(result: ForwardResult): Ended['outcome'] {
 	switch (result.kind) {
 		case 'answered': {
 			return result.status >= serverErrorStatus ? 'failed' : 'answered';
 		}
 
 		case 'not-run': {
-			return result.reason === 'not-sent' ? 'unreachable' : 'refused';
+			return judgeRefusal(result.reason);
 		}
 
 		case 'unknown':
@@ -240,6 +251,14 @@
 						? createLocalPort(host)
 						: createRemotePort(host);
 				},
+				hasRoom() {
+					const hosts = candidates.get(service) ?? [];
+					return hosts.some(
+						({host}) =>
+							!tried.has(host) &&
+							isRoomy(records.get(host), terms.route, now()),
+					);
+				},
 				async refreshStamp() {
 					prepared = pickCandidate(service, key, tried, terms);
 					if (prepared && prepared.host !== name) {
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -1,6 +1,9 @@
 import type {Agent} from 'node:http';
 import PQueue from 'p-queue';
-import {compareWaiting} from '../../coordination/compare-waiting.js';
+import {
+	compareWaiting,
+	type WaitingRequest,
+} from '../../coordination/compare-waiting.js';
 import {computeWaitMs} from '../../coordination/compute-wait.js';
 import {
 	createFairQueue,
@@ -36,6 +39,8 @@
 	/** Whether its answer was expected after its objective. */
 	readonly isLate: boolean;
 	readonly priority: number;
+	/** Until when an answer has its full value, monotonic ms. */
+	readonly objectiveAt: number;
 	readonly result: Promise<AttemptResult>;
 	readonly resolve: (result: AttemptResult) => void;
 	phase: 'queued' | 'sent' | 'over';
@@ -215,13 +220,13 @@
  * Computes how long a new request would wait at an upstream.
  *
  * @param upstream - the upstream
- * @param priority - the request's priority
+ * @param order - the request's place in the order
  * @param now - monotonic ms
  * @returns the waits
  */
 export function computeLocalWait(
 	upstream: LocalUpstream,
-	priority: number,
+	order: Pick<WaitingRequest, 'priority' | 'objectiveAt'>,
 	now: number,
 ): LocalWait {
 	const {slots} = upstream.announcement;
@@ -235,7 +240,7 @@
 		Math.max(minRestMs, job.sentAt + expectedMs(job) - now),
 	);
 	const queued = [...upstream.queued.values()].flat();
-	const next = {isLate: false, priority, admittedAt: now};
+	const next = {...order, isLate: false};
 	const ahead = queued.filter((job) => compareWaiting(job, next) <= 0);
 	return {
 		waitMs: computeWaitMs({
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -42,6 +42,8 @@
 	readonly createTraceparent: () => string | undefined;
 	/** Told of each attempt that has ended. */
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
+	/** Whether a host that was not tried is not known to be full. */
+	readonly hasRoom: () => boolean;
 	readonly readBudget: () => number;
 	readonly spendBudget: () => void;
 	/** Monotonic ms. */
@@ -97,6 +99,7 @@
 				now: now(),
 				random: options.random(),
 				budget: options.readBudget(),
+				hasRoom: options.hasRoom(),
 			};
 			const step = stepRequest(state, message, context);
 			state = step.state;
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -1,9 +1,14 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
+import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import {pickTarget} from '../coordination/pick-target.js';
 import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
+import {
+	stepUsualDeadline,
+	type UsualDeadline,
+} from '../coordination/step-usual-deadline.js';
 import type {Configuration} from '../protocol/configuration.js';
 import {maxDepth, retryAfterSeconds} from '../protocol/constants.js';
 import type {CallerTerms, Edge} from '../protocol/edge.js';
@@ -135,6 +140,7 @@
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
+	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
 	const idPrefix = randomUUID();
 	let lastId = 0;
@@ -152,6 +158,20 @@
 		);
 	}
 
+	/** Computes the time left in which an answer has its full value. */
+	function computeObjectiveMs(
+		{deadlineMs}: CallerTerms,
+		{name, objectiveMs}: CompiledRoute,
+	): number {
+		if (objectiveMs === undefined || deadlineMs === undefined) {
+			return objectiveMs ?? Number.POSITIVE_INFINITY;
+		}
+
+		const usual = stepUsualDeadline(usualDeadlines.get(name), deadlineMs);
+		usualDeadlines.set(name, usual);
+		return Math.max(0, objectiveMs - computeRequestAge(usual, deadlineMs));
+	}
+
 	/** Chooses the service of a request where several share the route. */
 	function chooseService(route: CompiledRoute): CompiledRoute {
 		if (!route.targets) {
@@ -216,6 +236,7 @@
 		}
 
 		const deadlineMs = computeDeadlineMs(terms, route);
+		const objectiveMs = computeObjectiveMs(terms, route);
 		lastId++;
 		return runRequest({
 			terms: {
@@ -223,9 +244,7 @@
 				isNested: depth > 0,
 				maxAttempts: isStreamed ? 1 : route.maxAttempts,
 				deadlineAt: routed.startedAt + deadlineMs,
-				objectiveAt:
-					routed.startedAt +
-					Math.min(deadlineMs, route.objectiveMs ?? deadlineMs),
+				objectiveAt: routed.startedAt + Math.min(deadlineMs, objectiveMs),
 			},
 			template: {
 				idPrefix: `${idPrefix}.${lastId}`,
@@ -246,6 +265,7 @@
 			},
 			signal,
 			pickGate: selection.pickGate,
+			hasRoom: selection.hasRoom,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
 				router.noteAttempt(end, now());
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -2,11 +2,12 @@
 import {Readable} from 'node:stream';
 import {createLedger} from '../coordination/create-ledger.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
-import {decideAdmission} from '../coordination/decide-admission.js';
 import {
-	readUtilization,
-	stepUtilization,
-} from '../coordination/step-utilization.js';
+	decideAdmission,
+	type AdmissionInput,
+} from '../coordination/decide-admission.js';
+import {readUtilization} from '../coordination/read-utilization.js';
+import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
@@ -52,6 +53,10 @@
 	readonly random?: () => number;
 };
 
+/** What an attempt can expect at an upstream. */
+type Expectation = LocalWait &
+	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
+
 /** The task that alone sends requests to the upstreams on its host. */
 export type GateTask = {
 	announce(id: string, announcement: Announcement): void;
@@ -109,15 +114,18 @@
 
 	function readExpectation(
 		upstream: LocalUpstream | undefined,
-		{route, priority = 0}: Attempt,
-	): LocalWait & {readonly serviceMs: number} {
+		attempt: Attempt,
+	): Expectation {
 		const at = now();
+		const {route, priority = 0, remainingMs, objectiveMs} = attempt;
+		const objectiveAt = at + (objectiveMs ?? remainingMs);
 		return upstream
 			? {
-					...computeLocalWait(upstream, priority, at),
+					...computeLocalWait(upstream, {priority, objectiveAt}, at),
 					serviceMs: readExpectedTime(upstream, route, at),
+					meanServiceMs: readExpectedTime(upstream, undefined, at),
 				}
-			: {waitMs: 0, lateWaitMs: 0, serviceMs: 0};
+			: {waitMs: 0, lateWaitMs: 0, serviceMs: 0, meanServiceMs: 0};
 	}
 
 	function admit(attempt: Attempt): Job | AttemptResult {
@@ -149,6 +157,7 @@
 		if (admission.kind === 'refuse') {
 			const retryAfter = computeRetryAfter({
 				...expected,
+				objectiveMs,
 				remainingMs,
 				random: random(),
 			});
