Leave room for scatter, give up in time, and keep retries within every window

Change: four tenths of the expected time are kept for scatter; an attempt that waits is refused while its client still hears it; 0.6 of the bound is used, in sliding windows; hosts of unknown times are tried, and start at a fifth.

--- a/src/coordination/compute-retry-share.ts
+++ b/src/coordination/compute-retry-share.ts
@@ -9,11 +9,8 @@
 	readonly windowMs: number;
 };
 
-/**
- * Part of the bounds that the nodes use: a node can spend in one window what it
- * saved in the one before, and repeated runs repeat their calls.
- */
-const usedPart = 0.4;
+/** Part of the bounds that the nodes use, since repeated runs repeat their calls. */
+const usedPart = 0.6;
 
 /**
  * Computes a node's part of the retries that all nodes may make together.
@@ -25,7 +22,7 @@
  * @param members - number of nodes
  * @returns the node's own bounds
  * @example
- * computeRetryShare({ratio: 0.2, slack: 50, windowMs: 10_000}, 10).floor; // 2
+ * computeRetryShare({ratio: 0.2, slack: 50, windowMs: 10_000}, 10).floor; // 3
  */
 export function computeRetryShare(
 	bounds: FleetRetryBounds,
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -49,13 +49,13 @@
 const minSpareShare = 0.3;
 
 /** Part of the time left that a late attempt may wait. */
-const lateWaitPart = 0.5;
+export const lateWaitPart = 0.5;
 
 /** Part of the mean time below which an attempt takes little from others. */
-const shortPart = 0.5;
+const shortPart = 0.75;
 
 /** Time for the way back and for the scatter of times, as a part of the expected time and in ms. */
-const scatterPart = 0.1;
+const scatterPart = 0.4;
 const wayBackMs = 10;
 
 function refuse(reason: OutcomeReason): Admission {
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -123,10 +123,13 @@
 	return record.ownInFlight / candidate.slots + believed;
 }
 
+/** Least share of its normal requests that a host gets. */
+const minWarmth = 0.2;
+
 /** Share of its normal requests that a host gets while it starts slowly. */
 function computeWarmth(record: HostRecord | undefined, now: number): number {
 	const age = now - (record?.warmSince ?? now);
-	return Math.min(1, Math.max(0.1, age / slowStartMs));
+	return Math.min(1, Math.max(minWarmth, age / slowStartMs));
 }
 
 /** A host with what a request there is expected to cost. */
@@ -138,6 +141,9 @@
 	readonly isTime: boolean;
 };
 
+/** Part of the others' mean time that is expected of a host of unknown times. */
+const unknownPart = 0.7;
+
 /** Weight of a free host's load, which spreads requests before any wait. */
 const idleWeight = 0.25;
 
@@ -178,6 +184,11 @@
 			};
 }
 
+/** Takes a host of unknown times for a little better than the others, so that it is tried. */
+function scaleTimes({ownMs, serviceMs}: HostTimes): HostTimes {
+	return {ownMs: ownMs * unknownPart, serviceMs};
+}
+
 function computeOffer(
 	candidate: Candidate,
 	record: HostRecord | undefined,
@@ -214,7 +225,8 @@
 	for (let index = 0; index < count; index++) {
 		const candidate = pool[(start + index * stride) % pool.length]!;
 		const record = records.get(candidate.host);
-		const times = readTimes(record, route) ?? meanTimes;
+		const times =
+			readTimes(record, route) ?? (meanTimes && scaleTimes(meanTimes));
 		const offer = computeOffer(candidate, record, poolShare, times, now);
 		if (!best || offer.cost < best.cost) {
 			best = offer;
--- a/src/coordination/step-retry-budget.ts
+++ b/src/coordination/step-retry-budget.ts
@@ -4,14 +4,20 @@
 	retryBudgetWindowMs,
 } from '../protocol/constants.js';
 
+/** Requests and retries in a part of the window. */
+type BudgetPart = {
+	/** Number of the part since the clock's origin. */
+	readonly number: number;
+	readonly requests: number;
+	readonly retries: number;
+};
+
 /** Budget of retries of one team and service. */
 export type RetryBudget = {
-	/** Retries that may be made. */
+	/** Retries that may be made now. */
 	readonly tokens: number;
-	/** Requests of about the last window. */
-	readonly requests: number;
-	/** When the tokens were counted, monotonic ms. */
-	readonly at: number;
+	/** Parts of the last window, oldest first. */
+	readonly parts: readonly BudgetPart[];
 };
 
 /** What a budget is told. */
@@ -27,13 +33,16 @@
 	readonly windowMs?: number;
 };
 
+/** Parts into which a window is divided. */
+const partsPerWindow = 10;
+
 /**
- * Advances a retry budget: each request adds a share of a token, each retry
- * takes one, and a few are added with time for services with little traffic.
+ * Advances a retry budget: in any window, a number of retries and a share of
+ * the window's requests may be made again.
  *
- * No more can be saved up than a window brings, so that retries over any window
- * stay below twice the share. Answers the load of upstreams that fail at once:
- * the repeats of all nodes together must not add to what made them fail.
+ * Answers the load of upstreams that fail at once: the repeats of all nodes
+ * together must not add to what made them fail. Nothing is saved up from calm
+ * times, so that the bound holds over every window.
  *
  * @param budget - the budget before, undefined when there is none
  * @param message - what happened
@@ -51,13 +60,20 @@
 ): RetryBudget {
 	const {share = retryBudgetShare, floor = retryBudgetFloor} = options;
 	const {windowMs = retryBudgetWindowMs} = options;
-	const before = budget ?? {tokens: floor, requests: 0, at: now};
-	const elapsed = Math.min(1, (now - before.at) / windowMs);
-	const requests =
-		before.requests * (1 - elapsed) + (message === 'request' ? 1 : 0);
-	const gained = elapsed * floor + (message === 'request' ? share : 0);
-	const spent = message === 'retry' ? 1 : 0;
-	const cap = floor + share * requests;
-	const tokens = Math.min(cap, before.tokens + gained) - spent;
-	return {tokens: Math.max(0, tokens), requests, at: now};
+	const number = Math.floor((now * partsPerWindow) / windowMs);
+	const known = (budget?.parts ?? []).filter(
+		(part) => part.number > number - partsPerWindow && part.number < number,
+	);
+	const current = budget?.parts.find((part) => part.number === number);
+	const parts = [
+		...known,
+		{
+			number,
+			requests: (current?.requests ?? 0) + (message === 'request' ? 1 : 0),
+			retries: (current?.retries ?? 0) + (message === 'retry' ? 1 : 0),
+		},
+	];
+	const requests = parts.reduce((sum, part) => sum + part.requests, 0);
+	const retries = parts.reduce((sum, part) => sum + part.retries, 0);
+	return {tokens: Math.max(0, floor + share * requests - retries), parts};
 }
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -139,6 +139,9 @@
 /** Tries at hosts that turn out to be the wrong ones; each costs about a round trip. */
 export const maxReroutes = 4;
 export const deadlineMarginMs = 10;
+/** Time that an answer needs to reach its client: a round trip to a distant one, and at most a part of the deadline. */
+export const answerMarginMs = 25;
+export const answerMarginPart = 0.05;
 export const connectTimeoutMs = 250;
 export const idleConnectionMs = 2000;
 export const maxBufferedBytes = 64 * bytesPerKibibyte;
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -1,5 +1,6 @@
 import {Readable} from 'node:stream';
 import {finished} from 'node:stream/promises';
+import {lateWaitPart} from '../../coordination/decide-admission.js';
 import type {Ledger} from '../../coordination/create-ledger.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
 import type {Edge} from '../../protocol/edge.js';
@@ -32,9 +33,23 @@
 	readonly now: () => number;
 };
 
+/** What is expected of a job when it is admitted. */
+export type JobExpectation = {
+	/** Whether its answer will come after its objective. */
+	readonly isLate: boolean;
+	/** Expected time at the upstream, ms. */
+	readonly serviceMs: number;
+};
+
 /** The admitted attempts of a gate, from queue to end. */
 export type JobRunner = {
-	enqueue(attempt: Attempt, upstream: LocalUpstream, isLate: boolean): Job;
+	enqueue(
+		attempt: Attempt,
+		upstream: LocalUpstream,
+		expectation: JobExpectation,
+	): Job;
+	/** Refuses a job that still waits. */
+	giveUp(job: Job): void;
 	/** Starts the queued jobs for which an upstream has slots. */
 	startJobs(upstream: LocalUpstream): void;
 	findJob(id: string): Job | undefined;
@@ -177,7 +192,7 @@
 	function enqueue(
 		attempt: Attempt,
 		upstream: LocalUpstream,
-		isLate: boolean,
+		{isLate, serviceMs}: JobExpectation,
 	): Job {
 		let resolve!: Job['resolve'];
 		const result = new Promise<AttemptResult>((settle) => {
@@ -192,6 +207,11 @@
 				: attempt.traceparent,
 			admittedAt,
 			deadlineAt: admittedAt + attempt.remainingMs,
+			giveUpAt:
+				admittedAt +
+				(isLate
+					? attempt.remainingMs * lateWaitPart
+					: Math.max(0, attempt.remainingMs - serviceMs)),
 			startTag: upstream.fairQueue.enter(attempt.team),
 			isLate,
 			priority: attempt.priority ?? 0,
@@ -216,6 +236,11 @@
 		drop: dropJob,
 		dropQueued,
 		endEarly,
+		giveUp(job) {
+			if (job.phase === 'queued') {
+				dropJob(job, 'saturated');
+			}
+		},
 		async waitUntilIdle() {
 			if (jobs.size > 0) {
 				await new Promise<void>((resolve) => {
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -26,6 +26,9 @@
 /** Least expected rest of a running request, ms: one that takes longer than expected may end at any time. */
 const minRestMs = 2;
 
+/** Part of its objective that a request usually takes at an upstream. */
+const usualObjectivePart = 0.35;
+
 /** An attempt that a gate has admitted. */
 export type Job = {
 	readonly attempt: Attempt;
@@ -35,6 +38,8 @@
 	/** Monotonic ms. */
 	readonly admittedAt: number;
 	readonly deadlineAt: number;
+	/** When it is given up if it still waits, monotonic ms. */
+	readonly giveUpAt: number;
 	readonly startTag: number;
 	/** Whether its answer was expected after its objective. */
 	readonly isLate: boolean;
@@ -170,18 +175,20 @@
  * Reads the expected time of a request at an upstream.
  *
  * @param upstream - the upstream
- * @param route - name of the request's route, if it has one
+ * @param attempt - the request's attempt
  * @param now - monotonic ms
- * @returns the time, ms; 0 before the first answer
+ * @returns the time, ms; before the first answer a part of the objective
  */
 export function readExpectedTime(
 	upstream: LocalUpstream,
-	route: string | undefined,
+	{route, objectiveMs}: Pick<Attempt, 'route' | 'objectiveMs'>,
 	now: number,
 ): number {
 	const known =
 		route === undefined ? undefined : upstream.routeTimes.get(route);
-	return readServiceTime(known ?? upstream.serviceTime, now);
+	return known || objectiveMs === undefined
+		? readServiceTime(known ?? upstream.serviceTime, now)
+		: objectiveMs * usualObjectivePart;
 }
 
 /**
@@ -235,7 +242,7 @@
 	}
 
 	const expectedMs = ({attempt}: Job): number =>
-		readExpectedTime(upstream, attempt.route, now);
+		readExpectedTime(upstream, attempt, now);
 	const runningMs = [...upstream.sent].map((job) =>
 		Math.max(minRestMs, job.sentAt + expectedMs(job) - now),
 	);
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -10,7 +10,12 @@
 	type UsualDeadline,
 } from '../coordination/step-usual-deadline.js';
 import type {Configuration} from '../protocol/configuration.js';
-import {maxDepth, retryAfterSeconds} from '../protocol/constants.js';
+import {
+	answerMarginMs,
+	answerMarginPart,
+	maxDepth,
+	retryAfterSeconds,
+} from '../protocol/constants.js';
 import type {CallerTerms, Edge} from '../protocol/edge.js';
 import type {MembersView} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
@@ -97,8 +102,11 @@
 
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
+/** Computes the time for an answer that still reaches the client in time. */
 function computeDeadlineMs(terms: CallerTerms, route: CompiledRoute): number {
-	return Math.min(route.deadlineMs, terms.deadlineMs ?? route.deadlineMs);
+	const {deadlineMs = Number.POSITIVE_INFINITY} = terms;
+	const wayBackMs = Math.min(answerMarginMs, deadlineMs * answerMarginPart);
+	return Math.min(route.deadlineMs, deadlineMs - wayBackMs);
 }
 
 function formatKey(
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -6,6 +6,7 @@
 	decideAdmission,
 	type AdmissionInput,
 } from '../coordination/decide-admission.js';
+import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
@@ -117,13 +118,13 @@
 		attempt: Attempt,
 	): Expectation {
 		const at = now();
-		const {route, priority = 0, remainingMs, objectiveMs} = attempt;
+		const {priority = 0, remainingMs, objectiveMs} = attempt;
 		const objectiveAt = at + (objectiveMs ?? remainingMs);
 		return upstream
 			? {
 					...computeLocalWait(upstream, {priority, objectiveAt}, at),
-					serviceMs: readExpectedTime(upstream, route, at),
-					meanServiceMs: readExpectedTime(upstream, undefined, at),
+					serviceMs: readExpectedTime(upstream, attempt, at),
+					meanServiceMs: readServiceTime(upstream.serviceTime, at),
 				}
 			: {waitMs: 0, lateWaitMs: 0, serviceMs: 0, meanServiceMs: 0};
 	}
@@ -176,7 +177,10 @@
 			);
 		}
 
-		return runner.enqueue(attempt, upstream!, admission.isLate);
+		return runner.enqueue(attempt, upstream!, {
+			isLate: admission.isLate,
+			serviceMs: expected.serviceMs,
+		});
 	}
 
 	async function runAdmitted(attempt: Attempt): Promise<AttemptResult> {
@@ -193,6 +197,11 @@
 			job,
 			'deadline',
 		);
+		const waitTimer = setTimeout(
+			runner.giveUp,
+			job.giveUpAt - job.admittedAt,
+			job,
+		);
 		const cancel = (): void => {
 			runner.endEarly(job, 'cancelled');
 		};
@@ -203,6 +212,7 @@
 		}
 
 		const result = await job.result;
+		clearTimeout(waitTimer);
 		if (job.phase === 'over') {
 			clearTimeout(timer);
 		}
