--- a/src/cli/run-check.ts
+++ b/src/cli/run-check.ts
@@ -1,3 +1,4 @@
+import {readNodeSettings} from '../../platform/read-node-settings.js';
 import {checkManifest} from './check-manifest.js';
 import {readFileOperand} from './_lib/read-file-operand.js';
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
@@ -7,11 +8,12 @@
 /** What `check` takes. */
 export const checkSpec: CommandSpec = {
 	name: 'check',
-	summary: 'Checks a settings file (.ini) or a manifest without a node.',
+	summary: 'Checks a settings file (.ini, .yaml) or a manifest without a node.',
 	operands: ['FILE'],
 	options: [{name: 'json', description: 'print one JSON object'}],
 	notes: [
-		'A FILE whose name ends in .ini is a settings file, any other a manifest; - reads',
+		'A FILE whose name ends in .ini is a settings file, one that ends in .yaml the file',
+		'that the platform writes for a process, any other a manifest; - reads',
 		'a manifest from standard input. Only a node can check references to services of',
 		'other teams and the revision that is replaced.',
 		'Exit codes: 0 valid, 2 wrong command line or unreadable file, 3 not valid.',
@@ -24,6 +26,11 @@
 };
 
 function checkText(file: string, text: string): Report {
+	if (/\.ya?ml$/v.test(file)) {
+		const settings = readNodeSettings(file, text);
+		return {problems: settings.isErr() ? settings.error : [], unchecked: []};
+	}
+
 	if (file.endsWith('.ini')) {
 		const settings = parseSettings(file, text);
 		return {problems: settings.isErr() ? settings.error : [], unchecked: []};
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -106,7 +106,7 @@
 		return exitCodes.usage;
 	}
 
-	const logger = createLogger('info', settings.value.name);
+	const logger = createLogger('info', settings.value.name, {stream: 'stdout'});
 	try {
 		const node = await startMeshNode(
 			settings.value,
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -30,6 +30,7 @@
 	warmSince: 0,
 	ejectedUntil: 0,
 	ejections: 0,
+	sentAt: now,
 };
 
 /** Share of 4000 picks that each host gets. */
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -1,6 +1,8 @@
 import {
 	loadTrustMs,
 	comparedHosts,
+	exploreAfterMs,
+	exploreShare,
 	farAdvantage,
 	minInUseShare,
 	nearObjectivePart,
@@ -250,6 +252,29 @@
 	return sum >= limit * local.length;
 }
 
+/**
+ * Finds a near host that has had no request for some time. Answers the load of
+ * an upstream that has just joined, or was slow once and is well again.
+ */
+function findNeglected(
+	local: readonly Candidate[],
+	records: Records,
+	random: () => number,
+	now: number,
+): Candidate | undefined {
+	if (random() >= exploreShare) {
+		return undefined;
+	}
+
+	return local.find(({host}) => {
+		const record = records.get(host);
+		return (
+			(record?.unreachable ?? 0) === 0 &&
+			now - (record?.sentAt ?? Number.NEGATIVE_INFINITY) > exploreAfterMs
+		);
+	});
+}
+
 /** Tells whether a near host's offer leaves no reason to look further. */
 function isNearEnough(
 	offer: Offer,
@@ -303,6 +328,11 @@
 	const local = usable.filter(
 		(candidate) => candidate.dataCentre === dataCentre,
 	);
+	const neglected = findNeglected(local, records, random, now);
+	if (neglected) {
+		return neglected;
+	}
+
 	const near = findBestOffer(local, records, random, options);
 	if (near && isNearEnough(near, local, records, options)) {
 		return near.candidate;
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -34,6 +34,8 @@
 	readonly ejections: number;
 	/** Until when the host has no room for requests of a route, monotonic ms. */
 	readonly fullUntil?: ReadonlyMap<string, number>;
+	/** When an attempt was last sent, monotonic ms. */
+	readonly sentAt?: number;
 	/** Attempts in a row that could not be sent. */
 	readonly unreachable?: number;
 };
@@ -174,7 +176,11 @@
 	const before = record ?? createHostRecord(context.now);
 	switch (message.kind) {
 		case 'sent': {
-			return {...before, ownInFlight: before.ownInFlight + 1};
+			return {
+				...before,
+				ownInFlight: before.ownInFlight + 1,
+				sentAt: context.now,
+			};
 		}
 
 		case 'ended': {
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -156,10 +156,14 @@
 export const loadTrustMs = 1000;
 /** Time over which a new host's share grows: upstreams are slow for about three seconds after their start. */
 export const slowStartMs = 3000;
+/** Time after which a near host that gets no requests is tried again, so that it is not judged by old times. */
+export const exploreAfterMs = 1500;
+/** Part of the requests that may be such tries. */
+export const exploreShare = 0.2;
 /** Hosts that are compared for one request. */
 export const comparedHosts = 4;
 /** Part of a request's objective that a near host may take before a far one is considered. */
-export const nearObjectivePart = 0.6;
+export const nearObjectivePart = 0.45;
 /** How much better a far host must be to be taken: bytes between data centres are dear. */
 export const farAdvantage = 0.75;
 export const minInUseShare = 0.5;
--- a/src/protocol/mesh-settings.ts
+++ b/src/protocol/mesh-settings.ts
@@ -11,8 +11,8 @@
 	readonly callers: string;
 	/** Where other nodes reach this one. */
 	readonly peers: string;
-	/** Where operators read status and metrics. */
-	readonly administration: string;
+	/** Where metrics are served. */
+	readonly metrics: string;
 	/** Where the platform asks whether the node takes requests. */
 	readonly readiness: string;
 	/** Where the upstream on the host announces itself. */
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -18,3 +18,18 @@
 ] as const;
 
 export type MetricName = (typeof metricNames)[number];
+
+/**
+ * Names of the metrics that a node of the users' platform serves as text.
+ */
+export const meshMetricNames = {
+	requests: 'boragehitch_requests_total',
+	requestMs: 'boragehitch_request_duration_ms',
+	attempts: 'boragehitch_attempts_total',
+	gateAttempts: 'boragehitch_gate_attempts_total',
+	queuedMs: 'boragehitch_gate_queued_ms',
+	version: 'boragehitch_configuration_version',
+	members: 'boragehitch_members',
+	inFlight: 'boragehitch_requests_in_flight',
+	memory: 'boragehitch_memory_bytes',
+} as const;
--- a/src/transport/_lib/create-peer-fetch.ts
+++ b/src/transport/_lib/create-peer-fetch.ts
@@ -87,14 +87,18 @@
  * Gives a peer fetch the signature that the tRPC client calls.
  *
  * @param send - the peer fetch
- * @returns the same function for a URL of either type
+ * @returns the same function for a URL of any type
  */
 export function adaptFetch(
 	send: PeerFetch,
 ): (
-	url: URL | Request | string,
+	url: string | {readonly href: string} | {readonly url: string},
 	init?: PeerFetchInit,
 ) => Promise<PeerFetchAnswer> {
-	return async (url, init) =>
-		send(url instanceof Request ? url.url : String(url), init);
+	return async (url, init) => {
+		// The classes of the web API are not named here: Node loads them on first use.
+		const text =
+			typeof url === 'string' ? url : 'href' in url ? url.href : url.url;
+		return send(text, init);
+	};
 }
--- a/src/transport/create-logger.ts
+++ b/src/transport/create-logger.ts
@@ -5,6 +5,12 @@
 /** Levels of log lines, gravest first. */
 export type LogLevel = (typeof levels)[number];
 
+/** Options of `createLogger`. */
+export type LoggerOptions = {
+	/** Where the lines go; `stderr` when absent. */
+	readonly stream?: 'stdout' | 'stderr';
+};
+
 type Fields = Readonly<Record<string, unknown>>;
 
 /** What tasks log with: one method for each level. */
@@ -37,17 +43,23 @@
 }
 
 /**
- * Creates a logger that writes JSON lines to standard error.
+ * Creates a logger that writes JSON lines to standard error, or to standard
+ * output where that is asked for.
  *
  * Lines below the level never reach winston, which would format them first.
  *
  * @param level - lowest level that is written
  * @param node - name of the node, part of every line
+ * @param options - see `LoggerOptions`
  * @returns the logger
  * @example
  * createLogger('info', 'abdali-1').info('ready', {port: 8080});
  */
-export function createLogger(level: LogLevel, node: string): Logger {
+export function createLogger(
+	level: LogLevel,
+	node: string,
+	{stream = 'stderr'}: LoggerOptions = {},
+): Logger {
 	const logger = winston.createLogger({
 		level,
 		defaultMeta: {node},
@@ -55,7 +67,11 @@
 			winston.format.timestamp(),
 			winston.format.json(),
 		),
-		transports: [new winston.transports.Console({stderrLevels: [...levels]})],
+		transports: [
+			new winston.transports.Console({
+				stderrLevels: stream === 'stderr' ? [...levels] : [],
+			}),
+		],
 	});
 	return wrapLogger(logger, level);
 }
--- /dev/null
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {meshMetricNames} from '../protocol/metric-names.js';
+import {createMeshMetrics} from './create-mesh-metrics.js';
+
+test('what was observed is served as text, by name, service and outcome', async () => {
+	const metrics = createMeshMetrics(() => ({
+		version: 12,
+		members: 10,
+		inFlight: 3,
+	}));
+	const event = {
+		requestId: 'a',
+		team: '',
+		service: 'pricebook',
+		outcome: 'not-run' as const,
+		reason: 'saturated' as const,
+		status: 0,
+		startedAtMs: 0,
+		durationMs: 30,
+		parentTraceparent: undefined,
+		traceparent: undefined,
+	};
+	metrics.observer.onRequest?.({
+		...event,
+		route: 'prices',
+		method: 'GET',
+		attempts: 1,
+	});
+	metrics.observer.onAttempt?.({
+		...event,
+		attemptId: 'a/1',
+		attempt: 1,
+		host: 'abdali-1',
+	});
+	metrics.observer.onGate?.({...event, attemptId: 'a/1', queuedMs: 12});
+	const text = await metrics.formatText();
+	for (const name of Object.values(meshMetricNames)) {
+		assert.match(text, new RegExp(`^${name}`, 'mv'));
+	}
+
+	assert.match(
+		text,
+		/boragehitch_requests_total\{service="pricebook",outcome="not-run",reason="saturated"\} 1/v,
+	);
+	assert.match(text, /boragehitch_configuration_version 12/v);
+	assert.match(
+		text,
+		/boragehitch_request_duration_ms_bucket\{le="50",service="pricebook"\} 1/v,
+	);
+	assert.match(
+		text,
+		/boragehitch_gate_queued_ms_bucket\{le="10",service="pricebook"\} 0/v,
+	);
+});
--- /dev/null
+++ b/src/transport/create-mesh-metrics.ts
@@ -0,0 +1,115 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {RequestObserver} from '../protocol/observer.js';
+import {meshMetricNames} from '../protocol/metric-names.js';
+
+/** What is read when the metrics are asked for. */
+export type MeshGauges = {
+	/** Version of the configuration; -1 when there is none. */
+	readonly version: number;
+	readonly members: number;
+	/** Requests of callers in flight. */
+	readonly inFlight: number;
+};
+
+/** Metrics of a node, as text for whoever asks. */
+export type MeshMetrics = {
+	readonly observer: RequestObserver;
+	/** Content type of the text. */
+	readonly contentType: string;
+	/** Writes all metrics in the text format of Prometheus. */
+	formatText(): Promise<string>;
+};
+
+/** Upper bounds of the histograms' buckets, ms: from a hop to a deadline. */
+const bucketsMs = [2, 5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200];
+
+/**
+ * Creates the metrics of a node.
+ *
+ * @param readGauges - reads what is measured only when asked for
+ * @returns the metrics
+ * @example
+ * await createMeshMetrics(readGauges).formatText();
+ */
+export function createMeshMetrics(readGauges: () => MeshGauges): MeshMetrics {
+	const registry = new Registry();
+	const registers = [registry];
+	const labelNames = ['service', 'outcome', 'reason'];
+	const requests = new Counter({
+		name: meshMetricNames.requests,
+		help: 'Requests of callers that were ended',
+		labelNames,
+		registers,
+	});
+	const requestMs = new Histogram({
+		name: meshMetricNames.requestMs,
+		help: 'Time from a request to its answer, ms',
+		labelNames: ['service'],
+		buckets: bucketsMs,
+		registers,
+	});
+	const attempts = new Counter({
+		name: meshMetricNames.attempts,
+		help: 'Attempts at hosts that were ended',
+		labelNames,
+		registers,
+	});
+	const gateAttempts = new Counter({
+		name: meshMetricNames.gateAttempts,
+		help: 'Attempts that the gate had admitted and that were ended',
+		labelNames,
+		registers,
+	});
+	const queuedMs = new Histogram({
+		name: meshMetricNames.queuedMs,
+		help: 'Time that an attempt waited for a slot, ms',
+		labelNames: ['service'],
+		buckets: bucketsMs,
+		registers,
+	});
+	const version = new Gauge({
+		name: meshMetricNames.version,
+		help: 'Version of the configuration that the node runs',
+		registers,
+	});
+	const members = new Gauge({
+		name: meshMetricNames.members,
+		help: 'Nodes that the node believes to be alive',
+		registers,
+	});
+	const inFlight = new Gauge({
+		name: meshMetricNames.inFlight,
+		help: 'Requests of callers in flight',
+		registers,
+	});
+	const memory = new Gauge({
+		name: meshMetricNames.memory,
+		help: 'Resident memory, bytes',
+		registers,
+	});
+
+	return {
+		contentType: registry.contentType,
+		async formatText() {
+			const gauges = readGauges();
+			version.set(gauges.version);
+			members.set(gauges.members);
+			inFlight.set(gauges.inFlight);
+			memory.set(process.memoryUsage.rss());
+			return registry.metrics();
+		},
+		observer: {
+			onRequest({service, outcome, reason = 'none', durationMs}) {
+				requests.inc({service, outcome, reason});
+				requestMs.observe({service}, durationMs);
+			},
+			onAttempt({service, outcome, reason = 'none'}) {
+				attempts.inc({service, outcome, reason});
+			},
+			onGate({service, outcome, reason = 'none', queuedMs: waitedMs}) {
+				gateAttempts.inc({service, outcome, reason});
+				queuedMs.observe({service}, waitedMs);
+			},
+		},
+	};
+}
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -79,6 +79,8 @@
 	readonly address: string;
 	tellRoutes(source: RouteSource): void;
 	tellView(view: MembersView): void;
+	/** Requests in flight. */
+	readInFlight(): number;
 	/** Time since a request last began or was in flight, ms. */
 	readIdleMs(): number;
 	/** Lets callers know that connections are to be closed. */
@@ -393,6 +395,7 @@
 				table = compileSource(source, candidates);
 			}
 		},
+		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
 		drain: server.drain,
 		stop: server.stop,
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -4,12 +4,15 @@
 import type {Edge} from '../protocol/edge.js';
 import type {Announcement} from '../protocol/member.js';
 import type {MeshSettings} from '../protocol/mesh-settings.js';
+import {combineObservers} from './_lib/combine-observers.js';
+import {createDecisionLog} from './_lib/create-decision-log.js';
 import {createReadiness} from './_lib/create-readiness.js';
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
 import {waitUntilQuiet} from './_lib/wait-until-quiet.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
+import {createMeshMetrics} from './create-mesh-metrics.js';
 import {createPeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './platform-client.js';
 import {startCallerTask} from './start-caller-task.js';
@@ -69,7 +72,21 @@
 	const {name, dataCentre} = first;
 	const {store, edge} = platform;
 	const peers = createPeerClients();
-	const gate = startGateTask({logger, edge});
+	const metrics = createMeshMetrics(() => ({
+		version: document.readDocument()?.version ?? -1,
+		members: members.readView().members.filter(({state}) => state === 'alive')
+			.length,
+		inFlight: caller.readInFlight(),
+	}));
+	const observer = combineObservers([
+		metrics.observer,
+		createDecisionLog({
+			logger,
+			readVersion: () => document.readDocument()?.version,
+			now: () => performance.now(),
+		}),
+	]);
+	const gate = startGateTask({logger, edge, observer});
 	const forwarder = createForwarder();
 	const caller = await startCallerTask({
 		name,
@@ -79,6 +96,7 @@
 		forwarder,
 		logger,
 		edge,
+		observer,
 		readOrigin: () => settings.service,
 		computeRetryBudget: (members) =>
 			computeRetryShare(
@@ -168,6 +186,21 @@
 			sendJson(response, state === 'ready' ? 200 : 503, {state});
 		},
 	);
+	const metricsServer = await startServer(
+		first.metrics,
+		(_request, response) => {
+			metrics.formatText().then(
+				(text) => {
+					response.setHeader('content-type', metrics.contentType);
+					response.end(text);
+				},
+				(error: unknown) => {
+					logger.warn('metrics not served', {error: String(error)});
+					response.destroy();
+				},
+			);
+		},
+	);
 	logger.info('node started', {
 		callers: first.callers,
 		peers: first.peers,
@@ -209,6 +242,7 @@
 					peerServer.stop(),
 					announcements.stop(),
 					readinessServer.stop(),
+					metricsServer.stop(),
 				]),
 				waitUntilQuiet({
 					readIdleMs: () => 0,
