--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -27,7 +27,7 @@
 	readonly lateWaitMs: number;
 	/** Time left in which an answer has its full value, ms. */
 	readonly objectiveMs: number;
-	/** Share of the slots that attempts in time take up. */
+	/** Share of the slots that all attempts that came in time would take up. */
 	readonly utilization: number;
 };
 
@@ -44,9 +44,10 @@
 
 /**
  * Share of the slots that attempts in time must leave free for attempts that
- * can only be late; below it upstreams with uneven times are in effect full.
+ * can only be late. It counts those that were refused too: a late attempt in a
+ * slot is why the next ones in time are refused.
  */
-const minSpareShare = 0.3;
+const minSpareShare = 0.15;
 
 /** Part of the time left that a late attempt may wait. */
 export const lateWaitPart = 0.5;
--- a/src/coordination/step-utilization.ts
+++ b/src/coordination/step-utilization.ts
@@ -1,6 +1,6 @@
-/** How much of an upstream's time the admitted requests take. */
+/** How much of an upstream's time requests would take. */
 export type Utilization = {
-	/** Admitted work of about the last second, ms. */
+	/** Work of about the last second, ms. */
 	readonly workMs: number;
 	/** Monotonic ms. */
 	readonly at: number;
@@ -13,7 +13,7 @@
  * Adds a request's expected time to the utilization of an upstream.
  *
  * @param before - the utilization before, undefined when there is none
- * @param workMs - expected time of a request that was admitted, ms
+ * @param workMs - expected time of a request, ms
  * @param now - monotonic ms
  * @returns the utilization after
  * @example
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -77,7 +77,7 @@
 	/** Mean time of all requests, and of those of each route. */
 	serviceTime: ServiceTime | undefined;
 	readonly routeTimes: Map<string, ServiceTime>;
-	/** Work of the jobs that were admitted to be in time. */
+	/** Work of the attempts that came in time, admitted or not. */
 	utilization: Utilization | undefined;
 };
 
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -139,6 +139,14 @@
 		const at = now();
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
 		const expected = readExpectation(upstream, attempt);
+		if (upstream && expected.serviceMs <= objectiveMs) {
+			upstream.utilization = stepUtilization(
+				upstream.utilization,
+				expected.serviceMs,
+				at,
+			);
+		}
+
 		const admission = decideAdmission({
 			state: isDraining ? 'leaving' : state,
 			remainingMs,
@@ -169,14 +177,6 @@
 			runner.drop(longest.at(-1)!, 'saturated');
 		}
 
-		if (!admission.isLate) {
-			upstream!.utilization = stepUtilization(
-				upstream!.utilization,
-				expected.serviceMs,
-				at,
-			);
-		}
-
 		return runner.enqueue(attempt, upstream!, {
 			isLate: admission.isLate,
 			serviceMs: expected.serviceMs,
