Keep a node responsive when its processor is used up

Change: above a lag that grows with the route's urgency a node refuses at once; a request passes on from one full host only; a service whose hosts have all just refused such requests is refused without a hop; returns after 30 ms at least.

--- a/src/coordination/compute-retry-after.ts
+++ b/src/coordination/compute-retry-after.ts
@@ -14,8 +14,8 @@
 	readonly random: number;
 };
 
-/** Shortest delay, ms: a few round trips. */
-const minDelayMs = 20;
+/** Shortest delay, ms: several round trips, as each return costs the node time. */
+const minDelayMs = 30;
 
 /** Part of the time left that a delay may take, so that a try still fits. */
 const remainingPart = 0.3;
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -29,6 +29,8 @@
 	readonly objectiveMs?: number | undefined;
 	/** Name of the request's route, if it has one. */
 	readonly route?: string | undefined;
+	/** Names requests that hosts admit alike, if hosts say so. */
+	readonly demand?: string | undefined;
 };
 
 /** Highest share of failures that is believed, so that a cost stays finite. */
@@ -57,14 +59,14 @@
 		: healthy;
 }
 
-/** Keeps the hosts that have room for requests of the route, if there are any. */
+/** Keeps the hosts that have room for such requests, if there are any. */
 function selectRoomy(
 	candidates: readonly Candidate[],
 	records: Records,
-	{now, route = ''}: PickOptions,
+	{now, demand = ''}: PickOptions,
 ): readonly Candidate[] {
 	const roomy = candidates.filter(
-		({host}) => (records.get(host)?.fullUntil?.get(route) ?? 0) <= now,
+		({host}) => (records.get(host)?.fullUntil?.get(demand) ?? 0) <= now,
 	);
 	return roomy.length === 0 ? candidates : roomy;
 }
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -32,7 +32,7 @@
 	readonly ejectedUntil: number;
 	/** Ejections in a row. */
 	readonly ejections: number;
-	/** Until when the host has no room for requests of a route, monotonic ms. */
+	/** Until when the host has no room for a kind of demand, monotonic ms. */
 	readonly fullUntil?: ReadonlyMap<string, number>;
 	/** When an attempt was last sent, monotonic ms. */
 	readonly sentAt?: number;
@@ -56,6 +56,8 @@
 			readonly latencyMs: number;
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
+			/** Names requests that hosts admit alike; the route when absent. */
+			readonly demand?: string | undefined;
 			readonly load: GateLoad | undefined;
 	  };
 
@@ -199,7 +201,8 @@
 			};
 			if (outcome === 'full') {
 				const fullUntil = new Map(before.fullUntil);
-				fullUntil.set(message.route ?? '', context.now + fullMs);
+				const demand = message.demand ?? message.route ?? '';
+				fullUntil.set(demand, context.now + fullMs);
 				return {...reported, unreachable: 0, fullUntil};
 			}
 
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -1,6 +1,7 @@
 import {
 	askRetryMs,
 	maxAsks,
+	maxFullReroutes,
 	maxReroutes,
 	maxRestamps,
 } from '../protocol/constants.js';
@@ -52,7 +53,10 @@
 	const {terms, now, random, budget} = context;
 	const tries = state.attempts - state.restamps - state.reroutes;
 	// A try at the wrong host reached no upstream; those have a bound of their own.
-	const isFull = ending.reason === 'saturated' && context.hasRoom === true;
+	const isFull =
+		ending.reason === 'saturated' &&
+		context.hasRoom === true &&
+		state.reroutes < maxFullReroutes;
 	const isWrongHost =
 		ending.outcome === 'not-run' && (isMisrouted(ending.reason) || isFull);
 	const after: RequestState = {
@@ -72,7 +76,7 @@
 		maxAttempts: isWrongHost ? maxReroutes : terms.maxAttempts,
 		remainingMs: terms.deadlineAt - now - delayMs,
 		budget,
-		hasRoom: context.hasRoom,
+		hasRoom: isFull,
 	});
 	switch (decision) {
 		case 'stop': {
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -117,6 +117,8 @@
 export const maxHeaderBytes = 16 * bytesPerKibibyte;
 export const lingerMs = 3000;
 export const maxCallerInFlight = 2048;
+/** Time after which a node that had no processor time left is asked again; its lag is gone by then. */
+export const busyRetryMs = 100;
 export const maxDepth = 16;
 /** Requests in flight of a route of a document; the node's own bound is lower. */
 export const maxDocumentConcurrency = 10_000;
@@ -138,6 +140,8 @@
 export const maxRestamps = 2;
 /** Tries at hosts that turn out to be the wrong ones; each costs about a round trip. */
 export const maxReroutes = 4;
+/** Tries after which a request is no longer passed on from full hosts: each costs two nodes their time when there is least. */
+export const maxFullReroutes = 1;
 export const deadlineMarginMs = 10;
 /** Time that an answer needs to reach its client: a round trip to a distant one, and at most a part of the deadline. */
 export const answerMarginMs = 25;
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -50,6 +50,7 @@
 	'wrong-instance',
 	'misplaced',
 	'no-configuration',
+	'overloaded',
 ] as const;
 
 export type OutcomeReason = (typeof outcomeReasons)[number];
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -49,7 +49,7 @@
 };
 
 /** What of a request's route matters for its host. */
-export type RouteTerms = Pick<PickOptions, 'objectiveMs' | 'route'>;
+export type RouteTerms = Pick<PickOptions, 'objectiveMs' | 'route' | 'demand'>;
 
 /** What a caller's node knows of hosts, and the budgets of its retries. */
 export type ServiceRouter = {
@@ -59,7 +59,8 @@
 		key: string | undefined,
 		terms?: RouteTerms,
 	): GateSelection;
-	noteAttempt(end: AttemptEnd, now: number): void;
+	/** Notes the end of an attempt; `demand` names requests that hosts admit alike. */
+	noteAttempt(end: AttemptEnd, now: number, demand?: string): void;
 	countRequest(team: string, service: string): void;
 	readBudget(team: string, service: string): number;
 	spendBudget(team: string, service: string): void;
@@ -200,6 +201,18 @@
 		);
 	}
 
+	/** Tells whether every host has just refused such a request for want of room. */
+	function isFull(service: string, demand: string | undefined): boolean {
+		const hosts = candidates.get(service) ?? [];
+		return (
+			hosts.length > 0 &&
+			hosts.every(
+				({host}) =>
+					(records.get(host)?.fullUntil?.get(demand ?? '') ?? 0) > now(),
+			)
+		);
+	}
+
 	function stepBudget(
 		team: string,
 		service: string,
@@ -239,6 +252,10 @@
 			let prepared: Candidate | undefined;
 			return {
 				pickGate() {
+					if (isFull(service, terms.demand)) {
+						return 'saturated';
+					}
+
 					const host = prepared ?? pickCandidate(service, key, tried, terms);
 					prepared = undefined;
 					if (!host) {
@@ -256,7 +273,7 @@
 					return hosts.some(
 						({host}) =>
 							!tried.has(host) &&
-							isRoomy(records.get(host), terms.route, now()),
+							isRoomy(records.get(host), terms.demand, now()),
 					);
 				},
 				async refreshStamp() {
@@ -267,7 +284,7 @@
 				},
 			};
 		},
-		noteAttempt({gate: port, attempt, result, startedAt}, endedAt) {
+		noteAttempt({gate: port, attempt, result, startedAt}, endedAt, demand) {
 			const {host, address} = port.host;
 			if (result.kind !== 'lost' && result.stamp) {
 				stamps.set(address, {stamp: result.stamp, receivedAt: endedAt});
@@ -278,6 +295,7 @@
 				outcome: judgeResult(result),
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
+				demand,
 				load: result.kind === 'lost' ? undefined : result.load,
 			});
 		},
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -9,8 +9,9 @@
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
 import {
 	askAfterMs,
+	busyRetryMs,
 	deadlineMarginMs,
-	retryAfterSeconds,
+	msPerSecond,
 } from '../../protocol/constants.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GatePort} from './gate-port.js';
@@ -276,7 +277,9 @@
 			resolve({
 				outcome: effect.outcome,
 				reason: effect.reason!,
-				retryAfterSeconds: effect.retryAfterSeconds ?? retryAfterSeconds,
+				retryAfterSeconds:
+					effect.retryAfterSeconds ??
+					(busyRetryMs * (0.5 + options.random())) / msPerSecond,
 				attempts,
 			});
 		}
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -3,6 +3,7 @@
 import polka from 'polka';
 import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
+import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
 import {pickTarget} from '../coordination/pick-target.js';
 import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
 import {
@@ -13,7 +14,9 @@
 import {
 	answerMarginMs,
 	answerMarginPart,
+	busyRetryMs,
 	maxDepth,
+	msPerSecond,
 	retryAfterSeconds,
 } from '../protocol/constants.js';
 import type {CallerTerms, Edge} from '../protocol/edge.js';
@@ -31,6 +34,7 @@
 import {compileRoutes} from '../state/compile-routes.js';
 import {isSameKeySet} from '../state/is-same-key-set.js';
 import {matchRoute} from '../state/match-route.js';
+import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
 import {isUnambiguousPath} from './_lib/is-unambiguous-path.js';
@@ -120,6 +124,14 @@
 		: undefined;
 }
 
+/** Names requests that hosts admit alike: those of a route, fresh or aged. */
+function formatDemand(
+	{name, objectiveMs = 0}: CompiledRoute,
+	leftMs: number,
+): string {
+	return leftMs < objectiveMs / 2 ? `${name} aged` : name;
+}
+
 function compileSource(
 	source: RouteSource,
 	candidates: MembersView['candidates'],
@@ -149,6 +161,7 @@
 	const {logger, observer = {}, edge = ownEdge} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
+	const lagMeter = createLagMeter(now);
 	const inFlightByTeam = new Map<string, number>();
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
@@ -160,10 +173,15 @@
 	let inFlight = 0;
 	let lastActiveAt = now();
 
-	function refuse(response: ServerResponse, reason: OutcomeReason): void {
+	function refuse(
+		response: ServerResponse,
+		reason: OutcomeReason,
+		delayMs = retryAfterSeconds * msPerSecond,
+	): void {
+		const seconds = (delayMs * (0.5 + random())) / msPerSecond;
 		sendOutcome(
 			response,
-			{outcome: 'not-run', reason, retryAfterSeconds},
+			{outcome: 'not-run', reason, retryAfterSeconds: seconds},
 			edge,
 		);
 	}
@@ -237,16 +255,18 @@
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatKey(terms, route);
 		const {depth} = terms;
+		const objectiveMs = computeObjectiveMs(terms, route);
+		const demand = formatDemand(route, objectiveMs);
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
 			route: route.name,
+			demand,
 		});
 		if (isStreamed) {
 			await selection.refreshStamp();
 		}
 
 		const deadlineMs = computeDeadlineMs(terms, route);
-		const objectiveMs = computeObjectiveMs(terms, route);
 		lastId++;
 		return runRequest({
 			terms: {
@@ -278,7 +298,7 @@
 			hasRoom: selection.hasRoom,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
-				router.noteAttempt(end, now());
+				router.noteAttempt(end, now(), demand);
 				reportAttemptEvent(observer, end, routed.traceparent, now());
 			},
 			readBudget: () => router.readBudget(team, service),
@@ -350,6 +370,12 @@
 
 		const route = chooseService(found);
 
+		const {priority = 0} = route;
+		if (!decideLoopAdmission({lagMs: lagMeter.read(), priority})) {
+			refuse(response, 'overloaded', busyRetryMs);
+			return;
+		}
+
 		if (!canTake(route)) {
 			refuse(response, 'team-limit');
 			return;
@@ -398,6 +424,9 @@
 		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
 		drain: server.drain,
-		stop: server.stop,
+		async stop() {
+			lagMeter.stop();
+			await server.stop();
+		},
 	};
 }
