--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -3,13 +3,12 @@
 	comparedHosts,
 	exploreAfterMs,
 	exploreShare,
-	farAdvantage,
 	minInUseShare,
-	nearObjectivePart,
 	slowStartMs,
 	spillShare as defaultSpillShare,
 } from '../protocol/constants.js';
 import type {Candidate} from '../protocol/member.js';
+import {computeOfferCost} from './compute-offer-cost.js';
 import type {HostRecord} from './step-host-record.js';
 
 /** Options of `pickHost`. */
@@ -137,19 +136,19 @@
 }
 
 /** A host with what a request there is expected to cost. */
-type Offer = {
-	readonly candidate: Candidate;
-	/** Expected time until the answer, ms; in slots' turns where times are not known. */
-	readonly cost: number;
-	/** Whether the cost is a time. */
-	readonly isTime: boolean;
-};
+type Offer = {readonly candidate: Candidate; readonly cost: number};
 
 /** Part of the others' mean time that is expected of a host of unknown times. */
 const unknownPart = 0.7;
 
-/** Weight of a free host's load, which spreads requests before any wait. */
-const idleWeight = 0.25;
+/** Part of its objective that a request takes while nothing is known. */
+const usualObjectivePart = 0.35;
+
+/** Cost of an answer from another data centre, in parts of a request's value: its bytes are priced. */
+const farCost = 0.12;
+
+/** Cost of a host that has just started, which falls while it warms up. */
+const coldCost = 0.05;
 
 /** Expected times at a host, ms. */
 type HostTimes = {
@@ -193,24 +192,18 @@
 	return {ownMs: ownMs * unknownPart, serviceMs};
 }
 
-function computeOffer(
-	candidate: Candidate,
-	record: HostRecord | undefined,
-	pool: PoolShare,
+/** Computes the cost of a host for a request whose objective is known. */
+function computeCost(
+	load: number,
 	times: HostTimes | undefined,
+	record: HostRecord | undefined,
+	objectiveMs: number,
 	now: number,
-): Offer {
-	const load = computeShare(candidate, record, pool, now) + 1 / candidate.slots;
-	const {ownMs, serviceMs} = times ?? {ownMs: 1, serviceMs: 1};
-	const waitMs = Math.max(0, load - 1) * serviceMs;
-	const busyMs = idleWeight * Math.min(1, load) * ownMs;
-	const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
-	const divisor = computeWarmth(record, now) * (1 - errorShare);
-	return {
-		candidate,
-		cost: (ownMs + waitMs + busyMs) / divisor,
-		isTime: times !== undefined,
-	};
+): number {
+	const usualMs = objectiveMs * usualObjectivePart;
+	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
+	const cost = computeOfferCost({ownMs, serviceMs, load, objectiveMs});
+	return cost + coldCost * (1 / computeWarmth(record, now) - 1);
 }
 
 /** Takes some of the pool at random, and the one with the best offer of them. */
@@ -218,7 +211,7 @@
 	pool: readonly Candidate[],
 	records: Records,
 	random: () => number,
-	{now, route}: PickOptions,
+	{now, route, objectiveMs}: PickOptions,
 ): Offer | undefined {
 	const meanTimes = computeMeanTimes(pool, records, route);
 	const poolShare = computePoolShare(pool, records, now);
@@ -231,9 +224,15 @@
 		const record = records.get(candidate.host);
 		const times =
 			readTimes(record, route) ?? (meanTimes && scaleTimes(meanTimes));
-		const offer = computeOffer(candidate, record, poolShare, times, now);
-		if (!best || offer.cost < best.cost) {
-			best = offer;
+		const load =
+			computeShare(candidate, record, poolShare, now) + 1 / candidate.slots;
+		const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
+		const cost =
+			objectiveMs === undefined
+				? load / computeWarmth(record, now) / (1 - errorShare)
+				: computeCost(load, times, record, objectiveMs, now) + errorShare;
+		if (!best || cost < best.cost) {
+			best = {candidate, cost};
 		}
 	}
 
@@ -277,23 +276,24 @@
 	});
 }
 
-/** Tells whether a near host's offer leaves no reason to look further. */
-function isNearEnough(
-	offer: Offer,
+/** Tells whether a far host's offer is better than that of a near one. */
+function isFarBetter(
+	near: Offer,
+	far: Offer,
 	local: readonly Candidate[],
 	records: Records,
 	options: PickOptions,
 ): boolean {
 	const {objectiveMs, now, spillShare = defaultSpillShare} = options;
-	return objectiveMs !== undefined && offer.isTime
-		? offer.cost <= nearObjectivePart * objectiveMs
-		: !isNearFull(local, records, spillShare, now);
+	return objectiveMs === undefined
+		? isNearFull(local, records, spillShare, now) && far.cost < near.cost
+		: far.cost + farCost < near.cost;
 }
 
 /**
- * Picks the host for a request: the one with the shortest expected time of a
- * few chosen at random, in the own data centre unless that would endanger the
- * request's objective and another data centre is clearly better.
+ * Picks the host for a request: the one of a few chosen at random where the
+ * request is least likely to be late, in the own data centre unless another one
+ * is clearly better.
  *
  * Ejected hosts are left out while enough others remain. A reported load counts
  * less with age; a host without a fresh one counts as average, not as idle.
@@ -336,15 +336,11 @@
 	}
 
 	const near = findBestOffer(local, records, random, options);
-	if (near && isNearEnough(near, local, records, options)) {
-		return near.candidate;
-	}
-
 	const remote = usable.filter(
 		(candidate) => candidate.dataCentre !== dataCentre,
 	);
 	const far = findBestOffer(remote, records, random, options);
-	return near && (!far || far.cost > near.cost * farAdvantage)
-		? near.candidate
-		: far?.candidate;
+	return near && far && isFarBetter(near, far, local, records, options)
+		? far.candidate
+		: (near ?? far)?.candidate;
 }
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -166,10 +166,6 @@
 export const exploreShare = 0.2;
 /** Hosts that are compared for one request. */
 export const comparedHosts = 4;
-/** Part of a request's objective that a near host may take before a far one is considered. */
-export const nearObjectivePart = 0.45;
-/** How much better a far host must be to be taken: bytes between data centres are dear. */
-export const farAdvantage = 0.75;
 export const minInUseShare = 0.5;
 export const ejectionBaseMs = 1000;
 export const ejectionCapMs = 30_000;
