--- a/scripts/check-layers.ts
+++ b/scripts/check-layers.ts
@@ -6,7 +6,7 @@
 import {findLayerProblems} from './find-layer-problems.js';
 import {readSources} from './read-sources.js';
 
-const sources = await readSources(['src']);
+const sources = await readSources(['src', 'platform']);
 const problems = sources.flatMap(({file, text}) =>
 	findLayerProblems(file, text),
 );
--- a/scripts/find-layer-problems.ts
+++ b/scripts/find-layer-problems.ts
@@ -7,7 +7,9 @@
 	state: ['state', 'protocol'],
 	coordination: ['coordination', 'state', 'protocol'],
 	transport: ['transport', 'coordination', 'state', 'protocol'],
-	cli: ['cli', 'transport', 'coordination', 'state', 'protocol'],
+	// The adapter to the users' platform; the command line joins it to the tasks.
+	platform: ['platform', 'transport', 'coordination', 'state', 'protocol'],
+	cli: ['cli', 'platform', 'transport', 'coordination', 'state', 'protocol'],
 };
 
 function readLayer(file: string): string {
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -196,14 +196,11 @@
 function computeCost(
 	load: number,
 	times: HostTimes | undefined,
-	record: HostRecord | undefined,
 	objectiveMs: number,
-	now: number,
 ): number {
 	const usualMs = objectiveMs * usualObjectivePart;
 	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
-	const cost = computeOfferCost({ownMs, serviceMs, load, objectiveMs});
-	return cost + coldCost * (1 / computeWarmth(record, now) - 1);
+	return computeOfferCost({ownMs, serviceMs, load, objectiveMs});
 }
 
 /** Takes some of the pool at random, and the one with the best offer of them. */
@@ -230,7 +227,9 @@
 		const cost =
 			objectiveMs === undefined
 				? load / computeWarmth(record, now) / (1 - errorShare)
-				: computeCost(load, times, record, objectiveMs, now) + errorShare;
+				: computeCost(load, times, objectiveMs) +
+					coldCost * (1 / computeWarmth(record, now) - 1) +
+					errorShare;
 		if (!best || cost < best.cost) {
 			best = {candidate, cost};
 		}
@@ -280,13 +279,11 @@
 function isFarBetter(
 	near: Offer,
 	far: Offer,
-	local: readonly Candidate[],
-	records: Records,
-	options: PickOptions,
+	objectiveMs: number | undefined,
+	isFull: () => boolean,
 ): boolean {
-	const {objectiveMs, now, spillShare = defaultSpillShare} = options;
 	return objectiveMs === undefined
-		? isNearFull(local, records, spillShare, now) && far.cost < near.cost
+		? isFull() && far.cost < near.cost
 		: far.cost + farCost < near.cost;
 }
 
@@ -314,7 +311,8 @@
 	random: () => number,
 	options: PickOptions,
 ): Candidate | undefined {
-	const {dataCentre, now, exclude} = options;
+	const {dataCentre, now, exclude, objectiveMs} = options;
+	const {spillShare = defaultSpillShare} = options;
 	const untried = exclude?.size
 		? candidates.filter(({host}) => !exclude.has(host))
 		: candidates;
@@ -340,7 +338,8 @@
 		(candidate) => candidate.dataCentre !== dataCentre,
 	);
 	const far = findBestOffer(remote, records, random, options);
-	return near && far && isFarBetter(near, far, local, records, options)
+	const isFull = (): boolean => isNearFull(local, records, spillShare, now);
+	return near && far && isFarBetter(near, far, objectiveMs, isFull)
 		? far.candidate
 		: (near ?? far)?.candidate;
 }
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -96,11 +96,11 @@
 const noTimes: ReadonlyMap<string, number> = new Map();
 
 function putRouteTime(
-	times = noTimes,
+	times: ReadonlyMap<string, number> | undefined,
 	{route, load}: HostMessage & {readonly kind: 'ended'},
 ): ReadonlyMap<string, number> {
 	return route === undefined || load?.routeMs === undefined
-		? times
+		? (times ?? noTimes)
 		: new Map(times).set(route, load.routeMs);
 }
 
--- a/src/transport/_lib/create-decision-log.ts
+++ b/src/transport/_lib/create-decision-log.ts
@@ -69,7 +69,7 @@
 		logger.info(message, fields);
 	}
 
-	function isWorthALine(event: {
+	function isNotable(event: {
 		readonly outcome: string;
 		readonly status: number;
 		readonly requestId: string;
@@ -83,7 +83,7 @@
 
 	return {
 		onRequest(event) {
-			if (!isWorthALine(event)) {
+			if (!isNotable(event)) {
 				return;
 			}
 
@@ -101,7 +101,7 @@
 			});
 		},
 		onAttempt(event) {
-			if (!isWorthALine(event)) {
+			if (!isNotable(event)) {
 				return;
 			}
 
@@ -118,7 +118,7 @@
 			});
 		},
 		onGate(event) {
-			if (!isWorthALine(event)) {
+			if (!isNotable(event)) {
 				return;
 			}
 
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,3 +1,4 @@
+import {isRoomy} from '../../coordination/is-roomy.js';
 import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
 import {
@@ -18,7 +19,6 @@
 import type {Forwarder} from '../create-forwarder.js';
 import type {GateTask} from '../start-gate-task.js';
 import {computeMedian} from './compute-median.js';
-import {isRoomy} from '../../coordination/is-roomy.js';
 import type {GatePort} from './gate-port.js';
 import type {AttemptEnd} from './run-request.js';
 
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -186,7 +186,7 @@
 ): number {
 	const known =
 		route === undefined ? undefined : upstream.routeTimes.get(route);
-	return known || objectiveMs === undefined
+	return known !== undefined || objectiveMs === undefined
 		? readServiceTime(known ?? upstream.serviceTime, now)
 		: objectiveMs * usualObjectivePart;
 }
--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -6,7 +6,7 @@
 import {createPooledAgent} from './create-pooled-agent.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
-type Handler = (socket: Socket, request: string, count: number) => void;
+type Handler = (socket: Socket, request: string, count: number) => unknown;
 
 /** Starts a server that is given each request's text; requests are short. */
 async function start(t: TestContext, handler: Handler) {
@@ -75,7 +75,9 @@
 		'an answer without a length whose connection is reset',
 		(socket) => {
 			socket.write(open, () => {
-				setTimeout(() => socket.resetAndDestroy(), 20);
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
 			});
 		},
 		'truncated',
@@ -83,7 +85,9 @@
 	[
 		'an answer without a length that is reset with its last bytes',
 		(socket) => {
-			socket.write(open, () => socket.resetAndDestroy());
+			socket.write(open, () => {
+				socket.resetAndDestroy();
+			});
 		},
 		'truncated',
 	],
@@ -91,7 +95,9 @@
 		'a long answer without a length whose connection is reset',
 		(socket) => {
 			socket.write(long, () => {
-				setTimeout(() => socket.resetAndDestroy(), 50);
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 50);
 			});
 		},
 		'stream broken',
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestObserver} from '../protocol/observer.js';
 import {meshMetricNames} from '../protocol/metric-names.js';
