Let the gate refuse by its own lag too

Change: the gate refuses by lag as well, and refusals for want of room tell for how long the host is not asked again.

--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -1,4 +1,5 @@
 import type {OutcomeKind, OutcomeReason} from '../protocol/request.js';
+import {isForWantOfRoom} from './is-for-want-of-room.js';
 import {isMisrouted} from './is-misrouted.js';
 
 /** What the decision to retry depends on. */
@@ -45,7 +46,7 @@
 		return 'stop';
 	}
 
-	const isFull = reason === 'saturated' && input.hasRoom === true;
+	const isFull = isForWantOfRoom(reason) && input.hasRoom === true;
 	if (outcome === 'not-run' && (isMisrouted(reason) || isFull)) {
 		return 'reroute';
 	}
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -58,6 +58,8 @@
 			readonly route?: string | undefined;
 			/** Names requests that hosts admit alike; the route when absent. */
 			readonly demand?: string | undefined;
+			/** After which time the host said that it may have room, ms. */
+			readonly retryAfterMs?: number | undefined;
 			readonly load: GateLoad | undefined;
 	  };
 
@@ -71,8 +73,12 @@
 	readonly serviceLatencyMs: number;
 };
 
-/** Time for which a host that had no room is not asked again, ms; about one request. */
-const fullMs = 30;
+/** Least and longest time for which a host that had no room is not asked again, ms; from a hop to about two requests. */
+const minFullMs = 30;
+const maxFullMs = 200;
+
+/** Part of the delay that the host named: others may find room before. */
+const fullPart = 0.5;
 
 const sampleWeight = 0.1;
 const slowFactor = 5;
@@ -104,6 +110,12 @@
 		: new Map(times).set(route, load.routeMs);
 }
 
+function computeFullMs({
+	retryAfterMs = 0,
+}: HostMessage & {readonly kind: 'ended'}): number {
+	return Math.max(minFullMs, Math.min(maxFullMs, retryAfterMs * fullPart));
+}
+
 /** The load that others than this node have put on the host. */
 function readShare(load: GateLoad, ownInFlight: number): number {
 	const others = Math.max(0, load.inFlight + load.queued - ownInFlight);
@@ -202,7 +214,7 @@
 			if (outcome === 'full') {
 				const fullUntil = new Map(before.fullUntil);
 				const demand = message.demand ?? message.route ?? '';
-				fullUntil.set(demand, context.now + fullMs);
+				fullUntil.set(demand, context.now + computeFullMs(message));
 				return {...reported, unreachable: 0, fullUntil};
 			}
 
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -8,6 +8,7 @@
 import type {OutcomeReason} from '../protocol/request.js';
 import {computeRetryDelay} from './compute-retry-delay.js';
 import {decideRetry} from './decide-retry.js';
+import {isForWantOfRoom} from './is-for-want-of-room.js';
 import {isMisrouted} from './is-misrouted.js';
 import type {
 	AttemptEnding,
@@ -54,7 +55,7 @@
 	const tries = state.attempts - state.restamps - state.reroutes;
 	// A try at the wrong host reached no upstream; those have a bound of their own.
 	const isFull =
-		ending.reason === 'saturated' &&
+		isForWantOfRoom(ending.reason) &&
 		context.hasRoom === true &&
 		state.reroutes < maxFullReroutes;
 	const isWrongHost =
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,3 +1,4 @@
+import {isForWantOfRoom} from '../../coordination/is-for-want-of-room.js';
 import {isRoomy} from '../../coordination/is-roomy.js';
 import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
@@ -12,7 +13,11 @@
 	type RetryBudgetOptions,
 } from '../../coordination/step-retry-budget.js';
 import type {ForwardResult} from '../../protocol/attempt.js';
-import {latencyRefreshMs, stampLifetimeMs} from '../../protocol/constants.js';
+import {
+	latencyRefreshMs,
+	msPerSecond,
+	stampLifetimeMs,
+} from '../../protocol/constants.js';
 import type {Candidate, MembersView} from '../../protocol/member.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
@@ -77,7 +82,7 @@
 		return 'unreachable';
 	}
 
-	return reason === 'saturated' ? 'full' : 'refused';
+	return isForWantOfRoom(reason) ? 'full' : 'refused';
 }
 
 function judgeResult(result: ForwardResult): Ended['outcome'] {
@@ -296,6 +301,10 @@
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
 				demand,
+				retryAfterMs:
+					'retryAfterSeconds' in result
+						? result.retryAfterSeconds * msPerSecond
+						: undefined,
 				load: result.kind === 'lost' ? undefined : result.load,
 			});
 		},
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -99,8 +99,13 @@
 				terms,
 				now: now(),
 				random: options.random(),
-				budget: options.readBudget(),
-				hasRoom: options.hasRoom(),
+				// Read only where a decision needs them.
+				get budget() {
+					return options.readBudget();
+				},
+				get hasRoom() {
+					return options.hasRoom();
+				},
 			};
 			const step = stepRequest(state, message, context);
 			state = step.state;
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -34,7 +34,6 @@
 import {compileRoutes} from '../state/compile-routes.js';
 import {isSameKeySet} from '../state/is-same-key-set.js';
 import {matchRoute} from '../state/match-route.js';
-import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
 import {isUnambiguousPath} from './_lib/is-unambiguous-path.js';
@@ -61,6 +60,8 @@
 	readonly observer?: RequestObserver;
 	/** Headers that the callers understand; the project's own when absent. */
 	readonly edge?: Edge;
+	/** How late the event loop runs, ms; not regarded when absent. */
+	readonly readLag?: () => number;
 	/** Service on the own host, for which its requests are sent. */
 	readonly readOrigin?: () => string | undefined;
 	/** Bounds of the retries of this node, given the number of all nodes. */
@@ -159,9 +160,9 @@
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
 	const {logger, observer = {}, edge = ownEdge} = options;
+	const {readLag = () => 0} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
-	const lagMeter = createLagMeter(now);
 	const inFlightByTeam = new Map<string, number>();
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
@@ -371,7 +372,7 @@
 		const route = chooseService(found);
 
 		const {priority = 0} = route;
-		if (!decideLoopAdmission({lagMs: lagMeter.read(), priority})) {
+		if (!decideLoopAdmission({lagMs: readLag(), priority})) {
 			refuse(response, 'overloaded', busyRetryMs);
 			return;
 		}
@@ -424,9 +425,6 @@
 		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
 		drain: server.drain,
-		async stop() {
-			lagMeter.stop();
-			await server.stop();
-		},
+		stop: server.stop,
 	};
 }
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -6,6 +6,7 @@
 	decideAdmission,
 	type AdmissionInput,
 } from '../coordination/decide-admission.js';
+import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
@@ -44,6 +45,8 @@
 export type GateTaskOptions = {
 	readonly logger: Logger;
 	readonly observer?: RequestObserver;
+	/** How late the event loop runs, ms; not regarded when absent. */
+	readonly readLag?: () => number;
 	/** Headers that the upstreams understand; the project's own when absent. */
 	readonly edge?: Edge;
 	/** Random name of the process; a new UUID when absent. */
@@ -89,6 +92,7 @@
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
 	const {observer = {}, edge = ownEdge, epoch = randomUUID()} = options;
+	const {readLag = () => 0} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const upstreams = new Map<string, LocalUpstream>();
 	const ledger = createLedger<AttemptResult>({epoch});
@@ -130,6 +134,14 @@
 	}
 
 	function admit(attempt: Attempt): Job | AttemptResult {
+		const isTaken = decideLoopAdmission({
+			lagMs: readLag(),
+			priority: attempt.priority ?? 0,
+		});
+		if (!isTaken) {
+			return refuse('not-run', 'overloaded');
+		}
+
 		const {state, upstream} = findLocalUpstream(
 			upstreams.values(),
 			attempt.service,
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -6,6 +6,7 @@
 import type {MeshSettings} from '../protocol/mesh-settings.js';
 import {combineObservers} from './_lib/combine-observers.js';
 import {createDecisionLog} from './_lib/create-decision-log.js';
+import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createReadiness} from './_lib/create-readiness.js';
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
@@ -86,7 +87,13 @@
 			now: () => performance.now(),
 		}),
 	]);
-	const gate = startGateTask({logger, edge, observer});
+	const lagMeter = createLagMeter(() => performance.now());
+	const gate = startGateTask({
+		logger,
+		edge,
+		observer,
+		readLag: lagMeter.read,
+	});
 	const forwarder = createForwarder();
 	const caller = await startCallerTask({
 		name,
@@ -97,6 +104,7 @@
 		logger,
 		edge,
 		observer,
+		readLag: lagMeter.read,
 		readOrigin: () => settings.service,
 		computeRetryBudget: (members) =>
 			computeRetryShare(
@@ -231,6 +239,7 @@
 			logger.info('node drained', {
 				durationMs: Math.round(performance.now() - startedAt),
 			});
+			lagMeter.stop();
 			document.stop();
 			members.stop();
 			forwarder.stop().catch((error: unknown) => {
