Keep the order in which waiting requests were admitted

Change: the order goes by arrival plus the route's objective; a late attempt takes no free slot while those in time would fill all.

--- a/src/coordination/compare-waiting.test.ts
+++ b/src/coordination/compare-waiting.test.ts
@@ -25,16 +25,16 @@
 
 			const [next, ...rest] = waiting.toSorted(compare);
 			waiting = rest;
-			const startsAt = Math.max(free[slot]!, next!.objectiveAt - objectiveMs);
+			const startsAt = Math.max(free[slot]!, next!.dueAt - objectiveMs);
 			free[slot] = startsAt + serviceMs;
-			inTime += free[slot] <= next!.objectiveAt ? 1 : 0;
+			inTime += free[slot] <= next!.dueAt ? 1 : 0;
 		}
 
 		if (canWait(waiting.length)) {
 			waiting.push({
 				isLate: false,
 				priority: 0,
-				objectiveAt: now + objectiveMs,
+				dueAt: now + objectiveMs,
 			});
 		}
 	}
@@ -56,13 +56,13 @@
 
 test('order: in time first, then urgent ones, then those due first', () => {
 	const waiting: readonly WaitingRequest[] = [
-		{isLate: true, priority: 0, objectiveAt: 1},
-		{isLate: false, priority: 2, objectiveAt: 2},
-		{isLate: false, priority: 1, objectiveAt: 4},
-		{isLate: false, priority: 1, objectiveAt: 3},
+		{isLate: true, priority: 0, dueAt: 1},
+		{isLate: false, priority: 2, dueAt: 2},
+		{isLate: false, priority: 1, dueAt: 4},
+		{isLate: false, priority: 1, dueAt: 3},
 	];
 	assert.deepEqual(
-		waiting.toSorted(compareWaiting).map(({objectiveAt}) => objectiveAt),
+		waiting.toSorted(compareWaiting).map(({dueAt}) => dueAt),
 		[3, 4, 2, 1],
 	);
 });
--- a/src/coordination/compare-waiting.ts
+++ b/src/coordination/compare-waiting.ts
@@ -4,18 +4,21 @@
 	readonly isLate: boolean;
 	/** 0 goes first. */
 	readonly priority: number;
-	/** Until when an answer has its full value, monotonic ms. */
-	readonly objectiveAt: number;
+	/** When it came plus the objective of its route, monotonic ms. */
+	readonly dueAt: number;
 };
 
 /**
  * Compares two waiting requests of a team: those that can be in time go first,
- * then the more urgent ones, then those whose objective ends first.
+ * then the more urgent ones, then by arrival and the
+ * objective of their route.
  *
  * Answers a load above what the upstreams can serve: a slot that goes to a
  * request whose answer comes late is missing for one that would be in time, and
  * in first-come order soon all are late. Calls of running requests have short
  * objectives and so go first; a running request that waits for one holds a slot.
+ * Returning requests don't overtake those of their route: these were admitted
+ * with just enough time.
  *
  * @param a - a waiting request
  * @param b - another one
@@ -27,6 +30,6 @@
 	return (
 		Number(a.isLate) - Number(b.isLate) ||
 		a.priority - b.priority ||
-		a.objectiveAt - b.objectiveAt
+		a.dueAt - b.dueAt
 	);
 }
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -113,10 +113,11 @@
 	// A short attempt is mostly a call for which a longer one holds its slot.
 	const isShort = serviceMs < input.meanServiceMs * shortPart;
 	const isLate = !isShort && isExpectedLate(input, waitMs);
-	if (isFree) {
+	if (isFree && (!isLate || input.utilization < 1)) {
 		return {kind: 'admit', pushOut: false, isLate};
 	}
 
+	// A late attempt in the last free slot is in the way of the next one in time.
 	if (isLate && !hasRoomForLate(input)) {
 		return refuse('saturated');
 	}
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -145,7 +145,7 @@
 const usualObjectivePart = 0.35;
 
 /** Cost of an answer from another data centre, in parts of a request's value: its bytes are priced. */
-const farCost = 0.12;
+const farCost = 0.15;
 
 /** Cost of a host that has just started, which falls while it warms up. */
 const coldCost = 0.05;
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -34,6 +34,8 @@
 	readonly origin?: string | undefined;
 	/** Rank among the attempts that wait for a slot; 0 goes first. */
 	readonly priority?: number | undefined;
+	/** Objective of the request's route, ms; orders the attempts that wait. */
+	readonly routeObjectiveMs?: number | undefined;
 	/** Time left in which an answer has its full value, ms. */
 	readonly objectiveMs?: number | undefined;
 	/** Called with each sign that the gate still has the attempt. */
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -19,6 +19,7 @@
 export const routeHeader = 'boragehitch-route';
 export const originHeader = 'boragehitch-origin';
 export const priorityHeader = 'boragehitch-priority';
+export const routeObjectiveHeader = 'boragehitch-route-objective-ms';
 export const objectiveHeader = 'boragehitch-objective-ms';
 export const idempotencyKeyHeader = 'idempotency-key';
 export const traceparentHeader = 'traceparent';
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -11,6 +11,7 @@
 	repeatableHeader,
 	requestIdHeader,
 	routeHeader,
+	routeObjectiveHeader,
 	serviceHeader,
 	shedHeader,
 	stampHeader,
@@ -46,6 +47,12 @@
 		headers[objectiveHeader] = String(Math.floor(attempt.objectiveMs));
 	}
 
+	if (attempt.routeObjectiveMs !== undefined) {
+		headers[routeObjectiveHeader] = String(
+			Math.round(attempt.routeObjectiveMs),
+		);
+	}
+
 	if (attempt.origin !== undefined) {
 		headers[originHeader] = attempt.origin;
 	}
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -215,7 +215,7 @@
 			startTag: upstream.fairQueue.enter(attempt.team),
 			isLate,
 			priority: attempt.priority ?? 0,
-			objectiveAt: admittedAt + (attempt.objectiveMs ?? attempt.remainingMs),
+			dueAt: admittedAt + (attempt.routeObjectiveMs ?? attempt.remainingMs),
 			result,
 			resolve,
 			phase: 'queued',
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -44,8 +44,8 @@
 	/** Whether its answer was expected after its objective. */
 	readonly isLate: boolean;
 	readonly priority: number;
-	/** Until when an answer has its full value, monotonic ms. */
-	readonly objectiveAt: number;
+	/** When it came plus the objective of its route, monotonic ms. */
+	readonly dueAt: number;
 	readonly result: Promise<AttemptResult>;
 	readonly resolve: (result: AttemptResult) => void;
 	phase: 'queued' | 'sent' | 'over';
@@ -233,7 +233,7 @@
  */
 export function computeLocalWait(
 	upstream: LocalUpstream,
-	order: Pick<WaitingRequest, 'priority' | 'objectiveAt'>,
+	order: Pick<WaitingRequest, 'priority' | 'dueAt'>,
 	now: number,
 ): LocalWait {
 	const {slots} = upstream.announcement;
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -292,6 +292,7 @@
 				depth,
 				origin: options.readOrigin?.(),
 				priority: route.priority,
+				routeObjectiveMs: route.objectiveMs,
 				key,
 			},
 			signal,
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -122,11 +122,11 @@
 		attempt: Attempt,
 	): Expectation {
 		const at = now();
-		const {priority = 0, remainingMs, objectiveMs} = attempt;
-		const objectiveAt = at + (objectiveMs ?? remainingMs);
+		const {priority = 0, remainingMs, routeObjectiveMs = remainingMs} = attempt;
+		const dueAt = at + routeObjectiveMs;
 		return upstream
 			? {
-					...computeLocalWait(upstream, {priority, objectiveAt}, at),
+					...computeLocalWait(upstream, {priority, dueAt}, at),
 					serviceMs: readExpectedTime(upstream, attempt, at),
 					meanServiceMs: readServiceTime(upstream.serviceTime, at),
 				}
