Serve until the end of the grace period instead of breaking off

Change: serve until clients have left, refuse in the last second what could be cut, and end when nothing is in flight. Test: test/mesh-node.test.ts, a stopping node answers every request that it takes.

--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -88,6 +88,8 @@
 	readInFlight(): number;
 	/** Time since a request last began or was in flight, ms. */
 	readIdleMs(): number;
+	/** Refuses every further request. */
+	refuseAll(): void;
 	/** Lets callers know that connections are to be closed. */
 	drain(): void;
 	stop(): Promise<void>;
@@ -172,6 +174,7 @@
 	let candidates: MembersView['candidates'] = new Map();
 	let table: RouteTable | undefined;
 	let inFlight = 0;
+	let isRefusing = false;
 	let lastActiveAt = now();
 
 	function refuse(
@@ -363,6 +366,11 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const startedAt = now();
+		if (isRefusing) {
+			refuse(response, 'leaving', busyRetryMs);
+			return;
+		}
+
 		const terms = edge.readCaller(request.headers);
 		const found = findRoute(request, terms);
 		if (typeof found === 'string') {
@@ -423,6 +431,9 @@
 				table = compileSource(source, candidates);
 			}
 		},
+		refuseAll() {
+			isRefusing = true;
+		},
 		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
 		drain: server.drain,
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -44,8 +44,11 @@
 /** Announcements that may be missed before an upstream counts as gone. */
 const missedAnnouncements = 6;
 
-/** Part of the grace period after which a stop no longer waits for clients. */
-const graceShare = 0.85;
+/** Time before the end of the grace period at which the process ends by itself, ms. */
+const exitMarginMs = 150;
+
+/** Time that is kept for the last requests, ms; longer than almost all take. */
+const lastRequestsMs = 900;
 
 /** Least time that a stopping node goes on serving, ms; the platform's readiness checks take two seconds. */
 const minDrainMs = 2500;
@@ -227,24 +230,40 @@
 			caller.drain();
 			peerServer.drain();
 			await members.leave();
-			await Promise.all([
-				gate.drain(),
+			const elapsedMs = (): number => performance.now() - startedAt;
+			const lastMs = settings.graceMs - exitMarginMs;
+			const drained = gate.drain();
+			await waitUntilQuiet({
+				readIdleMs: caller.readIdleMs,
+				quietMs,
+				minMs: minDrainMs,
+				maxMs: lastMs - lastRequestsMs,
+			});
+			// Requests that come now could be cut by the end of the grace period.
+			caller.refuseAll();
+			await Promise.race([
+				drained,
 				waitUntilQuiet({
-					readIdleMs: caller.readIdleMs,
+					readIdleMs: () => 0,
 					quietMs,
-					minMs: minDrainMs,
-					maxMs: settings.graceMs * graceShare,
+					minMs: 0,
+					maxMs: lastMs - elapsedMs(),
 				}),
 			]);
+			await waitUntilQuiet({
+				readIdleMs: () =>
+					caller.readInFlight() === 0 ? Number.POSITIVE_INFINITY : 0,
+				quietMs: 0,
+				minMs: 0,
+				maxMs: lastMs - elapsedMs(),
+			});
 			logger.info('node drained', {
-				durationMs: Math.round(performance.now() - startedAt),
+				durationMs: Math.round(elapsedMs()),
+				unanswered: caller.readInFlight(),
 			});
 			lagMeter.stop();
 			document.stop();
 			members.stop();
-			forwarder.stop().catch((error: unknown) => {
-				logger.warn('forwarder not stopped', {error: String(error)});
-			});
 			await Promise.race([
 				Promise.all([
 					caller.stop(),
@@ -257,9 +276,10 @@
 					readIdleMs: () => 0,
 					quietMs,
 					minMs: 0,
-					maxMs: settings.graceMs - (performance.now() - startedAt) - quietMs,
+					maxMs: exitMarginMs,
 				}),
 			]);
+			await Promise.all([forwarder.stop(), gate.stop(), store.stop()]);
 			logger.info('node stopped');
 		},
 	};
--- /dev/null
+++ b/test/mesh-node.test.ts
@@ -0,0 +1,244 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {Agent, createServer, request, type Server} from 'node:http';
+import test, {type TestContext} from 'node:test';
+import {startPlatform} from '../fakes/platform-stand-in.js';
+import {createControlListener} from '../platform/create-control-listener.js';
+import {createStoreClient} from '../platform/create-store-client.js';
+import {platformEdge} from '../platform/edge.js';
+import {pollUntil} from '../harness/poll-until.js';
+import type {MeshSettings} from '../src/protocol/mesh-settings.js';
+import type {Logger} from '../src/transport/create-logger.js';
+import {startMeshNode} from '../src/transport/start-mesh-node.js';
+
+function ignoreLine(): void {
+	// The tests look at answers only.
+}
+
+const logger: Logger = {
+	error: ignoreLine,
+	warn: ignoreLine,
+	info: ignoreLine,
+	debug: ignoreLine,
+	child: () => logger,
+};
+
+/** Longest wait until a node is ready, ms; it takes about two seconds. */
+const readyTimeoutMs = 20_000;
+
+const signature = 'x-boragehitch-response-signature';
+const spec = {
+	version: '00000007',
+	resources: [
+		{
+			resource_type: 'routes',
+			metadata: {name: 'prices'},
+			spec: {
+				host: 'prices.example',
+				path_prefix: '/prices/',
+				kind: 'idempotent',
+				timeout_s: 1,
+				target_latency_s: 0.2,
+				service: 'pricebook',
+				max_attempts: 2,
+			},
+		},
+		{
+			resource_type: 'services',
+			metadata: {name: 'pricebook'},
+			spec: {health_path: '/health', max_connections: 10},
+		},
+	],
+};
+
+async function listen(server: Server, t: TestContext): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	const bound = server.address();
+	return `127.0.0.1:${typeof bound === 'object' ? bound?.port : 0}`;
+}
+
+async function findAddresses(count: number, t: TestContext): Promise<string[]> {
+	const servers = Array.from({length: count}, () => createServer());
+	const addresses = [];
+	for (const server of servers) {
+		addresses.push(await listen(server, t));
+	}
+
+	for (const server of servers) {
+		server.close();
+		await once(server, 'close');
+	}
+
+	return addresses;
+}
+
+type Answer = {readonly status: number; readonly headers: unknown};
+
+async function send(
+	address: string,
+	path: string,
+	options: {
+		readonly method?: string;
+		readonly body?: string;
+		readonly agent?: Agent;
+		readonly id?: string;
+	} = {},
+): Promise<Answer> {
+	const [host, port] = address.split(':');
+	return new Promise((resolve, reject) => {
+		const sent = request(
+			{
+				host,
+				port,
+				path,
+				method: options.method ?? 'GET',
+				agent: options.agent,
+				headers: {
+					host: 'prices.example',
+					'x-boragehitch-request-id': options.id ?? 'id',
+					'x-boragehitch-deadline-ms': '2000',
+				},
+			},
+			(answer) => {
+				answer.resume();
+				answer.on('end', () => {
+					resolve({status: answer.statusCode!, headers: answer.headers});
+				});
+				answer.on('error', reject);
+			},
+		);
+		sent.on('error', reject);
+		sent.end(options.body);
+	});
+}
+
+/** Starts a node, its store and the upstream beside it. */
+async function start(t: TestContext, upstreamMs: number) {
+	const seen: unknown[] = [];
+	const upstream = createServer((incoming, response) => {
+		seen.push(incoming.headers);
+		setTimeout(() => {
+			response.setHeader(signature, 'signed');
+			response.setHeader(
+				'x-boragehitch-request-id',
+				String(incoming.headers['x-boragehitch-request-id']),
+			);
+			response.end('price');
+		}, upstreamMs);
+	});
+	const upstreamAddress = await listen(upstream, t);
+	const platform = await startPlatform();
+	const storeAddress = new URL(platform.url).host;
+	const store = createStoreClient(storeAddress, {logger});
+	await store.writeObject('config/main', spec, {kind: 'absent'});
+	const [callers, peers, readiness, announcements, metrics] =
+		await findAddresses(5, t);
+	const settings: MeshSettings = {
+		name: 'abdali-1',
+		dataCentre: 'abdali',
+		callers: callers!,
+		peers: peers!,
+		readiness: readiness!,
+		announcements: announcements!,
+		metrics: metrics!,
+		store: storeAddress,
+		service: 'payables',
+		upstreamAddress,
+		announceIntervalMs: 1000,
+		graceMs: 4000,
+		retryRatio: 0.2,
+		retrySlack: 56,
+		retryWindowMs: 10_000,
+	};
+	const node = await startMeshNode(
+		settings,
+		{
+			store,
+			edge: platformEdge,
+			createAnnouncementListener: (handlers) =>
+				createControlListener({...handlers, logger}),
+		},
+		logger,
+	);
+	t.after(async () => platform.stop());
+	await send(settings.announcements, '/instances/i-1/heartbeat', {
+		method: 'POST',
+		body: JSON.stringify({
+			address: upstreamAddress,
+			born: 5,
+			info: {service: 'pricebook', slots: 6},
+			status: {state: 'ready', sequence: 1},
+		}),
+	});
+	await pollUntil(async () => {
+		const {status} = await send(settings.readiness, '/ready');
+		return status === 200;
+	}, readyTimeoutMs);
+	return {node, settings, seen};
+}
+
+test('a request goes from the caller through the gate to the upstream', async (t) => {
+	const {node, settings, seen} = await start(t, 1);
+	const answer = await send(settings.callers, '/prices/lamb?kilo=1');
+	assert.equal(answer.status, 200);
+	const missing = await send(settings.callers, '/other/');
+	assert.equal(missing.status, 404);
+	const metrics = await send(settings.metrics, '/metrics');
+	assert.equal(metrics.status, 200);
+	const [headers] = seen as Array<Record<string, string>>;
+	assert.equal(headers?.host, 'prices.example');
+	assert.equal(headers?.['x-boragehitch-expected-instance'], 'i-1');
+	assert.equal(headers?.['x-boragehitch-caller-service'], 'payables');
+	assert.ok(Number(headers?.['x-boragehitch-deadline-ms']) <= 1000);
+	await node.stop();
+});
+
+test('a stopping node answers every request that it takes', async (t) => {
+	const {node, settings} = await start(t, 300);
+	const agent = new Agent({keepAlive: true});
+	const statuses: number[] = [];
+	let refused = 0;
+	let isStopped = false;
+	const stopped = node.stop().then(() => {
+		isStopped = true;
+	});
+	while (!isStopped) {
+		const connected = send(settings.callers, '/prices/lamb', {agent});
+		try {
+			const {status} = await connected;
+			statuses.push(status);
+		} catch (error) {
+			// Only a closed listener may turn a client away.
+			assert.match(String(error), /ECONNREFUSED/v);
+			refused++;
+			break;
+		}
+	}
+
+	await stopped;
+	agent.destroy();
+	assert.ok(statuses.length > 0);
+	assert.ok(refused <= 1);
+	assert.deepEqual(
+		statuses.filter((status) => status !== 200 && status !== 503),
+		[],
+	);
+});
+
+test('an announced leaving holds at once, whatever the others believe', async (t) => {
+	const {node, settings, seen} = await start(t, 1);
+	await send(settings.callers, '/prices/lamb');
+	await send(settings.announcements, '/instances/i-1/deregister', {
+		method: 'POST',
+	});
+	const before = seen.length;
+	const {status} = await send(settings.callers, '/prices/lamb');
+	assert.equal(status, 503);
+	assert.equal(seen.length, before);
+	await node.stop();
+});
