--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -133,15 +133,16 @@
 			: {waitMs: 0, lateWaitMs: 0, serviceMs: 0, meanServiceMs: 0};
 	}
 
-	function admit(attempt: Attempt): Job | AttemptResult {
+	/** Refuses an attempt when the node itself has no time for it. */
+	function admitByLag(attempt: Attempt): Job | AttemptResult {
 		const isTaken = decideLoopAdmission({
 			lagMs: readLag(),
 			priority: attempt.priority ?? 0,
 		});
-		if (!isTaken) {
-			return refuse('not-run', 'overloaded');
-		}
+		return isTaken ? admit(attempt) : refuse('not-run', 'overloaded');
+	}
 
+	function admit(attempt: Attempt): Job | AttemptResult {
 		const {state, upstream} = findLocalUpstream(
 			upstreams.values(),
 			attempt.service,
@@ -196,7 +197,7 @@
 	}
 
 	async function runAdmitted(attempt: Attempt): Promise<AttemptResult> {
-		const admitted = admit(attempt);
+		const admitted = admitByLag(attempt);
 		if ('kind' in admitted) {
 			ledger.refuse(attempt, now());
 			return admitted;
