--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -95,6 +95,8 @@
 export const maxJoinWindowMs = 30_000;
 export const maxSeeds = 24;
 export const seedsReadJitterMs = 500;
+/** Longest delay before the seeds object is read after another node was first to write it. */
+export const seedsConflictMs = 300;
 export const seedsRetryMs = 4000;
 export const seedsRetryMsPerMember = 36;
 export const seedsRetryCapMs = 30_000;
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -11,6 +11,7 @@
 	exchangeTimeoutMs,
 	maxSeeds,
 	membersPeriodMs,
+	seedsConflictMs,
 } from '../protocol/constants.js';
 import {
 	exchangeAnswerSchema,
@@ -124,6 +125,14 @@
 		}
 	}
 
+	function planTimer(delayMs: number, action: () => void): void {
+		const timer = setTimeout(() => {
+			timers.delete(timer);
+			action();
+		}, delayMs);
+		timers.add(timer);
+	}
+
 	function runEffect(effect: MembersEffect): void {
 		switch (effect.kind) {
 			case 'send': {
@@ -134,11 +143,9 @@
 			}
 
 			case 'plan-spread': {
-				const timer = setTimeout(() => {
-					timers.delete(timer);
+				planTimer(effect.delayMs, () => {
 					tell({kind: 'spread'});
-				}, effect.delayMs);
-				timers.add(timer);
+				});
 				break;
 			}
 
@@ -208,17 +215,27 @@
 		effect: Extract<MembersEffect, {readonly kind: 'write-seeds'}>,
 	): Promise<void> {
 		const {addresses, memberCount, version} = effect;
-		await platform.writeObject(
+		const outcome = await platform.writeObject(
 			seedsKey,
 			{addresses, memberCount, writtenMs: Date.now()},
 			version === undefined ? {kind: 'absent'} : {kind: 'version', version},
 		);
+		if (outcome.kind === 'conflict') {
+			// Another node was first: its object names the nodes to join.
+			planTimer(random() * seedsConflictMs, () => {
+				void readSeeds();
+			});
+		}
 	}
 
 	const ticker = setInterval(() => {
 		tell({kind: 'tick'});
 	}, membersPeriodMs);
 	tell({kind: 'tick'});
+	// The first read is due before the second period begins.
+	planTimer(Math.max(0, state.seeds.readAt - now()), () => {
+		tell({kind: 'tick'});
+	});
 
 	return {
 		announce(id, announcement) {
