--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -50,6 +50,8 @@
 	): Job;
 	/** Refuses a job that still waits. */
 	giveUp(job: Job): void;
+	/** Refuses the waiting jobs whose answers could only be late. */
+	dropLate(upstream: LocalUpstream): void;
 	/** Starts the queued jobs for which an upstream has slots. */
 	startJobs(upstream: LocalUpstream): void;
 	findJob(id: string): Job | undefined;
@@ -236,6 +238,13 @@
 		drop: dropJob,
 		dropQueued,
 		endEarly,
+		dropLate(upstream) {
+			for (const job of [...upstream.queued.values()].flat()) {
+				if (job.isLate) {
+					dropJob(job, 'saturated');
+				}
+			}
+		},
 		giveUp(job) {
 			if (job.phase === 'queued') {
 				dropJob(job, 'saturated');
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -160,12 +160,18 @@
 			);
 		}
 
+		const utilization = readUtilization(upstream?.utilization, slots, at);
+		if (upstream && utilization >= 1) {
+			// Those in time take every slot: late ones would wait in vain.
+			runner.dropLate(upstream);
+		}
+
 		const admission = decideAdmission({
 			state: isDraining ? 'leaving' : state,
 			remainingMs,
 			objectiveMs,
 			...expected,
-			utilization: readUtilization(upstream?.utilization, slots, at),
+			utilization,
 			slots: upstream
 				? computeLocalOpenSlots(upstream, attempt.team, now())
 				: slots,
