--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -118,19 +118,17 @@
 	});
 
 	function readExpectation(
-		upstream: LocalUpstream | undefined,
+		upstream: LocalUpstream,
 		attempt: Attempt,
 	): Expectation {
 		const at = now();
 		const {priority = 0, remainingMs, routeObjectiveMs = remainingMs} = attempt;
 		const dueAt = at + routeObjectiveMs;
-		return upstream
-			? {
-					...computeLocalWait(upstream, {priority, dueAt}, at),
-					serviceMs: readExpectedTime(upstream, attempt, at),
-					meanServiceMs: readServiceTime(upstream.serviceTime, at),
-				}
-			: {waitMs: 0, lateWaitMs: 0, serviceMs: 0, meanServiceMs: 0};
+		return {
+			...computeLocalWait(upstream, {priority, dueAt}, at),
+			serviceMs: readExpectedTime(upstream, attempt, at),
+			meanServiceMs: readServiceTime(upstream.serviceTime, at),
+		};
 	}
 
 	/** Refuses an attempt when the node itself has no time for it. */
@@ -142,45 +140,74 @@
 		return isTaken ? admit(attempt) : refuse('not-run', 'overloaded');
 	}
 
-	function admit(attempt: Attempt): Job | AttemptResult {
-		const {state, upstream} = findLocalUpstream(
-			upstreams.values(),
-			attempt.service,
-		);
-		const longest = upstream ? findLongestQueue(upstream) : [];
-		const slots = upstream?.announcement.slots ?? 0;
+	/** Describes the slots and the queue as a new attempt finds them. */
+	function describeQueue(
+		upstream: LocalUpstream,
+		{team}: Attempt,
+	): Pick<
+		AdmissionInput,
+		| 'slots'
+		| 'inFlight'
+		| 'ahead'
+		| 'queued'
+		| 'ownQueued'
+		| 'longestQueued'
+		| 'maxQueued'
+	> {
+		return {
+			slots: computeLocalOpenSlots(upstream, team, now()),
+			inFlight: upstream.inFlight,
+			ahead: countAhead(upstream, team),
+			queued: upstream.queuedCount,
+			ownQueued: upstream.queued.get(team)?.length ?? 0,
+			longestQueued: findLongestQueue(upstream).length,
+			maxQueued: upstream.announcement.slots * queueSlotsRatio,
+		};
+	}
+
+	/** Counts an attempt that comes in time, and makes room where those take all. */
+	function noteDemand(
+		upstream: LocalUpstream,
+		serviceMs: number,
+		objectiveMs: number,
+	): number {
 		const at = now();
-		const {remainingMs, objectiveMs = remainingMs} = attempt;
-		const expected = readExpectation(upstream, attempt);
-		if (upstream && expected.serviceMs <= objectiveMs) {
+		if (serviceMs <= objectiveMs) {
 			upstream.utilization = stepUtilization(
 				upstream.utilization,
-				expected.serviceMs,
+				serviceMs,
 				at,
 			);
 		}
 
-		const utilization = readUtilization(upstream?.utilization, slots, at);
-		if (upstream && utilization >= 1) {
+		const {slots} = upstream.announcement;
+		const utilization = readUtilization(upstream.utilization, slots, at);
+		if (utilization >= 1) {
 			// Those in time take every slot: late ones would wait in vain.
 			runner.dropLate(upstream);
 		}
 
+		return utilization;
+	}
+
+	function admit(attempt: Attempt): Job | AttemptResult {
+		const found = findLocalUpstream(upstreams.values(), attempt.service);
+		const {upstream} = found;
+		const state = isDraining ? 'leaving' : found.state;
+		if (state !== 'ready' || !upstream) {
+			return refuse('not-run', state === 'ready' ? 'no-upstream' : state);
+		}
+
+		const {remainingMs, objectiveMs = remainingMs} = attempt;
+		const expected = readExpectation(upstream, attempt);
+		const utilization = noteDemand(upstream, expected.serviceMs, objectiveMs);
 		const admission = decideAdmission({
-			state: isDraining ? 'leaving' : state,
+			state,
 			remainingMs,
 			objectiveMs,
 			...expected,
 			utilization,
-			slots: upstream
-				? computeLocalOpenSlots(upstream, attempt.team, now())
-				: slots,
-			inFlight: upstream?.inFlight ?? 0,
-			ahead: upstream ? countAhead(upstream, attempt.team) : 0,
-			queued: upstream?.queuedCount ?? 0,
-			ownQueued: upstream?.queued.get(attempt.team)?.length ?? 0,
-			longestQueued: longest.length,
-			maxQueued: slots * queueSlotsRatio,
+			...describeQueue(upstream, attempt),
 		});
 		if (admission.kind === 'refuse') {
 			const retryAfter = computeRetryAfter({
@@ -193,10 +220,10 @@
 		}
 
 		if (admission.pushOut) {
-			runner.drop(longest.at(-1)!, 'saturated');
+			runner.drop(findLongestQueue(upstream).at(-1)!, 'saturated');
 		}
 
-		return runner.enqueue(attempt, upstream!, {
+		return runner.enqueue(attempt, upstream, {
 			isLate: admission.isLate,
 			serviceMs: expected.serviceMs,
 		});
