Wait for the last requests of a stopping node

Change: the wait ends when nothing is in flight. Test: platform/mesh-node.test.ts with a second node and an upstream of 700 ms; two 504 before, none after.

--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -253,7 +253,7 @@
 			await waitUntilQuiet({
 				readIdleMs: () =>
 					caller.readInFlight() === 0 ? Number.POSITIVE_INFINITY : 0,
-				quietMs: 0,
+				quietMs: 1,
 				minMs: 0,
 				maxMs: lastMs - elapsedMs(),
 			});
