--- /dev/null
+++ b/src/coordination/_lib/host-load.ts
@@ -0,0 +1,77 @@
+/**
+ * Loads of hosts, as a caller's node knows them.
+ */
+import {loadTrustMs, slowStartMs} from '../../protocol/constants.js';
+import type {Candidate} from '../../protocol/member.js';
+import type {HostRecord} from '../step-host-record.js';
+
+/** What is known of hosts, by host name. */
+export type HostRecords = ReadonlyMap<string, HostRecord>;
+
+/** Mean of the fresh reported loads of a pool. */
+export type PoolShare = {
+	readonly mean: number;
+	readonly reports: number;
+};
+
+export const noReports: PoolShare = {mean: 0, reports: 0};
+
+export function computePoolShare(
+	candidates: readonly Candidate[],
+	records: HostRecords,
+	now: number,
+): PoolShare {
+	let sum = 0;
+	let reports = 0;
+	for (const {host} of candidates) {
+		const record = records.get(host);
+		if (record && now - record.reportedAt < loadTrustMs) {
+			sum += record.reportedShare;
+			reports++;
+		}
+	}
+
+	return reports === 0 ? noReports : {mean: sum / reports, reports};
+}
+
+function computeMeanOfOthers(
+	{mean, reports}: PoolShare,
+	reportedShare: number,
+): number {
+	return reports > 1 ? (mean * reports - reportedShare) / (reports - 1) : mean;
+}
+
+/**
+ * Computes a host's load as a share of its slots: own requests in flight, and
+ * the reported load, which counts less the older it is and never less than the
+ * average of the others, so that a host that reports too little attracts
+ * nothing.
+ */
+export function computeShare(
+	candidate: Candidate,
+	record: HostRecord | undefined,
+	pool: PoolShare,
+	now: number,
+): number {
+	if (!record) {
+		return pool.mean;
+	}
+
+	const trust = Math.max(0, 1 - (now - record.reportedAt) / loadTrustMs);
+	const others = computeMeanOfOthers(pool, record.reportedShare);
+	const reported = Math.max(record.reportedShare, others);
+	const believed = trust * reported + (1 - trust) * pool.mean;
+	return record.ownInFlight / candidate.slots + believed;
+}
+
+/** Least share of its normal requests that a host gets. */
+const minWarmth = 0.2;
+
+/** Share of its normal requests that a host gets while it starts slowly. */
+export function computeWarmth(
+	record: HostRecord | undefined,
+	now: number,
+): number {
+	const age = now - (record?.warmSince ?? now);
+	return Math.min(1, Math.max(minWarmth, age / slowStartMs));
+}
--- /dev/null
+++ b/src/coordination/_lib/host-offers.ts
@@ -0,0 +1,126 @@
+/**
+ * Offers of hosts: what a request is expected to cost there.
+ */
+import {comparedHosts} from '../../protocol/constants.js';
+import type {Candidate} from '../../protocol/member.js';
+import {computeOfferCost} from '../compute-offer-cost.js';
+import type {HostRecord} from '../step-host-record.js';
+import {
+	computePoolShare,
+	computeShare,
+	computeWarmth,
+	type HostRecords,
+} from './host-load.js';
+
+/** What of a request its cost depends on. */
+export type OfferOptions = {
+	/** Monotonic ms. */
+	readonly now: number;
+	/** Time within which an answer has its full value, ms, if that is known. */
+	readonly objectiveMs?: number | undefined;
+	/** Name of the request's route, if it has one. */
+	readonly route?: string | undefined;
+};
+
+/** Highest share of failures that is believed, so that a cost stays finite. */
+const maxErrorShare = 0.9;
+
+/** A host with what a request there is expected to cost. */
+export type Offer = {readonly candidate: Candidate; readonly cost: number};
+
+/** Part of the others' mean time that is expected of a host of unknown times. */
+const unknownPart = 0.7;
+
+/** Part of its objective that a request takes while nothing is known. */
+const usualObjectivePart = 0.35;
+
+/** Cost of a host that has just started, which falls while it warms up. */
+const coldCost = 0.05;
+
+/** Expected times at a host, ms. */
+type HostTimes = {
+	/** Of the request itself. */
+	readonly ownMs: number;
+	/** Of any request that it waits for. */
+	readonly serviceMs: number;
+};
+
+function readTimes(
+	record: HostRecord | undefined,
+	route: string | undefined,
+): HostTimes | undefined {
+	const serviceMs = record?.serviceMs ?? 0;
+	const known = route === undefined ? undefined : record?.routeMs?.get(route);
+	const ownMs = known ?? serviceMs;
+	return ownMs > 0 ? {ownMs, serviceMs: serviceMs || ownMs} : undefined;
+}
+
+/** Means of the times of hosts that are known, for those that are not. */
+function computeMeanTimes(
+	pool: readonly Candidate[],
+	records: HostRecords,
+	route: string | undefined,
+): HostTimes | undefined {
+	const known = pool
+		.map(({host}) => readTimes(records.get(host), route))
+		.filter((times) => times !== undefined);
+	const mean = (read: (times: HostTimes) => number): number =>
+		known.reduce((sum, times) => sum + read(times), 0) / known.length;
+	return known.length === 0
+		? undefined
+		: {
+				ownMs: mean(({ownMs}) => ownMs),
+				serviceMs: mean(({serviceMs}) => serviceMs),
+			};
+}
+
+/** Takes a host of unknown times for a little better than the others, so that it is tried. */
+function scaleTimes({ownMs, serviceMs}: HostTimes): HostTimes {
+	return {ownMs: ownMs * unknownPart, serviceMs};
+}
+
+/** Computes the cost of a host for a request whose objective is known. */
+function computeCost(
+	load: number,
+	times: HostTimes | undefined,
+	objectiveMs: number,
+): number {
+	const usualMs = objectiveMs * usualObjectivePart;
+	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
+	return computeOfferCost({ownMs, serviceMs, load, objectiveMs});
+}
+
+/** Takes some of the pool at random, and the one with the best offer of them. */
+export function findBestOffer(
+	pool: readonly Candidate[],
+	records: HostRecords,
+	random: () => number,
+	{now, route, objectiveMs}: OfferOptions,
+): Offer | undefined {
+	const meanTimes = computeMeanTimes(pool, records, route);
+	const poolShare = computePoolShare(pool, records, now);
+	const count = Math.min(comparedHosts, pool.length);
+	const start = Math.floor(random() * pool.length);
+	const stride = Math.max(1, Math.floor(pool.length / count));
+	let best: Offer | undefined;
+	for (let index = 0; index < count; index++) {
+		const candidate = pool[(start + index * stride) % pool.length]!;
+		const record = records.get(candidate.host);
+		const times =
+			readTimes(record, route) ?? (meanTimes && scaleTimes(meanTimes));
+		const load =
+			computeShare(candidate, record, poolShare, now) + 1 / candidate.slots;
+		const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
+		const cost =
+			objectiveMs === undefined
+				? load / computeWarmth(record, now) / (1 - errorShare)
+				: computeCost(load, times, objectiveMs) +
+					coldCost * (1 / computeWarmth(record, now) - 1) +
+					errorShare;
+		if (!best || cost < best.cost) {
+			best = {candidate, cost};
+		}
+	}
+
+	return best;
+}
