Test the admission of attempts that can only be late

Cause: the new rules had no cases of their own beside the replayed load. Change: seven cases, with a free slot that the next in time needs and a short call among them.

--- a/src/coordination/decide-admission.test.ts
+++ b/src/coordination/decide-admission.test.ts
@@ -47,6 +47,51 @@
 	});
 }
 
+/** An attempt whose objective leaves no time to wait; six slots, one free. */
+const pressed: Partial<AdmissionInput> = {
+	inFlight: 5,
+	ahead: 0,
+	queued: 0,
+	objectiveMs: 12,
+	serviceMs: 10,
+	meanServiceMs: 10,
+	waitMs: 0,
+	lateWaitMs: 0,
+};
+
+const lateCases: ReadonlyArray<
+	readonly [string, Partial<AdmissionInput>, string]
+> = [
+	['a free slot while there is room', {utilization: 0.5}, 'late'],
+	['a free slot that the next in time needs', {utilization: 1}, 'saturated'],
+	['a full upstream with room', {inFlight: 6, utilization: 0.5}, 'late'],
+	['a full upstream', {inFlight: 6, utilization: 0.9}, 'saturated'],
+	[
+		'a wait longer than half of its time',
+		{inFlight: 6, utilization: 0.5, lateWaitMs: 600},
+		'saturated',
+	],
+	[
+		'a short time at a full upstream',
+		{inFlight: 6, meanServiceMs: 50},
+		'in time',
+	],
+	['an objective that it meets', {inFlight: 6, objectiveMs: 100}, 'in time'],
+];
+
+for (const [name, change, expected] of lateCases) {
+	test(`admission of a late attempt with ${name}: ${expected}`, () => {
+		const admission = decideAdmission({...full, ...pressed, ...change});
+		const text =
+			admission.kind === 'refuse'
+				? admission.reason
+				: admission.isLate
+					? 'late'
+					: 'in time';
+		assert.equal(text, expected);
+	});
+}
+
 test('a team with ten times the requests gets no more than its share', () => {
 	const queue = createFairQueue();
 	const tags = [
