--- a/src/coordination/_lib/host-offers.ts
+++ b/src/coordination/_lib/host-offers.ts
@@ -1,7 +1,7 @@
 /**
  * Offers of hosts: what a request is expected to cost there.
  */
-import {comparedHosts} from '../../protocol/constants.js';
+import {comparedHosts, usualObjectivePart} from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
 import {computeOfferCost} from '../compute-offer-cost.js';
 import type {HostRecord} from '../step-host-record.js';
@@ -31,9 +31,6 @@
 /** Part of the others' mean time that is expected of a host of unknown times. */
 const unknownPart = 0.7;
 
-/** Part of its objective that a request takes while nothing is known. */
-const usualObjectivePart = 0.35;
-
 /** Cost of a host that has just started, which falls while it warms up. */
 const coldCost = 0.05;
 
--- a/src/coordination/is-roomy.ts
+++ b/src/coordination/is-roomy.ts
@@ -1,3 +1,4 @@
+import {isKnownFull} from './is-known-full.js';
 import type {HostRecord} from './step-host-record.js';
 
 /**
@@ -18,7 +19,6 @@
 ): boolean {
 	return (
 		record === undefined ||
-		(record.ejectedUntil <= now &&
-			(record.fullUntil?.get(demand ?? '') ?? 0) <= now)
+		(record.ejectedUntil <= now && !isKnownFull(record, demand, now))
 	);
 }
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -11,6 +11,7 @@
 	type Offer,
 	type OfferOptions,
 } from './_lib/host-offers.js';
+import {isKnownFull} from './is-known-full.js';
 import type {HostRecord} from './step-host-record.js';
 
 /** Options of `pickHost`. */
@@ -53,10 +54,10 @@
 function selectRoomy(
 	candidates: readonly Candidate[],
 	records: HostRecords,
-	{now, demand = ''}: PickOptions,
+	{now, demand}: PickOptions,
 ): readonly Candidate[] {
 	const roomy = candidates.filter(
-		({host}) => (records.get(host)?.fullUntil?.get(demand) ?? 0) <= now,
+		({host}) => !isKnownFull(records.get(host), demand, now),
 	);
 	return roomy.length === 0 ? candidates : roomy;
 }
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -166,6 +166,8 @@
 export const exploreAfterMs = 1500;
 /** Part of the requests that may be such tries. */
 export const exploreShare = 0.2;
+/** Part of its objective that a request usually takes at an upstream; assumed while nothing is known. */
+export const usualObjectivePart = 0.35;
 /** Hosts that are compared for one request. */
 export const comparedHosts = 4;
 export const minInUseShare = 0.5;
--- a/src/transport/_lib/create-decision-log.ts
+++ b/src/transport/_lib/create-decision-log.ts
@@ -1,3 +1,4 @@
+import {msPerSecond} from '../../protocol/constants.js';
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {Logger} from '../create-logger.js';
 
@@ -18,7 +19,6 @@
 const serverErrorStatus = 500;
 const hashFactor = 31;
 const hashModulus = 2 ** 32;
-const msPerSecond = 1000;
 
 /** Tells whether a request is sampled: the same ones on every node. */
 function isSampledRequest(requestId: string): boolean {
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,4 +1,5 @@
 import {isForWantOfRoom} from '../../coordination/is-for-want-of-room.js';
+import {isKnownFull} from '../../coordination/is-known-full.js';
 import {isRoomy} from '../../coordination/is-roomy.js';
 import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
@@ -211,10 +212,7 @@
 		const hosts = candidates.get(service) ?? [];
 		return (
 			hosts.length > 0 &&
-			hosts.every(
-				({host}) =>
-					(records.get(host)?.fullUntil?.get(demand ?? '') ?? 0) > now(),
-			)
+			hosts.every(({host}) => isKnownFull(records.get(host), demand, now()))
 		);
 	}
 
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -18,6 +18,7 @@
 import type {TeamUse} from '../../coordination/step-team-use.js';
 import type {Utilization} from '../../coordination/step-utilization.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
+import {usualObjectivePart} from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
 import {createPooledAgent} from './create-pooled-agent.js';
@@ -26,9 +27,6 @@
 /** Least expected rest of a running request, ms: one that takes longer than expected may end at any time. */
 const minRestMs = 2;
 
-/** Part of its objective that a request usually takes at an upstream. */
-const usualObjectivePart = 0.35;
-
 /** An attempt that a gate has admitted. */
 export type Job = {
 	readonly attempt: Attempt;
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -10,6 +10,7 @@
 import {createReadiness} from './_lib/create-readiness.js';
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
+import {waitMs} from './_lib/wait-ms.js';
 import {waitUntilQuiet} from './_lib/wait-until-quiet.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -242,15 +243,7 @@
 			});
 			// Requests that come now could be cut by the end of the grace period.
 			caller.refuseAll();
-			await Promise.race([
-				drained,
-				waitUntilQuiet({
-					readIdleMs: () => 0,
-					quietMs,
-					minMs: 0,
-					maxMs: lastMs - elapsedMs(),
-				}),
-			]);
+			await Promise.race([drained, waitMs(Math.max(0, lastMs - elapsedMs()))]);
 			await waitUntilQuiet({
 				readIdleMs: () =>
 					caller.readInFlight() === 0 ? Number.POSITIVE_INFINITY : 0,
@@ -273,12 +266,7 @@
 					readinessServer.stop(),
 					metricsServer.stop(),
 				]),
-				waitUntilQuiet({
-					readIdleMs: () => 0,
-					quietMs,
-					minMs: 0,
-					maxMs: exitMarginMs,
-				}),
+				waitMs(exitMarginMs),
 			]);
 			await Promise.all([forwarder.stop(), gate.stop(), store.stop()]);
 			logger.info('node stopped');
