--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,10 @@
 		const {profileRequests} = await import('./profile-requests.js');
 		return profileRequests;
 	},
+	async cost() {
+		const {benchRequestCost} = await import('./request-cost.js');
+		return benchRequestCost;
+	},
 	async config() {
 		const {benchConfig} = await import('./config.js');
 		return benchConfig;
