--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -34,6 +34,8 @@
 	readonly ejections: number;
 	/** Until when the host has no room for a kind of demand, monotonic ms. */
 	readonly fullUntil?: ReadonlyMap<string, number>;
+	/** Refusals in a row of a kind of demand for want of room. */
+	readonly refusals?: ReadonlyMap<string, number>;
 	/** When an attempt was last sent, monotonic ms. */
 	readonly sentAt?: number;
 	/** Attempts in a row that could not be sent. */
@@ -63,6 +65,8 @@
 			readonly load: GateLoad | undefined;
 	  };
 
+type Ended = HostMessage & {readonly kind: 'ended'};
+
 /** What a step depends on besides record and message. */
 export type HostContext = {
 	/** Monotonic ms. */
@@ -73,13 +77,16 @@
 	readonly serviceLatencyMs: number;
 };
 
-/** Least and longest time for which a host that had no room is not asked again, ms; from a hop to about two requests. */
+/** Least and longest time for which a host that had no room is not asked again, ms; from a hop to about four requests. */
 const minFullMs = 30;
-const maxFullMs = 200;
+const maxFullMs = 400;
 
 /** Part of the delay that the host named: others may find room before. */
 const fullPart = 0.5;
 
+/** Refusals in a row that are counted; more would not lengthen the time. */
+const maxRefusals = 4;
+
 const sampleWeight = 0.1;
 const slowFactor = 5;
 const maxShare = 8;
@@ -103,17 +110,47 @@
 
 function putRouteTime(
 	times: ReadonlyMap<string, number> | undefined,
-	{route, load}: HostMessage & {readonly kind: 'ended'},
+	{route, load}: Ended,
 ): ReadonlyMap<string, number> {
 	return route === undefined || load?.routeMs === undefined
 		? (times ?? noTimes)
 		: new Map(times).set(route, load.routeMs);
 }
 
-function computeFullMs({
-	retryAfterMs = 0,
-}: HostMessage & {readonly kind: 'ended'}): number {
-	return Math.max(minFullMs, Math.min(maxFullMs, retryAfterMs * fullPart));
+function readDemand({demand, route = ''}: Ended): string {
+	return demand ?? route;
+}
+
+/**
+ * Notes that a host has no room for a kind of demand, for twice as long with
+ * each refusal in a row. Answers a lasting overload, where asking hosts that
+ * refuse costs two nodes as much as a request that is served.
+ */
+function noteFull(record: HostRecord, message: Ended, now: number): HostRecord {
+	const demand = readDemand(message);
+	const {retryAfterMs = 0} = message;
+	const before = record.refusals?.get(demand) ?? 0;
+	const firstMs = Math.max(minFullMs, retryAfterMs * fullPart);
+	const durationMs = Math.min(maxFullMs, firstMs * 2 ** before);
+	const refusals = Math.min(maxRefusals, before + 1);
+	return {
+		...record,
+		unreachable: 0,
+		fullUntil: new Map(record.fullUntil).set(demand, now + durationMs),
+		refusals: new Map(record.refusals).set(demand, refusals),
+	};
+}
+
+/** Forgets refusals of a kind of demand of which the host has taken one. */
+function noteRoom(record: HostRecord, message: Ended): HostRecord {
+	const demand = readDemand(message);
+	if (!record.refusals?.has(demand)) {
+		return record;
+	}
+
+	const refusals = new Map(record.refusals);
+	refusals.delete(demand);
+	return {...record, refusals};
 }
 
 /** The load that others than this node have put on the host. */
@@ -212,10 +249,7 @@
 				reportedAt: isKnown ? context.now : before.reportedAt,
 			};
 			if (outcome === 'full') {
-				const fullUntil = new Map(before.fullUntil);
-				const demand = message.demand ?? message.route ?? '';
-				fullUntil.set(demand, context.now + computeFullMs(message));
-				return {...reported, unreachable: 0, fullUntil};
+				return noteFull(reported, message, context.now);
 			}
 
 			if (outcome === 'refused') {
@@ -229,7 +263,7 @@
 			const error = outcome === 'failed' ? 1 : 0;
 			const mean = before.latencyMs === 0 ? latencyMs : before.latencyMs;
 			const after: HostRecord = {
-				...reported,
+				...(outcome === 'answered' ? noteRoom(reported, message) : reported),
 				unreachable: 0,
 				errorShare:
 					before.errorShare + sampleWeight * (error - before.errorShare),
