Name the time to come again by what is left of a request

Change: such refusals use the same decision as a gate: a client that can still be in time comes soon, another one after the longest time that leaves room for its try.

--- a/src/coordination/compute-retry-after.test.ts
+++ b/src/coordination/compute-retry-after.test.ts
@@ -30,3 +30,10 @@
 	assert.equal(new Set(delays).size, 3);
 	assert.ok(Math.max(...delays) / Math.min(...delays) > 1.4);
 });
+
+test('a shortest delay holds for a client that could be in time', () => {
+	const input = {waitMs: 0, serviceMs: 20, objectiveMs: 200, remainingMs: 1000};
+	const shortest = {...input, random: 0.5, minDelayMs: 100};
+	assert.equal(computeRetryAfter(shortest), 0.1);
+	assert.equal(computeRetryAfter({...input, random: 0.5}), 0.03);
+});
--- a/src/coordination/compute-retry-after.ts
+++ b/src/coordination/compute-retry-after.ts
@@ -12,10 +12,12 @@
 	readonly remainingMs: number;
 	/** A number from 0 up to 1, which spreads the returns. */
 	readonly random: number;
+	/** Shortest delay, ms; `usualMinDelayMs` when absent. */
+	readonly minDelayMs?: number;
 };
 
 /** Shortest delay, ms: several round trips, as each return costs the node time. */
-const minDelayMs = 30;
+const usualMinDelayMs = 30;
 
 /** Part of the time left that a delay may take, so that a try still fits. */
 const remainingPart = 0.3;
@@ -35,9 +37,10 @@
  */
 export function computeRetryAfter(input: RetryAfterInput): number {
 	const {waitMs, serviceMs, objectiveMs, remainingMs, random} = input;
+	const {minDelayMs = usualMinDelayMs} = input;
 	const longestMs = remainingMs * remainingPart;
 	const excessMs = waitMs + serviceMs - objectiveMs;
-	const canBeInTime = objectiveMs - serviceMs > 2 * minDelayMs;
+	const canBeInTime = objectiveMs - serviceMs > 2 * usualMinDelayMs;
 	const delayMs = canBeInTime
 		? Math.max(minDelayMs, excessMs)
 		: Math.max(waitMs, longestMs);
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -6,13 +6,14 @@
 	type RequestMessage,
 	type RequestTerms,
 } from '../../coordination/request-state.js';
+import {computeRetryAfter} from '../../coordination/compute-retry-after.js';
 import {stepRequest} from '../../coordination/step-request.js';
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
 import {
 	askAfterMs,
 	busyRetryMs,
 	deadlineMarginMs,
-	msPerSecond,
+	usualObjectivePart,
 } from '../../protocol/constants.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
@@ -284,13 +285,25 @@
 			resolve({
 				outcome: effect.outcome,
 				reason: effect.reason!,
-				retryAfterSeconds:
-					effect.retryAfterSeconds ??
-					(busyRetryMs * (0.5 + options.random())) / msPerSecond,
+				retryAfterSeconds: effect.retryAfterSeconds ?? computeDelay(),
 				attempts,
 			});
 		}
 
+		/** Computes when to come again after a refusal of which no gate knows. */
+		function computeDelay(): number {
+			const {deadlineAt, objectiveAt = deadlineAt} = terms;
+			const at = now();
+			return computeRetryAfter({
+				waitMs: busyRetryMs,
+				serviceMs: (template.routeObjectiveMs ?? 0) * usualObjectivePart,
+				objectiveMs: objectiveAt - at,
+				remainingMs: Math.max(0, deadlineAt - at),
+				random: options.random(),
+				minDelayMs: busyRetryMs,
+			});
+		}
+
 		function cancel(): void {
 			tell({kind: 'cancelled'});
 		}
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -3,6 +3,7 @@
 import polka from 'polka';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {computeRequestAge} from '../coordination/compute-request-age.js';
+import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
 import {pickTarget} from '../coordination/pick-target.js';
@@ -193,6 +194,20 @@
 		);
 	}
 
+	/** Computes when to come again to a node that has no processor time left. */
+	function computeOverloadDelayMs({
+		deadlineMs = retryAfterSeconds * msPerSecond,
+	}: CallerTerms): number {
+		const seconds = computeRetryAfter({
+			waitMs: busyRetryMs,
+			serviceMs: 0,
+			objectiveMs: 0,
+			remainingMs: deadlineMs,
+			random: 0.5,
+		});
+		return seconds * msPerSecond;
+	}
+
 	/** Computes the time left in which an answer has its full value. */
 	function computeObjectiveMs(
 		{deadlineMs}: CallerTerms,
@@ -390,7 +405,7 @@
 
 		const {priority = 0} = route;
 		if (!decideLoopAdmission({lagMs: readLag(), priority})) {
-			refuse(response, 'overloaded', busyRetryMs);
+			refuse(response, 'overloaded', computeOverloadDelayMs(terms));
 			return;
 		}
 
