Tell the story of a request from the logs of nodes

Cause: the way from an identifier to its cause was a search by hand, and lines of several nodes with differing clocks had to be put in order. Change: 'boragehitch trace ID [FILE] [--json]' joins the lines of a request: the request, its attempts in the time of the caller's node, what each gate says, the bounds of the clocks' difference that follow from it, and what is missing (no end, attempts without a line of their gate, lines dropped on its way).

--- /dev/null
+++ b/src/cli/_lib/create-request-trace.ts
@@ -0,0 +1,179 @@
+import type {LogLine} from './parse-log-lines.js';
+
+/** How something ended. */
+type Ending = {
+	readonly outcome: string | undefined;
+	readonly reason: string | undefined;
+	readonly status: number | undefined;
+	readonly durationMs: number;
+};
+
+/** What the gate of a host says of an attempt. */
+export type GateTrace = Ending & {
+	readonly queuedMs: number;
+	/**
+	 * By how much the gate's clock is ahead of the caller's node, ms, at least and
+	 * at most: its part lies within the attempt.
+	 */
+	readonly clockAheadMs: readonly [least: number, most: number];
+};
+
+/** One attempt at a host. */
+export type AttemptTrace = Ending & {
+	readonly number: number;
+	readonly host: string;
+	readonly service: string | undefined;
+	/** Time from the start of the request, ms. */
+	readonly startMs: number;
+	readonly gate: GateTrace | undefined;
+};
+
+/** What logs tell of a request. */
+export type RequestTrace = {
+	readonly requestId: string;
+	/** Node that took the request from its client, if a line says so. */
+	readonly node: string | undefined;
+	readonly request:
+		| (Ending & Pick<LogLine, 'route' | 'service' | 'version' | 'attempts'>)
+		| undefined;
+	readonly attempts: readonly AttemptTrace[];
+	/** What should be there and is not, and why that may be. */
+	readonly missing: readonly string[];
+};
+
+/** Names of the lines that tell of a request. */
+const messages = {
+	request: 'request ended',
+	attempt: 'attempt ended',
+	gate: 'gate ended attempt',
+	dropped: 'log lines dropped',
+} as const;
+
+/** Time around a request within which dropped lines may have been its own, ms; the period of the log's bound. */
+const droppedWithinMs = 2000;
+
+/** Reasons for which a gate refuses an attempt on arrival, without a line. */
+const refusedOnArrival: ReadonlySet<string | undefined> = new Set([
+	'saturated',
+	'deadline',
+	'overloaded',
+	'leaving',
+	'no-upstream',
+	'stale-stamp',
+	'fenced',
+]);
+
+function readEnding({
+	outcome,
+	reason,
+	status,
+	durationMs = 0,
+}: LogLine): Ending {
+	return {outcome, reason, status, durationMs};
+}
+
+function createGateTrace(gate: LogLine, attempt: LogLine): GateTrace {
+	const {durationMs = 0} = gate;
+	const startAt = attempt.atMs - (attempt.durationMs ?? 0);
+	return {
+		...readEnding(gate),
+		queuedMs: gate.queuedMs ?? 0,
+		clockAheadMs: [gate.atMs - attempt.atMs, gate.atMs - durationMs - startAt],
+	};
+}
+
+function listMissing(
+	lines: readonly LogLine[],
+	own: readonly LogLine[],
+	{node: caller, request, attempts}: Omit<RequestTrace, 'missing'>,
+): string[] {
+	const missing: string[] = [];
+	if (!request) {
+		missing.push(
+			'the end of the request: it was answered and is not in the sample, or the line was dropped',
+		);
+	}
+
+	const expected = request?.attempts ?? 0;
+	if (attempts.length < expected) {
+		missing.push(`${expected - attempts.length} of ${expected} attempts`);
+	}
+
+	for (const {number, host, gate, reason} of attempts) {
+		if (!gate && !refusedOnArrival.has(reason)) {
+			missing.push(`attempt ${number} at ${host}: no line of its gate`);
+		}
+	}
+
+	const firstAt = Math.min(...own.map(({atMs}) => atMs)) - droppedWithinMs;
+	const lastAt = Math.max(...own.map(({atMs}) => atMs)) + droppedWithinMs;
+	const onTheWay = new Set([caller, ...attempts.map(({host}) => host)]);
+	for (const {message, node, atMs, count = 0} of lines) {
+		const isNear = atMs >= firstAt && atMs <= lastAt;
+		if (message === messages.dropped && isNear && onTheWay.has(node)) {
+			missing.push(`${node} dropped ${count} lines within two seconds of it`);
+		}
+	}
+
+	return missing;
+}
+
+/**
+ * Creates the story of a request from the log lines of the nodes on its way.
+ *
+ * Times are those of the caller's node. Clocks of other nodes may differ, so a
+ * gate's part is placed by the attempt that it belongs to.
+ *
+ * @param lines - lines of all nodes, in any order
+ * @param requestId - identifier of the request
+ * @returns the story, or undefined when no line tells of the request
+ */
+export function createRequestTrace(
+	lines: readonly LogLine[],
+	requestId: string,
+): RequestTrace | undefined {
+	const own = lines
+		.filter((line) => line.requestId === requestId)
+		.toSorted((a, b) => a.atMs - b.atMs);
+	if (own.length === 0) {
+		return undefined;
+	}
+
+	const end = own.find(({message}) => message === messages.request);
+	const ended = own.filter(({message}) => message === messages.attempt);
+	const gates = own.filter(({message}) => message === messages.gate);
+	const startAt = Math.min(
+		...[...(end ? [end] : []), ...ended].map(
+			({atMs, durationMs = 0}) => atMs - durationMs,
+		),
+	);
+	const attempts = ended.map((attempt): AttemptTrace => {
+		const index = gates.findIndex(({node}) => node === attempt.host);
+		const [gate] = index === -1 ? [] : gates.splice(index, 1);
+		return {
+			...readEnding(attempt),
+			number: attempt.attempt ?? 0,
+			host: attempt.host ?? '',
+			service: attempt.service,
+			startMs: attempt.atMs - (attempt.durationMs ?? 0) - startAt,
+			gate: gate && createGateTrace(gate, attempt),
+		};
+	});
+	const request = end && {
+		...readEnding(end),
+		route: end.route,
+		service: end.service,
+		version: end.version,
+		attempts: end.attempts,
+	};
+	const {node} = end ?? ended[0] ?? {};
+	const found = {requestId, node, request, attempts};
+	const missing = listMissing(lines, own, found);
+	for (const {node: gate, outcome, reason = ''} of gates) {
+		missing.push(
+			`the attempt that the gate ${gate} ended: ${outcome} ${reason}`.trim(),
+		);
+	}
+
+	return {...found, missing};
+}
--- /dev/null
+++ b/src/cli/_lib/format-request-trace.ts
@@ -0,0 +1,47 @@
+import type {
+	AttemptTrace,
+	GateTrace,
+	RequestTrace,
+} from './create-request-trace.js';
+
+type Ending = Pick<GateTrace, 'outcome' | 'reason' | 'status' | 'durationMs'>;
+
+function formatEnding({outcome, reason, status, durationMs}: Ending): string {
+	const parts = [
+		outcome ?? 'ended',
+		...(reason === undefined ? [] : [reason]),
+		...(status === undefined || status === 0 ? [] : [String(status)]),
+	];
+	return `${parts.join(' ')} after ${durationMs} ms`;
+}
+
+function formatGate({clockAheadMs, queuedMs, ...ending}: GateTrace): string {
+	const [least, most] = clockAheadMs;
+	return `    gate: waited ${queuedMs} ms, ${formatEnding(ending)}; clock ahead by ${least} to ${most} ms`;
+}
+
+function formatAttempt(attempt: AttemptTrace): readonly string[] {
+	const {number, host, startMs, gate} = attempt;
+	return [
+		`  at ${startMs} ms attempt ${number} at ${host}: ${formatEnding(attempt)}`,
+		...(gate ? [formatGate(gate)] : []),
+	];
+}
+
+/**
+ * Formats the story of a request for readers.
+ *
+ * @param trace - the story
+ * @returns its lines
+ */
+export function formatRequestTrace(trace: RequestTrace): string {
+	const {requestId, node = 'an unknown node', request} = trace;
+	const head = request
+		? `route ${request.route} to ${request.service}, version ${request.version}: ${formatEnding(request)}`
+		: 'its end is not in these logs';
+	return [
+		`request ${requestId} at ${node}, ${head}`,
+		...trace.attempts.flatMap((attempt) => formatAttempt(attempt)),
+		...trace.missing.map((line) => `  missing: ${line}`),
+	].join('\n');
+}
--- a/src/cli/run-command.test.ts
+++ b/src/cli/run-command.test.ts
@@ -52,7 +52,15 @@
 }
 
 test('the help of every command', async () => {
-	const names = ['node', 'submit', 'status', 'versions', 'explain', 'check'];
+	const names = [
+		'node',
+		'submit',
+		'status',
+		'versions',
+		'explain',
+		'check',
+		'trace',
+	];
 	for (const argv of [
 		['--help'],
 		...names.map((name) => [name, '--node', '--help']),
@@ -89,6 +97,8 @@
 		['explain', 'GET', 'kitchens', ...node],
 		['check'],
 		['check', '/absent/manifest.json'],
+		['trace'],
+		['trace', 'af60', '/absent/node.log'],
 	];
 	for (const argv of lines) {
 		const {code, output, errors} = await run(argv);
--- a/src/cli/run-command.ts
+++ b/src/cli/run-command.ts
@@ -7,6 +7,7 @@
 import {nodeSpec, runNode} from './run-node.js';
 import {runStatus, statusSpec} from './run-status.js';
 import {runSubmit, submitSpec} from './run-submit.js';
+import {runTrace, traceSpec} from './run-trace.js';
 import {runVersions, versionsSpec} from './run-versions.js';
 
 const commands: readonly Command[] = [
@@ -16,6 +17,7 @@
 	{spec: versionsSpec, run: runVersions},
 	{spec: explainSpec, run: runExplain},
 	{spec: checkSpec, run: runCheck},
+	{spec: traceSpec, run: runTrace},
 ];
 
 function formatOverview(): string {
