Leave out hosts that have fallen silent

From 32 s on a zone was cut off; 'trace' shows lookups that went to a host there and were answered 504 at their deadline, after 1.18 s of silence, again and again for six seconds: open connections don't fail, an attempt is asked about after a second only, and its end counted as one failure among many. Where more than half of the hosts were cut off, the rule for too few healthy hosts even put them all back. Change: a host that gives neither an answer nor a sign of life for 600 ms while attempts of this node are in flight gets no further ones; an attempt that ends so counts like a failed connection (left out for 250 ms, doubling). Hosts out of reach are filtered before the rule on healthy ones, and don't keep a request from being refused when all others are full.

--- a/src/coordination/is-roomy.ts
+++ b/src/coordination/is-roomy.ts
@@ -1,4 +1,5 @@
 import {isKnownFull} from './is-known-full.js';
+import {isOutOfReach} from './is-out-of-reach.js';
 import type {HostRecord} from './step-host-record.js';
 
 /**
@@ -19,6 +20,8 @@
 ): boolean {
 	return (
 		record === undefined ||
-		(record.ejectedUntil <= now && !isKnownFull(record, demand, now))
+		(record.ejectedUntil <= now &&
+			!isOutOfReach(record, now) &&
+			!isKnownFull(record, demand, now))
 	);
 }
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -3,8 +3,13 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import type {Candidate} from '../protocol/member.js';
+import {isOutOfReach} from './is-out-of-reach.js';
 import {pickHost} from './pick-host.js';
-import {stepHostRecord, type HostRecord} from './step-host-record.js';
+import {
+	stepHostRecord,
+	type HostMessage,
+	type HostRecord,
+} from './step-host-record.js';
 
 const now = 100_000;
 const candidates: readonly Candidate[] = [
@@ -118,3 +123,51 @@
 	assert.equal(record.warmSince, record.ejectedUntil);
 	assert.equal(record.samples, 0);
 });
+
+test('hosts that have fallen silent get nothing while another is in reach', () => {
+	const silent = {ownInFlight: 1, waitingSince: now - 700};
+	const shares = sharePicks({
+		'abdali-1': silent,
+		'abdali-2': silent,
+		'marka-1': silent,
+	});
+	assert.deepEqual(Object.keys(shares), ['abdali-3']);
+});
+
+test('hosts that could not be connected to get nothing, even if they are most', () => {
+	const left = {unreachable: 2, ejectedUntil: now + 500};
+	const shares = sharePicks({
+		'abdali-1': left,
+		'abdali-2': left,
+		'abdali-3': left,
+	});
+	assert.deepEqual(Object.keys(shares), ['marka-1']);
+});
+
+test('a host that is out of reach is found within two signs of life', () => {
+	const start = {now: 0, random: 0.5, serviceLatencyMs: 0};
+	const sent: HostMessage = {kind: 'sent', isRemote: true};
+	let record = stepHostRecord(undefined, sent, start);
+	record = stepHostRecord(record, {kind: 'heard'}, {...start, now: 400});
+	assert.ok(!isOutOfReach(record, 1000));
+	assert.ok(isOutOfReach(record, 1001));
+	record = stepHostRecord(
+		record,
+		{
+			kind: 'ended',
+			outcome: 'unreachable',
+			isHeard: false,
+			latencyMs: 1100,
+			load: undefined,
+		},
+		{...start, now: 1100},
+	);
+	assert.ok(isOutOfReach(record, 1200));
+	assert.ok(!isOutOfReach(record, 1500));
+});
+
+test('an upstream on the own host is never silent', () => {
+	const start = {now: 0, random: 0.5, serviceLatencyMs: 0};
+	const record = stepHostRecord(undefined, {kind: 'sent'}, start);
+	assert.ok(!isOutOfReach(record, 10_000));
+});
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -12,6 +12,7 @@
 	type OfferOptions,
 } from './_lib/host-offers.js';
 import {isKnownFull} from './is-known-full.js';
+import {isOutOfReach} from './is-out-of-reach.js';
 import type {HostRecord} from './step-host-record.js';
 
 /** Options of `pickHost`. */
@@ -50,6 +51,18 @@
 		: healthy;
 }
 
+/** Keeps the hosts that can be reached, if there are any. */
+function selectReachable(
+	candidates: readonly Candidate[],
+	records: HostRecords,
+	now: number,
+): readonly Candidate[] {
+	const reachable = candidates.filter(
+		({host}) => !isOutOfReach(records.get(host), now),
+	);
+	return reachable.length === 0 ? candidates : reachable;
+}
+
 /** Keeps the hosts that have room for such requests, if there are any. */
 function selectRoomy(
 	candidates: readonly Candidate[],
@@ -144,7 +157,7 @@
 		? candidates.filter(({host}) => !exclude.has(host))
 		: candidates;
 	const usable = selectRoomy(
-		selectHealthy(untried, records, now),
+		selectHealthy(selectReachable(untried, records, now), records, now),
 		records,
 		options,
 	);
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -40,11 +40,19 @@
 	readonly sentAt?: number;
 	/** Attempts in a row that could not be sent. */
 	readonly unreachable?: number;
+	/** Since when nothing was heard while attempts were in flight, monotonic ms. */
+	readonly waitingSince?: number | undefined;
 };
 
 /** What happened with an attempt on a host. */
 export type HostMessage =
-	| {readonly kind: 'sent'}
+	| {
+			readonly kind: 'sent';
+			/** Whether the host is another one, so that it can fall silent. */
+			readonly isRemote?: boolean;
+	  }
+	/** The host gave a sign of life. */
+	| {readonly kind: 'heard'}
 	| {
 			readonly kind: 'ended';
 			/** `refused` says nothing about the host's health. */
@@ -56,6 +64,8 @@
 				| 'full'
 				| 'unreachable';
 			readonly latencyMs: number;
+			/** Whether the host itself said so; so when absent. */
+			readonly isHeard?: boolean;
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
 			/** Names requests that hosts admit alike; the route when absent. */
@@ -153,6 +163,19 @@
 	return {...record, refusals};
 }
 
+/** Computes since when nothing was heard, after the end of an attempt. */
+function computeWaitingSince(
+	{ownInFlight, waitingSince}: HostRecord,
+	{isHeard = true}: Ended,
+	now: number,
+): number | undefined {
+	if (ownInFlight <= 1 || waitingSince === undefined) {
+		return undefined;
+	}
+
+	return isHeard ? now : waitingSince;
+}
+
 /** The load that others than this node have put on the host. */
 function readShare(load: GateLoad, ownInFlight: number): number {
 	const others = Math.max(0, load.inFlight + load.queued - ownInFlight);
@@ -205,6 +228,75 @@
 	};
 }
 
+/** Takes in what came with the end of an attempt, whatever its outcome. */
+function noteReport(
+	before: HostRecord,
+	message: Ended,
+	now: number,
+): HostRecord {
+	const {load} = message;
+	const isKnown = load !== undefined && isPlausible(load);
+	return {
+		...before,
+		ownInFlight: Math.max(0, before.ownInFlight - 1),
+		reportedShare: isKnown
+			? readShare(load, before.ownInFlight)
+			: before.reportedShare,
+		serviceMs: load?.serviceMs ?? before.serviceMs ?? 0,
+		routeMs: putRouteTime(before.routeMs, message),
+		reportedAt: isKnown ? now : before.reportedAt,
+		waitingSince: computeWaitingSince(before, message, now),
+	};
+}
+
+/** Takes in that an upstream has answered or failed an attempt. */
+function noteRun(
+	record: HostRecord,
+	{outcome, latencyMs}: Ended,
+	context: HostContext,
+): HostRecord {
+	const error = outcome === 'failed' ? 1 : 0;
+	const mean = record.latencyMs === 0 ? latencyMs : record.latencyMs;
+	const after: HostRecord = {
+		...record,
+		unreachable: 0,
+		errorShare: record.errorShare + sampleWeight * (error - record.errorShare),
+		latencyMs: error ? mean : mean + sampleWeight * (latencyMs - mean),
+		samples: record.samples + 1,
+		ejections: record.samples > 10 * ejectionMinSamples ? 0 : record.ejections,
+	};
+	return shouldEject(after, context) ? eject(after, context) : after;
+}
+
+function handleEnd(
+	before: HostRecord,
+	message: Ended,
+	context: HostContext,
+): HostRecord {
+	const reported = noteReport(before, message, context.now);
+	switch (message.outcome) {
+		case 'full': {
+			return noteFull(reported, message, context.now);
+		}
+
+		case 'refused': {
+			return {...reported, unreachable: 0};
+		}
+
+		case 'unreachable': {
+			return leaveOut(reported, context);
+		}
+
+		case 'answered': {
+			return noteRun(noteRoom(reported, message), message, context);
+		}
+
+		case 'failed': {
+			return noteRun(reported, message, context);
+		}
+	}
+}
+
 /**
  * Advances what is known of a host by one message.
  *
@@ -227,52 +319,24 @@
 	const before = record ?? createHostRecord(context.now);
 	switch (message.kind) {
 		case 'sent': {
+			const {waitingSince = message.isRemote ? context.now : undefined} =
+				before;
 			return {
 				...before,
 				ownInFlight: before.ownInFlight + 1,
 				sentAt: context.now,
+				waitingSince,
 			};
 		}
 
+		case 'heard': {
+			return before.waitingSince === undefined
+				? before
+				: {...before, waitingSince: context.now};
+		}
+
 		case 'ended': {
-			const {outcome, latencyMs, load} = message;
-			const ownInFlight = Math.max(0, before.ownInFlight - 1);
-			const isKnown = load !== undefined && isPlausible(load);
-			const reported: HostRecord = {
-				...before,
-				ownInFlight,
-				reportedShare: isKnown
-					? readShare(load, before.ownInFlight)
-					: before.reportedShare,
-				serviceMs: load?.serviceMs ?? before.serviceMs ?? 0,
-				routeMs: putRouteTime(before.routeMs, message),
-				reportedAt: isKnown ? context.now : before.reportedAt,
-			};
-			if (outcome === 'full') {
-				return noteFull(reported, message, context.now);
-			}
-
-			if (outcome === 'refused') {
-				return {...reported, unreachable: 0};
-			}
-
-			if (outcome === 'unreachable') {
-				return leaveOut(reported, context);
-			}
-
-			const error = outcome === 'failed' ? 1 : 0;
-			const mean = before.latencyMs === 0 ? latencyMs : before.latencyMs;
-			const after: HostRecord = {
-				...(outcome === 'answered' ? noteRoom(reported, message) : reported),
-				unreachable: 0,
-				errorShare:
-					before.errorShare + sampleWeight * (error - before.errorShare),
-				latencyMs: error ? mean : mean + sampleWeight * (latencyMs - mean),
-				samples: before.samples + 1,
-				ejections:
-					before.samples > 10 * ejectionMinSamples ? 0 : before.ejections,
-			};
-			return shouldEject(after, context) ? eject(after, context) : after;
+			return handleEnd(before, message, context);
 		}
 	}
 }
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -134,6 +134,8 @@
 
 /** Silence after which an attempt's connection is no longer trusted. */
 export const askAfterMs = 1000;
+/** Silence after which a host gets no further attempts, ms: one sign of life, and half of one for delays. */
+export const silentAfterMs = 600;
 /** Time between the signs of life of an attempt that takes long. */
 export const signOfLifeMs = 400;
 export const askTimeoutMs = 500;
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,5 +1,6 @@
 import {isForWantOfRoom} from '../../coordination/is-for-want-of-room.js';
 import {isKnownFull} from '../../coordination/is-known-full.js';
+import {isOutOfReach} from '../../coordination/is-out-of-reach.js';
 import {isRoomy} from '../../coordination/is-roomy.js';
 import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
@@ -163,13 +164,20 @@
 		};
 	}
 
-	function createRemotePort(host: Candidate): GatePort {
+	function createRemotePort(host: Candidate, service: string): GatePort {
 		const {address} = host;
 		return {
 			host,
 			isLocal: false,
 			readStamp: () => stamps.get(address)?.stamp,
-			runAttempt: async (attempt) => forwarder.forwardAttempt(address, attempt),
+			runAttempt: async (attempt) =>
+				forwarder.forwardAttempt(address, {
+					...attempt,
+					onSignOfLife() {
+						noteHost(host.host, service, {kind: 'heard'});
+						attempt.onSignOfLife?.();
+					},
+				}),
 			ask: async (question) => forwarder.ask(address, question),
 			fetchAnswer: async (id, remainingMs, signal) =>
 				forwarder.fetchAnswer(address, id, remainingMs, signal),
@@ -207,12 +215,15 @@
 		);
 	}
 
-	/** Tells whether every host has just refused such a request for want of room. */
+	/** Tells whether every host in reach has just refused such a request for want of room. */
 	function isFull(service: string, demand: string | undefined): boolean {
-		const hosts = candidates.get(service) ?? [];
+		const at = now();
+		const hosts = (candidates.get(service) ?? []).filter(
+			({host}) => !isOutOfReach(records.get(host), at),
+		);
 		return (
 			hosts.length > 0 &&
-			hosts.every(({host}) => isKnownFull(records.get(host), demand, now()))
+			hosts.every(({host}) => isKnownFull(records.get(host), demand, at))
 		);
 	}
 
@@ -266,10 +277,11 @@
 					}
 
 					tried.add(host.host);
-					noteHost(host.host, service, {kind: 'sent'});
-					return host.host === name
-						? createLocalPort(host)
-						: createRemotePort(host);
+					const isRemote = host.host !== name;
+					noteHost(host.host, service, {kind: 'sent', isRemote});
+					return isRemote
+						? createRemotePort(host, service)
+						: createLocalPort(host);
 				},
 				hasRoom() {
 					const hosts = candidates.get(service) ?? [];
@@ -293,9 +305,13 @@
 				stamps.set(address, {stamp: result.stamp, receivedAt: endedAt});
 			}
 
+			// An attempt that was not sent has no stamp from the gate.
+			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
+			const isSilent = !isHeard && isOutOfReach(records.get(host), endedAt);
 			noteHost(host, attempt.service, {
 				kind: 'ended',
-				outcome: judgeResult(result),
+				outcome: isSilent ? 'unreachable' : judgeResult(result),
+				isHeard,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
 				demand,
