Take a fenced repeatable attempt for one that may have run

Traced: a frozen gate wakes and ends a repeatable attempt, which it forgets at once; the question about it, read next, fences it; a second delivery is then refused as fenced, and this refusal overtakes the answer. The caller took it for 'not run'. The stand-in of the gate named another reason than the product, which hid it. Change: of a repeatable attempt, 'fenced' proves nothing, be it the answer to a question (as before) or the end of the attempt; the stand-in names the product's reason.

--- a/faults/_lib/requests/fake-gate.ts
+++ b/faults/_lib/requests/fake-gate.ts
@@ -161,7 +161,7 @@
 			}
 
 			case 'fenced': {
-				reply({kind: 'not-run', reason: 'leaving'});
+				reply({kind: 'not-run', reason: 'fenced'});
 				break;
 			}
 
@@ -218,7 +218,7 @@
 	if (kept !== undefined) {
 		reply({kind: 'answered', body: kept});
 	} else if (host.ledger.isFenced(id)) {
-		reply({kind: 'not-run', reason: 'leaving'});
+		reply({kind: 'not-run', reason: 'fenced'});
 	} else {
 		reply({kind: 'unknown', reason: 'deadline'});
 	}
--- a/faults/_lib/requests/world.ts
+++ b/faults/_lib/requests/world.ts
@@ -36,7 +36,8 @@
 	| {readonly kind: 'answered'; readonly body: string}
 	| {
 			readonly kind: 'not-run' | 'unknown';
-			readonly reason: 'leaving' | 'stale-stamp' | 'not-sent' | 'deadline';
+			readonly reason:
+				'leaving' | 'stale-stamp' | 'not-sent' | 'deadline' | 'fenced';
 	  };
 
 /** One connection from the caller's node to a gate. */
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -100,3 +100,26 @@
 		{seed: 2, numRuns: 2000},
 	);
 });
+
+test('a repeatable attempt that was fenced may have run before', () => {
+	const terms = {
+		repeatable: true,
+		isNested: false,
+		maxAttempts: 1,
+		deadlineAt: 1000,
+	};
+	const context = {terms, now: 0, random: 0.5, budget: 1};
+	const {state} = stepRequest(initialRequestState, {kind: 'start'}, context);
+	const fenced = {
+		kind: 'ended',
+		attempt: 1,
+		outcome: 'not-run',
+		reason: 'fenced',
+	} as const;
+	const [repeatable] = stepRequest(state, fenced, context).effects;
+	assert.equal(repeatable?.kind === 'finish' && repeatable.outcome, 'unknown');
+
+	const once = {...context, terms: {...terms, repeatable: false}};
+	const [other] = stepRequest(state, fenced, once).effects;
+	assert.equal(other?.kind === 'finish' && other.outcome, 'not-run');
+});
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -285,7 +285,11 @@
 		}
 
 		case 'ended': {
-			const {outcome, reason, retryAfterSeconds} = message;
+			const {reason, retryAfterSeconds} = message;
+			// A gate forgets repeatable attempts that are over, and may then fence
+			// one that has run.
+			const isDoubtful = reason === 'fenced' && context.terms.repeatable;
+			const outcome = isDoubtful ? 'unknown' : message.outcome;
 			const ending = {outcome, reason, retryAfterSeconds};
 			return endAttempt(state, ending, context);
 		}
