Log that a host is left out

Change: one line when a host is left out, with the reason and the figures that decided; a test of the router with a host that falls silent.

--- /dev/null
+++ b/src/transport/_lib/create-service-router.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {Attempt} from '../../protocol/attempt.js';
+import type {Candidate} from '../../protocol/member.js';
+import {createForwarder} from '../create-forwarder.js';
+import type {Logger} from '../create-logger.js';
+import {startGateTask} from '../start-gate-task.js';
+import {createServiceRouter} from './create-service-router.js';
+
+type Line = {readonly message: string; readonly reason: unknown};
+
+function createRecordingLogger(lines: Line[]): Logger {
+	const record: Logger['info'] = (message, fields = {}) => {
+		lines.push({message, reason: fields.reason});
+	};
+
+	const logger: Logger = {
+		error: record,
+		warn: record,
+		info: record,
+		debug: record,
+		child: () => logger,
+	};
+	return logger;
+}
+
+const service = 'pricebook';
+
+function createCandidate(host: string): Candidate {
+	const address = `${host}:1`;
+	return {host, address, dataCentre: 'abdali', slots: 6, sinceMs: 0};
+}
+
+function createAttempt(): Attempt {
+	return {
+		id: 'a/1',
+		requestId: 'a',
+		team: '',
+		service,
+		repeatable: true,
+		sheddingMeansNotRun: true,
+		method: 'GET',
+		path: '/',
+		headers: {},
+		body: new Uint8Array(),
+		depth: 0,
+		key: undefined,
+		traceparent: undefined,
+		remainingMs: 500,
+		stamp: undefined,
+		signal: new AbortController().signal,
+	};
+}
+
+test('a silent host gets no further attempts, and a line says so once it ended one', () => {
+	const lines: Line[] = [];
+	const logger = createRecordingLogger(lines);
+	let at = 0;
+	const now = (): number => at;
+	const router = createServiceRouter({
+		name: 'own',
+		dataCentre: 'abdali',
+		gate: startGateTask({logger, now}),
+		forwarder: createForwarder(),
+		logger,
+		now,
+		random: () => 0.99,
+	});
+	const self = {
+		name: 'own',
+		dataCentre: 'abdali',
+		address: 'own:1',
+		incarnation: 0,
+		sequence: 0,
+		state: 'alive',
+		upstreams: [],
+	} as const;
+	router.tellView({
+		self,
+		members: ['silent', 'lively'].map((name) => ({...self, name})),
+		candidates: new Map([[service, [createCandidate('silent')]]]),
+	});
+	const gate = router.select(service, undefined).pickGate();
+	assert.ok(typeof gate !== 'string');
+	router.tellView({
+		self,
+		members: ['silent', 'lively'].map((name) => ({...self, name})),
+		candidates: new Map([
+			[service, ['silent', 'lively'].map((host) => createCandidate(host))],
+		]),
+	});
+
+	at = 700;
+	for (let pick = 0; pick < 5; pick++) {
+		const next = router.select(service, undefined).pickGate();
+		assert.equal(typeof next === 'string' ? next : next.host.host, 'lively');
+	}
+
+	assert.deepEqual(lines, []);
+	router.noteAttempt(
+		{
+			number: 1,
+			gate,
+			attempt: createAttempt(),
+			result: {kind: 'lost', reason: 'connection-lost'},
+			startedAt: 0,
+		},
+		at,
+	);
+	assert.deepEqual(lines, [{message: 'host left out', reason: 'unreachable'}]);
+});
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -24,6 +24,7 @@
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
 import type {Forwarder} from '../create-forwarder.js';
+import type {Logger} from '../create-logger.js';
 import type {GateTask} from '../start-gate-task.js';
 import {computeMedian} from './compute-median.js';
 import type {GatePort} from './gate-port.js';
@@ -35,6 +36,7 @@
 	readonly dataCentre: string;
 	readonly gate: GateTask;
 	readonly forwarder: Forwarder;
+	readonly logger: Logger;
 	/** Monotonic ms. */
 	readonly now: () => number;
 	readonly random: () => number;
@@ -113,7 +115,7 @@
 export function createServiceRouter(
 	options: ServiceRouterOptions,
 ): ServiceRouter {
-	const {name, dataCentre, gate, forwarder, now, random} = options;
+	const {name, dataCentre, gate, forwarder, logger, now, random} = options;
 	const records = new Map<string, HostRecord>();
 	const stamps = new Map<string, HeldStamp>();
 	const budgets = new Map<string, RetryBudget>();
@@ -147,7 +149,19 @@
 			serviceLatencyMs:
 				message.kind === 'ended' ? readServiceLatency(service) : 0,
 		};
-		records.set(host, stepHostRecord(records.get(host), message, context));
+		const before = records.get(host);
+		const after = stepHostRecord(before, message, context);
+		records.set(host, after);
+		if (after.ejectedUntil > (before?.ejectedUntil ?? 0)) {
+			logger.info('host left out', {
+				host,
+				service,
+				reason: after.unreachable ? 'unreachable' : 'failing',
+				errorShare: before?.errorShare,
+				latencyMs: Math.round(before?.latencyMs ?? 0),
+				durationMs: Math.round(after.ejectedUntil - context.now),
+			});
+		}
 	}
 
 	function createLocalPort(host: Candidate): GatePort {
