--- a/src/cli/_lib/create-request-trace.ts
+++ b/src/cli/_lib/create-request-trace.ts
@@ -49,7 +49,7 @@
 	dropped: 'log lines dropped',
 } as const;
 
-/** Time around a request within which dropped lines may have been its own, ms; the period of the log's bound. */
+/** Time around a request within which dropped lines may have been its own, ms; two periods of the log's bound. */
 const droppedWithinMs = 2000;
 
 /** Reasons for which a gate refuses an attempt on arrival, without a line. */
--- a/src/transport/_lib/gate-port.ts
+++ b/src/transport/_lib/gate-port.ts
@@ -1,10 +1,10 @@
-import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import type {LedgerStep} from '../../coordination/step-ledger-record.js';
 import type {
 	Attempt,
 	AttemptQuestion,
 	ForwardResult,
 } from '../../protocol/attempt.js';
+import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import type {Candidate} from '../../protocol/member.js';
 import type {GateStamp} from '../../protocol/stamp.js';
 
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -1,7 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
-import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import type {Attempt} from '../../protocol/attempt.js';
+import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import {defaultDeadlineMs} from '../../protocol/constants.js';
 import {
 	attemptHeader,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -1,5 +1,4 @@
 import {Readable} from 'node:stream';
-import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import {
 	initialRequestState,
 	type RequestEffect,
@@ -9,6 +8,7 @@
 import {computeRetryAfter} from '../../coordination/compute-retry-after.js';
 import {stepRequest} from '../../coordination/step-request.js';
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
+import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import {
 	askAfterMs,
 	busyRetryMs,
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -1,12 +1,12 @@
 import {Agent} from 'node:http';
 import {createTRPCClient, httpLink} from '@trpc/client';
-import type {CancelSignal} from '../protocol/cancel-signal.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
 	AttemptQuestion,
 	ForwardResult,
 } from '../protocol/attempt.js';
+import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {askTimeoutMs} from '../protocol/constants.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {attemptHeader, deadlineHeader} from '../protocol/request.js';
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -1,7 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
-import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
@@ -12,6 +11,7 @@
 	stepUsualDeadline,
 	type UsualDeadline,
 } from '../coordination/step-usual-deadline.js';
+import type {CancelSignal} from '../protocol/cancel-signal.js';
 import type {Configuration} from '../protocol/configuration.js';
 import {
 	answerMarginMs,
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -1,6 +1,5 @@
 import {randomUUID} from 'node:crypto';
 import {Readable} from 'node:stream';
-import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {createLedger} from '../coordination/create-ledger.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {
@@ -17,6 +16,7 @@
 	AttemptQuestion,
 	AttemptResult,
 } from '../protocol/attempt.js';
+import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {queueSlotsRatio, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -12,6 +12,7 @@
 import {startServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
 import {waitUntilQuiet} from './_lib/wait-until-quiet.js';
+import {warmUpWhenIdle} from './_lib/warm-up-when-idle.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
 import {createMeshMetrics} from './create-mesh-metrics.js';
@@ -21,7 +22,6 @@
 import {startDocumentTask, type DocumentStore} from './start-document-task.js';
 import {startGateTask} from './start-gate-task.js';
 import {startMembersTask} from './start-members-task.js';
-import {runWarmUp} from './run-warm-up.js';
 import {startPeerServer} from './start-peer-server.js';
 
 /** What a platform brings to a node. */
@@ -58,9 +58,6 @@
 /** Time without requests after which a node that has started counts as idle, ms; after a restart they come at once. */
 const idleMs = 250;
 
-/** Time within which a node that has started must be idle to be warmed up, ms. */
-const maxWarmUpWaitMs = 5000;
-
 /** Time without requests after which no client is left, ms. */
 const quietMs = 700;
 
@@ -194,25 +191,6 @@
 		);
 	}
 
-	async function warmUp(): Promise<void> {
-		for (let waitedMs = 0; !isIdle(); waitedMs += idleMs) {
-			if (waitedMs >= maxWarmUpWaitMs) {
-				return;
-			}
-
-			await waitMs(idleMs);
-		}
-
-		const startedAt = performance.now();
-		try {
-			const answered = await runWarmUp({edge, logger, isIdle});
-			const durationMs = Math.round(performance.now() - startedAt);
-			logger.info('node warmed up', {requests: answered, durationMs});
-		} catch (error) {
-			logger.warn('node not warmed up', {error: String(error)});
-		}
-	}
-
 	const announcements = await startServer(
 		first.announcements,
 		platform.createAnnouncementListener({
@@ -249,7 +227,7 @@
 			);
 		},
 	);
-	void warmUp();
+	void warmUpWhenIdle({edge, logger, isIdle, pollMs: idleMs});
 	logger.info('node started', {
 		callers: first.callers,
 		peers: first.peers,
