Give no slot to an attempt that would have been given up by now

Change: before a free slot is given, waiting attempts that are past the time at which they are given up are refused as not run.

--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -143,7 +143,27 @@
 		}
 	}
 
+	/**
+	 * Refuses the queued jobs that would be given up by now: in a node that runs
+	 * late, a slot becomes free before their timers are heard.
+	 */
+	function dropExpired(upstream: LocalUpstream): void {
+		const at = now();
+		for (const job of [...upstream.queued.values()].flat()) {
+			if (at >= job.giveUpAt) {
+				dropJob(job, 'saturated');
+			}
+		}
+	}
+
 	function startJobs(upstream: LocalUpstream): void {
+		if (
+			upstream.queuedCount > 0 &&
+			upstream.inFlight < upstream.announcement.slots
+		) {
+			dropExpired(upstream);
+		}
+
 		for (
 			let job = takeNextJob(upstream, now());
 			job;
