Count the time that an attempt lay unread in a late node

After the restart of all nodes a turn of an event loop takes seconds; a late gate waits for two turns to hear whether the sender has left, and then took the time left that the attempt had named when it was sent. The sender was as late and had not closed yet. By then the lag read low again, so nothing refused it. Change: the time that passed since the attempt was read, and in a late node its lag before, are taken off what it has left; nothing left means refused as not run.

--- a/src/transport/_lib/has-sender-left.ts
+++ b/src/transport/_lib/has-sender-left.ts
@@ -2,7 +2,7 @@
 import {setImmediate as waitForTurn} from 'node:timers/promises';
 
 /** Lag above which what came with a request may already be outdated, ms; about a hop and a request. */
-const outdatedLagMs = 50;
+export const outdatedLagMs = 50;
 
 /**
  * Tells whether the sender of a request has gone before the request was read.
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import polka from 'polka';
+import {computeRemainingTerms} from '../coordination/compute-remaining-terms.js';
 import type {AttemptResult} from '../protocol/attempt.js';
 import {maxBodyBytes, signOfLifeMs} from '../protocol/constants.js';
 import {
@@ -21,7 +22,7 @@
 import {sendAnswer} from './_lib/send-answer.js';
 import {sendJson} from './_lib/send-json.js';
 import {createListener} from './_lib/create-listener.js';
-import {hasSenderLeft} from './_lib/has-sender-left.js';
+import {hasSenderLeft, outdatedLagMs} from './_lib/has-sender-left.js';
 import {startServer, type RunningServer} from './_lib/start-server.js';
 import {answersPath, gatePrefix} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -118,15 +119,23 @@
 				cancelling.abort();
 			}
 		});
-		if (await hasSenderLeft(request, readLag())) {
+		const lagMs = readLag();
+		const readAt = performance.now();
+		if (await hasSenderLeft(request, lagMs)) {
 			response.destroy();
 			return;
 		}
 
+		// A late node may have read it as late as it runs.
+		const unreadMs = lagMs > outdatedLagMs ? lagMs : 0;
+		const waitedMs = unreadMs + performance.now() - readAt;
 		const signs = setInterval(() => {
 			response.writeProcessing();
 		}, signOfLifeMs);
-		const result = await gate.runAttempt(attempt);
+		const result = await gate.runAttempt({
+			...attempt,
+			...computeRemainingTerms(attempt, waitedMs),
+		});
 		clearInterval(signs);
 		await sendResult(response, result);
 	}
