--- a/src/transport/run-warm-up.test.ts
+++ b/src/transport/run-warm-up.test.ts
@@ -1,20 +1,10 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import type {Logger} from './create-logger.js';
+import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {ownEdge} from './own-edge.js';
 import {runWarmUp} from './run-warm-up.js';
 
-function ignoreLine(): void {
-	// The tests look at results only.
-}
-
-const logger: Logger = {
-	error: ignoreLine,
-	warn: ignoreLine,
-	info: ignoreLine,
-	debug: ignoreLine,
-	child: () => logger,
-};
+const logger = createSilentLogger();
 
 test('runs sample requests through both hops', async () => {
 	const options = {edge: ownEdge, logger, isIdle: () => true, requests: 40};
--- a/src/transport/start-gate-task.test.ts
+++ b/src/transport/start-gate-task.test.ts
@@ -2,21 +2,11 @@
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
 import test from 'node:test';
+import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import type {Attempt} from '../protocol/attempt.js';
-import type {Logger} from './create-logger.js';
 import {startGateTask} from './start-gate-task.js';
 
-function ignoreLine(): void {
-	// The tests look at results only.
-}
-
-const logger: Logger = {
-	error: ignoreLine,
-	warn: ignoreLine,
-	info: ignoreLine,
-	debug: ignoreLine,
-	child: () => logger,
-};
+const logger = createSilentLogger();
 
 function createAttempt(id: string, stamp: Attempt['stamp']): Attempt {
 	return {
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -2,23 +2,13 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import test from 'node:test';
+import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import type {Attempt} from '../protocol/attempt.js';
 import {createForwarder} from './create-forwarder.js';
-import type {Logger} from './create-logger.js';
 import {startGateTask} from './start-gate-task.js';
 import {startPeerServer} from './start-peer-server.js';
 
-function ignoreLine(): void {
-	// The tests look at results only.
-}
-
-const logger: Logger = {
-	error: ignoreLine,
-	warn: ignoreLine,
-	info: ignoreLine,
-	debug: ignoreLine,
-	child: () => logger,
-};
+const logger = createSilentLogger();
 
 const refuseCall = (): never => {
 	throw new Error('the test makes no such call');
