--- a/src/transport/_lib/create-service-router.test.ts
+++ b/src/transport/_lib/create-service-router.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import type {Attempt} from '../../protocol/attempt.js';
+import {createSampleAttempt} from '../../../harness/create-sample-attempt.js';
 import type {Candidate} from '../../protocol/member.js';
 import {createForwarder} from '../create-forwarder.js';
 import type {Logger} from '../create-logger.js';
@@ -31,27 +31,6 @@
 	return {host, address, dataCentre: 'abdali', slots: 6, sinceMs: 0};
 }
 
-function createAttempt(): Attempt {
-	return {
-		id: 'a/1',
-		requestId: 'a',
-		team: '',
-		service,
-		repeatable: true,
-		sheddingMeansNotRun: true,
-		method: 'GET',
-		path: '/',
-		headers: {},
-		body: new Uint8Array(),
-		depth: 0,
-		key: undefined,
-		traceparent: undefined,
-		remainingMs: 500,
-		stamp: undefined,
-		signal: new AbortController().signal,
-	};
-}
-
 test('a silent host gets no further attempts, and a line says so once it ended one', () => {
 	const lines: Line[] = [];
 	const logger = createRecordingLogger(lines);
@@ -101,7 +80,7 @@
 		{
 			number: 1,
 			gate,
-			attempt: createAttempt(),
+			attempt: createSampleAttempt({service}),
 			result: {kind: 'lost', reason: 'connection-lost'},
 			startedAt: 0,
 		},
--- a/src/transport/run-warm-up.ts
+++ b/src/transport/run-warm-up.ts
@@ -1,11 +1,11 @@
-import {once} from 'node:events';
-import {createServer, type IncomingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
 import {setFlagsFromString} from 'node:v8';
 import type {Edge} from '../protocol/edge.js';
 import type {Candidate, MembersView} from '../protocol/member.js';
 import type {RoutingDocument} from '../protocol/routing-document.js';
 import {createPooledAgent} from './_lib/create-pooled-agent.js';
 import {sendRequest} from './_lib/send-request.js';
+import {startServer, type RunningServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -86,8 +86,8 @@
 	};
 }
 
-async function startUpstream() {
-	const server = createServer((request, response) => {
+async function startUpstream(): Promise<RunningServer> {
+	return startServer(loopback, (request, response) => {
 		request.resume();
 		request.on('end', () => {
 			setTimeout(() => {
@@ -95,17 +95,6 @@
 			}, upstreamMs);
 		});
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const bound = server.address();
-	const port = typeof bound === 'object' ? bound?.port : undefined;
-	return {
-		address: `127.0.0.1:${port}`,
-		stop() {
-			server.close();
-			server.closeAllConnections();
-		},
-	};
 }
 
 /** Starts both hops of a request in this process, apart from its real tasks. */
@@ -166,8 +155,7 @@
 		address: caller.address,
 		async stop() {
 			await Promise.all([forwarder.stop(), gate.stop()]);
-			upstream.stop();
-			await Promise.all([caller.stop(), peerServer.stop()]);
+			await Promise.all([caller.stop(), peerServer.stop(), upstream.stop()]);
 		},
 	};
 }
--- a/src/transport/start-gate-task.test.ts
+++ b/src/transport/start-gate-task.test.ts
@@ -1,32 +1,22 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, type ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import test from 'node:test';
+import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import type {Attempt} from '../protocol/attempt.js';
+import {startServer} from './_lib/start-server.js';
 import {startGateTask} from './start-gate-task.js';
 
 const logger = createSilentLogger();
 
 function createAttempt(id: string, stamp: Attempt['stamp']): Attempt {
-	return {
+	return createSampleAttempt({
 		id,
-		requestId: id,
-		team: '',
-		service: 'registry',
 		repeatable: false,
-		sheddingMeansNotRun: true,
 		method: 'POST',
-		path: '/tests',
-		headers: {},
-		body: new Uint8Array(),
-		depth: 0,
-		key: undefined,
-		traceparent: undefined,
-		remainingMs: 500,
 		stamp,
-		signal: new AbortController().signal,
-	};
+	});
 }
 
 test('an attempt that is read after its cancelling does not run', async (t) => {
@@ -46,27 +36,24 @@
 	const gate = startGateTask({logger, now: () => at});
 	const held: ServerResponse[] = [];
 	const seen: string[] = [];
-	const server = createServer((request, response) => {
+	const server = await startServer('127.0.0.1:0', (request, response) => {
 		seen.push(request.url ?? '');
 		held.push(response);
-	}).listen(0, '127.0.0.1');
-	await once(server, 'listening');
+	});
 	t.after(async () => {
 		await gate.stop();
-		server.close();
+		await server.stop();
 	});
-	const bound = server.address();
-	const port = typeof bound === 'object' ? bound?.port : 0;
 	gate.announce('i-1', {
 		team: '',
 		service: 'registry',
-		address: `127.0.0.1:${port}`,
+		address: server.address,
 		slots: 1,
 		connections: 4,
 		state: 'ready',
 	});
 	const first = gate.runAttempt(createAttempt('a/1', gate.readStamp()));
-	await once(server, 'request');
+	await once(server.server, 'request');
 	const second = gate.runAttempt(createAttempt('b/1', gate.readStamp()));
 
 	at += 600;
--- a/src/transport/start-members-task.test.ts
+++ b/src/transport/start-members-task.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import type {Member} from '../protocol/member.js';
-import type {Logger} from './create-logger.js';
 import {createPeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './platform-client.js';
 import {startMembersTask} from './start-members-task.js';
@@ -10,13 +10,7 @@
 	// The test counts calls only.
 }
 
-const logger: Logger = {
-	error: ignoreLine,
-	warn: ignoreLine,
-	info: ignoreLine,
-	debug: ignoreLine,
-	child: () => logger,
-};
+const logger = createSilentLogger();
 const self: Member = {
 	name: 'abdali-1',
 	dataCentre: 'abdali',
