Tell the others what a host's processor and link let its node do

Roots, parents and bridges are chosen alike on machines of 100 Mbit/s and 1.35 cores and on those of 3.5 to 5 Mbit/s and 0.27 of a core, since no node knows the machines of the others.

A record may hold a capacity: the scarcer of processor and link, in thousandths of a host of one core and 1 Gbit/s. On the users' platform it follows from cpu_share, cores and link_mbps of the settings file; in the product's own settings it is node.capacity, 1000 by default.

Ruled out: two fields for processor and link, as nothing yet weighs them apart; and sending a rate in Mbit/s, which would hide the processor.

Nothing is decided by it yet.

--- a/src/cli/parse-settings.test.ts
+++ b/src/cli/parse-settings.test.ts
@@ -49,6 +49,8 @@
 	['bad octet', good.replace('127.0.0.1:8081', '127.0.0.256:8081')],
 	['same address twice', good.replace(':8081', ':8080')],
 	['peers everywhere', good.replace('127.0.0.1:8081', '0.0.0.0:8081')],
+	['no capacity', good.replace('callers', 'capacity = 0\ncallers')],
+	['capacity in parts', good.replace('callers', 'capacity = 0.5\ncallers')],
 	['platform path', good.replace(':9000', ':9000/v1')],
 	['platform scheme', good.replace('http:', 'ftp:')],
 	['bad seed', `${good}[members]\nseeds = 10.0.0.1:1, marka-1\n`],
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -61,6 +61,13 @@
 export const retryBaseMs = 100;
 export const retryCapMs = 3000;
 
+/** Processor and link of the host whose capacity is `usualCapacity`: one thread and a common network card. */
+export const usualCores = 1;
+export const usualLinkMbps = 1000;
+export const usualCapacity = 1000;
+/** Largest capacity of a record; 65 usual hosts, as nodes have one thread. */
+export const maxCapacity = 65_535;
+
 export const upstreamLeaseMs = 3000;
 export const upstreamRenewMs = 1000;
 /** Longest delay of an announcement that is still told from a new one. */
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -3,6 +3,7 @@
  */
 import * as z from 'zod';
 import {
+	maxCapacity,
 	maxDataCentres,
 	maxRecordsPerBucket,
 	maxUpstreamsPerHost,
@@ -49,6 +50,8 @@
 	state: memberStateSchema,
 	upstreams: z.array(upstreamSchema).max(maxUpstreamsPerHost),
 	unreachable: z.array(dataCentreSchema).max(maxDataCentres).optional(),
+	/** What it can do for others, in thousandths of a usual host; usual when absent. */
+	capacity: z.int().min(1).max(maxCapacity).optional(),
 });
 
 /** Who sends a message between members. */
--- a/src/protocol/mesh-settings.ts
+++ b/src/protocol/mesh-settings.ts
@@ -32,4 +32,8 @@
 	/** Requests that may do so besides, in a window, over all nodes. */
 	readonly retrySlack: number;
 	readonly retryWindowMs: number;
+	/** Processor time that the node gets, in seconds of one core a second. */
+	readonly cores?: number | undefined;
+	/** Bandwidth of the host's link. */
+	readonly linkMbps?: number | undefined;
 };
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -5,6 +5,7 @@
  * messages of refused files and of docs/CONFIGURATION.md.
  */
 import * as z from 'zod';
+import {maxCapacity, usualCapacity} from './constants.js';
 
 const addressPattern =
 	/^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)\.){3}(?:25[0-5]|2[0-4]\d|1?\d?\d):\d{1,5}$/v;
@@ -44,6 +45,14 @@
 		.describe('decimal number from 0 to 1');
 }
 
+const capacitySchema = z
+	.string()
+	.regex(/^\d+$/v, 'not an integer')
+	.default(String(usualCapacity))
+	.transform(Number)
+	.pipe(z.int().min(1).max(maxCapacity))
+	.describe(`integer 1 to ${maxCapacity}`);
+
 const nodeSchema = z
 	.strictObject({
 		name: z
@@ -59,6 +68,7 @@
 		callers: listenSchema,
 		peers: listenSchema,
 		administration: listenSchema,
+		capacity: capacitySchema,
 	})
 	.refine(({peers}) => !peers.startsWith('0.0.0.0:'), {
 		path: ['peers'],
--- a/src/state/encode-member.ts
+++ b/src/state/encode-member.ts
@@ -1,8 +1,11 @@
+import {usualCapacity} from '../protocol/constants.js';
 import type {Member, MemberRecord} from '../protocol/member.js';
 
 /**
  * Encodes a member as the record that is sent, with ages in place of times.
  *
+ * The usual capacity is left out, as nodes that know of none refuse the field.
+ *
  * @param member - the member
  * @param now - the own monotonic time, ms
  * @returns the record
@@ -10,10 +13,12 @@
  * encodeMember({...member, upstreams: []}, 0).upstreams; // []
  */
 export function encodeMember(member: Member, now: number): MemberRecord {
+	const {capacity = usualCapacity, upstreams, ...rest} = member;
 	return {
-		...member,
-		upstreams: member.upstreams.map(({since, ...rest}) => ({
-			...rest,
+		...rest,
+		...(capacity === usualCapacity ? {} : {capacity}),
+		upstreams: upstreams.map(({since, ...upstream}) => ({
+			...upstream,
 			ageMs: Math.max(0, Math.round(now - since)),
 		})),
 	};
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -1,4 +1,5 @@
 import type {RequestListener} from 'node:http';
+import {computeCapacity} from '../coordination/compute-capacity.js';
 import {computeRetryShare} from '../coordination/compute-retry-share.js';
 import {upstreamLeaseMs} from '../protocol/constants.js';
 import type {Edge} from '../protocol/edge.js';
@@ -158,6 +159,7 @@
 			sequence: 0,
 			state: 'alive',
 			upstreams: [],
+			capacity: computeCapacity(first),
 		},
 		seeds: [],
 		peers,
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -131,6 +131,7 @@
 			sequence: 0,
 			state: 'alive',
 			upstreams: [],
+			capacity: settings.node.capacity,
 		},
 		seeds: settings.members.seeds,
 		peers,
