Let strong hosts feed and bridge their data centre

Callers saw 404s and old routes for seconds after a change on fleets of mixed machines.

The tree is now ordered by capacity, then by rendezvous weight, and a parent has children by its capacity: four at the median of its data centre, 64 at most. Bridges are drawn by weighted rendezvous hashing. Fleets of equal hosts keep their roots and bridges.

--- a/src/coordination/_lib/order-members.ts
+++ b/src/coordination/_lib/order-members.ts
@@ -1,8 +1,13 @@
+import {usualCapacity} from '../../protocol/constants.js';
 import type {Member} from '../../protocol/member.js';
 import {computeWeight} from './compute-weight.js';
 
 /**
- * Orders the live members of a data centre by rendezvous weight.
+ * Orders the live members of a data centre by capacity, and those of the same
+ * capacity by rendezvous weight.
+ *
+ * The place of two members depends on nothing but the two, so all nodes agree
+ * and a member that comes or goes leaves the order of the others as it is.
  *
  * @param members - known members, in any order
  * @param dataCentre - the data centre
@@ -20,7 +25,13 @@
 				member.dataCentre === dataCentre &&
 				(member.state === 'alive' || member.name === selfName),
 		)
-		.map((member) => ({member, weight: computeWeight(member.name, 'tree')}))
-		.toSorted((a, b) => (a.weight < b.weight ? -1 : 1))
+		.map((member) => ({
+			member,
+			capacity: member.capacity ?? usualCapacity,
+			weight: computeWeight(member.name, 'tree'),
+		}))
+		.toSorted(
+			(a, b) => b.capacity - a.capacity || (a.weight < b.weight ? -1 : 1),
+		)
 		.map(({member}) => member);
 }
--- a/src/coordination/compute-bridges.ts
+++ b/src/coordination/compute-bridges.ts
@@ -1,27 +1,36 @@
-import {bridgesPerDataCentre} from '../protocol/constants.js';
+import {bridgesPerDataCentre, usualCapacity} from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
 import {computeHash} from '../state/_lib/compute-hash.js';
 
+const hashRange = 2 ** 32;
+
+/** Computes a member's score; the chance to have the highest is in proportion to the capacity. */
+function computeScore({name, capacity = usualCapacity}: Member): number {
+	const uniform = (computeHash(`bridge ${name}`) + 0.5) / hashRange;
+	return capacity / -Math.log(uniform);
+}
+
 /**
- * Computes the bridges of a data centre by rendezvous hashing: the members
- * through which it exchanges records with other data centres.
+ * Computes the bridges of a data centre by weighted rendezvous hashing
+ * (Schindelhauer and Schomaker, 2005): the members through which it exchanges
+ * records with other data centres.
  *
  * Nodes whose views differ may compute different bridges, which costs a few
  * messages more and nothing else.
  *
  * @param members - live members of one data centre
- * @returns the bridges, highest weight first
+ * @returns the bridges, highest score first
  * @example
  * computeBridges([]); // []
  */
 export function computeBridges(members: readonly Member[]): readonly Member[] {
-	let bridges: Array<{readonly member: Member; readonly weight: number}> = [];
+	let bridges: Array<{readonly member: Member; readonly score: number}> = [];
 	for (const member of members) {
-		const weight = computeHash(`bridge ${member.name}`);
-		const lowest = bridges.at(-1)?.weight ?? 0;
-		if (bridges.length < bridgesPerDataCentre || weight > lowest) {
-			bridges = [...bridges, {member, weight}]
-				.toSorted((a, b) => b.weight - a.weight)
+		const score = computeScore(member);
+		const lowest = bridges.at(-1)?.score ?? 0;
+		if (bridges.length < bridgesPerDataCentre || score > lowest) {
+			bridges = [...bridges, {member, score}]
+				.toSorted((a, b) => b.score - a.score)
 				.slice(0, bridgesPerDataCentre);
 		}
 	}
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -22,7 +22,10 @@
 export const snapshotChunkLength = 256 * bytesPerKibibyte;
 
 export const rootsPerDataCentre = 2;
+/** Children of a node with the capacity that is usual in its data centre; three would be the least link time, four saves a hop. */
 export const treeFanOut = 4;
+/** Most children of a node: each costs a waiting call and processor time, however fast the link. */
+export const maxTreeFanOut = 64;
 export const pollWaitMs = 2000;
 export const pollTimeoutMs = 3000;
 export const childExpiryMs = 1500;
