Ask the socket whether the sender of a request has left

Seen by callers: requests with a body that reached a node whose event loop ran over 50 ms late lost their connection between nodes; the caller's node had to ask about each on a new connection, to send it again, or to answer 504 for an attempt that no server ever got. And requests whose senders had closed their connection in the ordinary way were handled by late nodes all the same.

Cause of both: hasSenderLeft() asked the request whether it was destroyed. Node destroys a request also when its body has been read to its end, so at the gate, which reads the body first, every attempt with a body was taken for one whose sender had gone. And after an ordinary end (FIN) that lies behind the request in its socket, Node destroys the request three turns later, while the check waits for two: only resets were noticed.

Ruled out: on time (lag under 50 ms) the check doesn't run. The tests missed the first since none had a body and lag together, and the second since they destroyed the request themselves.

--- /dev/null
+++ b/src/transport/_lib/abort-response.ts
@@ -0,0 +1,57 @@
+import type {ServerResponse} from 'node:http';
+import type {Logger} from '../create-logger.js';
+import {readErrorCode} from './read-error-code.js';
+
+/** Why a connection is closed on which a request has no whole answer. */
+export type AbortCause =
+	| {readonly kind: 'sender-left'}
+	| {readonly kind: 'body-refused'; readonly reason: string}
+	| {readonly kind: 'failed'; readonly error: unknown};
+
+/** Options of `abortResponse`. */
+export type AbortOptions = {
+	readonly cause: AbortCause;
+	readonly requestId: string | undefined;
+	readonly logger: Logger;
+};
+
+/** What Node reports of a stream whose reader has gone. */
+const readerLeftCode = 'ERR_STREAM_PREMATURE_CLOSE';
+
+function hasOtherEndLeft(response: ServerResponse, cause: AbortCause): boolean {
+	switch (cause.kind) {
+		case 'sender-left': {
+			return true;
+		}
+
+		case 'body-refused': {
+			return response.destroyed;
+		}
+
+		case 'failed': {
+			return readErrorCode(cause.error) === readerLeftCode;
+		}
+	}
+}
+
+/**
+ * Closes the connection of a request that has no whole answer, and logs why: a
+ * warning, unless the other end had closed it before.
+ *
+ * @param response - the response that is not sent, or not whole
+ * @param options - see `AbortOptions`
+ */
+export function abortResponse(
+	response: ServerResponse,
+	{cause, requestId, logger}: AbortOptions,
+): void {
+	const level = hasOtherEndLeft(response, cause) ? 'debug' : 'warn';
+	logger[level]('connection closed unanswered', {
+		requestId,
+		isPartSent: response.headersSent,
+		cause: cause.kind,
+		...(cause.kind === 'failed' && {error: String(cause.error)}),
+		...(cause.kind === 'body-refused' && {reason: cause.reason}),
+	});
+	response.destroy();
+}
--- a/src/transport/_lib/has-sender-left.ts
+++ b/src/transport/_lib/has-sender-left.ts
@@ -26,5 +26,6 @@
 
 	await waitForTurn();
 	await waitForTurn();
-	return request.destroyed;
+	// Node destroys a request also when its body has been read to the end.
+	return request.socket.destroyed;
 }
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
-import test from 'node:test';
+import {Buffer} from 'node:buffer';
+import {text as readText} from 'node:stream/consumers';
+import test, {type TestContext} from 'node:test';
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {startServer} from './_lib/start-server.js';
@@ -13,12 +15,14 @@
 	throw new Error('the test makes no such call');
 };
 
-test('a late node does not send on what may have waited past its deadline', async (t) => {
-	let lagMs = 0;
-	let runs = 0;
-	const upstream = await startServer('127.0.0.1:0', (_request, response) => {
-		runs++;
-		response.end('done');
+/** Starts a gate with one upstream behind a peer server that runs late. */
+async function startLateGate(t: TestContext, readLag: () => number) {
+	const bodies: string[] = [];
+	const upstream = await startServer('127.0.0.1:0', (request, response) => {
+		void readText(request).then((body) => {
+			bodies.push(body);
+			response.end('done');
+		});
 	});
 	const gate = startGateTask({logger});
 	gate.announce('i-1', {
@@ -33,7 +37,7 @@
 		address: '127.0.0.1:0',
 		gate,
 		logger,
-		readLag: () => lagMs,
+		readLag,
 		handlers: {
 			handlePoll: refuseCall,
 			handleExchange: refuseCall,
@@ -47,6 +51,12 @@
 		await Promise.all([forwarder.stop(), gate.stop(), server.stop()]);
 		await upstream.stop();
 	});
+	return {bodies, gate, server, forwarder};
+}
+
+test('a late node does not send on what may have waited past its deadline', async (t) => {
+	let lagMs = 0;
+	const {bodies, gate, server, forwarder} = await startLateGate(t, () => lagMs);
 	const attempt = createSampleAttempt({
 		remainingMs: 5000,
 		stamp: gate.readStamp(),
@@ -59,5 +69,21 @@
 	const late = {...attempt, id: 'a/2', stamp: gate.readStamp()};
 	const result = await forwarder.forwardAttempt(server.address, late);
 	assert.equal(result.kind, 'not-run');
-	assert.equal(runs, 1);
+	assert.equal(bodies.length, 1);
+});
+
+test('a late node does not take the end of a body for the end of its sender', async (t) => {
+	const {bodies, gate, server, forwarder} = await startLateGate(t, () => 60);
+	const attempt = createSampleAttempt({
+		method: 'POST',
+		headers: {'content-length': '5'},
+		body: Buffer.from('valve'),
+		repeatable: false,
+		remainingMs: 5000,
+		stamp: gate.readStamp(),
+	});
+
+	const result = await forwarder.forwardAttempt(server.address, attempt);
+	assert.equal(result.kind, 'answered');
+	assert.deepEqual(bodies, ['valve']);
 });
