Log each connection that a node closes without a whole answer

A closed connection left no line at the level that nodes write ('answer not sent whole' and 'attempt not answered' were for debugging), and three places closed one without any line: a refused body and a sender that had left at the gate, the latter also at the caller's node. So logs couldn't tell a connection that the node had cut from one that its client had left.

All five now go through abortResponse(): a warning with the request's id and the cause, for debugging only where the other end had gone first.

--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -36,6 +36,7 @@
 import {compileRoutes} from '../state/compile-routes.js';
 import {isSameKeySet} from '../state/is-same-key-set.js';
 import {matchRoute} from '../state/match-route.js';
+import {abortResponse} from './_lib/abort-response.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -342,7 +343,12 @@
 			}
 		});
 		if (await hasSenderLeft(request, readLag())) {
-			response.destroy();
+			const {requestId} = routed;
+			abortResponse(response, {
+				cause: {kind: 'sender-left'},
+				requestId,
+				logger,
+			});
 			return;
 		}
 
@@ -434,8 +440,11 @@
 
 	const app = polka().use((request, response) => {
 		handleRequest(request, response).catch((error: unknown) => {
-			logger.debug('answer not sent whole', {error: String(error)});
-			response.destroy();
+			abortResponse(response, {
+				cause: {kind: 'failed', error},
+				requestId: edge.readCaller(request.headers).requestId,
+				logger,
+			});
 		});
 	});
 	const server = await startServer(options.address, createListener(app));
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -11,8 +11,10 @@
 	loadHeader,
 	outcomeHeader,
 	reasonHeader,
+	requestIdHeader,
 	stampHeader,
 } from '../protocol/request.js';
+import {abortResponse, type AbortCause} from './_lib/abort-response.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {formatLoad} from './_lib/format-load.js';
 import {formatStamp} from './_lib/format-stamp.js';
@@ -93,6 +95,15 @@
 ): Promise<RunningServer> {
 	const {gate, handlers, logger, readLag = () => 0} = options;
 
+	function abort(
+		{headers}: IncomingMessage,
+		response: ServerResponse,
+		cause: AbortCause,
+	): void {
+		const requestId = headers[requestIdHeader]?.toString();
+		abortResponse(response, {cause, requestId, logger});
+	}
+
 	async function handleAttempt(
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -101,7 +112,7 @@
 			maxBytes: maxForwardedBytes,
 		});
 		if (body.kind === 'refused') {
-			response.destroy();
+			abort(request, response, {kind: 'body-refused', reason: body.reason});
 			return;
 		}
 
@@ -122,7 +133,7 @@
 		const lagMs = readLag();
 		const readAt = performance.now();
 		if (await hasSenderLeft(request, lagMs)) {
-			response.destroy();
+			abort(request, response, {kind: 'sender-left'});
 			return;
 		}
 
@@ -178,8 +189,7 @@
 		}
 
 		handleGateRequest(request, response).catch((error: unknown) => {
-			logger.debug('attempt not answered', {error: String(error)});
-			response.destroy();
+			abort(request, response, {kind: 'failed', error});
 		});
 	});
 	return startServer(options.address, createListener(app));
