Finish writing answers before a stopping server closes connections

Seen by callers: a stopping node cut answers that were complete but not yet written, when the client or its link took them slowly (LOST).

Cause: Server.close() and closeIdleConnections() count a connection as idle as soon as end() was called on its response, and destroy it with what is still to be written. The node itself counted such a request as over too.

While any answer is between its end and its last byte no idle connection is closed now; the stop tries again every 200 ms, and the node's own bound on the stop remains. Per connection would be finer, but Node doesn't tell which of them are only half through the head of a request.

The new test, a client that starts to read 32 MB when the stop has begun, failed before (the connection ended early).

--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createConnection} from 'node:net';
 import test from 'node:test';
@@ -47,3 +48,26 @@
 	assert.ok(await stopsInTime(server.stop()));
 	assert.match(answer, /whole/v);
 });
+
+test('an answer that its client reads slowly is not cut by the stop', async () => {
+	// More than the buffers of both sockets hold.
+	const length = 32 * 1024 * 1024;
+	const server = await startServer('127.0.0.1:0', (_request, response) => {
+		response.writeHead(200, {'content-length': String(length)});
+		response.end(Buffer.alloc(length));
+	});
+	const [host, port] = server.address.split(':');
+	const socket = createConnection(Number(port), host);
+	let bytes = 0;
+	socket.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+	});
+	socket.pause();
+	socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+	await once(server.server, 'request');
+	const stopped = server.stop();
+	socket.resume();
+	await once(socket, 'close');
+	assert.ok(bytes > length);
+	assert.ok(await stopsInTime(stopped));
+});
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -1,4 +1,4 @@
-import {createServer, type RequestListener, type Server} from 'node:http';
+import {Server, type RequestListener, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
 	headersTimeoutMs,
@@ -30,6 +30,30 @@
 /** Time for a request that is on its way over an unused connection. */
 const closeIntervalMs = 200;
 
+/** Closes idle connections only while no answer is on its way to its client. */
+class AnsweringServer extends Server {
+	readonly #open = new Set<ServerResponse>();
+
+	/** Notes a response until all of it has been handed to its connection. */
+	noteResponse(response: ServerResponse): void {
+		this.#open.add(response);
+		response.once('close', () => {
+			this.#open.delete(response);
+		});
+	}
+
+	override closeIdleConnections(): void {
+		// Node counts a connection as idle as soon as its answer is complete, even
+		// if it has not been written yet.
+		const isWriting = [...this.#open].some(
+			({writableEnded, writableFinished}) => writableEnded && !writableFinished,
+		);
+		if (!isWriting) {
+			super.closeIdleConnections();
+		}
+	}
+}
+
 /**
  * Starts an HTTP server.
  *
@@ -47,7 +71,7 @@
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
 	const unused = new Set<Socket>();
-	const server = createServer(
+	const server = new AnsweringServer(
 		{
 			keepAliveTimeout: serverIdleMs,
 			headersTimeout: headersTimeoutMs,
@@ -56,6 +80,7 @@
 		},
 		(request, response) => {
 			unused.delete(request.socket);
+			server.noteResponse(response);
 			if (isStopping) {
 				response.setHeader('connection', 'close');
 			}
