End as not run what no gate can run at its deadline

Callers saw 504 for requests of which no attempt had left their node, or only one without a stamp, which no gate runs: at the deadline, and when the client left, an attempt counted as possibly run as soon as it was handed to the agent, also while its connection was still being made. Clients may not repeat a 504 of what is not idempotent.

The request is now told when a connection takes an attempt and whether the attempt has a stamp. Until then its end is `not-run`; and after `askAfterMs` without a sign of life it goes to another host at once, where before a gate was asked about what it could never run. Beside it: the end of an attempt that had been given up for a retry was taken as a second end and spent the budget twice.

Tests, red before: "an attempt that no gate can run does not end unknown at the deadline", "a silent attempt that no gate can run goes to another host at once", "the end of an attempt that was given up spends no budget".

--- a/bench/_lib/create-simulated-caller.ts
+++ b/bench/_lib/create-simulated-caller.ts
@@ -169,6 +169,7 @@
 				const startedAt = now();
 				tried.add(host);
 				noteHost(host, {kind: 'sent'});
+				tell({kind: 'sent', attempt, hasStamp: true});
 				scheduler.schedule(linkMs, () => {
 					gates.get(host)!.run(team, deadlineAt, (result) => {
 						scheduler.schedule(linkMs, () => {
--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -179,6 +179,11 @@
 			return;
 		}
 
+		tell({
+			kind: 'sent',
+			attempt: number,
+			hasStamp: attempt.stamp !== undefined,
+		});
 		world.onStep('send', id, {host, connection});
 		const deliver = (): void => {
 			receiveAttempt(world, host, attempt, (result) => {
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -45,6 +45,8 @@
 	readonly mayHaveRun: boolean;
 	/** Whether the current attempt's own connection may still bring its answer. */
 	readonly isOpen: boolean;
+	/** Whether the current attempt may run: it may have left this node with a stamp. */
+	readonly isSent: boolean;
 };
 
 /** What an attempt ended in, other than an answer. */
@@ -59,6 +61,13 @@
 	| {readonly kind: 'start'}
 	/** No host can take the request. */
 	| {readonly kind: 'no-host'; readonly reason: OutcomeReason}
+	/** A connection is about to take the attempt. */
+	| {
+			readonly kind: 'sent';
+			readonly attempt: number;
+			/** Whether it has a stamp; a gate runs no attempt without one. */
+			readonly hasStamp: boolean;
+	  }
 	/** The answer is there, whole or begun. */
 	| {readonly kind: 'answered'; readonly attempt: number}
 	/** The gate, or failing to reach it, says how the attempt ended. */
@@ -139,4 +148,5 @@
 	asks: 0,
 	mayHaveRun: false,
 	isOpen: false,
+	isSent: false,
 };
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -18,6 +18,11 @@
 		reason: fc.constant('connection-lost' as const),
 		hadStamp: fc.boolean(),
 	}),
+	fc.record({
+		kind: fc.constant('sent' as const),
+		attempt,
+		hasStamp: fc.boolean(),
+	}),
 	fc.record({
 		kind: fc.constantFrom(
 			'answered' as const,
@@ -123,3 +128,59 @@
 	const [other] = stepRequest(state, fenced, once).effects;
 	assert.equal(other?.kind === 'finish' && other.outcome, 'not-run');
 });
+
+function readEnd(messages: readonly RequestMessage[]) {
+	const end = run([{kind: 'start'}, ...messages], false).at(-1);
+	return end?.kind === 'finish' ? end.outcome : undefined;
+}
+
+test('an attempt that no gate can run does not end unknown at the deadline', () => {
+	const deadline: RequestMessage = {kind: 'deadline'};
+	assert.equal(readEnd([deadline]), 'not-run');
+	assert.equal(
+		readEnd([{kind: 'sent', attempt: 1, hasStamp: false}, deadline]),
+		'not-run',
+	);
+	assert.equal(
+		readEnd([{kind: 'sent', attempt: 1, hasStamp: true}, deadline]),
+		'unknown',
+	);
+});
+
+test('a silent attempt that no gate can run goes to another host at once', () => {
+	const silent: RequestMessage = {kind: 'silent', attempt: 1};
+	const unsent = run([{kind: 'start'}, silent], false);
+	assert.deepEqual(
+		unsent.map(({kind}) => kind),
+		['send', 'abandon', 'send'],
+	);
+	const sent = run(
+		[{kind: 'start'}, {kind: 'sent', attempt: 1, hasStamp: true}, silent],
+		false,
+	);
+	assert.deepEqual(
+		sent.map(({kind}) => kind),
+		['send', 'ask'],
+	);
+});
+
+test('the end of an attempt that was given up spends no budget', () => {
+	const sent: RequestMessage = {kind: 'sent', attempt: 1, hasStamp: true};
+	const effects = run(
+		[
+			{kind: 'start'},
+			sent,
+			{kind: 'silent', attempt: 1},
+			{kind: 'known', attempt: 1, answer: 'stale'},
+			{
+				kind: 'lost',
+				attempt: 1,
+				reason: 'connection-lost',
+				hadStamp: true,
+			},
+		],
+		true,
+	);
+	const spent = effects.filter(({kind}) => kind === 'spend-budget');
+	assert.equal(spent.length, 1);
+});
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -32,6 +32,7 @@
 			attempts: attempt,
 			asks: 0,
 			isOpen: true,
+			isSent: false,
 		},
 		effects: [{kind: 'send', attempt, sameHost}],
 	};
@@ -123,6 +124,15 @@
 	return abandonFirst(state, step);
 }
 
+/** Gives up an attempt that no gate runs, even if it still arrives. */
+function abandonUnsent(
+	state: RequestState,
+	context: RequestContext,
+): RequestStep {
+	const ending = {outcome: 'not-run', reason: 'not-sent'} as const;
+	return abandonFirst(state, endAttempt(state, ending, context));
+}
+
 function handleLoss(
 	state: RequestState,
 	reason: OutcomeReason,
@@ -181,6 +191,17 @@
 	};
 }
 
+function handleSilence(
+	state: RequestState,
+	context: RequestContext,
+): RequestStep {
+	if (state.phase !== 'attempting') {
+		return stay(state);
+	}
+
+	return state.isSent ? ask(state) : abandonUnsent(state, context);
+}
+
 /** Kinds of message by which a question about an attempt goes on. */
 type QuestionMessage = RequestMessage & {
 	readonly kind: 'silent' | 'known' | 'ask-failed' | 'fetch-lost';
@@ -193,7 +214,7 @@
 ): RequestStep {
 	switch (message.kind) {
 		case 'silent': {
-			return state.phase === 'attempting' ? ask(state) : stay(state);
+			return handleSilence(state, context);
 		}
 
 		case 'known': {
@@ -236,11 +257,36 @@
 	}
 }
 
+function handleEnd(
+	state: RequestState,
+	message: RequestMessage & {readonly kind: 'ended' | 'lost'},
+	context: RequestContext,
+): RequestStep {
+	// What was abandoned still ends, after the step that gave it up.
+	if (state.phase === 'waiting-to-send') {
+		return stay(state);
+	}
+
+	if (message.kind === 'lost') {
+		return message.hadStamp
+			? handleLoss(state, message.reason, context)
+			: endAttempt(state, {outcome: 'not-run', reason: 'not-sent'}, context);
+	}
+
+	const {reason, retryAfterSeconds} = message;
+	// A gate forgets repeatable attempts that are over, and may then fence
+	// one that has run.
+	const isDoubtful = reason === 'fenced' && context.terms.repeatable;
+	const outcome = isDoubtful ? 'unknown' : message.outcome;
+	return endAttempt(state, {outcome, reason, retryAfterSeconds}, context);
+}
+
 function endEarly(state: RequestState, reason: OutcomeReason): RequestStep {
 	const isOut = state.phase !== 'new' && state.phase !== 'waiting-to-send';
-	const step = finish(state, {outcome: isOut ? 'unknown' : 'not-run', reason});
+	const mayRun = isOut && state.isSent;
+	const step = finish(state, {outcome: mayRun ? 'unknown' : 'not-run', reason});
 	// The gate may not have read the attempt yet, and so not know its deadline.
-	return isOut ? abandonFirst(state, step, true) : step;
+	return isOut ? abandonFirst(state, step, mayRun) : step;
 }
 
 /**
@@ -277,6 +323,10 @@
 			return finish(state, {outcome: 'not-run', reason: message.reason});
 		}
 
+		case 'sent': {
+			return stay({...state, isSent: state.isSent || message.hasStamp});
+		}
+
 		case 'answered': {
 			return {
 				state: {...state, phase: 'done', isOpen: false},
@@ -284,20 +334,9 @@
 			};
 		}
 
-		case 'ended': {
-			const {reason, retryAfterSeconds} = message;
-			// A gate forgets repeatable attempts that are over, and may then fence
-			// one that has run.
-			const isDoubtful = reason === 'fenced' && context.terms.repeatable;
-			const outcome = isDoubtful ? 'unknown' : message.outcome;
-			const ending = {outcome, reason, retryAfterSeconds};
-			return endAttempt(state, ending, context);
-		}
-
+		case 'ended':
 		case 'lost': {
-			return message.hadStamp
-				? handleLoss(state, message.reason, context)
-				: endAttempt(state, {outcome: 'not-run', reason: 'not-sent'}, context);
+			return handleEnd(state, message, context);
 		}
 
 		case 'silent':
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -39,6 +39,8 @@
 	readonly routeObjectiveMs?: number | undefined;
 	/** Time left in which an answer has its full value, ms. */
 	readonly objectiveMs?: number | undefined;
+	/** Called before the first byte of the attempt may leave this node. */
+	readonly onSend?: (() => void) | undefined;
 	/** Called with each sign that the gate still has the attempt. */
 	readonly onSignOfLife?: (() => void) | undefined;
 	/** Idempotency key of the caller with its team and service. */
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -29,6 +29,7 @@
 	| 'stamp'
 	| 'signal'
 	| 'traceparent'
+	| 'onSend'
 	| 'onSignOfLife'
 > & {
 	/** First part of the identifiers of the attempts. */
@@ -163,6 +164,8 @@
 				return;
 			}
 
+			const stamp = gate.readStamp();
+			const hasStamp = stamp !== undefined;
 			const startedAt = now();
 			const controller = createCancelSource();
 			const remainingMs = terms.deadlineAt - startedAt;
@@ -174,9 +177,14 @@
 					0,
 					(terms.objectiveAt ?? terms.deadlineAt) - startedAt,
 				),
-				stamp: gate.readStamp(),
+				stamp,
 				signal: controller.signal,
 				traceparent: options.createTraceparent(),
+				onSend: gate.isLocal
+					? undefined
+					: () => {
+							tell({kind: 'sent', attempt: number, hasStamp});
+						},
 				onSignOfLife: gate.isLocal
 					? undefined
 					: () => {
@@ -185,7 +193,9 @@
 			};
 			open = {gate, attempt, controller};
 			clearTimeout(silenceTimer);
-			if (!gate.isLocal) {
+			if (gate.isLocal) {
+				tell({kind: 'sent', attempt: number, hasStamp});
+			} else {
 				silenceTimer = setTimeout(tell, askAfterMs, {
 					kind: 'silent',
 					attempt: number,
--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -38,6 +38,7 @@
 	const address = `127.0.0.1:${port}`;
 	const outgoing = {method: 'GET', path: '/', headers: {host: 'a'}};
 	return {
+		address,
 		sockets,
 		send: () => sendRequest(outgoing, {agent, address}),
 	};
@@ -161,3 +162,25 @@
 	setTimeout(sent.abort, 50);
 	assert.equal(await describeOutcome(await sent.outcome), 'aborted');
 });
+
+test('a request that is aborted before its connection stands was not sent', async (t) => {
+	const {address} = await start(t, (socket) => socket.write(whole));
+	const agent = createPooledAgent();
+	t.after(() => {
+		agent.destroy();
+	});
+	let sends = 0;
+	const outgoing = {method: 'GET', path: '/', headers: {}};
+	const onSend = (): void => {
+		sends++;
+	};
+
+	const aborted = sendRequest(outgoing, {agent, address, onSend});
+	aborted.abort();
+	assert.deepEqual(await aborted.outcome, {kind: 'not-sent'});
+	assert.equal(sends, 0);
+
+	const sent = sendRequest(outgoing, {agent, address, onSend});
+	await sent.outcome;
+	assert.equal(sends, 1);
+});
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -43,6 +43,8 @@
 	readonly agent: Agent;
 	/** IP and port of the other end. */
 	readonly address: string;
+	/** Called before the first byte may leave, unless it was aborted before. */
+	readonly onSend?: (() => void) | undefined;
 	/** Called with each interim answer (1xx). */
 	readonly onInterim?: (() => void) | undefined;
 };
@@ -80,6 +82,7 @@
 	#size = 0;
 	#isStreamed = false;
 	#onFailure: ((error: Error) => void) | undefined;
+	readonly #onSend: (() => void) | undefined;
 
 	constructor(outgoing: OutgoingRequest, options: SendOptions) {
 		this.outcome = new Promise((resolve) => {
@@ -97,6 +100,7 @@
 			setHost: headers.host === undefined,
 		});
 		this.#request = request;
+		this.#onSend = options.onSend;
 		request.on('socket', (socket) => {
 			this.#watchSocket(socket);
 		});
@@ -125,7 +129,7 @@
 
 	#watchSocket(socket: Socket): void {
 		if (!socket.connecting) {
-			this.#isSent = true;
+			this.#noteSent();
 			return;
 		}
 
@@ -135,10 +139,17 @@
 		socket.once('connect', () => {
 			clearTimeout(this.#connectTimer);
 			// Node writes the head of the request on the connection's first turn.
-			this.#isSent = !this.#isAborted;
+			if (!this.#isAborted) {
+				this.#noteSent();
+			}
 		});
 	}
 
+	#noteSent(): void {
+		this.#isSent = true;
+		this.#onSend?.();
+	}
+
 	#sendBody(body: Uint8Array | Readable | undefined): void {
 		const request = this.#request;
 		if (!(body instanceof Readable)) {
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -105,7 +105,12 @@
 					headers,
 					body: selectBody(attempt.body, headers),
 				},
-				{agent, address, onInterim: attempt.onSignOfLife},
+				{
+					agent,
+					address,
+					onSend: attempt.onSend,
+					onInterim: attempt.onSignOfLife,
+				},
 			);
 			return readGateOutcome(await awaitOutcome(sent, attempt.signal));
 		},
