Answer calls between nodes without a web request each

Seen: a node that nobody calls still spends processor time, and a start costs much more than loading the bundle. The calls are now handled by tRPC's procedure caller over plain HTTP; envelope, statuses and codes are the same.

Ruled out: the warm-up (off in both), the size of the document (the same).

The test failed before: the call created a web request.

--- a/bench/_lib/measure-exchange-headers.ts
+++ b/bench/_lib/measure-exchange-headers.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {Socket} from 'node:net';
-import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {createCallHandler} from '../../src/transport/_lib/create-call-handler.js';
 import {createPeerClients} from '../../src/transport/create-peer-client.js';
 import {createPeerRouter} from '../../src/transport/create-peer-router.js';
 import type {
@@ -11,6 +11,7 @@
 } from '../../src/protocol/member.js';
 
 const calls = 200;
+const maxBytes = 10_000;
 const from: Sender = {
 	name: 'dc-0-host-1',
 	dataCentre: 'dc-0',
@@ -47,8 +48,10 @@
 		handleCancel: fail,
 		handleStamp: fail,
 	});
-	const handler = createHTTPHandler({router, basePath: '/trpc/'});
-	const server = createServer(handler);
+	const handleCall = createCallHandler({router, maxBytes});
+	const server = createServer((call, response) => {
+		void handleCall(call, response);
+	});
 	const sockets = new Set<Socket>();
 	server.on('connection', (socket: Socket) => {
 		sockets.add(socket);
--- /dev/null
+++ b/src/transport/_lib/create-call-handler.ts
@@ -0,0 +1,95 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	callTRPCProcedure,
+	getTRPCErrorFromUnknown,
+	getTRPCErrorShape,
+	TRPCError,
+} from '@trpc/server';
+import {getHTTPStatusCodeFromError} from '@trpc/server/http';
+import type {PeerRouter} from '../create-peer-router.js';
+import {readPurpose} from './read-purpose.js';
+import {readRequestBody} from './read-request-body.js';
+import {sendJson} from './send-json.js';
+
+/** Options of `createCallHandler`. */
+export type CallHandlerOptions = {
+	readonly router: PeerRouter;
+	/** Longest body that is taken. */
+	readonly maxBytes: number;
+};
+
+const statusOk = 200;
+
+/** Handles one call; an answer that cannot be sent is dropped with its connection. */
+export type CallHandler = (
+	request: IncomingMessage,
+	response: ServerResponse,
+) => Promise<void>;
+
+async function readInput(
+	request: IncomingMessage,
+	maxBytes: number,
+): Promise<unknown> {
+	const read = await readRequestBody(request, {
+		maxBytes,
+		bufferBytes: maxBytes,
+	});
+	if (read.kind === 'refused' || !(read.body instanceof Uint8Array)) {
+		throw new TRPCError({code: 'PAYLOAD_TOO_LARGE'});
+	}
+
+	const text = Buffer.from(read.body).toString();
+	try {
+		return text === '' ? undefined : (JSON.parse(text) as unknown);
+	} catch (error) {
+		throw new TRPCError({code: 'PARSE_ERROR', cause: error});
+	}
+}
+
+/**
+ * Creates the handler of the calls between nodes: the procedures of a tRPC
+ * router over plain HTTP.
+ *
+ * Answers the load of a fleet at rest, where calls are most of a node's work:
+ * tRPC's own handler creates a web request and two web streams for each, and
+ * loads the web API for that.
+ *
+ * @param options - see `CallHandlerOptions`
+ * @returns the handler
+ */
+export function createCallHandler(options: CallHandlerOptions): CallHandler {
+	const {router, maxBytes} = options;
+	return async (request, response) => {
+		const path = readPurpose(request.url ?? '');
+		const type = request.method === 'POST' ? 'mutation' : 'query';
+		let input: unknown;
+		try {
+			const data: unknown = await callTRPCProcedure({
+				router,
+				path,
+				type,
+				ctx: {},
+				signal: undefined,
+				batchIndex: 0,
+				async getRawInput() {
+					input = await readInput(request, maxBytes);
+					return input;
+				},
+			});
+			sendJson(response, statusOk, {result: {data}});
+		} catch (error_) {
+			const error = getTRPCErrorFromUnknown(error_);
+			const {_config: config} = router._def;
+			const shape = getTRPCErrorShape({
+				config,
+				error,
+				type,
+				path,
+				input,
+				ctx: undefined,
+			});
+			sendJson(response, getHTTPStatusCodeFromError(error), {error: shape});
+		}
+	};
+}
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -87,3 +87,31 @@
 	assert.equal(result.kind, 'answered');
 	assert.deepEqual(bodies, ['valve']);
 });
+
+test('a call between nodes creates no web request', async (t) => {
+	const gate = startGateTask({logger});
+	const server = await startPeerServer({
+		address: '127.0.0.1:0',
+		gate,
+		logger,
+		handlers: {
+			handlePoll: refuseCall,
+			handleExchange: refuseCall,
+			handleAsk: gate.ask,
+			handleCancel: gate.cancel,
+			handleStamp: gate.readStamp,
+		},
+	});
+	const forwarder = createForwarder();
+	let created = 0;
+	t.mock.getter(globalThis, 'Request', () => {
+		created++;
+		return Object;
+	});
+	t.after(async () => {
+		await Promise.all([forwarder.stop(), gate.stop(), server.stop()]);
+	});
+
+	assert.ok(await forwarder.readStamp(server.address));
+	assert.equal(created, 0);
+});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -1,6 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import polka from 'polka';
 import {computeRemainingTerms} from '../coordination/compute-remaining-terms.js';
 import type {AttemptResult} from '../protocol/attempt.js';
@@ -15,6 +14,7 @@
 	stampHeader,
 } from '../protocol/request.js';
 import {abortResponse, type AbortCause} from './_lib/abort-response.js';
+import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {formatLoad} from './_lib/format-load.js';
 import {formatStamp} from './_lib/format-stamp.js';
@@ -176,15 +176,18 @@
 			: handleAttempt(request, response);
 	}
 
-	const handleCall = createHTTPHandler({
+	const handleCall = createCallHandler({
 		router: createPeerRouter(handlers),
-		basePath: '/trpc/',
+		maxBytes: maxForwardedBytes,
 	});
 	const app = polka().use((request, response) => {
 		const {url} = request;
 		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
 			options.track?.(readPurpose(url), request.socket);
-			handleCall(request, response);
+			handleCall(request, response).catch((error: unknown) => {
+				logger.debug('call not answered', {error: String(error)});
+				response.destroy();
+			});
 			return;
 		}
 
