Count the bytes of control and log what a configuration costs to send

A node of the users' platform had counters for its control sockets that nobody read, so that late configuration could not be told apart from slow requests. Its metrics now have the bytes by purpose and direction, the node logs each document that it sends (receiver, version, the version before, bytes, time until it was written out) and the time from a document's arrival until requests are matched by it.

--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -111,7 +111,8 @@
 		const node = await startMeshNode(
 			settings.value,
 			{
-				store: createStoreClient(settings.value.store, {logger}),
+				createStore: (onSocket) =>
+					createStoreClient(settings.value.store, {logger, onSocket}),
 				edge: platformEdge,
 				createAnnouncementListener: (handlers) =>
 					createControlListener({...handlers, logger}),
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -58,6 +58,8 @@
 			readonly document: RoutingDocument | undefined;
 			/** Revision from which to watch on. */
 			readonly revision: number;
+			/** When the whole answer had arrived, monotonic ms. */
+			readonly arrivedAt?: number | undefined;
 	  }
 	/** The history since the revision is gone. */
 	| {readonly kind: 'compacted'}
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -32,4 +32,5 @@
 	members: 'boragehitch_members',
 	inFlight: 'boragehitch_requests_in_flight',
 	memory: 'boragehitch_memory_bytes',
+	controlBytes: 'boragehitch_control_bytes_total',
 } as const;
--- a/src/transport/_lib/create-call-handler.ts
+++ b/src/transport/_lib/create-call-handler.ts
@@ -7,7 +7,7 @@
 	TRPCError,
 } from '@trpc/server';
 import {getHTTPStatusCodeFromError} from '@trpc/server/http';
-import type {PeerRouter} from '../create-peer-router.js';
+import type {PeerCall, PeerRouter} from '../create-peer-router.js';
 import {readPurpose} from './read-purpose.js';
 import {readRequestBody} from './read-request-body.js';
 import {sendJson} from './send-json.js';
@@ -17,6 +17,8 @@
 	readonly router: PeerRouter;
 	/** Longest body that is taken. */
 	readonly maxBytes: number;
+	/** Creates what the procedures can learn of their connection. */
+	readonly createContext?: (response: ServerResponse) => PeerCall;
 };
 
 const statusOk = 200;
@@ -59,7 +61,7 @@
  * @returns the handler
  */
 export function createCallHandler(options: CallHandlerOptions): CallHandler {
-	const {router, maxBytes} = options;
+	const {router, maxBytes, createContext} = options;
 	return async (request, response) => {
 		const path = readPurpose(request.url ?? '');
 		const type = request.method === 'POST' ? 'mutation' : 'query';
@@ -69,7 +71,7 @@
 				router,
 				path,
 				type,
-				ctx: {},
+				ctx: createContext?.(response) ?? {},
 				signal: undefined,
 				batchIndex: 0,
 				async getRawInput() {
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -4,11 +4,10 @@
 import {createMeshMetrics} from './create-mesh-metrics.js';
 
 test('what was observed is served as text, by name, service and outcome', async () => {
-	const metrics = createMeshMetrics(() => ({
-		version: 12,
-		members: 10,
-		inFlight: 3,
-	}));
+	const metrics = createMeshMetrics({
+		readGauges: () => ({version: 12, members: 10, inFlight: 3}),
+		takeBytes: () => [{purpose: 'document', sent: 400, received: 7}],
+	});
 	const event = {
 		requestId: 'a',
 		team: '',
@@ -52,4 +51,9 @@
 		text,
 		/boragehitch_gate_queued_ms_bucket\{le="10",service="pricebook"\} 0/v,
 	);
+	await metrics.formatText();
+	assert.match(
+		await metrics.formatText(),
+		/boragehitch_control_bytes_total\{purpose="document",direction="sent"\} 1200/v,
+	);
 });
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -2,6 +2,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestObserver} from '../protocol/observer.js';
 import {meshMetricNames} from '../protocol/metric-names.js';
+import type {ByteCount} from './_lib/create-byte-counter.js';
 
 /** What is read when the metrics are asked for. */
 export type MeshGauges = {
@@ -12,6 +13,13 @@
 	readonly inFlight: number;
 };
 
+/** What the metrics of a node are read from when they are asked for. */
+export type MeshMetricsOptions = {
+	readonly readGauges: () => MeshGauges;
+	/** Takes the bytes on sockets for control since the last call. */
+	readonly takeBytes?: () => readonly ByteCount[];
+};
+
 /** Metrics of a node, as text for whoever asks. */
 export type MeshMetrics = {
 	readonly observer: RequestObserver;
@@ -27,12 +35,13 @@
 /**
  * Creates the metrics of a node.
  *
- * @param readGauges - reads what is measured only when asked for
+ * @param options - see `MeshMetricsOptions`
  * @returns the metrics
  * @example
- * await createMeshMetrics(readGauges).formatText();
+ * await createMeshMetrics({readGauges}).formatText();
  */
-export function createMeshMetrics(readGauges: () => MeshGauges): MeshMetrics {
+export function createMeshMetrics(options: MeshMetricsOptions): MeshMetrics {
+	const {readGauges, takeBytes = () => []} = options;
 	const registry = new Registry();
 	const registers = [registry];
 	const labelNames = ['service', 'outcome', 'reason'];
@@ -88,6 +97,12 @@
 		help: 'Resident memory, bytes',
 		registers,
 	});
+	const controlBytes = new Counter({
+		name: meshMetricNames.controlBytes,
+		help: 'Bytes on sockets for control',
+		labelNames: ['purpose', 'direction'],
+		registers,
+	});
 
 	return {
 		contentType: registry.contentType,
@@ -97,6 +112,11 @@
 			members.set(gauges.members);
 			inFlight.set(gauges.inFlight);
 			memory.set(process.memoryUsage.rss());
+			for (const {purpose, sent, received} of takeBytes()) {
+				controlBytes.inc({purpose, direction: 'sent'}, sent);
+				controlBytes.inc({purpose, direction: 'received'}, received);
+			}
+
 			return registry.metrics();
 		},
 		observer: {
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -17,6 +17,22 @@
 	type AttemptQuestion,
 } from '../protocol/attempt.js';
 
+/** What became of the answer to a call on its connection. */
+export type WrittenAnswer = {
+	/** Head included. */
+	readonly bytes: number;
+	/** Time until it was handed to the operating system, ms. */
+	readonly durationMs: number;
+	/** Whether it was written to its end. */
+	readonly isWhole: boolean;
+};
+
+/** A call on its connection. */
+export type PeerCall = {
+	/** Observes the writing of the answer, which begins now. */
+	onWritten(listener: (written: WrittenAnswer) => void): void;
+};
+
 /** The handlers that a node's tasks give to the peer router. */
 export type PeerHandlers = {
 	handlePoll(poll: Poll): Promise<PollAnswer>;
@@ -25,7 +41,7 @@
 	handleCancel(question: AttemptQuestion): void;
 	handleStamp(): GateStamp;
 	/** Answers polls for documents; absent where there are none. */
-	handleDocument?(poll: DocumentPoll): Promise<DocumentAnswer>;
+	handleDocument?(poll: DocumentPoll, call?: PeerCall): Promise<DocumentAnswer>;
 };
 
 /**
@@ -37,19 +53,20 @@
  * createPeerRouter({handlePoll, handleExchange, handleAsk, handleCancel});
  */
 export function createPeerRouter(handlers: PeerHandlers) {
-	const t = initTRPC.create();
+	const t = initTRPC.context<Partial<PeerCall>>().create();
 	return t.router({
 		poll: t.procedure
 			.input(pollSchema)
 			.mutation(async ({input}) => handlers.handlePoll(input)),
 		document: t.procedure
 			.input(documentPollSchema)
-			.mutation(async ({input}): Promise<DocumentAnswer> => {
+			.mutation(async ({input, ctx}): Promise<DocumentAnswer> => {
 				if (!handlers.handleDocument) {
 					throw new TRPCError({code: 'NOT_IMPLEMENTED'});
 				}
 
-				return handlers.handleDocument(input);
+				const {onWritten} = ctx;
+				return handlers.handleDocument(input, onWritten && {onWritten});
 			}),
 		exchange: t.procedure
 			.input(exchangeSchema)
--- a/src/transport/run-warm-up.ts
+++ b/src/transport/run-warm-up.ts
@@ -99,11 +99,9 @@
 
 /** Starts both hops of a request in this process, apart from its real tasks. */
 async function startSampleHops({edge, logger}: WarmUpOptions) {
-	const {observer} = createMeshMetrics(() => ({
-		version: 0,
-		members: 1,
-		inFlight: 0,
-	}));
+	const {observer} = createMeshMetrics({
+		readGauges: () => ({version: 0, members: 1, inFlight: 0}),
+	});
 	const upstream = await startUpstream();
 	const gate = startGateTask({logger, edge, observer});
 	gate.announce(upstreamId, {
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -15,6 +15,7 @@
 } from '../protocol/routing-document.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
+import type {PeerCall} from './create-peer-router.js';
 
 /** Reads the document that operators write to the platform. */
 export type DocumentStore = {
@@ -42,7 +43,7 @@
 /** The task that keeps a node's routing document current and serves others. */
 export type DocumentTask = {
 	tellView(view: MembersView): void;
-	handlePoll(poll: DocumentPoll): Promise<DocumentAnswer>;
+	handlePoll(poll: DocumentPoll, call?: PeerCall): Promise<DocumentAnswer>;
 	/** Reads the document that the node runs. */
 	readDocument(): RoutingDocument | undefined;
 	stop(): void;
@@ -64,7 +65,7 @@
 	let lastPollId = 0;
 	let isStopped = false;
 
-	function tell(message: DocumentMessage): void {
+	function tell(message: DocumentMessage, arrivedAt = now()): void {
 		if (isStopped) {
 			return;
 		}
@@ -72,21 +73,52 @@
 		const step = stepDocument(state, message, now());
 		state = step.state;
 		for (const effect of step.effects) {
-			carryOut(effect);
+			carryOut(effect, arrivedAt);
 		}
 	}
 
+	/** Logs what an answer to another node cost, if it holds a document. */
+	function reportSent(
+		{name: receiver, version: before}: DocumentPoll,
+		{document}: DocumentAnswer,
+		call: PeerCall | undefined,
+	): void {
+		if (!document) {
+			return;
+		}
+
+		const {version} = document;
+		call?.onWritten(({bytes, durationMs, isWhole}) => {
+			logger.info('configuration sent', {
+				receiver,
+				version,
+				before,
+				bytes,
+				durationMs: Math.round(durationMs),
+				isWhole,
+			});
+		});
+	}
+
+	function tellStored(callId: number, outcome: StoredDocumentOutcome): void {
+		const arrivedAt = outcome.kind === 'read' ? outcome.arrivedAt : undefined;
+		tell({kind: 'stored', callId, outcome}, arrivedAt);
+	}
+
 	async function pollPeer(
 		effect: DocumentEffect & {readonly kind: 'poll'},
 	): Promise<void> {
 		const {callId, address, poll, timeoutMs, isFresh} = effect;
 		try {
-			const answer = documentAnswerSchema.parse(
-				await peers
-					.getClient(address, {isFresh})
-					.document.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)}),
+			const body = await peers
+				.getClient(address, {isFresh})
+				.document.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)});
+			const arrivedAt = now();
+			const answer = documentAnswerSchema.parse(body);
+			tell(
+				{kind: 'polled', callId, outcome: {kind: 'answered', answer}},
+				arrivedAt,
 			);
-			tell({kind: 'polled', callId, outcome: {kind: 'answered', answer}});
 		} catch (error) {
 			logger.debug('poll for configuration failed', {
 				address,
@@ -96,12 +128,12 @@
 		}
 	}
 
-	function carryOut(effect: DocumentEffect): void {
+	function carryOut(effect: DocumentEffect, arrivedAt: number): void {
 		switch (effect.kind) {
 			case 'read': {
 				const {callId} = effect;
 				void store.readDocument(effect.timeoutMs).then((outcome) => {
-					tell({kind: 'stored', callId, outcome});
+					tellStored(callId, outcome);
 				});
 				break;
 			}
@@ -111,7 +143,7 @@
 				void store
 					.watchDocument(revision, waitMs, timeoutMs)
 					.then((outcome) => {
-						tell({kind: 'stored', callId, outcome});
+						tellStored(callId, outcome);
 					});
 				break;
 			}
@@ -128,7 +160,12 @@
 			}
 
 			case 'run': {
-				onDocument(effect.document);
+				const {document} = effect;
+				onDocument(document);
+				logger.info('configuration taken over', {
+					version: document.version,
+					delayMs: Math.round(now() - arrivedAt),
+				});
 				break;
 			}
 
@@ -139,24 +176,28 @@
 		}
 	}
 
-	const timer = setInterval(tell, documentTickMs, {kind: 'tick'});
+	const timer = setInterval(() => {
+		tell({kind: 'tick'});
+	}, documentTickMs);
 	tell({kind: 'tick'});
 
 	return {
 		tellView(view) {
 			tell({kind: 'view', members: view.members});
 		},
-		async handlePoll(poll) {
+		async handlePoll(poll, call) {
 			if (isStopped) {
 				return {ageMs: Number.MAX_SAFE_INTEGER};
 			}
 
 			lastPollId++;
 			const pollId = lastPollId;
-			return new Promise((resolve) => {
+			const answer = await new Promise<DocumentAnswer>((resolve) => {
 				resolvers.set(pollId, resolve);
 				tell({kind: 'poll', pollId, poll});
 			});
+			reportSent(poll, answer, call);
+			return answer;
 		},
 		readDocument: () => state.document,
 		stop() {
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -1,4 +1,5 @@
 import type {RequestListener} from 'node:http';
+import type {Socket} from 'node:net';
 import {computeCapacity} from '../coordination/compute-capacity.js';
 import {computeRetryShare} from '../coordination/compute-retry-share.js';
 import {upstreamLeaseMs} from '../protocol/constants.js';
@@ -6,6 +7,7 @@
 import type {Announcement} from '../protocol/member.js';
 import type {MeshSettings} from '../protocol/mesh-settings.js';
 import {combineObservers} from './_lib/combine-observers.js';
+import {createByteCounter} from './_lib/create-byte-counter.js';
 import {createDecisionLog} from './_lib/create-decision-log.js';
 import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createReadiness} from './_lib/create-readiness.js';
@@ -27,7 +29,10 @@
 
 /** What a platform brings to a node. */
 export type MeshPlatform = {
-	readonly store: PlatformClient & DocumentStore;
+	/** Creates the client of its store. */
+	readonly createStore: (
+		onSocket: (socket: Socket) => void,
+	) => PlatformClient & DocumentStore;
 	readonly edge: Edge;
 	/** Creates the listener for what upstreams say of themselves. */
 	readonly createAnnouncementListener: (handlers: {
@@ -80,14 +85,21 @@
 ): Promise<RunningMeshNode> {
 	let settings = first;
 	const {name, dataCentre} = first;
-	const {store, edge} = platform;
-	const peers = createPeerClients();
-	const metrics = createMeshMetrics(() => ({
-		version: document.readDocument()?.version ?? -1,
-		members: members.readView().members.filter(({state}) => state === 'alive')
-			.length,
-		inFlight: caller.readInFlight(),
-	}));
+	const {edge} = platform;
+	const bytes = createByteCounter();
+	const store = platform.createStore((socket) => {
+		bytes.track('store', socket);
+	});
+	const peers = createPeerClients({track: bytes.track});
+	const metrics = createMeshMetrics({
+		readGauges: () => ({
+			version: document.readDocument()?.version ?? -1,
+			members: members.readView().members.filter(({state}) => state === 'alive')
+				.length,
+			inFlight: caller.readInFlight(),
+		}),
+		takeBytes: bytes.take,
+	});
 	const observer = combineObservers([
 		metrics.observer,
 		createDecisionLog({
@@ -139,6 +151,7 @@
 		gate,
 		logger,
 		readLag: lagMeter.read,
+		track: bytes.track,
 		handlers: {
 			async handlePoll() {
 				throw new Error('this node has no log of manifests');
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -28,7 +28,11 @@
 import {startServer, type RunningServer} from './_lib/start-server.js';
 import {answersPath, gatePrefix} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
-import {createPeerRouter, type PeerHandlers} from './create-peer-router.js';
+import {
+	createPeerRouter,
+	type PeerCall,
+	type PeerHandlers,
+} from './create-peer-router.js';
 import type {GateTask} from './start-gate-task.js';
 
 /** Options of `startPeerServer`. */
@@ -82,6 +86,23 @@
 	);
 }
 
+function createPeerCall(response: ServerResponse): PeerCall {
+	const {socket} = response;
+	return {
+		onWritten(listener) {
+			const startedAt = performance.now();
+			const before = socket?.bytesWritten ?? 0;
+			response.once('close', () => {
+				listener({
+					bytes: (socket?.bytesWritten ?? 0) - before,
+					durationMs: performance.now() - startedAt,
+					isWhole: response.writableFinished,
+				});
+			});
+		},
+	};
+}
+
 /**
  * Starts the server on which a node takes other nodes' calls and attempts.
  *
@@ -179,6 +200,7 @@
 	const handleCall = createCallHandler({
 		router: createPeerRouter(handlers),
 		maxBytes: maxForwardedBytes,
+		createContext: createPeerCall,
 	});
 	const app = polka().use((request, response) => {
 		const {url} = request;
