Send changes of a configuration between nodes instead of the whole

Cause: a parent answered each poll with the whole document, 321 KB for 1,613 routes. Four children and a root share a link of 3.5 Mbit/s, so no copy arrived within the 1.2 s of a poll: it was cut, and sent anew to the next one who asked. Reads of the store had 0.4 s for 400 KB.

A node now answers with the changes from the version that the asking node has. It keeps the documents that it ran (at most 32; unchanged routes are shared), computes the changes once for each version and compresses them once for all. Changes are applied to exactly their base or not at all; what does not fit is logged, and the whole document is asked of another peer. A whole document is sent compressed. Unchanged routes are compiled once. A copy that has begun to arrive from the store is not given up after the time for its beginning, and one that comes late from a peer is still used.

A root that reads slowly got a growing backlog, since a watch sends every change whole. After a transfer that took long it asks for the revision alone, and reads the newest document when that has moved.

--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -5,6 +5,7 @@
 import type {Member} from '../protocol/member.js';
 import type {
 	DocumentAnswer,
+	DocumentChanges,
 	DocumentPoll,
 	RoutingDocument,
 } from '../protocol/routing-document.js';
@@ -15,7 +16,14 @@
 /** One of the two loops of calls: on the store, and on other nodes. */
 export type DocumentLoop = {
 	/** The call in flight, which counts as failed after its end. */
-	readonly call: {readonly id: number; readonly endsAt: number} | undefined;
+	readonly call:
+		| {
+				readonly id: number;
+				readonly endsAt: number;
+				/** Whether a part of the answer has arrived. */
+				readonly hasBegun: boolean;
+		  }
+		| undefined;
 	readonly failures: number;
 	/** When the next call may start, monotonic ms. */
 	readonly nextAt: number;
@@ -38,12 +46,20 @@
 	readonly peerIndex: number;
 	/** The document that the node runs. */
 	readonly document: RoutingDocument | undefined;
+	/** Documents that it ran before, oldest first; unchanged routes are shared. */
+	readonly earlier: readonly RoutingDocument[];
+	/** Changes to the running document by the version that they start from. */
+	readonly changes: ReadonlyMap<number, DocumentChanges | undefined>;
+	/** Whether changes from a peer did not fit, so that the whole is asked for. */
+	readonly needsWhole: boolean;
 	/** When the document was last known to be the newest. */
 	readonly confirmedAt: number;
 	/** When a peer last gave an answer that was not stale. */
 	readonly peerAnsweredAt: number;
 	/** Revision of the store from which to watch; undefined before a read. */
 	readonly revision: number | undefined;
+	/** Whether changes may have gathered since, which a watch would all send. */
+	readonly hasBacklog: boolean;
 	readonly storeLoop: DocumentLoop;
 	readonly peerLoop: DocumentLoop;
 	readonly polls: readonly WaitingDocumentPoll[];
@@ -60,7 +76,11 @@
 			readonly revision: number;
 			/** When the whole answer had arrived, monotonic ms. */
 			readonly arrivedAt?: number | undefined;
+			/** Time from its first part to its last, ms. */
+			readonly transferMs?: number | undefined;
 	  }
+	/** The newest revision of the store. */
+	| {readonly kind: 'revision'; readonly revision: number}
 	/** The history since the revision is gone. */
 	| {readonly kind: 'compacted'}
 	| {readonly kind: 'failed'};
@@ -68,6 +88,8 @@
 /** Outcome of a poll of another node. */
 export type PeerDocumentOutcome =
 	| {readonly kind: 'answered'; readonly answer: DocumentAnswer}
+	/** What came cannot be used. */
+	| {readonly kind: 'malformed'; readonly reason: string}
 	| {readonly kind: 'failed'};
 
 /** What the document machine can be told. */
@@ -79,6 +101,8 @@
 			readonly callId: number;
 			readonly outcome: StoredDocumentOutcome;
 	  }
+	/** The answer of the store to a call has begun to arrive. */
+	| {readonly kind: 'begun'; readonly callId: number}
 	| {
 			readonly kind: 'polled';
 			readonly callId: number;
@@ -93,6 +117,12 @@
 /** What the document machine asks of its task. */
 export type DocumentEffect =
 	| {readonly kind: 'read'; readonly callId: number; readonly timeoutMs: number}
+	/** Asks for the newest revision of the store. */
+	| {
+			readonly kind: 'check';
+			readonly callId: number;
+			readonly timeoutMs: number;
+	  }
 	| {
 			readonly kind: 'watch';
 			readonly callId: number;
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -146,7 +146,7 @@
 			callId: poll.callId,
 			outcome: {
 				kind: 'answered',
-				answer: {ageMs: 10, document: createDocument(2)},
+				answer: {kind: 'whole', ageMs: 10, document: createDocument(2)},
 			},
 		},
 		5,
@@ -183,7 +183,7 @@
 		{
 			kind: 'polled',
 			callId,
-			outcome: {kind: 'answered', answer: {ageMs: 9000}},
+			outcome: {kind: 'answered', answer: {kind: 'unchanged', ageMs: 9000}},
 		},
 		10,
 	);
@@ -203,10 +203,134 @@
 		},
 		20,
 	);
-	assert.equal(machine.find('answer')?.answer.document?.version, 1);
+	assert.deepEqual(machine.find('answer')?.answer, {
+		kind: 'whole',
+		ageMs: 0,
+		document: createDocument(1),
+	});
 	machine.tell({kind: 'poll', pollId: 2, poll: {...poll, version: 1}}, 30);
 	assert.equal(machine.find('answer'), undefined);
 	machine.tell({kind: 'tick'}, 900);
 	assert.equal(machine.find('answer')?.pollId, 2);
-	assert.equal(machine.find('answer')?.answer.document, undefined);
+	assert.equal(machine.find('answer')?.answer.kind, 'unchanged');
+});
+
+/** A root that runs version 1 and has begun to watch from revision 4. */
+function createWatchingRoot() {
+	const machine = createMachine();
+	machine.tell({kind: 'tick'}, 0);
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: machine.find('read')!.callId,
+			outcome: {kind: 'read', document: createDocument(1), revision: 4},
+		},
+		1,
+	);
+	return machine;
+}
+
+test('changes are sent to a node whose version is known, else the whole', () => {
+	const machine = createWatchingRoot();
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: machine.find('watch')!.callId,
+			outcome: {kind: 'read', document: createDocument(2), revision: 5},
+		},
+		10,
+	);
+	for (const [pollId, version, kind] of [
+		[1, 1, 'changes'],
+		[2, 0, 'whole'],
+		[3, -1, 'whole'],
+	] as const) {
+		const poll = {name: 'b', version, waitMs: 800};
+		machine.tell({kind: 'poll', pollId, poll}, 20);
+		assert.equal(machine.find('answer')?.answer.kind, kind);
+	}
+});
+
+test('changes that do not fit change nothing; another peer is asked for the whole', () => {
+	const machine = createChild();
+	const first = machine.find('poll')!;
+	const whole = {kind: 'whole', ageMs: 0, document: createDocument(2)} as const;
+	machine.tell(
+		{
+			kind: 'polled',
+			callId: first.callId,
+			outcome: {kind: 'answered', answer: whole},
+		},
+		5,
+	);
+	const changes = {from: 2, to: 3, removed: ['x'], put: [], services: {}};
+	machine.tell(
+		{
+			kind: 'polled',
+			callId: machine.find('poll')!.callId,
+			outcome: {kind: 'answered', answer: {kind: 'changes', ageMs: 0, changes}},
+		},
+		10,
+	);
+	assert.equal(machine.read().document?.version, 2);
+	assert.equal(machine.find('log')?.level, 'warn');
+	const next = machine.find('poll')!;
+	assert.equal(next.poll.version, -1);
+	assert.notEqual(next.address, first.address);
+});
+
+test('a copy that took long is followed by one copy of the newest, not by all since', () => {
+	const machine = createWatchingRoot();
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: machine.find('watch')!.callId,
+			outcome: {
+				kind: 'read',
+				document: createDocument(2),
+				revision: 5,
+				transferMs: 900,
+			},
+		},
+		1000,
+	);
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: machine.find('check')!.callId,
+			outcome: {kind: 'revision', revision: 9},
+		},
+		1010,
+	);
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: machine.find('read')!.callId,
+			outcome: {
+				kind: 'read',
+				document: createDocument(6),
+				revision: 9,
+				transferMs: 900,
+			},
+		},
+		2000,
+	);
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: machine.find('check')!.callId,
+			outcome: {kind: 'revision', revision: 9},
+		},
+		2010,
+	);
+	assert.equal(machine.find('watch')?.revision, 9);
+});
+
+test('a copy that is still arriving is not given up', () => {
+	const machine = createMachine();
+	machine.tell({kind: 'tick'}, 0);
+	const {callId, timeoutMs} = machine.find('read')!;
+	machine.tell({kind: 'begun', callId}, 10);
+	machine.tell({kind: 'tick'}, timeoutMs + 500);
+	assert.equal(machine.read().storeLoop.call?.id, callId);
 });
--- a/src/coordination/step-document.ts
+++ b/src/coordination/step-document.ts
@@ -1,14 +1,25 @@
+import {err, ok, type Result} from 'neverthrow';
 import {
+	documentBacklogMs,
 	documentGraceMs,
 	documentPatienceMs,
 	documentPollMs,
 	documentRetryCapMs,
 	documentRetryMs,
 	documentStaleMs,
+	documentTransferMs,
 	documentWatchMs,
+	maxKeptDocuments,
 } from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
-import type {RoutingDocument} from '../protocol/routing-document.js';
+import type {
+	DocumentAnswer,
+	DocumentChanges,
+	RoutingDocument,
+} from '../protocol/routing-document.js';
+import {applyDocumentChanges} from '../state/apply-document-changes.js';
+import {computeDocumentChanges} from '../state/compute-document-changes.js';
+import {mergeDocument} from '../state/merge-document.js';
 import type {
 	DocumentEffect,
 	DocumentLoop,
@@ -43,18 +54,23 @@
 /** Runs a document if it is newer than the one that the node runs. */
 function adopt(
 	state: DocumentState,
-	document: RoutingDocument | undefined,
+	next: RoutingDocument | undefined,
 	source: string,
 	now: number,
 ): DocumentStep {
-	const current = state.document?.version ?? -1;
-	if (!document || document.version <= current) {
+	const before = state.document;
+	const current = before?.version ?? -1;
+	if (!next || next.version <= current) {
 		return stay(state);
 	}
 
+	const document = before ? mergeDocument(before, next) : next;
+	const earlier = before
+		? [...state.earlier, before].slice(-maxKeptDocuments)
+		: state.earlier;
 	const {version, routes} = document;
 	return {
-		state: {...state, document},
+		state: {...state, document, earlier, changes: new Map()},
 		effects: [
 			{kind: 'run', document},
 			{
@@ -80,15 +96,31 @@
 ): DocumentStep {
 	switch (outcome.kind) {
 		case 'read': {
-			const {document, revision} = outcome;
+			const {document, revision, transferMs = 0} = outcome;
 			const step = adopt(state, document, 'store', now);
 			const storeLoop = endCall(state.storeLoop, false, now);
+			const hasBacklog =
+				step.state.document !== state.document &&
+				transferMs > documentBacklogMs;
 			return {
 				...step,
-				state: {...step.state, storeLoop, revision, confirmedAt: now},
+				state: {
+					...step.state,
+					storeLoop,
+					revision,
+					hasBacklog,
+					confirmedAt: now,
+				},
 			};
 		}
 
+		case 'revision': {
+			const storeLoop = endCall(state.storeLoop, false, now);
+			const revision =
+				state.revision === outcome.revision ? state.revision : undefined;
+			return stay({...state, storeLoop, revision, hasBacklog: false});
+		}
+
 		case 'compacted': {
 			const storeLoop = endCall(state.storeLoop, false, now);
 			return stay({...state, storeLoop, revision: undefined});
@@ -97,8 +129,10 @@
 		case 'failed': {
 			const storeLoop = endCall(state.storeLoop, true, now);
 			const isFirst = state.storeLoop.failures === 0;
+			const hasBacklog =
+				state.hasBacklog || state.storeLoop.call?.hasBegun === true;
 			return {
-				state: {...state, storeLoop},
+				state: {...state, storeLoop, hasBacklog},
 				effects: isFirst
 					? [
 							{
@@ -114,31 +148,104 @@
 	}
 }
 
+/** Turns to the next peer, at once unless all were asked. */
+function failPoll(state: DocumentState, now: number): DocumentState {
+	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
+	return {
+		...state,
+		peerIndex: state.peerIndex + 1,
+		peerLoop:
+			(state.peerIndex + 1) % Math.max(1, state.peers.length) === 0
+				? endCall(state.peerLoop, true, now)
+				: peerLoop,
+	};
+}
+
+function createUnusableLog(
+	state: DocumentState,
+	source: string,
+	reason: string,
+): DocumentEffect {
+	return {
+		kind: 'log',
+		level: 'warn',
+		message: 'configuration of a peer not usable',
+		fields: {source, reason, version: state.document?.version},
+	};
+}
+
+/** Asks another peer for the whole document. */
+function handleMalformed(
+	state: DocumentState,
+	source: string,
+	reason: string,
+	now: number,
+): DocumentStep {
+	return {
+		state: {...failPoll(state, now), needsWhole: true},
+		effects: [createUnusableLog(state, source, reason)],
+	};
+}
+
+/** Reads the document that an answer leads to, or why it leads to none. */
+function readAnswered(
+	state: DocumentState,
+	answer: DocumentAnswer,
+): Result<RoutingDocument | undefined, string> {
+	switch (answer.kind) {
+		case 'unchanged': {
+			return ok(undefined);
+		}
+
+		case 'whole': {
+			return ok(answer.document);
+		}
+
+		case 'changes': {
+			const {changes} = answer;
+			const {document} = state;
+			if (document && document.version >= changes.to) {
+				return ok(undefined);
+			}
+
+			const base = [...state.earlier, document].find(
+				(kept) => kept?.version === changes.from,
+			);
+			return base
+				? applyDocumentChanges(base, changes)
+				: err(`version ${changes.from} is not there`);
+		}
+	}
+}
+
 function handlePolled(
 	state: DocumentState,
 	outcome: PeerDocumentOutcome,
 	now: number,
 ): DocumentStep {
+	const source = state.peers[state.peerIndex % state.peers.length]?.name ?? '';
 	if (outcome.kind === 'failed') {
-		const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
-		return stay({
-			...state,
-			peerIndex: state.peerIndex + 1,
-			peerLoop:
-				(state.peerIndex + 1) % Math.max(1, state.peers.length) === 0
-					? endCall(state.peerLoop, true, now)
-					: peerLoop,
-		});
+		return stay(failPoll(state, now));
 	}
 
-	const {ageMs, document} = outcome.answer;
-	const source = state.peers[state.peerIndex % state.peers.length]?.name ?? '';
-	const step = adopt(state, document, source, now);
+	if (outcome.kind === 'malformed') {
+		return handleMalformed(state, source, outcome.reason, now);
+	}
+
+	const {answer} = outcome;
+	const answered = readAnswered(state, answer);
+	if (answered.isErr()) {
+		return handleMalformed(state, source, answered.error, now);
+	}
+
+	const {ageMs} = answer;
+	const step = adopt(state, answered.value, source, now);
 	const isStale = ageMs > documentStaleMs;
 	return {
 		...step,
 		state: {
 			...step.state,
+			needsWhole: false,
 			peerLoop: endCall(state.peerLoop, isStale, now),
 			peerIndex: state.peerIndex + (isStale ? 1 : 0),
 			peerAnsweredAt: isStale ? state.peerAnsweredAt : now,
@@ -176,6 +283,40 @@
 	return {state: polled.state, effects: [...stored.effects, ...polled.effects]};
 }
 
+/** Makes use of the answer to a poll that was given up. */
+function adoptLate(
+	state: DocumentState,
+	outcome: PeerDocumentOutcome,
+	now: number,
+): DocumentStep {
+	if (outcome.kind !== 'answered') {
+		return stay(state);
+	}
+
+	const source = 'late answer';
+	return readAnswered(state, outcome.answer).match(
+		(document) => adopt(state, document, source, now),
+		(reason) => ({state, effects: [createUnusableLog(state, source, reason)]}),
+	);
+}
+
+/** Gives a call time for what has begun to arrive. */
+function extendStoreCall(
+	state: DocumentState,
+	callId: number,
+	now: number,
+): DocumentState {
+	const {storeLoop} = state;
+	const {call} = storeLoop;
+	if (call?.id !== callId) {
+		return state;
+	}
+
+	const endsAt = Math.max(call.endsAt, now + documentTransferMs);
+	const extended = {...call, endsAt, hasBegun: true};
+	return {...state, storeLoop: {...storeLoop, call: extended}};
+}
+
 function handleMessage(
 	state: DocumentState,
 	message: DocumentMessage,
@@ -202,7 +343,11 @@
 		case 'polled': {
 			return message.callId === state.peerLoop.call?.id
 				? handlePolled(state, message.outcome, now)
-				: stay(state);
+				: adoptLate(state, message.outcome, now);
+		}
+
+		case 'begun': {
+			return stay(extendStoreCall(state, message.callId, now));
 		}
 
 		case 'poll': {
@@ -214,6 +359,41 @@
 	}
 }
 
+/** Computes changes from one version once for all who ask for them. */
+function computeChangesOnce(
+	state: DocumentState,
+	versions: readonly number[],
+): DocumentState['changes'] {
+	const {document, earlier} = state;
+	const changes = new Map(state.changes);
+	for (const version of versions) {
+		const base = earlier.find((kept) => kept.version === version);
+		if (document && base && !changes.has(version)) {
+			changes.set(version, computeDocumentChanges(base, document));
+		}
+	}
+
+	return changes;
+}
+
+function createAnswer(
+	document: RoutingDocument | undefined,
+	known: number,
+	context: {
+		readonly ageMs: number;
+		readonly changes: DocumentChanges | undefined;
+	},
+): DocumentAnswer {
+	const {ageMs, changes} = context;
+	if (!document || document.version <= known) {
+		return {kind: 'unchanged', ageMs};
+	}
+
+	return changes
+		? {kind: 'changes', ageMs, changes}
+		: {kind: 'whole', ageMs, document};
+}
+
 /** Answers the polls that have waited long enough or get a newer document. */
 function answerPolls(state: DocumentState, now: number): DocumentStep {
 	const {document} = state;
@@ -226,18 +406,49 @@
 	}
 
 	const ageMs = Math.min(now - state.confirmedAt, 2 * documentStaleMs);
+	const changes = computeChangesOnce(
+		state,
+		due.map((poll) => poll.version),
+	);
 	return {
-		state: {...state, polls: state.polls.filter((poll) => !isDue(poll))},
+		state: {
+			...state,
+			changes,
+			polls: state.polls.filter((poll) => !isDue(poll)),
+		},
 		effects: due.map(({pollId, version: known}): DocumentEffect => ({
 			kind: 'answer',
 			pollId,
-			answer: known < version && document ? {ageMs, document} : {ageMs},
+			answer: createAnswer(document, known, {
+				ageMs,
+				changes: changes.get(known),
+			}),
 		})),
 	};
 }
 
+/**
+ * Creates the next call on the store. While changes come faster than copies
+ * arrive, a watch would send each of them whole: one copy of the newest is read
+ * instead until nothing has changed meanwhile.
+ */
+function createStoreCall(
+	{revision, hasBacklog}: DocumentState,
+	callId: number,
+): DocumentEffect & {readonly kind: 'read' | 'watch' | 'check'} {
+	const timeoutMs = documentGraceMs;
+	if (revision === undefined) {
+		return {kind: 'read', callId, timeoutMs};
+	}
+
+	const waitMs = documentWatchMs;
+	return hasBacklog
+		? {kind: 'check', callId, timeoutMs}
+		: {kind: 'watch', callId, revision, waitMs, timeoutMs: waitMs + timeoutMs};
+}
+
 function planStoreCall(state: DocumentState, now: number): DocumentStep {
-	const {storeLoop, revision} = state;
+	const {storeLoop} = state;
 	const isNeeded =
 		state.isRoot ||
 		state.peers.length === 0 ||
@@ -247,16 +458,12 @@
 	}
 
 	const callId = state.lastCallId + 1;
-	const waitMs = revision === undefined ? 0 : documentWatchMs;
-	const timeoutMs = waitMs + documentGraceMs;
-	const call = {id: callId, endsAt: now + timeoutMs};
+	const effect = createStoreCall(state, callId);
+	const endsAt = now + effect.timeoutMs;
+	const call = {id: callId, endsAt, hasBegun: false};
 	return {
 		state: {...state, lastCallId: callId, storeLoop: {...storeLoop, call}},
-		effects: [
-			revision === undefined
-				? {kind: 'read', callId, timeoutMs}
-				: {kind: 'watch', callId, revision, waitMs, timeoutMs},
-		],
+		effects: [effect],
 	};
 }
 
@@ -268,9 +475,9 @@
 	}
 
 	const callId = state.lastCallId + 1;
+	const version = state.needsWhole ? -1 : (state.document?.version ?? -1);
 	const timeoutMs = documentPollMs + documentGraceMs;
-	const call = {id: callId, endsAt: now + timeoutMs};
-	const version = state.document?.version ?? -1;
+	const call = {id: callId, endsAt: now + timeoutMs, hasBegun: false};
 	return {
 		state: {...state, lastCallId: callId, peerLoop: {...peerLoop, call}},
 		effects: [
--- a/src/protocol/routing-document.ts
+++ b/src/protocol/routing-document.ts
@@ -66,12 +66,54 @@
 	waitMs: z.int().min(0).max(60_000),
 });
 
-/** The answer to a poll; the document is there when it is newer. */
-export const documentAnswerSchema = z.strictObject({
-	/** Time since the answering node's copy was last confirmed, ms. */
-	ageMs: z.number().min(0),
-	document: routingDocumentSchema.optional(),
+/** What turns the document of one version into that of a later one. */
+export const documentChangesSchema = z.strictObject({
+	from: z.int().min(0),
+	to: z.int().min(0),
+	/** Names of routes that are gone or are put again with other content. */
+	removed: z.array(z.string()),
+	/** Routes with their places in the later document. */
+	put: z.array(
+		z.strictObject({index: z.int().min(0), route: documentRouteSchema}),
+	),
+	services: z.record(z.string(), documentServiceSchema),
+	limits: clientLimitsSchema.optional(),
 });
 
+/** Time since the answering node's copy was last confirmed, ms. */
+const ageMsSchema = z.number().min(0);
+
+/** The answer to a poll as it is sent; texts are compressed. */
+export const encodedDocumentAnswerSchema = z.discriminatedUnion('kind', [
+	z.strictObject({kind: z.literal('unchanged'), ageMs: ageMsSchema}),
+	z.strictObject({
+		kind: z.literal('changes'),
+		ageMs: ageMsSchema,
+		text: z.string(),
+	}),
+	z.strictObject({
+		kind: z.literal('whole'),
+		ageMs: ageMsSchema,
+		text: z.string(),
+	}),
+]);
+
 export type DocumentPoll = z.infer<typeof documentPollSchema>;
-export type DocumentAnswer = z.infer<typeof documentAnswerSchema>;
+export type DocumentChanges = z.infer<typeof documentChangesSchema>;
+export type EncodedDocumentAnswer = z.infer<typeof encodedDocumentAnswerSchema>;
+
+/** The answer to a poll. */
+export type DocumentAnswer =
+	/** Nothing is newer than what the asking node has. */
+	| {readonly kind: 'unchanged'; readonly ageMs: number}
+	/** Changes of the document that the asking node has. */
+	| {
+			readonly kind: 'changes';
+			readonly ageMs: number;
+			readonly changes: DocumentChanges;
+	  }
+	| {
+			readonly kind: 'whole';
+			readonly ageMs: number;
+			readonly document: RoutingDocument;
+	  };
--- /dev/null
+++ b/src/state/apply-document-changes.ts
@@ -0,0 +1,47 @@
+import {err, ok, type Result} from 'neverthrow';
+import type {
+	DocumentChanges,
+	DocumentRoute,
+	RoutingDocument,
+} from '../protocol/routing-document.js';
+
+/**
+ * Applies changes to the document that they start from, all or none of them.
+ *
+ * Routes that stay are the same objects in both documents.
+ *
+ * @param base - the document of the version that the changes start from
+ * @param changes - what changes
+ * @returns the later document, or why the changes do not fit
+ * @example
+ * applyDocumentChanges(base, changes).map(({version}) => version);
+ */
+export function applyDocumentChanges(
+	base: RoutingDocument,
+	changes: DocumentChanges,
+): Result<RoutingDocument, string> {
+	const {from, to, removed, put, services, limits} = changes;
+	if (from !== base.version || to <= from) {
+		return err(`changes from ${from} to ${to} do not follow ${base.version}`);
+	}
+
+	const gone = new Set(removed);
+	const kept = base.routes.filter(({name}) => !gone.has(name));
+	if (kept.length !== base.routes.length - removed.length) {
+		return err('routes that are to be removed are not there');
+	}
+
+	const placed = new Map(put.map(({index, route}) => [index, route]));
+	const routes: DocumentRoute[] = [];
+	let taken = 0;
+	for (let index = 0; index < kept.length + put.length; index++) {
+		const route = placed.get(index) ?? kept[taken++];
+		if (!route) {
+			return err('routes are put in places that do not exist');
+		}
+
+		routes.push(route);
+	}
+
+	return ok({version: to, routes, services, ...(limits && {limits})});
+}
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -5,9 +5,17 @@
 	RoutingDocument,
 } from '../protocol/routing-document.js';
 
+/** Compiled routes by what they were compiled from. */
+const compiled = new WeakMap<DocumentRoute, CompiledRoute>();
+
 function compileRoute(route: DocumentRoute, maxBytes: number): CompiledRoute {
+	const known = compiled.get(route);
+	if (known?.maxBodyBytes === maxBytes) {
+		return known;
+	}
+
 	const [first] = route.targets;
-	return {
+	const next: CompiledRoute = {
 		team: '',
 		name: route.name,
 		path: route.pathPrefix,
@@ -24,10 +32,13 @@
 		sheddingMeansNotRun: true,
 		isLive: true,
 	};
+	compiled.set(route, next);
+	return next;
 }
 
 /**
- * Compiles the routes of a document into a table for matching requests.
+ * Compiles the routes of a document into a table for matching requests. A
+ * route that is the same object as before is compiled once.
  *
  * @param document - the document
  * @returns the route table, to be swapped in whole
--- /dev/null
+++ b/src/state/compute-document-changes.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import type {
+	DocumentRoute,
+	RoutingDocument,
+} from '../protocol/routing-document.js';
+import {applyDocumentChanges} from './apply-document-changes.js';
+import {computeDocumentChanges} from './compute-document-changes.js';
+import {mergeDocument} from './merge-document.js';
+
+function createRoute(name: string, weight = 1): DocumentRoute {
+	return {
+		name,
+		host: 'prices.example',
+		pathPrefix: `/${name}/`,
+		repeatable: true,
+		timeoutMs: 1000,
+		objectiveMs: 500,
+		priority: 0,
+		maxAttempts: 1,
+		targets: [{service: 'pricebook', weight}],
+	};
+}
+
+function createDocument(
+	version: number,
+	routes: readonly DocumentRoute[],
+): RoutingDocument {
+	return {version, routes: [...routes], services: {}};
+}
+
+const names = ['a', 'b', 'c', 'd'];
+const base = createDocument(
+	1,
+	names.map((name) => createRoute(name)),
+);
+
+test('changes name only the routes that differ and lead to the same document', () => {
+	const next = mergeDocument(
+		base,
+		createDocument(2, [
+			createRoute('new'),
+			createRoute('a'),
+			createRoute('c', 9),
+			createRoute('d'),
+		]),
+	);
+	const changes = computeDocumentChanges(base, next)!;
+	assert.deepEqual(changes.removed, ['b', 'c']);
+	assert.deepEqual(
+		changes.put.map(({index, route}) => [index, route.name]),
+		[
+			[0, 'new'],
+			[2, 'c'],
+		],
+	);
+	assert.deepEqual(applyDocumentChanges(base, changes)._unsafeUnwrap(), next);
+});
+
+test('routes in another order or of one name are not told in changes', () => {
+	const reordered = createDocument(2, base.routes.toReversed());
+	assert.equal(computeDocumentChanges(base, reordered), undefined);
+	const twice = createDocument(1, [createRoute('a'), createRoute('a', 2)]);
+	const once = createDocument(2, [twice.routes[0]!]);
+	assert.equal(computeDocumentChanges(twice, once), undefined);
+});
--- /dev/null
+++ b/src/state/compute-document-changes.ts
@@ -0,0 +1,42 @@
+import type {
+	DocumentChanges,
+	RoutingDocument,
+} from '../protocol/routing-document.js';
+import {applyDocumentChanges} from './apply-document-changes.js';
+
+/**
+ * Computes what turns one document into a later one.
+ *
+ * A route has stayed when it is the same object in both. Routes that change
+ * their order, or share a name, cannot be told in changes.
+ *
+ * @param base - the earlier document
+ * @param next - the later document
+ * @returns the changes, or undefined when only the whole document will do
+ * @example
+ * computeDocumentChanges(base, next)?.put.length;
+ */
+export function computeDocumentChanges(
+	base: RoutingDocument,
+	next: RoutingDocument,
+): DocumentChanges | undefined {
+	const known = new Set(base.routes);
+	const stays = new Set(next.routes);
+	const changes: DocumentChanges = {
+		from: base.version,
+		to: next.version,
+		removed: base.routes
+			.filter((route) => !stays.has(route))
+			.map(({name}) => name),
+		put: next.routes.flatMap((route, index) =>
+			known.has(route) ? [] : [{index, route}],
+		),
+		services: next.services,
+		...(next.limits && {limits: next.limits}),
+	};
+	const applied = applyDocumentChanges(base, changes);
+	const isExact =
+		applied.isOk() &&
+		applied.value.routes.every((route, index) => route === next.routes[index]);
+	return isExact ? changes : undefined;
+}
--- /dev/null
+++ b/src/state/decode-document-answer.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {deflateSync} from 'node:zlib';
+import {maxDocumentBytes} from '../protocol/constants.js';
+import type {DocumentAnswer} from '../protocol/routing-document.js';
+import {decodeDocumentAnswer} from './decode-document-answer.js';
+import {encodeDocumentAnswer} from './encode-document-answer.js';
+
+const ageMs = 7;
+
+test('an answer is the same after it was sent', () => {
+	const answers: DocumentAnswer[] = [
+		{kind: 'unchanged', ageMs},
+		{kind: 'whole', ageMs, document: {version: 1, routes: [], services: {}}},
+		{
+			kind: 'changes',
+			ageMs,
+			changes: {from: 1, to: 2, removed: ['a'], put: [], services: {}},
+		},
+	];
+	for (const answer of answers) {
+		const sent = JSON.stringify(encodeDocumentAnswer(answer));
+		const received: unknown = JSON.parse(sent);
+		assert.deepEqual(decodeDocumentAnswer(received)._unsafeUnwrap(), answer);
+	}
+});
+
+test('a text that is cut, has other content or grows too long is refused', () => {
+	const whole = deflateSync('{"version":1,"routes":[],"services":{}}');
+	const long = deflateSync(' '.repeat(maxDocumentBytes + 1));
+	const texts = [
+		whole.subarray(0, 12).toString('base64'),
+		deflateSync('{"version":1}').toString('base64'),
+		long.toString('base64'),
+		'no text',
+	];
+	for (const text of texts) {
+		assert.ok(decodeDocumentAnswer({kind: 'whole', ageMs, text}).isErr());
+	}
+});
--- /dev/null
+++ b/src/state/encode-document-answer.ts
@@ -0,0 +1,49 @@
+import {deflateSync} from 'node:zlib';
+import type {
+	DocumentAnswer,
+	DocumentChanges,
+	EncodedDocumentAnswer,
+	RoutingDocument,
+} from '../protocol/routing-document.js';
+
+/** Texts by what they hold, so that all receivers share one. */
+const texts = new WeakMap<DocumentChanges | RoutingDocument, string>();
+
+function encodeText(value: DocumentChanges | RoutingDocument): string {
+	const known = texts.get(value);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const text = deflateSync(JSON.stringify(value)).toString('base64');
+	texts.set(value, text);
+	return text;
+}
+
+/**
+ * Encodes the answer to a poll for a document; what it holds is compressed
+ * once, however many nodes it is sent to.
+ *
+ * @param answer - the answer
+ * @returns what is sent
+ * @example
+ * encodeDocumentAnswer({kind: 'unchanged', ageMs: 10}).kind; // 'unchanged'
+ */
+export function encodeDocumentAnswer(
+	answer: DocumentAnswer,
+): EncodedDocumentAnswer {
+	const {ageMs} = answer;
+	switch (answer.kind) {
+		case 'unchanged': {
+			return {kind: 'unchanged', ageMs};
+		}
+
+		case 'changes': {
+			return {kind: 'changes', ageMs, text: encodeText(answer.changes)};
+		}
+
+		case 'whole': {
+			return {kind: 'whole', ageMs, text: encodeText(answer.document)};
+		}
+	}
+}
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -47,6 +47,8 @@
 	readonly onSend?: (() => void) | undefined;
 	/** Called with each interim answer (1xx). */
 	readonly onInterim?: (() => void) | undefined;
+	/** Called when the head of the answer has arrived. */
+	readonly onHead?: (() => void) | undefined;
 };
 
 /** A request that has been handed to a connection. */
@@ -105,6 +107,7 @@
 			this.#watchSocket(socket);
 		});
 		request.on('response', (answer) => {
+			options.onHead?.();
 			this.#handleAnswer(answer);
 		});
 		request.on('error', (error) => {
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -7,8 +7,8 @@
 import {pollSchema, type Poll, type PollAnswer} from '../protocol/peer.js';
 import {
 	documentPollSchema,
-	type DocumentAnswer,
 	type DocumentPoll,
+	type EncodedDocumentAnswer,
 } from '../protocol/routing-document.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
@@ -41,7 +41,10 @@
 	handleCancel(question: AttemptQuestion): void;
 	handleStamp(): GateStamp;
 	/** Answers polls for documents; absent where there are none. */
-	handleDocument?(poll: DocumentPoll, call?: PeerCall): Promise<DocumentAnswer>;
+	handleDocument?(
+		poll: DocumentPoll,
+		call?: PeerCall,
+	): Promise<EncodedDocumentAnswer>;
 };
 
 /**
@@ -60,7 +63,7 @@
 			.mutation(async ({input}) => handlers.handlePoll(input)),
 		document: t.procedure
 			.input(documentPollSchema)
-			.mutation(async ({input, ctx}): Promise<DocumentAnswer> => {
+			.mutation(async ({input, ctx}): Promise<EncodedDocumentAnswer> => {
 				if (!handlers.handleDocument) {
 					throw new TRPCError({code: 'NOT_IMPLEMENTED'});
 				}
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -2,32 +2,53 @@
 import type {
 	DocumentEffect,
 	DocumentMessage,
+	PeerDocumentOutcome,
 	StoredDocumentOutcome,
 } from '../coordination/document-state.js';
 import {stepDocument} from '../coordination/step-document.js';
-import {documentTickMs} from '../protocol/constants.js';
+import {documentTickMs, documentTransferMs} from '../protocol/constants.js';
 import type {MembersView} from '../protocol/member.js';
-import {
-	documentAnswerSchema,
-	type DocumentAnswer,
-	type DocumentPoll,
-	type RoutingDocument,
+import type {
+	DocumentAnswer,
+	DocumentPoll,
+	EncodedDocumentAnswer,
+	RoutingDocument,
 } from '../protocol/routing-document.js';
+import {decodeDocumentAnswer} from '../state/decode-document-answer.js';
+import {encodeDocumentAnswer} from '../state/encode-document-answer.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PeerCall} from './create-peer-router.js';
 
+/** Limits of a call whose answer may be long. */
+export type StoreCallLimits = {
+	/** Longest time until the answer begins, ms. */
+	readonly timeoutMs: number;
+	/** Longest time from then until its end, ms. */
+	readonly transferMs: number;
+	/** Called when the answer begins. */
+	readonly onBegun: () => void;
+};
+
 /** Reads the document that operators write to the platform. */
 export type DocumentStore = {
-	readDocument(timeoutMs: number): Promise<StoredDocumentOutcome>;
+	readDocument(limits: StoreCallLimits): Promise<StoredDocumentOutcome>;
+	/** Reads the newest revision, without the document. */
+	readRevision(limits: StoreCallLimits): Promise<StoredDocumentOutcome>;
 	/** Waits for a change after a revision. */
 	watchDocument(
 		revision: number,
 		waitMs: number,
-		timeoutMs: number,
+		limits: StoreCallLimits,
 	): Promise<StoredDocumentOutcome>;
 };
 
+/** Answer of a node that has stopped; its age sends the asking node on. */
+const leavingAnswer = {
+	kind: 'unchanged',
+	ageMs: Number.MAX_SAFE_INTEGER,
+} as const;
+
 /** Options of `startDocumentTask`. */
 export type DocumentTaskOptions = {
 	readonly name: string;
@@ -43,7 +64,10 @@
 /** The task that keeps a node's routing document current and serves others. */
 export type DocumentTask = {
 	tellView(view: MembersView): void;
-	handlePoll(poll: DocumentPoll, call?: PeerCall): Promise<DocumentAnswer>;
+	handlePoll(
+		poll: DocumentPoll,
+		call?: PeerCall,
+	): Promise<EncodedDocumentAnswer>;
 	/** Reads the document that the node runs. */
 	readDocument(): RoutingDocument | undefined;
 	stop(): void;
@@ -80,17 +104,18 @@
 	/** Logs what an answer to another node cost, if it holds a document. */
 	function reportSent(
 		{name: receiver, version: before}: DocumentPoll,
-		{document}: DocumentAnswer,
+		{kind}: EncodedDocumentAnswer,
 		call: PeerCall | undefined,
 	): void {
-		if (!document) {
+		if (kind === 'unchanged') {
 			return;
 		}
 
-		const {version} = document;
+		const version = state.document?.version;
 		call?.onWritten(({bytes, durationMs, isWhole}) => {
 			logger.info('configuration sent', {
 				receiver,
+				kind,
 				version,
 				before,
 				bytes,
@@ -100,11 +125,41 @@
 		});
 	}
 
-	function tellStored(callId: number, outcome: StoredDocumentOutcome): void {
+	async function runStoreCall(
+		effect: DocumentEffect & {readonly kind: 'read' | 'watch' | 'check'},
+	): Promise<void> {
+		const {callId, timeoutMs} = effect;
+		const limits: StoreCallLimits = {
+			timeoutMs,
+			transferMs: documentTransferMs,
+			onBegun() {
+				tell({kind: 'begun', callId});
+			},
+		};
+		const outcome = await callStore(effect, limits);
 		const arrivedAt = outcome.kind === 'read' ? outcome.arrivedAt : undefined;
 		tell({kind: 'stored', callId, outcome}, arrivedAt);
 	}
 
+	async function callStore(
+		effect: DocumentEffect & {readonly kind: 'read' | 'watch' | 'check'},
+		limits: StoreCallLimits,
+	): Promise<StoredDocumentOutcome> {
+		switch (effect.kind) {
+			case 'read': {
+				return store.readDocument(limits);
+			}
+
+			case 'check': {
+				return store.readRevision(limits);
+			}
+
+			case 'watch': {
+				return store.watchDocument(effect.revision, effect.waitMs, limits);
+			}
+		}
+	}
+
 	async function pollPeer(
 		effect: DocumentEffect & {readonly kind: 'poll'},
 	): Promise<void> {
@@ -112,13 +167,16 @@
 		try {
 			const body = await peers
 				.getClient(address, {isFresh})
-				.document.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)});
+				// What comes after the call has been given up is still of use.
+				.document.mutate(poll, {
+					signal: AbortSignal.timeout(timeoutMs + documentTransferMs),
+				});
 			const arrivedAt = now();
-			const answer = documentAnswerSchema.parse(body);
-			tell(
-				{kind: 'polled', callId, outcome: {kind: 'answered', answer}},
-				arrivedAt,
+			const outcome = decodeDocumentAnswer(body).match(
+				(answer): PeerDocumentOutcome => ({kind: 'answered', answer}),
+				(reason): PeerDocumentOutcome => ({kind: 'malformed', reason}),
 			);
+			tell({kind: 'polled', callId, outcome}, arrivedAt);
 		} catch (error) {
 			logger.debug('poll for configuration failed', {
 				address,
@@ -130,21 +188,10 @@
 
 	function carryOut(effect: DocumentEffect, arrivedAt: number): void {
 		switch (effect.kind) {
-			case 'read': {
-				const {callId} = effect;
-				void store.readDocument(effect.timeoutMs).then((outcome) => {
-					tellStored(callId, outcome);
-				});
-				break;
-			}
-
+			case 'read':
+			case 'check':
 			case 'watch': {
-				const {callId, revision, waitMs, timeoutMs} = effect;
-				void store
-					.watchDocument(revision, waitMs, timeoutMs)
-					.then((outcome) => {
-						tellStored(callId, outcome);
-					});
+				void runStoreCall(effect);
 				break;
 			}
 
@@ -187,7 +234,7 @@
 		},
 		async handlePoll(poll, call) {
 			if (isStopped) {
-				return {ageMs: Number.MAX_SAFE_INTEGER};
+				return leavingAnswer;
 			}
 
 			lastPollId++;
@@ -196,15 +243,16 @@
 				resolvers.set(pollId, resolve);
 				tell({kind: 'poll', pollId, poll});
 			});
-			reportSent(poll, answer, call);
-			return answer;
+			const encoded = encodeDocumentAnswer(answer);
+			reportSent(poll, encoded, call);
+			return encoded;
 		},
 		readDocument: () => state.document,
 		stop() {
 			isStopped = true;
 			clearInterval(timer);
 			for (const resolve of resolvers.values()) {
-				resolve({ageMs: Number.MAX_SAFE_INTEGER});
+				resolve(leavingAnswer);
 			}
 
 			resolvers.clear();
