Turn to the store for a configuration only after two peers have failed

A node read the store itself when no peer had answered for a second, but a poll that waits for a change is answered after 0.8 s: on a busy node, or a thin link, the answer came later, and the node began a watch beside its poll. Its revision of the store was that of its start, so that the watch sent every change since, each of them whole.

Two peers now have to fail in a row, or the only one. The peer that is asked in place of a silent one answers at once, so that the store is asked after 1.6 s at the latest. A node whose document came from a peer asks for the store's revision first and reads the newest copy, instead of watching from an old revision.

Both new tests failed before.

--- a/src/coordination/create-document-state.ts
+++ b/src/coordination/create-document-state.ts
@@ -21,7 +21,6 @@
 		changes: new Map(),
 		needsWhole: false,
 		confirmedAt: Number.NEGATIVE_INFINITY,
-		peerAnsweredAt: Number.NEGATIVE_INFINITY,
 		revision: undefined,
 		hasBacklog: false,
 		storeLoop: idleLoop,
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -54,8 +54,6 @@
 	readonly needsWhole: boolean;
 	/** When the document was last known to be the newest. */
 	readonly confirmedAt: number;
-	/** When a peer last gave an answer that was not stale. */
-	readonly peerAnsweredAt: number;
 	/** Revision of the store from which to watch; undefined before a read. */
 	readonly revision: number | undefined;
 	/** Whether changes may have gathered since, which a watch would all send. */
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -334,3 +334,48 @@
 	machine.tell({kind: 'tick'}, timeoutMs + 500);
 	assert.equal(machine.read().storeLoop.call?.id, callId);
 });
+
+test('a child whose parent is slow for once leaves the store alone', () => {
+	const machine = createChild();
+	const {timeoutMs} = machine.find('poll')!;
+	machine.tell({kind: 'tick'}, timeoutMs + 1);
+	assert.equal(machine.find('poll')?.poll.waitMs, 0);
+	assert.equal(machine.read().storeLoop.call, undefined);
+});
+
+test('a child that turns to the store after a long time reads one copy of the newest', () => {
+	const {name, peers} = createChild().read();
+	const machine = createMachine(name);
+	machine.tell({kind: 'tick'}, 0);
+	const members = [name, ...peers.map((peer) => peer.name)].map((each) =>
+		createMember(each),
+	);
+	machine.tell({kind: 'view', members}, 5);
+	const document = createDocument(1);
+	machine.tell(
+		{
+			kind: 'stored',
+			callId: machine.read().storeLoop.call!.id,
+			outcome: {kind: 'read', document, revision: 4},
+		},
+		10,
+	);
+	const changes = {from: 1, to: 2, removed: [], put: [], services: {}};
+	machine.tell(
+		{
+			kind: 'polled',
+			callId: machine.read().peerLoop.call!.id,
+			outcome: {kind: 'answered', answer: {kind: 'changes', ageMs: 0, changes}},
+		},
+		20,
+	);
+	assert.equal(machine.read().document?.version, 2);
+	const calls = new Set(['check', 'read', 'watch']);
+	const called: string[] = [];
+	for (let now = 100; now < 3000; now += 100) {
+		const kinds = machine.tell({kind: 'tick'}, now).map(({kind}) => kind);
+		called.push(...kinds.filter((kind) => calls.has(kind)));
+	}
+
+	assert.equal(called[0], 'check');
+});
--- a/src/coordination/step-document.ts
+++ b/src/coordination/step-document.ts
@@ -2,7 +2,7 @@
 import {
 	documentBacklogMs,
 	documentGraceMs,
-	documentPatienceMs,
+	documentPeerFailures,
 	documentPollMs,
 	documentRetryCapMs,
 	documentRetryMs,
@@ -246,9 +246,10 @@
 		state: {
 			...step.state,
 			needsWhole: false,
+			// The revision of the store lies behind what a peer has brought.
+			hasBacklog: state.hasBacklog || step.state.document !== state.document,
 			peerLoop: endCall(state.peerLoop, isStale, now),
 			peerIndex: state.peerIndex + (isStale ? 1 : 0),
-			peerAnsweredAt: isStale ? state.peerAnsweredAt : now,
 			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
 		},
 	};
@@ -448,11 +449,10 @@
 }
 
 function planStoreCall(state: DocumentState, now: number): DocumentStep {
-	const {storeLoop} = state;
+	const {storeLoop, peers} = state;
 	const isNeeded =
 		state.isRoot ||
-		state.peers.length === 0 ||
-		now - state.peerAnsweredAt > documentPatienceMs;
+		state.peerLoop.failures >= Math.min(documentPeerFailures, peers.length);
 	if (!isNeeded || storeLoop.call !== undefined || storeLoop.nextAt > now) {
 		return stay(state);
 	}
@@ -476,7 +476,9 @@
 
 	const callId = state.lastCallId + 1;
 	const version = state.needsWhole ? -1 : (state.document?.version ?? -1);
-	const timeoutMs = documentPollMs + documentGraceMs;
+	// A peer that is asked in place of a silent one tells at once what it has.
+	const waitMs = peerLoop.failures > 0 ? 0 : documentPollMs;
+	const timeoutMs = waitMs + documentGraceMs;
 	const call = {id: callId, endsAt: now + timeoutMs, hasBegun: false};
 	return {
 		state: {...state, lastCallId: callId, peerLoop: {...peerLoop, call}},
@@ -485,7 +487,7 @@
 				kind: 'poll',
 				callId,
 				address: peer.address,
-				poll: {name, version, waitMs: documentPollMs},
+				poll: {name, version, waitMs},
 				timeoutMs,
 				isFresh: peerLoop.failures > 0,
 			},
@@ -498,8 +500,8 @@
  *
  * Two roots in each data centre watch the store; the other nodes wait at a
  * parent for what is newer. Roots also wait at another root, so that a watch
- * that has fallen silent delays a change by one hop only. A node that no peer
- * answers reads the store itself. A document is run when its version is above
+ * that has fallen silent delays a change by one hop only. A node whose peers
+ * fail one after the other reads the store itself. A document is run when its version is above
  * that of the running one, so that an old copy never takes a node back.
  *
  * @param state - the state before; left as it is
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -53,8 +53,8 @@
 export const documentGraceMs = 400;
 /** Age above which a node's copy of a document does not count as confirmed; a watch, a poll and their grace. */
 export const documentStaleMs = 5000;
-/** Time without an answer of a peer after which a node reads the store itself. */
-export const documentPatienceMs = 1000;
+/** Peers that have to fail in a row before a node reads the store itself; one may have stopped. */
+export const documentPeerFailures = 2;
 /** First and longest delay after a failed call for a document. */
 export const documentRetryMs = 100;
 export const documentRetryCapMs = 1000;
