Bound the requests of a stopping node by its end

Seen by callers: a request that a stopping node took shortly before its end and whose server took longer lost its connection when the process ended (LOST), since only its own deadline bounded it.

The caller task now knows when the node ends and bounds each further request by it. The bound goes on with the attempt: a gate refuses what can't end in time, and a server answers at its deadline by itself. The time that leaving the members took was not taken off the drain either; it is now.

--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -95,8 +95,13 @@
 	readIdleMs(): number;
 	/** Refuses every further request. */
 	refuseAll(): void;
-	/** Lets callers know that connections are to be closed. */
-	drain(): void;
+	/**
+	 * Lets callers know that connections are to be closed, and bounds the
+	 * requests that still come by the time at which the node ends.
+	 *
+	 * @param endsAt - monotonic ms; without it only their own deadlines hold
+	 */
+	drain(endsAt?: number): void;
 	stop(): Promise<void>;
 };
 
@@ -180,6 +185,7 @@
 	let table: RouteTable | undefined;
 	let inFlight = 0;
 	let isRefusing = false;
+	let endsAt = Number.POSITIVE_INFINITY;
 	let lastActiveAt = now();
 
 	function refuse(
@@ -289,7 +295,10 @@
 			await selection.refreshStamp();
 		}
 
-		const deadlineMs = computeDeadlineMs(terms, route);
+		const deadlineMs = Math.min(
+			computeDeadlineMs(terms, route),
+			Math.max(0, endsAt - answerMarginMs - routed.startedAt),
+		);
 		lastId++;
 		return runRequest({
 			terms: {
@@ -468,7 +477,10 @@
 		},
 		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
-		drain: server.drain,
+		drain(at = Number.POSITIVE_INFINITY) {
+			endsAt = at;
+			server.drain();
+		},
 		stop: server.stop,
 	};
 }
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -257,18 +257,18 @@
 		async stop() {
 			const startedAt = performance.now();
 			logger.info('node stopping', {graceMs: settings.graceMs});
+			const elapsedMs = (): number => performance.now() - startedAt;
+			const lastMs = settings.graceMs - exitMarginMs;
 			readiness.drain();
-			caller.drain();
+			caller.drain(startedAt + lastMs);
 			peerServer.drain();
 			await members.leave();
-			const elapsedMs = (): number => performance.now() - startedAt;
-			const lastMs = settings.graceMs - exitMarginMs;
 			const drained = gate.drain();
 			await waitUntilQuiet({
 				readIdleMs: caller.readIdleMs,
 				quietMs,
 				minMs: minDrainMs,
-				maxMs: lastMs - lastRequestsMs,
+				maxMs: lastMs - lastRequestsMs - elapsedMs(),
 			});
 			// Requests that come now could be cut by the end of the grace period.
 			caller.refuseAll();
