Drop a waiting attempt when the connection of its sender ends

Seen by callers: requests that may not be repeated could reach a server long after their clients had left (GONE), while the servers' slots were taken.

Cause: when a client leaves, its node closes the connection of the attempt and tells the gate over a new one to cancel it. For attempts that may not be repeated the gate disregarded the closed connection, since one that runs must go on, and waited for the second message: a connection more to accept and to read on a node that may run late, and one that is given up after 500 ms. Until then the attempt kept its place in the queue and was sent.

An attempt that still waits has not run: the gate now drops it as soon as its connection ends. A sender that is still there asks about it, as before, and learns that it never will run.

The new test failed before (the attempt still waited after 5 s).

--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -80,6 +80,8 @@
 	 * not arrived.
 	 */
 	cancel(question: AttemptQuestion): void;
+	/** Ends an attempt that still waits, and lets one that runs go on. */
+	cancelWaiting(id: string): void;
 	readStamp(): GateStamp;
 	/** Whether no attempt waits or runs. */
 	isIdle(): boolean;
@@ -359,6 +361,12 @@
 				ledger.ask(question, now());
 			}
 		},
+		cancelWaiting(id) {
+			const job = runner.findJob(id);
+			if (job?.phase === 'queued') {
+				runner.endEarly(job, 'cancelled');
+			}
+		},
 		readStamp: () => ledger.readStamp(now()),
 		isIdle: runner.isIdle,
 		async drain() {
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
 import {text as readText} from 'node:stream/consumers';
 import test, {type TestContext} from 'node:test';
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
+import {pollUntil} from '../../harness/poll-until.js';
+import {createCancelSource} from './_lib/create-cancel-source.js';
 import {startServer} from './_lib/start-server.js';
 import {createForwarder} from './create-forwarder.js';
 import {startGateTask} from './start-gate-task.js';
@@ -15,13 +18,29 @@
 	throw new Error('the test makes no such call');
 };
 
-/** Starts a gate with one upstream behind a peer server that runs late. */
-async function startLateGate(t: TestContext, readLag: () => number) {
+type GateOptions = {
+	readonly readLag?: () => number;
+	/** Answers a request at the upstream. */
+	readonly answer?: (response: ServerResponse) => void;
+};
+
+const limitMs = 5000;
+
+function endAnswer(response: ServerResponse): void {
+	response.end('done');
+}
+
+/** Starts a gate with an upstream of one slot, behind a peer server. */
+async function startGate(
+	t: TestContext,
+	{readLag = () => 0, answer = endAnswer}: GateOptions,
+) {
+	const arrived: string[] = [];
 	const bodies: string[] = [];
 	const upstream = await startServer('127.0.0.1:0', (request, response) => {
 		void readText(request).then((body) => {
 			bodies.push(body);
-			response.end('done');
+			answer(response);
 		});
 	});
 	const gate = startGateTask({logger});
@@ -35,7 +54,13 @@
 	});
 	const server = await startPeerServer({
 		address: '127.0.0.1:0',
-		gate,
+		gate: {
+			...gate,
+			async runAttempt(attempt) {
+				arrived.push(attempt.id);
+				return gate.runAttempt(attempt);
+			},
+		},
 		logger,
 		readLag,
 		handlers: {
@@ -51,12 +76,14 @@
 		await Promise.all([forwarder.stop(), gate.stop(), server.stop()]);
 		await upstream.stop();
 	});
-	return {bodies, gate, server, forwarder};
+	return {arrived, bodies, gate, server, forwarder};
 }
 
 test('a late node does not send on what may have waited past its deadline', async (t) => {
 	let lagMs = 0;
-	const {bodies, gate, server, forwarder} = await startLateGate(t, () => lagMs);
+	const {bodies, gate, server, forwarder} = await startGate(t, {
+		readLag: () => lagMs,
+	});
 	const attempt = createSampleAttempt({
 		remainingMs: 5000,
 		stamp: gate.readStamp(),
@@ -73,7 +100,9 @@
 });
 
 test('a late node does not take the end of a body for the end of its sender', async (t) => {
-	const {bodies, gate, server, forwarder} = await startLateGate(t, () => 60);
+	const {bodies, gate, server, forwarder} = await startGate(t, {
+		readLag: () => 60,
+	});
 	const attempt = createSampleAttempt({
 		method: 'POST',
 		headers: {'content-length': '5'},
@@ -115,3 +144,37 @@
 	assert.ok(await forwarder.readStamp(server.address));
 	assert.equal(created, 0);
 });
+
+test('a waiting attempt whose sender has left does not run later', async (t) => {
+	const held: ServerResponse[] = [];
+	const {arrived, bodies, gate, server, forwarder} = await startGate(t, {
+		answer(response) {
+			held.push(response);
+		},
+	});
+	const first = createSampleAttempt({
+		method: 'POST',
+		headers: {'content-length': '5'},
+		body: Buffer.from('first'),
+		repeatable: false,
+		remainingMs: limitMs,
+		stamp: gate.readStamp(),
+	});
+	const running = forwarder.forwardAttempt(server.address, first);
+	await pollUntil(async () => held.length === 1, limitMs);
+	const sender = createCancelSource();
+	const second = {...first, id: 'a/2', signal: sender.signal};
+	void forwarder.forwardAttempt(server.address, second);
+	await pollUntil(async () => arrived.includes(second.id), limitMs);
+	sender.abort();
+
+	const isEnded = await pollUntil(
+		async () => gate.ask(second) === 'fenced',
+		limitMs,
+	);
+	assert.ok(isEnded);
+	endAnswer(held[0]!);
+	const result = await running;
+	assert.equal(result.kind, 'answered');
+	assert.deepEqual(bodies, ['first']);
+});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -145,10 +145,16 @@
 			signal: cancelling.signal,
 		});
 		response.once('close', () => {
-			// Without its connection an attempt that may not be repeated goes on,
-			// so that its answer can be fetched over another one.
-			if (attempt.repeatable && !response.writableFinished) {
+			if (response.writableFinished) {
+				return;
+			}
+
+			if (attempt.repeatable) {
 				cancelling.abort();
+			} else {
+				// One that runs goes on, so that its answer can be fetched over
+				// another connection.
+				gate.cancelWaiting(attempt.id);
 			}
 		});
 		const lagMs = readLag();
