Run what may be repeated at first contact without a stamp

The stamp only keeps an attempt from running twice, so what may be repeated does not need one. It now runs at once when its node knows no stamp of the gate; one with a stamp of another process or an old one is refused as before, so that late duplicates stay outside.

A lost attempt without a stamp counts as possibly run when it may be repeated, and a gate that is asked about one that is on record says so. During a rolling upgrade an older node may take a lost first attempt of this kind as not run.

Tests: "what may be repeated is not refused at first contact for want of a stamp" (red before), "a repeatable attempt that was sent without a stamp may have run".

--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -155,6 +155,7 @@
 			id: `${id}/${number}`,
 			requestId: id,
 			remainingMs: startedAt + deadlineMs - scheduler.now() - deadlineMarginMs,
+			repeatable,
 			stamp: stamps.get(host.name),
 		};
 		open = {number, host, attempt, isAbandoned: false};
--- a/faults/_lib/requests/world.ts
+++ b/faults/_lib/requests/world.ts
@@ -28,6 +28,7 @@
 	readonly id: string;
 	readonly requestId: string;
 	readonly remainingMs: number;
+	readonly repeatable: boolean;
 	readonly stamp: GateStamp | undefined;
 };
 
--- a/src/coordination/create-ledger.test.ts
+++ b/src/coordination/create-ledger.test.ts
@@ -68,3 +68,17 @@
 	ledger.refuse(attempt, 0);
 	assert.equal(ledger.findKeyHolder('k'), undefined);
 });
+
+test('what may be repeated is not refused at first contact for want of a stamp', () => {
+	const ledger = createLedger<string>({epoch: 'a'});
+	const first = {id: '1', stamp: undefined, repeatable: true};
+	assert.equal(ledger.admit(first, 0), 'run');
+	assert.equal(ledger.ask(first, 1), 'running');
+	assert.equal(
+		ledger.admit({...first, id: '2', repeatable: false}, 2),
+		'stale',
+	);
+
+	const other = createLedger<string>({epoch: 'b'}).readStamp(0);
+	assert.equal(ledger.admit({...first, id: '3', stamp: other}, 3), 'stale');
+});
--- a/src/coordination/create-ledger.ts
+++ b/src/coordination/create-ledger.ts
@@ -16,6 +16,8 @@
 export type LedgerAttempt = {
 	readonly id: string;
 	readonly stamp?: GateStamp | undefined;
+	/** Whether it may run more than once; not when absent. */
+	readonly repeatable?: boolean;
 	/** Idempotency key of the caller, unique within team and service. */
 	readonly key?: string | undefined;
 };
@@ -94,6 +96,14 @@
 		);
 	}
 
+	/**
+	 * Tells whether an attempt comes from a node that had no stamp yet, and needs
+	 * none since it may run more than once.
+	 */
+	function isFirstContact({stamp, repeatable}: LedgerAttempt): boolean {
+		return stamp === undefined && repeatable === true;
+	}
+
 	function dropAnswer(id: string): void {
 		keptBytes -= answers.get(id)?.bytes ?? 0;
 		answers.delete(id);
@@ -153,7 +163,8 @@
 	): LedgerStep['answer'] {
 		const {id, stamp, key} = attempt;
 		const before = entries.get(id);
-		const isStampValid = before !== undefined || isValid(stamp, now);
+		const isStampValid =
+			before !== undefined || isFirstContact(attempt) || isValid(stamp, now);
 		const step = stepLedgerRecord(before?.record, message, isStampValid);
 		if (!step.record || step.record === before?.record) {
 			return step.answer;
@@ -211,9 +222,11 @@
 				keepAnswer(attempt.id, answer);
 			}
 		},
-		// An attempt without a stamp is never admitted, so it needs no record.
+		// Without a stamp and a record it was not admitted, or has been forgotten.
 		ask: (attempt, now) =>
-			attempt.stamp ? tell(attempt, 'ask', now) : 'fenced',
+			attempt.stamp === undefined && !entries.has(attempt.id)
+				? 'fenced'
+				: tell(attempt, 'ask', now),
 		findKeyHolder(key) {
 			const id = holders.get(key);
 			return id !== undefined && !isFenced(id) ? id : undefined;
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -45,7 +45,7 @@
 	readonly mayHaveRun: boolean;
 	/** Whether the current attempt's own connection may still bring its answer. */
 	readonly isOpen: boolean;
-	/** Whether the current attempt may run: it may have left this node with a stamp. */
+	/** Whether the current attempt may run: it may have left this node, with a stamp if it needs one. */
 	readonly isSent: boolean;
 };
 
@@ -65,7 +65,7 @@
 	| {
 			readonly kind: 'sent';
 			readonly attempt: number;
-			/** Whether it has a stamp; a gate runs no attempt without one. */
+			/** Whether it has a stamp; without one a gate runs only what is repeatable. */
 			readonly hasStamp: boolean;
 	  }
 	/** The answer is there, whole or begun. */
@@ -77,7 +77,7 @@
 			readonly kind: 'lost';
 			readonly attempt: number;
 			readonly reason: OutcomeReason;
-			/** Whether it had a stamp; a gate runs no attempt without one. */
+			/** Whether it had a stamp; without one a gate runs only what is repeatable. */
 			readonly hadStamp: boolean;
 	  }
 	/** Nothing has been heard of the attempt for a time. */
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -184,3 +184,18 @@
 	const spent = effects.filter(({kind}) => kind === 'spend-budget');
 	assert.equal(spent.length, 1);
 });
+
+test('a repeatable attempt that was sent without a stamp may have run', () => {
+	const lost: RequestMessage = {
+		kind: 'lost',
+		attempt: 1,
+		reason: 'connection-lost',
+		hadStamp: false,
+	};
+	const sent: RequestMessage = {kind: 'sent', attempt: 1, hasStamp: false};
+	for (const message of [lost, sent]) {
+		const effects = run([{kind: 'start'}, message, {kind: 'deadline'}], true);
+		const end = effects.at(-1);
+		assert.equal(end?.kind === 'finish' && end.outcome, 'unknown');
+	}
+});
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -19,6 +19,11 @@
 } from './request-state.js';
 import type {LedgerStep} from './step-ledger-record.js';
 
+/** Tells whether a gate also runs an attempt that has no stamp. */
+function needsNoStamp({terms}: RequestContext): boolean {
+	return terms.repeatable;
+}
+
 function stay(state: RequestState): RequestStep {
 	return {state, effects: []};
 }
@@ -268,7 +273,7 @@
 	}
 
 	if (message.kind === 'lost') {
-		return message.hadStamp
+		return needsNoStamp(context) || message.hadStamp
 			? handleLoss(state, message.reason, context)
 			: endAttempt(state, {outcome: 'not-run', reason: 'not-sent'}, context);
 	}
@@ -324,7 +329,8 @@
 		}
 
 		case 'sent': {
-			return stay({...state, isSent: state.isSent || message.hasStamp});
+			const mayRun = needsNoStamp(context) || message.hasStamp;
+			return stay({...state, isSent: state.isSent || mayRun});
 		}
 
 		case 'answered': {
