Start nodes without sample requests of their own

Cause: each node that is idle after its start ran 800 requests of its own through both hops so that V8 had compiled the path. A node of 0.27 of a core with nine requests a second never gets that back; the charged price is the same on every machine, and the time is taken from its start.

--- a/bench/request-cost.ts
+++ b/bench/request-cost.ts
@@ -271,7 +271,7 @@
 		console.log(`node started: ${cpuMs} ms, ${formatMebibytes(rssBytes)}`);
 	}
 
-	// Idle nodes compile their code before the first request.
+	// Nodes are still busy with their start for a time.
 	await wait(Number(values.lead) * msPerSecond);
 	await measure('node', callers, nodes, load);
 	await measure('plain', plainAddresses[0], plain, load);
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -64,8 +64,6 @@
 	dropQueued(upstream: LocalUpstream): void;
 	/** Ends a job whose answer is not wanted any more, wherever it is. */
 	endEarly(job: Job, reason: 'deadline' | 'cancelled'): void;
-	/** Whether there are no jobs. */
-	isIdle(): boolean;
 	/** Waits until there are no jobs. */
 	waitUntilIdle(): Promise<void>;
 };
@@ -278,7 +276,6 @@
 				dropJob(job, 'saturated');
 			}
 		},
-		isIdle: () => jobs.size === 0,
 		async waitUntilIdle() {
 			if (jobs.size > 0) {
 				await new Promise<void>((resolve) => {
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -83,8 +83,6 @@
 	/** Ends an attempt that still waits, and lets one that runs go on. */
 	cancelWaiting(id: string): void;
 	readStamp(): GateStamp;
-	/** Whether no attempt waits or runs. */
-	isIdle(): boolean;
 	/** Refuses new attempts and waits for those in flight. */
 	drain(): Promise<void>;
 	stop(): Promise<void>;
@@ -368,7 +366,6 @@
 			}
 		},
 		readStamp: () => ledger.readStamp(now()),
-		isIdle: runner.isIdle,
 		async drain() {
 			isDraining = true;
 			await runner.waitUntilIdle();
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -15,7 +15,6 @@
 import {startServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
 import {waitUntilQuiet} from './_lib/wait-until-quiet.js';
-import {warmUpWhenIdle} from './_lib/warm-up-when-idle.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
 import {createMeshMetrics} from './create-mesh-metrics.js';
@@ -61,9 +60,6 @@
 /** Least time that a stopping node goes on serving, ms; the platform's readiness checks take two seconds. */
 const minDrainMs = 2500;
 
-/** Time without requests after which a node that has started counts as idle, ms; after a restart they come at once. */
-const idleMs = 250;
-
 /** Time without requests after which no client is left, ms. */
 const quietMs = 700;
 
@@ -197,15 +193,6 @@
 		}
 	}
 
-	/** Whether the node takes requests but has had none for a time. */
-	function isIdle(): boolean {
-		return (
-			readiness.read() === 'ready' &&
-			gate.isIdle() &&
-			caller.readIdleMs() >= idleMs
-		);
-	}
-
 	const announcements = await startServer(
 		first.announcements,
 		platform.createAnnouncementListener({
@@ -242,7 +229,6 @@
 			);
 		},
 	);
-	void warmUpWhenIdle({edge, logger, isIdle, pollMs: idleMs});
 	logger.info('node started', {
 		callers: first.callers,
 		peers: first.peers,
