Read on a long body whose request has been answered early

Seen by callers: after a refusal (or any early answer) to a request with a body over 64 KiB, the next request on the same connection was never read and ended without an answer after 60 s; the same between nodes, where the connection stayed taken.

Cause: Node reads the rest of a request's body by itself only when nobody has begun to read it. Such a body is handed on as a stream, which stood still, with the connection behind it, when the attempt was over.

The owner of the stream now reads it to its end: the caller's node and the gate when the attempt has no answer, and the sender when the other end has answered and closed before it took the whole body. An answered request whose other end still reads is passed on as before.

--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -9,6 +9,7 @@
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
+import {discardBody} from './discard-body.js';
 
 /** What became of a request on one connection. */
 export type SendOutcome =
@@ -164,6 +165,11 @@
 			request.destroy(error);
 		});
 		body.pipe(request);
+		request.once('close', () => {
+			if (this.#answer) {
+				discardBody(body);
+			}
+		});
 	}
 
 	#handleAnswer(answer: IncomingMessage): void {
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -47,6 +47,7 @@
 import {runRequest, type RequestEnd} from './_lib/run-request.js';
 import {sendAnswer} from './_lib/send-answer.js';
 import {sendOutcome} from './_lib/send-outcome.js';
+import {discardBody} from './_lib/discard-body.js';
 import {hasSenderLeft} from './_lib/has-sender-left.js';
 import {startServer} from './_lib/start-server.js';
 import type {Forwarder} from './create-forwarder.js';
@@ -300,7 +301,7 @@
 			Math.max(0, endsAt - answerMarginMs - routed.startedAt),
 		);
 		lastId++;
-		return runRequest({
+		const end = await runRequest({
 			terms: {
 				repeatable,
 				isNested: depth > 0,
@@ -341,6 +342,11 @@
 			now,
 			random,
 		});
+		if (isStreamed && end.outcome !== 'answered') {
+			discardBody(body);
+		}
+
+		return end;
 	}
 
 	async function answerRouted(routed: RoutedRequest): Promise<void> {
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {Readable} from 'node:stream';
 import polka from 'polka';
 import {computeRemainingTerms} from '../coordination/compute-remaining-terms.js';
 import type {AttemptResult} from '../protocol/attempt.js';
@@ -16,6 +17,7 @@
 import {abortResponse, type AbortCause} from './_lib/abort-response.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
+import {discardBody} from './_lib/discard-body.js';
 import {formatLoad} from './_lib/format-load.js';
 import {formatStamp} from './_lib/format-stamp.js';
 import {readAttempt} from './_lib/read-attempt.js';
@@ -175,6 +177,10 @@
 			...computeRemainingTerms(attempt, waitedMs),
 		});
 		clearInterval(signs);
+		if (body.body instanceof Readable && result.kind !== 'answered') {
+			discardBody(body.body);
+		}
+
 		await sendResult(response, result);
 	}
 
