Go on stopping when a node is told to stop again

Seen by callers: a second SIGTERM or SIGINT cut all requests that a stopping node still had (LOST).

Cause: the listeners were removed by the first signal, and without one a signal ends the process at once. They stay now, in one function for both kinds of node.

--- a/src/cli/run-node.ts
+++ b/src/cli/run-node.ts
@@ -3,6 +3,7 @@
 import {settingsFileVariable} from '../../platform/wire-names.js';
 import {createLogger} from '../transport/create-logger.js';
 import {readFileOperand} from './_lib/read-file-operand.js';
+import {waitForStop} from './_lib/wait-for-stop.js';
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import {parseSettings} from './parse-settings.js';
@@ -29,16 +30,6 @@
 	],
 };
 
-async function waitForSignal(): Promise<void> {
-	await new Promise<void>((resolve) => {
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.once(signal, () => {
-				resolve();
-			});
-		}
-	});
-}
-
 /**
  * Runs a node until it is told to stop by SIGTERM or SIGINT.
  *
@@ -85,7 +76,7 @@
 		);
 		const {callers, peers, administration} = running;
 		terminal.print(JSON.stringify({callers, peers, administration}));
-		await waitForSignal();
+		await waitForStop();
 		await running.stop();
 		return exitCodes.ok;
 	} catch (error) {
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -10,6 +10,7 @@
 	type RunningMeshNode,
 } from '../transport/start-mesh-node.js';
 import {readFileOperand} from './_lib/read-file-operand.js';
+import {waitForStop} from './_lib/wait-for-stop.js';
 import type {Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
@@ -19,16 +20,6 @@
 /** Time for what is left of a stopped node, ms. */
 const leftoverMs = 100;
 
-async function waitForStop(): Promise<void> {
-	await new Promise<void>((resolve) => {
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.once(signal, () => {
-				resolve();
-			});
-		}
-	});
-}
-
 async function readChangeTime(file: string): Promise<number> {
 	try {
 		const {mtimeMs} = await stat(file);
