Refuse what may outlast a stopping node

Cause: since requests are bounded by the end of a stopping node, one that it takes 0.9 s before that and whose upstream takes 0.7 s is broken off if the machine is late; before, the process could have ended under it. Taking it was wrong in the first place: 0.9 s was a guess of how long requests take.

A stopping node now takes a request after the readiness checks have had their time only if its deadline comes before the node's end; others get a 503 that is true.

--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -4,6 +4,7 @@
 import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
+import {decideDrainAdmission} from '../coordination/decide-drain-admission.js';
 import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
 import {pickTarget} from '../coordination/pick-target.js';
 import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
@@ -85,6 +86,14 @@
 	/** A whole document, accepted by the platform. */
 	| {readonly kind: 'document'; readonly document: RoutingDocument};
 
+/** Times in the stop of a node, monotonic ms. */
+export type DrainBounds = {
+	/** Until when every request is taken. */
+	readonly servesUntil: number;
+	/** When the node ends. */
+	readonly endsAt: number;
+};
+
 /** The task that takes callers' requests. */
 export type CallerTask = {
 	readonly address: string;
@@ -98,11 +107,11 @@
 	refuseAll(): void;
 	/**
 	 * Lets callers know that connections are to be closed, and bounds the
-	 * requests that still come by the time at which the node ends.
+	 * requests that still come by the end of the node.
 	 *
-	 * @param endsAt - monotonic ms; without it only their own deadlines hold
+	 * @param bounds - when absent, only their own deadlines hold
 	 */
-	drain(endsAt?: number): void;
+	drain(bounds?: DrainBounds): void;
 	stop(): Promise<void>;
 };
 
@@ -120,6 +129,11 @@
 	readonly traceparent: string | undefined;
 };
 
+const neverEnding: DrainBounds = {
+	servesUntil: Number.POSITIVE_INFINITY,
+	endsAt: Number.POSITIVE_INFINITY,
+};
+
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
 /** Computes the time for an answer that still reaches the client in time. */
@@ -186,7 +200,7 @@
 	let table: RouteTable | undefined;
 	let inFlight = 0;
 	let isRefusing = false;
-	let endsAt = Number.POSITIVE_INFINITY;
+	let drainBounds: DrainBounds = neverEnding;
 	let lastActiveAt = now();
 
 	function refuse(
@@ -298,7 +312,7 @@
 
 		const deadlineMs = Math.min(
 			computeDeadlineMs(terms, route),
-			Math.max(0, endsAt - answerMarginMs - routed.startedAt),
+			Math.max(0, drainBounds.endsAt - answerMarginMs - routed.startedAt),
 		);
 		lastId++;
 		const end = await runRequest({
@@ -423,6 +437,11 @@
 		}
 
 		const route = chooseService(found);
+		const deadlineMs = computeDeadlineMs(terms, route);
+		if (!decideDrainAdmission({now: startedAt, deadlineMs, ...drainBounds})) {
+			refuse(response, 'leaving', busyRetryMs);
+			return;
+		}
 
 		const {priority = 0} = route;
 		if (!decideLoopAdmission({lagMs: readLag(), priority})) {
@@ -483,8 +502,8 @@
 		},
 		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
-		drain(at = Number.POSITIVE_INFINITY) {
-			endsAt = at;
+		drain(bounds = neverEnding) {
+			drainBounds = bounds;
 			server.drain();
 		},
 		stop: server.stop,
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -246,7 +246,10 @@
 			const elapsedMs = (): number => performance.now() - startedAt;
 			const lastMs = settings.graceMs - exitMarginMs;
 			readiness.drain();
-			caller.drain(startedAt + lastMs);
+			caller.drain({
+				servesUntil: startedAt + minDrainMs,
+				endsAt: startedAt + lastMs,
+			});
 			peerServer.drain();
 			await members.leave();
 			const drained = gate.drain();
