Send a long body to one host only

Seen by callers: a request with a body over 64 KiB whose host refused it (a server that leaves is enough) was sent to another host with what was left of its body. With a length it hung until its deadline and ended as 504, without one a server could run it with a part of its body.

Cause: refusals are rerouted without regard to the attempt's body, but a stream can be read once; bounding the attempts to one bounds only those that count as tries, not reroutes.

An attempt after the stream has been read is now none: the request ends as not run, or unknown if an earlier attempt may have run.

--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -158,6 +158,13 @@
 		}
 
 		function startAttempt(number: number, sameHost: boolean): void {
+			const {body} = template;
+			if (body instanceof Readable && body.readableDidRead) {
+				// An earlier attempt has taken a part of it.
+				tell({kind: 'no-host', reason: 'not-sent'});
+				return;
+			}
+
 			const gate = sameHost && open ? open.gate : options.pickGate();
 			if (typeof gate === 'string') {
 				tell({kind: 'no-host', reason: gate});
