Read the sockets before a late timer ends a request

In a node whose event loop runs late, timers fire before what has come in meanwhile is read: a connection that stands was given up after `connectTimeoutMs` and its host left out, an answer that lay in the socket was ended at the deadline as unknown, and a gate broke off a server that had answered. Each is a 504, or a further try, for a request that was served. The three timers and that for silence now let the sockets be read once after they are due.

Test, red before: "a node that runs late does not give up a connection that stands". Seen once in four runs of the transport tests beside other load: "a second answer on an idle connection is not taken for the next one" got '200 no'. The same test with the landed sendRequest fails each time (three of three) when its loop is held for 150 ms between its two requests, so that its 20 ms and 60 ms timers come due together; not touched here.

--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -19,6 +19,7 @@
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
 import type {GatePort} from './gate-port.js';
 import type {Answer} from './send-answer.js';
+import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
 
 /** What of an attempt is the same for all attempts of a request. */
 export type AttemptTemplate = Omit<
@@ -94,7 +95,7 @@
 	let state = initialRequestState;
 	let open: OpenAttempt | undefined;
 	let answer: Answer | undefined;
-	let silenceTimer: NodeJS.Timeout | undefined;
+	let silenceTimer: PolledTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
 	return new Promise((resolve) => {
@@ -199,14 +200,13 @@
 						},
 			};
 			open = {gate, attempt, controller};
-			clearTimeout(silenceTimer);
+			silenceTimer?.stop();
 			if (gate.isLocal) {
 				tell({kind: 'sent', attempt: number, hasStamp});
 			} else {
-				silenceTimer = setTimeout(tell, askAfterMs, {
-					kind: 'silent',
-					attempt: number,
-				});
+				silenceTimer = startPolledTimer(() => {
+					tell({kind: 'silent', attempt: number});
+				}, askAfterMs);
 			}
 
 			void runAttempt(number, open, startedAt);
@@ -289,9 +289,9 @@
 		}
 
 		function finish(effect: RequestEffect & {kind: 'finish'}): void {
-			clearTimeout(silenceTimer);
+			silenceTimer?.stop();
 			clearTimeout(waitTimer);
-			clearTimeout(deadlineTimer);
+			deadlineTimer.stop();
 			signal.removeEventListener('abort', cancel);
 			const {attempts} = state;
 			if (effect.outcome === 'answered') {
@@ -325,10 +325,11 @@
 			tell({kind: 'cancelled'});
 		}
 
-		const deadlineTimer = setTimeout(
-			tell,
+		const deadlineTimer = startPolledTimer(
+			() => {
+				tell({kind: 'deadline'});
+			},
 			Math.max(0, terms.deadlineAt - now()),
-			{kind: 'deadline'},
 		);
 		signal.addEventListener('abort', cancel);
 		tell({kind: 'start'});
--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type Socket} from 'node:net';
+import process from 'node:process';
 import {Readable} from 'node:stream';
 import test, {type TestContext} from 'node:test';
+import {connectTimeoutMs} from '../../protocol/constants.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
@@ -184,3 +186,13 @@
 	await sent.outcome;
 	assert.equal(sends, 1);
 });
+
+test('a node that runs late does not give up a connection that stands', async (t) => {
+	const {send} = await start(t, (socket) => socket.write(whole));
+	const sent = send();
+	process.nextTick(() => {
+		const until = performance.now() + 2 * connectTimeoutMs;
+		while (performance.now() < until);
+	});
+	assert.equal(await describeOutcome(await sent.outcome), '200 ok');
+});
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -10,6 +10,7 @@
 import {Readable} from 'node:stream';
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 import {discardBody} from './discard-body.js';
+import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
 
 /** What became of a request on one connection. */
 export type SendOutcome =
@@ -75,7 +76,7 @@
 	readonly outcome: Promise<SendOutcome>;
 	readonly #request: ClientRequest;
 	#resolve!: (outcome: SendOutcome) => void;
-	#connectTimer: NodeJS.Timeout | undefined;
+	#connectTimer: PolledTimer | undefined;
 	#isSent = false;
 	#isAborted = false;
 	#hasFailed = false;
@@ -137,11 +138,11 @@
 			return;
 		}
 
-		this.#connectTimer = setTimeout(() => {
+		this.#connectTimer = startPolledTimer(() => {
 			this.#request.destroy(new Error('no connection in time'));
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
-			clearTimeout(this.#connectTimer);
+			this.#connectTimer?.stop();
 			// Node writes the head of the request on the connection's first turn.
 			if (!this.#isAborted) {
 				this.#noteSent();
@@ -284,7 +285,7 @@
 	}
 
 	#fail(error: Error): void {
-		clearTimeout(this.#connectTimer);
+		this.#connectTimer?.stop();
 		if (this.#isStreamed) {
 			if (!this.#answer!.complete || this.#hasFailed) {
 				this.#hasFailed = true;
@@ -305,7 +306,7 @@
 	}
 
 	#settle(outcome: SendOutcome): void {
-		clearTimeout(this.#connectTimer);
+		this.#connectTimer?.stop();
 		if (!this.#isOver) {
 			this.#isOver = !this.#isStreamed;
 			this.#resolve(outcome);
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -39,6 +39,7 @@
 } from './_lib/local-upstream.js';
 import {raceResult} from './_lib/race-result.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
+import {startPolledTimer} from './_lib/start-polled-timer.js';
 import type {Logger} from './create-logger.js';
 import {ownEdge} from './own-edge.js';
 
@@ -247,12 +248,9 @@
 		}
 
 		const job = admitted;
-		const timer = setTimeout(
-			runner.endEarly,
-			attempt.remainingMs,
-			job,
-			'deadline',
-		);
+		const timer = startPolledTimer(() => {
+			runner.endEarly(job, 'deadline');
+		}, attempt.remainingMs);
 		const waitTimer = setTimeout(
 			runner.giveUp,
 			job.giveUpAt - job.admittedAt,
@@ -270,7 +268,7 @@
 		const result = await job.result;
 		clearTimeout(waitTimer);
 		if (job.phase === 'over') {
-			clearTimeout(timer);
+			timer.stop();
 		}
 
 		reportGateEvent(observer, job, result, now());
