Compute the times of unknown hosts only when one is compared

Each pick computed the mean times of all hosts of a service, twice, with three arrays, also when every compared host was known. The mean is now computed in one pass and only for a host of unknown times. The choice is the same (tests of pickHost).

--- a/src/coordination/_lib/host-offers.ts
+++ b/src/coordination/_lib/host-offers.ts
@@ -58,22 +58,31 @@
 	records: HostRecords,
 	route: string | undefined,
 ): HostTimes | undefined {
-	const known = pool
-		.map(({host}) => readTimes(records.get(host), route))
-		.filter((times) => times !== undefined);
-	const mean = (read: (times: HostTimes) => number): number =>
-		known.reduce((sum, times) => sum + read(times), 0) / known.length;
-	return known.length === 0
+	let known = 0;
+	let ownMs = 0;
+	let serviceMs = 0;
+	for (const {host} of pool) {
+		const times = readTimes(records.get(host), route);
+		if (times) {
+			known++;
+			ownMs += times.ownMs;
+			serviceMs += times.serviceMs;
+		}
+	}
+
+	return known === 0
 		? undefined
-		: {
-				ownMs: mean(({ownMs}) => ownMs),
-				serviceMs: mean(({serviceMs}) => serviceMs),
-			};
+		: {ownMs: ownMs / known, serviceMs: serviceMs / known};
 }
 
 /** Takes a host of unknown times for a little better than the others, so that it is tried. */
-function scaleTimes({ownMs, serviceMs}: HostTimes): HostTimes {
-	return {ownMs: ownMs * unknownPart, serviceMs};
+function computeExpectedTimes(
+	pool: readonly Candidate[],
+	records: HostRecords,
+	route: string | undefined,
+): HostTimes | undefined {
+	const mean = computeMeanTimes(pool, records, route);
+	return mean && {...mean, ownMs: mean.ownMs * unknownPart};
 }
 
 /** Computes the cost of a host for a request whose objective is known. */
@@ -94,24 +103,27 @@
 	random: () => number,
 	{now, route, objectiveMs}: OfferOptions,
 ): Offer | undefined {
-	const meanTimes = computeMeanTimes(pool, records, route);
 	const poolShare = computePoolShare(pool, records, now);
 	const count = Math.min(comparedHosts, pool.length);
 	const start = Math.floor(random() * pool.length);
 	const stride = Math.max(1, Math.floor(pool.length / count));
+	let expectedTimes: HostTimes | undefined;
 	let best: Offer | undefined;
 	for (let index = 0; index < count; index++) {
 		const candidate = pool[(start + index * stride) % pool.length]!;
 		const record = records.get(candidate.host);
-		const times =
-			readTimes(record, route) ?? (meanTimes && scaleTimes(meanTimes));
 		const load =
 			computeShare(candidate, record, poolShare, now) + 1 / candidate.slots;
 		const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
 		const cost =
 			objectiveMs === undefined
 				? load / computeWarmth(record, now) / (1 - errorShare)
-				: computeCost(load, times, objectiveMs) +
+				: computeCost(
+						load,
+						readTimes(record, route) ??
+							(expectedTimes ??= computeExpectedTimes(pool, records, route)),
+						objectiveMs,
+					) +
 					coldCost * (1 / computeWarmth(record, now) - 1) +
 					errorShare;
 		if (!best || cost < best.cost) {
