Take an answer with a status below 100 for no answer

Seen by callers: when a server sent such bytes, the caller's connection was closed without an answer after its request had been passed on (LOST).

Cause: Node's parser accepts statuses from 0 on, while writing one below 100 throws; the node could only close the connection. Between nodes the same happened, so that a request that may not be repeated was asked about, and its unwritable answer fetched, until its deadline.

It is treated like other bytes that are no answer now: lost. Other statuses and headers that Node reads it also writes (tried: 600, 999, bytes from 0x80; control characters are refused when read).

The new case failed before ('99 ok' instead of 'lost').

--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -110,6 +110,11 @@
 		(socket) => socket.end(whole.slice(0, -1)),
 		'truncated',
 	],
+	[
+		'an answer with a status that is none',
+		(socket) => socket.write(whole.replace('200', '099')),
+		'lost',
+	],
 	['a connection closed at once', (socket) => socket.destroy(), 'lost'],
 	[
 		'bytes that are no answer',
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -60,6 +60,8 @@
 	abort(): void;
 };
 
+/** Least status of HTTP; Node reads lower ones but doesn't write them. */
+const minStatus = 100;
 const statusNotModified = 304;
 const statusNoContent = 204;
 
@@ -174,6 +176,11 @@
 	}
 
 	#handleAnswer(answer: IncomingMessage): void {
+		if ((answer.statusCode ?? 0) < minStatus) {
+			this.#request.destroy(new Error('no valid status'));
+			return;
+		}
+
 		this.#answer = answer;
 		answer.on('error', (error) => {
 			this.#fail(error);
