--- /dev/null
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -0,0 +1,141 @@
+import {err, ok, type Result} from 'neverthrow';
+import {documentStaleMs} from '../../../protocol/constants.js';
+import type {
+	DocumentAnswer,
+	RoutingDocument,
+} from '../../../protocol/routing-document.js';
+import {applyDocumentChanges} from '../../../state/apply-document-changes.js';
+import type {
+	DocumentEffect,
+	DocumentState,
+	DocumentStep,
+	PeerDocumentOutcome,
+} from '../../document-state.js';
+import {acceptDocument} from './accept-document.js';
+import {endCall} from './end-call.js';
+import {continueWith} from './continue-with.js';
+
+/** Turns to the next peer, at once unless all were asked. */
+function failPoll(state: DocumentState, now: number): DocumentState {
+	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
+	return {
+		...state,
+		peerIndex: state.peerIndex + 1,
+		peerLoop:
+			(state.peerIndex + 1) % Math.max(1, state.peers.length) === 0
+				? endCall(state.peerLoop, true, now)
+				: peerLoop,
+	};
+}
+
+function createUnusableLog(
+	state: DocumentState,
+	source: string,
+	reason: string,
+): DocumentEffect {
+	return {
+		kind: 'log',
+		level: 'warn',
+		message: 'configuration of a peer not usable',
+		fields: {source, reason, version: state.document?.version},
+	};
+}
+
+/** Asks another peer for the whole document. */
+function handleMalformed(
+	state: DocumentState,
+	source: string,
+	reason: string,
+	now: number,
+): DocumentStep {
+	return {
+		state: {...failPoll(state, now), needsWhole: true},
+		effects: [createUnusableLog(state, source, reason)],
+	};
+}
+
+/** Reads the document that an answer leads to, or why it leads to none. */
+function readAnswered(
+	state: DocumentState,
+	answer: DocumentAnswer,
+): Result<RoutingDocument | undefined, string> {
+	switch (answer.kind) {
+		case 'unchanged': {
+			return ok(undefined);
+		}
+
+		case 'whole': {
+			return ok(answer.document);
+		}
+
+		case 'changes': {
+			const {changes} = answer;
+			const {document} = state;
+			if (document && document.version >= changes.to) {
+				return ok(undefined);
+			}
+
+			const base = [...state.earlier, document].find(
+				(kept) => kept?.version === changes.from,
+			);
+			return base
+				? applyDocumentChanges(base, changes)
+				: err(`version ${changes.from} is not there`);
+		}
+	}
+}
+
+/** Handles the outcome of a poll of another node. */
+export function handlePolled(
+	state: DocumentState,
+	outcome: PeerDocumentOutcome,
+	now: number,
+): DocumentStep {
+	const source = state.peers[state.peerIndex % state.peers.length]?.name ?? '';
+	if (outcome.kind === 'failed') {
+		return continueWith(failPoll(state, now));
+	}
+
+	if (outcome.kind === 'malformed') {
+		return handleMalformed(state, source, outcome.reason, now);
+	}
+
+	const {answer} = outcome;
+	const answered = readAnswered(state, answer);
+	if (answered.isErr()) {
+		return handleMalformed(state, source, answered.error, now);
+	}
+
+	const {ageMs} = answer;
+	const step = acceptDocument(state, answered.value, source, now);
+	const isStale = ageMs > documentStaleMs;
+	return {
+		...step,
+		state: {
+			...step.state,
+			needsWhole: false,
+			// The revision of the store lies behind what a peer has brought.
+			hasBacklog: state.hasBacklog || step.state.document !== state.document,
+			peerLoop: endCall(state.peerLoop, isStale, now),
+			peerIndex: state.peerIndex + (isStale ? 1 : 0),
+			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
+		},
+	};
+}
+
+/** Makes use of the answer to a poll that was given up. */
+export function acceptLate(
+	state: DocumentState,
+	outcome: PeerDocumentOutcome,
+	now: number,
+): DocumentStep {
+	if (outcome.kind !== 'answered') {
+		return continueWith(state);
+	}
+
+	const source = 'late answer';
+	return readAnswered(state, outcome.answer).match(
+		(document) => acceptDocument(state, document, source, now),
+		(reason) => ({state, effects: [createUnusableLog(state, source, reason)]}),
+	);
+}
