--- a/src/coordination/_lib/order-members.ts
+++ b/src/coordination/_lib/order-members.ts
@@ -1,6 +1,9 @@
 import {usualCapacity} from '../../protocol/constants.js';
 import type {Member} from '../../protocol/member.js';
 import {computeWeight} from './compute-weight.js';
+import {memoizeByMember} from './memoize-by-member.js';
+
+const readWeight = memoizeByMember(({name}) => computeWeight(name, 'tree'));
 
 /**
  * Orders the live members of a data centre by capacity, and those of the same
@@ -28,7 +31,7 @@
 		.map((member) => ({
 			member,
 			capacity: member.capacity ?? usualCapacity,
-			weight: computeWeight(member.name, 'tree'),
+			weight: readWeight(member),
 		}))
 		.toSorted(
 			(a, b) => b.capacity - a.capacity || (a.weight < b.weight ? -1 : 1),
