Test that a node gets changes over a connection, whole at first

Two document tasks over a peer server: the first answer is whole, the second holds the changes, and routes that stay are the same objects.

--- /dev/null
+++ b/src/transport/start-document-task.test.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {createSilentLogger} from '../../harness/create-silent-logger.js';
+import {pollUntil} from '../../harness/poll-until.js';
+import type {StoredDocumentOutcome} from '../coordination/document-state.js';
+import type {Member} from '../protocol/member.js';
+import type {
+	DocumentRoute,
+	RoutingDocument,
+} from '../protocol/routing-document.js';
+import {createPeerClients} from './create-peer-client.js';
+import {startDocumentTask, type DocumentStore} from './start-document-task.js';
+import {startGateTask} from './start-gate-task.js';
+import {startPeerServer} from './start-peer-server.js';
+
+/** Longest wait for a document, ms; it takes some milliseconds. */
+const timeoutMs = 10_000;
+
+function createRoute(name: string): DocumentRoute {
+	return {
+		name,
+		host: 'prices.example',
+		pathPrefix: `/${name}/`,
+		repeatable: true,
+		timeoutMs: 1000,
+		objectiveMs: 500,
+		priority: 0,
+		maxAttempts: 1,
+		targets: [{service: 'pricebook', weight: 1}],
+	};
+}
+
+function createMember(name: string, address: string): Member {
+	return {
+		name,
+		dataCentre: 'abdali',
+		address,
+		incarnation: 1,
+		sequence: 1,
+		state: 'alive',
+		upstreams: [],
+	};
+}
+
+async function waitForever(): Promise<StoredDocumentOutcome> {
+	return new Promise(() => {
+		// The store answers nothing.
+	});
+}
+
+const silentStore: DocumentStore = {
+	readDocument: waitForever,
+	readRevision: waitForever,
+	watchDocument: waitForever,
+};
+
+const refuseCall = (): never => {
+	throw new Error('the test makes no such call');
+};
+
+test('a node gets the whole document from a peer, then only what has changed', async (t) => {
+	const sent: unknown[] = [];
+	const logger = {
+		...createSilentLogger(),
+		info(message: string, fields?: Readonly<Record<string, unknown>>) {
+			if (message === 'configuration sent') {
+				sent.push(fields?.kind);
+			}
+		},
+	};
+	const peers = createPeerClients();
+	const first: RoutingDocument = {
+		version: 1,
+		routes: [createRoute('a'), createRoute('b')],
+		services: {},
+	};
+	const second: RoutingDocument = {
+		version: 2,
+		routes: [createRoute('a'), createRoute('c')],
+		services: {},
+	};
+	let answerWatch = (_outcome: StoredDocumentOutcome): void => undefined;
+	const source = startDocumentTask({
+		name: 'a',
+		peers,
+		logger,
+		onDocument: () => undefined,
+		store: {
+			...silentStore,
+			readDocument: async () => ({kind: 'read', document: first, revision: 1}),
+			watchDocument: async () =>
+				new Promise((resolve) => {
+					answerWatch = resolve;
+				}),
+		},
+	});
+	const gate = startGateTask({logger});
+	const server = await startPeerServer({
+		address: '127.0.0.1:0',
+		gate,
+		logger,
+		handlers: {
+			handlePoll: refuseCall,
+			handleExchange: refuseCall,
+			handleAsk: gate.ask,
+			handleCancel: gate.cancel,
+			handleStamp: gate.readStamp,
+			handleDocument: source.handlePoll,
+		},
+	});
+	const documents: RoutingDocument[] = [];
+	const receiver = startDocumentTask({
+		name: 'b',
+		peers,
+		logger,
+		store: silentStore,
+		onDocument(document) {
+			documents.push(document);
+		},
+	});
+	t.after(async () => {
+		source.stop();
+		receiver.stop();
+		await Promise.all([peers.stop(), gate.stop(), server.stop()]);
+	});
+
+	const self = createMember('b', '127.0.0.1:1');
+	const members = [createMember('a', server.address), self];
+	receiver.tellView({self, members, candidates: new Map()});
+	await pollUntil(async () => documents.length === 1, timeoutMs);
+	answerWatch({kind: 'read', document: second, revision: 2});
+	await pollUntil(async () => documents.length === 2, timeoutMs);
+	assert.deepEqual(documents, [first, second]);
+	assert.equal(documents[1]?.routes[0], documents[0]?.routes[0]);
+	await pollUntil(async () => sent.length === 2, timeoutMs);
+	assert.deepEqual(sent, ['whole', 'changes']);
+});
