Keep no timer when a stopped lag meter is read

Cause, found by reading: a stopping node stops its meter before its servers, and a read after that, while the meter measured rarely, planned the next measurement again, for good, so that the process did not end.

--- a/src/transport/_lib/create-lag-meter.test.ts
+++ b/src/transport/_lib/create-lag-meter.test.ts
@@ -65,3 +65,13 @@
 	block(100);
 	assert.ok(meter.read() >= 60);
 });
+
+test('a stopped meter that is read once more keeps no timer', (t) => {
+	const {meter, wait, readClockReads} = startMeter(t);
+	wait(1000);
+	meter.stop();
+	meter.read();
+	const before = readClockReads();
+	wait(1000);
+	assert.equal(readClockReads(), before);
+});
--- a/src/transport/_lib/create-lag-meter.ts
+++ b/src/transport/_lib/create-lag-meter.ts
@@ -28,6 +28,7 @@
 export function createLagMeter(now: () => number): LagMeter {
 	let currentMs = periodMs;
 	let isRead = false;
+	let isStopped = false;
 	let lastAt = now();
 	let lagMs = 0;
 	let timer = setTimeout(measure, currentMs);
@@ -50,7 +51,7 @@
 		read() {
 			isRead = true;
 			const readMs = Math.max(lagMs, now() - lastAt - currentMs);
-			if (currentMs > periodMs) {
+			if (currentMs > periodMs && !isStopped) {
 				clearTimeout(timer);
 				lagMs = readMs;
 				plan(periodMs);
@@ -59,6 +60,7 @@
 			return readMs;
 		},
 		stop() {
+			isStopped = true;
 			clearTimeout(timer);
 		},
 	};
