Send the whole document where a route is listed twice

Found in review: changes from [a, b] to [a, b, a] came out empty, since only the routes that the applied changes have were compared, not their number. The new case of the test failed before. A node that has got a newer document from the store asks no peer for a whole copy any more.

--- a/src/coordination/_lib/document/accept-document.ts
+++ b/src/coordination/_lib/document/accept-document.ts
@@ -23,7 +23,13 @@
 		: state.earlier;
 	const {version, routes} = document;
 	return {
-		state: {...state, document, earlier, changes: new Map()},
+		state: {
+			...state,
+			document,
+			earlier,
+			changes: new Map(),
+			needsWhole: false,
+		},
 		effects: [
 			{kind: 'run', document},
 			{
--- a/src/state/compute-document-changes.test.ts
+++ b/src/state/compute-document-changes.test.ts
@@ -63,4 +63,6 @@
 	const twice = createDocument(1, [createRoute('a'), createRoute('a', 2)]);
 	const once = createDocument(2, [twice.routes[0]!]);
 	assert.equal(computeDocumentChanges(twice, once), undefined);
+	const repeated = createDocument(2, [...base.routes, base.routes[0]!]);
+	assert.equal(computeDocumentChanges(base, repeated), undefined);
 });
--- a/src/state/compute-document-changes.ts
+++ b/src/state/compute-document-changes.ts
@@ -37,6 +37,7 @@
 	const applied = applyDocumentChanges(base, changes);
 	const isExact =
 		applied.isOk() &&
+		applied.value.routes.length === next.routes.length &&
 		applied.value.routes.every((route, index) => route === next.routes[index]);
 	return isExact ? changes : undefined;
 }
