Read the sockets before a tick ends calls for a document

Found in review: the tick of a late node fires before the sockets are read, so that an answer which had come ended as failed and another peer was asked.

--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -224,7 +224,8 @@
 	}
 
 	const timer = setInterval(() => {
-		tell({kind: 'tick'});
+		// In a late node, answers that have come are read before calls end.
+		setImmediate(tell, {kind: 'tick'});
 	}, documentTickMs);
 	tell({kind: 'tick'});
 
