Let a child go back to its parent after a missed poll

Found in review, by a script of 40 equal nodes of which each misses one poll: 160 s later 34 of them wait at one node, and 4 at another, instead of four at each parent. A child stayed at the peer that it had turned to until its list of peers changed, and the second choice of all was the same.

A child asks its parent again after 5 s, and turns to the other parents in an order of its own. The new test failed before ('a child that missed one poll goes back to its parent').

--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -1,5 +1,8 @@
 import {err, ok, type Result} from 'neverthrow';
-import {documentStaleMs} from '../../../protocol/constants.js';
+import {
+	documentReturnMs,
+	documentStaleMs,
+} from '../../../protocol/constants.js';
 import type {
 	DocumentAnswer,
 	RoutingDocument,
@@ -15,12 +18,39 @@
 import {endCall} from './end-call.js';
 import {continueWith} from './continue-with.js';
 
+function isAtParent({peerIndex, peers}: DocumentState): boolean {
+	return peerIndex % Math.max(1, peers.length) === 0;
+}
+
+function leavePeer(
+	state: DocumentState,
+	now: number,
+): Pick<DocumentState, 'peerIndex' | 'leftParentAt'> {
+	return {
+		peerIndex: state.peerIndex + 1,
+		leftParentAt: isAtParent(state) ? now : state.leftParentAt,
+	};
+}
+
+/**
+ * Goes back to the parent after some time. Answers the load after a short
+ * disturbance: children that stayed where they had turned to would all wait at
+ * the few peers that have answered.
+ */
+function returnToParent(
+	state: DocumentState,
+	now: number,
+): Pick<DocumentState, 'peerIndex'> {
+	const isDue = now - state.leftParentAt >= documentReturnMs;
+	return {peerIndex: isDue ? 0 : state.peerIndex};
+}
+
 /** Turns to the next peer, at once unless all were asked. */
 function failPoll(state: DocumentState, now: number): DocumentState {
 	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
 	return {
 		...state,
-		peerIndex: state.peerIndex + 1,
+		...leavePeer(state, now),
 		peerLoop:
 			(state.peerIndex + 1) % Math.max(1, state.peers.length) === 0
 				? endCall(state.peerLoop, true, now)
@@ -117,7 +147,7 @@
 			// The revision of the store lies behind what a peer has brought.
 			hasBacklog: state.hasBacklog || step.state.document !== state.document,
 			peerLoop: endCall(state.peerLoop, isStale, now),
-			peerIndex: state.peerIndex + (isStale ? 1 : 0),
+			...(isStale ? leavePeer(state, now) : returnToParent(state, now)),
 			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
 		},
 	};
--- a/src/coordination/create-document-state.ts
+++ b/src/coordination/create-document-state.ts
@@ -16,6 +16,7 @@
 		isRoot: true,
 		peers: [],
 		peerIndex: 0,
+		leftParentAt: Number.NEGATIVE_INFINITY,
 		document: undefined,
 		earlier: [],
 		changes: new Map(),
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -44,6 +44,8 @@
 	readonly peers: readonly DocumentPeer[];
 	/** Which of the peers is asked now. */
 	readonly peerIndex: number;
+	/** When the first peer last failed, monotonic ms. */
+	readonly leftParentAt: number;
 	/** The document that the node runs. */
 	readonly document: RoutingDocument | undefined;
 	/** Documents that it ran before, oldest first; unchanged routes are shared. */
--- a/src/coordination/list-document-peers.ts
+++ b/src/coordination/list-document-peers.ts
@@ -1,4 +1,5 @@
 import type {Member} from '../protocol/member.js';
+import {computeHash} from '../state/_lib/compute-hash.js';
 import {computePosition} from './compute-position.js';
 import {computeRoots} from './compute-roots.js';
 import type {DocumentPeer} from './document-state.js';
@@ -11,6 +12,18 @@
 	readonly peers: readonly DocumentPeer[];
 };
 
+/**
+ * Puts the parents after the first in an order that differs from child to
+ * child, so that the children of a parent that fails do not all turn to one.
+ */
+function spreadFallbacks(
+	[parent, ...others]: readonly Member[],
+	name: string,
+): readonly Member[] {
+	const start = computeHash(name) % Math.max(1, others.length);
+	return [parent!, ...others.slice(start), ...others.slice(0, start)];
+}
+
 /**
  * Lists the nodes that a node asks for documents.
  *
@@ -39,7 +52,10 @@
 		.filter((dataCentre) => dataCentre !== self.dataCentre)
 		.toSorted()
 		.flatMap((dataCentre) => computeRoots(members, dataCentre).slice(0, 1));
-	const first = position.kind === 'root' ? ownRoots : position.parents;
+	const first =
+		position.kind === 'root'
+			? ownRoots
+			: spreadFallbacks(position.parents, name);
 	const peers = new Map<string, DocumentPeer>();
 	for (const member of [...first, ...ownRoots, ...others]) {
 		if (member.name !== name) {
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -398,3 +398,23 @@
 	);
 	assert.ok(machine.find('check'));
 });
+
+test('a child that missed one poll goes back to its parent', () => {
+	const machine = createChild();
+	const parent = machine.find('poll')!.address;
+	machine.tell({kind: 'tick'}, 1201);
+	assert.notEqual(machine.find('poll')?.address, parent);
+	const asked: string[] = [];
+	for (let now = 2000; now < 10_000; now += 800) {
+		const {id: callId} = machine.read().peerLoop.call!;
+		const outcome = {
+			kind: 'answered',
+			answer: {kind: 'unchanged', ageMs: 0},
+		} as const;
+		machine.tell({kind: 'polled', callId, outcome}, now);
+		asked.push(machine.find('poll')!.address);
+	}
+
+	assert.notEqual(asked[0], parent);
+	assert.equal(asked.at(-1), parent);
+});
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -53,6 +53,8 @@
 export const documentGraceMs = 400;
 /** Age above which a node's copy of a document does not count as confirmed; a watch, a poll and their grace. */
 export const documentStaleMs = 5000;
+/** Time after which a node asks its parent again that it has left, ms; one that is gone is declared dead within about that time. */
+export const documentReturnMs = 5000;
 /** Peers that have to fail in a row before a node reads the store itself; one may have stopped. */
 export const documentPeerFailures = 2;
 /** First and longest delay after a failed call for a document. */
