--- a/src/coordination/_lib/memoize-by-member.test.ts
+++ b/src/coordination/_lib/memoize-by-member.test.ts
@@ -1,17 +1,11 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import type {Member} from '../../protocol/member.js';
+import {createSampleMember} from '../../../harness/create-sample-member.js';
 import {memoizeByMember} from './memoize-by-member.js';
 
-const members: readonly Member[] = Array.from({length: 68}, (_, index) => ({
-	name: `abdali-${index}`,
-	dataCentre: 'abdali',
-	address: '10.0.0.1:8081',
-	incarnation: 1,
-	sequence: 0,
-	state: 'alive',
-	upstreams: [],
-}));
+const members = Array.from({length: 68}, (_, index) =>
+	createSampleMember({name: `abdali-${index}`}),
+);
 
 test('a changed record costs the work of one record, not of all', () => {
 	let computed = 0;
--- a/src/coordination/compute-bridges.test.ts
+++ b/src/coordination/compute-bridges.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {createSampleMember} from '../../harness/create-sample-member.js';
 import type {Member} from '../protocol/member.js';
 import {computeBridges} from './compute-bridges.js';
 
@@ -7,16 +8,13 @@
 	draw: number,
 	capacities: ReadonlyArray<number | undefined>,
 ): Member[] {
-	return capacities.map((capacity, index) => ({
-		name: `sidecar-${draw}-${index}`,
-		dataCentre: 'abdali',
-		address: `10.0.0.${index}:8081`,
-		incarnation: 1,
-		sequence: 0,
-		state: 'alive',
-		upstreams: [],
-		capacity,
-	}));
+	return capacities.map((capacity, index) =>
+		createSampleMember({
+			name: `sidecar-${draw}-${index}`,
+			address: `10.0.0.${index}:8081`,
+			capacity,
+		}),
+	);
 }
 
 function repeat(count: number, capacity: number | undefined) {
--- a/src/coordination/compute-position.test.ts
+++ b/src/coordination/compute-position.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import fc from 'fast-check';
+import {createSampleMember} from '../../harness/create-sample-member.js';
 import type {Member} from '../protocol/member.js';
 import {computePosition} from './compute-position.js';
 import {computeRoots} from './compute-roots.js';
@@ -9,16 +10,13 @@
 	draw: number,
 	capacities: ReadonlyArray<number | undefined>,
 ): Member[] {
-	return capacities.map((capacity, index) => ({
-		name: `sidecar-${draw}-${index}`,
-		dataCentre: 'abdali',
-		address: `10.0.0.${index}:8081`,
-		incarnation: 1,
-		sequence: 0,
-		state: 'alive',
-		upstreams: [],
-		capacity,
-	}));
+	return capacities.map((capacity, index) =>
+		createSampleMember({
+			name: `sidecar-${draw}-${index}`,
+			address: `10.0.0.${index}:8081`,
+			capacity,
+		}),
+	);
 }
 
 function repeat(count: number, capacity: number): number[] {
--- a/src/state/apply-document-changes.test.ts
+++ b/src/state/apply-document-changes.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {createSampleRoute} from '../../harness/create-sample-route.js';
 import type {
 	DocumentChanges,
 	DocumentRoute,
@@ -7,30 +8,16 @@
 } from '../protocol/routing-document.js';
 import {applyDocumentChanges} from './apply-document-changes.js';
 
-function createRoute(name: string, timeoutMs = 1000): DocumentRoute {
-	return {
-		name,
-		host: 'prices.example',
-		pathPrefix: `/${name}/`,
-		repeatable: true,
-		timeoutMs,
-		objectiveMs: 500,
-		priority: 0,
-		maxAttempts: 1,
-		targets: [{service: 'pricebook', weight: 1}],
-	};
-}
-
 const base: RoutingDocument = {
 	version: 4,
-	routes: ['a', 'b', 'c'].map((name) => createRoute(name)),
+	routes: ['a', 'b', 'c'].map((name) => createSampleRoute(name)),
 	services: {pricebook: {healthPath: '/', connections: 4}},
 };
 const changes: DocumentChanges = {
 	from: 4,
 	to: 7,
 	removed: ['a', 'b'],
-	put: [{index: 0, route: createRoute('b', 900)}],
+	put: [{index: 0, route: createSampleRoute('b', {timeoutMs: 900})}],
 	services: {},
 };
 
@@ -38,7 +25,7 @@
 	const next = applyDocumentChanges(base, changes)._unsafeUnwrap();
 	assert.deepEqual(next, {
 		version: 7,
-		routes: [createRoute('b', 900), createRoute('c')],
+		routes: [createSampleRoute('b', {timeoutMs: 900}), createSampleRoute('c')],
 		services: {},
 	});
 	assert.equal(next.routes[1], base.routes[2]);
@@ -50,12 +37,12 @@
 		{...changes, to: 4},
 		{...changes, removed: ['a', 'x']},
 		{...changes, removed: ['a', 'a']},
-		{...changes, put: [{index: 9, route: createRoute('d')}]},
+		{...changes, put: [{index: 9, route: createSampleRoute('d')}]},
 		{
 			...changes,
 			put: [
-				{index: 0, route: createRoute('d')},
-				{index: 0, route: createRoute('e')},
+				{index: 0, route: createSampleRoute('d')},
+				{index: 0, route: createSampleRoute('e')},
 			],
 		},
 	];
--- a/src/state/compute-document-changes.test.ts
+++ b/src/state/compute-document-changes.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {createSampleRoute} from '../../harness/create-sample-route.js';
 import type {
 	DocumentRoute,
 	RoutingDocument,
@@ -8,20 +9,6 @@
 import {computeDocumentChanges} from './compute-document-changes.js';
 import {mergeDocument} from './merge-document.js';
 
-function createRoute(name: string, weight = 1): DocumentRoute {
-	return {
-		name,
-		host: 'prices.example',
-		pathPrefix: `/${name}/`,
-		repeatable: true,
-		timeoutMs: 1000,
-		objectiveMs: 500,
-		priority: 0,
-		maxAttempts: 1,
-		targets: [{service: 'pricebook', weight}],
-	};
-}
-
 function createDocument(
 	version: number,
 	routes: readonly DocumentRoute[],
@@ -32,17 +19,19 @@
 const names = ['a', 'b', 'c', 'd'];
 const base = createDocument(
 	1,
-	names.map((name) => createRoute(name)),
+	names.map((name) => createSampleRoute(name)),
 );
 
 test('changes name only the routes that differ and lead to the same document', () => {
 	const next = mergeDocument(
 		base,
 		createDocument(2, [
-			createRoute('new'),
-			createRoute('a'),
-			createRoute('c', 9),
-			createRoute('d'),
+			createSampleRoute('new'),
+			createSampleRoute('a'),
+			createSampleRoute('c', {
+				targets: [{service: 'pricebook', weight: 9}],
+			}),
+			createSampleRoute('d'),
 		]),
 	);
 	const changes = computeDocumentChanges(base, next)!;
@@ -60,7 +49,12 @@
 test('routes in another order or of one name are not told in changes', () => {
 	const reordered = createDocument(2, base.routes.toReversed());
 	assert.equal(computeDocumentChanges(base, reordered), undefined);
-	const twice = createDocument(1, [createRoute('a'), createRoute('a', 2)]);
+	const twice = createDocument(1, [
+		createSampleRoute('a'),
+		createSampleRoute('a', {
+			targets: [{service: 'pricebook', weight: 2}],
+		}),
+	]);
 	const once = createDocument(2, [twice.routes[0]!]);
 	assert.equal(computeDocumentChanges(twice, once), undefined);
 	const repeated = createDocument(2, [...base.routes, base.routes[0]!]);
--- a/src/state/encode-member.test.ts
+++ b/src/state/encode-member.test.ts
@@ -1,18 +1,11 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {createSampleMember} from '../../harness/create-sample-member.js';
 import {recordSchema, type Member} from '../protocol/member.js';
 import {decodeMember} from './decode-member.js';
 import {encodeMember} from './encode-member.js';
 
-const member: Member = {
-	name: 'abdali-1',
-	dataCentre: 'abdali',
-	address: '10.0.0.1:8081',
-	incarnation: 1,
-	sequence: 0,
-	state: 'alive',
-	upstreams: [],
-};
+const member = createSampleMember();
 
 test('a capacity is sent when it is not the usual one', () => {
 	const sent = ([undefined, 1000, 5] as const).map((capacity) =>
--- a/src/transport/start-document-task.test.ts
+++ b/src/transport/start-document-task.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {createSampleMember} from '../../harness/create-sample-member.js';
+import {createSampleRoute} from '../../harness/create-sample-route.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {pollUntil} from '../../harness/poll-until.js';
 import type {StoredDocumentOutcome} from '../coordination/document-state.js';
-import type {Member} from '../protocol/member.js';
 import type {
 	DocumentRoute,
 	RoutingDocument,
@@ -16,32 +17,6 @@
 /** Longest wait for a document, ms; it takes some milliseconds. */
 const timeoutMs = 10_000;
 
-function createRoute(name: string): DocumentRoute {
-	return {
-		name,
-		host: 'prices.example',
-		pathPrefix: `/${name}/`,
-		repeatable: true,
-		timeoutMs: 1000,
-		objectiveMs: 500,
-		priority: 0,
-		maxAttempts: 1,
-		targets: [{service: 'pricebook', weight: 1}],
-	};
-}
-
-function createMember(name: string, address: string): Member {
-	return {
-		name,
-		dataCentre: 'abdali',
-		address,
-		incarnation: 1,
-		sequence: 1,
-		state: 'alive',
-		upstreams: [],
-	};
-}
-
 async function waitForever(): Promise<StoredDocumentOutcome> {
 	return new Promise(() => {
 		// The store answers nothing.
@@ -71,12 +46,12 @@
 	const peers = createPeerClients();
 	const first: RoutingDocument = {
 		version: 1,
-		routes: [createRoute('a'), createRoute('b')],
+		routes: [createSampleRoute('a'), createSampleRoute('b')],
 		services: {},
 	};
 	const second: RoutingDocument = {
 		version: 2,
-		routes: [createRoute('a'), createRoute('c')],
+		routes: [createSampleRoute('a'), createSampleRoute('c')],
 		services: {},
 	};
 	let answerWatch = (_outcome: StoredDocumentOutcome): void => undefined;
@@ -124,8 +99,11 @@
 		await Promise.all([peers.stop(), gate.stop(), server.stop()]);
 	});
 
-	const self = createMember('b', '127.0.0.1:1');
-	const members = [createMember('a', server.address), self];
+	const self = createSampleMember({name: 'b', address: '127.0.0.1:1'});
+	const members = [
+		createSampleMember({name: 'a', address: server.address}),
+		self,
+	];
 	receiver.tellView({self, members, candidates: new Map()});
 	await pollUntil(async () => documents.length === 1, timeoutMs);
 	answerWatch({kind: 'read', document: second, revision: 2});
