Let calls to a slow node end when new connections to it are opened

Found in review: a poll on new connections destroyed the earlier ones of that node with the calls in flight on them, so that a copy of a document which was still arriving was cut, and exchanges of members with that node failed. Only idle connections are closed now; calls in flight have their own time-outs. The new test failed before (call not answered: lost).

--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -39,6 +39,13 @@
 	return `${purpose} ${address} ${renewal}`;
 }
 
+/** Closes the idle connections of an agent; calls in flight end by themselves. */
+function closeFreeSockets(agent: Agent): void {
+	for (const socket of Object.values(agent.freeSockets).flat()) {
+		socket?.destroy();
+	}
+}
+
 /**
  * Creates the clients with which a node calls other nodes.
  *
@@ -81,8 +88,7 @@
 		for (const [key, agent] of agents) {
 			if (key.endsWith(` ${address} ${renewal}`)) {
 				agents.delete(key);
-				// Calls in flight on it have their own timeouts.
-				agent.destroy();
+				closeFreeSockets(agent);
 			}
 		}
 	}
