--- a/src/coordination/step-document.ts
+++ b/src/coordination/step-document.ts
@@ -90,8 +90,9 @@
  * Two roots in each data centre watch the store; the other nodes wait at a
  * parent for what is newer. Roots also wait at another root, so that a watch
  * that has fallen silent delays a change by one hop only. A node whose peers
- * fail one after the other reads the store itself. A document is run when its version is above
- * that of the running one, so that an old copy never takes a node back.
+ * fail one after the other reads the store itself. A document is run when its
+ * version is above that of the running one, so that an old copy never takes a
+ * node back.
  *
  * @param state - the state before; left as it is
  * @param message - the message to handle
