Ask the roots of other data centres while the store turns a root away

A root whose calls on the store fail now asks its peers in turn, the roots of other data centres among them. The new test failed before (the other data centre was not asked).

--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -45,6 +45,15 @@
 	return {peerIndex: isDue ? 0 : state.peerIndex};
 }
 
+/**
+ * Tells whether a root is turned away by the store. It then asks its peers in
+ * turn: the other root of its data centre may be turned away as well, and its
+ * answers get old only after some seconds.
+ */
+function isCutOff({isRoot, storeLoop}: DocumentState): boolean {
+	return isRoot && storeLoop.failures > 0;
+}
+
 /** Turns to the next peer, at once unless all were asked. */
 function failPoll(state: DocumentState, now: number): DocumentState {
 	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
@@ -139,6 +148,7 @@
 	const {ageMs} = answer;
 	const step = acceptDocument(state, answered.value, source, now);
 	const isStale = ageMs > documentStaleMs;
+	const shouldLeave = isStale || isCutOff(state);
 	return {
 		...step,
 		state: {
@@ -147,7 +157,7 @@
 			// The revision of the store lies behind what a peer has brought.
 			hasBacklog: state.hasBacklog || step.state.document !== state.document,
 			peerLoop: endCall(state.peerLoop, isStale, now),
-			...(isStale ? leavePeer(state, now) : returnToParent(state, now)),
+			...(shouldLeave ? leavePeer(state, now) : returnToParent(state, now)),
 			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
 		},
 	};
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -418,3 +418,28 @@
 	assert.notEqual(asked[0], parent);
 	assert.equal(asked.at(-1), parent);
 });
+
+test('roots that the store turns away learn of a change from another data centre', () => {
+	const members = [
+		createMember('a'),
+		createMember('b'),
+		createMember('m', 'marka'),
+	];
+	const machine = createMachine('a');
+	machine.tell({kind: 'view', members}, 0);
+	const failed = {kind: 'failed'} as const;
+	const {id} = machine.read().storeLoop.call!;
+	machine.tell({kind: 'stored', callId: id, outcome: failed}, 5);
+	const asked = new Set<string>();
+	for (let now = 800; now <= 1600; now += 800) {
+		const {id: callId} = machine.read().peerLoop.call!;
+		const outcome = {
+			kind: 'answered',
+			answer: {kind: 'unchanged', ageMs: 100},
+		} as const;
+		machine.tell({kind: 'polled', callId, outcome}, now);
+		asked.add(machine.find('poll')!.address);
+	}
+
+	assert.ok(asked.has(members[2]!.address));
+});
