Log how long connections wait to be accepted and how old attempts are

No decision changes.

- Attempts carry the gate's time at which they were made, estimated from the stamps that their sender holds (stepGateClock: the least difference of the clocks in two windows of 5 s).
Gates log it as the attempt's age, beside the lag that they believed; attempts of 500 ms and more always.
- Servers measure how long connections wait to be accepted: Node 20 accepts one a turn of its event loop.
Metric boragehitch_accept_wait_ms and the line 'connections accepted late'.
- 'request ended' says how late the caller's node ran.

Expected log lines of two tests have the new fields.

--- /dev/null
+++ b/src/coordination/compute-gate-time.ts
@@ -0,0 +1,17 @@
+import type {GateClock} from './step-gate-clock.js';
+
+/**
+ * Computes the time of a gate's clock.
+ *
+ * @param clock - what is known of the clock
+ * @param at - a time of the own clock, monotonic ms
+ * @returns the gate's time then, ms; early by no more than the way of a stamp
+ * @example
+ * computeGateTime(stepGateClock(undefined, {epoch: 'a', timeMs: 500}, 2000), 2010); // 510
+ */
+export function computeGateTime(
+	{aheadMs, aheadBeforeMs}: GateClock,
+	at: number,
+): number {
+	return at - Math.min(aheadMs, aheadBeforeMs);
+}
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -31,6 +31,13 @@
 	readonly depth: number;
 	/** Newest stamp that is known of the gate. */
 	readonly stamp: GateStamp | undefined;
+	/**
+	 * When it was made, ms on the clock of the gate that gave the stamp; early by
+	 * no more than the way of a stamp.
+	 */
+	readonly madeAtGateMs?: number | undefined;
+	/** How long it may have lain unread at the gate, as the gate's lag says, ms. */
+	readonly unreadMs?: number | undefined;
 	/** Service on whose host the request began, if that is known. */
 	readonly origin?: string | undefined;
 	/** Rank among the attempts that wait for a slot; 0 goes first. */
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -28,6 +28,7 @@
 	attempts: 'boragehitch_attempts_total',
 	gateAttempts: 'boragehitch_gate_attempts_total',
 	queuedMs: 'boragehitch_gate_queued_ms',
+	acceptMs: 'boragehitch_accept_wait_ms',
 	version: 'boragehitch_configuration_version',
 	members: 'boragehitch_members',
 	inFlight: 'boragehitch_requests_in_flight',
--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -29,6 +29,8 @@
 	readonly method: string;
 	/** Attempts that were made. */
 	readonly attempts: number;
+	/** How late the event loop ran when the request was read, ms. */
+	readonly lagMs: number;
 };
 
 /** An attempt at a request has ended at the caller's node. */
@@ -44,6 +46,10 @@
 	readonly attemptId: string;
 	/** Time spent in the gate's queue. */
 	readonly queuedMs: number;
+	/** Its age when it was admitted, by the account of its sender, ms; undefined when that is not known. */
+	readonly ageMs: number | undefined;
+	/** How long it may have lain unread at the gate, as the gate's lag says, ms. */
+	readonly unreadMs: number;
 };
 
 /** Receives events; must return at once and must not throw. */
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -15,6 +15,7 @@
 export const shedHeader = 'boragehitch-shed';
 export const depthHeader = 'boragehitch-depth';
 export const stampHeader = 'boragehitch-stamp';
+export const gateTimeHeader = 'boragehitch-gate-time-ms';
 export const keyHeader = 'boragehitch-key';
 export const routeHeader = 'boragehitch-route';
 export const originHeader = 'boragehitch-origin';
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -4,6 +4,7 @@
 	attemptHeader,
 	deadlineHeader,
 	depthHeader,
+	gateTimeHeader,
 	keyHeader,
 	objectiveHeader,
 	originHeader,
@@ -69,6 +70,10 @@
 		headers[stampHeader] = formatStamp(attempt.stamp);
 	}
 
+	if (attempt.madeAtGateMs !== undefined) {
+		headers[gateTimeHeader] = String(Math.floor(attempt.madeAtGateMs));
+	}
+
 	if (attempt.key !== undefined) {
 		headers[keyHeader] = attempt.key;
 	}
--- a/src/transport/_lib/create-decision-log.test.ts
+++ b/src/transport/_lib/create-decision-log.test.ts
@@ -14,6 +14,7 @@
 	reason: 'saturated',
 	status: 0,
 	attempts: 1,
+	lagMs: 0,
 	startedAtMs: 0,
 	durationMs: 3.4,
 	parentTraceparent: undefined,
@@ -64,6 +65,42 @@
 				reason: 'saturated',
 				status: 0,
 				attempts: 1,
+				lagMs: 0,
+				durationMs: 3,
+			},
+		},
+	]);
+});
+
+test('an attempt that was old when it came is logged, answered or not', () => {
+	const {lines, observer} = createLog();
+	const attempt = {
+		...event,
+		requestId: 'b',
+		attemptId: 'b/1',
+		outcome: 'answered' as const,
+		reason: undefined,
+		status: 200,
+		queuedMs: 0,
+		unreadMs: 12,
+	};
+	observer.onGate?.({...attempt, ageMs: 40});
+	observer.onGate?.({...attempt, ageMs: undefined});
+	assert.deepEqual(lines, []);
+
+	observer.onGate?.({...attempt, ageMs: 6200});
+	assert.deepEqual(lines, [
+		{
+			message: 'gate ended attempt',
+			fields: {
+				requestId: 'b',
+				service: 'pricebook',
+				outcome: 'answered',
+				reason: undefined,
+				status: 200,
+				ageMs: 6200,
+				unreadMs: 12,
+				queuedMs: 0,
 				durationMs: 3,
 			},
 		},
--- a/src/transport/_lib/create-decision-log.ts
+++ b/src/transport/_lib/create-decision-log.ts
@@ -16,6 +16,9 @@
 /** Of the answered requests, one in this many is logged, by identifier. */
 const sampledOneIn = 128;
 
+/** Age of an attempt at its admission from which it is logged, ms; older ones outlast most clients. */
+const notableAgeMs = 500;
+
 const serverErrorStatus = 500;
 const hashFactor = 31;
 const hashModulus = 2 ** 32;
@@ -97,6 +100,7 @@
 				reason,
 				status,
 				attempts: event.attempts,
+				lagMs: Math.round(event.lagMs),
 				durationMs: Math.round(event.durationMs),
 			});
 		},
@@ -118,7 +122,8 @@
 			});
 		},
 		onGate(event) {
-			if (!isNotable(event)) {
+			const {ageMs = 0, unreadMs} = event;
+			if (ageMs < notableAgeMs && !isNotable(event)) {
 				return;
 			}
 
@@ -129,6 +134,8 @@
 				outcome,
 				reason,
 				status,
+				ageMs: event.ageMs === undefined ? undefined : Math.round(ageMs),
+				unreadMs: Math.round(unreadMs),
 				queuedMs: Math.round(event.queuedMs),
 				durationMs: Math.round(event.durationMs),
 			});
--- a/src/transport/_lib/create-request-log.test.ts
+++ b/src/transport/_lib/create-request-log.test.ts
@@ -23,6 +23,7 @@
 		outcome: 'not-run' as const,
 		reason: 'pending' as const,
 		attempts: 0,
+		lagMs: 0,
 		status: 0,
 		startedAtMs: 0,
 		durationMs: 1,
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,9 +1,14 @@
+import {computeGateTime} from '../../coordination/compute-gate-time.js';
 import {isForWantOfRoom} from '../../coordination/is-for-want-of-room.js';
 import {isKnownFull} from '../../coordination/is-known-full.js';
 import {isOutOfReach} from '../../coordination/is-out-of-reach.js';
 import {isRoomy} from '../../coordination/is-roomy.js';
 import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
+import {
+	stepGateClock,
+	type GateClock,
+} from '../../coordination/step-gate-clock.js';
 import {
 	stepHostRecord,
 	type HostMessage,
@@ -77,7 +82,11 @@
 
 type Ended = HostMessage & {readonly kind: 'ended'};
 
-type HeldStamp = {readonly stamp: GateStamp; readonly receivedAt: number};
+type HeldStamp = {
+	readonly stamp: GateStamp;
+	readonly receivedAt: number;
+	readonly clock: GateClock;
+};
 
 const serverErrorStatus = 500;
 
@@ -164,11 +173,21 @@
 		}
 	}
 
+	function noteStamp(
+		address: string,
+		stamp: GateStamp,
+		receivedAt: number,
+	): void {
+		const clock = stepGateClock(stamps.get(address)?.clock, stamp, receivedAt);
+		stamps.set(address, {stamp, receivedAt, clock});
+	}
+
 	function createLocalPort(host: Candidate): GatePort {
 		return {
 			host,
 			isLocal: true,
 			readStamp: gate.readStamp,
+			readGateTime: () => undefined,
 			runAttempt: gate.runAttempt,
 			ask: async (question) => gate.ask(question),
 			fetchAnswer: gate.fetchAnswer,
@@ -184,6 +203,10 @@
 			host,
 			isLocal: false,
 			readStamp: () => stamps.get(address)?.stamp,
+			readGateTime(at) {
+				const held = stamps.get(address);
+				return held && computeGateTime(held.clock, at);
+			},
 			runAttempt: async (attempt) =>
 				forwarder.forwardAttempt(address, {
 					...attempt,
@@ -207,7 +230,7 @@
 
 		const stamp = await forwarder.readStamp(address);
 		if (stamp) {
-			stamps.set(address, {stamp, receivedAt: now()});
+			noteStamp(address, stamp, now());
 		}
 	}
 
@@ -316,7 +339,7 @@
 		noteAttempt({gate: port, attempt, result, startedAt}, endedAt, demand) {
 			const {host, address} = port.host;
 			if (result.kind !== 'lost' && result.stamp) {
-				stamps.set(address, {stamp: result.stamp, receivedAt: endedAt});
+				noteStamp(address, result.stamp, endedAt);
 			}
 
 			// An attempt that was not sent has no stamp from the gate.
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -7,6 +7,7 @@
 	attemptHeader,
 	deadlineHeader,
 	depthHeader,
+	gateTimeHeader,
 	keyHeader,
 	objectiveHeader,
 	originHeader,
@@ -63,6 +64,7 @@
 		routeObjectiveMs: readNumber(headers[routeObjectiveHeader]),
 		objectiveMs: readNumber(headers[objectiveHeader]),
 		stamp: parseStamp(headers[stampHeader]),
+		madeAtGateMs: readNumber(headers[gateTimeHeader]),
 		key: headers[keyHeader]?.toString(),
 		traceparent: headers[traceparentHeader]?.toString(),
 	};
--- a/src/transport/_lib/report-request-event.ts
+++ b/src/transport/_lib/report-request-event.ts
@@ -10,6 +10,8 @@
 	readonly requestId: string;
 	/** Monotonic ms. */
 	readonly startedAt: number;
+	/** How late the event loop ran then, ms. */
+	readonly lagMs: number;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
 };
@@ -39,6 +41,7 @@
 		route: route.name,
 		method: request.method ?? 'GET',
 		attempts: end.attempts,
+		lagMs: reported.lagMs,
 		team: route.team,
 		service: route.service,
 		outcome: end.outcome,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -28,6 +28,7 @@
 	| 'remainingMs'
 	| 'objectiveMs'
 	| 'stamp'
+	| 'madeAtGateMs'
 	| 'signal'
 	| 'traceparent'
 	| 'onSend'
@@ -186,6 +187,7 @@
 					(terms.objectiveAt ?? terms.deadlineAt) - startedAt,
 				),
 				stamp,
+				madeAtGateMs: gate.readGateTime(startedAt),
 				signal: controller.signal,
 				traceparent: options.createTraceparent(),
 				onSend: gate.isLocal
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -7,6 +7,7 @@
 	serverIdleMs,
 } from '../../protocol/constants.js';
 import {outcomeHeader, reasonHeader} from '../../protocol/request.js';
+import {createAcceptMeter, type AcceptedBatch} from './create-accept-meter.js';
 
 const connectRefusal = [
 	'HTTP/1.1 501 Not Implemented',
@@ -27,6 +28,12 @@
 	stop(): Promise<void>;
 };
 
+/** Options of `startServer`. */
+export type ServerOptions = {
+	/** Called after connections have been accepted and none waits any more. */
+	readonly onAccepted?: ((batch: AcceptedBatch) => void) | undefined;
+};
+
 /** Time for a request that is on its way over an unused connection. */
 const closeIntervalMs = 200;
 
@@ -62,12 +69,15 @@
  *
  * @param address - IP and port, as `IP:PORT`; port 0 takes a free one
  * @param listener - handles each request
+ * @param options - see `ServerOptions`
  * @returns the running server
  */
 export async function startServer(
 	address: string,
 	listener: RequestListener,
+	options: ServerOptions = {},
 ): Promise<RunningServer> {
+	const {onAccepted = () => undefined} = options;
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
 	const unused = new Set<Socket>();
@@ -91,7 +101,12 @@
 	server.on('connect', (_request, socket) => {
 		socket.end(connectRefusal);
 	});
+	const acceptMeter = createAcceptMeter({
+		now: () => performance.now(),
+		onBatch: onAccepted,
+	});
 	server.on('connection', (socket) => {
+		acceptMeter.note();
 		unused.add(socket);
 		socket.once('close', () => {
 			unused.delete(socket);
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -25,6 +25,7 @@
 		route: 'prices',
 		method: 'GET',
 		attempts: 1,
+		lagMs: 0,
 	});
 	metrics.observer.onAttempt?.({
 		...event,
@@ -32,7 +33,14 @@
 		attempt: 1,
 		host: 'abdali-1',
 	});
-	metrics.observer.onGate?.({...event, attemptId: 'a/1', queuedMs: 12});
+	metrics.observer.onGate?.({
+		...event,
+		attemptId: 'a/1',
+		queuedMs: 12,
+		ageMs: undefined,
+		unreadMs: 0,
+	});
+	metrics.noteAcceptWait('callers', 30);
 	const text = await metrics.formatText();
 	for (const name of Object.values(meshMetricNames)) {
 		assert.match(text, new RegExp(`^${name}`, 'mv'));
@@ -51,6 +59,10 @@
 		text,
 		/boragehitch_gate_queued_ms_bucket\{le="10",service="pricebook"\} 0/v,
 	);
+	assert.match(
+		text,
+		/boragehitch_accept_wait_ms_bucket\{le="50",server="callers"\} 1/v,
+	);
 	await metrics.formatText();
 	assert.match(
 		await metrics.formatText(),
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -25,6 +25,8 @@
 	readonly observer: RequestObserver;
 	/** Content type of the text. */
 	readonly contentType: string;
+	/** Notes how long connections of one of the node's servers waited, ms. */
+	noteAcceptWait(server: string, waitMs: number): void;
 	/** Writes all metrics in the text format of Prometheus. */
 	formatText(): Promise<string>;
 };
@@ -77,6 +79,13 @@
 		buckets: bucketsMs,
 		registers,
 	});
+	const acceptMs = new Histogram({
+		name: meshMetricNames.acceptMs,
+		help: 'Time that connections waited to be accepted, ms',
+		labelNames: ['server'],
+		buckets: bucketsMs,
+		registers,
+	});
 	const version = new Gauge({
 		name: meshMetricNames.version,
 		help: 'Version of the configuration that the node runs',
@@ -106,6 +115,9 @@
 
 	return {
 		contentType: registry.contentType,
+		noteAcceptWait(server, waitMs) {
+			acceptMs.observe({server}, waitMs);
+		},
 		async formatText() {
 			const gauges = readGauges();
 			version.set(gauges.version);
--- a/src/transport/create-tracer.test.ts
+++ b/src/transport/create-tracer.test.ts
@@ -19,6 +19,8 @@
 	startedAtMs: 5,
 	durationMs: 3.5,
 	queuedMs: 1.25,
+	ageMs: 2,
+	unreadMs: 0,
 	parentTraceparent: `${trace}-00000000000000aa-01`,
 	traceparent: `${trace}-00000000000000bb-01`,
 };
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -38,6 +38,7 @@
 import {isSameKeySet} from '../state/is-same-key-set.js';
 import {matchRoute} from '../state/match-route.js';
 import {abortResponse} from './_lib/abort-response.js';
+import type {AcceptedBatch} from './_lib/create-accept-meter.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -69,6 +70,8 @@
 	readonly edge?: Edge;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
+	/** Called after connections have been accepted and none waits any more. */
+	readonly onAccepted?: (batch: AcceptedBatch) => void;
 	/** Service on the own host, for which its requests are sent. */
 	readonly readOrigin?: () => string | undefined;
 	/** Bounds of the retries of this node, given the number of all nodes. */
@@ -125,6 +128,8 @@
 	readonly requestId: string;
 	/** Monotonic ms. */
 	readonly startedAt: number;
+	/** How late the event loop ran then, ms. */
+	readonly lagMs: number;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
 };
@@ -444,7 +449,8 @@
 		}
 
 		const {priority = 0} = route;
-		if (!decideLoopAdmission({lagMs: readLag(), priority})) {
+		const lagMs = readLag();
+		if (!decideLoopAdmission({lagMs, priority})) {
 			refuse(response, 'overloaded', computeOverloadDelayMs(terms));
 			return;
 		}
@@ -464,6 +470,7 @@
 				terms,
 				requestId: terms.requestId ?? randomUUID(),
 				startedAt,
+				lagMs,
 				parentTraceparent,
 				traceparent: createTraceparent(parentTraceparent),
 			});
@@ -481,7 +488,9 @@
 			});
 		});
 	});
-	const server = await startServer(options.address, createListener(app));
+	const server = await startServer(options.address, createListener(app), {
+		onAccepted: options.onAccepted,
+	});
 
 	return {
 		address: server.address,
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -6,11 +6,13 @@
 import type {Edge} from '../protocol/edge.js';
 import type {Announcement} from '../protocol/member.js';
 import type {MeshSettings} from '../protocol/mesh-settings.js';
+import type {AcceptedBatch} from './_lib/create-accept-meter.js';
 import {combineObservers} from './_lib/combine-observers.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {createDecisionLog} from './_lib/create-decision-log.js';
 import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createReadiness} from './_lib/create-readiness.js';
+import {outdatedLagMs} from './_lib/has-sender-left.js';
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
@@ -60,6 +62,9 @@
 /** Least time that a stopping node goes on serving, ms; the platform's readiness checks take two seconds. */
 const minDrainMs = 2500;
 
+/** Wait of connections above which it is logged, ms; below it requests are not outdated. */
+const notableAcceptMs = outdatedLagMs;
+
 /** Time without requests after which no client is left, ms. */
 const quietMs = 700;
 
@@ -105,6 +110,22 @@
 		}),
 	]);
 	const lagMeter = createLagMeter(() => performance.now());
+
+	/** Reports how long connections of a server have waited to be accepted. */
+	function reportAccepted(server: string) {
+		return ({count, waitMs}: AcceptedBatch): void => {
+			metrics.noteAcceptWait(server, waitMs);
+			if (waitMs >= notableAcceptMs) {
+				logger.warn('connections accepted late', {
+					server,
+					count,
+					waitMs: Math.round(waitMs),
+					lagMs: Math.round(lagMeter.read()),
+				});
+			}
+		};
+	}
+
 	const gate = startGateTask({
 		logger,
 		edge,
@@ -122,6 +143,7 @@
 		edge,
 		observer,
 		readLag: lagMeter.read,
+		onAccepted: reportAccepted('callers'),
 		readOrigin: () => settings.service,
 		computeRetryBudget: (members) =>
 			computeRetryShare(
@@ -147,6 +169,7 @@
 		gate,
 		logger,
 		readLag: lagMeter.read,
+		onAccepted: reportAccepted('peers'),
 		track: bytes.track,
 		handlers: {
 			async handlePoll() {
@@ -202,6 +225,7 @@
 				members.withdraw(id);
 			},
 		}),
+		{onAccepted: reportAccepted('announcements')},
 	);
 	const readiness = createReadiness({
 		hasConfiguration: () => document.readDocument() !== undefined,
@@ -213,6 +237,7 @@
 			const state = readiness.read();
 			sendJson(response, state === 'ready' ? 200 : 503, {state});
 		},
+		{onAccepted: reportAccepted('readiness')},
 	);
 	const metricsServer = await startServer(
 		first.metrics,
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -15,6 +15,7 @@
 	stampHeader,
 } from '../protocol/request.js';
 import {abortResponse, type AbortCause} from './_lib/abort-response.js';
+import type {AcceptedBatch} from './_lib/create-accept-meter.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {discardBody} from './_lib/discard-body.js';
@@ -45,6 +46,8 @@
 	readonly logger: Logger;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
+	/** Called after connections have been accepted and none waits any more. */
+	readonly onAccepted?: (batch: AcceptedBatch) => void;
 	/** Called with the socket of each call and what it is for. */
 	readonly track?: (purpose: string, socket: Socket) => void;
 };
@@ -175,6 +178,7 @@
 		const result = await gate.runAttempt({
 			...attempt,
 			...computeRemainingTerms(attempt, waitedMs),
+			unreadMs: waitedMs,
 		});
 		clearInterval(signs);
 		if (body.body instanceof Readable && result.kind !== 'answered') {
@@ -229,5 +233,7 @@
 			abort(request, response, {kind: 'failed', error});
 		});
 	});
-	return startServer(options.address, createListener(app));
+	return startServer(options.address, createListener(app), {
+		onAccepted: options.onAccepted,
+	});
 }
