--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -71,3 +71,34 @@
 	assert.ok(bytes > length);
 	assert.ok(await stopsInTime(stopped));
 });
+
+test('connections that have waited are all accepted before a request on them is handled', async () => {
+	const clients = 40;
+	// How many turns of the event loop had begun when each request was handled.
+	const handledIn: number[] = [];
+	let turn = 0;
+	const server = await startServer('127.0.0.1:0', (_request, response) => {
+		handledIn.push(turn);
+		response.end();
+	});
+	const countTurn = (): void => {
+		turn++;
+		if (handledIn.length < clients) {
+			setImmediate(countTurn);
+		}
+	};
+
+	const [host, port] = server.address.split(':');
+	const closed = Array.from({length: clients}, async () => {
+		const socket = createConnection(Number(port), host);
+		socket.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n');
+		socket.resume();
+		await once(socket, 'close');
+	});
+	setImmediate(countTurn);
+	await Promise.all(closed);
+	await server.stop();
+
+	assert.equal(handledIn.length, clients);
+	assert.ok(handledIn.at(-1)! - handledIn[0]! <= 2, handledIn.join(' '));
+});
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -1,11 +1,14 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
+import {createConnection} from 'node:net';
 import {text as readText} from 'node:stream/consumers';
 import test, {type TestContext} from 'node:test';
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {pollUntil} from '../../harness/poll-until.js';
+import {createAttemptHeaders} from './_lib/create-attempt-headers.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {startServer} from './_lib/start-server.js';
 import {createForwarder} from './create-forwarder.js';
@@ -19,6 +22,8 @@
 };
 
 type GateOptions = {
+	/** Monotonic ms of the gate. */
+	readonly now?: () => number;
 	readonly readLag?: () => number;
 	/** Answers a request at the upstream. */
 	readonly answer?: (response: ServerResponse) => void;
@@ -33,7 +38,7 @@
 /** Starts a gate with an upstream of one slot, behind a peer server. */
 async function startGate(
 	t: TestContext,
-	{readLag = () => 0, answer = endAnswer}: GateOptions,
+	{readLag = () => 0, answer = endAnswer, now}: GateOptions,
 ) {
 	const arrived: string[] = [];
 	const bodies: string[] = [];
@@ -43,7 +48,7 @@
 			answer(response);
 		});
 	});
-	const gate = startGateTask({logger});
+	const gate = startGateTask({logger, now});
 	gate.announce('i-1', {
 		team: '',
 		service: 'registry',
@@ -178,3 +183,48 @@
 	assert.equal(result.kind, 'answered');
 	assert.deepEqual(bodies, ['first']);
 });
+
+test('an attempt that lay in the network past its deadline is not sent on', async (t) => {
+	let at = 10_000;
+	const {bodies, gate, server, forwarder} = await startGate(t, {
+		now: () => at,
+	});
+	const attempt = createSampleAttempt({
+		method: 'POST',
+		headers: {'content-length': '5'},
+		body: Buffer.from('valve'),
+		repeatable: false,
+		remainingMs: 800,
+		stamp: gate.readStamp(),
+		madeAtGateMs: at,
+	});
+
+	// A cut of the network ends, and what was sent during it arrives.
+	at += 6000;
+	const result = await forwarder.forwardAttempt(server.address, attempt);
+	assert.equal(result.kind, 'not-run');
+	assert.deepEqual(bodies, []);
+	assert.equal(gate.ask(attempt), 'fenced');
+});
+
+test('a first attempt whose sender left before it was read is not sent on', async (t) => {
+	const {bodies, arrived, gate, server, forwarder} = await startGate(t, {});
+	const [host, port] = server.address.split(':');
+	const socket = createConnection(Number(port), host);
+	const headers = createAttemptHeaders(
+		createSampleAttempt({id: 'a/1', remainingMs: limitMs}),
+	);
+	const lines = Object.entries(headers).map(
+		([name, value]) => `${name}: ${String(value)}`,
+	);
+	socket.end(
+		['GET /gate/valves HTTP/1.1', 'host: a', ...lines, '\r\n'].join('\r\n'),
+	);
+	await once(socket, 'close');
+	const next = createSampleAttempt({id: 'a/2', remainingMs: limitMs});
+	const result = await forwarder.forwardAttempt(server.address, next);
+	assert.equal(result.kind, 'answered');
+	assert.deepEqual(arrived, ['a/2']);
+	assert.equal(bodies.length, 1);
+	assert.equal(gate.ask({id: 'a/1'}), 'fenced');
+});
