Accept all waiting connections before a request on them is handled

Callers saw requests sent on after they had left (GONE), around restarts.

Cause: Node accepts one connection of a server in each turn of its event loop (Node 20, libuv 1.46). A request was handled in each of those turns, so that the others waited unseen, while the lag meter showed the length of one turn.

Class: a wait that nobody measures, so that the time left is counted from when a request is read.

Now new connections are held while an accept happens in each turn, which makes turns short, and released four a turn, with the time that each has waited at most.

'connections that have waited are all accepted before a request on them is handled' failed before. Its bound on the turns between first and last request stood for the accepts; it now compares the accepts themselves, and still fails on the code before (2, 3, 4, ... of 40).

--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -1,4 +1,9 @@
-import {Server, type RequestListener, type ServerResponse} from 'node:http';
+import {
+	Server,
+	type IncomingMessage,
+	type RequestListener,
+	type ServerResponse,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import {
 	headersTimeoutMs,
@@ -7,7 +12,7 @@
 	serverIdleMs,
 } from '../../protocol/constants.js';
 import {outcomeHeader, reasonHeader} from '../../protocol/request.js';
-import {createAcceptMeter, type AcceptedBatch} from './create-accept-meter.js';
+import {createAcceptQueue, type AcceptedBatch} from './create-accept-queue.js';
 
 const connectRefusal = [
 	'HTTP/1.1 501 Not Implemented',
@@ -22,6 +27,11 @@
 export type RunningServer = {
 	readonly server: Server;
 	readonly address: string;
+	/**
+	 * Reads how long the connection of a request waited to be accepted, ms; 0
+	 * unless the request is the first one on it.
+	 */
+	readWait(request: IncomingMessage): number;
 	/** Asks clients, with each further answer, to close their connections. */
 	drain(): void;
 	/** Stops listening and waits for requests in flight. */
@@ -30,17 +40,35 @@
 
 /** Options of `startServer`. */
 export type ServerOptions = {
-	/** Called after connections have been accepted and none waits any more. */
+	/** How late the event loop runs, ms; not regarded when absent. */
+	readonly readLag?: (() => number) | undefined;
+	/** Called when connections have been accepted and none waits any more. */
 	readonly onAccepted?: ((batch: AcceptedBatch) => void) | undefined;
 };
 
 /** Time for a request that is on its way over an unused connection. */
 const closeIntervalMs = 200;
 
+/** Ends a connection that its client resets before its first request is read. */
+function endSocket(this: Socket): void {
+	this.destroy();
+}
+
 /** Closes idle connections only while no answer is on its way to its client. */
 class AnsweringServer extends Server {
 	readonly #open = new Set<ServerResponse>();
 
+	/** Takes over from Node what begins to read requests on a new connection. */
+	takeConnectionHandler(): (socket: Socket) => void {
+		const handlers = this.listeners('connection');
+		this.removeAllListeners('connection');
+		return (socket) => {
+			for (const handler of handlers) {
+				Reflect.apply(handler, this, [socket]);
+			}
+		};
+	}
+
 	/** Notes a response until all of it has been handed to its connection. */
 	noteResponse(response: ServerResponse): void {
 		this.#open.add(response);
@@ -77,10 +105,12 @@
 	listener: RequestListener,
 	options: ServerOptions = {},
 ): Promise<RunningServer> {
-	const {onAccepted = () => undefined} = options;
+	const {readLag = () => 0, onAccepted = () => undefined} = options;
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
 	const unused = new Set<Socket>();
+	const waits = new WeakMap<IncomingMessage, number>();
+	const connectionWaits = new WeakMap<Socket, number>();
 	const server = new AnsweringServer(
 		{
 			keepAliveTimeout: serverIdleMs,
@@ -89,7 +119,10 @@
 			maxHeaderSize: maxHeaderBytes,
 		},
 		(request, response) => {
-			unused.delete(request.socket);
+			const {socket} = request;
+			unused.delete(socket);
+			waits.set(request, connectionWaits.get(socket) ?? 0);
+			connectionWaits.delete(socket);
 			server.noteResponse(response);
 			if (isStopping) {
 				response.setHeader('connection', 'close');
@@ -101,12 +134,22 @@
 	server.on('connect', (_request, socket) => {
 		socket.end(connectRefusal);
 	});
-	const acceptMeter = createAcceptMeter({
+	const handleConnection = server.takeConnectionHandler();
+	const acceptQueue = createAcceptQueue({
 		now: () => performance.now(),
+		readLag,
 		onBatch: onAccepted,
+		release(socket, waitMs) {
+			socket.off('error', endSocket);
+			connectionWaits.set(socket, waitMs);
+			if (!socket.destroyed) {
+				handleConnection(socket);
+			}
+		},
 	});
 	server.on('connection', (socket) => {
-		acceptMeter.note();
+		socket.on('error', endSocket);
+		acceptQueue.add(socket);
 		unused.add(socket);
 		socket.once('close', () => {
 			unused.delete(socket);
@@ -130,6 +173,7 @@
 	return {
 		server,
 		address: `${host}:${boundPort}`,
+		readWait: (request) => waits.get(request) ?? 0,
 		drain() {
 			isStopping = true;
 		},
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -38,7 +38,7 @@
 import {isSameKeySet} from '../state/is-same-key-set.js';
 import {matchRoute} from '../state/match-route.js';
 import {abortResponse} from './_lib/abort-response.js';
-import type {AcceptedBatch} from './_lib/create-accept-meter.js';
+import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -70,7 +70,7 @@
 	readonly edge?: Edge;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
-	/** Called after connections have been accepted and none waits any more. */
+	/** Called when connections have been accepted and none waits any more. */
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
 	/** Service on the own host, for which its requests are sent. */
 	readonly readOrigin?: () => string | undefined;
@@ -489,6 +489,7 @@
 		});
 	});
 	const server = await startServer(options.address, createListener(app), {
+		readLag,
 		onAccepted: options.onAccepted,
 	});
 
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -6,7 +6,7 @@
 import type {Edge} from '../protocol/edge.js';
 import type {Announcement} from '../protocol/member.js';
 import type {MeshSettings} from '../protocol/mesh-settings.js';
-import type {AcceptedBatch} from './_lib/create-accept-meter.js';
+import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {combineObservers} from './_lib/combine-observers.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {createDecisionLog} from './_lib/create-decision-log.js';
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -15,7 +15,7 @@
 	stampHeader,
 } from '../protocol/request.js';
 import {abortResponse, type AbortCause} from './_lib/abort-response.js';
-import type {AcceptedBatch} from './_lib/create-accept-meter.js';
+import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {discardBody} from './_lib/discard-body.js';
@@ -46,7 +46,7 @@
 	readonly logger: Logger;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
-	/** Called after connections have been accepted and none waits any more. */
+	/** Called when connections have been accepted and none waits any more. */
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
 	/** Called with the socket of each call and what it is for. */
 	readonly track?: (purpose: string, socket: Socket) => void;
@@ -234,6 +234,7 @@
 		});
 	});
 	return startServer(options.address, createListener(app), {
+		readLag,
 		onAccepted: options.onAccepted,
 	});
 }
