Count the time that an attempt has been on its way against its deadline

What callers saw: work went on for some that had left (GONE).

Cause: the time left travels as a duration and the gate starts it anew when it reads the attempt, less its own lag. What lies in a cut network, waits for a connection of the sender's pool or to be accepted was never counted; a sender that gives up closes its connection, which does not take back what was written.

Now the gate takes off the age by its own clock, from the time that the sender gives with the attempt, where that is more than its lag.

'an attempt that lay in the network past its deadline is not sent on' failed before.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -141,6 +141,8 @@
 export const maxCallerInFlight = 2048;
 /** Time after which a node that had no processor time left is asked again; its lag is gone by then. */
 export const busyRetryMs = 100;
+/** Lag of a node above which what it reads may be outdated, ms; about a hop and a request. */
+export const outdatedLagMs = 50;
 export const maxDepth = 16;
 /** Requests in flight of a route of a document; the node's own bound is lower. */
 export const maxDocumentConcurrency = 10_000;
--- a/src/transport/_lib/has-sender-left.ts
+++ b/src/transport/_lib/has-sender-left.ts
@@ -1,8 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
-
-/** Lag above which what came with a request may already be outdated, ms; about a hop and a request. */
-export const outdatedLagMs = 50;
+import {outdatedLagMs} from '../../protocol/constants.js';
 
 /**
  * Tells whether the sender of a request has gone before the request was read.
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -6,6 +6,8 @@
 	decideAdmission,
 	type AdmissionInput,
 } from '../coordination/decide-admission.js';
+import {computeRemainingTerms} from '../coordination/compute-remaining-terms.js';
+import {computeTransitTime} from '../coordination/compute-transit-time.js';
 import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
@@ -138,10 +140,20 @@
 		};
 	}
 
+	/** Counts the time that an attempt has been on its way as used up. */
+	function updateTerms(attempt: Attempt): Attempt {
+		const transitMs = computeTransitTime(attempt, now());
+		return {...attempt, ...computeRemainingTerms(attempt, transitMs)};
+	}
+
 	/** Refuses an attempt when the node itself has no time for it. */
 	function admitByLag(attempt: Attempt): Job | AttemptResult {
 		const lagMs = readLag();
 		const {priority = 0, remainingMs} = attempt;
+		if (remainingMs <= 0) {
+			return refuse('not-run', 'deadline');
+		}
+
 		// The attempt may have waited here for as long as the loop runs late.
 		const canEndInTime = lagMs < remainingMs;
 		return canEndInTime && decideLoopAdmission({lagMs, priority})
@@ -240,7 +252,8 @@
 		});
 	}
 
-	async function runAdmitted(attempt: Attempt): Promise<AttemptResult> {
+	async function runAdmitted(arrived: Attempt): Promise<AttemptResult> {
+		const attempt = updateTerms(arrived);
 		const admitted = admitByLag(attempt);
 		if ('kind' in admitted) {
 			ledger.refuse(attempt, now());
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import polka from 'polka';
-import {computeRemainingTerms} from '../coordination/compute-remaining-terms.js';
+import {computeUnreadTime} from '../coordination/compute-unread-time.js';
 import type {AttemptResult} from '../protocol/attempt.js';
 import {maxBodyBytes, signOfLifeMs} from '../protocol/constants.js';
 import {
@@ -27,7 +27,7 @@
 import {sendAnswer} from './_lib/send-answer.js';
 import {sendJson} from './_lib/send-json.js';
 import {createListener} from './_lib/create-listener.js';
-import {hasSenderLeft, outdatedLagMs} from './_lib/has-sender-left.js';
+import {hasSenderLeft} from './_lib/has-sender-left.js';
 import {startServer, type RunningServer} from './_lib/start-server.js';
 import {answersPath, gatePrefix} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -162,24 +162,18 @@
 				gate.cancelWaiting(attempt.id);
 			}
 		});
-		const lagMs = readLag();
+		const lagMs = Math.max(readLag(), server.readWait(request));
 		const readAt = performance.now();
 		if (await hasSenderLeft(request, lagMs)) {
 			abort(request, response, {kind: 'sender-left'});
 			return;
 		}
 
-		// A late node may have read it as late as it runs.
-		const unreadMs = lagMs > outdatedLagMs ? lagMs : 0;
-		const waitedMs = unreadMs + performance.now() - readAt;
+		const unreadMs = computeUnreadTime(lagMs) + performance.now() - readAt;
 		const signs = setInterval(() => {
 			response.writeProcessing();
 		}, signOfLifeMs);
-		const result = await gate.runAttempt({
-			...attempt,
-			...computeRemainingTerms(attempt, waitedMs),
-			unreadMs: waitedMs,
-		});
+		const result = await gate.runAttempt({...attempt, unreadMs});
 		clearInterval(signs);
 		if (body.body instanceof Readable && result.kind !== 'answered') {
 			discardBody(body.body);
@@ -233,8 +227,9 @@
 			abort(request, response, {kind: 'failed', error});
 		});
 	});
-	return startServer(options.address, createListener(app), {
+	const server = await startServer(options.address, createListener(app), {
 		readLag,
 		onAccepted: options.onAccepted,
 	});
+	return server;
 }
