Look whether the sender of a first attempt is still there

A node that has no stamp of a gate yet, as after the restart of all of them, can't say when by the gate's clock it made an attempt. Such an attempt was run at once by a gate on time, also where the end of its connection lay behind it. The gate now reads its socket to the end first, as it does when it is late.

'a first attempt whose sender left before it was read is not sent on' failed before.

--- a/src/transport/_lib/has-sender-left.ts
+++ b/src/transport/_lib/has-sender-left.ts
@@ -2,6 +2,12 @@
 import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {outdatedLagMs} from '../../protocol/constants.js';
 
+/** Options of `hasSenderLeft`. */
+export type SenderOptions = {
+	/** Whether the age of the request is known besides the lag; so when absent. */
+	readonly isAgeKnown?: boolean;
+};
+
 /**
  * Tells whether the sender of a request has gone before the request was read.
  *
@@ -10,15 +16,20 @@
  * therefore waits for two turns of its event loop, one to read the notice and
  * one to handle it.
  *
+ * A request whose age nobody knows may have lain elsewhere, also when the node
+ * is on time.
+ *
  * @param request - the request
  * @param lagMs - how late the event loop runs, ms; without lag there is no wait
+ * @param options - see `SenderOptions`
  * @returns true when the request need not be handled
  */
 export async function hasSenderLeft(
 	request: IncomingMessage,
 	lagMs: number,
+	{isAgeKnown = true}: SenderOptions = {},
 ): Promise<boolean> {
-	if (lagMs <= outdatedLagMs) {
+	if (isAgeKnown && lagMs <= outdatedLagMs) {
 		return false;
 	}
 
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -164,7 +164,8 @@
 		});
 		const lagMs = Math.max(readLag(), server.readWait(request));
 		const readAt = performance.now();
-		if (await hasSenderLeft(request, lagMs)) {
+		const isAgeKnown = attempt.madeAtGateMs !== undefined;
+		if (await hasSenderLeft(request, lagMs, {isAgeKnown})) {
 			abort(request, response, {kind: 'sender-left'});
 			return;
 		}
