Count the time that a request lay unread against its client's deadline

The same class at the first hop: a late node took a request for as old as its reading, and offered it to hosts for up to its own lateness after the client had left. Its start is now the time at which it may have come in, by the lag of the loop or the wait of its connection; the objective shifts with it. A request whose connection has waited is refused by the same ranks as on a late node.

--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -29,7 +29,7 @@
 	readonly method: string;
 	/** Attempts that were made. */
 	readonly attempts: number;
-	/** How late the event loop ran when the request was read, ms. */
+	/** How late the node was with the request when it read it, ms. */
 	readonly lagMs: number;
 };
 
--- a/src/transport/_lib/report-request-event.ts
+++ b/src/transport/_lib/report-request-event.ts
@@ -10,7 +10,7 @@
 	readonly requestId: string;
 	/** Monotonic ms. */
 	readonly startedAt: number;
-	/** How late the event loop ran then, ms. */
+	/** How late the node was with it, ms. */
 	readonly lagMs: number;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -3,6 +3,7 @@
 import polka from 'polka';
 import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
+import {computeUnreadTime} from '../coordination/compute-unread-time.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import {decideDrainAdmission} from '../coordination/decide-drain-admission.js';
 import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
@@ -126,9 +127,9 @@
 	readonly terms: CallerTerms;
 	/** The caller's identifier, or a new one. */
 	readonly requestId: string;
-	/** Monotonic ms. */
+	/** When it came in, monotonic ms; before it was read when the node is late. */
 	readonly startedAt: number;
-	/** How late the event loop ran then, ms. */
+	/** How late the node was with it, ms. */
 	readonly lagMs: number;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
@@ -376,7 +377,7 @@
 				cancelling.abort();
 			}
 		});
-		if (await hasSenderLeft(request, readLag())) {
+		if (await hasSenderLeft(request, readLateness(request))) {
 			const {requestId} = routed;
 			abortResponse(response, {
 				cause: {kind: 'sender-left'},
@@ -399,6 +400,11 @@
 		}
 	}
 
+	/** Reads how late the node is with a request, ms. */
+	function readLateness(request: IncomingMessage): number {
+		return Math.max(readLag(), server.readWait(request));
+	}
+
 	function findRoute(
 		request: IncomingMessage,
 		{depth}: CallerTerms,
@@ -428,7 +434,7 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		const startedAt = now();
+		const readAt = now();
 		if (isRefusing) {
 			refuse(response, 'leaving', busyRetryMs);
 			return;
@@ -443,13 +449,13 @@
 
 		const route = chooseService(found);
 		const deadlineMs = computeDeadlineMs(terms, route);
-		if (!decideDrainAdmission({now: startedAt, deadlineMs, ...drainBounds})) {
+		if (!decideDrainAdmission({now: readAt, deadlineMs, ...drainBounds})) {
 			refuse(response, 'leaving', busyRetryMs);
 			return;
 		}
 
 		const {priority = 0} = route;
-		const lagMs = readLag();
+		const lagMs = readLateness(request);
 		if (!decideLoopAdmission({lagMs, priority})) {
 			refuse(response, 'overloaded', computeOverloadDelayMs(terms));
 			return;
@@ -469,7 +475,7 @@
 				route,
 				terms,
 				requestId: terms.requestId ?? randomUUID(),
-				startedAt,
+				startedAt: readAt - computeUnreadTime(lagMs),
 				lagMs,
 				parentTraceparent,
 				traceparent: createTraceparent(parentTraceparent),
