Read idle connections before one is used again for answers without a name

A caller of the product's own interface could get the answer to another request: bytes that lay unread on an idle connection of a late node were read as the next answer. Cause: a second answer is noticed only when the socket is read, and timers and requests come before that. Where answers name their request, as on the platform, they are found out as misplaced; there, and between nodes, nothing changes. Elsewhere the sockets are read for two turns first.

'bytes that lie unread on an idle connection are not taken for an answer' shows it without a delay: '200 no' before. The cost of the two turns was not measured.

--- a/src/protocol/edge.ts
+++ b/src/protocol/edge.ts
@@ -48,6 +48,8 @@
 export type Edge = {
 	/** Whether a path that can be read in more than one way is refused. */
 	readonly refusesAmbiguousPaths: boolean;
+	/** Whether an upstream's answer names its request, so that `judgeAnswer` tells one to another request. */
+	readonly identifiesAnswers: boolean;
 	readCaller(headers: IncomingHttpHeaders): CallerTerms;
 	/** Gives the headers that are set on a request to an upstream. */
 	createUpstreamHeaders(
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -183,7 +183,11 @@
 				traceparent: job.traceparent,
 				instance: upstream.id,
 			}),
-			{agent: upstream.agent, address: upstream.announcement.address},
+			{
+				agent: upstream.agent,
+				address: upstream.announcement.address,
+				areAnswersIdentified: edge.identifiesAnswers,
+			},
 		);
 		if (job.endedBy) {
 			job.sent.abort();
--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -147,6 +147,16 @@
 	assert.equal(sockets.size, 2);
 });
 
+test('bytes that lie unread on an idle connection are not taken for an answer', async (t) => {
+	const {send, sockets} = await start(t, (socket) => socket.write(whole));
+	assert.equal(await describeOutcome(await send().outcome), '200 ok');
+	const [idle] = sockets;
+	// Goes to the operating system at once; the client has not read it yet.
+	idle!.write(whole.replace('ok', 'no'));
+	assert.equal(await describeOutcome(await send().outcome), '200 ok');
+	assert.equal(sockets.size, 2);
+});
+
 test('a connection is used again', async (t) => {
 	const {send, sockets} = await start(t, (socket) => socket.write(whole));
 	await send().outcome;
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
+import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 import {discardBody} from './discard-body.js';
 import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
@@ -45,6 +46,11 @@
 	readonly agent: Agent;
 	/** IP and port of the other end. */
 	readonly address: string;
+	/**
+	 * Whether an answer to another request is found out; if not, which is assumed,
+	 * idle connections are read before one of them is used again.
+	 */
+	readonly areAnswersIdentified?: boolean;
 	/** Called before the first byte may leave, unless it was aborted before. */
 	readonly onSend?: (() => void) | undefined;
 	/** Called with each interim answer (1xx). */
@@ -73,10 +79,17 @@
 	);
 }
 
+/** Tells whether an agent has a connection to an address that is not in use. */
+function hasIdleConnection({agent, address}: SendOptions): boolean {
+	const [host, port] = address.split(':');
+	const name = agent.getName({host: host!, port: Number(port)});
+	return (agent.freeSockets[name]?.length ?? 0) > 0;
+}
+
 /** One request on one connection, up to its outcome. */
 class Sending {
 	readonly outcome: Promise<SendOutcome>;
-	readonly #request: ClientRequest;
+	#request: ClientRequest | undefined;
 	#resolve!: (outcome: SendOutcome) => void;
 	#connectTimer: PolledTimer | undefined;
 	#isSent = false;
@@ -94,6 +107,45 @@
 		this.outcome = new Promise((resolve) => {
 			this.#resolve = resolve;
 		});
+		this.#onSend = options.onSend;
+		const {areAnswersIdentified = false} = options;
+		if (areAnswersIdentified || !hasIdleConnection(options)) {
+			this.#start(outgoing, options);
+		} else {
+			void this.#startOnceRead(outgoing, options);
+		}
+	}
+
+	abort(): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isAborted = true;
+		if (this.#request) {
+			this.#request.destroy(new Error('aborted'));
+		} else {
+			this.#settle({kind: 'not-sent'});
+		}
+	}
+
+	/**
+	 * Starts the request after the sockets have been read: what a late node has
+	 * not read yet of an idle connection would be taken for the answer.
+	 */
+	async #startOnceRead(
+		outgoing: OutgoingRequest,
+		options: SendOptions,
+	): Promise<void> {
+		// The first turn may end without a read.
+		await waitForTurn();
+		await waitForTurn();
+		if (!this.#isAborted) {
+			this.#start(outgoing, options);
+		}
+	}
+
+	#start(outgoing: OutgoingRequest, options: SendOptions): void {
 		const [host, port] = options.address.split(':');
 		const {method, path, headers, body} = outgoing;
 		const request = startRequest({
@@ -106,7 +158,6 @@
 			setHost: headers.host === undefined,
 		});
 		this.#request = request;
-		this.#onSend = options.onSend;
 		request.on('socket', (socket) => {
 			this.#watchSocket(socket);
 		});
@@ -124,14 +175,7 @@
 			request.on('information', options.onInterim);
 		}
 
-		this.#sendBody(body);
-	}
-
-	abort(): void {
-		if (!this.#isOver) {
-			this.#isAborted = true;
-			this.#request.destroy(new Error('aborted'));
-		}
+		this.#sendBody(request, body);
 	}
 
 	#watchSocket(socket: Socket): void {
@@ -141,7 +185,7 @@
 		}
 
 		this.#connectTimer = startPolledTimer(() => {
-			this.#request.destroy(new Error('no connection in time'));
+			this.#request!.destroy(new Error('no connection in time'));
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
 			this.#connectTimer?.stop();
@@ -157,8 +201,10 @@
 		this.#onSend?.();
 	}
 
-	#sendBody(body: Uint8Array | Readable | undefined): void {
-		const request = this.#request;
+	#sendBody(
+		request: ClientRequest,
+		body: Uint8Array | Readable | undefined,
+	): void {
 		if (!(body instanceof Readable)) {
 			request.end(body);
 			return;
@@ -177,7 +223,7 @@
 
 	#handleAnswer(answer: IncomingMessage): void {
 		if ((answer.statusCode ?? 0) < minStatus) {
-			this.#request.destroy(new Error('no valid status'));
+			this.#request!.destroy(new Error('no valid status'));
 			return;
 		}
 
@@ -232,7 +278,7 @@
 			},
 			destroy: (error, callback) => {
 				if (!answer.complete || this.#hasFailed) {
-					this.#request.destroy(error ?? new Error('not read to its end'));
+					this.#request!.destroy(error ?? new Error('not read to its end'));
 				}
 
 				callback(error);
@@ -280,7 +326,7 @@
 	#hasNoBody(): boolean {
 		const status = this.#answer!.statusCode;
 		return (
-			this.#request.method === 'HEAD' ||
+			this.#request!.method === 'HEAD' ||
 			status === statusNotModified ||
 			status === statusNoContent
 		);
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -108,6 +108,8 @@
 				{
 					agent,
 					address,
+					// A gate answers each attempt once.
+					areAnswersIdentified: true,
 					onSend: attempt.onSend,
 					onInterim: attempt.onSignOfLife,
 				},
@@ -130,7 +132,7 @@
 			};
 			const sent = sendRequest(
 				{method: 'GET', path: answersPath, headers},
-				{agent: freshAgent, address},
+				{agent: freshAgent, address, areAnswersIdentified: true},
 			);
 			const outcome = await awaitOutcome(sent, signal);
 			// A fetch that was not sent tells nothing of the attempt.
--- a/src/transport/own-edge.ts
+++ b/src/transport/own-edge.ts
@@ -23,6 +23,7 @@
 /** The project's own headers towards callers and upstreams. */
 export const ownEdge: Edge = {
 	refusesAmbiguousPaths: true,
+	identifiesAnswers: false,
 	readCaller(headers) {
 		const depth = readNumber(headers, depthHeader) ?? 0;
 		const key = headers[idempotencyKeyHeader];
