Ask the upstream on the host who it is when a node has started

What became of the seconds of the incident after the restart of all nodes: most requests were refused as pending, since a node knows no upstream until the next announcement (every 1.5 s on the users' platform) and the others until they hear of it. The server went on, or had been started before.

A node now asks the health path of the upstream on its host until it answers or announces itself; what the upstream has said meanwhile goes before.

Left: nodes find each other in up to a second, and upstreams are cold for three.

--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -1,6 +1,7 @@
 import {readFile, stat} from 'node:fs/promises';
 import process from 'node:process';
 import {createControlListener} from '../../platform/create-control-listener.js';
+import {createServerProbe} from '../../platform/create-server-probe.js';
 import {createStoreClient} from '../../platform/create-store-client.js';
 import {platformEdge} from '../../platform/edge.js';
 import {readNodeSettings} from '../../platform/read-node-settings.js';
@@ -105,6 +106,7 @@
 				createStore: (onSocket) =>
 					createStoreClient(settings.value.store, {logger, onSocket}),
 				edge: platformEdge,
+				probeUpstream: createServerProbe(),
 				createAnnouncementListener: (handlers) =>
 					createControlListener({...handlers, logger}),
 			},
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -135,6 +135,12 @@
 ]);
 
 export type Announcement = z.infer<typeof announcementSchema>;
+
+/** What an upstream says of itself when it is asked. */
+export type UpstreamIdentity = Pick<Announcement, 'slots'> & {
+	readonly id: string;
+};
+
 export type MemberRecord = z.infer<typeof recordSchema>;
 export type RecordVersion = z.infer<typeof recordVersionSchema>;
 export type Sender = z.infer<typeof senderSchema>;
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -4,7 +4,7 @@
 import {computeRetryShare} from '../coordination/compute-retry-share.js';
 import {outdatedLagMs, upstreamLeaseMs} from '../protocol/constants.js';
 import type {Edge} from '../protocol/edge.js';
-import type {Announcement} from '../protocol/member.js';
+import type {Announcement, UpstreamIdentity} from '../protocol/member.js';
 import type {MeshSettings} from '../protocol/mesh-settings.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {combineObservers} from './_lib/combine-observers.js';
@@ -12,6 +12,7 @@
 import {createDecisionLog} from './_lib/create-decision-log.js';
 import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createReadiness} from './_lib/create-readiness.js';
+import {seekUpstream} from './_lib/seek-upstream.js';
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
@@ -34,6 +35,11 @@
 		onSocket: (socket: Socket) => void,
 	) => PlatformClient & DocumentStore;
 	readonly edge: Edge;
+	/** Asks an upstream who it is; undefined when it does not answer or is not healthy. */
+	readonly probeUpstream: (
+		address: string,
+		healthPath: string,
+	) => Promise<UpstreamIdentity | undefined>;
 	/** Creates the listener for what upstreams say of themselves. */
 	readonly createAnnouncementListener: (handlers: {
 		readonly announce: (id: string, announcement: Announcement) => void;
@@ -207,7 +213,24 @@
 		onLapse: gate.withdraw,
 	});
 
+	/** Whether the upstream on the host need not be asked who it is. */
+	let isSeekOver = false;
+
+	/** Asks the upstream on the host who it is, once its service is known. */
+	async function probeUpstream() {
+		const {service, upstreamAddress: address} = settings;
+		const terms = document.readDocument()?.services[service ?? ''];
+		if (service === undefined || address === undefined || !terms) {
+			return undefined;
+		}
+
+		const {healthPath, connections} = terms;
+		const identity = await platform.probeUpstream(address, healthPath);
+		return identity && {...identity, service, address, connections};
+	}
+
 	function announce(id: string, announcement: Announcement): void {
+		isSeekOver = true;
 		const outcome = members.announce(id, announcement);
 		// The acknowledgement of a leaving binds, whatever else is known.
 		if (outcome === 'accepted' || announcement.state === 'leaving') {
@@ -220,6 +243,7 @@
 		platform.createAnnouncementListener({
 			announce,
 			withdraw(id) {
+				isSeekOver = true;
 				gate.withdraw(id);
 				members.withdraw(id);
 			},
@@ -253,6 +277,14 @@
 			);
 		},
 	);
+	void seekUpstream({
+		isOver: () => isSeekOver,
+		probe: probeUpstream,
+		onFound({id, ...found}) {
+			logger.info('upstream found', {id, ...found});
+			announce(id, {...found, team: '', state: 'ready'});
+		},
+	});
 	logger.info('node started', {
 		callers: first.callers,
 		peers: first.peers,
@@ -267,6 +299,7 @@
 		async stop() {
 			const startedAt = performance.now();
 			logger.info('node stopping', {graceMs: settings.graceMs});
+			isSeekOver = true;
 			const elapsedMs = (): number => performance.now() - startedAt;
 			const lastMs = settings.graceMs - exitMarginMs;
 			readiness.drain();
