--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createConnection} from 'node:net';
+import {text as readText} from 'node:stream/consumers';
 import test from 'node:test';
 import {startServer} from './start-server.js';
 
@@ -100,3 +101,33 @@
 		Array.from({length: clients}, () => clients),
 	);
 });
+
+test('a long body and the request behind it are read whole from a connection that was held', async () => {
+	const clients = 20;
+	// More than is read of a connection at once.
+	const body = Buffer.alloc(200_000, 'a');
+	const server = await startServer('127.0.0.1:0', (request, response) => {
+		let length = 0;
+		request.on('data', (chunk: Uint8Array) => {
+			length += chunk.length;
+		});
+		request.on('end', () => {
+			response.end(`<${length}>`);
+		});
+	});
+	const [host, port] = server.address.split(':');
+	const answers = await Promise.all(
+		Array.from({length: clients}, async () => {
+			const socket = createConnection(Number(port), host);
+			socket.write(
+				`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n`,
+			);
+			socket.write(body);
+			socket.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n');
+			const text = await readText(socket);
+			return text.match(/<\d+>/gv)?.join('');
+		}),
+	);
+	await server.stop();
+	assert.deepEqual(new Set(answers), new Set([`<${body.length}><0>`]));
+});
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -370,14 +370,14 @@
 	}
 
 	async function answerRouted(routed: RoutedRequest): Promise<void> {
-		const {request, response} = routed;
+		const {request, response, lagMs} = routed;
 		const cancelling = createCancelSource();
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				cancelling.abort();
 			}
 		});
-		if (await hasSenderLeft(request, readLateness(request))) {
+		if (await hasSenderLeft(request, lagMs)) {
 			const {requestId} = routed;
 			abortResponse(response, {
 				cause: {kind: 'sender-left'},
