--- a/src/transport/_lib/create-accept-queue.ts
+++ b/src/transport/_lib/create-accept-queue.ts
@@ -27,7 +27,7 @@
 
 type HeldConnection = {
 	readonly socket: Socket;
-	/** When no connection waited for the last time before it came, monotonic ms. */
+	/** When the queue was last known to be empty before it came, monotonic ms. */
 	readonly since: number;
 };
 
--- a/src/transport/_lib/gate-port.ts
+++ b/src/transport/_lib/gate-port.ts
@@ -14,7 +14,10 @@
 	/** Whether the gate is in this process, so that nothing can be lost. */
 	readonly isLocal: boolean;
 	readStamp(): GateStamp | undefined;
-	/** Reads the time of the gate's clock at a time of the own one, ms; undefined when it is not known or needs not be told. */
+	/**
+	 * Reads the time of the gate's clock at a time of the own one, ms; undefined
+	 * when it is not known, or when the gate is in this process.
+	 */
 	readGateTime(at: number): number | undefined;
 	runAttempt(attempt: Attempt): Promise<ForwardResult>;
 	ask(question: AttemptQuestion): Promise<LedgerStep['answer'] | 'failed'>;
