--- a/src/protocol/edge.ts
+++ b/src/protocol/edge.ts
@@ -34,6 +34,26 @@
 	readonly headers: IncomingHttpHeaders;
 };
 
+/** A rate limit as an upstream states it. */
+export type StatedRate =
+	| {readonly kind: 'none'}
+	| {
+			readonly kind: 'named';
+			/** Requests a second that it takes from all nodes together. */
+			readonly perSecond: number;
+	  }
+	/** It names something that is not a rate. */
+	| {readonly kind: 'unreadable'; readonly text: string};
+
+/** What an upstream says of itself in the head of an answer. */
+export type UpstreamReport = {
+	readonly rateLimit: StatedRate;
+	/** Whether it is about to end, and takes no further requests. */
+	readonly isLeaving: boolean;
+	/** Names of the headers that say so, for the log. */
+	readonly headerNames: readonly string[];
+};
+
 /** What a gate adds to an attempt for its upstream. */
 export type UpstreamContext = {
 	/** Time left until the deadline, ms. */
@@ -59,6 +79,8 @@
 	judgeAnswer(answer: AnswerHead, attempt: Attempt): AnswerVerdict;
 	/** Reads the load that an upstream reports with its answer. */
 	readLoad(headers: IncomingHttpHeaders): GateLoad | undefined;
+	/** Reads what an upstream says of itself with its answer. */
+	readReport(headers: IncomingHttpHeaders): UpstreamReport;
 	/** Writes a delay in the form that callers understand. */
 	formatRetryAfter(seconds: number): string;
 };
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -3,7 +3,7 @@
 import {lateWaitPart} from '../../coordination/decide-admission.js';
 import type {Ledger} from '../../coordination/create-ledger.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
-import type {Edge} from '../../protocol/edge.js';
+import type {AnswerHead, Edge} from '../../protocol/edge.js';
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
@@ -30,6 +30,8 @@
 		reason: OutcomeReason,
 		upstream: LocalUpstream,
 	) => AttemptResult;
+	/** Told of the head of each answer. */
+	readonly onHead: (job: Job, head: AnswerHead) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -96,7 +98,7 @@
  * @returns the runner
  */
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
-	const {ledger, observer, edge, refuse, now} = options;
+	const {ledger, observer, edge, refuse, onHead, now} = options;
 	const jobs = new Map<string, Job>();
 	let onIdle: (() => void) | undefined;
 
@@ -187,6 +189,9 @@
 				agent: upstream.agent,
 				address: upstream.announcement.address,
 				areAnswersIdentified: edge.identifiesAnswers,
+				onHead(head) {
+					onHead(job, head);
+				},
 			},
 		);
 		if (job.endedBy) {
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -10,6 +10,7 @@
 import {Readable} from 'node:stream';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
+import type {AnswerHead} from '../../protocol/edge.js';
 import {discardBody} from './discard-body.js';
 import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
 
@@ -56,7 +57,7 @@
 	/** Called with each interim answer (1xx). */
 	readonly onInterim?: (() => void) | undefined;
 	/** Called when the head of the answer has arrived. */
-	readonly onHead?: (() => void) | undefined;
+	readonly onHead?: ((head: AnswerHead) => void) | undefined;
 };
 
 /** A request that has been handed to a connection. */
@@ -162,7 +163,8 @@
 			this.#watchSocket(socket);
 		});
 		request.on('response', (answer) => {
-			options.onHead?.();
+			const {statusCode: status = 0, headers: answerHeaders} = answer;
+			options.onHead?.({status, headers: answerHeaders});
 			this.#handleAnswer(answer);
 		});
 		request.on('error', (error) => {
--- a/src/transport/own-edge.ts
+++ b/src/transport/own-edge.ts
@@ -4,10 +4,13 @@
 	deadlineHeader,
 	depthHeader,
 	idempotencyKeyHeader,
+	leavingHeader,
+	rateLimitHeader,
 	requestIdHeader,
 	shedHeader,
 	traceparentHeader,
 } from '../protocol/request.js';
+import {parseRateLimit} from './_lib/parse-rate-limit.js';
 
 const statusServiceUnavailable = 503;
 
@@ -50,5 +53,12 @@
 		return isShed ? 'shed' : 'answered';
 	},
 	readLoad: () => undefined,
+	readReport: (headers) => ({
+		rateLimit: parseRateLimit(headers[rateLimitHeader]),
+		isLeaving: headers[leavingHeader] === '1',
+		headerNames: [rateLimitHeader, leavingHeader].filter(
+			(name) => headers[name] !== undefined,
+		),
+	}),
 	formatRetryAfter: (seconds) => String(Math.ceil(seconds)),
 };
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -22,9 +22,10 @@
 import {queueSlotsRatio, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
-import type {Edge} from '../protocol/edge.js';
+import type {AnswerHead, Edge} from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
+import {createReportLog} from './_lib/create-report-log.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {computeLocalOpenSlots} from './_lib/local-slots.js';
 import {
@@ -118,11 +119,24 @@
 		return {kind, reason, retryAfterSeconds: retryAfter, load, stamp};
 	}
 
+	const reportLog = createReportLog({logger: options.logger, now});
+
+	function noteHead({upstream, attempt}: Job, head: AnswerHead): void {
+		reportLog.note({
+			id: upstream.id,
+			service: attempt.service,
+			report: edge.readReport(head.headers),
+			status: head.status,
+			verdict: edge.judgeAnswer(head, attempt),
+		});
+	}
+
 	const runner = createJobRunner({
 		ledger,
 		observer,
 		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
+		onHead: noteHead,
 		now,
 	});
 
