--- /dev/null
+++ b/fakes/platform-document.ts
@@ -0,0 +1,39 @@
+/**
+ * A configuration as the platform's operator writes it: a service with a route that may be repeated and one that may not.
+ */
+export const platformDocument = {
+	version: '00000007',
+	resources: [
+		{
+			resource_type: 'routes',
+			metadata: {name: 'prices'},
+			spec: {
+				host: 'prices.example',
+				path_prefix: '/prices/',
+				kind: 'idempotent',
+				timeout_s: 1,
+				target_latency_s: 0.2,
+				service: 'pricebook',
+				max_attempts: 2,
+			},
+		},
+		{
+			resource_type: 'routes',
+			metadata: {name: 'orders'},
+			spec: {
+				host: 'prices.example',
+				path_prefix: '/orders/',
+				kind: 'non_idempotent',
+				timeout_s: 9,
+				target_latency_s: 0.2,
+				service: 'pricebook',
+				max_attempts: 1,
+			},
+		},
+		{
+			resource_type: 'services',
+			metadata: {name: 'pricebook'},
+			spec: {health_path: '/health', max_connections: 10},
+		},
+	],
+};
