Keep what upstreams say of themselves in their answers

Callers' requests went on to upstreams that had named a rate limit in their answers: 175 and 145 requests in 4 s, allowed 105 and 81. An answer was read as belonging to its request alone; what the upstream says of itself in it, that it limits its rate or that it leaves, was passed on and kept by nobody, and admission could not express a rate below slots / time per request.

The gate, through which all requests to an upstream pass, now keeps both: the limit as a token bucket from the first answer that names it, in the order in which requests wait for slots, and the leaving for good in this life. What can't have its turn within its objective is refused at once as limited, with the time of its turn, and goes to a host with room if there is one. The leaving goes to the other nodes like an announced one; a late announcement doesn't undo it. Gates tell callers' nodes of both with their answers: these place by it, refuse early, and tell a gate that has started again and knows neither.

--- a/src/cli/_lib/create-request-trace.ts
+++ b/src/cli/_lib/create-request-trace.ts
@@ -55,6 +55,7 @@
 /** Reasons for which a gate refuses an attempt on arrival, without a line. */
 const refusedOnArrival: ReadonlySet<string | undefined> = new Set([
 	'saturated',
+	'limited',
 	'deadline',
 	'overloaded',
 	'leaving',
--- a/src/coordination/_lib/host-offers.ts
+++ b/src/coordination/_lib/host-offers.ts
@@ -1,8 +1,13 @@
 /**
  * Offers of hosts: what a request is expected to cost there.
  */
-import {comparedHosts, usualObjectivePart} from '../../protocol/constants.js';
+import {
+	comparedHosts,
+	msPerSecond,
+	usualObjectivePart,
+} from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
+import {computeHostTurnWait} from '../compute-host-turn-wait.js';
 import {computeOfferCost} from '../compute-offer-cost.js';
 import type {HostRecord} from '../step-host-record.js';
 import {
@@ -88,12 +93,13 @@
 /** Computes the cost of a host for a request whose objective is known. */
 function computeCost(
 	load: number,
+	turnWaitMs: number,
 	times: HostTimes | undefined,
 	objectiveMs: number,
 ): number {
 	const usualMs = objectiveMs * usualObjectivePart;
 	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
-	return computeOfferCost({ownMs, serviceMs, load, objectiveMs});
+	return computeOfferCost({ownMs, serviceMs, load, turnWaitMs, objectiveMs});
 }
 
 /** Takes some of the pool at random, and the one with the best offer of them. */
@@ -114,12 +120,15 @@
 		const record = records.get(candidate.host);
 		const load =
 			computeShare(candidate, record, poolShare, now) + 1 / candidate.slots;
+		const turnWaitMs = computeHostTurnWait(record, now);
 		const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
 		const cost =
 			objectiveMs === undefined
-				? load / computeWarmth(record, now) / (1 - errorShare)
+				? load / computeWarmth(record, now) / (1 - errorShare) +
+					turnWaitMs / msPerSecond
 				: computeCost(
 						load,
+						turnWaitMs,
 						readTimes(record, route) ??
 							(expectedTimes ??= computeExpectedTimes(pool, records, route)),
 						objectiveMs,
--- a/src/coordination/compute-offer-cost.ts
+++ b/src/coordination/compute-offer-cost.ts
@@ -6,6 +6,8 @@
 	readonly serviceMs: number;
 	/** Requests there as a share of the slots, this one included. */
 	readonly load: number;
+	/** Wait for its turn under a rate limit, ms; 0 when absent. */
+	readonly turnWaitMs?: number;
 	/** Time within which the answer has its full value, ms. */
 	readonly objectiveMs: number;
 };
@@ -23,7 +25,7 @@
  * Computes what a request costs at a host, in parts of its value: the risk that
  * its answer comes late, and the load, which makes others late.
  *
- * Answers hosts of uneven speed: the fastest one alone would be chosen until it
+ * Answers hosts of uneven speed and hosts that limit their rate: the fastest one alone would be chosen until it
  * is full, while a slower one with free slots is still in time.
  *
  * @param expectation - see `HostExpectation`
@@ -33,9 +35,11 @@
  * computeOfferCost({ownMs: 60, serviceMs: 60, load: 0.2, objectiveMs: 200});
  */
 export function computeOfferCost(expectation: HostExpectation): number {
-	const {ownMs, serviceMs, load, objectiveMs} = expectation;
+	const {ownMs, serviceMs, load, objectiveMs, turnWaitMs = 0} = expectation;
 	const busy = Math.min(1, load);
-	const waitMs = serviceMs * (Math.max(0, load - 1) + fullWaitPart * busy ** 4);
+	const slotWaitMs =
+		serviceMs * (Math.max(0, load - 1) + fullWaitPart * busy ** 4);
+	const waitMs = Math.max(slotWaitMs, turnWaitMs);
 	const room = objectiveMs / (ownMs + waitMs) - 1;
 	const risk = room > 0 ? Math.exp(-riskSlope * room) : 1 - room;
 	return risk + loadWeight * busy ** 2;
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -25,6 +25,11 @@
 	readonly waitMs: number;
 	/** Expected wait behind all that is queued, ms. */
 	readonly lateWaitMs: number;
+	/**
+	 * Expected wait for its turn under the upstream's rate limit, ms; 0 when
+	 * absent. It is a part of the waits above.
+	 */
+	readonly turnWaitMs?: number;
 	/** Time left in which an answer has its full value, ms. */
 	readonly objectiveMs: number;
 	/** Share of the slots that all attempts that came in time would take up. */
@@ -100,7 +105,8 @@
  * An attempt that could not be answered within its deadline is refused at once,
  * and so is one that could only be late while those in time take all slots.
  * When the queue is full, a team that has fewer attempts in it than another
- * pushes out the newest of that other team.
+ * pushes out the newest of that other team. Under a rate limit no attempt waits
+ * for its turn that would then be late.
  *
  * @param input - see `AdmissionInput`
  * @returns whether to admit it, or why not
@@ -113,10 +119,16 @@
 		return refuse(state);
 	}
 
-	const isFree = inFlight < slots && ahead === 0;
+	const {turnWaitMs = 0} = input;
+	const isFree = inFlight < slots && ahead === 0 && turnWaitMs === 0;
 	const waitMs = isFree ? 0 : input.waitMs;
 	if (remainingMs <= 0 || waitMs + serviceMs > remainingMs) {
-		return refuse('deadline');
+		const canRunElsewhere = turnWaitMs > 0 && serviceMs <= remainingMs;
+		return refuse(canRunElsewhere ? 'limited' : 'deadline');
+	}
+
+	if (turnWaitMs > 0 && isExpectedLate(input, waitMs)) {
+		return refuse('limited');
 	}
 
 	// A short attempt is mostly a call for which a longer one holds its slot.
--- a/src/coordination/is-for-want-of-room.ts
+++ b/src/coordination/is-for-want-of-room.ts
@@ -10,5 +10,7 @@
  * isForWantOfRoom('saturated'); // true
  */
 export function isForWantOfRoom(reason: OutcomeReason): boolean {
-	return reason === 'saturated' || reason === 'overloaded';
+	return (
+		reason === 'saturated' || reason === 'limited' || reason === 'overloaded'
+	);
 }
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -3,10 +3,12 @@
 	ejectionCapMs,
 	ejectionErrorShare,
 	ejectionMinSamples,
+	msPerSecond,
 	unreachableBaseMs,
 	unreachableCapMs,
 } from '../protocol/constants.js';
-import type {GateLoad} from '../protocol/attempt.js';
+import type {GateLoad, UpstreamNotice} from '../protocol/attempt.js';
+import {computeUsableRate} from './compute-usable-rate.js';
 
 /** What a caller's node knows of a host, from its own requests. */
 export type HostRecord = {
@@ -18,6 +20,10 @@
 	readonly serviceMs?: number;
 	/** Expected time of the requests of a route at its upstream, ms. */
 	readonly routeMs?: ReadonlyMap<string, number>;
+	/** What its upstream has said of itself, as its gate last told. */
+	readonly notice?: UpstreamNotice | undefined;
+	/** When a next request has its turn under its upstream's rate limit, monotonic ms. */
+	readonly turnAt?: number | undefined;
 	/** When it was reported, monotonic ms; negative infinity when never. */
 	readonly reportedAt: number;
 	/** Share of recent attempts that failed, 0 to 1. */
@@ -138,8 +144,10 @@
  */
 function noteFull(record: HostRecord, message: Ended, now: number): HostRecord {
 	const demand = readDemand(message);
-	const {retryAfterMs = 0} = message;
-	const before = record.refusals?.get(demand) ?? 0;
+	const {retryAfterMs = 0, load} = message;
+	// Under a rate limit there is room again when the host says so.
+	const isLimited = load?.notice?.rateLimit !== undefined;
+	const before = isLimited ? 0 : (record.refusals?.get(demand) ?? 0);
 	const firstMs = Math.max(minFullMs, retryAfterMs * fullPart);
 	const durationMs = Math.min(maxFullMs, firstMs * 2 ** before);
 	const refusals = Math.min(maxRefusals, before + 1);
@@ -228,6 +236,31 @@
 	};
 }
 
+/** Takes in what the host's upstream has said of itself. */
+function putNotice(
+	before: HostRecord,
+	notice: UpstreamNotice | undefined,
+	now: number,
+): Pick<HostRecord, 'notice' | 'turnAt'> {
+	const {rateLimit} = notice ?? {};
+	return {
+		// An upstream that leaves doesn't come back; its gate may have forgotten it.
+		notice: notice ?? (before.notice?.isLeaving ? before.notice : undefined),
+		turnAt: rateLimit && now + rateLimit.waitMs,
+	};
+}
+
+/** Computes the next turn after one has been taken. */
+function takeTurn(
+	{notice, turnAt}: HostRecord,
+	now: number,
+): number | undefined {
+	return turnAt !== undefined && notice?.rateLimit
+		? Math.max(now, turnAt) +
+				msPerSecond / computeUsableRate(notice.rateLimit.perSecond)
+		: undefined;
+}
+
 /** Takes in what came with the end of an attempt, whatever its outcome. */
 function noteReport(
 	before: HostRecord,
@@ -246,6 +279,7 @@
 		routeMs: putRouteTime(before.routeMs, message),
 		reportedAt: isKnown ? now : before.reportedAt,
 		waitingSince: computeWaitingSince(before, message, now),
+		...(load && putNotice(before, load.notice, now)),
 	};
 }
 
@@ -326,6 +360,7 @@
 				ownInFlight: before.ownInFlight + 1,
 				sentAt: context.now,
 				waitingSince,
+				turnAt: takeTurn(before, context.now),
 			};
 		}
 
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -38,6 +38,8 @@
 	readonly madeAtGateMs?: number | undefined;
 	/** How long it may have lain unread at the gate, as the gate's lag says, ms. */
 	readonly unreadMs?: number | undefined;
+	/** What the sender knows of the gate's upstream; a gate that has started again may not. */
+	readonly notice?: UpstreamNotice | undefined;
 	/** Service on whose host the request began, if that is known. */
 	readonly origin?: string | undefined;
 	/** Rank among the attempts that wait for a slot; 0 goes first. */
@@ -68,6 +70,25 @@
 
 export type AttemptQuestion = z.infer<typeof attemptQuestionSchema>;
 
+/** What an upstream has said of itself in its answers, as its gate keeps it. */
+export type UpstreamNotice = {
+	/** Identifier under which the upstream announced itself. */
+	readonly id: string;
+	/** Life of the upstream, as in its announcement; undefined when not known. */
+	readonly incarnation?: number | undefined;
+	readonly isLeaving: boolean;
+	/** Undefined when it names no limit. */
+	readonly rateLimit?: StatedRateLimit | undefined;
+};
+
+/** A rate limit that an upstream has named. */
+export type StatedRateLimit = {
+	/** Requests a second that it takes from all nodes together. */
+	readonly perSecond: number;
+	/** Expected wait of the next attempt for its turn, ms. */
+	readonly waitMs: number;
+};
+
 /** Load of a gate, as piggybacked on answers. */
 export type GateLoad = {
 	readonly inFlight: number;
@@ -77,6 +98,8 @@
 	readonly serviceMs?: number | undefined;
 	/** Mean time that it takes for requests of the attempt's route, ms. */
 	readonly routeMs?: number | undefined;
+	/** Absent when the upstream has said nothing of note. */
+	readonly notice?: UpstreamNotice | undefined;
 };
 
 /** Result of one attempt. */
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -184,6 +184,8 @@
 
 export const spillShare = 0.8;
 export const loadTrustMs = 1000;
+/** Time for which a host's wait under a rate limit is believed; as long as its load. */
+export const turnTrustMs = loadTrustMs;
 /** Time over which a new host's share grows: upstreams are slow for about three seconds after their start. */
 export const slowStartMs = 3000;
 /** Time after which a near host that gets no requests is tried again, so that it is not judged by old times. */
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -2,6 +2,7 @@
  * Types and schemas of members (nodes) and of the upstreams they announce.
  */
 import * as z from 'zod';
+import type {UpstreamReport} from './edge.js';
 import {
 	maxCapacity,
 	maxDataCentres,
@@ -139,6 +140,7 @@
 /** What an upstream says of itself when it is asked. */
 export type UpstreamIdentity = Pick<Announcement, 'slots'> & {
 	readonly id: string;
+	readonly report: UpstreamReport;
 };
 
 export type MemberRecord = z.infer<typeof recordSchema>;
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -12,6 +12,7 @@
 export const teamHeader = 'boragehitch-team';
 export const repeatableHeader = 'boragehitch-repeatable';
 export const loadHeader = 'boragehitch-load';
+export const noticeHeader = 'boragehitch-upstream-notice';
 export const shedHeader = 'boragehitch-shed';
 export const rateLimitHeader = 'boragehitch-rate-limit';
 export const leavingHeader = 'boragehitch-leaving';
@@ -37,6 +38,7 @@
 	'no-upstream',
 	'team-limit',
 	'saturated',
+	'limited',
 	'deadline',
 	'leaving',
 	'fenced',
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -6,6 +6,7 @@
 	depthHeader,
 	gateTimeHeader,
 	keyHeader,
+	noticeHeader,
 	objectiveHeader,
 	originHeader,
 	priorityHeader,
@@ -20,6 +21,7 @@
 	traceparentHeader,
 } from '../../protocol/request.js';
 import {copyHeaders} from './copy-headers.js';
+import {formatNotice} from './format-notice.js';
 import {formatStamp} from './format-stamp.js';
 
 /**
@@ -70,6 +72,10 @@
 		headers[stampHeader] = formatStamp(attempt.stamp);
 	}
 
+	if (attempt.notice) {
+		headers[noticeHeader] = formatNotice(attempt.notice);
+	}
+
 	if (attempt.madeAtGateMs !== undefined) {
 		headers[gateTimeHeader] = String(Math.floor(attempt.madeAtGateMs));
 	}
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -1,7 +1,10 @@
 import {Readable} from 'node:stream';
 import {finished} from 'node:stream/promises';
+import {compareWaiting} from '../../coordination/compare-waiting.js';
+import {computeTurnWait} from '../../coordination/compute-turn-wait.js';
 import {lateWaitPart} from '../../coordination/decide-admission.js';
 import type {Ledger} from '../../coordination/create-ledger.js';
+import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
 import type {AnswerHead, Edge} from '../../protocol/edge.js';
 import type {RequestObserver} from '../../protocol/observer.js';
@@ -64,6 +67,8 @@
 	drop(job: Job, reason: OutcomeReason): void;
 	/** Refuses all queued jobs of an upstream that is leaving. */
 	dropQueued(upstream: LocalUpstream): void;
+	/** Refuses the queued jobs of an upstream whose turn under its rate limit comes too late. */
+	dropBeyondTurn(upstream: LocalUpstream): void;
 	/** Ends a job whose answer is not wanted any more, wherever it is. */
 	endEarly(job: Job, reason: 'deadline' | 'cancelled'): void;
 	/** Waits until there are no jobs. */
@@ -156,6 +161,55 @@
 		}
 	}
 
+	/** Starts jobs again when the next one has its turn under the rate limit. */
+	function planTurn(upstream: LocalUpstream, waitMs: number): void {
+		clearTimeout(upstream.turnTimer);
+		upstream.turnTimer = setTimeout(startJobs, waitMs, upstream);
+		upstream.turnTimer.unref();
+	}
+
+	/** Takes the next job that has a slot and its turn under the rate limit. */
+	function takeJob(upstream: LocalUpstream): Job | undefined {
+		const at = now();
+		const waitMs = computeTurnWait(upstream.rateLimit, 0, at);
+		if (waitMs > 0 && upstream.queuedCount > 0) {
+			planTurn(upstream, waitMs);
+			return undefined;
+		}
+
+		const job = takeNextJob(upstream, at);
+		if (job) {
+			const {rateLimit} = upstream;
+			upstream.rateLimit = stepRateLimit(rateLimit, {kind: 'sent'}, at);
+		}
+
+		return job;
+	}
+
+	/**
+	 * Refuses the queued jobs whose turn would come too late. Answers a limit
+	 * that is named while a queue waits that was admitted without it.
+	 */
+	function dropBeyondTurn(upstream: LocalUpstream): void {
+		if (!upstream.rateLimit) {
+			return;
+		}
+
+		const at = now();
+		const queued = [...upstream.queued.values()]
+			.flat()
+			.toSorted(compareWaiting);
+		let ahead = 0;
+		for (const job of queued) {
+			const turnAt = at + computeTurnWait(upstream.rateLimit, ahead, at);
+			if (turnAt > job.usefulUntil) {
+				dropJob(job, 'limited');
+			} else {
+				ahead++;
+			}
+		}
+	}
+
 	function startJobs(upstream: LocalUpstream): void {
 		if (
 			upstream.queuedCount > 0 &&
@@ -164,11 +218,7 @@
 			dropExpired(upstream);
 		}
 
-		for (
-			let job = takeNextJob(upstream, now());
-			job;
-			job = takeNextJob(upstream, now())
-		) {
+		for (let job = takeJob(upstream); job; job = takeJob(upstream)) {
 			const next = job;
 			next.phase = 'sent';
 			next.sentAt = now();
@@ -202,7 +252,7 @@
 		const result = readUpstreamOutcome(outcome, attempt, {
 			edge,
 			endedBy: job.endedBy,
-			load: readLocalLoad(upstream, attempt.route),
+			load: readLocalLoad(upstream, now(), attempt.route),
 			stamp: ledger.readStamp(now()),
 		});
 		if (result.kind === 'answered' && result.body instanceof Readable) {
@@ -234,6 +284,7 @@
 			resolve = settle;
 		});
 		const admittedAt = now();
+		const {objectiveMs} = attempt;
 		const job: Job = {
 			attempt,
 			upstream,
@@ -247,6 +298,9 @@
 				(isLate
 					? attempt.remainingMs * lateWaitPart
 					: Math.max(0, attempt.remainingMs - serviceMs)),
+			usefulUntil:
+				admittedAt +
+				Math.max(0, (objectiveMs ?? attempt.remainingMs) - serviceMs),
 			startTag: upstream.fairQueue.enter(attempt.team),
 			isLate,
 			serviceMs,
@@ -272,6 +326,7 @@
 		findJob: (id) => jobs.get(id),
 		drop: dropJob,
 		dropQueued,
+		dropBeyondTurn,
 		endEarly,
 		dropLate(upstream) {
 			for (const job of [...upstream.queued.values()].flat()) {
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,4 +1,5 @@
 import {computeGateTime} from '../../coordination/compute-gate-time.js';
+import {computeHostTurnWait} from '../../coordination/compute-host-turn-wait.js';
 import {isForWantOfRoom} from '../../coordination/is-for-want-of-room.js';
 import {isKnownFull} from '../../coordination/is-known-full.js';
 import {isOutOfReach} from '../../coordination/is-out-of-reach.js';
@@ -55,6 +56,8 @@
 	pickGate(): GatePort | OutcomeReason;
 	/** Whether a host that was not tried yet is not known to be full. */
 	hasRoom(): boolean;
+	/** Least wait for a turn under the rate limits of the hosts in reach, ms. */
+	readTurnWait(): number;
 	/**
 	 * Gets a new stamp of the gate that will be picked first, for a request that
 	 * cannot be sent again after a refused stamp.
@@ -188,6 +191,7 @@
 			isLocal: true,
 			readStamp: gate.readStamp,
 			readGateTime: () => undefined,
+			readNotice: () => undefined,
 			runAttempt: gate.runAttempt,
 			ask: async (question) => gate.ask(question),
 			fetchAnswer: gate.fetchAnswer,
@@ -207,6 +211,7 @@
 				const held = stamps.get(address);
 				return held && computeGateTime(held.clock, at);
 			},
+			readNotice: () => records.get(host.host)?.notice,
 			runAttempt: async (attempt) =>
 				forwarder.forwardAttempt(address, {
 					...attempt,
@@ -252,16 +257,36 @@
 		);
 	}
 
-	/** Tells whether every host in reach has just refused such a request for want of room. */
-	function isFull(service: string, demand: string | undefined): boolean {
+	/** Lists what is known of the hosts in reach that have an upstream of a service. */
+	function listReachable(
+		service: string,
+	): ReadonlyArray<HostRecord | undefined> {
 		const at = now();
-		const hosts = (candidates.get(service) ?? []).filter(
-			({host}) => !isOutOfReach(records.get(host), at),
-		);
-		return (
-			hosts.length > 0 &&
-			hosts.every(({host}) => isKnownFull(records.get(host), demand, at))
+		return (candidates.get(service) ?? [])
+			.map(({host}) => records.get(host))
+			.filter((record) => !isOutOfReach(record, at));
+	}
+
+	/**
+	 * Finds out why no host in reach would take a request: each has just refused
+	 * such a one for want of room, or lets none through before its objective.
+	 */
+	function findFullReason(
+		service: string,
+		{demand, objectiveMs = Number.POSITIVE_INFINITY}: RouteTerms,
+	): 'saturated' | 'limited' | undefined {
+		const at = now();
+		const hosts = listReachable(service);
+		const isLimited = (record: HostRecord | undefined): boolean =>
+			computeHostTurnWait(record, at) >= objectiveMs;
+		const isFull = hosts.every(
+			(record) => isLimited(record) || isKnownFull(record, demand, at),
 		);
+		if (hosts.length === 0 || !isFull) {
+			return undefined;
+		}
+
+		return hosts.some((record) => isLimited(record)) ? 'limited' : 'saturated';
 	}
 
 	function stepBudget(
@@ -303,8 +328,9 @@
 			let prepared: Candidate | undefined;
 			return {
 				pickGate() {
-					if (isFull(service, terms.demand)) {
-						return 'saturated';
+					const fullReason = findFullReason(service, terms);
+					if (fullReason) {
+						return fullReason;
 					}
 
 					const host = prepared ?? pickCandidate(service, key, tried, terms);
@@ -328,6 +354,13 @@
 							isRoomy(records.get(host), terms.demand, now()),
 					);
 				},
+				readTurnWait() {
+					const at = now();
+					const waits = listReachable(service).map((record) =>
+						computeHostTurnWait(record, at),
+					);
+					return waits.length === 0 ? 0 : Math.min(...waits);
+				},
 				async refreshStamp() {
 					prepared = pickCandidate(service, key, tried, terms);
 					if (prepared && prepared.host !== name) {
--- a/src/transport/_lib/gate-port.ts
+++ b/src/transport/_lib/gate-port.ts
@@ -3,6 +3,7 @@
 	Attempt,
 	AttemptQuestion,
 	ForwardResult,
+	UpstreamNotice,
 } from '../../protocol/attempt.js';
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import type {Candidate} from '../../protocol/member.js';
@@ -19,6 +20,8 @@
 	 * when it is not known, or when the gate is in this process.
 	 */
 	readGateTime(at: number): number | undefined;
+	/** Reads what is known of the gate's upstream; undefined when that is nothing of note. */
+	readNotice(): UpstreamNotice | undefined;
 	runAttempt(attempt: Attempt): Promise<ForwardResult>;
 	ask(question: AttemptQuestion): Promise<LedgerStep['answer'] | 'failed'>;
 	fetchAnswer(
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -5,6 +5,7 @@
 	type WaitingRequest,
 } from '../../coordination/compare-waiting.js';
 import {computeWaitMs} from '../../coordination/compute-wait.js';
+import {computeTurnWait} from '../../coordination/compute-turn-wait.js';
 import {
 	createFairQueue,
 	type FairQueue,
@@ -13,6 +14,7 @@
 	usualMarginPart,
 	type AdmissionInput,
 } from '../../coordination/decide-admission.js';
+import type {RateLimit} from '../../coordination/rate-limit.js';
 import {readServiceTime} from '../../coordination/read-service-time.js';
 import {
 	stepServiceTime,
@@ -26,6 +28,7 @@
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
 import {createPooledAgent} from './create-pooled-agent.js';
+import {readNotice} from './local-notice.js';
 import type {SentRequest} from './send-request.js';
 
 /** Least expected rest of a running request, ms: one that takes longer than expected may end at any time. */
@@ -42,6 +45,8 @@
 	readonly deadlineAt: number;
 	/** When it is given up if it still waits, monotonic ms. */
 	readonly giveUpAt: number;
+	/** Until when it can be sent and still be answered within its objective, monotonic ms. */
+	readonly usefulUntil: number;
 	readonly startTag: number;
 	/** Whether its answer was expected after its objective. */
 	readonly isLate: boolean;
@@ -87,6 +92,14 @@
 	utilization: Utilization | undefined;
 	/** By how much answers come later than expected, in parts of their time. */
 	marginPart: number;
+	/** Whether an answer or another node has said that it leaves; for good in this life. */
+	isLeaving: boolean;
+	/** Undefined when it names none. */
+	rateLimit: RateLimit | undefined;
+	/** Whether an answer has said how it stands since the gate knows it. */
+	isReportKnown: boolean;
+	/** Fires when a queued job has its turn under the rate limit. */
+	turnTimer: NodeJS.Timeout | undefined;
 };
 
 /**
@@ -116,6 +129,10 @@
 		routeTimes: new Map(),
 		utilization: undefined,
 		marginPart: usualMarginPart,
+		isLeaving: false,
+		rateLimit: undefined,
+		isReportKnown: false,
+		turnTimer: undefined,
 	};
 }
 
@@ -145,7 +162,7 @@
 			continue;
 		}
 
-		if (announcement.state === 'leaving') {
+		if (upstream.isLeaving || announcement.state === 'leaving') {
 			isLeaving = true;
 		} else if (!found || upstream.inFlight < found.inFlight) {
 			found = upstream;
@@ -163,13 +180,16 @@
  * Reads the load of an upstream.
  *
  * @param upstream - the upstream
+ * @param now - monotonic ms
  * @param route - name of the route whose time is given too
  * @returns its load, as piggybacked on answers
  */
 export function readLocalLoad(
 	upstream: LocalUpstream,
+	now: number,
 	route?: string,
 ): GateLoad {
+	const notice = readNotice(upstream, now);
 	return {
 		inFlight: upstream.inFlight,
 		queued: upstream.queuedCount,
@@ -177,6 +197,7 @@
 		serviceMs: upstream.serviceTime?.meanMs,
 		routeMs:
 			route === undefined ? undefined : upstream.routeTimes.get(route)?.meanMs,
+		...(notice && {notice}),
 	};
 }
 
@@ -248,6 +269,8 @@
 	readonly waitMs: number;
 	/** Behind all that is queued. */
 	readonly lateWaitMs: number;
+	/** Part of the first that the rate limit alone asks for. */
+	readonly turnWaitMs: number;
 };
 
 /**
@@ -263,9 +286,11 @@
 	order: Pick<WaitingRequest, 'priority' | 'dueAt'>,
 	now: number,
 ): LocalWait {
+	const {rateLimit, queuedCount} = upstream;
 	const {slots} = upstream.announcement;
-	if (upstream.inFlight < slots && upstream.queuedCount === 0) {
-		return {waitMs: 0, lateWaitMs: 0};
+	if (upstream.inFlight < slots && queuedCount === 0) {
+		const turnWaitMs = computeTurnWait(rateLimit, 0, now);
+		return {waitMs: turnWaitMs, lateWaitMs: turnWaitMs, turnWaitMs};
 	}
 
 	const expectedMs = ({attempt}: Job): number =>
@@ -276,17 +301,22 @@
 	const queued = [...upstream.queued.values()].flat();
 	const next = {...order, isLate: false};
 	const ahead = queued.filter((job) => compareWaiting(job, next) <= 0);
+	const turnWaitMs = computeTurnWait(rateLimit, ahead.length, now);
+	const lateTurnWaitMs = computeTurnWait(rateLimit, queuedCount, now);
+	const slotWaitMs = computeWaitMs({
+		slots,
+		runningMs,
+		aheadMs: ahead.map((job) => expectedMs(job)),
+	});
+	const lateSlotWaitMs = computeWaitMs({
+		slots,
+		runningMs,
+		aheadMs: queued.map((job) => expectedMs(job)),
+	});
 	return {
-		waitMs: computeWaitMs({
-			slots,
-			runningMs,
-			aheadMs: ahead.map((job) => expectedMs(job)),
-		}),
-		lateWaitMs: computeWaitMs({
-			slots,
-			runningMs,
-			aheadMs: queued.map((job) => expectedMs(job)),
-		}),
+		waitMs: Math.max(slotWaitMs, turnWaitMs),
+		lateWaitMs: Math.max(lateSlotWaitMs, lateTurnWaitMs),
+		turnWaitMs,
 	};
 }
 
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -9,6 +9,7 @@
 	depthHeader,
 	gateTimeHeader,
 	keyHeader,
+	noticeHeader,
 	objectiveHeader,
 	originHeader,
 	priorityHeader,
@@ -22,6 +23,7 @@
 	teamHeader,
 	traceparentHeader,
 } from '../../protocol/request.js';
+import {parseNotice} from './parse-notice.js';
 import {parseStamp} from './parse-stamp.js';
 
 /** What of an attempt is not in its headers. */
@@ -64,6 +66,7 @@
 		routeObjectiveMs: readNumber(headers[routeObjectiveHeader]),
 		objectiveMs: readNumber(headers[objectiveHeader]),
 		stamp: parseStamp(headers[stampHeader]),
+		notice: parseNotice(headers[noticeHeader]),
 		madeAtGateMs: readNumber(headers[gateTimeHeader]),
 		key: headers[keyHeader]?.toString(),
 		traceparent: headers[traceparentHeader]?.toString(),
--- a/src/transport/_lib/read-gate-outcome.ts
+++ b/src/transport/_lib/read-gate-outcome.ts
@@ -1,8 +1,10 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import {Readable} from 'node:stream';
-import type {ForwardResult} from '../../protocol/attempt.js';
+import type {ForwardResult, GateLoad} from '../../protocol/attempt.js';
 import {retryAfterSeconds} from '../../protocol/constants.js';
 import {
 	loadHeader,
+	noticeHeader,
 	outcomeHeader,
 	outcomeReasons,
 	reasonHeader,
@@ -10,6 +12,7 @@
 	type OutcomeReason,
 } from '../../protocol/request.js';
 import {parseLoad} from './parse-load.js';
+import {parseNotice} from './parse-notice.js';
 import {parseStamp} from './parse-stamp.js';
 import type {SendOutcome} from './send-request.js';
 
@@ -17,6 +20,12 @@
 	return outcomeReasons.find((reason) => reason === value) ?? 'connection-lost';
 }
 
+function readLoad(headers: IncomingHttpHeaders): GateLoad | undefined {
+	const load = parseLoad(headers[loadHeader]);
+	const notice = parseNotice(headers[noticeHeader]);
+	return load && notice ? {...load, notice} : load;
+}
+
 /**
  * Reads the result of a forwarded attempt from the outcome on its connection.
  *
@@ -27,7 +36,7 @@
 	switch (outcome.kind) {
 		case 'answered': {
 			const {status, headers, body} = outcome;
-			const load = parseLoad(headers[loadHeader]);
+			const load = readLoad(headers);
 			const stamp = parseStamp(headers[stampHeader]);
 			const kind = headers[outcomeHeader];
 			if (kind === 'answered') {
--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -20,6 +20,7 @@
 		isLocal: true,
 		readStamp: () => undefined,
 		readGateTime: () => undefined,
+		readNotice: () => undefined,
 		async runAttempt() {
 			const chunk = await new Promise<Uint8Array>((resolve) => {
 				body.once('data', resolve);
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -29,6 +29,7 @@
 	| 'objectiveMs'
 	| 'stamp'
 	| 'madeAtGateMs'
+	| 'notice'
 	| 'signal'
 	| 'traceparent'
 	| 'onSend'
@@ -51,6 +52,8 @@
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
 	/** Whether a host that was not tried is not known to be full. */
 	readonly hasRoom: () => boolean;
+	/** Least time until a host may take a request under the rate limits, ms; 0 when absent. */
+	readonly readTurnWait?: () => number;
 	readonly readBudget: () => number;
 	readonly spendBudget: () => void;
 	/** Monotonic ms. */
@@ -188,6 +191,7 @@
 				),
 				stamp,
 				madeAtGateMs: gate.readGateTime(startedAt),
+				notice: gate.readNotice(),
 				signal: controller.signal,
 				traceparent: options.createTraceparent(),
 				onSend: gate.isLocal
@@ -314,7 +318,7 @@
 			const {deadlineAt, objectiveAt = deadlineAt} = terms;
 			const at = now();
 			return computeRetryAfter({
-				waitMs: busyRetryMs,
+				waitMs: Math.max(busyRetryMs, options.readTurnWait?.() ?? 0),
 				serviceMs: (template.routeObjectiveMs ?? 0) * usualObjectivePart,
 				objectiveMs: objectiveAt - at,
 				remainingMs: Math.max(0, deadlineAt - at),
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -350,6 +350,7 @@
 			signal,
 			pickGate: selection.pickGate,
 			hasRoom: selection.hasRoom,
+			readTurnWait: selection.readTurnWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
 				router.noteAttempt(end, now(), demand);
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -17,16 +17,23 @@
 	Attempt,
 	AttemptQuestion,
 	AttemptResult,
+	UpstreamNotice,
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {queueSlotsRatio, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
-import type {AnswerHead, Edge} from '../protocol/edge.js';
+import type {AnswerHead, Edge, UpstreamReport} from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {createReportLog} from './_lib/create-report-log.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
+import {
+	adoptNotice,
+	isEarlierLife,
+	isSameLife,
+	noteReport,
+} from './_lib/local-notice.js';
 import {computeLocalOpenSlots} from './_lib/local-slots.js';
 import {
 	computeLocalWait,
@@ -54,6 +61,8 @@
 	readonly readLag?: () => number;
 	/** Headers that the upstreams understand; the project's own when absent. */
 	readonly edge?: Edge;
+	/** Called when an upstream is found to leave, other than by its announcement. */
+	readonly onLeaving?: (id: string, announcement: Announcement) => void;
 	/** Random name of the process; a new UUID when absent. */
 	readonly epoch?: string;
 	/** Monotonic ms; `performance.now` when absent. */
@@ -70,6 +79,13 @@
 export type GateTask = {
 	announce(id: string, announcement: Announcement): void;
 	withdraw(id: string): void;
+	/**
+	 * Gives an announcement as it holds: an upstream that has said in an answer
+	 * that it leaves is not ready any more, whatever a late announcement says.
+	 */
+	reviseAnnouncement(id: string, announcement: Announcement): Announcement;
+	/** Takes in what an upstream has reported outside of an attempt. */
+	takeReport(id: string, report: UpstreamReport): void;
 	runAttempt(attempt: Attempt): Promise<AttemptResult>;
 	/** Tells what became of an attempt, fencing one that has not arrived. */
 	ask(question: AttemptQuestion): LedgerStep['answer'];
@@ -114,21 +130,54 @@
 		upstream?: LocalUpstream,
 		retryAfter = retryAfterSeconds,
 	): AttemptResult {
-		const load = upstream && readLocalLoad(upstream);
+		const load = upstream && readLocalLoad(upstream, now());
 		const stamp = ledger.readStamp(now());
 		return {kind, reason, retryAfterSeconds: retryAfter, load, stamp};
 	}
 
 	const reportLog = createReportLog({logger: options.logger, now});
 
-	function noteHead({upstream, attempt}: Job, head: AnswerHead): void {
-		reportLog.note({
-			id: upstream.id,
-			service: attempt.service,
-			report: edge.readReport(head.headers),
-			status: head.status,
-			verdict: edge.judgeAnswer(head, attempt),
-		});
+	/** Acts on what an upstream is now known to have said of itself. */
+	function applyNotice(upstream: LocalUpstream): void {
+		if (upstreams.get(upstream.id) !== upstream) {
+			// A later life has taken its place.
+			return;
+		}
+
+		const {id, announcement, isLeaving} = upstream;
+		if (isLeaving && announcement.state !== 'leaving') {
+			upstream.announcement = {...announcement, state: 'leaving'};
+			runner.dropQueued(upstream);
+			options.onLeaving?.(id, upstream.announcement);
+			return;
+		}
+
+		runner.dropBeyondTurn(upstream);
+		runner.startJobs(upstream);
+	}
+
+	function noteHead(job: Job, {status, headers}: AnswerHead): void {
+		const {upstream, attempt, sentAt} = job;
+		const report = edge.readReport(headers);
+		const verdict = edge.judgeAnswer({status, headers}, attempt);
+		const {id} = upstream;
+		const {service} = attempt;
+		reportLog.note({id, service, report, status, verdict});
+		const hadLimit = upstream.rateLimit !== undefined;
+		noteReport(upstream, {report, verdict, sentAt}, now());
+		const hasLimit = upstream.rateLimit !== undefined;
+		if (hadLimit || hasLimit || upstream.isLeaving) {
+			applyNotice(upstream);
+		}
+	}
+
+	/** Takes in what the sender of an attempt knows of an upstream here. */
+	function takeNotice(notice: UpstreamNotice | undefined): void {
+		const upstream = notice && upstreams.get(notice.id);
+		if (upstream) {
+			adoptNotice(upstream, notice, now());
+			applyNotice(upstream);
+		}
 	}
 
 	const runner = createJobRunner({
@@ -328,6 +377,23 @@
 		const known = upstreams.get(id);
 		if (known) {
 			upstreams.delete(id);
+			clearTimeout(known.turnTimer);
+			runner.dropQueued(known);
+		}
+	}
+
+	/** Takes in a further announcement of the same life. */
+	function renew(known: LocalUpstream, announcement: Announcement): void {
+		const {incarnation = known.announcement.incarnation} = announcement;
+		const isLeaving = known.isLeaving || announcement.state === 'leaving';
+		known.announcement = {
+			...announcement,
+			...(incarnation !== undefined && {incarnation}),
+			state: isLeaving ? 'leaving' : 'ready',
+		};
+		known.queue.concurrency = announcement.slots;
+		runner.startJobs(known);
+		if (isLeaving) {
 			runner.dropQueued(known);
 		}
 	}
@@ -335,14 +401,12 @@
 	return {
 		announce(id, announcement) {
 			const known = upstreams.get(id);
-			if (known?.announcement.address === announcement.address) {
-				known.announcement = announcement;
-				known.queue.concurrency = announcement.slots;
-				runner.startJobs(known);
-				if (announcement.state === 'leaving') {
-					runner.dropQueued(known);
-				}
+			if (known && isSameLife(known.announcement, announcement)) {
+				renew(known, announcement);
+				return;
+			}
 
+			if (known && isEarlierLife(announcement, known.announcement)) {
 				return;
 			}
 
@@ -350,8 +414,23 @@
 			upstreams.set(id, createLocalUpstream(id, announcement));
 		},
 		withdraw,
+		reviseAnnouncement(id, announcement) {
+			const known = upstreams.get(id);
+			return known?.isLeaving && isSameLife(known.announcement, announcement)
+				? {...announcement, state: 'leaving'}
+				: announcement;
+		},
+		takeReport(id, report) {
+			const upstream = upstreams.get(id);
+			if (upstream) {
+				const at = now();
+				noteReport(upstream, {report, verdict: 'answered', sentAt: at}, at);
+				applyNotice(upstream);
+			}
+		},
 		async runAttempt(attempt) {
 			const {id, key, remainingMs, signal} = attempt;
+			takeNotice(attempt.notice);
 			const holder = key === undefined ? undefined : ledger.findKeyHolder(key);
 			const answer = holder ? 'running' : ledger.admit(attempt, now());
 			switch (answer) {
@@ -396,7 +475,8 @@
 			await runner.waitUntilIdle();
 		},
 		async stop() {
-			for (const {agent} of upstreams.values()) {
+			for (const {agent, turnTimer} of upstreams.values()) {
+				clearTimeout(turnTimer);
 				agent.destroy();
 			}
 		},
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -136,6 +136,9 @@
 		edge,
 		observer,
 		readLag: lagMeter.read,
+		onLeaving(id, announcement) {
+			members.announce(id, announcement);
+		},
 	});
 	const forwarder = createForwarder();
 	const caller = await startCallerTask({
@@ -229,8 +232,9 @@
 		return identity && {...identity, service, address, connections};
 	}
 
-	function announce(id: string, announcement: Announcement): void {
+	function announce(id: string, announced: Announcement): void {
 		isSeekOver = true;
+		const announcement = gate.reviseAnnouncement(id, announced);
 		const outcome = members.announce(id, announcement);
 		// The acknowledgement of a leaving binds, whatever else is known.
 		if (outcome === 'accepted' || announcement.state === 'leaving') {
@@ -280,9 +284,10 @@
 	void seekUpstream({
 		isOver: () => isSeekOver,
 		probe: probeUpstream,
-		onFound({id, ...found}) {
+		onFound({id, report, ...found}) {
 			logger.info('upstream found', {id, ...found});
 			announce(id, {...found, team: '', state: 'ready'});
+			gate.takeReport(id, report);
 		},
 	});
 	logger.info('node started', {
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -80,7 +80,13 @@
 		metrics.observer,
 		createRequestLog(logger, settings.log.level),
 	]);
-	const gate = startGateTask({logger, observer});
+	const gate = startGateTask({
+		logger,
+		observer,
+		onLeaving(id, announcement) {
+			members.announce(id, announcement);
+		},
+	});
 	const forwarder = createForwarder();
 	const caller = await startCallerTask({
 		name,
@@ -153,7 +159,8 @@
 		readNewest: configuration.readNewest,
 		readView: members.readView,
 		readControlBytes: bytes.readTotal,
-		announce(id, announcement) {
+		announce(id, announced) {
+			const announcement = gate.reviseAnnouncement(id, announced);
 			const outcome = members.announce(id, announcement);
 			if (outcome === 'accepted') {
 				gate.announce(id, announcement);
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -9,6 +9,7 @@
 	attemptHeader,
 	deadlineHeader,
 	loadHeader,
+	noticeHeader,
 	outcomeHeader,
 	reasonHeader,
 	requestIdHeader,
@@ -20,6 +21,7 @@
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {discardBody} from './_lib/discard-body.js';
 import {formatLoad} from './_lib/format-load.js';
+import {formatNotice} from './_lib/format-notice.js';
 import {formatStamp} from './_lib/format-stamp.js';
 import {readAttempt} from './_lib/read-attempt.js';
 import {readPurpose} from './_lib/read-purpose.js';
@@ -59,6 +61,10 @@
 	const headers: Record<string, string> = {[outcomeHeader]: result.kind};
 	if (result.load) {
 		headers[loadHeader] = formatLoad(result.load);
+		const {notice} = result.load;
+		if (notice) {
+			headers[noticeHeader] = formatNotice(notice);
+		}
 	}
 
 	if (result.stamp) {
