--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -89,7 +89,7 @@
  * started again beside an upstream that goes on: what the gate has heard itself
  * is newer.
  */
-export function adoptNotice(
+export function acceptNotice(
 	upstream: LocalUpstream,
 	{incarnation, isLeaving, rateLimit}: UpstreamNotice,
 	now: number,
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -29,7 +29,7 @@
 import {createReportLog} from './_lib/create-report-log.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {
-	adoptNotice,
+	acceptNotice,
 	isEarlierLife,
 	isSameLife,
 	noteReport,
@@ -175,7 +175,7 @@
 	function takeNotice(notice: UpstreamNotice | undefined): void {
 		const upstream = notice && upstreams.get(notice.id);
 		if (upstream) {
-			adoptNotice(upstream, notice, now());
+			acceptNotice(upstream, notice, now());
 			applyNotice(upstream);
 		}
 	}
