Deliver a whole answer that other bytes follow

Clients got 504 although their answer had arrived whole: Node's parser reports the bytes behind it as an error before the end of the answer is read, and the gate took the answer as truncated. An answer that is complete by its own length is now read to its end; the connection is closed, as before.

--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -4,10 +4,14 @@
 import process from 'node:process';
 import {Readable} from 'node:stream';
 import test, {type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {connectTimeoutMs} from '../../protocol/constants.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
+/** Most that may lie in buffers of the two ends and of the system between them, bytes. */
+const maxHeldBytes = 32 * 1024 * 1024;
+
 type Handler = (socket: Socket, request: string, count: number) => unknown;
 
 /** Starts a server that is given each request's text; requests are short. */
@@ -67,6 +71,19 @@
 const open = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart';
 const long = `HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${'x'.repeat(100_000)}`;
 
+const chunked = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+
+/** Sends a beginning and then bytes until the other end closes. */
+function writeOn(socket: Socket, beginning: string): void {
+	const write = (): void => {
+		if (!socket.destroyed) {
+			socket.write('x'.repeat(8192), write);
+		}
+	};
+
+	socket.write(beginning, write);
+}
+
 const cases: ReadonlyArray<readonly [string, Handler, string]> = [
 	['a whole answer', (socket) => socket.write(whole), '200 ok'],
 	[
@@ -121,6 +138,58 @@
 		(socket) => socket.write('hello\r\n\r\n'),
 		'lost',
 	],
+	[
+		'a whole answer with other bytes behind it',
+		(socket) => socket.write(`${whole}hello\r\n\r\n`),
+		'200 ok',
+	],
+	[
+		'a whole answer with a second one behind it',
+		(socket) => socket.write(whole + whole.replace('ok', 'no')),
+		'200 ok',
+	],
+	[
+		'a whole answer in chunks with other bytes behind it',
+		(socket) => socket.write(`${chunked}2\r\nok\r\n0\r\n\r\nhello\r\n`),
+		'200 ok',
+	],
+	[
+		'a whole answer with other bytes behind it and a reset',
+		(socket) => {
+			socket.write(`${whole}hello\r\n\r\n`, () => {
+				socket.resetAndDestroy();
+			});
+		},
+		'200 ok',
+	],
+	[
+		'no answer but bytes without end',
+		(socket) => {
+			writeOn(socket, '');
+		},
+		'lost',
+	],
+	[
+		'a head without end',
+		(socket) => {
+			writeOn(socket, 'HTTP/1.1 200 OK\r\nx-pad: ');
+		},
+		'lost',
+	],
+	[
+		'a length of a chunk without end',
+		(socket) => {
+			writeOn(socket, `${chunked}2;`);
+		},
+		'truncated',
+	],
+	[
+		'trailers without end',
+		(socket) => {
+			writeOn(socket, `${chunked}2\r\nok\r\n0\r\nx-pad: `);
+		},
+		'truncated',
+	],
 ];
 
 for (const [name, handler, expected] of cases) {
@@ -130,6 +199,37 @@
 	});
 }
 
+test('a connection on which bytes follow the answer is not used again', async (t) => {
+	const {send, sockets} = await start(t, (socket) =>
+		socket.write(`${whole}hello\r\n\r\n`),
+	);
+	await send().outcome;
+	assert.equal(await describeOutcome(await send().outcome), '200 ok');
+	assert.equal(sockets.size, 2);
+});
+
+test('a body without end is held up until it is read, and cut with its reader', async (t) => {
+	const {send, sockets} = await start(t, (socket) => {
+		writeOn(socket, open);
+	});
+	const outcome = await send().outcome;
+	assert.ok(outcome.kind === 'answered' && outcome.body instanceof Readable);
+	const [socket] = sockets;
+	const closed = new Promise((resolve) => {
+		socket!.once('close', resolve);
+	});
+	// The sender goes on until the buffers on the way are full.
+	let before = -1;
+	while (socket!.bytesWritten > before) {
+		before = socket!.bytesWritten;
+		await sleep(100);
+	}
+
+	outcome.body.destroy();
+	await closed;
+	assert.ok(before < maxHeldBytes, `${before} bytes`);
+});
+
 test('a second answer on an idle connection is not taken for the next one', async (t) => {
 	const {send, sockets} = await start(t, (socket, _request, count) => {
 		socket.write(whole);
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -325,6 +325,12 @@
 		);
 	}
 
+	/** Tells whether the answer has arrived to its end, if not been read. */
+	#isAnswerWhole(): boolean {
+		const answer = this.#answer;
+		return answer?.complete === true && !isEndedByConnection(answer);
+	}
+
 	#hasNoBody(): boolean {
 		const status = this.#answer!.statusCode;
 		return (
@@ -350,6 +356,11 @@
 			return;
 		}
 
+		if (this.#isAnswerWhole() && !this.#isAborted) {
+			// What follows a whole answer belongs to no request.
+			return;
+		}
+
 		this.#hasFailed = true;
 		if (!this.#isSent) {
 			this.#settle({kind: 'not-sent'});
