Bound the answers of the store and of other nodes that are read into memory

An answer of the store without end was collected until its timeout of three seconds, at tens of MB a second, and one with status 503 was left open.

--- a/src/transport/_lib/create-peer-fetch.ts
+++ b/src/transport/_lib/create-peer-fetch.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {Agent} from 'node:http';
+import {maxPeerAnswerBytes} from '../../protocol/constants.js';
+import {readWholeBody} from './read-whole-body.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
 /** What of a request the tRPC client sets. */
@@ -30,10 +32,12 @@
 		throw new Error(`call not answered: ${outcome.kind}`);
 	}
 
-	const {body} = outcome;
-	return body instanceof Uint8Array
-		? Buffer.from(body).toString()
-		: Buffer.concat(await body.toArray()).toString();
+	const whole = await readWholeBody(outcome.body, maxPeerAnswerBytes);
+	if (!whole) {
+		throw new Error('answer is too long');
+	}
+
+	return Buffer.from(whole).toString();
 }
 
 /**
