Don't take back an upstream that leaves after its lease has lapsed

An upstream that has said that it leaves, fell silent and is heard of again with a late announcement that it is ready was taken for a new one in the same life. Its lease now ends as gone, like that of one that was withdrawn. The new test of stepMembers failed before.

--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -191,8 +191,11 @@
 	}
 
 	const leases = new Map(state.leases);
-	for (const [id] of ended) {
-		leases.delete(id);
+	for (const [id, lease] of ended) {
+		// One that leaves is not taken back when it is heard of again.
+		if (lease.state !== 'leaving') {
+			leases.delete(id);
+		}
 	}
 
 	const ids = new Set(
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -129,6 +129,16 @@
 	assert.equal(renewed.state.self.upstreams.length, 1);
 });
 
+test('an upstream that leaves and falls silent is not taken back in the same life', () => {
+	const said = sayState(createState(), {state: 'leaving'}, 0).state;
+	const lapsed = step(said, {kind: 'tick'}, 4000).state;
+	assert.deepEqual(lapsed.self.upstreams, []);
+	const late = sayState(lapsed, {}, 6000).state;
+	assert.deepEqual(late.self.upstreams, []);
+	const next = sayState(late, {incarnation: 2}, 6000).state;
+	assert.equal(next.self.upstreams.length, 1);
+});
+
 test('claims about the own node are refuted at a bounded rate', () => {
 	const claim = (incarnation: number): MemberRecord => ({
 		...record,
