Remember for other nodes what their upstreams have said

A gate that starts again beside an upstream that goes on knows nothing of its leaving, and a late announcement says that it is ready. Callers' nodes keep what gates tell them beyond the records of hosts, and say so with their next attempt. Without that the new test doesn't see its attempt refused (tried by leaving the notice out). Tests of the gate: lives, pauses, overtaken answers, unreadable values, queues admitted before; of real nodes: the excess moves, limits end.

--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -72,7 +72,7 @@
 				port,
 				path,
 				method: options.method ?? 'GET',
-				agent: options.agent,
+				agent: options.agent ?? false,
 				headers: {
 					host: 'prices.example',
 					'x-boragehitch-request-id': options.id ?? 'id',
@@ -174,3 +174,9 @@
 	}, readyTimeoutMs);
 	assert.ok(isServed, 'no request was served');
 }
+
+/** Reads the metrics of a node as text. */
+export async function readMetrics({metrics}: MeshSettings): Promise<string> {
+	const answer = await fetch(`http://${metrics}/metrics`);
+	return answer.text();
+}
--- a/src/coordination/compute-host-turn-wait.ts
+++ b/src/coordination/compute-host-turn-wait.ts
@@ -18,7 +18,7 @@
 	record: HostRecord | undefined,
 	now: number,
 ): number {
-	return record?.turnAt === undefined || now - record.reportedAt > turnTrustMs
-		? 0
-		: Math.max(0, record.turnAt - now);
+	return record?.rateLimit && now - record.reportedAt <= turnTrustMs
+		? Math.max(0, record.rateLimit.turnAt - now)
+		: 0;
 }
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -7,7 +7,7 @@
 	unreachableBaseMs,
 	unreachableCapMs,
 } from '../protocol/constants.js';
-import type {GateLoad, UpstreamNotice} from '../protocol/attempt.js';
+import type {GateLoad} from '../protocol/attempt.js';
 import {computeUsableRate} from './compute-usable-rate.js';
 
 /** What a caller's node knows of a host, from its own requests. */
@@ -20,10 +20,8 @@
 	readonly serviceMs?: number;
 	/** Expected time of the requests of a route at its upstream, ms. */
 	readonly routeMs?: ReadonlyMap<string, number>;
-	/** What its upstream has said of itself, as its gate last told. */
-	readonly notice?: UpstreamNotice | undefined;
-	/** When a next request has its turn under its upstream's rate limit, monotonic ms. */
-	readonly turnAt?: number | undefined;
+	/** The rate limit of its upstream, if its gate last told of one. */
+	readonly rateLimit?: HostRateLimit | undefined;
 	/** When it was reported, monotonic ms; negative infinity when never. */
 	readonly reportedAt: number;
 	/** Share of recent attempts that failed, 0 to 1. */
@@ -50,6 +48,13 @@
 	readonly waitingSince?: number | undefined;
 };
 
+/** The rate limit of a host's upstream, as a caller's node knows it. */
+export type HostRateLimit = {
+	readonly perSecond: number;
+	/** When the next request is expected to have its turn, monotonic ms. */
+	readonly turnAt: number;
+};
+
 /** What happened with an attempt on a host. */
 export type HostMessage =
 	| {
@@ -236,29 +241,27 @@
 	};
 }
 
-/** Takes in what the host's upstream has said of itself. */
-function putNotice(
-	before: HostRecord,
-	notice: UpstreamNotice | undefined,
+/** Computes when the next request has its turn after one has taken one. */
+function takeTurn(
+	limit: HostRateLimit | undefined,
 	now: number,
-): Pick<HostRecord, 'notice' | 'turnAt'> {
-	const {rateLimit} = notice ?? {};
-	return {
-		// An upstream that leaves doesn't come back; its gate may have forgotten it.
-		notice: notice ?? (before.notice?.isLeaving ? before.notice : undefined),
-		turnAt: rateLimit && now + rateLimit.waitMs,
-	};
+): HostRateLimit | undefined {
+	return (
+		limit && {
+			...limit,
+			turnAt:
+				Math.max(now, limit.turnAt) +
+				msPerSecond / computeUsableRate(limit.perSecond),
+		}
+	);
 }
 
-/** Computes the next turn after one has been taken. */
-function takeTurn(
-	{notice, turnAt}: HostRecord,
+function readRateLimit(
+	{notice}: GateLoad,
 	now: number,
-): number | undefined {
-	return turnAt !== undefined && notice?.rateLimit
-		? Math.max(now, turnAt) +
-				msPerSecond / computeUsableRate(notice.rateLimit.perSecond)
-		: undefined;
+): HostRateLimit | undefined {
+	const limit = notice?.rateLimit;
+	return limit && {perSecond: limit.perSecond, turnAt: now + limit.waitMs};
 }
 
 /** Takes in what came with the end of an attempt, whatever its outcome. */
@@ -279,7 +282,7 @@
 		routeMs: putRouteTime(before.routeMs, message),
 		reportedAt: isKnown ? now : before.reportedAt,
 		waitingSince: computeWaitingSince(before, message, now),
-		...(load && putNotice(before, load.notice, now)),
+		rateLimit: load ? readRateLimit(load, now) : before.rateLimit,
 	};
 }
 
@@ -360,7 +363,7 @@
 				ownInFlight: before.ownInFlight + 1,
 				sentAt: context.now,
 				waitingSince,
-				turnAt: takeTurn(before, context.now),
+				rateLimit: takeTurn(before.rateLimit, context.now),
 			};
 		}
 
--- /dev/null
+++ b/src/coordination/step-upstream-notice.ts
@@ -0,0 +1,39 @@
+import type {GateLoad, UpstreamNotice} from '../protocol/attempt.js';
+
+/** What a caller's node remembers of the upstream on a host. */
+export type HeldNotice = {
+	readonly notice: UpstreamNotice;
+	/** When its gate last told, monotonic ms. */
+	readonly heardAt: number;
+};
+
+/**
+ * Advances what a caller's node remembers of an upstream by what its gate tells
+ * with the end of an attempt.
+ *
+ * Answers a gate that starts again beside an upstream that goes on: the callers'
+ * nodes remember for it. An upstream that leaves doesn't come back, so that a
+ * gate which knows nothing of that has forgotten it.
+ *
+ * @param held - what is remembered so far
+ * @param load - what the gate tells, undefined when it tells nothing
+ * @param now - monotonic ms
+ * @returns what is to be remembered
+ * @example
+ * stepUpstreamNotice(undefined, {inFlight: 0, queued: 0, slots: 6}, 0); // undefined
+ */
+export function stepUpstreamNotice(
+	held: HeldNotice | undefined,
+	load: GateLoad | undefined,
+	now: number,
+): HeldNotice | undefined {
+	if (!load) {
+		return held;
+	}
+
+	if (load.notice) {
+		return {notice: load.notice, heardAt: now};
+	}
+
+	return held?.notice.isLeaving ? held : undefined;
+}
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -20,11 +20,16 @@
 	type RetryBudget,
 	type RetryBudgetOptions,
 } from '../../coordination/step-retry-budget.js';
-import type {ForwardResult} from '../../protocol/attempt.js';
+import {
+	stepUpstreamNotice,
+	type HeldNotice,
+} from '../../coordination/step-upstream-notice.js';
+import type {ForwardResult, GateLoad} from '../../protocol/attempt.js';
 import {
 	latencyRefreshMs,
 	msPerSecond,
 	stampLifetimeMs,
+	upstreamTombstoneMs,
 } from '../../protocol/constants.js';
 import type {Candidate, MembersView} from '../../protocol/member.js';
 import type {OutcomeReason} from '../../protocol/request.js';
@@ -130,6 +135,8 @@
 	const {name, dataCentre, gate, forwarder, logger, now, random} = options;
 	const records = new Map<string, HostRecord>();
 	const stamps = new Map<string, HeldStamp>();
+	// Kept beyond the records: a host that starts again is gone for a time.
+	const notices = new Map<string, HeldNotice>();
 	const budgets = new Map<string, RetryBudget>();
 	const latencies = new Map<
 		string,
@@ -185,6 +192,15 @@
 		stamps.set(address, {stamp, receivedAt, clock});
 	}
 
+	function noteNotice(host: string, load: GateLoad | undefined): void {
+		const held = stepUpstreamNotice(notices.get(host), load, now());
+		if (held) {
+			notices.set(host, held);
+		} else {
+			notices.delete(host);
+		}
+	}
+
 	function createLocalPort(host: Candidate): GatePort {
 		return {
 			host,
@@ -211,7 +227,7 @@
 				const held = stamps.get(address);
 				return held && computeGateTime(held.clock, at);
 			},
-			readNotice: () => records.get(host.host)?.notice,
+			readNotice: () => notices.get(host.host)?.notice,
 			runAttempt: async (attempt) =>
 				forwarder.forwardAttempt(address, {
 					...attempt,
@@ -317,6 +333,12 @@
 				}
 			}
 
+			for (const [host, {heardAt}] of notices) {
+				if (now() - heardAt > upstreamTombstoneMs) {
+					notices.delete(host);
+				}
+			}
+
 			for (const address of stamps.keys()) {
 				if (!addresses.has(address)) {
 					stamps.delete(address);
@@ -375,6 +397,10 @@
 				noteStamp(address, result.stamp, endedAt);
 			}
 
+			if (result.kind !== 'lost') {
+				noteNotice(host, result.load);
+			}
+
 			// An attempt that was not sent has no stamp from the gate.
 			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
 			const isSilent = !isHeard && isOutOfReach(records.get(host), endedAt);
