Tell of announced leavings too, and serve the named rate limit as a metric

A gate that had started again knew of a leaving that was announced only from the next announcement; callers' nodes now remember it like one from an answer. Tests of admission, placing and the caller's account of turns.

--- a/src/coordination/compute-offer-cost.test.ts
+++ b/src/coordination/compute-offer-cost.test.ts
@@ -23,3 +23,10 @@
 	const b = computeOfferCost({...slow, load: 4});
 	assert.ok(a > 1 && b > a);
 });
+
+test('a slow host is chosen before a fast one whose rate limit makes the request late', () => {
+	const slowCost = computeOfferCost({...slow, load: 0.2});
+	const soon = computeOfferCost({...fast, load: 0.2, turnWaitMs: 10});
+	const late = computeOfferCost({...fast, load: 0.2, turnWaitMs: 200});
+	assert.ok(soon < slowCost && slowCost < late);
+});
--- a/src/coordination/decide-admission.test.ts
+++ b/src/coordination/decide-admission.test.ts
@@ -59,6 +59,15 @@
 	lateWaitMs: 0,
 };
 
+/** Free slots, but a turn under the rate limit that comes in 50 ms. */
+const limited: Partial<AdmissionInput> = {
+	inFlight: 0,
+	waitMs: 50,
+	lateWaitMs: 50,
+	turnWaitMs: 50,
+	utilization: 0.1,
+};
+
 const lateCases: ReadonlyArray<
 	readonly [string, Partial<AdmissionInput>, string]
 > = [
@@ -77,6 +86,15 @@
 		'in time',
 	],
 	['an objective that it meets', {inFlight: 6, objectiveMs: 100}, 'in time'],
+	['a turn before its objective', {...limited, objectiveMs: 100}, 'in time'],
+	['a turn after its objective', {...limited, objectiveMs: 40}, 'limited'],
+	[
+		'a short time and a turn after its objective',
+		{...limited, objectiveMs: 40, meanServiceMs: 50},
+		'limited',
+	],
+	['a turn after its deadline', {...limited, remainingMs: 55}, 'limited'],
+	['no time even without a limit', {...limited, remainingMs: 5}, 'deadline'],
 ];
 
 for (const [name, change, expected] of lateCases) {
--- a/src/coordination/step-host-record.test.ts
+++ b/src/coordination/step-host-record.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {computeHostTurnWait} from './compute-host-turn-wait.js';
 import {isKnownFull} from './is-known-full.js';
 import {
 	stepHostRecord,
@@ -43,3 +44,37 @@
 	assert.ok(isKnownFull(record, demand, 29));
 	assert.ok(!isKnownFull(record, demand, 31));
 });
+
+test('requests sent to a host that limits its rate take their turns one after the other', () => {
+	const context = {now: 0, random: 0.5, serviceLatencyMs: 0};
+	const rateLimit = {perSecond: 10, waitMs: 0};
+	const notice = {id: 'i-1', isLeaving: false, rateLimit};
+	const load = {inFlight: 1, queued: 0, slots: 6, notice};
+	const end = {...createEnd('answered'), load} as const;
+	let record: HostRecord | undefined;
+	record = stepHostRecord(record, end, context);
+	assert.equal(computeHostTurnWait(record, 0), 0);
+	record = stepHostRecord(record, {kind: 'sent'}, context);
+	record = stepHostRecord(record, {kind: 'sent'}, context);
+	assert.equal(computeHostTurnWait(record, 0), 200);
+	assert.equal(computeHostTurnWait(record, 150), 50);
+	// What was reported long ago may be over.
+	assert.equal(computeHostTurnWait({...record, reportedAt: -1500}, 0), 0);
+	const free = {...end, load: {...load, notice: undefined}};
+	record = stepHostRecord(record, free, context);
+	assert.equal(computeHostTurnWait(record, 0), 0);
+});
+
+test('a host that limits its rate is asked again when its turn has come, however often it refused', () => {
+	const rateLimit = {perSecond: 10, waitMs: 100};
+	const notice = {id: 'i-1', isLeaving: false, rateLimit};
+	const load = {inFlight: 0, queued: 0, slots: 6, notice};
+	const end = {...createEnd('full'), load, retryAfterMs: 100} as const;
+	let record: HostRecord | undefined;
+	for (let refusals = 0; refusals < 5; refusals++) {
+		const context = {now: 0, random: 0.5, serviceLatencyMs: 0};
+		record = stepHostRecord(record, end, context);
+	}
+
+	assert.ok(!isKnownFull(record, demand, 60));
+});
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -32,6 +32,7 @@
 	version: 'boragehitch_configuration_version',
 	members: 'boragehitch_members',
 	inFlight: 'boragehitch_requests_in_flight',
+	rateLimit: 'boragehitch_upstream_rate_limit',
 	memory: 'boragehitch_memory_bytes',
 	controlBytes: 'boragehitch_control_bytes_total',
 } as const;
--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -94,11 +94,17 @@
 	{incarnation, isLeaving, rateLimit}: UpstreamNotice,
 	now: number,
 ): void {
-	const own = upstream.announcement.incarnation;
-	if (incarnation !== undefined && own !== undefined && incarnation !== own) {
+	const {announcement} = upstream;
+	const {incarnation: own = incarnation} = announcement;
+	if (incarnation !== undefined && incarnation !== own) {
 		return;
 	}
 
+	if (own !== undefined) {
+		// What is taken over holds for this life only.
+		upstream.announcement = {...announcement, incarnation: own};
+	}
+
 	upstream.isLeaving ||= isLeaving;
 	if (rateLimit && !upstream.isReportKnown && !upstream.rateLimit) {
 		const {perSecond} = rateLimit;
@@ -107,11 +113,12 @@
 	}
 }
 
-/** Reads what an upstream has said of itself; undefined when that is nothing of note. */
+/** Reads what an upstream has said of itself, its leaving also by announcement; undefined when that is nothing of note. */
 export function readNotice(
-	{id, announcement, isLeaving, rateLimit, queuedCount}: LocalUpstream,
+	{id, announcement, rateLimit, queuedCount}: LocalUpstream,
 	now: number,
 ): UpstreamNotice | undefined {
+	const isLeaving = announcement.state === 'leaving';
 	if (!isLeaving && !rateLimit) {
 		return undefined;
 	}
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -139,7 +139,7 @@
 /** A service's upstream on the host. */
 export type FoundUpstream = {
 	readonly state: AdmissionInput['state'];
-	/** Defined when the state is `ready`. */
+	/** Undefined when there is none, ready or leaving. */
 	readonly upstream: LocalUpstream | undefined;
 };
 
@@ -148,14 +148,14 @@
  *
  * @param upstreams - all upstreams of the host
  * @param service - full name of the service
- * @returns the upstream if one is ready, and how the service stands on the host
+ * @returns the upstream, a ready one if there is one, and how the service stands on the host
  */
 export function findLocalUpstream(
 	upstreams: Iterable<LocalUpstream>,
 	service: string,
 ): FoundUpstream {
 	let found: LocalUpstream | undefined;
-	let isLeaving = false;
+	let leaving: LocalUpstream | undefined;
 	for (const upstream of upstreams) {
 		const {announcement} = upstream;
 		if (formatService(announcement) !== service) {
@@ -163,7 +163,7 @@
 		}
 
 		if (upstream.isLeaving || announcement.state === 'leaving') {
-			isLeaving = true;
+			leaving = upstream;
 		} else if (!found || upstream.inFlight < found.inFlight) {
 			found = upstream;
 		}
@@ -173,7 +173,7 @@
 		return {state: 'ready', upstream: found};
 	}
 
-	return {state: isLeaving ? 'leaving' : 'no-upstream', upstream: undefined};
+	return {state: leaving ? 'leaving' : 'no-upstream', upstream: leaving};
 }
 
 /**
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -5,7 +5,12 @@
 
 test('what was observed is served as text, by name, service and outcome', async () => {
 	const metrics = createMeshMetrics({
-		readGauges: () => ({version: 12, members: 10, inFlight: 3}),
+		readGauges: () => ({
+			version: 12,
+			members: 10,
+			inFlight: 3,
+			rateLimit: 12.6,
+		}),
 		takeBytes: () => [{purpose: 'document', sent: 400, received: 7}],
 	});
 	const event = {
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -11,6 +11,8 @@
 	readonly members: number;
 	/** Requests of callers in flight. */
 	readonly inFlight: number;
+	/** Requests a second that the upstream on the host takes; -1 when it names no limit. */
+	readonly rateLimit: number;
 };
 
 /** What the metrics of a node are read from when they are asked for. */
@@ -101,6 +103,11 @@
 		help: 'Requests of callers in flight',
 		registers,
 	});
+	const rateLimit = new Gauge({
+		name: meshMetricNames.rateLimit,
+		help: 'Requests a second that the upstream on the host takes, by its own account; -1 when it names no limit',
+		registers,
+	});
 	const memory = new Gauge({
 		name: meshMetricNames.memory,
 		help: 'Resident memory, bytes',
@@ -123,6 +130,7 @@
 			version.set(gauges.version);
 			members.set(gauges.members);
 			inFlight.set(gauges.inFlight);
+			rateLimit.set(gauges.rateLimit);
 			memory.set(process.memoryUsage.rss());
 			for (const {purpose, sent, received} of takeBytes()) {
 				controlBytes.inc({purpose, direction: 'sent'}, sent);
--- a/src/transport/gate-reports.test.ts
+++ b/src/transport/gate-reports.test.ts
@@ -193,6 +193,14 @@
 	assert.equal(describe(await run()), 'not-run leaving');
 });
 
+test('a refusal tells of an upstream that has announced that it leaves', async (t) => {
+	const {gate, announcement, run} = await start(t);
+	gate.announce('i-1', {...announcement, sequence: 2, state: 'leaving'});
+	const result = await run();
+	assert.equal(describe(result), 'not-run leaving');
+	assert.equal(result.load?.notice?.isLeaving, true);
+});
+
 test('what waits at an upstream that leaves is offered elsewhere, and what runs is answered', async (t) => {
 	const {run, held, answer, waitUntilHeld} = await start(t, {slots: 2});
 	const running = [run(), run()];
@@ -246,6 +254,16 @@
 	assert.deepEqual(left, ['i-1']);
 });
 
+test('what another node knows of an earlier life ends with the first announcement of the next', async (t) => {
+	const {gate, announcement, run, exchange} = await start(t, {
+		incarnation: undefined,
+	});
+	const notice = {id: 'i-1', incarnation: 5, isLeaving: true};
+	assert.equal(describe(await run({notice})), 'not-run leaving');
+	gate.announce('i-1', {...announcement, incarnation: 6});
+	assert.equal(describe(await exchange({})), 'answered');
+});
+
 test('a gate that has heard nothing yet takes over the limit that a caller knows', async (t) => {
 	const {run} = await start(t);
 	const rateLimit = {perSecond: 2, waitMs: 0};
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -103,6 +103,8 @@
 	/** Ends an attempt that still waits, and lets one that runs go on. */
 	cancelWaiting(id: string): void;
 	readStamp(): GateStamp;
+	/** Lowest rate limit that an upstream here names, requests a second; undefined when none does. */
+	readRateLimit(): number | undefined;
 	/** Refuses new attempts and waits for those in flight. */
 	drain(): Promise<void>;
 	stop(): Promise<void>;
@@ -279,7 +281,8 @@
 		const {upstream} = found;
 		const state = isDraining ? 'leaving' : found.state;
 		if (state !== 'ready' || !upstream) {
-			return refuse('not-run', state === 'ready' ? 'no-upstream' : state);
+			const reason = state === 'ready' ? 'no-upstream' : state;
+			return refuse('not-run', reason, found.upstream);
 		}
 
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
@@ -470,6 +473,12 @@
 			}
 		},
 		readStamp: () => ledger.readStamp(now()),
+		readRateLimit() {
+			const limits = [...upstreams.values()]
+				.map(({rateLimit}) => rateLimit?.perSecond)
+				.filter((perSecond) => perSecond !== undefined);
+			return limits.length === 0 ? undefined : Math.min(...limits);
+		},
 		async drain() {
 			isDraining = true;
 			await runner.waitUntilIdle();
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -103,6 +103,7 @@
 			members: members.readView().members.filter(({state}) => state === 'alive')
 				.length,
 			inFlight: caller.readInFlight(),
+			rateLimit: gate.readRateLimit() ?? -1,
 		}),
 		takeBytes: bytes.take,
 	});
