--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -58,8 +58,11 @@
 /** Announcements that may be missed before an upstream counts as gone. */
 const missedAnnouncements = 6;
 
-/** Time before the end of the grace period at which the process ends by itself, ms. */
-const exitMarginMs = 150;
+/** Time before the end of the grace period at which the process begins to end by itself, ms; a busy one takes up to 250 ms for that. */
+const exitMarginMs = 400;
+
+/** Longest wait for the servers to close, ms. */
+const closeTimeoutMs = 150;
 
 /** Time that is kept for the last requests, ms; longer than almost all take. */
 const lastRequestsMs = 900;
@@ -347,7 +350,7 @@
 					readinessServer.stop(),
 					metricsServer.stop(),
 				]),
-				waitMs(exitMarginMs),
+				waitMs(closeTimeoutMs),
 			]);
 			await Promise.all([forwarder.stop(), gate.stop(), store.stop()]);
 			logger.info('node stopped');
