--- a/src/transport/_lib/create-report-log.ts
+++ b/src/transport/_lib/create-report-log.ts
@@ -40,14 +40,14 @@
 	return {
 		note({id, service, report, status, verdict}) {
 			const before = last.get(id);
-			const text = JSON.stringify(report);
-			const isSilent = !before && report.headerNames.length === 0;
-			if (isSilent || before?.text === text) {
+			if (!before && report.headerNames.length === 0) {
 				return;
 			}
 
 			const at = now();
-			if (before && at - before.at < minIntervalMs) {
+			const text = JSON.stringify(report);
+			const isTooSoon = before && at - before.at < minIntervalMs;
+			if (isTooSoon || before?.text === text) {
 				return;
 			}
 
