--- a/src/transport/_lib/create-report-log.ts
+++ b/src/transport/_lib/create-report-log.ts
@@ -46,8 +46,11 @@
 
 			const at = now();
 			const text = JSON.stringify(report);
-			const isTooSoon = before && at - before.at < minIntervalMs;
-			if (isTooSoon || before?.text === text) {
+			if (before?.text === text) {
+				return;
+			}
+
+			if (before && at - before.at < minIntervalMs) {
 				return;
 			}
 
