--- a/src/protocol/edge.ts
+++ b/src/protocol/edge.ts
@@ -54,6 +54,13 @@
 	readonly headerNames: readonly string[];
 };
 
+/** The report of an upstream that says nothing of itself. */
+export const silentReport: UpstreamReport = {
+	rateLimit: {kind: 'none'},
+	isLeaving: false,
+	headerNames: [],
+};
+
 /** What a gate adds to an attempt for its upstream. */
 export type UpstreamContext = {
 	/** Time left until the deadline, ms. */
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -249,11 +249,12 @@
 		}
 
 		const outcome = await job.sent.outcome;
+		const answeredAt = now();
 		const result = readUpstreamOutcome(outcome, attempt, {
 			edge,
 			endedBy: job.endedBy,
-			load: readLocalLoad(upstream, now(), attempt.route),
-			stamp: ledger.readStamp(now()),
+			load: readLocalLoad(upstream, answeredAt, attempt.route),
+			stamp: ledger.readStamp(answeredAt),
 		});
 		if (result.kind === 'answered' && result.body instanceof Readable) {
 			job.resolve(result);
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -192,8 +192,17 @@
 		stamps.set(address, {stamp, receivedAt, clock});
 	}
 
-	function noteNotice(host: string, load: GateLoad | undefined): void {
-		const held = stepUpstreamNotice(notices.get(host), load, now());
+	function noteNotice(
+		host: string,
+		load: GateLoad | undefined,
+		heardAt: number,
+	): void {
+		const before = notices.get(host);
+		if (!before && !load?.notice) {
+			return;
+		}
+
+		const held = stepUpstreamNotice(before, load, heardAt);
 		if (held) {
 			notices.set(host, held);
 		} else {
@@ -294,7 +303,7 @@
 		const at = now();
 		const hosts = listReachable(service);
 		const isLimited = (record: HostRecord | undefined): boolean =>
-			computeHostTurnWait(record, at) >= objectiveMs;
+			computeHostTurnWait(record, at) > objectiveMs;
 		const isFull = hosts.every(
 			(record) => isLimited(record) || isKnownFull(record, demand, at),
 		);
@@ -398,7 +407,7 @@
 			}
 
 			if (result.kind !== 'lost') {
-				noteNotice(host, result.load);
+				noteNotice(host, result.load, endedAt);
 			}
 
 			// An attempt that was not sent has no stamp from the gate.
--- a/src/transport/own-edge.ts
+++ b/src/transport/own-edge.ts
@@ -1,5 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Edge} from '../protocol/edge.js';
+import {silentReport, type Edge} from '../protocol/edge.js';
 import {
 	deadlineHeader,
 	depthHeader,
@@ -53,12 +53,17 @@
 		return isShed ? 'shed' : 'answered';
 	},
 	readLoad: () => undefined,
-	readReport: (headers) => ({
-		rateLimit: parseRateLimit(headers[rateLimitHeader]),
-		isLeaving: headers[leavingHeader] === '1',
-		headerNames: [rateLimitHeader, leavingHeader].filter(
+	readReport(headers) {
+		const headerNames = [rateLimitHeader, leavingHeader].filter(
 			(name) => headers[name] !== undefined,
-		),
-	}),
+		);
+		return headerNames.length === 0
+			? silentReport
+			: {
+					rateLimit: parseRateLimit(headers[rateLimitHeader]),
+					isLeaving: headers[leavingHeader] === '1',
+					headerNames,
+				};
+	},
 	formatRetryAfter: (seconds) => String(Math.ceil(seconds)),
 };
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -23,7 +23,12 @@
 import {queueSlotsRatio, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
-import type {AnswerHead, Edge, UpstreamReport} from '../protocol/edge.js';
+import {
+	silentReport,
+	type AnswerHead,
+	type Edge,
+	type UpstreamReport,
+} from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {createReportLog} from './_lib/create-report-log.js';
@@ -132,8 +137,9 @@
 		upstream?: LocalUpstream,
 		retryAfter = retryAfterSeconds,
 	): AttemptResult {
-		const load = upstream && readLocalLoad(upstream, now());
-		const stamp = ledger.readStamp(now());
+		const at = now();
+		const load = upstream && readLocalLoad(upstream, at);
+		const stamp = ledger.readStamp(at);
 		return {kind, reason, retryAfterSeconds: retryAfter, load, stamp};
 	}
 
@@ -161,11 +167,15 @@
 	function noteHead(job: Job, {status, headers}: AnswerHead): void {
 		const {upstream, attempt, sentAt} = job;
 		const report = edge.readReport(headers);
+		const hadLimit = upstream.rateLimit !== undefined;
+		if (report === silentReport && !hadLimit && upstream.isReportKnown) {
+			return;
+		}
+
 		const verdict = edge.judgeAnswer({status, headers}, attempt);
 		const {id} = upstream;
 		const {service} = attempt;
 		reportLog.note({id, service, report, status, verdict});
-		const hadLimit = upstream.rateLimit !== undefined;
 		noteReport(upstream, {report, verdict, sentAt}, now());
 		const hasLimit = upstream.rateLimit !== undefined;
 		if (hadLimit || hasLimit || upstream.isLeaving) {
