Add a soak of real nodes under seeded disturbances

npm run soak: nodes of the users' platform as processes with real clients, upstreams, proxies to upstream and store, signals, and a store with faults; in series and overlapping. It is judged by what clients and upstreams saw: mixed, doubled, refused and cut requests, limits, leavings, crashes, recovery.

--- /dev/null
+++ b/soak/_lib/find-broken-promises.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {findBrokenPromises} from './find-broken-promises.js';
+import type {ClientRecord, History, UpstreamRecord} from './history.js';
+
+function createClient(changes: Partial<ClientRecord> = {}): ClientRecord {
+	return {
+		id: 'a',
+		host: 'host-0',
+		repeatable: false,
+		sentAt: 1000,
+		endedAt: 1020,
+		status: 200,
+		body: 'ran a',
+		answeredId: 'a',
+		...changes,
+	};
+}
+
+function createRun(changes: Partial<UpstreamRecord> = {}): UpstreamRecord {
+	return {id: 'a', upstream: 'i-1', at: 1010, hasRun: true, ...changes};
+}
+
+const last = createClient({
+	id: 'z',
+	body: 'ran z',
+	answeredId: 'z',
+	sentAt: 30_000,
+});
+
+function judge(changes: Partial<History>): readonly string[] {
+	const kinds = findBrokenPromises({
+		clients: [],
+		upstreams: [],
+		statements: [],
+		disturbances: [],
+		crashes: [],
+		calmFrom: 10_000,
+		...changes,
+	});
+	return kinds.map((problem) => problem.split(':', 1)[0]!);
+}
+
+const cases: ReadonlyArray<
+	readonly [string, Partial<History>, readonly string[]]
+> = [
+	['a calm run', {clients: [createClient(), last]}, []],
+	[
+		'an answer to another request',
+		{clients: [createClient({body: 'ran b', answeredId: 'b'}), last]},
+		['mixed'],
+	],
+	[
+		'a second run',
+		{clients: [createClient(), last], upstreams: [createRun(), createRun()]},
+		['twice'],
+	],
+	[
+		'a second run of what may be repeated',
+		{
+			clients: [createClient({repeatable: true}), last],
+			upstreams: [createRun(), createRun()],
+		},
+		[],
+	],
+	[
+		'a refusal of what has run',
+		{clients: [createClient({status: 503}), last], upstreams: [createRun()]},
+		['refused'],
+	],
+	[
+		'a connection that a planned stop ended',
+		{
+			clients: [createClient({status: 0}), last],
+			upstreams: [createRun()],
+			disturbances: [{host: 'host-0', kind: 'term', from: 900, until: 2000}],
+		},
+		['cut'],
+	],
+	[
+		'a connection that a kill ended',
+		{
+			clients: [createClient({status: 0}), last],
+			upstreams: [createRun()],
+			disturbances: [{host: 'host-0', kind: 'kill', from: 900, until: 2000}],
+		},
+		[],
+	],
+	[
+		'a request to an upstream that left',
+		{
+			clients: [createClient(), last],
+			upstreams: [createRun({at: 4000})],
+			statements: [
+				{
+					upstream: 'i-1',
+					statement: {kind: 'leaving'},
+					from: 1000,
+					until: 9000,
+				},
+			],
+		},
+		['leaving'],
+	],
+	[
+		'more requests than a limit allows',
+		{
+			clients: [last],
+			upstreams: Array.from({length: 40}, (_, index) =>
+				createRun({id: `r${index}`, at: 5000 + index}),
+			),
+			statements: [
+				{
+					upstream: 'i-1',
+					statement: {kind: 'limit', perSecond: 5},
+					from: 1000,
+					until: 9000,
+				},
+			],
+		},
+		['limit'],
+	],
+	['no service in the end', {clients: [createClient()]}, ['recovery']],
+	['a crash', {clients: [last], crashes: ['crash: host-0']}, ['crash']],
+];
+
+for (const [name, changes, expected] of cases) {
+	test(`${name}: ${expected.join(', ') || 'nothing broken'}`, () => {
+		assert.deepEqual(judge(changes), expected);
+	});
+}
--- /dev/null
+++ b/soak/_lib/history.ts
@@ -0,0 +1,58 @@
+/**
+ * What callers and upstreams have seen in a run of the soak.
+ */
+
+/** A request as its client saw it. */
+export type ClientRecord = {
+	readonly id: string;
+	readonly host: string;
+	readonly repeatable: boolean;
+	readonly sentAt: number;
+	readonly endedAt: number;
+	/** 0 when the connection ended without an answer. */
+	readonly status: number;
+	readonly body: string;
+	/** Identifier that the answer names. */
+	readonly answeredId: string | undefined;
+};
+
+/** A request as it reached an upstream. */
+export type UpstreamRecord = {
+	readonly id: string;
+	/** Identifier of the upstream, one for each of its lives. */
+	readonly upstream: string;
+	readonly at: number;
+	/** Whether the upstream began to work on it. */
+	readonly hasRun: boolean;
+};
+
+/** A time in which an upstream said something of itself in each answer. */
+export type StatementRecord = {
+	readonly upstream: string;
+	readonly statement:
+		| {readonly kind: 'limit'; readonly perSecond: number}
+		| {readonly kind: 'leaving'};
+	/** When an answer first said it. */
+	readonly from: number;
+	readonly until: number;
+};
+
+/** A disturbance of a node's process, from its beginning until a while after its end. */
+export type NodeDisturbance = {
+	readonly host: string;
+	readonly kind: 'term' | 'kill' | 'freeze';
+	readonly from: number;
+	readonly until: number;
+};
+
+/** All that is judged. Times are monotonic ms. */
+export type History = {
+	readonly clients: ClientRecord[];
+	readonly upstreams: UpstreamRecord[];
+	readonly statements: StatementRecord[];
+	readonly disturbances: NodeDisturbance[];
+	/** Ends of processes that nobody asked for. */
+	readonly crashes: string[];
+	/** When the last disturbance had ended. */
+	calmFrom: number;
+};
--- /dev/null
+++ b/soak/_lib/soak-upstream.ts
@@ -0,0 +1,222 @@
+import {createServer, type ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {closeServer, listenOn} from '../../fakes/json-http.js';
+import type {History} from './history.js';
+
+/** How an upstream misbehaves. */
+export type UpstreamFault =
+	| {readonly kind: 'none'}
+	| {readonly kind: 'slow'; readonly serviceMs: number}
+	/** Connections are reset instead of answered, after the run. */
+	| {readonly kind: 'lose-answers'}
+	/** Each answer comes a second time, late. */
+	| {readonly kind: 'repeat-answers'}
+	/** Other bytes follow each answer. */
+	| {readonly kind: 'garble'}
+	| {readonly kind: 'limit'; readonly perSecond: number}
+	| {readonly kind: 'leave'};
+
+/** A server beside a node. */
+export type SoakUpstream = {
+	setFault(fault: UpstreamFault): void;
+	/** Begins a new life under a new identifier. */
+	restart(): void;
+	stop(): Promise<void>;
+};
+
+/** Options of `startSoakUpstream`. */
+export type SoakUpstreamOptions = {
+	readonly host: string;
+	readonly port: number;
+	/** Address that is announced. */
+	readonly address: string;
+	/** Where it announces itself. */
+	readonly control: string;
+	readonly history: History;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+const slots = 6;
+const serviceMs = 15;
+const heartbeatMs = 500;
+const repeatAfterMs = 60;
+
+/** Starts a server of the platform that can misbehave. */
+export async function startSoakUpstream(
+	options: SoakUpstreamOptions,
+): Promise<SoakUpstream> {
+	const {history, now} = options;
+	let fault: UpstreamFault = {kind: 'none'};
+	let life = 0;
+	let born = Date.now();
+	let sequence = 0;
+	let statedAt: number | undefined;
+
+	function readId(): string {
+		return `i-${options.host}-${life}`;
+	}
+
+	function endStatement(): void {
+		const from = statedAt;
+		statedAt = undefined;
+		if (from === undefined) {
+			return;
+		}
+
+		const statement =
+			fault.kind === 'limit'
+				? ({kind: 'limit', perSecond: fault.perSecond} as const)
+				: ({kind: 'leaving'} as const);
+		history.statements.push({
+			upstream: readId(),
+			statement,
+			from,
+			until: now(),
+		});
+	}
+
+	function createHeaders(id: string): Record<string, string> {
+		const headers: Record<string, string> = {
+			'x-boragehitch-request-id': id,
+			'x-boragehitch-response-signature': 'signed',
+		};
+		if (fault.kind === 'limit') {
+			headers['server-limit'] = String(fault.perSecond);
+			statedAt ??= now();
+		} else if (fault.kind === 'leave') {
+			headers['server-leaving'] = '1';
+			statedAt ??= now();
+		}
+
+		return headers;
+	}
+
+	function answer(response: ServerResponse, id: string): void {
+		const body = `ran ${id}`;
+		const headers = createHeaders(id);
+		const {socket} = response;
+		switch (fault.kind) {
+			case 'lose-answers': {
+				socket?.resetAndDestroy();
+				return;
+			}
+
+			case 'garble': {
+				response.writeHead(200, {...headers, 'content-length': body.length});
+				response.end(body);
+				socket?.write('hello\r\n\r\n');
+				return;
+			}
+
+			case 'repeat-answers': {
+				response.writeHead(200, {...headers, 'content-length': body.length});
+				response.end(body);
+				setTimeout(() => {
+					const lines = Object.entries(headers).map(
+						([name, value]) => `${name}: ${value}\r\n`,
+					);
+					socket?.write(
+						`HTTP/1.1 200 OK\r\n${lines.join('')}content-length: ${body.length}\r\n\r\n${body}`,
+					);
+				}, repeatAfterMs);
+				return;
+			}
+
+			case 'none':
+			case 'slow':
+			case 'limit':
+			case 'leave': {
+				response.writeHead(200, headers);
+				response.end(body);
+			}
+		}
+	}
+
+	let running = 0;
+	const server = createServer((request, response) => {
+		const {headers} = request;
+		request.resume();
+		const id = headers['x-boragehitch-request-id']?.toString();
+		const expected = headers['x-boragehitch-expected-instance'];
+		if (id === undefined) {
+			response.writeHead(fault.kind === 'leave' ? 503 : 200, {
+				...createHeaders(''),
+				'x-boragehitch-instance-id': readId(),
+			});
+			response.end();
+			return;
+		}
+
+		if (expected !== undefined && expected !== readId()) {
+			response.writeHead(421, {'x-boragehitch-not-executed': '1'});
+			response.end();
+			return;
+		}
+
+		const isFull = running >= slots;
+		const record = {id, upstream: readId(), at: now(), hasRun: !isFull};
+		history.upstreams.push(record);
+		if (isFull) {
+			response.writeHead(503, {'x-boragehitch-not-executed': '1'});
+			response.end();
+			return;
+		}
+
+		running++;
+		const startedIn = life;
+		void sleep(fault.kind === 'slow' ? fault.serviceMs : serviceMs).then(() => {
+			running--;
+			if (life === startedIn) {
+				answer(response, id);
+			} else {
+				response.destroy();
+			}
+		});
+	});
+	await listenOn(server, options.host, options.port);
+
+	async function announce(): Promise<void> {
+		sequence++;
+		const controller = AbortSignal.timeout(1000);
+		try {
+			await fetch(`http://${options.control}/instances/${readId()}/heartbeat`, {
+				method: 'POST',
+				headers: {'content-type': 'application/json'},
+				signal: controller,
+				body: JSON.stringify({
+					address: options.address,
+					born,
+					info: {service: 'pricebook', slots},
+					status: {state: 'ready', sequence},
+				}),
+			});
+		} catch {
+			// The node is away; the next announcement tells it.
+		}
+	}
+
+	const timer = setInterval(() => {
+		void announce();
+	}, heartbeatMs);
+	return {
+		setFault(next) {
+			endStatement();
+			fault = next;
+		},
+		restart() {
+			endStatement();
+			fault = {kind: 'none'};
+			life++;
+			born = Date.now();
+			sequence = 0;
+			server.closeAllConnections();
+		},
+		async stop() {
+			endStatement();
+			clearInterval(timer);
+			server.closeAllConnections();
+			await closeServer(server);
+		},
+	};
+}
--- /dev/null
+++ b/soak/run-soak.test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {runSoak} from './run-soak.js';
+
+/** Seeds of the short run. */
+const seeds = [1, 2];
+
+for (const seed of seeds) {
+	test(`real nodes under disturbances break no promise, seed ${seed}`, async () => {
+		const {problems, logFolder} = await runSoak({
+			seed,
+			hosts: 4,
+			durationMs: 12_000,
+			network: `95.${seed}`,
+		});
+		assert.deepEqual(problems, [], `logs in ${logFolder}`);
+	});
+}
