End a limit only by an answer to a request that ran

An answer that is shed or misplaced need not say all that an answer says; taking its silence for the end of a limit would let requests through until the next answer names it again. Not seen; the new test failed before. The path is taken only where a limit is known.

--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -65,8 +65,8 @@
 		}
 
 		case 'none': {
-			// An answer to an earlier request may have been overtaken.
-			if (verdict !== 'misplaced') {
+			// What is shed or misplaced need not say all that an answer does.
+			if (verdict === 'answered') {
 				upstream.rateLimit = stepRateLimit(
 					upstream.rateLimit,
 					{kind: 'omitted', sentAt},
--- a/src/transport/gate-reports.test.ts
+++ b/src/transport/gate-reports.test.ts
@@ -175,6 +175,20 @@
 	assert.equal(describe(await next), 'answered');
 });
 
+test('a shed request that names no limit does not end it', async (t) => {
+	const {run, exchange, waitUntilHeld, held, advance} = await start(t);
+	await exchange({[limitHeader]: '2'});
+	advance(500);
+	const shed = run();
+	await waitUntilHeld(1);
+	const [response] = held.splice(0);
+	response!.statusCode = 503;
+	response!.setHeader('boragehitch-shed', 'not-run');
+	response!.end();
+	assert.equal(describe(await shed), 'not-run shed');
+	assert.equal(describe(await run({objectiveMs: 200})), 'not-run limited');
+});
+
 for (const value of ['', '-1', 'none', '1e9', '99999999']) {
 	test(`a limit "${value}" is not taken for one`, async (t) => {
 		const {exchange} = await start(t);
