--- a/soak/_lib/find-broken-promises.ts
+++ b/soak/_lib/find-broken-promises.ts
@@ -92,16 +92,19 @@
 	{upstream, statement, from, until}: StatementRecord,
 	{upstreams, clients, disturbances}: History,
 ): string | undefined {
-	// A node that has started again is not bound by what it passed on before.
-	const excused = new Set(
-		disturbances.filter((other) => other.until > from).map(({host}) => host),
-	);
 	const hosts = new Map(clients.map(({id, host}) => [id, host]));
+
+	/** Tells whether the node where a request began is not bound by what it passed on before. */
+	function isExcused({id, at}: UpstreamRecord): boolean {
+		return disturbances.some(
+			(other) =>
+				other.host === hosts.get(id) && other.from < at && other.until > from,
+		);
+	}
+
 	const arrivals = upstreams.filter(
 		(record) =>
-			record.upstream === upstream &&
-			!excused.has(hosts.get(record.id) ?? '') &&
-			record.at > from,
+			record.upstream === upstream && record.at > from && !isExcused(record),
 	);
 	switch (statement.kind) {
 		case 'leaving': {
--- a/soak/run-soak.test.ts
+++ b/soak/run-soak.test.ts
@@ -3,7 +3,7 @@
 import {runSoak} from './run-soak.js';
 
 /** Seeds of the short run. */
-const seeds = [1, 2];
+const seeds = [2, 6];
 
 for (const seed of seeds) {
 	test(`real nodes under disturbances break no promise, seed ${seed}`, async () => {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -46,6 +46,9 @@
 /** Time after the last disturbance, ms: the bound of recovery, and some to look at it. */
 const calmMs = 18_000;
 
+/** Least time of an upstream's fault, ms: its limit is judged from three seconds on. */
+const statementMs = 6000;
+
 type Fleet = {
 	readonly platform: Platform;
 	readonly hosts: readonly SoakHost[];
@@ -107,7 +110,7 @@
 		case 'upstream': {
 			const {upstream} = hosts[disturbance.host]!;
 			upstream.setFault(disturbance.fault);
-			await sleep(durationMs + 3000);
+			await sleep(durationMs + statementMs);
 			if (disturbance.fault.kind === 'leave') {
 				upstream.restart();
 			} else {
