Keep a starting node alive when its settings change

A SIGHUP that came while a node was loading ended it, as the listener was added only once the node had started: about three seconds on a busy machine after a restart. The listener is added before the program is loaded now. And settings that changed between their first reading and the watch were taken for the first ones and never applied.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,16 @@
 #!/usr/bin/env -S node --max-semi-space-size=2
 import process from 'node:process';
-import {createTerminal} from './create-terminal.js';
-import {runCommand} from './run-command.js';
+import {settingsFileVariable} from '../../platform/wire-names.js';
 
+function ignoreSignal(): void {
+	// The settings are read after the program has loaded.
+}
+
+if (process.env[settingsFileVariable] !== undefined) {
+	// Without a listener the signal would end a program that is still loading.
+	process.on('SIGHUP', ignoreSignal);
+}
+
+const {createTerminal} = await import('./create-terminal.js');
+const {runCommand} = await import('./run-command.js');
 process.exitCode = await runCommand(process.argv.slice(2), createTerminal());
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -34,10 +34,11 @@
 /** Reloads the settings on SIGHUP and when the file has changed. */
 function watchSettings(
 	file: string,
+	first: string,
 	node: RunningMeshNode,
 	terminal: Terminal,
 ): NodeJS.Timeout {
-	let text = '';
+	let text = first;
 	let changedAt = 0;
 	async function reload(): Promise<void> {
 		const next = await readFile(file, 'utf8');
@@ -45,12 +46,11 @@
 			return;
 		}
 
-		const isFirst = text === '';
 		text = next;
 		const settings = readNodeSettings(file, next);
 		if (settings.isErr()) {
 			terminal.printError(settings.error.join('\n'));
-		} else if (!isFirst) {
+		} else {
 			node.reload(settings.value);
 		}
 	}
@@ -90,9 +90,13 @@
 	terminal: Terminal,
 ): Promise<ExitCode> {
 	const text = await readFileOperand(file, terminal);
-	const settings = text
-		.mapErr((problem): readonly string[] => [problem])
-		.andThen((value) => readNodeSettings(file, value));
+	if (text.isErr()) {
+		terminal.printError(text.error);
+		return exitCodes.usage;
+	}
+
+	const first = text.value;
+	const settings = readNodeSettings(file, first);
 	if (settings.isErr()) {
 		terminal.printError(settings.error.join('\n'));
 		return exitCodes.usage;
@@ -112,7 +116,7 @@
 			},
 			logger,
 		);
-		const timer = watchSettings(file, node, terminal);
+		const timer = watchSettings(file, first, node, terminal);
 		await waitForStop();
 		clearInterval(timer);
 		await node.stop();
