Bind a node in the soak only by what it has passed on

Upstreams of the soak now keep saying so, and a node is judged from the answer that it has passed on, as the rule says.

--- a/soak/_lib/find-broken-promises.test.ts
+++ b/soak/_lib/find-broken-promises.test.ts
@@ -13,6 +13,7 @@
 		status: 200,
 		body: 'ran a',
 		answeredId: 'a',
+		tellsLeaving: false,
 		...changes,
 	};
 }
@@ -89,8 +90,12 @@
 	[
 		'a request to an upstream that left',
 		{
-			clients: [createClient(), last],
-			upstreams: [createRun({at: 4000})],
+			clients: [
+				createClient({id: 'b', body: 'ran b', answeredId: 'b'}),
+				createClient({tellsLeaving: true}),
+				last,
+			],
+			upstreams: [createRun(), createRun({id: 'b', at: 4000})],
 			statements: [
 				{
 					upstream: 'i-1',
--- a/soak/_lib/find-broken-promises.ts
+++ b/soak/_lib/find-broken-promises.ts
@@ -88,6 +88,7 @@
 	return most;
 }
 
+/** Finds whether nodes have acted against what an upstream said. */
 function findBrokenStatement(
 	{upstream, statement, from, until}: StatementRecord,
 	{upstreams, clients, disturbances}: History,
@@ -108,10 +109,24 @@
 	);
 	switch (statement.kind) {
 		case 'leaving': {
-			const late = arrivals.filter(({at}) => at > from + bindsAfterMs);
+			// A node is bound from the answer that it has passed on.
+			const upstreamOf = new Map(
+				upstreams.map((record) => [record.id, record.upstream]),
+			);
+			const toldAt = new Map<string, number>();
+			for (const {id, host, tellsLeaving, endedAt} of clients) {
+				if (tellsLeaving && upstreamOf.get(id) === upstream) {
+					toldAt.set(host, Math.min(endedAt, toldAt.get(host) ?? endedAt));
+				}
+			}
+
+			const late = arrivals.filter(({id, at}) => {
+				const bound = toldAt.get(hosts.get(id) ?? '');
+				return bound !== undefined && at > bound + bindsAfterMs;
+			});
 			return late.length === 0
 				? undefined
-				: `leaving: ${upstream} got ${late.length} requests`;
+				: `leaving: ${upstream} got ${late.length} requests, first ${late[0]!.id}`;
 		}
 
 		case 'limit': {
--- a/soak/_lib/history.ts
+++ b/soak/_lib/history.ts
@@ -14,6 +14,8 @@
 	readonly body: string;
 	/** Identifier that the answer names. */
 	readonly answeredId: string | undefined;
+	/** Whether the answer says that its upstream leaves. */
+	readonly tellsLeaving: boolean;
 };
 
 /** A request as it reached an upstream. */
--- a/soak/_lib/soak-host.ts
+++ b/soak/_lib/soak-host.ts
@@ -118,6 +118,11 @@
 	}
 
 	async function end(signal: NodeJS.Signals): Promise<void> {
+		if (child.exitCode !== null || child.signalCode !== null) {
+			// Its end is noted as a crash.
+			return;
+		}
+
 		const exited = once(child, 'exit');
 		child.kill(signal);
 		const timer = setTimeout(() => {
--- a/soak/_lib/soak-upstream.ts
+++ b/soak/_lib/soak-upstream.ts
@@ -201,6 +201,11 @@
 	}, heartbeatMs);
 	return {
 		setFault(next) {
+			if (fault.kind === 'leave') {
+				// It says so until its end.
+				return;
+			}
+
 			endStatement();
 			fault = next;
 		},
--- a/soak/_lib/start-clients.ts
+++ b/soak/_lib/start-clients.ts
@@ -25,9 +25,17 @@
 /** Time after which a client gives up on a connection, ms. */
 const patienceMs = 2500;
 
-type Outcome = Pick<ClientRecord, 'status' | 'body' | 'answeredId'>;
+type Outcome = Pick<
+	ClientRecord,
+	'status' | 'body' | 'answeredId' | 'tellsLeaving'
+>;
 
-const noAnswer: Outcome = {status: 0, body: '', answeredId: undefined};
+const noAnswer: Outcome = {
+	status: 0,
+	body: '',
+	answeredId: undefined,
+	tellsLeaving: false,
+};
 
 async function send(
 	{address}: ClientsOptions,
@@ -60,6 +68,7 @@
 					resolve({
 						status: answer.statusCode ?? 0,
 						body: chunks.join(''),
+						tellsLeaving: answer.headers['server-leaving'] === '1',
 						answeredId: answer.headers['x-boragehitch-request-id']?.toString(),
 					});
 				});
