Don't take the silence of health and shed answers for a report

A gate that had just started and had probed its upstream ignored the limit that other nodes knew, as the silent health answer counted as its own knowledge (the changed test failed before). Found in the read-through, as was that a renewed announcement of a leaving started queued requests before it dropped them.

--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -59,7 +59,7 @@
 	options: {
 		readonly method?: string;
 		readonly body?: string;
-		readonly agent?: Agent;
+		readonly agent?: Agent | false;
 		readonly id?: string;
 		readonly deadlineMs?: number;
 	} = {},
@@ -72,7 +72,7 @@
 				port,
 				path,
 				method: options.method ?? 'GET',
-				agent: options.agent ?? false,
+				agent: options.agent,
 				headers: {
 					host: 'prices.example',
 					'x-boragehitch-request-id': options.id ?? 'id',
@@ -158,6 +158,8 @@
 ) {
 	await sendRequest(settings.announcements, `/instances/${id}/heartbeat`, {
 		method: 'POST',
+		// The node may have started again since the last one.
+		agent: false,
 		body: JSON.stringify({
 			address,
 			born,
--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -56,7 +56,7 @@
 	}
 
 	const {rateLimit, isLeaving} = report;
-	upstream.isReportKnown = true;
+	upstream.isReportKnown ||= verdict === 'answered';
 	upstream.isLeaving ||= isLeaving;
 	switch (rateLimit.kind) {
 		case 'named': {
--- a/src/transport/gate-reports.test.ts
+++ b/src/transport/gate-reports.test.ts
@@ -8,6 +8,7 @@
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import type {Attempt, AttemptResult} from '../protocol/attempt.js';
+import {silentReport} from '../protocol/edge.js';
 import type {Announcement} from '../protocol/member.js';
 import {startServer} from './_lib/start-server.js';
 import {startGateTask} from './start-gate-task.js';
@@ -279,7 +280,9 @@
 });
 
 test('a gate that has heard nothing yet takes over the limit that a caller knows', async (t) => {
-	const {run} = await start(t);
+	const {gate, run} = await start(t);
+	// What the probe finds need not name all that answers to requests do.
+	gate.takeReport('i-1', silentReport);
 	const rateLimit = {perSecond: 2, waitMs: 0};
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: false, rateLimit};
 	const result = await run({notice, objectiveMs: 200});
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -164,6 +164,7 @@
 		runner.startJobs(upstream);
 	}
 
+	/** Takes in what the head of an answer says of its upstream. */
 	function noteHead(job: Job, {status, headers}: AnswerHead): void {
 		const {upstream, attempt, sentAt} = job;
 		const report = edge.readReport(headers);
@@ -405,9 +406,10 @@
 			state: isLeaving ? 'leaving' : 'ready',
 		};
 		known.queue.concurrency = announcement.slots;
-		runner.startJobs(known);
 		if (isLeaving) {
 			runner.dropQueued(known);
+		} else {
+			runner.startJobs(known);
 		}
 	}
 
@@ -435,7 +437,8 @@
 		},
 		takeReport(id, report) {
 			const upstream = upstreams.get(id);
-			if (upstream) {
+			// A health answer that is silent says nothing of other answers.
+			if (upstream && report !== silentReport) {
 				const at = now();
 				noteReport(upstream, {report, verdict: 'answered', sentAt: at}, at);
 				applyNotice(upstream);
