Run what a node can read of a document that the platform has accepted

Cause: decodeDocument threw at the first part it could not read. The class: a boundary that fails whole where it should fail small.

- An unknown kind of request is never repeated; a route that can't be read is refused by itself (unreadable-route), with its host where the path is lost, with every unmatched request where the host is lost; services, limits and resources are left out.
Each is logged once, counted in boragehitch_configuration_unreadable_parts and passed on between nodes.
- Messages between nodes pass over fields that they don't know.

Left strict: a document without version or list (no order, nothing to run); heartbeats (a reading that names no server must not be used); settings (a node with wrong addresses serves nobody); manifests and settings of our own; a kind of message between nodes that is unknown, which is answered by an error that its sender logs.

--- a/src/coordination/_lib/document/accept-document.ts
+++ b/src/coordination/_lib/document/accept-document.ts
@@ -1,9 +1,43 @@
-import {maxKeptDocuments} from '../../../protocol/constants.js';
-import type {RoutingDocument} from '../../../protocol/routing-document.js';
+import {
+	maxKeptDocuments,
+	maxLoggedProblems,
+} from '../../../protocol/constants.js';
+import type {
+	DocumentProblem,
+	RoutingDocument,
+} from '../../../protocol/routing-document.js';
 import {mergeDocument} from '../../../state/merge-document.js';
-import type {DocumentState, DocumentStep} from '../../document-state.js';
+import type {
+	DocumentEffect,
+	DocumentState,
+	DocumentStep,
+} from '../../document-state.js';
 import {continueWith} from './continue-with.js';
 
+function formatProblem(problem: DocumentProblem): string {
+	return JSON.stringify(problem);
+}
+
+/** Logs the parts of a document that can't be read and could before, or are new. */
+function createProblemLogs(
+	before: RoutingDocument | undefined,
+	{version, problems = []}: RoutingDocument,
+): readonly DocumentEffect[] {
+	const known = new Set(
+		before?.problems?.map((problem) => formatProblem(problem)),
+	);
+	const found = problems.filter(
+		(problem) => !known.has(formatProblem(problem)),
+	);
+	const omitted = Math.max(0, found.length - maxLoggedProblems);
+	return found.slice(0, maxLoggedProblems).map(({kind, ...fields}) => ({
+		kind: 'log',
+		level: 'warn',
+		message: 'part of the configuration not readable',
+		fields: {version, effect: kind, ...fields, omitted},
+	}));
+}
+
 /** Runs a document if it is newer than the one that the node runs. */
 export function acceptDocument(
 	state: DocumentState,
@@ -32,6 +66,7 @@
 		},
 		effects: [
 			{kind: 'run', document},
+			...createProblemLogs(before, document),
 			{
 				kind: 'log',
 				level: 'info',
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -63,6 +63,37 @@
 	assert.equal(machine.find('watch')?.revision, 9);
 });
 
+test('parts that cannot be read are logged once, and not without bound', () => {
+	const machine = createMachine();
+	const problems = Array.from({length: 20}, (_, index) => ({
+		kind: 'route-refused' as const,
+		name: `r-${index}`,
+		reason: 'no service',
+	}));
+	const logs: string[] = [];
+	for (const [now, version] of [3, 4].entries()) {
+		machine.tell({kind: 'tick'}, now * 10);
+		const document = {...createDocument(version), problems};
+		const callId = machine.read().storeLoop.call!.id;
+		const outcome = {kind: 'read', document, revision: 9 + now} as const;
+		const effects = machine.tell(
+			{kind: 'stored', callId, outcome},
+			now * 10 + 5,
+		);
+		for (const effect of effects) {
+			if (effect.kind === 'log' && effect.level === 'warn') {
+				logs.push(`${version} ${JSON.stringify(effect.fields)}`);
+			}
+		}
+	}
+
+	assert.equal(logs.length, 16);
+	assert.equal(
+		logs[0],
+		'3 {"version":3,"effect":"route-refused","name":"r-0","reason":"no service","omitted":4}',
+	);
+});
+
 test('an older document never replaces the running one', () => {
 	const machine = createMachine();
 	for (const [now, version] of [7, 5, 7].entries()) {
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -61,11 +61,9 @@
 };
 
 /** Names an attempt whose fate is asked for. */
-export const attemptQuestionSchema = z.strictObject({
+export const attemptQuestionSchema = z.object({
 	id: z.string().max(256),
-	stamp: z
-		.strictObject({epoch: z.string().max(64), timeMs: z.number()})
-		.optional(),
+	stamp: z.object({epoch: z.string().max(64), timeMs: z.number()}).optional(),
 });
 
 export type AttemptQuestion = z.infer<typeof attemptQuestionSchema>;
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -67,6 +67,8 @@
 export const documentBacklogMs = 150;
 /** Documents that a node keeps to compute changes from; more than a storm brings within the time that a change may take. */
 export const maxKeptDocuments = 32;
+/** Log lines on parts of one document that can't be read; the rest is counted. */
+export const maxLoggedProblems = 16;
 /** Longest answer of the platform's store that is read; four times the most that it stores, as a list may hold several objects. */
 export const maxStoreAnswerBytes = 4096 * bytesPerKibibyte;
 /** Longest answer of another node that is read; a document may double in length when it is quoted. */
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -1,5 +1,7 @@
 /**
  * Types and schemas of members (nodes) and of the upstreams they announce.
+ * Members of other versions send fields that are not known here; they are
+ * passed over.
  */
 import * as z from 'zod';
 import type {UpstreamReport} from './edge.js';
@@ -11,7 +13,7 @@
 } from './constants.js';
 
 /** An upstream as it announces itself to the node on its host. */
-export const announcementSchema = z.strictObject({
+export const announcementSchema = z.object({
 	team: z.string().max(64),
 	service: z.string().max(64),
 	address: z.string().regex(/^[\d.]+:\d+$/v),
@@ -30,7 +32,7 @@
 const counterSchema = z.int().min(0);
 
 /** An upstream as it is sent between members; its address stays at home. */
-export const upstreamSchema = z.strictObject({
+export const upstreamSchema = z.object({
 	id: z.string().max(64),
 	service: z.string().max(129),
 	slots: z.int().min(1).max(1024),
@@ -42,7 +44,7 @@
 export const memberStateSchema = z.enum(['alive', 'suspect', 'dead', 'left']);
 
 /** A member's record as it is sent between members. */
-export const recordSchema = z.strictObject({
+export const recordSchema = z.object({
 	name: nameSchema,
 	dataCentre: dataCentreSchema,
 	address: peerAddressSchema,
@@ -56,7 +58,7 @@
 });
 
 /** Who sends a message between members. */
-export const senderSchema = z.strictObject({
+export const senderSchema = z.object({
 	name: nameSchema,
 	dataCentre: dataCentreSchema,
 	address: peerAddressSchema,
@@ -80,30 +82,30 @@
 
 /** A message from one member to another, which answers it. */
 export const exchangeSchema = z.discriminatedUnion('kind', [
-	z.strictObject({
+	z.object({
 		kind: z.literal('ping'),
 		from: senderSchema,
 		records: pageSchema,
 	}),
 	/** Asks for a probe of another member on the sender's behalf. */
-	z.strictObject({
+	z.object({
 		kind: z.literal('relay'),
 		from: senderSchema,
 		name: nameSchema,
 		address: peerAddressSchema,
 	}),
 	/** Tells that a relayed probe was answered. */
-	z.strictObject({
+	z.object({
 		kind: z.literal('vouch'),
 		from: senderSchema,
 		name: nameSchema,
 	}),
-	z.strictObject({
+	z.object({
 		kind: z.literal('digests'),
 		from: senderSchema,
 		roots: z.record(dataCentreSchema, digestSchema),
 	}),
-	z.strictObject({
+	z.object({
 		kind: z.literal('bucket'),
 		from: senderSchema,
 		dataCentre: dataCentreSchema,
@@ -114,25 +116,25 @@
 
 /** The answer to an exchange. */
 export const exchangeAnswerSchema = z.discriminatedUnion('kind', [
-	z.strictObject({
+	z.object({
 		kind: z.literal('ack'),
 		from: senderSchema,
 		records: pageSchema,
 		/** Whether the answerer lacks the sender's newest record. */
 		needsRecord: z.boolean(),
 	}),
-	z.strictObject({
+	z.object({
 		kind: z.literal('digests'),
 		from: senderSchema,
 		buckets: z.record(dataCentreSchema, z.array(digestSchema).max(256)),
 	}),
-	z.strictObject({
+	z.object({
 		kind: z.literal('bucket'),
 		from: senderSchema,
 		records: pageSchema,
 		wanted: namesSchema,
 	}),
-	z.strictObject({kind: z.literal('busy'), from: senderSchema}),
+	z.object({kind: z.literal('busy'), from: senderSchema}),
 ]);
 
 export type Announcement = z.infer<typeof announcementSchema>;
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -30,6 +30,7 @@
 	queuedMs: 'boragehitch_gate_queued_ms',
 	acceptMs: 'boragehitch_accept_wait_ms',
 	version: 'boragehitch_configuration_version',
+	unreadableParts: 'boragehitch_configuration_unreadable_parts',
 	members: 'boragehitch_members',
 	inFlight: 'boragehitch_requests_in_flight',
 	rateLimit: 'boragehitch_upstream_rate_limit',
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -17,14 +17,14 @@
 const nodeNameSchema = z.string().max(64);
 
 /** A version that a node has refused, and why. */
-export const refusalSchema = z.strictObject({
+export const refusalSchema = z.object({
 	name: nodeNameSchema,
 	version: versionSchema,
 	problem: problemSchema,
 });
 
 /** Progress of a node and of all nodes below it in the delivery tree. */
-export const progressSchema = z.strictObject({
+export const progressSchema = z.object({
 	/** Lowest version that one of them runs. */
 	version: versionSchema,
 	members: z.int().min(0).max(1_000_000),
@@ -36,7 +36,7 @@
 });
 
 /** A node's request for configuration newer than what it has. */
-export const pollSchema = z.strictObject({
+export const pollSchema = z.object({
 	name: nodeNameSchema,
 	haveVersion: versionSchema,
 	haveDigest: z.string().max(64),
@@ -62,13 +62,13 @@
 
 /** The answer to a poll. */
 export const pollAnswerSchema = z.discriminatedUnion('kind', [
-	z.strictObject({kind: z.literal('unchanged'), ...answerFields}),
-	z.strictObject({
+	z.object({kind: z.literal('unchanged'), ...answerFields}),
+	z.object({
 		kind: z.literal('entries'),
 		...answerFields,
 		entries: z.array(logEntrySchema).max(logEntriesPerPoll),
 	}),
-	z.strictObject({
+	z.object({
 		kind: z.literal('snapshot'),
 		...answerFields,
 		configuration: configurationSchema,
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -35,6 +35,7 @@
 export const outcomeReasons = [
 	'no-route',
 	'pending',
+	'unreadable-route',
 	'no-upstream',
 	'team-limit',
 	'saturated',
@@ -84,17 +85,27 @@
 	readonly isLive: boolean;
 };
 
+/** Routes of manifests by first path segment, longest path first. */
+export type ManifestRouteTable = {
+	readonly kind: 'manifests';
+	readonly version: number;
+	readonly byTeam: ReadonlyMap<string, readonly CompiledRoute[]>;
+};
+
+/** Routes of a document by host name, then by path prefix. */
+export type DocumentRouteTable = {
+	readonly kind: 'document';
+	readonly version: number;
+	readonly byHost: ReadonlyMap<string, ReadonlyMap<string, HostRoute>>;
+	/** Whether a route can't be read, nor its host, so that any unknown request may be for it. */
+	readonly hasUnplacedRoute: boolean;
+};
+
 /** Compiled routes, to be matched with `matchRoute`. */
-export type RouteTable =
-	/** Routes of manifests by first path segment, longest path first. */
-	| {
-			readonly kind: 'manifests';
-			readonly version: number;
-			readonly byTeam: ReadonlyMap<string, readonly CompiledRoute[]>;
-	  }
-	/** Routes of a document by host name, then by path prefix. */
-	| {
-			readonly kind: 'document';
-			readonly version: number;
-			readonly byHost: ReadonlyMap<string, ReadonlyMap<string, CompiledRoute>>;
-	  };
+export type RouteTable = ManifestRouteTable | DocumentRouteTable;
+
+/** A route that nodes can't read; its requests are refused. */
+export type UnreadableRoute = 'unreadable';
+
+/** What a document says of the requests of a host under a path prefix. */
+export type HostRoute = CompiledRoute | UnreadableRoute;
--- a/src/state/apply-document-changes.ts
+++ b/src/state/apply-document-changes.ts
@@ -20,7 +20,7 @@
 	base: RoutingDocument,
 	changes: DocumentChanges,
 ): Result<RoutingDocument, string> {
-	const {from, to, removed, put, services, limits} = changes;
+	const {from, to, removed, put, services, limits, problems} = changes;
 	if (from !== base.version || to <= from) {
 		return err(`changes from ${from} to ${to} do not follow ${base.version}`);
 	}
@@ -43,5 +43,11 @@
 		routes.push(route);
 	}
 
-	return ok({version: to, routes, services, ...(limits && {limits})});
+	return ok({
+		version: to,
+		routes,
+		services,
+		...(limits && {limits}),
+		...(problems && {problems}),
+	});
 }
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -1,6 +1,11 @@
 import {maxBodyBytes, maxDocumentConcurrency} from '../protocol/constants.js';
-import type {CompiledRoute, RouteTable} from '../protocol/request.js';
 import type {
+	CompiledRoute,
+	DocumentRouteTable,
+	HostRoute,
+} from '../protocol/request.js';
+import type {
+	DocumentProblem,
 	DocumentRoute,
 	RoutingDocument,
 } from '../protocol/routing-document.js';
@@ -36,6 +41,39 @@
 	return next;
 }
 
+type HostRoutes = Map<string, Map<string, HostRoute>>;
+
+function openHost(byHost: HostRoutes, name: string): Map<string, HostRoute> {
+	const host = name.toLowerCase();
+	const routes = byHost.get(host) ?? new Map<string, HostRoute>();
+	byHost.set(host, routes);
+	return routes;
+}
+
+/**
+ * Marks where requests may be for a route that can't be read: under its path,
+ * or anywhere on its host that no other route covers.
+ *
+ * @returns whether it has no known host
+ */
+function markUnreadable(byHost: HostRoutes, problem: DocumentProblem): boolean {
+	if (problem.kind !== 'route-refused') {
+		return false;
+	}
+
+	const {host, pathPrefix = '/'} = problem;
+	if (host === undefined) {
+		return true;
+	}
+
+	const routes = openHost(byHost, host);
+	if (!routes.has(pathPrefix)) {
+		routes.set(pathPrefix, 'unreadable');
+	}
+
+	return false;
+}
+
 /**
  * Compiles the routes of a document into a table for matching requests. A
  * route that is the same object as before is compiled once.
@@ -45,15 +83,22 @@
  * @example
  * compileDocument({version: 1, routes: [], services: {}}).version; // 1
  */
-export function compileDocument(document: RoutingDocument): RouteTable {
+export function compileDocument(document: RoutingDocument): DocumentRouteTable {
 	const maxBytes = document.limits?.maxBodyBytes ?? maxBodyBytes;
-	const byHost = new Map<string, Map<string, CompiledRoute>>();
+	const byHost: HostRoutes = new Map();
 	for (const route of document.routes) {
-		const host = route.host.toLowerCase();
-		const routes = byHost.get(host) ?? new Map<string, CompiledRoute>();
-		byHost.set(host, routes);
-		routes.set(route.pathPrefix, compileRoute(route, maxBytes));
+		openHost(byHost, route.host).set(
+			route.pathPrefix,
+			compileRoute(route, maxBytes),
+		);
+	}
+
+	let hasUnplacedRoute = false;
+	for (const problem of document.problems ?? []) {
+		const isUnplaced = markUnreadable(byHost, problem);
+		hasUnplacedRoute ||= isUnplaced;
 	}
 
-	return {kind: 'document', version: document.version, byHost};
+	const {version} = document;
+	return {kind: 'document', version, byHost, hasUnplacedRoute};
 }
--- a/src/state/compile-routes.ts
+++ b/src/state/compile-routes.ts
@@ -1,5 +1,5 @@
 import type {Configuration} from '../protocol/configuration.js';
-import type {CompiledRoute, RouteTable} from '../protocol/request.js';
+import type {CompiledRoute, ManifestRouteTable} from '../protocol/request.js';
 import {resolveService} from './resolve-service.js';
 
 /** Names of services; a map with these keys will do. */
@@ -46,7 +46,7 @@
 export function compileRoutes(
 	configuration: Configuration,
 	services: ServiceNames,
-): RouteTable {
+): ManifestRouteTable {
 	const byTeam = new Map(
 		Object.keys(configuration.teams).map((name) => [
 			name,
--- a/src/state/compute-document-changes.ts
+++ b/src/state/compute-document-changes.ts
@@ -33,6 +33,7 @@
 		),
 		services: next.services,
 		...(next.limits && {limits: next.limits}),
+		...(next.problems && {problems: next.problems}),
 	};
 	const applied = applyDocumentChanges(base, changes);
 	const isExact =
--- a/src/state/match-route.ts
+++ b/src/state/match-route.ts
@@ -1,4 +1,10 @@
-import type {CompiledRoute, RouteTable} from '../protocol/request.js';
+import type {
+	CompiledRoute,
+	DocumentRouteTable,
+	HostRoute,
+	ManifestRouteTable,
+	RouteTable,
+} from '../protocol/request.js';
 
 /** What of a request selects its route. */
 export type RouteQuery = {
@@ -18,7 +24,7 @@
 }
 
 function matchTeamRoute(
-	table: RouteTable & {readonly kind: 'manifests'},
+	table: ManifestRouteTable,
 	{method, path}: RouteQuery,
 ): CompiledRoute | undefined {
 	const end = path.indexOf('/', 1);
@@ -38,13 +44,14 @@
 }
 
 function matchHostRoute(
-	table: RouteTable & {readonly kind: 'document'},
+	table: DocumentRouteTable,
 	{host, path}: RouteQuery,
-): CompiledRoute | undefined {
+): HostRoute | undefined {
+	const unknown = table.hasUnplacedRoute ? 'unreadable' : undefined;
 	const routes =
 		table.byHost.get(host) ?? table.byHost.get(removePort(host).toLowerCase());
 	if (!routes) {
-		return undefined;
+		return unknown;
 	}
 
 	// Each prefix ends with a slash, so only the path's slashes can end one.
@@ -59,7 +66,7 @@
 		}
 	}
 
-	return undefined;
+	return unknown;
 }
 
 /**
@@ -68,14 +75,23 @@
  *
  * @param table - the compiled routes
  * @param query - see `RouteQuery`
- * @returns the route, or undefined when there is none
+ * @returns the route, `unreadable` when the request may be for one that nodes
+ * can't read, or undefined when there is none
  * @example
  * matchRoute(table, {method: 'GET', host, path: '/kitchens/prices/lamb'});
  */
+export function matchRoute(
+	table: ManifestRouteTable,
+	query: RouteQuery,
+): CompiledRoute | undefined;
 export function matchRoute(
 	table: RouteTable,
 	query: RouteQuery,
-): CompiledRoute | undefined {
+): HostRoute | undefined;
+export function matchRoute(
+	table: RouteTable,
+	query: RouteQuery,
+): HostRoute | undefined {
 	switch (table.kind) {
 		case 'manifests': {
 			return matchTeamRoute(table, query);
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -7,6 +7,7 @@
 	const metrics = createMeshMetrics({
 		readGauges: () => ({
 			version: 12,
+			unreadableParts: 2,
 			members: 10,
 			inFlight: 3,
 			rateLimit: 12.6,
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -8,6 +8,8 @@
 export type MeshGauges = {
 	/** Version of the configuration; -1 when there is none. */
 	readonly version: number;
+	/** Parts of the configuration that the node can't read. */
+	readonly unreadableParts: number;
 	readonly members: number;
 	/** Requests of callers in flight. */
 	readonly inFlight: number;
@@ -93,6 +95,11 @@
 		help: 'Version of the configuration that the node runs',
 		registers,
 	});
+	const unreadableParts = new Gauge({
+		name: meshMetricNames.unreadableParts,
+		help: 'Parts of the configuration that the node cannot read',
+		registers,
+	});
 	const members = new Gauge({
 		name: meshMetricNames.members,
 		help: 'Nodes that the node believes to be alive',
@@ -128,6 +135,7 @@
 		async formatText() {
 			const gauges = readGauges();
 			version.set(gauges.version);
+			unreadableParts.set(gauges.unreadableParts);
 			members.set(gauges.members);
 			inFlight.set(gauges.inFlight);
 			rateLimit.set(gauges.rateLimit);
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -428,6 +428,10 @@
 
 		const {host = ''} = request.headers;
 		const route = matchRoute(table, {method, host, path});
+		if (route === 'unreadable') {
+			return 'unreadable-route';
+		}
+
 		return route?.isLive === false ? 'pending' : (route ?? 'no-route');
 	}
 
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -103,6 +103,7 @@
 	const metrics = createMeshMetrics({
 		readGauges: () => ({
 			version: document.readDocument()?.version ?? -1,
+			unreadableParts: document.readDocument()?.problems?.length ?? 0,
 			members: members.readView().members.filter(({state}) => state === 'alive')
 				.length,
 			inFlight: caller.readInFlight(),
