Find out requests that a full upstream drops without a word

Callers of an upstream that falls silent when it is full waited until their deadline, and the slot of each dropped request stayed taken as long.

Cause: the gate knew only answers and failed connections. What the upstream says that it works on (Server-Load, boragehitch-upstream-load) was read for its slots alone.

Change: each report is compared with what was sent (computeUpstreamWork); decideSilence tells slow from silent by it, and asks for the load where no other answer tells. Work beyond what was sent takes slots for a second: a gate that starts beside a busy upstream does not overfill it.

Ruled out: ending by time alone (slow upstreams would run repeats), and a probe for each overdue request (health checks are priced and take a slot).

--- /dev/null
+++ b/src/coordination/compute-upstream-work.ts
@@ -0,0 +1,52 @@
+import type {GateLoad} from '../protocol/attempt.js';
+
+/** What an upstream works on, by its own report, against what it was sent. */
+export type UpstreamWork = {
+	/** When it reported, monotonic ms. */
+	readonly at: number;
+	/** Unanswered requests that it neither runs nor has queued. */
+	readonly lost: number;
+	/** Requests that it works on and that the gate does not know of. */
+	readonly others: number;
+	/** Whether a report counts the request that it comes with; false until one has. */
+	readonly countsOwn: boolean;
+};
+
+/** A report with what the gate has sent. */
+export type WorkReport = {
+	readonly load: Pick<GateLoad, 'inFlight' | 'queued'>;
+	/** Unanswered requests, without the one that the report comes with. */
+	readonly unanswered: number;
+	/** Those of them that the upstream has surely read. */
+	readonly read: number;
+};
+
+/**
+ * Compares an upstream's report of its load with what the gate has sent to it.
+ *
+ * Answers two loads: an upstream that was full and has dropped requests without
+ * a word, which then lack in its report; and one that still works on requests
+ * of a gate that has started again, or whose callers have left, which are in
+ * its report beyond what the gate has sent.
+ *
+ * @param before - the work by the report before, undefined when there was none
+ * @param report - see `WorkReport`
+ * @param now - monotonic ms
+ * @returns the work by this report; `lost` is never too high
+ * @example
+ * computeUpstreamWork(undefined, {load, unanswered: 3, read: 3}, 0).lost;
+ */
+export function computeUpstreamWork(
+	before: UpstreamWork | undefined,
+	{load, unanswered, read}: WorkReport,
+	now: number,
+): UpstreamWork {
+	const reported = load.inFlight + load.queued;
+	const countsOwn = before?.countsOwn === true || reported > unanswered;
+	return {
+		at: now,
+		lost: Math.max(0, read + (countsOwn ? 1 : 0) - reported),
+		others: Math.max(0, reported - unanswered - 1),
+		countsOwn,
+	};
+}
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -4,6 +4,7 @@
  * passed over.
  */
 import * as z from 'zod';
+import type {GateLoad} from './attempt.js';
 import type {UpstreamReport} from './edge.js';
 import {
 	maxCapacity,
@@ -142,6 +143,8 @@
 /** What an upstream says of itself when it is asked. */
 export type UpstreamIdentity = Pick<Announcement, 'slots'> & {
 	readonly id: string;
+	/** Absent when it does not tell. */
+	readonly load?: GateLoad | undefined;
 	readonly report: UpstreamReport;
 };
 
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -15,6 +15,7 @@
 export const noticeHeader = 'boragehitch-upstream-notice';
 export const shedHeader = 'boragehitch-shed';
 export const rateLimitHeader = 'boragehitch-rate-limit';
+export const upstreamLoadHeader = 'boragehitch-upstream-load';
 export const leavingHeader = 'boragehitch-leaving';
 export const depthHeader = 'boragehitch-depth';
 export const stampHeader = 'boragehitch-stamp';
@@ -54,6 +55,7 @@
 	'stale-stamp',
 	'forgotten',
 	'truncated',
+	'unanswered',
 	'wrong-instance',
 	'misplaced',
 	'no-configuration',
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -17,6 +17,8 @@
 	noteMargin,
 	noteServiceTime,
 	readLocalLoad,
+	readTakenSlots,
+	type EarlyEnd,
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
@@ -33,6 +35,8 @@
 		reason: OutcomeReason,
 		upstream: LocalUpstream,
 	) => AttemptResult;
+	/** Told of each attempt that has been sent. */
+	readonly onSent: (upstream: LocalUpstream) => void;
 	/** Told of the head of each answer. */
 	readonly onHead: (job: Job, head: AnswerHead) => void;
 	/** Monotonic ms. */
@@ -69,8 +73,13 @@
 	dropQueued(upstream: LocalUpstream): void;
 	/** Refuses the queued jobs of an upstream whose turn under its rate limit comes too late. */
 	dropBeyondTurn(upstream: LocalUpstream): void;
+	/**
+	 * Gives up an attempt that its upstream does not work on. One that may not be
+	 * repeated only leaves its slot: its answer is taken up to its deadline.
+	 */
+	endSilent(job: Job): void;
 	/** Ends a job whose answer is not wanted any more, wherever it is. */
-	endEarly(job: Job, reason: 'deadline' | 'cancelled'): void;
+	endEarly(job: Job, reason: EarlyEnd): void;
 	/** Waits until there are no jobs. */
 	waitUntilIdle(): Promise<void>;
 };
@@ -103,7 +112,7 @@
  * @returns the runner
  */
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
-	const {ledger, observer, edge, refuse, onHead, now} = options;
+	const {ledger, observer, edge, refuse, onSent, onHead, now} = options;
 	const jobs = new Map<string, Job>();
 	let onIdle: (() => void) | undefined;
 
@@ -133,7 +142,7 @@
 		endJob(job, refuse(reason, job.upstream), true);
 	}
 
-	function endEarly(job: Job, reason: 'deadline' | 'cancelled'): void {
+	function endEarly(job: Job, reason: EarlyEnd): void {
 		if (job.phase === 'queued') {
 			dropJob(job, reason);
 		} else if (job.phase === 'sent') {
@@ -213,7 +222,7 @@
 	function startJobs(upstream: LocalUpstream): void {
 		if (
 			upstream.queuedCount > 0 &&
-			upstream.inFlight < upstream.announcement.slots
+			readTakenSlots(upstream, now()) < upstream.announcement.slots
 		) {
 			dropExpired(upstream);
 		}
@@ -239,11 +248,16 @@
 				agent: upstream.agent,
 				address: upstream.announcement.address,
 				areAnswersIdentified: edge.identifiesAnswers,
+				onSent() {
+					job.wholeAt = now();
+				},
 				onHead(head) {
+					job.isAnswered = true;
 					onHead(job, head);
 				},
 			},
 		);
+		onSent(upstream);
 		if (job.endedBy) {
 			job.sent.abort();
 		}
@@ -313,6 +327,8 @@
 			phase: 'queued',
 			sentAt: 0,
 			sent: undefined,
+			wholeAt: Number.POSITIVE_INFINITY,
+			isAnswered: false,
 			endedBy: undefined,
 		};
 		enterLocalQueue(job);
@@ -329,6 +345,14 @@
 		dropQueued,
 		dropBeyondTurn,
 		endEarly,
+		endSilent(job) {
+			if (job.attempt.repeatable) {
+				endEarly(job, 'unanswered');
+			} else {
+				leaveSlot(job);
+				startJobs(job.upstream);
+			}
+		},
 		dropLate(upstream) {
 			for (const job of [...upstream.queued.values()].flat()) {
 				if (job.isLate) {
--- /dev/null
+++ b/src/transport/_lib/create-silence-watch.ts
@@ -0,0 +1,179 @@
+import {setImmediate as waitForTurn} from 'node:timers/promises';
+import {computeUpstreamWork} from '../../coordination/compute-upstream-work.js';
+import {
+	decideSilence,
+	type SilenceDecision,
+} from '../../coordination/decide-silence.js';
+import type {GateLoad} from '../../protocol/attempt.js';
+import type {Announcement} from '../../protocol/member.js';
+import type {Logger} from '../create-logger.js';
+import {
+	readExpectedTime,
+	type Job,
+	type LocalUpstream,
+} from './local-upstream.js';
+
+/** Options of `createSilenceWatch`. */
+export type SilenceWatchOptions = {
+	readonly logger: Pick<Logger, 'warn'>;
+	/** Asks an upstream for its load; undefined when it does not tell. */
+	readonly probeLoad?:
+		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
+	/** Called with each request to which no answer will come. */
+	readonly onSilent: (job: Job) => void;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** Finds the requests that an upstream has dropped without a word. */
+export type SilenceWatch = {
+	/** Begins to watch an upstream that was sent a request. */
+	noteSent(upstream: LocalUpstream): void;
+	/** Takes in the load that an upstream reports, with its answer to a job. */
+	noteLoad(upstream: LocalUpstream, load: GateLoad, answered?: Job): void;
+};
+
+/** Time within which an upstream has read what it was sent, ms: a turn of both processes and a handshake. */
+const readMarginMs = 10;
+
+/** Time between two looks at the unanswered requests of an upstream, ms. */
+const checkIntervalMs = 100;
+
+/** Age up to which a report tells of the requests that were sent before it, ms. */
+const reportTrustMs = 1000;
+
+/** Least time between two log lines about an upstream, ms. */
+const logIntervalMs = 1000;
+
+/** Lists the requests that an upstream has begun no answer to. */
+function listUnanswered(upstream: LocalUpstream, answered?: Job): Job[] {
+	return [...upstream.sent].filter(
+		(job) => job !== answered && !job.isAnswered,
+	);
+}
+
+/**
+ * Creates the watch over requests that an upstream does not answer.
+ *
+ * @param options - see `SilenceWatchOptions`
+ * @returns the watch
+ */
+export function createSilenceWatch(options: SilenceWatchOptions): SilenceWatch {
+	const {logger, probeLoad, onSilent, now} = options;
+
+	function decide(job: Job, lost: number | undefined): SilenceDecision {
+		const {upstream, attempt, wholeAt, sentAt, usefulUntil, serviceMs} = job;
+		const at = now();
+		return decideSilence({
+			unansweredMs: at - wholeAt,
+			expectedMs: readExpectedTime(upstream, attempt, at),
+			objectiveMs: usefulUntil + serviceMs - sentAt,
+			lost,
+			sinceProbeMs: at - upstream.probedAt,
+		});
+	}
+
+	function endSilent(job: Job, lost: number): void {
+		const {upstream, attempt, wholeAt} = job;
+		const at = now();
+		if (at - upstream.silenceLoggedAt >= logIntervalMs) {
+			upstream.silenceLoggedAt = at;
+			logger.warn('upstream does not answer', {
+				id: upstream.id,
+				service: attempt.service,
+				requestId: attempt.requestId,
+				unansweredMs: Math.round(at - wholeAt),
+				lost,
+				inFlight: upstream.inFlight,
+				reportAgeMs: Math.round(at - (upstream.work?.at ?? at)),
+			});
+		}
+
+		onSilent(job);
+	}
+
+	/** Ends requests that a report lacks, once what has arrived has been read. */
+	async function confirmLost(
+		upstream: LocalUpstream,
+		read: readonly Job[],
+		lost: number,
+	): Promise<void> {
+		// The first turn may end without a read.
+		await waitForTurn();
+		await waitForTurn();
+		const unanswered = read.filter(
+			(job) => upstream.sent.has(job) && !job.isAnswered,
+		);
+		// Those that were answered meanwhile may be the ones that it lacked.
+		const left = lost - (read.length - unanswered.length);
+		const suspects = unanswered
+			.toSorted((a, b) => a.wholeAt + a.serviceMs - b.wholeAt - b.serviceMs)
+			.slice(0, Math.max(0, left));
+		for (const job of suspects) {
+			if (decide(job, left) === 'silent') {
+				endSilent(job, left);
+			}
+		}
+	}
+
+	function noteLoad(
+		upstream: LocalUpstream,
+		load: GateLoad,
+		answered?: Job,
+	): void {
+		const at = now();
+		const unanswered = listUnanswered(upstream, answered);
+		const read = unanswered.filter((job) => job.wholeAt <= at - readMarginMs);
+		upstream.work = computeUpstreamWork(
+			upstream.work,
+			{load, unanswered: unanswered.length, read: read.length},
+			at,
+		);
+		const {lost} = upstream.work;
+		if (lost > 0) {
+			void confirmLost(upstream, read, lost);
+		}
+	}
+
+	async function askLoad(upstream: LocalUpstream): Promise<void> {
+		upstream.probedAt = now();
+		const load = await probeLoad?.(upstream.announcement);
+		if (load) {
+			noteLoad(upstream, load);
+		}
+	}
+
+	/** Reads what the last report says of a request; undefined when it is older. */
+	function readReported({upstream, wholeAt}: Job): 0 | undefined {
+		const {work} = upstream;
+		const isKnown =
+			work !== undefined &&
+			work.at >= wholeAt + readMarginMs &&
+			work.at > now() - reportTrustMs;
+		return isKnown ? 0 : undefined;
+	}
+
+	function check(upstream: LocalUpstream): void {
+		upstream.silenceTimer = undefined;
+		const isUnknown = listUnanswered(upstream).some(
+			(job) => decide(job, readReported(job)) === 'probe',
+		);
+		if (isUnknown) {
+			void askLoad(upstream);
+		}
+
+		noteSent(upstream);
+	}
+
+	function noteSent(upstream: LocalUpstream): void {
+		const isWatched = upstream.silenceTimer !== undefined;
+		if (!probeLoad || isWatched || upstream.sent.size === 0) {
+			return;
+		}
+
+		upstream.silenceTimer = setTimeout(check, checkIntervalMs, upstream);
+		upstream.silenceTimer.unref();
+	}
+
+	return {noteSent, noteLoad};
+}
--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -10,6 +10,7 @@
 import {stepTeamUse} from '../../coordination/step-team-use.js';
 import {
 	leaveLocalQueue,
+	readTakenSlots,
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
@@ -64,13 +65,14 @@
 	now: number,
 ): Job | undefined {
 	const {slots} = upstream.announcement;
-	if (upstream.queuedCount === 0 || upstream.inFlight >= slots) {
+	const takenSlots = readTakenSlots(upstream, now);
+	if (upstream.queuedCount === 0 || takenSlots >= slots) {
 		return undefined;
 	}
 
 	const team = pickNextTeam({
 		slots,
-		inFlight: upstream.inFlight,
+		inFlight: takenSlots,
 		startTags: new Map(
 			[...upstream.queued].map(([name, jobs]) => [name, jobs[0]!.startTag]),
 		),
@@ -89,14 +91,15 @@
 }
 
 /**
- * Notes that a job has left its slot.
+ * Notes that a job has left its slot, if it has not before.
  *
  * @param job - the job
  */
 export function leaveSlot(job: Job): void {
 	const {upstream, attempt} = job;
-	upstream.sent.delete(job);
-	countRunning(upstream, attempt.team, -1);
+	if (upstream.sent.delete(job)) {
+		countRunning(upstream, attempt.team, -1);
+	}
 }
 
 function countRunning(
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -20,11 +20,12 @@
 	stepServiceTime,
 	type ServiceTime,
 } from '../../coordination/step-service-time.js';
+import type {UpstreamWork} from '../../coordination/compute-upstream-work.js';
 import {stepTimeMargin} from '../../coordination/step-time-margin.js';
 import type {TeamUse} from '../../coordination/step-team-use.js';
 import type {Utilization} from '../../coordination/step-utilization.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
-import {usualObjectivePart} from '../../protocol/constants.js';
+import {loadTrustMs, usualObjectivePart} from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
 import {createPooledAgent} from './create-pooled-agent.js';
@@ -63,10 +64,21 @@
 	/** Monotonic ms; 0 before it was sent. */
 	sentAt: number;
 	sent: SentRequest | undefined;
+	/** When all of it had been sent, monotonic ms; infinite before. */
+	wholeAt: number;
+	/** Whether the head of its answer has come. */
+	isAnswered: boolean;
 	/** Why the job was ended early, if it was. */
-	endedBy: 'deadline' | 'cancelled' | undefined;
+	endedBy: EarlyEnd | undefined;
 };
 
+/** Why a gate ends an attempt that its upstream has not answered. */
+export type EarlyEnd =
+	| 'deadline'
+	| 'cancelled'
+	/** The upstream does not work on it. */
+	| 'unanswered';
+
 /** An upstream on the gate's own host. */
 export type LocalUpstream = {
 	/** Identifier under which it announced itself. */
@@ -98,6 +110,14 @@
 	rateLimit: RateLimit | undefined;
 	/** Whether an answer has said how it stands since the gate knows it. */
 	isReportKnown: boolean;
+	/** What it works on by its last report; undefined before one. */
+	work: UpstreamWork | undefined;
+	/** When it was last asked for its load, monotonic ms. */
+	probedAt: number;
+	/** When its silence was last logged, monotonic ms. */
+	silenceLoggedAt: number;
+	/** Fires when its unanswered requests are looked at. */
+	silenceTimer: NodeJS.Timeout | undefined;
 	/** Fires when a queued job has its turn under the rate limit. */
 	turnTimer: NodeJS.Timeout | undefined;
 };
@@ -132,6 +152,10 @@
 		isLeaving: false,
 		rateLimit: undefined,
 		isReportKnown: false,
+		work: undefined,
+		probedAt: Number.NEGATIVE_INFINITY,
+		silenceLoggedAt: Number.NEGATIVE_INFINITY,
+		silenceTimer: undefined,
 		turnTimer: undefined,
 	};
 }
@@ -201,6 +225,25 @@
 	};
 }
 
+/**
+ * Reads how many slots of an upstream are taken, also by work that the gate has
+ * not sent, or has given up. One slot is always left to its own requests: only
+ * their answers tell when that work is over.
+ *
+ * @param upstream - the upstream
+ * @param now - monotonic ms
+ * @returns the number of slots
+ */
+export function readTakenSlots(
+	{inFlight, work, announcement}: LocalUpstream,
+	now: number,
+): number {
+	const isKnown = work !== undefined && now - work.at < loadTrustMs;
+	return isKnown
+		? inFlight + Math.min(work.others, announcement.slots - 1)
+		: inFlight;
+}
+
 /**
  * Reads the expected time of a request at an upstream.
  *
@@ -288,7 +331,7 @@
 ): LocalWait {
 	const {rateLimit, queuedCount} = upstream;
 	const {slots} = upstream.announcement;
-	if (upstream.inFlight < slots && queuedCount === 0) {
+	if (readTakenSlots(upstream, now) < slots && queuedCount === 0) {
 		const turnWaitMs = computeTurnWait(rateLimit, 0, now);
 		return {waitMs: turnWaitMs, lateWaitMs: turnWaitMs, turnWaitMs};
 	}
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -54,6 +54,8 @@
 	readonly areAnswersIdentified?: boolean;
 	/** Called before the first byte may leave, unless it was aborted before. */
 	readonly onSend?: (() => void) | undefined;
+	/** Called when the last byte has been handed to the connection. */
+	readonly onSent?: (() => void) | undefined;
 	/** Called with each interim answer (1xx). */
 	readonly onInterim?: (() => void) | undefined;
 	/** Called when the head of the answer has arrived. */
@@ -173,6 +175,10 @@
 		request.on('close', () => {
 			this.#fail(new Error('the connection was closed'));
 		});
+		if (options.onSent) {
+			request.once('finish', options.onSent);
+		}
+
 		if (options.onInterim) {
 			request.on('information', options.onInterim);
 		}
--- a/src/transport/gate-reports.test.ts
+++ b/src/transport/gate-reports.test.ts
@@ -2,11 +2,10 @@
  * What upstreams report of themselves in their answers, kept by the gate.
  */
 import assert from 'node:assert/strict';
-import type {ServerResponse} from 'node:http';
-import test, {type TestContext} from 'node:test';
+import test from 'node:test';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
-import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
+import {startHeldGate} from '../../harness/start-held-gate.js';
 import type {Attempt, AttemptResult} from '../protocol/attempt.js';
 import {silentReport} from '../protocol/edge.js';
 import type {Announcement} from '../protocol/member.js';
@@ -16,91 +15,6 @@
 const limitHeader = 'boragehitch-rate-limit';
 const leavingHeader = 'boragehitch-leaving';
 
-type Headers = Readonly<Record<string, string>>;
-
-/** Starts a gate, whose clock the test moves, and an upstream that holds its requests. */
-async function start(t: TestContext, changes: Partial<Announcement> = {}) {
-	let at = 1000;
-	let lastId = 0;
-	const held: ServerResponse[] = [];
-	const left: string[] = [];
-	const server = await startServer('127.0.0.1:0', (_request, response) => {
-		held.push(response);
-	});
-	const gate = startGateTask({
-		logger: createSilentLogger(),
-		now: () => at,
-		random: () => 0.5,
-		onLeaving(id) {
-			left.push(id);
-		},
-	});
-	t.after(async () => {
-		await gate.stop();
-		await server.stop();
-	});
-	const announcement: Announcement = {
-		team: '',
-		service: 'registry',
-		address: server.address,
-		incarnation: 5,
-		sequence: 1,
-		slots: 6,
-		connections: 10,
-		state: 'ready',
-		...changes,
-	};
-	gate.announce('i-1', announcement);
-
-	/** Waits until the upstream holds so many requests. */
-	async function waitUntilHeld(count: number): Promise<void> {
-		while (held.length < count) {
-			await waitForTurn();
-		}
-	}
-
-	async function run(attempt: Partial<Attempt> = {}): Promise<AttemptResult> {
-		lastId++;
-		return gate.runAttempt(
-			createSampleAttempt({id: `${lastId}/1`, remainingMs: 20_000, ...attempt}),
-		);
-	}
-
-	/** Sends an attempt and has it answered with headers. */
-	async function exchange(headers: Headers): Promise<AttemptResult> {
-		const count = held.length;
-		const result = run();
-		await waitUntilHeld(count + 1);
-		answer(headers);
-		return result;
-	}
-
-	/** Answers the oldest request that is held. */
-	function answer(headers: Headers = {}): void {
-		const response = held.shift()!;
-		for (const [name, value] of Object.entries(headers)) {
-			response.setHeader(name, value);
-		}
-
-		response.end('done');
-	}
-
-	return {
-		gate,
-		announcement,
-		held,
-		waitUntilHeld,
-		left,
-		run,
-		exchange,
-		answer,
-		advance(durationMs: number) {
-			at += durationMs;
-			gate.announce('i-1', announcement);
-		},
-	};
-}
-
 function describe(result: AttemptResult): string {
 	return result.kind === 'answered'
 		? 'answered'
@@ -108,7 +22,7 @@
 }
 
 test('a request beyond the named limit is refused at once, with the time of its turn', async (t) => {
-	const {run, exchange} = await start(t);
+	const {run, exchange} = await startHeldGate(t);
 	await exchange({[limitHeader]: '2'});
 	const result = await run({objectiveMs: 200});
 	assert.equal(describe(result), 'not-run limited');
@@ -124,7 +38,8 @@
 });
 
 test('a request that can wait for its turn goes when it has come', async (t) => {
-	const {run, exchange, held, advance, answer, waitUntilHeld} = await start(t);
+	const {run, exchange, held, advance, answer, waitUntilHeld} =
+		await startHeldGate(t);
 	await exchange({[limitHeader]: '2'});
 	const waiting = run();
 	assert.equal(held.length, 0);
@@ -136,7 +51,7 @@
 });
 
 test('a node that goes on after a pause does not send a burst', async (t) => {
-	const {run, exchange, held, advance, waitUntilHeld} = await start(t);
+	const {run, exchange, held, advance, waitUntilHeld} = await startHeldGate(t);
 	await exchange({[limitHeader]: '10'});
 	const waiting = Array.from({length: 6}, async () => run());
 	// They can wait for half a second only.
@@ -148,7 +63,7 @@
 });
 
 test('a queue that was admitted before a limit is named is offered elsewhere', async (t) => {
-	const {run, waitUntilHeld, answer} = await start(t, {slots: 1});
+	const {run, waitUntilHeld, answer} = await startHeldGate(t, {slots: 1});
 	void run();
 	await waitUntilHeld(1);
 	const second = run({objectiveMs: 300});
@@ -157,7 +72,8 @@
 });
 
 test('a limit ends with an answer to a request that was sent after it was named', async (t) => {
-	const {run, exchange, advance, held, answer, waitUntilHeld} = await start(t);
+	const {run, exchange, advance, held, answer, waitUntilHeld} =
+		await startHeldGate(t);
 	const before = run();
 	await waitUntilHeld(1);
 
@@ -177,7 +93,7 @@
 });
 
 test('a shed request that names no limit does not end it', async (t) => {
-	const {run, exchange, waitUntilHeld, held, advance} = await start(t);
+	const {run, exchange, waitUntilHeld, held, advance} = await startHeldGate(t);
 	await exchange({[limitHeader]: '2'});
 	advance(500);
 	const shed = run();
@@ -192,14 +108,14 @@
 
 for (const value of ['', '-1', 'none', '1e9', '99999999']) {
 	test(`a limit "${value}" is not taken for one`, async (t) => {
-		const {exchange} = await start(t);
+		const {exchange} = await startHeldGate(t);
 		await exchange({[limitHeader]: value});
 		assert.equal(describe(await exchange({})), 'answered');
 	});
 }
 
 test('an upstream that says in an answer that it leaves takes no further request, whatever it announces', async (t) => {
-	const {gate, announcement, exchange, run, left} = await start(t);
+	const {gate, announcement, exchange, run, left} = await startHeldGate(t);
 	await exchange({[leavingHeader]: '1'});
 	assert.deepEqual(left, ['i-1']);
 	const late = {...announcement, sequence: 2};
@@ -209,7 +125,7 @@
 });
 
 test('a refusal tells of an upstream that has announced that it leaves', async (t) => {
-	const {gate, announcement, run} = await start(t);
+	const {gate, announcement, run} = await startHeldGate(t);
 	gate.announce('i-1', {...announcement, sequence: 2, state: 'leaving'});
 	const result = await run();
 	assert.equal(describe(result), 'not-run leaving');
@@ -217,7 +133,7 @@
 });
 
 test('what waits at an upstream that leaves is offered elsewhere, and what runs is answered', async (t) => {
-	const {run, held, answer, waitUntilHeld} = await start(t, {slots: 2});
+	const {run, held, answer, waitUntilHeld} = await startHeldGate(t, {slots: 2});
 	const running = [run(), run()];
 	await waitUntilHeld(2);
 
@@ -234,7 +150,7 @@
 
 test('a later life under the same identifier begins without limit and not leaving', async (t) => {
 	const {gate, announcement, exchange, run, held, left, waitUntilHeld} =
-		await start(t);
+		await startHeldGate(t);
 	const before = run();
 	await waitUntilHeld(1);
 
@@ -252,7 +168,7 @@
 });
 
 test('a gate that has started again learns from its callers what its upstream has said', async (t) => {
-	const {run, exchange, left, waitUntilHeld} = await start(t);
+	const {run, exchange, left, waitUntilHeld} = await startHeldGate(t);
 	const named = {perSecond: 2, waitMs: 0};
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: false};
 	const other = {...notice, id: 'i-2', isLeaving: true};
@@ -270,7 +186,7 @@
 });
 
 test('what another node knows of an earlier life ends with the first announcement of the next', async (t) => {
-	const {gate, announcement, run, exchange} = await start(t, {
+	const {gate, announcement, run, exchange} = await startHeldGate(t, {
 		incarnation: undefined,
 	});
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: true};
@@ -280,7 +196,7 @@
 });
 
 test('a gate that has heard nothing yet takes over the limit that a caller knows', async (t) => {
-	const {gate, run} = await start(t);
+	const {gate, run} = await startHeldGate(t);
 	// What the probe finds need not name all that answers to requests do.
 	gate.takeReport('i-1', silentReport);
 	const rateLimit = {perSecond: 2, waitMs: 0};
--- a/src/transport/own-edge.ts
+++ b/src/transport/own-edge.ts
@@ -9,8 +9,10 @@
 	requestIdHeader,
 	shedHeader,
 	traceparentHeader,
+	upstreamLoadHeader,
 } from '../protocol/request.js';
 import {parseRateLimit} from './_lib/parse-rate-limit.js';
+import {parseUpstreamLoad} from './_lib/parse-upstream-load.js';
 
 const statusServiceUnavailable = 503;
 
@@ -52,7 +54,7 @@
 			attempt.sheddingMeansNotRun;
 		return isShed ? 'shed' : 'answered';
 	},
-	readLoad: () => undefined,
+	readLoad: (headers) => parseUpstreamLoad(headers[upstreamLoadHeader]),
 	readReport(headers) {
 		const headerNames = [rateLimitHeader, leavingHeader].filter(
 			(name) => headers[name] !== undefined,
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -17,6 +17,7 @@
 	Attempt,
 	AttemptQuestion,
 	AttemptResult,
+	GateLoad,
 	UpstreamNotice,
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
@@ -33,6 +34,7 @@
 import type {GateStamp} from '../protocol/stamp.js';
 import {createReportLog} from './_lib/create-report-log.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
+import {createSilenceWatch} from './_lib/create-silence-watch.js';
 import {
 	acceptNotice,
 	isEarlierLife,
@@ -48,6 +50,7 @@
 	findLongestQueue,
 	readExpectedTime,
 	readLocalLoad,
+	readTakenSlots,
 	type Job,
 	type LocalUpstream,
 	type LocalWait,
@@ -64,6 +67,10 @@
 	readonly observer?: RequestObserver;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
+	/** Asks an upstream for its load; undefined when it does not tell. */
+	readonly probeLoad?: (
+		announcement: Announcement,
+	) => Promise<GateLoad | undefined>;
 	/** Headers that the upstreams understand; the project's own when absent. */
 	readonly edge?: Edge;
 	/** Called when an upstream is found to leave, other than by its announcement. */
@@ -90,7 +97,7 @@
 	 */
 	reviseAnnouncement(id: string, announcement: Announcement): Announcement;
 	/** Takes in what an upstream has reported outside of an attempt. */
-	takeReport(id: string, report: UpstreamReport): void;
+	takeReport(id: string, report: UpstreamReport, load?: GateLoad): void;
 	runAttempt(attempt: Attempt): Promise<AttemptResult>;
 	/** Tells what became of an attempt, fencing one that has not arrived. */
 	ask(question: AttemptQuestion): LedgerStep['answer'];
@@ -167,6 +174,11 @@
 	/** Takes in what the head of an answer says of its upstream. */
 	function noteHead(job: Job, {status, headers}: AnswerHead): void {
 		const {upstream, attempt, sentAt} = job;
+		const load = edge.readLoad(headers);
+		if (load) {
+			silenceWatch.noteLoad(upstream, load, job);
+		}
+
 		const report = edge.readReport(headers);
 		const hadLimit = upstream.rateLimit !== undefined;
 		if (report === silentReport && !hadLimit && upstream.isReportKnown) {
@@ -198,9 +210,18 @@
 		observer,
 		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
+		onSent(upstream) {
+			silenceWatch.noteSent(upstream);
+		},
 		onHead: noteHead,
 		now,
 	});
+	const silenceWatch = createSilenceWatch({
+		logger: options.logger,
+		probeLoad: options.probeLoad,
+		onSilent: runner.endSilent,
+		now,
+	});
 
 	function readExpectation(
 		upstream: LocalUpstream,
@@ -253,7 +274,7 @@
 	> {
 		return {
 			slots: computeLocalOpenSlots(upstream, team, now()),
-			inFlight: upstream.inFlight,
+			inFlight: readTakenSlots(upstream, now()),
 			ahead: countAhead(upstream, team),
 			queued: upstream.queuedCount,
 			ownQueued: upstream.queued.get(team)?.length ?? 0,
@@ -435,8 +456,12 @@
 				? {...announcement, state: 'leaving'}
 				: announcement;
 		},
-		takeReport(id, report) {
+		takeReport(id, report, load) {
 			const upstream = upstreams.get(id);
+			if (upstream && load) {
+				silenceWatch.noteLoad(upstream, load);
+			}
+
 			// A health answer that is silent says nothing of other answers.
 			if (upstream && report !== silentReport) {
 				const at = now();
@@ -497,8 +522,9 @@
 			await runner.waitUntilIdle();
 		},
 		async stop() {
-			for (const {agent, turnTimer} of upstreams.values()) {
+			for (const {agent, turnTimer, silenceTimer} of upstreams.values()) {
 				clearTimeout(turnTimer);
+				clearTimeout(silenceTimer);
 				agent.destroy();
 			}
 		},
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -141,6 +141,12 @@
 		edge,
 		observer,
 		readLag: lagMeter.read,
+		async probeLoad({service, address}) {
+			const terms = document.readDocument()?.services[service];
+			const identity =
+				terms && (await platform.probeUpstream(address, terms.healthPath));
+			return identity?.load;
+		},
 		onLeaving(id, announcement) {
 			members.announce(id, announcement);
 		},
@@ -289,10 +295,10 @@
 	void seekUpstream({
 		isOver: () => isSeekOver,
 		probe: probeUpstream,
-		onFound({id, report, ...found}) {
+		onFound({id, load, report, ...found}) {
 			logger.info('upstream found', {id, ...found});
 			announce(id, {...found, team: '', state: 'ready'});
-			gate.takeReport(id, report);
+			gate.takeReport(id, report, load);
 		},
 	});
 	logger.info('node started', {
