Ask an upstream for its load only when a request could go elsewhere

It is now overdue by both, and must be repeatable. A report that comes by itself is still used by the lesser measure.

--- a/src/coordination/decide-silence.test.ts
+++ b/src/coordination/decide-silence.test.ts
@@ -8,11 +8,15 @@
 	objectiveMs: 500,
 	lost: undefined,
 	sinceProbeMs: Number.POSITIVE_INFINITY,
+	repeatable: true,
 };
 
 test('an upstream is asked for its load when nothing else tells of it', () => {
 	assert.equal(decideSilence(overdue), 'probe');
 	assert.equal(decideSilence({...overdue, sinceProbeMs: 900}), 'wait');
+	assert.equal(decideSilence({...overdue, repeatable: false}), 'wait');
+	assert.equal(decideSilence({...overdue, expectedMs: 150}), 'wait');
+	assert.equal(decideSilence({...overdue, objectiveMs: 800}), 'wait');
 });
 
 test('a request that the upstream works on is slow, not silent', () => {
--- a/src/coordination/decide-silence.ts
+++ b/src/coordination/decide-silence.ts
@@ -13,6 +13,8 @@
 	readonly lost: number | undefined;
 	/** Time since the upstream was last asked for its load, ms. */
 	readonly sinceProbeMs: number;
+	/** Whether another upstream may run it as well. */
+	readonly repeatable: boolean;
 };
 
 /** What is to be done about such a request. */
@@ -40,7 +42,9 @@
  *
  * Answers the load of an upstream that is full and drops requests without a
  * word. Slow work is told from silence by what the upstream says that it works
- * on: with its answers to others, or asked for it when there are none.
+ * on: with its answers to others, or asked for it when there are none. The
+ * question takes a slot for a moment, so it comes only when the request takes
+ * long by any measure, and is not put for one that can't go elsewhere.
  *
  * @param input - see `SilenceInput`
  * @returns the decision
@@ -49,17 +53,16 @@
  */
 export function decideSilence(input: SilenceInput): SilenceDecision {
 	const {unansweredMs, expectedMs, objectiveMs, lost, sinceProbeMs} = input;
-	const suspectMs = Math.min(
-		objectiveMs * suspectPart,
-		expectedMs * suspectFactor,
-	);
-	if (unansweredMs < Math.max(minSuspectMs, suspectMs)) {
-		return 'wait';
-	}
-
+	const partMs = objectiveMs * suspectPart;
+	const timesMs = expectedMs * suspectFactor;
 	if (lost === undefined) {
-		return sinceProbeMs >= probeIntervalMs ? 'probe' : 'wait';
+		const isOverdue =
+			input.repeatable &&
+			unansweredMs >= Math.max(minSuspectMs, partMs, timesMs) &&
+			sinceProbeMs >= probeIntervalMs;
+		return isOverdue ? 'probe' : 'wait';
 	}
 
-	return lost > 0 ? 'silent' : 'wait';
+	const suspectMs = Math.max(minSuspectMs, Math.min(partMs, timesMs));
+	return lost > 0 && unansweredMs >= suspectMs ? 'silent' : 'wait';
 }
--- a/src/transport/_lib/create-silence-watch.ts
+++ b/src/transport/_lib/create-silence-watch.ts
@@ -70,6 +70,7 @@
 			objectiveMs: usefulUntil + serviceMs - sentAt,
 			lost,
 			sinceProbeMs: at - upstream.probedAt,
+			repeatable: attempt.repeatable,
 		});
 	}
 
