--- a/src/transport/gate-silence.test.ts
+++ b/src/transport/gate-silence.test.ts
@@ -13,6 +13,9 @@
 /** Time that the upstream usually takes, ms. */
 const serviceMs = 100;
 
+/** Route of the attempts, whose time the gate knows. */
+const route = 'valves';
+
 /** Objective of the attempts, ms. */
 const objectiveMs = 500;
 
@@ -42,7 +45,7 @@
 			},
 		},
 	);
-	const first = held.run({objectiveMs});
+	const first = held.run({objectiveMs, route});
 	await held.waitUntilHeld(1);
 	held.advance(serviceMs);
 	held.answer({[loadHeader]: '1,0,6'});
@@ -53,7 +56,7 @@
 		const count = held.held.length;
 		const sent: {result?: AttemptResult} = {};
 		const stamp = held.gate.readStamp();
-		const attempt = {objectiveMs, repeatable: isRepeatable, stamp};
+		const attempt = {objectiveMs, route, repeatable: isRepeatable, stamp};
 		void held.run(attempt).then((result) => {
 			sent.result = result;
 		});
@@ -113,7 +116,7 @@
 	const {send, run, held, advance, answer} = await start(t, {slots: 2});
 	const dropped = await send(false);
 	const other = await send(true);
-	const waiting = run({objectiveMs});
+	const waiting = run({objectiveMs, route});
 	advance(250);
 	answer({[loadHeader]: '1,0,2'}, 1);
 	await waitUntil(() => other.result !== undefined);
