Let uploads wait whole, and refuse them before their bodies come

Callers saw uploads of over 64 KB refused that another host would have taken: their bodies were streamed to the first host, and a part was gone when it refused. While such a body came in over a thin link it held a slot of the upstream. A body that trickled in was waited for for a minute, beyond its client's deadline.

Change, with the ways weighed: - A body of a stated length up to 512 KiB waits whole, in 16 MiB for all of a node; beyond that it is streamed with back pressure as before.

--- a/fakes/platform-document.ts
+++ b/fakes/platform-document.ts
@@ -1,5 +1,5 @@
 /**
- * A configuration as the platform's operator writes it: a service with a route that may be repeated and one that may not.
+ * A configuration as the platform's operator writes it: a service with a route that may be repeated, one that may not, and one for uploads.
  */
 export const platformDocument = {
 	version: '00000007',
@@ -30,6 +30,19 @@
 				max_attempts: 1,
 			},
 		},
+		{
+			resource_type: 'routes',
+			metadata: {name: 'photos'},
+			spec: {
+				host: 'prices.example',
+				path_prefix: '/photos/',
+				kind: 'upload',
+				timeout_s: 2,
+				target_latency_s: 0.5,
+				service: 'pricebook',
+				max_attempts: 2,
+			},
+		},
 		{
 			resource_type: 'services',
 			metadata: {name: 'pricebook'},
--- a/fakes/platform-upstream.ts
+++ b/fakes/platform-upstream.ts
@@ -1,6 +1,7 @@
 /**
  * A stand-in for a server of the users' platform: it answers after a fixed time, notes when requests arrive, and says of itself what it is told to.
  */
+import {once} from 'node:events';
 import {
 	createServer,
 	type IncomingHttpHeaders,
@@ -17,6 +18,8 @@
 	readonly headers?: OutgoingHttpHeaders;
 	/** Requests are answered as not executed. */
 	readonly sheds?: boolean;
+	/** Requests are answered before their bodies have come. */
+	readonly answersEarly?: boolean;
 };
 
 /**
@@ -27,6 +30,10 @@
 	readonly at: number;
 	readonly path: string;
 	readonly headers: IncomingHttpHeaders;
+	/** Bytes of the body so far. */
+	bytes: number;
+	/** Whether the whole body has come. */
+	isWhole: boolean;
 };
 
 /**
@@ -51,8 +58,30 @@
 
 	async function answer(...[request, response]: ServerParameters) {
 		const {headers, url: path = '/'} = request;
-		arrivals.push({at: performance.now(), path, headers});
-		request.resume();
+		const arrival = {
+			at: performance.now(),
+			path,
+			headers,
+			bytes: 0,
+			isWhole: false,
+		};
+		arrivals.push(arrival);
+		request.on('data', (chunk: Uint8Array) => {
+			arrival.bytes += chunk.length;
+		});
+		request.on('error', () => {
+			// The body was cut.
+		});
+		const ended = once(request, 'end').then(
+			() => {
+				arrival.isWhole = true;
+			},
+			() => undefined,
+		);
+		if (!behaviour.answersEarly) {
+			await ended;
+		}
+
 		await sleep(behaviour.sheds ? 0 : serviceMs);
 		const id = headers['x-boragehitch-request-id'];
 		response.writeHead(behaviour.sheds ? 503 : 200, {
--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -147,6 +147,7 @@
 export type Heartbeat = {
 	readonly id?: string;
 	readonly born?: number;
+	readonly slots?: number;
 	readonly sequence?: number;
 	readonly state?: 'ready' | 'draining';
 };
@@ -154,7 +155,13 @@
 export async function announceUpstream(
 	settings: MeshSettings,
 	address: string,
-	{id = 'i-1', born = 5, sequence = 1, state = 'ready'}: Heartbeat = {},
+	{
+		id = 'i-1',
+		born = 5,
+		slots = 6,
+		sequence = 1,
+		state = 'ready',
+	}: Heartbeat = {},
 ) {
 	await sendRequest(settings.announcements, `/instances/${id}/heartbeat`, {
 		method: 'POST',
@@ -163,7 +170,7 @@
 		body: JSON.stringify({
 			address,
 			born,
-			info: {service: 'pricebook', slots: 6},
+			info: {service: 'pricebook', slots},
 			status: {state, sequence},
 		}),
 	});
--- a/src/coordination/_lib/host-offers.ts
+++ b/src/coordination/_lib/host-offers.ts
@@ -4,11 +4,13 @@
 import {
 	comparedHosts,
 	msPerSecond,
+	usualLinkMbps,
 	usualObjectivePart,
 } from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
 import {computeHostTurnWait} from '../compute-host-turn-wait.js';
 import {computeOfferCost} from '../compute-offer-cost.js';
+import {computeTransferTime} from '../compute-transfer-time.js';
 import type {HostRecord} from '../step-host-record.js';
 import {
 	computePoolShare,
@@ -25,6 +27,17 @@
 	readonly objectiveMs?: number | undefined;
 	/** Name of the request's route, if it has one. */
 	readonly route?: string | undefined;
+	/** How the body reaches other hosts, if it is long. */
+	readonly transfer?: BodyTransfer | undefined;
+};
+
+/** A long body on its way from the own host. */
+export type BodyTransfer = {
+	readonly bytes: number;
+	/** Name of the own host, to which it need not go. */
+	readonly host: string;
+	/** Rate of the own host's link, Mbit/s. */
+	readonly linkMbps: number;
 };
 
 /** Highest share of failures that is believed, so that a cost stays finite. */
@@ -102,12 +115,30 @@
 	return computeOfferCost({ownMs, serviceMs, load, turnWaitMs, objectiveMs});
 }
 
+/** Adds the time that a long body takes to a host. */
+function addTransfer(
+	times: HostTimes | undefined,
+	{host, linkMbps = usualLinkMbps}: Candidate,
+	transfer: BodyTransfer | undefined,
+	objectiveMs: number,
+): HostTimes | undefined {
+	if (!transfer || host === transfer.host) {
+		return times;
+	}
+
+	const usualMs = objectiveMs * usualObjectivePart;
+	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
+	const rate = Math.min(linkMbps, transfer.linkMbps);
+	const transferMs = computeTransferTime(transfer.bytes, rate);
+	return {ownMs: ownMs + transferMs, serviceMs};
+}
+
 /** Takes some of the pool at random, and the one with the best offer of them. */
 export function findBestOffer(
 	pool: readonly Candidate[],
 	records: HostRecords,
 	random: () => number,
-	{now, route, objectiveMs}: OfferOptions,
+	{now, route, objectiveMs, transfer}: OfferOptions,
 ): Offer | undefined {
 	const poolShare = computePoolShare(pool, records, now);
 	const count = Math.min(comparedHosts, pool.length);
@@ -129,8 +160,13 @@
 				: computeCost(
 						load,
 						turnWaitMs,
-						readTimes(record, route) ??
-							(expectedTimes ??= computeExpectedTimes(pool, records, route)),
+						addTransfer(
+							readTimes(record, route) ??
+								(expectedTimes ??= computeExpectedTimes(pool, records, route)),
+							candidate,
+							transfer,
+							objectiveMs,
+						),
 						objectiveMs,
 					) +
 					coldCost * (1 / computeWarmth(record, now) - 1) +
--- a/src/coordination/compute-candidates.ts
+++ b/src/coordination/compute-candidates.ts
@@ -1,3 +1,4 @@
+import {usualCapacity, usualLinkMbps} from '../protocol/constants.js';
 import type {Candidate, Member} from '../protocol/member.js';
 
 /** How much a member's record is to be trusted; lower is better. */
@@ -18,10 +19,15 @@
 	return member.state === 'suspect' ? 1 : 0;
 }
 
+/** The link has at least the part of a usual one that the capacity says. */
+function computeLinkRate(capacity: number): number {
+	return (capacity / usualCapacity) * usualLinkMbps;
+}
+
 function listOwnCandidates(
 	member: Member,
 ): ReadonlyArray<readonly [string, Candidate]> {
-	const {name, address, dataCentre} = member;
+	const {name, address, dataCentre, capacity} = member;
 	const byService = new Map<string, Candidate>();
 	for (const {state, service, slots, since} of member.upstreams) {
 		if (state === 'ready') {
@@ -32,6 +38,7 @@
 				dataCentre,
 				slots: (known?.slots ?? 0) + slots,
 				sinceMs: Math.min(known?.sinceMs ?? Infinity, since),
+				...(capacity !== undefined && {linkMbps: computeLinkRate(capacity)}),
 			});
 		}
 	}
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -171,3 +171,38 @@
 	const record = stepHostRecord(undefined, {kind: 'sent'}, start);
 	assert.ok(!isOutOfReach(record, 10_000));
 });
+
+/** Share of 1000 long bodies that each host gets from a node of a data centre. */
+function shareUploads(linkMbps: number, own: string) {
+	const generator = xoroshiro128plus(7);
+	const hosts = candidates.map((candidate) => ({
+		...candidate,
+		linkMbps: candidate.host === 'abdali-1' ? 6 : 1000,
+	}));
+	const record = {...idle, serviceMs: 100, routeMs: new Map([['photos', 100]])};
+	const records = new Map(hosts.map(({host}) => [host, record]));
+	const counts: Record<string, number> = {};
+	for (let index = 0; index < 1000; index++) {
+		const {host} = pickHost(hosts, records, () => uniformFloat64(generator), {
+			dataCentre: 'abdali',
+			now,
+			objectiveMs: 500,
+			route: 'photos',
+			transfer: {bytes: 360_000, host: own, linkMbps},
+		})!;
+		counts[host] = (counts[host] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
+// Uploads of 360 KB took all of their objective to a host at 6 Mbit/s.
+test('long bodies do not go over a thin link while other hosts are in time', () => {
+	const shares = shareUploads(1000, 'elsewhere');
+	assert.equal(shares['abdali-1'], undefined);
+	assert.ok(shares['abdali-2']! > 300 && shares['abdali-3']! > 300);
+});
+
+test('long bodies stay on a host whose own link is thin', () => {
+	assert.deepEqual(shareUploads(6, 'abdali-1'), {'abdali-1': 1000});
+});
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -181,6 +181,12 @@
 export const connectTimeoutMs = 250;
 export const idleConnectionMs = 2000;
 export const maxBufferedBytes = 64 * bytesPerKibibyte;
+/** Longest body that waits in a node; longer ones are passed on as they come in. */
+export const maxHeldBodyBytes = 512 * bytesPerKibibyte;
+/** Memory of a node for the bodies that wait; an eighth of the 128 MB of a node. */
+export const maxHeldBodiesBytes = 16 * 1024 * bytesPerKibibyte;
+/** Length of a body from which its time on a link counts in placing; 22 ms at 6 Mbit/s. */
+export const notableBodyBytes = 16 * bytesPerKibibyte;
 
 export const retryBackoffBaseMs = 10;
 export const retryBackoffCapMs = 250;
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -173,6 +173,8 @@
 	readonly slots: number;
 	/** Since when it is known, on the own process's monotonic clock. */
 	readonly sinceMs: number;
+	/** Rate that its link has at least, Mbit/s; usual when absent. */
+	readonly linkMbps?: number | undefined;
 };
 
 /** What the other tasks of a node need to know of the members. */
--- /dev/null
+++ b/src/transport/_lib/create-body-memory.ts
@@ -0,0 +1,31 @@
+/** Memory of a node for long bodies that wait. */
+export type BodyMemory = {
+	/** Takes memory for a body; false when too little is left. */
+	take(bytes: number): boolean;
+	/** Gives back what was taken. */
+	free(bytes: number): void;
+};
+
+/**
+ * Creates the memory of a node for long bodies that wait. A body that finds no
+ * memory is passed on as it comes in.
+ *
+ * @param totalBytes - most bytes of all bodies
+ * @returns the memory, all of it free
+ */
+export function createBodyMemory(totalBytes: number): BodyMemory {
+	let takenBytes = 0;
+	return {
+		take(bytes) {
+			if (takenBytes + bytes > totalBytes) {
+				return false;
+			}
+
+			takenBytes += bytes;
+			return true;
+		},
+		free(bytes) {
+			takenBytes -= bytes;
+		},
+	};
+}
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -28,8 +28,10 @@
 import {
 	latencyRefreshMs,
 	msPerSecond,
+	notableBodyBytes,
 	stampLifetimeMs,
 	upstreamTombstoneMs,
+	usualLinkMbps,
 } from '../../protocol/constants.js';
 import type {Candidate, MembersView} from '../../protocol/member.js';
 import type {OutcomeReason} from '../../protocol/request.js';
@@ -48,6 +50,8 @@
 	readonly gate: GateTask;
 	readonly forwarder: Forwarder;
 	readonly logger: Logger;
+	/** Rate of the own host's link, Mbit/s; usual when absent. */
+	readonly linkMbps?: number | undefined;
 	/** Monotonic ms. */
 	readonly now: () => number;
 	readonly random: () => number;
@@ -71,7 +75,13 @@
 };
 
 /** What of a request's route matters for its host. */
-export type RouteTerms = Pick<PickOptions, 'objectiveMs' | 'route' | 'demand'>;
+export type RouteTerms = Pick<
+	PickOptions,
+	'objectiveMs' | 'route' | 'demand'
+> & {
+	/** Length of the request's body, bytes; 0 when absent. */
+	readonly bodyBytes?: number;
+};
 
 /** What a caller's node knows of hosts, and the budgets of its retries. */
 export type ServiceRouter = {
@@ -133,6 +143,7 @@
 	options: ServiceRouterOptions,
 ): ServiceRouter {
 	const {name, dataCentre, gate, forwarder, logger, now, random} = options;
+	const {linkMbps = usualLinkMbps} = options;
 	const records = new Map<string, HostRecord>();
 	const stamps = new Map<string, HeldStamp>();
 	// Kept beyond the records: a host that starts again is gone for a time.
@@ -275,7 +286,12 @@
 			return pickKeyHost(hosts, key);
 		}
 
-		const pick = {dataCentre, now: now(), ...terms};
+		const {bodyBytes = 0, ...route} = terms;
+		const transfer =
+			bodyBytes < notableBodyBytes
+				? undefined
+				: {bytes: bodyBytes, host: name, linkMbps};
+		const pick = {dataCentre, now: now(), ...route, transfer};
 		return (
 			pickHost(hosts, records, random, {...pick, exclude: tried}) ??
 			pickHost(hosts, records, random, pick)
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {pipeline, Transform, type Readable} from 'node:stream';
-import {maxBufferedBytes} from '../../protocol/constants.js';
+import {maxBufferedBytes, maxHeldBodyBytes} from '../../protocol/constants.js';
+import type {BodyMemory} from './create-body-memory.js';
+import {discardBody} from './discard-body.js';
 
 /** Options of `readRequestBody`. */
 export type ReadRequestBodyOptions = {
@@ -9,15 +11,24 @@
 	readonly maxBytes: number;
 	/** Longest body that is held in memory; `maxBufferedBytes` when absent. */
 	readonly bufferBytes?: number;
+	/** Where longer bodies of a known length are held too; they are streamed when absent. */
+	readonly memory?: BodyMemory;
+	/** Time for a body that is held to arrive, ms; without bound when absent. */
+	readonly timeoutMs?: number;
 };
 
 /** A request's body. */
 export type BodyRead =
 	/** The whole body, or a stream when it is longer than is held in memory. */
-	| {readonly kind: 'read'; readonly body: Uint8Array | Readable}
+	| {
+			readonly kind: 'read';
+			readonly body: Uint8Array | Readable;
+			/** What it has taken of the memory, to be given back at its end. */
+			readonly heldBytes: number;
+	  }
 	| {
 			readonly kind: 'refused';
-			readonly reason: 'body-too-large' | 'cancelled';
+			readonly reason: 'body-too-large' | 'cancelled' | 'deadline';
 	  };
 
 const emptyBody = new Uint8Array();
@@ -38,8 +49,11 @@
 }
 
 /**
- * Reads a request's body: whole when it is short, else as a stream with back
- * pressure that fails when the body is cut or too long.
+ * Reads a request's body: whole when it is short or finds memory, else as a
+ * stream with back pressure that fails when the body is cut or too long.
+ *
+ * What is held whole can be offered to another host after a refusal, and takes
+ * no slot while it comes in over a thin link.
  *
  * @param request - the request
  * @param options - see `ReadRequestBodyOptions`
@@ -49,27 +63,41 @@
 	request: IncomingMessage,
 	options: ReadRequestBodyOptions,
 ): Promise<BodyRead> {
-	const {maxBytes, bufferBytes = maxBufferedBytes} = options;
+	const {maxBytes, bufferBytes = maxBufferedBytes, memory} = options;
 	const {'content-length': length, 'transfer-encoding': coding} =
 		request.headers;
 	if (length === undefined && coding === undefined) {
-		return {kind: 'read', body: emptyBody};
+		return {kind: 'read', body: emptyBody, heldBytes: 0};
 	}
 
-	if (Number(length) > maxBytes) {
+	const bytes = Number(length);
+	if (bytes > maxBytes) {
 		return {kind: 'refused', reason: 'body-too-large'};
 	}
 
-	return Number(length) > bufferBytes
-		? {kind: 'read', body: limitBody(request, maxBytes)}
-		: collectBody(request, maxBytes, bufferBytes);
+	if (!(bytes > bufferBytes)) {
+		return collectBody(request, {...options, bufferBytes});
+	}
+
+	if (bytes > maxHeldBodyBytes || !memory?.take(bytes)) {
+		return {kind: 'read', body: limitBody(request, maxBytes), heldBytes: 0};
+	}
+
+	const read = await collectBody(request, {...options, bufferBytes: bytes});
+	if (read.kind === 'refused') {
+		memory.free(bytes);
+		return read;
+	}
+
+	return {...read, heldBytes: bytes};
 }
 
+/** Collects a body; one that turns out to be too long to be held is streamed. */
 async function collectBody(
 	request: IncomingMessage,
-	maxBytes: number,
-	bufferBytes: number,
+	options: ReadRequestBodyOptions & {readonly bufferBytes: number},
 ): Promise<BodyRead> {
+	const {maxBytes, bufferBytes, timeoutMs} = options;
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	return new Promise((resolve) => {
@@ -77,6 +105,7 @@
 			request.off('data', handleData);
 			request.off('end', handleEnd);
 			request.off('close', handleClose);
+			clearTimeout(timer);
 			resolve(result);
 		};
 
@@ -88,19 +117,29 @@
 			} else if (size > bufferBytes) {
 				request.pause();
 				request.unshift(Buffer.concat(chunks));
-				end({kind: 'read', body: limitBody(request, maxBytes)});
+				const body = limitBody(request, maxBytes);
+				end({kind: 'read', body, heldBytes: 0});
 			}
 		};
 
 		const handleEnd = (): void => {
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-			end({kind: 'read', body});
+			end({kind: 'read', body, heldBytes: 0});
 		};
 
 		const handleClose = (): void => {
 			end({kind: 'refused', reason: 'cancelled'});
 		};
 
+		const handleTimeout = (): void => {
+			discardBody(request);
+			end({kind: 'refused', reason: 'deadline'});
+		};
+
+		const timer =
+			timeoutMs === undefined
+				? undefined
+				: setTimeout(handleTimeout, timeoutMs);
 		request.on('data', handleData);
 		request.on('end', handleEnd);
 		request.on('close', handleClose);
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -20,6 +20,7 @@
 	answerMarginPart,
 	busyRetryMs,
 	maxDepth,
+	maxHeldBodiesBytes,
 	msPerSecond,
 	retryAfterSeconds,
 } from '../protocol/constants.js';
@@ -40,6 +41,7 @@
 import {matchRoute} from '../state/match-route.js';
 import {abortResponse} from './_lib/abort-response.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
+import {createBodyMemory, type BodyMemory} from './_lib/create-body-memory.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -69,6 +71,10 @@
 	readonly observer?: RequestObserver;
 	/** Headers that the callers understand; the project's own when absent. */
 	readonly edge?: Edge;
+	/** Where long bodies wait; a memory of its own when absent. */
+	readonly bodyMemory?: BodyMemory;
+	/** Rate of the own host's link, Mbit/s; usual when absent. */
+	readonly linkMbps?: number | undefined;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
 	/** Called when connections have been accepted and none waits any more. */
@@ -166,6 +172,11 @@
 	return leftMs < objectiveMs / 2 ? `${name} aged` : name;
 }
 
+/** Reads the stated length of a request's body, bytes; 0 when it is not stated. */
+function readBodyBytes({headers}: IncomingMessage): number {
+	return Number(headers['content-length'] ?? 0);
+}
+
 function compileSource(
 	source: RouteSource,
 	candidates: MembersView['candidates'],
@@ -199,6 +210,7 @@
 	const inFlightByTeam = new Map<string, number>();
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
+	const {bodyMemory = createBodyMemory(maxHeldBodiesBytes)} = options;
 	const idPrefix = randomUUID();
 	let lastId = 0;
 	let source: RouteSource | undefined;
@@ -294,13 +306,21 @@
 	): Promise<RequestEnd> {
 		const {request, route, requestId, terms} = routed;
 		const {team, service, sheddingMeansNotRun} = route;
-		const read = await readRequestBody(request, {maxBytes: route.maxBodyBytes});
+		const deadlineMs = Math.min(
+			computeDeadlineMs(terms, route),
+			Math.max(0, drainBounds.endsAt - answerMarginMs - routed.startedAt),
+		);
+		const read = await readRequestBody(request, {
+			maxBytes: route.maxBodyBytes,
+			memory: bodyMemory,
+			timeoutMs: Math.max(0, routed.startedAt + deadlineMs - now()),
+		});
 		if (read.kind === 'refused') {
 			const {reason} = read;
 			return {outcome: 'not-run', reason, retryAfterSeconds, attempts: 0};
 		}
 
-		const {body} = read;
+		const {body, heldBytes} = read;
 		const isStreamed = !(body instanceof Uint8Array);
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatKey(terms, route);
@@ -311,15 +331,12 @@
 			objectiveMs: route.objectiveMs,
 			route: route.name,
 			demand,
+			bodyBytes: readBodyBytes(request),
 		});
 		if (isStreamed) {
 			await selection.refreshStamp();
 		}
 
-		const deadlineMs = Math.min(
-			computeDeadlineMs(terms, route),
-			Math.max(0, drainBounds.endsAt - answerMarginMs - routed.startedAt),
-		);
 		lastId++;
 		const end = await runRequest({
 			terms: {
@@ -363,6 +380,7 @@
 			now,
 			random,
 		});
+		bodyMemory.free(heldBytes);
 		if (isStreamed && end.outcome !== 'answered') {
 			discardBody(body);
 		}
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -4,6 +4,7 @@
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {
 	decideAdmission,
+	type Admission,
 	type AdmissionInput,
 } from '../coordination/decide-admission.js';
 import {computeRemainingTerms} from '../coordination/compute-remaining-terms.js';
@@ -98,6 +99,11 @@
 	reviseAnnouncement(id: string, announcement: Announcement): Announcement;
 	/** Takes in what an upstream has reported outside of an attempt. */
 	takeReport(id: string, report: UpstreamReport, load?: GateLoad): void;
+	/**
+	 * Refuses an attempt by its head, before its body has come; undefined when it
+	 * may be taken. The attempt must not be run after a refusal.
+	 */
+	refuseAhead(attempt: Attempt): AttemptResult | undefined;
 	runAttempt(attempt: Attempt): Promise<AttemptResult>;
 	/** Tells what became of an attempt, fencing one that has not arrived. */
 	ask(question: AttemptQuestion): LedgerStep['answer'];
@@ -308,20 +314,31 @@
 		return utilization;
 	}
 
-	function admit(attempt: Attempt): Job | AttemptResult {
-		const found = findLocalUpstream(upstreams.values(), attempt.service);
-		const {upstream} = found;
-		const state = isDraining ? 'leaving' : found.state;
-		if (state !== 'ready' || !upstream) {
-			const reason = state === 'ready' ? 'no-upstream' : state;
-			return refuse('not-run', reason, found.upstream);
+	/** Finds the upstream for an attempt, or why there is none. */
+	function findUpstream({service}: Attempt): LocalUpstream | AttemptResult {
+		const {upstream, state: found} = findLocalUpstream(
+			upstreams.values(),
+			service,
+		);
+		const state = isDraining ? 'leaving' : found;
+		if (state === 'ready' && upstream) {
+			return upstream;
 		}
 
+		const reason = state === 'ready' ? 'no-upstream' : state;
+		return refuse('not-run', reason, upstream);
+	}
+
+	/** Decides whether an upstream has room for an attempt in time. */
+	function judgeAttempt(
+		upstream: LocalUpstream,
+		attempt: Attempt,
+		expected: Expectation,
+		utilization: number,
+	): (Admission & {readonly kind: 'admit'}) | AttemptResult {
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
-		const expected = readExpectation(upstream, attempt);
-		const utilization = noteDemand(upstream, expected.serviceMs, objectiveMs);
 		const admission = decideAdmission({
-			state,
+			state: 'ready',
 			remainingMs,
 			objectiveMs,
 			...expected,
@@ -329,22 +346,55 @@
 			marginPart: upstream.marginPart,
 			...describeQueue(upstream, attempt),
 		});
-		if (admission.kind === 'refuse') {
-			const retryAfter = computeRetryAfter({
-				...expected,
-				objectiveMs,
-				remainingMs,
-				random: random(),
-			});
-			return refuse('not-run', admission.reason, upstream, retryAfter);
+		if (admission.kind === 'admit') {
+			return admission;
+		}
+
+		const retryAfter = computeRetryAfter({
+			...expected,
+			objectiveMs,
+			remainingMs,
+			random: random(),
+		});
+		return refuse('not-run', admission.reason, upstream, retryAfter);
+	}
+
+	function refuseAhead(attempt: Attempt): AttemptResult | undefined {
+		const found = findUpstream(attempt);
+		if ('kind' in found) {
+			return found;
+		}
+
+		const {slots} = found.announcement;
+		const judged = judgeAttempt(
+			found,
+			attempt,
+			readExpectation(found, attempt),
+			readUtilization(found.utilization, slots, now()),
+		);
+		return judged.kind === 'admit' ? undefined : judged;
+	}
+
+	function admit(attempt: Attempt): Job | AttemptResult {
+		const upstream = findUpstream(attempt);
+		if ('kind' in upstream) {
+			return upstream;
+		}
+
+		const {remainingMs, objectiveMs = remainingMs} = attempt;
+		const expected = readExpectation(upstream, attempt);
+		const utilization = noteDemand(upstream, expected.serviceMs, objectiveMs);
+		const judged = judgeAttempt(upstream, attempt, expected, utilization);
+		if (judged.kind !== 'admit') {
+			return judged;
 		}
 
-		if (admission.pushOut) {
+		if (judged.pushOut) {
 			runner.drop(findLongestQueue(upstream).at(-1)!, 'saturated');
 		}
 
 		return runner.enqueue(attempt, upstream, {
-			isLate: admission.isLate,
+			isLate: judged.isLate,
 			serviceMs: expected.serviceMs,
 			waitMs: expected.waitMs,
 		});
@@ -469,6 +519,7 @@
 				applyNotice(upstream);
 			}
 		},
+		refuseAhead,
 		async runAttempt(attempt) {
 			const {id, key, remainingMs, signal} = attempt;
 			takeNotice(attempt.notice);
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -2,12 +2,17 @@
 import type {Socket} from 'node:net';
 import {computeCapacity} from '../coordination/compute-capacity.js';
 import {computeRetryShare} from '../coordination/compute-retry-share.js';
-import {outdatedLagMs, upstreamLeaseMs} from '../protocol/constants.js';
+import {
+	maxHeldBodiesBytes,
+	outdatedLagMs,
+	upstreamLeaseMs,
+} from '../protocol/constants.js';
 import type {Edge} from '../protocol/edge.js';
 import type {Announcement, UpstreamIdentity} from '../protocol/member.js';
 import type {MeshSettings} from '../protocol/mesh-settings.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {combineObservers} from './_lib/combine-observers.js';
+import {createBodyMemory} from './_lib/create-body-memory.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {createDecisionLog} from './_lib/create-decision-log.js';
 import {createLagMeter} from './_lib/create-lag-meter.js';
@@ -152,6 +157,7 @@
 		},
 	});
 	const forwarder = createForwarder();
+	const bodyMemory = createBodyMemory(maxHeldBodiesBytes);
 	const caller = await startCallerTask({
 		name,
 		dataCentre,
@@ -164,6 +170,8 @@
 		readLag: lagMeter.read,
 		onAccepted: reportAccepted('callers'),
 		readOrigin: () => settings.service,
+		bodyMemory,
+		linkMbps: first.linkMbps,
 		computeRetryBudget: (members) =>
 			computeRetryShare(
 				{
@@ -187,6 +195,7 @@
 		address: first.peers,
 		gate,
 		logger,
+		bodyMemory,
 		readLag: lagMeter.read,
 		onAccepted: reportAccepted('peers'),
 		track: bytes.track,
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -4,7 +4,12 @@
 import polka from 'polka';
 import {computeUnreadTime} from '../coordination/compute-unread-time.js';
 import type {AttemptResult} from '../protocol/attempt.js';
-import {maxBodyBytes, signOfLifeMs} from '../protocol/constants.js';
+import {
+	maxBodyBytes,
+	maxBufferedBytes,
+	maxHeldBodiesBytes,
+	signOfLifeMs,
+} from '../protocol/constants.js';
 import {
 	attemptHeader,
 	deadlineHeader,
@@ -17,6 +22,7 @@
 } from '../protocol/request.js';
 import {abortResponse, type AbortCause} from './_lib/abort-response.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
+import {createBodyMemory, type BodyMemory} from './_lib/create-body-memory.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {discardBody} from './_lib/discard-body.js';
@@ -46,6 +52,8 @@
 	readonly gate: GateTask;
 	readonly handlers: PeerHandlers;
 	readonly logger: Logger;
+	/** Where long bodies wait; a memory of its own when absent. */
+	readonly bodyMemory?: BodyMemory;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
 	/** Called when connections have been accepted and none waits any more. */
@@ -57,6 +65,8 @@
 /** Longest body of a forwarded attempt; routes have lower limits. */
 const maxForwardedBytes = 16 * maxBodyBytes;
 
+const noBody = new Uint8Array();
+
 function createOwnHeaders(result: AttemptResult): Record<string, string> {
 	const headers: Record<string, string> = {[outcomeHeader]: result.kind};
 	if (result.load) {
@@ -126,6 +136,7 @@
 	options: PeerServerOptions,
 ): Promise<RunningServer> {
 	const {gate, handlers, logger, readLag = () => 0} = options;
+	const {bodyMemory = createBodyMemory(maxHeldBodiesBytes)} = options;
 
 	function abort(
 		{headers}: IncomingMessage,
@@ -140,21 +151,32 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
+		const cancelling = createCancelSource();
+		const head = readAttempt(request.headers, {
+			method: request.method ?? 'GET',
+			path: (request.url ?? '').slice(gatePrefix.length),
+			body: noBody,
+			signal: cancelling.signal,
+		});
+		const isLong = Number(request.headers['content-length']) > maxBufferedBytes;
+		const refusal = isLong ? gate.refuseAhead(head) : undefined;
+		if (refusal) {
+			discardBody(request);
+			await sendResult(response, refusal);
+			return;
+		}
+
 		const body = await readRequestBody(request, {
 			maxBytes: maxForwardedBytes,
+			memory: bodyMemory,
+			timeoutMs: head.remainingMs,
 		});
 		if (body.kind === 'refused') {
 			abort(request, response, {kind: 'body-refused', reason: body.reason});
 			return;
 		}
 
-		const cancelling = createCancelSource();
-		const attempt = readAttempt(request.headers, {
-			method: request.method ?? 'GET',
-			path: (request.url ?? '').slice(gatePrefix.length),
-			body: body.body,
-			signal: cancelling.signal,
-		});
+		const attempt = {...head, body: body.body};
 		response.once('close', () => {
 			if (response.writableFinished) {
 				return;
@@ -182,6 +204,7 @@
 		}, signOfLifeMs);
 		const result = await gate.runAttempt({...attempt, unreadMs});
 		clearInterval(signs);
+		bodyMemory.free(body.heldBytes);
 		if (body.body instanceof Readable && result.kind !== 'answered') {
 			discardBody(body.body);
 		}
