Don't give up requests whose answers are on their way

Cause: a single report was taken for proof. The answer to one request may be on its way when the report with another, which lacks it, is read; the longest running request was then given up in its place.

Now a request is silent when its upstream works on nothing by its own report, or when at least five reports in a row, over 100 ms, lack one, no report between is complete, and it was there all the while; and no answer has come 50 ms later. decide-silence.test.ts and gate-silence.test.ts replay both.

Also a benchmark of uploads (npm run bench -- uploads), with what it shares with the one of requests in bench/_lib/start-platform-pair.ts.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,10 @@
 		const {benchRequestCost} = await import('./request-cost.js');
 		return benchRequestCost;
 	},
+	async uploads() {
+		const {benchUploads} = await import('./uploads.js');
+		return benchUploads;
+	},
 	async config() {
 		const {benchConfig} = await import('./config.js');
 		return benchConfig;
--- a/bench/request-cost.ts
+++ b/bench/request-cost.ts
@@ -2,44 +2,19 @@
  * Measures what a request costs both nodes on its way on the users' platform,
  * beside a plain forwarder: `npm run bench -- cost`.
  */
-import {spawn, type ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
-import {mkdtemp, readdir, readFile, writeFile} from 'node:fs/promises';
-import {Agent, createServer, request as startRequest} from 'node:http';
+import type {ChildProcess} from 'node:child_process';
+import {mkdtemp, readdir, readFile} from 'node:fs/promises';
+import {Agent} from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {parseArgs} from 'node:util';
-import {
-	createAnswerHeaders,
-	createRequestHeaders,
-	createSampleAddresses,
-	formatSampleHeartbeat,
-	formatSampleSettings,
-	heartbeatPath,
-	sampleDocument,
-	samplePath,
-} from '../fakes/platform-messages.js';
-import {startPlatform} from '../fakes/platform-stand-in.js';
-import {pollUntil} from '../harness/poll-until.js';
-import {createStoreClient} from '../platform/create-store-client.js';
-import {requestIdName, settingsFileVariable} from '../platform/wire-names.js';
+import {samplePath} from '../fakes/platform-messages.js';
 import {bytesPerKibibyte, msPerSecond} from '../src/protocol/constants.js';
-import {createLogger} from '../src/transport/create-logger.js';
 import {readProcessUsage} from './_lib/read-process-usage.js';
+import {sendSample, startPlatformPair} from './_lib/start-platform-pair.js';
 import {summarizeProfile} from './_lib/summarize-profile.js';
 
-/** Two nodes in one data centre, each with an IP of its own. */
-const ips = ['127.0.0.2', '127.0.0.3'] as const;
-const plainAddresses = ['127.0.0.1:8200', '127.0.0.1:8201'] as const;
-const upstreamPort = 8300;
-const upstreamAddress = `${ips[1]}:${upstreamPort}`;
-const upstreamMs = 5;
-const answerBytes = 600;
-const announceIntervalMs = 1000;
-const readyTimeoutMs = 20_000;
 const shownRows = 40;
 const statusOk = 200;
 
@@ -51,69 +26,6 @@
 	readonly rounds: number;
 };
 
-function spawnNode(
-	argv: readonly string[],
-	environment: NodeJS.ProcessEnv = {},
-): ChildProcess {
-	return spawn(process.execPath, argv, {
-		stdio: ['ignore', 'ignore', 'inherit'],
-		env: {...process.env, ...environment},
-	});
-}
-
-/** Reads the options of the runtime with which the platform starts a node. */
-async function readNodeOptions(): Promise<readonly string[]> {
-	const text = await readFile('deploy/system.toml', 'utf8');
-	const command = /^run = "(.*)"$/mv.exec(text)?.[1] ?? '';
-	return command.split(' ').filter((word) => word.startsWith('--'));
-}
-
-async function send(
-	address: string,
-	options: {
-		readonly path: string;
-		readonly agent?: Agent;
-		readonly body?: string;
-		readonly id?: string;
-	},
-): Promise<number> {
-	const [host, port] = address.split(':');
-	return new Promise((resolve, reject) => {
-		const sent = startRequest(
-			{
-				host,
-				port,
-				path: options.path,
-				agent: options.agent,
-				method: options.body === undefined ? 'GET' : 'POST',
-				headers: createRequestHeaders(options.id ?? 'request'),
-			},
-			(answer) => {
-				answer.resume();
-				answer.on('end', () => {
-					resolve(answer.statusCode ?? 0);
-				});
-				answer.on('error', reject);
-			},
-		);
-		sent.on('error', reject);
-		sent.end(options.body);
-	});
-}
-
-/** Announces the upstream to its node again and again. */
-function startAnnouncing(): NodeJS.Timeout {
-	const {announcements} = createSampleAddresses(ips[1]);
-	let sequence = 0;
-	return setInterval(() => {
-		sequence++;
-		const body = formatSampleHeartbeat(upstreamAddress, sequence);
-		send(announcements, {path: heartbeatPath, body}).catch((error: unknown) => {
-			console.error(`heartbeat not sent: ${String(error)}`);
-		});
-	}, announceIntervalMs);
-}
-
 /** Sends requests at a steady rate; returns how many were answered with 200. */
 async function sendSteadily(
 	address: string,
@@ -123,7 +35,7 @@
 	const answers: Array<Promise<number>> = [];
 	for (let number = 0; number < rate * seconds; number++) {
 		const id = `request-${number}`;
-		answers.push(send(address, {path: samplePath, agent, id}));
+		answers.push(sendSample(address, {path: samplePath, agent, id}));
 		await wait(msPerSecond / rate);
 	}
 
@@ -172,47 +84,6 @@
 	}
 }
 
-async function startStore() {
-	const platform = await startPlatform();
-	const store = new URL(platform.url).host;
-	const logger = createLogger('error', 'bench');
-	const client = createStoreClient(store, {logger});
-	await client.writeObject('config/main', sampleDocument, {kind: 'absent'});
-	await client.stop();
-	return {store, stop: platform.stop};
-}
-
-function startUpstream() {
-	const upstream = createServer((request, response) => {
-		setTimeout(() => {
-			const id = String(request.headers[requestIdName]);
-			response.writeHead(statusOk, createAnswerHeaders(id));
-			response.end('x'.repeat(answerBytes));
-		}, upstreamMs);
-	});
-	return upstream.listen(upstreamPort, ips[1]);
-}
-
-function startPlainForwarders(): ChildProcess[] {
-	const file = fileURLToPath(
-		new URL('../naive/start-two-hop.js', import.meta.url),
-	);
-	const [first, second] = plainAddresses;
-	return [
-		spawnNode([file, first, second]),
-		spawnNode([file, second, upstreamAddress]),
-	];
-}
-
-async function stopAll(children: readonly ChildProcess[]): Promise<void> {
-	const ends = children.map(async (child) => once(child, 'exit'));
-	for (const child of children) {
-		child.kill('SIGTERM');
-	}
-
-	await Promise.all(ends);
-}
-
 /**
  * Sends requests through two nodes, and through two plain forwarders, and
  * prints the processor time and memory of each process.
@@ -242,31 +113,14 @@
 		rounds: Number(values.rounds),
 	};
 	const folder = await mkdtemp(path.join(tmpdir(), 'boragehitch-cost-'));
-	const store = await startStore();
-	const upstream = startUpstream();
-	const options = [
-		...(await readNodeOptions()),
-		...values.option,
-		...(values.profile ? ['--cpu-prof', '--cpu-prof-dir', folder] : []),
-	];
-	const nodes: ChildProcess[] = [];
-	for (const ip of ips) {
-		const file = path.join(folder, `${ip}.yaml`);
-		await writeFile(file, formatSampleSettings(ip, store.store));
-		nodes.push(
-			spawnNode([...options, values.target, 'node'], {
-				[settingsFileVariable]: file,
-			}),
-		);
-	}
-
-	const plain = startPlainForwarders();
-	const timer = startAnnouncing();
-	const {callers} = createSampleAddresses(ips[0]);
-	await pollUntil(
-		async () => (await send(callers, {path: samplePath})) === statusOk,
-		readyTimeoutMs,
-	);
+	const pair = await startPlatformPair({
+		target: values.target,
+		runtimeOptions: [
+			...values.option,
+			...(values.profile ? ['--cpu-prof', '--cpu-prof-dir', folder] : []),
+		],
+	});
+	const {nodes, plain, callers, plainAddress} = pair;
 	for (const {cpuMs, rssBytes} of await readUsages(nodes)) {
 		console.log(`node started: ${cpuMs} ms, ${formatMebibytes(rssBytes)}`);
 	}
@@ -274,11 +128,7 @@
 	// Nodes are still busy with their start for a time.
 	await wait(Number(values.lead) * msPerSecond);
 	await measure('node', callers, nodes, load);
-	await measure('plain', plainAddresses[0], plain, load);
-	clearInterval(timer);
-	await stopAll([...nodes, ...plain]);
-	upstream.closeAllConnections();
-	upstream.close();
-	await store.stop();
+	await measure('plain', plainAddress, plain, load);
+	await pair.stop();
 	await printProfiles(folder);
 }
--- a/src/coordination/compute-upstream-work.test.ts
+++ b/src/coordination/compute-upstream-work.test.ts
@@ -1,59 +1,66 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {computeUpstreamWork} from './compute-upstream-work.js';
+import {
+	computeUpstreamWork,
+	type UpstreamWork,
+} from './compute-upstream-work.js';
 
-function createLoad(inFlight: number, queued = 0) {
-	return {inFlight, queued};
+type Report = {
+	readonly running: number;
+	readonly queued?: number;
+	readonly unanswered: number;
+	readonly read?: number;
+};
+
+/** Computes the work by reports, one each 10 ms. */
+function computeWork(...reports: readonly Report[]): UpstreamWork {
+	let work: UpstreamWork | undefined;
+	for (const [index, report] of reports.entries()) {
+		const {running, queued = 0, unanswered, read = unanswered} = report;
+		const load = {inFlight: running, queued};
+		work = computeUpstreamWork(work, {load, unanswered, read}, index * 10);
+	}
+
+	return work!;
 }
 
+const complete = {running: 3, unanswered: 2};
+
 test('requests that an upstream does not count are lost', () => {
-	const first = computeUpstreamWork(
-		undefined,
-		{load: createLoad(3), unanswered: 2, read: 2},
-		0,
-	);
-	assert.deepEqual(first, {at: 0, lost: 0, others: 0, countsOwn: true});
-	const second = computeUpstreamWork(
-		first,
-		{load: createLoad(2), unanswered: 3, read: 3},
-		10,
-	);
-	assert.equal(second.lost, 2);
+	const first = computeWork(complete);
+	assert.deepEqual([first.lost, first.countsOwn], [0, true]);
+	assert.equal(computeWork(complete, {running: 2, unanswered: 3}).lost, 2);
 });
 
 test('a report may leave out the request that it comes with', () => {
-	const work = computeUpstreamWork(
-		undefined,
-		{load: createLoad(2), unanswered: 2, read: 2},
-		0,
-	);
-	assert.equal(work.lost, 0);
-	assert.equal(work.countsOwn, false);
+	const work = computeWork({running: 2, unanswered: 2});
+	assert.deepEqual([work.lost, work.countsOwn], [0, false]);
 });
 
 test('requests that may not have been read are not counted as lost', () => {
-	const work = computeUpstreamWork(
-		undefined,
-		{load: createLoad(1), unanswered: 4, read: 1},
-		0,
-	);
+	const work = computeWork({running: 1, unanswered: 4, read: 1});
 	assert.equal(work.lost, 0);
 });
 
 test('a queue counts as work', () => {
-	const work = computeUpstreamWork(
-		undefined,
-		{load: createLoad(6, 3), unanswered: 8, read: 8},
-		0,
-	);
+	const work = computeWork({running: 6, queued: 3, unanswered: 8});
 	assert.deepEqual([work.lost, work.others], [0, 0]);
 });
 
+test('a request is missing until a report is complete', () => {
+	const lacking = {running: 3, unanswered: 3};
+	const unsure = {running: 3, unanswered: 3, read: 2};
+	const work = computeWork(complete, lacking, unsure, lacking);
+	assert.deepEqual([work.missingSince, work.missingReports], [10, 2]);
+	const mended = computeWork(complete, lacking, complete, lacking);
+	assert.deepEqual([mended.missingSince, mended.missingReports], [30, 1]);
+});
+
+test('an upstream that counts only the request of its report is idle', () => {
+	assert.equal(computeWork(complete, {running: 1, unanswered: 2}).isIdle, true);
+	assert.equal(computeWork(complete).isIdle, false);
+});
+
 test('work of a gate that has started again is not its own', () => {
-	const work = computeUpstreamWork(
-		undefined,
-		{load: createLoad(5), unanswered: 0, read: 0},
-		0,
-	);
-	assert.equal(work.others, 4);
+	assert.equal(computeWork({running: 5, unanswered: 0}).others, 4);
 });
--- a/src/coordination/compute-upstream-work.ts
+++ b/src/coordination/compute-upstream-work.ts
@@ -1,11 +1,17 @@
 import type {GateLoad} from '../protocol/attempt.js';
 
-/** What an upstream works on, by its own report, against what it was sent. */
+/** What an upstream works on, by its own reports, against what it was sent. */
 export type UpstreamWork = {
-	/** When it reported, monotonic ms. */
+	/** When it last reported, monotonic ms. */
 	readonly at: number;
-	/** Unanswered requests that it neither runs nor has queued. */
+	/** Unanswered requests that it neither runs nor has queued; never too many, but for answers on their way. */
 	readonly lost: number;
+	/** Whether it works on nothing. */
+	readonly isIdle: boolean;
+	/** Since when requests are missing, by every report that tells, monotonic ms. */
+	readonly missingSince: number | undefined;
+	/** Reports since then that show it. */
+	readonly missingReports: number;
 	/** Requests that it works on and that the gate does not know of. */
 	readonly others: number;
 	/** Whether a report counts the request that it comes with; false until one has. */
@@ -25,14 +31,15 @@
  * Compares an upstream's report of its load with what the gate has sent to it.
  *
  * Answers two loads: an upstream that was full and has dropped requests without
- * a word, which then lack in its report; and one that still works on requests
+ * a word, which then lack in its reports; and one that still works on requests
  * of a gate that has started again, or whose callers have left, which are in
- * its report beyond what the gate has sent.
+ * its report beyond what the gate has sent. A single report that lacks a request
+ * shows little: the answer may be on its way.
  *
  * @param before - the work by the report before, undefined when there was none
  * @param report - see `WorkReport`
  * @param now - monotonic ms
- * @returns the work by this report; `lost` is never too high
+ * @returns the work by this report
  * @example
  * computeUpstreamWork(undefined, {load, unanswered: 3, read: 3}, 0).lost;
  */
@@ -43,9 +50,16 @@
 ): UpstreamWork {
 	const reported = load.inFlight + load.queued;
 	const countsOwn = before?.countsOwn === true || reported > unanswered;
+	const working = reported - (countsOwn ? 1 : 0);
+	const lost = Math.max(0, read - working);
+	const isComplete = unanswered <= working;
+	const {missingSince, missingReports = 0} = isComplete ? {} : (before ?? {});
 	return {
 		at: now,
-		lost: Math.max(0, read + (countsOwn ? 1 : 0) - reported),
+		lost,
+		isIdle: working <= 0,
+		missingSince: lost > 0 ? (missingSince ?? now) : missingSince,
+		missingReports: missingReports + (lost > 0 ? 1 : 0),
 		others: Math.max(0, reported - unanswered - 1),
 		countsOwn,
 	};
--- a/src/coordination/decide-silence.test.ts
+++ b/src/coordination/decide-silence.test.ts
@@ -2,44 +2,67 @@
 import test from 'node:test';
 import {decideSilence, type SilenceInput} from './decide-silence.js';
 
+const now = 10_000;
+const busy = {
+	at: now,
+	isIdle: false,
+	missingSince: undefined,
+	missingReports: 0,
+};
+const missing = {...busy, missingSince: now - 200, missingReports: 8};
 const overdue: SilenceInput = {
-	unansweredMs: 250,
+	now,
+	sentAt: now - 250,
 	expectedMs: 100,
 	objectiveMs: 500,
-	lost: undefined,
-	sinceProbeMs: Number.POSITIVE_INFINITY,
 	repeatable: true,
+	work: undefined,
+	probedAt: 0,
 };
 
 test('an upstream is asked for its load when nothing else tells of it', () => {
 	assert.equal(decideSilence(overdue), 'probe');
-	assert.equal(decideSilence({...overdue, sinceProbeMs: 900}), 'wait');
+	assert.equal(decideSilence({...overdue, probedAt: now - 900}), 'wait');
 	assert.equal(decideSilence({...overdue, repeatable: false}), 'wait');
 	assert.equal(decideSilence({...overdue, expectedMs: 150}), 'wait');
 	assert.equal(decideSilence({...overdue, objectiveMs: 800}), 'wait');
+	const old = {...busy, at: now - 245};
+	assert.equal(decideSilence({...overdue, work: old}), 'probe');
 });
 
 test('a request that the upstream works on is slow, not silent', () => {
-	assert.equal(decideSilence({...overdue, lost: 0}), 'wait');
-	assert.equal(
-		decideSilence({...overdue, unansweredMs: 5000, lost: 0}),
-		'wait',
-	);
+	assert.equal(decideSilence({...overdue, work: busy}), 'wait');
+	const slow = {...overdue, sentAt: now - 5000};
+	assert.equal(decideSilence({...slow, work: busy}), 'wait');
+});
+
+test('a request at an upstream that works on nothing is silent', () => {
+	const work = {...busy, isIdle: true};
+	assert.equal(decideSilence({...overdue, work}), 'silent');
+});
+
+test('a request that report after report lacks is silent', () => {
+	assert.equal(decideSilence({...overdue, work: missing}), 'silent');
 });
 
-test('a request that the upstream does not work on is silent', () => {
-	assert.equal(decideSilence({...overdue, lost: 1}), 'silent');
+// An answer on its way lacks in the report that comes with another one.
+test('a request that lacks in a few reports, or for a moment, is not silent', () => {
+	const few = {...missing, missingReports: 4};
+	assert.equal(decideSilence({...overdue, work: few}), 'wait');
+	const brief = {...missing, missingSince: now - 90};
+	assert.equal(decideSilence({...overdue, work: brief}), 'wait');
+	const before = {...missing, missingSince: now - 245};
+	assert.equal(decideSilence({...overdue, work: before}), 'wait');
 });
 
 test('silence is found while another host can still be in time', () => {
-	const slow = {...overdue, expectedMs: 400, lost: 1};
-	assert.equal(decideSilence({...slow, unansweredMs: 199}), 'wait');
-	assert.equal(decideSilence({...slow, unansweredMs: 200}), 'silent');
+	const slow = {...overdue, expectedMs: 400, work: missing};
+	const late = {...missing, missingSince: now - 189};
+	assert.equal(decideSilence({...slow, sentAt: now - 199, work: late}), 'wait');
+	assert.equal(decideSilence({...slow, sentAt: now - 210}), 'silent');
 });
 
 test('an answer is not missed before it could have come', () => {
-	const early = {...overdue, unansweredMs: 150, lost: 1};
-	assert.equal(decideSilence(early), 'wait');
-	const quick = {...overdue, unansweredMs: 20, expectedMs: 2, lost: 1};
-	assert.equal(decideSilence(quick), 'wait');
+	const early = {...overdue, expectedMs: 150, work: missing};
+	assert.equal(decideSilence({...early, objectiveMs: 900}), 'wait');
 });
--- a/src/coordination/decide-silence.ts
+++ b/src/coordination/decide-silence.ts
@@ -1,20 +1,23 @@
+import type {UpstreamWork} from './compute-upstream-work.js';
+
 /** What is known of a request that its upstream has not answered yet. */
 export type SilenceInput = {
-	/** Time since it was sent whole, ms. */
-	readonly unansweredMs: number;
+	/** Monotonic ms. */
+	readonly now: number;
+	/** When it was sent whole, monotonic ms. */
+	readonly sentAt: number;
 	/** Expected time of the request at the upstream, ms. */
 	readonly expectedMs: number;
 	/** Time that it had left at its sending in which an answer has its full value, ms. */
 	readonly objectiveMs: number;
-	/**
-	 * Requests that the upstream has lost by a report since; undefined without a
-	 * report.
-	 */
-	readonly lost: number | undefined;
-	/** Time since the upstream was last asked for its load, ms. */
-	readonly sinceProbeMs: number;
 	/** Whether another upstream may run it as well. */
 	readonly repeatable: boolean;
+	/** What the upstream works on; undefined before its first report. */
+	readonly work:
+		| Pick<UpstreamWork, 'at' | 'isIdle' | 'missingSince' | 'missingReports'>
+		| undefined;
+	/** When the upstream was last asked for its load, monotonic ms. */
+	readonly probedAt: number;
 };
 
 /** What is to be done about such a request. */
@@ -37,6 +40,36 @@
 /** Time between two questions for an upstream's load, ms; each takes a slot of it for a moment. */
 const probeIntervalMs = 1000;
 
+/** Time within which an upstream has read what it was sent, ms: a turn of both processes and a handshake. */
+export const readMarginMs = 10;
+
+/** Age up to which a report tells of the requests that were sent before it, ms. */
+const reportTrustMs = 1000;
+
+/** Reports in a row that must lack a request, and their time, ms: answers on their way are missing in single ones. */
+const minMissingReports = 5;
+const minMissingMs = 100;
+
+/** Tells whether the upstream's reports lack a request that was there all the while. */
+function isMissing({now, sentAt, work}: SilenceInput): boolean {
+	const {missingSince, missingReports = 0} = work ?? {};
+	return (
+		missingSince !== undefined &&
+		sentAt + readMarginMs <= missingSince &&
+		now - missingSince >= minMissingMs &&
+		missingReports >= minMissingReports
+	);
+}
+
+/** Tells whether a report tells of a request. */
+function isReported({now, sentAt, work}: SilenceInput): boolean {
+	return (
+		work !== undefined &&
+		work.at >= sentAt + readMarginMs &&
+		work.at > now - reportTrustMs
+	);
+}
+
 /**
  * Decides what to do about a request that its upstream has not answered.
  *
@@ -49,20 +82,22 @@
  * @param input - see `SilenceInput`
  * @returns the decision
  * @example
- * decideSilence({...input, unansweredMs: 0}); // 'wait'
+ * decideSilence({...input, sentAt: input.now}); // 'wait'
  */
 export function decideSilence(input: SilenceInput): SilenceDecision {
-	const {unansweredMs, expectedMs, objectiveMs, lost, sinceProbeMs} = input;
+	const {now, sentAt, expectedMs, objectiveMs, repeatable, work} = input;
+	const unansweredMs = now - sentAt;
 	const partMs = objectiveMs * suspectPart;
 	const timesMs = expectedMs * suspectFactor;
-	if (lost === undefined) {
+	if (!isReported(input)) {
 		const isOverdue =
-			input.repeatable &&
+			repeatable &&
 			unansweredMs >= Math.max(minSuspectMs, partMs, timesMs) &&
-			sinceProbeMs >= probeIntervalMs;
+			now - input.probedAt >= probeIntervalMs;
 		return isOverdue ? 'probe' : 'wait';
 	}
 
 	const suspectMs = Math.max(minSuspectMs, Math.min(partMs, timesMs));
-	return lost > 0 && unansweredMs >= suspectMs ? 'silent' : 'wait';
+	const isKnown = work?.isIdle === true || isMissing(input);
+	return isKnown && unansweredMs >= suspectMs ? 'silent' : 'wait';
 }
--- a/src/transport/_lib/create-silence-watch.ts
+++ b/src/transport/_lib/create-silence-watch.ts
@@ -1,7 +1,10 @@
-import {setImmediate as waitForTurn} from 'node:timers/promises';
-import {computeUpstreamWork} from '../../coordination/compute-upstream-work.js';
+import {
+	computeUpstreamWork,
+	type UpstreamWork,
+} from '../../coordination/compute-upstream-work.js';
 import {
 	decideSilence,
+	readMarginMs,
 	type SilenceDecision,
 } from '../../coordination/decide-silence.js';
 import type {GateLoad} from '../../protocol/attempt.js';
@@ -33,14 +36,11 @@
 	noteLoad(upstream: LocalUpstream, load: GateLoad, answered?: Job): void;
 };
 
-/** Time within which an upstream has read what it was sent, ms: a turn of both processes and a handshake. */
-const readMarginMs = 10;
-
 /** Time between two looks at the unanswered requests of an upstream, ms. */
 const checkIntervalMs = 100;
 
-/** Age up to which a report tells of the requests that were sent before it, ms. */
-const reportTrustMs = 1000;
+/** Time after a report in which answers that were on their way have come, ms; a busy node reads them late. */
+const confirmMs = 50;
 
 /** Least time between two log lines about an upstream, ms. */
 const logIntervalMs = 1000;
@@ -61,16 +61,17 @@
 export function createSilenceWatch(options: SilenceWatchOptions): SilenceWatch {
 	const {logger, probeLoad, onSilent, now} = options;
 
-	function decide(job: Job, lost: number | undefined): SilenceDecision {
+	function decide(job: Job): SilenceDecision {
 		const {upstream, attempt, wholeAt, sentAt, usefulUntil, serviceMs} = job;
 		const at = now();
 		return decideSilence({
-			unansweredMs: at - wholeAt,
+			now: at,
+			sentAt: wholeAt,
 			expectedMs: readExpectedTime(upstream, attempt, at),
 			objectiveMs: usefulUntil + serviceMs - sentAt,
-			lost,
-			sinceProbeMs: at - upstream.probedAt,
 			repeatable: attempt.repeatable,
+			work: upstream.work,
+			probedAt: upstream.probedAt,
 		});
 	}
 
@@ -93,25 +94,22 @@
 		onSilent(job);
 	}
 
-	/** Ends requests that a report lacks, once what has arrived has been read. */
-	async function confirmLost(
+	/** Ends requests that a report lacks, once answers on their way have come. */
+	function confirmLost(
 		upstream: LocalUpstream,
 		read: readonly Job[],
-		lost: number,
-	): Promise<void> {
-		// The first turn may end without a read.
-		await waitForTurn();
-		await waitForTurn();
+		{isIdle, lost}: UpstreamWork,
+	): void {
 		const unanswered = read.filter(
 			(job) => upstream.sent.has(job) && !job.isAnswered,
 		);
 		// Those that were answered meanwhile may be the ones that it lacked.
-		const left = lost - (read.length - unanswered.length);
+		const left = isIdle ? lost - (read.length - unanswered.length) : lost;
 		const suspects = unanswered
 			.toSorted((a, b) => a.wholeAt + a.serviceMs - b.wholeAt - b.serviceMs)
 			.slice(0, Math.max(0, left));
 		for (const job of suspects) {
-			if (decide(job, left) === 'silent') {
+			if (decide(job) === 'silent') {
 				endSilent(job, left);
 			}
 		}
@@ -125,14 +123,18 @@
 		const at = now();
 		const unanswered = listUnanswered(upstream, answered);
 		const read = unanswered.filter((job) => job.wholeAt <= at - readMarginMs);
-		upstream.work = computeUpstreamWork(
+		const work = computeUpstreamWork(
 			upstream.work,
 			{load, unanswered: unanswered.length, read: read.length},
 			at,
 		);
-		const {lost} = upstream.work;
-		if (lost > 0) {
-			void confirmLost(upstream, read, lost);
+		upstream.work = work;
+		if (work.lost > 0 && !upstream.confirmTimer) {
+			upstream.confirmTimer = setTimeout(() => {
+				upstream.confirmTimer = undefined;
+				confirmLost(upstream, read, work);
+			}, confirmMs);
+			upstream.confirmTimer.unref();
 		}
 	}
 
@@ -144,20 +146,10 @@
 		}
 	}
 
-	/** Reads what the last report says of a request; undefined when it is older. */
-	function readReported({upstream, wholeAt}: Job): 0 | undefined {
-		const {work} = upstream;
-		const isKnown =
-			work !== undefined &&
-			work.at >= wholeAt + readMarginMs &&
-			work.at > now() - reportTrustMs;
-		return isKnown ? 0 : undefined;
-	}
-
 	function check(upstream: LocalUpstream): void {
 		upstream.silenceTimer = undefined;
 		const isUnknown = listUnanswered(upstream).some(
-			(job) => decide(job, readReported(job)) === 'probe',
+			(job) => decide(job) === 'probe',
 		);
 		if (isUnknown) {
 			void askLoad(upstream);
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -116,6 +116,8 @@
 	probedAt: number;
 	/** When its silence was last logged, monotonic ms. */
 	silenceLoggedAt: number;
+	/** Fires when answers that a report lacked would have come. */
+	confirmTimer: NodeJS.Timeout | undefined;
 	/** Fires when its unanswered requests are looked at. */
 	silenceTimer: NodeJS.Timeout | undefined;
 	/** Fires when a queued job has its turn under the rate limit. */
@@ -155,6 +157,7 @@
 		work: undefined,
 		probedAt: Number.NEGATIVE_INFINITY,
 		silenceLoggedAt: Number.NEGATIVE_INFINITY,
+		confirmTimer: undefined,
 		silenceTimer: undefined,
 		turnTimer: undefined,
 	};
--- a/src/transport/gate-silence.test.ts
+++ b/src/transport/gate-silence.test.ts
@@ -3,7 +3,10 @@
  */
 import assert from 'node:assert/strict';
 import test, {type TestContext} from 'node:test';
-import {setImmediate as waitForTurn} from 'node:timers/promises';
+import {
+	setImmediate as waitForTurn,
+	setTimeout as sleep,
+} from 'node:timers/promises';
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {startHeldGate} from '../../harness/start-held-gate.js';
 import type {AttemptResult, GateLoad} from '../protocol/attempt.js';
@@ -112,6 +115,37 @@
 	assert.equal(probes.length, 1);
 });
 
+test('a request that report after report of a busy upstream lacks goes elsewhere', async (t) => {
+	const {send, advance, answer} = await start(t);
+	const dropped = await send(true);
+	await send(true);
+	for (let reports = 0; reports < 8; reports++) {
+		await send(true);
+		advance(25);
+		answer({[loadHeader]: '2,0,6'}, 1);
+		await waitForTurn();
+	}
+
+	await waitUntil(() => dropped.result !== undefined);
+	assert.equal(describe(dropped.result), 'unknown unanswered');
+});
+
+// Its answer was on its way; 27 requests at work were given up in seven seconds.
+test('a request that lacks in one report of a busy upstream is waited for', async (t) => {
+	const {send, advance, answer} = await start(t);
+	const slow = await send(true);
+	const others = [await send(true), await send(true)];
+	advance(250);
+	answer({[loadHeader]: '2,0,6'}, 1);
+	await waitUntil(() => others[0]?.result !== undefined);
+	await sleep(100);
+	assert.equal(describe(slow.result), 'open');
+	answer();
+	answer();
+	await waitUntil(() => others[1]?.result !== undefined);
+	assert.equal(describe(slow.result), 'answered');
+});
+
 // Its answer may still come, and it may have run.
 test('a request that may not be repeated is not given up, but leaves its slot', async (t) => {
 	const {send, run, held, advance, answer} = await start(t, {slots: 2});
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -573,8 +573,10 @@
 			await runner.waitUntilIdle();
 		},
 		async stop() {
-			for (const {agent, turnTimer, silenceTimer} of upstreams.values()) {
+			for (const upstream of upstreams.values()) {
+				const {agent, turnTimer, confirmTimer, silenceTimer} = upstream;
 				clearTimeout(turnTimer);
+				clearTimeout(confirmTimer);
 				clearTimeout(silenceTimer);
 				agent.destroy();
 			}
