--- a/bench/_lib/start-platform-pair.ts
+++ b/bench/_lib/start-platform-pair.ts
@@ -129,7 +129,7 @@
 
 function startPlainForwarders(): ChildProcess[] {
 	const file = fileURLToPath(
-		new URL('../naive/start-two-hop.js', import.meta.url),
+		new URL('../../naive/start-two-hop.js', import.meta.url),
 	);
 	const [first, second] = plainAddresses;
 	return [
