Send uploads in the soak, and let upstreams fall silent when they are full

Clients send 120 KB uploads, each fifth of which is cut midway; upstreams name their load, and may drop what they can't run without a word, with all that follows on the connection. Checked besides: an upload that runs has its whole body. The silences have random numbers of their own, so that the other disturbances of a seed stay what they were.

--- a/soak/_lib/find-broken-promises.test.ts
+++ b/soak/_lib/find-broken-promises.test.ts
@@ -8,6 +8,7 @@
 		id: 'a',
 		host: 'host-0',
 		repeatable: false,
+		bytes: 0,
 		sentAt: 1000,
 		endedAt: 1020,
 		status: 200,
@@ -19,7 +20,14 @@
 }
 
 function createRun(changes: Partial<UpstreamRecord> = {}): UpstreamRecord {
-	return {id: 'a', upstream: 'i-1', at: 1010, hasRun: true, ...changes};
+	return {
+		id: 'a',
+		upstream: 'i-1',
+		at: 1010,
+		hasRun: true,
+		bytes: 0,
+		...changes,
+	};
 }
 
 const last = createClient({
@@ -56,6 +64,14 @@
 		{clients: [createClient(), last], upstreams: [createRun(), createRun()]},
 		['twice'],
 	],
+	[
+		'an upload that was cut and ran',
+		{
+			clients: [createClient({status: 0, bytes: 120_000}), last],
+			upstreams: [createRun({bytes: 60_000})],
+		},
+		['cut body'],
+	],
 	[
 		'a second run of what may be repeated',
 		{
--- a/soak/_lib/find-broken-promises.ts
+++ b/soak/_lib/find-broken-promises.ts
@@ -37,6 +37,9 @@
 
 function findBrokenAnswers({clients, upstreams}: History): string[] {
 	const runs = countRuns(upstreams);
+	const ranById = new Map(
+		upstreams.filter(({hasRun}) => hasRun).map((run) => [run.id, run]),
+	);
 	const problems: string[] = [];
 	for (const client of clients) {
 		const {id, repeatable, status, answeredId, body, sentAt} = client;
@@ -46,6 +49,11 @@
 			problems.push(`mixed: ${at} got "${body.slice(0, 40)}"`);
 		}
 
+		const ran = ranById.get(id);
+		if (ran && ran.bytes !== client.bytes) {
+			problems.push(`cut body: ${at} ran with ${ran.bytes} bytes`);
+		}
+
 		if (!repeatable && count > 1) {
 			problems.push(`twice: ${at} ran ${count} times`);
 		}
--- a/soak/_lib/history.ts
+++ b/soak/_lib/history.ts
@@ -7,6 +7,8 @@
 	readonly id: string;
 	readonly host: string;
 	readonly repeatable: boolean;
+	/** Length of the body that it was to send. */
+	readonly bytes: number;
 	readonly sentAt: number;
 	readonly endedAt: number;
 	/** 0 when the connection ended without an answer. */
@@ -26,6 +28,8 @@
 	readonly at: number;
 	/** Whether the upstream began to work on it. */
 	readonly hasRun: boolean;
+	/** Length of the body. */
+	readonly bytes: number;
 };
 
 /** A time in which an upstream said something of itself in each answer. */
--- a/soak/_lib/plan-disturbances.ts
+++ b/soak/_lib/plan-disturbances.ts
@@ -54,6 +54,12 @@
 	{kind: 'reset'},
 ];
 
+/** Other disturbances for each silence. */
+const gapsPerSilence = 4;
+
+/** Separates the numbers of silences from those of the other disturbances. */
+const silenceSeedOffset = 1_000_003;
+
 const storeFaults = ['down', 'slow', 'lose-answers'] as const;
 
 /**
@@ -100,5 +106,41 @@
 		planned.push({at, durationMs: 300 + draw() * 5000, disturbance});
 	}
 
+	return [
+		...planned,
+		...planSilences({seed, hosts, durationMs, meanGapMs}),
+	].toSorted((a, b) => a.at - b.at);
+}
+
+/**
+ * Plans when upstreams fall silent as they are full. It has numbers of its own,
+ * so that the other disturbances of a seed stay what they were.
+ */
+function planSilences({
+	seed,
+	hosts,
+	durationMs,
+	meanGapMs,
+}: PlanOptions): readonly PlannedDisturbance[] {
+	const generator = xoroshiro128plus(seed + silenceSeedOffset);
+	const draw = (): number => uniformFloat64(generator);
+	const planned: PlannedDisturbance[] = [];
+	const meanSilenceGapMs = meanGapMs * gapsPerSilence;
+	for (
+		let at = draw() * meanSilenceGapMs;
+		at < durationMs;
+		at += draw() * 2 * meanSilenceGapMs
+	) {
+		planned.push({
+			at,
+			durationMs: 300 + draw() * 5000,
+			disturbance: {
+				kind: 'upstream',
+				host: Math.floor(draw() * hosts),
+				fault: {kind: 'silent', slots: 1 + Math.floor(draw() * 2)},
+			},
+		});
+	}
+
 	return planned;
 }
--- a/soak/_lib/soak-upstream.ts
+++ b/soak/_lib/soak-upstream.ts
@@ -1,4 +1,10 @@
-import {createServer, type ServerResponse} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {finished} from 'node:stream/promises';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {closeServer, listenOn} from '../../fakes/json-http.js';
 import type {History} from './history.js';
@@ -13,6 +19,8 @@
 	| {readonly kind: 'repeat-answers'}
 	/** Other bytes follow each answer. */
 	| {readonly kind: 'garble'}
+	/** Requests beyond the slots are dropped without a word, and all that follow on their connections. */
+	| {readonly kind: 'silent'; readonly slots: number}
 	| {readonly kind: 'limit'; readonly perSecond: number}
 	| {readonly kind: 'leave'};
 
@@ -42,6 +50,23 @@
 const heartbeatMs = 500;
 const repeatAfterMs = 60;
 
+/** Reads the body of a request to its end, or to where it is cut. */
+async function readBody(
+	request: IncomingMessage,
+): Promise<{readonly bytes: number; readonly isWhole: boolean}> {
+	let bytes = 0;
+	request.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+	});
+	try {
+		await finished(request);
+	} catch {
+		return {bytes, isWhole: false};
+	}
+
+	return {bytes, isWhole: request.complete};
+}
+
 /** Starts a server of the platform that can misbehave. */
 export async function startSoakUpstream(
 	options: SoakUpstreamOptions,
@@ -80,6 +105,7 @@
 		const headers: Record<string, string> = {
 			'x-boragehitch-request-id': id,
 			'x-boragehitch-response-signature': 'signed',
+			'x-boragehitch-server-load': `${Math.max(1, running)},0,${slots}`,
 		};
 		if (fault.kind === 'limit') {
 			headers['server-limit'] = String(fault.perSecond);
@@ -125,6 +151,7 @@
 
 			case 'none':
 			case 'slow':
+			case 'silent':
 			case 'limit':
 			case 'leave': {
 				response.writeHead(200, headers);
@@ -133,10 +160,29 @@
 		}
 	}
 
+	/** Drops a request without a word if there is no room; its connection stays dead. */
+	function dropWhenFull({socket}: IncomingMessage): boolean {
+		const isFull = fault.kind === 'silent' && running >= fault.slots;
+		if (isFull) {
+			dead.add(socket);
+		}
+
+		return dead.has(socket);
+	}
+
+	const dead = new WeakSet<Socket>();
 	let running = 0;
-	const server = createServer((request, response) => {
+
+	async function handle(
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
 		const {headers} = request;
-		request.resume();
+		const {bytes, isWhole} = await readBody(request);
+		if (!isWhole || dropWhenFull(request)) {
+			return;
+		}
+
 		const id = headers['x-boragehitch-request-id']?.toString();
 		const expected = headers['x-boragehitch-expected-instance'];
 		if (id === undefined) {
@@ -155,7 +201,13 @@
 		}
 
 		const isFull = running >= slots;
-		const record = {id, upstream: readId(), at: now(), hasRun: !isFull};
+		const record = {
+			id,
+			upstream: readId(),
+			at: now(),
+			hasRun: !isFull,
+			bytes,
+		};
 		history.upstreams.push(record);
 		if (isFull) {
 			response.writeHead(503, {'x-boragehitch-not-executed': '1'});
@@ -173,6 +225,10 @@
 				response.destroy();
 			}
 		});
+	}
+
+	const server = createServer((request, response) => {
+		void handle(request, response);
 	});
 	await listenOn(server, options.host, options.port);
 
--- a/soak/_lib/start-clients.ts
+++ b/soak/_lib/start-clients.ts
@@ -22,6 +22,12 @@
 const pauseMs = 90;
 const deadlineMs = 1500;
 
+/** Length of an upload; longer than what nodes always hold whole. */
+const uploadBytes = 120_000;
+
+/** Which uploads are cut by their clients. */
+const cutUploadEvery = 5;
+
 /** Time after which a client gives up on a connection, ms. */
 const patienceMs = 2500;
 
@@ -37,10 +43,22 @@
 	tellsLeaving: false,
 };
 
+/** What clients send, in turn. */
+const requests = [
+	{path: '/orders/lamb', method: 'POST', bytes: 0},
+	{path: '/prices/lamb', method: 'GET', bytes: 0},
+	{path: '/prices/lamb', method: 'GET', bytes: 0},
+	{path: '/photos/flue', method: 'POST', bytes: uploadBytes},
+	{path: '/prices/lamb', method: 'GET', bytes: 0},
+	{path: '/prices/lamb', method: 'GET', bytes: 0},
+] as const;
+
+type SoakRequest = (typeof requests)[number];
+
 async function send(
 	{address}: ClientsOptions,
 	id: string,
-	repeatable: boolean,
+	{path, method, bytes}: SoakRequest,
 	agent: Agent,
 ): Promise<Outcome> {
 	const [host, port] = address.split(':');
@@ -50,12 +68,13 @@
 				host,
 				port,
 				agent,
-				path: repeatable ? '/prices/lamb' : '/orders/lamb',
-				method: repeatable ? 'GET' : 'POST',
+				path,
+				method,
 				headers: {
 					host: 'prices.example',
 					'x-boragehitch-request-id': id,
 					'x-boragehitch-deadline-ms': String(deadlineMs),
+					...(bytes > 0 && {'content-length': bytes}),
 				},
 			},
 			(answer) => {
@@ -83,7 +102,16 @@
 		sent.on('error', () => {
 			resolve(noAnswer);
 		});
-		sent.end();
+		if (bytes > 0 && Number(id.split('.').at(-1)) % cutUploadEvery === 0) {
+			// The client leaves in the middle of its upload.
+			sent.write(new Uint8Array(bytes / 2));
+			setTimeout(() => {
+				sent.destroy();
+			}, pauseMs);
+			return;
+		}
+
+		sent.end(bytes > 0 ? new Uint8Array(bytes) : undefined);
 	});
 }
 
@@ -98,10 +126,12 @@
 		while (!stopping.signal.aborted) {
 			lastId++;
 			const id = `${host}.${index}.${lastId}`;
-			const repeatable = lastId % 3 > 0;
+			const next = requests[lastId % requests.length]!;
+			const repeatable = next.method === 'GET';
 			const sentAt = now();
-			const outcome = await send(options, id, repeatable, agent);
-			const record = {id, host, repeatable, sentAt, endedAt: now()};
+			const outcome = await send(options, id, next, agent);
+			const {bytes} = next;
+			const record = {id, host, repeatable, bytes, sentAt, endedAt: now()};
 			history.clients.push({...record, ...outcome});
 			await sleep(pauseMs);
 		}
