--- a/faults/_lib/requests/apply-fault.ts
+++ b/faults/_lib/requests/apply-fault.ts
@@ -15,6 +15,7 @@
 	'gate-restarted',
 	'upstream-killed',
 	'upstream-truncates',
+	'upstream-silent',
 	'gate-frozen',
 	'upstream-frozen',
 	'silent-before-gate',
@@ -94,6 +95,9 @@
 	'upstream-truncates'({host}) {
 		host.truncates = true;
 	},
+	'upstream-silent'({host}) {
+		host.isSilent = true;
+	},
 	'gate-frozen'({host, now}) {
 		host.gateFrozenUntil = now + freezeMs;
 	},
--- a/faults/_lib/requests/fake-upstream.ts
+++ b/faults/_lib/requests/fake-upstream.ts
@@ -33,6 +33,10 @@
 			return;
 		}
 
+		if (host.isSilent) {
+			return;
+		}
+
 		if (host.isShedding) {
 			finish('shed');
 			return;
@@ -53,6 +57,10 @@
 			}
 
 			world.onStep('answer', requestId, {host});
+			if (host.isSilent) {
+				return;
+			}
+
 			const isSame = host.upstreamGeneration === generation;
 			finish(isSame ? (host.truncates ? 'truncated' : 'whole') : 'lost');
 		};
--- a/faults/_lib/requests/run-request-case.ts
+++ b/faults/_lib/requests/run-request-case.ts
@@ -41,6 +41,7 @@
 		upstreamFrozenUntil: 0,
 		isShedding: false,
 		truncates: false,
+		isSilent: false,
 		serviceMs: 1,
 		inFlight: 0,
 		queue: [],
--- a/faults/_lib/requests/world.ts
+++ b/faults/_lib/requests/world.ts
@@ -64,6 +64,8 @@
 	upstreamFrozenUntil: number;
 	isShedding: boolean;
 	truncates: boolean;
+	/** Drops requests and answers without a word. */
+	isSilent: boolean;
 	serviceMs: number;
 	inFlight: number;
 	readonly queue: Array<{
