Give back the memory of a long body whose sender has left

Found when reading the diff: a gate that ran late and found the sender of a long body gone kept its part of the memory for good; after some 45 of them all long bodies would have been streamed. While a long body came in no sign of life was sent, so that after a second its caller's node asked about it and had it fenced. And the time in which it came in did not count as its age.

--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -3,7 +3,8 @@
 import {Readable} from 'node:stream';
 import polka from 'polka';
 import {computeUnreadTime} from '../coordination/compute-unread-time.js';
-import type {AttemptResult} from '../protocol/attempt.js';
+import type {Attempt, AttemptResult} from '../protocol/attempt.js';
+import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {
 	maxBodyBytes,
 	maxBufferedBytes,
@@ -147,66 +148,95 @@
 		abortResponse(response, {cause, requestId, logger});
 	}
 
+	/** Reads the head of an attempt, whose body may still be coming. */
+	function readHead(request: IncomingMessage, signal: CancelSignal): Attempt {
+		return readAttempt(request.headers, {
+			method: request.method ?? 'GET',
+			path: (request.url ?? '').slice(gatePrefix.length),
+			body: noBody,
+			signal,
+		});
+	}
+
+	/** Refuses a long body before it has come, where it would be in vain. */
+	function refuseByHead(
+		{headers}: IncomingMessage,
+		head: Attempt,
+	): AttemptResult | undefined {
+		const isLong = Number(headers['content-length']) > maxBufferedBytes;
+		return isLong ? gate.refuseAhead(head) : undefined;
+	}
+
+	/** Runs an attempt whose body is there, or is read as it comes. */
+	async function runArrived(
+		request: IncomingMessage,
+		attempt: Attempt,
+		arrivedAt: number,
+	): Promise<AttemptResult | 'sender-left'> {
+		const lagMs = Math.max(readLag(), server.readWait(request));
+		const isAgeKnown = attempt.madeAtGateMs !== undefined;
+		if (await hasSenderLeft(request, lagMs, {isAgeKnown})) {
+			return 'sender-left';
+		}
+
+		const unreadMs = computeUnreadTime(lagMs) + performance.now() - arrivedAt;
+		const result = await gate.runAttempt({...attempt, unreadMs});
+		if (attempt.body instanceof Readable && result.kind !== 'answered') {
+			discardBody(attempt.body);
+		}
+
+		return result;
+	}
+
 	async function handleAttempt(
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
+		const arrivedAt = performance.now();
 		const cancelling = createCancelSource();
-		const head = readAttempt(request.headers, {
-			method: request.method ?? 'GET',
-			path: (request.url ?? '').slice(gatePrefix.length),
-			body: noBody,
-			signal: cancelling.signal,
-		});
-		const isLong = Number(request.headers['content-length']) > maxBufferedBytes;
-		const refusal = isLong ? gate.refuseAhead(head) : undefined;
+		const head = readHead(request, cancelling.signal);
+		const refusal = refuseByHead(request, head);
 		if (refusal) {
 			discardBody(request);
 			await sendResult(response, refusal);
 			return;
 		}
 
+		// Also while a long body comes in over a thin link.
+		const signs = setInterval(() => {
+			response.writeProcessing();
+		}, signOfLifeMs);
 		const body = await readRequestBody(request, {
 			maxBytes: maxForwardedBytes,
 			memory: bodyMemory,
 			timeoutMs: head.remainingMs,
 		});
 		if (body.kind === 'refused') {
+			clearInterval(signs);
 			abort(request, response, {kind: 'body-refused', reason: body.reason});
 			return;
 		}
 
-		const attempt = {...head, body: body.body};
 		response.once('close', () => {
 			if (response.writableFinished) {
 				return;
 			}
 
-			if (attempt.repeatable) {
+			if (head.repeatable) {
 				cancelling.abort();
 			} else {
 				// One that runs goes on, so that its answer can be fetched over
 				// another connection.
-				gate.cancelWaiting(attempt.id);
+				gate.cancelWaiting(head.id);
 			}
 		});
-		const lagMs = Math.max(readLag(), server.readWait(request));
-		const readAt = performance.now();
-		const isAgeKnown = attempt.madeAtGateMs !== undefined;
-		if (await hasSenderLeft(request, lagMs, {isAgeKnown})) {
-			abort(request, response, {kind: 'sender-left'});
-			return;
-		}
-
-		const unreadMs = computeUnreadTime(lagMs) + performance.now() - readAt;
-		const signs = setInterval(() => {
-			response.writeProcessing();
-		}, signOfLifeMs);
-		const result = await gate.runAttempt({...attempt, unreadMs});
+		const attempt = {...head, body: body.body};
+		const result = await runArrived(request, attempt, arrivedAt);
 		clearInterval(signs);
 		bodyMemory.free(body.heldBytes);
-		if (body.body instanceof Readable && result.kind !== 'answered') {
-			discardBody(body.body);
+		if (result === 'sender-left') {
+			abort(request, response, {kind: 'sender-left'});
+			return;
 		}
 
 		await sendResult(response, result);
