--- a/src/coordination/_lib/document/accept-document.ts
+++ b/src/coordination/_lib/document/accept-document.ts
@@ -2,10 +2,7 @@
 	maxKeptDocuments,
 	maxLoggedProblems,
 } from '../../../protocol/constants.js';
-import type {
-	DocumentProblem,
-	RoutingDocument,
-} from '../../../protocol/routing-document.js';
+import type {RoutingDocument} from '../../../protocol/routing-document.js';
 import {mergeDocument} from '../../../state/merge-document.js';
 import type {
 	DocumentEffect,
@@ -14,20 +11,16 @@
 } from '../../document-state.js';
 import {continueWith} from './continue-with.js';
 
-function formatProblem(problem: DocumentProblem): string {
-	return JSON.stringify(problem);
-}
-
 /** Logs the parts of a document that can't be read and could before, or are new. */
 function createProblemLogs(
 	before: RoutingDocument | undefined,
 	{version, problems = []}: RoutingDocument,
 ): readonly DocumentEffect[] {
 	const known = new Set(
-		before?.problems?.map((problem) => formatProblem(problem)),
+		before?.problems?.map((problem) => JSON.stringify(problem)),
 	);
 	const found = problems.filter(
-		(problem) => !known.has(formatProblem(problem)),
+		(problem) => !known.has(JSON.stringify(problem)),
 	);
 	const omitted = Math.max(0, found.length - maxLoggedProblems);
 	return found.slice(0, maxLoggedProblems).map(({kind, ...fields}) => ({
--- a/src/coordination/_lib/host-offers.ts
+++ b/src/coordination/_lib/host-offers.ts
@@ -9,7 +9,7 @@
 } from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
 import {computeHostTurnWait} from '../compute-host-turn-wait.js';
-import {computeOfferCost} from '../compute-offer-cost.js';
+import {computeOfferCost, type HostExpectation} from '../compute-offer-cost.js';
 import {computeTransferTime} from '../compute-transfer-time.js';
 import type {HostRecord} from '../step-host-record.js';
 import {
@@ -105,32 +105,28 @@
 
 /** Computes the cost of a host for a request whose objective is known. */
 function computeCost(
-	load: number,
-	turnWaitMs: number,
 	times: HostTimes | undefined,
-	objectiveMs: number,
+	{
+		transferMs,
+		...offer
+	}: Omit<HostExpectation, keyof HostTimes> & {readonly transferMs: number},
 ): number {
-	const usualMs = objectiveMs * usualObjectivePart;
+	const usualMs = offer.objectiveMs * usualObjectivePart;
 	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
-	return computeOfferCost({ownMs, serviceMs, load, turnWaitMs, objectiveMs});
+	return computeOfferCost({...offer, ownMs: ownMs + transferMs, serviceMs});
 }
 
-/** Adds the time that a long body takes to a host. */
-function addTransfer(
-	times: HostTimes | undefined,
+/** Computes how long a long body takes to a host; 0 for the own one. */
+function computeTransferMs(
 	{host, linkMbps = usualLinkMbps}: Candidate,
 	transfer: BodyTransfer | undefined,
-	objectiveMs: number,
-): HostTimes | undefined {
-	if (!transfer || host === transfer.host) {
-		return times;
-	}
-
-	const usualMs = objectiveMs * usualObjectivePart;
-	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
-	const rate = Math.min(linkMbps, transfer.linkMbps);
-	const transferMs = computeTransferTime(transfer.bytes, rate);
-	return {ownMs: ownMs + transferMs, serviceMs};
+): number {
+	return !transfer || host === transfer.host
+		? 0
+		: computeTransferTime(
+				transfer.bytes,
+				Math.min(linkMbps, transfer.linkMbps),
+			);
 }
 
 /** Takes some of the pool at random, and the one with the best offer of them. */
@@ -158,16 +154,14 @@
 				? load / computeWarmth(record, now) / (1 - errorShare) +
 					turnWaitMs / msPerSecond
 				: computeCost(
-						load,
-						turnWaitMs,
-						addTransfer(
-							readTimes(record, route) ??
-								(expectedTimes ??= computeExpectedTimes(pool, records, route)),
-							candidate,
-							transfer,
+						readTimes(record, route) ??
+							(expectedTimes ??= computeExpectedTimes(pool, records, route)),
+						{
+							load,
+							turnWaitMs,
+							transferMs: computeTransferMs(candidate, transfer),
 							objectiveMs,
-						),
-						objectiveMs,
+						},
 					) +
 					coldCost * (1 / computeWarmth(record, now) - 1) +
 					errorShare;
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -5,7 +5,6 @@
 	HostRoute,
 } from '../protocol/request.js';
 import type {
-	DocumentProblem,
 	DocumentRoute,
 	RoutingDocument,
 } from '../protocol/routing-document.js';
@@ -50,30 +49,6 @@
 	return routes;
 }
 
-/**
- * Marks where requests may be for a route that can't be read: under its path,
- * or anywhere on its host that no other route covers.
- *
- * @returns whether it has no known host
- */
-function markUnreadable(byHost: HostRoutes, problem: DocumentProblem): boolean {
-	if (problem.kind !== 'route-refused') {
-		return false;
-	}
-
-	const {host, pathPrefix = '/'} = problem;
-	if (host === undefined) {
-		return true;
-	}
-
-	const routes = openHost(byHost, host);
-	if (!routes.has(pathPrefix)) {
-		routes.set(pathPrefix, 'unreadable');
-	}
-
-	return false;
-}
-
 /**
  * Compiles the routes of a document into a table for matching requests. A
  * route that is the same object as before is compiled once.
@@ -93,10 +68,24 @@
 		);
 	}
 
+	// Requests may be for a route that can't be read under its path, or anywhere
+	// on its host that no other route covers.
 	let hasUnplacedRoute = false;
 	for (const problem of document.problems ?? []) {
-		const isUnplaced = markUnreadable(byHost, problem);
-		hasUnplacedRoute ||= isUnplaced;
+		if (problem.kind !== 'route-refused') {
+			continue;
+		}
+
+		const {host, pathPrefix = '/'} = problem;
+		if (host === undefined) {
+			hasUnplacedRoute = true;
+			continue;
+		}
+
+		const routes = openHost(byHost, host);
+		if (!routes.has(pathPrefix)) {
+			routes.set(pathPrefix, 'unreadable');
+		}
 	}
 
 	const {version} = document;
--- a/src/transport/_lib/create-silence-watch.ts
+++ b/src/transport/_lib/create-silence-watch.ts
@@ -32,8 +32,8 @@
 export type SilenceWatch = {
 	/** Begins to watch an upstream that was sent a request. */
 	noteSent(upstream: LocalUpstream): void;
-	/** Takes in the load that an upstream reports, with its answer to a job. */
-	noteLoad(upstream: LocalUpstream, load: GateLoad, answered?: Job): void;
+	/** Takes in the load that an upstream reports; a job that it answers with that is marked as answered before. */
+	noteLoad(upstream: LocalUpstream, load: GateLoad): void;
 };
 
 /** Time between two looks at the unanswered requests of an upstream, ms. */
@@ -45,10 +45,10 @@
 /** Least time between two log lines about an upstream, ms. */
 const logIntervalMs = 1000;
 
-/** Lists the requests that an upstream has begun no answer to. */
-function listUnanswered(upstream: LocalUpstream, answered?: Job): Job[] {
+/** Lists the requests that an upstream has read and begun no answer to. */
+function listRead(upstream: LocalUpstream, at: number): readonly Job[] {
 	return [...upstream.sent].filter(
-		(job) => job !== answered && !job.isAnswered,
+		(job) => !job.isAnswered && job.wholeAt <= at - readMarginMs,
 	);
 }
 
@@ -115,21 +115,25 @@
 		}
 	}
 
-	function noteLoad(
-		upstream: LocalUpstream,
-		load: GateLoad,
-		answered?: Job,
-	): void {
+	function noteLoad(upstream: LocalUpstream, load: GateLoad): void {
 		const at = now();
-		const unanswered = listUnanswered(upstream, answered);
-		const read = unanswered.filter((job) => job.wholeAt <= at - readMarginMs);
+		let unanswered = 0;
+		let readCount = 0;
+		for (const job of upstream.sent) {
+			if (!job.isAnswered) {
+				unanswered++;
+				readCount += job.wholeAt <= at - readMarginMs ? 1 : 0;
+			}
+		}
+
 		const work = computeUpstreamWork(
 			upstream.work,
-			{load, unanswered: unanswered.length, read: read.length},
+			{load, unanswered, read: readCount},
 			at,
 		);
 		upstream.work = work;
 		if (work.lost > 0 && !upstream.confirmTimer) {
+			const read = listRead(upstream, at);
 			upstream.confirmTimer = setTimeout(() => {
 				upstream.confirmTimer = undefined;
 				confirmLost(upstream, read, work);
@@ -148,8 +152,8 @@
 
 	function check(upstream: LocalUpstream): void {
 		upstream.silenceTimer = undefined;
-		const isUnknown = listUnanswered(upstream).some(
-			(job) => decide(job) === 'probe',
+		const isUnknown = [...upstream.sent].some(
+			(job) => !job.isAnswered && decide(job) === 'probe',
 		);
 		if (isUnknown) {
 			void askLoad(upstream);
--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {Readable} from 'node:stream';
 import test, {type TestContext} from 'node:test';
+import {listen} from '../../../harness/_lib/platform-node.js';
 import {createBodyMemory} from './create-body-memory.js';
 import {readRequestBody} from './read-request-body.js';
 
@@ -20,16 +21,11 @@
 	bytes: number,
 ): Promise<{sent: ClientRequest; received: IncomingMessage}> {
 	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.after(() => {
-		server.close();
-		server.closeAllConnections();
-	});
-	const bound = server.address();
+	const address = await listen(server, t);
+	const [host, port] = address.split(':');
 	const sent = startRequest({
-		host: '127.0.0.1',
-		port: typeof bound === 'object' ? bound?.port : 0,
+		host,
+		port,
 		method: 'POST',
 		agent: false,
 		headers: {'content-length': bytes},
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -182,7 +182,7 @@
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
 		if (load) {
-			silenceWatch.noteLoad(upstream, load, job);
+			silenceWatch.noteLoad(upstream, load);
 		}
 
 		const report = edge.readReport(headers);
