--- a/src/transport/_lib/create-accept-queue.test.ts
+++ b/src/transport/_lib/create-accept-queue.test.ts
@@ -30,7 +30,7 @@
 		batches,
 		waits,
 		endTurns,
-		/** Accepts connections, one in each turn. */
+		/** Accepts connections, one per event loop turn. */
 		async acceptInTurns(count: number, turnMs: number): Promise<void> {
 			for (let turn = 0; turn < count; turn++) {
 				queue.add(new Socket());
@@ -40,7 +40,7 @@
 	};
 }
 
-test('connections are released after a turn in which none was accepted', async () => {
+test('connections are released after a turn without an accept', async () => {
 	const {batches, waits, acceptInTurns, endTurns} = createQueue();
 	await acceptInTurns(4, 10);
 	assert.deepEqual(waits, []);
@@ -53,7 +53,7 @@
 	assert.deepEqual(batches[1], {count: 1, waitMs: 0});
 });
 
-test('the requests of many connections are not handled in one turn', async () => {
+test('at most four connections are released per turn', async () => {
 	const {batches, waits, acceptInTurns, endTurns} = createQueue();
 	await acceptInTurns(10, 1);
 	const released: number[] = [];
@@ -66,7 +66,7 @@
 	assert.equal(batches.length, 1);
 });
 
-test('connections are released while others keep coming, and their wait is known', async () => {
+test('connections are released while others keep arriving, and their wait is reported', async () => {
 	const {waits, acceptInTurns, endTurns} = createQueue();
 	await acceptInTurns(10, 20);
 	assert.ok(waits.length >= 8);
@@ -75,7 +75,7 @@
 	assert.deepEqual(waits.slice(0, 4), [60, 60, 60, 120]);
 });
 
-test('a connection may have waited as long as the loop has not turned', async () => {
+test('the wait of a connection includes the event loop lag', async () => {
 	const {waits, acceptInTurns, endTurns} = createQueue(800);
 	await acceptInTurns(1, 1);
 	await endTurns(1, 1);
--- a/src/transport/_lib/create-accept-queue.ts
+++ b/src/transport/_lib/create-accept-queue.ts
@@ -1,9 +1,9 @@
 import type {Socket} from 'node:net';
 
-/** Connections that were accepted and released without a pause. */
+/** Connections that were accepted and released in one uninterrupted run. */
 export type AcceptedBatch = {
 	readonly count: number;
-	/** Longest time that one of them has waited, ms. */
+	/** Longest wait of any of these connections, ms. */
 	readonly waitMs: number;
 };
 
@@ -11,41 +11,42 @@
 export type AcceptQueueOptions = {
 	/** Monotonic ms. */
 	readonly now: () => number;
-	/** How late the event loop runs, ms. */
+	/** Returns the current event loop lag, ms. */
 	readonly readLag: () => number;
-	/** Lets the requests on a connection be read, which has waited for so long at most. */
+	/** Starts reading requests from a connection; `waitMs` is an upper bound on how long it has waited. */
 	readonly release: (socket: Socket, waitMs: number) => void;
-	/** Called when no connection waits any more. */
+	/** Called once no connections are left in the queue. */
 	readonly onBatch: (batch: AcceptedBatch) => void;
 };
 
-/** The connections of a server on which nothing is read yet. */
+/** Queue of accepted connections that the server does not read from yet. */
 export type AcceptQueue = {
-	/** Holds a connection that has been accepted. */
+	/** Adds a newly accepted connection. */
 	add(socket: Socket): void;
 };
 
 type HeldConnection = {
 	readonly socket: Socket;
-	/** When the queue was last known to be empty before it came, monotonic ms. */
+	/** Last time before this connection at which the accept backlog was known to be empty, monotonic ms. */
 	readonly since: number;
 };
 
-/** Connections released in one turn of the event loop: their first requests take a cold node about 15 ms. */
-const releasedPerTurn = 4;
+/** Connections released in one turn of the event loop; a cold node takes about 15 ms for their first requests. */
+const maxReleasesPerTurn = 4;
 
-/** Longest time without a release, ms; about the lag above which a request may be outdated. */
-const maxDrainMs = 50;
+/** Longest time between releases, ms; about the lag above which a request may be outdated. */
+const maxReleaseIntervalMs = 50;
 
 /**
- * Creates the queue that holds new connections of a server until no more of
- * them wait to be accepted.
+ * Creates a queue that holds new connections of a server until the accept
+ * backlog is empty.
  *
- * Answers the load of clients that come back on new connections. Node accepts
- * one connection in each turn of its event loop: with a request handled in each
- * turn the others wait unseen for as long as all of those requests take, while
- * the loop itself is hardly late. Turns in which nothing but an accept happens
- * are short, and after a turn without any the last connection has been accepted.
+ * Load pattern: many clients reconnect at the same time. Node.js accepts one
+ * connection per event loop turn. If a request is handled in each turn, the
+ * remaining connections wait in the backlog until all of those requests are
+ * done, and the event loop lag does not show this wait. While requests are held
+ * back, turns that only accept a connection are short; a turn without an accept
+ * means that the backlog is empty.
  *
  * @param options - see `AcceptQueueOptions`
  * @returns the queue
@@ -57,31 +58,31 @@
 	onBatch,
 }: AcceptQueueOptions): AcceptQueue {
 	const held: HeldConnection[] = [];
-	let emptyAt = 0;
+	let lastEmptyAt = 0;
 	let releasedAt = 0;
-	let isTurnQuiet = true;
+	let isTurnWithoutAccept = true;
 	let isChecking = false;
 	let count = 0;
-	let longestMs = 0;
+	let maxWaitMs = 0;
 
 	function releaseSome(at: number): void {
 		releasedAt = at;
-		for (const {socket, since} of held.splice(0, releasedPerTurn)) {
+		for (const {socket, since} of held.splice(0, maxReleasesPerTurn)) {
 			count++;
-			longestMs = Math.max(longestMs, at - since);
+			maxWaitMs = Math.max(maxWaitMs, at - since);
 			release(socket, at - since);
 		}
 	}
 
 	function checkTurn(): void {
 		const at = now();
-		const wasQuiet = isTurnQuiet;
-		isTurnQuiet = true;
+		const wasQuiet = isTurnWithoutAccept;
+		isTurnWithoutAccept = true;
 		if (wasQuiet) {
-			emptyAt = at;
+			lastEmptyAt = at;
 		}
 
-		if (wasQuiet || at - releasedAt >= maxDrainMs) {
+		if (wasQuiet || at - releasedAt >= maxReleaseIntervalMs) {
 			releaseSome(at);
 		}
 
@@ -91,23 +92,23 @@
 			return;
 		}
 
-		onBatch({count, waitMs: longestMs});
+		onBatch({count, waitMs: maxWaitMs});
 		count = 0;
-		longestMs = 0;
+		maxWaitMs = 0;
 	}
 
 	return {
 		add(socket) {
-			isTurnQuiet = false;
+			isTurnWithoutAccept = false;
 			if (!isChecking) {
 				isChecking = true;
 				releasedAt = now();
-				// It may have come at any time in the last turn.
-				emptyAt = releasedAt - readLag();
+				// The connection may have arrived at any time during the last turn.
+				lastEmptyAt = releasedAt - readLag();
 				setImmediate(checkTurn);
 			}
 
-			held.push({socket, since: emptyAt});
+			held.push({socket, since: lastEmptyAt});
 		},
 	};
 }
--- a/src/transport/_lib/create-access-log.test.ts
+++ b/src/transport/_lib/create-access-log.test.ts
@@ -50,7 +50,7 @@
 	};
 }
 
-test('a refusal is logged with what decided it', () => {
+test('a refused request is logged with its reason', () => {
 	const {lines, observer} = createLog();
 	observer.onRequest?.(event);
 	assert.deepEqual(lines, [
@@ -72,7 +72,7 @@
 	]);
 });
 
-test('an attempt that was old when it came is logged, answered or not', () => {
+test('an attempt that is old at admission is logged even if it was answered', () => {
 	const {lines, observer} = createLog();
 	const attempt = {
 		...event,
@@ -107,7 +107,7 @@
 	]);
 });
 
-test('answered requests are sampled by their identifier', () => {
+test('answered requests are sampled by request identifier', () => {
 	const {lines, observer, wait} = createLog();
 	for (let index = 0; index < 2000; index++) {
 		wait(200);
@@ -122,7 +122,7 @@
 	assert.ok(lines.length > 4 && lines.length < 40, String(lines.length));
 });
 
-test('lines are bounded, and those dropped are counted', () => {
+test('lines are rate limited, and dropped lines are counted', () => {
 	const {lines, observer, wait} = createLog();
 	for (let index = 0; index < 100; index++) {
 		observer.onRequest?.(event);
--- a/src/transport/_lib/create-access-log.ts
+++ b/src/transport/_lib/create-access-log.ts
@@ -2,75 +2,76 @@
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {Logger} from '../create-logger.js';
 
-/** Options of `createDecisionLog`. */
+/** Options of `createAccessLog`. */
 export type AccessLogOptions = {
 	readonly logger: Logger;
-	/** Version of the configuration that the node runs. */
+	/** Returns the configuration version in force on the node. */
 	readonly readVersion: () => number | undefined;
-	/** Most lines a second; 25 when absent, about a millisecond of work. */
+	/** Limit of lines per second; 25 by default, which takes about 1 ms of work. */
 	readonly linesPerSecond?: number;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
-/** Of the answered requests, one in this many is logged, by identifier. */
-const sampledOneIn = 128;
+/** One in this many answered requests is logged, selected by request identifier. */
+const samplingDivisor = 128;
 
-/** Age of an attempt at its admission from which it is logged, ms; older ones outlast most clients. */
-const notableAgeMs = 500;
+/** Age at admission from which an attempt is always logged, ms; most clients have given up on older ones. */
+const minLoggedAgeMs = 500;
 
 const serverErrorStatus = 500;
 const hashFactor = 31;
 const hashModulus = 2 ** 32;
 
-/** Tells whether a request is sampled: the same ones on every node. */
+/** Returns whether a request is sampled; every node selects the same requests. */
 function isSampledRequest(requestId: string): boolean {
 	let hash = 0;
 	for (let index = 0; index < requestId.length; index++) {
 		hash = (hash * hashFactor + requestId.codePointAt(index)!) % hashModulus;
 	}
 
-	return hash % sampledOneIn === 0;
+	return hash % samplingDivisor === 0;
 }
 
 /**
- * Creates an observer that logs what was decided about requests: every one that
- * was not answered, or answered with a server error, and a sample of the others.
+ * Creates an observer that logs the outcomes of requests and attempts: all that
+ * were not answered or were answered with a server error, and a sample of the
+ * others.
  *
- * A bound on lines keeps the cost flat in overload; what it drops is counted in
- * a line of its own.
+ * A rate limit on lines bounds the cost under overload; the number of dropped
+ * lines is logged in a separate line.
  *
- * @param options - see `DecisionLogOptions`
+ * @param options - see `AccessLogOptions`
  * @returns the observer
  */
 export function createAccessLog(options: AccessLogOptions): RequestObserver {
 	const {logger, readVersion, now, linesPerSecond = 25} = options;
-	let windowAt = now();
-	let written = 0;
-	let dropped = 0;
+	let windowStartedAt = now();
+	let writtenLines = 0;
+	let droppedLines = 0;
 
 	function write(message: string, fields: Record<string, unknown>): void {
 		const at = now();
-		if (at - windowAt >= msPerSecond) {
-			if (dropped > 0) {
-				logger.warn('log lines dropped', {count: dropped});
+		if (at - windowStartedAt >= msPerSecond) {
+			if (droppedLines > 0) {
+				logger.warn('log lines dropped', {count: droppedLines});
 			}
 
-			windowAt = at;
-			written = 0;
-			dropped = 0;
+			windowStartedAt = at;
+			writtenLines = 0;
+			droppedLines = 0;
 		}
 
-		if (written >= linesPerSecond) {
-			dropped++;
+		if (writtenLines >= linesPerSecond) {
+			droppedLines++;
 			return;
 		}
 
-		written++;
+		writtenLines++;
 		logger.info(message, fields);
 	}
 
-	function isNotable(event: {
+	function shouldLog(event: {
 		readonly outcome: string;
 		readonly status: number;
 		readonly requestId: string;
@@ -84,7 +85,7 @@
 
 	return {
 		onRequest(event) {
-			if (!isNotable(event)) {
+			if (!shouldLog(event)) {
 				return;
 			}
 
@@ -103,7 +104,7 @@
 			});
 		},
 		onAttempt(event) {
-			if (!isNotable(event)) {
+			if (!shouldLog(event)) {
 				return;
 			}
 
@@ -121,7 +122,7 @@
 		},
 		onGate(event) {
 			const {ageMs = 0, unreadMs} = event;
-			if (ageMs < notableAgeMs && !isNotable(event)) {
+			if (ageMs < minLoggedAgeMs && !shouldLog(event)) {
 				return;
 			}
 
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -25,10 +25,10 @@
 import {formatStamp} from './format-stamp.js';
 
 /**
- * Creates the headers with which an attempt goes to a gate.
+ * Creates the headers of an attempt that is forwarded to a gate.
  *
  * @param attempt - the attempt
- * @returns the caller's headers with those of the attempt
+ * @returns the caller's headers and the headers that describe the attempt
  */
 export function createAttemptHeaders(attempt: Attempt): IncomingHttpHeaders {
 	const headers = copyHeaders(attempt.headers);
--- a/src/transport/_lib/create-body-memory-budget.ts
+++ b/src/transport/_lib/create-body-memory-budget.ts
@@ -1,31 +1,31 @@
-/** Memory of a node for long bodies that wait. */
+/** Memory budget of a node for large request bodies that are buffered. */
 export type BodyMemoryBudget = {
-	/** Takes memory for a body; false when too little is left. */
-	take(bytes: number): boolean;
-	/** Gives back what was taken. */
-	free(bytes: number): void;
+	/** Reserves memory for a body; returns false if too little is left. */
+	tryReserve(bytes: number): boolean;
+	/** Releases reserved memory. */
+	release(bytes: number): void;
 };
 
 /**
- * Creates the memory of a node for long bodies that wait. A body that finds no
- * memory is passed on as it comes in.
+ * Creates the memory budget of a node for large buffered bodies. A body for
+ * which no memory is left is streamed instead of buffered.
  *
- * @param totalBytes - most bytes of all bodies
- * @returns the memory, all of it free
+ * @param totalBytes - size of the budget for all bodies together, bytes
+ * @returns the budget, with nothing reserved
  */
 export function createBodyMemoryBudget(totalBytes: number): BodyMemoryBudget {
-	let takenBytes = 0;
+	let reservedBytes = 0;
 	return {
-		take(bytes) {
-			if (takenBytes + bytes > totalBytes) {
+		tryReserve(bytes) {
+			if (reservedBytes + bytes > totalBytes) {
 				return false;
 			}
 
-			takenBytes += bytes;
+			reservedBytes += bytes;
 			return true;
 		},
-		free(bytes) {
-			takenBytes -= bytes;
+		release(bytes) {
+			reservedBytes -= bytes;
 		},
 	};
 }
--- a/src/transport/_lib/create-cancel-source.ts
+++ b/src/transport/_lib/create-cancel-source.ts
@@ -1,6 +1,6 @@
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
 
-/** A signal, and the means to give it. */
+/** A cancellation signal and the function that triggers it. */
 export type CancelSource = {
 	readonly signal: CancelSignal;
 	abort(): void;
@@ -38,12 +38,12 @@
 }
 
 /**
- * Creates a signal for one request.
+ * Creates a cancellation signal for one request.
  *
- * Stands in for `AbortController` on the path of a request, which needs three
- * signals each time: an `EventTarget` costs many times as much.
+ * Replaces `AbortController` on the request path: each request needs three
+ * signals, and an `EventTarget` costs many times as much.
  *
- * @returns the signal, and how to give it; each listener is called once
+ * @returns the signal and its trigger; each listener is called at most once
  */
 export function createCancelSource(): CancelSource {
 	return new Source();
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -30,61 +30,61 @@
 	readonly ledger: Ledger<AttemptResult>;
 	readonly observer: RequestObserver;
 	readonly edge: Edge;
-	/** Makes the result of an attempt that is refused before it is sent. */
+	/** Creates the result of an attempt that is refused before it is sent. */
 	readonly refuse: (
 		reason: OutcomeReason,
 		upstream: LocalUpstream,
 	) => AttemptResult;
-	/** Told of each attempt that has been sent. */
+	/** Called after an attempt has been sent. */
 	readonly onSent: (upstream: LocalUpstream) => void;
-	/** Told of the head of each answer. */
+	/** Called with the head of each response. */
 	readonly onHead: (job: Job, head: AnswerHead) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
-/** What is expected of a job when it is admitted. */
+/** Estimate for a job, made at its admission. */
 export type JobEstimate = {
-	/** Whether its answer will come after its objective. */
+	/** Whether the response is expected after the objective. */
 	readonly isLate: boolean;
-	/** Expected time at the upstream, ms. */
+	/** Expected service time at the upstream, ms. */
 	readonly serviceMs: number;
 	/** Expected wait for a slot, ms. */
 	readonly waitMs: number;
 };
 
-/** The admitted attempts of a gate, from queue to end. */
+/** Queues and sends the admitted attempts of a gate. */
 export type JobRunner = {
 	enqueue(
 		attempt: Attempt,
 		upstream: LocalUpstream,
 		expectation: JobEstimate,
 	): Job;
-	/** Refuses a job that still waits. */
+	/** Refuses a job if it is still queued. */
 	expireQueued(job: Job): void;
-	/** Refuses the waiting jobs whose answers could only be late. */
+	/** Refuses the queued jobs that can only be answered after their objective. */
 	dropLate(upstream: LocalUpstream): void;
-	/** Starts the queued jobs for which an upstream has slots. */
+	/** Starts queued jobs while the upstream has free slots. */
 	startJobs(upstream: LocalUpstream): void;
 	findJob(id: string): Job | undefined;
 	/** Refuses a queued job. */
 	drop(job: Job, reason: OutcomeReason): void;
 	/** Refuses all queued jobs of an upstream that is leaving. */
 	dropQueued(upstream: LocalUpstream): void;
-	/** Refuses the queued jobs of an upstream whose turn under its rate limit comes too late. */
+	/** Refuses the queued jobs of an upstream that its rate limit delays beyond their objective. */
 	dropRateLimited(upstream: LocalUpstream): void;
 	/**
-	 * Gives up an attempt that its upstream does not work on. One that may not be
-	 * repeated only leaves its slot: its answer is taken up to its deadline.
+	 * Ends an attempt that its upstream has lost. A non-repeatable attempt only
+	 * releases its slot; its response is still accepted until the deadline.
 	 */
 	endLost(job: Job): void;
-	/** Ends a job whose answer is not wanted any more, wherever it is. */
+	/** Ends a job whose response is no longer needed, whether it is queued or sent. */
 	endEarly(job: Job, reason: EarlyEndReason): void;
-	/** Waits until there are no jobs. */
+	/** Resolves once there are no jobs. */
 	waitUntilIdle(): Promise<void>;
 };
 
-function selectKeptAnswer(attempt: Attempt, result: AttemptResult) {
+function selectRetainedResponse(attempt: Attempt, result: AttemptResult) {
 	if (attempt.repeatable) {
 		return 'forget';
 	}
@@ -94,19 +94,19 @@
 		: undefined;
 }
 
-async function waitForEnd(stream: Readable): Promise<void> {
+async function waitForStreamEnd(stream: Readable): Promise<void> {
 	try {
 		await finished(stream);
 	} catch {
-		// Whoever reads the stream sees the failure.
+		// The reader of the stream handles the error.
 	}
 }
 
 /**
  * Creates the runner of a gate's admitted attempts.
  *
- * Each attempt gets a slot of its upstream in fair order, is sent at most once,
- * and has its end noted in the ledger.
+ * Slots of an upstream are assigned by fair queueing. Each attempt is sent at
+ * most once, and its end is recorded in the ledger.
  *
  * @param options - see `JobRunnerOptions`
  * @returns the runner
@@ -126,7 +126,7 @@
 		if (isRefused) {
 			ledger.refuse(attempt, now());
 		} else {
-			ledger.end(attempt, now(), selectKeptAnswer(attempt, result));
+			ledger.end(attempt, now(), selectRetainedResponse(attempt, result));
 		}
 
 		jobs.delete(attempt.id);
@@ -136,7 +136,7 @@
 		}
 	}
 
-	/** Refuses a queued job; it has not been sent. */
+	/** Refuses a queued job, which has not been sent. */
 	function dropJob(job: Job, reason: OutcomeReason): void {
 		removeFromLocalQueue(job);
 		endJob(job, refuse(reason, job.upstream), true);
@@ -158,8 +158,8 @@
 	}
 
 	/**
-	 * Refuses the queued jobs that would be given up by now: in a node that runs
-	 * late, a slot becomes free before their timers are heard.
+	 * Refuses the queued jobs whose queue time has expired: if the event loop
+	 * lags, a slot can become free before their timers fire.
 	 */
 	function dropExpired(upstream: LocalUpstream): void {
 		const at = now();
@@ -170,19 +170,19 @@
 		}
 	}
 
-	/** Starts jobs again when the next one has its turn under the rate limit. */
-	function planTurn(upstream: LocalUpstream, waitMs: number): void {
+	/** Schedules `startJobs` for when the rate limit admits the next job. */
+	function scheduleStart(upstream: LocalUpstream, waitMs: number): void {
 		clearTimeout(upstream.rateLimitTimer);
 		upstream.rateLimitTimer = setTimeout(startJobs, waitMs, upstream);
 		upstream.rateLimitTimer.unref();
 	}
 
-	/** Takes the next job that has a slot and its turn under the rate limit. */
+	/** Takes the next job for which there is a slot and which the rate limit admits. */
 	function takeJob(upstream: LocalUpstream): Job | undefined {
 		const at = now();
 		const waitMs = computeRateLimitWait(upstream.rateLimit, 0, at);
 		if (waitMs > 0 && upstream.queuedCount > 0) {
-			planTurn(upstream, waitMs);
+			scheduleStart(upstream, waitMs);
 			return undefined;
 		}
 
@@ -196,8 +196,9 @@
 	}
 
 	/**
-	 * Refuses the queued jobs whose turn would come too late. Answers a limit
-	 * that is named while a queue waits that was admitted without it.
+	 * Refuses the queued jobs that the rate limit delays beyond their objective.
+	 * Load pattern: an upstream states a rate limit while jobs that were admitted
+	 * without it are queued.
 	 */
 	function dropRateLimited(upstream: LocalUpstream): void {
 		if (!upstream.rateLimit) {
@@ -266,13 +267,13 @@
 		const answeredAt = now();
 		const result = readUpstreamOutcome(outcome, attempt, {
 			edge,
-			endedBy: job.earlyEndReason,
+			earlyEndReason: job.earlyEndReason,
 			load: readLocalLoad(upstream, answeredAt, attempt.route),
 			stamp: ledger.readStamp(answeredAt),
 		});
 		if (result.kind === 'answered' && result.body instanceof Readable) {
 			job.resolve(result);
-			await waitForEnd(result.body);
+			await waitForStreamEnd(result.body);
 		}
 
 		releaseSlot(job);
--- a/src/transport/_lib/create-lag-meter.test.ts
+++ b/src/transport/_lib/create-lag-meter.test.ts
@@ -2,7 +2,7 @@
 import test, {type TestContext} from 'node:test';
 import {createLagMeter} from './create-lag-meter.js';
 
-/** Starts a meter whose clock and timers move only when told to. */
+/** Starts a meter with a mocked clock and mocked timers. */
 function startMeter(t: TestContext) {
 	t.mock.timers.enable({apis: ['setTimeout', 'setInterval']});
 	let at = 0;
@@ -15,21 +15,21 @@
 	return {
 		meter,
 		readClockReads: () => reads,
-		/** Lets time pass without lag. */
+		/** Advances the time without lag. */
 		wait(ms: number) {
 			for (let elapsed = 0; elapsed < ms; elapsed++) {
 				at++;
 				t.mock.timers.tick(1);
 			}
 		},
-		/** Lets time pass in which no timer fires. */
+		/** Advances the time while no timer fires. */
 		block(ms: number) {
 			at += ms;
 		},
 	};
 }
 
-test('a node at rest does not wake often to measure its lag', (t) => {
+test('an idle node rarely wakes to measure its lag', (t) => {
 	const {wait, readClockReads} = startMeter(t);
 	wait(1000);
 	const before = readClockReads();
@@ -37,7 +37,7 @@
 	assert.ok(readClockReads() - before <= 20);
 });
 
-test('a node that was late while at rest is found late by the first request', (t) => {
+test('a lag that arises on an idle node is seen by the first read', (t) => {
 	const {meter, wait, block} = startMeter(t);
 	wait(1000);
 	block(400);
@@ -46,7 +46,7 @@
 	assert.ok(meter.read() >= 200);
 });
 
-test('a lag that is over is forgotten as fast at rest as at work', (t) => {
+test('a past lag decays as fast on an idle node as on a busy one', (t) => {
 	const {meter, wait, block} = startMeter(t);
 	wait(1000);
 	block(400);
@@ -57,7 +57,7 @@
 	assert.ok(meter.read() < 10);
 });
 
-test('a node at work is found late within a period', (t) => {
+test('a lag on a busy node is seen within one period', (t) => {
 	const {meter, wait, block} = startMeter(t);
 	meter.read();
 	wait(10);
@@ -66,7 +66,7 @@
 	assert.ok(meter.read() >= 60);
 });
 
-test('a stopped meter that is read once more keeps no timer', (t) => {
+test('reading a stopped meter starts no timer', (t) => {
 	const {meter, wait, readClockReads} = startMeter(t);
 	wait(1000);
 	meter.stop();
--- a/src/transport/_lib/create-lag-meter.ts
+++ b/src/transport/_lib/create-lag-meter.ts
@@ -1,60 +1,60 @@
-/** Measures how late the event loop runs. */
+/** Measures the event loop lag. */
 export type LagMeter = {
-	/** Reads the recent lag, ms. */
+	/** Returns the recent lag, ms. */
 	read(): number;
 	stop(): void;
 };
 
-/** Time between measurements while the lag is read, ms; below the least lag that refuses a request. */
+/** Measurement interval while the lag is being read, ms; shorter than the smallest lag at which a request is refused. */
 const periodMs = 25;
 
-/** The same while nobody reads it, ms: wakes as rarely as the document task does. */
-const restPeriodMs = 100;
+/** Measurement interval while the lag is not read, ms; the process wakes no more often than for the document task. */
+const idlePeriodMs = 100;
 
-/** Part of a lag that is still counted a period later. */
-const keptPart = 0.7;
+/** Fraction of a measured lag that still counts one `periodMs` later. */
+const decayFactor = 0.7;
 
 /**
- * Starts to measure how late timers fire.
+ * Starts measuring by how much timers fire late.
  *
- * Answers the load of a fleet at rest: a node that wakes every few milliseconds
- * only to measure itself spends more on that than on its other tasks. While
- * nobody reads the lag it is measured rarely, but never not at all, so that the
- * first request after a pause finds a node late that is.
+ * Load pattern: an idle fleet. A node that wakes every few milliseconds only to
+ * measure its lag spends more time on that than on its other tasks, so the lag
+ * is measured less often while it is not read. Measuring never stops entirely,
+ * so that the first request after a pause still sees an existing lag.
  *
  * @param now - monotonic ms
  * @returns the meter
  */
 export function createLagMeter(now: () => number): LagMeter {
 	let currentMs = periodMs;
-	let isRead = false;
+	let wasRead = false;
 	let isStopped = false;
 	let lastAt = now();
 	let lagMs = 0;
 	let timer = setTimeout(measure, currentMs);
 
-	function plan(nextMs: number): void {
+	function schedule(nextMs: number): void {
 		currentMs = nextMs;
 		lastAt = now();
 		timer = setTimeout(measure, currentMs);
 	}
 
 	function measure(): void {
-		const kept = keptPart ** (currentMs / periodMs);
+		const kept = decayFactor ** (currentMs / periodMs);
 		lagMs = Math.max(now() - lastAt - currentMs, lagMs * kept);
-		const nextMs = isRead ? periodMs : restPeriodMs;
-		isRead = false;
-		plan(nextMs);
+		const nextMs = wasRead ? periodMs : idlePeriodMs;
+		wasRead = false;
+		schedule(nextMs);
 	}
 
 	return {
 		read() {
-			isRead = true;
+			wasRead = true;
 			const readMs = Math.max(lagMs, now() - lastAt - currentMs);
 			if (currentMs > periodMs && !isStopped) {
 				clearTimeout(timer);
 				lagMs = readMs;
-				plan(periodMs);
+				schedule(periodMs);
 			}
 
 			return readMs;
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -16,52 +16,52 @@
 	type LocalUpstream,
 } from './local-upstream.js';
 
-/** Options of `createSilenceWatch`. */
+/** Options of `createLostRequestDetector`. */
 export type LostRequestDetectorOptions = {
 	readonly logger: Pick<Logger, 'warn'>;
-	/** Asks an upstream for its load; undefined when it does not tell. */
+	/** Queries the load of an upstream; resolves to undefined if it reports none. */
 	readonly probeLoad?:
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
-	/** Called with each request to which no answer will come. */
-	readonly onSilent: (job: Job) => void;
+	/** Called with each request that the upstream has lost. */
+	readonly onLost: (job: Job) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
-/** Finds the requests that an upstream has dropped without a word. */
+/** Detects requests that an upstream has dropped without a response. */
 export type LostRequestDetector = {
-	/** Begins to watch an upstream that was sent a request. */
-	noteSent(upstream: LocalUpstream): void;
-	/** Takes in the load that an upstream reports; a job that it answers with that is marked as answered before. */
-	noteLoad(upstream: LocalUpstream, load: GateLoad): void;
+	/** Schedules a check of an upstream's unanswered requests, unless one is scheduled already. */
+	scheduleCheck(upstream: LocalUpstream): void;
+	/** Records the load that an upstream reports. If a response carries the report, its job must be marked as answered before. */
+	recordLoad(upstream: LocalUpstream, load: GateLoad): void;
 };
 
-/** Time between two looks at the unanswered requests of an upstream, ms. */
+/** Time between two checks of the unanswered requests of an upstream, ms. */
 const checkIntervalMs = 100;
 
-/** Time after a report in which answers that were on their way have come, ms; a busy node reads them late. */
-const confirmMs = 50;
+/** Time after a report for responses in transit to arrive, ms; a busy node reads them late. */
+const confirmDelayMs = 50;
 
-/** Least time between two log lines about an upstream, ms. */
+/** Minimum time between two log lines about an upstream, ms. */
 const logIntervalMs = 1000;
 
-/** Lists the requests that an upstream has read and begun no answer to. */
-function listRead(upstream: LocalUpstream, at: number): readonly Job[] {
+/** Lists the requests that an upstream must have read and has not started to answer. */
+function listReceived(upstream: LocalUpstream, at: number): readonly Job[] {
 	return [...upstream.sent].filter(
 		(job) => !job.isAnswered && job.fullySentAt <= at - readMarginMs,
 	);
 }
 
 /**
- * Creates the watch over requests that an upstream does not answer.
+ * Creates a detector of requests that an upstream has dropped without a response.
  *
- * @param options - see `SilenceWatchOptions`
- * @returns the watch
+ * @param options - see `LostRequestDetectorOptions`
+ * @returns the detector
  */
 export function createLostRequestDetector(
 	options: LostRequestDetectorOptions,
 ): LostRequestDetector {
-	const {logger, probeLoad, onSilent, now} = options;
+	const {logger, probeLoad, onLost, now} = options;
 
 	function decide(job: Job): SilenceDecision {
 		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
@@ -78,7 +78,7 @@
 		});
 	}
 
-	function endSilent(job: Job, lost: number): void {
+	function endLost(job: Job, lost: number): void {
 		const {upstream, attempt, fullySentAt} = job;
 		const at = now();
 		if (at - upstream.lossLoggedAt >= logIntervalMs) {
@@ -94,10 +94,10 @@
 			});
 		}
 
-		onSilent(job);
+		onLost(job);
 	}
 
-	/** Ends requests that a report lacks, once answers on their way have come. */
+	/** Ends requests that are missing from a load report, after responses in transit have had time to arrive. */
 	function confirmLost(
 		upstream: LocalUpstream,
 		read: readonly Job[],
@@ -106,7 +106,7 @@
 		const unanswered = read.filter(
 			(job) => upstream.sent.has(job) && !job.isAnswered,
 		);
-		// Those that were answered meanwhile may be the ones that it lacked.
+		// Requests that were answered in the meantime may be the ones missing from the report.
 		const left = isIdle ? lost - (read.length - unanswered.length) : lost;
 		const suspects = unanswered
 			.toSorted(
@@ -115,12 +115,12 @@
 			.slice(0, Math.max(0, left));
 		for (const job of suspects) {
 			if (decide(job) === 'silent') {
-				endSilent(job, left);
+				endLost(job, left);
 			}
 		}
 	}
 
-	function noteLoad(upstream: LocalUpstream, load: GateLoad): void {
+	function recordLoad(upstream: LocalUpstream, load: GateLoad): void {
 		const at = now();
 		let unanswered = 0;
 		let readCount = 0;
@@ -138,20 +138,20 @@
 		);
 		upstream.work = work;
 		if (work.lost > 0 && !upstream.lossConfirmTimer) {
-			const read = listRead(upstream, at);
+			const read = listReceived(upstream, at);
 			upstream.lossConfirmTimer = setTimeout(() => {
 				upstream.lossConfirmTimer = undefined;
 				confirmLost(upstream, read, work);
-			}, confirmMs);
+			}, confirmDelayMs);
 			upstream.lossConfirmTimer.unref();
 		}
 	}
 
-	async function askLoad(upstream: LocalUpstream): Promise<void> {
+	async function probeUpstream(upstream: LocalUpstream): Promise<void> {
 		upstream.probedAt = now();
 		const load = await probeLoad?.(upstream.announcement);
 		if (load) {
-			noteLoad(upstream, load);
+			recordLoad(upstream, load);
 		}
 	}
 
@@ -161,13 +161,13 @@
 			(job) => !job.isAnswered && decide(job) === 'probe',
 		);
 		if (isUnknown) {
-			void askLoad(upstream);
+			void probeUpstream(upstream);
 		}
 
-		noteSent(upstream);
+		scheduleCheck(upstream);
 	}
 
-	function noteSent(upstream: LocalUpstream): void {
+	function scheduleCheck(upstream: LocalUpstream): void {
 		const isWatched = upstream.lossCheckTimer !== undefined;
 		if (!probeLoad || isWatched || upstream.sent.size === 0) {
 			return;
@@ -177,5 +177,5 @@
 		upstream.lossCheckTimer.unref();
 	}
 
-	return {noteSent, noteLoad};
+	return {scheduleCheck, recordLoad};
 }
--- a/src/transport/_lib/create-pooled-agent.ts
+++ b/src/transport/_lib/create-pooled-agent.ts
@@ -4,7 +4,7 @@
 import {idleConnectionMs} from '../../protocol/constants.js';
 
 function closeOnData(this: Duplex): void {
-	// Bytes that come while no request waits belong to no answer.
+	// Data received while no request is in flight belongs to no response.
 	this.destroy();
 }
 
@@ -14,7 +14,7 @@
 	readonly onSocket?: ((socket: Socket) => void) | undefined;
 };
 
-/** Keeps connections open, and closes idle ones on which bytes arrive. */
+/** Keeps connections alive, and closes idle connections on which data arrives. */
 class PooledAgent extends Agent {
 	readonly #onSocket: PooledAgentOptions['onSocket'];
 
@@ -36,7 +36,7 @@
 
 	// eslint-disable-next-line @typescript-eslint/strict-void-return
 	override keepSocketAlive(stream: Duplex): boolean {
-		// Node's own typing leaves out that the result decides about reuse.
+		// Node's typings omit the return value, which decides whether the socket is reused.
 		const keep: (stream: Duplex) => unknown = super.keepSocketAlive.bind(this);
 		const isKept = keep(stream) === true;
 		if (isKept) {
@@ -53,10 +53,10 @@
 }
 
 /**
- * Creates an agent that keeps connections open for a short time.
+ * Creates an agent that keeps idle connections open for a short time.
  *
- * An idle connection is closed after `idleConnectionMs`, or sooner when the
- * server says so (`Keep-Alive`), and at once when bytes arrive on it.
+ * An idle connection is closed after `idleConnectionMs`, earlier if the server
+ * requests it (`Keep-Alive` header), and immediately if data arrives on it.
  *
  * @param options - see `PooledAgentOptions`
  * @returns the agent
--- a/src/transport/_lib/create-report-log.test.ts
+++ b/src/transport/_lib/create-report-log.test.ts
@@ -13,7 +13,7 @@
 	};
 }
 
-test('a report is logged when it changes, at most once a second', () => {
+test('a report is logged when it changes, at most once per second', () => {
 	const lines: unknown[] = [];
 	let at = 0;
 	const log = createReportLog({
--- a/src/transport/_lib/create-report-log.ts
+++ b/src/transport/_lib/create-report-log.ts
@@ -9,28 +9,28 @@
 	readonly now: () => number;
 };
 
-/** A report as it came. */
+/** A report of an upstream and the response that carried it. */
 export type ReportLogEntry = {
 	readonly id: string;
 	readonly service: string;
 	readonly report: UpstreamReport;
-	/** Of the answer that it came with. */
+	/** HTTP status of the response. */
 	readonly status: number;
 	readonly verdict: AnswerVerdict;
 };
 
-/** Logs what upstreams report of themselves. */
+/** Logs the reports of upstreams. */
 export type ReportLog = {record(arrival: ReportLogEntry): void};
 
-/** Least time between two lines about an upstream, ms: a value may change with each answer. */
+/** Minimum time between two lines about an upstream, ms; values may change with each response. */
 const minIntervalMs = msPerSecond;
 
-/** Most upstreams that are remembered; one host has a few. */
-const maxRemembered = 64;
+/** Limit of upstreams whose last report is kept; a host has only a few upstreams. */
+const maxTrackedUpstreams = 64;
 
 /**
- * Creates a log of what upstreams report of themselves in their answers: a line
- * for each change, at most one a second for each upstream.
+ * Creates a log of the reports that upstreams send with their responses. It
+ * writes one line per change, at most one per second and upstream.
  *
  * @param options - see `ReportLogOptions`
  * @returns the log
@@ -54,7 +54,7 @@
 				return;
 			}
 
-			if (last.size >= maxRemembered) {
+			if (last.size >= maxTrackedUpstreams) {
 				last.clear();
 			}
 
--- a/src/transport/_lib/create-request-log.test.ts
+++ b/src/transport/_lib/create-request-log.test.ts
@@ -3,7 +3,7 @@
 import type {Logger} from '../create-logger.js';
 import {createRequestLog} from './create-request-log.js';
 
-test('logs unanswered requests with their identifier, at debug only', () => {
+test('logs unanswered requests with their identifier, only at level debug', () => {
 	const lines: unknown[] = [];
 	const add = (message: string, fields?: unknown) => {
 		lines.push([message, fields]);
--- a/src/transport/_lib/create-request-log.ts
+++ b/src/transport/_lib/create-request-log.ts
@@ -2,12 +2,12 @@
 import type {Logger, LogLevel} from '../create-logger.js';
 
 /**
- * Creates an observer that logs each request and attempt that was not
- * answered, with its identifier.
+ * Creates an observer that logs each unanswered request and attempt with its
+ * identifier.
  *
- * @param logger - where to log, at level debug
- * @param level - lowest level that is written
- * @returns the observer; empty above debug, so that requests cost nothing
+ * @param logger - logger to write to, at level `debug`
+ * @param level - lowest level that the logger writes
+ * @returns the observer; empty above level `debug`, so that it adds no cost to requests
  */
 export function createRequestLog(
 	logger: Logger,
--- a/src/transport/_lib/create-service-router.test.ts
+++ b/src/transport/_lib/create-service-router.test.ts
@@ -31,7 +31,7 @@
 	return {host, address, dataCentre: 'abdali', slots: 6, sinceMs: 0};
 }
 
-test('a silent host gets no further attempts, and a line says so once it ended one', () => {
+test('an unresponsive host gets no further attempts, and its ejection is logged when an attempt ends', () => {
 	const lines: Line[] = [];
 	const logger = createRecordingLogger(lines);
 	let at = 0;
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -50,40 +50,40 @@
 	readonly gate: GateTask;
 	readonly forwarder: Forwarder;
 	readonly logger: Logger;
-	/** Rate of the own host's link, Mbit/s; usual when absent. */
+	/** Bandwidth of the local host's network link, Mbit/s; the default when absent. */
 	readonly linkMbps?: number | undefined;
 	/** Monotonic ms. */
 	readonly now: () => number;
 	readonly random: () => number;
-	/** Bounds of the retries of this node, given the number of all nodes. */
+	/** Computes the retry budget options of this node from the number of all nodes. */
 	readonly computeRetryBudget?: (members: number) => RetryBudgetOptions;
 };
 
-/** Picks gates for one request. */
+/** Selects gates for the attempts of one request. */
 export type GateSelection = {
-	/** Picks a gate that was not tried yet, if there is one. */
+	/** Picks a gate, if possible one that was not tried yet; returns the reason if there is none. */
 	pickGate(): GateClient | OutcomeReason;
-	/** Whether a host that was not tried yet is not known to be full. */
-	hasCapacity(): boolean;
-	/** Least wait for a turn under the rate limits of the hosts in reach, ms. */
+	/** Whether an untried host is available, that is, not known to be full. */
+	hasAvailableHost(): boolean;
+	/** Returns the shortest wait under the rate limits of the reachable hosts, ms. */
 	readRateLimitWait(): number;
 	/**
-	 * Gets a new stamp of the gate that will be picked first, for a request that
-	 * cannot be sent again after a refused stamp.
+	 * Fetches a new stamp from the gate that will be picked first, for a request
+	 * that cannot be resent if its stamp is refused.
 	 */
 	refreshStamp(): Promise<void>;
 };
 
-/** What of a request's route matters for its host. */
+/** Properties of a request that host selection depends on. */
 export type HostCriteria = Pick<
 	PickOptions,
 	'objectiveMs' | 'route' | 'admissionClass'
 > & {
-	/** Length of the request's body, bytes; 0 when absent. */
+	/** Length of the request body, bytes; 0 when absent. */
 	readonly bodyBytes?: number;
 };
 
-/** What a caller's node knows of hosts, and the budgets of its retries. */
+/** Tracks the hosts of services for a caller's node, and its retry budgets. */
 export type ServiceRouter = {
 	updateMembers(view: MembersView): void;
 	select(
@@ -91,14 +91,14 @@
 		key: string | undefined,
 		terms?: HostCriteria,
 	): GateSelection;
-	/** Notes the end of an attempt; `demand` names requests that hosts admit alike. */
+	/** Records the end of an attempt; `admissionClass` identifies requests that hosts admit alike. */
 	recordAttempt(end: AttemptEnd, now: number, demand?: string): void;
 	recordRequest(team: string, service: string): void;
 	readRetryBudget(team: string, service: string): number;
 	spendRetryBudget(team: string, service: string): void;
 };
 
-type Ended = HostMessage & {readonly kind: 'ended'};
+type AttemptEndedMessage = HostMessage & {readonly kind: 'ended'};
 
 type HeldStamp = {
 	readonly stamp: GateStamp;
@@ -108,7 +108,9 @@
 
 const serverErrorStatus = 500;
 
-function judgeRefusal(reason: OutcomeReason): Ended['outcome'] {
+function classifyRefusal(
+	reason: OutcomeReason,
+): AttemptEndedMessage['outcome'] {
 	if (reason === 'not-sent') {
 		return 'unreachable';
 	}
@@ -116,14 +118,14 @@
 	return isCapacityRefusal(reason) ? 'full' : 'refused';
 }
 
-function judgeResult(result: ForwardResult): Ended['outcome'] {
+function classifyResult(result: ForwardResult): AttemptEndedMessage['outcome'] {
 	switch (result.kind) {
 		case 'answered': {
 			return result.status >= serverErrorStatus ? 'failed' : 'answered';
 		}
 
 		case 'not-run': {
-			return judgeRefusal(result.reason);
+			return classifyRefusal(result.reason);
 		}
 
 		case 'unknown':
@@ -134,10 +136,11 @@
 }
 
 /**
- * Creates a caller's node's knowledge of hosts.
+ * Creates the router of a caller's node, which selects a host for each attempt
+ * and records the outcomes.
  *
  * @param options - see `ServiceRouterOptions`
- * @returns the router, with no hosts known
+ * @returns the router, without any hosts yet
  */
 export function createServiceRouter(
 	options: ServiceRouterOptions,
@@ -146,7 +149,7 @@
 	const {linkMbps = usualLinkMbps} = options;
 	const records = new Map<string, HostRecord>();
 	const stamps = new Map<string, HeldStamp>();
-	// Kept beyond the records: a host that starts again is gone for a time.
+	// Notices outlive host records, because a restarting host is missing from the view for a while.
 	const notices = new Map<string, CachedNotice>();
 	const budgets = new Map<string, RetryBudget>();
 	const latencies = new Map<
@@ -172,7 +175,11 @@
 		return ms;
 	}
 
-	function noteHost(host: string, service: string, message: HostMessage): void {
+	function updateHostRecord(
+		host: string,
+		service: string,
+		message: HostMessage,
+	): void {
 		const context = {
 			now: now(),
 			random: random(),
@@ -194,7 +201,7 @@
 		}
 	}
 
-	function noteStamp(
+	function recordStamp(
 		address: string,
 		stamp: GateStamp,
 		receivedAt: number,
@@ -203,7 +210,7 @@
 		stamps.set(address, {stamp, receivedAt, clock});
 	}
 
-	function noteNotice(
+	function recordNotice(
 		host: string,
 		load: GateLoad | undefined,
 		heardAt: number,
@@ -221,7 +228,7 @@
 		}
 	}
 
-	function createLocalPort(host: Candidate): GateClient {
+	function createLocalClient(host: Candidate): GateClient {
 		return {
 			host,
 			isLocal: true,
@@ -237,7 +244,7 @@
 		};
 	}
 
-	function createRemotePort(host: Candidate, service: string): GateClient {
+	function createRemoteClient(host: Candidate, service: string): GateClient {
 		const {address} = host;
 		return {
 			host,
@@ -252,7 +259,7 @@
 				forwarder.forwardAttempt(address, {
 					...attempt,
 					onSignOfLife() {
-						noteHost(host.host, service, {kind: 'heard'});
+						updateHostRecord(host.host, service, {kind: 'heard'});
 						attempt.onSignOfLife?.();
 					},
 				}),
@@ -271,7 +278,7 @@
 
 		const stamp = await forwarder.readStamp(address);
 		if (stamp) {
-			noteStamp(address, stamp, now());
+			recordStamp(address, stamp, now());
 		}
 	}
 
@@ -298,7 +305,7 @@
 		);
 	}
 
-	/** Lists what is known of the hosts in reach that have an upstream of a service. */
+	/** Lists the records of the reachable hosts of a service; `undefined` for hosts without a record. */
 	function listReachable(
 		service: string,
 	): ReadonlyArray<HostRecord | undefined> {
@@ -309,8 +316,9 @@
 	}
 
 	/**
-	 * Finds out why no host in reach would take a request: each has just refused
-	 * such a one for want of room, or lets none through before its objective.
+	 * Finds the reason why no reachable host would admit a request: each one has
+	 * just refused a similar request for lack of capacity, or its rate limit
+	 * delays the request beyond its objective.
 	 */
 	function findFullReason(
 		service: string,
@@ -330,7 +338,7 @@
 		return hosts.some((record) => isLimited(record)) ? 'limited' : 'saturated';
 	}
 
-	function stepBudget(
+	function stepServiceBudget(
 		team: string,
 		service: string,
 		message: 'request' | 'retry' | 'tick',
@@ -388,12 +396,12 @@
 
 					tried.add(host.host);
 					const isRemote = host.host !== name;
-					noteHost(host.host, service, {kind: 'sent', isRemote});
+					updateHostRecord(host.host, service, {kind: 'sent', isRemote});
 					return isRemote
-						? createRemotePort(host, service)
-						: createLocalPort(host);
+						? createRemoteClient(host, service)
+						: createLocalClient(host);
 				},
-				hasCapacity() {
+				hasAvailableHost() {
 					const hosts = candidates.get(service) ?? [];
 					return hosts.some(
 						({host}) =>
@@ -423,19 +431,19 @@
 		) {
 			const {host, address} = port.host;
 			if (result.kind !== 'lost' && result.stamp) {
-				noteStamp(address, result.stamp, endedAt);
+				recordStamp(address, result.stamp, endedAt);
 			}
 
 			if (result.kind !== 'lost') {
-				noteNotice(host, result.load, endedAt);
+				recordNotice(host, result.load, endedAt);
 			}
 
-			// An attempt that was not sent has no stamp from the gate.
+			// The result of an attempt that was not sent has no stamp from the gate.
 			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
 			const isSilent = !isHeard && isUnreachable(records.get(host), endedAt);
-			noteHost(host, attempt.service, {
+			updateHostRecord(host, attempt.service, {
 				kind: 'ended',
-				outcome: isSilent ? 'unreachable' : judgeResult(result),
+				outcome: isSilent ? 'unreachable' : classifyResult(result),
 				isHeard,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
@@ -448,12 +456,12 @@
 			});
 		},
 		recordRequest(team, service) {
-			stepBudget(team, service, 'request');
+			stepServiceBudget(team, service, 'request');
 		},
 		readRetryBudget: (team, service) =>
-			stepBudget(team, service, 'tick').tokens,
+			stepServiceBudget(team, service, 'tick').tokens,
 		spendRetryBudget(team, service) {
-			stepBudget(team, service, 'retry');
+			stepServiceBudget(team, service, 'retry');
 		},
 	};
 }
--- a/src/transport/_lib/create-upstream-request.ts
+++ b/src/transport/_lib/create-upstream-request.ts
@@ -8,7 +8,7 @@
  * Creates the request that a gate sends to its upstream for an attempt.
  *
  * @param attempt - the attempt
- * @param edge - headers that the upstream understands
+ * @param edge - header conventions of the upstream
  * @param context - see `UpstreamContext`
  * @returns the request
  */
--- a/src/transport/_lib/discover-upstream.ts
+++ b/src/transport/_lib/discover-upstream.ts
@@ -1,41 +1,42 @@
 import {waitMs} from './wait-ms.js';
 
-/** Options of `seekUpstream`. */
+/** Options of `discoverUpstream`. */
 export type DiscoverUpstreamOptions<Found> = {
-	/** Whether there is nothing to seek any more: an upstream has spoken for itself. */
-	readonly isOver: () => boolean;
-	/** Asks for the upstream; undefined when it cannot be asked yet or is not well. */
+	/** Whether to stop, because an upstream has announced itself. */
+	readonly shouldStop: () => boolean;
+	/** Probes for the upstream; resolves to undefined if it cannot be probed yet or is not healthy. */
 	readonly probe: () => Promise<Found | undefined>;
 	readonly onFound: (found: Found) => void;
-	/** Waits for a time, ms. */
+	/** Waits for `durationMs`. */
 	readonly wait?: (durationMs: number) => Promise<void>;
 };
 
-/** Time between two probes, ms; a node reads its first configuration within about this time. */
+/** Time between two probes, ms; a node needs about this long to read its first configuration. */
 const probeIntervalMs = 150;
 
-/** Most probes; by then an upstream has announced itself. */
+/** Maximum number of probes; by then, a running upstream has announced itself. */
 const maxProbes = 20;
 
 /**
- * Asks for the upstream on the own host until it is found.
+ * Probes for the upstream on the local host until it is found.
  *
- * Answers the load of a node that has started again beside an upstream that
- * goes on: until the next announcement, for over a second, nobody would know of
- * the upstream, and every request for its service would be refused.
+ * Load pattern: a node restarts while its upstream keeps running. Without
+ * probes, the upstream would be unknown until its next announcement, for over a
+ * second, and every request for its service would be refused.
  *
- * @param options - see `SeekUpstreamOptions`
- * @returns once it is found, has announced itself or is given up
+ * @param options - see `DiscoverUpstreamOptions`
+ * @returns resolves when the upstream is found or has announced itself, or after
+ * the last probe
  */
 export async function discoverUpstream<Found>({
-	isOver,
+	shouldStop,
 	probe,
 	onFound,
 	wait = waitMs,
 }: DiscoverUpstreamOptions<Found>): Promise<void> {
-	for (let probes = 0; probes < maxProbes && !isOver(); probes++) {
+	for (let probes = 0; probes < maxProbes && !shouldStop(); probes++) {
 		const found = await probe();
-		if (isOver()) {
+		if (shouldStop()) {
 			return;
 		}
 
--- a/src/transport/_lib/gate-client.ts
+++ b/src/transport/_lib/gate-client.ts
@@ -9,18 +9,18 @@
 import type {Candidate} from '../../protocol/member.js';
 import type {GateStamp} from '../../protocol/stamp.js';
 
-/** A gate as a request uses it, be it local or of another host. */
+/** Client of a gate, either in this process or on another host. */
 export type GateClient = {
 	readonly host: Candidate;
-	/** Whether the gate is in this process, so that nothing can be lost. */
+	/** Whether the gate is in this process, in which case no message can be lost. */
 	readonly isLocal: boolean;
 	readStamp(): GateStamp | undefined;
 	/**
-	 * Reads the time of the gate's clock at a time of the own one, ms; undefined
-	 * when it is not known, or when the gate is in this process.
+	 * Converts a time of the local clock to the gate's clock, ms; undefined if
+	 * the gate's clock is not known or the gate is in this process.
 	 */
 	readGateTime(at: number): number | undefined;
-	/** Reads what is known of the gate's upstream; undefined when that is nothing of note. */
+	/** Returns the last notice about the gate's upstream, if there is one. */
 	readNotice(): UpstreamNotice | undefined;
 	runAttempt(attempt: Attempt): Promise<ForwardResult>;
 	ask(question: AttemptQuestion): Promise<LedgerStep['answer'] | 'failed'>;
--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps what the upstreams on the gate's host say of themselves in their answers.
+ * Handles the reports that upstreams on the gate's host send with their responses.
  */
 import {computeRateLimitWait} from '../../coordination/compute-rate-limit-wait.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
@@ -8,7 +8,7 @@
 import type {Announcement} from '../../protocol/member.js';
 import type {LocalUpstream} from './local-upstream.js';
 
-/** A report with what is known of its answer. */
+/** A report and the response that carried it. */
 export type ReceivedReport = {
 	readonly report: UpstreamReport;
 	readonly verdict: AnswerVerdict;
@@ -17,8 +17,8 @@
 };
 
 /**
- * Tells whether two announcements under one identifier are of the same life of
- * an upstream. A life that is not named may be any.
+ * Returns whether two announcements under one identifier are from the same
+ * incarnation of an upstream. A missing incarnation matches any.
  */
 export function isSameIncarnation(
 	{address, incarnation}: Announcement,
@@ -32,7 +32,7 @@
 	);
 }
 
-/** Tells whether an announcement is of an earlier life than another one. */
+/** Returns whether an announcement is from an earlier incarnation than another one. */
 export function isEarlierIncarnation(
 	{incarnation}: Announcement,
 	other: Announcement,
@@ -44,14 +44,14 @@
 	);
 }
 
-/** Takes in what an upstream reports with an answer. */
+/** Records the report that an upstream sent with a response. */
 export function recordReport(
 	upstream: LocalUpstream,
 	{report, verdict, sentAt}: ReceivedReport,
 	now: number,
 ): void {
 	if (verdict === 'wrong-instance') {
-		// It is the report of another upstream at the address.
+		// The report is from another upstream at the same address.
 		return;
 	}
 
@@ -65,7 +65,7 @@
 		}
 
 		case 'none': {
-			// What is shed or misplaced need not say all that an answer does.
+			// Only a regular response states the complete report; one that sheds or is misplaced may not.
 			if (verdict === 'answered') {
 				upstream.rateLimit = stepRateLimit(
 					upstream.rateLimit,
@@ -78,16 +78,16 @@
 		}
 
 		case 'unreadable': {
-			// It neither names a limit nor takes one back.
+			// An unreadable value neither sets nor removes a limit.
 			break;
 		}
 	}
 }
 
 /**
- * Takes in what another node knows of an upstream. Answers a gate that has
- * started again beside an upstream that goes on: what the gate has heard itself
- * is newer.
+ * Applies what another node knows about an upstream. A gate needs this after a
+ * restart during which its upstream kept running; what the gate itself has
+ * received from the upstream is newer and takes precedence.
  */
 export function applyRemoteNotice(
 	upstream: LocalUpstream,
@@ -101,7 +101,7 @@
 	}
 
 	if (own !== undefined) {
-		// What is taken over holds for this life only.
+		// The notice holds for this incarnation only.
 		upstream.announcement = {...announcement, incarnation: own};
 	}
 
@@ -113,7 +113,7 @@
 	}
 }
 
-/** Reads what an upstream has said of itself, its leaving also by announcement; undefined when that is nothing of note. */
+/** Returns the notice about an upstream that is leaving, as reported or announced, or that has a rate limit; otherwise undefined. */
 export function readNotice(
 	{id, announcement, rateLimit, queuedCount}: LocalUpstream,
 	now: number,
--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -1,5 +1,5 @@
 /**
- * Shares the slots of an upstream on the gate's host between teams.
+ * Shares the slots of an upstream on the gate's host among teams.
  */
 import {
 	computeOpenSlots,
@@ -15,9 +15,9 @@
 	type LocalUpstream,
 } from './local-upstream.js';
 
-const forgottenUse = 0.1;
+const minTrackedUse = 0.1;
 
-function readTeams(
+function readTeamActivity(
 	upstream: LocalUpstream,
 	now: number,
 ): ReadonlyMap<string, TeamActivity> {
@@ -33,7 +33,7 @@
 }
 
 /**
- * Computes how many slots of an upstream may be in use for a team to take one.
+ * Computes how many slots of an upstream may be in use for a team to still get one.
  *
  * @param upstream - the upstream
  * @param team - the team
@@ -48,17 +48,17 @@
 	const {slots} = upstream.announcement;
 	return upstream.teamUses.size < 2
 		? slots
-		: computeOpenSlots(slots, readTeams(upstream, now), team);
+		: computeOpenSlots(slots, readTeamActivity(upstream, now), team);
 }
 
 /**
- * Takes the queued job that gets a slot next, if one may.
+ * Takes the next job from the queue if there is a slot for it.
  *
- * The job leaves the queue, and its team's use and the slot are noted.
+ * Removes the job from the queue, occupies the slot and records its team's use.
  *
  * @param upstream - the upstream
  * @param now - monotonic ms
- * @returns the job, or undefined when none may take a slot
+ * @returns the job, or undefined if no job may take a slot
  */
 export function takeNextJob(
 	upstream: LocalUpstream,
@@ -76,33 +76,33 @@
 		startTags: new Map(
 			[...upstream.queued].map(([name, jobs]) => [name, jobs[0]!.startTag]),
 		),
-		teams: readTeams(upstream, now),
+		teams: readTeamActivity(upstream, now),
 	});
 	const job = team === undefined ? undefined : upstream.queued.get(team)?.[0];
 	if (job) {
 		removeFromLocalQueue(job);
 		upstream.fairQueue.serve(job.startTag);
 		upstream.sent.add(job);
-		countRunning(upstream, job.attempt.team, 1);
-		noteUse(upstream, job.attempt.team, now);
+		updateRunningCount(upstream, job.attempt.team, 1);
+		recordTeamUse(upstream, job.attempt.team, now);
 	}
 
 	return job;
 }
 
 /**
- * Notes that a job has left its slot, if it has not before.
+ * Releases the slot of a job, unless it is released already.
  *
  * @param job - the job
  */
 export function releaseSlot(job: Job): void {
 	const {upstream, attempt} = job;
 	if (upstream.sent.delete(job)) {
-		countRunning(upstream, attempt.team, -1);
+		updateRunningCount(upstream, attempt.team, -1);
 	}
 }
 
-function countRunning(
+function updateRunningCount(
 	upstream: LocalUpstream,
 	team: string,
 	change: 1 | -1,
@@ -116,11 +116,15 @@
 	}
 }
 
-function noteUse(upstream: LocalUpstream, team: string, now: number): void {
+function recordTeamUse(
+	upstream: LocalUpstream,
+	team: string,
+	now: number,
+): void {
 	const {teamUses} = upstream;
 	teamUses.set(team, stepTeamUse(teamUses.get(team), now));
 	for (const [name, use] of teamUses) {
-		if (readTeamUse(use, now) < forgottenUse) {
+		if (readTeamUse(use, now) < minTrackedUse) {
 			teamUses.delete(name);
 		}
 	}
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -32,8 +32,8 @@
 import {readNotice} from './local-notice.js';
 import type {SentRequest} from './send-request.js';
 
-/** Least expected rest of a running request, ms: one that takes longer than expected may end at any time. */
-const minRestMs = 2;
+/** Minimum estimate of a running request's remaining time, ms; a request that exceeds its estimate may end at any time. */
+const minRemainingMs = 2;
 
 /** An attempt that a gate has admitted. */
 export type Job = {
@@ -44,39 +44,39 @@
 	/** Monotonic ms. */
 	readonly admittedAt: number;
 	readonly deadlineAt: number;
-	/** When it is given up if it still waits, monotonic ms. */
+	/** When the job is refused if it is still queued, monotonic ms. */
 	readonly queueExpiresAt: number;
-	/** Until when it can be sent and still be answered within its objective, monotonic ms. */
+	/** Latest time at which the job can be sent and still be answered within its objective, monotonic ms. */
 	readonly latestStartAt: number;
 	readonly startTag: number;
-	/** Whether its answer was expected after its objective. */
+	/** Whether, at admission, the response was expected after the objective. */
 	readonly isLate: boolean;
-	/** Expected time at the upstream, ms. */
+	/** Expected service time at the upstream, ms. */
 	readonly serviceMs: number;
-	/** Expected time with the wait for a slot, ms. */
+	/** Expected wait for a slot plus service time, ms. */
 	readonly expectedMs: number;
 	readonly priority: number;
-	/** When it came plus the objective of its route, monotonic ms. */
+	/** Admission time plus the objective of the route, monotonic ms. */
 	readonly dueAt: number;
 	readonly result: Promise<AttemptResult>;
 	readonly resolve: (result: AttemptResult) => void;
 	phase: 'queued' | 'sent' | 'finished';
-	/** Monotonic ms; 0 before it was sent. */
+	/** Monotonic ms; 0 until the job is sent. */
 	sentAt: number;
 	sent: SentRequest | undefined;
-	/** When all of it had been sent, monotonic ms; infinite before. */
+	/** When the last byte of the request was sent, monotonic ms; infinity until then. */
 	fullySentAt: number;
-	/** Whether the head of its answer has come. */
+	/** Whether the head of the response has been received. */
 	isAnswered: boolean;
-	/** Why the job was ended early, if it was. */
+	/** Why the job was ended early; undefined if it was not. */
 	earlyEndReason: EarlyEndReason | undefined;
 };
 
-/** Why a gate ends an attempt that its upstream has not answered. */
+/** Reason why a gate ends an attempt before its upstream has answered. */
 export type EarlyEndReason =
 	| 'deadline'
 	| 'cancelled'
-	/** The upstream does not work on it. */
+	/** The upstream is not processing the attempt. */
 	| 'unanswered';
 
 /** An upstream on the gate's own host. */
@@ -87,40 +87,40 @@
 	readonly agent: Agent;
 	readonly queue: PQueue;
 	readonly fairQueue: FairQueue;
-	/** Queued jobs of each team, in the order in which they go. */
+	/** Queued jobs of each team, in the order in which they will start. */
 	readonly queued: Map<string, Job[]>;
 	queuedCount: number;
-	/** What each team has lately started here. */
+	/** Recent job starts of each team. */
 	readonly teamUses: Map<string, TeamUse>;
-	/** Jobs of each team that are in a slot. */
+	/** Number of jobs of each team that occupy a slot. */
 	readonly running: Map<string, number>;
 	inFlight: number;
-	/** Jobs that have been sent. */
+	/** Jobs that have been sent and occupy a slot. */
 	readonly sent: Set<Job>;
-	/** Mean time of all requests, and of those of each route. */
+	/** Mean service time of all requests; `routeTimes` has that of each route. */
 	serviceTime: ServiceTime | undefined;
 	readonly routeTimes: Map<string, ServiceTime>;
-	/** Work of the attempts that came in time, admitted or not. */
+	/** Load of all attempts that arrived in time, whether admitted or not. */
 	utilization: Utilization | undefined;
-	/** By how much answers come later than expected, in parts of their time. */
-	timeMarginFraction: number;
-	/** Whether an answer or another node has said that it leaves; for good in this life. */
+	/** By how much responses exceed their expected time, as a ratio of that time. */
+	marginRatio: number;
+	/** Whether a response or another node has said that the upstream is leaving; final for its incarnation. */
 	isLeaving: boolean;
-	/** Undefined when it names none. */
+	/** Undefined when the upstream states no limit. */
 	rateLimit: RateLimit | undefined;
-	/** Whether an answer has said how it stands since the gate knows it. */
+	/** Whether the gate has received a response with a complete report from this upstream. */
 	hasReported: boolean;
-	/** What it works on by its last report; undefined before one. */
+	/** Work in progress according to the last report; undefined before the first one. */
 	work: UpstreamWork | undefined;
-	/** When it was last asked for its load, monotonic ms. */
+	/** When the gate last queried the load, monotonic ms. */
 	probedAt: number;
-	/** When its silence was last logged, monotonic ms. */
+	/** When lost requests were last logged, monotonic ms. */
 	lossLoggedAt: number;
-	/** Fires when answers that a report lacked would have come. */
+	/** Fires after a report, once responses in transit have had time to arrive. */
 	lossConfirmTimer: NodeJS.Timeout | undefined;
-	/** Fires when its unanswered requests are looked at. */
+	/** Fires when the unanswered requests are checked next. */
 	lossCheckTimer: NodeJS.Timeout | undefined;
-	/** Fires when a queued job has its turn under the rate limit. */
+	/** Fires when the rate limit admits the next queued job. */
 	rateLimitTimer: NodeJS.Timeout | undefined;
 };
 
@@ -128,7 +128,7 @@
  * Creates the gate's record of an upstream, with its connections and slots.
  *
  * @param id - identifier under which the upstream announced itself
- * @param announcement - how the upstream announced itself
+ * @param announcement - the upstream's announcement
  * @returns the record
  */
 export function createLocalUpstream(
@@ -150,7 +150,7 @@
 		serviceTime: undefined,
 		routeTimes: new Map(),
 		utilization: undefined,
-		timeMarginFraction: defaultMarginRatio,
+		marginRatio: defaultMarginRatio,
 		isLeaving: false,
 		rateLimit: undefined,
 		hasReported: false,
@@ -166,7 +166,7 @@
 /** A service's upstream on the host. */
 export type FoundUpstream = {
 	readonly state: AdmissionInput['state'];
-	/** Undefined when there is none, ready or leaving. */
+	/** Undefined if there is neither a ready nor a leaving upstream. */
 	readonly upstream: LocalUpstream | undefined;
 };
 
@@ -175,7 +175,7 @@
  *
  * @param upstreams - all upstreams of the host
  * @param service - full name of the service
- * @returns the upstream, a ready one if there is one, and how the service stands on the host
+ * @returns the upstream, preferably a ready one, and the state of the service on the host
  */
 export function findLocalUpstream(
 	upstreams: Iterable<LocalUpstream>,
@@ -208,8 +208,8 @@
  *
  * @param upstream - the upstream
  * @param now - monotonic ms
- * @param route - name of the route whose time is given too
- * @returns its load, as piggybacked on answers
+ * @param route - name of the route whose service time is included
+ * @returns the load, as piggybacked on responses
  */
 export function readLocalLoad(
 	upstream: LocalUpstream,
@@ -229,9 +229,10 @@
 }
 
 /**
- * Reads how many slots of an upstream are taken, also by work that the gate has
- * not sent, or has given up. One slot is always left to its own requests: only
- * their answers tell when that work is over.
+ * Reads how many slots of an upstream are occupied, including those of work that
+ * the gate has not sent or no longer waits for. That work never counts for all
+ * slots: one stays available to the gate's own requests, because only their
+ * responses show when the other work has ended.
  *
  * @param upstream - the upstream
  * @param now - monotonic ms
@@ -248,12 +249,12 @@
 }
 
 /**
- * Reads the expected time of a request at an upstream.
+ * Reads the expected service time of a request at an upstream.
  *
  * @param upstream - the upstream
  * @param attempt - the request's attempt
  * @param now - monotonic ms
- * @returns the time, ms; before the first answer a part of the objective
+ * @returns the time, ms; before the first response, a fraction of the objective
  */
 export function readExpectedServiceTime(
 	upstream: LocalUpstream,
@@ -268,11 +269,11 @@
 }
 
 /**
- * Notes how long a request has taken.
+ * Records the service time of a request.
  *
  * @param upstream - the upstream
  * @param route - name of the request's route, if it has one
- * @param durationMs - time from its sending to its end
+ * @param durationMs - time from sending the request to its end, ms
  * @param now - monotonic ms
  */
 export function recordServiceTime(
@@ -292,16 +293,16 @@
 }
 
 /**
- * Notes how much later than expected an attempt that was to be in time was
- * answered.
+ * Records by how much an attempt exceeded its expected time. Attempts that were
+ * expected to miss their objective are ignored.
  *
  * @param job - the attempt
- * @param endedAt - when it was answered, monotonic ms
+ * @param endedAt - when the response was complete, monotonic ms
  */
 export function recordTimeMargin(job: Job, endedAt: number): void {
 	const {upstream, serviceMs, expectedMs} = job;
 	if (!job.isLate) {
-		upstream.timeMarginFraction = stepTimeMargin(upstream.timeMarginFraction, {
+		upstream.marginRatio = stepTimeMargin(upstream.marginRatio, {
 			serviceMs,
 			expectedMs,
 			actualMs: endedAt - job.admittedAt,
@@ -311,11 +312,11 @@
 
 /** Expected waits at an upstream, ms. */
 export type LocalWait = {
-	/** Among the requests that can be in time. */
+	/** Wait of a request that can meet its objective. */
 	readonly waitMs: number;
-	/** Behind all that is queued. */
+	/** Wait behind all queued requests. */
 	readonly lateWaitMs: number;
-	/** Part of the first that the rate limit alone asks for. */
+	/** Wait that the rate limit alone requires, with the same requests ahead as for `waitMs`. */
 	readonly rateLimitWaitMs: number;
 };
 
@@ -323,7 +324,7 @@
  * Computes how long a new request would wait at an upstream.
  *
  * @param upstream - the upstream
- * @param order - the request's place in the order
+ * @param order - properties that determine the request's place in the queue
  * @param now - monotonic ms
  * @returns the waits
  */
@@ -346,7 +347,7 @@
 	const expectedMs = ({attempt}: Job): number =>
 		readExpectedServiceTime(upstream, attempt, now);
 	const runningMs = [...upstream.sent].map((job) =>
-		Math.max(minRestMs, job.sentAt + expectedMs(job) - now),
+		Math.max(minRemainingMs, job.sentAt + expectedMs(job) - now),
 	);
 	const queued = [...upstream.queued.values()].flat();
 	const next = {...order, isLate: false};
@@ -371,10 +372,10 @@
 }
 
 /**
- * Finds the queued jobs of the team that has most of them.
+ * Finds the queued jobs of the team with the longest queue.
  *
  * @param upstream - the upstream
- * @returns the jobs, oldest first
+ * @returns the jobs, in queue order
  */
 export function findLongestQueue(upstream: LocalUpstream): readonly Job[] {
 	let longest: readonly Job[] = [];
@@ -386,7 +387,7 @@
 }
 
 /**
- * Puts a job among the queued ones of its team, at its place in their order.
+ * Inserts a job into its team's queue, in the order of `compareWaiting`.
  *
  * @param job - the job
  */
@@ -404,7 +405,7 @@
 }
 
 /**
- * Takes a job from the queued ones of its team.
+ * Removes a job from its team's queue.
  *
  * @param job - the job
  */
@@ -419,11 +420,11 @@
 }
 
 /**
- * Counts the queued jobs that fair order serves before a new one of a team.
+ * Counts the queued jobs that fair queueing serves before a new job of a team.
  *
  * @param upstream - the upstream
  * @param team - team of the new job
- * @returns how many are ahead
+ * @returns the number of jobs
  */
 export function countAhead(upstream: LocalUpstream, team: string): number {
 	const own = upstream.queued.get(team)?.length ?? 0;
--- a/src/transport/_lib/parse-rate-limit.test.ts
+++ b/src/transport/_lib/parse-rate-limit.test.ts
@@ -11,7 +11,7 @@
 ];
 
 for (const [text, perSecond] of readable) {
-	test(`rate limit ${text} is read`, () => {
+	test(`rate limit ${text} is parsed`, () => {
 		assert.deepEqual(parseRateLimit(text), {kind: 'named', perSecond});
 	});
 }
@@ -28,16 +28,16 @@
 ];
 
 for (const text of unreadable) {
-	test(`rate limit "${text}" is not taken for one`, () => {
+	test(`rate limit "${text}" is unreadable`, () => {
 		assert.deepEqual(parseRateLimit(text), {kind: 'unreadable', text});
 	});
 }
 
-test('a rate limit that is not there is none', () => {
+test('a missing rate limit is none', () => {
 	assert.deepEqual(parseRateLimit(undefined), {kind: 'none'});
 });
 
-test('of a long text that is no rate only the beginning is kept', () => {
+test('a long unreadable text is truncated', () => {
 	const parsed = parseRateLimit('x'.repeat(10_000));
 	assert.deepEqual(parsed, {kind: 'unreadable', text: 'x'.repeat(64)});
 });
--- a/src/transport/_lib/parse-rate-limit.ts
+++ b/src/transport/_lib/parse-rate-limit.ts
@@ -1,16 +1,16 @@
 import type {StatedRate} from '../../protocol/edge.js';
 
-/** Longest unreadable text that is kept, characters. */
+/** Maximum length of an unreadable text that is kept, characters. */
 const maxTextLength = 64;
 
-/** Up to a million requests a second; more is taken for a mistake. */
+/** Accepts rates below a million requests per second; larger values are treated as errors. */
 const ratePattern = /^(?:\d{1,6}(?:\.\d{0,20})?|\.\d{1,20})$/v;
 
 /**
- * Parses the rate limit that an upstream states in a header.
+ * Parses a rate limit that an upstream states in a header.
  *
- * @param value - header value; several values are not a rate
- * @returns the rate, none, or the text that is not a rate
+ * @param value - header value; multiple values are unreadable
+ * @returns the rate in requests per second, `none` without a header, or the unreadable text
  */
 export function parseRateLimit(
 	value: string | string[] | undefined,
--- a/src/transport/_lib/parse-upstream-load.ts
+++ b/src/transport/_lib/parse-upstream-load.ts
@@ -1,11 +1,11 @@
 import type {GateLoad} from '../../protocol/attempt.js';
 
 /**
- * Parses the load that an upstream states in a header: its running and its
- * waiting requests and its slots, separated by commas.
+ * Parses the load that an upstream states in a header: the numbers of its
+ * running requests, queued requests and slots, separated by commas.
  *
- * @param value - header value; several values are not a load
- * @returns the load; undefined when the value is none
+ * @param value - header value; multiple values are invalid
+ * @returns the load; undefined if the value is missing or invalid
  */
 export function parseUpstreamLoad(
 	value: string | string[] | undefined,
--- a/src/transport/_lib/race-result.ts
+++ b/src/transport/_lib/race-result.ts
@@ -1,12 +1,12 @@
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
 
 /**
- * Waits for a result until a time has passed or a signal aborts.
+ * Waits for a result until a time-out or until a signal is aborted.
  *
- * @param result - what is waited for; does not reject
- * @param durationMs - longest wait
- * @param signal - ends the wait early when aborted
- * @returns the result, or undefined when the wait ended first
+ * @param result - promise to wait for; must not reject
+ * @param durationMs - maximum wait, ms
+ * @param signal - ends the wait when aborted
+ * @returns the result, or undefined if the wait ended first
  */
 export async function raceResult<T>(
 	result: Promise<T>,
@@ -16,16 +16,16 @@
 	return new Promise((resolve) => {
 		const end = (value: T | undefined): void => {
 			clearTimeout(timer);
-			signal.removeEventListener('abort', giveUp);
+			signal.removeEventListener('abort', handleTimeout);
 			resolve(value);
 		};
 
-		const giveUp = (): void => {
+		const handleTimeout = (): void => {
 			end(undefined);
 		};
 
-		const timer = setTimeout(giveUp, durationMs);
-		signal.addEventListener('abort', giveUp);
+		const timer = setTimeout(handleTimeout, durationMs);
+		signal.addEventListener('abort', handleTimeout);
 		void result.then(end);
 	});
 }
--- a/src/transport/_lib/read-gate-outcome.ts
+++ b/src/transport/_lib/read-gate-outcome.ts
@@ -27,10 +27,10 @@
 }
 
 /**
- * Reads the result of a forwarded attempt from the outcome on its connection.
+ * Converts the transport outcome of a forwarded attempt to the attempt's result.
  *
- * @param outcome - what became of the request to the gate
- * @returns the gate's result, or `lost` when there is none
+ * @param outcome - outcome of the request to the gate
+ * @returns the gate's result, or `lost` if it was not received
  */
 export function readGateOutcome(outcome: SendOutcome): ForwardResult {
 	switch (outcome.kind) {
--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -48,7 +48,7 @@
 	assert.ok(read.kind === 'read' && read.body instanceof Uint8Array);
 	assert.equal(read.body.length, uploadBytes);
 	assert.equal(read.reservedBytes, uploadBytes);
-	assert.equal(memory.take(1), false);
+	assert.equal(memory.tryReserve(1), false);
 });
 
 test('an upload that finds no memory is streamed', async (t) => {
@@ -71,7 +71,7 @@
 	});
 	const read = await readRequestBody(received, {maxBytes, memory});
 	assert.deepEqual(read, {kind: 'refused', reason: 'cancelled'});
-	assert.equal(memory.take(uploadBytes), true);
+	assert.equal(memory.tryReserve(uploadBytes), true);
 });
 
 // Such a request used to be held for a minute, beyond its client's deadline.
@@ -85,7 +85,7 @@
 		timeoutMs: 50,
 	});
 	assert.deepEqual(read, {kind: 'refused', reason: 'deadline'});
-	assert.equal(memory.take(uploadBytes), true);
+	assert.equal(memory.tryReserve(uploadBytes), true);
 	// The rest is read, so that the connection can be used again.
 	const ended = once(received, 'end');
 	sent.end(new Uint8Array(uploadBytes - 1000));
--- a/src/transport/_lib/read-upstream-outcome.ts
+++ b/src/transport/_lib/read-upstream-outcome.ts
@@ -7,11 +7,11 @@
 import type {EarlyEndReason} from './local-upstream.js';
 import type {SendOutcome} from './send-request.js';
 
-/** What a gate adds to the outcome at its upstream. */
+/** What a gate adds to an outcome at its upstream. */
 export type OutcomeContext = {
 	readonly edge: Edge;
-	/** Why the gate ended the request early, if it did. */
-	readonly endedBy: EarlyEndReason | undefined;
+	/** Why the gate ended the request early; undefined if it did not. */
+	readonly earlyEndReason: EarlyEndReason | undefined;
 	readonly load: GateLoad;
 	readonly stamp: GateStamp;
 };
@@ -21,7 +21,7 @@
 	readonly reason: OutcomeReason;
 };
 
-/** What an answer means that is not the upstream's answer to the attempt. */
+/** Results for responses that do not answer the attempt. */
 const refusals: Readonly<Record<Exclude<AnswerVerdict, 'answered'>, Refusal>> =
 	{
 		shed: {kind: 'not-run', reason: 'shed'},
@@ -30,20 +30,21 @@
 	};
 
 /**
- * Reads the result of an attempt from its outcome at the upstream.
+ * Converts the transport outcome of a request to an upstream to the attempt's result.
  *
- * @param outcome - what became of the request to the upstream
+ * @param outcome - outcome of the request to the upstream
  * @param attempt - the attempt
  * @param context - see `OutcomeContext`
- * @returns `not-run` only when nothing was sent, or when the upstream has shed
- * and its service declares that shedding means not run
+ * @returns the result; `not-run` only if nothing was sent, another upstream
+ * has the address, or the upstream shed the request and its service declares
+ * that shedding means not run
  */
 export function readUpstreamOutcome(
 	outcome: SendOutcome,
 	attempt: Attempt,
 	context: OutcomeContext,
 ): AttemptResult {
-	const {edge, endedBy, load, stamp} = context;
+	const {edge, earlyEndReason, load, stamp} = context;
 	function end(
 		kind: 'not-run' | 'unknown',
 		reason: OutcomeReason,
@@ -70,7 +71,7 @@
 		}
 
 		case 'not-sent': {
-			return end('not-run', endedBy ?? 'not-sent');
+			return end('not-run', earlyEndReason ?? 'not-sent');
 		}
 
 		case 'lost': {
@@ -82,7 +83,7 @@
 		}
 
 		case 'aborted': {
-			return end('unknown', endedBy ?? 'cancelled');
+			return end('unknown', earlyEndReason ?? 'cancelled');
 		}
 	}
 }
--- a/src/transport/_lib/report-attempt-event.ts
+++ b/src/transport/_lib/report-attempt-event.ts
@@ -2,10 +2,10 @@
 import type {AttemptEnd} from './run-request.js';
 
 /**
- * Reports to an observer that an attempt has ended at the caller's node.
+ * Reports the end of an attempt at the caller's node to an observer.
  *
- * @param observer - who is told
- * @param end - the attempt
+ * @param observer - the observer
+ * @param end - the attempt and its result
  * @param parentTraceparent - trace context of the request
  * @param now - monotonic ms
  */
--- a/src/transport/_lib/report-gate-event.ts
+++ b/src/transport/_lib/report-gate-event.ts
@@ -3,11 +3,11 @@
 import type {Job} from './local-upstream.js';
 
 /**
- * Reports to an observer that an admitted attempt has ended at the gate.
+ * Reports the end of an admitted attempt at the gate to an observer.
  *
- * @param observer - who is told
- * @param job - the attempt at the gate
- * @param result - what it ended in
+ * @param observer - the observer
+ * @param job - the gate's job for the attempt
+ * @param result - result of the attempt
  * @param now - monotonic ms
  */
 export function reportGateEvent(
--- a/src/transport/_lib/report-request-event.ts
+++ b/src/transport/_lib/report-request-event.ts
@@ -3,25 +3,25 @@
 import type {CompiledRoute} from '../../protocol/request.js';
 import type {RequestEnd} from './run-request.js';
 
-/** What of a request is reported besides its end. */
+/** Properties of a request that are reported with its end. */
 export type ReportedRequest = {
 	readonly request: IncomingMessage;
 	readonly route: CompiledRoute;
 	readonly requestId: string;
 	/** Monotonic ms. */
 	readonly startedAt: number;
-	/** How late the node was with it, ms. */
+	/** Time between the request's arrival and its reading, ms. */
 	readonly lagMs: number;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
 };
 
 /**
- * Reports to an observer that a request has got its final outcome.
+ * Reports the final outcome of a request to an observer.
  *
- * @param observer - who is told
+ * @param observer - the observer
  * @param reported - the request
- * @param end - its end
+ * @param end - end of the request
  * @param now - monotonic ms
  */
 export function reportRequestEvent(
--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -7,7 +7,7 @@
 import type {GateClient} from './gate-client.js';
 import {runRequest} from './run-request.js';
 
-/** Creates a gate that takes the first bytes of a body and refuses as leaving. */
+/** Creates a gate that reads the first chunk of a body and then refuses the attempt as leaving. */
 function createLeavingGate(body: Readable, taken: string[]): GateClient {
 	return {
 		host: {
@@ -38,12 +38,12 @@
 		ask: async () => 'failed',
 		fetchAnswer: async () => ({kind: 'lost', reason: 'connection-lost'}),
 		async cancel() {
-			// Nothing is left to cancel.
+			// Nothing to cancel.
 		},
 	};
 }
 
-test('the rest of a body is not sent to another host as if it were the whole', async () => {
+test('a partially consumed body is not sent to another host', async () => {
 	const body = Readable.from([Buffer.from('first'), Buffer.from('second')]);
 	const taken: string[] = [];
 	const gate = createLeavingGate(body, taken);
@@ -53,18 +53,18 @@
 		body,
 	});
 	const end = await runRequest({
-		terms: {repeatable, isNested: false, maxAttempts: 1, deadlineAt: 1000},
+		parameters: {repeatable, isNested: false, maxAttempts: 1, deadlineAt: 1000},
 		template: {...template, repeatable, idPrefix: 'a'},
 		signal: createCancelSource().signal,
 		pickGate: () => gate,
 		createTraceparent: () => undefined,
 		onAttemptEnd() {
-			// The end of the request is what the test is about.
+			// The test checks only the end of the request.
 		},
-		hasCapacity: () => true,
+		hasAvailableHost: () => true,
 		readRetryBudget: () => 1,
 		spendRetryBudget() {
-			// Rerouting draws on no budget.
+			// Rerouting uses no retry budget.
 		},
 		now: () => 0,
 		random: () => 0.5,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -21,7 +21,7 @@
 import type {UpstreamResponse} from './send-upstream-response.js';
 import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
 
-/** What of an attempt is the same for all attempts of a request. */
+/** Properties shared by all attempts of a request. */
 export type AttemptTemplate = Omit<
 	Attempt,
 	| 'id'
@@ -35,24 +35,24 @@
 	| 'onSend'
 	| 'onSignOfLife'
 > & {
-	/** First part of the identifiers of the attempts. */
+	/** Prefix of the attempts' identifiers. */
 	readonly idPrefix: string;
 };
 
 /** Options of `runRequest`. */
 export type RunRequestOptions = {
-	readonly terms: RequestParameters;
+	readonly parameters: RequestParameters;
 	readonly template: AttemptTemplate;
-	/** Aborted when the client has gone. */
+	/** Aborted when the client has disconnected. */
 	readonly signal: CancelSignal;
-	/** Picks the gate of the next attempt, or says why there is none. */
+	/** Picks the gate of the next attempt; returns the reason if there is none. */
 	readonly pickGate: () => GateClient | OutcomeReason;
 	readonly createTraceparent: () => string | undefined;
-	/** Told of each attempt that has ended. */
+	/** Called with each attempt that has ended. */
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
-	/** Whether a host that was not tried is not known to be full. */
-	readonly hasCapacity: () => boolean;
-	/** Least time until a host may take a request under the rate limits, ms; 0 when absent. */
+	/** Whether an untried host is available, that is, not known to be full. */
+	readonly hasAvailableHost: () => boolean;
+	/** Returns the shortest wait under the hosts' rate limits, ms; 0 when absent. */
 	readonly readRateLimitWait?: () => number;
 	readonly readRetryBudget: () => number;
 	readonly spendRetryBudget: () => void;
@@ -61,7 +61,7 @@
 	readonly random: () => number;
 };
 
-/** One attempt that has ended. */
+/** An attempt that has ended, with its result. */
 export type AttemptEnd = {
 	readonly number: number;
 	readonly gate: GateClient;
@@ -87,7 +87,8 @@
 };
 
 /**
- * Runs a request to its one final outcome, by the decisions of `stepRequest`.
+ * Runs a request to its single final outcome. `stepRequest` makes the decisions;
+ * this function performs their effects.
  *
  * @param options - see `RunRequestOptions`
  * @returns the end of the request; does not reject
@@ -95,35 +96,35 @@
 export async function runRequest(
 	options: RunRequestOptions,
 ): Promise<RequestEnd> {
-	const {terms, template, signal, now} = options;
+	const {parameters, template, signal, now} = options;
 	let state = initialRequestState;
-	let open: OpenAttempt | undefined;
+	let openAttempt: OpenAttempt | undefined;
 	let answer: UpstreamResponse | undefined;
-	let silenceTimer: PolledTimer | undefined;
+	let livenessTimer: PolledTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
 	return new Promise((resolve) => {
-		function tell(message: RequestMessage): void {
+		function dispatch(message: RequestMessage): void {
 			const context = {
-				terms,
+				parameters,
 				now: now(),
 				random: options.random(),
-				// Read only where a decision needs them.
+				// Getters, so that each is computed only if a decision needs it.
 				get budget() {
 					return options.readRetryBudget();
 				},
-				get hasRoom() {
-					return options.hasCapacity();
+				get hasAvailableHost() {
+					return options.hasAvailableHost();
 				},
 			};
 			const step = stepRequest(state, message, context);
 			state = step.state;
 			for (const effect of step.effects) {
-				perform(effect);
+				performEffect(effect);
 			}
 		}
 
-		function perform(effect: RequestEffect): void {
+		function performEffect(effect: RequestEffect): void {
 			switch (effect.kind) {
 				case 'send': {
 					startAttempt(effect.attempt, effect.sameHost);
@@ -141,7 +142,9 @@
 				}
 
 				case 'wait': {
-					waitTimer = setTimeout(tell, effect.durationMs, {kind: 'wait-over'});
+					waitTimer = setTimeout(dispatch, effect.durationMs, {
+						kind: 'wait-over',
+					});
 					break;
 				}
 
@@ -165,14 +168,15 @@
 		function startAttempt(number: number, sameHost: boolean): void {
 			const {body} = template;
 			if (body instanceof Readable && body.readableDidRead) {
-				// An earlier attempt has taken a part of it.
-				tell({kind: 'no-host', reason: 'not-sent'});
+				// An earlier attempt has consumed part of the body.
+				dispatch({kind: 'no-host', reason: 'not-sent'});
 				return;
 			}
 
-			const gate = sameHost && open ? open.gate : options.pickGate();
+			const gate =
+				sameHost && openAttempt ? openAttempt.gate : options.pickGate();
 			if (typeof gate === 'string') {
-				tell({kind: 'no-host', reason: gate});
+				dispatch({kind: 'no-host', reason: gate});
 				return;
 			}
 
@@ -180,14 +184,14 @@
 			const hasStamp = stamp !== undefined;
 			const startedAt = now();
 			const controller = createCancelSource();
-			const remainingMs = terms.deadlineAt - startedAt;
+			const remainingMs = parameters.deadlineAt - startedAt;
 			const attempt: Attempt = {
 				...template,
 				id: `${template.idPrefix}/${number}`,
 				remainingMs: Math.max(remainingMs / 2, remainingMs - deadlineMarginMs),
 				objectiveMs: Math.max(
 					0,
-					(terms.objectiveAt ?? terms.deadlineAt) - startedAt,
+					(parameters.objectiveAt ?? parameters.deadlineAt) - startedAt,
 				),
 				stamp,
 				madeAtGateMs: gate.readGateTime(startedAt),
@@ -197,25 +201,25 @@
 				onSend: gate.isLocal
 					? undefined
 					: () => {
-							tell({kind: 'sent', attempt: number, hasStamp});
+							dispatch({kind: 'sent', attempt: number, hasStamp});
 						},
 				onSignOfLife: gate.isLocal
 					? undefined
 					: () => {
-							silenceTimer?.refresh();
+							livenessTimer?.refresh();
 						},
 			};
-			open = {gate, attempt, controller};
-			silenceTimer?.stop();
+			openAttempt = {gate, attempt, controller};
+			livenessTimer?.stop();
 			if (gate.isLocal) {
-				tell({kind: 'sent', attempt: number, hasStamp});
+				dispatch({kind: 'sent', attempt: number, hasStamp});
 			} else {
-				silenceTimer = startPolledTimer(() => {
-					tell({kind: 'silent', attempt: number});
+				livenessTimer = startPolledTimer(() => {
+					dispatch({kind: 'silent', attempt: number});
 				}, askAfterMs);
 			}
 
-			void runAttempt(number, open, startedAt);
+			void runAttempt(number, openAttempt, startedAt);
 		}
 
 		async function runAttempt(
@@ -235,13 +239,13 @@
 		): void {
 			if (result.kind === 'lost') {
 				const {reason} = result;
-				tell({kind: 'lost', attempt: number, reason, hadStamp});
+				dispatch({kind: 'lost', attempt: number, reason, hadStamp});
 				return;
 			}
 
 			if (result.kind !== 'answered') {
 				const {kind, reason, retryAfterSeconds: retryAfter} = result;
-				tell({
+				dispatch({
 					kind: 'ended',
 					attempt: number,
 					outcome: kind,
@@ -252,19 +256,19 @@
 			}
 
 			if (state.phase === 'done' || state.attempts !== number) {
-				dropAnswer(result);
+				discardResponse(result);
 				return;
 			}
 
 			answer = result;
-			tell({kind: 'answered', attempt: number});
+			dispatch({kind: 'answered', attempt: number});
 		}
 
 		async function ask(number: number): Promise<void> {
-			const {gate, attempt} = open!;
+			const {gate, attempt} = openAttempt!;
 			const {id, stamp} = attempt;
 			const known = await gate.ask({id, stamp});
-			tell(
+			dispatch(
 				known === 'failed'
 					? {kind: 'ask-failed', attempt: number}
 					: {kind: 'known', attempt: number, answer: known},
@@ -272,22 +276,22 @@
 		}
 
 		async function fetchAnswer(number: number): Promise<void> {
-			const {gate, attempt, controller} = open!;
-			const remainingMs = terms.deadlineAt - now();
+			const {gate, attempt, controller} = openAttempt!;
+			const remainingMs = parameters.deadlineAt - now();
 			const result = await gate.fetchAnswer(
 				attempt.id,
 				remainingMs,
 				controller.signal,
 			);
 			if (result.kind === 'lost') {
-				tell({kind: 'fetch-lost', attempt: number});
+				dispatch({kind: 'fetch-lost', attempt: number});
 			} else {
 				handleResult(number, result, true);
 			}
 		}
 
 		function abandon(shouldCancel: boolean): void {
-			const {gate, attempt, controller} = open!;
+			const {gate, attempt, controller} = openAttempt!;
 			controller.abort();
 			if (shouldCancel && !attempt.repeatable) {
 				void gate.cancel({id: attempt.id, stamp: attempt.stamp});
@@ -295,7 +299,7 @@
 		}
 
 		function finish(effect: RequestEffect & {kind: 'finish'}): void {
-			silenceTimer?.stop();
+			livenessTimer?.stop();
 			clearTimeout(waitTimer);
 			deadlineTimer.stop();
 			signal.removeEventListener('abort', cancel);
@@ -308,14 +312,14 @@
 			resolve({
 				outcome: effect.outcome,
 				reason: effect.reason!,
-				retryAfterSeconds: effect.retryAfterSeconds ?? computeDelay(),
+				retryAfterSeconds: effect.retryAfterSeconds ?? computeRetryDelay(),
 				attempts,
 			});
 		}
 
-		/** Computes when to come again after a refusal of which no gate knows. */
-		function computeDelay(): number {
-			const {deadlineAt, objectiveAt = deadlineAt} = terms;
+		/** Computes the retry delay for a refusal that did not come from a gate, seconds. */
+		function computeRetryDelay(): number {
+			const {deadlineAt, objectiveAt = deadlineAt} = parameters;
 			const at = now();
 			return computeRetryAfter({
 				waitMs: Math.max(busyRetryMs, options.readRateLimitWait?.() ?? 0),
@@ -328,21 +332,21 @@
 		}
 
 		function cancel(): void {
-			tell({kind: 'cancelled'});
+			dispatch({kind: 'cancelled'});
 		}
 
 		const deadlineTimer = startPolledTimer(
 			() => {
-				tell({kind: 'deadline'});
+				dispatch({kind: 'deadline'});
 			},
-			Math.max(0, terms.deadlineAt - now()),
+			Math.max(0, parameters.deadlineAt - now()),
 		);
 		signal.addEventListener('abort', cancel);
-		tell({kind: 'start'});
+		dispatch({kind: 'start'});
 	});
 }
 
-function dropAnswer({body}: UpstreamResponse): void {
+function discardResponse({body}: UpstreamResponse): void {
 	if (body instanceof Readable) {
 		body.destroy();
 	}
--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -9,12 +9,12 @@
 import {createPooledAgent} from './create-pooled-agent.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
-/** Most that may lie in buffers of the two ends and of the system between them, bytes. */
+/** Maximum data in the buffers of client, server and operating system together, bytes. */
 const maxHeldBytes = 32 * 1024 * 1024;
 
 type Handler = (socket: Socket, request: string, count: number) => unknown;
 
-/** Starts a server that is given each request's text; requests are short. */
+/** Starts a server whose handler gets the text of each request; requests must be short. */
 async function start(t: TestContext, handler: Handler) {
 	const sockets = new Set<Socket>();
 	let count = 0;
@@ -73,7 +73,7 @@
 
 const chunked = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
 
-/** Sends a beginning and then bytes until the other end closes. */
+/** Sends a prefix and then more data until the client closes the connection. */
 function writeOn(socket: Socket, beginning: string): void {
 	const write = (): void => {
 		if (!socket.destroyed) {
@@ -85,14 +85,14 @@
 }
 
 const cases: ReadonlyArray<readonly [string, Handler, string]> = [
-	['a whole answer', (socket) => socket.write(whole), '200 ok'],
+	['a complete response', (socket) => socket.write(whole), '200 ok'],
 	[
-		'an answer that ends with its connection',
+		'a response delimited by the close of its connection',
 		(socket) => socket.end(open),
 		'200 part',
 	],
 	[
-		'an answer without a length whose connection is reset',
+		'a response without a length whose connection is reset',
 		(socket) => {
 			socket.write(open, () => {
 				setTimeout(() => {
@@ -103,7 +103,7 @@
 		'truncated',
 	],
 	[
-		'an answer without a length that is reset with its last bytes',
+		'a response without a length whose connection is reset with its last bytes',
 		(socket) => {
 			socket.write(open, () => {
 				socket.resetAndDestroy();
@@ -112,7 +112,7 @@
 		'truncated',
 	],
 	[
-		'a long answer without a length whose connection is reset',
+		'a long response without a length whose connection is reset',
 		(socket) => {
 			socket.write(long, () => {
 				setTimeout(() => {
@@ -123,38 +123,38 @@
 		'stream broken',
 	],
 	[
-		'an answer cut before its length',
+		'a response shorter than its content length',
 		(socket) => socket.end(whole.slice(0, -1)),
 		'truncated',
 	],
 	[
-		'an answer with a status that is none',
+		'a response with an invalid status',
 		(socket) => socket.write(whole.replace('200', '099')),
 		'lost',
 	],
-	['a connection closed at once', (socket) => socket.destroy(), 'lost'],
+	['a connection closed immediately', (socket) => socket.destroy(), 'lost'],
 	[
-		'bytes that are no answer',
+		'data that is not an HTTP response',
 		(socket) => socket.write('hello\r\n\r\n'),
 		'lost',
 	],
 	[
-		'a whole answer with other bytes behind it',
+		'a complete response followed by other data',
 		(socket) => socket.write(`${whole}hello\r\n\r\n`),
 		'200 ok',
 	],
 	[
-		'a whole answer with a second one behind it',
+		'a complete response followed by a second one',
 		(socket) => socket.write(whole + whole.replace('ok', 'no')),
 		'200 ok',
 	],
 	[
-		'a whole answer in chunks with other bytes behind it',
+		'a complete chunked response followed by other data',
 		(socket) => socket.write(`${chunked}2\r\nok\r\n0\r\n\r\nhello\r\n`),
 		'200 ok',
 	],
 	[
-		'a whole answer with other bytes behind it and a reset',
+		'a complete response followed by other data and a reset',
 		(socket) => {
 			socket.write(`${whole}hello\r\n\r\n`, () => {
 				socket.resetAndDestroy();
@@ -163,28 +163,28 @@
 		'200 ok',
 	],
 	[
-		'no answer but bytes without end',
+		'endless data without a response',
 		(socket) => {
 			writeOn(socket, '');
 		},
 		'lost',
 	],
 	[
-		'a head without end',
+		'an endless response head',
 		(socket) => {
 			writeOn(socket, 'HTTP/1.1 200 OK\r\nx-pad: ');
 		},
 		'lost',
 	],
 	[
-		'a length of a chunk without end',
+		'an endless chunk header',
 		(socket) => {
 			writeOn(socket, `${chunked}2;`);
 		},
 		'truncated',
 	],
 	[
-		'trailers without end',
+		'endless trailers',
 		(socket) => {
 			writeOn(socket, `${chunked}2\r\nok\r\n0\r\nx-pad: `);
 		},
@@ -199,7 +199,7 @@
 	});
 }
 
-test('a connection on which bytes follow the answer is not used again', async (t) => {
+test('a connection on which data follows the response is not reused', async (t) => {
 	const {send, sockets} = await start(t, (socket) =>
 		socket.write(`${whole}hello\r\n\r\n`),
 	);
@@ -208,7 +208,7 @@
 	assert.equal(sockets.size, 2);
 });
 
-test('a body without end is held up until it is read, and cut with its reader', async (t) => {
+test('back pressure stops an endless body until it is read, and destroying the stream closes the connection', async (t) => {
 	const {send, sockets} = await start(t, (socket) => {
 		writeOn(socket, open);
 	});
@@ -218,7 +218,7 @@
 	const closed = new Promise((resolve) => {
 		socket!.once('close', resolve);
 	});
-	// The sender goes on until the buffers on the way are full.
+	// The sender continues until the buffers in between are full.
 	let before = -1;
 	while (socket!.bytesWritten > before) {
 		before = socket!.bytesWritten;
@@ -230,7 +230,7 @@
 	assert.ok(before < maxHeldBytes, `${before} bytes`);
 });
 
-test('a second answer on an idle connection is not taken for the next one', async (t) => {
+test('a second response on an idle connection is not taken for the next response', async (t) => {
 	const {send, sockets} = await start(t, (socket, _request, count) => {
 		socket.write(whole);
 		if (count === 1) {
@@ -247,24 +247,24 @@
 	assert.equal(sockets.size, 2);
 });
 
-test('bytes that lie unread on an idle connection are not taken for an answer', async (t) => {
+test('unread data on an idle connection is not taken for a response', async (t) => {
 	const {send, sockets} = await start(t, (socket) => socket.write(whole));
 	assert.equal(await describeOutcome(await send().outcome), '200 ok');
 	const [idle] = sockets;
-	// Goes to the operating system at once; the client has not read it yet.
+	// The data is passed to the operating system immediately; the client has not read it yet.
 	idle!.write(whole.replace('ok', 'no'));
 	assert.equal(await describeOutcome(await send().outcome), '200 ok');
 	assert.equal(sockets.size, 2);
 });
 
-test('a connection is used again', async (t) => {
+test('a connection is reused', async (t) => {
 	const {send, sockets} = await start(t, (socket) => socket.write(whole));
 	await send().outcome;
 	await send().outcome;
 	assert.equal(sockets.size, 1);
 });
 
-test('an address without a listener: nothing was sent', async () => {
+test('a request to an address without a listener is not sent', async () => {
 	const agent = createPooledAgent();
 	const {outcome} = sendRequest(
 		{method: 'GET', path: '/', headers: {}},
@@ -280,7 +280,7 @@
 	assert.equal(await describeOutcome(await sent.outcome), 'aborted');
 });
 
-test('a request that is aborted before its connection stands was not sent', async (t) => {
+test('a request aborted before its connection is established is not sent', async (t) => {
 	const {address} = await start(t, (socket) => socket.write(whole));
 	const agent = createPooledAgent();
 	t.after(() => {
@@ -302,7 +302,7 @@
 	assert.equal(sends, 1);
 });
 
-test('a node that runs late does not give up a connection that stands', async (t) => {
+test('an established connection does not time out when the event loop lags', async (t) => {
 	const {send} = await start(t, (socket) => socket.write(whole));
 	const sent = send();
 	process.nextTick(() => {
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -14,22 +14,22 @@
 import {discardBody} from './discard-body.js';
 import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
 
-/** What became of a request on one connection. */
+/** Outcome of a request on one connection. */
 export type SendOutcome =
 	| {
 			readonly kind: 'answered';
 			readonly status: number;
 			readonly headers: IncomingHttpHeaders;
-			/** Whole when short; else a stream that fails unless it ends whole. */
+			/** The complete body if it is short; otherwise a stream that fails if the body is truncated. */
 			readonly body: Uint8Array | Readable;
 	  }
-	/** Not one byte was sent. */
+	/** No byte of the request was sent. */
 	| {readonly kind: 'not-sent'}
-	/** The connection failed before the head of the answer. */
+	/** The connection failed before the response head was received. */
 	| {readonly kind: 'lost'}
-	/** The connection failed within the answer. */
+	/** The connection failed during the response. */
 	| {readonly kind: 'truncated'}
-	/** It was aborted after it may have been sent. */
+	/** The request was aborted after bytes may have been sent. */
 	| {readonly kind: 'aborted'};
 
 /** A request to be sent. */
@@ -43,54 +43,55 @@
 
 /** Options of `sendRequest`. */
 export type SendOptions = {
-	/** Connections to use. */
+	/** Agent that provides the connections. */
 	readonly agent: Agent;
-	/** IP and port of the other end. */
+	/** IP address and port of the server. */
 	readonly address: string;
 	/**
-	 * Whether an answer to another request is found out; if not, which is assumed,
-	 * idle connections are read before one of them is used again.
+	 * Whether responses identify their request, so that the response to another
+	 * request is detected; false by default. If not, unread data on idle
+	 * connections is read before a connection is reused.
 	 */
 	readonly areAnswersIdentified?: boolean;
-	/** Called before the first byte may leave, unless it was aborted before. */
+	/** Called before the first byte may be sent, unless the request is aborted before that. */
 	readonly onSend?: (() => void) | undefined;
-	/** Called when the last byte has been handed to the connection. */
+	/** Called when the last byte has been passed to the connection. */
 	readonly onSent?: (() => void) | undefined;
-	/** Called with each interim answer (1xx). */
+	/** Called for each informational response (1xx). */
 	readonly onInterim?: (() => void) | undefined;
-	/** Called when the head of the answer has arrived. */
+	/** Called when the response head has been received. */
 	readonly onHead?: ((head: AnswerHead) => void) | undefined;
 };
 
-/** A request that has been handed to a connection. */
+/** A request that has been passed to a connection. */
 export type SentRequest = {
 	readonly outcome: Promise<SendOutcome>;
-	/** Ends the request; a connection on which it was sent is closed. */
+	/** Aborts the request and closes the connection on which it was sent. */
 	abort(): void;
 };
 
-/** Least status of HTTP; Node reads lower ones but doesn't write them. */
+/** Lowest valid HTTP status; Node accepts lower ones in responses but refuses to write them. */
 const minStatus = 100;
 const statusNotModified = 304;
 const statusNoContent = 204;
 
-/** Tells whether only the end of the connection ends an answer's body. */
-function isEndedByConnection({headers}: IncomingMessage): boolean {
+/** Returns whether the body of a response is delimited only by the close of the connection. */
+function isCloseDelimited({headers}: IncomingMessage): boolean {
 	return (
 		headers['content-length'] === undefined &&
 		headers['transfer-encoding'] === undefined
 	);
 }
 
-/** Tells whether an agent has a connection to an address that is not in use. */
+/** Returns whether the agent has an idle connection to the address. */
 function hasIdleConnection({agent, address}: SendOptions): boolean {
 	const [host, port] = address.split(':');
 	const name = agent.getName({host: host!, port: Number(port)});
 	return (agent.freeSockets[name]?.length ?? 0) > 0;
 }
 
-/** One request on one connection, up to its outcome. */
-class Sending {
+/** The exchange of one request on one connection, up to its outcome. */
+class RequestExchange {
 	readonly outcome: Promise<SendOutcome>;
 	#request: ClientRequest | undefined;
 	#resolve!: (outcome: SendOutcome) => void;
@@ -98,8 +99,8 @@
 	#isSent = false;
 	#isAborted = false;
 	#hasFailed = false;
-	#isOver = false;
-	#answer: IncomingMessage | undefined;
+	#isSettled = false;
+	#response: IncomingMessage | undefined;
 	#chunks: Uint8Array[] = [];
 	#size = 0;
 	#isStreamed = false;
@@ -115,12 +116,12 @@
 		if (areAnswersIdentified || !hasIdleConnection(options)) {
 			this.#start(outgoing, options);
 		} else {
-			void this.#startOnceRead(outgoing, options);
+			void this.#startAfterRead(outgoing, options);
 		}
 	}
 
 	abort(): void {
-		if (this.#isOver) {
+		if (this.#isSettled) {
 			return;
 		}
 
@@ -133,14 +134,15 @@
 	}
 
 	/**
-	 * Starts the request after the sockets have been read: what a late node has
-	 * not read yet of an idle connection would be taken for the answer.
+	 * Starts the request after pending data on the sockets has been read. If the
+	 * event loop lags, unread data on an idle connection would otherwise be taken
+	 * for the response.
 	 */
-	async #startOnceRead(
+	async #startAfterRead(
 		outgoing: OutgoingRequest,
 		options: SendOptions,
 	): Promise<void> {
-		// The first turn may end without a read.
+		// The first event loop turn may end without a read.
 		await waitForTurn();
 		await waitForTurn();
 		if (!this.#isAborted) {
@@ -167,13 +169,13 @@
 		request.on('response', (answer) => {
 			const {statusCode: status = 0, headers: answerHeaders} = answer;
 			options.onHead?.({status, headers: answerHeaders});
-			this.#handleAnswer(answer);
+			this.#handleResponse(answer);
 		});
 		request.on('error', (error) => {
 			this.#fail(error);
 		});
 		request.on('close', () => {
-			this.#fail(new Error('the connection was closed'));
+			this.#fail(new Error('connection closed'));
 		});
 		if (options.onSent) {
 			request.once('finish', options.onSent);
@@ -188,23 +190,23 @@
 
 	#watchSocket(socket: Socket): void {
 		if (!socket.connecting) {
-			this.#noteSent();
+			this.#recordSent();
 			return;
 		}
 
 		this.#connectTimer = startPolledTimer(() => {
-			this.#request!.destroy(new Error('no connection in time'));
+			this.#request!.destroy(new Error('connection timed out'));
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
 			this.#connectTimer?.stop();
-			// Node writes the head of the request on the connection's first turn.
+			// Node writes the request head in the turn in which the connection is established.
 			if (!this.#isAborted) {
-				this.#noteSent();
+				this.#recordSent();
 			}
 		});
 	}
 
-	#noteSent(): void {
+	#recordSent(): void {
 		this.#isSent = true;
 		this.#onSend?.();
 	}
@@ -223,49 +225,49 @@
 		});
 		body.pipe(request);
 		request.once('close', () => {
-			if (this.#answer) {
+			if (this.#response) {
 				discardBody(body);
 			}
 		});
 	}
 
-	#handleAnswer(answer: IncomingMessage): void {
+	#handleResponse(answer: IncomingMessage): void {
 		if ((answer.statusCode ?? 0) < minStatus) {
-			this.#request!.destroy(new Error('no valid status'));
+			this.#request!.destroy(new Error('invalid response status'));
 			return;
 		}
 
-		this.#answer = answer;
+		this.#response = answer;
 		answer.on('error', (error) => {
 			this.#fail(error);
 		});
 		answer.on('aborted', () => {
-			this.#fail(new Error('the answer was cut'));
+			this.#fail(new Error('response truncated'));
 		});
-		if (isEndedByConnection(answer)) {
+		if (isCloseDelimited(answer)) {
 			this.#watchEnd(answer.socket);
 		}
 
-		answer.on('data', this.#takeChunk);
+		answer.on('data', this.#bufferChunk);
 		answer.on('end', () => {
-			this.#end();
+			this.#finishResponse();
 		});
 	}
 
 	/**
-	 * Tells a reset from an end. A reset that arrives together with the last
-	 * bytes is reported by libuv as an ordinary end, but the connection has no
-	 * peer any more.
+	 * Distinguishes a connection reset from a regular end. If a reset arrives
+	 * together with the last bytes, libuv reports an ordinary end, but the socket
+	 * has no remote address any more.
 	 */
 	#watchEnd(socket: Socket): void {
 		socket.prependOnceListener('end', () => {
 			if (socket.remoteAddress === undefined) {
-				this.#fail(new Error('the connection was reset'));
+				this.#fail(new Error('connection reset'));
 			}
 		});
 	}
 
-	readonly #takeChunk = (chunk: Uint8Array): void => {
+	readonly #bufferChunk = (chunk: Uint8Array): void => {
 		this.#chunks.push(chunk);
 		this.#size += chunk.length;
 		if (this.#size > maxBufferedBytes) {
@@ -274,11 +276,11 @@
 	};
 
 	#startStream(): void {
-		const answer = this.#answer!;
+		const answer = this.#response!;
 		const chunks = this.#chunks;
 		this.#isStreamed = true;
 		this.#chunks = [];
-		answer.off('data', this.#takeChunk);
+		answer.off('data', this.#bufferChunk);
 		answer.pause();
 		const stream = new Readable({
 			read() {
@@ -286,7 +288,7 @@
 			},
 			destroy: (error, callback) => {
 				if (!answer.complete || this.#hasFailed) {
-					this.#request!.destroy(error ?? new Error('not read to its end'));
+					this.#request!.destroy(error ?? new Error('response stream destroyed before its end'));
 				}
 
 				callback(error);
@@ -313,8 +315,8 @@
 		this.#settle(this.#createAnswered(stream));
 	}
 
-	#end(): void {
-		// After a reset Node ends an answer without a length like a whole one.
+	#finishResponse(): void {
+		// After a reset, Node emits `end` for a response without a length as if it were complete.
 		if (this.#hasFailed || this.#isStreamed) {
 			return;
 		}
@@ -322,7 +324,7 @@
 		const chunks = this.#chunks;
 		const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 		const length = Number(
-			this.#answer!.headers['content-length'] ?? body.length,
+			this.#response!.headers['content-length'] ?? body.length,
 		);
 		this.#settle(
 			length === body.length || this.#hasNoBody()
@@ -331,14 +333,14 @@
 		);
 	}
 
-	/** Tells whether the answer has arrived to its end, if not been read. */
-	#isAnswerWhole(): boolean {
-		const answer = this.#answer;
-		return answer?.complete === true && !isEndedByConnection(answer);
+	/** Returns whether the response has been received to its end, even if it has not been read yet. */
+	#isResponseComplete(): boolean {
+		const answer = this.#response;
+		return answer?.complete === true && !isCloseDelimited(answer);
 	}
 
 	#hasNoBody(): boolean {
-		const status = this.#answer!.statusCode;
+		const status = this.#response!.statusCode;
 		return (
 			this.#request!.method === 'HEAD' ||
 			status === statusNotModified ||
@@ -347,14 +349,14 @@
 	}
 
 	#createAnswered(body: Uint8Array | Readable): SendOutcome {
-		const {statusCode = 0, headers} = this.#answer!;
+		const {statusCode = 0, headers} = this.#response!;
 		return {kind: 'answered', status: statusCode, headers, body};
 	}
 
 	#fail(error: Error): void {
 		this.#connectTimer?.stop();
 		if (this.#isStreamed) {
-			if (!this.#answer!.complete || this.#hasFailed) {
+			if (!this.#response!.complete || this.#hasFailed) {
 				this.#hasFailed = true;
 				this.#onFailure?.(error);
 			}
@@ -362,8 +364,8 @@
 			return;
 		}
 
-		if (this.#isAnswerWhole() && !this.#isAborted) {
-			// What follows a whole answer belongs to no request.
+		if (this.#isResponseComplete() && !this.#isAborted) {
+			// Data after a complete response belongs to no request.
 			return;
 		}
 
@@ -373,14 +375,14 @@
 		} else if (this.#isAborted) {
 			this.#settle({kind: 'aborted'});
 		} else {
-			this.#settle({kind: this.#answer ? 'truncated' : 'lost'});
+			this.#settle({kind: this.#response ? 'truncated' : 'lost'});
 		}
 	}
 
 	#settle(outcome: SendOutcome): void {
 		this.#connectTimer?.stop();
-		if (!this.#isOver) {
-			this.#isOver = !this.#isStreamed;
+		if (!this.#isSettled) {
+			this.#isSettled = !this.#isStreamed;
 			this.#resolve(outcome);
 		}
 	}
@@ -389,22 +391,22 @@
 /**
  * Sends a request on a connection of an agent, at most once.
  *
- * The outcome says whether any byte may have been sent; errors are outcomes.
- * The body of a long answer comes as a stream with back pressure.
+ * The outcome tells whether any byte may have been sent; errors are reported as
+ * outcomes. A long response body is streamed with back pressure.
  *
  * @param outgoing - the request
  * @param options - see `SendOptions`
- * @returns its outcome, and how to abort it
+ * @returns the outcome and a function that aborts the request
  */
 export function sendRequest(
 	outgoing: OutgoingRequest,
 	options: SendOptions,
 ): SentRequest {
-	const sending = new Sending(outgoing, options);
+	const exchange = new RequestExchange(outgoing, options);
 	return {
-		outcome: sending.outcome,
+		outcome: exchange.outcome,
 		abort() {
-			sending.abort();
+			exchange.abort();
 		},
 	};
 }
