--- a/src/transport/_lib/create-accept-queue.ts
+++ b/src/transport/_lib/create-accept-queue.ts
@@ -65,7 +65,7 @@
 	let count = 0;
 	let maxWaitMs = 0;
 
-	function releaseSome(at: number): void {
+	function releaseBatch(at: number): void {
 		releasedAt = at;
 		for (const {socket, since} of held.splice(0, maxReleasesPerTurn)) {
 			count++;
@@ -83,7 +83,7 @@
 		}
 
 		if (wasQuiet || at - releasedAt >= maxReleaseIntervalMs) {
-			releaseSome(at);
+			releaseBatch(at);
 		}
 
 		isChecking = held.length > 0 || !wasQuiet;
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -211,8 +211,8 @@
 			.toSorted(compareWaiting);
 		let ahead = 0;
 		for (const job of queued) {
-			const turnAt = at + computeRateLimitWait(upstream.rateLimit, ahead, at);
-			if (turnAt > job.latestStartAt) {
+			const startAt = at + computeRateLimitWait(upstream.rateLimit, ahead, at);
+			if (startAt > job.latestStartAt) {
 				dropJob(job, 'limited');
 			} else {
 				ahead++;
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -100,22 +100,24 @@
 	/** Ends requests that are missing from a load report, after responses in transit have had time to arrive. */
 	function confirmLost(
 		upstream: LocalUpstream,
-		read: readonly Job[],
+		received: readonly Job[],
 		{isIdle, lost}: UpstreamWork,
 	): void {
-		const unanswered = read.filter(
+		const unanswered = received.filter(
 			(job) => upstream.sent.has(job) && !job.isAnswered,
 		);
 		// Requests that were answered in the meantime may be the ones missing from the report.
-		const left = isIdle ? lost - (read.length - unanswered.length) : lost;
+		const lostCount = isIdle
+			? lost - (received.length - unanswered.length)
+			: lost;
 		const suspects = unanswered
 			.toSorted(
 				(a, b) => a.fullySentAt + a.serviceMs - b.fullySentAt - b.serviceMs,
 			)
-			.slice(0, Math.max(0, left));
+			.slice(0, Math.max(0, lostCount));
 		for (const job of suspects) {
 			if (decide(job) === 'silent') {
-				endLost(job, left);
+				endLost(job, lostCount);
 			}
 		}
 	}
@@ -123,25 +125,25 @@
 	function recordLoad(upstream: LocalUpstream, load: GateLoad): void {
 		const at = now();
 		let unanswered = 0;
-		let readCount = 0;
+		let receivedCount = 0;
 		for (const job of upstream.sent) {
 			if (!job.isAnswered) {
 				unanswered++;
-				readCount += job.fullySentAt <= at - readMarginMs ? 1 : 0;
+				receivedCount += job.fullySentAt <= at - readMarginMs ? 1 : 0;
 			}
 		}
 
 		const work = computeUpstreamWork(
 			upstream.work,
-			{load, unanswered, read: readCount},
+			{load, unanswered, read: receivedCount},
 			at,
 		);
 		upstream.work = work;
 		if (work.lost > 0 && !upstream.lossConfirmTimer) {
-			const read = listReceived(upstream, at);
+			const received = listReceived(upstream, at);
 			upstream.lossConfirmTimer = setTimeout(() => {
 				upstream.lossConfirmTimer = undefined;
-				confirmLost(upstream, read, work);
+				confirmLost(upstream, received, work);
 			}, confirmDelayMs);
 			upstream.lossConfirmTimer.unref();
 		}
@@ -157,10 +159,10 @@
 
 	function check(upstream: LocalUpstream): void {
 		upstream.lossCheckTimer = undefined;
-		const isUnknown = [...upstream.sent].some(
+		const needsProbe = [...upstream.sent].some(
 			(job) => !job.isAnswered && decide(job) === 'probe',
 		);
-		if (isUnknown) {
+		if (needsProbe) {
 			void probeUpstream(upstream);
 		}
 
@@ -168,8 +170,8 @@
 	}
 
 	function scheduleCheck(upstream: LocalUpstream): void {
-		const isWatched = upstream.lossCheckTimer !== undefined;
-		if (!probeLoad || isWatched || upstream.sent.size === 0) {
+		const isScheduled = upstream.lossCheckTimer !== undefined;
+		if (!probeLoad || isScheduled || upstream.sent.size === 0) {
 			return;
 		}
 
--- a/src/transport/_lib/create-pooled-agent.ts
+++ b/src/transport/_lib/create-pooled-agent.ts
@@ -8,7 +8,7 @@
 	this.destroy();
 }
 
-/** Options of `createPooledAgent`, besides those of Node's agent. */
+/** Options of `createPooledAgent`, besides those of the Node.js agent. */
 export type PooledAgentOptions = AgentOptions & {
 	/** Called with each new connection. */
 	readonly onSocket?: ((socket: Socket) => void) | undefined;
@@ -36,7 +36,7 @@
 
 	// eslint-disable-next-line @typescript-eslint/strict-void-return
 	override keepSocketAlive(stream: Duplex): boolean {
-		// Node's typings omit the return value, which decides whether the socket is reused.
+		// The Node.js typings omit the return value, which decides whether the socket is reused.
 		const keep: (stream: Duplex) => unknown = super.keepSocketAlive.bind(this);
 		const isKept = keep(stream) === true;
 		if (isKept) {
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -89,10 +89,10 @@
 	select(
 		service: string,
 		key: string | undefined,
-		terms?: HostCriteria,
+		criteria?: HostCriteria,
 	): GateSelection;
 	/** Records the end of an attempt; `admissionClass` identifies requests that hosts admit alike. */
-	recordAttempt(end: AttemptEnd, now: number, demand?: string): void;
+	recordAttempt(end: AttemptEnd, now: number, admissionClass?: string): void;
 	recordRequest(team: string, service: string): void;
 	readRetryBudget(team: string, service: string): number;
 	spendRetryBudget(team: string, service: string): void;
@@ -286,14 +286,14 @@
 		service: string,
 		key: string | undefined,
 		tried: ReadonlySet<string>,
-		terms: HostCriteria,
+		criteria: HostCriteria,
 	): Candidate | undefined {
 		const hosts = candidates.get(service) ?? [];
 		if (key !== undefined) {
 			return pickKeyHost(hosts, key);
 		}
 
-		const {bodyBytes = 0, ...route} = terms;
+		const {bodyBytes = 0, ...route} = criteria;
 		const transfer =
 			bodyBytes < notableBodyBytes
 				? undefined
@@ -378,18 +378,19 @@
 				}
 			}
 		},
-		select(service, key, terms = {}) {
+		select(service, key, criteria = {}) {
 			const tried = new Set<string>();
-			let prepared: Candidate | undefined;
+			let preselected: Candidate | undefined;
 			return {
 				pickGate() {
-					const fullReason = findFullReason(service, terms);
+					const fullReason = findFullReason(service, criteria);
 					if (fullReason) {
 						return fullReason;
 					}
 
-					const host = prepared ?? pickCandidate(service, key, tried, terms);
-					prepared = undefined;
+					const host =
+						preselected ?? pickCandidate(service, key, tried, criteria);
+					preselected = undefined;
 					if (!host) {
 						return 'pending';
 					}
@@ -406,7 +407,7 @@
 					return hosts.some(
 						({host}) =>
 							!tried.has(host) &&
-							isAvailable(records.get(host), terms.admissionClass, now()),
+							isAvailable(records.get(host), criteria.admissionClass, now()),
 					);
 				},
 				readRateLimitWait() {
@@ -417,19 +418,19 @@
 					return waits.length === 0 ? 0 : Math.min(...waits);
 				},
 				async refreshStamp() {
-					prepared = pickCandidate(service, key, tried, terms);
-					if (prepared && prepared.host !== name) {
-						await refreshStamp(prepared.address);
+					preselected = pickCandidate(service, key, tried, criteria);
+					if (preselected && preselected.host !== name) {
+						await refreshStamp(preselected.address);
 					}
 				},
 			};
 		},
 		recordAttempt(
-			{gate: port, attempt, result, startedAt},
+			{gate: client, attempt, result, startedAt},
 			endedAt,
 			admissionClass,
 		) {
-			const {host, address} = port.host;
+			const {host, address} = client.host;
 			if (result.kind !== 'lost' && result.stamp) {
 				recordStamp(address, result.stamp, endedAt);
 			}
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -352,8 +352,8 @@
 	const queued = [...upstream.queued.values()].flat();
 	const next = {...order, isLate: false};
 	const ahead = queued.filter((job) => compareWaiting(job, next) <= 0);
-	const turnWaitMs = computeRateLimitWait(rateLimit, ahead.length, now);
-	const lateTurnWaitMs = computeRateLimitWait(rateLimit, queuedCount, now);
+	const rateLimitWaitMs = computeRateLimitWait(rateLimit, ahead.length, now);
+	const lateRateLimitWaitMs = computeRateLimitWait(rateLimit, queuedCount, now);
 	const slotWaitMs = computeWaitMs({
 		slots,
 		runningMs,
@@ -365,9 +365,9 @@
 		aheadMs: queued.map((job) => expectedMs(job)),
 	});
 	return {
-		waitMs: Math.max(slotWaitMs, turnWaitMs),
-		lateWaitMs: Math.max(lateSlotWaitMs, lateTurnWaitMs),
-		rateLimitWaitMs: turnWaitMs,
+		waitMs: Math.max(slotWaitMs, rateLimitWaitMs),
+		lateWaitMs: Math.max(lateSlotWaitMs, lateRateLimitWaitMs),
+		rateLimitWaitMs,
 	};
 }
 
@@ -379,8 +379,8 @@
  */
 export function findLongestQueue(upstream: LocalUpstream): readonly Job[] {
 	let longest: readonly Job[] = [];
-	for (const own of upstream.queued.values()) {
-		longest = own.length > longest.length ? own : longest;
+	for (const teamJobs of upstream.queued.values()) {
+		longest = teamJobs.length > longest.length ? teamJobs : longest;
 	}
 
 	return longest;
@@ -393,10 +393,12 @@
  */
 export function addToLocalQueue(job: Job): void {
 	const {upstream, attempt} = job;
-	const own = upstream.queued.get(attempt.team);
-	if (own) {
-		const index = own.findLastIndex((other) => compareWaiting(other, job) <= 0);
-		own.splice(index + 1, 0, job);
+	const teamJobs = upstream.queued.get(attempt.team);
+	if (teamJobs) {
+		const index = teamJobs.findLastIndex(
+			(other) => compareWaiting(other, job) <= 0,
+		);
+		teamJobs.splice(index + 1, 0, job);
 	} else {
 		upstream.queued.set(attempt.team, [job]);
 	}
@@ -411,10 +413,10 @@
  */
 export function removeFromLocalQueue(job: Job): void {
 	const {upstream, attempt} = job;
-	const own = upstream.queued.get(attempt.team)!;
-	own.splice(own.indexOf(job), 1);
+	const teamJobs = upstream.queued.get(attempt.team)!;
+	teamJobs.splice(teamJobs.indexOf(job), 1);
 	upstream.queuedCount--;
-	if (own.length === 0) {
+	if (teamJobs.length === 0) {
 		upstream.queued.delete(attempt.team);
 	}
 }
@@ -427,10 +429,10 @@
  * @returns the number of jobs
  */
 export function countAhead(upstream: LocalUpstream, team: string): number {
-	const own = upstream.queued.get(team)?.length ?? 0;
+	const teamQueued = upstream.queued.get(team)?.length ?? 0;
 	let ahead = 0;
 	for (const jobs of upstream.queued.values()) {
-		ahead += Math.min(jobs.length, own + 1);
+		ahead += Math.min(jobs.length, teamQueued + 1);
 	}
 
 	return ahead;
--- a/src/transport/_lib/race-result.ts
+++ b/src/transport/_lib/race-result.ts
@@ -16,16 +16,16 @@
 	return new Promise((resolve) => {
 		const end = (value: T | undefined): void => {
 			clearTimeout(timer);
-			signal.removeEventListener('abort', handleTimeout);
+			signal.removeEventListener('abort', stopWaiting);
 			resolve(value);
 		};
 
-		const handleTimeout = (): void => {
+		const stopWaiting = (): void => {
 			end(undefined);
 		};
 
-		const timer = setTimeout(handleTimeout, durationMs);
-		signal.addEventListener('abort', handleTimeout);
+		const timer = setTimeout(stopWaiting, durationMs);
+		signal.addEventListener('abort', stopWaiting);
 		void result.then(end);
 	});
 }
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -99,7 +99,7 @@
 	const {parameters, template, signal, now} = options;
 	let state = initialRequestState;
 	let openAttempt: OpenAttempt | undefined;
-	let answer: UpstreamResponse | undefined;
+	let response: UpstreamResponse | undefined;
 	let livenessTimer: PolledTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
@@ -137,7 +137,7 @@
 				}
 
 				case 'fetch': {
-					void fetchAnswer(effect.attempt);
+					void fetchResponse(effect.attempt);
 					break;
 				}
 
@@ -260,7 +260,7 @@
 				return;
 			}
 
-			answer = result;
+			response = result;
 			dispatch({kind: 'answered', attempt: number});
 		}
 
@@ -275,7 +275,7 @@
 			);
 		}
 
-		async function fetchAnswer(number: number): Promise<void> {
+		async function fetchResponse(number: number): Promise<void> {
 			const {gate, attempt, controller} = openAttempt!;
 			const remainingMs = parameters.deadlineAt - now();
 			const result = await gate.fetchAnswer(
@@ -305,7 +305,7 @@
 			signal.removeEventListener('abort', cancel);
 			const {attempts} = state;
 			if (effect.outcome === 'answered') {
-				resolve({outcome: 'answered', answer: answer!, attempts});
+				resolve({outcome: 'answered', answer: response!, attempts});
 				return;
 			}
 
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -70,7 +70,7 @@
 	abort(): void;
 };
 
-/** Lowest valid HTTP status; Node accepts lower ones in responses but refuses to write them. */
+/** Lowest valid HTTP status; Node.js accepts lower ones in responses but refuses to write them. */
 const minStatus = 100;
 const statusNotModified = 304;
 const statusNoContent = 204;
@@ -166,10 +166,10 @@
 		request.on('socket', (socket) => {
 			this.#watchSocket(socket);
 		});
-		request.on('response', (answer) => {
-			const {statusCode: status = 0, headers: answerHeaders} = answer;
-			options.onHead?.({status, headers: answerHeaders});
-			this.#handleResponse(answer);
+		request.on('response', (response) => {
+			const {statusCode: status = 0, headers: responseHeaders} = response;
+			options.onHead?.({status, headers: responseHeaders});
+			this.#handleResponse(response);
 		});
 		request.on('error', (error) => {
 			this.#fail(error);
@@ -199,7 +199,7 @@
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
 			this.#connectTimer?.stop();
-			// Node writes the request head in the turn in which the connection is established.
+			// Node.js writes the request head in the turn in which the connection is established.
 			if (!this.#isAborted) {
 				this.#recordSent();
 			}
@@ -231,25 +231,25 @@
 		});
 	}
 
-	#handleResponse(answer: IncomingMessage): void {
-		if ((answer.statusCode ?? 0) < minStatus) {
+	#handleResponse(response: IncomingMessage): void {
+		if ((response.statusCode ?? 0) < minStatus) {
 			this.#request!.destroy(new Error('invalid response status'));
 			return;
 		}
 
-		this.#response = answer;
-		answer.on('error', (error) => {
+		this.#response = response;
+		response.on('error', (error) => {
 			this.#fail(error);
 		});
-		answer.on('aborted', () => {
+		response.on('aborted', () => {
 			this.#fail(new Error('response truncated'));
 		});
-		if (isCloseDelimited(answer)) {
-			this.#watchEnd(answer.socket);
+		if (isCloseDelimited(response)) {
+			this.#watchEnd(response.socket);
 		}
 
-		answer.on('data', this.#bufferChunk);
-		answer.on('end', () => {
+		response.on('data', this.#bufferChunk);
+		response.on('end', () => {
 			this.#finishResponse();
 		});
 	}
@@ -276,19 +276,21 @@
 	};
 
 	#startStream(): void {
-		const answer = this.#response!;
+		const response = this.#response!;
 		const chunks = this.#chunks;
 		this.#isStreamed = true;
 		this.#chunks = [];
-		answer.off('data', this.#bufferChunk);
-		answer.pause();
+		response.off('data', this.#bufferChunk);
+		response.pause();
 		const stream = new Readable({
 			read() {
-				answer.resume();
+				response.resume();
 			},
 			destroy: (error, callback) => {
-				if (!answer.complete || this.#hasFailed) {
-					this.#request!.destroy(error ?? new Error('response stream destroyed before its end'));
+				if (!response.complete || this.#hasFailed) {
+					this.#request!.destroy(
+						error ?? new Error('response stream destroyed before its end'),
+					);
 				}
 
 				callback(error);
@@ -298,12 +300,12 @@
 			stream.push(chunk);
 		}
 
-		answer.on('data', (chunk: Uint8Array) => {
+		response.on('data', (chunk: Uint8Array) => {
 			if (!stream.push(chunk)) {
-				answer.pause();
+				response.pause();
 			}
 		});
-		answer.on('end', () => {
+		response.on('end', () => {
 			if (!this.#hasFailed) {
 				stream.push(null);
 			}
@@ -312,11 +314,11 @@
 			stream.destroy(error);
 		};
 
-		this.#settle(this.#createAnswered(stream));
+		this.#settle(this.#createAnsweredOutcome(stream));
 	}
 
 	#finishResponse(): void {
-		// After a reset, Node emits `end` for a response without a length as if it were complete.
+		// After a reset, Node.js emits `end` for a response without a length as if it were complete.
 		if (this.#hasFailed || this.#isStreamed) {
 			return;
 		}
@@ -328,15 +330,15 @@
 		);
 		this.#settle(
 			length === body.length || this.#hasNoBody()
-				? this.#createAnswered(body)
+				? this.#createAnsweredOutcome(body)
 				: {kind: 'truncated'},
 		);
 	}
 
 	/** Returns whether the response has been received to its end, even if it has not been read yet. */
 	#isResponseComplete(): boolean {
-		const answer = this.#response;
-		return answer?.complete === true && !isCloseDelimited(answer);
+		const response = this.#response;
+		return response?.complete === true && !isCloseDelimited(response);
 	}
 
 	#hasNoBody(): boolean {
@@ -348,7 +350,7 @@
 		);
 	}
 
-	#createAnswered(body: Uint8Array | Readable): SendOutcome {
+	#createAnsweredOutcome(body: Uint8Array | Readable): SendOutcome {
 		const {statusCode = 0, headers} = this.#response!;
 		return {kind: 'answered', status: statusCode, headers, body};
 	}
