--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -58,7 +58,7 @@
 	enqueue(
 		attempt: Attempt,
 		upstream: LocalUpstream,
-		expectation: JobEstimate,
+		estimate: JobEstimate,
 	): Job;
 	/** Refuses a job if it is still queued. */
 	expireQueued(job: Job): void;
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -85,6 +85,7 @@
 
 /** Tracks the hosts of services for a caller's node, and its retry budgets. */
 export type ServiceRouter = {
+	/** Updates the known hosts from a membership view. */
 	updateMembers(view: MembersView): void;
 	select(
 		service: string,
@@ -100,7 +101,7 @@
 
 type AttemptEndedMessage = HostMessage & {readonly kind: 'ended'};
 
-type HeldStamp = {
+type CachedStamp = {
 	readonly stamp: GateStamp;
 	readonly receivedAt: number;
 	readonly clock: GateClock;
@@ -148,7 +149,7 @@
 	const {name, dataCentre, gate, forwarder, logger, now, random} = options;
 	const {linkMbps = usualLinkMbps} = options;
 	const records = new Map<string, HostRecord>();
-	const stamps = new Map<string, HeldStamp>();
+	const stamps = new Map<string, CachedStamp>();
 	// Notices outlive host records, because a restarting host is missing from the view for a while.
 	const notices = new Map<string, CachedNotice>();
 	const budgets = new Map<string, RetryBudget>();
