--- a/src/transport/_lib/create-accept-queue.ts
+++ b/src/transport/_lib/create-accept-queue.ts
@@ -31,7 +31,7 @@
 	readonly since: number;
 };
 
-/** Connections released in one turn of the event loop; a cold node takes about 15 ms for their first requests. */
+/** Maximum number of connections released in one event loop turn; a cold node takes about 15 ms for their first requests. */
 const maxReleasesPerTurn = 4;
 
 /** Longest time between releases, ms; about the lag above which a request may be outdated. */
@@ -76,17 +76,17 @@
 
 	function checkTurn(): void {
 		const at = now();
-		const wasQuiet = isTurnWithoutAccept;
+		const wasWithoutAccept = isTurnWithoutAccept;
 		isTurnWithoutAccept = true;
-		if (wasQuiet) {
+		if (wasWithoutAccept) {
 			lastEmptyAt = at;
 		}
 
-		if (wasQuiet || at - releasedAt >= maxReleaseIntervalMs) {
+		if (wasWithoutAccept || at - releasedAt >= maxReleaseIntervalMs) {
 			releaseBatch(at);
 		}
 
-		isChecking = held.length > 0 || !wasQuiet;
+		isChecking = held.length > 0 || !wasWithoutAccept;
 		if (isChecking) {
 			setImmediate(checkTurn);
 			return;
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -63,7 +63,7 @@
 export type GateSelection = {
 	/** Picks a gate, if possible one that was not tried yet; returns the reason if there is none. */
 	pickGate(): GateClient | OutcomeReason;
-	/** Whether an untried host is available, that is, not known to be full. */
+	/** Whether there is an untried host that is not known to be full. */
 	hasAvailableHost(): boolean;
 	/** Returns the shortest wait under the rate limits of the reachable hosts, ms. */
 	readRateLimitWait(): number;
@@ -442,10 +442,11 @@
 
 			// The result of an attempt that was not sent has no stamp from the gate.
 			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
-			const isSilent = !isHeard && isUnreachable(records.get(host), endedAt);
+			const isUnresponsive =
+				!isHeard && isUnreachable(records.get(host), endedAt);
 			updateHostRecord(host, attempt.service, {
 				kind: 'ended',
-				outcome: isSilent ? 'unreachable' : classifyResult(result),
+				outcome: isUnresponsive ? 'unreachable' : classifyResult(result),
 				isHeard,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -65,14 +65,14 @@
 	now: number,
 ): Job | undefined {
 	const {slots} = upstream.announcement;
-	const takenSlots = readOccupiedSlots(upstream, now);
-	if (upstream.queuedCount === 0 || takenSlots >= slots) {
+	const occupiedSlots = readOccupiedSlots(upstream, now);
+	if (upstream.queuedCount === 0 || occupiedSlots >= slots) {
 		return undefined;
 	}
 
 	const team = pickNextTeam({
 		slots,
-		inFlight: takenSlots,
+		inFlight: occupiedSlots,
 		startTags: new Map(
 			[...upstream.queued].map(([name, jobs]) => [name, jobs[0]!.startTag]),
 		),
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -50,7 +50,7 @@
 	readonly createTraceparent: () => string | undefined;
 	/** Called with each attempt that has ended. */
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
-	/** Whether an untried host is available, that is, not known to be full. */
+	/** Whether there is an untried host that is not known to be full. */
 	readonly hasAvailableHost: () => boolean;
 	/** Returns the shortest wait under the hosts' rate limits, ms; 0 when absent. */
 	readonly readRateLimitWait?: () => number;
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -52,7 +52,7 @@
 	 * request is detected; false by default. If not, unread data on idle
 	 * connections is read before a connection is reused.
 	 */
-	readonly areAnswersIdentified?: boolean;
+	readonly areResponsesIdentified?: boolean;
 	/** Called before the first byte may be sent, unless the request is aborted before that. */
 	readonly onSend?: (() => void) | undefined;
 	/** Called when the last byte has been passed to the connection. */
@@ -112,8 +112,8 @@
 			this.#resolve = resolve;
 		});
 		this.#onSend = options.onSend;
-		const {areAnswersIdentified = false} = options;
-		if (areAnswersIdentified || !hasIdleConnection(options)) {
+		const {areResponsesIdentified = false} = options;
+		if (areResponsesIdentified || !hasIdleConnection(options)) {
 			this.#start(outgoing, options);
 		} else {
 			void this.#startAfterRead(outgoing, options);
