--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -19,7 +19,10 @@
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
 import type {UpstreamResponse} from './send-upstream-response.js';
-import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
+import {
+	startPostPollTimer,
+	type PostPollTimer,
+} from './start-post-poll-timer.js';
 
 /** Properties shared by all attempts of a request. */
 export type AttemptTemplate = Omit<
@@ -100,7 +103,7 @@
 	let state = initialRequestState;
 	let openAttempt: OpenAttempt | undefined;
 	let response: UpstreamResponse | undefined;
-	let livenessTimer: PolledTimer | undefined;
+	let livenessTimer: PostPollTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
 	return new Promise((resolve) => {
@@ -214,7 +217,7 @@
 			if (gate.isLocal) {
 				dispatch({kind: 'sent', attempt: number, hasStamp});
 			} else {
-				livenessTimer = startPolledTimer(() => {
+				livenessTimer = startPostPollTimer(() => {
 					dispatch({kind: 'silent', attempt: number});
 				}, askAfterMs);
 			}
@@ -335,7 +338,7 @@
 			dispatch({kind: 'cancelled'});
 		}
 
-		const deadlineTimer = startPolledTimer(
+		const deadlineTimer = startPostPollTimer(
 			() => {
 				dispatch({kind: 'deadline'});
 			},
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -12,7 +12,10 @@
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 import type {AnswerHead} from '../../protocol/edge.js';
 import {discardBody} from './discard-body.js';
-import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
+import {
+	startPostPollTimer,
+	type PostPollTimer,
+} from './start-post-poll-timer.js';
 
 /** Outcome of a request on one connection. */
 export type SendOutcome =
@@ -95,7 +98,7 @@
 	readonly outcome: Promise<SendOutcome>;
 	#request: ClientRequest | undefined;
 	#resolve!: (outcome: SendOutcome) => void;
-	#connectTimer: PolledTimer | undefined;
+	#connectTimer: PostPollTimer | undefined;
 	#isSent = false;
 	#isAborted = false;
 	#hasFailed = false;
@@ -194,7 +197,7 @@
 			return;
 		}
 
-		this.#connectTimer = startPolledTimer(() => {
+		this.#connectTimer = startPostPollTimer(() => {
 			this.#request!.destroy(new Error('connection timed out'));
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
