--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -260,7 +260,7 @@
 				forwarder.forwardAttempt(address, {
 					...attempt,
 					onSignOfLife() {
-						updateHostRecord(host.host, service, {kind: 'heard'});
+						updateHostRecord(host.host, service, {kind: 'keepalive'});
 						attempt.onSignOfLife?.();
 					},
 				}),
@@ -441,13 +441,13 @@
 			}
 
 			// The result of an attempt that was not sent has no stamp from the gate.
-			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
+			const isFromHost = result.kind !== 'lost' && result.stamp !== undefined;
 			const isUnresponsive =
-				!isHeard && isUnreachable(records.get(host), endedAt);
+				!isFromHost && isUnreachable(records.get(host), endedAt);
 			updateHostRecord(host, attempt.service, {
 				kind: 'ended',
 				outcome: isUnresponsive ? 'unreachable' : classifyResult(result),
-				isHeard,
+				isFromHost,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
 				admissionClass,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -146,7 +146,7 @@
 
 				case 'wait': {
 					waitTimer = setTimeout(dispatch, effect.durationMs, {
-						kind: 'wait-over',
+						kind: 'delay-elapsed',
 					});
 					break;
 				}
@@ -274,7 +274,7 @@
 			dispatch(
 				known === 'failed'
 					? {kind: 'ask-failed', attempt: number}
-					: {kind: 'known', attempt: number, answer: known},
+					: {kind: 'ask-answered', attempt: number, answer: known},
 			);
 		}
 
