--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -24,7 +24,7 @@
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
 
-/** What of an attempt is the same for all attempts of a request. */
+/** Properties shared by all attempts of a request. */
 export type AttemptTemplate = Omit<
 	Attempt,
 	| 'id'
@@ -38,7 +38,7 @@
 	| 'onSend'
 	| 'onSignOfLife'
 > & {
-	/** First part of the identifiers of the attempts. */
+	/** Prefix of the attempts' identifiers. */
 	readonly idPrefix: string;
 };
 
@@ -46,16 +46,16 @@
 export type RunRequestOptions = {
 	readonly parameters: RequestParameters;
 	readonly template: AttemptTemplate;
-	/** Aborted when the client has gone. */
+	/** Aborted when the client has disconnected. */
 	readonly signal: CancelSignal;
-	/** Picks the gate of the next attempt, or says why there is none. */
+	/** Picks the gate of the next attempt; returns the reason if there is none. */
 	readonly pickGate: () => GateClient | OutcomeReason;
 	readonly createTraceparent: () => string | undefined;
-	/** Told of each attempt that has ended. */
+	/** Called with each attempt that has ended. */
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
-	/** Whether a host that was not tried is not known to be full. */
+	/** Whether there is an untried host that is not known to be full. */
 	readonly hasAvailableHost: () => boolean;
-	/** Least time until a host may take a request under the rate limits, ms; 0 when absent. */
+	/** Returns the shortest wait under the hosts' rate limits, ms; 0 when absent. */
 	readonly readRateLimitWait?: () => number;
 	readonly readRetryBudget: () => number;
 	readonly spendRetryBudget: () => void;
@@ -64,7 +64,7 @@
 	readonly random: () => number;
 };
 
-/** One attempt that has ended. */
+/** An attempt that has ended, with its result. */
 export type AttemptEnd = {
 	readonly number: number;
 	readonly gate: GateClient;
@@ -90,7 +90,8 @@
 };
 
 /**
- * Runs a request to its one final outcome, by the decisions of `stepRequest`.
+ * Runs a request to its single final outcome. `stepRequest` makes the decisions;
+ * this function performs their effects.
  *
  * @param options - see `RunRequestOptions`
  * @returns the end of the request; does not reject
@@ -100,18 +101,18 @@
 ): Promise<RequestEnd> {
 	const {parameters, template, signal, now} = options;
 	let state = initialRequestState;
-	let open: OpenAttempt | undefined;
-	let answer: UpstreamResponse | undefined;
-	let silenceTimer: PostPollTimer | undefined;
+	let openAttempt: OpenAttempt | undefined;
+	let response: UpstreamResponse | undefined;
+	let livenessTimer: PostPollTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
 	return new Promise((resolve) => {
-		function tell(message: RequestMessage): void {
+		function dispatch(message: RequestMessage): void {
 			const context = {
 				parameters,
 				now: now(),
 				random: options.random(),
-				// Read only where a decision needs them.
+				// Getters, so that each is computed only if a decision needs it.
 				get budget() {
 					return options.readRetryBudget();
 				},
@@ -122,11 +123,11 @@
 			const step = stepRequest(state, message, context);
 			state = step.state;
 			for (const effect of step.effects) {
-				perform(effect);
+				performEffect(effect);
 			}
 		}
 
-		function perform(effect: RequestEffect): void {
+		function performEffect(effect: RequestEffect): void {
 			switch (effect.kind) {
 				case 'send': {
 					startAttempt(effect.attempt, effect.sameHost);
@@ -139,12 +140,12 @@
 				}
 
 				case 'fetch': {
-					void fetchAnswer(effect.attempt);
+					void fetchResponse(effect.attempt);
 					break;
 				}
 
 				case 'wait': {
-					waitTimer = setTimeout(tell, effect.durationMs, {
+					waitTimer = setTimeout(dispatch, effect.durationMs, {
 						kind: 'delay-elapsed',
 					});
 					break;
@@ -170,14 +171,15 @@
 		function startAttempt(number: number, sameHost: boolean): void {
 			const {body} = template;
 			if (body instanceof Readable && body.readableDidRead) {
-				// An earlier attempt has taken a part of it.
-				tell({kind: 'no-host', reason: 'not-sent'});
+				// An earlier attempt has consumed part of the body.
+				dispatch({kind: 'no-host', reason: 'not-sent'});
 				return;
 			}
 
-			const gate = sameHost && open ? open.gate : options.pickGate();
+			const gate =
+				sameHost && openAttempt ? openAttempt.gate : options.pickGate();
 			if (typeof gate === 'string') {
-				tell({kind: 'no-host', reason: gate});
+				dispatch({kind: 'no-host', reason: gate});
 				return;
 			}
 
@@ -202,25 +204,25 @@
 				onSend: gate.isLocal
 					? undefined
 					: () => {
-							tell({kind: 'sent', attempt: number, hasStamp});
+							dispatch({kind: 'sent', attempt: number, hasStamp});
 						},
 				onSignOfLife: gate.isLocal
 					? undefined
 					: () => {
-							silenceTimer?.refresh();
+							livenessTimer?.refresh();
 						},
 			};
-			open = {gate, attempt, controller};
-			silenceTimer?.stop();
+			openAttempt = {gate, attempt, controller};
+			livenessTimer?.stop();
 			if (gate.isLocal) {
-				tell({kind: 'sent', attempt: number, hasStamp});
+				dispatch({kind: 'sent', attempt: number, hasStamp});
 			} else {
-				silenceTimer = startPostPollTimer(() => {
-					tell({kind: 'silent', attempt: number});
+				livenessTimer = startPostPollTimer(() => {
+					dispatch({kind: 'silent', attempt: number});
 				}, askAfterMs);
 			}
 
-			void runAttempt(number, open, startedAt);
+			void runAttempt(number, openAttempt, startedAt);
 		}
 
 		async function runAttempt(
@@ -240,13 +242,13 @@
 		): void {
 			if (result.kind === 'lost') {
 				const {reason} = result;
-				tell({kind: 'lost', attempt: number, reason, hadStamp});
+				dispatch({kind: 'lost', attempt: number, reason, hadStamp});
 				return;
 			}
 
 			if (result.kind !== 'answered') {
 				const {kind, reason, retryAfterSeconds: retryAfter} = result;
-				tell({
+				dispatch({
 					kind: 'ended',
 					attempt: number,
 					outcome: kind,
@@ -257,27 +259,27 @@
 			}
 
 			if (state.phase === 'done' || state.attempts !== number) {
-				dropAnswer(result);
+				discardResponse(result);
 				return;
 			}
 
-			answer = result;
-			tell({kind: 'answered', attempt: number});
+			response = result;
+			dispatch({kind: 'answered', attempt: number});
 		}
 
 		async function ask(number: number): Promise<void> {
-			const {gate, attempt} = open!;
+			const {gate, attempt} = openAttempt!;
 			const {id, stamp} = attempt;
 			const known = await gate.ask({id, stamp});
-			tell(
+			dispatch(
 				known === 'failed'
 					? {kind: 'ask-failed', attempt: number}
 					: {kind: 'ask-answered', attempt: number, answer: known},
 			);
 		}
 
-		async function fetchAnswer(number: number): Promise<void> {
-			const {gate, attempt, controller} = open!;
+		async function fetchResponse(number: number): Promise<void> {
+			const {gate, attempt, controller} = openAttempt!;
 			const remainingMs = parameters.deadlineAt - now();
 			const result = await gate.fetchAnswer(
 				attempt.id,
@@ -285,14 +287,14 @@
 				controller.signal,
 			);
 			if (result.kind === 'lost') {
-				tell({kind: 'fetch-lost', attempt: number});
+				dispatch({kind: 'fetch-lost', attempt: number});
 			} else {
 				handleResult(number, result, true);
 			}
 		}
 
 		function abandon(shouldCancel: boolean): void {
-			const {gate, attempt, controller} = open!;
+			const {gate, attempt, controller} = openAttempt!;
 			controller.abort();
 			if (shouldCancel && !attempt.repeatable) {
 				void gate.cancel({id: attempt.id, stamp: attempt.stamp});
@@ -300,26 +302,26 @@
 		}
 
 		function finish(effect: RequestEffect & {kind: 'finish'}): void {
-			silenceTimer?.stop();
+			livenessTimer?.stop();
 			clearTimeout(waitTimer);
 			deadlineTimer.stop();
 			signal.removeEventListener('abort', cancel);
 			const {attempts} = state;
 			if (effect.outcome === 'answered') {
-				resolve({outcome: 'answered', answer: answer!, attempts});
+				resolve({outcome: 'answered', answer: response!, attempts});
 				return;
 			}
 
 			resolve({
 				outcome: effect.outcome,
 				reason: effect.reason!,
-				retryAfterSeconds: effect.retryAfterSeconds ?? computeDelay(),
+				retryAfterSeconds: effect.retryAfterSeconds ?? computeRetryDelay(),
 				attempts,
 			});
 		}
 
-		/** Computes when to come again after a refusal of which no gate knows. */
-		function computeDelay(): number {
+		/** Computes the retry delay for a refusal that did not come from a gate, seconds. */
+		function computeRetryDelay(): number {
 			const {deadlineAt, objectiveAt = deadlineAt} = parameters;
 			const at = now();
 			return computeRetryAfter({
@@ -333,21 +335,21 @@
 		}
 
 		function cancel(): void {
-			tell({kind: 'cancelled'});
+			dispatch({kind: 'cancelled'});
 		}
 
 		const deadlineTimer = startPostPollTimer(
 			() => {
-				tell({kind: 'deadline'});
+				dispatch({kind: 'deadline'});
 			},
 			Math.max(0, parameters.deadlineAt - now()),
 		);
 		signal.addEventListener('abort', cancel);
-		tell({kind: 'start'});
+		dispatch({kind: 'start'});
 	});
 }
 
-function dropAnswer({body}: UpstreamResponse): void {
+function discardResponse({body}: UpstreamResponse): void {
 	if (body instanceof Readable) {
 		body.destroy();
 	}
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -17,22 +17,22 @@
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
 
-/** What became of a request on one connection. */
+/** Outcome of a request on one connection. */
 export type SendOutcome =
 	| {
 			readonly kind: 'answered';
 			readonly status: number;
 			readonly headers: IncomingHttpHeaders;
-			/** Whole when short; else a stream that fails unless it ends whole. */
+			/** The complete body if it is short; otherwise a stream that fails if the body is truncated. */
 			readonly body: Uint8Array | Readable;
 	  }
-	/** Not one byte was sent. */
+	/** No byte of the request was sent. */
 	| {readonly kind: 'not-sent'}
-	/** The connection failed before the head of the answer. */
+	/** The connection failed before the response head was received. */
 	| {readonly kind: 'lost'}
-	/** The connection failed within the answer. */
+	/** The connection failed during the response. */
 	| {readonly kind: 'truncated'}
-	/** It was aborted after it may have been sent. */
+	/** The request was aborted after bytes may have been sent. */
 	| {readonly kind: 'aborted'};
 
 /** A request to be sent. */
@@ -46,54 +46,55 @@
 
 /** Options of `sendRequest`. */
 export type SendOptions = {
-	/** Connections to use. */
+	/** Agent that provides the connections. */
 	readonly agent: Agent;
-	/** IP and port of the other end. */
+	/** IP address and port of the server. */
 	readonly address: string;
 	/**
-	 * Whether an answer to another request is found out; if not, which is assumed,
-	 * idle connections are read before one of them is used again.
+	 * Whether responses identify their request, so that the response to another
+	 * request is detected; false by default. If not, unread data on idle
+	 * connections is read before a connection is reused.
 	 */
 	readonly areResponsesIdentified?: boolean;
-	/** Called before the first byte may leave, unless it was aborted before. */
+	/** Called before the first byte may be sent, unless the request is aborted before that. */
 	readonly onSend?: (() => void) | undefined;
-	/** Called when the last byte has been handed to the connection. */
+	/** Called when the last byte has been passed to the connection. */
 	readonly onSent?: (() => void) | undefined;
-	/** Called with each interim answer (1xx). */
+	/** Called for each informational response (1xx). */
 	readonly onInterim?: (() => void) | undefined;
-	/** Called when the head of the answer has arrived. */
+	/** Called when the response head has been received. */
 	readonly onHead?: ((head: AnswerHead) => void) | undefined;
 };
 
-/** A request that has been handed to a connection. */
+/** A request that has been passed to a connection. */
 export type SentRequest = {
 	readonly outcome: Promise<SendOutcome>;
-	/** Ends the request; a connection on which it was sent is closed. */
+	/** Aborts the request and closes the connection on which it was sent. */
 	abort(): void;
 };
 
-/** Least status of HTTP; Node reads lower ones but doesn't write them. */
+/** Lowest valid HTTP status; Node.js accepts lower ones in responses but refuses to write them. */
 const minStatus = 100;
 const statusNotModified = 304;
 const statusNoContent = 204;
 
-/** Tells whether only the end of the connection ends an answer's body. */
-function isEndedByConnection({headers}: IncomingMessage): boolean {
+/** Returns whether the body of a response is delimited only by the close of the connection. */
+function isCloseDelimited({headers}: IncomingMessage): boolean {
 	return (
 		headers['content-length'] === undefined &&
 		headers['transfer-encoding'] === undefined
 	);
 }
 
-/** Tells whether an agent has a connection to an address that is not in use. */
+/** Returns whether the agent has an idle connection to the address. */
 function hasIdleConnection({agent, address}: SendOptions): boolean {
 	const [host, port] = address.split(':');
 	const name = agent.getName({host: host!, port: Number(port)});
 	return (agent.freeSockets[name]?.length ?? 0) > 0;
 }
 
-/** One request on one connection, up to its outcome. */
-class Sending {
+/** The exchange of one request on one connection, up to its outcome. */
+class RequestExchange {
 	readonly outcome: Promise<SendOutcome>;
 	#request: ClientRequest | undefined;
 	#resolve!: (outcome: SendOutcome) => void;
@@ -101,8 +102,8 @@
 	#isSent = false;
 	#isAborted = false;
 	#hasFailed = false;
-	#isOver = false;
-	#answer: IncomingMessage | undefined;
+	#isSettled = false;
+	#response: IncomingMessage | undefined;
 	#chunks: Uint8Array[] = [];
 	#size = 0;
 	#isStreamed = false;
@@ -118,12 +119,12 @@
 		if (areResponsesIdentified || !hasIdleConnection(options)) {
 			this.#start(outgoing, options);
 		} else {
-			void this.#startOnceRead(outgoing, options);
+			void this.#startAfterRead(outgoing, options);
 		}
 	}
 
 	abort(): void {
-		if (this.#isOver) {
+		if (this.#isSettled) {
 			return;
 		}
 
@@ -136,14 +137,15 @@
 	}
 
 	/**
-	 * Starts the request after the sockets have been read: what a late node has
-	 * not read yet of an idle connection would be taken for the answer.
+	 * Starts the request after pending data on the sockets has been read. If the
+	 * event loop lags, unread data on an idle connection would otherwise be taken
+	 * for the response.
 	 */
-	async #startOnceRead(
+	async #startAfterRead(
 		outgoing: OutgoingRequest,
 		options: SendOptions,
 	): Promise<void> {
-		// The first turn may end without a read.
+		// The first event loop turn may end without a read.
 		await waitForTurn();
 		await waitForTurn();
 		if (!this.#isAborted) {
@@ -167,16 +169,16 @@
 		request.on('socket', (socket) => {
 			this.#watchSocket(socket);
 		});
-		request.on('response', (answer) => {
-			const {statusCode: status = 0, headers: answerHeaders} = answer;
-			options.onHead?.({status, headers: answerHeaders});
-			this.#handleAnswer(answer);
+		request.on('response', (response) => {
+			const {statusCode: status = 0, headers: responseHeaders} = response;
+			options.onHead?.({status, headers: responseHeaders});
+			this.#handleResponse(response);
 		});
 		request.on('error', (error) => {
 			this.#fail(error);
 		});
 		request.on('close', () => {
-			this.#fail(new Error('the connection was closed'));
+			this.#fail(new Error('connection closed'));
 		});
 		if (options.onSent) {
 			request.once('finish', options.onSent);
@@ -191,23 +193,23 @@
 
 	#watchSocket(socket: Socket): void {
 		if (!socket.connecting) {
-			this.#noteSent();
+			this.#recordSent();
 			return;
 		}
 
 		this.#connectTimer = startPostPollTimer(() => {
-			this.#request!.destroy(new Error('no connection in time'));
+			this.#request!.destroy(new Error('connection timed out'));
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
 			this.#connectTimer?.stop();
-			// Node writes the head of the request on the connection's first turn.
+			// Node.js writes the request head in the turn in which the connection is established.
 			if (!this.#isAborted) {
-				this.#noteSent();
+				this.#recordSent();
 			}
 		});
 	}
 
-	#noteSent(): void {
+	#recordSent(): void {
 		this.#isSent = true;
 		this.#onSend?.();
 	}
@@ -226,49 +228,49 @@
 		});
 		body.pipe(request);
 		request.once('close', () => {
-			if (this.#answer) {
+			if (this.#response) {
 				discardBody(body);
 			}
 		});
 	}
 
-	#handleAnswer(answer: IncomingMessage): void {
-		if ((answer.statusCode ?? 0) < minStatus) {
-			this.#request!.destroy(new Error('no valid status'));
+	#handleResponse(response: IncomingMessage): void {
+		if ((response.statusCode ?? 0) < minStatus) {
+			this.#request!.destroy(new Error('invalid response status'));
 			return;
 		}
 
-		this.#answer = answer;
-		answer.on('error', (error) => {
+		this.#response = response;
+		response.on('error', (error) => {
 			this.#fail(error);
 		});
-		answer.on('aborted', () => {
-			this.#fail(new Error('the answer was cut'));
+		response.on('aborted', () => {
+			this.#fail(new Error('response truncated'));
 		});
-		if (isEndedByConnection(answer)) {
-			this.#watchEnd(answer.socket);
+		if (isCloseDelimited(response)) {
+			this.#watchEnd(response.socket);
 		}
 
-		answer.on('data', this.#takeChunk);
-		answer.on('end', () => {
-			this.#end();
+		response.on('data', this.#bufferChunk);
+		response.on('end', () => {
+			this.#finishResponse();
 		});
 	}
 
 	/**
-	 * Tells a reset from an end. A reset that arrives together with the last
-	 * bytes is reported by libuv as an ordinary end, but the connection has no
-	 * peer any more.
+	 * Distinguishes a connection reset from a regular end. If a reset arrives
+	 * together with the last bytes, libuv reports an ordinary end, but the socket
+	 * has no remote address any more.
 	 */
 	#watchEnd(socket: Socket): void {
 		socket.prependOnceListener('end', () => {
 			if (socket.remoteAddress === undefined) {
-				this.#fail(new Error('the connection was reset'));
+				this.#fail(new Error('connection reset'));
 			}
 		});
 	}
 
-	readonly #takeChunk = (chunk: Uint8Array): void => {
+	readonly #bufferChunk = (chunk: Uint8Array): void => {
 		this.#chunks.push(chunk);
 		this.#size += chunk.length;
 		if (this.#size > maxBufferedBytes) {
@@ -277,19 +279,21 @@
 	};
 
 	#startStream(): void {
-		const answer = this.#answer!;
+		const response = this.#response!;
 		const chunks = this.#chunks;
 		this.#isStreamed = true;
 		this.#chunks = [];
-		answer.off('data', this.#takeChunk);
-		answer.pause();
+		response.off('data', this.#bufferChunk);
+		response.pause();
 		const stream = new Readable({
 			read() {
-				answer.resume();
+				response.resume();
 			},
 			destroy: (error, callback) => {
-				if (!answer.complete || this.#hasFailed) {
-					this.#request!.destroy(error ?? new Error('not read to its end'));
+				if (!response.complete || this.#hasFailed) {
+					this.#request!.destroy(
+						error ?? new Error('response stream destroyed before its end'),
+					);
 				}
 
 				callback(error);
@@ -299,12 +303,12 @@
 			stream.push(chunk);
 		}
 
-		answer.on('data', (chunk: Uint8Array) => {
+		response.on('data', (chunk: Uint8Array) => {
 			if (!stream.push(chunk)) {
-				answer.pause();
+				response.pause();
 			}
 		});
-		answer.on('end', () => {
+		response.on('end', () => {
 			if (!this.#hasFailed) {
 				stream.push(null);
 			}
@@ -313,11 +317,11 @@
 			stream.destroy(error);
 		};
 
-		this.#settle(this.#createAnswered(stream));
+		this.#settle(this.#createAnsweredOutcome(stream));
 	}
 
-	#end(): void {
-		// After a reset Node ends an answer without a length like a whole one.
+	#finishResponse(): void {
+		// After a reset, Node.js emits `end` for a response without a length as if it were complete.
 		if (this.#hasFailed || this.#isStreamed) {
 			return;
 		}
@@ -325,23 +329,23 @@
 		const chunks = this.#chunks;
 		const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 		const length = Number(
-			this.#answer!.headers['content-length'] ?? body.length,
+			this.#response!.headers['content-length'] ?? body.length,
 		);
 		this.#settle(
 			length === body.length || this.#hasNoBody()
-				? this.#createAnswered(body)
+				? this.#createAnsweredOutcome(body)
 				: {kind: 'truncated'},
 		);
 	}
 
-	/** Tells whether the answer has arrived to its end, if not been read. */
-	#isAnswerWhole(): boolean {
-		const answer = this.#answer;
-		return answer?.complete === true && !isEndedByConnection(answer);
+	/** Returns whether the response has been received to its end, even if it has not been read yet. */
+	#isResponseComplete(): boolean {
+		const response = this.#response;
+		return response?.complete === true && !isCloseDelimited(response);
 	}
 
 	#hasNoBody(): boolean {
-		const status = this.#answer!.statusCode;
+		const status = this.#response!.statusCode;
 		return (
 			this.#request!.method === 'HEAD' ||
 			status === statusNotModified ||
@@ -349,15 +353,15 @@
 		);
 	}
 
-	#createAnswered(body: Uint8Array | Readable): SendOutcome {
-		const {statusCode = 0, headers} = this.#answer!;
+	#createAnsweredOutcome(body: Uint8Array | Readable): SendOutcome {
+		const {statusCode = 0, headers} = this.#response!;
 		return {kind: 'answered', status: statusCode, headers, body};
 	}
 
 	#fail(error: Error): void {
 		this.#connectTimer?.stop();
 		if (this.#isStreamed) {
-			if (!this.#answer!.complete || this.#hasFailed) {
+			if (!this.#response!.complete || this.#hasFailed) {
 				this.#hasFailed = true;
 				this.#onFailure?.(error);
 			}
@@ -365,8 +369,8 @@
 			return;
 		}
 
-		if (this.#isAnswerWhole() && !this.#isAborted) {
-			// What follows a whole answer belongs to no request.
+		if (this.#isResponseComplete() && !this.#isAborted) {
+			// Data after a complete response belongs to no request.
 			return;
 		}
 
@@ -376,14 +380,14 @@
 		} else if (this.#isAborted) {
 			this.#settle({kind: 'aborted'});
 		} else {
-			this.#settle({kind: this.#answer ? 'truncated' : 'lost'});
+			this.#settle({kind: this.#response ? 'truncated' : 'lost'});
 		}
 	}
 
 	#settle(outcome: SendOutcome): void {
 		this.#connectTimer?.stop();
-		if (!this.#isOver) {
-			this.#isOver = !this.#isStreamed;
+		if (!this.#isSettled) {
+			this.#isSettled = !this.#isStreamed;
 			this.#resolve(outcome);
 		}
 	}
@@ -392,22 +396,22 @@
 /**
  * Sends a request on a connection of an agent, at most once.
  *
- * The outcome says whether any byte may have been sent; errors are outcomes.
- * The body of a long answer comes as a stream with back pressure.
+ * The outcome tells whether any byte may have been sent; errors are reported as
+ * outcomes. A long response body is streamed with back pressure.
  *
  * @param outgoing - the request
  * @param options - see `SendOptions`
- * @returns its outcome, and how to abort it
+ * @returns the outcome and a function that aborts the request
  */
 export function sendRequest(
 	outgoing: OutgoingRequest,
 	options: SendOptions,
 ): SentRequest {
-	const sending = new Sending(outgoing, options);
+	const exchange = new RequestExchange(outgoing, options);
 	return {
-		outcome: sending.outcome,
+		outcome: exchange.outcome,
 		abort() {
-			sending.abort();
+			exchange.abort();
 		},
 	};
 }
