--- a/src/coordination/_lib/commit/classify-slot.ts
+++ b/src/coordination/_lib/commit/classify-slot.ts
@@ -7,13 +7,13 @@
 	WriteCondition,
 } from '../../../protocol/platform.js';
 
-/** What a log slot holds with regard to the version that is expected. */
+/** Content of a log slot, relative to the version that is expected in it. */
 export type Slot =
 	| {readonly kind: 'entry'; readonly entry: LogEntry}
-	/** The version is not written yet; it may be, under the condition. */
+	/** The version is not written yet; a write of it must use the condition. */
 	| {readonly kind: 'head'; readonly condition: WriteCondition}
-	/** The log has gone past the version by a whole ring. */
-	| {readonly kind: 'lapped'}
+	/** The slot holds a newer entry: the ring buffer has wrapped around. */
+	| {readonly kind: 'overwritten'}
 	| {readonly kind: 'unreadable'}
 	| {readonly kind: 'unavailable'};
 
@@ -22,8 +22,8 @@
  *
  * @param expected - the version whose slot was read
  * @param outcome - outcome of the read
- * @param ringSize - number of slots
- * @returns what the slot holds
+ * @param ringSize - number of log slots
+ * @returns the content of the slot
  */
 export function classifySlot(
 	expected: number,
@@ -55,5 +55,5 @@
 		return {kind: 'head', condition: {kind: 'version', version}};
 	}
 
-	return {kind: entry.version > expected ? 'lapped' : 'unreadable'};
+	return {kind: entry.version > expected ? 'overwritten' : 'unreadable'};
 }
--- a/src/coordination/_lib/commit/continue-commit.ts
+++ b/src/coordination/_lib/commit/continue-commit.ts
@@ -13,15 +13,15 @@
 
 type PausePhase = Extract<CommitPhase, {kind: 'pausing'}>;
 
-/** Puts effects before those of a step. */
-export function joinStep(
+/** Returns a step with the effects put before its own. */
+export function prependEffects(
 	effects: readonly CommitEffect[],
 	step: CommitStep,
 ): CommitStep {
 	return {state: step.state, effects: [...effects, ...step.effects]};
 }
 
-/** Enters a phase that waits for a call to the platform. */
+/** Calls the platform and enters the phase that waits for the answer. */
 export function callPlatform(
 	state: CommitState,
 	phase: CommitPhase,
@@ -34,7 +34,7 @@
 	};
 }
 
-/** Reads the slot of the version after the base. */
+/** Reads the log slot of the version after the base configuration. */
 export function readNextSlot(
 	state: CommitState,
 	ringSize: number,
@@ -46,7 +46,7 @@
 	};
 }
 
-/** Reads the written slot back after a lost answer. */
+/** Reads the written slot back after the answer to the write was lost. */
 export function readBack(
 	state: CommitState,
 	decision: CommitDecision,
@@ -61,7 +61,7 @@
 	);
 }
 
-/** Takes the next group of waiting submissions, if any. */
+/** Starts committing the next group of waiting submissions, if any. */
 export function startGroup(state: CommitState, ringSize: number): CommitStep {
 	if (state.waiting.length === 0) {
 		return {state: {...state, phase: {kind: 'idle'}}, effects: []};
@@ -71,7 +71,7 @@
 	return readNextSlot({...state, group, waiting: rest}, ringSize).step;
 }
 
-/** Ends a group that has its answers and goes on with the next. */
+/** Ends a group whose submissions were answered and starts the next one. */
 export function finishGroup(state: CommitState, ringSize: number): CommitStep {
 	return startGroup(
 		{...state, group: [], tries: 0, isUncertain: false},
@@ -79,18 +79,18 @@
 	);
 }
 
-/** Answers a group that cannot be decided: `unknown` if a write may land. */
+/** Answers a group that cannot be decided: `unknown` if a write may still take effect, else `unavailable`. */
 export function answerGroup(state: CommitState, ringSize: number): CommitStep {
 	const kind = state.isUncertain ? 'unknown' : 'unavailable';
-	const replies = state.group.map(({ticket, submissionId}) => ({
+	const replies = state.group.map(({replyId, submissionId}) => ({
 		kind: 'reply' as const,
-		ticket,
+		ticket: replyId,
 		outcome: {kind, submissionId} as const,
 	}));
-	return joinStep(replies, finishGroup(state, ringSize));
+	return prependEffects(replies, finishGroup(state, ringSize));
 }
 
-/** Waits with full jitter before the next try, or gives up. */
+/** Waits with full jitter before the next try, or answers the group after `maxCommitTries`. */
 export function pauseBefore(
 	state: CommitState,
 	before: PausePhase['before'],
--- a/src/coordination/_lib/commit/read-snapshot-version.ts
+++ b/src/coordination/_lib/commit/read-snapshot-version.ts
@@ -2,10 +2,10 @@
 import type {PlatformOutcome} from '../../../protocol/platform.js';
 
 /**
- * Reads the version of the newest complete snapshot from a read's outcome.
+ * Reads the version of the newest complete snapshot from the snapshot head.
  *
  * @param outcome - outcome of reading the snapshot head
- * @returns the version, 0 when there is none, undefined when not readable
+ * @returns the version, 0 if there is no snapshot, undefined if the head is not readable
  */
 export function readSnapshotVersion(
 	outcome: PlatformOutcome,
--- a/src/coordination/_lib/document/continue-with.ts
+++ /dev/null
@@ -1,6 +0,0 @@
-import type {DocumentState, DocumentStep} from '../../document-state.js';
-
-/** Gives the step that asks for nothing. */
-export function continueWith(state: DocumentState): DocumentStep {
-	return {state, effects: []};
-}
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -16,13 +16,13 @@
 } from '../../document-state.js';
 import {acceptDocument} from './accept-document.js';
 import {endCall} from './end-call.js';
-import {continueWith} from './continue-with.js';
+import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 function isAtParent({peerIndex, peers}: DocumentState): boolean {
 	return peerIndex % Math.max(1, peers.length) === 0;
 }
 
-function leavePeer(
+function selectNextPeer(
 	state: DocumentState,
 	now: number,
 ): Pick<DocumentState, 'peerIndex' | 'leftParentAt'> {
@@ -33,9 +33,9 @@
 }
 
 /**
- * Goes back to the parent after some time. Answers the load after a short
- * disturbance: children that stayed where they had turned to would all wait at
- * the few peers that have answered.
+ * Returns to the parent `documentReturnMs` after it was left. This restores the
+ * distribution of load after a short disturbance: otherwise all children would
+ * stay at the few peers that answered during it.
  */
 function returnToParent(
 	state: DocumentState,
@@ -46,20 +46,20 @@
 }
 
 /**
- * Tells whether a root is turned away by the store. It then asks its peers in
- * turn: the other root of its data centre may be turned away as well, and its
- * answers get old only after some seconds.
+ * Tells whether calls of a root on the store fail. The root then polls its
+ * peers in turn: calls of the other root of its data centre may fail as well,
+ * and answers of that root become stale only after some seconds.
  */
-function isCutOff({isRoot, storeLoop}: DocumentState): boolean {
+function isRootWithoutStore({isRoot, storeLoop}: DocumentState): boolean {
 	return isRoot && storeLoop.failures > 0;
 }
 
-/** Turns to the next peer, at once unless all were asked. */
+/** Selects the next peer; polls it at once unless every peer has been polled. */
 function failPoll(state: DocumentState, now: number): DocumentState {
 	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
 	return {
 		...state,
-		...leavePeer(state, now),
+		...selectNextPeer(state, now),
 		peerLoop:
 			(state.peerIndex + 1) % Math.max(1, state.peers.length) === 0
 				? endCall(state.peerLoop, true, now)
@@ -80,7 +80,7 @@
 	};
 }
 
-/** Asks another peer for the whole document. */
+/** Polls another peer for the full document. */
 function handleMalformed(
 	state: DocumentState,
 	source: string,
@@ -88,13 +88,13 @@
 	now: number,
 ): DocumentStep {
 	return {
-		state: {...failPoll(state, now), needsWhole: true},
+		state: {...failPoll(state, now), needsFullDocument: true},
 		effects: [createUnusableLog(state, source, reason)],
 	};
 }
 
-/** Reads the document that an answer leads to, or why it leads to none. */
-function readAnswered(
+/** Returns the document that results from an answer, undefined if nothing is newer, or why the changes cannot be applied. */
+function resolveAnswer(
 	state: DocumentState,
 	answer: DocumentAnswer,
 ): Result<RoutingDocument | undefined, string> {
@@ -114,12 +114,12 @@
 				return ok(undefined);
 			}
 
-			const base = [...state.earlier, document].find(
+			const base = [...state.earlierDocuments, document].find(
 				(kept) => kept?.version === changes.from,
 			);
 			return base
 				? applyDocumentChanges(base, changes)
-				: err(`version ${changes.from} is not there`);
+				: err(`base version ${changes.from} is not available`);
 		}
 	}
 }
@@ -132,7 +132,7 @@
 ): DocumentStep {
 	const source = state.peers[state.peerIndex % state.peers.length]?.name ?? '';
 	if (outcome.kind === 'failed') {
-		return continueWith(failPoll(state, now));
+		return createStepWithoutEffects(failPoll(state, now));
 	}
 
 	if (outcome.kind === 'malformed') {
@@ -140,7 +140,7 @@
 	}
 
 	const {answer} = outcome;
-	const answered = readAnswered(state, answer);
+	const answered = resolveAnswer(state, answer);
 	if (answered.isErr()) {
 		return handleMalformed(state, source, answered.error, now);
 	}
@@ -148,33 +148,35 @@
 	const {ageMs} = answer;
 	const step = acceptDocument(state, answered.value, source, now);
 	const isStale = ageMs > documentStaleMs;
-	const shouldLeave = isStale || isCutOff(state);
+	const shouldSwitchPeer = isStale || isRootWithoutStore(state);
 	return {
 		...step,
 		state: {
 			...step.state,
-			needsWhole: false,
-			// The revision of the store lies behind what a peer has brought.
+			needsFullDocument: false,
+			// The known revision of the store is older than the document from the peer.
 			hasBacklog: state.hasBacklog || step.state.document !== state.document,
 			peerLoop: endCall(state.peerLoop, isStale, now),
-			...(shouldLeave ? leavePeer(state, now) : returnToParent(state, now)),
+			...(shouldSwitchPeer
+				? selectNextPeer(state, now)
+				: returnToParent(state, now)),
 			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
 		},
 	};
 }
 
-/** Makes use of the answer to a poll that was given up. */
-export function acceptLate(
+/** Handles the outcome of a poll that has already timed out; a document is still used. */
+export function handleLateAnswer(
 	state: DocumentState,
 	outcome: PeerDocumentOutcome,
 	now: number,
 ): DocumentStep {
 	if (outcome.kind !== 'answered') {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const source = 'late answer';
-	return readAnswered(state, outcome.answer).match(
+	return resolveAnswer(state, outcome.answer).match(
 		(document) => acceptDocument(state, document, source, now),
 		(reason) => ({state, effects: [createUnusableLog(state, source, reason)]}),
 	);
--- a/src/coordination/_lib/document/plan-calls.ts
+++ b/src/coordination/_lib/document/plan-calls.ts
@@ -9,12 +9,12 @@
 	DocumentState,
 	DocumentStep,
 } from '../../document-state.js';
-import {continueWith} from './continue-with.js';
+import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /**
- * Creates the next call on the store. While changes come faster than copies
- * arrive, a watch would send each of them whole: one copy of the newest is read
- * instead until nothing has changed meanwhile.
+ * Creates the next call to the store. While documents change faster than they
+ * are transferred, a watch would send a full copy for each change; instead, the
+ * newest copy is read until nothing has changed during the transfer.
  */
 function createStoreCall(
 	{revision, hasBacklog}: DocumentState,
@@ -31,40 +31,42 @@
 		: {kind: 'watch', callId, revision, waitMs, timeoutMs: waitMs + timeoutMs};
 }
 
-/** Calls the store where a node watches it, or has no peer that answers. */
+/** Calls the store if the node is a root or its peers do not answer. */
 export function planStoreCall(state: DocumentState, now: number): DocumentStep {
 	const {storeLoop, peers} = state;
 	const isNeeded =
 		state.isRoot ||
 		state.peerLoop.failures >= Math.min(documentPeerFailures, peers.length);
 	if (!isNeeded || storeLoop.call !== undefined || storeLoop.nextAt > now) {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const callId = state.lastCallId + 1;
 	const effect = createStoreCall(state, callId);
 	const endsAt = now + effect.timeoutMs;
-	const call = {id: callId, endsAt, hasBegun: false};
+	const call = {id: callId, endsAt, isReceiving: false};
 	return {
 		state: {...state, lastCallId: callId, storeLoop: {...storeLoop, call}},
 		effects: [effect],
 	};
 }
 
-/** Polls the peer whose turn it is, unless a poll is in flight. */
+/** Polls the current peer, unless a poll is in flight or the retry delay has not passed. */
 export function planPoll(state: DocumentState, now: number): DocumentStep {
 	const {peerLoop, peers, name} = state;
 	const peer = peers[state.peerIndex % Math.max(1, peers.length)];
 	if (!peer || peerLoop.call !== undefined || peerLoop.nextAt > now) {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const callId = state.lastCallId + 1;
-	const version = state.needsWhole ? -1 : (state.document?.version ?? -1);
-	// A peer that is asked in place of a silent one tells at once what it has.
+	const version = state.needsFullDocument
+		? -1
+		: (state.document?.version ?? -1);
+	// A peer that is polled instead of one that failed answers at once, without waiting for a change.
 	const waitMs = peerLoop.failures > 0 ? 0 : documentPollMs;
 	const timeoutMs = waitMs + documentGraceMs;
-	const call = {id: callId, endsAt: now + timeoutMs, hasBegun: false};
+	const call = {id: callId, endsAt: now + timeoutMs, isReceiving: false};
 	return {
 		state: {...state, lastCallId: callId, peerLoop: {...peerLoop, call}},
 		effects: [
@@ -74,7 +76,7 @@
 				address: peer.address,
 				poll: {name, version, waitMs},
 				timeoutMs,
-				isFresh: peerLoop.failures > 0,
+				needsNewConnection: peerLoop.failures > 0,
 			},
 		],
 	};
--- a/src/coordination/commit-state.ts
+++ b/src/coordination/commit-state.ts
@@ -1,5 +1,6 @@
 /**
- * State, messages and effects of the machine that accepts submissions.
+ * State, messages and effects of the state machine that commits submissions to
+ * the log.
  */
 import type {
 	Configuration,
@@ -14,10 +15,10 @@
 } from '../protocol/platform.js';
 import type {CommitDecision} from './decide-commit.js';
 
-/** A submission that waits for its answer. */
-export type Ticket = Submission & {readonly ticket: number};
+/** A submission that waits for its reply. */
+export type PendingSubmission = Submission & {readonly replyId: number};
 
-/** Where the machine stands with its group of submissions. */
+/** Phase in which the current group of submissions is. */
 export type CommitPhase =
 	| {readonly kind: 'idle'}
 	| {readonly kind: 'reading'}
@@ -39,27 +40,27 @@
 				  };
 	  };
 
-/** State of the commit machine of a node. */
+/** State of a node's commit state machine. */
 export type CommitState = {
-	/** Newest configuration of the log that the machine has seen. */
+	/** Newest configuration that was read from, or written to, the log. */
 	readonly base: Configuration;
 	/** A complete snapshot of at least this version exists. */
 	readonly snapshotVersion: number;
-	readonly waiting: readonly Ticket[];
-	readonly group: readonly Ticket[];
+	readonly waiting: readonly PendingSubmission[];
+	readonly group: readonly PendingSubmission[];
 	readonly tries: number;
 	/** Whether a write of this group may still take effect. */
 	readonly isUncertain: boolean;
 	readonly phase: CommitPhase;
-	/** Number of the newest call or wait; answers to older ones are ignored. */
+	/** Identifier of the newest call or wait; answers to older ones are ignored. */
 	readonly callId: number;
-	/** First answers of refused submissions by team and identifier. */
+	/** First reply to each refused submission, by team and submission identifier. */
 	readonly refusals: ReadonlyMap<string, SubmissionOutcome>;
 };
 
-/** What the commit machine can be told. */
+/** Messages that the commit state machine handles. */
 export type CommitMessage =
-	| {readonly kind: 'submit'; readonly ticket: Ticket}
+	| {readonly kind: 'submit'; readonly pending: PendingSubmission}
 	| {readonly kind: 'configuration'; readonly configuration: Configuration}
 	| {readonly kind: 'snapshot-stored'; readonly version: number}
 	| {
@@ -69,7 +70,7 @@
 	  }
 	| {readonly kind: 'timer'; readonly callId: number};
 
-/** What the commit machine asks of its task. */
+/** Effects that the caller of `stepCommit` carries out. */
 export type CommitEffect =
 	| {
 			readonly kind: 'call';
@@ -79,13 +80,13 @@
 	| {readonly kind: 'wait'; readonly callId: number; readonly delayMs: number}
 	| {
 			readonly kind: 'reply';
-			readonly ticket: number;
+			readonly replyId: number;
 			readonly outcome: SubmissionOutcome;
 	  }
 	| {readonly kind: 'entries'; readonly entries: readonly LogEntry[]}
 	| {readonly kind: 'store-snapshot'; readonly configuration: Configuration};
 
-/** Result of one step of the commit machine. */
+/** Result of one step of the commit state machine. */
 export type CommitStep = {
 	readonly state: CommitState;
 	readonly effects: readonly CommitEffect[];
@@ -95,13 +96,13 @@
 export type CommitOptions = {
 	/** Wall-clock time in ms. */
 	readonly now: number;
-	/** Seeded or real source of numbers from 0 up to 1. */
+	/** Source of random numbers from 0 (inclusive) to 1 (exclusive). */
 	readonly random: () => number;
-	/** Slots of the log; default `logRingSize`. */
+	/** Number of log slots; default `logRingSize`. */
 	readonly ringSize?: number;
-	/** Entries between snapshots; default `snapshotIntervalEntries`. */
+	/** Number of entries between snapshots; default `snapshotIntervalEntries`. */
 	readonly snapshotInterval?: number;
 };
 
-/** Options of `stepCommit` with every default filled in. */
+/** Options of `stepCommit` with all defaults applied. */
 export type CommitContext = Required<CommitOptions>;
--- a/src/coordination/compute-backoff.ts
+++ b/src/coordination/compute-backoff.ts
@@ -3,8 +3,8 @@
 /**
  * Computes the delay before a retry: exponential backoff with full jitter.
  *
- * @param attempt - how many tries have failed, from 1
- * @param random - a number from 0 up to 1
+ * @param attempt - number of tries that have failed, at least 1
+ * @param random - a random number from 0 (inclusive) to 1 (exclusive)
  * @returns the delay in ms
  * @example
  * computeBackoff(1, 0.5); // 50
--- a/src/coordination/compute-capacity.test.ts
+++ b/src/coordination/compute-capacity.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import {computeCapacity} from './compute-capacity.js';
 
-test('the scarcer of processor and link limits a capacity', () => {
+test('the scarcer of processor and link limits the capacity', () => {
 	const cases = [
 		[{}, 1000],
 		[{cores: 0.54, linkMbps: 1000}, 540],
--- a/src/coordination/compute-capacity.ts
+++ b/src/coordination/compute-capacity.ts
@@ -5,21 +5,22 @@
 	usualLinkMbps,
 } from '../protocol/constants.js';
 
-/** What a host has for its node; what is absent counts as usual. */
+/** Resources of a host; an absent value counts as that of a usual host. */
 export type HostLimits = {
-	/** Processor time a second, in seconds of one core. */
+	/** Processor time per second, in seconds of one core. */
 	readonly cores?: number | undefined;
 	readonly linkMbps?: number | undefined;
 };
 
 /**
- * Computes what a node can do for others, in thousandths of a usual host.
+ * Computes the capacity of a node for work on behalf of other nodes, in
+ * thousandths of a usual host.
  *
- * The scarcer of processor and link counts: a node that sends a document to
- * its children over a thin link is late however fast it computes.
+ * The scarcer of processor and link limits it: a node that sends a document to
+ * its children over a slow link is late however fast its processor is.
  *
- * @param limits - what the host has
- * @returns an integer of at least 1
+ * @param limits - resources of the host
+ * @returns the capacity, an integer from 1 to `maxCapacity`
  * @example
  * computeCapacity({cores: 0.27, linkMbps: 5}); // 5
  */
--- a/src/coordination/compute-transfer-time.ts
+++ b/src/coordination/compute-transfer-time.ts
@@ -1,15 +1,15 @@
-/** Bits in a byte, by milliseconds in a second, by bits in a megabit. */
 const bitsPerByte = 8;
+/** 1 Mbit/s is 1,000,000 bits per 1000 ms. */
 const bitsPerMsAtOneMbps = 1000;
 
 /**
- * Computes how long a body takes over a link.
+ * Computes the transfer time of a body over a link.
  *
- * Answers long bodies on hosts with thin links: 360 KB take half a second at
- * 6 Mbit/s, which may be all of the time in which an answer has its full value.
+ * Matters for long bodies on hosts with slow links: 360 KB take about half a
+ * second at 6 Mbit/s, which may be the whole latency objective of a request.
  *
  * @param bytes - length of the body
- * @param linkMbps - rate of the thinnest link on the way, Mbit/s
+ * @param linkMbps - bandwidth of the slowest link on the path, Mbit/s
  * @returns the time, ms
  * @example
  * computeTransferTime(360_000, 6); // 480
--- a/src/coordination/compute-transit-time.test.ts
+++ b/src/coordination/compute-transit-time.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import {computeTransitTime} from './compute-transit-time.js';
 
-test('the longer of age and lag counts', () => {
+test('the transit time is the larger of age and lag', () => {
 	assert.equal(computeTransitTime({madeAtGateMs: 1000}, 7000), 6000);
 	assert.equal(
 		computeTransitTime({madeAtGateMs: 1000, unreadMs: 80}, 1002),
@@ -11,6 +11,6 @@
 	assert.equal(computeTransitTime({unreadMs: 80}, 1002), 80);
 });
 
-test('a gate whose clock has stood still takes an attempt for a new one', () => {
+test('the transit time is 0 if the gate clock is before the creation time', () => {
 	assert.equal(computeTransitTime({madeAtGateMs: 4000}, 1000), 0);
 });
--- a/src/coordination/compute-transit-time.ts
+++ b/src/coordination/compute-transit-time.ts
@@ -1,15 +1,16 @@
 import type {Attempt} from '../protocol/attempt.js';
 
 /**
- * Computes how long an attempt has been on its way to a gate.
+ * Computes how long an attempt has been in transit to a gate.
  *
- * Its time left is a duration, true when the attempt was made. It then may wait
- * for a connection, in a network that is cut, to be accepted or to be read, and
- * the lag of the gate tells only of the last.
+ * The remaining time that an attempt carries is a duration as of the creation of
+ * the attempt. After that the attempt may wait for a connection, for a network
+ * partition to end, to be accepted or to be read; the event loop lag of the gate
+ * covers only the last of these.
  *
- * @param attempt - when it was made by the gate's clock, and the gate's lag
+ * @param attempt - creation time by the gate's clock, and the gate's event loop lag
  * @param now - the gate's clock, monotonic ms
- * @returns the time, ms; what the lag says where the sender knows no gate time
+ * @returns the time, ms; only the lag if the sender does not know the gate's time
  * @example
  * computeTransitTime({madeAtGateMs: 1000, unreadMs: 20}, 1600); // 600
  */
--- a/src/coordination/create-commit-state.ts
+++ b/src/coordination/create-commit-state.ts
@@ -2,10 +2,10 @@
 import type {CommitState} from './commit-state.js';
 
 /**
- * Creates the state of an idle commit machine.
+ * Creates the state of an idle commit state machine.
  *
  * @param base - the configuration to start from
- * @returns the state
+ * @returns the initial state
  * @example
  * createCommitState(createConfiguration()).phase.kind; // 'idle'
  */
--- a/src/coordination/create-document-state.ts
+++ b/src/coordination/create-document-state.ts
@@ -3,10 +3,10 @@
 const idleLoop: DocumentLoop = {call: undefined, failures: 0, nextAt: 0};
 
 /**
- * Creates the state of a document machine that has just started.
+ * Creates the initial state of a document state machine.
  *
  * @param name - name of the node
- * @returns the state, with no document
+ * @returns the state, without a document
  * @example
  * createDocumentState('abdali-1').document; // undefined
  */
@@ -18,9 +18,9 @@
 		peerIndex: 0,
 		leftParentAt: Number.NEGATIVE_INFINITY,
 		document: undefined,
-		earlier: [],
+		earlierDocuments: [],
 		changes: new Map(),
-		needsWhole: false,
+		needsFullDocument: false,
 		confirmedAt: Number.NEGATIVE_INFINITY,
 		revision: undefined,
 		hasBacklog: false,
--- a/src/coordination/create-fair-queue.ts
+++ b/src/coordination/create-fair-queue.ts
@@ -1,13 +1,13 @@
 /** Order in which a gate serves the attempts of several teams. */
 export type FairQueue = {
 	/**
-	 * Notes an attempt of a team and returns its start tag; the attempt with the
-	 * lowest tag is served first.
+	 * Records an attempt of a team and returns its start tag; the attempt with
+	 * the lowest tag is served first.
 	 */
 	enter(team: string): number;
-	/** Notes that the attempt with a start tag has been taken into a slot. */
+	/** Records that the attempt with a start tag has taken a slot. */
 	serve(startTag: number): void;
-	/** Notes that nothing is queued or in a slot. */
+	/** Clears all tags; to be called when nothing is queued or in a slot. */
 	reset(): void;
 };
 
--- a/src/coordination/create-snapshot-state.ts
+++ b/src/coordination/create-snapshot-state.ts
@@ -3,7 +3,7 @@
 /**
  * Creates the state of an idle snapshot writer.
  *
- * @returns the state
+ * @returns the initial state
  * @example
  * createSnapshotState().phase.kind; // 'idle'
  */
--- a/src/coordination/decide-commit.ts
+++ b/src/coordination/decide-commit.ts
@@ -14,15 +14,15 @@
 import {validateManifest} from '../state/validate-manifest.js';
 import {interleaveByTeam} from './interleave-by-team.js';
 
-/** A proposed log entry and the answers that hold without it. */
+/** A proposed log entry and the outcomes of the submissions. */
 export type CommitDecision = {
-	/** Entry to create, absent when no submission can be accepted. */
+	/** Entry to create; undefined if no submission can be accepted. */
 	readonly entry: LogEntry | undefined;
 	/** Outcomes if the entry is created, in the order of the submissions. */
 	readonly outcomes: readonly SubmissionOutcome[];
 };
 
-function findRepeat(
+function findAcceptedOutcome(
 	configuration: Configuration,
 	submission: Submission,
 ): SubmissionOutcome | undefined {
@@ -64,9 +64,10 @@
 /**
  * Decides which submissions the next log entry accepts.
  *
- * Submissions are taken round-robin by team and each is judged by itself on
- * the configuration that those before it leave. The outcomes hold only once
- * the entry has been created; after a lost race, decide again.
+ * Submissions are taken round-robin by team, and each is validated on its own
+ * against the configuration that results from those before it. The outcomes
+ * hold only once the entry has been created; if another writer has created that
+ * version first, the decision must be made again.
  *
  * @param configuration - the newest configuration of the log
  * @param submissions - waiting submissions in order of arrival
@@ -86,15 +87,17 @@
 	let partial = configuration;
 	for (const submission of interleaveByTeam(submissions)) {
 		const {submissionId, manifest} = submission;
-		const repeat = findRepeat(partial, submission);
-		if (repeat) {
-			outcomes.push(repeat);
+		const earlierOutcome = findAcceptedOutcome(partial, submission);
+		if (earlierOutcome) {
+			outcomes.push(earlierOutcome);
 			continue;
 		}
 
-		const quota = checkQuota(partial, manifest.team, now);
+		const quotaProblems = checkQuota(partial, manifest.team, now);
 		const problems =
-			quota.length > 0 ? quota : validateManifest(partial, manifest);
+			quotaProblems.length > 0
+				? quotaProblems
+				: validateManifest(partial, manifest);
 		if (problems.length > 0) {
 			const currentRevision = partial.teams[manifest.team]?.revision ?? 0;
 			outcomes.push({
--- a/src/coordination/decide-status.test.ts
+++ b/src/coordination/decide-status.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import type {DataCentreStatus} from '../protocol/configuration.js';
 import {statusSilentAfterMs} from '../protocol/constants.js';
-import {decideStatus, type StatusFacts} from './decide-status.js';
+import {decideStatus, type StatusInput} from './decide-status.js';
 
 const status = (
 	dataCentre: string,
@@ -25,19 +25,19 @@
 const refusals = [{name: 'marka-1', version: 5, problem}];
 const late = statusSilentAfterMs + 1;
 const cases: ReadonlyArray<
-	readonly [string, Partial<StatusFacts>, string, readonly string[]]
+	readonly [string, Partial<StatusInput>, string, readonly string[]]
 > = [
 	['every data centre runs it', {}, 'in-force', []],
 	[
-		'one lags',
+		'one data centre lags behind',
 		{statuses: [both[0]!, status('marka', {version: 4})]},
 		'accepted',
 		[],
 	],
-	['one has never reported', {statuses: [both[0]!]}, 'accepted', ['marka']],
-	['all are silent', {now: late}, 'accepted', ['abdali', 'marka']],
+	['one data centre has never reported', {statuses: [both[0]!]}, 'accepted', ['marka']],
+	['all data centres are silent', {now: late}, 'accepted', ['abdali', 'marka']],
 	[
-		'it was in force',
+		'it was reported as in force before',
 		{now: late, inForceVersion: 5},
 		'in-force',
 		['abdali', 'marka'],
@@ -49,7 +49,7 @@
 		[],
 	],
 	[
-		'nobody has it',
+		'no data centre has it',
 		{acceptedVersion: 4, statuses: []},
 		'unknown',
 		['abdali', 'marka'],
--- a/src/coordination/decide-status.ts
+++ b/src/coordination/decide-status.ts
@@ -4,26 +4,26 @@
 /** State of a version in one data centre. */
 export type DataCentreProgress = DataCentreStatus & {
 	readonly state: 'accepted' | 'in-force' | 'refused' | 'silent';
-	/** Live members that do not report. */
+	/** Number of live members that do not report. */
 	readonly missingMembers: number;
 };
 
-/** State of a version, as operators read it. */
+/** State of a version, as operators see it. */
 export type VersionStatus = {
 	readonly version: number;
 	readonly state: 'unknown' | 'accepted' | 'in-force' | 'refused';
-	/** Whether every data centre has the version in force by its last report. */
+	/** Whether the last report of every data centre has the version in force. */
 	readonly isEverywhere: boolean;
 	readonly dataCentres: readonly DataCentreProgress[];
-	/** Data centres that have not reported lately; they are not assumed. */
+	/** Data centres without a report within `statusSilentAfterMs`; no state is assumed for them. */
 	readonly silent: readonly string[];
 };
 
-/** What `decideStatus` goes by. */
-export type StatusFacts = {
+/** Input of `decideStatus`. */
+export type StatusInput = {
 	/** Newest version known to be accepted. */
 	readonly acceptedVersion: number;
-	/** Highest version that was ever said to be in force everywhere. */
+	/** Highest version that was ever reported as in force everywhere. */
 	readonly inForceVersion: number;
 	readonly statuses: readonly DataCentreStatus[];
 	/** Data centres that are known to have members. */
@@ -32,7 +32,7 @@
 	readonly now: number;
 };
 
-const unreported: Omit<DataCentreStatus, 'dataCentre'> = {
+const emptyStatus: Omit<DataCentreStatus, 'dataCentre'> = {
 	version: 0,
 	lowestVersion: 0,
 	members: 0,
@@ -43,7 +43,7 @@
 	writer: '',
 };
 
-function judgeDataCentre(
+function computeDataCentreProgress(
 	status: DataCentreStatus,
 	version: number,
 	now: number,
@@ -69,36 +69,36 @@
 /**
  * Decides the state of a version from the data centres' reports.
  *
- * In force means that every live member of every data centre runs it; once
- * said it stays. A silent data centre is named and keeps a version from being
- * called in force.
+ * A version is in force if every live member of every data centre runs it; once
+ * reported, this state is final. A silent data centre is listed and prevents a
+ * version from being reported as in force.
  *
- * @param version - the version asked about
- * @param facts - see `StatusFacts`
+ * @param version - the version whose state is wanted
+ * @param input - see `StatusInput`
  * @returns the state, in total and for each data centre
  * @example
- * decideStatus(7, facts).state; // 'in-force'
+ * decideStatus(7, input).state; // 'in-force'
  */
 export function decideStatus(
 	version: number,
-	facts: StatusFacts,
+	input: StatusInput,
 ): VersionStatus {
 	const reported = new Map(
-		facts.statuses.map((status) => [status.dataCentre, status]),
+		input.statuses.map((status) => [status.dataCentre, status]),
 	);
-	const names = [...new Set([...reported.keys(), ...facts.dataCentres])];
+	const names = [...new Set([...reported.keys(), ...input.dataCentres])];
 	const dataCentres = names.toSorted().map((dataCentre) => {
-		const status = reported.get(dataCentre) ?? {...unreported, dataCentre};
-		return judgeDataCentre(status, version, facts.now);
+		const status = reported.get(dataCentre) ?? {...emptyStatus, dataCentre};
+		return computeDataCentreProgress(status, version, input.now);
 	});
 	const isEverywhere =
 		version > 0 &&
 		dataCentres.length > 0 &&
 		dataCentres.every(({state}) => state === 'in-force');
-	const isInForce = version <= facts.inForceVersion || isEverywhere;
+	const isInForce = version <= input.inForceVersion || isEverywhere;
 	const isRefused = dataCentres.some(({state}) => state === 'refused');
 	const isAccepted =
-		version <= facts.acceptedVersion ||
+		version <= input.acceptedVersion ||
 		dataCentres.some((status) => status.version >= version);
 	return {
 		version,
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -1,6 +1,6 @@
 /**
- * State, messages and effects of the machine that keeps a node's routing
- * document current and serves it to other nodes.
+ * State, messages and effects of the state machine that keeps a node's routing
+ * document up to date and serves it to other nodes.
  */
 import type {Member} from '../protocol/member.js';
 import type {
@@ -10,55 +10,56 @@
 	RoutingDocument,
 } from '../protocol/routing-document.js';
 
-/** Where a node can get the document from, in order of preference. */
+/** A node from which the document can be polled. */
 export type DocumentPeer = {readonly name: string; readonly address: string};
 
-/** One of the two loops of calls: on the store, and on other nodes. */
+/** One of the two call loops: calls to the store, and polls of other nodes. */
 export type DocumentLoop = {
-	/** The call in flight, which counts as failed after its end. */
+	/** The call in flight; it counts as failed after `endsAt`. */
 	readonly call:
 		| {
 				readonly id: number;
 				readonly endsAt: number;
 				/** Whether a part of the answer has arrived. */
-				readonly hasBegun: boolean;
+				readonly isReceiving: boolean;
 		  }
 		| undefined;
+	/** Number of calls that have failed in a row. */
 	readonly failures: number;
 	/** When the next call may start, monotonic ms. */
 	readonly nextAt: number;
 };
 
-/** A poll that waits for a newer document. */
+/** A poll of another node that waits here for a newer document. */
 export type WaitingDocumentPoll = {
 	readonly pollId: number;
 	readonly version: number;
 	readonly endsAt: number;
 };
 
-/** State of a node's document machine; times are monotonic ms. */
+/** State of a node's document state machine; times are monotonic ms. */
 export type DocumentState = {
 	readonly name: string;
 	/** Whether the node keeps a watch on the store. */
 	readonly isRoot: boolean;
 	readonly peers: readonly DocumentPeer[];
-	/** Which of the peers is asked now. */
+	/** Index of the peer that is polled, modulo the number of peers. */
 	readonly peerIndex: number;
-	/** When the first peer last failed, monotonic ms. */
+	/** When the node last switched from its parent, the first peer, to another, monotonic ms. */
 	readonly leftParentAt: number;
 	/** The document that the node runs. */
 	readonly document: RoutingDocument | undefined;
-	/** Documents that it ran before, oldest first; unchanged routes are shared. */
-	readonly earlier: readonly RoutingDocument[];
-	/** Changes to the running document by the version that they start from. */
+	/** Documents that the node ran before, oldest first; they share unchanged routes. */
+	readonly earlierDocuments: readonly RoutingDocument[];
+	/** Changes that lead to the running document, by their base version. */
 	readonly changes: ReadonlyMap<number, DocumentChanges | undefined>;
-	/** Whether changes from a peer did not fit, so that the whole is asked for. */
-	readonly needsWhole: boolean;
-	/** When the document was last known to be the newest. */
+	/** Whether changes from a peer could not be applied, so that the next poll asks for the full document. */
+	readonly needsFullDocument: boolean;
+	/** When the document was last confirmed to be the newest. */
 	readonly confirmedAt: number;
-	/** Revision of the store from which to watch; undefined before a read. */
+	/** Revision of the store from which to watch; undefined if the document must be read first. */
 	readonly revision: number | undefined;
-	/** Whether changes may have gathered since, which a watch would all send. */
+	/** Whether there may be several changes since the revision, each of which a watch would send. */
 	readonly hasBacklog: boolean;
 	readonly storeLoop: DocumentLoop;
 	readonly peerLoop: DocumentLoop;
@@ -70,29 +71,29 @@
 export type StoredDocumentOutcome =
 	| {
 			readonly kind: 'read';
-			/** Absent when nothing has changed, or when there is none. */
+			/** Undefined if nothing has changed or the store holds no document. */
 			readonly document: RoutingDocument | undefined;
-			/** Revision from which to watch on. */
+			/** Revision from which to continue watching. */
 			readonly revision: number;
 			/** When the whole answer had arrived, monotonic ms. */
 			readonly arrivedAt?: number | undefined;
-			/** Time from its first part to its last, ms. */
+			/** Time from the first part of the answer to its last, ms. */
 			readonly transferMs?: number | undefined;
 	  }
 	/** The newest revision of the store. */
 	| {readonly kind: 'revision'; readonly revision: number}
-	/** The history since the revision is gone. */
+	/** The store has compacted the history since the revision. */
 	| {readonly kind: 'compacted'}
 	| {readonly kind: 'failed'};
 
 /** Outcome of a poll of another node. */
 export type PeerDocumentOutcome =
 	| {readonly kind: 'answered'; readonly answer: DocumentAnswer}
-	/** What came cannot be used. */
+	/** The answer cannot be decoded. */
 	| {readonly kind: 'malformed'; readonly reason: string}
 	| {readonly kind: 'failed'};
 
-/** What the document machine can be told. */
+/** Messages that the document state machine handles. */
 export type DocumentMessage =
 	| {readonly kind: 'view'; readonly members: readonly Member[]}
 	| {readonly kind: 'tick'}
@@ -101,8 +102,8 @@
 			readonly callId: number;
 			readonly outcome: StoredDocumentOutcome;
 	  }
-	/** The answer of the store to a call has begun to arrive. */
-	| {readonly kind: 'begun'; readonly callId: number}
+	/** The store's answer to a call has begun to arrive. */
+	| {readonly kind: 'receiving'; readonly callId: number}
 	| {
 			readonly kind: 'polled';
 			readonly callId: number;
@@ -114,10 +115,10 @@
 			readonly poll: DocumentPoll;
 	  };
 
-/** What the document machine asks of its task. */
+/** Effects that the caller of `stepDocument` carries out. */
 export type DocumentEffect =
 	| {readonly kind: 'read'; readonly callId: number; readonly timeoutMs: number}
-	/** Asks for the newest revision of the store. */
+	/** Reads the newest revision of the store, without the document. */
 	| {
 			readonly kind: 'check';
 			readonly callId: number;
@@ -137,7 +138,7 @@
 			readonly poll: DocumentPoll;
 			readonly timeoutMs: number;
 			/** Whether to open a new connection. */
-			readonly isFresh: boolean;
+			readonly needsNewConnection: boolean;
 	  }
 	| {
 			readonly kind: 'answer';
@@ -152,7 +153,7 @@
 			readonly fields: Readonly<Record<string, unknown>>;
 	  };
 
-/** Result of one step of the document machine. */
+/** Result of one step of the document state machine. */
 export type DocumentStep = {
 	readonly state: DocumentState;
 	readonly effects: readonly DocumentEffect[];
--- a/src/coordination/interleave-by-team.ts
+++ b/src/coordination/interleave-by-team.ts
@@ -1,7 +1,7 @@
 import type {Submission} from '../protocol/configuration.js';
 
 /**
- * Orders submissions round-robin by team, keeping each team's own order.
+ * Orders submissions round-robin by team and keeps the order within each team.
  *
  * @param submissions - submissions in order of arrival
  * @returns the same submissions, one of each team in turn
--- a/src/coordination/list-document-peers.ts
+++ b/src/coordination/list-document-peers.ts
@@ -4,19 +4,19 @@
 import {computeRoots} from './compute-roots.js';
 import type {DocumentPeer} from './document-state.js';
 
-/** From whom a node gets the document. */
+/** Sources from which a node gets the document. */
 export type DocumentPeers = {
 	/** Whether the node keeps a watch on the store. */
 	readonly isRoot: boolean;
-	/** Other nodes to ask, in order of preference. */
+	/** Other nodes to poll, in order of preference. */
 	readonly peers: readonly DocumentPeer[];
 };
 
 /**
- * Puts the parents after the first in an order that differs from child to
- * child, so that the children of a parent that fails do not all turn to one.
+ * Rotates the parents after the first by a hash of the child's name, so that the
+ * children of a failed parent do not all switch to the same fallback.
  */
-function spreadFallbacks(
+function rotateFallbacks(
 	[parent, ...others]: readonly Member[],
 	name: string,
 ): readonly Member[] {
@@ -25,15 +25,15 @@
 }
 
 /**
- * Lists the nodes that a node asks for documents.
+ * Lists the nodes that a node polls for documents.
  *
- * A root asks the other roots, so that a watch that has fallen silent is
- * noticed; a child asks its parents in the tree of its data centre, and then
- * the roots of other data centres.
+ * A root polls the other roots, so that a watch that no longer delivers changes
+ * is noticed; a child polls its parents in the tree of its data centre, and then
+ * the roots of its own data centre and one root of each other one.
  *
  * @param members - known members
  * @param name - the node's own name
- * @returns its part and its peers
+ * @returns whether the node is a root, and its peers
  * @example
  * listDocumentPeers([self], self.name).isRoot; // true
  */
@@ -55,7 +55,7 @@
 	const first =
 		position.kind === 'root'
 			? ownRoots
-			: spreadFallbacks(position.parents, name);
+			: rotateFallbacks(position.parents, name);
 	const peers = new Map<string, DocumentPeer>();
 	for (const member of [...first, ...ownRoots, ...others]) {
 		if (member.name !== name) {
--- a/src/coordination/pick-next-team.ts
+++ b/src/coordination/pick-next-team.ts
@@ -1,6 +1,6 @@
 import {computeOpenSlots, type TeamActivity} from './compute-open-slots.js';
 
-/** What the choice of the next attempt depends on. */
+/** Input of `pickNextTeam`. */
 export type NextTeamInput = {
 	readonly slots: number;
 	readonly inFlight: number;
@@ -15,7 +15,7 @@
  * start tag among the teams to which a slot is open.
  *
  * @param input - see `NextTeamInput`
- * @returns the team, or undefined when no waiting team may take a slot
+ * @returns the team, or undefined if no waiting team may take a slot
  * @example
  * pickNextTeam({slots: 6, inFlight: 6, startTags, teams}); // undefined
  */
--- a/src/coordination/snapshot-state.ts
+++ b/src/coordination/snapshot-state.ts
@@ -1,5 +1,5 @@
 /**
- * State, messages and effects of the machine that writes snapshots.
+ * State, messages and effects of the state machine that writes snapshots.
  */
 import type {Configuration} from '../protocol/configuration.js';
 import type {
@@ -10,17 +10,18 @@
 } from '../protocol/platform.js';
 import type {SnapshotChunk} from '../state/encode-snapshot.js';
 
-/** A snapshot on its way into the platform. */
+/** A snapshot that is being written to the platform. */
 export type SnapshotJob = {
 	readonly version: number;
 	readonly digest: string;
 	readonly chunks: readonly SnapshotChunk[];
+	/** Version of the snapshot before this one; 0 if there is none. */
 	readonly previous: number;
-	/** Condition under which the head is moved: as it was read at the start. */
+	/** Condition for the write of the head: unchanged since it was read at the start. */
 	readonly condition: WriteCondition;
 };
 
-/** Where the snapshot writer stands. */
+/** Phase of the snapshot writer. */
 export type SnapshotPhase =
 	| {readonly kind: 'idle'}
 	| {readonly kind: 'reading-head'; readonly configuration: Configuration}
@@ -30,27 +31,27 @@
 			readonly index: number;
 	  }
 	| {
-			readonly kind: 'checking';
+			readonly kind: 'verifying-chunk';
 			readonly job: SnapshotJob;
 			readonly index: number;
 	  }
-	| {readonly kind: 'moving-head'; readonly job: SnapshotJob}
-	| {readonly kind: 'checking-head'; readonly job: SnapshotJob}
-	| {readonly kind: 'listing'; readonly keepFrom: number}
+	| {readonly kind: 'updating-head'; readonly job: SnapshotJob}
+	| {readonly kind: 'verifying-head'; readonly job: SnapshotJob}
+	| {readonly kind: 'listing'; readonly oldestKeptVersion: number}
 	| {
-			readonly kind: 'clearing';
-			readonly keepFrom: number;
-			readonly rest: readonly PlatformObject[];
+			readonly kind: 'deleting';
+			readonly oldestKeptVersion: number;
+			readonly remaining: readonly PlatformObject[];
 	  };
 
 /** State of a node's snapshot writer. */
 export type SnapshotState = {
 	readonly phase: SnapshotPhase;
-	/** Number of the newest call; answers to older ones are ignored. */
+	/** Identifier of the newest call; answers to older ones are ignored. */
 	readonly callId: number;
 };
 
-/** What the snapshot writer can be told. */
+/** Messages that the snapshot writer handles. */
 export type SnapshotMessage =
 	| {readonly kind: 'store'; readonly configuration: Configuration}
 	| {
@@ -59,7 +60,7 @@
 			readonly outcome: PlatformOutcome;
 	  };
 
-/** What the snapshot writer asks of its task. */
+/** Effects that the caller of `stepSnapshot` carries out. */
 export type SnapshotEffect =
 	| {
 			readonly kind: 'call';
--- a/src/coordination/step-commit.test.ts
+++ b/src/coordination/step-commit.test.ts
@@ -27,7 +27,7 @@
 	const replies: Committer['replies'] = [];
 	const calls: Committer['calls'] = [];
 
-	function carryOut(effect: CommitEffect): void {
+	function runEffect(effect: CommitEffect): void {
 		switch (effect.kind) {
 			case 'reply': {
 				replies.push(effect);
@@ -55,7 +55,7 @@
 		const step = stepCommit(state, message, {now: 0, random: () => 0});
 		state = step.state;
 		for (const effect of step.effects) {
-			carryOut(effect);
+			runEffect(effect);
 		}
 	}
 
@@ -63,9 +63,9 @@
 		replies,
 		calls,
 		tell,
-		submit(ticket, team, replaces, id = `s-${ticket}`) {
+		submit(replyId, team, replaces, id = `s-${replyId}`) {
 			const manifest = manifestSchema.parse({team, replaces});
-			tell({kind: 'submit', ticket: {ticket, submissionId: id, manifest}});
+			tell({kind: 'submit', pending: {replyId, submissionId: id, manifest}});
 		},
 		answer(outcome) {
 			tell({kind: 'answer', callId: calls.at(-1)!.callId, outcome});
@@ -76,7 +76,7 @@
 
 const written: PlatformOutcome = {kind: 'written', version: 1};
 
-test('two committers race: one wins, the other is told the revision', () => {
+test('of two concurrent commits one is accepted, the other is refused with the current revision', () => {
 	const winner = createCommitter();
 	const loser = createCommitter();
 	for (const committer of [winner, loser]) {
@@ -96,7 +96,7 @@
 	assert.ok(refused?.kind === 'refused' && refused.currentRevision === 1);
 });
 
-test('the next version is written under the condition that was read', () => {
+test('the next version is written on the condition that its slot is unchanged since the read', () => {
 	const committer = createCommitter();
 	committer.submit(1, 'kitchens', 0);
 	committer.answer({kind: 'absent'});
@@ -106,15 +106,15 @@
 });
 
 for (const [what, outcomes, expected] of [
-	['is found again', ['own'], 'accepted'],
+	['is resolved by reading the entry back', ['own'], 'accepted'],
 	['cannot be read back', Array.from({length: 20}, () => 'down'), 'unknown'],
 	[
-		'has not landed and then the platform is down',
+		'is followed by an empty slot and an unavailable platform',
 		['absent', 'down'],
 		'unknown',
 	],
 ] as const) {
-	test(`a lost answer that ${what} is ${expected}`, () => {
+	test(`the outcome of a lost answer that ${what} is ${expected}`, () => {
 		const committer = createCommitter();
 		committer.submit(1, 'kitchens', 0);
 		committer.answer({kind: 'absent'});
@@ -137,7 +137,7 @@
 	});
 }
 
-test('a group is bounded and takes one submission of each team in turn', () => {
+test('the size of a group is limited and teams are taken round-robin', () => {
 	const committer = createCommitter();
 	committer.submit(0, 'first', 0);
 	for (let ticket = 1; ticket <= 40; ticket++) {
@@ -152,7 +152,7 @@
 	assert.ok(group.some(({manifest}) => manifest.team === 'brigades'));
 });
 
-test('repeats get the first answer, and the quota refuses the rest', () => {
+test('a repeated submission gets the first reply, and changes above the quota are refused', () => {
 	const committer = createCommitter();
 	for (let count = 0; count <= maxChangesPerMinutePerTeam; count++) {
 		committer.submit(count, 'kitchens', count);
--- a/src/coordination/step-commit.ts
+++ b/src/coordination/step-commit.ts
@@ -15,23 +15,26 @@
 	CommitOptions,
 	CommitState,
 	CommitStep,
-	Ticket,
+	PendingSubmission,
 } from './commit-state.js';
 
-function addTicket(
+function addSubmission(
 	state: CommitState,
-	ticket: Ticket,
+	ticket: PendingSubmission,
 	context: CommitContext,
 ): CommitStep {
-	const ofTeam = state.waiting.filter(
+	const waitingOfTeam = state.waiting.filter(
 		({manifest}) => manifest.team === ticket.manifest.team,
 	);
-	if (ofTeam.length >= maxWaitingPerTeam) {
+	if (waitingOfTeam.length >= maxWaitingPerTeam) {
 		const outcome = {
 			kind: 'unavailable',
 			submissionId: ticket.submissionId,
 		} as const;
-		return {state, effects: [{kind: 'reply', ticket: ticket.ticket, outcome}]};
+		return {
+			state,
+			effects: [{kind: 'reply', replyId: ticket.replyId, outcome}],
+		};
 	}
 
 	const next = {...state, waiting: [...state.waiting, ticket]};
@@ -51,27 +54,31 @@
 		: readBack(state, before.decision, before.tries, context.ringSize);
 }
 
-function adoptBase(state: CommitState, base: CommitState['base']): CommitState {
-	const mayAdopt = state.phase.kind === 'idle' && state.group.length === 0;
-	return mayAdopt && base.version > state.base.version
+function updateBase(
+	state: CommitState,
+	base: CommitState['base'],
+): CommitState {
+	const canUpdate = state.phase.kind === 'idle' && state.group.length === 0;
+	return canUpdate && base.version > state.base.version
 		? {...state, base}
 		: state;
 }
 
 /**
- * Advances the commit machine by one message.
+ * Advances the commit state machine by one message.
  *
  * A group of submissions is accepted by one conditional write of the next log
- * slot, at the object version that was read. An older process that wakes
- * fails that condition. A lost answer is resolved by reading the slot back;
- * `unknown` is answered only while the write may still take effect.
+ * slot, at the object version that was read. The write of an older process that
+ * resumes after a pause fails that condition. If the answer to a write is lost,
+ * the slot is read back; `unknown` is answered only while the write may still
+ * take effect.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @param options - see `CommitOptions`
  * @returns the state after and the effects to carry out
  * @example
- * stepCommit(createCommitState(base), {kind: 'submit', ticket}, {now, random});
+ * stepCommit(createCommitState(base), {kind: 'submit', pending}, {now, random});
  */
 export function stepCommit(
 	state: CommitState,
@@ -85,11 +92,11 @@
 	};
 	switch (message.kind) {
 		case 'submit': {
-			return addTicket(state, message.ticket, context);
+			return addSubmission(state, message.pending, context);
 		}
 
 		case 'configuration': {
-			return {state: adoptBase(state, message.configuration), effects: []};
+			return {state: updateBase(state, message.configuration), effects: []};
 		}
 
 		case 'snapshot-stored': {
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -26,7 +26,7 @@
 	};
 }
 
-/** A machine with its clock and the effects of its last step. */
+/** Creates a document state machine that keeps the effects of its last step. */
 function createMachine(name = 'a') {
 	let state: DocumentState = createDocumentState(name);
 	let effects: readonly DocumentEffect[] = [];
@@ -47,7 +47,7 @@
 	};
 }
 
-test('a node reads the store, runs the document and watches on', () => {
+test('a node reads the store, runs the document and starts a watch', () => {
 	const machine = createMachine();
 	machine.tell({kind: 'tick'}, 0);
 	const {callId} = machine.find('read')!;
@@ -63,7 +63,7 @@
 	assert.equal(machine.find('watch')?.revision, 9);
 });
 
-test('parts that cannot be read are logged once, and not without bound', () => {
+test('unreadable parts are logged once and up to a limit', () => {
 	const machine = createMachine();
 	const problems = Array.from({length: 20}, (_, index) => ({
 		kind: 'route-refused' as const,
@@ -94,7 +94,7 @@
 	);
 });
 
-test('an older document never replaces the running one', () => {
+test('an older document does not replace the running one', () => {
 	const machine = createMachine();
 	for (const [now, version] of [7, 5, 7].entries()) {
 		machine.tell({kind: 'tick'}, now * 10);
@@ -116,7 +116,7 @@
 	assert.equal(machine.read().document?.version, 7);
 });
 
-test('a lost history is read again', () => {
+test('the document is read again if the store has compacted the history', () => {
 	const machine = createMachine();
 	machine.tell({kind: 'tick'}, 0);
 	const first = machine.find('read')!;
@@ -136,7 +136,7 @@
 	assert.ok(machine.find('read'));
 });
 
-test('a watch that has fallen silent is given up and begun anew', () => {
+test('a watch that does not answer times out and is restarted', () => {
 	const machine = createMachine();
 	machine.tell({kind: 'tick'}, 0);
 	const {callId} = machine.find('read')!;
@@ -154,7 +154,7 @@
 	assert.equal(machine.find('watch')?.revision, 4);
 });
 
-/** A child of a data centre of four nodes, which all have records. */
+/** Creates the state machine of a child in a data centre of four known nodes. */
 function createChild() {
 	const members = ['a', 'b', 'c', 'd'].map((name) => createMember(name));
 	for (const {name} of members) {
@@ -168,7 +168,7 @@
 	throw new Error('no child among four nodes');
 }
 
-test('a child waits at a parent and leaves the store alone', () => {
+test('a child long-polls a parent and does not call the store', () => {
 	const machine = createChild();
 	const poll = machine.find('poll')!;
 	machine.tell(
@@ -189,7 +189,7 @@
 	assert.equal(machine.find('read'), undefined);
 });
 
-test('a child whose parents are silent asks others, then reads the store', () => {
+test('a child whose parents do not answer polls others, then reads the store', () => {
 	const machine = createChild();
 	const asked = new Set<string>();
 	let hasRead = false;
@@ -207,7 +207,7 @@
 	assert.ok(hasRead);
 });
 
-test('a stale answer counts as none', () => {
+test('after a stale answer the next peer is polled', () => {
 	const machine = createChild();
 	const {callId} = machine.find('poll')!;
 	machine.tell(
@@ -221,7 +221,7 @@
 	assert.equal(machine.read().peerIndex, 1);
 });
 
-test('waiting polls are answered when a newer document is there, or in time', () => {
+test('waiting polls are answered when a newer document arrives or their wait ends', () => {
 	const machine = createMachine();
 	const poll = {name: 'b', version: -1, waitMs: 800};
 	machine.tell({kind: 'poll', pollId: 1, poll}, 0);
@@ -246,7 +246,7 @@
 	assert.equal(machine.find('answer')?.answer.kind, 'unchanged');
 });
 
-/** A root that runs version 1 and has begun to watch from revision 4. */
+/** Creates the state machine of a root that runs version 1 and watches from revision 4. */
 function createWatchingRoot() {
 	const machine = createMachine();
 	machine.tell({kind: 'tick'}, 0);
@@ -261,7 +261,7 @@
 	return machine;
 }
 
-test('changes are sent to a node whose version is known, else the whole', () => {
+test('a node whose version is known gets changes, others get the full document', () => {
 	const machine = createWatchingRoot();
 	machine.tell(
 		{
@@ -282,7 +282,7 @@
 	}
 });
 
-test('changes that do not fit change nothing; another peer is asked for the whole', () => {
+test('changes that cannot be applied are ignored, and another peer is polled for the full document', () => {
 	const machine = createChild();
 	const first = machine.find('poll')!;
 	const whole = {kind: 'whole', ageMs: 0, document: createDocument(2)} as const;
@@ -310,7 +310,7 @@
 	assert.notEqual(next.address, first.address);
 });
 
-test('a copy that took long is followed by one copy of the newest, not by all since', () => {
+test('after a slow transfer only the newest copy is read, not every copy since', () => {
 	const machine = createWatchingRoot();
 	machine.tell(
 		{
@@ -357,16 +357,16 @@
 	assert.equal(machine.find('watch')?.revision, 9);
 });
 
-test('a copy that is still arriving is not given up', () => {
+test('a call whose answer is still arriving does not time out', () => {
 	const machine = createMachine();
 	machine.tell({kind: 'tick'}, 0);
 	const {callId, timeoutMs} = machine.find('read')!;
-	machine.tell({kind: 'begun', callId}, 10);
+	machine.tell({kind: 'receiving', callId}, 10);
 	machine.tell({kind: 'tick'}, timeoutMs + 500);
 	assert.equal(machine.read().storeLoop.call?.id, callId);
 });
 
-test('a child whose parent is slow for once leaves the store alone', () => {
+test('a child does not call the store after one slow answer of its parent', () => {
 	const machine = createChild();
 	const {timeoutMs} = machine.find('poll')!;
 	machine.tell({kind: 'tick'}, timeoutMs + 1);
@@ -374,7 +374,7 @@
 	assert.equal(machine.read().storeLoop.call, undefined);
 });
 
-test('a child that turns to the store after a long time reads one copy of the newest', () => {
+test('a child that falls back to the store after a long time checks the revision first, to read only the newest copy', () => {
 	const {name, peers} = createChild().read();
 	const machine = createMachine(name);
 	machine.tell({kind: 'tick'}, 0);
@@ -411,7 +411,7 @@
 	assert.equal(called[0], 'check');
 });
 
-test('a copy that a busy node read late counts as slow', () => {
+test('a copy that a busy node processes late counts as a slow transfer', () => {
 	const machine = createWatchingRoot();
 	machine.tell(
 		{
@@ -430,7 +430,7 @@
 	assert.ok(machine.find('check'));
 });
 
-test('a child that missed one poll goes back to its parent', () => {
+test('a child returns to its parent after one failed poll', () => {
 	const machine = createChild();
 	const parent = machine.find('poll')!.address;
 	machine.tell({kind: 'tick'}, 1201);
@@ -450,7 +450,7 @@
 	assert.equal(asked.at(-1), parent);
 });
 
-test('roots that the store turns away learn of a change from another data centre', () => {
+test('a root whose store calls fail polls a root of another data centre', () => {
 	const members = [
 		createMember('a'),
 		createMember('b'),
--- a/src/coordination/step-document.ts
+++ b/src/coordination/step-document.ts
@@ -1,10 +1,10 @@
 import type {Member} from '../protocol/member.js';
 import {answerPolls} from './_lib/document/answer-polls.js';
 import {acceptDocument} from './_lib/document/accept-document.js';
-import {acceptLate, handlePolled} from './_lib/document/handle-polled.js';
+import {handleLateAnswer, handlePolled} from './_lib/document/handle-polled.js';
 import {extendStoreCall, handleStored} from './_lib/document/handle-stored.js';
 import {planPoll, planStoreCall} from './_lib/document/plan-calls.js';
-import {continueWith} from './_lib/document/continue-with.js';
+import {createStepWithoutEffects} from './_lib/document/create-step-without-effects.js';
 import type {
 	DocumentLoop,
 	DocumentMessage,
@@ -13,7 +13,7 @@
 } from './document-state.js';
 import {listDocumentPeers} from './list-document-peers.js';
 
-function takeView(
+function updatePeers(
 	state: DocumentState,
 	members: readonly Member[],
 ): DocumentState {
@@ -33,7 +33,7 @@
 function failOverdueCalls(state: DocumentState, now: number): DocumentStep {
 	const stored = isOverdue(state.storeLoop, now)
 		? handleStored(state, {kind: 'failed'}, now)
-		: continueWith(state);
+		: createStepWithoutEffects(state);
 	if (!isOverdue(stored.state.peerLoop, now)) {
 		return stored;
 	}
@@ -49,7 +49,7 @@
 ): DocumentStep {
 	switch (message.kind) {
 		case 'view': {
-			return continueWith(takeView(state, message.members));
+			return createStepWithoutEffects(updatePeers(state, message.members));
 		}
 
 		case 'tick': {
@@ -57,44 +57,49 @@
 		}
 
 		case 'stored': {
-			// What a call that was given up brings is still of use.
+			// A document that arrives after its call has timed out is still used.
 			return message.callId === state.storeLoop.call?.id
 				? handleStored(state, message.outcome, now)
 				: message.outcome.kind === 'read'
 					? acceptDocument(state, message.outcome.document, 'store', now)
-					: continueWith(state);
+					: createStepWithoutEffects(state);
 		}
 
 		case 'polled': {
 			return message.callId === state.peerLoop.call?.id
 				? handlePolled(state, message.outcome, now)
-				: acceptLate(state, message.outcome, now);
+				: handleLateAnswer(state, message.outcome, now);
 		}
 
-		case 'begun': {
-			return continueWith(extendStoreCall(state, message.callId, now));
+		case 'receiving': {
+			return createStepWithoutEffects(
+				extendStoreCall(state, message.callId, now),
+			);
 		}
 
 		case 'poll': {
 			const {pollId, poll} = message;
 			const endsAt = now + poll.waitMs;
 			const waiting = {pollId, version: poll.version, endsAt};
-			return continueWith({...state, polls: [...state.polls, waiting]});
+			return createStepWithoutEffects({
+				...state,
+				polls: [...state.polls, waiting],
+			});
 		}
 	}
 }
 
 /**
- * Advances a node's document machine by one message.
+ * Advances a node's document state machine by one message.
  *
- * Two roots in each data centre watch the store; the other nodes wait at a
- * parent for what is newer. Roots also wait at another root, so that a watch
- * that has fallen silent delays a change by one hop only. A node whose peers
- * fail one after the other reads the store itself. A document is run when its
- * version is above that of the running one, so that an old copy never takes a
- * node back.
+ * Two roots in each data centre watch the store; the other nodes long-poll a
+ * parent for a newer document. Roots also long-poll another root, so that a
+ * watch that no longer delivers changes delays a change by one hop only. A node
+ * whose peers fail one after the other reads the store itself. A document is run
+ * only if its version is higher than that of the running one, so that a stale
+ * copy never rolls a node back.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @param now - monotonic ms
  * @returns the state after and the effects to carry out
--- a/src/coordination/take-commit-group.ts
+++ b/src/coordination/take-commit-group.ts
@@ -1,13 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {maxCommitsPerEntry, maxEntryBytes} from '../protocol/constants.js';
-import type {Ticket} from './commit-state.js';
+import type {PendingSubmission} from './commit-state.js';
 import {interleaveByTeam} from './interleave-by-team.js';
 
 /** Options of `takeCommitGroup`. */
 export type CommitGroupOptions = {
-	/** Most submissions in a group; default `maxCommitsPerEntry`. */
+	/** Maximum number of submissions in a group; default `maxCommitsPerEntry`. */
 	readonly maxCommits?: number;
-	/** Most bytes of manifests in a group; default `maxEntryBytes`. */
+	/** Maximum total size of the manifests in a group, bytes; default `maxEntryBytes`. A single larger manifest forms a group of its own. */
 	readonly maxBytes?: number;
 };
 
@@ -16,18 +16,21 @@
  *
  * @param waiting - waiting submissions in order of arrival
  * @param options - see `CommitGroupOptions`
- * @returns the group, never empty when something waits, and the rest
+ * @returns the group, never empty if something waits, and the other submissions
  * @example
  * takeCommitGroup(waiting).group.length;
  */
 export function takeCommitGroup(
-	waiting: readonly Ticket[],
+	waiting: readonly PendingSubmission[],
 	options: CommitGroupOptions = {},
-): {readonly group: readonly Ticket[]; readonly rest: readonly Ticket[]} {
+): {
+	readonly group: readonly PendingSubmission[];
+	readonly rest: readonly PendingSubmission[];
+} {
 	const {maxCommits = maxCommitsPerEntry, maxBytes = maxEntryBytes} = options;
 	const ordered = interleaveByTeam(waiting);
 	let bytes = 0;
-	const group: Ticket[] = [];
+	const group: PendingSubmission[] = [];
 	for (const item of ordered.slice(0, maxCommits)) {
 		bytes += Buffer.byteLength(JSON.stringify(item.manifest));
 		if (group.length > 0 && bytes > maxBytes) {
