--- a/src/coordination/_lib/commit/continue-commit.ts
+++ b/src/coordination/_lib/commit/continue-commit.ts
@@ -84,7 +84,7 @@
 	const kind = state.isUncertain ? 'unknown' : 'unavailable';
 	const replies = state.group.map(({replyId, submissionId}) => ({
 		kind: 'reply' as const,
-		ticket: replyId,
+		replyId,
 		outcome: {kind, submissionId} as const,
 	}));
 	return prependEffects(replies, finishGroup(state, ringSize));
--- a/src/coordination/_lib/commit/handle-commit-answer.ts
+++ b/src/coordination/_lib/commit/handle-commit-answer.ts
@@ -62,7 +62,7 @@
 ): CommitStep {
 	const replies = state.group.map(({replyId}, index) => ({
 		kind: 'reply' as const,
-		ticket: replyId,
+		replyId,
 		outcome: decision.outcomes[index]!,
 	}));
 	const next = {...state, refusals: recordRefusals(state, decision.outcomes)};
--- a/src/coordination/_lib/commit/refusals.ts
+++ b/src/coordination/_lib/commit/refusals.ts
@@ -10,9 +10,9 @@
 	return `${manifest.team}\n${submissionId}`;
 }
 
-function isAccepted(state: CommitState, ticket: PendingSubmission): boolean {
-	const records = state.base.teams[ticket.manifest.team]?.submissions ?? [];
-	return records.some(({id}) => id === ticket.submissionId);
+function isAccepted(state: CommitState, pending: PendingSubmission): boolean {
+	const records = state.base.teams[pending.manifest.team]?.submissions ?? [];
+	return records.some(({id}) => id === pending.submissionId);
 }
 
 /**
@@ -27,12 +27,12 @@
 } {
 	const remaining: PendingSubmission[] = [];
 	const effects: CommitEffect[] = [];
-	for (const ticket of state.group) {
-		const outcome = state.refusals.get(formatRefusalKey(ticket));
-		if (outcome && !isAccepted(state, ticket)) {
-			effects.push({kind: 'reply', replyId: ticket.replyId, outcome});
+	for (const pending of state.group) {
+		const outcome = state.refusals.get(formatRefusalKey(pending));
+		if (outcome && !isAccepted(state, pending)) {
+			effects.push({kind: 'reply', replyId: pending.replyId, outcome});
 		} else {
-			remaining.push(ticket);
+			remaining.push(pending);
 		}
 	}
 
@@ -55,13 +55,13 @@
 ): ReadonlyMap<string, SubmissionOutcome> {
 	const refusals = new Map(state.refusals);
 	for (const [index, outcome] of outcomes.entries()) {
-		const ticket = state.group[index];
+		const pending = state.group[index];
 		if (
-			ticket &&
+			pending &&
 			outcome.kind === 'refused' &&
 			outcome.problems.every(({code}) => code !== 'quota')
 		) {
-			refusals.set(formatRefusalKey(ticket), outcome);
+			refusals.set(formatRefusalKey(pending), outcome);
 		}
 	}
 
--- a/src/coordination/decide-status.test.ts
+++ b/src/coordination/decide-status.test.ts
@@ -34,7 +34,12 @@
 		'accepted',
 		[],
 	],
-	['one data centre has never reported', {statuses: [both[0]!]}, 'accepted', ['marka']],
+	[
+		'one data centre has never reported',
+		{statuses: [both[0]!]},
+		'accepted',
+		['marka'],
+	],
 	['all data centres are silent', {now: late}, 'accepted', ['abdali', 'marka']],
 	[
 		'it was reported as in force before',
--- a/src/coordination/step-commit.test.ts
+++ b/src/coordination/step-commit.test.ts
@@ -13,10 +13,10 @@
 import {stepCommit} from './step-commit.js';
 
 type Committer = {
-	readonly replies: Array<{ticket: number; outcome: SubmissionOutcome}>;
+	readonly replies: Array<{replyId: number; outcome: SubmissionOutcome}>;
 	readonly calls: Array<{callId: number; call: PlatformCall}>;
-	tell(message: CommitMessage): void;
-	submit(ticket: number, team: string, replaces: number, id?: string): void;
+	send(message: CommitMessage): void;
+	submit(replyId: number, team: string, replaces: number, id?: string): void;
 	/** Answers the newest call. */
 	answer(outcome: PlatformOutcome): void;
 	readState(): CommitState;
@@ -40,7 +40,7 @@
 			}
 
 			case 'wait': {
-				tell({kind: 'timer', callId: effect.callId});
+				send({kind: 'timer', callId: effect.callId});
 				break;
 			}
 
@@ -51,7 +51,7 @@
 		}
 	}
 
-	function tell(message: CommitMessage): void {
+	function send(message: CommitMessage): void {
 		const step = stepCommit(state, message, {now: 0, random: () => 0});
 		state = step.state;
 		for (const effect of step.effects) {
@@ -62,13 +62,13 @@
 	return {
 		replies,
 		calls,
-		tell,
+		send,
 		submit(replyId, team, replaces, id = `s-${replyId}`) {
 			const manifest = manifestSchema.parse({team, replaces});
-			tell({kind: 'submit', pending: {replyId, submissionId: id, manifest}});
+			send({kind: 'submit', pending: {replyId, submissionId: id, manifest}});
 		},
 		answer(outcome) {
-			tell({kind: 'answer', callId: calls.at(-1)!.callId, outcome});
+			send({kind: 'answer', callId: calls.at(-1)!.callId, outcome});
 		},
 		readState: () => state,
 	};
@@ -140,8 +140,8 @@
 test('the size of a group is limited and teams are taken round-robin', () => {
 	const committer = createCommitter();
 	committer.submit(0, 'first', 0);
-	for (let ticket = 1; ticket <= 40; ticket++) {
-		committer.submit(ticket, 'kitchens', ticket - 1);
+	for (let replyId = 1; replyId <= 40; replyId++) {
+		committer.submit(replyId, 'kitchens', replyId - 1);
 	}
 
 	committer.submit(41, 'brigades', 0);
@@ -168,7 +168,7 @@
 	committer.answer({kind: 'absent'});
 	assert.deepEqual(
 		committer.replies.at(-1)!.outcome,
-		committer.replies.find(({ticket}) => ticket === 5)?.outcome,
+		committer.replies.find(({replyId}) => replyId === 5)?.outcome,
 	);
 	committer.submit(101, 'brigades', 7, 'wrong');
 	committer.answer({kind: 'absent'});
--- a/src/coordination/step-commit.ts
+++ b/src/coordination/step-commit.ts
@@ -20,24 +20,24 @@
 
 function addSubmission(
 	state: CommitState,
-	ticket: PendingSubmission,
+	pending: PendingSubmission,
 	context: CommitContext,
 ): CommitStep {
 	const waitingOfTeam = state.waiting.filter(
-		({manifest}) => manifest.team === ticket.manifest.team,
+		({manifest}) => manifest.team === pending.manifest.team,
 	);
 	if (waitingOfTeam.length >= maxWaitingPerTeam) {
 		const outcome = {
 			kind: 'unavailable',
-			submissionId: ticket.submissionId,
+			submissionId: pending.submissionId,
 		} as const;
 		return {
 			state,
-			effects: [{kind: 'reply', replyId: ticket.replyId, outcome}],
+			effects: [{kind: 'reply', replyId: pending.replyId, outcome}],
 		};
 	}
 
-	const next = {...state, waiting: [...state.waiting, ticket]};
+	const next = {...state, waiting: [...state.waiting, pending]};
 	return state.phase.kind === 'idle'
 		? startGroup(next, context.ringSize)
 		: {state: next, effects: []};
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -31,7 +31,7 @@
 	let state: DocumentState = createDocumentState(name);
 	let effects: readonly DocumentEffect[] = [];
 	return {
-		tell(message: DocumentMessage, now: number) {
+		send(message: DocumentMessage, now: number) {
 			const step = stepDocument(state, message, now);
 			state = step.state;
 			effects = step.effects;
@@ -49,9 +49,9 @@
 
 test('a node reads the store, runs the document and starts a watch', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const {callId} = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId,
@@ -72,11 +72,11 @@
 	}));
 	const logs: string[] = [];
 	for (const [now, version] of [3, 4].entries()) {
-		machine.tell({kind: 'tick'}, now * 10);
+		machine.send({kind: 'tick'}, now * 10);
 		const document = {...createDocument(version), problems};
 		const callId = machine.read().storeLoop.call!.id;
 		const outcome = {kind: 'read', document, revision: 9 + now} as const;
-		const effects = machine.tell(
+		const effects = machine.send(
 			{kind: 'stored', callId, outcome},
 			now * 10 + 5,
 		);
@@ -97,9 +97,9 @@
 test('an older document does not replace the running one', () => {
 	const machine = createMachine();
 	for (const [now, version] of [7, 5, 7].entries()) {
-		machine.tell({kind: 'tick'}, now * 10);
+		machine.send({kind: 'tick'}, now * 10);
 		const call = machine.read().storeLoop.call!;
-		machine.tell(
+		machine.send(
 			{
 				kind: 'stored',
 				callId: call.id,
@@ -118,9 +118,9 @@
 
 test('the document is read again if the store has compacted the history', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const first = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: first.callId,
@@ -129,7 +129,7 @@
 		1,
 	);
 	const watch = machine.find('watch')!;
-	machine.tell(
+	machine.send(
 		{kind: 'stored', callId: watch.callId, outcome: {kind: 'compacted'}},
 		2,
 	);
@@ -138,9 +138,9 @@
 
 test('a watch that does not answer times out and is restarted', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const {callId} = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId,
@@ -149,8 +149,8 @@
 		1,
 	);
 	const {timeoutMs} = machine.find('watch')!;
-	machine.tell({kind: 'tick'}, timeoutMs + 2);
-	machine.tell({kind: 'tick'}, timeoutMs + 500);
+	machine.send({kind: 'tick'}, timeoutMs + 2);
+	machine.send({kind: 'tick'}, timeoutMs + 500);
 	assert.equal(machine.find('watch')?.revision, 4);
 });
 
@@ -159,7 +159,7 @@
 	const members = ['a', 'b', 'c', 'd'].map((name) => createMember(name));
 	for (const {name} of members) {
 		const machine = createMachine(name);
-		machine.tell({kind: 'view', members}, 0);
+		machine.send({kind: 'view', members}, 0);
 		if (!machine.read().isRoot) {
 			return machine;
 		}
@@ -171,7 +171,7 @@
 test('a child long-polls a parent and does not call the store', () => {
 	const machine = createChild();
 	const poll = machine.find('poll')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId: poll.callId,
@@ -185,7 +185,7 @@
 	assert.equal(machine.find('run')?.document.version, 2);
 	assert.equal(machine.find('poll')?.poll.version, 2);
 	const late = machine.read().storeLoop.call?.endsAt ?? 0;
-	machine.tell({kind: 'tick'}, Math.max(400, late + 1));
+	machine.send({kind: 'tick'}, Math.max(400, late + 1));
 	assert.equal(machine.find('read'), undefined);
 });
 
@@ -194,7 +194,7 @@
 	const asked = new Set<string>();
 	let hasRead = false;
 	for (let now = 0; now < 3000; now += 100) {
-		for (const effect of machine.tell({kind: 'tick'}, now)) {
+		for (const effect of machine.send({kind: 'tick'}, now)) {
 			if (effect.kind === 'poll') {
 				asked.add(effect.address);
 			}
@@ -210,7 +210,7 @@
 test('after a stale answer the next peer is polled', () => {
 	const machine = createChild();
 	const {callId} = machine.find('poll')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId,
@@ -224,9 +224,9 @@
 test('waiting polls are answered when a newer document arrives or their wait ends', () => {
 	const machine = createMachine();
 	const poll = {name: 'b', version: -1, waitMs: 800};
-	machine.tell({kind: 'poll', pollId: 1, poll}, 0);
+	machine.send({kind: 'poll', pollId: 1, poll}, 0);
 	const {callId} = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId,
@@ -239,9 +239,9 @@
 		ageMs: 0,
 		document: createDocument(1),
 	});
-	machine.tell({kind: 'poll', pollId: 2, poll: {...poll, version: 1}}, 30);
+	machine.send({kind: 'poll', pollId: 2, poll: {...poll, version: 1}}, 30);
 	assert.equal(machine.find('answer'), undefined);
-	machine.tell({kind: 'tick'}, 900);
+	machine.send({kind: 'tick'}, 900);
 	assert.equal(machine.find('answer')?.pollId, 2);
 	assert.equal(machine.find('answer')?.answer.kind, 'unchanged');
 });
@@ -249,8 +249,8 @@
 /** Creates the state machine of a root that runs version 1 and watches from revision 4. */
 function createWatchingRoot() {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
-	machine.tell(
+	machine.send({kind: 'tick'}, 0);
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('read')!.callId,
@@ -263,7 +263,7 @@
 
 test('a node whose version is known gets changes, others get the full document', () => {
 	const machine = createWatchingRoot();
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('watch')!.callId,
@@ -277,7 +277,7 @@
 		[3, -1, 'whole'],
 	] as const) {
 		const poll = {name: 'b', version, waitMs: 800};
-		machine.tell({kind: 'poll', pollId, poll}, 20);
+		machine.send({kind: 'poll', pollId, poll}, 20);
 		assert.equal(machine.find('answer')?.answer.kind, kind);
 	}
 });
@@ -286,7 +286,7 @@
 	const machine = createChild();
 	const first = machine.find('poll')!;
 	const whole = {kind: 'whole', ageMs: 0, document: createDocument(2)} as const;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId: first.callId,
@@ -295,7 +295,7 @@
 		5,
 	);
 	const changes = {from: 2, to: 3, removed: ['x'], put: [], services: {}};
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId: machine.find('poll')!.callId,
@@ -312,7 +312,7 @@
 
 test('after a slow transfer only the newest copy is read, not every copy since', () => {
 	const machine = createWatchingRoot();
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('watch')!.callId,
@@ -325,7 +325,7 @@
 		},
 		1000,
 	);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('check')!.callId,
@@ -333,7 +333,7 @@
 		},
 		1010,
 	);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('read')!.callId,
@@ -346,7 +346,7 @@
 		},
 		2000,
 	);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('check')!.callId,
@@ -359,17 +359,17 @@
 
 test('a call whose answer is still arriving does not time out', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const {callId, timeoutMs} = machine.find('read')!;
-	machine.tell({kind: 'receiving', callId}, 10);
-	machine.tell({kind: 'tick'}, timeoutMs + 500);
+	machine.send({kind: 'receiving', callId}, 10);
+	machine.send({kind: 'tick'}, timeoutMs + 500);
 	assert.equal(machine.read().storeLoop.call?.id, callId);
 });
 
 test('a child does not call the store after one slow answer of its parent', () => {
 	const machine = createChild();
 	const {timeoutMs} = machine.find('poll')!;
-	machine.tell({kind: 'tick'}, timeoutMs + 1);
+	machine.send({kind: 'tick'}, timeoutMs + 1);
 	assert.equal(machine.find('poll')?.poll.waitMs, 0);
 	assert.equal(machine.read().storeLoop.call, undefined);
 });
@@ -377,13 +377,13 @@
 test('a child that falls back to the store after a long time checks the revision first, to read only the newest copy', () => {
 	const {name, peers} = createChild().read();
 	const machine = createMachine(name);
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const members = [name, ...peers.map((peer) => peer.name)].map((each) =>
 		createMember(each),
 	);
-	machine.tell({kind: 'view', members}, 5);
+	machine.send({kind: 'view', members}, 5);
 	const document = createDocument(1);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.read().storeLoop.call!.id,
@@ -392,7 +392,7 @@
 		10,
 	);
 	const changes = {from: 1, to: 2, removed: [], put: [], services: {}};
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId: machine.read().peerLoop.call!.id,
@@ -404,7 +404,7 @@
 	const calls = new Set(['check', 'read', 'watch']);
 	const called: string[] = [];
 	for (let now = 100; now < 3000; now += 100) {
-		const kinds = machine.tell({kind: 'tick'}, now).map(({kind}) => kind);
+		const kinds = machine.send({kind: 'tick'}, now).map(({kind}) => kind);
 		called.push(...kinds.filter((kind) => calls.has(kind)));
 	}
 
@@ -413,7 +413,7 @@
 
 test('a copy that a busy node processes late counts as a slow transfer', () => {
 	const machine = createWatchingRoot();
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('watch')!.callId,
@@ -433,7 +433,7 @@
 test('a child returns to its parent after one failed poll', () => {
 	const machine = createChild();
 	const parent = machine.find('poll')!.address;
-	machine.tell({kind: 'tick'}, 1201);
+	machine.send({kind: 'tick'}, 1201);
 	assert.notEqual(machine.find('poll')?.address, parent);
 	const asked: string[] = [];
 	for (let now = 2000; now < 10_000; now += 800) {
@@ -442,7 +442,7 @@
 			kind: 'answered',
 			answer: {kind: 'unchanged', ageMs: 0},
 		} as const;
-		machine.tell({kind: 'polled', callId, outcome}, now);
+		machine.send({kind: 'polled', callId, outcome}, now);
 		asked.push(machine.find('poll')!.address);
 	}
 
@@ -457,10 +457,10 @@
 		createMember('m', 'marka'),
 	];
 	const machine = createMachine('a');
-	machine.tell({kind: 'view', members}, 0);
+	machine.send({kind: 'view', members}, 0);
 	const failed = {kind: 'failed'} as const;
 	const {id} = machine.read().storeLoop.call!;
-	machine.tell({kind: 'stored', callId: id, outcome: failed}, 5);
+	machine.send({kind: 'stored', callId: id, outcome: failed}, 5);
 	const asked = new Set<string>();
 	for (let now = 800; now <= 1600; now += 800) {
 		const {id: callId} = machine.read().peerLoop.call!;
@@ -468,7 +468,7 @@
 			kind: 'answered',
 			answer: {kind: 'unchanged', ageMs: 100},
 		} as const;
-		machine.tell({kind: 'polled', callId, outcome}, now);
+		machine.send({kind: 'polled', callId, outcome}, now);
 		asked.add(machine.find('poll')!.address);
 	}
 
--- a/src/coordination/step-snapshot.ts
+++ b/src/coordination/step-snapshot.ts
@@ -161,10 +161,10 @@
 	outcome: PlatformOutcome,
 ): SnapshotStep {
 	const items = outcome.kind === 'items' ? outcome.items : [];
-	const oldest = formatSnapshotKey(keepFrom, 0);
+	const oldest = formatSnapshotKey(oldestKeptVersion, 0);
 	const obsolete = items.filter(({key}) => key < oldest);
 	return obsolete.length > 0
-		? deleteNext(state, keepFrom, obsolete)
+		? deleteNext(state, oldestKeptVersion, obsolete)
 		: becomeIdle(state);
 }
 
