--- a/src/coordination/_lib/commit/continue-commit.ts
+++ b/src/coordination/_lib/commit/continue-commit.ts
@@ -79,7 +79,10 @@
 	);
 }
 
-/** Answers a group that cannot be decided: `unknown` if a write may still take effect, else `unavailable`. */
+/**
+ * Answers a group that cannot be decided: `unknown` if a write may still take
+ * effect, else `unavailable`.
+ */
 export function answerGroup(state: CommitState, ringSize: number): CommitStep {
 	const kind = state.isUncertain ? 'unknown' : 'unavailable';
 	const replies = state.group.map(({replyId, submissionId}) => ({
@@ -90,7 +93,10 @@
 	return prependEffects(replies, finishGroup(state, ringSize));
 }
 
-/** Waits with full jitter before the next try, or answers the group after `maxCommitTries`. */
+/**
+ * Waits with full jitter before the next try, or answers the group after
+ * `maxCommitTries`.
+ */
 export function pauseBefore(
 	state: CommitState,
 	before: PausePhase['before'],
--- a/src/coordination/_lib/commit/refusals.ts
+++ b/src/coordination/_lib/commit/refusals.ts
@@ -43,7 +43,8 @@
  * Records the refusals of a group and evicts the oldest ones above
  * `maxRememberedRefusals`.
  *
- * A refusal for quota is not recorded, since the quota is per minute.
+ * A refusal for quota is not recorded, since it no longer holds once the minute
+ * has passed.
  *
  * @param state - state of the commit state machine
  * @param outcomes - outcomes in the order of the group
--- a/src/coordination/_lib/document/accept-document.ts
+++ b/src/coordination/_lib/document/accept-document.ts
@@ -11,7 +11,10 @@
 } from '../../document-state.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
-/** Logs the unreadable parts of a document that the previous document did not already report. */
+/**
+ * Logs the unreadable parts of a document that the previous document did not
+ * already report.
+ */
 function createProblemLogs(
 	before: RoutingDocument | undefined,
 	{version, problems = []}: RoutingDocument,
--- a/src/coordination/_lib/document/end-call.ts
+++ b/src/coordination/_lib/document/end-call.ts
@@ -4,7 +4,10 @@
 } from '../../../protocol/constants.js';
 import type {DocumentLoop} from '../../document-state.js';
 
-/** Ends the call of a loop; after a failure the next call is delayed with exponential backoff. */
+/**
+ * Ends the call of a loop; after a failure the next call is delayed with
+ * exponential backoff.
+ */
 export function endCall(
 	loop: DocumentLoop,
 	hasFailed: boolean,
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -46,7 +46,7 @@
 }
 
 /**
- * Tells whether calls of a root on the store fail. The root then polls its
+ * Returns whether calls of a root to the store fail. The root then polls its
  * peers in turn: calls of the other root of its data centre may fail as well,
  * and answers of that root become stale only after some seconds.
  */
@@ -54,7 +54,10 @@
 	return isRoot && storeLoop.failures > 0;
 }
 
-/** Selects the next peer; polls it at once unless every peer has been polled. */
+/**
+ * Selects the next peer and polls it at once, or after a delay if every peer
+ * has been polled.
+ */
 function failPoll(state: DocumentState, now: number): DocumentState {
 	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
 	return {
@@ -93,7 +96,10 @@
 	};
 }
 
-/** Returns the document that results from an answer, undefined if nothing is newer, or why the changes cannot be applied. */
+/**
+ * Returns the document that results from an answer, undefined if nothing is
+ * newer, or why the changes cannot be applied.
+ */
 function resolveAnswer(
 	state: DocumentState,
 	answer: DocumentAnswer,
--- a/src/coordination/_lib/document/plan-calls.ts
+++ b/src/coordination/_lib/document/plan-calls.ts
@@ -51,7 +51,10 @@
 	};
 }
 
-/** Polls the current peer, unless a poll is in flight or the retry delay has not passed. */
+/**
+ * Polls the current peer, unless a poll is in flight or the retry delay has not
+ * passed.
+ */
 export function planPoll(state: DocumentState, now: number): DocumentStep {
 	const {peerLoop, peers, name} = state;
 	const peer = peers[state.peerIndex % Math.max(1, peers.length)];
@@ -63,7 +66,8 @@
 	const version = state.needsFullDocument
 		? -1
 		: (state.document?.version ?? -1);
-	// A peer that is polled instead of one that failed answers at once, without waiting for a change.
+	// A peer that is polled instead of one that failed answers at once, without
+	// waiting for a change.
 	const waitMs = peerLoop.failures > 0 ? 0 : documentPollMs;
 	const timeoutMs = waitMs + documentGraceMs;
 	const call = {id: callId, endsAt: now + timeoutMs, isReceiving: false};
--- a/src/coordination/decide-status.test.ts
+++ b/src/coordination/decide-status.test.ts
@@ -61,15 +61,15 @@
 	],
 ];
 
-for (const [what, facts, state, silent] of cases) {
-	test(`a version is ${state} when ${what}`, () => {
+for (const [condition, input, state, silent] of cases) {
+	test(`a version is ${state} when ${condition}`, () => {
 		const result = decideStatus(5, {
 			acceptedVersion: 5,
 			inForceVersion: 0,
 			statuses: both,
 			dataCentres: ['abdali', 'marka'],
 			now: 0,
-			...facts,
+			...input,
 		});
 		assert.equal(result.state, state);
 		assert.deepEqual(result.silent, silent);
--- a/src/coordination/decide-status.ts
+++ b/src/coordination/decide-status.ts
@@ -15,7 +15,10 @@
 	/** Whether the last report of every data centre has the version in force. */
 	readonly isEverywhere: boolean;
 	readonly dataCentres: readonly DataCentreProgress[];
-	/** Data centres without a report within `statusSilentAfterMs`; no state is assumed for them. */
+	/**
+	 * Data centres without a report within `statusSilentAfterMs`; no state is
+	 * assumed for them.
+	 */
 	readonly silent: readonly string[];
 };
 
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -45,7 +45,10 @@
 	readonly peers: readonly DocumentPeer[];
 	/** Index of the peer that is polled, modulo the number of peers. */
 	readonly peerIndex: number;
-	/** When the node last switched from its parent, the first peer, to another, monotonic ms. */
+	/**
+	 * When the node last switched from its parent, the first peer, to another,
+	 * monotonic ms.
+	 */
 	readonly leftParentAt: number;
 	/** The document that the node runs. */
 	readonly document: RoutingDocument | undefined;
@@ -53,13 +56,22 @@
 	readonly earlierDocuments: readonly RoutingDocument[];
 	/** Changes that lead to the running document, by their base version. */
 	readonly changes: ReadonlyMap<number, DocumentChanges | undefined>;
-	/** Whether changes from a peer could not be applied, so that the next poll asks for the full document. */
+	/**
+	 * Whether changes from a peer could not be applied, so that the next poll
+	 * asks for the full document.
+	 */
 	readonly needsFullDocument: boolean;
 	/** When the document was last confirmed to be the newest. */
 	readonly confirmedAt: number;
-	/** Revision of the store from which to watch; undefined if the document must be read first. */
+	/**
+	 * Revision of the store from which to watch; undefined if the document must
+	 * be read first.
+	 */
 	readonly revision: number | undefined;
-	/** Whether there may be several changes since the revision, each of which a watch would send. */
+	/**
+	 * Whether there may be several changes since the revision, each of which a
+	 * watch would send.
+	 */
 	readonly hasBacklog: boolean;
 	readonly storeLoop: DocumentLoop;
 	readonly peerLoop: DocumentLoop;
--- a/src/coordination/interleave-by-team.ts
+++ b/src/coordination/interleave-by-team.ts
@@ -19,10 +19,10 @@
 	}
 
 	const ordered: Item[] = [];
-	for (let turn = 0; ordered.length < submissions.length; turn++) {
+	for (let round = 0; ordered.length < submissions.length; round++) {
 		for (const queue of queues.values()) {
-			if (queue[turn]) {
-				ordered.push(queue[turn]!);
+			if (queue[round]) {
+				ordered.push(queue[round]!);
 			}
 		}
 	}
--- a/src/coordination/step-commit.test.ts
+++ b/src/coordination/step-commit.test.ts
@@ -105,7 +105,7 @@
 	assert.deepEqual(call.condition, {kind: 'absent'});
 });
 
-for (const [what, outcomes, expected] of [
+for (const [condition, outcomes, expected] of [
 	['is resolved by reading the entry back', ['own'], 'accepted'],
 	['cannot be read back', Array.from({length: 20}, () => 'down'), 'unknown'],
 	[
@@ -114,7 +114,7 @@
 		'unknown',
 	],
 ] as const) {
-	test(`the outcome of a lost answer that ${what} is ${expected}`, () => {
+	test(`the outcome of a lost answer that ${condition} is ${expected}`, () => {
 		const committer = createCommitter();
 		committer.submit(1, 'kitchens', 0);
 		committer.answer({kind: 'absent'});
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -191,19 +191,19 @@
 
 test('a child whose parents do not answer polls others, then reads the store', () => {
 	const machine = createChild();
-	const asked = new Set<string>();
+	const polledAddresses = new Set<string>();
 	let hasRead = false;
 	for (let now = 0; now < 3000; now += 100) {
 		for (const effect of machine.send({kind: 'tick'}, now)) {
 			if (effect.kind === 'poll') {
-				asked.add(effect.address);
+				polledAddresses.add(effect.address);
 			}
 
 			hasRead ||= effect.kind === 'read' && now < 2000;
 		}
 	}
 
-	assert.ok(asked.size >= 2);
+	assert.ok(polledAddresses.size >= 2);
 	assert.ok(hasRead);
 });
 
@@ -246,7 +246,10 @@
 	assert.equal(machine.find('answer')?.answer.kind, 'unchanged');
 });
 
-/** Creates the state machine of a root that runs version 1 and watches from revision 4. */
+/**
+ * Creates the state machine of a root that runs version 1 and watches from
+ * revision 4.
+ */
 function createWatchingRoot() {
 	const machine = createMachine();
 	machine.send({kind: 'tick'}, 0);
@@ -285,12 +288,16 @@
 test('changes that cannot be applied are ignored, and another peer is polled for the full document', () => {
 	const machine = createChild();
 	const first = machine.find('poll')!;
-	const whole = {kind: 'whole', ageMs: 0, document: createDocument(2)} as const;
+	const fullAnswer = {
+		kind: 'whole',
+		ageMs: 0,
+		document: createDocument(2),
+	} as const;
 	machine.send(
 		{
 			kind: 'polled',
 			callId: first.callId,
-			outcome: {kind: 'answered', answer: whole},
+			outcome: {kind: 'answered', answer: fullAnswer},
 		},
 		5,
 	);
@@ -435,7 +442,7 @@
 	const parent = machine.find('poll')!.address;
 	machine.send({kind: 'tick'}, 1201);
 	assert.notEqual(machine.find('poll')?.address, parent);
-	const asked: string[] = [];
+	const polledAddresses: string[] = [];
 	for (let now = 2000; now < 10_000; now += 800) {
 		const {id: callId} = machine.read().peerLoop.call!;
 		const outcome = {
@@ -443,11 +450,11 @@
 			answer: {kind: 'unchanged', ageMs: 0},
 		} as const;
 		machine.send({kind: 'polled', callId, outcome}, now);
-		asked.push(machine.find('poll')!.address);
+		polledAddresses.push(machine.find('poll')!.address);
 	}
 
-	assert.notEqual(asked[0], parent);
-	assert.equal(asked.at(-1), parent);
+	assert.notEqual(polledAddresses[0], parent);
+	assert.equal(polledAddresses.at(-1), parent);
 });
 
 test('a root whose store calls fail polls a root of another data centre', () => {
@@ -461,7 +468,7 @@
 	const failed = {kind: 'failed'} as const;
 	const {id} = machine.read().storeLoop.call!;
 	machine.send({kind: 'stored', callId: id, outcome: failed}, 5);
-	const asked = new Set<string>();
+	const polledAddresses = new Set<string>();
 	for (let now = 800; now <= 1600; now += 800) {
 		const {id: callId} = machine.read().peerLoop.call!;
 		const outcome = {
@@ -469,8 +476,8 @@
 			answer: {kind: 'unchanged', ageMs: 100},
 		} as const;
 		machine.send({kind: 'polled', callId, outcome}, now);
-		asked.add(machine.find('poll')!.address);
+		polledAddresses.add(machine.find('poll')!.address);
 	}
 
-	assert.ok(asked.has(members[2]!.address));
+	assert.ok(polledAddresses.has(members[2]!.address));
 });
--- a/src/coordination/take-commit-group.ts
+++ b/src/coordination/take-commit-group.ts
@@ -7,7 +7,10 @@
 export type CommitGroupOptions = {
 	/** Maximum number of submissions in a group; default `maxCommitsPerEntry`. */
 	readonly maxCommits?: number;
-	/** Maximum total size of the manifests in a group, bytes; default `maxEntryBytes`. A single larger manifest forms a group of its own. */
+	/**
+	 * Maximum total size of the manifests in a group, bytes; default
+	 * `maxEntryBytes`. A single larger manifest forms a group of its own.
+	 */
 	readonly maxBytes?: number;
 };
 
