--- a/src/coordination/_lib/commit/handle-commit-answer.ts
+++ b/src/coordination/_lib/commit/handle-commit-answer.ts
@@ -62,7 +62,7 @@
 ): CommitStep {
 	const replies = state.group.map(({replyId}, index) => ({
 		kind: 'reply' as const,
-		ticket: replyId,
+		replyId,
 		outcome: decision.outcomes[index]!,
 	}));
 	const next = {...state, refusals: recordRefusals(state, decision.outcomes)};
@@ -226,11 +226,11 @@
 }
 
 /**
- * Handles the outcome of the platform call that the commit machine waits for.
+ * Handles the outcome of the platform call that the commit state machine waits for.
  *
  * @param state - the state before
  * @param outcome - outcome of the newest call
- * @param context - time, randomness and sizes
+ * @param context - time, random source and sizes
  * @returns the state after and the effects to carry out
  */
 export function handleCommitAnswer(
--- a/src/coordination/_lib/commit/refusals.ts
+++ b/src/coordination/_lib/commit/refusals.ts
@@ -10,16 +10,16 @@
 	return `${manifest.team}\n${submissionId}`;
 }
 
-function isAccepted(state: CommitState, ticket: PendingSubmission): boolean {
-	const records = state.base.teams[ticket.manifest.team]?.submissions ?? [];
-	return records.some(({id}) => id === ticket.submissionId);
+function isAccepted(state: CommitState, pending: PendingSubmission): boolean {
+	const records = state.base.teams[pending.manifest.team]?.submissions ?? [];
+	return records.some(({id}) => id === pending.submissionId);
 }
 
 /**
  * Answers the submissions of a group that this node has refused before.
  *
- * @param state - the commit machine's state
- * @returns the submissions that are left, and the replies to the others
+ * @param state - state of the commit state machine
+ * @returns the submissions still to decide, and the replies to the others
  */
 export function answerRepeatedRefusals(state: CommitState): {
 	readonly remaining: readonly PendingSubmission[];
@@ -27,12 +27,12 @@
 } {
 	const remaining: PendingSubmission[] = [];
 	const effects: CommitEffect[] = [];
-	for (const ticket of state.group) {
-		const outcome = state.refusals.get(formatRefusalKey(ticket));
-		if (outcome && !isAccepted(state, ticket)) {
-			effects.push({kind: 'reply', replyId: ticket.replyId, outcome});
+	for (const pending of state.group) {
+		const outcome = state.refusals.get(formatRefusalKey(pending));
+		if (outcome && !isAccepted(state, pending)) {
+			effects.push({kind: 'reply', replyId: pending.replyId, outcome});
 		} else {
-			remaining.push(ticket);
+			remaining.push(pending);
 		}
 	}
 
@@ -40,11 +40,13 @@
 }
 
 /**
- * Remembers the refusals of a group, up to a bound; the oldest go first.
+ * Records the refusals of a group and evicts the oldest ones above
+ * `maxRememberedRefusals`.
  *
- * A refusal for quota is not remembered, since it ends with the minute.
+ * A refusal for quota is not recorded, since it no longer holds once the minute
+ * has passed.
  *
- * @param state - the commit machine's state
+ * @param state - state of the commit state machine
  * @param outcomes - outcomes in the order of the group
  * @returns refusals by team and submission identifier
  */
@@ -54,13 +56,13 @@
 ): ReadonlyMap<string, SubmissionOutcome> {
 	const refusals = new Map(state.refusals);
 	for (const [index, outcome] of outcomes.entries()) {
-		const ticket = state.group[index];
+		const pending = state.group[index];
 		if (
-			ticket &&
+			pending &&
 			outcome.kind === 'refused' &&
 			outcome.problems.every(({code}) => code !== 'quota')
 		) {
-			refusals.set(formatRefusalKey(ticket), outcome);
+			refusals.set(formatRefusalKey(pending), outcome);
 		}
 	}
 
--- a/src/coordination/_lib/document/accept-document.ts
+++ b/src/coordination/_lib/document/accept-document.ts
@@ -11,7 +11,10 @@
 } from '../../document-state.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
-/** Logs the parts of a document that can't be read and could before, or are new. */
+/**
+ * Logs the unreadable parts of a document that the previous document did not
+ * already report.
+ */
 function createProblemLogs(
 	before: RoutingDocument | undefined,
 	{version, problems = []}: RoutingDocument,
@@ -31,7 +34,7 @@
 	}));
 }
 
-/** Runs a document if it is newer than the one that the node runs. */
+/** Runs a document if its version is higher than that of the running one. */
 export function acceptDocument(
 	state: DocumentState,
 	next: RoutingDocument | undefined,
--- a/src/coordination/_lib/document/answer-polls.ts
+++ b/src/coordination/_lib/document/answer-polls.ts
@@ -12,7 +12,7 @@
 } from '../../document-state.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
-/** Computes changes from one version once for all who ask for them. */
+/** Computes the changes from each version once for all polls that need them. */
 function computeChangesOnce(
 	state: DocumentState,
 	versions: readonly number[],
@@ -47,7 +47,7 @@
 		: {kind: 'whole', ageMs, document};
 }
 
-/** Answers the polls that have waited long enough or get a newer document. */
+/** Answers the polls whose wait has ended or for which there is a newer document. */
 export function answerPolls(state: DocumentState, now: number): DocumentStep {
 	const {document} = state;
 	const version = document?.version ?? -1;
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -33,9 +33,9 @@
 }
 
 /**
- * Goes back to the parent after some time. Answers the load after a short
- * disturbance: children that stayed where they had turned to would all wait at
- * the few peers that have answered.
+ * Returns to the parent `documentReturnMs` after it was left. This restores the
+ * distribution of load after a short disturbance: otherwise all children would
+ * stay at the few peers that answered during it.
  */
 function returnToParent(
 	state: DocumentState,
@@ -46,15 +46,18 @@
 }
 
 /**
- * Tells whether a root is turned away by the store. It then asks its peers in
- * turn: the other root of its data centre may be turned away as well, and its
- * answers get old only after some seconds.
+ * Returns whether calls of a root to the store fail. The root then polls its
+ * peers in turn: calls of the other root of its data centre may fail as well,
+ * and answers of that root become stale only after some seconds.
  */
 function isRootWithoutStore({isRoot, storeLoop}: DocumentState): boolean {
 	return isRoot && storeLoop.failures > 0;
 }
 
-/** Turns to the next peer, at once unless all were asked. */
+/**
+ * Selects the next peer and polls it at once, or after a delay if every peer
+ * has been polled.
+ */
 function failPoll(state: DocumentState, now: number): DocumentState {
 	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
 	return {
@@ -80,7 +83,7 @@
 	};
 }
 
-/** Asks another peer for the whole document. */
+/** Polls another peer for the full document. */
 function handleMalformed(
 	state: DocumentState,
 	source: string,
@@ -93,7 +96,10 @@
 	};
 }
 
-/** Reads the document that an answer leads to, or why it leads to none. */
+/**
+ * Returns the document that results from an answer, undefined if nothing is
+ * newer, or why the changes cannot be applied.
+ */
 function resolveAnswer(
 	state: DocumentState,
 	answer: DocumentAnswer,
@@ -119,7 +125,7 @@
 			);
 			return base
 				? applyDocumentChanges(base, changes)
-				: err(`version ${changes.from} is not there`);
+				: err(`base version ${changes.from} is not available`);
 		}
 	}
 }
@@ -154,7 +160,7 @@
 		state: {
 			...step.state,
 			needsFullDocument: false,
-			// The revision of the store lies behind what a peer has brought.
+			// The known revision of the store is older than the document from the peer.
 			hasBacklog: state.hasBacklog || step.state.document !== state.document,
 			peerLoop: endCall(state.peerLoop, isStale, now),
 			...(shouldSwitchPeer
@@ -165,7 +171,7 @@
 	};
 }
 
-/** Makes use of the answer to a poll that was given up. */
+/** Handles the outcome of a poll that has already timed out; a document is still used. */
 export function handleLateAnswer(
 	state: DocumentState,
 	outcome: PeerDocumentOutcome,
--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -11,7 +11,7 @@
 import {endCall} from './end-call.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
-/** Handles the outcome of a call on the store. */
+/** Handles the outcome of a call to the store. */
 export function handleStored(
 	state: DocumentState,
 	outcome: StoredDocumentOutcome,
@@ -80,7 +80,7 @@
 	}
 }
 
-/** Gives a call time for what has begun to arrive. */
+/** Extends the deadline of a store call whose answer has begun to arrive. */
 export function extendStoreCall(
 	state: DocumentState,
 	callId: number,
@@ -93,6 +93,6 @@
 	}
 
 	const endsAt = Math.max(call.endsAt, now + documentTransferMs);
-	const extended = {...call, endsAt, hasBegun: true};
+	const extended = {...call, endsAt, isReceiving: true};
 	return {...state, storeLoop: {...storeLoop, call: extended}};
 }
--- a/src/coordination/decide-commit.ts
+++ b/src/coordination/decide-commit.ts
@@ -14,9 +14,9 @@
 import {validateManifest} from '../state/validate-manifest.js';
 import {interleaveByTeam} from './interleave-by-team.js';
 
-/** A proposed log entry and the answers that hold without it. */
+/** A proposed log entry and the outcomes of the submissions. */
 export type CommitDecision = {
-	/** Entry to create, absent when no submission can be accepted. */
+	/** Entry to create; undefined if no submission can be accepted. */
 	readonly entry: LogEntry | undefined;
 	/** Outcomes if the entry is created, in the order of the submissions. */
 	readonly outcomes: readonly SubmissionOutcome[];
@@ -64,9 +64,10 @@
 /**
  * Decides which submissions the next log entry accepts.
  *
- * Submissions are taken round-robin by team and each is judged by itself on
- * the configuration that those before it leave. The outcomes hold only once
- * the entry has been created; after a lost race, decide again.
+ * Submissions are taken round-robin by team, and each is validated on its own
+ * against the configuration that results from those before it. The outcomes
+ * hold only once the entry has been created; if another writer has created that
+ * version first, the decision must be made again.
  *
  * @param configuration - the newest configuration of the log
  * @param submissions - waiting submissions in order of arrival
--- a/src/coordination/decide-status.test.ts
+++ b/src/coordination/decide-status.test.ts
@@ -29,15 +29,20 @@
 > = [
 	['every data centre runs it', {}, 'in-force', []],
 	[
-		'one lags',
+		'one data centre lags behind',
 		{statuses: [both[0]!, status('marka', {version: 4})]},
 		'accepted',
 		[],
 	],
-	['one has never reported', {statuses: [both[0]!]}, 'accepted', ['marka']],
-	['all are silent', {now: late}, 'accepted', ['abdali', 'marka']],
 	[
-		'it was in force',
+		'one data centre has never reported',
+		{statuses: [both[0]!]},
+		'accepted',
+		['marka'],
+	],
+	['all data centres are silent', {now: late}, 'accepted', ['abdali', 'marka']],
+	[
+		'it was reported as in force before',
 		{now: late, inForceVersion: 5},
 		'in-force',
 		['abdali', 'marka'],
@@ -49,22 +54,22 @@
 		[],
 	],
 	[
-		'nobody has it',
+		'no data centre has it',
 		{acceptedVersion: 4, statuses: []},
 		'unknown',
 		['abdali', 'marka'],
 	],
 ];
 
-for (const [what, facts, state, silent] of cases) {
-	test(`a version is ${state} when ${what}`, () => {
+for (const [condition, input, state, silent] of cases) {
+	test(`a version is ${state} when ${condition}`, () => {
 		const result = decideStatus(5, {
 			acceptedVersion: 5,
 			inForceVersion: 0,
 			statuses: both,
 			dataCentres: ['abdali', 'marka'],
 			now: 0,
-			...facts,
+			...input,
 		});
 		assert.equal(result.state, state);
 		assert.deepEqual(result.silent, silent);
--- a/src/coordination/decide-status.ts
+++ b/src/coordination/decide-status.ts
@@ -4,26 +4,29 @@
 /** State of a version in one data centre. */
 export type DataCentreProgress = DataCentreStatus & {
 	readonly state: 'accepted' | 'in-force' | 'refused' | 'silent';
-	/** Live members that do not report. */
+	/** Number of live members that do not report. */
 	readonly missingMembers: number;
 };
 
-/** State of a version, as operators read it. */
+/** State of a version, as operators see it. */
 export type VersionStatus = {
 	readonly version: number;
 	readonly state: 'unknown' | 'accepted' | 'in-force' | 'refused';
-	/** Whether every data centre has the version in force by its last report. */
+	/** Whether the last report of every data centre has the version in force. */
 	readonly isEverywhere: boolean;
 	readonly dataCentres: readonly DataCentreProgress[];
-	/** Data centres that have not reported lately; they are not assumed. */
+	/**
+	 * Data centres without a report within `statusSilentAfterMs`; no state is
+	 * assumed for them.
+	 */
 	readonly silent: readonly string[];
 };
 
-/** What `decideStatus` goes by. */
+/** Input of `decideStatus`. */
 export type StatusInput = {
 	/** Newest version known to be accepted. */
 	readonly acceptedVersion: number;
-	/** Highest version that was ever said to be in force everywhere. */
+	/** Highest version that was ever reported as in force everywhere. */
 	readonly inForceVersion: number;
 	readonly statuses: readonly DataCentreStatus[];
 	/** Data centres that are known to have members. */
@@ -69,15 +72,15 @@
 /**
  * Decides the state of a version from the data centres' reports.
  *
- * In force means that every live member of every data centre runs it; once
- * said it stays. A silent data centre is named and keeps a version from being
- * called in force.
+ * A version is in force if every live member of every data centre runs it; once
+ * reported, this state is final. A silent data centre is listed and prevents a
+ * version from being reported as in force.
  *
- * @param version - the version asked about
- * @param input - see `StatusFacts`
+ * @param version - the version whose state is wanted
+ * @param input - see `StatusInput`
  * @returns the state, in total and for each data centre
  * @example
- * decideStatus(7, facts).state; // 'in-force'
+ * decideStatus(7, input).state; // 'in-force'
  */
 export function decideStatus(
 	version: number,
--- a/src/coordination/interleave-by-team.ts
+++ b/src/coordination/interleave-by-team.ts
@@ -1,7 +1,7 @@
 import type {Submission} from '../protocol/configuration.js';
 
 /**
- * Orders submissions round-robin by team, keeping each team's own order.
+ * Orders submissions round-robin by team and keeps the order within each team.
  *
  * @param submissions - submissions in order of arrival
  * @returns the same submissions, one of each team in turn
@@ -19,10 +19,10 @@
 	}
 
 	const ordered: Item[] = [];
-	for (let turn = 0; ordered.length < submissions.length; turn++) {
+	for (let round = 0; ordered.length < submissions.length; round++) {
 		for (const queue of queues.values()) {
-			if (queue[turn]) {
-				ordered.push(queue[turn]!);
+			if (queue[round]) {
+				ordered.push(queue[round]!);
 			}
 		}
 	}
--- a/src/coordination/step-commit.test.ts
+++ b/src/coordination/step-commit.test.ts
@@ -13,10 +13,10 @@
 import {stepCommit} from './step-commit.js';
 
 type Committer = {
-	readonly replies: Array<{ticket: number; outcome: SubmissionOutcome}>;
+	readonly replies: Array<{replyId: number; outcome: SubmissionOutcome}>;
 	readonly calls: Array<{callId: number; call: PlatformCall}>;
-	tell(message: CommitMessage): void;
-	submit(ticket: number, team: string, replaces: number, id?: string): void;
+	send(message: CommitMessage): void;
+	submit(replyId: number, team: string, replaces: number, id?: string): void;
 	/** Answers the newest call. */
 	answer(outcome: PlatformOutcome): void;
 	readState(): CommitState;
@@ -40,7 +40,7 @@
 			}
 
 			case 'wait': {
-				tell({kind: 'timer', callId: effect.callId});
+				send({kind: 'timer', callId: effect.callId});
 				break;
 			}
 
@@ -51,7 +51,7 @@
 		}
 	}
 
-	function tell(message: CommitMessage): void {
+	function send(message: CommitMessage): void {
 		const step = stepCommit(state, message, {now: 0, random: () => 0});
 		state = step.state;
 		for (const effect of step.effects) {
@@ -62,13 +62,13 @@
 	return {
 		replies,
 		calls,
-		tell,
+		send,
 		submit(replyId, team, replaces, id = `s-${replyId}`) {
 			const manifest = manifestSchema.parse({team, replaces});
-			tell({kind: 'submit', pending: {replyId, submissionId: id, manifest}});
+			send({kind: 'submit', pending: {replyId, submissionId: id, manifest}});
 		},
 		answer(outcome) {
-			tell({kind: 'answer', callId: calls.at(-1)!.callId, outcome});
+			send({kind: 'answer', callId: calls.at(-1)!.callId, outcome});
 		},
 		readState: () => state,
 	};
@@ -76,7 +76,7 @@
 
 const written: PlatformOutcome = {kind: 'written', version: 1};
 
-test('two committers race: one wins, the other is told the revision', () => {
+test('of two concurrent commits one is accepted, the other is refused with the current revision', () => {
 	const winner = createCommitter();
 	const loser = createCommitter();
 	for (const committer of [winner, loser]) {
@@ -96,7 +96,7 @@
 	assert.ok(refused?.kind === 'refused' && refused.currentRevision === 1);
 });
 
-test('the next version is written under the condition that was read', () => {
+test('the next version is written on the condition that its slot is unchanged since the read', () => {
 	const committer = createCommitter();
 	committer.submit(1, 'kitchens', 0);
 	committer.answer({kind: 'absent'});
@@ -105,16 +105,16 @@
 	assert.deepEqual(call.condition, {kind: 'absent'});
 });
 
-for (const [what, outcomes, expected] of [
-	['is found again', ['own'], 'accepted'],
+for (const [condition, outcomes, expected] of [
+	['is resolved by reading the entry back', ['own'], 'accepted'],
 	['cannot be read back', Array.from({length: 20}, () => 'down'), 'unknown'],
 	[
-		'has not landed and then the platform is down',
+		'is followed by an empty slot and an unavailable platform',
 		['absent', 'down'],
 		'unknown',
 	],
 ] as const) {
-	test(`a lost answer that ${what} is ${expected}`, () => {
+	test(`the outcome of a lost answer that ${condition} is ${expected}`, () => {
 		const committer = createCommitter();
 		committer.submit(1, 'kitchens', 0);
 		committer.answer({kind: 'absent'});
@@ -137,11 +137,11 @@
 	});
 }
 
-test('a group is bounded and takes one submission of each team in turn', () => {
+test('the size of a group is limited and teams are taken round-robin', () => {
 	const committer = createCommitter();
 	committer.submit(0, 'first', 0);
-	for (let ticket = 1; ticket <= 40; ticket++) {
-		committer.submit(ticket, 'kitchens', ticket - 1);
+	for (let replyId = 1; replyId <= 40; replyId++) {
+		committer.submit(replyId, 'kitchens', replyId - 1);
 	}
 
 	committer.submit(41, 'brigades', 0);
@@ -152,7 +152,7 @@
 	assert.ok(group.some(({manifest}) => manifest.team === 'brigades'));
 });
 
-test('repeats get the first answer, and the quota refuses the rest', () => {
+test('a repeated submission gets the first reply, and changes above the quota are refused', () => {
 	const committer = createCommitter();
 	for (let count = 0; count <= maxChangesPerMinutePerTeam; count++) {
 		committer.submit(count, 'kitchens', count);
@@ -168,7 +168,7 @@
 	committer.answer({kind: 'absent'});
 	assert.deepEqual(
 		committer.replies.at(-1)!.outcome,
-		committer.replies.find(({ticket}) => ticket === 5)?.outcome,
+		committer.replies.find(({replyId}) => replyId === 5)?.outcome,
 	);
 	committer.submit(101, 'brigades', 7, 'wrong');
 	committer.answer({kind: 'absent'});
--- a/src/coordination/step-commit.ts
+++ b/src/coordination/step-commit.ts
@@ -20,24 +20,24 @@
 
 function addSubmission(
 	state: CommitState,
-	ticket: PendingSubmission,
+	pending: PendingSubmission,
 	context: CommitContext,
 ): CommitStep {
 	const waitingOfTeam = state.waiting.filter(
-		({manifest}) => manifest.team === ticket.manifest.team,
+		({manifest}) => manifest.team === pending.manifest.team,
 	);
 	if (waitingOfTeam.length >= maxWaitingPerTeam) {
 		const outcome = {
 			kind: 'unavailable',
-			submissionId: ticket.submissionId,
+			submissionId: pending.submissionId,
 		} as const;
 		return {
 			state,
-			effects: [{kind: 'reply', replyId: ticket.replyId, outcome}],
+			effects: [{kind: 'reply', replyId: pending.replyId, outcome}],
 		};
 	}
 
-	const next = {...state, waiting: [...state.waiting, ticket]};
+	const next = {...state, waiting: [...state.waiting, pending]};
 	return state.phase.kind === 'idle'
 		? startGroup(next, context.ringSize)
 		: {state: next, effects: []};
@@ -65,19 +65,20 @@
 }
 
 /**
- * Advances the commit machine by one message.
+ * Advances the commit state machine by one message.
  *
  * A group of submissions is accepted by one conditional write of the next log
- * slot, at the object version that was read. An older process that wakes
- * fails that condition. A lost answer is resolved by reading the slot back;
- * `unknown` is answered only while the write may still take effect.
+ * slot, at the object version that was read. The write of an older process that
+ * resumes after a pause fails that condition. If the answer to a write is lost,
+ * the slot is read back; `unknown` is answered only while the write may still
+ * take effect.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @param options - see `CommitOptions`
  * @returns the state after and the effects to carry out
  * @example
- * stepCommit(createCommitState(base), {kind: 'submit', ticket}, {now, random});
+ * stepCommit(createCommitState(base), {kind: 'submit', pending}, {now, random});
  */
 export function stepCommit(
 	state: CommitState,
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -26,12 +26,12 @@
 	};
 }
 
-/** A machine with its clock and the effects of its last step. */
+/** Creates a document state machine that keeps the effects of its last step. */
 function createMachine(name = 'a') {
 	let state: DocumentState = createDocumentState(name);
 	let effects: readonly DocumentEffect[] = [];
 	return {
-		tell(message: DocumentMessage, now: number) {
+		send(message: DocumentMessage, now: number) {
 			const step = stepDocument(state, message, now);
 			state = step.state;
 			effects = step.effects;
@@ -47,11 +47,11 @@
 	};
 }
 
-test('a node reads the store, runs the document and watches on', () => {
+test('a node reads the store, runs the document and starts a watch', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const {callId} = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId,
@@ -63,7 +63,7 @@
 	assert.equal(machine.find('watch')?.revision, 9);
 });
 
-test('parts that cannot be read are logged once, and not without bound', () => {
+test('unreadable parts are logged once and up to a limit', () => {
 	const machine = createMachine();
 	const problems = Array.from({length: 20}, (_, index) => ({
 		kind: 'route-refused' as const,
@@ -72,11 +72,11 @@
 	}));
 	const logs: string[] = [];
 	for (const [now, version] of [3, 4].entries()) {
-		machine.tell({kind: 'tick'}, now * 10);
+		machine.send({kind: 'tick'}, now * 10);
 		const document = {...createDocument(version), problems};
 		const callId = machine.read().storeLoop.call!.id;
 		const outcome = {kind: 'read', document, revision: 9 + now} as const;
-		const effects = machine.tell(
+		const effects = machine.send(
 			{kind: 'stored', callId, outcome},
 			now * 10 + 5,
 		);
@@ -94,12 +94,12 @@
 	);
 });
 
-test('an older document never replaces the running one', () => {
+test('an older document does not replace the running one', () => {
 	const machine = createMachine();
 	for (const [now, version] of [7, 5, 7].entries()) {
-		machine.tell({kind: 'tick'}, now * 10);
+		machine.send({kind: 'tick'}, now * 10);
 		const call = machine.read().storeLoop.call!;
-		machine.tell(
+		machine.send(
 			{
 				kind: 'stored',
 				callId: call.id,
@@ -116,11 +116,11 @@
 	assert.equal(machine.read().document?.version, 7);
 });
 
-test('a lost history is read again', () => {
+test('the document is read again if the store has compacted the history', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const first = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: first.callId,
@@ -129,18 +129,18 @@
 		1,
 	);
 	const watch = machine.find('watch')!;
-	machine.tell(
+	machine.send(
 		{kind: 'stored', callId: watch.callId, outcome: {kind: 'compacted'}},
 		2,
 	);
 	assert.ok(machine.find('read'));
 });
 
-test('a watch that has fallen silent is given up and begun anew', () => {
+test('a watch that does not answer times out and is restarted', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const {callId} = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId,
@@ -149,17 +149,17 @@
 		1,
 	);
 	const {timeoutMs} = machine.find('watch')!;
-	machine.tell({kind: 'tick'}, timeoutMs + 2);
-	machine.tell({kind: 'tick'}, timeoutMs + 500);
+	machine.send({kind: 'tick'}, timeoutMs + 2);
+	machine.send({kind: 'tick'}, timeoutMs + 500);
 	assert.equal(machine.find('watch')?.revision, 4);
 });
 
-/** A child of a data centre of four nodes, which all have records. */
+/** Creates the state machine of a child in a data centre of four known nodes. */
 function createChild() {
 	const members = ['a', 'b', 'c', 'd'].map((name) => createMember(name));
 	for (const {name} of members) {
 		const machine = createMachine(name);
-		machine.tell({kind: 'view', members}, 0);
+		machine.send({kind: 'view', members}, 0);
 		if (!machine.read().isRoot) {
 			return machine;
 		}
@@ -168,10 +168,10 @@
 	throw new Error('no child among four nodes');
 }
 
-test('a child waits at a parent and leaves the store alone', () => {
+test('a child long-polls a parent and does not call the store', () => {
 	const machine = createChild();
 	const poll = machine.find('poll')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId: poll.callId,
@@ -185,32 +185,32 @@
 	assert.equal(machine.find('run')?.document.version, 2);
 	assert.equal(machine.find('poll')?.poll.version, 2);
 	const late = machine.read().storeLoop.call?.endsAt ?? 0;
-	machine.tell({kind: 'tick'}, Math.max(400, late + 1));
+	machine.send({kind: 'tick'}, Math.max(400, late + 1));
 	assert.equal(machine.find('read'), undefined);
 });
 
-test('a child whose parents are silent asks others, then reads the store', () => {
+test('a child whose parents do not answer polls others, then reads the store', () => {
 	const machine = createChild();
-	const asked = new Set<string>();
+	const polledAddresses = new Set<string>();
 	let hasRead = false;
 	for (let now = 0; now < 3000; now += 100) {
-		for (const effect of machine.tell({kind: 'tick'}, now)) {
+		for (const effect of machine.send({kind: 'tick'}, now)) {
 			if (effect.kind === 'poll') {
-				asked.add(effect.address);
+				polledAddresses.add(effect.address);
 			}
 
 			hasRead ||= effect.kind === 'read' && now < 2000;
 		}
 	}
 
-	assert.ok(asked.size >= 2);
+	assert.ok(polledAddresses.size >= 2);
 	assert.ok(hasRead);
 });
 
-test('a stale answer counts as none', () => {
+test('after a stale answer the next peer is polled', () => {
 	const machine = createChild();
 	const {callId} = machine.find('poll')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId,
@@ -221,12 +221,12 @@
 	assert.equal(machine.read().peerIndex, 1);
 });
 
-test('waiting polls are answered when a newer document is there, or in time', () => {
+test('waiting polls are answered when a newer document arrives or their wait ends', () => {
 	const machine = createMachine();
 	const poll = {name: 'b', version: -1, waitMs: 800};
-	machine.tell({kind: 'poll', pollId: 1, poll}, 0);
+	machine.send({kind: 'poll', pollId: 1, poll}, 0);
 	const {callId} = machine.find('read')!;
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId,
@@ -239,18 +239,21 @@
 		ageMs: 0,
 		document: createDocument(1),
 	});
-	machine.tell({kind: 'poll', pollId: 2, poll: {...poll, version: 1}}, 30);
+	machine.send({kind: 'poll', pollId: 2, poll: {...poll, version: 1}}, 30);
 	assert.equal(machine.find('answer'), undefined);
-	machine.tell({kind: 'tick'}, 900);
+	machine.send({kind: 'tick'}, 900);
 	assert.equal(machine.find('answer')?.pollId, 2);
 	assert.equal(machine.find('answer')?.answer.kind, 'unchanged');
 });
 
-/** A root that runs version 1 and has begun to watch from revision 4. */
+/**
+ * Creates the state machine of a root that runs version 1 and watches from
+ * revision 4.
+ */
 function createWatchingRoot() {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
-	machine.tell(
+	machine.send({kind: 'tick'}, 0);
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('read')!.callId,
@@ -261,9 +264,9 @@
 	return machine;
 }
 
-test('changes are sent to a node whose version is known, else the whole', () => {
+test('a node whose version is known gets changes, others get the full document', () => {
 	const machine = createWatchingRoot();
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('watch')!.callId,
@@ -277,25 +280,29 @@
 		[3, -1, 'whole'],
 	] as const) {
 		const poll = {name: 'b', version, waitMs: 800};
-		machine.tell({kind: 'poll', pollId, poll}, 20);
+		machine.send({kind: 'poll', pollId, poll}, 20);
 		assert.equal(machine.find('answer')?.answer.kind, kind);
 	}
 });
 
-test('changes that do not fit change nothing; another peer is asked for the whole', () => {
+test('changes that cannot be applied are ignored, and another peer is polled for the full document', () => {
 	const machine = createChild();
 	const first = machine.find('poll')!;
-	const whole = {kind: 'whole', ageMs: 0, document: createDocument(2)} as const;
-	machine.tell(
+	const fullAnswer = {
+		kind: 'whole',
+		ageMs: 0,
+		document: createDocument(2),
+	} as const;
+	machine.send(
 		{
 			kind: 'polled',
 			callId: first.callId,
-			outcome: {kind: 'answered', answer: whole},
+			outcome: {kind: 'answered', answer: fullAnswer},
 		},
 		5,
 	);
 	const changes = {from: 2, to: 3, removed: ['x'], put: [], services: {}};
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId: machine.find('poll')!.callId,
@@ -310,9 +317,9 @@
 	assert.notEqual(next.address, first.address);
 });
 
-test('a copy that took long is followed by one copy of the newest, not by all since', () => {
+test('after a slow transfer only the newest copy is read, not every copy since', () => {
 	const machine = createWatchingRoot();
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('watch')!.callId,
@@ -325,7 +332,7 @@
 		},
 		1000,
 	);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('check')!.callId,
@@ -333,7 +340,7 @@
 		},
 		1010,
 	);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('read')!.callId,
@@ -346,7 +353,7 @@
 		},
 		2000,
 	);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('check')!.callId,
@@ -357,33 +364,33 @@
 	assert.equal(machine.find('watch')?.revision, 9);
 });
 
-test('a copy that is still arriving is not given up', () => {
+test('a call whose answer is still arriving does not time out', () => {
 	const machine = createMachine();
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const {callId, timeoutMs} = machine.find('read')!;
-	machine.tell({kind: 'receiving', callId}, 10);
-	machine.tell({kind: 'tick'}, timeoutMs + 500);
+	machine.send({kind: 'receiving', callId}, 10);
+	machine.send({kind: 'tick'}, timeoutMs + 500);
 	assert.equal(machine.read().storeLoop.call?.id, callId);
 });
 
-test('a child whose parent is slow for once leaves the store alone', () => {
+test('a child does not call the store after one slow answer of its parent', () => {
 	const machine = createChild();
 	const {timeoutMs} = machine.find('poll')!;
-	machine.tell({kind: 'tick'}, timeoutMs + 1);
+	machine.send({kind: 'tick'}, timeoutMs + 1);
 	assert.equal(machine.find('poll')?.poll.waitMs, 0);
 	assert.equal(machine.read().storeLoop.call, undefined);
 });
 
-test('a child that turns to the store after a long time reads one copy of the newest', () => {
+test('a child that falls back to the store after a long time checks the revision first, to read only the newest copy', () => {
 	const {name, peers} = createChild().read();
 	const machine = createMachine(name);
-	machine.tell({kind: 'tick'}, 0);
+	machine.send({kind: 'tick'}, 0);
 	const members = [name, ...peers.map((peer) => peer.name)].map((each) =>
 		createMember(each),
 	);
-	machine.tell({kind: 'view', members}, 5);
+	machine.send({kind: 'view', members}, 5);
 	const document = createDocument(1);
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.read().storeLoop.call!.id,
@@ -392,7 +399,7 @@
 		10,
 	);
 	const changes = {from: 1, to: 2, removed: [], put: [], services: {}};
-	machine.tell(
+	machine.send(
 		{
 			kind: 'polled',
 			callId: machine.read().peerLoop.call!.id,
@@ -404,16 +411,16 @@
 	const calls = new Set(['check', 'read', 'watch']);
 	const called: string[] = [];
 	for (let now = 100; now < 3000; now += 100) {
-		const kinds = machine.tell({kind: 'tick'}, now).map(({kind}) => kind);
+		const kinds = machine.send({kind: 'tick'}, now).map(({kind}) => kind);
 		called.push(...kinds.filter((kind) => calls.has(kind)));
 	}
 
 	assert.equal(called[0], 'check');
 });
 
-test('a copy that a busy node read late counts as slow', () => {
+test('a copy that a busy node processes late counts as a slow transfer', () => {
 	const machine = createWatchingRoot();
-	machine.tell(
+	machine.send(
 		{
 			kind: 'stored',
 			callId: machine.find('watch')!.callId,
@@ -430,47 +437,47 @@
 	assert.ok(machine.find('check'));
 });
 
-test('a child that missed one poll goes back to its parent', () => {
+test('a child returns to its parent after one failed poll', () => {
 	const machine = createChild();
 	const parent = machine.find('poll')!.address;
-	machine.tell({kind: 'tick'}, 1201);
+	machine.send({kind: 'tick'}, 1201);
 	assert.notEqual(machine.find('poll')?.address, parent);
-	const asked: string[] = [];
+	const polledAddresses: string[] = [];
 	for (let now = 2000; now < 10_000; now += 800) {
 		const {id: callId} = machine.read().peerLoop.call!;
 		const outcome = {
 			kind: 'answered',
 			answer: {kind: 'unchanged', ageMs: 0},
 		} as const;
-		machine.tell({kind: 'polled', callId, outcome}, now);
-		asked.push(machine.find('poll')!.address);
+		machine.send({kind: 'polled', callId, outcome}, now);
+		polledAddresses.push(machine.find('poll')!.address);
 	}
 
-	assert.notEqual(asked[0], parent);
-	assert.equal(asked.at(-1), parent);
+	assert.notEqual(polledAddresses[0], parent);
+	assert.equal(polledAddresses.at(-1), parent);
 });
 
-test('roots that the store turns away learn of a change from another data centre', () => {
+test('a root whose store calls fail polls a root of another data centre', () => {
 	const members = [
 		createMember('a'),
 		createMember('b'),
 		createMember('m', 'marka'),
 	];
 	const machine = createMachine('a');
-	machine.tell({kind: 'view', members}, 0);
+	machine.send({kind: 'view', members}, 0);
 	const failed = {kind: 'failed'} as const;
 	const {id} = machine.read().storeLoop.call!;
-	machine.tell({kind: 'stored', callId: id, outcome: failed}, 5);
-	const asked = new Set<string>();
+	machine.send({kind: 'stored', callId: id, outcome: failed}, 5);
+	const polledAddresses = new Set<string>();
 	for (let now = 800; now <= 1600; now += 800) {
 		const {id: callId} = machine.read().peerLoop.call!;
 		const outcome = {
 			kind: 'answered',
 			answer: {kind: 'unchanged', ageMs: 100},
 		} as const;
-		machine.tell({kind: 'polled', callId, outcome}, now);
-		asked.add(machine.find('poll')!.address);
+		machine.send({kind: 'polled', callId, outcome}, now);
+		polledAddresses.add(machine.find('poll')!.address);
 	}
 
-	assert.ok(asked.has(members[2]!.address));
+	assert.ok(polledAddresses.has(members[2]!.address));
 });
--- a/src/coordination/step-document.ts
+++ b/src/coordination/step-document.ts
@@ -57,7 +57,7 @@
 		}
 
 		case 'stored': {
-			// What a call that was given up brings is still of use.
+			// A document that arrives after its call has timed out is still used.
 			return message.callId === state.storeLoop.call?.id
 				? handleStored(state, message.outcome, now)
 				: message.outcome.kind === 'read'
@@ -90,16 +90,16 @@
 }
 
 /**
- * Advances a node's document machine by one message.
+ * Advances a node's document state machine by one message.
  *
- * Two roots in each data centre watch the store; the other nodes wait at a
- * parent for what is newer. Roots also wait at another root, so that a watch
- * that has fallen silent delays a change by one hop only. A node whose peers
- * fail one after the other reads the store itself. A document is run when its
- * version is above that of the running one, so that an old copy never takes a
- * node back.
+ * Two roots in each data centre watch the store; the other nodes long-poll a
+ * parent for a newer document. Roots also long-poll another root, so that a
+ * watch that no longer delivers changes delays a change by one hop only. A node
+ * whose peers fail one after the other reads the store itself. A document is run
+ * only if its version is higher than that of the running one, so that a stale
+ * copy never rolls a node back.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @param now - monotonic ms
  * @returns the state after and the effects to carry out
--- a/src/coordination/step-snapshot.ts
+++ b/src/coordination/step-snapshot.ts
@@ -157,14 +157,14 @@
 
 function handleList(
 	state: SnapshotState,
-	keepFrom: number,
+	oldestKeptVersion: number,
 	outcome: PlatformOutcome,
 ): SnapshotStep {
 	const items = outcome.kind === 'items' ? outcome.items : [];
-	const oldest = formatSnapshotKey(keepFrom, 0);
+	const oldest = formatSnapshotKey(oldestKeptVersion, 0);
 	const obsolete = items.filter(({key}) => key < oldest);
 	return obsolete.length > 0
-		? deleteNext(state, keepFrom, obsolete)
+		? deleteNext(state, oldestKeptVersion, obsolete)
 		: becomeIdle(state);
 }
 
@@ -251,13 +251,14 @@
 /**
  * Advances the snapshot writer by one message.
  *
- * Chunks are created once under the version's own keys and never overwritten;
- * the head moves by a conditional write only after every chunk was seen. A
- * paused writer that wakes fails on the head. Clearing removes only versions
- * older than the snapshot before the newest, so a reader that has just read
- * the head finds its chunks. Any failure leaves the head as it was.
+ * Chunks are created once under keys of their version and never overwritten;
+ * the head is updated by a conditional write only after every chunk is known to
+ * be stored. The head write of a writer that resumes after a pause fails its
+ * condition. Only versions older than the snapshot before the newest are
+ * deleted, so that a reader that has just read the head finds its chunks. Any
+ * failure leaves the head unchanged.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @returns the state after and the effects to carry out
  * @example
--- a/src/coordination/take-commit-group.ts
+++ b/src/coordination/take-commit-group.ts
@@ -5,9 +5,12 @@
 
 /** Options of `takeCommitGroup`. */
 export type CommitGroupOptions = {
-	/** Most submissions in a group; default `maxCommitsPerEntry`. */
+	/** Maximum number of submissions in a group; default `maxCommitsPerEntry`. */
 	readonly maxCommits?: number;
-	/** Most bytes of manifests in a group; default `maxEntryBytes`. */
+	/**
+	 * Maximum total size of the manifests in a group, bytes; default
+	 * `maxEntryBytes`. A single larger manifest forms a group of its own.
+	 */
 	readonly maxBytes?: number;
 };
 
@@ -16,7 +19,7 @@
  *
  * @param waiting - waiting submissions in order of arrival
  * @param options - see `CommitGroupOptions`
- * @returns the group, never empty when something waits, and the rest
+ * @returns the group, never empty if something waits, and the other submissions
  * @example
  * takeCommitGroup(waiting).group.length;
  */
