--- a/src/transport/_lib/abort-response.ts
+++ b/src/transport/_lib/abort-response.ts
@@ -16,9 +16,12 @@
 };
 
 /** What Node reports of a stream whose reader has gone. */
-const readerLeftCode = 'ERR_STREAM_PREMATURE_CLOSE';
+const prematureCloseCode = 'ERR_STREAM_PREMATURE_CLOSE';
 
-function hasOtherEndLeft(response: ServerResponse, cause: AbortCause): boolean {
+function hasClientDisconnected(
+	response: ServerResponse,
+	cause: AbortCause,
+): boolean {
 	switch (cause.kind) {
 		case 'sender-left': {
 			return true;
@@ -29,7 +32,7 @@
 		}
 
 		case 'failed': {
-			return readErrorCode(cause.error) === readerLeftCode;
+			return readErrorCode(cause.error) === prematureCloseCode;
 		}
 	}
 }
@@ -45,7 +48,7 @@
 	response: ServerResponse,
 	{cause, requestId, logger}: AbortOptions,
 ): void {
-	const level = hasOtherEndLeft(response, cause) ? 'debug' : 'warn';
+	const level = hasClientDisconnected(response, cause) ? 'debug' : 'warn';
 	logger[level]('connection closed unanswered', {
 		requestId,
 		isPartSent: response.headersSent,
--- a/src/transport/_lib/copy-headers.ts
+++ b/src/transport/_lib/copy-headers.ts
@@ -1,6 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 
-const hopByHop = new Set([
+const hopByHopHeaders = new Set([
 	'connection',
 	'keep-alive',
 	'proxy-authenticate',
@@ -13,9 +13,9 @@
 	'expect',
 ]);
 
-const ownPrefix = 'boragehitch-';
+const internalHeaderPrefix = 'boragehitch-';
 
-function listNamed(connection: string): readonly string[] {
+function listConnectionOptions(connection: string): readonly string[] {
 	return connection.split(',').map((name) => name.trim().toLowerCase());
 }
 
@@ -28,17 +28,19 @@
  */
 export function copyHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
 	const {connection} = headers;
-	const isPlain =
+	const namesNoHeaders =
 		connection === undefined ||
 		connection === 'keep-alive' ||
 		connection === 'close';
-	const named = isPlain ? [] : listNamed(connection);
+	const connectionOptions = namesNoHeaders
+		? []
+		: listConnectionOptions(connection);
 	const copy: IncomingHttpHeaders = {};
 	for (const name of Object.keys(headers)) {
 		if (
-			!hopByHop.has(name) &&
-			!name.startsWith(ownPrefix) &&
-			!named.includes(name)
+			!hopByHopHeaders.has(name) &&
+			!name.startsWith(internalHeaderPrefix) &&
+			!connectionOptions.includes(name)
 		) {
 			copy[name] = headers[name];
 		}
--- a/src/transport/_lib/create-body-memory.ts
+++ b/src/transport/_lib/create-body-memory-budget.ts
@@ -1,5 +1,5 @@
 /** Memory of a node for long bodies that wait. */
-export type BodyMemory = {
+export type BodyMemoryBudget = {
 	/** Takes memory for a body; false when too little is left. */
 	take(bytes: number): boolean;
 	/** Gives back what was taken. */
@@ -13,7 +13,7 @@
  * @param totalBytes - most bytes of all bodies
  * @returns the memory, all of it free
  */
-export function createBodyMemory(totalBytes: number): BodyMemory {
+export function createBodyMemoryBudget(totalBytes: number): BodyMemoryBudget {
 	let takenBytes = 0;
 	return {
 		take(bytes) {
--- a/src/transport/_lib/create-byte-counter.ts
+++ b/src/transport/_lib/create-byte-counter.ts
@@ -17,7 +17,7 @@
 	readTotal(): number;
 };
 
-type Tracked = {
+type SocketCount = {
 	readonly purpose: string;
 	readonly sent: number;
 	readonly received: number;
@@ -29,11 +29,11 @@
  * @returns the counter
  */
 export function createByteCounter(): ByteCounter {
-	const tracked = new Map<Socket, Tracked>();
+	const tracked = new Map<Socket, SocketCount>();
 	let counts = new Map<string, ByteCount>();
 	let total = 0;
 
-	function collect(socket: Socket): void {
+	function updateCounts(socket: Socket): void {
 		const {purpose, sent, received} = tracked.get(socket)!;
 		const {bytesWritten, bytesRead} = socket;
 		const known = counts.get(purpose);
@@ -46,9 +46,9 @@
 		tracked.set(socket, {purpose, sent: bytesWritten, received: bytesRead});
 	}
 
-	function collectAll(): void {
+	function updateAllCounts(): void {
 		for (const socket of tracked.keys()) {
-			collect(socket);
+			updateCounts(socket);
 		}
 	}
 
@@ -60,18 +60,18 @@
 
 			tracked.set(socket, {purpose, sent: 0, received: 0});
 			socket.once('close', () => {
-				collect(socket);
+				updateCounts(socket);
 				tracked.delete(socket);
 			});
 		},
 		take() {
-			collectAll();
+			updateAllCounts();
 			const taken = [...counts.values()];
 			counts = new Map();
 			return taken;
 		},
 		readTotal() {
-			collectAll();
+			updateAllCounts();
 			return total;
 		},
 	};
--- a/src/transport/_lib/create-call-handler.test.ts
+++ b/src/transport/_lib/create-call-handler.test.ts
@@ -8,7 +8,7 @@
 const question = {id: 'a/1', stamp: {epoch: 'e', timeMs: 1}};
 const stamp = {epoch: 'e', timeMs: 7};
 
-async function startCalls(maxBytes: number) {
+async function startCallServer(maxBytes: number) {
 	const refuseCall = (): never => {
 		throw new Error('the test makes no such call');
 	};
@@ -33,7 +33,7 @@
 }
 
 test('calls are answered as the tRPC client expects', async (t) => {
-	const server = await startCalls(1000);
+	const server = await startCallServer(1000);
 	const peers = createPeerClients();
 	t.after(async () => {
 		await peers.stop();
@@ -47,7 +47,7 @@
 });
 
 /** Makes a call by hand and reads the status and code of its answer. */
-async function call(address: string, path: string, body: string) {
+async function sendCall(address: string, path: string, body: string) {
 	const answer = await fetch(`http://${address}/trpc/${path}`, {
 		method: 'POST',
 		body,
@@ -57,18 +57,21 @@
 }
 
 test('calls that fail are answered with the reason', async (t) => {
-	const server = await startCalls(100);
+	const server = await startCallServer(100);
 	t.after(async () => server.stop());
 	const {address} = server;
 
-	assert.deepEqual(await call(address, 'ask', '{"id":1}'), [
+	assert.deepEqual(await sendCall(address, 'ask', '{"id":1}'), [
 		400,
 		'BAD_REQUEST',
 	]);
-	assert.deepEqual(await call(address, 'ask', '{"id"'), [400, 'PARSE_ERROR']);
-	assert.deepEqual(await call(address, 'ask', 'x'.repeat(101)), [
+	assert.deepEqual(await sendCall(address, 'ask', '{"id"'), [
+		400,
+		'PARSE_ERROR',
+	]);
+	assert.deepEqual(await sendCall(address, 'ask', 'x'.repeat(101)), [
 		413,
 		'PAYLOAD_TOO_LARGE',
 	]);
-	assert.deepEqual(await call(address, 'none', ''), [404, 'NOT_FOUND']);
+	assert.deepEqual(await sendCall(address, 'none', ''), [404, 'NOT_FOUND']);
 });
--- a/src/transport/_lib/create-span.ts
+++ b/src/transport/_lib/create-span.ts
@@ -29,7 +29,7 @@
 const msPerSecond = 1000;
 const nsPerMs = 1_000_000;
 
-function createTime(ms: number): HrTime {
+function createHrTime(ms: number): HrTime {
 	const seconds = Math.floor(ms / msPerSecond);
 	return [seconds, Math.round((ms - seconds * msPerSecond) * nsPerMs)];
 }
@@ -56,9 +56,9 @@
 		kind: kinds[input.kind],
 		spanContext: () => context,
 		parentSpanContext: parent ?? undefined,
-		startTime: createTime(startMs),
-		endTime: createTime(startMs + input.durationMs),
-		duration: createTime(input.durationMs),
+		startTime: createHrTime(startMs),
+		endTime: createHrTime(startMs + input.durationMs),
+		duration: createHrTime(input.durationMs),
 		status: {
 			code: input.isError ? SpanStatusCode.ERROR : SpanStatusCode.UNSET,
 		},
--- a/src/transport/_lib/seek-upstream.test.ts
+++ b/src/transport/_lib/discover-upstream.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {seekUpstream} from './seek-upstream.js';
+import {discoverUpstream} from './discover-upstream.js';
 
 /** Seeks an upstream that answers at one of the probes. */
 async function seek(answers: ReadonlyArray<string | undefined>, overAt = 99) {
 	const found: string[] = [];
 	let probes = 0;
-	await seekUpstream({
+	await discoverUpstream({
 		isOver: () => probes >= overAt,
 		async probe() {
 			return answers[probes++];
--- a/src/transport/_lib/seek-upstream.ts
+++ b/src/transport/_lib/discover-upstream.ts
@@ -1,7 +1,7 @@
 import {waitMs} from './wait-ms.js';
 
 /** Options of `seekUpstream`. */
-export type SeekUpstreamOptions<Found> = {
+export type DiscoverUpstreamOptions<Found> = {
 	/** Whether there is nothing to seek any more: an upstream has spoken for itself. */
 	readonly isOver: () => boolean;
 	/** Asks for the upstream; undefined when it cannot be asked yet or is not well. */
@@ -27,12 +27,12 @@
  * @param options - see `SeekUpstreamOptions`
  * @returns once it is found, has announced itself or is given up
  */
-export async function seekUpstream<Found>({
+export async function discoverUpstream<Found>({
 	isOver,
 	probe,
 	onFound,
 	wait = waitMs,
-}: SeekUpstreamOptions<Found>): Promise<void> {
+}: DiscoverUpstreamOptions<Found>): Promise<void> {
 	for (let probes = 0; probes < maxProbes && !isOver(); probes++) {
 		const found = await probe();
 		if (isOver()) {
--- a/src/transport/_lib/has-client-disconnected.test.ts
+++ b/src/transport/_lib/has-client-disconnected.test.ts
@@ -6,7 +6,7 @@
 import {hasClientDisconnected} from './has-client-disconnected.js';
 
 /** Creates a request whose sender is found to have gone in the next turn. */
-function createOutdatedRequest(): IncomingMessage {
+function createDisconnectedRequest(): IncomingMessage {
 	const request = new IncomingMessage(new Socket());
 	request.on('error', () => {
 		// The end of the connection is what the test is about.
@@ -18,7 +18,7 @@
 }
 
 /** Has a request read from a socket in which the end of its connection lies behind it. */
-async function readEndedRequest(t: TestContext): Promise<IncomingMessage> {
+async function readHalfClosedRequest(t: TestContext): Promise<IncomingMessage> {
 	const listener = createTcpServer({pauseOnConnect: true, allowHalfOpen: true});
 	listener.listen(0, '127.0.0.1');
 	await once(listener, 'listening');
@@ -48,11 +48,14 @@
 }
 
 test('a late node notices that the sender of a request has gone', async () => {
-	assert.equal(await hasClientDisconnected(createOutdatedRequest(), 100), true);
+	assert.equal(
+		await hasClientDisconnected(createDisconnectedRequest(), 100),
+		true,
+	);
 });
 
 test('a late node notices the end of a connection that lies behind the request', async (t) => {
-	const request = await readEndedRequest(t);
+	const request = await readHalfClosedRequest(t);
 	assert.equal(await hasClientDisconnected(request, 100), true);
 });
 
@@ -62,5 +65,8 @@
 });
 
 test('a node on time does not wait', async () => {
-	assert.equal(await hasClientDisconnected(createOutdatedRequest(), 0), false);
+	assert.equal(
+		await hasClientDisconnected(createDisconnectedRequest(), 0),
+		false,
+	);
 });
--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -9,14 +9,14 @@
 import {Readable} from 'node:stream';
 import test, {type TestContext} from 'node:test';
 import {listen} from '../../../harness/_lib/platform-node.js';
-import {createBodyMemory} from './create-body-memory.js';
+import {createBodyMemoryBudget} from './create-body-memory-budget.js';
 import {readRequestBody} from './read-request-body.js';
 
 const maxBytes = 1_000_000;
 const uploadBytes = 360_000;
 
 /** Opens an upload of a stated length; gives both its ends. */
-async function open(
+async function openUpload(
 	t: TestContext,
 	bytes: number,
 ): Promise<{sent: ClientRequest; received: IncomingMessage}> {
@@ -41,8 +41,8 @@
 }
 
 test('an upload waits whole where it finds memory', async (t) => {
-	const {sent, received} = await open(t, uploadBytes);
-	const memory = createBodyMemory(uploadBytes);
+	const {sent, received} = await openUpload(t, uploadBytes);
+	const memory = createBodyMemoryBudget(uploadBytes);
 	sent.end(new Uint8Array(uploadBytes));
 	const read = await readRequestBody(received, {maxBytes, memory});
 	assert.ok(read.kind === 'read' && read.body instanceof Uint8Array);
@@ -52,9 +52,9 @@
 });
 
 test('an upload that finds no memory is streamed', async (t) => {
-	const {sent, received} = await open(t, uploadBytes);
+	const {sent, received} = await openUpload(t, uploadBytes);
 	sent.end(new Uint8Array(uploadBytes));
-	const memory = createBodyMemory(uploadBytes - 1);
+	const memory = createBodyMemoryBudget(uploadBytes - 1);
 	const read = await readRequestBody(received, {maxBytes, memory});
 	assert.ok(read.kind === 'read' && read.body instanceof Readable);
 	assert.equal(read.reservedBytes, 0);
@@ -63,8 +63,8 @@
 
 // Only part of it was there; nothing of it may be sent on.
 test('an upload that is cut gives back its memory and is no body', async (t) => {
-	const {sent, received} = await open(t, uploadBytes);
-	const memory = createBodyMemory(uploadBytes);
+	const {sent, received} = await openUpload(t, uploadBytes);
+	const memory = createBodyMemoryBudget(uploadBytes);
 	sent.write(new Uint8Array(1000));
 	received.once('data', () => {
 		sent.destroy();
@@ -76,8 +76,8 @@
 
 // Such a request used to be held for a minute, beyond its client's deadline.
 test('a body that trickles in is given up at the deadline', async (t) => {
-	const {sent, received} = await open(t, uploadBytes);
-	const memory = createBodyMemory(uploadBytes);
+	const {sent, received} = await openUpload(t, uploadBytes);
+	const memory = createBodyMemoryBudget(uploadBytes);
 	sent.write(new Uint8Array(1000));
 	const read = await readRequestBody(received, {
 		maxBytes,
--- a/src/transport/_lib/read-upstream-outcome.ts
+++ b/src/transport/_lib/read-upstream-outcome.ts
@@ -4,14 +4,14 @@
 import type {AnswerVerdict, Edge} from '../../protocol/edge.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
-import type {EarlyEnd} from './local-upstream.js';
+import type {EarlyEndReason} from './local-upstream.js';
 import type {SendOutcome} from './send-request.js';
 
 /** What a gate adds to the outcome at its upstream. */
 export type OutcomeContext = {
 	readonly edge: Edge;
 	/** Why the gate ended the request early, if it did. */
-	readonly endedBy: EarlyEnd | undefined;
+	readonly endedBy: EarlyEndReason | undefined;
 	readonly load: GateLoad;
 	readonly stamp: GateStamp;
 };
--- a/src/transport/_lib/send-upstream-response.ts
+++ b/src/transport/_lib/send-upstream-response.ts
@@ -15,16 +15,19 @@
  * that its reader does not take a part for the whole.
  *
  * @param response - where to send it
- * @param answer - the answer
- * @param own - this system's headers
+ * @param upstreamResponse - the answer
+ * @param ownHeaders - this system's headers
  */
 export async function sendUpstreamResponse(
 	response: ServerResponse,
-	answer: UpstreamResponse,
-	own: Readonly<Record<string, string>>,
+	upstreamResponse: UpstreamResponse,
+	ownHeaders: Readonly<Record<string, string>>,
 ): Promise<void> {
-	const {status, body} = answer;
-	const headers = Object.assign(copyHeaders(answer.headers), own);
+	const {status, body} = upstreamResponse;
+	const headers = Object.assign(
+		copyHeaders(upstreamResponse.headers),
+		ownHeaders,
+	);
 	if (body instanceof Readable) {
 		response.writeHead(status, headers);
 		await pipeline(body, response);
--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -6,13 +6,13 @@
 import test from 'node:test';
 import {startServer} from './start-server.js';
 
-const limitMs = 5000;
+const stopTimeoutMs = 5000;
 
-async function stopsInTime(stopped: Promise<void>): Promise<boolean> {
+async function isStoppedInTime(stopped: Promise<void>): Promise<boolean> {
 	const late = new Promise<false>((resolve) => {
 		setTimeout(() => {
 			resolve(false);
-		}, limitMs).unref();
+		}, stopTimeoutMs).unref();
 	});
 	return Promise.race([stopped.then(() => true), late]);
 }
@@ -27,7 +27,7 @@
 		once(socket, 'connect'),
 		once(server.server, 'connection'),
 	]);
-	const isInTime = await stopsInTime(server.stop());
+	const isInTime = await isStoppedInTime(server.stop());
 	socket.destroy();
 	assert.ok(isInTime);
 });
@@ -46,7 +46,7 @@
 	});
 	socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
 	await once(server.server, 'request');
-	assert.ok(await stopsInTime(server.stop()));
+	assert.ok(await isStoppedInTime(server.stop()));
 	assert.match(answer, /whole/v);
 });
 
@@ -70,7 +70,7 @@
 	socket.resume();
 	await once(socket, 'close');
 	assert.ok(bytes > length);
-	assert.ok(await stopsInTime(stopped));
+	assert.ok(await isStoppedInTime(stopped));
 });
 
 test('connections that have waited are all accepted before a request on them is handled', async () => {
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -14,7 +14,7 @@
 import {outcomeHeader, reasonHeader} from '../../protocol/request.js';
 import {createAcceptQueue, type AcceptedBatch} from './create-accept-queue.js';
 
-const connectRefusal = [
+const connectRejection = [
 	'HTTP/1.1 501 Not Implemented',
 	`${outcomeHeader}: not-run`,
 	`${reasonHeader}: upgrade`,
@@ -47,19 +47,19 @@
 };
 
 /** Time for a request that is on its way over an unused connection. */
-const closeIntervalMs = 200;
+const closeIdleIntervalMs = 200;
 
 /** Ends a connection that its client resets before its first request is read. */
-function endSocket(this: Socket): void {
+function destroySocket(this: Socket): void {
 	this.destroy();
 }
 
 /** Closes idle connections only while no answer is on its way to its client. */
-class AnsweringServer extends Server {
+class GracefulServer extends Server {
 	readonly #open = new Set<ServerResponse>();
 
 	/** Takes over from Node what begins to read requests on a new connection. */
-	takeConnectionHandler(): (socket: Socket) => void {
+	detachConnectionHandler(): (socket: Socket) => void {
 		const handlers = this.listeners('connection');
 		this.removeAllListeners('connection');
 		return (socket) => {
@@ -70,7 +70,7 @@
 	}
 
 	/** Notes a response until all of it has been handed to its connection. */
-	noteResponse(response: ServerResponse): void {
+	trackResponse(response: ServerResponse): void {
 		this.#open.add(response);
 		response.once('close', () => {
 			this.#open.delete(response);
@@ -108,10 +108,10 @@
 	const {readLag = () => 0, onAccepted = () => undefined} = options;
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
-	const unused = new Set<Socket>();
-	const waits = new WeakMap<IncomingMessage, number>();
-	const connectionWaits = new WeakMap<Socket, number>();
-	const server = new AnsweringServer(
+	const unusedSockets = new Set<Socket>();
+	const acceptWaitsMs = new WeakMap<IncomingMessage, number>();
+	const socketAcceptWaitsMs = new WeakMap<Socket, number>();
+	const server = new GracefulServer(
 		{
 			keepAliveTimeout: serverIdleMs,
 			headersTimeout: headersTimeoutMs,
@@ -120,10 +120,10 @@
 		},
 		(request, response) => {
 			const {socket} = request;
-			unused.delete(socket);
-			waits.set(request, connectionWaits.get(socket) ?? 0);
-			connectionWaits.delete(socket);
-			server.noteResponse(response);
+			unusedSockets.delete(socket);
+			acceptWaitsMs.set(request, socketAcceptWaitsMs.get(socket) ?? 0);
+			socketAcceptWaitsMs.delete(socket);
+			server.trackResponse(response);
 			if (isStopping) {
 				response.setHeader('connection', 'close');
 			}
@@ -132,34 +132,34 @@
 		},
 	);
 	server.on('connect', (_request, socket) => {
-		socket.end(connectRefusal);
+		socket.end(connectRejection);
 	});
-	const handleConnection = server.takeConnectionHandler();
+	const handleConnection = server.detachConnectionHandler();
 	const acceptQueue = createAcceptQueue({
 		now: () => performance.now(),
 		readLag,
 		onBatch: onAccepted,
 		release(socket, waitMs) {
-			socket.off('error', endSocket);
-			connectionWaits.set(socket, waitMs);
+			socket.off('error', destroySocket);
+			socketAcceptWaitsMs.set(socket, waitMs);
 			if (!socket.destroyed) {
 				handleConnection(socket);
 			}
 		},
 	});
 	server.on('connection', (socket) => {
-		socket.on('error', endSocket);
+		socket.on('error', destroySocket);
 		acceptQueue.add(socket);
-		unused.add(socket);
+		unusedSockets.add(socket);
 		socket.once('close', () => {
-			unused.delete(socket);
+			unusedSockets.delete(socket);
 		});
 	});
 
 	/** Closes connections on which no request is in flight. */
-	function closeUnused(): void {
+	function closeIdleSockets(): void {
 		server.closeIdleConnections();
-		for (const socket of unused) {
+		for (const socket of unusedSockets) {
 			socket.destroy();
 		}
 	}
@@ -173,13 +173,13 @@
 	return {
 		server,
 		address: `${host}:${boundPort}`,
-		readAcceptWaitMs: (request) => waits.get(request) ?? 0,
+		readAcceptWaitMs: (request) => acceptWaitsMs.get(request) ?? 0,
 		drain() {
 			isStopping = true;
 		},
 		async stop() {
 			isStopping = true;
-			const timer = setInterval(closeUnused, closeIntervalMs);
+			const timer = setInterval(closeIdleSockets, closeIdleIntervalMs);
 			await new Promise<void>((resolve) => {
 				server.close(() => {
 					resolve();
--- a/src/transport/_lib/wait-until-idle.ts
+++ b/src/transport/_lib/wait-until-idle.ts
@@ -9,7 +9,7 @@
 	readonly maxMs: number;
 };
 
-const intervalMs = 100;
+const pollIntervalMs = 100;
 
 /**
  * Waits until nothing has happened for a time, between two bounds.
@@ -22,11 +22,11 @@
 	await new Promise<void>((resolve) => {
 		const timer = setInterval(() => {
 			const elapsedMs = performance.now() - startedAt;
-			const isQuiet = elapsedMs >= minMs && readIdleMs() >= idleThresholdMs;
-			if (isQuiet || elapsedMs >= maxMs) {
+			const isIdle = elapsedMs >= minMs && readIdleMs() >= idleThresholdMs;
+			if (isIdle || elapsedMs >= maxMs) {
 				clearInterval(timer);
 				resolve();
 			}
-		}, intervalMs);
+		}, pollIntervalMs);
 	});
 }
