--- a/src/transport/_lib/abort-response.test.ts
+++ b/src/transport/_lib/abort-response.test.ts
@@ -5,7 +5,7 @@
 import {createSilentLogger} from '../../../harness/create-silent-logger.js';
 import {abortResponse, type AbortCause} from './abort-response.js';
 
-/** Aborts a response and gives what is logged, with the level. */
+/** Aborts a response and returns what is logged, with the level. */
 function logAbort(cause: AbortCause): readonly unknown[] {
 	const response = new ServerResponse(new IncomingMessage(new Socket()));
 	const lines: unknown[] = [];
@@ -26,8 +26,8 @@
 	return lines.flat();
 }
 
-test('a connection that the node closes unanswered is warned of with its cause', () => {
-	const error = new Error('the answer was cut');
+test('logs a warning with the cause when the node closes a connection unanswered', () => {
+	const error = new Error('response truncated');
 	assert.deepEqual(logAbort({kind: 'failed', error}), [
 		'warn',
 		'connection closed unanswered',
@@ -35,12 +35,12 @@
 			requestId: 'a',
 			isPartSent: false,
 			cause: 'failed',
-			error: 'Error: the answer was cut',
+			error: 'Error: response truncated',
 		},
 	]);
 });
 
-test('a connection that its client has closed is no warning', () => {
+test('logs no warning when the client has closed the connection', () => {
 	const error = Object.assign(new Error('Premature close'), {
 		code: 'ERR_STREAM_PREMATURE_CLOSE',
 	});
--- a/src/transport/_lib/abort-response.ts
+++ b/src/transport/_lib/abort-response.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '../create-logger.js';
 import {readErrorCode} from './read-error-code.js';
 
-/** Why a connection is closed on which a request has no whole answer. */
+/** Why a connection is closed before a request has a complete response. */
 export type AbortCause =
 	| {readonly kind: 'sender-left'}
 	| {readonly kind: 'body-refused'; readonly reason: string}
@@ -15,7 +15,7 @@
 	readonly logger: Logger;
 };
 
-/** What Node reports of a stream whose reader has gone. */
+/** Code of the error of a stream whose reader closed before its end. */
 const prematureCloseCode = 'ERR_STREAM_PREMATURE_CLOSE';
 
 function hasClientDisconnected(
@@ -38,10 +38,10 @@
 }
 
 /**
- * Closes the connection of a request that has no whole answer, and logs why: a
- * warning, unless the other end had closed it before.
+ * Closes the connection of a request that has no complete response and logs the
+ * cause, as a warning unless the client had closed the connection before.
  *
- * @param response - the response that is not sent, or not whole
+ * @param response - the response that is missing or incomplete
  * @param options - see `AbortOptions`
  */
 export function abortResponse(
--- a/src/transport/_lib/administration/add-configuration-routes.ts
+++ b/src/transport/_lib/administration/add-configuration-routes.ts
@@ -8,11 +8,12 @@
 import {createHandler, type AdministrationRequest} from './create-handler.js';
 
 /**
- * Adds the routes that show what this node runs: its version, the revisions of
- * all teams, and where a request would go.
+ * Adds the routes that show the configuration in force on this node: its
+ * version, the revisions of all teams, and where a request would be routed.
  *
- * @param app - the application
- * @param options - where the configuration and the view are read
+ * @param app - the polka application
+ * @param options - readers of the configuration, the membership view and the
+ * control traffic
  */
 export function addConfigurationRoutes(
 	app: Polka,
--- a/src/transport/_lib/administration/add-manifest-routes.ts
+++ b/src/transport/_lib/administration/add-manifest-routes.ts
@@ -20,16 +20,16 @@
 	unknown: 504,
 };
 
-/** Stands in an answer for an identifier that is not one. */
+/** Submission identifier in responses to requests with an invalid one. */
 const invalidId = 'invalid';
 
 /**
  * Adds the route on which operators submit manifests.
  *
- * Every answer has the form of an outcome, also to a body that is not JSON.
+ * Every response is a submission outcome, even if the body is not JSON.
  *
- * @param app - the application
- * @param options - the task that commits submissions
+ * @param app - the polka application
+ * @param options - the task that commits submissions, and the logger
  */
 export function addManifestRoutes(
 	app: Polka,
--- a/src/transport/_lib/administration/add-member-routes.ts
+++ b/src/transport/_lib/administration/add-member-routes.ts
@@ -21,11 +21,12 @@
 }
 
 /**
- * Adds the routes on which upstreams of this host announce themselves, and the
- * one that shows the members.
+ * Adds the routes on which upstreams of this host announce and withdraw
+ * themselves, and the route that lists the members.
  *
- * @param app - the application
- * @param options - the tasks that are told of upstreams, and the view
+ * @param app - the polka application
+ * @param options - handlers of announcements and withdrawals, and the reader of
+ * the membership view
  */
 export function addMemberRoutes(
 	app: Polka,
--- a/src/transport/_lib/administration/add-status-routes.ts
+++ b/src/transport/_lib/administration/add-status-routes.ts
@@ -8,10 +8,11 @@
 const versionPattern = /^\d{1,15}$/v;
 
 /**
- * Adds the routes on which operators read the progress of a version.
+ * Adds the routes that report the rollout status of a version.
  *
- * @param app - the application
- * @param options - where progress and the own configuration are read
+ * @param app - the polka application
+ * @param options - readers of the rollout status and of this node's
+ * configuration
  */
 export function addStatusRoutes(
 	app: Polka,
--- a/src/transport/_lib/administration/administration-options.ts
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -4,20 +4,20 @@
 import type {PlatformClient} from '../../platform-client.js';
 import type {CommitTask} from '../../start-commit-task.js';
 
-/** Options of `startAdministrationTask`: what its handlers read and tell. */
+/** Options of `startAdministrationTask`: what its handlers read and call. */
 export type AdministrationTaskOptions = {
-	/** Where to listen, as `IP:PORT`. */
+	/** Address to listen on, as `IP:PORT`. */
 	readonly address: string;
 	readonly commit: CommitTask;
 	readonly platform: PlatformClient;
-	/** Reads the configuration that the node runs. */
+	/** Returns the configuration in force on this node. */
 	readonly readConfiguration: () => Configuration;
-	/** Reads the newest configuration that the node holds. */
+	/** Returns the newest configuration that this node holds. */
 	readonly readNewestConfiguration: () => Configuration;
 	readonly readView: () => MembersView;
-	/** Reads the bytes of control traffic so far, both ways. */
+	/** Returns the bytes of control traffic sent and received so far. */
 	readonly readControlBytes: () => number;
-	/** Returns `ignored` for an announcement that is late or out of order. */
+	/** Handles an announcement; returns `ignored` if it is late or out of order. */
 	readonly announce: (
 		id: string,
 		announcement: Announcement,
--- a/src/transport/_lib/administration/create-handler.ts
+++ b/src/transport/_lib/administration/create-handler.ts
@@ -2,26 +2,27 @@
 import type {Logger} from '../../create-logger.js';
 import {sendJson} from '../send-json.js';
 
-/** A request with what polka has read of its URL. */
+/** A request with the path parameters and the query that polka has parsed. */
 export type AdministrationRequest = IncomingMessage & {
-	/** Named parts of the path, still encoded. */
+	/** Path parameters, still percent-encoded. */
 	readonly params: Readonly<Record<string, string | string[]>>;
-	/** Decoded query; a key given twice has a list. */
+	/** Decoded query; a repeated key has an array as its value. */
 	readonly query: Readonly<Record<string, unknown>>;
 };
 
-/** Handles one request; may fail. */
+/** Handles one request; may throw or reject. */
 export type Handler = (
 	request: AdministrationRequest,
 	response: ServerResponse,
 ) => void | Promise<void>;
 
 /**
- * Creates a handler whose failures are answered and logged.
+ * Wraps a handler so that its errors are logged and answered with status 500,
+ * or by closing the connection if the response has already begun.
  *
- * Without it a failure would end the process.
+ * Without the wrapper, an error would terminate the process.
  *
- * @param logger - where failures are logged
+ * @param logger - logger for errors
  * @param handler - handles the request
  * @returns the handler to register
  */
--- a/src/transport/_lib/administration/read-json-text.ts
+++ b/src/transport/_lib/administration/read-json-text.ts
@@ -4,9 +4,9 @@
 import {maxManifestBytes} from '../../../protocol/constants.js';
 import {readRequestBody} from '../read-request-body.js';
 
-/** Why a body is not taken. */
+/** Why a body is rejected. */
 export type BodyRefusal = {
-	/** HTTP status; 0 when the connection was cut and nobody waits. */
+	/** HTTP status; 0 if the client has disconnected, so that no response is sent. */
 	readonly status: 0 | 400 | 413 | 415;
 	readonly message: string;
 };
@@ -16,10 +16,10 @@
 }
 
 /**
- * Reads the text of a JSON body.
+ * Reads the text of a JSON body without parsing it.
  *
  * @param request - the request
- * @returns the text, or why it is not taken
+ * @returns the text, or why the body is rejected
  */
 export async function readJsonText(
 	request: IncomingMessage,
@@ -36,7 +36,7 @@
 	});
 	if (read.kind === 'refused') {
 		return read.reason === 'cancelled'
-			? err({status: 0, message: 'the body was cut short'})
+			? err({status: 0, message: 'the client disconnected before the end of the body'})
 			: err({
 					status: 413,
 					message: `the body is over ${maxManifestBytes} bytes`,
--- a/src/transport/_lib/administration/read-json.ts
+++ b/src/transport/_lib/administration/read-json.ts
@@ -4,10 +4,10 @@
 import {readJsonText, type BodyRefusal} from './read-json-text.js';
 
 /**
- * Reads a JSON body; a key that is given twice is refused.
+ * Reads and parses a JSON body; rejects one with duplicate keys.
  *
  * @param request - the request
- * @returns the value, or why it is not taken
+ * @returns the value, or why the body is rejected
  */
 export async function readJson(
 	request: IncomingMessage,
--- a/src/transport/_lib/attribute-names.ts
+++ b/src/transport/_lib/attribute-names.ts
@@ -1,5 +1,5 @@
 /**
- * Names of span and resource attributes, as OpenTelemetry writes them.
+ * Names of span and resource attributes, in the format of OpenTelemetry.
  */
 export const attributeNames = {
 	serviceName: 'service.name',
--- a/src/transport/_lib/combine-observers.ts
+++ b/src/transport/_lib/combine-observers.ts
@@ -1,11 +1,12 @@
 import type {RequestObserver} from '../../protocol/observer.js';
 
 /**
- * Combines observers into one that tells each of them in turn.
+ * Combines observers into one that calls each of them in order.
  *
- * Handlers that no observer has stay absent, so that tasks skip them.
+ * A handler that no observer has is left undefined, so that tasks skip it.
  *
- * @param observers - the observers; the first that makes trace contexts does
+ * @param observers - the observers; trace contexts come from the first one that
+ * creates them
  * @returns the combined observer
  */
 export function combineObservers(
--- a/src/transport/_lib/compute-median.ts
+++ b/src/transport/_lib/compute-median.ts
@@ -1,8 +1,8 @@
 /**
- * Computes the median of some numbers.
+ * Computes the median of a list of numbers.
  *
  * @param values - the numbers, in any order
- * @returns the lower median, or 0 when there are none
+ * @returns the median (the lower of two middle values), or 0 for an empty list
  */
 export function computeMedian(values: readonly number[]): number {
 	const sorted = values.toSorted((a, b) => a - b);
--- a/src/transport/_lib/copy-headers.ts
+++ b/src/transport/_lib/copy-headers.ts
@@ -20,11 +20,11 @@
 }
 
 /**
- * Copies headers without hop-by-hop ones (RFC 9110, section 7.6.1) and without
- * this system's own.
+ * Copies headers, except for hop-by-hop headers (RFC 9110, section 7.6.1) and
+ * this system's internal headers.
  *
  * @param headers - headers as received
- * @returns headers to send on; a new object that the caller may add to
+ * @returns headers to forward, in a new object that the caller may modify
  */
 export function copyHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
 	const {connection} = headers;
--- a/src/transport/_lib/create-byte-counter.ts
+++ b/src/transport/_lib/create-byte-counter.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 
-/** Bytes on the sockets of one purpose, headers included. */
+/** Bytes sent and received on the sockets of one purpose, including headers. */
 export type ByteCount = {
 	readonly purpose: string;
 	readonly sent: number;
@@ -9,11 +9,11 @@
 
 /** Counts the bytes on sockets by purpose. */
 export type ByteCounter = {
-	/** Counts a socket from its first byte; again has no effect. */
+	/** Counts a socket from its first byte; does nothing if it is already tracked. */
 	track(purpose: string, socket: Socket): void;
-	/** Returns what has passed since the last call. */
+	/** Returns the bytes since the last call, by purpose. */
 	take(): readonly ByteCount[];
-	/** Returns all that has passed, sent and received. */
+	/** Returns the bytes sent and received since the start. */
 	readTotal(): number;
 };
 
@@ -24,7 +24,7 @@
 };
 
 /**
- * Creates a counter of bytes on sockets.
+ * Creates a counter of bytes sent and received on sockets.
  *
  * @returns the counter
  */
--- a/src/transport/_lib/create-call-handler.test.ts
+++ b/src/transport/_lib/create-call-handler.test.ts
@@ -19,7 +19,7 @@
 			handleExchange: refuseCall,
 			handleAsk: () => 'fenced',
 			handleCancel() {
-				// Its answer is empty.
+				// Responds without data.
 			},
 			handleStamp: () => stamp,
 		}),
@@ -32,7 +32,7 @@
 	});
 }
 
-test('calls are answered as the tRPC client expects', async (t) => {
+test('serves the tRPC client', async (t) => {
 	const server = await startCallServer(1000);
 	const peers = createPeerClients();
 	t.after(async () => {
@@ -46,7 +46,7 @@
 	assert.equal(await client.cancel.mutate(question), undefined);
 });
 
-/** Makes a call by hand and reads the status and code of its answer. */
+/** Sends a call without the tRPC client; returns the status and error code of its response. */
 async function sendCall(address: string, path: string, body: string) {
 	const answer = await fetch(`http://${address}/trpc/${path}`, {
 		method: 'POST',
@@ -56,7 +56,7 @@
 	return [answer.status, /"code":"(\w+)"/v.exec(text)?.[1]];
 }
 
-test('calls that fail are answered with the reason', async (t) => {
+test('responds to failed calls with status and error code', async (t) => {
 	const server = await startCallServer(100);
 	t.after(async () => server.stop());
 	const {address} = server;
--- a/src/transport/_lib/create-call-handler.ts
+++ b/src/transport/_lib/create-call-handler.ts
@@ -15,15 +15,15 @@
 /** Options of `createCallHandler`. */
 export type CallHandlerOptions = {
 	readonly router: PeerRouter;
-	/** Longest body that is taken. */
+	/** Longest body that is accepted. */
 	readonly maxBytes: number;
-	/** Creates what the procedures can learn of their connection. */
+	/** Creates the tRPC context, which describes the connection of the call. */
 	readonly createContext?: (response: ServerResponse) => PeerCall;
 };
 
 const statusOk = 200;
 
-/** Handles one call; an answer that cannot be sent is dropped with its connection. */
+/** Handles one call; a response that cannot be sent is dropped with its connection. */
 export type CallHandler = (
 	request: IncomingMessage,
 	response: ServerResponse,
@@ -50,12 +50,12 @@
 }
 
 /**
- * Creates the handler of the calls between nodes: the procedures of a tRPC
- * router over plain HTTP.
+ * Creates the handler of calls between nodes. It serves the procedures of a
+ * tRPC router over plain Node HTTP.
  *
- * Answers the load of a fleet at rest, where calls are most of a node's work:
- * tRPC's own handler creates a web request and two web streams for each, and
- * loads the web API for that.
+ * In an idle fleet these calls are most of a node's work. tRPC's own handler
+ * creates a web request and two web streams for each call and loads the web API
+ * for that, which this handler avoids.
  *
  * @param options - see `CallHandlerOptions`
  * @returns the handler
--- a/src/transport/_lib/create-counters.ts
+++ b/src/transport/_lib/create-counters.ts
@@ -1,22 +1,22 @@
 /** Tags of a metric. */
 export type Tags = Readonly<Record<string, string>>;
 
-/** A counter's value since it was last taken. */
+/** Increase of a counter since the last `take`. */
 export type CounterValue<Name extends string> = {
 	readonly name: Name;
 	readonly value: number;
 	readonly tags: Tags;
 };
 
-/** Counters that are added up in memory until they are taken. */
+/** Counters that are aggregated in memory until the next `take`. */
 export type Counters<Name extends string> = {
 	add(name: Name, value: number, tags: Tags): void;
-	/** Returns every counter that has changed and starts again from 0. */
+	/** Returns every counter that has changed, and resets all to 0. */
 	take(): ReadonlyArray<CounterValue<Name>>;
 };
 
 /**
- * Creates counters, one for each name and combination of tags.
+ * Creates counters, one for each combination of name and tags.
  *
  * @returns the counters
  */
--- a/src/transport/_lib/create-json-lines-exporter.ts
+++ b/src/transport/_lib/create-json-lines-exporter.ts
@@ -25,9 +25,9 @@
 }
 
 /**
- * Creates an exporter that writes each span as one JSON line.
+ * Creates a span exporter that writes each span as one JSON line.
  *
- * @param write - writes lines that end in a line feed
+ * @param write - writes one or more lines, each terminated by a line feed
  * @returns the exporter
  */
 export function createJsonLinesExporter(
@@ -39,7 +39,7 @@
 			onResult({code: ExportResultCode.SUCCESS});
 		},
 		async shutdown() {
-			// Nothing is held back.
+			// No spans are buffered.
 		},
 	};
 }
--- a/src/transport/_lib/create-peer-fetch.ts
+++ b/src/transport/_lib/create-peer-fetch.ts
@@ -4,7 +4,7 @@
 import {readWholeBody} from './read-whole-body.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
-/** What of a request the tRPC client sets. */
+/** The request options that the tRPC client sets. */
 export type PeerFetchInit = {
 	readonly body?: unknown;
 	// The client's own type allows null.
@@ -12,14 +12,14 @@
 	readonly signal?: AbortSignal | null | undefined;
 };
 
-/** What of a response the tRPC client reads. */
+/** The part of a response that the tRPC client reads. */
 export type PeerFetchResponse = {
 	readonly ok: boolean;
 	json(): Promise<unknown>;
 	text(): Promise<string>;
 };
 
-/** Sends a call of the tRPC client; rejects when it is not answered whole. */
+/** Sends a call of the tRPC client; rejects unless the response is complete. */
 export type PeerFetch = (
 	url: string,
 	init?: PeerFetchInit,
@@ -29,23 +29,23 @@
 
 async function readText(outcome: SendOutcome): Promise<string> {
 	if (outcome.kind !== 'answered') {
-		throw new Error(`call not answered: ${outcome.kind}`);
+		throw new Error(`call to a peer failed: ${outcome.kind}`);
 	}
 
 	const whole = await readWholeBody(outcome.body, maxPeerAnswerBytes);
 	if (!whole) {
-		throw new Error('answer is too long');
+		throw new Error('response of the peer is too long');
 	}
 
 	return Buffer.from(whole).toString();
 }
 
 /**
- * Creates the function with which a tRPC client sends its calls.
+ * Creates the fetch function of a tRPC client for one peer.
  *
- * @param address - IP and port of the other node
- * @param selectAgent - chooses the connections for a URL
- * @returns the function
+ * @param address - IP and port of the peer
+ * @param selectAgent - returns the agent (connection pool) for a URL
+ * @returns the fetch function
  */
 export function createPeerFetch(
 	address: string,
@@ -88,10 +88,10 @@
 }
 
 /**
- * Gives a peer fetch the signature that the tRPC client calls.
+ * Adapts a peer fetch to the signature that the tRPC client expects.
  *
  * @param send - the peer fetch
- * @returns the same function for a URL of any type
+ * @returns a function that accepts the URL in any of the client's types
  */
 export function adaptFetch(
 	send: PeerFetch,
@@ -100,7 +100,7 @@
 	init?: PeerFetchInit,
 ) => Promise<PeerFetchResponse> {
 	return async (url, init) => {
-		// The classes of the web API are not named here: Node loads them on first use.
+		// Avoids naming the classes of the web API, since Node loads them on first use.
 		const text =
 			typeof url === 'string' ? url : 'href' in url ? url.href : url.url;
 		return send(text, init);
--- a/src/transport/_lib/create-readiness.ts
+++ b/src/transport/_lib/create-readiness.ts
@@ -1,23 +1,23 @@
-/** What decides whether a node takes requests. */
+/** Conditions under which a node is ready for requests. */
 export type ReadinessOptions = {
 	readonly hasConfiguration: () => boolean;
-	/** Whether the node has found the others, or waited for them in vain. */
+	/** Whether the node has joined the other members, or its wait for them has timed out. */
 	readonly hasMembers: () => boolean;
 };
 
-/** Why a node does not take requests, or that it does. */
+/** Whether a node is ready for requests and, if not, why. */
 export type ReadinessState =
 	'ready' | 'no-configuration' | 'joining' | 'stopping';
 
-/** Tells whether a node takes requests. */
+/** Readiness of a node. */
 export type Readiness = {
 	read(): ReadinessState;
-	/** Says from now on that the node is stopping. */
+	/** Reports `stopping` from now on. */
 	drain(): void;
 };
 
 /**
- * Creates what answers the platform's question whether a node takes requests.
+ * Creates the state behind the platform's readiness check of a node.
  *
  * @param options - see `ReadinessOptions`
  * @returns the readiness
--- a/src/transport/_lib/create-span.ts
+++ b/src/transport/_lib/create-span.ts
@@ -9,11 +9,11 @@
 import type {ReadableSpan} from '@opentelemetry/sdk-trace-base';
 import {isSampled} from '../../coordination/is-sampled.js';
 
-/** What a span says; times are those of `performance.now()`. */
+/** Content of a span; times are as of `performance.now()`, in ms. */
 export type SpanInput = {
 	readonly name: string;
 	readonly kind: 'server' | 'client';
-	/** Trace context of the span itself. */
+	/** Trace context of this span. */
 	readonly traceparent: string;
 	readonly parentTraceparent: string | undefined;
 	readonly startedAtMs: number;
@@ -21,7 +21,7 @@
 	readonly isError: boolean;
 	readonly attributes: Attributes;
 	readonly resource: Resource;
-	/** Wall-clock time of `performance.now() === 0`, ms. */
+	/** Wall-clock time at which `performance.now()` was 0, ms. */
 	readonly timeOriginMs: number;
 };
 
@@ -35,10 +35,10 @@
 }
 
 /**
- * Creates a finished span from what a task reported.
+ * Creates a finished span from an event that a task has reported.
  *
  * @param input - see `SpanInput`
- * @returns the span, or undefined when its trace is not sampled
+ * @returns the span, or undefined if its trace is not sampled
  */
 export function createSpan(input: SpanInput): ReadableSpan | undefined {
 	const context = parseTraceParent(input.traceparent);
--- a/src/transport/_lib/discard-body.ts
+++ b/src/transport/_lib/discard-body.ts
@@ -1,14 +1,14 @@
 import type {Readable} from 'node:stream';
 
 /**
- * Reads the rest of a request's body that nobody wants any more, so that its
- * connection can carry further requests.
+ * Reads and discards the rest of a request's body, so that its connection can be
+ * reused for further requests.
  *
- * @param body - a body that is not sent on any more
+ * @param body - a body that is no longer needed
  */
 export function discardBody(body: Readable): void {
 	body.on('error', () => {
-		// A body that ends early or is too long ends its connection.
+		// If a body is truncated or too long, its connection is closed.
 	});
 	body.resume();
 }
--- a/src/transport/_lib/format-load.ts
+++ b/src/transport/_lib/format-load.ts
@@ -1,10 +1,10 @@
 import type {GateLoad} from '../../protocol/attempt.js';
 
 /**
- * Formats a gate's load for the load header.
+ * Formats a gate's load as the value of the load header.
  *
  * @param load - the load
- * @returns `inFlight/queued/slots`
+ * @returns `inFlight/queued/slots`, followed by `/serviceMs/routeMs` if known
  */
 export function formatLoad(load: GateLoad): string {
 	const {inFlight, queued, slots, serviceMs, routeMs = serviceMs} = load;
--- a/src/transport/_lib/format-notice.ts
+++ b/src/transport/_lib/format-notice.ts
@@ -1,10 +1,10 @@
 import type {UpstreamNotice} from '../../protocol/attempt.js';
 
 /**
- * Formats what is known of an upstream for the notice header.
+ * Formats an upstream notice as the value of the notice header.
  *
- * @param notice - what it has said of itself
- * @returns the header's value
+ * @param notice - what the upstream has reported about itself
+ * @returns the header value, URL-encoded fields
  */
 export function formatNotice(notice: UpstreamNotice): string {
 	const {id, incarnation, isLeaving, rateLimit} = notice;
--- a/src/transport/_lib/format-stamp.ts
+++ b/src/transport/_lib/format-stamp.ts
@@ -1,7 +1,7 @@
 import type {GateStamp} from '../../protocol/stamp.js';
 
 /**
- * Formats a gate's stamp for the stamp header.
+ * Formats a gate's stamp as the value of the stamp header.
  *
  * @param stamp - the stamp
  * @returns `time/epoch`
