--- a/src/transport/_lib/has-client-disconnected.test.ts
+++ b/src/transport/_lib/has-client-disconnected.test.ts
@@ -5,11 +5,11 @@
 import test, {type TestContext} from 'node:test';
 import {hasClientDisconnected} from './has-client-disconnected.js';
 
-/** Creates a request whose sender is found to have gone in the next turn. */
+/** Creates a request that is destroyed in the next iteration of the event loop. */
 function createDisconnectedRequest(): IncomingMessage {
 	const request = new IncomingMessage(new Socket());
 	request.on('error', () => {
-		// The end of the connection is what the test is about.
+		// The test destroys the request on purpose.
 	});
 	setImmediate(() => {
 		request.destroy();
@@ -17,7 +17,7 @@
 	return request;
 }
 
-/** Has a request read from a socket in which the end of its connection lies behind it. */
+/** Reads a request from a socket that its client has already half-closed. */
 async function readHalfClosedRequest(t: TestContext): Promise<IncomingMessage> {
 	const listener = createTcpServer({pauseOnConnect: true, allowHalfOpen: true});
 	listener.listen(0, '127.0.0.1');
@@ -47,24 +47,24 @@
 	});
 }
 
-test('a late node notices that the sender of a request has gone', async () => {
+test('detects under lag that the client of a request has disconnected', async () => {
 	assert.equal(
 		await hasClientDisconnected(createDisconnectedRequest(), 100),
 		true,
 	);
 });
 
-test('a late node notices the end of a connection that lies behind the request', async (t) => {
+test('detects under lag the end of the connection behind the request', async (t) => {
 	const request = await readHalfClosedRequest(t);
 	assert.equal(await hasClientDisconnected(request, 100), true);
 });
 
-test('a late node handles a request whose sender is there', async () => {
+test('reports no disconnect under lag while the client is connected', async () => {
 	const request = new IncomingMessage(new Socket());
 	assert.equal(await hasClientDisconnected(request, 100), false);
 });
 
-test('a node on time does not wait', async () => {
+test('does not wait without lag', async () => {
 	assert.equal(
 		await hasClientDisconnected(createDisconnectedRequest(), 0),
 		false,
--- a/src/transport/_lib/has-client-disconnected.ts
+++ b/src/transport/_lib/has-client-disconnected.ts
@@ -1,28 +1,30 @@
 import type {IncomingMessage} from 'node:http';
-import {setImmediate as waitForTurn} from 'node:timers/promises';
+import {setImmediate as waitForImmediate} from 'node:timers/promises';
 import {outdatedLagMs} from '../../protocol/constants.js';
 
-/** Options of `hasSenderLeft`. */
+/** Options of `hasClientDisconnected`. */
 export type ClientDisconnectOptions = {
-	/** Whether the age of the request is known besides the lag; so when absent. */
+	/** Whether the age of the request is known apart from the lag; `true` when absent. */
 	readonly isAgeKnown?: boolean;
 };
 
 /**
- * Tells whether the sender of a request has gone before the request was read.
+ * Tells whether the client of a request closed its connection before the
+ * request was read.
  *
- * Answers the load of a node that runs late: a request and the notice that its
- * sender has gone lie in one socket, and the request is read first. A late node
- * therefore waits for two turns of its event loop, one to read the notice and
- * one to handle it.
+ * When the event loop lags, a request and the end of its connection can both be
+ * waiting in the socket, and the request is read first. The function therefore
+ * waits for two iterations of the event loop, one to read the end of the
+ * connection and one to handle it.
  *
- * A request whose age nobody knows may have lain elsewhere, also when the node
- * is on time.
+ * A request of unknown age may have been delayed elsewhere, so the function
+ * waits for it even without lag.
  *
  * @param request - the request
- * @param lagMs - how late the event loop runs, ms; without lag there is no wait
- * @param options - see `SenderOptions`
- * @returns true when the request need not be handled
+ * @param lagMs - event loop lag, ms; up to `outdatedLagMs` there is no wait if
+ * the age of the request is known
+ * @param options - see `ClientDisconnectOptions`
+ * @returns true if the request need not be handled
  */
 export async function hasClientDisconnected(
 	request: IncomingMessage,
@@ -33,8 +35,9 @@
 		return false;
 	}
 
-	await waitForTurn();
-	await waitForTurn();
-	// Node destroys a request also when its body has been read to the end.
+	await waitForImmediate();
+	await waitForImmediate();
+	// `request.destroyed` is no criterion: Node also destroys a request once its
+	// body has been read to the end.
 	return request.socket.destroyed;
 }
--- a/src/transport/_lib/is-unambiguous-path.test.ts
+++ b/src/transport/_lib/is-unambiguous-path.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import {isUnambiguousPath} from './is-unambiguous-path.js';
 
-test('accepts a path only when every reader sees the same one', () => {
+test('accepts only paths that every server interprets alike', () => {
 	for (const path of ['/', '/kitchens/prices', '/a/b.json', '/a/.well-known']) {
 		assert.ok(isUnambiguousPath(path), path);
 	}
--- a/src/transport/_lib/is-unambiguous-path.ts
+++ b/src/transport/_lib/is-unambiguous-path.ts
@@ -2,14 +2,15 @@
 const base = 'http://host';
 
 /**
- * Checks that a path means the same to every reader of it.
+ * Checks that every server interprets a path in the same way.
  *
- * Refused are paths with empty or dot segments, with encoded separators or
- * dots, and those that are not absolute: an upstream that normalises them would
- * serve another path than the one whose route was matched.
+ * Rejects paths with empty or dot segments, with backslashes, with encoded
+ * separators, dots or NUL bytes, and paths that are not absolute: an upstream
+ * that normalizes such a path would serve another path than the one whose route
+ * was matched.
  *
  * @param path - path as received, without the query
- * @returns true when the path is unambiguous
+ * @returns true if the path is unambiguous
  */
 export function isUnambiguousPath(path: string): boolean {
 	if (!suspiciousPattern.test(path)) {
--- a/src/transport/_lib/list-gauges.ts
+++ b/src/transport/_lib/list-gauges.ts
@@ -3,10 +3,10 @@
 import type {GaugeReading} from '../create-metrics.js';
 
 /**
- * Lists the gauges of a node.
+ * Lists the current gauge readings of a node.
  *
- * @param configuration - the configuration that the node runs
- * @param view - the members as the node sees them
+ * @param configuration - the configuration in force on the node
+ * @param view - the node's membership view
  * @param viewAgeMs - time since another member last exchanged records, ms
  * @returns the gauges
  */
--- a/src/transport/_lib/parse-load.ts
+++ b/src/transport/_lib/parse-load.ts
@@ -1,10 +1,10 @@
 import type {GateLoad} from '../../protocol/attempt.js';
 
 /**
- * Parses the load header.
+ * Parses the value of the load header, the inverse of `formatLoad`.
  *
  * @param text - header value
- * @returns the load, or undefined when the text is not a plausible one
+ * @returns the load, or undefined if the text is not a valid load
  */
 export function parseLoad(text: unknown): GateLoad | undefined {
 	const match =
--- a/src/transport/_lib/parse-notice.test.ts
+++ b/src/transport/_lib/parse-notice.test.ts
@@ -11,14 +11,14 @@
 	{id: 'i-1', isLeaving: true, rateLimit: {perSecond: 0, waitMs: 2000}},
 ];
 
-test('a notice is read as it was written', () => {
+test('parses what formatNotice has formatted', () => {
 	assert.deepEqual(
 		notices.map((notice) => parseNotice(formatNotice(notice))),
 		notices,
 	);
 });
 
-test('what is no notice is not read as one', () => {
+test('returns undefined for a missing or invalid notice', () => {
 	const texts = ['', 'id=', 'id=a', 'id=a&leaving=2', 'id=a&leaving=1&limit=x'];
 	assert.deepEqual(
 		[undefined, ...texts].map((text) => parseNotice(text)),
--- a/src/transport/_lib/parse-notice.ts
+++ b/src/transport/_lib/parse-notice.ts
@@ -10,10 +10,10 @@
 });
 
 /**
- * Parses the notice header.
+ * Parses the value of the notice header, the inverse of `formatNotice`.
  *
  * @param value - header value
- * @returns what is known of the upstream, or undefined when it can't be read
+ * @returns the notice, or undefined if the value is missing or invalid
  */
 export function parseNotice(value: unknown): UpstreamNotice | undefined {
 	if (typeof value !== 'string') {
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -26,7 +26,7 @@
 import {parseNotice} from './parse-notice.js';
 import {parseStamp} from './parse-stamp.js';
 
-/** What of an attempt is not in its headers. */
+/** The parts of an attempt that are not in its headers. */
 export type AttemptParts = {
 	readonly method: string;
 	readonly path: string;
@@ -39,7 +39,7 @@
 }
 
 /**
- * Reads an attempt from the headers with which it came to a gate.
+ * Reads an attempt from the headers of the request that carries it to a gate.
  *
  * @param headers - headers as received
  * @param parts - see `AttemptParts`
--- a/src/transport/_lib/read-error-code.ts
+++ b/src/transport/_lib/read-error-code.ts
@@ -1,8 +1,8 @@
 /**
- * Reads the system or library code of an error.
+ * Reads the code of a system or library error, for example `ECONNRESET`.
  *
- * @param error - anything that was thrown
- * @returns the code, or an empty string when there is none
+ * @param error - any thrown value
+ * @returns the code, or an empty string if there is none
  */
 export function readErrorCode(error: unknown): string {
 	return error instanceof Error && 'code' in error ? String(error.code) : '';
--- a/src/transport/_lib/read-procedure-name.ts
+++ b/src/transport/_lib/read-procedure-name.ts
@@ -1,7 +1,7 @@
 /**
- * Reads what a call between nodes is for: the procedure in its URL.
+ * Reads the procedure name from the URL of a call between nodes.
  *
- * @param url - URL or path of the call
+ * @param url - URL or path of the call, with or without a query
  * @returns the name of the procedure
  */
 export function readProcedureName(url: string): string {
--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -15,7 +15,7 @@
 const maxBytes = 1_000_000;
 const uploadBytes = 360_000;
 
-/** Opens an upload of a stated length; gives both its ends. */
+/** Opens an upload with a content-length; returns the request on both sides. */
 async function openUpload(
 	t: TestContext,
 	bytes: number,
@@ -31,7 +31,7 @@
 		headers: {'content-length': bytes},
 	});
 	sent.on('error', () => {
-		// The test cuts it.
+		// The test aborts the upload.
 	});
 	sent.flushHeaders();
 	const received = await new Promise<IncomingMessage>((resolve) => {
@@ -40,7 +40,7 @@
 	return {sent, received};
 }
 
-test('an upload waits whole where it finds memory', async (t) => {
+test('buffers an upload that fits into the memory budget', async (t) => {
 	const {sent, received} = await openUpload(t, uploadBytes);
 	const memory = createBodyMemoryBudget(uploadBytes);
 	sent.end(new Uint8Array(uploadBytes));
@@ -51,7 +51,7 @@
 	assert.equal(memory.take(1), false);
 });
 
-test('an upload that finds no memory is streamed', async (t) => {
+test('streams an upload that exceeds the memory budget', async (t) => {
 	const {sent, received} = await openUpload(t, uploadBytes);
 	sent.end(new Uint8Array(uploadBytes));
 	const memory = createBodyMemoryBudget(uploadBytes - 1);
@@ -61,8 +61,8 @@
 	read.body.destroy();
 });
 
-// Only part of it was there; nothing of it may be sent on.
-test('an upload that is cut gives back its memory and is no body', async (t) => {
+// No part of a truncated upload may be forwarded.
+test('refuses a truncated upload and releases its memory', async (t) => {
 	const {sent, received} = await openUpload(t, uploadBytes);
 	const memory = createBodyMemoryBudget(uploadBytes);
 	sent.write(new Uint8Array(1000));
@@ -74,8 +74,8 @@
 	assert.equal(memory.take(uploadBytes), true);
 });
 
-// Such a request used to be held for a minute, beyond its client's deadline.
-test('a body that trickles in is given up at the deadline', async (t) => {
+// Such a request was held for a minute, beyond its client's deadline.
+test('refuses a body that has not arrived by the deadline', async (t) => {
 	const {sent, received} = await openUpload(t, uploadBytes);
 	const memory = createBodyMemoryBudget(uploadBytes);
 	sent.write(new Uint8Array(1000));
@@ -86,7 +86,7 @@
 	});
 	assert.deepEqual(read, {kind: 'refused', reason: 'deadline'});
 	assert.equal(memory.take(uploadBytes), true);
-	// The rest is read, so that the connection can be used again.
+	// The rest is read, so that the connection can be reused.
 	const ended = once(received, 'end');
 	sent.end(new Uint8Array(uploadBytes - 1000));
 	await ended;
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -7,23 +7,23 @@
 
 /** Options of `readRequestBody`. */
 export type ReadRequestBodyOptions = {
-	/** Longest body that is taken. */
+	/** Longest body that is accepted. */
 	readonly maxBytes: number;
-	/** Longest body that is held in memory; `maxBufferedBytes` when absent. */
+	/** Longest body that is buffered in any case; `maxBufferedBytes` when absent. */
 	readonly bufferLimitBytes?: number;
-	/** Where longer bodies of a known length are held too; they are streamed when absent. */
+	/** Budget for buffering longer bodies of a known length; they are streamed when absent. */
 	readonly memory?: BodyMemoryBudget;
-	/** Time for a body that is held to arrive, ms; without bound when absent. */
+	/** Timeout for receiving a buffered body, ms; none when absent. */
 	readonly timeoutMs?: number;
 };
 
-/** A request's body. */
+/** Result of reading a request's body. */
 export type BodyReadResult =
-	/** The whole body, or a stream when it is longer than is held in memory. */
+	/** The whole body, or a stream if it is not buffered. */
 	| {
 			readonly kind: 'read';
 			readonly body: Uint8Array | Readable;
-			/** What it has taken of the memory, to be given back at its end. */
+			/** Bytes reserved of the memory budget; the caller releases them when the body is no longer needed. */
 			readonly reservedBytes: number;
 	  }
 	| {
@@ -33,31 +33,35 @@
 
 const emptyBody = new Uint8Array();
 
-/** Passes a body on, and fails when it is longer than allowed. */
+/** Returns a stream of the body that fails if the body exceeds the limit. */
 function limitBody(request: IncomingMessage, maxBytes: number): Readable {
 	let size = 0;
 	const limit = new Transform({
 		transform(chunk: Uint8Array, _encoding, callback) {
 			size += chunk.length;
-			callback(size > maxBytes ? new Error('body is too large') : null, chunk);
+			callback(
+				size > maxBytes ? new Error('request body is too large') : null,
+				chunk,
+			);
 		},
 	});
 	pipeline(request, limit, () => {
-		// The reader of the limited body sees the failure.
+		// The error is reported to the reader of `limit`.
 	});
 	return limit;
 }
 
 /**
- * Reads a request's body: whole when it is short or finds memory, else as a
- * stream with back pressure that fails when the body is cut or too long.
+ * Reads a request's body. A body that is short or fits into the memory budget is
+ * buffered; any other is a stream with back pressure that fails if the body is
+ * truncated or too long.
  *
- * What is held whole can be offered to another host after a refusal, and takes
- * no slot while it comes in over a thin link.
+ * A buffered body can be sent to another host after a refusal, and occupies no
+ * slot while it arrives over a slow link.
  *
  * @param request - the request
  * @param options - see `ReadRequestBodyOptions`
- * @returns the body, or why there is none
+ * @returns the body, or why it is refused
  */
 export async function readRequestBody(
 	request: IncomingMessage,
@@ -95,7 +99,7 @@
 	return {...read, reservedBytes: bytes};
 }
 
-/** Collects a body; one that turns out to be too long to be held is streamed. */
+/** Buffers a body; one that turns out to exceed the buffer limit is streamed. */
 async function bufferBody(
 	request: IncomingMessage,
 	options: ReadRequestBodyOptions & {readonly bufferLimitBytes: number},
@@ -104,7 +108,7 @@
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	return new Promise((resolve) => {
-		const end = (result: BodyReadResult): void => {
+		const settle = (result: BodyReadResult): void => {
 			request.off('data', handleData);
 			request.off('end', handleEnd);
 			request.off('close', handleClose);
@@ -116,27 +120,27 @@
 			chunks.push(chunk);
 			size += chunk.length;
 			if (size > maxBytes) {
-				end({kind: 'refused', reason: 'body-too-large'});
+				settle({kind: 'refused', reason: 'body-too-large'});
 			} else if (size > bufferLimitBytes) {
 				request.pause();
 				request.unshift(Buffer.concat(chunks));
 				const body = limitBody(request, maxBytes);
-				end({kind: 'read', body, reservedBytes: 0});
+				settle({kind: 'read', body, reservedBytes: 0});
 			}
 		};
 
 		const handleEnd = (): void => {
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-			end({kind: 'read', body, reservedBytes: 0});
+			settle({kind: 'read', body, reservedBytes: 0});
 		};
 
 		const handleClose = (): void => {
-			end({kind: 'refused', reason: 'cancelled'});
+			settle({kind: 'refused', reason: 'cancelled'});
 		};
 
 		const handleTimeout = (): void => {
 			discardBody(request);
-			end({kind: 'refused', reason: 'deadline'});
+			settle({kind: 'refused', reason: 'deadline'});
 		};
 
 		const timer =
--- a/src/transport/_lib/read-whole-body.test.ts
+++ b/src/transport/_lib/read-whole-body.test.ts
@@ -6,14 +6,14 @@
 
 const text = 'lamb and rice';
 
-test('a body is read whole, in one part or in several', async () => {
+test('reads a whole body, buffered or streamed in chunks', async () => {
 	const bytes = Buffer.from(text);
 	const stream = Readable.from([bytes.subarray(0, 4), bytes.subarray(4)]);
 	assert.equal(String(await readWholeBody(bytes, text.length)), text);
 	assert.equal(String(await readWholeBody(stream, text.length)), text);
 });
 
-test('a body that is too long is cut', async () => {
+test('returns undefined for a body that is too long and destroys its stream', async () => {
 	const bytes = Buffer.from(text);
 	const stream = new Readable({
 		read() {
--- a/src/transport/_lib/read-whole-body.ts
+++ b/src/transport/_lib/read-whole-body.ts
@@ -2,12 +2,13 @@
 import {Readable} from 'node:stream';
 
 /**
- * Reads the body of an answer to its end, unless it is too long; then it is cut.
+ * Reads the whole body of a response. If a streamed body is too long, the rest is
+ * not read and its connection is closed.
  *
  * @param body - the body, whole or as a stream
- * @param maxBytes - longest body that is taken
- * @returns the whole body, or undefined when it is longer
- * @throws when the stream fails
+ * @param maxBytes - longest body that is accepted
+ * @returns the whole body, or undefined if it is longer
+ * @throws if the stream fails
  */
 export async function readWholeBody(
 	body: Uint8Array | Readable,
--- a/src/transport/_lib/run-platform-call.ts
+++ b/src/transport/_lib/run-platform-call.ts
@@ -2,11 +2,11 @@
 import type {PlatformClient} from '../platform-client.js';
 
 /**
- * Carries out a platform call that a state machine has asked for.
+ * Runs a platform call that a state machine has requested.
  *
  * @param platform - client of the platform
  * @param call - the call
- * @returns its outcome; never rejects for a failure of the platform
+ * @returns its outcome; a failure of the platform is an outcome, not a rejection
  */
 export async function runPlatformCall(
 	platform: PlatformClient,
--- a/src/transport/_lib/select-body.ts
+++ b/src/transport/_lib/select-body.ts
@@ -2,12 +2,12 @@
 import type {IncomingHttpHeaders} from 'node:http';
 
 /**
- * Selects the body to send for one that was received, with a length to match.
+ * Selects the body to forward, and sets `content-length` to match.
  *
- * @param body - the body, empty when there is none
- * @param headers - headers to send; the length in them is set to that of the
- * body, and left as it is for a stream
- * @returns the body, or undefined when there is none
+ * @param body - the body as received, empty if there is none
+ * @param headers - headers to send; their `content-length` is set to the length
+ * of the body, removed if there is none, and left unchanged for a stream
+ * @returns the body, or undefined if there is none
  */
 export function selectBody(
 	body: Uint8Array | Readable,
--- a/src/transport/_lib/send-json.ts
+++ b/src/transport/_lib/send-json.ts
@@ -2,12 +2,12 @@
 import type {ServerResponse} from 'node:http';
 
 /**
- * Sends a JSON answer.
+ * Sends a JSON response.
  *
- * @param response - where to send it
+ * @param response - the response to send
  * @param status - HTTP status
  * @param value - JSON value
- * @param headers - further headers
+ * @param headers - additional headers
  */
 export function sendJson(
 	response: ServerResponse,
--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -7,7 +7,7 @@
 } from '../../protocol/request.js';
 import {sendJson} from './send-json.js';
 
-/** An outcome without an answer. */
+/** The outcome of a request without an upstream response. */
 export type UnansweredOutcome = {
 	readonly outcome: 'not-run' | 'unknown';
 	readonly reason: OutcomeReason;
@@ -24,11 +24,11 @@
 };
 
 /**
- * Sends a client the outcome of a request that was not answered.
+ * Responds to a client with the outcome of a request that no upstream answered.
  *
- * @param response - where to send it
+ * @param response - the response to send
  * @param unanswered - the outcome
- * @param edge - headers that the client understands
+ * @param edge - format of the headers towards the client
  */
 export function sendOutcome(
 	response: ServerResponse,
--- a/src/transport/_lib/send-upstream-response.ts
+++ b/src/transport/_lib/send-upstream-response.ts
@@ -3,7 +3,7 @@
 import {pipeline} from 'node:stream/promises';
 import {copyHeaders} from './copy-headers.js';
 
-/** An answer of an upstream. */
+/** A response of an upstream. */
 export type UpstreamResponse = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
@@ -11,12 +11,13 @@
 };
 
 /**
- * Sends an upstream's answer on; a stream that fails breaks the connection, so
- * that its reader does not take a part for the whole.
+ * Forwards an upstream's response. If its stream fails, the connection is
+ * closed, so that the client does not mistake a truncated body for a complete
+ * one.
  *
- * @param response - where to send it
- * @param upstreamResponse - the answer
- * @param ownHeaders - this system's headers
+ * @param response - the response to the client
+ * @param upstreamResponse - the response of the upstream
+ * @param ownHeaders - headers of this system, to be added
  */
 export async function sendUpstreamResponse(
 	response: ServerResponse,
--- a/src/transport/_lib/start-polled-timer.test.ts
+++ b/src/transport/_lib/start-polled-timer.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import {startPolledTimer} from './start-polled-timer.js';
 
-test('a timer that is due fires after the sockets were read', (t) => {
+test('fires only after the sockets have been read', (t) => {
 	t.mock.timers.enable({apis: ['setTimeout']});
 	const immediates: Array<() => void> = [];
 	t.mock.method(globalThis, 'setImmediate', (callback: () => void) => {
--- a/src/transport/_lib/start-polled-timer.ts
+++ b/src/transport/_lib/start-polled-timer.ts
@@ -1,19 +1,20 @@
 /** A timer that has been started. */
 export type PolledTimer = {
-	/** Starts it again from the present. */
+	/** Restarts the timer with its full delay. */
 	refresh(): void;
 	stop(): void;
 };
 
 /**
- * Starts a timer that fires once the sockets have been read after its time.
+ * Starts a timer that fires after the poll phase that follows its expiry, when
+ * the sockets have been read.
  *
- * Answers the load of a node whose event loop runs late: its timers fire before
- * what has come in meanwhile is read, so that an answer which is already there
- * would be taken as missing.
+ * When the event loop lags, an ordinary timer fires before data that has arrived
+ * meanwhile is read, so that a response which is already there would count as
+ * missing.
  *
  * @param callback - called once, unless the timer is stopped before
- * @param delayMs - time until then, ms
+ * @param delayMs - delay, ms
  * @returns the running timer
  * @example
  * startPolledTimer(() => socket.destroy(), 250).stop();
--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -17,7 +17,7 @@
 	return Promise.race([stopped.then(() => true), late]);
 }
 
-test('a connection without any request does not hold up the stop', async () => {
+test('stops although a connection has had no request', async () => {
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		response.end();
 	});
@@ -32,7 +32,7 @@
 	assert.ok(isInTime);
 });
 
-test('a request in flight is answered before the stop ends', async () => {
+test('responds to requests in flight before it stops', async () => {
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		setTimeout(() => {
 			response.end('whole');
@@ -50,8 +50,8 @@
 	assert.match(answer, /whole/v);
 });
 
-test('an answer that its client reads slowly is not cut by the stop', async () => {
-	// More than the buffers of both sockets hold.
+test('does not truncate a response to a slow client on a stop', async () => {
+	// Exceeds the buffers of both sockets.
 	const length = 32 * 1024 * 1024;
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		response.writeHead(200, {'content-length': String(length)});
@@ -73,10 +73,10 @@
 	assert.ok(await isStoppedInTime(stopped));
 });
 
-test('connections that have waited are all accepted before a request on them is handled', async () => {
+test('accepts all waiting connections before it handles a request on them', async () => {
 	const clients = 40;
 	let accepted = 0;
-	// How many connections had been accepted when each request was handled.
+	// Number of connections accepted by the time each request was handled.
 	const acceptedBefore: number[] = [];
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		acceptedBefore.push(accepted);
@@ -102,9 +102,9 @@
 	);
 });
 
-test('a long body and the request behind it are read whole from a connection that was held', async () => {
+test('reads a long body and the pipelined request after it from a queued connection', async () => {
 	const clients = 20;
-	// More than is read of a connection at once.
+	// Exceeds what is read from a socket at once.
 	const body = Buffer.alloc(200_000, 'a');
 	const server = await startServer('127.0.0.1:0', (request, response) => {
 		let length = 0;
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -23,42 +23,42 @@
 	'\r\n',
 ].join('\r\n');
 
-/** An HTTP server that can be stopped without cutting requests. */
+/** An HTTP server that can be stopped gracefully. */
 export type RunningServer = {
 	readonly server: Server;
 	readonly address: string;
 	/**
-	 * Reads how long the connection of a request waited to be accepted, ms; 0
-	 * unless the request is the first one on it.
+	 * Returns how long the connection of a request waited to be accepted, ms; 0
+	 * unless the request is the first on its connection.
 	 */
 	readAcceptWaitMs(request: IncomingMessage): number;
-	/** Asks clients, with each further answer, to close their connections. */
+	/** Sends `connection: close` with each further response. */
 	drain(): void;
-	/** Stops listening and waits for requests in flight. */
+	/** Stops listening and waits until requests in flight are completed. */
 	stop(): Promise<void>;
 };
 
 /** Options of `startServer`. */
 export type ServerOptions = {
-	/** How late the event loop runs, ms; not regarded when absent. */
+	/** Returns the event loop lag, ms; taken as 0 when absent. */
 	readonly readLag?: (() => number) | undefined;
-	/** Called when connections have been accepted and none waits any more. */
+	/** Called after a batch of connections has been accepted and none is waiting. */
 	readonly onAccepted?: ((batch: AcceptedBatch) => void) | undefined;
 };
 
-/** Time for a request that is on its way over an unused connection. */
+/** Interval at which a stopping server closes idle connections, ms; leaves time for a request in transit on an unused connection. */
 const closeIdleIntervalMs = 200;
 
-/** Ends a connection that its client resets before its first request is read. */
+/** Destroys a connection that its client resets before its first request is read. */
 function destroySocket(this: Socket): void {
 	this.destroy();
 }
 
-/** Closes idle connections only while no answer is on its way to its client. */
+/** Server that closes idle connections only while no response is being written. */
 class GracefulServer extends Server {
-	readonly #open = new Set<ServerResponse>();
+	readonly #openResponses = new Set<ServerResponse>();
 
-	/** Takes over from Node what begins to read requests on a new connection. */
+	/** Removes Node's handlers of new connections and returns a function that runs them, which starts to read requests. */
 	detachConnectionHandler(): (socket: Socket) => void {
 		const handlers = this.listeners('connection');
 		this.removeAllListeners('connection');
@@ -69,18 +69,18 @@
 		};
 	}
 
-	/** Notes a response until all of it has been handed to its connection. */
+	/** Tracks a response until it is closed. */
 	trackResponse(response: ServerResponse): void {
-		this.#open.add(response);
+		this.#openResponses.add(response);
 		response.once('close', () => {
-			this.#open.delete(response);
+			this.#openResponses.delete(response);
 		});
 	}
 
 	override closeIdleConnections(): void {
-		// Node counts a connection as idle as soon as its answer is complete, even
-		// if it has not been written yet.
-		const isWriting = [...this.#open].some(
+		// Node treats a connection as idle as soon as its response has been ended,
+		// even if it has not been written yet.
+		const isWriting = [...this.#openResponses].some(
 			({writableEnded, writableFinished}) => writableEnded && !writableFinished,
 		);
 		if (!isWriting) {
@@ -92,10 +92,10 @@
 /**
  * Starts an HTTP server.
  *
- * Node counts a connection that has had no request as busy; on a stop such
+ * Node does not treat a connection without any request as idle; on a stop, such
  * connections are closed after a short time like idle ones.
  *
- * @param address - IP and port, as `IP:PORT`; port 0 takes a free one
+ * @param address - IP and port, as `IP:PORT`; port 0 selects a free port
  * @param listener - handles each request
  * @param options - see `ServerOptions`
  * @returns the running server
@@ -156,7 +156,7 @@
 		});
 	});
 
-	/** Closes connections on which no request is in flight. */
+	/** Closes idle connections and those that have had no request. */
 	function closeIdleSockets(): void {
 		server.closeIdleConnections();
 		for (const socket of unusedSockets) {
--- a/src/transport/_lib/wait-ms.ts
+++ b/src/transport/_lib/wait-ms.ts
@@ -1,9 +1,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 
 /**
- * Waits for a time, or until a signal aborts.
+ * Waits for the given time or until the signal aborts; never rejects.
  *
- * @param durationMs - how long to wait, ms
+ * @param durationMs - time to wait, ms
  * @param signal - ends the wait early when aborted
  */
 export async function waitMs(
--- a/src/transport/_lib/wait-until-idle.ts
+++ b/src/transport/_lib/wait-until-idle.ts
@@ -1,10 +1,10 @@
-/** Options of `waitUntilQuiet`. */
+/** Options of `waitUntilIdle`. */
 export type IdleWaitOptions = {
-	/** Time since the last activity, ms. */
+	/** Returns the time since the last activity, ms. */
 	readonly readIdleMs: () => number;
-	/** Idle time that counts as quiet, ms. */
+	/** Idle time after which the wait ends, ms. */
 	readonly idleThresholdMs: number;
-	/** Least and longest wait, ms. */
+	/** Minimum and maximum wait, ms. */
 	readonly minMs: number;
 	readonly maxMs: number;
 };
@@ -12,9 +12,10 @@
 const pollIntervalMs = 100;
 
 /**
- * Waits until nothing has happened for a time, between two bounds.
+ * Waits until there has been no activity for a given time, within a minimum and
+ * a maximum wait.
  *
- * @param options - see `QuietOptions`
+ * @param options - see `IdleWaitOptions`
  */
 export async function waitUntilIdle(options: IdleWaitOptions): Promise<void> {
 	const {readIdleMs, idleThresholdMs, minMs, maxMs} = options;
