--- a/src/transport/_lib/create-body-memory-budget.ts
+++ b/src/transport/_lib/create-body-memory-budget.ts
@@ -1,9 +1,9 @@
 /** Memory of a node for long bodies that wait. */
 export type BodyMemoryBudget = {
 	/** Takes memory for a body; false when too little is left. */
-	take(bytes: number): boolean;
+	tryReserve(bytes: number): boolean;
 	/** Gives back what was taken. */
-	free(bytes: number): void;
+	release(bytes: number): void;
 };
 
 /**
@@ -16,7 +16,7 @@
 export function createBodyMemoryBudget(totalBytes: number): BodyMemoryBudget {
 	let takenBytes = 0;
 	return {
-		take(bytes) {
+		tryReserve(bytes) {
 			if (takenBytes + bytes > totalBytes) {
 				return false;
 			}
@@ -24,7 +24,7 @@
 			takenBytes += bytes;
 			return true;
 		},
-		free(bytes) {
+		release(bytes) {
 			takenBytes -= bytes;
 		},
 	};
--- a/src/transport/_lib/create-call-handler.test.ts
+++ b/src/transport/_lib/create-call-handler.test.ts
@@ -48,12 +48,12 @@
 
 /** Sends a call without the tRPC client; returns the status and error code of its response. */
 async function sendCall(address: string, path: string, body: string) {
-	const answer = await fetch(`http://${address}/trpc/${path}`, {
+	const response = await fetch(`http://${address}/trpc/${path}`, {
 		method: 'POST',
 		body,
 	});
-	const text = await answer.text();
-	return [answer.status, /"code":"(\w+)"/v.exec(text)?.[1]];
+	const text = await response.text();
+	return [response.status, /"code":"(\w+)"/v.exec(text)?.[1]];
 }
 
 test('responds to failed calls with status and error code', async (t) => {
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -266,7 +266,7 @@
 		const answeredAt = now();
 		const result = readUpstreamOutcome(outcome, attempt, {
 			edge,
-			endedBy: job.earlyEndReason,
+			earlyEndReason: job.earlyEndReason,
 			load: readLocalLoad(upstream, answeredAt, attempt.route),
 			stamp: ledger.readStamp(answeredAt),
 		});
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -23,7 +23,7 @@
 	readonly probeLoad?:
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
 	/** Called with each request to which no answer will come. */
-	readonly onSilent: (job: Job) => void;
+	readonly onLost: (job: Job) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -31,9 +31,9 @@
 /** Finds the requests that an upstream has dropped without a word. */
 export type LostRequestDetector = {
 	/** Begins to watch an upstream that was sent a request. */
-	noteSent(upstream: LocalUpstream): void;
+	scheduleCheck(upstream: LocalUpstream): void;
 	/** Takes in the load that an upstream reports; a job that it answers with that is marked as answered before. */
-	noteLoad(upstream: LocalUpstream, load: GateLoad): void;
+	recordLoad(upstream: LocalUpstream, load: GateLoad): void;
 };
 
 /** Time between two looks at the unanswered requests of an upstream, ms. */
@@ -61,7 +61,7 @@
 export function createLostRequestDetector(
 	options: LostRequestDetectorOptions,
 ): LostRequestDetector {
-	const {logger, probeLoad, onSilent, now} = options;
+	const {logger, probeLoad, onLost, now} = options;
 
 	function decide(job: Job): SilenceDecision {
 		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
@@ -94,7 +94,7 @@
 			});
 		}
 
-		onSilent(job);
+		onLost(job);
 	}
 
 	/** Ends requests that a report lacks, once answers on their way have come. */
@@ -120,7 +120,7 @@
 		}
 	}
 
-	function noteLoad(upstream: LocalUpstream, load: GateLoad): void {
+	function recordLoad(upstream: LocalUpstream, load: GateLoad): void {
 		const at = now();
 		let unanswered = 0;
 		let readCount = 0;
@@ -151,7 +151,7 @@
 		upstream.probedAt = now();
 		const load = await probeLoad?.(upstream.announcement);
 		if (load) {
-			noteLoad(upstream, load);
+			recordLoad(upstream, load);
 		}
 	}
 
@@ -164,10 +164,10 @@
 			void askLoad(upstream);
 		}
 
-		noteSent(upstream);
+		scheduleCheck(upstream);
 	}
 
-	function noteSent(upstream: LocalUpstream): void {
+	function scheduleCheck(upstream: LocalUpstream): void {
 		const isWatched = upstream.lossCheckTimer !== undefined;
 		if (!probeLoad || isWatched || upstream.sent.size === 0) {
 			return;
@@ -177,5 +177,5 @@
 		upstream.lossCheckTimer.unref();
 	}
 
-	return {noteSent, noteLoad};
+	return {scheduleCheck, recordLoad};
 }
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -64,7 +64,7 @@
 	/** Picks a gate that was not tried yet, if there is one. */
 	pickGate(): GateClient | OutcomeReason;
 	/** Whether a host that was not tried yet is not known to be full. */
-	hasCapacity(): boolean;
+	hasAvailableHost(): boolean;
 	/** Least wait for a turn under the rate limits of the hosts in reach, ms. */
 	readRateLimitWait(): number;
 	/**
@@ -393,7 +393,7 @@
 						? createRemotePort(host, service)
 						: createLocalPort(host);
 				},
-				hasCapacity() {
+				hasAvailableHost() {
 					const hosts = candidates.get(service) ?? [];
 					return hosts.some(
 						({host}) =>
--- a/src/transport/_lib/discover-upstream.test.ts
+++ b/src/transport/_lib/discover-upstream.test.ts
@@ -7,7 +7,7 @@
 	const found: string[] = [];
 	let probes = 0;
 	await discoverUpstream({
-		isOver: () => probes >= overAt,
+		shouldStop: () => probes >= overAt,
 		async probe() {
 			return answers[probes++];
 		},
--- a/src/transport/_lib/discover-upstream.ts
+++ b/src/transport/_lib/discover-upstream.ts
@@ -3,7 +3,7 @@
 /** Options of `seekUpstream`. */
 export type DiscoverUpstreamOptions<Found> = {
 	/** Whether there is nothing to seek any more: an upstream has spoken for itself. */
-	readonly isOver: () => boolean;
+	readonly shouldStop: () => boolean;
 	/** Asks for the upstream; undefined when it cannot be asked yet or is not well. */
 	readonly probe: () => Promise<Found | undefined>;
 	readonly onFound: (found: Found) => void;
@@ -28,14 +28,14 @@
  * @returns once it is found, has announced itself or is given up
  */
 export async function discoverUpstream<Found>({
-	isOver,
+	shouldStop,
 	probe,
 	onFound,
 	wait = waitMs,
 }: DiscoverUpstreamOptions<Found>): Promise<void> {
-	for (let probes = 0; probes < maxProbes && !isOver(); probes++) {
+	for (let probes = 0; probes < maxProbes && !shouldStop(); probes++) {
 		const found = await probe();
-		if (isOver()) {
+		if (shouldStop()) {
 			return;
 		}
 
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -103,7 +103,7 @@
 	/** Work of the attempts that came in time, admitted or not. */
 	utilization: Utilization | undefined;
 	/** By how much answers come later than expected, in parts of their time. */
-	timeMarginFraction: number;
+	marginRatio: number;
 	/** Whether an answer or another node has said that it leaves; for good in this life. */
 	isLeaving: boolean;
 	/** Undefined when it names none. */
@@ -150,7 +150,7 @@
 		serviceTime: undefined,
 		routeTimes: new Map(),
 		utilization: undefined,
-		timeMarginFraction: defaultMarginRatio,
+		marginRatio: defaultMarginRatio,
 		isLeaving: false,
 		rateLimit: undefined,
 		hasReported: false,
@@ -301,7 +301,7 @@
 export function recordTimeMargin(job: Job, endedAt: number): void {
 	const {upstream, serviceMs, expectedMs} = job;
 	if (!job.isLate) {
-		upstream.timeMarginFraction = stepTimeMargin(upstream.timeMarginFraction, {
+		upstream.marginRatio = stepTimeMargin(upstream.marginRatio, {
 			serviceMs,
 			expectedMs,
 			actualMs: endedAt - job.admittedAt,
--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -48,7 +48,7 @@
 	assert.ok(read.kind === 'read' && read.body instanceof Uint8Array);
 	assert.equal(read.body.length, uploadBytes);
 	assert.equal(read.reservedBytes, uploadBytes);
-	assert.equal(memory.take(1), false);
+	assert.equal(memory.tryReserve(1), false);
 });
 
 test('streams an upload that exceeds the memory budget', async (t) => {
@@ -71,7 +71,7 @@
 	});
 	const read = await readRequestBody(received, {maxBytes, memory});
 	assert.deepEqual(read, {kind: 'refused', reason: 'cancelled'});
-	assert.equal(memory.take(uploadBytes), true);
+	assert.equal(memory.tryReserve(uploadBytes), true);
 });
 
 // Such a request was held for a minute, beyond its client's deadline.
@@ -85,7 +85,7 @@
 		timeoutMs: 50,
 	});
 	assert.deepEqual(read, {kind: 'refused', reason: 'deadline'});
-	assert.equal(memory.take(uploadBytes), true);
+	assert.equal(memory.tryReserve(uploadBytes), true);
 	// The rest is read, so that the connection can be reused.
 	const ended = once(received, 'end');
 	sent.end(new Uint8Array(uploadBytes - 1000));
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -83,7 +83,7 @@
 		return bufferBody(request, {...options, bufferLimitBytes});
 	}
 
-	if (bytes > maxHeldBodyBytes || !memory?.take(bytes)) {
+	if (bytes > maxHeldBodyBytes || !memory?.tryReserve(bytes)) {
 		return {kind: 'read', body: limitBody(request, maxBytes), reservedBytes: 0};
 	}
 
@@ -92,7 +92,7 @@
 		bufferLimitBytes: bytes,
 	});
 	if (read.kind === 'refused') {
-		memory.free(bytes);
+		memory.release(bytes);
 		return read;
 	}
 
--- a/src/transport/_lib/read-upstream-outcome.ts
+++ b/src/transport/_lib/read-upstream-outcome.ts
@@ -11,7 +11,7 @@
 export type OutcomeContext = {
 	readonly edge: Edge;
 	/** Why the gate ended the request early, if it did. */
-	readonly endedBy: EarlyEndReason | undefined;
+	readonly earlyEndReason: EarlyEndReason | undefined;
 	readonly load: GateLoad;
 	readonly stamp: GateStamp;
 };
@@ -43,7 +43,7 @@
 	attempt: Attempt,
 	context: OutcomeContext,
 ): AttemptResult {
-	const {edge, endedBy, load, stamp} = context;
+	const {edge, earlyEndReason, load, stamp} = context;
 	function end(
 		kind: 'not-run' | 'unknown',
 		reason: OutcomeReason,
@@ -70,7 +70,7 @@
 		}
 
 		case 'not-sent': {
-			return end('not-run', endedBy ?? 'not-sent');
+			return end('not-run', earlyEndReason ?? 'not-sent');
 		}
 
 		case 'lost': {
@@ -82,7 +82,7 @@
 		}
 
 		case 'aborted': {
-			return end('unknown', endedBy ?? 'cancelled');
+			return end('unknown', earlyEndReason ?? 'cancelled');
 		}
 	}
 }
--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -61,7 +61,7 @@
 		onAttemptEnd() {
 			// The end of the request is what the test is about.
 		},
-		hasCapacity: () => true,
+		hasAvailableHost: () => true,
 		readRetryBudget: () => 1,
 		spendRetryBudget() {
 			// Rerouting draws on no budget.
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -51,7 +51,7 @@
 	/** Told of each attempt that has ended. */
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
 	/** Whether a host that was not tried is not known to be full. */
-	readonly hasCapacity: () => boolean;
+	readonly hasAvailableHost: () => boolean;
 	/** Least time until a host may take a request under the rate limits, ms; 0 when absent. */
 	readonly readRateLimitWait?: () => number;
 	readonly readRetryBudget: () => number;
@@ -113,7 +113,7 @@
 					return options.readRetryBudget();
 				},
 				get hasAvailableHost() {
-					return options.hasCapacity();
+					return options.hasAvailableHost();
 				},
 			};
 			const step = stepRequest(state, message, context);
--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -9,12 +9,12 @@
 const stopTimeoutMs = 5000;
 
 async function isStoppedInTime(stopped: Promise<void>): Promise<boolean> {
-	const late = new Promise<false>((resolve) => {
+	const timeout = new Promise<false>((resolve) => {
 		setTimeout(() => {
 			resolve(false);
 		}, stopTimeoutMs).unref();
 	});
-	return Promise.race([stopped.then(() => true), late]);
+	return Promise.race([stopped.then(() => true), timeout]);
 }
 
 test('stops although a connection has had no request', async () => {
@@ -40,14 +40,14 @@
 	});
 	const [host, port] = server.address.split(':');
 	const socket = createConnection(Number(port), host);
-	let answer = '';
+	let receivedText = '';
 	socket.on('data', (chunk) => {
-		answer += String(chunk);
+		receivedText += String(chunk);
 	});
 	socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
 	await once(server.server, 'request');
 	assert.ok(await isStoppedInTime(server.stop()));
-	assert.match(answer, /whole/v);
+	assert.match(receivedText, /whole/v);
 });
 
 test('does not truncate a response to a slow client on a stop', async () => {
@@ -116,7 +116,7 @@
 		});
 	});
 	const [host, port] = server.address.split(':');
-	const answers = await Promise.all(
+	const responses = await Promise.all(
 		Array.from({length: clients}, async () => {
 			const socket = createConnection(Number(port), host);
 			socket.write(
@@ -129,5 +129,5 @@
 		}),
 	);
 	await server.stop();
-	assert.deepEqual(new Set(answers), new Set([`<${body.length}><0>`]));
+	assert.deepEqual(new Set(responses), new Set([`<${body.length}><0>`]));
 });
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -369,7 +369,7 @@
 			},
 			signal,
 			pickGate: selection.pickGate,
-			hasCapacity: selection.hasCapacity,
+			hasAvailableHost: selection.hasAvailableHost,
 			readRateLimitWait: selection.readRateLimitWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
@@ -383,7 +383,7 @@
 			now,
 			random,
 		});
-		bodyMemory.free(reservedBytes);
+		bodyMemory.release(reservedBytes);
 		if (isStreamed && end.outcome !== 'answered') {
 			discardBody(body);
 		}
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -182,7 +182,7 @@
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
 		if (load) {
-			silenceWatch.noteLoad(upstream, load);
+			silenceWatch.recordLoad(upstream, load);
 		}
 
 		const report = edge.readReport(headers);
@@ -217,7 +217,7 @@
 		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
 		onSent(upstream) {
-			silenceWatch.noteSent(upstream);
+			silenceWatch.scheduleCheck(upstream);
 		},
 		onHead: noteHead,
 		now,
@@ -225,7 +225,7 @@
 	const silenceWatch = createLostRequestDetector({
 		logger: options.logger,
 		probeLoad: options.probeLoad,
-		onSilent: runner.endLost,
+		onLost: runner.endLost,
 		now,
 	});
 
@@ -343,7 +343,7 @@
 			objectiveMs,
 			...expected,
 			utilization,
-			marginRatio: upstream.timeMarginFraction,
+			marginRatio: upstream.marginRatio,
 			...describeQueue(upstream, attempt),
 		});
 		if (admission.kind === 'admit') {
@@ -510,7 +510,7 @@
 		takeReport(id, report, load) {
 			const upstream = upstreams.get(id);
 			if (upstream && load) {
-				silenceWatch.noteLoad(upstream, load);
+				silenceWatch.recordLoad(upstream, load);
 			}
 
 			// A health answer that is silent says nothing of other answers.
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -302,7 +302,7 @@
 		},
 	);
 	void discoverUpstream({
-		isOver: () => isSeekOver,
+		shouldStop: () => isSeekOver,
 		probe: probeUpstream,
 		onFound({id, load, report, ...found}) {
 			logger.info('upstream found', {id, ...found});
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -270,9 +270,9 @@
 	});
 	await once(socket, 'close');
 	const isFree = await pollUntil(async () => {
-		const isTaken = bodyMemory.take(longBytes);
+		const isTaken = bodyMemory.tryReserve(longBytes);
 		if (isTaken) {
-			bodyMemory.free(longBytes);
+			bodyMemory.release(longBytes);
 		}
 
 		return isTaken;
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -236,7 +236,7 @@
 		const attempt = {...head, body: body.body};
 		const result = await runArrived(request, attempt, arrivedAt);
 		clearInterval(signs);
-		bodyMemory.free(body.reservedBytes);
+		bodyMemory.release(body.reservedBytes);
 		if (result === 'sender-left') {
 			abort(request, response, {kind: 'sender-left'});
 			return;
