--- a/src/transport/_lib/administration/read-json-text.ts
+++ b/src/transport/_lib/administration/read-json-text.ts
@@ -36,7 +36,10 @@
 	});
 	if (read.kind === 'refused') {
 		return read.reason === 'cancelled'
-			? err({status: 0, message: 'the client disconnected before the end of the body'})
+			? err({
+					status: 0,
+					message: 'the client disconnected before the end of the body',
+				})
 			: err({
 					status: 413,
 					message: `the body is over ${maxManifestBytes} bytes`,
