--- a/src/transport/_lib/abort-response.ts
+++ b/src/transport/_lib/abort-response.ts
@@ -18,7 +18,7 @@
 /** Code of the error of a stream whose reader closed before its end. */
 const prematureCloseCode = 'ERR_STREAM_PREMATURE_CLOSE';
 
-function hasClientDisconnected(
+function isClosedByClient(
 	response: ServerResponse,
 	cause: AbortCause,
 ): boolean {
@@ -48,7 +48,7 @@
 	response: ServerResponse,
 	{cause, requestId, logger}: AbortOptions,
 ): void {
-	const level = hasClientDisconnected(response, cause) ? 'debug' : 'warn';
+	const level = isClosedByClient(response, cause) ? 'debug' : 'warn';
 	logger[level]('connection closed unanswered', {
 		requestId,
 		isPartSent: response.headersSent,
--- a/src/transport/_lib/create-readiness.ts
+++ b/src/transport/_lib/create-readiness.ts
@@ -2,7 +2,7 @@
 export type ReadinessOptions = {
 	readonly hasConfiguration: () => boolean;
 	/** Whether the node has joined the other members, or its wait for them has timed out. */
-	readonly hasMembers: () => boolean;
+	readonly hasJoined: () => boolean;
 };
 
 /** Whether a node is ready for requests and, if not, why. */
@@ -34,7 +34,7 @@
 				return 'no-configuration';
 			}
 
-			return options.hasMembers() ? 'ready' : 'joining';
+			return options.hasJoined() ? 'ready' : 'joining';
 		},
 		drain() {
 			isStopping = true;
