--- a/src/transport/_lib/abort-response.ts
+++ b/src/transport/_lib/abort-response.ts
@@ -15,7 +15,7 @@
 	readonly logger: Logger;
 };
 
-/** Code of the error of a stream whose reader closed before its end. */
+/** Node's error code for a stream whose reader closed before its end. */
 const prematureCloseCode = 'ERR_STREAM_PREMATURE_CLOSE';
 
 function isClosedByClient(
--- a/src/transport/_lib/select-body.ts
+++ b/src/transport/_lib/select-body.ts
@@ -6,7 +6,8 @@
  *
  * @param body - the body as received, empty if there is none
  * @param headers - headers to send; their `content-length` is set to the length
- * of the body, removed if there is none, and left unchanged for a stream
+ * of the body and left unchanged for a stream; for an empty body it is removed
+ * unless it is `0`
  * @returns the body, or undefined if there is none
  */
 export function selectBody(
--- a/src/transport/_lib/start-post-poll-timer.ts
+++ b/src/transport/_lib/start-post-poll-timer.ts
@@ -17,7 +17,7 @@
  * @param delayMs - delay, ms
  * @returns the running timer
  * @example
- * startPolledTimer(() => socket.destroy(), 250).stop();
+ * startPostPollTimer(() => socket.destroy(), 250).stop();
  */
 export function startPostPollTimer(
 	callback: () => void,
