--- a/src/transport/_lib/copy-headers.ts
+++ b/src/transport/_lib/copy-headers.ts
@@ -1,6 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 
-const hopByHop = new Set([
+const hopByHopHeaders = new Set([
 	'connection',
 	'keep-alive',
 	'proxy-authenticate',
@@ -13,32 +13,34 @@
 	'expect',
 ]);
 
-const ownPrefix = 'boragehitch-';
+const internalHeaderPrefix = 'boragehitch-';
 
-function listNamed(connection: string): readonly string[] {
+function listConnectionOptions(connection: string): readonly string[] {
 	return connection.split(',').map((name) => name.trim().toLowerCase());
 }
 
 /**
- * Copies headers without hop-by-hop ones (RFC 9110, section 7.6.1) and without
- * this system's own.
+ * Copies headers, except for hop-by-hop headers (RFC 9110, section 7.6.1) and
+ * this system's internal headers.
  *
  * @param headers - headers as received
- * @returns headers to send on; a new object that the caller may add to
+ * @returns headers to forward, in a new object that the caller may modify
  */
 export function copyHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
 	const {connection} = headers;
-	const isPlain =
+	const namesNoHeaders =
 		connection === undefined ||
 		connection === 'keep-alive' ||
 		connection === 'close';
-	const named = isPlain ? [] : listNamed(connection);
+	const connectionOptions = namesNoHeaders
+		? []
+		: listConnectionOptions(connection);
 	const copy: IncomingHttpHeaders = {};
 	for (const name of Object.keys(headers)) {
 		if (
-			!hopByHop.has(name) &&
-			!name.startsWith(ownPrefix) &&
-			!named.includes(name)
+			!hopByHopHeaders.has(name) &&
+			!name.startsWith(internalHeaderPrefix) &&
+			!connectionOptions.includes(name)
 		) {
 			copy[name] = headers[name];
 		}
--- a/src/transport/_lib/create-byte-counter.ts
+++ b/src/transport/_lib/create-byte-counter.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 
-/** Bytes on the sockets of one purpose, headers included. */
+/** Bytes sent and received on the sockets of one purpose, including headers. */
 export type ByteCount = {
 	readonly purpose: string;
 	readonly sent: number;
@@ -9,31 +9,31 @@
 
 /** Counts the bytes on sockets by purpose. */
 export type ByteCounter = {
-	/** Counts a socket from its first byte; again has no effect. */
+	/** Counts a socket from its first byte; does nothing if it is already tracked. */
 	track(purpose: string, socket: Socket): void;
-	/** Returns what has passed since the last call. */
+	/** Returns the bytes since the last call, by purpose. */
 	take(): readonly ByteCount[];
-	/** Returns all that has passed, sent and received. */
+	/** Returns the bytes sent and received since the start. */
 	readTotal(): number;
 };
 
-type Tracked = {
+type SocketCount = {
 	readonly purpose: string;
 	readonly sent: number;
 	readonly received: number;
 };
 
 /**
- * Creates a counter of bytes on sockets.
+ * Creates a counter of bytes sent and received on sockets.
  *
  * @returns the counter
  */
 export function createByteCounter(): ByteCounter {
-	const tracked = new Map<Socket, Tracked>();
+	const tracked = new Map<Socket, SocketCount>();
 	let counts = new Map<string, ByteCount>();
 	let total = 0;
 
-	function collect(socket: Socket): void {
+	function updateCounts(socket: Socket): void {
 		const {purpose, sent, received} = tracked.get(socket)!;
 		const {bytesWritten, bytesRead} = socket;
 		const known = counts.get(purpose);
@@ -46,9 +46,9 @@
 		tracked.set(socket, {purpose, sent: bytesWritten, received: bytesRead});
 	}
 
-	function collectAll(): void {
+	function updateAllCounts(): void {
 		for (const socket of tracked.keys()) {
-			collect(socket);
+			updateCounts(socket);
 		}
 	}
 
@@ -60,18 +60,18 @@
 
 			tracked.set(socket, {purpose, sent: 0, received: 0});
 			socket.once('close', () => {
-				collect(socket);
+				updateCounts(socket);
 				tracked.delete(socket);
 			});
 		},
 		take() {
-			collectAll();
+			updateAllCounts();
 			const taken = [...counts.values()];
 			counts = new Map();
 			return taken;
 		},
 		readTotal() {
-			collectAll();
+			updateAllCounts();
 			return total;
 		},
 	};
--- a/src/transport/_lib/create-call-handler.test.ts
+++ b/src/transport/_lib/create-call-handler.test.ts
@@ -8,7 +8,7 @@
 const question = {id: 'a/1', stamp: {epoch: 'e', timeMs: 1}};
 const stamp = {epoch: 'e', timeMs: 7};
 
-async function startCalls(maxBytes: number) {
+async function startCallServer(maxBytes: number) {
 	const refuseCall = (): never => {
 		throw new Error('the test makes no such call');
 	};
@@ -19,7 +19,7 @@
 			handleExchange: refuseCall,
 			handleAsk: () => 'fenced',
 			handleCancel() {
-				// Its answer is empty.
+				// Responds without data.
 			},
 			handleStamp: () => stamp,
 		}),
@@ -32,8 +32,8 @@
 	});
 }
 
-test('calls are answered as the tRPC client expects', async (t) => {
-	const server = await startCalls(1000);
+test('serves the tRPC client', async (t) => {
+	const server = await startCallServer(1000);
 	const peers = createPeerClients();
 	t.after(async () => {
 		await peers.stop();
@@ -46,29 +46,32 @@
 	assert.equal(await client.cancel.mutate(question), undefined);
 });
 
-/** Makes a call by hand and reads the status and code of its answer. */
-async function call(address: string, path: string, body: string) {
-	const answer = await fetch(`http://${address}/trpc/${path}`, {
+/** Sends a call without the tRPC client; returns the status and error code of its response. */
+async function sendCall(address: string, path: string, body: string) {
+	const response = await fetch(`http://${address}/trpc/${path}`, {
 		method: 'POST',
 		body,
 	});
-	const text = await answer.text();
-	return [answer.status, /"code":"(\w+)"/v.exec(text)?.[1]];
+	const text = await response.text();
+	return [response.status, /"code":"(\w+)"/v.exec(text)?.[1]];
 }
 
-test('calls that fail are answered with the reason', async (t) => {
-	const server = await startCalls(100);
+test('responds to failed calls with status and error code', async (t) => {
+	const server = await startCallServer(100);
 	t.after(async () => server.stop());
 	const {address} = server;
 
-	assert.deepEqual(await call(address, 'ask', '{"id":1}'), [
+	assert.deepEqual(await sendCall(address, 'ask', '{"id":1}'), [
 		400,
 		'BAD_REQUEST',
 	]);
-	assert.deepEqual(await call(address, 'ask', '{"id"'), [400, 'PARSE_ERROR']);
-	assert.deepEqual(await call(address, 'ask', 'x'.repeat(101)), [
+	assert.deepEqual(await sendCall(address, 'ask', '{"id"'), [
+		400,
+		'PARSE_ERROR',
+	]);
+	assert.deepEqual(await sendCall(address, 'ask', 'x'.repeat(101)), [
 		413,
 		'PAYLOAD_TOO_LARGE',
 	]);
-	assert.deepEqual(await call(address, 'none', ''), [404, 'NOT_FOUND']);
+	assert.deepEqual(await sendCall(address, 'none', ''), [404, 'NOT_FOUND']);
 });
--- a/src/transport/_lib/create-span.ts
+++ b/src/transport/_lib/create-span.ts
@@ -9,11 +9,11 @@
 import type {ReadableSpan} from '@opentelemetry/sdk-trace-base';
 import {isSampled} from '../../coordination/is-sampled.js';
 
-/** What a span says; times are those of `performance.now()`. */
+/** Content of a span; times are as of `performance.now()`, in ms. */
 export type SpanInput = {
 	readonly name: string;
 	readonly kind: 'server' | 'client';
-	/** Trace context of the span itself. */
+	/** Trace context of this span. */
 	readonly traceparent: string;
 	readonly parentTraceparent: string | undefined;
 	readonly startedAtMs: number;
@@ -21,7 +21,7 @@
 	readonly isError: boolean;
 	readonly attributes: Attributes;
 	readonly resource: Resource;
-	/** Wall-clock time of `performance.now() === 0`, ms. */
+	/** Wall-clock time at which `performance.now()` was 0, ms. */
 	readonly timeOriginMs: number;
 };
 
@@ -29,16 +29,16 @@
 const msPerSecond = 1000;
 const nsPerMs = 1_000_000;
 
-function createTime(ms: number): HrTime {
+function createHrTime(ms: number): HrTime {
 	const seconds = Math.floor(ms / msPerSecond);
 	return [seconds, Math.round((ms - seconds * msPerSecond) * nsPerMs)];
 }
 
 /**
- * Creates a finished span from what a task reported.
+ * Creates a finished span from an event that a task has reported.
  *
  * @param input - see `SpanInput`
- * @returns the span, or undefined when its trace is not sampled
+ * @returns the span, or undefined if its trace is not sampled
  */
 export function createSpan(input: SpanInput): ReadableSpan | undefined {
 	const context = parseTraceParent(input.traceparent);
@@ -56,9 +56,9 @@
 		kind: kinds[input.kind],
 		spanContext: () => context,
 		parentSpanContext: parent ?? undefined,
-		startTime: createTime(startMs),
-		endTime: createTime(startMs + input.durationMs),
-		duration: createTime(input.durationMs),
+		startTime: createHrTime(startMs),
+		endTime: createHrTime(startMs + input.durationMs),
+		duration: createHrTime(input.durationMs),
 		status: {
 			code: input.isError ? SpanStatusCode.ERROR : SpanStatusCode.UNSET,
 		},
--- a/src/transport/_lib/has-client-disconnected.test.ts
+++ b/src/transport/_lib/has-client-disconnected.test.ts
@@ -5,11 +5,11 @@
 import test, {type TestContext} from 'node:test';
 import {hasClientDisconnected} from './has-client-disconnected.js';
 
-/** Creates a request whose sender is found to have gone in the next turn. */
-function createOutdatedRequest(): IncomingMessage {
+/** Creates a request that is destroyed in the next iteration of the event loop. */
+function createDisconnectedRequest(): IncomingMessage {
 	const request = new IncomingMessage(new Socket());
 	request.on('error', () => {
-		// The end of the connection is what the test is about.
+		// The test destroys the request on purpose.
 	});
 	setImmediate(() => {
 		request.destroy();
@@ -17,8 +17,8 @@
 	return request;
 }
 
-/** Has a request read from a socket in which the end of its connection lies behind it. */
-async function readEndedRequest(t: TestContext): Promise<IncomingMessage> {
+/** Reads a request from a socket that its client has already half-closed. */
+async function readHalfClosedRequest(t: TestContext): Promise<IncomingMessage> {
 	const listener = createTcpServer({pauseOnConnect: true, allowHalfOpen: true});
 	listener.listen(0, '127.0.0.1');
 	await once(listener, 'listening');
@@ -47,20 +47,26 @@
 	});
 }
 
-test('a late node notices that the sender of a request has gone', async () => {
-	assert.equal(await hasClientDisconnected(createOutdatedRequest(), 100), true);
+test('detects under lag that the client of a request has disconnected', async () => {
+	assert.equal(
+		await hasClientDisconnected(createDisconnectedRequest(), 100),
+		true,
+	);
 });
 
-test('a late node notices the end of a connection that lies behind the request', async (t) => {
-	const request = await readEndedRequest(t);
+test('detects under lag the end of the connection behind the request', async (t) => {
+	const request = await readHalfClosedRequest(t);
 	assert.equal(await hasClientDisconnected(request, 100), true);
 });
 
-test('a late node handles a request whose sender is there', async () => {
+test('reports no disconnect under lag while the client is connected', async () => {
 	const request = new IncomingMessage(new Socket());
 	assert.equal(await hasClientDisconnected(request, 100), false);
 });
 
-test('a node on time does not wait', async () => {
-	assert.equal(await hasClientDisconnected(createOutdatedRequest(), 0), false);
+test('does not wait without lag', async () => {
+	assert.equal(
+		await hasClientDisconnected(createDisconnectedRequest(), 0),
+		false,
+	);
 });
--- a/src/transport/_lib/send-upstream-response.ts
+++ b/src/transport/_lib/send-upstream-response.ts
@@ -3,7 +3,7 @@
 import {pipeline} from 'node:stream/promises';
 import {copyHeaders} from './copy-headers.js';
 
-/** An answer of an upstream. */
+/** A response of an upstream. */
 export type UpstreamResponse = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
@@ -11,20 +11,24 @@
 };
 
 /**
- * Sends an upstream's answer on; a stream that fails breaks the connection, so
- * that its reader does not take a part for the whole.
+ * Forwards an upstream's response. If its stream fails, the connection is
+ * closed, so that the client does not mistake a truncated body for a complete
+ * one.
  *
- * @param response - where to send it
- * @param answer - the answer
- * @param own - this system's headers
+ * @param response - the response to the client
+ * @param upstreamResponse - the response of the upstream
+ * @param ownHeaders - headers of this system, to be added
  */
 export async function sendUpstreamResponse(
 	response: ServerResponse,
-	answer: UpstreamResponse,
-	own: Readonly<Record<string, string>>,
+	upstreamResponse: UpstreamResponse,
+	ownHeaders: Readonly<Record<string, string>>,
 ): Promise<void> {
-	const {status, body} = answer;
-	const headers = Object.assign(copyHeaders(answer.headers), own);
+	const {status, body} = upstreamResponse;
+	const headers = Object.assign(
+		copyHeaders(upstreamResponse.headers),
+		ownHeaders,
+	);
 	if (body instanceof Readable) {
 		response.writeHead(status, headers);
 		await pipeline(body, response);
--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -6,18 +6,18 @@
 import test from 'node:test';
 import {startServer} from './start-server.js';
 
-const limitMs = 5000;
+const stopTimeoutMs = 5000;
 
-async function stopsInTime(stopped: Promise<void>): Promise<boolean> {
-	const late = new Promise<false>((resolve) => {
+async function isStoppedInTime(stopped: Promise<void>): Promise<boolean> {
+	const timeout = new Promise<false>((resolve) => {
 		setTimeout(() => {
 			resolve(false);
-		}, limitMs).unref();
+		}, stopTimeoutMs).unref();
 	});
-	return Promise.race([stopped.then(() => true), late]);
+	return Promise.race([stopped.then(() => true), timeout]);
 }
 
-test('a connection without any request does not hold up the stop', async () => {
+test('stops although a connection has had no request', async () => {
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		response.end();
 	});
@@ -27,12 +27,12 @@
 		once(socket, 'connect'),
 		once(server.server, 'connection'),
 	]);
-	const isInTime = await stopsInTime(server.stop());
+	const isInTime = await isStoppedInTime(server.stop());
 	socket.destroy();
 	assert.ok(isInTime);
 });
 
-test('a request in flight is answered before the stop ends', async () => {
+test('responds to requests in flight before it stops', async () => {
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		setTimeout(() => {
 			response.end('whole');
@@ -40,18 +40,18 @@
 	});
 	const [host, port] = server.address.split(':');
 	const socket = createConnection(Number(port), host);
-	let answer = '';
+	let receivedText = '';
 	socket.on('data', (chunk) => {
-		answer += String(chunk);
+		receivedText += String(chunk);
 	});
 	socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
 	await once(server.server, 'request');
-	assert.ok(await stopsInTime(server.stop()));
-	assert.match(answer, /whole/v);
+	assert.ok(await isStoppedInTime(server.stop()));
+	assert.match(receivedText, /whole/v);
 });
 
-test('an answer that its client reads slowly is not cut by the stop', async () => {
-	// More than the buffers of both sockets hold.
+test('does not truncate a response to a slow client on a stop', async () => {
+	// Exceeds the buffers of both sockets.
 	const length = 32 * 1024 * 1024;
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		response.writeHead(200, {'content-length': String(length)});
@@ -70,13 +70,13 @@
 	socket.resume();
 	await once(socket, 'close');
 	assert.ok(bytes > length);
-	assert.ok(await stopsInTime(stopped));
+	assert.ok(await isStoppedInTime(stopped));
 });
 
-test('connections that have waited are all accepted before a request on them is handled', async () => {
+test('accepts all waiting connections before it handles a request on them', async () => {
 	const clients = 40;
 	let accepted = 0;
-	// How many connections had been accepted when each request was handled.
+	// Number of connections accepted by the time each request was handled.
 	const acceptedBefore: number[] = [];
 	const server = await startServer('127.0.0.1:0', (_request, response) => {
 		acceptedBefore.push(accepted);
@@ -102,9 +102,9 @@
 	);
 });
 
-test('a long body and the request behind it are read whole from a connection that was held', async () => {
+test('reads a long body and the pipelined request after it from a queued connection', async () => {
 	const clients = 20;
-	// More than is read of a connection at once.
+	// Exceeds what is read from a socket at once.
 	const body = Buffer.alloc(200_000, 'a');
 	const server = await startServer('127.0.0.1:0', (request, response) => {
 		let length = 0;
@@ -116,7 +116,7 @@
 		});
 	});
 	const [host, port] = server.address.split(':');
-	const answers = await Promise.all(
+	const responses = await Promise.all(
 		Array.from({length: clients}, async () => {
 			const socket = createConnection(Number(port), host);
 			socket.write(
@@ -129,5 +129,5 @@
 		}),
 	);
 	await server.stop();
-	assert.deepEqual(new Set(answers), new Set([`<${body.length}><0>`]));
+	assert.deepEqual(new Set(responses), new Set([`<${body.length}><0>`]));
 });
