--- a/src/coordination/_lib/delivery/accept-configuration.ts
+++ b/src/coordination/_lib/delivery/accept-configuration.ts
@@ -8,12 +8,15 @@
 	maxHeldVersions,
 } from '../../../protocol/constants.js';
 import type {DeliveryState, DeliveryStep} from '../../delivery-state.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 
 const refusedSnapshotPauseMs = 5000;
-const keptEntries = 4 * logEntriesPerPoll;
+const maxKeptEntries = 4 * logEntriesPerPoll;
 
-function refuseVersion(
+function recordRefusal(
 	state: DeliveryState,
 	version: number,
 	problem: Problem,
@@ -32,20 +35,23 @@
 	};
 }
 
-function holdVersion(
+function addHeldConfiguration(
 	state: DeliveryState,
 	configuration: Configuration,
 	entries: readonly LogEntry[],
 ): DeliveryState {
 	const isKnown =
-		state.heard !== undefined && configuration.version >= state.heard.version;
+		state.missingVersion !== undefined &&
+		configuration.version >= state.missingVersion.version;
 	return {
 		...state,
-		held: [...state.held, configuration].slice(-maxHeldVersions),
-		entries: entries.slice(-keptEntries),
+		heldConfigurations: [...state.heldConfigurations, configuration].slice(
+			-maxHeldVersions,
+		),
+		entries: entries.slice(-maxKeptEntries),
 		needsSnapshot: false,
 		refusal: undefined,
-		heard: isKnown ? undefined : state.heard,
+		missingVersion: isKnown ? undefined : state.missingVersion,
 	};
 }
 
@@ -70,7 +76,7 @@
 ): EntriesStep {
 	let next = state;
 	for (const entry of entries) {
-		const newest = readNewest(next);
+		const newest = findNewestConfiguration(next);
 		if (entry.version <= newest.version) {
 			continue;
 		}
@@ -82,11 +88,11 @@
 		const applied = context.rules.applyEntry(newest, entry);
 		if (applied.isErr()) {
 			const isRepeated = state.refusal?.version === entry.version;
-			const step = refuseVersion(next, entry.version, applied.error);
+			const step = recordRefusal(next, entry.version, applied.error);
 			return {...step, effects: isRepeated ? [] : step.effects, hasGap: false};
 		}
 
-		next = holdVersion(next, applied.value, [...next.entries, entry]);
+		next = addHeldConfiguration(next, applied.value, [...next.entries, entry]);
 	}
 
 	return {state: next, effects: [], hasGap: false};
@@ -108,13 +114,13 @@
 	const result = context.rules.validateConfiguration(value);
 	if (result.isErr()) {
 		const version = readClaimedVersion(value);
-		const step = refuseVersion(state, version, result.error);
+		const step = recordRefusal(state, version, result.error);
 		const until = context.now + refusedSnapshotPauseMs;
 		return {...step, state: {...step.state, refusedSnapshot: {version, until}}};
 	}
 
-	return result.value.version > readNewest(state).version
-		? {state: holdVersion(state, result.value, []), effects: []}
+	return result.value.version > findNewestConfiguration(state).version
+		? {state: addHeldConfiguration(state, result.value, []), effects: []}
 		: {state, effects: []};
 }
 
--- a/src/coordination/_lib/delivery/answer-polls.ts
+++ b/src/coordination/_lib/delivery/answer-polls.ts
@@ -11,10 +11,13 @@
 	DeliveryState,
 	DeliveryStep,
 } from '../../delivery-state.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 
 function isUseful(state: DeliveryState, poll: Poll): boolean {
-	const hasNewer = readNewest(state).version > poll.afterVersion;
+	const hasNewer = findNewestConfiguration(state).version > poll.afterVersion;
 	const mayRunMore =
 		state.safeVersion > poll.safeVersion && poll.safeVersion < poll.haveVersion;
 	return hasNewer || mayRunMore;
@@ -35,7 +38,10 @@
 	return limited;
 }
 
-function findMissing(state: DeliveryState, poll: Poll): readonly LogEntry[] {
+function listMissingEntries(
+	state: DeliveryState,
+	poll: Poll,
+): readonly LogEntry[] {
 	const index = state.entries.findIndex(
 		({version}) => version === poll.haveVersion + 1,
 	);
@@ -54,7 +60,7 @@
  * @returns the answer
  */
 export function buildAnswer(state: DeliveryState, poll: Poll): PollAnswer {
-	const newest = readNewest(state);
+	const newest = findNewestConfiguration(state);
 	const holders = [...state.holders]
 		.filter(([, {version}]) => version >= newest.version)
 		.map(([name]) => name)
@@ -69,7 +75,7 @@
 		return {kind: 'unchanged', ...fields};
 	}
 
-	const missing = findMissing(state, poll);
+	const missing = listMissingEntries(state, poll);
 	return missing.length > 0
 		? {kind: 'entries', ...fields, entries: limitEntries(missing)}
 		: {kind: 'snapshot', ...fields, configuration: newest};
--- a/src/coordination/_lib/delivery/handle-platform.ts
+++ b/src/coordination/_lib/delivery/handle-platform.ts
@@ -17,12 +17,15 @@
 } from '../../delivery-state.js';
 import {classifySlot} from '../commit/classify-slot.js';
 import {acceptEntries, acceptSnapshot} from './accept-configuration.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 import {handleStatusAnswer} from './report-status.js';
 
-const afresh: SourceMode = {kind: 'catch-up', revision: undefined};
+const initialCatchUp: SourceMode = {kind: 'catch-up', revision: undefined};
 
-function failSource(
+function recordSourceFailure(
 	state: DeliveryState,
 	source: SourceMode,
 	context: DeliveryContext,
@@ -30,12 +33,17 @@
 	const sourceFailures = state.sourceFailures + 1;
 	const delay = computeBackoff(sourceFailures, context.random());
 	return {
-		state: {...state, source, sourceFailures, sourceAt: context.now + delay},
+		state: {
+			...state,
+			source,
+			sourceFailures,
+			nextSourceCallAt: context.now + delay,
+		},
 		effects: [],
 	};
 }
 
-function enterSource(state: DeliveryState, source: SourceMode): DeliveryState {
+function setSource(state: DeliveryState, source: SourceMode): DeliveryState {
 	return {...state, source, sourceFailures: 0};
 }
 
@@ -46,16 +54,16 @@
 ): DeliveryStep {
 	if (outcome.kind !== 'found') {
 		return outcome.kind === 'absent'
-			? {state: enterSource(state, afresh), effects: []}
-			: failSource(state, {kind: 'head'}, context);
+			? {state: setSource(state, initialCatchUp), effects: []}
+			: recordSourceFailure(state, {kind: 'head'}, context);
 	}
 
 	const head = snapshotHeadSchema.safeParse(outcome.object.value).data;
-	const isNewer = head && head.version > readNewest(state).version;
+	const isNewer = head && head.version > findNewestConfiguration(state).version;
 	const source: SourceMode = isNewer
 		? {kind: 'chunk', head, texts: []}
-		: afresh;
-	return {state: enterSource(state, source), effects: []};
+		: initialCatchUp;
+	return {state: setSource(state, source), effects: []};
 }
 
 function readText(outcome: PlatformOutcome): string | undefined {
@@ -76,26 +84,26 @@
 ): DeliveryStep {
 	const text = readText(outcome);
 	if (text === undefined) {
-		return failSource(state, {kind: 'head'}, context);
+		return recordSourceFailure(state, {kind: 'head'}, context);
 	}
 
 	const {head} = mode;
 	const texts = [...mode.texts, text];
 	if (texts.length < head.chunks.length) {
 		const source: SourceMode = {kind: 'chunk', head, texts};
-		return {state: enterSource(state, source), effects: []};
+		return {state: setSource(state, source), effects: []};
 	}
 
 	const decoded = decodeSnapshot(head, texts);
 	if (decoded.isErr()) {
-		const step = failSource(state, afresh, context);
+		const step = recordSourceFailure(state, initialCatchUp, context);
 		const {error: problem} = decoded;
 		const refusal = {name: state.name, version: head.version, problem};
 		return {...step, state: {...step.state, refusal}};
 	}
 
 	const step = acceptSnapshot(state, decoded.value, context);
-	return {state: enterSource(step.state, afresh), effects: step.effects};
+	return {state: setSource(step.state, initialCatchUp), effects: step.effects};
 }
 
 function parseEntries(items: readonly PlatformObject[]): readonly LogEntry[] {
@@ -112,14 +120,14 @@
 	context: DeliveryContext,
 ): DeliveryStep {
 	if (outcome.kind !== 'items') {
-		return failSource(state, afresh, context);
+		return recordSourceFailure(state, initialCatchUp, context);
 	}
 
-	const before = readNewest(state).version;
+	const before = findNewestConfiguration(state).version;
 	const step = acceptEntries(state, parseEntries(outcome.items), context);
-	const newest = readNewest(step.state).version;
+	const newest = findNewestConfiguration(step.state).version;
 	if (step.hasGap) {
-		const failed = failSource(step.state, {kind: 'head'}, context);
+		const failed = recordSourceFailure(step.state, {kind: 'head'}, context);
 		return {...failed, effects: step.effects};
 	}
 
@@ -130,12 +138,12 @@
 		isWhole && outcome.items.length > 0 && (outcome.more || hasWrapped);
 	return mayBeMore
 		? {
-				state: enterSource(step.state, {kind: 'catch-up', revision}),
+				state: setSource(step.state, {kind: 'catch-up', revision}),
 				effects: step.effects,
 			}
 		: {
 				state: {
-					...enterSource(step.state, {kind: 'watch', revision}),
+					...setSource(step.state, {kind: 'watch', revision}),
 					isSettled: true,
 				},
 				effects: step.effects,
@@ -148,14 +156,14 @@
 	context: DeliveryContext,
 ): DeliveryStep {
 	if (outcome.kind !== 'items') {
-		return failSource(state, afresh, context);
+		return recordSourceFailure(state, initialCatchUp, context);
 	}
 
 	const step = acceptEntries(state, parseEntries(outcome.items), context);
 	const source: SourceMode = step.hasGap
-		? afresh
+		? initialCatchUp
 		: {kind: 'watch', revision: outcome.revision};
-	return {state: enterSource(step.state, source), effects: step.effects};
+	return {state: setSource(step.state, source), effects: step.effects};
 }
 
 function handleSource(
@@ -195,12 +203,12 @@
 	outcome: PlatformOutcome,
 	context: DeliveryContext,
 ): DeliveryStep {
-	const expected = readNewest(state).version + 1;
+	const expected = findNewestConfiguration(state).version + 1;
 	const slot = classifySlot(expected, outcome, context.rules.ringSize);
 	switch (slot.kind) {
 		case 'entry': {
 			const step = acceptEntries(state, [slot.entry], context);
-			const source = step.state.refusal ? state.source : afresh;
+			const source = step.state.refusal ? state.source : initialCatchUp;
 			return {
 				state: {...dropSourceCalls(step.state), source},
 				effects: step.effects,
@@ -227,7 +235,7 @@
 	outcome: PlatformOutcome,
 	context: DeliveryContext,
 ): DeliveryStep {
-	const expected = readNewest(state).version + 1;
+	const expected = findNewestConfiguration(state).version + 1;
 	const slot = classifySlot(expected, outcome, context.rules.ringSize);
 	const isSettled = state.isSettled || slot.kind === 'head';
 	return {state: {...state, isSettled}, effects: []};
@@ -269,7 +277,7 @@
 
 		case 'pull':
 		case 'repair':
-		case 'notice': {
+		case 'report': {
 			return {state, effects: []};
 		}
 	}
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -5,12 +5,12 @@
 import type {Exchange, Sender} from '../../../protocol/member.js';
 import {findMember} from '../../../state/find-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
-import {judgeTwin} from './identity.js';
+import {handleNameConflict} from './identity.js';
 import {mergeRecords} from './merge.js';
 import {confirmProbe} from './probe.js';
 import {runActions} from './run-actions.js';
 import {
-	answerWith,
+	createAnswerEffect,
 	describeSender,
 	encodeRecords,
 	sendPing,
@@ -25,7 +25,7 @@
 	now: number,
 ): MembersStep {
 	const known = findMember(state.table, from.name);
-	const isWrong =
+	const isOutdated =
 		known &&
 		(known.state !== 'alive' ||
 			known.incarnation > from.incarnation ||
@@ -35,14 +35,16 @@
 		known.incarnation < from.incarnation ||
 		(known.incarnation === from.incarnation && known.sequence < from.sequence);
 	const taken = takeUpdates(state, now);
-	const records = isWrong ? encodeRecords(taken.state, [from.name], now) : [];
+	const records = isOutdated
+		? encodeRecords(taken.state, [from.name], now)
+		: [];
 	const answer = {
 		kind: 'ack' as const,
 		from: describeSender(state),
 		records: [...records, ...taken.records],
 		needsRecord,
 	};
-	return {state: taken.state, effects: [answerWith(answer)]};
+	return {state: taken.state, effects: [createAnswerEffect(answer)]};
 }
 
 function acknowledge(state: MembersState): MembersStep {
@@ -52,25 +54,25 @@
 		records: [],
 		needsRecord: false,
 	};
-	return {state, effects: [answerWith(answer)]};
+	return {state, effects: [createAnswerEffect(answer)]};
 }
 
-function judgeSender(
+function checkSender(
 	state: MembersState,
 	from: Sender,
 	now: number,
 ): MembersStep {
 	return from.name === state.self.name && from.address !== state.self.address
-		? judgeTwin(state, from, now)
+		? handleNameConflict(state, from, now)
 		: {state, effects: []};
 }
 
 /** Notes who called, as a seed, while the node knows nobody. */
-function noteCaller(state: MembersState, from: Sender): MembersState {
+function recordCaller(state: MembersState, from: Sender): MembersState {
 	const {addresses} = state.seeds;
 	const isKnown = addresses.includes(from.address);
-	const isLonely = !state.table.has(state.self.dataCentre);
-	if (isKnown || !isLonely || addresses.length >= 4 * maxSeeds) {
+	const hasNoLocalRecords = !state.table.has(state.self.dataCentre);
+	if (isKnown || !hasNoLocalRecords || addresses.length >= 4 * maxSeeds) {
 		return state;
 	}
 
@@ -86,8 +88,8 @@
 ): MembersStep {
 	switch (request.kind) {
 		case 'ping': {
-			return runActions(noteCaller(state, request.from), [
-				(next) => judgeSender(next, request.from, now),
+			return runActions(recordCaller(state, request.from), [
+				(next) => checkSender(next, request.from, now),
 				(next) => mergeRecords(next, request.records, now),
 				(next) => answerPing(next, request.from, now),
 			]);
@@ -95,13 +97,14 @@
 
 		case 'relay': {
 			const {name, address, from} = request;
-			const asked = state.vouchers.get(name) ?? [];
-			const vouchers = new Map(
-				[...state.vouchers, [name, [...asked, from.address]] as const].slice(
-					-spreadFanOut * 8,
-				),
+			const asked = state.relayedProbes.get(name) ?? [];
+			const relayedProbes = new Map(
+				[
+					...state.relayedProbes,
+					[name, [...asked, from.address]] as const,
+				].slice(-spreadFanOut * 8),
 			);
-			return runActions({...state, vouchers}, [
+			return runActions({...state, relayedProbes}, [
 				acknowledge,
 				(next) => sendPing(next, address, now),
 			]);
--- a/src/coordination/_lib/members/resend.ts
+++ b/src/coordination/_lib/members/resend.ts
@@ -15,21 +15,26 @@
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
-import {listNeighbours} from './probe.js';
-import {encodeRecords, isLive, pickSome, sendRequest} from './send.js';
+import {listLocalPeers} from './probe.js';
+import {
+	encodeRecords,
+	isLive,
+	pickRandomItems,
+	createRequestEffect,
+} from './send.js';
 
-type Chance = {readonly now: number; readonly random: () => number};
+type ResendContext = {readonly now: number; readonly random: () => number};
 
 /**
  * Sends the own record to other data centres itself when a bridge, which ought
  * to do so, does not answer.
  */
-function actAsBridge(
+function bypassBridges(
 	state: MembersState,
 	request: Exchange,
-	{now, random}: Chance,
+	{now, random}: ResendContext,
 ): MembersStep {
-	if (now - state.rates.actedAt < exchangeTimeoutMs) {
+	if (now - state.rateLimits.bridgeBypassedAt < exchangeTimeoutMs) {
 		return {state, effects: []};
 	}
 
@@ -37,47 +42,47 @@
 		(dataCentre) => dataCentre !== state.self.dataCentre,
 	);
 	return {
-		state: {...state, rates: {...state.rates, actedAt: now}},
+		state: {...state, rateLimits: {...state.rateLimits, bridgeBypassedAt: now}},
 		effects: remote.flatMap((dataCentre) => {
 			const live = listMembers(state.table, dataCentre).filter((member) =>
 				isLive(member),
 			);
-			return pickSome(live, 2, random).map((member) =>
-				sendRequest(member.address, request),
+			return pickRandomItems(live, 2, random).map((member) =>
+				createRequestEffect(member.address, request),
 			);
 		}),
 	};
 }
 
-function spreadAgain(
+function resendInDataCentre(
 	state: MembersState,
 	address: string,
 	request: Extract<Exchange, {readonly kind: 'ping'}>,
-	chance: Chance,
+	chance: ResendContext,
 ): MembersStep {
 	const names = request.records.map(({name}) => name);
-	const fresh = new Set([...state.fresh, ...names]);
-	const planned: MembersEffect[] = state.isSpreadPlanned
+	const pendingSpread = new Set([...state.pendingSpread, ...names]);
+	const planned: MembersEffect[] = state.isSpreadScheduled
 		? []
-		: [{kind: 'plan-spread', delayMs: spreadDelayMs}];
-	const next = {...state, fresh, isSpreadPlanned: true};
-	const bridges = computeBridges([state.self, ...listNeighbours(state)]);
+		: [{kind: 'schedule-spread', delayMs: spreadDelayMs}];
+	const next = {...state, pendingSpread, isSpreadScheduled: true};
+	const bridges = computeBridges([state.self, ...listLocalPeers(state)]);
 	const isBridgeLost = bridges.some((bridge) => bridge.address === address);
 	if (!isBridgeLost || !names.includes(state.self.name)) {
 		return {state: next, effects: planned};
 	}
 
 	const records = encodeRecords(state, [state.self.name], chance.now);
-	const acted = actAsBridge(next, {...request, records}, chance);
+	const acted = bypassBridges(next, {...request, records}, chance);
 	return {state: acted.state, effects: [...planned, ...acted.effects]};
 }
 
 /** Sends records to others of a data centre, at a bounded rate for a time. */
-function relayAgain(
+function resendToDataCentre(
 	state: MembersState,
 	dataCentre: string,
 	request: Exchange,
-	{now, random}: Chance,
+	{now, random}: ResendContext,
 ): MembersStep {
 	const contact = state.contacts.get(dataCentre);
 	const isDue =
@@ -97,8 +102,8 @@
 	);
 	return {
 		state: {...state, contacts},
-		effects: pickSome(live, spreadFanOut, random).map((member) =>
-			sendRequest(member.address, request),
+		effects: pickRandomItems(live, spreadFanOut, random).map((member) =>
+			createRequestEffect(member.address, request),
 		),
 	};
 }
@@ -107,11 +112,11 @@
  * Sends the records of a ping that failed to other members of the same data
  * centre, as the one that was picked may be one of many that just died.
  */
-export function sendRecordsAgain(
+export function resendRecords(
 	state: MembersState,
 	address: string,
 	request: Exchange,
-	chance: Chance,
+	chance: ResendContext,
 ): MembersStep {
 	if (
 		request.kind !== 'ping' ||
@@ -129,6 +134,6 @@
 	}
 
 	return failed.dataCentre === state.self.dataCentre
-		? spreadAgain(state, address, request, chance)
-		: relayAgain(state, failed.dataCentre, request, chance);
+		? resendInDataCentre(state, address, request, chance)
+		: resendToDataCentre(state, failed.dataCentre, request, chance);
 }
--- a/src/coordination/_lib/members/sync.ts
+++ b/src/coordination/_lib/members/sync.ts
@@ -22,11 +22,11 @@
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {mergeRecords} from './merge.js';
 import {
-	answerWith,
+	createAnswerEffect,
 	describeSender,
 	encodeRecords,
 	isLive,
-	sendRequest,
+	createRequestEffect,
 } from './send.js';
 
 type DigestsRequest = Extract<Exchange, {readonly kind: 'digests'}>;
@@ -35,7 +35,7 @@
 type BucketAnswer = Extract<ExchangeAnswer, {readonly kind: 'bucket'}>;
 
 /** The known members with the own record, once it may be spread. */
-function listAll(state: MembersState): MemberTable {
+function createFullTable(state: MembersState): MemberTable {
 	return state.role === 'member'
 		? putMembers(state.table, [state.self])
 		: state.table;
@@ -49,7 +49,7 @@
 	);
 }
 
-function computeRoot(digests: readonly number[]): number {
+function computeRootDigest(digests: readonly number[]): number {
 	return digests.reduce((sum, digest) => (sum + digest) % 2 ** 32, 0);
 }
 
@@ -59,18 +59,18 @@
 	address: string,
 	now: number,
 ): MembersStep {
-	const table = listAll(state);
+	const table = createFullTable(state);
 	const roots = Object.fromEntries(
 		[...table.keys()].map((dataCentre) => [
 			dataCentre,
-			computeRoot(listDigests(table, dataCentre)),
+			computeRootDigest(listDigests(table, dataCentre)),
 		]),
 	);
 	const sync = {address, startedAt: now, remaining: []};
 	return {
 		state: {...state, sync},
 		effects: [
-			sendRequest(address, {
+			createRequestEffect(address, {
 				kind: 'digests',
 				from: describeSender(state),
 				roots,
@@ -84,12 +84,12 @@
 	state: MembersState,
 	request: DigestsRequest,
 ): MembersStep {
-	const table = listAll(state);
+	const table = createFullTable(state);
 	const names = new Set([...table.keys(), ...Object.keys(request.roots)]);
 	const buckets: Record<string, number[]> = {};
 	for (const name of names) {
 		const digests = listDigests(table, name);
-		if (computeRoot(digests) !== (request.roots[name] ?? 0)) {
+		if (computeRootDigest(digests) !== (request.roots[name] ?? 0)) {
 			buckets[name] = digests;
 		}
 	}
@@ -99,7 +99,7 @@
 		from: describeSender(state),
 		buckets,
 	};
-	return {state, effects: [answerWith(answer)]};
+	return {state, effects: [createAnswerEffect(answer)]};
 }
 
 function listVersions(
@@ -132,17 +132,19 @@
 		from: describeSender(state),
 		dataCentre,
 		bucket,
-		versions: listVersions(listAll(state), dataCentre, bucket),
+		versions: listVersions(createFullTable(state), dataCentre, bucket),
 	};
 	return {
 		state: {...state, sync: {...sync, remaining}},
-		effects: [sendRequest(sync.address, request)],
+		effects: [createRequestEffect(sync.address, request)],
 	};
 }
 
 /** Gives up a comparison; the rest of it is made good with another member. */
 export function abortSync(state: MembersState): MembersState {
-	return state.sync ? {...state, sync: undefined, isIncomplete: true} : state;
+	return state.sync
+		? {...state, sync: undefined, isSyncIncomplete: true}
+		: state;
 }
 
 /** Handles the digests of another member: the own data centre goes first. */
@@ -150,7 +152,7 @@
 	state: MembersState,
 	answer: DigestsAnswer,
 ): MembersStep {
-	const table = listAll(state);
+	const table = createFullTable(state);
 	const own = state.self.dataCentre;
 	const differing = Object.entries(answer.buckets).flatMap(
 		([dataCentre, theirs]) =>
@@ -184,15 +186,15 @@
 	request: BucketRequest,
 	now: number,
 ): MembersStep {
-	const {rates} = state;
+	const {rateLimits} = state;
 	const from = describeSender(state);
-	const isNewWindow = now - rates.windowAt >= 1000;
-	const answered = isNewWindow ? 0 : rates.bucketAnswers;
+	const isNewWindow = now - rateLimits.bucketWindowStartedAt >= 1000;
+	const answered = isNewWindow ? 0 : rateLimits.bucketAnswers;
 	if (answered >= maxBucketAnswersPerSecond) {
-		return {state, effects: [answerWith({kind: 'busy', from})]};
+		return {state, effects: [createAnswerEffect({kind: 'busy', from})]};
 	}
 
-	const table = listAll(state);
+	const table = createFullTable(state);
 	const members =
 		table.get(request.dataCentre)?.[request.bucket]?.members ??
 		new Map<string, Member>();
@@ -213,18 +215,24 @@
 			return member ? isOlder(member, version) : isTheirsLive;
 		})
 		.map(([name]) => name);
-	const windowAt = isNewWindow ? now : rates.windowAt;
+	const bucketWindowStartedAt = isNewWindow
+		? now
+		: rateLimits.bucketWindowStartedAt;
 	return {
 		state: {
 			...state,
-			rates: {...rates, windowAt, bucketAnswers: answered + 1},
+			rateLimits: {
+				...rateLimits,
+				bucketWindowStartedAt,
+				bucketAnswers: answered + 1,
+			},
 		},
-		effects: [answerWith({kind: 'bucket', from, records, wanted})],
+		effects: [createAnswerEffect({kind: 'bucket', from, records, wanted})],
 	};
 }
 
 /** Handles the records of a bucket, and sends those that are wanted. */
-export function takeBucket(
+export function handleBucketAnswer(
 	state: MembersState,
 	address: string,
 	answer: BucketAnswer,
@@ -236,7 +244,7 @@
 	const push =
 		wanted.length > 0
 			? [
-					sendRequest(address, {
+					createRequestEffect(address, {
 						kind: 'ping',
 						from: describeSender(next.state),
 						records: wanted,
--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -13,10 +13,10 @@
 	MembersStep,
 	UpstreamLease,
 } from '../../members-state.js';
-import {changeSelf} from './records.js';
+import {updateSelf} from './records.js';
 
 /** Tells whether a later upstream has taken over the address. */
-function isSucceeded(
+function isSuperseded(
 	state: MembersState,
 	id: string,
 	{address, incarnation = 0}: Announcement,
@@ -30,7 +30,7 @@
 }
 
 /** Finds the upstreams whose address a later one has taken over. */
-function findPredecessors(
+function findSuperseded(
 	state: MembersState,
 	id: string,
 	{address, incarnation = 0}: Announcement,
@@ -39,7 +39,7 @@
 		([otherId, other]) =>
 			otherId !== id &&
 			other.address === address &&
-			other.state !== 'gone' &&
+			other.state !== 'ended' &&
 			other.incarnation < incarnation,
 	);
 	return new Set(earlier.map(([otherId]) => otherId));
@@ -51,7 +51,7 @@
 	announcement: Announcement,
 	now: number,
 ): boolean {
-	if (now - state.wokeAt < upstreamRenewMs) {
+	if (now - state.resumedAt < upstreamRenewMs) {
 		return true;
 	}
 
@@ -68,7 +68,7 @@
 		return true;
 	}
 
-	const hasLeft = lease.state === 'gone' || lease.state === 'leaving';
+	const hasLeft = lease.state === 'ended' || lease.state === 'leaving';
 	const isSame = address === lease.address;
 	return hasLeft && isSame && announcement.state === 'ready';
 }
@@ -91,16 +91,12 @@
 	if (
 		state.role === 'left' ||
 		isStale(state, lease, announcement, now) ||
-		isSucceeded(state, id, announcement)
+		isSuperseded(state, id, announcement)
 	) {
 		return {state, effects: [{kind: 'announcement', outcome: 'ignored'}]};
 	}
 
-	const ended = endLeases(
-		state,
-		findPredecessors(state, id, announcement),
-		now,
-	);
+	const ended = endLeases(state, findSuperseded(state, id, announcement), now);
 	const announced = renewLease(ended.state, id, announcement, now);
 	return {
 		state: announced.state,
@@ -125,14 +121,14 @@
 		state: announcement.state,
 	});
 	const known = state.self.upstreams.find((upstream) => upstream.id === id);
-	const isSameLife =
+	const isSameIncarnation =
 		lease?.incarnation === incarnation && lease.address === address;
 	const next: Upstream = {
 		id,
 		service: formatService({team, service}),
 		slots,
 		state: announcement.state,
-		since: known && isSameLife ? known.since : now,
+		since: known && isSameIncarnation ? known.since : now,
 	};
 	const accepted = {
 		kind: 'announcement' as const,
@@ -142,7 +138,7 @@
 		return {state: {...state, leases}, effects: [accepted]};
 	}
 
-	const changed = changeSelf(
+	const changed = updateSelf(
 		{...state, leases},
 		{upstreams: replaceUpstream(state.self.upstreams, next)},
 	);
@@ -161,7 +157,7 @@
 			leases.set(id, {
 				...lease,
 				endsAt: now + upstreamTombstoneMs,
-				state: 'gone',
+				state: 'ended',
 			});
 		}
 	}
@@ -171,7 +167,7 @@
 		return {state: {...state, leases}, effects: []};
 	}
 
-	return changeSelf({...state, leases}, {upstreams});
+	return updateSelf({...state, leases}, {upstreams});
 }
 
 /** Handles the withdrawal of an upstream. */
@@ -199,7 +195,7 @@
 	}
 
 	const ids = new Set(
-		ended.filter(([, lease]) => lease.state !== 'gone').map(([id]) => id),
+		ended.filter(([, lease]) => lease.state !== 'ended').map(([id]) => id),
 	);
 	return endLeases({...state, leases}, ids, now);
 }
--- a/src/coordination/step-delivery.test.ts
+++ b/src/coordination/step-delivery.test.ts
@@ -64,7 +64,7 @@
 	readonly effects: readonly DeliveryEffect[];
 };
 
-function tell(run: Run, message: DeliveryMessage, now: number): Run {
+function applyMessage(run: Run, message: DeliveryMessage, now: number): Run {
 	const step = stepDelivery(run.state, message, {now, random: () => 0});
 	return {state: step.state, effects: [...run.effects, ...step.effects]};
 }
@@ -74,7 +74,7 @@
 	let run: Run = {state: createDeliveryState('e', 'abdali'), effects: []};
 	for (const name of names) {
 		const state = createDeliveryState(name, 'abdali');
-		run = tell({state, effects: []}, {kind: 'view', members}, 0);
+		run = applyMessage({state, effects: []}, {kind: 'view', members}, 0);
 		if (run.state.position?.kind === 'child') {
 			break;
 		}
@@ -93,7 +93,7 @@
 	const pull = [...run.state.calls].find(
 		([, {purpose}]) => purpose.kind === 'pull',
 	);
-	return tell(
+	return applyMessage(
 		run,
 		{
 			kind: 'poll-answer',
@@ -149,17 +149,20 @@
 for (const [what, answer] of badAnswers) {
 	test(`${what} is refused, changes nothing, and is made good by a snapshot`, () => {
 		const before = createChild();
-		assert.equal(before.state.held.at(-1)?.version, 1);
+		assert.equal(before.state.heldConfigurations.at(-1)?.version, 1);
 		const refused = answerPull(before, {...fields, ...answer});
-		assert.equal(refused.state.held.at(-1), before.state.held.at(-1));
+		assert.equal(
+			refused.state.heldConfigurations.at(-1),
+			before.state.heldConfigurations.at(-1),
+		);
 		assert.equal(refused.state.runningVersion, before.state.runningVersion);
 
-		const polled = tell(refused, {kind: 'tick'}, 6000);
+		const polled = applyMessage(refused, {kind: 'tick'}, 6000);
 		assert.equal(findLastPoll(polled).poll.wantSnapshot, true);
 		const configuration = configurations[4];
 		const value = {...fields, kind: 'snapshot', configuration};
 		const mended = answerPull(polled, value, 6010);
-		assert.equal(mended.state.held.at(-1)?.version, 4);
+		assert.equal(mended.state.heldConfigurations.at(-1)?.version, 4);
 		assert.equal(mended.state.refusal, undefined);
 		assert.equal(mended.state.runningVersion, 4);
 	});
@@ -174,7 +177,7 @@
 	});
 	const log = run.effects.find(({kind}) => kind === 'log');
 	assert.ok(log?.kind === 'log' && log.message === 'version refused');
-	const polled = tell(run, {kind: 'tick'}, 6000);
+	const polled = applyMessage(run, {kind: 'tick'}, 6000);
 	const [refusal] = findLastPoll(polled).poll.progress!.refusals;
 	assert.equal(refusal?.version, 2);
 	assert.equal(refusal?.problem.code, 'digest');
@@ -184,7 +187,7 @@
 	let run = createChild();
 	const first = findLastPoll(run);
 	for (let now = 100; now <= 8000; now += 200) {
-		run = tell(run, {kind: 'tick'}, now);
+		run = applyMessage(run, {kind: 'tick'}, now);
 	}
 
 	const later = findLastPoll(run);
--- a/src/coordination/step-delivery.ts
+++ b/src/coordination/step-delivery.ts
@@ -13,14 +13,14 @@
 import {answerPolls} from './_lib/delivery/answer-polls.js';
 import {expireChildren} from './_lib/delivery/compute-progress.js';
 import {
-	runParts,
+	runDeliveryActions,
 	type DeliveryContext,
 	type DeliveryRules,
 } from './_lib/delivery/delivery-context.js';
 import {
 	addPoll,
 	handlePollAnswer,
-	noteHolder,
+	recordHolder,
 } from './_lib/delivery/handle-peer.js';
 import {handlePlatformAnswer} from './_lib/delivery/handle-platform.js';
 import {planCalls} from './_lib/delivery/plan-calls.js';
@@ -59,7 +59,7 @@
 	validateConfiguration,
 };
 
-function takeCall(
+function removeCall(
 	state: DeliveryState,
 	callId: number,
 ): {readonly state: DeliveryState; readonly call: Call | undefined} {
@@ -69,7 +69,7 @@
 	return {state: {...state, calls}, call};
 }
 
-function failOverdueCalls(
+function failTimedOutCalls(
 	state: DeliveryState,
 	context: DeliveryContext,
 ): DeliveryStep {
@@ -94,7 +94,7 @@
 	return step;
 }
 
-function takeView(
+function updateMembers(
 	state: DeliveryState,
 	members: readonly Member[],
 	context: DeliveryContext,
@@ -111,11 +111,14 @@
 ): DeliveryStep {
 	switch (message.kind) {
 		case 'view': {
-			return {state: takeView(state, message.members, context), effects: []};
+			return {
+				state: updateMembers(state, message.members, context),
+				effects: [],
+			};
 		}
 
 		case 'tick': {
-			const step = failOverdueCalls(state, context);
+			const step = failTimedOutCalls(state, context);
 			const kept = expireHolders(step.state, context.now);
 			return {...step, state: expireChildren(kept, context.now)};
 		}
@@ -124,10 +127,10 @@
 			return acceptEntries(state, message.entries, context);
 		}
 
-		case 'heard': {
+		case 'holder': {
 			const {name, version} = message;
 			return {
-				state: noteHolder(state, name, version, context.now),
+				state: recordHolder(state, name, version, context.now),
 				effects: [],
 			};
 		}
@@ -141,7 +144,7 @@
 		}
 
 		case 'platform-answer': {
-			const taken = takeCall(state, message.callId);
+			const taken = removeCall(state, message.callId);
 			return taken.call
 				? handlePlatformAnswer(
 						taken.state,
@@ -153,7 +156,7 @@
 		}
 
 		case 'poll-answer': {
-			const taken = takeCall(state, message.callId);
+			const taken = removeCall(state, message.callId);
 			return taken.call
 				? handlePollAnswer(taken.state, taken.call, message.outcome, context)
 				: {state, effects: []};
@@ -183,7 +186,7 @@
 ): DeliveryStep {
 	const {now, random, rules} = options;
 	const context = {now, random, rules: {...defaultRules, ...rules}};
-	return runParts(
+	return runDeliveryActions(
 		handleMessage(state, message, context),
 		[updateSafeVersion, updateRunning, answerPolls, ...planCalls, planStatus],
 		context,
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -51,7 +51,7 @@
 	return stepMembers(state, message, now, () => 0.99);
 }
 
-function sayState(
+function announce(
 	state: MembersState,
 	change: Partial<Announcement>,
 	now: number,
@@ -108,7 +108,7 @@
 			state =
 				change === 'withdraw'
 					? step(state, {kind: 'withdraw', id: 'u'}, now).state
-					: sayState(state, change, now).state;
+					: announce(state, change, now).state;
 		}
 
 		assert.equal(
@@ -120,22 +120,22 @@
 });
 
 test('a process that wakes does not speak for a lapsed lease', () => {
-	const announced = sayState(createState(), {}, 0).state;
+	const announced = announce(createState(), {}, 0).state;
 	const asked = step(announced, ping([]), 4000);
 	assert.deepEqual(asked.state.self.upstreams, []);
-	const buffered = sayState(asked.state, {}, 4000);
+	const buffered = announce(asked.state, {}, 4000);
 	assert.deepEqual(buffered.state.self.upstreams, []);
-	const renewed = sayState(buffered.state, {}, 5000);
+	const renewed = announce(buffered.state, {}, 5000);
 	assert.equal(renewed.state.self.upstreams.length, 1);
 });
 
 test('an upstream that leaves and falls silent is not taken back in the same life', () => {
-	const said = sayState(createState(), {state: 'leaving'}, 0).state;
+	const said = announce(createState(), {state: 'leaving'}, 0).state;
 	const lapsed = step(said, {kind: 'tick'}, 4000).state;
 	assert.deepEqual(lapsed.self.upstreams, []);
-	const late = sayState(lapsed, {}, 6000).state;
+	const late = announce(lapsed, {}, 6000).state;
 	assert.deepEqual(late.self.upstreams, []);
-	const next = sayState(late, {incarnation: 2}, 6000).state;
+	const next = announce(late, {incarnation: 2}, 6000).state;
 	assert.equal(next.self.upstreams.length, 1);
 });
 
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,9 +1,9 @@
 import {computeGateTime} from '../../coordination/compute-gate-time.js';
-import {computeHostTurnWait} from '../../coordination/compute-host-turn-wait.js';
-import {isForWantOfRoom} from '../../coordination/is-for-want-of-room.js';
+import {computeHostRateLimitWait} from '../../coordination/compute-host-rate-limit-wait.js';
+import {isCapacityRefusal} from '../../coordination/is-capacity-refusal.js';
 import {isKnownFull} from '../../coordination/is-known-full.js';
-import {isOutOfReach} from '../../coordination/is-out-of-reach.js';
-import {isRoomy} from '../../coordination/is-roomy.js';
+import {isUnreachable} from '../../coordination/is-unreachable.js';
+import {isAvailable} from '../../coordination/is-available.js';
 import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
 import {
@@ -22,7 +22,7 @@
 } from '../../coordination/step-retry-budget.js';
 import {
 	stepUpstreamNotice,
-	type HeldNotice,
+	type CachedNotice,
 } from '../../coordination/step-upstream-notice.js';
 import type {ForwardResult, GateLoad} from '../../protocol/attempt.js';
 import {
@@ -40,7 +40,7 @@
 import type {Logger} from '../create-logger.js';
 import type {GateTask} from '../start-gate-task.js';
 import {computeMedian} from './compute-median.js';
-import type {GatePort} from './gate-port.js';
+import type {GateClient} from './gate-client.js';
 import type {AttemptEnd} from './run-request.js';
 
 /** Options of `createServiceRouter`. */
@@ -62,11 +62,11 @@
 /** Picks gates for one request. */
 export type GateSelection = {
 	/** Picks a gate that was not tried yet, if there is one. */
-	pickGate(): GatePort | OutcomeReason;
+	pickGate(): GateClient | OutcomeReason;
 	/** Whether a host that was not tried yet is not known to be full. */
-	hasRoom(): boolean;
+	hasAvailableHost(): boolean;
 	/** Least wait for a turn under the rate limits of the hosts in reach, ms. */
-	readTurnWait(): number;
+	readRateLimitWait(): number;
 	/**
 	 * Gets a new stamp of the gate that will be picked first, for a request that
 	 * cannot be sent again after a refused stamp.
@@ -75,9 +75,9 @@
 };
 
 /** What of a request's route matters for its host. */
-export type RouteTerms = Pick<
+export type HostCriteria = Pick<
 	PickOptions,
-	'objectiveMs' | 'route' | 'demand'
+	'objectiveMs' | 'route' | 'admissionClass'
 > & {
 	/** Length of the request's body, bytes; 0 when absent. */
 	readonly bodyBytes?: number;
@@ -85,17 +85,17 @@
 
 /** What a caller's node knows of hosts, and the budgets of its retries. */
 export type ServiceRouter = {
-	tellView(view: MembersView): void;
+	updateMembers(view: MembersView): void;
 	select(
 		service: string,
 		key: string | undefined,
-		terms?: RouteTerms,
+		terms?: HostCriteria,
 	): GateSelection;
 	/** Notes the end of an attempt; `demand` names requests that hosts admit alike. */
-	noteAttempt(end: AttemptEnd, now: number, demand?: string): void;
-	countRequest(team: string, service: string): void;
-	readBudget(team: string, service: string): number;
-	spendBudget(team: string, service: string): void;
+	recordAttempt(end: AttemptEnd, now: number, demand?: string): void;
+	recordRequest(team: string, service: string): void;
+	readRetryBudget(team: string, service: string): number;
+	spendRetryBudget(team: string, service: string): void;
 };
 
 type Ended = HostMessage & {readonly kind: 'ended'};
@@ -113,7 +113,7 @@
 		return 'unreachable';
 	}
 
-	return isForWantOfRoom(reason) ? 'full' : 'refused';
+	return isCapacityRefusal(reason) ? 'full' : 'refused';
 }
 
 function judgeResult(result: ForwardResult): Ended['outcome'] {
@@ -147,7 +147,7 @@
 	const records = new Map<string, HostRecord>();
 	const stamps = new Map<string, HeldStamp>();
 	// Kept beyond the records: a host that starts again is gone for a time.
-	const notices = new Map<string, HeldNotice>();
+	const notices = new Map<string, CachedNotice>();
 	const budgets = new Map<string, RetryBudget>();
 	const latencies = new Map<
 		string,
@@ -221,7 +221,7 @@
 		}
 	}
 
-	function createLocalPort(host: Candidate): GatePort {
+	function createLocalPort(host: Candidate): GateClient {
 		return {
 			host,
 			isLocal: true,
@@ -237,7 +237,7 @@
 		};
 	}
 
-	function createRemotePort(host: Candidate, service: string): GatePort {
+	function createRemotePort(host: Candidate, service: string): GateClient {
 		const {address} = host;
 		return {
 			host,
@@ -279,7 +279,7 @@
 		service: string,
 		key: string | undefined,
 		tried: ReadonlySet<string>,
-		terms: RouteTerms,
+		terms: HostCriteria,
 	): Candidate | undefined {
 		const hosts = candidates.get(service) ?? [];
 		if (key !== undefined) {
@@ -305,7 +305,7 @@
 		const at = now();
 		return (candidates.get(service) ?? [])
 			.map(({host}) => records.get(host))
-			.filter((record) => !isOutOfReach(record, at));
+			.filter((record) => !isUnreachable(record, at));
 	}
 
 	/**
@@ -314,14 +314,14 @@
 	 */
 	function findFullReason(
 		service: string,
-		{demand, objectiveMs = Number.POSITIVE_INFINITY}: RouteTerms,
+		{admissionClass, objectiveMs = Number.POSITIVE_INFINITY}: HostCriteria,
 	): 'saturated' | 'limited' | undefined {
 		const at = now();
 		const hosts = listReachable(service);
 		const isLimited = (record: HostRecord | undefined): boolean =>
-			computeHostTurnWait(record, at) > objectiveMs;
+			computeHostRateLimitWait(record, at) > objectiveMs;
 		const isFull = hosts.every(
-			(record) => isLimited(record) || isKnownFull(record, demand, at),
+			(record) => isLimited(record) || isKnownFull(record, admissionClass, at),
 		);
 		if (hosts.length === 0 || !isFull) {
 			return undefined;
@@ -347,7 +347,7 @@
 	}
 
 	return {
-		tellView(view) {
+		updateMembers(view) {
 			candidates = view.candidates;
 			budgetOptions = options.computeRetryBudget?.(view.members.length);
 			const known = new Set(view.members.map((member) => member.name));
@@ -358,8 +358,8 @@
 				}
 			}
 
-			for (const [host, {heardAt}] of notices) {
-				if (now() - heardAt > upstreamTombstoneMs) {
+			for (const [host, {receivedAt}] of notices) {
+				if (now() - receivedAt > upstreamTombstoneMs) {
 					notices.delete(host);
 				}
 			}
@@ -393,18 +393,18 @@
 						? createRemotePort(host, service)
 						: createLocalPort(host);
 				},
-				hasRoom() {
+				hasAvailableHost() {
 					const hosts = candidates.get(service) ?? [];
 					return hosts.some(
 						({host}) =>
 							!tried.has(host) &&
-							isRoomy(records.get(host), terms.demand, now()),
+							isAvailable(records.get(host), terms.admissionClass, now()),
 					);
 				},
-				readTurnWait() {
+				readRateLimitWait() {
 					const at = now();
 					const waits = listReachable(service).map((record) =>
-						computeHostTurnWait(record, at),
+						computeHostRateLimitWait(record, at),
 					);
 					return waits.length === 0 ? 0 : Math.min(...waits);
 				},
@@ -416,7 +416,11 @@
 				},
 			};
 		},
-		noteAttempt({gate: port, attempt, result, startedAt}, endedAt, demand) {
+		recordAttempt(
+			{gate: port, attempt, result, startedAt},
+			endedAt,
+			admissionClass,
+		) {
 			const {host, address} = port.host;
 			if (result.kind !== 'lost' && result.stamp) {
 				noteStamp(address, result.stamp, endedAt);
@@ -428,14 +432,14 @@
 
 			// An attempt that was not sent has no stamp from the gate.
 			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
-			const isSilent = !isHeard && isOutOfReach(records.get(host), endedAt);
+			const isSilent = !isHeard && isUnreachable(records.get(host), endedAt);
 			noteHost(host, attempt.service, {
 				kind: 'ended',
 				outcome: isSilent ? 'unreachable' : judgeResult(result),
 				isHeard,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
-				demand,
+				admissionClass,
 				retryAfterMs:
 					'retryAfterSeconds' in result
 						? result.retryAfterSeconds * msPerSecond
@@ -443,11 +447,12 @@
 				load: result.kind === 'lost' ? undefined : result.load,
 			});
 		},
-		countRequest(team, service) {
+		recordRequest(team, service) {
 			stepBudget(team, service, 'request');
 		},
-		readBudget: (team, service) => stepBudget(team, service, 'tick').tokens,
-		spendBudget(team, service) {
+		readRetryBudget: (team, service) =>
+			stepBudget(team, service, 'tick').tokens,
+		spendRetryBudget(team, service) {
 			stepBudget(team, service, 'retry');
 		},
 	};
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -6,7 +6,7 @@
 import {computeUnreadTime} from '../coordination/compute-unread-time.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import {decideDrainAdmission} from '../coordination/decide-drain-admission.js';
-import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
+import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {pickTarget} from '../coordination/pick-target.js';
 import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
 import {
@@ -41,7 +41,10 @@
 import {matchRoute} from '../state/match-route.js';
 import {abortResponse} from './_lib/abort-response.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
-import {createBodyMemory, type BodyMemory} from './_lib/create-body-memory.js';
+import {
+	createBodyMemoryBudget,
+	type BodyMemoryBudget,
+} from './_lib/create-body-memory-budget.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -50,10 +53,10 @@
 import {reportAttemptEvent} from './_lib/report-attempt-event.js';
 import {reportRequestEvent} from './_lib/report-request-event.js';
 import {runRequest, type RequestEnd} from './_lib/run-request.js';
-import {sendAnswer} from './_lib/send-answer.js';
+import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
 import {sendOutcome} from './_lib/send-outcome.js';
 import {discardBody} from './_lib/discard-body.js';
-import {hasSenderLeft} from './_lib/has-sender-left.js';
+import {hasClientDisconnected} from './_lib/has-client-disconnected.js';
 import {startServer} from './_lib/start-server.js';
 import type {Forwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -72,7 +75,7 @@
 	/** Headers that the callers understand; the project's own when absent. */
 	readonly edge?: Edge;
 	/** Where long bodies wait; a memory of its own when absent. */
-	readonly bodyMemory?: BodyMemory;
+	readonly bodyMemory?: BodyMemoryBudget;
 	/** Rate of the own host's link, Mbit/s; usual when absent. */
 	readonly linkMbps?: number | undefined;
 	/** How late the event loop runs, ms; not regarded when absent. */
@@ -210,7 +213,7 @@
 	const inFlightByTeam = new Map<string, number>();
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
-	const {bodyMemory = createBodyMemory(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
 	const idPrefix = randomUUID();
 	let lastId = 0;
 	let source: RouteSource | undefined;
@@ -320,17 +323,17 @@
 			return {outcome: 'not-run', reason, retryAfterSeconds, attempts: 0};
 		}
 
-		const {body, heldBytes} = read;
+		const {body, reservedBytes} = read;
 		const isStreamed = !(body instanceof Uint8Array);
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatKey(terms, route);
 		const {depth} = terms;
 		const objectiveMs = computeObjectiveMs(terms, route);
-		const demand = formatDemand(route, objectiveMs);
+		const admissionClass = formatDemand(route, objectiveMs);
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
 			route: route.name,
-			demand,
+			admissionClass,
 			bodyBytes: readBodyBytes(request),
 		});
 		if (isStreamed) {
@@ -339,7 +342,7 @@
 
 		lastId++;
 		const end = await runRequest({
-			terms: {
+			parameters: {
 				repeatable,
 				isNested: depth > 0,
 				maxAttempts: isStreamed ? 1 : route.maxAttempts,
@@ -366,21 +369,21 @@
 			},
 			signal,
 			pickGate: selection.pickGate,
-			hasRoom: selection.hasRoom,
-			readTurnWait: selection.readTurnWait,
+			hasAvailableHost: selection.hasAvailableHost,
+			readRateLimitWait: selection.readRateLimitWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
-				router.noteAttempt(end, now(), demand);
+				router.recordAttempt(end, now(), admissionClass);
 				reportAttemptEvent(observer, end, routed.traceparent, now());
 			},
-			readBudget: () => router.readBudget(team, service),
-			spendBudget() {
-				router.spendBudget(team, service);
+			readRetryBudget: () => router.readRetryBudget(team, service),
+			spendRetryBudget() {
+				router.spendRetryBudget(team, service);
 			},
 			now,
 			random,
 		});
-		bodyMemory.free(heldBytes);
+		bodyMemory.release(reservedBytes);
 		if (isStreamed && end.outcome !== 'answered') {
 			discardBody(body);
 		}
@@ -396,7 +399,7 @@
 				cancelling.abort();
 			}
 		});
-		if (await hasSenderLeft(request, lagMs)) {
+		if (await hasClientDisconnected(request, lagMs)) {
 			const {requestId} = routed;
 			abortResponse(response, {
 				cause: {kind: 'sender-left'},
@@ -406,11 +409,11 @@
 			return;
 		}
 
-		router.countRequest(routed.route.team, routed.route.service);
+		router.recordRequest(routed.route.team, routed.route.service);
 		const end = await runRouted(routed, cancelling.signal);
 		try {
 			if (end.outcome === 'answered') {
-				await sendAnswer(response, end.answer, answeredHeaders);
+				await sendUpstreamResponse(response, end.answer, answeredHeaders);
 			} else {
 				sendOutcome(response, end, edge);
 			}
@@ -421,7 +424,7 @@
 
 	/** Reads how late the node is with a request, ms. */
 	function readLateness(request: IncomingMessage): number {
-		return Math.max(readLag(), server.readWait(request));
+		return Math.max(readLag(), server.readAcceptWaitMs(request));
 	}
 
 	function findRoute(
@@ -479,7 +482,7 @@
 
 		const {priority = 0} = route;
 		const lagMs = readLateness(request);
-		if (!decideLoopAdmission({lagMs, priority})) {
+		if (!decideEventLoopAdmission({lagMs, priority})) {
 			refuse(response, 'overloaded', computeOverloadDelayMs(terms));
 			return;
 		}
@@ -529,7 +532,7 @@
 			table = compileSource(source, candidates);
 		},
 		tellView(view) {
-			router.tellView(view);
+			router.updateMembers(view);
 			const isSame = isSameKeySet(candidates, view.candidates);
 			candidates = view.candidates;
 			if (!isSame && source?.kind === 'manifests') {
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -23,7 +23,10 @@
 } from '../protocol/request.js';
 import {abortResponse, type AbortCause} from './_lib/abort-response.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
-import {createBodyMemory, type BodyMemory} from './_lib/create-body-memory.js';
+import {
+	createBodyMemoryBudget,
+	type BodyMemoryBudget,
+} from './_lib/create-body-memory-budget.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {discardBody} from './_lib/discard-body.js';
@@ -31,12 +34,12 @@
 import {formatNotice} from './_lib/format-notice.js';
 import {formatStamp} from './_lib/format-stamp.js';
 import {readAttempt} from './_lib/read-attempt.js';
-import {readPurpose} from './_lib/read-purpose.js';
+import {readProcedureName} from './_lib/read-procedure-name.js';
 import {readRequestBody} from './_lib/read-request-body.js';
-import {sendAnswer} from './_lib/send-answer.js';
+import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
 import {sendJson} from './_lib/send-json.js';
 import {createListener} from './_lib/create-listener.js';
-import {hasSenderLeft} from './_lib/has-sender-left.js';
+import {hasClientDisconnected} from './_lib/has-client-disconnected.js';
 import {startServer, type RunningServer} from './_lib/start-server.js';
 import {answersPath, gatePrefix} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -54,7 +57,7 @@
 	readonly handlers: PeerHandlers;
 	readonly logger: Logger;
 	/** Where long bodies wait; a memory of its own when absent. */
-	readonly bodyMemory?: BodyMemory;
+	readonly bodyMemory?: BodyMemoryBudget;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
 	/** Called when connections have been accepted and none waits any more. */
@@ -91,7 +94,7 @@
 ): Promise<void> {
 	const own = createOwnHeaders(result);
 	if (result.kind === 'answered') {
-		await sendAnswer(response, result, own);
+		await sendUpstreamResponse(response, result, own);
 		return;
 	}
 
@@ -137,7 +140,7 @@
 	options: PeerServerOptions,
 ): Promise<RunningServer> {
 	const {gate, handlers, logger, readLag = () => 0} = options;
-	const {bodyMemory = createBodyMemory(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
 
 	function abort(
 		{headers}: IncomingMessage,
@@ -173,9 +176,9 @@
 		attempt: Attempt,
 		arrivedAt: number,
 	): Promise<AttemptResult | 'sender-left'> {
-		const lagMs = Math.max(readLag(), server.readWait(request));
+		const lagMs = Math.max(readLag(), server.readAcceptWaitMs(request));
 		const isAgeKnown = attempt.madeAtGateMs !== undefined;
-		if (await hasSenderLeft(request, lagMs, {isAgeKnown})) {
+		if (await hasClientDisconnected(request, lagMs, {isAgeKnown})) {
 			return 'sender-left';
 		}
 
@@ -233,7 +236,7 @@
 		const attempt = {...head, body: body.body};
 		const result = await runArrived(request, attempt, arrivedAt);
 		clearInterval(signs);
-		bodyMemory.free(body.heldBytes);
+		bodyMemory.release(body.reservedBytes);
 		if (result === 'sender-left') {
 			abort(request, response, {kind: 'sender-left'});
 			return;
@@ -275,7 +278,7 @@
 	const app = polka().use((request, response) => {
 		const {url} = request;
 		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
-			options.track?.(readPurpose(url), request.socket);
+			options.track?.(readProcedureName(url), request.socket);
 			handleCall(request, response).catch((error: unknown) => {
 				logger.debug('call not answered', {error: String(error)});
 				response.destroy();
