--- a/src/coordination/_lib/delivery/accept-configuration.ts
+++ b/src/coordination/_lib/delivery/accept-configuration.ts
@@ -28,7 +28,7 @@
 			{
 				kind: 'log',
 				level: 'error',
-				message: 'version refused',
+				message: 'configuration version rejected',
 				fields: {version, problem},
 			},
 		],
@@ -40,7 +40,7 @@
 	configuration: Configuration,
 	entries: readonly LogEntry[],
 ): DeliveryState {
-	const isKnown =
+	const isMissingVersionHeld =
 		state.missingVersion !== undefined &&
 		configuration.version >= state.missingVersion.version;
 	return {
@@ -51,23 +51,24 @@
 		entries: entries.slice(-maxKeptEntries),
 		needsSnapshot: false,
 		refusal: undefined,
-		missingVersion: isKnown ? undefined : state.missingVersion,
+		missingVersion: isMissingVersionHeld ? undefined : state.missingVersion,
 	};
 }
 
-/** Outcome of offering entries to a node. */
+/** Result of applying log entries. */
 export type EntriesStep = DeliveryStep & {
-	/** Whether an entry did not follow the newest held version. */
+	/** Whether an entry did not directly follow the newest held version. */
 	readonly hasGap: boolean;
 };
 
 /**
- * Applies entries that follow the newest held version, each whole or not.
+ * Applies the entries that follow the newest held version. Each entry is applied
+ * completely or not at all.
  *
  * @param state - the state before
- * @param entries - entries in order of version; known ones are passed over
+ * @param entries - entries in order of version; those already applied are skipped
  * @param context - time and rules
- * @returns the state after, and whether entries are missing
+ * @returns the state after, the effects, and whether entries are missing
  */
 export function acceptEntries(
 	state: DeliveryState,
@@ -99,12 +100,14 @@
 }
 
 /**
- * Adopts a whole configuration from elsewhere if it is newer and valid.
+ * Applies a full configuration snapshot if it is valid and newer than the held
+ * one.
  *
  * @param state - the state before
  * @param value - the value as received
  * @param context - time and rules
- * @returns the state after; unchanged but for the refusal when not valid
+ * @returns the state after; an invalid snapshot only records the refusal and the
+ *   need for another snapshot
  */
 export function acceptSnapshot(
 	state: DeliveryState,
--- a/src/coordination/_lib/delivery/answer-polls.ts
+++ b/src/coordination/_lib/delivery/answer-polls.ts
@@ -53,10 +53,11 @@
 }
 
 /**
- * Builds the answer to a poll: nothing new, entries, or a snapshot.
+ * Builds the answer to a poll: unchanged, log entries, or a snapshot when the
+ * held entries do not continue the configuration of the polling node.
  *
- * @param state - the node's state
- * @param poll - the poll
+ * @param state - state of the answering node
+ * @param poll - the poll to answer
  * @returns the answer
  */
 export function buildAnswer(state: DeliveryState, poll: Poll): PollAnswer {
@@ -82,11 +83,12 @@
 }
 
 /**
- * Answers the waiting polls that have something new or whose time is over.
+ * Answers the waiting polls for which there is something new or whose wait time
+ * has passed.
  *
  * @param state - the state before
  * @param context - time and rules
- * @returns the state with the other polls, and the answers
+ * @returns the state with the polls that still wait, and the answers as effects
  */
 export function answerPolls(
 	state: DeliveryState,
--- a/src/coordination/_lib/delivery/compute-progress.ts
+++ b/src/coordination/_lib/delivery/compute-progress.ts
@@ -7,10 +7,11 @@
 const nameSumModulus = 2 ** 48;
 
 /**
- * Adds up hashes of names, so that two sets of members can be compared.
+ * Adds up hashes of names modulo 2^48. Equal sums mean that two sets of members
+ * are very likely the same.
  *
  * @param sums - sums or hashes to add
- * @returns the sum, below 2^48
+ * @returns the sum, from 0 up to 2^48
  */
 export function addNameSums(sums: readonly number[]): number {
 	let total = 0;
@@ -22,7 +23,7 @@
 }
 
 /**
- * Computes the hash of a member's name.
+ * Computes the hash of a member's name: the first 40 bits of its SHA-256.
  *
  * @param name - name of the member
  * @returns a number below 2^40
@@ -33,11 +34,12 @@
 }
 
 /**
- * Drops the reports of children that have not polled lately.
+ * Drops the reports of children that have no waiting poll and have not reported
+ * within `childExpiryMs`.
  *
  * @param state - the state before
  * @param now - monotonic ms
- * @returns the state without reports that are out of date
+ * @returns the state without expired reports
  */
 export function expireChildren(
 	state: DeliveryState,
@@ -54,10 +56,11 @@
 }
 
 /**
- * Computes the progress of a node and of those below it.
+ * Computes the progress of a node and of its descendants in the delivery tree.
  *
  * @param state - the node's state
- * @returns its progress
+ * @returns the progress: the lowest version that one of them runs, how many
+ *   they are, and some of the names and refusals behind it
  */
 export function computeProgress(state: DeliveryState): Progress {
 	const own: Progress = {
--- a/src/coordination/_lib/delivery/delivery-context.ts
+++ b/src/coordination/_lib/delivery/delivery-context.ts
@@ -11,19 +11,19 @@
 	DeliveryStep,
 } from '../../delivery-state.js';
 
-/** Rules of delivery; the defaults are the named constants. */
+/** Rules of configuration delivery; the defaults are the named constants. */
 export type DeliveryRules = {
-	/** Other hosts of the data centre that hold a version before it is run. */
+	/** Number of other hosts of the data centre that must hold a version before it is run. */
 	readonly requiredHolders: number;
-	/** Wait before a first version is run while the platform is unreadable, ms. */
+	/** Time from the first answer of a node that knows a safe version to the first run, while the platform cannot be read, ms. */
 	readonly settleMs: number;
-	/** How long a node lacks a version that it heard of before it asks, ms. */
+	/** Time for which a node waits for a version that a peer holds before it asks that peer, ms. */
 	readonly repairAfterMs: number;
-	/** Time between a root's reads of the next log slot, ms. */
+	/** Interval of a root's reads of the next log slot, ms. */
 	readonly probeIntervalMs: number;
-	/** Most children of a node. */
+	/** Maximum number of children of a node of median capacity. */
 	readonly fanOut: number;
-	/** Slots of the log. */
+	/** Number of slots of the ring that stores the log. */
 	readonly ringSize: number;
 	readonly applyEntry: (
 		configuration: Configuration,
@@ -34,29 +34,29 @@
 	) => Result<Configuration, Problem>;
 };
 
-/** What the functions of one step share. */
+/** Time, randomness and rules, shared by the functions of one step. */
 export type DeliveryContext = {
 	readonly now: number;
 	readonly random: () => number;
 	readonly rules: DeliveryRules;
 };
 
-/** One part of a step. */
+/** One action of a step. */
 export type DeliveryAction = (
 	state: DeliveryState,
 	context: DeliveryContext,
 ) => DeliveryStep;
 
-/** Runs parts one after another, joining their effects. */
+/** Runs actions in order and collects their effects. */
 export function runDeliveryActions(
 	step: DeliveryStep,
-	parts: readonly DeliveryAction[],
+	actions: readonly DeliveryAction[],
 	context: DeliveryContext,
 ): DeliveryStep {
 	let {state} = step;
 	const effects = [...step.effects];
-	for (const part of parts) {
-		const next = part(state, context);
+	for (const action of actions) {
+		const next = action(state, context);
 		state = next.state;
 		effects.push(...next.effects);
 	}
@@ -69,7 +69,7 @@
 	return state.heldConfigurations.at(-1)!;
 }
 
-/** Tells whether a call of one of the kinds is in flight. */
+/** Returns whether a call of one of the kinds is in flight. */
 export function hasCall(
 	state: DeliveryState,
 	...kinds: ReadonlyArray<CallPurpose['kind']>
@@ -79,7 +79,7 @@
 	);
 }
 
-/** Notes a new call in flight and gives it a number. */
+/** Adds a call in flight and assigns its ID. */
 export function addCall(
 	state: DeliveryState,
 	call: Call,
--- a/src/coordination/_lib/delivery/handle-peer.ts
+++ b/src/coordination/_lib/delivery/handle-peer.ts
@@ -14,7 +14,10 @@
 
 const unchangedPauseMs = 20;
 
-/** Notes that another node holds a version, perhaps one that this one lacks. */
+/**
+ * Records that another node holds a version. If it is newer than all versions
+ * known so far, it becomes the missing version.
+ */
 export function recordHolder(
 	state: DeliveryState,
 	name: string,
@@ -33,7 +36,7 @@
 	};
 }
 
-/** Raises the safe version by the word of a node of the same data centre. */
+/** Raises the safe version to the one reported by a node of the same data centre; reports of others are ignored. */
 function recordSafeVersion(
 	state: DeliveryState,
 	name: string,
@@ -48,10 +51,11 @@
 }
 
 /**
- * Takes a poll of another node; it is answered now or when there is news.
+ * Adds a poll of another node and records what it reports. The poll is answered
+ * at once, or when there is something new, or when its wait time has passed.
  *
  * @param state - the state before
- * @param pollId - number by which the answer is given
+ * @param pollId - ID under which the answer is sent
  * @param poll - the poll
  * @param now - monotonic ms
  * @returns the state after
@@ -125,7 +129,7 @@
 			{
 				kind: 'log',
 				level: 'warn',
-				message: 'answer of a peer refused',
+				message: 'poll answer of a peer rejected',
 				fields: {member, reason},
 			},
 		],
@@ -133,13 +137,14 @@
 }
 
 /**
- * Handles the end of a call to another node.
+ * Handles the outcome of a poll sent to another node.
  *
- * @param state - the state, from which the call has been taken
- * @param call - the call
- * @param outcome - how it ended; its value is checked here
+ * @param state - the state, from which the call has been removed
+ * @param call - the call that ended
+ * @param outcome - how the call ended; its value is validated here
  * @param context - time and rules
- * @returns the state after; nothing held changes unless all of it is valid
+ * @returns the state after; held configurations change only if the whole answer
+ *   matches the schema
  */
 export function handlePollAnswer(
 	state: DeliveryState,
@@ -153,7 +158,7 @@
 
 	const parsed = pollAnswerSchema.safeParse(outcome.value);
 	if (!parsed.success) {
-		const reason = parsed.error.issues[0]?.message ?? 'not an answer';
+		const reason = parsed.error.issues[0]?.message ?? 'not a poll answer';
 		const refused = refuseAnswer(state, call, reason, context);
 		return {
 			...refused,
--- a/src/coordination/_lib/delivery/handle-platform.ts
+++ b/src/coordination/_lib/delivery/handle-platform.ts
@@ -215,7 +215,7 @@
 			};
 		}
 
-		case 'lapped': {
+		case 'overwritten': {
 			return {
 				state: {...dropSourceCalls(state), source: {kind: 'head'}},
 				effects: [],
@@ -242,11 +242,11 @@
 }
 
 /**
- * Handles the end of a call to the platform.
+ * Handles the outcome of a call to the platform.
  *
- * @param state - the state, from which the call has been taken
- * @param call - the call
- * @param outcome - its outcome; `unavailable` when its time has passed
+ * @param state - the state, from which the call has been removed
+ * @param call - the call that ended
+ * @param outcome - the outcome; `unavailable` when the call timed out
  * @param context - time and rules
  * @returns the state after
  */
--- a/src/coordination/_lib/delivery/plan-calls.ts
+++ b/src/coordination/_lib/delivery/plan-calls.ts
@@ -204,7 +204,7 @@
 		: {state, effects: noEffects};
 };
 
-/** Lists whom a node tells of its progress outside its long polls. */
+/** Lists the members to which a node reports its progress outside its long polls: its parent, or the other roots. */
 function listReportReceivers(state: DeliveryState): readonly Member[] {
 	const {position} = state;
 	if (position?.kind === 'child') {
@@ -237,7 +237,7 @@
 		return {state, effects: noEffects};
 	}
 
-	const parts = listReportReceivers(state).map(
+	const actions = listReportReceivers(state).map(
 		(member): DeliveryAction =>
 			(before) => {
 				const isChild =
@@ -255,11 +255,15 @@
 				);
 			},
 	);
-	const step = runDeliveryActions({state, effects: noEffects}, parts, context);
+	const step = runDeliveryActions(
+		{state, effects: noEffects},
+		actions,
+		context,
+	);
 	return {...step, state: {...step.state, lastReport: {text, at: now}}};
 };
 
-/** Starts every call that a node should have in flight. */
+/** Actions that start every call that a node should have in flight. */
 export const planCalls: readonly DeliveryAction[] = [
 	planSource,
 	planProbe,
--- a/src/coordination/_lib/delivery/report-status.ts
+++ b/src/coordination/_lib/delivery/report-status.ts
@@ -54,7 +54,7 @@
 	};
 }
 
-/** Writes the data centre's status when it is due and this is the first root. */
+/** Reads or writes the data centre's status when that is due; only the first root does so. */
 export const planStatus: DeliveryAction = (state, context) => {
 	const {now} = context;
 	const {position, status} = state;
@@ -92,7 +92,7 @@
 	);
 };
 
-/** Handles the end of a read or a write of the data centre's status. */
+/** Handles the outcome of a read or a write of the data centre's status. */
 export function handleStatusAnswer(
 	state: DeliveryState,
 	purpose: Extract<CallPurpose, {kind: 'status-read' | 'status-write'}>,
--- a/src/coordination/_lib/delivery/start-poll.ts
+++ b/src/coordination/_lib/delivery/start-poll.ts
@@ -17,13 +17,13 @@
 export type PollOptions = {
 	readonly kind: 'pull' | 'repair' | 'report';
 	readonly waitMs: number;
-	/** Whether the node reports to the other as its child. */
+	/** Whether the poll carries the progress of this node as a child of the polled one. */
 	readonly isChild: boolean;
-	/** Whether to open a new connection, since one may be silent. */
+	/** Whether to open a new connection, as the present one may no longer transfer data. */
 	readonly needsNewConnection: boolean;
 };
 
-/** Starts a call to another node. */
+/** Starts a poll of another node. */
 export function startPoll(
 	state: DeliveryState,
 	member: Member,
@@ -62,13 +62,13 @@
 				address: member.address,
 				poll,
 				timeoutMs,
-				isFresh: options.needsNewConnection,
+				needsNewConnection: options.needsNewConnection,
 			},
 		],
 	};
 }
 
-/** Formats what a node tells others, to see whether it has changed. */
+/** Formats what a node reports to others as text, by which changes are detected. */
 export function formatReport(state: DeliveryState): string {
 	const {version} = findNewestConfiguration(state);
 	return JSON.stringify([version, state.safeVersion, computeProgress(state)]);
--- a/src/coordination/_lib/delivery/update-running.ts
+++ b/src/coordination/_lib/delivery/update-running.ts
@@ -6,7 +6,8 @@
 } from './delivery-context.js';
 
 /**
- * Forgets what nodes held that have not been heard of lately.
+ * Drops the versions held by nodes that have not reported within
+ * `holderExpiryMs`.
  *
  * @param state - the state before
  * @param now - monotonic ms
@@ -28,8 +29,9 @@
  * Raises the version known to be safe to run.
  *
  * A version is safe once enough other hosts of the data centre hold it, so
- * that it outlives the ones that run it first. What other data centres call
- * safe does not count: a host that restarts asks its own data centre.
+ * that it survives the loss of the hosts that run it first. Safe versions of
+ * other data centres do not count, as a host that restarts asks its own data
+ * centre.
  *
  * @param state - the state before
  * @param context - time and rules
@@ -75,12 +77,12 @@
 }
 
 /**
- * Runs the newest held version that may be run, if it is above the present.
+ * Runs the newest held version that is safe, if it is above the running one.
  *
- * A first version after a start is run only when nothing newer can have been
- * run before: the platform's log ends with it, or the other nodes had time to
- * spread what any of them holds. It is then at least the newest version held
- * at that time, and the newest one known to be safe.
+ * The first version after a start is run only when no newer one can have been run
+ * before: either the platform's log ends with it, or the other nodes have had
+ * `settleMs` to deliver what any of them holds. It must be at least the newest version held at that time, and the
+ * newest one known to be safe.
  *
  * @param state - the state before
  * @param context - time and rules
--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that handle answers of other members, and the lack of one.
+ * Helpers that handle answers of other members and failed requests.
  */
 import type {ExchangeAnswer} from '../../../protocol/member.js';
 import type {
@@ -123,7 +123,7 @@
 	}
 }
 
-/** Handles another member's answer. */
+/** Handles the answer of another member to a request. */
 export function handleAnswer(
 	state: MembersState,
 	message: AnswerMessage,
@@ -136,7 +136,7 @@
 	]);
 }
 
-/** Handles the lack of an answer. */
+/** Handles a request that failed or was not answered in time. */
 export function handleFailure(
 	state: MembersState,
 	message: Extract<MembersMessage, {readonly kind: 'failure'}>,
--- a/src/coordination/_lib/members/bridges.ts
+++ b/src/coordination/_lib/members/bridges.ts
@@ -1,5 +1,6 @@
 /**
- * Helpers of the bridges between data centres.
+ * Helpers for bridges: the members that exchange records with other data
+ * centres.
  */
 import {
 	bridgePeriodMs,
@@ -28,7 +29,7 @@
 } from './send.js';
 import {startSync} from './sync.js';
 
-/** Whether the own node is a bridge in its own view. */
+/** Returns whether this node is a bridge in its own view of the membership. */
 export function isBridge(state: MembersState): boolean {
 	const {self, role} = state;
 	return (
@@ -67,7 +68,7 @@
 	});
 }
 
-/** Sends changes of the own data centre to bridges of the others. */
+/** Sends changed records of the local data centre to bridges of the others. */
 export function relayChanges(
 	state: MembersState,
 	now: number,
@@ -141,7 +142,11 @@
 		: updateSelf(state, {unreachable});
 }
 
-/** Does a bridge's part of a period; another node's is to stop being one. */
+/**
+ * Runs the periodic tasks of a bridge: it pings the other data centres, marks
+ * those that are unreachable, and starts syncs. On a node that is not a bridge
+ * it clears the state of a former bridge.
+ */
 export function runBridge(
 	state: MembersState,
 	now: number,
@@ -178,7 +183,7 @@
 	return {state: synced.state, effects: [...effects, ...synced.effects]};
 }
 
-/** Notes that a data centre answered; one that was silent is compared. */
+/** Records an answer of another data centre; starts a sync if the last request to it had failed. */
 export function recordContactAnswer(
 	state: MembersState,
 	dataCentre: string,
@@ -201,7 +206,7 @@
 		: {state: next, effects: []};
 }
 
-/** Notes that a member of another data centre did not answer. */
+/** Records that a member of another data centre did not answer. */
 export function recordContactFailure(
 	state: MembersState,
 	address: string,
--- a/src/coordination/_lib/members/identity.ts
+++ b/src/coordination/_lib/members/identity.ts
@@ -1,5 +1,6 @@
 /**
- * Helpers that defend the own name and incarnation.
+ * Helpers that refute false claims about this node and resolve conflicts over
+ * its name.
  */
 import {
 	nameCheckIntervalMs,
@@ -55,7 +56,7 @@
 	};
 }
 
-/** Handles a claim about the own node. */
+/** Handles a record that another member holds of this node. */
 export function handleSelfClaim(
 	state: MembersState,
 	claim: Pick<Member, 'address' | 'incarnation' | 'state' | 'sequence'>,
@@ -83,10 +84,13 @@
 		: refuteClaim(state, claim.incarnation, now);
 }
 
-/** Handles proof that another live process has the own name. */
+/**
+ * Handles proof that another live process has this node's name. The process that
+ * started later is refused.
+ */
 export function handleNameConflict(
 	state: MembersState,
-	twin: Sender,
+	rival: Sender,
 	now: number,
 ): MembersStep {
 	const {self, role, startedMs} = state;
@@ -95,15 +99,15 @@
 	}
 
 	const isLater =
-		startedMs > twin.startedMs ||
-		(startedMs === twin.startedMs && self.address > twin.address);
+		startedMs > rival.startedMs ||
+		(startedMs === rival.startedMs && self.address > rival.address);
 	if (!isLater) {
-		return twin.incarnation >= self.incarnation
-			? refuteClaim({...state, nameCheck: undefined}, twin.incarnation, now)
+		return rival.incarnation >= self.incarnation
+			? refuteClaim({...state, nameCheck: undefined}, rival.incarnation, now)
 			: {state: {...state, nameCheck: undefined}, effects: []};
 	}
 
-	const {address, incarnation} = twin;
+	const {address, incarnation} = rival;
 	const next = {
 		...state,
 		role: 'refused' as const,
@@ -118,14 +122,14 @@
 					{
 						kind: 'log',
 						level: 'error',
-						text: `the host at ${address} has this name; taking no part until it is gone`,
+						text: `name already in use by the host at ${address}; not joining until that host is gone`,
 						member: self.name,
 					},
 				];
 	return {state: next, effects};
 }
 
-/** Handles the lack of an answer from the host that seemed to have the name. */
+/** Ends a name check whose host did not answer, or answered under another name, and reclaims this node's name. */
 export function endNameCheck(
 	state: MembersState,
 	address: string,
@@ -146,7 +150,7 @@
 		: {state: next, effects: []};
 }
 
-/** Asks the holder of the name again from time to time, while refused. */
+/** Checks periodically, while refused, whether the name is still in use. */
 export function recheckName(state: MembersState, now: number): MembersStep {
 	const {nameCheck, role} = state;
 	if (role !== 'refused' || !nameCheck) {
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -1,5 +1,6 @@
 /**
- * Helpers of the start: seeds, the first records, and the seeds object.
+ * Helpers for joining: seeds, the first sync, and the seeds object in the
+ * platform.
  */
 import {
 	joinPatienceMs,
@@ -29,14 +30,14 @@
 
 type SeedsRead = Extract<SeedsOutcome, {readonly kind: 'read'}>;
 
-/** Starts to take part: the own record is spread from now on. */
+/** Makes a joining node a member, whose record is spread from now on. */
 export function becomeMember(state: MembersState): MembersStep {
 	return state.role === 'joining' && !state.nameCheck
 		? markChanged({...state, role: 'member'}, [state.self.name])
 		: {state, effects: []};
 }
 
-/** Takes part once the own data centre's records are there. */
+/** Becomes a member once the records of the local data centre have been received. */
 export function finishJoin(state: MembersState): MembersStep {
 	const isAwaited = state.sync?.remaining.some(
 		([dataCentre]) => dataCentre === state.self.dataCentre,
@@ -45,8 +46,10 @@
 }
 
 /**
- * Computes the delay before the seeds object is read again: full jitter over a
- * window that grows with each read in vain and with the last known size.
+ * Computes the delay before the seeds object is read again, in ms: half a period
+ * plus full jitter over a window that doubles with each read that found no
+ * members. The cap of the window grows with the last known size of the data
+ * centre.
  */
 function computeReadDelayMs(state: MembersState, random: number): number {
 	const {failures, memberCount} = state.seeds;
@@ -70,7 +73,7 @@
 	return pickRandomItems(pool, 1, random)[0];
 }
 
-/** Asks a seed for its records while the node knows nobody. */
+/** Starts a sync with a seed while the node is joining, knows no local peer, or has an incomplete sync. */
 export function startSeedSync(
 	state: MembersState,
 	now: number,
@@ -97,7 +100,7 @@
 	);
 }
 
-/** Takes part without an answer when none came in time. */
+/** Becomes a member without an answer of a seed when none has come in time. */
 export function handleJoinTimeout(
 	state: MembersState,
 	now: number,
@@ -109,7 +112,7 @@
 		: {state, effects: []};
 }
 
-/** Reads the seeds object when that is due. */
+/** Reads the seeds object when that is due, on a node that knows no local peer and on the first bridge. */
 export function refreshSeeds(
 	state: MembersState,
 	now: number,
@@ -182,7 +185,7 @@
 	return pickRandomItems(unknownSeeds, 1, random)[0];
 }
 
-/** Handles what was read of the seeds objects. */
+/** Handles the outcome of a read of the seeds objects. */
 export function handleSeeds(
 	state: MembersState,
 	outcome: SeedsOutcome,
--- a/src/coordination/_lib/members/period.ts
+++ b/src/coordination/_lib/members/period.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers of what a node does each period.
+ * Periodic tasks of membership.
  */
 import {membersPeriodMs, syncPeriodMs} from '../../../protocol/constants.js';
 import {listMembers} from '../../../state/list-members.js';
@@ -18,7 +18,7 @@
 import {pickRandomItems, sendPing} from './send.js';
 import {abortSync, startSync} from './sync.js';
 
-/** Compares records with a random neighbour from time to time. */
+/** Syncs with a random local peer, on average once per `syncPeriodMs`. */
 function syncWithLocalPeer(
 	state: MembersState,
 	now: number,
@@ -33,7 +33,7 @@
 	return startSync(state, target.address, now);
 }
 
-/** Asks a dead member from time to time: it may only have been cut off. */
+/** Pings a random dead member, on average once per `syncPeriodMs`, as it may only have been partitioned. */
 function pingDeadMember(
 	state: MembersState,
 	now: number,
@@ -57,7 +57,7 @@
 	return isLate ? abortSync(state) : state;
 }
 
-/** Does what is due in a period. */
+/** Runs the tasks of one period. */
 export function runPeriod(
 	state: MembersState,
 	now: number,
--- a/src/coordination/_lib/members/probe.ts
+++ b/src/coordination/_lib/members/probe.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers of failure detection (SWIM, Das, Gupta and Motivala, 2002).
+ * Failure detection by SWIM (Das, Gupta and Motivala, 2002).
  */
 import {indirectProbeMs, indirectProbes} from '../../../protocol/constants.js';
 import type {Member} from '../../../protocol/member.js';
@@ -15,7 +15,7 @@
 	createRequestEffect,
 } from './send.js';
 
-/** Lists the other live members of the own data centre. */
+/** Lists the other live members of the local data centre. */
 export function listLocalPeers(state: MembersState): readonly Member[] {
 	return listMembers(state.table, state.self.dataCentre).filter((member) =>
 		isLive(member),
@@ -35,7 +35,7 @@
 	return putRecords(state, records, now);
 }
 
-/** Declares dead the members whose suspicions were not refuted in time. */
+/** Marks as dead the members that did not refute their suspicion in time. */
 export function expireSuspicions(
 	state: MembersState,
 	now: number,
@@ -46,7 +46,7 @@
 	return changeState(state, names, {from: 'suspect', to: 'dead'}, now);
 }
 
-/** Suspects the probed member when nobody vouched for it in time. */
+/** Marks the probed member as suspect when neither a direct nor an indirect probe was answered in time. */
 export function expireProbe(state: MembersState, now: number): MembersStep {
 	const {probe} = state;
 	if (!probe || probe.endsAt > now) {
@@ -61,7 +61,7 @@
 	);
 }
 
-/** Probes the next member of the round, which visits all in random order. */
+/** Probes the next member of the round; a round visits all local peers in random order. */
 export function startProbe(
 	state: MembersState,
 	now: number,
@@ -101,12 +101,12 @@
 	);
 }
 
-/** Ends a probe that was answered, by the member or through another. */
+/** Ends a probe that was answered, directly or through another member. */
 export function confirmProbe(state: MembersState, name: string): MembersState {
 	return state.probe?.name === name ? {...state, probe: undefined} : state;
 }
 
-/** Asks other members to probe a member that did not answer. */
+/** Asks other members to probe a member that did not answer the direct probe. */
 export function startIndirectProbes(
 	state: MembersState,
 	address: string,
--- a/src/coordination/_lib/members/records.ts
+++ b/src/coordination/_lib/members/records.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that change the known records.
+ * Helpers that change records of members.
  */
 import {
 	maxTombstones,
@@ -18,13 +18,13 @@
 } from '../../members-state.js';
 import {isLive} from './send.js';
 
-/** Counts the members of the own data centre, the own node included. */
+/** Counts the members of the local data centre in any state, including this node. */
 export function countLocalMembers(state: MembersState): number {
 	const buckets = state.table.get(state.self.dataCentre) ?? [];
 	return buckets.reduce((sum, {members}) => sum + members.size, 1);
 }
 
-/** Marks changed records for sending. */
+/** Queues changed records for sending. */
 export function markChanged(
 	state: MembersState,
 	names: readonly string[],
@@ -58,7 +58,7 @@
 	return {state: next, effects};
 }
 
-/** Changes the own record and marks it for sending. */
+/** Changes this node's record and queues it for sending. */
 export function updateSelf(
 	state: MembersState,
 	change: Partial<Pick<Member, 'state' | 'unreachable'>> & {
@@ -79,7 +79,7 @@
 	return suspicionMultiplier * scale * membersPeriodMs;
 }
 
-/** Puts records in place and keeps suspicions and tombstones true to them. */
+/** Stores records, updates suspicions and tombstones to match, and queues the records for sending. */
 export function putRecords(
 	state: MembersState,
 	records: readonly Member[],
@@ -127,7 +127,7 @@
 	);
 }
 
-/** Forgets members whose tombstones have ended. */
+/** Removes members whose tombstones have expired. */
 export function expireTombstones(
 	state: MembersState,
 	now: number,
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -18,7 +18,7 @@
 } from './send.js';
 import {answerBucket, answerDigests} from './sync.js';
 
-/** Tells a sender what the answerer wrongly or not yet knows of it. */
+/** Answers a ping: sends back the record held of the sender if it is wrong, and asks for a newer one if there is one. */
 function answerPing(
 	state: MembersState,
 	from: Sender,
@@ -67,7 +67,7 @@
 		: {state, effects: []};
 }
 
-/** Notes who called, as a seed, while the node knows nobody. */
+/** Records the sender as a seed while no record of the local data centre is known. */
 function recordCaller(state: MembersState, from: Sender): MembersState {
 	const {addresses} = state.seeds;
 	const isKnown = addresses.includes(from.address);
--- a/src/coordination/_lib/members/resend.ts
+++ b/src/coordination/_lib/members/resend.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that send records again which a member did not take.
+ * Helpers that resend records that did not reach a member.
  */
 import {
 	exchangeTimeoutMs,
@@ -26,8 +26,8 @@
 type ResendContext = {readonly now: number; readonly random: () => number};
 
 /**
- * Sends the own record to other data centres itself when a bridge, which ought
- * to do so, does not answer.
+ * Sends this node's record to other data centres directly when a bridge, which
+ * would relay it, does not answer.
  */
 function bypassBridges(
 	state: MembersState,
@@ -38,12 +38,12 @@
 		return {state, effects: []};
 	}
 
-	const remote = [...state.table.keys()].filter(
+	const remoteDataCentres = [...state.table.keys()].filter(
 		(dataCentre) => dataCentre !== state.self.dataCentre,
 	);
 	return {
 		state: {...state, rateLimits: {...state.rateLimits, bridgeBypassedAt: now}},
-		effects: remote.flatMap((dataCentre) => {
+		effects: remoteDataCentres.flatMap((dataCentre) => {
 			const live = listMembers(state.table, dataCentre).filter((member) =>
 				isLive(member),
 			);
@@ -58,26 +58,26 @@
 	state: MembersState,
 	address: string,
 	request: Extract<Exchange, {readonly kind: 'ping'}>,
-	chance: ResendContext,
+	context: ResendContext,
 ): MembersStep {
 	const names = request.records.map(({name}) => name);
 	const pendingSpread = new Set([...state.pendingSpread, ...names]);
-	const planned: MembersEffect[] = state.isSpreadScheduled
+	const scheduled: MembersEffect[] = state.isSpreadScheduled
 		? []
 		: [{kind: 'schedule-spread', delayMs: spreadDelayMs}];
 	const next = {...state, pendingSpread, isSpreadScheduled: true};
 	const bridges = computeBridges([state.self, ...listLocalPeers(state)]);
 	const isBridgeLost = bridges.some((bridge) => bridge.address === address);
 	if (!isBridgeLost || !names.includes(state.self.name)) {
-		return {state: next, effects: planned};
+		return {state: next, effects: scheduled};
 	}
 
-	const records = encodeRecords(state, [state.self.name], chance.now);
-	const acted = bypassBridges(next, {...request, records}, chance);
-	return {state: acted.state, effects: [...planned, ...acted.effects]};
+	const records = encodeRecords(state, [state.self.name], context.now);
+	const bypassed = bypassBridges(next, {...request, records}, context);
+	return {state: bypassed.state, effects: [...scheduled, ...bypassed.effects]};
 }
 
-/** Sends records to others of a data centre, at a bounded rate for a time. */
+/** Resends records to other members of a data centre, at a bounded rate and until the data centre counts as unreachable. */
 function resendToDataCentre(
 	state: MembersState,
 	dataCentre: string,
@@ -109,14 +109,14 @@
 }
 
 /**
- * Sends the records of a ping that failed to other members of the same data
- * centre, as the one that was picked may be one of many that just died.
+ * Resends the records of a failed ping to other members of the same data centre.
+ * The target may be one of many members that have failed at the same time.
  */
 export function resendRecords(
 	state: MembersState,
 	address: string,
 	request: Exchange,
-	chance: ResendContext,
+	context: ResendContext,
 ): MembersStep {
 	if (
 		request.kind !== 'ping' ||
@@ -134,6 +134,6 @@
 	}
 
 	return failed.dataCentre === state.self.dataCentre
-		? resendInDataCentre(state, address, request, chance)
-		: resendToDataCentre(state, failed.dataCentre, request, chance);
+		? resendInDataCentre(state, address, request, context)
+		: resendToDataCentre(state, failed.dataCentre, request, context);
 }
--- a/src/coordination/_lib/members/run-actions.ts
+++ b/src/coordination/_lib/members/run-actions.ts
@@ -6,7 +6,7 @@
 
 type Action = (state: MembersState) => MembersStep;
 
-/** Runs actions one after another and collects their effects. */
+/** Runs actions in order and collects their effects. */
 export function runActions(
 	state: MembersState,
 	actions: readonly Action[],
--- a/src/coordination/_lib/members/send.ts
+++ b/src/coordination/_lib/members/send.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that build the messages between members.
+ * Helpers that build messages between members.
  */
 import {maxRecordsPerMessage} from '../../../protocol/constants.js';
 import type {
@@ -17,7 +17,7 @@
 	MembersStep,
 } from '../../members-state.js';
 
-/** Who the node is, as a sender. */
+/** Describes this node as the sender of a message. */
 export function describeSender(state: MembersState): Sender {
 	const {name, dataCentre, address, incarnation, sequence} = state.self;
 	return {
@@ -30,7 +30,7 @@
 	};
 }
 
-/** Finds a record, the own one included. */
+/** Finds the record of a member, which may be this node. */
 export function findRecord(
 	state: MembersState,
 	name: string,
@@ -38,7 +38,7 @@
 	return name === state.self.name ? state.self : findMember(state.table, name);
 }
 
-/** Encodes the records of some names. */
+/** Encodes the records of the named members; unknown names are skipped. */
 export function encodeRecords(
 	state: MembersState,
 	names: Iterable<string>,
@@ -50,7 +50,7 @@
 	});
 }
 
-/** Builds an effect that sends a request. */
+/** Creates an effect that sends a request. */
 export function createRequestEffect(
 	address: string,
 	request: Exchange,
@@ -58,17 +58,17 @@
 	return {kind: 'send', address, request};
 }
 
-/** Builds an effect that answers the request that is being handled. */
+/** Creates an effect that answers the request being handled. */
 export function createAnswerEffect(answer: ExchangeAnswer): MembersEffect {
 	return {kind: 'answer', answer};
 }
 
-/** Whether a member is thought to live. */
+/** Returns whether a member counts as live: alive or suspect. */
 export function isLive(member: Member): boolean {
 	return member.state === 'alive' || member.state === 'suspect';
 }
 
-/** Takes the records to send along with a message, and counts them as sent. */
+/** Takes the records to piggyback on a message and counts them as sent. */
 export function takeUpdates(
 	state: MembersState,
 	now: number,
@@ -94,7 +94,7 @@
 	};
 }
 
-/** Sends a ping with recent changes to an address. */
+/** Sends a ping with piggybacked changes to an address. */
 export function sendPing(
 	state: MembersState,
 	address: string,
@@ -109,7 +109,7 @@
 	return {state: taken.state, effects: [createRequestEffect(address, request)]};
 }
 
-/** Picks up to `count` different items. */
+/** Picks up to `count` distinct items at random. */
 export function pickRandomItems<T>(
 	items: readonly T[],
 	count: number,
--- a/src/coordination/_lib/members/spread.ts
+++ b/src/coordination/_lib/members/spread.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that spread changes without waiting for the next period.
+ * Helpers that spread changed records without waiting for the next period.
  */
 import {
 	maxSpreadRecordsPerSecond,
@@ -22,9 +22,9 @@
 } from './send.js';
 
 /**
- * Takes the fresh changes that are sent at once: the own one always, others up
- * to a number a second. The rest goes with probes, so that a herd's return
- * does not become a storm.
+ * Picks the pending changes to send at once: this node's always, those of others
+ * up to `maxSpreadRecordsPerSecond`. The rest is piggybacked on probes, so that
+ * many members that return at the same time do not cause a burst of messages.
  */
 function pickSpreadNames(
 	state: MembersState,
@@ -49,15 +49,15 @@
 	};
 }
 
-/** Sends fresh changes to a few neighbours and, as a bridge, further. */
+/** Sends pending changes to a few local peers and, on a bridge, to other data centres. */
 export function spreadChanges(
 	state: MembersState,
 	now: number,
 	random: () => number,
 ): MembersStep {
-	const planned = {...state, isSpreadScheduled: false};
-	const relayed = relayChanges(planned, now, random);
-	if (planned.pendingSpread.size === 0 || planned.role !== 'member') {
+	const cleared = {...state, isSpreadScheduled: false};
+	const relayed = relayChanges(cleared, now, random);
+	if (cleared.pendingSpread.size === 0 || cleared.role !== 'member') {
 		return {
 			state: {...relayed.state, pendingSpread: new Set()},
 			effects: relayed.effects,
@@ -65,15 +65,15 @@
 	}
 
 	const targets = pickRandomItems(
-		listLocalPeers(planned),
+		listLocalPeers(cleared),
 		spreadFanOut,
 		random,
 	);
-	const {rateLimits, names} = pickSpreadNames(planned, now);
+	const {rateLimits, names} = pickSpreadNames(cleared, now);
 	const request = {
 		kind: 'ping' as const,
-		from: describeSender(planned),
-		records: encodeRecords(planned, names, now),
+		from: describeSender(cleared),
+		records: encodeRecords(cleared, names, now),
 	};
 	return {
 		state: {...relayed.state, rateLimits, pendingSpread: new Set()},
@@ -86,7 +86,7 @@
 	};
 }
 
-/** Spreads at once that the own node leaves. */
+/** Marks this node as left and spreads that at once. */
 export function announceLeave(
 	state: MembersState,
 	now: number,
--- a/src/coordination/_lib/members/sync.ts
+++ b/src/coordination/_lib/members/sync.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers of anti-entropy: digests first, then the buckets that differ.
+ * Anti-entropy: compares digests first, then the buckets that differ.
  */
 import {
 	maxBucketAnswersPerSecond,
@@ -34,7 +34,7 @@
 type BucketRequest = Extract<Exchange, {readonly kind: 'bucket'}>;
 type BucketAnswer = Extract<ExchangeAnswer, {readonly kind: 'bucket'}>;
 
-/** The known members with the own record, once it may be spread. */
+/** Returns the table of members, with this node's record once it is a member. */
 function createFullTable(state: MembersState): MemberTable {
 	return state.role === 'member'
 		? putMembers(state.table, [state.self])
@@ -53,7 +53,7 @@
 	return digests.reduce((sum, digest) => (sum + digest) % 2 ** 32, 0);
 }
 
-/** Starts a comparison of records with the member at an address. */
+/** Starts a sync of records with the member at an address. */
 export function startSync(
 	state: MembersState,
 	address: string,
@@ -79,7 +79,7 @@
 	};
 }
 
-/** Answers a comparison: digests of the data centres that differ. */
+/** Answers a sync request with the bucket digests of the data centres that differ. */
 export function answerDigests(
 	state: MembersState,
 	request: DigestsRequest,
@@ -118,7 +118,7 @@
 		]);
 }
 
-/** Asks for the next bucket that differs; ends the comparison after the last. */
+/** Requests the next bucket that differs; ends the sync after the last one. */
 export function continueSync(state: MembersState): MembersStep {
 	const {sync} = state;
 	const [next, ...remaining] = sync?.remaining ?? [];
@@ -140,14 +140,14 @@
 	};
 }
 
-/** Gives up a comparison; the rest of it is made good with another member. */
+/** Aborts a sync; the remaining buckets are covered by a new sync with another member. */
 export function abortSync(state: MembersState): MembersState {
 	return state.sync
 		? {...state, sync: undefined, isSyncIncomplete: true}
 		: state;
 }
 
-/** Handles the digests of another member: the own data centre goes first. */
+/** Handles the digests of another member and requests the buckets that differ, those of the local data centre first. */
 export function compareDigests(
 	state: MembersState,
 	answer: DigestsAnswer,
@@ -180,7 +180,7 @@
 	return mergeMember(member, theirs) !== member;
 }
 
-/** Answers a request for a bucket: what is newer here, and what is there. */
+/** Answers a request for a bucket with the records that are newer here and the names of those that are newer at the sender. */
 export function answerBucket(
 	state: MembersState,
 	request: BucketRequest,
@@ -231,7 +231,7 @@
 	};
 }
 
-/** Handles the records of a bucket, and sends those that are wanted. */
+/** Handles the answer to a bucket request: merges its records and sends those it asks for. */
 export function handleBucketAnswer(
 	state: MembersState,
 	address: string,
--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that keep the leases of the upstreams on the own host.
+ * Helpers for the leases of the upstreams on this host.
  */
 import {
 	maxUpstreamsPerHost,
@@ -15,7 +15,7 @@
 } from '../../members-state.js';
 import {updateSelf} from './records.js';
 
-/** Tells whether a later upstream has taken over the address. */
+/** Returns whether an upstream of a later incarnation has the address. */
 function isSuperseded(
 	state: MembersState,
 	id: string,
@@ -29,7 +29,7 @@
 	);
 }
 
-/** Finds the upstreams whose address a later one has taken over. */
+/** Finds the upstreams of earlier incarnations that had the address. */
 function findSuperseded(
 	state: MembersState,
 	id: string,
@@ -80,7 +80,7 @@
 	return [...upstreams.filter(({id}) => id !== next.id), next];
 }
 
-/** Handles an announcement or its renewal. */
+/** Handles an announcement of an upstream or its renewal. */
 export function announceUpstream(
 	state: MembersState,
 	id: string,
@@ -120,7 +120,7 @@
 		sequence,
 		state: announcement.state,
 	});
-	const known = state.self.upstreams.find((upstream) => upstream.id === id);
+	const current = state.self.upstreams.find((upstream) => upstream.id === id);
 	const isSameIncarnation =
 		lease?.incarnation === incarnation && lease.address === address;
 	const next: Upstream = {
@@ -128,13 +128,13 @@
 		service: formatService({team, service}),
 		slots,
 		state: announcement.state,
-		since: known && isSameIncarnation ? known.since : now,
+		since: current && isSameIncarnation ? current.since : now,
 	};
 	const accepted = {
 		kind: 'announcement' as const,
 		outcome: 'accepted' as const,
 	};
-	if (known && JSON.stringify(known) === JSON.stringify(next)) {
+	if (current && JSON.stringify(current) === JSON.stringify(next)) {
 		return {state: {...state, leases}, effects: [accepted]};
 	}
 
@@ -179,7 +179,7 @@
 	return endLeases(state, new Set([id]), now);
 }
 
-/** Ends leases that were not renewed in time. */
+/** Ends leases that have not been renewed in time. */
 export function expireLeases(state: MembersState, now: number): MembersStep {
 	const ended = [...state.leases].filter(([, lease]) => lease.endsAt <= now);
 	if (ended.length === 0) {
@@ -188,7 +188,7 @@
 
 	const leases = new Map(state.leases);
 	for (const [id, lease] of ended) {
-		// One that leaves is not taken back when it is heard of again.
+		// The lease of a leaving upstream is kept, so that a late announcement does not re-add it.
 		if (lease.state !== 'leaving') {
 			leases.delete(id);
 		}
--- a/src/coordination/_lib/memoize-by-member.test.ts
+++ b/src/coordination/_lib/memoize-by-member.test.ts
@@ -7,27 +7,27 @@
 	createSampleMember({name: `abdali-${index}`}),
 );
 
-test('a changed record costs the work of one record, not of all', () => {
+test('a changed record recomputes only its own result', () => {
 	let computed = 0;
-	const weigh = memoizeByMember(({name, sequence}) => {
+	const describe = memoizeByMember(({name, sequence}) => {
 		computed++;
 		return `${name} ${sequence}`;
 	});
-	const before = members.map((member) => weigh(member));
+	const before = members.map((member) => describe(member));
 	assert.equal(computed, members.length);
 
 	const changed = members.with(7, {...members[7]!, sequence: 1});
-	const after = changed.map((member) => weigh(member));
+	const after = changed.map((member) => describe(member));
 	assert.equal(computed, members.length + 1);
 	assert.deepEqual(after, before.with(7, 'abdali-7 1'));
 });
 
-test('a result that is undefined is kept as well', () => {
+test('an undefined result is memoized', () => {
 	let computed = 0;
-	const weigh = memoizeByMember(() => {
+	const describe = memoizeByMember(() => {
 		computed++;
 	});
-	weigh(members[0]!);
-	weigh(members[0]!);
+	describe(members[0]!);
+	describe(members[0]!);
 	assert.equal(computed, 1);
 });
--- a/src/coordination/_lib/memoize-by-member.ts
+++ b/src/coordination/_lib/memoize-by-member.ts
@@ -1,11 +1,11 @@
 import type {Member} from '../../protocol/member.js';
 
 /**
- * Memoizes a function of a member's record: computed once for each record, so
- * that the work of a new view follows the number of records that changed.
+ * Memoizes a function of a member's record, so that the cost of a new view is
+ * proportional to the number of records that changed.
  *
- * @param compute - the function; depends on nothing but the record
- * @returns the function with its results kept as long as their records
+ * @param compute - the function; must depend on the record only
+ * @returns the memoized function; a result is kept as long as its record
  */
 export function memoizeByMember<T>(
 	compute: (member: Member) => T,
--- a/src/coordination/_lib/order-members.ts
+++ b/src/coordination/_lib/order-members.ts
@@ -9,13 +9,14 @@
  * Orders the live members of a data centre by capacity, and those of the same
  * capacity by rendezvous weight.
  *
- * The place of two members depends on nothing but the two, so all nodes agree
- * and a member that comes or goes leaves the order of the others as it is.
+ * The relative order of two members depends only on these two. All nodes
+ * therefore compute the same order, and a member that joins or leaves does not
+ * change the order of the others.
  *
  * @param members - known members, in any order
  * @param dataCentre - the data centre
- * @param selfName - a node that counts as live whatever its record says
- * @returns its live members; the first ones are the roots
+ * @param selfName - name of a node that counts as live whatever the state in its record
+ * @returns its live members in order; the first ones are the roots
  */
 export function orderMembers(
 	members: readonly Member[],
--- a/src/coordination/compute-bridges.test.ts
+++ b/src/coordination/compute-bridges.test.ts
@@ -21,37 +21,40 @@
 	return Array.from({length: count}, () => capacity);
 }
 
-test('the first bridge has the chance of its capacity', () => {
+test('the chance of a member to be the first bridge is proportional to its capacity', () => {
 	const draws = 1000;
-	let strong = 0;
+	let largeFirstCount = 0;
 	for (let draw = 0; draw < draws; draw++) {
 		const [first] = computeBridges(
 			createMembers(draw, [...repeat(20, 5), ...repeat(2, 100)]),
 		);
-		strong += first?.capacity === 100 ? 1 : 0;
+		largeFirstCount += first?.capacity === 100 ? 1 : 0;
 	}
 
-	// Two strong ones of 100 beside twenty of 5.
+	// Two members of capacity 100 and twenty of capacity 5.
 	const chance = 200 / 300;
 	const deviation = Math.sqrt(draws * chance * (1 - chance));
-	assert.ok(Math.abs(strong - draws * chance) < 3 * deviation, String(strong));
+	assert.ok(
+		Math.abs(largeFirstCount - draws * chance) < 3 * deviation,
+		String(largeFirstCount),
+	);
 });
 
-test('a capacity that is not said counts as usual', () => {
-	const silent = createMembers(1, repeat(12, undefined));
+test('a member without a capacity counts as one of usual capacity', () => {
+	const unstated = createMembers(1, repeat(12, undefined));
 	const usual = createMembers(1, repeat(12, 1000));
 	assert.deepEqual(
-		computeBridges(silent).map(({name}) => name),
+		computeBridges(unstated).map(({name}) => name),
 		computeBridges(usual).map(({name}) => name),
 	);
 });
 
-test('a member that goes replaces no bridge but itself', () => {
+test('a member that leaves changes no other bridge', () => {
 	const members = createMembers(1, [...repeat(20, 5), ...repeat(2, 100)]);
 	const bridges = computeBridges(members);
-	for (const gone of members) {
-		const after = computeBridges(members.filter((member) => member !== gone));
-		const kept = bridges.filter((member) => member !== gone);
+	for (const leaver of members) {
+		const after = computeBridges(members.filter((member) => member !== leaver));
+		const kept = bridges.filter((member) => member !== leaver);
 		assert.deepEqual(after.slice(0, kept.length), kept);
 	}
 });
--- a/src/coordination/compute-bridges.ts
+++ b/src/coordination/compute-bridges.ts
@@ -4,7 +4,7 @@
 
 const hashRange = 2 ** 32;
 
-/** Computes a member's score; the chance to have the highest is in proportion to the capacity. */
+/** Computes a member's score; its chance of the highest score is proportional to its capacity. */
 function computeScore({name, capacity = usualCapacity}: Member): number {
 	const uniform = (computeHash(`bridge ${name}`) + 0.5) / hashRange;
 	return capacity / -Math.log(uniform);
@@ -15,8 +15,8 @@
  * (Schindelhauer and Schomaker, 2005): the members through which it exchanges
  * records with other data centres.
  *
- * Nodes whose views differ may compute different bridges, which costs a few
- * messages more and nothing else.
+ * Nodes whose views differ may compute different bridges, which only costs a few
+ * more messages.
  *
  * @param members - live members of one data centre
  * @returns the bridges, highest score first
--- a/src/coordination/compute-members-view.ts
+++ b/src/coordination/compute-members-view.ts
@@ -18,11 +18,12 @@
 }
 
 /**
- * Computes what the other tasks of a node need to know of the members.
+ * Computes the view of the members that the other tasks of a node use.
  *
- * A data centre is unreachable when every bridge of the own one says so.
+ * A data centre is unreachable when every bridge of the local one reports it as
+ * unreachable.
  *
- * @param state - the node's membership
+ * @param state - the membership state of the node
  * @returns the view
  * @example
  * computeMembersView(state).candidates.get('kitchens/pricebook');
--- a/src/coordination/compute-roots.ts
+++ b/src/coordination/compute-roots.ts
@@ -7,8 +7,8 @@
  *
  * @param members - known members, in any order
  * @param dataCentre - the data centre
- * @param selfName - a node that counts as live whatever its record says
- * @returns the roots, first one first
+ * @param selfName - name of a node that counts as live whatever the state in its record
+ * @returns the roots, the first root first
  * @example
  * computeRoots(members, 'abdali').length; // 2
  */
--- a/src/coordination/create-delivery-state.ts
+++ b/src/coordination/create-delivery-state.ts
@@ -2,11 +2,12 @@
 import type {DeliveryState} from './delivery-state.js';
 
 /**
- * Creates the state of a delivery machine that holds nothing yet.
+ * Creates the state of a delivery state machine that holds only the empty
+ * configuration.
  *
  * @param name - name of the node
  * @param dataCentre - its data centre
- * @returns the state
+ * @returns the initial state
  * @example
  * createDeliveryState('abdali-1', 'abdali').runningVersion; // undefined
  */
--- a/src/coordination/create-members-state.ts
+++ b/src/coordination/create-members-state.ts
@@ -4,11 +4,11 @@
 
 /** Options of `createMembersState`. */
 export type MembersStateOptions = {
-	/** Addresses of seeds from the settings; none by default. */
+	/** Addresses of the seeds in the settings; none by default. */
 	readonly seeds?: readonly string[];
-	/** Wall-clock time in ms; by default the self record's incarnation. */
+	/** Wall-clock time, ms; the incarnation of the node's own record by default. */
 	readonly wallMs?: number;
-	/** How long an announcement counts, ms; `upstreamLeaseMs` when absent. */
+	/** Duration of the lease that an announcement grants, ms; `upstreamLeaseMs` by default. */
 	readonly leaseMs?: number | undefined;
 };
 
@@ -17,10 +17,10 @@
  *
  * @param self - the node's own record
  * @param now - monotonic time in ms
- * @param random - a number from 0 up to 1, which spreads the first read of
+ * @param random - a number from 0 up to 1, the jitter of the first read of
  *   the seeds object
  * @param options - see `MembersStateOptions`
- * @returns the state
+ * @returns the initial state
  * @example
  * createMembersState(self, performance.now(), Math.random()).role; // 'joining'
  */
--- a/src/coordination/delivery-state.ts
+++ b/src/coordination/delivery-state.ts
@@ -1,6 +1,6 @@
 /**
- * State, messages and effects of the machine that keeps a node's
- * configuration current, serves other nodes and reports progress.
+ * State, messages and effects of the state machine that keeps a node's
+ * configuration up to date, serves other nodes and reports progress.
  */
 import type {
 	Configuration,
@@ -25,7 +25,7 @@
 			readonly head: SnapshotHead;
 			readonly texts: readonly string[];
 	  }
-	/** `revision` is that of the first page, from which the watch goes on. */
+	/** `revision` is that of the first page, from which the watch continues. */
 	| {readonly kind: 'catch-up'; readonly revision: number | undefined}
 	| {readonly kind: 'watch'; readonly revision: number};
 
@@ -42,7 +42,7 @@
 			readonly startedAt: number;
 	  };
 
-/** A call in flight; it counts as failed when its time has passed. */
+/** A call in flight; it counts as failed once `endsAt` has passed. */
 export type Call = {readonly purpose: CallPurpose; readonly endsAt: number};
 
 /** A poll that waits for something new. */
@@ -58,24 +58,24 @@
 	readonly receivedAt: number;
 };
 
-/** State of a node's delivery machine; times are monotonic ms. */
+/** State of a node's delivery state machine; times are monotonic ms. */
 export type DeliveryState = {
 	readonly name: string;
 	readonly dataCentre: string;
 	readonly members: readonly Member[];
 	readonly position: Position | undefined;
-	/** Held configurations, oldest first; never empty, the last is newest. */
+	/** Held configurations, oldest first; never empty. */
 	readonly heldConfigurations: readonly Configuration[];
-	/** Version that the node runs; undefined before the first. */
+	/** Version that the node runs; undefined until it runs one. */
 	readonly runningVersion: number | undefined;
-	/** Whether a first version may be run: nothing newer can have been run. */
+	/** Whether a first version may be run, as no newer one can have been run before. */
 	readonly isSettled: boolean;
-	/** Newest version held when the node had settled; the first to run. */
+	/** Newest version held when `isSettled` became true; the lowest version that may be run first. */
 	readonly minStartVersion: number | undefined;
 	/** When a node that knows a safe version first answered. */
 	readonly firstContactAt: number | undefined;
 	readonly safeVersion: number;
-	/** Other nodes' held versions by name. */
+	/** Versions held by other nodes, by name of the node. */
 	readonly holders: ReadonlyMap<
 		string,
 		{readonly version: number; readonly at: number}
@@ -83,7 +83,7 @@
 	readonly entries: readonly LogEntry[];
 	readonly refusal: Refusal | undefined;
 	readonly needsSnapshot: boolean;
-	/** A snapshot that was refused; until then only a newer one is wanted. */
+	/** The last refused snapshot; until the time `until`, polls ask only for a newer one. */
 	readonly refusedSnapshot: {readonly version: number; readonly until: number};
 	readonly source: SourceMode;
 	readonly sourceFailures: number;
@@ -92,11 +92,11 @@
 	readonly nextStartProbeAt: number;
 	readonly pullFailures: number;
 	readonly nextPullAt: number;
-	/** A version that another node has and this one lacks. */
+	/** A version that another node holds and this one lacks. */
 	readonly missingVersion:
 		| {readonly version: number; readonly name: string; readonly since: number}
 		| undefined;
-	/** What the parent, or the other roots, were last told, and when. */
+	/** The last report to the parent or to the other roots, and when it was sent. */
 	readonly lastReport: {readonly text: string; readonly at: number};
 	readonly reportFailures: number;
 	readonly children: ReadonlyMap<string, ChildReport>;
@@ -111,17 +111,17 @@
 	readonly lastCallId: number;
 };
 
-/** How a call to another node ended; the value is not yet checked. */
+/** How a call to another node ended; the value is not yet validated. */
 export type PollOutcome =
 	| {readonly kind: 'answered'; readonly value: unknown}
 	| {readonly kind: 'failed'; readonly reason: string};
 
-/** What the delivery machine can be told. */
+/** Messages to the delivery state machine. */
 export type DeliveryMessage =
 	| {readonly kind: 'view'; readonly members: readonly Member[]}
 	| {readonly kind: 'tick'}
 	| {readonly kind: 'entries'; readonly entries: readonly LogEntry[]}
-	/** Another node was heard to hold a version. */
+	/** Another node is reported to hold a version. */
 	| {readonly kind: 'holder'; readonly name: string; readonly version: number}
 	| {readonly kind: 'poll'; readonly pollId: number; readonly poll: Poll}
 	| {
@@ -135,7 +135,7 @@
 			readonly outcome: PollOutcome;
 	  };
 
-/** What the delivery machine asks of its task. */
+/** Effects that the task of the delivery state machine carries out. */
 export type DeliveryEffect =
 	| {
 			readonly kind: 'call';
@@ -149,7 +149,7 @@
 			readonly poll: Poll;
 			readonly timeoutMs: number;
 			/** Whether to open a new connection. */
-			readonly isFresh: boolean;
+			readonly needsNewConnection: boolean;
 	  }
 	| {
 			readonly kind: 'answer';
@@ -164,7 +164,7 @@
 			readonly fields: Readonly<Record<string, unknown>>;
 	  };
 
-/** Result of one step of the delivery machine. */
+/** Result of one step of the delivery state machine. */
 export type DeliveryStep = {
 	readonly state: DeliveryState;
 	readonly effects: readonly DeliveryEffect[];
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -10,22 +10,22 @@
 import type {MemberTable} from '../state/member-table.js';
 
 /**
- * Part that the node takes: `joining` until it has its data centre's records,
+ * Role of the node: `joining` until it has the records of its data centre,
  * `refused` while another live host has its name.
  */
 export type MembersRole = 'joining' | 'member' | 'refused' | 'left';
 
-/** Lease of an upstream on the own host, or what is left of an ended one. */
+/** Lease of an upstream on this host, or the tombstone of an ended one. */
 export type UpstreamLease = {
 	readonly endsAt: number;
 	readonly incarnation: number;
 	readonly address: string;
-	/** Number of the last announcement. */
+	/** Sequence number of the last announcement. */
 	readonly sequence: number;
 	readonly state: Announcement['state'] | 'ended';
 };
 
-/** The member whose probe awaits its result. */
+/** A probe of a member that is in progress. */
 export type Probe = {
 	readonly name: string;
 	readonly address: string;
@@ -33,39 +33,39 @@
 	readonly endsAt: number;
 };
 
-/** A comparison of records with another member, bucket by bucket. */
+/** A sync of records with another member, bucket by bucket. */
 export type Sync = {
 	readonly address: string;
 	readonly startedAt: number;
 	readonly remaining: ReadonlyArray<readonly [string, number]>;
 };
 
-/** What a bridge knows of its contact with another data centre. */
+/** State of the contact of a bridge with another data centre; times are monotonic ms. */
 export type DataCentreContact = {
 	readonly pingedAt: number;
 	readonly answeredAt: number;
 	readonly hasFailed: boolean;
-	/** When records that did not arrive were last sent to others, ms. */
+	/** When records that failed to arrive were last resent to other members. */
 	readonly resentAt: number;
 };
 
-/** What is known of the seeds object in the platform. */
+/** Known seeds and the state of reading the seeds object in the platform. */
 export type SeedsState = {
-	/** Seeds from the settings. */
+	/** Addresses of the seeds in the settings. */
 	readonly configuredAddresses: readonly string[];
 	readonly addresses: readonly string[];
 	readonly failures: number;
-	/** Whether the last read was answered. */
+	/** Whether the last read of the object was answered. */
 	readonly isAvailable: boolean;
-	/** Size of the own data centre as last written. */
+	/** Number of members of the local data centre, as last written to the object. */
 	readonly memberCount: number;
 	/** When the object is next read, monotonic ms. */
 	readonly nextReadAt: number;
-	/** When the next member is asked for its records, monotonic ms. */
+	/** When a sync with a seed may next be started, monotonic ms. */
 	readonly nextJoinAt: number;
 };
 
-/** Bounds whose windows begin anew each second. */
+/** State of the rate limits; times are monotonic ms. */
 export type RateLimitState = {
 	readonly bucketWindowStartedAt: number;
 	readonly bucketAnswers: number;
@@ -75,7 +75,7 @@
 	readonly spreadRecords: number;
 };
 
-/** Another host that seems to have the own name, while it is asked. */
+/** A check of another host that seems to have the name of this node. */
 export type NameCheck = {
 	readonly address: string;
 	readonly incarnation: number;
@@ -87,38 +87,38 @@
 	readonly self: Member;
 	readonly role: MembersRole;
 	readonly startedMs: number;
-	/** How long an announcement counts, ms. */
+	/** Duration of the lease that an announcement grants, ms. */
 	readonly leaseMs: number;
 	readonly startedAt: number;
-	/** Wall-clock time less monotonic time, ms. */
+	/** Wall-clock time minus monotonic time, ms. */
 	readonly wallOffsetMs: number;
 	/** Records of other members. */
 	readonly table: MemberTable;
-	/** When each suspected member of the own data centre is declared dead. */
+	/** When each suspect member of the local data centre is marked as dead. */
 	readonly suspicions: ReadonlyMap<string, number>;
-	/** When each dead or departed member is forgotten. */
+	/** When each dead or left member is removed. */
 	readonly tombstones: ReadonlyMap<string, number>;
-	/** Names of changed records and how often each is still to be sent. */
+	/** Names of changed records and how many more times each is piggybacked. */
 	readonly pendingUpdates: ReadonlyMap<string, number>;
-	/** Names of changed records not yet spread at once. */
+	/** Names of changed records to send with the next spread. */
 	readonly pendingSpread: ReadonlySet<string>;
-	/** Names of changed records of the own data centre, for the others. */
+	/** Names of changed records to relay to other data centres. */
 	readonly pendingRelays: ReadonlySet<string>;
 	readonly leases: ReadonlyMap<string, UpstreamLease>;
 	readonly probe: Probe | undefined;
-	/** Names still to be probed in this round. */
+	/** Names of the members still to be probed in this round. */
 	readonly probeOrder: readonly string[];
 	readonly sync: Sync | undefined;
-	/** Whether the last comparison ended before its last bucket. */
+	/** Whether the last sync was aborted before its last bucket. */
 	readonly isSyncIncomplete: boolean;
 	readonly contacts: ReadonlyMap<string, DataCentreContact>;
 	readonly seeds: SeedsState;
-	/** Relayed probes: target's name to the addresses that asked. */
+	/** Addresses of the members that asked for a probe, by name of the probed member. */
 	readonly relayedProbes: ReadonlyMap<string, readonly string[]>;
 	readonly rateLimits: RateLimitState;
 	readonly nameCheck: NameCheck | undefined;
 	readonly lastStepAt: number;
-	/** When the process last woke from a pause, monotonic ms. */
+	/** When the process last resumed after a pause, monotonic ms. */
 	readonly resumedAt: number;
 	readonly isSpreadScheduled: boolean;
 };
@@ -130,13 +130,13 @@
 			readonly addresses: readonly string[];
 			readonly memberCount: number;
 			readonly writtenMs: number;
-			/** Version of the own data centre's object, when there is one. */
+			/** Version of the local data centre's object, if it exists. */
 			readonly version: number | undefined;
 			readonly localAddresses: readonly string[];
 	  }
 	| {readonly kind: 'unavailable'};
 
-/** What a membership task can be told. */
+/** Messages to the membership state machine. */
 export type MembersMessage =
 	| {
 			readonly kind: 'announce';
@@ -161,17 +161,17 @@
 	| {readonly kind: 'leave'}
 	| {readonly kind: 'tick'};
 
-/** What the task is to do. */
+/** Effects that the membership task carries out. */
 export type MembersEffect =
-	/** Send a request; its answer or failure comes back as a message. */
+	/** Sends a request, whose answer or failure is passed back as a message. */
 	| {
 			readonly kind: 'send';
 			readonly address: string;
 			readonly request: Exchange;
 	  }
-	/** Answer the request that is being handled. */
+	/** Answers the request being handled. */
 	| {readonly kind: 'answer'; readonly answer: ExchangeAnswer}
-	/** Come back with a `spread` message after a delay. */
+	/** Passes back a `spread` message after a delay. */
 	| {readonly kind: 'schedule-spread'; readonly delayMs: number}
 	| {readonly kind: 'read-seeds'}
 	| {
@@ -180,7 +180,7 @@
 			readonly memberCount: number;
 			readonly version: number | undefined;
 	  }
-	/** Whether an announcement counted; an ignored one must change nothing. */
+	/** Reports whether an announcement was accepted; an ignored one must have no effect. */
 	| {
 			readonly kind: 'announcement';
 			readonly outcome: 'accepted' | 'ignored';
@@ -192,7 +192,7 @@
 			readonly member: string;
 	  };
 
-/** Result of one step. */
+/** Result of one step of the membership state machine. */
 export type MembersStep = {
 	readonly state: MembersState;
 	readonly effects: readonly MembersEffect[];
--- a/src/coordination/step-delivery.test.ts
+++ b/src/coordination/step-delivery.test.ts
@@ -69,7 +69,7 @@
 	return {state: step.state, effects: [...run.effects, ...step.effects]};
 }
 
-/** A child that has version 1 and waits for its parent's next answer. */
+/** Creates a child that holds version 1 and has a poll of its parent in flight. */
 function createChild(): Run {
 	let run: Run = {state: createDeliveryState('e', 'abdali'), effects: []};
 	for (const name of names) {
@@ -147,28 +147,28 @@
 ];
 
 for (const [what, answer] of badAnswers) {
-	test(`${what} is refused, changes nothing, and is made good by a snapshot`, () => {
+	test(`${what} is rejected, changes nothing held, and is recovered from by a snapshot`, () => {
 		const before = createChild();
 		assert.equal(before.state.heldConfigurations.at(-1)?.version, 1);
-		const refused = answerPull(before, {...fields, ...answer});
+		const rejected = answerPull(before, {...fields, ...answer});
 		assert.equal(
-			refused.state.heldConfigurations.at(-1),
+			rejected.state.heldConfigurations.at(-1),
 			before.state.heldConfigurations.at(-1),
 		);
-		assert.equal(refused.state.runningVersion, before.state.runningVersion);
+		assert.equal(rejected.state.runningVersion, before.state.runningVersion);
 
-		const polled = applyMessage(refused, {kind: 'tick'}, 6000);
+		const polled = applyMessage(rejected, {kind: 'tick'}, 6000);
 		assert.equal(findLastPoll(polled).poll.wantSnapshot, true);
 		const configuration = configurations[4];
 		const value = {...fields, kind: 'snapshot', configuration};
-		const mended = answerPull(polled, value, 6010);
-		assert.equal(mended.state.heldConfigurations.at(-1)?.version, 4);
-		assert.equal(mended.state.refusal, undefined);
-		assert.equal(mended.state.runningVersion, 4);
+		const recovered = answerPull(polled, value, 6010);
+		assert.equal(recovered.state.heldConfigurations.at(-1)?.version, 4);
+		assert.equal(recovered.state.refusal, undefined);
+		assert.equal(recovered.state.runningVersion, 4);
 	});
 }
 
-test('a refused entry is logged and reported upward with its reason', () => {
+test('a rejected entry is logged and reported to the parent with its problem', () => {
 	const wrong = {...second, digest: third.digest};
 	const run = answerPull(createChild(), {
 		...fields,
@@ -176,14 +176,16 @@
 		entries: [wrong],
 	});
 	const log = run.effects.find(({kind}) => kind === 'log');
-	assert.ok(log?.kind === 'log' && log.message === 'version refused');
+	assert.ok(
+		log?.kind === 'log' && log.message === 'configuration version rejected',
+	);
 	const polled = applyMessage(run, {kind: 'tick'}, 6000);
 	const [refusal] = findLastPoll(polled).poll.progress!.refusals;
 	assert.equal(refusal?.version, 2);
 	assert.equal(refusal?.problem.code, 'digest');
 });
 
-test('a child whose parent is silent asks another on a new connection', () => {
+test('a child whose parent does not answer polls another node on a new connection', () => {
 	let run = createChild();
 	const first = findLastPoll(run);
 	for (let now = 100; now <= 8000; now += 200) {
@@ -191,6 +193,6 @@
 	}
 
 	const later = findLastPoll(run);
-	assert.equal(first.isFresh, false);
-	assert.equal(later.isFresh, true);
+	assert.equal(first.needsNewConnection, false);
+	assert.equal(later.needsNewConnection, true);
 });
--- a/src/coordination/step-delivery.ts
+++ b/src/coordination/step-delivery.ts
@@ -42,9 +42,9 @@
 export type DeliveryOptions = {
 	/** Monotonic ms since the epoch. */
 	readonly now: number;
-	/** Seeded or real source of numbers from 0 up to 1. */
+	/** Source of random numbers from 0 up to 1; seeded in simulations. */
 	readonly random: () => number;
-	/** Rules that differ from the defaults, which are the named constants. */
+	/** Rules that override the defaults, which are the named constants. */
 	readonly rules?: Partial<DeliveryRules>;
 };
 
@@ -84,7 +84,7 @@
 				? {
 						kind: 'poll-answer',
 						callId,
-						outcome: {kind: 'failed', reason: 'overdue'},
+						outcome: {kind: 'failed', reason: 'timed out'},
 					}
 				: {kind: 'platform-answer', callId, outcome: {kind: 'unavailable'}};
 		const next = handleMessage(step.state, message, context);
@@ -165,14 +165,14 @@
 }
 
 /**
- * Advances a node's delivery machine by one message.
+ * Advances a node's delivery state machine by one message.
  *
- * After each message the machine raises the version that is safe, runs what
- * it may, answers waiting polls, and starts every call that it should have in
- * flight. A root reads the platform; a child polls its parent; whoever hears
- * of a version that it still lacks after a while asks the node that has it.
+ * After each message the machine raises the safe version, runs the newest version
+ * that may be run, answers waiting polls, and starts every call that should be
+ * in flight. A root reads the platform, and a child polls its parent. A node
+ * that still lacks a version after `repairAfterMs` polls the node that holds it.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @param options - see `DeliveryOptions`
  * @returns the state after and the effects to carry out
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -85,7 +85,7 @@
 	return {kind: 'request' as const, request};
 }
 
-test('a leaving upstream stays so within its incarnation', () => {
+test('a leaving upstream does not become ready again within its incarnation', () => {
 	const cases: ReadonlyArray<
 		readonly [string, ReadonlyArray<Partial<Announcement> | 'withdraw'>, string]
 	> = [
@@ -93,10 +93,10 @@
 		['leaves', [{}, {state: 'leaving'}], 'leaving'],
 		['late ready after leaving', [{}, {state: 'leaving'}, {}], 'leaving'],
 		['late ready after withdrawal', [{}, 'withdraw', {}], ''],
-		['new life', [{}, {state: 'leaving'}, {incarnation: 2}], 'ready'],
+		['new incarnation', [{}, {state: 'leaving'}, {incarnation: 2}], 'ready'],
 		['new address', [{}, {state: 'leaving'}, {address: '10.0.0.1:9'}], 'ready'],
 		[
-			'old life after the new',
+			'old incarnation after the new',
 			[{incarnation: 2}, {incarnation: 1, state: 'leaving'}],
 			'ready',
 		],
@@ -119,7 +119,7 @@
 	}
 });
 
-test('a process that wakes does not speak for a lapsed lease', () => {
+test('a process that resumes after a pause does not announce an expired lease', () => {
 	const announced = announce(createState(), {}, 0).state;
 	const asked = step(announced, ping([]), 4000);
 	assert.deepEqual(asked.state.self.upstreams, []);
@@ -129,17 +129,17 @@
 	assert.equal(renewed.state.self.upstreams.length, 1);
 });
 
-test('an upstream that leaves and falls silent is not taken back in the same life', () => {
-	const said = announce(createState(), {state: 'leaving'}, 0).state;
-	const lapsed = step(said, {kind: 'tick'}, 4000).state;
-	assert.deepEqual(lapsed.self.upstreams, []);
-	const late = announce(lapsed, {}, 6000).state;
+test('a leaving upstream whose lease expired is not re-added in the same incarnation', () => {
+	const announced = announce(createState(), {state: 'leaving'}, 0).state;
+	const expired = step(announced, {kind: 'tick'}, 4000).state;
+	assert.deepEqual(expired.self.upstreams, []);
+	const late = announce(expired, {}, 6000).state;
 	assert.deepEqual(late.self.upstreams, []);
 	const next = announce(late, {incarnation: 2}, 6000).state;
 	assert.equal(next.self.upstreams.length, 1);
 });
 
-test('claims about the own node are refuted at a bounded rate', () => {
+test('claims about the local node are refuted at a bounded rate', () => {
 	const claim = (incarnation: number): MemberRecord => ({
 		...record,
 		name: 'abdali-1',
@@ -155,30 +155,30 @@
 	assert.equal(third.self.incarnation, wallMs + 2);
 });
 
-test('records from too far ahead are dropped', () => {
+test('records with an incarnation too far in the future are dropped', () => {
 	const future = {...record, incarnation: wallMs + 2 * maxIncarnationAheadMs};
 	const {state} = step(createState(), ping([future]), 10);
 	assert.deepEqual(listMembers(state.table), []);
 });
 
-test('the later of two live hosts with one name takes no part', () => {
-	const twin = {name: 'abdali-1', address: '10.0.0.9:8081'};
+test('the later of two live hosts with the same name is refused', () => {
+	const rival = {name: 'abdali-1', address: '10.0.0.9:8081'};
 	const earlier = step(
 		createState(),
-		ping([], {...twin, startedMs: wallMs + 5}),
+		ping([], {...rival, startedMs: wallMs + 5}),
 		10,
 	);
 	assert.equal(earlier.state.role, 'member');
 	const later = step(
 		createState(),
-		ping([], {...twin, startedMs: wallMs - 5}),
+		ping([], {...rival, startedMs: wallMs - 5}),
 		10,
 	);
 	assert.equal(later.state.role, 'refused');
 	assert.ok(later.effects.some(({kind}) => kind === 'log'));
 });
 
-test('a candidate is dated on the own clock and suspects come last', () => {
+test('a candidate is dated on the local clock, and suspect hosts are not candidates', () => {
 	const upstream = {
 		id: 'u',
 		service: 'kitchens/pricebook',
--- a/src/coordination/step-members.ts
+++ b/src/coordination/step-members.ts
@@ -18,7 +18,7 @@
 
 type Random = () => number;
 
-/** Delays every judgement of others by the time that the process stood still. */
+/** After a pause of the process, extends the deadlines of suspicions and contacts by its duration. */
 function adjustForPause(state: MembersState, now: number): MembersState {
 	const gapMs = now - state.lastStepAt;
 	if (gapMs < upstreamLeaseMs) {
@@ -42,7 +42,7 @@
 	};
 }
 
-/** Spreads a change of the own record without the delay that collects more. */
+/** Spreads a change of this node's record at once, without the delay that batches changes. */
 function spreadAtOnce(
 	before: MembersState,
 	step: MembersStep,
@@ -110,14 +110,14 @@
 /**
  * Advances a node's membership by one message.
  *
- * Leases that have ended are withdrawn before anything is said, so a process
- * that was paused does not speak for them when it wakes.
+ * Expired leases are withdrawn before the message is handled, so that a process
+ * that resumes after a pause does not announce their upstreams.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @param now - monotonic time in ms
- * @param random - source of numbers from 0 up to 1
- * @returns the state after, and what the task is to do
+ * @param random - source of random numbers from 0 up to 1
+ * @returns the state after and the effects to carry out
  * @example
  * stepMembers(state, {kind: 'tick'}, 1000, Math.random).effects;
  */
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -51,7 +51,7 @@
 	 * Whether an answer to another request is found out; if not, which is assumed,
 	 * idle connections are read before one of them is used again.
 	 */
-	readonly areAnswersIdentified?: boolean;
+	readonly areResponsesIdentified?: boolean;
 	/** Called before the first byte may leave, unless it was aborted before. */
 	readonly onSend?: (() => void) | undefined;
 	/** Called when the last byte has been handed to the connection. */
@@ -111,8 +111,8 @@
 			this.#resolve = resolve;
 		});
 		this.#onSend = options.onSend;
-		const {areAnswersIdentified = false} = options;
-		if (areAnswersIdentified || !hasIdleConnection(options)) {
+		const {areResponsesIdentified = false} = options;
+		if (areResponsesIdentified || !hasIdleConnection(options)) {
 			this.#start(outgoing, options);
 		} else {
 			void this.#startOnceRead(outgoing, options);
