--- a/src/coordination/_lib/delivery/delivery-context.ts
+++ b/src/coordination/_lib/delivery/delivery-context.ts
@@ -13,11 +13,20 @@
 
 /** Rules of configuration delivery; the defaults are the named constants. */
 export type DeliveryRules = {
-	/** Number of other hosts of the data centre that must hold a version before it is run. */
+	/**
+	 * Number of other hosts of the data centre that must hold a version before it
+	 * is run.
+	 */
 	readonly requiredHolders: number;
-	/** Time from the first answer of a node that knows a safe version to the first run, while the platform cannot be read, ms. */
+	/**
+	 * Time from the first answer of a node that knows a safe version to the first
+	 * run, while the platform cannot be read, ms.
+	 */
 	readonly settleMs: number;
-	/** Time for which a node waits for a version that a peer holds before it asks that peer, ms. */
+	/**
+	 * Time for which a node waits for a version that a peer holds before it asks
+	 * that peer, ms.
+	 */
 	readonly repairAfterMs: number;
 	/** Interval of a root's reads of the next log slot, ms. */
 	readonly probeIntervalMs: number;
--- a/src/coordination/_lib/delivery/handle-peer.ts
+++ b/src/coordination/_lib/delivery/handle-peer.ts
@@ -36,7 +36,10 @@
 	};
 }
 
-/** Raises the safe version to the one reported by a node of the same data centre; reports of others are ignored. */
+/**
+ * Raises the safe version to the one reported by a node of the same data
+ * centre; reports of others are ignored.
+ */
 function recordSafeVersion(
 	state: DeliveryState,
 	name: string,
--- a/src/coordination/_lib/delivery/plan-calls.ts
+++ b/src/coordination/_lib/delivery/plan-calls.ts
@@ -204,7 +204,10 @@
 		: {state, effects: noEffects};
 };
 
-/** Lists the members to which a node reports its progress outside its long polls: its parent, or the other roots. */
+/**
+ * Lists the members to which a node reports its progress outside its long
+ * polls: its parent, or the other roots.
+ */
 function listReportReceivers(state: DeliveryState): readonly Member[] {
 	const {position} = state;
 	if (position?.kind === 'child') {
--- a/src/coordination/_lib/delivery/report-status.ts
+++ b/src/coordination/_lib/delivery/report-status.ts
@@ -54,7 +54,10 @@
 	};
 }
 
-/** Reads or writes the data centre's status when that is due; only the first root does so. */
+/**
+ * Reads or writes the data centre's status when that is due; only the first
+ * root does so.
+ */
 export const planStatus: DeliveryAction = (state, context) => {
 	const {now} = context;
 	const {position, status} = state;
--- a/src/coordination/_lib/delivery/start-poll.ts
+++ b/src/coordination/_lib/delivery/start-poll.ts
@@ -17,9 +17,15 @@
 export type PollOptions = {
 	readonly kind: 'pull' | 'repair' | 'report';
 	readonly waitMs: number;
-	/** Whether the poll carries the progress of this node as a child of the polled one. */
+	/**
+	 * Whether the poll carries the progress of this node as a child of the polled
+	 * one.
+	 */
 	readonly isChild: boolean;
-	/** Whether to open a new connection, as the present one may no longer transfer data. */
+	/**
+	 * Whether to open a new connection, as the present one may no longer transfer
+	 * data.
+	 */
 	readonly needsNewConnection: boolean;
 };
 
@@ -68,7 +74,9 @@
 	};
 }
 
-/** Formats what a node reports to others as text, by which changes are detected. */
+/**
+ * Formats what a node reports to others as text, by which changes are detected.
+ */
 export function formatReport(state: DeliveryState): string {
 	const {version} = findNewestConfiguration(state);
 	return JSON.stringify([version, state.safeVersion, computeProgress(state)]);
--- a/src/coordination/_lib/members/bridges.ts
+++ b/src/coordination/_lib/members/bridges.ts
@@ -183,7 +183,10 @@
 	return {state: synced.state, effects: [...effects, ...synced.effects]};
 }
 
-/** Records an answer of another data centre; starts a sync if the last request to it had failed. */
+/**
+ * Records an answer of another data centre; starts a sync if the last request
+ * to it had failed.
+ */
 export function recordContactAnswer(
 	state: MembersState,
 	dataCentre: string,
--- a/src/coordination/_lib/members/identity.ts
+++ b/src/coordination/_lib/members/identity.ts
@@ -129,7 +129,11 @@
 	return {state: next, effects};
 }
 
-/** Ends a name check whose host did not answer, or answered under another name, and reclaims this node's name. */
+/**
+ * Ends a name check whose host did not answer or answered under another name;
+ * refutes the checked claim, unless this node is not refused and its
+ * incarnation is already higher.
+ */
 export function endNameCheck(
 	state: MembersState,
 	address: string,
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -37,7 +37,10 @@
 		: {state, effects: []};
 }
 
-/** Becomes a member once the records of the local data centre have been received. */
+/**
+ * Becomes a member once the records of the local data centre have been
+ * received.
+ */
 export function finishJoin(state: MembersState): MembersStep {
 	const isAwaited = state.sync?.remaining.some(
 		([dataCentre]) => dataCentre === state.self.dataCentre,
@@ -73,7 +76,10 @@
 	return pickRandomItems(pool, 1, random)[0];
 }
 
-/** Starts a sync with a seed while the node is joining, knows no local peer, or has an incomplete sync. */
+/**
+ * Starts a sync with a seed while the node is joining, knows no local peer, or
+ * has an incomplete sync.
+ */
 export function startSeedSync(
 	state: MembersState,
 	now: number,
@@ -112,7 +118,10 @@
 		: {state, effects: []};
 }
 
-/** Reads the seeds object when that is due, on a node that knows no local peer and on the first bridge. */
+/**
+ * Reads the seeds object when that is due, on a node that knows no local peer
+ * and on the first bridge.
+ */
 export function refreshSeeds(
 	state: MembersState,
 	now: number,
--- a/src/coordination/_lib/members/merge.ts
+++ b/src/coordination/_lib/members/merge.ts
@@ -39,7 +39,10 @@
 	return largest < maxMembersPerDataCentre / bucketsPerDataCentre;
 }
 
-/** Merges records received from another member; records that exceed a limit are dropped. */
+/**
+ * Merges records received from another member; records that exceed a limit are
+ * dropped.
+ */
 export function mergeRecords(
 	state: MembersState,
 	records: readonly MemberRecord[],
--- a/src/coordination/_lib/members/period.ts
+++ b/src/coordination/_lib/members/period.ts
@@ -33,7 +33,10 @@
 	return startSync(state, target.address, now);
 }
 
-/** Pings a random dead member, on average once per `syncPeriodMs`, as it may only have been partitioned. */
+/**
+ * Pings a random dead member, on average once per `syncPeriodMs`, as it may
+ * only have been partitioned.
+ */
 function pingDeadMember(
 	state: MembersState,
 	now: number,
--- a/src/coordination/_lib/members/probe.ts
+++ b/src/coordination/_lib/members/probe.ts
@@ -46,7 +46,10 @@
 	return changeState(state, names, {from: 'suspect', to: 'dead'}, now);
 }
 
-/** Marks the probed member as suspect when neither a direct nor an indirect probe was answered in time. */
+/**
+ * Marks the probed member as suspect when neither a direct nor an indirect
+ * probe was answered in time.
+ */
 export function expireProbe(state: MembersState, now: number): MembersStep {
 	const {probe} = state;
 	if (!probe || probe.endsAt > now) {
@@ -61,7 +64,10 @@
 	);
 }
 
-/** Probes the next member of the round; a round visits all local peers in random order. */
+/**
+ * Probes the next member of the round; a round visits all local peers in random
+ * order.
+ */
 export function startProbe(
 	state: MembersState,
 	now: number,
@@ -106,7 +112,9 @@
 	return state.probe?.name === name ? {...state, probe: undefined} : state;
 }
 
-/** Asks other members to probe a member that did not answer the direct probe. */
+/**
+ * Asks other members to probe a member that did not answer the direct probe.
+ */
 export function startIndirectProbes(
 	state: MembersState,
 	address: string,
--- a/src/coordination/_lib/members/records.ts
+++ b/src/coordination/_lib/members/records.ts
@@ -18,7 +18,10 @@
 } from '../../members-state.js';
 import {isLive} from './send.js';
 
-/** Counts the members of the local data centre in any state, including this node. */
+/**
+ * Counts the members of the local data centre in any state, including this
+ * node.
+ */
 export function countLocalMembers(state: MembersState): number {
 	const buckets = state.table.get(state.self.dataCentre) ?? [];
 	return buckets.reduce((sum, {members}) => sum + members.size, 1);
@@ -79,7 +82,10 @@
 	return suspicionMultiplier * scale * membersPeriodMs;
 }
 
-/** Stores records, updates suspicions and tombstones to match, and queues the records for sending. */
+/**
+ * Stores records, updates suspicions and tombstones to match, and queues the
+ * records for sending.
+ */
 export function putRecords(
 	state: MembersState,
 	records: readonly Member[],
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -18,7 +18,10 @@
 } from './send.js';
 import {answerBucket, answerDigests} from './sync.js';
 
-/** Answers a ping: sends back the record held of the sender if it is wrong, and asks for a newer one if there is one. */
+/**
+ * Answers a ping: sends back the record held of the sender if it is wrong, and
+ * asks for a newer one if there is one.
+ */
 function answerPing(
 	state: MembersState,
 	from: Sender,
@@ -67,7 +70,10 @@
 		: {state, effects: []};
 }
 
-/** Records the sender as a seed while no record of the local data centre is known. */
+/**
+ * Records the sender as a seed while no record of the local data centre is
+ * known.
+ */
 function recordCaller(state: MembersState, from: Sender): MembersState {
 	const {addresses} = state.seeds;
 	const isKnown = addresses.includes(from.address);
--- a/src/coordination/_lib/members/resend.ts
+++ b/src/coordination/_lib/members/resend.ts
@@ -77,7 +77,10 @@
 	return {state: bypassed.state, effects: [...scheduled, ...bypassed.effects]};
 }
 
-/** Resends records to other members of a data centre, at a bounded rate and until the data centre counts as unreachable. */
+/**
+ * Resends records to other members of a data centre, at a bounded rate and
+ * until the data centre counts as unreachable.
+ */
 function resendToDataCentre(
 	state: MembersState,
 	dataCentre: string,
--- a/src/coordination/_lib/members/spread.ts
+++ b/src/coordination/_lib/members/spread.ts
@@ -49,7 +49,10 @@
 	};
 }
 
-/** Sends pending changes to a few local peers and, on a bridge, to other data centres. */
+/**
+ * Sends pending changes to a few local peers and, on a bridge, to other data
+ * centres.
+ */
 export function spreadChanges(
 	state: MembersState,
 	now: number,
--- a/src/coordination/_lib/members/sync.ts
+++ b/src/coordination/_lib/members/sync.ts
@@ -34,7 +34,9 @@
 type BucketRequest = Extract<Exchange, {readonly kind: 'bucket'}>;
 type BucketAnswer = Extract<ExchangeAnswer, {readonly kind: 'bucket'}>;
 
-/** Returns the table of members, with this node's record once it is a member. */
+/**
+ * Returns the table of members, with this node's record once it is a member.
+ */
 function createFullTable(state: MembersState): MemberTable {
 	return state.role === 'member'
 		? putMembers(state.table, [state.self])
@@ -79,7 +81,10 @@
 	};
 }
 
-/** Answers a sync request with the bucket digests of the data centres that differ. */
+/**
+ * Answers a sync request with the bucket digests of the data centres that
+ * differ.
+ */
 export function answerDigests(
 	state: MembersState,
 	request: DigestsRequest,
@@ -140,20 +145,26 @@
 	};
 }
 
-/** Aborts a sync; the remaining buckets are covered by a new sync with another member. */
+/**
+ * Aborts a sync; the remaining buckets are covered by a new sync with another
+ * member.
+ */
 export function abortSync(state: MembersState): MembersState {
 	return state.sync
 		? {...state, sync: undefined, isSyncIncomplete: true}
 		: state;
 }
 
-/** Handles the digests of another member and requests the buckets that differ, those of the local data centre first. */
+/**
+ * Handles the digests of another member and requests the buckets that differ,
+ * those of the local data centre first.
+ */
 export function compareDigests(
 	state: MembersState,
 	answer: DigestsAnswer,
 ): MembersStep {
 	const table = createFullTable(state);
-	const own = state.self.dataCentre;
+	const localDataCentre = state.self.dataCentre;
 	const differing = Object.entries(answer.buckets).flatMap(
 		([dataCentre, theirs]) =>
 			listDigests(table, dataCentre).flatMap((digest, bucket) =>
@@ -161,8 +172,8 @@
 			),
 	);
 	const remaining = [
-		...differing.filter(([dataCentre]) => dataCentre === own),
-		...differing.filter(([dataCentre]) => dataCentre !== own),
+		...differing.filter(([dataCentre]) => dataCentre === localDataCentre),
+		...differing.filter(([dataCentre]) => dataCentre !== localDataCentre),
 	].slice(0, maxBucketsPerSync);
 	const sync = state.sync && {...state.sync, remaining};
 	return continueSync({...state, sync});
@@ -180,7 +191,10 @@
 	return mergeMember(member, theirs) !== member;
 }
 
-/** Answers a request for a bucket with the records that are newer here and the names of those that are newer at the sender. */
+/**
+ * Answers a request for a bucket with the records that are newer here and the
+ * names of those that are newer at the sender.
+ */
 export function answerBucket(
 	state: MembersState,
 	request: BucketRequest,
@@ -231,7 +245,10 @@
 	};
 }
 
-/** Handles the answer to a bucket request: merges its records and sends those it asks for. */
+/**
+ * Handles the answer to a bucket request: merges its records and sends those it
+ * asks for.
+ */
 export function handleBucketAnswer(
 	state: MembersState,
 	address: string,
--- a/src/coordination/compute-bridges.ts
+++ b/src/coordination/compute-bridges.ts
@@ -4,7 +4,10 @@
 
 const hashRange = 2 ** 32;
 
-/** Computes a member's score; its chance of the highest score is proportional to its capacity. */
+/**
+ * Computes a member's score; its chance of the highest score is proportional to
+ * its capacity.
+ */
 function computeScore({name, capacity = usualCapacity}: Member): number {
 	const uniform = (computeHash(`bridge ${name}`) + 0.5) / hashRange;
 	return capacity / -Math.log(uniform);
--- a/src/coordination/create-members-state.ts
+++ b/src/coordination/create-members-state.ts
@@ -6,9 +6,14 @@
 export type MembersStateOptions = {
 	/** Addresses of the seeds in the settings; none by default. */
 	readonly seeds?: readonly string[];
-	/** Wall-clock time, ms; the incarnation of the node's own record by default. */
+	/**
+	 * Wall-clock time, ms; the incarnation of the node's own record by default.
+	 */
 	readonly wallMs?: number;
-	/** Duration of the lease that an announcement grants, ms; `upstreamLeaseMs` by default. */
+	/**
+	 * Duration of the lease that an announcement grants, ms; `upstreamLeaseMs` by
+	 * default.
+	 */
 	readonly leaseMs?: number | undefined;
 };
 
--- a/src/coordination/delivery-state.ts
+++ b/src/coordination/delivery-state.ts
@@ -68,9 +68,15 @@
 	readonly heldConfigurations: readonly Configuration[];
 	/** Version that the node runs; undefined until it runs one. */
 	readonly runningVersion: number | undefined;
-	/** Whether a first version may be run, as no newer one can have been run before. */
+	/**
+	 * Whether a first version may be run, as no newer one can have been run
+	 * before.
+	 */
 	readonly isSettled: boolean;
-	/** Newest version held when `isSettled` became true; the lowest version that may be run first. */
+	/**
+	 * Newest version held when `isSettled` became true; the lowest version that
+	 * may be run first.
+	 */
 	readonly minStartVersion: number | undefined;
 	/** When a node that knows a safe version first answered. */
 	readonly firstContactAt: number | undefined;
@@ -83,7 +89,10 @@
 	readonly entries: readonly LogEntry[];
 	readonly refusal: Refusal | undefined;
 	readonly needsSnapshot: boolean;
-	/** The last refused snapshot; until the time `until`, polls ask only for a newer one. */
+	/**
+	 * The last refused snapshot; until the time `until`, polls ask only for a
+	 * newer one.
+	 */
 	readonly refusedSnapshot: {readonly version: number; readonly until: number};
 	readonly source: SourceMode;
 	readonly sourceFailures: number;
@@ -96,7 +105,9 @@
 	readonly missingVersion:
 		| {readonly version: number; readonly name: string; readonly since: number}
 		| undefined;
-	/** The last report to the parent or to the other roots, and when it was sent. */
+	/**
+	 * The last report to the parent or to the other roots, and when it was sent.
+	 */
 	readonly lastReport: {readonly text: string; readonly at: number};
 	readonly reportFailures: number;
 	readonly children: ReadonlyMap<string, ChildReport>;
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -40,7 +40,10 @@
 	readonly remaining: ReadonlyArray<readonly [string, number]>;
 };
 
-/** State of the contact of a bridge with another data centre; times are monotonic ms. */
+/**
+ * State of the contact of a bridge with another data centre; times are
+ * monotonic ms.
+ */
 export type DataCentreContact = {
 	readonly pingedAt: number;
 	readonly answeredAt: number;
@@ -57,7 +60,9 @@
 	readonly failures: number;
 	/** Whether the last read of the object was answered. */
 	readonly isAvailable: boolean;
-	/** Number of members of the local data centre, as last written to the object. */
+	/**
+	 * Number of members of the local data centre, as last written to the object.
+	 */
 	readonly memberCount: number;
 	/** When the object is next read, monotonic ms. */
 	readonly nextReadAt: number;
@@ -113,7 +118,10 @@
 	readonly isSyncIncomplete: boolean;
 	readonly contacts: ReadonlyMap<string, DataCentreContact>;
 	readonly seeds: SeedsState;
-	/** Addresses of the members that asked for a probe, by name of the probed member. */
+	/**
+	 * Addresses of the members that asked for a probe, by name of the probed
+	 * member.
+	 */
 	readonly relayedProbes: ReadonlyMap<string, readonly string[]>;
 	readonly rateLimits: RateLimitState;
 	readonly nameCheck: NameCheck | undefined;
@@ -180,7 +188,10 @@
 			readonly memberCount: number;
 			readonly version: number | undefined;
 	  }
-	/** Reports whether an announcement was accepted; an ignored one must have no effect. */
+	/**
+	 * Reports whether an announcement was accepted; an ignored one must have no
+	 * effect.
+	 */
 	| {
 			readonly kind: 'announcement';
 			readonly outcome: 'accepted' | 'ignored';
--- a/src/coordination/step-delivery.test.ts
+++ b/src/coordination/step-delivery.test.ts
@@ -69,7 +69,9 @@
 	return {state: step.state, effects: [...run.effects, ...step.effects]};
 }
 
-/** Creates a child that holds version 1 and has a poll of its parent in flight. */
+/**
+ * Creates a child that holds version 1 and has a poll of its parent in flight.
+ */
 function createChild(): Run {
 	let run: Run = {state: createDeliveryState('e', 'abdali'), effects: []};
 	for (const name of names) {
--- a/src/coordination/step-members.ts
+++ b/src/coordination/step-members.ts
@@ -18,7 +18,10 @@
 
 type Random = () => number;
 
-/** After a pause of the process, extends the deadlines of suspicions and contacts by its duration. */
+/**
+ * After a pause of the process, extends the deadlines of suspicions and
+ * contacts by its duration.
+ */
 function adjustForPause(state: MembersState, now: number): MembersState {
 	const gapMs = now - state.lastStepAt;
 	if (gapMs < upstreamLeaseMs) {
@@ -42,7 +45,10 @@
 	};
 }
 
-/** Spreads a change of this node's record at once, without the delay that batches changes. */
+/**
+ * Spreads a change of this node's record at once, without the delay that
+ * batches changes.
+ */
 function spreadAtOnce(
 	before: MembersState,
 	step: MembersStep,
