--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -12,7 +12,10 @@
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 import type {AnswerHead} from '../../protocol/edge.js';
 import {discardBody} from './discard-body.js';
-import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
+import {
+	startPostPollTimer,
+	type PostPollTimer,
+} from './start-post-poll-timer.js';
 
 /** What became of a request on one connection. */
 export type SendOutcome =
@@ -94,7 +97,7 @@
 	readonly outcome: Promise<SendOutcome>;
 	#request: ClientRequest | undefined;
 	#resolve!: (outcome: SendOutcome) => void;
-	#connectTimer: PolledTimer | undefined;
+	#connectTimer: PostPollTimer | undefined;
 	#isSent = false;
 	#isAborted = false;
 	#hasFailed = false;
@@ -192,7 +195,7 @@
 			return;
 		}
 
-		this.#connectTimer = startPolledTimer(() => {
+		this.#connectTimer = startPostPollTimer(() => {
 			this.#request!.destroy(new Error('no connection in time'));
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
