--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -50,9 +50,9 @@
 
 /**
  * Computes the delay before the seeds object is read again, in ms: half a period
- * plus full jitter over a window that doubles with each read that found no
- * members. The cap of the window grows with the last known size of the data
- * centre.
+ * plus full jitter over a window that doubles with each read that failed or found
+ * no local peer. The cap of the window grows with the last known size of the
+ * data centre.
  */
 function computeReadDelayMs(state: MembersState, random: number): number {
 	const {failures, memberCount} = state.seeds;
--- a/src/coordination/delivery-state.ts
+++ b/src/coordination/delivery-state.ts
@@ -80,12 +80,14 @@
 	readonly minStartVersion: number | undefined;
 	/** When a node that knows a safe version first answered. */
 	readonly firstContactAt: number | undefined;
+	/** Highest version known to be held by enough hosts to be run. */
 	readonly safeVersion: number;
 	/** Versions held by other nodes, by name of the node. */
 	readonly holders: ReadonlyMap<
 		string,
 		{readonly version: number; readonly at: number}
 	>;
+	/** Newest log entries that were applied, oldest first. */
 	readonly entries: readonly LogEntry[];
 	readonly refusal: Refusal | undefined;
 	readonly needsSnapshot: boolean;
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -37,6 +37,7 @@
 export type Sync = {
 	readonly address: string;
 	readonly startedAt: number;
+	/** Data centre and index of each bucket still to be compared. */
 	readonly remaining: ReadonlyArray<readonly [string, number]>;
 };
 
@@ -70,7 +71,10 @@
 	readonly nextJoinAt: number;
 };
 
-/** State of the rate limits; times are monotonic ms. */
+/**
+ * State of the rate limits, whose windows last one second; times are monotonic
+ * ms.
+ */
 export type RateLimitState = {
 	readonly bucketWindowStartedAt: number;
 	readonly bucketAnswers: number;
@@ -91,6 +95,7 @@
 export type MembersState = {
 	readonly self: Member;
 	readonly role: MembersRole;
+	/** Wall-clock time at which the process started, ms. */
 	readonly startedMs: number;
 	/** Duration of the lease that an announcement grants, ms. */
 	readonly leaseMs: number;
@@ -128,6 +133,7 @@
 	readonly lastStepAt: number;
 	/** When the process last resumed after a pause, monotonic ms. */
 	readonly resumedAt: number;
+	/** Whether a `spread` message is on its way. */
 	readonly isSpreadScheduled: boolean;
 };
 
