--- a/src/coordination/decide-silence.ts
+++ b/src/coordination/decide-lost-request.ts
@@ -1,7 +1,7 @@
 import type {UpstreamWork} from './compute-upstream-work.js';
 
 /** What is known of a request that its upstream has not answered yet. */
-export type SilenceInput = {
+export type LostRequestInput = {
 	/** Monotonic ms. */
 	readonly now: number;
 	/** When it was sent whole, monotonic ms. */
@@ -21,7 +21,7 @@
 };
 
 /** What is to be done about such a request. */
-export type SilenceDecision =
+export type LostRequestDecision =
 	| 'wait'
 	/** Ask the upstream for its load. */
 	| 'probe'
@@ -51,7 +51,7 @@
 const minMissingMs = 100;
 
 /** Tells whether the upstream's reports lack a request that was there all the while. */
-function isMissing({now, sentAt, work}: SilenceInput): boolean {
+function isMissing({now, sentAt, work}: LostRequestInput): boolean {
 	const {missingSince, missingReports = 0} = work ?? {};
 	return (
 		missingSince !== undefined &&
@@ -62,7 +62,7 @@
 }
 
 /** Tells whether a report tells of a request. */
-function isReported({now, sentAt, work}: SilenceInput): boolean {
+function isReported({now, sentAt, work}: LostRequestInput): boolean {
 	return (
 		work !== undefined &&
 		work.at >= sentAt + readMarginMs &&
@@ -84,7 +84,9 @@
  * @example
  * decideSilence({...input, sentAt: input.now}); // 'wait'
  */
-export function decideSilence(input: SilenceInput): SilenceDecision {
+export function decideLostRequest(
+	input: LostRequestInput,
+): LostRequestDecision {
 	const {now, sentAt, expectedMs, objectiveMs, repeatable, work} = input;
 	const unansweredMs = now - sentAt;
 	const partMs = objectiveMs * suspectPart;
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -148,7 +148,7 @@
 	const start = {now: 0, random: 0.5, serviceLatencyMs: 0};
 	const sent: HostMessage = {kind: 'sent', isRemote: true};
 	let record = stepHostRecord(undefined, sent, start);
-	record = stepHostRecord(record, {kind: 'heard'}, {...start, now: 400});
+	record = stepHostRecord(record, {kind: 'keepalive'}, {...start, now: 400});
 	assert.ok(!isUnreachable(record, 1000));
 	assert.ok(isUnreachable(record, 1001));
 	record = stepHostRecord(
@@ -156,7 +156,7 @@
 		{
 			kind: 'ended',
 			outcome: 'unreachable',
-			isHeard: false,
+			isFromHost: false,
 			latencyMs: 1100,
 			load: undefined,
 		},
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -63,7 +63,7 @@
 			readonly isRemote?: boolean;
 	  }
 	/** The host gave a sign of life. */
-	| {readonly kind: 'heard'}
+	| {readonly kind: 'keepalive'}
 	| {
 			readonly kind: 'ended';
 			/** `refused` says nothing about the host's health. */
@@ -76,7 +76,7 @@
 				| 'unreachable';
 			readonly latencyMs: number;
 			/** Whether the host itself said so; so when absent. */
-			readonly isHeard?: boolean;
+			readonly isFromHost?: boolean;
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
 			/** Names requests that hosts admit alike; the route when absent. */
@@ -179,14 +179,14 @@
 /** Computes since when nothing was heard, after the end of an attempt. */
 function computeWaitingSince(
 	{ownInFlight, silentSince}: HostRecord,
-	{isHeard = true}: Ended,
+	{isFromHost = true}: Ended,
 	now: number,
 ): number | undefined {
 	if (ownInFlight <= 1 || silentSince === undefined) {
 		return undefined;
 	}
 
-	return isHeard ? now : silentSince;
+	return isFromHost ? now : silentSince;
 }
 
 /** The load that others than this node have put on the host. */
@@ -366,7 +366,7 @@
 			};
 		}
 
-		case 'heard': {
+		case 'keepalive': {
 			return before.silentSince === undefined
 				? before
 				: {...before, silentSince: context.now};
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -209,7 +209,7 @@
 
 /** Kinds of message by which a question about an attempt goes on. */
 type QuestionMessage = RequestMessage & {
-	readonly kind: 'silent' | 'known' | 'ask-failed' | 'fetch-lost';
+	readonly kind: 'silent' | 'ask-answered' | 'ask-failed' | 'fetch-lost';
 };
 
 function handleQuestion(
@@ -222,7 +222,7 @@
 			return handleSilence(state, context);
 		}
 
-		case 'known': {
+		case 'ask-answered': {
 			return state.phase === 'asking'
 				? handleKnown(state, message.answer, context)
 				: stay(state);
@@ -346,13 +346,13 @@
 		}
 
 		case 'silent':
-		case 'known':
+		case 'ask-answered':
 		case 'ask-failed':
 		case 'fetch-lost': {
 			return handleQuestion(state, message, context);
 		}
 
-		case 'wait-over': {
+		case 'delay-elapsed': {
 			return handleWaitOver(state);
 		}
 
