--- a/src/coordination/_lib/delivery/accept-configuration.ts
+++ b/src/coordination/_lib/delivery/accept-configuration.ts
@@ -14,9 +14,9 @@
 } from './delivery-context.js';
 
 const refusedSnapshotPauseMs = 5000;
-const keptEntries = 4 * logEntriesPerPoll;
+const maxKeptEntries = 4 * logEntriesPerPoll;
 
-function refuseVersion(
+function recordRefusal(
 	state: DeliveryState,
 	version: number,
 	problem: Problem,
@@ -28,19 +28,19 @@
 			{
 				kind: 'log',
 				level: 'error',
-				message: 'version refused',
+				message: 'configuration version rejected',
 				fields: {version, problem},
 			},
 		],
 	};
 }
 
-function holdVersion(
+function addHeldConfiguration(
 	state: DeliveryState,
 	configuration: Configuration,
 	entries: readonly LogEntry[],
 ): DeliveryState {
-	const isKnown =
+	const isMissingVersionHeld =
 		state.missingVersion !== undefined &&
 		configuration.version >= state.missingVersion.version;
 	return {
@@ -48,26 +48,27 @@
 		heldConfigurations: [...state.heldConfigurations, configuration].slice(
 			-maxHeldVersions,
 		),
-		entries: entries.slice(-keptEntries),
+		entries: entries.slice(-maxKeptEntries),
 		needsSnapshot: false,
 		refusal: undefined,
-		missingVersion: isKnown ? undefined : state.missingVersion,
+		missingVersion: isMissingVersionHeld ? undefined : state.missingVersion,
 	};
 }
 
-/** Outcome of offering entries to a node. */
+/** Result of applying log entries. */
 export type EntriesStep = DeliveryStep & {
-	/** Whether an entry did not follow the newest held version. */
+	/** Whether an entry did not directly follow the newest held version. */
 	readonly hasGap: boolean;
 };
 
 /**
- * Applies entries that follow the newest held version, each whole or not.
+ * Applies the entries that follow the newest held version. Each entry is applied
+ * completely or not at all.
  *
  * @param state - the state before
- * @param entries - entries in order of version; known ones are passed over
+ * @param entries - entries in order of version; those already applied are skipped
  * @param context - time and rules
- * @returns the state after, and whether entries are missing
+ * @returns the state after, the effects, and whether entries are missing
  */
 export function acceptEntries(
 	state: DeliveryState,
@@ -88,23 +89,25 @@
 		const applied = context.rules.applyEntry(newest, entry);
 		if (applied.isErr()) {
 			const isRepeated = state.refusal?.version === entry.version;
-			const step = refuseVersion(next, entry.version, applied.error);
+			const step = recordRefusal(next, entry.version, applied.error);
 			return {...step, effects: isRepeated ? [] : step.effects, hasGap: false};
 		}
 
-		next = holdVersion(next, applied.value, [...next.entries, entry]);
+		next = addHeldConfiguration(next, applied.value, [...next.entries, entry]);
 	}
 
 	return {state: next, effects: [], hasGap: false};
 }
 
 /**
- * Adopts a whole configuration from elsewhere if it is newer and valid.
+ * Applies a full configuration snapshot if it is valid and newer than the held
+ * one.
  *
  * @param state - the state before
  * @param value - the value as received
  * @param context - time and rules
- * @returns the state after; unchanged but for the refusal when not valid
+ * @returns the state after; an invalid snapshot only records the refusal and the
+ *   need for another snapshot
  */
 export function acceptSnapshot(
 	state: DeliveryState,
@@ -114,13 +117,13 @@
 	const result = context.rules.validateConfiguration(value);
 	if (result.isErr()) {
 		const version = readClaimedVersion(value);
-		const step = refuseVersion(state, version, result.error);
+		const step = recordRefusal(state, version, result.error);
 		const until = context.now + refusedSnapshotPauseMs;
 		return {...step, state: {...step.state, refusedSnapshot: {version, until}}};
 	}
 
 	return result.value.version > findNewestConfiguration(state).version
-		? {state: holdVersion(state, result.value, []), effects: []}
+		? {state: addHeldConfiguration(state, result.value, []), effects: []}
 		: {state, effects: []};
 }
 
--- a/src/coordination/_lib/delivery/answer-polls.ts
+++ b/src/coordination/_lib/delivery/answer-polls.ts
@@ -38,7 +38,10 @@
 	return limited;
 }
 
-function findMissing(state: DeliveryState, poll: Poll): readonly LogEntry[] {
+function listMissingEntries(
+	state: DeliveryState,
+	poll: Poll,
+): readonly LogEntry[] {
 	const index = state.entries.findIndex(
 		({version}) => version === poll.haveVersion + 1,
 	);
@@ -50,10 +53,11 @@
 }
 
 /**
- * Builds the answer to a poll: nothing new, entries, or a snapshot.
+ * Builds the answer to a poll: unchanged, log entries, or a snapshot when the
+ * held entries do not continue the configuration of the polling node.
  *
- * @param state - the node's state
- * @param poll - the poll
+ * @param state - state of the answering node
+ * @param poll - the poll to answer
  * @returns the answer
  */
 export function buildAnswer(state: DeliveryState, poll: Poll): PollAnswer {
@@ -72,18 +76,19 @@
 		return {kind: 'unchanged', ...fields};
 	}
 
-	const missing = findMissing(state, poll);
+	const missing = listMissingEntries(state, poll);
 	return missing.length > 0
 		? {kind: 'entries', ...fields, entries: limitEntries(missing)}
 		: {kind: 'snapshot', ...fields, configuration: newest};
 }
 
 /**
- * Answers the waiting polls that have something new or whose time is over.
+ * Answers the waiting polls for which there is something new or whose wait time
+ * has passed.
  *
  * @param state - the state before
  * @param context - time and rules
- * @returns the state with the other polls, and the answers
+ * @returns the state with the polls that still wait, and the answers as effects
  */
 export function answerPolls(
 	state: DeliveryState,
--- a/src/coordination/_lib/delivery/handle-peer.ts
+++ b/src/coordination/_lib/delivery/handle-peer.ts
@@ -14,7 +14,10 @@
 
 const unchangedPauseMs = 20;
 
-/** Notes that another node holds a version, perhaps one that this one lacks. */
+/**
+ * Records that another node holds a version. If it is newer than all versions
+ * known so far, it becomes the missing version.
+ */
 export function recordHolder(
 	state: DeliveryState,
 	name: string,
@@ -22,19 +25,22 @@
 	now: number,
 ): DeliveryState {
 	const holders = new Map(state.holders).set(name, {version, at: now});
-	const isNews =
+	const isNewer =
 		version > findNewestConfiguration(state).version &&
 		version > (state.missingVersion?.version ?? 0);
 	const since = state.missingVersion?.since ?? now;
 	return {
 		...state,
 		holders,
-		missingVersion: isNews ? {version, name, since} : state.missingVersion,
+		missingVersion: isNewer ? {version, name, since} : state.missingVersion,
 	};
 }
 
-/** Raises the safe version by the word of a node of the same data centre. */
-function noteSafeVersion(
+/**
+ * Raises the safe version to the one reported by a node of the same data
+ * centre; reports of others are ignored.
+ */
+function recordSafeVersion(
 	state: DeliveryState,
 	name: string,
 	safeVersion: number,
@@ -48,10 +54,11 @@
 }
 
 /**
- * Takes a poll of another node; it is answered now or when there is news.
+ * Adds a poll of another node and records what it reports. The poll is answered
+ * at once, or when there is something new, or when its wait time has passed.
  *
  * @param state - the state before
- * @param pollId - number by which the answer is given
+ * @param pollId - ID under which the answer is sent
  * @param poll - the poll
  * @param now - monotonic ms
  * @returns the state after
@@ -62,7 +69,7 @@
 	poll: Poll,
 	now: number,
 ): DeliveryState {
-	const noted = noteSafeVersion(
+	const recorded = recordSafeVersion(
 		recordHolder(state, poll.name, poll.haveVersion, now),
 		poll.name,
 		poll.safeVersion,
@@ -74,13 +81,13 @@
 			})
 		: state.children;
 	return {
-		...noted,
+		...recorded,
 		children,
 		polls: [...state.polls, {pollId, poll, endsAt: now + poll.waitMs}],
 	};
 }
 
-function countFailure(
+function recordCallFailure(
 	state: DeliveryState,
 	call: Call,
 	context: DeliveryContext,
@@ -120,12 +127,12 @@
 ): DeliveryStep {
 	const member = 'member' in call.purpose ? call.purpose.member : '';
 	return {
-		state: countFailure(state, call, context),
+		state: recordCallFailure(state, call, context),
 		effects: [
 			{
 				kind: 'log',
 				level: 'warn',
-				message: 'answer of a peer refused',
+				message: 'poll answer of a peer rejected',
 				fields: {member, reason},
 			},
 		],
@@ -133,13 +140,14 @@
 }
 
 /**
- * Handles the end of a call to another node.
+ * Handles the outcome of a poll sent to another node.
  *
- * @param state - the state, from which the call has been taken
- * @param call - the call
- * @param outcome - how it ended; its value is checked here
+ * @param state - the state, from which the call has been removed
+ * @param call - the call that ended
+ * @param outcome - how the call ended; its value is validated here
  * @param context - time and rules
- * @returns the state after; nothing held changes unless all of it is valid
+ * @returns the state after; held configurations change only if the whole answer
+ *   matches the schema
  */
 export function handlePollAnswer(
 	state: DeliveryState,
@@ -148,12 +156,12 @@
 	context: DeliveryContext,
 ): DeliveryStep {
 	if (outcome.kind === 'failed') {
-		return {state: countFailure(state, call, context), effects: []};
+		return {state: recordCallFailure(state, call, context), effects: []};
 	}
 
 	const parsed = pollAnswerSchema.safeParse(outcome.value);
 	if (!parsed.success) {
-		const reason = parsed.error.issues[0]?.message ?? 'not an answer';
+		const reason = parsed.error.issues[0]?.message ?? 'not a poll answer';
 		const refused = refuseAnswer(state, call, reason, context);
 		return {
 			...refused,
@@ -171,7 +179,7 @@
 	}
 
 	next = recordHolder(next, answer.name, answer.version, now);
-	next = noteSafeVersion(next, answer.name, answer.safeVersion);
+	next = recordSafeVersion(next, answer.name, answer.safeVersion);
 	const hasRun = answer.safeVersion > 0;
 	next = hasRun ? {...next, firstContactAt: next.firstContactAt ?? now} : next;
 	if (call.purpose.kind === 'pull') {
@@ -190,7 +198,7 @@
 		findNewestConfiguration(step.state).version > heldBefore;
 	return isHelpful || call.purpose.kind !== 'pull'
 		? step
-		: {...step, state: countFailure(step.state, call, context)};
+		: {...step, state: recordCallFailure(step.state, call, context)};
 }
 
 function acceptAnswer(
--- a/src/coordination/_lib/delivery/handle-platform.ts
+++ b/src/coordination/_lib/delivery/handle-platform.ts
@@ -23,9 +23,9 @@
 } from './delivery-context.js';
 import {handleStatusAnswer} from './report-status.js';
 
-const afresh: SourceMode = {kind: 'catch-up', revision: undefined};
+const initialCatchUp: SourceMode = {kind: 'catch-up', revision: undefined};
 
-function failSource(
+function recordSourceFailure(
 	state: DeliveryState,
 	source: SourceMode,
 	context: DeliveryContext,
@@ -43,7 +43,7 @@
 	};
 }
 
-function enterSource(state: DeliveryState, source: SourceMode): DeliveryState {
+function setSource(state: DeliveryState, source: SourceMode): DeliveryState {
 	return {...state, source, sourceFailures: 0};
 }
 
@@ -54,16 +54,16 @@
 ): DeliveryStep {
 	if (outcome.kind !== 'found') {
 		return outcome.kind === 'absent'
-			? {state: enterSource(state, afresh), effects: []}
-			: failSource(state, {kind: 'head'}, context);
+			? {state: setSource(state, initialCatchUp), effects: []}
+			: recordSourceFailure(state, {kind: 'head'}, context);
 	}
 
 	const head = snapshotHeadSchema.safeParse(outcome.object.value).data;
 	const isNewer = head && head.version > findNewestConfiguration(state).version;
 	const source: SourceMode = isNewer
 		? {kind: 'chunk', head, texts: []}
-		: afresh;
-	return {state: enterSource(state, source), effects: []};
+		: initialCatchUp;
+	return {state: setSource(state, source), effects: []};
 }
 
 function readText(outcome: PlatformOutcome): string | undefined {
@@ -84,26 +84,26 @@
 ): DeliveryStep {
 	const text = readText(outcome);
 	if (text === undefined) {
-		return failSource(state, {kind: 'head'}, context);
+		return recordSourceFailure(state, {kind: 'head'}, context);
 	}
 
 	const {head} = mode;
 	const texts = [...mode.texts, text];
 	if (texts.length < head.chunks.length) {
 		const source: SourceMode = {kind: 'chunk', head, texts};
-		return {state: enterSource(state, source), effects: []};
+		return {state: setSource(state, source), effects: []};
 	}
 
 	const decoded = decodeSnapshot(head, texts);
 	if (decoded.isErr()) {
-		const step = failSource(state, afresh, context);
+		const step = recordSourceFailure(state, initialCatchUp, context);
 		const {error: problem} = decoded;
 		const refusal = {name: state.name, version: head.version, problem};
 		return {...step, state: {...step.state, refusal}};
 	}
 
 	const step = acceptSnapshot(state, decoded.value, context);
-	return {state: enterSource(step.state, afresh), effects: step.effects};
+	return {state: setSource(step.state, initialCatchUp), effects: step.effects};
 }
 
 function parseEntries(items: readonly PlatformObject[]): readonly LogEntry[] {
@@ -120,14 +120,14 @@
 	context: DeliveryContext,
 ): DeliveryStep {
 	if (outcome.kind !== 'items') {
-		return failSource(state, afresh, context);
+		return recordSourceFailure(state, initialCatchUp, context);
 	}
 
 	const before = findNewestConfiguration(state).version;
 	const step = acceptEntries(state, parseEntries(outcome.items), context);
 	const newest = findNewestConfiguration(step.state).version;
 	if (step.hasGap) {
-		const failed = failSource(step.state, {kind: 'head'}, context);
+		const failed = recordSourceFailure(step.state, {kind: 'head'}, context);
 		return {...failed, effects: step.effects};
 	}
 
@@ -138,12 +138,12 @@
 		isWhole && outcome.items.length > 0 && (outcome.more || hasWrapped);
 	return mayBeMore
 		? {
-				state: enterSource(step.state, {kind: 'catch-up', revision}),
+				state: setSource(step.state, {kind: 'catch-up', revision}),
 				effects: step.effects,
 			}
 		: {
 				state: {
-					...enterSource(step.state, {kind: 'watch', revision}),
+					...setSource(step.state, {kind: 'watch', revision}),
 					isSettled: true,
 				},
 				effects: step.effects,
@@ -156,14 +156,14 @@
 	context: DeliveryContext,
 ): DeliveryStep {
 	if (outcome.kind !== 'items') {
-		return failSource(state, afresh, context);
+		return recordSourceFailure(state, initialCatchUp, context);
 	}
 
 	const step = acceptEntries(state, parseEntries(outcome.items), context);
 	const source: SourceMode = step.hasGap
-		? afresh
+		? initialCatchUp
 		: {kind: 'watch', revision: outcome.revision};
-	return {state: enterSource(step.state, source), effects: step.effects};
+	return {state: setSource(step.state, source), effects: step.effects};
 }
 
 function handleSource(
@@ -208,7 +208,7 @@
 	switch (slot.kind) {
 		case 'entry': {
 			const step = acceptEntries(state, [slot.entry], context);
-			const source = step.state.refusal ? state.source : afresh;
+			const source = step.state.refusal ? state.source : initialCatchUp;
 			return {
 				state: {...dropSourceCalls(step.state), source},
 				effects: step.effects,
@@ -242,11 +242,11 @@
 }
 
 /**
- * Handles the end of a call to the platform.
+ * Handles the outcome of a call to the platform.
  *
- * @param state - the state, from which the call has been taken
- * @param call - the call
- * @param outcome - its outcome; `unavailable` when its time has passed
+ * @param state - the state, from which the call has been removed
+ * @param call - the call that ended
+ * @param outcome - the outcome; `unavailable` when the call timed out
  * @param context - time and rules
  * @returns the state after
  */
--- a/src/coordination/_lib/delivery/plan-calls.ts
+++ b/src/coordination/_lib/delivery/plan-calls.ts
@@ -32,7 +32,7 @@
 } from './delivery-context.js';
 import {formatReport, startPoll} from './start-poll.js';
 
-const none: DeliveryStep['effects'] = [];
+const noEffects: DeliveryStep['effects'] = [];
 
 /** Starts a call to the platform. */
 export function startPlatformCall(
@@ -92,7 +92,7 @@
 				createSourceCall(state, context),
 				context.now,
 			)
-		: {state, effects: none};
+		: {state, effects: noEffects};
 };
 
 function planNextSlotRead(
@@ -119,7 +119,7 @@
 				'probe',
 				context,
 			)
-		: {state, effects: none};
+		: {state, effects: noEffects};
 };
 
 const planStartProbe: DeliveryAction = (state, context) => {
@@ -136,17 +136,17 @@
 				'start-probe',
 				context,
 			)
-		: {state, effects: none};
+		: {state, effects: noEffects};
 };
 
-function listSources(state: DeliveryState): readonly Member[] {
+function listOtherRoots(state: DeliveryState): readonly Member[] {
 	const dataCentres = new Set(state.members.map(({dataCentre}) => dataCentre));
 	return [...dataCentres]
 		.flatMap((dataCentre) => computeRoots(state.members, dataCentre))
 		.filter(({name}) => name !== state.name);
 }
 
-function pickParent(
+function pickPullSource(
 	state: DeliveryState,
 	context: DeliveryContext,
 ): Member | undefined {
@@ -156,7 +156,7 @@
 	}
 
 	const sources =
-		position?.kind === 'child' ? position.parents : listSources(state);
+		position?.kind === 'child' ? position.parents : listOtherRoots(state);
 	return sources[Math.floor(context.random() * sources.length)];
 }
 
@@ -166,10 +166,10 @@
 		state.position !== undefined &&
 		(!isRoot || state.sourceFailures > 0 || state.needsSnapshot);
 	if (!isWanted || context.now < state.nextPullAt || hasCall(state, 'pull')) {
-		return {state, effects: none};
+		return {state, effects: noEffects};
 	}
 
-	const member = pickParent(state, context);
+	const member = pickPullSource(state, context);
 	return member
 		? startPoll(
 				state,
@@ -182,7 +182,7 @@
 				},
 				context,
 			)
-		: {state, effects: none};
+		: {state, effects: noEffects};
 };
 
 const planRepair: DeliveryAction = (state, context) => {
@@ -201,11 +201,14 @@
 				{kind: 'repair', waitMs: 0, isChild: false, needsNewConnection: true},
 				context,
 			)
-		: {state, effects: none};
+		: {state, effects: noEffects};
 };
 
-/** Lists whom a node tells of its progress outside its long polls. */
-function listNoticed(state: DeliveryState): readonly Member[] {
+/**
+ * Lists the members to which a node reports its progress outside its long
+ * polls: its parent, or the other roots.
+ */
+function listReportReceivers(state: DeliveryState): readonly Member[] {
 	const {position} = state;
 	if (position?.kind === 'child') {
 		return position.parents.slice(0, 1);
@@ -216,52 +219,59 @@
 	);
 }
 
-function computeNoticePause(failures: number): number {
+function computeReportIntervalMs(failures: number): number {
 	return Math.min(statusIntervalMs, noticeIntervalMs * 2 ** failures);
 }
 
-const planNotice: DeliveryAction = (state, context) => {
+const planReport: DeliveryAction = (state, context) => {
 	const {now} = context;
 	const {position, lastReport} = state;
 	if (
 		!position ||
-		now - lastReport.at < computeNoticePause(state.reportFailures)
+		now - lastReport.at < computeReportIntervalMs(state.reportFailures)
 	) {
-		return {state, effects: none};
+		return {state, effects: noEffects};
 	}
 
 	const isRepeated =
 		position.kind === 'root' && now - lastReport.at >= statusIntervalMs;
 	const text = formatReport(state);
 	if (text === lastReport.text && !isRepeated) {
-		return {state, effects: none};
+		return {state, effects: noEffects};
 	}
 
-	const parts = listNoticed(state).map((member): DeliveryAction => (before) => {
-		const isChild =
-			position.kind === 'child' || position.first.name === member.name;
-		return startPoll(
-			before,
-			member,
-			{
-				kind: 'report',
-				waitMs: 0,
-				isChild,
-				needsNewConnection: state.reportFailures > 0,
+	const actions = listReportReceivers(state).map(
+		(member): DeliveryAction =>
+			(before) => {
+				const isChild =
+					position.kind === 'child' || position.first.name === member.name;
+				return startPoll(
+					before,
+					member,
+					{
+						kind: 'report',
+						waitMs: 0,
+						isChild,
+						needsNewConnection: state.reportFailures > 0,
+					},
+					context,
+				);
 			},
-			context,
-		);
-	});
-	const step = runDeliveryActions({state, effects: none}, parts, context);
+	);
+	const step = runDeliveryActions(
+		{state, effects: noEffects},
+		actions,
+		context,
+	);
 	return {...step, state: {...step.state, lastReport: {text, at: now}}};
 };
 
-/** Starts every call that a node should have in flight. */
+/** Actions that start every call that a node should have in flight. */
 export const planCalls: readonly DeliveryAction[] = [
 	planSource,
 	planProbe,
 	planStartProbe,
 	planPull,
 	planRepair,
-	planNotice,
+	planReport,
 ];
--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that handle answers of other members, and the lack of one.
+ * Helpers that handle answers of other members and failed requests.
  */
 import type {ExchangeAnswer} from '../../../protocol/member.js';
 import type {
@@ -19,7 +19,7 @@
 
 type AnswerMessage = Extract<MembersMessage, {readonly kind: 'answer'}>;
 
-function vouch(state: MembersState, name: string): MembersStep {
+function notifyProbeRequesters(state: MembersState, name: string): MembersStep {
 	const asked = state.relayedProbes.get(name);
 	if (!asked) {
 		return {state, effects: []};
@@ -38,7 +38,7 @@
 	};
 }
 
-function sendOwnRecord(
+function sendSelfRecord(
 	state: MembersState,
 	address: string,
 	now: number,
@@ -67,26 +67,26 @@
 		return {state, effects: []};
 	}
 
-	const hasOwnRecord = request.records.some(
+	const hasSelfRecord = request.records.some(
 		({name}) => name === state.self.name,
 	);
-	const isTwin =
+	const hasNameConflict =
 		from.name === state.self.name && from.address !== state.self.address;
 	return runActions(confirmProbe(state, from.name), [
-		(next) => vouch(next, from.name),
+		(next) => notifyProbeRequesters(next, from.name),
 		(next) =>
-			isTwin
+			hasNameConflict
 				? handleNameConflict(next, from, now)
 				: endNameCheck(next, address, now),
 		(next) => mergeRecords(next, answer.records, now),
 		(next) =>
-			answer.needsRecord && !hasOwnRecord
-				? sendOwnRecord(next, address, now)
+			answer.needsRecord && !hasSelfRecord
+				? sendSelfRecord(next, address, now)
 				: {state: next, effects: []},
 	]);
 }
 
-function handleKind(
+function handleAnswerKind(
 	state: MembersState,
 	message: AnswerMessage,
 	now: number,
@@ -123,7 +123,7 @@
 	}
 }
 
-/** Handles another member's answer. */
+/** Handles the answer of another member to a request. */
 export function handleAnswer(
 	state: MembersState,
 	message: AnswerMessage,
@@ -132,11 +132,11 @@
 	const {address, answer} = message;
 	return runActions(state, [
 		(next) => recordContactAnswer(next, answer.from.dataCentre, address, now),
-		(next) => handleKind(next, message, now),
+		(next) => handleAnswerKind(next, message, now),
 	]);
 }
 
-/** Handles the lack of an answer. */
+/** Handles a request that failed or was not answered in time. */
 export function handleFailure(
 	state: MembersState,
 	message: Extract<MembersMessage, {readonly kind: 'failure'}>,
--- a/src/coordination/_lib/members/bridges.ts
+++ b/src/coordination/_lib/members/bridges.ts
@@ -1,5 +1,6 @@
 /**
- * Helpers of the bridges between data centres.
+ * Helpers for bridges: the members that exchange records with other data
+ * centres.
  */
 import {
 	bridgePeriodMs,
@@ -28,7 +29,7 @@
 } from './send.js';
 import {startSync} from './sync.js';
 
-/** Whether the own node is a bridge in its own view. */
+/** Returns whether this node is a bridge in its own view of the membership. */
 export function isBridge(state: MembersState): boolean {
 	const {self, role} = state;
 	return (
@@ -52,13 +53,13 @@
 	return pickRandomItems(pool, 1, random)[0]?.address;
 }
 
-function listRemote(state: MembersState): string[] {
+function listRemoteDataCentres(state: MembersState): string[] {
 	return [...state.table.keys()].filter(
 		(dataCentre) => dataCentre !== state.self.dataCentre,
 	);
 }
 
-function listRelayed(state: MembersState): string[] {
+function listRelayedNames(state: MembersState): string[] {
 	return [...state.pendingRelays].filter((name) => {
 		const member = findRecord(state, name);
 		return (
@@ -67,19 +68,19 @@
 	});
 }
 
-/** Sends changes of the own data centre to bridges of the others. */
+/** Sends changed records of the local data centre to bridges of the others. */
 export function relayChanges(
 	state: MembersState,
 	now: number,
 	random: () => number,
 ): MembersStep {
-	const names = listRelayed(state);
-	const next = {...state, relays: new Set<string>()};
+	const names = listRelayedNames(state);
+	const next = {...state, pendingRelays: new Set<string>()};
 	if (names.length === 0 || state.role !== 'member') {
 		return {state: next, effects: []};
 	}
 
-	const remote = listRemote(state);
+	const remote = listRemoteDataCentres(state);
 	if (remote.length === 0 || !isBridge(state)) {
 		return {state: next, effects: []};
 	}
@@ -97,14 +98,14 @@
 	return {state: next, effects};
 }
 
-function askContacts(
+function pingContacts(
 	state: MembersState,
 	now: number,
 	random: () => number,
 ): MembersStep {
 	const contacts = new Map(state.contacts);
 	const effects: MembersEffect[] = [];
-	for (const dataCentre of listRemote(state)) {
+	for (const dataCentre of listRemoteDataCentres(state)) {
 		const contact: DataCentreContact = contacts.get(dataCentre) ?? {
 			pingedAt: now - random() * bridgePeriodMs,
 			answeredAt: now,
@@ -141,23 +142,31 @@
 		: updateSelf(state, {unreachable});
 }
 
-/** Does a bridge's part of a period; another node's is to stop being one. */
+/**
+ * Runs the periodic tasks of a bridge: it pings the other data centres, marks
+ * those that are unreachable, and starts syncs. On a node that is not a bridge
+ * it clears the state of a former bridge.
+ */
 export function runBridge(
 	state: MembersState,
 	now: number,
 	random: () => number,
 ): MembersStep {
 	if (!isBridge(state)) {
-		const next = {...state, contacts: new Map(), relays: new Set<string>()};
+		const next = {
+			...state,
+			contacts: new Map(),
+			pendingRelays: new Set<string>(),
+		};
 		return (state.self.unreachable ?? []).length > 0
 			? updateSelf(next, {unreachable: []})
 			: {state: next, effects: []};
 	}
 
-	const asked = askContacts(state, now, random);
+	const asked = pingContacts(state, now, random);
 	const marked = markUnreachable(asked.state, now);
 	const effects = [...asked.effects, ...marked.effects];
-	const remote = listRemote(marked.state);
+	const remote = listRemoteDataCentres(marked.state);
 	const isDue = random() < membersPeriodMs / syncPeriodMs;
 	const isBusy = marked.state.sync !== undefined;
 	if (isBusy || !isDue || remote.length === 0) {
@@ -174,7 +183,10 @@
 	return {state: synced.state, effects: [...effects, ...synced.effects]};
 }
 
-/** Notes that a data centre answered; one that was silent is compared. */
+/**
+ * Records an answer of another data centre; starts a sync if the last request
+ * to it had failed.
+ */
 export function recordContactAnswer(
 	state: MembersState,
 	dataCentre: string,
@@ -197,7 +209,7 @@
 		: {state: next, effects: []};
 }
 
-/** Notes that a member of another data centre did not answer. */
+/** Records that a member of another data centre did not answer. */
 export function recordContactFailure(
 	state: MembersState,
 	address: string,
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -1,5 +1,6 @@
 /**
- * Helpers of the start: seeds, the first records, and the seeds object.
+ * Helpers for joining: seeds, the first sync, and the seeds object in the
+ * platform.
  */
 import {
 	joinPatienceMs,
@@ -29,14 +30,17 @@
 
 type SeedsRead = Extract<SeedsOutcome, {readonly kind: 'read'}>;
 
-/** Starts to take part: the own record is spread from now on. */
+/** Makes a joining node a member, whose record is spread from now on. */
 export function becomeMember(state: MembersState): MembersStep {
 	return state.role === 'joining' && !state.nameCheck
 		? markChanged({...state, role: 'member'}, [state.self.name])
 		: {state, effects: []};
 }
 
-/** Takes part once the own data centre's records are there. */
+/**
+ * Becomes a member once the records of the local data centre have been
+ * received.
+ */
 export function finishJoin(state: MembersState): MembersStep {
 	const isAwaited = state.sync?.remaining.some(
 		([dataCentre]) => dataCentre === state.self.dataCentre,
@@ -45,8 +49,10 @@
 }
 
 /**
- * Computes the delay before the seeds object is read again: full jitter over a
- * window that grows with each read in vain and with the last known size.
+ * Computes the delay before the seeds object is read again, in ms: half a period
+ * plus full jitter over a window that doubles with each read that failed or found
+ * no local peer. The cap of the window grows with the last known size of the
+ * data centre.
  */
 function computeReadDelayMs(state: MembersState, random: number): number {
 	const {failures, memberCount} = state.seeds;
@@ -70,15 +76,19 @@
 	return pickRandomItems(pool, 1, random)[0];
 }
 
-/** Asks a seed for its records while the node knows nobody. */
+/**
+ * Starts a sync with a seed while the node is joining, knows no local peer, or
+ * has an incomplete sync.
+ */
 export function startSeedSync(
 	state: MembersState,
 	now: number,
 	random: () => number,
 ): MembersStep {
 	const {role, seeds, sync} = state;
-	const isLonely = listLocalPeers(state).length === 0;
-	const isSettled = role !== 'joining' && !isLonely && !state.isSyncIncomplete;
+	const hasNoLocalPeers = listLocalPeers(state).length === 0;
+	const isSettled =
+		role !== 'joining' && !hasNoLocalPeers && !state.isSyncIncomplete;
 	if (isSettled || sync !== undefined || now < seeds.nextJoinAt) {
 		return {state, effects: []};
 	}
@@ -96,7 +106,7 @@
 	);
 }
 
-/** Takes part without an answer when none came in time. */
+/** Becomes a member without an answer of a seed when none has come in time. */
 export function handleJoinTimeout(
 	state: MembersState,
 	now: number,
@@ -108,7 +118,10 @@
 		: {state, effects: []};
 }
 
-/** Reads the seeds object when that is due. */
+/**
+ * Reads the seeds object when that is due, on a node that knows no local peer
+ * and on the first bridge.
+ */
 export function refreshSeeds(
 	state: MembersState,
 	now: number,
@@ -119,16 +132,16 @@
 		return {state, effects: []};
 	}
 
-	const neighbours = listLocalPeers(state);
-	const isFirst = computeBridges([self, ...neighbours])[0]?.name === self.name;
-	const isLonely = neighbours.length === 0;
-	const delayMs = isLonely
+	const localPeers = listLocalPeers(state);
+	const isFirst = computeBridges([self, ...localPeers])[0]?.name === self.name;
+	const hasNoLocalPeers = localPeers.length === 0;
+	const delayMs = hasNoLocalPeers
 		? computeReadDelayMs(state, random())
 		: seedsRefreshMs * (0.5 + random());
-	const next = {...state, seeds: {...seeds, readAt: now + delayMs}};
+	const next = {...state, seeds: {...seeds, nextReadAt: now + delayMs}};
 	return {
 		state: next,
-		effects: isLonely || isFirst ? [{kind: 'read-seeds'}] : [],
+		effects: hasNoLocalPeers || isFirst ? [{kind: 'read-seeds'}] : [],
 	};
 }
 
@@ -169,19 +182,19 @@
 	];
 }
 
-function findStranger(
+function findUnknownSeed(
 	state: MembersState,
 	addresses: readonly string[],
 	random: () => number,
 ): string | undefined {
 	const known = new Set(listMembers(state.table).map(({address}) => address));
-	const strangers = addresses.filter(
+	const unknownSeeds = addresses.filter(
 		(address) => address !== state.self.address && !known.has(address),
 	);
-	return pickRandomItems(strangers, 1, random)[0];
+	return pickRandomItems(unknownSeeds, 1, random)[0];
 }
 
-/** Handles what was read of the seeds objects. */
+/** Handles the outcome of a read of the seeds objects. */
 export function handleSeeds(
 	state: MembersState,
 	outcome: SeedsOutcome,
@@ -194,7 +207,7 @@
 		return {state: {...state, seeds}, effects: []};
 	}
 
-	const isLonely = listLocalPeers(state).length === 0;
+	const hasNoLocalPeers = listLocalPeers(state).length === 0;
 	const windowMs = Math.min(
 		maxJoinWindowMs,
 		joinWindowMsPerMember *
@@ -205,19 +218,19 @@
 		addresses: [
 			...new Set([...state.seeds.configuredAddresses, ...outcome.addresses]),
 		],
-		failures: isLonely ? failures : 0,
+		failures: hasNoLocalPeers ? failures : 0,
 		isAvailable: true,
 		memberCount: outcome.memberCount,
-		joinAt:
+		nextJoinAt:
 			state.role === 'joining'
 				? now + random() * windowMs
 				: state.seeds.nextJoinAt,
 	};
 	const next = {...state, seeds};
-	const isAlone = seeds.addresses.every(
+	const hasNoOtherSeeds = seeds.addresses.every(
 		(address) => address === state.self.address,
 	);
-	if (state.role === 'joining' && !isAlone) {
+	if (state.role === 'joining' && !hasNoOtherSeeds) {
 		return windowMs < membersPeriodMs
 			? startSeedSync(
 					{...next, seeds: {...seeds, nextJoinAt: now}},
@@ -227,10 +240,10 @@
 			: {state: next, effects: []};
 	}
 
-	return takeSeedsAsMember(next, outcome, now, random);
+	return handleSeedsAsMember(next, outcome, now, random);
 }
 
-function takeSeedsAsMember(
+function handleSeedsAsMember(
 	state: MembersState,
 	outcome: SeedsRead,
 	now: number,
@@ -238,18 +251,18 @@
 ): MembersStep {
 	const member = becomeMember(state);
 	const next = member.state;
-	const isLonely = listLocalPeers(next).length === 0;
+	const hasNoLocalPeers = listLocalPeers(next).length === 0;
 	const effects = [...member.effects, ...writeSeeds(next, outcome, now)];
-	if (isLonely) {
-		const sought = startSeedSync(next, now, random);
-		return {state: sought.state, effects: [...effects, ...sought.effects]};
+	if (hasNoLocalPeers) {
+		const seedSync = startSeedSync(next, now, random);
+		return {state: seedSync.state, effects: [...effects, ...seedSync.effects]};
 	}
 
-	const stranger = findStranger(next, outcome.addresses, random);
-	if (stranger === undefined || next.sync) {
+	const unknownSeed = findUnknownSeed(next, outcome.addresses, random);
+	if (unknownSeed === undefined || next.sync) {
 		return {state: next, effects};
 	}
 
-	const synced = startSync(next, stranger, now);
+	const synced = startSync(next, unknownSeed, now);
 	return {state: synced.state, effects: [...effects, ...synced.effects]};
 }
--- a/src/coordination/_lib/members/merge.ts
+++ b/src/coordination/_lib/members/merge.ts
@@ -39,7 +39,10 @@
 	return largest < maxMembersPerDataCentre / bucketsPerDataCentre;
 }
 
-/** Merges records received from another member. */
+/**
+ * Merges records received from another member; records that exceed a limit are
+ * dropped.
+ */
 export function mergeRecords(
 	state: MembersState,
 	records: readonly MemberRecord[],
@@ -49,10 +52,10 @@
 	let step: MembersStep = {state, effects: []};
 	for (const record of records) {
 		if (record.name === state.self.name) {
-			const judged = handleSelfClaim(step.state, record, now);
+			const handled = handleSelfClaim(step.state, record, now);
 			step = {
-				state: judged.state,
-				effects: [...step.effects, ...judged.effects],
+				state: handled.state,
+				effects: [...step.effects, ...handled.effects],
 			};
 			continue;
 		}
--- a/src/coordination/_lib/members/period.ts
+++ b/src/coordination/_lib/members/period.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers of what a node does each period.
+ * Periodic tasks of membership.
  */
 import {membersPeriodMs, syncPeriodMs} from '../../../protocol/constants.js';
 import {listMembers} from '../../../state/list-members.js';
@@ -18,8 +18,8 @@
 import {pickRandomItems, sendPing} from './send.js';
 import {abortSync, startSync} from './sync.js';
 
-/** Compares records with a random neighbour from time to time. */
-function syncNeighbour(
+/** Syncs with a random local peer, on average once per `syncPeriodMs`. */
+function syncWithLocalPeer(
 	state: MembersState,
 	now: number,
 	random: () => number,
@@ -33,8 +33,11 @@
 	return startSync(state, target.address, now);
 }
 
-/** Asks a dead member from time to time: it may only have been cut off. */
-function askDead(
+/**
+ * Pings a random dead member, on average once per `syncPeriodMs`, as it may
+ * only have been partitioned.
+ */
+function pingDeadMember(
 	state: MembersState,
 	now: number,
 	random: () => number,
@@ -50,14 +53,14 @@
 	return target ? sendPing(state, target.address, now) : {state, effects: []};
 }
 
-function endSync(state: MembersState, now: number): MembersState {
+function abortLateSync(state: MembersState, now: number): MembersState {
 	const isLate =
 		state.sync !== undefined &&
 		now - state.sync.startedAt > 4 * membersPeriodMs;
 	return isLate ? abortSync(state) : state;
 }
 
-/** Does what is due in a period. */
+/** Runs the tasks of one period. */
 export function runPeriod(
 	state: MembersState,
 	now: number,
@@ -73,7 +76,7 @@
 		}
 
 		case 'joining': {
-			return runActions(endSync(state, now), [
+			return runActions(abortLateSync(state, now), [
 				(next) => refreshSeeds(next, now, random),
 				(next) => startSeedSync(next, now, random),
 				(next) => handleJoinTimeout(next, now),
@@ -81,13 +84,13 @@
 		}
 
 		case 'member': {
-			return runActions(expireTombstones(endSync(state, now), now), [
+			return runActions(expireTombstones(abortLateSync(state, now), now), [
 				(next) => expireSuspicions(next, now),
 				(next) => expireProbe(next, now),
 				(next) => startProbe(next, now, random),
-				(next) => askDead(next, now, random),
+				(next) => pingDeadMember(next, now, random),
 				(next) => runBridge(next, now, random),
-				(next) => syncNeighbour(next, now, random),
+				(next) => syncWithLocalPeer(next, now, random),
 				(next) => refreshSeeds(next, now, random),
 				(next) => startSeedSync(next, now, random),
 			]);
--- a/src/coordination/_lib/members/records.ts
+++ b/src/coordination/_lib/members/records.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that change the known records.
+ * Helpers that change records of members.
  */
 import {
 	maxTombstones,
@@ -18,13 +18,16 @@
 } from '../../members-state.js';
 import {isLive} from './send.js';
 
-/** Counts the members of the own data centre, the own node included. */
+/**
+ * Counts the members of the local data centre in any state, including this
+ * node.
+ */
 export function countLocalMembers(state: MembersState): number {
 	const buckets = state.table.get(state.self.dataCentre) ?? [];
 	return buckets.reduce((sum, {members}) => sum + members.size, 1);
 }
 
-/** Marks changed records for sending. */
+/** Queues changed records for sending. */
 export function markChanged(
 	state: MembersState,
 	names: readonly string[],
@@ -36,21 +39,21 @@
 	const times = Math.ceil(
 		retransmitMultiplier * Math.log2(countLocalMembers(state) + 1),
 	);
-	const updates = new Map(
+	const pendingUpdates = new Map(
 		names.map((name) => [name, Math.max(1, times)] as const),
 	);
 	for (const [name, remaining] of state.pendingUpdates) {
-		if (!updates.has(name)) {
-			updates.set(name, remaining);
+		if (!pendingUpdates.has(name)) {
+			pendingUpdates.set(name, remaining);
 		}
 	}
 
 	const next = {
 		...state,
-		updates,
-		fresh: new Set([...state.pendingSpread, ...names]),
-		relays: new Set([...state.pendingRelays, ...names]),
-		isSpreadPlanned: true,
+		pendingUpdates,
+		pendingSpread: new Set([...state.pendingSpread, ...names]),
+		pendingRelays: new Set([...state.pendingRelays, ...names]),
+		isSpreadScheduled: true,
 	};
 	const effects: MembersEffect[] = state.isSpreadScheduled
 		? []
@@ -58,7 +61,7 @@
 	return {state: next, effects};
 }
 
-/** Changes the own record and marks it for sending. */
+/** Changes this node's record and queues it for sending. */
 export function updateSelf(
 	state: MembersState,
 	change: Partial<Pick<Member, 'state' | 'unreachable'>> & {
@@ -79,7 +82,10 @@
 	return suspicionMultiplier * scale * membersPeriodMs;
 }
 
-/** Puts records in place and keeps suspicions and tombstones true to them. */
+/**
+ * Stores records, updates suspicions and tombstones to match, and queues the
+ * records for sending.
+ */
 export function putRecords(
 	state: MembersState,
 	records: readonly Member[],
@@ -105,7 +111,7 @@
 		}
 	}
 
-	const slim = records.map((member) =>
+	const stripped = records.map((member) =>
 		isLive(member) ? member : {...member, upstreams: []},
 	);
 	const excess = [...tombstones.keys()].slice(
@@ -121,13 +127,13 @@
 			...state,
 			suspicions,
 			tombstones,
-			table: putMembers(state.table, slim, excess),
+			table: putMembers(state.table, stripped, excess),
 		},
-		slim.map(({name}) => name),
+		stripped.map(({name}) => name),
 	);
 }
 
-/** Forgets members whose tombstones have ended. */
+/** Removes members whose tombstones have expired. */
 export function expireTombstones(
 	state: MembersState,
 	now: number,
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -18,14 +18,17 @@
 } from './send.js';
 import {answerBucket, answerDigests} from './sync.js';
 
-/** Tells a sender what the answerer wrongly or not yet knows of it. */
+/**
+ * Answers a ping: sends back the record held of the sender if it is wrong, and
+ * asks for a newer one if there is one.
+ */
 function answerPing(
 	state: MembersState,
 	from: Sender,
 	now: number,
 ): MembersStep {
 	const known = findMember(state.table, from.name);
-	const isWrong =
+	const isOutdated =
 		known &&
 		(known.state !== 'alive' ||
 			known.incarnation > from.incarnation ||
@@ -35,7 +38,9 @@
 		known.incarnation < from.incarnation ||
 		(known.incarnation === from.incarnation && known.sequence < from.sequence);
 	const taken = takeUpdates(state, now);
-	const records = isWrong ? encodeRecords(taken.state, [from.name], now) : [];
+	const records = isOutdated
+		? encodeRecords(taken.state, [from.name], now)
+		: [];
 	const answer = {
 		kind: 'ack' as const,
 		from: describeSender(state),
@@ -55,7 +60,7 @@
 	return {state, effects: [createAnswerEffect(answer)]};
 }
 
-function judgeSender(
+function checkSender(
 	state: MembersState,
 	from: Sender,
 	now: number,
@@ -65,12 +70,15 @@
 		: {state, effects: []};
 }
 
-/** Notes who called, as a seed, while the node knows nobody. */
-function noteCaller(state: MembersState, from: Sender): MembersState {
+/**
+ * Records the sender as a seed while no record of the local data centre is
+ * known.
+ */
+function recordCaller(state: MembersState, from: Sender): MembersState {
 	const {addresses} = state.seeds;
 	const isKnown = addresses.includes(from.address);
-	const isLonely = !state.table.has(state.self.dataCentre);
-	if (isKnown || !isLonely || addresses.length >= 4 * maxSeeds) {
+	const hasNoLocalRecords = !state.table.has(state.self.dataCentre);
+	if (isKnown || !hasNoLocalRecords || addresses.length >= 4 * maxSeeds) {
 		return state;
 	}
 
@@ -86,8 +94,8 @@
 ): MembersStep {
 	switch (request.kind) {
 		case 'ping': {
-			return runActions(noteCaller(state, request.from), [
-				(next) => judgeSender(next, request.from, now),
+			return runActions(recordCaller(state, request.from), [
+				(next) => checkSender(next, request.from, now),
 				(next) => mergeRecords(next, request.records, now),
 				(next) => answerPing(next, request.from, now),
 			]);
--- a/src/coordination/_lib/members/sync.ts
+++ b/src/coordination/_lib/members/sync.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers of anti-entropy: digests first, then the buckets that differ.
+ * Anti-entropy: compares digests first, then the buckets that differ.
  */
 import {
 	maxBucketAnswersPerSecond,
@@ -34,8 +34,10 @@
 type BucketRequest = Extract<Exchange, {readonly kind: 'bucket'}>;
 type BucketAnswer = Extract<ExchangeAnswer, {readonly kind: 'bucket'}>;
 
-/** The known members with the own record, once it may be spread. */
-function listAll(state: MembersState): MemberTable {
+/**
+ * Returns the table of members, with this node's record once it is a member.
+ */
+function createFullTable(state: MembersState): MemberTable {
 	return state.role === 'member'
 		? putMembers(state.table, [state.self])
 		: state.table;
@@ -49,21 +51,21 @@
 	);
 }
 
-function computeRoot(digests: readonly number[]): number {
+function computeRootDigest(digests: readonly number[]): number {
 	return digests.reduce((sum, digest) => (sum + digest) % 2 ** 32, 0);
 }
 
-/** Starts a comparison of records with the member at an address. */
+/** Starts a sync of records with the member at an address. */
 export function startSync(
 	state: MembersState,
 	address: string,
 	now: number,
 ): MembersStep {
-	const table = listAll(state);
+	const table = createFullTable(state);
 	const roots = Object.fromEntries(
 		[...table.keys()].map((dataCentre) => [
 			dataCentre,
-			computeRoot(listDigests(table, dataCentre)),
+			computeRootDigest(listDigests(table, dataCentre)),
 		]),
 	);
 	const sync = {address, startedAt: now, remaining: []};
@@ -79,17 +81,20 @@
 	};
 }
 
-/** Answers a comparison: digests of the data centres that differ. */
+/**
+ * Answers a sync request with the bucket digests of the data centres that
+ * differ.
+ */
 export function answerDigests(
 	state: MembersState,
 	request: DigestsRequest,
 ): MembersStep {
-	const table = listAll(state);
+	const table = createFullTable(state);
 	const names = new Set([...table.keys(), ...Object.keys(request.roots)]);
 	const buckets: Record<string, number[]> = {};
 	for (const name of names) {
 		const digests = listDigests(table, name);
-		if (computeRoot(digests) !== (request.roots[name] ?? 0)) {
+		if (computeRootDigest(digests) !== (request.roots[name] ?? 0)) {
 			buckets[name] = digests;
 		}
 	}
@@ -118,7 +123,7 @@
 		]);
 }
 
-/** Asks for the next bucket that differs; ends the comparison after the last. */
+/** Requests the next bucket that differs; ends the sync after the last one. */
 export function continueSync(state: MembersState): MembersStep {
 	const {sync} = state;
 	const [next, ...remaining] = sync?.remaining ?? [];
@@ -132,7 +137,7 @@
 		from: describeSender(state),
 		dataCentre,
 		bucket,
-		versions: listVersions(listAll(state), dataCentre, bucket),
+		versions: listVersions(createFullTable(state), dataCentre, bucket),
 	};
 	return {
 		state: {...state, sync: {...sync, remaining}},
@@ -140,20 +145,26 @@
 	};
 }
 
-/** Gives up a comparison; the rest of it is made good with another member. */
+/**
+ * Aborts a sync; the remaining buckets are covered by a new sync with another
+ * member.
+ */
 export function abortSync(state: MembersState): MembersState {
 	return state.sync
 		? {...state, sync: undefined, isSyncIncomplete: true}
 		: state;
 }
 
-/** Handles the digests of another member: the own data centre goes first. */
+/**
+ * Handles the digests of another member and requests the buckets that differ,
+ * those of the local data centre first.
+ */
 export function compareDigests(
 	state: MembersState,
 	answer: DigestsAnswer,
 ): MembersStep {
-	const table = listAll(state);
-	const own = state.self.dataCentre;
+	const table = createFullTable(state);
+	const localDataCentre = state.self.dataCentre;
 	const differing = Object.entries(answer.buckets).flatMap(
 		([dataCentre, theirs]) =>
 			listDigests(table, dataCentre).flatMap((digest, bucket) =>
@@ -161,8 +172,8 @@
 			),
 	);
 	const remaining = [
-		...differing.filter(([dataCentre]) => dataCentre === own),
-		...differing.filter(([dataCentre]) => dataCentre !== own),
+		...differing.filter(([dataCentre]) => dataCentre === localDataCentre),
+		...differing.filter(([dataCentre]) => dataCentre !== localDataCentre),
 	].slice(0, maxBucketsPerSync);
 	const sync = state.sync && {...state.sync, remaining};
 	return continueSync({...state, sync});
@@ -180,7 +191,10 @@
 	return mergeMember(member, theirs) !== member;
 }
 
-/** Answers a request for a bucket: what is newer here, and what is there. */
+/**
+ * Answers a request for a bucket with the records that are newer here and the
+ * names of those that are newer at the sender.
+ */
 export function answerBucket(
 	state: MembersState,
 	request: BucketRequest,
@@ -194,7 +208,7 @@
 		return {state, effects: [createAnswerEffect({kind: 'busy', from})]};
 	}
 
-	const table = listAll(state);
+	const table = createFullTable(state);
 	const members =
 		table.get(request.dataCentre)?.[request.bucket]?.members ??
 		new Map<string, Member>();
@@ -231,7 +245,10 @@
 	};
 }
 
-/** Handles the records of a bucket, and sends those that are wanted. */
+/**
+ * Handles the answer to a bucket request: merges its records and sends those it
+ * asks for.
+ */
 export function handleBucketAnswer(
 	state: MembersState,
 	address: string,
--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -1,5 +1,5 @@
 /**
- * Helpers that keep the leases of the upstreams on the own host.
+ * Helpers for the leases of the upstreams on this host.
  */
 import {
 	maxUpstreamsPerHost,
@@ -15,8 +15,8 @@
 } from '../../members-state.js';
 import {updateSelf} from './records.js';
 
-/** Tells whether a later upstream has taken over the address. */
-function isSucceeded(
+/** Returns whether an upstream of a later incarnation has the address. */
+function isSuperseded(
 	state: MembersState,
 	id: string,
 	{address, incarnation = 0}: Announcement,
@@ -29,8 +29,8 @@
 	);
 }
 
-/** Finds the upstreams whose address a later one has taken over. */
-function findPredecessors(
+/** Finds the upstreams of earlier incarnations that had the address. */
+function findSuperseded(
 	state: MembersState,
 	id: string,
 	{address, incarnation = 0}: Announcement,
@@ -80,7 +80,7 @@
 	return [...upstreams.filter(({id}) => id !== next.id), next];
 }
 
-/** Handles an announcement or its renewal. */
+/** Handles an announcement of an upstream or its renewal. */
 export function announceUpstream(
 	state: MembersState,
 	id: string,
@@ -91,16 +91,12 @@
 	if (
 		state.role === 'left' ||
 		isStale(state, lease, announcement, now) ||
-		isSucceeded(state, id, announcement)
+		isSuperseded(state, id, announcement)
 	) {
 		return {state, effects: [{kind: 'announcement', outcome: 'ignored'}]};
 	}
 
-	const ended = endLeases(
-		state,
-		findPredecessors(state, id, announcement),
-		now,
-	);
+	const ended = endLeases(state, findSuperseded(state, id, announcement), now);
 	const announced = renewLease(ended.state, id, announcement, now);
 	return {
 		state: announced.state,
@@ -124,21 +120,21 @@
 		sequence,
 		state: announcement.state,
 	});
-	const known = state.self.upstreams.find((upstream) => upstream.id === id);
-	const isSameLife =
+	const current = state.self.upstreams.find((upstream) => upstream.id === id);
+	const isSameIncarnation =
 		lease?.incarnation === incarnation && lease.address === address;
 	const next: Upstream = {
 		id,
 		service: formatService({team, service}),
 		slots,
 		state: announcement.state,
-		since: known && isSameLife ? known.since : now,
+		since: current && isSameIncarnation ? current.since : now,
 	};
 	const accepted = {
 		kind: 'announcement' as const,
 		outcome: 'accepted' as const,
 	};
-	if (known && JSON.stringify(known) === JSON.stringify(next)) {
+	if (current && JSON.stringify(current) === JSON.stringify(next)) {
 		return {state: {...state, leases}, effects: [accepted]};
 	}
 
@@ -183,7 +179,7 @@
 	return endLeases(state, new Set([id]), now);
 }
 
-/** Ends leases that were not renewed in time. */
+/** Ends leases that have not been renewed in time. */
 export function expireLeases(state: MembersState, now: number): MembersStep {
 	const ended = [...state.leases].filter(([, lease]) => lease.endsAt <= now);
 	if (ended.length === 0) {
@@ -192,7 +188,7 @@
 
 	const leases = new Map(state.leases);
 	for (const [id, lease] of ended) {
-		// One that leaves is not taken back when it is heard of again.
+		// The lease of a leaving upstream is kept, so that a late announcement does not re-add it.
 		if (lease.state !== 'leaving') {
 			leases.delete(id);
 		}
--- a/src/coordination/step-delivery.ts
+++ b/src/coordination/step-delivery.ts
@@ -42,9 +42,9 @@
 export type DeliveryOptions = {
 	/** Monotonic ms since the epoch. */
 	readonly now: number;
-	/** Seeded or real source of numbers from 0 up to 1. */
+	/** Source of random numbers from 0 up to 1; seeded in simulations. */
 	readonly random: () => number;
-	/** Rules that differ from the defaults, which are the named constants. */
+	/** Rules that override the defaults, which are the named constants. */
 	readonly rules?: Partial<DeliveryRules>;
 };
 
@@ -59,7 +59,7 @@
 	validateConfiguration,
 };
 
-function takeCall(
+function removeCall(
 	state: DeliveryState,
 	callId: number,
 ): {readonly state: DeliveryState; readonly call: Call | undefined} {
@@ -69,7 +69,7 @@
 	return {state: {...state, calls}, call};
 }
 
-function failOverdueCalls(
+function failTimedOutCalls(
 	state: DeliveryState,
 	context: DeliveryContext,
 ): DeliveryStep {
@@ -84,7 +84,7 @@
 				? {
 						kind: 'poll-answer',
 						callId,
-						outcome: {kind: 'failed', reason: 'overdue'},
+						outcome: {kind: 'failed', reason: 'timed out'},
 					}
 				: {kind: 'platform-answer', callId, outcome: {kind: 'unavailable'}};
 		const next = handleMessage(step.state, message, context);
@@ -94,7 +94,7 @@
 	return step;
 }
 
-function takeView(
+function updateMembers(
 	state: DeliveryState,
 	members: readonly Member[],
 	context: DeliveryContext,
@@ -111,11 +111,14 @@
 ): DeliveryStep {
 	switch (message.kind) {
 		case 'view': {
-			return {state: takeView(state, message.members, context), effects: []};
+			return {
+				state: updateMembers(state, message.members, context),
+				effects: [],
+			};
 		}
 
 		case 'tick': {
-			const step = failOverdueCalls(state, context);
+			const step = failTimedOutCalls(state, context);
 			const kept = expireHolders(step.state, context.now);
 			return {...step, state: expireChildren(kept, context.now)};
 		}
@@ -141,7 +144,7 @@
 		}
 
 		case 'platform-answer': {
-			const taken = takeCall(state, message.callId);
+			const taken = removeCall(state, message.callId);
 			return taken.call
 				? handlePlatformAnswer(
 						taken.state,
@@ -153,7 +156,7 @@
 		}
 
 		case 'poll-answer': {
-			const taken = takeCall(state, message.callId);
+			const taken = removeCall(state, message.callId);
 			return taken.call
 				? handlePollAnswer(taken.state, taken.call, message.outcome, context)
 				: {state, effects: []};
@@ -162,14 +165,14 @@
 }
 
 /**
- * Advances a node's delivery machine by one message.
+ * Advances a node's delivery state machine by one message.
  *
- * After each message the machine raises the version that is safe, runs what
- * it may, answers waiting polls, and starts every call that it should have in
- * flight. A root reads the platform; a child polls its parent; whoever hears
- * of a version that it still lacks after a while asks the node that has it.
+ * After each message the machine raises the safe version, runs the newest version
+ * that may be run, answers waiting polls, and starts every call that should be
+ * in flight. A root reads the platform, and a child polls its parent. A node
+ * that still lacks a version after `repairAfterMs` polls the node that holds it.
  *
- * @param state - the state before; left as it is
+ * @param state - the state before; not modified
  * @param message - the message to handle
  * @param options - see `DeliveryOptions`
  * @returns the state after and the effects to carry out
