--- a/bench/_lib/create-simulated-caller.ts
+++ b/bench/_lib/create-simulated-caller.ts
@@ -120,7 +120,12 @@
 
 			function tell(message: RequestMessage): void {
 				const step = stepRequest(state, message, {
-					terms: {repeatable: true, isNested: false, maxAttempts, deadlineAt},
+					parameters: {
+						repeatable: true,
+						isNested: false,
+						maxAttempts,
+						deadlineAt,
+					},
 					now: now(),
 					random: random(),
 					budget: readBudget(),
--- a/bench/_lib/create-simulated-gate.ts
+++ b/bench/_lib/create-simulated-gate.ts
@@ -181,22 +181,22 @@
 		}
 
 		const own = counts.get(team) ?? 0;
-		const ahead = [...counts.values()].reduce(
+		const queuedAhead = [...counts.values()].reduce(
 			(sum, count) => sum + Math.min(count, own + 1),
 			0,
 		);
 		const openSlots = computeOpenSlots(slots, readTeams(), team);
 		const serviceMs = readServiceTime(serviceTime, now());
-		const waitMs = ((ahead + 1) / openSlots) * serviceMs;
+		const waitMs = ((queuedAhead + 1) / openSlots) * serviceMs;
 		const admission = decideAdmission({
 			state: 'ready',
 			remainingMs: deadlineAt - now(),
 			slots: openSlots,
 			inFlight,
-			ahead,
+			queuedAhead,
 			queued: queue.length,
-			ownQueued: own,
-			longestQueued: Math.max(0, ...counts.values()),
+			teamQueued: own,
+			maxTeamQueued: Math.max(0, ...counts.values()),
 			maxQueued: slots * queueSlotsRatio,
 			serviceMs,
 			meanServiceMs: serviceMs,
@@ -205,7 +205,7 @@
 			objectiveMs: deadlineAt - now(),
 			utilization: 0,
 		});
-		if (admission.kind === 'admit' && admission.pushOut) {
+		if (admission.kind === 'admit' && admission.shouldEvict) {
 			pushOutLongest(counts);
 		}
 
--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -67,7 +67,7 @@
 		}
 
 		const step = mechanisms.stepRequest(state, message, {
-			terms: {
+			parameters: {
 				repeatable,
 				isNested: false,
 				maxAttempts: 3,
--- a/src/coordination/_lib/host-offers.ts
+++ b/src/coordination/_lib/host-costs.ts
@@ -8,19 +8,19 @@
 	usualObjectivePart,
 } from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
-import {computeHostTurnWait} from '../compute-host-turn-wait.js';
-import {computeOfferCost, type HostExpectation} from '../compute-offer-cost.js';
+import {computeHostRateLimitWait} from '../compute-host-rate-limit-wait.js';
+import {computeHostCost, type HostEstimate} from '../compute-host-cost.js';
 import {computeTransferTime} from '../compute-transfer-time.js';
 import type {HostRecord} from '../step-host-record.js';
 import {
-	computePoolShare,
-	computeShare,
-	computeWarmth,
+	computePoolLoad,
+	computeLoadShare,
+	computeSlowStartFactor,
 	type HostRecords,
 } from './host-load.js';
 
 /** What of a request its cost depends on. */
-export type OfferOptions = {
+export type CostOptions = {
 	/** Monotonic ms. */
 	readonly now: number;
 	/** Time within which an answer has its full value, ms, if that is known. */
@@ -44,7 +44,10 @@
 const maxErrorShare = 0.9;
 
 /** A host with what a request there is expected to cost. */
-export type Offer = {readonly candidate: Candidate; readonly cost: number};
+export type CandidateCost = {
+	readonly candidate: Candidate;
+	readonly cost: number;
+};
 
 /** Part of the others' mean time that is expected of a host of unknown times. */
 const unknownPart = 0.7;
@@ -109,11 +112,11 @@
 	{
 		transferMs,
 		...offer
-	}: Omit<HostExpectation, keyof HostTimes> & {readonly transferMs: number},
+	}: Omit<HostEstimate, keyof HostTimes> & {readonly transferMs: number},
 ): number {
 	const usualMs = offer.objectiveMs * usualObjectivePart;
 	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
-	return computeOfferCost({...offer, ownMs: ownMs + transferMs, serviceMs});
+	return computeHostCost({...offer, requestMs: ownMs + transferMs, serviceMs});
 }
 
 /** Computes how long a long body takes to a host; 0 for the own one. */
@@ -130,40 +133,40 @@
 }
 
 /** Takes some of the pool at random, and the one with the best offer of them. */
-export function findBestOffer(
+export function findCheapestCandidate(
 	pool: readonly Candidate[],
 	records: HostRecords,
 	random: () => number,
-	{now, route, objectiveMs, transfer}: OfferOptions,
-): Offer | undefined {
-	const poolShare = computePoolShare(pool, records, now);
+	{now, route, objectiveMs, transfer}: CostOptions,
+): CandidateCost | undefined {
+	const poolShare = computePoolLoad(pool, records, now);
 	const count = Math.min(comparedHosts, pool.length);
 	const start = Math.floor(random() * pool.length);
 	const stride = Math.max(1, Math.floor(pool.length / count));
 	let expectedTimes: HostTimes | undefined;
-	let best: Offer | undefined;
+	let best: CandidateCost | undefined;
 	for (let index = 0; index < count; index++) {
 		const candidate = pool[(start + index * stride) % pool.length]!;
 		const record = records.get(candidate.host);
 		const load =
-			computeShare(candidate, record, poolShare, now) + 1 / candidate.slots;
-		const turnWaitMs = computeHostTurnWait(record, now);
+			computeLoadShare(candidate, record, poolShare, now) + 1 / candidate.slots;
+		const rateLimitWaitMs = computeHostRateLimitWait(record, now);
 		const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
 		const cost =
 			objectiveMs === undefined
-				? load / computeWarmth(record, now) / (1 - errorShare) +
-					turnWaitMs / msPerSecond
+				? load / computeSlowStartFactor(record, now) / (1 - errorShare) +
+					rateLimitWaitMs / msPerSecond
 				: computeCost(
 						readTimes(record, route) ??
 							(expectedTimes ??= computeExpectedTimes(pool, records, route)),
 						{
 							load,
-							turnWaitMs,
+							rateLimitWaitMs,
 							transferMs: computeTransferMs(candidate, transfer),
 							objectiveMs,
 						},
 					) +
-					coldCost * (1 / computeWarmth(record, now) - 1) +
+					coldCost * (1 / computeSlowStartFactor(record, now) - 1) +
 					errorShare;
 		if (!best || cost < best.cost) {
 			best = {candidate, cost};
--- a/src/coordination/_lib/host-load.ts
+++ b/src/coordination/_lib/host-load.ts
@@ -9,18 +9,18 @@
 export type HostRecords = ReadonlyMap<string, HostRecord>;
 
 /** Mean of the fresh reported loads of a pool. */
-export type PoolShare = {
+export type PoolLoad = {
 	readonly mean: number;
 	readonly reports: number;
 };
 
-export const noReports: PoolShare = {mean: 0, reports: 0};
+export const noReports: PoolLoad = {mean: 0, reports: 0};
 
-export function computePoolShare(
+export function computePoolLoad(
 	candidates: readonly Candidate[],
 	records: HostRecords,
 	now: number,
-): PoolShare {
+): PoolLoad {
 	let sum = 0;
 	let reports = 0;
 	for (const {host} of candidates) {
@@ -35,7 +35,7 @@
 }
 
 function computeMeanOfOthers(
-	{mean, reports}: PoolShare,
+	{mean, reports}: PoolLoad,
 	reportedShare: number,
 ): number {
 	return reports > 1 ? (mean * reports - reportedShare) / (reports - 1) : mean;
@@ -47,10 +47,10 @@
  * average of the others, so that a host that reports too little attracts
  * nothing.
  */
-export function computeShare(
+export function computeLoadShare(
 	candidate: Candidate,
 	record: HostRecord | undefined,
-	pool: PoolShare,
+	pool: PoolLoad,
 	now: number,
 ): number {
 	if (!record) {
@@ -68,10 +68,10 @@
 const minWarmth = 0.2;
 
 /** Share of its normal requests that a host gets while it starts slowly. */
-export function computeWarmth(
+export function computeSlowStartFactor(
 	record: HostRecord | undefined,
 	now: number,
 ): number {
-	const age = now - (record?.warmSince ?? now);
+	const age = now - (record?.inUseSince ?? now);
 	return Math.min(1, Math.max(minWarmth, age / slowStartMs));
 }
--- a/src/coordination/compute-gate-time.ts
+++ b/src/coordination/compute-gate-time.ts
@@ -10,8 +10,8 @@
  * computeGateTime(stepGateClock(undefined, {epoch: 'a', timeMs: 500}, 2000), 2010); // 510
  */
 export function computeGateTime(
-	{aheadMs, aheadBeforeMs}: GateClock,
+	{offsetMs, previousOffsetMs}: GateClock,
 	at: number,
 ): number {
-	return at - Math.min(aheadMs, aheadBeforeMs);
+	return at - Math.min(offsetMs, previousOffsetMs);
 }
--- a/src/coordination/compute-offer-cost.ts
+++ b/src/coordination/compute-host-cost.ts
@@ -1,13 +1,13 @@
 /** What is expected of a request at a host. */
-export type HostExpectation = {
+export type HostEstimate = {
 	/** Expected time of the request itself, ms. */
-	readonly ownMs: number;
+	readonly requestMs: number;
 	/** Expected time of any request that it waits for, ms. */
 	readonly serviceMs: number;
 	/** Requests there as a share of the slots, this one included. */
 	readonly load: number;
 	/** Wait for its turn under a rate limit, ms; 0 when absent. */
-	readonly turnWaitMs?: number;
+	readonly rateLimitWaitMs?: number;
 	/** Time within which the answer has its full value, ms. */
 	readonly objectiveMs: number;
 };
@@ -35,13 +35,19 @@
  * @example
  * computeOfferCost({ownMs: 60, serviceMs: 60, load: 0.2, objectiveMs: 200});
  */
-export function computeOfferCost(expectation: HostExpectation): number {
-	const {ownMs, serviceMs, load, objectiveMs, turnWaitMs = 0} = expectation;
+export function computeHostCost(expectation: HostEstimate): number {
+	const {
+		requestMs,
+		serviceMs,
+		load,
+		objectiveMs,
+		rateLimitWaitMs = 0,
+	} = expectation;
 	const busy = Math.min(1, load);
 	const slotWaitMs =
 		serviceMs * (Math.max(0, load - 1) + fullWaitPart * busy ** 4);
-	const waitMs = Math.max(slotWaitMs, turnWaitMs);
-	const room = objectiveMs / (ownMs + waitMs) - 1;
+	const waitMs = Math.max(slotWaitMs, rateLimitWaitMs);
+	const room = objectiveMs / (requestMs + waitMs) - 1;
 	const risk = room > 0 ? Math.exp(-riskSlope * room) : 1 - room;
 	return risk + loadWeight * busy ** 2;
 }
--- a/src/coordination/compute-host-turn-wait.ts
+++ b/src/coordination/compute-host-rate-limit-wait.ts
@@ -14,11 +14,11 @@
  * @example
  * computeHostTurnWait(undefined, 0); // 0
  */
-export function computeHostTurnWait(
+export function computeHostRateLimitWait(
 	record: HostRecord | undefined,
 	now: number,
 ): number {
 	return record?.rateLimit && now - record.reportedAt <= turnTrustMs
-		? Math.max(0, record.rateLimit.turnAt - now)
+		? Math.max(0, record.rateLimit.nextSendAt - now)
 		: 0;
 }
--- a/src/coordination/compute-turn-wait.ts
+++ b/src/coordination/compute-rate-limit-wait.ts
@@ -17,7 +17,7 @@
  * @example
  * computeTurnWait({perSecond: 10, tokens: 0, countedAt: 0, namedAt: 0}, 1, 0); // 200
  */
-export function computeTurnWait(
+export function computeRateLimitWait(
 	limit: RateLimit | undefined,
 	ahead: number,
 	now: number,
--- a/src/coordination/compute-remaining-terms.ts
+++ b/src/coordination/compute-remaining-time.ts
@@ -1,7 +1,7 @@
 import type {Attempt} from '../protocol/attempt.js';
 
 /** What an attempt has left of its time. */
-export type RemainingTerms = Pick<Attempt, 'remainingMs' | 'objectiveMs'>;
+export type RemainingTime = Pick<Attempt, 'remainingMs' | 'objectiveMs'>;
 
 /**
  * Computes what an attempt has left of its time after it has waited unread.
@@ -16,10 +16,10 @@
  * @example
  * computeRemainingTerms({remainingMs: 200, objectiveMs: 50}, 80).remainingMs; // 120
  */
-export function computeRemainingTerms(
-	{remainingMs, objectiveMs}: RemainingTerms,
+export function computeRemainingTime(
+	{remainingMs, objectiveMs}: RemainingTime,
 	waitedMs: number,
-): RemainingTerms {
+): RemainingTime {
 	return {
 		remainingMs: Math.max(0, remainingMs - waitedMs),
 		objectiveMs:
--- a/src/coordination/compute-upstream-work.test.ts
+++ b/src/coordination/compute-upstream-work.test.ts
@@ -28,13 +28,13 @@
 
 test('requests that an upstream does not count are lost', () => {
 	const first = computeWork(complete);
-	assert.deepEqual([first.lost, first.countsOwn], [0, true]);
+	assert.deepEqual([first.lost, first.includesOwnRequest], [0, true]);
 	assert.equal(computeWork(complete, {running: 2, unanswered: 3}).lost, 2);
 });
 
 test('a report may leave out the request that it comes with', () => {
 	const work = computeWork({running: 2, unanswered: 2});
-	assert.deepEqual([work.lost, work.countsOwn], [0, false]);
+	assert.deepEqual([work.lost, work.includesOwnRequest], [0, false]);
 });
 
 test('requests that may not have been read are not counted as lost', () => {
@@ -44,7 +44,7 @@
 
 test('a queue counts as work', () => {
 	const work = computeWork({running: 6, queued: 3, unanswered: 8});
-	assert.deepEqual([work.lost, work.others], [0, 0]);
+	assert.deepEqual([work.lost, work.foreignRequests], [0, 0]);
 });
 
 test('a request is missing until a report is complete', () => {
@@ -62,5 +62,5 @@
 });
 
 test('work of a gate that has started again is not its own', () => {
-	assert.equal(computeWork({running: 5, unanswered: 0}).others, 4);
+	assert.equal(computeWork({running: 5, unanswered: 0}).foreignRequests, 4);
 });
--- a/src/coordination/compute-upstream-work.ts
+++ b/src/coordination/compute-upstream-work.ts
@@ -13,9 +13,9 @@
 	/** Reports since then that show it. */
 	readonly missingReports: number;
 	/** Requests that it works on and that the gate does not know of. */
-	readonly others: number;
+	readonly foreignRequests: number;
 	/** Whether a report counts the request that it comes with; false until one has. */
-	readonly countsOwn: boolean;
+	readonly includesOwnRequest: boolean;
 };
 
 /** A report with what the gate has sent. */
@@ -49,8 +49,9 @@
 	now: number,
 ): UpstreamWork {
 	const reported = load.inFlight + load.queued;
-	const countsOwn = before?.countsOwn === true || reported > unanswered;
-	const working = reported - (countsOwn ? 1 : 0);
+	const includesOwnRequest =
+		before?.includesOwnRequest === true || reported > unanswered;
+	const working = reported - (includesOwnRequest ? 1 : 0);
 	const lost = Math.max(0, read - working);
 	const isComplete = unanswered <= working;
 	const {missingSince, missingReports = 0} = isComplete ? {} : (before ?? {});
@@ -60,7 +61,7 @@
 		isIdle: working <= 0,
 		missingSince: lost > 0 ? (missingSince ?? now) : missingSince,
 		missingReports: missingReports + (lost > 0 ? 1 : 0),
-		others: Math.max(0, reported - unanswered - 1),
-		countsOwn,
+		foreignRequests: Math.max(0, reported - unanswered - 1),
+		includesOwnRequest,
 	};
 }
--- a/src/coordination/decide-admission.test.ts
+++ b/src/coordination/decide-admission.test.ts
@@ -10,10 +10,10 @@
 	remainingMs: 2000,
 	slots: 6,
 	inFlight: 6,
-	ahead: 24,
+	queuedAhead: 24,
 	queued: 24,
-	ownQueued: 4,
-	longestQueued: 10,
+	teamQueued: 4,
+	maxTeamQueued: 10,
 	maxQueued: 24,
 	serviceMs: 10,
 	meanServiceMs: 10,
@@ -26,10 +26,10 @@
 const admissions: ReadonlyArray<
 	readonly [string, Partial<AdmissionInput>, string]
 > = [
-	['a free slot', {inFlight: 0, ahead: 0, queued: 0}, 'admit'],
+	['a free slot', {inFlight: 0, queuedAhead: 0, queued: 0}, 'admit'],
 	['room in the queue', {queued: 20}, 'admit'],
 	['a full queue of another team', {}, 'admit pushing out'],
-	['a full queue of its own', {ownQueued: 10}, 'saturated'],
+	['a full queue of its own', {teamQueued: 10}, 'saturated'],
 	['a deadline before its turn', {remainingMs: 40}, 'deadline'],
 	['a deadline that has passed', {remainingMs: 0}, 'deadline'],
 	['a leaving upstream', {state: 'leaving', queued: 0}, 'leaving'],
@@ -42,7 +42,7 @@
 		const text =
 			admission.kind === 'refuse'
 				? admission.reason
-				: `admit${admission.pushOut ? ' pushing out' : ''}`;
+				: `admit${admission.shouldEvict ? ' pushing out' : ''}`;
 		assert.equal(text, expected);
 	});
 }
@@ -50,7 +50,7 @@
 /** An attempt whose objective leaves no time to wait; six slots, one free. */
 const pressed: Partial<AdmissionInput> = {
 	inFlight: 5,
-	ahead: 0,
+	queuedAhead: 0,
 	queued: 0,
 	objectiveMs: 12,
 	serviceMs: 10,
@@ -64,7 +64,7 @@
 	inFlight: 0,
 	waitMs: 50,
 	lateWaitMs: 50,
-	turnWaitMs: 50,
+	rateLimitWaitMs: 50,
 	utilization: 0.1,
 };
 
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -9,13 +9,13 @@
 	readonly slots: number;
 	readonly inFlight: number;
 	/** Queued attempts that are served before this one. */
-	readonly ahead: number;
+	readonly queuedAhead: number;
 	/** Queued attempts of all teams. */
 	readonly queued: number;
 	/** Queued attempts of the attempt's own team. */
-	readonly ownQueued: number;
+	readonly teamQueued: number;
 	/** Queued attempts of the team that has most. */
-	readonly longestQueued: number;
+	readonly maxTeamQueued: number;
 	readonly maxQueued: number;
 	/** Expected time of the attempt at the upstream, ms. */
 	readonly serviceMs: number;
@@ -29,7 +29,7 @@
 	 * Expected wait for its turn under the upstream's rate limit, ms; 0 when
 	 * absent. It is a part of the waits above.
 	 */
-	readonly turnWaitMs?: number;
+	readonly rateLimitWaitMs?: number;
 	/** Time left in which an answer has its full value, ms. */
 	readonly objectiveMs: number;
 	/** Share of the slots that all attempts that came in time would take up. */
@@ -38,7 +38,7 @@
 	 * By how much answers come later than expected, in parts of their expected
 	 * time at the upstream; `usualMarginPart` when absent.
 	 */
-	readonly marginPart?: number;
+	readonly marginRatio?: number;
 };
 
 /** Whether an attempt may enter the queue. */
@@ -46,7 +46,7 @@
 	/** It may, after an attempt of the longest team was pushed out if so said. */
 	| {
 			readonly kind: 'admit';
-			readonly pushOut: boolean;
+			readonly shouldEvict: boolean;
 			/** Whether its answer will come after its objective. */
 			readonly isLate: boolean;
 	  }
@@ -60,13 +60,13 @@
 const minSpareShare = 0.15;
 
 /** Part of the time left that a late attempt may wait. */
-export const lateWaitPart = 0.5;
+export const lateWaitRatio = 0.5;
 
 /** Part of the mean time below which an attempt takes little from others. */
 const shortPart = 0.75;
 
 /** Margin for the scatter of times while nothing is known of it, in parts of the expected time. */
-export const usualMarginPart = 0.4;
+export const defaultMarginRatio = 0.4;
 
 /** Time for the way back, ms. */
 const wayBackMs = 10;
@@ -84,17 +84,17 @@
 	const waitMs = input.lateWaitMs / spareShare;
 	return (
 		spareShare >= minSpareShare &&
-		waitMs + input.serviceMs <= input.remainingMs * lateWaitPart
+		waitMs + input.serviceMs <= input.remainingMs * lateWaitRatio
 	);
 }
 
 /** Tells whether an answer is expected after the objective. */
 function isExpectedLate(input: AdmissionInput, waitMs: number): boolean {
 	const {serviceMs, objectiveMs, remainingMs} = input;
-	const {marginPart: knownPart = usualMarginPart} = input;
+	const {marginRatio: knownPart = defaultMarginRatio} = input;
 	// An idle slot serves nobody better than the one who comes first.
 	const marginPart =
-		waitMs === 0 ? Math.min(knownPart, usualMarginPart) : knownPart;
+		waitMs === 0 ? Math.min(knownPart, defaultMarginRatio) : knownPart;
 	const expectedMs = waitMs + serviceMs * (1 + marginPart) + wayBackMs;
 	return objectiveMs < remainingMs && expectedMs > objectiveMs;
 }
@@ -114,20 +114,20 @@
  * decideAdmission({...input, inFlight: 0, slots: 6}).kind; // 'admit'
  */
 export function decideAdmission(input: AdmissionInput): Admission {
-	const {state, slots, inFlight, ahead, serviceMs, remainingMs} = input;
+	const {state, slots, inFlight, queuedAhead, serviceMs, remainingMs} = input;
 	if (state !== 'ready') {
 		return refuse(state);
 	}
 
-	const {turnWaitMs = 0} = input;
-	const isFree = inFlight < slots && ahead === 0 && turnWaitMs === 0;
+	const {rateLimitWaitMs = 0} = input;
+	const isFree = inFlight < slots && queuedAhead === 0 && rateLimitWaitMs === 0;
 	const waitMs = isFree ? 0 : input.waitMs;
 	if (remainingMs <= 0 || waitMs + serviceMs > remainingMs) {
-		const canRunElsewhere = turnWaitMs > 0 && serviceMs <= remainingMs;
+		const canRunElsewhere = rateLimitWaitMs > 0 && serviceMs <= remainingMs;
 		return refuse(canRunElsewhere ? 'limited' : 'deadline');
 	}
 
-	if (turnWaitMs > 0 && isExpectedLate(input, waitMs)) {
+	if (rateLimitWaitMs > 0 && isExpectedLate(input, waitMs)) {
 		return refuse('limited');
 	}
 
@@ -135,7 +135,7 @@
 	const isShort = serviceMs < input.meanServiceMs * shortPart;
 	const isLate = !isShort && isExpectedLate(input, waitMs);
 	if (isFree && (!isLate || input.utilization < 1)) {
-		return {kind: 'admit', pushOut: false, isLate};
+		return {kind: 'admit', shouldEvict: false, isLate};
 	}
 
 	// A late attempt in the last free slot is in the way of the next one in time.
@@ -144,10 +144,10 @@
 	}
 
 	if (input.queued < input.maxQueued) {
-		return {kind: 'admit', pushOut: false, isLate};
+		return {kind: 'admit', shouldEvict: false, isLate};
 	}
 
-	return input.ownQueued + 1 < input.longestQueued
-		? {kind: 'admit', pushOut: true, isLate}
+	return input.teamQueued + 1 < input.maxTeamQueued
+		? {kind: 'admit', shouldEvict: true, isLate}
 		: refuse('saturated');
 }
--- a/src/coordination/decide-loop-admission.test.ts
+++ b/src/coordination/decide-event-loop-admission.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {decideLoopAdmission} from './decide-loop-admission.js';
+import {decideEventLoopAdmission} from './decide-event-loop-admission.js';
 
 /** Time of one request on a node's processor, ms. */
 const requestMs = 5;
@@ -13,7 +13,7 @@
 		const lagMs = Math.max(0, freeAt - now);
 		longestMs = Math.max(longestMs, lagMs);
 		const priority = (now / intervalMs) % 3;
-		const isTaken = !canRefuse || decideLoopAdmission({lagMs, priority});
+		const isTaken = !canRefuse || decideEventLoopAdmission({lagMs, priority});
 		freeAt = Math.max(freeAt, now) + (isTaken ? requestMs : requestMs / 10);
 	}
 
@@ -28,7 +28,7 @@
 
 test('urgent routes are refused last', () => {
 	const refused = [0, 1, 2, 3, 9].map(
-		(priority) => !decideLoopAdmission({lagMs: 100, priority}),
+		(priority) => !decideEventLoopAdmission({lagMs: 100, priority}),
 	);
 	assert.deepEqual(refused, [false, false, true, true, true]);
 });
--- a/src/coordination/decide-loop-admission.ts
+++ b/src/coordination/decide-event-loop-admission.ts
@@ -1,5 +1,5 @@
 /** What a node knows of itself when a request comes. */
-export type LoopAdmissionInput = {
+export type EventLoopAdmissionInput = {
 	/** How late the node's event loop runs, ms. */
 	readonly lagMs: number;
 	/** Rank of the request's route; 0 is the most urgent. */
@@ -25,7 +25,9 @@
  * @example
  * decideLoopAdmission({lagMs: 100, priority: 0}); // true
  */
-export function decideLoopAdmission(input: LoopAdmissionInput): boolean {
+export function decideEventLoopAdmission(
+	input: EventLoopAdmissionInput,
+): boolean {
 	const {lagMs, priority} = input;
 	return lagMs < lagStepMs * (ranks - Math.min(ranks - 1, priority));
 }
--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -1,5 +1,5 @@
 import type {OutcomeKind, OutcomeReason} from '../protocol/request.js';
-import {isForWantOfRoom} from './is-for-want-of-room.js';
+import {isCapacityRefusal} from './is-capacity-refusal.js';
 import {isMisrouted} from './is-misrouted.js';
 
 /** What the decision to retry depends on. */
@@ -19,7 +19,7 @@
 	/** Whether a node nearer to the client already retries this call. */
 	readonly isNested: boolean;
 	/** Whether another host is not known to be full; not known when absent. */
-	readonly hasRoom?: boolean;
+	readonly hasAvailableHost?: boolean;
 };
 
 /** Whether another attempt is made, and whether it draws on the budget. */
@@ -46,7 +46,7 @@
 		return 'stop';
 	}
 
-	const isFull = isForWantOfRoom(reason) && input.hasRoom === true;
+	const isFull = isCapacityRefusal(reason) && input.hasAvailableHost === true;
 	if (outcome === 'not-run' && (isMisrouted(reason) || isFull)) {
 		return 'reroute';
 	}
--- a/src/coordination/is-roomy.ts
+++ b/src/coordination/is-available.ts
@@ -1,5 +1,5 @@
 import {isKnownFull} from './is-known-full.js';
-import {isOutOfReach} from './is-out-of-reach.js';
+import {isUnreachable} from './is-unreachable.js';
 import type {HostRecord} from './step-host-record.js';
 
 /**
@@ -7,21 +7,21 @@
  * not just refused such a request for want of room.
  *
  * @param record - what is known of the host
- * @param demand - names requests that hosts admit alike
+ * @param admissionClass - names requests that hosts admit alike
  * @param now - monotonic ms
  * @returns true when it may
  * @example
  * isRoomy(undefined, 'prices aged', 0); // true
  */
-export function isRoomy(
+export function isAvailable(
 	record: HostRecord | undefined,
-	demand: string | undefined,
+	admissionClass: string | undefined,
 	now: number,
 ): boolean {
 	return (
 		record === undefined ||
 		(record.ejectedUntil <= now &&
-			!isOutOfReach(record, now) &&
-			!isKnownFull(record, demand, now))
+			!isUnreachable(record, now) &&
+			!isKnownFull(record, admissionClass, now))
 	);
 }
--- a/src/coordination/is-for-want-of-room.ts
+++ b/src/coordination/is-capacity-refusal.ts
@@ -9,7 +9,7 @@
  * @example
  * isForWantOfRoom('saturated'); // true
  */
-export function isForWantOfRoom(reason: OutcomeReason): boolean {
+export function isCapacityRefusal(reason: OutcomeReason): boolean {
 	return (
 		reason === 'saturated' || reason === 'limited' || reason === 'overloaded'
 	);
--- a/src/coordination/is-known-full.ts
+++ b/src/coordination/is-known-full.ts
@@ -4,7 +4,7 @@
  * Tells whether a host has just refused such a request for want of room.
  *
  * @param record - what is known of the host
- * @param demand - names requests that hosts admit alike
+ * @param admissionClass - names requests that hosts admit alike
  * @param now - monotonic ms
  * @returns true when it has
  * @example
@@ -12,8 +12,8 @@
  */
 export function isKnownFull(
 	record: HostRecord | undefined,
-	demand: string | undefined,
+	admissionClass: string | undefined,
 	now: number,
 ): boolean {
-	return (record?.fullUntil?.get(demand ?? '') ?? 0) > now;
+	return (record?.fullUntil?.get(admissionClass ?? '') ?? 0) > now;
 }
--- a/src/coordination/is-out-of-reach.ts
+++ b/src/coordination/is-unreachable.ts
@@ -15,7 +15,7 @@
  * @example
  * isOutOfReach(undefined, 0); // false
  */
-export function isOutOfReach(
+export function isUnreachable(
 	record: HostRecord | undefined,
 	now: number,
 ): boolean {
@@ -23,9 +23,9 @@
 		return false;
 	}
 
-	const {waitingSince, unreachable = 0} = record;
+	const {silentSince, unreachable = 0} = record;
 	const isLeftOut = unreachable > 0 && record.ejectedUntil > now;
 	const isSilent =
-		waitingSince !== undefined && now - waitingSince > silentAfterMs;
+		silentSince !== undefined && now - silentSince > silentAfterMs;
 	return isLeftOut || isSilent;
 }
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -3,7 +3,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import type {Candidate} from '../protocol/member.js';
-import {isOutOfReach} from './is-out-of-reach.js';
+import {isUnreachable} from './is-unreachable.js';
 import {pickHost} from './pick-host.js';
 import {
 	stepHostRecord,
@@ -32,7 +32,7 @@
 	errorShare: 0,
 	latencyMs: 1,
 	samples: 100,
-	warmSince: 0,
+	inUseSince: 0,
 	ejectedUntil: 0,
 	ejections: 0,
 	sentAt: now,
@@ -82,7 +82,7 @@
 		0.95,
 		1,
 	],
-	['a cold host', {'abdali-1': {warmSince: now}}, 'abdali-1', 0, 0.15],
+	['a cold host', {'abdali-1': {inUseSince: now}}, 'abdali-1', 0, 0.15],
 	['a host that reports no load', lying, 'abdali-1', 0.25, 0.4],
 	['a busy host', {'abdali-1': {ownInFlight: 3}}, 'abdali-1', 0, 0.15],
 	[
@@ -120,12 +120,12 @@
 	}
 
 	assert.ok(record.ejectedUntil > now);
-	assert.equal(record.warmSince, record.ejectedUntil);
+	assert.equal(record.inUseSince, record.ejectedUntil);
 	assert.equal(record.samples, 0);
 });
 
 test('hosts that have fallen silent get nothing while another is in reach', () => {
-	const silent = {ownInFlight: 1, waitingSince: now - 700};
+	const silent = {ownInFlight: 1, silentSince: now - 700};
 	const shares = sharePicks({
 		'abdali-1': silent,
 		'abdali-2': silent,
@@ -149,8 +149,8 @@
 	const sent: HostMessage = {kind: 'sent', isRemote: true};
 	let record = stepHostRecord(undefined, sent, start);
 	record = stepHostRecord(record, {kind: 'heard'}, {...start, now: 400});
-	assert.ok(!isOutOfReach(record, 1000));
-	assert.ok(isOutOfReach(record, 1001));
+	assert.ok(!isUnreachable(record, 1000));
+	assert.ok(isUnreachable(record, 1001));
 	record = stepHostRecord(
 		record,
 		{
@@ -162,14 +162,14 @@
 		},
 		{...start, now: 1100},
 	);
-	assert.ok(isOutOfReach(record, 1200));
-	assert.ok(!isOutOfReach(record, 1500));
+	assert.ok(isUnreachable(record, 1200));
+	assert.ok(!isUnreachable(record, 1500));
 });
 
 test('an upstream on the own host is never silent', () => {
 	const start = {now: 0, random: 0.5, serviceLatencyMs: 0};
 	const record = stepHostRecord(undefined, {kind: 'sent'}, start);
-	assert.ok(!isOutOfReach(record, 10_000));
+	assert.ok(!isUnreachable(record, 10_000));
 });
 
 /** Share of 1000 long bodies that each host gets from a node of a data centre. */
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -5,18 +5,22 @@
 	spillShare as defaultSpillShare,
 } from '../protocol/constants.js';
 import type {Candidate} from '../protocol/member.js';
-import {computeShare, noReports, type HostRecords} from './_lib/host-load.js';
 import {
-	findBestOffer,
-	type Offer,
-	type OfferOptions,
-} from './_lib/host-offers.js';
+	computeLoadShare,
+	noReports,
+	type HostRecords,
+} from './_lib/host-load.js';
+import {
+	findCheapestCandidate,
+	type CandidateCost,
+	type CostOptions,
+} from './_lib/host-costs.js';
 import {isKnownFull} from './is-known-full.js';
-import {isOutOfReach} from './is-out-of-reach.js';
+import {isUnreachable} from './is-unreachable.js';
 import type {HostRecord} from './step-host-record.js';
 
 /** Options of `pickHost`. */
-export type PickOptions = OfferOptions & {
+export type PickOptions = CostOptions & {
 	/** Data centre that is preferred. */
 	readonly dataCentre: string;
 	/** Hosts already tried for this request; none when absent. */
@@ -27,7 +31,7 @@
 	 */
 	readonly spillShare?: number;
 	/** Names requests that hosts admit alike, if hosts say so. */
-	readonly demand?: string | undefined;
+	readonly admissionClass?: string | undefined;
 };
 
 function isEjected(record: HostRecord | undefined, now: number): boolean {
@@ -58,7 +62,7 @@
 	now: number,
 ): readonly Candidate[] {
 	const reachable = candidates.filter(
-		({host}) => !isOutOfReach(records.get(host), now),
+		({host}) => !isUnreachable(records.get(host), now),
 	);
 	return reachable.length === 0 ? candidates : reachable;
 }
@@ -67,10 +71,10 @@
 function selectRoomy(
 	candidates: readonly Candidate[],
 	records: HostRecords,
-	{now, demand}: PickOptions,
+	{now, admissionClass}: PickOptions,
 ): readonly Candidate[] {
 	const roomy = candidates.filter(
-		({host}) => !isKnownFull(records.get(host), demand, now),
+		({host}) => !isKnownFull(records.get(host), admissionClass, now),
 	);
 	return roomy.length === 0 ? candidates : roomy;
 }
@@ -86,7 +90,12 @@
 ): boolean {
 	let sum = 0;
 	for (const candidate of local) {
-		sum += computeShare(candidate, records.get(candidate.host), noReports, now);
+		sum += computeLoadShare(
+			candidate,
+			records.get(candidate.host),
+			noReports,
+			now,
+		);
 	}
 
 	return sum >= limit * local.length;
@@ -117,8 +126,8 @@
 
 /** Tells whether a far host's offer is better than that of a near one. */
 function isFarBetter(
-	near: Offer,
-	far: Offer,
+	near: CandidateCost,
+	far: CandidateCost,
 	objectiveMs: number | undefined,
 	isFull: () => boolean,
 ): boolean {
@@ -173,11 +182,11 @@
 		return neglected;
 	}
 
-	const near = findBestOffer(local, records, random, options);
+	const near = findCheapestCandidate(local, records, random, options);
 	const remote = usable.filter(
 		(candidate) => candidate.dataCentre !== dataCentre,
 	);
-	const far = findBestOffer(remote, records, random, options);
+	const far = findCheapestCandidate(remote, records, random, options);
 	const isFull = (): boolean => isNearFull(local, records, spillShare, now);
 	return near && far && isFarBetter(near, far, objectiveMs, isFull)
 		? far.candidate
--- a/src/coordination/rate-limit.ts
+++ b/src/coordination/rate-limit.ts
@@ -7,7 +7,7 @@
 	/** Requests that could be sent at once when they were last counted. */
 	readonly tokens: number;
 	/** When they were counted, monotonic ms. */
-	readonly countedAt: number;
+	readonly refilledAt: number;
 	/** When an answer last named the limit, monotonic ms. */
 	readonly namedAt: number;
 };
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -6,7 +6,7 @@
 import type {LedgerStep} from './step-ledger-record.js';
 
 /** What stays the same during a request. */
-export type RequestTerms = {
+export type RequestParameters = {
 	/** Whether the request may run more than once. */
 	readonly repeatable: boolean;
 	/** Whether a node nearer to the client already retries this call. */
@@ -122,7 +122,7 @@
 
 /** What a step depends on besides state and message. */
 export type RequestContext = {
-	readonly terms: RequestTerms;
+	readonly parameters: RequestParameters;
 	/** Monotonic ms. */
 	readonly now: number;
 	/** A number from 0 up to 1. */
@@ -130,7 +130,7 @@
 	/** Tokens left in the retry budget of team and service. */
 	readonly budget: number;
 	/** Whether a host that was not tried is not known to be full. */
-	readonly hasRoom?: boolean;
+	readonly hasAvailableHost?: boolean;
 };
 
 /** A request's state after a message, and what is to be done. */
--- a/src/coordination/step-gate-clock.ts
+++ b/src/coordination/step-gate-clock.ts
@@ -5,11 +5,11 @@
 	/** Name of the gate's process. */
 	readonly epoch: string;
 	/** Least time by which the own clock was ahead when a stamp came, in this window, ms. */
-	readonly aheadMs: number;
+	readonly offsetMs: number;
 	/** The same of the window before. */
-	readonly aheadBeforeMs: number;
+	readonly previousOffsetMs: number;
 	/** When the window began, monotonic ms. */
-	readonly windowAt: number;
+	readonly windowStartedAt: number;
 };
 
 /** Time for which the least difference holds, ms; a machine that was suspended is known by its new time after two of them. */
@@ -33,12 +33,22 @@
 	{epoch, timeMs}: GateStamp,
 	receivedAt: number,
 ): GateClock {
-	const aheadMs = receivedAt - timeMs;
+	const offsetMs = receivedAt - timeMs;
 	if (clock?.epoch !== epoch) {
-		return {epoch, aheadMs, aheadBeforeMs: aheadMs, windowAt: receivedAt};
+		return {
+			epoch,
+			offsetMs,
+			previousOffsetMs: offsetMs,
+			windowStartedAt: receivedAt,
+		};
 	}
 
-	return receivedAt - clock.windowAt < windowMs
-		? {...clock, aheadMs: Math.min(clock.aheadMs, aheadMs)}
-		: {epoch, aheadMs, aheadBeforeMs: clock.aheadMs, windowAt: receivedAt};
+	return receivedAt - clock.windowStartedAt < windowMs
+		? {...clock, offsetMs: Math.min(clock.offsetMs, offsetMs)}
+		: {
+				epoch,
+				offsetMs,
+				previousOffsetMs: clock.offsetMs,
+				windowStartedAt: receivedAt,
+			};
 }
--- a/src/coordination/step-host-record.test.ts
+++ b/src/coordination/step-host-record.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {computeHostTurnWait} from './compute-host-turn-wait.js';
+import {computeHostRateLimitWait} from './compute-host-rate-limit-wait.js';
 import {isKnownFull} from './is-known-full.js';
 import {
 	stepHostRecord,
@@ -8,10 +8,16 @@
 	type HostRecord,
 } from './step-host-record.js';
 
-const demand = 'lookups aged';
+const admissionClass = 'lookups aged';
 
 function createEnd(outcome: 'full' | 'answered'): HostMessage {
-	return {kind: 'ended', outcome, latencyMs: 1, demand, load: undefined};
+	return {
+		kind: 'ended',
+		outcome,
+		latencyMs: 1,
+		admissionClass,
+		load: undefined,
+	};
 }
 
 /** Counts the requests that reach a host in ten seconds while it refuses all. */
@@ -19,7 +25,7 @@
 	let record: HostRecord | undefined;
 	let asked = 0;
 	for (let now = 0; now < 10_000; now += 10) {
-		if (!isKnownFull(record, demand, now)) {
+		if (!isKnownFull(record, admissionClass, now)) {
 			asked++;
 			const context = {now, random: 0.5, serviceLatencyMs: 0};
 			record = stepHostRecord(record, {kind: 'sent'}, context);
@@ -41,8 +47,8 @@
 		record = stepHostRecord(record, createEnd(outcome), context);
 	}
 
-	assert.ok(isKnownFull(record, demand, 29));
-	assert.ok(!isKnownFull(record, demand, 31));
+	assert.ok(isKnownFull(record, admissionClass, 29));
+	assert.ok(!isKnownFull(record, admissionClass, 31));
 });
 
 test('requests sent to a host that limits its rate take their turns one after the other', () => {
@@ -53,16 +59,16 @@
 	const end = {...createEnd('answered'), load} as const;
 	let record: HostRecord | undefined;
 	record = stepHostRecord(record, end, context);
-	assert.equal(computeHostTurnWait(record, 0), 0);
+	assert.equal(computeHostRateLimitWait(record, 0), 0);
 	record = stepHostRecord(record, {kind: 'sent'}, context);
 	record = stepHostRecord(record, {kind: 'sent'}, context);
-	assert.equal(computeHostTurnWait(record, 0), 200);
-	assert.equal(computeHostTurnWait(record, 150), 50);
+	assert.equal(computeHostRateLimitWait(record, 0), 200);
+	assert.equal(computeHostRateLimitWait(record, 150), 50);
 	// What was reported long ago may be over.
-	assert.equal(computeHostTurnWait({...record, reportedAt: -1500}, 0), 0);
+	assert.equal(computeHostRateLimitWait({...record, reportedAt: -1500}, 0), 0);
 	const free = {...end, load: {...load, notice: undefined}};
 	record = stepHostRecord(record, free, context);
-	assert.equal(computeHostTurnWait(record, 0), 0);
+	assert.equal(computeHostRateLimitWait(record, 0), 0);
 });
 
 test('a host that limits its rate is asked again when its turn has come, however often it refused', () => {
@@ -76,5 +82,5 @@
 		record = stepHostRecord(record, end, context);
 	}
 
-	assert.ok(!isKnownFull(record, demand, 60));
+	assert.ok(!isKnownFull(record, admissionClass, 60));
 });
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -31,7 +31,7 @@
 	/** Attempts that ended since the host was last put back. */
 	readonly samples: number;
 	/** Since when the host has been in use, monotonic ms. */
-	readonly warmSince: number;
+	readonly inUseSince: number;
 	/** Until when the host is not picked, monotonic ms. */
 	readonly ejectedUntil: number;
 	/** Ejections in a row. */
@@ -45,14 +45,14 @@
 	/** Attempts in a row that could not be sent. */
 	readonly unreachable?: number;
 	/** Since when nothing was heard while attempts were in flight, monotonic ms. */
-	readonly waitingSince?: number | undefined;
+	readonly silentSince?: number | undefined;
 };
 
 /** The rate limit of a host's upstream, as a caller's node knows it. */
 export type HostRateLimit = {
 	readonly perSecond: number;
 	/** When the next request is expected to have its turn, monotonic ms. */
-	readonly turnAt: number;
+	readonly nextSendAt: number;
 };
 
 /** What happened with an attempt on a host. */
@@ -80,7 +80,7 @@
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
 			/** Names requests that hosts admit alike; the route when absent. */
-			readonly demand?: string | undefined;
+			readonly admissionClass?: string | undefined;
 			/** After which time the host said that it may have room, ms. */
 			readonly retryAfterMs?: number | undefined;
 			readonly load: GateLoad | undefined;
@@ -121,7 +121,7 @@
 		errorShare: 0,
 		latencyMs: 0,
 		samples: 0,
-		warmSince: now,
+		inUseSince: now,
 		ejectedUntil: Number.NEGATIVE_INFINITY,
 		ejections: 0,
 	};
@@ -138,8 +138,8 @@
 		: new Map(times).set(route, load.routeMs);
 }
 
-function readDemand({demand, route = ''}: Ended): string {
-	return demand ?? route;
+function readDemand({admissionClass, route = ''}: Ended): string {
+	return admissionClass ?? route;
 }
 
 /**
@@ -178,15 +178,15 @@
 
 /** Computes since when nothing was heard, after the end of an attempt. */
 function computeWaitingSince(
-	{ownInFlight, waitingSince}: HostRecord,
+	{ownInFlight, silentSince}: HostRecord,
 	{isHeard = true}: Ended,
 	now: number,
 ): number | undefined {
-	if (ownInFlight <= 1 || waitingSince === undefined) {
+	if (ownInFlight <= 1 || silentSince === undefined) {
 		return undefined;
 	}
 
-	return isHeard ? now : waitingSince;
+	return isHeard ? now : silentSince;
 }
 
 /** The load that others than this node have put on the host. */
@@ -234,7 +234,7 @@
 		...record,
 		ejectedUntil,
 		ejections: record.ejections + 1,
-		warmSince: ejectedUntil,
+		inUseSince: ejectedUntil,
 		errorShare: 0,
 		latencyMs: 0,
 		samples: 0,
@@ -249,8 +249,8 @@
 	return (
 		limit && {
 			...limit,
-			turnAt:
-				Math.max(now, limit.turnAt) +
+			nextSendAt:
+				Math.max(now, limit.nextSendAt) +
 				msPerSecond / computeUsableRate(limit.perSecond),
 		}
 	);
@@ -261,7 +261,7 @@
 	now: number,
 ): HostRateLimit | undefined {
 	const limit = notice?.rateLimit;
-	return limit && {perSecond: limit.perSecond, turnAt: now + limit.waitMs};
+	return limit && {perSecond: limit.perSecond, nextSendAt: now + limit.waitMs};
 }
 
 /** Takes in what came with the end of an attempt, whatever its outcome. */
@@ -281,7 +281,7 @@
 		serviceMs: load?.serviceMs ?? before.serviceMs ?? 0,
 		routeMs: putRouteTime(before.routeMs, message),
 		reportedAt: isKnown ? now : before.reportedAt,
-		waitingSince: computeWaitingSince(before, message, now),
+		silentSince: computeWaitingSince(before, message, now),
 		rateLimit: load ? readRateLimit(load, now) : before.rateLimit,
 	};
 }
@@ -356,21 +356,20 @@
 	const before = record ?? createHostRecord(context.now);
 	switch (message.kind) {
 		case 'sent': {
-			const {waitingSince = message.isRemote ? context.now : undefined} =
-				before;
+			const {silentSince = message.isRemote ? context.now : undefined} = before;
 			return {
 				...before,
 				ownInFlight: before.ownInFlight + 1,
 				sentAt: context.now,
-				waitingSince,
+				silentSince,
 				rateLimit: takeTurn(before.rateLimit, context.now),
 			};
 		}
 
 		case 'heard': {
-			return before.waitingSince === undefined
+			return before.silentSince === undefined
 				? before
-				: {...before, waitingSince: context.now};
+				: {...before, silentSince: context.now};
 		}
 
 		case 'ended': {
--- a/src/coordination/step-rate-limit.test.ts
+++ b/src/coordination/step-rate-limit.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import fc from 'fast-check';
 import {computeRateTokens} from './compute-rate-tokens.js';
-import {computeTurnWait} from './compute-turn-wait.js';
+import {computeRateLimitWait} from './compute-rate-limit-wait.js';
 import type {RateLimit} from './rate-limit.js';
 import {stepRateLimit} from './step-rate-limit.js';
 
@@ -15,7 +15,7 @@
 	const sentAt: number[] = [];
 	let limit: RateLimit | undefined = first;
 	for (const now of times) {
-		while (computeTurnWait(limit, 0, now) === 0) {
+		while (computeRateLimitWait(limit, 0, now) === 0) {
 			sentAt.push(now);
 			limit = stepRateLimit(limit, {kind: 'sent'}, now);
 		}
@@ -64,7 +64,7 @@
 });
 
 test('a limit holds from the answer that names it, without earlier allowance', () => {
-	assert.equal(computeTurnWait(nameLimit(10, 5000), 0, 5000), 100);
+	assert.equal(computeRateLimitWait(nameLimit(10, 5000), 0, 5000), 100);
 });
 
 test('a limit of less than one a second lets a request through when its turn comes', () => {
@@ -81,7 +81,7 @@
 	const before = nameLimit(10);
 	const after = stepRateLimit(before, {kind: 'named', perSecond: 1}, 50);
 	assert.equal(computeRateTokens(after!, 50), 0.5);
-	assert.equal(computeTurnWait(after, 0, 50), 500);
+	assert.equal(computeRateLimitWait(after, 0, 50), 500);
 });
 
 test('an answer that names no limit ends it only when its request was sent after it was named', () => {
@@ -94,5 +94,5 @@
 
 test('without a limit there is no wait', () => {
 	assert.equal(stepRateLimit(undefined, {kind: 'sent'}, 0), undefined);
-	assert.equal(computeTurnWait(undefined, 50, 0), 0);
+	assert.equal(computeRateLimitWait(undefined, 50, 0), 0);
 });
--- a/src/coordination/step-rate-limit.ts
+++ b/src/coordination/step-rate-limit.ts
@@ -35,7 +35,7 @@
 	switch (message.kind) {
 		case 'named': {
 			const {perSecond} = message;
-			return {perSecond, tokens, countedAt: now, namedAt: now};
+			return {perSecond, tokens, refilledAt: now, namedAt: now};
 		}
 
 		case 'omitted': {
@@ -43,7 +43,7 @@
 		}
 
 		case 'sent': {
-			return limit && {...limit, tokens: tokens - 1, countedAt: now};
+			return limit && {...limit, tokens: tokens - 1, refilledAt: now};
 		}
 	}
 }
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -52,7 +52,7 @@
 
 /** Tells a request messages and lists the effects. */
 function run(messages: readonly RequestMessage[], repeatable: boolean) {
-	const terms = {
+	const parameters = {
 		repeatable,
 		isNested: false,
 		maxAttempts: 3,
@@ -60,7 +60,7 @@
 	};
 	let state = initialRequestState;
 	return messages.flatMap((told) => {
-		const context = {terms, now: 0, random: 0.5, budget: 10};
+		const context = {parameters, now: 0, random: 0.5, budget: 10};
 		const step = stepRequest(state, told, context);
 		state = step.state;
 		return step.effects;
@@ -107,13 +107,13 @@
 });
 
 test('a repeatable attempt that was fenced may have run before', () => {
-	const terms = {
+	const parameters = {
 		repeatable: true,
 		isNested: false,
 		maxAttempts: 1,
 		deadlineAt: 1000,
 	};
-	const context = {terms, now: 0, random: 0.5, budget: 1};
+	const context = {parameters, now: 0, random: 0.5, budget: 1};
 	const {state} = stepRequest(initialRequestState, {kind: 'start'}, context);
 	const fenced = {
 		kind: 'ended',
@@ -124,7 +124,7 @@
 	const [repeatable] = stepRequest(state, fenced, context).effects;
 	assert.equal(repeatable?.kind === 'finish' && repeatable.outcome, 'unknown');
 
-	const once = {...context, terms: {...terms, repeatable: false}};
+	const once = {...context, parameters: {...parameters, repeatable: false}};
 	const [other] = stepRequest(state, fenced, once).effects;
 	assert.equal(other?.kind === 'finish' && other.outcome, 'not-run');
 });
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -8,7 +8,7 @@
 import type {OutcomeReason} from '../protocol/request.js';
 import {computeRetryDelay} from './compute-retry-delay.js';
 import {decideRetry} from './decide-retry.js';
-import {isForWantOfRoom} from './is-for-want-of-room.js';
+import {isCapacityRefusal} from './is-capacity-refusal.js';
 import {isMisrouted} from './is-misrouted.js';
 import type {
 	AttemptEnding,
@@ -20,8 +20,8 @@
 import type {LedgerStep} from './step-ledger-record.js';
 
 /** Tells whether a gate also runs an attempt that has no stamp. */
-function needsNoStamp({terms}: RequestContext): boolean {
-	return terms.repeatable;
+function needsNoStamp({parameters}: RequestContext): boolean {
+	return parameters.repeatable;
 }
 
 function stay(state: RequestState): RequestStep {
@@ -57,12 +57,12 @@
 	ending: AttemptEnding,
 	context: RequestContext,
 ): RequestStep {
-	const {terms, now, random, budget} = context;
+	const {parameters, now, random, budget} = context;
 	const tries = state.attempts - state.restamps - state.reroutes;
 	// A try at the wrong host reached no upstream; those have a bound of their own.
 	const isFull =
-		isForWantOfRoom(ending.reason) &&
-		context.hasRoom === true &&
+		isCapacityRefusal(ending.reason) &&
+		context.hasAvailableHost === true &&
 		state.reroutes < maxFullReroutes;
 	const isWrongHost =
 		ending.outcome === 'not-run' && (isMisrouted(ending.reason) || isFull);
@@ -77,13 +77,13 @@
 
 	const delayMs = computeRetryDelay(tries, random);
 	const decision = decideRetry({
-		...terms,
+		...parameters,
 		...ending,
 		attempts: isWrongHost ? state.reroutes : tries,
-		maxAttempts: isWrongHost ? maxReroutes : terms.maxAttempts,
-		remainingMs: terms.deadlineAt - now - delayMs,
+		maxAttempts: isWrongHost ? maxReroutes : parameters.maxAttempts,
+		remainingMs: parameters.deadlineAt - now - delayMs,
 		budget,
-		hasRoom: isFull,
+		hasAvailableHost: isFull,
 	});
 	switch (decision) {
 		case 'stop': {
@@ -143,7 +143,7 @@
 	reason: OutcomeReason,
 	context: RequestContext,
 ): RequestStep {
-	if (context.terms.repeatable) {
+	if (context.parameters.repeatable) {
 		return giveUp(state, reason, context);
 	}
 
@@ -160,7 +160,7 @@
 		case 'fenced': {
 			// A gate forgets repeatable attempts that are over, so that this is no
 			// proof for them.
-			const outcome = context.terms.repeatable ? 'unknown' : 'not-run';
+			const outcome = context.parameters.repeatable ? 'unknown' : 'not-run';
 			const ending: AttemptEnding = {outcome, reason: 'fenced'};
 			return abandonFirst(state, endAttempt(state, ending, context));
 		}
@@ -184,7 +184,7 @@
 	state: RequestState,
 	context: RequestContext,
 ): RequestStep {
-	if (context.terms.repeatable || state.asks >= maxAsks) {
+	if (context.parameters.repeatable || state.asks >= maxAsks) {
 		return giveUp(state, 'gate-unreachable', context);
 	}
 
@@ -281,7 +281,7 @@
 	const {reason, retryAfterSeconds} = message;
 	// A gate forgets repeatable attempts that are over, and may then fence
 	// one that has run.
-	const isDoubtful = reason === 'fenced' && context.terms.repeatable;
+	const isDoubtful = reason === 'fenced' && context.parameters.repeatable;
 	const outcome = isDoubtful ? 'unknown' : message.outcome;
 	return endAttempt(state, {outcome, reason, retryAfterSeconds}, context);
 }
--- a/src/coordination/step-time-margin.test.ts
+++ b/src/coordination/step-time-margin.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import {computeWaitMs} from './compute-wait.js';
-import {decideAdmission, usualMarginPart} from './decide-admission.js';
+import {decideAdmission, defaultMarginRatio} from './decide-admission.js';
 import {stepTimeMargin} from './step-time-margin.js';
 
 test('rises with late answers and falls with punctual ones', () => {
@@ -38,7 +38,7 @@
 	const running: Array<{readonly endAt: number; readonly sentAt: number}> = [];
 	const queued: Array<Held & {readonly arrivedAt: number}> = [];
 	const meanMs = 95;
-	let marginPart = usualMarginPart;
+	let marginRatio = defaultMarginRatio;
 	let served = 0;
 	let punctual = 0;
 
@@ -60,7 +60,7 @@
 			punctual += actualMs <= objectiveMs ? 1 : 0;
 			if (learns) {
 				const answer = {serviceMs: meanMs, expectedMs, actualMs};
-				marginPart = stepTimeMargin(marginPart, answer);
+				marginRatio = stepTimeMargin(marginRatio, answer);
 			}
 		}
 	}
@@ -87,10 +87,10 @@
 			remainingMs: 1200,
 			slots,
 			inFlight: running.length,
-			ahead: queued.length,
+			queuedAhead: queued.length,
 			queued: queued.length,
-			ownQueued: queued.length,
-			longestQueued: queued.length,
+			teamQueued: queued.length,
+			maxTeamQueued: queued.length,
 			maxQueued: 24,
 			serviceMs: meanMs,
 			meanServiceMs: meanMs,
@@ -98,7 +98,7 @@
 			lateWaitMs: waitMs,
 			objectiveMs,
 			utilization: 1.5,
-			...(learns && {marginPart}),
+			...(learns && {marginRatio}),
 		});
 		if (admission.kind === 'admit') {
 			const expectedMs = waitMs + meanMs;
--- a/src/coordination/step-upstream-notice.test.ts
+++ b/src/coordination/step-upstream-notice.test.ts
@@ -12,7 +12,7 @@
 
 test('a limit is remembered until its gate tells of none', () => {
 	const held = stepUpstreamNotice(undefined, {...load, notice: limited}, 5);
-	assert.deepEqual(held, {notice: limited, heardAt: 5});
+	assert.deepEqual(held, {notice: limited, receivedAt: 5});
 	assert.equal(stepUpstreamNotice(held, undefined, 6), held);
 	assert.equal(stepUpstreamNotice(held, load, 6), undefined);
 });
--- a/src/coordination/step-upstream-notice.ts
+++ b/src/coordination/step-upstream-notice.ts
@@ -1,10 +1,10 @@
 import type {GateLoad, UpstreamNotice} from '../protocol/attempt.js';
 
 /** What a caller's node remembers of the upstream on a host. */
-export type HeldNotice = {
+export type CachedNotice = {
 	readonly notice: UpstreamNotice;
 	/** When its gate last told, monotonic ms. */
-	readonly heardAt: number;
+	readonly receivedAt: number;
 };
 
 /**
@@ -23,16 +23,16 @@
  * stepUpstreamNotice(undefined, {inFlight: 0, queued: 0, slots: 6}, 0); // undefined
  */
 export function stepUpstreamNotice(
-	held: HeldNotice | undefined,
+	held: CachedNotice | undefined,
 	load: GateLoad | undefined,
 	now: number,
-): HeldNotice | undefined {
+): CachedNotice | undefined {
 	if (!load) {
 		return held;
 	}
 
 	if (load.notice) {
-		return {notice: load.notice, heardAt: now};
+		return {notice: load.notice, receivedAt: now};
 	}
 
 	return held?.notice.isLeaving ? held : undefined;
--- a/src/transport/_lib/administration/add-status-routes.ts
+++ b/src/transport/_lib/administration/add-status-routes.ts
@@ -17,10 +17,10 @@
 	app: Polka,
 	options: Pick<
 		AdministrationTaskOptions,
-		'platform' | 'readNewest' | 'readView' | 'logger'
+		'platform' | 'readNewestConfiguration' | 'readView' | 'logger'
 	>,
 ): void {
-	const {platform, readNewest, readView, logger} = options;
+	const {platform, readNewestConfiguration, readView, logger} = options;
 
 	async function handleStatus(
 		version: number,
@@ -33,7 +33,7 @@
 		);
 		const status = await readVersionStatus(version, {
 			platform,
-			acceptedVersion: readNewest().version,
+			acceptedVersion: readNewestConfiguration().version,
 			dataCentres: [...dataCentres],
 		});
 		if (!status) {
@@ -60,7 +60,7 @@
 		.get(
 			'/status',
 			createHandler(logger, async (_request, response) =>
-				handleStatus(readNewest().version, response),
+				handleStatus(readNewestConfiguration().version, response),
 			),
 		);
 }
--- a/src/transport/_lib/administration/administration-options.ts
+++ b/src/transport/_lib/administration/administration-options.ts
@@ -13,7 +13,7 @@
 	/** Reads the configuration that the node runs. */
 	readonly readConfiguration: () => Configuration;
 	/** Reads the newest configuration that the node holds. */
-	readonly readNewest: () => Configuration;
+	readonly readNewestConfiguration: () => Configuration;
 	readonly readView: () => MembersView;
 	/** Reads the bytes of control traffic so far, both ways. */
 	readonly readControlBytes: () => number;
--- a/src/transport/_lib/administration/read-json-text.ts
+++ b/src/transport/_lib/administration/read-json-text.ts
@@ -32,7 +32,7 @@
 
 	const read = await readRequestBody(request, {
 		maxBytes: maxManifestBytes,
-		bufferBytes: maxManifestBytes,
+		bufferLimitBytes: maxManifestBytes,
 	});
 	if (read.kind === 'refused') {
 		return read.reason === 'cancelled'
--- a/src/transport/_lib/create-call-handler.ts
+++ b/src/transport/_lib/create-call-handler.ts
@@ -8,7 +8,7 @@
 } from '@trpc/server';
 import {getHTTPStatusCodeFromError} from '@trpc/server/http';
 import type {PeerCall, PeerRouter} from '../create-peer-router.js';
-import {readPurpose} from './read-purpose.js';
+import {readProcedureName} from './read-procedure-name.js';
 import {readRequestBody} from './read-request-body.js';
 import {sendJson} from './send-json.js';
 
@@ -35,7 +35,7 @@
 ): Promise<unknown> {
 	const read = await readRequestBody(request, {
 		maxBytes,
-		bufferBytes: maxBytes,
+		bufferLimitBytes: maxBytes,
 	});
 	if (read.kind === 'refused' || !(read.body instanceof Uint8Array)) {
 		throw new TRPCError({code: 'PAYLOAD_TOO_LARGE'});
@@ -63,7 +63,7 @@
 export function createCallHandler(options: CallHandlerOptions): CallHandler {
 	const {router, maxBytes, createContext} = options;
 	return async (request, response) => {
-		const path = readPurpose(request.url ?? '');
+		const path = readProcedureName(request.url ?? '');
 		const type = request.method === 'POST' ? 'mutation' : 'query';
 		let input: unknown;
 		try {
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -1,8 +1,8 @@
 import {Readable} from 'node:stream';
 import {finished} from 'node:stream/promises';
 import {compareWaiting} from '../../coordination/compare-waiting.js';
-import {computeTurnWait} from '../../coordination/compute-turn-wait.js';
-import {lateWaitPart} from '../../coordination/decide-admission.js';
+import {computeRateLimitWait} from '../../coordination/compute-rate-limit-wait.js';
+import {lateWaitRatio} from '../../coordination/decide-admission.js';
 import type {Ledger} from '../../coordination/create-ledger.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
@@ -180,7 +180,7 @@
 	/** Takes the next job that has a slot and its turn under the rate limit. */
 	function takeJob(upstream: LocalUpstream): Job | undefined {
 		const at = now();
-		const waitMs = computeTurnWait(upstream.rateLimit, 0, at);
+		const waitMs = computeRateLimitWait(upstream.rateLimit, 0, at);
 		if (waitMs > 0 && upstream.queuedCount > 0) {
 			planTurn(upstream, waitMs);
 			return undefined;
@@ -210,7 +210,7 @@
 			.toSorted(compareWaiting);
 		let ahead = 0;
 		for (const job of queued) {
-			const turnAt = at + computeTurnWait(upstream.rateLimit, ahead, at);
+			const turnAt = at + computeRateLimitWait(upstream.rateLimit, ahead, at);
 			if (turnAt > job.usefulUntil) {
 				dropJob(job, 'limited');
 			} else {
@@ -311,7 +311,7 @@
 			giveUpAt:
 				admittedAt +
 				(isLate
-					? attempt.remainingMs * lateWaitPart
+					? attempt.remainingMs * lateWaitRatio
 					: Math.max(0, attempt.remainingMs - serviceMs)),
 			usefulUntil:
 				admittedAt +
--- a/src/transport/_lib/create-line-exporter.ts
+++ b/src/transport/_lib/create-json-lines-exporter.ts
@@ -30,7 +30,7 @@
  * @param write - writes lines that end in a line feed
  * @returns the exporter
  */
-export function createLineExporter(
+export function createJsonLinesExporter(
 	write: (lines: string) => void,
 ): SpanExporter {
 	return {
--- a/src/transport/_lib/create-peer-fetch.ts
+++ b/src/transport/_lib/create-peer-fetch.ts
@@ -13,7 +13,7 @@
 };
 
 /** What of a response the tRPC client reads. */
-export type PeerFetchAnswer = {
+export type PeerFetchResponse = {
 	readonly ok: boolean;
 	json(): Promise<unknown>;
 	text(): Promise<string>;
@@ -23,7 +23,7 @@
 export type PeerFetch = (
 	url: string,
 	init?: PeerFetchInit,
-) => Promise<PeerFetchAnswer>;
+) => Promise<PeerFetchResponse>;
 
 const statusOk = 200;
 
@@ -98,7 +98,7 @@
 ): (
 	url: string | {readonly href: string} | {readonly url: string},
 	init?: PeerFetchInit,
-) => Promise<PeerFetchAnswer> {
+) => Promise<PeerFetchResponse> {
 	return async (url, init) => {
 		// The classes of the web API are not named here: Node loads them on first use.
 		const text =
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -1,9 +1,9 @@
 import {computeGateTime} from '../../coordination/compute-gate-time.js';
-import {computeHostTurnWait} from '../../coordination/compute-host-turn-wait.js';
-import {isForWantOfRoom} from '../../coordination/is-for-want-of-room.js';
+import {computeHostRateLimitWait} from '../../coordination/compute-host-rate-limit-wait.js';
+import {isCapacityRefusal} from '../../coordination/is-capacity-refusal.js';
 import {isKnownFull} from '../../coordination/is-known-full.js';
-import {isOutOfReach} from '../../coordination/is-out-of-reach.js';
-import {isRoomy} from '../../coordination/is-roomy.js';
+import {isUnreachable} from '../../coordination/is-unreachable.js';
+import {isAvailable} from '../../coordination/is-available.js';
 import {pickHost, type PickOptions} from '../../coordination/pick-host.js';
 import {pickKeyHost} from '../../coordination/pick-key-host.js';
 import {
@@ -22,7 +22,7 @@
 } from '../../coordination/step-retry-budget.js';
 import {
 	stepUpstreamNotice,
-	type HeldNotice,
+	type CachedNotice,
 } from '../../coordination/step-upstream-notice.js';
 import type {ForwardResult, GateLoad} from '../../protocol/attempt.js';
 import {
@@ -77,7 +77,7 @@
 /** What of a request's route matters for its host. */
 export type RouteTerms = Pick<
 	PickOptions,
-	'objectiveMs' | 'route' | 'demand'
+	'objectiveMs' | 'route' | 'admissionClass'
 > & {
 	/** Length of the request's body, bytes; 0 when absent. */
 	readonly bodyBytes?: number;
@@ -113,7 +113,7 @@
 		return 'unreachable';
 	}
 
-	return isForWantOfRoom(reason) ? 'full' : 'refused';
+	return isCapacityRefusal(reason) ? 'full' : 'refused';
 }
 
 function judgeResult(result: ForwardResult): Ended['outcome'] {
@@ -147,7 +147,7 @@
 	const records = new Map<string, HostRecord>();
 	const stamps = new Map<string, HeldStamp>();
 	// Kept beyond the records: a host that starts again is gone for a time.
-	const notices = new Map<string, HeldNotice>();
+	const notices = new Map<string, CachedNotice>();
 	const budgets = new Map<string, RetryBudget>();
 	const latencies = new Map<
 		string,
@@ -305,7 +305,7 @@
 		const at = now();
 		return (candidates.get(service) ?? [])
 			.map(({host}) => records.get(host))
-			.filter((record) => !isOutOfReach(record, at));
+			.filter((record) => !isUnreachable(record, at));
 	}
 
 	/**
@@ -314,14 +314,14 @@
 	 */
 	function findFullReason(
 		service: string,
-		{demand, objectiveMs = Number.POSITIVE_INFINITY}: RouteTerms,
+		{admissionClass, objectiveMs = Number.POSITIVE_INFINITY}: RouteTerms,
 	): 'saturated' | 'limited' | undefined {
 		const at = now();
 		const hosts = listReachable(service);
 		const isLimited = (record: HostRecord | undefined): boolean =>
-			computeHostTurnWait(record, at) > objectiveMs;
+			computeHostRateLimitWait(record, at) > objectiveMs;
 		const isFull = hosts.every(
-			(record) => isLimited(record) || isKnownFull(record, demand, at),
+			(record) => isLimited(record) || isKnownFull(record, admissionClass, at),
 		);
 		if (hosts.length === 0 || !isFull) {
 			return undefined;
@@ -358,8 +358,8 @@
 				}
 			}
 
-			for (const [host, {heardAt}] of notices) {
-				if (now() - heardAt > upstreamTombstoneMs) {
+			for (const [host, {receivedAt}] of notices) {
+				if (now() - receivedAt > upstreamTombstoneMs) {
 					notices.delete(host);
 				}
 			}
@@ -398,13 +398,13 @@
 					return hosts.some(
 						({host}) =>
 							!tried.has(host) &&
-							isRoomy(records.get(host), terms.demand, now()),
+							isAvailable(records.get(host), terms.admissionClass, now()),
 					);
 				},
 				readTurnWait() {
 					const at = now();
 					const waits = listReachable(service).map((record) =>
-						computeHostTurnWait(record, at),
+						computeHostRateLimitWait(record, at),
 					);
 					return waits.length === 0 ? 0 : Math.min(...waits);
 				},
@@ -416,7 +416,11 @@
 				},
 			};
 		},
-		noteAttempt({gate: port, attempt, result, startedAt}, endedAt, demand) {
+		noteAttempt(
+			{gate: port, attempt, result, startedAt},
+			endedAt,
+			admissionClass,
+		) {
 			const {host, address} = port.host;
 			if (result.kind !== 'lost' && result.stamp) {
 				noteStamp(address, result.stamp, endedAt);
@@ -428,14 +432,14 @@
 
 			// An attempt that was not sent has no stamp from the gate.
 			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
-			const isSilent = !isHeard && isOutOfReach(records.get(host), endedAt);
+			const isSilent = !isHeard && isUnreachable(records.get(host), endedAt);
 			noteHost(host, attempt.service, {
 				kind: 'ended',
 				outcome: isSilent ? 'unreachable' : judgeResult(result),
 				isHeard,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
-				demand,
+				admissionClass,
 				retryAfterMs:
 					'retryAfterSeconds' in result
 						? result.retryAfterSeconds * msPerSecond
--- a/src/transport/_lib/has-sender-left.test.ts
+++ b/src/transport/_lib/has-client-disconnected.test.ts
@@ -3,7 +3,7 @@
 import {createServer, IncomingMessage} from 'node:http';
 import {connect, createServer as createTcpServer, Socket} from 'node:net';
 import test, {type TestContext} from 'node:test';
-import {hasSenderLeft} from './has-sender-left.js';
+import {hasClientDisconnected} from './has-client-disconnected.js';
 
 /** Creates a request whose sender is found to have gone in the next turn. */
 function createOutdatedRequest(): IncomingMessage {
@@ -48,19 +48,19 @@
 }
 
 test('a late node notices that the sender of a request has gone', async () => {
-	assert.equal(await hasSenderLeft(createOutdatedRequest(), 100), true);
+	assert.equal(await hasClientDisconnected(createOutdatedRequest(), 100), true);
 });
 
 test('a late node notices the end of a connection that lies behind the request', async (t) => {
 	const request = await readEndedRequest(t);
-	assert.equal(await hasSenderLeft(request, 100), true);
+	assert.equal(await hasClientDisconnected(request, 100), true);
 });
 
 test('a late node handles a request whose sender is there', async () => {
 	const request = new IncomingMessage(new Socket());
-	assert.equal(await hasSenderLeft(request, 100), false);
+	assert.equal(await hasClientDisconnected(request, 100), false);
 });
 
 test('a node on time does not wait', async () => {
-	assert.equal(await hasSenderLeft(createOutdatedRequest(), 0), false);
+	assert.equal(await hasClientDisconnected(createOutdatedRequest(), 0), false);
 });
--- a/src/transport/_lib/has-sender-left.ts
+++ b/src/transport/_lib/has-client-disconnected.ts
@@ -3,7 +3,7 @@
 import {outdatedLagMs} from '../../protocol/constants.js';
 
 /** Options of `hasSenderLeft`. */
-export type SenderOptions = {
+export type ClientDisconnectOptions = {
 	/** Whether the age of the request is known besides the lag; so when absent. */
 	readonly isAgeKnown?: boolean;
 };
@@ -24,10 +24,10 @@
  * @param options - see `SenderOptions`
  * @returns true when the request need not be handled
  */
-export async function hasSenderLeft(
+export async function hasClientDisconnected(
 	request: IncomingMessage,
 	lagMs: number,
-	{isAgeKnown = true}: SenderOptions = {},
+	{isAgeKnown = true}: ClientDisconnectOptions = {},
 ): Promise<boolean> {
 	if (isAgeKnown && lagMs <= outdatedLagMs) {
 		return false;
--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps what the upstreams on the gate's host say of themselves in their answers.
  */
-import {computeTurnWait} from '../../coordination/compute-turn-wait.js';
+import {computeRateLimitWait} from '../../coordination/compute-rate-limit-wait.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {UpstreamNotice} from '../../protocol/attempt.js';
 import type {AnswerVerdict, UpstreamReport} from '../../protocol/edge.js';
@@ -131,7 +131,7 @@
 		...(rateLimit && {
 			rateLimit: {
 				perSecond: rateLimit.perSecond,
-				waitMs: computeTurnWait(rateLimit, queuedCount, now),
+				waitMs: computeRateLimitWait(rateLimit, queuedCount, now),
 			},
 		}),
 	};
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -5,13 +5,13 @@
 	type WaitingRequest,
 } from '../../coordination/compare-waiting.js';
 import {computeWaitMs} from '../../coordination/compute-wait.js';
-import {computeTurnWait} from '../../coordination/compute-turn-wait.js';
+import {computeRateLimitWait} from '../../coordination/compute-rate-limit-wait.js';
 import {
 	createFairQueue,
 	type FairQueue,
 } from '../../coordination/create-fair-queue.js';
 import {
-	usualMarginPart,
+	defaultMarginRatio,
 	type AdmissionInput,
 } from '../../coordination/decide-admission.js';
 import type {RateLimit} from '../../coordination/rate-limit.js';
@@ -150,7 +150,7 @@
 		serviceTime: undefined,
 		routeTimes: new Map(),
 		utilization: undefined,
-		marginPart: usualMarginPart,
+		marginPart: defaultMarginRatio,
 		isLeaving: false,
 		rateLimit: undefined,
 		isReportKnown: false,
@@ -243,7 +243,7 @@
 ): number {
 	const isKnown = work !== undefined && now - work.at < loadTrustMs;
 	return isKnown
-		? inFlight + Math.min(work.others, announcement.slots - 1)
+		? inFlight + Math.min(work.foreignRequests, announcement.slots - 1)
 		: inFlight;
 }
 
@@ -335,7 +335,7 @@
 	const {rateLimit, queuedCount} = upstream;
 	const {slots} = upstream.announcement;
 	if (readTakenSlots(upstream, now) < slots && queuedCount === 0) {
-		const turnWaitMs = computeTurnWait(rateLimit, 0, now);
+		const turnWaitMs = computeRateLimitWait(rateLimit, 0, now);
 		return {waitMs: turnWaitMs, lateWaitMs: turnWaitMs, turnWaitMs};
 	}
 
@@ -347,8 +347,8 @@
 	const queued = [...upstream.queued.values()].flat();
 	const next = {...order, isLate: false};
 	const ahead = queued.filter((job) => compareWaiting(job, next) <= 0);
-	const turnWaitMs = computeTurnWait(rateLimit, ahead.length, now);
-	const lateTurnWaitMs = computeTurnWait(rateLimit, queuedCount, now);
+	const turnWaitMs = computeRateLimitWait(rateLimit, ahead.length, now);
+	const lateTurnWaitMs = computeRateLimitWait(rateLimit, queuedCount, now);
 	const slotWaitMs = computeWaitMs({
 		slots,
 		runningMs,
--- a/src/transport/_lib/read-purpose.ts
+++ b/src/transport/_lib/read-procedure-name.ts
@@ -4,7 +4,7 @@
  * @param url - URL or path of the call
  * @returns the name of the procedure
  */
-export function readPurpose(url: string): string {
+export function readProcedureName(url: string): string {
 	const path = url.split('?', 1)[0]!;
 	return path.slice(path.lastIndexOf('/') + 1);
 }
--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -47,7 +47,7 @@
 	const read = await readRequestBody(received, {maxBytes, memory});
 	assert.ok(read.kind === 'read' && read.body instanceof Uint8Array);
 	assert.equal(read.body.length, uploadBytes);
-	assert.equal(read.heldBytes, uploadBytes);
+	assert.equal(read.reservedBytes, uploadBytes);
 	assert.equal(memory.take(1), false);
 });
 
@@ -57,7 +57,7 @@
 	const memory = createBodyMemory(uploadBytes - 1);
 	const read = await readRequestBody(received, {maxBytes, memory});
 	assert.ok(read.kind === 'read' && read.body instanceof Readable);
-	assert.equal(read.heldBytes, 0);
+	assert.equal(read.reservedBytes, 0);
 	read.body.destroy();
 });
 
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -10,7 +10,7 @@
 	/** Longest body that is taken. */
 	readonly maxBytes: number;
 	/** Longest body that is held in memory; `maxBufferedBytes` when absent. */
-	readonly bufferBytes?: number;
+	readonly bufferLimitBytes?: number;
 	/** Where longer bodies of a known length are held too; they are streamed when absent. */
 	readonly memory?: BodyMemory;
 	/** Time for a body that is held to arrive, ms; without bound when absent. */
@@ -18,13 +18,13 @@
 };
 
 /** A request's body. */
-export type BodyRead =
+export type BodyReadResult =
 	/** The whole body, or a stream when it is longer than is held in memory. */
 	| {
 			readonly kind: 'read';
 			readonly body: Uint8Array | Readable;
 			/** What it has taken of the memory, to be given back at its end. */
-			readonly heldBytes: number;
+			readonly reservedBytes: number;
 	  }
 	| {
 			readonly kind: 'refused';
@@ -62,12 +62,12 @@
 export async function readRequestBody(
 	request: IncomingMessage,
 	options: ReadRequestBodyOptions,
-): Promise<BodyRead> {
-	const {maxBytes, bufferBytes = maxBufferedBytes, memory} = options;
+): Promise<BodyReadResult> {
+	const {maxBytes, bufferLimitBytes = maxBufferedBytes, memory} = options;
 	const {'content-length': length, 'transfer-encoding': coding} =
 		request.headers;
 	if (length === undefined && coding === undefined) {
-		return {kind: 'read', body: emptyBody, heldBytes: 0};
+		return {kind: 'read', body: emptyBody, reservedBytes: 0};
 	}
 
 	const bytes = Number(length);
@@ -75,33 +75,36 @@
 		return {kind: 'refused', reason: 'body-too-large'};
 	}
 
-	if (!(bytes > bufferBytes)) {
-		return collectBody(request, {...options, bufferBytes});
+	if (!(bytes > bufferLimitBytes)) {
+		return collectBody(request, {...options, bufferLimitBytes});
 	}
 
 	if (bytes > maxHeldBodyBytes || !memory?.take(bytes)) {
-		return {kind: 'read', body: limitBody(request, maxBytes), heldBytes: 0};
+		return {kind: 'read', body: limitBody(request, maxBytes), reservedBytes: 0};
 	}
 
-	const read = await collectBody(request, {...options, bufferBytes: bytes});
+	const read = await collectBody(request, {
+		...options,
+		bufferLimitBytes: bytes,
+	});
 	if (read.kind === 'refused') {
 		memory.free(bytes);
 		return read;
 	}
 
-	return {...read, heldBytes: bytes};
+	return {...read, reservedBytes: bytes};
 }
 
 /** Collects a body; one that turns out to be too long to be held is streamed. */
 async function collectBody(
 	request: IncomingMessage,
 	options: ReadRequestBodyOptions & {readonly bufferBytes: number},
-): Promise<BodyRead> {
-	const {maxBytes, bufferBytes, timeoutMs} = options;
+): Promise<BodyReadResult> {
+	const {maxBytes, bufferLimitBytes, timeoutMs} = options;
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	return new Promise((resolve) => {
-		const end = (result: BodyRead): void => {
+		const end = (result: BodyReadResult): void => {
 			request.off('data', handleData);
 			request.off('end', handleEnd);
 			request.off('close', handleClose);
@@ -114,17 +117,17 @@
 			size += chunk.length;
 			if (size > maxBytes) {
 				end({kind: 'refused', reason: 'body-too-large'});
-			} else if (size > bufferBytes) {
+			} else if (size > bufferLimitBytes) {
 				request.pause();
 				request.unshift(Buffer.concat(chunks));
 				const body = limitBody(request, maxBytes);
-				end({kind: 'read', body, heldBytes: 0});
+				end({kind: 'read', body, reservedBytes: 0});
 			}
 		};
 
 		const handleEnd = (): void => {
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-			end({kind: 'read', body, heldBytes: 0});
+			end({kind: 'read', body, reservedBytes: 0});
 		};
 
 		const handleClose = (): void => {
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -3,7 +3,7 @@
 	initialRequestState,
 	type RequestEffect,
 	type RequestMessage,
-	type RequestTerms,
+	type RequestParameters,
 } from '../../coordination/request-state.js';
 import {computeRetryAfter} from '../../coordination/compute-retry-after.js';
 import {stepRequest} from '../../coordination/step-request.js';
@@ -18,7 +18,7 @@
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
 import type {GatePort} from './gate-port.js';
-import type {Answer} from './send-answer.js';
+import type {UpstreamResponse} from './send-upstream-response.js';
 import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
 
 /** What of an attempt is the same for all attempts of a request. */
@@ -41,7 +41,7 @@
 
 /** Options of `runRequest`. */
 export type RunRequestOptions = {
-	readonly terms: RequestTerms;
+	readonly terms: RequestParameters;
 	readonly template: AttemptTemplate;
 	/** Aborted when the client has gone. */
 	readonly signal: CancelSignal;
@@ -72,7 +72,7 @@
 
 /** The end of a request. */
 export type RequestEnd = {readonly attempts: number} & (
-	| {readonly outcome: 'answered'; readonly answer: Answer}
+	| {readonly outcome: 'answered'; readonly answer: UpstreamResponse}
 	| {
 			readonly outcome: 'not-run' | 'unknown';
 			readonly reason: OutcomeReason;
@@ -98,7 +98,7 @@
 	const {terms, template, signal, now} = options;
 	let state = initialRequestState;
 	let open: OpenAttempt | undefined;
-	let answer: Answer | undefined;
+	let answer: UpstreamResponse | undefined;
 	let silenceTimer: PolledTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
@@ -342,7 +342,7 @@
 	});
 }
 
-function dropAnswer({body}: Answer): void {
+function dropAnswer({body}: UpstreamResponse): void {
 	if (body instanceof Readable) {
 		body.destroy();
 	}
--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -8,7 +8,7 @@
 import {sendJson} from './send-json.js';
 
 /** An outcome without an answer. */
-export type Unanswered = {
+export type UnansweredOutcome = {
 	readonly outcome: 'not-run' | 'unknown';
 	readonly reason: OutcomeReason;
 	readonly retryAfterSeconds: number;
@@ -32,7 +32,7 @@
  */
 export function sendOutcome(
 	response: ServerResponse,
-	unanswered: Unanswered,
+	unanswered: UnansweredOutcome,
 	edge: Edge,
 ): void {
 	const {outcome, reason, retryAfterSeconds} = unanswered;
--- a/src/transport/_lib/send-answer.ts
+++ b/src/transport/_lib/send-upstream-response.ts
@@ -4,7 +4,7 @@
 import {copyHeaders} from './copy-headers.js';
 
 /** An answer of an upstream. */
-export type Answer = {
+export type UpstreamResponse = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
 	readonly body: Uint8Array | Readable;
@@ -18,9 +18,9 @@
  * @param answer - the answer
  * @param own - this system's headers
  */
-export async function sendAnswer(
+export async function sendUpstreamResponse(
 	response: ServerResponse,
-	answer: Answer,
+	answer: UpstreamResponse,
 	own: Readonly<Record<string, string>>,
 ): Promise<void> {
 	const {status, body} = answer;
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -31,7 +31,7 @@
 	 * Reads how long the connection of a request waited to be accepted, ms; 0
 	 * unless the request is the first one on it.
 	 */
-	readWait(request: IncomingMessage): number;
+	readAcceptWaitMs(request: IncomingMessage): number;
 	/** Asks clients, with each further answer, to close their connections. */
 	drain(): void;
 	/** Stops listening and waits for requests in flight. */
@@ -173,7 +173,7 @@
 	return {
 		server,
 		address: `${host}:${boundPort}`,
-		readWait: (request) => waits.get(request) ?? 0,
+		readAcceptWaitMs: (request) => waits.get(request) ?? 0,
 		drain() {
 			isStopping = true;
 		},
--- a/src/transport/_lib/wait-until-quiet.ts
+++ b/src/transport/_lib/wait-until-idle.ts
@@ -1,9 +1,9 @@
 /** Options of `waitUntilQuiet`. */
-export type QuietOptions = {
+export type IdleWaitOptions = {
 	/** Time since the last activity, ms. */
 	readonly readIdleMs: () => number;
 	/** Idle time that counts as quiet, ms. */
-	readonly quietMs: number;
+	readonly idleThresholdMs: number;
 	/** Least and longest wait, ms. */
 	readonly minMs: number;
 	readonly maxMs: number;
@@ -16,13 +16,13 @@
  *
  * @param options - see `QuietOptions`
  */
-export async function waitUntilQuiet(options: QuietOptions): Promise<void> {
-	const {readIdleMs, quietMs, minMs, maxMs} = options;
+export async function waitUntilIdle(options: IdleWaitOptions): Promise<void> {
+	const {readIdleMs, idleThresholdMs, minMs, maxMs} = options;
 	const startedAt = performance.now();
 	await new Promise<void>((resolve) => {
 		const timer = setInterval(() => {
 			const elapsedMs = performance.now() - startedAt;
-			const isQuiet = elapsedMs >= minMs && readIdleMs() >= quietMs;
+			const isQuiet = elapsedMs >= minMs && readIdleMs() >= idleThresholdMs;
 			if (isQuiet || elapsedMs >= maxMs) {
 				clearInterval(timer);
 				resolve();
--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -3,7 +3,7 @@
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {adaptFetch, createPeerFetch} from './_lib/create-peer-fetch.js';
 import {createPooledAgent} from './_lib/create-pooled-agent.js';
-import {readPurpose} from './_lib/read-purpose.js';
+import {readProcedureName} from './_lib/read-procedure-name.js';
 import type {PeerRouter} from './create-peer-router.js';
 
 /** Client of one other node. */
@@ -110,7 +110,7 @@
 						url: `http://${address}/trpc`,
 						fetch: adaptFetch(
 							createPeerFetch(address, (url) =>
-								getAgent(readPurpose(url), address),
+								getAgent(readProcedureName(url), address),
 							),
 						),
 					}),
--- a/src/transport/create-tracer.ts
+++ b/src/transport/create-tracer.ts
@@ -20,7 +20,7 @@
 } from '../protocol/observer.js';
 import type {Settings} from '../protocol/settings.js';
 import {attributeNames} from './_lib/attribute-names.js';
-import {createLineExporter} from './_lib/create-line-exporter.js';
+import {createJsonLinesExporter} from './_lib/create-json-lines-exporter.js';
 import {createSpan, type SpanInput} from './_lib/create-span.js';
 import type {Logger} from './create-logger.js';
 
@@ -52,7 +52,7 @@
 		},
 	} = options;
 	if (trace.export !== 'otlp') {
-		return createLineExporter(write);
+		return createJsonLinesExporter(write);
 	}
 
 	const exporter = new OTLPTraceExporter({
--- a/src/transport/start-administration-task.test.ts
+++ b/src/transport/start-administration-task.test.ts
@@ -64,7 +64,7 @@
 		},
 		platform,
 		readConfiguration: createConfiguration,
-		readNewest: createConfiguration,
+		readNewestConfiguration: createConfiguration,
 		readView: () => view,
 		readControlBytes: () => 0,
 		announce(id) {
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -6,7 +6,7 @@
 import {computeUnreadTime} from '../coordination/compute-unread-time.js';
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import {decideDrainAdmission} from '../coordination/decide-drain-admission.js';
-import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
+import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {pickTarget} from '../coordination/pick-target.js';
 import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
 import {
@@ -50,10 +50,10 @@
 import {reportAttemptEvent} from './_lib/report-attempt-event.js';
 import {reportRequestEvent} from './_lib/report-request-event.js';
 import {runRequest, type RequestEnd} from './_lib/run-request.js';
-import {sendAnswer} from './_lib/send-answer.js';
+import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
 import {sendOutcome} from './_lib/send-outcome.js';
 import {discardBody} from './_lib/discard-body.js';
-import {hasSenderLeft} from './_lib/has-sender-left.js';
+import {hasClientDisconnected} from './_lib/has-client-disconnected.js';
 import {startServer} from './_lib/start-server.js';
 import type {Forwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -320,17 +320,17 @@
 			return {outcome: 'not-run', reason, retryAfterSeconds, attempts: 0};
 		}
 
-		const {body, heldBytes} = read;
+		const {body, reservedBytes} = read;
 		const isStreamed = !(body instanceof Uint8Array);
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatKey(terms, route);
 		const {depth} = terms;
 		const objectiveMs = computeObjectiveMs(terms, route);
-		const demand = formatDemand(route, objectiveMs);
+		const admissionClass = formatDemand(route, objectiveMs);
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
 			route: route.name,
-			demand,
+			admissionClass,
 			bodyBytes: readBodyBytes(request),
 		});
 		if (isStreamed) {
@@ -370,7 +370,7 @@
 			readTurnWait: selection.readTurnWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
-				router.noteAttempt(end, now(), demand);
+				router.noteAttempt(end, now(), admissionClass);
 				reportAttemptEvent(observer, end, routed.traceparent, now());
 			},
 			readBudget: () => router.readBudget(team, service),
@@ -380,7 +380,7 @@
 			now,
 			random,
 		});
-		bodyMemory.free(heldBytes);
+		bodyMemory.free(reservedBytes);
 		if (isStreamed && end.outcome !== 'answered') {
 			discardBody(body);
 		}
@@ -396,7 +396,7 @@
 				cancelling.abort();
 			}
 		});
-		if (await hasSenderLeft(request, lagMs)) {
+		if (await hasClientDisconnected(request, lagMs)) {
 			const {requestId} = routed;
 			abortResponse(response, {
 				cause: {kind: 'sender-left'},
@@ -410,7 +410,7 @@
 		const end = await runRouted(routed, cancelling.signal);
 		try {
 			if (end.outcome === 'answered') {
-				await sendAnswer(response, end.answer, answeredHeaders);
+				await sendUpstreamResponse(response, end.answer, answeredHeaders);
 			} else {
 				sendOutcome(response, end, edge);
 			}
@@ -421,7 +421,7 @@
 
 	/** Reads how late the node is with a request, ms. */
 	function readLateness(request: IncomingMessage): number {
-		return Math.max(readLag(), server.readWait(request));
+		return Math.max(readLag(), server.readAcceptWaitMs(request));
 	}
 
 	function findRoute(
@@ -479,7 +479,7 @@
 
 		const {priority = 0} = route;
 		const lagMs = readLateness(request);
-		if (!decideLoopAdmission({lagMs, priority})) {
+		if (!decideEventLoopAdmission({lagMs, priority})) {
 			refuse(response, 'overloaded', computeOverloadDelayMs(terms));
 			return;
 		}
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -7,9 +7,9 @@
 	type Admission,
 	type AdmissionInput,
 } from '../coordination/decide-admission.js';
-import {computeRemainingTerms} from '../coordination/compute-remaining-terms.js';
+import {computeRemainingTime} from '../coordination/compute-remaining-time.js';
 import {computeTransitTime} from '../coordination/compute-transit-time.js';
-import {decideLoopAdmission} from '../coordination/decide-loop-admission.js';
+import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
@@ -246,7 +246,7 @@
 	/** Counts the time that an attempt has been on its way as used up. */
 	function updateTerms(attempt: Attempt): Attempt {
 		const transitMs = computeTransitTime(attempt, now());
-		return {...attempt, ...computeRemainingTerms(attempt, transitMs)};
+		return {...attempt, ...computeRemainingTime(attempt, transitMs)};
 	}
 
 	/** Refuses an attempt when the node itself has no time for it. */
@@ -259,7 +259,7 @@
 
 		// The attempt may have waited here for as long as the loop runs late.
 		const canEndInTime = lagMs < remainingMs;
-		return canEndInTime && decideLoopAdmission({lagMs, priority})
+		return canEndInTime && decideEventLoopAdmission({lagMs, priority})
 			? admit(attempt)
 			: refuse('not-run', 'overloaded');
 	}
@@ -272,19 +272,19 @@
 		AdmissionInput,
 		| 'slots'
 		| 'inFlight'
-		| 'ahead'
+		| 'queuedAhead'
 		| 'queued'
-		| 'ownQueued'
-		| 'longestQueued'
+		| 'teamQueued'
+		| 'maxTeamQueued'
 		| 'maxQueued'
 	> {
 		return {
 			slots: computeLocalOpenSlots(upstream, team, now()),
 			inFlight: readTakenSlots(upstream, now()),
-			ahead: countAhead(upstream, team),
+			queuedAhead: countAhead(upstream, team),
 			queued: upstream.queuedCount,
-			ownQueued: upstream.queued.get(team)?.length ?? 0,
-			longestQueued: findLongestQueue(upstream).length,
+			teamQueued: upstream.queued.get(team)?.length ?? 0,
+			maxTeamQueued: findLongestQueue(upstream).length,
 			maxQueued: upstream.announcement.slots * queueSlotsRatio,
 		};
 	}
@@ -343,7 +343,7 @@
 			objectiveMs,
 			...expected,
 			utilization,
-			marginPart: upstream.marginPart,
+			marginRatio: upstream.marginPart,
 			...describeQueue(upstream, attempt),
 		});
 		if (admission.kind === 'admit') {
@@ -389,7 +389,7 @@
 			return judged;
 		}
 
-		if (judged.pushOut) {
+		if (judged.shouldEvict) {
 			runner.drop(findLongestQueue(upstream).at(-1)!, 'saturated');
 		}
 
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -21,7 +21,7 @@
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
-import {waitUntilQuiet} from './_lib/wait-until-quiet.js';
+import {waitUntilIdle} from './_lib/wait-until-idle.js';
 import {createForwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
 import {createMeshMetrics} from './create-mesh-metrics.js';
@@ -79,7 +79,7 @@
 const notableAcceptMs = outdatedLagMs;
 
 /** Time without requests after which no client is left, ms. */
-const quietMs = 700;
+const idleThresholdMs = 700;
 
 /**
  * Starts a node whose platform keeps the configuration: all its tasks, joined
@@ -335,19 +335,19 @@
 			peerServer.drain();
 			await members.leave();
 			const drained = gate.drain();
-			await waitUntilQuiet({
+			await waitUntilIdle({
 				readIdleMs: caller.readIdleMs,
-				quietMs,
+				idleThresholdMs,
 				minMs: minDrainMs,
 				maxMs: lastMs - lastRequestsMs - elapsedMs(),
 			});
 			// Requests that come now could be cut by the end of the grace period.
 			caller.refuseAll();
 			await Promise.race([drained, waitMs(Math.max(0, lastMs - elapsedMs()))]);
-			await waitUntilQuiet({
+			await waitUntilIdle({
 				readIdleMs: () =>
 					caller.readInFlight() === 0 ? Number.POSITIVE_INFINITY : 0,
-				quietMs: 1,
+				idleThresholdMs: 1,
 				minMs: 0,
 				maxMs: lastMs - elapsedMs(),
 			});
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -156,7 +156,7 @@
 		commit,
 		platform,
 		readConfiguration: configuration.readConfiguration,
-		readNewest: configuration.readNewest,
+		readNewestConfiguration: configuration.readNewest,
 		readView: members.readView,
 		readControlBytes: bytes.readTotal,
 		announce(id, announced) {
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -31,12 +31,12 @@
 import {formatNotice} from './_lib/format-notice.js';
 import {formatStamp} from './_lib/format-stamp.js';
 import {readAttempt} from './_lib/read-attempt.js';
-import {readPurpose} from './_lib/read-purpose.js';
+import {readProcedureName} from './_lib/read-procedure-name.js';
 import {readRequestBody} from './_lib/read-request-body.js';
-import {sendAnswer} from './_lib/send-answer.js';
+import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
 import {sendJson} from './_lib/send-json.js';
 import {createListener} from './_lib/create-listener.js';
-import {hasSenderLeft} from './_lib/has-sender-left.js';
+import {hasClientDisconnected} from './_lib/has-client-disconnected.js';
 import {startServer, type RunningServer} from './_lib/start-server.js';
 import {answersPath, gatePrefix} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
@@ -91,7 +91,7 @@
 ): Promise<void> {
 	const own = createOwnHeaders(result);
 	if (result.kind === 'answered') {
-		await sendAnswer(response, result, own);
+		await sendUpstreamResponse(response, result, own);
 		return;
 	}
 
@@ -173,9 +173,9 @@
 		attempt: Attempt,
 		arrivedAt: number,
 	): Promise<AttemptResult | 'sender-left'> {
-		const lagMs = Math.max(readLag(), server.readWait(request));
+		const lagMs = Math.max(readLag(), server.readAcceptWaitMs(request));
 		const isAgeKnown = attempt.madeAtGateMs !== undefined;
-		if (await hasSenderLeft(request, lagMs, {isAgeKnown})) {
+		if (await hasClientDisconnected(request, lagMs, {isAgeKnown})) {
 			return 'sender-left';
 		}
 
@@ -233,7 +233,7 @@
 		const attempt = {...head, body: body.body};
 		const result = await runArrived(request, attempt, arrivedAt);
 		clearInterval(signs);
-		bodyMemory.free(body.heldBytes);
+		bodyMemory.free(body.reservedBytes);
 		if (result === 'sender-left') {
 			abort(request, response, {kind: 'sender-left'});
 			return;
@@ -275,7 +275,7 @@
 	const app = polka().use((request, response) => {
 		const {url} = request;
 		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
-			options.track?.(readPurpose(url), request.socket);
+			options.track?.(readProcedureName(url), request.socket);
 			handleCall(request, response).catch((error: unknown) => {
 				logger.debug('call not answered', {error: String(error)});
 				response.destroy();
