--- a/bench/_lib/create-members-bench-fleet.ts
+++ b/bench/_lib/create-members-bench-fleet.ts
@@ -77,10 +77,10 @@
 			...node.state,
 			role: 'member',
 			table: putMembers(all, [], [node.name]),
-			updates: new Map(),
-			fresh: new Set(),
-			relays: new Set(),
-			isSpreadPlanned: false,
+			pendingUpdates: new Map(),
+			pendingSpread: new Set(),
+			pendingRelays: new Set(),
+			isSpreadScheduled: false,
 		};
 	}
 
--- a/faults/_lib/config/create-sim-node.ts
+++ b/faults/_lib/config/create-sim-node.ts
@@ -50,7 +50,7 @@
 	const {name, slot, dataCentre, address} = options;
 	const {random} = scheduler;
 	let delivery = createDeliveryState(name, dataCentre);
-	let commit = createCommitState(delivery.held[0]!);
+	let commit = createCommitState(delivery.heldConfigurations[0]!);
 	let snapshot = createSnapshotState();
 	let condition: 'up' | 'frozen' | 'dead' = 'up';
 	let since = 0;
@@ -283,7 +283,7 @@
 			replies.set(lastNumber, answer);
 			const ticket = {...submission, ticket: lastNumber};
 			world.reach('submit', node, () => {
-				const configuration = delivery.held.at(-1)!;
+				const configuration = delivery.heldConfigurations.at(-1)!;
 				tellCommit({kind: 'configuration', configuration});
 				tellCommit({kind: 'submit', ticket});
 			});
--- a/faults/members.test.ts
+++ b/faults/members.test.ts
@@ -137,7 +137,7 @@
 };
 
 const neverProbe: Step = (state, message, now, random) =>
-	stepMembers({...state, order: ['nobody']}, message, now, random);
+	stepMembers({...state, probeOrder: ['nobody']}, message, now, random);
 
 const writeAlways: Step = (state, message, now, random) =>
 	stepMembers(
--- a/harness/create-members-platform.ts
+++ b/harness/create-members-platform.ts
@@ -63,7 +63,7 @@
 					memberCount: own?.memberCount ?? 0,
 					writtenMs: own?.writtenMs ?? 0,
 					version: own?.version,
-					ownAddresses: own?.addresses ?? [],
+					localAddresses: own?.addresses ?? [],
 				});
 			});
 		},
--- a/src/coordination/_lib/delivery/accept-configuration.ts
+++ b/src/coordination/_lib/delivery/accept-configuration.ts
@@ -8,7 +8,10 @@
 	maxHeldVersions,
 } from '../../../protocol/constants.js';
 import type {DeliveryState, DeliveryStep} from '../../delivery-state.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 
 const refusedSnapshotPauseMs = 5000;
 const keptEntries = 4 * logEntriesPerPoll;
@@ -38,14 +41,17 @@
 	entries: readonly LogEntry[],
 ): DeliveryState {
 	const isKnown =
-		state.heard !== undefined && configuration.version >= state.heard.version;
+		state.missingVersion !== undefined &&
+		configuration.version >= state.missingVersion.version;
 	return {
 		...state,
-		held: [...state.held, configuration].slice(-maxHeldVersions),
+		heldConfigurations: [...state.heldConfigurations, configuration].slice(
+			-maxHeldVersions,
+		),
 		entries: entries.slice(-keptEntries),
 		needsSnapshot: false,
 		refusal: undefined,
-		heard: isKnown ? undefined : state.heard,
+		missingVersion: isKnown ? undefined : state.missingVersion,
 	};
 }
 
@@ -70,7 +76,7 @@
 ): EntriesStep {
 	let next = state;
 	for (const entry of entries) {
-		const newest = readNewest(next);
+		const newest = findNewestConfiguration(next);
 		if (entry.version <= newest.version) {
 			continue;
 		}
@@ -113,7 +119,7 @@
 		return {...step, state: {...step.state, refusedSnapshot: {version, until}}};
 	}
 
-	return result.value.version > readNewest(state).version
+	return result.value.version > findNewestConfiguration(state).version
 		? {state: holdVersion(state, result.value, []), effects: []}
 		: {state, effects: []};
 }
--- a/src/coordination/_lib/delivery/answer-polls.ts
+++ b/src/coordination/_lib/delivery/answer-polls.ts
@@ -11,10 +11,13 @@
 	DeliveryState,
 	DeliveryStep,
 } from '../../delivery-state.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 
 function isUseful(state: DeliveryState, poll: Poll): boolean {
-	const hasNewer = readNewest(state).version > poll.afterVersion;
+	const hasNewer = findNewestConfiguration(state).version > poll.afterVersion;
 	const mayRunMore =
 		state.safeVersion > poll.safeVersion && poll.safeVersion < poll.haveVersion;
 	return hasNewer || mayRunMore;
@@ -54,7 +57,7 @@
  * @returns the answer
  */
 export function buildAnswer(state: DeliveryState, poll: Poll): PollAnswer {
-	const newest = readNewest(state);
+	const newest = findNewestConfiguration(state);
 	const holders = [...state.holders]
 		.filter(([, {version}]) => version >= newest.version)
 		.map(([name]) => name)
--- a/src/coordination/_lib/delivery/compute-progress.ts
+++ b/src/coordination/_lib/delivery/compute-progress.ts
@@ -45,7 +45,8 @@
 ): DeliveryState {
 	const waiting = new Set(state.polls.map(({poll}) => poll.name));
 	const children = [...state.children].filter(
-		([name, {at}]) => waiting.has(name) || now - at < childExpiryMs,
+		([name, {receivedAt}]) =>
+			waiting.has(name) || now - receivedAt < childExpiryMs,
 	);
 	return children.length === state.children.size
 		? state
--- a/src/coordination/_lib/delivery/delivery-context.ts
+++ b/src/coordination/_lib/delivery/delivery-context.ts
@@ -42,15 +42,15 @@
 };
 
 /** One part of a step. */
-export type DeliveryPart = (
+export type DeliveryAction = (
 	state: DeliveryState,
 	context: DeliveryContext,
 ) => DeliveryStep;
 
 /** Runs parts one after another, joining their effects. */
-export function runParts(
+export function runDeliveryActions(
 	step: DeliveryStep,
-	parts: readonly DeliveryPart[],
+	parts: readonly DeliveryAction[],
 	context: DeliveryContext,
 ): DeliveryStep {
 	let {state} = step;
@@ -65,8 +65,8 @@
 }
 
 /** Returns the newest configuration that a node holds. */
-export function readNewest(state: DeliveryState): Configuration {
-	return state.held.at(-1)!;
+export function findNewestConfiguration(state: DeliveryState): Configuration {
+	return state.heldConfigurations.at(-1)!;
 }
 
 /** Tells whether a call of one of the kinds is in flight. */
--- a/src/coordination/_lib/delivery/handle-peer.ts
+++ b/src/coordination/_lib/delivery/handle-peer.ts
@@ -7,12 +7,15 @@
 } from '../../delivery-state.js';
 import {computeBackoff} from '../../compute-backoff.js';
 import {acceptEntries, acceptSnapshot} from './accept-configuration.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 
 const unchangedPauseMs = 20;
 
 /** Notes that another node holds a version, perhaps one that this one lacks. */
-export function noteHolder(
+export function recordHolder(
 	state: DeliveryState,
 	name: string,
 	version: number,
@@ -20,13 +23,13 @@
 ): DeliveryState {
 	const holders = new Map(state.holders).set(name, {version, at: now});
 	const isNews =
-		version > readNewest(state).version &&
-		version > (state.heard?.version ?? 0);
-	const since = state.heard?.since ?? now;
+		version > findNewestConfiguration(state).version &&
+		version > (state.missingVersion?.version ?? 0);
+	const since = state.missingVersion?.since ?? now;
 	return {
 		...state,
 		holders,
-		heard: isNews ? {version, name, since} : state.heard,
+		missingVersion: isNews ? {version, name, since} : state.missingVersion,
 	};
 }
 
@@ -60,12 +63,15 @@
 	now: number,
 ): DeliveryState {
 	const noted = noteSafeVersion(
-		noteHolder(state, poll.name, poll.haveVersion, now),
+		recordHolder(state, poll.name, poll.haveVersion, now),
 		poll.name,
 		poll.safeVersion,
 	);
 	const children = poll.progress
-		? new Map(state.children).set(poll.name, {progress: poll.progress, at: now})
+		? new Map(state.children).set(poll.name, {
+				progress: poll.progress,
+				receivedAt: now,
+			})
 		: state.children;
 	return {
 		...noted,
@@ -83,17 +89,17 @@
 		case 'pull': {
 			const pullFailures = state.pullFailures + 1;
 			const delay = computeBackoff(pullFailures, context.random());
-			return {...state, pullFailures, pullAt: context.now + delay};
+			return {...state, pullFailures, nextPullAt: context.now + delay};
 		}
 
 		case 'repair': {
-			return {...state, heard: undefined};
+			return {...state, missingVersion: undefined};
 		}
 
-		case 'notice': {
-			const noticeFailures = state.noticeFailures + 1;
-			const noticed = {...state.noticed, text: ''};
-			return {...state, noticeFailures, noticed};
+		case 'report': {
+			const reportFailures = state.reportFailures + 1;
+			const lastReport = {...state.lastReport, text: ''};
+			return {...state, reportFailures, lastReport};
 		}
 
 		case 'source':
@@ -160,27 +166,28 @@
 	let next = state;
 	for (const holder of answer.holders) {
 		if (holder !== state.name) {
-			next = noteHolder(next, holder, answer.version, now);
+			next = recordHolder(next, holder, answer.version, now);
 		}
 	}
 
-	next = noteHolder(next, answer.name, answer.version, now);
+	next = recordHolder(next, answer.name, answer.version, now);
 	next = noteSafeVersion(next, answer.name, answer.safeVersion);
 	const hasRun = answer.safeVersion > 0;
 	next = hasRun ? {...next, firstContactAt: next.firstContactAt ?? now} : next;
 	if (call.purpose.kind === 'pull') {
 		const pause = answer.kind === 'unchanged' ? unchangedPauseMs : 0;
-		next = {...next, pullFailures: 0, pullAt: now + pause};
+		next = {...next, pullFailures: 0, nextPullAt: now + pause};
 	}
 
-	if (call.purpose.kind === 'notice') {
-		next = {...next, noticeFailures: 0};
+	if (call.purpose.kind === 'report') {
+		next = {...next, reportFailures: 0};
 	}
 
-	const heldBefore = readNewest(next).version;
+	const heldBefore = findNewestConfiguration(next).version;
 	const step = acceptAnswer(next, answer, context);
 	const isHelpful =
-		answer.kind === 'unchanged' || readNewest(step.state).version > heldBefore;
+		answer.kind === 'unchanged' ||
+		findNewestConfiguration(step.state).version > heldBefore;
 	return isHelpful || call.purpose.kind !== 'pull'
 		? step
 		: {...step, state: countFailure(step.state, call, context)};
--- a/src/coordination/_lib/delivery/handle-platform.ts
+++ b/src/coordination/_lib/delivery/handle-platform.ts
@@ -17,7 +17,10 @@
 } from '../../delivery-state.js';
 import {classifySlot} from '../commit/classify-slot.js';
 import {acceptEntries, acceptSnapshot} from './accept-configuration.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 import {handleStatusAnswer} from './report-status.js';
 
 const afresh: SourceMode = {kind: 'catch-up', revision: undefined};
@@ -30,7 +33,12 @@
 	const sourceFailures = state.sourceFailures + 1;
 	const delay = computeBackoff(sourceFailures, context.random());
 	return {
-		state: {...state, source, sourceFailures, sourceAt: context.now + delay},
+		state: {
+			...state,
+			source,
+			sourceFailures,
+			nextSourceCallAt: context.now + delay,
+		},
 		effects: [],
 	};
 }
@@ -51,7 +59,7 @@
 	}
 
 	const head = snapshotHeadSchema.safeParse(outcome.object.value).data;
-	const isNewer = head && head.version > readNewest(state).version;
+	const isNewer = head && head.version > findNewestConfiguration(state).version;
 	const source: SourceMode = isNewer
 		? {kind: 'chunk', head, texts: []}
 		: afresh;
@@ -115,9 +123,9 @@
 		return failSource(state, afresh, context);
 	}
 
-	const before = readNewest(state).version;
+	const before = findNewestConfiguration(state).version;
 	const step = acceptEntries(state, parseEntries(outcome.items), context);
-	const newest = readNewest(step.state).version;
+	const newest = findNewestConfiguration(step.state).version;
 	if (step.hasGap) {
 		const failed = failSource(step.state, {kind: 'head'}, context);
 		return {...failed, effects: step.effects};
@@ -195,7 +203,7 @@
 	outcome: PlatformOutcome,
 	context: DeliveryContext,
 ): DeliveryStep {
-	const expected = readNewest(state).version + 1;
+	const expected = findNewestConfiguration(state).version + 1;
 	const slot = classifySlot(expected, outcome, context.rules.ringSize);
 	switch (slot.kind) {
 		case 'entry': {
@@ -227,7 +235,7 @@
 	outcome: PlatformOutcome,
 	context: DeliveryContext,
 ): DeliveryStep {
-	const expected = readNewest(state).version + 1;
+	const expected = findNewestConfiguration(state).version + 1;
 	const slot = classifySlot(expected, outcome, context.rules.ringSize);
 	const isSettled = state.isSettled || slot.kind === 'head';
 	return {state: {...state, isSettled}, effects: []};
@@ -269,7 +277,7 @@
 
 		case 'pull':
 		case 'repair':
-		case 'notice': {
+		case 'report': {
 			return {state, effects: []};
 		}
 	}
--- a/src/coordination/_lib/delivery/plan-calls.ts
+++ b/src/coordination/_lib/delivery/plan-calls.ts
@@ -25,12 +25,12 @@
 import {
 	addCall,
 	hasCall,
-	readNewest,
-	runParts,
+	findNewestConfiguration,
+	runDeliveryActions,
 	type DeliveryContext,
-	type DeliveryPart,
+	type DeliveryAction,
 } from './delivery-context.js';
-import {formatNotice, startPoll} from './start-poll.js';
+import {formatReport, startPoll} from './start-poll.js';
 
 const none: DeliveryStep['effects'] = [];
 
@@ -66,7 +66,7 @@
 		}
 
 		case 'catch-up': {
-			const {version} = readNewest(state);
+			const {version} = findNewestConfiguration(state);
 			const {ringSize} = context.rules;
 			const isWrapped = (version + 1) % ringSize === 0;
 			const after = isWrapped ? '' : formatLogKey(version, ringSize);
@@ -80,10 +80,10 @@
 	}
 }
 
-const planSource: DeliveryPart = (state, context) => {
+const planSource: DeliveryAction = (state, context) => {
 	const isDue =
 		state.position?.kind === 'root' &&
-		context.now >= state.sourceAt &&
+		context.now >= state.nextSourceCallAt &&
 		!hasCall(state, 'source');
 	return isDue
 		? startPlatformCall(
@@ -100,39 +100,39 @@
 	purpose: 'probe' | 'start-probe',
 	context: DeliveryContext,
 ): DeliveryStep {
-	const next = readNewest(state).version + 1;
+	const next = findNewestConfiguration(state).version + 1;
 	const key = formatLogKey(next, context.rules.ringSize);
 	const call: PlatformCall = {kind: 'read', key};
 	return startPlatformCall(state, {kind: purpose}, call, context.now);
 }
 
-const planProbe: DeliveryPart = (state, context) => {
+const planProbe: DeliveryAction = (state, context) => {
 	const {now, rules} = context;
 	const isDue =
 		state.position?.kind === 'root' &&
 		state.source.kind === 'watch' &&
-		now >= state.probeAt &&
+		now >= state.nextProbeAt &&
 		!hasCall(state, 'probe');
 	return isDue
 		? planNextSlotRead(
-				{...state, probeAt: now + rules.probeIntervalMs},
+				{...state, nextProbeAt: now + rules.probeIntervalMs},
 				'probe',
 				context,
 			)
 		: {state, effects: none};
 };
 
-const planStartProbe: DeliveryPart = (state, context) => {
+const planStartProbe: DeliveryAction = (state, context) => {
 	const {now} = context;
 	const isDue =
 		!state.isSettled &&
 		state.position?.kind === 'child' &&
-		readNewest(state).version > 0 &&
-		now >= state.startProbeAt &&
+		findNewestConfiguration(state).version > 0 &&
+		now >= state.nextStartProbeAt &&
 		!hasCall(state, 'start-probe');
 	return isDue
 		? planNextSlotRead(
-				{...state, startProbeAt: now + startProbeIntervalMs},
+				{...state, nextStartProbeAt: now + startProbeIntervalMs},
 				'start-probe',
 				context,
 			)
@@ -160,12 +160,12 @@
 	return sources[Math.floor(context.random() * sources.length)];
 }
 
-const planPull: DeliveryPart = (state, context) => {
+const planPull: DeliveryAction = (state, context) => {
 	const isRoot = state.position?.kind === 'root';
 	const isWanted =
 		state.position !== undefined &&
 		(!isRoot || state.sourceFailures > 0 || state.needsSnapshot);
-	if (!isWanted || context.now < state.pullAt || hasCall(state, 'pull')) {
+	if (!isWanted || context.now < state.nextPullAt || hasCall(state, 'pull')) {
 		return {state, effects: none};
 	}
 
@@ -178,26 +178,27 @@
 					kind: 'pull',
 					waitMs: pollWaitMs,
 					isChild: !isRoot,
-					isFresh: state.pullFailures > 0,
+					needsNewConnection: state.pullFailures > 0,
 				},
 				context,
 			)
 		: {state, effects: none};
 };
 
-const planRepair: DeliveryPart = (state, context) => {
-	const {heard} = state;
+const planRepair: DeliveryAction = (state, context) => {
+	const {missingVersion} = state;
 	const isDue =
-		heard !== undefined &&
-		heard.version > readNewest(state).version &&
-		context.now - heard.since >= context.rules.repairAfterMs &&
+		missingVersion !== undefined &&
+		missingVersion.version > findNewestConfiguration(state).version &&
+		context.now - missingVersion.since >= context.rules.repairAfterMs &&
 		!hasCall(state, 'repair');
-	const member = isDue && state.members.find(({name}) => name === heard.name);
+	const member =
+		isDue && state.members.find(({name}) => name === missingVersion.name);
 	return member
 		? startPoll(
 				state,
 				member,
-				{kind: 'repair', waitMs: 0, isChild: false, isFresh: true},
+				{kind: 'repair', waitMs: 0, isChild: false, needsNewConnection: true},
 				context,
 			)
 		: {state, effects: none};
@@ -219,39 +220,44 @@
 	return Math.min(statusIntervalMs, noticeIntervalMs * 2 ** failures);
 }
 
-const planNotice: DeliveryPart = (state, context) => {
+const planNotice: DeliveryAction = (state, context) => {
 	const {now} = context;
-	const {position, noticed} = state;
+	const {position, lastReport} = state;
 	if (
 		!position ||
-		now - noticed.at < computeNoticePause(state.noticeFailures)
+		now - lastReport.at < computeNoticePause(state.reportFailures)
 	) {
 		return {state, effects: none};
 	}
 
 	const isRepeated =
-		position.kind === 'root' && now - noticed.at >= statusIntervalMs;
-	const text = formatNotice(state);
-	if (text === noticed.text && !isRepeated) {
+		position.kind === 'root' && now - lastReport.at >= statusIntervalMs;
+	const text = formatReport(state);
+	if (text === lastReport.text && !isRepeated) {
 		return {state, effects: none};
 	}
 
-	const parts = listNoticed(state).map((member): DeliveryPart => (before) => {
+	const parts = listNoticed(state).map((member): DeliveryAction => (before) => {
 		const isChild =
 			position.kind === 'child' || position.first.name === member.name;
 		return startPoll(
 			before,
 			member,
-			{kind: 'notice', waitMs: 0, isChild, isFresh: state.noticeFailures > 0},
+			{
+				kind: 'report',
+				waitMs: 0,
+				isChild,
+				needsNewConnection: state.reportFailures > 0,
+			},
 			context,
 		);
 	});
-	const step = runParts({state, effects: none}, parts, context);
-	return {...step, state: {...step.state, noticed: {text, at: now}}};
+	const step = runDeliveryActions({state, effects: none}, parts, context);
+	return {...step, state: {...step.state, lastReport: {text, at: now}}};
 };
 
 /** Starts every call that a node should have in flight. */
-export const planCalls: readonly DeliveryPart[] = [
+export const planCalls: readonly DeliveryAction[] = [
 	planSource,
 	planProbe,
 	planStartProbe,
--- a/src/coordination/_lib/delivery/report-status.ts
+++ b/src/coordination/_lib/delivery/report-status.ts
@@ -18,7 +18,7 @@
 	computeNameHash,
 	computeProgress,
 } from './compute-progress.js';
-import {hasCall, type DeliveryPart} from './delivery-context.js';
+import {hasCall, type DeliveryAction} from './delivery-context.js';
 import {startPlatformCall} from './plan-calls.js';
 
 function isExpected(member: Member, state: DeliveryState): boolean {
@@ -55,7 +55,7 @@
 }
 
 /** Writes the data centre's status when it is due and this is the first root. */
-export const planStatus: DeliveryPart = (state, context) => {
+export const planStatus: DeliveryAction = (state, context) => {
 	const {now} = context;
 	const {position, status} = state;
 	const isFirst = position?.kind === 'root' && position.rank === 0;
--- a/src/coordination/_lib/delivery/start-poll.ts
+++ b/src/coordination/_lib/delivery/start-poll.ts
@@ -7,16 +7,20 @@
 import type {Poll} from '../../../protocol/peer.js';
 import type {DeliveryState, DeliveryStep} from '../../delivery-state.js';
 import {computeProgress} from './compute-progress.js';
-import {addCall, readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	addCall,
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 
 /** Options of `startPoll`. */
 export type PollOptions = {
-	readonly kind: 'pull' | 'repair' | 'notice';
+	readonly kind: 'pull' | 'repair' | 'report';
 	readonly waitMs: number;
 	/** Whether the node reports to the other as its child. */
 	readonly isChild: boolean;
 	/** Whether to open a new connection, since one may be silent. */
-	readonly isFresh: boolean;
+	readonly needsNewConnection: boolean;
 };
 
 /** Starts a call to another node. */
@@ -27,7 +31,7 @@
 	context: DeliveryContext,
 ): DeliveryStep {
 	const {now} = context;
-	const newest = readNewest(state);
+	const newest = findNewestConfiguration(state);
 	const progress = options.isChild ? computeProgress(state) : undefined;
 	const refused =
 		state.refusedSnapshot.until > now ? state.refusedSnapshot.version : 0;
@@ -49,7 +53,7 @@
 	const {callId} = added;
 	return {
 		state: progress
-			? {...added.state, noticed: {text: formatNotice(state), at: now}}
+			? {...added.state, lastReport: {text: formatReport(state), at: now}}
 			: added.state,
 		effects: [
 			{
@@ -58,14 +62,14 @@
 				address: member.address,
 				poll,
 				timeoutMs,
-				isFresh: options.isFresh,
+				isFresh: options.needsNewConnection,
 			},
 		],
 	};
 }
 
 /** Formats what a node tells others, to see whether it has changed. */
-export function formatNotice(state: DeliveryState): string {
-	const {version} = readNewest(state);
+export function formatReport(state: DeliveryState): string {
+	const {version} = findNewestConfiguration(state);
 	return JSON.stringify([version, state.safeVersion, computeProgress(state)]);
 }
--- a/src/coordination/_lib/delivery/update-running.ts
+++ b/src/coordination/_lib/delivery/update-running.ts
@@ -1,6 +1,9 @@
 import type {DeliveryState, DeliveryStep} from '../../delivery-state.js';
 import {holderExpiryMs} from '../../../protocol/constants.js';
-import {readNewest, type DeliveryContext} from './delivery-context.js';
+import {
+	findNewestConfiguration,
+	type DeliveryContext,
+} from './delivery-context.js';
 
 /**
  * Forgets what nodes held that have not been heard of lately.
@@ -43,7 +46,7 @@
 			member.state === 'alive',
 	);
 	const required = Math.min(context.rules.requiredHolders, others.length);
-	const newest = readNewest(state).version;
+	const newest = findNewestConfiguration(state).version;
 	const versions = others
 		.flatMap(({name}) => state.holders.get(name) ?? [])
 		.filter(({at}) => at > context.now - holderExpiryMs)
@@ -58,12 +61,16 @@
 	state: DeliveryState,
 	context: DeliveryContext,
 ): DeliveryState {
-	const {firstContactAt, isSettled, startFloor} = state;
+	const {firstContactAt, isSettled, minStartVersion} = state;
 	const hasWaited =
 		firstContactAt !== undefined &&
 		context.now - firstContactAt >= context.rules.settleMs;
-	return startFloor === undefined && (isSettled || hasWaited)
-		? {...state, isSettled: true, startFloor: readNewest(state).version}
+	return minStartVersion === undefined && (isSettled || hasWaited)
+		? {
+				...state,
+				isSettled: true,
+				minStartVersion: findNewestConfiguration(state).version,
+			}
 		: state;
 }
 
@@ -84,15 +91,17 @@
 	context: DeliveryContext,
 ): DeliveryStep {
 	const settled = updateStartFloor(state, context);
-	const {held, safeVersion, runningVersion} = settled;
-	const configuration = held.findLast(({version}) => version <= safeVersion);
+	const {heldConfigurations, safeVersion, runningVersion} = settled;
+	const configuration = heldConfigurations.findLast(
+		({version}) => version <= safeVersion,
+	);
 	if (!configuration || configuration.version <= (runningVersion ?? 0)) {
 		return {state: settled, effects: []};
 	}
 
 	const mayStart =
-		settled.startFloor !== undefined &&
-		configuration.version >= settled.startFloor &&
+		settled.minStartVersion !== undefined &&
+		configuration.version >= settled.minStartVersion &&
 		configuration.version === safeVersion;
 	if (runningVersion === undefined && !mayStart) {
 		return {state: settled, effects: []};
@@ -102,7 +111,9 @@
 		state: {
 			...settled,
 			runningVersion: configuration.version,
-			held: held.filter(({version}) => version >= configuration.version),
+			heldConfigurations: heldConfigurations.filter(
+				({version}) => version >= configuration.version,
+			),
 		},
 		effects: [{kind: 'run', configuration}],
 	};
--- a/src/coordination/_lib/host-costs.ts
+++ b/src/coordination/_lib/host-costs.ts
@@ -50,15 +50,15 @@
 };
 
 /** Part of the others' mean time that is expected of a host of unknown times. */
-const unknownPart = 0.7;
+const unknownHostTimeRatio = 0.7;
 
 /** Cost of a host that has just started, which falls while it warms up. */
-const coldCost = 0.05;
+const slowStartCost = 0.05;
 
 /** Expected times at a host, ms. */
 type HostTimes = {
 	/** Of the request itself. */
-	readonly ownMs: number;
+	readonly requestMs: number;
 	/** Of any request that it waits for. */
 	readonly serviceMs: number;
 };
@@ -69,8 +69,10 @@
 ): HostTimes | undefined {
 	const serviceMs = record?.serviceMs ?? 0;
 	const known = route === undefined ? undefined : record?.routeMs?.get(route);
-	const ownMs = known ?? serviceMs;
-	return ownMs > 0 ? {ownMs, serviceMs: serviceMs || ownMs} : undefined;
+	const requestMs = known ?? serviceMs;
+	return requestMs > 0
+		? {requestMs, serviceMs: serviceMs || requestMs}
+		: undefined;
 }
 
 /** Means of the times of hosts that are known, for those that are not. */
@@ -80,20 +82,20 @@
 	route: string | undefined,
 ): HostTimes | undefined {
 	let known = 0;
-	let ownMs = 0;
+	let requestMs = 0;
 	let serviceMs = 0;
 	for (const {host} of pool) {
 		const times = readTimes(records.get(host), route);
 		if (times) {
 			known++;
-			ownMs += times.ownMs;
+			requestMs += times.requestMs;
 			serviceMs += times.serviceMs;
 		}
 	}
 
 	return known === 0
 		? undefined
-		: {ownMs: ownMs / known, serviceMs: serviceMs / known};
+		: {requestMs: requestMs / known, serviceMs: serviceMs / known};
 }
 
 /** Takes a host of unknown times for a little better than the others, so that it is tried. */
@@ -103,7 +105,7 @@
 	route: string | undefined,
 ): HostTimes | undefined {
 	const mean = computeMeanTimes(pool, records, route);
-	return mean && {...mean, ownMs: mean.ownMs * unknownPart};
+	return mean && {...mean, requestMs: mean.requestMs * unknownHostTimeRatio};
 }
 
 /** Computes the cost of a host for a request whose objective is known. */
@@ -111,12 +113,19 @@
 	times: HostTimes | undefined,
 	{
 		transferMs,
-		...offer
+		...estimate
 	}: Omit<HostEstimate, keyof HostTimes> & {readonly transferMs: number},
 ): number {
-	const usualMs = offer.objectiveMs * usualObjectivePart;
-	const {ownMs, serviceMs} = times ?? {ownMs: usualMs, serviceMs: usualMs};
-	return computeHostCost({...offer, requestMs: ownMs + transferMs, serviceMs});
+	const defaultMs = estimate.objectiveMs * usualObjectivePart;
+	const {requestMs, serviceMs} = times ?? {
+		requestMs: defaultMs,
+		serviceMs: defaultMs,
+	};
+	return computeHostCost({
+		...estimate,
+		requestMs: requestMs + transferMs,
+		serviceMs,
+	});
 }
 
 /** Computes how long a long body takes to a host; 0 for the own one. */
@@ -139,7 +148,7 @@
 	random: () => number,
 	{now, route, objectiveMs, transfer}: CostOptions,
 ): CandidateCost | undefined {
-	const poolShare = computePoolLoad(pool, records, now);
+	const poolLoad = computePoolLoad(pool, records, now);
 	const count = Math.min(comparedHosts, pool.length);
 	const start = Math.floor(random() * pool.length);
 	const stride = Math.max(1, Math.floor(pool.length / count));
@@ -149,7 +158,7 @@
 		const candidate = pool[(start + index * stride) % pool.length]!;
 		const record = records.get(candidate.host);
 		const load =
-			computeLoadShare(candidate, record, poolShare, now) + 1 / candidate.slots;
+			computeLoadShare(candidate, record, poolLoad, now) + 1 / candidate.slots;
 		const rateLimitWaitMs = computeHostRateLimitWait(record, now);
 		const errorShare = Math.min(maxErrorShare, record?.errorShare ?? 0);
 		const cost =
@@ -166,7 +175,7 @@
 							objectiveMs,
 						},
 					) +
-					coldCost * (1 / computeSlowStartFactor(record, now) - 1) +
+					slowStartCost * (1 / computeSlowStartFactor(record, now) - 1) +
 					errorShare;
 		if (!best || cost < best.cost) {
 			best = {candidate, cost};
--- a/src/coordination/_lib/host-load.ts
+++ b/src/coordination/_lib/host-load.ts
@@ -57,15 +57,15 @@
 		return pool.mean;
 	}
 
-	const trust = Math.max(0, 1 - (now - record.reportedAt) / loadTrustMs);
-	const others = computeMeanOfOthers(pool, record.reportedShare);
-	const reported = Math.max(record.reportedShare, others);
-	const believed = trust * reported + (1 - trust) * pool.mean;
-	return record.ownInFlight / candidate.slots + believed;
+	const reportWeight = Math.max(0, 1 - (now - record.reportedAt) / loadTrustMs);
+	const meanOfOthers = computeMeanOfOthers(pool, record.reportedShare);
+	const reported = Math.max(record.reportedShare, meanOfOthers);
+	const estimated = reportWeight * reported + (1 - reportWeight) * pool.mean;
+	return record.ownInFlight / candidate.slots + estimated;
 }
 
 /** Least share of its normal requests that a host gets. */
-const minWarmth = 0.2;
+const minSlowStartFactor = 0.2;
 
 /** Share of its normal requests that a host gets while it starts slowly. */
 export function computeSlowStartFactor(
@@ -73,5 +73,5 @@
 	now: number,
 ): number {
 	const age = now - (record?.inUseSince ?? now);
-	return Math.min(1, Math.max(minWarmth, age / slowStartMs));
+	return Math.min(1, Math.max(minSlowStartFactor, age / slowStartMs));
 }
--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -7,34 +7,34 @@
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
-import {confirmContact, failContact} from './bridges.js';
-import {sendRecordsAgain} from './resend.js';
-import {endNameCheck, judgeTwin} from './identity.js';
+import {recordContactAnswer, recordContactFailure} from './bridges.js';
+import {resendRecords} from './resend.js';
+import {endNameCheck, handleNameConflict} from './identity.js';
 import {finishJoin} from './join.js';
 import {mergeRecords} from './merge.js';
-import {confirmProbe, relayProbe} from './probe.js';
+import {confirmProbe, startIndirectProbes} from './probe.js';
 import {runActions} from './run-actions.js';
-import {describeSender, encodeRecords, sendRequest} from './send.js';
-import {abortSync, compareDigests, takeBucket} from './sync.js';
+import {describeSender, encodeRecords, createRequestEffect} from './send.js';
+import {abortSync, compareDigests, handleBucketAnswer} from './sync.js';
 
 type AnswerMessage = Extract<MembersMessage, {readonly kind: 'answer'}>;
 
 function vouch(state: MembersState, name: string): MembersStep {
-	const asked = state.vouchers.get(name);
+	const asked = state.relayedProbes.get(name);
 	if (!asked) {
 		return {state, effects: []};
 	}
 
-	const vouchers = new Map(state.vouchers);
-	vouchers.delete(name);
+	const relayedProbes = new Map(state.relayedProbes);
+	relayedProbes.delete(name);
 	const request = {
 		kind: 'vouch' as const,
 		from: describeSender(state),
 		name,
 	};
 	return {
-		state: {...state, vouchers},
-		effects: asked.map((address) => sendRequest(address, request)),
+		state: {...state, relayedProbes},
+		effects: asked.map((address) => createRequestEffect(address, request)),
 	};
 }
 
@@ -52,7 +52,7 @@
 		from: describeSender(state),
 		records: encodeRecords(state, [state.self.name], now),
 	};
-	return {state, effects: [sendRequest(address, request)]};
+	return {state, effects: [createRequestEffect(address, request)]};
 }
 
 function handleAck(
@@ -75,7 +75,9 @@
 	return runActions(confirmProbe(state, from.name), [
 		(next) => vouch(next, from.name),
 		(next) =>
-			isTwin ? judgeTwin(next, from, now) : endNameCheck(next, address, now),
+			isTwin
+				? handleNameConflict(next, from, now)
+				: endNameCheck(next, address, now),
 		(next) => mergeRecords(next, answer.records, now),
 		(next) =>
 			answer.needsRecord && !hasOwnRecord
@@ -107,7 +109,7 @@
 
 		case 'bucket': {
 			return runActions(state, [
-				(next) => takeBucket(next, address, answer, now),
+				(next) => handleBucketAnswer(next, address, answer, now),
 				finishJoin,
 			]);
 		}
@@ -129,7 +131,7 @@
 ): MembersStep {
 	const {address, answer} = message;
 	return runActions(state, [
-		(next) => confirmContact(next, answer.from.dataCentre, address, now),
+		(next) => recordContactAnswer(next, answer.from.dataCentre, address, now),
 		(next) => handleKind(next, message, now),
 	]);
 }
@@ -143,9 +145,9 @@
 ): MembersStep {
 	const {address, request} = message;
 	const next = state.sync?.address === address ? abortSync(state) : state;
-	return runActions(failContact(next, address), [
-		(next) => sendRecordsAgain(next, address, request, {now, random}),
+	return runActions(recordContactFailure(next, address), [
+		(next) => resendRecords(next, address, request, {now, random}),
 		(next) => endNameCheck(next, address, now),
-		(next) => relayProbe(next, address, now, random),
+		(next) => startIndirectProbes(next, address, now, random),
 	]);
 }
--- a/src/coordination/_lib/members/bridges.ts
+++ b/src/coordination/_lib/members/bridges.ts
@@ -11,20 +11,20 @@
 import {listMembers} from '../../../state/list-members.js';
 import {computeBridges} from '../../compute-bridges.js';
 import type {
-	Contact,
+	DataCentreContact,
 	MembersEffect,
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
-import {listNeighbours} from './probe.js';
-import {changeSelf} from './records.js';
+import {listLocalPeers} from './probe.js';
+import {updateSelf} from './records.js';
 import {
 	describeSender,
 	encodeRecords,
 	findRecord,
 	isLive,
-	pickSome,
-	sendRequest,
+	pickRandomItems,
+	createRequestEffect,
 } from './send.js';
 import {startSync} from './sync.js';
 
@@ -33,7 +33,7 @@
 	const {self, role} = state;
 	return (
 		role === 'member' &&
-		computeBridges([self, ...listNeighbours(state)]).some(
+		computeBridges([self, ...listLocalPeers(state)]).some(
 			({name}) => name === self.name,
 		)
 	);
@@ -49,7 +49,7 @@
 	);
 	const hasFailed = state.contacts.get(dataCentre)?.hasFailed ?? false;
 	const pool = hasFailed && random() < 0.5 ? live : computeBridges(live);
-	return pickSome(pool, 1, random)[0]?.address;
+	return pickRandomItems(pool, 1, random)[0]?.address;
 }
 
 function listRemote(state: MembersState): string[] {
@@ -59,7 +59,7 @@
 }
 
 function listRelayed(state: MembersState): string[] {
-	return [...state.relays].filter((name) => {
+	return [...state.pendingRelays].filter((name) => {
 		const member = findRecord(state, name);
 		return (
 			member?.dataCentre === state.self.dataCentre && member.state !== 'suspect'
@@ -92,7 +92,7 @@
 	const request = {kind: 'ping' as const, from: describeSender(state), records};
 	const effects = remote.flatMap((dataCentre) => {
 		const address = pickContact(state, dataCentre, random);
-		return address === undefined ? [] : [sendRequest(address, request)];
+		return address === undefined ? [] : [createRequestEffect(address, request)];
 	});
 	return {state: next, effects};
 }
@@ -105,21 +105,21 @@
 	const contacts = new Map(state.contacts);
 	const effects: MembersEffect[] = [];
 	for (const dataCentre of listRemote(state)) {
-		const contact: Contact = contacts.get(dataCentre) ?? {
-			askedAt: now - random() * bridgePeriodMs,
+		const contact: DataCentreContact = contacts.get(dataCentre) ?? {
+			pingedAt: now - random() * bridgePeriodMs,
 			answeredAt: now,
 			hasFailed: false,
 			resentAt: -Infinity,
 		};
 		contacts.set(dataCentre, contact);
 		const address = pickContact(state, dataCentre, random);
-		if (now - contact.askedAt < bridgePeriodMs || address === undefined) {
+		if (now - contact.pingedAt < bridgePeriodMs || address === undefined) {
 			continue;
 		}
 
-		contacts.set(dataCentre, {...contact, askedAt: now});
+		contacts.set(dataCentre, {...contact, pingedAt: now});
 		effects.push(
-			sendRequest(address, {
+			createRequestEffect(address, {
 				kind: 'ping',
 				from: describeSender(state),
 				records: [],
@@ -138,7 +138,7 @@
 	const known = state.self.unreachable ?? [];
 	return unreachable.join(' ') === known.join(' ')
 		? {state, effects: []}
-		: changeSelf(state, {unreachable});
+		: updateSelf(state, {unreachable});
 }
 
 /** Does a bridge's part of a period; another node's is to stop being one. */
@@ -150,7 +150,7 @@
 	if (!isBridge(state)) {
 		const next = {...state, contacts: new Map(), relays: new Set<string>()};
 		return (state.self.unreachable ?? []).length > 0
-			? changeSelf(next, {unreachable: []})
+			? updateSelf(next, {unreachable: []})
 			: {state: next, effects: []};
 	}
 
@@ -164,7 +164,7 @@
 		return {state: marked.state, effects};
 	}
 
-	const dataCentre = pickSome(remote, 1, random)[0]!;
+	const dataCentre = pickRandomItems(remote, 1, random)[0]!;
 	const address = pickContact(marked.state, dataCentre, random);
 	if (address === undefined) {
 		return {state: marked.state, effects};
@@ -175,7 +175,7 @@
 }
 
 /** Notes that a data centre answered; one that was silent is compared. */
-export function confirmContact(
+export function recordContactAnswer(
 	state: MembersState,
 	dataCentre: string,
 	address: string,
@@ -198,7 +198,7 @@
 }
 
 /** Notes that a member of another data centre did not answer. */
-export function failContact(
+export function recordContactFailure(
 	state: MembersState,
 	address: string,
 ): MembersState {
--- a/src/coordination/_lib/members/identity.ts
+++ b/src/coordination/_lib/members/identity.ts
@@ -11,27 +11,27 @@
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
-import {changeSelf} from './records.js';
-import {describeSender, sendRequest} from './send.js';
+import {updateSelf} from './records.js';
+import {describeSender, createRequestEffect} from './send.js';
 
 function refuteClaim(
 	state: MembersState,
 	incarnation: number,
 	now: number,
 ): MembersStep {
-	if (now - state.rates.refutedAt < refuteIntervalMs) {
+	if (now - state.rateLimits.refutedAt < refuteIntervalMs) {
 		return {state, effects: []};
 	}
 
-	const rates = {...state.rates, refutedAt: now};
-	return changeSelf(
-		{...state, rates},
+	const rateLimits = {...state.rateLimits, refutedAt: now};
+	return updateSelf(
+		{...state, rateLimits},
 		{incarnation: Math.max(state.self.incarnation, incarnation) + 1},
 	);
 }
 
 function askForName(state: MembersState, address: string): MembersEffect {
-	return sendRequest(address, {
+	return createRequestEffect(address, {
 		kind: 'ping',
 		from: describeSender(state),
 		records: [],
@@ -56,7 +56,7 @@
 }
 
 /** Handles a claim about the own node. */
-export function judgeClaim(
+export function handleSelfClaim(
 	state: MembersState,
 	claim: Pick<Member, 'address' | 'incarnation' | 'state' | 'sequence'>,
 	now: number,
@@ -84,7 +84,7 @@
 }
 
 /** Handles proof that another live process has the own name. */
-export function judgeTwin(
+export function handleNameConflict(
 	state: MembersState,
 	twin: Sender,
 	now: number,
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -22,9 +22,9 @@
 	MembersStep,
 	SeedsOutcome,
 } from '../../members-state.js';
-import {listNeighbours} from './probe.js';
-import {countOwnMembers, markChanged} from './records.js';
-import {isLive, pickSome} from './send.js';
+import {listLocalPeers} from './probe.js';
+import {countLocalMembers, markChanged} from './records.js';
+import {isLive, pickRandomItems} from './send.js';
 import {startSync} from './sync.js';
 
 type SeedsRead = Extract<SeedsOutcome, {readonly kind: 'read'}>;
@@ -67,19 +67,19 @@
 	const pool = [...new Set([...state.seeds.addresses, ...known])].filter(
 		(address) => address !== state.self.address,
 	);
-	return pickSome(pool, 1, random)[0];
+	return pickRandomItems(pool, 1, random)[0];
 }
 
 /** Asks a seed for its records while the node knows nobody. */
-export function seekMembers(
+export function startSeedSync(
 	state: MembersState,
 	now: number,
 	random: () => number,
 ): MembersStep {
 	const {role, seeds, sync} = state;
-	const isLonely = listNeighbours(state).length === 0;
-	const isSettled = role !== 'joining' && !isLonely && !state.isIncomplete;
-	if (isSettled || sync !== undefined || now < seeds.joinAt) {
+	const isLonely = listLocalPeers(state).length === 0;
+	const isSettled = role !== 'joining' && !isLonely && !state.isSyncIncomplete;
+	if (isSettled || sync !== undefined || now < seeds.nextJoinAt) {
 		return {state, effects: []};
 	}
 
@@ -88,18 +88,21 @@
 		return {state, effects: []};
 	}
 
-	const joinAt = now + random() * joinRetryMs;
+	const nextJoinAt = now + random() * joinRetryMs;
 	return startSync(
-		{...state, isIncomplete: false, seeds: {...seeds, joinAt}},
+		{...state, isSyncIncomplete: false, seeds: {...seeds, nextJoinAt}},
 		address,
 		now,
 	);
 }
 
 /** Takes part without an answer when none came in time. */
-export function endPatience(state: MembersState, now: number): MembersStep {
+export function handleJoinTimeout(
+	state: MembersState,
+	now: number,
+): MembersStep {
 	const isOver =
-		now - state.startedAt >= joinPatienceMs && now >= state.seeds.joinAt;
+		now - state.startedAt >= joinPatienceMs && now >= state.seeds.nextJoinAt;
 	return isOver && state.sync === undefined
 		? becomeMember(state)
 		: {state, effects: []};
@@ -112,11 +115,11 @@
 	random: () => number,
 ): MembersStep {
 	const {seeds, self, role} = state;
-	if (now < seeds.readAt || role === 'refused' || role === 'left') {
+	if (now < seeds.nextReadAt || role === 'refused' || role === 'left') {
 		return {state, effects: []};
 	}
 
-	const neighbours = listNeighbours(state);
+	const neighbours = listLocalPeers(state);
 	const isFirst = computeBridges([self, ...neighbours])[0]?.name === self.name;
 	const isLonely = neighbours.length === 0;
 	const delayMs = isLonely
@@ -138,14 +141,14 @@
 	const isRecent =
 		outcome.version !== undefined &&
 		wallMs - outcome.writtenMs < seedsWriteIntervalMs;
-	const members = [state.self, ...listNeighbours(state)];
+	const members = [state.self, ...listLocalPeers(state)];
 	const isFirst = computeBridges(members)[0]?.name === state.self.name;
 	if (isRecent || !isFirst || state.role !== 'member') {
 		return [];
 	}
 
 	const live = new Set(members.map(({address}) => address));
-	const valid = outcome.ownAddresses.filter((address) => live.has(address));
+	const valid = outcome.localAddresses.filter((address) => live.has(address));
 	const wanted = Math.min(maxSeeds, live.size);
 	const isGood =
 		valid.length >= (wanted * 2) / 3 &&
@@ -175,11 +178,11 @@
 	const strangers = addresses.filter(
 		(address) => address !== state.self.address && !known.has(address),
 	);
-	return pickSome(strangers, 1, random)[0];
+	return pickRandomItems(strangers, 1, random)[0];
 }
 
 /** Handles what was read of the seeds objects. */
-export function takeSeeds(
+export function handleSeeds(
 	state: MembersState,
 	outcome: SeedsOutcome,
 	now: number,
@@ -191,20 +194,24 @@
 		return {state: {...state, seeds}, effects: []};
 	}
 
-	const isLonely = listNeighbours(state).length === 0;
+	const isLonely = listLocalPeers(state).length === 0;
 	const windowMs = Math.min(
 		maxJoinWindowMs,
 		joinWindowMsPerMember *
-			Math.max(outcome.memberCount, countOwnMembers(state)),
+			Math.max(outcome.memberCount, countLocalMembers(state)),
 	);
 	const seeds = {
 		...state.seeds,
-		addresses: [...new Set([...state.seeds.settings, ...outcome.addresses])],
+		addresses: [
+			...new Set([...state.seeds.configuredAddresses, ...outcome.addresses]),
+		],
 		failures: isLonely ? failures : 0,
 		isAvailable: true,
 		memberCount: outcome.memberCount,
 		joinAt:
-			state.role === 'joining' ? now + random() * windowMs : state.seeds.joinAt,
+			state.role === 'joining'
+				? now + random() * windowMs
+				: state.seeds.nextJoinAt,
 	};
 	const next = {...state, seeds};
 	const isAlone = seeds.addresses.every(
@@ -212,7 +219,11 @@
 	);
 	if (state.role === 'joining' && !isAlone) {
 		return windowMs < membersPeriodMs
-			? seekMembers({...next, seeds: {...seeds, joinAt: now}}, now, random)
+			? startSeedSync(
+					{...next, seeds: {...seeds, nextJoinAt: now}},
+					now,
+					random,
+				)
 			: {state: next, effects: []};
 	}
 
@@ -227,10 +238,10 @@
 ): MembersStep {
 	const member = becomeMember(state);
 	const next = member.state;
-	const isLonely = listNeighbours(next).length === 0;
+	const isLonely = listLocalPeers(next).length === 0;
 	const effects = [...member.effects, ...writeSeeds(next, outcome, now)];
 	if (isLonely) {
-		const sought = seekMembers(next, now, random);
+		const sought = startSeedSync(next, now, random);
 		return {state: sought.state, effects: [...effects, ...sought.effects]};
 	}
 
--- a/src/coordination/_lib/members/merge.ts
+++ b/src/coordination/_lib/members/merge.ts
@@ -12,7 +12,7 @@
 import {bucketsPerDataCentre} from '../../../state/member-table.js';
 import {mergeMember} from '../../../state/merge-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
-import {judgeClaim} from './identity.js';
+import {handleSelfClaim} from './identity.js';
 import {putRecords} from './records.js';
 
 function isAdmissible(
@@ -49,7 +49,7 @@
 	let step: MembersStep = {state, effects: []};
 	for (const record of records) {
 		if (record.name === state.self.name) {
-			const judged = judgeClaim(step.state, record, now);
+			const judged = handleSelfClaim(step.state, record, now);
 			step = {
 				state: judged.state,
 				effects: [...step.effects, ...judged.effects],
--- a/src/coordination/_lib/members/period.ts
+++ b/src/coordination/_lib/members/period.ts
@@ -6,11 +6,16 @@
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {runBridge} from './bridges.js';
 import {recheckName} from './identity.js';
-import {endPatience, refreshSeeds, seekMembers} from './join.js';
-import {endProbe, endSuspicions, listNeighbours, startProbe} from './probe.js';
-import {forgetMembers} from './records.js';
+import {handleJoinTimeout, refreshSeeds, startSeedSync} from './join.js';
+import {
+	expireProbe,
+	expireSuspicions,
+	listLocalPeers,
+	startProbe,
+} from './probe.js';
+import {expireTombstones} from './records.js';
 import {runActions} from './run-actions.js';
-import {pickSome, sendPing} from './send.js';
+import {pickRandomItems, sendPing} from './send.js';
 import {abortSync, startSync} from './sync.js';
 
 /** Compares records with a random neighbour from time to time. */
@@ -19,7 +24,7 @@
 	now: number,
 	random: () => number,
 ): MembersStep {
-	const target = pickSome(listNeighbours(state), 1, random)[0];
+	const target = pickRandomItems(listLocalPeers(state), 1, random)[0];
 	const isDue = random() < membersPeriodMs / syncPeriodMs;
 	if (!isDue || state.sync !== undefined || !target) {
 		return {state, effects: []};
@@ -41,7 +46,7 @@
 	const dead = listMembers(state.table, state.self.dataCentre).filter(
 		(member) => member.state === 'dead',
 	);
-	const target = pickSome(dead, 1, random)[0];
+	const target = pickRandomItems(dead, 1, random)[0];
 	return target ? sendPing(state, target.address, now) : {state, effects: []};
 }
 
@@ -70,21 +75,21 @@
 		case 'joining': {
 			return runActions(endSync(state, now), [
 				(next) => refreshSeeds(next, now, random),
-				(next) => seekMembers(next, now, random),
-				(next) => endPatience(next, now),
+				(next) => startSeedSync(next, now, random),
+				(next) => handleJoinTimeout(next, now),
 			]);
 		}
 
 		case 'member': {
-			return runActions(forgetMembers(endSync(state, now), now), [
-				(next) => endSuspicions(next, now),
-				(next) => endProbe(next, now),
+			return runActions(expireTombstones(endSync(state, now), now), [
+				(next) => expireSuspicions(next, now),
+				(next) => expireProbe(next, now),
 				(next) => startProbe(next, now, random),
 				(next) => askDead(next, now, random),
 				(next) => runBridge(next, now, random),
 				(next) => syncNeighbour(next, now, random),
 				(next) => refreshSeeds(next, now, random),
-				(next) => seekMembers(next, now, random),
+				(next) => startSeedSync(next, now, random),
 			]);
 		}
 	}
--- a/src/coordination/_lib/members/probe.ts
+++ b/src/coordination/_lib/members/probe.ts
@@ -10,13 +10,13 @@
 import {
 	describeSender,
 	isLive,
-	pickSome,
+	pickRandomItems,
 	sendPing,
-	sendRequest,
+	createRequestEffect,
 } from './send.js';
 
 /** Lists the other live members of the own data centre. */
-export function listNeighbours(state: MembersState): readonly Member[] {
+export function listLocalPeers(state: MembersState): readonly Member[] {
 	return listMembers(state.table, state.self.dataCentre).filter((member) =>
 		isLive(member),
 	);
@@ -36,7 +36,10 @@
 }
 
 /** Declares dead the members whose suspicions were not refuted in time. */
-export function endSuspicions(state: MembersState, now: number): MembersStep {
+export function expireSuspicions(
+	state: MembersState,
+	now: number,
+): MembersStep {
 	const names = [...state.suspicions]
 		.filter(([, endsAt]) => endsAt <= now)
 		.map(([name]) => name);
@@ -44,7 +47,7 @@
 }
 
 /** Suspects the probed member when nobody vouched for it in time. */
-export function endProbe(state: MembersState, now: number): MembersStep {
+export function expireProbe(state: MembersState, now: number): MembersStep {
 	const {probe} = state;
 	if (!probe || probe.endsAt > now) {
 		return {state, effects: []};
@@ -69,23 +72,23 @@
 	}
 
 	const order =
-		state.order.length > 0
-			? state.order
-			: pickSome(
-					listNeighbours(state).map(({name}) => name),
+		state.probeOrder.length > 0
+			? state.probeOrder
+			: pickRandomItems(
+					listLocalPeers(state).map(({name}) => name),
 					Infinity,
 					random,
 				);
 	const [name, ...rest] = order;
 	const member = name === undefined ? undefined : findMember(state.table, name);
 	if (!member || !isLive(member)) {
-		return {state: {...state, order: rest}, effects: []};
+		return {state: {...state, probeOrder: rest}, effects: []};
 	}
 
 	return sendPing(
 		{
 			...state,
-			order: rest,
+			probeOrder: rest,
 			probe: {
 				name: member.name,
 				address: member.address,
@@ -104,7 +107,7 @@
 }
 
 /** Asks other members to probe a member that did not answer. */
-export function relayProbe(
+export function startIndirectProbes(
 	state: MembersState,
 	address: string,
 	now: number,
@@ -115,7 +118,7 @@
 		return {state, effects: []};
 	}
 
-	const others = listNeighbours(state).filter(
+	const others = listLocalPeers(state).filter(
 		({name, state: memberState}) =>
 			name !== probe.name && memberState === 'alive',
 	);
@@ -130,8 +133,8 @@
 			...state,
 			probe: {...probe, stage: 'indirect', endsAt: now + indirectProbeMs},
 		},
-		effects: pickSome(others, indirectProbes, random).map((member) =>
-			sendRequest(member.address, request),
+		effects: pickRandomItems(others, indirectProbes, random).map((member) =>
+			createRequestEffect(member.address, request),
 		),
 	};
 }
--- a/src/coordination/_lib/members/records.ts
+++ b/src/coordination/_lib/members/records.ts
@@ -19,7 +19,7 @@
 import {isLive} from './send.js';
 
 /** Counts the members of the own data centre, the own node included. */
-export function countOwnMembers(state: MembersState): number {
+export function countLocalMembers(state: MembersState): number {
 	const buckets = state.table.get(state.self.dataCentre) ?? [];
 	return buckets.reduce((sum, {members}) => sum + members.size, 1);
 }
@@ -34,12 +34,12 @@
 	}
 
 	const times = Math.ceil(
-		retransmitMultiplier * Math.log2(countOwnMembers(state) + 1),
+		retransmitMultiplier * Math.log2(countLocalMembers(state) + 1),
 	);
 	const updates = new Map(
 		names.map((name) => [name, Math.max(1, times)] as const),
 	);
-	for (const [name, remaining] of state.updates) {
+	for (const [name, remaining] of state.pendingUpdates) {
 		if (!updates.has(name)) {
 			updates.set(name, remaining);
 		}
@@ -48,18 +48,18 @@
 	const next = {
 		...state,
 		updates,
-		fresh: new Set([...state.fresh, ...names]),
-		relays: new Set([...state.relays, ...names]),
+		fresh: new Set([...state.pendingSpread, ...names]),
+		relays: new Set([...state.pendingRelays, ...names]),
 		isSpreadPlanned: true,
 	};
-	const effects: MembersEffect[] = state.isSpreadPlanned
+	const effects: MembersEffect[] = state.isSpreadScheduled
 		? []
-		: [{kind: 'plan-spread', delayMs: spreadDelayMs}];
+		: [{kind: 'schedule-spread', delayMs: spreadDelayMs}];
 	return {state: next, effects};
 }
 
 /** Changes the own record and marks it for sending. */
-export function changeSelf(
+export function updateSelf(
 	state: MembersState,
 	change: Partial<Pick<Member, 'state' | 'unreachable'>> & {
 		readonly upstreams?: readonly Upstream[];
@@ -75,7 +75,7 @@
 }
 
 function computeSuspicionMs(state: MembersState): number {
-	const scale = Math.max(1, Math.log10(countOwnMembers(state)));
+	const scale = Math.max(1, Math.log10(countLocalMembers(state)));
 	return suspicionMultiplier * scale * membersPeriodMs;
 }
 
@@ -128,7 +128,10 @@
 }
 
 /** Forgets members whose tombstones have ended. */
-export function forgetMembers(state: MembersState, now: number): MembersState {
+export function expireTombstones(
+	state: MembersState,
+	now: number,
+): MembersState {
 	const ended = [...state.tombstones].filter(([, endsAt]) => endsAt <= now);
 	if (ended.length === 0) {
 		return state;
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -5,12 +5,12 @@
 import type {Exchange, Sender} from '../../../protocol/member.js';
 import {findMember} from '../../../state/find-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
-import {judgeTwin} from './identity.js';
+import {handleNameConflict} from './identity.js';
 import {mergeRecords} from './merge.js';
 import {confirmProbe} from './probe.js';
 import {runActions} from './run-actions.js';
 import {
-	answerWith,
+	createAnswerEffect,
 	describeSender,
 	encodeRecords,
 	sendPing,
@@ -42,7 +42,7 @@
 		records: [...records, ...taken.records],
 		needsRecord,
 	};
-	return {state: taken.state, effects: [answerWith(answer)]};
+	return {state: taken.state, effects: [createAnswerEffect(answer)]};
 }
 
 function acknowledge(state: MembersState): MembersStep {
@@ -52,7 +52,7 @@
 		records: [],
 		needsRecord: false,
 	};
-	return {state, effects: [answerWith(answer)]};
+	return {state, effects: [createAnswerEffect(answer)]};
 }
 
 function judgeSender(
@@ -61,7 +61,7 @@
 	now: number,
 ): MembersStep {
 	return from.name === state.self.name && from.address !== state.self.address
-		? judgeTwin(state, from, now)
+		? handleNameConflict(state, from, now)
 		: {state, effects: []};
 }
 
@@ -95,13 +95,14 @@
 
 		case 'relay': {
 			const {name, address, from} = request;
-			const asked = state.vouchers.get(name) ?? [];
-			const vouchers = new Map(
-				[...state.vouchers, [name, [...asked, from.address]] as const].slice(
-					-spreadFanOut * 8,
-				),
+			const asked = state.relayedProbes.get(name) ?? [];
+			const relayedProbes = new Map(
+				[
+					...state.relayedProbes,
+					[name, [...asked, from.address]] as const,
+				].slice(-spreadFanOut * 8),
 			);
-			return runActions({...state, vouchers}, [
+			return runActions({...state, relayedProbes}, [
 				acknowledge,
 				(next) => sendPing(next, address, now),
 			]);
--- a/src/coordination/_lib/members/resend.ts
+++ b/src/coordination/_lib/members/resend.ts
@@ -15,8 +15,13 @@
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
-import {listNeighbours} from './probe.js';
-import {encodeRecords, isLive, pickSome, sendRequest} from './send.js';
+import {listLocalPeers} from './probe.js';
+import {
+	encodeRecords,
+	isLive,
+	pickRandomItems,
+	createRequestEffect,
+} from './send.js';
 
 type Chance = {readonly now: number; readonly random: () => number};
 
@@ -29,7 +34,7 @@
 	request: Exchange,
 	{now, random}: Chance,
 ): MembersStep {
-	if (now - state.rates.actedAt < exchangeTimeoutMs) {
+	if (now - state.rateLimits.bridgeBypassedAt < exchangeTimeoutMs) {
 		return {state, effects: []};
 	}
 
@@ -37,13 +42,13 @@
 		(dataCentre) => dataCentre !== state.self.dataCentre,
 	);
 	return {
-		state: {...state, rates: {...state.rates, actedAt: now}},
+		state: {...state, rateLimits: {...state.rateLimits, bridgeBypassedAt: now}},
 		effects: remote.flatMap((dataCentre) => {
 			const live = listMembers(state.table, dataCentre).filter((member) =>
 				isLive(member),
 			);
-			return pickSome(live, 2, random).map((member) =>
-				sendRequest(member.address, request),
+			return pickRandomItems(live, 2, random).map((member) =>
+				createRequestEffect(member.address, request),
 			);
 		}),
 	};
@@ -56,12 +61,12 @@
 	chance: Chance,
 ): MembersStep {
 	const names = request.records.map(({name}) => name);
-	const fresh = new Set([...state.fresh, ...names]);
-	const planned: MembersEffect[] = state.isSpreadPlanned
+	const fresh = new Set([...state.pendingSpread, ...names]);
+	const planned: MembersEffect[] = state.isSpreadScheduled
 		? []
-		: [{kind: 'plan-spread', delayMs: spreadDelayMs}];
+		: [{kind: 'schedule-spread', delayMs: spreadDelayMs}];
 	const next = {...state, fresh, isSpreadPlanned: true};
-	const bridges = computeBridges([state.self, ...listNeighbours(state)]);
+	const bridges = computeBridges([state.self, ...listLocalPeers(state)]);
 	const isBridgeLost = bridges.some((bridge) => bridge.address === address);
 	if (!isBridgeLost || !names.includes(state.self.name)) {
 		return {state: next, effects: planned};
@@ -97,8 +102,8 @@
 	);
 	return {
 		state: {...state, contacts},
-		effects: pickSome(live, spreadFanOut, random).map((member) =>
-			sendRequest(member.address, request),
+		effects: pickRandomItems(live, spreadFanOut, random).map((member) =>
+			createRequestEffect(member.address, request),
 		),
 	};
 }
@@ -107,7 +112,7 @@
  * Sends the records of a ping that failed to other members of the same data
  * centre, as the one that was picked may be one of many that just died.
  */
-export function sendRecordsAgain(
+export function resendRecords(
 	state: MembersState,
 	address: string,
 	request: Exchange,
--- a/src/coordination/_lib/members/send.ts
+++ b/src/coordination/_lib/members/send.ts
@@ -51,12 +51,15 @@
 }
 
 /** Builds an effect that sends a request. */
-export function sendRequest(address: string, request: Exchange): MembersEffect {
+export function createRequestEffect(
+	address: string,
+	request: Exchange,
+): MembersEffect {
 	return {kind: 'send', address, request};
 }
 
 /** Builds an effect that answers the request that is being handled. */
-export function answerWith(answer: ExchangeAnswer): MembersEffect {
+export function createAnswerEffect(answer: ExchangeAnswer): MembersEffect {
 	return {kind: 'answer', answer};
 }
 
@@ -70,23 +73,23 @@
 	state: MembersState,
 	now: number,
 ): {readonly state: MembersState; readonly records: MemberRecord[]} {
-	if (state.updates.size === 0 || state.role === 'refused') {
+	if (state.pendingUpdates.size === 0 || state.role === 'refused') {
 		return {state, records: []};
 	}
 
-	const updates = new Map(state.updates);
-	const names = [...state.updates.keys()].slice(0, maxRecordsPerMessage);
+	const pendingUpdates = new Map(state.pendingUpdates);
+	const names = [...state.pendingUpdates.keys()].slice(0, maxRecordsPerMessage);
 	for (const name of names) {
-		const remaining = updates.get(name)! - 1;
-		updates.delete(name);
+		const remaining = pendingUpdates.get(name)! - 1;
+		pendingUpdates.delete(name);
 		if (remaining > 0) {
-			updates.set(name, remaining);
+			pendingUpdates.set(name, remaining);
 		}
 	}
 
 	const shared = state.role === 'joining' ? [] : names;
 	return {
-		state: {...state, updates},
+		state: {...state, pendingUpdates},
 		records: encodeRecords(state, shared, now),
 	};
 }
@@ -103,11 +106,11 @@
 		from: describeSender(state),
 		records: taken.records,
 	};
-	return {state: taken.state, effects: [sendRequest(address, request)]};
+	return {state: taken.state, effects: [createRequestEffect(address, request)]};
 }
 
 /** Picks up to `count` different items. */
-export function pickSome<T>(
+export function pickRandomItems<T>(
 	items: readonly T[],
 	count: number,
 	random: () => number,
--- a/src/coordination/_lib/members/spread.ts
+++ b/src/coordination/_lib/members/spread.ts
@@ -9,12 +9,17 @@
 import type {
 	MembersState,
 	MembersStep,
-	RateState,
+	RateLimitState,
 } from '../../members-state.js';
 import {relayChanges} from './bridges.js';
-import {listNeighbours} from './probe.js';
-import {changeSelf} from './records.js';
-import {describeSender, encodeRecords, pickSome, sendRequest} from './send.js';
+import {listLocalPeers} from './probe.js';
+import {updateSelf} from './records.js';
+import {
+	describeSender,
+	encodeRecords,
+	pickRandomItems,
+	createRequestEffect,
+} from './send.js';
 
 /**
  * Takes the fresh changes that are sent at once: the own one always, others up
@@ -24,19 +29,21 @@
 function takeSpread(
 	state: MembersState,
 	now: number,
-): {readonly rates: RateState; readonly names: readonly string[]} {
-	const {self, fresh, rates} = state;
-	const isNewWindow = now - rates.spreadWindowAt >= msPerSecond;
-	const spread = isNewWindow ? 0 : rates.spreadRecords;
-	const own = [self.name].filter((name) => fresh.has(name));
-	const others = [...fresh]
+): {readonly rates: RateLimitState; readonly names: readonly string[]} {
+	const {self, pendingSpread, rateLimits} = state;
+	const isNewWindow = now - rateLimits.spreadWindowStartedAt >= msPerSecond;
+	const spread = isNewWindow ? 0 : rateLimits.spreadRecords;
+	const own = [self.name].filter((name) => pendingSpread.has(name));
+	const others = [...pendingSpread]
 		.filter((name) => name !== self.name)
 		.slice(0, Math.max(0, maxSpreadRecordsPerSecond - spread));
 	return {
 		names: [...own, ...others],
 		rates: {
-			...rates,
-			spreadWindowAt: isNewWindow ? now : rates.spreadWindowAt,
+			...rateLimits,
+			spreadWindowStartedAt: isNewWindow
+				? now
+				: rateLimits.spreadWindowStartedAt,
 			spreadRecords: spread + others.length,
 		},
 	};
@@ -50,38 +57,42 @@
 ): MembersStep {
 	const planned = {...state, isSpreadPlanned: false};
 	const relayed = relayChanges(planned, now, random);
-	if (planned.fresh.size === 0 || planned.role !== 'member') {
+	if (planned.pendingSpread.size === 0 || planned.role !== 'member') {
 		return {
-			state: {...relayed.state, fresh: new Set()},
+			state: {...relayed.state, pendingSpread: new Set()},
 			effects: relayed.effects,
 		};
 	}
 
-	const targets = pickSome(listNeighbours(planned), spreadFanOut, random);
-	const {rates, names} = takeSpread(planned, now);
+	const targets = pickRandomItems(
+		listLocalPeers(planned),
+		spreadFanOut,
+		random,
+	);
+	const {rates: rateLimits, names} = takeSpread(planned, now);
 	const request = {
 		kind: 'ping' as const,
 		from: describeSender(planned),
 		records: encodeRecords(planned, names, now),
 	};
 	return {
-		state: {...relayed.state, rates, fresh: new Set()},
+		state: {...relayed.state, rateLimits, pendingSpread: new Set()},
 		effects: [
 			...relayed.effects,
 			...(names.length === 0 ? [] : targets).map(({address}) =>
-				sendRequest(address, request),
+				createRequestEffect(address, request),
 			),
 		],
 	};
 }
 
 /** Spreads at once that the own node leaves. */
-export function leaveMembers(
+export function announceLeave(
 	state: MembersState,
 	now: number,
 	random: () => number,
 ): MembersStep {
-	const changed = changeSelf(state, {state: 'left', upstreams: []});
+	const changed = updateSelf(state, {state: 'left', upstreams: []});
 	const spread = spreadChanges(changed.state, now, random);
 	return {
 		state: {...spread.state, role: 'left', leases: new Map()},
--- a/src/coordination/_lib/members/sync.ts
+++ b/src/coordination/_lib/members/sync.ts
@@ -22,11 +22,11 @@
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {mergeRecords} from './merge.js';
 import {
-	answerWith,
+	createAnswerEffect,
 	describeSender,
 	encodeRecords,
 	isLive,
-	sendRequest,
+	createRequestEffect,
 } from './send.js';
 
 type DigestsRequest = Extract<Exchange, {readonly kind: 'digests'}>;
@@ -70,7 +70,7 @@
 	return {
 		state: {...state, sync},
 		effects: [
-			sendRequest(address, {
+			createRequestEffect(address, {
 				kind: 'digests',
 				from: describeSender(state),
 				roots,
@@ -99,7 +99,7 @@
 		from: describeSender(state),
 		buckets,
 	};
-	return {state, effects: [answerWith(answer)]};
+	return {state, effects: [createAnswerEffect(answer)]};
 }
 
 function listVersions(
@@ -136,13 +136,15 @@
 	};
 	return {
 		state: {...state, sync: {...sync, remaining}},
-		effects: [sendRequest(sync.address, request)],
+		effects: [createRequestEffect(sync.address, request)],
 	};
 }
 
 /** Gives up a comparison; the rest of it is made good with another member. */
 export function abortSync(state: MembersState): MembersState {
-	return state.sync ? {...state, sync: undefined, isIncomplete: true} : state;
+	return state.sync
+		? {...state, sync: undefined, isSyncIncomplete: true}
+		: state;
 }
 
 /** Handles the digests of another member: the own data centre goes first. */
@@ -184,12 +186,12 @@
 	request: BucketRequest,
 	now: number,
 ): MembersStep {
-	const {rates} = state;
+	const {rateLimits} = state;
 	const from = describeSender(state);
-	const isNewWindow = now - rates.windowAt >= 1000;
-	const answered = isNewWindow ? 0 : rates.bucketAnswers;
+	const isNewWindow = now - rateLimits.bucketWindowStartedAt >= 1000;
+	const answered = isNewWindow ? 0 : rateLimits.bucketAnswers;
 	if (answered >= maxBucketAnswersPerSecond) {
-		return {state, effects: [answerWith({kind: 'busy', from})]};
+		return {state, effects: [createAnswerEffect({kind: 'busy', from})]};
 	}
 
 	const table = listAll(state);
@@ -213,18 +215,24 @@
 			return member ? isOlder(member, version) : isTheirsLive;
 		})
 		.map(([name]) => name);
-	const windowAt = isNewWindow ? now : rates.windowAt;
+	const bucketWindowStartedAt = isNewWindow
+		? now
+		: rateLimits.bucketWindowStartedAt;
 	return {
 		state: {
 			...state,
-			rates: {...rates, windowAt, bucketAnswers: answered + 1},
+			rateLimits: {
+				...rateLimits,
+				bucketWindowStartedAt,
+				bucketAnswers: answered + 1,
+			},
 		},
-		effects: [answerWith({kind: 'bucket', from, records, wanted})],
+		effects: [createAnswerEffect({kind: 'bucket', from, records, wanted})],
 	};
 }
 
 /** Handles the records of a bucket, and sends those that are wanted. */
-export function takeBucket(
+export function handleBucketAnswer(
 	state: MembersState,
 	address: string,
 	answer: BucketAnswer,
@@ -236,7 +244,7 @@
 	const push =
 		wanted.length > 0
 			? [
-					sendRequest(address, {
+					createRequestEffect(address, {
 						kind: 'ping',
 						from: describeSender(next.state),
 						records: wanted,
--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -13,7 +13,7 @@
 	MembersStep,
 	UpstreamLease,
 } from '../../members-state.js';
-import {changeSelf} from './records.js';
+import {updateSelf} from './records.js';
 
 /** Tells whether a later upstream has taken over the address. */
 function isSucceeded(
@@ -39,7 +39,7 @@
 		([otherId, other]) =>
 			otherId !== id &&
 			other.address === address &&
-			other.state !== 'gone' &&
+			other.state !== 'ended' &&
 			other.incarnation < incarnation,
 	);
 	return new Set(earlier.map(([otherId]) => otherId));
@@ -51,7 +51,7 @@
 	announcement: Announcement,
 	now: number,
 ): boolean {
-	if (now - state.wokeAt < upstreamRenewMs) {
+	if (now - state.resumedAt < upstreamRenewMs) {
 		return true;
 	}
 
@@ -68,7 +68,7 @@
 		return true;
 	}
 
-	const hasLeft = lease.state === 'gone' || lease.state === 'leaving';
+	const hasLeft = lease.state === 'ended' || lease.state === 'leaving';
 	const isSame = address === lease.address;
 	return hasLeft && isSame && announcement.state === 'ready';
 }
@@ -142,7 +142,7 @@
 		return {state: {...state, leases}, effects: [accepted]};
 	}
 
-	const changed = changeSelf(
+	const changed = updateSelf(
 		{...state, leases},
 		{upstreams: replaceUpstream(state.self.upstreams, next)},
 	);
@@ -161,7 +161,7 @@
 			leases.set(id, {
 				...lease,
 				endsAt: now + upstreamTombstoneMs,
-				state: 'gone',
+				state: 'ended',
 			});
 		}
 	}
@@ -171,7 +171,7 @@
 		return {state: {...state, leases}, effects: []};
 	}
 
-	return changeSelf({...state, leases}, {upstreams});
+	return updateSelf({...state, leases}, {upstreams});
 }
 
 /** Handles the withdrawal of an upstream. */
@@ -199,7 +199,7 @@
 	}
 
 	const ids = new Set(
-		ended.filter(([, lease]) => lease.state !== 'gone').map(([id]) => id),
+		ended.filter(([, lease]) => lease.state !== 'ended').map(([id]) => id),
 	);
 	return endLeases({...state, leases}, ids, now);
 }
--- a/src/coordination/compute-host-cost.ts
+++ b/src/coordination/compute-host-cost.ts
@@ -13,7 +13,7 @@
 };
 
 /** Wait at a host whose slots are just all taken, as a part of a request's time. */
-const fullWaitPart = 0.4;
+const fullHostWaitRatio = 0.4;
 
 /** How fast the risk to be late falls with the room for the request; fits times that scatter by a third and have a tail. */
 const riskSlope = 3.5;
@@ -43,11 +43,12 @@
 		objectiveMs,
 		rateLimitWaitMs = 0,
 	} = expectation;
-	const busy = Math.min(1, load);
+	const cappedLoad = Math.min(1, load);
 	const slotWaitMs =
-		serviceMs * (Math.max(0, load - 1) + fullWaitPart * busy ** 4);
+		serviceMs * (Math.max(0, load - 1) + fullHostWaitRatio * cappedLoad ** 4);
 	const waitMs = Math.max(slotWaitMs, rateLimitWaitMs);
-	const room = objectiveMs / (requestMs + waitMs) - 1;
-	const risk = room > 0 ? Math.exp(-riskSlope * room) : 1 - room;
-	return risk + loadWeight * busy ** 2;
+	const slackRatio = objectiveMs / (requestMs + waitMs) - 1;
+	const risk =
+		slackRatio > 0 ? Math.exp(-riskSlope * slackRatio) : 1 - slackRatio;
+	return risk + loadWeight * cappedLoad ** 2;
 }
--- a/src/coordination/compute-open-slots.ts
+++ b/src/coordination/compute-open-slots.ts
@@ -1,6 +1,6 @@
 import {reservedSlotsRatio} from '../protocol/constants.js';
 
-const activeUse = 0.5;
+const minActiveUse = 0.5;
 
 /** What a gate knows of one team at an upstream. */
 export type TeamActivity = {
@@ -31,9 +31,9 @@
 	team: string,
 ): number {
 	const own = teams.get(team);
-	let activeTeams = own && own.use >= activeUse ? 0 : 1;
+	let activeTeams = own && own.use >= minActiveUse ? 0 : 1;
 	for (const {use} of teams.values()) {
-		activeTeams += use >= activeUse ? 1 : 0;
+		activeTeams += use >= minActiveUse ? 1 : 0;
 	}
 
 	const hasShare = (own?.inFlight ?? 0) >= slots / activeTeams;
--- a/src/coordination/compute-position.ts
+++ b/src/coordination/compute-position.ts
@@ -35,14 +35,14 @@
 	let end = rootsPerDataCentre;
 	for (;;) {
 		const parents = fanOuts.slice(start, end);
-		const most = parents.reduce((sum, fanOut) => sum + fanOut, 0);
-		const children = Math.min(most, fanOuts.length - end);
+		const totalFanOut = parents.reduce((sum, fanOut) => sum + fanOut, 0);
+		const children = Math.min(totalFanOut, fanOuts.length - end);
 		const place = index - end;
 		if (place < children) {
-			let reached = 0;
+			let cumulativeFanOut = 0;
 			const offset = parents.findIndex((fanOut) => {
-				reached += fanOut;
-				return place < Math.round((children * reached) / most);
+				cumulativeFanOut += fanOut;
+				return place < Math.round((children * cumulativeFanOut) / totalFanOut);
 			});
 			return start + offset;
 		}
--- a/src/coordination/compute-rate-tokens.ts
+++ b/src/coordination/compute-rate-tokens.ts
@@ -20,6 +20,6 @@
 export function computeRateTokens(limit: RateLimit, now: number): number {
 	const rate = computeUsableRate(limit.perSecond);
 	const elapsedMs = Math.max(0, now - limit.refilledAt);
-	const most = Math.max(1, rate * burstSeconds);
-	return Math.min(most, limit.tokens + (rate * elapsedMs) / msPerSecond);
+	const maxTokens = Math.max(1, rate * burstSeconds);
+	return Math.min(maxTokens, limit.tokens + (rate * elapsedMs) / msPerSecond);
 }
--- a/src/coordination/compute-retry-after.ts
+++ b/src/coordination/compute-retry-after.ts
@@ -17,10 +17,10 @@
 };
 
 /** Shortest delay, ms: several round trips, as each return costs the node time. */
-const usualMinDelayMs = 30;
+const defaultMinDelayMs = 30;
 
 /** Part of the time left that a delay may take, so that a try still fits. */
-const remainingPart = 0.3;
+const maxRemainingRatio = 0.3;
 
 /**
  * Computes when a refused client should come again.
@@ -37,12 +37,12 @@
  */
 export function computeRetryAfter(input: RetryAfterInput): number {
 	const {waitMs, serviceMs, objectiveMs, remainingMs, random} = input;
-	const {minDelayMs = usualMinDelayMs} = input;
-	const longestMs = remainingMs * remainingPart;
+	const {minDelayMs = defaultMinDelayMs} = input;
+	const maxDelayMs = remainingMs * maxRemainingRatio;
 	const excessMs = waitMs + serviceMs - objectiveMs;
-	const canBeInTime = objectiveMs - serviceMs > 2 * usualMinDelayMs;
+	const canBeInTime = objectiveMs - serviceMs > 2 * defaultMinDelayMs;
 	const delayMs = canBeInTime
 		? Math.max(minDelayMs, excessMs)
-		: Math.max(waitMs, longestMs);
-	return Math.min(delayMs * (0.75 + random / 2), longestMs) / msPerSecond;
+		: Math.max(waitMs, maxDelayMs);
+	return Math.min(delayMs * (0.75 + random / 2), maxDelayMs) / msPerSecond;
 }
--- a/src/coordination/compute-retry-share.ts
+++ b/src/coordination/compute-retry-share.ts
@@ -10,7 +10,7 @@
 };
 
 /** Part of the bounds that the nodes use, since repeated runs repeat their calls. */
-const usedPart = 0.6;
+const usedBoundsRatio = 0.6;
 
 /**
  * Computes a node's part of the retries that all nodes may make together.
@@ -29,8 +29,8 @@
 	members: number,
 ): RetryBudgetOptions {
 	return {
-		share: usedPart * bounds.ratio,
-		floor: (usedPart * bounds.slack) / Math.max(1, members),
+		share: usedBoundsRatio * bounds.ratio,
+		floor: (usedBoundsRatio * bounds.slack) / Math.max(1, members),
 		windowMs: bounds.windowMs,
 	};
 }
--- a/src/coordination/create-ledger.ts
+++ b/src/coordination/create-ledger.ts
@@ -85,7 +85,7 @@
 	const holders = new Map<string, string>();
 	let horizonMs = Number.NEGATIVE_INFINITY;
 	let keptBytes = 0;
-	let finished = 0;
+	let finishedRecords = 0;
 
 	function isValid(stamp: GateStamp | undefined, now: number): boolean {
 		return (
@@ -109,7 +109,7 @@
 		answers.delete(id);
 	}
 
-	function forget(id: string): void {
+	function deleteEntry(id: string): void {
 		const key = entries.get(id)?.key;
 		if (key !== undefined && holders.get(key) === id) {
 			holders.delete(key);
@@ -119,11 +119,11 @@
 		dropAnswer(id);
 	}
 
-	function forgetGroup(group: number): void {
+	function evictGroup(group: number): void {
 		for (const id of groups.get(group) ?? []) {
 			if (entries.get(id)?.record.kind !== 'running') {
-				forget(id);
-				finished--;
+				deleteEntry(id);
+				finishedRecords--;
 			}
 		}
 
@@ -131,14 +131,14 @@
 		horizonMs = Math.max(horizonMs, (group + 1) * ledgerBucketMs);
 	}
 
-	function forgetGroups(now: number): void {
+	function evictGroups(now: number): void {
 		for (const group of groups.keys()) {
 			const isExpired = now - (group + 1) * ledgerBucketMs >= lifetimeMs;
-			if (!isExpired && finished <= maxRecords) {
+			if (!isExpired && finishedRecords <= maxRecords) {
 				break;
 			}
 
-			forgetGroup(group);
+			evictGroup(group);
 		}
 	}
 
@@ -152,11 +152,11 @@
 			groups.set(group, [id]);
 		}
 
-		finished++;
-		forgetGroups(now);
+		finishedRecords++;
+		evictGroups(now);
 	}
 
-	function tell(
+	function applyMessage(
 		attempt: LedgerAttempt,
 		message: LedgerMessage,
 		now: number,
@@ -171,14 +171,14 @@
 		}
 
 		entries.set(id, {record: step.record, key: before?.key ?? key});
-		if (step.record.kind !== 'running' && isOpen(before)) {
+		if (step.record.kind !== 'running' && isUnfinished(before)) {
 			putInGroup(id, now);
 		}
 
 		return step.answer;
 	}
 
-	function isOpen(entry: Entry | undefined): boolean {
+	function isUnfinished(entry: Entry | undefined): boolean {
 		return !entry || entry.record.kind === 'running';
 	}
 
@@ -201,7 +201,7 @@
 	return {
 		readStamp: (now) => ({epoch, timeMs: Math.floor(now)}),
 		admit(attempt, now) {
-			const answer = tell(attempt, 'admit', now);
+			const answer = applyMessage(attempt, 'admit', now);
 			if (answer === 'run' && attempt.key !== undefined) {
 				holders.set(attempt.key, attempt.id);
 			}
@@ -209,15 +209,15 @@
 			return answer;
 		},
 		refuse(attempt, now) {
-			tell(attempt, 'refuse', now);
+			applyMessage(attempt, 'refuse', now);
 		},
 		end(attempt, now, answer) {
 			if (answer === 'forget') {
-				forget(attempt.id);
+				deleteEntry(attempt.id);
 				return;
 			}
 
-			tell(attempt, 'end', now);
+			applyMessage(attempt, 'end', now);
 			if (answer && entries.has(attempt.id)) {
 				keepAnswer(attempt.id, answer);
 			}
@@ -226,7 +226,7 @@
 		ask: (attempt, now) =>
 			attempt.stamp === undefined && !entries.has(attempt.id)
 				? 'fenced'
-				: tell(attempt, 'ask', now),
+				: applyMessage(attempt, 'ask', now),
 		findKeyHolder(key) {
 			const id = holders.get(key);
 			return id !== undefined && !isFenced(id) ? id : undefined;
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -57,19 +57,19 @@
  * can only be late. It counts those that were refused too: a late attempt in a
  * slot is why the next ones in time are refused.
  */
-const minSpareShare = 0.15;
+const minFreeShare = 0.15;
 
 /** Part of the time left that a late attempt may wait. */
 export const lateWaitRatio = 0.5;
 
 /** Part of the mean time below which an attempt takes little from others. */
-const shortPart = 0.75;
+const shortTimeRatio = 0.75;
 
 /** Margin for the scatter of times while nothing is known of it, in parts of the expected time. */
 export const defaultMarginRatio = 0.4;
 
 /** Time for the way back, ms. */
-const wayBackMs = 10;
+const returnTransitMs = 10;
 
 function refuse(reason: OutcomeReason): Admission {
 	return {kind: 'refuse', reason};
@@ -79,11 +79,11 @@
  * Tells whether an attempt that can only be late may wait: while the others
  * leave slots free, and will have done so before its deadline.
  */
-function hasRoomForLate(input: AdmissionInput): boolean {
-	const spareShare = 1 - input.utilization;
-	const waitMs = input.lateWaitMs / spareShare;
+function hasCapacityForLate(input: AdmissionInput): boolean {
+	const freeShare = 1 - input.utilization;
+	const waitMs = input.lateWaitMs / freeShare;
 	return (
-		spareShare >= minSpareShare &&
+		freeShare >= minFreeShare &&
 		waitMs + input.serviceMs <= input.remainingMs * lateWaitRatio
 	);
 }
@@ -91,11 +91,13 @@
 /** Tells whether an answer is expected after the objective. */
 function isExpectedLate(input: AdmissionInput, waitMs: number): boolean {
 	const {serviceMs, objectiveMs, remainingMs} = input;
-	const {marginRatio: knownPart = defaultMarginRatio} = input;
+	const {marginRatio: knownMarginRatio = defaultMarginRatio} = input;
 	// An idle slot serves nobody better than the one who comes first.
-	const marginPart =
-		waitMs === 0 ? Math.min(knownPart, defaultMarginRatio) : knownPart;
-	const expectedMs = waitMs + serviceMs * (1 + marginPart) + wayBackMs;
+	const marginRatio =
+		waitMs === 0
+			? Math.min(knownMarginRatio, defaultMarginRatio)
+			: knownMarginRatio;
+	const expectedMs = waitMs + serviceMs * (1 + marginRatio) + returnTransitMs;
 	return objectiveMs < remainingMs && expectedMs > objectiveMs;
 }
 
@@ -132,14 +134,14 @@
 	}
 
 	// A short attempt is mostly a call for which a longer one holds its slot.
-	const isShort = serviceMs < input.meanServiceMs * shortPart;
+	const isShort = serviceMs < input.meanServiceMs * shortTimeRatio;
 	const isLate = !isShort && isExpectedLate(input, waitMs);
 	if (isFree && (!isLate || input.utilization < 1)) {
 		return {kind: 'admit', shouldEvict: false, isLate};
 	}
 
 	// A late attempt in the last free slot is in the way of the next one in time.
-	if (isLate && !hasRoomForLate(input)) {
+	if (isLate && !hasCapacityForLate(input)) {
 		return refuse('saturated');
 	}
 
--- a/src/coordination/decide-event-loop-admission.ts
+++ b/src/coordination/decide-event-loop-admission.ts
@@ -10,7 +10,7 @@
 const lagStepMs = 40;
 
 /** Ranks that are told apart. */
-const ranks = 4;
+const priorityLevels = 4;
 
 /**
  * Decides whether a node takes a caller's request in spite of its own load.
@@ -29,5 +29,8 @@
 	input: EventLoopAdmissionInput,
 ): boolean {
 	const {lagMs, priority} = input;
-	return lagMs < lagStepMs * (ranks - Math.min(ranks - 1, priority));
+	return (
+		lagMs <
+		lagStepMs * (priorityLevels - Math.min(priorityLevels - 1, priority))
+	);
 }
--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -41,8 +41,9 @@
 export function decideRetry(input: RetryInput): RetryDecision {
 	const {outcome, reason, repeatable, isNested, budget} = input;
 	const mayRun = repeatable || outcome === 'not-run';
-	const hasTries = input.attempts < input.maxAttempts && input.remainingMs > 0;
-	if (!mayRun || !hasTries) {
+	const hasAttemptsLeft =
+		input.attempts < input.maxAttempts && input.remainingMs > 0;
+	if (!mayRun || !hasAttemptsLeft) {
 		return 'stop';
 	}
 
--- a/src/coordination/decide-silence.ts
+++ b/src/coordination/decide-silence.ts
@@ -29,10 +29,10 @@
 	| 'silent';
 
 /** Part of the objective after which no answer is suspicious; another host then still has the rest. */
-const suspectPart = 0.4;
+const suspectObjectiveRatio = 0.4;
 
 /** Multiple of the expected time after which no answer is suspicious; few requests take as long. */
-const suspectFactor = 2;
+const suspectTimeFactor = 2;
 
 /** Least time after which it is, ms: a turn of a busy node. */
 const minSuspectMs = 30;
@@ -87,17 +87,21 @@
 export function decideSilence(input: SilenceInput): SilenceDecision {
 	const {now, sentAt, expectedMs, objectiveMs, repeatable, work} = input;
 	const unansweredMs = now - sentAt;
-	const partMs = objectiveMs * suspectPart;
-	const timesMs = expectedMs * suspectFactor;
+	const objectiveThresholdMs = objectiveMs * suspectObjectiveRatio;
+	const expectedThresholdMs = expectedMs * suspectTimeFactor;
 	if (!isReported(input)) {
 		const isOverdue =
 			repeatable &&
-			unansweredMs >= Math.max(minSuspectMs, partMs, timesMs) &&
+			unansweredMs >=
+				Math.max(minSuspectMs, objectiveThresholdMs, expectedThresholdMs) &&
 			now - input.probedAt >= probeIntervalMs;
 		return isOverdue ? 'probe' : 'wait';
 	}
 
-	const suspectMs = Math.max(minSuspectMs, Math.min(partMs, timesMs));
+	const suspectMs = Math.max(
+		minSuspectMs,
+		Math.min(objectiveThresholdMs, expectedThresholdMs),
+	);
 	const isKnown = work?.isIdle === true || isMissing(input);
 	return isKnown && unansweredMs >= suspectMs ? 'silent' : 'wait';
 }
--- a/src/coordination/delivery-state.ts
+++ b/src/coordination/delivery-state.ts
@@ -37,7 +37,7 @@
 	| {readonly kind: 'status-read'}
 	| {readonly kind: 'status-write'; readonly status: DataCentreStatus}
 	| {
-			readonly kind: 'pull' | 'repair' | 'notice';
+			readonly kind: 'pull' | 'repair' | 'report';
 			readonly member: string;
 			readonly startedAt: number;
 	  };
@@ -53,7 +53,10 @@
 };
 
 /** The last report of a child. */
-export type ChildReport = {readonly progress: Progress; readonly at: number};
+export type ChildReport = {
+	readonly progress: Progress;
+	readonly receivedAt: number;
+};
 
 /** State of a node's delivery machine; times are monotonic ms. */
 export type DeliveryState = {
@@ -62,13 +65,13 @@
 	readonly members: readonly Member[];
 	readonly position: Position | undefined;
 	/** Held configurations, oldest first; never empty, the last is newest. */
-	readonly held: readonly Configuration[];
+	readonly heldConfigurations: readonly Configuration[];
 	/** Version that the node runs; undefined before the first. */
 	readonly runningVersion: number | undefined;
 	/** Whether a first version may be run: nothing newer can have been run. */
 	readonly isSettled: boolean;
 	/** Newest version held when the node had settled; the first to run. */
-	readonly startFloor: number | undefined;
+	readonly minStartVersion: number | undefined;
 	/** When a node that knows a safe version first answered. */
 	readonly firstContactAt: number | undefined;
 	readonly safeVersion: number;
@@ -84,18 +87,18 @@
 	readonly refusedSnapshot: {readonly version: number; readonly until: number};
 	readonly source: SourceMode;
 	readonly sourceFailures: number;
-	readonly sourceAt: number;
-	readonly probeAt: number;
-	readonly startProbeAt: number;
+	readonly nextSourceCallAt: number;
+	readonly nextProbeAt: number;
+	readonly nextStartProbeAt: number;
 	readonly pullFailures: number;
-	readonly pullAt: number;
+	readonly nextPullAt: number;
 	/** A version that another node has and this one lacks. */
-	readonly heard:
+	readonly missingVersion:
 		| {readonly version: number; readonly name: string; readonly since: number}
 		| undefined;
 	/** What the parent, or the other roots, were last told, and when. */
-	readonly noticed: {readonly text: string; readonly at: number};
-	readonly noticeFailures: number;
+	readonly lastReport: {readonly text: string; readonly at: number};
+	readonly reportFailures: number;
 	readonly children: ReadonlyMap<string, ChildReport>;
 	readonly polls: readonly WaitingPoll[];
 	readonly status: {
@@ -119,7 +122,7 @@
 	| {readonly kind: 'tick'}
 	| {readonly kind: 'entries'; readonly entries: readonly LogEntry[]}
 	/** Another node was heard to hold a version. */
-	| {readonly kind: 'heard'; readonly name: string; readonly version: number}
+	| {readonly kind: 'holder'; readonly name: string; readonly version: number}
 	| {readonly kind: 'poll'; readonly pollId: number; readonly poll: Poll}
 	| {
 			readonly kind: 'platform-answer';
--- a/src/coordination/is-unreachable.ts
+++ b/src/coordination/is-unreachable.ts
@@ -24,8 +24,8 @@
 	}
 
 	const {silentSince, unreachable = 0} = record;
-	const isLeftOut = unreachable > 0 && record.ejectedUntil > now;
+	const isBackingOff = unreachable > 0 && record.ejectedUntil > now;
 	const isSilent =
 		silentSince !== undefined && now - silentSince > silentAfterMs;
-	return isLeftOut || isSilent;
+	return isBackingOff || isSilent;
 }
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -22,7 +22,7 @@
 	readonly address: string;
 	/** Number of the last announcement. */
 	readonly sequence: number;
-	readonly state: Announcement['state'] | 'gone';
+	readonly state: Announcement['state'] | 'ended';
 };
 
 /** The member whose probe awaits its result. */
@@ -41,8 +41,8 @@
 };
 
 /** What a bridge knows of its contact with another data centre. */
-export type Contact = {
-	readonly askedAt: number;
+export type DataCentreContact = {
+	readonly pingedAt: number;
 	readonly answeredAt: number;
 	readonly hasFailed: boolean;
 	/** When records that did not arrive were last sent to others, ms. */
@@ -52,7 +52,7 @@
 /** What is known of the seeds object in the platform. */
 export type SeedsState = {
 	/** Seeds from the settings. */
-	readonly settings: readonly string[];
+	readonly configuredAddresses: readonly string[];
 	readonly addresses: readonly string[];
 	readonly failures: number;
 	/** Whether the last read was answered. */
@@ -60,18 +60,18 @@
 	/** Size of the own data centre as last written. */
 	readonly memberCount: number;
 	/** When the object is next read, monotonic ms. */
-	readonly readAt: number;
+	readonly nextReadAt: number;
 	/** When the next member is asked for its records, monotonic ms. */
-	readonly joinAt: number;
+	readonly nextJoinAt: number;
 };
 
 /** Bounds whose windows begin anew each second. */
-export type RateState = {
-	readonly windowAt: number;
+export type RateLimitState = {
+	readonly bucketWindowStartedAt: number;
 	readonly bucketAnswers: number;
 	readonly refutedAt: number;
-	readonly actedAt: number;
-	readonly spreadWindowAt: number;
+	readonly bridgeBypassedAt: number;
+	readonly spreadWindowStartedAt: number;
 	readonly spreadRecords: number;
 };
 
@@ -99,28 +99,28 @@
 	/** When each dead or departed member is forgotten. */
 	readonly tombstones: ReadonlyMap<string, number>;
 	/** Names of changed records and how often each is still to be sent. */
-	readonly updates: ReadonlyMap<string, number>;
+	readonly pendingUpdates: ReadonlyMap<string, number>;
 	/** Names of changed records not yet spread at once. */
-	readonly fresh: ReadonlySet<string>;
+	readonly pendingSpread: ReadonlySet<string>;
 	/** Names of changed records of the own data centre, for the others. */
-	readonly relays: ReadonlySet<string>;
+	readonly pendingRelays: ReadonlySet<string>;
 	readonly leases: ReadonlyMap<string, UpstreamLease>;
 	readonly probe: Probe | undefined;
 	/** Names still to be probed in this round. */
-	readonly order: readonly string[];
+	readonly probeOrder: readonly string[];
 	readonly sync: Sync | undefined;
 	/** Whether the last comparison ended before its last bucket. */
-	readonly isIncomplete: boolean;
-	readonly contacts: ReadonlyMap<string, Contact>;
+	readonly isSyncIncomplete: boolean;
+	readonly contacts: ReadonlyMap<string, DataCentreContact>;
 	readonly seeds: SeedsState;
 	/** Relayed probes: target's name to the addresses that asked. */
-	readonly vouchers: ReadonlyMap<string, readonly string[]>;
-	readonly rates: RateState;
+	readonly relayedProbes: ReadonlyMap<string, readonly string[]>;
+	readonly rateLimits: RateLimitState;
 	readonly nameCheck: NameCheck | undefined;
-	readonly steppedAt: number;
+	readonly lastStepAt: number;
 	/** When the process last woke from a pause, monotonic ms. */
-	readonly wokeAt: number;
-	readonly isSpreadPlanned: boolean;
+	readonly resumedAt: number;
+	readonly isSpreadScheduled: boolean;
 };
 
 /** Result of reading the seeds object. */
@@ -132,7 +132,7 @@
 			readonly writtenMs: number;
 			/** Version of the own data centre's object, when there is one. */
 			readonly version: number | undefined;
-			readonly ownAddresses: readonly string[];
+			readonly localAddresses: readonly string[];
 	  }
 	| {readonly kind: 'unavailable'};
 
@@ -172,7 +172,7 @@
 	/** Answer the request that is being handled. */
 	| {readonly kind: 'answer'; readonly answer: ExchangeAnswer}
 	/** Come back with a `spread` message after a delay. */
-	| {readonly kind: 'plan-spread'; readonly delayMs: number}
+	| {readonly kind: 'schedule-spread'; readonly delayMs: number}
 	| {readonly kind: 'read-seeds'}
 	| {
 			readonly kind: 'write-seeds';
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -60,7 +60,7 @@
 
 const ejected = {ejectedUntil: now + 1000};
 const full = {ownInFlight: 6};
-const lying = {'abdali-1': {reportedShare: 0}};
+const underreporting = {'abdali-1': {reportedShare: 0}};
 
 const cases: ReadonlyArray<
 	readonly [string, Parameters<typeof sharePicks>[0], string, number, number]
@@ -83,7 +83,7 @@
 		1,
 	],
 	['a cold host', {'abdali-1': {inUseSince: now}}, 'abdali-1', 0, 0.15],
-	['a host that reports no load', lying, 'abdali-1', 0.25, 0.4],
+	['a host that reports no load', underreporting, 'abdali-1', 0.25, 0.4],
 	['a busy host', {'abdali-1': {ownInFlight: 3}}, 'abdali-1', 0, 0.15],
 	[
 		'a host that always says it is idle',
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -68,21 +68,21 @@
 }
 
 /** Keeps the hosts that have room for such requests, if there are any. */
-function selectRoomy(
+function selectNotFull(
 	candidates: readonly Candidate[],
 	records: HostRecords,
 	{now, admissionClass}: PickOptions,
 ): readonly Candidate[] {
-	const roomy = candidates.filter(
+	const available = candidates.filter(
 		({host}) => !isKnownFull(records.get(host), admissionClass, now),
 	);
-	return roomy.length === 0 ? candidates : roomy;
+	return available.length === 0 ? candidates : available;
 }
 
 /** Cost of an answer from another data centre, in parts of a request's value: its bytes are priced. */
-const farCost = 0.15;
+const remoteCost = 0.15;
 
-function isNearFull(
+function isLocalFull(
 	local: readonly Candidate[],
 	records: HostRecords,
 	limit: number,
@@ -105,7 +105,7 @@
  * Finds a near host that has had no request for some time. Answers the load of
  * an upstream that has just joined, or was slow once and is well again.
  */
-function findNeglected(
+function findHostToExplore(
 	local: readonly Candidate[],
 	records: HostRecords,
 	random: () => number,
@@ -125,15 +125,15 @@
 }
 
 /** Tells whether a far host's offer is better than that of a near one. */
-function isFarBetter(
-	near: CandidateCost,
-	far: CandidateCost,
+function isRemoteBetter(
+	localBest: CandidateCost,
+	remoteBest: CandidateCost,
 	objectiveMs: number | undefined,
 	isFull: () => boolean,
 ): boolean {
 	return objectiveMs === undefined
-		? isFull() && far.cost < near.cost
-		: far.cost + farCost < near.cost;
+		? isFull() && remoteBest.cost < localBest.cost
+		: remoteBest.cost + remoteCost < localBest.cost;
 }
 
 /**
@@ -165,7 +165,7 @@
 	const untried = exclude?.size
 		? candidates.filter(({host}) => !exclude.has(host))
 		: candidates;
-	const usable = selectRoomy(
+	const usable = selectNotFull(
 		selectHealthy(selectReachable(untried, records, now), records, now),
 		records,
 		options,
@@ -177,18 +177,20 @@
 	const local = usable.filter(
 		(candidate) => candidate.dataCentre === dataCentre,
 	);
-	const neglected = findNeglected(local, records, random, now);
-	if (neglected) {
-		return neglected;
+	const toExplore = findHostToExplore(local, records, random, now);
+	if (toExplore) {
+		return toExplore;
 	}
 
-	const near = findCheapestCandidate(local, records, random, options);
+	const localBest = findCheapestCandidate(local, records, random, options);
 	const remote = usable.filter(
 		(candidate) => candidate.dataCentre !== dataCentre,
 	);
-	const far = findCheapestCandidate(remote, records, random, options);
-	const isFull = (): boolean => isNearFull(local, records, spillShare, now);
-	return near && far && isFarBetter(near, far, objectiveMs, isFull)
-		? far.candidate
-		: (near ?? far)?.candidate;
+	const remoteBest = findCheapestCandidate(remote, records, random, options);
+	const isFull = (): boolean => isLocalFull(local, records, spillShare, now);
+	return localBest &&
+		remoteBest &&
+		isRemoteBetter(localBest, remoteBest, objectiveMs, isFull)
+		? remoteBest.candidate
+		: (localBest ?? remoteBest)?.candidate;
 }
--- a/src/coordination/step-delivery.test.ts
+++ b/src/coordination/step-delivery.test.ts
@@ -149,9 +149,12 @@
 for (const [what, answer] of badAnswers) {
 	test(`${what} is refused, changes nothing, and is made good by a snapshot`, () => {
 		const before = createChild();
-		assert.equal(before.state.held.at(-1)?.version, 1);
+		assert.equal(before.state.heldConfigurations.at(-1)?.version, 1);
 		const refused = answerPull(before, {...fields, ...answer});
-		assert.equal(refused.state.held.at(-1), before.state.held.at(-1));
+		assert.equal(
+			refused.state.heldConfigurations.at(-1),
+			before.state.heldConfigurations.at(-1),
+		);
 		assert.equal(refused.state.runningVersion, before.state.runningVersion);
 
 		const polled = tell(refused, {kind: 'tick'}, 6000);
@@ -159,7 +162,7 @@
 		const configuration = configurations[4];
 		const value = {...fields, kind: 'snapshot', configuration};
 		const mended = answerPull(polled, value, 6010);
-		assert.equal(mended.state.held.at(-1)?.version, 4);
+		assert.equal(mended.state.heldConfigurations.at(-1)?.version, 4);
 		assert.equal(mended.state.refusal, undefined);
 		assert.equal(mended.state.runningVersion, 4);
 	});
--- a/src/coordination/step-delivery.ts
+++ b/src/coordination/step-delivery.ts
@@ -13,14 +13,14 @@
 import {answerPolls} from './_lib/delivery/answer-polls.js';
 import {expireChildren} from './_lib/delivery/compute-progress.js';
 import {
-	runParts,
+	runDeliveryActions,
 	type DeliveryContext,
 	type DeliveryRules,
 } from './_lib/delivery/delivery-context.js';
 import {
 	addPoll,
 	handlePollAnswer,
-	noteHolder,
+	recordHolder,
 } from './_lib/delivery/handle-peer.js';
 import {handlePlatformAnswer} from './_lib/delivery/handle-platform.js';
 import {planCalls} from './_lib/delivery/plan-calls.js';
@@ -124,10 +124,10 @@
 			return acceptEntries(state, message.entries, context);
 		}
 
-		case 'heard': {
+		case 'holder': {
 			const {name, version} = message;
 			return {
-				state: noteHolder(state, name, version, context.now),
+				state: recordHolder(state, name, version, context.now),
 				effects: [],
 			};
 		}
@@ -183,7 +183,7 @@
 ): DeliveryStep {
 	const {now, random, rules} = options;
 	const context = {now, random, rules: {...defaultRules, ...rules}};
-	return runParts(
+	return runDeliveryActions(
 		handleMessage(state, message, context),
 		[updateSafeVersion, updateRunning, answerPolls, ...planCalls, planStatus],
 		context,
--- a/src/coordination/step-host-record.test.ts
+++ b/src/coordination/step-host-record.test.ts
@@ -21,7 +21,7 @@
 }
 
 /** Counts the requests that reach a host in ten seconds while it refuses all. */
-function countAsked(): number {
+function countAttempts(): number {
 	let record: HostRecord | undefined;
 	let asked = 0;
 	for (let now = 0; now < 10_000; now += 10) {
@@ -37,7 +37,7 @@
 }
 
 test('a host that refuses all is hardly asked in a lasting overload', () => {
-	assert.ok(countAsked() <= 10_000 / 400 + 5, String(countAsked()));
+	assert.ok(countAttempts() <= 10_000 / 400 + 5, String(countAttempts()));
 });
 
 test('a host that has room again is soon asked as before', () => {
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -86,7 +86,7 @@
 			readonly load: GateLoad | undefined;
 	  };
 
-type Ended = HostMessage & {readonly kind: 'ended'};
+type EndedMessage = HostMessage & {readonly kind: 'ended'};
 
 /** What a step depends on besides record and message. */
 export type HostContext = {
@@ -103,7 +103,7 @@
 const maxFullMs = 400;
 
 /** Part of the delay that the host named: others may find room before. */
-const fullPart = 0.5;
+const retryAfterRatio = 0.5;
 
 /** Refusals in a row that are counted; more would not lengthen the time. */
 const maxRefusals = 4;
@@ -127,18 +127,21 @@
 	};
 }
 
-const noTimes: ReadonlyMap<string, number> = new Map();
+const emptyTimes: ReadonlyMap<string, number> = new Map();
 
-function putRouteTime(
+function updateRouteTimes(
 	times: ReadonlyMap<string, number> | undefined,
-	{route, load}: Ended,
+	{route, load}: EndedMessage,
 ): ReadonlyMap<string, number> {
 	return route === undefined || load?.routeMs === undefined
-		? (times ?? noTimes)
+		? (times ?? emptyTimes)
 		: new Map(times).set(route, load.routeMs);
 }
 
-function readDemand({admissionClass, route = ''}: Ended): string {
+function readAdmissionClass({
+	admissionClass,
+	route = '',
+}: EndedMessage): string {
 	return admissionClass ?? route;
 }
 
@@ -147,39 +150,43 @@
  * each refusal in a row. Answers a lasting overload, where asking hosts that
  * refuse costs two nodes as much as a request that is served.
  */
-function noteFull(record: HostRecord, message: Ended, now: number): HostRecord {
-	const demand = readDemand(message);
+function recordFull(
+	record: HostRecord,
+	message: EndedMessage,
+	now: number,
+): HostRecord {
+	const admissionClass = readAdmissionClass(message);
 	const {retryAfterMs = 0, load} = message;
 	// Under a rate limit there is room again when the host says so.
 	const isLimited = load?.notice?.rateLimit !== undefined;
-	const before = isLimited ? 0 : (record.refusals?.get(demand) ?? 0);
-	const firstMs = Math.max(minFullMs, retryAfterMs * fullPart);
+	const before = isLimited ? 0 : (record.refusals?.get(admissionClass) ?? 0);
+	const firstMs = Math.max(minFullMs, retryAfterMs * retryAfterRatio);
 	const durationMs = Math.min(maxFullMs, firstMs * 2 ** before);
 	const refusals = Math.min(maxRefusals, before + 1);
 	return {
 		...record,
 		unreachable: 0,
-		fullUntil: new Map(record.fullUntil).set(demand, now + durationMs),
-		refusals: new Map(record.refusals).set(demand, refusals),
+		fullUntil: new Map(record.fullUntil).set(admissionClass, now + durationMs),
+		refusals: new Map(record.refusals).set(admissionClass, refusals),
 	};
 }
 
 /** Forgets refusals of a kind of demand of which the host has taken one. */
-function noteRoom(record: HostRecord, message: Ended): HostRecord {
-	const demand = readDemand(message);
-	if (!record.refusals?.has(demand)) {
+function clearRefusals(record: HostRecord, message: EndedMessage): HostRecord {
+	const admissionClass = readAdmissionClass(message);
+	if (!record.refusals?.has(admissionClass)) {
 		return record;
 	}
 
 	const refusals = new Map(record.refusals);
-	refusals.delete(demand);
+	refusals.delete(admissionClass);
 	return {...record, refusals};
 }
 
 /** Computes since when nothing was heard, after the end of an attempt. */
-function computeWaitingSince(
+function computeSilentSince(
 	{ownInFlight, silentSince}: HostRecord,
-	{isHeard = true}: Ended,
+	{isHeard = true}: EndedMessage,
 	now: number,
 ): number | undefined {
 	if (ownInFlight <= 1 || silentSince === undefined) {
@@ -190,7 +197,7 @@
 }
 
 /** The load that others than this node have put on the host. */
-function readShare(load: GateLoad, ownInFlight: number): number {
+function computeReportedShare(load: GateLoad, ownInFlight: number): number {
 	const others = Math.max(0, load.inFlight + load.queued - ownInFlight);
 	return Math.min(maxShare, others / load.slots);
 }
@@ -199,7 +206,10 @@
  * Leaves out for a short time a host that could not be connected to. Answers
  * the load pattern of a partition, where each try costs a connect timeout.
  */
-function leaveOut(record: HostRecord, context: HostContext): HostRecord {
+function recordUnreachable(
+	record: HostRecord,
+	context: HostContext,
+): HostRecord {
 	const unreachable = (record.unreachable ?? 0) + 1;
 	const durationMs = Math.min(
 		unreachableCapMs,
@@ -242,7 +252,7 @@
 }
 
 /** Computes when the next request has its turn after one has taken one. */
-function takeTurn(
+function advanceNextSend(
 	limit: HostRateLimit | undefined,
 	now: number,
 ): HostRateLimit | undefined {
@@ -265,9 +275,9 @@
 }
 
 /** Takes in what came with the end of an attempt, whatever its outcome. */
-function noteReport(
+function recordReport(
 	before: HostRecord,
-	message: Ended,
+	message: EndedMessage,
 	now: number,
 ): HostRecord {
 	const {load} = message;
@@ -276,20 +286,20 @@
 		...before,
 		ownInFlight: Math.max(0, before.ownInFlight - 1),
 		reportedShare: isKnown
-			? readShare(load, before.ownInFlight)
+			? computeReportedShare(load, before.ownInFlight)
 			: before.reportedShare,
 		serviceMs: load?.serviceMs ?? before.serviceMs ?? 0,
-		routeMs: putRouteTime(before.routeMs, message),
+		routeMs: updateRouteTimes(before.routeMs, message),
 		reportedAt: isKnown ? now : before.reportedAt,
-		silentSince: computeWaitingSince(before, message, now),
+		silentSince: computeSilentSince(before, message, now),
 		rateLimit: load ? readRateLimit(load, now) : before.rateLimit,
 	};
 }
 
 /** Takes in that an upstream has answered or failed an attempt. */
-function noteRun(
+function recordRun(
 	record: HostRecord,
-	{outcome, latencyMs}: Ended,
+	{outcome, latencyMs}: EndedMessage,
 	context: HostContext,
 ): HostRecord {
 	const error = outcome === 'failed' ? 1 : 0;
@@ -307,13 +317,13 @@
 
 function handleEnd(
 	before: HostRecord,
-	message: Ended,
+	message: EndedMessage,
 	context: HostContext,
 ): HostRecord {
-	const reported = noteReport(before, message, context.now);
+	const reported = recordReport(before, message, context.now);
 	switch (message.outcome) {
 		case 'full': {
-			return noteFull(reported, message, context.now);
+			return recordFull(reported, message, context.now);
 		}
 
 		case 'refused': {
@@ -321,15 +331,15 @@
 		}
 
 		case 'unreachable': {
-			return leaveOut(reported, context);
+			return recordUnreachable(reported, context);
 		}
 
 		case 'answered': {
-			return noteRun(noteRoom(reported, message), message, context);
+			return recordRun(clearRefusals(reported, message), message, context);
 		}
 
 		case 'failed': {
-			return noteRun(reported, message, context);
+			return recordRun(reported, message, context);
 		}
 	}
 }
@@ -362,7 +372,7 @@
 				ownInFlight: before.ownInFlight + 1,
 				sentAt: context.now,
 				silentSince,
-				rateLimit: takeTurn(before.rateLimit, context.now),
+				rateLimit: advanceNextSend(before.rateLimit, context.now),
 			};
 		}
 
--- a/src/coordination/step-members.ts
+++ b/src/coordination/step-members.ts
@@ -1,10 +1,10 @@
 import {upstreamLeaseMs} from '../protocol/constants.js';
 import {handleAnswer, handleFailure} from './_lib/members/answers.js';
-import {takeSeeds} from './_lib/members/join.js';
+import {handleSeeds} from './_lib/members/join.js';
 import {runPeriod} from './_lib/members/period.js';
 import {handleRequest} from './_lib/members/requests.js';
 import {runActions} from './_lib/members/run-actions.js';
-import {leaveMembers, spreadChanges} from './_lib/members/spread.js';
+import {announceLeave, spreadChanges} from './_lib/members/spread.js';
 import {
 	announceUpstream,
 	expireLeases,
@@ -20,14 +20,14 @@
 
 /** Delays every judgement of others by the time that the process stood still. */
 function wake(state: MembersState, now: number): MembersState {
-	const gapMs = now - state.steppedAt;
+	const gapMs = now - state.lastStepAt;
 	if (gapMs < upstreamLeaseMs) {
 		return state;
 	}
 
 	return {
 		...state,
-		wokeAt: now,
+		resumedAt: now,
 		probe: undefined,
 		sync: undefined,
 		suspicions: new Map(
@@ -90,7 +90,7 @@
 		}
 
 		case 'seeds': {
-			return takeSeeds(state, message.outcome, now, random);
+			return handleSeeds(state, message.outcome, now, random);
 		}
 
 		case 'spread': {
@@ -98,7 +98,7 @@
 		}
 
 		case 'leave': {
-			return leaveMembers(state, now, random);
+			return announceLeave(state, now, random);
 		}
 
 		case 'tick': {
@@ -133,7 +133,7 @@
 	]);
 	const {address} = state.self;
 	return {
-		state: {...step.state, steppedAt: Math.max(now, state.steppedAt)},
+		state: {...step.state, lastStepAt: Math.max(now, state.lastStepAt)},
 		effects: step.effects.filter(
 			(effect) => effect.kind !== 'send' || effect.address !== address,
 		),
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -20,11 +20,11 @@
 import type {LedgerStep} from './step-ledger-record.js';
 
 /** Tells whether a gate also runs an attempt that has no stamp. */
-function needsNoStamp({parameters}: RequestContext): boolean {
+function runsWithoutStamp({parameters}: RequestContext): boolean {
 	return parameters.repeatable;
 }
 
-function stay(state: RequestState): RequestStep {
+function keepState(state: RequestState): RequestStep {
 	return {state, effects: []};
 }
 
@@ -58,7 +58,7 @@
 	context: RequestContext,
 ): RequestStep {
 	const {parameters, now, random, budget} = context;
-	const tries = state.attempts - state.restamps - state.reroutes;
+	const countedAttempts = state.attempts - state.restamps - state.reroutes;
 	// A try at the wrong host reached no upstream; those have a bound of their own.
 	const isFull =
 		isCapacityRefusal(ending.reason) &&
@@ -75,11 +75,11 @@
 		return send({...after, restamps: state.restamps + 1}, true);
 	}
 
-	const delayMs = computeRetryDelay(tries, random);
+	const delayMs = computeRetryDelay(countedAttempts, random);
 	const decision = decideRetry({
 		...parameters,
 		...ending,
-		attempts: isWrongHost ? state.reroutes : tries,
+		attempts: isWrongHost ? state.reroutes : countedAttempts,
 		maxAttempts: isWrongHost ? maxReroutes : parameters.maxAttempts,
 		remainingMs: parameters.deadlineAt - now - delayMs,
 		budget,
@@ -103,7 +103,7 @@
 	}
 }
 
-function abandonFirst(
+function prependAbandon(
 	before: RequestState,
 	step: RequestStep,
 	cancel = false,
@@ -120,13 +120,13 @@
 }
 
 /** Gives up an attempt of which nothing certain can be learnt. */
-function giveUp(
+function abandonUnknown(
 	state: RequestState,
 	reason: OutcomeReason,
 	context: RequestContext,
 ): RequestStep {
 	const step = endAttempt(state, {outcome: 'unknown', reason}, context);
-	return abandonFirst(state, step);
+	return prependAbandon(state, step);
 }
 
 /** Gives up an attempt that no gate runs, even if it still arrives. */
@@ -135,7 +135,7 @@
 	context: RequestContext,
 ): RequestStep {
 	const ending = {outcome: 'not-run', reason: 'not-sent'} as const;
-	return abandonFirst(state, endAttempt(state, ending, context));
+	return prependAbandon(state, endAttempt(state, ending, context));
 }
 
 function handleLoss(
@@ -144,11 +144,11 @@
 	context: RequestContext,
 ): RequestStep {
 	if (context.parameters.repeatable) {
-		return giveUp(state, reason, context);
+		return abandonUnknown(state, reason, context);
 	}
 
 	const after = {...state, isOpen: false};
-	return state.phase === 'attempting' ? ask(after) : stay(after);
+	return state.phase === 'attempting' ? ask(after) : keepState(after);
 }
 
 function handleKnown(
@@ -162,7 +162,7 @@
 			// proof for them.
 			const outcome = context.parameters.repeatable ? 'unknown' : 'not-run';
 			const ending: AttemptEnding = {outcome, reason: 'fenced'};
-			return abandonFirst(state, endAttempt(state, ending, context));
+			return prependAbandon(state, endAttempt(state, ending, context));
 		}
 
 		case 'running':
@@ -175,7 +175,7 @@
 
 		case 'run':
 		case 'stale': {
-			return giveUp(state, 'forgotten', context);
+			return abandonUnknown(state, 'forgotten', context);
 		}
 	}
 }
@@ -185,7 +185,7 @@
 	context: RequestContext,
 ): RequestStep {
 	if (context.parameters.repeatable || state.asks >= maxAsks) {
-		return giveUp(state, 'gate-unreachable', context);
+		return abandonUnknown(state, 'gate-unreachable', context);
 	}
 
 	const ceilingMs = askRetryMs * 2 ** state.asks;
@@ -201,20 +201,20 @@
 	context: RequestContext,
 ): RequestStep {
 	if (state.phase !== 'attempting') {
-		return stay(state);
+		return keepState(state);
 	}
 
 	return state.isSent ? ask(state) : abandonUnsent(state, context);
 }
 
 /** Kinds of message by which a question about an attempt goes on. */
-type QuestionMessage = RequestMessage & {
+type InquiryMessage = RequestMessage & {
 	readonly kind: 'silent' | 'known' | 'ask-failed' | 'fetch-lost';
 };
 
-function handleQuestion(
+function handleInquiry(
 	state: RequestState,
-	message: QuestionMessage,
+	message: InquiryMessage,
 	context: RequestContext,
 ): RequestStep {
 	switch (message.kind) {
@@ -225,19 +225,19 @@
 		case 'known': {
 			return state.phase === 'asking'
 				? handleKnown(state, message.answer, context)
-				: stay(state);
+				: keepState(state);
 		}
 
 		case 'ask-failed': {
 			return state.phase === 'asking'
 				? handleFailedAsk(state, context)
-				: stay(state);
+				: keepState(state);
 		}
 
 		case 'fetch-lost': {
 			return state.phase === 'fetching'
 				? handleFailedAsk({...state, asks: state.asks + 1}, context)
-				: stay(state);
+				: keepState(state);
 		}
 	}
 }
@@ -257,7 +257,7 @@
 		case 'asking':
 		case 'fetching':
 		case 'done': {
-			return stay(state);
+			return keepState(state);
 		}
 	}
 }
@@ -269,11 +269,11 @@
 ): RequestStep {
 	// What was abandoned still ends, after the step that gave it up.
 	if (state.phase === 'waiting-to-send') {
-		return stay(state);
+		return keepState(state);
 	}
 
 	if (message.kind === 'lost') {
-		return needsNoStamp(context) || message.hadStamp
+		return runsWithoutStamp(context) || message.hadStamp
 			? handleLoss(state, message.reason, context)
 			: endAttempt(state, {outcome: 'not-run', reason: 'not-sent'}, context);
 	}
@@ -281,17 +281,18 @@
 	const {reason, retryAfterSeconds} = message;
 	// A gate forgets repeatable attempts that are over, and may then fence
 	// one that has run.
-	const isDoubtful = reason === 'fenced' && context.parameters.repeatable;
-	const outcome = isDoubtful ? 'unknown' : message.outcome;
+	const isInconclusive = reason === 'fenced' && context.parameters.repeatable;
+	const outcome = isInconclusive ? 'unknown' : message.outcome;
 	return endAttempt(state, {outcome, reason, retryAfterSeconds}, context);
 }
 
-function endEarly(state: RequestState, reason: OutcomeReason): RequestStep {
-	const isOut = state.phase !== 'new' && state.phase !== 'waiting-to-send';
-	const mayRun = isOut && state.isSent;
+function finishEarly(state: RequestState, reason: OutcomeReason): RequestStep {
+	const isInProgress =
+		state.phase !== 'new' && state.phase !== 'waiting-to-send';
+	const mayRun = isInProgress && state.isSent;
 	const step = finish(state, {outcome: mayRun ? 'unknown' : 'not-run', reason});
 	// The gate may not have read the attempt yet, and so not know its deadline.
-	return isOut ? abandonFirst(state, step, mayRun) : step;
+	return isInProgress ? prependAbandon(state, step, mayRun) : step;
 }
 
 /**
@@ -316,7 +317,7 @@
 ): RequestStep {
 	const isLate = 'attempt' in message && message.attempt !== state.attempts;
 	if (state.phase === 'done' || isLate) {
-		return stay(state);
+		return keepState(state);
 	}
 
 	switch (message.kind) {
@@ -329,8 +330,8 @@
 		}
 
 		case 'sent': {
-			const mayRun = needsNoStamp(context) || message.hasStamp;
-			return stay({...state, isSent: state.isSent || mayRun});
+			const mayRun = runsWithoutStamp(context) || message.hasStamp;
+			return keepState({...state, isSent: state.isSent || mayRun});
 		}
 
 		case 'answered': {
@@ -349,7 +350,7 @@
 		case 'known':
 		case 'ask-failed':
 		case 'fetch-lost': {
-			return handleQuestion(state, message, context);
+			return handleInquiry(state, message, context);
 		}
 
 		case 'wait-over': {
@@ -357,11 +358,11 @@
 		}
 
 		case 'deadline': {
-			return endEarly(state, 'deadline');
+			return finishEarly(state, 'deadline');
 		}
 
 		case 'cancelled': {
-			return endEarly(state, 'cancelled');
+			return finishEarly(state, 'cancelled');
 		}
 	}
 }
--- a/src/coordination/step-time-margin.test.ts
+++ b/src/coordination/step-time-margin.test.ts
@@ -26,17 +26,17 @@
 	};
 }
 
-type Held = {readonly expectedMs: number; readonly dueAt: number};
+type QueuedLookup = {readonly expectedMs: number; readonly dueAt: number};
 
 /**
  * Replays lookups at one and a half times what six slots serve: most hold their
  * slot for calls of their own too, of widely differing times, and urgent requests
  * take every third free slot.
  */
-function replayOverload(learns: boolean): {served: number; punctual: number} {
+function replayOverload(adapts: boolean): {served: number; punctual: number} {
 	const random = createNumbers();
 	const running: Array<{readonly endAt: number; readonly sentAt: number}> = [];
-	const queued: Array<Held & {readonly arrivedAt: number}> = [];
+	const queued: Array<QueuedLookup & {readonly arrivedAt: number}> = [];
 	const meanMs = 95;
 	let marginRatio = defaultMarginRatio;
 	let served = 0;
@@ -58,7 +58,7 @@
 			const {expectedMs} = next;
 			served++;
 			punctual += actualMs <= objectiveMs ? 1 : 0;
-			if (learns) {
+			if (adapts) {
 				const answer = {serviceMs: meanMs, expectedMs, actualMs};
 				marginRatio = stepTimeMargin(marginRatio, answer);
 			}
@@ -98,7 +98,7 @@
 			lateWaitMs: waitMs,
 			objectiveMs,
 			utilization: 1.5,
-			...(learns && {marginRatio}),
+			...(adapts && {marginRatio}),
 		});
 		if (admission.kind === 'admit') {
 			const expectedMs = waitMs + meanMs;
--- a/src/coordination/step-time-margin.ts
+++ b/src/coordination/step-time-margin.ts
@@ -1,11 +1,11 @@
 /** Part of the answers that are to come within the expected time and the margin. */
-const punctualPart = 0.8;
+const onTimeQuantile = 0.8;
 
 /** Change of the margin with one late answer, in parts of the expected time; a few answers are enough to follow a load that has changed. */
-const stepPart = 0.1;
+const marginStepRatio = 0.1;
 
 /** Greatest margin, in parts of the expected time; no server scatters more for long. */
-const maxMarginPart = 3;
+const maxMarginRatio = 3;
 
 /** One answer, compared with what was expected of it. */
 export type TimedAnswer = {
@@ -39,6 +39,7 @@
 	}
 
 	const isLater = actualMs > expectedMs + before * serviceMs;
-	const change = stepPart * (isLater ? punctualPart : punctualPart - 1);
-	return Math.min(maxMarginPart, Math.max(0, before + change));
+	const change =
+		marginStepRatio * (isLater ? onTimeQuantile : onTimeQuantile - 1);
+	return Math.min(maxMarginRatio, Math.max(0, before + change));
 }
--- a/src/coordination/step-upstream-notice.ts
+++ b/src/coordination/step-upstream-notice.ts
@@ -15,7 +15,7 @@
  * nodes remember for it. An upstream that leaves doesn't come back, so that a
  * gate which knows nothing of that has forgotten it.
  *
- * @param held - what is remembered so far
+ * @param cached - what is remembered so far
  * @param load - what the gate tells, undefined when it tells nothing
  * @param now - monotonic ms
  * @returns what is to be remembered
@@ -23,17 +23,17 @@
  * stepUpstreamNotice(undefined, {inFlight: 0, queued: 0, slots: 6}, 0); // undefined
  */
 export function stepUpstreamNotice(
-	held: CachedNotice | undefined,
+	cached: CachedNotice | undefined,
 	load: GateLoad | undefined,
 	now: number,
 ): CachedNotice | undefined {
 	if (!load) {
-		return held;
+		return cached;
 	}
 
 	if (load.notice) {
 		return {notice: load.notice, receivedAt: now};
 	}
 
-	return held?.notice.isLeaving ? held : undefined;
+	return cached?.notice.isLeaving ? cached : undefined;
 }
--- a/src/coordination/step-usual-deadline.test.ts
+++ b/src/coordination/step-usual-deadline.test.ts
@@ -3,7 +3,9 @@
 import {computeRequestAge} from './compute-request-age.js';
 import {stepUsualDeadline, type UsualDeadline} from './step-usual-deadline.js';
 
-function learn(deadlines: readonly number[]): UsualDeadline | undefined {
+function applyDeadlines(
+	deadlines: readonly number[],
+): UsualDeadline | undefined {
 	let usual: UsualDeadline | undefined;
 	for (const deadlineMs of deadlines) {
 		usual = stepUsualDeadline(usual, deadlineMs);
@@ -16,7 +18,7 @@
 	const deadlines = Array.from({length: 300}, (_, index) =>
 		index % 5 < 2 ? 400 + ((index * 37) % 700) : 1200,
 	);
-	const usual = learn(deadlines);
+	const usual = applyDeadlines(deadlines);
 	assert.equal(usual?.deadlineMs, 1200);
 	assert.equal(computeRequestAge(usual, 1200), 0);
 	assert.equal(computeRequestAge(usual, 1050), 150);
@@ -26,13 +28,13 @@
 	const deadlines = Array.from({length: 300}, (_, index) =>
 		index % 20 === 0 ? 3600 : 1200,
 	);
-	const usual = learn(deadlines);
+	const usual = applyDeadlines(deadlines);
 	assert.equal(computeRequestAge(usual, 1200), 0);
 	assert.equal(computeRequestAge(usual, 3600), 0);
 });
 
 test('a new usual deadline is found', () => {
-	const usual = learn([
+	const usual = applyDeadlines([
 		...Array.from({length: 200}, () => 1200),
 		...Array.from({length: 120}, () => 900),
 	]);
--- a/src/transport/_lib/create-decision-log.test.ts
+++ b/src/transport/_lib/create-access-log.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import type {RequestEvent} from '../../protocol/observer.js';
 import type {Logger} from '../create-logger.js';
-import {createDecisionLog} from './create-decision-log.js';
+import {createAccessLog} from './create-access-log.js';
 
 const event: RequestEvent = {
 	requestId: 'a',
@@ -35,7 +35,7 @@
 		child: () => logger,
 	};
 	let at = 0;
-	const observer = createDecisionLog({
+	const observer = createAccessLog({
 		logger,
 		readVersion: () => 12,
 		linesPerSecond: 10,
--- a/src/transport/_lib/create-decision-log.ts
+++ b/src/transport/_lib/create-access-log.ts
@@ -3,7 +3,7 @@
 import type {Logger} from '../create-logger.js';
 
 /** Options of `createDecisionLog`. */
-export type DecisionLogOptions = {
+export type AccessLogOptions = {
 	readonly logger: Logger;
 	/** Version of the configuration that the node runs. */
 	readonly readVersion: () => number | undefined;
@@ -43,9 +43,7 @@
  * @param options - see `DecisionLogOptions`
  * @returns the observer
  */
-export function createDecisionLog(
-	options: DecisionLogOptions,
-): RequestObserver {
+export function createAccessLog(options: AccessLogOptions): RequestObserver {
 	const {logger, readVersion, now, linesPerSecond = 25} = options;
 	let windowAt = now();
 	let written = 0;
--- a/src/transport/_lib/create-body-memory.ts
+++ b/src/transport/_lib/create-body-memory-budget.ts
@@ -1,9 +1,9 @@
 /** Memory of a node for long bodies that wait. */
-export type BodyMemory = {
+export type BodyMemoryBudget = {
 	/** Takes memory for a body; false when too little is left. */
-	take(bytes: number): boolean;
+	tryReserve(bytes: number): boolean;
 	/** Gives back what was taken. */
-	free(bytes: number): void;
+	release(bytes: number): void;
 };
 
 /**
@@ -13,10 +13,10 @@
  * @param totalBytes - most bytes of all bodies
  * @returns the memory, all of it free
  */
-export function createBodyMemory(totalBytes: number): BodyMemory {
+export function createBodyMemoryBudget(totalBytes: number): BodyMemoryBudget {
 	let takenBytes = 0;
 	return {
-		take(bytes) {
+		tryReserve(bytes) {
 			if (takenBytes + bytes > totalBytes) {
 				return false;
 			}
@@ -24,7 +24,7 @@
 			takenBytes += bytes;
 			return true;
 		},
-		free(bytes) {
+		release(bytes) {
 			takenBytes -= bytes;
 		},
 	};
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -10,15 +10,15 @@
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
-import {leaveSlot, takeNextJob} from './local-slots.js';
+import {releaseSlot, takeNextJob} from './local-slots.js';
 import {
-	enterLocalQueue,
-	leaveLocalQueue,
-	noteMargin,
-	noteServiceTime,
+	addToLocalQueue,
+	removeFromLocalQueue,
+	recordTimeMargin,
+	recordServiceTime,
 	readLocalLoad,
-	readTakenSlots,
-	type EarlyEnd,
+	readOccupiedSlots,
+	type EarlyEndReason,
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
@@ -44,7 +44,7 @@
 };
 
 /** What is expected of a job when it is admitted. */
-export type JobExpectation = {
+export type JobEstimate = {
 	/** Whether its answer will come after its objective. */
 	readonly isLate: boolean;
 	/** Expected time at the upstream, ms. */
@@ -58,10 +58,10 @@
 	enqueue(
 		attempt: Attempt,
 		upstream: LocalUpstream,
-		expectation: JobExpectation,
+		expectation: JobEstimate,
 	): Job;
 	/** Refuses a job that still waits. */
-	giveUp(job: Job): void;
+	expireQueued(job: Job): void;
 	/** Refuses the waiting jobs whose answers could only be late. */
 	dropLate(upstream: LocalUpstream): void;
 	/** Starts the queued jobs for which an upstream has slots. */
@@ -72,14 +72,14 @@
 	/** Refuses all queued jobs of an upstream that is leaving. */
 	dropQueued(upstream: LocalUpstream): void;
 	/** Refuses the queued jobs of an upstream whose turn under its rate limit comes too late. */
-	dropBeyondTurn(upstream: LocalUpstream): void;
+	dropRateLimited(upstream: LocalUpstream): void;
 	/**
 	 * Gives up an attempt that its upstream does not work on. One that may not be
 	 * repeated only leaves its slot: its answer is taken up to its deadline.
 	 */
-	endSilent(job: Job): void;
+	endLost(job: Job): void;
 	/** Ends a job whose answer is not wanted any more, wherever it is. */
-	endEarly(job: Job, reason: EarlyEnd): void;
+	endEarly(job: Job, reason: EarlyEndReason): void;
 	/** Waits until there are no jobs. */
 	waitUntilIdle(): Promise<void>;
 };
@@ -117,11 +117,11 @@
 	let onIdle: (() => void) | undefined;
 
 	function endJob(job: Job, result: AttemptResult, isRefused: boolean): void {
-		if (job.phase === 'over') {
+		if (job.phase === 'finished') {
 			return;
 		}
 
-		job.phase = 'over';
+		job.phase = 'finished';
 		const {attempt} = job;
 		if (isRefused) {
 			ledger.refuse(attempt, now());
@@ -138,15 +138,15 @@
 
 	/** Refuses a queued job; it has not been sent. */
 	function dropJob(job: Job, reason: OutcomeReason): void {
-		leaveLocalQueue(job);
+		removeFromLocalQueue(job);
 		endJob(job, refuse(reason, job.upstream), true);
 	}
 
-	function endEarly(job: Job, reason: EarlyEnd): void {
+	function endEarly(job: Job, reason: EarlyEndReason): void {
 		if (job.phase === 'queued') {
 			dropJob(job, reason);
 		} else if (job.phase === 'sent') {
-			job.endedBy ??= reason;
+			job.earlyEndReason ??= reason;
 			job.sent?.abort();
 		}
 	}
@@ -164,7 +164,7 @@
 	function dropExpired(upstream: LocalUpstream): void {
 		const at = now();
 		for (const job of [...upstream.queued.values()].flat()) {
-			if (at >= job.giveUpAt) {
+			if (at >= job.queueExpiresAt) {
 				dropJob(job, 'saturated');
 			}
 		}
@@ -172,9 +172,9 @@
 
 	/** Starts jobs again when the next one has its turn under the rate limit. */
 	function planTurn(upstream: LocalUpstream, waitMs: number): void {
-		clearTimeout(upstream.turnTimer);
-		upstream.turnTimer = setTimeout(startJobs, waitMs, upstream);
-		upstream.turnTimer.unref();
+		clearTimeout(upstream.rateLimitTimer);
+		upstream.rateLimitTimer = setTimeout(startJobs, waitMs, upstream);
+		upstream.rateLimitTimer.unref();
 	}
 
 	/** Takes the next job that has a slot and its turn under the rate limit. */
@@ -199,7 +199,7 @@
 	 * Refuses the queued jobs whose turn would come too late. Answers a limit
 	 * that is named while a queue waits that was admitted without it.
 	 */
-	function dropBeyondTurn(upstream: LocalUpstream): void {
+	function dropRateLimited(upstream: LocalUpstream): void {
 		if (!upstream.rateLimit) {
 			return;
 		}
@@ -211,7 +211,7 @@
 		let ahead = 0;
 		for (const job of queued) {
 			const turnAt = at + computeRateLimitWait(upstream.rateLimit, ahead, at);
-			if (turnAt > job.usefulUntil) {
+			if (turnAt > job.latestStartAt) {
 				dropJob(job, 'limited');
 			} else {
 				ahead++;
@@ -222,7 +222,7 @@
 	function startJobs(upstream: LocalUpstream): void {
 		if (
 			upstream.queuedCount > 0 &&
-			readTakenSlots(upstream, now()) < upstream.announcement.slots
+			readOccupiedSlots(upstream, now()) < upstream.announcement.slots
 		) {
 			dropExpired(upstream);
 		}
@@ -249,7 +249,7 @@
 				address: upstream.announcement.address,
 				areAnswersIdentified: edge.identifiesAnswers,
 				onSent() {
-					job.wholeAt = now();
+					job.fullySentAt = now();
 				},
 				onHead(head) {
 					job.isAnswered = true;
@@ -258,7 +258,7 @@
 			},
 		);
 		onSent(upstream);
-		if (job.endedBy) {
+		if (job.earlyEndReason) {
 			job.sent.abort();
 		}
 
@@ -266,7 +266,7 @@
 		const answeredAt = now();
 		const result = readUpstreamOutcome(outcome, attempt, {
 			edge,
-			endedBy: job.endedBy,
+			earlyEndReason: job.earlyEndReason,
 			load: readLocalLoad(upstream, answeredAt, attempt.route),
 			stamp: ledger.readStamp(answeredAt),
 		});
@@ -275,11 +275,11 @@
 			await waitForEnd(result.body);
 		}
 
-		leaveSlot(job);
+		releaseSlot(job);
 		const endedAt = now();
 		if (result.kind === 'answered') {
-			noteServiceTime(upstream, attempt.route, endedAt - job.sentAt, endedAt);
-			noteMargin(job, endedAt);
+			recordServiceTime(upstream, attempt.route, endedAt - job.sentAt, endedAt);
+			recordTimeMargin(job, endedAt);
 		}
 
 		endJob(job, result, result.kind === 'not-run');
@@ -292,7 +292,7 @@
 	function enqueue(
 		attempt: Attempt,
 		upstream: LocalUpstream,
-		{isLate, serviceMs, waitMs}: JobExpectation,
+		{isLate, serviceMs, waitMs}: JobEstimate,
 	): Job {
 		let resolve!: Job['resolve'];
 		const result = new Promise<AttemptResult>((settle) => {
@@ -308,12 +308,12 @@
 				: attempt.traceparent,
 			admittedAt,
 			deadlineAt: admittedAt + attempt.remainingMs,
-			giveUpAt:
+			queueExpiresAt:
 				admittedAt +
 				(isLate
 					? attempt.remainingMs * lateWaitRatio
 					: Math.max(0, attempt.remainingMs - serviceMs)),
-			usefulUntil:
+			latestStartAt:
 				admittedAt +
 				Math.max(0, (objectiveMs ?? attempt.remainingMs) - serviceMs),
 			startTag: upstream.fairQueue.enter(attempt.team),
@@ -327,11 +327,11 @@
 			phase: 'queued',
 			sentAt: 0,
 			sent: undefined,
-			wholeAt: Number.POSITIVE_INFINITY,
+			fullySentAt: Number.POSITIVE_INFINITY,
 			isAnswered: false,
-			endedBy: undefined,
+			earlyEndReason: undefined,
 		};
-		enterLocalQueue(job);
+		addToLocalQueue(job);
 		jobs.set(attempt.id, job);
 		startJobs(upstream);
 		return job;
@@ -343,13 +343,13 @@
 		findJob: (id) => jobs.get(id),
 		drop: dropJob,
 		dropQueued,
-		dropBeyondTurn,
+		dropRateLimited,
 		endEarly,
-		endSilent(job) {
+		endLost(job) {
 			if (job.attempt.repeatable) {
 				endEarly(job, 'unanswered');
 			} else {
-				leaveSlot(job);
+				releaseSlot(job);
 				startJobs(job.upstream);
 			}
 		},
@@ -360,7 +360,7 @@
 				}
 			}
 		},
-		giveUp(job) {
+		expireQueued(job) {
 			if (job.phase === 'queued') {
 				dropJob(job, 'saturated');
 			}
--- a/src/transport/_lib/create-silence-watch.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -11,29 +11,29 @@
 import type {Announcement} from '../../protocol/member.js';
 import type {Logger} from '../create-logger.js';
 import {
-	readExpectedTime,
+	readExpectedServiceTime,
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
 
 /** Options of `createSilenceWatch`. */
-export type SilenceWatchOptions = {
+export type LostRequestDetectorOptions = {
 	readonly logger: Pick<Logger, 'warn'>;
 	/** Asks an upstream for its load; undefined when it does not tell. */
 	readonly probeLoad?:
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
 	/** Called with each request to which no answer will come. */
-	readonly onSilent: (job: Job) => void;
+	readonly onLost: (job: Job) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
 /** Finds the requests that an upstream has dropped without a word. */
-export type SilenceWatch = {
+export type LostRequestDetector = {
 	/** Begins to watch an upstream that was sent a request. */
-	noteSent(upstream: LocalUpstream): void;
+	scheduleCheck(upstream: LocalUpstream): void;
 	/** Takes in the load that an upstream reports; a job that it answers with that is marked as answered before. */
-	noteLoad(upstream: LocalUpstream, load: GateLoad): void;
+	recordLoad(upstream: LocalUpstream, load: GateLoad): void;
 };
 
 /** Time between two looks at the unanswered requests of an upstream, ms. */
@@ -48,7 +48,7 @@
 /** Lists the requests that an upstream has read and begun no answer to. */
 function listRead(upstream: LocalUpstream, at: number): readonly Job[] {
 	return [...upstream.sent].filter(
-		(job) => !job.isAnswered && job.wholeAt <= at - readMarginMs,
+		(job) => !job.isAnswered && job.fullySentAt <= at - readMarginMs,
 	);
 }
 
@@ -58,17 +58,20 @@
  * @param options - see `SilenceWatchOptions`
  * @returns the watch
  */
-export function createSilenceWatch(options: SilenceWatchOptions): SilenceWatch {
-	const {logger, probeLoad, onSilent, now} = options;
+export function createLostRequestDetector(
+	options: LostRequestDetectorOptions,
+): LostRequestDetector {
+	const {logger, probeLoad, onLost, now} = options;
 
 	function decide(job: Job): SilenceDecision {
-		const {upstream, attempt, wholeAt, sentAt, usefulUntil, serviceMs} = job;
+		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
+			job;
 		const at = now();
 		return decideSilence({
 			now: at,
-			sentAt: wholeAt,
-			expectedMs: readExpectedTime(upstream, attempt, at),
-			objectiveMs: usefulUntil + serviceMs - sentAt,
+			sentAt: fullySentAt,
+			expectedMs: readExpectedServiceTime(upstream, attempt, at),
+			objectiveMs: latestStartAt + serviceMs - sentAt,
 			repeatable: attempt.repeatable,
 			work: upstream.work,
 			probedAt: upstream.probedAt,
@@ -76,22 +79,22 @@
 	}
 
 	function endSilent(job: Job, lost: number): void {
-		const {upstream, attempt, wholeAt} = job;
+		const {upstream, attempt, fullySentAt} = job;
 		const at = now();
-		if (at - upstream.silenceLoggedAt >= logIntervalMs) {
-			upstream.silenceLoggedAt = at;
+		if (at - upstream.lossLoggedAt >= logIntervalMs) {
+			upstream.lossLoggedAt = at;
 			logger.warn('upstream does not answer', {
 				id: upstream.id,
 				service: attempt.service,
 				requestId: attempt.requestId,
-				unansweredMs: Math.round(at - wholeAt),
+				unansweredMs: Math.round(at - fullySentAt),
 				lost,
 				inFlight: upstream.inFlight,
 				reportAgeMs: Math.round(at - (upstream.work?.at ?? at)),
 			});
 		}
 
-		onSilent(job);
+		onLost(job);
 	}
 
 	/** Ends requests that a report lacks, once answers on their way have come. */
@@ -106,7 +109,9 @@
 		// Those that were answered meanwhile may be the ones that it lacked.
 		const left = isIdle ? lost - (read.length - unanswered.length) : lost;
 		const suspects = unanswered
-			.toSorted((a, b) => a.wholeAt + a.serviceMs - b.wholeAt - b.serviceMs)
+			.toSorted(
+				(a, b) => a.fullySentAt + a.serviceMs - b.fullySentAt - b.serviceMs,
+			)
 			.slice(0, Math.max(0, left));
 		for (const job of suspects) {
 			if (decide(job) === 'silent') {
@@ -115,14 +120,14 @@
 		}
 	}
 
-	function noteLoad(upstream: LocalUpstream, load: GateLoad): void {
+	function recordLoad(upstream: LocalUpstream, load: GateLoad): void {
 		const at = now();
 		let unanswered = 0;
 		let readCount = 0;
 		for (const job of upstream.sent) {
 			if (!job.isAnswered) {
 				unanswered++;
-				readCount += job.wholeAt <= at - readMarginMs ? 1 : 0;
+				readCount += job.fullySentAt <= at - readMarginMs ? 1 : 0;
 			}
 		}
 
@@ -132,13 +137,13 @@
 			at,
 		);
 		upstream.work = work;
-		if (work.lost > 0 && !upstream.confirmTimer) {
+		if (work.lost > 0 && !upstream.lossConfirmTimer) {
 			const read = listRead(upstream, at);
-			upstream.confirmTimer = setTimeout(() => {
-				upstream.confirmTimer = undefined;
+			upstream.lossConfirmTimer = setTimeout(() => {
+				upstream.lossConfirmTimer = undefined;
 				confirmLost(upstream, read, work);
 			}, confirmMs);
-			upstream.confirmTimer.unref();
+			upstream.lossConfirmTimer.unref();
 		}
 	}
 
@@ -146,12 +151,12 @@
 		upstream.probedAt = now();
 		const load = await probeLoad?.(upstream.announcement);
 		if (load) {
-			noteLoad(upstream, load);
+			recordLoad(upstream, load);
 		}
 	}
 
 	function check(upstream: LocalUpstream): void {
-		upstream.silenceTimer = undefined;
+		upstream.lossCheckTimer = undefined;
 		const isUnknown = [...upstream.sent].some(
 			(job) => !job.isAnswered && decide(job) === 'probe',
 		);
@@ -159,18 +164,18 @@
 			void askLoad(upstream);
 		}
 
-		noteSent(upstream);
+		scheduleCheck(upstream);
 	}
 
-	function noteSent(upstream: LocalUpstream): void {
-		const isWatched = upstream.silenceTimer !== undefined;
+	function scheduleCheck(upstream: LocalUpstream): void {
+		const isWatched = upstream.lossCheckTimer !== undefined;
 		if (!probeLoad || isWatched || upstream.sent.size === 0) {
 			return;
 		}
 
-		upstream.silenceTimer = setTimeout(check, checkIntervalMs, upstream);
-		upstream.silenceTimer.unref();
+		upstream.lossCheckTimer = setTimeout(check, checkIntervalMs, upstream);
+		upstream.lossCheckTimer.unref();
 	}
 
-	return {noteSent, noteLoad};
+	return {scheduleCheck, recordLoad};
 }
--- a/src/transport/_lib/create-report-log.test.ts
+++ b/src/transport/_lib/create-report-log.test.ts
@@ -37,7 +37,7 @@
 	for (const [time, perSecond] of steps) {
 		at = time;
 		const report = createReport(perSecond);
-		log.note({
+		log.record({
 			id: 'i-1',
 			service: 'a',
 			report,
--- a/src/transport/_lib/create-report-log.ts
+++ b/src/transport/_lib/create-report-log.ts
@@ -10,7 +10,7 @@
 };
 
 /** A report as it came. */
-export type ReportArrival = {
+export type ReportLogEntry = {
 	readonly id: string;
 	readonly service: string;
 	readonly report: UpstreamReport;
@@ -20,7 +20,7 @@
 };
 
 /** Logs what upstreams report of themselves. */
-export type ReportLog = {note(arrival: ReportArrival): void};
+export type ReportLog = {record(arrival: ReportLogEntry): void};
 
 /** Least time between two lines about an upstream, ms: a value may change with each answer. */
 const minIntervalMs = msPerSecond;
@@ -38,7 +38,7 @@
 export function createReportLog({logger, now}: ReportLogOptions): ReportLog {
 	const last = new Map<string, {readonly text: string; readonly at: number}>();
 	return {
-		note({id, service, report, status, verdict}) {
+		record({id, service, report, status, verdict}) {
 			const before = last.get(id);
 			if (!before && report.headerNames.length === 0) {
 				return;
--- a/src/transport/_lib/create-service-router.test.ts
+++ b/src/transport/_lib/create-service-router.test.ts
@@ -54,14 +54,14 @@
 		state: 'alive',
 		upstreams: [],
 	} as const;
-	router.tellView({
+	router.updateMembers({
 		self,
 		members: ['silent', 'lively'].map((name) => ({...self, name})),
 		candidates: new Map([[service, [createCandidate('silent')]]]),
 	});
 	const gate = router.select(service, undefined).pickGate();
 	assert.ok(typeof gate !== 'string');
-	router.tellView({
+	router.updateMembers({
 		self,
 		members: ['silent', 'lively'].map((name) => ({...self, name})),
 		candidates: new Map([
@@ -76,7 +76,7 @@
 	}
 
 	assert.deepEqual(lines, []);
-	router.noteAttempt(
+	router.recordAttempt(
 		{
 			number: 1,
 			gate,
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -40,7 +40,7 @@
 import type {Logger} from '../create-logger.js';
 import type {GateTask} from '../start-gate-task.js';
 import {computeMedian} from './compute-median.js';
-import type {GatePort} from './gate-port.js';
+import type {GateClient} from './gate-client.js';
 import type {AttemptEnd} from './run-request.js';
 
 /** Options of `createServiceRouter`. */
@@ -62,11 +62,11 @@
 /** Picks gates for one request. */
 export type GateSelection = {
 	/** Picks a gate that was not tried yet, if there is one. */
-	pickGate(): GatePort | OutcomeReason;
+	pickGate(): GateClient | OutcomeReason;
 	/** Whether a host that was not tried yet is not known to be full. */
-	hasRoom(): boolean;
+	hasAvailableHost(): boolean;
 	/** Least wait for a turn under the rate limits of the hosts in reach, ms. */
-	readTurnWait(): number;
+	readRateLimitWait(): number;
 	/**
 	 * Gets a new stamp of the gate that will be picked first, for a request that
 	 * cannot be sent again after a refused stamp.
@@ -75,7 +75,7 @@
 };
 
 /** What of a request's route matters for its host. */
-export type RouteTerms = Pick<
+export type HostCriteria = Pick<
 	PickOptions,
 	'objectiveMs' | 'route' | 'admissionClass'
 > & {
@@ -85,17 +85,17 @@
 
 /** What a caller's node knows of hosts, and the budgets of its retries. */
 export type ServiceRouter = {
-	tellView(view: MembersView): void;
+	updateMembers(view: MembersView): void;
 	select(
 		service: string,
 		key: string | undefined,
-		terms?: RouteTerms,
+		terms?: HostCriteria,
 	): GateSelection;
 	/** Notes the end of an attempt; `demand` names requests that hosts admit alike. */
-	noteAttempt(end: AttemptEnd, now: number, demand?: string): void;
-	countRequest(team: string, service: string): void;
-	readBudget(team: string, service: string): number;
-	spendBudget(team: string, service: string): void;
+	recordAttempt(end: AttemptEnd, now: number, demand?: string): void;
+	recordRequest(team: string, service: string): void;
+	readRetryBudget(team: string, service: string): number;
+	spendRetryBudget(team: string, service: string): void;
 };
 
 type Ended = HostMessage & {readonly kind: 'ended'};
@@ -221,7 +221,7 @@
 		}
 	}
 
-	function createLocalPort(host: Candidate): GatePort {
+	function createLocalPort(host: Candidate): GateClient {
 		return {
 			host,
 			isLocal: true,
@@ -237,7 +237,7 @@
 		};
 	}
 
-	function createRemotePort(host: Candidate, service: string): GatePort {
+	function createRemotePort(host: Candidate, service: string): GateClient {
 		const {address} = host;
 		return {
 			host,
@@ -279,7 +279,7 @@
 		service: string,
 		key: string | undefined,
 		tried: ReadonlySet<string>,
-		terms: RouteTerms,
+		terms: HostCriteria,
 	): Candidate | undefined {
 		const hosts = candidates.get(service) ?? [];
 		if (key !== undefined) {
@@ -314,7 +314,7 @@
 	 */
 	function findFullReason(
 		service: string,
-		{admissionClass, objectiveMs = Number.POSITIVE_INFINITY}: RouteTerms,
+		{admissionClass, objectiveMs = Number.POSITIVE_INFINITY}: HostCriteria,
 	): 'saturated' | 'limited' | undefined {
 		const at = now();
 		const hosts = listReachable(service);
@@ -347,7 +347,7 @@
 	}
 
 	return {
-		tellView(view) {
+		updateMembers(view) {
 			candidates = view.candidates;
 			budgetOptions = options.computeRetryBudget?.(view.members.length);
 			const known = new Set(view.members.map((member) => member.name));
@@ -393,7 +393,7 @@
 						? createRemotePort(host, service)
 						: createLocalPort(host);
 				},
-				hasRoom() {
+				hasAvailableHost() {
 					const hosts = candidates.get(service) ?? [];
 					return hosts.some(
 						({host}) =>
@@ -401,7 +401,7 @@
 							isAvailable(records.get(host), terms.admissionClass, now()),
 					);
 				},
-				readTurnWait() {
+				readRateLimitWait() {
 					const at = now();
 					const waits = listReachable(service).map((record) =>
 						computeHostRateLimitWait(record, at),
@@ -416,7 +416,7 @@
 				},
 			};
 		},
-		noteAttempt(
+		recordAttempt(
 			{gate: port, attempt, result, startedAt},
 			endedAt,
 			admissionClass,
@@ -447,11 +447,12 @@
 				load: result.kind === 'lost' ? undefined : result.load,
 			});
 		},
-		countRequest(team, service) {
+		recordRequest(team, service) {
 			stepBudget(team, service, 'request');
 		},
-		readBudget: (team, service) => stepBudget(team, service, 'tick').tokens,
-		spendBudget(team, service) {
+		readRetryBudget: (team, service) =>
+			stepBudget(team, service, 'tick').tokens,
+		spendRetryBudget(team, service) {
 			stepBudget(team, service, 'retry');
 		},
 	};
--- a/src/transport/_lib/seek-upstream.test.ts
+++ b/src/transport/_lib/discover-upstream.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {seekUpstream} from './seek-upstream.js';
+import {discoverUpstream} from './discover-upstream.js';
 
 /** Seeks an upstream that answers at one of the probes. */
 async function seek(answers: ReadonlyArray<string | undefined>, overAt = 99) {
 	const found: string[] = [];
 	let probes = 0;
-	await seekUpstream({
-		isOver: () => probes >= overAt,
+	await discoverUpstream({
+		shouldStop: () => probes >= overAt,
 		async probe() {
 			return answers[probes++];
 		},
--- a/src/transport/_lib/seek-upstream.ts
+++ b/src/transport/_lib/discover-upstream.ts
@@ -1,9 +1,9 @@
 import {waitMs} from './wait-ms.js';
 
 /** Options of `seekUpstream`. */
-export type SeekUpstreamOptions<Found> = {
+export type DiscoverUpstreamOptions<Found> = {
 	/** Whether there is nothing to seek any more: an upstream has spoken for itself. */
-	readonly isOver: () => boolean;
+	readonly shouldStop: () => boolean;
 	/** Asks for the upstream; undefined when it cannot be asked yet or is not well. */
 	readonly probe: () => Promise<Found | undefined>;
 	readonly onFound: (found: Found) => void;
@@ -27,15 +27,15 @@
  * @param options - see `SeekUpstreamOptions`
  * @returns once it is found, has announced itself or is given up
  */
-export async function seekUpstream<Found>({
-	isOver,
+export async function discoverUpstream<Found>({
+	shouldStop,
 	probe,
 	onFound,
 	wait = waitMs,
-}: SeekUpstreamOptions<Found>): Promise<void> {
-	for (let probes = 0; probes < maxProbes && !isOver(); probes++) {
+}: DiscoverUpstreamOptions<Found>): Promise<void> {
+	for (let probes = 0; probes < maxProbes && !shouldStop(); probes++) {
 		const found = await probe();
-		if (isOver()) {
+		if (shouldStop()) {
 			return;
 		}
 
--- a/src/transport/_lib/gate-port.ts
+++ b/src/transport/_lib/gate-client.ts
@@ -10,7 +10,7 @@
 import type {GateStamp} from '../../protocol/stamp.js';
 
 /** A gate as a request uses it, be it local or of another host. */
-export type GatePort = {
+export type GateClient = {
 	readonly host: Candidate;
 	/** Whether the gate is in this process, so that nothing can be lost. */
 	readonly isLocal: boolean;
--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -9,7 +9,7 @@
 import type {LocalUpstream} from './local-upstream.js';
 
 /** A report with what is known of its answer. */
-export type ArrivedReport = {
+export type ReceivedReport = {
 	readonly report: UpstreamReport;
 	readonly verdict: AnswerVerdict;
 	/** When the request was sent, monotonic ms. */
@@ -20,7 +20,7 @@
  * Tells whether two announcements under one identifier are of the same life of
  * an upstream. A life that is not named may be any.
  */
-export function isSameLife(
+export function isSameIncarnation(
 	{address, incarnation}: Announcement,
 	other: Announcement,
 ): boolean {
@@ -33,7 +33,7 @@
 }
 
 /** Tells whether an announcement is of an earlier life than another one. */
-export function isEarlierLife(
+export function isEarlierIncarnation(
 	{incarnation}: Announcement,
 	other: Announcement,
 ): boolean {
@@ -45,9 +45,9 @@
 }
 
 /** Takes in what an upstream reports with an answer. */
-export function noteReport(
+export function recordReport(
 	upstream: LocalUpstream,
-	{report, verdict, sentAt}: ArrivedReport,
+	{report, verdict, sentAt}: ReceivedReport,
 	now: number,
 ): void {
 	if (verdict === 'wrong-instance') {
@@ -56,7 +56,7 @@
 	}
 
 	const {rateLimit, isLeaving} = report;
-	upstream.isReportKnown ||= verdict === 'answered';
+	upstream.hasReported ||= verdict === 'answered';
 	upstream.isLeaving ||= isLeaving;
 	switch (rateLimit.kind) {
 		case 'named': {
@@ -89,7 +89,7 @@
  * started again beside an upstream that goes on: what the gate has heard itself
  * is newer.
  */
-export function acceptNotice(
+export function applyRemoteNotice(
 	upstream: LocalUpstream,
 	{incarnation, isLeaving, rateLimit}: UpstreamNotice,
 	now: number,
@@ -106,7 +106,7 @@
 	}
 
 	upstream.isLeaving ||= isLeaving;
-	if (rateLimit && !upstream.isReportKnown && !upstream.rateLimit) {
+	if (rateLimit && !upstream.hasReported && !upstream.rateLimit) {
 		const {perSecond} = rateLimit;
 		const message = {kind: 'named', perSecond} as const;
 		upstream.rateLimit = stepRateLimit(undefined, message, now);
--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -9,8 +9,8 @@
 import {readTeamUse} from '../../coordination/read-team-use.js';
 import {stepTeamUse} from '../../coordination/step-team-use.js';
 import {
-	leaveLocalQueue,
-	readTakenSlots,
+	removeFromLocalQueue,
+	readOccupiedSlots,
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
@@ -65,7 +65,7 @@
 	now: number,
 ): Job | undefined {
 	const {slots} = upstream.announcement;
-	const takenSlots = readTakenSlots(upstream, now);
+	const takenSlots = readOccupiedSlots(upstream, now);
 	if (upstream.queuedCount === 0 || takenSlots >= slots) {
 		return undefined;
 	}
@@ -80,7 +80,7 @@
 	});
 	const job = team === undefined ? undefined : upstream.queued.get(team)?.[0];
 	if (job) {
-		leaveLocalQueue(job);
+		removeFromLocalQueue(job);
 		upstream.fairQueue.serve(job.startTag);
 		upstream.sent.add(job);
 		countRunning(upstream, job.attempt.team, 1);
@@ -95,7 +95,7 @@
  *
  * @param job - the job
  */
-export function leaveSlot(job: Job): void {
+export function releaseSlot(job: Job): void {
 	const {upstream, attempt} = job;
 	if (upstream.sent.delete(job)) {
 		countRunning(upstream, attempt.team, -1);
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -45,9 +45,9 @@
 	readonly admittedAt: number;
 	readonly deadlineAt: number;
 	/** When it is given up if it still waits, monotonic ms. */
-	readonly giveUpAt: number;
+	readonly queueExpiresAt: number;
 	/** Until when it can be sent and still be answered within its objective, monotonic ms. */
-	readonly usefulUntil: number;
+	readonly latestStartAt: number;
 	readonly startTag: number;
 	/** Whether its answer was expected after its objective. */
 	readonly isLate: boolean;
@@ -60,20 +60,20 @@
 	readonly dueAt: number;
 	readonly result: Promise<AttemptResult>;
 	readonly resolve: (result: AttemptResult) => void;
-	phase: 'queued' | 'sent' | 'over';
+	phase: 'queued' | 'sent' | 'finished';
 	/** Monotonic ms; 0 before it was sent. */
 	sentAt: number;
 	sent: SentRequest | undefined;
 	/** When all of it had been sent, monotonic ms; infinite before. */
-	wholeAt: number;
+	fullySentAt: number;
 	/** Whether the head of its answer has come. */
 	isAnswered: boolean;
 	/** Why the job was ended early, if it was. */
-	endedBy: EarlyEnd | undefined;
+	earlyEndReason: EarlyEndReason | undefined;
 };
 
 /** Why a gate ends an attempt that its upstream has not answered. */
-export type EarlyEnd =
+export type EarlyEndReason =
 	| 'deadline'
 	| 'cancelled'
 	/** The upstream does not work on it. */
@@ -103,25 +103,25 @@
 	/** Work of the attempts that came in time, admitted or not. */
 	utilization: Utilization | undefined;
 	/** By how much answers come later than expected, in parts of their time. */
-	marginPart: number;
+	marginRatio: number;
 	/** Whether an answer or another node has said that it leaves; for good in this life. */
 	isLeaving: boolean;
 	/** Undefined when it names none. */
 	rateLimit: RateLimit | undefined;
 	/** Whether an answer has said how it stands since the gate knows it. */
-	isReportKnown: boolean;
+	hasReported: boolean;
 	/** What it works on by its last report; undefined before one. */
 	work: UpstreamWork | undefined;
 	/** When it was last asked for its load, monotonic ms. */
 	probedAt: number;
 	/** When its silence was last logged, monotonic ms. */
-	silenceLoggedAt: number;
+	lossLoggedAt: number;
 	/** Fires when answers that a report lacked would have come. */
-	confirmTimer: NodeJS.Timeout | undefined;
+	lossConfirmTimer: NodeJS.Timeout | undefined;
 	/** Fires when its unanswered requests are looked at. */
-	silenceTimer: NodeJS.Timeout | undefined;
+	lossCheckTimer: NodeJS.Timeout | undefined;
 	/** Fires when a queued job has its turn under the rate limit. */
-	turnTimer: NodeJS.Timeout | undefined;
+	rateLimitTimer: NodeJS.Timeout | undefined;
 };
 
 /**
@@ -150,16 +150,16 @@
 		serviceTime: undefined,
 		routeTimes: new Map(),
 		utilization: undefined,
-		marginPart: defaultMarginRatio,
+		marginRatio: defaultMarginRatio,
 		isLeaving: false,
 		rateLimit: undefined,
-		isReportKnown: false,
+		hasReported: false,
 		work: undefined,
 		probedAt: Number.NEGATIVE_INFINITY,
-		silenceLoggedAt: Number.NEGATIVE_INFINITY,
-		confirmTimer: undefined,
-		silenceTimer: undefined,
-		turnTimer: undefined,
+		lossLoggedAt: Number.NEGATIVE_INFINITY,
+		lossConfirmTimer: undefined,
+		lossCheckTimer: undefined,
+		rateLimitTimer: undefined,
 	};
 }
 
@@ -237,7 +237,7 @@
  * @param now - monotonic ms
  * @returns the number of slots
  */
-export function readTakenSlots(
+export function readOccupiedSlots(
 	{inFlight, work, announcement}: LocalUpstream,
 	now: number,
 ): number {
@@ -255,7 +255,7 @@
  * @param now - monotonic ms
  * @returns the time, ms; before the first answer a part of the objective
  */
-export function readExpectedTime(
+export function readExpectedServiceTime(
 	upstream: LocalUpstream,
 	{route, objectiveMs}: Pick<Attempt, 'route' | 'objectiveMs'>,
 	now: number,
@@ -275,7 +275,7 @@
  * @param durationMs - time from its sending to its end
  * @param now - monotonic ms
  */
-export function noteServiceTime(
+export function recordServiceTime(
 	upstream: LocalUpstream,
 	route: string | undefined,
 	durationMs: number,
@@ -298,10 +298,10 @@
  * @param job - the attempt
  * @param endedAt - when it was answered, monotonic ms
  */
-export function noteMargin(job: Job, endedAt: number): void {
+export function recordTimeMargin(job: Job, endedAt: number): void {
 	const {upstream, serviceMs, expectedMs} = job;
 	if (!job.isLate) {
-		upstream.marginPart = stepTimeMargin(upstream.marginPart, {
+		upstream.marginRatio = stepTimeMargin(upstream.marginRatio, {
 			serviceMs,
 			expectedMs,
 			actualMs: endedAt - job.admittedAt,
@@ -316,7 +316,7 @@
 	/** Behind all that is queued. */
 	readonly lateWaitMs: number;
 	/** Part of the first that the rate limit alone asks for. */
-	readonly turnWaitMs: number;
+	readonly rateLimitWaitMs: number;
 };
 
 /**
@@ -334,13 +334,17 @@
 ): LocalWait {
 	const {rateLimit, queuedCount} = upstream;
 	const {slots} = upstream.announcement;
-	if (readTakenSlots(upstream, now) < slots && queuedCount === 0) {
-		const turnWaitMs = computeRateLimitWait(rateLimit, 0, now);
-		return {waitMs: turnWaitMs, lateWaitMs: turnWaitMs, turnWaitMs};
+	if (readOccupiedSlots(upstream, now) < slots && queuedCount === 0) {
+		const rateLimitWaitMs = computeRateLimitWait(rateLimit, 0, now);
+		return {
+			waitMs: rateLimitWaitMs,
+			lateWaitMs: rateLimitWaitMs,
+			rateLimitWaitMs,
+		};
 	}
 
 	const expectedMs = ({attempt}: Job): number =>
-		readExpectedTime(upstream, attempt, now);
+		readExpectedServiceTime(upstream, attempt, now);
 	const runningMs = [...upstream.sent].map((job) =>
 		Math.max(minRestMs, job.sentAt + expectedMs(job) - now),
 	);
@@ -362,7 +366,7 @@
 	return {
 		waitMs: Math.max(slotWaitMs, turnWaitMs),
 		lateWaitMs: Math.max(lateSlotWaitMs, lateTurnWaitMs),
-		turnWaitMs,
+		rateLimitWaitMs: turnWaitMs,
 	};
 }
 
@@ -386,7 +390,7 @@
  *
  * @param job - the job
  */
-export function enterLocalQueue(job: Job): void {
+export function addToLocalQueue(job: Job): void {
 	const {upstream, attempt} = job;
 	const own = upstream.queued.get(attempt.team);
 	if (own) {
@@ -404,7 +408,7 @@
  *
  * @param job - the job
  */
-export function leaveLocalQueue(job: Job): void {
+export function removeFromLocalQueue(job: Job): void {
 	const {upstream, attempt} = job;
 	const own = upstream.queued.get(attempt.team)!;
 	own.splice(own.indexOf(job), 1);
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import {pipeline, Transform, type Readable} from 'node:stream';
 import {maxBufferedBytes, maxHeldBodyBytes} from '../../protocol/constants.js';
-import type {BodyMemory} from './create-body-memory.js';
+import type {BodyMemoryBudget} from './create-body-memory-budget.js';
 import {discardBody} from './discard-body.js';
 
 /** Options of `readRequestBody`. */
@@ -12,7 +12,7 @@
 	/** Longest body that is held in memory; `maxBufferedBytes` when absent. */
 	readonly bufferLimitBytes?: number;
 	/** Where longer bodies of a known length are held too; they are streamed when absent. */
-	readonly memory?: BodyMemory;
+	readonly memory?: BodyMemoryBudget;
 	/** Time for a body that is held to arrive, ms; without bound when absent. */
 	readonly timeoutMs?: number;
 };
@@ -79,7 +79,7 @@
 		return collectBody(request, {...options, bufferLimitBytes});
 	}
 
-	if (bytes > maxHeldBodyBytes || !memory?.take(bytes)) {
+	if (bytes > maxHeldBodyBytes || !memory?.tryReserve(bytes)) {
 		return {kind: 'read', body: limitBody(request, maxBytes), reservedBytes: 0};
 	}
 
@@ -88,7 +88,7 @@
 		bufferLimitBytes: bytes,
 	});
 	if (read.kind === 'refused') {
-		memory.free(bytes);
+		memory.release(bytes);
 		return read;
 	}
 
--- a/src/transport/_lib/read-upstream-outcome.ts
+++ b/src/transport/_lib/read-upstream-outcome.ts
@@ -4,14 +4,14 @@
 import type {AnswerVerdict, Edge} from '../../protocol/edge.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
-import type {EarlyEnd} from './local-upstream.js';
+import type {EarlyEndReason} from './local-upstream.js';
 import type {SendOutcome} from './send-request.js';
 
 /** What a gate adds to the outcome at its upstream. */
 export type OutcomeContext = {
 	readonly edge: Edge;
 	/** Why the gate ended the request early, if it did. */
-	readonly endedBy: EarlyEnd | undefined;
+	readonly earlyEndReason: EarlyEndReason | undefined;
 	readonly load: GateLoad;
 	readonly stamp: GateStamp;
 };
@@ -43,7 +43,7 @@
 	attempt: Attempt,
 	context: OutcomeContext,
 ): AttemptResult {
-	const {edge, endedBy, load, stamp} = context;
+	const {edge, earlyEndReason, load, stamp} = context;
 	function end(
 		kind: 'not-run' | 'unknown',
 		reason: OutcomeReason,
@@ -70,7 +70,7 @@
 		}
 
 		case 'not-sent': {
-			return end('not-run', endedBy ?? 'not-sent');
+			return end('not-run', earlyEndReason ?? 'not-sent');
 		}
 
 		case 'lost': {
@@ -82,7 +82,7 @@
 		}
 
 		case 'aborted': {
-			return end('unknown', endedBy ?? 'cancelled');
+			return end('unknown', earlyEndReason ?? 'cancelled');
 		}
 	}
 }
--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -4,11 +4,11 @@
 import test from 'node:test';
 import {createSampleAttempt} from '../../../harness/create-sample-attempt.js';
 import {createCancelSource} from './create-cancel-source.js';
-import type {GatePort} from './gate-port.js';
+import type {GateClient} from './gate-client.js';
 import {runRequest} from './run-request.js';
 
 /** Creates a gate that takes the first bytes of a body and refuses as leaving. */
-function createLeavingGate(body: Readable, taken: string[]): GatePort {
+function createLeavingGate(body: Readable, taken: string[]): GateClient {
 	return {
 		host: {
 			host: 'abdali-1',
@@ -53,7 +53,7 @@
 		body,
 	});
 	const end = await runRequest({
-		terms: {repeatable, isNested: false, maxAttempts: 1, deadlineAt: 1000},
+		parameters: {repeatable, isNested: false, maxAttempts: 1, deadlineAt: 1000},
 		template: {...template, repeatable, idPrefix: 'a'},
 		signal: createCancelSource().signal,
 		pickGate: () => gate,
@@ -61,9 +61,9 @@
 		onAttemptEnd() {
 			// The end of the request is what the test is about.
 		},
-		hasRoom: () => true,
-		readBudget: () => 1,
-		spendBudget() {
+		hasAvailableHost: () => true,
+		readRetryBudget: () => 1,
+		spendRetryBudget() {
 			// Rerouting draws on no budget.
 		},
 		now: () => 0,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -17,7 +17,7 @@
 } from '../../protocol/constants.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
-import type {GatePort} from './gate-port.js';
+import type {GateClient} from './gate-client.js';
 import type {UpstreamResponse} from './send-upstream-response.js';
 import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
 
@@ -41,21 +41,21 @@
 
 /** Options of `runRequest`. */
 export type RunRequestOptions = {
-	readonly terms: RequestParameters;
+	readonly parameters: RequestParameters;
 	readonly template: AttemptTemplate;
 	/** Aborted when the client has gone. */
 	readonly signal: CancelSignal;
 	/** Picks the gate of the next attempt, or says why there is none. */
-	readonly pickGate: () => GatePort | OutcomeReason;
+	readonly pickGate: () => GateClient | OutcomeReason;
 	readonly createTraceparent: () => string | undefined;
 	/** Told of each attempt that has ended. */
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
 	/** Whether a host that was not tried is not known to be full. */
-	readonly hasRoom: () => boolean;
+	readonly hasAvailableHost: () => boolean;
 	/** Least time until a host may take a request under the rate limits, ms; 0 when absent. */
-	readonly readTurnWait?: () => number;
-	readonly readBudget: () => number;
-	readonly spendBudget: () => void;
+	readonly readRateLimitWait?: () => number;
+	readonly readRetryBudget: () => number;
+	readonly spendRetryBudget: () => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 	readonly random: () => number;
@@ -64,7 +64,7 @@
 /** One attempt that has ended. */
 export type AttemptEnd = {
 	readonly number: number;
-	readonly gate: GatePort;
+	readonly gate: GateClient;
 	readonly attempt: Attempt;
 	readonly result: ForwardResult;
 	readonly startedAt: number;
@@ -81,7 +81,7 @@
 );
 
 type OpenAttempt = {
-	readonly gate: GatePort;
+	readonly gate: GateClient;
 	readonly attempt: Attempt;
 	readonly controller: CancelSource;
 };
@@ -95,7 +95,7 @@
 export async function runRequest(
 	options: RunRequestOptions,
 ): Promise<RequestEnd> {
-	const {terms, template, signal, now} = options;
+	const {parameters, template, signal, now} = options;
 	let state = initialRequestState;
 	let open: OpenAttempt | undefined;
 	let answer: UpstreamResponse | undefined;
@@ -105,15 +105,15 @@
 	return new Promise((resolve) => {
 		function tell(message: RequestMessage): void {
 			const context = {
-				terms,
+				parameters,
 				now: now(),
 				random: options.random(),
 				// Read only where a decision needs them.
 				get budget() {
-					return options.readBudget();
+					return options.readRetryBudget();
 				},
-				get hasRoom() {
-					return options.hasRoom();
+				get hasAvailableHost() {
+					return options.hasAvailableHost();
 				},
 			};
 			const step = stepRequest(state, message, context);
@@ -151,7 +151,7 @@
 				}
 
 				case 'spend-budget': {
-					options.spendBudget();
+					options.spendRetryBudget();
 					break;
 				}
 
@@ -180,14 +180,14 @@
 			const hasStamp = stamp !== undefined;
 			const startedAt = now();
 			const controller = createCancelSource();
-			const remainingMs = terms.deadlineAt - startedAt;
+			const remainingMs = parameters.deadlineAt - startedAt;
 			const attempt: Attempt = {
 				...template,
 				id: `${template.idPrefix}/${number}`,
 				remainingMs: Math.max(remainingMs / 2, remainingMs - deadlineMarginMs),
 				objectiveMs: Math.max(
 					0,
-					(terms.objectiveAt ?? terms.deadlineAt) - startedAt,
+					(parameters.objectiveAt ?? parameters.deadlineAt) - startedAt,
 				),
 				stamp,
 				madeAtGateMs: gate.readGateTime(startedAt),
@@ -273,7 +273,7 @@
 
 		async function fetchAnswer(number: number): Promise<void> {
 			const {gate, attempt, controller} = open!;
-			const remainingMs = terms.deadlineAt - now();
+			const remainingMs = parameters.deadlineAt - now();
 			const result = await gate.fetchAnswer(
 				attempt.id,
 				remainingMs,
@@ -315,10 +315,10 @@
 
 		/** Computes when to come again after a refusal of which no gate knows. */
 		function computeDelay(): number {
-			const {deadlineAt, objectiveAt = deadlineAt} = terms;
+			const {deadlineAt, objectiveAt = deadlineAt} = parameters;
 			const at = now();
 			return computeRetryAfter({
-				waitMs: Math.max(busyRetryMs, options.readTurnWait?.() ?? 0),
+				waitMs: Math.max(busyRetryMs, options.readRateLimitWait?.() ?? 0),
 				serviceMs: (template.routeObjectiveMs ?? 0) * usualObjectivePart,
 				objectiveMs: objectiveAt - at,
 				remainingMs: Math.max(0, deadlineAt - at),
@@ -335,7 +335,7 @@
 			() => {
 				tell({kind: 'deadline'});
 			},
-			Math.max(0, terms.deadlineAt - now()),
+			Math.max(0, parameters.deadlineAt - now()),
 		);
 		signal.addEventListener('abort', cancel);
 		tell({kind: 'start'});
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -41,7 +41,10 @@
 import {matchRoute} from '../state/match-route.js';
 import {abortResponse} from './_lib/abort-response.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
-import {createBodyMemory, type BodyMemory} from './_lib/create-body-memory.js';
+import {
+	createBodyMemoryBudget,
+	type BodyMemoryBudget,
+} from './_lib/create-body-memory-budget.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -72,7 +75,7 @@
 	/** Headers that the callers understand; the project's own when absent. */
 	readonly edge?: Edge;
 	/** Where long bodies wait; a memory of its own when absent. */
-	readonly bodyMemory?: BodyMemory;
+	readonly bodyMemory?: BodyMemoryBudget;
 	/** Rate of the own host's link, Mbit/s; usual when absent. */
 	readonly linkMbps?: number | undefined;
 	/** How late the event loop runs, ms; not regarded when absent. */
@@ -210,7 +213,7 @@
 	const inFlightByTeam = new Map<string, number>();
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
-	const {bodyMemory = createBodyMemory(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
 	const idPrefix = randomUUID();
 	let lastId = 0;
 	let source: RouteSource | undefined;
@@ -339,7 +342,7 @@
 
 		lastId++;
 		const end = await runRequest({
-			terms: {
+			parameters: {
 				repeatable,
 				isNested: depth > 0,
 				maxAttempts: isStreamed ? 1 : route.maxAttempts,
@@ -366,21 +369,21 @@
 			},
 			signal,
 			pickGate: selection.pickGate,
-			hasRoom: selection.hasRoom,
-			readTurnWait: selection.readTurnWait,
+			hasAvailableHost: selection.hasAvailableHost,
+			readRateLimitWait: selection.readRateLimitWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
-				router.noteAttempt(end, now(), admissionClass);
+				router.recordAttempt(end, now(), admissionClass);
 				reportAttemptEvent(observer, end, routed.traceparent, now());
 			},
-			readBudget: () => router.readBudget(team, service),
-			spendBudget() {
-				router.spendBudget(team, service);
+			readRetryBudget: () => router.readRetryBudget(team, service),
+			spendRetryBudget() {
+				router.spendRetryBudget(team, service);
 			},
 			now,
 			random,
 		});
-		bodyMemory.free(reservedBytes);
+		bodyMemory.release(reservedBytes);
 		if (isStreamed && end.outcome !== 'answered') {
 			discardBody(body);
 		}
@@ -406,7 +409,7 @@
 			return;
 		}
 
-		router.countRequest(routed.route.team, routed.route.service);
+		router.recordRequest(routed.route.team, routed.route.service);
 		const end = await runRouted(routed, cancelling.signal);
 		try {
 			if (end.outcome === 'answered') {
@@ -529,7 +532,7 @@
 			table = compileSource(source, candidates);
 		},
 		tellView(view) {
-			router.tellView(view);
+			router.updateMembers(view);
 			const isSame = isSameKeySet(candidates, view.candidates);
 			candidates = view.candidates;
 			if (!isSame && source?.kind === 'manifests') {
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -147,7 +147,7 @@
 			tell({kind: 'entries', entries});
 		},
 		tellHeard(name, version) {
-			tell({kind: 'heard', name, version});
+			tell({kind: 'holder', name, version});
 		},
 		async handlePoll(poll) {
 			if (stopping.signal.aborted) {
@@ -162,7 +162,7 @@
 			});
 		},
 		readConfiguration: () => running,
-		readNewest: () => state.held.at(-1)!,
+		readNewest: () => state.heldConfigurations.at(-1)!,
 		stop() {
 			stopping.abort();
 			clearInterval(timer);
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -35,12 +35,12 @@
 import type {GateStamp} from '../protocol/stamp.js';
 import {createReportLog} from './_lib/create-report-log.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
-import {createSilenceWatch} from './_lib/create-silence-watch.js';
+import {createLostRequestDetector} from './_lib/create-lost-request-detector.js';
 import {
-	acceptNotice,
-	isEarlierLife,
-	isSameLife,
-	noteReport,
+	applyRemoteNotice,
+	isEarlierIncarnation,
+	isSameIncarnation,
+	recordReport,
 } from './_lib/local-notice.js';
 import {computeLocalOpenSlots} from './_lib/local-slots.js';
 import {
@@ -49,9 +49,9 @@
 	createLocalUpstream,
 	findLocalUpstream,
 	findLongestQueue,
-	readExpectedTime,
+	readExpectedServiceTime,
 	readLocalLoad,
-	readTakenSlots,
+	readOccupiedSlots,
 	type Job,
 	type LocalUpstream,
 	type LocalWait,
@@ -173,7 +173,7 @@
 			return;
 		}
 
-		runner.dropBeyondTurn(upstream);
+		runner.dropRateLimited(upstream);
 		runner.startJobs(upstream);
 	}
 
@@ -182,20 +182,20 @@
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
 		if (load) {
-			silenceWatch.noteLoad(upstream, load);
+			silenceWatch.recordLoad(upstream, load);
 		}
 
 		const report = edge.readReport(headers);
 		const hadLimit = upstream.rateLimit !== undefined;
-		if (report === silentReport && !hadLimit && upstream.isReportKnown) {
+		if (report === silentReport && !hadLimit && upstream.hasReported) {
 			return;
 		}
 
 		const verdict = edge.judgeAnswer({status, headers}, attempt);
 		const {id} = upstream;
 		const {service} = attempt;
-		reportLog.note({id, service, report, status, verdict});
-		noteReport(upstream, {report, verdict, sentAt}, now());
+		reportLog.record({id, service, report, status, verdict});
+		recordReport(upstream, {report, verdict, sentAt}, now());
 		const hasLimit = upstream.rateLimit !== undefined;
 		if (hadLimit || hasLimit || upstream.isLeaving) {
 			applyNotice(upstream);
@@ -206,7 +206,7 @@
 	function takeNotice(notice: UpstreamNotice | undefined): void {
 		const upstream = notice && upstreams.get(notice.id);
 		if (upstream) {
-			acceptNotice(upstream, notice, now());
+			applyRemoteNotice(upstream, notice, now());
 			applyNotice(upstream);
 		}
 	}
@@ -217,15 +217,15 @@
 		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
 		onSent(upstream) {
-			silenceWatch.noteSent(upstream);
+			silenceWatch.scheduleCheck(upstream);
 		},
 		onHead: noteHead,
 		now,
 	});
-	const silenceWatch = createSilenceWatch({
+	const silenceWatch = createLostRequestDetector({
 		logger: options.logger,
 		probeLoad: options.probeLoad,
-		onSilent: runner.endSilent,
+		onLost: runner.endLost,
 		now,
 	});
 
@@ -238,7 +238,7 @@
 		const dueAt = at + routeObjectiveMs;
 		return {
 			...computeLocalWait(upstream, {priority, dueAt}, at),
-			serviceMs: readExpectedTime(upstream, attempt, at),
+			serviceMs: readExpectedServiceTime(upstream, attempt, at),
 			meanServiceMs: readServiceTime(upstream.serviceTime, at),
 		};
 	}
@@ -280,7 +280,7 @@
 	> {
 		return {
 			slots: computeLocalOpenSlots(upstream, team, now()),
-			inFlight: readTakenSlots(upstream, now()),
+			inFlight: readOccupiedSlots(upstream, now()),
 			queuedAhead: countAhead(upstream, team),
 			queued: upstream.queuedCount,
 			teamQueued: upstream.queued.get(team)?.length ?? 0,
@@ -343,7 +343,7 @@
 			objectiveMs,
 			...expected,
 			utilization,
-			marginRatio: upstream.marginPart,
+			marginRatio: upstream.marginRatio,
 			...describeQueue(upstream, attempt),
 		});
 		if (admission.kind === 'admit') {
@@ -413,8 +413,8 @@
 			runner.endEarly(job, 'deadline');
 		}, attempt.remainingMs);
 		const waitTimer = setTimeout(
-			runner.giveUp,
-			job.giveUpAt - job.admittedAt,
+			runner.expireQueued,
+			job.queueExpiresAt - job.admittedAt,
 			job,
 		);
 		const cancel = (): void => {
@@ -428,7 +428,7 @@
 
 		const result = await job.result;
 		clearTimeout(waitTimer);
-		if (job.phase === 'over') {
+		if (job.phase === 'finished') {
 			timer.stop();
 		}
 
@@ -462,7 +462,7 @@
 		const known = upstreams.get(id);
 		if (known) {
 			upstreams.delete(id);
-			clearTimeout(known.turnTimer);
+			clearTimeout(known.rateLimitTimer);
 			runner.dropQueued(known);
 		}
 	}
@@ -487,12 +487,12 @@
 	return {
 		announce(id, announcement) {
 			const known = upstreams.get(id);
-			if (known && isSameLife(known.announcement, announcement)) {
+			if (known && isSameIncarnation(known.announcement, announcement)) {
 				renew(known, announcement);
 				return;
 			}
 
-			if (known && isEarlierLife(announcement, known.announcement)) {
+			if (known && isEarlierIncarnation(announcement, known.announcement)) {
 				return;
 			}
 
@@ -502,20 +502,21 @@
 		withdraw,
 		reviseAnnouncement(id, announcement) {
 			const known = upstreams.get(id);
-			return known?.isLeaving && isSameLife(known.announcement, announcement)
+			return known?.isLeaving &&
+				isSameIncarnation(known.announcement, announcement)
 				? {...announcement, state: 'leaving'}
 				: announcement;
 		},
 		takeReport(id, report, load) {
 			const upstream = upstreams.get(id);
 			if (upstream && load) {
-				silenceWatch.noteLoad(upstream, load);
+				silenceWatch.recordLoad(upstream, load);
 			}
 
 			// A health answer that is silent says nothing of other answers.
 			if (upstream && report !== silentReport) {
 				const at = now();
-				noteReport(upstream, {report, verdict: 'answered', sentAt: at}, at);
+				recordReport(upstream, {report, verdict: 'answered', sentAt: at}, at);
 				applyNotice(upstream);
 			}
 		},
@@ -574,10 +575,11 @@
 		},
 		async stop() {
 			for (const upstream of upstreams.values()) {
-				const {agent, turnTimer, confirmTimer, silenceTimer} = upstream;
-				clearTimeout(turnTimer);
-				clearTimeout(confirmTimer);
-				clearTimeout(silenceTimer);
+				const {agent, rateLimitTimer, lossConfirmTimer, lossCheckTimer} =
+					upstream;
+				clearTimeout(rateLimitTimer);
+				clearTimeout(lossConfirmTimer);
+				clearTimeout(lossCheckTimer);
 				agent.destroy();
 			}
 		},
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -142,7 +142,7 @@
 				break;
 			}
 
-			case 'plan-spread': {
+			case 'schedule-spread': {
 				planTimer(effect.delayMs, () => {
 					tell({kind: 'spread'});
 				});
@@ -203,7 +203,7 @@
 			memberCount: own?.memberCount ?? 0,
 			writtenMs: own?.writtenMs ?? 0,
 			version: stored?.version,
-			ownAddresses: own?.addresses ?? [],
+			localAddresses: own?.addresses ?? [],
 		};
 	}
 
@@ -233,7 +233,7 @@
 	}, membersPeriodMs);
 	tell({kind: 'tick'});
 	// The first read is due before the second period begins.
-	planTimer(Math.max(0, state.seeds.readAt - now()), () => {
+	planTimer(Math.max(0, state.seeds.nextReadAt - now()), () => {
 		tell({kind: 'tick'});
 	});
 
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -12,12 +12,12 @@
 import type {MeshSettings} from '../protocol/mesh-settings.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {combineObservers} from './_lib/combine-observers.js';
-import {createBodyMemory} from './_lib/create-body-memory.js';
+import {createBodyMemoryBudget} from './_lib/create-body-memory-budget.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
-import {createDecisionLog} from './_lib/create-decision-log.js';
+import {createAccessLog} from './_lib/create-access-log.js';
 import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createReadiness} from './_lib/create-readiness.js';
-import {seekUpstream} from './_lib/seek-upstream.js';
+import {discoverUpstream} from './_lib/discover-upstream.js';
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
@@ -118,7 +118,7 @@
 	});
 	const observer = combineObservers([
 		metrics.observer,
-		createDecisionLog({
+		createAccessLog({
 			logger,
 			readVersion: () => document.readDocument()?.version,
 			now: () => performance.now(),
@@ -157,7 +157,7 @@
 		},
 	});
 	const forwarder = createForwarder();
-	const bodyMemory = createBodyMemory(maxHeldBodiesBytes);
+	const bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes);
 	const caller = await startCallerTask({
 		name,
 		dataCentre,
@@ -301,8 +301,8 @@
 			);
 		},
 	);
-	void seekUpstream({
-		isOver: () => isSeekOver,
+	void discoverUpstream({
+		shouldStop: () => isSeekOver,
 		probe: probeUpstream,
 		onFound({id, load, report, ...found}) {
 			logger.info('upstream found', {id, ...found});
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -10,7 +10,10 @@
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {pollUntil} from '../../harness/poll-until.js';
-import {createBodyMemory, type BodyMemory} from './_lib/create-body-memory.js';
+import {
+	createBodyMemoryBudget,
+	type BodyMemoryBudget,
+} from './_lib/create-body-memory-budget.js';
 import {createAttemptHeaders} from './_lib/create-attempt-headers.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {startServer} from './_lib/start-server.js';
@@ -28,7 +31,7 @@
 	/** Monotonic ms of the gate. */
 	readonly now?: () => number;
 	readonly readLag?: () => number;
-	readonly bodyMemory?: BodyMemory;
+	readonly bodyMemory?: BodyMemoryBudget;
 	/** Answers a request at the upstream. */
 	readonly answer?: (response: ServerResponse) => void;
 };
@@ -238,7 +241,7 @@
 
 // Its memory was kept for good, until all long bodies were streamed.
 test('a long body gives back its memory, also when its sender has left', async (t) => {
-	const bodyMemory = createBodyMemory(longBytes);
+	const bodyMemory = createBodyMemoryBudget(longBytes);
 	let lagMs = 0;
 	const {bodies, arrived, gate, server, forwarder} = await startGate(t, {
 		bodyMemory,
@@ -267,9 +270,9 @@
 	});
 	await once(socket, 'close');
 	const isFree = await pollUntil(async () => {
-		const isTaken = bodyMemory.take(longBytes);
+		const isTaken = bodyMemory.tryReserve(longBytes);
 		if (isTaken) {
-			bodyMemory.free(longBytes);
+			bodyMemory.release(longBytes);
 		}
 
 		return isTaken;
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -23,7 +23,10 @@
 } from '../protocol/request.js';
 import {abortResponse, type AbortCause} from './_lib/abort-response.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
-import {createBodyMemory, type BodyMemory} from './_lib/create-body-memory.js';
+import {
+	createBodyMemoryBudget,
+	type BodyMemoryBudget,
+} from './_lib/create-body-memory-budget.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {discardBody} from './_lib/discard-body.js';
@@ -54,7 +57,7 @@
 	readonly handlers: PeerHandlers;
 	readonly logger: Logger;
 	/** Where long bodies wait; a memory of its own when absent. */
-	readonly bodyMemory?: BodyMemory;
+	readonly bodyMemory?: BodyMemoryBudget;
 	/** How late the event loop runs, ms; not regarded when absent. */
 	readonly readLag?: () => number;
 	/** Called when connections have been accepted and none waits any more. */
@@ -137,7 +140,7 @@
 	options: PeerServerOptions,
 ): Promise<RunningServer> {
 	const {gate, handlers, logger, readLag = () => 0} = options;
-	const {bodyMemory = createBodyMemory(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
 
 	function abort(
 		{headers}: IncomingMessage,
@@ -233,7 +236,7 @@
 		const attempt = {...head, body: body.body};
 		const result = await runArrived(request, attempt, arrivedAt);
 		clearInterval(signs);
-		bodyMemory.free(body.reservedBytes);
+		bodyMemory.release(body.reservedBytes);
 		if (result === 'sender-left') {
 			abort(request, response, {kind: 'sender-left'});
 			return;
