--- a/faults/_lib/config/create-sim-node.ts
+++ b/faults/_lib/config/create-sim-node.ts
@@ -139,7 +139,7 @@
 
 			case 'reply': {
 				receive(() => {
-					replies.get(effect.ticket)?.(effect.outcome);
+					replies.get(effect.replyId)?.(effect.outcome);
 				});
 				break;
 			}
@@ -281,11 +281,11 @@
 		submit(submission, answer) {
 			lastNumber++;
 			replies.set(lastNumber, answer);
-			const ticket = {...submission, ticket: lastNumber};
+			const pending = {...submission, ticket: lastNumber};
 			world.reach('submit', node, () => {
 				const configuration = delivery.heldConfigurations.at(-1)!;
 				tellCommit({kind: 'configuration', configuration});
-				tellCommit({kind: 'submit', ticket});
+				tellCommit({kind: 'submit', pending});
 			});
 		},
 		takePoll(value, answer) {
--- a/harness/run-document-delivery.ts
+++ b/harness/run-document-delivery.ts
@@ -170,7 +170,7 @@
 			begin() {
 				cancel();
 				cancel = scheduler.schedule(documentTransferMs, abort);
-				tell({kind: 'begun', callId});
+				tell({kind: 'receiving', callId});
 			},
 			take(message) {
 				isOver = true;
--- a/src/coordination/_lib/commit/classify-slot.ts
+++ b/src/coordination/_lib/commit/classify-slot.ts
@@ -13,7 +13,7 @@
 	/** The version is not written yet; it may be, under the condition. */
 	| {readonly kind: 'head'; readonly condition: WriteCondition}
 	/** The log has gone past the version by a whole ring. */
-	| {readonly kind: 'lapped'}
+	| {readonly kind: 'overwritten'}
 	| {readonly kind: 'unreadable'}
 	| {readonly kind: 'unavailable'};
 
@@ -55,5 +55,5 @@
 		return {kind: 'head', condition: {kind: 'version', version}};
 	}
 
-	return {kind: entry.version > expected ? 'lapped' : 'unreadable'};
+	return {kind: entry.version > expected ? 'overwritten' : 'unreadable'};
 }
--- a/src/coordination/_lib/commit/continue-commit.ts
+++ b/src/coordination/_lib/commit/continue-commit.ts
@@ -14,7 +14,7 @@
 type PausePhase = Extract<CommitPhase, {kind: 'pausing'}>;
 
 /** Puts effects before those of a step. */
-export function joinStep(
+export function prependEffects(
 	effects: readonly CommitEffect[],
 	step: CommitStep,
 ): CommitStep {
@@ -82,12 +82,12 @@
 /** Answers a group that cannot be decided: `unknown` if a write may land. */
 export function answerGroup(state: CommitState, ringSize: number): CommitStep {
 	const kind = state.isUncertain ? 'unknown' : 'unavailable';
-	const replies = state.group.map(({ticket, submissionId}) => ({
+	const replies = state.group.map(({replyId, submissionId}) => ({
 		kind: 'reply' as const,
-		ticket,
+		ticket: replyId,
 		outcome: {kind, submissionId} as const,
 	}));
-	return joinStep(replies, finishGroup(state, ringSize));
+	return prependEffects(replies, finishGroup(state, ringSize));
 }
 
 /** Waits with full jitter before the next try, or gives up. */
--- a/src/coordination/_lib/commit/handle-commit-answer.ts
+++ b/src/coordination/_lib/commit/handle-commit-answer.ts
@@ -18,28 +18,28 @@
 	answerGroup,
 	callPlatform,
 	finishGroup,
-	joinStep,
+	prependEffects,
 	pauseBefore,
 	readBack,
 	readNextSlot,
 } from './continue-commit.js';
 import {readSnapshotVersion} from './read-snapshot-version.js';
-import {recallRefusals, rememberRefusals} from './refusals.js';
+import {answerRepeatedRefusals, recordRefusals} from './refusals.js';
 
 function writeEntry(
 	state: CommitState,
 	condition: WriteCondition,
 	context: CommitContext,
 ): CommitStep {
-	const {remaining, effects} = recallRefusals(state);
+	const {remaining, effects} = answerRepeatedRefusals(state);
 	const group = {...state, group: remaining};
 	const decision = decideCommit(state.base, remaining, context.now);
 	const {entry} = decision;
 	if (!entry) {
-		return joinStep(effects, replyDecision(group, decision, [], context));
+		return prependEffects(effects, replyDecision(group, decision, [], context));
 	}
 
-	return joinStep(
+	return prependEffects(
 		effects,
 		callPlatform(
 			group,
@@ -60,13 +60,13 @@
 	effects: readonly CommitEffect[],
 	context: CommitContext,
 ): CommitStep {
-	const replies = state.group.map(({ticket}, index) => ({
+	const replies = state.group.map(({replyId}, index) => ({
 		kind: 'reply' as const,
-		ticket,
+		ticket: replyId,
 		outcome: decision.outcomes[index]!,
 	}));
-	const next = {...state, refusals: rememberRefusals(state, decision.outcomes)};
-	return joinStep(
+	const next = {...state, refusals: recordRefusals(state, decision.outcomes)};
+	return prependEffects(
 		[...effects, ...replies],
 		finishGroup(next, context.ringSize),
 	);
@@ -122,13 +122,13 @@
 			}
 
 			const next = {...state, base: base.value, isUncertain: false};
-			return joinStep(
+			return prependEffects(
 				[{kind: 'entries', entries: [slot.entry]}],
 				readNextSlot(next, context.ringSize).step,
 			);
 		}
 
-		case 'lapped':
+		case 'overwritten':
 		case 'unreadable':
 		case 'unavailable': {
 			return answerGroup(state, context.ringSize);
@@ -153,7 +153,7 @@
 		return writeEntry(next, condition, context);
 	}
 
-	return joinStep(
+	return prependEffects(
 		[{kind: 'store-snapshot', configuration: state.base}],
 		pauseBefore(next, {kind: 'reading'}, context),
 	);
@@ -218,7 +218,7 @@
 				: answerGroup(state, context.ringSize);
 		}
 
-		case 'lapped':
+		case 'overwritten':
 		case 'unreadable': {
 			return answerGroup(state, context.ringSize);
 		}
--- a/src/coordination/_lib/commit/refusals.ts
+++ b/src/coordination/_lib/commit/refusals.ts
@@ -1,12 +1,16 @@
 import type {SubmissionOutcome} from '../../../protocol/configuration.js';
 import {maxRememberedRefusals} from '../../../protocol/constants.js';
-import type {CommitEffect, CommitState, Ticket} from '../../commit-state.js';
+import type {
+	CommitEffect,
+	CommitState,
+	PendingSubmission,
+} from '../../commit-state.js';
 
-function formatRefusalKey({manifest, submissionId}: Ticket): string {
+function formatRefusalKey({manifest, submissionId}: PendingSubmission): string {
 	return `${manifest.team}\n${submissionId}`;
 }
 
-function isAccepted(state: CommitState, ticket: Ticket): boolean {
+function isAccepted(state: CommitState, ticket: PendingSubmission): boolean {
 	const records = state.base.teams[ticket.manifest.team]?.submissions ?? [];
 	return records.some(({id}) => id === ticket.submissionId);
 }
@@ -17,16 +21,16 @@
  * @param state - the commit machine's state
  * @returns the submissions that are left, and the replies to the others
  */
-export function recallRefusals(state: CommitState): {
-	readonly remaining: readonly Ticket[];
+export function answerRepeatedRefusals(state: CommitState): {
+	readonly remaining: readonly PendingSubmission[];
 	readonly effects: readonly CommitEffect[];
 } {
-	const remaining: Ticket[] = [];
+	const remaining: PendingSubmission[] = [];
 	const effects: CommitEffect[] = [];
 	for (const ticket of state.group) {
 		const outcome = state.refusals.get(formatRefusalKey(ticket));
 		if (outcome && !isAccepted(state, ticket)) {
-			effects.push({kind: 'reply', ticket: ticket.ticket, outcome});
+			effects.push({kind: 'reply', replyId: ticket.replyId, outcome});
 		} else {
 			remaining.push(ticket);
 		}
@@ -44,7 +48,7 @@
  * @param outcomes - outcomes in the order of the group
  * @returns refusals by team and submission identifier
  */
-export function rememberRefusals(
+export function recordRefusals(
 	state: CommitState,
 	outcomes: readonly SubmissionOutcome[],
 ): ReadonlyMap<string, SubmissionOutcome> {
--- a/src/coordination/_lib/delivery/handle-platform.ts
+++ b/src/coordination/_lib/delivery/handle-platform.ts
@@ -215,7 +215,7 @@
 			};
 		}
 
-		case 'lapped': {
+		case 'overwritten': {
 			return {
 				state: {...dropSourceCalls(state), source: {kind: 'head'}},
 				effects: [],
--- a/src/coordination/_lib/document/accept-document.ts
+++ b/src/coordination/_lib/document/accept-document.ts
@@ -9,7 +9,7 @@
 	DocumentState,
 	DocumentStep,
 } from '../../document-state.js';
-import {continueWith} from './continue-with.js';
+import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /** Logs the parts of a document that can't be read and could before, or are new. */
 function createProblemLogs(
@@ -41,21 +41,21 @@
 	const before = state.document;
 	const current = before?.version ?? -1;
 	if (!next || next.version <= current) {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const document = before ? mergeDocument(before, next) : next;
-	const earlier = before
-		? [...state.earlier, before].slice(-maxKeptDocuments)
-		: state.earlier;
+	const earlierDocuments = before
+		? [...state.earlierDocuments, before].slice(-maxKeptDocuments)
+		: state.earlierDocuments;
 	const {version, routes} = document;
 	return {
 		state: {
 			...state,
 			document,
-			earlier,
+			earlierDocuments,
 			changes: new Map(),
-			needsWhole: false,
+			needsFullDocument: false,
 		},
 		effects: [
 			{kind: 'run', document},
--- a/src/coordination/_lib/document/answer-polls.ts
+++ b/src/coordination/_lib/document/answer-polls.ts
@@ -10,17 +10,17 @@
 	DocumentState,
 	DocumentStep,
 } from '../../document-state.js';
-import {continueWith} from './continue-with.js';
+import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /** Computes changes from one version once for all who ask for them. */
 function computeChangesOnce(
 	state: DocumentState,
 	versions: readonly number[],
 ): DocumentState['changes'] {
-	const {document, earlier} = state;
+	const {document, earlierDocuments} = state;
 	const changes = new Map(state.changes);
 	for (const version of versions) {
-		const base = earlier.find((kept) => kept.version === version);
+		const base = earlierDocuments.find((kept) => kept.version === version);
 		if (document && base && !changes.has(version)) {
 			changes.set(version, computeDocumentChanges(base, document));
 		}
@@ -55,7 +55,7 @@
 		poll.version < version || poll.endsAt <= now;
 	const due = state.polls.filter((poll) => isDue(poll));
 	if (due.length === 0) {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const ageMs = Math.min(now - state.confirmedAt, 2 * documentStaleMs);
--- a/src/coordination/_lib/document/continue-with.ts
+++ b/src/coordination/_lib/document/create-step-without-effects.ts
@@ -1,6 +1,6 @@
 import type {DocumentState, DocumentStep} from '../../document-state.js';
 
 /** Gives the step that asks for nothing. */
-export function continueWith(state: DocumentState): DocumentStep {
+export function createStepWithoutEffects(state: DocumentState): DocumentStep {
 	return {state, effects: []};
 }
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -16,13 +16,13 @@
 } from '../../document-state.js';
 import {acceptDocument} from './accept-document.js';
 import {endCall} from './end-call.js';
-import {continueWith} from './continue-with.js';
+import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 function isAtParent({peerIndex, peers}: DocumentState): boolean {
 	return peerIndex % Math.max(1, peers.length) === 0;
 }
 
-function leavePeer(
+function selectNextPeer(
 	state: DocumentState,
 	now: number,
 ): Pick<DocumentState, 'peerIndex' | 'leftParentAt'> {
@@ -50,7 +50,7 @@
  * turn: the other root of its data centre may be turned away as well, and its
  * answers get old only after some seconds.
  */
-function isCutOff({isRoot, storeLoop}: DocumentState): boolean {
+function isRootWithoutStore({isRoot, storeLoop}: DocumentState): boolean {
 	return isRoot && storeLoop.failures > 0;
 }
 
@@ -59,7 +59,7 @@
 	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
 	return {
 		...state,
-		...leavePeer(state, now),
+		...selectNextPeer(state, now),
 		peerLoop:
 			(state.peerIndex + 1) % Math.max(1, state.peers.length) === 0
 				? endCall(state.peerLoop, true, now)
@@ -88,13 +88,13 @@
 	now: number,
 ): DocumentStep {
 	return {
-		state: {...failPoll(state, now), needsWhole: true},
+		state: {...failPoll(state, now), needsFullDocument: true},
 		effects: [createUnusableLog(state, source, reason)],
 	};
 }
 
 /** Reads the document that an answer leads to, or why it leads to none. */
-function readAnswered(
+function resolveAnswer(
 	state: DocumentState,
 	answer: DocumentAnswer,
 ): Result<RoutingDocument | undefined, string> {
@@ -114,7 +114,7 @@
 				return ok(undefined);
 			}
 
-			const base = [...state.earlier, document].find(
+			const base = [...state.earlierDocuments, document].find(
 				(kept) => kept?.version === changes.from,
 			);
 			return base
@@ -132,7 +132,7 @@
 ): DocumentStep {
 	const source = state.peers[state.peerIndex % state.peers.length]?.name ?? '';
 	if (outcome.kind === 'failed') {
-		return continueWith(failPoll(state, now));
+		return createStepWithoutEffects(failPoll(state, now));
 	}
 
 	if (outcome.kind === 'malformed') {
@@ -140,7 +140,7 @@
 	}
 
 	const {answer} = outcome;
-	const answered = readAnswered(state, answer);
+	const answered = resolveAnswer(state, answer);
 	if (answered.isErr()) {
 		return handleMalformed(state, source, answered.error, now);
 	}
@@ -148,33 +148,35 @@
 	const {ageMs} = answer;
 	const step = acceptDocument(state, answered.value, source, now);
 	const isStale = ageMs > documentStaleMs;
-	const shouldLeave = isStale || isCutOff(state);
+	const shouldSwitchPeer = isStale || isRootWithoutStore(state);
 	return {
 		...step,
 		state: {
 			...step.state,
-			needsWhole: false,
+			needsFullDocument: false,
 			// The revision of the store lies behind what a peer has brought.
 			hasBacklog: state.hasBacklog || step.state.document !== state.document,
 			peerLoop: endCall(state.peerLoop, isStale, now),
-			...(shouldLeave ? leavePeer(state, now) : returnToParent(state, now)),
+			...(shouldSwitchPeer
+				? selectNextPeer(state, now)
+				: returnToParent(state, now)),
 			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
 		},
 	};
 }
 
 /** Makes use of the answer to a poll that was given up. */
-export function acceptLate(
+export function handleLateAnswer(
 	state: DocumentState,
 	outcome: PeerDocumentOutcome,
 	now: number,
 ): DocumentStep {
 	if (outcome.kind !== 'answered') {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const source = 'late answer';
-	return readAnswered(state, outcome.answer).match(
+	return resolveAnswer(state, outcome.answer).match(
 		(document) => acceptDocument(state, document, source, now),
 		(reason) => ({state, effects: [createUnusableLog(state, source, reason)]}),
 	);
--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -9,7 +9,7 @@
 } from '../../document-state.js';
 import {acceptDocument} from './accept-document.js';
 import {endCall} from './end-call.js';
-import {continueWith} from './continue-with.js';
+import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /** Handles the outcome of a call on the store. */
 export function handleStored(
@@ -41,19 +41,28 @@
 			const storeLoop = endCall(state.storeLoop, false, now);
 			const revision =
 				state.revision === outcome.revision ? state.revision : undefined;
-			return continueWith({...state, storeLoop, revision, hasBacklog: false});
+			return createStepWithoutEffects({
+				...state,
+				storeLoop,
+				revision,
+				hasBacklog: false,
+			});
 		}
 
 		case 'compacted': {
 			const storeLoop = endCall(state.storeLoop, false, now);
-			return continueWith({...state, storeLoop, revision: undefined});
+			return createStepWithoutEffects({
+				...state,
+				storeLoop,
+				revision: undefined,
+			});
 		}
 
 		case 'failed': {
 			const storeLoop = endCall(state.storeLoop, true, now);
 			const isFirst = state.storeLoop.failures === 0;
 			const hasBacklog =
-				state.hasBacklog || state.storeLoop.call?.hasBegun === true;
+				state.hasBacklog || state.storeLoop.call?.isReceiving === true;
 			return {
 				state: {...state, storeLoop, hasBacklog},
 				effects: isFirst
--- a/src/coordination/_lib/document/plan-calls.ts
+++ b/src/coordination/_lib/document/plan-calls.ts
@@ -9,7 +9,7 @@
 	DocumentState,
 	DocumentStep,
 } from '../../document-state.js';
-import {continueWith} from './continue-with.js';
+import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /**
  * Creates the next call on the store. While changes come faster than copies
@@ -38,7 +38,7 @@
 		state.isRoot ||
 		state.peerLoop.failures >= Math.min(documentPeerFailures, peers.length);
 	if (!isNeeded || storeLoop.call !== undefined || storeLoop.nextAt > now) {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const callId = state.lastCallId + 1;
@@ -56,11 +56,13 @@
 	const {peerLoop, peers, name} = state;
 	const peer = peers[state.peerIndex % Math.max(1, peers.length)];
 	if (!peer || peerLoop.call !== undefined || peerLoop.nextAt > now) {
-		return continueWith(state);
+		return createStepWithoutEffects(state);
 	}
 
 	const callId = state.lastCallId + 1;
-	const version = state.needsWhole ? -1 : (state.document?.version ?? -1);
+	const version = state.needsFullDocument
+		? -1
+		: (state.document?.version ?? -1);
 	// A peer that is asked in place of a silent one tells at once what it has.
 	const waitMs = peerLoop.failures > 0 ? 0 : documentPollMs;
 	const timeoutMs = waitMs + documentGraceMs;
@@ -74,7 +76,7 @@
 				address: peer.address,
 				poll: {name, version, waitMs},
 				timeoutMs,
-				isFresh: peerLoop.failures > 0,
+				needsNewConnection: peerLoop.failures > 0,
 			},
 		],
 	};
--- a/src/coordination/_lib/host-costs.ts
+++ b/src/coordination/_lib/host-costs.ts
@@ -1,5 +1,5 @@
 /**
- * Offers of hosts: what a request is expected to cost there.
+ * Expected cost of a request at each candidate host.
  */
 import {
 	comparedHosts,
@@ -19,47 +19,47 @@
 	type HostRecords,
 } from './host-load.js';
 
-/** What of a request its cost depends on. */
+/** Properties of a request that its cost depends on. */
 export type CostOptions = {
 	/** Monotonic ms. */
 	readonly now: number;
-	/** Time within which an answer has its full value, ms, if that is known. */
+	/** Latency objective: time within which an answer has its full value, ms, if known. */
 	readonly objectiveMs?: number | undefined;
 	/** Name of the request's route, if it has one. */
 	readonly route?: string | undefined;
-	/** How the body reaches other hosts, if it is long. */
+	/** Transfer of the body to other hosts, if it is long. */
 	readonly transfer?: BodyTransfer | undefined;
 };
 
-/** A long body on its way from the own host. */
+/** Transfer of a long body from the own host. */
 export type BodyTransfer = {
 	readonly bytes: number;
-	/** Name of the own host, to which it need not go. */
+	/** Name of the own host, which needs no transfer. */
 	readonly host: string;
 	/** Rate of the own host's link, Mbit/s. */
 	readonly linkMbps: number;
 };
 
-/** Highest share of failures that is believed, so that a cost stays finite. */
+/** Upper bound on the error share, which keeps the cost finite. */
 const maxErrorShare = 0.9;
 
-/** A host with what a request there is expected to cost. */
+/** A candidate host with the expected cost of a request there. */
 export type CandidateCost = {
 	readonly candidate: Candidate;
 	readonly cost: number;
 };
 
-/** Part of the others' mean time that is expected of a host of unknown times. */
+/** Expected time of a host without known times, as a ratio of the mean of the other hosts. */
 const unknownHostTimeRatio = 0.7;
 
-/** Cost of a host that has just started, which falls while it warms up. */
+/** Added cost of a host that has just started; decreases during slow start. */
 const slowStartCost = 0.05;
 
 /** Expected times at a host, ms. */
 type HostTimes = {
 	/** Of the request itself. */
 	readonly requestMs: number;
-	/** Of any request that it waits for. */
+	/** Of any request queued ahead of it. */
 	readonly serviceMs: number;
 };
 
@@ -75,7 +75,7 @@
 		: undefined;
 }
 
-/** Means of the times of hosts that are known, for those that are not. */
+/** Computes the mean times of the hosts whose times are known. */
 function computeMeanTimes(
 	pool: readonly Candidate[],
 	records: HostRecords,
@@ -98,7 +98,7 @@
 		: {requestMs: requestMs / known, serviceMs: serviceMs / known};
 }
 
-/** Takes a host of unknown times for a little better than the others, so that it is tried. */
+/** Computes the times assumed for a host without known times: slightly below the mean, so that the host is tried. */
 function computeExpectedTimes(
 	pool: readonly Candidate[],
 	records: HostRecords,
@@ -108,7 +108,7 @@
 	return mean && {...mean, requestMs: mean.requestMs * unknownHostTimeRatio};
 }
 
-/** Computes the cost of a host for a request whose objective is known. */
+/** Computes the cost of a host for a request with a known objective. */
 function computeCost(
 	times: HostTimes | undefined,
 	{
@@ -128,7 +128,7 @@
 	});
 }
 
-/** Computes how long a long body takes to a host; 0 for the own one. */
+/** Computes the transfer time of a long body to a host, ms; 0 for the own host. */
 function computeTransferMs(
 	{host, linkMbps = usualLinkMbps}: Candidate,
 	transfer: BodyTransfer | undefined,
@@ -141,7 +141,7 @@
 			);
 }
 
-/** Takes some of the pool at random, and the one with the best offer of them. */
+/** Samples up to `comparedHosts` hosts of the pool at random and returns the one of lowest cost. */
 export function findCheapestCandidate(
 	pool: readonly Candidate[],
 	records: HostRecords,
--- a/src/coordination/_lib/host-load.ts
+++ b/src/coordination/_lib/host-load.ts
@@ -1,11 +1,11 @@
 /**
- * Loads of hosts, as a caller's node knows them.
+ * Load of hosts, as known to a caller's node.
  */
 import {loadTrustMs, slowStartMs} from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
 import type {HostRecord} from '../step-host-record.js';
 
-/** What is known of hosts, by host name. */
+/** Records of hosts, by host name. */
 export type HostRecords = ReadonlyMap<string, HostRecord>;
 
 /** Mean of the fresh reported loads of a pool. */
@@ -42,10 +42,10 @@
 }
 
 /**
- * Computes a host's load as a share of its slots: own requests in flight, and
- * the reported load, which counts less the older it is and never less than the
- * average of the others, so that a host that reports too little attracts
- * nothing.
+ * Computes a host's load as a share of its slots: own requests in flight plus
+ * the reported load. The weight of a report decreases with its age. A report
+ * below the mean of the other hosts is raised to it, so that a host that
+ * underreports its load does not attract extra requests.
  */
 export function computeLoadShare(
 	candidate: Candidate,
@@ -64,10 +64,10 @@
 	return record.ownInFlight / candidate.slots + estimated;
 }
 
-/** Least share of its normal requests that a host gets. */
+/** Smallest share of its normal requests that a host gets during slow start. */
 const minSlowStartFactor = 0.2;
 
-/** Share of its normal requests that a host gets while it starts slowly. */
+/** Computes the share of its normal requests that a host gets during slow start. */
 export function computeSlowStartFactor(
 	record: HostRecord | undefined,
 	now: number,
--- a/src/coordination/commit-state.ts
+++ b/src/coordination/commit-state.ts
@@ -15,7 +15,7 @@
 import type {CommitDecision} from './decide-commit.js';
 
 /** A submission that waits for its answer. */
-export type Ticket = Submission & {readonly ticket: number};
+export type PendingSubmission = Submission & {readonly replyId: number};
 
 /** Where the machine stands with its group of submissions. */
 export type CommitPhase =
@@ -45,8 +45,8 @@
 	readonly base: Configuration;
 	/** A complete snapshot of at least this version exists. */
 	readonly snapshotVersion: number;
-	readonly waiting: readonly Ticket[];
-	readonly group: readonly Ticket[];
+	readonly waiting: readonly PendingSubmission[];
+	readonly group: readonly PendingSubmission[];
 	readonly tries: number;
 	/** Whether a write of this group may still take effect. */
 	readonly isUncertain: boolean;
@@ -59,7 +59,7 @@
 
 /** What the commit machine can be told. */
 export type CommitMessage =
-	| {readonly kind: 'submit'; readonly ticket: Ticket}
+	| {readonly kind: 'submit'; readonly pending: PendingSubmission}
 	| {readonly kind: 'configuration'; readonly configuration: Configuration}
 	| {readonly kind: 'snapshot-stored'; readonly version: number}
 	| {
@@ -79,7 +79,7 @@
 	| {readonly kind: 'wait'; readonly callId: number; readonly delayMs: number}
 	| {
 			readonly kind: 'reply';
-			readonly ticket: number;
+			readonly replyId: number;
 			readonly outcome: SubmissionOutcome;
 	  }
 	| {readonly kind: 'entries'; readonly entries: readonly LogEntry[]}
--- a/src/coordination/compare-waiting.ts
+++ b/src/coordination/compare-waiting.ts
@@ -1,30 +1,31 @@
-/** A request that waits for a slot. */
+/** A request that is queued for a slot. */
 export type WaitingRequest = {
-	/** Whether it came too late to be answered within its objective. */
+	/** Whether it arrived too late to be answered within its objective. */
 	readonly isLate: boolean;
-	/** 0 goes first. */
+	/** Priority; 0 is served first. */
 	readonly priority: number;
-	/** When it came plus the objective of its route, monotonic ms. */
+	/** Arrival time plus the objective of its route, monotonic ms. */
 	readonly dueAt: number;
 };
 
 /**
- * Compares two waiting requests of a team: those that can be in time go first,
- * then the more urgent ones, then by arrival and the
- * objective of their route.
+ * Compares two queued requests of a team: requests that can still meet their
+ * objective are served first, then those of higher priority, then those due
+ * earlier (arrival time plus the objective of the route).
  *
- * Answers a load above what the upstreams can serve: a slot that goes to a
- * request whose answer comes late is missing for one that would be in time, and
- * in first-come order soon all are late. Calls of running requests have short
- * objectives and so go first; a running request that waits for one holds a slot.
- * Returning requests don't overtake those of their route: these were admitted
- * with just enough time.
+ * Load pattern: load above the capacity of the upstreams. A slot given to a
+ * request that will miss its objective is not available to one that could meet
+ * it, and in FIFO order soon all requests are late. Nested calls of running
+ * requests have short objectives and are therefore served first, since a running
+ * request that waits for such a call occupies a slot. Retried requests do not
+ * overtake other requests of their route, because those were admitted with just
+ * enough time.
  *
- * @param a - a waiting request
+ * @param a - a queued request
  * @param b - another one
- * @returns a negative number when `a` goes first
+ * @returns a negative number when `a` is served first
  * @example
- * waiting.toSorted(compareWaiting)[0]; // the request that goes next
+ * waiting.toSorted(compareWaiting)[0]; // the request that is served next
  */
 export function compareWaiting(a: WaitingRequest, b: WaitingRequest): number {
 	return (
--- a/src/coordination/compute-candidates.ts
+++ b/src/coordination/compute-candidates.ts
@@ -1,7 +1,7 @@
 import {usualCapacity, usualLinkMbps} from '../protocol/constants.js';
 import type {Candidate, Member} from '../protocol/member.js';
 
-/** How much a member's record is to be trusted; lower is better. */
+/** Confidence in a member's record; lower is better. */
 type Tier = 0 | 1 | 2;
 
 function computeTier(
@@ -19,7 +19,7 @@
 	return member.state === 'suspect' ? 1 : 0;
 }
 
-/** The link has at least the part of a usual one that the capacity says. */
+/** Computes the link rate, Mbit/s: a lower bound derived from the capacity relative to a usual host. */
 function computeLinkRate(capacity: number): number {
 	return (capacity / usualCapacity) * usualLinkMbps;
 }
@@ -49,11 +49,11 @@
 /**
  * Computes, for each service, the hosts that have a ready upstream of it.
  *
- * Suspected hosts count only where no other is known, and hosts of data
- * centres that cannot be reached only where there are neither.
+ * Suspected hosts are listed only if a service has no live host, and hosts of
+ * unreachable data centres only if it has neither.
  *
  * @param members - known members
- * @param unreachable - data centres that the own one cannot reach
+ * @param unreachable - data centres that are unreachable from the own one
  * @returns candidates by full service name
  * @example
  * computeCandidates([]).size; // 0
--- a/src/coordination/compute-gate-time.ts
+++ b/src/coordination/compute-gate-time.ts
@@ -1,11 +1,11 @@
 import type {GateClock} from './step-gate-clock.js';
 
 /**
- * Computes the time of a gate's clock.
+ * Converts a time of the own clock to the clock of a gate.
  *
- * @param clock - what is known of the clock
+ * @param clock - the known offset of the gate's clock
  * @param at - a time of the own clock, monotonic ms
- * @returns the gate's time then, ms; early by no more than the way of a stamp
+ * @returns the gate's time, ms; behind the true time by at most the transit time of a stamp
  * @example
  * computeGateTime(stepGateClock(undefined, {epoch: 'a', timeMs: 500}, 2000), 2010); // 510
  */
--- a/src/coordination/compute-host-cost.ts
+++ b/src/coordination/compute-host-cost.ts
@@ -1,39 +1,40 @@
-/** What is expected of a request at a host. */
+/** Estimated times and load of a request at a host. */
 export type HostEstimate = {
 	/** Expected time of the request itself, ms. */
 	readonly requestMs: number;
-	/** Expected time of any request that it waits for, ms. */
+	/** Expected time of any request queued ahead of it, ms. */
 	readonly serviceMs: number;
 	/** Requests there as a share of the slots, this one included. */
 	readonly load: number;
-	/** Wait for its turn under a rate limit, ms; 0 when absent. */
+	/** Wait under a rate limit, ms; 0 when absent. */
 	readonly rateLimitWaitMs?: number;
 	/** Time within which the answer has its full value, ms. */
 	readonly objectiveMs: number;
 };
 
-/** Wait at a host whose slots are just all taken, as a part of a request's time. */
+/** Wait at a host whose slots have just all been taken, as a ratio of a request's time. */
 const fullHostWaitRatio = 0.4;
 
-/** How fast the risk to be late falls with the room for the request; fits times that scatter by a third and have a tail. */
+/** Rate at which the risk of a late answer falls with the slack; fits times with a deviation of a third of the mean and a long tail. */
 const riskSlope = 3.5;
 
-/** Weight of the load among hosts of equal risk, which spreads requests before any wait. */
+/** Weight of the load among hosts of equal risk; spreads requests before any queue builds up. */
 const loadWeight = 0.15;
 
 /**
- * Computes what a request costs at a host, in parts of its value: the risk that
- * its answer comes late, and the load, which makes others late.
+ * Computes the cost of a request at a host, as a fraction of the request's
+ * value: the risk of a late answer plus the load, which delays other requests.
  *
- * Answers hosts of uneven speed: the fastest one alone would be chosen until it
- * is full, while a slower one with free slots is still in time. So is one whose
- * upstream limits its rate, until the request would wait too long for its turn.
+ * Load pattern: hosts of uneven speed. By speed alone, the fastest host would be
+ * chosen until it is full, although a slower host with free slots still answers
+ * in time. The same holds for a host whose upstream limits its rate, until the
+ * wait under the limit becomes too long.
  *
  * @param expectation - see `HostExpectation`
- * @returns the cost; about 0 for an idle and fast host, above 1 when the request
+ * @returns the cost; about 0 for an idle and fast host, above 1 when the answer
  * can only be late
  * @example
- * computeOfferCost({ownMs: 60, serviceMs: 60, load: 0.2, objectiveMs: 200});
+ * computeHostCost({requestMs: 60, serviceMs: 60, load: 0.2, objectiveMs: 200});
  */
 export function computeHostCost(expectation: HostEstimate): number {
 	const {
--- a/src/coordination/compute-host-rate-limit-wait.ts
+++ b/src/coordination/compute-host-rate-limit-wait.ts
@@ -2,13 +2,13 @@
 import type {HostRecord} from './step-host-record.js';
 
 /**
- * Computes how long a request would wait at a host for its turn under the rate
- * limit of the upstream there, as far as the caller's node knows.
+ * Computes how long a request would wait at a host under the rate limit of the
+ * upstream there, as known to the caller's node.
  *
- * A report counts for a short time only: without requests there is none that
- * tells of the limit's end.
+ * A report is used for a short time only: without requests to the host there is
+ * no report that announces the end of the limit.
  *
- * @param record - what is known of the host
+ * @param record - the record of the host, undefined when there is none
  * @param now - monotonic ms
  * @returns the wait, ms; 0 when no limit is known
  * @example
--- a/src/coordination/compute-open-slots.ts
+++ b/src/coordination/compute-open-slots.ts
@@ -2,25 +2,25 @@
 
 const minActiveUse = 0.5;
 
-/** What a gate knows of one team at an upstream. */
+/** Recent activity of one team at an upstream, as known to the gate. */
 export type TeamActivity = {
-	/** Aged count of started attempts, see `readTeamUse`. */
+	/** Decayed count of started attempts, see `readTeamUse`. */
 	readonly use: number;
-	/** Attempts that are in a slot. */
+	/** Attempts that occupy a slot. */
 	readonly inFlight: number;
 };
 
 /**
- * Computes how many slots may be in use for a team to take one more.
+ * Computes the number of slots in use below which a team may take another one.
  *
- * A team that holds its equal share of the slots leaves a part of the rest
- * free for the others that were lately active, so that their attempts find a
- * slot without waiting for an attempt of the first to end. A team below its
- * share, or by itself, may use every slot.
+ * A team that holds its equal share of the slots must leave a part of the rest
+ * free for other recently active teams, so that their attempts get a slot
+ * without waiting for an attempt of that team to end. A team below its share, or
+ * the only active team, may use every slot.
  *
  * @param slots - slots of the upstream
  * @param teams - activity of each team
- * @param team - the team that wants a slot
+ * @param team - the team that requests a slot
  * @returns the number of slots in use below which the team may take one
  * @example
  * computeOpenSlots(6, new Map([['a', {use: 90, inFlight: 3}]]), 'a'); // 6
--- a/src/coordination/compute-position.ts
+++ b/src/coordination/compute-position.ts
@@ -26,9 +26,9 @@
 }
 
 /**
- * Computes the place of a member's parent. A level takes as many members as
- * the one above may have children, and the last level is shared among all
- * parents, each getting its part by its fan-out.
+ * Computes the index of a member's parent. A level holds as many members as the
+ * level above may have children; the members of the last level are distributed
+ * over all parents in proportion to their fan-out.
  */
 function computeParentIndex(fanOuts: readonly number[], index: number): number {
 	let start = 0;
@@ -37,12 +37,14 @@
 		const parents = fanOuts.slice(start, end);
 		const totalFanOut = parents.reduce((sum, fanOut) => sum + fanOut, 0);
 		const children = Math.min(totalFanOut, fanOuts.length - end);
-		const place = index - end;
-		if (place < children) {
+		const childIndex = index - end;
+		if (childIndex < children) {
 			let cumulativeFanOut = 0;
 			const offset = parents.findIndex((fanOut) => {
 				cumulativeFanOut += fanOut;
-				return place < Math.round((children * cumulativeFanOut) / totalFanOut);
+				return (
+					childIndex < Math.round((children * cumulativeFanOut) / totalFanOut)
+				);
 			});
 			return start + offset;
 		}
@@ -55,16 +57,17 @@
 /**
  * Computes a node's position in its data centre's delivery tree.
  *
- * Live members are ordered by capacity and rendezvous weight; the first few
- * are roots and each later one has a parent at an earlier place. A parent has
- * children by its capacity, so that a document is not sent over the thin links
- * of a data centre where there are others. Nodes whose views differ may choose
- * differently, which costs traffic but not correctness.
+ * Live members are ordered by capacity and rendezvous weight; the first few are
+ * roots, and each later member has a parent at a lower index. The number of
+ * children of a parent depends on its capacity, so that documents are not
+ * forwarded over low-bandwidth links of a data centre that has faster ones.
+ * Nodes with different membership views may compute different trees, which
+ * costs traffic but does not affect correctness.
  *
  * @param members - known members, in any order
- * @param self - the node whose position is wanted
- * @param fanOut - most children of a node of median capacity
- * @returns root, or child with its parents in order of preference
+ * @param self - the node whose position is computed
+ * @param fanOut - maximum number of children of a node of median capacity
+ * @returns the root position, or the child position with its parents in order of preference
  * @example
  * computePosition([self], self).kind; // 'root'
  */
--- a/src/coordination/compute-remaining-time.ts
+++ b/src/coordination/compute-remaining-time.ts
@@ -1,20 +1,20 @@
 import type {Attempt} from '../protocol/attempt.js';
 
-/** What an attempt has left of its time. */
+/** Time that an attempt has left. */
 export type RemainingTime = Pick<Attempt, 'remainingMs' | 'objectiveMs'>;
 
 /**
- * Computes what an attempt has left of its time after it has waited unread.
+ * Computes the time that an attempt has left after it has waited to be read.
  *
- * Answers the load of a node whose event loop runs late, for seconds after a
- * restart: its attempts name the time that was left when they were sent, and
- * would be sent on long after their callers have gone.
+ * Load pattern: a node whose event loop lags, as it does for seconds after a
+ * restart. Attempts carry the time that was left when they were sent, and would
+ * otherwise be forwarded long after their callers have disconnected.
  *
- * @param terms - what was left when the attempt was sent, ms
+ * @param remaining - time that was left when the attempt was sent, ms
  * @param waitedMs - how long it may have waited since, ms
- * @returns what is left, ms; 0 when nothing is
+ * @returns the time left, ms; 0 when none is left
  * @example
- * computeRemainingTerms({remainingMs: 200, objectiveMs: 50}, 80).remainingMs; // 120
+ * computeRemainingTime({remainingMs: 200, objectiveMs: 50}, 80).remainingMs; // 120
  */
 export function computeRemainingTime(
 	{remainingMs, objectiveMs}: RemainingTime,
--- a/src/coordination/compute-request-age.ts
+++ b/src/coordination/compute-request-age.ts
@@ -3,13 +3,13 @@
 /**
  * Computes how long ago a client first sent a request.
  *
- * Answers the load of clients that come back after refusals: their requests
- * look like new ones, but most of the time in which an answer is of full value
- * has passed, and they take slots from others that can still be in time.
+ * Load pattern: clients that retry after refusals. Their requests look like new
+ * ones, but most of their objective has passed, and they take slots from
+ * requests that can still be answered in time.
  *
- * @param usual - the usual deadline of fresh requests of the route
+ * @param usual - the usual deadline of first requests of the route, undefined when not known
  * @param deadlineMs - deadline of the request, ms
- * @returns the age, ms; 0 when the request is fresh or nothing is known
+ * @returns the age, ms; 0 when the request is a first one or the usual deadline is not known
  * @example
  * computeRequestAge({deadlineMs: 1200, votes: 9}, 1050); // 150
  */
--- a/src/coordination/compute-retry-after.ts
+++ b/src/coordination/compute-retry-after.ts
@@ -1,6 +1,6 @@
 import {msPerSecond} from '../protocol/constants.js';
 
-/** What a delay until the next try depends on. */
+/** Input of the retry delay of a refused client. */
 export type RetryAfterInput = {
 	/** Expected wait for a slot, ms. */
 	readonly waitMs: number;
@@ -10,25 +10,25 @@
 	readonly objectiveMs: number;
 	/** Time left until the deadline, ms. */
 	readonly remainingMs: number;
-	/** A number from 0 up to 1, which spreads the returns. */
+	/** Random number in [0, 1), used as jitter. */
 	readonly random: number;
-	/** Shortest delay, ms; `usualMinDelayMs` when absent. */
+	/** Shortest delay, ms; `defaultMinDelayMs` when absent. */
 	readonly minDelayMs?: number;
 };
 
-/** Shortest delay, ms: several round trips, as each return costs the node time. */
+/** Shortest delay, ms: several round trips, since each retry costs the node processing time. */
 const defaultMinDelayMs = 30;
 
-/** Part of the time left that a delay may take, so that a try still fits. */
+/** Largest delay as a ratio of the time left, so that a retry still fits before the deadline. */
 const maxRemainingRatio = 0.3;
 
 /**
- * Computes when a refused client should come again.
+ * Computes the delay after which a refused client should retry.
  *
- * A client that can still be answered within its objective is told to come as
- * soon as the queue will be short enough for that; one that cannot waits longer,
- * until the load may have passed. Returns are spread, so that the clients
- * refused in a burst do not come back as one.
+ * A client that can still be answered within its objective retries as soon as
+ * the queue is expected to be short enough; any other client waits longer, until
+ * the load may have passed. Delays are jittered, so that clients refused in a
+ * burst do not retry at the same time.
  *
  * @param input - see `RetryAfterInput`
  * @returns the delay, s, with fractions
--- a/src/coordination/compute-retry-delay.ts
+++ b/src/coordination/compute-retry-delay.ts
@@ -5,7 +5,7 @@
  * with full jitter.
  *
  * @param attempts - attempts made so far, from 1
- * @param random - a number from 0 up to 1
+ * @param random - random number in [0, 1)
  * @returns the delay in ms
  * @example
  * computeRetryDelay(1, 0.5); // 5
--- a/src/coordination/compute-retry-share.ts
+++ b/src/coordination/compute-retry-share.ts
@@ -1,24 +1,24 @@
 import type {RetryBudgetOptions} from './step-retry-budget.js';
 
-/** Bounds on the retries of all nodes together. */
+/** Bounds on the total retries of all nodes. */
 export type FleetRetryBounds = {
-	/** Part of a service's requests that may reach a second upstream. */
+	/** Ratio of a service's requests that may reach a second upstream. */
 	readonly ratio: number;
-	/** Requests that may do so besides, in a window. */
+	/** Additional requests per window that may do so. */
 	readonly slack: number;
 	readonly windowMs: number;
 };
 
-/** Part of the bounds that the nodes use, since repeated runs repeat their calls. */
+/** Ratio of the bounds that the nodes use, since a request that runs again also repeats its nested calls. */
 const usedBoundsRatio = 0.6;
 
 /**
- * Computes a node's part of the retries that all nodes may make together.
+ * Computes a node's share of the retries that all nodes may make in total.
  *
- * Nodes don't talk about it: each takes its own requests' share of the ratio
- * and an equal part of the slack.
+ * Nodes do not coordinate: each applies the ratio to its own requests and takes
+ * an equal part of the slack.
  *
- * @param bounds - bounds on all nodes together
+ * @param bounds - bounds on the total of all nodes
  * @param members - number of nodes
  * @returns the node's own bounds
  * @example
--- a/src/coordination/compute-unread-time.ts
+++ b/src/coordination/compute-unread-time.ts
@@ -1,12 +1,13 @@
 import {outdatedLagMs} from '../protocol/constants.js';
 
 /**
- * Computes how long a request may have lain unread before a node read it.
+ * Computes how long a request may have waited in a socket before a node read it.
  *
- * Answers the load of a node that runs late: what it reads is as old as the
- * node is late. A small lag is no more than the time between two requests.
+ * Load pattern: a node whose event loop lags. What it reads may be as old as the
+ * lag. A lag of up to `outdatedLagMs` is no more than the time between two
+ * requests.
  *
- * @param lagMs - how late the node runs, ms
+ * @param lagMs - event loop lag of the node, ms
  * @returns the time, ms; 0 when the lag is small
  * @example
  * computeUnreadTime(120); // 120
--- a/src/coordination/compute-upstream-work.ts
+++ b/src/coordination/compute-upstream-work.ts
@@ -1,45 +1,46 @@
 import type {GateLoad} from '../protocol/attempt.js';
 
-/** What an upstream works on, by its own reports, against what it was sent. */
+/** Work in progress at an upstream, from its load reports compared with the requests sent to it. */
 export type UpstreamWork = {
-	/** When it last reported, monotonic ms. */
+	/** Time of its last report, monotonic ms. */
 	readonly at: number;
-	/** Unanswered requests that it neither runs nor has queued; never too many, but for answers on their way. */
+	/** Unanswered requests that it neither runs nor has queued; a lower bound, except for answers in transit. */
 	readonly lost: number;
-	/** Whether it works on nothing. */
+	/** Whether it has no work in progress. */
 	readonly isIdle: boolean;
-	/** Since when requests are missing, by every report that tells, monotonic ms. */
+	/** Since when all conclusive reports show missing requests, monotonic ms. */
 	readonly missingSince: number | undefined;
-	/** Reports since then that show it. */
+	/** Number of reports since then that show it. */
 	readonly missingReports: number;
-	/** Requests that it works on and that the gate does not know of. */
+	/** Requests in progress that the gate does not know of. */
 	readonly foreignRequests: number;
-	/** Whether a report counts the request that it comes with; false until one has. */
+	/** Whether a report includes the request that it is returned with; false until one has. */
 	readonly includesOwnRequest: boolean;
 };
 
-/** A report with what the gate has sent. */
+/** A load report and the requests that the gate has sent. */
 export type WorkReport = {
 	readonly load: Pick<GateLoad, 'inFlight' | 'queued'>;
-	/** Unanswered requests, without the one that the report comes with. */
+	/** Unanswered requests, excluding the one that the report is returned with. */
 	readonly unanswered: number;
-	/** Those of them that the upstream has surely read. */
+	/** Number of those that the upstream has certainly read. */
 	readonly read: number;
 };
 
 /**
- * Compares an upstream's report of its load with what the gate has sent to it.
+ * Compares an upstream's load report with the requests that the gate has sent.
  *
- * Answers two loads: an upstream that was full and has dropped requests without
- * a word, which then lack in its reports; and one that still works on requests
- * of a gate that has started again, or whose callers have left, which are in
- * its report beyond what the gate has sent. A single report that lacks a request
- * shows little: the answer may be on its way.
+ * Covers two load patterns: an upstream that was full and has dropped requests
+ * without a response, which are then missing from its reports; and an upstream
+ * that still runs requests sent before its gate restarted, or whose callers have
+ * disconnected, so that it reports more requests than the gate has sent. A
+ * single report that lacks a request is weak evidence: the answer may be in
+ * transit.
  *
- * @param before - the work by the report before, undefined when there was none
+ * @param before - the work after the previous report, undefined when there was none
  * @param report - see `WorkReport`
  * @param now - monotonic ms
- * @returns the work by this report
+ * @returns the work after this report
  * @example
  * computeUpstreamWork(undefined, {load, unanswered: 3, read: 3}, 0).lost;
  */
--- a/src/coordination/compute-usable-rate.ts
+++ b/src/coordination/compute-usable-rate.ts
@@ -1,13 +1,13 @@
 /**
- * Least rate that is used, requests a second: an upstream that gets nothing
- * can't say that its limit has ended.
+ * Minimum rate, requests a second: an upstream that receives no requests cannot
+ * report that its limit has ended.
  */
 const minPerSecond = 0.5;
 
 /**
- * Computes the rate at which requests are sent to an upstream that limits it.
+ * Computes the rate at which requests are sent to a rate-limited upstream.
  *
- * @param perSecond - the rate that the upstream has named, requests a second
+ * @param perSecond - the limit that the upstream has reported, requests a second
  * @returns requests a second; above 0
  * @example
  * computeUsableRate(12.6); // 12.6
--- a/src/coordination/compute-wait.ts
+++ b/src/coordination/compute-wait.ts
@@ -1,16 +1,16 @@
-/** Work at an upstream. */
+/** Work in progress and queued at an upstream. */
 export type SlotWork = {
 	readonly slots: number;
-	/** Expected rest of each running request, ms. */
+	/** Expected remaining time of each running request, ms. */
 	readonly runningMs: readonly number[];
-	/** Expected time of each queued request that goes first, ms, in order. */
+	/** Expected time of each request queued ahead, ms, in order. */
 	readonly aheadMs: readonly number[];
 };
 
 /**
  * Computes how long a request will wait for a slot.
  *
- * Each queued request takes the slot that is expected to be free first.
+ * Each queued request is assigned the slot that is expected to become free first.
  *
  * @param work - see `SlotWork`
  * @returns the expected wait, ms; 0 when a slot is free
@@ -19,8 +19,10 @@
  */
 export function computeWaitMs({slots, runningMs, aheadMs}: SlotWork): number {
 	const free = Array.from<number>({length: slots}).fill(0);
-	for (const [index, restMs] of runningMs.toSorted((a, b) => a - b).entries()) {
-		free[index % slots]! += restMs;
+	for (const [index, remainingMs] of runningMs
+		.toSorted((a, b) => a - b)
+		.entries()) {
+		free[index % slots]! += remainingMs;
 	}
 
 	for (const timeMs of aheadMs) {
--- a/src/coordination/create-ledger.ts
+++ b/src/coordination/create-ledger.ts
@@ -12,11 +12,11 @@
 	type LedgerStep,
 } from './step-ledger-record.js';
 
-/** What the ledger needs to know of an attempt. */
+/** Properties of an attempt that the ledger uses. */
 export type LedgerAttempt = {
 	readonly id: string;
 	readonly stamp?: GateStamp | undefined;
-	/** Whether it may run more than once; not when absent. */
+	/** Whether it may run more than once; false when absent. */
 	readonly repeatable?: boolean;
 	/** Idempotency key of the caller, unique within team and service. */
 	readonly key?: string | undefined;
@@ -24,40 +24,40 @@
 
 /** Options of `createLedger`. */
 export type LedgerOptions = {
-	/** Random name of the gate's process. */
+	/** Random identifier of the gate's process. */
 	readonly epoch: string;
-	/** How long a stamp is valid, ms; `stampLifetimeMs` when absent. */
+	/** Validity of a stamp, ms; `stampLifetimeMs` when absent. */
 	readonly lifetimeMs?: number;
-	/** Most records of attempts that are over; `maxLedgerRecords` when absent. */
+	/** Maximum number of records of completed attempts; `maxLedgerRecords` when absent. */
 	readonly maxRecords?: number;
-	/** Most bytes of kept answers; `maxKeptBytes` when absent. */
+	/** Maximum total size of kept answers, bytes; `maxKeptBytes` when absent. */
 	readonly maxBytes?: number;
 };
 
-/** An answer that is kept for a caller's node that asks for it again. */
+/** An answer that is kept so that a caller's node can fetch it again. */
 export type KeptAnswer<T> = {readonly value: T; readonly bytes: number};
 
-/** A gate's memory of attempts, bounded in records, bytes and time. */
+/** A gate's record of attempts, bounded in count, bytes and age. */
 export type Ledger<T> = {
-	/** The stamp to hand out now. */
+	/** Returns the stamp to issue now. */
 	readStamp(now: number): GateStamp;
-	/** Notes an attempt that has arrived and tells whether it may run. */
+	/** Records the arrival of an attempt and returns whether it may run. */
 	admit(attempt: LedgerAttempt, now: number): LedgerStep['answer'];
-	/** Notes that an attempt has not run and never will. */
+	/** Records that an attempt has not run and never will. */
 	refuse(attempt: LedgerAttempt, now: number): void;
-	/** Notes that an attempt is over; forgets it at once if it may be repeated. */
+	/** Records that an attempt has ended; `forget`, meant for repeatable attempts, deletes its record at once. */
 	end(
 		attempt: LedgerAttempt,
 		now: number,
 		answer: KeptAnswer<T> | 'forget' | undefined,
 	): void;
-	/** Tells what became of an attempt, fencing one that has not arrived. */
+	/** Returns the state of an attempt, fencing one that has not arrived. */
 	ask(attempt: LedgerAttempt, now: number): LedgerStep['answer'];
-	/** Finds the attempt that holds an idempotency key: one that may have run. */
+	/** Finds the attempt that holds an idempotency key and may have run. */
 	findKeyHolder(key: string): string | undefined;
-	/** Tells whether an attempt is known never to have run. */
+	/** Tells whether an attempt is known not to have run. */
 	isFenced(id: string): boolean;
-	/** Reads the kept answer of an attempt, if there is still one. */
+	/** Returns the kept answer of an attempt, undefined when there is none. */
 	readAnswer(id: string): T | undefined;
 	readSize(): {readonly records: number; readonly bytes: number};
 };
@@ -67,9 +67,9 @@
 /**
  * Creates the ledger of a gate.
  *
- * Records are grouped by the time of their stamps. A group is forgotten when
- * its stamps have expired, or earlier when there are too many records: then the
- * horizon rises, and attempts with stamps from before it are refused.
+ * Records are grouped by time. A group is evicted when its stamps have expired,
+ * or earlier when there are too many records. Eviction raises the horizon, and
+ * attempts with stamps from before the horizon are refused.
  *
  * @param options - see `LedgerOptions`
  * @returns the ledger; times passed to it are monotonic ms
@@ -97,8 +97,8 @@
 	}
 
 	/**
-	 * Tells whether an attempt comes from a node that had no stamp yet, and needs
-	 * none since it may run more than once.
+	 * Tells whether an attempt was sent by a node that had no stamp yet, and needs
+	 * none because it may run more than once.
 	 */
 	function isFirstContact({stamp, repeatable}: LedgerAttempt): boolean {
 		return stamp === undefined && repeatable === true;
@@ -143,7 +143,7 @@
 	}
 
 	function putInGroup(id: string, now: number): void {
-		// The group is that of the present, which no stamp of the attempt is after.
+		// Grouped by the current time, since no stamp of the attempt is newer.
 		const group = Math.floor(now / ledgerBucketMs);
 		const ids = groups.get(group);
 		if (ids) {
@@ -222,7 +222,7 @@
 				keepAnswer(attempt.id, answer);
 			}
 		},
-		// Without a stamp and a record it was not admitted, or has been forgotten.
+		// An attempt without a stamp and a record was not admitted, or its record was deleted.
 		ask: (attempt, now) =>
 			attempt.stamp === undefined && !entries.has(attempt.id)
 				? 'fenced'
--- a/src/coordination/create-traceparent.ts
+++ b/src/coordination/create-traceparent.ts
@@ -5,7 +5,7 @@
 export type TraceparentOptions = {
 	/** Share of new traces that are sampled, 0 to 1. */
 	readonly sampleRatio: number;
-	/** Source of numbers from 0 up to 1. */
+	/** Source of random numbers in [0, 1). */
 	readonly random: () => number;
 };
 
@@ -18,7 +18,7 @@
 		.padStart(8, '0');
 }
 
-/** Creates an identifier of 8-digit words; all zeros are not allowed. */
+/** Creates an identifier of 8-digit words; the last word is never zero, because an all-zero identifier is invalid. */
 function createId(words: number, random: () => number): string {
 	let id = '';
 	for (let word = 1; word < words; word++) {
@@ -30,14 +30,14 @@
 }
 
 /**
- * Creates the trace context of a hop, W3C Trace Context `traceparent`.
+ * Creates the trace context of a hop as a W3C Trace Context `traceparent`.
  *
- * A valid parent decides the trace and whether it is sampled; without one a
- * new trace begins, sampled at random.
+ * A valid parent determines the trace and its sampling decision; without one a
+ * new trace is started and sampled at random.
  *
- * @param parent - the `traceparent` that came in, if any
+ * @param parent - the incoming `traceparent`, if any
  * @param options - see `TraceparentOptions`
- * @returns the `traceparent` to send on
+ * @returns the `traceparent` to forward
  * @example
  * createTraceparent(undefined, {sampleRatio: 0, random: Math.random});
  */
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -1,8 +1,8 @@
 import type {OutcomeReason} from '../protocol/request.js';
 
-/** What the gate knows when an attempt arrives. */
+/** State of the gate and its upstream when an attempt arrives. */
 export type AdmissionInput = {
-	/** State of the service's upstream on the host; `leaving` too when the node is. */
+	/** State of the service's upstream on the host; also `leaving` when the node itself is. */
 	readonly state: 'ready' | 'leaving' | 'no-upstream';
 	/** Time left until the attempt's deadline, ms. */
 	readonly remainingMs: number;
@@ -14,61 +14,61 @@
 	readonly queued: number;
 	/** Queued attempts of the attempt's own team. */
 	readonly teamQueued: number;
-	/** Queued attempts of the team that has most. */
+	/** Queued attempts of the team with the longest queue. */
 	readonly maxTeamQueued: number;
 	readonly maxQueued: number;
 	/** Expected time of the attempt at the upstream, ms. */
 	readonly serviceMs: number;
 	/** Expected time of any attempt at the upstream, ms. */
 	readonly meanServiceMs: number;
-	/** Expected wait among those that can be in time, ms. */
+	/** Expected wait behind attempts that can meet their objective, ms. */
 	readonly waitMs: number;
-	/** Expected wait behind all that is queued, ms. */
+	/** Expected wait behind all queued attempts, ms. */
 	readonly lateWaitMs: number;
 	/**
-	 * Expected wait for its turn under the upstream's rate limit, ms; 0 when
-	 * absent. It is a part of the waits above.
+	 * Expected wait under the upstream's rate limit, ms; 0 when absent. It is
+	 * included in the waits above.
 	 */
 	readonly rateLimitWaitMs?: number;
 	/** Time left in which an answer has its full value, ms. */
 	readonly objectiveMs: number;
-	/** Share of the slots that all attempts that came in time would take up. */
+	/** Share of the slots that all attempts that arrived in time would occupy. */
 	readonly utilization: number;
 	/**
-	 * By how much answers come later than expected, in parts of their expected
-	 * time at the upstream; `usualMarginPart` when absent.
+	 * Margin by which answers come later than expected, as a ratio of their
+	 * expected time at the upstream; `defaultMarginRatio` when absent.
 	 */
 	readonly marginRatio?: number;
 };
 
 /** Whether an attempt may enter the queue. */
 export type Admission =
-	/** It may, after an attempt of the longest team was pushed out if so said. */
+	/** The attempt may enter; `shouldEvict` requires evicting an attempt of the team with the longest queue first. */
 	| {
 			readonly kind: 'admit';
 			readonly shouldEvict: boolean;
-			/** Whether its answer will come after its objective. */
+			/** Whether its answer is expected after its objective. */
 			readonly isLate: boolean;
 	  }
 	| {readonly kind: 'refuse'; readonly reason: OutcomeReason};
 
 /**
- * Share of the slots that attempts in time must leave free for attempts that
- * can only be late. It counts those that were refused too: a late attempt in a
- * slot is why the next ones in time are refused.
+ * Share of the slots that attempts in time must leave free before attempts that
+ * can only be late are admitted. Refused attempts count too, because a late
+ * attempt in a slot causes the next attempts in time to be refused.
  */
 const minFreeShare = 0.15;
 
-/** Part of the time left that a late attempt may wait. */
+/** Longest wait of a late attempt, as a ratio of the time left. */
 export const lateWaitRatio = 0.5;
 
-/** Part of the mean time below which an attempt takes little from others. */
+/** Ratio of the mean time below which an attempt delays others only slightly. */
 const shortTimeRatio = 0.75;
 
-/** Margin for the scatter of times while nothing is known of it, in parts of the expected time. */
+/** Margin for the variation of times until it is known, as a ratio of the expected time. */
 export const defaultMarginRatio = 0.4;
 
-/** Time for the way back, ms. */
+/** Transit time of the answer, ms. */
 const returnTransitMs = 10;
 
 function refuse(reason: OutcomeReason): Admission {
@@ -76,8 +76,8 @@
 }
 
 /**
- * Tells whether an attempt that can only be late may wait: while the others
- * leave slots free, and will have done so before its deadline.
+ * Tells whether an attempt that can only be late may wait: if the other attempts
+ * leave enough slots free for it to run before its deadline.
  */
 function hasCapacityForLate(input: AdmissionInput): boolean {
 	const freeShare = 1 - input.utilization;
@@ -92,7 +92,7 @@
 function isExpectedLate(input: AdmissionInput, waitMs: number): boolean {
 	const {serviceMs, objectiveMs, remainingMs} = input;
 	const {marginRatio: knownMarginRatio = defaultMarginRatio} = input;
-	// An idle slot serves nobody better than the one who comes first.
+	// While a slot is idle, refusing the attempt would benefit no other attempt.
 	const marginRatio =
 		waitMs === 0
 			? Math.min(knownMarginRatio, defaultMarginRatio)
@@ -102,16 +102,16 @@
 }
 
 /**
- * Decides whether a gate takes an attempt that has arrived.
+ * Decides whether a gate admits an attempt that has arrived.
  *
- * An attempt that could not be answered within its deadline is refused at once,
- * and so is one that could only be late while those in time take all slots.
- * When the queue is full, a team that has fewer attempts in it than another
- * pushes out the newest of that other team. Under a rate limit no attempt waits
- * for its turn that would then be late.
+ * An attempt that cannot be answered within its deadline is refused at once, and
+ * so is one that can only be late while attempts in time use all slots. When the
+ * queue is full, an attempt of a team with fewer queued attempts than another
+ * team evicts the newest attempt of that team. Under a rate limit, an attempt
+ * whose wait would make it late is refused.
  *
  * @param input - see `AdmissionInput`
- * @returns whether to admit it, or why not
+ * @returns the admission, or the reason of the refusal
  * @example
  * decideAdmission({...input, inFlight: 0, slots: 6}).kind; // 'admit'
  */
@@ -133,14 +133,14 @@
 		return refuse('limited');
 	}
 
-	// A short attempt is mostly a call for which a longer one holds its slot.
+	// A short attempt is usually a nested call of a longer request that holds a slot.
 	const isShort = serviceMs < input.meanServiceMs * shortTimeRatio;
 	const isLate = !isShort && isExpectedLate(input, waitMs);
 	if (isFree && (!isLate || input.utilization < 1)) {
 		return {kind: 'admit', shouldEvict: false, isLate};
 	}
 
-	// A late attempt in the last free slot is in the way of the next one in time.
+	// A late attempt in the last free slot would block the next one in time.
 	if (isLate && !hasCapacityForLate(input)) {
 		return refuse('saturated');
 	}
--- a/src/coordination/decide-caller-admission.ts
+++ b/src/coordination/decide-caller-admission.ts
@@ -1,6 +1,6 @@
 import {maxCallerInFlight} from '../protocol/constants.js';
 
-/** What a caller's node knows when a request arrives. */
+/** Requests in flight at a caller's node when a request arrives. */
 export type CallerAdmissionInput = {
 	/** Requests in flight of all teams. */
 	readonly inFlight: number;
@@ -8,18 +8,18 @@
 	readonly teamInFlight: number;
 	/** Teams that have requests in flight, this one included. */
 	readonly activeTeams: number;
-	/** Most requests of the team in flight, by the route's policy. */
+	/** Maximum number of requests of the team in flight, by the route's policy. */
 	readonly concurrency: number;
-	/** Most requests in flight; `maxCallerInFlight` when absent. */
+	/** Maximum number of requests in flight; `maxCallerInFlight` when absent. */
 	readonly maxInFlight?: number;
 };
 
 /**
- * Decides whether a caller's node takes a request: within the team's own limit
- * always, unless the node is full and the team has its equal share.
+ * Decides whether a caller's node admits a request: a team may use its own limit,
+ * but only up to an equal share while the node is full.
  *
  * @param input - see `CallerAdmissionInput`
- * @returns true when the request is taken
+ * @returns true when the request is admitted
  * @example
  * decideCallerAdmission({...input, teamInFlight: 64, concurrency: 64}); // false
  */
--- a/src/coordination/decide-commit.ts
+++ b/src/coordination/decide-commit.ts
@@ -22,7 +22,7 @@
 	readonly outcomes: readonly SubmissionOutcome[];
 };
 
-function findRepeat(
+function findAcceptedOutcome(
 	configuration: Configuration,
 	submission: Submission,
 ): SubmissionOutcome | undefined {
@@ -86,15 +86,17 @@
 	let partial = configuration;
 	for (const submission of interleaveByTeam(submissions)) {
 		const {submissionId, manifest} = submission;
-		const repeat = findRepeat(partial, submission);
-		if (repeat) {
-			outcomes.push(repeat);
+		const earlierOutcome = findAcceptedOutcome(partial, submission);
+		if (earlierOutcome) {
+			outcomes.push(earlierOutcome);
 			continue;
 		}
 
-		const quota = checkQuota(partial, manifest.team, now);
+		const quotaProblems = checkQuota(partial, manifest.team, now);
 		const problems =
-			quota.length > 0 ? quota : validateManifest(partial, manifest);
+			quotaProblems.length > 0
+				? quotaProblems
+				: validateManifest(partial, manifest);
 		if (problems.length > 0) {
 			const currentRevision = partial.teams[manifest.team]?.revision ?? 0;
 			outcomes.push({
--- a/src/coordination/decide-drain-admission.ts
+++ b/src/coordination/decide-drain-admission.ts
@@ -1,25 +1,25 @@
-/** What a stopping node knows when a request comes. */
+/** Schedule of a draining node and the deadline of a request. */
 export type DrainAdmissionInput = {
 	/** Monotonic ms. */
 	readonly now: number;
-	/** Until when the node takes every request, monotonic ms. */
+	/** Until when the node admits every request, monotonic ms. */
 	readonly servesUntil: number;
-	/** When the node ends, monotonic ms. */
+	/** When the node exits, monotonic ms. */
 	readonly endsAt: number;
 	/** Longest time until the request's final answer, ms. */
 	readonly deadlineMs: number;
 };
 
 /**
- * Decides whether a stopping node takes a request.
+ * Decides whether a draining node admits a request.
  *
- * Answers the load of a planned stop whose clients have nowhere else to go and
- * go on sending: a request that may outlast the node would be broken off while
- * its upstream is at work, whereas one that is refused has not run and can be
- * sent again. Until clients can know of the stop every request is taken.
+ * Load pattern: a planned stop whose clients have no other node and keep sending
+ * requests. A request that may outlast the node would be aborted while its
+ * upstream runs it, whereas a refused request has not run and can be retried.
+ * Every request is admitted until clients can have learned of the stop.
  *
  * @param input - see `DrainAdmissionInput`
- * @returns whether the request is taken
+ * @returns whether the request is admitted
  * @example
  * decideDrainAdmission({now: 0, servesUntil: 2500, endsAt: 5850, deadlineMs: 9000}); // true
  */
--- a/src/coordination/decide-event-loop-admission.ts
+++ b/src/coordination/decide-event-loop-admission.ts
@@ -1,29 +1,29 @@
-/** What a node knows of itself when a request comes. */
+/** Event loop lag of a node and the priority of a request. */
 export type EventLoopAdmissionInput = {
-	/** How late the node's event loop runs, ms. */
+	/** Event loop lag of the node, ms. */
 	readonly lagMs: number;
-	/** Rank of the request's route; 0 is the most urgent. */
+	/** Priority of the request's route; 0 is the highest. */
 	readonly priority: number;
 };
 
-/** Lag from which requests of the least urgent routes are refused, ms; each step up in urgency bears as much more. */
+/** Lag from which requests of the lowest priority are refused, ms; each higher priority adds as much. */
 const lagStepMs = 40;
 
-/** Ranks that are told apart. */
+/** Number of distinct priorities. */
 const priorityLevels = 4;
 
 /**
- * Decides whether a node takes a caller's request in spite of its own load.
+ * Decides whether a node admits a caller's request, based on event loop lag.
  *
- * Answers the load of a node whose processor is used up: each request that is
- * taken then delays all others, notices of clients that have left included, and
- * refusing one costs a tenth of forwarding it. The most urgent routes are
+ * Load pattern: a node whose CPU is saturated. Each admitted request delays all
+ * others, and also the detection of disconnected clients, while refusing a
+ * request costs a tenth of forwarding it. The routes of highest priority are
  * refused last.
  *
  * @param input - see `LoopAdmissionInput`
- * @returns whether the request is taken
+ * @returns whether the request is admitted
  * @example
- * decideLoopAdmission({lagMs: 100, priority: 0}); // true
+ * decideEventLoopAdmission({lagMs: 100, priority: 0}); // true
  */
 export function decideEventLoopAdmission(
 	input: EventLoopAdmissionInput,
--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -2,7 +2,7 @@
 import {isCapacityRefusal} from './is-capacity-refusal.js';
 import {isMisrouted} from './is-misrouted.js';
 
-/** What the decision to retry depends on. */
+/** Input of the decision to retry. */
 export type RetryInput = {
 	/** Outcome of the last attempt. */
 	readonly outcome: Exclude<OutcomeKind, 'answered'>;
@@ -16,25 +16,26 @@
 	readonly remainingMs: number;
 	/** Tokens left in the retry budget of team and service. */
 	readonly budget: number;
-	/** Whether a node nearer to the client already retries this call. */
+	/** Whether a node closer to the client already retries this call. */
 	readonly isNested: boolean;
-	/** Whether another host is not known to be full; not known when absent. */
+	/** Whether there is another host that is not known to be full; false when absent. */
 	readonly hasAvailableHost?: boolean;
 };
 
-/** Whether another attempt is made, and whether it draws on the budget. */
+/** Whether another attempt is made, and whether it consumes a token of the budget. */
 export type RetryDecision = 'stop' | 'retry' | 'reroute';
 
 /**
- * Decides whether an attempt that was not answered is followed by another.
+ * Decides whether an unanswered attempt is followed by another one.
  *
- * Only what has not run, or may run again, is tried again. Of nested calls only
- * the node nearest to the client retries; a misrouted attempt goes to another
- * host at any depth and without drawing on the budget, and so does one that a
- * full host has refused while another may have room: it reached no upstream.
+ * A request is retried only if it has not run or may run again. For nested
+ * calls, only the node closest to the client retries. A misrouted attempt is
+ * rerouted to another host at any depth and without using the budget, because it
+ * reached no upstream; the same holds for an attempt refused by a full host
+ * while another host may have free capacity.
  *
  * @param input - see `RetryInput`
- * @returns `stop`; `retry`, which costs a token; or `reroute`, which does not
+ * @returns `stop`; `retry`, which consumes a token; or `reroute`, which does not
  * @example
  * decideRetry({outcome: 'unknown', repeatable: false, ...rest}); // 'stop'
  */
--- a/src/coordination/decide-silence.ts
+++ b/src/coordination/decide-silence.ts
@@ -1,56 +1,56 @@
 import type {UpstreamWork} from './compute-upstream-work.js';
 
-/** What is known of a request that its upstream has not answered yet. */
+/** State of a request that its upstream has not answered yet. */
 export type SilenceInput = {
 	/** Monotonic ms. */
 	readonly now: number;
-	/** When it was sent whole, monotonic ms. */
+	/** When it was sent completely, monotonic ms. */
 	readonly sentAt: number;
 	/** Expected time of the request at the upstream, ms. */
 	readonly expectedMs: number;
-	/** Time that it had left at its sending in which an answer has its full value, ms. */
+	/** Objective that was left when it was sent: time in which an answer has its full value, ms. */
 	readonly objectiveMs: number;
-	/** Whether another upstream may run it as well. */
+	/** Whether another upstream may also run it. */
 	readonly repeatable: boolean;
-	/** What the upstream works on; undefined before its first report. */
+	/** Work in progress at the upstream; undefined before its first report. */
 	readonly work:
 		| Pick<UpstreamWork, 'at' | 'isIdle' | 'missingSince' | 'missingReports'>
 		| undefined;
-	/** When the upstream was last asked for its load, monotonic ms. */
+	/** When the upstream was last probed for its load, monotonic ms. */
 	readonly probedAt: number;
 };
 
-/** What is to be done about such a request. */
+/** Action for an unanswered request. */
 export type SilenceDecision =
 	| 'wait'
-	/** Ask the upstream for its load. */
+	/** Probe the upstream for its load. */
 	| 'probe'
-	/** No answer will come. */
+	/** The request is lost: no answer is to be expected. */
 	| 'silent';
 
-/** Part of the objective after which no answer is suspicious; another host then still has the rest. */
+/** Ratio of the objective after which a missing answer is suspicious; the rest is left for another host. */
 const suspectObjectiveRatio = 0.4;
 
-/** Multiple of the expected time after which no answer is suspicious; few requests take as long. */
+/** Multiple of the expected time after which a missing answer is suspicious; few requests take as long. */
 const suspectTimeFactor = 2;
 
-/** Least time after which it is, ms: a turn of a busy node. */
+/** Shortest time after which a missing answer is suspicious, ms: one event loop turn of a busy node. */
 const minSuspectMs = 30;
 
-/** Time between two questions for an upstream's load, ms; each takes a slot of it for a moment. */
+/** Interval between two load probes of an upstream, ms; each probe briefly occupies a slot. */
 const probeIntervalMs = 1000;
 
-/** Time within which an upstream has read what it was sent, ms: a turn of both processes and a handshake. */
+/** Time within which an upstream has read a request, ms: an event loop turn of both processes and a handshake. */
 export const readMarginMs = 10;
 
-/** Age up to which a report tells of the requests that were sent before it, ms. */
+/** Age up to which a report is used for the requests sent before it, ms. */
 const reportTrustMs = 1000;
 
-/** Reports in a row that must lack a request, and their time, ms: answers on their way are missing in single ones. */
+/** Number of consecutive reports that must lack a request, and their shortest duration, ms: a single report may lack a request whose answer is in transit. */
 const minMissingReports = 5;
 const minMissingMs = 100;
 
-/** Tells whether the upstream's reports lack a request that was there all the while. */
+/** Tells whether reports have lacked requests for long enough, starting after this request was read. */
 function isMissing({now, sentAt, work}: SilenceInput): boolean {
 	const {missingSince, missingReports = 0} = work ?? {};
 	return (
@@ -61,7 +61,7 @@
 	);
 }
 
-/** Tells whether a report tells of a request. */
+/** Tells whether a recent report covers a request. */
 function isReported({now, sentAt, work}: SilenceInput): boolean {
 	return (
 		work !== undefined &&
@@ -71,13 +71,14 @@
 }
 
 /**
- * Decides what to do about a request that its upstream has not answered.
+ * Decides how to handle a request that its upstream has not answered.
  *
- * Answers the load of an upstream that is full and drops requests without a
- * word. Slow work is told from silence by what the upstream says that it works
- * on: with its answers to others, or asked for it when there are none. The
- * question takes a slot for a moment, so it comes only when the request takes
- * long by any measure, and is not put for one that can't go elsewhere.
+ * Load pattern: an upstream that is full and drops requests without a response.
+ * A slow request is distinguished from a dropped one by the load that the
+ * upstream reports with its other answers, or in response to a probe when there
+ * are none. A probe briefly occupies a slot, so it is sent only when the request
+ * exceeds all time thresholds, and never for a request that may not run
+ * elsewhere.
  *
  * @param input - see `SilenceInput`
  * @returns the decision
--- a/src/coordination/decide-status.test.ts
+++ b/src/coordination/decide-status.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import type {DataCentreStatus} from '../protocol/configuration.js';
 import {statusSilentAfterMs} from '../protocol/constants.js';
-import {decideStatus, type StatusFacts} from './decide-status.js';
+import {decideStatus, type StatusInput} from './decide-status.js';
 
 const status = (
 	dataCentre: string,
@@ -25,7 +25,7 @@
 const refusals = [{name: 'marka-1', version: 5, problem}];
 const late = statusSilentAfterMs + 1;
 const cases: ReadonlyArray<
-	readonly [string, Partial<StatusFacts>, string, readonly string[]]
+	readonly [string, Partial<StatusInput>, string, readonly string[]]
 > = [
 	['every data centre runs it', {}, 'in-force', []],
 	[
--- a/src/coordination/decide-status.ts
+++ b/src/coordination/decide-status.ts
@@ -20,7 +20,7 @@
 };
 
 /** What `decideStatus` goes by. */
-export type StatusFacts = {
+export type StatusInput = {
 	/** Newest version known to be accepted. */
 	readonly acceptedVersion: number;
 	/** Highest version that was ever said to be in force everywhere. */
@@ -32,7 +32,7 @@
 	readonly now: number;
 };
 
-const unreported: Omit<DataCentreStatus, 'dataCentre'> = {
+const emptyStatus: Omit<DataCentreStatus, 'dataCentre'> = {
 	version: 0,
 	lowestVersion: 0,
 	members: 0,
@@ -43,7 +43,7 @@
 	writer: '',
 };
 
-function judgeDataCentre(
+function computeDataCentreProgress(
 	status: DataCentreStatus,
 	version: number,
 	now: number,
@@ -74,31 +74,31 @@
  * called in force.
  *
  * @param version - the version asked about
- * @param facts - see `StatusFacts`
+ * @param input - see `StatusFacts`
  * @returns the state, in total and for each data centre
  * @example
  * decideStatus(7, facts).state; // 'in-force'
  */
 export function decideStatus(
 	version: number,
-	facts: StatusFacts,
+	input: StatusInput,
 ): VersionStatus {
 	const reported = new Map(
-		facts.statuses.map((status) => [status.dataCentre, status]),
+		input.statuses.map((status) => [status.dataCentre, status]),
 	);
-	const names = [...new Set([...reported.keys(), ...facts.dataCentres])];
+	const names = [...new Set([...reported.keys(), ...input.dataCentres])];
 	const dataCentres = names.toSorted().map((dataCentre) => {
-		const status = reported.get(dataCentre) ?? {...unreported, dataCentre};
-		return judgeDataCentre(status, version, facts.now);
+		const status = reported.get(dataCentre) ?? {...emptyStatus, dataCentre};
+		return computeDataCentreProgress(status, version, input.now);
 	});
 	const isEverywhere =
 		version > 0 &&
 		dataCentres.length > 0 &&
 		dataCentres.every(({state}) => state === 'in-force');
-	const isInForce = version <= facts.inForceVersion || isEverywhere;
+	const isInForce = version <= input.inForceVersion || isEverywhere;
 	const isRefused = dataCentres.some(({state}) => state === 'refused');
 	const isAccepted =
-		version <= facts.acceptedVersion ||
+		version <= input.acceptedVersion ||
 		dataCentres.some((status) => status.version >= version);
 	return {
 		version,
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -21,7 +21,7 @@
 				readonly id: number;
 				readonly endsAt: number;
 				/** Whether a part of the answer has arrived. */
-				readonly hasBegun: boolean;
+				readonly isReceiving: boolean;
 		  }
 		| undefined;
 	readonly failures: number;
@@ -49,11 +49,11 @@
 	/** The document that the node runs. */
 	readonly document: RoutingDocument | undefined;
 	/** Documents that it ran before, oldest first; unchanged routes are shared. */
-	readonly earlier: readonly RoutingDocument[];
+	readonly earlierDocuments: readonly RoutingDocument[];
 	/** Changes to the running document by the version that they start from. */
 	readonly changes: ReadonlyMap<number, DocumentChanges | undefined>;
 	/** Whether changes from a peer did not fit, so that the whole is asked for. */
-	readonly needsWhole: boolean;
+	readonly needsFullDocument: boolean;
 	/** When the document was last known to be the newest. */
 	readonly confirmedAt: number;
 	/** Revision of the store from which to watch; undefined before a read. */
@@ -102,7 +102,7 @@
 			readonly outcome: StoredDocumentOutcome;
 	  }
 	/** The answer of the store to a call has begun to arrive. */
-	| {readonly kind: 'begun'; readonly callId: number}
+	| {readonly kind: 'receiving'; readonly callId: number}
 	| {
 			readonly kind: 'polled';
 			readonly callId: number;
@@ -137,7 +137,7 @@
 			readonly poll: DocumentPoll;
 			readonly timeoutMs: number;
 			/** Whether to open a new connection. */
-			readonly isFresh: boolean;
+			readonly needsNewConnection: boolean;
 	  }
 	| {
 			readonly kind: 'answer';
--- a/src/coordination/is-available.ts
+++ b/src/coordination/is-available.ts
@@ -9,9 +9,9 @@
  * @param record - what is known of the host
  * @param admissionClass - names requests that hosts admit alike
  * @param now - monotonic ms
- * @returns true when it may
+ * @returns true when it may be able to
  * @example
- * isRoomy(undefined, 'prices aged', 0); // true
+ * isAvailable(undefined, 'prices aged', 0); // true
  */
 export function isAvailable(
 	record: HostRecord | undefined,
--- a/src/coordination/is-capacity-refusal.ts
+++ b/src/coordination/is-capacity-refusal.ts
@@ -1,13 +1,13 @@
 import type {OutcomeReason} from '../protocol/request.js';
 
 /**
- * Tells whether a refusal says that the host has no room now, while another one
- * may have.
+ * Tells whether a refusal means that the host has no free capacity now, while
+ * another host may have some.
  *
  * @param reason - reason of the refusal
  * @returns true when it does
  * @example
- * isForWantOfRoom('saturated'); // true
+ * isCapacityRefusal('saturated'); // true
  */
 export function isCapacityRefusal(reason: OutcomeReason): boolean {
 	return (
--- a/src/coordination/is-known-full.ts
+++ b/src/coordination/is-known-full.ts
@@ -1,9 +1,9 @@
 import type {HostRecord} from './step-host-record.js';
 
 /**
- * Tells whether a host has just refused such a request for want of room.
+ * Tells whether a host has recently refused such a request for lack of capacity.
  *
- * @param record - what is known of the host
+ * @param record - the record of the host, undefined when there is none
  * @param admissionClass - names requests that hosts admit alike
  * @param now - monotonic ms
  * @returns true when it has
--- a/src/coordination/is-misrouted.ts
+++ b/src/coordination/is-misrouted.ts
@@ -1,8 +1,8 @@
 import type {OutcomeReason} from '../protocol/request.js';
 
 /**
- * Tells whether a refusal only says that the host was the wrong one to ask, so
- * that going to another adds no load.
+ * Tells whether a refusal only means that the attempt was sent to the wrong host,
+ * so that an attempt at another host adds no load.
  *
  * @param reason - reason of the refusal
  * @returns true when it does
--- a/src/coordination/is-unreachable.ts
+++ b/src/coordination/is-unreachable.ts
@@ -2,18 +2,18 @@
 import type {HostRecord} from './step-host-record.js';
 
 /**
- * Tells whether a host seems to be out of reach: it could not be connected to,
- * or has been silent for too long while something of this node is in flight.
+ * Tells whether a host seems unreachable: connecting to it has failed, or it has
+ * been silent for too long while attempts of this node are in flight.
  *
- * Answers the load of a partition and of a frozen host. Open connections to it
- * don't fail, so that each request which goes there is lost until its deadline;
- * a gate that lives gives signs of life, however long its upstream takes.
+ * Load pattern: a network partition or a frozen host. Open connections to the
+ * host do not fail, so that each request sent there is blocked until its
+ * deadline. A live gate sends keepalives, however long its upstream takes.
  *
- * @param record - what is known of the host
+ * @param record - the record of the host, undefined when there is none
  * @param now - monotonic ms
- * @returns true when it seems to be out of reach
+ * @returns true when it seems unreachable
  * @example
- * isOutOfReach(undefined, 0); // false
+ * isUnreachable(undefined, 0); // false
  */
 export function isUnreachable(
 	record: HostRecord | undefined,
--- a/src/coordination/list-document-peers.ts
+++ b/src/coordination/list-document-peers.ts
@@ -16,7 +16,7 @@
  * Puts the parents after the first in an order that differs from child to
  * child, so that the children of a parent that fails do not all turn to one.
  */
-function spreadFallbacks(
+function rotateFallbacks(
 	[parent, ...others]: readonly Member[],
 	name: string,
 ): readonly Member[] {
@@ -55,7 +55,7 @@
 	const first =
 		position.kind === 'root'
 			? ownRoots
-			: spreadFallbacks(position.parents, name);
+			: rotateFallbacks(position.parents, name);
 	const peers = new Map<string, DocumentPeer>();
 	for (const member of [...first, ...ownRoots, ...others]) {
 		if (member.name !== name) {
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -21,16 +21,16 @@
 
 /** Options of `pickHost`. */
 export type PickOptions = CostOptions & {
-	/** Data centre that is preferred. */
+	/** Preferred data centre. */
 	readonly dataCentre: string;
 	/** Hosts already tried for this request; none when absent. */
 	readonly exclude?: ReadonlySet<string>;
 	/**
-	 * Load share of the own data centre above which others are used too;
-	 * `spillShare` of the constants when absent.
+	 * Load share of the own data centre above which requests spill over to other
+	 * data centres; `spillShare` of the constants when absent.
 	 */
 	readonly spillShare?: number;
-	/** Names requests that hosts admit alike, if hosts say so. */
+	/** Class of requests that hosts admit or refuse alike, if known. */
 	readonly admissionClass?: string | undefined;
 };
 
@@ -39,8 +39,8 @@
 }
 
 /**
- * Keeps the hosts that are not ejected, unless too few were left: then the
- * cause is hardly the hosts, and all are used.
+ * Keeps the hosts that are not ejected. If too few would be left, the cause is
+ * probably not the hosts themselves, and all of them are kept.
  */
 function selectHealthy(
 	candidates: readonly Candidate[],
@@ -55,7 +55,7 @@
 		: healthy;
 }
 
-/** Keeps the hosts that can be reached, if there are any. */
+/** Keeps the reachable hosts; all of them when none is reachable. */
 function selectReachable(
 	candidates: readonly Candidate[],
 	records: HostRecords,
@@ -67,7 +67,7 @@
 	return reachable.length === 0 ? candidates : reachable;
 }
 
-/** Keeps the hosts that have room for such requests, if there are any. */
+/** Keeps the hosts that are not known to be full for such requests; all of them when every host is. */
 function selectNotFull(
 	candidates: readonly Candidate[],
 	records: HostRecords,
@@ -79,7 +79,7 @@
 	return available.length === 0 ? candidates : available;
 }
 
-/** Cost of an answer from another data centre, in parts of a request's value: its bytes are priced. */
+/** Added cost of an answer from another data centre, as a fraction of a request's value, since that traffic is charged for. */
 const remoteCost = 0.15;
 
 function isLocalFull(
@@ -102,8 +102,8 @@
 }
 
 /**
- * Finds a near host that has had no request for some time. Answers the load of
- * an upstream that has just joined, or was slow once and is well again.
+ * Finds a local host that has not been sent a request for some time. Load
+ * pattern: an upstream that has just joined, or was slow and has recovered.
  */
 function findHostToExplore(
 	local: readonly Candidate[],
@@ -124,7 +124,7 @@
 	});
 }
 
-/** Tells whether a far host's offer is better than that of a near one. */
+/** Tells whether a host of another data centre is better than the best local one. */
 function isRemoteBetter(
 	localBest: CandidateCost,
 	remoteBest: CandidateCost,
@@ -137,18 +137,19 @@
 }
 
 /**
- * Picks the host for a request: the one of a few chosen at random where the
- * request is least likely to be late, in the own data centre unless another one
- * is clearly better.
+ * Picks the host for a request: among a few hosts sampled at random, the one
+ * where the request is least likely to be late; in the own data centre unless a
+ * host of another one is clearly better.
  *
- * Ejected hosts are left out while enough others remain. A reported load counts
- * less with age; a host without a fresh one counts as average, not as idle.
- * Answers an uneven load: bytes between data centres are dear, and a queue at a
- * near host is dearer only when the request would be late.
+ * Ejected hosts are excluded while enough others remain. The weight of a reported
+ * load decreases with its age; a host without a fresh report is assumed to have
+ * average load, not to be idle. Load pattern: uneven load. Traffic between data
+ * centres is expensive, and a queue at a local host costs more only when it
+ * would make the request late.
  *
  * @param candidates - hosts with a ready upstream of the service
- * @param records - what is known of hosts, by host name
- * @param random - source of numbers from 0 up to 1
+ * @param records - records of hosts, by host name
+ * @param random - source of random numbers in [0, 1)
  * @param options - see `PickOptions`
  * @returns the host, or undefined when there is none
  * @example
--- a/src/coordination/pick-key-host.ts
+++ b/src/coordination/pick-key-host.ts
@@ -5,11 +5,11 @@
  * Picks the host for all requests with one idempotency key, by rendezvous
  * hashing (Thaler and Ravishankar, 1998).
  *
- * Requests with the same key meet the same ledger while the host with the
- * highest weight stays a candidate.
+ * Requests with the same key reach the same ledger as long as the host with the
+ * highest weight remains a candidate.
  *
  * @param candidates - hosts with a ready upstream of the service
- * @param key - the key with its team and service
+ * @param key - the idempotency key with its team and service
  * @returns the host, or undefined when there is none
  * @example
  * pickKeyHost([], 'kitchens/payables/4711'); // undefined
--- a/src/coordination/pick-target.ts
+++ b/src/coordination/pick-target.ts
@@ -1,16 +1,16 @@
 import type {RouteTarget} from '../protocol/routing-document.js';
 
-/** Fraction of the golden ratio; its multiples spread evenly over 0 to 1. */
+/** Fractional part of the golden ratio; the fractional parts of its multiples are evenly distributed over [0, 1). */
 const goldenFraction = (Math.sqrt(5) - 1) / 2;
 
 /**
- * Picks the service of a request on a route that is shared by weight.
+ * Picks the service for a request on a route with weighted targets.
  *
- * The numbers of successive requests fall evenly between the targets, so that
- * the shares hold over short times too, unlike with independent draws.
+ * Successive request numbers are distributed evenly over the targets, so that
+ * the shares also hold over short periods, unlike with independent random draws.
  *
  * @param targets - services with their weights; not empty
- * @param number - number of the request on its route, from any start
+ * @param number - sequence number of the request on its route, starting anywhere
  * @returns the service
  * @example
  * pickTarget([{service: 'a', weight: 9}, {service: 'b', weight: 1}], 0); // 'a'
--- a/src/coordination/rate-limit.ts
+++ b/src/coordination/rate-limit.ts
@@ -1,13 +1,13 @@
 /**
- * What a gate knows of the rate limit that its upstream has named.
+ * Token bucket for the rate limit that an upstream has reported to its gate.
  */
 export type RateLimit = {
-	/** Requests a second that the upstream takes from all nodes together. */
+	/** Requests a second that the upstream accepts from all nodes in total. */
 	readonly perSecond: number;
-	/** Requests that could be sent at once when they were last counted. */
+	/** Tokens at the last refill: requests that could be sent at once. */
 	readonly tokens: number;
-	/** When they were counted, monotonic ms. */
+	/** Time of the last refill, monotonic ms. */
 	readonly refilledAt: number;
-	/** When an answer last named the limit, monotonic ms. */
+	/** When an answer last reported the limit, monotonic ms. */
 	readonly namedAt: number;
 };
--- a/src/coordination/read-service-time.ts
+++ b/src/coordination/read-service-time.ts
@@ -3,12 +3,12 @@
 const halfLifeMs = 2000;
 
 /**
- * Reads the mean time that an upstream takes; it halves while no answers come,
- * so that a slow past does not refuse work for ever.
+ * Reads the mean service time of an upstream. It halves every two seconds
+ * without answers, so that a slow period does not cause refusals indefinitely.
  *
  * @param serviceTime - the mean, undefined before the first answer
  * @param now - monotonic ms
- * @returns the aged mean in ms
+ * @returns the decayed mean, ms
  * @example
  * readServiceTime(undefined, 0); // 0
  */
--- a/src/coordination/read-team-use.ts
+++ b/src/coordination/read-team-use.ts
@@ -3,11 +3,11 @@
 const halfLifeMs = 2000;
 
 /**
- * Reads how much a team has lately used an upstream.
+ * Reads the recent use of an upstream by a team.
  *
- * @param use - the use as it was noted
+ * @param use - the recorded use
  * @param now - monotonic ms
- * @returns attempts started, each halved for every two seconds of its age
+ * @returns the number of started attempts, with a half-life of two seconds
  * @example
  * readTeamUse({starts: 4, at: 0}, 2000); // 2
  */
--- a/src/coordination/read-utilization.ts
+++ b/src/coordination/read-utilization.ts
@@ -5,7 +5,7 @@
 } from './step-utilization.js';
 
 /**
- * Reads the share of an upstream's slots that is taken up.
+ * Reads the share of an upstream's slots that is in use.
  *
  * @param utilization - the utilization, undefined when there is none
  * @param slots - slots of the upstream
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -1,20 +1,20 @@
 /**
- * Types of a request at its caller's node: its state, what it can be told, and
- * what is to be done for it.
+ * Types of the state machine of a request at its caller's node: state, messages
+ * and effects.
  */
 import type {OutcomeReason} from '../protocol/request.js';
 import type {LedgerStep} from './step-ledger-record.js';
 
-/** What stays the same during a request. */
+/** Parameters that are constant during a request. */
 export type RequestParameters = {
 	/** Whether the request may run more than once. */
 	readonly repeatable: boolean;
-	/** Whether a node nearer to the client already retries this call. */
+	/** Whether a node closer to the client already retries this call. */
 	readonly isNested: boolean;
 	readonly maxAttempts: number;
 	/** Monotonic ms. */
 	readonly deadlineAt: number;
-	/** Until when an answer has its full value, monotonic ms. */
+	/** Latency objective: until when an answer has its full value, monotonic ms. */
 	readonly objectiveAt?: number | undefined;
 };
 
@@ -22,65 +22,65 @@
 export type RequestState = {
 	readonly phase:
 		| 'new'
-		/** An attempt is on its way; its connection is believed to work. */
+		/** An attempt is in progress; its connection is assumed to work. */
 		| 'attempting'
-		/** The gate is being asked what became of the attempt. */
+		/** The gate is being asked for the state of the attempt. */
 		| 'asking'
 		/** The answer is being fetched over another connection. */
 		| 'fetching'
-		/** The next question about the attempt waits for its time. */
+		/** The next question about the attempt is delayed. */
 		| 'waiting-to-ask'
-		/** The next attempt waits for its time. */
+		/** The next attempt is delayed. */
 		| 'waiting-to-send'
 		| 'done';
 	/** Attempts made so far; the number of the current one. */
 	readonly attempts: number;
-	/** Attempts repeated only because the gate did not accept the stamp. */
+	/** Attempts that were repeated only because the gate did not accept the stamp. */
 	readonly restamps: number;
-	/** Attempts at hosts that turned out to be the wrong ones. */
+	/** Attempts that were rerouted to another host. */
 	readonly reroutes: number;
 	/** Questions about the current attempt. */
 	readonly asks: number;
 	/** Whether an earlier attempt may have run. */
 	readonly mayHaveRun: boolean;
-	/** Whether the current attempt's own connection may still bring its answer. */
+	/** Whether the answer may still arrive over the current attempt's own connection. */
 	readonly isOpen: boolean;
 	/** Whether the current attempt may run: it may have left this node, with a stamp if it needs one. */
 	readonly isSent: boolean;
 };
 
-/** What an attempt ended in, other than an answer. */
+/** End of an attempt without an answer. */
 export type AttemptEnding = {
 	readonly outcome: 'not-run' | 'unknown';
 	readonly reason: OutcomeReason;
 	readonly retryAfterSeconds?: number;
 };
 
-/** What a request can be told; `attempt` is the number of the attempt meant. */
+/** Messages to a request; `attempt` is the number of the attempt concerned. */
 export type RequestMessage =
 	| {readonly kind: 'start'}
-	/** No host can take the request. */
+	/** No host is available for the request. */
 	| {readonly kind: 'no-host'; readonly reason: OutcomeReason}
-	/** A connection is about to take the attempt. */
+	/** The attempt is about to be written to a connection. */
 	| {
 			readonly kind: 'sent';
 			readonly attempt: number;
-			/** Whether it has a stamp; without one a gate runs only what is repeatable. */
+			/** Whether it has a stamp; without one a gate runs only repeatable attempts. */
 			readonly hasStamp: boolean;
 	  }
-	/** The answer is there, whole or begun. */
+	/** The answer has arrived, at least in part. */
 	| {readonly kind: 'answered'; readonly attempt: number}
-	/** The gate, or failing to reach it, says how the attempt ended. */
+	/** The attempt has ended, as reported by the gate or by a failure to reach it. */
 	| ({readonly kind: 'ended'; readonly attempt: number} & AttemptEnding)
 	/** The connection failed after the attempt may have been sent. */
 	| {
 			readonly kind: 'lost';
 			readonly attempt: number;
 			readonly reason: OutcomeReason;
-			/** Whether it had a stamp; without one a gate runs only what is repeatable. */
+			/** Whether it had a stamp; without one a gate runs only repeatable attempts. */
 			readonly hadStamp: boolean;
 	  }
-	/** Nothing has been heard of the attempt for a time. */
+	/** Nothing has been received for the attempt for some time. */
 	| {readonly kind: 'silent'; readonly attempt: number}
 	| {
 			readonly kind: 'known';
@@ -91,25 +91,25 @@
 	| {readonly kind: 'fetch-lost'; readonly attempt: number}
 	| {readonly kind: 'wait-over'}
 	| {readonly kind: 'deadline'}
-	/** The client has gone. */
+	/** The client has disconnected. */
 	| {readonly kind: 'cancelled'};
 
-/** What is to be done for a request. */
+/** Effects that a step requests from its caller. */
 export type RequestEffect =
 	| {
 			readonly kind: 'send';
 			readonly attempt: number;
-			/** Whether to use the host of the attempt before. */
+			/** Whether to use the host of the previous attempt. */
 			readonly sameHost: boolean;
 	  }
 	| {readonly kind: 'ask'; readonly attempt: number}
 	| {readonly kind: 'fetch'; readonly attempt: number}
 	| {readonly kind: 'wait'; readonly durationMs: number}
-	/** Close what is open of the attempt. */
+	/** Close the connections of the attempt. */
 	| {
 			readonly kind: 'abandon';
 			readonly attempt: number;
-			/** Whether to tell the gate that nobody wants the answer. */
+			/** Whether to notify the gate that the answer is no longer needed. */
 			readonly cancel: boolean;
 	  }
 	| {readonly kind: 'spend-budget'}
@@ -120,20 +120,20 @@
 			readonly retryAfterSeconds?: number;
 	  };
 
-/** What a step depends on besides state and message. */
+/** Input of a step besides state and message. */
 export type RequestContext = {
 	readonly parameters: RequestParameters;
 	/** Monotonic ms. */
 	readonly now: number;
-	/** A number from 0 up to 1. */
+	/** Random number in [0, 1). */
 	readonly random: number;
 	/** Tokens left in the retry budget of team and service. */
 	readonly budget: number;
-	/** Whether a host that was not tried is not known to be full. */
+	/** Whether there is an untried host that is not known to be full. */
 	readonly hasAvailableHost?: boolean;
 };
 
-/** A request's state after a message, and what is to be done. */
+/** A request's state after a message, with the resulting effects. */
 export type RequestStep = {
 	readonly state: RequestState;
 	readonly effects: readonly RequestEffect[];
--- a/src/coordination/snapshot-state.ts
+++ b/src/coordination/snapshot-state.ts
@@ -30,17 +30,17 @@
 			readonly index: number;
 	  }
 	| {
-			readonly kind: 'checking';
+			readonly kind: 'verifying-chunk';
 			readonly job: SnapshotJob;
 			readonly index: number;
 	  }
-	| {readonly kind: 'moving-head'; readonly job: SnapshotJob}
-	| {readonly kind: 'checking-head'; readonly job: SnapshotJob}
-	| {readonly kind: 'listing'; readonly keepFrom: number}
+	| {readonly kind: 'updating-head'; readonly job: SnapshotJob}
+	| {readonly kind: 'verifying-head'; readonly job: SnapshotJob}
+	| {readonly kind: 'listing'; readonly oldestKeptVersion: number}
 	| {
-			readonly kind: 'clearing';
-			readonly keepFrom: number;
-			readonly rest: readonly PlatformObject[];
+			readonly kind: 'deleting';
+			readonly oldestKeptVersion: number;
+			readonly remaining: readonly PlatformObject[];
 	  };
 
 /** State of a node's snapshot writer. */
--- a/src/coordination/step-commit.test.ts
+++ b/src/coordination/step-commit.test.ts
@@ -27,7 +27,7 @@
 	const replies: Committer['replies'] = [];
 	const calls: Committer['calls'] = [];
 
-	function carryOut(effect: CommitEffect): void {
+	function runEffect(effect: CommitEffect): void {
 		switch (effect.kind) {
 			case 'reply': {
 				replies.push(effect);
@@ -55,7 +55,7 @@
 		const step = stepCommit(state, message, {now: 0, random: () => 0});
 		state = step.state;
 		for (const effect of step.effects) {
-			carryOut(effect);
+			runEffect(effect);
 		}
 	}
 
@@ -63,9 +63,9 @@
 		replies,
 		calls,
 		tell,
-		submit(ticket, team, replaces, id = `s-${ticket}`) {
+		submit(replyId, team, replaces, id = `s-${replyId}`) {
 			const manifest = manifestSchema.parse({team, replaces});
-			tell({kind: 'submit', ticket: {ticket, submissionId: id, manifest}});
+			tell({kind: 'submit', pending: {replyId, submissionId: id, manifest}});
 		},
 		answer(outcome) {
 			tell({kind: 'answer', callId: calls.at(-1)!.callId, outcome});
--- a/src/coordination/step-commit.ts
+++ b/src/coordination/step-commit.ts
@@ -15,23 +15,26 @@
 	CommitOptions,
 	CommitState,
 	CommitStep,
-	Ticket,
+	PendingSubmission,
 } from './commit-state.js';
 
-function addTicket(
+function addSubmission(
 	state: CommitState,
-	ticket: Ticket,
+	ticket: PendingSubmission,
 	context: CommitContext,
 ): CommitStep {
-	const ofTeam = state.waiting.filter(
+	const waitingOfTeam = state.waiting.filter(
 		({manifest}) => manifest.team === ticket.manifest.team,
 	);
-	if (ofTeam.length >= maxWaitingPerTeam) {
+	if (waitingOfTeam.length >= maxWaitingPerTeam) {
 		const outcome = {
 			kind: 'unavailable',
 			submissionId: ticket.submissionId,
 		} as const;
-		return {state, effects: [{kind: 'reply', ticket: ticket.ticket, outcome}]};
+		return {
+			state,
+			effects: [{kind: 'reply', replyId: ticket.replyId, outcome}],
+		};
 	}
 
 	const next = {...state, waiting: [...state.waiting, ticket]};
@@ -51,9 +54,12 @@
 		: readBack(state, before.decision, before.tries, context.ringSize);
 }
 
-function adoptBase(state: CommitState, base: CommitState['base']): CommitState {
-	const mayAdopt = state.phase.kind === 'idle' && state.group.length === 0;
-	return mayAdopt && base.version > state.base.version
+function updateBase(
+	state: CommitState,
+	base: CommitState['base'],
+): CommitState {
+	const canUpdate = state.phase.kind === 'idle' && state.group.length === 0;
+	return canUpdate && base.version > state.base.version
 		? {...state, base}
 		: state;
 }
@@ -85,11 +91,11 @@
 	};
 	switch (message.kind) {
 		case 'submit': {
-			return addTicket(state, message.ticket, context);
+			return addSubmission(state, message.pending, context);
 		}
 
 		case 'configuration': {
-			return {state: adoptBase(state, message.configuration), effects: []};
+			return {state: updateBase(state, message.configuration), effects: []};
 		}
 
 		case 'snapshot-stored': {
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -361,7 +361,7 @@
 	const machine = createMachine();
 	machine.tell({kind: 'tick'}, 0);
 	const {callId, timeoutMs} = machine.find('read')!;
-	machine.tell({kind: 'begun', callId}, 10);
+	machine.tell({kind: 'receiving', callId}, 10);
 	machine.tell({kind: 'tick'}, timeoutMs + 500);
 	assert.equal(machine.read().storeLoop.call?.id, callId);
 });
--- a/src/coordination/step-document.ts
+++ b/src/coordination/step-document.ts
@@ -1,10 +1,10 @@
 import type {Member} from '../protocol/member.js';
 import {answerPolls} from './_lib/document/answer-polls.js';
 import {acceptDocument} from './_lib/document/accept-document.js';
-import {acceptLate, handlePolled} from './_lib/document/handle-polled.js';
+import {handleLateAnswer, handlePolled} from './_lib/document/handle-polled.js';
 import {extendStoreCall, handleStored} from './_lib/document/handle-stored.js';
 import {planPoll, planStoreCall} from './_lib/document/plan-calls.js';
-import {continueWith} from './_lib/document/continue-with.js';
+import {createStepWithoutEffects} from './_lib/document/create-step-without-effects.js';
 import type {
 	DocumentLoop,
 	DocumentMessage,
@@ -13,7 +13,7 @@
 } from './document-state.js';
 import {listDocumentPeers} from './list-document-peers.js';
 
-function takeView(
+function updatePeers(
 	state: DocumentState,
 	members: readonly Member[],
 ): DocumentState {
@@ -33,7 +33,7 @@
 function failOverdueCalls(state: DocumentState, now: number): DocumentStep {
 	const stored = isOverdue(state.storeLoop, now)
 		? handleStored(state, {kind: 'failed'}, now)
-		: continueWith(state);
+		: createStepWithoutEffects(state);
 	if (!isOverdue(stored.state.peerLoop, now)) {
 		return stored;
 	}
@@ -49,7 +49,7 @@
 ): DocumentStep {
 	switch (message.kind) {
 		case 'view': {
-			return continueWith(takeView(state, message.members));
+			return createStepWithoutEffects(updatePeers(state, message.members));
 		}
 
 		case 'tick': {
@@ -62,24 +62,29 @@
 				? handleStored(state, message.outcome, now)
 				: message.outcome.kind === 'read'
 					? acceptDocument(state, message.outcome.document, 'store', now)
-					: continueWith(state);
+					: createStepWithoutEffects(state);
 		}
 
 		case 'polled': {
 			return message.callId === state.peerLoop.call?.id
 				? handlePolled(state, message.outcome, now)
-				: acceptLate(state, message.outcome, now);
+				: handleLateAnswer(state, message.outcome, now);
 		}
 
-		case 'begun': {
-			return continueWith(extendStoreCall(state, message.callId, now));
+		case 'receiving': {
+			return createStepWithoutEffects(
+				extendStoreCall(state, message.callId, now),
+			);
 		}
 
 		case 'poll': {
 			const {pollId, poll} = message;
 			const endsAt = now + poll.waitMs;
 			const waiting = {pollId, version: poll.version, endsAt};
-			return continueWith({...state, polls: [...state.polls, waiting]});
+			return createStepWithoutEffects({
+				...state,
+				polls: [...state.polls, waiting],
+			});
 		}
 	}
 }
--- a/src/coordination/step-gate-clock.ts
+++ b/src/coordination/step-gate-clock.ts
@@ -1,32 +1,33 @@
 import type {GateStamp} from '../protocol/stamp.js';
 
-/** What a node knows of the clock of a gate, from its stamps. */
+/** Offset between the clock of a node and that of a gate, estimated from the stamps of the gate. */
 export type GateClock = {
-	/** Name of the gate's process. */
+	/** Identifier of the gate's process. */
 	readonly epoch: string;
-	/** Least time by which the own clock was ahead when a stamp came, in this window, ms. */
+	/** Smallest offset of the own clock ahead of a received stamp in this window, ms. */
 	readonly offsetMs: number;
-	/** The same of the window before. */
+	/** The same for the previous window, ms. */
 	readonly previousOffsetMs: number;
-	/** When the window began, monotonic ms. */
+	/** When the window started, monotonic ms. */
 	readonly windowStartedAt: number;
 };
 
-/** Time for which the least difference holds, ms; a machine that was suspended is known by its new time after two of them. */
+/** Length of a window, ms; after a suspension of the gate, the new offset applies after at most two windows. */
 const windowMs = 5000;
 
 /**
- * Takes a stamp into what is known of the clock of its gate.
+ * Updates the clock offset of a gate with a stamp.
  *
- * A stamp comes later than it was made, by its way and by how late its receiver
- * runs. The one that came soonest tells the difference of the clocks best.
+ * A stamp is received later than it was created, by its transit time and by the
+ * event loop lag of its receiver. The stamp with the shortest delay therefore
+ * gives the best estimate of the offset.
  *
- * @param clock - what was known; undefined before the first stamp
+ * @param clock - the clock before, undefined before the first stamp
  * @param stamp - the stamp
- * @param receivedAt - when it came, monotonic ms of the receiver
- * @returns what is known now
+ * @param receivedAt - when it was received, monotonic ms of the receiver
+ * @returns the clock after
  * @example
- * stepGateClock(undefined, {epoch: 'a', timeMs: 500}, 2000).aheadMs; // 1500
+ * stepGateClock(undefined, {epoch: 'a', timeMs: 500}, 2000).offsetMs; // 1500
  */
 export function stepGateClock(
 	clock: GateClock | undefined,
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -10,109 +10,109 @@
 import type {GateLoad} from '../protocol/attempt.js';
 import {computeUsableRate} from './compute-usable-rate.js';
 
-/** What a caller's node knows of a host, from its own requests. */
+/** Record of a host at a caller's node, based on its own requests. */
 export type HostRecord = {
 	/** Requests that this node has in flight on the host. */
 	readonly ownInFlight: number;
-	/** Load by others that the host last reported, as a share of its slots. */
+	/** Last reported load by other nodes, as a share of the slots of the host. */
 	readonly reportedShare: number;
-	/** Mean time that its upstream takes, ms; 0 when not known. */
+	/** Mean service time of its upstream, ms; 0 when not known. */
 	readonly serviceMs?: number;
-	/** Expected time of the requests of a route at its upstream, ms. */
+	/** Expected service time at its upstream by route, ms. */
 	readonly routeMs?: ReadonlyMap<string, number>;
-	/** The rate limit of its upstream, if its gate last told of one. */
+	/** Rate limit of its upstream, if the last report of its gate included one. */
 	readonly rateLimit?: HostRateLimit | undefined;
-	/** When it was reported, monotonic ms; negative infinity when never. */
+	/** Time of the last load report, monotonic ms; negative infinity when never. */
 	readonly reportedAt: number;
 	/** Share of recent attempts that failed, 0 to 1. */
 	readonly errorShare: number;
 	/** Mean time of recent answers, ms; 0 before the first. */
 	readonly latencyMs: number;
-	/** Attempts that ended since the host was last put back. */
+	/** Attempts that have ended since the last ejection. */
 	readonly samples: number;
-	/** Since when the host has been in use, monotonic ms. */
+	/** Since when the host has been in use, monotonic ms; slow start counts from here. */
 	readonly inUseSince: number;
 	/** Until when the host is not picked, monotonic ms. */
 	readonly ejectedUntil: number;
-	/** Ejections in a row. */
+	/** Consecutive ejections. */
 	readonly ejections: number;
-	/** Until when the host has no room for a kind of demand, monotonic ms. */
+	/** Until when the host is considered full, by admission class, monotonic ms. */
 	readonly fullUntil?: ReadonlyMap<string, number>;
-	/** Refusals in a row of a kind of demand for want of room. */
+	/** Consecutive refusals for lack of capacity, by admission class. */
 	readonly refusals?: ReadonlyMap<string, number>;
 	/** When an attempt was last sent, monotonic ms. */
 	readonly sentAt?: number;
-	/** Attempts in a row that could not be sent. */
+	/** Consecutive attempts that could not be sent. */
 	readonly unreachable?: number;
-	/** Since when nothing was heard while attempts were in flight, monotonic ms. */
+	/** Since when nothing has been received while attempts were in flight, monotonic ms. */
 	readonly silentSince?: number | undefined;
 };
 
-/** The rate limit of a host's upstream, as a caller's node knows it. */
+/** Rate limit of a host's upstream, as known to a caller's node. */
 export type HostRateLimit = {
 	readonly perSecond: number;
-	/** When the next request is expected to have its turn, monotonic ms. */
+	/** When the next request may be sent under the limit, monotonic ms. */
 	readonly nextSendAt: number;
 };
 
-/** What happened with an attempt on a host. */
+/** Event of an attempt on a host. */
 export type HostMessage =
 	| {
 			readonly kind: 'sent';
-			/** Whether the host is another one, so that it can fall silent. */
+			/** Whether the host is not the own one; only such a host can become unreachable. */
 			readonly isRemote?: boolean;
 	  }
-	/** The host gave a sign of life. */
+	/** A keepalive of the host was received. */
 	| {readonly kind: 'heard'}
 	| {
 			readonly kind: 'ended';
-			/** `refused` says nothing about the host's health. */
+			/** `refused` is no evidence about the health of the host. */
 			readonly outcome:
 				| 'answered'
 				| 'failed'
 				| 'refused'
-				/** The host has no room for requests of this route. */
+				/** The host has no free capacity for requests of this admission class. */
 				| 'full'
 				| 'unreachable';
 			readonly latencyMs: number;
-			/** Whether the host itself said so; so when absent. */
+			/** Whether the outcome was reported by the host itself; true when absent. */
 			readonly isHeard?: boolean;
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
-			/** Names requests that hosts admit alike; the route when absent. */
+			/** Class of requests that hosts admit or refuse alike; the route when absent. */
 			readonly admissionClass?: string | undefined;
-			/** After which time the host said that it may have room, ms. */
+			/** Delay after which the host may have free capacity, as reported by it, ms. */
 			readonly retryAfterMs?: number | undefined;
 			readonly load: GateLoad | undefined;
 	  };
 
 type EndedMessage = HostMessage & {readonly kind: 'ended'};
 
-/** What a step depends on besides record and message. */
+/** Input of a step besides record and message. */
 export type HostContext = {
 	/** Monotonic ms. */
 	readonly now: number;
-	/** A number from 0 up to 1. */
+	/** Random number in [0, 1). */
 	readonly random: number;
-	/** Mean time of answers over the hosts of the service, ms; 0 if unknown. */
+	/** Mean latency of answers over the hosts of the service, ms; 0 if unknown. */
 	readonly serviceLatencyMs: number;
 };
 
-/** Least and longest time for which a host that had no room is not asked again, ms; from a hop to about four requests. */
+/** Shortest and longest time for which a full host is not tried again, ms; from one hop to about four requests. */
 const minFullMs = 30;
 const maxFullMs = 400;
 
-/** Part of the delay that the host named: others may find room before. */
+/** Ratio of the retry delay given by the host that is waited, since capacity may become free earlier for other requests. */
 const retryAfterRatio = 0.5;
 
-/** Refusals in a row that are counted; more would not lengthen the time. */
+/** Maximum count of consecutive refusals; more would not lengthen the backoff. */
 const maxRefusals = 4;
 
 const sampleWeight = 0.1;
 const slowFactor = 5;
 const maxShare = 8;
 
-/** Creates the record of a host that has just been heard of. */
+/** Creates the record of a newly discovered host. */
 function createHostRecord(now: number): HostRecord {
 	return {
 		ownInFlight: 0,
@@ -146,9 +146,9 @@
 }
 
 /**
- * Notes that a host has no room for a kind of demand, for twice as long with
- * each refusal in a row. Answers a lasting overload, where asking hosts that
- * refuse costs two nodes as much as a request that is served.
+ * Records that a host is full for an admission class, for twice as long with each
+ * consecutive refusal. Load pattern: lasting overload, where an attempt at a host
+ * that refuses it costs two nodes as much as a request that is served.
  */
 function recordFull(
 	record: HostRecord,
@@ -157,7 +157,7 @@
 ): HostRecord {
 	const admissionClass = readAdmissionClass(message);
 	const {retryAfterMs = 0, load} = message;
-	// Under a rate limit there is room again when the host says so.
+	// Under a rate limit, capacity is free again after the delay given by the host.
 	const isLimited = load?.notice?.rateLimit !== undefined;
 	const before = isLimited ? 0 : (record.refusals?.get(admissionClass) ?? 0);
 	const firstMs = Math.max(minFullMs, retryAfterMs * retryAfterRatio);
@@ -171,7 +171,7 @@
 	};
 }
 
-/** Forgets refusals of a kind of demand of which the host has taken one. */
+/** Clears the refusals of an admission class after the host has accepted an attempt of it. */
 function clearRefusals(record: HostRecord, message: EndedMessage): HostRecord {
 	const admissionClass = readAdmissionClass(message);
 	if (!record.refusals?.has(admissionClass)) {
@@ -183,7 +183,7 @@
 	return {...record, refusals};
 }
 
-/** Computes since when nothing was heard, after the end of an attempt. */
+/** Computes since when nothing has been received, after the end of an attempt. */
 function computeSilentSince(
 	{ownInFlight, silentSince}: HostRecord,
 	{isHeard = true}: EndedMessage,
@@ -196,15 +196,15 @@
 	return isHeard ? now : silentSince;
 }
 
-/** The load that others than this node have put on the host. */
+/** Computes the load of the host by other nodes, as a share of its slots. */
 function computeReportedShare(load: GateLoad, ownInFlight: number): number {
 	const others = Math.max(0, load.inFlight + load.queued - ownInFlight);
 	return Math.min(maxShare, others / load.slots);
 }
 
 /**
- * Leaves out for a short time a host that could not be connected to. Answers
- * the load pattern of a partition, where each try costs a connect timeout.
+ * Excludes a host that could not be connected to, with exponential backoff. Load
+ * pattern: a network partition, where each attempt costs a connect timeout.
  */
 function recordUnreachable(
 	record: HostRecord,
@@ -251,7 +251,7 @@
 	};
 }
 
-/** Computes when the next request has its turn after one has taken one. */
+/** Advances the time of the next request under a rate limit after one was sent. */
 function advanceNextSend(
 	limit: HostRateLimit | undefined,
 	now: number,
@@ -274,7 +274,7 @@
 	return limit && {perSecond: limit.perSecond, nextSendAt: now + limit.waitMs};
 }
 
-/** Takes in what came with the end of an attempt, whatever its outcome. */
+/** Records the report returned with the end of an attempt, whatever its outcome. */
 function recordReport(
 	before: HostRecord,
 	message: EndedMessage,
@@ -296,7 +296,7 @@
 	};
 }
 
-/** Takes in that an upstream has answered or failed an attempt. */
+/** Records that an upstream has answered or failed an attempt. */
 function recordRun(
 	record: HostRecord,
 	{outcome, latencyMs}: EndedMessage,
@@ -345,14 +345,14 @@
 }
 
 /**
- * Advances what is known of a host by one message.
+ * Advances the record of a host by one message.
  *
- * A host whose attempts mostly fail, or whose answers take many times the mean
- * of its service, is ejected for a jittered time that doubles with each
- * ejection in a row; afterwards it starts slowly.
+ * A host whose attempts mostly fail, or whose latency is many times the mean of
+ * its service, is ejected for a jittered time that doubles with each consecutive
+ * ejection; afterwards it returns with slow start.
  *
  * @param record - the record before, undefined when there is none
- * @param message - what happened
+ * @param message - the event
  * @param context - see `HostContext`
  * @returns the record after
  * @example
--- a/src/coordination/step-ledger-record.ts
+++ b/src/coordination/step-ledger-record.ts
@@ -1,30 +1,30 @@
-/** What a gate knows of one attempt. */
+/** A gate's record of one attempt. */
 export type LedgerRecord =
 	/** Admitted: queued or sent to the upstream. */
 	| {readonly kind: 'running'}
-	/** Over, and may have run. */
+	/** Ended, and may have run. */
 	| {readonly kind: 'ended'}
 	/** Has not run and never will. */
 	| {readonly kind: 'fenced'};
 
-/** What happened to an attempt, or that somebody asks about it. */
+/** Event of an attempt, or a question about its state. */
 export type LedgerMessage =
 	/** It arrived. */
 	| 'admit'
 	/** It was refused before it was sent to the upstream. */
 	| 'refuse'
-	/** It is over, and may have run. */
+	/** It has ended, and may have run. */
 	| 'end'
-	/** Its caller's node asks what became of it. */
+	/** Its caller's node asks for its state. */
 	| 'ask';
 
 /** A ledger record after a message, and the answer to the message. */
 export type LedgerStep = {
-	/** Undefined when nothing is to be kept. */
+	/** Undefined when no record is to be kept. */
 	readonly record: LedgerRecord | undefined;
 	/**
-	 * `run` when the attempt may run; `stale` when its stamp is not valid, so
-	 * that nothing is known of it and it must not run; else the record's kind.
+	 * `run` when the attempt may run; `stale` when its stamp is not valid, so that
+	 * its state is unknown and it must not run; otherwise the record's kind.
 	 */
 	readonly answer: 'run' | 'stale' | LedgerRecord['kind'];
 };
@@ -32,14 +32,14 @@
 /**
  * Advances a gate's record of one attempt by one message.
  *
- * `admit` answers `run` once. `ask` about an attempt that has not arrived
- * fences it: it is refused when it arrives later, so whoever asked may take it
- * as not run. Without a valid stamp the record may have been forgotten, so
- * neither `run` nor `fenced` is answered.
+ * `admit` returns `run` once. `ask` about an attempt that has not arrived fences
+ * it: the attempt is refused if it arrives later, so that the asking node can
+ * treat it as not run. Without a valid stamp the record may have been deleted, so
+ * neither `run` nor `fenced` is returned.
  *
  * @param record - the record before, undefined when there is none
- * @param message - what happened, or what is asked
- * @param isStampValid - whether the gate would still hold a record of the attempt
+ * @param message - the event or question
+ * @param isStampValid - whether the gate would still have a record of the attempt
  * @returns the record after and the answer
  * @example
  * stepLedgerRecord(undefined, 'admit', true).answer; // 'run'
--- a/src/coordination/step-rate-limit.ts
+++ b/src/coordination/step-rate-limit.ts
@@ -1,11 +1,11 @@
 import {computeRateTokens} from './compute-rate-tokens.js';
 import type {RateLimit} from './rate-limit.js';
 
-/** What the rate limit of an upstream can be told. */
+/** Messages to the rate limit of an upstream. */
 export type RateLimitMessage =
-	/** An answer names a limit. */
+	/** An answer reports a limit. */
 	| {readonly kind: 'named'; readonly perSecond: number}
-	/** An answer to a request that was sent at a time, monotonic ms, names none. */
+	/** An answer to a request sent at the given time, monotonic ms, reports no limit. */
 	| {readonly kind: 'omitted'; readonly sentAt: number}
 	/** A request is sent. */
 	| {readonly kind: 'sent'};
@@ -13,14 +13,14 @@
 /**
  * Advances the rate limit of an upstream by one message, as a token bucket.
  *
- * Answers the load of an upstream in need, which names the rate that it can
- * bear. The rate holds from the first answer that names it, with no allowance
- * from before, and ends with an answer that names none. An answer to a request
- * that was sent before the limit was last named ends nothing: it may have been
- * overtaken.
+ * Load pattern: an overloaded upstream that reports the rate it can sustain. The
+ * limit applies from the first answer that reports it, with no tokens from
+ * before, and ends with an answer that reports none. An answer to a request sent
+ * before the limit was last reported does not end the limit, because answers may
+ * arrive out of order.
  *
  * @param limit - the limit before, undefined when there is none
- * @param message - what happened
+ * @param message - the event
  * @param now - monotonic ms
  * @returns the limit after, undefined when there is none
  * @example
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -44,7 +44,7 @@
 }
 
 function finish(state: RequestState, ending: AttemptEnding): RequestStep {
-	// An attempt that may have run outweighs a later one that has not.
+	// If an earlier attempt may have run, a later one that has not run does not matter.
 	const outcome = state.mayHaveRun ? 'unknown' : ending.outcome;
 	return {
 		state: {...state, phase: 'done', isOpen: false},
@@ -59,7 +59,7 @@
 ): RequestStep {
 	const {parameters, now, random, budget} = context;
 	const countedAttempts = state.attempts - state.restamps - state.reroutes;
-	// A try at the wrong host reached no upstream; those have a bound of their own.
+	// An attempt at the wrong host reached no upstream; such attempts have a separate limit.
 	const isFull =
 		isCapacityRefusal(ending.reason) &&
 		context.hasAvailableHost === true &&
@@ -119,7 +119,7 @@
 	};
 }
 
-/** Gives up an attempt of which nothing certain can be learnt. */
+/** Abandons an attempt whose outcome cannot be determined. */
 function abandonUnknown(
 	state: RequestState,
 	reason: OutcomeReason,
@@ -129,7 +129,7 @@
 	return prependAbandon(state, step);
 }
 
-/** Gives up an attempt that no gate runs, even if it still arrives. */
+/** Abandons an attempt that no gate runs, even if it still arrives. */
 function abandonUnsent(
 	state: RequestState,
 	context: RequestContext,
@@ -158,8 +158,8 @@
 ): RequestStep {
 	switch (answer) {
 		case 'fenced': {
-			// A gate forgets repeatable attempts that are over, so that this is no
-			// proof for them.
+			// A gate deletes the records of repeatable attempts that have ended, so
+			// for them this is no proof.
 			const outcome = context.parameters.repeatable ? 'unknown' : 'not-run';
 			const ending: AttemptEnding = {outcome, reason: 'fenced'};
 			return prependAbandon(state, endAttempt(state, ending, context));
@@ -207,7 +207,7 @@
 	return state.isSent ? ask(state) : abandonUnsent(state, context);
 }
 
-/** Kinds of message by which a question about an attempt goes on. */
+/** Messages about the state of an attempt that is in doubt. */
 type InquiryMessage = RequestMessage & {
 	readonly kind: 'silent' | 'known' | 'ask-failed' | 'fetch-lost';
 };
@@ -267,7 +267,7 @@
 	message: RequestMessage & {readonly kind: 'ended' | 'lost'},
 	context: RequestContext,
 ): RequestStep {
-	// What was abandoned still ends, after the step that gave it up.
+	// The end of an abandoned attempt is still reported after the step that abandoned it.
 	if (state.phase === 'waiting-to-send') {
 		return keepState(state);
 	}
@@ -279,8 +279,8 @@
 	}
 
 	const {reason, retryAfterSeconds} = message;
-	// A gate forgets repeatable attempts that are over, and may then fence
-	// one that has run.
+	// A gate deletes the records of repeatable attempts that have ended, and may
+	// then fence one that has run.
 	const isInconclusive = reason === 'fenced' && context.parameters.repeatable;
 	const outcome = isInconclusive ? 'unknown' : message.outcome;
 	return endAttempt(state, {outcome, reason, retryAfterSeconds}, context);
@@ -291,22 +291,22 @@
 		state.phase !== 'new' && state.phase !== 'waiting-to-send';
 	const mayRun = isInProgress && state.isSent;
 	const step = finish(state, {outcome: mayRun ? 'unknown' : 'not-run', reason});
-	// The gate may not have read the attempt yet, and so not know its deadline.
+	// The gate may not have read the attempt yet, and therefore not know its deadline.
 	return isInProgress ? prependAbandon(state, step, mayRun) : step;
 }
 
 /**
  * Advances a request at its caller's node by one message.
  *
- * A request ends exactly once: `answered`, `not-run` only with proof that no
- * attempt has run or will, else `unknown`. An attempt that may not be repeated
- * and whose connection failed or fell silent is asked about at its gate.
- * Messages about earlier attempts, or after the end, change nothing.
+ * A request ends exactly once: `answered`; `not-run` only with proof that no
+ * attempt has run or will run; otherwise `unknown`. If the connection of a
+ * non-repeatable attempt fails or becomes silent, its gate is asked for the state
+ * of the attempt. Messages about earlier attempts, or after the end, are ignored.
  *
- * @param state - the state before; left as it is
- * @param message - what happened
+ * @param state - the state before; not modified
+ * @param message - the event
  * @param context - see `RequestContext`
- * @returns the state after and what is to be done, in order
+ * @returns the state after and the effects, in order
  * @example
  * stepRequest(initialRequestState, {kind: 'start'}, context).effects;
  */
--- a/src/coordination/step-retry-budget.ts
+++ b/src/coordination/step-retry-budget.ts
@@ -4,23 +4,23 @@
 	retryBudgetWindowMs,
 } from '../protocol/constants.js';
 
-/** Requests and retries in a part of the window. */
+/** Requests and retries in one part of the window. */
 type BudgetPart = {
-	/** Number of the part since the clock's origin. */
+	/** Index of the part since the clock's origin. */
 	readonly number: number;
 	readonly requests: number;
 	readonly retries: number;
 };
 
-/** Budget of retries of one team and service. */
+/** Retry budget of one team and service. */
 export type RetryBudget = {
 	/** Retries that may be made now. */
 	readonly tokens: number;
-	/** Parts of the last window, oldest first. */
+	/** Parts of the current window, oldest first. */
 	readonly parts: readonly BudgetPart[];
 };
 
-/** What a budget is told. */
+/** Messages to a retry budget. */
 export type RetryBudgetMessage = 'request' | 'retry' | 'tick';
 
 /** Options of `stepRetryBudget`. */
@@ -33,19 +33,19 @@
 	readonly windowMs?: number;
 };
 
-/** Parts into which a window is divided. */
+/** Number of parts into which a window is divided. */
 const partsPerWindow = 10;
 
 /**
- * Advances a retry budget: in any window, a number of retries and a share of
- * the window's requests may be made again.
+ * Advances a retry budget: any window allows a fixed number of retries plus a
+ * share of the requests in the window.
  *
- * Answers the load of upstreams that fail at once: the repeats of all nodes
- * together must not add to what made them fail. Nothing is saved up from calm
- * times, so that the bound holds over every window.
+ * Load pattern: upstreams that fail at the same time. The retries of all nodes
+ * must not add to the load that made them fail. No tokens are accumulated over
+ * windows without failures, so that the bound holds for every window.
  *
  * @param budget - the budget before, undefined when there is none
- * @param message - what happened
+ * @param message - the event
  * @param now - monotonic ms
  * @param options - see `RetryBudgetOptions`
  * @returns the budget after
--- a/src/coordination/step-service-time.ts
+++ b/src/coordination/step-service-time.ts
@@ -1,19 +1,19 @@
 import {readServiceTime} from './read-service-time.js';
 
-/** Aged mean of the time that an upstream takes. */
+/** Decaying mean service time of an upstream. */
 export type ServiceTime = {
 	readonly meanMs: number;
-	/** When the last answer came, monotonic ms. */
+	/** Time of the last answer, monotonic ms. */
 	readonly at: number;
 };
 
 const sampleWeight = 0.1;
 
 /**
- * Takes one measured time into the mean time that an upstream takes.
+ * Updates the mean service time of an upstream with a measured time.
  *
  * @param serviceTime - the mean before, undefined before the first answer
- * @param durationMs - the measured time
+ * @param durationMs - the measured time, ms
  * @param now - monotonic ms
  * @returns the mean after
  * @example
--- a/src/coordination/step-snapshot.ts
+++ b/src/coordination/step-snapshot.ts
@@ -23,7 +23,7 @@
 	SnapshotStep,
 } from './snapshot-state.js';
 
-const clearedPerList = 4;
+const deletionsPerList = 4;
 
 function call(
 	state: SnapshotState,
@@ -37,7 +37,7 @@
 	};
 }
 
-function giveUp(state: SnapshotState): SnapshotStep {
+function becomeIdle(state: SnapshotState): SnapshotStep {
 	return {state: {...state, phase: {kind: 'idle'}}, effects: []};
 }
 
@@ -48,7 +48,7 @@
 ): SnapshotStep {
 	const chunk = job.chunks[index];
 	if (!chunk) {
-		return moveHead(state, job);
+		return writeHead(state, job);
 	}
 
 	return call(
@@ -63,16 +63,20 @@
 	);
 }
 
-function checkChunk(
+function verifyChunk(
 	state: SnapshotState,
 	job: SnapshotJob,
 	index: number,
 ): SnapshotStep {
 	const key = formatSnapshotKey(job.version, index);
-	return call(state, {kind: 'checking', job, index}, {kind: 'read', key});
+	return call(
+		state,
+		{kind: 'verifying-chunk', job, index},
+		{kind: 'read', key},
+	);
 }
 
-function moveHead(state: SnapshotState, job: SnapshotJob): SnapshotStep {
+function writeHead(state: SnapshotState, job: SnapshotJob): SnapshotStep {
 	const {version, digest, previous, condition} = job;
 	const head: SnapshotHead = {
 		version,
@@ -82,7 +86,7 @@
 	};
 	return call(
 		state,
-		{kind: 'moving-head', job},
+		{kind: 'updating-head', job},
 		{kind: 'write', key: snapshotHeadKey, value: head, condition},
 	);
 }
@@ -93,7 +97,7 @@
 	outcome: PlatformOutcome,
 ): SnapshotStep {
 	if (outcome.kind !== 'found' && outcome.kind !== 'absent') {
-		return giveUp(state);
+		return becomeIdle(state);
 	}
 
 	const head =
@@ -117,11 +121,14 @@
 	return writeChunk(state, {version, digest, chunks, previous, condition}, 0);
 }
 
-function listChunks(state: SnapshotState, keepFrom: number): SnapshotStep {
+function listChunks(
+	state: SnapshotState,
+	oldestKeptVersion: number,
+): SnapshotStep {
 	return call(
 		state,
-		{kind: 'listing', keepFrom},
-		{kind: 'list', prefix: snapshotPrefix, after: '', limit: clearedPerList},
+		{kind: 'listing', oldestKeptVersion},
+		{kind: 'list', prefix: snapshotPrefix, after: '', limit: deletionsPerList},
 	);
 }
 
@@ -133,19 +140,19 @@
 	};
 }
 
-function clearNext(
+function deleteNext(
 	state: SnapshotState,
-	keepFrom: number,
+	oldestKeptVersion: number,
 	rest: readonly PlatformObject[],
 ): SnapshotStep {
 	const [object, ...others] = rest;
 	return object
 		? call(
 				state,
-				{kind: 'clearing', keepFrom, rest: others},
+				{kind: 'deleting', oldestKeptVersion, remaining: others},
 				{kind: 'delete', key: object.key, version: object.version},
 			)
-		: listChunks(state, keepFrom);
+		: listChunks(state, oldestKeptVersion);
 }
 
 function handleList(
@@ -155,20 +162,20 @@
 ): SnapshotStep {
 	const items = outcome.kind === 'items' ? outcome.items : [];
 	const oldest = formatSnapshotKey(keepFrom, 0);
-	const cleared = items.filter(({key}) => key < oldest);
-	return cleared.length > 0
-		? clearNext(state, keepFrom, cleared)
-		: giveUp(state);
+	const obsolete = items.filter(({key}) => key < oldest);
+	return obsolete.length > 0
+		? deleteNext(state, keepFrom, obsolete)
+		: becomeIdle(state);
 }
 
-function hasText(outcome: PlatformOutcome, chunk: SnapshotChunk): boolean {
+function isSameChunk(outcome: PlatformOutcome, chunk: SnapshotChunk): boolean {
 	return (
 		outcome.kind === 'found' &&
 		JSON.stringify(outcome.object.value) === JSON.stringify(chunk)
 	);
 }
 
-function namesJob(outcome: PlatformOutcome, job: SnapshotJob): boolean {
+function hasHeadReached(outcome: PlatformOutcome, job: SnapshotJob): boolean {
 	if (outcome.kind !== 'found') {
 		return false;
 	}
@@ -198,18 +205,18 @@
 			}
 
 			return outcome.kind === 'unavailable'
-				? giveUp(state)
-				: checkChunk(state, job, index);
+				? becomeIdle(state)
+				: verifyChunk(state, job, index);
 		}
 
-		case 'checking': {
+		case 'verifying-chunk': {
 			const {job, index} = phase;
-			return hasText(outcome, job.chunks[index]!)
+			return isSameChunk(outcome, job.chunks[index]!)
 				? writeChunk(state, job, index + 1)
-				: giveUp(state);
+				: becomeIdle(state);
 		}
 
-		case 'moving-head': {
+		case 'updating-head': {
 			if (outcome.kind === 'written') {
 				return finishJob(state, phase.job);
 			}
@@ -217,26 +224,26 @@
 			return outcome.kind === 'unknown'
 				? call(
 						state,
-						{kind: 'checking-head', job: phase.job},
+						{kind: 'verifying-head', job: phase.job},
 						{kind: 'read', key: snapshotHeadKey},
 					)
-				: giveUp(state);
+				: becomeIdle(state);
 		}
 
-		case 'checking-head': {
-			return namesJob(outcome, phase.job)
+		case 'verifying-head': {
+			return hasHeadReached(outcome, phase.job)
 				? finishJob(state, phase.job)
-				: giveUp(state);
+				: becomeIdle(state);
 		}
 
 		case 'listing': {
-			return handleList(state, phase.keepFrom, outcome);
+			return handleList(state, phase.oldestKeptVersion, outcome);
 		}
 
-		case 'clearing': {
+		case 'deleting': {
 			return outcome.kind === 'written' || outcome.kind === 'conflict'
-				? clearNext(state, phase.keepFrom, phase.rest)
-				: giveUp(state);
+				? deleteNext(state, phase.oldestKeptVersion, phase.remaining)
+				: becomeIdle(state);
 		}
 	}
 }
--- a/src/coordination/step-team-use.ts
+++ b/src/coordination/step-team-use.ts
@@ -1,6 +1,6 @@
 import {readTeamUse} from './read-team-use.js';
 
-/** Aged count of the attempts that a team has started at an upstream. */
+/** Decaying count of the attempts that a team has started at an upstream. */
 export type TeamUse = {
 	readonly starts: number;
 	/** When the last one started, monotonic ms. */
@@ -8,7 +8,7 @@
 };
 
 /**
- * Notes that an attempt of a team has started.
+ * Records that an attempt of a team has started.
  *
  * @param use - the use before, undefined before the first attempt
  * @param now - monotonic ms
--- a/src/coordination/step-time-margin.ts
+++ b/src/coordination/step-time-margin.ts
@@ -1,30 +1,30 @@
-/** Part of the answers that are to come within the expected time and the margin. */
+/** Target share of answers that arrive within the expected time plus the margin. */
 const onTimeQuantile = 0.8;
 
-/** Change of the margin with one late answer, in parts of the expected time; a few answers are enough to follow a load that has changed. */
+/** Step of the margin, as a ratio of the expected time; large enough to follow a change of load within a few answers. */
 const marginStepRatio = 0.1;
 
-/** Greatest margin, in parts of the expected time; no server scatters more for long. */
+/** Largest margin, as a ratio of the expected time; no server exceeds it for long. */
 const maxMarginRatio = 3;
 
-/** One answer, compared with what was expected of it. */
+/** Expected and actual time of one answer. */
 export type TimedAnswer = {
-	/** Expected time at the upstream, without the wait, ms. */
+	/** Expected time at the upstream, excluding the wait, ms. */
 	readonly serviceMs: number;
-	/** Expected time with the wait, ms. */
+	/** Expected time including the wait, ms. */
 	readonly expectedMs: number;
-	/** Time that it took with the wait, ms. */
+	/** Actual time including the wait, ms. */
 	readonly actualMs: number;
 };
 
 /**
- * Advances the margin by which answers come later than expected, in parts of
- * the expected time at the upstream: a quantile that follows the answers.
+ * Advances the margin by which answers come later than expected, as a ratio of
+ * the expected time at the upstream: an online quantile estimate.
  *
- * Answers a load above what an upstream can serve. There the queue is as long
- * as admission lets it be, so that each error of the expected wait (answers that
- * take longer, urgent requests that overtake) makes all requests late that were
- * admitted with just enough time.
+ * Load pattern: load above the capacity of an upstream. The queue is then as long
+ * as admission allows, so that each error of the expected wait (answers that take
+ * longer, high-priority requests that overtake) delays all requests that were
+ * admitted with just enough time beyond their objective.
  *
  * @param before - the margin before
  * @param answer - see `TimedAnswer`
--- a/src/coordination/step-upstream-notice.ts
+++ b/src/coordination/step-upstream-notice.ts
@@ -1,9 +1,9 @@
 import type {GateLoad, UpstreamNotice} from '../protocol/attempt.js';
 
-/** What a caller's node remembers of the upstream on a host. */
+/** Last notice about the upstream on a host, as cached by a caller's node. */
 export type CachedNotice = {
 	readonly notice: UpstreamNotice;
-	/** When its gate last told, monotonic ms. */
+	/** When its gate last sent it, monotonic ms. */
 	readonly receivedAt: number;
 };
 
--- a/src/coordination/step-usual-deadline.ts
+++ b/src/coordination/step-usual-deadline.ts
@@ -1,23 +1,23 @@
-/** The deadlines that fresh requests of a route lately had. */
+/** Usual deadline of the recent first requests of a route. */
 export type UsualDeadline = {
-	/** The deadline that is believed to be the usual one, ms. */
+	/** Current candidate for the usual deadline, ms. */
 	readonly deadlineMs: number;
-	/** How often it was seen, less the others. */
+	/** Number of requests with this deadline minus those with others. */
 	readonly votes: number;
 };
 
-/** Votes that a deadline can gather; a new usual one is found within as many requests. */
+/** Maximum number of votes; a new usual deadline is found within about as many requests. */
 const maxVotes = 50;
 
 /**
- * Advances what is known of the usual deadline of a route's fresh requests.
+ * Updates the usual deadline of a route's first requests with one request.
  *
- * A majority vote (Boyer and Moore, 1981): fresh requests share one deadline,
- * while those that clients send again each have some other, shorter one.
+ * Uses a majority vote (Boyer and Moore, 1981): first requests share one
+ * deadline, while retries by clients each have a different, shorter one.
  *
- * @param before - what was known, undefined when nothing was
+ * @param before - the usual deadline before, undefined when not known
  * @param deadlineMs - deadline of a request, ms
- * @returns what is known now
+ * @returns the usual deadline after
  * @example
  * stepUsualDeadline(undefined, 1200).deadlineMs; // 1200
  */
--- a/src/coordination/step-utilization.ts
+++ b/src/coordination/step-utilization.ts
@@ -1,12 +1,12 @@
-/** How much of an upstream's time requests would take. */
+/** Decaying sum of the expected times of the requests at an upstream. */
 export type Utilization = {
-	/** Work of about the last second, ms. */
+	/** Expected work of about the last second, ms. */
 	readonly workMs: number;
 	/** Monotonic ms. */
 	readonly at: number;
 };
 
-/** Time over which work is averaged; several times a request's, ms. */
+/** Time constant of the average, ms; several times the duration of a request. */
 export const utilizationWindowMs = 1000;
 
 /**
--- a/src/coordination/take-commit-group.ts
+++ b/src/coordination/take-commit-group.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {maxCommitsPerEntry, maxEntryBytes} from '../protocol/constants.js';
-import type {Ticket} from './commit-state.js';
+import type {PendingSubmission} from './commit-state.js';
 import {interleaveByTeam} from './interleave-by-team.js';
 
 /** Options of `takeCommitGroup`. */
@@ -21,13 +21,16 @@
  * takeCommitGroup(waiting).group.length;
  */
 export function takeCommitGroup(
-	waiting: readonly Ticket[],
+	waiting: readonly PendingSubmission[],
 	options: CommitGroupOptions = {},
-): {readonly group: readonly Ticket[]; readonly rest: readonly Ticket[]} {
+): {
+	readonly group: readonly PendingSubmission[];
+	readonly rest: readonly PendingSubmission[];
+} {
 	const {maxCommits = maxCommitsPerEntry, maxBytes = maxEntryBytes} = options;
 	const ordered = interleaveByTeam(waiting);
 	let bytes = 0;
-	const group: Ticket[] = [];
+	const group: PendingSubmission[] = [];
 	for (const item of ordered.slice(0, maxCommits)) {
 		bytes += Buffer.byteLength(JSON.stringify(item.manifest));
 		if (group.length > 0 && bytes > maxBytes) {
--- a/src/transport/start-commit-task.ts
+++ b/src/transport/start-commit-task.ts
@@ -1,7 +1,7 @@
 import type {
 	CommitEffect,
 	CommitMessage,
-	Ticket,
+	PendingSubmission,
 } from '../coordination/commit-state.js';
 import {createCommitState} from '../coordination/create-commit-state.js';
 import {createSnapshotState} from '../coordination/create-snapshot-state.js';
@@ -94,8 +94,8 @@
 			}
 
 			case 'reply': {
-				resolvers.get(effect.ticket)?.(effect.outcome);
-				resolvers.delete(effect.ticket);
+				resolvers.get(effect.replyId)?.(effect.outcome);
+				resolvers.delete(effect.replyId);
 				break;
 			}
 
@@ -115,10 +115,10 @@
 		async submit(submission) {
 			tell({kind: 'configuration', configuration: readConfiguration()});
 			lastTicket++;
-			const ticket: Ticket = {...submission, ticket: lastTicket};
+			const pending: PendingSubmission = {...submission, replyId: lastTicket};
 			return new Promise((resolve) => {
-				resolvers.set(ticket.ticket, resolve);
-				tell({kind: 'submit', ticket});
+				resolvers.set(pending.replyId, resolve);
+				tell({kind: 'submit', pending});
 			});
 		},
 	};
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -133,7 +133,7 @@
 			timeoutMs,
 			transferMs: documentTransferMs,
 			onBegun() {
-				tell({kind: 'begun', callId});
+				tell({kind: 'receiving', callId});
 			},
 		};
 		const outcome = await callStore(effect, limits);
@@ -163,10 +163,10 @@
 	async function pollPeer(
 		effect: DocumentEffect & {readonly kind: 'poll'},
 	): Promise<void> {
-		const {callId, address, poll, timeoutMs, isFresh} = effect;
+		const {callId, address, poll, timeoutMs, needsNewConnection} = effect;
 		try {
 			const body = await peers
-				.getClient(address, {isFresh})
+				.getClient(address, {isFresh: needsNewConnection})
 				// What comes after the call has been given up is still of use.
 				.document.mutate(poll, {
 					signal: AbortSignal.timeout(timeoutMs + documentTransferMs),
