--- a/src/coordination/compare-waiting.test.ts
+++ b/src/coordination/compare-waiting.test.ts
@@ -2,13 +2,13 @@
 import test from 'node:test';
 import {compareWaiting, type WaitingRequest} from './compare-waiting.js';
 
-/** Load of a minute in which a third more comes than can be served. */
+/** One minute of load that exceeds the capacity by a third. */
 const slots = 6;
 const serviceMs = 60;
 const objectiveMs = 200;
 const arrivalMs = (serviceMs / slots) * 0.75;
 
-/** Counts answers within the objective when a slot goes to the first in order. */
+/** Counts the answers within the objective when each free slot goes to the first request in order. */
 function countInTime(
 	compare: (a: WaitingRequest, b: WaitingRequest) => number,
 	canWait: (waiting: number) => boolean,
@@ -42,7 +42,7 @@
 	return inTime;
 }
 
-test('overload: refusing what would be late keeps the slots for answers in time', () => {
+test('overload: refusing requests that would be late keeps slots for answers in time', () => {
 	const inFirstComeOrder = countInTime(compareWaiting, () => true);
 	const maxWaiting = ((objectiveMs - serviceMs) / serviceMs) * slots - slots;
 	const withRefusals = countInTime(
@@ -54,7 +54,7 @@
 	assert.ok(withRefusals > capacity * 0.9, String(withRefusals));
 });
 
-test('order: in time first, then urgent ones, then those due first', () => {
+test('order: by lateness, then by priority, then by due time', () => {
 	const waiting: readonly WaitingRequest[] = [
 		{isLate: true, priority: 0, dueAt: 1},
 		{isLate: false, priority: 2, dueAt: 2},
--- a/src/coordination/compute-position.test.ts
+++ b/src/coordination/compute-position.test.ts
@@ -47,8 +47,8 @@
 }
 
 /**
- * Computes when a document has reached the last member, s: a parent sends it
- * whole, to all children at once, and each link carries no more than it can.
+ * Computes when the last member has received a document, s: a parent forwards the
+ * complete document to all children at once, limited by the rate of each link.
  */
 function computeLastArrival(
 	members: readonly Member[],
@@ -71,7 +71,7 @@
 
 const weakAndStrong = [...repeat(20, 5), ...repeat(2, 100)];
 
-test('thin links do not feed their data centre', () => {
+test('hosts with low-bandwidth links are neither roots nor parents', () => {
 	for (let draw = 0; draw < 50; draw++) {
 		const members = createMembers(draw, weakAndStrong);
 		const roots = computeRoots(members, 'abdali');
@@ -83,14 +83,14 @@
 	}
 });
 
-test('a document of 400 KB crosses thin links within 2.5 s', () => {
+test('a document of 400 KB reaches hosts with low-bandwidth links within 2.5 s', () => {
 	for (let draw = 0; draw < 50; draw++) {
 		const lastAt = computeLastArrival(createMembers(draw, weakAndStrong), 3.2);
 		assert.ok(lastAt < 2.5, `draw ${draw}: ${lastAt} s`);
 	}
 });
 
-test('a host is root as often as others of its capacity', () => {
+test('a host is the first root as often as others of its capacity', () => {
 	const draws = 400;
 	let isFirst = 0;
 	for (let draw = 0; draw < draws; draw++) {
@@ -103,7 +103,7 @@
 	assert.ok(Math.abs(isFirst - expected) < 3 * Math.sqrt(expected));
 });
 
-test('hosts that say nothing of their capacity have few children each', () => {
+test('hosts without a reported capacity have at most four children', () => {
 	for (const count of [3, 10, 24, 100]) {
 		const members = createMembers(
 			count,
@@ -146,7 +146,7 @@
 	);
 });
 
-test('a member that goes gives few others another parent', () => {
+test('removing a low-capacity member changes the parent of at most one other', () => {
 	for (let draw = 0; draw < 20; draw++) {
 		const members = createMembers(draw, weakAndStrong);
 		const before = listParents(members);
--- a/src/coordination/compute-retry-after.test.ts
+++ b/src/coordination/compute-retry-after.test.ts
@@ -10,12 +10,12 @@
 	random: 0.5,
 };
 
-test('a client that can be in time comes when the queue is short enough', () => {
+test('a client that can be answered in time retries when the queue is short enough', () => {
 	assert.equal(computeRetryAfter(input), 0.05);
 	assert.equal(computeRetryAfter({...input, waitMs: 100}), 0.03);
 });
 
-test('a client that can only be late waits longer, and has time for a try', () => {
+test('a client that can only be late waits longer, and has time left for a retry', () => {
 	assert.equal(computeRetryAfter({...input, objectiveMs: 0}), 0.6);
 	assert.equal(
 		computeRetryAfter({...input, objectiveMs: 0, remainingMs: 100}),
@@ -23,7 +23,7 @@
 	);
 });
 
-test('clients that are refused together do not come back together', () => {
+test('retries of clients that are refused together are spread', () => {
 	const delays = [0, 0.25, 0.75].map((random) =>
 		computeRetryAfter({...input, random}),
 	);
@@ -31,7 +31,7 @@
 	assert.ok(Math.max(...delays) / Math.min(...delays) > 1.4);
 });
 
-test('a shortest delay holds for a client that could be in time', () => {
+test('the minimum delay applies to a client that could be answered in time', () => {
 	const input = {waitMs: 0, serviceMs: 20, objectiveMs: 200, remainingMs: 1000};
 	const shortest = {...input, random: 0.5, minDelayMs: 100};
 	assert.equal(computeRetryAfter(shortest), 0.1);
--- a/src/coordination/compute-upstream-work.test.ts
+++ b/src/coordination/compute-upstream-work.test.ts
@@ -12,7 +12,7 @@
 	readonly read?: number;
 };
 
-/** Computes the work by reports, one each 10 ms. */
+/** Computes the work after a series of reports, one every 10 ms. */
 function computeWork(...reports: readonly Report[]): UpstreamWork {
 	let work: UpstreamWork | undefined;
 	for (const [index, report] of reports.entries()) {
@@ -26,13 +26,13 @@
 
 const complete = {running: 3, unanswered: 2};
 
-test('requests that an upstream does not count are lost', () => {
+test('requests that an upstream does not report are lost', () => {
 	const first = computeWork(complete);
 	assert.deepEqual([first.lost, first.includesOwnRequest], [0, true]);
 	assert.equal(computeWork(complete, {running: 2, unanswered: 3}).lost, 2);
 });
 
-test('a report may leave out the request that it comes with', () => {
+test('a report may exclude the request that it is returned with', () => {
 	const work = computeWork({running: 2, unanswered: 2});
 	assert.deepEqual([work.lost, work.includesOwnRequest], [0, false]);
 });
@@ -42,12 +42,12 @@
 	assert.equal(work.lost, 0);
 });
 
-test('a queue counts as work', () => {
+test('queued requests count as work', () => {
 	const work = computeWork({running: 6, queued: 3, unanswered: 8});
 	assert.deepEqual([work.lost, work.foreignRequests], [0, 0]);
 });
 
-test('a request is missing until a report is complete', () => {
+test('a request is missing until a report covers all requests', () => {
 	const lacking = {running: 3, unanswered: 3};
 	const unsure = {running: 3, unanswered: 3, read: 2};
 	const work = computeWork(complete, lacking, unsure, lacking);
@@ -56,11 +56,11 @@
 	assert.deepEqual([mended.missingSince, mended.missingReports], [30, 1]);
 });
 
-test('an upstream that counts only the request of its report is idle', () => {
+test('an upstream that reports only the request of its report is idle', () => {
 	assert.equal(computeWork(complete, {running: 1, unanswered: 2}).isIdle, true);
 	assert.equal(computeWork(complete).isIdle, false);
 });
 
-test('work of a gate that has started again is not its own', () => {
+test('requests from before a restart of the gate are foreign', () => {
 	assert.equal(computeWork({running: 5, unanswered: 0}).foreignRequests, 4);
 });
--- a/src/coordination/create-ledger.test.ts
+++ b/src/coordination/create-ledger.test.ts
@@ -60,7 +60,7 @@
 	assert.equal(ledger.readAnswer('99900'), 'answer');
 });
 
-test('a key names the attempt that holds it', () => {
+test('an idempotency key maps to the attempt that holds it', () => {
 	const ledger = createLedger<string>({epoch: 'a'});
 	const attempt = {id: '1', stamp: ledger.readStamp(0), key: 'k'};
 	ledger.admit(attempt, 0);
@@ -69,7 +69,7 @@
 	assert.equal(ledger.findKeyHolder('k'), undefined);
 });
 
-test('what may be repeated is not refused at first contact for want of a stamp', () => {
+test('a repeatable attempt without a stamp is not refused', () => {
 	const ledger = createLedger<string>({epoch: 'a'});
 	const first = {id: '1', stamp: undefined, repeatable: true};
 	assert.equal(ledger.admit(first, 0), 'run');
--- a/src/coordination/decide-admission.test.ts
+++ b/src/coordination/decide-admission.test.ts
@@ -27,10 +27,10 @@
 	readonly [string, Partial<AdmissionInput>, string]
 > = [
 	['a free slot', {inFlight: 0, queuedAhead: 0, queued: 0}, 'admit'],
-	['room in the queue', {queued: 20}, 'admit'],
-	['a full queue of another team', {}, 'admit pushing out'],
-	['a full queue of its own', {teamQueued: 10}, 'saturated'],
-	['a deadline before its turn', {remainingMs: 40}, 'deadline'],
+	['space in the queue', {queued: 20}, 'admit'],
+	['a queue filled by another team', {}, 'admit with eviction'],
+	['a queue filled by its own team', {teamQueued: 10}, 'saturated'],
+	['a deadline before the end of its wait', {remainingMs: 40}, 'deadline'],
 	['a deadline that has passed', {remainingMs: 0}, 'deadline'],
 	['a leaving upstream', {state: 'leaving', queued: 0}, 'leaving'],
 	['no upstream', {state: 'no-upstream', slots: 0}, 'no-upstream'],
@@ -42,7 +42,7 @@
 		const text =
 			admission.kind === 'refuse'
 				? admission.reason
-				: `admit${admission.shouldEvict ? ' pushing out' : ''}`;
+				: `admit${admission.shouldEvict ? ' with eviction' : ''}`;
 		assert.equal(text, expected);
 	});
 }
@@ -59,7 +59,7 @@
 	lateWaitMs: 0,
 };
 
-/** Free slots, but a turn under the rate limit that comes in 50 ms. */
+/** Free slots, but a wait of 50 ms under the rate limit. */
 const limited: Partial<AdmissionInput> = {
 	inFlight: 0,
 	waitMs: 50,
@@ -71,12 +71,20 @@
 const lateCases: ReadonlyArray<
 	readonly [string, Partial<AdmissionInput>, string]
 > = [
-	['a free slot while there is room', {utilization: 0.5}, 'late'],
-	['a free slot that the next in time needs', {utilization: 1}, 'saturated'],
-	['a full upstream with room', {inFlight: 6, utilization: 0.5}, 'late'],
+	['a free slot at low utilization', {utilization: 0.5}, 'late'],
+	[
+		'a free slot that the next attempt in time needs',
+		{utilization: 1},
+		'saturated',
+	],
+	[
+		'a full upstream at low utilization',
+		{inFlight: 6, utilization: 0.5},
+		'late',
+	],
 	['a full upstream', {inFlight: 6, utilization: 0.9}, 'saturated'],
 	[
-		'a wait longer than half of its time',
+		'a wait longer than half of the time left',
 		{inFlight: 6, utilization: 0.5, lateWaitMs: 600},
 		'saturated',
 	],
@@ -86,15 +94,31 @@
 		'in time',
 	],
 	['an objective that it meets', {inFlight: 6, objectiveMs: 100}, 'in time'],
-	['a turn before its objective', {...limited, objectiveMs: 100}, 'in time'],
-	['a turn after its objective', {...limited, objectiveMs: 40}, 'limited'],
 	[
-		'a short time and a turn after its objective',
+		'a rate limit wait within its objective',
+		{...limited, objectiveMs: 100},
+		'in time',
+	],
+	[
+		'a rate limit wait beyond its objective',
+		{...limited, objectiveMs: 40},
+		'limited',
+	],
+	[
+		'a short time and a rate limit wait beyond its objective',
 		{...limited, objectiveMs: 40, meanServiceMs: 50},
 		'limited',
 	],
-	['a turn after its deadline', {...limited, remainingMs: 55}, 'limited'],
-	['no time even without a limit', {...limited, remainingMs: 5}, 'deadline'],
+	[
+		'a rate limit wait beyond its deadline',
+		{...limited, remainingMs: 55},
+		'limited',
+	],
+	[
+		'too little time even without a limit',
+		{...limited, remainingMs: 5},
+		'deadline',
+	],
 ];
 
 for (const [name, change, expected] of lateCases) {
@@ -150,7 +174,7 @@
 	});
 }
 
-test('retries are a tenth of the requests, besides a few', () => {
+test('retries are a tenth of the requests plus a small constant', () => {
 	let budget: RetryBudget | undefined;
 	let made = 0;
 	for (let now = 0; now < 1000; now++) {
--- a/src/coordination/decide-drain-admission.test.ts
+++ b/src/coordination/decide-drain-admission.test.ts
@@ -4,7 +4,7 @@
 
 const stop = {servesUntil: 2500, endsAt: 5850};
 
-test('a stopping node takes nothing that may outlast it', () => {
+test('a draining node refuses requests that may outlast it', () => {
 	const cases = [
 		[0, 9000, true],
 		[2499, 9000, true],
--- a/src/coordination/decide-event-loop-admission.test.ts
+++ b/src/coordination/decide-event-loop-admission.test.ts
@@ -2,10 +2,10 @@
 import test from 'node:test';
 import {decideEventLoopAdmission} from './decide-event-loop-admission.js';
 
-/** Time of one request on a node's processor, ms. */
+/** CPU time of one request at a node, ms. */
 const requestMs = 5;
 
-/** Replays a load above what the processor bears; gives the longest lag. */
+/** Simulates requests at a fixed interval and returns the longest event loop lag, ms. */
 function replayLoad(intervalMs: number, canRefuse: boolean): number {
 	let freeAt = 0;
 	let longestMs = 0;
@@ -20,13 +20,13 @@
 	return longestMs;
 }
 
-test('a node that is asked too much stays responsive by refusing', () => {
+test('an overloaded node limits its event loop lag by refusing requests', () => {
 	assert.ok(replayLoad(3, false) > 1000);
 	assert.ok(replayLoad(3, true) <= 165);
 	assert.equal(replayLoad(6, true), 0);
 });
 
-test('urgent routes are refused last', () => {
+test('routes of high priority are refused last', () => {
 	const refused = [0, 1, 2, 3, 9].map(
 		(priority) => !decideEventLoopAdmission({lagMs: 100, priority}),
 	);
--- a/src/coordination/decide-silence.test.ts
+++ b/src/coordination/decide-silence.test.ts
@@ -20,7 +20,7 @@
 	probedAt: 0,
 };
 
-test('an upstream is asked for its load when nothing else tells of it', () => {
+test('an upstream is probed when no recent report covers an overdue request', () => {
 	assert.equal(decideSilence(overdue), 'probe');
 	assert.equal(decideSilence({...overdue, probedAt: now - 900}), 'wait');
 	assert.equal(decideSilence({...overdue, repeatable: false}), 'wait');
@@ -30,23 +30,23 @@
 	assert.equal(decideSilence({...overdue, work: old}), 'probe');
 });
 
-test('a request that the upstream works on is slow, not silent', () => {
+test('a request that the upstream reports as in progress is slow, not silent', () => {
 	assert.equal(decideSilence({...overdue, work: busy}), 'wait');
 	const slow = {...overdue, sentAt: now - 5000};
 	assert.equal(decideSilence({...slow, work: busy}), 'wait');
 });
 
-test('a request at an upstream that works on nothing is silent', () => {
+test('a request at an idle upstream is silent', () => {
 	const work = {...busy, isIdle: true};
 	assert.equal(decideSilence({...overdue, work}), 'silent');
 });
 
-test('a request that report after report lacks is silent', () => {
+test('a request that consecutive reports lack is silent', () => {
 	assert.equal(decideSilence({...overdue, work: missing}), 'silent');
 });
 
-// An answer on its way lacks in the report that comes with another one.
-test('a request that lacks in a few reports, or for a moment, is not silent', () => {
+// A request whose answer is in transit is missing in the report returned with another answer.
+test('a request that is missing in few reports, or only briefly, is not silent', () => {
 	const few = {...missing, missingReports: 4};
 	assert.equal(decideSilence({...overdue, work: few}), 'wait');
 	const brief = {...missing, missingSince: now - 90};
@@ -55,14 +55,14 @@
 	assert.equal(decideSilence({...overdue, work: before}), 'wait');
 });
 
-test('silence is found while another host can still be in time', () => {
+test('silence is detected while another host can still answer in time', () => {
 	const slow = {...overdue, expectedMs: 400, work: missing};
 	const late = {...missing, missingSince: now - 189};
 	assert.equal(decideSilence({...slow, sentAt: now - 199, work: late}), 'wait');
 	assert.equal(decideSilence({...slow, sentAt: now - 210}), 'silent');
 });
 
-test('an answer is not missed before it could have come', () => {
+test('a request is not silent before its answer is due', () => {
 	const early = {...overdue, expectedMs: 150, work: missing};
 	assert.equal(decideSilence({...early, objectiveMs: 900}), 'wait');
 });
--- a/src/coordination/is-available.ts
+++ b/src/coordination/is-available.ts
@@ -3,11 +3,11 @@
 import type {HostRecord} from './step-host-record.js';
 
 /**
- * Tells whether a host may have room for a request: it can be reached, and has
- * not just refused such a request for want of room.
+ * Tells whether a host may be able to take a request: it is reachable, not
+ * ejected, and has not recently refused such a request for lack of capacity.
  *
- * @param record - what is known of the host
- * @param admissionClass - names requests that hosts admit alike
+ * @param record - the record of the host, undefined when there is none
+ * @param admissionClass - class of requests that hosts admit or refuse alike
  * @param now - monotonic ms
  * @returns true when it may be able to
  * @example
--- a/src/coordination/is-known-full.ts
+++ b/src/coordination/is-known-full.ts
@@ -4,7 +4,7 @@
  * Tells whether a host has recently refused such a request for lack of capacity.
  *
  * @param record - the record of the host, undefined when there is none
- * @param admissionClass - names requests that hosts admit alike
+ * @param admissionClass - class of requests that hosts admit or refuse alike
  * @param now - monotonic ms
  * @returns true when it has
  * @example
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -69,7 +69,7 @@
 	['a host of another data centre', {}, 'marka-1', 0, 0],
 	['an ejected host', {'abdali-1': ejected}, 'abdali-1', 0, 0],
 	[
-		'a host while too many are ejected',
+		'an ejected host while too many are ejected',
 		{'abdali-1': ejected, 'abdali-2': ejected, 'abdali-3': ejected},
 		'abdali-1',
 		0.2,
@@ -82,11 +82,17 @@
 		0.95,
 		1,
 	],
-	['a cold host', {'abdali-1': {inUseSince: now}}, 'abdali-1', 0, 0.15],
+	[
+		'a host in slow start',
+		{'abdali-1': {inUseSince: now}},
+		'abdali-1',
+		0,
+		0.15,
+	],
 	['a host that reports no load', underreporting, 'abdali-1', 0.25, 0.4],
 	['a busy host', {'abdali-1': {ownInFlight: 3}}, 'abdali-1', 0, 0.15],
 	[
-		'a host that always says it is idle',
+		'a busy host that always reports no load',
 		{'abdali-1': {reportedShare: 0, ownInFlight: 2}},
 		'abdali-1',
 		0,
@@ -108,7 +114,7 @@
 	});
 }
 
-test('a host that fails is ejected and comes back slowly', () => {
+test('a failing host is ejected and returns with slow start', () => {
 	const context = {now, random: 0.5, serviceLatencyMs: 1};
 	let record: HostRecord = idle;
 	for (let index = 0; index < 20 && record.ejectedUntil <= now; index++) {
@@ -124,7 +130,7 @@
 	assert.equal(record.samples, 0);
 });
 
-test('hosts that have fallen silent get nothing while another is in reach', () => {
+test('silent hosts get no requests while another host is reachable', () => {
 	const silent = {ownInFlight: 1, silentSince: now - 700};
 	const shares = sharePicks({
 		'abdali-1': silent,
@@ -134,7 +140,7 @@
 	assert.deepEqual(Object.keys(shares), ['abdali-3']);
 });
 
-test('hosts that could not be connected to get nothing, even if they are most', () => {
+test('hosts that could not be connected to get no requests, even if they are the majority', () => {
 	const left = {unreachable: 2, ejectedUntil: now + 500};
 	const shares = sharePicks({
 		'abdali-1': left,
@@ -144,7 +150,7 @@
 	assert.deepEqual(Object.keys(shares), ['marka-1']);
 });
 
-test('a host that is out of reach is found within two signs of life', () => {
+test('an unreachable host is detected 600 ms after its last keepalive', () => {
 	const start = {now: 0, random: 0.5, serviceLatencyMs: 0};
 	const sent: HostMessage = {kind: 'sent', isRemote: true};
 	let record = stepHostRecord(undefined, sent, start);
@@ -166,13 +172,13 @@
 	assert.ok(!isUnreachable(record, 1500));
 });
 
-test('an upstream on the own host is never silent', () => {
+test('the own host is never unreachable', () => {
 	const start = {now: 0, random: 0.5, serviceLatencyMs: 0};
 	const record = stepHostRecord(undefined, {kind: 'sent'}, start);
 	assert.ok(!isUnreachable(record, 10_000));
 });
 
-/** Share of 1000 long bodies that each host gets from a node of a data centre. */
+/** Counts how many of 1000 uploads from a node each host gets. */
 function shareUploads(linkMbps: number, own: string) {
 	const generator = xoroshiro128plus(7);
 	const hosts = candidates.map((candidate) => ({
@@ -196,13 +202,13 @@
 	return counts;
 }
 
-// Uploads of 360 KB took all of their objective to a host at 6 Mbit/s.
-test('long bodies do not go over a thin link while other hosts are in time', () => {
+// An upload of 360 KB to a host with a 6 Mbit/s link uses up its whole objective.
+test('uploads avoid a low-bandwidth link while other hosts answer in time', () => {
 	const shares = shareUploads(1000, 'elsewhere');
 	assert.equal(shares['abdali-1'], undefined);
 	assert.ok(shares['abdali-2']! > 300 && shares['abdali-3']! > 300);
 });
 
-test('long bodies stay on a host whose own link is thin', () => {
+test('uploads stay on a host whose own link has low bandwidth', () => {
 	assert.deepEqual(shareUploads(6, 'abdali-1'), {'abdali-1': 1000});
 });
--- a/src/coordination/pick-target.test.ts
+++ b/src/coordination/pick-target.test.ts
@@ -21,7 +21,7 @@
 	});
 }
 
-test('a target without weight gets nothing', () => {
+test('a target with weight 0 gets no requests', () => {
 	const none = [{service: 'a', weight: 0}, ...targets.slice(1)];
 	assert.equal(pickTarget(none, 0), 'b');
 	assert.equal(pickTarget(none, 12), 'b');
--- a/src/coordination/step-gate-clock.test.ts
+++ b/src/coordination/step-gate-clock.test.ts
@@ -3,7 +3,7 @@
 import {computeGateTime} from './compute-gate-time.js';
 import {stepGateClock, type GateClock} from './step-gate-clock.js';
 
-/** Takes stamps of a gate in, each as its time and the way to the receiver. */
+/** Applies stamps of a gate, each given as its time and its transit time. */
 function applyStamps(
 	stamps: ReadonlyArray<{sentAt: number; transitMs: number}>,
 	{offsetMs, epoch = 'a'}: {offsetMs: number; epoch?: string},
@@ -21,7 +21,7 @@
 	return next!;
 }
 
-test('the stamp that came soonest tells the time of the gate', () => {
+test('the stamp with the shortest transit time determines the time of the gate', () => {
 	const clock = applyStamps(
 		[
 			{sentAt: 0, transitMs: 300},
@@ -33,7 +33,7 @@
 	assert.equal(computeGateTime(clock, 8000), 2998);
 });
 
-test('a gate that has started again has a new clock', () => {
+test('a restarted gate has a new clock', () => {
 	const before = applyStamps([{sentAt: 9000, transitMs: 1}], {offsetMs: 0});
 	const after = applyStamps(
 		[{sentAt: 10, transitMs: 1}],
@@ -43,7 +43,7 @@
 	assert.equal(computeGateTime(after, 9600), 99);
 });
 
-test('a suspended receiver learns the time from the next stamp', () => {
+test('after a suspension of the receiver the next stamp corrects the time', () => {
 	const before = applyStamps([{sentAt: 1000, transitMs: 1}], {offsetMs: 0});
 	const after = applyStamps(
 		[{sentAt: 5000, transitMs: 1}],
@@ -53,7 +53,7 @@
 	assert.equal(computeGateTime(after, 2100), 5099);
 });
 
-test('a suspended gate is known by its new time after two windows', () => {
+test('after a suspension of the gate the time is corrected within two windows', () => {
 	const before = applyStamps([{sentAt: 1000, transitMs: 1}], {offsetMs: 0});
 	const stamps = [2000, 6000, 9000, 14_000].map((sentAt) => ({
 		sentAt,
--- a/src/coordination/step-host-record.test.ts
+++ b/src/coordination/step-host-record.test.ts
@@ -20,7 +20,7 @@
 	};
 }
 
-/** Counts the requests that reach a host in ten seconds while it refuses all. */
+/** Counts the attempts at a host in ten seconds while it refuses all of them. */
 function countAttempts(): number {
 	let record: HostRecord | undefined;
 	let asked = 0;
@@ -36,11 +36,11 @@
 	return asked;
 }
 
-test('a host that refuses all is hardly asked in a lasting overload', () => {
+test('a host that refuses every attempt gets few attempts under lasting overload', () => {
 	assert.ok(countAttempts() <= 10_000 / 400 + 5, String(countAttempts()));
 });
 
-test('a host that has room again is soon asked as before', () => {
+test('the backoff starts anew after a host has accepted an attempt', () => {
 	const context = {now: 0, random: 0.5, serviceLatencyMs: 0};
 	let record: HostRecord | undefined;
 	for (const outcome of ['full', 'full', 'full', 'answered', 'full'] as const) {
@@ -51,7 +51,7 @@
 	assert.ok(!isKnownFull(record, admissionClass, 31));
 });
 
-test('requests sent to a host that limits its rate take their turns one after the other', () => {
+test('the wait at a rate-limited host grows with each request sent to it', () => {
 	const context = {now: 0, random: 0.5, serviceLatencyMs: 0};
 	const rateLimit = {perSecond: 10, waitMs: 0};
 	const notice = {id: 'i-1', isLeaving: false, rateLimit};
@@ -64,14 +64,14 @@
 	record = stepHostRecord(record, {kind: 'sent'}, context);
 	assert.equal(computeHostRateLimitWait(record, 0), 200);
 	assert.equal(computeHostRateLimitWait(record, 150), 50);
-	// What was reported long ago may be over.
+	// A limit that was reported long ago may have ended.
 	assert.equal(computeHostRateLimitWait({...record, reportedAt: -1500}, 0), 0);
 	const free = {...end, load: {...load, notice: undefined}};
 	record = stepHostRecord(record, free, context);
 	assert.equal(computeHostRateLimitWait(record, 0), 0);
 });
 
-test('a host that limits its rate is asked again when its turn has come, however often it refused', () => {
+test('a rate-limited host is tried again after the delay given by it, regardless of earlier refusals', () => {
 	const rateLimit = {perSecond: 10, waitMs: 100};
 	const notice = {id: 'i-1', isLeaving: false, rateLimit};
 	const load = {inFlight: 0, queued: 0, slots: 6, notice};
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -102,7 +102,7 @@
 const minFullMs = 30;
 const maxFullMs = 400;
 
-/** Ratio of the retry delay given by the host that is waited, since capacity may become free earlier for other requests. */
+/** Share of the retry delay given by the host after which it is tried again: other requests may find free capacity earlier. */
 const retryAfterRatio = 0.5;
 
 /** Maximum count of consecutive refusals; more would not lengthen the backoff. */
--- a/src/coordination/step-rate-limit.test.ts
+++ b/src/coordination/step-rate-limit.test.ts
@@ -10,7 +10,7 @@
 	return stepRateLimit(undefined, {kind: 'named', perSecond}, now)!;
 }
 
-/** Sends whenever it is allowed, looking at the given times, and gives the times of the requests. */
+/** Sends whenever the limit allows it at the given times, and returns the times of the requests. */
 function sendAtMost(first: RateLimit, times: readonly number[]): number[] {
 	const sentAt: number[] = [];
 	let limit: RateLimit | undefined = first;
@@ -24,7 +24,7 @@
 	return sentAt;
 }
 
-test('no window of four seconds gets more than the rate and a quarter of a second', () => {
+test('no window of four seconds exceeds the rate plus a burst of a quarter of a second', () => {
 	fc.assert(
 		fc.property(
 			fc.double({min: 0.5, max: 200, noNaN: true}),
@@ -53,38 +53,38 @@
 	);
 });
 
-test('the named rate is used up when there is always a request', () => {
+test('the reported rate is fully used when requests are always available', () => {
 	const times = Array.from({length: 1000}, (_, index) => index * 10);
 	assert.equal(sendAtMost(nameLimit(12.6), times).length, 125);
 });
 
-test('a node that was paused has no allowance for that time', () => {
+test('a node that was suspended accumulates no tokens beyond the burst size', () => {
 	const sentAt = sendAtMost(nameLimit(20), [0, 30_000]);
 	assert.equal(sentAt.length, 5);
 });
 
-test('a limit holds from the answer that names it, without earlier allowance', () => {
+test('a limit applies from the answer that reports it, with no tokens from before', () => {
 	assert.equal(computeRateLimitWait(nameLimit(10, 5000), 0, 5000), 100);
 });
 
-test('a limit of less than one a second lets a request through when its turn comes', () => {
+test('a limit below one request a second still admits requests at its rate', () => {
 	const times = Array.from({length: 1000}, (_, index) => index * 10);
 	assert.equal(sendAtMost(nameLimit(0.8), times).length, 7);
 });
 
-test('a limit of 0 lets a request through at times, whose answer may end it', () => {
+test('a limit of 0 admits occasional requests, whose answers may end it', () => {
 	const times = Array.from({length: 1001}, (_, index) => index * 10);
 	assert.equal(sendAtMost(nameLimit(0), times).length, 5);
 });
 
-test('a limit that changes keeps what had accrued before', () => {
+test('a changed limit keeps the tokens accrued before', () => {
 	const before = nameLimit(10);
 	const after = stepRateLimit(before, {kind: 'named', perSecond: 1}, 50);
 	assert.equal(computeRateTokens(after!, 50), 0.5);
 	assert.equal(computeRateLimitWait(after, 0, 50), 500);
 });
 
-test('an answer that names no limit ends it only when its request was sent after it was named', () => {
+test('an answer without a limit ends the limit only when its request was sent after the last report of it', () => {
 	const limit = nameLimit(10, 100);
 	const before = stepRateLimit(limit, {kind: 'omitted', sentAt: 100}, 200);
 	assert.equal(before, limit);
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -50,7 +50,7 @@
 	),
 );
 
-/** Tells a request messages and lists the effects. */
+/** Passes messages to a request and returns the effects. */
 function run(messages: readonly RequestMessage[], repeatable: boolean) {
 	const parameters = {
 		repeatable,
@@ -67,7 +67,7 @@
 	});
 }
 
-test('a request ends once, and nothing follows its end', () => {
+test('a request ends exactly once, and no effect follows its end', () => {
 	fc.assert(
 		fc.property(
 			fc.array(message, {maxLength: 30}),
@@ -86,7 +86,7 @@
 	);
 });
 
-test('after an attempt that may have run the end is not `not-run`', () => {
+test('a request with an attempt that may have run does not end as `not-run`', () => {
 	fc.assert(
 		fc.property(fc.array(message, {maxLength: 20}), (messages) => {
 			const lost: RequestMessage = {
@@ -134,7 +134,7 @@
 	return end?.kind === 'finish' ? end.outcome : undefined;
 }
 
-test('an attempt that no gate can run does not end unknown at the deadline', () => {
+test('an attempt that no gate can run does not end as `unknown` at the deadline', () => {
 	const deadline: RequestMessage = {kind: 'deadline'};
 	assert.equal(readEnd([deadline]), 'not-run');
 	assert.equal(
@@ -147,7 +147,7 @@
 	);
 });
 
-test('a silent attempt that no gate can run goes to another host at once', () => {
+test('a silent attempt that no gate can run is sent to another host at once', () => {
 	const silent: RequestMessage = {kind: 'silent', attempt: 1};
 	const unsent = run([{kind: 'start'}, silent], false);
 	assert.deepEqual(
@@ -164,7 +164,7 @@
 	);
 });
 
-test('the end of an attempt that was given up spends no budget', () => {
+test('the end of an abandoned attempt uses no retry budget', () => {
 	const sent: RequestMessage = {kind: 'sent', attempt: 1, hasStamp: true};
 	const effects = run(
 		[
--- a/src/coordination/step-retry-budget.ts
+++ b/src/coordination/step-retry-budget.ts
@@ -41,8 +41,8 @@
  * share of the requests in the window.
  *
  * Load pattern: upstreams that fail at the same time. The retries of all nodes
- * must not add to the load that made them fail. No tokens are accumulated over
- * windows without failures, so that the bound holds for every window.
+ * must not add to the load that made them fail. No tokens are carried over from
+ * quiet periods, so that the bound holds for every window.
  *
  * @param budget - the budget before, undefined when there is none
  * @param message - the event
--- a/src/coordination/step-time-margin.test.ts
+++ b/src/coordination/step-time-margin.test.ts
@@ -4,7 +4,7 @@
 import {decideAdmission, defaultMarginRatio} from './decide-admission.js';
 import {stepTimeMargin} from './step-time-margin.js';
 
-test('rises with late answers and falls with punctual ones', () => {
+test('the margin rises with late answers and falls with punctual ones', () => {
 	const late = {serviceMs: 50, expectedMs: 90, actualMs: 150};
 	const punctual = {...late, actualMs: 60};
 	assert.ok(stepTimeMargin(0.4, late) > 0.4);
@@ -17,7 +17,7 @@
 const objectiveMs = 200;
 const seconds = 20;
 
-/** A stream of numbers from 0 up to 1, the same ones each time. */
+/** Creates a deterministic source of pseudorandom numbers in [0, 1). */
 function createNumbers(): () => number {
 	let seed = 12_345;
 	return () => {
@@ -29,9 +29,9 @@
 type QueuedLookup = {readonly expectedMs: number; readonly dueAt: number};
 
 /**
- * Replays lookups at one and a half times what six slots serve: most hold their
- * slot for calls of their own too, of widely differing times, and urgent requests
- * take every third free slot.
+ * Simulates lookups at 1.5 times the capacity of six slots. Most of them hold
+ * their slot for nested calls of widely varying duration, and requests of high
+ * priority take about every third free slot.
  */
 function replayOverload(adapts: boolean): {served: number; punctual: number} {
 	const random = createNumbers();
@@ -110,7 +110,7 @@
 	return {served, punctual};
 }
 
-test('keeps most answers punctual under overload, at little cost in answers', () => {
+test('the adapted margin keeps most answers punctual under overload at the cost of few answers', () => {
 	const fixed = replayOverload(false);
 	const learnt = replayOverload(true);
 	assert.ok(fixed.punctual < 0.75 * fixed.served, JSON.stringify(fixed));
--- a/src/coordination/step-upstream-notice.test.ts
+++ b/src/coordination/step-upstream-notice.test.ts
@@ -10,14 +10,14 @@
 };
 const leaving = {id: 'i-1', isLeaving: true};
 
-test('a limit is remembered until its gate tells of none', () => {
+test('a limit is cached until a report of its gate has none', () => {
 	const held = stepUpstreamNotice(undefined, {...load, notice: limited}, 5);
 	assert.deepEqual(held, {notice: limited, receivedAt: 5});
 	assert.equal(stepUpstreamNotice(held, undefined, 6), held);
 	assert.equal(stepUpstreamNotice(held, load, 6), undefined);
 });
 
-test('a leaving is remembered though a gate that has started again knows nothing of it', () => {
+test('a leaving notice is kept when a restarted gate has lost it', () => {
 	const held = stepUpstreamNotice(undefined, {...load, notice: leaving}, 5);
 	assert.equal(stepUpstreamNotice(held, load, 6), held);
 	const next = {...load, notice: {...limited, id: 'i-2'}};
--- a/src/coordination/step-upstream-notice.ts
+++ b/src/coordination/step-upstream-notice.ts
@@ -8,17 +8,17 @@
 };
 
 /**
- * Advances what a caller's node remembers of an upstream by what its gate tells
- * with the end of an attempt.
+ * Updates the notice about an upstream that a caller's node has cached with the
+ * load report that its gate sends at the end of an attempt.
  *
- * Answers a gate that starts again beside an upstream that goes on: the callers'
- * nodes remember for it. An upstream that leaves doesn't come back, so that a
- * gate which knows nothing of that has forgotten it.
+ * Covers a gate that restarts while its upstream keeps running: the callers'
+ * nodes keep the notice for it. An upstream that is leaving does not return, so
+ * a report without that notice means that the gate has lost it.
  *
- * @param cached - what is remembered so far
- * @param load - what the gate tells, undefined when it tells nothing
+ * @param cached - the cached notice, undefined when there is none
+ * @param load - the load report of the gate, undefined when there is none
  * @param now - monotonic ms
- * @returns what is to be remembered
+ * @returns the notice to cache, undefined when there is none
  * @example
  * stepUpstreamNotice(undefined, {inFlight: 0, queued: 0, slots: 6}, 0); // undefined
  */
--- a/src/coordination/step-usual-deadline.test.ts
+++ b/src/coordination/step-usual-deadline.test.ts
@@ -14,7 +14,7 @@
 	return usual;
 }
 
-test('the usual deadline is found among those of clients that come again', () => {
+test('the usual deadline is detected among retries of clients', () => {
 	const deadlines = Array.from({length: 300}, (_, index) =>
 		index % 5 < 2 ? 400 + ((index * 37) % 700) : 1200,
 	);
@@ -24,7 +24,7 @@
 	assert.equal(computeRequestAge(usual, 1050), 150);
 });
 
-test('a few patient clients do not make the others look old', () => {
+test('a few requests with long deadlines do not make the others count as retries', () => {
 	const deadlines = Array.from({length: 300}, (_, index) =>
 		index % 20 === 0 ? 3600 : 1200,
 	);
@@ -33,7 +33,7 @@
 	assert.equal(computeRequestAge(usual, 3600), 0);
 });
 
-test('a new usual deadline is found', () => {
+test('a new usual deadline is detected', () => {
 	const usual = applyDeadlines([
 		...Array.from({length: 200}, () => 1200),
 		...Array.from({length: 120}, () => 900),
--- a/src/coordination/step-utilization.test.ts
+++ b/src/coordination/step-utilization.test.ts
@@ -3,7 +3,7 @@
 import {readUtilization} from './read-utilization.js';
 import {stepUtilization, type Utilization} from './step-utilization.js';
 
-test('steady work is read as its share of the slots', () => {
+test('steady work gives the utilization as a share of the slots', () => {
 	let utilization: Utilization | undefined;
 	for (let now = 0; now < 10_000; now += 10) {
 		utilization = stepUtilization(utilization, 30, now);
