--- a/faults/_lib/config/create-sim-node.ts
+++ b/faults/_lib/config/create-sim-node.ts
@@ -281,7 +281,7 @@
 		submit(submission, answer) {
 			lastNumber++;
 			replies.set(lastNumber, answer);
-			const pending = {...submission, ticket: lastNumber};
+			const pending = {...submission, replyId: lastNumber};
 			world.reach('submit', node, () => {
 				const configuration = delivery.heldConfigurations.at(-1)!;
 				tellCommit({kind: 'configuration', configuration});
--- a/src/coordination/compute-position.ts
+++ b/src/coordination/compute-position.ts
@@ -39,12 +39,10 @@
 		const children = Math.min(totalFanOut, fanOuts.length - end);
 		const childIndex = index - end;
 		if (childIndex < children) {
-			let cumulativeFanOut = 0;
+			let cumulative = 0;
 			const offset = parents.findIndex((fanOut) => {
-				cumulativeFanOut += fanOut;
-				return (
-					childIndex < Math.round((children * cumulativeFanOut) / totalFanOut)
-				);
+				cumulative += fanOut;
+				return childIndex < Math.round((children * cumulative) / totalFanOut);
 			});
 			return start + offset;
 		}
--- a/src/coordination/decide-event-loop-admission.ts
+++ b/src/coordination/decide-event-loop-admission.ts
@@ -10,7 +10,7 @@
 const lagStepMs = 40;
 
 /** Number of distinct priorities. */
-const priorityLevels = 4;
+const levels = 4;
 
 /**
  * Decides whether a node admits a caller's request, based on event loop lag.
@@ -29,8 +29,5 @@
 	input: EventLoopAdmissionInput,
 ): boolean {
 	const {lagMs, priority} = input;
-	return (
-		lagMs <
-		lagStepMs * (priorityLevels - Math.min(priorityLevels - 1, priority))
-	);
+	return lagMs < lagStepMs * (levels - Math.min(levels - 1, priority));
 }
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -247,7 +247,7 @@
 			{
 				agent: upstream.agent,
 				address: upstream.announcement.address,
-				areAnswersIdentified: edge.identifiesAnswers,
+				areResponsesIdentified: edge.identifiesAnswers,
 				onSent() {
 					job.fullySentAt = now();
 				},
--- a/src/transport/_lib/create-readiness.ts
+++ b/src/transport/_lib/create-readiness.ts
@@ -2,7 +2,7 @@
 export type ReadinessOptions = {
 	readonly hasConfiguration: () => boolean;
 	/** Whether the node has found the others, or waited for them in vain. */
-	readonly hasMembers: () => boolean;
+	readonly hasJoined: () => boolean;
 };
 
 /** Why a node does not take requests, or that it does. */
@@ -34,7 +34,7 @@
 				return 'no-configuration';
 			}
 
-			return options.hasMembers() ? 'ready' : 'joining';
+			return options.hasJoined() ? 'ready' : 'joining';
 		},
 		drain() {
 			isStopping = true;
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -19,7 +19,10 @@
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
 import type {UpstreamResponse} from './send-upstream-response.js';
-import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
+import {
+	startPostPollTimer,
+	type PostPollTimer,
+} from './start-post-poll-timer.js';
 
 /** What of an attempt is the same for all attempts of a request. */
 export type AttemptTemplate = Omit<
@@ -99,7 +102,7 @@
 	let state = initialRequestState;
 	let open: OpenAttempt | undefined;
 	let answer: UpstreamResponse | undefined;
-	let silenceTimer: PolledTimer | undefined;
+	let silenceTimer: PostPollTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
 	return new Promise((resolve) => {
@@ -210,7 +213,7 @@
 			if (gate.isLocal) {
 				tell({kind: 'sent', attempt: number, hasStamp});
 			} else {
-				silenceTimer = startPolledTimer(() => {
+				silenceTimer = startPostPollTimer(() => {
 					tell({kind: 'silent', attempt: number});
 				}, askAfterMs);
 			}
@@ -331,7 +334,7 @@
 			tell({kind: 'cancelled'});
 		}
 
-		const deadlineTimer = startPolledTimer(
+		const deadlineTimer = startPostPollTimer(
 			() => {
 				tell({kind: 'deadline'});
 			},
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -12,7 +12,10 @@
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 import type {AnswerHead} from '../../protocol/edge.js';
 import {discardBody} from './discard-body.js';
-import {startPolledTimer, type PolledTimer} from './start-polled-timer.js';
+import {
+	startPostPollTimer,
+	type PostPollTimer,
+} from './start-post-poll-timer.js';
 
 /** What became of a request on one connection. */
 export type SendOutcome =
@@ -51,7 +54,7 @@
 	 * Whether an answer to another request is found out; if not, which is assumed,
 	 * idle connections are read before one of them is used again.
 	 */
-	readonly areAnswersIdentified?: boolean;
+	readonly areResponsesIdentified?: boolean;
 	/** Called before the first byte may leave, unless it was aborted before. */
 	readonly onSend?: (() => void) | undefined;
 	/** Called when the last byte has been handed to the connection. */
@@ -94,7 +97,7 @@
 	readonly outcome: Promise<SendOutcome>;
 	#request: ClientRequest | undefined;
 	#resolve!: (outcome: SendOutcome) => void;
-	#connectTimer: PolledTimer | undefined;
+	#connectTimer: PostPollTimer | undefined;
 	#isSent = false;
 	#isAborted = false;
 	#hasFailed = false;
@@ -111,8 +114,8 @@
 			this.#resolve = resolve;
 		});
 		this.#onSend = options.onSend;
-		const {areAnswersIdentified = false} = options;
-		if (areAnswersIdentified || !hasIdleConnection(options)) {
+		const {areResponsesIdentified = false} = options;
+		if (areResponsesIdentified || !hasIdleConnection(options)) {
 			this.#start(outgoing, options);
 		} else {
 			void this.#startOnceRead(outgoing, options);
@@ -192,7 +195,7 @@
 			return;
 		}
 
-		this.#connectTimer = startPolledTimer(() => {
+		this.#connectTimer = startPostPollTimer(() => {
 			this.#request!.destroy(new Error('no connection in time'));
 		}, connectTimeoutMs);
 		socket.once('connect', () => {
--- a/src/transport/_lib/start-polled-timer.test.ts
+++ b/src/transport/_lib/start-post-poll-timer.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {startPolledTimer} from './start-polled-timer.js';
+import {startPostPollTimer} from './start-post-poll-timer.js';
 
 test('a timer that is due fires after the sockets were read', (t) => {
 	t.mock.timers.enable({apis: ['setTimeout']});
@@ -9,7 +9,7 @@
 		immediates.push(callback);
 	});
 	let fired = 0;
-	startPolledTimer(() => {
+	startPostPollTimer(() => {
 		fired++;
 	}, 250);
 	t.mock.timers.tick(250);
--- a/src/transport/_lib/start-polled-timer.ts
+++ b/src/transport/_lib/start-post-poll-timer.ts
@@ -1,5 +1,5 @@
 /** A timer that has been started. */
-export type PolledTimer = {
+export type PostPollTimer = {
 	/** Starts it again from the present. */
 	refresh(): void;
 	stop(): void;
@@ -18,10 +18,10 @@
  * @example
  * startPolledTimer(() => socket.destroy(), 250).stop();
  */
-export function startPolledTimer(
+export function startPostPollTimer(
 	callback: () => void,
 	delayMs: number,
-): PolledTimer {
+): PostPollTimer {
 	let immediate: NodeJS.Immediate | undefined;
 	const timer = setTimeout(() => {
 		immediate = setImmediate(callback);
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -109,7 +109,7 @@
 					agent,
 					address,
 					// A gate answers each attempt once.
-					areAnswersIdentified: true,
+					areResponsesIdentified: true,
 					onSend: attempt.onSend,
 					onInterim: attempt.onSignOfLife,
 				},
@@ -132,7 +132,7 @@
 			};
 			const sent = sendRequest(
 				{method: 'GET', path: answersPath, headers},
-				{agent: freshAgent, address, areAnswersIdentified: true},
+				{agent: freshAgent, address, areResponsesIdentified: true},
 			);
 			const outcome = await awaitOutcome(sent, signal);
 			// A fetch that was not sent tells nothing of the attempt.
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -58,7 +58,7 @@
 } from './_lib/local-upstream.js';
 import {raceResult} from './_lib/race-result.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
-import {startPolledTimer} from './_lib/start-polled-timer.js';
+import {startPostPollTimer} from './_lib/start-post-poll-timer.js';
 import type {Logger} from './create-logger.js';
 import {ownEdge} from './own-edge.js';
 
@@ -409,7 +409,7 @@
 		}
 
 		const job = admitted;
-		const timer = startPolledTimer(() => {
+		const timer = startPostPollTimer(() => {
 			runner.endEarly(job, 'deadline');
 		}, attempt.remainingMs);
 		const waitTimer = setTimeout(
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -276,7 +276,7 @@
 	);
 	const readiness = createReadiness({
 		hasConfiguration: () => document.readDocument() !== undefined,
-		hasMembers: members.isMember,
+		hasJoined: members.isMember,
 	});
 	const readinessServer = await startServer(
 		first.readiness,
