--- a/src/coordination/compute-host-cost.ts
+++ b/src/coordination/compute-host-cost.ts
@@ -27,7 +27,7 @@
  *
  * Load pattern: hosts of uneven speed. By speed alone, the fastest host would be
  * chosen until it is full, although a slower host with free slots still answers
- * in time. The same holds for a host whose upstream limits its rate, until the
+ * in time. A host whose upstream limits its rate also answers in time, until the
  * wait under the limit becomes too long.
  *
  * @param expectation - see `HostExpectation`
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -44,7 +44,7 @@
 }
 
 function finish(state: RequestState, ending: AttemptEnding): RequestStep {
-	// If an earlier attempt may have run, a later one that has not run does not matter.
+	// An earlier attempt that may have run takes precedence over a later one that has not.
 	const outcome = state.mayHaveRun ? 'unknown' : ending.outcome;
 	return {
 		state: {...state, phase: 'done', isOpen: false},
--- a/src/coordination/step-time-margin.ts
+++ b/src/coordination/step-time-margin.ts
@@ -23,8 +23,8 @@
  *
  * Load pattern: load above the capacity of an upstream. The queue is then as long
  * as admission allows, so that each error of the expected wait (answers that take
- * longer, high-priority requests that overtake) delays all requests that were
- * admitted with just enough time beyond their objective.
+ * longer, high-priority requests that overtake) makes all requests late that were
+ * admitted with just enough time.
  *
  * @param before - the margin before
  * @param answer - see `TimedAnswer`
