--- a/bench/_lib/create-simulated-caller.ts
+++ b/bench/_lib/create-simulated-caller.ts
@@ -145,7 +145,7 @@
 
 					case 'wait': {
 						scheduler.schedule(effect.durationMs, () => {
-							tell({kind: 'wait-over'});
+							tell({kind: 'delay-elapsed'});
 						});
 						break;
 					}
--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -102,7 +102,7 @@
 
 			case 'wait': {
 				scheduler.schedule(effect.durationMs, () => {
-					tell({kind: 'wait-over'});
+					tell({kind: 'delay-elapsed'});
 				});
 				break;
 			}
@@ -241,7 +241,7 @@
 			carryToGate(world, connection, () => {
 				receiveQuestion(world, host, attempt, (answer) => {
 					carryToCaller(world, connection, () => {
-						end({kind: 'known', attempt: number, answer});
+						end({kind: 'ask-answered', attempt: number, answer});
 					});
 				});
 			});
--- a/faults/requests.test.ts
+++ b/faults/requests.test.ts
@@ -85,7 +85,7 @@
 	],
 	'what the gate does not know has not run': [
 		tellInstead((message) =>
-			message.kind === 'known' && message.answer === 'stale'
+			message.kind === 'ask-answered' && message.answer === 'stale'
 				? {...message, answer: 'fenced'}
 				: message,
 		),
--- a/src/coordination/decide-silence.ts
+++ b/src/coordination/decide-lost-request.ts
@@ -1,7 +1,7 @@
 import type {UpstreamWork} from './compute-upstream-work.js';
 
 /** State of a request that its upstream has not answered yet. */
-export type SilenceInput = {
+export type LostRequestInput = {
 	/** Monotonic ms. */
 	readonly now: number;
 	/** When it was sent completely, monotonic ms. */
@@ -21,7 +21,7 @@
 };
 
 /** Action for an unanswered request. */
-export type SilenceDecision =
+export type LostRequestDecision =
 	| 'wait'
 	/** Probe the upstream for its load. */
 	| 'probe'
@@ -51,7 +51,7 @@
 const minMissingMs = 100;
 
 /** Tells whether reports have lacked requests for long enough, starting after this request was read. */
-function isMissing({now, sentAt, work}: SilenceInput): boolean {
+function isMissing({now, sentAt, work}: LostRequestInput): boolean {
 	const {missingSince, missingReports = 0} = work ?? {};
 	return (
 		missingSince !== undefined &&
@@ -62,7 +62,7 @@
 }
 
 /** Tells whether a recent report covers a request. */
-function isReported({now, sentAt, work}: SilenceInput): boolean {
+function isReported({now, sentAt, work}: LostRequestInput): boolean {
 	return (
 		work !== undefined &&
 		work.at >= sentAt + readMarginMs &&
@@ -80,12 +80,14 @@
  * exceeds all time thresholds, and never for a request that may not run
  * elsewhere.
  *
- * @param input - see `SilenceInput`
+ * @param input - see `LostRequestInput`
  * @returns the decision
  * @example
- * decideSilence({...input, sentAt: input.now}); // 'wait'
+ * decideLostRequest({...input, sentAt: input.now}); // 'wait'
  */
-export function decideSilence(input: SilenceInput): SilenceDecision {
+export function decideLostRequest(
+	input: LostRequestInput,
+): LostRequestDecision {
 	const {now, sentAt, expectedMs, objectiveMs, repeatable, work} = input;
 	const unansweredMs = now - sentAt;
 	const objectiveThresholdMs = objectiveMs * suspectObjectiveRatio;
@@ -103,6 +105,6 @@
 		minSuspectMs,
 		Math.min(objectiveThresholdMs, expectedThresholdMs),
 	);
-	const isKnown = work?.isIdle === true || isMissing(input);
-	return isKnown && unansweredMs >= suspectMs ? 'silent' : 'wait';
+	const isLost = work?.isIdle === true || isMissing(input);
+	return isLost && unansweredMs >= suspectMs ? 'silent' : 'wait';
 }
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -154,7 +154,7 @@
 	const start = {now: 0, random: 0.5, serviceLatencyMs: 0};
 	const sent: HostMessage = {kind: 'sent', isRemote: true};
 	let record = stepHostRecord(undefined, sent, start);
-	record = stepHostRecord(record, {kind: 'heard'}, {...start, now: 400});
+	record = stepHostRecord(record, {kind: 'keepalive'}, {...start, now: 400});
 	assert.ok(!isUnreachable(record, 1000));
 	assert.ok(isUnreachable(record, 1001));
 	record = stepHostRecord(
@@ -162,7 +162,7 @@
 		{
 			kind: 'ended',
 			outcome: 'unreachable',
-			isHeard: false,
+			isFromHost: false,
 			latencyMs: 1100,
 			load: undefined,
 		},
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -83,13 +83,13 @@
 	/** Nothing has been received for the attempt for some time. */
 	| {readonly kind: 'silent'; readonly attempt: number}
 	| {
-			readonly kind: 'known';
+			readonly kind: 'ask-answered';
 			readonly attempt: number;
 			readonly answer: LedgerStep['answer'];
 	  }
 	| {readonly kind: 'ask-failed'; readonly attempt: number}
 	| {readonly kind: 'fetch-lost'; readonly attempt: number}
-	| {readonly kind: 'wait-over'}
+	| {readonly kind: 'delay-elapsed'}
 	| {readonly kind: 'deadline'}
 	/** The client has disconnected. */
 	| {readonly kind: 'cancelled'};
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -63,7 +63,7 @@
 			readonly isRemote?: boolean;
 	  }
 	/** A keepalive of the host was received. */
-	| {readonly kind: 'heard'}
+	| {readonly kind: 'keepalive'}
 	| {
 			readonly kind: 'ended';
 			/** `refused` is no evidence about the health of the host. */
@@ -76,7 +76,7 @@
 				| 'unreachable';
 			readonly latencyMs: number;
 			/** Whether the outcome was reported by the host itself; true when absent. */
-			readonly isHeard?: boolean;
+			readonly isFromHost?: boolean;
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
 			/** Class of requests that hosts admit or refuse alike; the route when absent. */
@@ -186,14 +186,14 @@
 /** Computes since when nothing has been received, after the end of an attempt. */
 function computeSilentSince(
 	{ownInFlight, silentSince}: HostRecord,
-	{isHeard = true}: EndedMessage,
+	{isFromHost = true}: EndedMessage,
 	now: number,
 ): number | undefined {
 	if (ownInFlight <= 1 || silentSince === undefined) {
 		return undefined;
 	}
 
-	return isHeard ? now : silentSince;
+	return isFromHost ? now : silentSince;
 }
 
 /** Computes the load of the host by other nodes, as a share of its slots. */
@@ -376,7 +376,7 @@
 			};
 		}
 
-		case 'heard': {
+		case 'keepalive': {
 			return before.silentSince === undefined
 				? before
 				: {...before, silentSince: context.now};
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -33,7 +33,7 @@
 		attempt,
 	}),
 	fc.record({
-		kind: fc.constant('known' as const),
+		kind: fc.constant('ask-answered' as const),
 		attempt,
 		answer: fc.constantFrom(
 			'running' as const,
@@ -43,7 +43,7 @@
 		),
 	}),
 	fc.constantFrom<RequestMessage>(
-		{kind: 'wait-over'},
+		{kind: 'delay-elapsed'},
 		{kind: 'deadline'},
 		{kind: 'cancelled'},
 		{kind: 'no-host', reason: 'pending'},
@@ -171,7 +171,7 @@
 			{kind: 'start'},
 			sent,
 			{kind: 'silent', attempt: 1},
-			{kind: 'known', attempt: 1, answer: 'stale'},
+			{kind: 'ask-answered', attempt: 1, answer: 'stale'},
 			{
 				kind: 'lost',
 				attempt: 1,
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -151,7 +151,7 @@
 	return state.phase === 'attempting' ? ask(after) : keepState(after);
 }
 
-function handleKnown(
+function handleAskAnswer(
 	state: RequestState,
 	answer: LedgerStep['answer'],
 	context: RequestContext,
@@ -209,7 +209,7 @@
 
 /** Messages about the state of an attempt that is in doubt. */
 type InquiryMessage = RequestMessage & {
-	readonly kind: 'silent' | 'known' | 'ask-failed' | 'fetch-lost';
+	readonly kind: 'silent' | 'ask-answered' | 'ask-failed' | 'fetch-lost';
 };
 
 function handleInquiry(
@@ -222,9 +222,9 @@
 			return handleSilence(state, context);
 		}
 
-		case 'known': {
+		case 'ask-answered': {
 			return state.phase === 'asking'
-				? handleKnown(state, message.answer, context)
+				? handleAskAnswer(state, message.answer, context)
 				: keepState(state);
 		}
 
@@ -242,7 +242,7 @@
 	}
 }
 
-function handleWaitOver(state: RequestState): RequestStep {
+function handleDelayElapsed(state: RequestState): RequestStep {
 	switch (state.phase) {
 		case 'waiting-to-ask': {
 			return ask(state);
@@ -347,14 +347,14 @@
 		}
 
 		case 'silent':
-		case 'known':
+		case 'ask-answered':
 		case 'ask-failed':
 		case 'fetch-lost': {
 			return handleInquiry(state, message, context);
 		}
 
-		case 'wait-over': {
-			return handleWaitOver(state);
+		case 'delay-elapsed': {
+			return handleDelayElapsed(state);
 		}
 
 		case 'deadline': {
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -3,10 +3,10 @@
 	type UpstreamWork,
 } from '../../coordination/compute-upstream-work.js';
 import {
-	decideSilence,
+	decideLostRequest,
 	readMarginMs,
-	type SilenceDecision,
-} from '../../coordination/decide-silence.js';
+	type LostRequestDecision,
+} from '../../coordination/decide-lost-request.js';
 import type {GateLoad} from '../../protocol/attempt.js';
 import type {Announcement} from '../../protocol/member.js';
 import type {Logger} from '../create-logger.js';
@@ -63,11 +63,11 @@
 ): LostRequestDetector {
 	const {logger, probeLoad, onLost, now} = options;
 
-	function decide(job: Job): SilenceDecision {
+	function decide(job: Job): LostRequestDecision {
 		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
 			job;
 		const at = now();
-		return decideSilence({
+		return decideLostRequest({
 			now: at,
 			sentAt: fullySentAt,
 			expectedMs: readExpectedServiceTime(upstream, attempt, at),
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -252,7 +252,7 @@
 				forwarder.forwardAttempt(address, {
 					...attempt,
 					onSignOfLife() {
-						noteHost(host.host, service, {kind: 'heard'});
+						noteHost(host.host, service, {kind: 'keepalive'});
 						attempt.onSignOfLife?.();
 					},
 				}),
@@ -431,12 +431,12 @@
 			}
 
 			// An attempt that was not sent has no stamp from the gate.
-			const isHeard = result.kind !== 'lost' && result.stamp !== undefined;
-			const isSilent = !isHeard && isUnreachable(records.get(host), endedAt);
+			const isFromHost = result.kind !== 'lost' && result.stamp !== undefined;
+			const isSilent = !isFromHost && isUnreachable(records.get(host), endedAt);
 			noteHost(host, attempt.service, {
 				kind: 'ended',
 				outcome: isSilent ? 'unreachable' : judgeResult(result),
-				isHeard,
+				isFromHost,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
 				admissionClass,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -144,7 +144,9 @@
 				}
 
 				case 'wait': {
-					waitTimer = setTimeout(tell, effect.durationMs, {kind: 'wait-over'});
+					waitTimer = setTimeout(tell, effect.durationMs, {
+						kind: 'delay-elapsed',
+					});
 					break;
 				}
 
@@ -270,7 +272,7 @@
 			tell(
 				known === 'failed'
 					? {kind: 'ask-failed', attempt: number}
-					: {kind: 'known', attempt: number, answer: known},
+					: {kind: 'ask-answered', attempt: number, answer: known},
 			);
 		}
 
