--- a/src/coordination/decide-lost-request.test.ts
+++ b/src/coordination/decide-lost-request.test.ts
@@ -33,23 +33,23 @@
 	assert.equal(decideLostRequest({...overdue, work: old}), 'probe');
 });
 
-test('a request that the upstream reports as in progress is slow, not silent', () => {
+test('a request that the upstream reports as in progress is slow, not lost', () => {
 	assert.equal(decideLostRequest({...overdue, work: busy}), 'wait');
 	const slow = {...overdue, sentAt: now - 5000};
 	assert.equal(decideLostRequest({...slow, work: busy}), 'wait');
 });
 
-test('a request at an idle upstream is silent', () => {
+test('a request at an idle upstream is lost', () => {
 	const work = {...busy, isIdle: true};
 	assert.equal(decideLostRequest({...overdue, work}), 'silent');
 });
 
-test('a request that consecutive reports lack is silent', () => {
+test('a request that consecutive reports lack is lost', () => {
 	assert.equal(decideLostRequest({...overdue, work: missing}), 'silent');
 });
 
 // A request whose answer is in transit is missing in the report returned with another answer.
-test('a request that is missing in few reports, or only briefly, is not silent', () => {
+test('a request that is missing in few reports, or only briefly, is not lost', () => {
 	const few = {...missing, missingReports: 4};
 	assert.equal(decideLostRequest({...overdue, work: few}), 'wait');
 	const brief = {...missing, missingSince: now - 90};
@@ -58,7 +58,7 @@
 	assert.equal(decideLostRequest({...overdue, work: before}), 'wait');
 });
 
-test('silence is detected while another host can still answer in time', () => {
+test('a lost request is detected while another host can still answer in time', () => {
 	const slow = {...overdue, expectedMs: 400, work: missing};
 	const late = {...missing, missingSince: now - 189};
 	assert.equal(
@@ -68,7 +68,7 @@
 	assert.equal(decideLostRequest({...slow, sentAt: now - 210}), 'silent');
 });
 
-test('a request is not silent before its answer is due', () => {
+test('a request is not considered lost before its answer is due', () => {
 	const early = {...overdue, expectedMs: 150, work: missing};
 	assert.equal(decideLostRequest({...early, objectiveMs: 900}), 'wait');
 });
