--- a/src/coordination/compute-host-cost.ts
+++ b/src/coordination/compute-host-cost.ts
@@ -30,7 +30,7 @@
  * in time. A host whose upstream limits its rate also answers in time, until the
  * wait under the limit becomes too long.
  *
- * @param expectation - see `HostExpectation`
+ * @param expectation - see `HostEstimate`
  * @returns the cost; about 0 for an idle and fast host, above 1 when the answer
  * can only be late
  * @example
--- a/src/coordination/decide-event-loop-admission.ts
+++ b/src/coordination/decide-event-loop-admission.ts
@@ -20,7 +20,7 @@
  * request costs a tenth of forwarding it. The routes of highest priority are
  * refused last.
  *
- * @param input - see `LoopAdmissionInput`
+ * @param input - see `EventLoopAdmissionInput`
  * @returns whether the request is admitted
  * @example
  * decideEventLoopAdmission({lagMs: 100, priority: 0}); // true
