--- a/faults/_lib/config/create-sim-node.ts
+++ b/faults/_lib/config/create-sim-node.ts
@@ -186,7 +186,7 @@
 				tellDelivery({kind: 'poll-answer', callId, outcome});
 			});
 		});
-		if (effect.isFresh) {
+		if (effect.needsNewConnection) {
 			network.dropConnection(node, target);
 		}
 
--- a/harness/create-members-fleet.ts
+++ b/harness/create-members-fleet.ts
@@ -179,7 +179,7 @@
 				break;
 			}
 
-			case 'plan-spread': {
+			case 'schedule-spread': {
 				scheduler.schedule(effect.delayMs, () => {
 					occur(node, () => {
 						tell(node, {kind: 'spread'});
--- a/src/coordination/_lib/delivery/start-poll.ts
+++ b/src/coordination/_lib/delivery/start-poll.ts
@@ -62,7 +62,7 @@
 				address: member.address,
 				poll,
 				timeoutMs,
-				isFresh: options.needsNewConnection,
+				needsNewConnection: options.needsNewConnection,
 			},
 		],
 	};
--- a/src/coordination/delivery-state.ts
+++ b/src/coordination/delivery-state.ts
@@ -149,7 +149,7 @@
 			readonly poll: Poll;
 			readonly timeoutMs: number;
 			/** Whether to open a new connection. */
-			readonly isFresh: boolean;
+			readonly needsNewConnection: boolean;
 	  }
 	| {
 			readonly kind: 'answer';
--- a/src/coordination/step-delivery.test.ts
+++ b/src/coordination/step-delivery.test.ts
@@ -191,6 +191,6 @@
 	}
 
 	const later = findLastPoll(run);
-	assert.equal(first.isFresh, false);
-	assert.equal(later.isFresh, true);
+	assert.equal(first.needsNewConnection, false);
+	assert.equal(later.needsNewConnection, true);
 });
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -82,10 +82,10 @@
 	async function pollPeer(
 		effect: Extract<DeliveryEffect, {kind: 'poll'}>,
 	): Promise<void> {
-		const {callId, address, poll, timeoutMs, isFresh} = effect;
+		const {callId, address, poll, timeoutMs, needsNewConnection} = effect;
 		try {
 			const value: unknown = await peers
-				.getClient(address, {isFresh})
+				.getClient(address, {isFresh: needsNewConnection})
 				.poll.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)});
 			tell({kind: 'poll-answer', callId, outcome: {kind: 'answered', value}});
 		} catch (error) {
