--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -21,16 +21,16 @@
 
 /** Options of `pickHost`. */
 export type PickOptions = CostOptions & {
-	/** Data centre that is preferred. */
+	/** Preferred data centre. */
 	readonly dataCentre: string;
 	/** Hosts already tried for this request; none when absent. */
 	readonly exclude?: ReadonlySet<string>;
 	/**
-	 * Load share of the own data centre above which others are used too;
-	 * `spillShare` of the constants when absent.
+	 * Load share of the own data centre above which requests spill over to other
+	 * data centres; `spillShare` of the constants when absent.
 	 */
 	readonly spillShare?: number;
-	/** Names requests that hosts admit alike, if hosts say so. */
+	/** Class of requests that hosts admit or refuse alike, if known. */
 	readonly admissionClass?: string | undefined;
 };
 
@@ -39,8 +39,8 @@
 }
 
 /**
- * Keeps the hosts that are not ejected, unless too few were left: then the
- * cause is hardly the hosts, and all are used.
+ * Keeps the hosts that are not ejected. If too few would be left, the cause is
+ * probably not the hosts themselves, and all of them are kept.
  */
 function selectHealthy(
 	candidates: readonly Candidate[],
@@ -55,7 +55,7 @@
 		: healthy;
 }
 
-/** Keeps the hosts that can be reached, if there are any. */
+/** Keeps the reachable hosts; all of them when none is reachable. */
 function selectReachable(
 	candidates: readonly Candidate[],
 	records: HostRecords,
@@ -67,22 +67,22 @@
 	return reachable.length === 0 ? candidates : reachable;
 }
 
-/** Keeps the hosts that have room for such requests, if there are any. */
-function selectRoomy(
+/** Keeps the hosts that are not known to be full for such requests; all of them when every host is. */
+function selectNotFull(
 	candidates: readonly Candidate[],
 	records: HostRecords,
 	{now, admissionClass}: PickOptions,
 ): readonly Candidate[] {
-	const roomy = candidates.filter(
+	const available = candidates.filter(
 		({host}) => !isKnownFull(records.get(host), admissionClass, now),
 	);
-	return roomy.length === 0 ? candidates : roomy;
+	return available.length === 0 ? candidates : available;
 }
 
-/** Cost of an answer from another data centre, in parts of a request's value: its bytes are priced. */
-const farCost = 0.15;
+/** Added cost of an answer from another data centre, as a fraction of a request's value, since that traffic is charged for. */
+const remoteCost = 0.15;
 
-function isNearFull(
+function isLocalFull(
 	local: readonly Candidate[],
 	records: HostRecords,
 	limit: number,
@@ -102,10 +102,10 @@
 }
 
 /**
- * Finds a near host that has had no request for some time. Answers the load of
- * an upstream that has just joined, or was slow once and is well again.
+ * Finds a local host that has not been sent a request for some time. Load
+ * pattern: an upstream that has just joined, or was slow and has recovered.
  */
-function findNeglected(
+function findHostToExplore(
 	local: readonly Candidate[],
 	records: HostRecords,
 	random: () => number,
@@ -124,31 +124,32 @@
 	});
 }
 
-/** Tells whether a far host's offer is better than that of a near one. */
-function isFarBetter(
-	near: CandidateCost,
-	far: CandidateCost,
+/** Tells whether a host of another data centre is better than the best local one. */
+function isRemoteBetter(
+	localBest: CandidateCost,
+	remoteBest: CandidateCost,
 	objectiveMs: number | undefined,
 	isFull: () => boolean,
 ): boolean {
 	return objectiveMs === undefined
-		? isFull() && far.cost < near.cost
-		: far.cost + farCost < near.cost;
+		? isFull() && remoteBest.cost < localBest.cost
+		: remoteBest.cost + remoteCost < localBest.cost;
 }
 
 /**
- * Picks the host for a request: the one of a few chosen at random where the
- * request is least likely to be late, in the own data centre unless another one
- * is clearly better.
+ * Picks the host for a request: among a few hosts sampled at random, the one
+ * where the request is least likely to be late; in the own data centre unless a
+ * host of another one is clearly better.
  *
- * Ejected hosts are left out while enough others remain. A reported load counts
- * less with age; a host without a fresh one counts as average, not as idle.
- * Answers an uneven load: bytes between data centres are dear, and a queue at a
- * near host is dearer only when the request would be late.
+ * Ejected hosts are excluded while enough others remain. The weight of a reported
+ * load decreases with its age; a host without a fresh report is assumed to have
+ * average load, not to be idle. Load pattern: uneven load. Traffic between data
+ * centres is expensive, and a queue at a local host costs more only when it
+ * would make the request late.
  *
  * @param candidates - hosts with a ready upstream of the service
- * @param records - what is known of hosts, by host name
- * @param random - source of numbers from 0 up to 1
+ * @param records - records of hosts, by host name
+ * @param random - source of random numbers in [0, 1)
  * @param options - see `PickOptions`
  * @returns the host, or undefined when there is none
  * @example
@@ -165,7 +166,7 @@
 	const untried = exclude?.size
 		? candidates.filter(({host}) => !exclude.has(host))
 		: candidates;
-	const usable = selectRoomy(
+	const usable = selectNotFull(
 		selectHealthy(selectReachable(untried, records, now), records, now),
 		records,
 		options,
@@ -177,18 +178,20 @@
 	const local = usable.filter(
 		(candidate) => candidate.dataCentre === dataCentre,
 	);
-	const neglected = findNeglected(local, records, random, now);
-	if (neglected) {
-		return neglected;
+	const toExplore = findHostToExplore(local, records, random, now);
+	if (toExplore) {
+		return toExplore;
 	}
 
-	const near = findCheapestCandidate(local, records, random, options);
+	const localBest = findCheapestCandidate(local, records, random, options);
 	const remote = usable.filter(
 		(candidate) => candidate.dataCentre !== dataCentre,
 	);
-	const far = findCheapestCandidate(remote, records, random, options);
-	const isFull = (): boolean => isNearFull(local, records, spillShare, now);
-	return near && far && isFarBetter(near, far, objectiveMs, isFull)
-		? far.candidate
-		: (near ?? far)?.candidate;
+	const remoteBest = findCheapestCandidate(remote, records, random, options);
+	const isFull = (): boolean => isLocalFull(local, records, spillShare, now);
+	return localBest &&
+		remoteBest &&
+		isRemoteBetter(localBest, remoteBest, objectiveMs, isFull)
+		? remoteBest.candidate
+		: (localBest ?? remoteBest)?.candidate;
 }
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -10,109 +10,109 @@
 import type {GateLoad} from '../protocol/attempt.js';
 import {computeUsableRate} from './compute-usable-rate.js';
 
-/** What a caller's node knows of a host, from its own requests. */
+/** Record of a host at a caller's node, based on its own requests. */
 export type HostRecord = {
 	/** Requests that this node has in flight on the host. */
 	readonly ownInFlight: number;
-	/** Load by others that the host last reported, as a share of its slots. */
+	/** Last reported load by other nodes, as a share of the slots of the host. */
 	readonly reportedShare: number;
-	/** Mean time that its upstream takes, ms; 0 when not known. */
+	/** Mean service time of its upstream, ms; 0 when not known. */
 	readonly serviceMs?: number;
-	/** Expected time of the requests of a route at its upstream, ms. */
+	/** Expected service time at its upstream by route, ms. */
 	readonly routeMs?: ReadonlyMap<string, number>;
-	/** The rate limit of its upstream, if its gate last told of one. */
+	/** Rate limit of its upstream, if the last report of its gate included one. */
 	readonly rateLimit?: HostRateLimit | undefined;
-	/** When it was reported, monotonic ms; negative infinity when never. */
+	/** Time of the last load report, monotonic ms; negative infinity when never. */
 	readonly reportedAt: number;
 	/** Share of recent attempts that failed, 0 to 1. */
 	readonly errorShare: number;
 	/** Mean time of recent answers, ms; 0 before the first. */
 	readonly latencyMs: number;
-	/** Attempts that ended since the host was last put back. */
+	/** Attempts that have ended since the last ejection. */
 	readonly samples: number;
-	/** Since when the host has been in use, monotonic ms. */
+	/** Since when the host has been in use, monotonic ms; slow start counts from here. */
 	readonly inUseSince: number;
 	/** Until when the host is not picked, monotonic ms. */
 	readonly ejectedUntil: number;
-	/** Ejections in a row. */
+	/** Consecutive ejections. */
 	readonly ejections: number;
-	/** Until when the host has no room for a kind of demand, monotonic ms. */
+	/** Until when the host is considered full, by admission class, monotonic ms. */
 	readonly fullUntil?: ReadonlyMap<string, number>;
-	/** Refusals in a row of a kind of demand for want of room. */
+	/** Consecutive refusals for lack of capacity, by admission class. */
 	readonly refusals?: ReadonlyMap<string, number>;
 	/** When an attempt was last sent, monotonic ms. */
 	readonly sentAt?: number;
-	/** Attempts in a row that could not be sent. */
+	/** Consecutive attempts that could not be sent. */
 	readonly unreachable?: number;
-	/** Since when nothing was heard while attempts were in flight, monotonic ms. */
+	/** Since when nothing has been received while attempts were in flight, monotonic ms. */
 	readonly silentSince?: number | undefined;
 };
 
-/** The rate limit of a host's upstream, as a caller's node knows it. */
+/** Rate limit of a host's upstream, as known to a caller's node. */
 export type HostRateLimit = {
 	readonly perSecond: number;
-	/** When the next request is expected to have its turn, monotonic ms. */
+	/** When the next request may be sent under the limit, monotonic ms. */
 	readonly nextSendAt: number;
 };
 
-/** What happened with an attempt on a host. */
+/** Event of an attempt on a host. */
 export type HostMessage =
 	| {
 			readonly kind: 'sent';
-			/** Whether the host is another one, so that it can fall silent. */
+			/** Whether the host is not the own one; only such a host can become unreachable. */
 			readonly isRemote?: boolean;
 	  }
-	/** The host gave a sign of life. */
+	/** A keepalive of the host was received. */
 	| {readonly kind: 'keepalive'}
 	| {
 			readonly kind: 'ended';
-			/** `refused` says nothing about the host's health. */
+			/** `refused` is no evidence about the health of the host. */
 			readonly outcome:
 				| 'answered'
 				| 'failed'
 				| 'refused'
-				/** The host has no room for requests of this route. */
+				/** The host has no free capacity for requests of this admission class. */
 				| 'full'
 				| 'unreachable';
 			readonly latencyMs: number;
-			/** Whether the host itself said so; so when absent. */
+			/** Whether the outcome was reported by the host itself; true when absent. */
 			readonly isFromHost?: boolean;
 			/** Name of the request's route, if it has one. */
 			readonly route?: string | undefined;
-			/** Names requests that hosts admit alike; the route when absent. */
+			/** Class of requests that hosts admit or refuse alike; the route when absent. */
 			readonly admissionClass?: string | undefined;
-			/** After which time the host said that it may have room, ms. */
+			/** Delay after which the host may have free capacity, as reported by it, ms. */
 			readonly retryAfterMs?: number | undefined;
 			readonly load: GateLoad | undefined;
 	  };
 
-type Ended = HostMessage & {readonly kind: 'ended'};
+type EndedMessage = HostMessage & {readonly kind: 'ended'};
 
-/** What a step depends on besides record and message. */
+/** Input of a step besides record and message. */
 export type HostContext = {
 	/** Monotonic ms. */
 	readonly now: number;
-	/** A number from 0 up to 1. */
+	/** Random number in [0, 1). */
 	readonly random: number;
-	/** Mean time of answers over the hosts of the service, ms; 0 if unknown. */
+	/** Mean latency of answers over the hosts of the service, ms; 0 if unknown. */
 	readonly serviceLatencyMs: number;
 };
 
-/** Least and longest time for which a host that had no room is not asked again, ms; from a hop to about four requests. */
+/** Shortest and longest time for which a full host is not tried again, ms; from one hop to about four requests. */
 const minFullMs = 30;
 const maxFullMs = 400;
 
-/** Part of the delay that the host named: others may find room before. */
-const fullPart = 0.5;
+/** Share of the retry delay given by the host after which it is tried again: other requests may find free capacity earlier. */
+const retryAfterRatio = 0.5;
 
-/** Refusals in a row that are counted; more would not lengthen the time. */
+/** Maximum count of consecutive refusals; more would not lengthen the backoff. */
 const maxRefusals = 4;
 
 const sampleWeight = 0.1;
 const slowFactor = 5;
 const maxShare = 8;
 
-/** Creates the record of a host that has just been heard of. */
+/** Creates the record of a newly discovered host. */
 function createHostRecord(now: number): HostRecord {
 	return {
 		ownInFlight: 0,
@@ -127,59 +127,66 @@
 	};
 }
 
-const noTimes: ReadonlyMap<string, number> = new Map();
+const emptyTimes: ReadonlyMap<string, number> = new Map();
 
-function putRouteTime(
+function updateRouteTimes(
 	times: ReadonlyMap<string, number> | undefined,
-	{route, load}: Ended,
+	{route, load}: EndedMessage,
 ): ReadonlyMap<string, number> {
 	return route === undefined || load?.routeMs === undefined
-		? (times ?? noTimes)
+		? (times ?? emptyTimes)
 		: new Map(times).set(route, load.routeMs);
 }
 
-function readDemand({admissionClass, route = ''}: Ended): string {
+function readAdmissionClass({
+	admissionClass,
+	route = '',
+}: EndedMessage): string {
 	return admissionClass ?? route;
 }
 
 /**
- * Notes that a host has no room for a kind of demand, for twice as long with
- * each refusal in a row. Answers a lasting overload, where asking hosts that
- * refuse costs two nodes as much as a request that is served.
+ * Records that a host is full for an admission class, for twice as long with each
+ * consecutive refusal. Load pattern: lasting overload, where an attempt at a host
+ * that refuses it costs two nodes as much as a request that is served.
  */
-function noteFull(record: HostRecord, message: Ended, now: number): HostRecord {
-	const demand = readDemand(message);
+function recordFull(
+	record: HostRecord,
+	message: EndedMessage,
+	now: number,
+): HostRecord {
+	const admissionClass = readAdmissionClass(message);
 	const {retryAfterMs = 0, load} = message;
-	// Under a rate limit there is room again when the host says so.
+	// Under a rate limit, capacity is free again after the delay given by the host.
 	const isLimited = load?.notice?.rateLimit !== undefined;
-	const before = isLimited ? 0 : (record.refusals?.get(demand) ?? 0);
-	const firstMs = Math.max(minFullMs, retryAfterMs * fullPart);
+	const before = isLimited ? 0 : (record.refusals?.get(admissionClass) ?? 0);
+	const firstMs = Math.max(minFullMs, retryAfterMs * retryAfterRatio);
 	const durationMs = Math.min(maxFullMs, firstMs * 2 ** before);
 	const refusals = Math.min(maxRefusals, before + 1);
 	return {
 		...record,
 		unreachable: 0,
-		fullUntil: new Map(record.fullUntil).set(demand, now + durationMs),
-		refusals: new Map(record.refusals).set(demand, refusals),
+		fullUntil: new Map(record.fullUntil).set(admissionClass, now + durationMs),
+		refusals: new Map(record.refusals).set(admissionClass, refusals),
 	};
 }
 
-/** Forgets refusals of a kind of demand of which the host has taken one. */
-function noteRoom(record: HostRecord, message: Ended): HostRecord {
-	const demand = readDemand(message);
-	if (!record.refusals?.has(demand)) {
+/** Clears the refusals of an admission class after the host has accepted an attempt of it. */
+function clearRefusals(record: HostRecord, message: EndedMessage): HostRecord {
+	const admissionClass = readAdmissionClass(message);
+	if (!record.refusals?.has(admissionClass)) {
 		return record;
 	}
 
 	const refusals = new Map(record.refusals);
-	refusals.delete(demand);
+	refusals.delete(admissionClass);
 	return {...record, refusals};
 }
 
-/** Computes since when nothing was heard, after the end of an attempt. */
-function computeWaitingSince(
+/** Computes since when nothing has been received, after the end of an attempt. */
+function computeSilentSince(
 	{ownInFlight, silentSince}: HostRecord,
-	{isFromHost = true}: Ended,
+	{isFromHost = true}: EndedMessage,
 	now: number,
 ): number | undefined {
 	if (ownInFlight <= 1 || silentSince === undefined) {
@@ -189,17 +196,20 @@
 	return isFromHost ? now : silentSince;
 }
 
-/** The load that others than this node have put on the host. */
-function readShare(load: GateLoad, ownInFlight: number): number {
+/** Computes the load of the host by other nodes, as a share of its slots. */
+function computeReportedShare(load: GateLoad, ownInFlight: number): number {
 	const others = Math.max(0, load.inFlight + load.queued - ownInFlight);
 	return Math.min(maxShare, others / load.slots);
 }
 
 /**
- * Leaves out for a short time a host that could not be connected to. Answers
- * the load pattern of a partition, where each try costs a connect timeout.
+ * Excludes a host that could not be connected to, with exponential backoff. Load
+ * pattern: a network partition, where each attempt costs a connect timeout.
  */
-function leaveOut(record: HostRecord, context: HostContext): HostRecord {
+function recordUnreachable(
+	record: HostRecord,
+	context: HostContext,
+): HostRecord {
 	const unreachable = (record.unreachable ?? 0) + 1;
 	const durationMs = Math.min(
 		unreachableCapMs,
@@ -241,8 +251,8 @@
 	};
 }
 
-/** Computes when the next request has its turn after one has taken one. */
-function takeTurn(
+/** Advances the time of the next request under a rate limit after one was sent. */
+function advanceNextSend(
 	limit: HostRateLimit | undefined,
 	now: number,
 ): HostRateLimit | undefined {
@@ -264,10 +274,10 @@
 	return limit && {perSecond: limit.perSecond, nextSendAt: now + limit.waitMs};
 }
 
-/** Takes in what came with the end of an attempt, whatever its outcome. */
-function noteReport(
+/** Records the report returned with the end of an attempt, whatever its outcome. */
+function recordReport(
 	before: HostRecord,
-	message: Ended,
+	message: EndedMessage,
 	now: number,
 ): HostRecord {
 	const {load} = message;
@@ -276,20 +286,20 @@
 		...before,
 		ownInFlight: Math.max(0, before.ownInFlight - 1),
 		reportedShare: isKnown
-			? readShare(load, before.ownInFlight)
+			? computeReportedShare(load, before.ownInFlight)
 			: before.reportedShare,
 		serviceMs: load?.serviceMs ?? before.serviceMs ?? 0,
-		routeMs: putRouteTime(before.routeMs, message),
+		routeMs: updateRouteTimes(before.routeMs, message),
 		reportedAt: isKnown ? now : before.reportedAt,
-		silentSince: computeWaitingSince(before, message, now),
+		silentSince: computeSilentSince(before, message, now),
 		rateLimit: load ? readRateLimit(load, now) : before.rateLimit,
 	};
 }
 
-/** Takes in that an upstream has answered or failed an attempt. */
-function noteRun(
+/** Records that an upstream has answered or failed an attempt. */
+function recordRun(
 	record: HostRecord,
-	{outcome, latencyMs}: Ended,
+	{outcome, latencyMs}: EndedMessage,
 	context: HostContext,
 ): HostRecord {
 	const error = outcome === 'failed' ? 1 : 0;
@@ -307,13 +317,13 @@
 
 function handleEnd(
 	before: HostRecord,
-	message: Ended,
+	message: EndedMessage,
 	context: HostContext,
 ): HostRecord {
-	const reported = noteReport(before, message, context.now);
+	const reported = recordReport(before, message, context.now);
 	switch (message.outcome) {
 		case 'full': {
-			return noteFull(reported, message, context.now);
+			return recordFull(reported, message, context.now);
 		}
 
 		case 'refused': {
@@ -321,28 +331,28 @@
 		}
 
 		case 'unreachable': {
-			return leaveOut(reported, context);
+			return recordUnreachable(reported, context);
 		}
 
 		case 'answered': {
-			return noteRun(noteRoom(reported, message), message, context);
+			return recordRun(clearRefusals(reported, message), message, context);
 		}
 
 		case 'failed': {
-			return noteRun(reported, message, context);
+			return recordRun(reported, message, context);
 		}
 	}
 }
 
 /**
- * Advances what is known of a host by one message.
+ * Advances the record of a host by one message.
  *
- * A host whose attempts mostly fail, or whose answers take many times the mean
- * of its service, is ejected for a jittered time that doubles with each
- * ejection in a row; afterwards it starts slowly.
+ * A host whose attempts mostly fail, or whose latency is many times the mean of
+ * its service, is ejected for a jittered time that doubles with each consecutive
+ * ejection; afterwards it returns with slow start.
  *
  * @param record - the record before, undefined when there is none
- * @param message - what happened
+ * @param message - the event
  * @param context - see `HostContext`
  * @returns the record after
  * @example
@@ -362,7 +372,7 @@
 				ownInFlight: before.ownInFlight + 1,
 				sentAt: context.now,
 				silentSince,
-				rateLimit: takeTurn(before.rateLimit, context.now),
+				rateLimit: advanceNextSend(before.rateLimit, context.now),
 			};
 		}
 
--- a/src/coordination/step-upstream-notice.ts
+++ b/src/coordination/step-upstream-notice.ts
@@ -1,39 +1,39 @@
 import type {GateLoad, UpstreamNotice} from '../protocol/attempt.js';
 
-/** What a caller's node remembers of the upstream on a host. */
+/** Last notice about the upstream on a host, as cached by a caller's node. */
 export type CachedNotice = {
 	readonly notice: UpstreamNotice;
-	/** When its gate last told, monotonic ms. */
+	/** When its gate last sent it, monotonic ms. */
 	readonly receivedAt: number;
 };
 
 /**
- * Advances what a caller's node remembers of an upstream by what its gate tells
- * with the end of an attempt.
+ * Updates the notice about an upstream that a caller's node has cached with the
+ * load report that its gate sends at the end of an attempt.
  *
- * Answers a gate that starts again beside an upstream that goes on: the callers'
- * nodes remember for it. An upstream that leaves doesn't come back, so that a
- * gate which knows nothing of that has forgotten it.
+ * Covers a gate that restarts while its upstream keeps running: the callers'
+ * nodes keep the notice for it. An upstream that is leaving does not return, so
+ * a report without that notice means that the gate has lost it.
  *
- * @param held - what is remembered so far
- * @param load - what the gate tells, undefined when it tells nothing
+ * @param cached - the cached notice, undefined when there is none
+ * @param load - the load report of the gate, undefined when there is none
  * @param now - monotonic ms
- * @returns what is to be remembered
+ * @returns the notice to cache, undefined when there is none
  * @example
  * stepUpstreamNotice(undefined, {inFlight: 0, queued: 0, slots: 6}, 0); // undefined
  */
 export function stepUpstreamNotice(
-	held: CachedNotice | undefined,
+	cached: CachedNotice | undefined,
 	load: GateLoad | undefined,
 	now: number,
 ): CachedNotice | undefined {
 	if (!load) {
-		return held;
+		return cached;
 	}
 
 	if (load.notice) {
 		return {notice: load.notice, receivedAt: now};
 	}
 
-	return held?.notice.isLeaving ? held : undefined;
+	return cached?.notice.isLeaving ? cached : undefined;
 }
