--- a/src/transport/create-logger.ts
+++ b/src/transport/create-logger.ts
@@ -21,23 +21,23 @@
 	child(fields: Fields): Logger;
 };
 
-function ignoreLine(): void {
+function discardLine(): void {
 	// The level is not written.
 }
 
 function wrapLogger(logger: winston.Logger, level: LogLevel): Logger {
-	const written = new Set(levels.slice(0, levels.indexOf(level) + 1));
-	const choose = (name: LogLevel) =>
-		written.has(name)
+	const enabledLevels = new Set(levels.slice(0, levels.indexOf(level) + 1));
+	const createMethod = (name: LogLevel) =>
+		enabledLevels.has(name)
 			? (message: string, fields: Fields = {}) => {
 					logger.log(name, message, fields);
 				}
-			: ignoreLine;
+			: discardLine;
 	return {
-		error: choose('error'),
-		warn: choose('warn'),
-		info: choose('info'),
-		debug: choose('debug'),
+		error: createMethod('error'),
+		warn: createMethod('warn'),
+		info: createMethod('info'),
+		debug: createMethod('debug'),
 		child: (fields) => wrapLogger(logger.child(fields), level),
 	};
 }
--- a/src/transport/create-metrics.ts
+++ b/src/transport/create-metrics.ts
@@ -40,7 +40,7 @@
 	stop(): Promise<void>;
 };
 
-const maxOpenRequests = 10_000;
+const maxTrackedRequests = 10_000;
 
 /**
  * Creates the attempts' part of a request's time, by request.
@@ -51,7 +51,7 @@
 	const times = new Map<string, number>();
 	return {
 		add({requestId, durationMs}: AttemptEvent) {
-			if (times.size < maxOpenRequests || times.has(requestId)) {
+			if (times.size < maxTrackedRequests || times.has(requestId)) {
 				times.set(requestId, (times.get(requestId) ?? 0) + durationMs);
 			}
 		},
@@ -103,7 +103,7 @@
 
 	const counters = createCounters<MetricName>();
 
-	function time(metric: MetricName, ms: number, team: string): void {
+	function sendTiming(metric: MetricName, ms: number, team: string): void {
 		client.timing(metric, ms, sampleRatio, {team});
 	}
 
@@ -115,7 +115,7 @@
 
 	const flushTimer = setInterval(sendCounters, metricsFlushMs);
 
-	const timer = setInterval(() => {
+	const gaugeTimer = setInterval(() => {
 		for (const {name: metric, value, tags} of readGauges()) {
 			client.gauge(metric, value, {...tags});
 		}
@@ -131,27 +131,31 @@
 			onRequest(event) {
 				const {team, outcome, reason = 'none', durationMs} = event;
 				counters.add('requests', 1, {team, outcome, reason});
-				time('request.duration_ms', durationMs, team);
-				const attempted = attemptTimes.take(event.requestId);
-				if (attempted !== undefined) {
-					time('request.added_ms', Math.max(0, durationMs - attempted), team);
+				sendTiming('request.duration_ms', durationMs, team);
+				const attemptsMs = attemptTimes.take(event.requestId);
+				if (attemptsMs !== undefined) {
+					sendTiming(
+						'request.added_ms',
+						Math.max(0, durationMs - attemptsMs),
+						team,
+					);
 				}
 			},
 			onAttempt(event) {
 				const {team, outcome, reason = 'none'} = event;
 				counters.add('attempts', 1, {team, outcome, reason});
-				time('attempt.duration_ms', event.durationMs, team);
+				sendTiming('attempt.duration_ms', event.durationMs, team);
 				attemptTimes.add(event);
 			},
 			onGate(event) {
 				const {team, outcome, reason = 'none'} = event;
 				counters.add('gate.attempts', 1, {team, outcome, reason});
-				time('gate.duration_ms', event.durationMs, team);
-				time('gate.queued_ms', event.queuedMs, team);
+				sendTiming('gate.duration_ms', event.durationMs, team);
+				sendTiming('gate.queued_ms', event.queuedMs, team);
 			},
 		},
 		async stop() {
-			clearInterval(timer);
+			clearInterval(gaugeTimer);
 			clearInterval(flushTimer);
 			sendCounters();
 			await new Promise<void>((resolve) => {
--- a/src/transport/create-peer-client.test.ts
+++ b/src/transport/create-peer-client.test.ts
@@ -5,10 +5,10 @@
 import {createPeerClients} from './create-peer-client.js';
 
 test('new connections to a slow node do not cut the calls that it still answers', async (t) => {
-	const waiting: ServerResponse[] = [];
+	const pendingResponses: ServerResponse[] = [];
 	const server = createServer((request, response) => {
 		request.resume();
-		waiting.push(response);
+		pendingResponses.push(response);
 		server.emit('waiting');
 	});
 	server.listen(0, '127.0.0.1');
@@ -19,18 +19,20 @@
 		server.close();
 		server.closeAllConnections();
 	});
-	const bound = server.address();
-	const port = typeof bound === 'object' ? bound!.port : 0;
+	const serverAddress = server.address();
+	const port = typeof serverAddress === 'object' ? serverAddress!.port : 0;
 	const calls: Array<Promise<unknown>> = [];
 	for (let count = 0; count < 3; count++) {
-		const client = peers.getClient(`127.0.0.1:${port}`, {isFresh: true});
+		const client = peers.getClient(`127.0.0.1:${port}`, {
+			needsNewConnection: true,
+		});
 		const hasArrived = once(server, 'waiting');
 		calls.push(client.stamp.mutate());
 		await hasArrived;
 	}
 
 	const stamp = {epoch: 'e', timeMs: 7};
-	for (const response of waiting) {
+	for (const response of pendingResponses) {
 		response.setHeader('content-type', 'application/json');
 		response.end(JSON.stringify({result: {data: stamp}}));
 	}
--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -14,7 +14,7 @@
 	/** Returns a client; a fresh one opens connections of its own. */
 	getClient(
 		address: string,
-		options?: {readonly isFresh?: boolean},
+		options?: {readonly needsNewConnection?: boolean},
 	): PeerClient;
 	stop(): Promise<void>;
 };
@@ -29,14 +29,14 @@
 const maxPeerConnections = 4;
 
 /** Time after which an idle connection to a node is closed, ms; above the periods of calls. */
-const peerIdleMs = 30_000;
+const peerIdleTimeoutMs = 30_000;
 
-function formatOwnKey(
+function formatAgentKey(
 	purpose: string,
 	address: string,
-	renewal: number,
+	generation: number,
 ): string {
-	return `${purpose} ${address} ${renewal}`;
+	return `${purpose} ${address} ${generation}`;
 }
 
 /** Closes the idle connections of an agent; calls in flight end by themselves. */
@@ -61,11 +61,13 @@
 	const agents = new Map<string, Agent>();
 	const clients = new Map<string, PeerClient>();
 
-	const renewals = new Map<string, number>();
+	const generations = new Map<string, number>();
 
 	function getAgent(purpose: string, address: string): Agent {
-		const renewal = renewals.get(address);
-		const key = renewal ? formatOwnKey(purpose, address, renewal) : purpose;
+		const generation = generations.get(address);
+		const key = generation
+			? formatAgentKey(purpose, address, generation)
+			: purpose;
 		const known = agents.get(key);
 		if (known) {
 			return known;
@@ -73,7 +75,7 @@
 
 		const agent = createPooledAgent({
 			maxSockets: maxPeerConnections,
-			timeout: peerIdleMs,
+			timeout: peerIdleTimeoutMs,
 			onSocket(socket) {
 				track?.(purpose, socket);
 			},
@@ -83,10 +85,10 @@
 	}
 
 	function renewConnections(address: string): void {
-		const renewal = renewals.get(address) ?? 0;
-		renewals.set(address, renewal + 1);
+		const generation = generations.get(address) ?? 0;
+		generations.set(address, generation + 1);
 		for (const [key, agent] of agents) {
-			if (key.endsWith(` ${address} ${renewal}`)) {
+			if (key.endsWith(` ${address} ${generation}`)) {
 				agents.delete(key);
 				closeFreeSockets(agent);
 			}
@@ -94,8 +96,8 @@
 	}
 
 	return {
-		getClient(address, {isFresh = false} = {}) {
-			if (isFresh) {
+		getClient(address, {needsNewConnection = false} = {}) {
+			if (needsNewConnection) {
 				renewConnections(address);
 			}
 
--- a/src/transport/create-tracer.test.ts
+++ b/src/transport/create-tracer.test.ts
@@ -8,7 +8,7 @@
 import {createTracer} from './create-tracer.js';
 
 const trace = '00-0af7651916cd43dd8448eb211c80319c';
-const event: GateEvent = {
+const gateEvent: GateEvent = {
 	requestId: 'r1',
 	attemptId: 'r1/1',
 	team: 'kitchens',
@@ -55,10 +55,10 @@
 		},
 	});
 	const {onGate} = tracer.observer;
-	onGate?.(event);
-	onGate?.({...event, outcome: 'not-run', reason: 'saturated', status: 0});
-	onGate?.({...event, traceparent: `${trace}-00000000000000cc-00`});
-	onGate?.({...event, traceparent: undefined});
+	onGate?.(gateEvent);
+	onGate?.({...gateEvent, outcome: 'not-run', reason: 'saturated', status: 0});
+	onGate?.({...gateEvent, traceparent: `${trace}-00000000000000cc-00`});
+	onGate?.({...gateEvent, traceparent: undefined});
 	assert.equal(text, '');
 	await tracer.stop();
 	const spans = text
@@ -84,7 +84,7 @@
 		dataCentre: 'abdali',
 		logger: createSilentLogger(warnings),
 	});
-	tracer.observer.onGate?.(event);
+	tracer.observer.onGate?.(gateEvent);
 	await tracer.stop();
 	assert.deepEqual(warnings, ['spans not exported']);
 });
--- a/src/transport/create-tracer.ts
+++ b/src/transport/create-tracer.ts
@@ -77,7 +77,7 @@
 	};
 }
 
-function isSampledText(traceparent: string | undefined): boolean {
+function isTraceparentSampled(traceparent: string | undefined): boolean {
 	return traceparent?.endsWith('1') ?? false;
 }
 
@@ -151,7 +151,7 @@
 	}
 
 	function recordGate(event: GateEvent): void {
-		if (!isSampledText(event.traceparent)) {
+		if (!isTraceparentSampled(event.traceparent)) {
 			return;
 		}
 
@@ -165,18 +165,21 @@
 			return;
 		}
 
-		const gate = createTraceparent(parentTraceparent, {sampleRatio, random});
+		const gateTraceparent = createTraceparent(parentTraceparent, {
+			sampleRatio,
+			random,
+		});
 		record(event, {
 			name: 'gate',
 			kind: 'server',
-			traceparent: gate,
+			traceparent: gateTraceparent,
 			attributes,
 		});
 		record(event, {
 			name: 'upstream',
 			kind: 'client',
 			traceparent,
-			parentTraceparent: gate,
+			parentTraceparent: gateTraceparent,
 			startedAtMs: event.startedAtMs + queuedMs,
 			durationMs: Math.max(0, event.durationMs - queuedMs),
 		});
@@ -187,7 +190,7 @@
 			createTraceparent: (parent) =>
 				createTraceparent(parent, {sampleRatio, random}),
 			onRequest(event) {
-				if (!isSampledText(event.traceparent)) {
+				if (!isTraceparentSampled(event.traceparent)) {
 					return;
 				}
 
@@ -199,7 +202,7 @@
 				record(event, {name: 'request', kind: 'server', attributes});
 			},
 			onAttempt(event) {
-				if (!isSampledText(event.traceparent)) {
+				if (!isTraceparentSampled(event.traceparent)) {
 					return;
 				}
 
--- a/src/transport/start-commit-task.ts
+++ b/src/transport/start-commit-task.ts
@@ -49,38 +49,38 @@
 	const {now = Date.now, random = Math.random} = options;
 	const resolvers = new Map<number, (outcome: SubmissionOutcome) => void>();
 	let state = createCommitState(readConfiguration());
-	let snapshot = createSnapshotState();
-	let lastTicket = 0;
+	let snapshotState = createSnapshotState();
+	let lastReplyId = 0;
 
-	function tell(message: CommitMessage): void {
+	function dispatch(message: CommitMessage): void {
 		const step = stepCommit(state, message, {now: now(), random});
 		state = step.state;
 		for (const effect of step.effects) {
-			carryOut(effect);
+			runEffect(effect);
 		}
 	}
 
-	function tellSnapshot(message: SnapshotMessage): void {
-		const step = stepSnapshot(snapshot, message);
-		snapshot = step.state;
+	function dispatchSnapshot(message: SnapshotMessage): void {
+		const step = stepSnapshot(snapshotState, message);
+		snapshotState = step.state;
 		for (const effect of step.effects) {
 			if (effect.kind === 'stored') {
-				tell({kind: 'snapshot-stored', version: effect.version});
+				dispatch({kind: 'snapshot-stored', version: effect.version});
 			} else {
 				const {callId, call} = effect;
 				void runPlatformCall(platform, call).then((outcome) => {
-					tellSnapshot({kind: 'answer', callId, outcome});
+					dispatchSnapshot({kind: 'answer', callId, outcome});
 				});
 			}
 		}
 	}
 
-	function carryOut(effect: CommitEffect): void {
+	function runEffect(effect: CommitEffect): void {
 		switch (effect.kind) {
 			case 'call': {
 				const {callId, call} = effect;
 				void runPlatformCall(platform, call).then((outcome) => {
-					tell({kind: 'answer', callId, outcome});
+					dispatch({kind: 'answer', callId, outcome});
 				});
 				break;
 			}
@@ -88,7 +88,7 @@
 			case 'wait': {
 				const {callId, delayMs} = effect;
 				setTimeout(() => {
-					tell({kind: 'timer', callId});
+					dispatch({kind: 'timer', callId});
 				}, delayMs);
 				break;
 			}
@@ -105,7 +105,7 @@
 			}
 
 			case 'store-snapshot': {
-				tellSnapshot({kind: 'store', configuration: effect.configuration});
+				dispatchSnapshot({kind: 'store', configuration: effect.configuration});
 				break;
 			}
 		}
@@ -113,12 +113,12 @@
 
 	return {
 		async submit(submission) {
-			tell({kind: 'configuration', configuration: readConfiguration()});
-			lastTicket++;
-			const pending: PendingSubmission = {...submission, replyId: lastTicket};
+			dispatch({kind: 'configuration', configuration: readConfiguration()});
+			lastReplyId++;
+			const pending: PendingSubmission = {...submission, replyId: lastReplyId};
 			return new Promise((resolve) => {
 				resolvers.set(pending.replyId, resolve);
-				tell({kind: 'submit', pending});
+				dispatch({kind: 'submit', pending});
 			});
 		},
 	};
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -31,16 +31,16 @@
 
 /** The task that keeps a node's configuration current and serves others. */
 export type ConfigurationTask = {
-	tellView(view: MembersView): void;
+	updateMembers(view: MembersView): void;
 	/** Offers entries that this node has seen accepted. */
-	tellEntries(entries: readonly LogEntry[]): void;
+	addEntries(entries: readonly LogEntry[]): void;
 	/** Tells that another node was heard to hold a version. */
-	tellHeard(name: string, version: number): void;
+	recordHolder(name: string, version: number): void;
 	handlePoll(poll: Poll): Promise<PollAnswer>;
 	/** Reads the configuration that the node runs. */
 	readConfiguration(): Configuration;
 	/** Reads the newest configuration that the node holds. */
-	readNewest(): Configuration;
+	readNewestConfiguration(): Configuration;
 	stop(): void;
 };
 
@@ -65,17 +65,17 @@
 	let running = createConfiguration();
 	let lastPollId = 0;
 	const resolvers = new Map<number, (answer: PollAnswer) => void>();
-	const stopping = new AbortController();
+	const stopController = new AbortController();
 
-	function tell(message: DeliveryMessage): void {
-		if (stopping.signal.aborted) {
+	function dispatch(message: DeliveryMessage): void {
+		if (stopController.signal.aborted) {
 			return;
 		}
 
 		const step = stepDelivery(state, message, {now: now(), random});
 		state = step.state;
 		for (const effect of step.effects) {
-			carryOut(effect);
+			runEffect(effect);
 		}
 	}
 
@@ -85,22 +85,30 @@
 		const {callId, address, poll, timeoutMs, needsNewConnection} = effect;
 		try {
 			const value: unknown = await peers
-				.getClient(address, {isFresh: needsNewConnection})
+				.getClient(address, {needsNewConnection})
 				.poll.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)});
-			tell({kind: 'poll-answer', callId, outcome: {kind: 'answered', value}});
+			dispatch({
+				kind: 'poll-answer',
+				callId,
+				outcome: {kind: 'answered', value},
+			});
 		} catch (error) {
 			const reason = String(error);
 			logger.debug('poll failed', {address, error: reason});
-			tell({kind: 'poll-answer', callId, outcome: {kind: 'failed', reason}});
+			dispatch({
+				kind: 'poll-answer',
+				callId,
+				outcome: {kind: 'failed', reason},
+			});
 		}
 	}
 
-	function carryOut(effect: DeliveryEffect): void {
+	function runEffect(effect: DeliveryEffect): void {
 		switch (effect.kind) {
 			case 'call': {
 				const {callId, call} = effect;
 				void runPlatformCall(platform, call).then((outcome) => {
-					tell({kind: 'platform-answer', callId, outcome});
+					dispatch({kind: 'platform-answer', callId, outcome});
 				});
 				break;
 			}
@@ -130,44 +138,44 @@
 		}
 	}
 
-	function createUnchanged(): PollAnswer {
+	function createUnchangedAnswer(): PollAnswer {
 		const {version} = running;
 		return {kind: 'unchanged', name, version, safeVersion: 0, holders: []};
 	}
 
 	const timer = setInterval(() => {
-		tell({kind: 'tick'});
+		dispatch({kind: 'tick'});
 	}, deliveryTickMs);
 
 	return {
-		tellView(view) {
-			tell({kind: 'view', members: view.members});
+		updateMembers(view) {
+			dispatch({kind: 'view', members: view.members});
 		},
-		tellEntries(entries) {
-			tell({kind: 'entries', entries});
+		addEntries(entries) {
+			dispatch({kind: 'entries', entries});
 		},
-		tellHeard(name, version) {
-			tell({kind: 'holder', name, version});
+		recordHolder(name, version) {
+			dispatch({kind: 'holder', name, version});
 		},
 		async handlePoll(poll) {
-			if (stopping.signal.aborted) {
-				return createUnchanged();
+			if (stopController.signal.aborted) {
+				return createUnchangedAnswer();
 			}
 
 			lastPollId++;
 			const pollId = lastPollId;
 			return new Promise((resolve) => {
 				resolvers.set(pollId, resolve);
-				tell({kind: 'poll', pollId, poll});
+				dispatch({kind: 'poll', pollId, poll});
 			});
 		},
 		readConfiguration: () => running,
-		readNewest: () => state.heldConfigurations.at(-1)!,
+		readNewestConfiguration: () => state.heldConfigurations.at(-1)!,
 		stop() {
-			stopping.abort();
+			stopController.abort();
 			clearInterval(timer);
 			for (const resolve of resolvers.values()) {
-				resolve(createUnchanged());
+				resolve(createUnchangedAnswer());
 			}
 
 			resolvers.clear();
--- a/src/transport/start-document-task.test.ts
+++ b/src/transport/start-document-task.test.ts
@@ -23,7 +23,7 @@
 	});
 }
 
-const silentStore: DocumentStore = {
+const unresponsiveStore: DocumentStore = {
 	readDocument: waitForever,
 	readRevision: waitForever,
 	watchDocument: waitForever,
@@ -61,7 +61,7 @@
 		logger,
 		onDocument: () => undefined,
 		store: {
-			...silentStore,
+			...unresponsiveStore,
 			readDocument: async () => ({kind: 'read', document: first, revision: 1}),
 			watchDocument: async () =>
 				new Promise((resolve) => {
@@ -88,7 +88,7 @@
 		name: 'b',
 		peers,
 		logger,
-		store: silentStore,
+		store: unresponsiveStore,
 		onDocument(document) {
 			documents.push(document);
 		},
@@ -104,7 +104,7 @@
 		createSampleMember({name: 'a', address: server.address}),
 		self,
 	];
-	receiver.tellView({self, members, candidates: new Map()});
+	receiver.updateMembers({self, members, candidates: new Map()});
 	await pollUntil(async () => documents.length === 1, timeoutMs);
 	answerWatch({kind: 'read', document: second, revision: 2});
 	await pollUntil(async () => documents.length === 2, timeoutMs);
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -44,7 +44,7 @@
 };
 
 /** Answer of a node that has stopped; its age sends the asking node on. */
-const leavingAnswer = {
+const stoppedAnswer = {
 	kind: 'unchanged',
 	ageMs: Number.MAX_SAFE_INTEGER,
 } as const;
@@ -63,7 +63,7 @@
 
 /** The task that keeps a node's routing document current and serves others. */
 export type DocumentTask = {
-	tellView(view: MembersView): void;
+	updateMembers(view: MembersView): void;
 	handlePoll(
 		poll: DocumentPoll,
 		call?: PeerCall,
@@ -89,7 +89,7 @@
 	let lastPollId = 0;
 	let isStopped = false;
 
-	function tell(message: DocumentMessage, arrivedAt = now()): void {
+	function dispatch(message: DocumentMessage, arrivedAt = now()): void {
 		if (isStopped) {
 			return;
 		}
@@ -97,12 +97,12 @@
 		const step = stepDocument(state, message, now());
 		state = step.state;
 		for (const effect of step.effects) {
-			carryOut(effect, arrivedAt);
+			runEffect(effect, arrivedAt);
 		}
 	}
 
 	/** Logs what an answer to another node cost, if it holds a document. */
-	function reportSent(
+	function logSentDocument(
 		{name: receiver, version: before}: DocumentPoll,
 		{kind}: EncodedDocumentAnswer,
 		call: PeerCall | undefined,
@@ -133,12 +133,12 @@
 			timeoutMs,
 			transferMs: documentTransferMs,
 			onBegun() {
-				tell({kind: 'receiving', callId});
+				dispatch({kind: 'receiving', callId});
 			},
 		};
 		const outcome = await callStore(effect, limits);
 		const arrivedAt = outcome.kind === 'read' ? outcome.arrivedAt : undefined;
-		tell({kind: 'stored', callId, outcome}, arrivedAt);
+		dispatch({kind: 'stored', callId, outcome}, arrivedAt);
 	}
 
 	async function callStore(
@@ -166,7 +166,7 @@
 		const {callId, address, poll, timeoutMs, needsNewConnection} = effect;
 		try {
 			const body = await peers
-				.getClient(address, {isFresh: needsNewConnection})
+				.getClient(address, {needsNewConnection})
 				// What comes after the call has been given up is still of use.
 				.document.mutate(poll, {
 					signal: AbortSignal.timeout(timeoutMs + documentTransferMs),
@@ -176,17 +176,17 @@
 				(answer): PeerDocumentOutcome => ({kind: 'answered', answer}),
 				(reason): PeerDocumentOutcome => ({kind: 'malformed', reason}),
 			);
-			tell({kind: 'polled', callId, outcome}, arrivedAt);
+			dispatch({kind: 'polled', callId, outcome}, arrivedAt);
 		} catch (error) {
 			logger.debug('poll for configuration failed', {
 				address,
 				error: String(error),
 			});
-			tell({kind: 'polled', callId, outcome: {kind: 'failed'}});
+			dispatch({kind: 'polled', callId, outcome: {kind: 'failed'}});
 		}
 	}
 
-	function carryOut(effect: DocumentEffect, arrivedAt: number): void {
+	function runEffect(effect: DocumentEffect, arrivedAt: number): void {
 		switch (effect.kind) {
 			case 'read':
 			case 'check':
@@ -225,27 +225,27 @@
 
 	const timer = setInterval(() => {
 		// In a late node, answers that have come are read before calls end.
-		setImmediate(tell, {kind: 'tick'});
+		setImmediate(dispatch, {kind: 'tick'});
 	}, documentTickMs);
-	tell({kind: 'tick'});
+	dispatch({kind: 'tick'});
 
 	return {
-		tellView(view) {
-			tell({kind: 'view', members: view.members});
+		updateMembers(view) {
+			dispatch({kind: 'view', members: view.members});
 		},
 		async handlePoll(poll, call) {
 			if (isStopped) {
-				return leavingAnswer;
+				return stoppedAnswer;
 			}
 
 			lastPollId++;
 			const pollId = lastPollId;
 			const answer = await new Promise<DocumentAnswer>((resolve) => {
 				resolvers.set(pollId, resolve);
-				tell({kind: 'poll', pollId, poll});
+				dispatch({kind: 'poll', pollId, poll});
 			});
 			const encoded = encodeDocumentAnswer(answer);
-			reportSent(poll, encoded, call);
+			logSentDocument(poll, encoded, call);
 			return encoded;
 		},
 		readDocument: () => state.document,
@@ -253,7 +253,7 @@
 			isStopped = true;
 			clearInterval(timer);
 			for (const resolve of resolvers.values()) {
-				resolve(leavingAnswer);
+				resolve(stoppedAnswer);
 			}
 
 			resolvers.clear();
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -35,7 +35,7 @@
 	/** Called with each new view. */
 	readonly onView: (view: MembersView) => void;
 	/** Called with each upstream whose lease was not renewed. */
-	readonly onLapse?: (id: string) => void;
+	readonly onLeaseExpired?: (id: string) => void;
 	/** How long an announcement counts, ms; `upstreamLeaseMs` when absent. */
 	readonly leaseMs?: number | undefined;
 	readonly now?: () => number;
@@ -75,11 +75,11 @@
  * startMembersTask({self, seeds: [], peers, platform, logger, onView});
  */
 export function startMembersTask(options: MembersTaskOptions): MembersTask {
-	const {self, peers, platform, logger, onView, onLapse} = options;
+	const {self, peers, platform, logger, onView, onLeaseExpired} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
 	const timers = new Set<NodeJS.Timeout>();
-	const sending = new Set<Promise<void>>();
+	const pendingSends = new Set<Promise<void>>();
 	let state = createMembersState(self, now(), random(), {
 		seeds: options.seeds,
 		wallMs: Date.now(),
@@ -93,7 +93,7 @@
 		return view;
 	}
 
-	function tell(message: MembersMessage): readonly MembersEffect[] {
+	function dispatch(message: MembersMessage): readonly MembersEffect[] {
 		if (isStopped) {
 			return [];
 		}
@@ -107,25 +107,25 @@
 
 		if (before.self !== state.self || before.table !== state.table) {
 			view = undefined;
-			reportLapses(before.self, message);
+			reportExpiredLeases(before.self, message);
 			onView(readView());
 		}
 
 		return step.effects;
 	}
 
-	function reportLapses(before: Member, message: MembersMessage): void {
-		const left = new Set(state.self.upstreams.map(({id}) => id));
-		const isAsked = message.kind === 'withdraw' || message.kind === 'leave';
-		for (const {id} of isAsked ? [] : before.upstreams) {
-			if (!left.has(id)) {
+	function reportExpiredLeases(before: Member, message: MembersMessage): void {
+		const remainingIds = new Set(state.self.upstreams.map(({id}) => id));
+		const isRequested = message.kind === 'withdraw' || message.kind === 'leave';
+		for (const {id} of isRequested ? [] : before.upstreams) {
+			if (!remainingIds.has(id)) {
 				logger.warn('lease of upstream lapsed', {id});
-				onLapse?.(id);
+				onLeaseExpired?.(id);
 			}
 		}
 	}
 
-	function planTimer(delayMs: number, action: () => void): void {
+	function scheduleTimer(delayMs: number, action: () => void): void {
 		const timer = setTimeout(() => {
 			timers.delete(timer);
 			action();
@@ -137,14 +137,14 @@
 		switch (effect.kind) {
 			case 'send': {
 				const sent = send(effect.address, effect.request);
-				sending.add(sent);
-				void sent.then(() => sending.delete(sent));
+				pendingSends.add(sent);
+				void sent.then(() => pendingSends.delete(sent));
 				break;
 			}
 
 			case 'schedule-spread': {
-				planTimer(effect.delayMs, () => {
-					tell({kind: 'spread'});
+				scheduleTimer(effect.delayMs, () => {
+					dispatch({kind: 'spread'});
 				});
 				break;
 			}
@@ -178,10 +178,10 @@
 					signal: AbortSignal.timeout(exchangeTimeoutMs),
 				}),
 			);
-			tell({kind: 'answer', address, request, answer});
+			dispatch({kind: 'answer', address, request, answer});
 		} catch (error) {
 			logger.debug('exchange failed', {address, error: String(error)});
-			tell({kind: 'failure', address, request});
+			dispatch({kind: 'failure', address, request});
 		}
 	}
 
@@ -191,24 +191,24 @@
 			return {kind: 'unavailable'};
 		}
 
-		const lists = outcome.items.flatMap(({key, version, value}) => {
+		const seedLists = outcome.items.flatMap(({key, version, value}) => {
 			const parsed = seedsSchema.safeParse(value);
 			return parsed.success ? [{key, version, ...parsed.data}] : [];
 		});
-		const own = lists.find(({key}) => key === seedsKey);
+		const localSeeds = seedLists.find(({key}) => key === seedsKey);
 		const stored = outcome.items.find(({key}) => key === seedsKey);
 		return {
 			kind: 'read',
-			addresses: lists.flatMap(({addresses}) => addresses),
-			memberCount: own?.memberCount ?? 0,
-			writtenMs: own?.writtenMs ?? 0,
+			addresses: seedLists.flatMap(({addresses}) => addresses),
+			memberCount: localSeeds?.memberCount ?? 0,
+			writtenMs: localSeeds?.writtenMs ?? 0,
 			version: stored?.version,
-			localAddresses: own?.addresses ?? [],
+			localAddresses: localSeeds?.addresses ?? [],
 		};
 	}
 
 	async function readSeeds(): Promise<void> {
-		tell({kind: 'seeds', outcome: await loadSeeds()});
+		dispatch({kind: 'seeds', outcome: await loadSeeds()});
 	}
 
 	async function writeSeeds(
@@ -222,34 +222,34 @@
 		);
 		if (outcome.kind === 'conflict') {
 			// Another node was first: its object names the nodes to join.
-			planTimer(random() * seedsConflictMs, () => {
+			scheduleTimer(random() * seedsConflictMs, () => {
 				void readSeeds();
 			});
 		}
 	}
 
-	const ticker = setInterval(() => {
-		tell({kind: 'tick'});
+	const tickTimer = setInterval(() => {
+		dispatch({kind: 'tick'});
 	}, membersPeriodMs);
-	tell({kind: 'tick'});
+	dispatch({kind: 'tick'});
 	// The first read is due before the second period begins.
-	planTimer(Math.max(0, state.seeds.nextReadAt - now()), () => {
-		tell({kind: 'tick'});
+	scheduleTimer(Math.max(0, state.seeds.nextReadAt - now()), () => {
+		dispatch({kind: 'tick'});
 	});
 
 	return {
 		announce(id, announcement) {
-			const effects = tell({kind: 'announce', id, announcement});
+			const effects = dispatch({kind: 'announce', id, announcement});
 			const effect = effects.find(({kind}) => kind === 'announcement');
 			return effect?.kind === 'announcement' ? effect.outcome : 'ignored';
 		},
 		withdraw(id) {
-			tell({kind: 'withdraw', id});
+			dispatch({kind: 'withdraw', id});
 		},
 		readView,
 		isMember: () => state.role === 'member',
 		handleExchange(request) {
-			const effects = tell({kind: 'request', request});
+			const effects = dispatch({kind: 'request', request});
 			const effect = effects.find(({kind}) => kind === 'answer');
 			if (effect?.kind !== 'answer') {
 				throw new Error('a stopped node answers no exchange');
@@ -258,12 +258,12 @@
 			return effect.answer;
 		},
 		async leave() {
-			tell({kind: 'leave'});
-			await Promise.all(sending);
+			dispatch({kind: 'leave'});
+			await Promise.all(pendingSends);
 		},
 		stop() {
 			isStopped = true;
-			clearInterval(ticker);
+			clearInterval(tickTimer);
 			for (const timer of timers) {
 				clearTimeout(timer);
 			}
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -36,16 +36,16 @@
 	readonly answer?: (response: ServerResponse) => void;
 };
 
-const limitMs = 5000;
+const timeoutMs = 5000;
 
-function endAnswer(response: ServerResponse): void {
+function endResponse(response: ServerResponse): void {
 	response.end('done');
 }
 
 /** Starts a gate with an upstream of one slot, behind a peer server. */
 async function startGate(
 	t: TestContext,
-	{readLag = () => 0, answer = endAnswer, now, bodyMemory}: GateOptions,
+	{readLag = () => 0, answer = endResponse, now, bodyMemory}: GateOptions,
 ) {
 	const arrived: string[] = [];
 	const bodies: string[] = [];
@@ -159,10 +159,10 @@
 });
 
 test('a waiting attempt whose sender has left does not run later', async (t) => {
-	const held: ServerResponse[] = [];
+	const pendingResponses: ServerResponse[] = [];
 	const {arrived, bodies, gate, server, forwarder} = await startGate(t, {
 		answer(response) {
-			held.push(response);
+			pendingResponses.push(response);
 		},
 	});
 	const first = createSampleAttempt({
@@ -170,23 +170,23 @@
 		headers: {'content-length': '5'},
 		body: Buffer.from('first'),
 		repeatable: false,
-		remainingMs: limitMs,
+		remainingMs: timeoutMs,
 		stamp: gate.readStamp(),
 	});
 	const running = forwarder.forwardAttempt(server.address, first);
-	await pollUntil(async () => held.length === 1, limitMs);
+	await pollUntil(async () => pendingResponses.length === 1, timeoutMs);
 	const sender = createCancelSource();
 	const second = {...first, id: 'a/2', signal: sender.signal};
 	void forwarder.forwardAttempt(server.address, second);
-	await pollUntil(async () => arrived.includes(second.id), limitMs);
+	await pollUntil(async () => arrived.includes(second.id), timeoutMs);
 	sender.abort();
 
 	const isEnded = await pollUntil(
 		async () => gate.ask(second) === 'fenced',
-		limitMs,
+		timeoutMs,
 	);
 	assert.ok(isEnded);
-	endAnswer(held[0]!);
+	endResponse(pendingResponses[0]!);
 	const result = await running;
 	assert.equal(result.kind, 'answered');
 	assert.deepEqual(bodies, ['first']);
@@ -204,7 +204,7 @@
 		repeatable: false,
 		remainingMs: 800,
 		stamp: gate.readStamp(),
-		madeAtGateMs: at,
+		createdAtGateMs: at,
 	});
 
 	// A cut of the network ends, and what was sent during it arrives.
@@ -220,7 +220,7 @@
 	const [host, port] = server.address.split(':');
 	const socket = createConnection(Number(port), host);
 	const headers = createAttemptHeaders(
-		createSampleAttempt({id: 'a/1', remainingMs: limitMs}),
+		createSampleAttempt({id: 'a/1', remainingMs: timeoutMs}),
 	);
 	const lines = Object.entries(headers).map(
 		([name, value]) => `${name}: ${String(value)}`,
@@ -229,7 +229,7 @@
 		['GET /gate/valves HTTP/1.1', 'host: a', ...lines, '\r\n'].join('\r\n'),
 	);
 	await once(socket, 'close');
-	const next = createSampleAttempt({id: 'a/2', remainingMs: limitMs});
+	const next = createSampleAttempt({id: 'a/2', remainingMs: timeoutMs});
 	const result = await forwarder.forwardAttempt(server.address, next);
 	assert.equal(result.kind, 'answered');
 	assert.deepEqual(arrived, ['a/2']);
@@ -276,7 +276,7 @@
 		}
 
 		return isTaken;
-	}, limitMs);
+	}, timeoutMs);
 	assert.ok(isFree, 'the memory was not given back');
 	assert.ok(arrived.length <= 2);
 });
@@ -284,7 +284,7 @@
 // The caller would have taken the gate for lost, and the upload for not run.
 test('a gate gives signs of life while a long body comes in', async (t) => {
 	const {gate, server, forwarder} = await startGate(t, {});
-	let signs = 0;
+	let keepalives = 0;
 	const body = new Readable({
 		read() {
 			// The test pushes.
@@ -298,14 +298,14 @@
 			method: 'POST',
 			headers: {'content-length': String(longBytes)},
 			body,
-			onSignOfLife() {
-				signs++;
+			onKeepalive() {
+				keepalives++;
 			},
 		}),
 	);
 	body.push(Buffer.alloc(longBytes / 2));
-	const isAlive = await pollUntil(async () => signs > 0, limitMs);
-	assert.ok(isAlive, 'no sign of life');
+	const hasKeepalive = await pollUntil(async () => keepalives > 0, timeoutMs);
+	assert.ok(hasKeepalive, 'no sign of life');
 	body.push(Buffer.alloc(longBytes / 2));
 	await waitForTurn();
 	body.push(null);
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -8,8 +8,8 @@
 import {
 	maxBodyBytes,
 	maxBufferedBytes,
-	maxHeldBodiesBytes,
-	signOfLifeMs,
+	bodyMemoryBudgetBytes,
+	keepaliveIntervalMs,
 } from '../protocol/constants.js';
 import {
 	attemptHeader,
@@ -69,9 +69,9 @@
 /** Longest body of a forwarded attempt; routes have lower limits. */
 const maxForwardedBytes = 16 * maxBodyBytes;
 
-const noBody = new Uint8Array();
+const emptyBody = new Uint8Array();
 
-function createOwnHeaders(result: AttemptResult): Record<string, string> {
+function createResultHeaders(result: AttemptResult): Record<string, string> {
 	const headers: Record<string, string> = {[outcomeHeader]: result.kind};
 	if (result.load) {
 		headers[loadHeader] = formatLoad(result.load);
@@ -92,9 +92,9 @@
 	response: ServerResponse,
 	result: AttemptResult,
 ): Promise<void> {
-	const own = createOwnHeaders(result);
+	const resultHeaders = createResultHeaders(result);
 	if (result.kind === 'answered') {
-		await sendUpstreamResponse(response, result, own);
+		await sendUpstreamResponse(response, result, resultHeaders);
 		return;
 	}
 
@@ -104,7 +104,7 @@
 		kind === 'not-run' ? 503 : 504,
 		{outcome: kind, reason},
 		{
-			...own,
+			...resultHeaders,
 			[reasonHeader]: reason,
 			'retry-after': String(result.retryAfterSeconds),
 		},
@@ -140,7 +140,7 @@
 	options: PeerServerOptions,
 ): Promise<RunningServer> {
 	const {gate, handlers, logger, readLag = () => 0} = options;
-	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 
 	function abort(
 		{headers}: IncomingMessage,
@@ -156,28 +156,28 @@
 		return readAttempt(request.headers, {
 			method: request.method ?? 'GET',
 			path: (request.url ?? '').slice(gatePrefix.length),
-			body: noBody,
+			body: emptyBody,
 			signal,
 		});
 	}
 
 	/** Refuses a long body before it has come, where it would be in vain. */
-	function refuseByHead(
+	function refuseEarly(
 		{headers}: IncomingMessage,
 		head: Attempt,
 	): AttemptResult | undefined {
 		const isLong = Number(headers['content-length']) > maxBufferedBytes;
-		return isLong ? gate.refuseAhead(head) : undefined;
+		return isLong ? gate.refuseBeforeBody(head) : undefined;
 	}
 
 	/** Runs an attempt whose body is there, or is read as it comes. */
-	async function runArrived(
+	async function runReceivedAttempt(
 		request: IncomingMessage,
 		attempt: Attempt,
 		arrivedAt: number,
 	): Promise<AttemptResult | 'sender-left'> {
 		const lagMs = Math.max(readLag(), server.readAcceptWaitMs(request));
-		const isAgeKnown = attempt.madeAtGateMs !== undefined;
+		const isAgeKnown = attempt.createdAtGateMs !== undefined;
 		if (await hasClientDisconnected(request, lagMs, {isAgeKnown})) {
 			return 'sender-left';
 		}
@@ -196,9 +196,9 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const arrivedAt = performance.now();
-		const cancelling = createCancelSource();
-		const head = readHead(request, cancelling.signal);
-		const refusal = refuseByHead(request, head);
+		const cancelSource = createCancelSource();
+		const head = readHead(request, cancelSource.signal);
+		const refusal = refuseEarly(request, head);
 		if (refusal) {
 			discardBody(request);
 			await sendResult(response, refusal);
@@ -206,16 +206,16 @@
 		}
 
 		// Also while a long body comes in over a thin link.
-		const signs = setInterval(() => {
+		const keepaliveTimer = setInterval(() => {
 			response.writeProcessing();
-		}, signOfLifeMs);
+		}, keepaliveIntervalMs);
 		const body = await readRequestBody(request, {
 			maxBytes: maxForwardedBytes,
 			memory: bodyMemory,
 			timeoutMs: head.remainingMs,
 		});
 		if (body.kind === 'refused') {
-			clearInterval(signs);
+			clearInterval(keepaliveTimer);
 			abort(request, response, {kind: 'body-refused', reason: body.reason});
 			return;
 		}
@@ -226,16 +226,16 @@
 			}
 
 			if (head.repeatable) {
-				cancelling.abort();
+				cancelSource.abort();
 			} else {
 				// One that runs goes on, so that its answer can be fetched over
 				// another connection.
-				gate.cancelWaiting(head.id);
+				gate.cancelQueued(head.id);
 			}
 		});
 		const attempt = {...head, body: body.body};
-		const result = await runArrived(request, attempt, arrivedAt);
-		clearInterval(signs);
+		const result = await runReceivedAttempt(request, attempt, arrivedAt);
+		clearInterval(keepaliveTimer);
 		bodyMemory.release(body.reservedBytes);
 		if (result === 'sender-left') {
 			abort(request, response, {kind: 'sender-left'});
@@ -245,18 +245,18 @@
 		await sendResult(response, result);
 	}
 
-	async function handleFetch(
+	async function handleResponseFetch(
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		const cancelling = createCancelSource();
+		const cancelSource = createCancelSource();
 		response.once('close', () => {
-			cancelling.abort();
+			cancelSource.abort();
 		});
 		const result = await gate.fetchAnswer(
 			String(request.headers[attemptHeader]),
 			Number(request.headers[deadlineHeader]),
-			cancelling.signal,
+			cancelSource.signal,
 		);
 		await sendResult(response, result);
 	}
@@ -266,7 +266,7 @@
 		response: ServerResponse,
 	): Promise<void> {
 		return request.url === answersPath
-			? handleFetch(request, response)
+			? handleResponseFetch(request, response)
 			: handleAttempt(request, response);
 	}
 
