--- a/src/transport/create-logger.ts
+++ b/src/transport/create-logger.ts
@@ -2,27 +2,27 @@
 
 const levels = ['error', 'warn', 'info', 'debug'] as const;
 
-/** Levels of log lines, gravest first. */
+/** Log levels, most severe first. */
 export type LogLevel = (typeof levels)[number];
 
 /** Options of `createLogger`. */
 export type LoggerOptions = {
-	/** Where the lines go; `stderr` when absent. */
+	/** Stream that lines are written to; `stderr` when absent. */
 	readonly stream?: 'stdout' | 'stderr';
 };
 
 type Fields = Readonly<Record<string, unknown>>;
 
-/** What tasks log with: one method for each level. */
+/** Logger with one method for each level. */
 export type Logger = Readonly<
 	Record<LogLevel, (message: string, fields?: Fields) => void>
 > & {
-	/** Creates a logger whose lines all have further fields. */
+	/** Creates a logger that adds fields to every line. */
 	child(fields: Fields): Logger;
 };
 
 function discardLine(): void {
-	// The level is not written.
+	// The level is disabled.
 }
 
 function wrapLogger(logger: winston.Logger, level: LogLevel): Logger {
@@ -44,12 +44,13 @@
 
 /**
  * Creates a logger that writes JSON lines to standard error, or to standard
- * output where that is asked for.
+ * output if the options say so.
  *
- * Lines below the level never reach winston, which would format them first.
+ * Lines below the level are not passed to winston, which would format them
+ * before it drops them.
  *
- * @param level - lowest level that is written
- * @param node - name of the node, part of every line
+ * @param level - least severe level that is written
+ * @param node - name of the node, added to every line
  * @param options - see `LoggerOptions`
  * @returns the logger
  * @example
--- a/src/transport/create-metrics.test.ts
+++ b/src/transport/create-metrics.test.ts
@@ -65,7 +65,7 @@
 	);
 });
 
-test('counts bytes on a socket once, also after it has closed', async (t) => {
+test('counts the bytes on a socket once, including after it has closed', async (t) => {
 	const server = await startServer('127.0.0.1:0', (request, response) => {
 		request.resume();
 		response.end('ok');
--- a/src/transport/create-metrics.ts
+++ b/src/transport/create-metrics.ts
@@ -11,7 +11,7 @@
 import {createCounters, type Tags} from './_lib/create-counters.js';
 import type {Logger} from './create-logger.js';
 
-/** A value that is read at each interval. */
+/** Value of a gauge at the time of reading. */
 export type GaugeReading = {
 	readonly name: MetricName;
 	readonly value: number;
@@ -20,32 +20,33 @@
 
 /** Options of `createMetrics`. */
 export type MetricsOptions = {
-	/** Receiver, `IP:PORT`, and share of times; no metrics without receiver. */
+	/** StatsD receiver, `IP:PORT`, and sampling ratio of timings; without a receiver, no metrics are sent. */
 	readonly metrics: Settings['metrics'];
 	readonly name: string;
 	readonly dataCentre: string;
 	readonly logger: Logger;
-	/** Reads the gauges; called once in each interval. */
+	/** Reads the gauges; called once per interval. */
 	readonly readGauges?: () => readonly GaugeReading[];
-	/** Takes the control bytes since the last call, once in each interval. */
+	/** Returns the control bytes since the last call; called once per interval. */
 	readonly takeBytes?: () => readonly ByteCount[];
-	/** Time between two readings of the gauges, ms. */
+	/** Interval at which the gauges are read, ms. */
 	readonly intervalMs?: number;
 };
 
-/** Sends counts, times and gauges to a StatsD receiver. */
+/** Sends counters, timings and gauges to a StatsD receiver. */
 export type Metrics = {
 	readonly observer: RequestObserver;
-	/** Sends what is waiting and stops. */
+	/** Sends the pending metrics and stops. */
 	stop(): Promise<void>;
 };
 
 const maxTrackedRequests = 10_000;
 
 /**
- * Creates the attempts' part of a request's time, by request.
+ * Creates sums of the durations of attempts, by request.
  *
- * @returns functions that add an attempt and take the sum
+ * @returns functions that add an attempt, and that remove and return the sum of
+ * a request in ms
  */
 function createAttemptTimes() {
 	const times = new Map<string, number>();
@@ -66,11 +67,11 @@
 /**
  * Creates the metrics of a node, sent with hot-shots; see docs/METRICS.md.
  *
- * Counters are added up and sent once a second, times are sampled, and lines
- * are gathered in packets, so that a request pays for none of these.
+ * To keep the cost per request low, counters are aggregated and sent once a
+ * second, timings are sampled, and lines are batched into packets.
  *
  * @param options - see `MetricsOptions`
- * @returns the metrics; they do nothing when there is no receiver
+ * @returns the metrics; a no-op without a receiver
  * @example
  * createMetrics({metrics: settings.metrics, name, dataCentre, logger}).observer;
  */
--- a/src/transport/create-peer-client.test.ts
+++ b/src/transport/create-peer-client.test.ts
@@ -4,7 +4,7 @@
 import test from 'node:test';
 import {createPeerClients} from './create-peer-client.js';
 
-test('new connections to a slow node do not cut the calls that it still answers', async (t) => {
+test('new connections to a slow node do not abort its calls in flight', async (t) => {
 	const pendingResponses: ServerResponse[] = [];
 	const server = createServer((request, response) => {
 		request.resume();
--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -9,9 +9,9 @@
 /** Client of one other node. */
 export type PeerClient = ReturnType<typeof createTRPCClient<PeerRouter>>;
 
-/** Clients of other nodes by address; one connection pool for each call. */
+/** Clients of other nodes by address, with one connection pool for each procedure. */
 export type PeerClients = {
-	/** Returns a client; a fresh one opens connections of its own. */
+	/** Returns the client of an address; with `needsNewConnection`, its next calls open new connections. */
 	getClient(
 		address: string,
 		options?: {readonly needsNewConnection?: boolean},
@@ -21,14 +21,14 @@
 
 /** Options of `createPeerClients`. */
 export type PeerClientsOptions = {
-	/** Called with each new socket and what it is for. */
+	/** Called with each new socket and its purpose, which is the name of the procedure. */
 	readonly track?: (purpose: string, socket: Socket) => void;
 };
 
-/** Connections to one node for calls of one purpose. */
+/** Maximum number of connections to one node for one purpose. */
 const maxPeerConnections = 4;
 
-/** Time after which an idle connection to a node is closed, ms; above the periods of calls. */
+/** Time after which an idle connection to a node is closed, ms; longer than the intervals between calls. */
 const peerIdleTimeoutMs = 30_000;
 
 function formatAgentKey(
@@ -39,7 +39,7 @@
 	return `${purpose} ${address} ${generation}`;
 }
 
-/** Closes the idle connections of an agent; calls in flight end by themselves. */
+/** Closes the idle connections of an agent; calls in flight continue. */
 function closeFreeSockets(agent: Agent): void {
 	for (const socket of Object.values(agent.freeSockets).flat()) {
 		socket?.destroy();
@@ -50,7 +50,7 @@
  * Creates the clients with which a node calls other nodes.
  *
  * @param options - see `PeerClientsOptions`
- * @returns the clients; each call takes an `AbortSignal` for its timeout
+ * @returns the clients; each call accepts an `AbortSignal` for its timeout
  * @example
  * createPeerClients().getClient('127.0.0.1:8081').ask.mutate({id: 'a'});
  */
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -14,30 +14,30 @@
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import {attemptQuerySchema, type AttemptQuery} from '../protocol/attempt.js';
 
-/** What became of the answer to a call on its connection. */
+/** Result of writing the response to a call. */
 export type WrittenResponse = {
-	/** Head included. */
+	/** Bytes written, including the response head. */
 	readonly bytes: number;
-	/** Time until it was handed to the operating system, ms. */
+	/** Time until the response was handed to the operating system, ms. */
 	readonly durationMs: number;
-	/** Whether it was written to its end. */
+	/** Whether the complete response was written. */
 	readonly isWhole: boolean;
 };
 
-/** A call on its connection. */
+/** A received call whose response can be observed. */
 export type PeerCall = {
-	/** Observes the writing of the answer, which begins now. */
+	/** Calls a listener when the response has been written or its connection has closed; bytes and time are counted from now. */
 	onWritten(listener: (written: WrittenResponse) => void): void;
 };
 
-/** The handlers that a node's tasks give to the peer router. */
+/** Handlers of the calls from other nodes, provided by the tasks of a node. */
 export type PeerHandlers = {
 	handlePoll(poll: Poll): Promise<PollAnswer>;
 	handleExchange(exchange: Exchange): ExchangeAnswer;
 	handleAsk(question: AttemptQuery): LedgerStep['answer'];
 	handleCancel(question: AttemptQuery): void;
 	handleStamp(): GateStamp;
-	/** Answers polls for documents; absent where there are none. */
+	/** Handles polls for routing documents; absent on nodes without documents. */
 	handleDocument?(
 		poll: DocumentPoll,
 		call?: PeerCall,
@@ -45,12 +45,12 @@
 };
 
 /**
- * Creates the router of the calls between nodes.
+ * Creates the tRPC router for the calls between nodes.
  *
- * @param handlers - what answers each call
+ * @param handlers - handler of each procedure
  * @returns the tRPC router
  * @example
- * createPeerRouter({handlePoll, handleExchange, handleAsk, handleCancel});
+ * createPeerRouter({handlePoll, handleExchange, handleAsk, handleCancel, handleStamp});
  */
 export function createPeerRouter(handlers: PeerHandlers) {
 	const t = initTRPC.context<Partial<PeerCall>>().create();
--- a/src/transport/create-tracer.test.ts
+++ b/src/transport/create-tracer.test.ts
@@ -42,7 +42,7 @@
 	return logger;
 }
 
-test('spans of a gate as JSON lines, sampled ones only', async () => {
+test('writes only the sampled spans of a gate, as JSON lines', async () => {
 	let text = '';
 	const tracer = createTracer({
 		trace: {export: 'log', sampleRatio: 0},
@@ -68,7 +68,7 @@
 	matchSnapshot(import.meta.url, 'gate', spans);
 });
 
-test('a receiver that fails costs a warning and nothing else', async (t) => {
+test('logs only a warning when the receiver rejects spans', async (t) => {
 	const receiver = await startServer('127.0.0.1:0', (_request, response) => {
 		response.writeHead(400).end();
 	});
--- a/src/transport/create-tracer.ts
+++ b/src/transport/create-tracer.ts
@@ -31,14 +31,14 @@
 	readonly dataCentre: string;
 	readonly logger: Logger;
 	readonly random?: () => number;
-	/** Writes JSON lines when they go to the log; standard error by default. */
+	/** Writes JSON lines if spans are exported to the log; to standard error by default. */
 	readonly write?: (lines: string) => void;
 };
 
-/** Makes spans of what the tasks report, and exports them in batches. */
+/** Creates spans from the events that tasks report, and exports them in batches. */
 export type Tracer = {
 	readonly observer: RequestObserver;
-	/** Exports what is waiting and stops. */
+	/** Exports the queued spans and stops. */
 	stop(): Promise<void>;
 };
 
@@ -69,7 +69,7 @@
 					});
 				}
 
-				// The batch has been reported; the processor would throw on it.
+				// The failure has been logged; the processor would throw on it.
 				onResult({code: ExportResultCode.SUCCESS});
 			});
 		},
@@ -88,12 +88,12 @@
 /**
  * Creates the tracer of a node.
  *
- * A request makes a span at the caller's node, one for each attempt, one at
- * the gate, and one for the upstream call. Spans are built from events after
- * the hop has ended, queued in bounded memory, and exported in batches.
+ * A request has one span at the caller's node, one for each attempt, one at the
+ * gate, and one for the upstream call. Spans are created from events after the
+ * hop has ended, queued in bounded memory, and exported in batches.
  *
  * @param options - see `TracerOptions`
- * @returns the tracer; its observer is empty when nothing is exported
+ * @returns the tracer; its observer is empty if export is disabled
  * @example
  * createTracer({trace: settings.trace, name, dataCentre, logger}).observer;
  */
--- a/src/transport/platform-client.ts
+++ b/src/transport/platform-client.ts
@@ -1,5 +1,5 @@
 /**
- * What the tasks of a node ask of the platform's store.
+ * Interface of the platform's object store, as used by the tasks of a node.
  */
 import type {
 	ListOutcome,
--- a/src/transport/start-commit-task.ts
+++ b/src/transport/start-commit-task.ts
@@ -22,22 +22,22 @@
 	readonly platform: PlatformClient;
 	/** Reads the newest configuration that the node holds. */
 	readonly readConfiguration: () => Configuration;
-	/** Called with entries found in, or added to, the log. */
+	/** Called with entries that were read from or appended to the log. */
 	readonly onEntries: (entries: readonly LogEntry[]) => void;
 	readonly now?: () => number;
 	readonly random?: () => number;
 };
 
-/** The task that takes submissions into the log. */
+/** The task that commits submissions to the log. */
 export type CommitTask = {
 	submit(submission: Submission): Promise<SubmissionOutcome>;
 };
 
 /**
- * Starts the task that accepts submissions by conditional writes in the log.
+ * Starts the task that commits submissions by conditional writes to the log.
  *
- * Submissions that arrive while a group is being committed form the next
- * groups. The decisions are those of `stepCommit` and `stepSnapshot`.
+ * Submissions that arrive while a group is being committed are committed in the
+ * next groups. `stepCommit` and `stepSnapshot` make the decisions.
  *
  * @param options - see `CommitTaskOptions`
  * @returns the running task
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -22,30 +22,30 @@
 	readonly platform: PlatformClient;
 	readonly peers: PeerClients;
 	readonly logger: Logger;
-	/** Called with each version that the node runs from now on. */
+	/** Called with each configuration that the node starts to run. */
 	readonly onConfiguration: (configuration: Configuration) => void;
-	/** Monotonic ms since the epoch. */
+	/** Monotonic ms since the Unix epoch. */
 	readonly now?: () => number;
 	readonly random?: () => number;
 };
 
-/** The task that keeps a node's configuration current and serves others. */
+/** The task that keeps a node's configuration current and serves it to other nodes. */
 export type ConfigurationTask = {
 	updateMembers(view: MembersView): void;
-	/** Offers entries that this node has seen accepted. */
+	/** Adds log entries that this node has seen accepted. */
 	addEntries(entries: readonly LogEntry[]): void;
-	/** Tells that another node was heard to hold a version. */
+	/** Records that another node holds a version. */
 	recordHolder(name: string, version: number): void;
 	handlePoll(poll: Poll): Promise<PollAnswer>;
-	/** Reads the configuration that the node runs. */
+	/** Returns the configuration that the node runs. */
 	readConfiguration(): Configuration;
-	/** Reads the newest configuration that the node holds. */
+	/** Returns the newest configuration that the node holds. */
 	readNewestConfiguration(): Configuration;
 	stop(): void;
 };
 
 /**
- * Starts the configuration task of a node: sockets and timers round
+ * Starts the configuration task of a node, which performs the I/O and timers for
  * `stepDelivery`.
  *
  * @param options - see `ConfigurationTaskOptions`
--- a/src/transport/start-document-task.test.ts
+++ b/src/transport/start-document-task.test.ts
@@ -14,12 +14,12 @@
 import {startGateTask} from './start-gate-task.js';
 import {startPeerServer} from './start-peer-server.js';
 
-/** Longest wait for a document, ms; it takes some milliseconds. */
+/** Time limit for a document to arrive, ms; usually it takes a few milliseconds. */
 const timeoutMs = 10_000;
 
 async function waitForever(): Promise<StoredDocumentOutcome> {
 	return new Promise(() => {
-		// The store answers nothing.
+		// The store never responds.
 	});
 }
 
@@ -30,10 +30,10 @@
 };
 
 const refuseCall = (): never => {
-	throw new Error('the test makes no such call');
+	throw new Error('unexpected call from another node');
 };
 
-test('a node gets the whole document from a peer, then only what has changed', async (t) => {
+test('a node gets the full document from a peer, then only the changes', async (t) => {
 	const sent: unknown[] = [];
 	const logger = {
 		...createSilentLogger(),
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -20,22 +20,22 @@
 import type {PeerClients} from './create-peer-client.js';
 import type {PeerCall} from './create-peer-router.js';
 
-/** Limits of a call whose answer may be long. */
+/** Time limits of a store call whose response may be large. */
 export type StoreCallLimits = {
-	/** Longest time until the answer begins, ms. */
+	/** Time limit until the response begins, ms. */
 	readonly timeoutMs: number;
-	/** Longest time from then until its end, ms. */
+	/** Time limit from the beginning of the response to its end, ms. */
 	readonly transferMs: number;
-	/** Called when the answer begins. */
+	/** Called when the response begins. */
 	readonly onBegun: () => void;
 };
 
-/** Reads the document that operators write to the platform. */
+/** Store of the routing document that operators write to the platform. */
 export type DocumentStore = {
 	readDocument(limits: StoreCallLimits): Promise<StoredDocumentOutcome>;
-	/** Reads the newest revision, without the document. */
+	/** Reads the number of the newest revision, without the document. */
 	readRevision(limits: StoreCallLimits): Promise<StoredDocumentOutcome>;
-	/** Waits for a change after a revision. */
+	/** Waits up to `waitMs` for a change after a revision. */
 	watchDocument(
 		revision: number,
 		waitMs: number,
@@ -43,7 +43,7 @@
 	): Promise<StoredDocumentOutcome>;
 };
 
-/** Answer of a node that has stopped; its age sends the asking node on. */
+/** Answer of a node that has stopped; its age makes the polling node switch to another peer. */
 const stoppedAnswer = {
 	kind: 'unchanged',
 	ageMs: Number.MAX_SAFE_INTEGER,
@@ -55,26 +55,27 @@
 	readonly store: DocumentStore;
 	readonly peers: PeerClients;
 	readonly logger: Logger;
-	/** Called with each document that the node runs from now on. */
+	/** Called with each document that the node starts to run. */
 	readonly onDocument: (document: RoutingDocument) => void;
 	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
 };
 
-/** The task that keeps a node's routing document current and serves others. */
+/** The task that keeps a node's routing document current and serves it to other nodes. */
 export type DocumentTask = {
 	updateMembers(view: MembersView): void;
 	handlePoll(
 		poll: DocumentPoll,
 		call?: PeerCall,
 	): Promise<EncodedDocumentAnswer>;
-	/** Reads the document that the node runs. */
+	/** Returns the document that the node runs. */
 	readDocument(): RoutingDocument | undefined;
 	stop(): void;
 };
 
 /**
- * Starts the document task of a node: sockets and timers round `stepDocument`.
+ * Starts the document task of a node, which performs the I/O and timers for
+ * `stepDocument`.
  *
  * @param options - see `DocumentTaskOptions`
  * @returns the running task
@@ -101,7 +102,7 @@
 		}
 	}
 
-	/** Logs what an answer to another node cost, if it holds a document. */
+	/** Logs size and duration of an answer to another node if it contains a document or changes. */
 	function logSentDocument(
 		{name: receiver, version: before}: DocumentPoll,
 		{kind}: EncodedDocumentAnswer,
@@ -167,7 +168,7 @@
 		try {
 			const body = await peers
 				.getClient(address, {needsNewConnection})
-				// What comes after the call has been given up is still of use.
+				// A document that arrives after the call has timed out is still used.
 				.document.mutate(poll, {
 					signal: AbortSignal.timeout(timeoutMs + documentTransferMs),
 				});
@@ -224,7 +225,7 @@
 	}
 
 	const timer = setInterval(() => {
-		// In a late node, answers that have come are read before calls end.
+		// If the event loop lags, responses that have arrived are read before calls time out.
 		setImmediate(dispatch, {kind: 'tick'});
 	}, documentTickMs);
 	dispatch({kind: 'tick'});
--- a/src/transport/start-members-task.test.ts
+++ b/src/transport/start-members-task.test.ts
@@ -7,7 +7,7 @@
 import {startMembersTask} from './start-members-task.js';
 
 function ignoreLine(): void {
-	// The test counts calls only.
+	// The test only counts calls to the platform.
 }
 
 const logger = createSilentLogger();
@@ -21,10 +21,10 @@
 	upstreams: [],
 };
 
-/** Time for the first read, its write and the read after it, ms; the next ordinary read comes later. */
+/** Time for the first read, the write and the read after the conflict, ms; the next periodic read is later. */
 const windowMs = 1300;
 
-test('a node that was not the first to write the seeds reads them again soon', async (t) => {
+test('reads the seeds again soon after a write conflict', async (t) => {
 	t.mock.timers.enable({apis: ['setTimeout', 'setInterval']});
 	let now = 0;
 	const calls: string[] = [];
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -32,28 +32,28 @@
 	readonly peers: PeerClients;
 	readonly platform: PlatformClient;
 	readonly logger: Logger;
-	/** Called with each new view. */
+	/** Called with each new membership view. */
 	readonly onView: (view: MembersView) => void;
-	/** Called with each upstream whose lease was not renewed. */
+	/** Called with the id of each upstream whose lease has expired without renewal. */
 	readonly onLeaseExpired?: (id: string) => void;
-	/** How long an announcement counts, ms; `upstreamLeaseMs` when absent. */
+	/** Lease time of an announcement, ms; `upstreamLeaseMs` when absent. */
 	readonly leaseMs?: number | undefined;
 	readonly now?: () => number;
 	readonly random?: () => number;
 };
 
-/** Whether an announcement counted; an ignored one is late or out of order. */
+/** Whether an announcement was applied; it is ignored if it is late or out of order. */
 export type AnnouncementOutcome = 'accepted' | 'ignored';
 
-/** The task that keeps the view of live members and announced upstreams. */
+/** The task that maintains the view of live members and announced upstreams. */
 export type MembersTask = {
 	announce(id: string, announcement: Announcement): AnnouncementOutcome;
 	withdraw(id: string): void;
 	handleExchange(exchange: Exchange): ExchangeAnswer;
 	readView(): MembersView;
-	/** Whether the node takes part: it knows the others, or found none. */
+	/** Whether the node has joined: it knows the other members, or has found none. */
 	isMember(): boolean;
-	/** Spreads that this node leaves. */
+	/** Announces to the other members that this node is leaving; resolves when the messages have been sent. */
 	leave(): Promise<void>;
 	stop(): void;
 };
@@ -119,7 +119,7 @@
 		const isRequested = message.kind === 'withdraw' || message.kind === 'leave';
 		for (const {id} of isRequested ? [] : before.upstreams) {
 			if (!remainingIds.has(id)) {
-				logger.warn('lease of upstream lapsed', {id});
+				logger.warn('upstream lease expired', {id});
 				onLeaseExpired?.(id);
 			}
 		}
@@ -221,7 +221,7 @@
 			version === undefined ? {kind: 'absent'} : {kind: 'version', version},
 		);
 		if (outcome.kind === 'conflict') {
-			// Another node was first: its object names the nodes to join.
+			// Another node wrote the object first; it contains the addresses of the nodes to join.
 			scheduleTimer(random() * seedsConflictMs, () => {
 				void readSeeds();
 			});
@@ -232,7 +232,7 @@
 		dispatch({kind: 'tick'});
 	}, membersPeriodMs);
 	dispatch({kind: 'tick'});
-	// The first read is due before the second period begins.
+	// The first read of the seeds is due before the second tick.
 	scheduleTimer(Math.max(0, state.seeds.nextReadAt - now()), () => {
 		dispatch({kind: 'tick'});
 	});
@@ -252,7 +252,7 @@
 			const effects = dispatch({kind: 'request', request});
 			const effect = effects.find(({kind}) => kind === 'answer');
 			if (effect?.kind !== 'answer') {
-				throw new Error('a stopped node answers no exchange');
+				throw new Error('exchange received after the members task was stopped');
 			}
 
 			return effect.answer;
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -20,7 +20,7 @@
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
 
-/** Creates a client of the platform, and shows each of its connections. */
+/** Creates a client of the platform that calls `onSocket` with each of its connections. */
 export type CreatePlatform = (
 	onSocket: (socket: Socket) => void,
 ) => PlatformClient;
@@ -30,15 +30,15 @@
 	readonly callers: string;
 	readonly peers: string;
 	readonly administration: string;
-	/** Leaves, finishes what is in flight, and stops. */
+	/** Announces that the node is leaving, waits for requests in flight, and stops. */
 	stop(): Promise<void>;
 };
 
 /**
- * Starts a node: all its tasks, joined by messages.
+ * Starts all tasks of a node and connects them.
  *
- * @param settings - checked settings
- * @param logger - where the node logs
+ * @param settings - validated settings
+ * @param logger - logger of the node
  * @param createPlatform - creates the client of the platform
  * @returns the running node
  * @example
@@ -188,8 +188,8 @@
 			caller.drain();
 			peerServer.drain();
 			await members.leave();
-			// Until then all idle connections of other nodes have been closed by
-			// them, so that no attempt meets a connection that closes here.
+			// During this wait, other nodes close their idle connections to this node,
+			// so that no attempt is sent on a connection that closes here.
 			await Promise.all([gate.drain(), waitMs(peerIdleWaitMs)]);
 			await caller.stop();
 			configuration.stop();
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -24,15 +24,15 @@
 const logger = createSilentLogger();
 
 const refuseCall = (): never => {
-	throw new Error('the test makes no such call');
+	throw new Error('unexpected call from another node');
 };
 
 type GateOptions = {
-	/** Monotonic ms of the gate. */
+	/** Clock of the gate, monotonic ms. */
 	readonly now?: () => number;
 	readonly readLag?: () => number;
 	readonly bodyMemory?: BodyMemoryBudget;
-	/** Answers a request at the upstream. */
+	/** Sends the response of the upstream. */
 	readonly answer?: (response: ServerResponse) => void;
 };
 
@@ -42,7 +42,7 @@
 	response.end('done');
 }
 
-/** Starts a gate with an upstream of one slot, behind a peer server. */
+/** Starts a peer server with a gate and an upstream that has one slot. */
 async function startGate(
 	t: TestContext,
 	{readLag = () => 0, answer = endResponse, now, bodyMemory}: GateOptions,
@@ -92,7 +92,7 @@
 	return {arrived, bodies, gate, server, forwarder};
 }
 
-test('a late node does not send on what may have waited past its deadline', async (t) => {
+test('a node with event loop lag does not forward an attempt that may have waited past its deadline', async (t) => {
 	let lagMs = 0;
 	const {bodies, gate, server, forwarder} = await startGate(t, {
 		readLag: () => lagMs,
@@ -112,7 +112,7 @@
 	assert.equal(bodies.length, 1);
 });
 
-test('a late node does not take the end of a body for the end of its sender', async (t) => {
+test('a node with event loop lag does not mistake the end of a body for a disconnect of its sender', async (t) => {
 	const {bodies, gate, server, forwarder} = await startGate(t, {
 		readLag: () => 60,
 	});
@@ -130,7 +130,7 @@
 	assert.deepEqual(bodies, ['valve']);
 });
 
-test('a call between nodes creates no web request', async (t) => {
+test('a call between nodes creates no Fetch API Request', async (t) => {
 	const gate = startGateTask({logger});
 	const server = await startPeerServer({
 		address: '127.0.0.1:0',
@@ -158,7 +158,7 @@
 	assert.equal(created, 0);
 });
 
-test('a waiting attempt whose sender has left does not run later', async (t) => {
+test('a queued attempt whose sender has disconnected is not run', async (t) => {
 	const pendingResponses: ServerResponse[] = [];
 	const {arrived, bodies, gate, server, forwarder} = await startGate(t, {
 		answer(response) {
@@ -192,7 +192,7 @@
 	assert.deepEqual(bodies, ['first']);
 });
 
-test('an attempt that lay in the network past its deadline is not sent on', async (t) => {
+test('an attempt that was delayed in the network past its deadline is not forwarded', async (t) => {
 	let at = 10_000;
 	const {bodies, gate, server, forwarder} = await startGate(t, {
 		now: () => at,
@@ -207,7 +207,7 @@
 		createdAtGateMs: at,
 	});
 
-	// A cut of the network ends, and what was sent during it arrives.
+	// A network partition ends, and an attempt that was sent during it arrives.
 	at += 6000;
 	const result = await forwarder.forwardAttempt(server.address, attempt);
 	assert.equal(result.kind, 'not-run');
@@ -215,7 +215,7 @@
 	assert.equal(gate.ask(attempt), 'fenced');
 });
 
-test('a first attempt whose sender left before it was read is not sent on', async (t) => {
+test('a first attempt whose sender disconnected before it was read is not forwarded', async (t) => {
 	const {bodies, arrived, gate, server, forwarder} = await startGate(t, {});
 	const [host, port] = server.address.split(':');
 	const socket = createConnection(Number(port), host);
@@ -239,8 +239,9 @@
 
 const longBytes = 100_000;
 
-// Its memory was kept for good, until all long bodies were streamed.
-test('a long body gives back its memory, also when its sender has left', async (t) => {
+// Guards against a leak: the memory of a long body was never released, until no
+// memory was left and all long bodies had to be streamed.
+test('the memory of a long body is released, including when its sender disconnects', async (t) => {
 	const bodyMemory = createBodyMemoryBudget(longBytes);
 	let lagMs = 0;
 	const {bodies, arrived, gate, server, forwarder} = await startGate(t, {
@@ -277,17 +278,17 @@
 
 		return isTaken;
 	}, timeoutMs);
-	assert.ok(isFree, 'the memory was not given back');
+	assert.ok(isFree, 'the memory was not released');
 	assert.ok(arrived.length <= 2);
 });
 
-// The caller would have taken the gate for lost, and the upload for not run.
-test('a gate gives signs of life while a long body comes in', async (t) => {
+// Without keepalives, the caller would consider the gate lost and the upload not run.
+test('a gate sends keepalives while a long body arrives', async (t) => {
 	const {gate, server, forwarder} = await startGate(t, {});
 	let keepalives = 0;
 	const body = new Readable({
 		read() {
-			// The test pushes.
+			// The test pushes the data.
 		},
 	});
 	const result = forwarder.forwardAttempt(
@@ -305,7 +306,7 @@
 	);
 	body.push(Buffer.alloc(longBytes / 2));
 	const hasKeepalive = await pollUntil(async () => keepalives > 0, timeoutMs);
-	assert.ok(hasKeepalive, 'no sign of life');
+	assert.ok(hasKeepalive, 'no keepalive received');
 	body.push(Buffer.alloc(longBytes / 2));
 	await waitForTurn();
 	body.push(null);
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -56,17 +56,17 @@
 	readonly gate: GateTask;
 	readonly handlers: PeerHandlers;
 	readonly logger: Logger;
-	/** Where long bodies wait; a memory of its own when absent. */
+	/** Memory budget for buffered request bodies; the server creates its own when absent. */
 	readonly bodyMemory?: BodyMemoryBudget;
-	/** How late the event loop runs, ms; not regarded when absent. */
+	/** Returns the event loop lag, ms; 0 when absent. */
 	readonly readLag?: () => number;
-	/** Called when connections have been accepted and none waits any more. */
+	/** Called when new connections have been accepted and none is left in the accept queue. */
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
-	/** Called with the socket of each call and what it is for. */
+	/** Called with the socket of each call and its purpose, which is the name of the procedure. */
 	readonly track?: (purpose: string, socket: Socket) => void;
 };
 
-/** Longest body of a forwarded attempt; routes have lower limits. */
+/** Maximum body length of a forwarded attempt; the limits of routes are lower. */
 const maxForwardedBytes = 16 * maxBodyBytes;
 
 const emptyBody = new Uint8Array();
@@ -129,7 +129,7 @@
 }
 
 /**
- * Starts the server on which a node takes other nodes' calls and attempts.
+ * Starts the server that handles calls and attempts from other nodes.
  *
  * @param options - see `PeerServerOptions`
  * @returns the running server
@@ -151,7 +151,7 @@
 		abortResponse(response, {cause, requestId, logger});
 	}
 
-	/** Reads the head of an attempt, whose body may still be coming. */
+	/** Reads the head of an attempt, whose body may not have arrived yet. */
 	function readHead(request: IncomingMessage, signal: CancelSignal): Attempt {
 		return readAttempt(request.headers, {
 			method: request.method ?? 'GET',
@@ -161,7 +161,7 @@
 		});
 	}
 
-	/** Refuses a long body before it has come, where it would be in vain. */
+	/** Refuses an attempt with a long body before the body is read, if the gate would refuse it anyway. */
 	function refuseEarly(
 		{headers}: IncomingMessage,
 		head: Attempt,
@@ -170,7 +170,7 @@
 		return isLong ? gate.refuseBeforeBody(head) : undefined;
 	}
 
-	/** Runs an attempt whose body is there, or is read as it comes. */
+	/** Runs an attempt whose body has been read or is streamed. */
 	async function runReceivedAttempt(
 		request: IncomingMessage,
 		attempt: Attempt,
@@ -205,7 +205,7 @@
 			return;
 		}
 
-		// Also while a long body comes in over a thin link.
+		// Keepalives are also sent while a long body arrives over a slow link.
 		const keepaliveTimer = setInterval(() => {
 			response.writeProcessing();
 		}, keepaliveIntervalMs);
@@ -228,8 +228,8 @@
 			if (head.repeatable) {
 				cancelSource.abort();
 			} else {
-				// One that runs goes on, so that its answer can be fetched over
-				// another connection.
+				// An attempt that is already running continues, so that its response
+				// can be fetched over another connection.
 				gate.cancelQueued(head.id);
 			}
 		});
@@ -280,7 +280,7 @@
 		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
 			options.track?.(readProcedureName(url), request.socket);
 			handleCall(request, response).catch((error: unknown) => {
-				logger.debug('call not answered', {error: String(error)});
+				logger.debug('call failed', {error: String(error)});
 				response.destroy();
 			});
 			return;
