--- a/src/transport/create-tracer.test.ts
+++ b/src/transport/create-tracer.test.ts
@@ -29,7 +29,7 @@
 	throw new Error(message);
 }
 
-function createSilentLogger(warnings: string[]): Logger {
+function createWarningCollector(warnings: string[]): Logger {
 	const logger: Logger = {
 		error: failOnLine,
 		warn(message) {
@@ -48,7 +48,7 @@
 		trace: {export: 'log', sampleRatio: 0},
 		name: 'abdali-1',
 		dataCentre: 'abdali',
-		logger: createSilentLogger([]),
+		logger: createWarningCollector([]),
 		random: createScheduler(3).random,
 		write(lines) {
 			text += lines;
@@ -82,7 +82,7 @@
 		},
 		name: 'abdali-1',
 		dataCentre: 'abdali',
-		logger: createSilentLogger(warnings),
+		logger: createWarningCollector(warnings),
 	});
 	tracer.observer.onGate?.(gateEvent);
 	await tracer.stop();
--- a/src/transport/start-document-task.test.ts
+++ b/src/transport/start-document-task.test.ts
@@ -29,7 +29,7 @@
 	watchDocument: waitForever,
 };
 
-const refuseCall = (): never => {
+const failOnCall = (): never => {
 	throw new Error('unexpected call from another node');
 };
 
@@ -75,8 +75,8 @@
 		gate,
 		logger,
 		handlers: {
-			handlePoll: refuseCall,
-			handleExchange: refuseCall,
+			handlePoll: failOnCall,
+			handleExchange: failOnCall,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
--- a/src/transport/start-members-task.test.ts
+++ b/src/transport/start-members-task.test.ts
@@ -6,7 +6,7 @@
 import type {PlatformClient} from './platform-client.js';
 import {startMembersTask} from './start-members-task.js';
 
-function ignoreLine(): void {
+function ignoreView(): void {
 	// The test only counts calls to the platform.
 }
 
@@ -57,7 +57,7 @@
 		peers,
 		platform,
 		logger,
-		onView: ignoreLine,
+		onView: ignoreView,
 		now: () => now,
 		random: () => 0.99,
 	});
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -53,7 +53,7 @@
 	readView(): MembersView;
 	/** Whether the node has joined: it knows the other members, or has found none. */
 	isMember(): boolean;
-	/** Announces to the other members that this node is leaving; resolves when the messages have been sent. */
+	/** Announces to the other members that this node is leaving; resolves when all sent messages have been answered or have failed. */
 	leave(): Promise<void>;
 	stop(): void;
 };
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -23,7 +23,7 @@
 
 const logger = createSilentLogger();
 
-const refuseCall = (): never => {
+const failOnCall = (): never => {
 	throw new Error('unexpected call from another node');
 };
 
@@ -77,8 +77,8 @@
 		readLag,
 		bodyMemory,
 		handlers: {
-			handlePoll: refuseCall,
-			handleExchange: refuseCall,
+			handlePoll: failOnCall,
+			handleExchange: failOnCall,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -137,8 +137,8 @@
 		gate,
 		logger,
 		handlers: {
-			handlePoll: refuseCall,
-			handleExchange: refuseCall,
+			handlePoll: failOnCall,
+			handleExchange: failOnCall,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -116,10 +116,10 @@
 	return {
 		onWritten(listener) {
 			const startedAt = performance.now();
-			const before = socket?.bytesWritten ?? 0;
+			const bytesBefore = socket?.bytesWritten ?? 0;
 			response.once('close', () => {
 				listener({
-					bytes: (socket?.bytesWritten ?? 0) - before,
+					bytes: (socket?.bytesWritten ?? 0) - bytesBefore,
 					durationMs: performance.now() - startedAt,
 					isWhole: response.writableFinished,
 				});
