--- a/src/transport/create-metrics.ts
+++ b/src/transport/create-metrics.ts
@@ -11,7 +11,7 @@
 import {createCounters, type Tags} from './_lib/create-counters.js';
 import type {Logger} from './create-logger.js';
 
-/** A value that is read at each interval. */
+/** Value of a gauge at the time of reading. */
 export type GaugeReading = {
 	readonly name: MetricName;
 	readonly value: number;
@@ -20,38 +20,39 @@
 
 /** Options of `createMetrics`. */
 export type MetricsOptions = {
-	/** Receiver, `IP:PORT`, and share of times; no metrics without receiver. */
+	/** StatsD receiver, `IP:PORT`, and sampling ratio of timings; without a receiver, no metrics are sent. */
 	readonly metrics: Settings['metrics'];
 	readonly name: string;
 	readonly dataCentre: string;
 	readonly logger: Logger;
-	/** Reads the gauges; called once in each interval. */
+	/** Reads the gauges; called once per interval. */
 	readonly readGauges?: () => readonly GaugeReading[];
-	/** Takes the control bytes since the last call, once in each interval. */
+	/** Returns the control bytes since the last call; called once per interval. */
 	readonly takeBytes?: () => readonly ByteCount[];
-	/** Time between two readings of the gauges, ms. */
+	/** Interval at which the gauges are read, ms. */
 	readonly intervalMs?: number;
 };
 
-/** Sends counts, times and gauges to a StatsD receiver. */
+/** Sends counters, timings and gauges to a StatsD receiver. */
 export type Metrics = {
 	readonly observer: RequestObserver;
-	/** Sends what is waiting and stops. */
+	/** Sends the pending metrics and stops. */
 	stop(): Promise<void>;
 };
 
-const maxOpenRequests = 10_000;
+const maxTrackedRequests = 10_000;
 
 /**
- * Creates the attempts' part of a request's time, by request.
+ * Creates sums of the durations of attempts, by request.
  *
- * @returns functions that add an attempt and take the sum
+ * @returns functions that add an attempt, and that remove and return the sum of
+ * a request in ms
  */
 function createAttemptTimes() {
 	const times = new Map<string, number>();
 	return {
 		add({requestId, durationMs}: AttemptEvent) {
-			if (times.size < maxOpenRequests || times.has(requestId)) {
+			if (times.size < maxTrackedRequests || times.has(requestId)) {
 				times.set(requestId, (times.get(requestId) ?? 0) + durationMs);
 			}
 		},
@@ -66,11 +67,11 @@
 /**
  * Creates the metrics of a node, sent with hot-shots; see docs/METRICS.md.
  *
- * Counters are added up and sent once a second, times are sampled, and lines
- * are gathered in packets, so that a request pays for none of these.
+ * To keep the cost per request low, counters are aggregated and sent once a
+ * second, timings are sampled, and lines are batched into packets.
  *
  * @param options - see `MetricsOptions`
- * @returns the metrics; they do nothing when there is no receiver
+ * @returns the metrics; a no-op without a receiver
  * @example
  * createMetrics({metrics: settings.metrics, name, dataCentre, logger}).observer;
  */
@@ -103,7 +104,7 @@
 
 	const counters = createCounters<MetricName>();
 
-	function time(metric: MetricName, ms: number, team: string): void {
+	function sendTiming(metric: MetricName, ms: number, team: string): void {
 		client.timing(metric, ms, sampleRatio, {team});
 	}
 
@@ -115,7 +116,7 @@
 
 	const flushTimer = setInterval(sendCounters, metricsFlushMs);
 
-	const timer = setInterval(() => {
+	const gaugeTimer = setInterval(() => {
 		for (const {name: metric, value, tags} of readGauges()) {
 			client.gauge(metric, value, {...tags});
 		}
@@ -131,27 +132,31 @@
 			onRequest(event) {
 				const {team, outcome, reason = 'none', durationMs} = event;
 				counters.add('requests', 1, {team, outcome, reason});
-				time('request.duration_ms', durationMs, team);
-				const attempted = attemptTimes.take(event.requestId);
-				if (attempted !== undefined) {
-					time('request.added_ms', Math.max(0, durationMs - attempted), team);
+				sendTiming('request.duration_ms', durationMs, team);
+				const attemptsMs = attemptTimes.take(event.requestId);
+				if (attemptsMs !== undefined) {
+					sendTiming(
+						'request.added_ms',
+						Math.max(0, durationMs - attemptsMs),
+						team,
+					);
 				}
 			},
 			onAttempt(event) {
 				const {team, outcome, reason = 'none'} = event;
 				counters.add('attempts', 1, {team, outcome, reason});
-				time('attempt.duration_ms', event.durationMs, team);
+				sendTiming('attempt.duration_ms', event.durationMs, team);
 				attemptTimes.add(event);
 			},
 			onGate(event) {
 				const {team, outcome, reason = 'none'} = event;
 				counters.add('gate.attempts', 1, {team, outcome, reason});
-				time('gate.duration_ms', event.durationMs, team);
-				time('gate.queued_ms', event.queuedMs, team);
+				sendTiming('gate.duration_ms', event.durationMs, team);
+				sendTiming('gate.queued_ms', event.queuedMs, team);
 			},
 		},
 		async stop() {
-			clearInterval(timer);
+			clearInterval(gaugeTimer);
 			clearInterval(flushTimer);
 			sendCounters();
 			await new Promise<void>((resolve) => {
--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -9,9 +9,9 @@
 /** Client of one other node. */
 export type PeerClient = ReturnType<typeof createTRPCClient<PeerRouter>>;
 
-/** Clients of other nodes by address; one connection pool for each call. */
+/** Clients of other nodes by address, with one connection pool for each procedure. */
 export type PeerClients = {
-	/** Returns a client; a fresh one opens connections of its own. */
+	/** Returns the client of an address; with `needsNewConnection`, its next calls open new connections. */
 	getClient(
 		address: string,
 		options?: {readonly needsNewConnection?: boolean},
@@ -21,25 +21,25 @@
 
 /** Options of `createPeerClients`. */
 export type PeerClientsOptions = {
-	/** Called with each new socket and what it is for. */
+	/** Called with each new socket and its purpose, which is the name of the procedure. */
 	readonly track?: (purpose: string, socket: Socket) => void;
 };
 
-/** Connections to one node for calls of one purpose. */
+/** Maximum number of connections to one node for one purpose. */
 const maxPeerConnections = 4;
 
-/** Time after which an idle connection to a node is closed, ms; above the periods of calls. */
-const peerIdleMs = 30_000;
+/** Time after which an idle connection to a node is closed, ms; longer than the intervals between calls. */
+const peerIdleTimeoutMs = 30_000;
 
-function formatOwnKey(
+function formatAgentKey(
 	purpose: string,
 	address: string,
-	renewal: number,
+	generation: number,
 ): string {
-	return `${purpose} ${address} ${renewal}`;
+	return `${purpose} ${address} ${generation}`;
 }
 
-/** Closes the idle connections of an agent; calls in flight end by themselves. */
+/** Closes the idle connections of an agent; calls in flight continue. */
 function closeFreeSockets(agent: Agent): void {
 	for (const socket of Object.values(agent.freeSockets).flat()) {
 		socket?.destroy();
@@ -50,7 +50,7 @@
  * Creates the clients with which a node calls other nodes.
  *
  * @param options - see `PeerClientsOptions`
- * @returns the clients; each call takes an `AbortSignal` for its timeout
+ * @returns the clients; each call accepts an `AbortSignal` for its timeout
  * @example
  * createPeerClients().getClient('127.0.0.1:8081').ask.mutate({id: 'a'});
  */
@@ -61,11 +61,13 @@
 	const agents = new Map<string, Agent>();
 	const clients = new Map<string, PeerClient>();
 
-	const renewals = new Map<string, number>();
+	const generations = new Map<string, number>();
 
 	function getAgent(purpose: string, address: string): Agent {
-		const renewal = renewals.get(address);
-		const key = renewal ? formatOwnKey(purpose, address, renewal) : purpose;
+		const generation = generations.get(address);
+		const key = generation
+			? formatAgentKey(purpose, address, generation)
+			: purpose;
 		const known = agents.get(key);
 		if (known) {
 			return known;
@@ -73,7 +75,7 @@
 
 		const agent = createPooledAgent({
 			maxSockets: maxPeerConnections,
-			timeout: peerIdleMs,
+			timeout: peerIdleTimeoutMs,
 			onSocket(socket) {
 				track?.(purpose, socket);
 			},
@@ -83,10 +85,10 @@
 	}
 
 	function renewConnections(address: string): void {
-		const renewal = renewals.get(address) ?? 0;
-		renewals.set(address, renewal + 1);
+		const generation = generations.get(address) ?? 0;
+		generations.set(address, generation + 1);
 		for (const [key, agent] of agents) {
-			if (key.endsWith(` ${address} ${renewal}`)) {
+			if (key.endsWith(` ${address} ${generation}`)) {
 				agents.delete(key);
 				closeFreeSockets(agent);
 			}
@@ -94,8 +96,8 @@
 	}
 
 	return {
-		getClient(address, {isFresh = false} = {}) {
-			if (isFresh) {
+		getClient(address, {needsNewConnection = false} = {}) {
+			if (needsNewConnection) {
 				renewConnections(address);
 			}
 
--- a/src/transport/create-tracer.test.ts
+++ b/src/transport/create-tracer.test.ts
@@ -8,7 +8,7 @@
 import {createTracer} from './create-tracer.js';
 
 const trace = '00-0af7651916cd43dd8448eb211c80319c';
-const event: GateEvent = {
+const gateEvent: GateEvent = {
 	requestId: 'r1',
 	attemptId: 'r1/1',
 	team: 'kitchens',
@@ -29,7 +29,7 @@
 	throw new Error(message);
 }
 
-function createSilentLogger(warnings: string[]): Logger {
+function createWarningCollector(warnings: string[]): Logger {
 	const logger: Logger = {
 		error: failOnLine,
 		warn(message) {
@@ -42,23 +42,23 @@
 	return logger;
 }
 
-test('spans of a gate as JSON lines, sampled ones only', async () => {
+test('writes only the sampled spans of a gate, as JSON lines', async () => {
 	let text = '';
 	const tracer = createTracer({
 		trace: {export: 'log', sampleRatio: 0},
 		name: 'abdali-1',
 		dataCentre: 'abdali',
-		logger: createSilentLogger([]),
+		logger: createWarningCollector([]),
 		random: createScheduler(3).random,
 		write(lines) {
 			text += lines;
 		},
 	});
 	const {onGate} = tracer.observer;
-	onGate?.(event);
-	onGate?.({...event, outcome: 'not-run', reason: 'saturated', status: 0});
-	onGate?.({...event, traceparent: `${trace}-00000000000000cc-00`});
-	onGate?.({...event, traceparent: undefined});
+	onGate?.(gateEvent);
+	onGate?.({...gateEvent, outcome: 'not-run', reason: 'saturated', status: 0});
+	onGate?.({...gateEvent, traceparent: `${trace}-00000000000000cc-00`});
+	onGate?.({...gateEvent, traceparent: undefined});
 	assert.equal(text, '');
 	await tracer.stop();
 	const spans = text
@@ -68,7 +68,7 @@
 	matchSnapshot(import.meta.url, 'gate', spans);
 });
 
-test('a receiver that fails costs a warning and nothing else', async (t) => {
+test('logs only a warning when the receiver rejects spans', async (t) => {
 	const receiver = await startServer('127.0.0.1:0', (_request, response) => {
 		response.writeHead(400).end();
 	});
@@ -82,9 +82,9 @@
 		},
 		name: 'abdali-1',
 		dataCentre: 'abdali',
-		logger: createSilentLogger(warnings),
+		logger: createWarningCollector(warnings),
 	});
-	tracer.observer.onGate?.(event);
+	tracer.observer.onGate?.(gateEvent);
 	await tracer.stop();
 	assert.deepEqual(warnings, ['spans not exported']);
 });
--- a/src/transport/create-tracer.ts
+++ b/src/transport/create-tracer.ts
@@ -31,14 +31,14 @@
 	readonly dataCentre: string;
 	readonly logger: Logger;
 	readonly random?: () => number;
-	/** Writes JSON lines when they go to the log; standard error by default. */
+	/** Writes JSON lines if spans are exported to the log; to standard error by default. */
 	readonly write?: (lines: string) => void;
 };
 
-/** Makes spans of what the tasks report, and exports them in batches. */
+/** Creates spans from the events that tasks report, and exports them in batches. */
 export type Tracer = {
 	readonly observer: RequestObserver;
-	/** Exports what is waiting and stops. */
+	/** Exports the queued spans and stops. */
 	stop(): Promise<void>;
 };
 
@@ -69,7 +69,7 @@
 					});
 				}
 
-				// The batch has been reported; the processor would throw on it.
+				// The failure has been logged; the processor would throw on it.
 				onResult({code: ExportResultCode.SUCCESS});
 			});
 		},
@@ -77,7 +77,7 @@
 	};
 }
 
-function isSampledText(traceparent: string | undefined): boolean {
+function isTraceparentSampled(traceparent: string | undefined): boolean {
 	return traceparent?.endsWith('1') ?? false;
 }
 
@@ -88,12 +88,12 @@
 /**
  * Creates the tracer of a node.
  *
- * A request makes a span at the caller's node, one for each attempt, one at
- * the gate, and one for the upstream call. Spans are built from events after
- * the hop has ended, queued in bounded memory, and exported in batches.
+ * A request has one span at the caller's node, one for each attempt, one at the
+ * gate, and one for the upstream call. Spans are created from events after the
+ * hop has ended, queued in bounded memory, and exported in batches.
  *
  * @param options - see `TracerOptions`
- * @returns the tracer; its observer is empty when nothing is exported
+ * @returns the tracer; its observer is empty if export is disabled
  * @example
  * createTracer({trace: settings.trace, name, dataCentre, logger}).observer;
  */
@@ -151,7 +151,7 @@
 	}
 
 	function recordGate(event: GateEvent): void {
-		if (!isSampledText(event.traceparent)) {
+		if (!isTraceparentSampled(event.traceparent)) {
 			return;
 		}
 
@@ -165,18 +165,21 @@
 			return;
 		}
 
-		const gate = createTraceparent(parentTraceparent, {sampleRatio, random});
+		const gateTraceparent = createTraceparent(parentTraceparent, {
+			sampleRatio,
+			random,
+		});
 		record(event, {
 			name: 'gate',
 			kind: 'server',
-			traceparent: gate,
+			traceparent: gateTraceparent,
 			attributes,
 		});
 		record(event, {
 			name: 'upstream',
 			kind: 'client',
 			traceparent,
-			parentTraceparent: gate,
+			parentTraceparent: gateTraceparent,
 			startedAtMs: event.startedAtMs + queuedMs,
 			durationMs: Math.max(0, event.durationMs - queuedMs),
 		});
@@ -187,7 +190,7 @@
 			createTraceparent: (parent) =>
 				createTraceparent(parent, {sampleRatio, random}),
 			onRequest(event) {
-				if (!isSampledText(event.traceparent)) {
+				if (!isTraceparentSampled(event.traceparent)) {
 					return;
 				}
 
@@ -199,7 +202,7 @@
 				record(event, {name: 'request', kind: 'server', attributes});
 			},
 			onAttempt(event) {
-				if (!isSampledText(event.traceparent)) {
+				if (!isTraceparentSampled(event.traceparent)) {
 					return;
 				}
 
--- a/src/transport/start-document-task.test.ts
+++ b/src/transport/start-document-task.test.ts
@@ -14,26 +14,26 @@
 import {startGateTask} from './start-gate-task.js';
 import {startPeerServer} from './start-peer-server.js';
 
-/** Longest wait for a document, ms; it takes some milliseconds. */
+/** Time limit for a document to arrive, ms; usually it takes a few milliseconds. */
 const timeoutMs = 10_000;
 
 async function waitForever(): Promise<StoredDocumentOutcome> {
 	return new Promise(() => {
-		// The store answers nothing.
+		// The store never responds.
 	});
 }
 
-const silentStore: DocumentStore = {
+const unresponsiveStore: DocumentStore = {
 	readDocument: waitForever,
 	readRevision: waitForever,
 	watchDocument: waitForever,
 };
 
-const refuseCall = (): never => {
-	throw new Error('the test makes no such call');
+const failOnCall = (): never => {
+	throw new Error('unexpected call from another node');
 };
 
-test('a node gets the whole document from a peer, then only what has changed', async (t) => {
+test('a node gets the full document from a peer, then only the changes', async (t) => {
 	const sent: unknown[] = [];
 	const logger = {
 		...createSilentLogger(),
@@ -61,7 +61,7 @@
 		logger,
 		onDocument: () => undefined,
 		store: {
-			...silentStore,
+			...unresponsiveStore,
 			readDocument: async () => ({kind: 'read', document: first, revision: 1}),
 			watchDocument: async () =>
 				new Promise((resolve) => {
@@ -75,8 +75,8 @@
 		gate,
 		logger,
 		handlers: {
-			handlePoll: refuseCall,
-			handleExchange: refuseCall,
+			handlePoll: failOnCall,
+			handleExchange: failOnCall,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -88,7 +88,7 @@
 		name: 'b',
 		peers,
 		logger,
-		store: silentStore,
+		store: unresponsiveStore,
 		onDocument(document) {
 			documents.push(document);
 		},
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -20,22 +20,22 @@
 import type {PeerClients} from './create-peer-client.js';
 import type {PeerCall} from './create-peer-router.js';
 
-/** Limits of a call whose answer may be long. */
+/** Time limits of a store call whose response may be large. */
 export type StoreCallLimits = {
-	/** Longest time until the answer begins, ms. */
+	/** Time limit until the response begins, ms. */
 	readonly timeoutMs: number;
-	/** Longest time from then until its end, ms. */
+	/** Time limit from the beginning of the response to its end, ms. */
 	readonly transferMs: number;
-	/** Called when the answer begins. */
+	/** Called when the response begins. */
 	readonly onBegun: () => void;
 };
 
-/** Reads the document that operators write to the platform. */
+/** Store of the routing document that operators write to the platform. */
 export type DocumentStore = {
 	readDocument(limits: StoreCallLimits): Promise<StoredDocumentOutcome>;
-	/** Reads the newest revision, without the document. */
+	/** Reads the number of the newest revision, without the document. */
 	readRevision(limits: StoreCallLimits): Promise<StoredDocumentOutcome>;
-	/** Waits for a change after a revision. */
+	/** Waits up to `waitMs` for a change after a revision. */
 	watchDocument(
 		revision: number,
 		waitMs: number,
@@ -43,8 +43,8 @@
 	): Promise<StoredDocumentOutcome>;
 };
 
-/** Answer of a node that has stopped; its age sends the asking node on. */
-const leavingAnswer = {
+/** Answer of a node that has stopped; its age makes the polling node switch to another peer. */
+const stoppedAnswer = {
 	kind: 'unchanged',
 	ageMs: Number.MAX_SAFE_INTEGER,
 } as const;
@@ -55,26 +55,27 @@
 	readonly store: DocumentStore;
 	readonly peers: PeerClients;
 	readonly logger: Logger;
-	/** Called with each document that the node runs from now on. */
+	/** Called with each document that the node starts to run. */
 	readonly onDocument: (document: RoutingDocument) => void;
 	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
 };
 
-/** The task that keeps a node's routing document current and serves others. */
+/** The task that keeps a node's routing document current and serves it to other nodes. */
 export type DocumentTask = {
 	updateMembers(view: MembersView): void;
 	handlePoll(
 		poll: DocumentPoll,
 		call?: PeerCall,
 	): Promise<EncodedDocumentAnswer>;
-	/** Reads the document that the node runs. */
+	/** Returns the document that the node runs. */
 	readDocument(): RoutingDocument | undefined;
 	stop(): void;
 };
 
 /**
- * Starts the document task of a node: sockets and timers round `stepDocument`.
+ * Starts the document task of a node, which performs the I/O and timers for
+ * `stepDocument`.
  *
  * @param options - see `DocumentTaskOptions`
  * @returns the running task
@@ -89,7 +90,7 @@
 	let lastPollId = 0;
 	let isStopped = false;
 
-	function tell(message: DocumentMessage, arrivedAt = now()): void {
+	function dispatch(message: DocumentMessage, arrivedAt = now()): void {
 		if (isStopped) {
 			return;
 		}
@@ -97,12 +98,12 @@
 		const step = stepDocument(state, message, now());
 		state = step.state;
 		for (const effect of step.effects) {
-			carryOut(effect, arrivedAt);
+			runEffect(effect, arrivedAt);
 		}
 	}
 
-	/** Logs what an answer to another node cost, if it holds a document. */
-	function reportSent(
+	/** Logs size and duration of an answer to another node if it contains a document or changes. */
+	function logSentDocument(
 		{name: receiver, version: before}: DocumentPoll,
 		{kind}: EncodedDocumentAnswer,
 		call: PeerCall | undefined,
@@ -133,12 +134,12 @@
 			timeoutMs,
 			transferMs: documentTransferMs,
 			onBegun() {
-				tell({kind: 'receiving', callId});
+				dispatch({kind: 'receiving', callId});
 			},
 		};
 		const outcome = await callStore(effect, limits);
 		const arrivedAt = outcome.kind === 'read' ? outcome.arrivedAt : undefined;
-		tell({kind: 'stored', callId, outcome}, arrivedAt);
+		dispatch({kind: 'stored', callId, outcome}, arrivedAt);
 	}
 
 	async function callStore(
@@ -167,7 +168,7 @@
 		try {
 			const body = await peers
 				.getClient(address, {needsNewConnection})
-				// What comes after the call has been given up is still of use.
+				// A document that arrives after the call has timed out is still used.
 				.document.mutate(poll, {
 					signal: AbortSignal.timeout(timeoutMs + documentTransferMs),
 				});
@@ -176,17 +177,17 @@
 				(answer): PeerDocumentOutcome => ({kind: 'answered', answer}),
 				(reason): PeerDocumentOutcome => ({kind: 'malformed', reason}),
 			);
-			tell({kind: 'polled', callId, outcome}, arrivedAt);
+			dispatch({kind: 'polled', callId, outcome}, arrivedAt);
 		} catch (error) {
 			logger.debug('poll for configuration failed', {
 				address,
 				error: String(error),
 			});
-			tell({kind: 'polled', callId, outcome: {kind: 'failed'}});
+			dispatch({kind: 'polled', callId, outcome: {kind: 'failed'}});
 		}
 	}
 
-	function carryOut(effect: DocumentEffect, arrivedAt: number): void {
+	function runEffect(effect: DocumentEffect, arrivedAt: number): void {
 		switch (effect.kind) {
 			case 'read':
 			case 'check':
@@ -224,28 +225,28 @@
 	}
 
 	const timer = setInterval(() => {
-		// In a late node, answers that have come are read before calls end.
-		setImmediate(tell, {kind: 'tick'});
+		// If the event loop lags, responses that have arrived are read before calls time out.
+		setImmediate(dispatch, {kind: 'tick'});
 	}, documentTickMs);
-	tell({kind: 'tick'});
+	dispatch({kind: 'tick'});
 
 	return {
 		updateMembers(view) {
-			tell({kind: 'view', members: view.members});
+			dispatch({kind: 'view', members: view.members});
 		},
 		async handlePoll(poll, call) {
 			if (isStopped) {
-				return leavingAnswer;
+				return stoppedAnswer;
 			}
 
 			lastPollId++;
 			const pollId = lastPollId;
 			const answer = await new Promise<DocumentAnswer>((resolve) => {
 				resolvers.set(pollId, resolve);
-				tell({kind: 'poll', pollId, poll});
+				dispatch({kind: 'poll', pollId, poll});
 			});
 			const encoded = encodeDocumentAnswer(answer);
-			reportSent(poll, encoded, call);
+			logSentDocument(poll, encoded, call);
 			return encoded;
 		},
 		readDocument: () => state.document,
@@ -253,7 +254,7 @@
 			isStopped = true;
 			clearInterval(timer);
 			for (const resolve of resolvers.values()) {
-				resolve(leavingAnswer);
+				resolve(stoppedAnswer);
 			}
 
 			resolvers.clear();
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -23,29 +23,29 @@
 
 const logger = createSilentLogger();
 
-const refuseCall = (): never => {
-	throw new Error('the test makes no such call');
+const failOnCall = (): never => {
+	throw new Error('unexpected call from another node');
 };
 
 type GateOptions = {
-	/** Monotonic ms of the gate. */
+	/** Clock of the gate, monotonic ms. */
 	readonly now?: () => number;
 	readonly readLag?: () => number;
 	readonly bodyMemory?: BodyMemoryBudget;
-	/** Answers a request at the upstream. */
+	/** Sends the response of the upstream. */
 	readonly answer?: (response: ServerResponse) => void;
 };
 
-const limitMs = 5000;
+const timeoutMs = 5000;
 
-function endAnswer(response: ServerResponse): void {
+function endResponse(response: ServerResponse): void {
 	response.end('done');
 }
 
-/** Starts a gate with an upstream of one slot, behind a peer server. */
+/** Starts a peer server with a gate and an upstream that has one slot. */
 async function startGate(
 	t: TestContext,
-	{readLag = () => 0, answer = endAnswer, now, bodyMemory}: GateOptions,
+	{readLag = () => 0, answer = endResponse, now, bodyMemory}: GateOptions,
 ) {
 	const arrived: string[] = [];
 	const bodies: string[] = [];
@@ -77,8 +77,8 @@
 		readLag,
 		bodyMemory,
 		handlers: {
-			handlePoll: refuseCall,
-			handleExchange: refuseCall,
+			handlePoll: failOnCall,
+			handleExchange: failOnCall,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -92,7 +92,7 @@
 	return {arrived, bodies, gate, server, forwarder};
 }
 
-test('a late node does not send on what may have waited past its deadline', async (t) => {
+test('a node with event loop lag does not forward an attempt that may have waited past its deadline', async (t) => {
 	let lagMs = 0;
 	const {bodies, gate, server, forwarder} = await startGate(t, {
 		readLag: () => lagMs,
@@ -112,7 +112,7 @@
 	assert.equal(bodies.length, 1);
 });
 
-test('a late node does not take the end of a body for the end of its sender', async (t) => {
+test('a node with event loop lag does not mistake the end of a body for a disconnect of its sender', async (t) => {
 	const {bodies, gate, server, forwarder} = await startGate(t, {
 		readLag: () => 60,
 	});
@@ -130,15 +130,15 @@
 	assert.deepEqual(bodies, ['valve']);
 });
 
-test('a call between nodes creates no web request', async (t) => {
+test('a call between nodes creates no Fetch API Request', async (t) => {
 	const gate = startGateTask({logger});
 	const server = await startPeerServer({
 		address: '127.0.0.1:0',
 		gate,
 		logger,
 		handlers: {
-			handlePoll: refuseCall,
-			handleExchange: refuseCall,
+			handlePoll: failOnCall,
+			handleExchange: failOnCall,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -158,11 +158,11 @@
 	assert.equal(created, 0);
 });
 
-test('a waiting attempt whose sender has left does not run later', async (t) => {
-	const held: ServerResponse[] = [];
+test('a queued attempt whose sender has disconnected is not run', async (t) => {
+	const pendingResponses: ServerResponse[] = [];
 	const {arrived, bodies, gate, server, forwarder} = await startGate(t, {
 		answer(response) {
-			held.push(response);
+			pendingResponses.push(response);
 		},
 	});
 	const first = createSampleAttempt({
@@ -170,29 +170,29 @@
 		headers: {'content-length': '5'},
 		body: Buffer.from('first'),
 		repeatable: false,
-		remainingMs: limitMs,
+		remainingMs: timeoutMs,
 		stamp: gate.readStamp(),
 	});
 	const running = forwarder.forwardAttempt(server.address, first);
-	await pollUntil(async () => held.length === 1, limitMs);
+	await pollUntil(async () => pendingResponses.length === 1, timeoutMs);
 	const sender = createCancelSource();
 	const second = {...first, id: 'a/2', signal: sender.signal};
 	void forwarder.forwardAttempt(server.address, second);
-	await pollUntil(async () => arrived.includes(second.id), limitMs);
+	await pollUntil(async () => arrived.includes(second.id), timeoutMs);
 	sender.abort();
 
 	const isEnded = await pollUntil(
 		async () => gate.ask(second) === 'fenced',
-		limitMs,
+		timeoutMs,
 	);
 	assert.ok(isEnded);
-	endAnswer(held[0]!);
+	endResponse(pendingResponses[0]!);
 	const result = await running;
 	assert.equal(result.kind, 'answered');
 	assert.deepEqual(bodies, ['first']);
 });
 
-test('an attempt that lay in the network past its deadline is not sent on', async (t) => {
+test('an attempt that was delayed in the network past its deadline is not forwarded', async (t) => {
 	let at = 10_000;
 	const {bodies, gate, server, forwarder} = await startGate(t, {
 		now: () => at,
@@ -207,7 +207,7 @@
 		createdAtGateMs: at,
 	});
 
-	// A cut of the network ends, and what was sent during it arrives.
+	// A network partition ends, and an attempt that was sent during it arrives.
 	at += 6000;
 	const result = await forwarder.forwardAttempt(server.address, attempt);
 	assert.equal(result.kind, 'not-run');
@@ -215,12 +215,12 @@
 	assert.equal(gate.ask(attempt), 'fenced');
 });
 
-test('a first attempt whose sender left before it was read is not sent on', async (t) => {
+test('a first attempt whose sender disconnected before it was read is not forwarded', async (t) => {
 	const {bodies, arrived, gate, server, forwarder} = await startGate(t, {});
 	const [host, port] = server.address.split(':');
 	const socket = createConnection(Number(port), host);
 	const headers = createAttemptHeaders(
-		createSampleAttempt({id: 'a/1', remainingMs: limitMs}),
+		createSampleAttempt({id: 'a/1', remainingMs: timeoutMs}),
 	);
 	const lines = Object.entries(headers).map(
 		([name, value]) => `${name}: ${String(value)}`,
@@ -229,7 +229,7 @@
 		['GET /gate/valves HTTP/1.1', 'host: a', ...lines, '\r\n'].join('\r\n'),
 	);
 	await once(socket, 'close');
-	const next = createSampleAttempt({id: 'a/2', remainingMs: limitMs});
+	const next = createSampleAttempt({id: 'a/2', remainingMs: timeoutMs});
 	const result = await forwarder.forwardAttempt(server.address, next);
 	assert.equal(result.kind, 'answered');
 	assert.deepEqual(arrived, ['a/2']);
@@ -239,8 +239,9 @@
 
 const longBytes = 100_000;
 
-// Its memory was kept for good, until all long bodies were streamed.
-test('a long body gives back its memory, also when its sender has left', async (t) => {
+// Guards against a leak: the memory of a long body was never released, until no
+// memory was left and all long bodies had to be streamed.
+test('the memory of a long body is released, including when its sender disconnects', async (t) => {
 	const bodyMemory = createBodyMemoryBudget(longBytes);
 	let lagMs = 0;
 	const {bodies, arrived, gate, server, forwarder} = await startGate(t, {
@@ -276,18 +277,18 @@
 		}
 
 		return isTaken;
-	}, limitMs);
-	assert.ok(isFree, 'the memory was not given back');
+	}, timeoutMs);
+	assert.ok(isFree, 'the memory was not released');
 	assert.ok(arrived.length <= 2);
 });
 
-// The caller would have taken the gate for lost, and the upload for not run.
-test('a gate gives signs of life while a long body comes in', async (t) => {
+// Without keepalives, the caller would consider the gate lost and the upload not run.
+test('a gate sends keepalives while a long body arrives', async (t) => {
 	const {gate, server, forwarder} = await startGate(t, {});
-	let signs = 0;
+	let keepalives = 0;
 	const body = new Readable({
 		read() {
-			// The test pushes.
+			// The test pushes the data.
 		},
 	});
 	const result = forwarder.forwardAttempt(
@@ -299,13 +300,13 @@
 			headers: {'content-length': String(longBytes)},
 			body,
 			onKeepalive() {
-				signs++;
+				keepalives++;
 			},
 		}),
 	);
 	body.push(Buffer.alloc(longBytes / 2));
-	const isAlive = await pollUntil(async () => signs > 0, limitMs);
-	assert.ok(isAlive, 'no sign of life');
+	const hasKeepalive = await pollUntil(async () => keepalives > 0, timeoutMs);
+	assert.ok(hasKeepalive, 'no keepalive received');
 	body.push(Buffer.alloc(longBytes / 2));
 	await waitForTurn();
 	body.push(null);
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -56,22 +56,22 @@
 	readonly gate: GateTask;
 	readonly handlers: PeerHandlers;
 	readonly logger: Logger;
-	/** Where long bodies wait; a memory of its own when absent. */
+	/** Memory budget for buffered request bodies; the server creates its own when absent. */
 	readonly bodyMemory?: BodyMemoryBudget;
-	/** How late the event loop runs, ms; not regarded when absent. */
+	/** Returns the event loop lag, ms; 0 when absent. */
 	readonly readLag?: () => number;
-	/** Called when connections have been accepted and none waits any more. */
+	/** Called when new connections have been accepted and none is left in the accept queue. */
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
-	/** Called with the socket of each call and what it is for. */
+	/** Called with the socket of each call and its purpose, which is the name of the procedure. */
 	readonly track?: (purpose: string, socket: Socket) => void;
 };
 
-/** Longest body of a forwarded attempt; routes have lower limits. */
+/** Maximum body length of a forwarded attempt; the limits of routes are lower. */
 const maxForwardedBytes = 16 * maxBodyBytes;
 
-const noBody = new Uint8Array();
+const emptyBody = new Uint8Array();
 
-function createOwnHeaders(result: AttemptResult): Record<string, string> {
+function createResultHeaders(result: AttemptResult): Record<string, string> {
 	const headers: Record<string, string> = {[outcomeHeader]: result.kind};
 	if (result.load) {
 		headers[loadHeader] = formatLoad(result.load);
@@ -92,9 +92,9 @@
 	response: ServerResponse,
 	result: AttemptResult,
 ): Promise<void> {
-	const own = createOwnHeaders(result);
+	const resultHeaders = createResultHeaders(result);
 	if (result.kind === 'answered') {
-		await sendUpstreamResponse(response, result, own);
+		await sendUpstreamResponse(response, result, resultHeaders);
 		return;
 	}
 
@@ -104,7 +104,7 @@
 		kind === 'not-run' ? 503 : 504,
 		{outcome: kind, reason},
 		{
-			...own,
+			...resultHeaders,
 			[reasonHeader]: reason,
 			'retry-after': String(result.retryAfterSeconds),
 		},
@@ -116,10 +116,10 @@
 	return {
 		onWritten(listener) {
 			const startedAt = performance.now();
-			const before = socket?.bytesWritten ?? 0;
+			const bytesBefore = socket?.bytesWritten ?? 0;
 			response.once('close', () => {
 				listener({
-					bytes: (socket?.bytesWritten ?? 0) - before,
+					bytes: (socket?.bytesWritten ?? 0) - bytesBefore,
 					durationMs: performance.now() - startedAt,
 					isWhole: response.writableFinished,
 				});
@@ -129,7 +129,7 @@
 }
 
 /**
- * Starts the server on which a node takes other nodes' calls and attempts.
+ * Starts the server that handles calls and attempts from other nodes.
  *
  * @param options - see `PeerServerOptions`
  * @returns the running server
@@ -151,18 +151,18 @@
 		abortResponse(response, {cause, requestId, logger});
 	}
 
-	/** Reads the head of an attempt, whose body may still be coming. */
+	/** Reads the head of an attempt, whose body may not have arrived yet. */
 	function readHead(request: IncomingMessage, signal: CancelSignal): Attempt {
 		return readAttempt(request.headers, {
 			method: request.method ?? 'GET',
 			path: (request.url ?? '').slice(gatePrefix.length),
-			body: noBody,
+			body: emptyBody,
 			signal,
 		});
 	}
 
-	/** Refuses a long body before it has come, where it would be in vain. */
-	function refuseByHead(
+	/** Refuses an attempt with a long body before the body is read, if the gate would refuse it anyway. */
+	function refuseEarly(
 		{headers}: IncomingMessage,
 		head: Attempt,
 	): AttemptResult | undefined {
@@ -170,8 +170,8 @@
 		return isLong ? gate.refuseBeforeBody(head) : undefined;
 	}
 
-	/** Runs an attempt whose body is there, or is read as it comes. */
-	async function runArrived(
+	/** Runs an attempt whose body has been read or is streamed. */
+	async function runReceivedAttempt(
 		request: IncomingMessage,
 		attempt: Attempt,
 		arrivedAt: number,
@@ -196,17 +196,17 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const arrivedAt = performance.now();
-		const cancelling = createCancelSource();
-		const head = readHead(request, cancelling.signal);
-		const refusal = refuseByHead(request, head);
+		const cancelSource = createCancelSource();
+		const head = readHead(request, cancelSource.signal);
+		const refusal = refuseEarly(request, head);
 		if (refusal) {
 			discardBody(request);
 			await sendResult(response, refusal);
 			return;
 		}
 
-		// Also while a long body comes in over a thin link.
-		const signs = setInterval(() => {
+		// Keepalives are also sent while a long body arrives over a slow link.
+		const keepaliveTimer = setInterval(() => {
 			response.writeProcessing();
 		}, keepaliveIntervalMs);
 		const body = await readRequestBody(request, {
@@ -215,7 +215,7 @@
 			timeoutMs: head.remainingMs,
 		});
 		if (body.kind === 'refused') {
-			clearInterval(signs);
+			clearInterval(keepaliveTimer);
 			abort(request, response, {kind: 'body-refused', reason: body.reason});
 			return;
 		}
@@ -226,16 +226,16 @@
 			}
 
 			if (head.repeatable) {
-				cancelling.abort();
+				cancelSource.abort();
 			} else {
-				// One that runs goes on, so that its answer can be fetched over
-				// another connection.
+				// An attempt that is already running continues, so that its response
+				// can be fetched over another connection.
 				gate.cancelQueued(head.id);
 			}
 		});
 		const attempt = {...head, body: body.body};
-		const result = await runArrived(request, attempt, arrivedAt);
-		clearInterval(signs);
+		const result = await runReceivedAttempt(request, attempt, arrivedAt);
+		clearInterval(keepaliveTimer);
 		bodyMemory.release(body.reservedBytes);
 		if (result === 'sender-left') {
 			abort(request, response, {kind: 'sender-left'});
@@ -245,18 +245,18 @@
 		await sendResult(response, result);
 	}
 
-	async function handleFetch(
+	async function handleResponseFetch(
 		request: IncomingMessage,
 		response: ServerResponse,
 	): Promise<void> {
-		const cancelling = createCancelSource();
+		const cancelSource = createCancelSource();
 		response.once('close', () => {
-			cancelling.abort();
+			cancelSource.abort();
 		});
 		const result = await gate.fetchAnswer(
 			String(request.headers[attemptHeader]),
 			Number(request.headers[deadlineHeader]),
-			cancelling.signal,
+			cancelSource.signal,
 		);
 		await sendResult(response, result);
 	}
@@ -266,7 +266,7 @@
 		response: ServerResponse,
 	): Promise<void> {
 		return request.url === answersPath
-			? handleFetch(request, response)
+			? handleResponseFetch(request, response)
 			: handleAttempt(request, response);
 	}
 
@@ -280,7 +280,7 @@
 		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
 			options.track?.(readProcedureName(url), request.socket);
 			handleCall(request, response).catch((error: unknown) => {
-				logger.debug('call not answered', {error: String(error)});
+				logger.debug('call failed', {error: String(error)});
 				response.destroy();
 			});
 			return;
