--- a/src/cli/_lib/create-request-trace.ts
+++ b/src/cli/_lib/create-request-trace.ts
@@ -1,7 +1,7 @@
 import type {LogLine} from './parse-log-lines.js';
 
 /** How something ended. */
-type Ending = {
+type Completion = {
 	readonly outcome: string | undefined;
 	readonly reason: string | undefined;
 	readonly status: number | undefined;
@@ -9,7 +9,7 @@
 };
 
 /** What the gate of a host says of an attempt. */
-export type GateTrace = Ending & {
+export type GateTrace = Completion & {
 	readonly queuedMs: number;
 	/**
 	 * By how much the gate's clock is ahead of the caller's node, ms, at least and
@@ -19,7 +19,7 @@
 };
 
 /** One attempt at a host. */
-export type AttemptTrace = Ending & {
+export type AttemptTrace = Completion & {
 	readonly number: number;
 	readonly host: string;
 	readonly service: string | undefined;
@@ -34,7 +34,7 @@
 	/** Node that took the request from its client, if a line says so. */
 	readonly node: string | undefined;
 	readonly request:
-		| (Ending & Pick<LogLine, 'route' | 'service' | 'version' | 'attempts'>)
+		| (Completion & Pick<LogLine, 'route' | 'service' | 'version' | 'attempts'>)
 		| undefined;
 	readonly attempts: readonly AttemptTrace[];
 	/** What should be there and is not, and why that may be. */
@@ -50,10 +50,10 @@
 } as const;
 
 /** Time around a request within which dropped lines may have been its own, ms; two periods of the log's bound. */
-const droppedWithinMs = 2000;
+const droppedLinesWindowMs = 2000;
 
 /** Reasons for which a gate refuses an attempt on arrival, without a line. */
-const refusedOnArrival: ReadonlySet<string | undefined> = new Set([
+const unloggedGateReasons: ReadonlySet<string | undefined> = new Set([
 	'saturated',
 	'limited',
 	'deadline',
@@ -64,12 +64,12 @@
 	'fenced',
 ]);
 
-function readEnding({
+function readCompletion({
 	outcome,
 	reason,
 	status,
 	durationMs = 0,
-}: LogLine): Ending {
+}: LogLine): Completion {
 	return {outcome, reason, status, durationMs};
 }
 
@@ -77,7 +77,7 @@
 	const {durationMs = 0} = gate;
 	const startAt = attempt.atMs - (attempt.durationMs ?? 0);
 	return {
-		...readEnding(gate),
+		...readCompletion(gate),
 		queuedMs: gate.queuedMs ?? 0,
 		clockAheadMs: [gate.atMs - attempt.atMs, gate.atMs - durationMs - startAt],
 	};
@@ -85,7 +85,7 @@
 
 function listMissing(
 	lines: readonly LogLine[],
-	own: readonly LogLine[],
+	requestLines: readonly LogLine[],
 	{node: caller, request, attempts}: Omit<RequestTrace, 'missing'>,
 ): string[] {
 	const missing: string[] = [];
@@ -101,17 +101,19 @@
 	}
 
 	for (const {number, host, gate, reason} of attempts) {
-		if (!gate && !refusedOnArrival.has(reason)) {
+		if (!gate && !unloggedGateReasons.has(reason)) {
 			missing.push(`attempt ${number} at ${host}: no line of its gate`);
 		}
 	}
 
-	const firstAt = Math.min(...own.map(({atMs}) => atMs)) - droppedWithinMs;
-	const lastAt = Math.max(...own.map(({atMs}) => atMs)) + droppedWithinMs;
-	const onTheWay = new Set([caller, ...attempts.map(({host}) => host)]);
+	const firstAt =
+		Math.min(...requestLines.map(({atMs}) => atMs)) - droppedLinesWindowMs;
+	const lastAt =
+		Math.max(...requestLines.map(({atMs}) => atMs)) + droppedLinesWindowMs;
+	const involvedNodes = new Set([caller, ...attempts.map(({host}) => host)]);
 	for (const {message, node, atMs, count = 0} of lines) {
 		const isNear = atMs >= firstAt && atMs <= lastAt;
-		if (message === messages.dropped && isNear && onTheWay.has(node)) {
+		if (message === messages.dropped && isNear && involvedNodes.has(node)) {
 			missing.push(`${node} dropped ${count} lines within two seconds of it`);
 		}
 	}
@@ -133,26 +135,32 @@
 	lines: readonly LogLine[],
 	requestId: string,
 ): RequestTrace | undefined {
-	const own = lines
+	const requestLines = lines
 		.filter((line) => line.requestId === requestId)
 		.toSorted((a, b) => a.atMs - b.atMs);
-	if (own.length === 0) {
+	if (requestLines.length === 0) {
 		return undefined;
 	}
 
-	const end = own.find(({message}) => message === messages.request);
-	const ended = own.filter(({message}) => message === messages.attempt);
-	const gates = own.filter(({message}) => message === messages.gate);
+	const requestLine = requestLines.find(
+		({message}) => message === messages.request,
+	);
+	const attemptLines = requestLines.filter(
+		({message}) => message === messages.attempt,
+	);
+	const gateLines = requestLines.filter(
+		({message}) => message === messages.gate,
+	);
 	const startAt = Math.min(
-		...[...(end ? [end] : []), ...ended].map(
+		...[...(requestLine ? [requestLine] : []), ...attemptLines].map(
 			({atMs, durationMs = 0}) => atMs - durationMs,
 		),
 	);
-	const attempts = ended.map((attempt): AttemptTrace => {
-		const index = gates.findIndex(({node}) => node === attempt.host);
-		const [gate] = index === -1 ? [] : gates.splice(index, 1);
+	const attempts = attemptLines.map((attempt): AttemptTrace => {
+		const index = gateLines.findIndex(({node}) => node === attempt.host);
+		const [gate] = index === -1 ? [] : gateLines.splice(index, 1);
 		return {
-			...readEnding(attempt),
+			...readCompletion(attempt),
 			number: attempt.attempt ?? 0,
 			host: attempt.host ?? '',
 			service: attempt.service,
@@ -160,17 +168,17 @@
 			gate: gate && createGateTrace(gate, attempt),
 		};
 	});
-	const request = end && {
-		...readEnding(end),
-		route: end.route,
-		service: end.service,
-		version: end.version,
-		attempts: end.attempts,
+	const request = requestLine && {
+		...readCompletion(requestLine),
+		route: requestLine.route,
+		service: requestLine.service,
+		version: requestLine.version,
+		attempts: requestLine.attempts,
 	};
-	const {node} = end ?? ended[0] ?? {};
+	const {node} = requestLine ?? attemptLines[0] ?? {};
 	const found = {requestId, node, request, attempts};
-	const missing = listMissing(lines, own, found);
-	for (const {node: gate, outcome, reason = ''} of gates) {
+	const missing = listMissing(lines, requestLines, found);
+	for (const {node: gate, outcome, reason = ''} of gateLines) {
 		missing.push(
 			`the attempt that the gate ${gate} ended: ${outcome} ${reason}`.trim(),
 		);
--- a/src/cli/_lib/format-request-trace.ts
+++ b/src/cli/_lib/format-request-trace.ts
@@ -4,9 +4,17 @@
 	RequestTrace,
 } from './create-request-trace.js';
 
-type Ending = Pick<GateTrace, 'outcome' | 'reason' | 'status' | 'durationMs'>;
+type Completion = Pick<
+	GateTrace,
+	'outcome' | 'reason' | 'status' | 'durationMs'
+>;
 
-function formatEnding({outcome, reason, status, durationMs}: Ending): string {
+function formatCompletion({
+	outcome,
+	reason,
+	status,
+	durationMs,
+}: Completion): string {
 	const parts = [
 		outcome ?? 'ended',
 		...(reason === undefined ? [] : [reason]),
@@ -17,13 +25,13 @@
 
 function formatGate({clockAheadMs, queuedMs, ...ending}: GateTrace): string {
 	const [least, most] = clockAheadMs;
-	return `    gate: waited ${queuedMs} ms, ${formatEnding(ending)}; clock ahead by ${least} to ${most} ms`;
+	return `    gate: waited ${queuedMs} ms, ${formatCompletion(ending)}; clock ahead by ${least} to ${most} ms`;
 }
 
 function formatAttempt(attempt: AttemptTrace): readonly string[] {
 	const {number, host, startMs, gate} = attempt;
 	return [
-		`  at ${startMs} ms attempt ${number} at ${host}: ${formatEnding(attempt)}`,
+		`  at ${startMs} ms attempt ${number} at ${host}: ${formatCompletion(attempt)}`,
 		...(gate ? [formatGate(gate)] : []),
 	];
 }
@@ -37,7 +45,7 @@
 export function formatRequestTrace(trace: RequestTrace): string {
 	const {requestId, node = 'an unknown node', request} = trace;
 	const head = request
-		? `route ${request.route} to ${request.service}, version ${request.version}: ${formatEnding(request)}`
+		? `route ${request.route} to ${request.service}, version ${request.version}: ${formatCompletion(request)}`
 		: 'its end is not in these logs';
 	return [
 		`request ${requestId} at ${node}, ${head}`,
--- a/src/cli/format-help.ts
+++ b/src/cli/format-help.ts
@@ -1,6 +1,6 @@
 import type {CommandSpec} from './command.js';
 
-const column = 24;
+const optionColumnWidth = 24;
 
 /**
  * Formats the first line of a command's help.
@@ -27,7 +27,7 @@
 export function formatHelp(spec: CommandSpec): string {
 	const options = spec.options.map(({name, placeholder, description}) => {
 		const option = placeholder ? `--${name} ${placeholder}` : `--${name}`;
-		return `  ${option.padEnd(column)}${description}`;
+		return `  ${option.padEnd(optionColumnWidth)}${description}`;
 	});
 	return [
 		`Usage: ${formatUsage(spec)}`,
@@ -36,7 +36,7 @@
 		'',
 		'Options:',
 		...options,
-		`  ${'--help'.padEnd(column)}show this help`,
+		`  ${'--help'.padEnd(optionColumnWidth)}show this help`,
 		...(spec.notes.length > 0 ? ['', ...spec.notes] : []),
 	].join('\n');
 }
--- a/src/cli/parse-settings.ts
+++ b/src/cli/parse-settings.ts
@@ -6,7 +6,7 @@
 
 type SettingLine = Extract<IniLine, {kind: 'setting'}>;
 
-type Place = {
+type ProblemLocation = {
 	readonly line?: number;
 	readonly section?: string;
 	readonly key?: string;
@@ -25,7 +25,11 @@
 	);
 }
 
-function formatProblem(file: string, place: Place, message: string): string {
+function formatProblem(
+	file: string,
+	place: ProblemLocation,
+	message: string,
+): string {
 	const {line, section, key, value} = place;
 	const position = line === undefined ? file : `${file}:${line}`;
 	const setting = [
@@ -64,7 +68,7 @@
 	});
 }
 
-function createValues(
+function groupBySection(
 	lines: readonly IniLine[],
 ): Record<string, Record<string, string>> {
 	const sections = new Map<string, Map<string, string>>();
@@ -96,7 +100,10 @@
 	);
 }
 
-function findSectionLine(lines: readonly IniLine[], section: string): Place {
+function findSectionLine(
+	lines: readonly IniLine[],
+	section: string,
+): ProblemLocation {
 	const found = lines.find(
 		(item) => item.kind === 'section' && item.section === section,
 	);
@@ -174,7 +181,7 @@
 	text: string,
 ): Result<Settings, readonly string[]> {
 	const lines = scanIni(text);
-	const parsed = settingsSchema.safeParse(createValues(lines));
+	const parsed = settingsSchema.safeParse(groupBySection(lines));
 	const problems = [
 		...findLineProblems(file, lines),
 		...(parsed.error?.issues ?? []).flatMap((issue) =>
--- a/src/cli/run-check.ts
+++ b/src/cli/run-check.ts
@@ -20,12 +20,12 @@
 	],
 };
 
-type Report = {
+type CheckReport = {
 	readonly problems: readonly string[];
 	readonly unchecked: readonly string[];
 };
 
-function checkText(file: string, text: string): Report {
+function checkText(file: string, text: string): CheckReport {
 	if (/\.ya?ml$/v.test(file)) {
 		const settings = readNodeSettings(file, text);
 		return {problems: settings.isErr() ? settings.error : [], unchecked: []};
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -16,10 +16,10 @@
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
 /** Time between looks at whether the settings file has changed, ms. */
-const settingsCheckMs = 1000;
+const settingsCheckIntervalMs = 1000;
 
 /** Time for what is left of a stopped node, ms. */
-const leftoverMs = 100;
+const exitDelayMs = 100;
 
 async function readChangeTime(file: string): Promise<number> {
 	try {
@@ -34,11 +34,11 @@
 /** Reloads the settings on SIGHUP and when the file has changed. */
 function watchSettings(
 	file: string,
-	first: string,
+	initialText: string,
 	node: RunningMeshNode,
 	terminal: Terminal,
 ): NodeJS.Timeout {
-	let text = first;
+	let text = initialText;
 	let changedAt = 0;
 	async function reload(): Promise<void> {
 		const next = await readFile(file, 'utf8');
@@ -63,17 +63,17 @@
 		}
 	}
 
-	function start(action: () => Promise<void>): void {
+	function runInBackground(action: () => Promise<void>): void {
 		action().catch((error: unknown) => {
 			terminal.printError(`${file}: not read again: ${String(error)}`);
 		});
 	}
 
 	process.on('SIGHUP', () => {
-		start(reload);
+		runInBackground(reload);
 	});
-	start(check);
-	return setInterval(start, settingsCheckMs, check);
+	runInBackground(check);
+	return setInterval(runInBackground, settingsCheckIntervalMs, check);
 }
 
 /**
@@ -95,8 +95,8 @@
 		return exitCodes.usage;
 	}
 
-	const first = text.value;
-	const settings = readNodeSettings(file, first);
+	const initialText = text.value;
+	const settings = readNodeSettings(file, initialText);
 	if (settings.isErr()) {
 		terminal.printError(settings.error.join('\n'));
 		return exitCodes.usage;
@@ -116,7 +116,7 @@
 			},
 			logger,
 		);
-		const timer = watchSettings(file, first, node, terminal);
+		const timer = watchSettings(file, initialText, node, terminal);
 		await waitForStop();
 		clearInterval(timer);
 		await node.stop();
@@ -124,7 +124,7 @@
 		setTimeout(() => {
 			// eslint-disable-next-line unicorn/no-process-exit
 			process.exit();
-		}, leftoverMs).unref();
+		}, exitDelayMs).unref();
 		return exitCodes.ok;
 	} catch (error) {
 		terminal.printError(`boragehitch node: ${String(error)}`);
--- a/src/cli/run-status.ts
+++ b/src/cli/run-status.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {callNode, type NodeAnswer} from './_lib/call-node.js';
+import {callNode, type NodeResponse} from './_lib/call-node.js';
 import {formatStatus, statusSchema, type Status} from './_lib/format-status.js';
 import {
 	nodeOptions,
@@ -33,11 +33,11 @@
 const pollIntervalMs = 250;
 const maxWaitSeconds = 3600;
 
-type Reading =
+type StatusResult =
 	| {readonly kind: 'status'; readonly status: Status}
 	| {readonly kind: 'refused' | 'unavailable'; readonly message: string};
 
-function readStatus(answer: NodeAnswer): Reading {
+function readStatus(answer: NodeResponse): StatusResult {
 	if (answer.kind !== 'answer') {
 		return {kind: 'unavailable', message: answer.message};
 	}
@@ -51,12 +51,12 @@
 	return {kind, message: JSON.stringify(answer.body)};
 }
 
-function chooseExitCode(reading: Reading): ExitCode {
-	if (reading.kind !== 'status') {
-		return exitCodes[reading.kind];
+function chooseExitCode(result: StatusResult): ExitCode {
+	if (result.kind !== 'status') {
+		return exitCodes[result.kind];
 	}
 
-	switch (reading.status.state) {
+	switch (result.status.state) {
 		case 'in-force': {
 			return exitCodes.ok;
 		}
@@ -79,20 +79,23 @@
 	options: NodeOptions,
 	version: string | undefined,
 	waitMs: number,
-): Promise<Reading> {
+): Promise<StatusResult> {
 	const endsAt = performance.now() + waitMs;
-	let asked = version;
+	let requestedVersion = version;
 	for (;;) {
-		const path = asked === undefined ? '/status' : `/status/${asked}`;
-		const reading = readStatus(await callNode(options.address, path, options));
-		const code = chooseExitCode(reading);
+		const path =
+			requestedVersion === undefined
+				? '/status'
+				: `/status/${requestedVersion}`;
+		const result = readStatus(await callNode(options.address, path, options));
+		const code = chooseExitCode(result);
 		const isFinal = code === exitCodes.ok || code === exitCodes.refused;
 		if (isFinal || performance.now() + pollIntervalMs > endsAt) {
-			return reading;
+			return result;
 		}
 
-		if (reading.kind === 'status') {
-			asked ??= String(reading.status.version);
+		if (result.kind === 'status') {
+			requestedVersion ??= String(result.status.version);
 		}
 
 		await delay(pollIntervalMs);
@@ -133,16 +136,16 @@
 		return exitCodes.usage;
 	}
 
-	const reading = await pollStatus(options.value, version, wait.value * 1000);
+	const result = await pollStatus(options.value, version, wait.value * 1000);
 	if (options.value.isJson) {
 		terminal.print(
-			JSON.stringify(reading.kind === 'status' ? reading.status : reading),
+			JSON.stringify(result.kind === 'status' ? result.status : result),
 		);
-	} else if (reading.kind === 'status') {
-		terminal.print(formatStatus(reading.status));
+	} else if (result.kind === 'status') {
+		terminal.print(formatStatus(result.status));
 	} else {
-		terminal.print(`${reading.kind}: ${reading.message}`);
+		terminal.print(`${result.kind}: ${result.message}`);
 	}
 
-	return chooseExitCode(reading);
+	return chooseExitCode(result);
 }
--- a/src/cli/run-submit.ts
+++ b/src/cli/run-submit.ts
@@ -4,7 +4,7 @@
 	submissionOutcomeSchema,
 	type SubmissionOutcome,
 } from '../protocol/configuration.js';
-import {callNode, type NodeAnswer} from './_lib/call-node.js';
+import {callNode, type NodeResponse} from './_lib/call-node.js';
 import {formatSubmission} from './_lib/format-submission.js';
 import {nodeOptions, readNodeOptions} from './_lib/node-options.js';
 import {readFileOperand} from './_lib/read-file-operand.js';
@@ -32,7 +32,7 @@
 	],
 };
 
-const codeByKind: Readonly<Record<SubmissionOutcome['kind'], ExitCode>> = {
+const exitCodeByKind: Readonly<Record<SubmissionOutcome['kind'], ExitCode>> = {
 	accepted: exitCodes.ok,
 	refused: exitCodes.refused,
 	unavailable: exitCodes.unavailable,
@@ -40,7 +40,7 @@
 };
 
 function readOutcome(
-	answer: NodeAnswer,
+	answer: NodeResponse,
 	submissionId: string,
 ): SubmissionOutcome {
 	if (answer.kind === 'not-sent') {
@@ -104,5 +104,5 @@
 	}
 
 	terminal.print(isJson ? JSON.stringify(outcome) : formatSubmission(outcome));
-	return codeByKind[outcome.kind];
+	return exitCodeByKind[outcome.kind];
 }
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -18,7 +18,7 @@
 } from '../protocol/attempt.js';
 
 /** What became of the answer to a call on its connection. */
-export type WrittenAnswer = {
+export type WrittenResponse = {
 	/** Head included. */
 	readonly bytes: number;
 	/** Time until it was handed to the operating system, ms. */
@@ -30,7 +30,7 @@
 /** A call on its connection. */
 export type PeerCall = {
 	/** Observes the writing of the answer, which begins now. */
-	onWritten(listener: (written: WrittenAnswer) => void): void;
+	onWritten(listener: (written: WrittenResponse) => void): void;
 };
 
 /** The handlers that a node's tasks give to the peer router. */
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -231,9 +231,9 @@
 		),
 		onView(view) {
 			caller.tellView(view);
-			document.tellView(view);
+			document.updateMembers(view);
 		},
-		onLapse: gate.withdraw,
+		onLeaseExpired: gate.withdraw,
 	});
 
 	/** Whether the upstream on the host need not be asked who it is. */
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -109,8 +109,8 @@
 	});
 	const commit = startCommitTask({
 		platform,
-		readConfiguration: configuration.readNewest,
-		onEntries: configuration.tellEntries,
+		readConfiguration: configuration.readNewestConfiguration,
+		onEntries: configuration.addEntries,
 	});
 	const peerServer = await startPeerServer({
 		address: settings.node.peers,
@@ -145,18 +145,18 @@
 		logger,
 		onView(view) {
 			caller.tellView(view);
-			configuration.tellView(view);
+			configuration.updateMembers(view);
 		},
-		onLapse: gate.withdraw,
+		onLeaseExpired: gate.withdraw,
 	});
-	configuration.tellView(members.readView());
+	configuration.updateMembers(members.readView());
 	const administration = await startAdministrationTask({
 		address: settings.node.administration,
 		logger,
 		commit,
 		platform,
 		readConfiguration: configuration.readConfiguration,
-		readNewestConfiguration: configuration.readNewest,
+		readNewestConfiguration: configuration.readNewestConfiguration,
 		readView: members.readView,
 		readControlBytes: bytes.readTotal,
 		announce(id, announced) {
