--- a/src/cli/_lib/call-node.ts
+++ b/src/cli/_lib/call-node.ts
@@ -1,11 +1,11 @@
 import {readErrorCode} from '../../transport/_lib/read-error-code.js';
 
-/** Answer of a node's administration API, or why there is none. */
+/** Response of a node's administration API, or why there is none. */
 export type NodeResponse =
 	| {readonly kind: 'answer'; readonly status: number; readonly body: unknown}
-	/** The call never left: the node has not seen it. */
+	/** The request was not sent, so the node has not received it. */
 	| {readonly kind: 'not-sent'; readonly message: string}
-	/** The call may have reached the node. */
+	/** No valid response was received; the request may have reached the node. */
 	| {readonly kind: 'no-answer'; readonly message: string};
 
 /** Options of `callNode`. */
@@ -13,7 +13,7 @@
 	readonly method?: 'GET' | 'POST';
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: string;
-	/** Longest time for the whole call, ms; 10,000 when absent. */
+	/** Time-out of the whole call, ms; 10,000 when absent. */
 	readonly timeoutMs?: number;
 };
 
@@ -35,7 +35,7 @@
  * @param address - the node's administration address, `IP:PORT`
  * @param path - path and query
  * @param options - see `CallOptions`
- * @returns the answer, or whether the call can have reached the node
+ * @returns the response, or whether the request may have reached the node
  */
 export async function callNode(
 	address: string,
@@ -43,7 +43,7 @@
 	options: CallOptions = {},
 ): Promise<NodeResponse> {
 	const {method = 'GET', headers = {}, body, timeoutMs = 10_000} = options;
-	// Loaded here, since a node needs no client of nodes.
+	// Imported lazily, because a node process does not need this client.
 	const undici = await import('undici');
 	const agent = new undici.Agent({
 		connect: {timeout: Math.min(timeoutMs, 3000)},
--- a/src/cli/_lib/create-request-trace.ts
+++ b/src/cli/_lib/create-request-trace.ts
@@ -1,6 +1,6 @@
 import type {LogLine} from './parse-log-lines.js';
 
-/** How something ended. */
+/** How a request or an attempt ended. */
 type Completion = {
 	readonly outcome: string | undefined;
 	readonly reason: string | undefined;
@@ -8,12 +8,13 @@
 	readonly durationMs: number;
 };
 
-/** What the gate of a host says of an attempt. */
+/** An attempt as logged by the gate of its host. */
 export type GateTrace = Completion & {
 	readonly queuedMs: number;
 	/**
-	 * By how much the gate's clock is ahead of the caller's node, ms, at least and
-	 * at most: its part lies within the attempt.
+	 * Lower and upper bound of the offset of the gate's clock from the clock of
+	 * the caller's node, ms. Follows from the gate handling the attempt between
+	 * the start and the end of the attempt at the caller.
 	 */
 	readonly clockAheadMs: readonly [least: number, most: number];
 };
@@ -28,20 +29,20 @@
 	readonly gate: GateTrace | undefined;
 };
 
-/** What logs tell of a request. */
+/** A request as reconstructed from log lines. */
 export type RequestTrace = {
 	readonly requestId: string;
-	/** Node that took the request from its client, if a line says so. */
+	/** Node that received the request from its client, if a line names it. */
 	readonly node: string | undefined;
 	readonly request:
 		| (Completion & Pick<LogLine, 'route' | 'service' | 'version' | 'attempts'>)
 		| undefined;
 	readonly attempts: readonly AttemptTrace[];
-	/** What should be there and is not, and why that may be. */
+	/** Expected log lines that were not found, with the possible reasons. */
 	readonly missing: readonly string[];
 };
 
-/** Names of the lines that tell of a request. */
+/** Messages of the log lines that the trace of a request is made from. */
 const messages = {
 	request: 'request ended',
 	attempt: 'attempt ended',
@@ -49,10 +50,10 @@
 	dropped: 'log lines dropped',
 } as const;
 
-/** Time around a request within which dropped lines may have been its own, ms; two periods of the log's bound. */
+/** Time around a request within which dropped lines may have belonged to it, ms; two periods of the limit on log lines. */
 const droppedLinesWindowMs = 2000;
 
-/** Reasons for which a gate refuses an attempt on arrival, without a line. */
+/** Reasons for which a gate refuses an attempt on arrival, which it does not log. */
 const unloggedGateReasons: ReadonlySet<string | undefined> = new Set([
 	'saturated',
 	'limited',
@@ -91,7 +92,7 @@
 	const missing: string[] = [];
 	if (!request) {
 		missing.push(
-			'the end of the request: it was answered and is not in the sample, or the line was dropped',
+			'the end of the request: it was answered and not sampled, or the line was dropped',
 		);
 	}
 
@@ -102,7 +103,7 @@
 
 	for (const {number, host, gate, reason} of attempts) {
 		if (!gate && !unloggedGateReasons.has(reason)) {
-			missing.push(`attempt ${number} at ${host}: no line of its gate`);
+			missing.push(`attempt ${number} at ${host}: no log line of its gate`);
 		}
 	}
 
@@ -114,7 +115,9 @@
 	for (const {message, node, atMs, count = 0} of lines) {
 		const isNear = atMs >= firstAt && atMs <= lastAt;
 		if (message === messages.dropped && isNear && involvedNodes.has(node)) {
-			missing.push(`${node} dropped ${count} lines within two seconds of it`);
+			missing.push(
+				`${node} dropped ${count} log lines within two seconds of the request`,
+			);
 		}
 	}
 
@@ -122,14 +125,14 @@
 }
 
 /**
- * Creates the story of a request from the log lines of the nodes on its way.
+ * Creates the trace of a request from the log lines of the nodes that handled it.
  *
- * Times are those of the caller's node. Clocks of other nodes may differ, so a
- * gate's part is placed by the attempt that it belongs to.
+ * Times are those of the caller's node. Clocks of other nodes may differ, so the
+ * line of a gate is ordered by the attempt that it belongs to.
  *
  * @param lines - lines of all nodes, in any order
  * @param requestId - identifier of the request
- * @returns the story, or undefined when no line tells of the request
+ * @returns the trace, or undefined when no line belongs to the request
  */
 export function createRequestTrace(
 	lines: readonly LogLine[],
--- a/src/cli/_lib/format-request-trace.ts
+++ b/src/cli/_lib/format-request-trace.ts
@@ -37,16 +37,16 @@
 }
 
 /**
- * Formats the story of a request for readers.
+ * Formats the trace of a request as text.
  *
- * @param trace - the story
+ * @param trace - the trace
  * @returns its lines
  */
 export function formatRequestTrace(trace: RequestTrace): string {
 	const {requestId, node = 'an unknown node', request} = trace;
 	const head = request
 		? `route ${request.route} to ${request.service}, version ${request.version}: ${formatCompletion(request)}`
-		: 'its end is not in these logs';
+		: 'its end is missing in these logs';
 	return [
 		`request ${requestId} at ${node}, ${head}`,
 		...trace.attempts.flatMap((attempt) => formatAttempt(attempt)),
--- a/src/cli/_lib/format-status.ts
+++ b/src/cli/_lib/format-status.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 
-/** The part of a status answer that the command line reads. */
+/** The fields of a status response that the command line reads. */
 export const statusSchema = z.looseObject({
 	version: z.number(),
 	state: z.string(),
@@ -45,7 +45,7 @@
 }
 
 /**
- * Formats the status of a version for a reader.
+ * Formats the status of a version as text.
  *
  * @param status - the status
  * @returns one line, and one or more for each data centre
--- a/src/cli/_lib/format-submission.ts
+++ b/src/cli/_lib/format-submission.ts
@@ -1,7 +1,7 @@
 import type {SubmissionOutcome} from '../../protocol/configuration.js';
 
 /**
- * Formats the outcome of a submission for a reader.
+ * Formats the outcome of a submission as text.
  *
  * @param outcome - the outcome
  * @returns one line, and one for each problem of a refusal
--- a/src/cli/_lib/node-options.ts
+++ b/src/cli/_lib/node-options.ts
@@ -1,5 +1,5 @@
 /**
- * Options that the commands for operators share, and how they are read.
+ * Options that the commands for operators share.
  */
 import {err, ok, type Result} from 'neverthrow';
 import {addressSchema} from '../../protocol/settings.js';
@@ -16,12 +16,12 @@
 	{
 		name: 'timeout',
 		placeholder: 'MS',
-		description: 'longest wait for an answer, 1 to 600000 ms (10000)',
+		description: 'time-out of a call, 1 to 600000 ms (10000)',
 	},
 	{name: 'json', description: 'print one JSON object'},
 ];
 
-/** What the shared options say. */
+/** Values of the shared options. */
 export type NodeOptions = {
 	readonly address: string;
 	readonly timeoutMs: number;
@@ -36,7 +36,7 @@
  * @param input - the parsed command line
  * @param name - name of the option
  * @param range - lowest and highest value, and the default
- * @returns the number, or what is wrong
+ * @returns the number, or the problem
  */
 export function readNumber(
 	input: CommandInput,
@@ -60,7 +60,7 @@
  * Reads the options that every command for operators has.
  *
  * @param input - the parsed command line
- * @returns the options, or what is wrong
+ * @returns the options, or the problem
  */
 export function readNodeOptions(
 	input: CommandInput,
--- a/src/cli/_lib/parse-log-lines.ts
+++ b/src/cli/_lib/parse-log-lines.ts
@@ -22,20 +22,20 @@
 	count: countSchema,
 });
 
-/** A log line of a node, as far as the trace of a request reads it. */
+/** The fields of a node's log line that the trace of a request uses. */
 export type LogLine = Omit<z.infer<typeof lineSchema>, 'timestamp'> & {
-	/** When it was written, by the node's clock, ms since 1970. */
+	/** Time of the line by the node's clock, Unix time in ms. */
 	readonly atMs: number;
 };
 
 /**
  * Parses the log lines of one or more nodes.
  *
- * What precedes the JSON object of a line (a time, the name of a container) is
- * left out, and so are lines that hold none.
+ * Ignores a prefix before the JSON object of a line (a time, the name of a
+ * container), and lines without such an object.
  *
  * @param text - the lines
- * @returns the lines that a node has written
+ * @returns the lines that were written by a node
  */
 export function parseLogLines(text: string): readonly LogLine[] {
 	const lines: LogLine[] = [];
@@ -49,7 +49,7 @@
 		try {
 			value = JSON.parse(line.slice(start));
 		} catch {
-			// A line that was cut or that another program has written.
+			// The line was truncated or was written by another program.
 			continue;
 		}
 
--- a/src/cli/_lib/print-response.ts
+++ b/src/cli/_lib/print-response.ts
@@ -3,7 +3,7 @@
 import {exitCodes, type ExitCode} from '../exit-codes.js';
 import type {NodeResponse} from './call-node.js';
 
-/** Options of `printAnswer`. */
+/** Options of `printResponse`. */
 export type PrintOptions<T> = {
 	readonly schema: z.ZodType<T>;
 	readonly format: (value: T) => string;
@@ -11,21 +11,21 @@
 };
 
 /**
- * Prints the answer to a read, or why there is none.
+ * Prints the response to a read, or why there is none.
  *
- * @param answer - what came of the call
- * @param terminal - where to write
+ * @param response - the outcome of the call
+ * @param terminal - output
  * @param options - see `PrintOptions`
  * @returns the exit code
  */
 export function printResponse<T>(
-	answer: NodeResponse,
+	response: NodeResponse,
 	terminal: Terminal,
 	options: PrintOptions<T>,
 ): ExitCode {
 	const {schema, format, isJson} = options;
-	if (answer.kind !== 'answer') {
-		const {message} = answer;
+	if (response.kind !== 'answer') {
+		const {message} = response;
 		terminal.print(
 			isJson
 				? JSON.stringify({kind: 'unavailable', message})
@@ -34,18 +34,18 @@
 		return exitCodes.unavailable;
 	}
 
-	const parsed = schema.safeParse(answer.body);
+	const parsed = schema.safeParse(response.body);
 	if (isJson || !parsed.success) {
-		terminal.print(JSON.stringify(answer.body));
+		terminal.print(JSON.stringify(response.body));
 	} else {
 		terminal.print(format(parsed.data));
 	}
 
-	if (answer.status >= 500) {
+	if (response.status >= 500) {
 		return exitCodes.unavailable;
 	}
 
-	if (answer.status >= 400) {
+	if (response.status >= 400) {
 		return exitCodes.refused;
 	}
 
--- a/src/cli/_lib/read-file-operand.ts
+++ b/src/cli/_lib/read-file-operand.ts
@@ -6,7 +6,7 @@
  * Reads the file that an operand names; `-` is standard input.
  *
  * @param file - path of the file, or `-`
- * @param terminal - where standard input is read
+ * @param terminal - reads standard input
  * @returns the text, or why it cannot be read
  */
 export async function readFileOperand(
--- a/src/cli/_lib/scan-ini.ts
+++ b/src/cli/_lib/scan-ini.ts
@@ -16,8 +16,8 @@
 /**
  * Scans an INI file line by line, with the values decoded as `ini` does.
  *
- * `ini` itself merges repeated sections and keys, and takes lines that are
- * neither; the lines show these.
+ * `ini` itself merges repeated sections and keys and accepts lines that are
+ * neither a section nor a setting; the returned lines keep all of these.
  *
  * @param text - text of the file
  * @returns its lines, numbered from 1
--- a/src/cli/_lib/wait-for-stop.ts
+++ b/src/cli/_lib/wait-for-stop.ts
@@ -2,8 +2,8 @@
 import process from 'node:process';
 
 /**
- * Waits for the first SIGTERM or SIGINT; further ones change nothing, so that a
- * node that is told to stop again still finishes its requests.
+ * Waits for the first SIGTERM or SIGINT. Ignores further ones, so that a node
+ * that is stopping completes its requests.
  *
  * @param source - emits the signals; the process when absent
  */
--- a/src/cli/check-manifest.ts
+++ b/src/cli/check-manifest.ts
@@ -20,10 +20,10 @@
 		: configuration;
 }
 
-/** What a check without a node can say of a manifest. */
+/** Result of a check of a manifest without a node. */
 export type ManifestCheck = {
 	readonly problems: readonly Problem[];
-	/** Places that depend on other teams, which only a node knows. */
+	/** Places that depend on other teams, whose services only a node knows. */
 	readonly unchecked: readonly string[];
 };
 
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -7,13 +7,13 @@
 export type OptionSpec = {
 	/** Name without the leading hyphens. */
 	readonly name: string;
-	/** What stands for its value in the help; absent for a flag. */
+	/** Placeholder of its value in the help; absent for a flag. */
 	readonly placeholder?: string;
 	readonly description: string;
 	readonly isRequired?: boolean;
 };
 
-/** What a command takes, for parsing and for its help. */
+/** Operands and options of a command, for parsing and for its help. */
 export type CommandSpec = {
 	readonly name: string;
 	readonly summary: string;
@@ -24,7 +24,7 @@
 	readonly notes: readonly string[];
 };
 
-/** A command line that fits its specification. */
+/** A parsed command line that matches its specification. */
 export type CommandInput = {
 	readonly operands: readonly string[];
 	/** Options that take a value, by name. */
@@ -33,7 +33,7 @@
 	readonly flags: ReadonlySet<string>;
 };
 
-/** Where a command reads and writes. */
+/** Input and output of a command. */
 export type Terminal = {
 	/** Writes a line to standard output. */
 	print(line: string): void;
@@ -43,7 +43,7 @@
 	readInput(): Promise<string>;
 };
 
-/** A command: its specification and what runs it. */
+/** A command: its specification and its implementation. */
 export type Command = {
 	readonly spec: CommandSpec;
 	readonly run: (input: CommandInput, terminal: Terminal) => Promise<ExitCode>;
--- a/src/cli/format-help.ts
+++ b/src/cli/format-help.ts
@@ -5,7 +5,7 @@
 /**
  * Formats the first line of a command's help.
  *
- * @param spec - what the command takes
+ * @param spec - specification of the command
  * @returns the usage line
  */
 function formatUsage(spec: CommandSpec): string {
@@ -19,7 +19,7 @@
 /**
  * Formats the help of a command.
  *
- * @param spec - what the command takes
+ * @param spec - specification of the command
  * @returns the help, several lines
  * @example
  * formatHelp(spec).startsWith('Usage: boragehitch');
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,11 +3,11 @@
 import {settingsFileVariable} from '../../platform/wire-names.js';
 
 function ignoreSignal(): void {
-	// The settings are read after the program has loaded.
+	// No reload is needed: the settings are read after the program has loaded.
 }
 
 if (process.env[settingsFileVariable] !== undefined) {
-	// Without a listener the signal would end a program that is still loading.
+	// Without a listener the signal would terminate the process while it is loading.
 	process.on('SIGHUP', ignoreSignal);
 }
 
--- a/src/cli/parse-command-line.ts
+++ b/src/cli/parse-command-line.ts
@@ -29,9 +29,9 @@
 /**
  * Parses the arguments of a command by its specification.
  *
- * @param spec - what the command takes
+ * @param spec - specification of the command
  * @param argv - arguments after the command's name
- * @returns the parsed arguments, or one line that says what is wrong
+ * @returns the parsed arguments, or the problem in one line
  * @example
  * parseCommandLine(spec, ['--node', '127.0.0.1:8082']).isOk();
  */
--- a/src/cli/parse-settings.test.ts
+++ b/src/cli/parse-settings.test.ts
@@ -15,7 +15,7 @@
 url = http://127.0.0.1:9000
 `;
 
-test('a file without the optional sections gets their defaults', () => {
+test('a file without the optional sections gets the default values', () => {
 	matchSnapshot(
 		import.meta.url,
 		'defaults',
@@ -29,7 +29,7 @@
 	);
 });
 
-const mistakes: Array<[string, string]> = [
+const invalidFiles: Array<[string, string]> = [
 	['empty', ''],
 	['missing key', good.replace('name = abdali-1\n', '')],
 	['unknown section', `${good}[mesh]\nsize = 3\n`],
@@ -63,8 +63,8 @@
 	['many at once', '[node]\nname = a b\nname = c\n[trace]\nsampleRatio = x\n'],
 ];
 
-test('each mistake is named by line, section, key, value and what is allowed', () => {
-	for (const [name, text] of mistakes) {
+test('reports each problem with line, section, key, value and the allowed values', () => {
+	for (const [name, text] of invalidFiles) {
 		const result = parseSettings('node.ini', text);
 		assert.ok(result.isErr(), name);
 		matchSnapshot(import.meta.url, name, result.error);
--- a/src/cli/parse-settings.ts
+++ b/src/cli/parse-settings.ts
@@ -166,9 +166,9 @@
 /**
  * Parses and checks the settings of a node.
  *
- * All problems are reported at once, each with file, line, section, key, the
- * value given and what is allowed. Nothing is ignored: unknown, repeated and
- * stray lines are problems too.
+ * Reports all problems at once, each with file, line, section, key, value and
+ * the allowed values. Unknown or repeated sections and keys, and lines that are
+ * neither, are problems, too.
  *
  * @param file - name of the file, for the messages
  * @param text - text of the file
--- a/src/cli/run-check.ts
+++ b/src/cli/run-check.ts
@@ -5,7 +5,7 @@
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import {parseSettings} from './parse-settings.js';
 
-/** What `check` takes. */
+/** Specification of `check`. */
 export const checkSpec: CommandSpec = {
 	name: 'check',
 	summary: 'Checks a settings file (.ini, .yaml) or a manifest without a node.',
@@ -49,7 +49,7 @@
  * Checks a settings file or a manifest and prints every problem.
  *
  * @param input - the parsed command line
- * @param terminal - where to read and write
+ * @param terminal - input and output
  * @returns the exit code
  * @example
  * await runCheck({operands: ['node.ini'], values: {}, flags: new Set()}, terminal);
--- a/src/cli/run-command.test.ts
+++ b/src/cli/run-command.test.ts
@@ -45,13 +45,13 @@
 	return server.address;
 }
 
-function answerWith(status: number, body: unknown): RequestListener {
+function respondWith(status: number, body: unknown): RequestListener {
 	return (_request, response) => {
 		response.writeHead(status).end(JSON.stringify(body));
 	};
 }
 
-test('the help of every command', async () => {
+test('prints the help of every command', async () => {
 	const names = [
 		'node',
 		'submit',
@@ -71,7 +71,7 @@
 	}
 });
 
-test('wrong command lines end with code 2 and one clear message', async () => {
+test('invalid command lines end with exit code 2 and one message', async () => {
 	const node = ['--node', '127.0.0.1:1'];
 	const lines = [
 		[],
@@ -112,12 +112,12 @@
 	}
 });
 
-test('outcomes of submit, each with its own code', async (t) => {
+test('each outcome of submit has its own exit code', async (t) => {
 	const submissionId = 'a';
 	const problems = [{code: 'quota', place: 'team', message: 'too many'}];
-	const answers: Array<[RequestListener, keyof typeof exitCodes]> = [
+	const responses: Array<[RequestListener, keyof typeof exitCodes]> = [
 		[
-			answerWith(200, {
+			respondWith(200, {
 				kind: 'accepted',
 				submissionId,
 				version: 7,
@@ -126,7 +126,7 @@
 			'ok',
 		],
 		[
-			answerWith(422, {
+			respondWith(422, {
 				kind: 'refused',
 				submissionId,
 				currentRevision: 1,
@@ -134,9 +134,9 @@
 			}),
 			'refused',
 		],
-		[answerWith(503, {kind: 'unavailable', submissionId}), 'unavailable'],
-		[answerWith(504, {kind: 'unknown', submissionId}), 'unknown'],
-		[answerWith(500, {error: 'failed'}), 'unknown'],
+		[respondWith(503, {kind: 'unavailable', submissionId}), 'unavailable'],
+		[respondWith(504, {kind: 'unknown', submissionId}), 'unknown'],
+		[respondWith(500, {error: 'failed'}), 'unknown'],
 		[
 			(request) => {
 				request.socket.destroy();
@@ -145,7 +145,7 @@
 		],
 		[() => undefined, 'unknown'],
 	];
-	for (const [index, [listener, expected]] of answers.entries()) {
+	for (const [index, [listener, expected]] of responses.entries()) {
 		const server = createServer(listener);
 		await new Promise<void>((resolve) => {
 			server.listen(0, '127.0.0.1', resolve);
@@ -155,7 +155,7 @@
 		const argv = ['submit', '-', '--node', `127.0.0.1:${port}`, '--id', 'a'];
 		const timeout = [
 			'--timeout',
-			index === answers.length - 1 ? '200' : '5000',
+			index === responses.length - 1 ? '200' : '5000',
 		];
 		const text = await run([...argv, ...timeout], JSON.stringify(manifest));
 		const json = await run([...argv, ...timeout, '--json'], '{}');
@@ -176,7 +176,7 @@
 	assert.equal(refused.code, exitCodes.unavailable);
 });
 
-test('status, versions and explain, for readers and as JSON', async (t) => {
+test('status, versions and explain print text and JSON', async (t) => {
 	const problem = {code: 'digest', place: 'digest', message: 'differs'};
 	const dataCentres = [
 		{
@@ -208,14 +208,14 @@
 		maxAttempts: 3,
 	};
 	const host = {host: 'abdali-1', dataCentre: 'abdali', slots: 6};
-	let asked = 0;
+	let statusRequests = 0;
 	const bodies = new Map<string, () => unknown>([
 		['/status', () => ({version: 7, state: 'accepted', dataCentres})],
 		[
 			'/status/7',
 			() => ({
 				version: 7,
-				state: ++asked > 2 ? 'in-force' : 'accepted',
+				state: ++statusRequests > 2 ? 'in-force' : 'accepted',
 				dataCentres,
 			}),
 		],
@@ -248,7 +248,7 @@
 	const server = await startServer('127.0.0.1:0', (request, response) => {
 		const url = String(request.url);
 		const status = url.endsWith('none') ? 404 : 200;
-		answerWith(status, bodies.get(url)!())(request, response);
+		respondWith(status, bodies.get(url)!())(request, response);
 	});
 	t.after(server.stop);
 	const cases: Array<[string[], keyof typeof exitCodes]> = [
@@ -276,7 +276,7 @@
 	}
 });
 
-test('check names every problem and starts nothing', async () => {
+test('check reports every problem without a node', async () => {
 	const folder = await mkdtemp(path.join(tmpdir(), 'boragehitch-'));
 	const text = JSON.stringify(manifest);
 	const files: Array<[string, string]> = [
--- a/src/cli/run-command.ts
+++ b/src/cli/run-command.ts
@@ -31,7 +31,7 @@
 		'Commands:',
 		...lines,
 		'',
-		'boragehitch COMMAND --help shows what a command takes.',
+		'boragehitch COMMAND --help shows the help of a command.',
 	].join('\n');
 }
 
@@ -39,7 +39,7 @@
  * Runs one command of the command line.
  *
  * @param argv - arguments after the program's name
- * @param terminal - where to read and write
+ * @param terminal - input and output
  * @returns the exit code
  * @example
  * await runCommand(['--help'], createTerminal()); // 0
--- a/src/cli/run-explain.ts
+++ b/src/cli/run-explain.ts
@@ -5,7 +5,7 @@
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** What `explain` takes. */
+/** Specification of `explain`. */
 export const explainSpec: CommandSpec = {
 	name: 'explain',
 	summary: 'Shows which route, policy and hosts a node has for a request.',
@@ -39,8 +39,8 @@
 	),
 });
 
-function formatExplanation(answer: z.infer<typeof explainSchema>): string {
-	const {version, route, hosts} = answer;
+function formatExplanation(response: z.infer<typeof explainSchema>): string {
+	const {version, route, hosts} = response;
 	if (!route) {
 		return `no route at version ${version}`;
 	}
@@ -63,7 +63,7 @@
  * Explains where a node would send a request.
  *
  * @param input - the parsed command line
- * @param terminal - where to write
+ * @param terminal - output
  * @returns the exit code
  * @example
  * await runExplain({operands: ['GET', '/kitchens/prices'], values, flags}, terminal);
@@ -84,12 +84,12 @@
 
 	const {address, isJson} = options.value;
 	const query = new URLSearchParams({method: method.toUpperCase(), path});
-	const answer = await callNode(
+	const response = await callNode(
 		address,
 		`/explain?${query.toString()}`,
 		options.value,
 	);
-	return printResponse(answer, terminal, {
+	return printResponse(response, terminal, {
 		schema: explainSchema,
 		format: formatExplanation,
 		isJson,
--- a/src/cli/run-node.ts
+++ b/src/cli/run-node.ts
@@ -8,7 +8,7 @@
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import {parseSettings} from './parse-settings.js';
 
-/** What `node` takes. */
+/** Specification of `node`. */
 export const nodeSpec: CommandSpec = {
 	name: 'node',
 	summary: 'Runs a node until SIGTERM or SIGINT, which stop it gracefully.',
@@ -31,10 +31,10 @@
 };
 
 /**
- * Runs a node until it is told to stop by SIGTERM or SIGINT.
+ * Runs a node until it receives SIGTERM or SIGINT.
  *
  * @param input - the parsed command line
- * @param terminal - where to write
+ * @param terminal - output
  * @returns the exit code
  * @example
  * await runNode({operands: [], values: {config: 'node.ini'}, flags}, terminal);
@@ -68,7 +68,7 @@
 	const {node, log} = settings.value;
 	const logger = createLogger(log.level, node.name);
 	try {
-		// Loaded here, since a node of the platform needs less.
+		// Imported lazily, because a node of the platform does not need all of these modules.
 		const {startNode} = await import('../transport/start-node.js');
 		const store = new URL(settings.value.platform.url).host;
 		const running = await startNode(settings.value, logger, (onSocket) =>
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -15,10 +15,10 @@
 import type {Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** Time between looks at whether the settings file has changed, ms. */
+/** Interval between checks of the settings file for changes, ms. */
 const settingsCheckIntervalMs = 1000;
 
-/** Time for what is left of a stopped node, ms. */
+/** Time after which a stopped node's process exits even if connections are still open, ms. */
 const exitDelayMs = 100;
 
 async function readChangeTime(file: string): Promise<number> {
@@ -26,7 +26,7 @@
 		const {mtimeMs} = await stat(file);
 		return mtimeMs;
 	} catch {
-		// A file that is being replaced is looked at again.
+		// The file may be being replaced; the next check reads it again.
 		return 0;
 	}
 }
@@ -65,7 +65,7 @@
 
 	function runInBackground(action: () => Promise<void>): void {
 		action().catch((error: unknown) => {
-			terminal.printError(`${file}: not read again: ${String(error)}`);
+			terminal.printError(`${file}: reload failed: ${String(error)}`);
 		});
 	}
 
@@ -77,10 +77,10 @@
 }
 
 /**
- * Runs a node that the users' platform has started, until SIGTERM or SIGINT.
+ * Runs a node started by the users' platform until it receives SIGTERM or SIGINT.
  *
  * @param file - the settings file of the platform
- * @param terminal - where to write
+ * @param terminal - output
  * @returns the exit code
  * @example
  * await runPlatformNode('/etc/boragehitch/boot.yaml', terminal);
@@ -120,7 +120,7 @@
 		await waitForStop();
 		clearInterval(timer);
 		await node.stop();
-		// Connections that clients keep open must not hold up the end.
+		// Connections that clients keep open must not delay the exit.
 		setTimeout(() => {
 			// eslint-disable-next-line unicorn/no-process-exit
 			process.exit();
--- a/src/cli/run-status.ts
+++ b/src/cli/run-status.ts
@@ -10,7 +10,7 @@
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** What `status` takes. */
+/** Specification of `status`. */
 export const statusSpec: CommandSpec = {
 	name: 'status',
 	summary: 'Shows whether a version is in force, by data centre.',
@@ -37,18 +37,18 @@
 	| {readonly kind: 'status'; readonly status: Status}
 	| {readonly kind: 'refused' | 'unavailable'; readonly message: string};
 
-function readStatus(answer: NodeResponse): StatusResult {
-	if (answer.kind !== 'answer') {
-		return {kind: 'unavailable', message: answer.message};
+function readStatus(response: NodeResponse): StatusResult {
+	if (response.kind !== 'answer') {
+		return {kind: 'unavailable', message: response.message};
 	}
 
-	const parsed = statusSchema.safeParse(answer.body);
-	if (parsed.success && answer.status === 200) {
+	const parsed = statusSchema.safeParse(response.body);
+	if (parsed.success && response.status === 200) {
 		return {kind: 'status', status: parsed.data};
 	}
 
-	const kind = answer.status < 500 ? 'refused' : 'unavailable';
-	return {kind, message: JSON.stringify(answer.body)};
+	const kind = response.status < 500 ? 'refused' : 'unavailable';
+	return {kind, message: JSON.stringify(response.body)};
 }
 
 function chooseExitCode(result: StatusResult): ExitCode {
@@ -103,10 +103,10 @@
 }
 
 /**
- * Shows the status of a version, waiting until it is in force when asked to.
+ * Shows the status of a version; with `--wait`, waits until it is in force.
  *
  * @param input - the parsed command line
- * @param terminal - where to write
+ * @param terminal - output
  * @returns the exit code
  * @example
  * await runStatus({operands: ['7'], values: {node, wait: '5'}, flags}, terminal);
--- a/src/cli/run-submit.ts
+++ b/src/cli/run-submit.ts
@@ -11,7 +11,7 @@
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** What `submit` takes. */
+/** Specification of `submit`. */
 export const submitSpec: CommandSpec = {
 	name: 'submit',
 	summary: 'Submits a manifest (JSON) to a node and prints the outcome.',
@@ -26,7 +26,7 @@
 	],
 	notes: [
 		'MANIFEST is a file, or - for standard input. Submitting again with the same',
-		'identifier gives the first answer and never a second change.',
+		'identifier returns the first outcome and changes nothing further.',
 		'Exit codes: 0 accepted, 2 wrong command line, 3 refused, 4 unavailable (not',
 		'accepted), 5 unknown (ask again with the identifier that is printed).',
 	],
@@ -40,15 +40,15 @@
 };
 
 function readOutcome(
-	answer: NodeResponse,
+	response: NodeResponse,
 	submissionId: string,
 ): SubmissionOutcome {
-	if (answer.kind === 'not-sent') {
+	if (response.kind === 'not-sent') {
 		return {kind: 'unavailable', submissionId};
 	}
 
 	const parsed = submissionOutcomeSchema.safeParse(
-		answer.kind === 'answer' ? answer.body : undefined,
+		response.kind === 'answer' ? response.body : undefined,
 	);
 	return parsed.success ? parsed.data : {kind: 'unknown', submissionId};
 }
@@ -56,11 +56,11 @@
 /**
  * Submits a manifest to a node.
  *
- * A connection that was never made is `unavailable`; an answer that was lost,
- * late or not understood is `unknown`.
+ * The outcome is `unavailable` if the request was not sent, and `unknown` if the
+ * response was lost, timed out or is invalid.
  *
  * @param input - the parsed command line
- * @param terminal - where to read and write
+ * @param terminal - input and output
  * @returns the exit code
  * @example
  * await runSubmit({operands: ['m.json'], values: {node: '127.0.0.1:8082'}, flags}, terminal);
@@ -89,7 +89,7 @@
 	}
 
 	const {address, timeoutMs, isJson} = options.value;
-	const answer = await callNode(address, '/manifests', {
+	const response = await callNode(address, '/manifests', {
 		method: 'POST',
 		headers: {
 			'content-type': 'application/json',
@@ -98,9 +98,9 @@
 		body: body.value,
 		timeoutMs,
 	});
-	const outcome = readOutcome(answer, submissionId);
-	if (answer.kind !== 'answer') {
-		terminal.printError(answer.message);
+	const outcome = readOutcome(response, submissionId);
+	if (response.kind !== 'answer') {
+		terminal.printError(response.message);
 	}
 
 	terminal.print(isJson ? JSON.stringify(outcome) : formatSubmission(outcome));
--- a/src/cli/run-trace.test.ts
+++ b/src/cli/run-trace.test.ts
@@ -4,8 +4,8 @@
 import {exitCodes} from './exit-codes.js';
 import {runTrace} from './run-trace.js';
 
-/** Lines that nodes wrote on a played day: a refused request, and a call whose server crashed. */
-const playedDay = [
+/** Recorded log lines of nodes: a refused request, and a request whose server crashed. */
+const recordedLines = [
 	'0.8799 sidecar-abdali-3 {"durationMs":4,"level":"info","message":"gate ended attempt","node":"sidecar-abdali-3","outcome":"unknown","queuedMs":0,"reason":"connection-lost","requestId":"b1ce46d4e2038b85.2b1332b3a148bcac","service":"cuye46b","status":0,"timestamp":"2026-04-20T07:37:58.879Z"}',
 	'0.8828 sidecar-abdali-2 {"attempt":1,"durationMs":9,"host":"sidecar-abdali-3","level":"info","message":"attempt ended","node":"sidecar-abdali-2","outcome":"unknown","reason":"connection-lost","requestId":"b1ce46d4e2038b85.2b1332b3a148bcac","service":"cuye46b","status":0,"timestamp":"2026-04-20T07:37:58.882Z"}',
 	'0.9051 sidecar-abdali-2 {"attempt":2,"durationMs":5,"host":"sidecar-sweifieh-2","level":"info","message":"attempt ended","node":"sidecar-abdali-2","outcome":"not-run","reason":"stale-stamp","requestId":"b1ce46d4e2038b85.2b1332b3a148bcac","service":"cuye46b","status":0,"timestamp":"2026-04-20T07:37:58.904Z"}',
@@ -39,11 +39,11 @@
 const refusedId = '271831bdb81cc0d9';
 const lostId = 'b1ce46d4e2038b85.2b1332b3a148bcac';
 
-test('the story of a refused request, for readers and as JSON', async () => {
-	const {code, output} = await run(refusedId, playedDay);
+test('prints the trace of a refused request as text and as JSON', async () => {
+	const {code, output} = await run(refusedId, recordedLines);
 	assert.equal(code, exitCodes.ok);
 	matchSnapshot(import.meta.url, 'refused', output);
-	const {output: json} = await run(refusedId, playedDay, 'json');
+	const {output: json} = await run(refusedId, recordedLines, 'json');
 	matchSnapshot(
 		import.meta.url,
 		'refused as JSON',
@@ -52,28 +52,30 @@
 });
 
 test('the order of the lines does not matter', async () => {
-	const {output} = await run(refusedId, playedDay);
-	const {output: reversed} = await run(refusedId, playedDay.toReversed());
+	const {output} = await run(refusedId, recordedLines);
+	const {output: reversed} = await run(refusedId, recordedLines.toReversed());
 	assert.equal(reversed, output);
 });
 
-test('says what is missing', async () => {
-	const {output} = await run(lostId, playedDay);
+test('lists the missing lines', async () => {
+	const {output} = await run(lostId, recordedLines);
 	matchSnapshot(import.meta.url, 'without its end', output);
-	const withoutGate = playedDay.filter((line) => !line.includes('"gate ended'));
+	const withoutGate = recordedLines.filter(
+		(line) => !line.includes('"gate ended'),
+	);
 	const {output: rest} = await run(lostId, withoutGate);
 	matchSnapshot(import.meta.url, 'without the line of a gate', rest);
 });
 
-test('lines of others are passed over, and an unknown request is said so', async () => {
+test('ignores lines of other programs and reports an unknown request', async () => {
 	const lines = ['', 'not a line of a node', '{"message":1}', '{"cut":'];
 	const {code, errors} = await run(refusedId, lines);
 	assert.equal(code, exitCodes.refused);
 	matchSnapshot(import.meta.url, 'unknown', errors);
 });
 
-test('a gate whose clock is an hour ahead keeps its place', async () => {
-	const ahead = playedDay.map((line) =>
+test('a gate whose clock is an hour ahead keeps its place in the trace', async () => {
+	const ahead = recordedLines.map((line) =>
 		line.includes('"gate ended') ? line.replace('T07:', 'T08:') : line,
 	);
 	const {output} = await run(refusedId, ahead);
--- a/src/cli/run-trace.ts
+++ b/src/cli/run-trace.ts
@@ -5,24 +5,24 @@
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** What `trace` takes. */
+/** Specification of `trace`. */
 export const traceSpec: CommandSpec = {
 	name: 'trace',
-	summary: 'Tells what became of a request, from the logs of nodes.',
+	summary: 'Shows what happened to a request, from the logs of nodes.',
 	operands: ['ID', '[FILE]'],
 	options: [{name: 'json', description: 'print one JSON object'}],
 	notes: [
 		'FILE holds log lines of all nodes in any order; without it, or with -, standard',
-		'input is read: cat *.log | boragehitch trace ID. Says what is missing.',
-		'Exit codes: 0 found, 2 wrong command line or unreadable file, 3 no line of it.',
+		'input is read: cat *.log | boragehitch trace ID. Lists missing lines.',
+		'Exit codes: 0 found, 2 wrong command line or unreadable file, 3 no line of ID.',
 	],
 };
 
 /**
- * Prints the story of a request, put together from log lines.
+ * Prints the trace of a request, created from log lines.
  *
  * @param input - the parsed command line
- * @param terminal - where to read and write
+ * @param terminal - input and output
  * @returns the exit code
  * @example
  * await runTrace({operands: ['af60bc29', 'nodes.log'], values: {}, flags}, terminal);
@@ -41,7 +41,7 @@
 	const trace = createRequestTrace(parseLogLines(text.value), requestId);
 	if (!trace) {
 		terminal.printError(
-			`boragehitch trace: no line of request '${requestId}': it was answered and is not in the sample, or its lines were dropped`,
+			`boragehitch trace: no log line of request '${requestId}': it was answered and not sampled, or its lines were dropped`,
 		);
 		return exitCodes.refused;
 	}
--- a/src/cli/run-versions.ts
+++ b/src/cli/run-versions.ts
@@ -5,7 +5,7 @@
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** What `versions` takes. */
+/** Specification of `versions`. */
 export const versionsSpec: CommandSpec = {
 	name: 'versions',
 	summary: "Shows the version that a node runs and each team's revision.",
@@ -26,10 +26,10 @@
 	),
 });
 
-function formatVersions(answer: z.infer<typeof versionsSchema>): string {
+function formatVersions(response: z.infer<typeof versionsSchema>): string {
 	return [
-		`runs version ${answer.version}, digest ${answer.digest}`,
-		...answer.teams.map(
+		`runs version ${response.version}, digest ${response.digest}`,
+		...response.teams.map(
 			({team, revision, version}) =>
 				`  ${team}: revision ${revision}, since version ${version}`,
 		),
@@ -40,7 +40,7 @@
  * Shows the version that a node runs.
  *
  * @param input - the parsed command line
- * @param terminal - where to write
+ * @param terminal - output
  * @returns the exit code
  * @example
  * await runVersions({operands: [], values: {node: '127.0.0.1:8082'}, flags}, terminal);
@@ -56,8 +56,8 @@
 	}
 
 	const {address, isJson} = options.value;
-	const answer = await callNode(address, '/versions', options.value);
-	return printResponse(answer, terminal, {
+	const response = await callNode(address, '/versions', options.value);
+	return printResponse(response, terminal, {
 		schema: versionsSchema,
 		format: formatVersions,
 		isJson,
