--- a/src/cli/_lib/format-submission.ts
+++ b/src/cli/_lib/format-submission.ts
@@ -24,7 +24,7 @@
 		}
 
 		case 'unknown': {
-			return `unknown: it may have been accepted; ask again with --id ${outcome.submissionId}`;
+			return `unknown: it may have been accepted; submit again with --id ${outcome.submissionId}`;
 		}
 	}
 }
--- a/src/cli/check-manifest.ts
+++ b/src/cli/check-manifest.ts
@@ -6,7 +6,7 @@
 
 function createAssumedConfiguration({team, replaces}: Manifest): Configuration {
 	const configuration = createConfiguration();
-	const part = {
+	const teamConfiguration = {
 		revision: replaces,
 		version: 1,
 		services: {},
@@ -16,7 +16,7 @@
 		digest: '',
 	};
 	return replaces > 0
-		? {...configuration, teams: {[team]: part}}
+		? {...configuration, teams: {[team]: teamConfiguration}}
 		: configuration;
 }
 
--- a/src/cli/parse-settings.ts
+++ b/src/cli/parse-settings.ts
@@ -27,10 +27,10 @@
 
 function formatProblem(
 	file: string,
-	place: ProblemLocation,
+	location: ProblemLocation,
 	message: string,
 ): string {
-	const {line, section, key, value} = place;
+	const {line, section, key, value} = location;
 	const position = line === undefined ? file : `${file}:${line}`;
 	const setting = [
 		section === undefined ? '' : `[${section}]`,
--- a/src/cli/run-node.ts
+++ b/src/cli/run-node.ts
@@ -71,13 +71,13 @@
 		// Imported lazily, because a node of the platform does not need all of these modules.
 		const {startNode} = await import('../transport/start-node.js');
 		const store = new URL(settings.value.platform.url).host;
-		const running = await startNode(settings.value, logger, (onSocket) =>
+		const runningNode = await startNode(settings.value, logger, (onSocket) =>
 			createStoreClient(store, {logger, onSocket}),
 		);
-		const {callers, peers, administration} = running;
+		const {callers, peers, administration} = runningNode;
 		terminal.print(JSON.stringify({callers, peers, administration}));
 		await waitForStop();
-		await running.stop();
+		await runningNode.stop();
 		return exitCodes.ok;
 	} catch (error) {
 		terminal.printError(`boragehitch node: ${String(error)}`);
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -21,7 +21,7 @@
 /** Time after which a stopped node's process exits even if connections are still open, ms. */
 const exitDelayMs = 100;
 
-async function readChangeTime(file: string): Promise<number> {
+async function readModificationTime(file: string): Promise<number> {
 	try {
 		const {mtimeMs} = await stat(file);
 		return mtimeMs;
@@ -56,7 +56,7 @@
 	}
 
 	async function check(): Promise<void> {
-		const time = await readChangeTime(file);
+		const time = await readModificationTime(file);
 		if (time !== changedAt) {
 			changedAt = time;
 			await reload();
--- a/src/cli/run-submit.ts
+++ b/src/cli/run-submit.ts
@@ -28,7 +28,7 @@
 		'MANIFEST is a file, or - for standard input. Submitting again with the same',
 		'identifier returns the first outcome and changes nothing further.',
 		'Exit codes: 0 accepted, 2 wrong command line, 3 refused, 4 unavailable (not',
-		'accepted), 5 unknown (ask again with the identifier that is printed).',
+		'accepted), 5 unknown (submit again with the printed identifier).',
 	],
 };
 
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -1,5 +1,5 @@
 import type {Socket} from 'node:net';
-import {lingerMs} from '../protocol/constants.js';
+import {peerIdleWaitMs} from '../protocol/constants.js';
 import type {Settings} from '../protocol/settings.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {combineObservers} from './_lib/combine-observers.js';
@@ -104,7 +104,7 @@
 		peers,
 		logger,
 		onConfiguration(next) {
-			caller.tellRoutes({kind: 'manifests', configuration: next});
+			caller.updateRoutes({kind: 'manifests', configuration: next});
 		},
 	});
 	const commit = startCommitTask({
@@ -144,7 +144,7 @@
 		platform,
 		logger,
 		onView(view) {
-			caller.tellView(view);
+			caller.updateMembers(view);
 			configuration.updateMembers(view);
 		},
 		onLeaseExpired: gate.withdraw,
@@ -190,7 +190,7 @@
 			await members.leave();
 			// Until then all idle connections of other nodes have been closed by
 			// them, so that no attempt meets a connection that closes here.
-			await Promise.all([gate.drain(), waitMs(lingerMs)]);
+			await Promise.all([gate.drain(), waitMs(peerIdleWaitMs)]);
 			await caller.stop();
 			configuration.stop();
 			members.stop();
