--- a/src/cli/parse-settings.ts
+++ b/src/cli/parse-settings.ts
@@ -167,8 +167,8 @@
  * Parses and checks the settings of a node.
  *
  * Reports all problems at once, each with file, line, section, key, value and
- * the allowed values. Unknown or repeated sections and keys, and lines that are
- * neither, are problems, too.
+ * the allowed values. Unknown or repeated sections and keys, keys outside a
+ * section, and lines that are neither a section nor a key are problems, too.
  *
  * @param file - name of the file, for the messages
  * @param text - text of the file
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -26,7 +26,7 @@
 		const {mtimeMs} = await stat(file);
 		return mtimeMs;
 	} catch {
-		// The file may be being replaced; the next check reads it again.
+		// The file is absent while it is being replaced; a later check reads it.
 		return 0;
 	}
 }
