--- a/src/cli/_lib/create-request-trace.ts
+++ b/src/cli/_lib/create-request-trace.ts
@@ -1,25 +1,26 @@
 import type {LogLine} from './parse-log-lines.js';
 
-/** How something ended. */
-type Ending = {
+/** How a request or an attempt ended. */
+type Completion = {
 	readonly outcome: string | undefined;
 	readonly reason: string | undefined;
 	readonly status: number | undefined;
 	readonly durationMs: number;
 };
 
-/** What the gate of a host says of an attempt. */
-export type GateTrace = Ending & {
+/** An attempt as logged by the gate of its host. */
+export type GateTrace = Completion & {
 	readonly queuedMs: number;
 	/**
-	 * By how much the gate's clock is ahead of the caller's node, ms, at least and
-	 * at most: its part lies within the attempt.
+	 * Lower and upper bound of the offset of the gate's clock from the clock of
+	 * the caller's node, ms. Follows from the gate handling the attempt between
+	 * the start and the end of the attempt at the caller.
 	 */
 	readonly clockAheadMs: readonly [least: number, most: number];
 };
 
 /** One attempt at a host. */
-export type AttemptTrace = Ending & {
+export type AttemptTrace = Completion & {
 	readonly number: number;
 	readonly host: string;
 	readonly service: string | undefined;
@@ -28,20 +29,20 @@
 	readonly gate: GateTrace | undefined;
 };
 
-/** What logs tell of a request. */
+/** A request as reconstructed from log lines. */
 export type RequestTrace = {
 	readonly requestId: string;
-	/** Node that took the request from its client, if a line says so. */
+	/** Node that received the request from its client, if a line names it. */
 	readonly node: string | undefined;
 	readonly request:
-		| (Ending & Pick<LogLine, 'route' | 'service' | 'version' | 'attempts'>)
+		| (Completion & Pick<LogLine, 'route' | 'service' | 'version' | 'attempts'>)
 		| undefined;
 	readonly attempts: readonly AttemptTrace[];
-	/** What should be there and is not, and why that may be. */
+	/** Expected log lines that were not found, with the possible reasons. */
 	readonly missing: readonly string[];
 };
 
-/** Names of the lines that tell of a request. */
+/** Messages of the log lines that the trace of a request is made from. */
 const messages = {
 	request: 'request ended',
 	attempt: 'attempt ended',
@@ -49,11 +50,11 @@
 	dropped: 'log lines dropped',
 } as const;
 
-/** Time around a request within which dropped lines may have been its own, ms; two periods of the log's bound. */
-const droppedWithinMs = 2000;
+/** Time around a request within which dropped lines may have belonged to it, ms; two periods of the limit on log lines. */
+const droppedLinesWindowMs = 2000;
 
-/** Reasons for which a gate refuses an attempt on arrival, without a line. */
-const refusedOnArrival: ReadonlySet<string | undefined> = new Set([
+/** Reasons for which a gate refuses an attempt on arrival, which it does not log. */
+const unloggedGateReasons: ReadonlySet<string | undefined> = new Set([
 	'saturated',
 	'limited',
 	'deadline',
@@ -64,12 +65,12 @@
 	'fenced',
 ]);
 
-function readEnding({
+function readCompletion({
 	outcome,
 	reason,
 	status,
 	durationMs = 0,
-}: LogLine): Ending {
+}: LogLine): Completion {
 	return {outcome, reason, status, durationMs};
 }
 
@@ -77,7 +78,7 @@
 	const {durationMs = 0} = gate;
 	const startAt = attempt.atMs - (attempt.durationMs ?? 0);
 	return {
-		...readEnding(gate),
+		...readCompletion(gate),
 		queuedMs: gate.queuedMs ?? 0,
 		clockAheadMs: [gate.atMs - attempt.atMs, gate.atMs - durationMs - startAt],
 	};
@@ -85,13 +86,13 @@
 
 function listMissing(
 	lines: readonly LogLine[],
-	own: readonly LogLine[],
+	requestLines: readonly LogLine[],
 	{node: caller, request, attempts}: Omit<RequestTrace, 'missing'>,
 ): string[] {
 	const missing: string[] = [];
 	if (!request) {
 		missing.push(
-			'the end of the request: it was answered and is not in the sample, or the line was dropped',
+			'the end of the request: it was answered and not sampled, or the line was dropped',
 		);
 	}
 
@@ -101,18 +102,22 @@
 	}
 
 	for (const {number, host, gate, reason} of attempts) {
-		if (!gate && !refusedOnArrival.has(reason)) {
-			missing.push(`attempt ${number} at ${host}: no line of its gate`);
+		if (!gate && !unloggedGateReasons.has(reason)) {
+			missing.push(`attempt ${number} at ${host}: no log line of its gate`);
 		}
 	}
 
-	const firstAt = Math.min(...own.map(({atMs}) => atMs)) - droppedWithinMs;
-	const lastAt = Math.max(...own.map(({atMs}) => atMs)) + droppedWithinMs;
-	const onTheWay = new Set([caller, ...attempts.map(({host}) => host)]);
+	const firstAt =
+		Math.min(...requestLines.map(({atMs}) => atMs)) - droppedLinesWindowMs;
+	const lastAt =
+		Math.max(...requestLines.map(({atMs}) => atMs)) + droppedLinesWindowMs;
+	const involvedNodes = new Set([caller, ...attempts.map(({host}) => host)]);
 	for (const {message, node, atMs, count = 0} of lines) {
 		const isNear = atMs >= firstAt && atMs <= lastAt;
-		if (message === messages.dropped && isNear && onTheWay.has(node)) {
-			missing.push(`${node} dropped ${count} lines within two seconds of it`);
+		if (message === messages.dropped && isNear && involvedNodes.has(node)) {
+			missing.push(
+				`${node} dropped ${count} log lines within two seconds of the request`,
+			);
 		}
 	}
 
@@ -120,39 +125,45 @@
 }
 
 /**
- * Creates the story of a request from the log lines of the nodes on its way.
+ * Creates the trace of a request from the log lines of the nodes that handled it.
  *
- * Times are those of the caller's node. Clocks of other nodes may differ, so a
- * gate's part is placed by the attempt that it belongs to.
+ * Times are those of the caller's node. Clocks of other nodes may differ, so the
+ * line of a gate is ordered by the attempt that it belongs to.
  *
  * @param lines - lines of all nodes, in any order
  * @param requestId - identifier of the request
- * @returns the story, or undefined when no line tells of the request
+ * @returns the trace, or undefined when no line belongs to the request
  */
 export function createRequestTrace(
 	lines: readonly LogLine[],
 	requestId: string,
 ): RequestTrace | undefined {
-	const own = lines
+	const requestLines = lines
 		.filter((line) => line.requestId === requestId)
 		.toSorted((a, b) => a.atMs - b.atMs);
-	if (own.length === 0) {
+	if (requestLines.length === 0) {
 		return undefined;
 	}
 
-	const end = own.find(({message}) => message === messages.request);
-	const ended = own.filter(({message}) => message === messages.attempt);
-	const gates = own.filter(({message}) => message === messages.gate);
+	const requestLine = requestLines.find(
+		({message}) => message === messages.request,
+	);
+	const attemptLines = requestLines.filter(
+		({message}) => message === messages.attempt,
+	);
+	const gateLines = requestLines.filter(
+		({message}) => message === messages.gate,
+	);
 	const startAt = Math.min(
-		...[...(end ? [end] : []), ...ended].map(
+		...[...(requestLine ? [requestLine] : []), ...attemptLines].map(
 			({atMs, durationMs = 0}) => atMs - durationMs,
 		),
 	);
-	const attempts = ended.map((attempt): AttemptTrace => {
-		const index = gates.findIndex(({node}) => node === attempt.host);
-		const [gate] = index === -1 ? [] : gates.splice(index, 1);
+	const attempts = attemptLines.map((attempt): AttemptTrace => {
+		const index = gateLines.findIndex(({node}) => node === attempt.host);
+		const [gate] = index === -1 ? [] : gateLines.splice(index, 1);
 		return {
-			...readEnding(attempt),
+			...readCompletion(attempt),
 			number: attempt.attempt ?? 0,
 			host: attempt.host ?? '',
 			service: attempt.service,
@@ -160,17 +171,17 @@
 			gate: gate && createGateTrace(gate, attempt),
 		};
 	});
-	const request = end && {
-		...readEnding(end),
-		route: end.route,
-		service: end.service,
-		version: end.version,
-		attempts: end.attempts,
+	const request = requestLine && {
+		...readCompletion(requestLine),
+		route: requestLine.route,
+		service: requestLine.service,
+		version: requestLine.version,
+		attempts: requestLine.attempts,
 	};
-	const {node} = end ?? ended[0] ?? {};
+	const {node} = requestLine ?? attemptLines[0] ?? {};
 	const found = {requestId, node, request, attempts};
-	const missing = listMissing(lines, own, found);
-	for (const {node: gate, outcome, reason = ''} of gates) {
+	const missing = listMissing(lines, requestLines, found);
+	for (const {node: gate, outcome, reason = ''} of gateLines) {
 		missing.push(
 			`the attempt that the gate ${gate} ended: ${outcome} ${reason}`.trim(),
 		);
--- a/src/cli/check-manifest.ts
+++ b/src/cli/check-manifest.ts
@@ -6,7 +6,7 @@
 
 function createAssumedConfiguration({team, replaces}: Manifest): Configuration {
 	const configuration = createConfiguration();
-	const part = {
+	const teamConfiguration = {
 		revision: replaces,
 		version: 1,
 		services: {},
@@ -16,14 +16,14 @@
 		digest: '',
 	};
 	return replaces > 0
-		? {...configuration, teams: {[team]: part}}
+		? {...configuration, teams: {[team]: teamConfiguration}}
 		: configuration;
 }
 
-/** What a check without a node can say of a manifest. */
+/** Result of a check of a manifest without a node. */
 export type ManifestCheck = {
 	readonly problems: readonly Problem[];
-	/** Places that depend on other teams, which only a node knows. */
+	/** Places that depend on other teams, whose services only a node knows. */
 	readonly unchecked: readonly string[];
 };
 
--- a/src/cli/parse-settings.ts
+++ b/src/cli/parse-settings.ts
@@ -6,7 +6,7 @@
 
 type SettingLine = Extract<IniLine, {kind: 'setting'}>;
 
-type Place = {
+type ProblemLocation = {
 	readonly line?: number;
 	readonly section?: string;
 	readonly key?: string;
@@ -25,8 +25,12 @@
 	);
 }
 
-function formatProblem(file: string, place: Place, message: string): string {
-	const {line, section, key, value} = place;
+function formatProblem(
+	file: string,
+	location: ProblemLocation,
+	message: string,
+): string {
+	const {line, section, key, value} = location;
 	const position = line === undefined ? file : `${file}:${line}`;
 	const setting = [
 		section === undefined ? '' : `[${section}]`,
@@ -64,7 +68,7 @@
 	});
 }
 
-function createValues(
+function groupBySection(
 	lines: readonly IniLine[],
 ): Record<string, Record<string, string>> {
 	const sections = new Map<string, Map<string, string>>();
@@ -96,7 +100,10 @@
 	);
 }
 
-function findSectionLine(lines: readonly IniLine[], section: string): Place {
+function findSectionLine(
+	lines: readonly IniLine[],
+	section: string,
+): ProblemLocation {
 	const found = lines.find(
 		(item) => item.kind === 'section' && item.section === section,
 	);
@@ -159,9 +166,9 @@
 /**
  * Parses and checks the settings of a node.
  *
- * All problems are reported at once, each with file, line, section, key, the
- * value given and what is allowed. Nothing is ignored: unknown, repeated and
- * stray lines are problems too.
+ * Reports all problems at once, each with file, line, section, key, value and
+ * the allowed values. Unknown or repeated sections and keys, keys outside a
+ * section, and lines that are neither a section nor a key are problems, too.
  *
  * @param file - name of the file, for the messages
  * @param text - text of the file
@@ -174,7 +181,7 @@
 	text: string,
 ): Result<Settings, readonly string[]> {
 	const lines = scanIni(text);
-	const parsed = settingsSchema.safeParse(createValues(lines));
+	const parsed = settingsSchema.safeParse(groupBySection(lines));
 	const problems = [
 		...findLineProblems(file, lines),
 		...(parsed.error?.issues ?? []).flatMap((issue) =>
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -15,18 +15,18 @@
 import type {Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** Time between looks at whether the settings file has changed, ms. */
-const settingsCheckMs = 1000;
+/** Interval between checks of the settings file for changes, ms. */
+const settingsCheckIntervalMs = 1000;
 
-/** Time for what is left of a stopped node, ms. */
-const leftoverMs = 100;
+/** Time after which a stopped node's process exits even if connections are still open, ms. */
+const exitDelayMs = 100;
 
-async function readChangeTime(file: string): Promise<number> {
+async function readModificationTime(file: string): Promise<number> {
 	try {
 		const {mtimeMs} = await stat(file);
 		return mtimeMs;
 	} catch {
-		// A file that is being replaced is looked at again.
+		// The file is absent while it is being replaced; a later check reads it.
 		return 0;
 	}
 }
@@ -34,11 +34,11 @@
 /** Reloads the settings on SIGHUP and when the file has changed. */
 function watchSettings(
 	file: string,
-	first: string,
+	initialText: string,
 	node: RunningMeshNode,
 	terminal: Terminal,
 ): NodeJS.Timeout {
-	let text = first;
+	let text = initialText;
 	let changedAt = 0;
 	async function reload(): Promise<void> {
 		const next = await readFile(file, 'utf8');
@@ -56,31 +56,31 @@
 	}
 
 	async function check(): Promise<void> {
-		const time = await readChangeTime(file);
+		const time = await readModificationTime(file);
 		if (time !== changedAt) {
 			changedAt = time;
 			await reload();
 		}
 	}
 
-	function start(action: () => Promise<void>): void {
+	function runInBackground(action: () => Promise<void>): void {
 		action().catch((error: unknown) => {
-			terminal.printError(`${file}: not read again: ${String(error)}`);
+			terminal.printError(`${file}: reload failed: ${String(error)}`);
 		});
 	}
 
 	process.on('SIGHUP', () => {
-		start(reload);
+		runInBackground(reload);
 	});
-	start(check);
-	return setInterval(start, settingsCheckMs, check);
+	runInBackground(check);
+	return setInterval(runInBackground, settingsCheckIntervalMs, check);
 }
 
 /**
- * Runs a node that the users' platform has started, until SIGTERM or SIGINT.
+ * Runs a node started by the users' platform until it receives SIGTERM or SIGINT.
  *
  * @param file - the settings file of the platform
- * @param terminal - where to write
+ * @param terminal - output
  * @returns the exit code
  * @example
  * await runPlatformNode('/etc/boragehitch/boot.yaml', terminal);
@@ -95,8 +95,8 @@
 		return exitCodes.usage;
 	}
 
-	const first = text.value;
-	const settings = readNodeSettings(file, first);
+	const initialText = text.value;
+	const settings = readNodeSettings(file, initialText);
 	if (settings.isErr()) {
 		terminal.printError(settings.error.join('\n'));
 		return exitCodes.usage;
@@ -116,15 +116,15 @@
 			},
 			logger,
 		);
-		const timer = watchSettings(file, first, node, terminal);
+		const timer = watchSettings(file, initialText, node, terminal);
 		await waitForStop();
 		clearInterval(timer);
 		await node.stop();
-		// Connections that clients keep open must not hold up the end.
+		// Connections that clients keep open must not delay the exit.
 		setTimeout(() => {
 			// eslint-disable-next-line unicorn/no-process-exit
 			process.exit();
-		}, leftoverMs).unref();
+		}, exitDelayMs).unref();
 		return exitCodes.ok;
 	} catch (error) {
 		terminal.printError(`boragehitch node: ${String(error)}`);
--- a/src/cli/run-status.ts
+++ b/src/cli/run-status.ts
@@ -10,7 +10,7 @@
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
-/** What `status` takes. */
+/** Specification of `status`. */
 export const statusSpec: CommandSpec = {
 	name: 'status',
 	summary: 'Shows whether a version is in force, by data centre.',
@@ -33,30 +33,30 @@
 const pollIntervalMs = 250;
 const maxWaitSeconds = 3600;
 
-type Reading =
+type StatusResult =
 	| {readonly kind: 'status'; readonly status: Status}
 	| {readonly kind: 'refused' | 'unavailable'; readonly message: string};
 
-function readStatus(answer: NodeResponse): Reading {
-	if (answer.kind !== 'answer') {
-		return {kind: 'unavailable', message: answer.message};
+function readStatus(response: NodeResponse): StatusResult {
+	if (response.kind !== 'answer') {
+		return {kind: 'unavailable', message: response.message};
 	}
 
-	const parsed = statusSchema.safeParse(answer.body);
-	if (parsed.success && answer.status === 200) {
+	const parsed = statusSchema.safeParse(response.body);
+	if (parsed.success && response.status === 200) {
 		return {kind: 'status', status: parsed.data};
 	}
 
-	const kind = answer.status < 500 ? 'refused' : 'unavailable';
-	return {kind, message: JSON.stringify(answer.body)};
+	const kind = response.status < 500 ? 'refused' : 'unavailable';
+	return {kind, message: JSON.stringify(response.body)};
 }
 
-function chooseExitCode(reading: Reading): ExitCode {
-	if (reading.kind !== 'status') {
-		return exitCodes[reading.kind];
+function chooseExitCode(result: StatusResult): ExitCode {
+	if (result.kind !== 'status') {
+		return exitCodes[result.kind];
 	}
 
-	switch (reading.status.state) {
+	switch (result.status.state) {
 		case 'in-force': {
 			return exitCodes.ok;
 		}
@@ -79,20 +79,23 @@
 	options: NodeOptions,
 	version: string | undefined,
 	waitMs: number,
-): Promise<Reading> {
+): Promise<StatusResult> {
 	const endsAt = performance.now() + waitMs;
-	let asked = version;
+	let requestedVersion = version;
 	for (;;) {
-		const path = asked === undefined ? '/status' : `/status/${asked}`;
-		const reading = readStatus(await callNode(options.address, path, options));
-		const code = chooseExitCode(reading);
+		const path =
+			requestedVersion === undefined
+				? '/status'
+				: `/status/${requestedVersion}`;
+		const result = readStatus(await callNode(options.address, path, options));
+		const code = chooseExitCode(result);
 		const isFinal = code === exitCodes.ok || code === exitCodes.refused;
 		if (isFinal || performance.now() + pollIntervalMs > endsAt) {
-			return reading;
+			return result;
 		}
 
-		if (reading.kind === 'status') {
-			asked ??= String(reading.status.version);
+		if (result.kind === 'status') {
+			requestedVersion ??= String(result.status.version);
 		}
 
 		await delay(pollIntervalMs);
@@ -100,10 +103,10 @@
 }
 
 /**
- * Shows the status of a version, waiting until it is in force when asked to.
+ * Shows the status of a version; with `--wait`, waits until it is in force.
  *
  * @param input - the parsed command line
- * @param terminal - where to write
+ * @param terminal - output
  * @returns the exit code
  * @example
  * await runStatus({operands: ['7'], values: {node, wait: '5'}, flags}, terminal);
@@ -133,16 +136,16 @@
 		return exitCodes.usage;
 	}
 
-	const reading = await pollStatus(options.value, version, wait.value * 1000);
+	const result = await pollStatus(options.value, version, wait.value * 1000);
 	if (options.value.isJson) {
 		terminal.print(
-			JSON.stringify(reading.kind === 'status' ? reading.status : reading),
+			JSON.stringify(result.kind === 'status' ? result.status : result),
 		);
-	} else if (reading.kind === 'status') {
-		terminal.print(formatStatus(reading.status));
+	} else if (result.kind === 'status') {
+		terminal.print(formatStatus(result.status));
 	} else {
-		terminal.print(`${reading.kind}: ${reading.message}`);
+		terminal.print(`${result.kind}: ${result.message}`);
 	}
 
-	return chooseExitCode(reading);
+	return chooseExitCode(result);
 }
