--- a/src/protocol/find-duplicate-keys.ts
+++ b/src/protocol/find-duplicate-keys.ts
@@ -11,16 +11,16 @@
  * findDuplicateKeys('{"a": 1, "a": 2}'); // [['a']]
  */
 export function findDuplicateKeys(text: string): readonly JSONPath[] {
-	const open: Array<Set<string>> = [];
+	const keyStack: Array<Set<string>> = [];
 	const duplicates: JSONPath[] = [];
 	visit(text, {
 		onObjectBegin() {
-			open.push(new Set());
+			keyStack.push(new Set());
 		},
 		onObjectProperty(...parameters) {
 			const key = parameters[0];
 			const readPath = parameters[5];
-			const keys = open.at(-1)!;
+			const keys = keyStack.at(-1)!;
 			if (keys.has(key)) {
 				duplicates.push([...readPath(), key]);
 			}
@@ -28,7 +28,7 @@
 			keys.add(key);
 		},
 		onObjectEnd() {
-			open.pop();
+			keyStack.pop();
 		},
 	});
 	return duplicates;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -35,11 +35,11 @@
 	)
 	.pipe(z.array(addressSchema));
 
-function createRatioSchema(fallback: string) {
+function createRatioSchema(defaultValue: string) {
 	return z
 		.string()
 		.regex(/^\d+(?:\.\d+)?$/v, 'not a decimal number')
-		.default(fallback)
+		.default(defaultValue)
 		.transform(Number)
 		.pipe(z.number().max(1))
 		.describe('decimal number from 0 to 1');
--- a/src/state/apply-document-changes.ts
+++ b/src/state/apply-document-changes.ts
@@ -25,17 +25,17 @@
 		return err(`changes from ${from} to ${to} do not follow ${base.version}`);
 	}
 
-	const gone = new Set(removed);
-	const kept = base.routes.filter(({name}) => !gone.has(name));
+	const removedNames = new Set(removed);
+	const kept = base.routes.filter(({name}) => !removedNames.has(name));
 	if (kept.length !== base.routes.length - removed.length) {
 		return err('routes that are to be removed are not there');
 	}
 
-	const placed = new Map(put.map(({index, route}) => [index, route]));
+	const putByIndex = new Map(put.map(({index, route}) => [index, route]));
 	const routes: DocumentRoute[] = [];
-	let taken = 0;
+	let nextKept = 0;
 	for (let index = 0; index < kept.length + put.length; index++) {
-		const route = placed.get(index) ?? kept[taken++];
+		const route = putByIndex.get(index) ?? kept[nextKept++];
 		if (!route) {
 			return err('routes are put in places that do not exist');
 		}
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -10,12 +10,12 @@
 } from '../protocol/routing-document.js';
 
 /** Compiled routes by what they were compiled from. */
-const compiled = new WeakMap<DocumentRoute, CompiledRoute>();
+const compiledRoutes = new WeakMap<DocumentRoute, CompiledRoute>();
 
 function compileRoute(route: DocumentRoute, maxBytes: number): CompiledRoute {
-	const known = compiled.get(route);
-	if (known?.maxBodyBytes === maxBytes) {
-		return known;
+	const cached = compiledRoutes.get(route);
+	if (cached?.maxBodyBytes === maxBytes) {
+		return cached;
 	}
 
 	const [first] = route.targets;
@@ -36,13 +36,16 @@
 		sheddingMeansNotRun: true,
 		isLive: true,
 	};
-	compiled.set(route, next);
+	compiledRoutes.set(route, next);
 	return next;
 }
 
 type HostRoutes = Map<string, Map<string, HostRoute>>;
 
-function openHost(byHost: HostRoutes, name: string): Map<string, HostRoute> {
+function getOrCreateHostRoutes(
+	byHost: HostRoutes,
+	name: string,
+): Map<string, HostRoute> {
 	const host = name.toLowerCase();
 	const routes = byHost.get(host) ?? new Map<string, HostRoute>();
 	byHost.set(host, routes);
@@ -62,7 +65,7 @@
 	const maxBytes = document.limits?.maxBodyBytes ?? maxBodyBytes;
 	const byHost: HostRoutes = new Map();
 	for (const route of document.routes) {
-		openHost(byHost, route.host).set(
+		getOrCreateHostRoutes(byHost, route.host).set(
 			route.pathPrefix,
 			compileRoute(route, maxBytes),
 		);
@@ -82,7 +85,7 @@
 			continue;
 		}
 
-		const routes = openHost(byHost, host);
+		const routes = getOrCreateHostRoutes(byHost, host);
 		if (!routes.has(pathPrefix)) {
 			routes.set(pathPrefix, 'unreadable');
 		}
--- a/src/state/compute-document-changes.ts
+++ b/src/state/compute-document-changes.ts
@@ -20,16 +20,16 @@
 	base: RoutingDocument,
 	next: RoutingDocument,
 ): DocumentChanges | undefined {
-	const known = new Set(base.routes);
-	const stays = new Set(next.routes);
+	const baseRoutes = new Set(base.routes);
+	const nextRoutes = new Set(next.routes);
 	const changes: DocumentChanges = {
 		from: base.version,
 		to: next.version,
 		removed: base.routes
-			.filter((route) => !stays.has(route))
+			.filter((route) => !nextRoutes.has(route))
 			.map(({name}) => name),
 		put: next.routes.flatMap((route, index) =>
-			known.has(route) ? [] : [{index, route}],
+			baseRoutes.has(route) ? [] : [{index, route}],
 		),
 		services: next.services,
 		...(next.limits && {limits: next.limits}),
--- a/src/state/decode-snapshot.ts
+++ b/src/state/decode-snapshot.ts
@@ -24,12 +24,12 @@
 	head: SnapshotHead,
 	texts: readonly string[],
 ): Result<Configuration, Problem> {
-	const isWhole =
+	const isIntact =
 		texts.length === head.chunks.length &&
 		texts.every(
 			(text, index) => computeTextDigest(text) === head.chunks[index],
 		);
-	if (!isWhole) {
+	if (!isIntact) {
 		return refuse('a chunk does not have its digest');
 	}
 
--- a/src/state/encode-document-answer.ts
+++ b/src/state/encode-document-answer.ts
@@ -7,16 +7,16 @@
 } from '../protocol/routing-document.js';
 
 /** Texts by what they hold, so that all receivers share one. */
-const texts = new WeakMap<DocumentChanges | RoutingDocument, string>();
+const encodedTexts = new WeakMap<DocumentChanges | RoutingDocument, string>();
 
 function encodeText(value: DocumentChanges | RoutingDocument): string {
-	const known = texts.get(value);
-	if (known !== undefined) {
-		return known;
+	const cached = encodedTexts.get(value);
+	if (cached !== undefined) {
+		return cached;
 	}
 
 	const text = deflateSync(JSON.stringify(value)).toString('base64');
-	texts.set(value, text);
+	encodedTexts.set(value, text);
 	return text;
 }
 
--- a/src/state/merge-document.ts
+++ b/src/state/merge-document.ts
@@ -15,11 +15,13 @@
 	earlier: RoutingDocument,
 	next: RoutingDocument,
 ): RoutingDocument {
-	const known = new Map(earlier.routes.map((route) => [route.name, route]));
+	const earlierByName = new Map(
+		earlier.routes.map((route) => [route.name, route]),
+	);
 	return {
 		...next,
 		routes: next.routes.map((route) => {
-			const before = known.get(route.name);
+			const before = earlierByName.get(route.name);
 			return before && isSameRoute(before, route) ? before : route;
 		}),
 	};
