--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -1,5 +1,5 @@
 /**
- * Types of one attempt at a request, on its way to an upstream and back.
+ * Types of an attempt at a request and of its result.
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
@@ -23,44 +23,44 @@
 	/** Path with query. */
 	readonly path: string;
 	readonly headers: IncomingHttpHeaders;
-	/** The whole body, or a stream when it is longer than is buffered. */
+	/** The full body, or a stream when it is too long to be buffered. */
 	readonly body: Uint8Array | Readable;
 	/** Time left until the deadline, ms. */
 	readonly remainingMs: number;
-	/** How many calls of other upstreams the request comes through. */
+	/** Number of upstreams that the request has passed through. */
 	readonly depth: number;
-	/** Newest stamp that is known of the gate. */
+	/** Newest known stamp of the gate. */
 	readonly stamp: GateStamp | undefined;
 	/**
-	 * When it was made, ms on the clock of the gate that gave the stamp; early by
-	 * no more than the way of a stamp.
+	 * Creation time, ms on the clock of the gate that issued the stamp; too early
+	 * by at most the transit time of a stamp.
 	 */
 	readonly createdAtGateMs?: number | undefined;
-	/** How long it may have lain unread at the gate, as the gate's lag says, ms. */
+	/** Time that it may have waited unread at the gate, from the gate's event loop lag, ms. */
 	readonly unreadMs?: number | undefined;
-	/** What the sender knows of the gate's upstream; a gate that has started again may not. */
+	/** Upstream notice as the sender knows it; a restarted gate may not know it. */
 	readonly notice?: UpstreamNotice | undefined;
-	/** Service on whose host the request began, if that is known. */
+	/** Service on whose host the request originated, if known. */
 	readonly origin?: string | undefined;
-	/** Rank among the attempts that wait for a slot; 0 goes first. */
+	/** Rank among the attempts that wait for a slot; 0 is the highest. */
 	readonly priority?: number | undefined;
-	/** Objective of the request's route, ms; orders the attempts that wait. */
+	/** Objective of the request's route, ms; orders the queued attempts. */
 	readonly routeObjectiveMs?: number | undefined;
-	/** Time left in which an answer has its full value, ms. */
+	/** Time left until the latency objective, ms. */
 	readonly objectiveMs?: number | undefined;
-	/** Called before the first byte of the attempt may leave this node. */
+	/** Called before the first byte of the attempt is sent. */
 	readonly onSend?: (() => void) | undefined;
-	/** Called with each sign that the gate still has the attempt. */
+	/** Called with each keepalive of the gate for the attempt. */
 	readonly onKeepalive?: (() => void) | undefined;
 	/** Idempotency key of the caller with its team and service. */
 	readonly key: string | undefined;
-	/** Aborted when nobody wants the answer any more. */
+	/** Aborted when the response is no longer needed. */
 	readonly signal: CancelSignal;
 	/** Trace context of the hop that sends the attempt, W3C `traceparent`. */
 	readonly traceparent: string | undefined;
 };
 
-/** Names an attempt whose fate is asked for. */
+/** Query for the outcome of an attempt. */
 export const attemptQuerySchema = z.object({
 	id: z.string().max(256),
 	stamp: z.object({epoch: z.string().max(64), timeMs: z.number()}).optional(),
@@ -68,35 +68,35 @@
 
 export type AttemptQuery = z.infer<typeof attemptQuerySchema>;
 
-/** What an upstream has said of itself in its answers, as its gate keeps it. */
+/** Shutdown and rate limit that an upstream has reported in its responses, as its gate stores them. */
 export type UpstreamNotice = {
 	/** Identifier under which the upstream announced itself. */
 	readonly id: string;
-	/** Life of the upstream, as in its announcement; undefined when not known. */
+	/** Incarnation of the upstream, as announced; undefined when not known. */
 	readonly incarnation?: number | undefined;
 	readonly isLeaving: boolean;
-	/** Undefined when it names no limit. */
+	/** Undefined when the upstream has reported no limit. */
 	readonly rateLimit?: ReportedRateLimit | undefined;
 };
 
-/** A rate limit that an upstream has named. */
+/** A rate limit that an upstream has reported. */
 export type ReportedRateLimit = {
-	/** Requests a second that it takes from all nodes together. */
+	/** Requests per second that it accepts from all nodes together. */
 	readonly perSecond: number;
-	/** Expected wait of the next attempt for its turn, ms. */
+	/** Expected wait of the next attempt under the limit, ms. */
 	readonly waitMs: number;
 };
 
-/** Load of a gate, as piggybacked on answers. */
+/** Load of a gate, as piggybacked on responses. */
 export type GateLoad = {
 	readonly inFlight: number;
 	readonly queued: number;
 	readonly slots: number;
-	/** Mean time that the upstream takes, ms. */
+	/** Mean service time of the upstream, ms. */
 	readonly serviceMs?: number | undefined;
-	/** Mean time that it takes for requests of the attempt's route, ms. */
+	/** Mean service time for requests of the attempt's route, ms. */
 	readonly routeMs?: number | undefined;
-	/** Absent when the upstream has said nothing of note. */
+	/** Absent when the upstream is not leaving and has no limit. */
 	readonly notice?: UpstreamNotice | undefined;
 };
 
@@ -106,7 +106,7 @@
 			readonly kind: 'answered';
 			readonly status: number;
 			readonly headers: IncomingHttpHeaders;
-			/** The whole body, or a stream that fails unless it ends whole. */
+			/** The full body, or a stream that fails when the body is truncated. */
 			readonly body: Uint8Array | Readable;
 			readonly load: GateLoad | undefined;
 			readonly stamp: GateStamp | undefined;
@@ -119,7 +119,7 @@
 			readonly stamp: GateStamp | undefined;
 	  };
 
-/** What a caller's node has of an attempt that it forwarded. */
+/** Result of an attempt that a caller's node has forwarded. */
 export type ForwardResult =
 	| AttemptResult
 	/** The connection failed after the attempt may have been sent. */
--- a/src/protocol/cancel-signal.ts
+++ b/src/protocol/cancel-signal.ts
@@ -1,6 +1,6 @@
 /**
- * Tells when a piece of work is not wanted any more: what of an `AbortSignal`
- * the path of a request needs.
+ * Signals that an operation is cancelled: the subset of `AbortSignal` that the
+ * request path uses.
  */
 export type CancelSignal = {
 	readonly aborted: boolean;
--- a/src/protocol/configuration.ts
+++ b/src/protocol/configuration.ts
@@ -25,14 +25,14 @@
 	manifest: manifestSchema,
 });
 
-/** One entry of the configuration log; `digest` is that of the result. */
+/** An entry of the configuration log; `digest` is the digest of the resulting configuration. */
 export const logEntrySchema = z.strictObject({
 	version: z.int().min(1),
 	digest: z.string(),
 	commits: z.array(commitSchema).min(1),
 });
 
-/** Record of an accepted submission, kept to answer repeats. */
+/** Record of an accepted submission, kept to answer repeated submissions. */
 export const submissionRecordSchema = z.strictObject({
 	id: submissionIdSchema,
 	revision: z.int().min(1),
@@ -51,7 +51,7 @@
 	digest: z.string(),
 });
 
-/** The whole configuration at one version. */
+/** The configuration of all teams at one version. */
 export const configurationSchema = z.strictObject({
 	version: z.int().min(0),
 	digest: z.string(),
@@ -63,7 +63,7 @@
 	version: z.int().min(1),
 	digest: z.string(),
 	chunks: z.array(z.string()).min(1),
-	/** Version of the snapshot before, kept for readers that are under way. */
+	/** Version of the previous snapshot, kept for reads in progress. */
 	previous: z.int().min(0),
 });
 
@@ -82,7 +82,7 @@
 
 export type Manifest = z.infer<typeof manifestSchema>;
 
-/** Kinds of reason for which a manifest or entry is refused. */
+/** Codes of the reasons for which a manifest or entry is refused. */
 const problemCodes = [
 	'schema',
 	'conflict',
@@ -96,7 +96,7 @@
 	'digest',
 ] as const;
 
-/** One reason for a refusal, as it is sent to operators. */
+/** A reason for a refusal, as sent to operators. */
 export const problemSchema = z.strictObject({
 	code: z.enum(problemCodes),
 	place: z.string(),
@@ -106,11 +106,11 @@
 /** Progress of a data centre, as its first root writes it to the platform. */
 export const dataCentreStatusSchema = z.strictObject({
 	dataCentre: z.string(),
-	/** Highest version that all its live members were seen to run; only rises. */
+	/** Highest version that all its live members have been observed to run; never decreases. */
 	version: z.int().min(0),
-	/** Lowest version that a member runs now. */
+	/** Lowest version that a member currently runs. */
 	lowestVersion: z.int().min(0),
-	/** Members that report, and live members that are known. */
+	/** Number of reporting members, and of known live members. */
 	members: z.int().min(0),
 	expectedMembers: z.int().min(0),
 	laggards: z.array(z.string()),
@@ -125,7 +125,7 @@
 	writer: z.string(),
 });
 
-/** Highest version that was ever said to be in force everywhere. */
+/** Highest version ever recorded as in force everywhere. */
 export const inForceSchema = z.strictObject({version: z.int().min(0)});
 
 export type DataCentreStatus = z.infer<typeof dataCentreStatusSchema>;
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -1,5 +1,5 @@
 /**
- * Named constants shared by every layer, with their units in their names.
+ * Constants shared by all layers.
  */
 
 export const bytesPerKibibyte = 1024;
@@ -22,9 +22,9 @@
 export const snapshotChunkLength = 256 * bytesPerKibibyte;
 
 export const rootsPerDataCentre = 2;
-/** Children of a node with the capacity that is usual in its data centre; three would be the least link time, four saves a hop. */
+/** Children of a node of median capacity; 3 would need the least link time, 4 saves a hop. */
 export const treeFanOut = 4;
-/** Most children of a node: each costs a waiting call and processor time, however fast the link. */
+/** Maximum number of children of a node: each costs an open call and processor time, however fast the link is. */
 export const maxTreeFanOut = 64;
 export const pollWaitMs = 2000;
 export const pollTimeoutMs = 3000;
@@ -45,51 +45,51 @@
 export const statusSilentAfterMs = 15_000;
 export const watchWaitMs = 10_000;
 export const platformTimeoutMs = 3000;
-/** Longest wait of a watch on a document; bounds how long a silent one hides a change from its node. */
+/** Maximum wait of a watch on a document; bounds how long a watch that is no longer answered hides a change from its node. */
 export const documentWatchWaitMs = 3000;
-/** Longest wait of a poll for a document; bounds how long a silent source is trusted. */
+/** Maximum wait of a poll for a document; bounds how long a source that does not answer is relied on. */
 export const documentPollWaitMs = 800;
-/** Time that an answer about a document may take beyond the wait. */
+/** Time that the answer to a watch or poll of a document may take beyond the wait. */
 export const documentGraceMs = 400;
-/** Age above which a node's copy of a document does not count as confirmed; a watch, a poll and their grace. */
+/** Age above which a node's copy of a document no longer counts as confirmed: a watch, a poll and their grace periods. */
 export const documentStaleMs = 5000;
-/** Time after which a node asks its parent again that it has left, ms; one that is gone is declared dead within about that time. */
+/** Time after which a node polls its parent again once it has switched to another peer; a failed parent is declared dead within about that time. */
 export const documentParentRetryMs = 5000;
-/** Peers that have to fail in a row before a node reads the store itself; one may have stopped. */
+/** Consecutive peer failures after which a node reads the store itself; a single peer may have stopped. */
 export const maxDocumentPeerFailures = 2;
-/** First and longest delay after a failed call for a document. */
+/** First and maximum retry delay after a failed call for a document. */
 export const documentRetryBaseMs = 100;
 export const documentRetryCapMs = 1000;
 export const documentTickMs = 100;
-/** Longest time that a whole document takes to arrive; 1 MiB, the most that the platform stores, needs 2.4 s at 3.5 Mbit/s. */
+/** Maximum time for the transfer of a full document; 1 MiB, the maximum that the platform stores, needs 2.4 s at 3.5 Mbit/s. */
 export const documentTransferMs = 3000;
-/** Time for a copy to arrive and be read above which further changes may have come meanwhile; they come some 170 ms apart in a storm. */
+/** Time to receive and read a document above which it may have changed again meanwhile; in a burst, changes are about 170 ms apart. */
 export const documentBacklogThresholdMs = 150;
-/** Documents that a node keeps to compute changes from; more than a storm brings within the time that a change may take. */
+/** Documents that a node keeps as bases for changes; more than a burst of changes brings within the time that one change may take. */
 export const maxKeptDocuments = 32;
-/** Log lines on parts of one document that can't be read; the rest is counted. */
+/** Maximum number of log lines about unreadable parts of one document; the remaining parts are only counted. */
 export const maxLoggedProblems = 16;
-/** Longest answer of the platform's store that is read; four times the most that it stores, as a list may hold several objects. */
+/** Maximum length of a response of the platform's store; four times the largest object that it stores, as a list may hold several objects. */
 export const maxStoreAnswerBytes = 4096 * bytesPerKibibyte;
-/** Longest answer of another node that is read; a document may double in length when it is quoted. */
+/** Maximum length of a response of another node; quoting may double the length of a document. */
 export const maxPeerAnswerBytes = 16 * 1024 * bytesPerKibibyte;
-/** Longest text of a document that a node takes from another; four times the most that the platform stores. */
+/** Maximum length of the text of a document from another node; four times the maximum that the platform stores. */
 export const maxDocumentBytes = 4096 * bytesPerKibibyte;
 export const statusIntervalMs = 1000;
 export const logEntriesPerPoll = 64;
 export const retryBaseMs = 100;
 export const retryCapMs = 3000;
 
-/** Processor and link of the host whose capacity is `usualCapacity`: one thread and a common network card. */
+/** Processor and link of the reference host, whose capacity is `referenceCapacity`: one thread and a common network card. */
 export const referenceCores = 1;
 export const referenceLinkMbps = 1000;
 export const referenceCapacity = 1000;
-/** Largest capacity of a record; 65 usual hosts, as nodes have one thread. */
+/** Maximum capacity of a record; 65 reference hosts, as nodes have one thread. */
 export const maxCapacity = 65_535;
 
 export const upstreamLeaseMs = 3000;
 export const upstreamRenewMs = 1000;
-/** Longest delay of an announcement that is still told from a new one. */
+/** Maximum delay of an announcement that can still be told from a new one. */
 export const upstreamTombstoneMs = 60_000;
 export const maxUpstreamsPerHost = 16;
 export const membersPeriodMs = 1000;
@@ -121,7 +121,7 @@
 export const maxJoinWindowMs = 30_000;
 export const maxSeeds = 24;
 export const seedsReadJitterMs = 500;
-/** Longest delay before the seeds object is read after another node was first to write it. */
+/** Maximum delay before the seeds object is read again after a conflicting write of another node. */
 export const seedsConflictMs = 300;
 export const seedsRetryMs = 4000;
 export const seedsRetryMsPerMember = 36;
@@ -145,12 +145,12 @@
 export const maxHeaderBytes = 16 * bytesPerKibibyte;
 export const peerIdleWaitMs = 3000;
 export const maxCallerInFlight = 2048;
-/** Time after which a node that had no processor time left is asked again; its lag is gone by then. */
+/** Time after which a request is sent again to a node that had no processor time left; its event loop lag has ended by then. */
 export const busyRetryMs = 100;
-/** Lag of a node above which what it reads may be outdated, ms; about a hop and a request. */
+/** Event loop lag above which what a node reads may be outdated; about the time of a hop and a request. */
 export const lagThresholdMs = 50;
 export const maxDepth = 16;
-/** Requests in flight of a route of a document; the node's own bound is lower. */
+/** Maximum number of requests in flight of a route of a document; the node's own limit is lower. */
 export const maxDocumentConcurrency = 10_000;
 export const latencyRefreshMs = 500;
 
@@ -160,32 +160,32 @@
 export const maxKeptAnswerBytes = 64 * bytesPerKibibyte;
 export const maxKeptBytes = 4096 * bytesPerKibibyte;
 
-/** Silence after which an attempt's connection is no longer trusted. */
+/** Time without a keepalive or response after which the connection of an attempt is no longer relied on, and the gate is asked for its outcome. */
 export const askAfterMs = 1000;
-/** Silence after which a host gets no further attempts, ms: one sign of life, and half of one for delays. */
+/** Silence after which a host gets no further attempts: one keepalive interval, and half of one for delays. */
 export const hostSilenceTimeoutMs = 600;
-/** Time between the signs of life of an attempt that takes long. */
+/** Interval of the keepalives for a long-running attempt. */
 export const keepaliveIntervalMs = 400;
 export const askTimeoutMs = 500;
 export const askRetryMs = 100;
 export const maxAsks = 3;
 export const maxRestamps = 2;
-/** Tries at hosts that turn out to be the wrong ones; each costs about a round trip. */
+/** Maximum number of reroutes of a request after attempts at wrong hosts; each costs about a round trip. */
 export const maxReroutes = 4;
-/** Tries after which a request is no longer passed on from full hosts: each costs two nodes their time when there is least. */
+/** Number of reroutes after which a request is no longer rerouted from full hosts: each costs two nodes processor time while it is scarcest. */
 export const maxFullReroutes = 1;
 export const deadlineMarginMs = 10;
-/** Time that an answer needs to reach its client: a round trip to a distant one, and at most a part of the deadline. */
+/** Time reserved for a response to reach its client: a round trip to a distant client, and at most a ratio of the deadline. */
 export const responseMarginMs = 25;
 export const responseMarginRatio = 0.05;
 export const connectTimeoutMs = 250;
 export const idleConnectionMs = 2000;
 export const maxBufferedBytes = 64 * bytesPerKibibyte;
-/** Longest body that waits in a node; longer ones are passed on as they come in. */
+/** Maximum length of a body that a node buffers; longer bodies are streamed. */
 export const maxBufferedBodyBytes = 512 * bytesPerKibibyte;
-/** Memory of a node for the bodies that wait; an eighth of the 128 MB of a node. */
+/** Memory budget of a node for buffered bodies; an eighth of the 128 MB of a node. */
 export const bodyMemoryBudgetBytes = 16 * 1024 * bytesPerKibibyte;
-/** Length of a body from which its time on a link counts in placing; 22 ms at 6 Mbit/s. */
+/** Body length from which host selection counts the transfer time on a link; 22 ms at 6 Mbit/s. */
 export const minTransferCostBodyBytes = 16 * bytesPerKibibyte;
 
 export const retryBackoffBaseMs = 10;
@@ -196,23 +196,23 @@
 
 export const spilloverThreshold = 0.8;
 export const loadExpiryMs = 1000;
-/** Time for which a host's wait under a rate limit is believed; as long as its load. */
+/** Age at which a host's reported rate limit wait expires; the same as for its load. */
 export const rateLimitWaitExpiryMs = loadExpiryMs;
-/** Time over which a new host's share grows: upstreams are slow for about three seconds after their start. */
+/** Slow start: time over which the traffic of a new host rises to its normal share, as upstreams are slow for about three seconds after their start. */
 export const slowStartMs = 3000;
-/** Time after which a near host that gets no requests is tried again, so that it is not judged by old times. */
+/** Time after which a local host without requests is tried again, so that it is not rated by outdated times. */
 export const exploreAfterMs = 1500;
-/** Part of the requests that may be such tries. */
+/** Ratio of the requests that may explore such hosts. */
 export const exploreRatio = 0.2;
-/** Part of its objective that a request usually takes at an upstream; assumed while nothing is known. */
+/** Time of a request at an upstream as a ratio of its objective; assumed while nothing is known. */
 export const defaultObjectiveRatio = 0.35;
-/** Hosts that are compared for one request. */
+/** Number of hosts that are compared for one request. */
 export const hostSampleSize = 4;
 export const minInUseRatio = 0.5;
 export const ejectionBaseMs = 1000;
 export const ejectionCapMs = 30_000;
 export const ejectionErrorRatio = 0.5;
-/** First and longest time for which an unreachable host is left out; the first is a connect timeout. */
+/** First and maximum time for which an unreachable host is ejected; the first equals the connect timeout. */
 export const unreachableBaseMs = 250;
 export const unreachableCapMs = 2000;
 export const ejectionMinSamples = 10;
--- a/src/protocol/edge.ts
+++ b/src/protocol/edge.ts
@@ -1,93 +1,94 @@
 /**
- * What callers and upstreams speak with a node: names of headers and their
- * meaning. The product has its own; a platform may bring another.
+ * Interface between a node and its callers and upstreams: the names of headers
+ * and their meaning. There is a default implementation; a platform may provide
+ * another.
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Attempt, GateLoad} from './attempt.js';
 
-/** What a caller says of its request. */
+/** Parameters of a request from the headers of its caller. */
 export type CallerParameters = {
 	/** Identifier that the caller chose. */
 	readonly requestId: string | undefined;
-	/** How long the caller waits, ms. */
+	/** Time that the caller waits for the response, ms. */
 	readonly deadlineMs: number | undefined;
-	/** How many calls of upstreams the request comes through. */
+	/** Number of upstreams that the request has passed through. */
 	readonly depth: number;
-	/** Key under which the caller may send the same request again. */
+	/** Key with which the caller may repeat the request safely. */
 	readonly idempotencyKey: string | undefined;
 };
 
-/** What an upstream's answer says of the attempt. */
+/** Class of a response from an upstream. */
 export type ResponseClass =
-	/** It is the upstream's answer to the attempt. */
+	/** The upstream's response to the attempt. */
 	| 'answered'
-	/** The upstream was too busy, and has not run the attempt. */
+	/** The upstream was overloaded and has not run the attempt. */
 	| 'shed'
-	/** Another upstream has the address, and has not run the attempt. */
+	/** Another upstream uses the address and has not run the attempt. */
 	| 'wrong-instance'
-	/** It answers another request. */
+	/** The response belongs to another request. */
 	| 'misplaced';
 
-/** An answer as far as the edge reads it. */
+/** Status and headers of a response. */
 export type ResponseHead = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
 };
 
-/** A rate limit as an upstream states it. */
+/** Parsed value of a rate limit header. */
 export type RateLimitField =
 	| {readonly kind: 'none'}
 	| {
 			readonly kind: 'named';
-			/** Requests a second that it takes from all nodes together. */
+			/** Requests per second that the upstream accepts from all nodes together. */
 			readonly perSecond: number;
 	  }
-	/** It names something that is not a rate. */
+	/** The value is not a valid rate. */
 	| {readonly kind: 'unreadable'; readonly text: string};
 
-/** What an upstream says of itself in the head of an answer. */
+/** Rate limit and shutdown that an upstream reports in response headers. */
 export type UpstreamReport = {
 	readonly rateLimit: RateLimitField;
-	/** Whether it is about to end, and takes no further requests. */
+	/** Whether it is shutting down and accepts no further requests. */
 	readonly isLeaving: boolean;
-	/** Names of the headers that say so, for the log. */
+	/** Names of the headers that carry the report, for the log. */
 	readonly headerNames: readonly string[];
 };
 
-/** The report of an upstream that says nothing of itself. */
+/** Report of an upstream that sends no report headers. */
 export const emptyReport: UpstreamReport = {
 	rateLimit: {kind: 'none'},
 	isLeaving: false,
 	headerNames: [],
 };
 
-/** What a gate adds to an attempt for its upstream. */
+/** Values that a gate adds to an attempt for its upstream. */
 export type UpstreamContext = {
 	/** Time left until the deadline, ms. */
 	readonly remainingMs: number;
-	/** Trace context of the gate's hop. */
+	/** Trace context of the gate's hop, W3C `traceparent`. */
 	readonly traceparent: string | undefined;
 	/** Identifier under which the upstream announced itself. */
 	readonly instance: string;
 };
 
-/** The names and meanings of headers towards callers and upstreams. */
+/** Reads and writes the headers of callers and upstreams. */
 export type Edge = {
-	/** Whether a path that can be read in more than one way is refused. */
+	/** Whether ambiguous paths are refused. */
 	readonly refusesAmbiguousPaths: boolean;
-	/** Whether an upstream's answer names its request, so that `judgeAnswer` tells one to another request. */
+	/** Whether a response identifies its request, so that `classifyResponse` detects responses to other requests. */
 	readonly identifiesResponses: boolean;
 	readCallerParameters(headers: IncomingHttpHeaders): CallerParameters;
-	/** Gives the headers that are set on a request to an upstream. */
+	/** Creates the headers that are set on a request to an upstream. */
 	createUpstreamHeaders(
 		attempt: Attempt,
 		context: UpstreamContext,
 	): Readonly<Record<string, string>>;
 	classifyResponse(answer: ResponseHead, attempt: Attempt): ResponseClass;
-	/** Reads the load that an upstream reports with its answer. */
+	/** Reads the load that an upstream reports with its response. */
 	readLoad(headers: IncomingHttpHeaders): GateLoad | undefined;
-	/** Reads what an upstream says of itself with its answer. */
+	/** Reads the rate limit and shutdown that an upstream reports with its response. */
 	readReport(headers: IncomingHttpHeaders): UpstreamReport;
-	/** Writes a delay in the form that callers understand. */
+	/** Formats a delay as the value of the `retry-after` header. */
 	formatRetryAfter(seconds: number): string;
 };
--- a/src/protocol/find-duplicate-keys.test.ts
+++ b/src/protocol/find-duplicate-keys.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import {findDuplicateKeys} from './find-duplicate-keys.js';
 
-test('finds repeated keys at every depth and none elsewhere', () => {
+test('finds duplicate keys at every depth of an object, and only there', () => {
 	const cases: Array<[string, unknown]> = [
 		['{"a": 1, "b": {"a": 2}, "c": [{"a": 1}, {"a": 1}]}', []],
 		['{"a": 1, "a": 2}', [['a']]],
--- a/src/protocol/find-duplicate-keys.ts
+++ b/src/protocol/find-duplicate-keys.ts
@@ -1,12 +1,12 @@
 import {visit, type JSONPath} from 'jsonc-parser';
 
 /**
- * Finds keys that an object of a JSON text has more than once.
+ * Finds duplicate keys in the objects of a JSON text.
  *
- * `JSON.parse` keeps the last of them without a word.
+ * `JSON.parse` silently keeps the last of them.
  *
  * @param text - valid JSON
- * @returns the path of each repetition
+ * @returns the path of each repeated occurrence of a key
  * @example
  * findDuplicateKeys('{"a": 1, "a": 2}'); // [['a']]
  */
--- a/src/protocol/list-settings.ts
+++ b/src/protocol/list-settings.ts
@@ -1,13 +1,13 @@
 import * as z from 'zod';
 import {settingsSchema} from './settings.js';
 
-/** A setting as its schema describes it. */
+/** A setting as described by its schema. */
 export type SettingDescription = {
 	readonly section: string;
 	readonly key: string;
-	/** What values are allowed. */
+	/** Description of the allowed values. */
 	readonly allowed: string;
-	/** The default, absent when the setting must be given or has none. */
+	/** Default value; undefined when the setting is required or has none. */
 	readonly default: string | undefined;
 	readonly isRequired: boolean;
 };
@@ -28,7 +28,7 @@
 });
 
 /**
- * Lists every setting of a node, from the schema.
+ * Lists all settings of a node, as described by the schema.
  *
  * @returns the settings in the order of the schema
  * @example
--- a/src/protocol/manifest.ts
+++ b/src/protocol/manifest.ts
@@ -23,7 +23,7 @@
 		'not 1 to 63 lower-case letters, digits or hyphens, a letter first',
 	);
 
-/** A service: the group of upstreams that answers a team's requests. */
+/** A service: a group of upstreams that serve a team's requests. */
 export const serviceSchema = z.strictObject({
 	slots: z.int().min(1).max(1024).default(defaultSlots),
 	connections: z.int().min(1).max(4096).default(defaultConnections),
@@ -31,7 +31,7 @@
 	shared: z.boolean().default(false),
 });
 
-/** A policy: how requests on a route are limited, timed and retried. */
+/** A policy: limits, deadline and retries of the requests on a route. */
 export const policySchema = z.strictObject({
 	repeatable: z.boolean().default(false),
 	deadlineMs: z.int().min(1).max(60_000).default(defaultDeadlineMs),
@@ -44,7 +44,7 @@
 		.default(maxBodyBytes),
 });
 
-/** A route: requests under a path prefix go to a service under a policy. */
+/** A route: sends requests under a path prefix to a service, subject to a policy. */
 export const routeSchema = z.strictObject({
 	name: nameSchema,
 	path: z
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -1,7 +1,6 @@
 /**
- * Types and schemas of members (nodes) and of the upstreams they announce.
- * Members of other versions send fields that are not known here; they are
- * passed over.
+ * Types and schemas of members (nodes) and of the upstreams that they announce.
+ * Unknown fields from members of other versions are ignored.
  */
 import * as z from 'zod';
 import type {GateLoad} from './attempt.js';
@@ -18,9 +17,9 @@
 	team: z.string().max(64),
 	service: z.string().max(64),
 	address: z.string().regex(/^[\d.]+:\d+$/v),
-	/** Identifies one life of the upstream; a later one has a higher number. */
+	/** Incarnation of the upstream process; a later one has a higher number. */
 	incarnation: z.int().min(0).optional(),
-	/** Counts the announcements of one life; a late one has a lower number. */
+	/** Number of the announcement within the incarnation; a delayed announcement has a lower one. */
 	sequence: z.int().min(0).optional(),
 	slots: z.int().min(1).max(1024),
 	connections: z.int().min(1).max(4096),
@@ -32,7 +31,7 @@
 const peerAddressSchema = z.string().regex(/^[\d.]{7,15}:\d{1,5}$/v);
 const counterSchema = z.int().min(0);
 
-/** An upstream as it is sent between members; its address stays at home. */
+/** An upstream as sent between members, without its address, which only its own host uses. */
 export const upstreamSchema = z.object({
 	id: z.string().max(64),
 	service: z.string().max(129),
@@ -44,7 +43,7 @@
 /** States of a member; `dead` and `left` end an incarnation. */
 export const memberStateSchema = z.enum(['alive', 'suspect', 'dead', 'left']);
 
-/** A member's record as it is sent between members. */
+/** A member's record as sent between members. */
 export const recordSchema = z.object({
 	name: nameSchema,
 	dataCentre: dataCentreSchema,
@@ -54,11 +53,11 @@
 	state: memberStateSchema,
 	upstreams: z.array(upstreamSchema).max(maxUpstreamsPerHost),
 	unreachable: z.array(dataCentreSchema).max(maxDataCentres).optional(),
-	/** What it can do for others, in thousandths of a usual host; usual when absent. */
+	/** Capacity for serving other members, in thousandths of the reference host; that of the reference host when absent. */
 	capacity: z.int().min(1).max(maxCapacity).optional(),
 });
 
-/** Who sends a message between members. */
+/** Sender of a message between members. */
 export const senderSchema = z.object({
 	name: nameSchema,
 	dataCentre: dataCentreSchema,
@@ -81,21 +80,21 @@
 	memberStateSchema,
 ]);
 
-/** A message from one member to another, which answers it. */
+/** A request from one member to another. */
 export const exchangeSchema = z.discriminatedUnion('kind', [
 	z.object({
 		kind: z.literal('ping'),
 		from: senderSchema,
 		records: pageSchema,
 	}),
-	/** Asks for a probe of another member on the sender's behalf. */
+	/** Requests an indirect probe of another member on the sender's behalf. */
 	z.object({
 		kind: z.literal('relay'),
 		from: senderSchema,
 		name: nameSchema,
 		address: peerAddressSchema,
 	}),
-	/** Tells that a relayed probe was answered. */
+	/** Reports that an indirect probe was answered. */
 	z.object({
 		kind: z.literal('vouch'),
 		from: senderSchema,
@@ -121,7 +120,7 @@
 		kind: z.literal('ack'),
 		from: senderSchema,
 		records: pageSchema,
-		/** Whether the answerer lacks the sender's newest record. */
+		/** Whether the answering member lacks the sender's newest record. */
 		needsRecord: z.boolean(),
 	}),
 	z.object({
@@ -140,10 +139,10 @@
 
 export type Announcement = z.infer<typeof announcementSchema>;
 
-/** What an upstream says of itself when it is asked. */
+/** Identity, load and report of an upstream, from the response to a probe. */
 export type UpstreamIdentity = Pick<Announcement, 'slots'> & {
 	readonly id: string;
-	/** Absent when it does not tell. */
+	/** Absent when the upstream does not report it. */
 	readonly load?: GateLoad | undefined;
 	readonly report: UpstreamReport;
 };
@@ -156,7 +155,7 @@
 
 /** An upstream of a known member. */
 export type Upstream = Omit<z.infer<typeof upstreamSchema>, 'ageMs'> & {
-	/** When it became known, on the own process's monotonic clock, ms. */
+	/** When it became known, on this process's monotonic clock, ms. */
 	readonly since: number;
 };
 
@@ -171,17 +170,17 @@
 	readonly address: string;
 	readonly dataCentre: string;
 	readonly slots: number;
-	/** Since when it is known, on the own process's monotonic clock. */
+	/** When it became known, on this process's monotonic clock, ms. */
 	readonly sinceMs: number;
-	/** Rate that its link has at least, Mbit/s; usual when absent. */
+	/** Minimum bandwidth of its link, Mbit/s; that of the reference host when absent. */
 	readonly linkMbps?: number | undefined;
 };
 
-/** What the other tasks of a node need to know of the members. */
+/** View of the members for the other tasks of a node. */
 export type MembersView = {
 	readonly self: Member;
 	readonly members: readonly Member[];
 	readonly candidates: ReadonlyMap<string, readonly Candidate[]>;
-	/** Data centres that the own one cannot reach; their members are kept. */
+	/** Data centres that the local one cannot reach; their members are kept. */
 	readonly unreachable?: ReadonlySet<string>;
 };
--- a/src/protocol/mesh-settings.ts
+++ b/src/protocol/mesh-settings.ts
@@ -1,38 +1,38 @@
 /**
- * Settings of a node whose platform starts it, keeps its configuration and
- * tells it where everything is.
+ * Settings of a node that is started by a platform, which also stores its
+ * configuration and provides all addresses.
  */
 
-/** Settings of one such node; addresses are `IP:PORT`. */
+/** Settings of such a node; addresses are `IP:PORT`. */
 export type MeshSettings = {
 	readonly name: string;
 	readonly dataCentre: string;
-	/** Where callers on the host send their requests. */
+	/** Listen address for requests of the callers on the host. */
 	readonly callers: string;
-	/** Where other nodes reach this one. */
+	/** Listen address for other nodes. */
 	readonly peers: string;
-	/** Where metrics are served. */
+	/** Listen address for metrics. */
 	readonly metrics: string;
-	/** Where the platform asks whether the node takes requests. */
+	/** Listen address for the platform's readiness checks. */
 	readonly readiness: string;
-	/** Where the upstream on the host announces itself. */
+	/** Listen address for announcements of the upstream on the host. */
 	readonly announcements: string;
-	/** The platform's store. */
+	/** Address of the platform's store. */
 	readonly store: string;
 	/** Service of the upstream on the host. */
 	readonly service: string | undefined;
 	/** Address of the upstream on the host. */
 	readonly upstreamAddress: string | undefined;
-	/** Time between the announcements of an upstream. */
+	/** Interval of the announcements of an upstream. */
 	readonly announceIntervalMs: number;
-	/** Time from SIGTERM until the process is killed. */
+	/** Grace period from SIGTERM until the process is killed. */
 	readonly graceMs: number;
-	/** Part of a service's requests that may reach a second upstream, over all nodes. */
+	/** Ratio of a service's requests that may be sent to a second upstream, over all nodes. */
 	readonly retryRatio: number;
-	/** Requests that may do so besides, in a window, over all nodes. */
+	/** Requests per window that may be sent to a second upstream in addition, over all nodes. */
 	readonly retrySlack: number;
 	readonly retryWindowMs: number;
-	/** Processor time that the node gets, in seconds of one core a second. */
+	/** Processor time available to the node, in seconds of one core per second. */
 	readonly cores?: number | undefined;
 	/** Bandwidth of the host's link. */
 	readonly linkMbps?: number | undefined;
--- a/src/protocol/metric-names.test.ts
+++ b/src/protocol/metric-names.test.ts
@@ -3,7 +3,7 @@
 import {readTable} from '../../scripts/read-table.js';
 import {metricNames} from './metric-names.js';
 
-test('docs/METRICS.md has every metric with its unit', async () => {
+test('docs/METRICS.md lists every metric with its unit', async () => {
 	const rows = await readTable('METRICS.md', 'Name');
 	assert.deepEqual(
 		rows.map(([name]) => name),
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -1,5 +1,5 @@
 /**
- * Names of all metrics, without the prefix `boragehitch.`.
+ * Names of all StatsD metrics, without the prefix `boragehitch.`.
  */
 export const metricNames = [
 	'requests',
@@ -20,7 +20,7 @@
 export type MetricName = (typeof metricNames)[number];
 
 /**
- * Names of the metrics that a node of the users' platform serves as text.
+ * Names of the metrics that a node started by a platform serves in a text format.
  */
 export const meshMetricNames = {
 	requests: 'boragehitch_requests_total',
--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -4,7 +4,7 @@
  */
 import type {OutcomeKind, OutcomeReason} from './request.js';
 
-/** What all events have in common. */
+/** Fields of all events. */
 type HopEvent = {
 	readonly requestId: string;
 	readonly team: string;
@@ -12,28 +12,28 @@
 	readonly outcome: OutcomeKind;
 	/** Absent when the outcome is `answered`. */
 	readonly reason: OutcomeReason | undefined;
-	/** Status of the answer; 0 when there was none. */
+	/** Status of the response; 0 without a response. */
 	readonly status: number;
-	/** Monotonic start time in ms, of `performance.now()`. */
+	/** Start time, monotonic ms of `performance.now()`. */
 	readonly startedAtMs: number;
 	readonly durationMs: number;
-	/** Trace context that came in, W3C `traceparent`. */
+	/** Trace context as received, W3C `traceparent`. */
 	readonly parentTraceparent: string | undefined;
-	/** Trace context of this hop, which was sent on. */
+	/** Trace context of this hop, as passed on. */
 	readonly traceparent: string | undefined;
 };
 
-/** A request of a caller has got its final outcome. */
+/** Reported when a request of a caller has its final outcome. */
 export type RequestEvent = HopEvent & {
 	readonly route: string;
 	readonly method: string;
-	/** Attempts that were made. */
+	/** Number of attempts. */
 	readonly attempts: number;
-	/** How late the node was with the request when it read it, ms. */
+	/** Event loop lag of the node when it read the request, ms. */
 	readonly lagMs: number;
 };
 
-/** An attempt at a request has ended at the caller's node. */
+/** Reported when an attempt has ended at the caller's node. */
 export type AttemptEvent = HopEvent & {
 	readonly attemptId: string;
 	/** Number of the attempt, from 1. */
@@ -41,20 +41,20 @@
 	readonly host: string;
 };
 
-/** An attempt has ended at the gate. */
+/** Reported when an attempt has ended at the gate. */
 export type GateEvent = HopEvent & {
 	readonly attemptId: string;
-	/** Time spent in the gate's queue. */
+	/** Time spent in the gate's queue, ms. */
 	readonly queuedMs: number;
-	/** Its age when it was admitted, by the account of its sender, ms; undefined when that is not known. */
+	/** Age at admission, from the creation time that the sender states, ms; undefined when not known. */
 	readonly ageMs: number | undefined;
-	/** How long it may have lain unread at the gate, as the gate's lag says, ms. */
+	/** Time that it may have waited unread at the gate, from the gate's event loop lag, ms. */
 	readonly unreadMs: number;
 };
 
-/** Receives events; must return at once and must not throw. */
+/** Receives events; the methods must not block or throw. */
 export type RequestObserver = {
-	/** Makes a hop's trace context; without it the incoming one is sent on. */
+	/** Creates the trace context of a hop; when absent, the received one is passed on. */
 	readonly createTraceparent?: (
 		parent: string | undefined,
 	) => string | undefined;
--- a/src/protocol/parse-manifest.ts
+++ b/src/protocol/parse-manifest.ts
@@ -14,10 +14,10 @@
 }
 
 /**
- * Parses a manifest: its size, its JSON without duplicate keys, its schema.
+ * Parses a manifest and checks its size, JSON syntax, duplicate keys and schema.
  *
  * @param text - the manifest as JSON
- * @returns the manifest with defaults filled in, or every problem found
+ * @returns the manifest with defaults filled in, or all problems found
  * @example
  * parseManifest('{"team": "kitchens", "replaces": 0}').isOk(); // true
  */
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -16,37 +16,37 @@
 const versionSchema = z.int().min(0);
 const nodeNameSchema = z.string().max(64);
 
-/** A version that a node has refused, and why. */
+/** A version that a node has refused, with the reason. */
 export const refusalSchema = z.object({
 	name: nodeNameSchema,
 	version: versionSchema,
 	problem: problemSchema,
 });
 
-/** Progress of a node and of all nodes below it in the delivery tree. */
+/** Progress of a node and of all its descendants in the delivery tree. */
 export const progressSchema = z.object({
-	/** Lowest version that one of them runs. */
+	/** Lowest version that any of them runs. */
 	version: versionSchema,
 	members: z.int().min(0).max(1_000_000),
-	/** Sum of the hashes of their names; tells which members are counted. */
+	/** Sum of the hashes of their names; identifies the set of counted members. */
 	nameSum: z.int().min(0),
-	/** Names of some that run the lowest version. */
+	/** Names of some of the nodes that run the lowest version. */
 	laggards: z.array(nodeNameSchema).max(maxNamesPerReport),
 	refusals: z.array(refusalSchema).max(maxNamesPerReport),
 });
 
-/** A node's request for configuration newer than what it has. */
+/** A node's request for a configuration newer than its own. */
 export const pollSchema = z.object({
 	name: nodeNameSchema,
 	haveVersion: versionSchema,
 	haveDigest: z.string().max(64),
-	/** Only a version above this one is of use to the node. */
+	/** The node can only use versions above this one. */
 	afterVersion: versionSchema,
-	/** Whether entries would not help, since they did not fit before. */
+	/** Whether the node needs a snapshot, since log entries could not be applied before. */
 	wantSnapshot: z.boolean(),
-	/** Highest version known to be held by enough hosts to be run. */
+	/** Highest version known to be held by enough hosts to be safe to run. */
 	safeVersion: versionSchema,
-	/** Present when the node counts as a child of the one it asks. */
+	/** Present when the polling node is a child of the polled one in the delivery tree. */
 	progress: progressSchema.optional(),
 	waitMs: z.int().min(0).max(60_000),
 });
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -15,7 +15,7 @@
 	| {readonly kind: 'absent'}
 	| {readonly kind: 'unavailable'};
 
-/** Outcome of a conditional write; `unknown` may have taken effect. */
+/** Outcome of a conditional write; after `unknown` the write may have taken effect. */
 export type WriteOutcome =
 	| {readonly kind: 'written'; readonly version: number}
 	| {readonly kind: 'conflict'}
@@ -33,12 +33,12 @@
 	| {readonly kind: 'compacted'}
 	| {readonly kind: 'unavailable'};
 
-/** Condition of a write: absent, or at a given version. */
+/** Condition of a write: the object is absent, or has a given version. */
 export type WriteCondition =
 	| {readonly kind: 'absent'}
 	| {readonly kind: 'version'; readonly version: number};
 
-/** A call to the platform, as an effect of a state machine. */
+/** A call to the platform, as an effect of a state machine step. */
 export type PlatformCall =
 	| {readonly kind: 'read'; readonly key: string}
 	| {
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -64,18 +64,18 @@
 
 export type OutcomeReason = (typeof outcomeReasons)[number];
 
-/** A route with everything resolved that a request needs. */
+/** A route with all references resolved. */
 export type CompiledRoute = {
 	readonly team: string;
 	readonly name: string;
 	readonly path: string;
 	readonly methods: ReadonlySet<string>;
 	readonly service: string;
-	/** Services among which the requests are shared; only `service` if absent. */
+	/** Services between which the requests are split; only `service` when absent. */
 	readonly targets?: readonly RouteTarget[] | undefined;
-	/** Rank among the requests that wait for a slot; 0 goes first. */
+	/** Rank among the requests that wait for a slot; 0 is the highest. */
 	readonly priority?: number | undefined;
-	/** Time within which an answer has its full value, ms. */
+	/** Latency objective, ms. */
 	readonly objectiveMs?: number | undefined;
 	readonly repeatable: boolean;
 	readonly deadlineMs: number;
@@ -83,7 +83,7 @@
 	readonly concurrency: number;
 	readonly maxBodyBytes: number;
 	readonly sheddingMeansNotRun: boolean;
-	/** Whether an upstream of the service is known; else the route is pending. */
+	/** Whether an upstream of the service is known; otherwise the route is pending. */
 	readonly isLive: boolean;
 };
 
@@ -99,15 +99,15 @@
 	readonly kind: 'document';
 	readonly version: number;
 	readonly byHost: ReadonlyMap<string, ReadonlyMap<string, HostRoute>>;
-	/** Whether a route can't be read, nor its host, so that any unknown request may be for it. */
+	/** Whether there is an unreadable route with unknown host, to which any request without a matching route may belong. */
 	readonly hasRouteWithUnknownHost: boolean;
 };
 
 /** Compiled routes, to be matched with `matchRoute`. */
 export type RouteTable = ManifestRouteTable | DocumentRouteTable;
 
-/** A route that nodes can't read; its requests are refused. */
+/** A route that cannot be read; its requests are refused. */
 export type UnreadableRoute = 'unreadable';
 
-/** What a document says of the requests of a host under a path prefix. */
+/** Route of the requests to a host under a path prefix. */
 export type HostRoute = CompiledRoute | UnreadableRoute;
--- a/src/protocol/routing-document.ts
+++ b/src/protocol/routing-document.ts
@@ -1,14 +1,14 @@
 /**
- * Schemas and types of a routing document: a whole configuration that an
- * operator writes at once and that the platform has accepted. Nodes of other
- * versions send them too, so fields that are not known are passed over.
+ * Schemas and types of a routing document: a full configuration that an operator
+ * writes as one document and that the platform has accepted. Documents may come
+ * from nodes of other versions, so unknown fields are ignored.
  */
 import * as z from 'zod';
 
-/** A service that requests may go to, with its part of them. */
+/** A target service of a route, with its weight. */
 export const routeTargetSchema = z.object({
 	service: z.string(),
-	/** Part of the route's requests, relative to the other targets. */
+	/** Weight of the service relative to the other targets of the route. */
 	weight: z.number().min(0),
 });
 
@@ -19,36 +19,36 @@
 	pathPrefix: z.string(),
 	/** Whether a request may run more than once. */
 	repeatable: z.boolean(),
-	/** Longest time until the final answer, ms. */
+	/** Time limit until the final response, ms. */
 	timeoutMs: z.number().positive(),
-	/** Time within which an answer has its full value, ms. */
+	/** Latency objective, ms. */
 	objectiveMs: z.number().positive(),
-	/** Rank among the requests that wait for a slot; 0 goes first. */
+	/** Rank among the requests that wait for a slot; 0 is the highest. */
 	priority: z.int().min(0),
-	/** Most upstreams to which one request may be sent. */
+	/** Maximum number of upstreams to which a request may be sent. */
 	maxAttempts: z.int().min(1),
 	targets: z.array(routeTargetSchema).min(1),
 });
 
-/** What a document says of a service. */
+/** Settings of a service in a document. */
 export const documentServiceSchema = z.object({
 	healthPath: z.string(),
-	/** Most connections that an upstream accepts. */
+	/** Maximum number of connections that an upstream accepts. */
 	connections: z.int().min(1),
 });
 
-/** Bounds on what a client may send. */
+/** Limits for clients. */
 export const clientLimitsSchema = z.object({
 	maxHeaderBytes: z.number().positive(),
 	maxBodyBytes: z.number().positive(),
 	headerTimeoutMs: z.number().positive(),
-	/** How long a client may leave a connection idle, ms. */
+	/** Time for which a client may keep a connection idle, ms. */
 	idleTimeoutMs: z.number().positive(),
 });
 
-/** A part of a document that nodes can't read, and what becomes of it. */
+/** A part of a document that cannot be read, and how it is handled. */
 export const documentProblemSchema = z.discriminatedUnion('kind', [
-	/** Requests of the route are refused; host and path are absent when they can't be read either. */
+	/** Requests of the route are refused; host and path prefix are absent when they cannot be read either. */
 	z.object({
 		kind: z.literal('route-refused'),
 		name: z.string(),
@@ -56,16 +56,16 @@
 		host: z.string().optional(),
 		pathPrefix: z.string().optional(),
 	}),
-	/** Requests of these routes run at most once, as nothing is known of them. */
+	/** Requests of these routes run at most once, as their kind of request is unknown. */
 	z.object({
 		kind: z.literal('never-repeated'),
 		/** The unknown kind of request. */
 		name: z.string(),
-		/** One of the routes. */
+		/** Name of one of the routes. */
 		route: z.string(),
 		routes: z.int().min(1),
 	}),
-	/** What the part says is not regarded. */
+	/** The part is ignored. */
 	z.object({
 		kind: z.literal('left-out'),
 		part: z.enum(['service', 'limits', 'resource']),
@@ -74,13 +74,13 @@
 	}),
 ]);
 
-/** A whole configuration. */
+/** A full configuration as one document. */
 export const routingDocumentSchema = z.object({
 	version: z.int().min(0),
 	routes: z.array(documentRouteSchema),
 	services: z.record(z.string(), documentServiceSchema),
 	limits: clientLimitsSchema.optional(),
-	/** Absent when every part could be read. */
+	/** Absent when all parts could be read. */
 	problems: z.array(documentProblemSchema).optional(),
 });
 
@@ -91,21 +91,21 @@
 export type DocumentProblem = z.infer<typeof documentProblemSchema>;
 export type RoutingDocument = z.infer<typeof routingDocumentSchema>;
 
-/** A node's request for a document newer than the one it has. */
+/** A node's request for a document newer than its own. */
 export const documentPollSchema = z.object({
 	name: z.string().max(64),
-	/** Version that the asking node runs; -1 when it has none. */
+	/** Version that the polling node runs; -1 when it has none. */
 	version: z.int().min(-1),
 	waitMs: z.int().min(0).max(60_000),
 });
 
-/** What turns the document of one version into that of a later one. */
+/** Changes from the document of one version to that of a later one. */
 export const documentChangesSchema = z.object({
 	from: z.int().min(0),
 	to: z.int().min(0),
-	/** Names of routes that are gone or are put again with other content. */
+	/** Names of routes that are deleted, or are replaced by a route in `put`. */
 	removed: z.array(z.string()),
-	/** Routes with their places in the later document. */
+	/** New and replaced routes with their indices in the later document. */
 	put: z.array(z.object({index: z.int().min(0), route: documentRouteSchema})),
 	services: z.record(z.string(), documentServiceSchema),
 	limits: clientLimitsSchema.optional(),
@@ -115,7 +115,7 @@
 /** Time since the answering node's copy was last confirmed, ms. */
 const ageMsSchema = z.number().min(0);
 
-/** The answer to a poll as it is sent; texts are compressed. */
+/** The answer to a poll as sent; texts are compressed. */
 export const encodedDocumentAnswerSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('unchanged'), ageMs: ageMsSchema}),
 	z.object({
@@ -136,9 +136,9 @@
 
 /** The answer to a poll. */
 export type DocumentAnswer =
-	/** Nothing is newer than what the asking node has. */
+	/** There is no newer document. */
 	| {readonly kind: 'unchanged'; readonly ageMs: number}
-	/** Changes of the document that the asking node has. */
+	/** Changes to the polling node's document. */
 	| {
 			readonly kind: 'changes';
 			readonly ageMs: number;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,8 +1,8 @@
 /**
  * Schema and types of a node's settings, as read from an INI file.
  *
- * The description of each setting says what is allowed; it is part of the
- * messages of refused files and of docs/CONFIGURATION.md.
+ * The description of each setting states the allowed values. It appears in error
+ * messages about invalid files and in docs/CONFIGURATION.md.
  */
 import * as z from 'zod';
 import {maxCapacity, referenceCapacity} from './constants.js';
--- a/src/protocol/stamp.ts
+++ b/src/protocol/stamp.ts
@@ -1,17 +1,17 @@
 /**
- * Type of the stamps that gates hand out with each answer.
+ * Type of the stamps that gates issue with each response.
  */
 
 /**
- * A point in the life of one gate process.
+ * A point in time on the monotonic clock of one gate process.
  *
- * An attempt carries the newest stamp that its sender holds of the gate. The
- * gate runs it only when the stamp is its own and recent, so that it needs to
- * remember an attempt no longer than its stamp is valid.
+ * An attempt carries the newest stamp of the gate that its sender has. The gate
+ * runs the attempt only if the gate process itself issued the stamp recently, so
+ * that it has to record an attempt only while its stamp is valid.
  */
 export type GateStamp = {
-	/** Random name of the gate's process. */
+	/** Random identifier of the gate process. */
 	readonly epoch: string;
-	/** The gate's monotonic time in ms when it handed out the stamp. */
+	/** When the gate issued the stamp, ms on its monotonic clock. */
 	readonly timeMs: number;
 };
