--- a/src/state/_lib/is-same-route.ts
+++ b/src/state/_lib/is-same-route.ts
@@ -1,6 +1,6 @@
 import type {DocumentRoute} from '../../protocol/routing-document.js';
 
-/** Tells whether two routes of documents say the same. */
+/** Tells whether two routes of documents are equal in all fields. */
 export function isSameRoute(a: DocumentRoute, b: DocumentRoute): boolean {
 	return (
 		a.name === b.name &&
--- a/src/state/apply-commits.ts
+++ b/src/state/apply-commits.ts
@@ -33,11 +33,11 @@
 }
 
 /**
- * Applies accepted manifests to a configuration, giving the next version.
+ * Applies accepted manifests to a configuration and returns the next version.
  *
- * Validity is the caller's concern: see `validateManifest` and `applyEntry`.
+ * The manifests are not validated; see `validateManifest` and `applyEntry`.
  *
- * @param configuration - the configuration before; left as it is
+ * @param configuration - the configuration before; not modified
  * @param commits - accepted manifests in order
  * @returns the configuration with its version raised by one
  * @example
--- a/src/state/apply-document-changes.test.ts
+++ b/src/state/apply-document-changes.test.ts
@@ -21,7 +21,7 @@
 	services: {},
 };
 
-test('changes give the later document, in its order, and keep what stays', () => {
+test('changes yield the later document in its order and reuse unchanged routes', () => {
 	const next = applyDocumentChanges(base, changes)._unsafeUnwrap();
 	assert.deepEqual(next, {
 		version: 7,
@@ -31,7 +31,7 @@
 	assert.equal(next.routes[1], base.routes[2]);
 });
 
-test('changes that do not fit their base are not applied in part', () => {
+test('changes that do not match their base are refused as a whole', () => {
 	const misfits: DocumentChanges[] = [
 		{...changes, from: 3},
 		{...changes, to: 4},
--- a/src/state/apply-document-changes.ts
+++ b/src/state/apply-document-changes.ts
@@ -6,13 +6,13 @@
 } from '../protocol/routing-document.js';
 
 /**
- * Applies changes to the document that they start from, all or none of them.
+ * Applies changes to their base document, either all of them or none.
  *
- * Routes that stay are the same objects in both documents.
+ * Unchanged routes are the same objects in both documents.
  *
- * @param base - the document of the version that the changes start from
- * @param changes - what changes
- * @returns the later document, or why the changes do not fit
+ * @param base - the document of the version to which the changes apply
+ * @param changes - the changes
+ * @returns the later document, or the reason why the changes cannot be applied
  * @example
  * applyDocumentChanges(base, changes).map(({version}) => version);
  */
@@ -28,7 +28,7 @@
 	const removedNames = new Set(removed);
 	const kept = base.routes.filter(({name}) => !removedNames.has(name));
 	if (kept.length !== base.routes.length - removed.length) {
-		return err('routes that are to be removed are not there');
+		return err('removed routes are missing or not unique in the base document');
 	}
 
 	const putByIndex = new Map(put.map(({index, route}) => [index, route]));
@@ -37,7 +37,7 @@
 	for (let index = 0; index < kept.length + put.length; index++) {
 		const route = putByIndex.get(index) ?? kept[nextKept++];
 		if (!route) {
-			return err('routes are put in places that do not exist');
+			return err('indices of new routes are out of range or repeated');
 		}
 
 		routes.push(route);
--- a/src/state/apply-entry.ts
+++ b/src/state/apply-entry.ts
@@ -8,14 +8,15 @@
 import {validateManifest} from './validate-manifest.js';
 
 /**
- * Applies a log entry to a configuration, checking every invariant.
+ * Applies a log entry to a configuration and checks all invariants.
  *
- * The entry must be the next version, each of its manifests must be valid on
- * the configuration so far, and the result must have the entry's digest.
+ * The entry must have the next version, each of its manifests must be valid for
+ * the configuration with the preceding manifests applied, and the result must
+ * have the entry's digest.
  *
- * @param configuration - the configuration before; left as it is
+ * @param configuration - the configuration before; not modified
  * @param entry - the log entry to apply
- * @returns the next configuration, or the problem for which it is refused
+ * @returns the next configuration, or the problem for which the entry is refused
  * @example
  * applyEntry(createConfiguration(), entry).isOk();
  */
@@ -46,7 +47,7 @@
 		return err({
 			code: 'digest',
 			place: 'digest',
-			message: 'the result does not have the digest of the entry',
+			message: 'the digest of the resulting configuration differs from that of the entry',
 		});
 	}
 
--- a/src/state/compile-document.test.ts
+++ b/src/state/compile-document.test.ts
@@ -43,19 +43,19 @@
 	assert.equal(match(problems, 'b.example', '/x/1'), undefined);
 });
 
-test('an unreadable route without a path covers the rest of its host', () => {
+test('an unreadable route without a path matches all otherwise unmatched requests of its host', () => {
 	const problems = [{...refused, host: 'a.example'}];
 	assert.equal(match(problems, 'a.example', '/y/1'), 'unreadable');
 	assert.equal(match(problems, 'a.example', '/lookup/1'), 'r-lookup');
 	assert.equal(match(problems, 'b.example', '/y/1'), undefined);
 });
 
-test('no request is said to have no route while a route has no known host', () => {
+test('unmatched requests are refused while an unreadable route has no known host', () => {
 	assert.equal(match([refused], 'b.example', '/y/1'), 'unreadable');
 	assert.equal(match([refused], 'a.example', '/lookup/1'), 'r-lookup');
 });
 
-test('an unreadable route does not displace one that can be read', () => {
+test('an unreadable route does not override a readable one', () => {
 	const problems = [{...refused, host: 'a.example', pathPrefix: '/lookup/'}];
 	assert.equal(match(problems, 'a.example', '/lookup/1'), 'r-lookup');
 });
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -9,7 +9,7 @@
 	RoutingDocument,
 } from '../protocol/routing-document.js';
 
-/** Compiled routes by what they were compiled from. */
+/** Cache of compiled routes by their source. */
 const compiledRoutes = new WeakMap<DocumentRoute, CompiledRoute>();
 
 function compileRoute(route: DocumentRoute, maxBytes: number): CompiledRoute {
@@ -53,11 +53,11 @@
 }
 
 /**
- * Compiles the routes of a document into a table for matching requests. A
- * route that is the same object as before is compiled once.
+ * Compiles the routes of a document into a table for matching requests. A route
+ * that is the same object in several documents is compiled once.
  *
  * @param document - the document
- * @returns the route table, to be swapped in whole
+ * @returns the route table, which replaces the previous one as a whole
  * @example
  * compileDocument({version: 1, routes: [], services: {}}).version; // 1
  */
@@ -71,8 +71,8 @@
 		);
 	}
 
-	// Requests may be for a route that can't be read under its path, or anywhere
-	// on its host that no other route covers.
+	// Requests under the path prefix of an unreadable route may belong to it; when
+	// the prefix is unknown, so may all unmatched requests of its host.
 	let hasRouteWithUnknownHost = false;
 	for (const problem of document.problems ?? []) {
 		if (problem.kind !== 'route-refused') {
--- a/src/state/compile-routes.test.ts
+++ b/src/state/compile-routes.test.ts
@@ -22,7 +22,7 @@
 	{submissionId: 'a', acceptedAtMs: 0, manifest},
 ]);
 
-test('a route is live only where an upstream of its service is known', () => {
+test('a route is live only if an upstream of its service is known', () => {
 	const table = compileRoutes(configuration, new Set(['kitchens/pantry']));
 	const isLive = (path: string) =>
 		matchRoute(table, {method: 'GET', host: '', path})?.isLive;
--- a/src/state/compile-routes.ts
+++ b/src/state/compile-routes.ts
@@ -2,7 +2,7 @@
 import type {CompiledRoute, ManifestRouteTable} from '../protocol/request.js';
 import {resolveService} from './resolve-service.js';
 
-/** Names of services; a map with these keys will do. */
+/** Names of services, as a set or as a map with these keys. */
 type ServiceNames = {has(service: string): boolean};
 
 function compileTeam(
@@ -34,12 +34,12 @@
 /**
  * Compiles the routes of a configuration into a table for matching requests.
  *
- * A route is live only where an upstream of its service is known; the others
- * are pending, and a request for one is refused as not run.
+ * A route is live only if an upstream of its service is known; other routes are
+ * pending, and their requests are refused with the outcome `not-run`.
  *
- * @param configuration - a configuration whose invariants hold
+ * @param configuration - a valid configuration
  * @param services - full names of the services with a known upstream
- * @returns the route table, to be swapped in whole
+ * @returns the route table, which replaces the previous one as a whole
  * @example
  * compileRoutes(createConfiguration(), new Set()).version; // 0
  */
--- a/src/state/compute-configuration-digest.ts
+++ b/src/state/compute-configuration-digest.ts
@@ -4,8 +4,8 @@
 /**
  * Computes the digest of a whole configuration from its teams' digests.
  *
- * A change of one team costs one hash over that team and one over the list of
- * team digests, whatever the size of the other teams.
+ * After a change of one team, only the digest of that team and the hash of the
+ * list of team digests are computed again, whatever the size of the other teams.
  *
  * @param version - version of the configuration
  * @param teams - teams by name, each with its digest
--- a/src/state/compute-document-changes.test.ts
+++ b/src/state/compute-document-changes.test.ts
@@ -22,7 +22,7 @@
 	names.map((name) => createSampleRoute(name)),
 );
 
-test('changes name only the routes that differ and lead to the same document', () => {
+test('changes contain only the routes that differ and yield the same document', () => {
 	const next = mergeDocument(
 		base,
 		createDocument(2, [
@@ -46,7 +46,7 @@
 	assert.deepEqual(applyDocumentChanges(base, changes)._unsafeUnwrap(), next);
 });
 
-test('routes in another order or of one name are not told in changes', () => {
+test('reordered routes or duplicate route names require the full document', () => {
 	const reordered = createDocument(2, base.routes.toReversed());
 	assert.equal(computeDocumentChanges(base, reordered), undefined);
 	const twice = createDocument(1, [
--- a/src/state/compute-document-changes.ts
+++ b/src/state/compute-document-changes.ts
@@ -5,14 +5,14 @@
 import {applyDocumentChanges} from './apply-document-changes.js';
 
 /**
- * Computes what turns one document into a later one.
+ * Computes the changes from one document to a later one.
  *
- * A route has stayed when it is the same object in both. Routes that change
- * their order, or share a name, cannot be told in changes.
+ * A route is unchanged if it is the same object in both. Reordered routes, and
+ * routes that share a name, cannot be expressed as changes.
  *
  * @param base - the earlier document
  * @param next - the later document
- * @returns the changes, or undefined when only the whole document will do
+ * @returns the changes, or undefined when the full document is needed
  * @example
  * computeDocumentChanges(base, next)?.put.length;
  */
--- a/src/state/compute-team-digest.ts
+++ b/src/state/compute-team-digest.ts
@@ -4,7 +4,7 @@
 /**
  * Computes the digest of one team's part of the configuration.
  *
- * @param team - the team's configuration; its own `digest` field is left out
+ * @param team - the team's configuration; a `digest` field is ignored
  * @returns the digest, 64 hexadecimal digits
  * @example
  * computeTeamDigest({...team, routes: []});
--- a/src/state/decode-document-answer.test.ts
+++ b/src/state/decode-document-answer.test.ts
@@ -8,7 +8,7 @@
 
 const ageMs = 7;
 
-test('an answer is the same after it was sent', () => {
+test('encoding and decoding preserves an answer', () => {
 	const answers: DocumentAnswer[] = [
 		{kind: 'unchanged', ageMs},
 		{kind: 'whole', ageMs, document: {version: 1, routes: [], services: {}}},
@@ -25,7 +25,7 @@
 	}
 });
 
-test('a text that is cut, has other content or grows too long is refused', () => {
+test('a text that is truncated, has an invalid content or inflates beyond the limit is refused', () => {
 	const whole = deflateSync('{"version":1,"routes":[],"services":{}}');
 	const long = deflateSync(' '.repeat(maxDocumentBytes + 1));
 	const texts = [
--- a/src/state/decode-document-answer.ts
+++ b/src/state/decode-document-answer.ts
@@ -17,10 +17,10 @@
 }
 
 /**
- * Decodes the answer to a poll for a document and checks what it holds.
+ * Decodes the answer to a poll for a document and validates its content.
  *
- * @param value - what another node has sent
- * @returns the answer, or why it cannot be used
+ * @param value - the answer as received from another node
+ * @returns the answer, or the reason why it is invalid
  * @example
  * decodeDocumentAnswer({kind: 'unchanged', ageMs: 10}).isOk(); // true
  */
--- a/src/state/decode-member.ts
+++ b/src/state/decode-member.ts
@@ -1,10 +1,10 @@
 import type {Member, MemberRecord} from '../protocol/member.js';
 
 /**
- * Decodes a received record, with times on the own clock in place of ages.
+ * Decodes a received record; ages are converted to times of the local clock.
  *
  * @param record - the record received
- * @param now - the own monotonic time, ms
+ * @param now - local monotonic ms
  * @returns the member
  * @example
  * decodeMember({...record, upstreams: []}, 0).upstreams; // []
--- a/src/state/decode-snapshot.ts
+++ b/src/state/decode-snapshot.ts
@@ -14,9 +14,9 @@
 /**
  * Decodes the chunks of a snapshot and validates the configuration in it.
  *
- * @param head - the head that names the snapshot
+ * @param head - the head that refers to the snapshot
  * @param texts - texts of the chunks in order
- * @returns the configuration, or why it is refused
+ * @returns the configuration, or the problem for which the snapshot is refused
  * @example
  * decodeSnapshot(head, texts).isOk();
  */
@@ -30,20 +30,20 @@
 			(text, index) => computeTextDigest(text) === head.chunks[index],
 		);
 	if (!isIntact) {
-		return refuse('a chunk does not have its digest');
+		return refuse('a chunk is missing or does not match its digest');
 	}
 
 	let value: unknown;
 	try {
 		value = JSON.parse(texts.join(''));
 	} catch {
-		return refuse('the chunks are not JSON');
+		return refuse('the chunks do not form valid JSON');
 	}
 
 	return validateConfiguration(value).andThen((configuration) =>
 		configuration.version === head.version &&
 		configuration.digest === head.digest
 			? ok(configuration)
-			: refuse('the snapshot is not the one that the head names'),
+			: refuse('the version or digest of the snapshot differs from that of its head'),
 	);
 }
--- a/src/state/encode-document-answer.ts
+++ b/src/state/encode-document-answer.ts
@@ -6,7 +6,7 @@
 	RoutingDocument,
 } from '../protocol/routing-document.js';
 
-/** Texts by what they hold, so that all receivers share one. */
+/** Cache of encoded texts by their content, shared by all receivers. */
 const encodedTexts = new WeakMap<DocumentChanges | RoutingDocument, string>();
 
 function encodeText(value: DocumentChanges | RoutingDocument): string {
@@ -21,11 +21,11 @@
 }
 
 /**
- * Encodes the answer to a poll for a document; what it holds is compressed
- * once, however many nodes it is sent to.
+ * Encodes the answer to a poll for a document. The content is compressed once,
+ * whatever the number of nodes to which it is sent.
  *
  * @param answer - the answer
- * @returns what is sent
+ * @returns the answer as sent
  * @example
  * encodeDocumentAnswer({kind: 'unchanged', ageMs: 10}).kind; // 'unchanged'
  */
--- a/src/state/encode-member.test.ts
+++ b/src/state/encode-member.test.ts
@@ -7,7 +7,7 @@
 
 const member = createSampleMember();
 
-test('a capacity is sent when it is not the usual one', () => {
+test('a capacity is sent only if it differs from the reference capacity', () => {
 	const sent = ([undefined, 1000, 5] as const).map((capacity) =>
 		encodeMember({...member, capacity}, 0),
 	);
--- a/src/state/encode-member.ts
+++ b/src/state/encode-member.ts
@@ -2,12 +2,13 @@
 import type {Member, MemberRecord} from '../protocol/member.js';
 
 /**
- * Encodes a member as the record that is sent, with ages in place of times.
+ * Encodes a member as a record to be sent; times are converted to ages.
  *
- * The usual capacity is left out, as nodes that know of none refuse the field.
+ * The reference capacity is omitted, since nodes that do not know the field refuse
+ * it.
  *
  * @param member - the member
- * @param now - the own monotonic time, ms
+ * @param now - local monotonic ms
  * @returns the record
  * @example
  * encodeMember({...member, upstreams: []}, 0).upstreams; // []
--- a/src/state/encode-snapshot.ts
+++ b/src/state/encode-snapshot.ts
@@ -7,13 +7,13 @@
 export type SnapshotChunk = {readonly text: string; readonly digest: string};
 
 /**
- * Encodes a configuration as chunks that each fit a platform object.
+ * Encodes a configuration as chunks, each of which fits into a platform object.
  *
- * The same configuration always gives the same chunks, so that two writers of
- * one version write the same objects.
+ * The encoding is deterministic, so that several writers of one version write the
+ * same objects.
  *
  * @param configuration - the configuration
- * @param chunkLength - most characters in a chunk
+ * @param chunkLength - maximum number of characters in a chunk
  * @returns the chunks in order
  * @example
  * encodeSnapshot(createConfiguration()).length; // 1
--- a/src/state/find-member.ts
+++ b/src/state/find-member.ts
@@ -7,7 +7,7 @@
  *
  * @param table - the known members
  * @param name - the member's name
- * @returns the member, or undefined
+ * @returns the member, or undefined when there is none
  * @example
  * findMember(new Map(), 'abdali-1'); // undefined
  */
--- a/src/state/format-log-key.ts
+++ b/src/state/format-log-key.ts
@@ -1,12 +1,12 @@
 import {logRingSize} from '../protocol/constants.js';
 
-/** Prefix of the keys of log entries in the platform. */
+/** Prefix of the keys of log entries in the platform's store. */
 export const logPrefix = 'log/';
 
 /**
  * Formats the platform key of the log slot that holds a version.
  *
- * The log is a ring: version `N` overwrites version `N - logRingSize`.
+ * The log is a ring buffer: version `N` overwrites version `N - ringSize`.
  *
  * @param version - version of the entry
  * @param ringSize - number of slots
--- a/src/state/format-service.ts
+++ b/src/state/format-service.ts
@@ -1,6 +1,6 @@
-/** A service as it is announced. */
+/** A service as it is announced by an upstream. */
 export type NamedService = {
-	/** Team that owns it; empty where services have no owners. */
+	/** Team that owns the service; empty for services without owners. */
 	readonly team: string;
 	readonly service: string;
 };
--- a/src/state/format-snapshot-key.ts
+++ b/src/state/format-snapshot-key.ts
@@ -1,7 +1,7 @@
-/** Prefix of the keys of snapshot chunks in the platform. */
+/** Prefix of the keys of snapshot chunks in the platform's store. */
 export const snapshotPrefix = 'snapshots/';
 
-/** Key of the object that names the newest complete snapshot. */
+/** Key of the object that refers to the newest complete snapshot. */
 export const snapshotHeadKey = 'snapshot-heads/main';
 
 /**
--- a/src/state/list-members.ts
+++ b/src/state/list-members.ts
@@ -5,7 +5,7 @@
  * Lists the members of a table.
  *
  * @param table - the known members
- * @param dataCentre - the data centre wanted; all when absent
+ * @param dataCentre - data centre whose members are listed; all when absent
  * @returns the members, in no particular order
  * @example
  * listMembers(new Map()); // []
--- a/src/state/match-route.ts
+++ b/src/state/match-route.ts
@@ -6,7 +6,7 @@
 	RouteTable,
 } from '../protocol/request.js';
 
-/** What of a request selects its route. */
+/** Properties of a request by which its route is selected. */
 export type RouteQuery = {
 	/** HTTP method, upper case. */
 	readonly method: string;
@@ -54,7 +54,8 @@
 		return unknown;
 	}
 
-	// Each prefix ends with a slash, so only the path's slashes can end one.
+	// All path prefixes end with a slash, so only prefixes of the path up to a slash
+	// can match.
 	for (
 		let end = path.lastIndexOf('/');
 		end >= 0;
@@ -70,13 +71,13 @@
 }
 
 /**
- * Finds the route of a request: the longest path that matches, among the routes
- * of the team named by the first path segment, or of the host name.
+ * Finds the route of a request: the one with the longest matching path among the
+ * routes of the team in the first path segment, or among those of the host name.
  *
  * @param table - the compiled routes
  * @param query - see `RouteQuery`
- * @returns the route, `unreadable` when the request may be for one that nodes
- * can't read, or undefined when there is none
+ * @returns the route, `unreadable` when the request may belong to an unreadable
+ * route, or undefined when there is none
  * @example
  * matchRoute(table, {method: 'GET', host, path: '/kitchens/prices/lamb'});
  */
--- a/src/state/member-table.ts
+++ b/src/state/member-table.ts
@@ -3,7 +3,7 @@
  */
 import type {Member} from '../protocol/member.js';
 
-/** Members whose names hash alike, with a digest of the live ones. */
+/** Members whose names have hashes of the same bucket, with a digest of the live ones. */
 export type MemberBucket = {
 	readonly members: ReadonlyMap<string, Member>;
 	/** Sum of the live members' hashes, modulo 2 ** 32. */
--- a/src/state/merge-document.ts
+++ b/src/state/merge-document.ts
@@ -2,11 +2,11 @@
 import {isSameRoute} from './_lib/is-same-route.js';
 
 /**
- * Gives a document the objects of an earlier one for the routes that have
- * stayed the same, so that what was made of them can be used again.
+ * Replaces the unchanged routes of a document by the objects of an earlier one, so
+ * that results cached by route object remain usable.
  *
  * @param earlier - the document that the node has
- * @param next - the document that was read whole
+ * @param next - the document as read in full
  * @returns `next`, with unchanged routes taken from `earlier`
  * @example
  * mergeDocument(earlier, next).routes[0] === earlier.routes[0];
--- a/src/state/merge-member.test.ts
+++ b/src/state/merge-member.test.ts
@@ -18,7 +18,7 @@
 		upstreams: [],
 	}));
 
-test('records merge to the same result in any order and number', () => {
+test('merging is commutative and idempotent', () => {
 	fc.assert(
 		fc.property(
 			fc.array(memberArbitrary, {minLength: 1, maxLength: 5}),
@@ -41,7 +41,7 @@
 	);
 });
 
-test('nothing of an ended incarnation revives it', () => {
+test('records of an ended incarnation do not revive the member', () => {
 	fc.assert(
 		fc.property(memberArbitrary, memberArbitrary, (a, b) => {
 			const merged = mergeMember({...a, state: 'dead'}, b);
--- a/src/state/merge-member.ts
+++ b/src/state/merge-member.ts
@@ -10,14 +10,15 @@
 /**
  * Merges two records of the same member.
  *
- * A higher incarnation wins. Within one incarnation the content of the higher
- * sequence and the graver state are kept, so only the member itself can end a
- * suspicion, by a new incarnation, and a late record revives nobody. The
- * result does not depend on the order or number of messages.
+ * The higher incarnation takes precedence. Within one incarnation the content of
+ * the higher sequence and the state of the higher rank are kept, so that only the
+ * member itself can refute a suspicion, by a new incarnation, and a delayed record
+ * cannot revive a dead member. The result does not depend on the order or number
+ * of the messages.
  *
- * @param current - the record known so far, if any
+ * @param current - the known record, if any
  * @param received - the record received
- * @returns the record to keep; `current` itself when nothing changes
+ * @returns the merged record; `current` itself when nothing changes
  * @example
  * mergeMember(undefined, member) === member; // true
  */
--- a/src/state/put-members.test.ts
+++ b/src/state/put-members.test.ts
@@ -26,7 +26,7 @@
 		.toSorted((a, b) => a.localeCompare(b));
 }
 
-test('digests follow from the members alone, whatever came before', () => {
+test('digests depend only on the current members, not on earlier records', () => {
 	fc.assert(
 		fc.property(fc.array(memberArbitrary, {maxLength: 20}), (records) => {
 			let table: MemberTable = new Map();
--- a/src/state/put-members.ts
+++ b/src/state/put-members.ts
@@ -48,9 +48,9 @@
 }
 
 /**
- * Puts members into a table in place of their earlier records.
+ * Inserts member records into a table, in place of earlier records.
  *
- * @param table - the known members; left as it is
+ * @param table - the known members; not modified
  * @param members - the new records
  * @param removed - names of members to remove
  * @returns the new table
--- a/src/state/resolve-service.ts
+++ b/src/state/resolve-service.ts
@@ -1,7 +1,7 @@
 /**
  * Resolves a route's service reference to a full service name.
  *
- * @param team - the team whose route it is
+ * @param team - the team that owns the route
  * @param reference - `service`, or `team/service` for a shared service
  * @returns the full name, `team/service`
  * @example
--- a/src/state/validate-configuration.ts
+++ b/src/state/validate-configuration.ts
@@ -17,7 +17,7 @@
 		return {
 			code: 'digest',
 			place: `teams.${name}`,
-			message: 'the team does not have its digest',
+			message: 'the team does not match its digest',
 		};
 	}
 
@@ -28,10 +28,10 @@
 }
 
 /**
- * Validates a whole configuration received from elsewhere.
+ * Validates a configuration received from another node or from the platform.
  *
- * Checks the schema, the digest of every team and of the whole, and that each
- * reference of each route holds.
+ * Checks the schema, the digests of the teams and of the configuration, and the
+ * references of all routes.
  *
  * @param value - the value as received
  * @returns the configuration, or the first problem found
@@ -57,7 +57,7 @@
 		return err({
 			code: 'digest',
 			place: 'digest',
-			message: 'the configuration does not have its digest',
+			message: 'the configuration does not match its digest',
 		});
 	}
 
--- a/src/state/validate-manifest.ts
+++ b/src/state/validate-manifest.ts
@@ -117,11 +117,11 @@
 }
 
 /**
- * Validates a manifest against the whole configuration that it would change.
+ * Validates a manifest against the configuration of all teams.
  *
- * @param configuration - the configuration the manifest would be applied to
- * @param manifest - a manifest that has passed its schema
- * @returns every problem found; empty when the manifest can be accepted
+ * @param configuration - the configuration to which the manifest would be applied
+ * @param manifest - a manifest that conforms to its schema
+ * @returns all problems found; empty when the manifest can be accepted
  * @example
  * validateManifest(createConfiguration(), manifest).length; // 0
  */
