--- a/src/state/apply-document-changes.test.ts
+++ b/src/state/apply-document-changes.test.ts
@@ -32,7 +32,7 @@
 });
 
 test('changes that do not match their base are refused as a whole', () => {
-	const misfits: DocumentChanges[] = [
+	const invalidChanges: DocumentChanges[] = [
 		{...changes, from: 3},
 		{...changes, to: 4},
 		{...changes, removed: ['a', 'x']},
@@ -46,7 +46,7 @@
 			],
 		},
 	];
-	for (const misfit of misfits) {
+	for (const misfit of invalidChanges) {
 		assert.ok(applyDocumentChanges(base, misfit).isErr());
 	}
 });
--- a/src/state/apply-entry.ts
+++ b/src/state/apply-entry.ts
@@ -32,14 +32,17 @@
 		});
 	}
 
-	let partial = configuration;
+	let intermediate = configuration;
 	for (const commit of entry.commits) {
-		const [problem] = validateManifest(partial, commit.manifest);
+		const [problem] = validateManifest(intermediate, commit.manifest);
 		if (problem) {
 			return err(problem);
 		}
 
-		partial = {...applyCommits(partial, [commit]), version: partial.version};
+		intermediate = {
+			...applyCommits(intermediate, [commit]),
+			version: intermediate.version,
+		};
 	}
 
 	const next = applyCommits(configuration, entry.commits);
@@ -47,7 +50,8 @@
 		return err({
 			code: 'digest',
 			place: 'digest',
-			message: 'the digest of the resulting configuration differs from that of the entry',
+			message:
+				'the digest of the resulting configuration differs from that of the entry',
 		});
 	}
 
--- a/src/state/compute-document-changes.test.ts
+++ b/src/state/compute-document-changes.test.ts
@@ -49,14 +49,14 @@
 test('reordered routes or duplicate route names require the full document', () => {
 	const reordered = createDocument(2, base.routes.toReversed());
 	assert.equal(computeDocumentChanges(base, reordered), undefined);
-	const twice = createDocument(1, [
+	const duplicated = createDocument(1, [
 		createSampleRoute('a'),
 		createSampleRoute('a', {
 			targets: [{service: 'pricebook', weight: 2}],
 		}),
 	]);
-	const once = createDocument(2, [twice.routes[0]!]);
-	assert.equal(computeDocumentChanges(twice, once), undefined);
+	const deduplicated = createDocument(2, [duplicated.routes[0]!]);
+	assert.equal(computeDocumentChanges(duplicated, deduplicated), undefined);
 	const repeated = createDocument(2, [...base.routes, base.routes[0]!]);
 	assert.equal(computeDocumentChanges(base, repeated), undefined);
 });
--- a/src/state/decode-document-answer.test.ts
+++ b/src/state/decode-document-answer.test.ts
@@ -26,12 +26,12 @@
 });
 
 test('a text that is truncated, has an invalid content or inflates beyond the limit is refused', () => {
-	const whole = deflateSync('{"version":1,"routes":[],"services":{}}');
-	const long = deflateSync(' '.repeat(maxDocumentBytes + 1));
+	const complete = deflateSync('{"version":1,"routes":[],"services":{}}');
+	const tooLong = deflateSync(' '.repeat(maxDocumentBytes + 1));
 	const texts = [
-		whole.subarray(0, 12).toString('base64'),
+		complete.subarray(0, 12).toString('base64'),
 		deflateSync('{"version":1}').toString('base64'),
-		long.toString('base64'),
+		tooLong.toString('base64'),
 		'no text',
 	];
 	for (const text of texts) {
--- a/src/state/merge-member.test.ts
+++ b/src/state/merge-member.test.ts
@@ -18,7 +18,7 @@
 		upstreams: [],
 	}));
 
-test('merging is commutative and idempotent', () => {
+test('the result of a merge does not depend on the order or number of records', () => {
 	fc.assert(
 		fc.property(
 			fc.array(memberArbitrary, {minLength: 1, maxLength: 5}),
--- a/src/state/put-members.ts
+++ b/src/state/put-members.ts
@@ -9,9 +9,9 @@
 
 const hashRange = 2 ** 32;
 
-type Draft = Map<string, MemberBucket[]>;
+type MutableMemberTable = Map<string, MemberBucket[]>;
 
-function computeMemberHash(member: Member | undefined): number {
+function computeRecordHash(member: Member | undefined): number {
 	if (!member || member.state === 'dead' || member.state === 'left') {
 		return 0;
 	}
@@ -20,8 +20,8 @@
 	return computeHash(`${name} ${incarnation} ${sequence}`);
 }
 
-function replaceMember(
-	draft: Draft,
+function setMember(
+	draft: MutableMemberTable,
 	dataCentre: string,
 	name: string,
 	member: Member | undefined,
@@ -42,7 +42,7 @@
 		members.delete(name);
 	}
 
-	const change = computeMemberHash(member) - computeMemberHash(before);
+	const change = computeRecordHash(member) - computeRecordHash(before);
 	const digest = (bucket.digest + change + hashRange) % hashRange;
 	draft.set(dataCentre, buckets.with(index, {members, digest}));
 }
@@ -62,23 +62,23 @@
 	members: readonly Member[],
 	removed: readonly string[] = [],
 ): MemberTable {
-	const draft: Draft = new Map(
+	const draft: MutableMemberTable = new Map(
 		[...table].map(([dataCentre, buckets]) => [dataCentre, [...buckets]]),
 	);
 	for (const name of removed) {
 		const known = findMember(draft, name);
 		if (known) {
-			replaceMember(draft, known.dataCentre, name, undefined);
+			setMember(draft, known.dataCentre, name, undefined);
 		}
 	}
 
 	for (const member of members) {
 		const known = findMember(draft, member.name);
 		if (known && known.dataCentre !== member.dataCentre) {
-			replaceMember(draft, known.dataCentre, member.name, undefined);
+			setMember(draft, known.dataCentre, member.name, undefined);
 		}
 
-		replaceMember(draft, member.dataCentre, member.name, member);
+		setMember(draft, member.dataCentre, member.name, member);
 	}
 
 	return draft;
