--- a/src/state/decode-snapshot.ts
+++ b/src/state/decode-snapshot.ts
@@ -44,6 +44,6 @@
 		configuration.version === head.version &&
 		configuration.digest === head.digest
 			? ok(configuration)
-			: refuse('the version or digest of the snapshot differs from that of its head'),
+			: refuse('the version or digest differs from the snapshot head'),
 	);
 }
