--- a/src/state/apply-document-changes.ts
+++ b/src/state/apply-document-changes.ts
@@ -28,7 +28,7 @@
 	const removedNames = new Set(removed);
 	const kept = base.routes.filter(({name}) => !removedNames.has(name));
 	if (kept.length !== base.routes.length - removed.length) {
-		return err('removed routes are missing or not unique in the base document');
+		return err('removed routes are missing from the base document or repeated');
 	}
 
 	const putByIndex = new Map(put.map(({index, route}) => [index, route]));
