--- a/src/protocol/find-duplicate-keys.ts
+++ b/src/protocol/find-duplicate-keys.ts
@@ -1,26 +1,26 @@
 import {visit, type JSONPath} from 'jsonc-parser';
 
 /**
- * Finds keys that an object of a JSON text has more than once.
+ * Finds duplicate keys in the objects of a JSON text.
  *
- * `JSON.parse` keeps the last of them without a word.
+ * `JSON.parse` silently keeps the last of them.
  *
  * @param text - valid JSON
- * @returns the path of each repetition
+ * @returns the path of each repeated occurrence of a key
  * @example
  * findDuplicateKeys('{"a": 1, "a": 2}'); // [['a']]
  */
 export function findDuplicateKeys(text: string): readonly JSONPath[] {
-	const open: Array<Set<string>> = [];
+	const keyStack: Array<Set<string>> = [];
 	const duplicates: JSONPath[] = [];
 	visit(text, {
 		onObjectBegin() {
-			open.push(new Set());
+			keyStack.push(new Set());
 		},
 		onObjectProperty(...parameters) {
 			const key = parameters[0];
 			const readPath = parameters[5];
-			const keys = open.at(-1)!;
+			const keys = keyStack.at(-1)!;
 			if (keys.has(key)) {
 				duplicates.push([...readPath(), key]);
 			}
@@ -28,7 +28,7 @@
 			keys.add(key);
 		},
 		onObjectEnd() {
-			open.pop();
+			keyStack.pop();
 		},
 	});
 	return duplicates;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,8 +1,8 @@
 /**
  * Schema and types of a node's settings, as read from an INI file.
  *
- * The description of each setting says what is allowed; it is part of the
- * messages of refused files and of docs/CONFIGURATION.md.
+ * The description of each setting states the allowed values. It appears in error
+ * messages about invalid files and in docs/CONFIGURATION.md.
  */
 import * as z from 'zod';
 import {maxCapacity, referenceCapacity} from './constants.js';
@@ -35,11 +35,11 @@
 	)
 	.pipe(z.array(addressSchema));
 
-function createRatioSchema(fallback: string) {
+function createRatioSchema(defaultValue: string) {
 	return z
 		.string()
 		.regex(/^\d+(?:\.\d+)?$/v, 'not a decimal number')
-		.default(fallback)
+		.default(defaultValue)
 		.transform(Number)
 		.pipe(z.number().max(1))
 		.describe('decimal number from 0 to 1');
--- a/src/state/apply-document-changes.test.ts
+++ b/src/state/apply-document-changes.test.ts
@@ -21,7 +21,7 @@
 	services: {},
 };
 
-test('changes give the later document, in its order, and keep what stays', () => {
+test('changes yield the later document in its order and reuse unchanged routes', () => {
 	const next = applyDocumentChanges(base, changes)._unsafeUnwrap();
 	assert.deepEqual(next, {
 		version: 7,
@@ -31,8 +31,8 @@
 	assert.equal(next.routes[1], base.routes[2]);
 });
 
-test('changes that do not fit their base are not applied in part', () => {
-	const misfits: DocumentChanges[] = [
+test('changes that do not match their base are refused as a whole', () => {
+	const invalidChanges: DocumentChanges[] = [
 		{...changes, from: 3},
 		{...changes, to: 4},
 		{...changes, removed: ['a', 'x']},
@@ -46,7 +46,7 @@
 			],
 		},
 	];
-	for (const misfit of misfits) {
+	for (const misfit of invalidChanges) {
 		assert.ok(applyDocumentChanges(base, misfit).isErr());
 	}
 });
--- a/src/state/apply-entry.ts
+++ b/src/state/apply-entry.ts
@@ -8,14 +8,15 @@
 import {validateManifest} from './validate-manifest.js';
 
 /**
- * Applies a log entry to a configuration, checking every invariant.
+ * Applies a log entry to a configuration and checks all invariants.
  *
- * The entry must be the next version, each of its manifests must be valid on
- * the configuration so far, and the result must have the entry's digest.
+ * The entry must have the next version, each of its manifests must be valid for
+ * the configuration with the preceding manifests applied, and the result must
+ * have the entry's digest.
  *
- * @param configuration - the configuration before; left as it is
+ * @param configuration - the configuration before; not modified
  * @param entry - the log entry to apply
- * @returns the next configuration, or the problem for which it is refused
+ * @returns the next configuration, or the problem for which the entry is refused
  * @example
  * applyEntry(createConfiguration(), entry).isOk();
  */
@@ -31,14 +32,17 @@
 		});
 	}
 
-	let partial = configuration;
+	let intermediate = configuration;
 	for (const commit of entry.commits) {
-		const [problem] = validateManifest(partial, commit.manifest);
+		const [problem] = validateManifest(intermediate, commit.manifest);
 		if (problem) {
 			return err(problem);
 		}
 
-		partial = {...applyCommits(partial, [commit]), version: partial.version};
+		intermediate = {
+			...applyCommits(intermediate, [commit]),
+			version: intermediate.version,
+		};
 	}
 
 	const next = applyCommits(configuration, entry.commits);
@@ -46,7 +50,8 @@
 		return err({
 			code: 'digest',
 			place: 'digest',
-			message: 'the result does not have the digest of the entry',
+			message:
+				'the digest of the resulting configuration differs from that of the entry',
 		});
 	}
 
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -9,13 +9,13 @@
 	RoutingDocument,
 } from '../protocol/routing-document.js';
 
-/** Compiled routes by what they were compiled from. */
-const compiled = new WeakMap<DocumentRoute, CompiledRoute>();
+/** Cache of compiled routes by their source. */
+const compiledRoutes = new WeakMap<DocumentRoute, CompiledRoute>();
 
 function compileRoute(route: DocumentRoute, maxBytes: number): CompiledRoute {
-	const known = compiled.get(route);
-	if (known?.maxBodyBytes === maxBytes) {
-		return known;
+	const cached = compiledRoutes.get(route);
+	if (cached?.maxBodyBytes === maxBytes) {
+		return cached;
 	}
 
 	const [first] = route.targets;
@@ -36,13 +36,16 @@
 		sheddingMeansNotRun: true,
 		isLive: true,
 	};
-	compiled.set(route, next);
+	compiledRoutes.set(route, next);
 	return next;
 }
 
 type HostRoutes = Map<string, Map<string, HostRoute>>;
 
-function openHost(byHost: HostRoutes, name: string): Map<string, HostRoute> {
+function getOrCreateHostRoutes(
+	byHost: HostRoutes,
+	name: string,
+): Map<string, HostRoute> {
 	const host = name.toLowerCase();
 	const routes = byHost.get(host) ?? new Map<string, HostRoute>();
 	byHost.set(host, routes);
@@ -50,11 +53,11 @@
 }
 
 /**
- * Compiles the routes of a document into a table for matching requests. A
- * route that is the same object as before is compiled once.
+ * Compiles the routes of a document into a table for matching requests. A route
+ * that is the same object in several documents is compiled once.
  *
  * @param document - the document
- * @returns the route table, to be swapped in whole
+ * @returns the route table, which replaces the previous one as a whole
  * @example
  * compileDocument({version: 1, routes: [], services: {}}).version; // 1
  */
@@ -62,14 +65,14 @@
 	const maxBytes = document.limits?.maxBodyBytes ?? maxBodyBytes;
 	const byHost: HostRoutes = new Map();
 	for (const route of document.routes) {
-		openHost(byHost, route.host).set(
+		getOrCreateHostRoutes(byHost, route.host).set(
 			route.pathPrefix,
 			compileRoute(route, maxBytes),
 		);
 	}
 
-	// Requests may be for a route that can't be read under its path, or anywhere
-	// on its host that no other route covers.
+	// Requests under the path prefix of an unreadable route may belong to it; when
+	// the prefix is unknown, so may all unmatched requests of its host.
 	let hasRouteWithUnknownHost = false;
 	for (const problem of document.problems ?? []) {
 		if (problem.kind !== 'route-refused') {
@@ -82,7 +85,7 @@
 			continue;
 		}
 
-		const routes = openHost(byHost, host);
+		const routes = getOrCreateHostRoutes(byHost, host);
 		if (!routes.has(pathPrefix)) {
 			routes.set(pathPrefix, 'unreadable');
 		}
