--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -3,7 +3,7 @@
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
-	AttemptQuestion,
+	AttemptQuery,
 	ForwardResult,
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
@@ -28,7 +28,7 @@
 	/** Asks a gate, on a new connection, what became of an attempt. */
 	ask(
 		address: string,
-		question: AttemptQuestion,
+		question: AttemptQuery,
 	): Promise<LedgerStep['answer'] | 'failed'>;
 	/** Fetches an attempt's answer, on a new connection; waits while it runs. */
 	fetchAnswer(
@@ -40,7 +40,7 @@
 	/** Gets a stamp of a gate; undefined when it cannot be reached. */
 	readStamp(address: string): Promise<GateStamp | undefined>;
 	/** Tells a gate, on a new connection, that nobody wants an answer. */
-	cancel(address: string, question: AttemptQuestion): Promise<void>;
+	cancel(address: string, question: AttemptQuery): Promise<void>;
 	stop(): Promise<void>;
 };
 
@@ -53,7 +53,7 @@
 /** Open connections of a caller's node to one gate. */
 const maxGateConnections = 64;
 
-async function awaitOutcome(
+async function waitForOutcome(
 	sent: SentRequest,
 	signal: CancelSignal,
 ): Promise<SendOutcome> {
@@ -93,7 +93,7 @@
  */
 export function createForwarder(): Forwarder {
 	const agent = createPooledAgent({maxSockets: maxGateConnections});
-	const freshAgent = new Agent({keepAlive: false});
+	const unpooledAgent = new Agent({keepAlive: false});
 
 	return {
 		async forwardAttempt(address, attempt) {
@@ -111,14 +111,14 @@
 					// A gate answers each attempt once.
 					areResponsesIdentified: true,
 					onSend: attempt.onSend,
-					onInterim: attempt.onSignOfLife,
+					onInterim: attempt.onKeepalive,
 				},
 			);
-			return readGateOutcome(await awaitOutcome(sent, attempt.signal));
+			return readGateOutcome(await waitForOutcome(sent, attempt.signal));
 		},
 		async ask(address, question) {
 			try {
-				return await createClient(freshAgent, address).ask.mutate(question, {
+				return await createClient(unpooledAgent, address).ask.mutate(question, {
 					signal: AbortSignal.timeout(askTimeoutMs),
 				});
 			} catch {
@@ -132,9 +132,9 @@
 			};
 			const sent = sendRequest(
 				{method: 'GET', path: answersPath, headers},
-				{agent: freshAgent, address, areResponsesIdentified: true},
+				{agent: unpooledAgent, address, areResponsesIdentified: true},
 			);
-			const outcome = await awaitOutcome(sent, signal);
+			const outcome = await waitForOutcome(sent, signal);
 			// A fetch that was not sent tells nothing of the attempt.
 			return outcome.kind === 'not-sent'
 				? {kind: 'lost', reason: 'gate-unreachable'}
@@ -142,16 +142,19 @@
 		},
 		async readStamp(address) {
 			try {
-				return await createClient(freshAgent, address).stamp.mutate(undefined, {
-					signal: AbortSignal.timeout(askTimeoutMs),
-				});
+				return await createClient(unpooledAgent, address).stamp.mutate(
+					undefined,
+					{
+						signal: AbortSignal.timeout(askTimeoutMs),
+					},
+				);
 			} catch {
 				return undefined;
 			}
 		},
 		async cancel(address, question) {
 			try {
-				await createClient(freshAgent, address).cancel.mutate(question, {
+				await createClient(unpooledAgent, address).cancel.mutate(question, {
 					signal: AbortSignal.timeout(askTimeoutMs),
 				});
 			} catch {
@@ -160,7 +163,7 @@
 		},
 		async stop() {
 			agent.destroy();
-			freshAgent.destroy();
+			unpooledAgent.destroy();
 		},
 	};
 }
--- a/src/transport/read-version-status.ts
+++ b/src/transport/read-version-status.ts
@@ -22,13 +22,13 @@
 
 const statusPrefix = 'status/';
 const inForceKey = `${statusPrefix}in-force`;
-const maxRaiseTries = 3;
+const maxWriteAttempts = 3;
 
-async function raiseInForce(
+async function advanceInForceVersion(
 	platform: PlatformClient,
 	version: number,
 ): Promise<boolean> {
-	for (let attempt = 0; attempt < maxRaiseTries; attempt++) {
+	for (let attempt = 0; attempt < maxWriteAttempts; attempt++) {
 		const current = await platform.readObject(inForceKey);
 		if (current.kind === 'unavailable') {
 			return false;
@@ -99,8 +99,9 @@
 		dataCentres,
 		now: now(),
 	});
-	const isNews = status.state === 'in-force' && version > inForceVersion;
-	if (!isNews || (await raiseInForce(platform, version))) {
+	const isNewlyInForce =
+		status.state === 'in-force' && version > inForceVersion;
+	if (!isNewlyInForce || (await advanceInForceVersion(platform, version))) {
 		return status;
 	}
 
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -16,15 +16,15 @@
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import type {Configuration} from '../protocol/configuration.js';
 import {
-	answerMarginMs,
-	answerMarginPart,
+	responseMarginMs,
+	responseMarginRatio,
 	busyRetryMs,
 	maxDepth,
-	maxHeldBodiesBytes,
+	bodyMemoryBudgetBytes,
 	msPerSecond,
 	retryAfterSeconds,
 } from '../protocol/constants.js';
-import type {CallerTerms, Edge} from '../protocol/edge.js';
+import type {CallerParameters, Edge} from '../protocol/edge.js';
 import type {MembersView} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
@@ -60,7 +60,7 @@
 import {startServer} from './_lib/start-server.js';
 import type {Forwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
-import {ownEdge} from './own-edge.js';
+import {defaultEdge} from './default-edge.js';
 import type {GateTask} from './start-gate-task.js';
 
 /** Options of `startCallerTask`. */
@@ -110,8 +110,8 @@
 /** The task that takes callers' requests. */
 export type CallerTask = {
 	readonly address: string;
-	tellRoutes(source: RouteSource): void;
-	tellView(view: MembersView): void;
+	updateRoutes(source: RouteSource): void;
+	updateMembers(view: MembersView): void;
 	/** Requests in flight. */
 	readInFlight(): number;
 	/** Time since a request last began or was in flight, ms. */
@@ -133,7 +133,7 @@
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly route: CompiledRoute;
-	readonly terms: CallerTerms;
+	readonly terms: CallerParameters;
 	/** The caller's identifier, or a new one. */
 	readonly requestId: string;
 	/** When it came in, monotonic ms; before it was read when the node is late. */
@@ -144,7 +144,7 @@
 	readonly traceparent: string | undefined;
 };
 
-const neverEnding: DrainBounds = {
+const unboundedDrain: DrainBounds = {
 	servesUntil: Number.POSITIVE_INFINITY,
 	endsAt: Number.POSITIVE_INFINITY,
 };
@@ -152,14 +152,20 @@
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
 /** Computes the time for an answer that still reaches the client in time. */
-function computeDeadlineMs(terms: CallerTerms, route: CompiledRoute): number {
+function computeDeadlineMs(
+	terms: CallerParameters,
+	route: CompiledRoute,
+): number {
 	const {deadlineMs = Number.POSITIVE_INFINITY} = terms;
-	const wayBackMs = Math.min(answerMarginMs, deadlineMs * answerMarginPart);
+	const wayBackMs = Math.min(
+		responseMarginMs,
+		deadlineMs * responseMarginRatio,
+	);
 	return Math.min(route.deadlineMs, deadlineMs - wayBackMs);
 }
 
-function formatKey(
-	{idempotencyKey}: CallerTerms,
+function formatIdempotencyKey(
+	{idempotencyKey}: CallerParameters,
 	route: CompiledRoute,
 ): string | undefined {
 	return idempotencyKey !== undefined && !route.repeatable
@@ -168,7 +174,7 @@
 }
 
 /** Names requests that hosts admit alike: those of a route, fresh or aged. */
-function formatDemand(
+function formatAdmissionClass(
 	{name, objectiveMs = 0}: CompiledRoute,
 	leftMs: number,
 ): string {
@@ -180,7 +186,7 @@
 	return Number(headers['content-length'] ?? 0);
 }
 
-function compileSource(
+function compileRouteSource(
 	source: RouteSource,
 	candidates: MembersView['candidates'],
 ): RouteTable {
@@ -206,14 +212,14 @@
 export async function startCallerTask(
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
-	const {logger, observer = {}, edge = ownEdge} = options;
+	const {logger, observer = {}, edge = defaultEdge} = options;
 	const {readLag = () => 0} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
-	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 	const idPrefix = randomUUID();
 	let lastId = 0;
 	let source: RouteSource | undefined;
@@ -221,7 +227,7 @@
 	let table: RouteTable | undefined;
 	let inFlight = 0;
 	let isRefusing = false;
-	let drainBounds: DrainBounds = neverEnding;
+	let drainBounds: DrainBounds = unboundedDrain;
 	let lastActiveAt = now();
 
 	function refuse(
@@ -240,7 +246,7 @@
 	/** Computes when to come again to a node that has no processor time left. */
 	function computeOverloadDelayMs({
 		deadlineMs = retryAfterSeconds * msPerSecond,
-	}: CallerTerms): number {
+	}: CallerParameters): number {
 		const seconds = computeRetryAfter({
 			waitMs: busyRetryMs,
 			serviceMs: 0,
@@ -253,7 +259,7 @@
 
 	/** Computes the time left in which an answer has its full value. */
 	function computeObjectiveMs(
-		{deadlineMs}: CallerTerms,
+		{deadlineMs}: CallerParameters,
 		{name, objectiveMs}: CompiledRoute,
 	): number {
 		if (objectiveMs === undefined || deadlineMs === undefined) {
@@ -293,7 +299,7 @@
 		}
 	}
 
-	function canTake({team, concurrency}: CompiledRoute): boolean {
+	function canAdmit({team, concurrency}: CompiledRoute): boolean {
 		const teamInFlight = inFlightByTeam.get(team) ?? 0;
 		return decideCallerAdmission({
 			inFlight,
@@ -303,7 +309,7 @@
 		});
 	}
 
-	async function runRouted(
+	async function runRoutedRequest(
 		routed: RoutedRequest,
 		signal: CancelSignal,
 	): Promise<RequestEnd> {
@@ -311,7 +317,7 @@
 		const {team, service, sheddingMeansNotRun} = route;
 		const deadlineMs = Math.min(
 			computeDeadlineMs(terms, route),
-			Math.max(0, drainBounds.endsAt - answerMarginMs - routed.startedAt),
+			Math.max(0, drainBounds.endsAt - responseMarginMs - routed.startedAt),
 		);
 		const read = await readRequestBody(request, {
 			maxBytes: route.maxBodyBytes,
@@ -326,10 +332,10 @@
 		const {body, reservedBytes} = read;
 		const isStreamed = !(body instanceof Uint8Array);
 		const repeatable = route.repeatable && !isStreamed;
-		const key = formatKey(terms, route);
+		const key = formatIdempotencyKey(terms, route);
 		const {depth} = terms;
 		const objectiveMs = computeObjectiveMs(terms, route);
-		const admissionClass = formatDemand(route, objectiveMs);
+		const admissionClass = formatAdmissionClass(route, objectiveMs);
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
 			route: route.name,
@@ -391,7 +397,7 @@
 		return end;
 	}
 
-	async function answerRouted(routed: RoutedRequest): Promise<void> {
+	async function handleRoutedRequest(routed: RoutedRequest): Promise<void> {
 		const {request, response, lagMs} = routed;
 		const cancelling = createCancelSource();
 		response.once('close', () => {
@@ -410,7 +416,7 @@
 		}
 
 		router.recordRequest(routed.route.team, routed.route.service);
-		const end = await runRouted(routed, cancelling.signal);
+		const end = await runRoutedRequest(routed, cancelling.signal);
 		try {
 			if (end.outcome === 'answered') {
 				await sendUpstreamResponse(response, end.answer, answeredHeaders);
@@ -423,13 +429,13 @@
 	}
 
 	/** Reads how late the node is with a request, ms. */
-	function readLateness(request: IncomingMessage): number {
+	function readRequestLag(request: IncomingMessage): number {
 		return Math.max(readLag(), server.readAcceptWaitMs(request));
 	}
 
 	function findRoute(
 		request: IncomingMessage,
-		{depth}: CallerTerms,
+		{depth}: CallerParameters,
 	): CompiledRoute | OutcomeReason {
 		const {url = '/', method = 'GET'} = request;
 		const [path = '/'] = url.split('?', 1);
@@ -466,7 +472,7 @@
 			return;
 		}
 
-		const terms = edge.readCaller(request.headers);
+		const terms = edge.readCallerParameters(request.headers);
 		const found = findRoute(request, terms);
 		if (typeof found === 'string') {
 			refuse(response, found);
@@ -481,13 +487,13 @@
 		}
 
 		const {priority = 0} = route;
-		const lagMs = readLateness(request);
+		const lagMs = readRequestLag(request);
 		if (!decideEventLoopAdmission({lagMs, priority})) {
 			refuse(response, 'overloaded', computeOverloadDelayMs(terms));
 			return;
 		}
 
-		if (!canTake(route)) {
+		if (!canAdmit(route)) {
 			refuse(response, 'team-limit');
 			return;
 		}
@@ -495,7 +501,7 @@
 		const parentTraceparent = request.headers[traceparentHeader]?.toString();
 		countInFlight(route.team, 1);
 		try {
-			await answerRouted({
+			await handleRoutedRequest({
 				request,
 				response,
 				route,
@@ -515,7 +521,7 @@
 		handleRequest(request, response).catch((error: unknown) => {
 			abortResponse(response, {
 				cause: {kind: 'failed', error},
-				requestId: edge.readCaller(request.headers).requestId,
+				requestId: edge.readCallerParameters(request.headers).requestId,
 				logger,
 			});
 		});
@@ -527,16 +533,16 @@
 
 	return {
 		address: server.address,
-		tellRoutes(next) {
+		updateRoutes(next) {
 			source = next;
-			table = compileSource(source, candidates);
+			table = compileRouteSource(source, candidates);
 		},
-		tellView(view) {
+		updateMembers(view) {
 			router.updateMembers(view);
 			const isSame = isSameKeySet(candidates, view.candidates);
 			candidates = view.candidates;
 			if (!isSame && source?.kind === 'manifests') {
-				table = compileSource(source, candidates);
+				table = compileRouteSource(source, candidates);
 			}
 		},
 		refuseAll() {
@@ -544,7 +550,7 @@
 		},
 		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
-		drain(bounds = neverEnding) {
+		drain(bounds = unboundedDrain) {
 			drainBounds = bounds;
 			server.drain();
 		},
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -16,7 +16,7 @@
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
-	AttemptQuestion,
+	AttemptQuery,
 	AttemptResult,
 	GateLoad,
 	UpstreamNotice,
@@ -26,8 +26,8 @@
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
-	silentReport,
-	type AnswerHead,
+	emptyReport,
+	type ResponseHead,
 	type Edge,
 	type UpstreamReport,
 } from '../protocol/edge.js';
@@ -60,7 +60,7 @@
 import {reportGateEvent} from './_lib/report-gate-event.js';
 import {startPostPollTimer} from './_lib/start-post-poll-timer.js';
 import type {Logger} from './create-logger.js';
-import {ownEdge} from './own-edge.js';
+import {defaultEdge} from './default-edge.js';
 
 /** Options of `startGateTask`. */
 export type GateTaskOptions = {
@@ -85,7 +85,7 @@
 };
 
 /** What an attempt can expect at an upstream. */
-type Expectation = LocalWait &
+type AttemptEstimate = LocalWait &
 	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
 
 /** The task that alone sends requests to the upstreams on its host. */
@@ -98,15 +98,15 @@
 	 */
 	reviseAnnouncement(id: string, announcement: Announcement): Announcement;
 	/** Takes in what an upstream has reported outside of an attempt. */
-	takeReport(id: string, report: UpstreamReport, load?: GateLoad): void;
+	handleReport(id: string, report: UpstreamReport, load?: GateLoad): void;
 	/**
 	 * Refuses an attempt by its head, before its body has come; undefined when it
 	 * may be taken. The attempt must not be run after a refusal.
 	 */
-	refuseAhead(attempt: Attempt): AttemptResult | undefined;
+	refuseBeforeBody(attempt: Attempt): AttemptResult | undefined;
 	runAttempt(attempt: Attempt): Promise<AttemptResult>;
 	/** Tells what became of an attempt, fencing one that has not arrived. */
-	ask(question: AttemptQuestion): LedgerStep['answer'];
+	ask(question: AttemptQuery): LedgerStep['answer'];
 	/** Waits for the answer of an attempt, or gives the kept one. */
 	fetchAnswer(
 		id: string,
@@ -117,9 +117,9 @@
 	 * Ends an attempt whose answer nobody wants any more, fencing one that has
 	 * not arrived.
 	 */
-	cancel(question: AttemptQuestion): void;
+	cancel(question: AttemptQuery): void;
 	/** Ends an attempt that still waits, and lets one that runs go on. */
-	cancelWaiting(id: string): void;
+	cancelQueued(id: string): void;
 	readStamp(): GateStamp;
 	/** Lowest rate limit that an upstream here names, requests a second; undefined when none does. */
 	readRateLimit(): number | undefined;
@@ -137,7 +137,7 @@
  * startGateTask({logger}).readStamp().epoch;
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
-	const {observer = {}, edge = ownEdge, epoch = randomUUID()} = options;
+	const {observer = {}, edge = defaultEdge, epoch = randomUUID()} = options;
 	const {readLag = () => 0} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const upstreams = new Map<string, LocalUpstream>();
@@ -178,20 +178,20 @@
 	}
 
 	/** Takes in what the head of an answer says of its upstream. */
-	function noteHead(job: Job, {status, headers}: AnswerHead): void {
+	function handleResponseHead(job: Job, {status, headers}: ResponseHead): void {
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
 		if (load) {
-			silenceWatch.recordLoad(upstream, load);
+			lostRequestDetector.recordLoad(upstream, load);
 		}
 
 		const report = edge.readReport(headers);
 		const hadLimit = upstream.rateLimit !== undefined;
-		if (report === silentReport && !hadLimit && upstream.hasReported) {
+		if (report === emptyReport && !hadLimit && upstream.hasReported) {
 			return;
 		}
 
-		const verdict = edge.judgeAnswer({status, headers}, attempt);
+		const verdict = edge.classifyResponse({status, headers}, attempt);
 		const {id} = upstream;
 		const {service} = attempt;
 		reportLog.record({id, service, report, status, verdict});
@@ -203,7 +203,7 @@
 	}
 
 	/** Takes in what the sender of an attempt knows of an upstream here. */
-	function takeNotice(notice: UpstreamNotice | undefined): void {
+	function handleRemoteNotice(notice: UpstreamNotice | undefined): void {
 		const upstream = notice && upstreams.get(notice.id);
 		if (upstream) {
 			applyRemoteNotice(upstream, notice, now());
@@ -217,22 +217,22 @@
 		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
 		onSent(upstream) {
-			silenceWatch.scheduleCheck(upstream);
+			lostRequestDetector.scheduleCheck(upstream);
 		},
-		onHead: noteHead,
+		onHead: handleResponseHead,
 		now,
 	});
-	const silenceWatch = createLostRequestDetector({
+	const lostRequestDetector = createLostRequestDetector({
 		logger: options.logger,
 		probeLoad: options.probeLoad,
 		onLost: runner.endLost,
 		now,
 	});
 
-	function readExpectation(
+	function estimateAttempt(
 		upstream: LocalUpstream,
 		attempt: Attempt,
-	): Expectation {
+	): AttemptEstimate {
 		const at = now();
 		const {priority = 0, remainingMs, routeObjectiveMs = remainingMs} = attempt;
 		const dueAt = at + routeObjectiveMs;
@@ -244,13 +244,13 @@
 	}
 
 	/** Counts the time that an attempt has been on its way as used up. */
-	function updateTerms(attempt: Attempt): Attempt {
+	function subtractTransitTime(attempt: Attempt): Attempt {
 		const transitMs = computeTransitTime(attempt, now());
 		return {...attempt, ...computeRemainingTime(attempt, transitMs)};
 	}
 
 	/** Refuses an attempt when the node itself has no time for it. */
-	function admitByLag(attempt: Attempt): Job | AttemptResult {
+	function admitUnlessLagging(attempt: Attempt): Job | AttemptResult {
 		const lagMs = readLag();
 		const {priority = 0, remainingMs} = attempt;
 		if (remainingMs <= 0) {
@@ -265,7 +265,7 @@
 	}
 
 	/** Describes the slots and the queue as a new attempt finds them. */
-	function describeQueue(
+	function readQueueState(
 		upstream: LocalUpstream,
 		{team}: Attempt,
 	): Pick<
@@ -290,7 +290,7 @@
 	}
 
 	/** Counts an attempt that comes in time, and makes room where those take all. */
-	function noteDemand(
+	function recordDemand(
 		upstream: LocalUpstream,
 		serviceMs: number,
 		objectiveMs: number,
@@ -330,10 +330,10 @@
 	}
 
 	/** Decides whether an upstream has room for an attempt in time. */
-	function judgeAttempt(
+	function evaluateAdmission(
 		upstream: LocalUpstream,
 		attempt: Attempt,
-		expected: Expectation,
+		expected: AttemptEstimate,
 		utilization: number,
 	): (Admission & {readonly kind: 'admit'}) | AttemptResult {
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
@@ -344,7 +344,7 @@
 			...expected,
 			utilization,
 			marginRatio: upstream.marginRatio,
-			...describeQueue(upstream, attempt),
+			...readQueueState(upstream, attempt),
 		});
 		if (admission.kind === 'admit') {
 			return admission;
@@ -359,17 +359,17 @@
 		return refuse('not-run', admission.reason, upstream, retryAfter);
 	}
 
-	function refuseAhead(attempt: Attempt): AttemptResult | undefined {
+	function refuseBeforeBody(attempt: Attempt): AttemptResult | undefined {
 		const found = findUpstream(attempt);
 		if ('kind' in found) {
 			return found;
 		}
 
 		const {slots} = found.announcement;
-		const judged = judgeAttempt(
+		const judged = evaluateAdmission(
 			found,
 			attempt,
-			readExpectation(found, attempt),
+			estimateAttempt(found, attempt),
 			readUtilization(found.utilization, slots, now()),
 		);
 		return judged.kind === 'admit' ? undefined : judged;
@@ -382,9 +382,9 @@
 		}
 
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
-		const expected = readExpectation(upstream, attempt);
-		const utilization = noteDemand(upstream, expected.serviceMs, objectiveMs);
-		const judged = judgeAttempt(upstream, attempt, expected, utilization);
+		const expected = estimateAttempt(upstream, attempt);
+		const utilization = recordDemand(upstream, expected.serviceMs, objectiveMs);
+		const judged = evaluateAdmission(upstream, attempt, expected, utilization);
 		if (judged.kind !== 'admit') {
 			return judged;
 		}
@@ -400,9 +400,9 @@
 		});
 	}
 
-	async function runAdmitted(arrived: Attempt): Promise<AttemptResult> {
-		const attempt = updateTerms(arrived);
-		const admitted = admitByLag(attempt);
+	async function admitAndRun(arrived: Attempt): Promise<AttemptResult> {
+		const attempt = subtractTransitTime(arrived);
+		const admitted = admitUnlessLagging(attempt);
 		if ('kind' in admitted) {
 			ledger.refuse(attempt, now());
 			return admitted;
@@ -468,7 +468,10 @@
 	}
 
 	/** Takes in a further announcement of the same life. */
-	function renew(known: LocalUpstream, announcement: Announcement): void {
+	function updateAnnouncement(
+		known: LocalUpstream,
+		announcement: Announcement,
+	): void {
 		const {incarnation = known.announcement.incarnation} = announcement;
 		const isLeaving = known.isLeaving || announcement.state === 'leaving';
 		known.announcement = {
@@ -488,7 +491,7 @@
 		announce(id, announcement) {
 			const known = upstreams.get(id);
 			if (known && isSameIncarnation(known.announcement, announcement)) {
-				renew(known, announcement);
+				updateAnnouncement(known, announcement);
 				return;
 			}
 
@@ -507,28 +510,28 @@
 				? {...announcement, state: 'leaving'}
 				: announcement;
 		},
-		takeReport(id, report, load) {
+		handleReport(id, report, load) {
 			const upstream = upstreams.get(id);
 			if (upstream && load) {
-				silenceWatch.recordLoad(upstream, load);
+				lostRequestDetector.recordLoad(upstream, load);
 			}
 
 			// A health answer that is silent says nothing of other answers.
-			if (upstream && report !== silentReport) {
+			if (upstream && report !== emptyReport) {
 				const at = now();
 				recordReport(upstream, {report, verdict: 'answered', sentAt: at}, at);
 				applyNotice(upstream);
 			}
 		},
-		refuseAhead,
+		refuseBeforeBody,
 		async runAttempt(attempt) {
 			const {id, key, remainingMs, signal} = attempt;
-			takeNotice(attempt.notice);
+			handleRemoteNotice(attempt.notice);
 			const holder = key === undefined ? undefined : ledger.findKeyHolder(key);
 			const answer = holder ? 'running' : ledger.admit(attempt, now());
 			switch (answer) {
 				case 'run': {
-					return runAdmitted(attempt);
+					return admitAndRun(attempt);
 				}
 
 				case 'stale': {
@@ -556,7 +559,7 @@
 				ledger.ask(question, now());
 			}
 		},
-		cancelWaiting(id) {
+		cancelQueued(id) {
 			const job = runner.findJob(id);
 			if (job?.phase === 'queued') {
 				runner.endEarly(job, 'cancelled');
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -3,8 +3,8 @@
 import {computeCapacity} from '../coordination/compute-capacity.js';
 import {computeRetryShare} from '../coordination/compute-retry-share.js';
 import {
-	maxHeldBodiesBytes,
-	outdatedLagMs,
+	bodyMemoryBudgetBytes,
+	lagThresholdMs,
 	upstreamLeaseMs,
 } from '../protocol/constants.js';
 import type {Edge} from '../protocol/edge.js';
@@ -61,7 +61,7 @@
 };
 
 /** Announcements that may be missed before an upstream counts as gone. */
-const missedAnnouncements = 6;
+const maxMissedAnnouncements = 6;
 
 /** Time before the end of the grace period at which the process begins to end by itself, ms; a busy one takes up to 250 ms for that. */
 const exitMarginMs = 400;
@@ -70,13 +70,13 @@
 const closeTimeoutMs = 150;
 
 /** Time that is kept for the last requests, ms; longer than almost all take. */
-const lastRequestsMs = 900;
+const finalRequestsMs = 900;
 
 /** Least time that a stopping node goes on serving, ms; the platform's readiness checks take two seconds. */
 const minDrainMs = 2500;
 
 /** Wait of connections above which it is logged, ms; below it requests are not outdated. */
-const notableAcceptMs = outdatedLagMs;
+const acceptWarningMs = lagThresholdMs;
 
 /** Time without requests after which no client is left, ms. */
 const idleThresholdMs = 700;
@@ -100,11 +100,11 @@
 	let settings = first;
 	const {name, dataCentre} = first;
 	const {edge} = platform;
-	const bytes = createByteCounter();
+	const byteCounter = createByteCounter();
 	const store = platform.createStore((socket) => {
-		bytes.track('store', socket);
+		byteCounter.track('store', socket);
 	});
-	const peers = createPeerClients({track: bytes.track});
+	const peers = createPeerClients({track: byteCounter.track});
 	const metrics = createMeshMetrics({
 		readGauges: () => ({
 			version: document.readDocument()?.version ?? -1,
@@ -114,7 +114,7 @@
 			inFlight: caller.readInFlight(),
 			rateLimit: gate.readRateLimit() ?? -1,
 		}),
-		takeBytes: bytes.take,
+		takeBytes: byteCounter.take,
 	});
 	const observer = combineObservers([
 		metrics.observer,
@@ -129,8 +129,8 @@
 	/** Reports how long connections of a server have waited to be accepted. */
 	function reportAccepted(server: string) {
 		return ({count, waitMs}: AcceptedBatch): void => {
-			metrics.noteAcceptWait(server, waitMs);
-			if (waitMs >= notableAcceptMs) {
+			metrics.recordAcceptWait(server, waitMs);
+			if (waitMs >= acceptWarningMs) {
 				logger.warn('connections accepted late', {
 					server,
 					count,
@@ -157,7 +157,7 @@
 		},
 	});
 	const forwarder = createForwarder();
-	const bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes);
+	const bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes);
 	const caller = await startCallerTask({
 		name,
 		dataCentre,
@@ -188,7 +188,7 @@
 		peers,
 		logger,
 		onDocument(next) {
-			caller.tellRoutes({kind: 'document', document: next});
+			caller.updateRoutes({kind: 'document', document: next});
 		},
 	});
 	const peerServer = await startPeerServer({
@@ -198,7 +198,7 @@
 		bodyMemory,
 		readLag: lagMeter.read,
 		onAccepted: reportAccepted('peers'),
-		track: bytes.track,
+		track: byteCounter.track,
 		handlers: {
 			async handlePoll() {
 				throw new Error('this node has no log of manifests');
@@ -227,17 +227,17 @@
 		logger,
 		leaseMs: Math.max(
 			upstreamLeaseMs,
-			missedAnnouncements * first.announceIntervalMs,
+			maxMissedAnnouncements * first.announceIntervalMs,
 		),
 		onView(view) {
-			caller.tellView(view);
-			document.tellView(view);
+			caller.updateMembers(view);
+			document.updateMembers(view);
 		},
-		onLapse: gate.withdraw,
+		onLeaseExpired: gate.withdraw,
 	});
 
 	/** Whether the upstream on the host need not be asked who it is. */
-	let isSeekOver = false;
+	let isDiscoveryDone = false;
 
 	/** Asks the upstream on the host who it is, once its service is known. */
 	async function probeUpstream() {
@@ -253,7 +253,7 @@
 	}
 
 	function announce(id: string, announced: Announcement): void {
-		isSeekOver = true;
+		isDiscoveryDone = true;
 		const announcement = gate.reviseAnnouncement(id, announced);
 		const outcome = members.announce(id, announcement);
 		// The acknowledgement of a leaving binds, whatever else is known.
@@ -267,7 +267,7 @@
 		platform.createAnnouncementListener({
 			announce,
 			withdraw(id) {
-				isSeekOver = true;
+				isDiscoveryDone = true;
 				gate.withdraw(id);
 				members.withdraw(id);
 			},
@@ -302,12 +302,12 @@
 		},
 	);
 	void discoverUpstream({
-		shouldStop: () => isSeekOver,
+		shouldStop: () => isDiscoveryDone,
 		probe: probeUpstream,
 		onFound({id, load, report, ...found}) {
 			logger.info('upstream found', {id, ...found});
 			announce(id, {...found, team: '', state: 'ready'});
-			gate.takeReport(id, report, load);
+			gate.handleReport(id, report, load);
 		},
 	});
 	logger.info('node started', {
@@ -324,7 +324,7 @@
 		async stop() {
 			const startedAt = performance.now();
 			logger.info('node stopping', {graceMs: settings.graceMs});
-			isSeekOver = true;
+			isDiscoveryDone = true;
 			const elapsedMs = (): number => performance.now() - startedAt;
 			const lastMs = settings.graceMs - exitMarginMs;
 			readiness.drain();
@@ -339,7 +339,7 @@
 				readIdleMs: caller.readIdleMs,
 				idleThresholdMs,
 				minMs: minDrainMs,
-				maxMs: lastMs - lastRequestsMs - elapsedMs(),
+				maxMs: lastMs - finalRequestsMs - elapsedMs(),
 			});
 			// Requests that come now could be cut by the end of the grace period.
 			caller.refuseAll();
