--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -22,35 +22,35 @@
 } from './_lib/send-request.js';
 import type {PeerRouter} from './create-peer-router.js';
 
-/** Sends attempts to the gates of other hosts. */
+/** Client of the gates on other hosts. */
 export type Forwarder = {
 	forwardAttempt(address: string, attempt: Attempt): Promise<ForwardResult>;
-	/** Asks a gate, on a new connection, what became of an attempt. */
+	/** Queries the outcome of an attempt from its gate, on a new connection; returns `failed` when the call fails. */
 	ask(
 		address: string,
-		question: AttemptQuery,
+		query: AttemptQuery,
 	): Promise<LedgerStep['answer'] | 'failed'>;
-	/** Fetches an attempt's answer, on a new connection; waits while it runs. */
+	/** Fetches the response of an attempt, on a new connection; waits while the attempt runs. */
 	fetchAnswer(
 		address: string,
 		id: string,
 		remainingMs: number,
 		signal: CancelSignal,
 	): Promise<ForwardResult>;
-	/** Gets a stamp of a gate; undefined when it cannot be reached. */
+	/** Reads the current stamp of a gate; undefined when the call fails. */
 	readStamp(address: string): Promise<GateStamp | undefined>;
-	/** Tells a gate, on a new connection, that nobody wants an answer. */
-	cancel(address: string, question: AttemptQuery): Promise<void>;
+	/** Cancels an attempt at its gate, on a new connection; ignores failures. */
+	cancel(address: string, query: AttemptQuery): Promise<void>;
 	stop(): Promise<void>;
 };
 
-/** Path prefix under which a gate takes forwarded attempts. */
+/** Path prefix of forwarded attempts. */
 export const gatePrefix = '/gate';
 
-/** Path under which a gate gives the answers of attempts. */
+/** Path under which a gate serves the responses of attempts. */
 export const answersPath = '/answers';
 
-/** Open connections of a caller's node to one gate. */
+/** Maximum number of connections from a caller's node to one gate. */
 const maxGateConnections = 64;
 
 async function waitForOutcome(
@@ -83,9 +83,9 @@
 /**
  * Creates the forwarder of a caller's node.
  *
- * Attempts use pooled connections, none of which has been idle for longer than
- * `idleConnectionMs`. Questions and fetches each use a new connection, since a
- * pooled one may have fallen silent.
+ * Attempts use pooled connections, which are closed after `idleConnectionMs`
+ * without use. Queries and fetches each open a new connection, since a pooled
+ * connection may have stopped responding.
  *
  * @returns the forwarder
  * @example
@@ -108,7 +108,7 @@
 				{
 					agent,
 					address,
-					// A gate answers each attempt once.
+					// A gate responds to each attempt once.
 					areResponsesIdentified: true,
 					onSend: attempt.onSend,
 					onInterim: attempt.onKeepalive,
@@ -116,9 +116,9 @@
 			);
 			return readGateOutcome(await waitForOutcome(sent, attempt.signal));
 		},
-		async ask(address, question) {
+		async ask(address, query) {
 			try {
-				return await createClient(unpooledAgent, address).ask.mutate(question, {
+				return await createClient(unpooledAgent, address).ask.mutate(query, {
 					signal: AbortSignal.timeout(askTimeoutMs),
 				});
 			} catch {
@@ -135,7 +135,7 @@
 				{agent: unpooledAgent, address, areResponsesIdentified: true},
 			);
 			const outcome = await waitForOutcome(sent, signal);
-			// A fetch that was not sent tells nothing of the attempt.
+			// A fetch that was not sent says nothing about the outcome of the attempt.
 			return outcome.kind === 'not-sent'
 				? {kind: 'lost', reason: 'gate-unreachable'}
 				: readGateOutcome(outcome);
@@ -152,13 +152,13 @@
 				return undefined;
 			}
 		},
-		async cancel(address, question) {
+		async cancel(address, query) {
 			try {
-				await createClient(unpooledAgent, address).cancel.mutate(question, {
+				await createClient(unpooledAgent, address).cancel.mutate(query, {
 					signal: AbortSignal.timeout(askTimeoutMs),
 				});
 			} catch {
-				// The attempt ends at its deadline.
+				// Without a cancellation, the attempt ends at its deadline.
 			}
 		},
 		async stop() {
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -3,7 +3,7 @@
 import {meshMetricNames} from '../protocol/metric-names.js';
 import {createMeshMetrics} from './create-mesh-metrics.js';
 
-test('what was observed is served as text, by name, service and outcome', async () => {
+test('observed events are served as text by name, service and outcome', async () => {
 	const metrics = createMeshMetrics({
 		readGauges: () => ({
 			version: 12,
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -4,38 +4,39 @@
 import {meshMetricNames} from '../protocol/metric-names.js';
 import type {ByteCount} from './_lib/create-byte-counter.js';
 
-/** What is read when the metrics are asked for. */
+/** Values of the gauges, read when the metrics are scraped. */
 export type MeshGauges = {
 	/** Version of the configuration; -1 when there is none. */
 	readonly version: number;
-	/** Parts of the configuration that the node can't read. */
+	/** Number of parts of the configuration that the node can't read. */
 	readonly unreadableParts: number;
+	/** Number of members that are alive. */
 	readonly members: number;
-	/** Requests of callers in flight. */
+	/** Number of callers' requests in flight. */
 	readonly inFlight: number;
-	/** Requests a second that the upstream on the host takes; -1 when it names no limit. */
+	/** Rate limit that the upstream on the host reports, requests per second; -1 when it reports none. */
 	readonly rateLimit: number;
 };
 
-/** What the metrics of a node are read from when they are asked for. */
+/** Options of `createMeshMetrics`. */
 export type MeshMetricsOptions = {
 	readonly readGauges: () => MeshGauges;
-	/** Takes the bytes on sockets for control since the last call. */
+	/** Returns the bytes sent and received on control connections since the last call. */
 	readonly takeBytes?: () => readonly ByteCount[];
 };
 
-/** Metrics of a node, as text for whoever asks. */
+/** Metrics of a node in the Prometheus text format. */
 export type MeshMetrics = {
 	readonly observer: RequestObserver;
 	/** Content type of the text. */
 	readonly contentType: string;
-	/** Notes how long connections of one of the node's servers waited, ms. */
+	/** Records how long a batch of connections to one of the node's servers waited to be accepted, ms. */
 	recordAcceptWait(server: string, waitMs: number): void;
-	/** Writes all metrics in the text format of Prometheus. */
+	/** Returns all metrics in the Prometheus text format. */
 	formatText(): Promise<string>;
 };
 
-/** Upper bounds of the histograms' buckets, ms: from a hop to a deadline. */
+/** Upper bounds of the histogram buckets, ms; they range from the latency of one hop to a deadline. */
 const bucketsMs = [2, 5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200];
 
 /**
--- a/src/transport/default-edge.ts
+++ b/src/transport/default-edge.ts
@@ -25,7 +25,7 @@
 	return value !== undefined && number >= 0 ? number : undefined;
 }
 
-/** The project's own headers towards callers and upstreams. */
+/** Reads and writes the project's own headers for callers and upstreams. */
 export const defaultEdge: Edge = {
 	refusesAmbiguousPaths: true,
 	identifiesResponses: false,
--- a/src/transport/gate-silence.test.ts
+++ b/src/transport/gate-lost-requests.test.ts
@@ -1,5 +1,6 @@
 /**
- * Upstreams that are full and drop requests without a word, as the gate finds them.
+ * Tests of how the gate detects requests that a full upstream has dropped
+ * without a response.
  */
 import assert from 'node:assert/strict';
 import test, {type TestContext} from 'node:test';
@@ -13,16 +14,16 @@
 
 const loadHeader = 'boragehitch-upstream-load';
 
-/** Time that the upstream usually takes, ms. */
+/** Usual service time of the upstream, ms. */
 const serviceMs = 100;
 
-/** Route of the attempts, whose time the gate knows. */
+/** Route of the attempts, whose service time the gate has measured. */
 const route = 'valves';
 
 /** Objective of the attempts, ms. */
 const objectiveMs = 500;
 
-function describe(result: AttemptResult | undefined): string {
+function formatOutcome(result: AttemptResult | undefined): string {
 	if (!result) {
 		return 'open';
 	}
@@ -32,7 +33,7 @@
 		: `${result.kind} ${result.reason}`;
 }
 
-/** Starts a gate that knows how long its upstream takes and how it counts. */
+/** Starts a gate that has measured the service time of its upstream and received a load report. */
 async function start(
 	t: TestContext,
 	{slots = 6, load}: {slots?: number; load?: GateLoad} = {},
@@ -54,7 +55,7 @@
 	held.answer({[loadHeader]: '1,0,6'});
 	await first;
 
-	/** Sends an attempt and notes its result when it comes. */
+	/** Sends an attempt and records its result once available. */
 	async function send(isRepeatable: boolean) {
 		const count = held.held.length;
 		const sent: {result?: AttemptResult} = {};
@@ -70,51 +71,51 @@
 	return {...held, send, probes};
 }
 
-/** Waits until something has come about; the runner bounds the time of a test. */
+/** Waits until a condition holds; the test runner limits the time. */
 async function waitUntil(condition: () => boolean): Promise<void> {
 	while (!condition()) {
 		await waitForTurn();
 	}
 }
 
-// Such a request used to be waited for until its deadline.
-test('a request that lacks in the report with another answer goes elsewhere', async (t) => {
+// Guards against waiting for a dropped request until its deadline.
+test('a request that the load report of another response does not count is given up', async (t) => {
 	const {send, advance, answer} = await start(t);
 	const dropped = await send(true);
 	const other = await send(true);
 	advance(250);
 	answer({[loadHeader]: '1,0,6'}, 1);
 	await waitUntil(() => dropped.result !== undefined);
-	assert.equal(describe(dropped.result), 'unknown unanswered');
+	assert.equal(formatOutcome(dropped.result), 'unknown unanswered');
 	await waitUntil(() => other.result !== undefined);
-	assert.equal(describe(other.result), 'answered');
+	assert.equal(formatOutcome(other.result), 'answered');
 });
 
-test('a request that is reported as running is waited for', async (t) => {
+test('a request that the load report counts as running is not given up', async (t) => {
 	const {send, advance, answer} = await start(t);
 	const slow = await send(true);
 	const other = await send(true);
 	advance(450);
 	answer({[loadHeader]: '2,0,6'}, 1);
 	await waitUntil(() => other.result !== undefined);
-	assert.equal(describe(slow.result), 'open');
+	assert.equal(formatOutcome(slow.result), 'open');
 	answer();
 	await waitUntil(() => slow.result !== undefined);
-	assert.equal(describe(slow.result), 'answered');
+	assert.equal(formatOutcome(slow.result), 'answered');
 });
 
-test('an upstream without other requests is asked whether it works', async (t) => {
+test('an upstream without other requests is probed for its load', async (t) => {
 	const {send, advance, probes} = await start(t, {
 		load: {inFlight: 1, queued: 0, slots: 6},
 	});
 	const dropped = await send(true);
 	advance(250);
 	await waitUntil(() => dropped.result !== undefined);
-	assert.equal(describe(dropped.result), 'unknown unanswered');
+	assert.equal(formatOutcome(dropped.result), 'unknown unanswered');
 	assert.equal(probes.length, 1);
 });
 
-test('a request that report after report of a busy upstream lacks goes elsewhere', async (t) => {
+test('a request that successive load reports of a busy upstream do not count is given up', async (t) => {
 	const {send, advance, answer} = await start(t);
 	const dropped = await send(true);
 	await send(true);
@@ -126,11 +127,11 @@
 	}
 
 	await waitUntil(() => dropped.result !== undefined);
-	assert.equal(describe(dropped.result), 'unknown unanswered');
+	assert.equal(formatOutcome(dropped.result), 'unknown unanswered');
 });
 
-// Its answer was on its way; 27 requests at work were given up in seven seconds.
-test('a request that lacks in one report of a busy upstream is waited for', async (t) => {
+// Guards against giving up a running request whose response is on its way: 27 such requests were given up within seven seconds.
+test('a request that a single load report of a busy upstream does not count is not given up', async (t) => {
 	const {send, advance, answer} = await start(t);
 	const slow = await send(true);
 	const others = [await send(true), await send(true)];
@@ -138,15 +139,15 @@
 	answer({[loadHeader]: '2,0,6'}, 1);
 	await waitUntil(() => others[0]?.result !== undefined);
 	await sleep(100);
-	assert.equal(describe(slow.result), 'open');
+	assert.equal(formatOutcome(slow.result), 'open');
 	answer();
 	answer();
 	await waitUntil(() => others[1]?.result !== undefined);
-	assert.equal(describe(slow.result), 'answered');
+	assert.equal(formatOutcome(slow.result), 'answered');
 });
 
-// Its answer may still come, and it may have run.
-test('a request that may not be repeated is not given up, but leaves its slot', async (t) => {
+// The request may have run, and its response may still arrive.
+test('a dropped request that is not repeatable is not given up, but releases its slot', async (t) => {
 	const {send, run, held, advance, answer} = await start(t, {slots: 2});
 	const dropped = await send(false);
 	const other = await send(true);
@@ -156,14 +157,14 @@
 	await waitUntil(() => other.result !== undefined);
 	await waitUntil(() => held.length === 2);
 	answer({}, 1);
-	assert.equal(describe(await waiting), 'answered');
-	assert.equal(describe(dropped.result), 'open');
+	assert.equal(formatOutcome(await waiting), 'answered');
+	assert.equal(formatOutcome(dropped.result), 'open');
 	answer();
 	await waitUntil(() => dropped.result !== undefined);
-	assert.equal(describe(dropped.result), 'answered');
+	assert.equal(formatOutcome(dropped.result), 'answered');
 });
 
-test('a gate that starts beside a busy upstream does not overfill it', async (t) => {
+test('a gate that starts while its upstream is busy does not overload the upstream', async (t) => {
 	const {gate, run, held, answer, waitUntilHeld} = await start(t);
 	gate.handleReport('i-1', emptyReport, {inFlight: 6, queued: 0, slots: 6});
 	const results = [run(), run()];
@@ -174,7 +175,7 @@
 	answer({[loadHeader]: '1,0,6'});
 	const ended = await Promise.all(results);
 	assert.deepEqual(
-		ended.map((result) => describe(result)),
+		ended.map((result) => formatOutcome(result)),
 		['answered', 'answered'],
 	);
 });
--- a/src/transport/gate-refusal.test.ts
+++ b/src/transport/gate-refusal.test.ts
@@ -1,5 +1,5 @@
 /**
- * What the gate refuses before the body of an attempt has come.
+ * Tests of attempts that the gate refuses before it receives their body.
  */
 import assert from 'node:assert/strict';
 import test from 'node:test';
@@ -10,8 +10,8 @@
 const route = 'valves';
 const objectiveMs = 500;
 
-// A long body was read to its end before it was refused.
-test('an attempt is refused by its head when it could only be late', async (t) => {
+// Guards against reading a long body to its end before refusing the attempt.
+test('an attempt that cannot meet its objective is refused before its body is read', async (t) => {
 	const {gate, run, held, waitUntilHeld, advance, answer} = await startHeldGate(
 		t,
 		{slots: 1},
@@ -22,7 +22,7 @@
 		remainingMs: 2000,
 		objectiveMs,
 	});
-	// The gate learns how long the upstream takes.
+	// The gate measures the service time of the upstream.
 	const first = run({objectiveMs, route});
 	await waitUntilHeld(1);
 	advance(100);
--- a/src/transport/gate-reports.test.ts
+++ b/src/transport/gate-reports.test.ts
@@ -1,5 +1,6 @@
 /**
- * What upstreams report of themselves in their answers, kept by the gate.
+ * Tests of how the gate applies the rate limits and leaving states that
+ * upstreams report in their responses.
  */
 import assert from 'node:assert/strict';
 import test from 'node:test';
@@ -15,18 +16,18 @@
 const limitHeader = 'boragehitch-rate-limit';
 const leavingHeader = 'boragehitch-leaving';
 
-function describe(result: AttemptResult): string {
+function formatOutcome(result: AttemptResult): string {
 	return result.kind === 'answered'
 		? 'answered'
 		: `${result.kind} ${result.reason}`;
 }
 
-test('a request beyond the named limit is refused at once, with the time of its turn', async (t) => {
+test('a request above the reported rate limit is refused at once, with the wait as retry delay', async (t) => {
 	const {run, exchange} = await startHeldGate(t);
 	await exchange({[limitHeader]: '2'});
 	const result = await run({objectiveMs: 200});
-	assert.equal(describe(result), 'not-run limited');
-	// Its turn comes in 500 ms, of which it can wait less than 200.
+	assert.equal(formatOutcome(result), 'not-run limited');
+	// The rate limit wait is 500 ms, of which the request can wait less than 200 ms.
 	const seconds = result.kind === 'not-run' ? result.retryAfterSeconds : 0;
 	assert.ok(seconds >= 0.3 && seconds <= 0.5, String(seconds));
 	assert.deepEqual(result.load?.notice, {
@@ -37,7 +38,7 @@
 	});
 });
 
-test('a request that can wait for its turn goes when it has come', async (t) => {
+test('a request that can wait for the rate limit is sent after the wait', async (t) => {
 	const {run, exchange, held, advance, answer, waitUntilHeld} =
 		await startHeldGate(t);
 	await exchange({[limitHeader]: '2'});
@@ -47,14 +48,14 @@
 	await waitUntilHeld(1);
 
 	answer();
-	assert.equal(describe(await waiting), 'answered');
+	assert.equal(formatOutcome(await waiting), 'answered');
 });
 
-test('a node that goes on after a pause does not send a burst', async (t) => {
+test('a node that resumes after a pause does not send a burst', async (t) => {
 	const {run, exchange, held, advance, waitUntilHeld} = await startHeldGate(t);
 	await exchange({[limitHeader]: '10'});
 	const waiting = Array.from({length: 6}, async () => run());
-	// They can wait for half a second only.
+	// The requests can wait for at most half a second.
 	advance(300);
 	await waitUntilHeld(2);
 	await waitForTurn();
@@ -62,37 +63,37 @@
 	assert.equal(waiting.length, 6);
 });
 
-test('a queue that was admitted before a limit is named is offered elsewhere', async (t) => {
+test('a request that was queued before a rate limit is reported is refused, so that another host can run it', async (t) => {
 	const {run, waitUntilHeld, answer} = await startHeldGate(t, {slots: 1});
 	void run();
 	await waitUntilHeld(1);
 	const second = run({objectiveMs: 300});
 	answer({[limitHeader]: '1'});
-	assert.equal(describe(await second), 'not-run limited');
+	assert.equal(formatOutcome(await second), 'not-run limited');
 });
 
-test('a limit ends with an answer to a request that was sent after it was named', async (t) => {
+test('a rate limit ends with a response without one to a request that was sent after it was reported', async (t) => {
 	const {run, exchange, advance, held, answer, waitUntilHeld} =
 		await startHeldGate(t);
 	const before = run();
 	await waitUntilHeld(1);
 
-	const [early] = held.splice(0);
+	const [delayed] = held.splice(0);
 	await exchange({[limitHeader]: '2'});
-	// The answer to the earlier request was overtaken.
-	early!.end('done');
+	// The response to the earlier request arrives after that to the later one.
+	delayed!.end('done');
 	await before;
-	assert.equal(describe(await run({objectiveMs: 200})), 'not-run limited');
+	assert.equal(formatOutcome(await run({objectiveMs: 200})), 'not-run limited');
 	advance(500);
 	await exchange({});
 	const next = run({objectiveMs: 200});
 	await waitUntilHeld(1);
 
 	answer();
-	assert.equal(describe(await next), 'answered');
+	assert.equal(formatOutcome(await next), 'answered');
 });
 
-test('a shed request that names no limit does not end it', async (t) => {
+test('the response to a shed request without a rate limit does not end the limit', async (t) => {
 	const {run, exchange, waitUntilHeld, held, advance} = await startHeldGate(t);
 	await exchange({[limitHeader]: '2'});
 	advance(500);
@@ -102,105 +103,108 @@
 	response!.statusCode = 503;
 	response!.setHeader('boragehitch-shed', 'not-run');
 	response!.end();
-	assert.equal(describe(await shed), 'not-run shed');
-	assert.equal(describe(await run({objectiveMs: 200})), 'not-run limited');
+	assert.equal(formatOutcome(await shed), 'not-run shed');
+	assert.equal(formatOutcome(await run({objectiveMs: 200})), 'not-run limited');
 });
 
 for (const value of ['', '-1', 'none', '1e9', '99999999']) {
-	test(`a limit "${value}" is not taken for one`, async (t) => {
+	test(`the value "${value}" is not accepted as a rate limit`, async (t) => {
 		const {exchange} = await startHeldGate(t);
 		await exchange({[limitHeader]: value});
-		assert.equal(describe(await exchange({})), 'answered');
+		assert.equal(formatOutcome(await exchange({})), 'answered');
 	});
 }
 
-test('an upstream that says in an answer that it leaves takes no further request, whatever it announces', async (t) => {
+test('an upstream that reports in a response that it is leaving gets no further requests, even if it announces itself as ready', async (t) => {
 	const {gate, announcement, exchange, run, left} = await startHeldGate(t);
 	await exchange({[leavingHeader]: '1'});
 	assert.deepEqual(left, ['i-1']);
-	const late = {...announcement, sequence: 2};
-	assert.equal(gate.reviseAnnouncement('i-1', late).state, 'leaving');
-	gate.announce('i-1', late);
-	assert.equal(describe(await run()), 'not-run leaving');
+	const lateAnnouncement = {...announcement, sequence: 2};
+	assert.equal(
+		gate.reviseAnnouncement('i-1', lateAnnouncement).state,
+		'leaving',
+	);
+	gate.announce('i-1', lateAnnouncement);
+	assert.equal(formatOutcome(await run()), 'not-run leaving');
 });
 
-test('a refusal tells of an upstream that has announced that it leaves', async (t) => {
+test('a refusal carries a notice about an upstream that has announced that it is leaving', async (t) => {
 	const {gate, announcement, run} = await startHeldGate(t);
 	gate.announce('i-1', {...announcement, sequence: 2, state: 'leaving'});
 	const result = await run();
-	assert.equal(describe(result), 'not-run leaving');
+	assert.equal(formatOutcome(result), 'not-run leaving');
 	assert.equal(result.load?.notice?.isLeaving, true);
 });
 
-test('what waits at an upstream that leaves is offered elsewhere, and what runs is answered', async (t) => {
+test('requests queued for a leaving upstream are refused, and running ones are answered', async (t) => {
 	const {run, held, answer, waitUntilHeld} = await startHeldGate(t, {slots: 2});
 	const running = [run(), run()];
 	await waitUntilHeld(2);
 
 	const waiting = run();
 	answer({[leavingHeader]: '1'});
-	assert.equal(describe(await waiting), 'not-run leaving');
+	assert.equal(formatOutcome(await waiting), 'not-run leaving');
 	answer();
 	const results = await Promise.all(running);
 	assert.deepEqual(
-		results.map((result) => describe(result)),
+		results.map((result) => formatOutcome(result)),
 		['answered', 'answered'],
 	);
 });
 
-test('a later life under the same identifier begins without limit and not leaving', async (t) => {
+test('a later incarnation under the same identifier starts without a rate limit and not leaving', async (t) => {
 	const {gate, announcement, exchange, run, held, left, waitUntilHeld} =
 		await startHeldGate(t);
 	const before = run();
 	await waitUntilHeld(1);
 
-	const [early] = held.splice(0);
+	const [delayed] = held.splice(0);
 	await exchange({[limitHeader]: '0'});
 	gate.announce('i-1', {...announcement, incarnation: 6, sequence: 0});
-	assert.equal(describe(await exchange({})), 'answered');
-	// A late answer of the earlier life says nothing of the later one.
-	early!.setHeader(leavingHeader, '1');
-	early!.end('done');
+	assert.equal(formatOutcome(await exchange({})), 'answered');
+	// A late response of the earlier incarnation does not apply to the later one.
+	delayed!.setHeader(leavingHeader, '1');
+	delayed!.end('done');
 	await before;
 	gate.announce('i-1', {...announcement, state: 'leaving'});
-	assert.equal(describe(await exchange({})), 'answered');
+	assert.equal(formatOutcome(await exchange({})), 'answered');
 	assert.deepEqual(left, []);
 });
 
-test('a gate that has started again learns from its callers what its upstream has said', async (t) => {
+test('a restarted gate learns from the notices of callers what its upstream has reported', async (t) => {
 	const {run, exchange, left, waitUntilHeld} = await startHeldGate(t);
-	const named = {perSecond: 2, waitMs: 0};
+	const rateLimit = {perSecond: 2, waitMs: 0};
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: false};
 	const other = {...notice, id: 'i-2', isLeaving: true};
 	const earlier = {...notice, incarnation: 4, isLeaving: true};
-	assert.equal(describe(await exchange({})), 'answered');
-	// It has heard itself that there is no limit.
-	void run({notice: {...notice, rateLimit: named}, objectiveMs: 200});
+	assert.equal(formatOutcome(await exchange({})), 'answered');
+	// The gate itself has received a response without a rate limit.
+	void run({notice: {...notice, rateLimit: rateLimit}, objectiveMs: 200});
 	await waitUntilHeld(1);
 	void run({notice: other});
 	void run({notice: earlier});
 	assert.deepEqual(left, []);
 	const result = await run({notice: {...notice, isLeaving: true}});
-	assert.equal(describe(result), 'not-run leaving');
+	assert.equal(formatOutcome(result), 'not-run leaving');
 	assert.deepEqual(left, ['i-1']);
 });
 
-test('what another node knows of an earlier life ends with the first announcement of the next', async (t) => {
+test('a notice about an earlier incarnation ends with the first announcement of the next one', async (t) => {
 	const {gate, announcement, run, exchange} = await startHeldGate(t, {
 		incarnation: undefined,
 	});
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: true};
-	assert.equal(describe(await run({notice})), 'not-run leaving');
+	assert.equal(formatOutcome(await run({notice})), 'not-run leaving');
 	gate.announce('i-1', {...announcement, incarnation: 6});
-	assert.equal(describe(await exchange({})), 'answered');
+	assert.equal(formatOutcome(await exchange({})), 'answered');
 });
 
-test('a gate that has heard nothing yet takes over the limit that a caller knows', async (t) => {
+test('a gate without a report of its own applies the rate limit in the notice of a caller', async (t) => {
 	const {gate, run} = await startHeldGate(t);
-	// What the probe finds need not name all that answers to requests do.
+	// A probe response may lack reports that responses to requests carry.
 	gate.handleReport('i-1', emptyReport);
 	const rateLimit = {perSecond: 2, waitMs: 0};
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: false, rateLimit};
 	const result = await run({notice, objectiveMs: 200});
-	assert.equal(describe(result), 'not-run limited');
+	assert.equal(formatOutcome(result), 'not-run limited');
 });
--- a/src/transport/read-version-status.ts
+++ b/src/transport/read-version-status.ts
@@ -12,9 +12,9 @@
 /** Options of `readVersionStatus`. */
 export type VersionStatusOptions = {
 	readonly platform: PlatformClient;
-	/** Newest version that this node knows to be accepted. */
+	/** Newest accepted version that this node knows. */
 	readonly acceptedVersion: number;
-	/** Data centres that are known to have members. */
+	/** Data centres that have known members. */
 	readonly dataCentres: readonly string[];
 	/** Wall-clock time in ms; default `Date.now`. */
 	readonly now?: () => number;
@@ -65,15 +65,15 @@
 }
 
 /**
- * Reads the state of a version from the platform.
+ * Reads the status of a version from the platform.
  *
- * A version is called in force only after that has been recorded in the
- * platform by a conditional write that never lowers it, so that no later
- * answer of any node takes it back.
+ * A version is reported as in force only after the platform has recorded this.
+ * The record is updated by a conditional write and its version never decreases,
+ * so no node can report an earlier state afterwards.
  *
- * @param version - the version asked about
+ * @param version - the version to look up
  * @param options - see `VersionStatusOptions`
- * @returns the state, or undefined when the platform cannot be read
+ * @returns the status, or undefined when the platform cannot be read
  * @example
  * await readVersionStatus(7, {platform, acceptedVersion, dataCentres});
  */
--- a/src/transport/start-administration-task.test.ts
+++ b/src/transport/start-administration-task.test.ts
@@ -81,7 +81,7 @@
 	return {address: task.address, changes};
 }
 
-/** Sends bytes and returns all that comes back until the connection ends. */
+/** Sends a raw request and returns everything received until the connection closes. */
 async function sendBytes(
 	address: string,
 	head: string,
@@ -89,9 +89,9 @@
 ): Promise<string> {
 	const [host, port] = address.split(':');
 	const socket = createConnection(Number(port), host);
-	let answer = '';
+	let response = '';
 	socket.on('data', (chunk) => {
-		answer += String(chunk);
+		response += String(chunk);
 	});
 	const closed = new Promise<void>((resolve) => {
 		socket.once('close', () => {
@@ -107,11 +107,11 @@
 	}
 
 	await closed;
-	return answer;
+	return response;
 }
 
-function formatAnswer(answer: string): string {
-	const [head = '', body = ''] = answer.split('\r\n\r\n');
+function formatResponse(response: string): string {
+	const [head = '', body = ''] = response.split('\r\n\r\n');
 	const status = head.split(' ', 2)[1];
 	return `${status}\n${body.trim().replace(/not JSON: [^"]*/v, 'not JSON')}`;
 }
@@ -128,7 +128,7 @@
 }
 
 const route = manifest.routes[0]!;
-const bad: Record<string, [string, string?]> = {
+const invalidRequests: Record<string, [string, string?]> = {
 	'unknown field': post(text.replace('"team"', '"color":1,"team"')),
 	'over size': post(text.padEnd(maxManifestBytes + 1)),
 	'over size in chunks': [
@@ -195,20 +195,20 @@
 	'handler that fails': ['DELETE /upstreams/fails HTTP/1.1'],
 };
 
-test('bad input gets a clear error and changes nothing', async (t) => {
+test('invalid requests are rejected with an error and change nothing', async (t) => {
 	const {address, changes} = await startTask(t);
-	for (const [name, [head, body]] of Object.entries(bad)) {
-		const answer = await sendBytes(address, head, body);
-		assert.doesNotMatch(answer, /^HTTP\/1.1 200/v, name);
+	for (const [name, [head, body]] of Object.entries(invalidRequests)) {
+		const response = await sendBytes(address, head, body);
+		assert.doesNotMatch(response, /^HTTP\/1.1 200/v, name);
 		assert.deepEqual(changes, [], name);
-		matchSnapshot(import.meta.url, name, formatAnswer(answer));
+		matchSnapshot(import.meta.url, name, formatResponse(response));
 	}
 });
 
-test('the same requests without the mistake take effect', async (t) => {
+test('valid requests take effect', async (t) => {
 	const {address, changes} = await startTask(t);
 	const json = 'content-type: application/json; charset=utf-8';
-	const good: Array<[string, string]> = [
+	const validRequests: Array<[string, string]> = [
 		post(text),
 		post(text, json),
 		put('a%20b%', announced),
@@ -216,9 +216,9 @@
 		['DELETE /upstreams/a HTTP/1.1', ''],
 	];
 	const statuses = [];
-	for (const [head, body] of good) {
-		const answer = await sendBytes(address, head, body);
-		statuses.push(answer.split(' ', 2)[1]);
+	for (const [head, body] of validRequests) {
+		const response = await sendBytes(address, head, body);
+		statuses.push(response.split(' ', 2)[1]);
 	}
 
 	assert.deepEqual(statuses, ['200', '200', '400', '200', '200']);
--- a/src/transport/start-administration-task.ts
+++ b/src/transport/start-administration-task.ts
@@ -9,8 +9,8 @@
 import {startServer, type RunningServer} from './_lib/start-server.js';
 
 /**
- * Starts the administration API of a node: manifests and status for
- * operators, announcements for the upstreams on the host.
+ * Starts the administration API of a node. Operators submit manifests and read
+ * the status; upstreams on the host announce themselves.
  *
  * @param options - see `AdministrationTaskOptions`
  * @returns the running server
--- a/src/transport/start-caller-task.test.ts
+++ b/src/transport/start-caller-task.test.ts
@@ -12,7 +12,7 @@
 
 const logger = createSilentLogger();
 
-/** Sends a request for prices and gives its status. */
+/** Sends a request for prices and returns the status of the response. */
 async function callPrices(address: string): Promise<number | undefined> {
 	const [host, port] = address.split(':');
 	return new Promise((resolve, reject) => {
@@ -28,7 +28,7 @@
 	});
 }
 
-test('a late node does not wait for an answer until after its client has left', async (t) => {
+test('a node with event loop lag does not wait for a response beyond the deadline of its client', async (t) => {
 	let lagMs = 0;
 	const attempts: Attempt[] = [];
 	const forwarder = createForwarder();
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -72,73 +72,75 @@
 	readonly forwarder: Forwarder;
 	readonly logger: Logger;
 	readonly observer?: RequestObserver;
-	/** Headers that the callers understand; the project's own when absent. */
+	/** Headers that callers use; default `defaultEdge`. */
 	readonly edge?: Edge;
-	/** Where long bodies wait; a memory of its own when absent. */
+	/** Memory budget for buffered bodies; by default a separate one of `bodyMemoryBudgetBytes`. */
 	readonly bodyMemory?: BodyMemoryBudget;
-	/** Rate of the own host's link, Mbit/s; usual when absent. */
+	/** Bandwidth of the local host's link, Mbit/s; when absent, that of the reference host. */
 	readonly linkMbps?: number | undefined;
-	/** How late the event loop runs, ms; not regarded when absent. */
+	/** Returns the event loop lag, ms; default 0. */
 	readonly readLag?: () => number;
-	/** Called when connections have been accepted and none waits any more. */
+	/** Called with each batch of accepted connections, once none is left in the queue. */
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
-	/** Service on the own host, for which its requests are sent. */
+	/** Returns the service on the local host, on whose behalf callers send requests. */
 	readonly readOrigin?: () => string | undefined;
-	/** Bounds of the retries of this node, given the number of all nodes. */
+	/** Computes the retry budget of this node from the number of all nodes. */
 	readonly computeRetryBudget?: (members: number) => RetryBudgetOptions;
-	/** Monotonic ms; `performance.now` when absent. */
+	/** Monotonic time, ms; default `performance.now`. */
 	readonly now?: () => number;
-	/** Numbers from 0 up to 1; `Math.random` when absent. */
+	/** Returns a number from 0 up to, but not including, 1; default `Math.random`. */
 	readonly random?: () => number;
 };
 
-/** Where the routes of requests come from. */
+/** Source of the routes of requests. */
 export type RouteSource =
-	/** Manifests of teams, accepted by this system. */
+	/** Manifests of teams, which the mesh itself has accepted. */
 	| {readonly kind: 'manifests'; readonly configuration: Configuration}
-	/** A whole document, accepted by the platform. */
+	/** A complete routing document, which the platform has accepted. */
 	| {readonly kind: 'document'; readonly document: RoutingDocument};
 
-/** Times in the stop of a node, monotonic ms. */
+/** Times of the phases of a shutdown, monotonic ms. */
 export type DrainBounds = {
-	/** Until when every request is taken. */
+	/** Time until which every request is accepted. */
 	readonly servesUntil: number;
-	/** When the node ends. */
+	/** Time at which the node ends. */
 	readonly endsAt: number;
 };
 
-/** The task that takes callers' requests. */
+/** Task that serves the requests of callers. */
 export type CallerTask = {
 	readonly address: string;
+	/** Replaces the routes. */
 	updateRoutes(source: RouteSource): void;
+	/** Replaces the membership view. */
 	updateMembers(view: MembersView): void;
-	/** Requests in flight. */
+	/** Returns the number of requests in flight. */
 	readInFlight(): number;
-	/** Time since a request last began or was in flight, ms. */
+	/** Returns the time since the last request started or ended, ms; 0 while requests are in flight. */
 	readIdleMs(): number;
-	/** Refuses every further request. */
+	/** Refuses all further requests. */
 	refuseAll(): void;
 	/**
-	 * Lets callers know that connections are to be closed, and bounds the
-	 * requests that still come by the end of the node.
+	 * Tells callers that their connections will be closed, and ends the requests
+	 * that still come before the node ends.
 	 *
-	 * @param bounds - when absent, only their own deadlines hold
+	 * @param bounds - when absent, only the requests' own deadlines apply
 	 */
 	drain(bounds?: DrainBounds): void;
 	stop(): Promise<void>;
 };
 
-/** A request that has a route. */
+/** Request with its matched route. */
 type RoutedRequest = {
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly route: CompiledRoute;
-	readonly terms: CallerParameters;
-	/** The caller's identifier, or a new one. */
+	readonly parameters: CallerParameters;
+	/** Identifier that the caller chose, or else a new UUID. */
 	readonly requestId: string;
-	/** When it came in, monotonic ms; before it was read when the node is late. */
+	/** Estimated time of arrival, monotonic ms; earlier than the time of reading when the event loop lags. */
 	readonly startedAt: number;
-	/** How late the node was with it, ms. */
+	/** Lag with which the node read the request, ms. */
 	readonly lagMs: number;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
@@ -151,17 +153,14 @@
 
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
-/** Computes the time for an answer that still reaches the client in time. */
+/** Computes the time in which the node must respond for the response to reach the client before its deadline, ms. */
 function computeDeadlineMs(
-	terms: CallerParameters,
+	parameters: CallerParameters,
 	route: CompiledRoute,
 ): number {
-	const {deadlineMs = Number.POSITIVE_INFINITY} = terms;
-	const wayBackMs = Math.min(
-		responseMarginMs,
-		deadlineMs * responseMarginRatio,
-	);
-	return Math.min(route.deadlineMs, deadlineMs - wayBackMs);
+	const {deadlineMs = Number.POSITIVE_INFINITY} = parameters;
+	const marginMs = Math.min(responseMarginMs, deadlineMs * responseMarginRatio);
+	return Math.min(route.deadlineMs, deadlineMs - marginMs);
 }
 
 function formatIdempotencyKey(
@@ -173,7 +172,7 @@
 		: undefined;
 }
 
-/** Names requests that hosts admit alike: those of a route, fresh or aged. */
+/** Returns the admission class of a request: requests of the same route, with more or less than half of the objective left, are admitted alike. */
 function formatAdmissionClass(
 	{name, objectiveMs = 0}: CompiledRoute,
 	leftMs: number,
@@ -181,7 +180,7 @@
 	return leftMs < objectiveMs / 2 ? `${name} aged` : name;
 }
 
-/** Reads the stated length of a request's body, bytes; 0 when it is not stated. */
+/** Reads the `content-length` of a request, bytes; 0 when absent. */
 function readBodyBytes({headers}: IncomingMessage): number {
 	return Number(headers['content-length'] ?? 0);
 }
@@ -202,7 +201,7 @@
 }
 
 /**
- * Starts the task that takes callers' requests and answers each of them.
+ * Starts the task that accepts the requests of callers and responds to each.
  *
  * @param options - see `CallerTaskOptions`
  * @returns the running task
@@ -243,7 +242,7 @@
 		);
 	}
 
-	/** Computes when to come again to a node that has no processor time left. */
+	/** Computes the retry delay for a caller of a node that has no processor time left, ms. */
 	function computeOverloadDelayMs({
 		deadlineMs = retryAfterSeconds * msPerSecond,
 	}: CallerParameters): number {
@@ -257,7 +256,7 @@
 		return seconds * msPerSecond;
 	}
 
-	/** Computes the time left in which an answer has its full value. */
+	/** Computes the time left to meet the route's objective, ms. The age of a request is estimated from how much its deadline falls below the usual one of its route. */
 	function computeObjectiveMs(
 		{deadlineMs}: CallerParameters,
 		{name, objectiveMs}: CompiledRoute,
@@ -271,7 +270,7 @@
 		return Math.max(0, objectiveMs - computeRequestAge(usual, deadlineMs));
 	}
 
-	/** Chooses the service of a request where several share the route. */
+	/** Picks the service of a request whose route has several weighted targets. */
 	function chooseService(route: CompiledRoute): CompiledRoute {
 		if (!route.targets) {
 			return route;
@@ -313,10 +312,10 @@
 		routed: RoutedRequest,
 		signal: CancelSignal,
 	): Promise<RequestEnd> {
-		const {request, route, requestId, terms} = routed;
+		const {request, route, requestId, parameters} = routed;
 		const {team, service, sheddingMeansNotRun} = route;
 		const deadlineMs = Math.min(
-			computeDeadlineMs(terms, route),
+			computeDeadlineMs(parameters, route),
 			Math.max(0, drainBounds.endsAt - responseMarginMs - routed.startedAt),
 		);
 		const read = await readRequestBody(request, {
@@ -332,9 +331,9 @@
 		const {body, reservedBytes} = read;
 		const isStreamed = !(body instanceof Uint8Array);
 		const repeatable = route.repeatable && !isStreamed;
-		const key = formatIdempotencyKey(terms, route);
-		const {depth} = terms;
-		const objectiveMs = computeObjectiveMs(terms, route);
+		const key = formatIdempotencyKey(parameters, route);
+		const {depth} = parameters;
+		const objectiveMs = computeObjectiveMs(parameters, route);
 		const admissionClass = formatAdmissionClass(route, objectiveMs);
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
@@ -399,10 +398,10 @@
 
 	async function handleRoutedRequest(routed: RoutedRequest): Promise<void> {
 		const {request, response, lagMs} = routed;
-		const cancelling = createCancelSource();
+		const cancelSource = createCancelSource();
 		response.once('close', () => {
 			if (!response.writableFinished) {
-				cancelling.abort();
+				cancelSource.abort();
 			}
 		});
 		if (await hasClientDisconnected(request, lagMs)) {
@@ -416,7 +415,7 @@
 		}
 
 		router.recordRequest(routed.route.team, routed.route.service);
-		const end = await runRoutedRequest(routed, cancelling.signal);
+		const end = await runRoutedRequest(routed, cancelSource.signal);
 		try {
 			if (end.outcome === 'answered') {
 				await sendUpstreamResponse(response, end.answer, answeredHeaders);
@@ -428,7 +427,7 @@
 		}
 	}
 
-	/** Reads how late the node is with a request, ms. */
+	/** Reads the lag of a request, ms: the larger of event loop lag and accept wait. */
 	function readRequestLag(request: IncomingMessage): number {
 		return Math.max(readLag(), server.readAcceptWaitMs(request));
 	}
@@ -472,15 +471,15 @@
 			return;
 		}
 
-		const terms = edge.readCallerParameters(request.headers);
-		const found = findRoute(request, terms);
+		const parameters = edge.readCallerParameters(request.headers);
+		const found = findRoute(request, parameters);
 		if (typeof found === 'string') {
 			refuse(response, found);
 			return;
 		}
 
 		const route = chooseService(found);
-		const deadlineMs = computeDeadlineMs(terms, route);
+		const deadlineMs = computeDeadlineMs(parameters, route);
 		if (!decideDrainAdmission({now: readAt, deadlineMs, ...drainBounds})) {
 			refuse(response, 'leaving', busyRetryMs);
 			return;
@@ -489,7 +488,7 @@
 		const {priority = 0} = route;
 		const lagMs = readRequestLag(request);
 		if (!decideEventLoopAdmission({lagMs, priority})) {
-			refuse(response, 'overloaded', computeOverloadDelayMs(terms));
+			refuse(response, 'overloaded', computeOverloadDelayMs(parameters));
 			return;
 		}
 
@@ -505,8 +504,8 @@
 				request,
 				response,
 				route,
-				terms,
-				requestId: terms.requestId ?? randomUUID(),
+				parameters,
+				requestId: parameters.requestId ?? randomUUID(),
 				startedAt: readAt - computeUnreadTime(lagMs),
 				lagMs,
 				parentTraceparent,
--- a/src/transport/start-gate-task.test.ts
+++ b/src/transport/start-gate-task.test.ts
@@ -19,7 +19,7 @@
 	});
 }
 
-test('an attempt that is read after its cancelling does not run', async (t) => {
+test('an attempt that is read after its cancellation does not run', async (t) => {
 	const gate = startGateTask({logger, now: () => 1000});
 	t.after(async () => gate.stop());
 	const attempt = createAttempt('late/1', gate.readStamp());
@@ -31,7 +31,7 @@
 	assert.equal(result.kind === 'not-run' && result.reason, 'fenced');
 });
 
-test('a slot that becomes free late is not given to an expired attempt', async (t) => {
+test('a slot that becomes free after the deadline of a queued attempt is not given to it', async (t) => {
 	let at = 1000;
 	const gate = startGateTask({logger, now: () => at});
 	const held: ServerResponse[] = [];
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -66,62 +66,66 @@
 export type GateTaskOptions = {
 	readonly logger: Logger;
 	readonly observer?: RequestObserver;
-	/** How late the event loop runs, ms; not regarded when absent. */
+	/** Returns the event loop lag, ms; default 0. */
 	readonly readLag?: () => number;
-	/** Asks an upstream for its load; undefined when it does not tell. */
+	/** Probes an upstream for its load; undefined when it reports none. */
 	readonly probeLoad?: (
 		announcement: Announcement,
 	) => Promise<GateLoad | undefined>;
-	/** Headers that the upstreams understand; the project's own when absent. */
+	/** Headers that upstreams use; default `defaultEdge`. */
 	readonly edge?: Edge;
-	/** Called when an upstream is found to leave, other than by its announcement. */
+	/** Called when an upstream is found to be leaving by other means than its announcement. */
 	readonly onLeaving?: (id: string, announcement: Announcement) => void;
-	/** Random name of the process; a new UUID when absent. */
+	/** Random identifier of the process; default a new UUID. */
 	readonly epoch?: string;
-	/** Monotonic ms; `performance.now` when absent. */
+	/** Monotonic time, ms; default `performance.now`. */
 	readonly now?: () => number;
-	/** Numbers from 0 up to 1; `Math.random` when absent. */
+	/** Returns a number from 0 up to, but not including, 1; default `Math.random`. */
 	readonly random?: () => number;
 };
 
-/** What an attempt can expect at an upstream. */
+/** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
 	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
 
-/** The task that alone sends requests to the upstreams on its host. */
+/** Gate of a host: the only task that sends requests to the upstreams on the host. */
 export type GateTask = {
+	/** Adds or updates an upstream; ignores an announcement of an earlier incarnation. */
 	announce(id: string, announcement: Announcement): void;
+	/** Removes an upstream and refuses the attempts that are queued for it. */
 	withdraw(id: string): void;
 	/**
-	 * Gives an announcement as it holds: an upstream that has said in an answer
-	 * that it leaves is not ready any more, whatever a late announcement says.
+	 * Corrects an announcement by what the gate knows: an upstream that has
+	 * reported in a response that it is leaving stays so for this incarnation,
+	 * even if a late announcement says that it is ready.
 	 */
 	reviseAnnouncement(id: string, announcement: Announcement): Announcement;
-	/** Takes in what an upstream has reported outside of an attempt. */
+	/** Handles a report and load that an upstream has sent outside of an attempt. */
 	handleReport(id: string, report: UpstreamReport, load?: GateLoad): void;
 	/**
-	 * Refuses an attempt by its head, before its body has come; undefined when it
-	 * may be taken. The attempt must not be run after a refusal.
+	 * Decides from the head of an attempt, before its body is received, whether
+	 * it is refused. Returns the refusal, after which the attempt must not be run,
+	 * or undefined when it may be admitted.
 	 */
 	refuseBeforeBody(attempt: Attempt): AttemptResult | undefined;
 	runAttempt(attempt: Attempt): Promise<AttemptResult>;
-	/** Tells what became of an attempt, fencing one that has not arrived. */
-	ask(question: AttemptQuery): LedgerStep['answer'];
-	/** Waits for the answer of an attempt, or gives the kept one. */
+	/** Returns the outcome of an attempt; fences an attempt that has not arrived. */
+	ask(query: AttemptQuery): LedgerStep['answer'];
+	/** Waits for the result of an attempt, or returns the stored one. */
 	fetchAnswer(
 		id: string,
 		remainingMs: number,
 		signal: CancelSignal,
 	): Promise<AttemptResult>;
 	/**
-	 * Ends an attempt whose answer nobody wants any more, fencing one that has
-	 * not arrived.
+	 * Cancels an attempt whose response is no longer wanted; fences an attempt
+	 * that has not arrived.
 	 */
-	cancel(question: AttemptQuery): void;
-	/** Ends an attempt that still waits, and lets one that runs go on. */
+	cancel(query: AttemptQuery): void;
+	/** Cancels an attempt that is still queued; a running one continues. */
 	cancelQueued(id: string): void;
 	readStamp(): GateStamp;
-	/** Lowest rate limit that an upstream here names, requests a second; undefined when none does. */
+	/** Returns the lowest rate limit that an upstream on the host reports, requests per second; undefined when none does. */
 	readRateLimit(): number | undefined;
 	/** Refuses new attempts and waits for those in flight. */
 	drain(): Promise<void>;
@@ -158,10 +162,10 @@
 
 	const reportLog = createReportLog({logger: options.logger, now});
 
-	/** Acts on what an upstream is now known to have said of itself. */
+	/** Applies what the gate now knows about an upstream: drops queued attempts that cannot be run here, and starts others. */
 	function applyNotice(upstream: LocalUpstream): void {
 		if (upstreams.get(upstream.id) !== upstream) {
-			// A later life has taken its place.
+			// A later incarnation has replaced this upstream.
 			return;
 		}
 
@@ -177,7 +181,7 @@
 		runner.startJobs(upstream);
 	}
 
-	/** Takes in what the head of an answer says of its upstream. */
+	/** Handles the load and the report that the head of a response carries. */
 	function handleResponseHead(job: Job, {status, headers}: ResponseHead): void {
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
@@ -186,8 +190,8 @@
 		}
 
 		const report = edge.readReport(headers);
-		const hadLimit = upstream.rateLimit !== undefined;
-		if (report === emptyReport && !hadLimit && upstream.hasReported) {
+		const hadRateLimit = upstream.rateLimit !== undefined;
+		if (report === emptyReport && !hadRateLimit && upstream.hasReported) {
 			return;
 		}
 
@@ -196,13 +200,13 @@
 		const {service} = attempt;
 		reportLog.record({id, service, report, status, verdict});
 		recordReport(upstream, {report, verdict, sentAt}, now());
-		const hasLimit = upstream.rateLimit !== undefined;
-		if (hadLimit || hasLimit || upstream.isLeaving) {
+		const hasRateLimit = upstream.rateLimit !== undefined;
+		if (hadRateLimit || hasRateLimit || upstream.isLeaving) {
 			applyNotice(upstream);
 		}
 	}
 
-	/** Takes in what the sender of an attempt knows of an upstream here. */
+	/** Handles the notice about a local upstream that the sender of an attempt has cached. */
 	function handleRemoteNotice(notice: UpstreamNotice | undefined): void {
 		const upstream = notice && upstreams.get(notice.id);
 		if (upstream) {
@@ -243,13 +247,13 @@
 		};
 	}
 
-	/** Counts the time that an attempt has been on its way as used up. */
+	/** Subtracts the transit time of an attempt from its remaining time. */
 	function subtractTransitTime(attempt: Attempt): Attempt {
 		const transitMs = computeTransitTime(attempt, now());
 		return {...attempt, ...computeRemainingTime(attempt, transitMs)};
 	}
 
-	/** Refuses an attempt when the node itself has no time for it. */
+	/** Admits an attempt, unless event loop lag leaves the node no time for it. */
 	function admitUnlessLagging(attempt: Attempt): Job | AttemptResult {
 		const lagMs = readLag();
 		const {priority = 0, remainingMs} = attempt;
@@ -257,14 +261,14 @@
 			return refuse('not-run', 'deadline');
 		}
 
-		// The attempt may have waited here for as long as the loop runs late.
+		// The attempt may have been waiting unread for as long as the event loop lags.
 		const canEndInTime = lagMs < remainingMs;
 		return canEndInTime && decideEventLoopAdmission({lagMs, priority})
 			? admit(attempt)
 			: refuse('not-run', 'overloaded');
 	}
 
-	/** Describes the slots and the queue as a new attempt finds them. */
+	/** Reads the state of slots and queue that a new attempt meets. */
 	function readQueueState(
 		upstream: LocalUpstream,
 		{team}: Attempt,
@@ -289,7 +293,7 @@
 		};
 	}
 
-	/** Counts an attempt that comes in time, and makes room where those take all. */
+	/** Counts an attempt that can meet its objective, and drops late attempts when such attempts use all slots. Returns the utilization. */
 	function recordDemand(
 		upstream: LocalUpstream,
 		serviceMs: number,
@@ -307,14 +311,14 @@
 		const {slots} = upstream.announcement;
 		const utilization = readUtilization(upstream.utilization, slots, at);
 		if (utilization >= 1) {
-			// Those in time take every slot: late ones would wait in vain.
+			// Attempts that meet their objectives use every slot, so late ones would never get one.
 			runner.dropLate(upstream);
 		}
 
 		return utilization;
 	}
 
-	/** Finds the upstream for an attempt, or why there is none. */
+	/** Finds the upstream for an attempt; returns a refusal when none is available. */
 	function findUpstream({service}: Attempt): LocalUpstream | AttemptResult {
 		const {upstream, state: found} = findLocalUpstream(
 			upstreams.values(),
@@ -329,11 +333,11 @@
 		return refuse('not-run', reason, upstream);
 	}
 
-	/** Decides whether an upstream has room for an attempt in time. */
+	/** Decides whether an upstream can run an attempt in time. */
 	function evaluateAdmission(
 		upstream: LocalUpstream,
 		attempt: Attempt,
-		expected: AttemptEstimate,
+		estimate: AttemptEstimate,
 		utilization: number,
 	): (Admission & {readonly kind: 'admit'}) | AttemptResult {
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
@@ -341,7 +345,7 @@
 			state: 'ready',
 			remainingMs,
 			objectiveMs,
-			...expected,
+			...estimate,
 			utilization,
 			marginRatio: upstream.marginRatio,
 			...readQueueState(upstream, attempt),
@@ -351,7 +355,7 @@
 		}
 
 		const retryAfter = computeRetryAfter({
-			...expected,
+			...estimate,
 			objectiveMs,
 			remainingMs,
 			random: random(),
@@ -366,13 +370,13 @@
 		}
 
 		const {slots} = found.announcement;
-		const judged = evaluateAdmission(
+		const decision = evaluateAdmission(
 			found,
 			attempt,
 			estimateAttempt(found, attempt),
 			readUtilization(found.utilization, slots, now()),
 		);
-		return judged.kind === 'admit' ? undefined : judged;
+		return decision.kind === 'admit' ? undefined : decision;
 	}
 
 	function admit(attempt: Attempt): Job | AttemptResult {
@@ -382,26 +386,31 @@
 		}
 
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
-		const expected = estimateAttempt(upstream, attempt);
-		const utilization = recordDemand(upstream, expected.serviceMs, objectiveMs);
-		const judged = evaluateAdmission(upstream, attempt, expected, utilization);
-		if (judged.kind !== 'admit') {
-			return judged;
+		const estimate = estimateAttempt(upstream, attempt);
+		const utilization = recordDemand(upstream, estimate.serviceMs, objectiveMs);
+		const decision = evaluateAdmission(
+			upstream,
+			attempt,
+			estimate,
+			utilization,
+		);
+		if (decision.kind !== 'admit') {
+			return decision;
 		}
 
-		if (judged.shouldEvict) {
+		if (decision.shouldEvict) {
 			runner.drop(findLongestQueue(upstream).at(-1)!, 'saturated');
 		}
 
 		return runner.enqueue(attempt, upstream, {
-			isLate: judged.isLate,
-			serviceMs: expected.serviceMs,
-			waitMs: expected.waitMs,
+			isLate: decision.isLate,
+			serviceMs: estimate.serviceMs,
+			waitMs: estimate.waitMs,
 		});
 	}
 
-	async function admitAndRun(arrived: Attempt): Promise<AttemptResult> {
-		const attempt = subtractTransitTime(arrived);
+	async function admitAndRun(received: Attempt): Promise<AttemptResult> {
+		const attempt = subtractTransitTime(received);
 		const admitted = admitUnlessLagging(attempt);
 		if ('kind' in admitted) {
 			ledger.refuse(attempt, now());
@@ -467,7 +476,7 @@
 		}
 	}
 
-	/** Takes in a further announcement of the same life. */
+	/** Updates an upstream with a further announcement of the same incarnation. */
 	function updateAnnouncement(
 		known: LocalUpstream,
 		announcement: Announcement,
@@ -516,7 +525,7 @@
 				lostRequestDetector.recordLoad(upstream, load);
 			}
 
-			// A health answer that is silent says nothing of other answers.
+			// A health response without a report does not revoke what other responses have reported.
 			if (upstream && report !== emptyReport) {
 				const at = now();
 				recordReport(upstream, {report, verdict: 'answered', sentAt: at}, at);
@@ -528,8 +537,8 @@
 			const {id, key, remainingMs, signal} = attempt;
 			handleRemoteNotice(attempt.notice);
 			const holder = key === undefined ? undefined : ledger.findKeyHolder(key);
-			const answer = holder ? 'running' : ledger.admit(attempt, now());
-			switch (answer) {
+			const decision = holder ? 'running' : ledger.admit(attempt, now());
+			switch (decision) {
 				case 'run': {
 					return admitAndRun(attempt);
 				}
@@ -548,15 +557,15 @@
 				}
 			}
 		},
-		ask: (question) => ledger.ask(question, now()),
+		ask: (query) => ledger.ask(query, now()),
 		fetchAnswer: joinAttempt,
-		cancel(question) {
-			const job = runner.findJob(question.id);
+		cancel(query) {
+			const job = runner.findJob(query.id);
 			if (job) {
 				runner.endEarly(job, 'cancelled');
 			} else {
-				// It may still lie in the socket of a node that runs late.
-				ledger.ask(question, now());
+				// The attempt may still be unread in a socket, when the event loop lags.
+				ledger.ask(query, now());
 			}
 		},
 		cancelQueued(id) {
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -33,19 +33,19 @@
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
 
-/** What a platform brings to a node. */
+/** Adapter of a platform: what a node needs of it. */
 export type MeshPlatform = {
-	/** Creates the client of its store. */
+	/** Creates the client of the platform's store. */
 	readonly createStore: (
 		onSocket: (socket: Socket) => void,
 	) => PlatformClient & DocumentStore;
 	readonly edge: Edge;
-	/** Asks an upstream who it is; undefined when it does not answer or is not healthy. */
+	/** Probes an upstream for its identity; undefined when it does not respond or is not healthy. */
 	readonly probeUpstream: (
 		address: string,
 		healthPath: string,
 	) => Promise<UpstreamIdentity | undefined>;
-	/** Creates the listener for what upstreams say of themselves. */
+	/** Creates the listener for announcements of upstreams. */
 	readonly createAnnouncementListener: (handlers: {
 		readonly announce: (id: string, announcement: Announcement) => void;
 		readonly withdraw: (id: string) => void;
@@ -54,51 +54,51 @@
 
 /** A running node. */
 export type RunningMeshNode = {
-	/** Takes over settings that have changed. */
+	/** Applies changed settings. */
 	reload(settings: MeshSettings): void;
-	/** Leaves, finishes what is in flight, and stops. */
+	/** Leaves the members, drains requests in flight, and stops. */
 	stop(): Promise<void>;
 };
 
-/** Announcements that may be missed before an upstream counts as gone. */
+/** Number of missed announcements after which the lease of an upstream expires. */
 const maxMissedAnnouncements = 6;
 
-/** Time before the end of the grace period at which the process begins to end by itself, ms; a busy one takes up to 250 ms for that. */
+/** Time before the end of the grace period at which the process starts to exit, ms; a busy process takes up to 250 ms to exit. */
 const exitMarginMs = 400;
 
-/** Longest wait for the servers to close, ms. */
+/** Maximum wait for the servers to close, ms. */
 const closeTimeoutMs = 150;
 
-/** Time that is kept for the last requests, ms; longer than almost all take. */
+/** Time reserved for the last requests of a stopping node, ms; almost all requests take less. */
 const finalRequestsMs = 900;
 
-/** Least time that a stopping node goes on serving, ms; the platform's readiness checks take two seconds. */
+/** Minimum time that a stopping node keeps serving, ms; the platform's readiness checks take two seconds to notice the stop. */
 const minDrainMs = 2500;
 
-/** Wait of connections above which it is logged, ms; below it requests are not outdated. */
+/** Accept wait of connections from which it is logged, ms; after a shorter wait, requests are not outdated. */
 const acceptWarningMs = lagThresholdMs;
 
-/** Time without requests after which no client is left, ms. */
+/** Time without requests after which the node assumes that no clients are left, ms. */
 const idleThresholdMs = 700;
 
 /**
- * Starts a node whose platform keeps the configuration: all its tasks, joined
- * by messages.
+ * Starts a node whose platform stores the configuration: starts its tasks and
+ * passes messages between them.
  *
- * @param first - settings at the start
- * @param platform - what the platform brings
- * @param logger - where the node logs
+ * @param initialSettings - settings at the start
+ * @param platform - see `MeshPlatform`
+ * @param logger - logger of the node
  * @returns the running node
  * @example
  * const node = await startMeshNode(settings, platform, logger);
  */
 export async function startMeshNode(
-	first: MeshSettings,
+	initialSettings: MeshSettings,
 	platform: MeshPlatform,
 	logger: Logger,
 ): Promise<RunningMeshNode> {
-	let settings = first;
-	const {name, dataCentre} = first;
+	let settings = initialSettings;
+	const {name, dataCentre} = initialSettings;
 	const {edge} = platform;
 	const byteCounter = createByteCounter();
 	const store = platform.createStore((socket) => {
@@ -126,7 +126,7 @@
 	]);
 	const lagMeter = createLagMeter(() => performance.now());
 
-	/** Reports how long connections of a server have waited to be accepted. */
+	/** Creates a handler that records, and logs if long, how long connections of a server have waited to be accepted. */
 	function reportAccepted(server: string) {
 		return ({count, waitMs}: AcceptedBatch): void => {
 			metrics.recordAcceptWait(server, waitMs);
@@ -147,9 +147,10 @@
 		observer,
 		readLag: lagMeter.read,
 		async probeLoad({service, address}) {
-			const terms = document.readDocument()?.services[service];
+			const serviceEntry = document.readDocument()?.services[service];
 			const identity =
-				terms && (await platform.probeUpstream(address, terms.healthPath));
+				serviceEntry &&
+				(await platform.probeUpstream(address, serviceEntry.healthPath));
 			return identity?.load;
 		},
 		onLeaving(id, announcement) {
@@ -161,7 +162,7 @@
 	const caller = await startCallerTask({
 		name,
 		dataCentre,
-		address: first.callers,
+		address: initialSettings.callers,
 		gate,
 		forwarder,
 		logger,
@@ -171,7 +172,7 @@
 		onAccepted: reportAccepted('callers'),
 		readOrigin: () => settings.service,
 		bodyMemory,
-		linkMbps: first.linkMbps,
+		linkMbps: initialSettings.linkMbps,
 		computeRetryBudget: (members) =>
 			computeRetryShare(
 				{
@@ -192,7 +193,7 @@
 		},
 	});
 	const peerServer = await startPeerServer({
-		address: first.peers,
+		address: initialSettings.peers,
 		gate,
 		logger,
 		bodyMemory,
@@ -214,12 +215,12 @@
 		self: {
 			name,
 			dataCentre,
-			address: first.peers,
+			address: initialSettings.peers,
 			incarnation: Date.now(),
 			sequence: 0,
 			state: 'alive',
 			upstreams: [],
-			capacity: computeCapacity(first),
+			capacity: computeCapacity(initialSettings),
 		},
 		seeds: [],
 		peers,
@@ -227,7 +228,7 @@
 		logger,
 		leaseMs: Math.max(
 			upstreamLeaseMs,
-			maxMissedAnnouncements * first.announceIntervalMs,
+			maxMissedAnnouncements * initialSettings.announceIntervalMs,
 		),
 		onView(view) {
 			caller.updateMembers(view);
@@ -236,18 +237,18 @@
 		onLeaseExpired: gate.withdraw,
 	});
 
-	/** Whether the upstream on the host need not be asked who it is. */
+	/** Whether the upstream on the host no longer needs to be discovered by probes. */
 	let isDiscoveryDone = false;
 
-	/** Asks the upstream on the host who it is, once its service is known. */
+	/** Probes the upstream on the host for its identity, once the configuration contains its service. */
 	async function probeUpstream() {
 		const {service, upstreamAddress: address} = settings;
-		const terms = document.readDocument()?.services[service ?? ''];
-		if (service === undefined || address === undefined || !terms) {
+		const serviceEntry = document.readDocument()?.services[service ?? ''];
+		if (service === undefined || address === undefined || !serviceEntry) {
 			return undefined;
 		}
 
-		const {healthPath, connections} = terms;
+		const {healthPath, connections} = serviceEntry;
 		const identity = await platform.probeUpstream(address, healthPath);
 		return identity && {...identity, service, address, connections};
 	}
@@ -256,14 +257,14 @@
 		isDiscoveryDone = true;
 		const announcement = gate.reviseAnnouncement(id, announced);
 		const outcome = members.announce(id, announcement);
-		// The acknowledgement of a leaving binds, whatever else is known.
+		// Once a leaving announcement is acknowledged, the gate must apply it, even if the members did not accept it.
 		if (outcome === 'accepted' || announcement.state === 'leaving') {
 			gate.announce(id, announcement);
 		}
 	}
 
 	const announcements = await startServer(
-		first.announcements,
+		initialSettings.announcements,
 		platform.createAnnouncementListener({
 			announce,
 			withdraw(id) {
@@ -279,7 +280,7 @@
 		hasJoined: members.isMember,
 	});
 	const readinessServer = await startServer(
-		first.readiness,
+		initialSettings.readiness,
 		(_request, response) => {
 			const state = readiness.read();
 			sendJson(response, state === 'ready' ? 200 : 503, {state});
@@ -287,7 +288,7 @@
 		{onAccepted: reportAccepted('readiness')},
 	);
 	const metricsServer = await startServer(
-		first.metrics,
+		initialSettings.metrics,
 		(_request, response) => {
 			metrics.formatText().then(
 				(text) => {
@@ -311,9 +312,9 @@
 		},
 	});
 	logger.info('node started', {
-		callers: first.callers,
-		peers: first.peers,
-		service: first.service,
+		callers: initialSettings.callers,
+		peers: initialSettings.peers,
+		service: initialSettings.service,
 	});
 
 	return {
@@ -326,11 +327,11 @@
 			logger.info('node stopping', {graceMs: settings.graceMs});
 			isDiscoveryDone = true;
 			const elapsedMs = (): number => performance.now() - startedAt;
-			const lastMs = settings.graceMs - exitMarginMs;
+			const drainLimitMs = settings.graceMs - exitMarginMs;
 			readiness.drain();
 			caller.drain({
 				servesUntil: startedAt + minDrainMs,
-				endsAt: startedAt + lastMs,
+				endsAt: startedAt + drainLimitMs,
 			});
 			peerServer.drain();
 			await members.leave();
@@ -339,17 +340,20 @@
 				readIdleMs: caller.readIdleMs,
 				idleThresholdMs,
 				minMs: minDrainMs,
-				maxMs: lastMs - finalRequestsMs - elapsedMs(),
+				maxMs: drainLimitMs - finalRequestsMs - elapsedMs(),
 			});
-			// Requests that come now could be cut by the end of the grace period.
+			// The end of the grace period could abort requests that arrive from now on.
 			caller.refuseAll();
-			await Promise.race([drained, waitMs(Math.max(0, lastMs - elapsedMs()))]);
+			await Promise.race([
+				drained,
+				waitMs(Math.max(0, drainLimitMs - elapsedMs())),
+			]);
 			await waitUntilIdle({
 				readIdleMs: () =>
 					caller.readInFlight() === 0 ? Number.POSITIVE_INFINITY : 0,
 				idleThresholdMs: 1,
 				minMs: 0,
-				maxMs: lastMs - elapsedMs(),
+				maxMs: drainLimitMs - elapsedMs(),
 			});
 			logger.info('node drained', {
 				durationMs: Math.round(elapsedMs()),
