--- a/src/transport/gate-reports.test.ts
+++ b/src/transport/gate-reports.test.ts
@@ -173,13 +173,13 @@
 
 test('a restarted gate learns from the notices of callers what its upstream has reported', async (t) => {
 	const {run, exchange, left, waitUntilHeld} = await startHeldGate(t);
-	const rateLimit = {perSecond: 2, waitMs: 0};
+	const cachedRateLimit = {perSecond: 2, waitMs: 0};
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: false};
 	const other = {...notice, id: 'i-2', isLeaving: true};
 	const earlier = {...notice, incarnation: 4, isLeaving: true};
 	assert.equal(formatOutcome(await exchange({})), 'answered');
 	// The gate itself has received a response without a rate limit.
-	void run({notice: {...notice, rateLimit: rateLimit}, objectiveMs: 200});
+	void run({notice: {...notice, rateLimit: cachedRateLimit}, objectiveMs: 200});
 	await waitUntilHeld(1);
 	void run({notice: other});
 	void run({notice: earlier});
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -121,8 +121,8 @@
 	/** Refuses all further requests. */
 	refuseAll(): void;
 	/**
-	 * Tells callers that their connections will be closed, and ends the requests
-	 * that still come before the node ends.
+	 * Tells callers that their connections will be closed, and limits the
+	 * deadlines of further requests to the end of the node.
 	 *
 	 * @param bounds - when absent, only the requests' own deadlines apply
 	 */
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -72,10 +72,10 @@
 /** Time reserved for the last requests of a stopping node, ms; almost all requests take less. */
 const finalRequestsMs = 900;
 
-/** Minimum time that a stopping node keeps serving, ms; the platform's readiness checks take two seconds to notice the stop. */
+/** Minimum time that a stopping node keeps serving, ms; the platform's readiness checks take two seconds. */
 const minDrainMs = 2500;
 
-/** Accept wait of connections from which it is logged, ms; after a shorter wait, requests are not outdated. */
+/** Accept wait from which connections are logged, ms; after a shorter wait, requests are not outdated. */
 const acceptWarningMs = lagThresholdMs;
 
 /** Time without requests after which the node assumes that no clients are left, ms. */
@@ -126,7 +126,7 @@
 	]);
 	const lagMeter = createLagMeter(() => performance.now());
 
-	/** Creates a handler that records, and logs if long, how long connections of a server have waited to be accepted. */
+	/** Creates a handler that records the accept wait of a server's connections and logs long ones. */
 	function reportAccepted(server: string) {
 		return ({count, waitMs}: AcceptedBatch): void => {
 			metrics.recordAcceptWait(server, waitMs);
