--- a/faults/_lib/config/apply-fault.ts
+++ b/faults/_lib/config/apply-fault.ts
@@ -1,4 +1,4 @@
-import type {Fault, SimNode, World} from './config-world.js';
+import type {Fault, SimNode, Simulation} from './config-simulation.js';
 
 const minDurationMs = 1000;
 const durationRangeMs = 4000;
@@ -10,13 +10,13 @@
 	'platform-slow',
 	'cut-from-platform',
 	'data-centres-cut',
-	'one-way',
-	'crossing-duplicated',
+	'one-way-cut',
+	'reordered-duplicated',
 ]);
 
-function restartLater(world: World, node: SimNode, name: string): void {
+function restartLater(world: Simulation, node: SimNode, name: string): void {
 	const delay = 200 + world.scheduler.random() * maxRestartDelayMs;
-	world.disturbUntil(world.scheduler.now() + delay);
+	world.recordFaultEnd(world.scheduler.now() + delay);
 	world.scheduler.schedule(delay, () => {
 		if (world.nodes.get(node.slot)?.readState() === 'dead') {
 			world.startNode(node.slot, node.dataCentre, name);
@@ -24,11 +24,11 @@
 	});
 }
 
-function listOthers(world: World, node: SimNode): SimNode[] {
+function listOthers(world: Simulation, node: SimNode): SimNode[] {
 	return [...world.nodes.values()].filter(({name}) => name !== node.name);
 }
 
-function pickOther(world: World, node: SimNode): SimNode {
+function pickOther(world: Simulation, node: SimNode): SimNode {
 	const others = listOthers(world, node).filter(
 		({dataCentre}) => dataCentre === node.dataCentre,
 	);
@@ -45,12 +45,16 @@
  * @param fault - the fault
  * @param node - the node that has reached the step
  */
-export function applyFault(world: World, fault: Fault, node: SimNode): void {
+export function applyFault(
+	world: Simulation,
+	fault: Fault,
+	node: SimNode,
+): void {
 	const {scheduler, platform, network} = world;
 	const now = scheduler.now();
 	const duration = minDurationMs + scheduler.random() * durationRangeMs;
 	if (lastingFaults.has(fault)) {
-		world.disturbUntil(now + duration);
+		world.recordFaultEnd(now + duration);
 	}
 
 	switch (fault) {
@@ -60,7 +64,7 @@
 			break;
 		}
 
-		case 'herd-killed': {
+		case 'data-centre-killed': {
 			for (const other of world.nodes.values()) {
 				if (other.dataCentre === node.dataCentre) {
 					other.kill();
@@ -74,7 +78,7 @@
 		case 'frozen': {
 			node.freeze();
 			scheduler.schedule(duration, () => {
-				node.wake();
+				node.resume();
 			});
 			break;
 		}
@@ -96,16 +100,16 @@
 		}
 
 		case 'answer-lost': {
-			platform.faults.answersToLose += 1 + Math.floor(scheduler.random() * 2);
+			platform.faults.lostAnswerCount += 1 + Math.floor(scheduler.random() * 2);
 			break;
 		}
 
-		case 'watch-silent': {
-			platform.faults.areWatchesSilent = true;
+		case 'watch-stalled': {
+			platform.faults.areWatchesStalled = true;
 			break;
 		}
 
-		case 'peer-silent': {
+		case 'connections-stalled': {
 			for (const other of listOthers(world, node)) {
 				network.faults.silent.add(`${node.name}>${other.name}`);
 				network.faults.silent.add(`${other.name}>${node.name}`);
@@ -124,19 +128,19 @@
 			break;
 		}
 
-		case 'one-way': {
+		case 'one-way-cut': {
 			const other = pickOther(world, node);
 			network.faults.cutLinks.set(`${other.name}>${node.name}`, now + duration);
 			break;
 		}
 
-		case 'crossing-duplicated': {
-			network.faults.crossingUntil = now + duration;
+		case 'reordered-duplicated': {
+			network.faults.reorderingUntil = now + duration;
 			break;
 		}
 
-		case 'operators-racing': {
-			world.raceOperators();
+		case 'concurrent-operators': {
+			world.startConcurrentOperators();
 			break;
 		}
 	}
--- a/faults/_lib/config/check-invariants.ts
+++ b/faults/_lib/config/check-invariants.ts
@@ -6,10 +6,10 @@
 import {applyEntry} from '../../../src/state/apply-entry.js';
 import {createConfiguration} from '../../../src/state/create-configuration.js';
 import {validateConfiguration} from '../../../src/state/validate-configuration.js';
-import type {World} from './config-world.js';
-import type {Verdict} from './start-operators.js';
+import type {Simulation} from './config-simulation.js';
+import type {OperatorOutcome} from './start-operators.js';
 
-function replayLog(world: World, violations: string[]): Configuration[] {
+function replayLog(world: Simulation, violations: string[]): Configuration[] {
 	const history = [createConfiguration()];
 	for (const entry of world.platform.log) {
 		const next = applyEntry(history.at(-1)!, entry);
@@ -24,9 +24,12 @@
 	return history;
 }
 
-function checkRuns(world: World, history: readonly Configuration[]): string[] {
+function checkRuns(
+	world: Simulation,
+	history: readonly Configuration[],
+): string[] {
 	const violations: string[] = [];
-	for (const [slot, runs] of world.runs) {
+	for (const [slot, runs] of world.activations) {
 		let highest = 0;
 		for (const {version, digest} of runs) {
 			if (version < highest) {
@@ -50,8 +53,8 @@
 }
 
 function checkVerdicts(
-	world: World,
-	verdicts: readonly Verdict[],
+	world: Simulation,
+	verdicts: readonly OperatorOutcome[],
 ): readonly string[] {
 	const violations: string[] = [];
 	const accepted = new Map(
@@ -60,7 +63,7 @@
 		),
 	);
 	const byRevision = new Map<string, string>();
-	for (const {submission, outcome, isOnly} of verdicts) {
+	for (const {submission, outcome, isSentOnce} of verdicts) {
 		const {submissionId, manifest} = submission;
 		const version = accepted.get(submissionId);
 		if (outcome.kind === 'accepted') {
@@ -80,9 +83,9 @@
 			violations.push(`${submissionId} was called refused and is accepted`);
 		}
 
-		if (outcome.kind === 'unavailable' && isOnly && version !== undefined) {
+		if (outcome.kind === 'unavailable' && isSentOnce && version !== undefined) {
 			const isRepeated = verdicts.some(
-				(other) => other.submission === submission && !other.isOnly,
+				(other) => other.submission === submission && !other.isSentOnce,
 			);
 			if (!isRepeated) {
 				violations.push(`${submissionId} was called not accepted and is`);
@@ -93,7 +96,7 @@
 	return violations;
 }
 
-function checkStatuses(world: World): readonly string[] {
+function checkStatuses(world: Simulation): readonly string[] {
 	const highest = new Map<string, number>();
 	const violations: string[] = [];
 	for (const {key, value} of world.platform.statuses) {
@@ -109,7 +112,7 @@
 	return violations;
 }
 
-function checkEnd(world: World, newest: number): readonly string[] {
+function checkEnd(world: Simulation, newest: number): readonly string[] {
 	const violations: string[] = [];
 	for (const node of world.nodes.values()) {
 		const version = node.readRunningVersion() ?? 0;
@@ -148,8 +151,8 @@
  * @returns what was broken, empty when all held
  */
 export function checkInvariants(
-	world: World,
-	verdicts: readonly Verdict[],
+	world: Simulation,
+	verdicts: readonly OperatorOutcome[],
 ): readonly string[] {
 	const violations = [...world.violations];
 	const history = replayLog(world, violations);
--- a/faults/_lib/config/config-world.ts
+++ b/faults/_lib/config/config-simulation.ts
@@ -26,7 +26,7 @@
 	'report',
 	'status-write',
 	'snapshot',
-	'clearing',
+	'snapshot-deletion',
 ] as const;
 
 export type Step = (typeof steps)[number];
@@ -34,19 +34,19 @@
 /** Faults that a case brings about. */
 export const faults = [
 	'killed',
-	'herd-killed',
+	'data-centre-killed',
 	'frozen',
 	'host-replaced',
 	'platform-down',
 	'platform-slow',
 	'answer-lost',
-	'watch-silent',
-	'peer-silent',
+	'watch-stalled',
+	'connections-stalled',
 	'cut-from-platform',
 	'data-centres-cut',
-	'one-way',
-	'crossing-duplicated',
-	'operators-racing',
+	'one-way-cut',
+	'reordered-duplicated',
+	'concurrent-operators',
 ] as const;
 
 export type Fault = (typeof faults)[number];
@@ -79,11 +79,11 @@
 		submission: Submission,
 		answer: (outcome: SubmissionOutcome) => void,
 	): void;
-	takePoll(poll: unknown, answer: (value: unknown) => void): void;
-	tellView(members: readonly SimNode[]): void;
+	handlePoll(poll: unknown, answer: (value: unknown) => void): void;
+	updateMembers(members: readonly SimNode[]): void;
 	kill(): void;
 	freeze(): void;
-	wake(): void;
+	resume(): void;
 };
 
 /** The fake platform. */
@@ -95,8 +95,8 @@
 	readonly faults: {
 		downUntil: number;
 		slowUntil: number;
-		answersToLose: number;
-		areWatchesSilent: boolean;
+		lostAnswerCount: number;
+		areWatchesStalled: boolean;
 		readonly cutUntil: Map<string, number>;
 	};
 	call(
@@ -109,7 +109,7 @@
 /** The fake network between nodes. */
 export type FakeNetwork = {
 	readonly faults: {
-		crossingUntil: number;
+		reorderingUntil: number;
 		dataCentresCutUntil: number;
 		/** Links, `FROM>TO`, that lose everything until a time. */
 		readonly cutLinks: Map<string, number>;
@@ -123,7 +123,7 @@
 };
 
 /** The world. */
-export type World = {
+export type Simulation = {
 	readonly scheduler: Scheduler;
 	readonly platform: FakePlatform;
 	readonly network: FakeNetwork;
@@ -132,15 +132,15 @@
 	/** Present node of each slot. */
 	readonly nodes: Map<string, SimNode>;
 	/** Every node that there was, by address. */
-	readonly byAddress: Map<string, SimNode>;
+	readonly nodesByAddress: Map<string, SimNode>;
 	/** Versions run in each slot, in order, over all its nodes. */
-	readonly runs: Map<string, Array<{version: number; digest: string}>>;
+	readonly activations: Map<string, Array<{version: number; digest: string}>>;
 	/** Notes a time until which a fault lasts. */
-	disturbUntil(time: number): void;
+	recordFaultEnd(time: number): void;
 	/** Marks that a node reaches a step, at which a fault may occur. */
-	reach(step: Step, node: SimNode, action: () => void): void;
+	reachStep(step: Step, node: SimNode, action: () => void): void;
 	/** Starts more operators, who race the ones at work. */
-	raceOperators(): void;
+	startConcurrentOperators(): void;
 	/** Starts a node in a slot, as after a restart or a replacement. */
 	startNode(slot: string, dataCentre: string, name: string): void;
 };
--- a/faults/_lib/config/create-fake-network.ts
+++ b/faults/_lib/config/create-fake-network.ts
@@ -1,5 +1,5 @@
 import type {Scheduler} from '../../../harness/create-scheduler.js';
-import type {FakeNetwork, SimNode} from './config-world.js';
+import type {FakeNetwork, SimNode} from './config-simulation.js';
 
 const maxLatencyMs = 5;
 const crossingLatencyMs = 900;
@@ -12,7 +12,7 @@
  */
 export function createFakeNetwork(scheduler: Scheduler): FakeNetwork {
 	const faults: FakeNetwork['faults'] = {
-		crossingUntil: 0,
+		reorderingUntil: 0,
 		dataCentresCutUntil: 0,
 		cutLinks: new Map(),
 		silent: new Set(),
@@ -28,7 +28,7 @@
 	}
 
 	function send(from: SimNode, to: SimNode, deliver: () => void): void {
-		const isCrossing = scheduler.now() < faults.crossingUntil;
+		const isCrossing = scheduler.now() < faults.reorderingUntil;
 		const copies = isCrossing && scheduler.random() < 0.5 ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
 			const latency =
--- a/faults/_lib/config/create-fake-platform.ts
+++ b/faults/_lib/config/create-fake-platform.ts
@@ -8,7 +8,7 @@
 	WriteCondition,
 } from '../../../src/protocol/platform.js';
 import {logPrefix} from '../../../src/state/format-log-key.js';
-import type {FakePlatform} from './config-world.js';
+import type {FakePlatform} from './config-simulation.js';
 
 type Answer = (outcome: PlatformOutcome) => void;
 
@@ -41,8 +41,8 @@
 	const faults: FakePlatform['faults'] = {
 		downUntil: 0,
 		slowUntil: 0,
-		answersToLose: 0,
-		areWatchesSilent: false,
+		lostAnswerCount: 0,
+		areWatchesStalled: false,
 		cutUntil: new Map(),
 	};
 	store.subscribe(({key, value}) => {
@@ -84,8 +84,8 @@
 			return {kind: 'conflict'};
 		}
 
-		if (faults.answersToLose > 0 && call.kind === 'write') {
-			faults.answersToLose--;
+		if (faults.lostAnswerCount > 0 && call.kind === 'write') {
+			faults.lostAnswerCount--;
 			return {kind: 'unknown'};
 		}
 
@@ -99,7 +99,7 @@
 	): void {
 		const finish = (): void => {
 			const items = store.readChanges(call.prefix, call.after);
-			if (!faults.areWatchesSilent && !isUnreachable(dataCentre)) {
+			if (!faults.areWatchesStalled && !isUnreachable(dataCentre)) {
 				unsubscribe();
 				answer(
 					items
--- a/faults/_lib/config/create-sim-node.ts
+++ b/faults/_lib/config/create-sim-node.ts
@@ -20,7 +20,7 @@
 	PlatformCall,
 	PlatformOutcome,
 } from '../../../src/protocol/platform.js';
-import type {SimNode, Step, World} from './config-world.js';
+import type {SimNode, Step, Simulation} from './config-simulation.js';
 import {describeMember} from './describe-member.js';
 import {findStep} from './find-step.js';
 
@@ -45,7 +45,10 @@
  * @param options - see `SimNodeOptions`
  * @returns the node, running
  */
-export function createSimNode(world: World, options: SimNodeOptions): SimNode {
+export function createSimNode(
+	world: Simulation,
+	options: SimNodeOptions,
+): SimNode {
 	const {scheduler, platform, network, variant} = world;
 	const {name, slot, dataCentre, address} = options;
 	const {random} = scheduler;
@@ -82,7 +85,7 @@
 		};
 
 		if (step) {
-			world.reach(step, node, action);
+			world.reachStep(step, node, action);
 		} else {
 			receive(action);
 		}
@@ -170,7 +173,7 @@
 
 	function takeNews(step: Step | undefined, action: () => void): void {
 		if (step) {
-			world.reach(step, node, action);
+			world.reachStep(step, node, action);
 		} else {
 			action();
 		}
@@ -178,7 +181,7 @@
 
 	function startPoll(effect: Extract<DeliveryEffect, {kind: 'poll'}>): void {
 		const {callId, poll, timeoutMs} = effect;
-		const target = world.byAddress.get(effect.address)!;
+		const target = world.nodesByAddress.get(effect.address)!;
 		scheduler.schedule(timeoutMs, () => {
 			network.dropConnection(node, target);
 			receive(() => {
@@ -191,7 +194,7 @@
 		}
 
 		network.request(node, target, () => {
-			target.takePoll(poll, (value) => {
+			target.handlePoll(poll, (value) => {
 				network.send(target, node, () => {
 					// The value is checked by the machine; here it only tells the step.
 					// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
@@ -223,7 +226,7 @@
 
 			case 'poll': {
 				const isReport = effect.poll.waitMs === 0;
-				world.reach(isReport ? 'report' : 'child-poll', node, () => {
+				world.reachStep(isReport ? 'report' : 'child-poll', node, () => {
 					startPoll(effect);
 				});
 				break;
@@ -238,10 +241,10 @@
 			}
 
 			case 'run': {
-				world.reach('swap', node, () => {
+				world.reachStep('swap', node, () => {
 					const {version, digest} = effect.configuration;
-					const runs = world.runs.get(slot) ?? [];
-					world.runs.set(slot, [...runs, {version, digest}]);
+					const runs = world.activations.get(slot) ?? [];
+					world.activations.set(slot, [...runs, {version, digest}]);
 				});
 				break;
 			}
@@ -282,19 +285,19 @@
 			lastNumber++;
 			replies.set(lastNumber, answer);
 			const pending = {...submission, replyId: lastNumber};
-			world.reach('submit', node, () => {
+			world.reachStep('submit', node, () => {
 				const configuration = delivery.heldConfigurations.at(-1)!;
 				tellCommit({kind: 'configuration', configuration});
 				tellCommit({kind: 'submit', pending});
 			});
 		},
-		takePoll(value, answer) {
+		handlePoll(value, answer) {
 			const poll = pollSchema.parse(value);
 			lastNumber++;
 			answers.set(lastNumber, answer);
 			tellDelivery({kind: 'poll', pollId: lastNumber, poll});
 		},
-		tellView(members) {
+		updateMembers(members) {
 			receive(() => {
 				tellDelivery({
 					kind: 'view',
@@ -313,7 +316,7 @@
 				change('frozen');
 			}
 		},
-		wake() {
+		resume() {
 			if (condition !== 'frozen') {
 				return;
 			}
--- a/faults/_lib/config/describe-member.ts
+++ b/faults/_lib/config/describe-member.ts
@@ -1,5 +1,5 @@
 import type {Member} from '../../../src/protocol/member.js';
-import type {SimNode} from './config-world.js';
+import type {SimNode} from './config-simulation.js';
 
 const suspectAfterMs = 5000;
 const deadAfterMs = 2500;
--- a/faults/_lib/config/find-step.ts
+++ b/faults/_lib/config/find-step.ts
@@ -1,5 +1,5 @@
 import type {PlatformCall} from '../../../src/protocol/platform.js';
-import type {Step} from './config-world.js';
+import type {Step} from './config-simulation.js';
 
 /**
  * Finds the step that a platform call of one of the machines belongs to.
@@ -23,7 +23,7 @@
 		}
 
 		case 'delete': {
-			return 'clearing';
+			return 'snapshot-deletion';
 		}
 
 		case 'list':
--- a/faults/_lib/config/run-config-world.ts
+++ b/faults/_lib/config/run-config-simulation.ts
@@ -2,12 +2,18 @@
 import {dataCentreStatusSchema} from '../../../src/protocol/configuration.js';
 import {applyFault} from './apply-fault.js';
 import {checkInvariants} from './check-invariants.js';
-import type {Fault, SimNode, Step, Variant, World} from './config-world.js';
+import type {
+	Fault,
+	SimNode,
+	Step,
+	Variant,
+	Simulation,
+} from './config-simulation.js';
 import {createFakeNetwork} from './create-fake-network.js';
 import {createFakePlatform} from './create-fake-platform.js';
 import {createSimNode} from './create-sim-node.js';
 import {createCachedApplyEntry} from './create-cached-apply-entry.js';
-import {startOperators, type Verdict} from './start-operators.js';
+import {startOperators, type OperatorOutcome} from './start-operators.js';
 
 /** One run: faults at a step, and the seed of everything else. */
 export type ConfigRun = {
@@ -34,9 +40,9 @@
  * @example
  * runConfigWorld({faults: ['frozen'], step: 'create', seed: 1});
  */
-export function runConfigWorld(run: ConfigRun): readonly string[] {
+export function runConfigSimulation(run: ConfigRun): readonly string[] {
 	const scheduler = createScheduler(run.seed);
-	const verdicts: Verdict[] = [];
+	const verdicts: OperatorOutcome[] = [];
 	let waiting = [...run.faults];
 	let occurrence = 1 + Math.floor(scheduler.random() * 3);
 	let isAgain = false;
@@ -74,7 +80,7 @@
 		}
 	}
 
-	const world: World = {
+	const world: Simulation = {
 		scheduler,
 		platform: createFakePlatform(scheduler, {
 			onStatus: checkStatus,
@@ -90,9 +96,9 @@
 		},
 		violations: [],
 		nodes: new Map(),
-		byAddress: new Map(),
-		runs: new Map(),
-		reach(step, node, action) {
+		nodesByAddress: new Map(),
+		activations: new Map(),
+		reachStep(step, node, action) {
 			const isDue =
 				step === run.step &&
 				waiting.length > 0 &&
@@ -115,10 +121,10 @@
 				node.receive(action);
 			}
 		},
-		disturbUntil(time) {
+		recordFaultEnd(time) {
 			disturbedUntil = Math.max(disturbedUntil, time);
 		},
-		raceOperators() {
+		startConcurrentOperators() {
 			startOperator('kitchens');
 			startOperator('brigades');
 		},
@@ -126,9 +132,9 @@
 			const address = `${name}/${scheduler.now()}`;
 			const node = createSimNode(world, {slot, name, dataCentre, address});
 			world.nodes.set(slot, node);
-			world.byAddress.set(address, node);
+			world.nodesByAddress.set(address, node);
 			members = [...members.filter((other) => other.name !== name), node];
-			node.tellView(members);
+			node.updateMembers(members);
 		},
 	};
 	let members: readonly SimNode[] = [];
@@ -141,7 +147,7 @@
 
 	function spreadViews(): void {
 		for (const node of world.nodes.values()) {
-			node.tellView(members);
+			node.updateMembers(members);
 		}
 
 		scheduler.schedule(viewIntervalMs, spreadViews);
@@ -149,7 +155,7 @@
 
 	const startOperator = startOperators(world, {
 		endMs: submissionsEndMs,
-		onVerdict(verdict) {
+		onOutcome(verdict) {
 			verdicts.push(verdict);
 		},
 	});
@@ -160,7 +166,7 @@
 		startOperator('brigades');
 		if (run.step === 'read-back') {
 			scheduler.schedule(faultsFromMs, () => {
-				world.platform.faults.answersToLose += 2;
+				world.platform.faults.lostAnswerCount += 2;
 			});
 		}
 	});
--- a/faults/_lib/config/start-operators.ts
+++ b/faults/_lib/config/start-operators.ts
@@ -4,21 +4,21 @@
 	SubmissionOutcome,
 } from '../../../src/protocol/configuration.js';
 import {manifestSchema} from '../../../src/protocol/manifest.js';
-import type {World} from './config-world.js';
+import type {Simulation} from './config-simulation.js';
 
 /** What an operator was told of one submission in the end. */
-export type Verdict = {
+export type OperatorOutcome = {
 	readonly submission: Submission;
 	readonly outcome: SubmissionOutcome;
 	/** Whether the operator has never been told, or asked, otherwise. */
-	readonly isOnly: boolean;
+	readonly isSentOnce: boolean;
 };
 
 /** Options of `startOperators`. */
 export type OperatorsOptions = {
 	readonly endMs: number;
 	/** Called with each answer that an operator got. */
-	readonly onVerdict: (verdict: Verdict) => void;
+	readonly onOutcome: (verdict: OperatorOutcome) => void;
 };
 
 const giveUpMs = 6000;
@@ -58,7 +58,7 @@
  * @returns starts one more operator of a team
  */
 export function startOperators(
-	world: World,
+	world: Simulation,
 	options: OperatorsOptions,
 ): (team: string) => void {
 	const {scheduler} = world;
@@ -102,9 +102,9 @@
 		function handle(
 			submission: Submission,
 			outcome: SubmissionOutcome,
-			isOnly: boolean,
+			isSentOnce: boolean,
 		): void {
-			options.onVerdict({submission, outcome, isOnly});
+			options.onOutcome({submission, outcome, isSentOnce});
 			const again = (): void => {
 				send(submission, false);
 			};
--- a/faults/_lib/members/check-members.ts
+++ b/faults/_lib/members/check-members.ts
@@ -12,7 +12,7 @@
 const service = 'kitchens/pricebook';
 
 /** How long after an upstream left no view may offer it, ms. */
-export const leftBoundMs = 5000;
+export const leaveBoundMs = 5000;
 /** How long after a host died or froze, and the last fault ended, no view may
  * offer it, ms. */
 export const deathBoundMs = 25_000;
@@ -54,7 +54,7 @@
 
 			const endMs =
 				absence.reason === 'left'
-					? absence.sinceMs + leftBoundMs
+					? absence.sinceMs + leaveBoundMs
 					: Math.max(absence.sinceMs, faultsEndMs) + deathBoundMs;
 			return nowMs > endMs
 				? [`${name} offers ${host}, which ${absence.reason} before`]
@@ -64,7 +64,7 @@
 }
 
 /** Lists running members that a running one takes for suspect or dead. */
-export function checkExpelled(fleet: MembersFleet): string[] {
+export function checkFalseSuspicions(fleet: MembersFleet): string[] {
 	const running = listTaking(fleet);
 	return running.flatMap((viewer) =>
 		running.flatMap(({name, state}) => {
--- a/faults/_lib/members/members-context.ts
+++ b/faults/_lib/members/members-context.ts
@@ -13,9 +13,9 @@
 	/** Each tells whether packets from one node to another are lost. */
 	readonly cuts: Set<(from: FleetNode, to: FleetNode) => boolean>;
 	/** Whether requests are duplicated, delayed and so reordered. */
-	isDisordered: boolean;
+	isReordering: boolean;
 	/** Until when views may be behind because of the network, ms. */
-	disturbedUntilMs: number;
+	faultsEndAtMs: number;
 };
 
 /** What the faults of members act on. */
@@ -26,7 +26,7 @@
 	/** How long a data centre stays cut off, ms. */
 	readonly cutMs: number;
 	/** When the last fault ends, ms. */
-	endsAtMs: number;
+	faultsEndAtMs: number;
 };
 
 /** Creates the announcement of a host's upstream. */
@@ -77,13 +77,16 @@
 }
 
 /** Notes that a fault lasts until a time. */
-export function addFaultTime(context: MembersContext, endMs: number): void {
-	context.endsAtMs = Math.max(context.endsAtMs, endMs);
+export function recordFaultEnd(context: MembersContext, endMs: number): void {
+	context.faultsEndAtMs = Math.max(context.faultsEndAtMs, endMs);
 }
 
 /** Notes that the network lets views fall behind until a time. */
-export function breakNetwork(context: MembersContext, endMs: number): void {
+export function recordNetworkFaultEnd(
+	context: MembersContext,
+	endMs: number,
+): void {
 	const {network} = context;
-	network.disturbedUntilMs = Math.max(network.disturbedUntilMs, endMs);
-	addFaultTime(context, endMs);
+	network.faultsEndAtMs = Math.max(network.faultsEndAtMs, endMs);
+	recordFaultEnd(context, endMs);
 }
--- a/faults/_lib/members/members-faults.ts
+++ b/faults/_lib/members/members-faults.ts
@@ -4,8 +4,8 @@
 import type {FleetNode} from '../../../harness/create-members-fleet.js';
 import {
 	createAnnouncement,
-	breakNetwork,
-	addFaultTime,
+	recordNetworkFaultEnd,
+	recordFaultEnd,
 	createUpstreamId,
 	pickNode,
 	startMember,
@@ -15,18 +15,18 @@
 /** Names of the faults of members. */
 export const membersFaults = [
 	'kill',
-	'herd-kill',
+	'mass-kill',
 	'freeze',
 	'replace',
 	'one-way-cut',
 	'split-data-centre',
 	'data-centre-cut',
-	'platform-out',
-	'platform-out-at-return',
+	'platform-down',
+	'platform-down-during-restart',
 	'flapping-upstream',
 	'same-name',
-	'crossing-announce-leave',
-	'disordered-messages',
+	'reordered-announcements',
+	'reordered-messages',
 ] as const;
 
 export type MembersFault = (typeof membersFaults)[number];
@@ -56,7 +56,7 @@
 		});
 	}
 
-	addFaultTime(context, scheduler.now() + herdReturnMs + herdSpreadMs);
+	recordFaultEnd(context, scheduler.now() + herdReturnMs + herdSpreadMs);
 }
 
 function freezeNode(context: MembersContext): void {
@@ -66,7 +66,7 @@
 	scheduler.schedule(1500, () => {
 		node.upstreams.clear();
 	});
-	addFaultTime(context, scheduler.now() + freezeMs);
+	recordFaultEnd(context, scheduler.now() + freezeMs);
 }
 
 function replaceNode(context: MembersContext): void {
@@ -77,7 +77,7 @@
 	scheduler.schedule(500, () => {
 		startMember(context, name, node.address);
 	});
-	addFaultTime(context, scheduler.now() + 500);
+	recordFaultEnd(context, scheduler.now() + 500);
 }
 
 function setCut(
@@ -90,7 +90,7 @@
 	scheduler.schedule(durationMs, () => {
 		network.cuts.delete(isCut);
 	});
-	breakNetwork(context, scheduler.now() + durationMs);
+	recordNetworkFaultEnd(context, scheduler.now() + durationMs);
 }
 
 function isInHalf({name}: FleetNode): boolean {
@@ -131,7 +131,7 @@
 	scheduler.schedule(platformOutMs, () => {
 		fleet.platform.setDown(false);
 	});
-	addFaultTime(context, scheduler.now() + platformOutMs);
+	recordFaultEnd(context, scheduler.now() + platformOutMs);
 }
 
 function flapUpstream(context: MembersContext): void {
@@ -146,7 +146,7 @@
 		});
 	}
 
-	addFaultTime(context, scheduler.now() + flaps * flapMs);
+	recordFaultEnd(context, scheduler.now() + flaps * flapMs);
 }
 
 function crossAnnouncements(context: MembersContext): void {
@@ -164,16 +164,16 @@
 	scheduler.schedule(1000, () => {
 		fleet.withdraw(node, id);
 	});
-	addFaultTime(context, scheduler.now() + 1200);
+	recordFaultEnd(context, scheduler.now() + 1200);
 }
 
 function disorderMessages(context: MembersContext): void {
 	const {network, scheduler} = context;
-	network.isDisordered = true;
+	network.isReordering = true;
 	scheduler.schedule(cutNodeMs, () => {
-		network.isDisordered = false;
+		network.isReordering = false;
 	});
-	breakNetwork(context, scheduler.now() + cutNodeMs);
+	recordNetworkFaultEnd(context, scheduler.now() + cutNodeMs);
 }
 
 /** Inflicts a fault on a fleet, now. */
@@ -181,11 +181,11 @@
 	switch (fault) {
 		case 'kill': {
 			context.fleet.kill(pickNode(context));
-			addFaultTime(context, context.scheduler.now());
+			recordFaultEnd(context, context.scheduler.now());
 			break;
 		}
 
-		case 'herd-kill': {
+		case 'mass-kill': {
 			killHerd(context);
 			break;
 		}
@@ -215,12 +215,12 @@
 			break;
 		}
 
-		case 'platform-out': {
+		case 'platform-down': {
 			stopPlatform(context);
 			break;
 		}
 
-		case 'platform-out-at-return': {
+		case 'platform-down-during-restart': {
 			stopPlatform(context);
 			killHerd(context);
 			break;
@@ -233,16 +233,16 @@
 
 		case 'same-name': {
 			startMember(context, pickNode(context).name);
-			addFaultTime(context, context.scheduler.now());
+			recordFaultEnd(context, context.scheduler.now());
 			break;
 		}
 
-		case 'crossing-announce-leave': {
+		case 'reordered-announcements': {
 			crossAnnouncements(context);
 			break;
 		}
 
-		case 'disordered-messages': {
+		case 'reordered-messages': {
 			disorderMessages(context);
 			break;
 		}
--- a/faults/_lib/members/run-members-case.ts
+++ b/faults/_lib/members/run-members-case.ts
@@ -12,7 +12,7 @@
 import type {stepMembers} from '../../../src/coordination/step-members.js';
 import {
 	checkCandidates,
-	checkExpelled,
+	checkFalseSuspicions,
 	checkSettled,
 	hasReadyUpstream,
 	settleMs,
@@ -31,7 +31,7 @@
 /** Steps of the fleet's work at which faults strike. */
 export const membersSteps = [
 	'first-start',
-	'quiet',
+	'steady-state',
 	'join',
 	'upstream-leaves',
 	'node-leaves',
@@ -67,7 +67,7 @@
 		}
 
 		const isAnswered = !isCut(to, from);
-		if (!network.isDisordered || random() < 0.7) {
+		if (!network.isReordering || random() < 0.7) {
 			return {requestDelaysMs: [1 + random()], isAnswered};
 		}
 
@@ -86,7 +86,7 @@
 			return 2000;
 		}
 
-		case 'quiet': {
+		case 'steady-state': {
 			return settledAtMs;
 		}
 
@@ -143,7 +143,7 @@
 		const known = absences.get(name);
 		if (present.has(name)) {
 			absences.delete(name);
-		} else if (nowMs < network.disturbedUntilMs + settleMs / 2) {
+		} else if (nowMs < network.faultsEndAtMs + settleMs / 2) {
 			absences.set(name, {sinceMs: nowMs, reason: 'died'});
 		} else if (known === undefined) {
 			const reason = condition === 'running' ? 'left' : 'died';
@@ -190,8 +190,8 @@
 	const scheduler = createScheduler(seed);
 	const network: NetworkState = {
 		cuts: new Set(),
-		isDisordered: false,
-		disturbedUntilMs: 0,
+		isReordering: false,
+		faultsEndAtMs: 0,
 	};
 	const violations = new Set<string>();
 	const renewals = new Map<string, number>();
@@ -224,7 +224,7 @@
 		fleet,
 		network,
 		cutMs,
-		endsAtMs: 0,
+		faultsEndAtMs: 0,
 	};
 	for (const dataCentre of dataCentres) {
 		for (let index = 0; index < hostsPerDataCentre; index++) {
@@ -240,19 +240,20 @@
 	}
 
 	const isPlatformOnly =
-		step === 'quiet' && faults.every((fault) => fault === 'platform-out');
+		step === 'steady-state' &&
+		faults.every((fault) => fault === 'platform-down');
 	const absences = new Map<string, Absence>();
 	const firstEndMs = strikesAtMs + faults.length * secondFaultMs;
 	for (
 		let nowMs = 0;
-		nowMs < Math.max(context.endsAtMs, firstEndMs) + settleMs;
+		nowMs < Math.max(context.faultsEndAtMs, firstEndMs) + settleMs;
 		nowMs += sampleMs
 	) {
 		scheduler.runUntil(nowMs);
 		updateAbsences(context, absences);
 		const found = [
-			...checkCandidates(fleet, absences, nowMs, context.endsAtMs),
-			...(isPlatformOnly ? checkExpelled(fleet) : []),
+			...checkCandidates(fleet, absences, nowMs, context.faultsEndAtMs),
+			...(isPlatformOnly ? checkFalseSuspicions(fleet) : []),
 		];
 		for (const violation of found) {
 			violations.add(violation);
--- a/faults/_lib/requests/apply-fault.ts
+++ b/faults/_lib/requests/apply-fault.ts
@@ -4,9 +4,9 @@
 	type FakeConnection,
 	type FakeHost,
 	type FakeRequest,
-	type StepPlace,
-	type World,
-} from './world.js';
+	type StepLocation,
+	type Simulation,
+} from './simulation.js';
 
 /** Faults of the matrix of requests. */
 export const requestFaults = [
@@ -15,11 +15,11 @@
 	'gate-restarted',
 	'upstream-killed',
 	'upstream-truncates',
-	'upstream-silent',
+	'upstream-unresponsive',
 	'gate-frozen',
 	'upstream-frozen',
-	'silent-before-gate',
-	'silent-after-gate',
+	'requests-blackholed',
+	'responses-blackholed',
 	'connection-broken',
 	'cut-to-gate',
 	'cut-to-caller',
@@ -30,7 +30,7 @@
 	'gate-leaves',
 	'shed',
 	'cold-start',
-	'ledger-forgets',
+	'ledger-overflows',
 ] as const;
 
 export type RequestFault = (typeof requestFaults)[number];
@@ -40,7 +40,7 @@
 const cutMs = 300;
 const floodRecords = 200;
 
-function killGate(world: World, host: FakeHost): void {
+function killGate(world: Simulation, host: FakeHost): void {
 	host.isGateAlive = false;
 	host.generation++;
 	host.queue.length = 0;
@@ -53,7 +53,7 @@
 	host.connections.clear();
 }
 
-function restartGate(world: World, host: FakeHost): void {
+function restartGate(world: Simulation, host: FakeHost): void {
 	killGate(world, host);
 	world.scheduler.schedule(restartMs, () => {
 		const epoch = `${host.name}-${host.generation}`;
@@ -62,7 +62,7 @@
 	});
 }
 
-function floodLedger(world: World, host: FakeHost): void {
+function floodLedger(world: Simulation, host: FakeHost): void {
 	const now = world.scheduler.now();
 	const stamp = host.ledger.readStamp(now);
 	for (let index = 0; index < floodRecords; index++) {
@@ -71,7 +71,7 @@
 }
 
 type Target = {
-	readonly world: World;
+	readonly world: Simulation;
 	readonly host: FakeHost;
 	readonly connections: readonly FakeConnection[];
 	readonly request: FakeRequest | undefined;
@@ -93,10 +93,10 @@
 		host.upstreamGeneration++;
 	},
 	'upstream-truncates'({host}) {
-		host.truncates = true;
+		host.truncatesResponses = true;
 	},
-	'upstream-silent'({host}) {
-		host.isSilent = true;
+	'upstream-unresponsive'({host}) {
+		host.isUnresponsive = true;
 	},
 	'gate-frozen'({host, now}) {
 		host.gateFrozenUntil = now + freezeMs;
@@ -104,15 +104,15 @@
 	'upstream-frozen'({host, now}) {
 		host.upstreamFrozenUntil = now + freezeMs;
 	},
-	'silent-before-gate'({connections}) {
+	'requests-blackholed'({connections}) {
 		for (const connection of connections) {
 			connection.losesRequests = true;
-			connection.losesAnswers = true;
+			connection.losesResponses = true;
 		}
 	},
-	'silent-after-gate'({connections}) {
+	'responses-blackholed'({connections}) {
 		for (const connection of connections) {
-			connection.losesAnswers = true;
+			connection.losesResponses = true;
 		}
 	},
 	'connection-broken'({world, connections}) {
@@ -127,13 +127,13 @@
 		world.cutToCallerUntil = now + cutMs;
 	},
 	'answer-late'({world}) {
-		world.answerDelayMs = freezeMs;
+		world.responseDelayMs = freezeMs;
 	},
 	duplicate({world}) {
-		world.duplicateAfterMs = [0.5, 5, 1000];
+		world.duplicateDelaysMs = [0.5, 5, 1000];
 	},
 	'late-duplicate'({world}) {
-		world.duplicateAfterMs = [lateDuplicateMs];
+		world.duplicateDelaysMs = [lateDuplicateMs];
 	},
 	cancelled({world, request}) {
 		world.scheduler.schedule(0, () => {
@@ -142,7 +142,7 @@
 	},
 	'gate-leaves'({host, now}) {
 		host.isLeaving = true;
-		host.leftAt = now;
+		host.leavingSince = now;
 		for (const {refuse} of host.queue.splice(0)) {
 			refuse();
 		}
@@ -153,7 +153,7 @@
 	'cold-start'({host}) {
 		host.serviceMs = freezeMs;
 	},
-	'ledger-forgets'({world, host}) {
+	'ledger-overflows'({world, host}) {
 		floodLedger(world, host);
 	},
 };
@@ -167,10 +167,10 @@
  * @param place - where the step happens
  */
 export function applyFault(
-	world: World,
+	world: Simulation,
 	fault: RequestFault,
 	requestId: string,
-	place: StepPlace,
+	place: StepLocation,
 ): void {
 	const host = place.host ?? world.hosts[0]!;
 	actions[fault]({
--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -10,15 +10,15 @@
 } from '../../../src/protocol/constants.js';
 import type {GateStamp} from '../../../src/protocol/stamp.js';
 import {receiveAttempt, receiveFetch, receiveQuestion} from './fake-gate.js';
-import {carryToCaller, carryToGate, openConnection} from './fake-network.js';
+import {sendToCaller, sendToGate, openConnection} from './fake-network.js';
 import {
 	deadlineMs,
 	type FakeAttempt,
 	type FakeHost,
 	type FakeRequest,
 	type FakeResult,
-	type World,
-} from './world.js';
+	type Simulation,
+} from './simulation.js';
 
 type OpenAttempt = {
 	readonly number: number;
@@ -28,7 +28,7 @@
 };
 
 /** Stamps that the caller's node holds, by host name. */
-export type HeldStamps = Map<string, GateStamp>;
+export type StampCache = Map<string, GateStamp>;
 
 /**
  * Starts a request at the caller's node, which runs it by the product's
@@ -40,9 +40,9 @@
  * @returns the request
  */
 export function startRequest(
-	world: World,
+	world: Simulation,
 	id: string,
-	stamps: HeldStamps,
+	stamps: StampCache,
 ): FakeRequest {
 	const {scheduler, mechanisms, repeatable, hosts} = world;
 	const startedAt = scheduler.now();
@@ -190,15 +190,15 @@
 			receiveAttempt(world, host, attempt, (result) => {
 				world.onStep('relay', id, {host, connection});
 				const stamp = host.ledger.readStamp(scheduler.now());
-				carryToCaller(world, connection, () => {
+				sendToCaller(world, connection, () => {
 					stamps.set(host.name, stamp);
 					handleResult(current, result);
 				});
 			});
 		};
 
-		carryToGate(world, connection, deliver);
-		for (const delayMs of world.duplicateAfterMs) {
+		sendToGate(world, connection, deliver);
+		for (const delayMs of world.duplicateDelaysMs) {
 			scheduler.schedule(delayMs, deliver);
 		}
 
@@ -238,9 +238,9 @@
 		const connection = openConnection(world, host, fail);
 		scheduler.schedule(connection ? askTimeoutMs : 1, fail);
 		if (connection) {
-			carryToGate(world, connection, () => {
+			sendToGate(world, connection, () => {
 				receiveQuestion(world, host, attempt, (answer) => {
-					carryToCaller(world, connection, () => {
+					sendToCaller(world, connection, () => {
 						end({kind: 'ask-answered', attempt: number, answer});
 					});
 				});
@@ -260,9 +260,9 @@
 			return;
 		}
 
-		carryToGate(world, connection, () => {
+		sendToGate(world, connection, () => {
 			receiveFetch(world, host, attempt.id, (result) => {
-				carryToCaller(world, connection, () => {
+				sendToCaller(world, connection, () => {
 					handleResult(current, result);
 				});
 			});
--- a/faults/_lib/requests/fake-gate.ts
+++ b/faults/_lib/requests/fake-gate.ts
@@ -1,17 +1,21 @@
 import type {LedgerStep} from '../../../src/coordination/step-ledger-record.js';
-import {callUpstream, type UpstreamEnd} from './fake-upstream.js';
+import {callUpstream, type UpstreamOutcome} from './fake-upstream.js';
 import {
 	slots,
 	type FakeAttempt,
 	type FakeHost,
 	type FakeResult,
-	type World,
-} from './world.js';
+	type Simulation,
+} from './simulation.js';
 
 type Reply = (result: FakeResult) => void;
 
 /** Runs an action at a gate: later while it is frozen, never when it has died. */
-function runAtGate(world: World, host: FakeHost, action: () => void): void {
+function runAtGate(
+	world: Simulation,
+	host: FakeHost,
+	action: () => void,
+): void {
 	const {scheduler} = world;
 	const {generation} = host;
 	const run = (): void => {
@@ -31,7 +35,7 @@
 }
 
 function settle(
-	world: World,
+	world: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
 	result: FakeResult,
@@ -55,7 +59,7 @@
 	}
 }
 
-function readEnd(requestId: string, end: UpstreamEnd): FakeResult {
+function readEnd(requestId: string, end: UpstreamOutcome): FakeResult {
 	switch (end) {
 		case 'whole': {
 			return {kind: 'answered', body: requestId};
@@ -79,17 +83,21 @@
 	}
 }
 
-function enqueue(world: World, host: FakeHost, attempt: FakeAttempt): void {
+function enqueue(
+	world: Simulation,
+	host: FakeHost,
+	attempt: FakeAttempt,
+): void {
 	const {scheduler} = world;
 	const {requestId} = attempt;
-	let phase: 'queued' | 'sent' | 'over' = 'queued';
+	let phase: 'queued' | 'sent' | 'finished' = 'queued';
 	const settleOnce = (result: FakeResult): void => {
-		if (phase === 'over') {
+		if (phase === 'finished') {
 			return;
 		}
 
 		host.inFlight -= phase === 'sent' ? 1 : 0;
-		phase = 'over';
+		phase = 'finished';
 		settle(world, host, attempt, result);
 		takeNext(host);
 	};
@@ -140,7 +148,7 @@
  * @param reply - told the result, perhaps never
  */
 export function receiveAttempt(
-	world: World,
+	world: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
 	reply: Reply,
@@ -175,7 +183,7 @@
 }
 
 function admit(
-	world: World,
+	world: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
 	reply: Reply,
@@ -233,7 +241,7 @@
  * @param reply - told the answer, perhaps never
  */
 export function receiveQuestion(
-	world: World,
+	world: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
 	reply: (answer: LedgerStep['answer']) => void,
@@ -255,7 +263,7 @@
  * @param reply - told the result, perhaps never
  */
 export function receiveFetch(
-	world: World,
+	world: Simulation,
 	host: FakeHost,
 	id: string,
 	reply: Reply,
--- a/faults/_lib/requests/fake-network.ts
+++ b/faults/_lib/requests/fake-network.ts
@@ -1,4 +1,4 @@
-import type {FakeConnection, FakeHost, World} from './world.js';
+import type {FakeConnection, FakeHost, Simulation} from './simulation.js';
 
 const latencyMs = 0.5;
 const jitterMs = 0.5;
@@ -12,7 +12,7 @@
  * @returns the connection, or undefined when the gate does not accept it
  */
 export function openConnection(
-	world: World,
+	world: Simulation,
 	host: FakeHost,
 	onBroken: () => void,
 ): FakeConnection | undefined {
@@ -39,7 +39,7 @@
  * @param connection - the connection
  */
 export function breakConnection(
-	world: World,
+	world: Simulation,
 	connection: FakeConnection,
 ): void {
 	const {scheduler} = world;
@@ -49,7 +49,7 @@
 
 	connection.isBroken = true;
 	const isSilent = scheduler.now() < world.cutToCallerUntil;
-	if (!connection.losesAnswers && !isSilent) {
+	if (!connection.losesResponses && !isSilent) {
 		scheduler.schedule(latencyMs, connection.onBroken);
 	}
 }
@@ -61,8 +61,8 @@
  * @param connection - the connection
  * @param action - delivers the message
  */
-export function carryToGate(
-	world: World,
+export function sendToGate(
+	world: Simulation,
 	connection: FakeConnection,
 	action: () => void,
 ): void {
@@ -82,16 +82,16 @@
  * @param connection - the connection
  * @param action - delivers the message
  */
-export function carryToCaller(
-	world: World,
+export function sendToCaller(
+	world: Simulation,
 	connection: FakeConnection,
 	action: () => void,
 ): void {
 	const {scheduler} = world;
 	const delayMs = latencyMs + scheduler.random() * jitterMs;
-	scheduler.schedule(delayMs + world.answerDelayMs, () => {
+	scheduler.schedule(delayMs + world.responseDelayMs, () => {
 		const isCut = scheduler.now() < world.cutToCallerUntil;
-		if (!connection.isBroken && !connection.losesAnswers && !isCut) {
+		if (!connection.isBroken && !connection.losesResponses && !isCut) {
 			action();
 		}
 	});
--- a/faults/_lib/requests/fake-upstream.ts
+++ b/faults/_lib/requests/fake-upstream.ts
@@ -1,7 +1,8 @@
-import type {FakeHost, World} from './world.js';
+import type {FakeHost, Simulation} from './simulation.js';
 
 /** What the gate learns of a request to its upstream. */
-export type UpstreamEnd = 'not-sent' | 'shed' | 'lost' | 'truncated' | 'whole';
+export type UpstreamOutcome =
+	'not-sent' | 'shed' | 'lost' | 'truncated' | 'whole';
 
 const latencyMs = 0.2;
 
@@ -14,14 +15,14 @@
  * @param onEnd - told once how it ended
  */
 export function callUpstream(
-	world: World,
+	world: Simulation,
 	host: FakeHost,
 	requestId: string,
-	onEnd: (end: UpstreamEnd) => void,
+	onEnd: (end: UpstreamOutcome) => void,
 ): void {
 	const {scheduler} = world;
 	const sentAt = scheduler.now();
-	const finish = (end: UpstreamEnd): void => {
+	const finish = (end: UpstreamOutcome): void => {
 		scheduler.schedule(latencyMs, () => {
 			onEnd(end);
 		});
@@ -33,7 +34,7 @@
 			return;
 		}
 
-		if (host.isSilent) {
+		if (host.isUnresponsive) {
 			return;
 		}
 
@@ -57,12 +58,14 @@
 			}
 
 			world.onStep('answer', requestId, {host});
-			if (host.isSilent) {
+			if (host.isUnresponsive) {
 				return;
 			}
 
 			const isSame = host.upstreamGeneration === generation;
-			finish(isSame ? (host.truncates ? 'truncated' : 'whole') : 'lost');
+			finish(
+				isSame ? (host.truncatesResponses ? 'truncated' : 'whole') : 'lost',
+			);
 		};
 
 		scheduler.schedule(host.serviceMs, end);
--- a/faults/_lib/requests/find-violations.ts
+++ b/faults/_lib/requests/find-violations.ts
@@ -1,12 +1,12 @@
 import type {RequestCaseOptions} from './run-request-case.js';
-import {deadlineMs, type FakeRequest, type World} from './world.js';
+import {deadlineMs, type FakeRequest, type Simulation} from './simulation.js';
 
 const deadlineSlackMs = 5;
 
 /** Faults that lose messages but neither a process nor the client's interest. */
 const recoverable = new Set([
-	'silent-before-gate',
-	'silent-after-gate',
+	'requests-blackholed',
+	'responses-blackholed',
 	'connection-broken',
 	'answer-late',
 	'gate-frozen',
@@ -17,13 +17,16 @@
 	'cold-start',
 ]);
 
-function countRuns(world: World, requestId: string): number {
+function countRuns(world: Simulation, requestId: string): number {
 	return world.hosts
 		.flatMap(({starts}) => starts)
 		.filter((start) => start.requestId === requestId).length;
 }
 
-function judgeRequest(world: World, request: FakeRequest): readonly string[] {
+function judgeRequest(
+	world: Simulation,
+	request: FakeRequest,
+): readonly string[] {
 	const {id, ends, startedAt} = request;
 	const runs = countRuns(world, id);
 	const end = ends[0];
@@ -51,18 +54,18 @@
 	return found;
 }
 
-function judgeLeaving(world: World): readonly string[] {
+function judgeLeaving(world: Simulation): readonly string[] {
 	const graceMs = 1;
 	return world.hosts.flatMap((host) =>
 		host.starts
-			.filter(({sentAt}) => sentAt > host.leftAt + graceMs)
+			.filter(({sentAt}) => sentAt > host.leavingSince + graceMs)
 			.map(({requestId}) => `${requestId} started after leaving`),
 	);
 }
 
 /** One recoverable fault costs no request its answer. */
 function judgeRecovery(
-	world: World,
+	world: Simulation,
 	{faults}: RequestCaseOptions,
 ): readonly string[] {
 	// Before the steps `ask` and `retry` there is a fault that leads to them.
@@ -92,7 +95,7 @@
  * @returns one line for each violation
  */
 export function findViolations(
-	world: World,
+	world: Simulation,
 	options: RequestCaseOptions,
 ): readonly string[] {
 	return [
--- a/faults/_lib/requests/run-request-case.ts
+++ b/faults/_lib/requests/run-request-case.ts
@@ -1,23 +1,23 @@
 import {createScheduler} from '../../../harness/create-scheduler.js';
 import {applyFault, type RequestFault} from './apply-fault.js';
-import {startRequest, type HeldStamps} from './fake-caller.js';
+import {startRequest, type StampCache} from './fake-caller.js';
 import {findViolations} from './find-violations.js';
 import {productMechanisms, type Mechanisms} from './mechanisms.js';
 import {
 	lateDuplicateMs,
 	type FakeHost,
 	type Step,
-	type World,
-} from './world.js';
+	type Simulation,
+} from './simulation.js';
 
 /** A fault and the step at which it occurs. */
-export type PlacedFault = {readonly fault: RequestFault; readonly step: Step};
+export type FaultAtStep = {readonly fault: RequestFault; readonly step: Step};
 
 /** Options of `runRequestCase`. */
 export type RequestCaseOptions = {
 	readonly seed: number;
 	readonly repeatable: boolean;
-	readonly faults: readonly PlacedFault[];
+	readonly faults: readonly FaultAtStep[];
 	/** Those of the product when absent. */
 	readonly mechanisms?: Mechanisms;
 };
@@ -34,14 +34,14 @@
 		generation: 0,
 		isGateAlive: true,
 		isLeaving: false,
-		leftAt: Number.POSITIVE_INFINITY,
+		leavingSince: Number.POSITIVE_INFINITY,
 		gateFrozenUntil: 0,
 		upstreamGeneration: 0,
 		isUpstreamAlive: true,
 		upstreamFrozenUntil: 0,
 		isShedding: false,
-		truncates: false,
-		isSilent: false,
+		truncatesResponses: false,
+		isUnresponsive: false,
 		serviceMs: 1,
 		inFlight: 0,
 		queue: [],
@@ -51,7 +51,7 @@
 	};
 }
 
-function createWorld(options: RequestCaseOptions): World {
+function createWorld(options: RequestCaseOptions): Simulation {
 	const {seed, repeatable, mechanisms = productMechanisms} = options;
 	return {
 		scheduler: createScheduler(seed),
@@ -60,8 +60,8 @@
 		hosts: ['abdali-1', 'abdali-2'].map((name) => createHost(name, mechanisms)),
 		requests: [],
 		isCallerAlive: true,
-		answerDelayMs: 0,
-		duplicateAfterMs: [],
+		responseDelayMs: 0,
+		duplicateDelaysMs: [],
 		cutToGateUntil: 0,
 		cutToCallerUntil: 0,
 		onStep() {
@@ -71,11 +71,11 @@
 }
 
 /** Faults that make the steps `ask` and `retry` happen at all. */
-function listPreparations(faults: readonly PlacedFault[]): PlacedFault[] {
+function listPreparations(faults: readonly FaultAtStep[]): FaultAtStep[] {
 	const wanted = new Set(faults.map(({step}) => step));
 	return [
 		...(wanted.has('ask')
-			? [{fault: 'silent-after-gate', step: 'send'} as const]
+			? [{fault: 'responses-blackholed', step: 'send'} as const]
 			: []),
 		...(wanted.has('retry')
 			? [{fault: 'gate-leaves', step: 'send'} as const]
@@ -92,7 +92,7 @@
 export function runRequestCase(options: RequestCaseOptions): readonly string[] {
 	const world = createWorld(options);
 	const {scheduler} = world;
-	const stamps: HeldStamps = new Map();
+	const stamps: StampCache = new Map();
 	const pending = [...listPreparations(options.faults), ...options.faults];
 	world.onStep = (step, requestId, place) => {
 		if (requestId !== targetId) {
--- a/faults/_lib/requests/world.ts
+++ b/faults/_lib/requests/simulation.ts
@@ -45,7 +45,7 @@
 export type FakeConnection = {
 	isBroken: boolean;
 	losesRequests: boolean;
-	losesAnswers: boolean;
+	losesResponses: boolean;
 	readonly onBroken: () => void;
 };
 
@@ -57,15 +57,15 @@
 	generation: number;
 	isGateAlive: boolean;
 	isLeaving: boolean;
-	leftAt: number;
+	leavingSince: number;
 	gateFrozenUntil: number;
 	upstreamGeneration: number;
 	isUpstreamAlive: boolean;
 	upstreamFrozenUntil: number;
 	isShedding: boolean;
-	truncates: boolean;
+	truncatesResponses: boolean;
 	/** Drops requests and answers without a word. */
-	isSilent: boolean;
+	isUnresponsive: boolean;
 	serviceMs: number;
 	inFlight: number;
 	readonly queue: Array<{
@@ -82,7 +82,7 @@
 };
 
 /** The end of a request at the client. */
-export type FakeEnd = {
+export type RequestEnd = {
 	readonly outcome: 'answered' | 'not-run' | 'unknown';
 	readonly body: string | undefined;
 	readonly at: number;
@@ -92,13 +92,13 @@
 export type FakeRequest = {
 	readonly id: string;
 	readonly startedAt: number;
-	readonly ends: FakeEnd[];
+	readonly ends: RequestEnd[];
 	isCancelled: boolean;
 	cancel: () => void;
 };
 
 /** Everything in a fault case. */
-export type World = {
+export type Simulation = {
 	readonly scheduler: Scheduler;
 	readonly mechanisms: Mechanisms;
 	readonly repeatable: boolean;
@@ -106,18 +106,18 @@
 	readonly requests: FakeRequest[];
 	isCallerAlive: boolean;
 	/** Delay added to each answer on its way to the caller's node. */
-	answerDelayMs: number;
+	responseDelayMs: number;
 	/** Times after which an attempt is delivered again. */
-	duplicateAfterMs: readonly number[];
+	duplicateDelaysMs: readonly number[];
 	/** Until when nothing passes in a direction. */
 	cutToGateUntil: number;
 	cutToCallerUntil: number;
 	/** Called at each step of each request. */
-	onStep: (step: Step, requestId: string, at: StepPlace) => void;
+	onStep: (step: Step, requestId: string, at: StepLocation) => void;
 };
 
 /** Where a step happens. */
-export type StepPlace = {
+export type StepLocation = {
 	readonly host?: FakeHost;
 	readonly connection?: FakeConnection;
 };
--- a/faults/config-alone.test.ts
+++ b/faults/config-alone.test.ts
@@ -5,7 +5,7 @@
 import {runFaultCases} from './run-fault-cases.js';
 
 test('the invariants hold under each fault alone at each step', () => {
-	const results = runFaultCases(listConfigCases({kinds: ['alone']}));
+	const results = runFaultCases(listConfigCases({kinds: ['single']}));
 	const failed = results.filter(({violations}) => violations.length > 0);
 	assert.equal(failed.length, 0, formatFaultMatrix(failed));
 });
--- a/faults/config.test.ts
+++ b/faults/config.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import type {Fault, Step, Variant} from './_lib/config/config-world.js';
-import {runConfigWorld} from './_lib/config/run-config-world.js';
+import type {Fault, Step, Variant} from './_lib/config/config-simulation.js';
+import {runConfigSimulation} from './_lib/config/run-config-simulation.js';
 
 type Proof = {
 	readonly mechanism: string;
@@ -15,7 +15,7 @@
 const proofs: readonly Proof[] = [
 	{
 		mechanism: 'conditional writes of the log',
-		faults: ['frozen', 'operators-racing'],
+		faults: ['frozen', 'concurrent-operators'],
 		step: 'create',
 		seeds: [1, 2, 3],
 		naive: {ignoresConditions: true},
@@ -36,7 +36,7 @@
 	},
 	{
 		mechanism: 'reads of the next slot beside the watch',
-		faults: ['watch-silent'],
+		faults: ['watch-stalled'],
 		step: 'root-read',
 		seeds: [1, 2, 3],
 		naive: {delivery: {probeIntervalMs: Number.POSITIVE_INFINITY}},
@@ -44,7 +44,7 @@
 	},
 	{
 		mechanism: 'other holders before a version is run',
-		faults: ['herd-killed', 'platform-down'],
+		faults: ['data-centre-killed', 'platform-down'],
 		step: 'apply',
 		seeds: [109, 120, 122],
 		naive: {delivery: {requiredHolders: 0}},
@@ -52,7 +52,7 @@
 	},
 	{
 		mechanism: 'the wait before a first version is run',
-		faults: ['herd-killed', 'platform-down'],
+		faults: ['data-centre-killed', 'platform-down'],
 		step: 'apply',
 		seeds: [168],
 		naive: {delivery: {settleMs: 0}},
@@ -65,7 +65,7 @@
 		const {faults, step, naive, violation} = proof;
 		const runAll = (variant?: Variant) =>
 			proof.seeds.flatMap((seed) =>
-				runConfigWorld({faults, step, seed, variant}),
+				runConfigSimulation({faults, step, seed, variant}),
 			);
 		assert.deepEqual(runAll(), []);
 		assert.match(runAll(naive).join('\n'), violation);
--- a/faults/list-config-cases.ts
+++ b/faults/list-config-cases.ts
@@ -5,13 +5,13 @@
 	type Fault,
 	type Step,
 	type Variant,
-} from './_lib/config/config-world.js';
-import {runConfigWorld} from './_lib/config/run-config-world.js';
+} from './_lib/config/config-simulation.js';
+import {runConfigSimulation} from './_lib/config/run-config-simulation.js';
 
 /** Which cases `listConfigCases` lists. */
 export type ConfigCaseOptions = {
 	/** One fault, or two together; default both. */
-	readonly kinds?: ReadonlyArray<'alone' | 'pairs'>;
+	readonly kinds?: ReadonlyArray<'single' | 'pairs'>;
 	/** One pair in how many; default 1, every pair at every step. */
 	readonly everyNthPair?: number;
 	/** Naive parts in place of the product's; default none. */
@@ -29,7 +29,7 @@
 		faults: names,
 		step,
 		seed,
-		run: () => runConfigWorld({faults: names, step, seed, variant}),
+		run: () => runConfigSimulation({faults: names, step, seed, variant}),
 	};
 }
 
@@ -45,13 +45,13 @@
 export function listConfigCases(
 	options: ConfigCaseOptions = {},
 ): readonly FaultCase[] {
-	const {kinds = ['alone', 'pairs'], everyNthPair = 1, variant} = options;
+	const {kinds = ['single', 'pairs'], everyNthPair = 1, variant} = options;
 	const cases: FaultCase[] = [];
 	let seed = 0;
 	for (const [index, first] of faults.entries()) {
 		for (const step of steps) {
 			seed++;
-			if (kinds.includes('alone')) {
+			if (kinds.includes('single')) {
 				cases.push(createCase([first], step, seed, variant));
 			}
 		}
--- a/faults/list-members-cases.ts
+++ b/faults/list-members-cases.ts
@@ -10,7 +10,7 @@
 	/** Seeds of the single faults. */
 	readonly seeds?: readonly number[];
 	/** Whether each pair strikes at every step, and not at one in turn. */
-	readonly isFull?: boolean;
+	readonly everyStep?: boolean;
 };
 
 const hourMs = 3_600_000;
@@ -37,14 +37,14 @@
 export function listMembersCases(
 	options: MembersCasesOptions = {},
 ): readonly FaultCase[] {
-	const {step: stepNode, seeds = [1, 2], isFull = true} = options;
+	const {step: stepNode, seeds = [1, 2], everyStep = true} = options;
 	const singles = membersFaults.flatMap((fault) =>
 		membersSteps.flatMap((step) =>
 			seeds.map((seed) =>
 				createCase([fault], step, seed, () =>
 					runMembersCase([fault], step, seed, {
 						step: stepNode,
-						cutMs: step === 'quiet' ? hourMs : undefined,
+						cutMs: step === 'steady-state' ? hourMs : undefined,
 					}),
 				),
 			),
@@ -55,7 +55,7 @@
 	);
 	const paired = pairs.flatMap((faults, index) =>
 		membersSteps
-			.filter((_, place) => isFull || place === index % membersSteps.length)
+			.filter((_, place) => everyStep || place === index % membersSteps.length)
 			.map((step) =>
 				createCase(faults, step, pairSeed, () =>
 					runMembersCase(faults, step, pairSeed, {step: stepNode}),
--- a/faults/list-requests-cases.ts
+++ b/faults/list-requests-cases.ts
@@ -2,9 +2,9 @@
 import type {Mechanisms} from './_lib/requests/mechanisms.js';
 import {
 	runRequestCase,
-	type PlacedFault,
+	type FaultAtStep,
 } from './_lib/requests/run-request-case.js';
-import {steps} from './_lib/requests/world.js';
+import {steps} from './_lib/requests/simulation.js';
 import type {FaultCase} from './fault-case.js';
 
 /** Options of `listRequestsCases`. */
@@ -17,7 +17,7 @@
 	readonly mechanisms?: Mechanisms;
 };
 
-function listPlaced(): readonly PlacedFault[] {
+function listPlaced(): readonly FaultAtStep[] {
 	return requestFaults.flatMap((fault: RequestFault) =>
 		steps.map((step) => ({fault, step})),
 	);
@@ -42,7 +42,7 @@
 		placed.slice(index + 1).map((second) => [first, second]),
 	);
 	function toCases(
-		faults: readonly PlacedFault[],
+		faults: readonly FaultAtStep[],
 		seeds: number,
 	): readonly FaultCase[] {
 		return Array.from({length: seeds}, (_, index) => index + 1).flatMap(
--- a/faults/members.test.ts
+++ b/faults/members.test.ts
@@ -21,7 +21,9 @@
 type Step = typeof stepMembers;
 
 test('the matrix of members holds', () => {
-	const results = runFaultCases(listMembersCases({seeds: [1], isFull: false}));
+	const results = runFaultCases(
+		listMembersCases({seeds: [1], everyStep: false}),
+	);
 	const failed = results.filter(({violations}) => violations.length > 0);
 	assert.equal(failed.length, 0, formatFaultMatrix(failed));
 });
@@ -150,24 +152,24 @@
 const naiveCases: ReadonlyArray<
 	readonly [string, Step, MembersFault[], MembersStepName]
 > = [
-	['leases that outlive a pause', keepLeases, ['freeze'], 'quiet'],
+	['leases that outlive a pause', keepLeases, ['freeze'], 'steady-state'],
 	[
 		'a late ready that counts',
 		acceptLateReady,
-		['crossing-announce-leave'],
-		'quiet',
+		['reordered-announcements'],
+		'steady-state',
 	],
-	['no refutation', neverRefute, ['freeze'], 'quiet'],
+	['no refutation', neverRefute, ['freeze'], 'steady-state'],
 	[
 		'no comparison of digests',
 		neverCompare,
 		['data-centre-cut', 'kill'],
-		'quiet',
+		'steady-state',
 	],
-	['two hosts with one name', acceptTwin, ['same-name'], 'quiet'],
+	['two hosts with one name', acceptTwin, ['same-name'], 'steady-state'],
 	['no tombstones', forgetAtOnce, ['kill'], 'suspicion'],
-	['no probes', neverProbe, ['kill'], 'quiet'],
-	['seeds written without a bound', writeAlways, ['herd-kill'], 'quiet'],
+	['no probes', neverProbe, ['kill'], 'steady-state'],
+	['seeds written without a bound', writeAlways, ['mass-kill'], 'steady-state'],
 ];
 
 for (const [name, step, faults, at] of naiveCases) {
@@ -186,7 +188,7 @@
 
 test('a split data centre joins again only if the dead are asked', () => {
 	const run = (step?: Step) =>
-		runMembersCase(['split-data-centre'], 'quiet', 1, {
+		runMembersCase(['split-data-centre'], 'steady-state', 1, {
 			step,
 			dataCentres: ['a'],
 		});
--- a/src/cli/_lib/call-node.ts
+++ b/src/cli/_lib/call-node.ts
@@ -1,7 +1,7 @@
 import {readErrorCode} from '../../transport/_lib/read-error-code.js';
 
 /** Answer of a node's administration API, or why there is none. */
-export type NodeAnswer =
+export type NodeResponse =
 	| {readonly kind: 'answer'; readonly status: number; readonly body: unknown}
 	/** The call never left: the node has not seen it. */
 	| {readonly kind: 'not-sent'; readonly message: string}
@@ -41,7 +41,7 @@
 	address: string,
 	path: string,
 	options: CallOptions = {},
-): Promise<NodeAnswer> {
+): Promise<NodeResponse> {
 	const {method = 'GET', headers = {}, body, timeoutMs = 10_000} = options;
 	// Loaded here, since a node needs no client of nodes.
 	const undici = await import('undici');
--- a/src/cli/_lib/print-answer.ts
+++ b/src/cli/_lib/print-response.ts
@@ -1,7 +1,7 @@
 import type {z} from 'zod';
 import type {Terminal} from '../command.js';
 import {exitCodes, type ExitCode} from '../exit-codes.js';
-import type {NodeAnswer} from './call-node.js';
+import type {NodeResponse} from './call-node.js';
 
 /** Options of `printAnswer`. */
 export type PrintOptions<T> = {
@@ -18,8 +18,8 @@
  * @param options - see `PrintOptions`
  * @returns the exit code
  */
-export function printAnswer<T>(
-	answer: NodeAnswer,
+export function printResponse<T>(
+	answer: NodeResponse,
 	terminal: Terminal,
 	options: PrintOptions<T>,
 ): ExitCode {
--- a/src/cli/run-explain.ts
+++ b/src/cli/run-explain.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod';
 import {callNode} from './_lib/call-node.js';
 import {nodeOptions, readNodeOptions} from './_lib/node-options.js';
-import {printAnswer} from './_lib/print-answer.js';
+import {printResponse} from './_lib/print-response.js';
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
@@ -89,7 +89,7 @@
 		`/explain?${query.toString()}`,
 		options.value,
 	);
-	return printAnswer(answer, terminal, {
+	return printResponse(answer, terminal, {
 		schema: explainSchema,
 		format: formatExplanation,
 		isJson,
--- a/src/cli/run-status.ts
+++ b/src/cli/run-status.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {callNode, type NodeAnswer} from './_lib/call-node.js';
+import {callNode, type NodeResponse} from './_lib/call-node.js';
 import {formatStatus, statusSchema, type Status} from './_lib/format-status.js';
 import {
 	nodeOptions,
@@ -37,7 +37,7 @@
 	| {readonly kind: 'status'; readonly status: Status}
 	| {readonly kind: 'refused' | 'unavailable'; readonly message: string};
 
-function readStatus(answer: NodeAnswer): Reading {
+function readStatus(answer: NodeResponse): Reading {
 	if (answer.kind !== 'answer') {
 		return {kind: 'unavailable', message: answer.message};
 	}
--- a/src/cli/run-submit.ts
+++ b/src/cli/run-submit.ts
@@ -4,7 +4,7 @@
 	submissionOutcomeSchema,
 	type SubmissionOutcome,
 } from '../protocol/configuration.js';
-import {callNode, type NodeAnswer} from './_lib/call-node.js';
+import {callNode, type NodeResponse} from './_lib/call-node.js';
 import {formatSubmission} from './_lib/format-submission.js';
 import {nodeOptions, readNodeOptions} from './_lib/node-options.js';
 import {readFileOperand} from './_lib/read-file-operand.js';
@@ -40,7 +40,7 @@
 };
 
 function readOutcome(
-	answer: NodeAnswer,
+	answer: NodeResponse,
 	submissionId: string,
 ): SubmissionOutcome {
 	if (answer.kind === 'not-sent') {
--- a/src/cli/run-versions.ts
+++ b/src/cli/run-versions.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod';
 import {callNode} from './_lib/call-node.js';
 import {nodeOptions, readNodeOptions} from './_lib/node-options.js';
-import {printAnswer} from './_lib/print-answer.js';
+import {printResponse} from './_lib/print-response.js';
 import type {CommandInput, CommandSpec, Terminal} from './command.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 
@@ -57,7 +57,7 @@
 
 	const {address, isJson} = options.value;
 	const answer = await callNode(address, '/versions', options.value);
-	return printAnswer(answer, terminal, {
+	return printResponse(answer, terminal, {
 		schema: versionsSchema,
 		format: formatVersions,
 		isJson,
