--- a/faults/_lib/config/apply-fault.ts
+++ b/faults/_lib/config/apply-fault.ts
@@ -2,9 +2,9 @@
 
 const minDurationMs = 1000;
 const durationRangeMs = 4000;
-const maxRestartDelayMs = 1500;
+const restartDelayRangeMs = 1500;
 
-const lastingFaults: ReadonlySet<Fault> = new Set([
+const timedFaults: ReadonlySet<Fault> = new Set([
 	'frozen',
 	'platform-down',
 	'platform-slow',
@@ -14,61 +14,65 @@
 	'reordered-duplicated',
 ]);
 
-function restartLater(world: Simulation, node: SimNode, name: string): void {
-	const delay = 200 + world.scheduler.random() * maxRestartDelayMs;
-	world.recordFaultEnd(world.scheduler.now() + delay);
-	world.scheduler.schedule(delay, () => {
-		if (world.nodes.get(node.slot)?.readState() === 'dead') {
-			world.startNode(node.slot, node.dataCentre, name);
+function scheduleRestart(
+	simulation: Simulation,
+	node: SimNode,
+	name: string,
+): void {
+	const delayMs = 200 + simulation.scheduler.random() * restartDelayRangeMs;
+	simulation.recordFaultEnd(simulation.scheduler.now() + delayMs);
+	simulation.scheduler.schedule(delayMs, () => {
+		if (simulation.nodes.get(node.slot)?.readState() === 'dead') {
+			simulation.startNode(node.slot, node.dataCentre, name);
 		}
 	});
 }
 
-function listOthers(world: Simulation, node: SimNode): SimNode[] {
-	return [...world.nodes.values()].filter(({name}) => name !== node.name);
+function listOthers(simulation: Simulation, node: SimNode): SimNode[] {
+	return [...simulation.nodes.values()].filter(({name}) => name !== node.name);
 }
 
-function pickOther(world: Simulation, node: SimNode): SimNode {
-	const others = listOthers(world, node).filter(
+function pickLocalPeer(simulation: Simulation, node: SimNode): SimNode {
+	const others = listOthers(simulation, node).filter(
 		({dataCentre}) => dataCentre === node.dataCentre,
 	);
-	return others[Math.floor(world.scheduler.random() * others.length)]!;
+	return others[Math.floor(simulation.scheduler.random() * others.length)]!;
 }
 
 /**
- * Brings a fault about, at or around a node.
+ * Applies a fault to a node, to its peers or to the platform.
  *
- * Faults with a duration end after one to five seconds; a silent watch stays
- * silent for good.
+ * Faults with a duration end after one to five seconds; stalled watches stay
+ * stalled until the end of the simulation.
  *
- * @param world - the world
- * @param fault - the fault
+ * @param simulation - the simulation
+ * @param fault - the fault to apply
  * @param node - the node that has reached the step
  */
 export function applyFault(
-	world: Simulation,
+	simulation: Simulation,
 	fault: Fault,
 	node: SimNode,
 ): void {
-	const {scheduler, platform, network} = world;
+	const {scheduler, platform, network} = simulation;
 	const now = scheduler.now();
-	const duration = minDurationMs + scheduler.random() * durationRangeMs;
-	if (lastingFaults.has(fault)) {
-		world.recordFaultEnd(now + duration);
+	const durationMs = minDurationMs + scheduler.random() * durationRangeMs;
+	if (timedFaults.has(fault)) {
+		simulation.recordFaultEnd(now + durationMs);
 	}
 
 	switch (fault) {
 		case 'killed': {
 			node.kill();
-			restartLater(world, node, node.name);
+			scheduleRestart(simulation, node, node.name);
 			break;
 		}
 
 		case 'data-centre-killed': {
-			for (const other of world.nodes.values()) {
+			for (const other of simulation.nodes.values()) {
 				if (other.dataCentre === node.dataCentre) {
 					other.kill();
-					restartLater(world, other, other.name);
+					scheduleRestart(simulation, other, other.name);
 				}
 			}
 
@@ -77,7 +81,7 @@
 
 		case 'frozen': {
 			node.freeze();
-			scheduler.schedule(duration, () => {
+			scheduler.schedule(durationMs, () => {
 				node.resume();
 			});
 			break;
@@ -85,17 +89,17 @@
 
 		case 'host-replaced': {
 			node.kill();
-			restartLater(world, node, `${node.name}r`);
+			scheduleRestart(simulation, node, `${node.name}r`);
 			break;
 		}
 
 		case 'platform-down': {
-			platform.faults.downUntil = now + duration;
+			platform.faults.downUntil = now + durationMs;
 			break;
 		}
 
 		case 'platform-slow': {
-			platform.faults.slowUntil = now + duration;
+			platform.faults.slowUntil = now + durationMs;
 			break;
 		}
 
@@ -110,7 +114,7 @@
 		}
 
 		case 'connections-stalled': {
-			for (const other of listOthers(world, node)) {
+			for (const other of listOthers(simulation, node)) {
 				network.faults.silent.add(`${node.name}>${other.name}`);
 				network.faults.silent.add(`${other.name}>${node.name}`);
 			}
@@ -119,28 +123,31 @@
 		}
 
 		case 'cut-from-platform': {
-			platform.faults.cutUntil.set(node.dataCentre, now + duration);
+			platform.faults.cutUntil.set(node.dataCentre, now + durationMs);
 			break;
 		}
 
 		case 'data-centres-cut': {
-			network.faults.dataCentresCutUntil = now + duration;
+			network.faults.dataCentresCutUntil = now + durationMs;
 			break;
 		}
 
 		case 'one-way-cut': {
-			const other = pickOther(world, node);
-			network.faults.cutLinks.set(`${other.name}>${node.name}`, now + duration);
+			const other = pickLocalPeer(simulation, node);
+			network.faults.cutLinks.set(
+				`${other.name}>${node.name}`,
+				now + durationMs,
+			);
 			break;
 		}
 
 		case 'reordered-duplicated': {
-			network.faults.reorderingUntil = now + duration;
+			network.faults.reorderingUntil = now + durationMs;
 			break;
 		}
 
 		case 'concurrent-operators': {
-			world.startConcurrentOperators();
+			simulation.startConcurrentOperators();
 			break;
 		}
 	}
--- a/faults/_lib/config/check-invariants.ts
+++ b/faults/_lib/config/check-invariants.ts
@@ -9,9 +9,12 @@
 import type {Simulation} from './config-simulation.js';
 import type {OperatorOutcome} from './start-operators.js';
 
-function replayLog(world: Simulation, violations: string[]): Configuration[] {
+function replayLog(
+	simulation: Simulation,
+	violations: string[],
+): Configuration[] {
 	const history = [createConfiguration()];
-	for (const entry of world.platform.log) {
+	for (const entry of simulation.platform.log) {
 		const next = applyEntry(history.at(-1)!, entry);
 		if (next.isErr()) {
 			violations.push(`log: entry ${entry.version}: ${next.error.message}`);
@@ -24,21 +27,23 @@
 	return history;
 }
 
-function checkRuns(
-	world: Simulation,
+function checkActivations(
+	simulation: Simulation,
 	history: readonly Configuration[],
 ): string[] {
 	const violations: string[] = [];
-	for (const [slot, runs] of world.activations) {
+	for (const [slot, runs] of simulation.activations) {
 		let highest = 0;
 		for (const {version, digest} of runs) {
 			if (version < highest) {
-				violations.push(`${slot} moved back from ${highest} to ${version}`);
+				violations.push(`${slot} reverted from ${highest} to ${version}`);
 			}
 
 			highest = Math.max(highest, version);
 			if (history[version]?.digest !== digest) {
-				violations.push(`${slot} ran a version ${version} of its own`);
+				violations.push(
+					`${slot} ran a version ${version} that differs from the log`,
+				);
 			}
 		}
 	}
@@ -52,43 +57,49 @@
 		.map(({version}) => `version ${version} has a dangling reference`);
 }
 
-function checkVerdicts(
-	world: Simulation,
-	verdicts: readonly OperatorOutcome[],
+function checkOutcomes(
+	simulation: Simulation,
+	outcomes: readonly OperatorOutcome[],
 ): readonly string[] {
 	const violations: string[] = [];
 	const accepted = new Map(
-		world.platform.log.flatMap((entry) =>
+		simulation.platform.log.flatMap((entry) =>
 			entry.commits.map(({submissionId}) => [submissionId, entry.version]),
 		),
 	);
 	const byRevision = new Map<string, string>();
-	for (const {submission, outcome, isSentOnce} of verdicts) {
+	for (const {submission, outcome, isSentOnce} of outcomes) {
 		const {submissionId, manifest} = submission;
 		const version = accepted.get(submissionId);
 		if (outcome.kind === 'accepted') {
 			if (version !== outcome.version) {
-				violations.push(`${submissionId} was called accepted and is not`);
+				violations.push(
+					`${submissionId} was reported accepted but is not in the log`,
+				);
 			}
 
 			const key = `${manifest.team}/${outcome.revision}`;
 			const winner = byRevision.get(key) ?? submissionId;
 			byRevision.set(key, winner);
 			if (winner !== submissionId) {
-				violations.push(`${winner} and ${submissionId} both won ${key}`);
+				violations.push(
+					`${winner} and ${submissionId} were both accepted as ${key}`,
+				);
 			}
 		}
 
 		if (outcome.kind === 'refused' && version !== undefined) {
-			violations.push(`${submissionId} was called refused and is accepted`);
+			violations.push(`${submissionId} was reported refused but is in the log`);
 		}
 
 		if (outcome.kind === 'unavailable' && isSentOnce && version !== undefined) {
-			const isRepeated = verdicts.some(
+			const isRepeated = outcomes.some(
 				(other) => other.submission === submission && !other.isSentOnce,
 			);
 			if (!isRepeated) {
-				violations.push(`${submissionId} was called not accepted and is`);
+				violations.push(
+					`${submissionId} was reported unavailable but is in the log`,
+				);
 			}
 		}
 	}
@@ -96,10 +107,10 @@
 	return violations;
 }
 
-function checkStatuses(world: Simulation): readonly string[] {
+function checkStatuses(simulation: Simulation): readonly string[] {
 	const highest = new Map<string, number>();
 	const violations: string[] = [];
-	for (const {key, value} of world.platform.statuses) {
+	for (const {key, value} of simulation.platform.statuses) {
 		const parsed = dataCentreStatusSchema.safeParse(value);
 		const {version} = parsed.success ? parsed.data : inForceSchema.parse(value);
 		if (version < (highest.get(key) ?? 0)) {
@@ -112,26 +123,29 @@
 	return violations;
 }
 
-function checkEnd(world: Simulation, newest: number): readonly string[] {
+function checkFinalState(
+	simulation: Simulation,
+	newest: number,
+): readonly string[] {
 	const violations: string[] = [];
-	for (const node of world.nodes.values()) {
+	for (const node of simulation.nodes.values()) {
 		const version = node.readRunningVersion() ?? 0;
 		if (version !== newest) {
-			violations.push(`${node.name} ends with ${version}, not ${newest}`);
+			violations.push(`${node.name} ends at version ${version}, not ${newest}`);
 		}
 	}
 
 	const dataCentres = new Set(
-		[...world.nodes.values()].map(({dataCentre}) => dataCentre),
+		[...simulation.nodes.values()].map(({dataCentre}) => dataCentre),
 	);
 	for (const dataCentre of dataCentres) {
-		const last = world.platform.statuses.findLast(
+		const last = simulation.platform.statuses.findLast(
 			({key}) => key === `status/${dataCentre}`,
 		);
 		const status = dataCentreStatusSchema.safeParse(last?.value);
 		if (status.data?.version !== newest) {
 			violations.push(
-				`${dataCentre} ends in force with ${status.data?.version}, not ${newest}`,
+				`${dataCentre} ends with ${status.data?.version} in force, not ${newest}`,
 			);
 		}
 	}
@@ -140,28 +154,30 @@
 }
 
 /**
- * Checks the brief's invariants on the whole history of a world.
+ * Checks the invariants of the configuration on the whole history of a
+ * simulation.
  *
- * No node moved back, ran a version in part or of its own, or one with a
- * dangling reference; each accepted version ends in force everywhere and no
- * status reverted; operators were told the truth, and one won each revision.
+ * No node reverts to a lower version, runs a version that is incomplete or not
+ * in the log, or one with a dangling reference; the newest accepted version
+ * ends in force everywhere and no status reverts; the outcomes that operators
+ * get match the log, and at most one submission is accepted for each revision.
  *
- * @param world - the world, at its end
- * @param verdicts - what operators were told
- * @returns what was broken, empty when all held
+ * @param simulation - the simulation, at its end
+ * @param outcomes - outcomes that operators got
+ * @returns one line for each violation; empty when all invariants hold
  */
 export function checkInvariants(
-	world: Simulation,
-	verdicts: readonly OperatorOutcome[],
+	simulation: Simulation,
+	outcomes: readonly OperatorOutcome[],
 ): readonly string[] {
-	const violations = [...world.violations];
-	const history = replayLog(world, violations);
+	const violations = [...simulation.violations];
+	const history = replayLog(simulation, violations);
 	return [
 		...violations,
-		...checkRuns(world, history),
+		...checkActivations(simulation, history),
 		...checkReferences(history),
-		...checkVerdicts(world, verdicts),
-		...checkStatuses(world),
-		...checkEnd(world, history.length - 1),
+		...checkOutcomes(simulation, outcomes),
+		...checkStatuses(simulation),
+		...checkFinalState(simulation, history.length - 1),
 	];
 }
--- a/faults/_lib/config/config-simulation.ts
+++ b/faults/_lib/config/config-simulation.ts
@@ -1,6 +1,6 @@
 /**
- * Types of the small world in which the configuration's faults are tried: the
- * product's state machines, a fake platform, a fake network, one clock.
+ * Types of the simulation that the configuration's fault cases run in: the
+ * product's state machines, a fake platform and a fake network on one clock.
  */
 import type {Scheduler} from '../../../harness/create-scheduler.js';
 import type {DeliveryOptions} from '../../../src/coordination/step-delivery.js';
@@ -14,7 +14,7 @@
 	PlatformOutcome,
 } from '../../../src/protocol/platform.js';
 
-/** Steps of the system's work at which a fault occurs. */
+/** Steps of a configuration change at which a fault is applied. */
 export const steps = [
 	'submit',
 	'create',
@@ -31,7 +31,7 @@
 
 export type Step = (typeof steps)[number];
 
-/** Faults that a case brings about. */
+/** Faults that a case applies. */
 export const faults = [
 	'killed',
 	'data-centre-killed',
@@ -51,29 +51,29 @@
 
 export type Fault = (typeof faults)[number];
 
-/** Parts of the product that a test replaces by naive ones. */
+/** Mechanisms of the product that a test replaces by naive ones. */
 export type Variant = {
 	readonly delivery?: DeliveryOptions['rules'];
-	/** Stands between the platform's answers and the machines. */
+	/** Replaces an answer of the platform before the state machines get it. */
 	readonly changeOutcome?: (
 		call: PlatformCall,
 		outcome: PlatformOutcome,
 	) => PlatformOutcome;
-	/** Whether the platform writes whatever the condition says. */
+	/** Whether the platform ignores the conditions of writes. */
 	readonly ignoresConditions?: boolean;
 };
 
-/** A node of the world: its machines, without sockets. */
+/** A simulated node: the product's state machines, without sockets. */
 export type SimNode = {
 	readonly name: string;
-	/** Place in the fleet; a replaced host's successor has the same. */
+	/** Place in the fleet; the replacement of a host gets the same slot. */
 	readonly slot: string;
 	readonly dataCentre: string;
 	readonly address: string;
 	readState(): 'up' | 'frozen' | 'dead';
 	readStateSince(): number;
 	readRunningVersion(): number | undefined;
-	/** Has the node do something, now or once it wakes. */
+	/** Runs an action now, or on resume if frozen; never if dead. */
 	receive(action: () => void): void;
 	submit(
 		submission: Submission,
@@ -88,9 +88,9 @@
 
 /** The fake platform. */
 export type FakePlatform = {
-	/** Every entry that the log took, in order of writing. */
+	/** All entries written to the log, in order. */
 	readonly log: LogEntry[];
-	/** Every status object that was written, in order. */
+	/** All status objects written, in order. */
 	readonly statuses: Array<{readonly key: string; readonly value: unknown}>;
 	readonly faults: {
 		downUntil: number;
@@ -111,36 +111,36 @@
 	readonly faults: {
 		reorderingUntil: number;
 		dataCentresCutUntil: number;
-		/** Links, `FROM>TO`, that lose everything until a time. */
+		/** Links, `FROM>TO`, that lose every message until a time. */
 		readonly cutLinks: Map<string, number>;
-		/** Connections, `FROM>TO`, that are silent until the caller gives up. */
+		/** Connections, `FROM>TO`, that lose requests until the caller drops them. */
 		readonly silent: Set<string>;
 	};
 	send(from: SimNode, to: SimNode, deliver: () => void): void;
-	/** Sends on a connection that the caller, `from`, has opened. */
+	/** Sends a request on a connection opened by `from`. */
 	request(from: SimNode, to: SimNode, deliver: () => void): void;
 	dropConnection(from: SimNode, to: SimNode): void;
 };
 
-/** The world. */
+/** The state of a simulation. */
 export type Simulation = {
 	readonly scheduler: Scheduler;
 	readonly platform: FakePlatform;
 	readonly network: FakeNetwork;
 	readonly variant: Variant;
 	readonly violations: string[];
-	/** Present node of each slot. */
+	/** Current node of each slot. */
 	readonly nodes: Map<string, SimNode>;
-	/** Every node that there was, by address. */
+	/** Current and earlier nodes, by address. */
 	readonly nodesByAddress: Map<string, SimNode>;
-	/** Versions run in each slot, in order, over all its nodes. */
+	/** Versions run in each slot, in order, by all its nodes. */
 	readonly activations: Map<string, Array<{version: number; digest: string}>>;
-	/** Notes a time until which a fault lasts. */
+	/** Records a time until which a fault lasts. */
 	recordFaultEnd(time: number): void;
-	/** Marks that a node reaches a step, at which a fault may occur. */
+	/** Runs the action of a step; a fault may be applied before or after it. */
 	reachStep(step: Step, node: SimNode, action: () => void): void;
-	/** Starts more operators, who race the ones at work. */
+	/** Starts more operators that submit concurrently with the others. */
 	startConcurrentOperators(): void;
-	/** Starts a node in a slot, as after a restart or a replacement. */
+	/** Starts a node in a slot, also after a restart or a replacement. */
 	startNode(slot: string, dataCentre: string, name: string): void;
 };
--- a/faults/_lib/config/create-cached-apply-entry.ts
+++ b/faults/_lib/config/create-cached-apply-entry.ts
@@ -2,17 +2,17 @@
 import {applyEntry} from '../../../src/state/apply-entry.js';
 
 /**
- * Creates an `applyEntry` that works out each entry once for all the nodes of a
- * world. Only for worlds in which nobody changes an entry.
+ * Creates an `applyEntry` that computes each result once for all nodes of a
+ * simulation. Valid only if no node changes an entry.
  *
- * @returns the function
+ * @returns the cached function
  */
 export function createCachedApplyEntry(): DeliveryRules['applyEntry'] {
-	const known = new Map<string, ReturnType<typeof applyEntry>>();
+	const results = new Map<string, ReturnType<typeof applyEntry>>();
 	return (configuration, entry) => {
 		const key = `${configuration.digest} ${entry.version} ${entry.digest}`;
-		const result = known.get(key) ?? applyEntry(configuration, entry);
-		known.set(key, result);
+		const result = results.get(key) ?? applyEntry(configuration, entry);
+		results.set(key, result);
 		return result;
 	};
 }
--- a/faults/_lib/config/create-fake-network.ts
+++ b/faults/_lib/config/create-fake-network.ts
@@ -2,12 +2,12 @@
 import type {FakeNetwork, SimNode} from './config-simulation.js';
 
 const maxLatencyMs = 5;
-const crossingLatencyMs = 900;
+const maxReorderingLatencyMs = 900;
 
 /**
- * Creates a fake network that delays, loses, duplicates and reorders.
+ * Creates a fake network that delays, loses, duplicates and reorders messages.
  *
- * @param scheduler - clock, order and randomness
+ * @param scheduler - clock, order of events and random numbers
  * @returns the network
  */
 export function createFakeNetwork(scheduler: Scheduler): FakeNetwork {
@@ -28,12 +28,13 @@
 	}
 
 	function send(from: SimNode, to: SimNode, deliver: () => void): void {
-		const isCrossing = scheduler.now() < faults.reorderingUntil;
-		const copies = isCrossing && scheduler.random() < 0.5 ? 2 : 1;
+		const isReordering = scheduler.now() < faults.reorderingUntil;
+		const copies = isReordering && scheduler.random() < 0.5 ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
-			const latency =
-				scheduler.random() * (isCrossing ? crossingLatencyMs : maxLatencyMs);
-			scheduler.schedule(latency, () => {
+			const latencyMs =
+				scheduler.random() *
+				(isReordering ? maxReorderingLatencyMs : maxLatencyMs);
+			scheduler.schedule(latencyMs, () => {
 				if (!isCut(from, to)) {
 					to.receive(deliver);
 				}
--- a/faults/_lib/config/create-fake-platform.ts
+++ b/faults/_lib/config/create-fake-platform.ts
@@ -10,7 +10,7 @@
 import {logPrefix} from '../../../src/state/format-log-key.js';
 import type {FakePlatform} from './config-simulation.js';
 
-type Answer = (outcome: PlatformOutcome) => void;
+type AnswerCallback = (outcome: PlatformOutcome) => void;
 
 const maxLatencyMs = 10;
 const maxWatchLatencyMs = 40;
@@ -18,16 +18,17 @@
 
 /** Options of `createFakePlatform`. */
 export type FakePlatformOptions = {
-	/** Called with each status object that is written. */
+	/** Called with each status object written. */
 	readonly onStatus: (key: string, value: unknown) => void;
-	/** Whether writes take effect whatever their condition says. */
+	/** Whether writes take effect regardless of their condition. */
 	readonly ignoresConditions: boolean;
 };
 
 /**
- * Creates a fake platform: the stand-in's store with faults, without sockets.
+ * Creates a fake platform: the object store of the stand-in for the platform,
+ * with faults and without sockets.
  *
- * @param scheduler - clock, order and randomness
+ * @param scheduler - clock, order of events and random numbers
  * @param options - see `FakePlatformOptions`
  * @returns the platform
  */
@@ -61,7 +62,7 @@
 		);
 	}
 
-	function findExpected(key: string, condition: WriteCondition): number {
+	function findExpectedVersion(key: string, condition: WriteCondition): number {
 		if (options.ignoresConditions) {
 			return store.get(key)?.version ?? 0;
 		}
@@ -77,7 +78,7 @@
 				? store.remove(call.key, call.version)
 				: store.write(
 						call.key,
-						findExpected(call.key, call.condition),
+						findExpectedVersion(call.key, call.condition),
 						call.value,
 					);
 		if (!outcome.done) {
@@ -95,7 +96,7 @@
 	function watch(
 		dataCentre: string,
 		call: Extract<PlatformCall, {kind: 'watch'}>,
-		answer: Answer,
+		answer: AnswerCallback,
 	): void {
 		const finish = (): void => {
 			const items = store.readChanges(call.prefix, call.after);
@@ -118,10 +119,10 @@
 		scheduler.schedule(known?.length === 0 ? call.waitMs : 1, finish);
 	}
 
-	function carryOut(
+	function execute(
 		dataCentre: string,
 		call: PlatformCall,
-		answer: Answer,
+		answer: AnswerCallback,
 	): void {
 		switch (call.kind) {
 			case 'write':
@@ -155,7 +156,7 @@
 		faults,
 		call(dataCentre, call, answer) {
 			let isAnswered = false;
-			const answerOnce: Answer = (outcome) => {
+			const answerOnce: AnswerCallback = (outcome) => {
 				if (!isAnswered) {
 					isAnswered = true;
 					answer(outcome);
@@ -164,16 +165,16 @@
 
 			const isWrite = call.kind === 'write' || call.kind === 'delete';
 			const isSlow = scheduler.now() < faults.slowUntil;
-			const latency =
+			const latencyMs =
 				scheduler.random() * (isSlow ? slowLatencyMs : maxLatencyMs);
-			const timeout =
+			const timeoutMs =
 				platformTimeoutMs + (call.kind === 'watch' ? call.waitMs : 0);
-			scheduler.schedule(timeout, () => {
+			scheduler.schedule(timeoutMs, () => {
 				answerOnce({kind: isWrite ? 'unknown' : 'unavailable'});
 			});
-			scheduler.schedule(latency, () => {
+			scheduler.schedule(latencyMs, () => {
 				if (!isUnreachable(dataCentre)) {
-					carryOut(dataCentre, call, (outcome) => {
+					execute(dataCentre, call, (outcome) => {
 						scheduler.schedule(1, () => {
 							answerOnce(outcome);
 						});
@@ -181,8 +182,8 @@
 					return;
 				}
 
-				const isSent = isWrite && scheduler.random() < 0.5;
-				answerOnce({kind: isSent ? 'unknown' : 'unavailable'});
+				const mayHaveTakenEffect = isWrite && scheduler.random() < 0.5;
+				answerOnce({kind: mayHaveTakenEffect ? 'unknown' : 'unavailable'});
 			});
 		},
 	};
--- a/faults/_lib/config/create-sim-node.ts
+++ b/faults/_lib/config/create-sim-node.ts
@@ -24,12 +24,12 @@
 import {describeMember} from './describe-member.js';
 import {findStep} from './find-step.js';
 
-/** Sizes that make rings wrap and trees have depth in a small world. */
+/** Sizes small enough that the log ring wraps and trees have several levels. */
 export const smallSizes = {ringSize: 8, snapshotInterval: 4, fanOut: 1};
 
-const startTime = 1_000_000;
+const startTimeMs = 1_000_000;
 
-/** What a node is made of. */
+/** Options of `createSimNode`. */
 export type SimNodeOptions = {
 	readonly slot: string;
 	readonly name: string;
@@ -38,30 +38,30 @@
 };
 
 /**
- * Creates a node of the world: the product's machines, driven by the world's
- * clock, with a step marked wherever a fault may occur.
+ * Creates a simulated node: the product's state machines on the simulation's
+ * clock. Reports each step at which a fault may be applied.
  *
- * @param world - the world
+ * @param simulation - the simulation
  * @param options - see `SimNodeOptions`
- * @returns the node, running
+ * @returns the running node
  */
 export function createSimNode(
-	world: Simulation,
+	simulation: Simulation,
 	options: SimNodeOptions,
 ): SimNode {
-	const {scheduler, platform, network, variant} = world;
+	const {scheduler, platform, network, variant} = simulation;
 	const {name, slot, dataCentre, address} = options;
 	const {random} = scheduler;
 	let delivery = createDeliveryState(name, dataCentre);
 	let commit = createCommitState(delivery.heldConfigurations[0]!);
 	let snapshot = createSnapshotState();
 	let condition: 'up' | 'frozen' | 'dead' = 'up';
-	let since = 0;
+	let conditionSince = 0;
 	let inbox: Array<() => void> = [];
-	let lastNumber = 0;
+	let lastReplyId = 0;
 	const replies = new Map<number, (outcome: SubmissionOutcome) => void>();
 	const answers = new Map<number, (value: unknown) => void>();
-	const now = () => startTime + scheduler.now();
+	const now = () => startTimeMs + scheduler.now();
 
 	function receive(action: () => void): void {
 		if (condition === 'up') {
@@ -85,13 +85,13 @@
 		};
 
 		if (step) {
-			world.reachStep(step, node, action);
+			simulation.reachStep(step, node, action);
 		} else {
 			receive(action);
 		}
 	}
 
-	function tellCommit(message: CommitMessage): void {
+	function dispatchCommit(message: CommitMessage): void {
 		const result = stepCommit(commit, message, {
 			now: now(),
 			random,
@@ -99,34 +99,34 @@
 		});
 		commit = result.state;
 		for (const effect of result.effects) {
-			carryOutCommit(effect);
+			runCommitEffect(effect);
 		}
 	}
 
-	function tellSnapshot(message: SnapshotMessage): void {
+	function dispatchSnapshot(message: SnapshotMessage): void {
 		const result = stepSnapshot(snapshot, message);
 		snapshot = result.state;
 		for (const effect of result.effects) {
 			if (effect.kind === 'stored') {
-				tellCommit({kind: 'snapshot-stored', version: effect.version});
+				dispatchCommit({kind: 'snapshot-stored', version: effect.version});
 				continue;
 			}
 
 			const {callId, call} = effect;
 			callPlatform(call, findStep('snapshot', call), (outcome) => {
-				tellSnapshot({kind: 'answer', callId, outcome});
+				dispatchSnapshot({kind: 'answer', callId, outcome});
 			});
 		}
 	}
 
-	function carryOutCommit(effect: CommitEffect): void {
+	function runCommitEffect(effect: CommitEffect): void {
 		switch (effect.kind) {
 			case 'call': {
 				const {callId, call} = effect;
 				const isReadBack = commit.phase.kind === 'reading-back';
 				const step = isReadBack ? 'read-back' : findStep('commit', call);
 				callPlatform(call, step, (outcome) => {
-					tellCommit({kind: 'answer', callId, outcome});
+					dispatchCommit({kind: 'answer', callId, outcome});
 				});
 				break;
 			}
@@ -134,7 +134,7 @@
 			case 'wait': {
 				scheduler.schedule(effect.delayMs, () => {
 					receive(() => {
-						tellCommit({kind: 'timer', callId: effect.callId});
+						dispatchCommit({kind: 'timer', callId: effect.callId});
 					});
 				});
 				break;
@@ -148,18 +148,18 @@
 			}
 
 			case 'entries': {
-				tellDelivery({kind: 'entries', entries: effect.entries});
+				dispatchDelivery({kind: 'entries', entries: effect.entries});
 				break;
 			}
 
 			case 'store-snapshot': {
-				tellSnapshot({kind: 'store', configuration: effect.configuration});
+				dispatchSnapshot({kind: 'store', configuration: effect.configuration});
 				break;
 			}
 		}
 	}
 
-	function tellDelivery(message: DeliveryMessage): void {
+	function dispatchDelivery(message: DeliveryMessage): void {
 		const result = stepDelivery(delivery, message, {
 			now: now(),
 			random,
@@ -167,13 +167,13 @@
 		});
 		delivery = result.state;
 		for (const effect of result.effects) {
-			carryOutDelivery(effect);
+			runDeliveryEffect(effect);
 		}
 	}
 
-	function takeNews(step: Step | undefined, action: () => void): void {
+	function runAtStep(step: Step | undefined, action: () => void): void {
 		if (step) {
-			world.reachStep(step, node, action);
+			simulation.reachStep(step, node, action);
 		} else {
 			action();
 		}
@@ -181,12 +181,12 @@
 
 	function startPoll(effect: Extract<DeliveryEffect, {kind: 'poll'}>): void {
 		const {callId, poll, timeoutMs} = effect;
-		const target = world.nodesByAddress.get(effect.address)!;
+		const target = simulation.nodesByAddress.get(effect.address)!;
 		scheduler.schedule(timeoutMs, () => {
 			network.dropConnection(node, target);
 			receive(() => {
 				const outcome = {kind: 'failed', reason: 'timeout'} as const;
-				tellDelivery({kind: 'poll-answer', callId, outcome});
+				dispatchDelivery({kind: 'poll-answer', callId, outcome});
 			});
 		});
 		if (effect.needsNewConnection) {
@@ -196,11 +196,11 @@
 		network.request(node, target, () => {
 			target.handlePoll(poll, (value) => {
 				network.send(target, node, () => {
-					// The value is checked by the machine; here it only tells the step.
+					// The state machine validates the value; this only selects the step.
 					// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-					const isNews = (value as PollAnswer).kind !== 'unchanged';
-					takeNews(isNews ? 'apply' : undefined, () => {
-						tellDelivery({
+					const hasChanges = (value as PollAnswer).kind !== 'unchanged';
+					runAtStep(hasChanges ? 'apply' : undefined, () => {
+						dispatchDelivery({
 							kind: 'poll-answer',
 							callId,
 							outcome: {kind: 'answered', value},
@@ -211,14 +211,15 @@
 		});
 	}
 
-	function carryOutDelivery(effect: DeliveryEffect): void {
+	function runDeliveryEffect(effect: DeliveryEffect): void {
 		switch (effect.kind) {
 			case 'call': {
 				const {callId, call} = effect;
 				callPlatform(call, findStep('delivery', call), (outcome) => {
-					const isNews = outcome.kind === 'items' && outcome.items.length > 0;
-					takeNews(isNews ? 'apply' : undefined, () => {
-						tellDelivery({kind: 'platform-answer', callId, outcome});
+					const hasChanges =
+						outcome.kind === 'items' && outcome.items.length > 0;
+					runAtStep(hasChanges ? 'apply' : undefined, () => {
+						dispatchDelivery({kind: 'platform-answer', callId, outcome});
 					});
 				});
 				break;
@@ -226,7 +227,7 @@
 
 			case 'poll': {
 				const isReport = effect.poll.waitMs === 0;
-				world.reachStep(isReport ? 'report' : 'child-poll', node, () => {
+				simulation.reachStep(isReport ? 'report' : 'child-poll', node, () => {
 					startPoll(effect);
 				});
 				break;
@@ -241,10 +242,10 @@
 			}
 
 			case 'run': {
-				world.reachStep('swap', node, () => {
+				simulation.reachStep('swap', node, () => {
 					const {version, digest} = effect.configuration;
-					const runs = world.activations.get(slot) ?? [];
-					world.activations.set(slot, [...runs, {version, digest}]);
+					const runs = simulation.activations.get(slot) ?? [];
+					simulation.activations.set(slot, [...runs, {version, digest}]);
 				});
 				break;
 			}
@@ -261,15 +262,15 @@
 		}
 
 		if (condition === 'up') {
-			tellDelivery({kind: 'tick'});
+			dispatchDelivery({kind: 'tick'});
 		}
 
 		scheduler.schedule(deliveryTickMs, tick);
 	}
 
-	function change(next: 'up' | 'frozen' | 'dead'): void {
+	function setCondition(next: 'up' | 'frozen' | 'dead'): void {
 		condition = next;
-		since = scheduler.now();
+		conditionSince = scheduler.now();
 	}
 
 	const node: SimNode = {
@@ -279,27 +280,27 @@
 		address,
 		receive,
 		readState: () => condition,
-		readStateSince: () => since,
+		readStateSince: () => conditionSince,
 		readRunningVersion: () => delivery.runningVersion,
 		submit(submission, answer) {
-			lastNumber++;
-			replies.set(lastNumber, answer);
-			const pending = {...submission, replyId: lastNumber};
-			world.reachStep('submit', node, () => {
+			lastReplyId++;
+			replies.set(lastReplyId, answer);
+			const pending = {...submission, replyId: lastReplyId};
+			simulation.reachStep('submit', node, () => {
 				const configuration = delivery.heldConfigurations.at(-1)!;
-				tellCommit({kind: 'configuration', configuration});
-				tellCommit({kind: 'submit', pending});
+				dispatchCommit({kind: 'configuration', configuration});
+				dispatchCommit({kind: 'submit', pending});
 			});
 		},
 		handlePoll(value, answer) {
 			const poll = pollSchema.parse(value);
-			lastNumber++;
-			answers.set(lastNumber, answer);
-			tellDelivery({kind: 'poll', pollId: lastNumber, poll});
+			lastReplyId++;
+			answers.set(lastReplyId, answer);
+			dispatchDelivery({kind: 'poll', pollId: lastReplyId, poll});
 		},
 		updateMembers(members) {
 			receive(() => {
-				tellDelivery({
+				dispatchDelivery({
 					kind: 'view',
 					members: members.map((member) =>
 						describeMember(member, scheduler.now()),
@@ -309,11 +310,11 @@
 		},
 		kill() {
 			inbox = [];
-			change('dead');
+			setCondition('dead');
 		},
 		freeze() {
 			if (condition === 'up') {
-				change('frozen');
+				setCondition('frozen');
 			}
 		},
 		resume() {
@@ -321,7 +322,7 @@
 				return;
 			}
 
-			change('up');
+			setCondition('up');
 			const waiting = inbox;
 			inbox = [];
 			for (const action of waiting) {
--- a/faults/_lib/config/describe-member.ts
+++ b/faults/_lib/config/describe-member.ts
@@ -5,18 +5,19 @@
 const deadAfterMs = 2500;
 
 /**
- * Describes a node as the membership shows it, some time after the fact.
+ * Describes a node as the membership shows it: a dead node is marked dead after
+ * 2.5 s, a frozen one suspect after 5 s.
  *
  * @param other - the node
- * @param now - time in ms
- * @returns its record
+ * @param now - simulated time, in ms
+ * @returns the member record of the node
  */
 export function describeMember(other: SimNode, now: number): Member {
-	const silentMs = now - other.readStateSince();
+	const inStateMs = now - other.readStateSince();
 	const states = {
 		up: 'alive',
-		frozen: silentMs > suspectAfterMs ? 'suspect' : 'alive',
-		dead: silentMs > deadAfterMs ? 'dead' : 'alive',
+		frozen: inStateMs > suspectAfterMs ? 'suspect' : 'alive',
+		dead: inStateMs > deadAfterMs ? 'dead' : 'alive',
 	} as const;
 	return {
 		name: other.name,
--- a/faults/_lib/config/find-step.ts
+++ b/faults/_lib/config/find-step.ts
@@ -2,11 +2,11 @@
 import type {Step} from './config-simulation.js';
 
 /**
- * Finds the step that a platform call of one of the machines belongs to.
+ * Finds the step that a platform call of a state machine belongs to.
  *
- * @param machine - the machine that makes the call
+ * @param machine - the state machine that makes the call
  * @param call - the call
- * @returns the step, or undefined for a call that is none
+ * @returns the step, or undefined for a call that belongs to none
  */
 export function findStep(
 	machine: 'commit' | 'snapshot' | 'delivery',
@@ -14,12 +14,12 @@
 ): Step | undefined {
 	switch (call.kind) {
 		case 'write': {
-			const bySource = {
+			const stepsByMachine = {
 				commit: 'create',
 				snapshot: 'snapshot',
 				delivery: 'status-write',
 			} as const;
-			return bySource[machine];
+			return stepsByMachine[machine];
 		}
 
 		case 'delete': {
--- a/faults/_lib/config/run-config-simulation.ts
+++ b/faults/_lib/config/run-config-simulation.ts
@@ -15,7 +15,7 @@
 import {createCachedApplyEntry} from './create-cached-apply-entry.js';
 import {startOperators, type OperatorOutcome} from './start-operators.js';
 
-/** One run: faults at a step, and the seed of everything else. */
+/** One run: faults, the step at which they occur and the random seed. */
 export type ConfigRun = {
 	readonly faults: readonly Fault[];
 	readonly step: Step;
@@ -23,64 +23,67 @@
 	readonly variant?: Variant;
 };
 
-const sizes: Readonly<Record<string, number>> = {abdali: 5, marka: 3};
+const nodesPerDataCentre: Readonly<Record<string, number>> = {
+	abdali: 5,
+	marka: 3,
+};
 const faultsFromMs = 4000;
 const faultsUntilMs = 7000;
-const maxGapMs = 1500;
+const maxFaultGapMs = 1500;
 const submissionsEndMs = 10_000;
 const recoveryMs = 7000;
 const viewIntervalMs = 500;
 
 /**
- * Runs a small fleet of two data centres under a workload, brings the faults
- * about at the step, lets it recover, and checks every invariant.
+ * Runs a small fleet of two data centres under a workload, applies the faults
+ * at the step, waits for recovery and checks all invariants.
  *
  * @param run - see `ConfigRun`
- * @returns what was broken, empty when all held
+ * @returns one line for each violation; empty when all invariants hold
  * @example
- * runConfigWorld({faults: ['frozen'], step: 'create', seed: 1});
+ * runConfigSimulation({faults: ['frozen'], step: 'create', seed: 1});
  */
 export function runConfigSimulation(run: ConfigRun): readonly string[] {
 	const scheduler = createScheduler(run.seed);
-	const verdicts: OperatorOutcome[] = [];
-	let waiting = [...run.faults];
-	let occurrence = 1 + Math.floor(scheduler.random() * 3);
-	let isAgain = false;
-	let disturbedUntil = submissionsEndMs;
+	const outcomes: OperatorOutcome[] = [];
+	let pendingFaults = [...run.faults];
+	let remainingOccurrences = 1 + Math.floor(scheduler.random() * 3);
+	let isNextFaultDue = false;
+	let faultsEndAt = submissionsEndMs;
 
-	function bringAbout(node: SimNode): void {
-		const [fault, ...rest] = waiting;
-		waiting = rest;
+	function applyNextFaults(node: SimNode): void {
+		const [fault, ...rest] = pendingFaults;
+		pendingFaults = rest;
 		if (fault) {
-			applyFault(world, fault, node);
+			applyFault(simulation, fault, node);
 			if (scheduler.random() < 0.5) {
-				bringAbout(node);
+				applyNextFaults(node);
 				return;
 			}
 
-			scheduler.schedule(scheduler.random() * maxGapMs, () => {
-				isAgain = true;
+			scheduler.schedule(scheduler.random() * maxFaultGapMs, () => {
+				isNextFaultDue = true;
 			});
 		}
 	}
 
 	function checkStatus(key: string, value: unknown): void {
 		const status = dataCentreStatusSchema.safeParse(value).data;
-		for (const node of world.nodes.values()) {
+		for (const node of simulation.nodes.values()) {
 			const running = node.readRunningVersion() ?? status?.version ?? 0;
-			const isLate =
+			const isBehind =
 				node.dataCentre === status?.dataCentre &&
 				node.readState() !== 'dead' &&
 				running < status.version;
-			if (isLate) {
-				world.violations.push(
-					`${key} says ${status.version} while ${node.name} runs ${running}`,
+			if (isBehind) {
+				simulation.violations.push(
+					`${key} reports ${status.version} while ${node.name} runs ${running}`,
 				);
 			}
 		}
 	}
 
-	const world: Simulation = {
+	const simulation: Simulation = {
 		scheduler,
 		platform: createFakePlatform(scheduler, {
 			onStatus: checkStatus,
@@ -101,28 +104,28 @@
 		reachStep(step, node, action) {
 			const isDue =
 				step === run.step &&
-				waiting.length > 0 &&
+				pendingFaults.length > 0 &&
 				scheduler.now() >= faultsFromMs &&
-				(isAgain || waiting.length === run.faults.length);
-			occurrence -= isDue ? 1 : 0;
-			if (!isDue || occurrence > 0) {
+				(isNextFaultDue || pendingFaults.length === run.faults.length);
+			remainingOccurrences -= isDue ? 1 : 0;
+			if (!isDue || remainingOccurrences > 0) {
 				node.receive(action);
 				return;
 			}
 
-			isAgain = false;
+			isNextFaultDue = false;
 			const isBefore = scheduler.random() < 0.5;
 			if (!isBefore) {
 				node.receive(action);
 			}
 
-			bringAbout(node);
+			applyNextFaults(node);
 			if (isBefore) {
 				node.receive(action);
 			}
 		},
 		recordFaultEnd(time) {
-			disturbedUntil = Math.max(disturbedUntil, time);
+			faultsEndAt = Math.max(faultsEndAt, time);
 		},
 		startConcurrentOperators() {
 			startOperator('kitchens');
@@ -130,54 +133,58 @@
 		},
 		startNode(slot, dataCentre, name) {
 			const address = `${name}/${scheduler.now()}`;
-			const node = createSimNode(world, {slot, name, dataCentre, address});
-			world.nodes.set(slot, node);
-			world.nodesByAddress.set(address, node);
+			const node = createSimNode(simulation, {slot, name, dataCentre, address});
+			simulation.nodes.set(slot, node);
+			simulation.nodesByAddress.set(address, node);
 			members = [...members.filter((other) => other.name !== name), node];
 			node.updateMembers(members);
 		},
 	};
 	let members: readonly SimNode[] = [];
-	for (const [dataCentre, size] of Object.entries(sizes)) {
+	for (const [dataCentre, size] of Object.entries(nodesPerDataCentre)) {
 		for (let index = 0; index < size; index++) {
 			const name = `${dataCentre}-${index}`;
-			world.startNode(name, dataCentre, name);
+			simulation.startNode(name, dataCentre, name);
 		}
 	}
 
-	function spreadViews(): void {
-		for (const node of world.nodes.values()) {
+	function updateViews(): void {
+		for (const node of simulation.nodes.values()) {
 			node.updateMembers(members);
 		}
 
-		scheduler.schedule(viewIntervalMs, spreadViews);
+		scheduler.schedule(viewIntervalMs, updateViews);
 	}
 
-	const startOperator = startOperators(world, {
+	const startOperator = startOperators(simulation, {
 		endMs: submissionsEndMs,
 		onOutcome(verdict) {
-			verdicts.push(verdict);
+			outcomes.push(verdict);
 		},
 	});
-	spreadViews();
+	updateViews();
 	scheduler.schedule(500, () => {
 		startOperator('kitchens');
 		startOperator('kitchens');
 		startOperator('brigades');
 		if (run.step === 'read-back') {
 			scheduler.schedule(faultsFromMs, () => {
-				world.platform.faults.lostAnswerCount += 2;
+				simulation.platform.faults.lostAnswerCount += 2;
 			});
 		}
 	});
-	for (let time = faultsUntilMs; time < submissionsEndMs; time += maxGapMs) {
+	for (
+		let time = faultsUntilMs;
+		time < submissionsEndMs;
+		time += maxFaultGapMs
+	) {
 		scheduler.schedule(time, () => {
-			const nodes = [...world.nodes.values()];
-			bringAbout(nodes[Math.floor(scheduler.random() * nodes.length)]!);
+			const nodes = [...simulation.nodes.values()];
+			applyNextFaults(nodes[Math.floor(scheduler.random() * nodes.length)]!);
 		});
 	}
 
 	scheduler.runUntil(submissionsEndMs);
-	scheduler.runUntil(disturbedUntil + recoveryMs);
-	return checkInvariants(world, verdicts);
+	scheduler.runUntil(faultsEndAt + recoveryMs);
+	return checkInvariants(simulation, outcomes);
 }
--- a/faults/_lib/config/start-operators.ts
+++ b/faults/_lib/config/start-operators.ts
@@ -6,22 +6,22 @@
 import {manifestSchema} from '../../../src/protocol/manifest.js';
 import type {Simulation} from './config-simulation.js';
 
-/** What an operator was told of one submission in the end. */
+/** The outcome of a submission that an operator got. */
 export type OperatorOutcome = {
 	readonly submission: Submission;
 	readonly outcome: SubmissionOutcome;
-	/** Whether the operator has never been told, or asked, otherwise. */
+	/** Whether the submission was sent once only, and not repeated. */
 	readonly isSentOnce: boolean;
 };
 
 /** Options of `startOperators`. */
 export type OperatorsOptions = {
 	readonly endMs: number;
-	/** Called with each answer that an operator got. */
+	/** Called with each outcome that an operator gets. */
 	readonly onOutcome: (verdict: OperatorOutcome) => void;
 };
 
-const giveUpMs = 6000;
+const answerTimeoutMs = 6000;
 const pauseMs = 700;
 
 function createManifest(
@@ -47,21 +47,22 @@
 }
 
 /**
- * Starts operators that each submit again and again until a time.
+ * Creates operators that each submit one manifest after another until a time.
  *
- * An operator whose answer is `unknown` or missing repeats the submission
- * with the same identifier at another node; a refused one takes the revision
- * that it was told and submits a new manifest.
+ * An operator whose outcome is `unknown` or missing repeats the submission with
+ * the same identifier at a random node; after a refusal it submits a new
+ * manifest based on the current revision that the refusal names. After
+ * `unavailable` it does either, at random.
  *
- * @param world - the world
+ * @param simulation - the simulation
  * @param options - see `OperatorsOptions`
- * @returns starts one more operator of a team
+ * @returns a function that starts one more operator of a team
  */
 export function startOperators(
-	world: Simulation,
+	simulation: Simulation,
 	options: OperatorsOptions,
 ): (team: string) => void {
-	const {scheduler} = world;
+	const {scheduler} = simulation;
 	let lastOperator = 0;
 
 	function startOperator(team: string): void {
@@ -80,11 +81,11 @@
 			}
 		}
 
-		function send(submission: Submission, isOnly: boolean): void {
-			const nodes = [...world.nodes.values()];
+		function send(submission: Submission, isSentOnce: boolean): void {
+			const nodes = [...simulation.nodes.values()];
 			const node = nodes[Math.floor(scheduler.random() * nodes.length)]!;
 			let isAnswered = false;
-			const cancel = scheduler.schedule(giveUpMs, () => {
+			const cancel = scheduler.schedule(answerTimeoutMs, () => {
 				isAnswered = true;
 				send(submission, false);
 			});
@@ -93,19 +94,19 @@
 					if (!isAnswered) {
 						isAnswered = true;
 						cancel();
-						handle(submission, outcome, isOnly);
+						handleOutcome(submission, outcome, isSentOnce);
 					}
 				});
 			});
 		}
 
-		function handle(
+		function handleOutcome(
 			submission: Submission,
 			outcome: SubmissionOutcome,
 			isSentOnce: boolean,
 		): void {
 			options.onOutcome({submission, outcome, isSentOnce});
-			const again = (): void => {
+			const resend = (): void => {
 				send(submission, false);
 			};
 
@@ -123,13 +124,13 @@
 				}
 
 				case 'unavailable': {
-					const isPatient = scheduler.random() < 0.5;
-					scheduler.schedule(pauseMs, isPatient ? again : submitNext);
+					const shouldResend = scheduler.random() < 0.5;
+					scheduler.schedule(pauseMs, shouldResend ? resend : submitNext);
 					break;
 				}
 
 				case 'unknown': {
-					scheduler.schedule(pauseMs, again);
+					scheduler.schedule(pauseMs, resend);
 					break;
 				}
 			}
--- a/faults/_lib/members/check-members.ts
+++ b/faults/_lib/members/check-members.ts
@@ -1,5 +1,5 @@
 /**
- * Invariants of the views of a fleet.
+ * Invariants of the membership views of a fleet.
  */
 import type {
 	FleetNode,
@@ -11,25 +11,25 @@
 
 const service = 'kitchens/pricebook';
 
-/** How long after an upstream left no view may offer it, ms. */
+/** Time after an upstream leaves until no view offers it any more, ms. */
 export const leaveBoundMs = 5000;
-/** How long after a host died or froze, and the last fault ended, no view may
- * offer it, ms. */
+/** Time after a host dies or freezes, and the last fault ends, until no view
+ * offers the host any more, ms. */
 export const deathBoundMs = 25_000;
-/** How long after the last fault all views are equal, ms. */
+/** Time after the last fault until all views are equal, ms. */
 export const settleMs = 60_000;
 
-/** Since when a host has had no ready upstream, and why. */
+/** When a host lost its ready upstream, and why. */
 export type Absence = {
 	readonly sinceMs: number;
 	readonly reason: 'left' | 'died';
 };
 
-function listTaking(fleet: MembersFleet): FleetNode[] {
+function listAcceptedMembers(fleet: MembersFleet): FleetNode[] {
 	return fleet.listRunning().filter(({state}) => state.role !== 'refused');
 }
 
-/** Whether a host has a ready upstream that it renews. */
+/** Returns whether a host runs and renews the lease of a ready upstream. */
 export function hasReadyUpstream(node: FleetNode): boolean {
 	return (
 		node.condition === 'running' &&
@@ -37,14 +37,14 @@
 	);
 }
 
-/** Lists hosts that a view offers too long after their upstream was gone. */
+/** Lists hosts that a view still offers past the bound for their absence. */
 export function checkCandidates(
 	fleet: MembersFleet,
 	absences: ReadonlyMap<string, Absence>,
 	nowMs: number,
 	faultsEndMs: number,
 ): string[] {
-	return listTaking(fleet).flatMap(({name, state}) => {
+	return listAcceptedMembers(fleet).flatMap(({name, state}) => {
 		const candidates = computeMembersView(state).candidates.get(service) ?? [];
 		return candidates.flatMap(({host}) => {
 			const absence = absences.get(host);
@@ -57,22 +57,22 @@
 					? absence.sinceMs + leaveBoundMs
 					: Math.max(absence.sinceMs, faultsEndMs) + deathBoundMs;
 			return nowMs > endMs
-				? [`${name} offers ${host}, which ${absence.reason} before`]
+				? [`${name} still offers ${host}, which ${absence.reason}`]
 				: [];
 		});
 	});
 }
 
-/** Lists running members that a running one takes for suspect or dead. */
+/** Lists running members whose record at another is suspect or dead. */
 export function checkFalseSuspicions(fleet: MembersFleet): string[] {
-	const running = listTaking(fleet);
+	const running = listAcceptedMembers(fleet);
 	return running.flatMap((viewer) =>
 		running.flatMap(({name, state}) => {
 			const record = findMember(viewer.state.table, name);
 			return record &&
 				record.state !== 'alive' &&
 				record.incarnation === state.self.incarnation
-				? [`${viewer.name} takes ${name} for ${record.state}`]
+				? [`${viewer.name} has running ${name} as ${record.state}`]
 				: [];
 		}),
 	);
@@ -86,64 +86,68 @@
 		}
 
 		const record = findMember(viewer.state.table, name);
-		const isRight =
+		const isCurrent =
 			record?.state === 'alive' &&
 			record.address === address &&
 			record.incarnation === state.self.incarnation &&
 			record.sequence === state.self.sequence;
-		if (!isRight) {
+		if (!isCurrent) {
 			const {state: known = 'unknown', address: at = ''} = record ?? {};
 			violations.push(`${viewer.name} has ${name} as ${known} at ${at}`);
 		}
 	}
 
 	const names = new Set(running.map(({name}) => name));
-	const ghosts = listMembers(viewer.state.table).filter(
+	const phantoms = listMembers(viewer.state.table).filter(
 		(member) => member.state === 'alive' && !names.has(member.name),
 	);
 	return [
 		...violations,
-		...ghosts.map(({name}) => `${viewer.name} has ${name} as alive`),
+		...phantoms.map(
+			({name}) => `${viewer.name} has ${name}, which does not run, as alive`,
+		),
 	];
 }
 
-function checkOffers(
+function checkCandidateHosts(
 	viewer: FleetNode,
 	running: readonly FleetNode[],
 ): string[] {
 	const candidates =
 		computeMembersView(viewer.state).candidates.get(service) ?? [];
-	const offered = candidates
+	const candidateHosts = candidates
 		.map(({host}) => host)
 		.toSorted((a, b) => a.localeCompare(b));
-	const ready = running
+	const readyHosts = running
 		.filter((node) => hasReadyUpstream(node))
 		.map(({name}) => name)
 		.toSorted((a, b) => a.localeCompare(b));
-	return offered.join(' ') === ready.join(' ')
+	return candidateHosts.join(' ') === readyHosts.join(' ')
 		? []
-		: [`${viewer.name} offers ${offered.join(' ')} for ${ready.join(' ')}`];
+		: [
+				`${viewer.name} offers ${candidateHosts.join(' ')}, but ready are ${readyHosts.join(' ')}`,
+			];
 }
 
-/** Lists differences between the views and the fleet as it is. */
+/** Lists differences between the views and the actual state of the fleet. */
 export function checkSettled(fleet: MembersFleet): string[] {
-	const running = listTaking(fleet);
+	const running = listAcceptedMembers(fleet);
 	const refused = fleet
 		.listRunning()
 		.filter(({state}) => state.role === 'refused');
-	const silent = refused
+	const unloggedRefusals = refused
 		.filter(({logs}) => logs.length === 0)
-		.map(({name}) => `${name} is refused without a log`);
+		.map(({name}) => `${name} is refused without a log line`);
 	const names = running.map(({name}) => name);
-	const doubled = names
+	const duplicateNames = names
 		.filter((name, index) => names.indexOf(name) !== index)
-		.map((name) => `${name} is in use twice`);
+		.map((name) => `${name} is used by more than one node`);
 	return [
-		...silent,
-		...doubled,
+		...unloggedRefusals,
+		...duplicateNames,
 		...running.flatMap((viewer) => [
 			...checkView(viewer, running),
-			...checkOffers(viewer, running),
+			...checkCandidateHosts(viewer, running),
 		]),
 	];
 }
--- a/faults/_lib/members/members-context.ts
+++ b/faults/_lib/members/members-context.ts
@@ -1,5 +1,5 @@
 /**
- * Type of what the faults of members act on.
+ * Types and helpers shared by the faults of the membership matrix.
  */
 import type {
 	FleetNode,
@@ -8,28 +8,28 @@
 import type {Scheduler} from '../../../harness/create-scheduler.js';
 import type {Announcement} from '../../../src/protocol/member.js';
 
-/** What the network does at the moment. */
+/** Current faults of the network. */
 export type NetworkState = {
-	/** Each tells whether packets from one node to another are lost. */
+	/** Predicates: whether messages from one node to another are lost. */
 	readonly cuts: Set<(from: FleetNode, to: FleetNode) => boolean>;
-	/** Whether requests are duplicated, delayed and so reordered. */
+	/** Whether requests are duplicated and delayed, so that they reorder. */
 	isReordering: boolean;
-	/** Until when views may be behind because of the network, ms. */
+	/** Time until which network faults may keep views out of date, ms. */
 	faultsEndAtMs: number;
 };
 
-/** What the faults of members act on. */
+/** The state of a case that faults act on. */
 export type MembersContext = {
 	readonly scheduler: Scheduler;
 	readonly fleet: MembersFleet;
 	readonly network: NetworkState;
-	/** How long a data centre stays cut off, ms. */
+	/** Duration for which a data centre is cut off, ms. */
 	readonly cutMs: number;
-	/** When the last fault ends, ms. */
+	/** Time at which the last fault ends, ms. */
 	faultsEndAtMs: number;
 };
 
-/** Creates the announcement of a host's upstream. */
+/** Creates an announcement of a host's upstream. */
 export function createAnnouncement(
 	change: Partial<Announcement> = {},
 ): Announcement {
@@ -44,12 +44,12 @@
 	};
 }
 
-/** Names the upstream of a host. */
+/** Creates the identifier of a host's upstream. */
 export function createUpstreamId(node: FleetNode): string {
 	return `${node.name}-pricebook`;
 }
 
-/** Picks a running node that has an upstream to lose. */
+/** Picks a random running node that has an upstream. */
 export function pickNode(context: MembersContext): FleetNode {
 	const running = context.fleet
 		.listRunning()
@@ -60,7 +60,7 @@
 	return running[Math.floor(random() * running.length)]!;
 }
 
-/** Starts a host with its upstream. */
+/** Starts a host and announces its upstream. */
 export function startMember(
 	context: MembersContext,
 	name: string,
@@ -76,12 +76,12 @@
 	return node;
 }
 
-/** Notes that a fault lasts until a time. */
+/** Records that a fault lasts until a time. */
 export function recordFaultEnd(context: MembersContext, endMs: number): void {
 	context.faultsEndAtMs = Math.max(context.faultsEndAtMs, endMs);
 }
 
-/** Notes that the network lets views fall behind until a time. */
+/** Records that a network fault lasts until a time. */
 export function recordNetworkFaultEnd(
 	context: MembersContext,
 	endMs: number,
--- a/faults/_lib/members/members-faults.ts
+++ b/faults/_lib/members/members-faults.ts
@@ -1,5 +1,5 @@
 /**
- * The faults that the matrix of members inflicts on a fleet.
+ * The faults that the membership matrix applies to a fleet.
  */
 import type {FleetNode} from '../../../harness/create-members-fleet.js';
 import {
@@ -12,7 +12,7 @@
 	type MembersContext,
 } from './members-context.js';
 
-/** Names of the faults of members. */
+/** Names of the membership faults. */
 export const membersFaults = [
 	'kill',
 	'mass-kill',
@@ -31,32 +31,36 @@
 
 export type MembersFault = (typeof membersFaults)[number];
 
-const herdReturnMs = 10_000;
-const herdSpreadMs = 2000;
+const minRestartDelayMs = 10_000;
+const restartDelayRangeMs = 2000;
 const freezeMs = 8000;
 const cutNodeMs = 20_000;
 const splitMs = 30_000;
-const platformOutMs = 40_000;
-const flapMs = 300;
-const flaps = 20;
+const platformDownMs = 40_000;
+const flapIntervalMs = 300;
+const flapCount = 20;
 
-function killHerd(context: MembersContext): void {
+function killMostNodes(context: MembersContext): void {
 	const {fleet, scheduler} = context;
 	const running = fleet.listRunning();
 	const count = Math.round((running.length * 4) / 5);
-	const herd = running
+	const victims = running
 		.map((node) => ({node, weight: scheduler.random()}))
 		.toSorted((a, b) => a.weight - b.weight)
 		.slice(0, count);
-	for (const {node} of herd) {
+	for (const {node} of victims) {
 		fleet.kill(node);
-		const delayMs = herdReturnMs + scheduler.random() * herdSpreadMs;
+		const delayMs =
+			minRestartDelayMs + scheduler.random() * restartDelayRangeMs;
 		scheduler.schedule(delayMs, () => {
 			startMember(context, node.name, node.address);
 		});
 	}
 
-	recordFaultEnd(context, scheduler.now() + herdReturnMs + herdSpreadMs);
+	recordFaultEnd(
+		context,
+		scheduler.now() + minRestartDelayMs + restartDelayRangeMs,
+	);
 }
 
 function freezeNode(context: MembersContext): void {
@@ -80,7 +84,7 @@
 	recordFaultEnd(context, scheduler.now() + 500);
 }
 
-function setCut(
+function addCut(
 	context: MembersContext,
 	isCut: (from: FleetNode, to: FleetNode) => boolean,
 	durationMs: number,
@@ -99,7 +103,7 @@
 
 function splitDataCentre(context: MembersContext): void {
 	const {dataCentre} = pickNode(context);
-	setCut(
+	addCut(
 		context,
 		(from, to) =>
 			from.dataCentre === dataCentre &&
@@ -111,12 +115,12 @@
 
 function cutOneWay(context: MembersContext): void {
 	const node = pickNode(context);
-	setCut(context, (from, to) => from === node && isInHalf(to), cutNodeMs);
+	addCut(context, (from, to) => from === node && isInHalf(to), cutNodeMs);
 }
 
 function cutDataCentre(context: MembersContext): void {
 	const {dataCentre} = pickNode(context);
-	setCut(
+	addCut(
 		context,
 		(from, to) =>
 			from.dataCentre !== to.dataCentre &&
@@ -128,28 +132,28 @@
 function stopPlatform(context: MembersContext): void {
 	const {fleet, scheduler} = context;
 	fleet.platform.setDown(true);
-	scheduler.schedule(platformOutMs, () => {
+	scheduler.schedule(platformDownMs, () => {
 		fleet.platform.setDown(false);
 	});
-	recordFaultEnd(context, scheduler.now() + platformOutMs);
+	recordFaultEnd(context, scheduler.now() + platformDownMs);
 }
 
 function flapUpstream(context: MembersContext): void {
 	const {fleet, scheduler} = context;
 	const node = pickNode(context);
 	const id = createUpstreamId(node);
-	for (let index = 0; index <= flaps; index++) {
-		scheduler.schedule(index * flapMs, () => {
+	for (let index = 0; index <= flapCount; index++) {
+		scheduler.schedule(index * flapIntervalMs, () => {
 			const state = index % 2 === 0 ? 'leaving' : 'ready';
 			const incarnation = Math.floor(scheduler.now());
 			fleet.announce(node, id, createAnnouncement({state, incarnation}));
 		});
 	}
 
-	recordFaultEnd(context, scheduler.now() + flaps * flapMs);
+	recordFaultEnd(context, scheduler.now() + flapCount * flapIntervalMs);
 }
 
-function crossAnnouncements(context: MembersContext): void {
+function reorderAnnouncements(context: MembersContext): void {
 	const {fleet, scheduler} = context;
 	const node = pickNode(context);
 	const id = createUpstreamId(node);
@@ -167,7 +171,7 @@
 	recordFaultEnd(context, scheduler.now() + 1200);
 }
 
-function disorderMessages(context: MembersContext): void {
+function reorderMessages(context: MembersContext): void {
 	const {network, scheduler} = context;
 	network.isReordering = true;
 	scheduler.schedule(cutNodeMs, () => {
@@ -176,7 +180,7 @@
 	recordNetworkFaultEnd(context, scheduler.now() + cutNodeMs);
 }
 
-/** Inflicts a fault on a fleet, now. */
+/** Starts a fault at the current time. */
 export function startFault(context: MembersContext, fault: MembersFault): void {
 	switch (fault) {
 		case 'kill': {
@@ -186,7 +190,7 @@
 		}
 
 		case 'mass-kill': {
-			killHerd(context);
+			killMostNodes(context);
 			break;
 		}
 
@@ -222,7 +226,7 @@
 
 		case 'platform-down-during-restart': {
 			stopPlatform(context);
-			killHerd(context);
+			killMostNodes(context);
 			break;
 		}
 
@@ -238,12 +242,12 @@
 		}
 
 		case 'reordered-announcements': {
-			crossAnnouncements(context);
+			reorderAnnouncements(context);
 			break;
 		}
 
 		case 'reordered-messages': {
-			disorderMessages(context);
+			reorderMessages(context);
 			break;
 		}
 	}
--- a/faults/_lib/members/run-members-case.ts
+++ b/faults/_lib/members/run-members-case.ts
@@ -28,7 +28,7 @@
 } from './members-context.js';
 import {startFault, type MembersFault} from './members-faults.js';
 
-/** Steps of the fleet's work at which faults strike. */
+/** Steps of the fleet's lifecycle at which faults are applied. */
 export const membersSteps = [
 	'first-start',
 	'steady-state',
@@ -43,7 +43,7 @@
 /** Options of `runMembersCase`. */
 export type MembersCaseOptions = {
 	readonly step?: typeof stepMembers;
-	/** How long a data centre stays cut off, ms. */
+	/** Duration for which a data centre is cut off, ms. */
 	readonly cutMs?: number;
 	/** Names of the data centres, one letter each. */
 	readonly dataCentres?: readonly string[];
@@ -51,8 +51,8 @@
 
 const hostsPerDataCentre = 4;
 const settledAtMs = 30_000;
-const secondFaultMs = 1500;
-const sampleMs = 500;
+const faultIntervalMs = 1500;
+const sampleIntervalMs = 500;
 const leaseSlackMs = 100;
 
 function createDeliver(
@@ -127,7 +127,7 @@
 	}
 }
 
-/** Notes which hosts have lost their upstream since the last sample. */
+/** Records which hosts have lost their upstream since the last sample. */
 function updateAbsences(
 	context: MembersContext,
 	absences: Map<string, Absence>,
@@ -150,7 +150,7 @@
 			absences.set(name, {sinceMs: nowMs, reason});
 		} else if (
 			condition !== 'running' &&
-			nowMs - known.sinceMs <= secondFaultMs
+			nowMs - known.sinceMs <= faultIntervalMs
 		) {
 			absences.set(name, {...known, reason: 'died'});
 		}
@@ -163,20 +163,20 @@
 		const next = writes
 			.slice(index + 1)
 			.find((write) => write.dataCentre === dataCentre);
-		return next && next.atMs - atMs < seedsWriteIntervalMs - sampleMs
-			? [`seeds of ${dataCentre} written twice in ${next.atMs - atMs} ms`]
+		return next && next.atMs - atMs < seedsWriteIntervalMs - sampleIntervalMs
+			? [`seeds of ${dataCentre} written twice within ${next.atMs - atMs} ms`]
 			: [];
 	});
 }
 
 /**
- * Runs one case of the matrix of members.
+ * Runs one case of the membership matrix.
  *
- * @param faults - the faults, the second 1.5 s after the first
- * @param step - the step at which the first strikes
- * @param seed - seed of the order of events
+ * @param faults - the faults, each 1.5 s after the one before
+ * @param step - the step at which the first fault is applied
+ * @param seed - seed of the random numbers and the order of events
  * @param options - see `MembersCaseOptions`
- * @returns what broke an invariant
+ * @returns one line for each violation; empty when all invariants hold
  * @example
  * runMembersCase(['kill'], 'quiet', 1); // []
  */
@@ -196,17 +196,19 @@
 	const violations = new Set<string>();
 	const renewals = new Map<string, number>();
 
-	function checkSpeech(from: FleetNode, request: Exchange): void {
+	function checkSentLeases(from: FleetNode, request: Exchange): void {
 		const records = request.kind === 'ping' ? request.records : [];
-		const own = records.find(
+		const selfRecord = records.find(
 			({name, incarnation}) =>
 				name === from.name && incarnation === from.state.self.incarnation,
 		);
-		for (const {id, state} of own?.upstreams ?? []) {
+		for (const {id, state} of selfRecord?.upstreams ?? []) {
 			const renewedMs = renewals.get(`${from.address} ${id}`) ?? 0;
 			const ageMs = scheduler.now() - renewedMs;
 			if (state === 'ready' && ageMs > upstreamLeaseMs + leaseSlackMs) {
-				violations.add(`${from.name} speaks for a lapsed lease`);
+				violations.add(
+					`${from.name} sends an upstream whose lease has expired`,
+				);
 			}
 		}
 	}
@@ -214,7 +216,7 @@
 	const fleet = createMembersFleet(scheduler, {
 		step: options.step,
 		deliver: createDeliver(network, scheduler.random),
-		onSend: checkSpeech,
+		onSend: checkSentLeases,
 		onRenew(node, id, sentAtMs) {
 			renewals.set(`${node.address} ${id}`, sentAtMs);
 		},
@@ -232,9 +234,9 @@
 		}
 	}
 
-	const strikesAtMs = prepareStep(context, step);
+	const firstFaultAtMs = prepareStep(context, step);
 	for (const [index, fault] of faults.entries()) {
-		scheduler.schedule(strikesAtMs + index * secondFaultMs, () => {
+		scheduler.schedule(firstFaultAtMs + index * faultIntervalMs, () => {
 			startFault(context, fault);
 		});
 	}
@@ -243,11 +245,11 @@
 		step === 'steady-state' &&
 		faults.every((fault) => fault === 'platform-down');
 	const absences = new Map<string, Absence>();
-	const firstEndMs = strikesAtMs + faults.length * secondFaultMs;
+	const firstEndMs = firstFaultAtMs + faults.length * faultIntervalMs;
 	for (
 		let nowMs = 0;
 		nowMs < Math.max(context.faultsEndAtMs, firstEndMs) + settleMs;
-		nowMs += sampleMs
+		nowMs += sampleIntervalMs
 	) {
 		scheduler.runUntil(nowMs);
 		updateAbsences(context, absences);
--- a/faults/_lib/requests/apply-fault.ts
+++ b/faults/_lib/requests/apply-fault.ts
@@ -8,7 +8,7 @@
 	type Simulation,
 } from './simulation.js';
 
-/** Faults of the matrix of requests. */
+/** Faults of the request matrix. */
 export const requestFaults = [
 	'caller-killed',
 	'gate-killed',
@@ -38,40 +38,40 @@
 const freezeMs = 700;
 const restartMs = 30;
 const cutMs = 300;
-const floodRecords = 200;
+const floodRecordCount = 200;
 
-function killGate(world: Simulation, host: FakeHost): void {
+function killGate(simulation: Simulation, host: FakeHost): void {
 	host.isGateAlive = false;
 	host.generation++;
 	host.queue.length = 0;
 	host.waiters.clear();
 	host.inFlight = 0;
 	for (const connection of host.connections) {
-		breakConnection(world, connection);
+		breakConnection(simulation, connection);
 	}
 
 	host.connections.clear();
 }
 
-function restartGate(world: Simulation, host: FakeHost): void {
-	killGate(world, host);
-	world.scheduler.schedule(restartMs, () => {
+function restartGate(simulation: Simulation, host: FakeHost): void {
+	killGate(simulation, host);
+	simulation.scheduler.schedule(restartMs, () => {
 		const epoch = `${host.name}-${host.generation}`;
-		host.ledger = world.mechanisms.createLedger({epoch});
+		host.ledger = simulation.mechanisms.createLedger({epoch});
 		host.isGateAlive = true;
 	});
 }
 
-function floodLedger(world: Simulation, host: FakeHost): void {
-	const now = world.scheduler.now();
+function floodLedger(simulation: Simulation, host: FakeHost): void {
+	const now = simulation.scheduler.now();
 	const stamp = host.ledger.readStamp(now);
-	for (let index = 0; index < floodRecords; index++) {
+	for (let index = 0; index < floodRecordCount; index++) {
 		host.ledger.refuse({id: `flood/${index}`, stamp}, now);
 	}
 }
 
 type Target = {
-	readonly world: Simulation;
+	readonly simulation: Simulation;
 	readonly host: FakeHost;
 	readonly connections: readonly FakeConnection[];
 	readonly request: FakeRequest | undefined;
@@ -79,14 +79,14 @@
 };
 
 const actions: Readonly<Record<RequestFault, (target: Target) => void>> = {
-	'caller-killed'({world}) {
-		world.isCallerAlive = false;
+	'caller-killed'({simulation}) {
+		simulation.isCallerAlive = false;
 	},
-	'gate-killed'({world, host}) {
-		killGate(world, host);
+	'gate-killed'({simulation, host}) {
+		killGate(simulation, host);
 	},
-	'gate-restarted'({world, host}) {
-		restartGate(world, host);
+	'gate-restarted'({simulation, host}) {
+		restartGate(simulation, host);
 	},
 	'upstream-killed'({host}) {
 		host.isUpstreamAlive = false;
@@ -115,28 +115,28 @@
 			connection.losesResponses = true;
 		}
 	},
-	'connection-broken'({world, connections}) {
+	'connection-broken'({simulation, connections}) {
 		for (const connection of connections) {
-			breakConnection(world, connection);
+			breakConnection(simulation, connection);
 		}
 	},
-	'cut-to-gate'({world, now}) {
-		world.cutToGateUntil = now + cutMs;
+	'cut-to-gate'({simulation, now}) {
+		simulation.cutToGateUntil = now + cutMs;
 	},
-	'cut-to-caller'({world, now}) {
-		world.cutToCallerUntil = now + cutMs;
+	'cut-to-caller'({simulation, now}) {
+		simulation.cutToCallerUntil = now + cutMs;
 	},
-	'answer-late'({world}) {
-		world.responseDelayMs = freezeMs;
+	'answer-late'({simulation}) {
+		simulation.responseDelayMs = freezeMs;
 	},
-	duplicate({world}) {
-		world.duplicateDelaysMs = [0.5, 5, 1000];
+	duplicate({simulation}) {
+		simulation.duplicateDelaysMs = [0.5, 5, 1000];
 	},
-	'late-duplicate'({world}) {
-		world.duplicateDelaysMs = [lateDuplicateMs];
+	'late-duplicate'({simulation}) {
+		simulation.duplicateDelaysMs = [lateDuplicateMs];
 	},
-	cancelled({world, request}) {
-		world.scheduler.schedule(0, () => {
+	cancelled({simulation, request}) {
+		simulation.scheduler.schedule(0, () => {
 			request?.cancel();
 		});
 	},
@@ -153,31 +153,32 @@
 	'cold-start'({host}) {
 		host.serviceMs = freezeMs;
 	},
-	'ledger-overflows'({world, host}) {
-		floodLedger(world, host);
+	'ledger-overflows'({simulation, host}) {
+		floodLedger(simulation, host);
 	},
 };
 
 /**
- * Makes a fault occur at a step of a request.
+ * Applies a fault at a step of a request.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param fault - the fault
- * @param requestId - the request at the step
- * @param place - where the step happens
+ * @param requestId - identifier of the request
+ * @param place - host and connection at which the step happens; the first host
+ *   and all its connections when absent
  */
 export function applyFault(
-	world: Simulation,
+	simulation: Simulation,
 	fault: RequestFault,
 	requestId: string,
 	place: StepLocation,
 ): void {
-	const host = place.host ?? world.hosts[0]!;
+	const host = place.host ?? simulation.hosts[0]!;
 	actions[fault]({
-		world,
+		simulation,
 		host,
 		connections: place.connection ? [place.connection] : [...host.connections],
-		request: world.requests.find(({id}) => id === requestId),
-		now: world.scheduler.now(),
+		request: simulation.requests.find(({id}) => id === requestId),
+		now: simulation.scheduler.now(),
 	});
 }
--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -27,24 +27,24 @@
 	isAbandoned: boolean;
 };
 
-/** Stamps that the caller's node holds, by host name. */
+/** Gate stamps cached by the caller's node, by host name. */
 export type StampCache = Map<string, GateStamp>;
 
 /**
- * Starts a request at the caller's node, which runs it by the product's
- * decisions over the simulated network.
+ * Starts a request at the caller's node, which runs it with the product's
+ * state machine over the simulated network.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param id - identifier of the request
- * @param stamps - stamps that the node holds; new ones are added
+ * @param stamps - stamps cached by the node; updated with each response
  * @returns the request
  */
 export function startRequest(
-	world: Simulation,
+	simulation: Simulation,
 	id: string,
 	stamps: StampCache,
 ): FakeRequest {
-	const {scheduler, mechanisms, repeatable, hosts} = world;
+	const {scheduler, mechanisms, repeatable, hosts} = simulation;
 	const startedAt = scheduler.now();
 	const tried = new Set<string>();
 	let state = initialRequestState;
@@ -57,12 +57,12 @@
 		isCancelled: false,
 		cancel() {
 			request.isCancelled = true;
-			tell({kind: 'cancelled'});
+			dispatch({kind: 'cancelled'});
 		},
 	};
 
-	function tell(message: RequestMessage): void {
-		if (!world.isCallerAlive) {
+	function dispatch(message: RequestMessage): void {
+		if (!simulation.isCallerAlive) {
 			return;
 		}
 
@@ -79,11 +79,11 @@
 		});
 		state = step.state;
 		for (const effect of step.effects) {
-			perform(effect);
+			runEffect(effect);
 		}
 	}
 
-	function perform(effect: RequestEffect): void {
+	function runEffect(effect: RequestEffect): void {
 		switch (effect.kind) {
 			case 'send': {
 				startAttempt(effect.attempt, effect.sameHost);
@@ -102,7 +102,7 @@
 
 			case 'wait': {
 				scheduler.schedule(effect.durationMs, () => {
-					tell({kind: 'delay-elapsed'});
+					dispatch({kind: 'delay-elapsed'});
 				});
 				break;
 			}
@@ -149,7 +149,7 @@
 	}
 
 	function startAttempt(number: number, sameHost: boolean): void {
-		world.onStep(number === 1 ? 'pick' : 'retry', id, {host: open?.host});
+		simulation.onStep(number === 1 ? 'pick' : 'retry', id, {host: open?.host});
 		const host = sameHost && open ? open.host : pick();
 		const attempt: FakeAttempt = {
 			id: `${id}/${number}`,
@@ -164,8 +164,8 @@
 
 	function send(current: OpenAttempt): void {
 		const {number, host, attempt} = current;
-		const connection = openConnection(world, host, () => {
-			tell({
+		const connection = openConnection(simulation, host, () => {
+			dispatch({
 				kind: 'lost',
 				attempt: number,
 				reason: 'connection-lost',
@@ -175,35 +175,35 @@
 		if (!connection) {
 			scheduler.schedule(1, () => {
 				const ending = {outcome: 'not-run', reason: 'not-sent'} as const;
-				tell({kind: 'ended', attempt: number, ...ending});
+				dispatch({kind: 'ended', attempt: number, ...ending});
 			});
 			return;
 		}
 
-		tell({
+		dispatch({
 			kind: 'sent',
 			attempt: number,
 			hasStamp: attempt.stamp !== undefined,
 		});
-		world.onStep('send', id, {host, connection});
+		simulation.onStep('send', id, {host, connection});
 		const deliver = (): void => {
-			receiveAttempt(world, host, attempt, (result) => {
-				world.onStep('relay', id, {host, connection});
+			receiveAttempt(simulation, host, attempt, (result) => {
+				simulation.onStep('relay', id, {host, connection});
 				const stamp = host.ledger.readStamp(scheduler.now());
-				sendToCaller(world, connection, () => {
+				sendToCaller(simulation, connection, () => {
 					stamps.set(host.name, stamp);
 					handleResult(current, result);
 				});
 			});
 		};
 
-		sendToGate(world, connection, deliver);
-		for (const delayMs of world.duplicateDelaysMs) {
+		sendToGate(simulation, connection, deliver);
+		for (const delayMs of simulation.duplicateDelaysMs) {
 			scheduler.schedule(delayMs, deliver);
 		}
 
 		scheduler.schedule(askAfterMs, () => {
-			tell({kind: 'silent', attempt: number});
+			dispatch({kind: 'silent', attempt: number});
 		});
 	}
 
@@ -215,19 +215,19 @@
 
 		if (result.kind === 'answered') {
 			body = result.body;
-			tell({kind: 'answered', attempt});
+			dispatch({kind: 'answered', attempt});
 		} else {
 			const {kind, reason} = result;
-			tell({kind: 'ended', attempt, outcome: kind, reason});
+			dispatch({kind: 'ended', attempt, outcome: kind, reason});
 		}
 	}
 
 	function ask({number, host, attempt}: OpenAttempt): void {
-		let isOver = false;
+		let isSettled = false;
 		const end = (message: RequestMessage): void => {
-			if (!isOver) {
-				isOver = true;
-				tell(message);
+			if (!isSettled) {
+				isSettled = true;
+				dispatch(message);
 			}
 		};
 
@@ -235,12 +235,12 @@
 			end({kind: 'ask-failed', attempt: number});
 		};
 
-		const connection = openConnection(world, host, fail);
+		const connection = openConnection(simulation, host, fail);
 		scheduler.schedule(connection ? askTimeoutMs : 1, fail);
 		if (connection) {
-			sendToGate(world, connection, () => {
-				receiveQuestion(world, host, attempt, (answer) => {
-					sendToCaller(world, connection, () => {
+			sendToGate(simulation, connection, () => {
+				receiveQuestion(simulation, host, attempt, (answer) => {
+					sendToCaller(simulation, connection, () => {
 						end({kind: 'ask-answered', attempt: number, answer});
 					});
 				});
@@ -251,29 +251,29 @@
 	function fetchAnswer(current: OpenAttempt): void {
 		const {number, host, attempt} = current;
 		const fail = (): void => {
-			tell({kind: 'fetch-lost', attempt: number});
+			dispatch({kind: 'fetch-lost', attempt: number});
 		};
 
-		const connection = openConnection(world, host, fail);
+		const connection = openConnection(simulation, host, fail);
 		if (!connection) {
 			scheduler.schedule(1, fail);
 			return;
 		}
 
-		sendToGate(world, connection, () => {
-			receiveFetch(world, host, attempt.id, (result) => {
-				sendToCaller(world, connection, () => {
+		sendToGate(simulation, connection, () => {
+			receiveFetch(simulation, host, attempt.id, (result) => {
+				sendToCaller(simulation, connection, () => {
 					handleResult(current, result);
 				});
 			});
 		});
 	}
 
-	world.requests.push(request);
-	world.onStep('route', id, {});
+	simulation.requests.push(request);
+	simulation.onStep('route', id, {});
 	scheduler.schedule(deadlineMs, () => {
-		tell({kind: 'deadline'});
+		dispatch({kind: 'deadline'});
 	});
-	tell({kind: 'start'});
+	dispatch({kind: 'start'});
 	return request;
 }
--- a/faults/_lib/requests/fake-gate.ts
+++ b/faults/_lib/requests/fake-gate.ts
@@ -8,15 +8,15 @@
 	type Simulation,
 } from './simulation.js';
 
-type Reply = (result: FakeResult) => void;
+type ReplyCallback = (result: FakeResult) => void;
 
-/** Runs an action at a gate: later while it is frozen, never when it has died. */
+/** Runs an action at a gate; delays it while frozen, drops it if killed. */
 function runAtGate(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	action: () => void,
 ): void {
-	const {scheduler} = world;
+	const {scheduler} = simulation;
 	const {generation} = host;
 	const run = (): void => {
 		if (host.generation !== generation || !host.isGateAlive) {
@@ -34,21 +34,21 @@
 	run();
 }
 
-function settle(
-	world: Simulation,
+function endAttempt(
+	simulation: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
 	result: FakeResult,
 ): void {
 	const {ledger, waiters} = host;
-	const now = world.scheduler.now();
+	const now = simulation.scheduler.now();
 	if (result.kind === 'not-run') {
 		ledger.refuse(attempt, now);
-	} else if (world.repeatable) {
+	} else if (simulation.repeatable) {
 		ledger.end(attempt, now, 'forget');
 	} else {
-		const isWhole = result.kind === 'answered';
-		const kept = isWhole ? {value: result.body, bytes: 1} : undefined;
+		const isComplete = result.kind === 'answered';
+		const kept = isComplete ? {value: result.body, bytes: 1} : undefined;
 		ledger.end(attempt, now, kept);
 	}
 
@@ -59,7 +59,7 @@
 	}
 }
 
-function readEnd(requestId: string, end: UpstreamOutcome): FakeResult {
+function toResult(requestId: string, end: UpstreamOutcome): FakeResult {
 	switch (end) {
 		case 'whole': {
 			return {kind: 'answered', body: requestId};
@@ -77,37 +77,37 @@
 	}
 }
 
-function takeNext(host: FakeHost): void {
+function startQueued(host: FakeHost): void {
 	while (host.inFlight < slots && host.queue.length > 0) {
 		host.queue.shift()!.run();
 	}
 }
 
 function enqueue(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
 ): void {
-	const {scheduler} = world;
+	const {scheduler} = simulation;
 	const {requestId} = attempt;
 	let phase: 'queued' | 'sent' | 'finished' = 'queued';
-	const settleOnce = (result: FakeResult): void => {
+	const endOnce = (result: FakeResult): void => {
 		if (phase === 'finished') {
 			return;
 		}
 
 		host.inFlight -= phase === 'sent' ? 1 : 0;
 		phase = 'finished';
-		settle(world, host, attempt, result);
-		takeNext(host);
+		endAttempt(simulation, host, attempt, result);
+		startQueued(host);
 	};
 
 	const {generation} = host;
 	scheduler.schedule(attempt.remainingMs, () => {
 		if (host.generation === generation) {
-			runAtGate(world, host, () => {
+			runAtGate(simulation, host, () => {
 				const kind = phase === 'queued' ? 'not-run' : 'unknown';
-				settleOnce({kind, reason: 'deadline'});
+				endOnce({kind, reason: 'deadline'});
 			});
 		}
 	});
@@ -118,48 +118,48 @@
 
 		phase = 'sent';
 		host.inFlight++;
-		world.onStep('slot', requestId, {host});
-		callUpstream(world, host, requestId, (end) => {
+		simulation.onStep('slot', requestId, {host});
+		callUpstream(simulation, host, requestId, (end) => {
 			if (host.generation === generation) {
-				runAtGate(world, host, () => {
-					settleOnce(readEnd(requestId, end));
+				runAtGate(simulation, host, () => {
+					endOnce(toResult(requestId, end));
 				});
 			}
 		});
 	};
 
 	const refuse = (): void => {
-		settleOnce({kind: 'not-run', reason: 'leaving'});
+		endOnce({kind: 'not-run', reason: 'leaving'});
 	};
 
 	host.queue.push({run, refuse});
-	world.onStep('queue', requestId, {host});
-	runAtGate(world, host, () => {
-		takeNext(host);
+	simulation.onStep('queue', requestId, {host});
+	runAtGate(simulation, host, () => {
+		startQueued(host);
 	});
 }
 
 /**
- * Gives an attempt to a gate, which answers as the gate task does.
+ * Delivers an attempt to a gate, which handles it as the gate task does.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param host - the gate's host
  * @param attempt - the attempt
- * @param reply - told the result, perhaps never
+ * @param reply - called with the result; not called if the gate fails
  */
 export function receiveAttempt(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
-	reply: Reply,
+	reply: ReplyCallback,
 ): void {
-	runAtGate(world, host, () => {
-		world.onStep('admit', attempt.requestId, {host});
-		const now = world.scheduler.now();
+	runAtGate(simulation, host, () => {
+		simulation.onStep('admit', attempt.requestId, {host});
+		const now = simulation.scheduler.now();
 		const answer = host.ledger.admit(attempt, now);
 		switch (answer) {
 			case 'run': {
-				admit(world, host, attempt, reply);
+				admit(simulation, host, attempt, reply);
 				break;
 			}
 
@@ -183,12 +183,12 @@
 }
 
 function admit(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
-	reply: Reply,
+	reply: ReplyCallback,
 ): void {
-	const admission = world.mechanisms.decideAdmission({
+	const admission = simulation.mechanisms.decideAdmission({
 		state: host.isLeaving ? 'leaving' : 'ready',
 		remainingMs: attempt.remainingMs,
 		slots,
@@ -206,16 +206,16 @@
 		utilization: 0,
 	});
 	if (admission.kind === 'refuse') {
-		settle(world, host, attempt, {kind: 'not-run', reason: 'leaving'});
+		endAttempt(simulation, host, attempt, {kind: 'not-run', reason: 'leaving'});
 		reply({kind: 'not-run', reason: 'leaving'});
 		return;
 	}
 
 	host.waiters.set(attempt.id, [reply]);
-	enqueue(world, host, attempt);
+	enqueue(simulation, host, attempt);
 }
 
-function joinAttempt(host: FakeHost, id: string, reply: Reply): void {
+function joinAttempt(host: FakeHost, id: string, reply: ReplyCallback): void {
 	const waiting = host.waiters.get(id);
 	if (waiting) {
 		waiting.push(reply);
@@ -233,42 +233,42 @@
 }
 
 /**
- * Asks a gate what became of an attempt.
+ * Delivers a question to a gate about the state of an attempt.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param host - the gate's host
  * @param attempt - the attempt
- * @param reply - told the answer, perhaps never
+ * @param reply - called with the answer; not called if the gate fails
  */
 export function receiveQuestion(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	attempt: FakeAttempt,
 	reply: (answer: LedgerStep['answer']) => void,
 ): void {
-	runAtGate(world, host, () => {
-		world.onStep('ask', attempt.requestId, {host});
-		runAtGate(world, host, () => {
-			reply(host.ledger.ask(attempt, world.scheduler.now()));
+	runAtGate(simulation, host, () => {
+		simulation.onStep('ask', attempt.requestId, {host});
+		runAtGate(simulation, host, () => {
+			reply(host.ledger.ask(attempt, simulation.scheduler.now()));
 		});
 	});
 }
 
 /**
- * Fetches an attempt's answer from a gate.
+ * Delivers a request to a gate for the stored response of an attempt.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param host - the gate's host
- * @param id - the attempt
- * @param reply - told the result, perhaps never
+ * @param id - identifier of the attempt
+ * @param reply - called with the result; not called if the gate fails
  */
 export function receiveFetch(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	id: string,
-	reply: Reply,
+	reply: ReplyCallback,
 ): void {
-	runAtGate(world, host, () => {
+	runAtGate(simulation, host, () => {
 		joinAttempt(host, id, reply);
 	});
 }
--- a/faults/_lib/requests/fake-network.ts
+++ b/faults/_lib/requests/fake-network.ts
@@ -6,18 +6,20 @@
 /**
  * Opens a connection from the caller's node to a host's gate.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param host - the host
- * @param onBroken - told when the connection breaks
- * @returns the connection, or undefined when the gate does not accept it
+ * @param onBroken - called when the caller's node learns that the connection
+ *   has broken
+ * @returns the connection, or undefined if it can't be opened
  */
 export function openConnection(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	onBroken: () => void,
 ): FakeConnection | undefined {
-	const now = world.scheduler.now();
-	const isCut = now < world.cutToGateUntil || now < world.cutToCallerUntil;
+	const now = simulation.scheduler.now();
+	const isCut =
+		now < simulation.cutToGateUntil || now < simulation.cutToCallerUntil;
 	if (!host.isGateAlive || isCut) {
 		return undefined;
 	}
@@ -25,7 +27,7 @@
 	const connection = {
 		isBroken: false,
 		losesRequests: false,
-		losesAnswers: false,
+		losesResponses: false,
 		onBroken,
 	};
 	host.connections.add(connection);
@@ -33,42 +35,43 @@
 }
 
 /**
- * Breaks a connection; the caller's node learns of it unless it is cut off.
+ * Breaks a connection; notifies the caller's node unless messages to it are
+ * lost.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param connection - the connection
  */
 export function breakConnection(
-	world: Simulation,
+	simulation: Simulation,
 	connection: FakeConnection,
 ): void {
-	const {scheduler} = world;
+	const {scheduler} = simulation;
 	if (connection.isBroken) {
 		return;
 	}
 
 	connection.isBroken = true;
-	const isSilent = scheduler.now() < world.cutToCallerUntil;
-	if (!connection.losesResponses && !isSilent) {
+	const isCut = scheduler.now() < simulation.cutToCallerUntil;
+	if (!connection.losesResponses && !isCut) {
 		scheduler.schedule(latencyMs, connection.onBroken);
 	}
 }
 
 /**
- * Carries a message to a gate, unless the connection loses it.
+ * Sends a message to a gate, unless the connection loses it.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param connection - the connection
  * @param action - delivers the message
  */
 export function sendToGate(
-	world: Simulation,
+	simulation: Simulation,
 	connection: FakeConnection,
 	action: () => void,
 ): void {
-	const {scheduler} = world;
+	const {scheduler} = simulation;
 	scheduler.schedule(latencyMs + scheduler.random() * jitterMs, () => {
-		const isCut = scheduler.now() < world.cutToGateUntil;
+		const isCut = scheduler.now() < simulation.cutToGateUntil;
 		if (!connection.isBroken && !connection.losesRequests && !isCut) {
 			action();
 		}
@@ -76,21 +79,21 @@
 }
 
 /**
- * Carries a message to the caller's node, unless the connection loses it.
+ * Sends a message to the caller's node, unless the connection loses it.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param connection - the connection
  * @param action - delivers the message
  */
 export function sendToCaller(
-	world: Simulation,
+	simulation: Simulation,
 	connection: FakeConnection,
 	action: () => void,
 ): void {
-	const {scheduler} = world;
+	const {scheduler} = simulation;
 	const delayMs = latencyMs + scheduler.random() * jitterMs;
-	scheduler.schedule(delayMs + world.responseDelayMs, () => {
-		const isCut = scheduler.now() < world.cutToCallerUntil;
+	scheduler.schedule(delayMs + simulation.responseDelayMs, () => {
+		const isCut = scheduler.now() < simulation.cutToCallerUntil;
 		if (!connection.isBroken && !connection.losesResponses && !isCut) {
 			action();
 		}
--- a/faults/_lib/requests/fake-upstream.ts
+++ b/faults/_lib/requests/fake-upstream.ts
@@ -1,26 +1,27 @@
 import type {FakeHost, Simulation} from './simulation.js';
 
-/** What the gate learns of a request to its upstream. */
+/** Outcome of a request to the upstream, as the gate sees it. */
 export type UpstreamOutcome =
 	'not-sent' | 'shed' | 'lost' | 'truncated' | 'whole';
 
 const latencyMs = 0.2;
 
 /**
- * Sends a request to a host's upstream, which counts its start.
+ * Sends a request to a host's upstream, which records when it starts to run.
  *
- * @param world - the case's world
+ * @param simulation - the simulation of the case
  * @param host - the host
- * @param requestId - the request
- * @param onEnd - told once how it ended
+ * @param requestId - identifier of the request
+ * @param onEnd - called with the outcome; not called if the upstream does not
+ *   respond
  */
 export function callUpstream(
-	world: Simulation,
+	simulation: Simulation,
 	host: FakeHost,
 	requestId: string,
 	onEnd: (end: UpstreamOutcome) => void,
 ): void {
-	const {scheduler} = world;
+	const {scheduler} = simulation;
 	const sentAt = scheduler.now();
 	const finish = (end: UpstreamOutcome): void => {
 		scheduler.schedule(latencyMs, () => {
@@ -43,7 +44,7 @@
 			return;
 		}
 
-		world.onStep('run', requestId, {host});
+		simulation.onStep('run', requestId, {host});
 		if (!host.isUpstreamAlive) {
 			finish('lost');
 			return;
@@ -57,7 +58,7 @@
 				return;
 			}
 
-			world.onStep('answer', requestId, {host});
+			simulation.onStep('answer', requestId, {host});
 			if (host.isUnresponsive) {
 				return;
 			}
--- a/faults/_lib/requests/find-violations.ts
+++ b/faults/_lib/requests/find-violations.ts
@@ -3,8 +3,8 @@
 
 const deadlineSlackMs = 5;
 
-/** Faults that lose messages but neither a process nor the client's interest. */
-const recoverable = new Set([
+/** Faults that lose or delay messages but end no process and no request. */
+const recoverableFaults = new Set([
 	'requests-blackholed',
 	'responses-blackholed',
 	'connection-broken',
@@ -17,29 +17,29 @@
 	'cold-start',
 ]);
 
-function countRuns(world: Simulation, requestId: string): number {
-	return world.hosts
+function countRuns(simulation: Simulation, requestId: string): number {
+	return simulation.hosts
 		.flatMap(({starts}) => starts)
 		.filter((start) => start.requestId === requestId).length;
 }
 
-function judgeRequest(
-	world: Simulation,
+function checkRequest(
+	simulation: Simulation,
 	request: FakeRequest,
 ): readonly string[] {
 	const {id, ends, startedAt} = request;
-	const runs = countRuns(world, id);
+	const runs = countRuns(simulation, id);
 	const end = ends[0];
 	const found: string[] = [];
-	if (!world.repeatable && runs > 1) {
+	if (!simulation.repeatable && runs > 1) {
 		found.push(`${id} ran ${runs} times`);
 	}
 
 	if (end?.outcome === 'not-run' && runs > 0) {
-		found.push(`${id} not run but ran`);
+		found.push(`${id} ended not-run but ran`);
 	}
 
-	if (ends.length > 1 || (ends.length === 0 && world.isCallerAlive)) {
+	if (ends.length > 1 || (ends.length === 0 && simulation.isCallerAlive)) {
 		found.push(`${id} has ${ends.length} ends`);
 	}
 
@@ -48,27 +48,27 @@
 	}
 
 	if (end?.outcome === 'answered' && end.body !== id) {
-		found.push(`${id} got the answer of ${end.body}`);
+		found.push(`${id} got the response of ${end.body}`);
 	}
 
 	return found;
 }
 
-function judgeLeaving(world: Simulation): readonly string[] {
+function checkLeaving(simulation: Simulation): readonly string[] {
 	const graceMs = 1;
-	return world.hosts.flatMap((host) =>
+	return simulation.hosts.flatMap((host) =>
 		host.starts
 			.filter(({sentAt}) => sentAt > host.leavingSince + graceMs)
 			.map(({requestId}) => `${requestId} started after leaving`),
 	);
 }
 
-/** One recoverable fault costs no request its answer. */
-function judgeRecovery(
-	world: Simulation,
+/** Checks that a single recoverable fault leaves every request answered. */
+function checkRecovery(
+	simulation: Simulation,
 	{faults}: RequestCaseOptions,
 ): readonly string[] {
-	// Before the steps `ask` and `retry` there is a fault that leads to them.
+	// The steps `ask` and `retry` occur only after another fault.
 	const isSingle =
 		faults.length <= 1 &&
 		faults.every(({step}) => step !== 'ask' && step !== 'retry');
@@ -76,31 +76,35 @@
 		return [];
 	}
 
-	const mustAnswer = faults.every(({fault}) => recoverable.has(fault));
-	const mustKnow = faults.every(({fault}) => fault.startsWith('cut-'));
-	return world.requests
+	const mustBeAnswered = faults.every(({fault}) =>
+		recoverableFaults.has(fault),
+	);
+	const mustNotBeUnknown = faults.every(({fault}) => fault.startsWith('cut-'));
+	return simulation.requests
 		.filter(
 			({ends}) =>
-				(mustAnswer && ends[0]?.outcome !== 'answered') ||
-				(mustKnow && ends[0]?.outcome === 'unknown'),
+				(mustBeAnswered && ends[0]?.outcome !== 'answered') ||
+				(mustNotBeUnknown && ends[0]?.outcome === 'unknown'),
 		)
 		.map(({id, ends}) => `${id} ended ${ends[0]?.outcome}`);
 }
 
 /**
- * Finds what broke an invariant in a case that is over.
+ * Finds the violations of invariants in a finished case.
  *
- * @param world - the case's world
- * @param options - the case
+ * @param simulation - the simulation of the case
+ * @param options - options of the case
  * @returns one line for each violation
  */
 export function findViolations(
-	world: Simulation,
+	simulation: Simulation,
 	options: RequestCaseOptions,
 ): readonly string[] {
 	return [
-		...world.requests.flatMap((request) => judgeRequest(world, request)),
-		...judgeLeaving(world),
-		...judgeRecovery(world, options),
+		...simulation.requests.flatMap((request) =>
+			checkRequest(simulation, request),
+		),
+		...checkLeaving(simulation),
+		...checkRecovery(simulation, options),
 	];
 }
--- a/faults/_lib/requests/mechanisms.ts
+++ b/faults/_lib/requests/mechanisms.ts
@@ -1,12 +1,12 @@
 /**
- * The decisions of the product that the fault matrix of requests drives.
+ * The decision functions of the product that the request matrix runs.
  */
 import {createLedger} from '../../../src/coordination/create-ledger.js';
 import {decideAdmission} from '../../../src/coordination/decide-admission.js';
 import {pickHost} from '../../../src/coordination/pick-host.js';
 import {stepRequest} from '../../../src/coordination/step-request.js';
 
-/** Decisions that tests may replace by naive ones. */
+/** Decision functions that tests may replace by naive ones. */
 export type Mechanisms = {
 	readonly stepRequest: typeof stepRequest;
 	readonly createLedger: typeof createLedger<string>;
@@ -14,7 +14,7 @@
 	readonly pickHost: typeof pickHost;
 };
 
-/** The decisions that the product uses. */
+/** The decision functions of the product. */
 export const productMechanisms: Mechanisms = {
 	stepRequest,
 	createLedger,
--- a/faults/_lib/requests/run-request-case.ts
+++ b/faults/_lib/requests/run-request-case.ts
@@ -18,7 +18,7 @@
 	readonly seed: number;
 	readonly repeatable: boolean;
 	readonly faults: readonly FaultAtStep[];
-	/** Those of the product when absent. */
+	/** Decision functions; default: those of the product. */
 	readonly mechanisms?: Mechanisms;
 };
 
@@ -51,7 +51,7 @@
 	};
 }
 
-function createWorld(options: RequestCaseOptions): Simulation {
+function createSimulation(options: RequestCaseOptions): Simulation {
 	const {seed, repeatable, mechanisms = productMechanisms} = options;
 	return {
 		scheduler: createScheduler(seed),
@@ -65,12 +65,12 @@
 		cutToGateUntil: 0,
 		cutToCallerUntil: 0,
 		onStep() {
-			// Set below.
+			// Replaced by `runRequestCase`.
 		},
 	};
 }
 
-/** Faults that make the steps `ask` and `retry` happen at all. */
+/** Lists faults without which the steps `ask` and `retry` do not occur. */
 function listPreparations(faults: readonly FaultAtStep[]): FaultAtStep[] {
 	const wanted = new Set(faults.map(({step}) => step));
 	return [
@@ -84,34 +84,37 @@
 }
 
 /**
- * Runs one case: three requests, with faults at steps of the second.
+ * Runs one case: after a first request that fetches a stamp, three requests,
+ * with faults at steps of the second.
  *
  * @param options - see `RequestCaseOptions`
- * @returns what broke an invariant, empty when all held
+ * @returns one line for each violation; empty when all invariants hold
  */
 export function runRequestCase(options: RequestCaseOptions): readonly string[] {
-	const world = createWorld(options);
-	const {scheduler} = world;
+	const simulation = createSimulation(options);
+	const {scheduler} = simulation;
 	const stamps: StampCache = new Map();
 	const pending = [...listPreparations(options.faults), ...options.faults];
-	world.onStep = (step, requestId, place) => {
+	simulation.onStep = (step, requestId, place) => {
 		if (requestId !== targetId) {
 			return;
 		}
 
-		for (const placed of pending.filter((one) => one.step === step)) {
-			pending.splice(pending.indexOf(placed), 1);
-			applyFault(world, placed.fault, requestId, place);
+		for (const faultAtStep of pending.filter(
+			(faultAtStep) => faultAtStep.step === step,
+		)) {
+			pending.splice(pending.indexOf(faultAtStep), 1);
+			applyFault(simulation, faultAtStep.fault, requestId, place);
 		}
 	};
 
 	for (const [index, id] of ['warm', 'a', targetId, 'c'].entries()) {
 		const at = index === 0 ? 0 : firstRequestMs + index * 0.3;
 		scheduler.schedule(at, () => {
-			startRequest(world, id, stamps);
+			startRequest(simulation, id, stamps);
 		});
 	}
 
 	scheduler.runUntil(endMs);
-	return findViolations(world, options);
+	return findViolations(simulation, options);
 }
--- a/faults/_lib/requests/simulation.ts
+++ b/faults/_lib/requests/simulation.ts
@@ -6,7 +6,7 @@
 import type {Scheduler} from '../../../harness/create-scheduler.js';
 import type {Mechanisms} from './mechanisms.js';
 
-/** Steps of a request at which faults occur. */
+/** Steps of a request at which faults are applied. */
 export const steps = [
 	'route',
 	'pick',
@@ -23,7 +23,7 @@
 
 export type Step = (typeof steps)[number];
 
-/** One attempt as it travels. */
+/** An attempt as sent to a gate. */
 export type FakeAttempt = {
 	readonly id: string;
 	readonly requestId: string;
@@ -32,7 +32,7 @@
 	readonly stamp: GateStamp | undefined;
 };
 
-/** What a gate says of an attempt. */
+/** Result of an attempt as reported by a gate. */
 export type FakeResult =
 	| {readonly kind: 'answered'; readonly body: string}
 	| {
@@ -41,7 +41,7 @@
 				'leaving' | 'stale-stamp' | 'not-sent' | 'deadline' | 'fenced';
 	  };
 
-/** One connection from the caller's node to a gate. */
+/** A connection from the caller's node to a gate. */
 export type FakeConnection = {
 	isBroken: boolean;
 	losesRequests: boolean;
@@ -49,11 +49,11 @@
 	readonly onBroken: () => void;
 };
 
-/** A host: gate and upstream, each of which may fail. */
+/** A host with a gate and an upstream, which fail independently. */
 export type FakeHost = {
 	readonly name: string;
 	ledger: Ledger<string>;
-	/** Raised by each start of the gate; earlier work is void then. */
+	/** Incremented when the gate is killed; work of earlier ones is dropped. */
 	generation: number;
 	isGateAlive: boolean;
 	isLeaving: boolean;
@@ -64,7 +64,7 @@
 	upstreamFrozenUntil: number;
 	isShedding: boolean;
 	truncatesResponses: boolean;
-	/** Drops requests and answers without a word. */
+	/** Whether the upstream drops requests and responses without an error. */
 	isUnresponsive: boolean;
 	serviceMs: number;
 	inFlight: number;
@@ -74,21 +74,21 @@
 	}>;
 	readonly waiters: Map<string, Array<(result: FakeResult) => void>>;
 	readonly connections: Set<FakeConnection>;
-	/** Starts of work at the upstream, and when the gate sent it. */
+	/** Requests that the upstream started, and when the gate sent them. */
 	readonly starts: Array<{
 		readonly requestId: string;
 		readonly sentAt: number;
 	}>;
 };
 
-/** The end of a request at the client. */
+/** Outcome of a request at the client. */
 export type RequestEnd = {
 	readonly outcome: 'answered' | 'not-run' | 'unknown';
 	readonly body: string | undefined;
 	readonly at: number;
 };
 
-/** A client's request. */
+/** A request of the client. */
 export type FakeRequest = {
 	readonly id: string;
 	readonly startedAt: number;
@@ -97,7 +97,7 @@
 	cancel: () => void;
 };
 
-/** Everything in a fault case. */
+/** State of a fault case. */
 export type Simulation = {
 	readonly scheduler: Scheduler;
 	readonly mechanisms: Mechanisms;
@@ -105,18 +105,18 @@
 	readonly hosts: readonly FakeHost[];
 	readonly requests: FakeRequest[];
 	isCallerAlive: boolean;
-	/** Delay added to each answer on its way to the caller's node. */
+	/** Delay added to each message to the caller's node. */
 	responseDelayMs: number;
-	/** Times after which an attempt is delivered again. */
+	/** Delays after which an attempt is delivered again. */
 	duplicateDelaysMs: readonly number[];
-	/** Until when nothing passes in a direction. */
+	/** Times until which all messages in a direction are lost. */
 	cutToGateUntil: number;
 	cutToCallerUntil: number;
 	/** Called at each step of each request. */
 	onStep: (step: Step, requestId: string, at: StepLocation) => void;
 };
 
-/** Where a step happens. */
+/** Host and connection at which a step happens. */
 export type StepLocation = {
 	readonly host?: FakeHost;
 	readonly connection?: FakeConnection;
--- a/faults/config.test.ts
+++ b/faults/config.test.ts
@@ -3,7 +3,7 @@
 import type {Fault, Step, Variant} from './_lib/config/config-simulation.js';
 import {runConfigSimulation} from './_lib/config/run-config-simulation.js';
 
-type Proof = {
+type MechanismCase = {
 	readonly mechanism: string;
 	readonly faults: readonly Fault[];
 	readonly step: Step;
@@ -12,17 +12,17 @@
 	readonly violation: RegExp;
 };
 
-const proofs: readonly Proof[] = [
+const mechanismCases: readonly MechanismCase[] = [
 	{
 		mechanism: 'conditional writes of the log',
 		faults: ['frozen', 'concurrent-operators'],
 		step: 'create',
 		seeds: [1, 2, 3],
 		naive: {ignoresConditions: true},
-		violation: /of its own|does not follow/v,
+		violation: /differs from the log|does not follow/v,
 	},
 	{
-		mechanism: 'reading a lost answer back',
+		mechanism: 'reading back a write whose answer was lost',
 		faults: ['answer-lost', 'platform-down'],
 		step: 'create',
 		seeds: [1, 2, 3, 4, 5, 6],
@@ -32,39 +32,39 @@
 					? {kind: 'unavailable'}
 					: outcome,
 		},
-		violation: /was called not accepted and is/v,
+		violation: /was reported unavailable but is in the log/v,
 	},
 	{
-		mechanism: 'reads of the next slot beside the watch',
+		mechanism: 'periodic reads of the next log slot in addition to the watch',
 		faults: ['watch-stalled'],
 		step: 'root-read',
 		seeds: [1, 2, 3],
 		naive: {delivery: {probeIntervalMs: Number.POSITIVE_INFINITY}},
-		violation: /ends with/v,
+		violation: /ends at version/v,
 	},
 	{
-		mechanism: 'other holders before a version is run',
+		mechanism: 'the required number of holders before a version is run',
 		faults: ['data-centre-killed', 'platform-down'],
 		step: 'apply',
 		seeds: [109, 120, 122],
 		naive: {delivery: {requiredHolders: 0}},
-		violation: /moved back/v,
+		violation: /reverted from/v,
 	},
 	{
-		mechanism: 'the wait before a first version is run',
+		mechanism: 'the delay before the first version is run after a start',
 		faults: ['data-centre-killed', 'platform-down'],
 		step: 'apply',
 		seeds: [168],
 		naive: {delivery: {settleMs: 0}},
-		violation: /moved back/v,
+		violation: /reverted from/v,
 	},
 ];
 
-for (const proof of proofs) {
-	test(`the matrix fails without ${proof.mechanism}`, () => {
-		const {faults, step, naive, violation} = proof;
+for (const mechanismCase of mechanismCases) {
+	test(`the matrix fails without ${mechanismCase.mechanism}`, () => {
+		const {faults, step, naive, violation} = mechanismCase;
 		const runAll = (variant?: Variant) =>
-			proof.seeds.flatMap((seed) =>
+			mechanismCase.seeds.flatMap((seed) =>
 				runConfigSimulation({faults, step, seed, variant}),
 			);
 		assert.deepEqual(runAll(), []);
--- a/faults/fault-case.ts
+++ b/faults/fault-case.ts
@@ -1,16 +1,16 @@
 /**
- * Type of one case of the fault matrix.
+ * Types of the cases of the fault matrix and of their results.
  */
 
-/** One fault, or two together, at one step of the system's work. */
+/** One or two faults with the steps at which they are applied. */
 export type FaultCase = {
 	readonly area: 'config' | 'requests' | 'members';
 	/** Names of the faults, one or two. */
 	readonly faults: readonly string[];
-	/** Step at which they occur. */
+	/** Step at which they are applied; joined by `+` if several. */
 	readonly step: string;
 	readonly seed: number;
-	/** Runs the case; returns what broke an invariant, empty when all held. */
+	/** Runs the case; returns one line for each violation of an invariant. */
 	readonly run: () => readonly string[];
 };
 
--- a/faults/format-fault-matrix.ts
+++ b/faults/format-fault-matrix.ts
@@ -8,7 +8,8 @@
  * Formats results of the fault matrix as a table.
  *
  * @param results - results of cases
- * @returns one line for each fault and step, with the seeds of failures
+ * @returns tab-separated table, one line for each combination of faults and
+ *   step, with the first seeds that failed
  * @example
  * console.log(formatFaultMatrix(runFaultCases(cases)));
  */
--- a/faults/list-config-cases.ts
+++ b/faults/list-config-cases.ts
@@ -8,13 +8,13 @@
 } from './_lib/config/config-simulation.js';
 import {runConfigSimulation} from './_lib/config/run-config-simulation.js';
 
-/** Which cases `listConfigCases` lists. */
+/** Options of `listConfigCases`. */
 export type ConfigCaseOptions = {
-	/** One fault, or two together; default both. */
+	/** Cases with a single fault, with a pair, or both; default: both. */
 	readonly kinds?: ReadonlyArray<'single' | 'pairs'>;
-	/** One pair in how many; default 1, every pair at every step. */
+	/** Lists only every n-th case, for pairs; default: 1, all of them. */
 	readonly everyNthPair?: number;
-	/** Naive parts in place of the product's; default none. */
+	/** Naive mechanisms that replace the product's; default: none. */
 	readonly variant?: Variant;
 };
 
@@ -34,11 +34,11 @@
 }
 
 /**
- * Lists the cases of the configuration: every fault at every step, alone and
- * in pairs, the same one twice included.
+ * Lists the cases of the configuration matrix: every fault at every step,
+ * single and in pairs, including pairs of the same fault.
  *
  * @param options - see `ConfigCaseOptions`
- * @returns the cases; the number of a case is its seed
+ * @returns the cases; the seed of a case is its number in the full matrix
  * @example
  * runFaultCases(listConfigCases({kinds: ['alone']}));
  */
--- a/faults/list-members-cases.ts
+++ b/faults/list-members-cases.ts
@@ -5,12 +5,12 @@
 
 /** Options of `listMembersCases`. */
 export type MembersCasesOptions = {
-	/** What a node's step does; the product's by default. */
+	/** Step function of the nodes; default: the product's. */
 	readonly step?: typeof stepMembers;
-	/** Seeds of the single faults. */
+	/** Seeds of the cases with a single fault. */
 	readonly seeds?: readonly number[];
-	/** Whether each pair strikes at every step, and not at one in turn. */
-	readonly everyStep?: boolean;
+	/** Whether each pair is applied at all steps, or at one step in rotation. */
+	readonly coversAllSteps?: boolean;
 };
 
 const hourMs = 3_600_000;
@@ -26,8 +26,8 @@
 }
 
 /**
- * Lists the cases of the matrix of members: each fault at each step, then
- * each pair of faults.
+ * Lists the cases of the membership matrix: each fault at each step, then each
+ * pair of faults.
  *
  * @param options - see `MembersCasesOptions`
  * @returns the cases
@@ -37,7 +37,7 @@
 export function listMembersCases(
 	options: MembersCasesOptions = {},
 ): readonly FaultCase[] {
-	const {step: stepNode, seeds = [1, 2], everyStep = true} = options;
+	const {step: stepNode, seeds = [1, 2], coversAllSteps = true} = options;
 	const singles = membersFaults.flatMap((fault) =>
 		membersSteps.flatMap((step) =>
 			seeds.map((seed) =>
@@ -55,7 +55,10 @@
 	);
 	const paired = pairs.flatMap((faults, index) =>
 		membersSteps
-			.filter((_, place) => everyStep || place === index % membersSteps.length)
+			.filter(
+				(_, stepIndex) =>
+					coversAllSteps || stepIndex === index % membersSteps.length,
+			)
 			.map((step) =>
 				createCase(faults, step, pairSeed, () =>
 					runMembersCase(faults, step, pairSeed, {step: stepNode}),
--- a/faults/list-requests-cases.ts
+++ b/faults/list-requests-cases.ts
@@ -9,23 +9,23 @@
 
 /** Options of `listRequestsCases`. */
 export type RequestsCasesOptions = {
-	/** Seeds for each single fault; 8 when absent. */
+	/** Number of seeds for each single fault; default: 8. */
 	readonly singleSeeds?: number;
-	/** Seeds for each pair of faults; 1 when absent. */
+	/** Number of seeds for each pair of faults; default: 1. */
 	readonly pairSeeds?: number;
-	/** Decisions to drive; those of the product when absent. */
+	/** Decision functions to run; default: those of the product. */
 	readonly mechanisms?: Mechanisms;
 };
 
-function listPlaced(): readonly FaultAtStep[] {
+function listFaultsAtSteps(): readonly FaultAtStep[] {
 	return requestFaults.flatMap((fault: RequestFault) =>
 		steps.map((step) => ({fault, step})),
 	);
 }
 
 /**
- * Lists the cases of the fault matrix of requests: each fault at each step of a
- * request, alone and in pairs, for requests that may be repeated and not.
+ * Lists the cases of the request matrix: each fault at each step of a request,
+ * single and in pairs, for requests that may be repeated and that may not.
  *
  * @param options - see `RequestsCasesOptions`
  * @returns the cases
@@ -36,10 +36,10 @@
 	options: RequestsCasesOptions = {},
 ): readonly FaultCase[] {
 	const {singleSeeds = 8, pairSeeds = 1, mechanisms} = options;
-	const placed = listPlaced();
-	const singles = placed.map((one) => [one]);
-	const pairs = placed.flatMap((first, index) =>
-		placed.slice(index + 1).map((second) => [first, second]),
+	const faultsAtSteps = listFaultsAtSteps();
+	const singles = faultsAtSteps.map((one) => [one]);
+	const pairs = faultsAtSteps.flatMap((first, index) =>
+		faultsAtSteps.slice(index + 1).map((second) => [first, second]),
 	);
 	function toCases(
 		faults: readonly FaultAtStep[],
--- a/faults/main.ts
+++ b/faults/main.ts
@@ -1,5 +1,6 @@
 /**
- * Prints the fault matrix: `npm run faults -- [AREA]`.
+ * Runs and prints the fault matrix: `npm run faults -- [AREA]`. Exits with 1 if
+ * a case fails.
  */
 import process from 'node:process';
 import type {FaultCase} from './fault-case.js';
--- a/faults/members.test.ts
+++ b/faults/members.test.ts
@@ -20,9 +20,9 @@
 
 type Step = typeof stepMembers;
 
-test('the matrix of members holds', () => {
+test('the invariants hold in the membership matrix', () => {
 	const results = runFaultCases(
-		listMembersCases({seeds: [1], everyStep: false}),
+		listMembersCases({seeds: [1], coversAllSteps: false}),
 	);
 	const failed = results.filter(({violations}) => violations.length > 0);
 	assert.equal(failed.length, 0, formatFaultMatrix(failed));
@@ -64,14 +64,14 @@
 	};
 }
 
-const keepLeases: Step = (state, message, now, random) => {
+const neverExpireLeases: Step = (state, message, now, random) => {
 	const leases = new Map(
 		[...state.leases].map(([id, lease]) => [id, {...lease, endsAt: Infinity}]),
 	);
 	return stepMembers({...state, leases}, message, now, random);
 };
 
-const acceptLateReady: Step = (state, message, now, random) => {
+const acceptStaleAnnouncement: Step = (state, message, now, random) => {
 	const leases = new Map(message.kind === 'announce' ? [] : state.leases);
 	return stepMembers({...state, leases}, message, now, random);
 };
@@ -84,7 +84,7 @@
 		random,
 	);
 
-const neverCompare: Step = (state, message, now, random) =>
+const neverSendDigests: Step = (state, message, now, random) =>
 	dropSends(
 		stepMembers(state, message, now, random),
 		(_, kind) => state.role === 'member' && kind === 'digests',
@@ -97,18 +97,18 @@
 	return known.length > 0 && known.every((member) => member.state === 'dead');
 }
 
-const neverAskDead: Step = (state, message, now, random) =>
+const neverContactDead: Step = (state, message, now, random) =>
 	dropSends(
 		stepMembers(state, message, now, random),
 		(address) => message.kind === 'tick' && isDeadAt(state, address),
 	);
 
-/** Hides that a sender has the own name. */
-const acceptTwin: Step = (state, message, now, random) => {
+/** Hides that another node uses the name of this one. */
+const acceptNameConflict: Step = (state, message, now, random) => {
 	const {self} = state;
-	const isTwin = ({name, address}: Sender) =>
+	const hasSameName = ({name, address}: Sender) =>
 		name === self.name && address !== self.address;
-	if (message.kind === 'request' && isTwin(message.request.from)) {
+	if (message.kind === 'request' && hasSameName(message.request.from)) {
 		const from = {...message.request.from, name: 'another'};
 		return stepMembers(
 			state,
@@ -118,7 +118,7 @@
 		);
 	}
 
-	if (message.kind === 'answer' && isTwin(message.answer.from)) {
+	if (message.kind === 'answer' && hasSameName(message.answer.from)) {
 		const from = {...message.answer.from, name: 'another'};
 		return stepMembers(
 			state,
@@ -131,7 +131,7 @@
 	return stepMembers(state, message, now, random);
 };
 
-const forgetAtOnce: Step = (state, message, now, random) => {
+const dropTombstones: Step = (state, message, now, random) => {
 	const step = stepMembers(state, message, now, random);
 	const gone = [...step.state.tombstones.keys()];
 	const table = putMembers(step.state.table, [], gone);
@@ -141,7 +141,7 @@
 const neverProbe: Step = (state, message, now, random) =>
 	stepMembers({...state, probeOrder: ['nobody']}, message, now, random);
 
-const writeAlways: Step = (state, message, now, random) =>
+const writeSeedsWithoutLimit: Step = (state, message, now, random) =>
 	stepMembers(
 		message.kind === 'seeds' ? {...state, wallOffsetMs: 1e15} : state,
 		message,
@@ -152,28 +152,38 @@
 const naiveCases: ReadonlyArray<
 	readonly [string, Step, MembersFault[], MembersStepName]
 > = [
-	['leases that outlive a pause', keepLeases, ['freeze'], 'steady-state'],
+	['leases that never expire', neverExpireLeases, ['freeze'], 'steady-state'],
 	[
-		'a late ready that counts',
-		acceptLateReady,
+		'stale announcements accepted',
+		acceptStaleAnnouncement,
 		['reordered-announcements'],
 		'steady-state',
 	],
-	['no refutation', neverRefute, ['freeze'], 'steady-state'],
+	['no refutation of suspicions', neverRefute, ['freeze'], 'steady-state'],
 	[
 		'no comparison of digests',
-		neverCompare,
+		neverSendDigests,
 		['data-centre-cut', 'kill'],
 		'steady-state',
 	],
-	['two hosts with one name', acceptTwin, ['same-name'], 'steady-state'],
-	['no tombstones', forgetAtOnce, ['kill'], 'suspicion'],
+	[
+		'name conflicts accepted',
+		acceptNameConflict,
+		['same-name'],
+		'steady-state',
+	],
+	['no tombstones', dropTombstones, ['kill'], 'suspicion'],
 	['no probes', neverProbe, ['kill'], 'steady-state'],
-	['seeds written without a bound', writeAlways, ['mass-kill'], 'steady-state'],
+	[
+		'no limit on the rate of seed writes',
+		writeSeedsWithoutLimit,
+		['mass-kill'],
+		'steady-state',
+	],
 ];
 
 for (const [name, step, faults, at] of naiveCases) {
-	test(`the matrix fails with ${name} and holds without`, () => {
+	test(`the membership matrix fails with ${name} and passes without`, () => {
 		const seeds = [1, 2, 3];
 		const broken = seeds.some(
 			(seed) => runMembersCase(faults, at, seed, {step}).length > 0,
@@ -186,12 +196,12 @@
 	});
 }
 
-test('a split data centre joins again only if the dead are asked', () => {
+test('a split data centre merges again only if dead members are contacted', () => {
 	const run = (step?: Step) =>
 		runMembersCase(['split-data-centre'], 'steady-state', 1, {
 			step,
 			dataCentres: ['a'],
 		});
-	assert.notDeepEqual(run(neverAskDead), []);
+	assert.notDeepEqual(run(neverContactDead), []);
 	assert.deepEqual(run(), []);
 });
--- a/faults/requests.test.ts
+++ b/faults/requests.test.ts
@@ -18,8 +18,8 @@
 		);
 }
 
-/** Replaces what a request is told. */
-function tellInstead(
+/** Replaces or drops messages to the state machine of a request. */
+function replaceMessages(
 	change: (message: RequestMessage) => RequestMessage | undefined,
 ): Partial<Mechanisms> {
 	return {
@@ -34,8 +34,8 @@
 
 type Ledger = ReturnType<Mechanisms['createLedger']>;
 
-/** Replaces methods of each ledger. */
-function changeLedger(
+/** Overrides methods of each ledger. */
+function overrideLedger(
 	change: (ledger: Ledger) => Partial<Ledger>,
 ): Partial<Mechanisms> {
 	return {
@@ -49,28 +49,28 @@
 const naive: Readonly<
 	Record<string, readonly [Partial<Mechanisms>, RegExp, number?]>
 > = {
-	'no ledger: what arrives runs': [
-		changeLedger(() => ({admit: () => 'run'})),
+	'no ledger: every attempt received runs': [
+		overrideLedger(() => ({admit: () => 'run'})),
 		/ran \d times/v,
 	],
-	'ledger without stamps: what is not on record runs': [
-		changeLedger((ledger) => ({
+	'ledger without stamps: attempts without a record run': [
+		overrideLedger((ledger) => ({
 			admit(attempt, now) {
 				const answer = ledger.admit(attempt, now);
 				return answer === 'stale' ? 'run' : answer;
 			},
 		})),
-		/ran \d times|not run but ran/v,
+		/ran \d times|ended not-run but ran/v,
 	],
-	'one epoch for all processes of a gate': [
+	'the same epoch after a restart of a gate': [
 		{
 			createLedger: (options) =>
 				product.createLedger({...options, epoch: 'same'}),
 		},
-		/not run but ran|ran \d times/v,
+		/ended not-run but ran|ran \d times/v,
 	],
-	'ask without a fence': [
-		changeLedger((ledger) => {
+	'an ask that does not fence': [
+		overrideLedger((ledger) => {
 			const arrived = new Set<string>();
 			return {
 				admit(attempt, now) {
@@ -81,18 +81,18 @@
 					arrived.has(attempt.id) ? ledger.ask(attempt, now) : 'fenced',
 			};
 		}),
-		/not run but ran|ran \d times/v,
+		/ended not-run but ran|ran \d times/v,
 	],
-	'what the gate does not know has not run': [
-		tellInstead((message) =>
+	'attempts with a stale stamp taken for not run': [
+		replaceMessages((message) =>
 			message.kind === 'ask-answered' && message.answer === 'stale'
 				? {...message, answer: 'fenced'}
 				: message,
 		),
-		/not run but ran|ran \d times/v,
+		/ended not-run but ran|ran \d times/v,
 	],
-	'what was lost has not run': [
-		tellInstead((message) =>
+	'lost attempts taken for not run': [
+		replaceMessages((message) =>
 			message.kind === 'lost'
 				? {...message, kind: 'ended', outcome: 'not-run', reason: 'not-sent'}
 				: message,
@@ -104,20 +104,22 @@
 			stepRequest: (state, message, context) =>
 				product.stepRequest({...state, mayHaveRun: false}, message, context),
 		},
-		/not run but ran/v,
+		/ended not-run but ran/v,
 		1,
 	],
-	'silence is not asked about': [
-		tellInstead((message) => (message.kind === 'silent' ? undefined : message)),
+	'no ask after a missing response': [
+		replaceMessages((message) =>
+			message.kind === 'silent' ? undefined : message,
+		),
 		/ended unknown/v,
 	],
 	'no deadline': [
-		tellInstead((message) =>
+		replaceMessages((message) =>
 			message.kind === 'deadline' ? undefined : message,
 		),
 		/has 0 ends|ended late/v,
 	],
-	'messages about earlier attempts count': [
+	'messages about earlier attempts taken for the current one': [
 		{
 			stepRequest(state, message, context) {
 				const current =
@@ -127,10 +129,10 @@
 				return product.stepRequest(state, current, context);
 			},
 		},
-		/ran \d times|not run but ran|has \d ends/v,
+		/ran \d times|ended not-run but ran|has \d ends/v,
 		1,
 	],
-	'a leaving host takes work': [
+	'a leaving host admits attempts': [
 		{
 			decideAdmission: (input) =>
 				product.decideAdmission({...input, state: 'ready'}),
@@ -139,12 +141,12 @@
 	],
 };
 
-test('requests: all cases of the matrix hold', () => {
+test('requests: the invariants hold in all cases of the matrix', () => {
 	assert.deepEqual(listFailures(listRequestsCases()), []);
 });
 
 for (const [name, [change, expected, pairSeeds = 0]] of Object.entries(naive)) {
-	test(`requests: the matrix shows the fault of: ${name}`, () => {
+	test(`requests: the matrix fails with: ${name}`, () => {
 		const mechanisms = {...product, ...change};
 		const cases = listRequestsCases({pairSeeds, mechanisms});
 		assert.ok(
@@ -153,8 +155,8 @@
 	});
 }
 
-test('requests: without faults all are answered, as by the naive version', () => {
-	const change = naive['what was lost has not run']![0];
+test('requests: without faults all are answered, also with a naive mechanism', () => {
+	const change = naive['lost attempts taken for not run']![0];
 	for (const mechanisms of [product, {...product, ...change}]) {
 		for (let seed = 1; seed <= 50; seed++) {
 			const options = {seed, faults: [], mechanisms};
--- a/faults/run-fault-cases.ts
+++ b/faults/run-fault-cases.ts
@@ -1,7 +1,7 @@
 import type {FaultCase, FaultResult} from './fault-case.js';
 
 /**
- * Runs cases of the fault matrix one after another.
+ * Runs cases of the fault matrix in sequence.
  *
  * @param cases - the cases
  * @returns a result for each case; an exception counts as a violation
--- a/src/coordination/_lib/commit/continue-commit.ts
+++ b/src/coordination/_lib/commit/continue-commit.ts
@@ -1,4 +1,4 @@
-import {maxCommitTries} from '../../../protocol/constants.js';
+import {maxCommitAttempts} from '../../../protocol/constants.js';
 import type {PlatformCall} from '../../../protocol/platform.js';
 import {formatLogKey} from '../../../state/format-log-key.js';
 import type {
@@ -103,7 +103,7 @@
 	context: {readonly random: () => number; readonly ringSize: number},
 ): CommitStep {
 	const tries = state.tries + 1;
-	if (tries > maxCommitTries) {
+	if (tries > maxCommitAttempts) {
 		return answerGroup(state, context.ringSize);
 	}
 
--- a/src/coordination/_lib/commit/handle-commit-answer.ts
+++ b/src/coordination/_lib/commit/handle-commit-answer.ts
@@ -1,4 +1,4 @@
-import {maxReadBackTries} from '../../../protocol/constants.js';
+import {maxReadBackAttempts} from '../../../protocol/constants.js';
 import type {
 	PlatformOutcome,
 	WriteCondition,
@@ -213,7 +213,7 @@
 		}
 
 		case 'unavailable': {
-			return tries < maxReadBackTries
+			return tries < maxReadBackAttempts
 				? pauseBefore(state, {...phase, tries: tries + 1}, context)
 				: answerGroup(state, context.ringSize);
 		}
--- a/src/coordination/_lib/commit/refusals.ts
+++ b/src/coordination/_lib/commit/refusals.ts
@@ -1,5 +1,5 @@
 import type {SubmissionOutcome} from '../../../protocol/configuration.js';
-import {maxRememberedRefusals} from '../../../protocol/constants.js';
+import {maxCachedRefusals} from '../../../protocol/constants.js';
 import type {
 	CommitEffect,
 	CommitState,
@@ -66,5 +66,5 @@
 		}
 	}
 
-	return new Map([...refusals].slice(-maxRememberedRefusals));
+	return new Map([...refusals].slice(-maxCachedRefusals));
 }
--- a/src/coordination/_lib/delivery/plan-calls.ts
+++ b/src/coordination/_lib/delivery/plan-calls.ts
@@ -1,7 +1,7 @@
 import {
 	callGraceMs,
 	logListLimit,
-	noticeIntervalMs,
+	reportIntervalMs,
 	platformTimeoutMs,
 	pollWaitMs,
 	startProbeIntervalMs,
@@ -220,7 +220,7 @@
 }
 
 function computeReportIntervalMs(failures: number): number {
-	return Math.min(statusIntervalMs, noticeIntervalMs * 2 ** failures);
+	return Math.min(statusIntervalMs, reportIntervalMs * 2 ** failures);
 }
 
 const planReport: DeliveryAction = (state, context) => {
--- a/src/coordination/_lib/document/end-call.ts
+++ b/src/coordination/_lib/document/end-call.ts
@@ -1,6 +1,6 @@
 import {
 	documentRetryCapMs,
-	documentRetryMs,
+	documentRetryBaseMs,
 } from '../../../protocol/constants.js';
 import type {DocumentLoop} from '../../document-state.js';
 
@@ -19,7 +19,7 @@
 
 	const delayMs = Math.min(
 		documentRetryCapMs,
-		documentRetryMs * 2 ** Math.min(loop.failures, 10),
+		documentRetryBaseMs * 2 ** Math.min(loop.failures, 10),
 	);
 	return {call: undefined, failures: loop.failures + 1, nextAt: now + delayMs};
 }
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -1,6 +1,6 @@
 import {err, ok, type Result} from 'neverthrow';
 import {
-	documentReturnMs,
+	documentParentRetryMs,
 	documentStaleMs,
 } from '../../../protocol/constants.js';
 import type {
@@ -41,7 +41,7 @@
 	state: DocumentState,
 	now: number,
 ): Pick<DocumentState, 'peerIndex'> {
-	const isDue = now - state.leftParentAt >= documentReturnMs;
+	const isDue = now - state.leftParentAt >= documentParentRetryMs;
 	return {peerIndex: isDue ? 0 : state.peerIndex};
 }
 
--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -1,5 +1,5 @@
 import {
-	documentBacklogMs,
+	documentBacklogThresholdMs,
 	documentTransferMs,
 } from '../../../protocol/constants.js';
 import type {
@@ -24,7 +24,7 @@
 			const storeLoop = endCall(state.storeLoop, false, now);
 			const hasBacklog =
 				step.state.document !== state.document &&
-				transferMs + now - arrivedAt > documentBacklogMs;
+				transferMs + now - arrivedAt > documentBacklogThresholdMs;
 			return {
 				...step,
 				state: {
--- a/src/coordination/_lib/document/plan-calls.ts
+++ b/src/coordination/_lib/document/plan-calls.ts
@@ -1,8 +1,8 @@
 import {
 	documentGraceMs,
-	documentPeerFailures,
-	documentPollMs,
-	documentWatchMs,
+	maxDocumentPeerFailures,
+	documentPollWaitMs,
+	documentWatchWaitMs,
 } from '../../../protocol/constants.js';
 import type {
 	DocumentEffect,
@@ -25,7 +25,7 @@
 		return {kind: 'read', callId, timeoutMs};
 	}
 
-	const waitMs = documentWatchMs;
+	const waitMs = documentWatchWaitMs;
 	return hasBacklog
 		? {kind: 'check', callId, timeoutMs}
 		: {kind: 'watch', callId, revision, waitMs, timeoutMs: waitMs + timeoutMs};
@@ -36,7 +36,7 @@
 	const {storeLoop, peers} = state;
 	const isNeeded =
 		state.isRoot ||
-		state.peerLoop.failures >= Math.min(documentPeerFailures, peers.length);
+		state.peerLoop.failures >= Math.min(maxDocumentPeerFailures, peers.length);
 	if (!isNeeded || storeLoop.call !== undefined || storeLoop.nextAt > now) {
 		return createStepWithoutEffects(state);
 	}
@@ -68,7 +68,7 @@
 		: (state.document?.version ?? -1);
 	// A peer that is polled instead of one that failed answers at once, without
 	// waiting for a change.
-	const waitMs = peerLoop.failures > 0 ? 0 : documentPollMs;
+	const waitMs = peerLoop.failures > 0 ? 0 : documentPollWaitMs;
 	const timeoutMs = waitMs + documentGraceMs;
 	const call = {id: callId, endsAt: now + timeoutMs, isReceiving: false};
 	return {
--- a/src/coordination/_lib/host-costs.ts
+++ b/src/coordination/_lib/host-costs.ts
@@ -2,10 +2,10 @@
  * Expected cost of a request at each candidate host.
  */
 import {
-	comparedHosts,
+	hostSampleSize,
 	msPerSecond,
-	usualLinkMbps,
-	usualObjectivePart,
+	referenceLinkMbps,
+	defaultObjectiveRatio,
 } from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
 import {computeHostRateLimitWait} from '../compute-host-rate-limit-wait.js';
@@ -116,7 +116,7 @@
 		...estimate
 	}: Omit<HostEstimate, keyof HostTimes> & {readonly transferMs: number},
 ): number {
-	const defaultMs = estimate.objectiveMs * usualObjectivePart;
+	const defaultMs = estimate.objectiveMs * defaultObjectiveRatio;
 	const {requestMs, serviceMs} = times ?? {
 		requestMs: defaultMs,
 		serviceMs: defaultMs,
@@ -130,7 +130,7 @@
 
 /** Computes the transfer time of a long body to a host, ms; 0 for the own host. */
 function computeTransferMs(
-	{host, linkMbps = usualLinkMbps}: Candidate,
+	{host, linkMbps = referenceLinkMbps}: Candidate,
 	transfer: BodyTransfer | undefined,
 ): number {
 	return !transfer || host === transfer.host
@@ -149,7 +149,7 @@
 	{now, route, objectiveMs, transfer}: CostOptions,
 ): CandidateCost | undefined {
 	const poolLoad = computePoolLoad(pool, records, now);
-	const count = Math.min(comparedHosts, pool.length);
+	const count = Math.min(hostSampleSize, pool.length);
 	const start = Math.floor(random() * pool.length);
 	const stride = Math.max(1, Math.floor(pool.length / count));
 	let expectedTimes: HostTimes | undefined;
--- a/src/coordination/_lib/host-load.ts
+++ b/src/coordination/_lib/host-load.ts
@@ -1,7 +1,7 @@
 /**
  * Load of hosts, as known to a caller's node.
  */
-import {loadTrustMs, slowStartMs} from '../../protocol/constants.js';
+import {loadExpiryMs, slowStartMs} from '../../protocol/constants.js';
 import type {Candidate} from '../../protocol/member.js';
 import type {HostRecord} from '../step-host-record.js';
 
@@ -25,7 +25,7 @@
 	let reports = 0;
 	for (const {host} of candidates) {
 		const record = records.get(host);
-		if (record && now - record.reportedAt < loadTrustMs) {
+		if (record && now - record.reportedAt < loadExpiryMs) {
 			sum += record.reportedShare;
 			reports++;
 		}
@@ -57,7 +57,10 @@
 		return pool.mean;
 	}
 
-	const reportWeight = Math.max(0, 1 - (now - record.reportedAt) / loadTrustMs);
+	const reportWeight = Math.max(
+		0,
+		1 - (now - record.reportedAt) / loadExpiryMs,
+	);
 	const meanOfOthers = computeMeanOfOthers(pool, record.reportedShare);
 	const reported = Math.max(record.reportedShare, meanOfOthers);
 	const estimated = reportWeight * reported + (1 - reportWeight) * pool.mean;
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -3,7 +3,7 @@
  * platform.
  */
 import {
-	joinPatienceMs,
+	joinTimeoutMs,
 	joinWindowMsPerMember,
 	maxJoinWindowMs,
 	maxSeeds,
@@ -112,7 +112,7 @@
 	now: number,
 ): MembersStep {
 	const isOver =
-		now - state.startedAt >= joinPatienceMs && now >= state.seeds.nextJoinAt;
+		now - state.startedAt >= joinTimeoutMs && now >= state.seeds.nextJoinAt;
 	return isOver && state.sync === undefined
 		? becomeMember(state)
 		: {state, effects: []};
--- a/src/coordination/_lib/order-members.ts
+++ b/src/coordination/_lib/order-members.ts
@@ -1,4 +1,4 @@
-import {usualCapacity} from '../../protocol/constants.js';
+import {referenceCapacity} from '../../protocol/constants.js';
 import type {Member} from '../../protocol/member.js';
 import {computeWeight} from './compute-weight.js';
 import {memoizeByMember} from './memoize-by-member.js';
@@ -31,7 +31,7 @@
 		)
 		.map((member) => ({
 			member,
-			capacity: member.capacity ?? usualCapacity,
+			capacity: member.capacity ?? referenceCapacity,
 			weight: readWeight(member),
 		}))
 		.toSorted(
--- a/src/coordination/compute-bridges.ts
+++ b/src/coordination/compute-bridges.ts
@@ -1,4 +1,7 @@
-import {bridgesPerDataCentre, usualCapacity} from '../protocol/constants.js';
+import {
+	bridgesPerDataCentre,
+	referenceCapacity,
+} from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
 import {computeHash} from '../state/_lib/compute-hash.js';
 
@@ -8,7 +11,7 @@
  * Computes a member's score; its chance of the highest score is proportional to
  * its capacity.
  */
-function computeScore({name, capacity = usualCapacity}: Member): number {
+function computeScore({name, capacity = referenceCapacity}: Member): number {
 	const uniform = (computeHash(`bridge ${name}`) + 0.5) / hashRange;
 	return capacity / -Math.log(uniform);
 }
--- a/src/coordination/compute-candidates.ts
+++ b/src/coordination/compute-candidates.ts
@@ -1,4 +1,4 @@
-import {usualCapacity, usualLinkMbps} from '../protocol/constants.js';
+import {referenceCapacity, referenceLinkMbps} from '../protocol/constants.js';
 import type {Candidate, Member} from '../protocol/member.js';
 
 /** Confidence in a member's record; lower is better. */
@@ -21,7 +21,7 @@
 
 /** Computes the link rate, Mbit/s: a lower bound derived from the capacity relative to a usual host. */
 function computeLinkRate(capacity: number): number {
-	return (capacity / usualCapacity) * usualLinkMbps;
+	return (capacity / referenceCapacity) * referenceLinkMbps;
 }
 
 function listOwnCandidates(
--- a/src/coordination/compute-capacity.ts
+++ b/src/coordination/compute-capacity.ts
@@ -1,8 +1,8 @@
 import {
 	maxCapacity,
-	usualCapacity,
-	usualCores,
-	usualLinkMbps,
+	referenceCapacity,
+	referenceCores,
+	referenceLinkMbps,
 } from '../protocol/constants.js';
 
 /** Resources of a host; an absent value counts as that of a usual host. */
@@ -25,10 +25,10 @@
  * computeCapacity({cores: 0.27, linkMbps: 5}); // 5
  */
 export function computeCapacity({
-	cores = usualCores,
-	linkMbps = usualLinkMbps,
+	cores = referenceCores,
+	linkMbps = referenceLinkMbps,
 }: HostLimits): number {
-	const share = Math.min(cores / usualCores, linkMbps / usualLinkMbps);
-	const capacity = Math.round(usualCapacity * share);
+	const share = Math.min(cores / referenceCores, linkMbps / referenceLinkMbps);
+	const capacity = Math.round(referenceCapacity * share);
 	return Math.min(maxCapacity, Math.max(1, capacity));
 }
--- a/src/coordination/compute-host-rate-limit-wait.ts
+++ b/src/coordination/compute-host-rate-limit-wait.ts
@@ -1,4 +1,4 @@
-import {turnTrustMs} from '../protocol/constants.js';
+import {rateLimitWaitExpiryMs} from '../protocol/constants.js';
 import type {HostRecord} from './step-host-record.js';
 
 /**
@@ -18,7 +18,7 @@
 	record: HostRecord | undefined,
 	now: number,
 ): number {
-	return record?.rateLimit && now - record.reportedAt <= turnTrustMs
+	return record?.rateLimit && now - record.reportedAt <= rateLimitWaitExpiryMs
 		? Math.max(0, record.rateLimit.nextSendAt - now)
 		: 0;
 }
--- a/src/coordination/compute-position.ts
+++ b/src/coordination/compute-position.ts
@@ -2,7 +2,7 @@
 	maxTreeFanOut,
 	rootsPerDataCentre,
 	treeFanOut,
-	usualCapacity,
+	referenceCapacity,
 } from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
 import {orderMembers} from './_lib/order-members.js';
@@ -17,8 +17,9 @@
 	ordered: readonly Member[],
 	usualFanOut: number,
 ): readonly number[] {
-	const capacities = ordered.map(({capacity = usualCapacity}) => capacity);
-	const median = capacities[Math.floor(capacities.length / 2)] ?? usualCapacity;
+	const capacities = ordered.map(({capacity = referenceCapacity}) => capacity);
+	const median =
+		capacities[Math.floor(capacities.length / 2)] ?? referenceCapacity;
 	return capacities.map((capacity) => {
 		const fanOut = Math.floor((usualFanOut * capacity) / median);
 		return Math.min(maxTreeFanOut, Math.max(1, fanOut));
--- a/src/coordination/compute-transit-time.ts
+++ b/src/coordination/compute-transit-time.ts
@@ -15,12 +15,15 @@
  * computeTransitTime({madeAtGateMs: 1000, unreadMs: 20}, 1600); // 600
  */
 export function computeTransitTime(
-	{madeAtGateMs, unreadMs = 0}: Pick<Attempt, 'madeAtGateMs' | 'unreadMs'>,
+	{
+		createdAtGateMs,
+		unreadMs = 0,
+	}: Pick<Attempt, 'createdAtGateMs' | 'unreadMs'>,
 	now: number,
 ): number {
 	return Math.max(
 		0,
 		unreadMs,
-		madeAtGateMs === undefined ? 0 : now - madeAtGateMs,
+		createdAtGateMs === undefined ? 0 : now - createdAtGateMs,
 	);
 }
--- a/src/coordination/compute-unread-time.ts
+++ b/src/coordination/compute-unread-time.ts
@@ -1,4 +1,4 @@
-import {outdatedLagMs} from '../protocol/constants.js';
+import {lagThresholdMs} from '../protocol/constants.js';
 
 /**
  * Computes how long a request may have waited in a socket before a node read it.
@@ -13,5 +13,5 @@
  * computeUnreadTime(120); // 120
  */
 export function computeUnreadTime(lagMs: number): number {
-	return lagMs > outdatedLagMs ? lagMs : 0;
+	return lagMs > lagThresholdMs ? lagMs : 0;
 }
--- a/src/coordination/is-unreachable.ts
+++ b/src/coordination/is-unreachable.ts
@@ -1,4 +1,4 @@
-import {silentAfterMs} from '../protocol/constants.js';
+import {hostSilenceTimeoutMs} from '../protocol/constants.js';
 import type {HostRecord} from './step-host-record.js';
 
 /**
@@ -26,6 +26,6 @@
 	const {silentSince, unreachable = 0} = record;
 	const isBackingOff = unreachable > 0 && record.ejectedUntil > now;
 	const isSilent =
-		silentSince !== undefined && now - silentSince > silentAfterMs;
+		silentSince !== undefined && now - silentSince > hostSilenceTimeoutMs;
 	return isBackingOff || isSilent;
 }
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -1,8 +1,8 @@
 import {
 	exploreAfterMs,
-	exploreShare,
-	minInUseShare,
-	spillShare as defaultSpillShare,
+	exploreRatio,
+	minInUseRatio,
+	spilloverThreshold as defaultSpillShare,
 } from '../protocol/constants.js';
 import type {Candidate} from '../protocol/member.js';
 import {
@@ -50,7 +50,7 @@
 	const healthy = candidates.filter(
 		({host}) => !isEjected(records.get(host), now),
 	);
-	return healthy.length < candidates.length * minInUseShare
+	return healthy.length < candidates.length * minInUseRatio
 		? candidates
 		: healthy;
 }
@@ -111,7 +111,7 @@
 	random: () => number,
 	now: number,
 ): Candidate | undefined {
-	if (random() >= exploreShare) {
+	if (random() >= exploreRatio) {
 		return undefined;
 	}
 
--- a/src/coordination/step-commit.ts
+++ b/src/coordination/step-commit.ts
@@ -1,6 +1,6 @@
 import {
 	logRingSize,
-	maxWaitingPerTeam,
+	maxPendingSubmissionsPerTeam,
 	snapshotIntervalEntries,
 } from '../protocol/constants.js';
 import {
@@ -26,7 +26,7 @@
 	const waitingOfTeam = state.waiting.filter(
 		({manifest}) => manifest.team === pending.manifest.team,
 	);
-	if (waitingOfTeam.length >= maxWaitingPerTeam) {
+	if (waitingOfTeam.length >= maxPendingSubmissionsPerTeam) {
 		const outcome = {
 			kind: 'unavailable',
 			submissionId: pending.submissionId,
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -1,7 +1,7 @@
 import {
 	ejectionBaseMs,
 	ejectionCapMs,
-	ejectionErrorShare,
+	ejectionErrorRatio,
 	ejectionMinSamples,
 	msPerSecond,
 	unreachableBaseMs,
@@ -228,7 +228,7 @@
 	return (
 		record.ejectedUntil <= now &&
 		record.samples >= ejectionMinSamples &&
-		(record.errorShare > ejectionErrorShare ||
+		(record.errorShare > ejectionErrorRatio ||
 			(serviceLatencyMs > 0 &&
 				record.latencyMs > slowFactor * serviceLatencyMs))
 	);
--- a/src/coordination/step-retry-budget.ts
+++ b/src/coordination/step-retry-budget.ts
@@ -1,6 +1,6 @@
 import {
-	retryBudgetFloor,
-	retryBudgetShare,
+	minRetryBudget,
+	retryBudgetRatio,
 	retryBudgetWindowMs,
 } from '../protocol/constants.js';
 
@@ -58,7 +58,7 @@
 	now: number,
 	options: RetryBudgetOptions = {},
 ): RetryBudget {
-	const {share = retryBudgetShare, floor = retryBudgetFloor} = options;
+	const {share = retryBudgetRatio, floor = minRetryBudget} = options;
 	const {windowMs = retryBudgetWindowMs} = options;
 	const number = Math.floor((now * partsPerWindow) / windowMs);
 	const known = (budget?.parts ?? []).filter(
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -35,7 +35,7 @@
 	 * When it was made, ms on the clock of the gate that gave the stamp; early by
 	 * no more than the way of a stamp.
 	 */
-	readonly madeAtGateMs?: number | undefined;
+	readonly createdAtGateMs?: number | undefined;
 	/** How long it may have lain unread at the gate, as the gate's lag says, ms. */
 	readonly unreadMs?: number | undefined;
 	/** What the sender knows of the gate's upstream; a gate that has started again may not. */
@@ -51,7 +51,7 @@
 	/** Called before the first byte of the attempt may leave this node. */
 	readonly onSend?: (() => void) | undefined;
 	/** Called with each sign that the gate still has the attempt. */
-	readonly onSignOfLife?: (() => void) | undefined;
+	readonly onKeepalive?: (() => void) | undefined;
 	/** Idempotency key of the caller with its team and service. */
 	readonly key: string | undefined;
 	/** Aborted when nobody wants the answer any more. */
@@ -61,12 +61,12 @@
 };
 
 /** Names an attempt whose fate is asked for. */
-export const attemptQuestionSchema = z.object({
+export const attemptQuerySchema = z.object({
 	id: z.string().max(256),
 	stamp: z.object({epoch: z.string().max(64), timeMs: z.number()}).optional(),
 });
 
-export type AttemptQuestion = z.infer<typeof attemptQuestionSchema>;
+export type AttemptQuery = z.infer<typeof attemptQuerySchema>;
 
 /** What an upstream has said of itself in its answers, as its gate keeps it. */
 export type UpstreamNotice = {
@@ -76,11 +76,11 @@
 	readonly incarnation?: number | undefined;
 	readonly isLeaving: boolean;
 	/** Undefined when it names no limit. */
-	readonly rateLimit?: StatedRateLimit | undefined;
+	readonly rateLimit?: ReportedRateLimit | undefined;
 };
 
 /** A rate limit that an upstream has named. */
-export type StatedRateLimit = {
+export type ReportedRateLimit = {
 	/** Requests a second that it takes from all nodes together. */
 	readonly perSecond: number;
 	/** Expected wait of the next attempt for its turn, ms. */
--- a/src/protocol/edge.ts
+++ b/src/protocol/edge.ts
@@ -6,7 +6,7 @@
 import type {Attempt, GateLoad} from './attempt.js';
 
 /** What a caller says of its request. */
-export type CallerTerms = {
+export type CallerParameters = {
 	/** Identifier that the caller chose. */
 	readonly requestId: string | undefined;
 	/** How long the caller waits, ms. */
@@ -18,7 +18,7 @@
 };
 
 /** What an upstream's answer says of the attempt. */
-export type AnswerVerdict =
+export type ResponseClass =
 	/** It is the upstream's answer to the attempt. */
 	| 'answered'
 	/** The upstream was too busy, and has not run the attempt. */
@@ -29,13 +29,13 @@
 	| 'misplaced';
 
 /** An answer as far as the edge reads it. */
-export type AnswerHead = {
+export type ResponseHead = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
 };
 
 /** A rate limit as an upstream states it. */
-export type StatedRate =
+export type RateLimitField =
 	| {readonly kind: 'none'}
 	| {
 			readonly kind: 'named';
@@ -47,7 +47,7 @@
 
 /** What an upstream says of itself in the head of an answer. */
 export type UpstreamReport = {
-	readonly rateLimit: StatedRate;
+	readonly rateLimit: RateLimitField;
 	/** Whether it is about to end, and takes no further requests. */
 	readonly isLeaving: boolean;
 	/** Names of the headers that say so, for the log. */
@@ -55,7 +55,7 @@
 };
 
 /** The report of an upstream that says nothing of itself. */
-export const silentReport: UpstreamReport = {
+export const emptyReport: UpstreamReport = {
 	rateLimit: {kind: 'none'},
 	isLeaving: false,
 	headerNames: [],
@@ -76,14 +76,14 @@
 	/** Whether a path that can be read in more than one way is refused. */
 	readonly refusesAmbiguousPaths: boolean;
 	/** Whether an upstream's answer names its request, so that `judgeAnswer` tells one to another request. */
-	readonly identifiesAnswers: boolean;
-	readCaller(headers: IncomingHttpHeaders): CallerTerms;
+	readonly identifiesResponses: boolean;
+	readCallerParameters(headers: IncomingHttpHeaders): CallerParameters;
 	/** Gives the headers that are set on a request to an upstream. */
 	createUpstreamHeaders(
 		attempt: Attempt,
 		context: UpstreamContext,
 	): Readonly<Record<string, string>>;
-	judgeAnswer(answer: AnswerHead, attempt: Attempt): AnswerVerdict;
+	classifyResponse(answer: ResponseHead, attempt: Attempt): ResponseClass;
 	/** Reads the load that an upstream reports with its answer. */
 	readLoad(headers: IncomingHttpHeaders): GateLoad | undefined;
 	/** Reads what an upstream says of itself with its answer. */
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -100,7 +100,7 @@
 	readonly version: number;
 	readonly byHost: ReadonlyMap<string, ReadonlyMap<string, HostRoute>>;
 	/** Whether a route can't be read, nor its host, so that any unknown request may be for it. */
-	readonly hasUnplacedRoute: boolean;
+	readonly hasRouteWithUnknownHost: boolean;
 };
 
 /** Compiled routes, to be matched with `matchRoute`. */
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -5,7 +5,7 @@
  * messages of refused files and of docs/CONFIGURATION.md.
  */
 import * as z from 'zod';
-import {maxCapacity, usualCapacity} from './constants.js';
+import {maxCapacity, referenceCapacity} from './constants.js';
 
 const addressPattern =
 	/^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)\.){3}(?:25[0-5]|2[0-4]\d|1?\d?\d):\d{1,5}$/v;
@@ -48,7 +48,7 @@
 const capacitySchema = z
 	.string()
 	.regex(/^\d+$/v, 'not an integer')
-	.default(String(usualCapacity))
+	.default(String(referenceCapacity))
 	.transform(Number)
 	.pipe(z.int().min(1).max(maxCapacity))
 	.describe(`integer 1 to ${maxCapacity}`);
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -70,7 +70,7 @@
 
 	// Requests may be for a route that can't be read under its path, or anywhere
 	// on its host that no other route covers.
-	let hasUnplacedRoute = false;
+	let hasRouteWithUnknownHost = false;
 	for (const problem of document.problems ?? []) {
 		if (problem.kind !== 'route-refused') {
 			continue;
@@ -78,7 +78,7 @@
 
 		const {host, pathPrefix = '/'} = problem;
 		if (host === undefined) {
-			hasUnplacedRoute = true;
+			hasRouteWithUnknownHost = true;
 			continue;
 		}
 
@@ -89,5 +89,5 @@
 	}
 
 	const {version} = document;
-	return {kind: 'document', version, byHost, hasUnplacedRoute};
+	return {kind: 'document', version, byHost, hasRouteWithUnknownHost};
 }
--- a/src/state/encode-member.ts
+++ b/src/state/encode-member.ts
@@ -1,4 +1,4 @@
-import {usualCapacity} from '../protocol/constants.js';
+import {referenceCapacity} from '../protocol/constants.js';
 import type {Member, MemberRecord} from '../protocol/member.js';
 
 /**
@@ -13,10 +13,10 @@
  * encodeMember({...member, upstreams: []}, 0).upstreams; // []
  */
 export function encodeMember(member: Member, now: number): MemberRecord {
-	const {capacity = usualCapacity, upstreams, ...rest} = member;
+	const {capacity = referenceCapacity, upstreams, ...rest} = member;
 	return {
 		...rest,
-		...(capacity === usualCapacity ? {} : {capacity}),
+		...(capacity === referenceCapacity ? {} : {capacity}),
 		upstreams: upstreams.map(({since, ...upstream}) => ({
 			...upstream,
 			ageMs: Math.max(0, Math.round(now - since)),
--- a/src/state/match-route.ts
+++ b/src/state/match-route.ts
@@ -47,7 +47,7 @@
 	table: DocumentRouteTable,
 	{host, path}: RouteQuery,
 ): HostRoute | undefined {
-	const unknown = table.hasUnplacedRoute ? 'unreadable' : undefined;
+	const unknown = table.hasRouteWithUnknownHost ? 'unreadable' : undefined;
 	const routes =
 		table.byHost.get(host) ?? table.byHost.get(removePort(host).toLowerCase());
 	if (!routes) {
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -76,8 +76,8 @@
 		headers[noticeHeader] = formatNotice(attempt.notice);
 	}
 
-	if (attempt.madeAtGateMs !== undefined) {
-		headers[gateTimeHeader] = String(Math.floor(attempt.madeAtGateMs));
+	if (attempt.createdAtGateMs !== undefined) {
+		headers[gateTimeHeader] = String(Math.floor(attempt.createdAtGateMs));
 	}
 
 	if (attempt.key !== undefined) {
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -6,7 +6,7 @@
 import type {Ledger} from '../../coordination/create-ledger.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
-import type {AnswerHead, Edge} from '../../protocol/edge.js';
+import type {ResponseHead, Edge} from '../../protocol/edge.js';
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
@@ -38,7 +38,7 @@
 	/** Called after an attempt has been sent. */
 	readonly onSent: (upstream: LocalUpstream) => void;
 	/** Called with the head of each response. */
-	readonly onHead: (job: Job, head: AnswerHead) => void;
+	readonly onHead: (job: Job, head: ResponseHead) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -248,7 +248,7 @@
 			{
 				agent: upstream.agent,
 				address: upstream.announcement.address,
-				areResponsesIdentified: edge.identifiesAnswers,
+				areResponsesIdentified: edge.identifiesResponses,
 				onSent() {
 					job.fullySentAt = now();
 				},
--- a/src/transport/_lib/create-report-log.ts
+++ b/src/transport/_lib/create-report-log.ts
@@ -1,5 +1,5 @@
 import {msPerSecond} from '../../protocol/constants.js';
-import type {AnswerVerdict, UpstreamReport} from '../../protocol/edge.js';
+import type {ResponseClass, UpstreamReport} from '../../protocol/edge.js';
 import type {Logger} from '../create-logger.js';
 
 /** Options of `createReportLog`. */
@@ -16,7 +16,7 @@
 	readonly report: UpstreamReport;
 	/** HTTP status of the response. */
 	readonly status: number;
-	readonly verdict: AnswerVerdict;
+	readonly verdict: ResponseClass;
 };
 
 /** Logs the reports of upstreams. */
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -28,10 +28,10 @@
 import {
 	latencyRefreshMs,
 	msPerSecond,
-	notableBodyBytes,
+	minTransferCostBodyBytes,
 	stampLifetimeMs,
 	upstreamTombstoneMs,
-	usualLinkMbps,
+	referenceLinkMbps,
 } from '../../protocol/constants.js';
 import type {Candidate, MembersView} from '../../protocol/member.js';
 import type {OutcomeReason} from '../../protocol/request.js';
@@ -147,7 +147,7 @@
 	options: ServiceRouterOptions,
 ): ServiceRouter {
 	const {name, dataCentre, gate, forwarder, logger, now, random} = options;
-	const {linkMbps = usualLinkMbps} = options;
+	const {linkMbps = referenceLinkMbps} = options;
 	const records = new Map<string, HostRecord>();
 	const stamps = new Map<string, CachedStamp>();
 	// Notices outlive host records, because a restarting host is missing from the view for a while.
@@ -259,9 +259,9 @@
 			runAttempt: async (attempt) =>
 				forwarder.forwardAttempt(address, {
 					...attempt,
-					onSignOfLife() {
+					onKeepalive() {
 						updateHostRecord(host.host, service, {kind: 'keepalive'});
-						attempt.onSignOfLife?.();
+						attempt.onKeepalive?.();
 					},
 				}),
 			ask: async (question) => forwarder.ask(address, question),
@@ -296,7 +296,7 @@
 
 		const {bodyBytes = 0, ...route} = criteria;
 		const transfer =
-			bodyBytes < notableBodyBytes
+			bodyBytes < minTransferCostBodyBytes
 				? undefined
 				: {bytes: bodyBytes, host: name, linkMbps};
 		const pick = {dataCentre, now: now(), ...route, transfer};
--- a/src/transport/_lib/gate-client.ts
+++ b/src/transport/_lib/gate-client.ts
@@ -1,7 +1,7 @@
 import type {LedgerStep} from '../../coordination/step-ledger-record.js';
 import type {
 	Attempt,
-	AttemptQuestion,
+	AttemptQuery,
 	ForwardResult,
 	UpstreamNotice,
 } from '../../protocol/attempt.js';
@@ -23,11 +23,11 @@
 	/** Returns the last notice about the gate's upstream, if there is one. */
 	readNotice(): UpstreamNotice | undefined;
 	runAttempt(attempt: Attempt): Promise<ForwardResult>;
-	ask(question: AttemptQuestion): Promise<LedgerStep['answer'] | 'failed'>;
+	ask(question: AttemptQuery): Promise<LedgerStep['answer'] | 'failed'>;
 	fetchAnswer(
 		id: string,
 		remainingMs: number,
 		signal: CancelSignal,
 	): Promise<ForwardResult>;
-	cancel(question: AttemptQuestion): Promise<void>;
+	cancel(question: AttemptQuery): Promise<void>;
 };
--- a/src/transport/_lib/has-client-disconnected.ts
+++ b/src/transport/_lib/has-client-disconnected.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {setImmediate as waitForImmediate} from 'node:timers/promises';
-import {outdatedLagMs} from '../../protocol/constants.js';
+import {lagThresholdMs} from '../../protocol/constants.js';
 
 /** Options of `hasClientDisconnected`. */
 export type ClientDisconnectOptions = {
@@ -31,7 +31,7 @@
 	lagMs: number,
 	{isAgeKnown = true}: ClientDisconnectOptions = {},
 ): Promise<boolean> {
-	if (isAgeKnown && lagMs <= outdatedLagMs) {
+	if (isAgeKnown && lagMs <= lagThresholdMs) {
 		return false;
 	}
 
--- a/src/transport/_lib/local-notice.ts
+++ b/src/transport/_lib/local-notice.ts
@@ -4,14 +4,14 @@
 import {computeRateLimitWait} from '../../coordination/compute-rate-limit-wait.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {UpstreamNotice} from '../../protocol/attempt.js';
-import type {AnswerVerdict, UpstreamReport} from '../../protocol/edge.js';
+import type {ResponseClass, UpstreamReport} from '../../protocol/edge.js';
 import type {Announcement} from '../../protocol/member.js';
 import type {LocalUpstream} from './local-upstream.js';
 
 /** A report and the response that carried it. */
 export type ReceivedReport = {
 	readonly report: UpstreamReport;
-	readonly verdict: AnswerVerdict;
+	readonly verdict: ResponseClass;
 	/** When the request was sent, monotonic ms. */
 	readonly sentAt: number;
 };
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -25,7 +25,7 @@
 import type {TeamUse} from '../../coordination/step-team-use.js';
 import type {Utilization} from '../../coordination/step-utilization.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
-import {loadTrustMs, usualObjectivePart} from '../../protocol/constants.js';
+import {loadExpiryMs, defaultObjectiveRatio} from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
 import {createPooledAgent} from './create-pooled-agent.js';
@@ -242,7 +242,7 @@
 	{inFlight, work, announcement}: LocalUpstream,
 	now: number,
 ): number {
-	const isKnown = work !== undefined && now - work.at < loadTrustMs;
+	const isKnown = work !== undefined && now - work.at < loadExpiryMs;
 	return isKnown
 		? inFlight + Math.min(work.foreignRequests, announcement.slots - 1)
 		: inFlight;
@@ -265,7 +265,7 @@
 		route === undefined ? undefined : upstream.routeTimes.get(route);
 	return known !== undefined || objectiveMs === undefined
 		? readServiceTime(known ?? upstream.serviceTime, now)
-		: objectiveMs * usualObjectivePart;
+		: objectiveMs * defaultObjectiveRatio;
 }
 
 /**
--- a/src/transport/_lib/parse-rate-limit.ts
+++ b/src/transport/_lib/parse-rate-limit.ts
@@ -1,4 +1,4 @@
-import type {StatedRate} from '../../protocol/edge.js';
+import type {RateLimitField} from '../../protocol/edge.js';
 
 /** Maximum length of an unreadable text that is kept, characters. */
 const maxTextLength = 64;
@@ -14,7 +14,7 @@
  */
 export function parseRateLimit(
 	value: string | string[] | undefined,
-): StatedRate {
+): RateLimitField {
 	if (value === undefined) {
 		return {kind: 'none'};
 	}
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -67,7 +67,7 @@
 		objectiveMs: readNumber(headers[objectiveHeader]),
 		stamp: parseStamp(headers[stampHeader]),
 		notice: parseNotice(headers[noticeHeader]),
-		madeAtGateMs: readNumber(headers[gateTimeHeader]),
+		createdAtGateMs: readNumber(headers[gateTimeHeader]),
 		key: headers[keyHeader]?.toString(),
 		traceparent: headers[traceparentHeader]?.toString(),
 	};
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -1,7 +1,10 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {pipeline, Transform, type Readable} from 'node:stream';
-import {maxBufferedBytes, maxHeldBodyBytes} from '../../protocol/constants.js';
+import {
+	maxBufferedBytes,
+	maxBufferedBodyBytes,
+} from '../../protocol/constants.js';
 import type {BodyMemoryBudget} from './create-body-memory-budget.js';
 import {discardBody} from './discard-body.js';
 
@@ -83,7 +86,7 @@
 		return bufferBody(request, {...options, bufferLimitBytes});
 	}
 
-	if (bytes > maxHeldBodyBytes || !memory?.tryReserve(bytes)) {
+	if (bytes > maxBufferedBodyBytes || !memory?.tryReserve(bytes)) {
 		return {kind: 'read', body: limitBody(request, maxBytes), reservedBytes: 0};
 	}
 
--- a/src/transport/_lib/read-upstream-outcome.ts
+++ b/src/transport/_lib/read-upstream-outcome.ts
@@ -1,7 +1,7 @@
 import {Readable} from 'node:stream';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
 import {retryAfterSeconds} from '../../protocol/constants.js';
-import type {AnswerVerdict, Edge} from '../../protocol/edge.js';
+import type {ResponseClass, Edge} from '../../protocol/edge.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
 import type {EarlyEndReason} from './local-upstream.js';
@@ -22,7 +22,7 @@
 };
 
 /** Results for responses that do not answer the attempt. */
-const refusals: Readonly<Record<Exclude<AnswerVerdict, 'answered'>, Refusal>> =
+const refusals: Readonly<Record<Exclude<ResponseClass, 'answered'>, Refusal>> =
 	{
 		shed: {kind: 'not-run', reason: 'shed'},
 		'wrong-instance': {kind: 'not-run', reason: 'wrong-instance'},
@@ -56,7 +56,7 @@
 	switch (outcome.kind) {
 		case 'answered': {
 			const {status, headers, body} = outcome;
-			const verdict = edge.judgeAnswer(outcome, attempt);
+			const verdict = edge.classifyResponse(outcome, attempt);
 			if (verdict === 'answered') {
 				return {kind: 'answered', status, headers, body, load, stamp};
 			}
--- a/src/transport/_lib/report-gate-event.ts
+++ b/src/transport/_lib/report-gate-event.ts
@@ -17,7 +17,7 @@
 	now: number,
 ): void {
 	const {attempt, admittedAt, sentAt} = job;
-	const {madeAtGateMs, unreadMs = 0} = attempt;
+	const {createdAtGateMs, unreadMs = 0} = attempt;
 	observer.onGate?.({
 		requestId: attempt.requestId,
 		attemptId: attempt.id,
@@ -28,7 +28,8 @@
 		status: result.kind === 'answered' ? result.status : 0,
 		startedAtMs: admittedAt,
 		durationMs: now - admittedAt,
-		ageMs: madeAtGateMs === undefined ? undefined : admittedAt - madeAtGateMs,
+		ageMs:
+			createdAtGateMs === undefined ? undefined : admittedAt - createdAtGateMs,
 		unreadMs,
 		queuedMs: (sentAt === 0 ? now : sentAt) - admittedAt,
 		parentTraceparent: attempt.traceparent,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -13,7 +13,7 @@
 	askAfterMs,
 	busyRetryMs,
 	deadlineMarginMs,
-	usualObjectivePart,
+	defaultObjectiveRatio,
 } from '../../protocol/constants.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
@@ -31,12 +31,12 @@
 	| 'remainingMs'
 	| 'objectiveMs'
 	| 'stamp'
-	| 'madeAtGateMs'
+	| 'createdAtGateMs'
 	| 'notice'
 	| 'signal'
 	| 'traceparent'
 	| 'onSend'
-	| 'onSignOfLife'
+	| 'onKeepalive'
 > & {
 	/** Prefix of the attempts' identifiers. */
 	readonly idPrefix: string;
@@ -197,7 +197,7 @@
 					(parameters.objectiveAt ?? parameters.deadlineAt) - startedAt,
 				),
 				stamp,
-				madeAtGateMs: gate.readGateTime(startedAt),
+				createdAtGateMs: gate.readGateTime(startedAt),
 				notice: gate.readNotice(),
 				signal: controller.signal,
 				traceparent: options.createTraceparent(),
@@ -206,7 +206,7 @@
 					: () => {
 							dispatch({kind: 'sent', attempt: number, hasStamp});
 						},
-				onSignOfLife: gate.isLocal
+				onKeepalive: gate.isLocal
 					? undefined
 					: () => {
 							livenessTimer?.refresh();
@@ -326,7 +326,7 @@
 			const at = now();
 			return computeRetryAfter({
 				waitMs: Math.max(busyRetryMs, options.readRateLimitWait?.() ?? 0),
-				serviceMs: (template.routeObjectiveMs ?? 0) * usualObjectivePart,
+				serviceMs: (template.routeObjectiveMs ?? 0) * defaultObjectiveRatio,
 				objectiveMs: objectiveAt - at,
 				remainingMs: Math.max(0, deadlineAt - at),
 				random: options.random(),
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -10,7 +10,7 @@
 import {Readable} from 'node:stream';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
-import type {AnswerHead} from '../../protocol/edge.js';
+import type {ResponseHead} from '../../protocol/edge.js';
 import {discardBody} from './discard-body.js';
 import {
 	startPostPollTimer,
@@ -63,7 +63,7 @@
 	/** Called for each informational response (1xx). */
 	readonly onInterim?: (() => void) | undefined;
 	/** Called when the response head has been received. */
-	readonly onHead?: ((head: AnswerHead) => void) | undefined;
+	readonly onHead?: ((head: ResponseHead) => void) | undefined;
 };
 
 /** A request that has been passed to a connection. */
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -3,7 +3,7 @@
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
-	AttemptQuestion,
+	AttemptQuery,
 	ForwardResult,
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
@@ -28,7 +28,7 @@
 	/** Asks a gate, on a new connection, what became of an attempt. */
 	ask(
 		address: string,
-		question: AttemptQuestion,
+		question: AttemptQuery,
 	): Promise<LedgerStep['answer'] | 'failed'>;
 	/** Fetches an attempt's answer, on a new connection; waits while it runs. */
 	fetchAnswer(
@@ -40,7 +40,7 @@
 	/** Gets a stamp of a gate; undefined when it cannot be reached. */
 	readStamp(address: string): Promise<GateStamp | undefined>;
 	/** Tells a gate, on a new connection, that nobody wants an answer. */
-	cancel(address: string, question: AttemptQuestion): Promise<void>;
+	cancel(address: string, question: AttemptQuery): Promise<void>;
 	stop(): Promise<void>;
 };
 
@@ -111,7 +111,7 @@
 					// A gate answers each attempt once.
 					areResponsesIdentified: true,
 					onSend: attempt.onSend,
-					onInterim: attempt.onSignOfLife,
+					onInterim: attempt.onKeepalive,
 				},
 			);
 			return readGateOutcome(await awaitOutcome(sent, attempt.signal));
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -46,7 +46,7 @@
 		ageMs: undefined,
 		unreadMs: 0,
 	});
-	metrics.noteAcceptWait('callers', 30);
+	metrics.recordAcceptWait('callers', 30);
 	const text = await metrics.formatText();
 	for (const name of Object.values(meshMetricNames)) {
 		assert.match(text, new RegExp(`^${name}`, 'mv'));
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -30,7 +30,7 @@
 	/** Content type of the text. */
 	readonly contentType: string;
 	/** Notes how long connections of one of the node's servers waited, ms. */
-	noteAcceptWait(server: string, waitMs: number): void;
+	recordAcceptWait(server: string, waitMs: number): void;
 	/** Writes all metrics in the text format of Prometheus. */
 	formatText(): Promise<string>;
 };
@@ -129,7 +129,7 @@
 
 	return {
 		contentType: registry.contentType,
-		noteAcceptWait(server, waitMs) {
+		recordAcceptWait(server, waitMs) {
 			acceptMs.observe({server}, waitMs);
 		},
 		async formatText() {
--- a/src/transport/create-peer-client.test.ts
+++ b/src/transport/create-peer-client.test.ts
@@ -23,7 +23,9 @@
 	const port = typeof bound === 'object' ? bound!.port : 0;
 	const calls: Array<Promise<unknown>> = [];
 	for (let count = 0; count < 3; count++) {
-		const client = peers.getClient(`127.0.0.1:${port}`, {isFresh: true});
+		const client = peers.getClient(`127.0.0.1:${port}`, {
+			needsNewConnection: true,
+		});
 		const hasArrived = once(server, 'waiting');
 		calls.push(client.stamp.mutate());
 		await hasArrived;
--- a/src/transport/create-peer-client.ts
+++ b/src/transport/create-peer-client.ts
@@ -14,7 +14,7 @@
 	/** Returns a client; a fresh one opens connections of its own. */
 	getClient(
 		address: string,
-		options?: {readonly isFresh?: boolean},
+		options?: {readonly needsNewConnection?: boolean},
 	): PeerClient;
 	stop(): Promise<void>;
 };
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -12,13 +12,10 @@
 } from '../protocol/routing-document.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
-import {
-	attemptQuestionSchema,
-	type AttemptQuestion,
-} from '../protocol/attempt.js';
+import {attemptQuerySchema, type AttemptQuery} from '../protocol/attempt.js';
 
 /** What became of the answer to a call on its connection. */
-export type WrittenAnswer = {
+export type WrittenResponse = {
 	/** Head included. */
 	readonly bytes: number;
 	/** Time until it was handed to the operating system, ms. */
@@ -30,15 +27,15 @@
 /** A call on its connection. */
 export type PeerCall = {
 	/** Observes the writing of the answer, which begins now. */
-	onWritten(listener: (written: WrittenAnswer) => void): void;
+	onWritten(listener: (written: WrittenResponse) => void): void;
 };
 
 /** The handlers that a node's tasks give to the peer router. */
 export type PeerHandlers = {
 	handlePoll(poll: Poll): Promise<PollAnswer>;
 	handleExchange(exchange: Exchange): ExchangeAnswer;
-	handleAsk(question: AttemptQuestion): LedgerStep['answer'];
-	handleCancel(question: AttemptQuestion): void;
+	handleAsk(question: AttemptQuery): LedgerStep['answer'];
+	handleCancel(question: AttemptQuery): void;
 	handleStamp(): GateStamp;
 	/** Answers polls for documents; absent where there are none. */
 	handleDocument?(
@@ -75,10 +72,10 @@
 			.input(exchangeSchema)
 			.mutation(({input}) => handlers.handleExchange(input)),
 		ask: t.procedure
-			.input(attemptQuestionSchema)
+			.input(attemptQuerySchema)
 			.mutation(({input}) => handlers.handleAsk(input)),
 		stamp: t.procedure.mutation(() => handlers.handleStamp()),
-		cancel: t.procedure.input(attemptQuestionSchema).mutation(({input}) => {
+		cancel: t.procedure.input(attemptQuerySchema).mutation(({input}) => {
 			handlers.handleCancel(input);
 		}),
 	});
--- a/src/transport/own-edge.ts
+++ b/src/transport/default-edge.ts
@@ -1,5 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import {silentReport, type Edge} from '../protocol/edge.js';
+import {emptyReport, type Edge} from '../protocol/edge.js';
 import {
 	deadlineHeader,
 	depthHeader,
@@ -26,10 +26,10 @@
 }
 
 /** The project's own headers towards callers and upstreams. */
-export const ownEdge: Edge = {
+export const defaultEdge: Edge = {
 	refusesAmbiguousPaths: true,
-	identifiesAnswers: false,
-	readCaller(headers) {
+	identifiesResponses: false,
+	readCallerParameters(headers) {
 		const depth = readNumber(headers, depthHeader) ?? 0;
 		const key = headers[idempotencyKeyHeader];
 		return {
@@ -47,7 +47,7 @@
 			...(traceparent !== undefined && {[traceparentHeader]: traceparent}),
 		};
 	},
-	judgeAnswer({status, headers}, attempt) {
+	classifyResponse({status, headers}, attempt) {
 		const isShed =
 			status === statusServiceUnavailable &&
 			headers[shedHeader] === 'not-run' &&
@@ -60,7 +60,7 @@
 			(name) => headers[name] !== undefined,
 		);
 		return headerNames.length === 0
-			? silentReport
+			? emptyReport
 			: {
 					rateLimit: parseRateLimit(headers[rateLimitHeader]),
 					isLeaving: headers[leavingHeader] === '1',
--- a/src/transport/gate-refusal.test.ts
+++ b/src/transport/gate-refusal.test.ts
@@ -28,7 +28,7 @@
 	advance(100);
 	answer();
 	await first;
-	assert.equal(gate.refuseAhead(attempt), undefined);
+	assert.equal(gate.refuseBeforeBody(attempt), undefined);
 
 	const results = [];
 	for (let count = 0; count < 5; count++) {
@@ -36,7 +36,7 @@
 	}
 
 	await waitUntilHeld(1);
-	const refusal = gate.refuseAhead(attempt);
+	const refusal = gate.refuseBeforeBody(attempt);
 	assert.ok(refusal?.kind === 'not-run');
 	assert.equal(refusal.reason, 'saturated');
 
--- a/src/transport/gate-reports.test.ts
+++ b/src/transport/gate-reports.test.ts
@@ -7,7 +7,7 @@
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {startHeldGate} from '../../harness/start-held-gate.js';
 import type {Attempt, AttemptResult} from '../protocol/attempt.js';
-import {silentReport} from '../protocol/edge.js';
+import {emptyReport} from '../protocol/edge.js';
 import type {Announcement} from '../protocol/member.js';
 import {startServer} from './_lib/start-server.js';
 import {startGateTask} from './start-gate-task.js';
@@ -198,7 +198,7 @@
 test('a gate that has heard nothing yet takes over the limit that a caller knows', async (t) => {
 	const {gate, run} = await startHeldGate(t);
 	// What the probe finds need not name all that answers to requests do.
-	gate.takeReport('i-1', silentReport);
+	gate.handleReport('i-1', emptyReport);
 	const rateLimit = {perSecond: 2, waitMs: 0};
 	const notice = {id: 'i-1', incarnation: 5, isLeaving: false, rateLimit};
 	const result = await run({notice, objectiveMs: 200});
--- a/src/transport/gate-silence.test.ts
+++ b/src/transport/gate-silence.test.ts
@@ -9,7 +9,7 @@
 } from 'node:timers/promises';
 import {startHeldGate} from '../../harness/start-held-gate.js';
 import type {AttemptResult, GateLoad} from '../protocol/attempt.js';
-import {silentReport} from '../protocol/edge.js';
+import {emptyReport} from '../protocol/edge.js';
 
 const loadHeader = 'boragehitch-upstream-load';
 
@@ -165,7 +165,7 @@
 
 test('a gate that starts beside a busy upstream does not overfill it', async (t) => {
 	const {gate, run, held, answer, waitUntilHeld} = await start(t);
-	gate.takeReport('i-1', silentReport, {inFlight: 6, queued: 0, slots: 6});
+	gate.handleReport('i-1', emptyReport, {inFlight: 6, queued: 0, slots: 6});
 	const results = [run(), run()];
 	await waitUntilHeld(1);
 	assert.equal(held.length, 1);
--- a/src/transport/start-caller-task.test.ts
+++ b/src/transport/start-caller-task.test.ts
@@ -6,7 +6,7 @@
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import type {Attempt} from '../protocol/attempt.js';
 import {createForwarder} from './create-forwarder.js';
-import {ownEdge} from './own-edge.js';
+import {defaultEdge} from './default-edge.js';
 import {startCallerTask} from './start-caller-task.js';
 import {startGateTask} from './start-gate-task.js';
 
@@ -54,9 +54,9 @@
 		},
 		logger,
 		edge: {
-			...ownEdge,
-			readCaller: (headers) => ({
-				...ownEdge.readCaller(headers),
+			...defaultEdge,
+			readCallerParameters: (headers) => ({
+				...defaultEdge.readCallerParameters(headers),
 				deadlineMs: 400,
 			}),
 		},
@@ -66,12 +66,12 @@
 	t.after(async () => {
 		await Promise.all([caller.stop(), forwarder.stop(), gate.stop()]);
 	});
-	caller.tellRoutes({
+	caller.updateRoutes({
 		kind: 'document',
 		document: {version: 1, routes: [createSampleRoute('a')], services: {}},
 	});
 	const member = createSampleMember({name: 'abdali-2'});
-	caller.tellView({
+	caller.updateMembers({
 		self: createSampleMember(),
 		members: [member],
 		candidates: new Map([
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -16,15 +16,15 @@
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import type {Configuration} from '../protocol/configuration.js';
 import {
-	answerMarginMs,
-	answerMarginPart,
+	responseMarginMs,
+	responseMarginRatio,
 	busyRetryMs,
 	maxDepth,
-	maxHeldBodiesBytes,
+	bodyMemoryBudgetBytes,
 	msPerSecond,
 	retryAfterSeconds,
 } from '../protocol/constants.js';
-import type {CallerTerms, Edge} from '../protocol/edge.js';
+import type {CallerParameters, Edge} from '../protocol/edge.js';
 import type {MembersView} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
@@ -60,7 +60,7 @@
 import {startServer} from './_lib/start-server.js';
 import type {Forwarder} from './create-forwarder.js';
 import type {Logger} from './create-logger.js';
-import {ownEdge} from './own-edge.js';
+import {defaultEdge} from './default-edge.js';
 import type {GateTask} from './start-gate-task.js';
 
 /** Options of `startCallerTask`. */
@@ -110,8 +110,8 @@
 /** The task that takes callers' requests. */
 export type CallerTask = {
 	readonly address: string;
-	tellRoutes(source: RouteSource): void;
-	tellView(view: MembersView): void;
+	updateRoutes(source: RouteSource): void;
+	updateMembers(view: MembersView): void;
 	/** Requests in flight. */
 	readInFlight(): number;
 	/** Time since a request last began or was in flight, ms. */
@@ -133,7 +133,7 @@
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly route: CompiledRoute;
-	readonly terms: CallerTerms;
+	readonly terms: CallerParameters;
 	/** The caller's identifier, or a new one. */
 	readonly requestId: string;
 	/** When it came in, monotonic ms; before it was read when the node is late. */
@@ -152,14 +152,20 @@
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
 /** Computes the time for an answer that still reaches the client in time. */
-function computeDeadlineMs(terms: CallerTerms, route: CompiledRoute): number {
+function computeDeadlineMs(
+	terms: CallerParameters,
+	route: CompiledRoute,
+): number {
 	const {deadlineMs = Number.POSITIVE_INFINITY} = terms;
-	const wayBackMs = Math.min(answerMarginMs, deadlineMs * answerMarginPart);
+	const wayBackMs = Math.min(
+		responseMarginMs,
+		deadlineMs * responseMarginRatio,
+	);
 	return Math.min(route.deadlineMs, deadlineMs - wayBackMs);
 }
 
 function formatKey(
-	{idempotencyKey}: CallerTerms,
+	{idempotencyKey}: CallerParameters,
 	route: CompiledRoute,
 ): string | undefined {
 	return idempotencyKey !== undefined && !route.repeatable
@@ -206,14 +212,14 @@
 export async function startCallerTask(
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
-	const {logger, observer = {}, edge = ownEdge} = options;
+	const {logger, observer = {}, edge = defaultEdge} = options;
 	const {readLag = () => 0} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const targetNumbers = new Map<string, number>();
-	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 	const idPrefix = randomUUID();
 	let lastId = 0;
 	let source: RouteSource | undefined;
@@ -240,7 +246,7 @@
 	/** Computes when to come again to a node that has no processor time left. */
 	function computeOverloadDelayMs({
 		deadlineMs = retryAfterSeconds * msPerSecond,
-	}: CallerTerms): number {
+	}: CallerParameters): number {
 		const seconds = computeRetryAfter({
 			waitMs: busyRetryMs,
 			serviceMs: 0,
@@ -253,7 +259,7 @@
 
 	/** Computes the time left in which an answer has its full value. */
 	function computeObjectiveMs(
-		{deadlineMs}: CallerTerms,
+		{deadlineMs}: CallerParameters,
 		{name, objectiveMs}: CompiledRoute,
 	): number {
 		if (objectiveMs === undefined || deadlineMs === undefined) {
@@ -311,7 +317,7 @@
 		const {team, service, sheddingMeansNotRun} = route;
 		const deadlineMs = Math.min(
 			computeDeadlineMs(terms, route),
-			Math.max(0, drainBounds.endsAt - answerMarginMs - routed.startedAt),
+			Math.max(0, drainBounds.endsAt - responseMarginMs - routed.startedAt),
 		);
 		const read = await readRequestBody(request, {
 			maxBytes: route.maxBodyBytes,
@@ -429,7 +435,7 @@
 
 	function findRoute(
 		request: IncomingMessage,
-		{depth}: CallerTerms,
+		{depth}: CallerParameters,
 	): CompiledRoute | OutcomeReason {
 		const {url = '/', method = 'GET'} = request;
 		const [path = '/'] = url.split('?', 1);
@@ -466,7 +472,7 @@
 			return;
 		}
 
-		const terms = edge.readCaller(request.headers);
+		const terms = edge.readCallerParameters(request.headers);
 		const found = findRoute(request, terms);
 		if (typeof found === 'string') {
 			refuse(response, found);
@@ -515,7 +521,7 @@
 		handleRequest(request, response).catch((error: unknown) => {
 			abortResponse(response, {
 				cause: {kind: 'failed', error},
-				requestId: edge.readCaller(request.headers).requestId,
+				requestId: edge.readCallerParameters(request.headers).requestId,
 				logger,
 			});
 		});
@@ -527,11 +533,11 @@
 
 	return {
 		address: server.address,
-		tellRoutes(next) {
+		updateRoutes(next) {
 			source = next;
 			table = compileSource(source, candidates);
 		},
-		tellView(view) {
+		updateMembers(view) {
 			router.updateMembers(view);
 			const isSame = isSameKeySet(candidates, view.candidates);
 			candidates = view.candidates;
--- a/src/transport/start-configuration-task.ts
+++ b/src/transport/start-configuration-task.ts
@@ -31,16 +31,16 @@
 
 /** The task that keeps a node's configuration current and serves others. */
 export type ConfigurationTask = {
-	tellView(view: MembersView): void;
+	updateMembers(view: MembersView): void;
 	/** Offers entries that this node has seen accepted. */
-	tellEntries(entries: readonly LogEntry[]): void;
+	addEntries(entries: readonly LogEntry[]): void;
 	/** Tells that another node was heard to hold a version. */
-	tellHeard(name: string, version: number): void;
+	recordHolder(name: string, version: number): void;
 	handlePoll(poll: Poll): Promise<PollAnswer>;
 	/** Reads the configuration that the node runs. */
 	readConfiguration(): Configuration;
 	/** Reads the newest configuration that the node holds. */
-	readNewest(): Configuration;
+	readNewestConfiguration(): Configuration;
 	stop(): void;
 };
 
@@ -85,7 +85,7 @@
 		const {callId, address, poll, timeoutMs, needsNewConnection} = effect;
 		try {
 			const value: unknown = await peers
-				.getClient(address, {isFresh: needsNewConnection})
+				.getClient(address, {needsNewConnection})
 				.poll.mutate(poll, {signal: AbortSignal.timeout(timeoutMs)});
 			tell({kind: 'poll-answer', callId, outcome: {kind: 'answered', value}});
 		} catch (error) {
@@ -140,13 +140,13 @@
 	}, deliveryTickMs);
 
 	return {
-		tellView(view) {
+		updateMembers(view) {
 			tell({kind: 'view', members: view.members});
 		},
-		tellEntries(entries) {
+		addEntries(entries) {
 			tell({kind: 'entries', entries});
 		},
-		tellHeard(name, version) {
+		recordHolder(name, version) {
 			tell({kind: 'holder', name, version});
 		},
 		async handlePoll(poll) {
@@ -162,7 +162,7 @@
 			});
 		},
 		readConfiguration: () => running,
-		readNewest: () => state.heldConfigurations.at(-1)!,
+		readNewestConfiguration: () => state.heldConfigurations.at(-1)!,
 		stop() {
 			stopping.abort();
 			clearInterval(timer);
--- a/src/transport/start-document-task.test.ts
+++ b/src/transport/start-document-task.test.ts
@@ -104,7 +104,7 @@
 		createSampleMember({name: 'a', address: server.address}),
 		self,
 	];
-	receiver.tellView({self, members, candidates: new Map()});
+	receiver.updateMembers({self, members, candidates: new Map()});
 	await pollUntil(async () => documents.length === 1, timeoutMs);
 	answerWatch({kind: 'read', document: second, revision: 2});
 	await pollUntil(async () => documents.length === 2, timeoutMs);
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -63,7 +63,7 @@
 
 /** The task that keeps a node's routing document current and serves others. */
 export type DocumentTask = {
-	tellView(view: MembersView): void;
+	updateMembers(view: MembersView): void;
 	handlePoll(
 		poll: DocumentPoll,
 		call?: PeerCall,
@@ -166,7 +166,7 @@
 		const {callId, address, poll, timeoutMs, needsNewConnection} = effect;
 		try {
 			const body = await peers
-				.getClient(address, {isFresh: needsNewConnection})
+				.getClient(address, {needsNewConnection})
 				// What comes after the call has been given up is still of use.
 				.document.mutate(poll, {
 					signal: AbortSignal.timeout(timeoutMs + documentTransferMs),
@@ -230,7 +230,7 @@
 	tell({kind: 'tick'});
 
 	return {
-		tellView(view) {
+		updateMembers(view) {
 			tell({kind: 'view', members: view.members});
 		},
 		async handlePoll(poll, call) {
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -16,7 +16,7 @@
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
 	Attempt,
-	AttemptQuestion,
+	AttemptQuery,
 	AttemptResult,
 	GateLoad,
 	UpstreamNotice,
@@ -26,8 +26,8 @@
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
-	silentReport,
-	type AnswerHead,
+	emptyReport,
+	type ResponseHead,
 	type Edge,
 	type UpstreamReport,
 } from '../protocol/edge.js';
@@ -60,7 +60,7 @@
 import {reportGateEvent} from './_lib/report-gate-event.js';
 import {startPostPollTimer} from './_lib/start-post-poll-timer.js';
 import type {Logger} from './create-logger.js';
-import {ownEdge} from './own-edge.js';
+import {defaultEdge} from './default-edge.js';
 
 /** Options of `startGateTask`. */
 export type GateTaskOptions = {
@@ -98,15 +98,15 @@
 	 */
 	reviseAnnouncement(id: string, announcement: Announcement): Announcement;
 	/** Takes in what an upstream has reported outside of an attempt. */
-	takeReport(id: string, report: UpstreamReport, load?: GateLoad): void;
+	handleReport(id: string, report: UpstreamReport, load?: GateLoad): void;
 	/**
 	 * Refuses an attempt by its head, before its body has come; undefined when it
 	 * may be taken. The attempt must not be run after a refusal.
 	 */
-	refuseAhead(attempt: Attempt): AttemptResult | undefined;
+	refuseBeforeBody(attempt: Attempt): AttemptResult | undefined;
 	runAttempt(attempt: Attempt): Promise<AttemptResult>;
 	/** Tells what became of an attempt, fencing one that has not arrived. */
-	ask(question: AttemptQuestion): LedgerStep['answer'];
+	ask(question: AttemptQuery): LedgerStep['answer'];
 	/** Waits for the answer of an attempt, or gives the kept one. */
 	fetchAnswer(
 		id: string,
@@ -117,9 +117,9 @@
 	 * Ends an attempt whose answer nobody wants any more, fencing one that has
 	 * not arrived.
 	 */
-	cancel(question: AttemptQuestion): void;
+	cancel(question: AttemptQuery): void;
 	/** Ends an attempt that still waits, and lets one that runs go on. */
-	cancelWaiting(id: string): void;
+	cancelQueued(id: string): void;
 	readStamp(): GateStamp;
 	/** Lowest rate limit that an upstream here names, requests a second; undefined when none does. */
 	readRateLimit(): number | undefined;
@@ -137,7 +137,7 @@
  * startGateTask({logger}).readStamp().epoch;
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
-	const {observer = {}, edge = ownEdge, epoch = randomUUID()} = options;
+	const {observer = {}, edge = defaultEdge, epoch = randomUUID()} = options;
 	const {readLag = () => 0} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const upstreams = new Map<string, LocalUpstream>();
@@ -178,7 +178,7 @@
 	}
 
 	/** Takes in what the head of an answer says of its upstream. */
-	function noteHead(job: Job, {status, headers}: AnswerHead): void {
+	function noteHead(job: Job, {status, headers}: ResponseHead): void {
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
 		if (load) {
@@ -187,11 +187,11 @@
 
 		const report = edge.readReport(headers);
 		const hadLimit = upstream.rateLimit !== undefined;
-		if (report === silentReport && !hadLimit && upstream.hasReported) {
+		if (report === emptyReport && !hadLimit && upstream.hasReported) {
 			return;
 		}
 
-		const verdict = edge.judgeAnswer({status, headers}, attempt);
+		const verdict = edge.classifyResponse({status, headers}, attempt);
 		const {id} = upstream;
 		const {service} = attempt;
 		reportLog.record({id, service, report, status, verdict});
@@ -359,7 +359,7 @@
 		return refuse('not-run', admission.reason, upstream, retryAfter);
 	}
 
-	function refuseAhead(attempt: Attempt): AttemptResult | undefined {
+	function refuseBeforeBody(attempt: Attempt): AttemptResult | undefined {
 		const found = findUpstream(attempt);
 		if ('kind' in found) {
 			return found;
@@ -507,20 +507,20 @@
 				? {...announcement, state: 'leaving'}
 				: announcement;
 		},
-		takeReport(id, report, load) {
+		handleReport(id, report, load) {
 			const upstream = upstreams.get(id);
 			if (upstream && load) {
 				silenceWatch.recordLoad(upstream, load);
 			}
 
 			// A health answer that is silent says nothing of other answers.
-			if (upstream && report !== silentReport) {
+			if (upstream && report !== emptyReport) {
 				const at = now();
 				recordReport(upstream, {report, verdict: 'answered', sentAt: at}, at);
 				applyNotice(upstream);
 			}
 		},
-		refuseAhead,
+		refuseBeforeBody,
 		async runAttempt(attempt) {
 			const {id, key, remainingMs, signal} = attempt;
 			takeNotice(attempt.notice);
@@ -556,7 +556,7 @@
 				ledger.ask(question, now());
 			}
 		},
-		cancelWaiting(id) {
+		cancelQueued(id) {
 			const job = runner.findJob(id);
 			if (job?.phase === 'queued') {
 				runner.endEarly(job, 'cancelled');
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -35,7 +35,7 @@
 	/** Called with each new view. */
 	readonly onView: (view: MembersView) => void;
 	/** Called with each upstream whose lease was not renewed. */
-	readonly onLapse?: (id: string) => void;
+	readonly onLeaseExpired?: (id: string) => void;
 	/** How long an announcement counts, ms; `upstreamLeaseMs` when absent. */
 	readonly leaseMs?: number | undefined;
 	readonly now?: () => number;
@@ -75,7 +75,7 @@
  * startMembersTask({self, seeds: [], peers, platform, logger, onView});
  */
 export function startMembersTask(options: MembersTaskOptions): MembersTask {
-	const {self, peers, platform, logger, onView, onLapse} = options;
+	const {self, peers, platform, logger, onView, onLeaseExpired} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
 	const timers = new Set<NodeJS.Timeout>();
@@ -120,7 +120,7 @@
 		for (const {id} of isAsked ? [] : before.upstreams) {
 			if (!left.has(id)) {
 				logger.warn('lease of upstream lapsed', {id});
-				onLapse?.(id);
+				onLeaseExpired?.(id);
 			}
 		}
 	}
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -3,8 +3,8 @@
 import {computeCapacity} from '../coordination/compute-capacity.js';
 import {computeRetryShare} from '../coordination/compute-retry-share.js';
 import {
-	maxHeldBodiesBytes,
-	outdatedLagMs,
+	bodyMemoryBudgetBytes,
+	lagThresholdMs,
 	upstreamLeaseMs,
 } from '../protocol/constants.js';
 import type {Edge} from '../protocol/edge.js';
@@ -76,7 +76,7 @@
 const minDrainMs = 2500;
 
 /** Wait of connections above which it is logged, ms; below it requests are not outdated. */
-const notableAcceptMs = outdatedLagMs;
+const notableAcceptMs = lagThresholdMs;
 
 /** Time without requests after which no client is left, ms. */
 const idleThresholdMs = 700;
@@ -129,7 +129,7 @@
 	/** Reports how long connections of a server have waited to be accepted. */
 	function reportAccepted(server: string) {
 		return ({count, waitMs}: AcceptedBatch): void => {
-			metrics.noteAcceptWait(server, waitMs);
+			metrics.recordAcceptWait(server, waitMs);
 			if (waitMs >= notableAcceptMs) {
 				logger.warn('connections accepted late', {
 					server,
@@ -157,7 +157,7 @@
 		},
 	});
 	const forwarder = createForwarder();
-	const bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes);
+	const bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes);
 	const caller = await startCallerTask({
 		name,
 		dataCentre,
@@ -188,7 +188,7 @@
 		peers,
 		logger,
 		onDocument(next) {
-			caller.tellRoutes({kind: 'document', document: next});
+			caller.updateRoutes({kind: 'document', document: next});
 		},
 	});
 	const peerServer = await startPeerServer({
@@ -230,10 +230,10 @@
 			missedAnnouncements * first.announceIntervalMs,
 		),
 		onView(view) {
-			caller.tellView(view);
-			document.tellView(view);
+			caller.updateMembers(view);
+			document.updateMembers(view);
 		},
-		onLapse: gate.withdraw,
+		onLeaseExpired: gate.withdraw,
 	});
 
 	/** Whether the upstream on the host need not be asked who it is. */
@@ -307,7 +307,7 @@
 		onFound({id, load, report, ...found}) {
 			logger.info('upstream found', {id, ...found});
 			announce(id, {...found, team: '', state: 'ready'});
-			gate.takeReport(id, report, load);
+			gate.handleReport(id, report, load);
 		},
 	});
 	logger.info('node started', {
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -1,5 +1,5 @@
 import type {Socket} from 'node:net';
-import {lingerMs} from '../protocol/constants.js';
+import {peerIdleWaitMs} from '../protocol/constants.js';
 import type {Settings} from '../protocol/settings.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {combineObservers} from './_lib/combine-observers.js';
@@ -104,13 +104,13 @@
 		peers,
 		logger,
 		onConfiguration(next) {
-			caller.tellRoutes({kind: 'manifests', configuration: next});
+			caller.updateRoutes({kind: 'manifests', configuration: next});
 		},
 	});
 	const commit = startCommitTask({
 		platform,
-		readConfiguration: configuration.readNewest,
-		onEntries: configuration.tellEntries,
+		readConfiguration: configuration.readNewestConfiguration,
+		onEntries: configuration.addEntries,
 	});
 	const peerServer = await startPeerServer({
 		address: settings.node.peers,
@@ -144,19 +144,19 @@
 		platform,
 		logger,
 		onView(view) {
-			caller.tellView(view);
-			configuration.tellView(view);
+			caller.updateMembers(view);
+			configuration.updateMembers(view);
 		},
-		onLapse: gate.withdraw,
+		onLeaseExpired: gate.withdraw,
 	});
-	configuration.tellView(members.readView());
+	configuration.updateMembers(members.readView());
 	const administration = await startAdministrationTask({
 		address: settings.node.administration,
 		logger,
 		commit,
 		platform,
 		readConfiguration: configuration.readConfiguration,
-		readNewestConfiguration: configuration.readNewest,
+		readNewestConfiguration: configuration.readNewestConfiguration,
 		readView: members.readView,
 		readControlBytes: bytes.readTotal,
 		announce(id, announced) {
@@ -190,7 +190,7 @@
 			await members.leave();
 			// Until then all idle connections of other nodes have been closed by
 			// them, so that no attempt meets a connection that closes here.
-			await Promise.all([gate.drain(), waitMs(lingerMs)]);
+			await Promise.all([gate.drain(), waitMs(peerIdleWaitMs)]);
 			await caller.stop();
 			configuration.stop();
 			members.stop();
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -204,7 +204,7 @@
 		repeatable: false,
 		remainingMs: 800,
 		stamp: gate.readStamp(),
-		madeAtGateMs: at,
+		createdAtGateMs: at,
 	});
 
 	// A cut of the network ends, and what was sent during it arrives.
@@ -298,7 +298,7 @@
 			method: 'POST',
 			headers: {'content-length': String(longBytes)},
 			body,
-			onSignOfLife() {
+			onKeepalive() {
 				signs++;
 			},
 		}),
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -8,8 +8,8 @@
 import {
 	maxBodyBytes,
 	maxBufferedBytes,
-	maxHeldBodiesBytes,
-	signOfLifeMs,
+	bodyMemoryBudgetBytes,
+	keepaliveIntervalMs,
 } from '../protocol/constants.js';
 import {
 	attemptHeader,
@@ -140,7 +140,7 @@
 	options: PeerServerOptions,
 ): Promise<RunningServer> {
 	const {gate, handlers, logger, readLag = () => 0} = options;
-	const {bodyMemory = createBodyMemoryBudget(maxHeldBodiesBytes)} = options;
+	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 
 	function abort(
 		{headers}: IncomingMessage,
@@ -167,7 +167,7 @@
 		head: Attempt,
 	): AttemptResult | undefined {
 		const isLong = Number(headers['content-length']) > maxBufferedBytes;
-		return isLong ? gate.refuseAhead(head) : undefined;
+		return isLong ? gate.refuseBeforeBody(head) : undefined;
 	}
 
 	/** Runs an attempt whose body is there, or is read as it comes. */
@@ -177,7 +177,7 @@
 		arrivedAt: number,
 	): Promise<AttemptResult | 'sender-left'> {
 		const lagMs = Math.max(readLag(), server.readAcceptWaitMs(request));
-		const isAgeKnown = attempt.madeAtGateMs !== undefined;
+		const isAgeKnown = attempt.createdAtGateMs !== undefined;
 		if (await hasClientDisconnected(request, lagMs, {isAgeKnown})) {
 			return 'sender-left';
 		}
@@ -208,7 +208,7 @@
 		// Also while a long body comes in over a thin link.
 		const signs = setInterval(() => {
 			response.writeProcessing();
-		}, signOfLifeMs);
+		}, keepaliveIntervalMs);
 		const body = await readRequestBody(request, {
 			maxBytes: maxForwardedBytes,
 			memory: bodyMemory,
@@ -230,7 +230,7 @@
 			} else {
 				// One that runs goes on, so that its answer can be fetched over
 				// another connection.
-				gate.cancelWaiting(head.id);
+				gate.cancelQueued(head.id);
 			}
 		});
 		const attempt = {...head, body: body.body};
