--- a/faults/_lib/config/run-config-simulation.ts
+++ b/faults/_lib/config/run-config-simulation.ts
@@ -158,8 +158,8 @@
 
 	const startOperator = startOperators(simulation, {
 		endMs: submissionsEndMs,
-		onOutcome(verdict) {
-			outcomes.push(verdict);
+		onOutcome(outcome) {
+			outcomes.push(outcome);
 		},
 	});
 	updateViews();
--- a/faults/_lib/config/start-operators.ts
+++ b/faults/_lib/config/start-operators.ts
@@ -18,7 +18,7 @@
 export type OperatorsOptions = {
 	readonly endMs: number;
 	/** Called with each outcome that an operator gets. */
-	readonly onOutcome: (verdict: OperatorOutcome) => void;
+	readonly onOutcome: (outcome: OperatorOutcome) => void;
 };
 
 const answerTimeoutMs = 6000;
--- a/faults/_lib/members/run-members-case.ts
+++ b/faults/_lib/members/run-members-case.ts
@@ -178,7 +178,7 @@
  * @param options - see `MembersCaseOptions`
  * @returns one line for each violation; empty when all invariants hold
  * @example
- * runMembersCase(['kill'], 'quiet', 1); // []
+ * runMembersCase(['kill'], 'steady-state', 1); // []
  */
 export function runMembersCase(
 	faults: readonly MembersFault[],
--- a/faults/requests.test.ts
+++ b/faults/requests.test.ts
@@ -19,7 +19,7 @@
 }
 
 /** Replaces or drops messages to the state machine of a request. */
-function replaceMessages(
+function mapMessages(
 	change: (message: RequestMessage) => RequestMessage | undefined,
 ): Partial<Mechanisms> {
 	return {
@@ -84,7 +84,7 @@
 		/ended not-run but ran|ran \d times/v,
 	],
 	'attempts with a stale stamp taken for not run': [
-		replaceMessages((message) =>
+		mapMessages((message) =>
 			message.kind === 'ask-answered' && message.answer === 'stale'
 				? {...message, answer: 'fenced'}
 				: message,
@@ -92,7 +92,7 @@
 		/ended not-run but ran|ran \d times/v,
 	],
 	'lost attempts taken for not run': [
-		replaceMessages((message) =>
+		mapMessages((message) =>
 			message.kind === 'lost'
 				? {...message, kind: 'ended', outcome: 'not-run', reason: 'not-sent'}
 				: message,
@@ -108,13 +108,11 @@
 		1,
 	],
 	'no ask after a missing response': [
-		replaceMessages((message) =>
-			message.kind === 'silent' ? undefined : message,
-		),
+		mapMessages((message) => (message.kind === 'silent' ? undefined : message)),
 		/ended unknown/v,
 	],
 	'no deadline': [
-		replaceMessages((message) =>
+		mapMessages((message) =>
 			message.kind === 'deadline' ? undefined : message,
 		),
 		/has 0 ends|ended late/v,
