--- a/faults/_lib/config/start-operators.ts
+++ b/faults/_lib/config/start-operators.ts
@@ -10,7 +10,7 @@
 export type OperatorOutcome = {
 	readonly submission: Submission;
 	readonly outcome: SubmissionOutcome;
-	/** Whether the submission was sent once only, and not repeated. */
+	/** Whether the outcome answers the first send, not a repeated one. */
 	readonly isSentOnce: boolean;
 };
 
--- a/faults/_lib/requests/find-violations.ts
+++ b/faults/_lib/requests/find-violations.ts
@@ -63,7 +63,10 @@
 	);
 }
 
-/** Checks that a single recoverable fault leaves every request answered. */
+/**
+ * Checks that after a single recoverable fault every request is answered, and
+ * that after a single network cut no outcome is unknown.
+ */
 function checkRecovery(
 	simulation: Simulation,
 	{faults}: RequestCaseOptions,
--- a/faults/list-config-cases.ts
+++ b/faults/list-config-cases.ts
@@ -40,7 +40,7 @@
  * @param options - see `ConfigCaseOptions`
  * @returns the cases; the seed of a case is its number in the full matrix
  * @example
- * runFaultCases(listConfigCases({kinds: ['alone']}));
+ * runFaultCases(listConfigCases({kinds: ['single']}));
  */
 export function listConfigCases(
 	options: ConfigCaseOptions = {},
