--- a/src/coordination/_lib/commit/continue-commit.ts
+++ b/src/coordination/_lib/commit/continue-commit.ts
@@ -95,7 +95,7 @@
 
 /**
  * Waits with full jitter before the next try, or answers the group after
- * `maxCommitTries`.
+ * `maxCommitAttempts`.
  */
 export function pauseBefore(
 	state: CommitState,
--- a/src/coordination/_lib/commit/refusals.ts
+++ b/src/coordination/_lib/commit/refusals.ts
@@ -41,7 +41,7 @@
 
 /**
  * Records the refusals of a group and evicts the oldest ones above
- * `maxRememberedRefusals`.
+ * `maxCachedRefusals`.
  *
  * A refusal for quota is not recorded, since it no longer holds once the minute
  * has passed.
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -33,7 +33,7 @@
 }
 
 /**
- * Returns to the parent `documentReturnMs` after it was left. This restores the
+ * Returns to the parent `documentParentRetryMs` after it was left. This restores the
  * distribution of load after a short disturbance: otherwise all children would
  * stay at the few peers that answered during it.
  */
--- a/src/coordination/_lib/host-costs.ts
+++ b/src/coordination/_lib/host-costs.ts
@@ -141,7 +141,7 @@
 			);
 }
 
-/** Samples up to `comparedHosts` hosts of the pool at random and returns the one of lowest cost. */
+/** Samples up to `hostSampleSize` hosts of the pool at random and returns the one of lowest cost. */
 export function findCheapestCandidate(
 	pool: readonly Candidate[],
 	records: HostRecords,
--- a/src/coordination/compute-host-rate-limit-wait.ts
+++ b/src/coordination/compute-host-rate-limit-wait.ts
@@ -12,7 +12,7 @@
  * @param now - monotonic ms
  * @returns the wait, ms; 0 when no limit is known
  * @example
- * computeHostTurnWait(undefined, 0); // 0
+ * computeHostRateLimitWait(undefined, 0); // 0
  */
 export function computeHostRateLimitWait(
 	record: HostRecord | undefined,
--- a/src/coordination/compute-transit-time.ts
+++ b/src/coordination/compute-transit-time.ts
@@ -12,7 +12,7 @@
  * @param now - the gate's clock, monotonic ms
  * @returns the time, ms; only the lag if the sender does not know the gate's time
  * @example
- * computeTransitTime({madeAtGateMs: 1000, unreadMs: 20}, 1600); // 600
+ * computeTransitTime({createdAtGateMs: 1000, unreadMs: 20}, 1600); // 600
  */
 export function computeTransitTime(
 	{
--- a/src/coordination/pick-host.ts
+++ b/src/coordination/pick-host.ts
@@ -27,7 +27,7 @@
 	readonly exclude?: ReadonlySet<string>;
 	/**
 	 * Load share of the own data centre above which requests spill over to other
-	 * data centres; `spillShare` of the constants when absent.
+	 * data centres; `spilloverThreshold` when absent.
 	 */
 	readonly spillShare?: number;
 	/** Class of requests that hosts admit or refuse alike, if known. */
--- a/src/coordination/step-retry-budget.ts
+++ b/src/coordination/step-retry-budget.ts
@@ -25,9 +25,9 @@
 
 /** Options of `stepRetryBudget`. */
 export type RetryBudgetOptions = {
-	/** Retries for each request; `retryBudgetShare` when absent. */
+	/** Retries for each request; `retryBudgetRatio` when absent. */
 	readonly share?: number;
-	/** Retries in a window without requests; `retryBudgetFloor` when absent. */
+	/** Retries in a window without requests; `minRetryBudget` when absent. */
 	readonly floor?: number;
 	/** Time over which retries are counted, ms; `retryBudgetWindowMs` when absent. */
 	readonly windowMs?: number;
--- a/src/transport/_lib/has-client-disconnected.ts
+++ b/src/transport/_lib/has-client-disconnected.ts
@@ -21,7 +21,7 @@
  * waits for it even without lag.
  *
  * @param request - the request
- * @param lagMs - event loop lag, ms; up to `outdatedLagMs` there is no wait if
+ * @param lagMs - event loop lag, ms; up to `lagThresholdMs` there is no wait if
  * the age of the request is known
  * @param options - see `ClientDisconnectOptions`
  * @returns true if the request need not be handled
