Restore the texts of problems that nodes send and store

Found in the read-through of the diff: the messages of problems travel between nodes with a refusal and are written to the status objects, so they stay letter for letter.

--- a/src/state/apply-entry.ts
+++ b/src/state/apply-entry.ts
@@ -50,8 +50,7 @@
 		return err({
 			code: 'digest',
 			place: 'digest',
-			message:
-				'the digest of the resulting configuration differs from that of the entry',
+			message: 'the result does not have the digest of the entry',
 		});
 	}
 
--- a/src/state/decode-snapshot.ts
+++ b/src/state/decode-snapshot.ts
@@ -30,20 +30,20 @@
 			(text, index) => computeTextDigest(text) === head.chunks[index],
 		);
 	if (!isIntact) {
-		return refuse('a chunk is missing or does not match its digest');
+		return refuse('a chunk does not have its digest');
 	}
 
 	let value: unknown;
 	try {
 		value = JSON.parse(texts.join(''));
 	} catch {
-		return refuse('the chunks do not form valid JSON');
+		return refuse('the chunks are not JSON');
 	}
 
 	return validateConfiguration(value).andThen((configuration) =>
 		configuration.version === head.version &&
 		configuration.digest === head.digest
 			? ok(configuration)
-			: refuse('the version or digest differs from the snapshot head'),
+			: refuse('the snapshot is not the one that the head names'),
 	);
 }
--- a/src/state/validate-configuration.ts
+++ b/src/state/validate-configuration.ts
@@ -17,7 +17,7 @@
 		return {
 			code: 'digest',
 			place: `teams.${name}`,
-			message: 'the team does not match its digest',
+			message: 'the team does not have its digest',
 		};
 	}
 
@@ -57,7 +57,7 @@
 		return err({
 			code: 'digest',
 			place: 'digest',
-			message: 'the configuration does not match its digest',
+			message: 'the configuration does not have its digest',
 		});
 	}
 
