Log which requests were running when an upstream crashed

Callers saw nothing new. A crash is told from a reset of a full upstream by the refusal of a new connection or a replacement without a response in between. Decisions are unchanged.

--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -42,6 +42,8 @@
 	readonly unreadMs?: number | undefined;
 	/** Upstream notice as the sender knows it; a restarted gate may not know it. */
 	readonly notice?: UpstreamNotice | undefined;
+	/** Fingerprint of the request; undefined when the sender's version has none. */
+	readonly fingerprint?: string | undefined;
 	/** Service on whose host the request originated, if known. */
 	readonly origin?: string | undefined;
 	/** Rank among the attempts that wait for a slot; 0 is the highest. */
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -181,6 +181,8 @@
 export const connectTimeoutMs = 250;
 export const idleConnectionMs = 2000;
 export const maxBufferedBytes = 64 * bytesPerKibibyte;
+/** Length of the part by which bodies longer than `maxBufferedBytes` are told apart. */
+export const bodyPrefixBytes = 4 * bytesPerKibibyte;
 /** Maximum length of a body that a node buffers; longer bodies are streamed. */
 export const maxBufferedBodyBytes = 512 * bytesPerKibibyte;
 /** Memory budget of a node for buffered bodies; an eighth of the 128 MB of a node. */
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -30,6 +30,7 @@
 	queuedMs: 'boragehitch_gate_queued_ms',
 	acceptMs: 'boragehitch_accept_wait_ms',
 	sendWaitMs: 'boragehitch_send_wait_ms',
+	upstreamCrashes: 'boragehitch_upstream_crashes_total',
 	version: 'boragehitch_configuration_version',
 	unreadableParts: 'boragehitch_configuration_unreadable_parts',
 	members: 'boragehitch_members',
--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -7,6 +7,8 @@
 /** Fields of all events. */
 type HopEvent = {
 	readonly requestId: string;
+	/** Fingerprint of the request; undefined when it is not known. */
+	readonly fingerprint?: string | undefined;
 	readonly team: string;
 	readonly service: string;
 	readonly outcome: OutcomeKind;
@@ -60,6 +62,18 @@
 	readonly sendWaitMs: number | undefined;
 };
 
+/** Reported when an upstream on the host has crashed. */
+export type CrashEvent = {
+	readonly id: string;
+	/** Full name of the service. */
+	readonly service: string;
+	/** Requests that were running. */
+	readonly running: ReadonlyArray<{
+		readonly fingerprint: string | undefined;
+		readonly service: string;
+	}>;
+};
+
 /** Receives events; the methods must not block or throw. */
 export type RequestObserver = {
 	/** Creates the trace context of a hop; when absent, the received one is passed on. */
@@ -69,4 +83,5 @@
 	readonly onRequest?: (event: RequestEvent) => void;
 	readonly onAttempt?: (event: AttemptEvent) => void;
 	readonly onGate?: (event: GateEvent) => void;
+	readonly onCrash?: (event: CrashEvent) => void;
 };
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -20,6 +20,7 @@
 export const depthHeader = 'boragehitch-depth';
 export const stampHeader = 'boragehitch-stamp';
 export const gateTimeHeader = 'boragehitch-gate-time-ms';
+export const fingerprintHeader = 'boragehitch-fingerprint';
 export const keyHeader = 'boragehitch-key';
 export const routeHeader = 'boragehitch-route';
 export const originHeader = 'boragehitch-origin';
--- a/src/transport/_lib/combine-observers.ts
+++ b/src/transport/_lib/combine-observers.ts
@@ -33,5 +33,6 @@
 		onRequest: combine(observers.map(({onRequest}) => onRequest)),
 		onAttempt: combine(observers.map(({onAttempt}) => onAttempt)),
 		onGate: combine(observers.map(({onGate}) => onGate)),
+		onCrash: combine(observers.map(({onCrash}) => onCrash)),
 	};
 }
--- a/src/transport/_lib/create-access-log.ts
+++ b/src/transport/_lib/create-access-log.ts
@@ -99,6 +99,7 @@
 			const {requestId, route, service, outcome, reason, status} = event;
 			write('request ended', {
 				requestId,
+				fingerprint: event.fingerprint,
 				route,
 				service,
 				version: readVersion(),
@@ -119,6 +120,7 @@
 			const {requestId, attempt, host, service, outcome, reason} = event;
 			write('attempt ended', {
 				requestId,
+				fingerprint: event.fingerprint,
 				attempt,
 				host,
 				service,
@@ -141,6 +143,7 @@
 			const {requestId, service, outcome, reason, status} = event;
 			write('gate ended attempt', {
 				requestId,
+				fingerprint: event.fingerprint,
 				service,
 				outcome,
 				reason,
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -4,6 +4,7 @@
 	attemptHeader,
 	deadlineHeader,
 	depthHeader,
+	fingerprintHeader,
 	gateTimeHeader,
 	keyHeader,
 	noticeHeader,
@@ -60,6 +61,10 @@
 		headers[originHeader] = attempt.origin;
 	}
 
+	if (attempt.fingerprint !== undefined) {
+		headers[fingerprintHeader] = attempt.fingerprint;
+	}
+
 	if (attempt.repeatable) {
 		headers[repeatableHeader] = 'true';
 	}
--- /dev/null
+++ b/src/transport/_lib/create-crash-detector.ts
@@ -0,0 +1,216 @@
+import {createConnection} from 'node:net';
+import {connectTimeoutMs, msPerSecond} from '../../protocol/constants.js';
+import type {CrashEvent} from '../../protocol/observer.js';
+import type {Logger} from '../create-logger.js';
+import {readErrorCode} from './read-error-code.js';
+import type {Job, LocalUpstream} from './local-upstream.js';
+
+/** Options of `createCrashDetector`. */
+export type CrashDetectorOptions = {
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** Prefix of the identifiers of crashes; differs between all processes. */
+	readonly idPrefix: string;
+	/** Called with each crash and the requests that were running; again with the same id when others turn out to have been running too. */
+	readonly onCrash: (crash: CrashEvent) => void;
+	/** Tells whether something accepts connections at an address; `isListening` when absent. */
+	readonly isListening?: (address: string) => Promise<boolean>;
+	/** Monotonic ms. */
+	readonly now: () => number;
+};
+
+/** How a job that was sent to an upstream ended. */
+export type JobEnd =
+	| 'answered'
+	| 'lost'
+	| 'aborted'
+	/** No connection was opened. */
+	| 'refused'
+	/** Another upstream has answered. */
+	| 'replaced';
+
+/** Tells crashes of upstreams from lost connections, and which requests were running. */
+export type CrashDetector = {
+	/** Records the end of a job that its upstream may have begun to run. */
+	recordEnd(job: Job, end: JobEnd): void;
+	/** Records that a later incarnation has taken the place of an upstream that was not leaving. */
+	recordReplacement(upstream: LocalUpstream): void;
+};
+
+/** Time for which a job that ended without a response may explain a crash, ms; upstreams are back within seconds. */
+const maxEvidenceAgeMs = 10 * msPerSecond;
+
+/** Time for which a job that the gate has aborted may still be running at its upstream, ms. */
+const maxAbortedAgeMs = msPerSecond;
+
+/** Maximum number of ended jobs that are kept for an upstream. */
+const maxEndedJobs = 64;
+
+/** Maximum length of a path in the log. */
+const maxLoggedPathLength = 200;
+
+async function isListeningAt(address: string): Promise<boolean> {
+	const [host, port] = address.split(':');
+	return new Promise((resolve) => {
+		const socket = createConnection({
+			host: host!,
+			port: Number(port),
+			timeout: connectTimeoutMs,
+		});
+		const settle = (isListening: boolean): void => {
+			socket.destroy();
+			resolve(isListening);
+		};
+
+		socket.once('connect', () => {
+			settle(true);
+		});
+		// Silence is no proof that the process has ended.
+		socket.once('timeout', () => {
+			settle(true);
+		});
+		socket.once('error', (error) => {
+			settle(readErrorCode(error) !== 'ECONNREFUSED');
+		});
+	});
+}
+
+function describeJob({attempt}: Job) {
+	const {requestId, fingerprint, method, path, origin} = attempt;
+	const [pathWithoutQuery = ''] = path.split('?', 1);
+	return {
+		requestId,
+		fingerprint,
+		method,
+		path: pathWithoutQuery.slice(0, maxLoggedPathLength),
+		origin,
+	};
+}
+
+/**
+ * Creates the crash detector of a gate.
+ *
+ * An upstream that is not leaving has crashed when requests lose their
+ * connections and it then refuses new ones, or a later incarnation takes its
+ * place, without a response in between. An upstream that resets connections
+ * because it is full still accepts others, and goes on to respond.
+ *
+ * @param options - see `CrashDetectorOptions`
+ * @returns the detector
+ */
+export function createCrashDetector(
+	options: CrashDetectorOptions,
+): CrashDetector {
+	const {logger, idPrefix, onCrash, now} = options;
+	const {isListening = isListeningAt} = options;
+	let lastNumber = 0;
+
+	/** Removes the jobs that no longer explain a crash. */
+	function expireEnded({endedJobs}: LocalUpstream): void {
+		const at = now();
+		for (const [job, {end, endedAt}] of endedJobs) {
+			const maxAgeMs = end === 'aborted' ? maxAbortedAgeMs : maxEvidenceAgeMs;
+			if (at - endedAt > maxAgeMs || endedJobs.size > maxEndedJobs) {
+				endedJobs.delete(job);
+			}
+		}
+	}
+
+	function confirmCrash(
+		upstream: LocalUpstream,
+		evidence: 'refused' | 'replaced',
+	): void {
+		expireEnded(upstream);
+		const jobs = [...upstream.endedJobs.keys()];
+		const isLeaving =
+			upstream.isLeaving || upstream.announcement.state === 'leaving';
+		if (jobs.length === 0 || isLeaving) {
+			return;
+		}
+
+		upstream.endedJobs.clear();
+		upstream.crashId ??= `${idPrefix}.${++lastNumber}`;
+		const {id, announcement, crashId} = upstream;
+		const {service} = jobs[0]!.attempt;
+		logger.warn('upstream crashed', {
+			id,
+			service,
+			incarnation: announcement.incarnation,
+			crash: crashId,
+			evidence,
+			running: jobs.map((job) => describeJob(job)),
+		});
+		onCrash({
+			id: crashId,
+			service,
+			running: jobs.map(({attempt}) => ({
+				fingerprint: attempt.fingerprint,
+				service: attempt.service,
+			})),
+		});
+	}
+
+	async function probe(upstream: LocalUpstream): Promise<void> {
+		if (upstream.isCrashProbed) {
+			return;
+		}
+
+		upstream.isCrashProbed = true;
+		const isAlive = await isListening(upstream.announcement.address);
+		upstream.isCrashProbed = false;
+		if (!isAlive) {
+			confirmCrash(upstream, 'refused');
+		}
+	}
+
+	return {
+		recordEnd(job, end) {
+			const {upstream} = job;
+			const {endedJobs} = upstream;
+			switch (end) {
+				case 'answered': {
+					if (endedJobs.size === 0 && upstream.crashId === undefined) {
+						return;
+					}
+
+					// What ended before this job was sent has not ended the upstream.
+					for (const [other, {endedAt}] of endedJobs) {
+						if (endedAt < job.sentAt) {
+							endedJobs.delete(other);
+						}
+					}
+
+					upstream.crashId = undefined;
+					return;
+				}
+
+				case 'lost': {
+					endedJobs.set(job, {end, endedAt: now()});
+					expireEnded(upstream);
+					void probe(upstream);
+					return;
+				}
+
+				case 'aborted': {
+					endedJobs.set(job, {end, endedAt: now()});
+					expireEnded(upstream);
+					return;
+				}
+
+				case 'refused': {
+					if (endedJobs.size > 0) {
+						void probe(upstream);
+					}
+
+					return;
+				}
+
+				case 'replaced': {
+					confirmCrash(upstream, 'replaced');
+				}
+			}
+		},
+		recordReplacement(upstream) {
+			confirmCrash(upstream, 'replaced');
+		},
+	};
+}
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -11,6 +11,7 @@
 import type {ResponseHead, Edge} from '../../protocol/edge.js';
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
+import type {JobEnd} from './create-crash-detector.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
 import {releaseSlot, takeNextJob} from './local-slots.js';
 import {
@@ -25,7 +26,7 @@
 	type LocalUpstream,
 } from './local-upstream.js';
 import {readUpstreamOutcome} from './read-upstream-outcome.js';
-import {sendRequest} from './send-request.js';
+import {sendRequest, type SendOutcome} from './send-request.js';
 
 /** Options of `createJobRunner`. */
 export type JobRunnerOptions = {
@@ -41,6 +42,8 @@
 	readonly onSent: (upstream: LocalUpstream) => void;
 	/** Called with the head of each response. */
 	readonly onHead: (job: Job, head: ResponseHead) => void;
+	/** Called when a job that was sent has ended. */
+	readonly onEnd: (job: Job, end: JobEnd) => void;
 	/** Returns the longest time for which what the node reads next may have waited, ms. */
 	readonly readMaxWait: () => number;
 	/** Monotonic ms. */
@@ -98,11 +101,44 @@
 		: undefined;
 }
 
-async function waitForStreamEnd(stream: Readable): Promise<void> {
+/** Waits for the end of a streamed response; returns whether it was complete. */
+async function waitForStreamEnd(stream: Readable): Promise<boolean> {
 	try {
 		await finished(stream);
+		return true;
 	} catch {
 		// The reader of the stream handles the error.
+		return false;
+	}
+}
+
+/** Classifies how a job ended at its upstream. */
+function classifyEnd(
+	{kind}: SendOutcome,
+	result: AttemptResult,
+	isWhole: boolean,
+): JobEnd {
+	switch (kind) {
+		case 'answered': {
+			if (result.kind !== 'answered' && result.reason === 'wrong-instance') {
+				return 'replaced';
+			}
+
+			return isWhole ? 'answered' : 'lost';
+		}
+
+		case 'lost':
+		case 'truncated': {
+			return 'lost';
+		}
+
+		case 'aborted': {
+			return 'aborted';
+		}
+
+		case 'not-sent': {
+			return 'refused';
+		}
 	}
 }
 
@@ -116,7 +152,7 @@
  * @returns the runner
  */
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
-	const {ledger, observer, edge, refuse, onSent, onHead} = options;
+	const {ledger, observer, edge, refuse, onSent, onHead, onEnd} = options;
 	const {readMaxWait, now} = options;
 	const jobs = new Map<string, Job>();
 	let onIdle: (() => void) | undefined;
@@ -286,6 +322,7 @@
 
 		const outcome = await job.sent.outcome;
 		const answeredAt = now();
+		let isWhole = true;
 		const result = readUpstreamOutcome(outcome, attempt, {
 			edge,
 			earlyEndReason: job.earlyEndReason,
@@ -294,9 +331,11 @@
 		});
 		if (result.kind === 'answered' && result.body instanceof Readable) {
 			job.resolve(result);
-			await waitForStreamEnd(result.body);
+			isWhole = await waitForStreamEnd(result.body);
 		}
 
+		onEnd(job, classifyEnd(outcome, result, isWhole));
+
 		releaseSlot(job);
 		const endedAt = now();
 		if (result.kind === 'answered') {
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -74,6 +74,14 @@
 	earlyEndReason: EarlyEndReason | undefined;
 };
 
+/** End of a sent job without a response. */
+export type EndedJob = {
+	/** Whether its connection was lost, or the gate has closed it. */
+	readonly end: 'lost' | 'aborted';
+	/** Monotonic ms. */
+	readonly endedAt: number;
+};
+
 /** Reason why a gate ends an attempt before its upstream has answered. */
 export type EarlyEndReason =
 	| 'deadline'
@@ -118,6 +126,12 @@
 	probedAt: number;
 	/** When lost requests were last logged, monotonic ms. */
 	lossLoggedAt: number;
+	/** Sent jobs that have ended without a response since the upstream last sent one. */
+	readonly endedJobs: Map<Job, EndedJob>;
+	/** Identifier of the upstream's crash; undefined while it lives. */
+	crashId: string | undefined;
+	/** Whether a connection is being opened to find out if the upstream has crashed. */
+	isCrashProbed: boolean;
 	/** Fires after a report, once responses in transit have had time to arrive. */
 	lossConfirmTimer: NodeJS.Timeout | undefined;
 	/** Fires when the unanswered requests are checked next. */
@@ -159,6 +173,9 @@
 		work: undefined,
 		probedAt: Number.NEGATIVE_INFINITY,
 		lossLoggedAt: Number.NEGATIVE_INFINITY,
+		endedJobs: new Map(),
+		crashId: undefined,
+		isCrashProbed: false,
 		lossConfirmTimer: undefined,
 		lossCheckTimer: undefined,
 		rateLimitTimer: undefined,
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -4,6 +4,7 @@
 import {
 	maxBufferedBytes,
 	maxBufferedBodyBytes,
+	bodyPrefixBytes,
 } from '../../protocol/constants.js';
 import type {BodyMemoryBudget} from './create-body-memory-budget.js';
 import {discardBody} from './discard-body.js';
@@ -28,6 +29,8 @@
 			readonly body: Uint8Array | Readable;
 			/** Bytes reserved of the memory budget; the caller releases them when the body is no longer needed. */
 			readonly reservedBytes: number;
+			/** The whole body if it is at most `maxBufferedBytes` long; otherwise its first `bodyPrefixBytes`. */
+			readonly prefix: Uint8Array;
 	  }
 	| {
 			readonly kind: 'refused';
@@ -36,12 +39,50 @@
 
 const emptyBody = new Uint8Array();
 
-/** Returns a stream of the body that fails if the body exceeds the limit. */
-function limitBody(request: IncomingMessage, maxBytes: number): Readable {
+/** Selects the part of a buffered body that identifies it. */
+function selectPrefix(body: Uint8Array): Uint8Array {
+	return body.length > maxBufferedBytes
+		? body.subarray(0, bodyPrefixBytes)
+		: body;
+}
+
+/** A body that is streamed. */
+type StreamedBody = {
+	/** Fails if the body exceeds the limit. */
+	readonly body: Readable;
+	/** The first bytes of the body; fewer if it ends or the time-out passes before them. */
+	readonly prefix: Promise<Uint8Array>;
+};
+
+/** Streams a body, and keeps a copy of its first bytes. */
+function streamBody(
+	request: IncomingMessage,
+	{maxBytes, timeoutMs}: Pick<ReadRequestBodyOptions, 'maxBytes' | 'timeoutMs'>,
+): StreamedBody {
+	const chunks: Uint8Array[] = [];
 	let size = 0;
+	let resolvePrefix!: (prefix: Uint8Array) => void;
+	const prefix = new Promise<Uint8Array>((resolve) => {
+		resolvePrefix = resolve;
+	});
+	const finishPrefix = (): void => {
+		clearTimeout(timer);
+		resolvePrefix(Buffer.concat(chunks).subarray(0, bodyPrefixBytes));
+	};
+
+	const timer =
+		timeoutMs === undefined ? undefined : setTimeout(finishPrefix, timeoutMs);
 	const limit = new Transform({
 		transform(chunk: Uint8Array, _encoding, callback) {
+			if (size < bodyPrefixBytes) {
+				chunks.push(chunk);
+			}
+
 			size += chunk.length;
+			if (size >= bodyPrefixBytes) {
+				finishPrefix();
+			}
+
 			callback(
 				size > maxBytes ? new Error('request body is too large') : null,
 				chunk,
@@ -50,8 +91,17 @@
 	});
 	pipeline(request, limit, () => {
 		// The error is reported to the reader of `limit`.
+		finishPrefix();
 	});
-	return limit;
+	return {body: limit, prefix};
+}
+
+/** Returns a streamed body once its first bytes have arrived. */
+async function readStreamed({
+	body,
+	prefix,
+}: StreamedBody): Promise<BodyReadResult> {
+	return {kind: 'read', body, reservedBytes: 0, prefix: await prefix};
 }
 
 /**
@@ -74,7 +124,12 @@
 	const {'content-length': length, 'transfer-encoding': coding} =
 		request.headers;
 	if (length === undefined && coding === undefined) {
-		return {kind: 'read', body: emptyBody, reservedBytes: 0};
+		return {
+			kind: 'read',
+			body: emptyBody,
+			reservedBytes: 0,
+			prefix: emptyBody,
+		};
 	}
 
 	const bytes = Number(length);
@@ -87,7 +142,7 @@
 	}
 
 	if (bytes > maxBufferedBodyBytes || !memory?.tryReserve(bytes)) {
-		return {kind: 'read', body: limitBody(request, maxBytes), reservedBytes: 0};
+		return readStreamed(streamBody(request, options));
 	}
 
 	const read = await bufferBody(request, {
@@ -111,11 +166,15 @@
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	return new Promise((resolve) => {
-		const settle = (result: BodyReadResult): void => {
+		const stopListening = (): void => {
 			request.off('data', handleData);
 			request.off('end', handleEnd);
 			request.off('close', handleClose);
 			clearTimeout(timer);
+		};
+
+		const settle = (result: BodyReadResult): void => {
+			stopListening();
 			resolve(result);
 		};
 
@@ -127,14 +186,19 @@
 			} else if (size > bufferLimitBytes) {
 				request.pause();
 				request.unshift(Buffer.concat(chunks));
-				const body = limitBody(request, maxBytes);
-				settle({kind: 'read', body, reservedBytes: 0});
+				stopListening();
+				void readStreamed(streamBody(request, options)).then(resolve);
 			}
 		};
 
 		const handleEnd = (): void => {
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-			settle({kind: 'read', body, reservedBytes: 0});
+			settle({
+				kind: 'read',
+				body,
+				reservedBytes: 0,
+				prefix: selectPrefix(body),
+			});
 		};
 
 		const handleClose = (): void => {
--- a/src/transport/_lib/report-attempt-event.ts
+++ b/src/transport/_lib/report-attempt-event.ts
@@ -24,6 +24,7 @@
 	observer.onAttempt({
 		requestId: attempt.requestId,
 		attemptId: attempt.id,
+		fingerprint: attempt.fingerprint,
 		attempt: end.number,
 		host: end.gate.host.host,
 		hadStamp: attempt.stamp !== undefined,
--- a/src/transport/_lib/report-gate-event.ts
+++ b/src/transport/_lib/report-gate-event.ts
@@ -21,6 +21,7 @@
 	observer.onGate?.({
 		requestId: attempt.requestId,
 		attemptId: attempt.id,
+		fingerprint: attempt.fingerprint,
 		team: attempt.team,
 		service: attempt.service,
 		outcome: result.kind,
--- a/src/transport/_lib/report-request-event.ts
+++ b/src/transport/_lib/report-request-event.ts
@@ -38,6 +38,7 @@
 	const isAnswered = end.outcome === 'answered';
 	observer.onRequest({
 		requestId: reported.requestId,
+		fingerprint: end.fingerprint,
 		route: route.name,
 		method: request.method ?? 'GET',
 		attempts: end.attempts,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -77,7 +77,11 @@
 };
 
 /** The end of a request. */
-export type RequestEnd = {readonly attempts: number} & (
+export type RequestEnd = {
+	readonly attempts: number;
+	/** Fingerprint of the request; undefined when its body was not read. */
+	readonly fingerprint?: string | undefined;
+} & (
 	| {readonly outcome: 'answered'; readonly answer: UpstreamResponse}
 	| {
 			readonly outcome: 'not-run' | 'unknown';
@@ -330,8 +334,14 @@
 			deadlineTimer.stop();
 			signal.removeEventListener('abort', cancel);
 			const {attempts} = state;
+			const {fingerprint} = template;
 			if (effect.outcome === 'answered') {
-				resolve({outcome: 'answered', answer: response!, attempts});
+				resolve({
+					outcome: 'answered',
+					answer: response!,
+					attempts,
+					fingerprint,
+				});
 				return;
 			}
 
@@ -340,6 +350,7 @@
 				reason: effect.reason!,
 				retryAfterSeconds: effect.retryAfterSeconds ?? computeRetryDelay(),
 				attempts,
+				fingerprint,
 			});
 		}
 
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -98,6 +98,12 @@
 		buckets: bucketsMs,
 		registers,
 	});
+	const upstreamCrashes = new Counter({
+		name: meshMetricNames.upstreamCrashes,
+		help: 'Crashes of upstreams on the host while they ran requests',
+		labelNames: ['service'],
+		registers,
+	});
 	const version = new Gauge({
 		name: meshMetricNames.version,
 		help: 'Version of the configuration that the node runs',
@@ -166,6 +172,9 @@
 					sendWaitMs.observe({receiver: 'gate'}, waitedMs);
 				}
 			},
+			onCrash({service}) {
+				upstreamCrashes.inc({service});
+			},
 			onGate({service, outcome, reason = 'none', ...waits}) {
 				gateAttempts.inc({service, outcome, reason});
 				queuedMs.observe({service}, waits.queuedMs);
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
+import {computeRequestFingerprint} from '../coordination/compute-request-fingerprint.js';
 import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {computeUnreadTime} from '../coordination/compute-unread-time.js';
@@ -185,9 +186,10 @@
 	return leftMs < objectiveMs / 2 ? `${name} aged` : name;
 }
 
-/** Reads the `content-length` of a request, bytes; 0 when absent. */
-function readBodyBytes({headers}: IncomingMessage): number {
-	return Number(headers['content-length'] ?? 0);
+/** Reads the `content-length` of a request, bytes; undefined when absent. */
+function readBodyBytes({headers}: IncomingMessage): number | undefined {
+	const {'content-length': length} = headers;
+	return length === undefined ? undefined : Number(length);
 }
 
 function compileRouteSource(
@@ -334,7 +336,17 @@
 			return {outcome: 'not-run', reason, retryAfterSeconds, attempts: 0};
 		}
 
-		const {body, reservedBytes} = read;
+		const {body, reservedBytes, prefix} = read;
+		const origin = options.readOrigin?.();
+		const {method = 'GET', url: path = '/', headers} = request;
+		const fingerprint = computeRequestFingerprint({
+			method,
+			host: headers.host ?? '',
+			path,
+			origin,
+			bodyBytes: readBodyBytes(request),
+			body: prefix,
+		});
 		const isStreamed = !(body instanceof Uint8Array);
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatIdempotencyKey(parameters, route);
@@ -345,7 +357,7 @@
 			objectiveMs: route.objectiveMs,
 			route: route.name,
 			admissionClass,
-			bodyBytes: readBodyBytes(request),
+			bodyBytes: readBodyBytes(request) ?? 0,
 		});
 		if (isStreamed || body.length >= minTransferCostBodyBytes) {
 			// A gate refuses an attempt without a valid stamp only once it has its body.
@@ -369,12 +381,13 @@
 				route: route.name,
 				repeatable,
 				sheddingMeansNotRun,
-				method: request.method ?? 'GET',
-				path: request.url ?? '/',
-				headers: request.headers,
+				fingerprint,
+				method,
+				path,
+				headers,
 				body,
 				depth,
-				origin: options.readOrigin?.(),
+				origin,
 				priority: route.priority,
 				routeObjectiveMs: route.objectiveMs,
 				key,
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -33,6 +33,7 @@
 } from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
+import {createCrashDetector} from './_lib/create-crash-detector.js';
 import {createReportLog} from './_lib/create-report-log.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {createLostRequestDetector} from './_lib/create-lost-request-detector.js';
@@ -86,6 +87,9 @@
 	readonly random?: () => number;
 };
 
+/** Part of the epoch in the identifiers of crashes; tells apart all processes of a fleet. */
+const crashIdPrefixLength = 13;
+
 /** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
 	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
@@ -227,9 +231,20 @@
 			lostRequestDetector.scheduleCheck(upstream);
 		},
 		onHead: handleResponseHead,
+		onEnd(job, end) {
+			crashDetector.recordEnd(job, end);
+		},
 		readMaxWait,
 		now,
 	});
+	const crashDetector = createCrashDetector({
+		logger: options.logger,
+		idPrefix: epoch.slice(0, crashIdPrefixLength),
+		onCrash(crash) {
+			observer.onCrash?.(crash);
+		},
+		now,
+	});
 	const lostRequestDetector = createLostRequestDetector({
 		logger: options.logger,
 		probeLoad: options.probeLoad,
@@ -512,8 +527,22 @@
 				return;
 			}
 
+			for (const other of upstreams.values()) {
+				if (other.announcement.address === announcement.address) {
+					crashDetector.recordReplacement(other);
+				}
+			}
+
 			withdraw(id);
 			upstreams.set(id, createLocalUpstream(id, announcement));
+			const {service, address, incarnation} = announcement;
+			options.logger.info('upstream added', {
+				id,
+				service,
+				address,
+				incarnation,
+				incarnationBefore: known?.announcement.incarnation,
+			});
 		},
 		withdraw,
 		reviseAnnouncement(id, announcement) {
