--- /dev/null
+++ b/harness/_lib/crashing-fleet.ts
@@ -0,0 +1,169 @@
+/**
+ * Nodes of the users' platform with upstreams that crash, for tests.
+ */
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type RequestListener, type Server} from 'node:http';
+import type {TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {MeshSettings} from '../../src/protocol/mesh-settings.js';
+import {pollUntil} from '../poll-until.js';
+import {
+	announceUpstream,
+	findAddresses,
+	readyTimeoutMs,
+	sendRequest,
+	startPlatformNode,
+	startStore,
+} from './platform-node.js';
+
+/** Time after which an upstream crashes that has begun to run a crashing request, ms. */
+const crashAfterMs = 5;
+
+/** Time after which a crashed upstream starts again, ms. */
+const restartAfterMs = 150;
+
+/** Usual service time of the upstreams, ms. */
+const serviceMs = 20;
+
+/** An upstream of the fleet. */
+export type CrashingUpstream = {
+	readonly settings: MeshSettings;
+	/** Paths of the requests that it has begun to run. */
+	readonly runs: string[];
+	isUp(): boolean;
+	/** Crashes at once and starts again under the same identifier. */
+	crash(): Promise<void>;
+};
+
+/** A started fleet. */
+export type CrashingFleet = {
+	readonly upstreams: readonly CrashingUpstream[];
+	/** Starts a further node with an upstream. */
+	addHost(): Promise<CrashingUpstream>;
+	/** Waits until every upstream is up and every node serves a request. */
+	waitUntilUp(): Promise<void>;
+};
+
+/**
+ * Starts nodes whose upstreams crash when they run a request whose path
+ * contains `dead`.
+ *
+ * @param t - test at whose end everything stops
+ * @param hosts - number of nodes
+ */
+export async function startCrashingFleet(
+	t: TestContext,
+	hosts: number,
+): Promise<CrashingFleet> {
+	const store = await startStore(t);
+	const upstreams: CrashingUpstream[] = [];
+	let isStopped = false;
+	let lastProbe = 0;
+
+	async function addHost(): Promise<CrashingUpstream> {
+		const number = upstreams.length + 1;
+		const {node, settings} = await startPlatformNode(
+			t,
+			`abdali-${number}`,
+			store,
+		);
+		const [address] = await findAddresses(1, t);
+		const [host, port] = address!.split(':');
+		const runs: string[] = [];
+		let born = 0;
+		let server: Server | undefined;
+
+		const handle: RequestListener = (request, response) => {
+			const path = request.url!;
+			runs.push(path);
+			request.resume();
+			if (path.includes('dead')) {
+				setTimeout(() => {
+					void crash();
+				}, crashAfterMs);
+				return;
+			}
+
+			setTimeout(() => {
+				response.setHeader('x-boragehitch-response-signature', 'signed');
+				response.setHeader(
+					'x-boragehitch-request-id',
+					String(request.headers['x-boragehitch-request-id']),
+				);
+				response.end('price');
+			}, serviceMs);
+		};
+
+		async function startUpstream(): Promise<void> {
+			born++;
+			const started = createServer(handle);
+			started.listen(Number(port), host);
+			await once(started, 'listening');
+			server = started;
+			await announceUpstream(settings, address!, {
+				id: `i-${number}`,
+				born,
+				sequence: 1,
+			});
+		}
+
+		async function crash(): Promise<void> {
+			const crashed = server;
+			if (!crashed) {
+				return;
+			}
+
+			server = undefined;
+			crashed.close();
+			crashed.closeAllConnections();
+			await sleep(restartAfterMs);
+			if (!isStopped) {
+				await startUpstream();
+			}
+		}
+
+		t.after(async () => {
+			isStopped = true;
+			server?.close();
+			server?.closeAllConnections();
+			await node.stop();
+		});
+		await startUpstream();
+		const upstream = {settings, runs, crash, isUp: () => server !== undefined};
+		upstreams.push(upstream);
+		return upstream;
+	}
+
+	async function waitUntilUp(): Promise<void> {
+		const isUp = await pollUntil(async () => {
+			if (!upstreams.every((upstream) => upstream.isUp())) {
+				return false;
+			}
+
+			const answers = await Promise.all(
+				upstreams.map(async ({settings}) =>
+					sendRequest(settings.callers, `/prices/probe-${++lastProbe}`),
+				),
+			);
+			return answers.every(({status}) => status === 200);
+		}, readyTimeoutMs);
+		assert.ok(isUp, 'not every node serves requests');
+	}
+
+	for (let number = 0; number < hosts; number++) {
+		await addHost();
+	}
+
+	await waitUntilUp();
+	return {upstreams, addHost, waitUntilUp};
+}
+
+/** Counts how often the upstreams have begun to run requests of a path. */
+export function countRuns(
+	upstreams: readonly CrashingUpstream[],
+	path: string,
+): number {
+	return upstreams.flatMap(({runs}) => runs).filter((run) => run === path)
+		.length;
+}
--- /dev/null
+++ b/test/crashing-requests.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Tests of requests that crash their upstreams, on real nodes.
+ */
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {
+	countRuns,
+	startCrashingFleet,
+	type CrashingUpstream,
+} from '../harness/_lib/crashing-fleet.js';
+import {sendRequest} from '../harness/_lib/platform-node.js';
+
+/** Most runs of a crashing request: three crashes, and three more while the nodes learn of them. */
+const maxRuns = 6;
+
+/** How often the clients send the crashing request. */
+const rounds = 10;
+
+/** Sends a request to each node in turn, and waits after each until all upstreams are back. */
+async function sendInTurn(
+	fleet: Awaited<ReturnType<typeof startCrashingFleet>>,
+	options: {readonly path: string; readonly method: string; body?: string},
+): Promise<readonly number[]> {
+	const {path, ...request} = options;
+	const statuses: number[] = [];
+	for (let round = 0; round < rounds; round++) {
+		const {settings} = fleet.upstreams[round % fleet.upstreams.length]!;
+		const {status} = await sendRequest(settings.callers, path, {
+			...request,
+			id: `round-${round}`,
+		});
+		statuses.push(status);
+		await fleet.waitUntilUp();
+	}
+
+	return statuses;
+}
+
+async function testCrashingRequest(
+	t: TestContext,
+	options: {readonly path: string; readonly method: string; body?: string},
+): Promise<void> {
+	const fleet = await startCrashingFleet(t, 3);
+	const statuses = await sendInTurn(fleet, options);
+	const runs = countRuns(fleet.upstreams, options.path);
+	assert.ok(runs <= maxRuns, `the request ran ${runs} times`);
+	// A refusal that says not run, so that the client knows that nothing has happened.
+	assert.equal(statuses.at(-1), 503);
+}
+
+test('a request that crashes its upstreams is no longer sent, whichever node gets it', async (t) => {
+	await testCrashingRequest(t, {path: '/prices/dead', method: 'GET'});
+});
+
+test('a crashing request that may not be repeated is no longer sent', async (t) => {
+	await testCrashingRequest(t, {
+		path: '/orders/dead',
+		method: 'POST',
+		body: 'lamb',
+	});
+});
+
+test('a crashing upload that is too long to be buffered is no longer sent', async (t) => {
+	await testCrashingRequest(t, {
+		path: '/photos/dead',
+		method: 'POST',
+		body: 'a'.repeat(600 * 1024),
+	});
+});
+
+test('a node that starts after the crashes refuses the crashing request', async (t) => {
+	const fleet = await startCrashingFleet(t, 3);
+	await sendInTurn(fleet, {path: '/prices/dead', method: 'GET'});
+	const before = countRuns(fleet.upstreams, '/prices/dead');
+	const {settings} = await fleet.addHost();
+	await fleet.waitUntilUp();
+	const {status} = await sendRequest(settings.callers, '/prices/dead');
+	assert.equal(status, 503);
+	assert.equal(countRuns(fleet.upstreams, '/prices/dead'), before);
+});
+
+test('a popular request is served after crashes for other reasons', async (t) => {
+	const fleet = await startCrashingFleet(t, 3);
+	const {upstreams} = fleet;
+	const ending = new AbortController();
+
+	async function sendUntilDone({settings}: CrashingUpstream): Promise<void> {
+		while (!ending.signal.aborted) {
+			await sendRequest(settings.callers, '/prices/popular');
+		}
+	}
+
+	const clients = [...upstreams, ...upstreams].map(async (upstream) =>
+		sendUntilDone(upstream),
+	);
+	for (let crash = 0; crash < rounds; crash++) {
+		await upstreams[crash % upstreams.length]!.crash();
+		await fleet.waitUntilUp();
+	}
+
+	ending.abort();
+	await Promise.all(clients);
+	for (const {settings} of upstreams) {
+		const {status} = await sendRequest(settings.callers, '/prices/popular');
+		assert.equal(status, 200);
+	}
+});
