Quarantine requests that crash their upstreams

Cause: nothing remembered a request beyond its id. Change: nodes keep, by fingerprint, the crashes under which a request ran. It is suspect until an upstream answers it, two suspects never run beside each other, and after two crashes without an answer it is refused as not run, at the caller's node, the gate and before each retry, for half a minute and then much longer. What changes is passed on at once to a few nodes; the probes of members carry a digest that finds what was missed, and a starting node asks before it is ready. Records are bounded by service, messages by second.

--- a/bench/_lib/measure-exchange-headers.ts
+++ b/bench/_lib/measure-exchange-headers.ts
@@ -44,6 +44,7 @@
 	const router = createPeerRouter({
 		handleExchange: () => answer,
 		handlePoll: fail,
+		handleCrashes: fail,
 		handleAsk: fail,
 		handleCancel: fail,
 		handleStamp: fail,
--- a/harness/_lib/crashing-fleet.ts
+++ b/harness/_lib/crashing-fleet.ts
@@ -41,7 +41,7 @@
 	readonly upstreams: readonly CrashingUpstream[];
 	/** Starts a further node with an upstream. */
 	addHost(): Promise<CrashingUpstream>;
-	/** Waits until every upstream is up and every node serves a request. */
+	/** Waits until every upstream is up, and every node is ready and serves a request. */
 	waitUntilUp(): Promise<void>;
 };
 
@@ -142,9 +142,10 @@
 			}
 
 			const answers = await Promise.all(
-				upstreams.map(async ({settings}) =>
+				upstreams.flatMap(({settings}) => [
 					sendRequest(settings.callers, `/prices/probe-${++lastProbe}`),
-				),
+					sendRequest(settings.readiness, '/ready'),
+				]),
 			);
 			return answers.every(({status}) => status === 200);
 		}, readyTimeoutMs);
--- a/harness/create-gate-handlers.ts
+++ b/harness/create-gate-handlers.ts
@@ -17,6 +17,7 @@
 	return {
 		handlePoll: failOnCall,
 		handleExchange: failOnCall,
+		handleCrashes: failOnCall,
 		handleAsk: gate.ask,
 		handleCancel: gate.cancel,
 		handleStamp: gate.readStamp,
--- a/src/cli/_lib/create-request-trace.ts
+++ b/src/cli/_lib/create-request-trace.ts
@@ -63,6 +63,7 @@
 	'no-upstream',
 	'stale-stamp',
 	'fenced',
+	'quarantined',
 ]);
 
 function readCompletion({
--- /dev/null
+++ b/src/coordination/compute-quarantine-digest.ts
@@ -0,0 +1,32 @@
+import {createHash} from 'node:crypto';
+import type {CrashRecord, QuarantineState} from './quarantine-state.js';
+
+const digestModulus = 2 ** 32;
+
+function computeRecordDigest({fingerprint, crashes}: CrashRecord): number {
+	const ids = [...crashes]
+		.map(([id, {isCleared}]) => `${id} ${isCleared}`)
+		.toSorted();
+	return createHash('sha256')
+		.update(JSON.stringify([fingerprint, ids]))
+		.digest()
+		.readUInt32BE();
+}
+
+/**
+ * Computes the digest of all records, by which two nodes find out whether they
+ * know the same.
+ *
+ * @param state - the records
+ * @returns a number from 0 up to, but not including, 2 ** 32; 0 without records
+ * @example
+ * computeQuarantineDigest(new Map()); // 0
+ */
+export function computeQuarantineDigest(state: QuarantineState): number {
+	let sum = 0;
+	for (const record of state.values()) {
+		sum = (sum + computeRecordDigest(record)) % digestModulus;
+	}
+
+	return sum;
+}
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -131,6 +131,8 @@
 	readonly budget: number;
 	/** Whether there is an untried host that is not known to be full. */
 	readonly hasAvailableHost?: boolean;
+	/** Whether the request is known to crash its upstreams, so that it is not sent again. */
+	readonly isQuarantined?: boolean;
 };
 
 /** A request's state after a message, with the resulting effects. */
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -75,6 +75,10 @@
 		return send({...after, restamps: state.restamps + 1}, true);
 	}
 
+	if (ending.reason === 'quarantined' || context.isQuarantined) {
+		return finish(after, ending);
+	}
+
 	const delayMs = computeRetryDelay(countedAttempts, random);
 	const decision = decideRetry({
 		...parameters,
@@ -242,14 +246,19 @@
 	}
 }
 
-function handleDelayElapsed(state: RequestState): RequestStep {
+function handleDelayElapsed(
+	state: RequestState,
+	context: RequestContext,
+): RequestStep {
 	switch (state.phase) {
 		case 'waiting-to-ask': {
 			return ask(state);
 		}
 
 		case 'waiting-to-send': {
-			return send(state, false);
+			return context.isQuarantined
+				? finish(state, {outcome: 'not-run', reason: 'quarantined'})
+				: send(state, false);
 		}
 
 		case 'new':
@@ -354,7 +363,7 @@
 		}
 
 		case 'delay-elapsed': {
-			return handleDelayElapsed(state);
+			return handleDelayElapsed(state, context);
 		}
 
 		case 'deadline': {
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -196,6 +196,16 @@
 export const minRetryBudget = 10;
 export const retryBudgetWindowMs = 10_000;
 
+/** Maximum number of requests about which a node keeps that upstreams have crashed; about 1.6 MB. */
+export const maxCrashRecords = 4096;
+export const maxCrashesPerRecord = 8;
+/** Maximum number of such records in a message; about 10 KB. */
+export const maxCrashRecordsPerMessage = 64;
+/** Maximum number of such records that a node passes on in a second; with `spreadFanOut` receivers about 10 KB/s. */
+export const maxCrashRecordsSpreadPerSecond = 24;
+/** Delay in which such records are collected before they are passed on. */
+export const crashSpreadDelayMs = 5;
+
 export const spilloverThreshold = 0.8;
 export const loadExpiryMs = 1000;
 /** Age at which a host's reported rate limit wait expires; the same as for its load. */
--- /dev/null
+++ b/src/protocol/crash-record.ts
@@ -0,0 +1,45 @@
+/**
+ * Schemas and types of what nodes tell each other about requests under which
+ * upstreams have crashed.
+ */
+import * as z from 'zod';
+import {
+	maxCrashesPerRecord,
+	maxCrashRecordsPerMessage,
+	maxIncarnationAheadMs,
+} from './constants.js';
+
+/** A crash of an upstream while it ran the request of a record. */
+export const encodedCrashSchema = z.object({
+	/** Identifier of the crash; the same in the records of all requests that were running. */
+	id: z.string().max(64),
+	ageMs: z.int().min(0).max(maxIncarnationAheadMs),
+	/** Whether the request has since been answered by an upstream. */
+	isCleared: z.boolean(),
+});
+
+/** What is known about one request. */
+export const encodedCrashRecordSchema = z.object({
+	fingerprint: z.string().max(64),
+	/** Full name of the service. */
+	service: z.string().max(129),
+	crashes: z.array(encodedCrashSchema).max(maxCrashesPerRecord),
+});
+
+const recordsSchema = z
+	.array(encodedCrashRecordSchema)
+	.max(maxCrashRecordsPerMessage);
+
+/** Sends records to another node. */
+export const crashExchangeSchema = z.object({
+	records: recordsSchema,
+	/** Whether the sender asks for the records of the receiver. */
+	wantsRecords: z.boolean(),
+});
+
+/** The answer to a `crashExchangeSchema` message. */
+export const crashExchangeAnswerSchema = z.object({records: recordsSchema});
+
+export type EncodedCrashRecord = z.infer<typeof encodedCrashRecordSchema>;
+export type CrashExchange = z.infer<typeof crashExchangeSchema>;
+export type CrashExchangeAnswer = z.infer<typeof crashExchangeAnswerSchema>;
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -86,6 +86,8 @@
 		kind: z.literal('ping'),
 		from: senderSchema,
 		records: pageSchema,
+		/** Digest of the sender's crash records; absent from earlier versions. */
+		crashDigest: digestSchema.optional(),
 	}),
 	/** Requests an indirect probe of another member on the sender's behalf. */
 	z.object({
@@ -122,6 +124,8 @@
 		records: pageSchema,
 		/** Whether the answering member lacks the sender's newest record. */
 		needsRecord: z.boolean(),
+		/** Digest of the crash records of the answering member; absent from earlier versions. */
+		crashDigest: digestSchema.optional(),
 	}),
 	z.object({
 		kind: z.literal('digests'),
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -36,6 +36,7 @@
 	members: 'boragehitch_members',
 	inFlight: 'boragehitch_requests_in_flight',
 	rateLimit: 'boragehitch_upstream_rate_limit',
+	quarantined: 'boragehitch_quarantined_requests',
 	memory: 'boragehitch_memory_bytes',
 	controlBytes: 'boragehitch_control_bytes_total',
 } as const;
--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -67,9 +67,9 @@
 	readonly id: string;
 	/** Full name of the service. */
 	readonly service: string;
-	/** Requests that were running. */
+	/** Requests that were running and whose fingerprints are known. */
 	readonly running: ReadonlyArray<{
-		readonly fingerprint: string | undefined;
+		readonly fingerprint: string;
 		readonly service: string;
 	}>;
 };
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -61,6 +61,7 @@
 	'misplaced',
 	'no-configuration',
 	'overloaded',
+	'quarantined',
 ] as const;
 
 export type OutcomeReason = (typeof outcomeReasons)[number];
--- a/src/transport/_lib/create-access-log.test.ts
+++ b/src/transport/_lib/create-access-log.test.ts
@@ -6,6 +6,7 @@
 
 const event: RequestEvent = {
 	requestId: 'a',
+	fingerprint: 'lamb',
 	route: 'prices',
 	team: '',
 	service: 'pricebook',
@@ -58,6 +59,7 @@
 			message: 'request ended',
 			fields: {
 				requestId: 'a',
+				fingerprint: 'lamb',
 				route: 'prices',
 				service: 'pricebook',
 				version: 12,
@@ -76,6 +78,7 @@
 const answered = {
 	...event,
 	requestId: 'b',
+	fingerprint: 'beef',
 	attemptId: 'b/1',
 	outcome: 'answered' as const,
 	reason: undefined,
@@ -103,6 +106,7 @@
 			message: 'gate ended attempt',
 			fields: {
 				requestId: 'b',
+				fingerprint: 'beef',
 				service: 'pricebook',
 				outcome: 'answered',
 				reason: undefined,
--- a/src/transport/_lib/create-call-handler.test.ts
+++ b/src/transport/_lib/create-call-handler.test.ts
@@ -17,6 +17,7 @@
 		router: createPeerRouter({
 			handlePoll: refuseCall,
 			handleExchange: refuseCall,
+			handleCrashes: refuseCall,
 			handleAsk: () => 'fenced',
 			handleCancel() {
 				// Responds without data.
--- a/src/transport/_lib/create-crash-detector.ts
+++ b/src/transport/_lib/create-crash-detector.ts
@@ -142,10 +142,11 @@
 		onCrash({
 			id: crashId,
 			service,
-			running: jobs.map(({attempt}) => ({
-				fingerprint: attempt.fingerprint,
-				service: attempt.service,
-			})),
+			running: jobs.flatMap(({attempt}) =>
+				attempt.fingerprint === undefined
+					? []
+					: [{fingerprint: attempt.fingerprint, service: attempt.service}],
+			),
 		});
 	}
 
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -6,6 +6,7 @@
 import {lateWaitRatio} from '../../coordination/decide-admission.js';
 import type {Ledger} from '../../coordination/create-ledger.js';
 import {isBehind} from '../../coordination/is-behind.js';
+import type {Suspicion} from '../../coordination/quarantine-state.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
 import type {ResponseHead, Edge} from '../../protocol/edge.js';
@@ -43,7 +44,9 @@
 	/** Called with the head of each response. */
 	readonly onHead: (job: Job, head: ResponseHead) => void;
 	/** Called when a job that was sent has ended. */
-	readonly onEnd: (job: Job, end: JobEnd) => void;
+	readonly onEnd: (job: Job, end: JobEnd, result: AttemptResult) => void;
+	/** Tells whether a request is known to crash its upstreams; none is when absent. */
+	readonly readSuspicion?: (attempt: Attempt) => Suspicion;
 	/** Returns the longest time for which what the node reads next may have waited, ms. */
 	readonly readMaxWait: () => number;
 	/** Monotonic ms. */
@@ -91,6 +94,8 @@
 	waitUntilIdle(): Promise<void>;
 };
 
+const noSuspicion: Suspicion = {kind: 'none'};
+
 function selectRetainedResponse(attempt: Attempt, result: AttemptResult) {
 	if (attempt.repeatable) {
 		return 'forget';
@@ -154,6 +159,7 @@
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
 	const {ledger, observer, edge, refuse, onSent, onHead, onEnd} = options;
 	const {readMaxWait, now} = options;
+	const {readSuspicion = () => noSuspicion} = options;
 	const jobs = new Map<string, Job>();
 	let onIdle: (() => void) | undefined;
 
@@ -211,6 +217,17 @@
 		}
 	}
 
+	/** Refuses the queued jobs whose requests have meanwhile been quarantined, and marks the suspects. */
+	function updateSuspicions(upstream: LocalUpstream): void {
+		for (const job of [...upstream.queued.values()].flat()) {
+			const {kind} = readSuspicion(job.attempt);
+			job.isSuspect = kind === 'suspect';
+			if (kind === 'quarantined') {
+				dropJob(job, 'quarantined');
+			}
+		}
+	}
+
 	/** Schedules `startJobs` for when the rate limit admits the next job. */
 	function scheduleStart(upstream: LocalUpstream, waitMs: number): void {
 		clearTimeout(upstream.rateLimitTimer);
@@ -267,6 +284,7 @@
 			readOccupiedSlots(upstream, now()) < upstream.announcement.slots
 		) {
 			dropExpired(upstream);
+			updateSuspicions(upstream);
 		}
 
 		for (let job = takeJob(upstream); job; job = takeJob(upstream)) {
@@ -334,7 +352,7 @@
 			isWhole = await waitForStreamEnd(result.body);
 		}
 
-		onEnd(job, classifyEnd(outcome, result, isWhole));
+		onEnd(job, classifyEnd(outcome, result, isWhole), result);
 
 		releaseSlot(job);
 		const endedAt = now();
@@ -392,6 +410,7 @@
 			fullySentAt: Number.POSITIVE_INFINITY,
 			isAnswered: false,
 			earlyEndReason: undefined,
+			isSuspect: false,
 		};
 		addToLocalQueue(job);
 		jobs.set(attempt.id, job);
--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -51,6 +51,28 @@
 		: computeOpenSlots(slots, readTeamActivity(upstream, now), team);
 }
 
+/**
+ * Finds the first queued job of each team that may start. While a suspect runs,
+ * no other suspect starts, so that a crash tells which of them is to blame.
+ */
+function findNextJobs({queued, sent}: LocalUpstream): ReadonlyMap<string, Job> {
+	const nextJobs = new Map<string, Job>();
+	let isSuspectRunning: boolean | undefined;
+	for (const [team, jobs] of queued) {
+		let [job] = jobs;
+		if (job?.isSuspect) {
+			isSuspectRunning ??= [...sent].some(({isSuspect}) => isSuspect);
+			job = isSuspectRunning ? jobs.find(({isSuspect}) => !isSuspect) : job;
+		}
+
+		if (job) {
+			nextJobs.set(team, job);
+		}
+	}
+
+	return nextJobs;
+}
+
 /**
  * Takes the next job from the queue if there is a slot for it.
  *
@@ -70,15 +92,16 @@
 		return undefined;
 	}
 
+	const nextJobs = findNextJobs(upstream);
 	const team = pickNextTeam({
 		slots,
 		inFlight: occupiedSlots,
 		startTags: new Map(
-			[...upstream.queued].map(([name, jobs]) => [name, jobs[0]!.startTag]),
+			[...nextJobs].map(([name, {startTag}]) => [name, startTag]),
 		),
 		teams: readTeamActivity(upstream, now),
 	});
-	const job = team === undefined ? undefined : upstream.queued.get(team)?.[0];
+	const job = team === undefined ? undefined : nextJobs.get(team);
 	if (job) {
 		removeFromLocalQueue(job);
 		upstream.fairQueue.serve(job.startTag);
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -68,6 +68,8 @@
 	firstByteAt: number | undefined;
 	/** When the last byte of the request was sent, monotonic ms; infinity until then. */
 	fullySentAt: number;
+	/** Whether the request may be one that crashes its upstreams; updated until the job is sent. */
+	isSuspect: boolean;
 	/** Whether the head of the response has been received. */
 	isAnswered: boolean;
 	/** Why the job was ended early; undefined if it was not. */
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -56,6 +56,8 @@
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
 	/** Whether there is an untried host that is not known to be full. */
 	readonly hasAvailableHost: () => boolean;
+	/** Whether the request is known to crash its upstreams; false when absent. */
+	readonly isQuarantined?: () => boolean;
 	/** Returns the shortest wait under the hosts' rate limits, ms; 0 when absent. */
 	readonly readRateLimitWait?: () => number;
 	readonly readRetryBudget: () => number;
@@ -125,6 +127,9 @@
 				get budget() {
 					return options.readRetryBudget();
 				},
+				get isQuarantined() {
+					return options.isQuarantined?.() ?? false;
+				},
 				get hasAvailableHost() {
 					return options.hasAvailableHost();
 				},
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -11,6 +11,7 @@
 			members: 10,
 			inFlight: 3,
 			rateLimit: 12.6,
+			quarantined: 2,
 		}),
 		takeBytes: () => [{purpose: 'document', sent: 400, received: 7}],
 	});
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -16,6 +16,8 @@
 	readonly inFlight: number;
 	/** Rate limit that the upstream on the host reports, requests per second; -1 when it reports none. */
 	readonly rateLimit: number;
+	/** Number of requests that are not sent because they crash their upstreams. */
+	readonly quarantined: number;
 };
 
 /** Options of `createMeshMetrics`. */
@@ -129,6 +131,11 @@
 		help: 'Requests a second that the upstream on the host takes, by its own account; -1 when it names no limit',
 		registers,
 	});
+	const quarantined = new Gauge({
+		name: meshMetricNames.quarantined,
+		help: 'Requests that are not sent because they crash their upstreams',
+		registers,
+	});
 	const memory = new Gauge({
 		name: meshMetricNames.memory,
 		help: 'Resident memory, bytes',
@@ -153,6 +160,7 @@
 			members.set(gauges.members);
 			inFlight.set(gauges.inFlight);
 			rateLimit.set(gauges.rateLimit);
+			quarantined.set(gauges.quarantined);
 			memory.set(process.memoryUsage.rss());
 			for (const {purpose, sent, received} of takeBytes()) {
 				controlBytes.inc({purpose, direction: 'sent'}, sent);
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -4,6 +4,11 @@
 	type Exchange,
 	type ExchangeAnswer,
 } from '../protocol/member.js';
+import {
+	crashExchangeSchema,
+	type CrashExchange,
+	type CrashExchangeAnswer,
+} from '../protocol/crash-record.js';
 import {pollSchema, type Poll, type PollAnswer} from '../protocol/peer.js';
 import {
 	documentPollSchema,
@@ -37,6 +42,7 @@
 	handleAsk(question: AttemptQuery): LedgerStep['answer'];
 	handleCancel(question: AttemptQuery): void;
 	handleStamp(): GateStamp;
+	handleCrashes(exchange: CrashExchange): CrashExchangeAnswer;
 	/** Handles polls for routing documents; absent on nodes without documents. */
 	handleDocument?(
 		poll: DocumentPoll,
@@ -71,6 +77,9 @@
 		exchange: t.procedure
 			.input(exchangeSchema)
 			.mutation(({input}) => handlers.handleExchange(input)),
+		crashes: t.procedure
+			.input(crashExchangeSchema)
+			.mutation(({input}) => handlers.handleCrashes(input)),
 		ask: t.procedure
 			.input(attemptQuerySchema)
 			.mutation(({input}) => handlers.handleAsk(input)),
--- /dev/null
+++ b/src/transport/gate-crashes.test.ts
@@ -0,0 +1,209 @@
+/**
+ * Tests of how the gate detects crashes of its upstream, and what it does with
+ * requests that are suspected of them.
+ */
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import test, {type TestContext} from 'node:test';
+import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
+import {createSilentLogger} from '../../harness/create-silent-logger.js';
+import {pollUntil} from '../../harness/poll-until.js';
+import type {
+	RunningRequest,
+	Suspicion,
+} from '../coordination/quarantine-state.js';
+import type {Announcement} from '../protocol/member.js';
+import {startGateTask} from './start-gate-task.js';
+
+const timeoutMs = 5000;
+
+/** Starts a gate and an upstream that holds its requests and can crash. */
+async function start(t: TestContext) {
+	const held = new Map<string, ServerResponse>();
+	const crashes: Array<readonly string[]> = [];
+	const suspicions = new Map<string, Suspicion>();
+	const completed: string[] = [];
+	let lastAttempt = 0;
+	const server = createServer((request, response) => {
+		held.set(request.url!, response);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const bound = server.address();
+	const address = `127.0.0.1:${typeof bound === 'object' ? bound?.port : 0}`;
+	const gate = startGateTask({
+		logger: createSilentLogger(),
+		quarantine: {
+			readSuspicion: (fingerprint) =>
+				suspicions.get(fingerprint ?? '') ?? {kind: 'none'},
+			recordCrash(_id, running: readonly RunningRequest[]) {
+				crashes.push(running.map(({fingerprint}) => fingerprint).toSorted());
+			},
+			recordCompletion(fingerprint) {
+				completed.push(fingerprint!);
+			},
+		},
+	});
+	const announcement: Announcement = {
+		team: '',
+		service: 'registry',
+		address,
+		incarnation: 5,
+		sequence: 1,
+		slots: 6,
+		connections: 10,
+		state: 'ready',
+	};
+	gate.announce('i-1', announcement);
+	function crash(): void {
+		server.close();
+		server.closeAllConnections();
+	}
+
+	t.after(async () => {
+		crash();
+		await gate.stop();
+	});
+
+	/** Sends a request whose path is its name and its fingerprint; returns how it ends. */
+	async function send(name: string): Promise<string> {
+		const result = await gate.runAttempt(
+			createSampleAttempt({
+				id: `${name}/${++lastAttempt}`,
+				path: name,
+				fingerprint: name,
+				remainingMs: 20_000,
+				stamp: gate.readStamp(),
+			}),
+		);
+		return result.kind === 'answered'
+			? 'answered'
+			: `${result.kind} ${result.reason}`;
+	}
+
+	async function waitUntilHeld(...names: readonly string[]): Promise<void> {
+		const areHeld = await pollUntil(
+			async () => names.every((name) => held.has(name)),
+			timeoutMs,
+		);
+		assert.ok(areHeld, `not all of ${names.join(', ')} have arrived`);
+	}
+
+	return {
+		gate,
+		announcement,
+		held,
+		crashes,
+		suspicions,
+		completed,
+		crash,
+		send,
+		waitUntilHeld,
+		async waitUntilCrashed() {
+			const hasCrashed = await pollUntil(
+				async () => crashes.length > 0,
+				timeoutMs,
+			);
+			assert.ok(hasCrashed, 'no crash was detected');
+		},
+	};
+}
+
+test('a crash is blamed on the requests that were running, but not on one that was answered before', async (t) => {
+	const upstream = await start(t);
+	const popular = upstream.send('/popular');
+	await upstream.waitUntilHeld('/popular');
+	upstream.held.get('/popular')!.end();
+	assert.equal(await popular, 'answered');
+	assert.deepEqual(upstream.completed, ['/popular']);
+	upstream.held.clear();
+	const running = ['/dead', '/lamb', '/popular'].map(async (name) =>
+		upstream.send(name),
+	);
+	await upstream.waitUntilHeld('/dead', '/lamb', '/popular');
+	upstream.crash();
+	assert.deepEqual(await Promise.all(running), [
+		'unknown connection-lost',
+		'unknown connection-lost',
+		'unknown connection-lost',
+	]);
+	await upstream.waitUntilCrashed();
+	assert.deepEqual(upstream.crashes.flat().toSorted(), ['/dead', '/lamb']);
+});
+
+test('a full upstream that resets connections has not crashed', async (t) => {
+	const upstream = await start(t);
+	const reset = upstream.send('/reset');
+	await upstream.waitUntilHeld('/reset');
+	upstream.held.get('/reset')!.socket!.destroy();
+	assert.equal(await reset, 'unknown connection-lost');
+	const later = upstream.send('/later');
+	await upstream.waitUntilHeld('/later');
+	upstream.held.get('/later')!.end();
+	await later;
+	// The reset must not be blamed for what happens after a response.
+	upstream.gate.announce('i-1', {...upstream.announcement, incarnation: 6});
+	assert.deepEqual(upstream.crashes, []);
+});
+
+test('an upstream that ends as announced has not crashed', async (t) => {
+	const upstream = await start(t);
+	const running = upstream.send('/lamb');
+	await upstream.waitUntilHeld('/lamb');
+	upstream.gate.announce('i-1', {
+		...upstream.announcement,
+		sequence: 2,
+		state: 'leaving',
+	});
+	upstream.crash();
+	await running;
+	upstream.gate.announce('i-2', {...upstream.announcement, incarnation: 6});
+	assert.deepEqual(upstream.crashes, []);
+});
+
+test('a crash of an upstream that is back at once is found by its new incarnation', async (t) => {
+	const upstream = await start(t);
+	const running = upstream.send('/dead');
+	await upstream.waitUntilHeld('/dead');
+	upstream.held.get('/dead')!.socket!.destroy();
+	await running;
+	upstream.gate.announce('i-1', {...upstream.announcement, incarnation: 6});
+	assert.deepEqual(upstream.crashes, [['/dead']]);
+});
+
+test('suspects run one after the other, and other requests beside them', async (t) => {
+	const upstream = await start(t);
+	upstream.suspicions.set('/dead', {kind: 'suspect'});
+	upstream.suspicions.set('/lamb', {kind: 'suspect'});
+	const results = ['/dead', '/lamb', '/beef'].map(async (name) =>
+		upstream.send(name),
+	);
+	await upstream.waitUntilHeld('/dead', '/beef');
+	upstream.held.get('/beef')!.end();
+	assert.equal(await results[2], 'answered');
+	assert.ok(!upstream.held.has('/lamb'), 'two suspects run at once');
+	upstream.held.get('/dead')!.end();
+	await upstream.waitUntilHeld('/lamb');
+	upstream.held.get('/lamb')!.end();
+	assert.deepEqual(await Promise.all(results), [
+		'answered',
+		'answered',
+		'answered',
+	]);
+});
+
+test('a queued request that is quarantined meanwhile is refused as not run', async (t) => {
+	const upstream = await start(t);
+	upstream.suspicions.set('/lamb', {kind: 'suspect'});
+	upstream.suspicions.set('/dead', {kind: 'suspect'});
+	const first = upstream.send('/lamb');
+	const second = upstream.send('/dead');
+	await upstream.waitUntilHeld('/lamb');
+	upstream.suspicions.set('/dead', {kind: 'quarantined', remainingMs: 1000});
+	upstream.held.get('/lamb')!.end();
+	assert.equal(await first, 'answered');
+	assert.equal(await second, 'not-run quarantined');
+	assert.equal(await upstream.send('/dead'), 'not-run quarantined');
+	assert.ok(!upstream.held.has('/dead'), 'a quarantined request was sent');
+});
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -64,6 +64,7 @@
 import type {Logger} from './create-logger.js';
 import {defaultEdge} from './default-edge.js';
 import type {GateTask} from './start-gate-task.js';
+import type {RequestQuarantine} from './start-quarantine-task.js';
 
 /** Options of `startCallerTask`. */
 export type CallerTaskOptions = {
@@ -86,6 +87,8 @@
 	readonly readMaxWait?: () => number;
 	/** Called with each batch of accepted connections, once none is left in the queue. */
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
+	/** Tells which requests crash their upstreams; without it, none is refused for that. */
+	readonly quarantine?: Pick<RequestQuarantine, 'readSuspicion'>;
 	/** Returns the service on the local host, on whose behalf callers send requests. */
 	readonly readOrigin?: () => string | undefined;
 	/** Computes the retry budget of this node from the number of all nodes. */
@@ -219,7 +222,7 @@
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
 	const {logger, observer = {}, edge = defaultEdge} = options;
-	const {readLag = () => 0} = options;
+	const {readLag = () => 0, quarantine} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
@@ -348,6 +351,22 @@
 			body: prefix,
 		});
 		const isStreamed = !(body instanceof Uint8Array);
+		const suspicion = quarantine?.readSuspicion(fingerprint);
+		if (suspicion?.kind === 'quarantined') {
+			bodyMemory.release(reservedBytes);
+			if (isStreamed) {
+				discardBody(body);
+			}
+
+			return {
+				outcome: 'not-run',
+				reason: 'quarantined',
+				retryAfterSeconds: suspicion.remainingMs / msPerSecond,
+				attempts: 0,
+				fingerprint,
+			};
+		}
+
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatIdempotencyKey(parameters, route);
 		const {depth} = parameters;
@@ -395,6 +414,8 @@
 			signal,
 			pickGate: selection.pickGate,
 			hasAvailableHost: selection.hasAvailableHost,
+			isQuarantined: () =>
+				quarantine?.readSuspicion(fingerprint).kind === 'quarantined',
 			readRateLimitWait: selection.readRateLimitWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
--- a/src/transport/start-document-task.test.ts
+++ b/src/transport/start-document-task.test.ts
@@ -77,6 +77,7 @@
 		handlers: {
 			handlePoll: failOnCall,
 			handleExchange: failOnCall,
+			handleCrashes: failOnCall,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -12,6 +12,7 @@
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
+import type {Suspicion} from '../coordination/quarantine-state.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
@@ -22,7 +23,11 @@
 	UpstreamNotice,
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
-import {queueSlotsRatio, retryAfterSeconds} from '../protocol/constants.js';
+import {
+	msPerSecond,
+	queueSlotsRatio,
+	retryAfterSeconds,
+} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
@@ -34,6 +39,7 @@
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
+import {createRecentSet} from './_lib/create-recent-set.js';
 import {createReportLog} from './_lib/create-report-log.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {createLostRequestDetector} from './_lib/create-lost-request-detector.js';
@@ -62,6 +68,7 @@
 import {startPostPollTimer} from './_lib/start-post-poll-timer.js';
 import type {Logger} from './create-logger.js';
 import {defaultEdge} from './default-edge.js';
+import type {RequestQuarantine} from './start-quarantine-task.js';
 
 /** Options of `startGateTask`. */
 export type GateTaskOptions = {
@@ -79,6 +86,8 @@
 	readonly edge?: Edge;
 	/** Called when an upstream is found to be leaving by other means than its announcement. */
 	readonly onLeaving?: (id: string, announcement: Announcement) => void;
+	/** Keeps what is known about requests that crash their upstreams; without it, none is suspected. */
+	readonly quarantine?: RequestQuarantine;
 	/** Random identifier of the process; default a new UUID. */
 	readonly epoch?: string;
 	/** Monotonic time, ms; default `performance.now`. */
@@ -90,6 +99,13 @@
 /** Part of the epoch in the identifiers of crashes; tells apart all processes of a fleet. */
 const crashIdPrefixLength = 13;
 
+const noSuspicion: Suspicion = {kind: 'none'};
+
+/** Time for which a request that an upstream has answered is not suspected of a crash there, ms. */
+const answeredRetentionMs = 10 * msPerSecond;
+
+const maxAnsweredFingerprints = 4096;
+
 /** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
 	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
@@ -148,7 +164,7 @@
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
 	const {observer = {}, edge = defaultEdge, epoch = randomUUID()} = options;
-	const {readLag = () => 0} = options;
+	const {readLag = () => 0, quarantine} = options;
 	const {readMaxWait = readLag} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const upstreams = new Map<string, LocalUpstream>();
@@ -167,6 +183,30 @@
 		return {kind, reason, retryAfterSeconds: retryAfter, load, stamp};
 	}
 
+	/** Requests that an upstream on the host has answered, and that therefore do not crash it. */
+	const answered = createRecentSet({
+		retentionMs: answeredRetentionMs,
+		maxKeys: maxAnsweredFingerprints,
+		now,
+	});
+
+	function readSuspicion({fingerprint}: Attempt): Suspicion {
+		return quarantine?.readSuspicion(fingerprint) ?? noSuspicion;
+	}
+
+	/** Refuses an attempt at a request that crashes its upstreams; undefined for any other. */
+	function refuseQuarantined(attempt: Attempt): AttemptResult | undefined {
+		const suspicion = readSuspicion(attempt);
+		return suspicion.kind === 'quarantined'
+			? refuse(
+					'not-run',
+					'quarantined',
+					undefined,
+					suspicion.remainingMs / msPerSecond,
+				)
+			: undefined;
+	}
+
 	const reportLog = createReportLog({logger: options.logger, now});
 
 	/** Applies what the gate now knows about an upstream: drops queued attempts that cannot be run here, and starts others. */
@@ -231,9 +271,19 @@
 			lostRequestDetector.scheduleCheck(upstream);
 		},
 		onHead: handleResponseHead,
-		onEnd(job, end) {
+		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
+			const {fingerprint} = job.attempt;
+			if (
+				end === 'answered' &&
+				result.kind === 'answered' &&
+				fingerprint !== undefined
+			) {
+				answered.add(fingerprint);
+				quarantine?.recordCompletion(fingerprint);
+			}
 		},
+		readSuspicion,
 		readMaxWait,
 		now,
 	});
@@ -242,6 +292,10 @@
 		idPrefix: epoch.slice(0, crashIdPrefixLength),
 		onCrash(crash) {
 			observer.onCrash?.(crash);
+			quarantine?.recordCrash(
+				crash.id,
+				crash.running.filter(({fingerprint}) => !answered.has(fingerprint)),
+			);
 		},
 		now,
 	});
@@ -383,6 +437,11 @@
 	}
 
 	function refuseBeforeBody(attempt: Attempt): AttemptResult | undefined {
+		const refusal = refuseQuarantined(attempt);
+		if (refusal) {
+			return refusal;
+		}
+
 		const found = findUpstream(attempt);
 		if ('kind' in found) {
 			return found;
@@ -399,6 +458,11 @@
 	}
 
 	function admit(attempt: Attempt): Job | AttemptResult {
+		const refusal = refuseQuarantined(attempt);
+		if (refusal) {
+			return refusal;
+		}
+
 		const upstream = findUpstream(attempt);
 		if ('kind' in upstream) {
 			return upstream;
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -24,6 +24,7 @@
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './platform-client.js';
+import type {QuarantineTask} from './start-quarantine-task.js';
 
 /** Options of `startMembersTask`. */
 export type MembersTaskOptions = {
@@ -38,6 +39,8 @@
 	readonly onLeaseExpired?: (id: string) => void;
 	/** Lease time of an announcement, ms; `upstreamLeaseMs` when absent. */
 	readonly leaseMs?: number | undefined;
+	/** Quarantine whose digest the probes carry, so that nodes with other crash records are found. */
+	readonly quarantine?: Pick<QuarantineTask, 'readDigest' | 'compareDigest'>;
 	readonly now?: () => number;
 	readonly random?: () => number;
 };
@@ -76,6 +79,7 @@
  */
 export function startMembersTask(options: MembersTaskOptions): MembersTask {
 	const {self, peers, platform, logger, onView, onLeaseExpired} = options;
+	const {quarantine} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
 	const timers = new Set<NodeJS.Timeout>();
@@ -171,13 +175,26 @@
 		}
 	}
 
+	/** Adds the digest of the crash records to a probe or its acknowledgement. */
+	function addDigest<Message extends Exchange | ExchangeAnswer>(
+		message: Message,
+	): Message {
+		return quarantine && (message.kind === 'ping' || message.kind === 'ack')
+			? {...message, crashDigest: quarantine.readDigest()}
+			: message;
+	}
+
 	async function send(address: string, request: Exchange): Promise<void> {
 		try {
 			const answer = exchangeAnswerSchema.parse(
-				await peers.getClient(address).exchange.mutate(request, {
+				await peers.getClient(address).exchange.mutate(addDigest(request), {
 					signal: AbortSignal.timeout(exchangeTimeoutMs),
 				}),
 			);
+			if (answer.kind === 'ack' && answer.crashDigest !== undefined) {
+				quarantine?.compareDigest(address, answer.crashDigest);
+			}
+
 			dispatch({kind: 'answer', address, request, answer});
 		} catch (error) {
 			logger.debug('exchange failed', {address, error: String(error)});
@@ -255,7 +272,7 @@
 				throw new Error('exchange received after the members task was stopped');
 			}
 
-			return effect.answer;
+			return addDigest(effect.answer);
 		},
 		async leave() {
 			dispatch({kind: 'leave'});
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -32,6 +32,7 @@
 import {startGateTask} from './start-gate-task.js';
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
+import {startQuarantineTask} from './start-quarantine-task.js';
 
 /** Adapter of a platform: what a node needs of it. */
 export type MeshPlatform = {
@@ -113,6 +114,7 @@
 				.length,
 			inFlight: caller.readInFlight(),
 			rateLimit: gate.readRateLimit() ?? -1,
+			quarantined: quarantine.readQuarantined(),
 		}),
 		takeBytes: byteCounter.take,
 	});
@@ -141,8 +143,10 @@
 		};
 	}
 
+	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
 	const gate = startGateTask({
 		logger,
+		quarantine,
 		edge,
 		observer,
 		readLag: lagMeter.read,
@@ -166,6 +170,7 @@
 		address: initialSettings.callers,
 		gate,
 		forwarder,
+		quarantine,
 		logger,
 		edge,
 		observer,
@@ -209,6 +214,7 @@
 			},
 			handleDocument: document.handlePoll,
 			handleExchange: (exchange) => members.handleExchange(exchange),
+			handleCrashes: quarantine.handleExchange,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -228,6 +234,7 @@
 		seeds: [],
 		peers,
 		platform: store,
+		quarantine,
 		logger,
 		leaseMs: Math.max(
 			upstreamLeaseMs,
@@ -235,6 +242,7 @@
 		),
 		onView(view) {
 			caller.updateMembers(view);
+			quarantine.updateMembers(view);
 			document.updateMembers(view);
 		},
 		onLeaseExpired: gate.withdraw,
@@ -280,7 +288,7 @@
 	);
 	const readiness = createReadiness({
 		hasConfiguration: () => document.readDocument() !== undefined,
-		hasJoined: members.isMember,
+		hasJoined: () => members.isMember() && quarantine.hasAsked(),
 	});
 	const readinessServer = await startServer(
 		initialSettings.readiness,
@@ -365,6 +373,7 @@
 			lagMeter.stop();
 			document.stop();
 			members.stop();
+			quarantine.stop();
 			await Promise.race([
 				Promise.all([
 					caller.stop(),
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -19,6 +19,7 @@
 import {startGateTask} from './start-gate-task.js';
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
+import {startQuarantineTask} from './start-quarantine-task.js';
 
 /** Creates a client of the platform that calls `onSocket` with each of its connections. */
 export type CreatePlatform = (
@@ -80,8 +81,10 @@
 		metrics.observer,
 		createRequestLog(logger, settings.log.level),
 	]);
+	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
 	const gate = startGateTask({
 		logger,
+		quarantine,
 		observer,
 		onLeaving(id, announcement) {
 			members.announce(id, announcement);
@@ -94,6 +97,7 @@
 		address: settings.node.callers,
 		gate,
 		forwarder,
+		quarantine,
 		logger,
 		observer,
 	});
@@ -123,6 +127,7 @@
 				lastExchangeAt = performance.now();
 				return members.handleExchange(exchange);
 			},
+			handleCrashes: quarantine.handleExchange,
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -142,9 +147,11 @@
 		seeds: settings.members.seeds,
 		peers,
 		platform,
+		quarantine,
 		logger,
 		onView(view) {
 			caller.updateMembers(view);
+			quarantine.updateMembers(view);
 			configuration.updateMembers(view);
 		},
 		onLeaseExpired: gate.withdraw,
@@ -194,6 +201,7 @@
 			await caller.stop();
 			configuration.stop();
 			members.stop();
+			quarantine.stop();
 			await Promise.all([peerServer.stop(), administration.stop()]);
 			await Promise.all([
 				gate.stop(),
--- /dev/null
+++ b/src/transport/start-quarantine-task.ts
@@ -0,0 +1,338 @@
+import {computeQuarantineDigest} from '../coordination/compute-quarantine-digest.js';
+import {decideSuspicion} from '../coordination/decide-suspicion.js';
+import {encodeCrashRecord} from '../coordination/encode-crash-record.js';
+import {listOpenCrashes} from '../coordination/list-open-crashes.js';
+import type {
+	CrashRecord,
+	QuarantineMessage,
+	QuarantineState,
+	RunningRequest,
+	Suspicion,
+} from '../coordination/quarantine-state.js';
+import {stepQuarantine} from '../coordination/step-quarantine.js';
+import {
+	crashSpreadDelayMs,
+	exchangeTimeoutMs,
+	maxCrashRecordsPerMessage,
+	maxCrashRecordsSpreadPerSecond,
+	membersPeriodMs,
+	msPerSecond,
+	spreadFanOut,
+} from '../protocol/constants.js';
+import {
+	crashExchangeAnswerSchema,
+	type CrashExchange,
+	type CrashExchangeAnswer,
+} from '../protocol/crash-record.js';
+import type {Member, MembersView} from '../protocol/member.js';
+import type {Logger} from './create-logger.js';
+
+/** Clients of other nodes, as far as this task uses them. */
+export type QuarantinePeers = {
+	getClient(address: string): {
+		readonly crashes: {
+			mutate(
+				exchange: CrashExchange,
+				options: {readonly signal: AbortSignal},
+			): Promise<unknown>;
+		};
+	};
+};
+
+/** Options of `startQuarantineTask`. */
+export type QuarantineTaskOptions = {
+	readonly name: string;
+	readonly dataCentre: string;
+	readonly peers: QuarantinePeers;
+	readonly logger: Logger;
+	/** Monotonic time, ms; default `performance.now`. */
+	readonly now?: () => number;
+	/** Returns a number from 0 up to, but not including, 1; default `Math.random`. */
+	readonly random?: () => number;
+};
+
+/** What caller and gate tasks use of the quarantine. */
+export type RequestQuarantine = {
+	/** Tells whether a request may be sent; a request without a fingerprint may. */
+	readSuspicion(fingerprint: string | undefined): Suspicion;
+	/** Records that an upstream of this host has crashed while it ran requests. */
+	recordCrash(id: string, running: readonly RunningRequest[]): void;
+	/** Records that an upstream has answered a request. */
+	recordCompletion(fingerprint: string | undefined): void;
+};
+
+/** Task that keeps what is known about requests that crash their upstreams, and tells the other nodes. */
+export type QuarantineTask = RequestQuarantine & {
+	handleExchange(exchange: CrashExchange): CrashExchangeAnswer;
+	/** Returns the digest of all records, for the probes of members. */
+	readDigest(): number;
+	/** Exchanges records with a node whose digest differs, at most once a second. */
+	compareDigest(address: string, digest: number): void;
+	updateMembers(view: MembersView): void;
+	/** Whether the records of the nodes that were found first have been asked for, and have come or not. */
+	hasAsked(): boolean;
+	/** Returns the number of requests in quarantine. */
+	readQuarantined(): number;
+	stop(): void;
+};
+
+const noSuspicion: Suspicion = {kind: 'none'};
+
+/** A changed record that is to be passed on. */
+type PendingRecord = {
+	readonly record: CrashRecord;
+	/** Whether it was changed on this host, so that other data centres are told too. */
+	readonly isLocal: boolean;
+};
+
+/**
+ * Starts the task that keeps the quarantine of a node.
+ *
+ * A change is passed on to a few nodes at once, each of which passes it on once.
+ * Who missed it finds out by the digest that the probes of members carry.
+ *
+ * @param options - see `QuarantineTaskOptions`
+ * @returns the running task
+ * @example
+ * startQuarantineTask({name, dataCentre, peers, logger}).readSuspicion('a').kind; // 'none'
+ */
+export function startQuarantineTask(
+	options: QuarantineTaskOptions,
+): QuarantineTask {
+	const {name, dataCentre, peers, logger} = options;
+	const {now = () => performance.now(), random = Math.random} = options;
+	const pending = new Map<string, PendingRecord>();
+	const quarantined = new Set<string>();
+	let state: QuarantineState = new Map();
+	let digest: number | undefined = 0;
+	let others: readonly Member[] = [];
+	let spreadTimer: NodeJS.Timeout | undefined;
+	let windowStartedAt = Number.NEGATIVE_INFINITY;
+	let spreadInWindow = 0;
+	let askState: 'new' | 'asking' | 'asked' = 'new';
+	let lastSyncAt = Number.NEGATIVE_INFINITY;
+	let isStopped = false;
+
+	function dispatch(message: QuarantineMessage): readonly CrashRecord[] {
+		const step = stepQuarantine(state, message, now(), random);
+		if (step.state !== state) {
+			state = step.state;
+			digest = undefined;
+		}
+
+		for (const {fingerprint} of step.changed) {
+			updateQuarantined(fingerprint);
+		}
+
+		const isLocal = message.kind !== 'received';
+		for (const record of step.changed) {
+			pending.set(record.fingerprint, {record, isLocal});
+		}
+
+		scheduleSpread(crashSpreadDelayMs);
+		return step.changed;
+	}
+
+	/** Logs when a request is quarantined, and when it no longer is. */
+	function updateQuarantined(fingerprint: string): void {
+		const record = state.get(fingerprint);
+		const suspicion = decideSuspicion(record, now());
+		if (suspicion.kind === 'quarantined') {
+			if (!quarantined.has(fingerprint)) {
+				quarantined.add(fingerprint);
+				logger.warn('request quarantined', {
+					fingerprint,
+					service: record!.service,
+					crashes: [...record!.crashes.keys()],
+					durationMs: Math.round(suspicion.remainingMs),
+				});
+			}
+		} else if (quarantined.delete(fingerprint)) {
+			const reason = suspicion.kind === 'none' ? 'answered' : 'expired';
+			logger.info('quarantine ended', {fingerprint, reason});
+		}
+	}
+
+	/** Orders records by crashes, most first; those with equally many at random. */
+	function orderBySeverity(
+		records: Iterable<CrashRecord>,
+	): readonly CrashRecord[] {
+		return [...records]
+			.map((record) => ({
+				record,
+				rank: listOpenCrashes(record).length + random(),
+			}))
+			.toSorted((one, other) => other.rank - one.rank)
+			.map(({record}) => record);
+	}
+
+	function scheduleSpread(delayMs: number): void {
+		if (pending.size > 0 && !spreadTimer && !isStopped) {
+			spreadTimer = setTimeout(spread, delayMs);
+			spreadTimer.unref();
+		}
+	}
+
+	/** Takes the pending records that may be passed on within this second; the others wait, the least severe longest. */
+	function takePending(): readonly PendingRecord[] {
+		const at = now();
+		if (at - windowStartedAt >= msPerSecond) {
+			windowStartedAt = at;
+			spreadInWindow = 0;
+		}
+
+		const records = [...pending.values()].map(({record}) => record);
+		const taken = orderBySeverity(records)
+			.slice(0, maxCrashRecordsSpreadPerSecond - spreadInWindow)
+			.map(({fingerprint}) => pending.get(fingerprint)!);
+		spreadInWindow += taken.length;
+		for (const {record} of taken) {
+			pending.delete(record.fingerprint);
+		}
+
+		return taken;
+	}
+
+	/** Picks nodes at random: a few of this data centre, and one of each other one. */
+	function pickReceivers(): {
+		readonly near: readonly Member[];
+		readonly far: readonly Member[];
+	} {
+		const shuffled = others
+			.map((member) => ({member, rank: random()}))
+			.toSorted((one, other) => one.rank - other.rank)
+			.map(({member}) => member);
+		const far = new Map(
+			shuffled
+				.filter((member) => member.dataCentre !== dataCentre)
+				.map((member) => [member.dataCentre, member]),
+		);
+		const near = shuffled.filter((member) => member.dataCentre === dataCentre);
+		return {near: near.slice(0, spreadFanOut), far: [...far.values()]};
+	}
+
+	function spread(): void {
+		spreadTimer = undefined;
+		const taken = takePending();
+		const {near, far} = pickReceivers();
+		const records = taken.map(({record}) => record);
+		const local = taken
+			.filter(({isLocal}) => isLocal)
+			.map(({record}) => record);
+		for (const {address} of near) {
+			void send(address, records, false);
+		}
+
+		for (const {address} of far) {
+			void send(address, local, false);
+		}
+
+		scheduleSpread(msPerSecond);
+	}
+
+	async function send(
+		address: string,
+		records: readonly CrashRecord[],
+		wantsRecords: boolean,
+	): Promise<void> {
+		if (records.length === 0 && !wantsRecords) {
+			return;
+		}
+
+		const at = now();
+		try {
+			const answer = crashExchangeAnswerSchema.parse(
+				await peers.getClient(address).crashes.mutate(
+					{
+						records: records.map((record) => encodeCrashRecord(record, at)),
+						wantsRecords,
+					},
+					{signal: AbortSignal.timeout(exchangeTimeoutMs)},
+				),
+			);
+			dispatch({kind: 'received', records: answer.records});
+		} catch (error) {
+			logger.debug('crash records not sent', {address, error: String(error)});
+		}
+	}
+
+	/** Asks some of the nodes that were found first for what they know. */
+	async function askOthers(): Promise<void> {
+		askState = 'asking';
+		const {near, far} = pickReceivers();
+		const receivers = [...near, ...far].slice(0, spreadFanOut);
+		await Promise.all(
+			receivers.map(async ({address}) => send(address, selectRecords(), true)),
+		);
+		askState = 'asked';
+	}
+
+	function selectRecords(): readonly CrashRecord[] {
+		return orderBySeverity(state.values()).slice(0, maxCrashRecordsPerMessage);
+	}
+
+	function readDigest(): number {
+		digest ??= computeQuarantineDigest(state);
+		return digest;
+	}
+
+	const tickTimer = setInterval(() => {
+		if (state.size > 0) {
+			dispatch({kind: 'tick'});
+			for (const fingerprint of quarantined) {
+				updateQuarantined(fingerprint);
+			}
+		}
+	}, membersPeriodMs);
+	tickTimer.unref();
+
+	return {
+		readSuspicion(fingerprint) {
+			if (state.size === 0 || fingerprint === undefined) {
+				return noSuspicion;
+			}
+
+			return decideSuspicion(state.get(fingerprint), now());
+		},
+		recordCrash(id, running) {
+			dispatch({kind: 'crashed', id, running});
+		},
+		recordCompletion(fingerprint) {
+			if (fingerprint !== undefined && state.has(fingerprint)) {
+				dispatch({kind: 'completed', fingerprint});
+			}
+		},
+		handleExchange({records, wantsRecords}) {
+			dispatch({kind: 'received', records});
+			const at = now();
+			return {
+				records: wantsRecords
+					? selectRecords().map((record) => encodeCrashRecord(record, at))
+					: [],
+			};
+		},
+		readDigest,
+		compareDigest(address, other) {
+			const at = now();
+			if (other !== readDigest() && at - lastSyncAt >= msPerSecond) {
+				lastSyncAt = at;
+				void send(address, selectRecords(), true);
+			}
+		},
+		updateMembers({members}) {
+			others = members.filter(
+				(member) => member.state === 'alive' && member.name !== name,
+			);
+			if (askState === 'new' && others.length > 0) {
+				void askOthers();
+			}
+		},
+		hasAsked: () => askState === 'asked' || others.length === 0,
+		readQuarantined: () => quarantined.size,
+		stop() {
+			isStopped = true;
+			clearTimeout(spreadTimer);
+			clearInterval(tickTimer);
+		},
+	};
+}
