--- a/src/coordination/step-quarantine.ts
+++ b/src/coordination/step-quarantine.ts
@@ -129,7 +129,11 @@
 	fingerprint: string,
 ): QuarantineStep {
 	const record = state.get(fingerprint);
-	if (!record || listOpenCrashes(record).length === 0) {
+	if (record === undefined) {
+		return {state, changed: []};
+	}
+
+	if (listOpenCrashes(record).length === 0) {
 		return {state, changed: []};
 	}
 
