Hold a refusal of an upstream against the id of its request

Cause: only answers of success were held against the request's id; a refusal was believed without one, and its connection went back to the pool.

--- a/src/coordination/step-quarantine.ts
+++ b/src/coordination/step-quarantine.ts
@@ -129,11 +129,7 @@
 	fingerprint: string,
 ): QuarantineStep {
 	const record = state.get(fingerprint);
-	if (record === undefined) {
-		return {state, changed: []};
-	}
-
-	if (listOpenCrashes(record).length === 0) {
+	if (!record || listOpenCrashes(record).length === 0) {
 		return {state, changed: []};
 	}
 
@@ -154,7 +150,8 @@
 		crashes.map(({id, ageMs, isCleared}) => [id, {at: now - ageMs, isCleared}]),
 	);
 	const merged = mergeCrashes(known, {fingerprint, service}, received, random);
-	return merged && (known || !isExpired(merged, now)) ? merged : undefined;
+	const isForgotten = merged && !known && isExpired(merged, now);
+	return isForgotten ? undefined : merged;
 }
 
 /**
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -317,7 +317,9 @@
 	async function runJob(job: Job): Promise<void> {
 		const {upstream, attempt} = job;
 		job.sent = sendRequest(createUpstreamRequest(attempt), {
-			agent: upstream.agent,
+			agent: upstream.shedRequests.has(attempt.requestId)
+				? upstream.unpooledAgent
+				: upstream.agent,
 			address: upstream.announcement.address,
 			areResponsesIdentified: edge.identifiesResponses,
 			isBehind: () => isBehind(readMaxWait()),
@@ -332,6 +334,8 @@
 				job.isAnswered = true;
 				onHead(job, head);
 			},
+			// The response that is still due may follow on the connection.
+			canReuse: (head) => edge.classifyResponse(head, attempt) !== 'misplaced',
 		});
 		onSent(upstream);
 		if (job.earlyEndReason) {
@@ -352,6 +356,10 @@
 			isWhole = await waitForStreamEnd(result.body);
 		}
 
+		if (result.kind === 'not-run' && outcome.kind === 'answered') {
+			upstream.shedRequests.add(attempt.requestId);
+		}
+
 		onEnd(job, classifyEnd(outcome, result, isWhole), result);
 
 		releaseSlot(job);
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -1,4 +1,4 @@
-import type {Agent} from 'node:http';
+import {Agent} from 'node:http';
 import PQueue from 'p-queue';
 import {
 	compareWaiting,
@@ -25,16 +25,26 @@
 import type {TeamUse} from '../../coordination/step-team-use.js';
 import type {Utilization} from '../../coordination/step-utilization.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
-import {loadExpiryMs, defaultObjectiveRatio} from '../../protocol/constants.js';
+import {
+	loadExpiryMs,
+	defaultObjectiveRatio,
+	msPerSecond,
+} from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import {readNotice} from './local-notice.js';
+import {createRecentSet, type RecentSet} from './create-recent-set.js';
 import type {SentRequest} from './send-request.js';
 
 /** Minimum estimate of a running request's remaining time, ms; a request that exceeds its estimate may end at any time. */
 const minRemainingMs = 2;
 
+/** Time in which a refused request may come to the same upstream again, ms; longer than most deadlines. */
+const shedRetentionMs = 10 * msPerSecond;
+
+const maxShedRequests = 4096;
+
 /** An attempt that a gate has admitted. */
 export type Job = {
 	readonly attempt: Attempt;
@@ -97,6 +107,10 @@
 	readonly id: string;
 	announcement: Announcement;
 	readonly agent: Agent;
+	/** Opens a new connection for each request. */
+	readonly unpooledAgent: Agent;
+	/** Requests that the upstream has refused; a kept connection may bring that refusal once more. */
+	readonly shedRequests: RecentSet;
 	readonly queue: PQueue;
 	readonly fairQueue: FairQueue;
 	/** Queued jobs of each team, in the order in which they will start. */
@@ -147,16 +161,27 @@
  *
  * @param id - identifier under which the upstream announced itself
  * @param announcement - the upstream's announcement
+ * @param now - returns monotonic ms
  * @returns the record
  */
 export function createLocalUpstream(
 	id: string,
 	announcement: Announcement,
+	now: () => number,
 ): LocalUpstream {
 	return {
 		id,
 		announcement,
 		agent: createPooledAgent({maxSockets: announcement.connections}),
+		unpooledAgent: new Agent({
+			keepAlive: false,
+			maxSockets: announcement.slots,
+		}),
+		shedRequests: createRecentSet({
+			retentionMs: shedRetentionMs,
+			maxKeys: maxShedRequests,
+			now,
+		}),
 		queue: new PQueue({concurrency: announcement.slots}),
 		fairQueue: createFairQueue(),
 		queued: new Map(),
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -76,6 +76,8 @@
 	readonly onInterim?: (() => void) | undefined;
 	/** Called when the response head has been received. */
 	readonly onHead?: ((head: ResponseHead) => void) | undefined;
+	/** Whether further requests may be sent on the connection, by the response head; true when absent. */
+	readonly canReuse?: ((head: ResponseHead) => boolean) | undefined;
 };
 
 /** A request that has been passed to a connection. */
@@ -191,7 +193,12 @@
 		});
 		request.on('response', (response) => {
 			const {statusCode: status = 0, headers: responseHeaders} = response;
-			options.onHead?.({status, headers: responseHeaders});
+			const head = {status, headers: responseHeaders};
+			options.onHead?.(head);
+			if (options.canReuse?.(head) === false) {
+				request.shouldKeepAlive = false;
+			}
+
 			this.#handleResponse(response);
 		});
 		request.on('error', (error) => {
--- a/src/transport/gate-refusal.test.ts
+++ b/src/transport/gate-refusal.test.ts
@@ -1,5 +1,6 @@
 /**
- * Tests of attempts that the gate refuses before it receives their body.
+ * Tests of attempts that the gate refuses before it receives their body, and of
+ * those that the upstream has refused.
  */
 import assert from 'node:assert/strict';
 import test from 'node:test';
@@ -50,3 +51,25 @@
 	await waitForTurn();
 	assert.equal(held.length, 0);
 });
+
+// Guards against taking the refusal of an earlier attempt, written once more on its connection, for the response to this one.
+test('a request that the upstream has refused is sent again on a new connection', async (t) => {
+	const {run, held, waitUntilHeld, answer} = await startHeldGate(t);
+
+	/** Sends an attempt at a request and refuses it; returns the port of its connection. */
+	async function refuse(requestId: string): Promise<number | undefined> {
+		const result = run({requestId});
+		await waitUntilHeld(1);
+		const [response] = held;
+		const port = response?.socket?.remotePort;
+		response!.statusCode = 503;
+		answer({'boragehitch-shed': 'not-run'});
+		const {kind} = await result;
+		assert.equal(kind, 'not-run');
+		return port;
+	}
+
+	const first = await refuse('lamb');
+	assert.notEqual(await refuse('lamb'), first);
+	assert.equal(await refuse('beef'), first);
+});
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -598,7 +598,7 @@
 			}
 
 			withdraw(id);
-			upstreams.set(id, createLocalUpstream(id, announcement));
+			upstreams.set(id, createLocalUpstream(id, announcement, now));
 			const {service, address, incarnation} = announcement;
 			options.logger.info('upstream added', {
 				id,
@@ -684,12 +684,18 @@
 		},
 		async stop() {
 			for (const upstream of upstreams.values()) {
-				const {agent, rateLimitTimer, lossConfirmTimer, lossCheckTimer} =
-					upstream;
+				const {
+					agent,
+					unpooledAgent,
+					rateLimitTimer,
+					lossConfirmTimer,
+					lossCheckTimer,
+				} = upstream;
 				clearTimeout(rateLimitTimer);
 				clearTimeout(lossConfirmTimer);
 				clearTimeout(lossCheckTimer);
 				agent.destroy();
+				unpooledAgent.destroy();
 			}
 		},
 	};
