Compare the era of the store before a watch goes on from a revision

Callers saw nothing yet: a store that comes back from a copy some seconds old gives out revisions again, so that a watch from one that it has reached again begins without an error and never brings what was written between. On the stand-in, a node stayed at version 9 while the operator had written 10. Change: responses carry the era of the store; a document that was watched for in another era is read anew, and after any failed call the era is asked for before the next watch. The nodes that watch the store then write the addresses of the members again if the copy lacks them, whoever usually does. A version lower than the running one is still not run. One expectation of step-document changed: after a watch that timed out, the revision is asked for before the next watch; the test follows both calls.

--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -11,6 +11,39 @@
 import {endCall} from './end-call.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
+/**
+ * Applies the era of a response. A call that began with a revision of another
+ * era may have missed changes, so that the document has to be read.
+ */
+function applyEra(
+	before: DocumentState,
+	step: DocumentStep,
+	era: number | undefined,
+): DocumentStep {
+	if (era === before.era) {
+		return step;
+	}
+
+	const isFirst = before.era === undefined && before.revision === undefined;
+	const revision =
+		before.revision === undefined ? step.state.revision : undefined;
+	return {
+		state: {...step.state, era, revision},
+		effects: isFirst
+			? step.effects
+			: [
+					...step.effects,
+					{kind: 'store-restored'},
+					{
+						kind: 'log',
+						level: 'warn',
+						message: 'store came back from a copy',
+						fields: {era, eraBefore: before.era},
+					},
+				],
+	};
+}
+
 /** Handles the outcome of a call to the store. */
 export function handleStored(
 	state: DocumentState,
@@ -25,28 +58,27 @@
 			const hasBacklog =
 				step.state.document !== state.document &&
 				transferMs + now - arrivedAt > documentBacklogThresholdMs;
-			return {
-				...step,
-				state: {
-					...step.state,
-					storeLoop,
-					revision,
-					hasBacklog,
-					confirmedAt: now,
-				},
+			const after = {
+				...step.state,
+				storeLoop,
+				revision,
+				hasBacklog,
+				confirmedAt: now,
 			};
+			return applyEra(state, {...step, state: after}, outcome.era);
 		}
 
 		case 'revision': {
 			const storeLoop = endCall(state.storeLoop, false, now);
 			const revision =
 				state.revision === outcome.revision ? state.revision : undefined;
-			return createStepWithoutEffects({
+			const step = createStepWithoutEffects({
 				...state,
 				storeLoop,
 				revision,
 				hasBacklog: false,
 			});
+			return applyEra(state, step, outcome.era);
 		}
 
 		case 'compacted': {
--- a/src/coordination/_lib/document/plan-calls.ts
+++ b/src/coordination/_lib/document/plan-calls.ts
@@ -14,10 +14,12 @@
 /**
  * Creates the next call to the store. While documents change faster than they
  * are transferred, a watch would send a full copy for each change; instead, the
- * newest copy is read until nothing has changed during the transfer.
+ * newest copy is read until nothing has changed during the transfer. After a
+ * failed call, the store may have come back from an older copy, in which a watch
+ * from the revision would miss changes; it is asked for its era first.
  */
 function createStoreCall(
-	{revision, hasBacklog}: DocumentState,
+	{revision, hasBacklog, storeLoop}: DocumentState,
 	callId: number,
 ): DocumentEffect & {readonly kind: 'read' | 'watch' | 'check'} {
 	const timeoutMs = documentGraceMs;
@@ -26,7 +28,7 @@
 	}
 
 	const waitMs = documentWatchWaitMs;
-	return hasBacklog
+	return hasBacklog || storeLoop.failures > 0
 		? {kind: 'check', callId, timeoutMs}
 		: {kind: 'watch', callId, revision, waitMs, timeoutMs: waitMs + timeoutMs};
 }
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -145,6 +145,19 @@
 	};
 }
 
+/**
+ * Reads the seeds object, to write it again if the store has come back from a
+ * copy without it; a node that starts later would find no other one.
+ */
+export function recheckSeeds(state: MembersState): MembersStep {
+	return state.role === 'member'
+		? {
+				state: {...state, seeds: {...state.seeds, mustWrite: true}},
+				effects: [{kind: 'read-seeds'}],
+			}
+		: {state, effects: []};
+}
+
 function writeSeeds(
 	state: MembersState,
 	outcome: SeedsRead,
@@ -156,7 +169,8 @@
 		wallMs - outcome.writtenMs < seedsWriteIntervalMs;
 	const members = [state.self, ...listLocalPeers(state)];
 	const isFirst = computeBridges(members)[0]?.name === state.self.name;
-	if (isRecent || !isFirst || state.role !== 'member') {
+	const isDue = state.seeds.mustWrite === true || (isFirst && !isRecent);
+	if (!isDue || state.role !== 'member') {
 		return [];
 	}
 
@@ -250,9 +264,15 @@
 	random: () => number,
 ): MembersStep {
 	const member = becomeMember(state);
-	const next = member.state;
+	const next = {
+		...member.state,
+		seeds: {...member.state.seeds, mustWrite: false},
+	};
 	const hasNoLocalPeers = listLocalPeers(next).length === 0;
-	const effects = [...member.effects, ...writeSeeds(next, outcome, now)];
+	const effects = [
+		...member.effects,
+		...writeSeeds(member.state, outcome, now),
+	];
 	if (hasNoLocalPeers) {
 		const seedSync = startSeedSync(next, now, random);
 		return {state: seedSync.state, effects: [...effects, ...seedSync.effects]};
--- a/src/coordination/create-document-state.ts
+++ b/src/coordination/create-document-state.ts
@@ -23,6 +23,7 @@
 		needsFullDocument: false,
 		confirmedAt: Number.NEGATIVE_INFINITY,
 		revision: undefined,
+		era: undefined,
 		hasBacklog: false,
 		storeLoop: idleLoop,
 		peerLoop: idleLoop,
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -68,6 +68,11 @@
 	 * be read first.
 	 */
 	readonly revision: number | undefined;
+	/**
+	 * Era of the store in which the revision was given out; undefined if the store
+	 * names none. In another era the same revision may name other content.
+	 */
+	readonly era: number | undefined;
 	/**
 	 * Whether there may be several changes since the revision, each of which a
 	 * watch would send.
@@ -87,13 +92,19 @@
 			readonly document: RoutingDocument | undefined;
 			/** Revision from which to continue watching. */
 			readonly revision: number;
+			/** Era of the store; undefined if it names none. */
+			readonly era?: number | undefined;
 			/** When the whole answer had arrived, monotonic ms. */
 			readonly arrivedAt?: number | undefined;
 			/** Time from the first part of the answer to its last, ms. */
 			readonly transferMs?: number | undefined;
 	  }
 	/** The newest revision of the store. */
-	| {readonly kind: 'revision'; readonly revision: number}
+	| {
+			readonly kind: 'revision';
+			readonly revision: number;
+			readonly era?: number | undefined;
+	  }
 	/** The store has compacted the history since the revision. */
 	| {readonly kind: 'compacted'}
 	| {readonly kind: 'failed'};
@@ -158,6 +169,8 @@
 			readonly answer: DocumentAnswer;
 	  }
 	| {readonly kind: 'run'; readonly document: RoutingDocument}
+	/** The store has come back from an older copy, which may lack what was written since. */
+	| {readonly kind: 'store-restored'}
 	| {
 			readonly kind: 'log';
 			readonly level: 'info' | 'warn';
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -65,6 +65,8 @@
 	 * Number of members of the local data centre, as last written to the object.
 	 */
 	readonly memberCount: number;
+	/** Whether the object is written after the next read unless it is good, whoever usually writes it. */
+	readonly mustWrite?: boolean;
 	/** When the object is next read, monotonic ms. */
 	readonly nextReadAt: number;
 	/** When a sync with a seed may next be started, monotonic ms. */
@@ -171,6 +173,8 @@
 			readonly request: Exchange;
 	  }
 	| {readonly kind: 'seeds'; readonly outcome: SeedsOutcome}
+	/** The store has come back from an older copy. */
+	| {readonly kind: 'store-restored'}
 	| {readonly kind: 'spread'}
 	| {readonly kind: 'leave'}
 	| {readonly kind: 'tick'};
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -151,9 +151,88 @@
 	const {timeoutMs} = machine.find('watch')!;
 	machine.send({kind: 'tick'}, timeoutMs + 2);
 	machine.send({kind: 'tick'}, timeoutMs + 500);
+	const check = machine.find('check')!;
+	machine.send(
+		{
+			kind: 'stored',
+			callId: check.callId,
+			outcome: {kind: 'revision', revision: 4},
+		},
+		timeoutMs + 501,
+	);
 	assert.equal(machine.find('watch')?.revision, 4);
 });
 
+/** Creates a state machine that watches from revision 4 of era 1 and runs version 2. */
+function createEraMachine() {
+	const machine = createMachine();
+	machine.send({kind: 'tick'}, 0);
+	const outcome = {
+		kind: 'read',
+		document: createDocument(2),
+		revision: 4,
+		era: 1,
+	} as const;
+	const {callId} = machine.find('read')!;
+	machine.send({kind: 'stored', callId, outcome}, 1);
+	return machine;
+}
+
+test('a revision that is given out again in another era is not watched from', () => {
+	const machine = createEraMachine();
+	const {callId, timeoutMs} = machine.find('watch')!;
+	machine.send({kind: 'stored', callId, outcome: {kind: 'failed'}}, 100);
+	machine.send({kind: 'tick'}, 300);
+	const check = machine.find('check')!;
+	assert.ok(check.timeoutMs < timeoutMs);
+	machine.send(
+		{
+			kind: 'stored',
+			callId: check.callId,
+			outcome: {kind: 'revision', revision: 4, era: 2},
+		},
+		301,
+	);
+	assert.ok(machine.find('store-restored'));
+	assert.ok(machine.find('read'), 'the document is not read again');
+});
+
+test('a watch that is answered in another era is followed by a read', () => {
+	const machine = createEraMachine();
+	const {callId} = machine.find('watch')!;
+	machine.send(
+		{
+			kind: 'stored',
+			callId,
+			outcome: {kind: 'read', document: undefined, revision: 4, era: 2},
+		},
+		100,
+	);
+	assert.ok(machine.find('read'), 'the document is not read again');
+});
+
+test('a lower version that a store from a copy holds is not run', () => {
+	const machine = createEraMachine();
+	const {callId} = machine.find('watch')!;
+	machine.send({kind: 'stored', callId, outcome: {kind: 'compacted'}}, 100);
+	machine.send(
+		{
+			kind: 'stored',
+			callId: machine.find('read')!.callId,
+			outcome: {
+				kind: 'read',
+				document: createDocument(1),
+				revision: 2,
+				era: 2,
+			},
+		},
+		101,
+	);
+	assert.equal(machine.read().document?.version, 2);
+	assert.ok(machine.find('store-restored'));
+	assert.equal(machine.find('watch')?.revision, 2);
+});
+
 /** Creates the state machine of a child in a data centre of four known nodes. */
 function createChild() {
 	const members = ['a', 'b', 'c', 'd'].map((name) => createMember(name));
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -197,3 +197,37 @@
 		[['abdali-2', 800]],
 	);
 });
+
+test('a node that learns that the store came back from a copy writes the missing addresses', () => {
+	const records = ['abdali-2', 'abdali-3', 'abdali-4'].map((name, index) => ({
+		...record,
+		name,
+		address: `10.0.0.${index + 2}:8081`,
+	}));
+	const missing = {
+		kind: 'seeds',
+		outcome: {
+			kind: 'read',
+			addresses: [],
+			localAddresses: [],
+			memberCount: 0,
+			writtenMs: 0,
+			version: undefined,
+		},
+	} as const;
+	const before = step(createState(), ping(records), 10).state;
+	const writers = [before, ...records].map((self) => {
+		// Whichever node learns of it first, not only the one that usually writes.
+		const name = 'name' in self ? self.name : before.self.name;
+		const state = {...before, self: {...before.self, name}};
+		const restored = step(state, {kind: 'store-restored'}, 20);
+		assert.deepEqual(
+			restored.effects.map(({kind}) => kind),
+			['read-seeds'],
+		);
+		const read = step(restored.state, missing, 30);
+		assert.equal(step(read.state, missing, 40).state.seeds.mustWrite, false);
+		return read.effects.some(({kind}) => kind === 'write-seeds');
+	});
+	assert.deepEqual(writers, [true, true, true, true]);
+});
--- a/src/coordination/step-members.ts
+++ b/src/coordination/step-members.ts
@@ -1,6 +1,6 @@
 import {upstreamLeaseMs} from '../protocol/constants.js';
 import {handleAnswer, handleFailure} from './_lib/members/answers.js';
-import {handleSeeds} from './_lib/members/join.js';
+import {handleSeeds, recheckSeeds} from './_lib/members/join.js';
 import {runPeriod} from './_lib/members/period.js';
 import {handleRequest} from './_lib/members/requests.js';
 import {runActions} from './_lib/members/run-actions.js';
@@ -99,6 +99,10 @@
 			return handleSeeds(state, message.outcome, now, random);
 		}
 
+		case 'store-restored': {
+			return recheckSeeds(state);
+		}
+
 		case 'spread': {
 			return spreadChanges(state, now, random);
 		}
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -56,6 +56,8 @@
 	readonly peers: PeerClients;
 	readonly logger: Logger;
 	/** Called with each document that the node starts to run. */
+	/** Called when the store has come back from an older copy, which may lack objects of this system. */
+	readonly onStoreRestored?: () => void;
 	readonly onDocument: (document: RoutingDocument) => void;
 	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
@@ -217,6 +219,11 @@
 				break;
 			}
 
+			case 'store-restored': {
+				options.onStoreRestored?.();
+				break;
+			}
+
 			case 'log': {
 				logger[effect.level](effect.message, effect.fields);
 				break;
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -56,6 +56,8 @@
 	readView(): MembersView;
 	/** Whether the node has joined: it knows the other members, or has found none. */
 	isMember(): boolean;
+	/** Reads the addresses by which nodes find each other from the store, and writes them again if they are missing. */
+	recheckSeeds(): void;
 	/** Announces to the other members that this node is leaving; resolves when all sent messages have been answered or have failed. */
 	leave(): Promise<void>;
 	stop(): void;
@@ -274,6 +276,9 @@
 
 			return addDigest(effect.answer);
 		},
+		recheckSeeds() {
+			dispatch({kind: 'store-restored'});
+		},
 		async leave() {
 			dispatch({kind: 'leave'});
 			await Promise.all(pendingSends);
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -198,6 +198,9 @@
 		onDocument(next) {
 			caller.updateRoutes({kind: 'document', document: next});
 		},
+		onStoreRestored() {
+			members.recheckSeeds();
+		},
 	});
 	const peerServer = await startPeerServer({
 		address: initialSettings.peers,
