Open no connection to an upstream that still has others

Cause: each reset was followed by a connection that asks whether the upstream has crashed, which may hold a slot of a full upstream. Change: a crash closes all connections; while one is open, in use or idle, no further one is opened. The new case of gate-crashes failed before (4 connections, expected 3).

--- a/src/transport/_lib/create-crash-detector.ts
+++ b/src/transport/_lib/create-crash-detector.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../create-logger.js';
 import {readErrorCode} from './read-error-code.js';
 import type {Job, LocalUpstream} from './local-upstream.js';
+import {waitForTurns} from './wait-for-turns.js';
 
 /** Options of `createCrashDetector`. */
 export type CrashDetectorOptions = {
@@ -42,6 +43,9 @@
 /** Time for which a job that the gate has aborted may still be running at its upstream, ms. */
 const maxAbortedAgeMs = msPerSecond;
 
+/** Event loop turns after which the ends of all connections of a crashed upstream have been read. */
+const turnsToReadCloses = 4;
+
 /** Maximum number of ended jobs that are kept for an upstream. */
 const maxEndedJobs = 64;
 
@@ -74,6 +78,17 @@
 	});
 }
 
+/** Tells whether a connection to an upstream is open; a full upstream must not be burdened with more. */
+function hasOpenConnection({sent, agent}: LocalUpstream): boolean {
+	const isSending = [...sent].some(
+		({firstByteAt, phase}) => firstByteAt !== undefined && phase === 'sent',
+	);
+	return (
+		isSending ||
+		Object.values(agent.freeSockets).some((sockets = []) => sockets.length > 0)
+	);
+}
+
 function describeJob({attempt}: Job) {
 	const {requestId, fingerprint, method, path, origin} = attempt;
 	const [pathWithoutQuery = ''] = path.split('?', 1);
@@ -156,7 +171,11 @@
 		}
 
 		upstream.isCrashProbed = true;
-		const isAlive = await isListening(upstream.announcement.address);
+		// A crash closes all connections at once; they are read one after the other.
+		await waitForTurns(turnsToReadCloses);
+		const isAlive =
+			hasOpenConnection(upstream) ||
+			(await isListening(upstream.announcement.address));
 		upstream.isCrashProbed = false;
 		if (!isAlive) {
 			confirmCrash(upstream, 'refused');
--- a/src/transport/gate-crashes.test.ts
+++ b/src/transport/gate-crashes.test.ts
@@ -28,6 +28,10 @@
 	const server = createServer((request, response) => {
 		held.set(request.url!, response);
 	});
+	let connections = 0;
+	server.on('connection', () => {
+		connections++;
+	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const bound = server.address();
@@ -100,6 +104,7 @@
 		crash,
 		send,
 		waitUntilHeld,
+		readConnections: () => connections,
 		async waitUntilCrashed() {
 			const hasCrashed = await pollUntil(
 				async () => crashes.length > 0,
@@ -147,6 +152,23 @@
 	assert.deepEqual(upstream.crashes, []);
 });
 
+test('a full upstream that resets one of its connections gets no further one', async (t) => {
+	const upstream = await start(t);
+	const reset = upstream.send('/reset');
+	const other = upstream.send('/other');
+	await upstream.waitUntilHeld('/reset', '/other');
+	upstream.held.get('/reset')!.socket!.destroy();
+	await reset;
+	const later = upstream.send('/later');
+	await upstream.waitUntilHeld('/later');
+	// Of the two first requests, and of the one after the reset.
+	assert.equal(upstream.readConnections(), 3);
+	upstream.held.get('/other')!.end();
+	upstream.held.get('/later')!.end();
+	await Promise.all([other, later]);
+	assert.deepEqual(upstream.crashes, []);
+});
+
 test('an upstream that ends as announced has not crashed', async (t) => {
 	const upstream = await start(t);
 	const running = upstream.send('/lamb');
