--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -196,7 +196,7 @@
 export const minRetryBudget = 10;
 export const retryBudgetWindowMs = 10_000;
 
-/** Maximum number of requests about which a node keeps that upstreams have crashed; about 1.6 MB. */
+/** Maximum number of requests about which a node keeps that upstreams have crashed; 7 MB when each has eight crashes. */
 export const maxCrashRecords = 4096;
 export const maxCrashesPerRecord = 8;
 /** Maximum number of such records in a message; about 10 KB. */
