Bound the processor time of crash records under an attack

Cause: with a full table, each further record sorted all 4,096, 20 ms; what was to be passed on was kept without limit, also after its record was evicted; each digest hashed every record. Now an eighth of the table is evicted at once, only fingerprints are kept to be passed on, and digests of records are kept.

--- a/src/coordination/compute-quarantine-digest.ts
+++ b/src/coordination/compute-quarantine-digest.ts
@@ -3,6 +3,9 @@
 
 const digestModulus = 2 ** 32;
 
+/** Digests of records, which are never modified. */
+const recordDigests = new WeakMap<CrashRecord, number>();
+
 function computeRecordDigest({fingerprint, crashes}: CrashRecord): number {
 	const ids = [...crashes]
 		.map(([id, {isCleared}]) => `${id} ${isCleared}`)
@@ -25,7 +28,9 @@
 export function computeQuarantineDigest(state: QuarantineState): number {
 	let sum = 0;
 	for (const record of state.values()) {
-		sum = (sum + computeRecordDigest(record)) % digestModulus;
+		const digest = recordDigests.get(record) ?? computeRecordDigest(record);
+		recordDigests.set(record, digest);
+		sum = (sum + digest) % digestModulus;
 	}
 
 	return sum;
--- a/src/coordination/step-quarantine.ts
+++ b/src/coordination/step-quarantine.ts
@@ -18,6 +18,9 @@
 /** Time after its last crash or quarantine for which a record is kept, ms. */
 const retentionMs = msPerMinute;
 
+/** Ratio of the maximum number of records that is kept when there are too many. */
+const keptRatio = 7 / 8;
+
 type Random = () => number;
 
 /** Keeps the newest crashes of a record. */
@@ -89,20 +92,37 @@
 	return groups;
 }
 
+function findLargest(groups: readonly CrashRecord[][]): CrashRecord[] {
+	let [largest = []] = groups;
+	for (const group of groups) {
+		largest = group.length > largest.length ? group : largest;
+	}
+
+	return largest;
+}
+
 /**
- * Removes the least suspect records, the oldest first, of the service that has
- * most, so that requests of one service never displace the records of others.
+ * Makes space when there are too many records: removes the least suspect ones,
+ * the oldest first, of the service that has most, so that requests of one service
+ * never displace the records of others.
  */
 function evictRecords(records: Map<string, CrashRecord>): void {
-	while (records.size > maxCrashRecords) {
-		const [largest = []] = [
-			...groupByService(records.values()).values(),
-		].toSorted((group, other) => other.length - group.length);
-		const [least] = largest.toSorted(
-			(record, other) =>
-				listOpenCrashes(record).length - listOpenCrashes(other).length,
-		);
-		records.delete(least!.fingerprint);
+	if (records.size <= maxCrashRecords) {
+		return;
+	}
+
+	const groups = [...groupByService(records.values()).values()].map((group) =>
+		group
+			.toReversed()
+			.toSorted(
+				(one, other) =>
+					listOpenCrashes(other).length - listOpenCrashes(one).length,
+			),
+	);
+	// Space for many, so that an attack does not sort the records again for each.
+	while (records.size > maxCrashRecords * keptRatio) {
+		const record = findLargest(groups).pop()!;
+		records.delete(record.fingerprint);
 	}
 }
 
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -78,11 +78,13 @@
 
 const noSuspicion: Suspicion = {kind: 'none'};
 
-/** A changed record that is to be passed on. */
-type PendingRecord = {
+/** Where a record was changed that is to be passed on; other data centres are told only of changes of this host. */
+type ChangeSource = 'local' | 'remote';
+
+/** A changed record that is passed on. */
+type ChangedRecord = {
 	readonly record: CrashRecord;
-	/** Whether it was changed on this host, so that other data centres are told too. */
-	readonly isLocal: boolean;
+	readonly source: ChangeSource;
 };
 
 /**
@@ -101,7 +103,8 @@
 ): QuarantineTask {
 	const {name, dataCentre, peers, logger} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
-	const pending = new Map<string, PendingRecord>();
+	/** Fingerprints of changed records that are to be passed on. */
+	const pending = new Map<string, ChangeSource>();
 	const quarantined = new Set<string>();
 	let state: QuarantineState = new Map();
 	let digest: number | undefined = 0;
@@ -124,9 +127,9 @@
 			updateQuarantined(fingerprint);
 		}
 
-		const isLocal = message.kind !== 'received';
-		for (const record of step.changed) {
-			pending.set(record.fingerprint, {record, isLocal});
+		const source = message.kind === 'received' ? 'remote' : 'local';
+		for (const {fingerprint} of step.changed) {
+			pending.set(fingerprint, source);
 		}
 
 		scheduleSpread(crashSpreadDelayMs);
@@ -174,17 +177,27 @@
 	}
 
 	/** Takes the pending records that may be passed on within this second; the others wait, the least severe longest. */
-	function takePending(): readonly PendingRecord[] {
+	function takePending(): readonly ChangedRecord[] {
 		const at = now();
 		if (at - windowStartedAt >= msPerSecond) {
 			windowStartedAt = at;
 			spreadInWindow = 0;
 		}
 
-		const records = [...pending.values()].map(({record}) => record);
+		const records: CrashRecord[] = [];
+		for (const fingerprint of pending.keys()) {
+			const record = state.get(fingerprint);
+			if (record) {
+				records.push(record);
+			} else {
+				// It has been evicted meanwhile.
+				pending.delete(fingerprint);
+			}
+		}
+
 		const taken = orderBySeverity(records)
 			.slice(0, maxCrashRecordsSpreadPerSecond - spreadInWindow)
-			.map(({fingerprint}) => pending.get(fingerprint)!);
+			.map((record) => ({record, source: pending.get(record.fingerprint)!}));
 		spreadInWindow += taken.length;
 		for (const {record} of taken) {
 			pending.delete(record.fingerprint);
@@ -217,7 +230,7 @@
 		const {near, far} = pickReceivers();
 		const records = taken.map(({record}) => record);
 		const local = taken
-			.filter(({isLocal}) => isLocal)
+			.filter(({source}) => source === 'local')
 			.map(({record}) => record);
 		for (const {address} of near) {
 			void send(address, records, false);
