Take no withdrawn upstream for crashed

Callers saw nothing yet: a server that deregisters first and then ends cuts what it still ran, and refuses connections; its requests were taken for suspects of a crash. Cause: an upstream that is withdrawn was not marked as leaving. The new case of gate-crashes failed before.

--- /dev/null
+++ b/src/coordination/pick-crash-receivers.ts
@@ -0,0 +1,41 @@
+import {spreadFanOut} from '../protocol/constants.js';
+import type {Member} from '../protocol/member.js';
+
+/** Nodes that are told of a change. */
+export type CrashReceivers = {
+	/** Nodes of the own data centre. */
+	readonly near: readonly Member[];
+	/** One node of each other data centre. */
+	readonly far: readonly Member[];
+};
+
+/**
+ * Picks the nodes that are told of changed crash records, at random.
+ *
+ * Load pattern: many nodes learn of the same crash within milliseconds; each
+ * tells few others, so that the cost of a node does not grow with the fleet.
+ *
+ * @param others - the other live members
+ * @param dataCentre - the own data centre
+ * @param random - source of random numbers from 0 up to 1
+ * @returns the nodes
+ * @example
+ * pickCrashReceivers([], 'abdali', Math.random).near; // []
+ */
+export function pickCrashReceivers(
+	others: readonly Member[],
+	dataCentre: string,
+	random: () => number,
+): CrashReceivers {
+	const shuffled = others
+		.map((member) => ({member, rank: random()}))
+		.toSorted((one, other) => one.rank - other.rank)
+		.map(({member}) => member);
+	const far = new Map(
+		shuffled
+			.filter((member) => member.dataCentre !== dataCentre)
+			.map((member) => [member.dataCentre, member]),
+	);
+	const near = shuffled.filter((member) => member.dataCentre === dataCentre);
+	return {near: near.slice(0, spreadFanOut), far: [...far.values()]};
+}
--- a/src/transport/_lib/create-crash-detector.ts
+++ b/src/transport/_lib/create-crash-detector.ts
@@ -13,7 +13,7 @@
 	readonly idPrefix: string;
 	/** Called with each crash and the requests that were running; again with the same id when others turn out to have been running too. */
 	readonly onCrash: (crash: CrashEvent) => void;
-	/** Tells whether something accepts connections at an address; `isListening` when absent. */
+	/** Tells whether something accepts connections at an address; by default, a connection is opened. */
 	readonly isListening?: (address: string) => Promise<boolean>;
 	/** Monotonic ms. */
 	readonly now: () => number;
--- a/src/transport/gate-crashes.test.ts
+++ b/src/transport/gate-crashes.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
+import {createConnection} from 'node:net';
 import test, {type TestContext} from 'node:test';
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
@@ -14,10 +15,14 @@
 	Suspicion,
 } from '../coordination/quarantine-state.js';
 import type {Announcement} from '../protocol/member.js';
+import {waitForTurns} from './_lib/wait-for-turns.js';
 import {startGateTask} from './start-gate-task.js';
 
 const timeoutMs = 5000;
 
+/** Event loop turns after which the gate has handled the result of a probe that began before another one. */
+const turnsAfterProbe = 20;
+
 /** Starts a gate and an upstream that holds its requests and can crash. */
 async function start(t: TestContext) {
 	const held = new Map<string, ServerResponse>();
@@ -105,6 +110,15 @@
 		send,
 		waitUntilHeld,
 		readConnections: () => connections,
+		/** Waits until the gate has found out that nothing listens at the upstream's address. */
+		async waitForProbe() {
+			const [host, port] = address.split(':');
+			for (let probe = 0; probe < 3; probe++) {
+				const socket = createConnection({host: host!, port: Number(port)});
+				await once(socket, 'close').catch(() => undefined);
+				await waitForTurns(turnsAfterProbe);
+			}
+		},
 		async waitUntilCrashed() {
 			const hasCrashed = await pollUntil(
 				async () => crashes.length > 0,
@@ -184,6 +198,17 @@
 	assert.deepEqual(upstream.crashes, []);
 });
 
+test('an upstream that is withdrawn before it ends has not crashed', async (t) => {
+	const upstream = await start(t);
+	const running = upstream.send('/lamb');
+	await upstream.waitUntilHeld('/lamb');
+	upstream.gate.withdraw('i-1');
+	upstream.crash();
+	await running;
+	await upstream.waitForProbe();
+	assert.deepEqual(upstream.crashes, []);
+});
+
 test('a crash of an upstream that is back at once is found by its new incarnation', async (t) => {
 	const upstream = await start(t);
 	const running = upstream.send('/dead');
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -553,6 +553,8 @@
 	function withdraw(id: string): void {
 		const known = upstreams.get(id);
 		if (known) {
+			// It may end from now on, without having crashed.
+			known.isLeaving = true;
 			upstreams.delete(id);
 			clearTimeout(known.rateLimitTimer);
 			runner.dropQueued(known);
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -1,7 +1,8 @@
 import {computeQuarantineDigest} from '../coordination/compute-quarantine-digest.js';
 import {decideSuspicion} from '../coordination/decide-suspicion.js';
 import {encodeCrashRecord} from '../coordination/encode-crash-record.js';
-import {listOpenCrashes} from '../coordination/list-open-crashes.js';
+import {listBySeverity} from '../coordination/list-by-severity.js';
+import {pickCrashReceivers} from '../coordination/pick-crash-receivers.js';
 import type {
 	CrashRecord,
 	QuarantineMessage,
@@ -156,19 +157,6 @@
 		}
 	}
 
-	/** Orders records by crashes, most first; those with equally many at random. */
-	function orderBySeverity(
-		records: Iterable<CrashRecord>,
-	): readonly CrashRecord[] {
-		return [...records]
-			.map((record) => ({
-				record,
-				rank: listOpenCrashes(record).length + random(),
-			}))
-			.toSorted((one, other) => other.rank - one.rank)
-			.map(({record}) => record);
-	}
-
 	function scheduleSpread(delayMs: number): void {
 		if (pending.size > 0 && !spreadTimer && !isStopped) {
 			spreadTimer = setTimeout(spread, delayMs);
@@ -195,7 +183,7 @@
 			}
 		}
 
-		const taken = orderBySeverity(records)
+		const taken = listBySeverity(records, random)
 			.slice(0, maxCrashRecordsSpreadPerSecond - spreadInWindow)
 			.map((record) => ({record, source: pending.get(record.fingerprint)!}));
 		spreadInWindow += taken.length;
@@ -206,28 +194,10 @@
 		return taken;
 	}
 
-	/** Picks nodes at random: a few of this data centre, and one of each other one. */
-	function pickReceivers(): {
-		readonly near: readonly Member[];
-		readonly far: readonly Member[];
-	} {
-		const shuffled = others
-			.map((member) => ({member, rank: random()}))
-			.toSorted((one, other) => one.rank - other.rank)
-			.map(({member}) => member);
-		const far = new Map(
-			shuffled
-				.filter((member) => member.dataCentre !== dataCentre)
-				.map((member) => [member.dataCentre, member]),
-		);
-		const near = shuffled.filter((member) => member.dataCentre === dataCentre);
-		return {near: near.slice(0, spreadFanOut), far: [...far.values()]};
-	}
-
 	function spread(): void {
 		spreadTimer = undefined;
 		const taken = takePending();
-		const {near, far} = pickReceivers();
+		const {near, far} = pickCrashReceivers(others, dataCentre, random);
 		const records = taken.map(({record}) => record);
 		const local = taken
 			.filter(({source}) => source === 'local')
@@ -272,7 +242,7 @@
 	/** Asks some of the nodes that were found first for what they know. */
 	async function askOthers(): Promise<void> {
 		askState = 'asking';
-		const {near, far} = pickReceivers();
+		const {near, far} = pickCrashReceivers(others, dataCentre, random);
 		const receivers = [...near, ...far].slice(0, spreadFanOut);
 		await Promise.all(
 			receivers.map(async ({address}) => send(address, selectRecords(), true)),
@@ -281,7 +251,10 @@
 	}
 
 	function selectRecords(): readonly CrashRecord[] {
-		return orderBySeverity(state.values()).slice(0, maxCrashRecordsPerMessage);
+		return listBySeverity(state.values(), random).slice(
+			0,
+			maxCrashRecordsPerMessage,
+		);
 	}
 
 	function readDigest(): number {
