Keep the record of a quarantined request for longer than its quarantine

Callers saw nothing yet: a request that comes less often than once a minute after its quarantine was forgotten and could crash two more upstreams each time, for good. A record is kept for four times the time of its quarantine.

--- a/src/coordination/decide-suspicion.ts
+++ b/src/coordination/decide-suspicion.ts
@@ -1,26 +1,10 @@
-import {msPerMinute, msPerSecond} from '../protocol/constants.js';
+import {computeQuarantineTime} from './compute-quarantine-time.js';
 import {listOpenCrashes} from './list-open-crashes.js';
 import type {CrashRecord, Suspicion} from './quarantine-state.js';
 
-/** Crashes from which a request is quarantined; one crash has as many suspects as its upstream had requests. */
-const minQuarantineCrashes = 2;
-
-/** Time of the first quarantine, ms; a request that is blamed wrongly is served again after it. */
-const firstQuarantineMs = 30 * msPerSecond;
-
-/** Time of the second quarantine, ms; it doubles with each further crash. */
-const secondQuarantineMs = 10 * msPerMinute;
-
 const noSuspicion: Suspicion = {kind: 'none'};
 const suspect: Suspicion = {kind: 'suspect'};
 
-function computeQuarantineMs(crashes: number, jitter: number): number {
-	const further = crashes - minQuarantineCrashes;
-	const durationMs =
-		further === 0 ? firstQuarantineMs : secondQuarantineMs * 2 ** (further - 1);
-	return durationMs * (1 + jitter);
-}
-
 /**
  * Decides whether a request may be sent to upstreams.
  *
@@ -45,12 +29,9 @@
 		return noSuspicion;
 	}
 
-	if (crashes.length < minQuarantineCrashes) {
-		return suspect;
-	}
-
 	const lastAt = Math.max(...crashes.map(({at}) => at));
-	const remainingMs =
-		lastAt + computeQuarantineMs(crashes.length, record.jitter) - now;
+	const durationMs =
+		computeQuarantineTime(crashes.length) * (1 + record.jitter);
+	const remainingMs = lastAt + durationMs - now;
 	return remainingMs > 0 ? {kind: 'quarantined', remainingMs} : suspect;
 }
--- a/src/coordination/step-quarantine.ts
+++ b/src/coordination/step-quarantine.ts
@@ -4,7 +4,7 @@
 	msPerMinute,
 } from '../protocol/constants.js';
 import type {EncodedCrashRecord} from '../protocol/crash-record.js';
-import {decideSuspicion} from './decide-suspicion.js';
+import {computeQuarantineTime} from './compute-quarantine-time.js';
 import {listOpenCrashes} from './list-open-crashes.js';
 import type {
 	Crash,
@@ -15,8 +15,11 @@
 	RunningRequest,
 } from './quarantine-state.js';
 
-/** Time after its last crash or quarantine for which a record is kept, ms. */
-const retentionMs = msPerMinute;
+/** Shortest time after its last crash for which a record is kept, ms. */
+const minRetentionMs = msPerMinute;
+
+/** Ratio of the time of a quarantine for which its record is kept; it lasts up to twice its time, and a request that comes later is still known. */
+const retentionRatio = 4;
 
 /** Ratio of the maximum number of records that is kept when there are too many. */
 const keptRatio = 7 / 8;
@@ -39,11 +42,8 @@
 
 function isExpired(record: CrashRecord, now: number): boolean {
 	const lastAt = Math.max(...[...record.crashes.values()].map(({at}) => at));
-	return (
-		now - lastAt > retentionMs &&
-		// A quarantine that would have ended a while ago is over, with the crashes that led to it.
-		decideSuspicion(record, now - retentionMs).kind !== 'quarantined'
-	);
+	const quarantineMs = computeQuarantineTime(listOpenCrashes(record).length);
+	return now - lastAt > Math.max(minRetentionMs, retentionRatio * quarantineMs);
 }
 
 /** Merges crashes into a record; returns undefined when they change nothing. */
