--- a/harness/run-document-delivery.ts
+++ b/harness/run-document-delivery.ts
@@ -342,6 +342,11 @@
 				break;
 			}
 
+			case 'store-restored': {
+				// The members write their addresses again; they are not run here.
+				break;
+			}
+
 			case 'log': {
 				break;
 			}
