Copy the first bytes of a streamed body once

Cause: after the first 4 KiB of an upload, each further chunk joined and copied them again. They are copied once, and not kept. A buffered and a streamed body have the same prefix (new test).

--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -9,6 +9,7 @@
 import {Readable} from 'node:stream';
 import test, {type TestContext} from 'node:test';
 import {listen} from '../../../harness/_lib/platform-node.js';
+import {bodyPrefixBytes} from '../../protocol/constants.js';
 import {createBodyMemoryBudget} from './create-body-memory-budget.js';
 import {readRequestBody} from './read-request-body.js';
 
@@ -91,3 +92,27 @@
 	sent.end(new Uint8Array(uploadBytes - 1000));
 	await ended;
 });
+
+test('a long body has the same prefix whether it is buffered or streamed', async (t) => {
+	const bytes = Uint8Array.from(
+		{length: uploadBytes},
+		(_, index) => index % 251,
+	);
+	const prefixes: number[][] = [];
+	for (const budgetBytes of [uploadBytes, 0]) {
+		const {sent, received} = await openUpload(t, uploadBytes);
+		const memory = createBodyMemoryBudget(budgetBytes);
+		sent.end(bytes);
+		const read = await readRequestBody(received, {maxBytes, memory});
+		assert.ok(read.kind === 'read');
+		prefixes.push([...read.prefix]);
+		if (read.body instanceof Readable) {
+			read.body.destroy();
+		}
+	}
+
+	assert.deepEqual(prefixes, [
+		[...bytes.subarray(0, bodyPrefixBytes)],
+		[...bytes.subarray(0, bodyPrefixBytes)],
+	]);
+});
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -68,19 +68,20 @@
 	const finishPrefix = (): void => {
 		clearTimeout(timer);
 		resolvePrefix(Buffer.concat(chunks).subarray(0, bodyPrefixBytes));
+		chunks.length = 0;
 	};
 
 	const timer =
 		timeoutMs === undefined ? undefined : setTimeout(finishPrefix, timeoutMs);
 	const limit = new Transform({
 		transform(chunk: Uint8Array, _encoding, callback) {
-			if (size < bodyPrefixBytes) {
-				chunks.push(chunk);
-			}
-
+			const hasPrefix = size >= bodyPrefixBytes;
 			size += chunk.length;
-			if (size >= bodyPrefixBytes) {
-				finishPrefix();
+			if (!hasPrefix) {
+				chunks.push(chunk);
+				if (size >= bodyPrefixBytes) {
+					finishPrefix();
+				}
 			}
 
 			callback(
