List the crashes of a request in its trace

A team whose request is quarantined sees with `boragehitch trace ID` which upstreams crashed while they ran the same request, by its fingerprint. Traces of other requests are as before.

--- a/src/cli/_lib/create-request-trace.ts
+++ b/src/cli/_lib/create-request-trace.ts
@@ -29,6 +29,17 @@
 	readonly gate: GateTrace | undefined;
 };
 
+/** A crash of an upstream while it ran the request, or one like it. */
+export type CrashTrace = {
+	/** Node on the upstream's host. */
+	readonly node: string;
+	readonly upstream: string | undefined;
+	/** Time by the clock of that node, ISO 8601. */
+	readonly at: string;
+	/** Number of requests that were running. */
+	readonly running: number;
+};
+
 /** A request as reconstructed from log lines. */
 export type RequestTrace = {
 	readonly requestId: string;
@@ -38,6 +49,8 @@
 		| (Completion & Pick<LogLine, 'route' | 'service' | 'version' | 'attempts'>)
 		| undefined;
 	readonly attempts: readonly AttemptTrace[];
+	/** Absent when there are none. */
+	readonly crashes?: readonly CrashTrace[];
 	/** Expected log lines that were not found, with the possible reasons. */
 	readonly missing: readonly string[];
 };
@@ -48,6 +61,7 @@
 	attempt: 'attempt ended',
 	gate: 'gate ended attempt',
 	dropped: 'log lines dropped',
+	crash: 'upstream crashed',
 } as const;
 
 /** Time around a request within which dropped lines may have belonged to it, ms; two periods of the limit on log lines. */
@@ -125,6 +139,27 @@
 	return missing;
 }
 
+/** Lists the crashes under which requests with a fingerprint were running. */
+function listCrashes(
+	lines: readonly LogLine[],
+	fingerprint: string | undefined,
+): readonly CrashTrace[] {
+	return lines
+		.filter(
+			({message, running = []}) =>
+				fingerprint !== undefined &&
+				message === messages.crash &&
+				running.some((request) => request.fingerprint === fingerprint),
+		)
+		.toSorted((a, b) => a.atMs - b.atMs)
+		.map(({node, id, atMs, running = []}) => ({
+			node,
+			upstream: id,
+			at: new Date(atMs).toISOString(),
+			running: running.length,
+		}));
+}
+
 /**
  * Creates the trace of a request from the log lines of the nodes that handled it.
  *
@@ -180,7 +215,15 @@
 		attempts: requestLine.attempts,
 	};
 	const {node} = requestLine ?? attemptLines[0] ?? {};
-	const found = {requestId, node, request, attempts};
+	const identified = requestLines.find((line) => line.fingerprint);
+	const crashes = listCrashes(lines, identified?.fingerprint);
+	const found = {
+		requestId,
+		node,
+		request,
+		attempts,
+		...(crashes.length > 0 && {crashes}),
+	};
 	const missing = listMissing(lines, requestLines, found);
 	for (const {node: gate, outcome, reason = ''} of gateLines) {
 		missing.push(
--- a/src/cli/_lib/format-request-trace.ts
+++ b/src/cli/_lib/format-request-trace.ts
@@ -1,5 +1,6 @@
 import type {
 	AttemptTrace,
+	CrashTrace,
 	GateTrace,
 	RequestTrace,
 } from './create-request-trace.js';
@@ -36,6 +37,10 @@
 	];
 }
 
+function formatCrash({node, upstream, at, running}: CrashTrace): string {
+	return `  upstream ${upstream} at ${node} crashed at ${at} while it ran the same request, and ${running - 1} others`;
+}
+
 /**
  * Formats the trace of a request as text.
  *
@@ -50,6 +55,7 @@
 	return [
 		`request ${requestId} at ${node}, ${head}`,
 		...trace.attempts.flatMap((attempt) => formatAttempt(attempt)),
+		...(trace.crashes ?? []).map((crash) => formatCrash(crash)),
 		...trace.missing.map((line) => `  missing: ${line}`),
 	].join('\n');
 }
--- a/src/cli/_lib/parse-log-lines.ts
+++ b/src/cli/_lib/parse-log-lines.ts
@@ -20,6 +20,10 @@
 	queuedMs: countSchema,
 	durationMs: countSchema,
 	count: countSchema,
+	id: textSchema,
+	fingerprint: textSchema,
+	/** Requests that were running when an upstream crashed. */
+	running: z.array(z.object({fingerprint: textSchema})).optional(),
 });
 
 /** The fields of a node's log line that the trace of a request uses. */
--- a/src/cli/run-trace.test.ts
+++ b/src/cli/run-trace.test.ts
@@ -81,3 +81,18 @@
 	const {output} = await run(refusedId, ahead);
 	assert.match(output, /clock ahead by 3599999 to 3600002 ms/v);
 });
+
+test('lists the crashes under which a quarantined request was running', async () => {
+	const {code, output} = await run('a2', [
+		'{"crash":"c-1","id":"i-1","level":"warn","message":"upstream crashed","node":"abdali-1","running":[{"fingerprint":"dead","requestId":"a1"},{"fingerprint":"lamb","requestId":"b1"}],"service":"pricebook","timestamp":"2026-04-20T07:38:00.100Z"}',
+		'{"crash":"c-2","id":"i-2","level":"warn","message":"upstream crashed","node":"abdali-2","running":[{"fingerprint":"dead","requestId":"a1"}],"service":"pricebook","timestamp":"2026-04-20T07:38:00.200Z"}',
+		'{"crash":"c-3","id":"i-3","level":"warn","message":"upstream crashed","node":"abdali-3","running":[{"fingerprint":"lamb","requestId":"b2"}],"service":"pricebook","timestamp":"2026-04-20T07:38:00.300Z"}',
+		'{"attempts":0,"durationMs":1,"fingerprint":"dead","level":"info","message":"request ended","node":"abdali-4","outcome":"not-run","reason":"quarantined","requestId":"a2","route":"prices","service":"pricebook","status":0,"timestamp":"2026-04-20T07:38:01.000Z","version":3}',
+	]);
+	assert.equal(code, exitCodes.ok);
+	assert.deepEqual(output.split('\n'), [
+		'request a2 at abdali-4, route prices to pricebook, version 3: not-run quarantined after 1 ms',
+		'  upstream i-1 at abdali-1 crashed at 2026-04-20T07:38:00.100Z while it ran the same request, and 1 others',
+		'  upstream i-2 at abdali-2 crashed at 2026-04-20T07:38:00.200Z while it ran the same request, and 0 others',
+	]);
+});
