--- a/src/coordination/decide-suspicion.ts
+++ b/src/coordination/decide-suspicion.ts
@@ -1,8 +1,11 @@
 import {computeQuarantineTime} from './compute-quarantine-time.js';
 import {listOpenCrashes} from './list-open-crashes.js';
-import type {CrashRecord, Suspicion} from './quarantine-state.js';
+import {
+	noSuspicion,
+	type CrashRecord,
+	type Suspicion,
+} from './quarantine-state.js';
 
-const noSuspicion: Suspicion = {kind: 'none'};
 const suspect: Suspicion = {kind: 'suspect'};
 
 /**
--- a/src/coordination/quarantine-state.ts
+++ b/src/coordination/quarantine-state.ts
@@ -66,3 +66,6 @@
 			/** Time until it may be tried again, ms. */
 			readonly remainingMs: number;
 	  };
+
+/** A request under which no upstream has crashed, or that has been answered since. */
+export const noSuspicion: Suspicion = {kind: 'none'};
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -6,7 +6,10 @@
 import {lateWaitRatio} from '../../coordination/decide-admission.js';
 import type {Ledger} from '../../coordination/create-ledger.js';
 import {isBehind} from '../../coordination/is-behind.js';
-import type {Suspicion} from '../../coordination/quarantine-state.js';
+import {
+	noSuspicion,
+	type Suspicion,
+} from '../../coordination/quarantine-state.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
 import type {ResponseHead, Edge} from '../../protocol/edge.js';
@@ -94,8 +97,6 @@
 	waitUntilIdle(): Promise<void>;
 };
 
-const noSuspicion: Suspicion = {kind: 'none'};
-
 function selectRetainedResponse(attempt: Attempt, result: AttemptResult) {
 	if (attempt.repeatable) {
 		return 'forget';
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -12,7 +12,7 @@
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
-import type {Suspicion} from '../coordination/quarantine-state.js';
+import {noSuspicion, type Suspicion} from '../coordination/quarantine-state.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
@@ -99,8 +99,6 @@
 /** Part of the epoch in the identifiers of crashes; tells apart all processes of a fleet. */
 const crashIdPrefixLength = 13;
 
-const noSuspicion: Suspicion = {kind: 'none'};
-
 /** Time for which a request that an upstream has answered is not suspected of a crash there, ms. */
 const answeredRetentionMs = 10 * msPerSecond;
 
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -3,12 +3,13 @@
 import {encodeCrashRecord} from '../coordination/encode-crash-record.js';
 import {listBySeverity} from '../coordination/list-by-severity.js';
 import {pickCrashReceivers} from '../coordination/pick-crash-receivers.js';
-import type {
-	CrashRecord,
-	QuarantineMessage,
-	QuarantineState,
-	RunningRequest,
-	Suspicion,
+import {
+	noSuspicion,
+	type CrashRecord,
+	type QuarantineMessage,
+	type QuarantineState,
+	type RunningRequest,
+	type Suspicion,
 } from '../coordination/quarantine-state.js';
 import {stepQuarantine} from '../coordination/step-quarantine.js';
 import {
@@ -77,8 +78,6 @@
 	stop(): void;
 };
 
-const noSuspicion: Suspicion = {kind: 'none'};
-
 /** Where a record was changed that is to be passed on; other data centres are told only of changes of this host. */
 type ChangeSource = 'local' | 'remote';
 
