Reuse the picking of random members, and drop unused parts of the quarantine

The receivers of crash records were shuffled by a loop of their own where pickRandomItems of the members does it; the crash detector had an option that nobody set, and the quarantine task returned changes that nobody read. No behaviour changes but the order in which random numbers are drawn.

--- a/src/coordination/pick-crash-receivers.ts
+++ b/src/coordination/pick-crash-receivers.ts
@@ -1,5 +1,6 @@
 import {spreadFanOut} from '../protocol/constants.js';
 import type {Member} from '../protocol/member.js';
+import {pickRandomItems} from './_lib/members/send.js';
 
 /** Nodes that are told of a change. */
 export type CrashReceivers = {
@@ -27,15 +28,12 @@
 	dataCentre: string,
 	random: () => number,
 ): CrashReceivers {
-	const shuffled = others
-		.map((member) => ({member, rank: random()}))
-		.toSorted((one, other) => one.rank - other.rank)
-		.map(({member}) => member);
-	const far = new Map(
-		shuffled
-			.filter((member) => member.dataCentre !== dataCentre)
-			.map((member) => [member.dataCentre, member]),
-	);
-	const near = shuffled.filter((member) => member.dataCentre === dataCentre);
-	return {near: near.slice(0, spreadFanOut), far: [...far.values()]};
+	const near = others.filter((member) => member.dataCentre === dataCentre);
+	const remote = others.filter((member) => member.dataCentre !== dataCentre);
+	const shuffled = pickRandomItems(remote, remote.length, random);
+	const far = new Map(shuffled.map((member) => [member.dataCentre, member]));
+	return {
+		near: pickRandomItems(near, spreadFanOut, random),
+		far: [...far.values()],
+	};
 }
--- a/src/transport/_lib/create-crash-detector.ts
+++ b/src/transport/_lib/create-crash-detector.ts
@@ -8,13 +8,11 @@
 
 /** Options of `createCrashDetector`. */
 export type CrashDetectorOptions = {
-	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly logger: Pick<Logger, 'warn'>;
 	/** Prefix of the identifiers of crashes; differs between all processes. */
 	readonly idPrefix: string;
 	/** Called with each crash and the requests that were running; again with the same id when others turn out to have been running too. */
 	readonly onCrash: (crash: CrashEvent) => void;
-	/** Tells whether something accepts connections at an address; by default, a connection is opened. */
-	readonly isListening?: (address: string) => Promise<boolean>;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -116,7 +114,6 @@
 	options: CrashDetectorOptions,
 ): CrashDetector {
 	const {logger, idPrefix, onCrash, now} = options;
-	const {isListening = isListeningAt} = options;
 	let lastNumber = 0;
 
 	/** Removes the jobs that no longer explain a crash. */
@@ -175,7 +172,7 @@
 		await waitForTurns(turnsToReadCloses);
 		const isAlive =
 			hasOpenConnection(upstream) ||
-			(await isListening(upstream.announcement.address));
+			(await isListeningAt(upstream.announcement.address));
 		upstream.isCrashProbed = false;
 		if (!isAlive) {
 			confirmCrash(upstream, 'refused');
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -116,7 +116,7 @@
 	let lastSyncAt = Number.NEGATIVE_INFINITY;
 	let isStopped = false;
 
-	function dispatch(message: QuarantineMessage): readonly CrashRecord[] {
+	function dispatch(message: QuarantineMessage): void {
 		const step = stepQuarantine(state, message, now(), random);
 		if (step.state !== state) {
 			state = step.state;
@@ -133,7 +133,6 @@
 		}
 
 		scheduleSpread(crashSpreadDelayMs);
-		return step.changed;
 	}
 
 	/** Logs when a request is quarantined, and when it no longer is. */
