--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -128,7 +128,7 @@
 		retryWindowMs: 10_000,
 		...changes,
 	};
-	const node = await startMeshNode(
+	const started = await startMeshNode(
 		settings,
 		{
 			createStore: (onSocket) =>
@@ -140,6 +140,16 @@
 		},
 		logger,
 	);
+	let stopped: Promise<void> | undefined;
+	const node = {
+		...started,
+		async stop() {
+			stopped ??= started.stop();
+			return stopped;
+		},
+	};
+	// A node that goes on after a failed test would keep the process from ending.
+	t.after(node.stop);
 	return {node, settings};
 }
 
--- a/test/platform-node.test.ts
+++ b/test/platform-node.test.ts
@@ -41,9 +41,18 @@
 		store: '127.77.0.2:1',
 		graceMs: 6000,
 	});
-	const pipe = await open(file, 'w');
-	child.kill('SIGHUP');
 	const ended = once(child, 'exit').then(() => 'ended');
+	// A pipe opens once its reader does, which a program that has ended never does.
+	const opening = open(file, 'w');
+	const pipe = await Promise.race([opening, ended]);
+	if (typeof pipe === 'string') {
+		// Ends the wait for a reader.
+		const reader = await open(file, 'r');
+		await Promise.all([reader.close(), opening.then(async (it) => it.close())]);
+		assert.fail('the program has ended before it read its settings');
+	}
+
+	child.kill('SIGHUP');
 	const [first] = await Promise.race([
 		(async () => {
 			await pipe.writeFile(settings);
