Compute the fingerprint of a request only when an upstream has crashed

Cause: processor time, not decisions.

Now the caller's node and the gate compute it when there are records, when an upstream has crashed or when a line is logged; streamed bodies keep the header, as only the caller's node knows their first bytes, for which the gate no longer waits. The gate recognizes answered requests by method, host, path, origin and body themselves.

--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -42,7 +42,7 @@
 	readonly unreadMs?: number | undefined;
 	/** Upstream notice as the sender knows it; a restarted gate may not know it. */
 	readonly notice?: UpstreamNotice | undefined;
-	/** Fingerprint of the request; undefined when the sender's version has none. */
+	/** Fingerprint of a request with a streamed body; that of any other is computed when it is needed (`readFingerprint`). */
 	readonly fingerprint?: string | undefined;
 	/** Service on whose host the request originated, if known. */
 	readonly origin?: string | undefined;
--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -7,8 +7,8 @@
 /** Fields of all events. */
 type HopEvent = {
 	readonly requestId: string;
-	/** Fingerprint of the request; undefined when it is not known. */
-	readonly fingerprint?: string | undefined;
+	/** Returns the fingerprint of the request, which is computed only when it is needed; undefined when it is not known. */
+	readonly readFingerprint?: () => string | undefined;
 	readonly team: string;
 	readonly service: string;
 	readonly outcome: OutcomeKind;
@@ -67,11 +67,6 @@
 	readonly id: string;
 	/** Full name of the service. */
 	readonly service: string;
-	/** Requests that were running and whose fingerprints are known. */
-	readonly running: ReadonlyArray<{
-		readonly fingerprint: string;
-		readonly service: string;
-	}>;
 };
 
 /** Receives events; the methods must not block or throw. */
--- a/src/transport/_lib/create-access-log.test.ts
+++ b/src/transport/_lib/create-access-log.test.ts
@@ -6,7 +6,7 @@
 
 const event: RequestEvent = {
 	requestId: 'a',
-	fingerprint: 'lamb',
+	readFingerprint: () => 'lamb',
 	route: 'prices',
 	team: '',
 	service: 'pricebook',
@@ -78,7 +78,7 @@
 const answered = {
 	...event,
 	requestId: 'b',
-	fingerprint: 'beef',
+	readFingerprint: () => 'beef',
 	attemptId: 'b/1',
 	outcome: 'answered' as const,
 	reason: undefined,
--- a/src/transport/_lib/create-access-log.ts
+++ b/src/transport/_lib/create-access-log.ts
@@ -99,7 +99,7 @@
 			const {requestId, route, service, outcome, reason, status} = event;
 			write('request ended', {
 				requestId,
-				fingerprint: event.fingerprint,
+				fingerprint: event.readFingerprint?.(),
 				route,
 				service,
 				version: readVersion(),
@@ -120,7 +120,7 @@
 			const {requestId, attempt, host, service, outcome, reason} = event;
 			write('attempt ended', {
 				requestId,
-				fingerprint: event.fingerprint,
+				fingerprint: event.readFingerprint?.(),
 				attempt,
 				host,
 				service,
@@ -143,7 +143,7 @@
 			const {requestId, service, outcome, reason, status} = event;
 			write('gate ended attempt', {
 				requestId,
-				fingerprint: event.fingerprint,
+				fingerprint: event.readFingerprint?.(),
 				service,
 				outcome,
 				reason,
--- a/src/transport/_lib/create-crash-detector.ts
+++ b/src/transport/_lib/create-crash-detector.ts
@@ -1,9 +1,11 @@
 import {createConnection} from 'node:net';
 import {connectTimeoutMs, msPerSecond} from '../../protocol/constants.js';
+import type {Attempt} from '../../protocol/attempt.js';
 import type {CrashEvent} from '../../protocol/observer.js';
 import type {Logger} from '../create-logger.js';
 import {readErrorCode} from './read-error-code.js';
 import type {Job, LocalUpstream} from './local-upstream.js';
+import {readFingerprint} from './read-fingerprint.js';
 import {waitForTurns} from './wait-for-turns.js';
 
 /** Options of `createCrashDetector`. */
@@ -11,8 +13,8 @@
 	readonly logger: Pick<Logger, 'warn'>;
 	/** Prefix of the identifiers of crashes; differs between all processes. */
 	readonly idPrefix: string;
-	/** Called with each crash and the requests that were running; again with the same id when others turn out to have been running too. */
-	readonly onCrash: (crash: CrashEvent) => void;
+	/** Called with each crash and the attempts that were running; again with the same id when others turn out to have been running too. */
+	readonly onCrash: (crash: CrashEvent, running: readonly Attempt[]) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -88,11 +90,11 @@
 }
 
 function describeJob({attempt}: Job) {
-	const {requestId, fingerprint, method, path, origin} = attempt;
+	const {requestId, method, path, origin} = attempt;
 	const [pathWithoutQuery = ''] = path.split('?', 1);
 	return {
 		requestId,
-		fingerprint,
+		fingerprint: readFingerprint(attempt),
 		method,
 		path: pathWithoutQuery.slice(0, maxLoggedPathLength),
 		origin,
@@ -151,15 +153,10 @@
 			evidence,
 			running: jobs.map((job) => describeJob(job)),
 		});
-		onCrash({
-			id: crashId,
-			service,
-			running: jobs.flatMap(({attempt}) =>
-				attempt.fingerprint === undefined
-					? []
-					: [{fingerprint: attempt.fingerprint, service: attempt.service}],
-			),
-		});
+		onCrash(
+			{id: crashId, service},
+			jobs.map(({attempt}) => attempt),
+		);
 	}
 
 	async function probe(upstream: LocalUpstream): Promise<void> {
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -6,10 +6,7 @@
 import {lateWaitRatio} from '../../coordination/decide-admission.js';
 import type {Ledger} from '../../coordination/create-ledger.js';
 import {isBehind} from '../../coordination/is-behind.js';
-import {
-	noSuspicion,
-	type Suspicion,
-} from '../../coordination/quarantine-state.js';
+import type {Suspicion} from '../../coordination/quarantine-state.js';
 import {stepRateLimit} from '../../coordination/step-rate-limit.js';
 import type {Attempt, AttemptResult} from '../../protocol/attempt.js';
 import type {ResponseHead, Edge} from '../../protocol/edge.js';
@@ -48,8 +45,10 @@
 	readonly onHead: (job: Job, head: ResponseHead) => void;
 	/** Called when a job that was sent has ended. */
 	readonly onEnd: (job: Job, end: JobEnd, result: AttemptResult) => void;
-	/** Tells whether a request is known to crash its upstreams; none is when absent. */
-	readonly readSuspicion?: (attempt: Attempt) => Suspicion;
+	/** Whether any request is known to crash its upstreams; false when absent. */
+	readonly hasSuspicions?: () => boolean;
+	/** Tells whether a request is known to crash its upstreams. */
+	readonly readSuspicion: (attempt: Attempt) => Suspicion;
 	/** Returns the longest time for which what the node reads next may have waited, ms. */
 	readonly readMaxWait: () => number;
 	/** Monotonic ms. */
@@ -160,7 +159,7 @@
 export function createJobRunner(options: JobRunnerOptions): JobRunner {
 	const {ledger, observer, edge, refuse, onSent, onHead, onEnd} = options;
 	const {readMaxWait, now} = options;
-	const {readSuspicion = () => noSuspicion} = options;
+	const {readSuspicion, hasSuspicions = () => false} = options;
 	const jobs = new Map<string, Job>();
 	let onIdle: (() => void) | undefined;
 
@@ -285,7 +284,9 @@
 			readOccupiedSlots(upstream, now()) < upstream.announcement.slots
 		) {
 			dropExpired(upstream);
-			updateSuspicions(upstream);
+			if (hasSuspicions()) {
+				updateSuspicions(upstream);
+			}
 		}
 
 		for (let job = takeJob(upstream); job; job = takeJob(upstream)) {
--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -52,25 +52,16 @@
 }
 
 /**
- * Finds the first queued job of each team that may start. While a suspect runs,
+ * Finds the first of a team's queued jobs that may start. While a suspect runs,
  * no other suspect starts, so that a crash tells which of them is to blame.
  */
-function findNextJobs({queued, sent}: LocalUpstream): ReadonlyMap<string, Job> {
-	const nextJobs = new Map<string, Job>();
-	let isSuspectRunning: boolean | undefined;
-	for (const [team, jobs] of queued) {
-		let [job] = jobs;
-		if (job?.isSuspect) {
-			isSuspectRunning ??= [...sent].some(({isSuspect}) => isSuspect);
-			job = isSuspectRunning ? jobs.find(({isSuspect}) => !isSuspect) : job;
-		}
-
-		if (job) {
-			nextJobs.set(team, job);
-		}
-	}
-
-	return nextJobs;
+function findNextJob(
+	jobs: readonly Job[] | undefined,
+	{sent}: LocalUpstream,
+): Job | undefined {
+	const [job] = jobs ?? [];
+	const mustWait = job?.isSuspect && [...sent].some(({isSuspect}) => isSuspect);
+	return mustWait ? jobs!.find(({isSuspect}) => !isSuspect) : job;
 }
 
 /**
@@ -92,16 +83,24 @@
 		return undefined;
 	}
 
-	const nextJobs = findNextJobs(upstream);
+	const startTags = new Map<string, number>();
+	for (const [name, jobs] of upstream.queued) {
+		const next = findNextJob(jobs, upstream);
+		if (next) {
+			startTags.set(name, next.startTag);
+		}
+	}
+
 	const team = pickNextTeam({
 		slots,
 		inFlight: occupiedSlots,
-		startTags: new Map(
-			[...nextJobs].map(([name, {startTag}]) => [name, startTag]),
-		),
+		startTags,
 		teams: readTeamActivity(upstream, now),
 	});
-	const job = team === undefined ? undefined : nextJobs.get(team);
+	const job =
+		team === undefined
+			? undefined
+			: findNextJob(upstream.queued.get(team), upstream);
 	if (job) {
 		removeFromLocalQueue(job);
 		upstream.fairQueue.serve(job.startTag);
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -8,6 +8,7 @@
 } from '../../protocol/constants.js';
 import type {BodyMemoryBudget} from './create-body-memory-budget.js';
 import {discardBody} from './discard-body.js';
+import {selectBodyPrefix} from './select-body-prefix.js';
 
 /** Options of `readRequestBody`. */
 export type ReadRequestBodyOptions = {
@@ -19,6 +20,8 @@
 	readonly memory?: BodyMemoryBudget;
 	/** Timeout for receiving a buffered body, ms; none when absent. */
 	readonly timeoutMs?: number;
+	/** Whether a streamed body is returned only with its prefix; true when absent. */
+	readonly needsPrefix?: boolean;
 };
 
 /** Result of reading a request's body. */
@@ -29,7 +32,7 @@
 			readonly body: Uint8Array | Readable;
 			/** Bytes reserved of the memory budget; the caller releases them when the body is no longer needed. */
 			readonly reservedBytes: number;
-			/** The whole body if it is at most `maxBufferedBytes` long; otherwise its first `bodyPrefixBytes`. */
+			/** The part that identifies the body, see `selectBodyPrefix`; empty for a streamed body without `needsPrefix`. */
 			readonly prefix: Uint8Array;
 	  }
 	| {
@@ -39,13 +42,6 @@
 
 const emptyBody = new Uint8Array();
 
-/** Selects the part of a buffered body that identifies it. */
-function selectPrefix(body: Uint8Array): Uint8Array {
-	return body.length > maxBufferedBytes
-		? body.subarray(0, bodyPrefixBytes)
-		: body;
-}
-
 /** A body that is streamed. */
 type StreamedBody = {
 	/** Fails if the body exceeds the limit. */
@@ -97,12 +93,19 @@
 	return {body: limit, prefix};
 }
 
-/** Returns a streamed body once its first bytes have arrived. */
-async function readStreamed({
-	body,
-	prefix,
-}: StreamedBody): Promise<BodyReadResult> {
-	return {kind: 'read', body, reservedBytes: 0, prefix: await prefix};
+/** Streams a body; returns it once its first bytes have arrived if they are needed. */
+async function readStreamed(
+	request: IncomingMessage,
+	options: ReadRequestBodyOptions,
+): Promise<BodyReadResult> {
+	const {needsPrefix = true} = options;
+	const {body, prefix} = streamBody(request, options);
+	return {
+		kind: 'read',
+		body,
+		reservedBytes: 0,
+		prefix: needsPrefix ? await prefix : emptyBody,
+	};
 }
 
 /**
@@ -143,7 +146,7 @@
 	}
 
 	if (bytes > maxBufferedBodyBytes || !memory?.tryReserve(bytes)) {
-		return readStreamed(streamBody(request, options));
+		return readStreamed(request, options);
 	}
 
 	const read = await bufferBody(request, {
@@ -188,7 +191,7 @@
 				request.pause();
 				request.unshift(Buffer.concat(chunks));
 				stopListening();
-				void readStreamed(streamBody(request, options)).then(resolve);
+				void readStreamed(request, options).then(resolve);
 			}
 		};
 
@@ -198,7 +201,7 @@
 				kind: 'read',
 				body,
 				reservedBytes: 0,
-				prefix: selectPrefix(body),
+				prefix: selectBodyPrefix(body),
 			});
 		};
 
--- a/src/transport/_lib/report-attempt-event.ts
+++ b/src/transport/_lib/report-attempt-event.ts
@@ -1,4 +1,5 @@
 import type {RequestObserver} from '../../protocol/observer.js';
+import {readFingerprint} from './read-fingerprint.js';
 import type {AttemptEnd} from './run-request.js';
 
 /**
@@ -24,7 +25,7 @@
 	observer.onAttempt({
 		requestId: attempt.requestId,
 		attemptId: attempt.id,
-		fingerprint: attempt.fingerprint,
+		readFingerprint: () => readFingerprint(attempt),
 		attempt: end.number,
 		host: end.gate.host.host,
 		hadStamp: attempt.stamp !== undefined,
--- a/src/transport/_lib/report-gate-event.ts
+++ b/src/transport/_lib/report-gate-event.ts
@@ -1,6 +1,7 @@
 import type {AttemptResult} from '../../protocol/attempt.js';
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {Job} from './local-upstream.js';
+import {readFingerprint} from './read-fingerprint.js';
 
 /**
  * Reports the end of an admitted attempt at the gate to an observer.
@@ -21,7 +22,7 @@
 	observer.onGate?.({
 		requestId: attempt.requestId,
 		attemptId: attempt.id,
-		fingerprint: attempt.fingerprint,
+		readFingerprint: () => readFingerprint(attempt),
 		team: attempt.team,
 		service: attempt.service,
 		outcome: result.kind,
--- a/src/transport/_lib/report-request-event.ts
+++ b/src/transport/_lib/report-request-event.ts
@@ -38,7 +38,7 @@
 	const isAnswered = end.outcome === 'answered';
 	observer.onRequest({
 		requestId: reported.requestId,
-		fingerprint: end.fingerprint,
+		readFingerprint: end.readFingerprint,
 		route: route.name,
 		method: request.method ?? 'GET',
 		attempts: end.attempts,
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -18,6 +18,7 @@
 import type {OutcomeReason} from '../../protocol/request.js';
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
+import {readFingerprint} from './read-fingerprint.js';
 import type {UpstreamResponse} from './send-upstream-response.js';
 import {
 	startPostPollTimer,
@@ -81,8 +82,8 @@
 /** The end of a request. */
 export type RequestEnd = {
 	readonly attempts: number;
-	/** Fingerprint of the request; undefined when its body was not read. */
-	readonly fingerprint?: string | undefined;
+	/** Returns the fingerprint of the request; undefined when its body was not read. */
+	readonly readFingerprint: () => string | undefined;
 } & (
 	| {readonly outcome: 'answered'; readonly answer: UpstreamResponse}
 	| {
@@ -339,13 +340,14 @@
 			deadlineTimer.stop();
 			signal.removeEventListener('abort', cancel);
 			const {attempts} = state;
-			const {fingerprint} = template;
+			const readTemplateFingerprint = (): string | undefined =>
+				readFingerprint(template);
 			if (effect.outcome === 'answered') {
 				resolve({
 					outcome: 'answered',
 					answer: response!,
 					attempts,
-					fingerprint,
+					readFingerprint: readTemplateFingerprint,
 				});
 				return;
 			}
@@ -355,7 +357,7 @@
 				reason: effect.reason!,
 				retryAfterSeconds: effect.retryAfterSeconds ?? computeRetryDelay(),
 				attempts,
-				fingerprint,
+				readFingerprint: readTemplateFingerprint,
 			});
 		}
 
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -51,7 +51,7 @@
 		isForwarded: true,
 		sendWaitMs: undefined,
 	});
-	metrics.observer.onCrash?.({id: 'a.1', service: 'pricebook', running: []});
+	metrics.observer.onCrash?.({id: 'a.1', service: 'pricebook'});
 	metrics.recordAcceptWait('callers', 30);
 	const text = await metrics.formatText();
 	for (const name of Object.values(meshMetricNames)) {
--- a/src/transport/gate-crashes.test.ts
+++ b/src/transport/gate-crashes.test.ts
@@ -44,6 +44,7 @@
 	const gate = startGateTask({
 		logger: createSilentLogger(),
 		quarantine: {
+			hasRecords: () => true,
 			readSuspicion: (fingerprint) =>
 				suspicions.get(fingerprint ?? '') ?? {kind: 'none'},
 			recordCrash(_id, running: readonly RunningRequest[]) {
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {computeRequestFingerprint} from '../coordination/compute-request-fingerprint.js';
+import {noSuspicion, type Suspicion} from '../coordination/quarantine-state.js';
 import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {computeUnreadTime} from '../coordination/compute-unread-time.js';
@@ -51,6 +52,10 @@
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
 import {isUnambiguousPath} from './_lib/is-unambiguous-path.js';
+import {
+	readFingerprint,
+	type FingerprintedRequest,
+} from './_lib/read-fingerprint.js';
 import {readRequestBody} from './_lib/read-request-body.js';
 import {reportAttemptEvent} from './_lib/report-attempt-event.js';
 import {reportRequestEvent} from './_lib/report-request-event.js';
@@ -88,7 +93,7 @@
 	/** Called with each batch of accepted connections, once none is left in the queue. */
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
 	/** Tells which requests crash their upstreams; without it, none is refused for that. */
-	readonly quarantine?: Pick<RequestQuarantine, 'readSuspicion'>;
+	readonly quarantine?: Pick<RequestQuarantine, 'hasRecords' | 'readSuspicion'>;
 	/** Returns the service on the local host, on whose behalf callers send requests. */
 	readonly readOrigin?: () => string | undefined;
 	/** Computes the retry budget of this node from the number of all nodes. */
@@ -291,6 +296,13 @@
 		return {...route, service: pickTarget(route.targets, number)};
 	}
 
+	/** Tells whether a request is known to crash its upstreams. */
+	function readSuspicion(request: FingerprintedRequest): Suspicion {
+		return quarantine?.hasRecords()
+			? quarantine.readSuspicion(readFingerprint(request))
+			: noSuspicion;
+	}
+
 	function createTraceparent(parent: string | undefined): string | undefined {
 		return observer.createTraceparent
 			? observer.createTraceparent(parent)
@@ -336,23 +348,39 @@
 		});
 		if (read.kind === 'refused') {
 			const {reason} = read;
-			return {outcome: 'not-run', reason, retryAfterSeconds, attempts: 0};
+			return {
+				outcome: 'not-run',
+				reason,
+				retryAfterSeconds,
+				attempts: 0,
+				readFingerprint: () => undefined,
+			};
 		}
 
 		const {body, reservedBytes, prefix} = read;
 		const origin = options.readOrigin?.();
 		const {method = 'GET', url: path = '/', headers} = request;
-		const fingerprint = computeRequestFingerprint({
+		const isStreamed = !(body instanceof Uint8Array);
+		const fingerprinted: FingerprintedRequest = {
 			method,
-			host: headers.host ?? '',
+			headers,
 			path,
 			origin,
-			bodyBytes: readBodyBytes(request),
-			body: prefix,
-		});
-		const isStreamed = !(body instanceof Uint8Array);
-		const suspicion = quarantine?.readSuspicion(fingerprint);
-		if (suspicion?.kind === 'quarantined') {
+			body,
+			// Its gate does not know the first bytes.
+			fingerprint: isStreamed
+				? computeRequestFingerprint({
+						method,
+						host: headers.host ?? '',
+						path,
+						origin,
+						bodyBytes: readBodyBytes(request),
+						body: prefix,
+					})
+				: undefined,
+		};
+		const suspicion = readSuspicion(fingerprinted);
+		if (suspicion.kind === 'quarantined') {
 			bodyMemory.release(reservedBytes);
 			if (isStreamed) {
 				discardBody(body);
@@ -363,7 +391,7 @@
 				reason: 'quarantined',
 				retryAfterSeconds: suspicion.remainingMs / msPerSecond,
 				attempts: 0,
-				fingerprint,
+				readFingerprint: () => readFingerprint(fingerprinted),
 			};
 		}
 
@@ -400,13 +428,8 @@
 				route: route.name,
 				repeatable,
 				sheddingMeansNotRun,
-				fingerprint,
-				method,
-				path,
-				headers,
-				body,
+				...fingerprinted,
 				depth,
-				origin,
 				priority: route.priority,
 				routeObjectiveMs: route.objectiveMs,
 				key,
@@ -414,8 +437,7 @@
 			signal,
 			pickGate: selection.pickGate,
 			hasAvailableHost: selection.hasAvailableHost,
-			isQuarantined: () =>
-				quarantine?.readSuspicion(fingerprint).kind === 'quarantined',
+			isQuarantined: () => readSuspicion(fingerprinted).kind === 'quarantined',
 			readRateLimitWait: selection.readRateLimitWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
 			onAttemptEnd(end) {
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -12,7 +12,11 @@
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
-import {noSuspicion, type Suspicion} from '../coordination/quarantine-state.js';
+import {
+	noSuspicion,
+	type RunningRequest,
+	type Suspicion,
+} from '../coordination/quarantine-state.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
@@ -41,6 +45,8 @@
 import {createCrashDetector} from './_lib/create-crash-detector.js';
 import {createRecentSet} from './_lib/create-recent-set.js';
 import {createReportLog} from './_lib/create-report-log.js';
+import {formatRequestKey} from './_lib/format-request-key.js';
+import {readFingerprint} from './_lib/read-fingerprint.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {createLostRequestDetector} from './_lib/create-lost-request-detector.js';
 import {
@@ -102,7 +108,7 @@
 /** Time for which a request that an upstream has answered is not suspected of a crash there, ms. */
 const answeredRetentionMs = 10 * msPerSecond;
 
-const maxAnsweredFingerprints = 4096;
+const maxAnsweredKeys = 4096;
 
 /** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
@@ -184,12 +190,37 @@
 	/** Requests that an upstream on the host has answered, and that therefore do not crash it. */
 	const answered = createRecentSet({
 		retentionMs: answeredRetentionMs,
-		maxKeys: maxAnsweredFingerprints,
+		maxKeys: maxAnsweredKeys,
 		now,
 	});
 
-	function readSuspicion({fingerprint}: Attempt): Suspicion {
-		return quarantine?.readSuspicion(fingerprint) ?? noSuspicion;
+	function readSuspicion(attempt: Attempt): Suspicion {
+		return quarantine?.hasRecords()
+			? quarantine.readSuspicion(readFingerprint(attempt))
+			: noSuspicion;
+	}
+
+	function recordCompletion(attempt: Attempt): void {
+		const key = formatRequestKey(attempt);
+		if (key !== undefined) {
+			answered.add(key);
+		}
+
+		if (quarantine?.hasRecords()) {
+			quarantine.recordCompletion(readFingerprint(attempt));
+		}
+	}
+
+	/** Lists the requests that are suspected of a crash: those that were running and have not been answered here before. */
+	function listSuspects(running: readonly Attempt[]): RunningRequest[] {
+		return running
+			.filter((attempt) => !answered.has(formatRequestKey(attempt) ?? ''))
+			.flatMap((attempt) => {
+				const fingerprint = readFingerprint(attempt);
+				return fingerprint === undefined
+					? []
+					: [{fingerprint, service: attempt.service}];
+			});
 	}
 
 	/** Refuses an attempt at a request that crashes its upstreams; undefined for any other. */
@@ -271,16 +302,11 @@
 		onHead: handleResponseHead,
 		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
-			const {fingerprint} = job.attempt;
-			if (
-				end === 'answered' &&
-				result.kind === 'answered' &&
-				fingerprint !== undefined
-			) {
-				answered.add(fingerprint);
-				quarantine?.recordCompletion(fingerprint);
+			if (end === 'answered' && result.kind === 'answered') {
+				recordCompletion(job.attempt);
 			}
 		},
+		hasSuspicions: () => quarantine?.hasRecords() ?? false,
 		readSuspicion,
 		readMaxWait,
 		now,
@@ -288,12 +314,9 @@
 	const crashDetector = createCrashDetector({
 		logger: options.logger,
 		idPrefix: epoch.slice(0, crashIdPrefixLength),
-		onCrash(crash) {
+		onCrash(crash, running) {
 			observer.onCrash?.(crash);
-			quarantine?.recordCrash(
-				crash.id,
-				crash.running.filter(({fingerprint}) => !answered.has(fingerprint)),
-			);
+			quarantine?.recordCrash(crash.id, listSuspects(running));
 		},
 		now,
 	});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -227,6 +227,7 @@
 			maxBytes: maxForwardedBytes,
 			memory: bodyMemory,
 			timeoutMs: head.remainingMs,
+			needsPrefix: false,
 		});
 		if (body.kind === 'refused') {
 			clearInterval(keepaliveTimer);
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -55,6 +55,8 @@
 
 /** What caller and gate tasks use of the quarantine. */
 export type RequestQuarantine = {
+	/** Whether anything is known about any request; as long as not, no fingerprint is needed. */
+	hasRecords(): boolean;
 	/** Tells whether a request may be sent; a request without a fingerprint may. */
 	readSuspicion(fingerprint: string | undefined): Suspicion;
 	/** Records that an upstream of this host has crashed while it ran requests. */
@@ -271,12 +273,11 @@
 	tickTimer.unref();
 
 	return {
+		hasRecords: () => state.size > 0,
 		readSuspicion(fingerprint) {
-			if (state.size === 0 || fingerprint === undefined) {
-				return noSuspicion;
-			}
-
-			return decideSuspicion(state.get(fingerprint), now());
+			return fingerprint === undefined
+				? noSuspicion
+				: decideSuspicion(state.get(fingerprint), now());
 		},
 		recordCrash(id, running) {
 			dispatch({kind: 'crashed', id, running});
