Let a new software version run a quarantined request at once

Callers: a team that had mended its service was refused with 503 until the end of the quarantine, 30 to 60 s after two crashes and up to 20 minutes after three. Cause: the quarantine knew crashes by their time alone; a restart says nothing, and the software version that upstreams announce was not read.

A crash now names the version of its upstream. The first upstream of a version under which none has crashed lets the nodes send the request there; gates of crashed versions refuse it as before. One answer ends the quarantine for that version (and clears its own crashes only: answers of a new version beside an old one would otherwise let the old one crash again and again), one crash makes it wait.

--- a/harness/_lib/crashing-fleet.ts
+++ b/harness/_lib/crashing-fleet.ts
@@ -41,6 +41,8 @@
 	readonly upstreams: readonly CrashingUpstream[];
 	/** Starts a further node with an upstream. */
 	addHost(): Promise<CrashingUpstream>;
+	/** Replaces the software of all upstreams by a version that answers every request. */
+	mend(): Promise<void>;
 	/** Waits until every upstream is up, and every node is ready and serves a request. */
 	waitUntilUp(): Promise<void>;
 };
@@ -59,6 +61,7 @@
 	const store = await startStore(t);
 	const upstreams: CrashingUpstream[] = [];
 	let isStopped = false;
+	let isMended = false;
 	let lastProbe = 0;
 
 	async function addHost(): Promise<CrashingUpstream> {
@@ -78,7 +81,7 @@
 			const path = request.url!;
 			runs.push(path);
 			request.resume();
-			if (path.includes('dead')) {
+			if (path.includes('dead') && !isMended) {
 				setTimeout(() => {
 					void crash();
 				}, crashAfterMs);
@@ -105,6 +108,7 @@
 				id: `i-${number}`,
 				born,
 				sequence: 1,
+				version: isMended ? 'v2' : 'v1',
 			});
 		}
 
@@ -157,7 +161,15 @@
 	}
 
 	await waitUntilUp();
-	return {upstreams, addHost, waitUntilUp};
+	return {
+		upstreams,
+		addHost,
+		waitUntilUp,
+		async mend() {
+			isMended = true;
+			await Promise.all(upstreams.map(async (upstream) => upstream.crash()));
+		},
+	};
 }
 
 /** Counts how often the upstreams have begun to run requests of a path. */
--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -160,6 +160,8 @@
 	readonly slots?: number;
 	readonly sequence?: number;
 	readonly state?: 'ready' | 'draining';
+	/** Version of its software. */
+	readonly version?: string;
 };
 
 export async function announceUpstream(
@@ -171,6 +173,7 @@
 		slots = 6,
 		sequence = 1,
 		state = 'ready',
+		version,
 	}: Heartbeat = {},
 ) {
 	await sendRequest(settings.announcements, `/instances/${id}/heartbeat`, {
@@ -180,7 +183,7 @@
 		body: JSON.stringify({
 			address,
 			born,
-			info: {service: 'pricebook', slots},
+			info: {service: 'pricebook', slots, version},
 			status: {state, sequence},
 		}),
 	});
--- a/src/coordination/compute-quarantine-digest.ts
+++ b/src/coordination/compute-quarantine-digest.ts
@@ -6,12 +6,16 @@
 /** Digests of records, which are never modified. */
 const recordDigests = new WeakMap<CrashRecord, number>();
 
-function computeRecordDigest({fingerprint, crashes}: CrashRecord): number {
+function computeRecordDigest(record: CrashRecord): number {
+	const {fingerprint, crashes} = record;
+	const versions = [...record.versions]
+		.map(([version, status]) => `${status} ${version}`)
+		.toSorted();
 	const ids = [...crashes]
 		.map(([id, {isCleared}]) => `${id} ${isCleared}`)
 		.toSorted();
 	return createHash('sha256')
-		.update(JSON.stringify([fingerprint, ids]))
+		.update(JSON.stringify([fingerprint, ids, versions]))
 		.digest()
 		.readUInt32BE();
 }
--- a/src/coordination/encode-crash-record.ts
+++ b/src/coordination/encode-crash-record.ts
@@ -11,16 +11,20 @@
  * encodeCrashRecord(record, performance.now());
  */
 export function encodeCrashRecord(
-	{fingerprint, service, crashes}: CrashRecord,
+	{fingerprint, service, crashes, versions}: CrashRecord,
 	now: number,
 ): EncodedCrashRecord {
 	return {
 		fingerprint,
 		service,
-		crashes: [...crashes].map(([id, {at, isCleared}]) => ({
+		crashes: [...crashes].map(([id, {at, isCleared, version}]) => ({
 			id,
 			ageMs: Math.max(0, Math.round(now - at)),
 			isCleared,
+			...(version !== undefined && {version}),
 		})),
+		...(versions.size > 0 && {
+			versions: [...versions].map(([version, status]) => ({version, status})),
+		}),
 	};
 }
--- a/src/coordination/quarantine-state.ts
+++ b/src/coordination/quarantine-state.ts
@@ -10,8 +10,13 @@
 	readonly at: number;
 	/** Whether an upstream has since answered the request. */
 	readonly isCleared: boolean;
+	/** Software version of the upstream; undefined when it has not announced one. */
+	readonly version: string | undefined;
 };
 
+/** What a software version has shown since others crashed: its upstreams may run the request once, or have answered it. */
+export type VersionStatus = 'announced' | 'answered';
+
 /** What a node knows about one request. */
 export type CrashRecord = {
 	readonly fingerprint: string;
@@ -19,6 +24,8 @@
 	readonly service: string;
 	/** By identifier of the crash. */
 	readonly crashes: ReadonlyMap<string, Crash>;
+	/** Status of software versions other than those that have only crashed. */
+	readonly versions: ReadonlyMap<string, VersionStatus>;
 	/** Random number in [0, 1) that prolongs the quarantine at this node, so that one node tries the request first. */
 	readonly jitter: number;
 };
@@ -40,9 +47,23 @@
 			readonly kind: 'crashed';
 			readonly id: string;
 			readonly running: readonly RunningRequest[];
+			/** Software version of the upstream, if known. */
+			readonly version?: string | undefined;
 	  }
 	/** An upstream has answered a request. */
-	| {readonly kind: 'completed'; readonly fingerprint: string}
+	| {
+			readonly kind: 'completed';
+			readonly fingerprint: string;
+			/** Software version of the upstream, if known. */
+			readonly version?: string | undefined;
+	  }
+	/** An upstream of this host runs a software version. */
+	| {
+			readonly kind: 'announced';
+			/** Full name of the service. */
+			readonly service: string;
+			readonly version: string;
+	  }
 	/** Records of another node. */
 	| {
 			readonly kind: 'received';
--- a/src/coordination/step-quarantine.test.ts
+++ b/src/coordination/step-quarantine.test.ts
@@ -25,8 +25,13 @@
 	return state;
 }
 
-function read(state: QuarantineState, fingerprint: string, now: number) {
-	return decideSuspicion(state.get(fingerprint), now).kind;
+function read(
+	state: QuarantineState,
+	fingerprint: string,
+	now: number,
+	version?: string,
+) {
+	return decideSuspicion(state.get(fingerprint), now, version).kind;
 }
 
 function encodeAll(state: QuarantineState, now: number) {
@@ -103,6 +108,75 @@
 	assert.equal(run([[120_001, {kind: 'tick'}]], state).size, 0);
 });
 
+/** Three crashes of the first software version, as messages. */
+const crashesOfFirst = ['a', 'b', 'c'].map(
+	(id): readonly [number, QuarantineMessage] => [
+		0,
+		{kind: 'crashed', id, running: [dead], version: 'v1'},
+	],
+);
+
+const secondAnnounced: QuarantineMessage = {
+	kind: 'announced',
+	service: 'registry',
+	version: 'v2',
+};
+
+// Regression: a service whose fault had been mended waited for the end of the quarantine.
+test('a new software version may run a quarantined request, and older ones may not', () => {
+	const before = run(crashesOfFirst);
+	assert.equal(read(before, 'dead', 10, 'v2'), 'quarantined');
+	const state = run([[10, secondAnnounced]], before);
+	assert.deepEqual(
+		[undefined, 'v1', 'v2', 'v3'].map((version) =>
+			read(state, 'dead', 10, version),
+		),
+		['suspect', 'quarantined', 'suspect', 'quarantined'],
+	);
+	const answered = run(
+		[[20, {kind: 'completed', fingerprint: 'dead', version: 'v2'}]],
+		state,
+	);
+	assert.deepEqual(
+		[undefined, 'v1', 'v2', 'v3'].map((version) =>
+			read(answered, 'dead', 20, version),
+		),
+		['suspect', 'quarantined', 'none', 'quarantined'],
+	);
+	const crashedTwice = run(
+		['d', 'e'].map((id) => [
+			30,
+			{kind: 'crashed', id, running: [dead], version: 'v2'},
+		]),
+		answered,
+	);
+	assert.equal(read(crashedTwice, 'dead', 30, 'v2'), 'quarantined');
+	assert.equal(read(crashedTwice, 'dead', 30), 'quarantined');
+});
+
+test('a new software version that crashes as well is not tried again', () => {
+	const state = run([
+		...crashesOfFirst,
+		[10, secondAnnounced],
+		[20, {kind: 'crashed', id: 'd', running: [dead], version: 'v2'}],
+		[30, secondAnnounced],
+	]);
+	assert.equal(read(state, 'dead', 30, 'v2'), 'quarantined');
+	assert.equal(read(state, 'dead', 30), 'quarantined');
+});
+
+test('a software version that was running at the crashes is not tried again', () => {
+	const first: QuarantineMessage = {...secondAnnounced, version: 'v1'};
+	const state = run([...crashesOfFirst, [10, first]]);
+	assert.equal(read(state, 'dead', 10), 'quarantined');
+	const unknown = run([
+		[0, {kind: 'crashed', id: 'd', running: [dead]}],
+		...crashesOfFirst,
+		[10, secondAnnounced],
+	]);
+	assert.equal(read(unknown, 'dead', 10), 'quarantined');
+});
+
 test('requests of one service do not displace the records of another', () => {
 	const attack: Array<readonly [number, QuarantineMessage]> = Array.from(
 		{length: maxCrashRecords + 50},
@@ -152,15 +226,23 @@
 
 test('nodes that exchange their records know the same, whatever the order', () => {
 	const requests = fc.constantFrom(dead, lamb);
+	const version = fc.constantFrom(undefined, 'v1', 'v2');
 	const message: fc.Arbitrary<QuarantineMessage> = fc.oneof(
 		fc.record({
 			kind: fc.constant('crashed' as const),
 			id: fc.constantFrom('a', 'b', 'c', 'd'),
 			running: fc.array(requests, {minLength: 1, maxLength: 2}),
+			version,
+		}),
+		fc.record({
+			kind: fc.constant('announced' as const),
+			service: fc.constant('registry'),
+			version: fc.constantFrom('v1', 'v2', 'v3'),
 		}),
 		fc.record({
 			kind: fc.constant('completed' as const),
 			fingerprint: fc.constantFrom('dead', 'lamb'),
+			version,
 		}),
 	);
 	const history = fc.array(message, {maxLength: 8});
--- a/src/coordination/step-quarantine.ts
+++ b/src/coordination/step-quarantine.ts
@@ -5,7 +5,9 @@
 } from '../protocol/constants.js';
 import type {EncodedCrashRecord} from '../protocol/crash-record.js';
 import {computeQuarantineTime} from './compute-quarantine-time.js';
+import {decideSuspicion} from './decide-suspicion.js';
 import {listOpenCrashes} from './list-open-crashes.js';
+import {mergeVersions} from './merge-versions.js';
 import type {
 	Crash,
 	CrashRecord,
@@ -13,6 +15,7 @@
 	QuarantineState,
 	QuarantineStep,
 	RunningRequest,
+	VersionStatus,
 } from './quarantine-state.js';
 
 /** Shortest time after its last crash for which a record is kept, ms. */
@@ -46,31 +49,56 @@
 	return now - lastAt > Math.max(minRetentionMs, retentionRatio * quarantineMs);
 }
 
-/** Merges crashes into a record; returns undefined when they change nothing. */
-function mergeCrashes(
+/** What is merged into a record. */
+type RecordChange = Pick<CrashRecord, 'crashes' | 'versions'>;
+
+const noVersions: ReadonlyMap<string, VersionStatus> = new Map();
+
+/** Tells whether the known versions differ. */
+function hasOtherVersions(
+	one: ReadonlyMap<string, VersionStatus>,
+	other: ReadonlyMap<string, VersionStatus>,
+): boolean {
+	return (
+		one.size !== other.size ||
+		[...one].some(([version, status]) => other.get(version) !== status)
+	);
+}
+
+/** Merges crashes and versions into a record; returns undefined when they change nothing. */
+function mergeRecord(
 	record: CrashRecord | undefined,
 	{fingerprint, service}: RunningRequest,
-	crashes: ReadonlyMap<string, Crash>,
+	{crashes, versions}: RecordChange,
 	random: Random,
 ): CrashRecord | undefined {
 	const merged = new Map(record?.crashes);
 	for (const [id, crash] of crashes) {
 		const known = merged.get(id) ?? crash;
 		merged.set(id, {
-			at: known.at,
+			...known,
 			isCleared: [known, crash].some(({isCleared}) => isCleared),
 		});
 	}
 
 	const limited = limitCrashes(merged);
-	const isChanged = [...limited].some(
-		([id, {isCleared}]) => record?.crashes.get(id)?.isCleared !== isCleared,
+	const versionsBefore = record?.versions ?? noVersions;
+	const mergedVersions = mergeVersions(
+		versionsBefore,
+		versions,
+		limited.values(),
 	);
+	const isChanged =
+		hasOtherVersions(mergedVersions, versionsBefore) ||
+		[...limited].some(
+			([id, {isCleared}]) => record?.crashes.get(id)?.isCleared !== isCleared,
+		);
 	return isChanged
 		? {
 				fingerprint,
 				service,
 				crashes: limited,
+				versions: mergedVersions,
 				jitter: record?.jitter ?? random(),
 			}
 		: undefined;
@@ -144,9 +172,11 @@
 	return {state: records, changed};
 }
 
+/** Clears the crashes that the answer of an upstream disproves; those of other software versions stay. */
 function completeRequest(
 	state: QuarantineState,
-	fingerprint: string,
+	{fingerprint, version}: QuarantineMessage & {readonly kind: 'completed'},
+	random: Random,
 ): QuarantineStep {
 	const record = state.get(fingerprint);
 	if (!record || listOpenCrashes(record).length === 0) {
@@ -154,22 +184,67 @@
 	}
 
 	const crashes = new Map(
-		[...record.crashes].map(([id, crash]) => [id, {...crash, isCleared: true}]),
+		[...record.crashes].map(([id, crash]) => {
+			const isOther =
+				version !== undefined &&
+				crash.version !== undefined &&
+				crash.version !== version;
+			return [id, {...crash, isCleared: crash.isCleared || !isOther}];
+		}),
+	);
+	const hasOthers = [...crashes.values()].some(({isCleared}) => !isCleared);
+	const versions: ReadonlyMap<string, VersionStatus> =
+		version !== undefined && hasOthers
+			? new Map([[version, 'answered']])
+			: noVersions;
+	return applyRecords(state, [
+		mergeRecord(record, record, {crashes, versions}, random),
+	]);
+}
+
+/** Lets upstreams of a software version run the quarantined requests under which only others have crashed. */
+function announceVersion(
+	state: QuarantineState,
+	{service, version}: QuarantineMessage & {readonly kind: 'announced'},
+	now: number,
+	random: Random,
+): QuarantineStep {
+	const versions = new Map([[version, 'announced' as const]]);
+	const held = [...state.values()].filter(
+		(record) =>
+			record.service === service &&
+			!record.versions.has(version) &&
+			// A crash of a version that is not known may have been one of this version.
+			[...record.crashes.values()].every(
+				(crash) => crash.version !== undefined && crash.version !== version,
+			) &&
+			decideSuspicion(record, now, version).kind === 'quarantined',
+	);
+	return applyRecords(
+		state,
+		held.map((record) =>
+			mergeRecord(record, record, {crashes: record.crashes, versions}, random),
+		),
 	);
-	return applyRecords(state, [{...record, crashes}]);
 }
 
 function receiveRecord(
 	state: QuarantineState,
-	{fingerprint, service, crashes}: EncodedCrashRecord,
+	{fingerprint, service, crashes, versions = []}: EncodedCrashRecord,
 	now: number,
 	random: Random,
 ): CrashRecord | undefined {
 	const known = state.get(fingerprint);
-	const received = new Map(
-		crashes.map(({id, ageMs, isCleared}) => [id, {at: now - ageMs, isCleared}]),
-	);
-	const merged = mergeCrashes(known, {fingerprint, service}, received, random);
+	const received: RecordChange = {
+		crashes: new Map(
+			crashes.map(({id, ageMs, isCleared, version}) => [
+				id,
+				{at: now - ageMs, isCleared, version},
+			]),
+		),
+		versions: new Map(versions.map(({version, status}) => [version, status])),
+	};
+	const merged = mergeRecord(known, {fingerprint, service}, received, random);
 	const isForgotten = merged && !known && isExpired(merged, now);
 	return isForgotten ? undefined : merged;
 }
@@ -197,22 +272,25 @@
 ): QuarantineStep {
 	switch (message.kind) {
 		case 'crashed': {
-			const crashes = new Map([[message.id, {at: now, isCleared: false}]]);
+			const {id, version} = message;
+			const change: RecordChange = {
+				crashes: new Map([[id, {at: now, isCleared: false, version}]]),
+				versions: noVersions,
+			};
 			return applyRecords(
 				state,
 				message.running.map((request) =>
-					mergeCrashes(
-						state.get(request.fingerprint),
-						request,
-						crashes,
-						random,
-					),
+					mergeRecord(state.get(request.fingerprint), request, change, random),
 				),
 			);
 		}
 
 		case 'completed': {
-			return completeRequest(state, message.fingerprint);
+			return completeRequest(state, message, random);
+		}
+
+		case 'announced': {
+			return announceVersion(state, message, now, random);
 		}
 
 		case 'received': {
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -199,7 +199,9 @@
 /** Maximum number of requests about which a node keeps that upstreams have crashed; 7 MB when each has eight crashes. */
 export const maxCrashRecords = 4096;
 export const maxCrashesPerRecord = 8;
-/** Maximum number of such records in a message; about 10 KB. */
+/** Maximum number of software versions in such a record; a service rarely runs more than two. */
+export const maxVersionsPerRecord = 4;
+/** Maximum number of such records in a message; about 14 KB when each has two crashes. */
 export const maxCrashRecordsPerMessage = 64;
 /** Maximum number of such records that a node passes on in a second; with `spreadFanOut` receivers about 10 KB/s. */
 export const maxCrashRecordsSpreadPerSecond = 24;
--- a/src/protocol/crash-record.ts
+++ b/src/protocol/crash-record.ts
@@ -5,9 +5,11 @@
 import * as z from 'zod';
 import {
 	maxCrashesPerRecord,
+	maxVersionsPerRecord,
 	maxCrashRecordsPerMessage,
 	maxIncarnationAheadMs,
 } from './constants.js';
+import {softwareVersionSchema} from './member.js';
 
 /** A crash of an upstream while it ran the request of a record. */
 export const encodedCrashSchema = z.object({
@@ -16,6 +18,14 @@
 	ageMs: z.int().min(0).max(maxIncarnationAheadMs),
 	/** Whether the request has since been answered by an upstream. */
 	isCleared: z.boolean(),
+	/** Software version of the upstream; absent when not known. */
+	version: softwareVersionSchema.optional(),
+});
+
+/** A software version that may run a request although other versions have crashed. */
+export const encodedVersionSchema = z.object({
+	version: softwareVersionSchema,
+	status: z.enum(['announced', 'answered']),
 });
 
 /** What is known about one request. */
@@ -24,6 +34,8 @@
 	/** Full name of the service. */
 	service: z.string().max(129),
 	crashes: z.array(encodedCrashSchema).max(maxCrashesPerRecord),
+	/** Absent when there are none. */
+	versions: z.array(encodedVersionSchema).max(maxVersionsPerRecord).optional(),
 });
 
 const recordsSchema = z
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -12,6 +12,14 @@
 	maxUpstreamsPerHost,
 } from './constants.js';
 
+export const maxSoftwareVersionLength = 64;
+
+/** Version of an upstream's software, as its team names it. */
+export const softwareVersionSchema = z
+	.string()
+	.min(1)
+	.max(maxSoftwareVersionLength);
+
 /** An upstream as it announces itself to the node on its host. */
 export const announcementSchema = z.object({
 	team: z.string().max(64),
@@ -23,6 +31,8 @@
 	sequence: z.int().min(0).optional(),
 	slots: z.int().min(1).max(1024),
 	connections: z.int().min(1).max(4096),
+	/** Version of its software; absent when it does not state one. */
+	version: softwareVersionSchema.optional(),
 	state: z.enum(['ready', 'leaving']),
 });
 
--- a/src/transport/_lib/create-crash-detector.ts
+++ b/src/transport/_lib/create-crash-detector.ts
@@ -14,7 +14,11 @@
 	/** Prefix of the identifiers of crashes; differs between all processes. */
 	readonly idPrefix: string;
 	/** Called with each crash and the attempts that were running; again with the same id when others turn out to have been running too. */
-	readonly onCrash: (crash: CrashEvent, running: readonly Attempt[]) => void;
+	readonly onCrash: (
+		crash: CrashEvent,
+		upstream: LocalUpstream,
+		running: readonly Attempt[],
+	) => void;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
@@ -149,12 +153,14 @@
 			id,
 			service,
 			incarnation: announcement.incarnation,
+			version: announcement.version,
 			crash: crashId,
 			evidence,
 			running: jobs.map((job) => describeJob(job)),
 		});
 		onCrash(
 			{id: crashId, service},
+			upstream,
 			jobs.map(({attempt}) => attempt),
 		);
 	}
--- a/src/transport/gate-crashes.test.ts
+++ b/src/transport/gate-crashes.test.ts
@@ -29,6 +29,7 @@
 	const crashes: Array<readonly string[]> = [];
 	const suspicions = new Map<string, Suspicion>();
 	const completed: string[] = [];
+	const versions: string[] = [];
 	let lastAttempt = 0;
 	const server = createServer((request, response) => {
 		held.set(request.url!, response);
@@ -45,7 +46,8 @@
 		logger: createSilentLogger(),
 		quarantine: {
 			hasRecords: () => true,
-			readSuspicion: (fingerprint) =>
+			readSuspicion: (fingerprint, version) =>
+				suspicions.get(`${fingerprint} ${version}`) ??
 				suspicions.get(fingerprint ?? '') ?? {kind: 'none'},
 			recordCrash(_id, running: readonly RunningRequest[]) {
 				crashes.push(running.map(({fingerprint}) => fingerprint).toSorted());
@@ -53,6 +55,9 @@
 			recordCompletion(fingerprint) {
 				completed.push(fingerprint!);
 			},
+			recordVersion(service, version) {
+				versions.push(`${service} ${version}`);
+			},
 		},
 	});
 	const announcement: Announcement = {
@@ -107,6 +112,7 @@
 		crashes,
 		suspicions,
 		completed,
+		versions,
 		crash,
 		send,
 		waitUntilHeld,
@@ -255,3 +261,22 @@
 	assert.equal(await upstream.send('/dead'), 'not-run quarantined');
 	assert.ok(!upstream.held.has('/dead'), 'a quarantined request was sent');
 });
+
+test('a request that is quarantined for other software versions is run by a new one', async (t) => {
+	const upstream = await start(t);
+	upstream.suspicions.set('/dead', {kind: 'quarantined', remainingMs: 1000});
+	upstream.suspicions.set('/dead v2', {kind: 'suspect'});
+	assert.equal(await upstream.send('/dead'), 'not-run quarantined');
+	upstream.gate.announce('i-1', {...upstream.announcement, version: 'v1'});
+	assert.equal(await upstream.send('/dead'), 'not-run quarantined');
+	upstream.gate.announce('i-2', {
+		...upstream.announcement,
+		incarnation: 6,
+		version: 'v2',
+	});
+	assert.deepEqual(upstream.versions, ['registry v1', 'registry v2']);
+	const mended = upstream.send('/dead');
+	await upstream.waitUntilHeld('/dead');
+	upstream.held.get('/dead')!.end();
+	assert.equal(await mended, 'answered');
+});
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -42,6 +42,7 @@
 } from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
+import {formatService} from '../state/format-service.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
 import {createRecentSet} from './_lib/create-recent-set.js';
 import {createReportLog} from './_lib/create-report-log.js';
@@ -110,6 +111,8 @@
 
 const maxAnsweredKeys = 4096;
 
+const unknownVersion = '';
+
 /** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
 	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
@@ -195,19 +198,29 @@
 	});
 
 	function readSuspicion(attempt: Attempt): Suspicion {
-		return quarantine?.hasRecords()
-			? quarantine.readSuspicion(readFingerprint(attempt))
-			: noSuspicion;
+		if (!quarantine?.hasRecords()) {
+			return noSuspicion;
+		}
+
+		const {upstream} = findLocalUpstream(upstreams.values(), attempt.service);
+		return quarantine.readSuspicion(
+			readFingerprint(attempt),
+			// An unknown version is not one that may run what others may not.
+			upstream?.announcement.version ?? unknownVersion,
+		);
 	}
 
-	function recordCompletion(attempt: Attempt): void {
+	function recordCompletion({attempt, upstream}: Job): void {
 		const key = formatRequestKey(attempt);
 		if (key !== undefined) {
 			answered.add(key);
 		}
 
 		if (quarantine?.hasRecords()) {
-			quarantine.recordCompletion(readFingerprint(attempt));
+			quarantine.recordCompletion(
+				readFingerprint(attempt),
+				upstream.announcement.version,
+			);
 		}
 	}
 
@@ -303,7 +316,7 @@
 		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
 			if (end === 'answered' && result.kind === 'answered') {
-				recordCompletion(job.attempt);
+				recordCompletion(job);
 			}
 		},
 		hasSuspicions: () => quarantine?.hasRecords() ?? false,
@@ -314,9 +327,13 @@
 	const crashDetector = createCrashDetector({
 		logger: options.logger,
 		idPrefix: epoch.slice(0, crashIdPrefixLength),
-		onCrash(crash, running) {
+		onCrash(crash, {announcement}, running) {
 			observer.onCrash?.(crash);
-			quarantine?.recordCrash(crash.id, listSuspects(running));
+			quarantine?.recordCrash(
+				crash.id,
+				listSuspects(running),
+				announcement.version,
+			);
 		},
 		now,
 	});
@@ -604,6 +621,11 @@
 
 	return {
 		announce(id, announcement) {
+			const {version, state} = announcement;
+			if (version !== undefined && state === 'ready') {
+				quarantine?.recordVersion(formatService(announcement), version);
+			}
+
 			const known = upstreams.get(id);
 			if (known && isSameIncarnation(known.announcement, announcement)) {
 				updateAnnouncement(known, announcement);
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -57,12 +57,18 @@
 export type RequestQuarantine = {
 	/** Whether anything is known about any request; as long as not, no fingerprint is needed. */
 	hasRecords(): boolean;
-	/** Tells whether a request may be sent; a request without a fingerprint may. */
-	readSuspicion(fingerprint: string | undefined): Suspicion;
-	/** Records that an upstream of this host has crashed while it ran requests. */
-	recordCrash(id: string, running: readonly RunningRequest[]): void;
-	/** Records that an upstream has answered a request. */
-	recordCompletion(fingerprint: string | undefined): void;
+	/** Tells whether a request may be sent to upstreams of a software version, or to some upstream when that is absent; a request without a fingerprint may. */
+	readSuspicion(fingerprint: string | undefined, version?: string): Suspicion;
+	/** Records that an upstream of this host, of a software version, has crashed while it ran requests. */
+	recordCrash(
+		id: string,
+		running: readonly RunningRequest[],
+		version?: string,
+	): void;
+	/** Records that an upstream of a software version has answered a request. */
+	recordCompletion(fingerprint: string | undefined, version?: string): void;
+	/** Records that an upstream of this host runs a software version. */
+	recordVersion(service: string, version: string): void;
 };
 
 /** Task that keeps what is known about requests that crash their upstreams, and tells the other nodes. */
@@ -89,6 +95,17 @@
 	readonly source: ChangeSource;
 };
 
+function formatEndReason(
+	{kind}: Suspicion,
+	record: CrashRecord | undefined,
+): 'answered' | 'new-version' | 'expired' {
+	if (kind === 'none') {
+		return 'answered';
+	}
+
+	return record && record.versions.size > 0 ? 'new-version' : 'expired';
+}
+
 /**
  * Starts the task that keeps the quarantine of a node.
  *
@@ -152,8 +169,10 @@
 				});
 			}
 		} else if (quarantined.delete(fingerprint)) {
-			const reason = suspicion.kind === 'none' ? 'answered' : 'expired';
-			logger.info('quarantine ended', {fingerprint, reason});
+			logger.info('quarantine ended', {
+				fingerprint,
+				reason: formatEndReason(suspicion, record),
+			});
 		}
 	}
 
@@ -274,17 +293,22 @@
 
 	return {
 		hasRecords: () => state.size > 0,
-		readSuspicion(fingerprint) {
+		readSuspicion(fingerprint, version) {
 			return fingerprint === undefined
 				? noSuspicion
-				: decideSuspicion(state.get(fingerprint), now());
+				: decideSuspicion(state.get(fingerprint), now(), version);
 		},
-		recordCrash(id, running) {
-			dispatch({kind: 'crashed', id, running});
+		recordCrash(id, running, version) {
+			dispatch({kind: 'crashed', id, running, version});
 		},
-		recordCompletion(fingerprint) {
+		recordCompletion(fingerprint, version) {
 			if (fingerprint !== undefined && state.has(fingerprint)) {
-				dispatch({kind: 'completed', fingerprint});
+				dispatch({kind: 'completed', fingerprint, version});
+			}
+		},
+		recordVersion(service, version) {
+			if (state.size > 0) {
+				dispatch({kind: 'announced', service, version});
 			}
 		},
 		handleExchange({records, wantsRecords}) {
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -9,10 +9,14 @@
 	type CrashingUpstream,
 } from '../harness/_lib/crashing-fleet.js';
 import {sendRequest} from '../harness/_lib/platform-node.js';
+import {pollUntil} from '../harness/poll-until.js';
 
 /** Most runs of a crashing request: three crashes, and three more while the nodes learn of them. */
 const maxRuns = 6;
 
+/** Shortest quarantine of a request, ms. */
+const minQuarantineMs = 30_000;
+
 /** How often the clients send the crashing request. */
 const rounds = 10;
 
@@ -79,6 +83,22 @@
 	assert.equal(countRuns(fleet.upstreams, '/prices/dead'), before);
 });
 
+// Regression: the request was refused until the end of its quarantine.
+test('a request is served again as soon as a new software version answers it', async (t) => {
+	const fleet = await startCrashingFleet(t, 3);
+	const path = '/prices/dead';
+	const statuses = await sendInTurn(fleet, {path, method: 'GET'});
+	assert.equal(statuses.at(-1), 503);
+	await fleet.mend();
+	for (const {settings} of fleet.upstreams) {
+		const isServed = await pollUntil(async () => {
+			const {status} = await sendRequest(settings.callers, path);
+			return status === 200;
+		}, minQuarantineMs / 2);
+		assert.ok(isServed, `not served at ${settings.name}`);
+	}
+});
+
 test('a popular request is served after crashes for other reasons', async (t) => {
 	const fleet = await startCrashingFleet(t, 3);
 	const {upstreams} = fleet;
