--- a/fakes/json-http.ts
+++ b/fakes/json-http.ts
@@ -8,6 +8,24 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
+
+/** Connections without a request, which Node.js does not treat as idle. */
+const unusedSockets = new WeakMap<Server, ReadonlySet<Socket>>();
+
+function trackUnusedSockets(server: Server): void {
+	const unused = new Set<Socket>();
+	unusedSockets.set(server, unused);
+	server.on('connection', (socket) => {
+		unused.add(socket);
+		socket.once('close', () => {
+			unused.delete(socket);
+		});
+	});
+	server.prependListener('request', ({socket}) => {
+		unused.delete(socket);
+	});
+}
 
 /**
  * Reads a request body to its end. Returns undefined if it is longer than `limit` bytes, and throws if it was cut.
@@ -69,6 +87,7 @@
 	host: string,
 	port: number,
 ): Promise<string> {
+	trackUnusedSockets(server);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(port, host, resolve);
@@ -82,12 +101,15 @@
 }
 
 /**
- * Stops listening and waits until the last request in flight has been answered.
+ * Stops listening, closes connections without a request, and waits until the last request in flight has been answered.
  */
 export async function closeServer(server: Server): Promise<void> {
 	await new Promise<void>((resolve) => {
 		server.close(() => {
 			resolve();
 		});
+		for (const socket of unusedSockets.get(server) ?? []) {
+			socket.destroy();
+		}
 	});
 }
