--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -12,11 +12,6 @@
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
-import {
-	noSuspicion,
-	type RunningRequest,
-	type Suspicion,
-} from '../coordination/quarantine-state.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import type {
@@ -42,12 +37,9 @@
 } from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
-import {formatService} from '../state/format-service.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
-import {createRecentSet} from './_lib/create-recent-set.js';
 import {createReportLog} from './_lib/create-report-log.js';
-import {formatRequestKey} from './_lib/format-request-key.js';
-import {readFingerprint} from './_lib/read-fingerprint.js';
+import {createSuspectTracker} from './_lib/create-suspect-tracker.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {createLostRequestDetector} from './_lib/create-lost-request-detector.js';
 import {
@@ -106,13 +98,6 @@
 /** Part of the epoch in the identifiers of crashes; tells apart all processes of a fleet. */
 const crashIdPrefixLength = 13;
 
-/** Time for which a request that an upstream has answered is not suspected of a crash there, ms. */
-const answeredRetentionMs = 10 * msPerSecond;
-
-const maxAnsweredKeys = 4096;
-
-const unknownVersion = '';
-
 /** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
 	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
@@ -171,7 +156,7 @@
  */
 export function startGateTask(options: GateTaskOptions): GateTask {
 	const {observer = {}, edge = defaultEdge, epoch = randomUUID()} = options;
-	const {readLag = () => 0, quarantine} = options;
+	const {readLag = () => 0} = options;
 	const {readMaxWait = readLag} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const upstreams = new Map<string, LocalUpstream>();
@@ -190,55 +175,16 @@
 		return {kind, reason, retryAfterSeconds: retryAfter, load, stamp};
 	}
 
-	/** Requests that an upstream on the host has answered, and that therefore do not crash it. */
-	const answered = createRecentSet({
-		retentionMs: answeredRetentionMs,
-		maxKeys: maxAnsweredKeys,
+	const suspects = createSuspectTracker({
+		quarantine: options.quarantine,
+		findUpstream: ({service}) =>
+			findLocalUpstream(upstreams.values(), service).upstream,
 		now,
 	});
 
-	function readSuspicion(attempt: Attempt): Suspicion {
-		if (!quarantine?.hasRecords()) {
-			return noSuspicion;
-		}
-
-		const {upstream} = findLocalUpstream(upstreams.values(), attempt.service);
-		return quarantine.readSuspicion(
-			readFingerprint(attempt),
-			// An unknown version is not one that may run what others may not.
-			upstream?.announcement.version ?? unknownVersion,
-		);
-	}
-
-	function recordCompletion({attempt, upstream}: Job): void {
-		const key = formatRequestKey(attempt);
-		if (key !== undefined) {
-			answered.add(key);
-		}
-
-		if (quarantine?.hasRecords()) {
-			quarantine.recordCompletion(
-				readFingerprint(attempt),
-				upstream.announcement.version,
-			);
-		}
-	}
-
-	/** Lists the requests that are suspected of a crash: those that were running and have not been answered here before. */
-	function listSuspects(running: readonly Attempt[]): RunningRequest[] {
-		return running
-			.filter((attempt) => !answered.has(formatRequestKey(attempt) ?? ''))
-			.flatMap((attempt) => {
-				const fingerprint = readFingerprint(attempt);
-				return fingerprint === undefined
-					? []
-					: [{fingerprint, service: attempt.service}];
-			});
-	}
-
 	/** Refuses an attempt at a request that crashes its upstreams; undefined for any other. */
 	function refuseQuarantined(attempt: Attempt): AttemptResult | undefined {
-		const suspicion = readSuspicion(attempt);
+		const suspicion = suspects.readSuspicion(attempt);
 		return suspicion.kind === 'quarantined'
 			? refuse(
 					'not-run',
@@ -316,24 +262,20 @@
 		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
 			if (end === 'answered' && result.kind === 'answered') {
-				recordCompletion(job);
+				suspects.recordCompletion(job);
 			}
 		},
-		hasSuspicions: () => quarantine?.hasRecords() ?? false,
-		readSuspicion,
+		hasSuspicions: suspects.hasSuspicions,
+		readSuspicion: suspects.readSuspicion,
 		readMaxWait,
 		now,
 	});
 	const crashDetector = createCrashDetector({
 		logger: options.logger,
 		idPrefix: epoch.slice(0, crashIdPrefixLength),
-		onCrash(crash, {announcement}, running) {
+		onCrash(crash, upstream, running) {
 			observer.onCrash?.(crash);
-			quarantine?.recordCrash(
-				crash.id,
-				listSuspects(running),
-				announcement.version,
-			);
+			suspects.recordCrash(crash.id, upstream, running);
 		},
 		now,
 	});
@@ -621,11 +563,7 @@
 
 	return {
 		announce(id, announcement) {
-			const {version, state} = announcement;
-			if (version !== undefined && state === 'ready') {
-				quarantine?.recordVersion(formatService(announcement), version);
-			}
-
+			suspects.recordAnnouncement(announcement);
 			const known = upstreams.get(id);
 			if (known && isSameIncarnation(known.announcement, announcement)) {
 				updateAnnouncement(known, announcement);
