--- a/src/coordination/step-quarantine.ts
+++ b/src/coordination/step-quarantine.ts
@@ -1,20 +1,19 @@
-import {
-	maxCrashesPerRecord,
-	maxCrashRecords,
-	msPerMinute,
-} from '../protocol/constants.js';
+import {msPerMinute} from '../protocol/constants.js';
 import type {EncodedCrashRecord} from '../protocol/crash-record.js';
+import {removeExcessRecords} from './_lib/quarantine/remove-excess-records.js';
+import {
+	mergeRecord,
+	noVersions,
+	type RecordChange,
+} from './_lib/quarantine/merge-record.js';
 import {computeQuarantineTime} from './compute-quarantine-time.js';
 import {decideSuspicion} from './decide-suspicion.js';
 import {listOpenCrashes} from './list-open-crashes.js';
-import {mergeVersions} from './merge-versions.js';
 import type {
-	Crash,
 	CrashRecord,
 	QuarantineMessage,
 	QuarantineState,
 	QuarantineStep,
-	RunningRequest,
 	VersionStatus,
 } from './quarantine-state.js';
 
@@ -24,136 +23,14 @@
 /** Ratio of the time of a quarantine for which its record is kept; it lasts up to twice its time, and a request that comes later is still known. */
 const retentionRatio = 4;
 
-/** Ratio of the maximum number of records that is kept when there are too many. */
-const keptRatio = 7 / 8;
-
 type Random = () => number;
 
-/** Keeps the newest crashes of a record. */
-function limitCrashes(
-	crashes: ReadonlyMap<string, Crash>,
-): ReadonlyMap<string, Crash> {
-	if (crashes.size <= maxCrashesPerRecord) {
-		return crashes;
-	}
-
-	const newestFirst = [...crashes].toSorted(
-		([, {at}], [, {at: otherAt}]) => otherAt - at,
-	);
-	return new Map(newestFirst.slice(0, maxCrashesPerRecord));
-}
-
 function isExpired(record: CrashRecord, now: number): boolean {
 	const lastAt = Math.max(...[...record.crashes.values()].map(({at}) => at));
 	const quarantineMs = computeQuarantineTime(listOpenCrashes(record).length);
 	return now - lastAt > Math.max(minRetentionMs, retentionRatio * quarantineMs);
 }
 
-/** What is merged into a record. */
-type RecordChange = Pick<CrashRecord, 'crashes' | 'versions'>;
-
-const noVersions: ReadonlyMap<string, VersionStatus> = new Map();
-
-/** Tells whether the known versions differ. */
-function hasOtherVersions(
-	one: ReadonlyMap<string, VersionStatus>,
-	other: ReadonlyMap<string, VersionStatus>,
-): boolean {
-	return (
-		one.size !== other.size ||
-		[...one].some(([version, status]) => other.get(version) !== status)
-	);
-}
-
-/** Merges crashes and versions into a record; returns undefined when they change nothing. */
-function mergeRecord(
-	record: CrashRecord | undefined,
-	{fingerprint, service}: RunningRequest,
-	{crashes, versions}: RecordChange,
-	random: Random,
-): CrashRecord | undefined {
-	const merged = new Map(record?.crashes);
-	for (const [id, crash] of crashes) {
-		const known = merged.get(id) ?? crash;
-		merged.set(id, {
-			...known,
-			isCleared: [known, crash].some(({isCleared}) => isCleared),
-		});
-	}
-
-	const limited = limitCrashes(merged);
-	const versionsBefore = record?.versions ?? noVersions;
-	const mergedVersions = mergeVersions(
-		versionsBefore,
-		versions,
-		limited.values(),
-	);
-	const isChanged =
-		hasOtherVersions(mergedVersions, versionsBefore) ||
-		[...limited].some(
-			([id, {isCleared}]) => record?.crashes.get(id)?.isCleared !== isCleared,
-		);
-	return isChanged
-		? {
-				fingerprint,
-				service,
-				crashes: limited,
-				versions: mergedVersions,
-				jitter: record?.jitter ?? random(),
-			}
-		: undefined;
-}
-
-function groupByService(
-	records: Iterable<CrashRecord>,
-): ReadonlyMap<string, readonly CrashRecord[]> {
-	const groups = new Map<string, CrashRecord[]>();
-	for (const record of records) {
-		const group = groups.get(record.service);
-		if (group) {
-			group.push(record);
-		} else {
-			groups.set(record.service, [record]);
-		}
-	}
-
-	return groups;
-}
-
-function findLargest(groups: readonly CrashRecord[][]): CrashRecord[] {
-	let [largest = []] = groups;
-	for (const group of groups) {
-		largest = group.length > largest.length ? group : largest;
-	}
-
-	return largest;
-}
-
-/**
- * Makes space when there are too many records: removes the least suspect ones,
- * the oldest first, of the service that has most, so that requests of one service
- * never displace the records of others.
- */
-function evictRecords(records: Map<string, CrashRecord>): void {
-	if (records.size <= maxCrashRecords) {
-		return;
-	}
-
-	const groups = [...groupByService(records.values()).values()].map((group) =>
-		group
-			.toReversed()
-			.toSorted(
-				(one, other) =>
-					listOpenCrashes(other).length - listOpenCrashes(one).length,
-			),
-	);
-	// Space for many, so that an attack does not sort the records again for each.
-	while (records.size > maxCrashRecords * keptRatio) {
-		const record = findLargest(groups).pop()!;
-		records.delete(record.fingerprint);
-	}
-}
-
 function applyRecords(
 	state: QuarantineState,
 	merged: ReadonlyArray<CrashRecord | undefined>,
@@ -168,7 +45,7 @@
 		records.set(record.fingerprint, record);
 	}
 
-	evictRecords(records);
+	removeExcessRecords(records);
 	return {state: records, changed};
 }
 
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -55,9 +55,9 @@
 	readonly store: DocumentStore;
 	readonly peers: PeerClients;
 	readonly logger: Logger;
-	/** Called with each document that the node starts to run. */
 	/** Called when the store has come back from an older copy, which may lack objects of this system. */
 	readonly onStoreRestored?: () => void;
+	/** Called with each document that the node starts to run. */
 	readonly onDocument: (document: RoutingDocument) => void;
 	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
