Leave an upstream the time to state that it has stopped at its deadline

Cause, suspected: the gate closed the connection at the very deadline that it had sent to the upstream, so that the upstream's own 504, which is on its way in that moment, was replaced.

The gate now aborts half of deadlineMarginMs (5 ms) after the deadline; the caller's node keeps the other half for the way.

--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -23,6 +23,7 @@
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {
+	deadlineMarginMs,
 	msPerSecond,
 	queueSlotsRatio,
 	retryAfterSeconds,
@@ -98,6 +99,9 @@
 /** Part of the epoch in the identifiers of crashes; tells apart all processes of a fleet. */
 const crashIdPrefixLength = 13;
 
+/** Time after its deadline in which an upstream may still state that it has stopped, ms; half of what the caller's node reserves (`deadlineMarginMs`). */
+const upstreamDeadlineSlackMs = deadlineMarginMs / 2;
+
 /** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
 	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
@@ -483,7 +487,7 @@
 		const job = admitted;
 		const timer = startPostPollTimer(() => {
 			runner.endEarly(job, 'deadline');
-		}, attempt.remainingMs);
+		}, attempt.remainingMs + upstreamDeadlineSlackMs);
 		const waitTimer = setTimeout(
 			runner.expireQueued,
 			job.queueExpiresAt - job.admittedAt,
