End a request that is being run at its likely deadline, not at its earliest

Not sending what may be late is right; ending what is being run by that bound is not.

Attempts are still sent, and told to upstreams, by the earliest deadline; the request now ends at the likely one, if an attempt is in progress, so that the upstream's own 504 or a late response gets through. The test failed before.

--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -12,8 +12,13 @@
 	/** Whether a node closer to the client already retries this call. */
 	readonly isNested: boolean;
 	readonly maxAttempts: number;
-	/** Monotonic ms. */
+	/** Time until which attempts may be sent and run, from the earliest possible arrival of the request, monotonic ms. */
 	readonly deadlineAt: number;
+	/**
+	 * Time at which the request ends although an attempt is in progress, from its
+	 * likely arrival, monotonic ms; `deadlineAt` when absent.
+	 */
+	readonly endsAt?: number | undefined;
 	/** Latency objective: until when an answer has its full value, monotonic ms. */
 	readonly objectiveAt?: number | undefined;
 };
--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -3,9 +3,11 @@
 import {Readable} from 'node:stream';
 import test from 'node:test';
 import {createSampleAttempt} from '../../../harness/create-sample-attempt.js';
+import type {ForwardResult} from '../../protocol/attempt.js';
 import {createCancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
 import {runRequest} from './run-request.js';
+import {waitForTurns} from './wait-for-turns.js';
 
 /** Creates a gate that reads the first chunk of a body and then refuses the attempt as leaving. */
 function createLeavingGate(body: Readable, taken: string[]): GateClient {
@@ -72,3 +74,45 @@
 	assert.equal(end.outcome, 'not-run');
 	assert.deepEqual(taken, ['first']);
 });
+
+// Regression: a stopping node gave up a request at which its upstream was at work, as it had perhaps waited unread.
+test('a response that comes between the earliest and the likely deadline is delivered', async (t) => {
+	t.mock.timers.enable({apis: ['setTimeout']});
+	let respond!: (result: ForwardResult) => void;
+	const gate: GateClient = {
+		...createLeavingGate(Readable.from([]), []),
+		runAttempt: async () =>
+			new Promise((resolve) => {
+				respond = resolve;
+			}),
+	};
+	const ended = runRequest({
+		parameters: {
+			repeatable: true,
+			isNested: false,
+			maxAttempts: 1,
+			deadlineAt: 100,
+			endsAt: 170,
+		},
+		template: {...createSampleAttempt(), idPrefix: 'a'},
+		signal: createCancelSource().signal,
+		pickGate: () => gate,
+		createTraceparent: () => undefined,
+		onAttemptEnd() {
+			// The test checks only the end of the request.
+		},
+		hasAvailableHost: () => true,
+		readRetryBudget: () => 1,
+		spendRetryBudget() {
+			// There is no retry.
+		},
+		now: () => 0,
+		random: () => 0.5,
+	});
+	t.mock.timers.tick(120);
+	await waitForTurns(4);
+	const answer = {status: 504, headers: {}, body: Buffer.from('late')};
+	respond({kind: 'answered', ...answer, load: undefined, stamp: undefined});
+	const end = await ended;
+	assert.equal(end.outcome, 'answered');
+});
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -112,6 +112,7 @@
 	options: RunRequestOptions,
 ): Promise<RequestEnd> {
 	const {parameters, template, signal, now} = options;
+	const {endsAt = parameters.deadlineAt} = parameters;
 	let state = initialRequestState;
 	let openAttempt: OpenAttempt | undefined;
 	let response: UpstreamResponse | undefined;
@@ -313,7 +314,7 @@
 
 		async function fetchResponse(number: number): Promise<void> {
 			const {gate, attempt, controller} = openAttempt!;
-			const remainingMs = parameters.deadlineAt - now();
+			const remainingMs = endsAt - now();
 			const result = await gate.fetchAnswer(
 				attempt.id,
 				remainingMs,
@@ -383,7 +384,7 @@
 			() => {
 				dispatch({kind: 'deadline'});
 			},
-			Math.max(0, parameters.deadlineAt - now()),
+			Math.max(0, endsAt - now()),
 		);
 		signal.addEventListener('abort', cancel);
 		dispatch({kind: 'start'});
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -336,11 +336,16 @@
 	): Promise<RequestEnd> {
 		const {request, route, requestId, parameters} = routed;
 		const {team, service, sheddingMeansNotRun} = route;
-		const deadlineMs = Math.min(
-			computeDeadlineMs(parameters, route),
-			Math.max(0, drainBounds.endsAt - responseMarginMs - routed.earliestAt),
+		const deadlineMs = computeDeadlineMs(parameters, route);
+		const drainedAt = drainBounds.endsAt - responseMarginMs;
+		const deadlineAt = Math.min(
+			routed.earliestAt + deadlineMs,
+			Math.max(routed.earliestAt, drainedAt),
+		);
+		const endsAt = Math.max(
+			deadlineAt,
+			Math.min(routed.startedAt + deadlineMs, drainedAt),
 		);
-		const deadlineAt = routed.earliestAt + deadlineMs;
 		const read = await readRequestBody(request, {
 			maxBytes: route.maxBodyBytes,
 			memory: bodyMemory,
@@ -418,6 +423,7 @@
 				isNested: depth > 0,
 				maxAttempts: isStreamed ? 1 : route.maxAttempts,
 				deadlineAt,
+				endsAt,
 				objectiveAt: Math.min(deadlineAt, routed.startedAt + objectiveMs),
 			},
 			template: {
