--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -3,12 +3,16 @@
 import {Readable} from 'node:stream';
 import test from 'node:test';
 import {createSampleAttempt} from '../../../harness/create-sample-attempt.js';
-import type {ForwardResult} from '../../protocol/attempt.js';
+import type {RequestParameters} from '../../coordination/request-state.js';
+import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
 import {createCancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
-import {runRequest} from './run-request.js';
+import {runRequest, type RequestEnd} from './run-request.js';
 import {waitForTurns} from './wait-for-turns.js';
 
+/** Event loop turns after which a request whose deadline timer has fired has ended. */
+const turnsToEnd = 4;
+
 /** Creates a gate that reads the first chunk of a body and then refuses the attempt as leaving. */
 function createLeavingGate(body: Readable, taken: string[]): GateClient {
 	return {
@@ -45,32 +49,44 @@
 	};
 }
 
-test('a partially consumed body is not sent to another host', async () => {
-	const body = Readable.from([Buffer.from('first'), Buffer.from('second')]);
-	const taken: string[] = [];
-	const gate = createLeavingGate(body, taken);
-	const {repeatable, ...template} = createSampleAttempt({
-		repeatable: false,
-		method: 'POST',
-		body,
-	});
-	const end = await runRequest({
-		parameters: {repeatable, isNested: false, maxAttempts: 1, deadlineAt: 1000},
-		template: {...template, repeatable, idPrefix: 'a'},
+/** Runs a request whose time stands still, at a gate. */
+async function runAtGate(
+	gate: GateClient,
+	attempt: Attempt,
+	parameters: Pick<RequestParameters, 'deadlineAt' | 'endsAt'>,
+): Promise<RequestEnd> {
+	return runRequest({
+		parameters: {
+			repeatable: attempt.repeatable,
+			isNested: false,
+			maxAttempts: 1,
+			...parameters,
+		},
+		template: {...attempt, idPrefix: 'a'},
 		signal: createCancelSource().signal,
 		pickGate: () => gate,
 		createTraceparent: () => undefined,
 		onAttemptEnd() {
-			// The test checks only the end of the request.
+			// The tests check only the end of the request.
 		},
 		hasAvailableHost: () => true,
 		readRetryBudget: () => 1,
 		spendRetryBudget() {
-			// Rerouting uses no retry budget.
+			// No retry uses the budget.
 		},
 		now: () => 0,
 		random: () => 0.5,
 	});
+}
+
+test('a partially consumed body is not sent to another host', async () => {
+	const body = Readable.from([Buffer.from('first'), Buffer.from('second')]);
+	const taken: string[] = [];
+	const end = await runAtGate(
+		createLeavingGate(body, taken),
+		createSampleAttempt({repeatable: false, method: 'POST', body}),
+		{deadlineAt: 1000},
+	);
 	assert.equal(end.outcome, 'not-run');
 	assert.deepEqual(taken, ['first']);
 });
@@ -86,31 +102,12 @@
 				respond = resolve;
 			}),
 	};
-	const ended = runRequest({
-		parameters: {
-			repeatable: true,
-			isNested: false,
-			maxAttempts: 1,
-			deadlineAt: 100,
-			endsAt: 170,
-		},
-		template: {...createSampleAttempt(), idPrefix: 'a'},
-		signal: createCancelSource().signal,
-		pickGate: () => gate,
-		createTraceparent: () => undefined,
-		onAttemptEnd() {
-			// The test checks only the end of the request.
-		},
-		hasAvailableHost: () => true,
-		readRetryBudget: () => 1,
-		spendRetryBudget() {
-			// There is no retry.
-		},
-		now: () => 0,
-		random: () => 0.5,
+	const ended = runAtGate(gate, createSampleAttempt(), {
+		deadlineAt: 100,
+		endsAt: 170,
 	});
 	t.mock.timers.tick(120);
-	await waitForTurns(4);
+	await waitForTurns(turnsToEnd);
 	const answer = {status: 504, headers: {}, body: Buffer.from('late')};
 	respond({kind: 'answered', ...answer, load: undefined, stamp: undefined});
 	const end = await ended;
