--- a/harness/_lib/crashing-fleet.ts
+++ b/harness/_lib/crashing-fleet.ts
@@ -66,11 +66,7 @@
 
 	async function addHost(): Promise<CrashingUpstream> {
 		const number = upstreams.length + 1;
-		const {node, settings} = await startPlatformNode(
-			t,
-			`abdali-${number}`,
-			store,
-		);
+		const {settings} = await startPlatformNode(t, `abdali-${number}`, store);
 		const [address] = await findAddresses(1, t);
 		const [host, port] = address!.split(':');
 		const runs: string[] = [];
@@ -127,11 +123,10 @@
 			}
 		}
 
-		t.after(async () => {
+		t.after(() => {
 			isStopped = true;
 			server?.close();
 			server?.closeAllConnections();
-			await node.stop();
 		});
 		await startUpstream();
 		const upstream = {settings, runs, crash, isUp: () => server !== undefined};
--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -102,6 +102,25 @@
 	return address;
 }
 
+/** What stops the nodes of a test. */
+const stopsByTest = new WeakMap<TestContext, Array<() => Promise<void>>>();
+
+/**
+ * Stops a node at the end of its test, beside the others of the test: one that
+ * goes on after a failed test would keep the process from ending.
+ */
+function stopAfter(t: TestContext, stop: () => Promise<void>): void {
+	const known = stopsByTest.get(t);
+	if (known) {
+		known.push(stop);
+		return;
+	}
+
+	const stops = [stop];
+	stopsByTest.set(t, stops);
+	t.after(async () => Promise.all(stops.map(async (stopNode) => stopNode())));
+}
+
 export async function startPlatformNode(
 	t: TestContext,
 	name: string,
@@ -148,8 +167,7 @@
 			return stopped;
 		},
 	};
-	// A node that goes on after a failed test would keep the process from ending.
-	t.after(node.stop);
+	stopAfter(t, node.stop);
 	return {node, settings};
 }
 
--- a/test/cut-heads.test.ts
+++ b/test/cut-heads.test.ts
@@ -51,7 +51,6 @@
 			});
 			const near = await startPlatformNode(t, 'abdali-1', storeAddress);
 			const far = await startPlatformNode(t, 'abdali-2', storeAddress);
-			t.after(async () => Promise.all([near.node.stop(), far.node.stop()]));
 			await announceUpstream(near.settings, upstream.address);
 			await waitUntilServed(near.settings);
 			await waitUntilServed(far.settings);
--- a/test/repeated-refusals.test.ts
+++ b/test/repeated-refusals.test.ts
@@ -70,9 +70,8 @@
 		const nodes = [];
 		for (const name of ['abdali-1', 'abdali-2']) {
 			const upstream = await startRawUpstream(t, responder);
-			const {node, settings} = await startPlatformNode(t, name, storeAddress);
+			const {settings} = await startPlatformNode(t, name, storeAddress);
 			await announceUpstream(settings, upstream.address, {id: name});
-			t.after(async () => node.stop());
 			upstreams.push(upstream);
 			nodes.push(settings);
 		}
--- a/test/requests-late-in-grace.test.ts
+++ b/test/requests-late-in-grace.test.ts
@@ -57,7 +57,6 @@
 	});
 	const far = await startPlatformNode(t, 'abdali-1', storeAddress, {graceMs});
 	const near = await startPlatformNode(t, 'abdali-2', storeAddress, {graceMs});
-	t.after(async () => far.node.stop());
 	await announceUpstream(far.settings, upstream.address, {slots: 64});
 	await waitUntilServed(near.settings);
 	isSlow = true;
--- a/test/store-restored.test.ts
+++ b/test/store-restored.test.ts
@@ -85,8 +85,7 @@
 test('a version that gets a revision which was given out before is put in force', async (t) => {
 	const {platform, address, writeVersion} = await startStore(t);
 	await writeVersion(7);
-	const {node, settings} = await startPlatformNode(t, 'abdali-1', address);
-	t.after(async () => node.stop());
+	const {settings} = await startPlatformNode(t, 'abdali-1', address);
 	await waitForGauge(settings, versionGauge, 7);
 	const copy = platform.takeCopy();
 	await writeVersion(8);
@@ -103,8 +102,7 @@
 test('a version lower than the running one is not run when the store has lost the latter', async (t) => {
 	const {platform, address, writeVersion} = await startStore(t);
 	await writeVersion(7);
-	const {node, settings} = await startPlatformNode(t, 'abdali-1', address);
-	t.after(async () => node.stop());
+	const {settings} = await startPlatformNode(t, 'abdali-1', address);
 	await waitForGauge(settings, versionGauge, 7);
 	const copy = platform.takeCopy();
 	await writeVersion(9);
@@ -123,7 +121,6 @@
 	const copy = platform.takeCopy();
 	const first = await startPlatformNode(t, 'abdali-1', address);
 	const second = await startPlatformNode(t, 'abdali-2', address);
-	t.after(async () => Promise.all([first.node.stop(), second.node.stop()]));
 	await waitForGauge(first.settings, membersGauge, 2);
 	const isWritten = await pollUntil(hasSeeds, readyTimeoutMs);
 	assert.ok(isWritten);
@@ -131,6 +128,5 @@
 	const isWrittenAgain = await pollUntil(hasSeeds, readyTimeoutMs / 2);
 	assert.ok(isWrittenAgain, 'nobody has written the addresses again');
 	const third = await startPlatformNode(t, 'abdali-3', address);
-	t.after(async () => third.node.stop());
 	await waitForGauge(third.settings, membersGauge, 3);
 });
