soak: planned work beside starved nodes, stray refusals, inexact load reports

The soak had no planned stops without other faults around them, no node that lacks processor time, no refusal that belongs to no request, and upstreams whose load left out the answered request in part. It now has a profile of planned work (restarts in series and overlapping, reloads, configurations, nodes stopped for 25 of 45 ms, work of up to the timeout of the route) and a check: a stopping node may not answer in place of an upstream that is at work, before the deadline. Upstreams name the request in their refusals and stop at the deadline that they are told, as the platform's do.

--- a/soak/_lib/find-broken-promises.test.ts
+++ b/soak/_lib/find-broken-promises.test.ts
@@ -15,6 +15,8 @@
 		body: 'ran a',
 		answeredId: 'a',
 		tellsLeaving: false,
+		isSigned: true,
+		expiresAt: 2000,
 		...changes,
 	};
 }
@@ -25,6 +27,7 @@
 		upstream: 'i-1',
 		at: 1010,
 		hasRun: true,
+		completesAt: 1015,
 		bytes: 0,
 		...changes,
 	};
@@ -37,12 +40,21 @@
 	sentAt: 30_000,
 });
 
+/** What the client of a request sees that a node has given up. */
+const gaveUp: Partial<ClientRecord> = {
+	status: 504,
+	body: '',
+	answeredId: undefined,
+	isSigned: false,
+};
+
 function judge(changes: Partial<History>): readonly string[] {
 	const kinds = findBrokenPromises({
 		clients: [],
 		upstreams: [],
 		statements: [],
 		disturbances: [],
+		faults: [],
 		crashes: [],
 		calmFrom: 10_000,
 		...changes,
@@ -94,6 +106,34 @@
 		},
 		['cut'],
 	],
+	[
+		'a request that a stopping node gave up while its upstream was at work',
+		{
+			clients: [createClient(gaveUp), last],
+			upstreams: [createRun({completesAt: 1500})],
+			disturbances: [{host: 'host-0', kind: 'term', from: 900, until: 2000}],
+		},
+		['given up'],
+	],
+	[
+		'the same after a fault that was not planned',
+		{
+			clients: [createClient(gaveUp), last],
+			upstreams: [createRun({completesAt: 1500})],
+			disturbances: [{host: 'host-0', kind: 'term', from: 900, until: 2000}],
+			faults: [{from: 100, until: 600}],
+		},
+		[],
+	],
+	[
+		'a request that a stopping node gave up at its deadline',
+		{
+			clients: [createClient({...gaveUp, endedAt: 2001}), last],
+			upstreams: [createRun({completesAt: 2500})],
+			disturbances: [{host: 'host-0', kind: 'term', from: 900, until: 2000}],
+		},
+		[],
+	],
 	[
 		'a connection that a kill ended',
 		{
--- a/soak/_lib/find-broken-promises.ts
+++ b/soak/_lib/find-broken-promises.ts
@@ -82,6 +82,47 @@
 		.map(({id, host}) => `cut: ${id} by the planned stop of ${host}`);
 }
 
+/** Time without a fault before a request after which a planned stop alone explains its end, ms; of the platform's rule. */
+const stabilityMs = 3000;
+
+/** Finds requests that a stopping node answered itself while an upstream was at work on them. */
+function findGivenUp(history: History): string[] {
+	const {clients, upstreams, disturbances, faults} = history;
+	const runs = new Map<string, UpstreamRecord[]>();
+	for (const run of upstreams.filter(({hasRun}) => hasRun)) {
+		runs.set(run.id, [...(runs.get(run.id) ?? []), run]);
+	}
+
+	return clients
+		.filter(({id, host, status, isSigned, sentAt, endedAt, expiresAt}) => {
+			const isStopping = disturbances.some(
+				(other) =>
+					other.kind === 'term' &&
+					other.host === host &&
+					other.from < endedAt &&
+					other.until > sentAt,
+			);
+			const isCalm = faults.every(
+				({from, until}) => from > endedAt || until < sentAt - stabilityMs,
+			);
+			const isAtWork = runs
+				.get(id)
+				?.some(({at, completesAt}) => at < endedAt && endedAt < completesAt);
+			return (
+				isStopping &&
+				isCalm &&
+				isAtWork === true &&
+				status !== 0 &&
+				!isSigned &&
+				endedAt < expiresAt
+			);
+		})
+		.map(
+			({id, host, status, sentAt, endedAt, expiresAt}) =>
+				`given up: ${id} at ${host} with ${status} after ${Math.round(endedAt - sentAt)} of ${Math.round(expiresAt - sentAt)} ms`,
+		);
+}
+
 function countMost(times: readonly number[], windowMs: number): number {
 	let most = 0;
 	let first = 0;
@@ -171,6 +212,7 @@
 		...history.crashes,
 		...findBrokenAnswers(history),
 		...findCut(history),
+		...findGivenUp(history),
 		...history.statements
 			.map((record) => findBrokenStatement(record, history))
 			.filter((problem) => problem !== undefined),
--- a/soak/_lib/history.ts
+++ b/soak/_lib/history.ts
@@ -18,6 +18,10 @@
 	readonly answeredId: string | undefined;
 	/** Whether the answer says that its upstream leaves. */
 	readonly tellsLeaving: boolean;
+	/** Whether an upstream has signed the answer; false when a node made it. */
+	readonly isSigned: boolean;
+	/** When the client's deadline or the route's timeout has passed, monotonic ms. */
+	readonly expiresAt: number;
 };
 
 /** A request as it reached an upstream. */
@@ -28,6 +32,8 @@
 	readonly at: number;
 	/** Whether the upstream began to work on it. */
 	readonly hasRun: boolean;
+	/** When the upstream has completed it, or stops at the deadline that it was given, monotonic ms. */
+	readonly completesAt: number;
 	/** Length of the body. */
 	readonly bytes: number;
 };
@@ -51,12 +57,16 @@
 	readonly until: number;
 };
 
+/** A time with a fault that nobody planned: of a node, an upstream, a link or the store. */
+export type UnplannedFault = {readonly from: number; readonly until: number};
+
 /** All that is judged. Times are monotonic ms. */
 export type History = {
 	readonly clients: ClientRecord[];
 	readonly upstreams: UpstreamRecord[];
 	readonly statements: StatementRecord[];
 	readonly disturbances: NodeDisturbance[];
+	readonly faults: UnplannedFault[];
 	/** Ends of processes that nobody asked for. */
 	readonly crashes: string[];
 	/** When the last disturbance had ended. */
--- a/soak/_lib/plan-disturbances.ts
+++ b/soak/_lib/plan-disturbances.ts
@@ -6,7 +6,7 @@
 /** What is disturbed, and how. */
 export type Disturbance =
 	| {readonly kind: 'restart' | 'reload' | 'new-life'; readonly host: number}
-	| {readonly kind: 'kill' | 'freeze'; readonly host: number}
+	| {readonly kind: 'kill' | 'freeze' | 'starve'; readonly host: number}
 	| {
 			readonly kind: 'upstream';
 			readonly host: number;
@@ -28,9 +28,14 @@
 	readonly disturbance: Disturbance;
 };
 
+/** Which disturbances a run has: all kinds, or planned work beside nodes that lack processor time. */
+export type SoakProfile = 'all' | 'planned';
+
 /** Options of `planDisturbances`. */
 export type PlanOptions = {
 	readonly seed: number;
+	/** `all` when absent. */
+	readonly profile?: SoakProfile;
 	readonly hosts: number;
 	readonly durationMs: number;
 	/** Mean time between two, ms. */
@@ -57,90 +62,156 @@
 /** Other disturbances for each silence. */
 const gapsPerSilence = 4;
 
+/** Other disturbances for each upstream with stray refusals. */
+const gapsPerRefusal = 6;
+
 /** Separates the numbers of silences from those of the other disturbances. */
 const silenceSeedOffset = 1_000_003;
 
 const storeFaults = ['down', 'slow', 'lose-answers'] as const;
 
-/**
- * Plans the disturbances of a run: in series, and overlapping.
- *
- * @param options - see `PlanOptions`
- * @returns the disturbances in order; the same for the same options
- */
-export function planDisturbances({
-	seed,
-	hosts,
-	durationMs,
-	meanGapMs,
-}: PlanOptions): readonly PlannedDisturbance[] {
+/** Separates the numbers of planned work and stray refusals from those of the other disturbances. */
+const plannedSeedOffset = 2_000_003;
+const refusalSeedOffset = 3_000_017;
+
+type Draw = () => number;
+
+function createDraw(seed: number): Draw {
 	const generator = xoroshiro128plus(seed);
-	const draw = (): number => uniformFloat64(generator);
+	return () => uniformFloat64(generator);
+}
 
-	function pick<Item>(items: readonly Item[]): Item {
-		return items[Math.floor(draw() * items.length)]!;
+function pick<Item>(draw: Draw, items: readonly Item[]): Item {
+	return items[Math.floor(draw() * items.length)]!;
+}
+
+/** Plans disturbances at random times with a mean gap. */
+function planSeries(
+	draw: Draw,
+	{
+		durationMs,
+		meanGapMs,
+		firstAt,
+	}: Pick<PlanOptions, 'durationMs' | 'meanGapMs'> & {
+		readonly firstAt: number;
+	},
+	planNext: () => Omit<PlannedDisturbance, 'at'>,
+): readonly PlannedDisturbance[] {
+	const planned: PlannedDisturbance[] = [];
+	for (let at = firstAt; at < durationMs; at += draw() * 2 * meanGapMs) {
+		planned.push({at, ...planNext()});
 	}
 
-	function pickDisturbance(): Disturbance {
+	return planned;
+}
+
+function drawDuration(draw: Draw): number {
+	return 300 + draw() * 5000;
+}
+
+/** Plans disturbances of all kinds but silences and stray refusals. */
+function planMixed(options: PlanOptions): readonly PlannedDisturbance[] {
+	const {seed, hosts} = options;
+	const draw = createDraw(seed);
+	return planSeries(draw, {...options, firstAt: 0}, () => {
 		const host = Math.floor(draw() * hosts);
 		const kinds: ReadonlyArray<() => Disturbance> = [
-			() => ({kind: pick(['restart', 'reload', 'new-life']), host}),
-			() => ({kind: pick(['kill', 'freeze']), host}),
-			() => ({kind: 'upstream', host, fault: pick(upstreamFaults)}),
-			() => ({kind: 'upstream', host, fault: pick(upstreamFaults)}),
+			() => ({kind: pick(draw, ['restart', 'reload', 'new-life']), host}),
+			() => ({kind: pick(draw, ['kill', 'freeze']), host}),
+			() => ({kind: 'upstream', host, fault: pick(draw, upstreamFaults)}),
+			() => ({kind: 'upstream', host, fault: pick(draw, upstreamFaults)}),
 			() => ({
 				kind: 'link',
 				host,
-				link: pick(['upstream', 'store']),
-				mode: pick(modes),
+				link: pick(draw, ['upstream', 'store']),
+				mode: pick(draw, modes),
 			}),
-			() => ({kind: 'store', fault: pick(storeFaults)}),
+			() => ({kind: 'store', fault: pick(draw, storeFaults)}),
 			() => ({kind: 'configuration'}),
 		];
-		return pick(kinds)();
-	}
+		const disturbance = pick(draw, kinds)();
+		return {disturbance, durationMs: drawDuration(draw)};
+	});
+}
 
-	const planned: PlannedDisturbance[] = [];
-	for (let at = 0; at < durationMs; at += draw() * 2 * meanGapMs) {
-		const disturbance = pickDisturbance();
-		planned.push({at, durationMs: 300 + draw() * 5000, disturbance});
-	}
+/** Plans restarts, reloads and configurations, and nodes that lack processor time. */
+function planPlannedWork(options: PlanOptions): readonly PlannedDisturbance[] {
+	const {seed, hosts} = options;
+	const draw = createDraw(seed + plannedSeedOffset);
+	return planSeries(draw, {...options, firstAt: 0}, () => {
+		const host = Math.floor(draw() * hosts);
+		const kinds: readonly Disturbance[] = [
+			{kind: 'restart', host},
+			{kind: 'restart', host},
+			{kind: 'reload', host},
+			{kind: 'starve', host},
+			{kind: 'starve', host},
+			{kind: 'configuration'},
+		];
+		const disturbance = pick(draw, kinds);
+		return {disturbance, durationMs: drawDuration(draw)};
+	});
+}
 
-	return [
-		...planned,
-		...planSilences({seed, hosts, durationMs, meanGapMs}),
-	].toSorted((a, b) => a.at - b.at);
+/**
+ * Plans when upstreams write refusals that name no request. It has numbers of
+ * its own, so that the other disturbances of a seed stay what they were.
+ */
+function planStrayRefusals(
+	options: PlanOptions,
+): readonly PlannedDisturbance[] {
+	const draw = createDraw(options.seed + refusalSeedOffset);
+	const meanGapMs = options.meanGapMs * gapsPerRefusal;
+	const firstAt = draw() * meanGapMs;
+	return planSeries(draw, {...options, meanGapMs, firstAt}, () => ({
+		durationMs: drawDuration(draw),
+		disturbance: {
+			kind: 'upstream',
+			host: Math.floor(draw() * options.hosts),
+			fault: {kind: 'stray-refusals'},
+		},
+	}));
 }
 
 /**
- * Plans when upstreams fall silent as they are full. It has numbers of its own,
- * so that the other disturbances of a seed stay what they were.
+ * Plans the disturbances of a run: in series, and overlapping.
+ *
+ * @param options - see `PlanOptions`
+ * @returns the disturbances in order; the same for the same options
  */
-function planSilences({
-	seed,
-	hosts,
-	durationMs,
-	meanGapMs,
-}: PlanOptions): readonly PlannedDisturbance[] {
-	const generator = xoroshiro128plus(seed + silenceSeedOffset);
-	const draw = (): number => uniformFloat64(generator);
-	const planned: PlannedDisturbance[] = [];
-	const meanSilenceGapMs = meanGapMs * gapsPerSilence;
-	for (
-		let at = draw() * meanSilenceGapMs;
-		at < durationMs;
-		at += draw() * 2 * meanSilenceGapMs
-	) {
-		planned.push({
-			at,
-			durationMs: 300 + draw() * 5000,
-			disturbance: {
-				kind: 'upstream',
-				host: Math.floor(draw() * hosts),
-				fault: {kind: 'silent', slots: 1 + Math.floor(draw() * 2)},
-			},
-		});
+export function planDisturbances(
+	options: PlanOptions,
+): readonly PlannedDisturbance[] {
+	const {profile = 'all'} = options;
+	switch (profile) {
+		case 'all': {
+			return [
+				...planMixed(options),
+				...planSilences(options),
+				...planStrayRefusals(options),
+			].toSorted((a, b) => a.at - b.at);
+		}
+
+		case 'planned': {
+			return planPlannedWork(options);
+		}
 	}
+}
 
-	return planned;
+/**
+ * Plans when upstreams fall silent as they are full. It has numbers of its own,
+ * so that the other disturbances of a seed stay what they were.
+ */
+function planSilences(options: PlanOptions): readonly PlannedDisturbance[] {
+	const draw = createDraw(options.seed + silenceSeedOffset);
+	const meanGapMs = options.meanGapMs * gapsPerSilence;
+	const firstAt = draw() * meanGapMs;
+	return planSeries(draw, {...options, meanGapMs, firstAt}, () => ({
+		durationMs: drawDuration(draw),
+		disturbance: {
+			kind: 'upstream',
+			host: Math.floor(draw() * options.hosts),
+			fault: {kind: 'silent', slots: 1 + Math.floor(draw() * 2)},
+		},
+	}));
 }
--- a/soak/_lib/soak-host.ts
+++ b/soak/_lib/soak-host.ts
@@ -10,7 +10,11 @@
 import {settingsFileVariable} from '../../platform/wire-names.js';
 import {resolveProgram} from '../../harness/resolve-program.js';
 import type {History, NodeDisturbance} from './history.js';
-import {startSoakUpstream, type SoakUpstream} from './soak-upstream.js';
+import {
+	startSoakUpstream,
+	type LoadReport,
+	type SoakUpstream,
+} from './soak-upstream.js';
 import {startProxy, type Proxy} from './start-proxy.js';
 
 /** A host of the soak: the real node as a process, and what stands around it. */
@@ -26,6 +30,8 @@
 	kill(awayMs: number): Promise<void>;
 	/** Stops the process with SIGSTOP for a time. */
 	freeze(durationMs: number): Promise<void>;
+	/** Leaves the process less than half of its time, by SIGSTOP and SIGCONT in turn; others may stop it meanwhile. */
+	starve(durationMs: number): Promise<void>;
 	/** Sends SIGHUP, if the process has begun to run. */
 	reload(): Promise<void>;
 	stop(): Promise<void>;
@@ -38,6 +44,10 @@
 	/** Loopback address of the host. */
 	readonly ip: string;
 	readonly storeAddress: string;
+	/** How the upstream reports its load. */
+	readonly loadReport: LoadReport;
+	/** Returns how long the upstream works on a request, ms. */
+	readonly readServiceTime: (id: string) => number;
 	/** Where the node's lines go. */
 	readonly logFolder: string;
 	readonly history: History;
@@ -54,6 +64,10 @@
 /** Time after a disturbance in which it may still explain what a client saw, ms. */
 const afterMs = 1000;
 
+/** Times of a starved process: how long it is stopped, and how long it runs after that, ms. */
+const starvedStopMs = 25;
+const starvedRunMs = 20;
+
 /** Tells whether a process has a handler of SIGHUP. */
 async function catchesHangUp({pid}: ChildProcess): Promise<boolean> {
 	try {
@@ -84,6 +98,8 @@
 		port: ports.app,
 		address: upstreamLink.address,
 		control: `${ip}:${ports.control}`,
+		loadReport: options.loadReport,
+		readServiceTime: options.readServiceTime,
 		history,
 		now,
 	});
@@ -185,6 +201,16 @@
 				await sleep(durationMs);
 				child.kill('SIGCONT');
 			}),
+		async starve(durationMs) {
+			const until = now() + durationMs;
+			while (now() < until) {
+				const stopped = child;
+				stopped.kill('SIGSTOP');
+				await sleep(starvedStopMs);
+				stopped.kill('SIGCONT');
+				await sleep(starvedRunMs);
+			}
+		},
 		async reload() {
 			// Before its runtime has started a process can't handle a signal.
 			if (await catchesHangUp(child)) {
--- a/soak/_lib/soak-upstream.ts
+++ b/soak/_lib/soak-upstream.ts
@@ -17,6 +17,8 @@
 	| {readonly kind: 'lose-answers'}
 	/** Each answer comes a second time, late. */
 	| {readonly kind: 'repeat-answers'}
+	/** A refusal that names no request precedes each answer. */
+	| {readonly kind: 'stray-refusals'}
 	/** Other bytes follow each answer. */
 	| {readonly kind: 'garble'}
 	/** Requests beyond the slots are dropped without a word, and all that follow on their connections. */
@@ -24,6 +26,9 @@
 	| {readonly kind: 'limit'; readonly perSecond: number}
 	| {readonly kind: 'leave'};
 
+/** Whether the load in an answer counts the request that is answered; `last-only` counts it if no other one runs. */
+export type LoadReport = 'with-answered' | 'without-answered' | 'last-only';
+
 /** A server beside a node. */
 export type SoakUpstream = {
 	setFault(fault: UpstreamFault): void;
@@ -40,16 +45,26 @@
 	readonly address: string;
 	/** Where it announces itself. */
 	readonly control: string;
+	readonly loadReport: LoadReport;
+	/** Returns how long it works on a request, ms. */
+	readonly readServiceTime: (id: string) => number;
 	readonly history: History;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
 const slots = 6;
-const serviceMs = 15;
 const heartbeatMs = 500;
 const repeatAfterMs = 60;
 
+/** A refusal that belongs to no request. */
+const strayRefusal = [
+	'HTTP/1.1 503 Service Unavailable',
+	'x-boragehitch-not-executed: 1',
+	'content-length: 0',
+	'\r\n',
+].join('\r\n');
+
 /** Reads the body of a request to its end, or to where it is cut. */
 async function readBody(
 	request: IncomingMessage,
@@ -67,6 +82,13 @@
 	return {bytes, isWhole: request.complete};
 }
 
+function createRefusal(id: string): Record<string, string> {
+	return {
+		'x-boragehitch-not-executed': '1',
+		'x-boragehitch-request-id': id,
+	};
+}
+
 /** Starts a server of the platform that can misbehave. */
 export async function startSoakUpstream(
 	options: SoakUpstreamOptions,
@@ -101,11 +123,32 @@
 		});
 	}
 
-	function createHeaders(id: string): Record<string, string> {
+	/** Formats the load; `answered` requests of those that run are being answered. */
+	function formatLoad(answered: number): string {
+		return `${countRunning(answered)},0,${slots}`;
+	}
+
+	function countRunning(answered: number): number {
+		switch (options.loadReport) {
+			case 'with-answered': {
+				return running;
+			}
+
+			case 'without-answered': {
+				return running - answered;
+			}
+
+			case 'last-only': {
+				return Math.max(1, running - answered);
+			}
+		}
+	}
+
+	function createHeaders(id: string, answered = 0): Record<string, string> {
 		const headers: Record<string, string> = {
 			'x-boragehitch-request-id': id,
 			'x-boragehitch-response-signature': 'signed',
-			'x-boragehitch-server-load': `${Math.max(1, running)},0,${slots}`,
+			'x-boragehitch-server-load': formatLoad(answered),
 		};
 		if (fault.kind === 'limit') {
 			headers['server-limit'] = String(fault.perSecond);
@@ -118,9 +161,19 @@
 		return headers;
 	}
 
-	function answer(response: ServerResponse, id: string): void {
+	function answer(
+		response: ServerResponse,
+		id: string,
+		isComplete: boolean,
+	): void {
+		if (!isComplete) {
+			response.writeHead(504, createHeaders(id, 1));
+			response.end();
+			return;
+		}
+
 		const body = `ran ${id}`;
-		const headers = createHeaders(id);
+		const headers = createHeaders(id, 1);
 		const {socket} = response;
 		switch (fault.kind) {
 			case 'lose-answers': {
@@ -149,6 +202,13 @@
 				return;
 			}
 
+			case 'stray-refusals': {
+				socket?.write(strayRefusal);
+				response.writeHead(200, headers);
+				response.end(body);
+				return;
+			}
+
 			case 'none':
 			case 'slow':
 			case 'silent':
@@ -195,35 +255,44 @@
 		}
 
 		if (expected !== undefined && expected !== readId()) {
-			response.writeHead(421, {'x-boragehitch-not-executed': '1'});
+			response.writeHead(421, createRefusal(id));
 			response.end();
 			return;
 		}
 
 		const isFull = running >= slots;
+		const serviceMs =
+			fault.kind === 'slow' ? fault.serviceMs : options.readServiceTime(id);
+		const deadlineMs = Number(
+			headers['x-boragehitch-deadline-ms'] ?? Number.POSITIVE_INFINITY,
+		);
+		const workMs = Math.min(serviceMs, deadlineMs);
+		const at = now();
 		const record = {
 			id,
 			upstream: readId(),
-			at: now(),
+			at,
 			hasRun: !isFull,
+			completesAt: at + workMs,
 			bytes,
 		};
 		history.upstreams.push(record);
 		if (isFull) {
-			response.writeHead(503, {'x-boragehitch-not-executed': '1'});
+			response.writeHead(503, createRefusal(id));
 			response.end();
 			return;
 		}
 
 		running++;
 		const startedIn = life;
-		void sleep(fault.kind === 'slow' ? fault.serviceMs : serviceMs).then(() => {
-			running--;
+		void sleep(workMs).then(() => {
 			if (life === startedIn) {
-				answer(response, id);
+				answer(response, id, serviceMs <= deadlineMs);
 			} else {
 				response.destroy();
 			}
+
+			running--;
 		});
 	}
 
--- a/soak/_lib/start-clients.ts
+++ b/soak/_lib/start-clients.ts
@@ -7,6 +7,8 @@
 	readonly host: string;
 	/** Where the node takes requests. */
 	readonly address: string;
+	/** Number of clients, each with a connection of its own. */
+	readonly count: number;
 	readonly history: History;
 	/** Monotonic ms. */
 	readonly now: () => number;
@@ -18,7 +20,6 @@
 	stop(): Promise<void>;
 };
 
-const clientsPerHost = 3;
 const pauseMs = 90;
 const deadlineMs = 1500;
 
@@ -33,7 +34,7 @@
 
 type Outcome = Pick<
 	ClientRecord,
-	'status' | 'body' | 'answeredId' | 'tellsLeaving'
+	'status' | 'body' | 'answeredId' | 'tellsLeaving' | 'isSigned'
 >;
 
 const noAnswer: Outcome = {
@@ -41,16 +42,26 @@
 	body: '',
 	answeredId: undefined,
 	tellsLeaving: false,
+	isSigned: false,
 };
 
-/** What clients send, in turn. */
+const signatureName = 'x-boragehitch-response-signature';
+
+const lookup = {
+	path: '/prices/lamb',
+	method: 'GET',
+	bytes: 0,
+	timeoutMs: 1000,
+} as const;
+
+/** What clients send, in turn, with the timeout of its route. */
 const requests = [
-	{path: '/orders/lamb', method: 'POST', bytes: 0},
-	{path: '/prices/lamb', method: 'GET', bytes: 0},
-	{path: '/prices/lamb', method: 'GET', bytes: 0},
-	{path: '/photos/flue', method: 'POST', bytes: uploadBytes},
-	{path: '/prices/lamb', method: 'GET', bytes: 0},
-	{path: '/prices/lamb', method: 'GET', bytes: 0},
+	{path: '/orders/lamb', method: 'POST', bytes: 0, timeoutMs: 9000},
+	lookup,
+	lookup,
+	{path: '/photos/flue', method: 'POST', bytes: uploadBytes, timeoutMs: 2000},
+	lookup,
+	lookup,
 ] as const;
 
 type SoakRequest = (typeof requests)[number];
@@ -88,6 +99,7 @@
 						status: answer.statusCode ?? 0,
 						body: chunks.join(''),
 						tellsLeaving: answer.headers['server-leaving'] === '1',
+						isSigned: signatureName in answer.headers,
 						answeredId: answer.headers['x-boragehitch-request-id']?.toString(),
 					});
 				});
@@ -130,8 +142,10 @@
 			const repeatable = next.method === 'GET';
 			const sentAt = now();
 			const outcome = await send(options, id, next, agent);
-			const {bytes} = next;
-			const record = {id, host, repeatable, bytes, sentAt, endedAt: now()};
+			const {bytes, timeoutMs} = next;
+			const expiresAt = sentAt + Math.min(deadlineMs, timeoutMs);
+			const endedAt = now();
+			const record = {id, host, repeatable, bytes, sentAt, endedAt, expiresAt};
 			history.clients.push({...record, ...outcome});
 			await sleep(pauseMs);
 		}
@@ -139,7 +153,7 @@
 		agent.destroy();
 	}
 
-	const clients = Array.from({length: clientsPerHost}, async (_, index) =>
+	const clients = Array.from({length: options.count}, async (_, index) =>
 		runClient(index),
 	);
 	return {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -8,6 +8,7 @@
 const {values} = parseArgs({
 	options: {
 		seed: {type: 'string', default: '1'},
+		profile: {type: 'string', default: 'all'},
 		count: {type: 'string', default: '1'},
 		hosts: {type: 'string', default: '5'},
 		seconds: {type: 'string', default: '20'},
@@ -19,6 +20,7 @@
 for (let seed = first; seed < first + Number(values.count); seed++) {
 	const {problems, ...figures} = await runSoak({
 		seed,
+		profile: values.profile === 'planned' ? 'planned' : 'all',
 		hosts: Number(values.hosts),
 		durationMs: Number(values.seconds) * 1000,
 		meanGapMs: Number(values.gap),
--- a/soak/run-soak.test.ts
+++ b/soak/run-soak.test.ts
@@ -16,3 +16,14 @@
 		assert.deepEqual(problems, [], `logs in ${logFolder}`);
 	});
 }
+
+test('no stopping node gives up a request at which an upstream with an inexact load report is at work', async () => {
+	const {problems, logFolder} = await runSoak({
+		seed: 5001,
+		profile: 'planned',
+		hosts: 6,
+		durationMs: 12_000,
+		network: '95.11',
+	});
+	assert.deepEqual(problems, [], `logs in ${logFolder}`);
+});
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {mkdtemp} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -11,13 +12,17 @@
 import {
 	planDisturbances,
 	type PlannedDisturbance,
+	type SoakProfile,
 } from './_lib/plan-disturbances.js';
 import {startSoakHost, type SoakHost} from './_lib/soak-host.js';
+import type {LoadReport} from './_lib/soak-upstream.js';
 import {startClients} from './_lib/start-clients.js';
 
 /** Options of `runSoak`. */
 export type SoakOptions = {
 	readonly seed: number;
+	/** Which disturbances; `all` when absent. */
+	readonly profile?: SoakProfile;
 	/** Hosts, in two data centres; 5 when absent. */
 	readonly hosts?: number;
 	/** Time in which disturbances begin, ms; 20,000 when absent. */
@@ -49,6 +54,48 @@
 /** Least time of an upstream's fault, ms: its limit is judged from three seconds on. */
 const statementMs = 6000;
 
+/** Load of a profile: clients of a host, and how long upstreams work on their requests, ms. */
+type Load = {
+	readonly clients: number;
+	readonly minServiceMs: number;
+	readonly maxServiceMs: number;
+	/** How the upstreams of the hosts report their load, in turn. */
+	readonly loadReports: readonly LoadReport[];
+};
+
+const loads: Readonly<Record<SoakProfile, Load>> = {
+	all: {
+		clients: 3,
+		minServiceMs: 15,
+		maxServiceMs: 15,
+		loadReports: ['last-only', 'with-answered', 'without-answered'],
+	},
+	// Some take until the timeout of their route, so that a stop finds requests at work at any point.
+	planned: {
+		clients: 5,
+		minServiceMs: 20,
+		maxServiceMs: 1100,
+		loadReports: ['last-only'],
+	},
+};
+
+/** Returns the function that gives a request's time at its upstream, ms: short times are more frequent, and the last disturbance ends the long ones. */
+function createServiceTime(
+	seed: number,
+	{minServiceMs, maxServiceMs}: Load,
+	history: History,
+): (id: string) => number {
+	return (id) => {
+		if (history.calmFrom < Number.POSITIVE_INFINITY) {
+			return minServiceMs;
+		}
+
+		const bytes = createHash('sha256').update(`${seed} ${id}`).digest();
+		const share = bytes.readUInt32BE() / 2 ** 32;
+		return minServiceMs + (maxServiceMs - minServiceMs) * share ** 3;
+	};
+}
+
 type Fleet = {
 	readonly platform: Platform;
 	readonly hosts: readonly SoakHost[];
@@ -76,6 +123,27 @@
 	};
 }
 
+/** Tells whether a disturbance is planned work, or a lack of processor time, around which no request may be lost. */
+function isPlannedWork({disturbance: {kind}}: PlannedDisturbance): boolean {
+	switch (kind) {
+		case 'restart':
+		case 'reload':
+		case 'configuration':
+		case 'starve': {
+			return true;
+		}
+
+		case 'new-life':
+		case 'kill':
+		case 'freeze':
+		case 'upstream':
+		case 'link':
+		case 'store': {
+			return false;
+		}
+	}
+}
+
 /** Carries out a disturbance, to its end. */
 async function disturb(
 	{platform, hosts, writeConfiguration}: Fleet,
@@ -107,6 +175,11 @@
 			break;
 		}
 
+		case 'starve': {
+			await hosts[disturbance.host]!.starve(durationMs);
+			break;
+		}
+
 		case 'upstream': {
 			const {upstream} = hosts[disturbance.host]!;
 			upstream.setFault(disturbance.fault);
@@ -157,6 +230,7 @@
  */
 export async function runSoak({
 	seed,
+	profile = 'all',
 	hosts: hostCount = 5,
 	durationMs = 20_000,
 	meanGapMs = 700,
@@ -169,6 +243,7 @@
 		upstreams: [],
 		statements: [],
 		disturbances: [],
+		faults: [],
 		crashes: [],
 		calmFrom: Number.POSITIVE_INFINITY,
 	};
@@ -179,6 +254,8 @@
 	const storeAddress = new URL(platform.url).host;
 	const writeConfiguration = createConfigurationWriter(storeAddress);
 	await writeConfiguration();
+	const load = loads[profile];
+	const readServiceTime = createServiceTime(seed, load, history);
 	const hosts = await Promise.all(
 		Array.from({length: hostCount}, async (_, index) =>
 			startSoakHost({
@@ -186,6 +263,8 @@
 				dataCentre: index % 2 === 0 ? 'abdali' : 'marka',
 				ip: `127.${network}.${index + 1}`,
 				storeAddress,
+				loadReport: load.loadReports[index % load.loadReports.length]!,
+				readServiceTime,
 				logFolder,
 				history,
 				now,
@@ -194,11 +273,12 @@
 	);
 	await sleep(startMs);
 	const clients = hosts.map(({name: host, callers: address}) =>
-		startClients({host, address, history, now}),
+		startClients({host, address, count: load.clients, history, now}),
 	);
 	const fleet = {platform, hosts, writeConfiguration};
 	const plan = planDisturbances({
 		seed,
+		profile,
 		hosts: hostCount,
 		durationMs,
 		meanGapMs,
@@ -206,7 +286,11 @@
 	await Promise.all(
 		plan.map(async (planned) => {
 			await sleep(planned.at);
+			const from = now();
 			await disturb(fleet, planned);
+			if (!isPlannedWork(planned)) {
+				history.faults.push({from, until: now()});
+			}
 		}),
 	);
 	history.calmFrom = now();
