Confirm that a request is missing only after the sockets have been read

What callers saw: 504 for a lookup whose answer the upstream had written already. Cause: 50 ms after a load report that lacks a request the gate gave it up, by an ordinary timer. When the event loop has stood still, such a timer fires before the sockets are read, so that an answer which lay in one counted as missing. Why it works: the timer of startPostPollTimer fires after the poll phase that follows its expiry.

--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -15,6 +15,7 @@
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
+import {startPostPollTimer} from './start-post-poll-timer.js';
 
 /** Options of `createLostRequestDetector`. */
 export type LostRequestDetectorOptions = {
@@ -39,7 +40,7 @@
 /** Time between two checks of the unanswered requests of an upstream, ms. */
 const checkIntervalMs = 100;
 
-/** Time after a report for responses in transit to arrive, ms; a busy node reads them late. */
+/** Shortest time after a report for responses in transit to arrive, ms. */
 const confirmDelayMs = 50;
 
 /** Minimum time between two log lines about an upstream, ms. */
@@ -141,11 +142,10 @@
 		upstream.work = work;
 		if (work.lost > 0 && !upstream.lossConfirmTimer) {
 			const received = listReceived(upstream, at);
-			upstream.lossConfirmTimer = setTimeout(() => {
+			upstream.lossConfirmTimer = startPostPollTimer(() => {
 				upstream.lossConfirmTimer = undefined;
 				confirmLost(upstream, received, work);
 			}, confirmDelayMs);
-			upstream.lossConfirmTimer.unref();
 		}
 	}
 
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -36,6 +36,7 @@
 import {readNotice} from './local-notice.js';
 import {createRecentSet, type RecentSet} from './create-recent-set.js';
 import type {SentRequest} from './send-request.js';
+import type {PostPollTimer} from './start-post-poll-timer.js';
 
 /** Minimum estimate of a running request's remaining time, ms; a request that exceeds its estimate may end at any time. */
 const minRemainingMs = 2;
@@ -149,7 +150,7 @@
 	/** Whether a connection is being opened to find out if the upstream has crashed. */
 	isCrashProbed: boolean;
 	/** Fires after a report, once responses in transit have had time to arrive. */
-	lossConfirmTimer: NodeJS.Timeout | undefined;
+	lossConfirmTimer: PostPollTimer | undefined;
 	/** Fires when the unanswered requests are checked next. */
 	lossCheckTimer: NodeJS.Timeout | undefined;
 	/** Fires when the rate limit admits the next queued job. */
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -679,7 +679,7 @@
 					lossCheckTimer,
 				} = upstream;
 				clearTimeout(rateLimitTimer);
-				clearTimeout(lossConfirmTimer);
+				lossConfirmTimer?.stop();
 				clearTimeout(lossCheckTimer);
 				agent.destroy();
 				unpooledAgent.destroy();
