Count a load report only for the requests sent before it can have been written

What callers saw: 504 for a request at which its upstream was at work, from nodes that lack processor time. Cause: the gate compared a report with all requests that it had sent up to 10 ms before it read the report. When the event loop has stood still, the report has lain in a socket for as long, and lacks what was sent meanwhile: "lost 1", and an upstream that counts as idle. Now a report is as old as the request that it responds to, or as the longest time for which data may have lain unread by the lag meter, whichever is later; the gate waits that long, and no less than 50 ms, before it decides. Evidence: the test sends a request after the upstream has written the report, and reads the report 250 ms later. Not covered: a lag of less than the 25 ms at which the meter looks.

--- a/src/coordination/compute-upstream-work.ts
+++ b/src/coordination/compute-upstream-work.ts
@@ -2,7 +2,7 @@
 
 /** Work in progress at an upstream, from its load reports compared with the requests sent to it. */
 export type UpstreamWork = {
-	/** Time of its last report, monotonic ms. */
+	/** Earliest time at which it can have written its last report, monotonic ms. */
 	readonly at: number;
 	/** Unanswered requests that it neither runs nor has queued; a lower bound, except for answers in transit. */
 	readonly lost: number;
@@ -25,6 +25,8 @@
 	readonly unanswered: number;
 	/** Number of those that the upstream has certainly read. */
 	readonly read: number;
+	/** Longest time for which the report may have waited to be read, ms; 0 when absent. */
+	readonly waitedMs?: number;
 };
 
 /**
@@ -46,7 +48,7 @@
  */
 export function computeUpstreamWork(
 	before: UpstreamWork | undefined,
-	{load, unanswered, read}: WorkReport,
+	{load, unanswered, read, waitedMs = 0}: WorkReport,
 	now: number,
 ): UpstreamWork {
 	const reported = load.inFlight + load.queued;
@@ -57,7 +59,7 @@
 	const isComplete = unanswered <= working;
 	const {missingSince, missingReports = 0} = isComplete ? {} : (before ?? {});
 	return {
-		at: now,
+		at: now - waitedMs,
 		lost,
 		isIdle: working <= 0,
 		missingSince: lost > 0 ? (missingSince ?? now) : missingSince,
--- a/src/coordination/decide-lost-request.ts
+++ b/src/coordination/decide-lost-request.ts
@@ -78,7 +78,8 @@
  * upstream reports with its other answers, or in response to a probe when there
  * are none. A probe briefly occupies a slot, so it is sent only when the request
  * exceeds all time thresholds, and never for a request that may not run
- * elsewhere.
+ * elsewhere. On a node whose event loop lags, a report counts only for the
+ * requests sent before the earliest time at which it can have been written.
  *
  * @param input - see `LostRequestInput`
  * @returns the decision
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -25,16 +25,25 @@
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
 	/** Called with each request that the upstream has lost. */
 	readonly onLost: (job: Job) => void;
+	/** Returns the longest time for which what the node reads next may have waited, ms. */
+	readonly readMaxWait: () => number;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
+/** A load report that has been read. */
+export type LoadReport = {
+	readonly load: GateLoad;
+	/** When the request that it responds to could be sent, monotonic ms; undefined if not known. */
+	readonly requestedAt?: number | undefined;
+};
+
 /** Detects requests that an upstream has dropped without a response. */
 export type LostRequestDetector = {
 	/** Schedules a check of an upstream's unanswered requests, unless one is scheduled already. */
 	scheduleCheck(upstream: LocalUpstream): void;
 	/** Records the load that an upstream reports. If a response carries the report, its job must be marked as answered before. */
-	recordLoad(upstream: LocalUpstream, load: GateLoad): void;
+	recordLoad(upstream: LocalUpstream, report: LoadReport): void;
 };
 
 /** Time between two checks of the unanswered requests of an upstream, ms. */
@@ -46,7 +55,7 @@
 /** Minimum time between two log lines about an upstream, ms. */
 const logIntervalMs = 1000;
 
-/** Lists the requests that an upstream must have read and has not started to answer. */
+/** Lists the requests that an upstream had certainly read at a time and has not started to answer. */
 function listReceived(upstream: LocalUpstream, at: number): readonly Job[] {
 	return [...upstream.sent].filter(
 		(job) => !job.isAnswered && job.fullySentAt <= at - readMarginMs,
@@ -62,7 +71,7 @@
 export function createLostRequestDetector(
 	options: LostRequestDetectorOptions,
 ): LostRequestDetector {
-	const {logger, probeLoad, onLost, now} = options;
+	const {logger, probeLoad, onLost, readMaxWait, now} = options;
 
 	function decide(job: Job): LostRequestDecision {
 		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
@@ -123,37 +132,42 @@
 		}
 	}
 
-	function recordLoad(upstream: LocalUpstream, load: GateLoad): void {
+	function recordLoad(
+		upstream: LocalUpstream,
+		{load, requestedAt = Number.NEGATIVE_INFINITY}: LoadReport,
+	): void {
 		const at = now();
+		const maxWaitMs = readMaxWait();
+		const waitedMs = Math.min(maxWaitMs, at - requestedAt);
+		const received = listReceived(upstream, at - waitedMs);
 		let unanswered = 0;
-		let receivedCount = 0;
 		for (const job of upstream.sent) {
-			if (!job.isAnswered) {
-				unanswered++;
-				receivedCount += job.fullySentAt <= at - readMarginMs ? 1 : 0;
-			}
+			unanswered += job.isAnswered ? 0 : 1;
 		}
 
 		const work = computeUpstreamWork(
 			upstream.work,
-			{load, unanswered, read: receivedCount},
+			{load, unanswered, read: received.length, waitedMs},
 			at,
 		);
 		upstream.work = work;
 		if (work.lost > 0 && !upstream.lossConfirmTimer) {
-			const received = listReceived(upstream, at);
-			upstream.lossConfirmTimer = startPostPollTimer(() => {
-				upstream.lossConfirmTimer = undefined;
-				confirmLost(upstream, received, work);
-			}, confirmDelayMs);
+			upstream.lossConfirmTimer = startPostPollTimer(
+				() => {
+					upstream.lossConfirmTimer = undefined;
+					confirmLost(upstream, received, work);
+				},
+				Math.max(confirmDelayMs, maxWaitMs),
+			);
 		}
 	}
 
 	async function probeUpstream(upstream: LocalUpstream): Promise<void> {
-		upstream.probedAt = now();
+		const requestedAt = now();
+		upstream.probedAt = requestedAt;
 		const load = await probeLoad?.(upstream.announcement);
 		if (load) {
-			recordLoad(upstream, load);
+			recordLoad(upstream, {load, requestedAt});
 		}
 	}
 
--- a/src/transport/gate-late-answers.test.ts
+++ b/src/transport/gate-late-answers.test.ts
@@ -6,6 +6,7 @@
 import test, {type TestContext} from 'node:test';
 import {startHeldGate} from '../../harness/start-held-gate.js';
 import type {AttemptResult} from '../protocol/attempt.js';
+import {waitForTurns} from './_lib/wait-for-turns.js';
 import {defaultEdge} from './default-edge.js';
 
 /** A load report of an upstream that works on the request which it answers, and on no other. */
@@ -18,6 +19,9 @@
 /** Time for which the event loop stands still, ms; longer than the gate waits for responses in transit. */
 const blockMs = 80;
 
+/** Event loop turns after which a response has been read and its attempt has ended. */
+const turnsToEnd = 10;
+
 function block(durationMs: number): void {
 	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
 }
@@ -64,3 +68,34 @@
 	block(blockMs);
 	assert.equal(formatOutcome(await unread), 'answered');
 });
+
+// Regression: a node whose event loop had lagged gave up requests that it had sent after the upstream had written the report.
+test('a report that was written before a request was sent does not give it up', async (t) => {
+	const lagMs = 250;
+	const {run, waitUntilHeld, advance, answer} = await start(t, lagMs);
+	const reporting = run();
+	await waitUntilHeld(1);
+	answer(idleReport);
+	const running = run();
+	// The response to the first request is read after this timer has fired.
+	const stoodStill = new Promise<void>((resolve) => {
+		setTimeout(() => {
+			advance(lagMs);
+			resolve();
+		}, 1);
+	});
+	block(5);
+	await stoodStill;
+	assert.equal(formatOutcome(await reporting), 'answered');
+	await waitUntilHeld(1);
+	const isOpen = await Promise.race([
+		running.then(() => false),
+		new Promise<boolean>((resolve) => {
+			setTimeout(resolve, blockMs, true);
+		}),
+	]);
+	assert.ok(isOpen, 'the request was given up');
+	await waitForTurns(turnsToEnd);
+	answer();
+	assert.equal(formatOutcome(await running), 'answered');
+});
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -225,7 +225,11 @@
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
 		if (load) {
-			lostRequestDetector.recordLoad(upstream, load);
+			const {firstByteAt} = job;
+			lostRequestDetector.recordLoad(upstream, {
+				load,
+				requestedAt: firstByteAt,
+			});
 		}
 
 		const report = edge.readReport(headers);
@@ -287,6 +291,7 @@
 		logger: options.logger,
 		probeLoad: options.probeLoad,
 		onLost: runner.endLost,
+		readMaxWait,
 		now,
 	});
 
@@ -606,7 +611,7 @@
 		handleReport(id, report, load) {
 			const upstream = upstreams.get(id);
 			if (upstream && load) {
-				lostRequestDetector.recordLoad(upstream, load);
+				lostRequestDetector.recordLoad(upstream, {load});
 			}
 
 			// A health response without a report does not revoke what other responses have reported.
