End no request for a suspicion that its upstream does not work on it

What callers saw: 504 for a lookup well before its deadline, while its upstream was at work on it; also from a node that is stopping, which may not put an answer of its own in place of one that is due. Cause: a gate that missed a request in the upstream's load reports closed its connection and ended it as `unanswered`; the caller's node answered 504 at once when no other attempt could be made (attempts, retry budget, nested call, time), or when the other attempt was refused. Now the gate tells the caller's node (103 on the attempt's connection) and keeps the request open and its slot occupied until the deadline. The caller's node makes another attempt beside the first where retries allow it; the first answer is delivered and the other attempt is cancelled at once. When no further attempt can be made, the request waits for the open ones. An answer to a suspected request is logged as `upstream answers after all`, so that a wrong suspicion can be told from a right one. Costs: an upstream that drops requests has their slots occupied until another attempt is answered or the deadline. The wait for a slot counts them so.

--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -37,6 +37,8 @@
 		| 'waiting-to-ask'
 		/** The next attempt is delayed. */
 		| 'waiting-to-send'
+		/** No further attempt is possible; only earlier ones are open. */
+		| 'waiting-for-earlier'
 		| 'done';
 	/** Attempts made so far; the number of the current one. */
 	readonly attempts: number;
@@ -52,6 +54,10 @@
 	readonly isOpen: boolean;
 	/** Whether the current attempt may run: it may have left this node, with a stamp if it needs one. */
 	readonly isSent: boolean;
+	/** Numbers of the earlier attempts that are still open, because their upstreams may answer after all. */
+	readonly earlier: readonly number[];
+	/** End of the last attempt, with which the request ends if no earlier one is answered; undefined before. */
+	readonly ending: AttemptEnding | undefined;
 };
 
 /** End of an attempt without an answer. */
@@ -85,6 +91,8 @@
 			/** Whether it had a stamp; without one a gate runs none; gates of earlier versions run repeatable ones. */
 			readonly hadStamp: boolean;
 	  }
+	/** The gate reports that the upstream does not seem to work on the attempt. */
+	| {readonly kind: 'unanswered'; readonly attempt: number}
 	/** Nothing has been received for the attempt for some time. */
 	| {readonly kind: 'silent'; readonly attempt: number}
 	| {
@@ -156,4 +164,6 @@
 	mayHaveRun: false,
 	isOpen: false,
 	isSent: false,
+	earlier: [],
+	ending: undefined,
 };
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import fc from 'fast-check';
-import {initialRequestState, type RequestMessage} from './request-state.js';
+import {
+	initialRequestState,
+	type RequestContext,
+	type RequestEffect,
+	type RequestMessage,
+} from './request-state.js';
 import {stepRequest} from './step-request.js';
 
 const attempt = fc.integer({min: 1, max: 3});
@@ -26,6 +31,7 @@
 	fc.record({
 		kind: fc.constantFrom(
 			'answered' as const,
+			'unanswered' as const,
 			'silent' as const,
 			'ask-failed' as const,
 			'fetch-lost' as const,
@@ -199,3 +205,146 @@
 		assert.equal(end?.kind === 'finish' && end.outcome, 'unknown');
 	}
 });
+
+const unanswered: RequestMessage = {kind: 'unanswered', attempt: 1};
+function formatEffect(effect: RequestEffect): string {
+	switch (effect.kind) {
+		case 'send':
+		case 'abandon': {
+			return `${effect.kind} ${effect.attempt}`;
+		}
+
+		case 'finish': {
+			return `finish ${effect.outcome}`;
+		}
+
+		case 'ask':
+		case 'fetch':
+		case 'wait':
+		case 'spend-budget': {
+			return effect.kind;
+		}
+	}
+}
+
+/** Runs a repeatable request whose first attempt does not seem to be worked on, and formats the effects. */
+function runUnanswered(
+	messages: readonly RequestMessage[],
+	changes: Partial<RequestContext> = {},
+): string[] {
+	const parameters = {
+		repeatable: true,
+		isNested: false,
+		maxAttempts: 2,
+		deadlineAt: 1000,
+		...changes.parameters,
+	};
+	const context = {now: 0, random: 0.5, budget: 10, ...changes, parameters};
+	let state = initialRequestState;
+	return [{kind: 'start'} as const, unanswered, ...messages].flatMap((told) => {
+		const step = stepRequest(state, told, context);
+		state = step.state;
+		return step.effects.map((effect) => formatEffect(effect));
+	});
+}
+
+const repeated = ['send 1', 'spend-budget', 'wait', 'send 2'];
+const elapsed: RequestMessage = {kind: 'delay-elapsed'};
+
+test('the first answer to a request that was sent twice ends the other attempt', () => {
+	for (const [first, second] of [
+		[1, 2],
+		[2, 1],
+	] as const) {
+		const effects = runUnanswered([
+			elapsed,
+			{kind: 'answered', attempt: first},
+			{kind: 'answered', attempt: second},
+		]);
+		assert.deepEqual(effects, [
+			...repeated,
+			`abandon ${second}`,
+			'finish answered',
+		]);
+	}
+});
+
+test('an answer that comes before the second attempt is delivered', () => {
+	const effects = runUnanswered([{kind: 'answered', attempt: 1}, elapsed]);
+	assert.deepEqual(effects, [
+		'send 1',
+		'spend-budget',
+		'wait',
+		'finish answered',
+	]);
+});
+
+// Regression: a request at which an upstream was at work was answered with 504, as no other attempt could be made.
+test('a request that does not seem to be worked on stays open when no other attempt can be made', () => {
+	const parameters = {repeatable: true, maxAttempts: 2, deadlineAt: 1000};
+	const nested = {...parameters, isNested: true};
+	const once = {...parameters, isNested: false, maxAttempts: 1};
+	const late = {...parameters, isNested: false, deadlineAt: 0};
+	const unsafe = {...parameters, isNested: false, repeatable: false};
+	const answered: RequestMessage = {kind: 'answered', attempt: 1};
+	for (const changes of [
+		{budget: 0},
+		{isQuarantined: true},
+		{parameters: nested},
+		{parameters: once},
+		{parameters: late},
+		{parameters: unsafe},
+	]) {
+		assert.deepEqual(runUnanswered([answered], changes), [
+			'send 1',
+			'finish answered',
+		]);
+	}
+});
+
+const noAnswers: readonly RequestMessage[] = [
+	{kind: 'no-host', reason: 'saturated'},
+	{kind: 'ended', attempt: 2, outcome: 'not-run', reason: 'saturated'},
+	{kind: 'ended', attempt: 2, outcome: 'unknown', reason: 'connection-lost'},
+];
+
+test('a request whose second attempt ends without an answer waits for the first', () => {
+	const answered: RequestMessage = {kind: 'answered', attempt: 1};
+	for (const ending of noAnswers) {
+		assert.deepEqual(runUnanswered([elapsed, ending, answered]), [
+			...repeated,
+			'finish answered',
+		]);
+	}
+});
+
+test('a request both of whose attempts end without an answer may have run', () => {
+	const ended: RequestMessage = {
+		kind: 'ended',
+		attempt: 1,
+		outcome: 'not-run',
+		reason: 'shed',
+	};
+	for (const ending of noAnswers) {
+		const effects = [...repeated, 'finish unknown'];
+		assert.deepEqual(runUnanswered([elapsed, ending, ended]), effects);
+		assert.deepEqual(runUnanswered([elapsed, ended, ending]), effects);
+	}
+});
+
+test('the deadline and the disconnect of the client end both attempts', () => {
+	for (const kind of ['deadline', 'cancelled'] as const) {
+		const effects = runUnanswered([elapsed, {kind}]);
+		assert.deepEqual(effects.toSorted(), [
+			'abandon 1',
+			'abandon 2',
+			'finish unknown',
+			'send 1',
+			'send 2',
+			'spend-budget',
+			'wait',
+		]);
+		const waiting = runUnanswered([elapsed, noAnswers[1]!, {kind}]);
+		assert.deepEqual(waiting, [...repeated, 'abandon 1', 'finish unknown']);
+	}
+});
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -13,6 +13,7 @@
 import type {
 	AttemptEnding,
 	RequestContext,
+	RequestEffect,
 	RequestMessage,
 	RequestState,
 	RequestStep,
@@ -43,12 +44,45 @@
 	};
 }
 
+function abandonEarlier(state: RequestState): readonly RequestEffect[] {
+	return state.earlier.map((attempt) => ({
+		kind: 'abandon',
+		attempt,
+		cancel: true,
+	}));
+}
+
 function finish(state: RequestState, ending: AttemptEnding): RequestStep {
 	// An earlier attempt that may have run takes precedence over a later one that has not.
 	const outcome = state.mayHaveRun ? 'unknown' : ending.outcome;
 	return {
-		state: {...state, phase: 'done', isOpen: false},
-		effects: [{...ending, kind: 'finish', outcome}],
+		state: {...state, phase: 'done', isOpen: false, earlier: []},
+		effects: [...abandonEarlier(state), {...ending, kind: 'finish', outcome}],
+	};
+}
+
+/** Finishes a request that no further attempt follows, once no earlier attempt is open. */
+function finishAfterEarlier(
+	state: RequestState,
+	ending: AttemptEnding,
+): RequestStep {
+	return state.earlier.length === 0
+		? finish(state, ending)
+		: keepState({
+				...state,
+				phase: 'waiting-for-earlier',
+				isOpen: false,
+				ending,
+			});
+}
+
+function finishAnswered(state: RequestState): RequestStep {
+	return {
+		state: {...state, phase: 'done', isOpen: false, earlier: []},
+		effects: [
+			...abandonEarlier(state),
+			{kind: 'finish', outcome: 'answered', reason: undefined},
+		],
 	};
 }
 
@@ -76,7 +110,7 @@
 	}
 
 	if (ending.reason === 'quarantined' || context.isQuarantined) {
-		return finish(after, ending);
+		return finishAfterEarlier(after, ending);
 	}
 
 	const delayMs = computeRetryDelay(countedAttempts, random);
@@ -91,7 +125,7 @@
 	});
 	switch (decision) {
 		case 'stop': {
-			return finish(after, ending);
+			return finishAfterEarlier(after, ending);
 		}
 
 		case 'reroute': {
@@ -211,9 +245,47 @@
 	return state.isSent ? ask(state) : abandonUnsent(state, context);
 }
 
+/**
+ * Starts another attempt beside one that its upstream does not seem to work on.
+ * The first one stays open: the report that lacks it may be wrong, and when no
+ * other attempt can be made, its answer is the only one that may come.
+ */
+function handleUnanswered(
+	state: RequestState,
+	context: RequestContext,
+): RequestStep {
+	const {parameters, now, random, budget, isQuarantined} = context;
+	const attempts = state.attempts - state.restamps - state.reroutes;
+	const delayMs = computeRetryDelay(attempts, random);
+	const decision = decideRetry({
+		...parameters,
+		outcome: 'unknown',
+		reason: 'unanswered',
+		attempts,
+		remainingMs: parameters.deadlineAt - now - delayMs,
+		budget,
+	});
+	const canRepeat = parameters.repeatable && !isQuarantined;
+	if (state.phase !== 'attempting' || !canRepeat || decision !== 'retry') {
+		return keepState(state);
+	}
+
+	return {
+		state: {
+			...state,
+			phase: 'waiting-to-send',
+			isOpen: false,
+			mayHaveRun: true,
+			earlier: [...state.earlier, state.attempts],
+		},
+		effects: [{kind: 'spend-budget'}, {kind: 'wait', durationMs: delayMs}],
+	};
+}
+
 /** Messages about the state of an attempt that is in doubt. */
 type InquiryMessage = RequestMessage & {
-	readonly kind: 'silent' | 'ask-answered' | 'ask-failed' | 'fetch-lost';
+	readonly kind:
+		'unanswered' | 'silent' | 'ask-answered' | 'ask-failed' | 'fetch-lost';
 };
 
 function handleInquiry(
@@ -222,6 +294,10 @@
 	context: RequestContext,
 ): RequestStep {
 	switch (message.kind) {
+		case 'unanswered': {
+			return handleUnanswered(state, context);
+		}
+
 		case 'silent': {
 			return handleSilence(state, context);
 		}
@@ -256,12 +332,14 @@
 		}
 
 		case 'waiting-to-send': {
+			const ending = {outcome: 'not-run', reason: 'quarantined'} as const;
 			return context.isQuarantined
-				? finish(state, {outcome: 'not-run', reason: 'quarantined'})
+				? finishAfterEarlier(state, ending)
 				: send(state, false);
 		}
 
 		case 'new':
+		case 'waiting-for-earlier':
 		case 'attempting':
 		case 'asking':
 		case 'fetching':
@@ -277,7 +355,10 @@
 	context: RequestContext,
 ): RequestStep {
 	// The end of an abandoned attempt is still reported after the step that abandoned it.
-	if (state.phase === 'waiting-to-send') {
+	if (
+		state.phase === 'waiting-to-send' ||
+		state.phase === 'waiting-for-earlier'
+	) {
 		return keepState(state);
 	}
 
@@ -295,47 +376,77 @@
 	return endAttempt(state, {outcome, reason, retryAfterSeconds}, context);
 }
 
+/** Returns whether the current attempt is in progress. */
+function isInProgress({phase}: RequestState): boolean {
+	switch (phase) {
+		case 'attempting':
+		case 'asking':
+		case 'fetching':
+		case 'waiting-to-ask': {
+			return true;
+		}
+
+		case 'new':
+		case 'waiting-to-send':
+		case 'waiting-for-earlier':
+		case 'done': {
+			return false;
+		}
+	}
+}
+
+/** Handles a message about an earlier attempt that is still open. */
+function handleEarlier(
+	state: RequestState,
+	message: Extract<RequestMessage, {readonly attempt: number}>,
+): RequestStep {
+	const earlier = state.earlier.filter((number) => number !== message.attempt);
+	const after = {...state, earlier};
+	switch (message.kind) {
+		case 'answered': {
+			const step = finishAnswered(after);
+			return isInProgress(state) ? prependAbandon(state, step, true) : step;
+		}
+
+		case 'ended':
+		case 'lost': {
+			return state.phase === 'waiting-for-earlier'
+				? finishAfterEarlier(after, state.ending!)
+				: keepState(after);
+		}
+
+		case 'sent':
+		case 'unanswered':
+		case 'silent':
+		case 'ask-answered':
+		case 'ask-failed':
+		case 'fetch-lost': {
+			return keepState(state);
+		}
+	}
+}
+
 function finishEarly(state: RequestState, reason: OutcomeReason): RequestStep {
-	const isInProgress =
-		state.phase !== 'new' && state.phase !== 'waiting-to-send';
-	const mayRun = isInProgress && state.isSent;
+	const mayRun = isInProgress(state) && state.isSent;
 	const step = finish(state, {outcome: mayRun ? 'unknown' : 'not-run', reason});
 	// The gate may not have read the attempt yet, and therefore not know its deadline.
-	return isInProgress ? prependAbandon(state, step, mayRun) : step;
+	return isInProgress(state) ? prependAbandon(state, step, mayRun) : step;
 }
 
-/**
- * Advances a request at its caller's node by one message.
- *
- * A request ends exactly once: `answered`; `not-run` only with proof that no
- * attempt has run or will run; otherwise `unknown`. If the connection of a
- * non-repeatable attempt fails or becomes silent, its gate is asked for the state
- * of the attempt. Messages about earlier attempts, or after the end, are ignored.
- *
- * @param state - the state before; not modified
- * @param message - the event
- * @param context - see `RequestContext`
- * @returns the state after and the effects, in order
- * @example
- * stepRequest(initialRequestState, {kind: 'start'}, context).effects;
- */
-export function stepRequest(
+/** Handles a message that concerns the current attempt, or the request as a whole. */
+function handleCurrent(
 	state: RequestState,
 	message: RequestMessage,
 	context: RequestContext,
 ): RequestStep {
-	const isLate = 'attempt' in message && message.attempt !== state.attempts;
-	if (state.phase === 'done' || isLate) {
-		return keepState(state);
-	}
-
 	switch (message.kind) {
 		case 'start': {
 			return send(state, false);
 		}
 
 		case 'no-host': {
-			return finish(state, {outcome: 'not-run', reason: message.reason});
+			const {reason} = message;
+			return finishAfterEarlier(state, {outcome: 'not-run', reason});
 		}
 
 		case 'sent': {
@@ -344,10 +455,7 @@
 		}
 
 		case 'answered': {
-			return {
-				state: {...state, phase: 'done', isOpen: false},
-				effects: [{kind: 'finish', outcome: 'answered', reason: undefined}],
-			};
+			return finishAnswered(state);
 		}
 
 		case 'ended':
@@ -355,6 +463,7 @@
 			return handleEnd(state, message, context);
 		}
 
+		case 'unanswered':
 		case 'silent':
 		case 'ask-answered':
 		case 'ask-failed':
@@ -375,3 +484,40 @@
 		}
 	}
 }
+
+/**
+ * Advances a request at its caller's node by one message.
+ *
+ * A request ends exactly once: `answered`; `not-run` only with proof that no
+ * attempt has run or will run; otherwise `unknown`. If the connection of a
+ * non-repeatable attempt fails or becomes silent, its gate is asked for the state
+ * of the attempt. Messages about abandoned attempts, or after the end, are ignored.
+ *
+ * Load pattern: an upstream that is full and drops requests without a response.
+ * The gate only suspects that, so another attempt is made beside the first one
+ * if retries allow it, and the first answer counts; the request never ends
+ * sooner for a suspicion.
+ *
+ * @param state - the state before; not modified
+ * @param message - the event
+ * @param context - see `RequestContext`
+ * @returns the state after and the effects, in order
+ * @example
+ * stepRequest(initialRequestState, {kind: 'start'}, context).effects;
+ */
+export function stepRequest(
+	state: RequestState,
+	message: RequestMessage,
+	context: RequestContext,
+): RequestStep {
+	if ('attempt' in message && state.earlier.includes(message.attempt)) {
+		return handleEarlier(state, message);
+	}
+
+	const isLate = 'attempt' in message && message.attempt !== state.attempts;
+	if (state.phase === 'done' || isLate) {
+		return keepState(state);
+	}
+
+	return handleCurrent(state, message, context);
+}
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -56,6 +56,8 @@
 	readonly onSend?: (() => void) | undefined;
 	/** Called with each keepalive of the gate for the attempt. */
 	readonly onKeepalive?: (() => void) | undefined;
+	/** Called when the upstream does not seem to work on the attempt, by its load reports. */
+	readonly onUnanswered?: (() => void) | undefined;
 	/** Idempotency key of the caller with its team and service. */
 	readonly key: string | undefined;
 	/** Aborted when the response is no longer needed. */
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -86,10 +86,11 @@
 	/** Refuses the queued jobs of an upstream that its rate limit delays beyond their objective. */
 	dropRateLimited(upstream: LocalUpstream): void;
 	/**
-	 * Ends an attempt that its upstream has lost. A non-repeatable attempt only
-	 * releases its slot; its response is still accepted until the deadline.
+	 * Handles an attempt that its upstream does not seem to work on. Its response
+	 * is still accepted until the deadline. The sender of a repeatable attempt is
+	 * told, so that it can try another host; any other attempt releases its slot.
 	 */
-	endLost(job: Job): void;
+	handleLost(job: Job): void;
 	/** Ends a job whose response is no longer needed, whether it is queued or sent. */
 	endEarly(job: Job, reason: EarlyEndReason): void;
 	/** Resolves once there are no jobs. */
@@ -419,6 +420,7 @@
 			firstByteAt: undefined,
 			fullySentAt: Number.POSITIVE_INFINITY,
 			isAnswered: false,
+			isLost: false,
 			earlyEndReason: undefined,
 			isSuspect: false,
 		};
@@ -436,9 +438,14 @@
 		dropQueued,
 		dropRateLimited,
 		endEarly,
-		endLost(job) {
+		handleLost(job) {
+			if (job.isLost) {
+				return;
+			}
+
+			job.isLost = true;
 			if (job.attempt.repeatable) {
-				endEarly(job, 'unanswered');
+				job.attempt.onUnanswered?.();
 			} else {
 				releaseSlot(job);
 				startJobs(job.upstream);
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -23,7 +23,7 @@
 	/** Queries the load of an upstream; resolves to undefined if it reports none. */
 	readonly probeLoad?:
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
-	/** Called with each request that the upstream has lost. */
+	/** Called with a request that the upstream seems to have lost, after each report that lacks it. */
 	readonly onLost: (job: Job) => void;
 	/** Returns the longest time for which what the node reads next may have waited, ms. */
 	readonly readMaxWait: () => number;
@@ -44,6 +44,8 @@
 	scheduleCheck(upstream: LocalUpstream): void;
 	/** Records the load that an upstream reports. If a response carries the report, its job must be marked as answered before. */
 	recordLoad(upstream: LocalUpstream, report: LoadReport): void;
+	/** Records that a request was answered; logs it if the request seemed lost. */
+	recordAnswer(job: Job): void;
 };
 
 /** Time between two checks of the unanswered requests of an upstream, ms. */
@@ -88,7 +90,7 @@
 		});
 	}
 
-	function endLost(job: Job, lost: number): void {
+	function reportLost(job: Job, lost: number): void {
 		const {upstream, attempt, fullySentAt} = job;
 		const at = now();
 		if (at - upstream.lossLoggedAt >= logIntervalMs) {
@@ -107,7 +109,7 @@
 		onLost(job);
 	}
 
-	/** Ends requests that are missing from a load report, after responses in transit have had time to arrive. */
+	/** Reports requests that are missing from a load report, after responses in transit have had time to arrive. */
 	function confirmLost(
 		upstream: LocalUpstream,
 		received: readonly Job[],
@@ -127,7 +129,7 @@
 			.slice(0, Math.max(0, lostCount));
 		for (const job of suspects) {
 			if (decide(job) === 'silent') {
-				endLost(job, lostCount);
+				reportLost(job, lostCount);
 			}
 		}
 	}
@@ -193,5 +195,22 @@
 		upstream.lossCheckTimer.unref();
 	}
 
-	return {scheduleCheck, recordLoad};
+	return {
+		scheduleCheck,
+		recordLoad,
+		recordAnswer({upstream, attempt, isLost, fullySentAt}) {
+			const at = now();
+			if (!isLost || at - upstream.lateAnswerLoggedAt < logIntervalMs) {
+				return;
+			}
+
+			upstream.lateAnswerLoggedAt = at;
+			logger.warn('upstream answers after all', {
+				id: upstream.id,
+				service: attempt.service,
+				requestId: attempt.requestId,
+				unansweredMs: Math.round(at - fullySentAt),
+			});
+		},
+	};
 }
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -83,6 +83,8 @@
 	isSuspect: boolean;
 	/** Whether the head of the response has been received. */
 	isAnswered: boolean;
+	/** Whether the upstream does not seem to work on the request. */
+	isLost: boolean;
 	/** Why the job was ended early; undefined if it was not. */
 	earlyEndReason: EarlyEndReason | undefined;
 };
@@ -96,11 +98,7 @@
 };
 
 /** Reason why a gate ends an attempt before its upstream has answered. */
-export type EarlyEndReason =
-	| 'deadline'
-	| 'cancelled'
-	/** The upstream is not processing the attempt. */
-	| 'unanswered';
+export type EarlyEndReason = 'deadline' | 'cancelled';
 
 /** An upstream on the gate's own host. */
 export type LocalUpstream = {
@@ -143,6 +141,8 @@
 	probedAt: number;
 	/** When lost requests were last logged, monotonic ms. */
 	lossLoggedAt: number;
+	/** When the answer to a request that seemed lost was last logged, monotonic ms. */
+	lateAnswerLoggedAt: number;
 	/** Sent jobs that have ended without a response since the upstream last sent one. */
 	readonly endedJobs: Map<Job, EndedJob>;
 	/** Identifier of the upstream's crash; undefined while it lives. */
@@ -201,6 +201,7 @@
 		work: undefined,
 		probedAt: Number.NEGATIVE_INFINITY,
 		lossLoggedAt: Number.NEGATIVE_INFINITY,
+		lateAnswerLoggedAt: Number.NEGATIVE_INFINITY,
 		endedJobs: new Map(),
 		crashId: undefined,
 		isCrashProbed: false,
@@ -393,9 +394,10 @@
 
 	const expectedMs = ({attempt}: Job): number =>
 		readExpectedServiceTime(upstream, attempt, now);
-	const runningMs = [...upstream.sent].map((job) =>
-		Math.max(minRemainingMs, job.sentAt + expectedMs(job) - now),
-	);
+	const runningMs = [...upstream.sent].map((job) => {
+		const endsAt = job.isLost ? job.deadlineAt : job.sentAt + expectedMs(job);
+		return Math.max(minRemainingMs, endsAt - now);
+	});
 	const queued = [...upstream.queued.values()].flat();
 	const next = {...order, isLate: false};
 	const ahead = queued.filter((job) => compareWaiting(job, next) <= 0);
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -39,6 +39,7 @@
 	| 'traceparent'
 	| 'onSend'
 	| 'onKeepalive'
+	| 'onUnanswered'
 > & {
 	/** Prefix of the attempts' identifiers. */
 	readonly idPrefix: string;
@@ -99,6 +100,10 @@
 	readonly controller: CancelSource;
 	/** When the first byte could be sent to the gate, monotonic ms; undefined until then. */
 	firstByteAt: number | undefined;
+	/** Whether its upstream does not seem to work on it. */
+	isUnanswered: boolean;
+	/** Fires when nothing has been received for some time; undefined when the gate is local. */
+	livenessTimer: PostPollTimer | undefined;
 };
 
 /**
@@ -114,9 +119,8 @@
 	const {parameters, template, signal, now} = options;
 	const {endsAt = parameters.deadlineAt} = parameters;
 	let state = initialRequestState;
-	let openAttempt: OpenAttempt | undefined;
+	const openAttempts = new Map<number, OpenAttempt>();
 	let response: UpstreamResponse | undefined;
-	let livenessTimer: PostPollTimer | undefined;
 	let waitTimer: NodeJS.Timeout | undefined;
 
 	return new Promise((resolve) => {
@@ -168,7 +172,7 @@
 				}
 
 				case 'abandon': {
-					abandon(effect.cancel);
+					abandon(effect.attempt, effect.cancel);
 					break;
 				}
 
@@ -192,8 +196,8 @@
 				return;
 			}
 
-			const gate =
-				sameHost && openAttempt ? openAttempt.gate : options.pickGate();
+			const before = sameHost ? openAttempts.get(number - 1) : undefined;
+			const gate = before ? before.gate : options.pickGate();
 			if (typeof gate === 'string') {
 				dispatch({kind: 'no-host', reason: gate});
 				return;
@@ -228,21 +232,26 @@
 				onKeepalive: gate.isLocal
 					? undefined
 					: () => {
-							livenessTimer?.refresh();
+							opened.livenessTimer?.refresh();
 						},
+				onUnanswered() {
+					opened.isUnanswered = true;
+					dispatch({kind: 'unanswered', attempt: number});
+				},
 			};
 			const opened: OpenAttempt = {
 				gate,
 				attempt,
 				controller,
 				firstByteAt: undefined,
+				isUnanswered: false,
+				livenessTimer: undefined,
 			};
-			openAttempt = opened;
-			livenessTimer?.stop();
+			openAttempts.set(number, opened);
 			if (gate.isLocal) {
 				dispatch({kind: 'sent', attempt: number, hasStamp});
 			} else {
-				livenessTimer = startPostPollTimer(() => {
+				opened.livenessTimer = startPostPollTimer(() => {
 					dispatch({kind: 'silent', attempt: number});
 				}, askAfterMs);
 			}
@@ -257,12 +266,13 @@
 		): Promise<void> {
 			const {gate, attempt} = opened;
 			const result = await gate.runAttempt(attempt);
-			const {firstByteAt} = opened;
+			const {firstByteAt, livenessTimer} = opened;
+			livenessTimer?.stop();
 			options.onAttemptEnd({
 				number,
 				gate,
 				attempt,
-				result,
+				result: describeResult(opened, result),
 				startedAt,
 				firstByteAt,
 			});
@@ -292,7 +302,9 @@
 				return;
 			}
 
-			if (state.phase === 'done' || state.attempts !== number) {
+			const isAwaited =
+				state.attempts === number || state.earlier.includes(number);
+			if (state.phase === 'done' || !isAwaited) {
 				discardResponse(result);
 				return;
 			}
@@ -302,7 +314,7 @@
 		}
 
 		async function ask(number: number): Promise<void> {
-			const {gate, attempt} = openAttempt!;
+			const {gate, attempt} = openAttempts.get(number)!;
 			const {id, stamp} = attempt;
 			const known = await gate.ask({id, stamp});
 			dispatch(
@@ -313,7 +325,7 @@
 		}
 
 		async function fetchResponse(number: number): Promise<void> {
-			const {gate, attempt, controller} = openAttempt!;
+			const {gate, attempt, controller} = openAttempts.get(number)!;
 			const remainingMs = endsAt - now();
 			const result = await gate.fetchAnswer(
 				attempt.id,
@@ -327,8 +339,10 @@
 			}
 		}
 
-		function abandon(shouldCancel: boolean): void {
-			const {gate, attempt, controller} = openAttempt!;
+		function abandon(number: number, shouldCancel: boolean): void {
+			const {gate, attempt, controller, livenessTimer} =
+				openAttempts.get(number)!;
+			livenessTimer?.stop();
 			controller.abort();
 			if (shouldCancel && !attempt.repeatable) {
 				void gate.cancel({id: attempt.id, stamp: attempt.stamp});
@@ -336,7 +350,10 @@
 		}
 
 		function finish(effect: RequestEffect & {kind: 'finish'}): void {
-			livenessTimer?.stop();
+			for (const {livenessTimer} of openAttempts.values()) {
+				livenessTimer?.stop();
+			}
+
 			clearTimeout(waitTimer);
 			deadlineTimer.stop();
 			signal.removeEventListener('abort', cancel);
@@ -391,6 +408,17 @@
 	});
 }
 
+/** Describes the end of an attempt that was abandoned because its upstream did not seem to work on it. */
+function describeResult(
+	{controller, isUnanswered}: OpenAttempt,
+	result: ForwardResult,
+): ForwardResult {
+	const isGivenUp = isUnanswered && controller.signal.aborted;
+	return isGivenUp && result.kind !== 'answered'
+		? {kind: 'lost', reason: 'unanswered'}
+		: result;
+}
+
 function discardResponse({body}: UpstreamResponse): void {
 	if (body instanceof Readable) {
 		body.destroy();
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -73,7 +73,8 @@
 	/** Called when the last byte has been passed to the connection. */
 	readonly onSent?: (() => void) | undefined;
 	/** Called for each informational response (1xx). */
-	readonly onInterim?: (() => void) | undefined;
+	readonly onInterim?:
+		((head: Pick<ResponseHead, 'headers'>) => void) | undefined;
 	/** Called when the response head has been received. */
 	readonly onHead?: ((head: ResponseHead) => void) | undefined;
 	/** Whether further requests may be sent on the connection, by the response head; true when absent. */
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -10,7 +10,11 @@
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {askTimeoutMs, retryAfterSeconds} from '../protocol/constants.js';
 import type {GateStamp} from '../protocol/stamp.js';
-import {attemptHeader, deadlineHeader} from '../protocol/request.js';
+import {
+	attemptHeader,
+	deadlineHeader,
+	reasonHeader,
+} from '../protocol/request.js';
 import {createAttemptHeaders} from './_lib/create-attempt-headers.js';
 import {adaptFetch, createPeerFetch} from './_lib/create-peer-fetch.js';
 import {createPooledAgent} from './_lib/create-pooled-agent.js';
@@ -139,7 +143,12 @@
 						return hasExpired ? undefined : {};
 					},
 					onSend: attempt.onSend,
-					onInterim: attempt.onKeepalive,
+					onInterim({headers: interim}) {
+						attempt.onKeepalive?.();
+						if (interim[reasonHeader] === 'unanswered') {
+							attempt.onUnanswered?.();
+						}
+					},
 				},
 			);
 			const outcome = await waitForOutcome(sent, attempt.signal);
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -271,6 +271,7 @@
 			crashDetector.recordEnd(job, end);
 			if (end === 'answered' && result.kind === 'answered') {
 				suspects.recordCompletion(job);
+				lostRequestDetector.recordAnswer(job);
 			}
 		},
 		hasSuspicions: suspects.hasSuspicions,
@@ -290,7 +291,7 @@
 	const lostRequestDetector = createLostRequestDetector({
 		logger: options.logger,
 		probeLoad: options.probeLoad,
-		onLost: runner.endLost,
+		onLost: runner.handleLost,
 		readMaxWait,
 		now,
 	});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -248,7 +248,17 @@
 				gate.cancelQueued(head.id);
 			}
 		});
-		const attempt = {...head, body: body.body};
+		const attempt = {
+			...head,
+			body: body.body,
+			onUnanswered() {
+				// Node.js writes no hints without a link.
+				response.writeEarlyHints({
+					link: '</>; rel=self',
+					[reasonHeader]: 'unanswered',
+				});
+			},
+		};
 		const result = await runReceivedAttempt(request, attempt, arrivedAt);
 		clearInterval(keepaliveTimer);
 		bodyMemory.release(body.reservedBytes);
