--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -15,6 +15,7 @@
 	type Job,
 	type LocalUpstream,
 } from './local-upstream.js';
+import {startPostPollTimer} from './start-post-poll-timer.js';
 
 /** Options of `createLostRequestDetector`. */
 export type LostRequestDetectorOptions = {
@@ -22,30 +23,41 @@
 	/** Queries the load of an upstream; resolves to undefined if it reports none. */
 	readonly probeLoad?:
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
-	/** Called with each request that the upstream has lost. */
+	/** Called with a request that the upstream seems to have lost, after each report that lacks it. */
 	readonly onLost: (job: Job) => void;
+	/** Returns the longest time for which what the node reads next may have waited, ms. */
+	readonly readMaxWait: () => number;
 	/** Monotonic ms. */
 	readonly now: () => number;
 };
 
+/** A load report that has been read. */
+export type LoadReport = {
+	readonly load: GateLoad;
+	/** When the request that it responds to could be sent, monotonic ms; undefined if not known. */
+	readonly requestedAt?: number | undefined;
+};
+
 /** Detects requests that an upstream has dropped without a response. */
 export type LostRequestDetector = {
 	/** Schedules a check of an upstream's unanswered requests, unless one is scheduled already. */
 	scheduleCheck(upstream: LocalUpstream): void;
 	/** Records the load that an upstream reports. If a response carries the report, its job must be marked as answered before. */
-	recordLoad(upstream: LocalUpstream, load: GateLoad): void;
+	recordLoad(upstream: LocalUpstream, report: LoadReport): void;
+	/** Records that a request was answered; logs it if the request seemed lost. */
+	recordAnswer(job: Job): void;
 };
 
 /** Time between two checks of the unanswered requests of an upstream, ms. */
 const checkIntervalMs = 100;
 
-/** Time after a report for responses in transit to arrive, ms; a busy node reads them late. */
+/** Shortest time after a report for responses in transit to arrive, ms. */
 const confirmDelayMs = 50;
 
 /** Minimum time between two log lines about an upstream, ms. */
 const logIntervalMs = 1000;
 
-/** Lists the requests that an upstream must have read and has not started to answer. */
+/** Lists the requests that an upstream had certainly read at a time and has not started to answer. */
 function listReceived(upstream: LocalUpstream, at: number): readonly Job[] {
 	return [...upstream.sent].filter(
 		(job) => !job.isAnswered && job.fullySentAt <= at - readMarginMs,
@@ -61,7 +73,7 @@
 export function createLostRequestDetector(
 	options: LostRequestDetectorOptions,
 ): LostRequestDetector {
-	const {logger, probeLoad, onLost, now} = options;
+	const {logger, probeLoad, onLost, readMaxWait, now} = options;
 
 	function decide(job: Job): LostRequestDecision {
 		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
@@ -78,7 +90,7 @@
 		});
 	}
 
-	function endLost(job: Job, lost: number): void {
+	function reportLost(job: Job, lost: number): void {
 		const {upstream, attempt, fullySentAt} = job;
 		const at = now();
 		if (at - upstream.lossLoggedAt >= logIntervalMs) {
@@ -97,7 +109,7 @@
 		onLost(job);
 	}
 
-	/** Ends requests that are missing from a load report, after responses in transit have had time to arrive. */
+	/** Reports requests that are missing from a load report, after responses in transit have had time to arrive. */
 	function confirmLost(
 		upstream: LocalUpstream,
 		received: readonly Job[],
@@ -117,43 +129,47 @@
 			.slice(0, Math.max(0, lostCount));
 		for (const job of suspects) {
 			if (decide(job) === 'silent') {
-				endLost(job, lostCount);
+				reportLost(job, lostCount);
 			}
 		}
 	}
 
-	function recordLoad(upstream: LocalUpstream, load: GateLoad): void {
+	function recordLoad(
+		upstream: LocalUpstream,
+		{load, requestedAt = Number.NEGATIVE_INFINITY}: LoadReport,
+	): void {
 		const at = now();
+		const maxWaitMs = readMaxWait();
+		const waitedMs = Math.min(maxWaitMs, at - requestedAt);
+		const received = listReceived(upstream, at - waitedMs);
 		let unanswered = 0;
-		let receivedCount = 0;
 		for (const job of upstream.sent) {
-			if (!job.isAnswered) {
-				unanswered++;
-				receivedCount += job.fullySentAt <= at - readMarginMs ? 1 : 0;
-			}
+			unanswered += job.isAnswered ? 0 : 1;
 		}
 
 		const work = computeUpstreamWork(
 			upstream.work,
-			{load, unanswered, read: receivedCount},
+			{load, unanswered, read: received.length, waitedMs},
 			at,
 		);
 		upstream.work = work;
 		if (work.lost > 0 && !upstream.lossConfirmTimer) {
-			const received = listReceived(upstream, at);
-			upstream.lossConfirmTimer = setTimeout(() => {
-				upstream.lossConfirmTimer = undefined;
-				confirmLost(upstream, received, work);
-			}, confirmDelayMs);
-			upstream.lossConfirmTimer.unref();
+			upstream.lossConfirmTimer = startPostPollTimer(
+				() => {
+					upstream.lossConfirmTimer = undefined;
+					confirmLost(upstream, received, work);
+				},
+				Math.max(confirmDelayMs, maxWaitMs),
+			);
 		}
 	}
 
 	async function probeUpstream(upstream: LocalUpstream): Promise<void> {
-		upstream.probedAt = now();
+		const requestedAt = now();
+		upstream.probedAt = requestedAt;
 		const load = await probeLoad?.(upstream.announcement);
 		if (load) {
-			recordLoad(upstream, load);
+			recordLoad(upstream, {load, requestedAt});
 		}
 	}
 
@@ -179,5 +195,22 @@
 		upstream.lossCheckTimer.unref();
 	}
 
-	return {scheduleCheck, recordLoad};
+	return {
+		scheduleCheck,
+		recordLoad,
+		recordAnswer({upstream, attempt, isLost, fullySentAt}) {
+			const at = now();
+			if (!isLost || at - upstream.lateAnswerLoggedAt < logIntervalMs) {
+				return;
+			}
+
+			upstream.lateAnswerLoggedAt = at;
+			logger.warn('upstream answers after all', {
+				id: upstream.id,
+				service: attempt.service,
+				requestId: attempt.requestId,
+				unansweredMs: Math.round(at - fullySentAt),
+			});
+		},
+	};
 }
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -225,7 +225,11 @@
 		const {upstream, attempt, sentAt} = job;
 		const load = edge.readLoad(headers);
 		if (load) {
-			lostRequestDetector.recordLoad(upstream, load);
+			const {firstByteAt} = job;
+			lostRequestDetector.recordLoad(upstream, {
+				load,
+				requestedAt: firstByteAt,
+			});
 		}
 
 		const report = edge.readReport(headers);
@@ -267,6 +271,7 @@
 			crashDetector.recordEnd(job, end);
 			if (end === 'answered' && result.kind === 'answered') {
 				suspects.recordCompletion(job);
+				lostRequestDetector.recordAnswer(job);
 			}
 		},
 		hasSuspicions: suspects.hasSuspicions,
@@ -286,7 +291,8 @@
 	const lostRequestDetector = createLostRequestDetector({
 		logger: options.logger,
 		probeLoad: options.probeLoad,
-		onLost: runner.endLost,
+		onLost: runner.handleLost,
+		readMaxWait,
 		now,
 	});
 
@@ -606,7 +612,7 @@
 		handleReport(id, report, load) {
 			const upstream = upstreams.get(id);
 			if (upstream && load) {
-				lostRequestDetector.recordLoad(upstream, load);
+				lostRequestDetector.recordLoad(upstream, {load});
 			}
 
 			// A health response without a report does not revoke what other responses have reported.
@@ -679,7 +685,7 @@
 					lossCheckTimer,
 				} = upstream;
 				clearTimeout(rateLimitTimer);
-				clearTimeout(lossConfirmTimer);
+				lossConfirmTimer?.stop();
 				clearTimeout(lossCheckTimer);
 				agent.destroy();
 				unpooledAgent.destroy();
