End a request that may be running at its client's deadline, not at an estimate before it

Cause: the caller's node ended each request 25 ms, or 5 %, before its client's deadline, and counted that from an estimated arrival. The upstream is told a deadline that is only 10 ms earlier, over two hops of busy nodes, so the 504 of the node itself came before that of the upstream.

A request at which an upstream may be at work now ends at the latest time at which its client can still be waiting: the deadline or the time-out of the route from when the request was read. What may not be running ends at the earliest deadline, as not run; up to now it was held as long as the others. What upstreams are told is unchanged.

What it costs: clients that get no answer leave at their deadline by themselves, and their connection with them, where they had a 504 25 ms earlier, too late to try again. A time-out of a route is exceeded by the wait in the socket, which for admitted requests is well below a quarter of a second.

Evidence: the tests of a response 2 ms before the deadline, with a lag of 0 and 120 ms, and of a request that was not sent fail on (504 instead of 200; no end).

--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -15,8 +15,9 @@
 	/** Time until which attempts may be sent and run, from the earliest possible arrival of the request, monotonic ms. */
 	readonly deadlineAt: number;
 	/**
-	 * Time at which the request ends although an attempt is in progress, from its
-	 * likely arrival, monotonic ms; `deadlineAt` when absent.
+	 * Time at which the request ends although an attempt may be running: the latest
+	 * at which its client can still be waiting, monotonic ms; `deadlineAt` when
+	 * absent.
 	 */
 	readonly endsAt?: number | undefined;
 	/** Latency objective: until when an answer has its full value, monotonic ms. */
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -8,6 +8,7 @@
 import type {OutcomeReason} from '../protocol/request.js';
 import {computeRetryDelay} from './compute-retry-delay.js';
 import {decideRetry} from './decide-retry.js';
+import {isAwaitingResult} from './is-awaiting-result.js';
 import {isCapacityRefusal} from './is-capacity-refusal.js';
 import {isMisrouted} from './is-misrouted.js';
 import type {
@@ -298,7 +299,7 @@
 function finishEarly(state: RequestState, reason: OutcomeReason): RequestStep {
 	const isInProgress =
 		state.phase !== 'new' && state.phase !== 'waiting-to-send';
-	const mayRun = isInProgress && state.isSent;
+	const mayRun = isAwaitingResult(state);
 	const step = finish(state, {outcome: mayRun ? 'unknown' : 'not-run', reason});
 	// The gate may not have read the attempt yet, and therefore not know its deadline.
 	return isInProgress ? prependAbandon(state, step, mayRun) : step;
--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -113,3 +113,22 @@
 	const end = await ended;
 	assert.equal(end.outcome, 'answered');
 });
+
+test('a request that was not sent is refused by its earliest deadline', async (t) => {
+	t.mock.timers.enable({apis: ['setTimeout']});
+	const gate: GateClient = {
+		...createLeavingGate(Readable.from([]), []),
+		isLocal: false,
+		runAttempt: async () =>
+			new Promise(() => {
+				// The connection does not open.
+			}),
+	};
+	const ended = runAtGate(gate, createSampleAttempt(), {
+		deadlineAt: 100,
+		endsAt: 170,
+	});
+	t.mock.timers.tick(100);
+	const end = await ended;
+	assert.equal(end.outcome, 'not-run');
+});
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -6,6 +6,7 @@
 	type RequestParameters,
 } from '../../coordination/request-state.js';
 import {computeRetryAfter} from '../../coordination/compute-retry-after.js';
+import {isAwaitingResult} from '../../coordination/is-awaiting-result.js';
 import {stepRequest} from '../../coordination/step-request.js';
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
@@ -338,6 +339,7 @@
 		function finish(effect: RequestEffect & {kind: 'finish'}): void {
 			livenessTimer?.stop();
 			clearTimeout(waitTimer);
+			sendTimer.stop();
 			deadlineTimer.stop();
 			signal.removeEventListener('abort', cancel);
 			const {attempts} = state;
@@ -380,6 +382,14 @@
 			dispatch({kind: 'cancelled'});
 		}
 
+		const sendTimer = startPostPollTimer(
+			() => {
+				if (!isAwaitingResult(state)) {
+					dispatch({kind: 'deadline'});
+				}
+			},
+			Math.max(0, parameters.deadlineAt - now()),
+		);
 		const deadlineTimer = startPostPollTimer(
 			() => {
 				dispatch({kind: 'deadline'});
--- a/src/transport/start-caller-task.test.ts
+++ b/src/transport/start-caller-task.test.ts
@@ -8,11 +8,18 @@
 import type {Attempt, ForwardResult} from '../protocol/attempt.js';
 import {createForwarder, type Forwarder} from './create-forwarder.js';
 import {defaultEdge} from './default-edge.js';
+import {waitForTurns} from './_lib/wait-for-turns.js';
 import {startCallerTask} from './start-caller-task.js';
 import {startGateTask} from './start-gate-task.js';
 
 const logger = createSilentLogger();
 
+/** Time that clients give, ms. */
+const deadlineMs = 400;
+
+/** Event loop turns after which a request whose deadline timer has fired has ended. */
+const turnsToEnd = 20;
+
 const answered: ForwardResult = {
 	kind: 'answered',
 	status: 200,
@@ -66,7 +73,7 @@
 			...defaultEdge,
 			readCallerParameters: (headers) => ({
 				...defaultEdge.readCallerParameters(headers),
-				deadlineMs: 400,
+				deadlineMs,
 			}),
 		},
 		readLag,
@@ -130,3 +137,44 @@
 	assert.equal(await callPrices(address, Buffer.alloc(60_000)), 200);
 	assert.deepEqual(stamps, [undefined, stamp]);
 });
+
+/** Sends a request whose attempt a gate runs until the test responds; the test moves the timers. */
+async function startHeldRequest(t: TestContext, lagMs: number) {
+	const held: Array<(result: ForwardResult) => void> = [];
+	const caller = await startCaller(
+		t,
+		{
+			async forwardAttempt(_address, {onSend}) {
+				onSend?.();
+				return new Promise((resolve) => {
+					held.push(resolve);
+				});
+			},
+		},
+		() => lagMs,
+	);
+	t.mock.timers.enable({apis: ['setTimeout']});
+	const status = callPrices(caller.address);
+	while (held.length === 0) {
+		await waitForTurns(1);
+	}
+
+	return {status, respond: held[0]!};
+}
+
+for (const lagMs of [0, 120]) {
+	// Regression: a stopping node gave up a request by its estimate of the deadline while its upstream was at work.
+	test(`with a lag of ${lagMs} ms, a response that comes right before the deadline of its client is delivered`, async (t) => {
+		const {status, respond} = await startHeldRequest(t, lagMs);
+		t.mock.timers.tick(deadlineMs - 2);
+		await waitForTurns(turnsToEnd);
+		respond(answered);
+		assert.equal(await status, 200);
+	});
+
+	test(`with a lag of ${lagMs} ms, a request that an upstream does not answer ends at the deadline of its client`, async (t) => {
+		const {status} = await startHeldRequest(t, lagMs);
+		t.mock.timers.tick(deadlineMs + 1);
+		assert.equal(await status, 504);
+	});
+}
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -150,6 +150,8 @@
 	readonly parameters: CallerParameters;
 	/** Identifier that the caller chose, or else a new UUID. */
 	readonly requestId: string;
+	/** When the node read the request, monotonic ms. */
+	readonly readAt: number;
 	/** Estimated time of arrival, monotonic ms; earlier than the time of reading when the event loop lags. */
 	readonly startedAt: number;
 	/** Earliest possible time of arrival, monotonic ms, from which the deadline counts. */
@@ -167,12 +169,19 @@
 
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
-/** Computes the time in which the node must respond for the response to reach the client before its deadline, ms. */
+/** Computes the time for which a request may be kept waiting: until the client's deadline or the time-out of the route, ms. */
 function computeDeadlineMs(
-	parameters: CallerParameters,
+	{deadlineMs = Number.POSITIVE_INFINITY}: CallerParameters,
+	route: CompiledRoute,
+): number {
+	return Math.min(route.deadlineMs, deadlineMs);
+}
+
+/** Computes the time in which an upstream must respond for the response to reach the client before its deadline, ms. */
+function computeRunDeadlineMs(
+	{deadlineMs = Number.POSITIVE_INFINITY}: CallerParameters,
 	route: CompiledRoute,
 ): number {
-	const {deadlineMs = Number.POSITIVE_INFINITY} = parameters;
 	const marginMs = Math.min(responseMarginMs, deadlineMs * responseMarginRatio);
 	return Math.min(route.deadlineMs, deadlineMs - marginMs);
 }
@@ -336,15 +345,16 @@
 	): Promise<RequestEnd> {
 		const {request, route, requestId, parameters} = routed;
 		const {team, service, sheddingMeansNotRun} = route;
-		const deadlineMs = computeDeadlineMs(parameters, route);
-		const drainedAt = drainBounds.endsAt - responseMarginMs;
 		const deadlineAt = Math.min(
-			routed.earliestAt + deadlineMs,
-			Math.max(routed.earliestAt, drainedAt),
+			routed.earliestAt + computeRunDeadlineMs(parameters, route),
+			Math.max(routed.earliestAt, drainBounds.endsAt),
 		);
 		const endsAt = Math.max(
 			deadlineAt,
-			Math.min(routed.startedAt + deadlineMs, drainedAt),
+			Math.min(
+				routed.readAt + computeDeadlineMs(parameters, route),
+				drainBounds.endsAt,
+			),
 		);
 		const read = await readRequestBody(request, {
 			maxBytes: route.maxBodyBytes,
@@ -575,6 +585,7 @@
 				route,
 				parameters,
 				requestId: parameters.requestId ?? randomUUID(),
+				readAt,
 				startedAt: readAt - computeUnreadTime(lagMs),
 				earliestAt:
 					readAt - computeUnreadTime(server.readSocketWaitMs(request)),
@@ -623,7 +634,8 @@
 		readInFlight: () => inFlight,
 		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
 		drain(bounds = unboundedDrain) {
-			drainBounds = bounds;
+			const {servesUntil, endsAt} = bounds;
+			drainBounds = {servesUntil, endsAt: endsAt - responseMarginMs};
 			server.drain();
 		},
 		stop: server.stop,
