Leave it to the caller's node to end an attempt whose upstream responds late

Cause: the gate aborted an attempt 5 ms after the deadline that it had told the upstream. That deadline is the earliest that the request can have, less a margin; the client itself may have tens of milliseconds left, more if its node overestimated a wait. An upstream that lacks processor time, or a connection to it that does, takes longer than 5 ms.

The caller's node knows the client's deadline, and ends an attempt by closing its connection or by a call. The timer of the gate is now for attempts whose caller's node can't say so, a quarter of a second later: half of the time for which an upstream may work on after its client has left. The same for a request that joins another by key.

--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -23,7 +23,6 @@
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import {
-	deadlineMarginMs,
 	msPerSecond,
 	queueSlotsRatio,
 	retryAfterSeconds,
@@ -99,8 +98,8 @@
 /** Part of the epoch in the identifiers of crashes; tells apart all processes of a fleet. */
 const crashIdPrefixLength = 13;
 
-/** Time after its deadline in which an upstream may still state that it has stopped, ms; half of what the caller's node reserves (`deadlineMarginMs`). */
-const upstreamDeadlineSlackMs = deadlineMarginMs / 2;
+/** Time after its deadline in which an upstream may still respond, ms; it ends earlier when the caller's node no longer waits. */
+const upstreamDeadlineSlackMs = 250;
 
 /** Estimated wait and service time of an attempt at an upstream. */
 type AttemptEstimate = LocalWait &
@@ -637,7 +636,8 @@
 
 				case 'running':
 				case 'ended': {
-					return joinAttempt(holder ?? id, remainingMs, signal);
+					const waitMs = remainingMs + upstreamDeadlineSlackMs;
+					return joinAttempt(holder ?? id, waitMs, signal);
 				}
 			}
 		},
