--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -8,6 +8,7 @@
 import type {OutcomeReason} from '../protocol/request.js';
 import {computeRetryDelay} from './compute-retry-delay.js';
 import {decideRetry} from './decide-retry.js';
+import {isAttemptInProgress} from './is-attempt-in-progress.js';
 import {isCapacityRefusal} from './is-capacity-refusal.js';
 import {isMisrouted} from './is-misrouted.js';
 import type {
@@ -376,25 +377,6 @@
 	return endAttempt(state, {outcome, reason, retryAfterSeconds}, context);
 }
 
-/** Returns whether the current attempt is in progress. */
-function isInProgress({phase}: RequestState): boolean {
-	switch (phase) {
-		case 'attempting':
-		case 'asking':
-		case 'fetching':
-		case 'waiting-to-ask': {
-			return true;
-		}
-
-		case 'new':
-		case 'waiting-to-send':
-		case 'waiting-for-earlier':
-		case 'done': {
-			return false;
-		}
-	}
-}
-
 /** Handles a message about an earlier attempt that is still open. */
 function handleEarlier(
 	state: RequestState,
@@ -405,7 +387,9 @@
 	switch (message.kind) {
 		case 'answered': {
 			const step = finishAnswered(after);
-			return isInProgress(state) ? prependAbandon(state, step, true) : step;
+			return isAttemptInProgress(state)
+				? prependAbandon(state, step, true)
+				: step;
 		}
 
 		case 'ended':
@@ -427,10 +411,12 @@
 }
 
 function finishEarly(state: RequestState, reason: OutcomeReason): RequestStep {
-	const mayRun = isInProgress(state) && state.isSent;
+	const mayRun = isAttemptInProgress(state) && state.isSent;
 	const step = finish(state, {outcome: mayRun ? 'unknown' : 'not-run', reason});
 	// The gate may not have read the attempt yet, and therefore not know its deadline.
-	return isInProgress(state) ? prependAbandon(state, step, mayRun) : step;
+	return isAttemptInProgress(state)
+		? prependAbandon(state, step, mayRun)
+		: step;
 }
 
 /** Handles a message that concerns the current attempt, or the request as a whole. */
