Keep a repeatable request open when its gate does not answer a question

What callers saw: 504 before the deadline for a request at which an upstream was at work, after its gate had been silent for 1 s and had not answered a question for 500 ms, as a node that lacks processor time may be. Now another attempt is made beside it if retries allow it, and the request waits for the open ones otherwise. What stays: an attempt whose connection broke, or that its gate does not know, is still abandoned.

--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -24,7 +24,6 @@
 	readonly number: number;
 	readonly host: FakeHost;
 	readonly attempt: FakeAttempt;
-	isAbandoned: boolean;
 };
 
 /** Gate stamps cached by the caller's node, by host name. */
@@ -107,11 +106,7 @@
 				break;
 			}
 
-			case 'abandon': {
-				open!.isAbandoned = true;
-				break;
-			}
-
+			case 'abandon':
 			case 'spend-budget': {
 				break;
 			}
@@ -158,7 +153,7 @@
 			repeatable,
 			stamp: stamps.get(host.name),
 		};
-		open = {number, host, attempt, isAbandoned: false};
+		open = {number, host, attempt};
 		send(open);
 	}
 
@@ -209,7 +204,9 @@
 
 	function handleResult(current: OpenAttempt, result: FakeResult): void {
 		const attempt = current.number;
-		if (state.phase === 'done' || state.attempts !== attempt) {
+		const isAwaited =
+			state.attempts === attempt || state.earlier.includes(attempt);
+		if (state.phase === 'done' || !isAwaited) {
 			return;
 		}
 
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -57,7 +57,11 @@
 );
 
 /** Passes messages to a request and returns the effects. */
-function run(messages: readonly RequestMessage[], repeatable: boolean) {
+function run(
+	messages: readonly RequestMessage[],
+	repeatable: boolean,
+	budget = 10,
+) {
 	const parameters = {
 		repeatable,
 		isNested: false,
@@ -66,7 +70,7 @@
 	};
 	let state = initialRequestState;
 	return messages.flatMap((told) => {
-		const context = {parameters, now: 0, random: 0.5, budget: 10};
+		const context = {parameters, now: 0, random: 0.5, budget};
 		const step = stepRequest(state, told, context);
 		state = step.state;
 		return step.effects;
@@ -348,3 +352,30 @@
 		assert.deepEqual(waiting, [...repeated, 'abandon 1', 'finish unknown']);
 	}
 });
+
+// Regression: a request was answered with 504 after its gate had been silent for a while, although the upstream was at work.
+test('a repeatable request whose gate does not answer questions stays open', () => {
+	const sent: RequestMessage = {kind: 'sent', attempt: 1, hasStamp: true};
+	const silent: RequestMessage = {kind: 'silent', attempt: 1};
+	const failed: RequestMessage = {kind: 'ask-failed', attempt: 1};
+	const answered: RequestMessage = {kind: 'answered', attempt: 1};
+	const first = [{kind: 'start'}, sent, silent, failed] as const;
+	const waiting = run([...first, answered], true, 0);
+	assert.deepEqual(
+		waiting.map((effect) => formatEffect(effect)),
+		['send 1', 'ask', 'finish answered'],
+	);
+	const beside = run([...first, elapsed, answered], true);
+	assert.deepEqual(
+		beside.map((effect) => formatEffect(effect)),
+		[
+			'send 1',
+			'ask',
+			'spend-budget',
+			'wait',
+			'send 2',
+			'abandon 2',
+			'finish answered',
+		],
+	);
+});
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -218,40 +218,14 @@
 	}
 }
 
-function handleFailedAsk(
-	state: RequestState,
-	context: RequestContext,
-): RequestStep {
-	if (context.parameters.repeatable || state.asks >= maxAsks) {
-		return abandonUnknown(state, 'gate-unreachable', context);
-	}
-
-	const ceilingMs = askRetryMs * 2 ** state.asks;
-	const durationMs = (ceilingMs * (1 + context.random)) / 2;
-	return {
-		state: {...state, phase: 'waiting-to-ask'},
-		effects: [{kind: 'wait', durationMs}],
-	};
-}
-
-function handleSilence(
-	state: RequestState,
-	context: RequestContext,
-): RequestStep {
-	if (state.phase !== 'attempting') {
-		return keepState(state);
-	}
-
-	return state.isSent ? ask(state) : abandonUnsent(state, context);
-}
-
 /**
- * Starts another attempt beside one that its upstream does not seem to work on.
- * The first one stays open: the report that lacks it may be wrong, and when no
- * other attempt can be made, its answer is the only one that may come.
+ * Makes another attempt beside one that is in doubt, if retries allow it. The
+ * first one stays open: the doubt may be wrong, and when no other attempt can be
+ * made, its answer is the only one that may come.
  */
-function handleUnanswered(
+function repeatBeside(
 	state: RequestState,
+	reason: OutcomeReason,
 	context: RequestContext,
 ): RequestStep {
 	const {parameters, now, random, budget, isQuarantined} = context;
@@ -260,14 +234,14 @@
 	const decision = decideRetry({
 		...parameters,
 		outcome: 'unknown',
-		reason: 'unanswered',
+		reason,
 		attempts,
 		remainingMs: parameters.deadlineAt - now - delayMs,
 		budget,
 	});
 	const canRepeat = parameters.repeatable && !isQuarantined;
-	if (state.phase !== 'attempting' || !canRepeat || decision !== 'retry') {
-		return keepState(state);
+	if (!canRepeat || decision !== 'retry') {
+		return keepState({...state, phase: 'attempting'});
 	}
 
 	return {
@@ -282,6 +256,37 @@
 	};
 }
 
+function handleFailedAsk(
+	state: RequestState,
+	context: RequestContext,
+): RequestStep {
+	if (context.parameters.repeatable && state.isOpen) {
+		return repeatBeside(state, 'gate-unreachable', context);
+	}
+
+	if (context.parameters.repeatable || state.asks >= maxAsks) {
+		return abandonUnknown(state, 'gate-unreachable', context);
+	}
+
+	const ceilingMs = askRetryMs * 2 ** state.asks;
+	const durationMs = (ceilingMs * (1 + context.random)) / 2;
+	return {
+		state: {...state, phase: 'waiting-to-ask'},
+		effects: [{kind: 'wait', durationMs}],
+	};
+}
+
+function handleSilence(
+	state: RequestState,
+	context: RequestContext,
+): RequestStep {
+	if (state.phase !== 'attempting') {
+		return keepState(state);
+	}
+
+	return state.isSent ? ask(state) : abandonUnsent(state, context);
+}
+
 /** Messages about the state of an attempt that is in doubt. */
 type InquiryMessage = RequestMessage & {
 	readonly kind:
@@ -295,7 +300,9 @@
 ): RequestStep {
 	switch (message.kind) {
 		case 'unanswered': {
-			return handleUnanswered(state, context);
+			return state.phase === 'attempting'
+				? repeatBeside(state, 'unanswered', context)
+				: keepState(state);
 		}
 
 		case 'silent': {
