--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -26,6 +26,9 @@
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
 
+/** Time by which a Node.js timer may fire early, ms. */
+const timerToleranceMs = 1;
+
 /** Properties shared by all attempts of a request. */
 export type AttemptTemplate = Omit<
 	Attempt,
@@ -394,7 +397,7 @@
 			() => {
 				dispatch({kind: 'deadline'});
 			},
-			Math.max(0, endsAt - now()),
+			Math.max(0, Math.ceil(endsAt - now()) + timerToleranceMs),
 		);
 		signal.addEventListener('abort', cancel);
 		dispatch({kind: 'start'});
