--- a/fakes/platform-document.ts
+++ b/fakes/platform-document.ts
@@ -50,3 +50,17 @@
 		},
 	],
 };
+
+/**
+ * The same configuration, with two attempts at each request.
+ */
+export const twoAttemptsDocument = {
+	...platformDocument,
+	resources: platformDocument.resources.map((resource) => ({
+		...resource,
+		spec:
+			resource.resource_type === 'routes'
+				? {...resource.spec, max_attempts: 2}
+				: resource.spec,
+	})),
+};
--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -92,12 +92,15 @@
 	});
 }
 
-export async function startStore(t: TestContext): Promise<string> {
+export async function startStore(
+	t: TestContext,
+	document: unknown = platformDocument,
+): Promise<string> {
 	const platform = await startPlatform();
 	t.after(async () => platform.stop());
 	const address = new URL(platform.url).host;
 	const store = createStoreClient(address, {logger});
-	await store.writeObject('config/main', platformDocument, {kind: 'absent'});
+	await store.writeObject('config/main', document, {kind: 'absent'});
 	await store.stop();
 	return address;
 }
--- a/harness/_lib/raw-upstream.ts
+++ b/harness/_lib/raw-upstream.ts
@@ -31,6 +31,8 @@
 	readonly respond: (request: RawRequest) => boolean;
 	/** Whether it responds before the body has arrived; false when absent. */
 	readonly respondsEarly?: boolean;
+	/** Called when the head of a request has arrived, before `respond`. */
+	readonly onHead?: (request: RawRequest) => void;
 };
 
 /** Formats a complete response to a request. */
@@ -41,12 +43,13 @@
 /** Starts an upstream; it takes one request at a time on a connection. */
 export async function startRawUpstream(
 	t: TestContext,
-	{respond, respondsEarly = false}: RawUpstreamOptions,
+	{respond, respondsEarly = false, onHead}: RawUpstreamOptions,
 ): Promise<RawUpstream> {
 	const runs = new Map<string, number>();
 	const sockets = new Set<Socket>();
 	const server = createServer((socket) => {
 		let text = '';
+		let hasHead = false;
 		sockets.add(socket);
 		socket.on('error', () => {
 			// The gate has closed the connection.
@@ -57,12 +60,18 @@
 			const head = text.slice(0, Math.max(0, headEnd));
 			const length = Number(lengthPattern.exec(head)?.groups?.length ?? 0);
 			const end = headEnd + headSeparator.length + length;
+			const id = idPattern.exec(head)?.groups?.id ?? '';
+			if (headEnd !== -1 && !hasHead) {
+				hasHead = true;
+				onHead?.({id, head, socket});
+			}
+
 			if (headEnd === -1 || (!respondsEarly && text.length < end)) {
 				return;
 			}
 
 			text = '';
-			const id = idPattern.exec(head)?.groups?.id ?? '';
+			hasHead = false;
 			if (respond({id, head, socket})) {
 				runs.set(id, (runs.get(id) ?? 0) + 1);
 			}
