Read the configuration again after a failed call if the store names no era

A node kept an old configuration for good, until the next change: the store had come back from an older copy and had given out its revisions again, so that the revision from which the node watched was valid with other content. Since the era that the store names shows this; a store that names none was asked for its revision only, found it equal, and was watched from there.

Without an era nothing shows whether a revision still means the same, so after a failed call the document is read; that is one call, as before, with a longer answer. A response with a lower revision than the known one, whose connection was not cut, now counts as one of a store that has come back, too.

The test of a watch that times out expected a check of the revision without an era, which was the fault; it now names an era, and a second test demands the read where there is none.

Ruled out: rolling back.

--- a/fakes/platform-stand-in.ts
+++ b/fakes/platform-stand-in.ts
@@ -39,6 +39,8 @@
 	readonly loseAnswers?: number;
 	/** Watches never answer. */
 	readonly silentWatches?: boolean;
+	/** Answers don't name the era. */
+	readonly hidesEra?: boolean;
 };
 
 /**
@@ -422,7 +424,7 @@
 
 	#send(response: ServerResponse, status: number, body: unknown): void {
 		sendJson(response, status, body, {
-			'store-era': String(this.#era),
+			...(!this.#faults.hidesEra && {'store-era': String(this.#era)}),
 			...(this.#stopped && {connection: 'close'}),
 		});
 	}
--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -12,15 +12,17 @@
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /**
- * Applies the era of a response. A call that began with a revision of another
- * era may have missed changes, so that the document has to be read.
+ * Detects by its era or a lower revision that the store has come back from a
+ * copy. A call that began with a revision from before may have missed changes,
+ * so that the document has to be read.
  */
 function applyEra(
 	before: DocumentState,
 	step: DocumentStep,
-	era: number | undefined,
+	{era, revision: current}: {era?: number | undefined; revision: number},
 ): DocumentStep {
-	if (era === before.era) {
+	const isLower = before.revision !== undefined && current < before.revision;
+	if (era === before.era && !isLower) {
 		return step;
 	}
 
@@ -65,7 +67,7 @@
 				hasBacklog,
 				confirmedAt: now,
 			};
-			return applyEra(state, {...step, state: after}, outcome.era);
+			return applyEra(state, {...step, state: after}, outcome);
 		}
 
 		case 'revision': {
@@ -78,7 +80,7 @@
 				revision,
 				hasBacklog: false,
 			});
-			return applyEra(state, step, outcome.era);
+			return applyEra(state, step, outcome);
 		}
 
 		case 'compacted': {
@@ -95,8 +97,10 @@
 			const isFirst = state.storeLoop.failures === 0;
 			const hasBacklog =
 				state.hasBacklog || state.storeLoop.call?.isReceiving === true;
+			// Without an era, nothing shows whether the store has come back from a copy that gives out the revision again.
+			const revision = state.era === undefined ? undefined : state.revision;
 			return {
-				state: {...state, storeLoop, hasBacklog},
+				state: {...state, storeLoop, revision, hasBacklog},
 				effects: isFirst
 					? [
 							{
--- a/src/coordination/_lib/document/plan-calls.ts
+++ b/src/coordination/_lib/document/plan-calls.ts
@@ -16,7 +16,8 @@
  * are transferred, a watch would send a full copy for each change; instead, the
  * newest copy is read until nothing has changed during the transfer. After a
  * failed call, the store may have come back from an older copy, in which a watch
- * from the revision would miss changes; it is asked for its era first.
+ * from the revision would miss changes; it is asked for its era first. If it
+ * names none, the document is read.
  */
 function createStoreCall(
 	{revision, hasBacklog, storeLoop}: DocumentState,
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -136,18 +136,23 @@
 	assert.ok(machine.find('read'));
 });
 
-test('a watch that does not answer times out and is restarted', () => {
+/** Creates a state machine that watches from revision 4 and runs version 2. */
+function createWatchingMachine(era: number | undefined) {
 	const machine = createMachine();
 	machine.send({kind: 'tick'}, 0);
+	const outcome = {
+		kind: 'read',
+		document: createDocument(2),
+		revision: 4,
+		era,
+	} as const;
 	const {callId} = machine.find('read')!;
-	machine.send(
-		{
-			kind: 'stored',
-			callId,
-			outcome: {kind: 'read', document: createDocument(1), revision: 4},
-		},
-		1,
-	);
+	machine.send({kind: 'stored', callId, outcome}, 1);
+	return machine;
+}
+
+test('a watch that does not answer times out and is restarted', () => {
+	const machine = createWatchingMachine(1);
 	const {timeoutMs} = machine.find('watch')!;
 	machine.send({kind: 'tick'}, timeoutMs + 2);
 	machine.send({kind: 'tick'}, timeoutMs + 500);
@@ -156,30 +161,48 @@
 		{
 			kind: 'stored',
 			callId: check.callId,
-			outcome: {kind: 'revision', revision: 4},
+			outcome: {kind: 'revision', revision: 4, era: 1},
 		},
 		timeoutMs + 501,
 	);
 	assert.equal(machine.find('watch')?.revision, 4);
 });
 
-/** Creates a state machine that watches from revision 4 of era 1 and runs version 2. */
-function createEraMachine() {
-	const machine = createMachine();
-	machine.send({kind: 'tick'}, 0);
+test('a revision of a store without an era is not watched from after a failure', () => {
+	const machine = createWatchingMachine(undefined);
+	const {callId} = machine.find('watch')!;
+	machine.send({kind: 'stored', callId, outcome: {kind: 'failed'}}, 100);
+	machine.send({kind: 'tick'}, 300);
+	const again = machine.find('read');
+	assert.ok(again, 'the document is not read again');
 	const outcome = {
 		kind: 'read',
-		document: createDocument(2),
+		document: createDocument(3),
 		revision: 4,
-		era: 1,
 	} as const;
-	const {callId} = machine.find('read')!;
-	machine.send({kind: 'stored', callId, outcome}, 1);
-	return machine;
-}
+	machine.send({kind: 'stored', callId: again.callId, outcome}, 301);
+	assert.equal(machine.read().document?.version, 3);
+	assert.equal(machine.find('watch')?.revision, 4);
+});
+
+test('a watch that is answered with a lower revision is followed by a read', () => {
+	for (const era of [undefined, 1]) {
+		const machine = createWatchingMachine(era);
+		const {callId} = machine.find('watch')!;
+		const outcome = {
+			kind: 'read',
+			document: undefined,
+			revision: 3,
+			era,
+		} as const;
+		machine.send({kind: 'stored', callId, outcome}, 100);
+		assert.ok(machine.find('store-restored'));
+		assert.ok(machine.find('read'), 'the document is not read again');
+	}
+});
 
 test('a revision that is given out again in another era is not watched from', () => {
-	const machine = createEraMachine();
+	const machine = createWatchingMachine(1);
 	const {callId, timeoutMs} = machine.find('watch')!;
 	machine.send({kind: 'stored', callId, outcome: {kind: 'failed'}}, 100);
 	machine.send({kind: 'tick'}, 300);
@@ -198,7 +221,7 @@
 });
 
 test('a watch that is answered in another era is followed by a read', () => {
-	const machine = createEraMachine();
+	const machine = createWatchingMachine(1);
 	const {callId} = machine.find('watch')!;
 	machine.send(
 		{
@@ -212,7 +235,7 @@
 });
 
 test('a lower version that a store from a copy holds is not run', () => {
-	const machine = createEraMachine();
+	const machine = createWatchingMachine(1);
 	const {callId} = machine.find('watch')!;
 	machine.send({kind: 'stored', callId, outcome: {kind: 'compacted'}}, 100);
 	machine.send(
--- a/test/store-restored.test.ts
+++ b/test/store-restored.test.ts
@@ -82,22 +82,26 @@
 	assert.ok(isWatching);
 }
 
-test('a version that gets a revision which was given out before is put in force', async (t) => {
-	const {platform, address, writeVersion} = await startStore(t);
-	await writeVersion(7);
-	const {settings} = await startPlatformNode(t, 'abdali-1', address);
-	await waitForGauge(settings, versionGauge, 7);
-	const copy = platform.takeCopy();
-	await writeVersion(8);
-	await writeVersion(9);
-	await waitForGauge(settings, versionGauge, 9);
-	await waitForWatch(platform);
-	// As many changes as before, so that the node's revision is valid again, with other content.
-	platform.restore(copy);
-	await writeVersion(9);
-	await writeVersion(10);
-	await waitForGauge(settings, versionGauge, 10);
-});
+for (const hidesEra of [false, true]) {
+	const era = hidesEra ? 'without an era' : 'in another era';
+	test(`a version that gets a revision which was given out before ${era} is put in force`, async (t) => {
+		const {platform, address, writeVersion} = await startStore(t);
+		platform.setFaults({hidesEra});
+		await writeVersion(7);
+		const {settings} = await startPlatformNode(t, 'abdali-1', address);
+		await waitForGauge(settings, versionGauge, 7);
+		const copy = platform.takeCopy();
+		await writeVersion(8);
+		await writeVersion(9);
+		await waitForGauge(settings, versionGauge, 9);
+		await waitForWatch(platform);
+		// As many changes as before, so that the node's revision is valid again, with other content.
+		platform.restore(copy);
+		await writeVersion(9);
+		await writeVersion(10);
+		await waitForGauge(settings, versionGauge, 10);
+	});
+}
 
 test('a version lower than the running one is not run when the store has lost the latter', async (t) => {
 	const {platform, address, writeVersion} = await startStore(t);
