--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -19,9 +19,15 @@
 function applyEra(
 	before: DocumentState,
 	step: DocumentStep,
-	{era, revision: current}: {era?: number | undefined; revision: number},
+	{
+		era,
+		revision: current,
+	}: {readonly era?: number | undefined; readonly revision: number | undefined},
 ): DocumentStep {
-	const isLower = before.revision !== undefined && current < before.revision;
+	const isLower =
+		current !== undefined &&
+		before.revision !== undefined &&
+		current < before.revision;
 	if (era === before.era && !isLower) {
 		return step;
 	}
@@ -56,7 +62,8 @@
 		case 'read': {
 			const {document, revision, transferMs = 0, arrivedAt = now} = outcome;
 			const step = acceptDocument(state, document, 'store', now);
-			const storeLoop = endCall(state.storeLoop, false, now);
+			// Without a revision there is nothing to watch, and the document is read again.
+			const storeLoop = endCall(state.storeLoop, revision === undefined, now);
 			const hasBacklog =
 				step.state.document !== state.document &&
 				transferMs + now - arrivedAt > documentBacklogThresholdMs;
