Add addressSchema in src/protocol/address.ts, for addresses that are read from others

Three patterns for an address existed. The ones for seeds, heartbeats and members took any digits and dots, so port 0, 65536 or 99999 and 999.1.1.1 passed; the one of the settings file took port 0 and octets with leading zeros, which are no IP and would be looked up as a name.

addressSchema accepts an IPv4 address with octets from 0 to 255 and a port from 1 to 65535, and not 0.0.0.0, which reaches the own host. listenAddressSchema accepts port 0 and 0.0.0.0 as well, for listeners. The settings files, the command line and the administration API use them now: the address of a seed, of a StatsD receiver, of the upstream and of the store must have a port to connect to.

--- a/src/cli/_lib/node-options.ts
+++ b/src/cli/_lib/node-options.ts
@@ -2,7 +2,7 @@
  * Options that the commands for operators share.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {addressSchema} from '../../protocol/settings.js';
+import {addressSchema} from '../../protocol/address.js';
 import type {CommandInput, OptionSpec} from '../command.js';
 
 /** Options of every command that calls a node. */
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -5,22 +5,10 @@
  * messages about invalid files and in docs/CONFIGURATION.md.
  */
 import * as z from 'zod';
+import {addressSchema, listenAddressSchema} from './address.js';
 import {maxCapacity, referenceCapacity} from './constants.js';
 
-const addressPattern =
-	/^(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)\.){3}(?:25[0-5]|2[0-4]\d|1?\d?\d):\d{1,5}$/v;
-const maxPort = 65_535;
-
-function isAddress(text: string): boolean {
-	return addressPattern.test(text) && Number(text.split(':')[1]) <= maxPort;
-}
-
-/** An IPv4 address and a port. */
-export const addressSchema = z
-	.string()
-	.refine(isAddress, 'not IP:PORT with a port from 0 to 65535');
-
-const listenSchema = addressSchema.describe(
+const listenSchema = listenAddressSchema.describe(
 	'IP:PORT, port 0 to 65535; 0 takes a free one',
 );
 
--- a/src/transport/_lib/administration/add-member-routes.ts
+++ b/src/transport/_lib/administration/add-member-routes.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Polka} from 'polka';
+import {addressSchema} from '../../../protocol/address.js';
 import {announcementSchema} from '../../../protocol/member.js';
-import {addressSchema} from '../../../protocol/settings.js';
 import {sendJson} from '../send-json.js';
 import type {AdministrationTaskOptions} from './administration-options.js';
 import {createHandler, type AdministrationRequest} from './create-handler.js';
@@ -16,10 +16,6 @@
 	}
 }
 
-function isUpstreamAddress(address: string): boolean {
-	return addressSchema.safeParse(address).success && !address.endsWith(':0');
-}
-
 /**
  * Adds the routes on which upstreams of this host announce and withdraw
  * themselves, and the route that lists the members.
@@ -75,7 +71,7 @@
 			return;
 		}
 
-		if (!isUpstreamAddress(parsed.data.address)) {
+		if (!addressSchema.safeParse(parsed.data.address).success) {
 			const message = 'not IP:PORT with a port from 1 to 65535';
 			const problems = [{place: 'address', message}];
 			sendJson(response, 422, {error: 'not an announcement', problems});
