Decode the messages of members entry by entry

A message between members was decoded as a whole. One record that could not be read, or one upstream of it, cost all the others, and an answer that held one counted as none: its sender was taken for silent, probed through others and could be declared dead. A member of another version, or one wrong writer, was enough, for as long as its record was passed on.

A record keeps its version when an upstream, an unreachable data centre or its capacity cannot be read, so that digests still match. Entries beyond a list's bound are not read, in place of refusing the message. A part is logged once however often it comes, at most 16 lines a minute. Addresses have the shared schema, which ends ports and numbers at which nobody can listen.

Evidence: odd-exchange-entries.test.ts posts 27 odd records between two sound ones to a real node, and answers a real node with them.

--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -3,14 +3,10 @@
  * Unknown fields from members of other versions are ignored.
  */
 import * as z from 'zod';
+import {addressSchema} from './address.js';
 import type {GateLoad} from './attempt.js';
 import type {UpstreamReport} from './edge.js';
-import {
-	maxCapacity,
-	maxDataCentres,
-	maxRecordsPerBucket,
-	maxUpstreamsPerHost,
-} from './constants.js';
+import {maxCapacity, maxDataCentres, maxUpstreamsPerHost} from './constants.js';
 
 export const maxSoftwareVersionLength = 64;
 
@@ -36,9 +32,10 @@
 	state: z.enum(['ready', 'leaving']),
 });
 
-const nameSchema = z.string().regex(/^[\w.\-]{1,64}$/v);
-const dataCentreSchema = z.string().regex(/^[a-z][a-z\d\-]{0,62}$/v);
-const peerAddressSchema = z.string().regex(/^[\d.]{7,15}:\d{1,5}$/v);
+/** Name of a member. */
+export const nameSchema = z.string().regex(/^[\w.\-]{1,64}$/v);
+/** Name of a data centre. */
+export const dataCentreSchema = z.string().regex(/^[a-z][a-z\d\-]{0,62}$/v);
 const counterSchema = z.int().min(0);
 
 /** An upstream as sent between members, without its address, which only its own host uses. */
@@ -57,7 +54,7 @@
 export const recordSchema = z.object({
 	name: nameSchema,
 	dataCentre: dataCentreSchema,
-	address: peerAddressSchema,
+	address: addressSchema,
 	incarnation: counterSchema,
 	sequence: counterSchema,
 	state: memberStateSchema,
@@ -71,16 +68,15 @@
 export const senderSchema = z.object({
 	name: nameSchema,
 	dataCentre: dataCentreSchema,
-	address: peerAddressSchema,
+	address: addressSchema,
 	incarnation: counterSchema,
 	sequence: counterSchema,
 	/** Wall-clock time at which the process started, ms. */
 	startedMs: counterSchema,
 });
 
-const pageSchema = z.array(recordSchema).max(maxRecordsPerBucket);
-const namesSchema = z.array(nameSchema).max(maxRecordsPerBucket);
-const digestSchema = z.int().min(0).max(0xff_ff_ff_ff);
+/** Digest of records. */
+export const digestSchema = z.int().min(0).max(0xff_ff_ff_ff);
 
 /** Version of a record: name, incarnation, sequence and state. */
 export const recordVersionSchema = z.tuple([
@@ -90,65 +86,65 @@
 	memberStateSchema,
 ]);
 
-/** A request from one member to another. */
-export const exchangeSchema = z.discriminatedUnion('kind', [
+/** A sender as received; `decodeSender` decodes what is not its identity. */
+export const encodedSenderSchema = senderSchema.extend({
+	startedMs: z.unknown().optional(),
+});
+
+/** A request from one member to another as received; `decodeExchange` decodes its lists and optional fields. */
+export const encodedExchangeSchema = z.discriminatedUnion('kind', [
 	z.object({
 		kind: z.literal('ping'),
-		from: senderSchema,
-		records: pageSchema,
-		/** Digest of the sender's crash records; absent from earlier versions. */
-		crashDigest: digestSchema.optional(),
+		from: encodedSenderSchema,
+		records: z.unknown().optional(),
+		crashDigest: z.unknown().optional(),
 	}),
-	/** Requests an indirect probe of another member on the sender's behalf. */
 	z.object({
 		kind: z.literal('relay'),
-		from: senderSchema,
+		from: encodedSenderSchema,
 		name: nameSchema,
-		address: peerAddressSchema,
+		address: addressSchema,
 	}),
-	/** Reports that an indirect probe was answered. */
 	z.object({
 		kind: z.literal('vouch'),
-		from: senderSchema,
+		from: encodedSenderSchema,
 		name: nameSchema,
 	}),
 	z.object({
 		kind: z.literal('digests'),
-		from: senderSchema,
-		roots: z.record(dataCentreSchema, digestSchema),
+		from: encodedSenderSchema,
+		roots: z.unknown().optional(),
 	}),
 	z.object({
 		kind: z.literal('bucket'),
-		from: senderSchema,
+		from: encodedSenderSchema,
 		dataCentre: dataCentreSchema,
 		bucket: z.int().min(0).max(255),
-		versions: z.array(recordVersionSchema).max(maxRecordsPerBucket),
+		versions: z.unknown().optional(),
 	}),
 ]);
 
-/** The answer to an exchange. */
-export const exchangeAnswerSchema = z.discriminatedUnion('kind', [
+/** The answer to an exchange as received; `decodeExchangeAnswer` decodes its lists and optional fields. */
+export const encodedExchangeAnswerSchema = z.discriminatedUnion('kind', [
 	z.object({
 		kind: z.literal('ack'),
-		from: senderSchema,
-		records: pageSchema,
-		/** Whether the answering member lacks the sender's newest record. */
-		needsRecord: z.boolean(),
-		/** Digest of the crash records of the answering member; absent from earlier versions. */
-		crashDigest: digestSchema.optional(),
+		from: encodedSenderSchema,
+		records: z.unknown().optional(),
+		needsRecord: z.unknown().optional(),
+		crashDigest: z.unknown().optional(),
 	}),
 	z.object({
 		kind: z.literal('digests'),
-		from: senderSchema,
-		buckets: z.record(dataCentreSchema, z.array(digestSchema).max(256)),
+		from: encodedSenderSchema,
+		buckets: z.unknown().optional(),
 	}),
 	z.object({
 		kind: z.literal('bucket'),
-		from: senderSchema,
-		records: pageSchema,
-		wanted: namesSchema,
+		from: encodedSenderSchema,
+		records: z.unknown().optional(),
+		wanted: z.unknown().optional(),
 	}),
-	z.object({kind: z.literal('busy'), from: senderSchema}),
+	z.object({kind: z.literal('busy'), from: encodedSenderSchema}),
 ]);
 
 export type Announcement = z.infer<typeof announcementSchema>;
@@ -164,8 +160,66 @@
 export type MemberRecord = z.infer<typeof recordSchema>;
 export type RecordVersion = z.infer<typeof recordVersionSchema>;
 export type Sender = z.infer<typeof senderSchema>;
-export type Exchange = z.infer<typeof exchangeSchema>;
-export type ExchangeAnswer = z.infer<typeof exchangeAnswerSchema>;
+export type EncodedSender = z.infer<typeof encodedSenderSchema>;
+export type EncodedExchange = z.infer<typeof encodedExchangeSchema>;
+
+/** A request from one member to another. */
+export type Exchange =
+	| {
+			readonly kind: 'ping';
+			readonly from: Sender;
+			readonly records: readonly MemberRecord[];
+			/** Digest of the sender's crash records; absent from earlier versions. */
+			readonly crashDigest?: number | undefined;
+	  }
+	/** Requests an indirect probe of another member on the sender's behalf. */
+	| {
+			readonly kind: 'relay';
+			readonly from: Sender;
+			readonly name: string;
+			readonly address: string;
+	  }
+	/** Reports that an indirect probe was answered. */
+	| {readonly kind: 'vouch'; readonly from: Sender; readonly name: string}
+	| {
+			readonly kind: 'digests';
+			readonly from: Sender;
+			/** Digest of each data centre's records. */
+			readonly roots: Readonly<Record<string, number>>;
+	  }
+	| {
+			readonly kind: 'bucket';
+			readonly from: Sender;
+			readonly dataCentre: string;
+			readonly bucket: number;
+			readonly versions: readonly RecordVersion[];
+	  };
+
+/** The answer to an exchange. */
+export type ExchangeAnswer =
+	| {
+			readonly kind: 'ack';
+			readonly from: Sender;
+			readonly records: readonly MemberRecord[];
+			/** Whether the answering member lacks the sender's newest record. */
+			readonly needsRecord: boolean;
+			/** Digest of the crash records of the answering member; absent from earlier versions. */
+			readonly crashDigest?: number | undefined;
+	  }
+	| {
+			readonly kind: 'digests';
+			readonly from: Sender;
+			/** Digests of the buckets of each data centre that differs. */
+			readonly buckets: Readonly<Record<string, readonly number[]>>;
+	  }
+	| {
+			readonly kind: 'bucket';
+			readonly from: Sender;
+			readonly records: readonly MemberRecord[];
+			/** Names of the members whose records are older at the answering member. */
+			readonly wanted: readonly string[];
+	  }
+	| {readonly kind: 'busy'; readonly from: Sender};
 
 /** An upstream of a known member. */
 export type Upstream = Omit<z.infer<typeof upstreamSchema>, 'ageMs'> & {
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -1,7 +1,7 @@
 import {initTRPC, TRPCError} from '@trpc/server';
 import {
-	exchangeSchema,
-	type Exchange,
+	encodedExchangeSchema,
+	type EncodedExchange,
 	type ExchangeAnswer,
 } from '../protocol/member.js';
 import {
@@ -38,7 +38,7 @@
 /** Handlers of the calls from other nodes, provided by the tasks of a node. */
 export type PeerHandlers = {
 	handlePoll(poll: Poll): Promise<PollAnswer>;
-	handleExchange(exchange: Exchange): ExchangeAnswer;
+	handleExchange(exchange: EncodedExchange): ExchangeAnswer;
 	handleAsk(question: AttemptQuery): LedgerStep['answer'];
 	handleCancel(question: AttemptQuery): void;
 	handleStamp(): GateStamp;
@@ -75,7 +75,7 @@
 				return handlers.handleDocument(input, onWritten && {onWritten});
 			}),
 		exchange: t.procedure
-			.input(exchangeSchema)
+			.input(encodedExchangeSchema)
 			.mutation(({input}) => handlers.handleExchange(input)),
 		crashes: t.procedure
 			.input(crashExchangeSchema)
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -13,14 +13,17 @@
 	membersPeriodMs,
 	seedsConflictMs,
 } from '../protocol/constants.js';
-import {
-	exchangeAnswerSchema,
-	type Announcement,
-	type Exchange,
-	type ExchangeAnswer,
-	type Member,
-	type MembersView,
+import type {
+	Announcement,
+	EncodedExchange,
+	Exchange,
+	ExchangeAnswer,
+	Member,
+	MembersView,
 } from '../protocol/member.js';
+import {decodeExchangeAnswer} from '../state/decode-exchange-answer.js';
+import {decodeExchange} from '../state/decode-exchange.js';
+import {createUnreadableLog} from './_lib/create-unreadable-log.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './platform-client.js';
@@ -52,7 +55,7 @@
 export type MembersTask = {
 	announce(id: string, announcement: Announcement): AnnouncementOutcome;
 	withdraw(id: string): void;
-	handleExchange(exchange: Exchange): ExchangeAnswer;
+	handleExchange(exchange: EncodedExchange): ExchangeAnswer;
 	readView(): MembersView;
 	/** Whether the node has joined: it knows the other members, or has found none. */
 	isMember(): boolean;
@@ -86,6 +89,7 @@
 	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
 	const timers = new Set<NodeJS.Timeout>();
 	const pendingSends = new Set<Promise<void>>();
+	const unreadableLog = createUnreadableLog({logger, now});
 	let state = createMembersState(self, now(), random(), {
 		seeds: options.seeds,
 		wallMs: Date.now(),
@@ -188,11 +192,23 @@
 
 	async function send(address: string, request: Exchange): Promise<void> {
 		try {
-			const answer = exchangeAnswerSchema.parse(
-				await peers.getClient(address).exchange.mutate(addDigest(request), {
+			const received: unknown = await peers
+				.getClient(address)
+				.exchange.mutate(addDigest(request), {
 					signal: AbortSignal.timeout(exchangeTimeoutMs),
-				}),
-			);
+				});
+			const decoded = decodeExchangeAnswer(received);
+			if (decoded.isErr()) {
+				const reason = decoded.error;
+				unreadableLog.record(address, [
+					{place: `answer of ${address}`, reason},
+				]);
+				dispatch({kind: 'failure', address, request});
+				return;
+			}
+
+			const {value: answer, unreadable} = decoded.value;
+			unreadableLog.record(address, unreadable);
 			if (answer.kind === 'ack' && answer.crashDigest !== undefined) {
 				quarantine?.compareDigest(address, answer.crashDigest);
 			}
@@ -267,7 +283,9 @@
 		},
 		readView,
 		isMember: () => state.role === 'member',
-		handleExchange(request) {
+		handleExchange(exchange) {
+			const {value: request, unreadable} = decodeExchange(exchange);
+			unreadableLog.record(request.from.address, unreadable);
 			const effects = dispatch({kind: 'request', request});
 			const effect = effects.find(({kind}) => kind === 'answer');
 			if (effect?.kind !== 'answer') {
