Do not refute an incarnation that no process can have

A node that was told of its own death or suspicion with an incarnation far ahead took that number plus one for itself. With the highest safe integer the number was no longer exact, and each message of the node was refused by all others, until its process ended. The same came of a message of another process with the node's name. One odd message was enough, and it outlived its writer.

The bound that records of others had now holds for claims about the own node too. A record above it is dropped by every node, so that none needs to be refuted; a conflict of names is decided as before, without its number.

--- a/src/coordination/_lib/members/identity.ts
+++ b/src/coordination/_lib/members/identity.ts
@@ -12,7 +12,7 @@
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
-import {updateSelf} from './records.js';
+import {isPlausibleIncarnation, updateSelf} from './records.js';
 import {describeSender, createRequestEffect} from './send.js';
 
 function refuteClaim(
@@ -98,16 +98,21 @@
 		return {state, effects: []};
 	}
 
+	// No node holds a record with an implausible incarnation, so that it need not be refuted.
+	const incarnation = isPlausibleIncarnation(state, rival.incarnation, now)
+		? rival.incarnation
+		: 0;
+
 	const isLater =
 		startedMs > rival.startedMs ||
 		(startedMs === rival.startedMs && self.address > rival.address);
 	if (!isLater) {
-		return rival.incarnation >= self.incarnation
-			? refuteClaim({...state, nameCheck: undefined}, rival.incarnation, now)
+		return incarnation >= self.incarnation
+			? refuteClaim({...state, nameCheck: undefined}, incarnation, now)
 			: {state: {...state, nameCheck: undefined}, effects: []};
 	}
 
-	const {address, incarnation} = rival;
+	const {address} = rival;
 	const next = {
 		...state,
 		role: 'refused' as const,
--- a/src/coordination/_lib/members/merge.ts
+++ b/src/coordination/_lib/members/merge.ts
@@ -3,7 +3,6 @@
  */
 import {
 	maxDataCentres,
-	maxIncarnationAheadMs,
 	maxMembersPerDataCentre,
 } from '../../../protocol/constants.js';
 import type {Member, MemberRecord} from '../../../protocol/member.js';
@@ -13,19 +12,13 @@
 import {mergeMember} from '../../../state/merge-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {handleSelfClaim} from './identity.js';
-import {putRecords} from './records.js';
+import {isPlausibleIncarnation, putRecords} from './records.js';
 
 function isAdmissible(
 	state: MembersState,
 	record: MemberRecord,
 	current: Member | undefined,
-	now: number,
 ): boolean {
-	const newest = now + state.wallOffsetMs + maxIncarnationAheadMs;
-	if (record.incarnation > newest) {
-		return false;
-	}
-
 	if (current) {
 		return true;
 	}
@@ -51,6 +44,10 @@
 	const changed = new Map<string, Member>();
 	let step: MembersStep = {state, effects: []};
 	for (const record of records) {
+		if (!isPlausibleIncarnation(state, record.incarnation, now)) {
+			continue;
+		}
+
 		if (record.name === state.self.name) {
 			const handled = handleSelfClaim(step.state, record, now);
 			step = {
@@ -62,7 +59,7 @@
 
 		const current =
 			changed.get(record.name) ?? findMember(state.table, record.name);
-		if (!isAdmissible(state, record, current, now)) {
+		if (!isAdmissible(state, record, current)) {
 			continue;
 		}
 
--- a/src/coordination/_lib/members/records.ts
+++ b/src/coordination/_lib/members/records.ts
@@ -2,6 +2,7 @@
  * Helpers that change records of members.
  */
 import {
+	maxIncarnationAheadMs,
 	maxTombstones,
 	membersPeriodMs,
 	retransmitMultiplier,
@@ -27,6 +28,19 @@
 	return buckets.reduce((sum, {members}) => sum + members.size, 1);
 }
 
+/**
+ * Returns whether a process may have an incarnation, which begins with the time
+ * of its start. A node that refuted a higher one would have its own records
+ * dropped by the others.
+ */
+export function isPlausibleIncarnation(
+	state: MembersState,
+	incarnation: number,
+	now: number,
+): boolean {
+	return incarnation <= now + state.wallOffsetMs + maxIncarnationAheadMs;
+}
+
 /** Queues changed records for sending. */
 export function markChanged(
 	state: MembersState,
