Bound the age of an upstream where a record is decoded

An age of the highest safe integer was taken as it was. When the record was passed on, the time since had been added, the sum was no longer exact, and each node that got the message refused all of it: the records of others beside it were lost, and the sender counted as silent. The upstream's own node need not be at fault; any writer of a record will do.

They matter only in the first seconds of an upstream.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -92,6 +92,8 @@
 /** Maximum delay of an announcement that can still be told from a new one. */
 export const upstreamTombstoneMs = 60_000;
 export const maxUpstreamsPerHost = 16;
+/** Maximum age of an upstream in a record; it matters only while an upstream is new. */
+export const maxUpstreamAgeMs = 24 * 60 * msPerMinute;
 export const membersPeriodMs = 1000;
 export const exchangeTimeoutMs = 500;
 export const indirectProbeMs = 1000;
--- a/src/state/decode-member.ts
+++ b/src/state/decode-member.ts
@@ -1,3 +1,4 @@
+import {maxUpstreamAgeMs} from '../protocol/constants.js';
 import type {Member, MemberRecord} from '../protocol/member.js';
 
 /**
@@ -14,7 +15,7 @@
 		...record,
 		upstreams: record.upstreams.map(({ageMs, ...rest}) => ({
 			...rest,
-			since: now - ageMs,
+			since: now - Math.min(ageMs, maxUpstreamAgeMs),
 		})),
 	};
 }
--- a/src/state/encode-member.ts
+++ b/src/state/encode-member.ts
@@ -1,11 +1,10 @@
-import {referenceCapacity} from '../protocol/constants.js';
+import {maxUpstreamAgeMs, referenceCapacity} from '../protocol/constants.js';
 import type {Member, MemberRecord} from '../protocol/member.js';
 
 /**
  * Encodes a member as a record to be sent; times are converted to ages.
  *
- * The reference capacity is omitted, since nodes that do not know the field refuse
- * it.
+ * The reference capacity is omitted, as it is the default.
  *
  * @param member - the member
  * @param now - local monotonic ms
@@ -20,7 +19,7 @@
 		...(capacity === referenceCapacity ? {} : {capacity}),
 		upstreams: upstreams.map(({since, ...upstream}) => ({
 			...upstream,
-			ageMs: Math.max(0, Math.round(now - since)),
+			ageMs: Math.min(maxUpstreamAgeMs, Math.max(0, Math.round(now - since))),
 		})),
 	};
 }
--- a/test/odd-members.test.ts
+++ b/test/odd-members.test.ts
@@ -172,6 +172,32 @@
 		receiver: 1,
 		records: [{address: '10.0.3.1:8081', sequence: 1000}],
 	},
+	{
+		text: 'the upstream of the first node has the highest age',
+		receiver: 1,
+		records: [
+			{
+				sequence: 1000,
+				upstreams: [
+					{id: 'u', service, slots: 6, state: 'ready', ageMs: maxCounter},
+				],
+			},
+		],
+	},
+	{
+		text: 'an unknown member has the highest age and sequence',
+		receiver: 1,
+		records: [
+			{
+				name: 'ghost',
+				...other,
+				sequence: maxCounter,
+				upstreams: [
+					{id: 'u', service, slots: 6, state: 'ready', ageMs: maxCounter},
+				],
+			},
+		],
+	},
 ];
 
 for (const {text, receiver = 0, from, records} of messages) {
