Decode crash records entry by entry

Nodes tell each other under which requests upstreams have crashed. One record that could not be read, or one crash or software version of it, cost all the others of its message, so that requests already known to be deadly were sent to further upstreams.

--- a/src/coordination/encode-crash-record.ts
+++ b/src/coordination/encode-crash-record.ts
@@ -1,3 +1,4 @@
+import {maxCrashAgeMs} from '../protocol/constants.js';
 import type {EncodedCrashRecord} from '../protocol/crash-record.js';
 import type {CrashRecord} from './quarantine-state.js';
 
@@ -19,7 +20,7 @@
 		service,
 		crashes: [...crashes].map(([id, {at, isCleared, version}]) => ({
 			id,
-			ageMs: Math.max(0, Math.round(now - at)),
+			ageMs: Math.min(maxCrashAgeMs, Math.max(0, Math.round(now - at))),
 			isCleared,
 			...(version !== undefined && {version}),
 		})),
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -201,6 +201,8 @@
 /** Maximum number of requests about which a node keeps that upstreams have crashed; 7 MB when each has eight crashes. */
 export const maxCrashRecords = 4096;
 export const maxCrashesPerRecord = 8;
+/** Maximum age of a crash in such a record; quarantines are shorter. */
+export const maxCrashAgeMs = 24 * 60 * msPerMinute;
 /** Maximum number of software versions in such a record; a service rarely runs more than two. */
 export const maxVersionsPerRecord = 4;
 /** Maximum number of such records in a message; about 14 KB when each has two crashes. */
--- a/src/protocol/crash-record.ts
+++ b/src/protocol/crash-record.ts
@@ -6,8 +6,7 @@
 import {
 	maxCrashesPerRecord,
 	maxVersionsPerRecord,
-	maxCrashRecordsPerMessage,
-	maxIncarnationAheadMs,
+	maxCrashAgeMs,
 } from './constants.js';
 import {softwareVersionSchema} from './member.js';
 
@@ -15,7 +14,10 @@
 export const encodedCrashSchema = z.object({
 	/** Identifier of the crash; the same in the records of all requests that were running. */
 	id: z.string().max(64),
-	ageMs: z.int().min(0).max(maxIncarnationAheadMs),
+	ageMs: z
+		.int()
+		.min(0)
+		.transform((ageMs) => Math.min(ageMs, maxCrashAgeMs)),
 	/** Whether the request has since been answered by an upstream. */
 	isCleared: z.boolean(),
 	/** Software version of the upstream; absent when not known. */
@@ -38,19 +40,20 @@
 	versions: z.array(encodedVersionSchema).max(maxVersionsPerRecord).optional(),
 });
 
-const recordsSchema = z
-	.array(encodedCrashRecordSchema)
-	.max(maxCrashRecordsPerMessage);
+/** Records as received; `decodeCrashRecords` decodes them. */
+const encodedRecordsSchema = z.unknown().optional();
 
 /** Sends records to another node. */
 export const crashExchangeSchema = z.object({
-	records: recordsSchema,
-	/** Whether the sender asks for the records of the receiver. */
-	wantsRecords: z.boolean(),
+	records: encodedRecordsSchema,
+	/** `true` when the sender asks for the records of the receiver. */
+	wantsRecords: z.unknown().optional(),
 });
 
 /** The answer to a `crashExchangeSchema` message. */
-export const crashExchangeAnswerSchema = z.object({records: recordsSchema});
+export const crashExchangeAnswerSchema = z.object({
+	records: encodedRecordsSchema,
+});
 
 export type EncodedCrashRecord = z.infer<typeof encodedCrashRecordSchema>;
 export type CrashExchange = z.infer<typeof crashExchangeSchema>;
--- a/src/transport/start-quarantine-task.test.ts
+++ b/src/transport/start-quarantine-task.test.ts
@@ -171,3 +171,41 @@
 	// 24 records of about 110 bytes to three nodes of the own data centre and one of each other, from each node.
 	assert.ok(bytes - before.bytes <= size * 5 * 24 * 150);
 });
+
+test('a record that cannot be read does not cost the others of an answer', async (t) => {
+	const crashes = ['a.1', 'b.1'].map((id) => ({
+		id,
+		ageMs: 1,
+		isCleared: false,
+	}));
+	const records = [
+		{
+			fingerprint: 'odd',
+			service: 'registry',
+			crashes: [{id: 'a.1', ageMs: -1}],
+		},
+		{...dead, crashes: [{id: 7}, ...crashes, {...crashes[0], ageMs: 1e300}]},
+		{...dead, service: 7},
+	];
+	const task = startQuarantineTask({
+		name: 'abdali-1',
+		dataCentre: 'abdali',
+		peers: {
+			getClient: () => ({crashes: {mutate: async () => ({records})}}),
+		},
+		logger: createSilentLogger(),
+	});
+	t.after(() => {
+		task.stop();
+	});
+	task.updateMembers({
+		self: createSampleMember(),
+		members: [createSampleMember({name: 'abdali-2', address: 'abdali-2'})],
+		candidates: new Map(),
+	});
+	const isKnown = await pollUntil(
+		async () => task.readSuspicion('dead').kind === 'quarantined',
+		timeoutMs,
+	);
+	assert.ok(isKnown);
+});
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -27,6 +27,8 @@
 	type CrashExchangeAnswer,
 } from '../protocol/crash-record.js';
 import type {Member, MembersView} from '../protocol/member.js';
+import {decodeCrashRecords} from '../state/decode-crash-records.js';
+import {createUnreadableLog} from './_lib/create-unreadable-log.js';
 import type {Logger} from './create-logger.js';
 
 /** Clients of other nodes, as far as this task uses them. */
@@ -125,6 +127,7 @@
 	/** Fingerprints of changed records that are to be passed on. */
 	const pending = new Map<string, ChangeSource>();
 	const quarantined = new Set<string>();
+	const unreadableLog = createUnreadableLog({logger, now});
 	let state: QuarantineState = new Map();
 	let digest: number | undefined = 0;
 	let others: readonly Member[] = [];
@@ -154,6 +157,13 @@
 		scheduleSpread(crashSpreadDelayMs);
 	}
 
+	/** Takes in the records of another node, as received. */
+	function receive(source: string, encoded: unknown): void {
+		const {value: records, unreadable} = decodeCrashRecords(encoded);
+		unreadableLog.record(source, unreadable);
+		dispatch({kind: 'received', records});
+	}
+
 	/** Logs when a request is quarantined, and when it no longer is. */
 	function updateQuarantined(fingerprint: string): void {
 		const record = state.get(fingerprint);
@@ -252,7 +262,7 @@
 					{signal: AbortSignal.timeout(exchangeTimeoutMs)},
 				),
 			);
-			dispatch({kind: 'received', records: answer.records});
+			receive(address, answer.records);
 		} catch (error) {
 			logger.debug('crash records not sent', {address, error: String(error)});
 		}
@@ -312,12 +322,13 @@
 			}
 		},
 		handleExchange({records, wantsRecords}) {
-			dispatch({kind: 'received', records});
+			receive('request', records);
 			const at = now();
 			return {
-				records: wantsRecords
-					? selectRecords().map((record) => encodeCrashRecord(record, at))
-					: [],
+				records:
+					wantsRecords === true
+						? selectRecords().map((record) => encodeCrashRecord(record, at))
+						: [],
 			};
 		},
 		readDigest,
