--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -98,6 +98,8 @@
 /** Maximum delay of an announcement that can still be told from a new one. */
 export const upstreamTombstoneMs = 60_000;
 export const maxUpstreamsPerHost = 16;
+/** Maximum age of an upstream in a record; it matters only while an upstream is new. */
+export const maxUpstreamAgeMs = 24 * 60 * msPerMinute;
 export const membersPeriodMs = 1000;
 export const exchangeTimeoutMs = 500;
 export const indirectProbeMs = 1000;
@@ -205,6 +207,8 @@
 /** Maximum number of requests about which a node keeps that upstreams have crashed; 7 MB when each has eight crashes. */
 export const maxCrashRecords = 4096;
 export const maxCrashesPerRecord = 8;
+/** Maximum age of a crash in such a record; quarantines are shorter. */
+export const maxCrashAgeMs = 24 * 60 * msPerMinute;
 /** Maximum number of software versions in such a record; a service rarely runs more than two. */
 export const maxVersionsPerRecord = 4;
 /** Maximum number of such records in a message; about 14 KB when each has two crashes. */
