Count the slot of a lost request that is not repeatable until it ends

What callers saw: no answer from the gate until the deadline, then 504, for requests that were never sent. Cause: the slot of a lost request that may not be repeated was released, but the runner's queue (p-queue, as many places as slots) still held its place. The next job was taken out of the gate's queue and counted as sent, and waited there without a connection, without queue time and out of reach of a refusal. So the released slot gave no room, and never was more sent than the slots; it only hid the wait, from the load report as well. Now the slot is counted until the request ends, as for a repeatable one, and the wait for it is known at admission.

--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -85,12 +85,6 @@
 	dropQueued(upstream: LocalUpstream): void;
 	/** Refuses the queued jobs of an upstream that its rate limit delays beyond their objective. */
 	dropRateLimited(upstream: LocalUpstream): void;
-	/**
-	 * Handles an attempt that its upstream does not seem to work on. Its response
-	 * is still accepted until the deadline. The sender of a repeatable attempt is
-	 * told, so that it can try another host; any other attempt releases its slot.
-	 */
-	handleLost(job: Job): void;
 	/** Ends a job whose response is no longer needed, whether it is queued or sent. */
 	endEarly(job: Job, reason: EarlyEndReason): void;
 	/** Resolves once there are no jobs. */
@@ -438,19 +432,6 @@
 		dropQueued,
 		dropRateLimited,
 		endEarly,
-		handleLost(job) {
-			if (job.isLost) {
-				return;
-			}
-
-			job.isLost = true;
-			if (job.attempt.repeatable) {
-				job.attempt.onUnanswered?.();
-			} else {
-				releaseSlot(job);
-				startJobs(job.upstream);
-			}
-		},
 		dropLate(upstream) {
 			for (const job of [...upstream.queued.values()].flat()) {
 				if (job.isLate) {
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -23,8 +23,6 @@
 	/** Queries the load of an upstream; resolves to undefined if it reports none. */
 	readonly probeLoad?:
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
-	/** Called with a request that the upstream seems to have lost, after each report that lacks it. */
-	readonly onLost: (job: Job) => void;
 	/** Returns the longest time for which what the node reads next may have waited, ms. */
 	readonly readMaxWait: () => number;
 	/** Monotonic ms. */
@@ -73,7 +71,7 @@
 export function createLostRequestDetector(
 	options: LostRequestDetectorOptions,
 ): LostRequestDetector {
-	const {logger, probeLoad, onLost, readMaxWait, now} = options;
+	const {logger, probeLoad, readMaxWait, now} = options;
 
 	function decide(job: Job): LostRequestDecision {
 		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
@@ -90,7 +88,13 @@
 		});
 	}
 
-	function reportLost(job: Job, lost: number): void {
+	/**
+	 * Marks a request as one that its upstream does not seem to work on. Its
+	 * response is accepted until the deadline, and it occupies its slot, as the
+	 * upstream may be at work. The sender of a repeatable request is told, once, so
+	 * that it can try another host.
+	 */
+	function handleLost(job: Job, lost: number): void {
 		const {upstream, attempt, fullySentAt} = job;
 		const at = now();
 		if (at - upstream.lossLoggedAt >= logIntervalMs) {
@@ -106,7 +110,11 @@
 			});
 		}
 
-		onLost(job);
+		if (!job.isLost && attempt.repeatable) {
+			attempt.onUnanswered?.();
+		}
+
+		job.isLost = true;
 	}
 
 	/** Reports requests that are missing from a load report, after responses in transit have had time to arrive. */
@@ -129,7 +137,7 @@
 			.slice(0, Math.max(0, lostCount));
 		for (const job of suspects) {
 			if (decide(job) === 'silent') {
-				reportLost(job, lostCount);
+				handleLost(job, lostCount);
 			}
 		}
 	}
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -291,7 +291,6 @@
 	const lostRequestDetector = createLostRequestDetector({
 		logger: options.logger,
 		probeLoad: options.probeLoad,
-		onLost: runner.handleLost,
 		readMaxWait,
 		now,
 	});
