Do not look for the refused request in the load report of a refusal

What callers saw: 504 for a request at which its upstream was at work, after the upstream had refused another one (503 or 429 as not run). Cause: once a report had counted the request that it came with, that was expected of each report. A refused request need not be counted, as it isn't run; then one is missing, and the only other request at the upstream counted as lost. The report of another upstream at the same address (421), and of a response to another request, was taken as well.

--- a/src/coordination/compute-upstream-work.ts
+++ b/src/coordination/compute-upstream-work.ts
@@ -27,6 +27,8 @@
 	readonly read: number;
 	/** Longest time for which the report may have waited to be read, ms; 0 when absent. */
 	readonly waitedMs?: number;
+	/** Whether it is returned with the refusal of a request, which it need not include; false when absent. */
+	readonly isRefusal?: boolean;
 };
 
 /**
@@ -48,13 +50,14 @@
  */
 export function computeUpstreamWork(
 	before: UpstreamWork | undefined,
-	{load, unanswered, read, waitedMs = 0}: WorkReport,
+	{load, unanswered, read, waitedMs = 0, isRefusal = false}: WorkReport,
 	now: number,
 ): UpstreamWork {
 	const reported = load.inFlight + load.queued;
 	const includesOwnRequest =
-		before?.includesOwnRequest === true || reported > unanswered;
-	const working = reported - (includesOwnRequest ? 1 : 0);
+		before?.includesOwnRequest === true ||
+		(!isRefusal && reported > unanswered);
+	const working = reported - (includesOwnRequest && !isRefusal ? 1 : 0);
 	const lost = Math.max(0, read - working);
 	const isComplete = unanswered <= working;
 	const {missingSince, missingReports = 0} = isComplete ? {} : (before ?? {});
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -34,6 +34,8 @@
 	readonly load: GateLoad;
 	/** When the request that it responds to could be sent, monotonic ms; undefined if not known. */
 	readonly requestedAt?: number | undefined;
+	/** Whether the response refuses the request that it responds to; false when absent. */
+	readonly isRefusal?: boolean;
 };
 
 /** Detects requests that an upstream has dropped without a response. */
@@ -144,7 +146,11 @@
 
 	function recordLoad(
 		upstream: LocalUpstream,
-		{load, requestedAt = Number.NEGATIVE_INFINITY}: LoadReport,
+		{
+			load,
+			requestedAt = Number.NEGATIVE_INFINITY,
+			isRefusal = false,
+		}: LoadReport,
 	): void {
 		const at = now();
 		const maxWaitMs = readMaxWait();
@@ -157,7 +163,7 @@
 
 		const work = computeUpstreamWork(
 			upstream.work,
-			{load, unanswered, read: received.length, waitedMs},
+			{load, unanswered, read: received.length, waitedMs, isRefusal},
 			at,
 		);
 		upstream.work = work;
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -223,12 +223,13 @@
 	/** Handles the load and the report that the head of a response carries. */
 	function handleResponseHead(job: Job, {status, headers}: ResponseHead): void {
 		const {upstream, attempt, sentAt} = job;
+		const verdict = edge.classifyResponse({status, headers}, attempt);
 		const load = edge.readLoad(headers);
-		if (load) {
-			const {firstByteAt} = job;
+		if (load && (verdict === 'answered' || verdict === 'shed')) {
 			lostRequestDetector.recordLoad(upstream, {
 				load,
-				requestedAt: firstByteAt,
+				requestedAt: job.firstByteAt,
+				isRefusal: verdict === 'shed',
 			});
 		}
 
@@ -238,7 +239,6 @@
 			return;
 		}
 
-		const verdict = edge.classifyResponse({status, headers}, attempt);
 		const {id} = upstream;
 		const {service} = attempt;
 		reportLog.record({id, service, report, status, verdict});
