--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -23,8 +23,6 @@
 	/** Queries the load of an upstream; resolves to undefined if it reports none. */
 	readonly probeLoad?:
 		((announcement: Announcement) => Promise<GateLoad | undefined>) | undefined;
-	/** Called with a request that the upstream seems to have lost, after each report that lacks it. */
-	readonly onLost: (job: Job) => void;
 	/** Returns the longest time for which what the node reads next may have waited, ms. */
 	readonly readMaxWait: () => number;
 	/** Monotonic ms. */
@@ -36,6 +34,8 @@
 	readonly load: GateLoad;
 	/** When the request that it responds to could be sent, monotonic ms; undefined if not known. */
 	readonly requestedAt?: number | undefined;
+	/** Whether the response refuses the request that it responds to; false when absent. */
+	readonly isRefusal?: boolean;
 };
 
 /** Detects requests that an upstream has dropped without a response. */
@@ -73,7 +73,7 @@
 export function createLostRequestDetector(
 	options: LostRequestDetectorOptions,
 ): LostRequestDetector {
-	const {logger, probeLoad, onLost, readMaxWait, now} = options;
+	const {logger, probeLoad, readMaxWait, now} = options;
 
 	function decide(job: Job): LostRequestDecision {
 		const {upstream, attempt, fullySentAt, sentAt, latestStartAt, serviceMs} =
@@ -90,7 +90,13 @@
 		});
 	}
 
-	function reportLost(job: Job, lost: number): void {
+	/**
+	 * Marks a request as one that its upstream does not seem to work on. Its
+	 * response is accepted until the deadline, and it occupies its slot, as the
+	 * upstream may be at work. The sender of a repeatable request is told, once, so
+	 * that it can try another host.
+	 */
+	function handleLost(job: Job, lost: number): void {
 		const {upstream, attempt, fullySentAt} = job;
 		const at = now();
 		if (at - upstream.lossLoggedAt >= logIntervalMs) {
@@ -106,7 +112,11 @@
 			});
 		}
 
-		onLost(job);
+		if (!job.isLost && attempt.repeatable) {
+			attempt.onUnanswered?.();
+		}
+
+		job.isLost = true;
 	}
 
 	/** Reports requests that are missing from a load report, after responses in transit have had time to arrive. */
@@ -129,14 +139,18 @@
 			.slice(0, Math.max(0, lostCount));
 		for (const job of suspects) {
 			if (decide(job) === 'silent') {
-				reportLost(job, lostCount);
+				handleLost(job, lostCount);
 			}
 		}
 	}
 
 	function recordLoad(
 		upstream: LocalUpstream,
-		{load, requestedAt = Number.NEGATIVE_INFINITY}: LoadReport,
+		{
+			load,
+			requestedAt = Number.NEGATIVE_INFINITY,
+			isRefusal = false,
+		}: LoadReport,
 	): void {
 		const at = now();
 		const maxWaitMs = readMaxWait();
@@ -149,7 +163,7 @@
 
 		const work = computeUpstreamWork(
 			upstream.work,
-			{load, unanswered, read: received.length, waitedMs},
+			{load, unanswered, read: received.length, waitedMs, isRefusal},
 			at,
 		);
 		upstream.work = work;
