Drain a node that is told to stop while it starts

Callers: a request that a node had read and passed on was cut when SIGTERM came right after the node had begun to accept connections, before all of its tasks had started: the process had no listener for the signal yet and was killed by it.

The listener is now added before the first server starts. The node then ends its start and drains, as it does after any other stop; a signal before its settings are read still ends it at once.

--- a/src/cli/run-node.ts
+++ b/src/cli/run-node.ts
@@ -67,6 +67,8 @@
 
 	const {node, log} = settings.value;
 	const logger = createLogger(log.level, node.name);
+	// The node serves callers before all of its tasks have started.
+	const stopRequested = waitForStop();
 	try {
 		// Imported lazily, because a node of the platform does not need all of these modules.
 		const {startNode} = await import('../transport/start-node.js');
@@ -76,7 +78,7 @@
 		);
 		const {callers, peers, administration} = runningNode;
 		terminal.print(JSON.stringify({callers, peers, administration}));
-		await waitForStop();
+		await stopRequested;
 		await runningNode.stop();
 		return exitCodes.ok;
 	} catch (error) {
--- a/src/cli/run-platform-node.ts
+++ b/src/cli/run-platform-node.ts
@@ -103,6 +103,8 @@
 	}
 
 	const logger = createLogger('info', settings.value.name, {stream: 'stdout'});
+	// The node serves callers before all of its tasks have started.
+	const stopRequested = waitForStop();
 	try {
 		const node = await startMeshNode(
 			settings.value,
@@ -117,7 +119,7 @@
 			logger,
 		);
 		const timer = watchSettings(file, initialText, node, terminal);
-		await waitForStop();
+		await stopRequested;
 		clearInterval(timer);
 		await node.stop();
 		// Connections that clients keep open must not delay the exit.
