Begin no watch on a new connection to a store that may have come back

A change was in force up to 3.0 s after its acknowledgement, at every node (2 s are allowed), without an era not before the next change: the store had come back from an older copy within the milliseconds between two watches, which ends and begins them at all nodes at once after a change. No call had failed, so nobody looked at the era, and the next watch waited from a revision that had been given out again.

A store that has come back has lost its connections. So where a watch would be the first call on a new connection, the client asks for the revision and the era instead, and for the document if the store names no era; the machine then decides as after any other call. A store that keeps no connection is asked once and watched from then on as before, without further calls.

The simulation models the connections from now on.

Not covered: a connection that another call has opened in those milliseconds.

--- a/harness/run-store-restores.ts
+++ b/harness/run-store-restores.ts
@@ -71,6 +71,8 @@
 
 type StoreCall = {
 	readonly effect: DocumentEffect & {readonly kind: 'read' | 'watch' | 'check'};
+	/** Start of the store to which the caller has a connection; undefined if it has none. */
+	readonly connection: number | undefined;
 	readonly answer: (outcome: StoredDocumentOutcome) => void;
 };
 
@@ -87,6 +89,7 @@
 		compactedTo: 0,
 	};
 	let era = 1;
+	let starts = 1;
 	let isAway = false;
 	const open = new Set<StoreCall>();
 
@@ -111,6 +114,11 @@
 		};
 	}
 
+	function createRevision(): StoredDocumentOutcome {
+		const {revision} = content;
+		return {kind: 'revision', revision, ...(namesEra && {era})};
+	}
+
 	/** Answers a watch if it has something to tell. */
 	function answerWatch(call: StoreCall, revision: number): void {
 		if (revision > content.revision || revision < content.compactedTo) {
@@ -136,6 +144,7 @@
 
 	return {
 		read: () => content,
+		readStarts: () => starts,
 		accept(call: StoreCall): void {
 			open.add(call);
 			const {effect} = call;
@@ -144,13 +153,15 @@
 			} else if (effect.kind === 'read') {
 				end(call, createRead(content.version));
 			} else if (effect.kind === 'check') {
-				const {revision} = content;
-				end(call, {kind: 'revision', revision, ...(namesEra && {era})});
-			} else {
+				end(call, createRevision());
+			} else if (call.connection === starts) {
 				scheduler.schedule(effect.waitMs, () => {
 					end(call, createRead(undefined));
 				});
 				answerWatch(call, effect.revision);
+			} else {
+				// The client of the store begins no watch on a new connection.
+				end(call, namesEra ? createRevision() : createRead(content.version));
 			}
 		},
 		/** Writes a version of the configuration. */
@@ -170,6 +181,7 @@
 		},
 		comeBack(copy: StoreContent, isCompacted: boolean): void {
 			isAway = false;
+			starts++;
 			era++;
 			content = isCompacted
 				? {...copy, changes: [], compactedTo: copy.revision}
@@ -204,6 +216,7 @@
 	const runs: Node['runs'] = [];
 	let state = createDocumentState(name);
 	let lastPollId = 0;
+	let connection: number | undefined;
 
 	const delay = (): number => 1 + scheduler.random() * (maxNetworkMs - 1);
 
@@ -239,7 +252,9 @@
 			scheduler.schedule(delay(), () => {
 				store.accept({
 					effect,
+					connection,
 					answer(outcome) {
+						connection = store.readStarts();
 						scheduler.schedule(delay(), () => {
 							take(outcome);
 						});
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -11,6 +11,7 @@
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 import type {ResponseHead} from '../../protocol/edge.js';
 import {discardBody} from './discard-body.js';
+import {hasIdleConnection} from './has-idle-connection.js';
 import {
 	startPostPollTimer,
 	type PostPollTimer,
@@ -106,13 +107,6 @@
 	);
 }
 
-/** Returns whether the agent has an idle connection to the address. */
-function hasIdleConnection({agent, address}: SendOptions): boolean {
-	const [host, port] = address.split(':');
-	const name = agent.getName({host: host!, port: Number(port)});
-	return (agent.freeSockets[name]?.length ?? 0) > 0;
-}
-
 /** The exchange of one request on one connection, up to its outcome. */
 class RequestExchange {
 	readonly outcome: Promise<SendOutcome>;
@@ -140,7 +134,7 @@
 		this.#prepareSend = options.prepareSend;
 		this.#isBehind = options.isBehind ?? (() => false);
 		const {areResponsesIdentified = false} = options;
-		if (areResponsesIdentified || !hasIdleConnection(options)) {
+		if (areResponsesIdentified || !hasIdleConnection(options.agent, options.address)) {
 			this.#start(outgoing, options);
 		} else {
 			void this.#startAfterRead(outgoing, options);
--- a/test/restored-store-delivery.test.ts
+++ b/test/restored-store-delivery.test.ts
@@ -15,6 +15,9 @@
 const seeds = [1, 2, 3, 4];
 const rounds = 5;
 
+/** Longest times for which the store is away, ms; within the shortest, no watch is cut. */
+const awayMs = [0, 5, 300];
+
 const variants: ReadonlyArray<Partial<StoreRestoreOptions>> = [
 	{},
 	{restoresTwice: true},
@@ -24,29 +27,32 @@
 	{startsNodes: true},
 ];
 
+/** Runs every variant with every seed, and lists those in which a version was late, missed or rolled back. */
+function listFailures(
+	common: Pick<StoreRestoreOptions, 'namesEra' | 'moment' | 'maxAwayMs'>,
+): readonly string[] {
+	const failures: string[] = [];
+	for (const variant of variants) {
+		for (const seed of seeds) {
+			const options = {...common, ...variant, seed, rounds};
+			const run = runStoreRestores(options);
+			if (run.slowestMs > maxApplyMs || run.missed > 0 || run.backward > 0) {
+				failures.push(`${JSON.stringify(options)}: ${JSON.stringify(run)}`);
+			}
+		}
+	}
+
+	return failures;
+}
+
 for (const namesEra of [true, false]) {
 	for (const moment of ['at rest', 'after a change'] as const) {
 		const era = namesEra ? 'names its era' : 'names no era';
 		test(`a store that ${era} and comes back ${moment} hides no version`, () => {
-			for (const variant of variants) {
-				for (const seed of seeds) {
-					const options = {
-						...variant,
-						seed,
-						rounds,
-						namesEra,
-						moment,
-						maxAwayMs: 300,
-					};
-					const {slowestMs, missed, backward} = runStoreRestores(options);
-					const isLate = slowestMs > maxApplyMs;
-					assert.deepEqual(
-						{missed, backward, isLate},
-						{missed: 0, backward: 0, isLate: false},
-						`${Math.round(slowestMs)} ms with ${JSON.stringify(options)}`,
-					);
-				}
-			}
+			const failures = awayMs.flatMap((maxAwayMs) =>
+				listFailures({namesEra, moment, maxAwayMs}),
+			);
+			assert.deepEqual(failures, []);
 		});
 	}
 }
