Take only counts from the load that an upstream states

An empty part of the header was read as 0, and infinite, fractional and hexadecimal numbers were taken. A load that is not of counts cannot be read by the nodes to which the gate passes it on, and with it they lost the notice that the upstream leaves or has a limit.

The parts are counts below a million, as between nodes. Anything else counts as no load, as other odd values did before.

--- a/src/transport/_lib/parse-upstream-load.ts
+++ b/src/transport/_lib/parse-upstream-load.ts
@@ -1,5 +1,8 @@
 import type {GateLoad} from '../../protocol/attempt.js';
 
+/** Counts below a million, as between nodes; larger values are treated as errors. */
+const countPattern = /^\d{1,6}$/v;
+
 /**
  * Parses the load that an upstream states in a header: the numbers of its
  * running requests, queued requests and slots, separated by commas.
@@ -10,13 +13,13 @@
 export function parseUpstreamLoad(
 	value: string | string[] | undefined,
 ): GateLoad | undefined {
-	const parts = typeof value === 'string' ? value.split(',').map(Number) : [];
-	const [inFlight, queued, slots] = parts;
+	const parts = typeof value === 'string' ? value.split(',') : [];
+	const [inFlight, queued, slots] = parts.map((part) =>
+		countPattern.test(part.trim()) ? Number(part) : undefined,
+	);
 	return inFlight !== undefined &&
 		queued !== undefined &&
 		slots !== undefined &&
-		inFlight >= 0 &&
-		queued >= 0 &&
 		slots > 0
 		? {inFlight, queued, slots}
 		: undefined;
