Bound the numbers in headers of other nodes where they are read

A time limit that is not a number, or does not fit a timer, set a timer that fires at once: a node cut the attempt as soon as its body took a moment to arrive. A retry-after that is not a number went on to the client, and a host that had refused an attempt was not kept as full, as the time of it was NaN. An unreadable limit in the notice of an upstream cost the whole notice, also that the upstream leaves.

What cannot be read counts as not stated. A notice still needs its identifier, its state and, if stated, its incarnation; without the latter it could be taken for one about another life of the upstream.

The test of invalid notices listed one with an unreadable limit. It moved to a test of its own, which expects the rest of the notice; the other cases stay and three were added.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -134,10 +134,14 @@
 
 export const maxAttempts = 3;
 export const defaultDeadlineMs = 2000;
+/** Maximum time limit that another node may state; timers overflow above 24 days. */
+export const maxDeadlineMs = 24 * 60 * msPerMinute;
 export const defaultSlots = 6;
 export const defaultConnections = 110;
 export const maxBodyBytes = 1024 * bytesPerKibibyte;
 export const retryAfterSeconds = 1;
+/** Maximum delay that a gate may state; a quarantine may last hours. */
+export const maxRetryAfterSeconds = 24 * 60 * 60;
 export const msPerSecond = 1000;
 export const queueSlotsRatio = 4;
 export const reservedSlotsRatio = 1 / 6;
--- a/src/transport/_lib/parse-notice.test.ts
+++ b/src/transport/_lib/parse-notice.test.ts
@@ -19,9 +19,41 @@
 });
 
 test('returns undefined for a missing or invalid notice', () => {
-	const texts = ['', 'id=', 'id=a', 'id=a&leaving=2', 'id=a&leaving=1&limit=x'];
+	const texts = [
+		'',
+		'id=',
+		'id=a',
+		'id=a&leaving=2',
+		'id=a&leaving=1&incarnation=x',
+		'id=a&leaving=1&incarnation=1e400',
+		`id=${'a'.repeat(100)}&leaving=1`,
+	];
 	assert.deepEqual(
 		[undefined, ...texts].map((text) => parseNotice(text)),
 		[undefined, ...texts].map(() => undefined),
 	);
 });
+
+test('a limit that is not readable does not cost the rest of the notice', () => {
+	for (const odd of ['x', '', 'NaN', '1e400', 'Infinity', '1e9']) {
+		assert.deepEqual(parseNotice(`id=a&leaving=1&limit=${odd}&wait=5`), {
+			id: 'a',
+			isLeaving: true,
+		});
+		assert.deepEqual(parseNotice(`id=a&leaving=1&limit=5&wait=${odd}`), {
+			id: 'a',
+			isLeaving: true,
+			rateLimit: {perSecond: 5, waitMs: 0},
+		});
+	}
+
+	const digits = '9'.repeat(400);
+	assert.deepEqual(
+		parseNotice(`id=a&leaving=0&limit=${digits}&wait=${digits}`),
+		{
+			id: 'a',
+			isLeaving: false,
+			rateLimit: {perSecond: 1_000_000, waitMs: 86_400_000},
+		},
+	);
+});
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -2,10 +2,9 @@
 import type {Readable} from 'node:stream';
 import type {Attempt} from '../../protocol/attempt.js';
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
-import {defaultDeadlineMs} from '../../protocol/constants.js';
+import {maxDeadlineMs, maxDepth} from '../../protocol/constants.js';
 import {
 	attemptHeader,
-	deadlineHeader,
 	depthHeader,
 	fingerprintHeader,
 	gateTimeHeader,
@@ -25,6 +24,8 @@
 	traceparentHeader,
 } from '../../protocol/request.js';
 import {parseNotice} from './parse-notice.js';
+import {parseNumber} from './parse-number.js';
+import {readDeadline} from './read-deadline.js';
 import {parseStamp} from './parse-stamp.js';
 
 /** The parts of an attempt that are not in its headers. */
@@ -35,9 +36,12 @@
 	readonly signal: CancelSignal;
 };
 
-function readNumber(value: string | string[] | undefined): number | undefined {
-	return value === undefined ? undefined : Number(value);
-}
+const routeObjectiveRange = {min: 0, max: maxDeadlineMs};
+/** The objective may have passed. */
+const objectiveRange = {min: -maxDeadlineMs, max: maxDeadlineMs};
+const depthRange = {min: 0, max: maxDepth + 1};
+const priorityRange = {min: 0, max: Number.MAX_SAFE_INTEGER};
+const timeRange = {min: -maxDeadlineMs, max: Number.MAX_SAFE_INTEGER};
 
 /**
  * Reads an attempt from the headers of the request that carries it to a gate.
@@ -59,17 +63,20 @@
 		repeatable: headers[repeatableHeader] === 'true',
 		sheddingMeansNotRun: headers[shedHeader] === 'not-run',
 		headers,
-		remainingMs: Number(headers[deadlineHeader] ?? defaultDeadlineMs),
-		depth: Number(headers[depthHeader] ?? 0),
+		remainingMs: readDeadline(headers),
+		depth: parseNumber(headers[depthHeader], depthRange) ?? 0,
 		route: headers[routeHeader]?.toString(),
 		origin: headers[originHeader]?.toString(),
 		fingerprint: headers[fingerprintHeader]?.toString(),
-		priority: readNumber(headers[priorityHeader]),
-		routeObjectiveMs: readNumber(headers[routeObjectiveHeader]),
-		objectiveMs: readNumber(headers[objectiveHeader]),
+		priority: parseNumber(headers[priorityHeader], priorityRange),
+		routeObjectiveMs: parseNumber(
+			headers[routeObjectiveHeader],
+			routeObjectiveRange,
+		),
+		objectiveMs: parseNumber(headers[objectiveHeader], objectiveRange),
 		stamp: parseStamp(headers[stampHeader]),
 		notice: parseNotice(headers[noticeHeader]),
-		createdAtGateMs: readNumber(headers[gateTimeHeader]),
+		createdAtGateMs: parseNumber(headers[gateTimeHeader], timeRange),
 		key: headers[keyHeader]?.toString(),
 		traceparent: headers[traceparentHeader]?.toString(),
 	};
--- a/src/transport/_lib/read-gate-outcome.ts
+++ b/src/transport/_lib/read-gate-outcome.ts
@@ -1,7 +1,10 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {Readable} from 'node:stream';
 import type {ForwardResult, GateLoad} from '../../protocol/attempt.js';
-import {retryAfterSeconds} from '../../protocol/constants.js';
+import {
+	maxRetryAfterSeconds,
+	retryAfterSeconds,
+} from '../../protocol/constants.js';
 import {
 	loadHeader,
 	noticeHeader,
@@ -13,9 +16,12 @@
 } from '../../protocol/request.js';
 import {parseLoad} from './parse-load.js';
 import {parseNotice} from './parse-notice.js';
+import {parseNumber} from './parse-number.js';
 import {parseStamp} from './parse-stamp.js';
 import type {SendOutcome} from './send-request.js';
 
+const retryAfterRange = {min: 0, max: maxRetryAfterSeconds};
+
 function parseReason(value: unknown): OutcomeReason {
 	return outcomeReasons.find((reason) => reason === value) ?? 'connection-lost';
 }
@@ -51,7 +57,9 @@
 				return {kind: 'lost', reason: 'connection-lost'};
 			}
 
-			const seconds = Number(headers['retry-after'] ?? retryAfterSeconds);
+			const seconds =
+				parseNumber(headers['retry-after'], retryAfterRange) ??
+				retryAfterSeconds;
 			const reason = parseReason(headers[reasonHeader]);
 			return {kind, reason, retryAfterSeconds: seconds, load, stamp};
 		}
--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -1,16 +1,25 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import type {ServerResponse} from 'node:http';
+import {
+	IncomingMessage,
+	request as sendHttpRequest,
+	type ServerResponse,
+} from 'node:http';
 import {createConnection} from 'node:net';
 import {Readable} from 'node:stream';
 import {text as readText} from 'node:stream/consumers';
 import test, {type TestContext} from 'node:test';
-import {setImmediate as waitForTurn} from 'node:timers/promises';
+import {
+	setImmediate as waitForTurn,
+	setTimeout as sleep,
+} from 'node:timers/promises';
+import * as z from 'zod';
 import {createGateHandlers} from '../../harness/create-gate-handlers.js';
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {pollUntil} from '../../harness/poll-until.js';
+import {deadlineHeader} from '../protocol/request.js';
 import {
 	createBodyMemoryBudget,
 	type BodyMemoryBudget,
@@ -34,6 +43,8 @@
 };
 
 const timeoutMs = 5000;
+/** Longer than the shortest timer. */
+const bodyDelayMs = 100;
 
 function endResponse(response: ServerResponse): void {
 	response.end('done');
@@ -311,3 +322,30 @@
 	const {kind} = await result;
 	assert.equal(kind, 'answered');
 });
+
+for (const deadline of ['99999999999', '1e400', 'x', '']) {
+	test(`an attempt whose time limit is written as "${deadline}" runs when its body has arrived`, async (t) => {
+		const {gate, server, bodies} = await startGate(t, {});
+		const attempt = createSampleAttempt({
+			stamp: gate.readStamp(),
+			method: 'POST',
+		});
+		const request = sendHttpRequest(`http://${server.address}/gate/valves`, {
+			method: 'POST',
+			headers: {
+				...createAttemptHeaders(attempt),
+				[deadlineHeader]: deadline,
+				'content-length': '4',
+			},
+		});
+		const answered = once(request, 'response');
+		request.write('va');
+		await sleep(bodyDelayMs);
+		request.end('lv');
+		const [response] = z
+			.tuple([z.instanceof(IncomingMessage)])
+			.parse(await answered);
+		assert.equal(await readText(response), 'done');
+		assert.deepEqual(bodies, ['valv']);
+	});
+}
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -15,7 +15,6 @@
 } from '../protocol/constants.js';
 import {
 	attemptHeader,
-	deadlineHeader,
 	loadHeader,
 	noticeHeader,
 	outcomeHeader,
@@ -36,6 +35,7 @@
 import {formatNotice} from './_lib/format-notice.js';
 import {formatStamp} from './_lib/format-stamp.js';
 import {readAttempt} from './_lib/read-attempt.js';
+import {readDeadline} from './_lib/read-deadline.js';
 import {readProcedureName} from './_lib/read-procedure-name.js';
 import {readRequestBody} from './_lib/read-request-body.js';
 import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
@@ -270,7 +270,7 @@
 		});
 		const result = await gate.fetchAnswer(
 			String(request.headers[attemptHeader]),
-			Number(request.headers[deadlineHeader]),
+			readDeadline(request.headers),
 			cancelSource.signal,
 		);
 		await sendResult(response, result);
