Decode the document of another node part by part

A node that polls another one for the configuration refused the whole answer when one route, service or problem of it could not be read, or its age.

Parts are now decoded as those of the store are: requests of a route that cannot be read are refused, an unreadable service, limits or problem is left out, and each is listed in the document's problems, which are logged once. An unreadable age counts as too old, so that the document is used and another node is polled next. A node keeps the refusals that only it has when it applies changes, which do not list them; without that, later requests of the route would end with 404. Changes to such a route do not apply, as its base lacks the route, and the document is fetched in full. A route that cannot be read within changes still makes these unusable, since they place routes by index; the full document follows.

Not mended here: a root decodes the store's document by another function. A time limit there that overflows to infinity is sent as null, which costs that route now and cost the whole document before.

--- a/src/protocol/routing-document.ts
+++ b/src/protocol/routing-document.ts
@@ -74,14 +74,18 @@
 	}),
 ]);
 
-/** A full configuration as one document. */
-export const routingDocumentSchema = z.object({
+/** Parts of a document or of changes as received; `decodeDocumentAnswer` decodes them one by one. */
+const encodedParts = {
+	services: z.unknown().optional(),
+	limits: z.unknown().optional(),
+	problems: z.unknown().optional(),
+};
+
+/** A document as received. */
+export const encodedDocumentSchema = z.object({
 	version: z.int().min(0),
-	routes: z.array(documentRouteSchema),
-	services: z.record(z.string(), documentServiceSchema),
-	limits: clientLimitsSchema.optional(),
-	/** Absent when all parts could be read. */
-	problems: z.array(documentProblemSchema).optional(),
+	routes: z.array(z.unknown()),
+	...encodedParts,
 });
 
 export type RouteTarget = z.infer<typeof routeTargetSchema>;
@@ -89,7 +93,22 @@
 export type DocumentService = z.infer<typeof documentServiceSchema>;
 export type ClientLimits = z.infer<typeof clientLimitsSchema>;
 export type DocumentProblem = z.infer<typeof documentProblemSchema>;
-export type RoutingDocument = z.infer<typeof routingDocumentSchema>;
+
+/** What a document and changes have in common. */
+type DocumentParts = {
+	readonly services: Readonly<Record<string, DocumentService>>;
+	readonly limits?: ClientLimits | undefined;
+	/** Absent when all parts could be read. */
+	readonly problems?: readonly DocumentProblem[] | undefined;
+};
+
+/** A full configuration as one document. */
+export type RoutingDocument = DocumentParts & {
+	readonly version: number;
+	readonly routes: readonly DocumentRoute[];
+	/** The problems with routes that only this node has, which are not in the changes that another one sends. */
+	readonly ownProblems?: readonly DocumentProblem[] | undefined;
+};
 
 /** A node's request for a document newer than its own. */
 export const documentPollSchema = z.object({
@@ -99,21 +118,25 @@
 	waitMs: z.int().min(0).max(60_000),
 });
 
-/** Changes from the document of one version to that of a later one. */
-export const documentChangesSchema = z.object({
+/** Changes as received. A route that cannot be read makes all routes unusable, as they are placed by their indices. */
+export const encodedChangesSchema = z.object({
 	from: z.int().min(0),
 	to: z.int().min(0),
 	/** Names of routes that are deleted, or are replaced by a route in `put`. */
 	removed: z.array(z.string()),
 	/** New and replaced routes with their indices in the later document. */
 	put: z.array(z.object({index: z.int().min(0), route: documentRouteSchema})),
-	services: z.record(z.string(), documentServiceSchema),
-	limits: clientLimitsSchema.optional(),
-	problems: z.array(documentProblemSchema).optional(),
+	...encodedParts,
 });
 
-/** Time since the answering node's copy was last confirmed, ms. */
-const ageMsSchema = z.number().min(0);
+const unreadableAgeMs = Number.MAX_SAFE_INTEGER;
+const readableAgeSchema = z.number().min(0);
+
+/** Time since the answering node's copy was last confirmed, ms; one that cannot be read counts as too old, so that another node is polled next. */
+const ageMsSchema = z.preprocess(
+	(ageMs) => readableAgeSchema.safeParse(ageMs).data ?? unreadableAgeMs,
+	readableAgeSchema,
+);
 
 /** The answer to a poll as sent; texts are compressed. */
 export const encodedDocumentAnswerSchema = z.discriminatedUnion('kind', [
@@ -131,7 +154,10 @@
 ]);
 
 export type DocumentPoll = z.infer<typeof documentPollSchema>;
-export type DocumentChanges = z.infer<typeof documentChangesSchema>;
+
+/** Changes from the document of one version to that of a later one. */
+export type DocumentChanges = DocumentParts &
+	Omit<z.infer<typeof encodedChangesSchema>, keyof DocumentParts>;
 export type EncodedDocumentAnswer = z.infer<typeof encodedDocumentAnswerSchema>;
 
 /** The answer to a poll. */
--- /dev/null
+++ b/src/state/_lib/decode-whole-document.ts
@@ -0,0 +1,61 @@
+import * as z from 'zod';
+import {decodeList} from '../../protocol/decode-list.js';
+import {decodeValue} from '../../protocol/decode-value.js';
+import {
+	documentRouteSchema,
+	encodedDocumentSchema,
+	type DocumentProblem,
+	type RoutingDocument,
+} from '../../protocol/routing-document.js';
+import {decodeDocumentParts} from './decode-document-parts.js';
+
+const nameSchema = documentRouteSchema.pick({name: true});
+const hostSchema = documentRouteSchema.pick({host: true});
+const pathPrefixSchema = z.object({
+	pathPrefix: documentRouteSchema.shape.pathPrefix.startsWith('/'),
+});
+
+/** Creates the problem of a route that cannot be read, with its host and path prefix if these can. */
+function createRouteProblem(
+	route: unknown,
+	place: string,
+	reason: string,
+): DocumentProblem {
+	const host = hostSchema.safeParse(route).data?.host;
+	const pathPrefix = pathPrefixSchema.safeParse(route).data?.pathPrefix;
+	return {
+		kind: 'route-refused',
+		name: nameSchema.safeParse(route).data?.name ?? place,
+		reason,
+		...(host !== undefined && {host}),
+		...(pathPrefix !== undefined && {pathPrefix}),
+	};
+}
+
+/**
+ * Decodes a whole document. Requests of a route that cannot be read are refused,
+ * as they are when a route of the store cannot be read.
+ *
+ * @throws if its version or its list of routes cannot be read
+ */
+export function decodeWholeDocument(value: unknown): RoutingDocument {
+	const encoded = encodedDocumentSchema.parse(value);
+	const ownProblems: DocumentProblem[] = [];
+	const routes = decodeList(encoded.routes, {
+		schema: documentRouteSchema,
+		place: 'routes',
+		maxLength: Infinity,
+		decodeEntry(route, place) {
+			const {unreadable} = decodeValue(documentRouteSchema, route, place);
+			const {reason} = unreadable[0]!;
+			ownProblems.push(createRouteProblem(route, place, reason));
+			return {value: undefined, unreadable: []};
+		},
+	});
+	return {
+		version: encoded.version,
+		routes: routes.value,
+		...decodeDocumentParts(encoded, ownProblems),
+		...(ownProblems.length > 0 && {ownProblems}),
+	};
+}
--- a/src/state/apply-document-changes.ts
+++ b/src/state/apply-document-changes.ts
@@ -8,7 +8,9 @@
 /**
  * Applies changes to their base document, either all of them or none.
  *
- * Unchanged routes are the same objects in both documents.
+ * Unchanged routes are the same objects in both documents. Routes of the base
+ * that only this node cannot read are still refused; changes to such a route do
+ * not apply, as the base lacks it.
  *
  * @param base - the document of the version to which the changes apply
  * @param changes - the changes
@@ -43,11 +45,14 @@
 		routes.push(route);
 	}
 
+	const {ownProblems = []} = base;
+	const allProblems = [...(problems ?? []), ...ownProblems];
 	return ok({
 		version: to,
 		routes,
 		services,
 		...(limits && {limits}),
-		...(problems && {problems}),
+		...(allProblems.length > 0 && {problems: allProblems}),
+		...(ownProblems.length > 0 && {ownProblems}),
 	});
 }
--- a/src/state/decode-document-answer.ts
+++ b/src/state/decode-document-answer.ts
@@ -3,11 +3,12 @@
 import {err, ok, type Result} from 'neverthrow';
 import {maxDocumentBytes} from '../protocol/constants.js';
 import {
-	documentChangesSchema,
+	encodedChangesSchema,
 	encodedDocumentAnswerSchema,
-	routingDocumentSchema,
 	type DocumentAnswer,
 } from '../protocol/routing-document.js';
+import {decodeDocumentParts} from './_lib/decode-document-parts.js';
+import {decodeWholeDocument} from './_lib/decode-whole-document.js';
 
 function decodeText(text: string): unknown {
 	const bytes = inflateSync(Buffer.from(text, 'base64'), {
@@ -17,7 +18,8 @@
 }
 
 /**
- * Decodes the answer to a poll for a document and validates its content.
+ * Decodes the answer to a poll for a document, part by part: what cannot be read
+ * is listed in the problems of the document, and the rest is used.
  *
  * @param value - the answer as received from another node
  * @returns the answer, or the reason why it is invalid
@@ -36,13 +38,22 @@
 
 			case 'changes': {
 				const {kind, ageMs, text} = answer;
-				const changes = documentChangesSchema.parse(decodeText(text));
+				const {from, to, removed, put, ...parts} = encodedChangesSchema.parse(
+					decodeText(text),
+				);
+				const changes = {
+					from,
+					to,
+					removed,
+					put,
+					...decodeDocumentParts(parts),
+				};
 				return ok({kind, ageMs, changes});
 			}
 
 			case 'whole': {
 				const {kind, ageMs, text} = answer;
-				const document = routingDocumentSchema.parse(decodeText(text));
+				const document = decodeWholeDocument(decodeText(text));
 				return ok({kind, ageMs, document});
 			}
 		}
