Read lists and events of the store entry by entry

A list or an answer to a watch was checked as a whole, so a revision above the safe integers, 1e400, of another type or missing, in any object of the kind, made all objects of it unavailable, at each read again, with a log line each time.

Each entry is now decoded on its own. An object whose name can be read but whose revision can't is not absent: its version is 0, and it can be replaced by a write with the condition 'present', which sends no revision. An entry without a name is left out and makes the list incomplete: then the document is read on its own if the list doesn't show it, as it also is when the list goes on behind the page. An event without a name may be a change of the document, which is read again. If current_rev can't be used, the highest revision of the entries is; a watch that gets no further than where it began has failed, so that its pace slows down, and a document without any revision is run and read again after the usual delays. An era above the safe integers or empty is none. Problems are logged once an hour at most, with their place, 16 of one answer.

Ruled out: deep nesting of 100,000 levels, which JSON.parse and the schemas bear.

The stand-in of the store can send an object as a given text (putText), since JSON.stringify writes neither 1e400 nor odd metadata.

--- a/fakes/json-http.ts
+++ b/fakes/json-http.ts
@@ -65,12 +65,23 @@
 	status: number,
 	body: unknown,
 	headers: OutgoingHttpHeaders = {},
+): void {
+	sendJsonText(response, status, JSON.stringify(body), headers);
+}
+
+/**
+ * Answers with the text of a JSON body, if the response can still be written.
+ */
+export function sendJsonText(
+	response: ServerResponse,
+	status: number,
+	text: string,
+	headers: OutgoingHttpHeaders = {},
 ): void {
 	if (response.destroyed || response.headersSent) {
 		return;
 	}
 
-	const text = JSON.stringify(body);
 	response.writeHead(status, {
 		'content-type': 'application/json',
 		'content-length': Buffer.byteLength(text),
--- a/fakes/platform-stand-in.ts
+++ b/fakes/platform-stand-in.ts
@@ -13,10 +13,11 @@
 	listenOn,
 	parseJson,
 	readBody,
-	sendJson,
+	sendJsonText,
 } from './json-http.js';
 import {
 	ObjectStore,
+	type ObjectPage,
 	type StoredObject,
 	type WriteOutcome,
 } from './object-store.js';
@@ -70,6 +71,8 @@
 	setFaults(faults: PlatformFaults): void;
 	/** Returns a copy of what is stored. */
 	takeCopy(): ObjectStore;
+	/** Writes an object, unconditionally, that is sent as the text which `format` returns for its revision, until it is written again. */
+	putText(key: string, format: (revision: number) => string): void;
 	/** Is away for a moment and comes back from a copy, in the next era; all connections are cut. */
 	restore(copy: ObjectStore): void;
 	readCalls(): PlatformCalls;
@@ -80,6 +83,13 @@
 	answerEmpty(): void;
 };
 
+/** Value of an object that is sent as a given text. */
+type TextValue = {readonly sentAs: (revision: number) => string};
+
+function isTextValue(value: unknown): value is TextValue {
+	return typeof value === 'object' && value !== null && 'sentAs' in value;
+}
+
 const maxBodyBytes = 1024 * 1024;
 const maxWaitMs = 30_000;
 const pageLimit = 500;
@@ -102,6 +112,9 @@
 			server.setFaults(faults);
 		},
 		takeCopy: () => server.takeCopy(),
+		putText(key, format) {
+			server.putText(key, format);
+		},
 		restore(copy) {
 			server.restore(copy);
 		},
@@ -109,17 +122,24 @@
 	};
 }
 
-function formatObject({key, version, value}: StoredObject): unknown {
-	return {
-		metadata: {
-			name: key.slice(key.indexOf('/') + 1),
-			revision: version,
-			finalizers: [],
-			deleting: false,
-		},
-		spec: value,
-		status: null,
-	};
+function formatObject({key, version, value}: StoredObject): string {
+	return isTextValue(value)
+		? value.sentAs(version)
+		: JSON.stringify({
+				metadata: {
+					name: key.slice(key.indexOf('/') + 1),
+					revision: version,
+					finalizers: [],
+					deleting: false,
+				},
+				spec: value,
+				status: null,
+			});
+}
+
+function formatPage({items, more, revision}: ObjectPage): string {
+	const texts = items.map((object) => formatObject(object));
+	return `{"items":[${texts.join(',')}],"more":${more},"current_rev":${revision}}`;
 }
 
 class PlatformServer {
@@ -170,6 +190,10 @@
 		return this.#store.copy();
 	}
 
+	putText(key: string, sentAs: TextValue['sentAs']): void {
+		this.#store.write(key, this.#store.get(key)?.version ?? 0, {sentAs});
+	}
+
 	restore(copy: ObjectStore): void {
 		this.#era++;
 		this.#store.restore(copy);
@@ -223,22 +247,19 @@
 		switch (call.kind) {
 			case 'read': {
 				const found = this.#store.get(call.key);
-				this.#send(
-					response,
-					found ? 200 : 404,
-					found ? formatObject(found) : {error: 'not-found'},
-				);
+				if (found) {
+					this.#sendText(response, 200, formatObject(found));
+				} else {
+					this.#send(response, 404, {error: 'not-found'});
+				}
+
 				break;
 			}
 
 			case 'list': {
 				const {prefix, after} = call;
 				const page = this.#store.list(prefix, after, pageLimit);
-				this.#send(response, 200, {
-					items: page.items.map((object) => formatObject(object)),
-					more: page.more,
-					current_rev: page.revision,
-				});
+				this.#sendText(response, 200, formatPage(page));
 				break;
 			}
 
@@ -335,14 +356,14 @@
 		const object = this.#store.get(key);
 		const answer = object
 			? formatObject(object)
-			: {metadata: {revision: version}};
+			: JSON.stringify({metadata: {revision: version}});
 		if (!done) {
-			this.#send(response, 409, answer);
+			this.#sendText(response, 409, answer);
 		} else if (this.#answersToLose > 0) {
 			this.#answersToLose--;
 			response.destroy();
 		} else {
-			this.#send(response, 200, answer);
+			this.#sendText(response, 200, answer);
 		}
 	}
 
@@ -354,20 +375,18 @@
 		if (changes?.length === 0 || this.#faults.silentWatches) {
 			this.#holdWatch(response, call);
 		} else if (changes) {
-			this.#send(response, 200, this.#formatEvents(changes));
+			this.#sendText(response, 200, this.#formatEvents(changes));
 		} else {
 			this.#send(response, 410, {error: 'compacted'});
 		}
 	}
 
-	#formatEvents(changes: readonly StoredObject[]): unknown {
-		return {
-			events: changes.map((change) => ({
-				object: formatObject(change),
-				deleted: change.value === null,
-			})),
-			current_rev: this.#store.revision,
-		};
+	#formatEvents(changes: readonly StoredObject[]): string {
+		const texts = changes.map(
+			(change) =>
+				`{"object":${formatObject(change)},"deleted":${change.value === null}}`,
+		);
+		return `{"events":[${texts.join(',')}],"current_rev":${this.#store.revision}}`;
 	}
 
 	#holdWatch(
@@ -377,7 +396,7 @@
 		const {prefix, revision} = call;
 		const waitMs = Math.min(call.waitMs, maxWaitMs);
 		const answer = (changes: readonly StoredObject[]): void => {
-			this.#send(response, 200, this.#formatEvents(changes));
+			this.#sendText(response, 200, this.#formatEvents(changes));
 		};
 
 		const watch: Watch = {
@@ -421,7 +440,11 @@
 	}
 
 	#send(response: ServerResponse, status: number, body: unknown): void {
-		sendJson(response, status, body, {
+		this.#sendText(response, status, JSON.stringify(body));
+	}
+
+	#sendText(response: ServerResponse, status: number, text: string): void {
+		sendJsonText(response, status, text, {
 			'store-era': String(this.#era),
 			...(this.#stopped && {connection: 'close'}),
 		});
--- a/faults/_lib/config/create-fake-platform.ts
+++ b/faults/_lib/config/create-fake-platform.ts
@@ -63,11 +63,24 @@
 	}
 
 	function findExpectedVersion(key: string, condition: WriteCondition): number {
+		const version = store.get(key)?.version ?? 0;
 		if (options.ignoresConditions) {
-			return store.get(key)?.version ?? 0;
+			return version;
 		}
 
-		return condition.kind === 'absent' ? 0 : condition.version;
+		switch (condition.kind) {
+			case 'absent': {
+				return 0;
+			}
+
+			case 'present': {
+				return version;
+			}
+
+			case 'version': {
+				return condition.version;
+			}
+		}
 	}
 
 	function write(
--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -54,7 +54,8 @@
 		case 'read': {
 			const {document, revision, transferMs = 0, arrivedAt = now} = outcome;
 			const step = acceptDocument(state, document, 'store', now);
-			const storeLoop = endCall(state.storeLoop, false, now);
+			// Without a revision there is nothing to watch, and the document is read again.
+			const storeLoop = endCall(state.storeLoop, revision === undefined, now);
 			const hasBacklog =
 				step.state.document !== state.document &&
 				transferMs + now - arrivedAt > documentBacklogThresholdMs;
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -90,8 +90,8 @@
 			readonly kind: 'read';
 			/** Undefined if nothing has changed or the store holds no document. */
 			readonly document: RoutingDocument | undefined;
-			/** Revision from which to continue watching. */
-			readonly revision: number;
+			/** Revision from which to continue watching; undefined if the store sent none that can be used. */
+			readonly revision: number | undefined;
 			/** Era of the store; undefined if it names none. */
 			readonly era?: number | undefined;
 			/** When the whole answer had arrived, monotonic ms. */
@@ -99,10 +99,10 @@
 			/** Time from the first part of the answer to its last, ms. */
 			readonly transferMs?: number | undefined;
 	  }
-	/** The newest revision of the store. */
+	/** The newest revision of the store; undefined if the store sent none that can be used. */
 	| {
 			readonly kind: 'revision';
-			readonly revision: number;
+			readonly revision: number | undefined;
 			readonly era?: number | undefined;
 	  }
 	/** The store has compacted the history since the revision. */
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -136,6 +136,28 @@
 	assert.ok(machine.find('read'));
 });
 
+test('a document without a revision to watch from is run, and read again less and less often', () => {
+	const machine = createMachine();
+	const readAt: number[] = [];
+	for (let now = 0; now < 10_000; now += 10) {
+		const effects = machine.send({kind: 'tick'}, now);
+		const read = effects.find(({kind}) => kind === 'read');
+		if (read?.kind === 'read') {
+			readAt.push(now);
+			const outcome = {
+				kind: 'read',
+				document: createDocument(readAt.length),
+				revision: undefined,
+			} as const;
+			machine.send({kind: 'stored', callId: read.callId, outcome}, now);
+		}
+	}
+
+	assert.equal(machine.read().document?.version, readAt.length);
+	assert.ok(readAt.length <= 15, `read at ${readAt.join(', ')}`);
+	assert.ok(readAt.length >= 10, `read at ${readAt.join(', ')}`);
+});
+
 test('a watch that does not answer times out and is restarted', () => {
 	const machine = createMachine();
 	machine.send({kind: 'tick'}, 0);
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -5,6 +5,7 @@
 /** An object of the platform with its version. */
 export type PlatformObject = {
 	readonly key: string;
+	/** 0 if the platform sent none that can be used; such an object can only be written unconditionally. */
 	readonly version: number;
 	readonly value: unknown;
 };
@@ -27,15 +28,19 @@
 	| {
 			readonly kind: 'items';
 			readonly items: readonly PlatformObject[];
+			/** 0 if the platform sent none that can be used. */
 			readonly revision: number;
 			readonly more: boolean;
+			/** Whether there may be further objects, whose names cannot be read; false by default. */
+			readonly hasUnreadable?: boolean;
 	  }
 	| {readonly kind: 'compacted'}
 	| {readonly kind: 'unavailable'};
 
-/** Condition of a write: the object is absent, or has a given version. */
+/** Condition of a write: the object is absent, has a given version, or exists. */
 export type WriteCondition =
 	| {readonly kind: 'absent'}
+	| {readonly kind: 'present'}
 	| {readonly kind: 'version'; readonly version: number};
 
 /** A call to the platform, as an effect of a state machine step. */
