Mend the addresses of a data centre when another writer has replaced them

The time in the far future counted as recent, so nobody wrote the object again; addresses with port 0, 65536 or 99999 and octets above 255 were tried; objects of other writers that fill the first page hid ours, which was then created in vain, each 300 ms.

The first bridge watches the objects (a call in 25 s) and writes a damaged one again with the next period, without a condition where its revision can't be used (DELETE and POST would leave a moment without the object). While writes don't mend it, or conflict, the delay between them doubles from 1 to 30 s. Lists are followed for up to 8 pages; an object that an incomplete list doesn't show is read itself before it counts as absent. A node without others tries addresses of its own object and of the rest by turns, 24 of an object, each once, and the next one at once after a failure, so that an object whose addresses lead nowhere costs every second try.

The whole list of the store is read as before; what is new costs one call in 25 s for each data centre.

--- a/faults/members.test.ts
+++ b/faults/members.test.ts
@@ -184,7 +184,7 @@
 
 for (const [name, step, faults, at] of naiveCases) {
 	test(`the membership matrix fails with ${name} and passes without`, () => {
-		const seeds = [1, 2, 3];
+		const seeds = [1, 2, 3, 4, 5, 6, 7, 8];
 		const broken = seeds.some(
 			(seed) => runMembersCase(faults, at, seed, {step}).length > 0,
 		);
--- a/harness/create-members-fleet.ts
+++ b/harness/create-members-fleet.ts
@@ -197,6 +197,15 @@
 				break;
 			}
 
+			case 'watch-seeds': {
+				platform.watch(effect, (outcome) => {
+					occur(node, () => {
+						tell(node, {kind: 'seeds-watched', outcome});
+					});
+				});
+				break;
+			}
+
 			case 'write-seeds': {
 				platform.write(node.dataCentre, effect, scheduler.now() + fleetEpochMs);
 				break;
--- a/harness/create-members-platform.ts
+++ b/harness/create-members-platform.ts
@@ -1,6 +1,7 @@
 import type {
 	MembersEffect,
 	SeedsOutcome,
+	SeedsWatchOutcome,
 } from '../src/coordination/members-state.js';
 import type {Scheduler} from './create-scheduler.js';
 
@@ -12,6 +13,7 @@
 };
 
 type WriteEffect = Extract<MembersEffect, {readonly kind: 'write-seeds'}>;
+type WatchEffect = Extract<MembersEffect, {readonly kind: 'watch-seeds'}>;
 
 const latencyMs = 5;
 const msPerSecond = 1000;
@@ -31,7 +33,15 @@
 		readonly dataCentre: string;
 		readonly atMs: number;
 	}> = [];
+	const watches = new Set<() => void>();
 	let isDown = false;
+	let revision = 1;
+
+	function endWatches(): void {
+		for (const end of watches) {
+			end();
+		}
+	}
 
 	function countCall(): void {
 		const second = Math.floor(scheduler.now() / msPerSecond);
@@ -44,9 +54,12 @@
 		/** Puts an object in place, as if written before the start. */
 		put(dataCentre: string, object: SeedsObject): void {
 			objects.set(dataCentre, object);
+			revision++;
+			endWatches();
 		},
 		setDown(value: boolean): void {
 			isDown = value;
+			endWatches();
 		},
 		read(dataCentre: string, onOutcome: (outcome: SeedsOutcome) => void): void {
 			countCall();
@@ -64,9 +77,43 @@
 					writtenMs: own?.writtenMs ?? 0,
 					version: own?.version,
 					localAddresses: own?.addresses ?? [],
+					revision,
 				});
 			});
 		},
+		watch(
+			effect: WatchEffect,
+			onOutcome: (outcome: SeedsWatchOutcome) => void,
+		): void {
+			countCall();
+			const after = effect.revision;
+			const end = (): void => {
+				if (watches.delete(end)) {
+					const current = revision;
+					const isFailed = isDown;
+					scheduler.schedule(latencyMs, () => {
+						if (isFailed) {
+							onOutcome({kind: 'failed'});
+							return;
+						}
+
+						onOutcome(
+							current > after
+								? {kind: 'changed'}
+								: {kind: 'unchanged', revision: current},
+						);
+					});
+				}
+			};
+
+			watches.add(end);
+			scheduler.schedule(latencyMs, () => {
+				if (isDown || revision > after) {
+					end();
+				}
+			});
+			scheduler.schedule(effect.waitMs, end);
+		},
 		write(dataCentre: string, effect: WriteEffect, writtenMs: number): void {
 			countCall();
 			scheduler.schedule(latencyMs, () => {
@@ -79,6 +126,8 @@
 				const version = (known?.version ?? 0) + 1;
 				objects.set(dataCentre, {addresses, memberCount, writtenMs, version});
 				writes.push({dataCentre, atMs: scheduler.now()});
+				revision++;
+				endWatches();
 			});
 		},
 	};
--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -10,7 +10,7 @@
 import {recordContactAnswer, recordContactFailure} from './bridges.js';
 import {resendRecords} from './resend.js';
 import {endNameCheck, handleNameConflict} from './identity.js';
-import {finishJoin} from './join.js';
+import {failSeedSync, finishJoin} from './join.js';
 import {mergeRecords} from './merge.js';
 import {confirmProbe, startIndirectProbes} from './probe.js';
 import {runActions} from './run-actions.js';
@@ -144,10 +144,14 @@
 	random: () => number,
 ): MembersStep {
 	const {address, request} = message;
-	const next = state.sync?.address === address ? abortSync(state) : state;
-	return runActions(recordContactFailure(next, address), [
+	const seedSync =
+		state.sync?.address === address
+			? failSeedSync(abortSync(state), address, now, random)
+			: {state, effects: []};
+	const next = runActions(recordContactFailure(seedSync.state, address), [
 		(next) => resendRecords(next, address, request, {now, random}),
 		(next) => endNameCheck(next, address, now),
 		(next) => startIndirectProbes(next, address, now, random),
 	]);
+	return {state: next.state, effects: [...seedSync.effects, ...next.effects]};
 }
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -9,10 +9,13 @@
 	maxSeeds,
 	joinRetryMs,
 	membersPeriodMs,
+	seedsMendBaseMs,
+	seedsMendCapMs,
 	seedsRefreshMs,
 	seedsRetryCapMs,
 	seedsRetryMs,
 	seedsRetryMsPerMember,
+	seedsWatchWaitMs,
 	seedsWriteIntervalMs,
 } from '../../../protocol/constants.js';
 import {listMembers} from '../../../state/list-members.js';
@@ -22,6 +25,8 @@
 	MembersState,
 	MembersStep,
 	SeedsOutcome,
+	SeedsState,
+	SeedsWatchOutcome,
 } from '../../members-state.js';
 import {listLocalPeers} from './probe.js';
 import {countLocalMembers, markChanged} from './records.js';
@@ -63,17 +68,69 @@
 	return membersPeriodMs / 2 + random * Math.min(growing, cap);
 }
 
-function pickSeed(
-	state: MembersState,
-	random: () => number,
-): string | undefined {
+function listSeedPool(state: MembersState): readonly string[] {
 	const known = listMembers(state.table)
 		.filter((member) => isLive(member))
 		.map(({address}) => address);
-	const pool = [...new Set([...state.seeds.addresses, ...known])].filter(
+	return [...new Set([...state.seeds.addresses, ...known])].filter(
 		(address) => address !== state.self.address,
 	);
-	return pickRandomItems(pool, 1, random)[0];
+}
+
+/**
+ * Picks a seed that has not failed, by turns from the local data centre's object
+ * and from the rest, so that an object whose addresses lead nowhere costs every
+ * second try at most.
+ */
+function pickSeed(
+	state: MembersState,
+	random: () => number,
+): string | undefined {
+	const {failedAddresses, localAddresses} = state.seeds;
+	const pool = listSeedPool(state);
+	const untried = pool.filter((address) => !failedAddresses.has(address));
+	const candidates = untried.length > 0 ? untried : pool;
+	const local = candidates.filter((address) =>
+		localAddresses.includes(address),
+	);
+	const rest = candidates.filter(
+		(address) => !localAddresses.includes(address),
+	);
+	const [first, second] =
+		failedAddresses.size % 2 === 0 ? [local, rest] : [rest, local];
+	return pickRandomItems(first.length > 0 ? first : second, 1, random)[0];
+}
+
+/**
+ * Handles the failure of a sync with a seed. A node that knows no other one
+ * tries the next address at once; after the last one it waits as usual.
+ */
+export function failSeedSync(
+	state: MembersState,
+	address: string,
+	now: number,
+	random: () => number,
+): MembersStep {
+	const {role, seeds} = state;
+	const isAlone =
+		role === 'joining' ||
+		(role === 'member' && listLocalPeers(state).length === 0);
+	if (!isAlone) {
+		return {state, effects: []};
+	}
+
+	const failedAddresses = new Set([...seeds.failedAddresses, address]);
+	const isLast = listSeedPool(state).every((seed) => failedAddresses.has(seed));
+	return isLast
+		? {
+				state: {...state, seeds: {...seeds, failedAddresses: new Set()}},
+				effects: [],
+			}
+		: startSeedSync(
+				{...state, seeds: {...seeds, failedAddresses, nextJoinAt: now}},
+				now,
+				random,
+			);
 }
 
 /**
@@ -145,6 +202,55 @@
 	};
 }
 
+/**
+ * Watches the seeds objects on the first bridge, so that an object that another
+ * writer has replaced is written again before a node starts and finds nobody.
+ */
+export function watchSeeds(state: MembersState): MembersStep {
+	const {seeds, self} = state;
+	const {revision, isWatching} = seeds;
+	if (isWatching || revision === undefined) {
+		return {state, effects: []};
+	}
+
+	const members = [self, ...listLocalPeers(state)];
+	return computeBridges(members)[0]?.name === self.name
+		? {
+				state: {...state, seeds: {...seeds, isWatching: true}},
+				effects: [{kind: 'watch-seeds', revision, waitMs: seedsWatchWaitMs}],
+			}
+		: {state, effects: []};
+}
+
+/**
+ * Handles the end of a watch on the seeds objects. After a change the objects are
+ * read with the next period, which bounds the reads when changes follow fast.
+ */
+export function handleSeedsWatched(
+	state: MembersState,
+	outcome: SeedsWatchOutcome,
+	now: number,
+): MembersStep {
+	const seeds = {...state.seeds, isWatching: false, revision: undefined};
+	switch (outcome.kind) {
+		case 'changed': {
+			return {
+				state: {...state, seeds: {...seeds, nextReadAt: now}},
+				effects: [],
+			};
+		}
+
+		case 'unchanged': {
+			const {revision} = outcome;
+			return {state: {...state, seeds: {...seeds, revision}}, effects: []};
+		}
+
+		case 'failed': {
+			return {state: {...state, seeds}, effects: []};
+		}
+	}
+}
+
 /**
  * Reads the seeds object, to write it again if the store has come back from a
  * copy without it; a node that starts later would find no other one.
@@ -158,42 +264,92 @@
 		: {state, effects: []};
 }
 
+/** Returns whether the local data centre's object lets a starting node join. */
+function isGoodObject(
+	outcome: SeedsRead,
+	memberCount: number,
+	live: ReadonlySet<string>,
+): boolean {
+	const {localAddresses, isDamaged = false} = outcome;
+	const valid = localAddresses.filter((address) => live.has(address));
+	const wanted = Math.min(maxSeeds, live.size);
+	return (
+		!isDamaged &&
+		valid.length >= (wanted * 2) / 3 &&
+		outcome.memberCount <= 2 * memberCount &&
+		memberCount <= 2 * outcome.memberCount
+	);
+}
+
+/**
+ * Writes the local data centre's object if it is not good. While writes do not
+ * mend it, the delay between them doubles.
+ */
 function writeSeeds(
 	state: MembersState,
 	outcome: SeedsRead,
 	now: number,
-): MembersEffect[] {
-	const wallMs = now + state.wallOffsetMs;
-	const isRecent =
-		outcome.version !== undefined &&
-		wallMs - outcome.writtenMs < seedsWriteIntervalMs;
+): MembersStep {
+	const {seeds} = state;
+	const settled = {...seeds, mustWrite: false};
 	const members = [state.self, ...listLocalPeers(state)];
+	const live = new Set(members.map(({address}) => address));
+	if (isGoodObject(outcome, members.length, live)) {
+		const good = {...settled, vainWrites: 0, nextWriteAt: -Infinity};
+		return {state: {...state, seeds: good}, effects: []};
+	}
+
 	const isFirst = computeBridges(members)[0]?.name === state.self.name;
-	const isDue = state.seeds.mustWrite === true || (isFirst && !isRecent);
-	if (!isDue || state.role !== 'member') {
-		return [];
+	if (state.role !== 'member' || !(isFirst || seeds.mustWrite === true)) {
+		return {state: {...state, seeds: settled}, effects: []};
 	}
 
-	const live = new Set(members.map(({address}) => address));
-	const valid = outcome.localAddresses.filter((address) => live.has(address));
-	const wanted = Math.min(maxSeeds, live.size);
-	const isGood =
-		valid.length >= (wanted * 2) / 3 &&
-		outcome.memberCount <= 2 * members.length &&
-		members.length <= 2 * outcome.memberCount;
-	if (isGood) {
-		return [];
+	const allowedAt = computeNextWriteAt(state, outcome, now);
+	if (now < allowedAt) {
+		const nextReadAt = Math.min(seeds.nextReadAt, allowedAt);
+		return {state: {...state, seeds: {...seeds, nextReadAt}}, effects: []};
 	}
 
+	const valid = outcome.localAddresses.filter((address) => live.has(address));
 	const rest = [...live].filter((address) => !valid.includes(address));
-	return [
-		{
-			kind: 'write-seeds',
-			addresses: [...valid, ...rest].slice(0, maxSeeds),
-			memberCount: members.length,
-			version: outcome.version,
-		},
-	];
+	const delayMs = seedsMendBaseMs * 2 ** Math.min(seeds.vainWrites, 10);
+	const written: SeedsState = {
+		...settled,
+		vainWrites: seeds.vainWrites + 1,
+		nextWriteAt: now + Math.min(delayMs, seedsMendCapMs),
+	};
+	return {
+		state: {...state, seeds: written},
+		effects: [
+			{
+				kind: 'write-seeds',
+				addresses: [...valid, ...rest].slice(0, maxSeeds),
+				memberCount: members.length,
+				version: outcome.version,
+			},
+		],
+	};
+}
+
+/**
+ * Computes when the object may be written: a while after another node has written
+ * it, unless it is damaged, which no node's write is.
+ */
+function computeNextWriteAt(
+	state: MembersState,
+	outcome: SeedsRead,
+	now: number,
+): number {
+	const {seeds, wallOffsetMs} = state;
+	const {version, isDamaged = false, writtenMs} = outcome;
+	const isOthers =
+		version !== undefined && !isDamaged && seeds.mustWrite !== true;
+	return isOthers
+		? Math.max(
+				seeds.nextWriteAt,
+				writtenMs + seedsWriteIntervalMs - wallOffsetMs,
+			)
+		: seeds.nextWriteAt;
 }
 
 function findUnknownSeed(
@@ -233,8 +389,10 @@
 			...new Set([...state.seeds.configuredAddresses, ...outcome.addresses]),
 		],
 		failures: hasNoLocalPeers ? failures : 0,
+		localAddresses: outcome.localAddresses,
 		isAvailable: true,
 		memberCount: outcome.memberCount,
+		revision: outcome.revision === 0 ? undefined : outcome.revision,
 		nextJoinAt:
 			state.role === 'joining'
 				? now + random() * windowMs
@@ -264,15 +422,10 @@
 	random: () => number,
 ): MembersStep {
 	const member = becomeMember(state);
-	const next = {
-		...member.state,
-		seeds: {...member.state.seeds, mustWrite: false},
-	};
+	const written = writeSeeds(member.state, outcome, now);
+	const next = written.state;
 	const hasNoLocalPeers = listLocalPeers(next).length === 0;
-	const effects = [
-		...member.effects,
-		...writeSeeds(member.state, outcome, now),
-	];
+	const effects = [...member.effects, ...written.effects];
 	if (hasNoLocalPeers) {
 		const seedSync = startSeedSync(next, now, random);
 		return {state: seedSync.state, effects: [...effects, ...seedSync.effects]};
--- a/src/coordination/_lib/members/period.ts
+++ b/src/coordination/_lib/members/period.ts
@@ -6,7 +6,12 @@
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {runBridge} from './bridges.js';
 import {recheckName} from './identity.js';
-import {handleJoinTimeout, refreshSeeds, startSeedSync} from './join.js';
+import {
+	handleJoinTimeout,
+	refreshSeeds,
+	startSeedSync,
+	watchSeeds,
+} from './join.js';
 import {
 	expireProbe,
 	expireSuspicions,
@@ -93,6 +98,7 @@
 				(next) => syncWithLocalPeer(next, now, random),
 				(next) => refreshSeeds(next, now, random),
 				(next) => startSeedSync(next, now, random),
+				watchSeeds,
 			]);
 		}
 	}
--- a/src/coordination/create-members-state.ts
+++ b/src/coordination/create-members-state.ts
@@ -59,11 +59,17 @@
 		seeds: {
 			configuredAddresses: seeds,
 			addresses: seeds,
+			localAddresses: [],
+			failedAddresses: new Set(),
 			failures: 0,
 			isAvailable: true,
 			memberCount: 0,
 			nextReadAt: now + random * seedsReadJitterMs,
 			nextJoinAt: now,
+			vainWrites: 0,
+			nextWriteAt: -Infinity,
+			revision: undefined,
+			isWatching: false,
 		},
 		relayedProbes: new Map(),
 		rateLimits: {
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -58,6 +58,10 @@
 	/** Addresses of the seeds in the settings. */
 	readonly configuredAddresses: readonly string[];
 	readonly addresses: readonly string[];
+	/** Addresses of the local data centre's object. */
+	readonly localAddresses: readonly string[];
+	/** Addresses at which a sync has failed since another one was left to be tried. */
+	readonly failedAddresses: ReadonlySet<string>;
 	readonly failures: number;
 	/** Whether the last read of the object was answered. */
 	readonly isAvailable: boolean;
@@ -67,6 +71,13 @@
 	readonly memberCount: number;
 	/** Whether the object is written after the next read unless it is good, whoever usually writes it. */
 	readonly mustWrite?: boolean;
+	/** Number of writes in a row after which the object was still not good. */
+	readonly vainWrites: number;
+	/** When the object may be written again, monotonic ms. */
+	readonly nextWriteAt: number;
+	/** Revision of the store from which the objects can be watched; undefined until they are read. */
+	readonly revision: number | undefined;
+	readonly isWatching: boolean;
 	/** When the object is next read, monotonic ms. */
 	readonly nextReadAt: number;
 	/** When a sync with a seed may next be started, monotonic ms. */
@@ -146,12 +157,22 @@
 			readonly addresses: readonly string[];
 			readonly memberCount: number;
 			readonly writtenMs: number;
-			/** Version of the local data centre's object, if it exists. */
+			/** Version of the local data centre's object, if it exists; 0 if it cannot be used for a condition. */
 			readonly version: number | undefined;
 			readonly localAddresses: readonly string[];
+			/** Whether a part of the local data centre's object cannot be used; false by default. */
+			readonly isDamaged?: boolean;
+			/** Revision of the store from which to watch. */
+			readonly revision?: number | undefined;
 	  }
 	| {readonly kind: 'unavailable'};
 
+/** Result of watching the seeds objects. */
+export type SeedsWatchOutcome =
+	| {readonly kind: 'changed'}
+	| {readonly kind: 'unchanged'; readonly revision: number}
+	| {readonly kind: 'failed'};
+
 /** Messages to the membership state machine. */
 export type MembersMessage =
 	| {
@@ -173,6 +194,7 @@
 			readonly request: Exchange;
 	  }
 	| {readonly kind: 'seeds'; readonly outcome: SeedsOutcome}
+	| {readonly kind: 'seeds-watched'; readonly outcome: SeedsWatchOutcome}
 	/** The store has come back from an older copy. */
 	| {readonly kind: 'store-restored'}
 	| {readonly kind: 'spread'}
@@ -192,6 +214,12 @@
 	/** Passes back a `spread` message after a delay. */
 	| {readonly kind: 'schedule-spread'; readonly delayMs: number}
 	| {readonly kind: 'read-seeds'}
+	/** Waits for a change of a seeds object, of any data centre. */
+	| {
+			readonly kind: 'watch-seeds';
+			readonly revision: number;
+			readonly waitMs: number;
+	  }
 	| {
 			readonly kind: 'write-seeds';
 			readonly addresses: readonly string[];
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -231,3 +231,151 @@
 	});
 	assert.deepEqual(writers, [true, true, true, true]);
 });
+
+/** What a node reads from the store when its own data centre's object is good. */
+const goodSeeds = {
+	kind: 'read',
+	addresses: ['10.0.0.1:8081'],
+	localAddresses: ['10.0.0.1:8081'],
+	memberCount: 1,
+	writtenMs: wallMs,
+	version: 3,
+	revision: 9,
+} as const;
+
+function hasEffect({effects}: MembersStep, kind: string): boolean {
+	return effects.some((effect) => effect.kind === kind);
+}
+
+// Regression: an object that another writer had replaced counted as recent and was not written again.
+test('a damaged object is written again at once, an object of another node later', () => {
+	const damaged = {...goodSeeds, localAddresses: [], isDamaged: true};
+	const first = step(createState(), {kind: 'seeds', outcome: damaged}, 10);
+	assert.ok(hasEffect(first, 'write-seeds'));
+	const odd = {...goodSeeds, isDamaged: true, version: 0};
+	const second = step(createState(), {kind: 'seeds', outcome: odd}, 10);
+	assert.ok(hasEffect(second, 'write-seeds'));
+	const others = {...goodSeeds, localAddresses: ['10.0.0.7:8081']};
+	const created = createState();
+	const third = step(
+		{...created, seeds: {...created.seeds, nextReadAt: 40_000}},
+		{kind: 'seeds', outcome: others},
+		10,
+	);
+	assert.ok(!hasEffect(third, 'write-seeds'));
+	assert.equal(third.state.seeds.nextReadAt, 10_000);
+	const fourth = step(third.state, {kind: 'seeds', outcome: others}, 10_001);
+	assert.ok(hasEffect(fourth, 'write-seeds'));
+});
+
+test('an object that no write mends is written less and less often', () => {
+	const outcome = {...goodSeeds, localAddresses: [], isDamaged: true};
+	let state = createState();
+	const writtenAt: number[] = [];
+	for (let now = 0; now <= 120_000; now += 500) {
+		const read = step(state, {kind: 'seeds', outcome}, now);
+		state = read.state;
+		if (hasEffect(read, 'write-seeds')) {
+			writtenAt.push(now);
+		}
+	}
+
+	assert.deepEqual(
+		writtenAt,
+		[0, 1000, 3000, 7000, 15_000, 31_000, 61_000, 91_000],
+	);
+	const good = step(state, {kind: 'seeds', outcome: goodSeeds}, 120_500);
+	const again = step(good.state, {kind: 'seeds', outcome}, 120_600);
+	assert.ok(hasEffect(again, 'write-seeds'));
+});
+
+test('the first bridge watches the objects, and reads them with the next period after a change', () => {
+	const read = step(createState(), {kind: 'seeds', outcome: goodSeeds}, 10);
+	const watching = step(read.state, {kind: 'tick'}, 1000);
+	assert.deepEqual(
+		watching.effects.filter(({kind}) => kind === 'watch-seeds'),
+		[{kind: 'watch-seeds', revision: 9, waitMs: 25_000}],
+	);
+	assert.ok(
+		!hasEffect(step(watching.state, {kind: 'tick'}, 2000), 'watch-seeds'),
+	);
+
+	const changed = step(
+		{...watching.state, seeds: {...watching.state.seeds, nextReadAt: 50_000}},
+		{kind: 'seeds-watched', outcome: {kind: 'changed'}},
+		2100,
+	);
+	assert.deepEqual(changed.effects, []);
+	assert.ok(hasEffect(step(changed.state, {kind: 'tick'}, 3000), 'read-seeds'));
+
+	const unchanged = step(
+		watching.state,
+		{kind: 'seeds-watched', outcome: {kind: 'unchanged', revision: 12}},
+		2100,
+	);
+	const next = step(unchanged.state, {kind: 'tick'}, 3000);
+	assert.ok(
+		next.effects.some(
+			(effect) => effect.kind === 'watch-seeds' && effect.revision === 12,
+		),
+	);
+
+	const failed = step(
+		watching.state,
+		{kind: 'seeds-watched', outcome: {kind: 'failed'}},
+		2100,
+	);
+	assert.ok(
+		!hasEffect(step(failed.state, {kind: 'tick'}, 3000), 'watch-seeds'),
+	);
+});
+
+// Regression: each address that led nowhere cost a node that joined up to two seconds.
+test('an object whose addresses lead nowhere costs every second try at most, without a wait', () => {
+	const own = Array.from({length: 24}, (_, index) => `10.0.1.${index}:8081`);
+	const others = ['10.0.2.1:8081', '10.0.2.2:8081'];
+	for (const [localAddresses, sound] of [
+		[own, others],
+		[others, others],
+	] as const) {
+		const joining = {...createState(), role: 'joining'} as const;
+		const addresses = [...own, ...others];
+		const outcome = {...goodSeeds, addresses, localAddresses};
+		let next = step(joining, {kind: 'seeds', outcome}, 10);
+		const tried: string[] = [];
+		for (;;) {
+			const send = next.effects.find(({kind}) => kind === 'send');
+			assert.ok(send?.kind === 'send', `no address after ${tried.join(', ')}`);
+			tried.push(send.address);
+			if (sound.includes(send.address)) {
+				break;
+			}
+
+			const {address, request} = send;
+			next = step(next.state, {kind: 'failure', address, request}, 10);
+		}
+
+		assert.ok(tried.length <= 2, tried.join(', '));
+	}
+});
+
+test('a node whose seeds have all failed waits before it tries them again', () => {
+	const addresses = ['10.0.1.1:8081', '10.0.1.2:8081', '10.0.1.3:8081'];
+	const joining = {...createState(), role: 'joining'} as const;
+	const outcome = {...goodSeeds, addresses, localAddresses: addresses};
+	let next = step(joining, {kind: 'seeds', outcome}, 10);
+	const tried: string[] = [];
+	for (;;) {
+		const send = next.effects.find(({kind}) => kind === 'send');
+		if (send?.kind !== 'send') {
+			break;
+		}
+
+		const {address, request} = send;
+		tried.push(address);
+		next = step(next.state, {kind: 'failure', address, request}, 10);
+	}
+
+	assert.deepEqual(tried.toSorted(), addresses);
+	assert.ok(next.state.seeds.nextJoinAt > 1000);
+});
--- a/src/coordination/step-members.ts
+++ b/src/coordination/step-members.ts
@@ -1,6 +1,10 @@
 import {upstreamLeaseMs} from '../protocol/constants.js';
 import {handleAnswer, handleFailure} from './_lib/members/answers.js';
-import {handleSeeds, recheckSeeds} from './_lib/members/join.js';
+import {
+	handleSeeds,
+	handleSeedsWatched,
+	recheckSeeds,
+} from './_lib/members/join.js';
 import {runPeriod} from './_lib/members/period.js';
 import {handleRequest} from './_lib/members/requests.js';
 import {runActions} from './_lib/members/run-actions.js';
@@ -95,6 +99,10 @@
 			return handleFailure(state, message, now, random);
 		}
 
+		case 'seeds-watched': {
+			return handleSeedsWatched(state, message.outcome, now);
+		}
+
 		case 'seeds': {
 			return handleSeeds(state, message.outcome, now, random);
 		}
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -134,6 +134,17 @@
 export const seedsRetryCapMs = 30_000;
 export const seedsRefreshMs = 30_000;
 export const seedsWriteIntervalMs = 10_000;
+/** First and maximum delay before the seeds object is written again when a write has not mended it. */
+export const seedsMendBaseMs = 1000;
+export const seedsMendCapMs = 30_000;
+/** Maximum wait of a watch on the seeds objects. */
+export const seedsWatchWaitMs = 25_000;
+/** Maximum number of lists in one read of the seeds objects; other writers may add objects of the same kind. */
+export const maxSeedsPages = 8;
+/** Maximum number of addresses that are taken from one read of the seeds objects. */
+export const maxListedSeeds = maxDataCentres * maxSeeds;
+/** Maximum difference between the wall clocks of two nodes; a time further in the future is unknown. */
+export const maxClockDifferenceMs = 5000;
 export const nameCheckIntervalMs = 5000;
 
 export const maxAttempts = 3;
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -1,15 +1,16 @@
-import * as z from 'zod';
 import {computeMembersView} from '../coordination/compute-members-view.js';
 import {createMembersState} from '../coordination/create-members-state.js';
 import type {
 	MembersEffect,
 	MembersMessage,
 	SeedsOutcome,
+	SeedsWatchOutcome,
 } from '../coordination/members-state.js';
 import {stepMembers} from '../coordination/step-members.js';
 import {
 	exchangeTimeoutMs,
-	maxSeeds,
+	maxListedSeeds,
+	maxSeedsPages,
 	membersPeriodMs,
 	seedsConflictMs,
 } from '../protocol/constants.js';
@@ -21,6 +22,9 @@
 	type Member,
 	type MembersView,
 } from '../protocol/member.js';
+import type {PlatformObject, WriteCondition} from '../protocol/platform.js';
+import {decodeSeeds} from '../state/decode-seeds.js';
+import {createProblemLog} from './_lib/create-problem-log.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './platform-client.js';
@@ -65,11 +69,21 @@
 
 const seedsPrefix = 'members/';
 
-const seedsSchema = z.object({
-	addresses: z.array(z.string().regex(/^[\d.]+:\d+$/v)).max(4 * maxSeeds),
-	memberCount: z.int().min(0).default(0),
-	writtenMs: z.number().default(0),
-});
+/** Objects of the seeds' kind, as far as they could be listed. */
+type SeedsList = {
+	readonly items: readonly PlatformObject[];
+	readonly revision: number;
+	/** Whether no further object of the kind can exist. */
+	readonly isComplete: boolean;
+};
+
+function createCondition(version: number | undefined): WriteCondition {
+	if (version === undefined) {
+		return {kind: 'absent'};
+	}
+
+	return version === 0 ? {kind: 'present'} : {kind: 'version', version};
+}
 
 /**
  * Starts the membership task of a node.
@@ -84,6 +98,7 @@
 	const {quarantine} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
+	const logProblems = createProblemLog(logger, now);
 	const timers = new Set<NodeJS.Timeout>();
 	const pendingSends = new Set<Promise<void>>();
 	let state = createMembersState(self, now(), random(), {
@@ -160,6 +175,11 @@
 				break;
 			}
 
+			case 'watch-seeds': {
+				void watchSeeds(effect.revision, effect.waitMs);
+				break;
+			}
+
 			case 'write-seeds': {
 				void writeSeeds(effect);
 				break;
@@ -204,28 +224,126 @@
 		}
 	}
 
+	/** Lists the seeds objects, page by page; undefined if a call fails. */
+	async function listSeeds(): Promise<SeedsList | undefined> {
+		let items: readonly PlatformObject[] = [];
+		let revision: number | undefined;
+		let isComplete = true;
+		for (let page = 0, after = ''; page < maxSeedsPages; page++) {
+			const outcome = await platform.listObjects(seedsPrefix, after);
+			if (outcome.kind !== 'items') {
+				return undefined;
+			}
+
+			items = [...items, ...outcome.items];
+			// A watch from the revision of the first page misses no change of the others.
+			revision ??= outcome.revision;
+			isComplete &&= outcome.hasUnreadable !== true;
+			const last = outcome.items.at(-1)?.key;
+			if (!outcome.more) {
+				return {items, revision, isComplete};
+			}
+
+			if (last === undefined || last === after) {
+				break;
+			}
+
+			after = last;
+		}
+
+		return {items, revision: revision ?? 0, isComplete: false};
+	}
+
+	/** Lists the seeds objects, with that of the local data centre even if it is not in the list. */
+	async function listAllSeeds(): Promise<SeedsList | undefined> {
+		const list = await listSeeds();
+		const isFound = list?.items.some(({key}) => key === seedsKey) === true;
+		if (!list || list.isComplete || isFound) {
+			return list;
+		}
+
+		const read = await platform.readObject(seedsKey);
+		switch (read.kind) {
+			case 'found': {
+				return {...list, items: [...list.items, read.object]};
+			}
+
+			case 'absent': {
+				return list;
+			}
+
+			case 'unavailable': {
+				return undefined;
+			}
+		}
+	}
+
 	async function loadSeeds(): Promise<SeedsOutcome> {
-		const outcome = await platform.listObjects(seedsPrefix);
-		if (outcome.kind !== 'items') {
+		const list = await listAllSeeds();
+		if (!list) {
 			return {kind: 'unavailable'};
 		}
 
-		const seedLists = outcome.items.flatMap(({key, version, value}) => {
-			const parsed = seedsSchema.safeParse(value);
-			return parsed.success ? [{key, version, ...parsed.data}] : [];
-		});
-		const localSeeds = seedLists.find(({key}) => key === seedsKey);
-		const stored = outcome.items.find(({key}) => key === seedsKey);
+		const wallMs = Date.now();
+		const seedLists = list.items.map(({key, version, value}) => ({
+			key,
+			version,
+			...decodeSeeds(value, wallMs),
+		}));
+		logProblems(
+			seedLists.flatMap(({key, problems}) =>
+				problems.map((reason) => ({place: key, reason})),
+			),
+		);
+		const localSeeds = seedLists
+			.filter(({key}) => key === seedsKey)
+			.toSorted((a, b) => b.version - a.version)[0];
+		const localAddresses = localSeeds?.addresses ?? [];
+		const addresses = seedLists.flatMap((seeds) => seeds.addresses);
 		return {
 			kind: 'read',
-			addresses: seedLists.flatMap(({addresses}) => addresses),
+			addresses: [...localAddresses, ...addresses].slice(0, maxListedSeeds),
 			memberCount: localSeeds?.memberCount ?? 0,
 			writtenMs: localSeeds?.writtenMs ?? 0,
-			version: stored?.version,
-			localAddresses: localSeeds?.addresses ?? [],
+			version: localSeeds?.version,
+			localAddresses,
+			isDamaged:
+				localSeeds !== undefined &&
+				(localSeeds.version === 0 || localSeeds.problems.length > 0),
+			revision: list.revision,
 		};
 	}
 
+	async function watchSeeds(revision: number, waitMs: number): Promise<void> {
+		dispatch({
+			kind: 'seeds-watched',
+			outcome: await callWatch(revision, waitMs),
+		});
+	}
+
+	async function callWatch(
+		revision: number,
+		waitMs: number,
+	): Promise<SeedsWatchOutcome> {
+		const outcome = await platform.watchObjects(seedsPrefix, revision, waitMs);
+		switch (outcome.kind) {
+			case 'items': {
+				const {items, hasUnreadable = false} = outcome;
+				return items.length > 0 || hasUnreadable
+					? {kind: 'changed'}
+					: {kind: 'unchanged', revision: outcome.revision};
+			}
+
+			case 'compacted': {
+				return {kind: 'changed'};
+			}
+
+			case 'unavailable': {
+				return {kind: 'failed'};
+			}
+		}
+	}
+
 	async function readSeeds(): Promise<void> {
 		dispatch({kind: 'seeds', outcome: await loadSeeds()});
 	}
@@ -237,7 +355,7 @@
 		const outcome = await platform.writeObject(
 			seedsKey,
 			{addresses, memberCount, writtenMs: Date.now()},
-			version === undefined ? {kind: 'absent'} : {kind: 'version', version},
+			createCondition(version),
 		);
 		if (outcome.kind === 'conflict') {
 			// Another node wrote the object first; it contains the addresses of the nodes to join.
