Refuse heartbeats that name no server or that no record can hold

Callers saw: after one heartbeat with an id of 65 characters, or a service of 130, at a node, requests at the other nodes for the server of that node were refused: the record of the node broke the schema of records, so that the others could not read it. A heartbeat with port 0, 65536 or 99999 or an octet above 255 was acknowledged with 200, and one whose start time is 9e15 would have made each later incarnation look outdated. An unreadable body was logged at every heartbeat.

What is refused gets 400 (413 for a body above the limit, which got 400) with the reason and a closed connection, as a part of its body may not have been read, and is logged once an hour.

Red before, on: eleven of 32 tests of the heartbeats and their listener, and the new case of test/odd-entries.test.ts on two real nodes (no request served in 20 s). Held already: bodies that are no JSON, bytes that are no text or no request, and 30,000 levels of nesting, which a 400 answers.

--- a/src/transport/_lib/administration/add-member-routes.ts
+++ b/src/transport/_lib/administration/add-member-routes.ts
@@ -6,15 +6,7 @@
 import type {AdministrationTaskOptions} from './administration-options.js';
 import {createHandler, type AdministrationRequest} from './create-handler.js';
 import {readJson} from './read-json.js';
-
-function readId(parameter: unknown): string | undefined {
-	try {
-		const id = decodeURIComponent(String(parameter));
-		return /^[\u0021-\u007E]{1,64}$/v.test(id) ? id : undefined;
-	} catch {
-		return undefined;
-	}
-}
+import {readUpstreamId} from './read-upstream-id.js';
 
 /**
  * Adds the routes on which upstreams of this host announce and withdraw
@@ -43,7 +35,7 @@
 		request: AdministrationRequest,
 		response: ServerResponse,
 	): Promise<void> {
-		const id = readId(request.params.id);
+		const id = readUpstreamId(request.params.id);
 		if (id === undefined) {
 			refuseId(response);
 			return;
@@ -86,7 +78,7 @@
 		request: AdministrationRequest,
 		response: ServerResponse,
 	): void {
-		const id = readId(request.params.id);
+		const id = readUpstreamId(request.params.id);
 		if (id === undefined) {
 			refuseId(response);
 			return;
--- a/src/transport/_lib/create-problem-log.test.ts
+++ b/src/transport/_lib/create-problem-log.test.ts
@@ -13,6 +13,7 @@
 				lines.push(fields);
 			},
 		},
+		'not readable',
 		() => clock.nowMs,
 	);
 	return {lines, clock, logProblems};
--- a/src/transport/_lib/create-problem-log.ts
+++ b/src/transport/_lib/create-problem-log.ts
@@ -15,12 +15,14 @@
  * not at every read.
  *
  * @param logger - logger for the problems
+ * @param message - message of their lines
  * @param now - monotonic ms
  * @returns the function
  */
 export function createProblemLog(
 	logger: Pick<Logger, 'warn'>,
-	now: () => number,
+	message: string,
+	now: () => number = () => performance.now(),
 ): (problems: readonly Problem[]) => void {
 	const known = createRecentSet({
 		retentionMs: problemRetentionMs,
@@ -39,7 +41,7 @@
 		}
 
 		for (const {place, reason} of logged) {
-			logger.warn('store entry not readable', {place, reason, omitted});
+			logger.warn(message, {place, reason, omitted});
 		}
 	};
 }
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -98,7 +98,7 @@
 	const {quarantine} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
-	const logProblems = createProblemLog(logger, now);
+	const logProblems = createProblemLog(logger, 'store entry not readable', now);
 	const timers = new Set<NodeJS.Timeout>();
 	const pendingSends = new Set<Promise<void>>();
 	let state = createMembersState(self, now(), random(), {
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -3,6 +3,7 @@
  * real nodes: each costs itself, the others hold.
  */
 import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
 import test, {type TestContext} from 'node:test';
 import {platformDocument} from '../fakes/platform-document.js';
 import {startPlatform, type Platform} from '../fakes/platform-stand-in.js';
@@ -14,9 +15,13 @@
 	type OddEntry,
 } from '../harness/_lib/odd-entries.js';
 import {
+	announceUpstream,
+	listen,
 	readMetrics,
 	readyTimeoutMs,
+	sendRequest,
 	startPlatformNode,
+	waitUntilServed,
 } from '../harness/_lib/platform-node.js';
 import {pollUntil} from '../harness/poll-until.js';
 import {createStoreClient} from '../platform/create-store-client.js';
@@ -235,3 +240,37 @@
 		}
 	}
 });
+
+// Regression: an id or a service that no record can hold made the records of its node unreadable to the others.
+test('a server is found by other nodes beside odd heartbeats at its node', async (t) => {
+	const {settings} = await start(t);
+	const [local, remote] = settings;
+	const upstream = createServer((request, response) => {
+		const id = request.headers['x-boragehitch-request-id'];
+		response.setHeader('x-boragehitch-response-signature', 'signed');
+		response.setHeader('x-boragehitch-request-id', String(id));
+		response.end();
+	});
+	const address = await listen(upstream, t);
+	const odd: ReadonlyArray<readonly [string, unknown]> = [
+		['a'.repeat(65), 'pricebook'],
+		['i-2', 'b'.repeat(130)],
+		['i-3', 'constructor'],
+		['i-4', '__proto__'],
+		['%C3%A4', 'pricebook'],
+	];
+	for (const [id, service] of odd) {
+		await sendRequest(local!.announcements, `/instances/${id}/heartbeat`, {
+			method: 'POST',
+			body: JSON.stringify({
+				address: '127.0.0.1:1',
+				info: {service, slots: 6},
+				status: {state: 'ready', sequence: 1},
+			}),
+		});
+	}
+
+	await announceUpstream(local!, address);
+	await waitUntilServed(remote!);
+	await waitForGauge(remote!, ['members', 2], readyTimeoutMs);
+});
