--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -5,6 +5,7 @@
 import {createSampleAttempt} from '../../../harness/create-sample-attempt.js';
 import type {RequestParameters} from '../../coordination/request-state.js';
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
+import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import {createCancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
 import {runRequest, type RequestEnd} from './run-request.js';
@@ -53,7 +54,9 @@
 async function runAtGate(
 	gate: GateClient,
 	attempt: Attempt,
-	parameters: Pick<RequestParameters, 'deadlineAt' | 'endsAt'>,
+	parameters: Partial<RequestParameters> &
+		Pick<RequestParameters, 'deadlineAt'>,
+	signal: CancelSignal = createCancelSource().signal,
 ): Promise<RequestEnd> {
 	return runRequest({
 		parameters: {
@@ -63,7 +66,7 @@
 			...parameters,
 		},
 		template: {...attempt, idPrefix: 'a'},
-		signal: createCancelSource().signal,
+		signal,
 		pickGate: () => gate,
 		createTraceparent: () => undefined,
 		onAttemptEnd() {
@@ -113,3 +116,56 @@
 	const end = await ended;
 	assert.equal(end.outcome, 'answered');
 });
+
+/** Starts a request whose first attempt does not seem to be worked on, and waits for the second. */
+async function startUnanswered(signal?: CancelSignal) {
+	const attempts: Attempt[] = [];
+	const responds: Array<(result: ForwardResult) => void> = [];
+	const gate: GateClient = {
+		...createLeavingGate(Readable.from([]), []),
+		async runAttempt(attempt) {
+			attempts.push(attempt);
+			return new Promise((resolve) => {
+				responds.push(resolve);
+			});
+		},
+	};
+	const parameters = {deadlineAt: 1000, maxAttempts: 2};
+	const ended = runAtGate(gate, createSampleAttempt(), parameters, signal);
+	attempts[0]!.onUnanswered?.();
+	while (attempts.length < 2) {
+		await waitForTurns(1);
+	}
+
+	return {
+		ended,
+		responds,
+		readAborted: () => attempts.map((attempt) => attempt.signal.aborted),
+	};
+}
+
+test('the first of two answers is delivered, and the other attempt cancelled at once', async () => {
+	for (const first of [0, 1]) {
+		const {ended, responds, readAborted} = await startUnanswered();
+		const body = Buffer.from('first');
+		const answer = {status: 200, headers: {}, body};
+		responds[first]!({
+			kind: 'answered',
+			...answer,
+			load: undefined,
+			stamp: undefined,
+		});
+		const end = await ended;
+		assert.equal(end.outcome === 'answered' && end.answer.body, body);
+		assert.deepEqual(readAborted(), [first === 1, first === 0]);
+	}
+});
+
+test('a client that disconnects cancels both attempts at once', async () => {
+	const source = createCancelSource();
+	const {ended, readAborted} = await startUnanswered(source.signal);
+	source.abort();
+	const end = await ended;
+	assert.equal(end.outcome, 'unknown');
+	assert.deepEqual(readAborted(), [true, true]);
+});
