Let a root that the store turns away ask nodes that are no roots

A change never came into force at any root while the store turned all roots away (503, 429, a reset, silence) and served the other nodes: a root asks the store and other roots only. The others had it, as they read the store themselves once the answers of their roots are too old.

A root now has up to four further nodes of its data centre at the end of the list of those that it polls; another root has others.

--- a/harness/run-store-restores.ts
+++ b/harness/run-store-restores.ts
@@ -18,7 +18,9 @@
 	/** While the watches wait. */
 	| 'at rest'
 	/** Within milliseconds of a change, so that watches end and begin. */
-	| 'after a change';
+	| 'after a change'
+	/** Not at all: only a version is written. */
+	| 'never';
 
 /** Options of `runStoreRestores`. */
 export type StoreRestoreOptions = {
@@ -35,6 +37,8 @@
 	readonly compacts?: boolean;
 	/** How the store treats some of the nodes; `served` when absent. */
 	readonly refusal?: 'served' | 'refused' | 'silent';
+	/** These nodes; others in each round when absent. */
+	readonly refusedNames?: readonly string[];
 	/** Whether a node starts in each round. */
 	readonly startsNodes?: boolean;
 };
@@ -425,8 +429,15 @@
 		}
 
 		// One root at most in each data centre, and any of the others.
-		const refusable = ['abdali-1', 'abdali-3', 'abdali-4', 'sweifieh-1'];
-		refusedNames = new Set(refusable.filter(() => flip()));
+		const refusable = ['abdali-1', 'abdali-3', 'abdali-4', 'sweifieh-2'];
+		refusedNames = new Set(
+			options.refusedNames ?? refusable.filter(() => flip()),
+		);
+		if (moment === 'never') {
+			write(Math.max(...writes.map(({version}) => version)) + 1);
+			return;
+		}
+
 		const copy = store.read();
 		const lost = 1 + pick(3);
 		for (let count = 0; count < lost; count++) {
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -22,6 +22,8 @@
 export const snapshotChunkLength = 256 * bytesPerKibibyte;
 
 export const rootsPerDataCentre = 2;
+/** Nodes of its data centre besides the roots that a root polls if the store turns it away; another root asks others. */
+export const maxRootFallbacks = 4;
 /** Children of a node of median capacity; 3 would need the least link time, 4 saves a hop. */
 export const treeFanOut = 4;
 /** Maximum number of children of a node: each costs an open call and processor time, however fast the link is. */
--- a/test/restored-store-delivery.test.ts
+++ b/test/restored-store-delivery.test.ts
@@ -56,3 +56,30 @@
 		});
 	}
 }
+
+/** By how much a store that turns some nodes away may delay a version, ms. */
+const maxStretchMs = 5000;
+
+const roots = ['abdali-1', 'abdali-2', 'sweifieh-2', 'sweifieh-3'];
+
+for (const refusal of ['refused', 'silent'] as const) {
+	for (const refusedNames of [roots.slice(0, 2), roots.slice(0, 3), roots]) {
+		test(`a version that the store shows only to the nodes besides ${refusedNames.join(', ')} (${refusal}) reaches all`, () => {
+			for (const seed of seeds) {
+				const {slowestMs} = runStoreRestores({
+					seed,
+					rounds,
+					moment: 'never',
+					namesEra: true,
+					maxAwayMs: 0,
+					refusal,
+					refusedNames,
+				});
+				assert.ok(
+					slowestMs <= maxApplyMs + maxStretchMs,
+					`seed ${seed}: ${slowestMs} ms`,
+				);
+			}
+		});
+	}
+}
