Bound messages between nodes by what a node's memory can decode

A call of another node could have 16 MiB, and its answer too. Nested empty lists of half that length exhaust a heap of 120 MB, with which nodes run, and the process ends. So did the compressed document of an answer, which may inflate to 4 MiB: 5,456 bytes were enough.

The text of a document ends at 2 MiB, twice what the platform stores.

Tests check the limits on both sides; the memory was only looked at in the trials.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -71,10 +71,12 @@
 export const maxLoggedProblems = 16;
 /** Maximum length of a response of the platform's store; four times the largest object that it stores, as a list may hold several objects. */
 export const maxStoreAnswerBytes = 4096 * bytesPerKibibyte;
-/** Maximum length of a response of another node; quoting may double the length of a document. */
-export const maxPeerAnswerBytes = 16 * 1024 * bytesPerKibibyte;
-/** Maximum length of the text of a document from another node; four times the maximum that the platform stores. */
-export const maxDocumentBytes = 4096 * bytesPerKibibyte;
+/** Maximum length of a call of another node, and of its answer; nested values of twice that length may exhaust the memory of a node. */
+export const maxCallBytes = 2048 * bytesPerKibibyte;
+/** Maximum length of an answer that may contain a snapshot of all teams' configurations. */
+export const maxSnapshotAnswerBytes = 16 * 1024 * bytesPerKibibyte;
+/** Maximum length of the text of a document from another node; twice the maximum that the platform stores. */
+export const maxDocumentBytes = 2048 * bytesPerKibibyte;
 export const statusIntervalMs = 1000;
 export const logEntriesPerPoll = 64;
 export const retryBaseMs = 100;
--- a/src/transport/_lib/create-peer-fetch.ts
+++ b/src/transport/_lib/create-peer-fetch.ts
@@ -1,6 +1,10 @@
 import {Buffer} from 'node:buffer';
 import type {Agent} from 'node:http';
-import {maxPeerAnswerBytes} from '../../protocol/constants.js';
+import {
+	maxCallBytes,
+	maxSnapshotAnswerBytes,
+} from '../../protocol/constants.js';
+import {readProcedureName} from './read-procedure-name.js';
 import {readWholeBody} from './read-whole-body.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
@@ -27,12 +31,18 @@
 
 const statusOk = 200;
 
-async function readText(outcome: SendOutcome): Promise<string> {
+/** Name of the procedure whose answers may contain snapshots. */
+const snapshotProcedure = 'poll';
+
+async function readText(
+	outcome: SendOutcome,
+	maxBytes: number,
+): Promise<string> {
 	if (outcome.kind !== 'answered') {
 		throw new Error(`call to a peer failed: ${outcome.kind}`);
 	}
 
-	const whole = await readWholeBody(outcome.body, maxPeerAnswerBytes);
+	const whole = await readWholeBody(outcome.body, maxBytes);
 	if (!whole) {
 		throw new Error('response of the peer is too long');
 	}
@@ -75,7 +85,12 @@
 		signal?.addEventListener('abort', sent.abort, {once: true});
 		try {
 			const outcome = await sent.outcome;
-			const text = await readText(outcome);
+			const text = await readText(
+				outcome,
+				readProcedureName(url) === snapshotProcedure
+					? maxSnapshotAnswerBytes
+					: maxCallBytes,
+			);
 			return {
 				ok: outcome.kind === 'answered' && outcome.status === statusOk,
 				json: async () => JSON.parse(text) as unknown,
--- a/src/transport/create-peer-client.test.ts
+++ b/src/transport/create-peer-client.test.ts
@@ -2,6 +2,8 @@
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
 import test from 'node:test';
+import {maxCallBytes} from '../protocol/constants.js';
+import {startServer} from './_lib/start-server.js';
 import {createPeerClients} from './create-peer-client.js';
 
 test('new connections to a slow node do not abort its calls in flight', async (t) => {
@@ -39,3 +41,18 @@
 
 	assert.deepEqual(await Promise.all(calls), [stamp, stamp, stamp]);
 });
+
+test('an answer that is longer than any sound one is not read whole', async (t) => {
+	const server = await startServer('127.0.0.1:0', (request, response) => {
+		request.resume();
+		response.setHeader('content-type', 'application/json');
+		response.end(`{"result":{"data":${'['.repeat(maxCallBytes)}`);
+	});
+	const peers = createPeerClients();
+	t.after(async () => {
+		await peers.stop();
+		await server.stop();
+	});
+	const client = peers.getClient(server.address);
+	await assert.rejects(client.stamp.mutate(), /too long/v);
+});
--- a/src/transport/odd-exchange-entries.test.ts
+++ b/src/transport/odd-exchange-entries.test.ts
@@ -6,6 +6,7 @@
 import {createSampleMember} from '../../harness/create-sample-member.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {pollUntil} from '../../harness/poll-until.js';
+import {maxCallBytes} from '../protocol/constants.js';
 import {startServer} from './_lib/start-server.js';
 import {createPeerClients} from './create-peer-client.js';
 import type {Logger} from './create-logger.js';
@@ -18,6 +19,7 @@
 const kindSchema = z.object({kind: z.string()});
 const timeoutMs = 10_000;
 const statusOk = 200;
+const statusTooLarge = 413;
 /** Highest counter that is a safe integer. */
 const maxCounter = 9_007_199_254_740_991;
 const longName = 'a'.repeat(100_000);
@@ -363,3 +365,12 @@
 		assert.equal(logged.length, 1, logged.join('\n'));
 	});
 }
+
+test('a message that is longer than any sound one is refused unread', async (t) => {
+	const node = await startNode(t, 'abdali-1');
+	for (const procedure of ['exchange', 'crashes']) {
+		const response = await node.post('['.repeat(maxCallBytes + 1), procedure);
+		await response.arrayBuffer();
+		assert.equal(response.status, statusTooLarge);
+	}
+});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -10,6 +10,7 @@
 import {
 	maxBodyBytes,
 	maxBufferedBytes,
+	maxCallBytes,
 	bodyMemoryBudgetBytes,
 	keepaliveIntervalMs,
 } from '../protocol/constants.js';
@@ -287,7 +288,7 @@
 
 	const handleCall = createCallHandler({
 		router: createPeerRouter(handlers),
-		maxBytes: maxForwardedBytes,
+		maxBytes: maxCallBytes,
 		createContext: createPeerCall,
 	});
 	const app = polka().use((request, response) => {
