Log once what cannot be read of a call as a whole

A call of another node whose sender, kind or JSON cannot be read, that is too long, or that names an unknown procedure, is refused with an error that only the sender saw, and the sender logs it below the level in use. Nothing told which node spoke another language.

--- a/src/transport/_lib/create-call-handler.ts
+++ b/src/transport/_lib/create-call-handler.ts
@@ -17,11 +17,19 @@
 	readonly router: PeerRouter;
 	/** Longest body that is accepted. */
 	readonly maxBytes: number;
+	/** Called when a call cannot be read, with the name of its procedure. */
+	readonly onUnreadable?: (procedure: string, reason: string) => void;
 	/** Creates the tRPC context, which describes the connection of the call. */
 	readonly createContext?: (response: ServerResponse) => PeerCall;
 };
 
 const statusOk = 200;
+const unreadableCodes: ReadonlySet<TRPCError['code']> = new Set([
+	'BAD_REQUEST',
+	'PARSE_ERROR',
+	'PAYLOAD_TOO_LARGE',
+	'NOT_FOUND',
+]);
 
 /** Handles one call; a response that cannot be sent is dropped with its connection. */
 export type CallHandler = (
@@ -61,7 +69,7 @@
  * @returns the handler
  */
 export function createCallHandler(options: CallHandlerOptions): CallHandler {
-	const {router, maxBytes, createContext} = options;
+	const {router, maxBytes, createContext, onUnreadable} = options;
 	return async (request, response) => {
 		const path = readProcedureName(request.url ?? '');
 		const type = request.method === 'POST' ? 'mutation' : 'query';
@@ -82,6 +90,10 @@
 			sendJson(response, statusOk, {result: {data}});
 		} catch (error_) {
 			const error = getTRPCErrorFromUnknown(error_);
+			if (unreadableCodes.has(error.code)) {
+				onUnreadable?.(path, `${error.code}: ${error.message}`);
+			}
+
 			const {_config: config} = router._def;
 			const shape = getTRPCErrorShape({
 				config,
--- a/src/transport/odd-exchange-entries.test.ts
+++ b/src/transport/odd-exchange-entries.test.ts
@@ -19,6 +19,7 @@
 const kindSchema = z.object({kind: z.string()});
 const timeoutMs = 10_000;
 const statusOk = 200;
+const statusBadRequest = 400;
 const statusTooLarge = 413;
 /** Highest counter that is a safe integer. */
 const maxCounter = 9_007_199_254_740_991;
@@ -374,3 +375,24 @@
 		assert.equal(response.status, statusTooLarge);
 	}
 });
+
+test('a message that cannot be read at all is refused and logged once', async (t) => {
+	const node = await startNode(t, 'abdali-1');
+	const bodies = [
+		'{"kind":"ping"',
+		JSON.stringify({kind: 'paused', from: sender}),
+		JSON.stringify({
+			kind: 'ping',
+			from: {...sender, name: longName},
+			records: [],
+		}),
+	];
+	for (const body of [...bodies, ...bodies, ...bodies]) {
+		const response = await node.post(body);
+		await response.arrayBuffer();
+		assert.equal(response.status, statusBadRequest);
+	}
+
+	assert.equal(node.lines.length, bodies.length, node.lines.join('\n'));
+	assert.ok(node.lines.every((line) => line.length < 1024));
+});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -31,6 +31,7 @@
 } from './_lib/create-body-memory-budget.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
+import {createUnreadableLog} from './_lib/create-unreadable-log.js';
 import {discardBody} from './_lib/discard-body.js';
 import {formatLoad} from './_lib/format-load.js';
 import {formatNotice} from './_lib/format-notice.js';
@@ -76,6 +77,10 @@
 /** Maximum body length of a forwarded attempt; the limits of routes are lower. */
 const maxForwardedBytes = 16 * maxBodyBytes;
 
+/** Lengths of what is logged of a call that cannot be read. */
+const maxProcedureLength = 32;
+const maxReasonLength = 300;
+
 const emptyBody = new Uint8Array();
 
 function createResultHeaders(result: AttemptResult): Record<string, string> {
@@ -286,10 +291,19 @@
 			: handleAttempt(request, response);
 	}
 
+	const unreadableLog = createUnreadableLog({logger, now});
 	const handleCall = createCallHandler({
 		router: createPeerRouter(handlers),
 		maxBytes: maxCallBytes,
 		createContext: createPeerCall,
+		onUnreadable(procedure, reason) {
+			unreadableLog.record('call', [
+				{
+					place: procedure.slice(0, maxProcedureLength),
+					reason: reason.replaceAll(/\s+/gv, ' ').slice(0, maxReasonLength),
+				},
+			]);
+		},
 	});
 	const app = polka().use((request, response) => {
 		const {url} = request;
