Refuse an attempt without an identifier

A gate took the missing header for the text "undefined". The first such attempt ran under it, and each later one was taken for the same attempt: it was answered with the first one's response and never ran.

The peer server answers that such an attempt was not run, before it reaches the gate, and logs that once.

Evidence: two attempts without the header, at a real peer server; before, both were answered and the upstream had run one of them.

--- a/src/transport/start-peer-server.test.ts
+++ b/src/transport/start-peer-server.test.ts
@@ -19,7 +19,11 @@
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {pollUntil} from '../../harness/poll-until.js';
-import {deadlineHeader} from '../protocol/request.js';
+import {
+	attemptHeader,
+	deadlineHeader,
+	outcomeHeader,
+} from '../protocol/request.js';
 import {
 	createBodyMemoryBudget,
 	type BodyMemoryBudget,
@@ -43,6 +47,7 @@
 };
 
 const timeoutMs = 5000;
+const responseSchema = z.tuple([z.instanceof(IncomingMessage)]);
 /** Longer than the shortest timer. */
 const bodyDelayMs = 100;
 
@@ -342,10 +347,27 @@
 		request.write('va');
 		await sleep(bodyDelayMs);
 		request.end('lv');
-		const [response] = z
-			.tuple([z.instanceof(IncomingMessage)])
-			.parse(await answered);
+		const [response] = responseSchema.parse(await answered);
 		assert.equal(await readText(response), 'done');
 		assert.deepEqual(bodies, ['valv']);
 	});
 }
+
+test('attempts without identifiers are not taken for each other', async (t) => {
+	const {gate, server, arrived} = await startGate(t, {});
+	const {[attemptHeader]: id, ...headers} = createAttemptHeaders(
+		createSampleAttempt({stamp: gate.readStamp(), repeatable: false}),
+	);
+	assert.equal(id, 'a/1');
+	for (let count = 0; count < 2; count++) {
+		const request = sendHttpRequest(`http://${server.address}/gate/valves`, {
+			headers,
+		});
+		request.end();
+		const [response] = responseSchema.parse(await once(request, 'response'));
+		await readText(response);
+		assert.equal(response.headers[outcomeHeader], 'not-run');
+	}
+
+	assert.deepEqual(arrived, []);
+});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -13,6 +13,7 @@
 	maxCallBytes,
 	bodyMemoryBudgetBytes,
 	keepaliveIntervalMs,
+	retryAfterSeconds,
 } from '../protocol/constants.js';
 import {
 	attemptHeader,
@@ -81,6 +82,15 @@
 const maxProcedureLength = 32;
 const maxReasonLength = 300;
 
+/** Result of an attempt without an identifier. */
+const unidentifiedResult: AttemptResult = {
+	kind: 'not-run',
+	reason: 'bad-request',
+	retryAfterSeconds,
+	load: undefined,
+	stamp: undefined,
+};
+
 const emptyBody = new Uint8Array();
 
 function createResultHeaders(result: AttemptResult): Record<string, string> {
@@ -155,6 +165,8 @@
 	const {now = () => performance.now()} = options;
 	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 
+	const unreadableLog = createUnreadableLog({logger, now});
+
 	function abort(
 		{headers}: IncomingMessage,
 		response: ServerResponse,
@@ -216,6 +228,16 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const arrivedAt = now();
+		if (request.headers[attemptHeader] === undefined) {
+			// Without identifiers, two attempts would count as one.
+			unreadableLog.record('attempt', [
+				{place: attemptHeader, reason: 'missing'},
+			]);
+			discardBody(request);
+			await sendResult(response, unidentifiedResult);
+			return;
+		}
+
 		const cancelSource = createCancelSource();
 		const head = readHead(request, cancelSource.signal);
 		const refusal = refuseEarly(request, head);
@@ -291,7 +313,6 @@
 			: handleAttempt(request, response);
 	}
 
-	const unreadableLog = createUnreadableLog({logger, now});
 	const handleCall = createCallHandler({
 		router: createPeerRouter(handlers),
 		maxBytes: maxCallBytes,
