Keep each requester of an indirect probe once

A node that is asked to probe a silent member keeps the address of who asked until the member answers, and then tells each. The list grew with each request, also of the same node: after 1,000 requests it held 1,000 addresses, and the first answer would have sent as many messages.

Each address is kept once, and at most 16 for a member.

--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -18,6 +18,11 @@
 } from './send.js';
 import {answerBucket, answerDigests} from './sync.js';
 
+/** Number of members whose indirect probes a node keeps. */
+const maxRelayedProbes = spreadFanOut * 8;
+/** Number of nodes that are told that such a member has answered. */
+const maxProbeRequesters = 16;
+
 /**
  * Answers a ping: sends back the record held of the sender if it is wrong, and
  * asks for a newer one if there is one.
@@ -104,11 +109,12 @@
 		case 'relay': {
 			const {name, address, from} = request;
 			const asked = state.relayedProbes.get(name) ?? [];
+			const addresses = new Set([...asked, from.address]);
 			const relayedProbes = new Map(
 				[
 					...state.relayedProbes,
-					[name, [...asked, from.address]] as const,
-				].slice(-spreadFanOut * 8),
+					[name, [...addresses].slice(-maxProbeRequesters)] as const,
+				].slice(-maxRelayedProbes),
 			);
 			return runActions({...state, relayedProbes}, [
 				acknowledge,
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -231,3 +231,25 @@
 	});
 	assert.deepEqual(writers, [true, true, true, true]);
 });
+
+test('requests for indirect probes of a silent member do not pile up', () => {
+	const createRelay = (address: string) => ({
+		kind: 'request' as const,
+		request: {
+			kind: 'relay' as const,
+			from: {...ping([]).request.from, address},
+			name: 'silent',
+			address: '10.0.0.9:8081',
+		},
+	});
+	let state = createState();
+	for (let count = 0; count < 1000; count++) {
+		const sender = `10.0.${count % 20}.3:8081`;
+		state = step(state, createRelay(sender), count).state;
+	}
+
+	const asked = state.relayedProbes.get('silent') ?? [];
+	assert.ok(asked.length <= 20, `${asked.length} addresses`);
+	assert.equal(new Set(asked).size, asked.length);
+	assert.ok(asked.includes('10.0.19.3:8081'));
+});
