Do not exchange crash records each second when that changes nothing

Two nodes of which one cannot read a part of the other's records have different digests for as long as the record is kept, up to 21 hours. Each probe found that, and both sent all their records once a second.

A pair of digests whose nodes have exchanged all their records, and which differ still, is not followed up for the next half minute at least. A digest that changes is. Exchanges that failed, or that left out records because there are more than a message holds, do not count.

Evidence: a node that is probed for a minute by one whose record has an unknown status sent 60 messages before and at most 4 now.

--- a/src/transport/start-quarantine-task.test.ts
+++ b/src/transport/start-quarantine-task.test.ts
@@ -209,3 +209,39 @@
 	);
 	assert.ok(isKnown);
 });
+
+test('nodes that cannot read all records of each other do not exchange them each second', async (t) => {
+	let at = 0;
+	let messages = 0;
+	const crashes = [{id: 'a.1', ageMs: 1, isCleared: false}];
+	const versions = [{version: 'v1', status: 'paused'}];
+	const task = startQuarantineTask({
+		name: 'abdali-1',
+		dataCentre: 'abdali',
+		peers: {
+			getClient: () => ({
+				crashes: {
+					async mutate() {
+						messages++;
+						return {records: [{...dead, crashes, versions}]};
+					},
+				},
+			}),
+		},
+		logger: createSilentLogger(),
+		now: () => at,
+	});
+	t.after(() => {
+		task.stop();
+	});
+	for (; at < 60_000; at += 1000) {
+		task.compareDigest('abdali-2', 7);
+		await sleep(1);
+	}
+
+	assert.equal(task.readSuspicion('dead').kind, 'suspect');
+	assert.ok(messages <= 4, `${messages} messages`);
+	const before = messages;
+	task.compareDigest('abdali-2', 8);
+	assert.equal(messages, before + 1, 'another digest was not followed up');
+});
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -18,6 +18,7 @@
 	maxCrashRecordsPerMessage,
 	maxCrashRecordsSpreadPerSecond,
 	membersPeriodMs,
+	msPerMinute,
 	msPerSecond,
 	spreadFanOut,
 } from '../protocol/constants.js';
@@ -28,6 +29,7 @@
 } from '../protocol/crash-record.js';
 import type {Member, MembersView} from '../protocol/member.js';
 import {decodeCrashRecords} from '../state/decode-crash-records.js';
+import {createRecentSet} from './_lib/create-recent-set.js';
 import {createUnreadableLog} from './_lib/create-unreadable-log.js';
 import type {Logger} from './create-logger.js';
 
@@ -97,6 +99,14 @@
 	readonly source: ChangeSource;
 };
 
+/** Time for which records are not exchanged again after that has changed nothing, ms. */
+const fruitlessSyncMs = msPerMinute / 2;
+const maxFruitlessSyncs = 64;
+
+function formatDigests(own: number, other: number): string {
+	return `${own} ${other}`;
+}
+
 function formatEndReason(
 	{kind}: Suspicion,
 	record: CrashRecord | undefined,
@@ -128,6 +138,12 @@
 	const pending = new Map<string, ChangeSource>();
 	const quarantined = new Set<string>();
 	const unreadableLog = createUnreadableLog({logger, now});
+	/** Pairs of digests that a sync has not made equal. */
+	const fruitlessSyncs = createRecentSet({
+		retentionMs: fruitlessSyncMs,
+		maxKeys: maxFruitlessSyncs,
+		now,
+	});
 	let state: QuarantineState = new Map();
 	let digest: number | undefined = 0;
 	let others: readonly Member[] = [];
@@ -157,11 +173,12 @@
 		scheduleSpread(crashSpreadDelayMs);
 	}
 
-	/** Takes in the records of another node, as received. */
-	function receive(source: string, encoded: unknown): void {
+	/** Takes in the records of another node, as received, and returns their number. */
+	function receive(source: string, encoded: unknown): number {
 		const {value: records, unreadable} = decodeCrashRecords(encoded);
 		unreadableLog.record(source, unreadable);
 		dispatch({kind: 'received', records});
+		return records.length;
 	}
 
 	/** Logs when a request is quarantined, and when it no longer is. */
@@ -246,9 +263,9 @@
 		address: string,
 		records: readonly CrashRecord[],
 		wantsRecords: boolean,
-	): Promise<void> {
+	): Promise<number | undefined> {
 		if (records.length === 0 && !wantsRecords) {
-			return;
+			return undefined;
 		}
 
 		const at = now();
@@ -262,9 +279,23 @@
 					{signal: AbortSignal.timeout(exchangeTimeoutMs)},
 				),
 			);
-			receive(address, answer.records);
+			return receive(address, answer.records);
 		} catch (error) {
 			logger.debug('crash records not sent', {address, error: String(error)});
+			return undefined;
+		}
+	}
+
+	/** Exchanges records with a node that has another digest. */
+	async function sync(address: string, other: number): Promise<void> {
+		const own = readDigest();
+		const isWhole = state.size <= maxCrashRecordsPerMessage;
+		const received = await send(address, selectRecords(), true);
+		const hasReceivedAll =
+			received !== undefined && received < maxCrashRecordsPerMessage;
+		if (isWhole && hasReceivedAll && readDigest() === own) {
+			// One of the nodes cannot read or keep what the other one knows.
+			fruitlessSyncs.add(formatDigests(own, other));
 		}
 	}
 
@@ -334,9 +365,11 @@
 		readDigest,
 		compareDigest(address, other) {
 			const at = now();
-			if (other !== readDigest() && at - lastSyncAt >= msPerSecond) {
+			const own = readDigest();
+			const isDue = other !== own && at - lastSyncAt >= msPerSecond;
+			if (isDue && !fruitlessSyncs.has(formatDigests(own, other))) {
 				lastSyncAt = at;
-				void send(address, selectRecords(), true);
+				void sync(address, other);
 			}
 		},
 		updateMembers({members}) {
