--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -379,3 +379,25 @@
 	assert.deepEqual(tried.toSorted(), addresses);
 	assert.ok(next.state.seeds.nextJoinAt > 1000);
 });
+
+test('requests for indirect probes of a silent member do not pile up', () => {
+	const createRelay = (address: string) => ({
+		kind: 'request' as const,
+		request: {
+			kind: 'relay' as const,
+			from: {...ping([]).request.from, address},
+			name: 'silent',
+			address: '10.0.0.9:8081',
+		},
+	});
+	let state = createState();
+	for (let count = 0; count < 1000; count++) {
+		const sender = `10.0.${count % 20}.3:8081`;
+		state = step(state, createRelay(sender), count).state;
+	}
+
+	const asked = state.relayedProbes.get('silent') ?? [];
+	assert.ok(asked.length <= 20, `${asked.length} addresses`);
+	assert.equal(new Set(asked).size, asked.length);
+	assert.ok(asked.includes('10.0.19.3:8081'));
+});
--- a/src/transport/odd-exchange-entries.test.ts
+++ b/src/transport/odd-exchange-entries.test.ts
@@ -6,6 +6,7 @@
 import {createSampleMember} from '../../harness/create-sample-member.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {pollUntil} from '../../harness/poll-until.js';
+import {maxCallBytes} from '../protocol/constants.js';
 import {startServer} from './_lib/start-server.js';
 import {createPeerClients} from './create-peer-client.js';
 import type {Logger} from './create-logger.js';
@@ -18,6 +19,8 @@
 const kindSchema = z.object({kind: z.string()});
 const timeoutMs = 10_000;
 const statusOk = 200;
+const statusBadRequest = 400;
+const statusTooLarge = 413;
 /** Highest counter that is a safe integer. */
 const maxCounter = 9_007_199_254_740_991;
 const longName = 'a'.repeat(100_000);
@@ -363,3 +366,33 @@
 		assert.equal(logged.length, 1, logged.join('\n'));
 	});
 }
+
+test('a message that is longer than any sound one is refused unread', async (t) => {
+	const node = await startNode(t, 'abdali-1');
+	for (const procedure of ['exchange', 'crashes']) {
+		const response = await node.post('['.repeat(maxCallBytes + 1), procedure);
+		await response.arrayBuffer();
+		assert.equal(response.status, statusTooLarge);
+	}
+});
+
+test('a message that cannot be read at all is refused and logged once', async (t) => {
+	const node = await startNode(t, 'abdali-1');
+	const bodies = [
+		'{"kind":"ping"',
+		JSON.stringify({kind: 'paused', from: sender}),
+		JSON.stringify({
+			kind: 'ping',
+			from: {...sender, name: longName},
+			records: [],
+		}),
+	];
+	for (const body of [...bodies, ...bodies, ...bodies]) {
+		const response = await node.post(body);
+		await response.arrayBuffer();
+		assert.equal(response.status, statusBadRequest);
+	}
+
+	assert.equal(node.lines.length, bodies.length, node.lines.join('\n'));
+	assert.ok(node.lines.every((line) => line.length < 1024));
+});
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -10,8 +10,10 @@
 import {
 	maxBodyBytes,
 	maxBufferedBytes,
+	maxCallBytes,
 	bodyMemoryBudgetBytes,
 	keepaliveIntervalMs,
+	retryAfterSeconds,
 } from '../protocol/constants.js';
 import {
 	attemptHeader,
@@ -30,6 +32,7 @@
 } from './_lib/create-body-memory-budget.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
+import {createUnreadableLog} from './_lib/create-unreadable-log.js';
 import {discardBody} from './_lib/discard-body.js';
 import {formatLoad} from './_lib/format-load.js';
 import {formatNotice} from './_lib/format-notice.js';
@@ -75,6 +78,19 @@
 /** Maximum body length of a forwarded attempt; the limits of routes are lower. */
 const maxForwardedBytes = 16 * maxBodyBytes;
 
+/** Lengths of what is logged of a call that cannot be read. */
+const maxProcedureLength = 32;
+const maxReasonLength = 300;
+
+/** Result of an attempt without an identifier. */
+const unidentifiedResult: AttemptResult = {
+	kind: 'not-run',
+	reason: 'bad-request',
+	retryAfterSeconds,
+	load: undefined,
+	stamp: undefined,
+};
+
 const emptyBody = new Uint8Array();
 
 function createResultHeaders(result: AttemptResult): Record<string, string> {
@@ -149,6 +165,8 @@
 	const {now = () => performance.now()} = options;
 	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 
+	const unreadableLog = createUnreadableLog({logger, now});
+
 	function abort(
 		{headers}: IncomingMessage,
 		response: ServerResponse,
@@ -210,6 +228,16 @@
 		response: ServerResponse,
 	): Promise<void> {
 		const arrivedAt = now();
+		if (request.headers[attemptHeader] === undefined) {
+			// Without identifiers, two attempts would count as one.
+			unreadableLog.record('attempt', [
+				{place: attemptHeader, reason: 'missing'},
+			]);
+			discardBody(request);
+			await sendResult(response, unidentifiedResult);
+			return;
+		}
+
 		const cancelSource = createCancelSource();
 		const head = readHead(request, cancelSource.signal);
 		const refusal = refuseEarly(request, head);
@@ -297,8 +325,16 @@
 
 	const handleCall = createCallHandler({
 		router: createPeerRouter(handlers),
-		maxBytes: maxForwardedBytes,
+		maxBytes: maxCallBytes,
 		createContext: createPeerCall,
+		onUnreadable(procedure, reason) {
+			unreadableLog.record('call', [
+				{
+					place: procedure.slice(0, maxProcedureLength),
+					reason: reason.replaceAll(/\s+/gv, ' ').slice(0, maxReasonLength),
+				},
+			]);
+		},
 	});
 	const app = polka().use((request, response) => {
 		const {url} = request;
