--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -10,6 +10,7 @@
 import type {Edge} from '../protocol/edge.js';
 import type {Announcement, UpstreamIdentity} from '../protocol/member.js';
 import type {MeshSettings} from '../protocol/mesh-settings.js';
+import type {DocumentService} from '../protocol/routing-document.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {combineObservers} from './_lib/combine-observers.js';
 import {createBodyMemoryBudget} from './_lib/create-body-memory-budget.js';
@@ -143,6 +144,12 @@
 		};
 	}
 
+	/** Reads a service of the document; names such as `constructor` are no services of their own. */
+	function readService(service = ''): DocumentService | undefined {
+		const services = document.readDocument()?.services ?? {};
+		return Object.hasOwn(services, service) ? services[service] : undefined;
+	}
+
 	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
 	const gate = startGateTask({
 		logger,
@@ -152,7 +159,7 @@
 		readLag: lagMeter.read,
 		readMaxWait: lagMeter.readMaxWait,
 		async probeLoad({service, address}) {
-			const serviceEntry = document.readDocument()?.services[service];
+			const serviceEntry = readService(service);
 			const identity =
 				serviceEntry &&
 				(await platform.probeUpstream(address, serviceEntry.healthPath));
@@ -257,7 +264,7 @@
 	/** Probes the upstream on the host for its identity, once the configuration contains its service. */
 	async function probeUpstream() {
 		const {service, upstreamAddress: address} = settings;
-		const serviceEntry = document.readDocument()?.services[service ?? ''];
+		const serviceEntry = readService(service);
 		if (service === undefined || address === undefined || !serviceEntry) {
 			return undefined;
 		}
