--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -3,6 +3,8 @@
  */
 
 export const bytesPerKibibyte = 1024;
+/** Maximum delay of a timer, ms; Node.js runs a timer with a longer one at once. */
+export const maxTimerMs = 2 ** 31 - 1;
 export const maxManifestBytes = 64 * bytesPerKibibyte;
 export const maxRoutesPerTeam = 256;
 export const maxServicesPerTeam = 128;
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -274,3 +274,70 @@
 	await waitUntilServed(remote!);
 	await waitForGauge(remote!, ['members', 2], readyTimeoutMs);
 });
+
+/** Parts that make a resource odd, and such that it can still be used. */
+const unusableParts = Object.fromEntries<unknown>([
+	['path_prefix', '/odd/'],
+	['timeout_s', -1],
+	['max_connections', 9e15],
+]);
+const extremeParts = Object.fromEntries<unknown>([
+	['timeout_s', 9e15],
+	['target_latency_s', 9e15],
+	['health_path', '/a b'],
+]);
+
+// Regression: requests of a route whose time was beyond the longest timer ended at once.
+test('requests are served beside odd resources of the document', async (t) => {
+	const {client, settings} = await start(t);
+	const odd = platformDocument.resources.map((resource) => ({
+		...resource,
+		metadata: {name: `odd-${resource.metadata.name}`},
+		spec: {...resource.spec, ...unusableParts},
+	}));
+	const resources = platformDocument.resources.map((resource) => ({
+		...resource,
+		spec: {...resource.spec, ...extremeParts},
+	}));
+	const read = await client.readObject('config/main');
+	assert.equal(read.kind, 'found');
+	await client.writeObject(
+		'config/main',
+		{version: '00000100', resources: [...odd, 7, null, ...resources]},
+		{
+			kind: 'version',
+			version: read.kind === 'found' ? read.object.version : 0,
+		},
+	);
+	const upstream = createServer((request, response) => {
+		const id = request.headers['x-boragehitch-request-id'];
+		request.resume();
+		request.on('end', () => {
+			response.setHeader('x-boragehitch-response-signature', 'signed');
+			response.setHeader('x-boragehitch-request-id', String(id));
+			response.end();
+		});
+	});
+	const address = await listen(upstream, t);
+	const [local, remote] = settings;
+	await waitForGauge(local!, ['configuration_version', 256], changeMs);
+	const {settings: started} = await startPlatformNode(
+		t,
+		'abdali-3',
+		local!.store,
+		{service: 'pricebook', upstreamAddress: address},
+	);
+	await waitForGauge(started, ['configuration_version', 256], readyTimeoutMs);
+	await announceUpstream(started, address);
+	await waitUntilServed(remote!);
+	for (const method of ['GET', 'POST']) {
+		for (const deadlineMs of [2000, 9e15]) {
+			const {status} = await sendRequest(remote!.callers, '/prices/lamb', {
+				method,
+				body: method === 'POST' ? 'lamb' : '',
+				deadlineMs,
+			});
+			assert.equal(status, 200, `${method} ${deadlineMs}`);
+		}
+	}
+});
