--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -10,7 +10,7 @@
 import {recordContactAnswer, recordContactFailure} from './bridges.js';
 import {resendRecords} from './resend.js';
 import {endNameCheck, handleNameConflict} from './identity.js';
-import {failSeedSync, finishJoin} from './join.js';
+import {handleSeedSyncFailure, finishJoin} from './join.js';
 import {mergeRecords} from './merge.js';
 import {confirmProbe, startIndirectProbes} from './probe.js';
 import {runActions} from './run-actions.js';
@@ -146,7 +146,7 @@
 	const {address, request} = message;
 	const seedSync =
 		state.sync?.address === address
-			? failSeedSync(abortSync(state), address, now, random)
+			? handleSeedSyncFailure(abortSync(state), address, now, random)
 			: {state, effects: []};
 	const next = runActions(recordContactFailure(seedSync.state, address), [
 		(next) => resendRecords(next, address, request, {now, random}),
--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -105,7 +105,7 @@
  * Handles the failure of a sync with a seed. A node that knows no other one
  * tries the next address at once; after the last one it waits as usual.
  */
-export function failSeedSync(
+export function handleSeedSyncFailure(
 	state: MembersState,
 	address: string,
 	now: number,
@@ -206,7 +206,7 @@
  * Watches the seeds objects on the first bridge, so that an object that another
  * writer has replaced is written again before a node starts and finds nobody.
  */
-export function watchSeeds(state: MembersState): MembersStep {
+export function startSeedsWatch(state: MembersState): MembersStep {
 	const {seeds, self} = state;
 	const {revision, isWatching} = seeds;
 	if (isWatching || revision === undefined) {
--- a/src/coordination/_lib/members/period.ts
+++ b/src/coordination/_lib/members/period.ts
@@ -10,7 +10,7 @@
 	handleJoinTimeout,
 	refreshSeeds,
 	startSeedSync,
-	watchSeeds,
+	startSeedsWatch,
 } from './join.js';
 import {
 	expireProbe,
@@ -98,7 +98,7 @@
 				(next) => syncWithLocalPeer(next, now, random),
 				(next) => refreshSeeds(next, now, random),
 				(next) => startSeedSync(next, now, random),
-				watchSeeds,
+				startSeedsWatch,
 			]);
 		}
 	}
