Have requests that wait for another attempt's response wait as long as its sender

Callers: a request that joined another one by its idempotency key, or whose response was fetched on a new connection, got a 504 of the gate by the deadline that the upstream is told, while the upstream was at work and the client had time left.

These waits now last as long as the attempt's own, and end as soon as the sender closes its connection. The new test, in which the response comes 200 ms after that deadline, fails on (`unknown` for the one that joined and the one that fetched).

--- a/src/transport/gate-deadline.test.ts
+++ b/src/transport/gate-deadline.test.ts
@@ -7,6 +7,7 @@
 import test, {type TestContext} from 'node:test';
 import {createSampleAttempt} from '../../harness/create-sample-attempt.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
+import type {Attempt} from '../protocol/attempt.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {waitForTurns} from './_lib/wait-for-turns.js';
 import {startGateTask} from './start-gate-task.js';
@@ -20,7 +21,7 @@
 const turnsToAbort = 20;
 
 /** Sends an attempt to an upstream that does not respond; the test moves the timers. */
-async function startAttempt(t: TestContext) {
+async function startAttempt(t: TestContext, changes: Partial<Attempt> = {}) {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -53,9 +54,10 @@
 			remainingMs,
 			stamp: gate.readStamp(),
 			signal: sender.signal,
+			...changes,
 		}),
 	);
-	return {ended, sender, response: await arrived};
+	return {gate, ended, sender, response: await arrived};
 }
 
 // Regression: the gate closed the connection in the moment in which the upstream stated that it had stopped.
@@ -80,6 +82,25 @@
 	assert.equal(result.kind === 'answered' && result.status, 504);
 });
 
+// Regression: the second of two requests with one key was given up before the deadline of its client.
+test('a late response is passed on to all that wait for it', async (t) => {
+	const {gate, ended, response} = await startAttempt(t, {
+		repeatable: false,
+		key: 'lamb',
+	});
+	const {signal} = createCancelSource();
+	const joined = gate.runAttempt(
+		createSampleAttempt({id: 'b/1', key: 'lamb', remainingMs, signal}),
+	);
+	const fetched = gate.fetchAnswer('a/1', remainingMs, signal);
+	t.mock.timers.tick(remainingMs + 200);
+	await waitForTurns(turnsToAbort);
+	response.end('done');
+	for (const result of await Promise.all([ended, joined, fetched])) {
+		assert.equal(result.kind, 'answered');
+	}
+});
+
 test('an attempt is aborted after its deadline as soon as its sender no longer waits', async (t) => {
 	const {ended, sender} = await startAttempt(t);
 	t.mock.timers.tick(remainingMs + 10);
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -523,7 +523,8 @@
 				: (ledger.readAnswer(id) ?? refuse('unknown', 'forgotten'));
 		}
 
-		const result = await raceResult(job.result, remainingMs, signal);
+		const waitMs = remainingMs + upstreamDeadlineSlackMs;
+		const result = await raceResult(job.result, waitMs, signal);
 		if (!result) {
 			return refuse('unknown', 'deadline');
 		}
@@ -636,8 +637,7 @@
 
 				case 'running':
 				case 'ended': {
-					const waitMs = remainingMs + upstreamDeadlineSlackMs;
-					return joinAttempt(holder ?? id, waitMs, signal);
+					return joinAttempt(holder ?? id, remainingMs, signal);
 				}
 			}
 		},
