Test two crashing requests at once, a late crash, and restarts of nodes

The tests of crashing requests had one request at a time, an upstream that crashes at once, and no node that stops. Now two requests of different routes run beside each other, of which one may not be repeated; an upstream crashes 120 ms after it has begun, while others run; and every node of the fleet starts again, one after the other, and has to learn of the quarantine from the rest. The bound is the one of the other tests, six runs, and a 503 in the end.

--- a/harness/_lib/crashing-fleet.ts
+++ b/harness/_lib/crashing-fleet.ts
@@ -17,8 +17,8 @@
 	startStore,
 } from './platform-node.js';
 
-/** Time after which an upstream crashes that has begun to run a crashing request, ms. */
-const crashAfterMs = 5;
+/** Usual time after which an upstream crashes that has begun to run a crashing request, ms. */
+const defaultCrashAfterMs = 5;
 
 /** Time after which a crashed upstream starts again, ms. */
 const restartAfterMs = 150;
@@ -34,6 +34,8 @@
 	isUp(): boolean;
 	/** Crashes at once and starts again under the same identifier. */
 	crash(): Promise<void>;
+	/** Stops the node beside it and starts it again. */
+	restartNode(): Promise<void>;
 };
 
 /** A started fleet. */
@@ -53,10 +55,12 @@
  *
  * @param t - test at whose end everything stops
  * @param hosts - number of nodes
+ * @param crashAfterMs - time from the begin of such a request to the crash, ms
  */
 export async function startCrashingFleet(
 	t: TestContext,
 	hosts: number,
+	crashAfterMs = defaultCrashAfterMs,
 ): Promise<CrashingFleet> {
 	const store = await startStore(t);
 	const upstreams: CrashingUpstream[] = [];
@@ -66,7 +70,10 @@
 
 	async function addHost(): Promise<CrashingUpstream> {
 		const number = upstreams.length + 1;
-		const {settings} = await startPlatformNode(t, `abdali-${number}`, store);
+		const name = `abdali-${number}`;
+		const started = await startPlatformNode(t, name, store);
+		const {settings} = started;
+		let {node} = started;
 		const [address] = await findAddresses(1, t);
 		const [host, port] = address!.split(':');
 		const runs: string[] = [];
@@ -100,6 +107,10 @@
 			started.listen(Number(port), host);
 			await once(started, 'listening');
 			server = started;
+			await announce();
+		}
+
+		async function announce(): Promise<void> {
 			await announceUpstream(settings, address!, {
 				id: `i-${number}`,
 				born,
@@ -108,6 +119,12 @@
 			});
 		}
 
+		async function restartNode(): Promise<void> {
+			await node.stop();
+			({node} = await startPlatformNode(t, name, store, settings));
+			await announce();
+		}
+
 		async function crash(): Promise<void> {
 			const crashed = server;
 			if (!crashed) {
@@ -129,7 +146,13 @@
 			server?.closeAllConnections();
 		});
 		await startUpstream();
-		const upstream = {settings, runs, crash, isUp: () => server !== undefined};
+		const upstream = {
+			settings,
+			runs,
+			crash,
+			restartNode,
+			isUp: () => server !== undefined,
+		};
 		upstreams.push(upstream);
 		return upstream;
 	}
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -72,6 +72,72 @@
 	});
 });
 
+test('two crashing requests of different routes at once are no longer sent', async (t) => {
+	const fleet = await startCrashingFleet(t, 3);
+	const requests = [
+		{path: '/prices/dead', method: 'GET'},
+		{path: '/orders/dead', method: 'POST', body: 'lamb'},
+	] as const;
+	let statuses: readonly number[] = [];
+	for (let round = 0; round < rounds; round++) {
+		statuses = await Promise.all(
+			requests.map(async ({path, ...request}, index) => {
+				const sender = (round + index) % fleet.upstreams.length;
+				const {settings} = fleet.upstreams[sender]!;
+				const id = `round-${round}-${index}`;
+				const answer = await sendRequest(settings.callers, path, {
+					...request,
+					id,
+				});
+				return answer.status;
+			}),
+		);
+		await fleet.waitUntilUp();
+	}
+
+	const runs = requests.map(({path}) => countRuns(fleet.upstreams, path));
+	assert.ok(
+		Math.max(...runs) <= maxRuns,
+		`the requests ran ${runs.join(' and ')} times`,
+	);
+	assert.deepEqual(statuses, [503, 503]);
+});
+
+test('a request that crashes its upstreams late, beside others, is no longer sent', async (t) => {
+	const fleet = await startCrashingFleet(t, 3, 120);
+	const ending = new AbortController();
+	let number = 0;
+	const clients = fleet.upstreams.map(async ({settings}) => {
+		while (!ending.signal.aborted) {
+			await sendRequest(settings.callers, `/prices/other-${number++}`);
+		}
+	});
+	const path = '/prices/dead';
+	const statuses = await sendInTurn(fleet, {path, method: 'GET'});
+	ending.abort();
+	await Promise.all(clients);
+	const runs = countRuns(fleet.upstreams, path);
+	assert.ok(runs <= maxRuns, `the request ran ${runs} times`);
+	assert.equal(statuses.at(-1), 503);
+});
+
+test('a crashing request is no longer sent while every node starts again', async (t) => {
+	const fleet = await startCrashingFleet(t, 3);
+	const path = '/prices/dead';
+	await sendInTurn(fleet, {path, method: 'GET'});
+	for (const upstream of fleet.upstreams) {
+		await upstream.restartNode();
+		await fleet.waitUntilUp();
+		await sendRequest(upstream.settings.callers, path);
+		await fleet.waitUntilUp();
+	}
+
+	const statuses = await sendInTurn(fleet, {path, method: 'GET'});
+	const runs = countRuns(fleet.upstreams, path);
+	assert.ok(runs <= maxRuns, `the request ran ${runs} times`);
+	assert.equal(statuses.at(-1), 503);
+});
+
 test('a node that starts after the crashes refuses the crashing request', async (t) => {
 	const fleet = await startCrashingFleet(t, 3);
 	await sendInTurn(fleet, {path: '/prices/dead', method: 'GET'});
