End no attempt for a question to its gate while its connection is open

What callers saw: 504 for a request whose answer was on its way on an open connection. A gate that streams an answer keeps none, and says 'forgotten' to the fetch, which overtakes a long answer on a thin link; a gate deletes the record of a repeatable attempt that has just ended, and fences it; a gate of an unknown process; and no answer to three questions, for a request that may run once.

While the attempt's connection is open, its answer may still come on it, so the request waits for it; a repeatable one is sent to another host as well. A notice that comes during a question counts. No second attempt goes to the host of the first one, which cost a second slot of the upstream in doubt.

The test of a dropped request passed since the second attempt could go to the same upstream; it now waits until the other host is known.

--- a/faults/_lib/requests/fake-caller.ts
+++ b/faults/_lib/requests/fake-caller.ts
@@ -202,7 +202,11 @@
 		});
 	}
 
-	function handleResult(current: OpenAttempt, result: FakeResult): void {
+	function handleResult(
+		current: OpenAttempt,
+		result: FakeResult,
+		endKind: 'ended' | 'fetch-ended' = 'ended',
+	): void {
 		const attempt = current.number;
 		const isAwaited =
 			state.attempts === attempt || state.earlier.includes(attempt);
@@ -215,7 +219,7 @@
 			dispatch({kind: 'answered', attempt});
 		} else {
 			const {kind, reason} = result;
-			dispatch({kind: 'ended', attempt, outcome: kind, reason});
+			dispatch({kind: endKind, attempt, outcome: kind, reason});
 		}
 	}
 
@@ -260,7 +264,7 @@
 		sendToGate(simulation, connection, () => {
 			receiveFetch(simulation, host, attempt.id, (result) => {
 				sendToCaller(simulation, connection, () => {
-					handleResult(current, result);
+					handleResult(current, result, 'fetch-ended');
 				});
 			});
 		});
--- a/src/coordination/request-state.ts
+++ b/src/coordination/request-state.ts
@@ -103,6 +103,8 @@
 	  }
 	| {readonly kind: 'ask-failed'; readonly attempt: number}
 	| {readonly kind: 'fetch-lost'; readonly attempt: number}
+	/** The gate has no answer to be fetched, and says what became of the attempt. */
+	| ({readonly kind: 'fetch-ended'; readonly attempt: number} & AttemptEnding)
 	| {readonly kind: 'delay-elapsed'}
 	| {readonly kind: 'deadline'}
 	/** The client has disconnected. */
@@ -145,6 +147,8 @@
 	readonly budget: number;
 	/** Whether there is an untried host that is not known to be full. */
 	readonly hasAvailableHost?: boolean;
+	/** Whether there is a host to which the request was not sent yet; true when absent. */
+	readonly hasUntriedHost?: boolean;
 	/** Whether the request is known to crash its upstreams, so that it is not sent again. */
 	readonly isQuarantined?: boolean;
 };
--- a/src/coordination/step-request.test.ts
+++ b/src/coordination/step-request.test.ts
@@ -38,6 +38,12 @@
 		),
 		attempt,
 	}),
+	fc.record({
+		kind: fc.constant('fetch-ended' as const),
+		attempt,
+		outcome: fc.constantFrom('not-run' as const, 'unknown' as const),
+		reason: fc.constantFrom('fenced' as const, 'forgotten' as const),
+	}),
 	fc.record({
 		kind: fc.constant('ask-answered' as const),
 		attempt,
@@ -60,7 +66,7 @@
 function run(
 	messages: readonly RequestMessage[],
 	repeatable: boolean,
-	budget = 10,
+	{budget = 10, hasUntriedHost = true} = {},
 ) {
 	const parameters = {
 		repeatable,
@@ -70,7 +76,13 @@
 	};
 	let state = initialRequestState;
 	return messages.flatMap((told) => {
-		const context = {parameters, now: 0, random: 0.5, budget};
+		const context = {
+			parameters,
+			now: 0,
+			random: 0.5,
+			budget,
+			hasUntriedHost,
+		};
 		const step = stepRequest(state, told, context);
 		state = step.state;
 		return step.effects;
@@ -243,7 +255,13 @@
 		deadlineAt: 1000,
 		...changes.parameters,
 	};
-	const context = {now: 0, random: 0.5, budget: 10, ...changes, parameters};
+	const context = {
+		now: 0,
+		random: 0.5,
+		budget: 10,
+		...changes,
+		parameters,
+	};
 	let state = initialRequestState;
 	return [{kind: 'start'} as const, unanswered, ...messages].flatMap((told) => {
 		const step = stepRequest(state, told, context);
@@ -353,19 +371,23 @@
 	}
 });
 
+const sent: RequestMessage = {kind: 'sent', attempt: 1, hasStamp: true};
+const silent: RequestMessage = {kind: 'silent', attempt: 1};
+const askFailed: RequestMessage = {kind: 'ask-failed', attempt: 1};
+const lastAnswer: RequestMessage = {kind: 'answered', attempt: 1};
+
+/** Messages of a request whose gate is silent and is asked about the attempt. */
+const asked = [{kind: 'start'}, sent, silent] as const;
+
 // Regression: a request was answered with 504 after its gate had been silent for a while, although the upstream was at work.
 test('a repeatable request whose gate does not answer questions stays open', () => {
-	const sent: RequestMessage = {kind: 'sent', attempt: 1, hasStamp: true};
-	const silent: RequestMessage = {kind: 'silent', attempt: 1};
-	const failed: RequestMessage = {kind: 'ask-failed', attempt: 1};
-	const answered: RequestMessage = {kind: 'answered', attempt: 1};
-	const first = [{kind: 'start'}, sent, silent, failed] as const;
-	const waiting = run([...first, answered], true, 0);
+	const first = [...asked, askFailed] as const;
+	const waiting = run([...first, lastAnswer], true, {budget: 0});
 	assert.deepEqual(
 		waiting.map((effect) => formatEffect(effect)),
 		['send 1', 'ask', 'finish answered'],
 	);
-	const beside = run([...first, elapsed, answered], true);
+	const beside = run([...first, elapsed, lastAnswer], true);
 	assert.deepEqual(
 		beside.map((effect) => formatEffect(effect)),
 		[
@@ -379,3 +401,66 @@
 		],
 	);
 });
+
+/** Ways in which a question about an attempt ends without its answer. */
+const questionEnds: ReadonlyArray<
+	readonly [string, boolean, readonly RequestMessage[]]
+> = [
+	[
+		'a gate that answers no question',
+		false,
+		[askFailed, elapsed, askFailed, elapsed, askFailed, elapsed, askFailed],
+	],
+	[
+		'a gate that has just ended the attempt',
+		true,
+		[{kind: 'ask-answered', attempt: 1, answer: 'fenced'}],
+	],
+	[
+		'a gate that does not know the attempt',
+		true,
+		[{kind: 'ask-answered', attempt: 1, answer: 'stale'}],
+	],
+	...[false, true].map(
+		(repeatable) =>
+			[
+				'a gate that keeps no answer',
+				repeatable,
+				[
+					{kind: 'ask-answered', attempt: 1, answer: 'running'},
+					{
+						kind: 'fetch-ended',
+						attempt: 1,
+						outcome: 'unknown',
+						reason: 'forgotten',
+					},
+				],
+			] as const,
+	),
+];
+
+for (const [name, repeatable, ends] of questionEnds) {
+	// Regression: a request was answered with 504 although its answer was on its way on an open connection.
+	test(`the answer on an open connection is delivered after a question to ${name}, ${repeatable ? 'repeatable' : 'not repeatable'}`, () => {
+		const messages = [...asked, ...ends, lastAnswer];
+		const effects = run(messages, repeatable, {hasUntriedHost: false});
+		assert.equal(formatEffect(effects.at(-1)!), 'finish answered');
+		const kinds = new Set(effects.map(({kind}) => kind));
+		assert.ok(!kinds.has('abandon'));
+	});
+}
+
+test('an attempt in doubt is not sent a second time to the only host', () => {
+	const effects = run([{kind: 'start'}, sent, unanswered, elapsed], true, {
+		hasUntriedHost: false,
+	});
+	assert.deepEqual(
+		effects.map((effect) => formatEffect(effect)),
+		['send 1'],
+	);
+});
+
+test('another attempt is made when the notice comes during a question', () => {
+	const effects = run([...asked, unanswered, elapsed], true);
+	assert.equal(formatEffect(effects.at(-1)!), 'send 2');
+});
--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -168,6 +168,17 @@
 	return prependAbandon(state, step);
 }
 
+/**
+ * Tells whether a refusal leaves open whether the attempt has run: a gate deletes
+ * the records of repeatable attempts that have ended, and may then fence one.
+ */
+function isInconclusive(
+	reason: OutcomeReason,
+	{parameters}: RequestContext,
+): boolean {
+	return reason === 'fenced' && parameters.repeatable;
+}
+
 /** Abandons an attempt that no gate runs, even if it still arrives. */
 function abandonUnsent(
 	state: RequestState,
@@ -190,38 +201,14 @@
 	return state.phase === 'attempting' ? ask(after) : keepState(after);
 }
 
-function handleAskAnswer(
-	state: RequestState,
-	answer: LedgerStep['answer'],
-	context: RequestContext,
-): RequestStep {
-	switch (answer) {
-		case 'fenced': {
-			// A gate deletes the records of repeatable attempts that have ended, so
-			// for them this is no proof.
-			const outcome = context.parameters.repeatable ? 'unknown' : 'not-run';
-			const ending: AttemptEnding = {outcome, reason: 'fenced'};
-			return prependAbandon(state, endAttempt(state, ending, context));
-		}
-
-		case 'running':
-		case 'ended': {
-			return {
-				state: {...state, phase: 'fetching'},
-				effects: [{kind: 'fetch', attempt: state.attempts}],
-			};
-		}
-
-		case 'run':
-		case 'stale': {
-			return abandonUnknown(state, 'forgotten', context);
-		}
-	}
+/** Waits again for the answer on the attempt's own connection. */
+function continueAttempt(state: RequestState): RequestState {
+	return {...state, phase: 'attempting'};
 }
 
 /**
- * Makes another attempt beside one that is in doubt, if retries allow it. The
- * first one stays open: the doubt may be wrong, and when no other attempt can be
+ * Makes another attempt beside one that is in doubt, if retries allow it and
+ * there is another host. The first one stays open: the doubt may be wrong, and when no other attempt can be
  * made, its answer is the only one that may come.
  */
 function repeatBeside(
@@ -230,6 +217,7 @@
 	context: RequestContext,
 ): RequestStep {
 	const {parameters, now, random, budget, isQuarantined} = context;
+	const {hasUntriedHost = true} = context;
 	const attempts = state.attempts - state.restamps - state.reroutes;
 	const delayMs = computeRetryDelay(attempts, random);
 	const decision = decideRetry({
@@ -240,9 +228,9 @@
 		remainingMs: parameters.deadlineAt - now - delayMs,
 		budget,
 	});
-	const canRepeat = parameters.repeatable && !isQuarantined;
+	const canRepeat = parameters.repeatable && !isQuarantined && hasUntriedHost;
 	if (!canRepeat || decision !== 'retry') {
-		return keepState({...state, phase: 'attempting'});
+		return keepState(state);
 	}
 
 	return {
@@ -257,16 +245,56 @@
 	};
 }
 
+function handleAskAnswer(
+	state: RequestState,
+	answer: LedgerStep['answer'],
+	context: RequestContext,
+): RequestStep {
+	const isRepeatable = context.parameters.repeatable;
+	switch (answer) {
+		case 'fenced': {
+			if (isRepeatable && state.isOpen) {
+				// The attempt may have ended just now, and its answer be on its way.
+				return repeatBeside(continueAttempt(state), 'fenced', context);
+			}
+
+			// A gate deletes the records of repeatable attempts that have ended, so
+			// for them this is no proof.
+			const outcome = isRepeatable ? 'unknown' : 'not-run';
+			const ending: AttemptEnding = {outcome, reason: 'fenced'};
+			return prependAbandon(state, endAttempt(state, ending, context));
+		}
+
+		case 'running':
+		case 'ended': {
+			return {
+				state: {...state, phase: 'fetching'},
+				effects: [{kind: 'fetch', attempt: state.attempts}],
+			};
+		}
+
+		case 'run':
+		case 'stale': {
+			return isRepeatable && state.isOpen
+				? repeatBeside(continueAttempt(state), 'forgotten', context)
+				: abandonUnknown(state, 'forgotten', context);
+		}
+	}
+}
+
 function handleFailedAsk(
 	state: RequestState,
 	context: RequestContext,
 ): RequestStep {
 	if (context.parameters.repeatable && state.isOpen) {
-		return repeatBeside(state, 'gate-unreachable', context);
+		return repeatBeside(continueAttempt(state), 'gate-unreachable', context);
 	}
 
 	if (context.parameters.repeatable || state.asks >= maxAsks) {
-		return abandonUnknown(state, 'gate-unreachable', context);
+		// The answer may still come on the connection of the attempt.
+		return state.isOpen
+			? keepState(continueAttempt(state))
+			: abandonUnknown(state, 'gate-unreachable', context);
 	}
 
 	const ceilingMs = askRetryMs * 2 ** state.asks;
@@ -291,9 +319,34 @@
 /** Messages about the state of an attempt that is in doubt. */
 type InquiryMessage = RequestMessage & {
 	readonly kind:
-		'unanswered' | 'silent' | 'ask-answered' | 'ask-failed' | 'fetch-lost';
+		| 'unanswered'
+		| 'silent'
+		| 'ask-answered'
+		| 'ask-failed'
+		| 'fetch-lost'
+		| 'fetch-ended';
 };
 
+/**
+ * Handles a fetch that the gate has answered without the attempt's answer. The
+ * gate keeps no answer that it streams, so while the attempt's own connection is
+ * open, the answer may still come on that one.
+ */
+function handleEndedFetch(
+	state: RequestState,
+	{outcome, reason, retryAfterSeconds}: AttemptEnding,
+	context: RequestContext,
+): RequestStep {
+	const isProof = outcome === 'not-run' && !isInconclusive(reason, context);
+	return state.isOpen && !isProof
+		? keepState(continueAttempt(state))
+		: endAttempt(
+				state,
+				{outcome: isProof ? 'not-run' : 'unknown', reason, retryAfterSeconds},
+				context,
+			);
+}
+
 function handleInquiry(
 	state: RequestState,
 	message: InquiryMessage,
@@ -301,7 +354,7 @@
 ): RequestStep {
 	switch (message.kind) {
 		case 'unanswered': {
-			return state.phase === 'attempting'
+			return isAttemptInProgress(state) && state.isOpen
 				? repeatBeside(state, 'unanswered', context)
 				: keepState(state);
 		}
@@ -327,6 +380,12 @@
 				? handleFailedAsk({...state, asks: state.asks + 1}, context)
 				: keepState(state);
 		}
+
+		case 'fetch-ended': {
+			return state.phase === 'fetching'
+				? handleEndedFetch(state, message, context)
+				: keepState(state);
+		}
 	}
 }
 
@@ -377,10 +436,7 @@
 	}
 
 	const {reason, retryAfterSeconds} = message;
-	// A gate deletes the records of repeatable attempts that have ended, and may
-	// then fence one that has run.
-	const isInconclusive = reason === 'fenced' && context.parameters.repeatable;
-	const outcome = isInconclusive ? 'unknown' : message.outcome;
+	const outcome = isInconclusive(reason, context) ? 'unknown' : message.outcome;
 	return endAttempt(state, {outcome, reason, retryAfterSeconds}, context);
 }
 
@@ -411,7 +467,8 @@
 		case 'silent':
 		case 'ask-answered':
 		case 'ask-failed':
-		case 'fetch-lost': {
+		case 'fetch-lost':
+		case 'fetch-ended': {
 			return keepState(state);
 		}
 	}
@@ -460,7 +517,8 @@
 		case 'silent':
 		case 'ask-answered':
 		case 'ask-failed':
-		case 'fetch-lost': {
+		case 'fetch-lost':
+		case 'fetch-ended': {
 			return handleInquiry(state, message, context);
 		}
 
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -65,6 +65,8 @@
 	pickGate(): GateClient | OutcomeReason;
 	/** Whether there is an untried host that is not known to be full. */
 	hasAvailableHost(): boolean;
+	/** Whether there is an untried host. */
+	hasUntriedHost(): boolean;
 	/** Returns the shortest wait under the rate limits of the reachable hosts, ms. */
 	readRateLimitWait(): number;
 	/**
@@ -412,6 +414,10 @@
 							isAvailable(records.get(host), criteria.admissionClass, now()),
 					);
 				},
+				hasUntriedHost() {
+					const hosts = candidates.get(service) ?? [];
+					return hosts.some(({host}) => !tried.has(host));
+				},
 				readRateLimitWait() {
 					const at = now();
 					const waits = listReachable(service).map((record) =>
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -62,6 +62,8 @@
 	readonly onAttemptEnd: (end: AttemptEnd) => void;
 	/** Whether there is an untried host that is not known to be full. */
 	readonly hasAvailableHost: () => boolean;
+	/** Whether there is an untried host; true when absent. */
+	readonly hasUntriedHost?: () => boolean;
 	/** Whether the request is known to crash its upstreams; false when absent. */
 	readonly isQuarantined?: () => boolean;
 	/** Returns the shortest wait under the hosts' rate limits, ms; 0 when absent. */
@@ -143,6 +145,9 @@
 				get hasAvailableHost() {
 					return options.hasAvailableHost();
 				},
+				get hasUntriedHost() {
+					return options.hasUntriedHost?.() ?? true;
+				},
 			};
 			const step = stepRequest(state, message, context);
 			state = step.state;
@@ -336,10 +341,28 @@
 				remainingMs,
 				controller.signal,
 			);
-			if (result.kind === 'lost') {
-				dispatch({kind: 'fetch-lost', attempt: number});
-			} else {
-				handleResult(number, result, true);
+			switch (result.kind) {
+				case 'lost': {
+					dispatch({kind: 'fetch-lost', attempt: number});
+					break;
+				}
+
+				case 'answered': {
+					handleResult(number, result, true);
+					break;
+				}
+
+				case 'not-run':
+				case 'unknown': {
+					const {kind: outcome, reason, retryAfterSeconds} = result;
+					dispatch({
+						kind: 'fetch-ended',
+						attempt: number,
+						outcome,
+						reason,
+						retryAfterSeconds,
+					});
+				}
 			}
 		}
 
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -453,6 +453,7 @@
 			signal,
 			pickGate: selection.pickGate,
 			hasAvailableHost: selection.hasAvailableHost,
+			hasUntriedHost: selection.hasUntriedHost,
 			isQuarantined: () => readSuspicion(fingerprinted).kind === 'quarantined',
 			readRateLimitWait: selection.readRateLimitWait,
 			createTraceparent: () => createTraceparent(routed.traceparent),
--- a/test/unreported-requests.test.ts
+++ b/test/unreported-requests.test.ts
@@ -7,6 +7,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	announceUpstream,
+	readMetrics,
+	readyTimeoutMs,
 	sendRequest,
 	startPlatformNode,
 	startStore,
@@ -111,7 +113,7 @@
 		return true;
 	};
 
-	const nodes = [];
+	const nodes: Array<Awaited<ReturnType<typeof startPlatformNode>>> = [];
 	for (const number of [1, 2]) {
 		const upstream = await startRawUpstream(t, {respond});
 		const node = await startPlatformNode(t, `abdali-${number}`, storeAddress);
@@ -122,6 +124,12 @@
 		nodes.push(node);
 	}
 
+	const knowsBoth = await pollUntil(
+		async () =>
+			/^boragehitch_members 2$/mv.test(await readMetrics(nodes[0]!.settings)),
+		readyTimeoutMs,
+	);
+	assert.ok(knowsBoth);
 	const slow = {hasEnded: false};
 	const sent = sendRequest(nodes[0]!.settings.callers, '/prices/slow', {
 		id: slowId,
