--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -134,7 +134,10 @@
 		this.#prepareSend = options.prepareSend;
 		this.#isBehind = options.isBehind ?? (() => false);
 		const {areResponsesIdentified = false} = options;
-		if (areResponsesIdentified || !hasIdleConnection(options.agent, options.address)) {
+		if (
+			areResponsesIdentified ||
+			!hasIdleConnection(options.agent, options.address)
+		) {
 			this.#start(outgoing, options);
 		} else {
 			void this.#startAfterRead(outgoing, options);
