Count no attempt as failed because its answer was no longer needed

What callers saw: a healthy host was left out (`host left out`, `failing`), so that its share of the requests went to the others. Cause: a caller's node that abandons an attempt, as another one was answered or the client has left, closes its connection; the end was read as `lost connection-lost`, which is a failure of the host, or as `not-run not-sent` when the connection was not open yet, which makes the host unreachable. The end of a suspected attempt was `lost unanswered` also when the client had left. Now such an end is `cancelled` in statistics, logs and metrics: no failure, no answer, no latency, and no proof that the host can be reached. `unanswered` remains for a suspected attempt that ended as another one was answered; it counts as a failure, as before: the host was slower than one that was asked later. Silence, loss and the deadline are reported as before. Cost: a host that hangs while its gate sends keepalives is not left out for clients that leave before the deadline.

--- a/src/coordination/step-host-record.test.ts
+++ b/src/coordination/step-host-record.test.ts
@@ -10,7 +10,9 @@
 
 const admissionClass = 'lookups aged';
 
-function createEnd(outcome: 'full' | 'answered'): HostMessage {
+function createEnd(
+	outcome: 'full' | 'answered' | 'cancelled' | 'unreachable',
+): HostMessage {
 	return {
 		kind: 'ended',
 		outcome,
@@ -84,3 +86,12 @@
 
 	assert.ok(!isKnownFull(record, admissionClass, 60));
 });
+
+test('a cancelled attempt is no evidence about its host', () => {
+	const context = {now: 0, random: 0.5, serviceLatencyMs: 0};
+	const record = stepHostRecord(undefined, createEnd('unreachable'), context);
+	assert.deepEqual(
+		stepHostRecord(record, createEnd('cancelled'), context),
+		record,
+	);
+});
--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -71,6 +71,8 @@
 				| 'answered'
 				| 'failed'
 				| 'refused'
+				/** Ended by this node or its client; no evidence about the host. */
+				| 'cancelled'
 				/** The host has no free capacity for requests of this admission class. */
 				| 'full'
 				| 'unreachable';
@@ -326,6 +328,10 @@
 			return recordFull(reported, message, context.now);
 		}
 
+		case 'cancelled': {
+			return reported;
+		}
+
 		case 'refused': {
 			return {...reported, unreachable: 0};
 		}
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -121,6 +121,10 @@
 }
 
 function classifyResult(result: ForwardResult): AttemptEndedMessage['outcome'] {
+	if (result.kind !== 'answered' && result.reason === 'cancelled') {
+		return 'cancelled';
+	}
+
 	switch (result.kind) {
 		case 'answered': {
 			return result.status >= serverErrorStatus ? 'failed' : 'answered';
@@ -132,7 +136,7 @@
 
 		case 'unknown':
 		case 'lost': {
-			return result.reason === 'cancelled' ? 'refused' : 'failed';
+			return 'failed';
 		}
 	}
 }
--- a/src/transport/_lib/run-request.test.ts
+++ b/src/transport/_lib/run-request.test.ts
@@ -8,7 +8,7 @@
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
 import {createCancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
-import {runRequest, type RequestEnd} from './run-request.js';
+import {runRequest, type AttemptEnd, type RequestEnd} from './run-request.js';
 import {waitForTurns} from './wait-for-turns.js';
 
 /** Event loop turns after which a request whose deadline timer has fired has ended. */
@@ -56,7 +56,15 @@
 	attempt: Attempt,
 	parameters: Partial<RequestParameters> &
 		Pick<RequestParameters, 'deadlineAt'>,
-	signal: CancelSignal = createCancelSource().signal,
+	{
+		signal = createCancelSource().signal,
+		onAttemptEnd = () => {
+			// Most tests check only the end of the request.
+		},
+	}: {
+		readonly signal?: CancelSignal | undefined;
+		readonly onAttemptEnd?: (end: AttemptEnd) => void;
+	} = {},
 ): Promise<RequestEnd> {
 	return runRequest({
 		parameters: {
@@ -69,9 +77,7 @@
 		signal,
 		pickGate: () => gate,
 		createTraceparent: () => undefined,
-		onAttemptEnd() {
-			// The tests check only the end of the request.
-		},
+		onAttemptEnd,
 		hasAvailableHost: () => true,
 		readRetryBudget: () => 1,
 		spendRetryBudget() {
@@ -140,6 +146,7 @@
 async function startUnanswered(signal?: CancelSignal) {
 	const attempts: Attempt[] = [];
 	const responds: Array<(result: ForwardResult) => void> = [];
+	const results = new Map<number, string>();
 	const gate: GateClient = {
 		...createLeavingGate(Readable.from([]), []),
 		async runAttempt(attempt) {
@@ -150,7 +157,17 @@
 		},
 	};
 	const parameters = {deadlineAt: 1000, maxAttempts: 2};
-	const ended = runAtGate(gate, createSampleAttempt(), parameters, signal);
+	const ended = runAtGate(gate, createSampleAttempt(), parameters, {
+		signal,
+		onAttemptEnd({number, result}) {
+			results.set(
+				number,
+				result.kind === 'answered'
+					? result.kind
+					: `${result.kind} ${result.reason}`,
+			);
+		},
+	});
 	attempts[0]!.onUnanswered?.();
 	while (attempts.length < 2) {
 		await waitForTurns(1);
@@ -159,6 +176,7 @@
 	return {
 		ended,
 		responds,
+		results,
 		readAborted: () => attempts.map((attempt) => attempt.signal.aborted),
 	};
 }
@@ -188,3 +206,85 @@
 	assert.equal(end.outcome, 'unknown');
 	assert.deepEqual(readAborted(), [true, true]);
 });
+
+const notSent: ForwardResult = {
+	kind: 'not-run',
+	reason: 'not-sent',
+	retryAfterSeconds: 1,
+	load: undefined,
+	stamp: undefined,
+};
+
+// Regression: a host was taken for failing or unreachable because its attempts were abandoned.
+test('an attempt that is abandoned for the answer of another one is reported as cancelled', async () => {
+	const lost: ForwardResult = {kind: 'lost', reason: 'connection-lost'};
+	const ends = [
+		{end: lost, described: 'lost cancelled'},
+		{end: notSent, described: 'not-run cancelled'},
+	];
+	for (const {end, described} of ends) {
+		const {ended, responds, results} = await startUnanswered();
+		const answer = {status: 200, headers: {}, body: Buffer.from('first')};
+		responds[0]!({
+			kind: 'answered',
+			...answer,
+			load: undefined,
+			stamp: undefined,
+		});
+		await ended;
+		responds[1]!(end);
+		await waitForTurns(1);
+		assert.equal(results.get(2), described);
+	}
+});
+
+test('a suspected attempt is reported as unanswered only if another one was answered', async () => {
+	const lost: ForwardResult = {kind: 'lost', reason: 'connection-lost'};
+	const answered = await startUnanswered();
+	const answer = {status: 200, headers: {}, body: Buffer.from('second')};
+	answered.responds[1]!({
+		kind: 'answered',
+		...answer,
+		load: undefined,
+		stamp: undefined,
+	});
+	await answered.ended;
+	answered.responds[0]!(lost);
+	await waitForTurns(1);
+	assert.equal(answered.results.get(1), 'lost unanswered');
+
+	const source = createCancelSource();
+	const left = await startUnanswered(source.signal);
+	source.abort();
+	await left.ended;
+	left.responds[0]!(lost);
+	left.responds[1]!(notSent);
+	await waitForTurns(1);
+	assert.equal(left.results.get(1), 'lost cancelled');
+	assert.equal(left.results.get(2), 'not-run cancelled');
+});
+
+test('an attempt that is still open at the deadline is not reported as cancelled', async (t) => {
+	t.mock.timers.enable({apis: ['setTimeout']});
+	let respond!: (result: ForwardResult) => void;
+	const gate: GateClient = {
+		...createLeavingGate(Readable.from([]), []),
+		runAttempt: async () =>
+			new Promise((resolve) => {
+				respond = resolve;
+			}),
+	};
+	const results: ForwardResult[] = [];
+	const parameters = {deadlineAt: 100};
+	const ended = runAtGate(gate, createSampleAttempt(), parameters, {
+		onAttemptEnd({result}) {
+			results.push(result);
+		},
+	});
+	t.mock.timers.tick(110);
+	await ended;
+	const lost: ForwardResult = {kind: 'lost', reason: 'connection-lost'};
+	respond(lost);
+	await waitForTurns(1);
+	assert.deepEqual(results, [lost]);
+});
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -276,7 +276,10 @@
 				number,
 				gate,
 				attempt,
-				result: describeResult(opened, result),
+				result: describeResult(opened, result, {
+					isAnswered: response !== undefined,
+					hasClientLeft: signal.aborted,
+				}),
 				startedAt,
 				firstByteAt,
 			});
@@ -421,15 +424,45 @@
 	});
 }
 
-/** Describes the end of an attempt that was abandoned because its upstream did not seem to work on it. */
+/** Reasons why an attempt may be abandoned while its host works on it. */
+type AbandonCause = {
+	/** Whether another attempt at the request was answered. */
+	readonly isAnswered: boolean;
+	readonly hasClientLeft: boolean;
+};
+
+/**
+ * Describes the end of an attempt. One that was abandoned because its answer was
+ * no longer needed has no result of its own, so that it is no evidence about its
+ * host, unless its upstream did not seem to work on it.
+ */
 function describeResult(
 	{controller, isUnanswered}: OpenAttempt,
 	result: ForwardResult,
+	{isAnswered, hasClientLeft}: AbandonCause,
 ): ForwardResult {
-	const isGivenUp = isUnanswered && controller.signal.aborted;
-	return isGivenUp && result.kind !== 'answered'
-		? {kind: 'lost', reason: 'unanswered'}
-		: result;
+	const isUnneeded = isAnswered || hasClientLeft;
+	if (!controller.signal.aborted || !isUnneeded) {
+		return result;
+	}
+
+	switch (result.kind) {
+		case 'answered': {
+			return result;
+		}
+
+		case 'not-run': {
+			return result.reason === 'not-sent'
+				? {...result, reason: 'cancelled'}
+				: result;
+		}
+
+		case 'unknown':
+		case 'lost': {
+			const reason = isAnswered && isUnanswered ? 'unanswered' : 'cancelled';
+			return {...result, reason};
+		}
+	}
 }
 
 function discardResponse({body}: UpstreamResponse): void {
