Tell the sender of a lost request also while an earlier one is held

What callers saw: an upstream lost two requests. The sender of the first was told and made another attempt; that of the second was not, and waited until its deadline. Cause: since a suspected request stays open, it stayed in the comparison with the load reports and was the oldest suspect of each: it took the place of the later one, no report was complete, and `missingSince` was not renewed. As `missingSince` also remained for other requests, a running one was suspected after a single report that lacked it. Now suspected requests are left out of what is missing and of the suspects. They still count as sent when it is decided whether a report includes its own request and which work is foreign, so that one at which the upstream is at work is taken for neither. Once all that is missing is explained, other requests need reports of their own. What this does not change: when the upstream works on a suspected request and reports it, that hides another lost one until the suspected one ends; reports have counts only. Suspecting more requests than are missing was ruled out: each would cost a running one another attempt. `isIdle` and the wait for a slot are as before. The line `upstream does not answer` comes once for each request, no more with each report while the request is held.

--- a/src/coordination/compute-upstream-work.test.ts
+++ b/src/coordination/compute-upstream-work.test.ts
@@ -9,6 +9,7 @@
 	readonly running: number;
 	readonly queued?: number;
 	readonly unanswered: number;
+	readonly suspected?: number;
 	readonly read?: number;
 	readonly isRefusal?: boolean | undefined;
 };
@@ -17,12 +18,12 @@
 function computeWork(...reports: readonly Report[]): UpstreamWork {
 	let work: UpstreamWork | undefined;
 	for (const [index, report] of reports.entries()) {
-		const {running, queued = 0, unanswered, read = unanswered} = report;
-		const {isRefusal} = report;
+		const {running, queued = 0, unanswered, suspected = 0} = report;
+		const {read = unanswered - suspected, isRefusal} = report;
 		const load = {inFlight: running, queued};
 		work = computeUpstreamWork(
 			work,
-			{load, unanswered, read, isRefusal},
+			{load, unanswered, suspected, read, isRefusal},
 			index * 10,
 		);
 	}
@@ -62,6 +63,24 @@
 	assert.deepEqual([mended.missingSince, mended.missingReports], [30, 1]);
 });
 
+test('a suspected request is not missing once more', () => {
+	const lacking = {running: 3, unanswered: 3};
+	const work = computeWork(complete, lacking, {...lacking, suspected: 1});
+	assert.deepEqual([work.lost, work.missingSince], [0, undefined]);
+	const later = {running: 2, unanswered: 3, suspected: 1};
+	assert.equal(computeWork(complete, later).lost, 1);
+});
+
+test('an upstream that runs a suspected request does not seem to count the request of its report', () => {
+	const work = computeWork({running: 2, unanswered: 2, suspected: 1});
+	assert.deepEqual([work.lost, work.includesOwnRequest], [0, false]);
+});
+
+test('a suspected request is not foreign', () => {
+	const work = computeWork({running: 4, unanswered: 2, suspected: 1});
+	assert.equal(work.foreignRequests, 1);
+});
+
 test('an upstream that reports only the request of its report is idle', () => {
 	assert.equal(computeWork(complete, {running: 1, unanswered: 2}).isIdle, true);
 	assert.equal(computeWork(complete).isIdle, false);
--- a/src/coordination/compute-upstream-work.ts
+++ b/src/coordination/compute-upstream-work.ts
@@ -4,7 +4,7 @@
 export type UpstreamWork = {
 	/** Earliest time at which it can have written its last report, monotonic ms. */
 	readonly at: number;
-	/** Unanswered requests that it neither runs nor has queued; a lower bound, except for answers in transit. */
+	/** Unanswered requests that it neither runs nor has queued, without the suspected ones; a lower bound, except for answers in transit. */
 	readonly lost: number;
 	/** Whether it has no work in progress. */
 	readonly isIdle: boolean;
@@ -23,7 +23,9 @@
 	readonly load: Pick<GateLoad, 'inFlight' | 'queued'>;
 	/** Unanswered requests, excluding the one that the report is returned with. */
 	readonly unanswered: number;
-	/** Number of those that the upstream has certainly read. */
+	/** Number of those that were already found missing from reports; 0 when absent. */
+	readonly suspected?: number;
+	/** Number of the unanswered ones, without the suspected ones, that the upstream has certainly read. */
 	readonly read: number;
 	/** Longest time for which the report may have waited to be read, ms; 0 when absent. */
 	readonly waitedMs?: number;
@@ -41,6 +43,10 @@
  * single report that lacks a request is weak evidence: the answer may be in
  * transit.
  *
+ * A suspected request is no longer counted as missing, as it would hide a later
+ * one. If its upstream runs it after all, reports hide as many lost requests until
+ * it ends.
+ *
  * @param before - the work after the previous report, undefined when there was none
  * @param report - see `WorkReport`
  * @param now - monotonic ms
@@ -50,16 +56,18 @@
  */
 export function computeUpstreamWork(
 	before: UpstreamWork | undefined,
-	{load, unanswered, read, waitedMs = 0, isRefusal = false}: WorkReport,
+	report: WorkReport,
 	now: number,
 ): UpstreamWork {
+	const {load, unanswered, suspected = 0, read} = report;
+	const {waitedMs = 0, isRefusal = false} = report;
 	const reported = load.inFlight + load.queued;
 	const includesOwnRequest =
 		before?.includesOwnRequest === true ||
 		(!isRefusal && reported > unanswered);
 	const working = reported - (includesOwnRequest && !isRefusal ? 1 : 0);
 	const lost = Math.max(0, read - working);
-	const isComplete = unanswered <= working;
+	const isComplete = unanswered - suspected <= working;
 	const {missingSince, missingReports = 0} = isComplete ? {} : (before ?? {});
 	return {
 		at: now - waitedMs,
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -57,10 +57,11 @@
 /** Minimum time between two log lines about an upstream, ms. */
 const logIntervalMs = 1000;
 
-/** Lists the requests that an upstream had certainly read at a time and has not started to answer. */
+/** Lists the requests that an upstream had certainly read at a time, has not started to answer, and was not yet found to have lost. */
 function listReceived(upstream: LocalUpstream, at: number): readonly Job[] {
 	return [...upstream.sent].filter(
-		(job) => !job.isAnswered && job.fullySentAt <= at - readMarginMs,
+		(job) =>
+			!job.isAnswered && !job.isLost && job.fullySentAt <= at - readMarginMs,
 	);
 }
 
@@ -112,11 +113,10 @@
 			});
 		}
 
-		if (!job.isLost && attempt.repeatable) {
+		job.isLost = true;
+		if (attempt.repeatable) {
 			attempt.onUnanswered?.();
 		}
-
-		job.isLost = true;
 	}
 
 	/** Reports requests that are missing from a load report, after responses in transit have had time to arrive. */
@@ -136,12 +136,24 @@
 			.toSorted(
 				(a, b) => a.fullySentAt + a.serviceMs - b.fullySentAt - b.serviceMs,
 			)
-			.slice(0, Math.max(0, lostCount));
+			.slice(0, Math.max(0, lostCount))
+			.filter((job) => decide(job) === 'silent');
 		for (const job of suspects) {
-			if (decide(job) === 'silent') {
-				handleLost(job, lostCount);
-			}
+			handleLost(job, lostCount);
 		}
+
+		if (suspects.length > 0 && suspects.length === lostCount) {
+			forgetMissing(upstream);
+		}
+	}
+
+	/** Discards the evidence of missing requests once it is explained, so that other requests need evidence of their own. */
+	function forgetMissing(upstream: LocalUpstream): void {
+		upstream.work &&= {
+			...upstream.work,
+			missingSince: undefined,
+			missingReports: 0,
+		};
 	}
 
 	function recordLoad(
@@ -157,13 +169,22 @@
 		const waitedMs = Math.min(maxWaitMs, at - requestedAt);
 		const received = listReceived(upstream, at - waitedMs);
 		let unanswered = 0;
+		let suspected = 0;
 		for (const job of upstream.sent) {
 			unanswered += job.isAnswered ? 0 : 1;
+			suspected += job.isLost && !job.isAnswered ? 1 : 0;
 		}
 
 		const work = computeUpstreamWork(
 			upstream.work,
-			{load, unanswered, read: received.length, waitedMs, isRefusal},
+			{
+				load,
+				unanswered,
+				suspected,
+				read: received.length,
+				waitedMs,
+				isRefusal,
+			},
 			at,
 		);
 		upstream.work = work;
--- a/src/transport/gate-lost-requests.test.ts
+++ b/src/transport/gate-lost-requests.test.ts
@@ -75,7 +75,21 @@
 		return sent;
 	}
 
-	return {...held, send, probes};
+	/** Has requests sent and answered one after the other, each with the same load report, and returns the last, which is not answered. */
+	async function sendReports(reports: number, running: number, index: number) {
+		let last = await send(true);
+		for (let report = 0; report < reports; report++) {
+			const before = last;
+			last = await send(true);
+			held.advance(25);
+			held.answer({[loadHeader]: `${running},0,6`}, index);
+			await waitUntil(() => before.result !== undefined);
+		}
+
+		return last;
+	}
+
+	return {...held, send, sendReports, probes};
 }
 
 /** Waits until a condition holds; the test runner limits the time. */
@@ -198,6 +212,58 @@
 	assert.equal(formatOutcome(dropped.result), 'open');
 });
 
+// Regression: an upstream lost two requests, and the sender of the later one was not told before the first one had ended.
+test('the sender of a lost request is told while an earlier one is still held', async (t) => {
+	const {send, sendReports, answer} = await start(t);
+	const first = await send(true);
+	const last = await sendReports(8, 2, 1);
+	await waitUntil(() => first.notices > 0);
+	answer({[loadHeader]: '1,0,6'}, 1);
+	await waitUntil(() => last.result !== undefined);
+	const second = await send(true);
+	const running = await sendReports(12, 2, 2);
+	await sleep(confirmMs);
+	assert.equal(second.notices, 1);
+	assert.equal(first.notices, 1);
+	assert.equal(running.notices, 0);
+	answer();
+	await waitUntil(() => first.result !== undefined);
+	assert.equal(formatOutcome(first.result), 'answered');
+});
+
+// Guards against forgetting a lost request that the reports of a wrongly suspected one have hidden.
+test('the sender of a lost request is told once a wrongly suspected one is answered', async (t) => {
+	const {send, sendReports, answer} = await start(t);
+	const running = await send(true);
+	const lost = await send(true);
+	await sendReports(8, 2, 2);
+	await waitUntil(() => running.notices > 0);
+	answer({[loadHeader]: '2,0,6'});
+	await waitUntil(() => running.result !== undefined);
+	await sendReports(8, 3, 2);
+	await sleep(confirmMs);
+	assert.equal(lost.notices, 1);
+});
+
+// Regression: the reports that lacked an earlier request were taken to lack a running one, too.
+test('a request that a single load report does not count is not taken for lost after an earlier one', async (t) => {
+	const {send, sendReports, advance, answer} = await start(t);
+	const lost = await send(true);
+	const running = await send(true);
+	const last = await sendReports(8, 3, 2);
+	await waitUntil(() => lost.notices > 0);
+	await send(true);
+	advance(25);
+	answer({[loadHeader]: '2,0,6'}, 2);
+	await waitUntil(() => last.result !== undefined);
+	await sleep(confirmMs);
+	assert.equal(running.notices, 0);
+	await sendReports(12, 4, 3);
+	await sleep(confirmMs);
+	assert.equal(running.notices, 0);
+	assert.equal(lost.notices, 1);
+});
+
 // Guards against giving up a running request whose response is on its way: 27 such requests were given up within seven seconds.
 test('a request that a single load report of a busy upstream does not count is not given up', async (t) => {
 	const {send, advance, answer} = await start(t);
