Probe no upstream for a request that was already found lost

What upstreams saw: a probe of their load each second, which occupies a slot, for as long as a request was held whose sender had been told. Cause: the check of unanswered requests did not leave out the suspected ones, of which a probe can tell nothing more.

--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -211,7 +211,7 @@
 	function check(upstream: LocalUpstream): void {
 		upstream.lossCheckTimer = undefined;
 		const needsProbe = [...upstream.sent].some(
-			(job) => !job.isAnswered && decide(job) === 'probe',
+			(job) => !job.isAnswered && !job.isLost && decide(job) === 'probe',
 		);
 		if (needsProbe) {
 			void probeUpstream(upstream);
--- a/src/transport/gate-lost-requests.test.ts
+++ b/src/transport/gate-lost-requests.test.ts
@@ -26,6 +26,9 @@
 /** Time in which the gate tells the sender of a request that is missing from a report, ms. */
 const confirmMs = 100;
 
+/** Time in which the gate checks its unanswered requests, ms. */
+const checksMs = 250;
+
 function formatOutcome(result: AttemptResult | undefined): string {
 	if (!result) {
 		return 'open';
@@ -197,6 +200,22 @@
 	assert.equal(probes.length, 1);
 });
 
+// Regression: an upstream was probed each second for a request that was found lost already.
+test('an upstream is not probed again for a request whose sender was told', async (t) => {
+	const {send, advance, probes} = await start(t, {
+		load: {inFlight: 1, queued: 0, slots: 6},
+	});
+	const dropped = await send(true);
+	advance(250);
+	await waitUntil(() => dropped.notices > 0);
+	for (let seconds = 0; seconds < 3; seconds++) {
+		advance(1000);
+		await sleep(checksMs);
+	}
+
+	assert.equal(probes.length, 1);
+});
+
 test('the sender of a request that successive load reports of a busy upstream do not count is told', async (t) => {
 	const {send, advance, answer} = await start(t);
 	const dropped = await send(true);
