Settle what Node.js refuses to send as not sent, and send any name between nodes

What callers saw: machines ended again and again. Node.js throws at a port above 65535, at a space or a character above U+00FF in a path, and at a line break or a character above U+00FF in a header. sendRequest let these errors through; the promise of a request or a job rejected, nobody handled it, and Node.js 20 ends a process for that. The texts and numbers come from others: the address of a member's record, names of routes and services of the document, the service of the settings.

sendRequest now settles such a request as not-sent with the reason, whether the error comes when it is created or when its last headers are set; it never rejects. Team, service, route and origin are encoded in the headers between nodes if a header can't hold them as they are, and arrive as they are, lone surrogates and outer white space included. A name that a header can hold is sent unchanged, so that nodes of earlier versions and this one read each other's names.

--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -22,6 +22,7 @@
 	traceparentHeader,
 } from '../../protocol/request.js';
 import {copyHeaders} from './copy-headers.js';
+import {encodeHeaderText} from './encode-header-text.js';
 import {formatNotice} from './format-notice.js';
 import {formatStamp} from './format-stamp.js';
 
@@ -35,12 +36,12 @@
 	const headers = copyHeaders(attempt.headers);
 	headers[requestIdHeader] = attempt.requestId;
 	headers[attemptHeader] = attempt.id;
-	headers[teamHeader] = attempt.team;
-	headers[serviceHeader] = attempt.service;
+	headers[teamHeader] = encodeHeaderText(attempt.team);
+	headers[serviceHeader] = encodeHeaderText(attempt.service);
 	headers[deadlineHeader] = String(Math.floor(attempt.remainingMs));
 	headers[depthHeader] = String(attempt.depth);
 	if (attempt.route !== undefined) {
-		headers[routeHeader] = attempt.route;
+		headers[routeHeader] = encodeHeaderText(attempt.route);
 	}
 
 	if (attempt.priority !== undefined) {
@@ -58,7 +59,7 @@
 	}
 
 	if (attempt.origin !== undefined) {
-		headers[originHeader] = attempt.origin;
+		headers[originHeader] = encodeHeaderText(attempt.origin);
 	}
 
 	if (attempt.fingerprint !== undefined) {
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -43,6 +43,8 @@
 	readonly onSent: (upstream: LocalUpstream) => void;
 	/** Called with the head of each response. */
 	readonly onHead: (job: Job, head: ResponseHead) => void;
+	/** Called when Node.js refuses to send an attempt, with the reason. */
+	readonly onRefused: (job: Job, reason: string) => void;
 	/** Called when a job that was sent has ended. */
 	readonly onEnd: (job: Job, end: JobEnd, result: AttemptResult) => void;
 	/** Whether any request is known to crash its upstreams; false when absent. */
@@ -340,6 +342,10 @@
 		}
 
 		const outcome = await job.sent.outcome;
+		if (outcome.kind === 'not-sent' && outcome.refusal !== undefined) {
+			options.onRefused(job, outcome.refusal);
+		}
+
 		const answeredAt = now();
 		let isWhole = true;
 		const result = readUpstreamOutcome(outcome, attempt, {
--- a/src/transport/_lib/create-peer-fetch.ts
+++ b/src/transport/_lib/create-peer-fetch.ts
@@ -39,7 +39,9 @@
 	maxBytes: number,
 ): Promise<string> {
 	if (outcome.kind !== 'answered') {
-		throw new Error(`call to a peer failed: ${outcome.kind}`);
+		const refusal = outcome.kind === 'not-sent' ? outcome.refusal : undefined;
+		const reason = refusal === undefined ? '' : `: ${refusal}`;
+		throw new Error(`call to a peer failed: ${outcome.kind}${reason}`);
 	}
 
 	const whole = await readWholeBody(outcome.body, maxBytes);
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -23,6 +23,7 @@
 	teamHeader,
 	traceparentHeader,
 } from '../../protocol/request.js';
+import {decodeHeaderText} from './decode-header-text.js';
 import {parseNotice} from './parse-notice.js';
 import {parseNumber} from './parse-number.js';
 import {readDeadline} from './read-deadline.js';
@@ -43,6 +44,10 @@
 const priorityRange = {min: 0, max: Number.MAX_SAFE_INTEGER};
 const timeRange = {min: -maxDeadlineMs, max: Number.MAX_SAFE_INTEGER};
 
+function readText(value: string | string[] | undefined): string | undefined {
+	return value === undefined ? undefined : decodeHeaderText(String(value));
+}
+
 /**
  * Reads an attempt from the headers of the request that carries it to a gate.
  *
@@ -58,15 +63,15 @@
 		...parts,
 		id: String(headers[attemptHeader]),
 		requestId: String(headers[requestIdHeader]),
-		team: String(headers[teamHeader]),
-		service: String(headers[serviceHeader]),
+		team: decodeHeaderText(String(headers[teamHeader])),
+		service: decodeHeaderText(String(headers[serviceHeader])),
 		repeatable: headers[repeatableHeader] === 'true',
 		sheddingMeansNotRun: headers[shedHeader] === 'not-run',
 		headers,
 		remainingMs: readDeadline(headers),
 		depth: parseNumber(headers[depthHeader], depthRange) ?? 0,
-		route: headers[routeHeader]?.toString(),
-		origin: headers[originHeader]?.toString(),
+		route: readText(headers[routeHeader]),
+		origin: readText(headers[originHeader]),
 		fingerprint: headers[fingerprintHeader]?.toString(),
 		priority: parseNumber(headers[priorityHeader], priorityRange),
 		routeObjectiveMs: parseNumber(
--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -417,3 +417,85 @@
 	assert.equal(prepared, 1);
 	assert.equal(sockets.size, 1);
 });
+
+const refusedValue = 'prices\u20AC';
+
+/** Requests that Node.js refuses to send, because of a text or a number of others. */
+const refusedRequests = [
+	{about: 'a port above 65535', port: '99999'},
+	{
+		about: 'a character above U+00FF in a header',
+		headers: {name: refusedValue},
+	},
+	{about: 'a line break in a header', headers: {name: 'line\nbreak'}},
+	{about: 'a space in the path', path: '/health check'},
+	{about: 'a character above U+00FF in the path', path: `/${refusedValue}`},
+	{
+		about: 'a header that is set right before it is sent',
+		prepareSend: () => ({name: refusedValue}),
+	},
+	{
+		about: 'the same on a node that is behind',
+		prepareSend: () => ({name: refusedValue}),
+		isBehind: () => true,
+	},
+];
+
+/** Records what would end a process. */
+function recordUnhandled(t: TestContext): readonly string[] {
+	const unhandled: string[] = [];
+	const record = (error: unknown): void => {
+		unhandled.push(String(error));
+	};
+
+	process.on('unhandledRejection', record);
+	process.on('uncaughtException', record);
+	t.after(() => {
+		process.off('unhandledRejection', record);
+		process.off('uncaughtException', record);
+	});
+	return unhandled;
+}
+
+for (const {
+	about,
+	port,
+	path = '/',
+	headers = {},
+	...rest
+} of refusedRequests) {
+	// Regression: Node.js threw, nobody caught it, and the process ended.
+	test(`a request that Node.js refuses is not sent, and says why: ${about}`, async (t) => {
+		const requests: string[] = [];
+		const {address, send} = await start(t, (socket, request) => {
+			requests.push(request);
+			socket.write(whole);
+		});
+		const agent = createPooledAgent();
+		t.after(() => {
+			agent.destroy();
+		});
+		const unhandled = recordUnhandled(t);
+		let sends = 0;
+		const options = {
+			agent,
+			address: port === undefined ? address : `127.0.0.1:${port}`,
+			onSend() {
+				sends++;
+			},
+			...rest,
+		};
+		for (const body of [undefined, Readable.from(['valve'])]) {
+			const sent = sendRequest({method: 'POST', path, headers, body}, options);
+			const outcome = await sent.outcome;
+			sent.abort();
+			assert.equal(outcome.kind, 'not-sent');
+			assert.match(outcome.refusal ?? '', /Error/v);
+		}
+
+		await send().outcome;
+		assert.equal(requests.length, 1);
+		assert.equal(sends, 0);
+		assert.deepEqual(unhandled, []);
+	});
+}
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -28,7 +28,11 @@
 			readonly body: Uint8Array | Readable;
 	  }
 	/** No byte of the request was sent. */
-	| {readonly kind: 'not-sent'}
+	| {
+			readonly kind: 'not-sent';
+			/** Why Node.js refuses to send the request; absent if it does not. */
+			readonly refusal?: string;
+	  }
 	/** The connection failed before the response head was received. */
 	| {readonly kind: 'lost'}
 	/** The connection failed during the response. */
@@ -173,7 +177,16 @@
 		}
 	}
 
+	/** Starts the request; Node.js throws at ports, paths and header values that it does not send. */
 	#start(outgoing: OutgoingRequest, options: SendOptions): void {
+		try {
+			this.#startRequest(outgoing, options);
+		} catch (error) {
+			this.#refuse(error);
+		}
+	}
+
+	#startRequest(outgoing: OutgoingRequest, options: SendOptions): void {
 		const [host, port] = options.address.split(':');
 		const {method, path, headers, body} = outgoing;
 		const request = startRequest({
@@ -268,16 +281,27 @@
 			return;
 		}
 
-		for (const [name, value] of Object.entries(headers)) {
-			if (value !== undefined) {
-				request.setHeader(name, value);
+		try {
+			for (const [name, value] of Object.entries(headers)) {
+				if (value !== undefined) {
+					request.setHeader(name, value);
+				}
 			}
+		} catch (error) {
+			this.#refuse(error);
+			return;
 		}
 
 		this.#recordSent();
 		this.#sendBody(request, body);
 	}
 
+	/** Ends a request that Node.js refuses to send. */
+	#refuse(error: unknown): void {
+		this.#settle({kind: 'not-sent', refusal: String(error)});
+		this.#request?.destroy(new Error('not sent'));
+	}
+
 	#recordSent(): void {
 		this.#isSent = true;
 		this.#onSend?.();
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -31,6 +31,8 @@
 export type ForwarderOptions = {
 	/** Monotonic time, ms, on which attempts expire; default `performance.now`. */
 	readonly now?: () => number;
+	/** Called when Node.js refuses to send an attempt to a gate, with the gate's address and the reason. */
+	readonly onRefused?: (address: string, reason: string) => void;
 	/** Returns the longest time for which what the node reads next may have waited, ms; default 0. */
 	readonly readMaxWait?: () => number;
 };
@@ -120,6 +122,12 @@
 	const agent = createPooledAgent({maxSockets: maxGateConnections});
 	const unpooledAgent = new Agent({keepAlive: false});
 
+	function reportRefusal(address: string, outcome: SendOutcome): void {
+		if (outcome.kind === 'not-sent' && outcome.refusal !== undefined) {
+			options.onRefused?.(address, outcome.refusal);
+		}
+	}
+
 	return {
 		async forwardAttempt(address, attempt) {
 			const {expiresAt = Number.POSITIVE_INFINITY} = attempt;
@@ -152,6 +160,7 @@
 				},
 			);
 			const outcome = await waitForOutcome(sent, attempt.signal);
+			reportRefusal(address, outcome);
 			return hasExpired ? expiredResult : readGateOutcome(outcome);
 		},
 		async ask(address, query) {
@@ -173,6 +182,7 @@
 				{agent: unpooledAgent, address, areResponsesIdentified: true},
 			);
 			const outcome = await waitForOutcome(sent, signal);
+			reportRefusal(address, outcome);
 			// A fetch that was not sent says nothing about the outcome of the attempt.
 			return outcome.kind === 'not-sent'
 				? {kind: 'lost', reason: 'gate-unreachable'}
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -38,6 +38,7 @@
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
+import {createProblemLog} from './_lib/create-problem-log.js';
 import {createReportLog} from './_lib/create-report-log.js';
 import {createSuspectTracker} from './_lib/create-suspect-tracker.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
@@ -257,6 +258,7 @@
 		}
 	}
 
+	const logRefused = createProblemLog(options.logger, 'request refused', now);
 	const runner = createJobRunner({
 		ledger,
 		observer,
@@ -266,6 +268,9 @@
 			lostRequestDetector.scheduleCheck(upstream);
 		},
 		onHead: handleResponseHead,
+		onRefused({upstream}, reason) {
+			logRefused([{place: upstream.announcement.address, reason}]);
+		},
 		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
 			if (end === 'answered' && result.kind === 'answered') {
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -17,6 +17,7 @@
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {createAccessLog} from './_lib/create-access-log.js';
 import {createLagMeter} from './_lib/create-lag-meter.js';
+import {createProblemLog} from './_lib/create-problem-log.js';
 import {createReadiness} from './_lib/create-readiness.js';
 import {discoverUpstream} from './_lib/discover-upstream.js';
 import {sendJson} from './_lib/send-json.js';
@@ -169,7 +170,13 @@
 			members.announce(id, announcement);
 		},
 	});
-	const forwarder = createForwarder({readMaxWait: lagMeter.readMaxWait});
+	const logRefused = createProblemLog(logger, 'request refused');
+	const forwarder = createForwarder({
+		readMaxWait: lagMeter.readMaxWait,
+		onRefused(place, reason) {
+			logRefused([{place, reason}]);
+		},
+	});
 	const bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes);
 	const caller = await startCallerTask({
 		name,
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -3,6 +3,7 @@
 import type {Settings} from '../protocol/settings.js';
 import {createByteCounter} from './_lib/create-byte-counter.js';
 import {combineObservers} from './_lib/combine-observers.js';
+import {createProblemLog} from './_lib/create-problem-log.js';
 import {createRequestLog} from './_lib/create-request-log.js';
 import {listGauges} from './_lib/list-gauges.js';
 import {createForwarder} from './create-forwarder.js';
@@ -90,7 +91,12 @@
 			members.announce(id, announcement);
 		},
 	});
-	const forwarder = createForwarder();
+	const logRefused = createProblemLog(logger, 'request refused');
+	const forwarder = createForwarder({
+		onRefused(place, reason) {
+			logRefused([{place, reason}]);
+		},
+	});
 	const caller = await startCallerTask({
 		name,
 		dataCentre,
