Keep waits longer than a timer of Node.js from ending at once

What callers saw: requests on a route with a time-out of 3,000,000 s, whose deadline was 2^31-1 ms or more, ended at once at their deadline. Node.js runs a timer with a delay above 2^31-1 ms after 1 ms. The document's times are limited to that number when they are read, but the margins that are added to them, and deadlines of clients, were not.

Timers that are set from times of others take their delay from computeTimerDelay, which limits it. The waits of requests for retries are bounded by constants and stay as they are.

--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -13,6 +13,7 @@
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {JobEnd} from './create-crash-detector.js';
+import {computeTimerDelay} from './compute-timer-delay.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
 import {releaseSlot, takeNextJob} from './local-slots.js';
 import {
@@ -228,7 +229,11 @@
 	/** Schedules `startJobs` for when the rate limit admits the next job. */
 	function scheduleStart(upstream: LocalUpstream, waitMs: number): void {
 		clearTimeout(upstream.rateLimitTimer);
-		upstream.rateLimitTimer = setTimeout(startJobs, waitMs, upstream);
+		upstream.rateLimitTimer = setTimeout(
+			startJobs,
+			computeTimerDelay(waitMs),
+			upstream,
+		);
 		upstream.rateLimitTimer.unref();
 	}
 
--- a/src/transport/_lib/race-result.ts
+++ b/src/transport/_lib/race-result.ts
@@ -1,4 +1,5 @@
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
+import {computeTimerDelay} from './compute-timer-delay.js';
 
 /**
  * Waits for a result until a time-out or until a signal is aborted.
@@ -24,7 +25,7 @@
 			end(undefined);
 		};
 
-		const timer = setTimeout(stopWaiting, durationMs);
+		const timer = setTimeout(stopWaiting, computeTimerDelay(durationMs));
 		signal.addEventListener('abort', stopWaiting);
 		void result.then(end);
 	});
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -7,6 +7,7 @@
 	bodyPrefixBytes,
 } from '../../protocol/constants.js';
 import type {BodyMemoryBudget} from './create-body-memory-budget.js';
+import {computeTimerDelay} from './compute-timer-delay.js';
 import {discardBody} from './discard-body.js';
 import {selectBodyPrefix} from './select-body-prefix.js';
 
@@ -68,7 +69,9 @@
 	};
 
 	const timer =
-		timeoutMs === undefined ? undefined : setTimeout(finishPrefix, timeoutMs);
+		timeoutMs === undefined
+			? undefined
+			: setTimeout(finishPrefix, computeTimerDelay(timeoutMs));
 	const limit = new Transform({
 		transform(chunk: Uint8Array, _encoding, callback) {
 			const hasPrefix = size >= bodyPrefixBytes;
@@ -217,7 +220,7 @@
 		const timer =
 			timeoutMs === undefined
 				? undefined
-				: setTimeout(handleTimeout, timeoutMs);
+				: setTimeout(handleTimeout, computeTimerDelay(timeoutMs));
 		request.on('data', handleData);
 		request.on('end', handleEnd);
 		request.on('close', handleClose);
--- a/src/transport/_lib/start-post-poll-timer.ts
+++ b/src/transport/_lib/start-post-poll-timer.ts
@@ -1,3 +1,5 @@
+import {computeTimerDelay} from './compute-timer-delay.js';
+
 /** A timer that has been started. */
 export type PostPollTimer = {
 	/** Restarts the timer with its full delay. */
@@ -14,7 +16,7 @@
  * missing.
  *
  * @param callback - called once, unless the timer is stopped before
- * @param delayMs - delay, ms
+ * @param delayMs - delay, ms; see `computeTimerDelay`
  * @returns the running timer
  * @example
  * startPostPollTimer(() => socket.destroy(), 250).stop();
@@ -26,7 +28,7 @@
 	let immediate: NodeJS.Immediate | undefined;
 	const timer = setTimeout(() => {
 		immediate = setImmediate(callback);
-	}, delayMs);
+	}, computeTimerDelay(delayMs));
 
 	return {
 		refresh() {
--- a/src/transport/_lib/wait-ms.ts
+++ b/src/transport/_lib/wait-ms.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {computeTimerDelay} from './compute-timer-delay.js';
 
 /**
  * Waits for the given time or until the signal aborts; never rejects.
@@ -11,7 +12,7 @@
 	signal?: AbortSignal,
 ): Promise<void> {
 	try {
-		await delay(durationMs, undefined, {signal});
+		await delay(computeTimerDelay(durationMs), undefined, {signal});
 	} catch {
 		// The signal aborted the wait.
 	}
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -37,6 +37,7 @@
 } from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
+import {computeTimerDelay} from './_lib/compute-timer-delay.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
 import {createReportLog} from './_lib/create-report-log.js';
@@ -499,7 +500,7 @@
 		}, attempt.remainingMs + upstreamDeadlineSlackMs);
 		const waitTimer = setTimeout(
 			runner.expireQueued,
-			job.queueExpiresAt - job.admittedAt,
+			computeTimerDelay(job.queueExpiresAt - job.admittedAt),
 			job,
 		);
 		const cancel = (): void => {
