--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -13,6 +13,7 @@
 import type {RequestObserver} from '../../protocol/observer.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {JobEnd} from './create-crash-detector.js';
+import {computeTimerDelay} from './compute-timer-delay.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
 import {releaseSlot, takeNextJob} from './local-slots.js';
 import {
@@ -43,6 +44,8 @@
 	readonly onSent: (upstream: LocalUpstream) => void;
 	/** Called with the head of each response. */
 	readonly onHead: (job: Job, head: ResponseHead) => void;
+	/** Called when Node.js refuses to send an attempt, with the reason. */
+	readonly onRefused: (job: Job, reason: string) => void;
 	/** Called when a job that was sent has ended. */
 	readonly onEnd: (job: Job, end: JobEnd, result: AttemptResult) => void;
 	/** Whether any request is known to crash its upstreams; false when absent. */
@@ -226,7 +229,11 @@
 	/** Schedules `startJobs` for when the rate limit admits the next job. */
 	function scheduleStart(upstream: LocalUpstream, waitMs: number): void {
 		clearTimeout(upstream.rateLimitTimer);
-		upstream.rateLimitTimer = setTimeout(startJobs, waitMs, upstream);
+		upstream.rateLimitTimer = setTimeout(
+			startJobs,
+			computeTimerDelay(waitMs),
+			upstream,
+		);
 		upstream.rateLimitTimer.unref();
 	}
 
@@ -340,6 +347,10 @@
 		}
 
 		const outcome = await job.sent.outcome;
+		if (outcome.kind === 'not-sent' && outcome.refusal !== undefined) {
+			options.onRefused(job, outcome.refusal);
+		}
+
 		const answeredAt = now();
 		let isWhole = true;
 		const result = readUpstreamOutcome(outcome, attempt, {
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -37,7 +37,9 @@
 } from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
+import {computeTimerDelay} from './_lib/compute-timer-delay.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
+import {createProblemLog} from './_lib/create-problem-log.js';
 import {createReportLog} from './_lib/create-report-log.js';
 import {createSuspectTracker} from './_lib/create-suspect-tracker.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
@@ -257,6 +259,7 @@
 		}
 	}
 
+	const logRefused = createProblemLog(options.logger, 'request refused', now);
 	const runner = createJobRunner({
 		ledger,
 		observer,
@@ -266,6 +269,9 @@
 			lostRequestDetector.scheduleCheck(upstream);
 		},
 		onHead: handleResponseHead,
+		onRefused({upstream}, reason) {
+			logRefused([{place: upstream.announcement.address, reason}]);
+		},
 		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
 			if (end === 'answered' && result.kind === 'answered') {
@@ -494,7 +500,7 @@
 		}, attempt.remainingMs + upstreamDeadlineSlackMs);
 		const waitTimer = setTimeout(
 			runner.expireQueued,
-			job.queueExpiresAt - job.admittedAt,
+			computeTimerDelay(job.queueExpiresAt - job.admittedAt),
 			job,
 		);
 		const cancel = (): void => {
