--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -143,12 +143,12 @@
 		}
 
 		if (suspects.length > 0 && suspects.length === lostCount) {
-			forgetMissing(upstream);
+			removeMissing(upstream);
 		}
 	}
 
-	/** Discards the evidence of missing requests once it is explained, so that other requests need evidence of their own. */
-	function forgetMissing(upstream: LocalUpstream): void {
+	/** Removes the evidence of missing requests once it is explained, so that other requests need evidence of their own. */
+	function removeMissing(upstream: LocalUpstream): void {
 		upstream.work &&= {
 			...upstream.work,
 			missingSince: undefined,
