Call a store whose revision cannot be read less and less often

The highest revision of an object took the place of the store's, so that each read counted as a success and reset the delay; the watch from that revision failed at once, and its failure was the first again.

--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -78,7 +78,9 @@
 		}
 
 		case 'revision': {
-			const storeLoop = endCall(state.storeLoop, false, now);
+			// Without a revision the document is read, which must not repeat without delay.
+			const hasFailed = outcome.revision === undefined;
+			const storeLoop = endCall(state.storeLoop, hasFailed, now);
 			const revision =
 				state.revision === outcome.revision ? state.revision : undefined;
 			const step = createStepWithoutEffects({
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -605,3 +605,44 @@
 
 	assert.ok(polledAddresses.has(members[2]!.address));
 });
+
+// Regression: each successful call to a store whose revision cannot be read reset the delay, and each failed watch was logged.
+test('a store whose revision can no longer be read is called less and less often, and logged once', () => {
+	for (const era of [undefined, 1]) {
+		const machine = createWatchingMachine(era);
+		const {callId: watchId} = machine.find('watch')!;
+		const calls: string[] = [];
+		const lines: string[] = [];
+		let due = machine.send(
+			{kind: 'stored', callId: watchId, outcome: {kind: 'failed'}},
+			100,
+		);
+		for (let now = 100; now < 10_000; now += 10) {
+			for (const effect of [...due, ...machine.send({kind: 'tick'}, now)]) {
+				if (effect.kind === 'log' && effect.level === 'warn') {
+					lines.push(effect.message);
+				}
+
+				if (effect.kind !== 'read' && effect.kind !== 'check') {
+					continue;
+				}
+
+				calls.push(`${effect.kind} ${now}`);
+				const {callId} = effect;
+				const document = createDocument(2 + calls.length);
+				const outcome =
+					effect.kind === 'read'
+						? ({kind: 'read', document, revision: undefined, era} as const)
+						: ({kind: 'revision', revision: undefined, era} as const);
+				machine.send({kind: 'stored', callId, outcome}, now);
+			}
+
+			due = [];
+		}
+
+		assert.deepEqual(lines, ['store does not answer']);
+		assert.ok(calls.length <= 15, calls.join(', '));
+		assert.ok(calls.length >= 10, calls.join(', '));
+		assert.equal(machine.read().document?.version, 2 + calls.length);
+	}
+});
