--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -71,14 +71,8 @@
 export const documentBacklogThresholdMs = 150;
 /** Documents that a node keeps as bases for changes; more than a burst of changes brings within the time that one change may take. */
 export const maxKeptDocuments = 32;
-/** Maximum number of log lines about unreadable parts of one document or response of the store; the remaining parts are only counted. */
+/** Maximum number of log lines about unreadable parts of one document; the remaining parts are only counted. */
 export const maxLoggedProblems = 16;
-/** Time for which an unreadable part of the store that was logged is not logged again. */
-export const problemRetentionMs = 60 * msPerMinute;
-/** Number of unreadable parts of one response of the store that are checked for whether they were logged; the remaining parts are only counted. */
-export const maxCheckedProblems = 128;
-/** Number of unreadable parts of the store that are kept as logged. */
-export const maxKnownProblems = 512;
 /** Maximum length of a response of the platform's store; four times the largest object that it stores, as a list may hold several objects. */
 export const maxStoreAnswerBytes = 4096 * bytesPerKibibyte;
 /** Maximum length of a call of another node, and of its answer; nested values of twice that length may exhaust the memory of a node. */
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -259,7 +259,11 @@
 		}
 	}
 
-	const logRefused = createProblemLog(options.logger, 'request refused', now);
+	const logRefused = createProblemLog({
+		logger: options.logger,
+		message: 'request refused',
+		now,
+	});
 	const runner = createJobRunner({
 		ledger,
 		observer,
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -27,7 +27,6 @@
 import {decodeExchange} from '../state/decode-exchange.js';
 import {decodeSeeds} from '../state/decode-seeds.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
-import {createUnreadableLog} from './_lib/create-unreadable-log.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PlatformClient} from './platform-client.js';
@@ -101,10 +100,18 @@
 	const {quarantine} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const seedsKey = `${seedsPrefix}${self.dataCentre}`;
-	const logProblems = createProblemLog(logger, 'store entry not readable', now);
+	const logProblems = createProblemLog({
+		logger,
+		message: 'store entry not readable',
+		now,
+	});
 	const timers = new Set<NodeJS.Timeout>();
 	const pendingSends = new Set<Promise<void>>();
-	const unreadableLog = createUnreadableLog({logger, now});
+	const logUnreadable = createProblemLog({
+		logger,
+		message: 'part of a message not readable',
+		now,
+	});
 	let state = createMembersState(self, now(), random(), {
 		seeds: options.seeds,
 		wallMs: Date.now(),
@@ -220,15 +227,13 @@
 			const decoded = decodeExchangeAnswer(received);
 			if (decoded.isErr()) {
 				const reason = decoded.error;
-				unreadableLog.record(address, [
-					{place: `answer of ${address}`, reason},
-				]);
+				logUnreadable([{place: `answer of ${address}`, reason}], address);
 				dispatch({kind: 'failure', address, request});
 				return;
 			}
 
 			const {value: answer, unreadable} = decoded.value;
-			unreadableLog.record(address, unreadable);
+			logUnreadable(unreadable, address);
 			if (answer.kind === 'ack' && answer.crashDigest !== undefined) {
 				quarantine?.compareDigest(address, answer.crashDigest);
 			}
@@ -403,7 +408,7 @@
 		isMember: () => state.role === 'member',
 		handleExchange(exchange) {
 			const {value: request, unreadable} = decodeExchange(exchange);
-			unreadableLog.record(request.from.address, unreadable);
+			logUnreadable(unreadable, request.from.address);
 			const effects = dispatch({kind: 'request', request});
 			const effect = effects.find(({kind}) => kind === 'answer');
 			if (effect?.kind !== 'answer') {
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -170,7 +170,7 @@
 			members.announce(id, announcement);
 		},
 	});
-	const logRefused = createProblemLog(logger, 'request refused');
+	const logRefused = createProblemLog({logger, message: 'request refused'});
 	const forwarder = createForwarder({
 		readMaxWait: lagMeter.readMaxWait,
 		onRefused(place, reason) {
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -91,7 +91,7 @@
 			members.announce(id, announcement);
 		},
 	});
-	const logRefused = createProblemLog(logger, 'request refused');
+	const logRefused = createProblemLog({logger, message: 'request refused'});
 	const forwarder = createForwarder({
 		onRefused(place, reason) {
 			logRefused([{place, reason}]);
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -32,7 +32,7 @@
 } from './_lib/create-body-memory-budget.js';
 import {createCallHandler} from './_lib/create-call-handler.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
-import {createUnreadableLog} from './_lib/create-unreadable-log.js';
+import {createProblemLog} from './_lib/create-problem-log.js';
 import {discardBody} from './_lib/discard-body.js';
 import {formatLoad} from './_lib/format-load.js';
 import {formatNotice} from './_lib/format-notice.js';
@@ -165,7 +165,11 @@
 	const {now = () => performance.now()} = options;
 	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 
-	const unreadableLog = createUnreadableLog({logger, now});
+	const logUnreadable = createProblemLog({
+		logger,
+		message: 'part of a message not readable',
+		now,
+	});
 
 	function abort(
 		{headers}: IncomingMessage,
@@ -230,9 +234,7 @@
 		const arrivedAt = now();
 		if (request.headers[attemptHeader] === undefined) {
 			// Without identifiers, two attempts would count as one.
-			unreadableLog.record('attempt', [
-				{place: attemptHeader, reason: 'missing'},
-			]);
+			logUnreadable([{place: attemptHeader, reason: 'missing'}], 'attempt');
 			discardBody(request);
 			await sendResult(response, unidentifiedResult);
 			return;
@@ -328,12 +330,11 @@
 		maxBytes: maxCallBytes,
 		createContext: createPeerCall,
 		onUnreadable(procedure, reason) {
-			unreadableLog.record('call', [
-				{
-					place: procedure.slice(0, maxProcedureLength),
-					reason: reason.replaceAll(/\s+/gv, ' ').slice(0, maxReasonLength),
-				},
-			]);
+			const problem = {
+				place: procedure.slice(0, maxProcedureLength),
+				reason: reason.replaceAll(/\s+/gv, ' ').slice(0, maxReasonLength),
+			};
+			logUnreadable([problem], 'call');
 		},
 	});
 	const app = polka().use((request, response) => {
--- a/src/transport/start-quarantine-task.ts
+++ b/src/transport/start-quarantine-task.ts
@@ -30,7 +30,7 @@
 import type {Member, MembersView} from '../protocol/member.js';
 import {decodeCrashRecords} from '../state/decode-crash-records.js';
 import {createRecentSet} from './_lib/create-recent-set.js';
-import {createUnreadableLog} from './_lib/create-unreadable-log.js';
+import {createProblemLog} from './_lib/create-problem-log.js';
 import type {Logger} from './create-logger.js';
 
 /** Clients of other nodes, as far as this task uses them. */
@@ -137,7 +137,11 @@
 	/** Fingerprints of changed records that are to be passed on. */
 	const pending = new Map<string, ChangeSource>();
 	const quarantined = new Set<string>();
-	const unreadableLog = createUnreadableLog({logger, now});
+	const logUnreadable = createProblemLog({
+		logger,
+		message: 'part of a message not readable',
+		now,
+	});
 	/** Pairs of digests that a sync has not made equal. */
 	const fruitlessSyncs = createRecentSet({
 		retentionMs: fruitlessSyncMs,
@@ -176,7 +180,7 @@
 	/** Takes in the records of another node, as received, and returns their number. */
 	function receive(source: string, encoded: unknown): number {
 		const {value: records, unreadable} = decodeCrashRecords(encoded);
-		unreadableLog.record(source, unreadable);
+		logUnreadable(unreadable, source);
 		dispatch({kind: 'received', records});
 		return records.length;
 	}
