Read the seeds again soon when an unknown address was passed over during a sync

What was seen: in test/odd-entries.test.ts a node that started was alone for over 8 s, once in 11 runs, after its data centre's object had been replaced by one odd address. Suspected cause: it writes its own address over the odd entry; the bridge reads that while a sync is running, passes the address over since only one sync runs at a time, and reads the object again ten seconds or more later. The new test shows this decision and fails on the code before; that it is the cause of the case above is not shown. The object is now read again with the next period.

--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -432,10 +432,16 @@
 	}
 
 	const unknownSeed = findUnknownSeed(next, outcome.addresses, random);
-	if (unknownSeed === undefined || next.sync) {
+	if (unknownSeed === undefined) {
 		return {state: next, effects};
 	}
 
+	if (next.sync) {
+		// Only one sync runs at a time; the address is looked at again after it.
+		const nextReadAt = Math.min(next.seeds.nextReadAt, now + membersPeriodMs);
+		return {state: {...next, seeds: {...next.seeds, nextReadAt}}, effects};
+	}
+
 	const synced = startSync(next, unknownSeed, now);
 	return {state: synced.state, effects: [...effects, ...synced.effects]};
 }
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -289,6 +289,24 @@
 	assert.ok(hasEffect(again, 'write-seeds'));
 });
 
+// Regression: a member that was alone in a replaced object was not found for ten seconds or more.
+test('an unknown address that is read during a sync is looked at again after it', () => {
+	const known = step(createState(), ping([record]), 5);
+	const outcome = {...goodSeeds, addresses: ['10.0.0.1:8081', '10.0.0.7:8081']};
+	const first = step(known.state, {kind: 'seeds', outcome}, 10);
+	assert.ok(first.state.sync);
+	const seeds = {...first.state.seeds, nextReadAt: 40_000};
+	const second = step(
+		{...first.state, seeds},
+		{
+			kind: 'seeds',
+			outcome: {...outcome, addresses: ['10.0.0.1:8081', '10.0.0.8:8081']},
+		},
+		20,
+	);
+	assert.ok(second.state.seeds.nextReadAt <= 1020);
+});
+
 test('the first bridge watches the objects, and reads them with the next period after a change', () => {
 	const read = step(createState(), {kind: 'seeds', outcome: goodSeeds}, 10);
 	const watching = step(read.state, {kind: 'tick'}, 1000);
