--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -7,6 +7,7 @@
 import test, {type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {connectTimeoutMs} from '../../protocol/constants.js';
+import {recordUnhandled} from '../../../harness/record-unhandled.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import {sendRequest, type SendOutcome} from './send-request.js';
 
@@ -441,22 +442,6 @@
 	},
 ];
 
-/** Records what would end a process. */
-function recordUnhandled(t: TestContext): readonly string[] {
-	const unhandled: string[] = [];
-	const record = (error: unknown): void => {
-		unhandled.push(String(error));
-	};
-
-	process.on('unhandledRejection', record);
-	process.on('uncaughtException', record);
-	t.after(() => {
-		process.off('unhandledRejection', record);
-		process.off('uncaughtException', record);
-	});
-	return unhandled;
-}
-
 for (const {
 	about,
 	port,
--- a/test/refused-requests.test.ts
+++ b/test/refused-requests.test.ts
@@ -19,6 +19,7 @@
 	formatRawResponse,
 	startRawUpstream,
 } from '../harness/_lib/raw-upstream.js';
+import {recordUnhandled} from '../harness/record-unhandled.js';
 
 const cases = [
 	{routeName: 'prices\u20AC', service: 'payables', sent: 'payables'},
@@ -29,22 +30,6 @@
 
 const serviceLine = /^x-boragehitch-caller-service: (?<name>.*)$/imv;
 
-/** Records what would end a process. */
-function recordUnhandled(t: TestContext): readonly string[] {
-	const unhandled: string[] = [];
-	const record = (error: unknown): void => {
-		unhandled.push(String(error));
-	};
-
-	process.on('unhandledRejection', record);
-	process.on('uncaughtException', record);
-	t.after(() => {
-		process.off('unhandledRejection', record);
-		process.off('uncaughtException', record);
-	});
-	return unhandled;
-}
-
 /** Starts an upstream on the host of one of two nodes; both have the names given. */
 async function start(
 	t: TestContext,
