Keep the withdrawal of an upstream that the node does not know

Cause, from the log of the node: it had started 0.1 s before the upstream's deregistration, knew no upstream yet, acknowledged and kept nothing. An announcement from before, which came 2.2 s late, then added the upstream as ready.

A withdrawal of an unknown upstream is now kept like one of a known one, as of an incarnation that has started by then; a later start under the same id is taken. At most 64 are kept.

--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -2,6 +2,7 @@
  * Helpers for the leases of the upstreams on this host.
  */
 import {
+	maxLeasesPerHost,
 	maxUpstreamsPerHost,
 	upstreamRenewMs,
 	upstreamTombstoneMs,
@@ -170,13 +171,39 @@
 	return updateSelf({...state, leases}, {upstreams});
 }
 
+/**
+ * Records the withdrawal of an upstream that a node which has just started does
+ * not know, so that a late announcement from before does not add it. It counts as
+ * one of an incarnation that has started by now.
+ */
+function recordWithdrawal(
+	state: MembersState,
+	id: string,
+	now: number,
+): MembersState {
+	if (state.leases.size >= maxLeasesPerHost) {
+		return state;
+	}
+
+	const leases = new Map(state.leases).set(id, {
+		endsAt: now + upstreamTombstoneMs,
+		incarnation: Math.floor(state.wallOffsetMs + now),
+		address: '',
+		sequence: 0,
+		state: 'ended',
+	});
+	return {...state, leases};
+}
+
 /** Handles the withdrawal of an upstream. */
 export function withdrawUpstream(
 	state: MembersState,
 	id: string,
 	now: number,
 ): MembersStep {
-	return endLeases(state, new Set([id]), now);
+	return state.leases.has(id)
+		? endLeases(state, new Set([id]), now)
+		: {state: recordWithdrawal(state, id, now), effects: []};
 }
 
 /** Ends leases that have not been renewed in time. */
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -119,6 +119,30 @@
 	}
 });
 
+// Regression: a node that had restarted acknowledged that an upstream was gone, and a late announcement added the upstream.
+test('a late announcement does not add an upstream that was withdrawn before the node knew it', () => {
+	const withdrawn = step(createState(), {kind: 'withdraw', id: 'u'}, 1000);
+	const late = [{}, {incarnation: undefined}, {incarnation: wallMs - 9000}];
+	for (const change of late) {
+		const {state} = announce(withdrawn.state, change, 3000);
+		assert.deepEqual(state.self.upstreams, []);
+	}
+
+	const started = {incarnation: wallMs + 2000};
+	const {state} = announce(withdrawn.state, started, 3000);
+	assert.equal(state.self.upstreams.length, 1);
+});
+
+test('withdrawals of unknown upstreams are kept in bounds', () => {
+	let state = createState();
+	for (let count = 0; count < 10_000; count++) {
+		state = step(state, {kind: 'withdraw', id: `u${count}`}, count).state;
+	}
+
+	assert.ok(state.leases.size <= 64);
+	assert.equal(announce(state, {}, 10_000).state.self.upstreams.length, 1);
+});
+
 test('a process that resumes after a pause does not announce an expired lease', () => {
 	const announced = announce(createState(), {}, 0).state;
 	const asked = step(announced, ping([]), 4000);
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -98,6 +98,8 @@
 /** Maximum delay of an announcement that can still be told from a new one. */
 export const upstreamTombstoneMs = 60_000;
 export const maxUpstreamsPerHost = 16;
+/** Leases of a host's upstreams, with those that have ended, from which withdrawals of unknown ones are no longer kept. */
+export const maxLeasesPerHost = 4 * maxUpstreamsPerHost;
 /** Maximum age of an upstream in a record; it matters only while an upstream is new. */
 export const maxUpstreamAgeMs = 24 * 60 * msPerMinute;
 export const membersPeriodMs = 1000;
