--- a/soak/_lib/find-broken-promises.ts
+++ b/soak/_lib/find-broken-promises.ts
@@ -79,7 +79,10 @@
 				around.length > 0 && around.every(({kind}) => kind === 'term');
 			return status === 0 && isPlanned && arrived.has(id);
 		})
-		.map(({id, host}) => `cut: ${id} by the planned stop of ${host}`);
+		.map(
+			({id, host, sentAt, endedAt}) =>
+				`cut: ${id} by the planned stop of ${host} after ${Math.round(endedAt - sentAt)} ms`,
+		);
 }
 
 /** Time without a fault before a request after which a planned stop alone explains its end, ms; of the platform's rule. */
