--- a/src/coordination/step-request.ts
+++ b/src/coordination/step-request.ts
@@ -87,13 +87,26 @@
 	};
 }
 
+/** Counts the attempts that may have reached an upstream of the service. */
+function countAttempts({attempts, restamps, reroutes}: RequestState): number {
+	return attempts - restamps - reroutes;
+}
+
+/** Spends a token of the retry budget and waits before the next attempt. */
+function waitToRetry(state: RequestState, delayMs: number): RequestStep {
+	return {
+		state: {...state, phase: 'waiting-to-send'},
+		effects: [{kind: 'spend-budget'}, {kind: 'wait', durationMs: delayMs}],
+	};
+}
+
 function endAttempt(
 	state: RequestState,
 	ending: AttemptEnding,
 	context: RequestContext,
 ): RequestStep {
 	const {parameters, now, random, budget} = context;
-	const countedAttempts = state.attempts - state.restamps - state.reroutes;
+	const countedAttempts = countAttempts(state);
 	// An attempt at the wrong host reached no upstream; such attempts have a separate limit.
 	const isFull =
 		isCapacityRefusal(ending.reason) &&
@@ -134,10 +147,7 @@
 		}
 
 		case 'retry': {
-			return {
-				state: {...after, phase: 'waiting-to-send'},
-				effects: [{kind: 'spend-budget'}, {kind: 'wait', durationMs: delayMs}],
-			};
+			return waitToRetry(after, delayMs);
 		}
 	}
 }
@@ -208,8 +218,8 @@
 
 /**
  * Makes another attempt beside one that is in doubt, if retries allow it and
- * there is another host. The first one stays open: the doubt may be wrong, and when no other attempt can be
- * made, its answer is the only one that may come.
+ * there is another host. The first one stays open: the doubt may be wrong, and
+ * when no other attempt can be made, its answer is the only one that may come.
  */
 function repeatBeside(
 	state: RequestState,
@@ -218,7 +228,7 @@
 ): RequestStep {
 	const {parameters, now, random, budget, isQuarantined} = context;
 	const {hasUntriedHost = true} = context;
-	const attempts = state.attempts - state.restamps - state.reroutes;
+	const attempts = countAttempts(state);
 	const delayMs = computeRetryDelay(attempts, random);
 	const decision = decideRetry({
 		...parameters,
@@ -233,16 +243,15 @@
 		return keepState(state);
 	}
 
-	return {
-		state: {
+	return waitToRetry(
+		{
 			...state,
-			phase: 'waiting-to-send',
 			isOpen: false,
 			mayHaveRun: true,
 			earlier: [...state.earlier, state.attempts],
 		},
-		effects: [{kind: 'spend-budget'}, {kind: 'wait', durationMs: delayMs}],
-	};
+		delayMs,
+	);
 }
 
 function handleAskAnswer(
