--- a/src/protocol/address.ts
+++ b/src/protocol/address.ts
@@ -2,10 +2,10 @@
  * Schemas of IPv4 addresses with a port.
  */
 import * as z from 'zod';
+import {maxPort} from './constants.js';
 
 const addressPattern =
 	/^(?:(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)\.){3}(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d):(?<port>0|[1-9]\d{0,4})$/v;
-const maxPort = 65_535;
 
 function isAddress(text: string, minPort: number): boolean {
 	const port = Number(addressPattern.exec(text)?.groups?.port);
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -3,6 +3,7 @@
  */
 
 export const bytesPerKibibyte = 1024;
+export const maxPort = 65_535;
 /** Maximum delay of a timer, ms; Node.js runs a timer with a longer one at once. */
 export const maxTimerMs = 2 ** 31 - 1;
 export const maxManifestBytes = 64 * bytesPerKibibyte;
