Read an attempt into one object

An attempt was read into an object that began with a spread, and copied twice to add its body and its wait. Each of these took V8's slow way of adding properties one by one. It is now one literal with all properties, whose body and wait are set once they are known.

The result is the same but for properties that are undefined; absent headers aren't parsed.

--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -25,7 +25,7 @@
 } from '../../protocol/request.js';
 import {decodeHeaderText} from './decode-header-text.js';
 import {parseNotice} from './parse-notice.js';
-import {parseNumber} from './parse-number.js';
+import {parseNumber, type NumberRange} from './parse-number.js';
 import {readDeadline} from './read-deadline.js';
 import {parseStamp} from './parse-stamp.js';
 
@@ -37,6 +37,16 @@
 	readonly signal: CancelSignal;
 };
 
+/** An attempt that has been read, whose body may not have arrived yet. */
+export type ReceivedAttempt = Omit<
+	Attempt,
+	'body' | 'unreadMs' | 'onUnanswered'
+> & {
+	body: Uint8Array | Readable;
+	unreadMs: number | undefined;
+	onUnanswered: (() => void) | undefined;
+};
+
 const routeObjectiveRange = {min: 0, max: maxDeadlineMs};
 /** The objective may have passed. */
 const objectiveRange = {min: -maxDeadlineMs, max: maxDeadlineMs};
@@ -48,6 +58,13 @@
 	return value === undefined ? undefined : decodeHeaderText(String(value));
 }
 
+function readNumber(
+	value: string | string[] | undefined,
+	range: NumberRange,
+): number | undefined {
+	return value === undefined ? undefined : parseNumber(value, range);
+}
+
 /**
  * Reads an attempt from the headers of the request that carries it to a gate.
  *
@@ -57,10 +74,16 @@
  */
 export function readAttempt(
 	headers: IncomingHttpHeaders,
-	parts: AttemptParts,
-): Attempt {
+	{method, path, body, signal}: AttemptParts,
+): ReceivedAttempt {
+	const stamp = headers[stampHeader];
+	const notice = headers[noticeHeader];
+	// A literal with all properties is one allocation; with a spread or added properties it is copied for each few of them.
 	return {
-		...parts,
+		method,
+		path,
+		body,
+		signal,
 		id: String(headers[attemptHeader]),
 		requestId: String(headers[requestIdHeader]),
 		team: decodeHeaderText(String(headers[teamHeader])),
@@ -69,20 +92,22 @@
 		sheddingMeansNotRun: headers[shedHeader] === 'not-run',
 		headers,
 		remainingMs: readDeadline(headers),
-		depth: parseNumber(headers[depthHeader], depthRange) ?? 0,
+		depth: readNumber(headers[depthHeader], depthRange) ?? 0,
 		route: readText(headers[routeHeader]),
 		origin: readText(headers[originHeader]),
 		fingerprint: headers[fingerprintHeader]?.toString(),
-		priority: parseNumber(headers[priorityHeader], priorityRange),
-		routeObjectiveMs: parseNumber(
+		priority: readNumber(headers[priorityHeader], priorityRange),
+		routeObjectiveMs: readNumber(
 			headers[routeObjectiveHeader],
 			routeObjectiveRange,
 		),
-		objectiveMs: parseNumber(headers[objectiveHeader], objectiveRange),
-		stamp: parseStamp(headers[stampHeader]),
-		notice: parseNotice(headers[noticeHeader]),
-		createdAtGateMs: parseNumber(headers[gateTimeHeader], timeRange),
+		objectiveMs: readNumber(headers[objectiveHeader], objectiveRange),
+		stamp: stamp === undefined ? undefined : parseStamp(stamp),
+		notice: notice === undefined ? undefined : parseNotice(notice),
+		createdAtGateMs: readNumber(headers[gateTimeHeader], timeRange),
 		key: headers[keyHeader]?.toString(),
 		traceparent: headers[traceparentHeader]?.toString(),
+		unreadMs: undefined,
+		onUnanswered: undefined,
 	};
 }
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -37,7 +37,7 @@
 import {formatLoad} from './_lib/format-load.js';
 import {formatNotice} from './_lib/format-notice.js';
 import {formatStamp} from './_lib/format-stamp.js';
-import {readAttempt} from './_lib/read-attempt.js';
+import {readAttempt, type ReceivedAttempt} from './_lib/read-attempt.js';
 import {readDeadline} from './_lib/read-deadline.js';
 import {readProcedureName} from './_lib/read-procedure-name.js';
 import {readRequestBody} from './_lib/read-request-body.js';
@@ -181,7 +181,10 @@
 	}
 
 	/** Reads the head of an attempt, whose body may not have arrived yet. */
-	function readHead(request: IncomingMessage, signal: CancelSignal): Attempt {
+	function readHead(
+		request: IncomingMessage,
+		signal: CancelSignal,
+	): ReceivedAttempt {
 		return readAttempt(request.headers, {
 			method: request.method ?? 'GET',
 			path: (request.url ?? '').slice(gatePrefix.length),
@@ -202,7 +205,7 @@
 	/** Runs an attempt whose body has been read or is streamed. */
 	async function runReceivedAttempt(
 		request: IncomingMessage,
-		attempt: Attempt,
+		attempt: ReceivedAttempt,
 		arrivedAt: number,
 	): Promise<AttemptResult | 'sender-left'> {
 		// The end of the sender's connection may lie behind an attempt that was delayed on its way.
@@ -218,8 +221,8 @@
 		}
 
 		const waitedMs = computeUnreadTime(server.readSocketWaitMs(request));
-		const unreadMs = waitedMs + now() - arrivedAt;
-		const result = await gate.runAttempt({...attempt, unreadMs});
+		attempt.unreadMs = waitedMs + now() - arrivedAt;
+		const result = await gate.runAttempt(attempt);
 		if (attempt.body instanceof Readable && result.kind !== 'answered') {
 			discardBody(attempt.body);
 		}
@@ -241,8 +244,8 @@
 		}
 
 		const cancelSource = createCancelSource();
-		const head = readHead(request, cancelSource.signal);
-		const refusal = refuseEarly(request, head);
+		const attempt = readHead(request, cancelSource.signal);
+		const refusal = refuseEarly(request, attempt);
 		if (refusal) {
 			discardBody(request);
 			await sendResult(response, refusal);
@@ -256,7 +259,7 @@
 		const body = await readRequestBody(request, {
 			maxBytes: maxForwardedBytes,
 			memory: bodyMemory,
-			timeoutMs: head.remainingMs,
+			timeoutMs: attempt.remainingMs,
 			needsPrefix: false,
 		});
 		if (body.kind === 'refused') {
@@ -270,25 +273,23 @@
 				return;
 			}
 
-			if (head.repeatable) {
+			if (attempt.repeatable) {
 				cancelSource.abort();
 			} else {
 				// An attempt that is already running continues, so that its response
 				// can be fetched over another connection.
-				gate.cancelQueued(head.id);
+				gate.cancelQueued(attempt.id);
 			}
 		});
-		const attempt = {
-			...head,
-			body: body.body,
-			onUnanswered() {
-				// Node.js writes no hints without a link.
-				response.writeEarlyHints({
-					link: '</>; rel=self',
-					[reasonHeader]: 'unanswered',
-				});
-			},
+		attempt.body = body.body;
+		attempt.onUnanswered = () => {
+			// Node.js writes no hints without a link.
+			response.writeEarlyHints({
+				link: '</>; rel=self',
+				[reasonHeader]: 'unanswered',
+			});
 		};
+
 		const result = await runReceivedAttempt(request, attempt, arrivedAt);
 		clearInterval(keepaliveTimer);
 		bodyMemory.release(body.reservedBytes);
