Give the gate's attempts one timer, and admit them in fewer steps

Each admitted attempt had two timers and four objects made of spreads. One timer now serves the deadlines of all attempts and another those of the queued ones only (create-shared-timer.ts): they fire for the first of them, after the sockets have been read where they did before. With one team, the next job needs no maps of teams. Two promise layers are one.

Decisions and their order are the same; with fewer than two teams in use each team may take every slot, as computeOpenSlots says.

--- a/src/transport/_lib/local-slots.ts
+++ b/src/transport/_lib/local-slots.ts
@@ -59,11 +59,43 @@
 	jobs: readonly Job[] | undefined,
 	{sent}: LocalUpstream,
 ): Job | undefined {
-	const [job] = jobs ?? [];
+	const job = jobs?.[0];
 	const mustWait = job?.isSuspect && [...sent].some(({isSuspect}) => isSuspect);
 	return mustWait ? jobs!.find(({isSuspect}) => !isSuspect) : job;
 }
 
+/** Finds the first job of the team that gets the next slot. */
+function findFairJob(
+	upstream: LocalUpstream,
+	occupiedSlots: number,
+	now: number,
+): Job | undefined {
+	const {queued, teamUses, announcement} = upstream;
+	if (queued.size === 1 && teamUses.size < 2) {
+		// No other team waits, and none has a part of the slots left free for it.
+		const [jobs] = queued.values();
+		return findNextJob(jobs, upstream);
+	}
+
+	const startTags = new Map<string, number>();
+	for (const [name, jobs] of queued) {
+		const next = findNextJob(jobs, upstream);
+		if (next) {
+			startTags.set(name, next.startTag);
+		}
+	}
+
+	const team = pickNextTeam({
+		slots: announcement.slots,
+		inFlight: occupiedSlots,
+		startTags,
+		teams: readTeamActivity(upstream, now),
+	});
+	return team === undefined
+		? undefined
+		: findNextJob(queued.get(team), upstream);
+}
+
 /**
  * Takes the next job from the queue if there is a slot for it.
  *
@@ -83,24 +115,7 @@
 		return undefined;
 	}
 
-	const startTags = new Map<string, number>();
-	for (const [name, jobs] of upstream.queued) {
-		const next = findNextJob(jobs, upstream);
-		if (next) {
-			startTags.set(name, next.startTag);
-		}
-	}
-
-	const team = pickNextTeam({
-		slots,
-		inFlight: occupiedSlots,
-		startTags,
-		teams: readTeamActivity(upstream, now),
-	});
-	const job =
-		team === undefined
-			? undefined
-			: findNextJob(upstream.queued.get(team), upstream);
+	const job = findFairJob(upstream, occupiedSlots, now);
 	if (job) {
 		removeFromLocalQueue(job);
 		upstream.fairQueue.serve(job.startTag);
@@ -145,6 +160,11 @@
 ): void {
 	const {teamUses} = upstream;
 	teamUses.set(team, stepTeamUse(teamUses.get(team), now));
+	if (teamUses.size === 1) {
+		// This team has just used a slot.
+		return;
+	}
+
 	for (const [name, use] of teamUses) {
 		if (readTeamUse(use, now) < minTrackedUse) {
 			teamUses.delete(name);
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -265,15 +265,15 @@
 	route?: string,
 ): GateLoad {
 	const notice = readNotice(upstream, now);
-	return {
+	const load = {
 		inFlight: upstream.inFlight,
 		queued: upstream.queuedCount,
 		slots: upstream.announcement.slots,
 		serviceMs: upstream.serviceTime?.meanMs,
 		routeMs:
 			route === undefined ? undefined : upstream.routeTimes.get(route)?.meanMs,
-		...(notice && {notice}),
 	};
+	return notice ? {...load, notice} : load;
 }
 
 /**
@@ -478,6 +478,10 @@
  * @returns the number of jobs
  */
 export function countAhead(upstream: LocalUpstream, team: string): number {
+	if (upstream.queuedCount === 0) {
+		return 0;
+	}
+
 	const teamQueued = upstream.queued.get(team)?.length ?? 0;
 	let ahead = 0;
 	for (const jobs of upstream.queued.values()) {
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -37,10 +37,10 @@
 } from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
-import {computeTimerDelay} from './_lib/compute-timer-delay.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
 import {createReportLog} from './_lib/create-report-log.js';
+import {createSharedTimer} from './_lib/create-shared-timer.js';
 import {createSuspectTracker} from './_lib/create-suspect-tracker.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {createLostRequestDetector} from './_lib/create-lost-request-detector.js';
@@ -66,7 +66,6 @@
 } from './_lib/local-upstream.js';
 import {raceResult} from './_lib/race-result.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
-import {startPostPollTimer} from './_lib/start-post-poll-timer.js';
 import type {Logger} from './create-logger.js';
 import {defaultEdge} from './default-edge.js';
 import type {RequestQuarantine} from './start-quarantine-task.js';
@@ -304,6 +303,18 @@
 		now,
 	});
 
+	const deadlineTimer = createSharedTimer<Job>({
+		onDue(job) {
+			runner.endEarly(job, 'deadline');
+		},
+		isPostPoll: true,
+		now,
+	});
+	const queueTimer = createSharedTimer<Job>({
+		onDue: runner.expireQueued,
+		now,
+	});
+
 	function estimateAttempt(
 		upstream: LocalUpstream,
 		attempt: Attempt,
@@ -311,8 +322,11 @@
 		const at = now();
 		const {priority = 0, remainingMs, routeObjectiveMs = remainingMs} = attempt;
 		const dueAt = at + routeObjectiveMs;
+		const wait = computeLocalWait(upstream, {priority, dueAt}, at);
 		return {
-			...computeLocalWait(upstream, {priority, dueAt}, at),
+			waitMs: wait.waitMs,
+			lateWaitMs: wait.lateWaitMs,
+			rateLimitWaitMs: wait.rateLimitWaitMs,
 			serviceMs: readExpectedServiceTime(upstream, attempt, at),
 			meanServiceMs: readServiceTime(upstream.serviceTime, at),
 		};
@@ -321,7 +335,8 @@
 	/** Subtracts the transit time of an attempt from its remaining time. */
 	function subtractTransitTime(attempt: Attempt): Attempt {
 		const transitMs = computeTransitTime(attempt, now());
-		return {...attempt, ...computeRemainingTime(attempt, transitMs)};
+		const {remainingMs, objectiveMs} = computeRemainingTime(attempt, transitMs);
+		return {...attempt, remainingMs, objectiveMs};
 	}
 
 	/** Admits an attempt, unless event loop lag leaves the node no time for it. */
@@ -339,31 +354,6 @@
 			: refuse('not-run', 'overloaded');
 	}
 
-	/** Reads the state of slots and queue that a new attempt meets. */
-	function readQueueState(
-		upstream: LocalUpstream,
-		{team}: Attempt,
-	): Pick<
-		AdmissionInput,
-		| 'slots'
-		| 'inFlight'
-		| 'queuedAhead'
-		| 'queued'
-		| 'teamQueued'
-		| 'maxTeamQueued'
-		| 'maxQueued'
-	> {
-		return {
-			slots: computeLocalOpenSlots(upstream, team, now()),
-			inFlight: readOccupiedSlots(upstream, now()),
-			queuedAhead: countAhead(upstream, team),
-			queued: upstream.queuedCount,
-			teamQueued: upstream.queued.get(team)?.length ?? 0,
-			maxTeamQueued: findLongestQueue(upstream).length,
-			maxQueued: upstream.announcement.slots * queueSlotsRatio,
-		};
-	}
-
 	/** Counts an attempt that can meet its objective, and drops late attempts when such attempts use all slots. Returns the utilization. */
 	function recordDemand(
 		upstream: LocalUpstream,
@@ -411,15 +401,26 @@
 		estimate: AttemptEstimate,
 		utilization: number,
 	): (Admission & {readonly kind: 'admit'}) | AttemptResult {
-		const {remainingMs, objectiveMs = remainingMs} = attempt;
+		const {remainingMs, objectiveMs = remainingMs, team} = attempt;
+		const at = now();
 		const admission = decideAdmission({
 			state: 'ready',
 			remainingMs,
 			objectiveMs,
-			...estimate,
+			serviceMs: estimate.serviceMs,
+			meanServiceMs: estimate.meanServiceMs,
+			waitMs: estimate.waitMs,
+			lateWaitMs: estimate.lateWaitMs,
+			rateLimitWaitMs: estimate.rateLimitWaitMs,
 			utilization,
 			marginRatio: upstream.marginRatio,
-			...readQueueState(upstream, attempt),
+			slots: computeLocalOpenSlots(upstream, team, at),
+			inFlight: readOccupiedSlots(upstream, at),
+			queuedAhead: countAhead(upstream, team),
+			queued: upstream.queuedCount,
+			teamQueued: upstream.queued.get(team)?.length ?? 0,
+			maxTeamQueued: findLongestQueue(upstream).length,
+			maxQueued: upstream.announcement.slots * queueSlotsRatio,
 		});
 		if (admission.kind === 'admit') {
 			return admission;
@@ -490,36 +491,28 @@
 		});
 	}
 
-	async function admitAndRun(received: Attempt): Promise<AttemptResult> {
-		const attempt = subtractTransitTime(received);
-		const admitted = admitUnlessLagging(attempt);
-		if ('kind' in admitted) {
-			ledger.refuse(attempt, now());
-			return admitted;
+	/** Waits for the end of an admitted attempt, and ends it early when its time is over or it is cancelled. */
+	async function waitForResult(job: Job): Promise<AttemptResult> {
+		const {attempt} = job;
+		const {signal} = attempt;
+		deadlineTimer.start(job, attempt.remainingMs + upstreamDeadlineSlackMs);
+		if (job.phase === 'queued') {
+			queueTimer.start(job, job.queueExpiresAt - job.admittedAt);
 		}
 
-		const job = admitted;
-		const timer = startPostPollTimer(() => {
-			runner.endEarly(job, 'deadline');
-		}, attempt.remainingMs + upstreamDeadlineSlackMs);
-		const waitTimer = setTimeout(
-			runner.expireQueued,
-			computeTimerDelay(job.queueExpiresAt - job.admittedAt),
-			job,
-		);
 		const cancel = (): void => {
 			runner.endEarly(job, 'cancelled');
 		};
 
-		attempt.signal.addEventListener('abort', cancel, {once: true});
-		if (attempt.signal.aborted) {
+		signal.addEventListener('abort', cancel, {once: true});
+		if (signal.aborted) {
 			cancel();
 		}
 
 		const result = await job.result;
-		clearTimeout(waitTimer);
+		queueTimer.stop(job);
 		if (job.phase === 'finished') {
-			timer.stop();
+			deadlineTimer.stop(job);
 		}
 
 		reportGateEvent(observer, job, result, now());
@@ -639,7 +632,14 @@
 			const decision = holder ? 'running' : ledger.admit(attempt, now());
 			switch (decision) {
 				case 'run': {
-					return admitAndRun(attempt);
+					const current = subtractTransitTime(attempt);
+					const admitted = admitUnlessLagging(current);
+					if (!('kind' in admitted)) {
+						return waitForResult(admitted);
+					}
+
+					ledger.refuse(current, now());
+					return admitted;
 				}
 
 				case 'stale': {
