Measure refusals and calls in the cost bench, beside the plain forwarder in turn

Cause: `npm run bench -- cost` measured a served request only, nodes first and forwarders after them. Without target/ it printed a refused connection for ever and left the forwarders running; nodes of an earlier run held the fixed addresses, and the next run then printed 0.00 ms a request.

Change: each round measures a served request, one whose upstream makes a call through its own node, one refused by the caller's node (host known to be full) and one refused by the gate (400 routes, so that the caller's node doesn't know it), on all sides in an order that alternates. Processor time is from schedstat (ns instead of ticks of 10 ms), what the processes use without requests is measured in each round and subtracted, and reads, writes and waits are counted. `--target` twice, or `--before`, pairs two builds in one run. The bench builds target/ itself, takes a loopback IP and ports that are free, has at most four requests in flight, and repeats a load of which more than 5 % are answered otherwise, three times at most. It fails with one line when a process ends, does not serve, or answers are missing, and its processes end with it: on failure, signal, or the end of the parent process (npm passes no signal on). `bench -- uploads` shares this.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /**
  * Runs a benchmark: `npm run bench -- NAME [OPTIONS]`.
  */
@@ -36,7 +37,14 @@
 const load = benchmarks[name];
 if (load) {
 	const run = await load();
-	await run(argv);
+	try {
+		await run(argv);
+	} catch (error) {
+		const reason = error instanceof Error ? error.message : String(error);
+		console.error(`bench ${name} failed: ${reason}`);
+		// What the benchmark has started in this process ends with it.
+		process.exit(1);
+	}
 } else {
 	console.error(`benchmarks: ${Object.keys(benchmarks).join(', ')}`);
 	process.exitCode = 2;
--- a/bench/request-cost.ts
+++ b/bench/request-cost.ts
@@ -2,73 +2,135 @@
  * Measures what a request costs both nodes on its way on the users' platform,
  * beside a plain forwarder: `npm run bench -- cost`.
  */
-import type {ChildProcess} from 'node:child_process';
-import {mkdtemp, readdir, readFile} from 'node:fs/promises';
-import {Agent} from 'node:http';
-import {tmpdir} from 'node:os';
+import {readdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
 import {parseArgs} from 'node:util';
-import {samplePath} from '../fakes/platform-messages.js';
 import {bytesPerKibibyte, msPerSecond} from '../src/protocol/constants.js';
+import {buildTarget} from './_lib/build-target.js';
+import type {BenchProcesses} from './_lib/create-bench-processes.js';
+import {
+	measureIdleCost,
+	measureRequestCost,
+	type RequestCost,
+} from './_lib/measure-request-cost.js';
 import {readProcessUsage} from './_lib/read-process-usage.js';
-import {sendSample, startPlatformPair} from './_lib/start-platform-pair.js';
+import {readRunContext} from './_lib/read-machine.js';
+import {runWithProcesses} from './_lib/run-with-processes.js';
+import {
+	startPlainPair,
+	startPlatformPair,
+	type ForwardingPair,
+	type RequestKind,
+} from './_lib/start-platform-pair.js';
+import {summarizeCosts, type CostRound} from './_lib/summarize-costs.js';
 import {summarizeProfile} from './_lib/summarize-profile.js';
+import {writeMeasurement} from './_lib/write-measurement.js';
 
 const shownRows = 40;
-const statusOk = 200;
+const kinds: readonly RequestKind[] = [
+	'served',
+	'calling',
+	'caller-refused',
+	'gate-refused',
+];
 
-type Load = {
-	/** Requests a second. */
+/** Kinds that a plain forwarder serves as well. */
+const plainKinds: ReadonlySet<RequestKind> = new Set(['served', 'calling']);
+
+/** Fewest rounds that are recorded. */
+const minRecordedRounds = 5;
+
+type Side = {readonly name: string; readonly pair: ForwardingPair};
+
+type CostOptions = {
+	readonly targets: ReadonlyMap<string, string>;
+	readonly runtimeOptions: readonly string[];
+	readonly kinds: readonly RequestKind[];
 	readonly rate: number;
-	/** Length of a round, s. */
+	/** Length of the load of one kind on one side, s. */
 	readonly seconds: number;
 	readonly rounds: number;
+	/** Time between the start and the first request, s. */
+	readonly leadSeconds: number;
+	/** Requests of each kind before the first round. */
+	readonly warmCount: number;
 };
 
-/** Sends requests at a steady rate; returns how many were answered with 200. */
-async function sendSteadily(
-	address: string,
-	{rate, seconds}: Load,
-): Promise<number> {
-	const agent = new Agent({keepAlive: true});
-	const answers: Array<Promise<number>> = [];
-	for (let number = 0; number < rate * seconds; number++) {
-		const id = `request-${number}`;
-		answers.push(sendSample(address, {path: samplePath, agent, id}));
-		await wait(msPerSecond / rate);
+async function printMemory(sides: readonly Side[]): Promise<void> {
+	for (const {name, pair} of sides) {
+		const usages = await Promise.all(
+			pair.processes.map(async ({pid}) => readProcessUsage(pid!)),
+		);
+		const texts = usages.map(
+			({cpuMs, rssBytes}) =>
+				`${cpuMs.toFixed(0)} ms, ${(rssBytes / bytesPerKibibyte ** 2).toFixed(0)} MiB`,
+		);
+		console.log(`${name}: ${texts.join('; ')}`);
+	}
+}
+
+async function startSides(
+	options: CostOptions,
+	processes: BenchProcesses,
+	folder: string,
+): Promise<readonly Side[]> {
+	const sides: Side[] = [];
+	for (const [name, target] of options.targets) {
+		const {runtimeOptions} = options;
+		const settings = {processes, folder, name, target, runtimeOptions};
+		sides.push({name, pair: await startPlatformPair(settings)});
 	}
 
-	const statuses = await Promise.all(answers);
-	agent.destroy();
-	return statuses.filter((status) => status === statusOk).length;
+	return [...sides, {name: 'plain', pair: await startPlainPair(processes)}];
 }
 
-function formatMebibytes(bytes: number): string {
-	return `${(bytes / bytesPerKibibyte ** 2).toFixed(0)} MiB`;
+/** Lists the loads of a round: each kind on all sides in turn, in an order that alternates. */
+function listLoads(
+	sides: readonly Side[],
+	{kinds}: CostOptions,
+	round: number,
+): ReadonlyArray<{readonly kind: RequestKind; readonly side: Side}> {
+	const ordered = round % 2 === 0 ? sides : sides.toReversed();
+	return kinds.flatMap((kind) =>
+		ordered
+			.filter(({name}) => name !== 'plain' || plainKinds.has(kind))
+			.map((side) => ({kind, side})),
+	);
 }
 
-async function readUsages(children: readonly ChildProcess[]) {
-	return Promise.all(children.map(async ({pid}) => readProcessUsage(pid!)));
+async function measureRound(
+	sides: readonly Side[],
+	options: CostOptions,
+	round: number,
+): Promise<CostRound> {
+	const {rate, seconds} = options;
+	const pairs = sides.map(({pair}) => pair);
+	const idle = await measureIdleCost(pairs, 1);
+	const costs = new Map<string, readonly RequestCost[]>();
+	for (const {kind, side} of listLoads(sides, options, round)) {
+		const {name, pair} = side;
+		const load = {kind, rate, seconds};
+		const idleCosts = idle[sides.indexOf(side)]!;
+		const cost = await measureRequestCost(name, pair, load, idleCosts);
+		costs.set(`${name} ${kind}`, cost);
+	}
+
+	return {
+		idle: new Map(sides.map(({name}, index) => [name, idle[index]!])),
+		costs,
+	};
 }
 
-async function measure(
-	label: string,
-	address: string,
-	children: readonly ChildProcess[],
-	load: Load,
-): Promise<void> {
-	for (let round = 1; round <= load.rounds; round++) {
-		const before = await readUsages(children);
-		const answered = await sendSteadily(address, load);
-		const after = await readUsages(children);
-		const costs = after.map(({cpuMs, rssBytes}, index) => {
-			const ms = (cpuMs - before[index]!.cpuMs) / answered;
-			return `${ms.toFixed(2)} ms a request, ${formatMebibytes(rssBytes)}`;
-		});
-		console.log(
-			`${label}, round ${round}: ${answered} answered; ${costs.join('; ')}`,
-		);
+async function warm(sides: readonly Side[], options: CostOptions) {
+	const {rate, warmCount} = options;
+	if (warmCount === 0) {
+		return;
+	}
+
+	for (const {kind, side} of listLoads(sides, options, 0)) {
+		const load = {kind, rate, seconds: warmCount / rate};
+		await measureRequestCost(side.name, side.pair, load);
 	}
 }
 
@@ -84,51 +146,120 @@
 	}
 }
 
+/** Names the sides: one build, or two of them as a pair. */
+async function nameTargets(
+	targets: readonly string[],
+	before: string | undefined,
+): Promise<ReadonlyMap<string, string>> {
+	const [first, second] =
+		before === undefined ? targets : [before, targets.at(-1)];
+	if (before === undefined && targets.length < 2) {
+		return new Map([['node', await buildTarget(first)]]);
+	}
+
+	return new Map([
+		['before', await buildTarget(first)],
+		['after', await buildTarget(second)],
+	]);
+}
+
+function readKinds(names: readonly string[]): readonly RequestKind[] {
+	const known: readonly string[] = kinds;
+	const unknown = names.find((name) => !known.includes(name));
+	if (unknown !== undefined) {
+		throw new Error(`no kind ${unknown}; kinds: ${kinds.join(', ')}`);
+	}
+
+	return names.length === 0
+		? kinds
+		: kinds.filter((kind) => names.includes(kind));
+}
+
+function readCount(text: string, name: string, min: number): number {
+	const value = Number(text);
+	if (!(value >= min)) {
+		throw new Error(`--${name} is not a number of at least ${min}: ${text}`);
+	}
+
+	return value;
+}
+
 /**
  * Sends requests through two nodes, and through two plain forwarders, and
- * prints the processor time and memory of each process.
+ * prints what each kind of request costs each process.
  *
- * @param argv - `--rate`, `--seconds`, `--rounds`, `--lead` (s), `--profile`,
- * `--target FILE`,
- * and `--option=OPTION` for further options of the runtime
+ * @param argv - `--rate`, `--seconds`, `--rounds`, `--lead` (s), `--warm`
+ * (requests of each kind before the first round), `--kind KIND` (repeatable),
+ * `--target FILE`, twice or with `--before FILE` for a pair of builds,
+ * `--option=OPTION` for further options of the runtime, `--profile`, and
+ * `--record` to write the measurement file
  * @example
  * await benchRequestCost(['--rate', '100']);
  */
 export async function benchRequestCost(argv: readonly string[]): Promise<void> {
-	const {values} = parseArgs({
-		args: [...argv],
-		options: {
-			rate: {type: 'string', default: '130'},
-			seconds: {type: 'string', default: '2'},
-			rounds: {type: 'string', default: '6'},
-			lead: {type: 'string', default: '0'},
-			profile: {type: 'boolean', default: false},
-			option: {type: 'string', multiple: true, default: []},
-			target: {type: 'string', default: 'target/boragehitch.mjs'},
-		},
-	});
-	const load: Load = {
-		rate: Number(values.rate),
-		seconds: Number(values.seconds),
-		rounds: Number(values.rounds),
-	};
-	const folder = await mkdtemp(path.join(tmpdir(), 'boragehitch-cost-'));
-	const pair = await startPlatformPair({
-		target: values.target,
-		runtimeOptions: [
-			...values.option,
-			...(values.profile ? ['--cpu-prof', '--cpu-prof-dir', folder] : []),
-		],
-	});
-	const {nodes, plain, callers, plainAddress} = pair;
-	for (const {cpuMs, rssBytes} of await readUsages(nodes)) {
-		console.log(`node started: ${cpuMs} ms, ${formatMebibytes(rssBytes)}`);
-	}
+	await runWithProcesses(async (processes, folder) => {
+		const {values} = parseArgs({
+			args: [...argv],
+			options: {
+				rate: {type: 'string', default: '100'},
+				seconds: {type: 'string', default: '2'},
+				rounds: {type: 'string', default: '6'},
+				lead: {type: 'string', default: '0'},
+				warm: {type: 'string', default: '500'},
+				kind: {type: 'string', multiple: true, default: []},
+				profile: {type: 'boolean', default: false},
+				record: {type: 'boolean', default: false},
+				option: {type: 'string', multiple: true, default: []},
+				target: {type: 'string', multiple: true, default: []},
+				before: {type: 'string'},
+			},
+		});
+		const options: CostOptions = {
+			targets: await nameTargets(values.target, values.before),
+			runtimeOptions: [
+				...values.option,
+				...(values.profile ? ['--cpu-prof', '--cpu-prof-dir', folder] : []),
+			],
+			kinds: readKinds(values.kind),
+			rate: readCount(values.rate, 'rate', 1),
+			seconds: readCount(values.seconds, 'seconds', 0),
+			rounds: readCount(values.rounds, 'rounds', 1),
+			leadSeconds: readCount(values.lead, 'lead', 0),
+			warmCount: readCount(values.warm, 'warm', 0),
+		};
+		const context = readRunContext('npm run bench -- cost', 0);
+		const sides = await startSides(options, processes, folder);
+		console.log('started (processor time and memory of each process):');
+		await printMemory(sides);
+		// Nodes are still busy with their start for a time.
+		await wait(options.leadSeconds * msPerSecond);
+		await warm(sides, options);
+		const rounds: CostRound[] = [];
+		for (let round = 0; round < options.rounds; round++) {
+			rounds.push(await measureRound(sides, options, round));
+			console.log(`round ${round + 1} of ${options.rounds}`);
+		}
 
-	// Nodes are still busy with their start for a time.
-	await wait(Number(values.lead) * msPerSecond);
-	await measure('node', callers, nodes, load);
-	await measure('plain', plainAddress, plain, load);
-	await pair.stop();
-	await printProfiles(folder);
+		await printMemory(sides);
+		const {lines, ratios} = summarizeCosts([...options.targets.keys()], rounds);
+		console.log(lines.join('\n'));
+		for (const {pair} of sides) {
+			await pair.stop();
+		}
+
+		await processes.stop();
+		await printProfiles(folder);
+		if (values.record) {
+			if (options.rounds < minRecordedRounds) {
+				throw new Error(`fewer than ${minRecordedRounds} rounds, not recorded`);
+			}
+
+			const {rate, seconds, warmCount} = options;
+			await writeMeasurement('cost', {
+				context,
+				load: {rate, seconds, rounds: rounds.length, warmCount},
+				ratios,
+			});
+		}
+	});
 }
--- a/bench/uploads.ts
+++ b/bench/uploads.ts
@@ -8,8 +8,12 @@
 import {parseArgs} from 'node:util';
 import {samplePath} from '../fakes/platform-messages.js';
 import {bytesPerKibibyte} from '../src/protocol/constants.js';
+import {buildTarget} from './_lib/build-target.js';
+import type {BenchProcesses} from './_lib/create-bench-processes.js';
 import {readProcessUsage} from './_lib/read-process-usage.js';
-import {sendSample, startPlatformPair} from './_lib/start-platform-pair.js';
+import {runWithProcesses} from './_lib/run-with-processes.js';
+import {sendSample, type SampleAnswer} from './_lib/send-sample.js';
+import {startPlainPair, startPlatformPair} from './_lib/start-platform-pair.js';
 
 const bytesPerMegabyte = 1e6;
 
@@ -47,9 +51,9 @@
 	return `${(bytes / bytesPerKibibyte ** 2).toFixed(1)} MiB`;
 }
 
-function countStatuses(statuses: readonly number[]): string {
+function countStatuses(statuses: readonly SampleAnswer[]): string {
 	const counts = new Map<number, number>();
-	for (const status of statuses) {
+	for (const {status} of statuses) {
 		counts.set(status, (counts.get(status) ?? 0) + 1);
 	}
 
@@ -57,15 +61,25 @@
 }
 
 /** Sends uploads at once to a slow upstream, and prints the memory that they take. */
-async function measureWaiting({count, bytes}: Uploads): Promise<void> {
-	const pair = await startPlatformPair({upstreamMs: slowUpstreamMs});
+async function measureWaiting(
+	{count, bytes}: Uploads,
+	processes: BenchProcesses,
+	folder: string,
+): Promise<void> {
+	const pair = await startPlatformPair({
+		processes,
+		folder,
+		name: 'slow',
+		target: await buildTarget(undefined),
+		upstreamMs: slowUpstreamMs,
+	});
 	const body = new Uint8Array(bytes);
-	const before = await readMemories(pair.nodes);
+	const before = await readMemories(pair.processes);
 	const watching = new AbortController();
-	const watched = watchMemories(pair.nodes, watching.signal);
+	const watched = watchMemories(pair.processes, watching.signal);
 	const statuses = await Promise.all(
 		Array.from({length: count}, async (_, index) =>
-			sendSample(pair.callers, {path: samplePath, body, id: `upload-${index}`}),
+			sendSample(pair.address, {path: samplePath, body, id: `upload-${index}`}),
 		),
 	);
 	watching.abort();
@@ -121,17 +135,27 @@
 		},
 	});
 	const uploads = {count: Number(values.count), bytes: Number(values.bytes)};
-	await measureWaiting(uploads);
-	// The ports of the first pair are free again.
-	await wait(sampleIntervalMs);
-	const pair = await startPlatformPair();
-	for (let round = 1; round <= Number(values.rounds); round++) {
-		const node = await measureCost(pair.callers, pair.nodes, uploads);
-		const plain = await measureCost(pair.plainAddress, pair.plain, uploads);
-		console.log(
-			`round ${round}, ms a megabyte: nodes ${node.join(' and ')}; plain ${plain.join(' and ')}`,
-		);
-	}
-
-	await pair.stop();
+	await runWithProcesses(async (processes, folder) => {
+		await measureWaiting(uploads, processes, folder);
+	});
+	await runWithProcesses(async (processes, folder) => {
+		const target = await buildTarget(undefined);
+		const settings = {processes, folder, name: 'node', target};
+		const pair = await startPlatformPair(settings);
+		const plainPair = await startPlainPair(processes);
+		for (let round = 1; round <= Number(values.rounds); round++) {
+			const node = await measureCost(pair.address, pair.processes, uploads);
+			const plain = await measureCost(
+				plainPair.address,
+				plainPair.processes,
+				uploads,
+			);
+			console.log(
+				`round ${round}, ms a megabyte: nodes ${node.join(' and ')}; plain ${plain.join(' and ')}`,
+			);
+		}
+
+		await pair.stop();
+		await plainPair.stop();
+	});
 }
--- a/fakes/platform-messages.ts
+++ b/fakes/platform-messages.ts
@@ -9,80 +9,103 @@
 /** Host name of the route. */
 const routeHost = 'prices.example';
 
-const service = 'pricebook';
-const slots = 50;
-const deadlineMs = 4000;
-const ports = {
-	callers: 8100,
-	readiness: 8101,
-	announcements: 8102,
-	peers: 8110,
-};
+const usualDeadlineMs = 4000;
+const usualTimeoutSeconds = 2;
+const usualObjectiveSeconds = 0.4;
+const usualAttempts = 3;
 
 /** Path of a request that the route takes. */
 export const samplePath = '/prices/1';
 
-/** Path to which the sample server announces itself. */
-export const heartbeatPath = '/instances/i-1/heartbeat';
+/** Service of the route that `samplePath` matches. */
+export const sampleService = 'pricebook';
 
-/** A document with one route and its service. */
-export const sampleDocument = {
-	version: '00000001',
-	resources: [
-		{
-			resource_type: 'routes',
-			metadata: {name: 'prices'},
-			spec: {
-				host: routeHost,
-				path_prefix: '/prices/',
-				kind: 'idempotent',
-				timeout_s: 2,
-				target_latency_s: 0.4,
-				service,
-				max_attempts: 3,
-			},
-		},
-		{
-			resource_type: 'services',
-			metadata: {name: service},
-			spec: {health_path: '/health', max_connections: 100},
-		},
-	],
+/** A route of a document, matched by `/NAME/`. */
+export type SampleRoute = {
+	readonly name: string;
+	readonly service: string;
+	/** Longest time that a request may take, s; 2 when absent. */
+	readonly timeoutSeconds?: number;
+	/** Time after which an answer has lost value, s; 0.4 when absent. */
+	readonly objectiveSeconds?: number;
+	/** Maximum count of attempts at a request; 3 when absent. */
+	readonly attempts?: number;
+};
+
+/** Ports of a node on its IP. */
+export type SamplePorts = {
+	readonly callers: number;
+	readonly readiness: number;
+	readonly announcements: number;
+	readonly peers: number;
 };
 
-/** Addresses of a node for callers and for announcements. */
-export function createSampleAddresses(ip: string): {
-	readonly callers: string;
-	readonly announcements: string;
-} {
+/** A server as it announces itself. */
+export type SampleServer = {
+	readonly id: string;
+	readonly service: string;
+	readonly address: string;
+	readonly slots: number;
+};
+
+/** Creates a document with routes and their services. */
+export function createSampleDocument(routes: readonly SampleRoute[]): unknown {
+	const services = [...new Set(routes.map(({service}) => service))];
 	return {
-		callers: `${ip}:${ports.callers}`,
-		announcements: `${ip}:${ports.announcements}`,
+		version: '00000001',
+		resources: [
+			...routes.map(({name, service, ...limits}) => ({
+				resource_type: 'routes',
+				metadata: {name},
+				spec: {
+					host: routeHost,
+					path_prefix: `/${name}/`,
+					kind: 'idempotent',
+					timeout_s: limits.timeoutSeconds ?? usualTimeoutSeconds,
+					target_latency_s: limits.objectiveSeconds ?? usualObjectiveSeconds,
+					service,
+					max_attempts: limits.attempts ?? usualAttempts,
+				},
+			})),
+			...services.map((service) => ({
+				resource_type: 'services',
+				metadata: {name: service},
+				spec: {health_path: '/health', max_connections: 100},
+			})),
+		],
 	};
 }
 
 /** Formats the settings file of a node on an IP of its own. */
-export function formatSampleSettings(ip: string, store: string): string {
-	const {callers, announcements} = createSampleAddresses(ip);
+export function formatSampleSettings(
+	ip: string,
+	ports: SamplePorts,
+	store: string,
+): string {
 	return stringify({
 		node_name: `node-${ip}`,
 		ip,
 		zone: 'z',
 		listen_addrs: {
-			outbound: callers,
+			outbound: `${ip}:${ports.callers}`,
 			ready: `${ip}:${ports.readiness}`,
-			control: announcements,
+			control: `${ip}:${ports.announcements}`,
 		},
-		internal_port_range: [ports.peers, ports.peers + 9],
+		internal_port_range: [ports.peers, ports.peers],
 		bounds: {grace_s: 4, retry_ratio: 0.2, retry_slack: 50, retry_window_s: 10},
 		service: 'shop',
 		platform: {address: store},
 	});
 }
 
+/** Formats the path to which a server announces itself. */
+export function formatHeartbeatPath(id: string): string {
+	return `/instances/${id}/heartbeat`;
+}
+
 /** Formats what a server says of itself. */
 export function formatSampleHeartbeat(
-	address: string,
+	{address, service, slots}: SampleServer,
 	sequence: number,
 ): string {
 	return JSON.stringify({
@@ -94,7 +117,10 @@
 }
 
 /** Headers of a client's request. */
-export function createRequestHeaders(id: string): OutgoingHttpHeaders {
+export function createRequestHeaders(
+	id: string,
+	deadlineMs = usualDeadlineMs,
+): OutgoingHttpHeaders {
 	return {
 		host: routeHost,
 		[requestIdName]: id,
