Simulate a fleet that is short of processor time

Change: npm run bench -- shortage simulates ten nodes whose steps take processor time, round the product's decisions and the gate's record of its upstream, with upstreams that make calls and clients that retry. The set of decisions can be exchanged.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -26,6 +26,10 @@
 		const {benchRequests} = await import('./requests.js');
 		return benchRequests;
 	},
+	async shortage() {
+		const {benchShortage} = await import('./shortage.js');
+		return benchShortage;
+	},
 	async members() {
 		const {benchMembers} = await import('./members.js');
 		return benchMembers;
