Take forwarded attempts past what only calls between nodes need

An attempt passed polka, three promise layers and an interval of its own for signs of life; its refusal was written as JSON that no node reads. Attempts now go straight to their handler, those without a body don't wait for one, one timer serves the signs of life of all of them (create-shared-timer.ts), and a refusal is its headers.

--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -9,6 +9,7 @@
 import type {BodyMemoryBudget} from './create-body-memory-budget.js';
 import {computeTimerDelay} from './compute-timer-delay.js';
 import {discardBody} from './discard-body.js';
+import {hasBody} from './has-body.js';
 import {selectBodyPrefix} from './select-body-prefix.js';
 
 /** Options of `readRequestBody`. */
@@ -128,9 +129,8 @@
 	options: ReadRequestBodyOptions,
 ): Promise<BodyReadResult> {
 	const {maxBytes, bufferLimitBytes = maxBufferedBytes, memory} = options;
-	const {'content-length': length, 'transfer-encoding': coding} =
-		request.headers;
-	if (length === undefined && coding === undefined) {
+	const {headers} = request;
+	if (!hasBody(headers)) {
 		return {
 			kind: 'read',
 			body: emptyBody,
@@ -139,7 +139,7 @@
 		};
 	}
 
-	const bytes = Number(length);
+	const bytes = Number(headers['content-length']);
 	if (bytes > maxBytes) {
 		return {kind: 'refused', reason: 'body-too-large'};
 	}
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -13,6 +13,7 @@
 	maxCallBytes,
 	bodyMemoryBudgetBytes,
 	keepaliveIntervalMs,
+	lagThresholdMs,
 	retryAfterSeconds,
 } from '../protocol/constants.js';
 import {
@@ -40,10 +41,14 @@
 import {readAttempt, type ReceivedAttempt} from './_lib/read-attempt.js';
 import {readDeadline} from './_lib/read-deadline.js';
 import {readProcedureName} from './_lib/read-procedure-name.js';
-import {readRequestBody} from './_lib/read-request-body.js';
+import {
+	readRequestBody,
+	type BodyReadResult,
+} from './_lib/read-request-body.js';
 import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
-import {sendJson} from './_lib/send-json.js';
 import {createListener} from './_lib/create-listener.js';
+import {createSharedTimer} from './_lib/create-shared-timer.js';
+import {hasBody} from './_lib/has-body.js';
 import {hasClientDisconnected} from './_lib/has-client-disconnected.js';
 import {startServer, type RunningServer} from './_lib/start-server.js';
 import {answersPath, gatePrefix} from './create-forwarder.js';
@@ -93,6 +98,14 @@
 
 const emptyBody = new Uint8Array();
 
+/** Result of reading the body of an attempt that has none. */
+const noBody: BodyReadResult = {
+	kind: 'read',
+	body: emptyBody,
+	reservedBytes: 0,
+	prefix: emptyBody,
+};
+
 function createResultHeaders(result: AttemptResult): Record<string, string> {
 	const headers: Record<string, string> = {[outcomeHeader]: result.kind};
 	if (result.load) {
@@ -120,17 +133,12 @@
 		return;
 	}
 
-	const {kind, reason} = result;
-	sendJson(
-		response,
-		kind === 'not-run' ? 503 : 504,
-		{outcome: kind, reason},
-		{
-			...resultHeaders,
-			[reasonHeader]: reason,
-			'retry-after': String(result.retryAfterSeconds),
-		},
-	);
+	// Other nodes read the headers only.
+	resultHeaders[reasonHeader] = result.reason;
+	resultHeaders['retry-after'] = String(result.retryAfterSeconds);
+	resultHeaders['content-length'] = '0';
+	response.writeHead(result.kind === 'not-run' ? 503 : 504, resultHeaders);
+	response.end();
 }
 
 function createPeerCall(response: ServerResponse): PeerCall {
@@ -216,7 +224,11 @@
 			isBehind(transitMs) ? transitMs : 0,
 		);
 		const isAgeKnown = attempt.createdAtGateMs !== undefined;
-		if (await hasClientDisconnected(request, lagMs, {isAgeKnown})) {
+		const mayHaveLeft = !isAgeKnown || lagMs > lagThresholdMs;
+		if (
+			mayHaveLeft &&
+			(await hasClientDisconnected(request, lagMs, {isAgeKnown}))
+		) {
 			return 'sender-left';
 		}
 
@@ -230,6 +242,15 @@
 		return result;
 	}
 
+	/** Tells the senders of running attempts that their gate is there; also while a long body arrives over a slow link. */
+	const keepalives = createSharedTimer<ServerResponse>({
+		onDue(response) {
+			keepalives.start(response, keepaliveIntervalMs);
+			response.writeProcessing();
+		},
+		now: () => performance.now(),
+	});
+
 	async function handleAttempt(
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -252,18 +273,17 @@
 			return;
 		}
 
-		// Keepalives are also sent while a long body arrives over a slow link.
-		const keepaliveTimer = setInterval(() => {
-			response.writeProcessing();
-		}, keepaliveIntervalMs);
-		const body = await readRequestBody(request, {
-			maxBytes: maxForwardedBytes,
-			memory: bodyMemory,
-			timeoutMs: attempt.remainingMs,
-			needsPrefix: false,
-		});
+		keepalives.start(response, keepaliveIntervalMs);
+		const body = hasBody(request.headers)
+			? await readRequestBody(request, {
+					maxBytes: maxForwardedBytes,
+					memory: bodyMemory,
+					timeoutMs: attempt.remainingMs,
+					needsPrefix: false,
+				})
+			: noBody;
 		if (body.kind === 'refused') {
-			clearInterval(keepaliveTimer);
+			keepalives.stop(response);
 			abort(request, response, {kind: 'body-refused', reason: body.reason});
 			return;
 		}
@@ -291,7 +311,7 @@
 		};
 
 		const result = await runReceivedAttempt(request, attempt, arrivedAt);
-		clearInterval(keepaliveTimer);
+		keepalives.stop(response);
 		bodyMemory.release(body.reservedBytes);
 		if (result === 'sender-left') {
 			abort(request, response, {kind: 'sender-left'});
@@ -317,15 +337,6 @@
 		await sendResult(response, result);
 	}
 
-	async function handleGateRequest(
-		request: IncomingMessage,
-		response: ServerResponse,
-	): Promise<void> {
-		return request.url === answersPath
-			? handleResponseFetch(request, response)
-			: handleAttempt(request, response);
-	}
-
 	const handleCall = createCallHandler({
 		router: createPeerRouter(handlers),
 		maxBytes: maxCallBytes,
@@ -339,21 +350,32 @@
 		},
 	});
 	const app = polka().use((request, response) => {
-		const {url} = request;
-		if (!url.startsWith(`${gatePrefix}/`) && url !== answersPath) {
-			options.track?.(readProcedureName(url), request.socket);
-			handleCall(request, response).catch((error: unknown) => {
-				logger.debug('call failed', {error: String(error)});
-				response.destroy();
-			});
+		options.track?.(readProcedureName(request.url), request.socket);
+		handleCall(request, response).catch((error: unknown) => {
+			logger.debug('call failed', {error: String(error)});
+			response.destroy();
+		});
+	});
+	const handleOtherRequest = createListener(app);
+
+	function handleRequest(
+		request: IncomingMessage,
+		response: ServerResponse,
+	): void {
+		const {url = ''} = request;
+		const isFetch = url === answersPath;
+		if (!isFetch && !url.startsWith(`${gatePrefix}/`)) {
+			handleOtherRequest(request, response);
 			return;
 		}
 
-		handleGateRequest(request, response).catch((error: unknown) => {
+		const handle = isFetch ? handleResponseFetch : handleAttempt;
+		handle(request, response).catch((error: unknown) => {
 			abort(request, response, {kind: 'failed', error});
 		});
-	});
-	const server = await startServer(options.address, createListener(app), {
+	}
+
+	const server = await startServer(options.address, handleRequest, {
 		readLag,
 		readMaxWait: options.readMaxWait,
 		onAccepted: options.onAccepted,
