Keep what a server knows of a connection in one place

For each request a server kept a set entry, two weak map entries and a listener of the response's end. It now keeps one record for each connection; the waits of a request are properties of the request, by the class option of Node's server.

Idle connections stay open as before while any response is ended and not written, also an earlier one of the same connection.

--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -1,6 +1,6 @@
 import {
+	IncomingMessage,
 	Server,
-	type IncomingMessage,
 	type RequestListener,
 	type ServerResponse,
 } from 'node:http';
@@ -61,8 +61,20 @@
 	readonly at: number;
 };
 
-/** Waits of a request before it was read, ms. */
-type RequestWait = {readonly acceptMs: number; readonly socketMs: number};
+/** A connection to the server. */
+type Connection = {
+	/** Undefined once its first request has been read. */
+	release: Release | undefined;
+	isUsed: boolean;
+	/** The response to its last request, after earlier ones that are not written yet. */
+	readonly responses: ServerResponse[];
+};
+
+/** A request with the times for which it may have waited before it was read. */
+class ReceivedRequest extends IncomingMessage {
+	acceptWaitMs = 0;
+	socketWaitMs = 0;
+}
 
 /** Interval at which a stopping server closes idle connections, ms; leaves time for a request in transit on an unused connection. */
 const closeIdleIntervalMs = 200;
@@ -73,8 +85,8 @@
 }
 
 /** Server that closes idle connections only while no response is being written. */
-class GracefulServer extends Server {
-	readonly #openResponses = new Set<ServerResponse>();
+class GracefulServer extends Server<typeof ReceivedRequest> {
+	readonly #connections = new Map<Socket, Connection>();
 
 	/** Removes Node's handlers of new connections and returns a function that runs them, which starts to read requests. */
 	detachConnectionHandler(): (socket: Socket) => void {
@@ -87,19 +99,39 @@
 		};
 	}
 
-	/** Tracks a response until it is closed. */
-	trackResponse(response: ServerResponse): void {
-		this.#openResponses.add(response);
-		response.once('close', () => {
-			this.#openResponses.delete(response);
+	/** Tracks a connection until it is closed. */
+	trackConnection(socket: Socket): void {
+		this.#connections.set(socket, {
+			release: undefined,
+			isUsed: false,
+			responses: [],
 		});
+		socket.once('close', () => {
+			this.#connections.delete(socket);
+		});
+	}
+
+	findConnection(socket: Socket): Connection | undefined {
+		return this.#connections.get(socket);
+	}
+
+	/** Closes the connections that have had no request. */
+	closeUnusedConnections(): void {
+		for (const [socket, {isUsed}] of this.#connections) {
+			if (!isUsed) {
+				socket.destroy();
+			}
+		}
 	}
 
 	override closeIdleConnections(): void {
 		// Node treats a connection as idle as soon as its response has been ended,
 		// even if it has not been written yet.
-		const isWriting = [...this.#openResponses].some(
-			({writableEnded, writableFinished}) => writableEnded && !writableFinished,
+		const isWriting = [...this.#connections.values()].some(({responses}) =>
+			responses.some(
+				({writableEnded, writableFinished}) =>
+					writableEnded && !writableFinished,
+			),
 		);
 		if (!isWriting) {
 			super.closeIdleConnections();
@@ -107,6 +139,15 @@
 	}
 }
 
+/** Keeps a response beside those of its connection that are not written yet. */
+function addResponse({responses}: Connection, response: ServerResponse): void {
+	if (responses.every(({writableFinished}) => writableFinished)) {
+		responses.length = 0;
+	}
+
+	responses.push(response);
+}
+
 /**
  * Starts an HTTP server.
  *
@@ -127,34 +168,38 @@
 	const {readMaxWait = readLag, now = () => performance.now()} = options;
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
-	const unusedSockets = new Set<Socket>();
-	const waits = new WeakMap<IncomingMessage, RequestWait>();
-	const releases = new WeakMap<Socket, Release>();
-
-	/** Computes the waits of a request that has just been read from a connection. */
-	function takeWait(socket: Socket): RequestWait {
-		const release = releases.get(socket);
-		releases.delete(socket);
-		const acceptMs = release?.waitMs ?? 0;
+
+	/** Records the waits of a request that has just been read from a connection. */
+	function recordWait(
+		request: ReceivedRequest,
+		release: Release | undefined,
+	): void {
 		const accepted = release && {
-			acceptWaitMs: acceptMs,
+			acceptWaitMs: release.waitMs,
 			readableMs: now() - release.at,
 		};
-		return {acceptMs, socketMs: computeSocketWait(readMaxWait(), accepted)};
+		request.acceptWaitMs = release?.waitMs ?? 0;
+		request.socketWaitMs = computeSocketWait(readMaxWait(), accepted);
 	}
 
 	const server = new GracefulServer(
 		{
+			// eslint-disable-next-line @typescript-eslint/naming-convention
+			IncomingMessage: ReceivedRequest,
 			keepAliveTimeout: serverIdleMs,
 			headersTimeout: headersTimeoutMs,
 			requestTimeout: requestTimeoutMs,
 			maxHeaderSize: maxHeaderBytes,
 		},
 		(request, response) => {
-			const {socket} = request;
-			unusedSockets.delete(socket);
-			waits.set(request, takeWait(socket));
-			server.trackResponse(response);
+			const connection = server.findConnection(request.socket);
+			recordWait(request, connection?.release);
+			if (connection) {
+				connection.release = undefined;
+				connection.isUsed = true;
+				addResponse(connection, response);
+			}
+
 			if (isStopping) {
 				response.setHeader('connection', 'close');
 			}
@@ -172,7 +217,11 @@
 		onBatch: onAccepted,
 		release(socket, waitMs) {
 			socket.off('error', destroySocket);
-			releases.set(socket, {waitMs, at: now()});
+			const connection = server.findConnection(socket);
+			if (connection) {
+				connection.release = {waitMs, at: now()};
+			}
+
 			if (!socket.destroyed) {
 				handleConnection(socket);
 			}
@@ -180,19 +229,14 @@
 	});
 	server.on('connection', (socket) => {
 		socket.on('error', destroySocket);
+		server.trackConnection(socket);
 		acceptQueue.add(socket);
-		unusedSockets.add(socket);
-		socket.once('close', () => {
-			unusedSockets.delete(socket);
-		});
 	});
 
 	/** Closes idle connections and those that have had no request. */
 	function closeIdleSockets(): void {
 		server.closeIdleConnections();
-		for (const socket of unusedSockets) {
-			socket.destroy();
-		}
+		server.closeUnusedConnections();
 	}
 
 	await new Promise<void>((resolve, reject) => {
@@ -204,8 +248,10 @@
 	return {
 		server,
 		address: `${host}:${boundPort}`,
-		readAcceptWaitMs: (request) => waits.get(request)?.acceptMs ?? 0,
-		readSocketWaitMs: (request) => waits.get(request)?.socketMs ?? 0,
+		readAcceptWaitMs: (request) =>
+			request instanceof ReceivedRequest ? request.acceptWaitMs : 0,
+		readSocketWaitMs: (request) =>
+			request instanceof ReceivedRequest ? request.socketWaitMs : 0,
 		drain() {
 			isStopping = true;
 		},
