Run an attempt that finds a free slot without the queue's steps

Taking a job already checks the slots of its upstream; p-queue counts them once more, with a promise, two closures and a microtask of its own for each job. Jobs that have waited still pass it. Looking for expired jobs copies no queue when none has expired.

--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -104,6 +104,22 @@
 		: undefined;
 }
 
+const noJobs: readonly Job[] = [];
+
+/** Lists the queued jobs whose queue time has expired. */
+function listExpired({queued}: LocalUpstream, at: number): readonly Job[] {
+	let expired = noJobs;
+	for (const jobs of queued.values()) {
+		for (const job of jobs) {
+			if (at >= job.queueExpiresAt) {
+				expired = [...expired, job];
+			}
+		}
+	}
+
+	return expired;
+}
+
 /** Waits for the end of a streamed response; returns whether it was complete. */
 async function waitForStreamEnd(stream: Readable): Promise<boolean> {
 	try {
@@ -208,10 +224,8 @@
 	 */
 	function dropExpired(upstream: LocalUpstream): void {
 		const at = now();
-		for (const job of [...upstream.queued.values()].flat()) {
-			if (at >= job.queueExpiresAt) {
-				dropJob(job, 'saturated');
-			}
+		for (const job of listExpired(upstream, at)) {
+			dropJob(job, 'saturated');
 		}
 	}
 
@@ -280,7 +294,8 @@
 		}
 	}
 
-	function startJobs(upstream: LocalUpstream): void {
+	/** Starts queued jobs; `arrived` is one that has just been added. */
+	function startQueued(upstream: LocalUpstream, arrived?: Job): void {
 		if (
 			upstream.queuedCount > 0 &&
 			readOccupiedSlots(upstream, now()) < upstream.announcement.slots
@@ -291,14 +306,23 @@
 			}
 		}
 
-		for (let job = takeJob(upstream); job; job = takeJob(upstream)) {
-			const next = job;
-			next.phase = 'sent';
-			next.sentAt = now();
-			void upstream.queue.add(async () => runJob(next));
+		for (let next = takeJob(upstream); next; next = takeJob(upstream)) {
+			const job = next;
+			job.phase = 'sent';
+			job.sentAt = now();
+			if (job === arrived) {
+				// There was a slot for it at once, so that it need not pass the queue.
+				void runJob(job);
+			} else {
+				void upstream.queue.add(async () => runJob(job));
+			}
 		}
 	}
 
+	function startJobs(upstream: LocalUpstream): void {
+		startQueued(upstream);
+	}
+
 	/**
 	 * Creates the headers for the upstream; undefined when the deadline has passed
 	 * while the job waited for a connection.
@@ -431,7 +455,7 @@
 		};
 		addToLocalQueue(job);
 		jobs.set(attempt.id, job);
-		startJobs(upstream);
+		startQueued(upstream, job);
 		return job;
 	}
 
