Compare load reports with the requests sent in one pass

Each response built three lists for it. The list of received requests is now built only when a report lacks some; a load is read by one pattern.

The counts and what is read of a load are the same, by the tests of both.

--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -57,12 +57,12 @@
 /** Minimum time between two log lines about an upstream, ms. */
 const logIntervalMs = 1000;
 
-/** Lists the requests that an upstream had certainly read at a time, has not started to answer, and was not yet found to have lost. */
-function listReceived(upstream: LocalUpstream, at: number): readonly Job[] {
-	return [...upstream.sent].filter(
-		(job) =>
-			!job.isAnswered && !job.isLost && job.fullySentAt <= at - readMarginMs,
-	);
+/** Tells whether an upstream had certainly read a request at a time, has not started to answer it, and was not yet found to have lost it. */
+function isReceived(
+	{isAnswered, isLost, fullySentAt}: Job,
+	at: number,
+): boolean {
+	return !isAnswered && !isLost && fullySentAt <= at - readMarginMs;
 }
 
 /**
@@ -167,12 +167,14 @@
 		const at = now();
 		const maxWaitMs = readMaxWait();
 		const waitedMs = Math.min(maxWaitMs, at - requestedAt);
-		const received = listReceived(upstream, at - waitedMs);
+		const readAt = at - waitedMs;
 		let unanswered = 0;
 		let suspected = 0;
+		let read = 0;
 		for (const job of upstream.sent) {
 			unanswered += job.isAnswered ? 0 : 1;
 			suspected += job.isLost && !job.isAnswered ? 1 : 0;
+			read += isReceived(job, readAt) ? 1 : 0;
 		}
 
 		const work = computeUpstreamWork(
@@ -181,7 +183,7 @@
 				load,
 				unanswered,
 				suspected,
-				read: received.length,
+				read,
 				waitedMs,
 				isRefusal,
 			},
@@ -189,6 +191,9 @@
 		);
 		upstream.work = work;
 		if (work.lost > 0 && !upstream.lossConfirmTimer) {
+			const received = [...upstream.sent].filter((job) =>
+				isReceived(job, readAt),
+			);
 			upstream.lossConfirmTimer = startPostPollTimer(
 				() => {
 					upstream.lossConfirmTimer = undefined;
--- a/src/transport/_lib/parse-upstream-load.ts
+++ b/src/transport/_lib/parse-upstream-load.ts
@@ -1,7 +1,7 @@
 import type {GateLoad} from '../../protocol/attempt.js';
 
-/** Counts below a million, as between nodes; larger values are treated as errors. */
-const countPattern = /^\d{1,6}$/v;
+/** Three counts below a million, as between nodes; larger values are treated as errors. */
+const loadPattern = /^\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*(?:,|$)/v;
 
 /**
  * Parses the load that an upstream states in a header: the numbers of its
@@ -13,14 +13,9 @@
 export function parseUpstreamLoad(
 	value: string | string[] | undefined,
 ): GateLoad | undefined {
-	const parts = typeof value === 'string' ? value.split(',') : [];
-	const [inFlight, queued, slots] = parts.map((part) =>
-		countPattern.test(part.trim()) ? Number(part) : undefined,
-	);
-	return inFlight !== undefined &&
-		queued !== undefined &&
-		slots !== undefined &&
-		slots > 0
-		? {inFlight, queued, slots}
+	const match = typeof value === 'string' ? loadPattern.exec(value) : undefined;
+	const slots = Number(match?.[3]);
+	return match && slots > 0
+		? {inFlight: Number(match[1]), queued: Number(match[2]), slots}
 		: undefined;
 }
