Sample requests for the log in small numbers

The hash of an identifier grew beyond V8's small integers with each character, three times a request. Only its remainder by 128 is used, and 128 divides the former modulus, so that the remainder alone gives the same sample.

--- a/src/transport/_lib/create-access-log.ts
+++ b/src/transport/_lib/create-access-log.ts
@@ -24,16 +24,16 @@
 
 const serverErrorStatus = 500;
 const hashFactor = 31;
-const hashModulus = 2 ** 32;
 
 /** Returns whether a request is sampled; every node selects the same requests. */
 function isSampledRequest(requestId: string): boolean {
 	let hash = 0;
 	for (let index = 0; index < requestId.length; index++) {
-		hash = (hash * hashFactor + requestId.codePointAt(index)!) % hashModulus;
+		hash =
+			(hash * hashFactor + requestId.codePointAt(index)!) % samplingDivisor;
 	}
 
-	return hash % samplingDivisor === 0;
+	return hash === 0;
 }
 
 function roundDefined(value: number | undefined): number | undefined {
