Count what nodes refuse before admission, and log what a short node does

Requests refused as overloaded before they were routed left no line and no count, nor did attempts that a gate refused before it admitted them.

Now: boragehitch_refusals_total (place, route, reason, whether the client had sent the request before, whether the gate had a free slot); a label for returned requests in boragehitch_requests_total; processor time, event loop time and lag of the node; and one line a second, node short of processor time, only while the node refuses as overloaded or reads requests 50 ms late.

Refusals are counted in a map that is read when the metrics are scraped; the line's counts are kept for each second and its processor time is read once for each. No line is added for a request.

Tests: src/transport, platform/mesh-node and platform/uploads, 317 passed.

--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -25,6 +25,7 @@
 export const meshMetricNames = {
 	requests: 'boragehitch_requests_total',
 	requestMs: 'boragehitch_request_duration_ms',
+	refusals: 'boragehitch_refusals_total',
 	attempts: 'boragehitch_attempts_total',
 	gateAttempts: 'boragehitch_gate_attempts_total',
 	queuedMs: 'boragehitch_gate_queued_ms',
@@ -38,5 +39,8 @@
 	rateLimit: 'boragehitch_upstream_rate_limit',
 	quarantined: 'boragehitch_quarantined_requests',
 	memory: 'boragehitch_memory_bytes',
+	processorSeconds: 'boragehitch_processor_seconds_total',
+	eventLoopSeconds: 'boragehitch_event_loop_seconds_total',
+	eventLoopLagMs: 'boragehitch_event_loop_lag_ms',
 	controlBytes: 'boragehitch_control_bytes_total',
 } as const;
--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -33,6 +33,21 @@
 	readonly attempts: number;
 	/** Event loop lag of the node when it read the request, ms. */
 	readonly lagMs: number;
+	/** Whether its client had sent it before, as its deadline tells. */
+	readonly isReturned: boolean;
+};
+
+/** Reported when a request or an attempt is refused before it is admitted. */
+export type RefusalEvent = {
+	/** Whether the caller's node has refused a request on arrival, or a gate an attempt. */
+	readonly place: 'caller' | 'gate';
+	/** Name of the route; undefined when refused before routing. */
+	readonly route: string | undefined;
+	readonly reason: OutcomeReason;
+	/** Whether the client had sent the request before; undefined when not known. */
+	readonly isReturned: boolean | undefined;
+	/** Whether the gate had sent fewer requests to the upstream than it has slots; undefined when not known. */
+	readonly hasFreeSlot: boolean | undefined;
 };
 
 /** Reported when an attempt has ended at the caller's node. */
@@ -76,6 +91,7 @@
 		parent: string | undefined,
 	) => string | undefined;
 	readonly onRequest?: (event: RequestEvent) => void;
+	readonly onRefusal?: (event: RefusalEvent) => void;
 	readonly onAttempt?: (event: AttemptEvent) => void;
 	readonly onGate?: (event: GateEvent) => void;
 	readonly onCrash?: (event: CrashEvent) => void;
--- a/src/transport/_lib/combine-observers.ts
+++ b/src/transport/_lib/combine-observers.ts
@@ -31,6 +31,7 @@
 		createTraceparent: observers.find((item) => item.createTraceparent)
 			?.createTraceparent,
 		onRequest: combine(observers.map(({onRequest}) => onRequest)),
+		onRefusal: combine(observers.map(({onRefusal}) => onRefusal)),
 		onAttempt: combine(observers.map(({onAttempt}) => onAttempt)),
 		onGate: combine(observers.map(({onGate}) => onGate)),
 		onCrash: combine(observers.map(({onCrash}) => onCrash)),
--- a/src/transport/_lib/create-access-log.test.ts
+++ b/src/transport/_lib/create-access-log.test.ts
@@ -16,6 +16,7 @@
 	status: 0,
 	attempts: 1,
 	lagMs: 0,
+	isReturned: false,
 	startedAtMs: 0,
 	durationMs: 3.4,
 	parentTraceparent: undefined,
--- a/src/transport/_lib/create-request-log.test.ts
+++ b/src/transport/_lib/create-request-log.test.ts
@@ -24,6 +24,7 @@
 		reason: 'pending' as const,
 		attempts: 0,
 		lagMs: 0,
+		isReturned: false,
 		status: 0,
 		startedAtMs: 0,
 		durationMs: 1,
--- a/src/transport/_lib/report-request-event.ts
+++ b/src/transport/_lib/report-request-event.ts
@@ -12,6 +12,8 @@
 	readonly startedAt: number;
 	/** Time between the request's arrival and its reading, ms. */
 	readonly lagMs: number;
+	/** Whether its client had sent it before. */
+	readonly isReturned: boolean;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
 };
@@ -43,6 +45,7 @@
 		method: request.method ?? 'GET',
 		attempts: end.attempts,
 		lagMs: reported.lagMs,
+		isReturned: reported.isReturned,
 		team: route.team,
 		service: route.service,
 		outcome: end.outcome,
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -1,8 +1,11 @@
 import process from 'node:process';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {RequestObserver} from '../protocol/observer.js';
+import {msPerSecond} from '../protocol/constants.js';
+import type {RefusalEvent, RequestObserver} from '../protocol/observer.js';
 import {meshMetricNames} from '../protocol/metric-names.js';
 import type {ByteCount} from './_lib/create-byte-counter.js';
+import {createRefusalCounter} from './_lib/create-refusal-counter.js';
+import {readProcessorUse} from './_lib/read-processor-use.js';
 
 /** Values of the gauges, read when the metrics are scraped. */
 export type MeshGauges = {
@@ -18,6 +21,8 @@
 	readonly rateLimit: number;
 	/** Number of requests that are not sent because they crash their upstreams. */
 	readonly quarantined: number;
+	/** Event loop lag, ms. */
+	readonly lagMs: number;
 };
 
 /** Options of `createMeshMetrics`. */
@@ -41,6 +46,25 @@
 /** Upper bounds of the histogram buckets, ms; they range from the latency of one hop to a deadline. */
 const bucketsMs = [2, 5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200];
 
+/** Formats whether a client had sent a request before as the value of a label. */
+function formatReturned(isReturned: boolean | undefined): string {
+	const answer = isReturned ? 'yes' : 'no';
+	return isReturned === undefined ? 'unknown' : answer;
+}
+
+/** Formats a refusal as labels. */
+function formatRefusalLabels(event: RefusalEvent): Record<string, string> {
+	const {place, route = 'none', reason, isReturned, hasFreeSlot} = event;
+	const freeSlot = hasFreeSlot ? 'free' : 'full';
+	return {
+		place,
+		route,
+		reason,
+		returned: formatReturned(isReturned),
+		slot: hasFreeSlot === undefined ? 'unknown' : freeSlot,
+	};
+}
+
 /**
  * Creates the metrics of a node.
  *
@@ -57,7 +81,7 @@
 	const requests = new Counter({
 		name: meshMetricNames.requests,
 		help: 'Requests of callers that were ended',
-		labelNames,
+		labelNames: [...labelNames, 'returned'],
 		registers,
 	});
 	const requestMs = new Histogram({
@@ -67,6 +91,13 @@
 		buckets: bucketsMs,
 		registers,
 	});
+	const refusals = new Counter({
+		name: meshMetricNames.refusals,
+		help: 'Requests and attempts that were refused before they were admitted',
+		labelNames: ['place', 'route', 'reason', 'returned', 'slot'],
+		registers,
+	});
+	const refusalCounter = createRefusalCounter();
 	const attempts = new Counter({
 		name: meshMetricNames.attempts,
 		help: 'Attempts at hosts that were ended',
@@ -141,6 +172,22 @@
 		help: 'Resident memory, bytes',
 		registers,
 	});
+	const processorSeconds = new Counter({
+		name: meshMetricNames.processorSeconds,
+		help: 'Processor time of the process, s',
+		labelNames: ['mode'],
+		registers,
+	});
+	const eventLoopSeconds = new Counter({
+		name: meshMetricNames.eventLoopSeconds,
+		help: 'Time in which the event loop was not waiting, s',
+		registers,
+	});
+	const eventLoopLag = new Gauge({
+		name: meshMetricNames.eventLoopLagMs,
+		help: 'Event loop lag, ms',
+		registers,
+	});
 	const controlBytes = new Counter({
 		name: meshMetricNames.controlBytes,
 		help: 'Bytes on sockets for control',
@@ -148,6 +195,16 @@
 		registers,
 	});
 
+	/** Sets the counters of processor time to what the process has used. */
+	function updateProcessorUse(): void {
+		const {userMs, systemMs, busyMs} = readProcessorUse();
+		processorSeconds.reset();
+		processorSeconds.inc({mode: 'user'}, userMs / msPerSecond);
+		processorSeconds.inc({mode: 'system'}, systemMs / msPerSecond);
+		eventLoopSeconds.reset();
+		eventLoopSeconds.inc(busyMs / msPerSecond);
+	}
+
 	return {
 		contentType: registry.contentType,
 		recordAcceptWait(server, waitMs) {
@@ -162,6 +219,12 @@
 			rateLimit.set(gauges.rateLimit);
 			quarantined.set(gauges.quarantined);
 			memory.set(process.memoryUsage.rss());
+			eventLoopLag.set(gauges.lagMs);
+			updateProcessorUse();
+			for (const {count, ...refusal} of refusalCounter.take()) {
+				refusals.inc(formatRefusalLabels(refusal), count);
+			}
+
 			for (const {purpose, sent, received} of takeBytes()) {
 				controlBytes.inc({purpose, direction: 'sent'}, sent);
 				controlBytes.inc({purpose, direction: 'received'}, received);
@@ -170,10 +233,12 @@
 			return registry.metrics();
 		},
 		observer: {
-			onRequest({service, outcome, reason = 'none', durationMs}) {
-				requests.inc({service, outcome, reason});
-				requestMs.observe({service}, durationMs);
+			onRequest({service, outcome, reason = 'none', ...event}) {
+				const returned = formatReturned(event.isReturned);
+				requests.inc({service, outcome, reason, returned});
+				requestMs.observe({service}, event.durationMs);
 			},
+			onRefusal: refusalCounter.record,
 			onAttempt({service, outcome, reason = 'none', sendWaitMs: waitedMs}) {
 				attempts.inc({service, outcome, reason});
 				if (waitedMs !== undefined) {
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -29,7 +29,7 @@
 } from '../protocol/constants.js';
 import type {CallerParameters, Edge} from '../protocol/edge.js';
 import type {MembersView} from '../protocol/member.js';
-import type {RequestObserver} from '../protocol/observer.js';
+import type {RefusalEvent, RequestObserver} from '../protocol/observer.js';
 import {
 	outcomeHeader,
 	traceparentHeader,
@@ -158,6 +158,8 @@
 	readonly earliestAt: number;
 	/** Lag with which the node read the request, ms. */
 	readonly lagMs: number;
+	/** Whether its client had sent it before. */
+	readonly isReturned: boolean;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
 };
@@ -167,6 +169,14 @@
 	endsAt: Number.POSITIVE_INFINITY,
 };
 
+/** Route of a refused request, and whether its client had sent it before. */
+type RefusedArrival = Pick<RefusalEvent, 'route' | 'isReturned'>;
+
+const unroutedArrival: RefusedArrival = {
+	route: undefined,
+	isReturned: undefined,
+};
+
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
 /** Computes the time for which a request may be kept waiting: until the client's deadline or the time-out of the route, ms. */
@@ -257,7 +267,14 @@
 		response: ServerResponse,
 		reason: OutcomeReason,
 		delayMs = retryAfterSeconds * msPerSecond,
+		arrival = unroutedArrival,
 	): void {
+		observer.onRefusal?.({
+			place: 'caller',
+			reason,
+			...arrival,
+			hasFreeSlot: undefined,
+		});
 		const seconds = (delayMs * (0.5 + random())) / msPerSecond;
 		sendOutcome(
 			response,
@@ -294,6 +311,15 @@
 		return Math.max(0, objectiveMs - computeRequestAge(usual, deadlineMs));
 	}
 
+	/** Tells whether the client of a request had sent it before. */
+	function hasReturned(
+		{deadlineMs}: CallerParameters,
+		{name}: CompiledRoute,
+	): boolean {
+		const usual = usualDeadlines.get(name);
+		return deadlineMs !== undefined && computeRequestAge(usual, deadlineMs) > 0;
+	}
+
 	/** Picks the service of a request whose route has several weighted targets. */
 	function chooseService(route: CompiledRoute): CompiledRoute {
 		if (!route.targets) {
@@ -568,7 +594,10 @@
 		const {priority = 0} = route;
 		const lagMs = readRequestLag(request);
 		if (!decideEventLoopAdmission({lagMs, priority})) {
-			refuse(response, 'overloaded', computeOverloadDelayMs(parameters));
+			refuse(response, 'overloaded', computeOverloadDelayMs(parameters), {
+				route: route.name,
+				isReturned: hasReturned(parameters, route),
+			});
 			return;
 		}
 
@@ -591,6 +620,7 @@
 				earliestAt:
 					readAt - computeUnreadTime(server.readSocketWaitMs(request)),
 				lagMs,
+				isReturned: hasReturned(parameters, route),
 				parentTraceparent,
 				traceparent: createTraceparent(parentTraceparent),
 			});
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -200,6 +200,25 @@
 			: undefined;
 	}
 
+	/** Reports an attempt that is refused before it is admitted. */
+	function reportRefusal(
+		{route}: Attempt,
+		refusal: AttemptResult,
+	): AttemptResult {
+		if (refusal.kind === 'not-run') {
+			const {reason, load} = refusal;
+			observer.onRefusal?.({
+				place: 'gate',
+				route,
+				reason,
+				isReturned: undefined,
+				hasFreeSlot: load && load.inFlight < load.slots,
+			});
+		}
+
+		return refusal;
+	}
+
 	const reportLog = createReportLog({logger: options.logger, now});
 
 	/** Applies what the gate now knows about an upstream: drops queued attempts that cannot be run here, and starts others. */
@@ -495,7 +514,7 @@
 		const admitted = admitUnlessLagging(attempt);
 		if ('kind' in admitted) {
 			ledger.refuse(attempt, now());
-			return admitted;
+			return reportRefusal(attempt, admitted);
 		}
 
 		const job = admitted;
@@ -631,7 +650,10 @@
 				applyNotice(upstream);
 			}
 		},
-		refuseBeforeBody,
+		refuseBeforeBody(attempt) {
+			const refusal = refuseBeforeBody(attempt);
+			return refusal && reportRefusal(attempt, refusal);
+		},
 		async runAttempt(attempt) {
 			const {id, key, remainingMs, signal} = attempt;
 			handleRemoteNotice(attempt.notice);
@@ -643,11 +665,11 @@
 				}
 
 				case 'stale': {
-					return refuse('not-run', 'stale-stamp');
+					return reportRefusal(attempt, refuse('not-run', 'stale-stamp'));
 				}
 
 				case 'fenced': {
-					return refuse('not-run', 'fenced');
+					return reportRefusal(attempt, refuse('not-run', 'fenced'));
 				}
 
 				case 'running':
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -19,7 +19,9 @@
 import {createLagMeter} from './_lib/create-lag-meter.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
 import {createReadiness} from './_lib/create-readiness.js';
+import {createShortageLog} from './_lib/create-shortage-log.js';
 import {discoverUpstream} from './_lib/discover-upstream.js';
+import {readProcessorUse} from './_lib/read-processor-use.js';
 import {sendJson} from './_lib/send-json.js';
 import {startServer} from './_lib/start-server.js';
 import {waitMs} from './_lib/wait-ms.js';
@@ -117,6 +119,7 @@
 			inFlight: caller.readInFlight(),
 			rateLimit: gate.readRateLimit() ?? -1,
 			quarantined: quarantine.readQuarantined(),
+			lagMs: lagMeter.read(),
 		}),
 		takeBytes: byteCounter.take,
 	});
@@ -127,6 +130,11 @@
 			readVersion: () => document.readDocument()?.version,
 			now: () => performance.now(),
 		}),
+		createShortageLog({
+			logger,
+			readUse: readProcessorUse,
+			now: () => performance.now(),
+		}),
 	]);
 	const lagMeter = createLagMeter(() => performance.now());
 
