Count outcomes and durations without building keys of labels

prom-client builds a key of all label names and values, and checks them, with each event; a request has seven. Outcomes are now counted under their labels and added to the same counters when metrics are read.

--- /dev/null
+++ b/src/transport/_lib/create-outcome-counter.ts
@@ -0,0 +1,64 @@
+import type {Counter} from 'prom-client';
+import type {OutcomeKind, OutcomeReason} from '../../protocol/request.js';
+
+/** Labels of a counter of outcomes. */
+export type OutcomeLabels = 'service' | 'outcome' | 'reason';
+
+/** Counts outcomes, and adds them to a counter when that is read. */
+export type OutcomeCounter = {
+	count(
+		service: string,
+		outcome: OutcomeKind,
+		reason: OutcomeReason | 'none' | undefined,
+	): void;
+	/** Adds what was counted since the last call to the counter. */
+	report(): void;
+};
+
+/** Number of outcomes with the same labels that are not reported yet. */
+type Tally = {
+	readonly labels: Readonly<Record<OutcomeLabels, string>>;
+	count: number;
+};
+
+/**
+ * Creates a counter of outcomes whose increments cost a request little: the
+ * counter of `prom-client` builds a key from the names and values of all labels
+ * each time.
+ *
+ * @param counter - the counter to which outcomes are added
+ * @returns the counter of outcomes
+ */
+export function createOutcomeCounter(
+	counter: Counter<OutcomeLabels>,
+): OutcomeCounter {
+	const tallies = new Map<string, Map<string, Map<string, Tally>>>();
+
+	function addTally(service: string, outcome: string, reason: string): Tally {
+		const tally = {labels: {service, outcome, reason}, count: 0};
+		const outcomes =
+			tallies.get(service) ?? new Map<string, Map<string, Tally>>();
+		const reasons = outcomes.get(outcome) ?? new Map<string, Tally>();
+		tallies.set(service, outcomes.set(outcome, reasons.set(reason, tally)));
+		return tally;
+	}
+
+	return {
+		count(service, outcome, reason = 'none') {
+			const tally =
+				tallies.get(service)?.get(outcome)?.get(reason) ??
+				addTally(service, outcome, reason);
+			tally.count++;
+		},
+		report() {
+			for (const outcomes of tallies.values()) {
+				for (const reasons of outcomes.values()) {
+					for (const tally of reasons.values()) {
+						counter.inc(tally.labels, tally.count);
+						tally.count = 0;
+					}
+				}
+			}
+		},
+	};
+}
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -1,8 +1,10 @@
 import process from 'node:process';
-import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Registry} from 'prom-client';
 import type {RequestObserver} from '../protocol/observer.js';
 import {meshMetricNames} from '../protocol/metric-names.js';
 import type {ByteCount} from './_lib/create-byte-counter.js';
+import {createDurationHistogram} from './_lib/create-duration-histogram.js';
+import {createOutcomeCounter} from './_lib/create-outcome-counter.js';
 
 /** Values of the gauges, read when the metrics are scraped. */
 export type MeshGauges = {
@@ -53,52 +55,54 @@
 	const {readGauges, takeBytes = () => []} = options;
 	const registry = new Registry();
 	const registers = [registry];
-	const labelNames = ['service', 'outcome', 'reason'];
-	const requests = new Counter({
-		name: meshMetricNames.requests,
-		help: 'Requests of callers that were ended',
-		labelNames,
-		registers,
-	});
-	const requestMs = new Histogram({
+	const labelNames = ['service', 'outcome', 'reason'] as const;
+	const requests = createOutcomeCounter(
+		new Counter({
+			name: meshMetricNames.requests,
+			help: 'Requests of callers that were ended',
+			labelNames,
+			registers,
+		}),
+	);
+	const requestMs = createDurationHistogram({
 		name: meshMetricNames.requestMs,
 		help: 'Time from a request to its answer, ms',
-		labelNames: ['service'],
+		labelName: 'service',
 		buckets: bucketsMs,
-		registers,
-	});
-	const attempts = new Counter({
-		name: meshMetricNames.attempts,
-		help: 'Attempts at hosts that were ended',
-		labelNames,
-		registers,
-	});
-	const gateAttempts = new Counter({
-		name: meshMetricNames.gateAttempts,
-		help: 'Attempts that the gate had admitted and that were ended',
-		labelNames,
-		registers,
 	});
-	const queuedMs = new Histogram({
+	const attempts = createOutcomeCounter(
+		new Counter({
+			name: meshMetricNames.attempts,
+			help: 'Attempts at hosts that were ended',
+			labelNames,
+			registers,
+		}),
+	);
+	const gateAttempts = createOutcomeCounter(
+		new Counter({
+			name: meshMetricNames.gateAttempts,
+			help: 'Attempts that the gate had admitted and that were ended',
+			labelNames,
+			registers,
+		}),
+	);
+	const queuedMs = createDurationHistogram({
 		name: meshMetricNames.queuedMs,
 		help: 'Time that an attempt waited for a slot, ms',
-		labelNames: ['service'],
+		labelName: 'service',
 		buckets: bucketsMs,
-		registers,
 	});
-	const acceptMs = new Histogram({
+	const acceptMs = createDurationHistogram({
 		name: meshMetricNames.acceptMs,
 		help: 'Time that connections waited to be accepted, ms',
-		labelNames: ['server'],
+		labelName: 'server',
 		buckets: bucketsMs,
-		registers,
 	});
-	const sendWaitMs = new Histogram({
+	const sendWaitMs = createDurationHistogram({
 		name: meshMetricNames.sendWaitMs,
 		help: 'Time that an attempt waited for a connection, ms',
-		labelNames: ['receiver'],
+		labelName: 'receiver',
 		buckets: bucketsMs,
-		registers,
 	});
 	const upstreamCrashes = new Counter({
 		name: meshMetricNames.upstreamCrashes,
@@ -151,7 +155,7 @@
 	return {
 		contentType: registry.contentType,
 		recordAcceptWait(server, waitMs) {
-			acceptMs.observe({server}, waitMs);
+			acceptMs.observe(server, waitMs);
 		},
 		async formatText() {
 			const gauges = readGauges();
@@ -167,27 +171,35 @@
 				controlBytes.inc({purpose, direction: 'received'}, received);
 			}
 
-			return registry.metrics();
+			for (const outcomes of [requests, attempts, gateAttempts]) {
+				outcomes.report();
+			}
+
+			const histograms = [requestMs, queuedMs, acceptMs, sendWaitMs];
+			const texts = histograms.map((histogram) => histogram.formatText());
+			const text = await registry.metrics();
+			return [text.trimEnd(), ...texts, ''].join('\n\n');
 		},
 		observer: {
-			onRequest({service, outcome, reason = 'none', durationMs}) {
-				requests.inc({service, outcome, reason});
-				requestMs.observe({service}, durationMs);
+			onRequest({service, outcome, reason, durationMs}) {
+				requests.count(service, outcome, reason);
+				requestMs.observe(service, durationMs);
 			},
-			onAttempt({service, outcome, reason = 'none', sendWaitMs: waitedMs}) {
-				attempts.inc({service, outcome, reason});
-				if (waitedMs !== undefined) {
-					sendWaitMs.observe({receiver: 'gate'}, waitedMs);
+			onAttempt(event) {
+				attempts.count(event.service, event.outcome, event.reason);
+				if (event.sendWaitMs !== undefined) {
+					sendWaitMs.observe('gate', event.sendWaitMs);
 				}
 			},
 			onCrash({service}) {
 				upstreamCrashes.inc({service});
 			},
-			onGate({service, outcome, reason = 'none', ...waits}) {
-				gateAttempts.inc({service, outcome, reason});
-				queuedMs.observe({service}, waits.queuedMs);
-				if (waits.sendWaitMs !== undefined) {
-					sendWaitMs.observe({receiver: 'upstream'}, waits.sendWaitMs);
+			onGate(event) {
+				const {service} = event;
+				gateAttempts.count(service, event.outcome, event.reason);
+				queuedMs.observe(service, event.queuedMs);
+				if (event.sendWaitMs !== undefined) {
+					sendWaitMs.observe('upstream', event.sendWaitMs);
 				}
 			},
 		},
