--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -68,6 +68,11 @@
 	 * however long that took.
 	 */
 	readonly prepareSend?: (() => IncomingHttpHeaders | undefined) | undefined;
+	/**
+	 * Like `prepareSend`, for a request without headers to set then: called right
+	 * before its first byte is sent; returns whether it may still be sent.
+	 */
+	readonly maySend?: (() => boolean) | undefined;
 	/**
 	 * Whether sockets may hold the reason for an abort that has arrived long ago;
 	 * they are then read before `prepareSend` is called.
@@ -104,6 +109,34 @@
 const statusNotModified = 304;
 const statusNoContent = 204;
 
+/**
+ * Lists the headers of a request for Node.js, which then stores them at once;
+ * given as an object, it stores each one twice. Returns the object where Node.js
+ * would add headers that depend on the body.
+ */
+function listHeaders({
+	method,
+	headers,
+	body,
+}: OutgoingRequest): IncomingHttpHeaders | string[] {
+	const isComplete =
+		body === undefined
+			? method === 'GET'
+			: !(body instanceof Readable) && headers['content-length'] !== undefined;
+	if (!isComplete || headers.host === undefined) {
+		return headers;
+	}
+
+	const list: Array<string | string[]> = [];
+	for (const name of Object.keys(headers)) {
+		list.push(name, headers[name]!);
+	}
+
+	// The Node.js typings omit values that are lists.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	return list as string[];
+}
+
 /** Returns whether the body of a response is delimited only by the close of the connection. */
 function isCloseDelimited({headers}: IncomingMessage): boolean {
 	return (
@@ -127,17 +160,13 @@
 	#size = 0;
 	#isStreamed = false;
 	#onFailure: ((error: Error) => void) | undefined;
-	readonly #onSend: (() => void) | undefined;
-	readonly #prepareSend: SendOptions['prepareSend'];
-	readonly #isBehind: () => boolean;
+	readonly #options: SendOptions;
 
 	constructor(outgoing: OutgoingRequest, options: SendOptions) {
 		this.outcome = new Promise((resolve) => {
 			this.#resolve = resolve;
 		});
-		this.#onSend = options.onSend;
-		this.#prepareSend = options.prepareSend;
-		this.#isBehind = options.isBehind ?? (() => false);
+		this.#options = options;
 		const {areResponsesIdentified = false} = options;
 		if (
 			areResponsesIdentified ||
@@ -189,13 +218,14 @@
 	#startRequest(outgoing: OutgoingRequest, options: SendOptions): void {
 		const [host, port] = options.address.split(':');
 		const {method, path, headers, body} = outgoing;
+		const {prepareSend, maySend} = options;
 		const request = startRequest({
 			agent: options.agent,
 			host,
 			port,
 			method,
 			path,
-			headers: {...headers},
+			headers: prepareSend ? headers : listHeaders(outgoing),
 			setHost: headers.host === undefined,
 		});
 		this.#request = request;
@@ -232,7 +262,7 @@
 			});
 		}
 
-		if (!this.#prepareSend) {
+		if (!prepareSend && !maySend) {
 			this.#sendBody(request, body);
 		}
 	}
@@ -257,9 +287,10 @@
 
 	/** Sends the request on its connection, unless `prepareSend` decides otherwise. */
 	#beginSend(body: OutgoingRequest['body']): void {
-		if (!this.#prepareSend) {
+		const {prepareSend, maySend, isBehind} = this.#options;
+		if (!prepareSend && !maySend) {
 			this.#recordSent();
-		} else if (this.#isBehind()) {
+		} else if (isBehind?.()) {
 			void waitForTurns(turnsToReadClose).then(() => {
 				this.#sendPrepared(body);
 			});
@@ -275,25 +306,40 @@
 			return;
 		}
 
-		const headers = this.#prepareSend!();
-		if (!headers) {
-			request.destroy(new Error('not sent'));
+		if (!this.#mayStillSend(request)) {
 			return;
 		}
 
+		this.#recordSent();
+		this.#sendBody(request, body);
+	}
+
+	/** Decides right before the first byte whether the request is sent, and sets its last headers. */
+	#mayStillSend(request: ClientRequest): boolean {
+		const {prepareSend, maySend} = this.#options;
+		const headers = prepareSend?.();
+		if (prepareSend ? !headers : maySend?.() === false) {
+			request.destroy(new Error('not sent'));
+			return false;
+		}
+
+		if (!headers) {
+			return true;
+		}
+
 		try {
-			for (const [name, value] of Object.entries(headers)) {
+			for (const name of Object.keys(headers)) {
+				const value = headers[name];
 				if (value !== undefined) {
 					request.setHeader(name, value);
 				}
 			}
 		} catch (error) {
 			this.#refuse(error);
-			return;
+			return false;
 		}
 
-		this.#recordSent();
-		this.#sendBody(request, body);
+		return true;
 	}
 
 	/** Ends a request that Node.js refuses to send. */
@@ -304,7 +350,7 @@
 
 	#recordSent(): void {
 		this.#isSent = true;
-		this.#onSend?.();
+		this.#options.onSend?.();
 	}
 
 	#sendBody(
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -146,9 +146,9 @@
 					// A gate responds to each attempt once.
 					areResponsesIdentified: true,
 					isBehind: () => isBehind(readMaxWait()),
-					prepareSend() {
+					maySend() {
 						hasExpired = now() >= expiresAt;
-						return hasExpired ? undefined : {};
+						return !hasExpired;
 					},
 					onSend: attempt.onSend,
 					onInterim({headers: interim}) {
