Look at hosts and budgets without lists for each request

Whether all hosts are full is decided at the first host that isn't, without lists of records; the retry budget sums its parts in one pass; a route's time that has not changed keeps its map. The results are the same (tests of step-retry-budget, step-host-record and create-service-router).

--- a/src/coordination/step-host-record.ts
+++ b/src/coordination/step-host-record.ts
@@ -135,7 +135,9 @@
 	times: ReadonlyMap<string, number> | undefined,
 	{route, load}: EndedMessage,
 ): ReadonlyMap<string, number> {
-	return route === undefined || load?.routeMs === undefined
+	return route === undefined ||
+		load?.routeMs === undefined ||
+		times?.get(route) === load.routeMs
 		? (times ?? emptyTimes)
 		: new Map(times).set(route, load.routeMs);
 }
--- a/src/coordination/step-retry-budget.ts
+++ b/src/coordination/step-retry-budget.ts
@@ -61,19 +61,28 @@
 	const {share = retryBudgetRatio, floor = minRetryBudget} = options;
 	const {windowMs = retryBudgetWindowMs} = options;
 	const number = Math.floor((now * partsPerWindow) / windowMs);
-	const known = (budget?.parts ?? []).filter(
-		(part) => part.number > number - partsPerWindow && part.number < number,
-	);
-	const current = budget?.parts.find((part) => part.number === number);
-	const parts = [
-		...known,
-		{
-			number,
-			requests: (current?.requests ?? 0) + (message === 'request' ? 1 : 0),
-			retries: (current?.retries ?? 0) + (message === 'retry' ? 1 : 0),
-		},
-	];
-	const requests = parts.reduce((sum, part) => sum + part.requests, 0);
-	const retries = parts.reduce((sum, part) => sum + part.retries, 0);
+	const parts: BudgetPart[] = [];
+	let requests = message === 'request' ? 1 : 0;
+	let retries = message === 'retry' ? 1 : 0;
+	let current = {number, requests, retries};
+	for (const part of budget?.parts ?? []) {
+		if (part.number <= number - partsPerWindow || part.number > number) {
+			continue;
+		}
+
+		requests += part.requests;
+		retries += part.retries;
+		if (part.number < number) {
+			parts.push(part);
+		} else {
+			current = {
+				number,
+				requests: part.requests + current.requests,
+				retries: part.retries + current.retries,
+			};
+		}
+	}
+
+	parts.push(current);
 	return {tokens: Math.max(0, floor + share * requests - retries), parts};
 }
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -313,16 +313,6 @@
 		);
 	}
 
-	/** Lists the records of the reachable hosts of a service; `undefined` for hosts without a record. */
-	function listReachable(
-		service: string,
-	): ReadonlyArray<HostRecord | undefined> {
-		const at = now();
-		return (candidates.get(service) ?? [])
-			.map(({host}) => records.get(host))
-			.filter((record) => !isUnreachable(record, at));
-	}
-
 	/**
 	 * Finds the reason why no reachable host would admit a request: each one has
 	 * just refused a similar request for lack of capacity, or its rate limit
@@ -333,17 +323,23 @@
 		{admissionClass, objectiveMs = Number.POSITIVE_INFINITY}: HostCriteria,
 	): 'saturated' | 'limited' | undefined {
 		const at = now();
-		const hosts = listReachable(service);
-		const isLimited = (record: HostRecord | undefined): boolean =>
-			computeHostRateLimitWait(record, at) > objectiveMs;
-		const isFull = hosts.every(
-			(record) => isLimited(record) || isKnownFull(record, admissionClass, at),
-		);
-		if (hosts.length === 0 || !isFull) {
-			return undefined;
+		let reason: 'saturated' | 'limited' | undefined;
+		for (const {host} of candidates.get(service) ?? []) {
+			const record = records.get(host);
+			if (isUnreachable(record, at)) {
+				continue;
+			}
+
+			if (computeHostRateLimitWait(record, at) > objectiveMs) {
+				reason = 'limited';
+			} else if (isKnownFull(record, admissionClass, at)) {
+				reason ??= 'saturated';
+			} else {
+				return undefined;
+			}
 		}
 
-		return hosts.some((record) => isLimited(record)) ? 'limited' : 'saturated';
+		return reason;
 	}
 
 	function stepServiceBudget(
@@ -424,10 +420,16 @@
 				},
 				readRateLimitWait() {
 					const at = now();
-					const waits = listReachable(service).map((record) =>
-						computeHostRateLimitWait(record, at),
-					);
-					return waits.length === 0 ? 0 : Math.min(...waits);
+					let waitMs: number | undefined;
+					for (const {host} of candidates.get(service) ?? []) {
+						const record = records.get(host);
+						if (!isUnreachable(record, at)) {
+							const hostWaitMs = computeHostRateLimitWait(record, at);
+							waitMs = Math.min(waitMs ?? hostWaitMs, hostWaitMs);
+						}
+					}
+
+					return waitMs ?? 0;
 				},
 				async refreshStamp() {
 					preselected = pickCandidate(service, key, tried, criteria);
