Write a refusal without serializing it

The body of a refusal is two plain words in fixed text; it and the headers are the same bytes as before, the headers go to Node as a list.

--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -5,7 +5,6 @@
 	reasonHeader,
 	type OutcomeReason,
 } from '../../protocol/request.js';
-import {sendJson} from './send-json.js';
 
 /** The outcome of a request without an upstream response. */
 export type UnansweredOutcome = {
@@ -40,17 +39,26 @@
 		outcome === 'not-run'
 			? (statusByReason[reason] ?? statusByOutcome[outcome])
 			: statusByOutcome[outcome];
-	const headers: Record<string, string> = {
-		[outcomeHeader]: outcome,
-		[reasonHeader]: reason,
-	};
+	// Both are plain words, so that the text needs no serialization.
+	const text = `{"outcome":"${outcome}","reason":"${reason}"}\n`;
+	const headers = [
+		'content-type',
+		'application/json',
+		'content-length',
+		String(text.length),
+		outcomeHeader,
+		outcome,
+		reasonHeader,
+		reason,
+	];
 	if (status === statusByOutcome['not-run']) {
-		headers['retry-after'] = edge.formatRetryAfter(retryAfterSeconds);
+		headers.push('retry-after', edge.formatRetryAfter(retryAfterSeconds));
 	}
 
 	if (reason === 'body-too-large') {
-		headers.connection = 'close';
+		headers.push('connection', 'close');
 	}
 
-	sendJson(response, status, {outcome, reason}, headers);
+	response.writeHead(status, headers);
+	response.end(text, 'latin1');
 }
