Refuse a request that no host would admit without starting an attempt

When every reachable host is known to be full, the caller's node ended the request through runRequest: two timers, a step of the state machine and the template of an attempt that is never sent. It now asks the selection first and ends with the same reason, delay, number of attempts and fingerprint; bodies are read as before, and streamed ones go the old way. computeRefusalDelay is the one place of that delay.

--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -61,6 +61,8 @@
 
 /** Selects gates for the attempts of one request. */
 export type GateSelection = {
+	/** Returns why no reachable host would admit the request now; undefined if one may. */
+	findFullReason(): OutcomeReason | undefined;
 	/** Picks a gate, if possible one that was not tried yet; returns the reason if there is none. */
 	pickGate(): GateClient | OutcomeReason;
 	/** Whether there is an untried host that is not known to be full. */
@@ -386,6 +388,7 @@
 			const tried = new Set<string>();
 			let preselected: Candidate | undefined;
 			return {
+				findFullReason: () => findFullReason(service, criteria),
 				pickGate() {
 					const fullReason = findFullReason(service, criteria);
 					if (fullReason) {
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -5,18 +5,13 @@
 	type RequestMessage,
 	type RequestParameters,
 } from '../../coordination/request-state.js';
-import {computeRetryAfter} from '../../coordination/compute-retry-after.js';
 import {isAwaitingResult} from '../../coordination/is-awaiting-result.js';
 import {stepRequest} from '../../coordination/step-request.js';
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
-import {
-	askAfterMs,
-	busyRetryMs,
-	deadlineMarginMs,
-	defaultObjectiveRatio,
-} from '../../protocol/constants.js';
+import {askAfterMs, deadlineMarginMs} from '../../protocol/constants.js';
 import type {OutcomeReason} from '../../protocol/request.js';
+import {computeRefusalDelay} from './compute-refusal-delay.js';
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
 import type {GateClient} from './gate-client.js';
 import {readFingerprint} from './read-fingerprint.js';
@@ -404,26 +399,20 @@
 			resolve({
 				outcome: effect.outcome,
 				reason: effect.reason!,
-				retryAfterSeconds: effect.retryAfterSeconds ?? computeRetryDelay(),
+				retryAfterSeconds:
+					effect.retryAfterSeconds ??
+					computeRefusalDelay({
+						parameters,
+						routeObjectiveMs: template.routeObjectiveMs,
+						rateLimitWaitMs: options.readRateLimitWait?.() ?? 0,
+						now: now(),
+						random: options.random(),
+					}),
 				attempts,
 				readFingerprint: readTemplateFingerprint,
 			});
 		}
 
-		/** Computes the retry delay for a refusal that did not come from a gate, seconds. */
-		function computeRetryDelay(): number {
-			const {deadlineAt, objectiveAt = deadlineAt} = parameters;
-			const at = now();
-			return computeRetryAfter({
-				waitMs: Math.max(busyRetryMs, options.readRateLimitWait?.() ?? 0),
-				serviceMs: (template.routeObjectiveMs ?? 0) * defaultObjectiveRatio,
-				objectiveMs: objectiveAt - at,
-				remainingMs: Math.max(0, deadlineAt - at),
-				random: options.random(),
-				minDelayMs: busyRetryMs,
-			});
-		}
-
 		function cancel(): void {
 			dispatch({kind: 'cancelled'});
 		}
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -9,6 +9,7 @@
 import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import {decideDrainAdmission} from '../coordination/decide-drain-admission.js';
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
+import type {RequestParameters} from '../coordination/request-state.js';
 import {pickTarget} from '../coordination/pick-target.js';
 import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
 import {
@@ -48,6 +49,7 @@
 	createBodyMemoryBudget,
 	type BodyMemoryBudget,
 } from './_lib/create-body-memory-budget.js';
+import {computeRefusalDelay} from './_lib/compute-refusal-delay.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
@@ -343,16 +345,16 @@
 		routed: RoutedRequest,
 		signal: CancelSignal,
 	): Promise<RequestEnd> {
-		const {request, route, requestId, parameters} = routed;
+		const {request, route, requestId, parameters: callerParameters} = routed;
 		const {team, service, sheddingMeansNotRun} = route;
 		const deadlineAt = Math.min(
-			routed.earliestAt + computeRunDeadlineMs(parameters, route),
+			routed.earliestAt + computeRunDeadlineMs(callerParameters, route),
 			Math.max(routed.earliestAt, drainBounds.endsAt),
 		);
 		const endsAt = Math.max(
 			deadlineAt,
 			Math.min(
-				routed.readAt + computeDeadlineMs(parameters, route),
+				routed.readAt + computeDeadlineMs(callerParameters, route),
 				drainBounds.endsAt,
 			),
 		);
@@ -411,9 +413,9 @@
 		}
 
 		const repeatable = route.repeatable && !isStreamed;
-		const key = formatIdempotencyKey(parameters, route);
-		const {depth} = parameters;
-		const objectiveMs = computeObjectiveMs(parameters, route);
+		const key = formatIdempotencyKey(callerParameters, route);
+		const {depth} = callerParameters;
+		const objectiveMs = computeObjectiveMs(callerParameters, route);
 		const admissionClass = formatAdmissionClass(route, objectiveMs);
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
@@ -426,16 +428,36 @@
 			await selection.refreshStamp();
 		}
 
+		const parameters: RequestParameters = {
+			repeatable,
+			isNested: depth > 0,
+			maxAttempts: isStreamed ? 1 : route.maxAttempts,
+			deadlineAt,
+			endsAt,
+			objectiveAt: Math.min(deadlineAt, routed.startedAt + objectiveMs),
+		};
+		const fullReason = isStreamed ? undefined : selection.findFullReason();
+		if (fullReason !== undefined) {
+			// What `runRequest` would end with, without timers and an attempt.
+			bodyMemory.release(reservedBytes);
+			return {
+				outcome: 'not-run',
+				reason: fullReason,
+				retryAfterSeconds: computeRefusalDelay({
+					parameters,
+					routeObjectiveMs: route.objectiveMs,
+					rateLimitWaitMs: selection.readRateLimitWait(),
+					now: now(),
+					random: random(),
+				}),
+				attempts: 1,
+				readFingerprint: () => readFingerprint(fingerprinted),
+			};
+		}
+
 		lastId++;
 		const end = await runRequest({
-			parameters: {
-				repeatable,
-				isNested: depth > 0,
-				maxAttempts: isStreamed ? 1 : route.maxAttempts,
-				deadlineAt,
-				endsAt,
-				objectiveAt: Math.min(deadlineAt, routed.startedAt + objectiveMs),
-			},
+			parameters,
 			template: {
 				idPrefix: `${idPrefix}.${lastId}`,
 				requestId,
