--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -61,6 +61,8 @@
 
 /** Selects gates for the attempts of one request. */
 export type GateSelection = {
+	/** Returns why no reachable host would admit the request now; undefined if one may. */
+	findFullReason(): OutcomeReason | undefined;
 	/** Picks a gate, if possible one that was not tried yet; returns the reason if there is none. */
 	pickGate(): GateClient | OutcomeReason;
 	/** Whether there is an untried host that is not known to be full. */
@@ -313,16 +315,6 @@
 		);
 	}
 
-	/** Lists the records of the reachable hosts of a service; `undefined` for hosts without a record. */
-	function listReachable(
-		service: string,
-	): ReadonlyArray<HostRecord | undefined> {
-		const at = now();
-		return (candidates.get(service) ?? [])
-			.map(({host}) => records.get(host))
-			.filter((record) => !isUnreachable(record, at));
-	}
-
 	/**
 	 * Finds the reason why no reachable host would admit a request: each one has
 	 * just refused a similar request for lack of capacity, or its rate limit
@@ -333,17 +325,23 @@
 		{admissionClass, objectiveMs = Number.POSITIVE_INFINITY}: HostCriteria,
 	): 'saturated' | 'limited' | undefined {
 		const at = now();
-		const hosts = listReachable(service);
-		const isLimited = (record: HostRecord | undefined): boolean =>
-			computeHostRateLimitWait(record, at) > objectiveMs;
-		const isFull = hosts.every(
-			(record) => isLimited(record) || isKnownFull(record, admissionClass, at),
-		);
-		if (hosts.length === 0 || !isFull) {
-			return undefined;
+		let reason: 'saturated' | 'limited' | undefined;
+		for (const {host} of candidates.get(service) ?? []) {
+			const record = records.get(host);
+			if (isUnreachable(record, at)) {
+				continue;
+			}
+
+			if (computeHostRateLimitWait(record, at) > objectiveMs) {
+				reason = 'limited';
+			} else if (isKnownFull(record, admissionClass, at)) {
+				reason ??= 'saturated';
+			} else {
+				return undefined;
+			}
 		}
 
-		return hosts.some((record) => isLimited(record)) ? 'limited' : 'saturated';
+		return reason;
 	}
 
 	function stepServiceBudget(
@@ -390,6 +388,7 @@
 			const tried = new Set<string>();
 			let preselected: Candidate | undefined;
 			return {
+				findFullReason: () => findFullReason(service, criteria),
 				pickGate() {
 					const fullReason = findFullReason(service, criteria);
 					if (fullReason) {
@@ -424,10 +423,16 @@
 				},
 				readRateLimitWait() {
 					const at = now();
-					const waits = listReachable(service).map((record) =>
-						computeHostRateLimitWait(record, at),
-					);
-					return waits.length === 0 ? 0 : Math.min(...waits);
+					let waitMs: number | undefined;
+					for (const {host} of candidates.get(service) ?? []) {
+						const record = records.get(host);
+						if (!isUnreachable(record, at)) {
+							const hostWaitMs = computeHostRateLimitWait(record, at);
+							waitMs = Math.min(waitMs ?? hostWaitMs, hostWaitMs);
+						}
+					}
+
+					return waitMs ?? 0;
 				},
 				async refreshStamp() {
 					preselected = pickCandidate(service, key, tried, criteria);
