Close idle connections between nodes by one timer

Node.js sets a time-out on a connection twice for each request, to close it when it is idle for a minute. Nodes close their idle connections to each other after two seconds themselves, so the server for nodes now looks once a minute for those on which nothing was read and nothing is left to write. Servers for clients keep Node's time-out and the header that states it.

A connection that its node has left open is closed after one to two minutes instead of one.

--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {createConnection} from 'node:net';
 import {text as readText} from 'node:stream/consumers';
 import test from 'node:test';
+import {serverIdleMs} from '../../protocol/constants.js';
 import {startServer} from './start-server.js';
+import {waitMs} from './wait-ms.js';
 
 const stopTimeoutMs = 5000;
 
@@ -171,3 +174,45 @@
 	await server.stop();
 	assert.deepEqual(waits, [1000, 600]);
 });
+
+test('closes idle connections of other nodes, and no other', async (t) => {
+	t.mock.timers.enable({apis: ['setInterval']});
+	const held: ServerResponse[] = [];
+	const server = await startServer(
+		'127.0.0.1:0',
+		({url}, response) => {
+			if (url === '/held') {
+				held.push(response);
+			} else {
+				response.end();
+			}
+		},
+		{areClientsNodes: true},
+	);
+	const [host, port] = server.address.split(':');
+
+	const idle = createConnection(Number(port), host);
+	const busy = createConnection(Number(port), host);
+	idle.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+	await once(idle, 'data');
+	busy.write('GET /held HTTP/1.1\r\nhost: a\r\n\r\n');
+	await once(server.server, 'request');
+	t.mock.timers.tick(serverIdleMs);
+	// Part of a request has been read at the next look.
+	idle.write('GET / HT');
+	await waitMs(50);
+	t.mock.timers.tick(serverIdleMs);
+	idle.write('TP/1.1\r\nhost: a\r\n\r\n');
+	await once(idle, 'data');
+	t.mock.timers.tick(serverIdleMs);
+	const closed = once(idle, 'close');
+	t.mock.timers.tick(serverIdleMs);
+	await closed;
+	assert.equal(busy.destroyed, false);
+	held[0]!.end('whole');
+	const chunks: unknown[] = await once(busy, 'data');
+	assert.match(String(chunks[0]), /whole/v);
+	busy.destroy();
+	t.mock.timers.reset();
+	assert.ok(await isStoppedInTime(server.stop()));
+});
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -47,6 +47,13 @@
 	readonly readLag?: (() => number) | undefined;
 	/** Returns the longest time for which data that is being read may have waited in a socket, ms; `readLag` when absent. */
 	readonly readMaxWait?: (() => number) | undefined;
+	/**
+	 * Whether the clients are other nodes, which close idle connections themselves
+	 * long before `serverIdleMs`; false when absent. The few idle connections that
+	 * are left are then closed by one timer, instead of a time-out that is set
+	 * twice for each request.
+	 */
+	readonly areClientsNodes?: boolean;
 	/** Called after a batch of connections has been accepted and none is waiting. */
 	readonly onAccepted?: ((batch: AcceptedBatch) => void) | undefined;
 	/** Monotonic time, ms; default `performance.now`. */
@@ -66,6 +73,8 @@
 	/** Undefined once its first request has been read. */
 	release: Release | undefined;
 	isUsed: boolean;
+	/** Bytes that had been read at the last look for idle connections. */
+	bytesRead: number;
 	/** The response to its last request, after earlier ones that are not written yet. */
 	readonly responses: ServerResponse[];
 };
@@ -84,6 +93,10 @@
 	this.destroy();
 }
 
+function areAllWritten({responses}: Connection): boolean {
+	return responses.every(({writableFinished}) => writableFinished);
+}
+
 /** Server that closes idle connections only while no response is being written. */
 class GracefulServer extends Server<typeof ReceivedRequest> {
 	readonly #connections = new Map<Socket, Connection>();
@@ -104,6 +117,7 @@
 		this.#connections.set(socket, {
 			release: undefined,
 			isUsed: false,
+			bytesRead: 0,
 			responses: [],
 		});
 		socket.once('close', () => {
@@ -124,6 +138,17 @@
 		}
 	}
 
+	/** Closes the connections that have been idle since the last call. */
+	closeQuietConnections(): void {
+		for (const [socket, connection] of this.#connections) {
+			const isQuiet = socket.bytesRead === connection.bytesRead;
+			connection.bytesRead = socket.bytesRead;
+			if (isQuiet && connection.isUsed && areAllWritten(connection)) {
+				socket.destroy();
+			}
+		}
+	}
+
 	override closeIdleConnections(): void {
 		// Node treats a connection as idle as soon as its response has been ended,
 		// even if it has not been written yet.
@@ -140,12 +165,12 @@
 }
 
 /** Keeps a response beside those of its connection that are not written yet. */
-function addResponse({responses}: Connection, response: ServerResponse): void {
-	if (responses.every(({writableFinished}) => writableFinished)) {
-		responses.length = 0;
+function addResponse(connection: Connection, response: ServerResponse): void {
+	if (areAllWritten(connection)) {
+		connection.responses.length = 0;
 	}
 
-	responses.push(response);
+	connection.responses.push(response);
 }
 
 /**
@@ -165,6 +190,7 @@
 	options: ServerOptions = {},
 ): Promise<RunningServer> {
 	const {readLag = () => 0, onAccepted = () => undefined} = options;
+	const {areClientsNodes = false} = options;
 	const {readMaxWait = readLag, now = () => performance.now()} = options;
 	const [host = '', port = '0'] = address.split(':');
 	let isStopping = false;
@@ -186,7 +212,7 @@
 		{
 			// eslint-disable-next-line @typescript-eslint/naming-convention
 			IncomingMessage: ReceivedRequest,
-			keepAliveTimeout: serverIdleMs,
+			keepAliveTimeout: areClientsNodes ? 0 : serverIdleMs,
 			headersTimeout: headersTimeoutMs,
 			requestTimeout: requestTimeoutMs,
 			maxHeaderSize: maxHeaderBytes,
@@ -243,6 +269,12 @@
 		server.once('error', reject);
 		server.listen(Number(port), host, resolve);
 	});
+	const quietTimer = areClientsNodes
+		? setInterval(() => {
+				server.closeQuietConnections();
+			}, serverIdleMs)
+		: undefined;
+	quietTimer?.unref();
 	const bound = server.address();
 	const boundPort = typeof bound === 'object' ? bound?.port : undefined;
 	return {
@@ -257,6 +289,7 @@
 		},
 		async stop() {
 			isStopping = true;
+			clearInterval(quietTimer);
 			const timer = setInterval(closeIdleSockets, closeIdleIntervalMs);
 			await new Promise<void>((resolve) => {
 				server.close(() => {
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -378,6 +378,7 @@
 	const server = await startServer(options.address, handleRequest, {
 		readLag,
 		readMaxWait: options.readMaxWait,
+		areClientsNodes: true,
 		onAccepted: options.onAccepted,
 		now,
 	});
