--- a/bench/_lib/create-bench-processes.ts
+++ b/bench/_lib/create-bench-processes.ts
@@ -19,8 +19,8 @@
 	/** Rejects once a process has ended that was not told to, or could not be started. */
 	readonly failed: Promise<never>;
 	start(options: BenchProcessOptions): ChildProcess;
-	/** Reads what a process has written to its standard output. */
-	readOutput(name: string): Promise<string>;
+	/** Reads what a process has written to standard error. */
+	readErrors(child: ChildProcess): Promise<string>;
 	/** Asks all processes to stop; kills those that have not after a time. */
 	stop(): Promise<void>;
 	/** Kills all processes at once. */
@@ -30,6 +30,9 @@
 /** Time that a process gets to stop, ms; longer than the grace time of a node. */
 const stopTimeoutMs = 8000;
 
+/** Where a process opens its inspector at SIGUSR1: at a free port. */
+const inspectorOption = '--inspect-port=127.0.0.1:0';
+
 /** Maximum length of a process's last words in a message, characters. */
 const maxWordsLength = 300;
 
@@ -51,6 +54,7 @@
  */
 export function createBenchProcesses(folder: string): BenchProcesses {
 	const children = new Set<ChildProcess>();
+	const names = new WeakMap<ChildProcess, string>();
 	let isStopping = false;
 	let fail: (error: Error) => void = () => undefined;
 	const failed = new Promise<never>((_resolve, reject) => {
@@ -81,13 +85,14 @@
 	}: BenchProcessOptions): ChildProcess {
 		const output = openSync(formatFile(name, 'out'), 'w');
 		const errors = openSync(formatFile(name, 'err'), 'w');
-		const child = spawn(process.execPath, argv, {
+		const child = spawn(process.execPath, [inspectorOption, ...argv], {
 			stdio: ['ignore', output, errors],
 			env: {...process.env, ...environment},
 		});
 		closeSync(output);
 		closeSync(errors);
 		children.add(child);
+		names.set(child, name);
 		child.once('error', (error) => {
 			fail(new Error(`${name} was not started: ${error.message}`));
 		});
@@ -114,7 +119,8 @@
 	return {
 		start,
 		failed,
-		readOutput: async (name) => readFile(formatFile(name, 'out'), 'utf8'),
+		readErrors: async (child) =>
+			readFile(formatFile(names.get(child) ?? '', 'err'), 'utf8'),
 		async stop() {
 			isStopping = true;
 			const ends = [...children]
--- a/bench/_lib/measure-request-cost.ts
+++ b/bench/_lib/measure-request-cost.ts
@@ -17,18 +17,17 @@
 	readonly seconds: number;
 };
 
-/** What a process has used, a request. */
+/** What a process has used: a request, or a second without requests. */
 export type RequestCost = {
 	readonly cpuMs: number;
 	/** System calls that read or write. */
 	readonly reads: number;
 	readonly writes: number;
 	readonly waits: number;
+	/** Length of the measurement, s. */
+	readonly seconds: number;
 };
 
-/** What a process uses without requests, a second. */
-export type IdleCost = RequestCost;
-
 /** Share of the requests that may have another answer than they should. */
 const maxOtherShare = 0.05;
 
@@ -50,26 +49,23 @@
 	'gate-refused': statusRefused,
 };
 
-/** Reads what each process has used since a moment, without what it uses anyway. */
+/** Reads what each process has used since a moment. */
 async function startReading(pair: ForwardingPair) {
 	const read = async () =>
 		Promise.all(pair.processes.map(async ({pid}) => readProcessUsage(pid!)));
 	const before = await read();
 	const startedAt = performance.now();
-	return async (count: number, idle?: readonly IdleCost[]) => {
+	return async (count: number): Promise<readonly RequestCost[]> => {
 		const after = await read();
 		const seconds = (performance.now() - startedAt) / msPerSecond;
 		return after.map((usage, index) => {
-			const compute = (name: keyof RequestCost): number => {
-				const used = usage[name] - before[index]![name];
-				return (used - (idle?.[index]?.[name] ?? 0) * seconds) / count;
-			};
-
+			const start = before[index]!;
 			return {
-				cpuMs: compute('cpuMs'),
-				reads: compute('reads'),
-				writes: compute('writes'),
-				waits: compute('waits'),
+				cpuMs: (usage.cpuMs - start.cpuMs) / count,
+				reads: (usage.reads - start.reads) / count,
+				writes: (usage.writes - start.writes) / count,
+				waits: (usage.waits - start.waits) / count,
+				seconds: seconds / count,
 			};
 		});
 	};
@@ -87,7 +83,7 @@
 export async function measureIdleCost(
 	pairs: readonly ForwardingPair[],
 	seconds: number,
-): Promise<ReadonlyArray<readonly IdleCost[]>> {
+): Promise<ReadonlyArray<readonly RequestCost[]>> {
 	const finishes = await Promise.all(pairs.map(async (it) => startReading(it)));
 	await wait(seconds * msPerSecond);
 	return Promise.all(finishes.map(async (finish) => finish(seconds)));
@@ -172,8 +168,7 @@
  * @param name - name of the pair, for messages
  * @param pair - the processes
  * @param load - see `CostLoad`
- * @param idle - what the processes use without requests; not subtracted when absent
- * @returns costs of a request, by process
+ * @returns costs of a request, by process, with what the processes use anyway
  * @throws when more than a few requests are not answered as their kind should be
  * @example
  * await measureRequestCost('node', pair, {kind: 'served', rate: 100, seconds: 2});
@@ -182,13 +177,12 @@
 	name: string,
 	pair: ForwardingPair,
 	load: CostLoad,
-	idle?: readonly IdleCost[],
 ): Promise<readonly RequestCost[]> {
 	const {kind} = load;
 	for (let number = 1; ; number++) {
 		const finish = await startReading(pair);
 		const outcomes = await sendLoad(pair, load);
-		const costs = await finish(outcomes.length, idle);
+		const costs = await finish(outcomes.length);
 		const others = describeOthers(kind, outcomes);
 		if (others === undefined) {
 			return costs;
--- a/bench/_lib/summarize-costs.test.ts
+++ b/bench/_lib/summarize-costs.test.ts
@@ -4,7 +4,7 @@
 import {summarizeCosts, type CostRound} from './summarize-costs.js';
 
 function createCost(cpuMs: number): RequestCost {
-	return {cpuMs, reads: 2, writes: 3, waits: 1};
+	return {cpuMs, reads: 2, writes: 3, waits: 1, seconds: 0.5};
 }
 
 /** Creates a round with the costs at the caller's and the gate's process. */
@@ -99,3 +99,15 @@
 		],
 	);
 });
+
+test('subtracts what the processes use anyway, by the median of the rounds', () => {
+	const costs = {'node served': [2, 2], 'plain served': [1, 1]} as const;
+	const idle = [0.2, 9, 0.4].map((cpuMs) => ({
+		...createRound(costs),
+		idle: new Map([['node', [createCost(cpuMs), createCost(0)]]]),
+	}));
+	const {ratios} = summarizeCosts(['node'], idle);
+	// 2 ms less half a second of 0.4 ms a second.
+	assert.equal(ratios[0]?.cpuMs.median, 1.8);
+	assert.equal(ratios[1]?.cpuMs.median, 2);
+});
--- a/bench/_lib/summarize-costs.ts
+++ b/bench/_lib/summarize-costs.ts
@@ -1,14 +1,18 @@
+import {bytesPerKibibyte} from '../../src/protocol/constants.js';
 import {computeMedian} from '../../src/transport/_lib/compute-median.js';
-import type {IdleCost, RequestCost} from './measure-request-cost.js';
+import type {RequestCost} from './measure-request-cost.js';
 
 /** What was measured in a round. */
 export type CostRound = {
 	/** What the processes of each side use without requests, a second. */
-	readonly idle: ReadonlyMap<string, readonly IdleCost[]>;
+	readonly idle: ReadonlyMap<string, readonly RequestCost[]>;
 	/** Costs at the caller's and the gate's process, by side and kind: `plain served`. */
 	readonly costs: ReadonlyMap<string, readonly RequestCost[]>;
 };
 
+/** Bytes allocated for a request at the caller's and the gate's process, by side and kind. */
+export type Allocations = ReadonlyMap<string, readonly number[]>;
+
 /** A figure over all rounds. */
 export type Spread = {
 	readonly median: number;
@@ -31,6 +35,8 @@
 	readonly reads: number;
 	readonly writes: number;
 	readonly waits: number;
+	/** Bytes allocated on the heap, if they were sampled. */
+	readonly allocatedBytes?: number;
 };
 
 /** The summary of all rounds. */
@@ -60,9 +66,51 @@
 		reads: cost.reads - part.reads,
 		writes: cost.writes - part.writes,
 		waits: cost.waits - part.waits,
+		seconds: cost.seconds,
+	};
+}
+
+/** Computes what a process of a side uses a second without requests: the median of the rounds, since a window may hold a long collection. */
+function computeIdle(
+	rounds: readonly CostRound[],
+	side: string,
+	index: number,
+): Omit<RequestCost, 'seconds'> {
+	const compute = (name: 'cpuMs' | 'reads' | 'writes' | 'waits'): number =>
+		computeMedian(rounds.map(({idle}) => idle.get(side)?.[index]?.[name] ?? 0));
+	return {
+		cpuMs: compute('cpuMs'),
+		reads: compute('reads'),
+		writes: compute('writes'),
+		waits: compute('waits'),
 	};
 }
 
+/** Subtracts from all costs of a round what the processes use anyway. */
+function subtractIdle(
+	{idle, costs}: CostRound,
+	rounds: readonly CostRound[],
+): CostRound {
+	const net = [...costs].map(([key, processes]) => {
+		const [side = ''] = key.split(' ', 1);
+		return [
+			key,
+			processes.map((cost, index) => {
+				const anyway = computeIdle(rounds, side, index);
+				const {seconds} = cost;
+				return subtractCost(cost, {
+					cpuMs: anyway.cpuMs * seconds,
+					reads: anyway.reads * seconds,
+					writes: anyway.writes * seconds,
+					waits: anyway.waits * seconds,
+					seconds,
+				});
+			}),
+		] as const;
+	});
+	return {idle, costs: new Map(net)};
+}
+
 /**
  * Adds the cost of a call: what a request that makes one costs more. The call
  * begins at the node that is the gate of the request.
@@ -89,6 +137,7 @@
  *
  * @param sides - names of the builds: one, or two of which the first is the earlier
  * @param rounds - at least one
+ * @param allocations - see `Allocations`
  * @returns a table, and the same as plain data
  * @example
  * summarizeCosts(['node'], rounds).lines.join('\n');
@@ -96,8 +145,9 @@
 export function summarizeCosts(
 	sides: readonly string[],
 	rounds: readonly CostRound[],
+	allocations: Allocations = new Map(),
 ): CostSummary {
-	const all = rounds.map((round) => addCalls(round));
+	const all = rounds.map((round) => addCalls(subtractIdle(round, rounds)));
 	const keys = [...(all[0]?.costs.keys() ?? [])];
 
 	function readCosts(
@@ -137,6 +187,7 @@
 				: undefined;
 		const computeMiddle = (name: 'reads' | 'writes' | 'waits'): number =>
 			computeMedian(costs.map((cost) => cost[name]));
+		const allocatedBytes = allocations.get(`${side} ${kind}`)?.[index];
 		return {
 			side,
 			kind,
@@ -148,6 +199,7 @@
 			reads: computeMiddle('reads'),
 			writes: computeMiddle('writes'),
 			waits: computeMiddle('waits'),
+			...(allocatedBytes !== undefined && {allocatedBytes}),
 		};
 	}
 
@@ -176,6 +228,9 @@
 		row.reads.toFixed(1),
 		row.writes.toFixed(1),
 		row.waits.toFixed(1),
+		row.allocatedBytes === undefined
+			? ''
+			: (row.allocatedBytes / bytesPerKibibyte).toFixed(1),
 	];
 }
 
@@ -192,6 +247,7 @@
 			'reads',
 			'writes',
 			'waits',
+			'KiB',
 		],
 		...rows.map((row) => formatRow(row)),
 	];
@@ -205,7 +261,7 @@
 			.trimEnd(),
 	);
 	return [
-		`median of the rounds (lowest to highest); system calls that read or write, and waits, a request`,
+		`median of the rounds (lowest to highest); system calls that read or write, waits, and KiB allocated, a request`,
 		...lines,
 	];
 }
@@ -217,6 +273,6 @@
 			const times = rounds.map(({idle}) => idle.get(side)?.[index]?.cpuMs ?? 0);
 			return `${formatSpread(createSpread(times), 1)} ms at the ${node}`;
 		});
-		return `without requests, a second, subtracted above: ${side}: ${texts.join(', ')}`;
+		return `without requests, a second, its median subtracted above: ${side}: ${texts.join(', ')}`;
 	});
 }
--- a/bench/request-cost.ts
+++ b/bench/request-cost.ts
@@ -14,7 +14,10 @@
 	measureRequestCost,
 	type RequestCost,
 } from './_lib/measure-request-cost.js';
-import {readProcessUsage} from './_lib/read-process-usage.js';
+import {
+	readProcessUsage,
+	type ProcessUsage,
+} from './_lib/read-process-usage.js';
 import {readRunContext} from './_lib/read-machine.js';
 import {runWithProcesses} from './_lib/run-with-processes.js';
 import {
@@ -23,7 +26,15 @@
 	type ForwardingPair,
 	type RequestKind,
 } from './_lib/start-platform-pair.js';
-import {summarizeCosts, type CostRound} from './_lib/summarize-costs.js';
+import {
+	startAllocationSampler,
+	type AllocationSampler,
+} from './_lib/start-allocation-sampler.js';
+import {
+	summarizeCosts,
+	type Allocations,
+	type CostRound,
+} from './_lib/summarize-costs.js';
 import {summarizeProfile} from './_lib/summarize-profile.js';
 import {writeMeasurement} from './_lib/write-measurement.js';
 
@@ -57,17 +68,38 @@
 	readonly warmCount: number;
 };
 
-async function printMemory(sides: readonly Side[]): Promise<void> {
-	for (const {name, pair} of sides) {
-		const usages = await Promise.all(
-			pair.processes.map(async ({pid}) => readProcessUsage(pid!)),
-		);
-		const texts = usages.map(
-			({cpuMs, rssBytes}) =>
-				`${cpuMs.toFixed(0)} ms, ${(rssBytes / bytesPerKibibyte ** 2).toFixed(0)} MiB`,
-		);
-		console.log(`${name}: ${texts.join('; ')}`);
-	}
+type MemoryRow = {
+	readonly side: string;
+	/** Processor time since the start and resident memory, by process. */
+	readonly processes: ReadonlyArray<Pick<ProcessUsage, 'cpuMs' | 'rssBytes'>>;
+};
+
+async function readMemory(
+	sides: readonly Side[],
+): Promise<readonly MemoryRow[]> {
+	return Promise.all(
+		sides.map(async ({name, pair}) => {
+			const usages = await Promise.all(
+				pair.processes.map(async ({pid}) => readProcessUsage(pid!)),
+			);
+			return {
+				side: name,
+				processes: usages.map(({cpuMs, rssBytes}) => ({cpuMs, rssBytes})),
+			};
+		}),
+	);
+}
+
+function formatMemory(rows: readonly MemoryRow[]): string {
+	return rows
+		.map(({side, processes}) => {
+			const texts = processes.map(
+				({cpuMs, rssBytes}) =>
+					`${cpuMs.toFixed(0)} ms, ${(rssBytes / bytesPerKibibyte ** 2).toFixed(0)} MiB`,
+			);
+			return `${side}: ${texts.join('; ')}`;
+		})
+		.join('\n');
 }
 
 async function startSides(
@@ -111,8 +143,7 @@
 	for (const {kind, side} of listLoads(sides, options, round)) {
 		const {name, pair} = side;
 		const load = {kind, rate, seconds};
-		const idleCosts = idle[sides.indexOf(side)]!;
-		const cost = await measureRequestCost(name, pair, load, idleCosts);
+		const cost = await measureRequestCost(name, pair, load);
 		costs.set(`${name} ${kind}`, cost);
 	}
 
@@ -134,6 +165,66 @@
 	}
 }
 
+/** Measures what each kind of request allocates, apart from the rounds, since sampling costs time. */
+async function measureAllocations(
+	sides: readonly Side[],
+	options: CostOptions,
+	processes: BenchProcesses,
+): Promise<Allocations> {
+	const {rate, seconds} = options;
+	const samplers = new Map<Side, readonly AllocationSampler[]>();
+	for (const side of sides) {
+		const started = side.pair.processes.map(async (child) =>
+			startAllocationSampler(child, async () => processes.readErrors(child)),
+		);
+		samplers.set(side, await Promise.all(started));
+	}
+
+	/** Samples what a side allocates during some work; returns the bytes of each process, and its length. */
+	async function sample(side: Side, work: () => Promise<unknown>) {
+		const own = samplers.get(side)!;
+		await Promise.all(own.map(async (it) => it.start()));
+		const startedAt = performance.now();
+		await work();
+		const elapsedSeconds = (performance.now() - startedAt) / msPerSecond;
+		const bytes = await Promise.all(own.map(async (it) => it.stop()));
+		return {bytes, elapsedSeconds};
+	}
+
+	const idle = new Map<Side, readonly number[]>();
+	for (const side of sides) {
+		const {bytes, elapsedSeconds} = await sample(side, async () =>
+			wait(seconds * msPerSecond),
+		);
+		idle.set(
+			side,
+			bytes.map((it) => it / elapsedSeconds),
+		);
+	}
+
+	const count = Math.max(1, Math.round(rate * seconds));
+	const allocations = new Map<string, readonly number[]>();
+	for (const {kind, side} of listLoads(sides, options, 0)) {
+		const {name, pair} = side;
+		const {bytes, elapsedSeconds} = await sample(side, async () =>
+			measureRequestCost(name, pair, {kind, rate, seconds}),
+		);
+		const idleBytes = idle.get(side)!;
+		allocations.set(
+			`${name} ${kind}`,
+			bytes.map(
+				(it, index) => (it - idleBytes[index]! * elapsedSeconds) / count,
+			),
+		);
+	}
+
+	for (const sampler of [...samplers.values()].flat()) {
+		sampler.close();
+	}
+
+	return allocations;
+}
+
 async function printProfiles(folder: string): Promise<void> {
 	const files = await readdir(folder);
 	for (const file of files.filter((name) => name.endsWith('.cpuprofile'))) {
@@ -230,7 +321,7 @@
 		const context = readRunContext('npm run bench -- cost', 0);
 		const sides = await startSides(options, processes, folder);
 		console.log('started (processor time and memory of each process):');
-		await printMemory(sides);
+		console.log(formatMemory(await readMemory(sides)));
 		// Nodes are still busy with their start for a time.
 		await wait(options.leadSeconds * msPerSecond);
 		await warm(sides, options);
@@ -240,8 +331,14 @@
 			console.log(`round ${round + 1} of ${options.rounds}`);
 		}
 
-		await printMemory(sides);
-		const {lines, ratios} = summarizeCosts([...options.targets.keys()], rounds);
+		const memory = await readMemory(sides);
+		console.log(formatMemory(memory));
+		const allocations = await measureAllocations(sides, options, processes);
+		const {lines, ratios} = summarizeCosts(
+			[...options.targets.keys()],
+			rounds,
+			allocations,
+		);
 		console.log(lines.join('\n'));
 		for (const {pair} of sides) {
 			await pair.stop();
@@ -258,6 +355,7 @@
 			await writeMeasurement('cost', {
 				context,
 				load: {rate, seconds, rounds: rounds.length, warmCount},
+				memory,
 				ratios,
 			});
 		}
