Fail the uploads bench when an upload is not served

Cause: it did not look at the answers of the uploads whose cost it measures.

Change: an answer other than 200 ends the bench with its status and reason.

--- a/bench/uploads.ts
+++ b/bench/uploads.ts
@@ -23,6 +23,8 @@
 /** Time between two looks at the memory, ms. */
 const sampleIntervalMs = 20;
 
+const statusOk = 200;
+
 type Uploads = {readonly count: number; readonly bytes: number};
 
 async function readMemories(children: readonly ChildProcess[]) {
@@ -106,7 +108,15 @@
 		Promise.all(children.map(async ({pid}) => readProcessUsage(pid!)));
 	const before = await read();
 	for (let index = 0; index < count; index++) {
-		await sendSample(address, {path: samplePath, agent, body, id: `${index}`});
+		const {status, reason} = await sendSample(address, {
+			path: samplePath,
+			agent,
+			body,
+			id: `${index}`,
+		});
+		if (status !== statusOk) {
+			throw new Error(`an upload was answered with ${status} ${reason}`);
+		}
 	}
 
 	const after = await read();
