--- a/bench/_lib/shortage/client-try.ts
+++ b/bench/_lib/shortage/client-try.ts
@@ -6,6 +6,8 @@
 	readonly status: 200 | 500 | 502 | 503 | 504 | 'closed';
 	/** Delay after which it should retry, ms. */
 	readonly retryAfterMs?: number;
+	/** Why it is refused. */
+	readonly reason?: string | undefined;
 };
 
 /** One try of a client at a request. */
--- a/bench/_lib/shortage/create-event-loop.ts
+++ b/bench/_lib/shortage/create-event-loop.ts
@@ -7,6 +7,14 @@
 	readonly finish?: () => void;
 };
 
+/** How the first request on a connection came to be read. */
+export type AcceptedRequest = {
+	/** Longest wait of the connection until it was read from, ms. */
+	readonly acceptWaitMs: number;
+	/** When it was read from, ms. */
+	readonly releasedAt: number;
+};
+
 /** A step of a node; decides when it starts how much work it is. */
 export type LoopTask = () => LoopWork | undefined;
 
@@ -21,6 +29,8 @@
 	readonly acceptMs: number;
 	/** Connections accepted in a turn. */
 	readonly acceptsPerTurn: number;
+	/** Accepted connections that are read from in a turn. */
+	readonly releasesPerTurn: number;
 	/** Time of a turn that deferred tasks may take, ms. */
 	readonly deferredMs: number;
 };
@@ -28,7 +38,7 @@
 /** An event loop whose steps take processor time. */
 export type EventLoop = {
 	/** Takes in a new connection, on which the task is read. */
-	accept(task: LoopTask): void;
+	accept(task: (accepted: AcceptedRequest) => LoopWork): void;
 	/** Takes in bytes on an open connection. */
 	read(task: LoopTask): void;
 	/** Runs a task once a delay is over; returns a function that cancels it. */
@@ -56,9 +66,14 @@
 	readonly task: LoopTask;
 };
 
+type HeldConnection = {
+	readonly task: (accepted: AcceptedRequest) => LoopWork;
+	/** Earliest time at which it may have arrived, ms. */
+	readonly since: number;
+};
+
 const lagPeriodMs = 25;
 const lagDecayFactor = 0.7;
-const maxReleasesPerTurn = 4;
 const maxReleaseIntervalMs = 50;
 const busyWindowMs = 300;
 /** A step that only takes the time that was charged before. */
@@ -82,8 +97,10 @@
 	const {now} = scheduler;
 	const dueTimers: LoopTask[] = [];
 	let readable: LoopTask[] = [];
-	const backlog: LoopTask[] = [];
-	const held: LoopTask[] = [];
+	const backlog: Array<Parameters<EventLoop['accept']>[0]> = [];
+	const held: HeldConnection[] = [];
+	/** Last time at which no connection waited to be accepted. */
+	let lastEmptyAt = now();
 	const deferred = new TinyQueue<DeferredTask>(
 		[],
 		(a, b) => a.rank - b.rank || a.number - b.number,
@@ -125,7 +142,7 @@
 
 	function takeAccepts(): readonly LoopTask[] {
 		return backlog.splice(0, options.acceptsPerTurn).map((task) => () => {
-			held.push(task);
+			held.push({task, since: lastEmptyAt});
 			return {costMs: acceptMs};
 		});
 	}
@@ -136,6 +153,7 @@
 		readable = [];
 		if (accepts.length > 0 && held.length === 0) {
 			releasedAt = now();
+			lastEmptyAt = now() - lastLagMs - computeExcess();
 		}
 
 		if (batch.length === 0 && deferred.length === 0 && held.length === 0) {
@@ -202,10 +220,20 @@
 	}
 
 	function endTurn(hasAccepted: boolean, isIdle: boolean): void {
+		if (!hasAccepted) {
+			lastEmptyAt = now();
+		}
+
 		const isDue = now() - releasedAt >= maxReleaseIntervalMs;
 		if (held.length > 0 && (!hasAccepted || isDue)) {
 			releasedAt = now();
-			readable.push(...held.splice(0, maxReleasesPerTurn));
+			for (const {task, since} of held.splice(0, options.releasesPerTurn)) {
+				const accepted = {
+					acceptWaitMs: releasedAt - since,
+					releasedAt,
+				};
+				readable.push(() => task(accepted));
+			}
 		}
 
 		scheduler.schedule(isIdle ? idleTurnMs : 0, () => {
--- a/bench/_lib/shortage/create-shortage-caller.ts
+++ b/bench/_lib/shortage/create-shortage-caller.ts
@@ -1,4 +1,5 @@
 import {computeRequestAge} from '../../../src/coordination/compute-request-age.js';
+import {computeSocketWait} from '../../../src/coordination/compute-socket-wait.js';
 import {computeUnreadTime} from '../../../src/coordination/compute-unread-time.js';
 import {
 	stepUsualDeadline,
@@ -14,11 +15,19 @@
 	responseMarginRatio,
 } from '../../../src/protocol/constants.js';
 import type {ClientAnswer, ClientTry} from './client-try.js';
-import type {EventLoop, LoopWork} from './create-event-loop.js';
+import type {
+	AcceptedRequest,
+	EventLoop,
+	LoopWork,
+} from './create-event-loop.js';
 import type {ShortageAttempt} from './shortage-attempt.js';
 import type {ShortageRouter} from './create-shortage-router.js';
 import {runShortageRequest} from './run-shortage-request.js';
-import type {NodeInput, ShortageDecisions} from './shortage-decisions.js';
+import type {
+	NodeAdmission,
+	NodeInput,
+	ShortageDecisions,
+} from './shortage-decisions.js';
 import type {RequestClass, StepCosts} from './shortage-parameters.js';
 
 type AnswerClient = (answer: ClientAnswer) => void;
@@ -28,6 +37,7 @@
 	readonly loop: EventLoop;
 	readonly router: ShortageRouter;
 	readonly decisions: ShortageDecisions;
+	readonly admission: NodeAdmission;
 	readonly costs: StepCosts;
 	/** Runs an attempt at the gate of a host. */
 	readonly runAttempt: (host: string, attempt: ShortageAttempt) => void;
@@ -41,7 +51,11 @@
 /** A caller's node in virtual time. */
 export type ShortageCaller = {
 	/** Handles a client's request that can be read. */
-	read(clientTry: ClientTry, answer: AnswerClient): LoopWork;
+	read(
+		clientTry: ClientTry,
+		answer: AnswerClient,
+		accepted?: AcceptedRequest,
+	): LoopWork;
 };
 
 /**
@@ -53,7 +67,7 @@
 export function createShortageCaller(
 	options: ShortageCallerOptions,
 ): ShortageCaller {
-	const {loop, router, decisions, costs, now, random} = options;
+	const {loop, router, decisions, admission, costs, now, random} = options;
 	const usualDeadlines = new Map<string, UsualDeadline>();
 	const budgets = new Map<string, RetryBudget>();
 
@@ -87,9 +101,13 @@
 			lagMs: loop.readLag(),
 			busyShare: loop.readBusyShare(),
 			deferred: loop.readDeferred(),
+			className: requestClass.name,
 			priority: requestClass.priority,
 			isCall,
 			makesCalls: requestClass.calls !== undefined,
+			ageMs: requestClass.objectiveMs - objectiveMs,
+			now: now(),
+			maxHostLagMs: router.readMaxLag(),
 			objectiveMs,
 			remainingMs: deadlineMs,
 			random: random(),
@@ -102,7 +120,8 @@
 			finish() {
 				answer({
 					status: 503,
-					retryAfterMs: decisions.computeRetryAfterMs(input),
+					reason: 'lag at the caller',
+					retryAfterMs: admission.computeRetryAfterMs(input),
 				});
 			},
 		};
@@ -128,7 +147,24 @@
 		stepBudget(service, 'request');
 		runShortageRequest({
 			clientTry,
-			answer,
+			answer(given) {
+				admission.recordOutcome?.(
+					requestClass.name,
+					given.status === 200 && now() <= times.startedAt + times.objectiveMs,
+				);
+				const {status, retryAfterMs = 0} = given;
+				answer(
+					status === 503 && admission.reviseRetryAfterMs
+						? {
+								...given,
+								retryAfterMs: admission.reviseRetryAfterMs(
+									createInput(clientTry, times.objectiveMs),
+									retryAfterMs,
+								),
+							}
+						: given,
+				);
+			},
 			loop,
 			router,
 			costs,
@@ -151,7 +187,7 @@
 	}
 
 	return {
-		read(clientTry, answer) {
+		read(clientTry, answer, accepted) {
 			clientTry.isRead = true;
 			options.onRead();
 			if (clientTry.hasLeft) {
@@ -160,16 +196,24 @@
 
 			const {requestClass, deadlineMs} = clientTry;
 			const objectiveMs = computeObjectiveMs(requestClass, deadlineMs);
-			const input = createInput(clientTry, objectiveMs);
-			if (!decisions.decideCaller(input)) {
+			const lagMs = Math.max(loop.readLag(), accepted?.acceptWaitMs ?? 0);
+			const input = {...createInput(clientTry, objectiveMs), lagMs};
+			if (!admission.decideCaller(input)) {
 				return refuse(answer, input);
 			}
 
 			const readAt = now();
+			const socketWaitMs = computeSocketWait(
+				loop.readMaxWait(),
+				accepted && {
+					acceptWaitMs: accepted.acceptWaitMs,
+					readableMs: readAt - accepted.releasedAt,
+				},
+			);
 			const times = {
 				readAt,
-				startedAt: readAt - computeUnreadTime(loop.readLag()),
-				earliestAt: readAt - computeUnreadTime(loop.readMaxWait()),
+				startedAt: readAt - computeUnreadTime(lagMs),
+				earliestAt: readAt - computeUnreadTime(socketWaitMs),
 				objectiveMs,
 			};
 			const {computeRank} = decisions;
@@ -190,18 +234,6 @@
 							return undefined;
 						}
 
-						const waitedMs = now() - readAt;
-						const later = {
-							...createInput(clientTry, objectiveMs - waitedMs),
-							remainingMs: deadlineMs - waitedMs,
-						};
-						if (!decisions.decideCaller(later)) {
-							return {
-								costMs: costs.refuseMs,
-								finish: refuse(answer, later).finish!,
-							};
-						}
-
 						return {
 							costMs: costs.startMs,
 							finish() {
--- a/bench/_lib/shortage/create-shortage-clients.ts
+++ b/bench/_lib/shortage/create-shortage-clients.ts
@@ -134,7 +134,7 @@
 
 			function receive(
 				sent: ClientTry,
-				{status, retryAfterMs = 0}: ClientAnswer,
+				{status, retryAfterMs = 0, reason = ''}: ClientAnswer,
 				wasTold: boolean,
 			): void {
 				if (isDone) {
@@ -150,9 +150,17 @@
 
 					case 503: {
 						counts.refusedTries++;
+						counts.refusedByReason.set(
+							reason,
+							(counts.refusedByReason.get(reason) ?? 0) + 1,
+						);
 						counts.toldRefused += wasTold ? 1 : 0;
 						const waitMs = (deadlineAt - now()) * maxWaitShare;
-						retry(Math.min(retryAfterMs, waitMs), true, 'refused');
+						retry(
+							Math.min(retryAfterMs, waitMs),
+							retryAfterMs <= waitMs,
+							'refused',
+						);
 						break;
 					}
 
--- a/bench/_lib/shortage/create-shortage-gate.ts
+++ b/bench/_lib/shortage/create-shortage-gate.ts
@@ -27,7 +27,7 @@
 import type {ShortageUpstream} from './create-shortage-upstream.js';
 import {createGateAttempt, createShortageJob} from './create-shortage-job.js';
 import type {ShortageAttempt} from './shortage-attempt.js';
-import type {ShortageDecisions} from './shortage-decisions.js';
+import type {NodeAdmission, ShortageDecisions} from './shortage-decisions.js';
 import {
 	slots,
 	type RequestClass,
@@ -39,6 +39,7 @@
 	readonly loop: EventLoop;
 	readonly upstream: ShortageUpstream;
 	readonly decisions: ShortageDecisions;
+	readonly admission: NodeAdmission;
 	readonly costs: StepCosts;
 	readonly now: () => number;
 	readonly random: () => number;
@@ -138,13 +139,17 @@
 			return {reason: 'deadline', retryAfterSeconds: 1};
 		}
 
-		const isAdmitted = decisions.decideGate({
+		const isAdmitted = options.admission.decideGate({
 			lagMs: loop.readLag(),
 			busyShare: loop.readBusyShare(),
 			deferred: loop.readDeferred(),
+			className: requestClass.name,
 			priority: requestClass.priority,
 			isCall,
 			makesCalls: requestClass.calls !== undefined,
+			ageMs: 0,
+			now: now(),
+			maxHostLagMs: 0,
 			objectiveMs,
 			remainingMs,
 			random: random(),
--- a/bench/_lib/shortage/create-shortage-node.ts
+++ b/bench/_lib/shortage/create-shortage-node.ts
@@ -78,10 +78,12 @@
 		share: options.share,
 		acceptMs: costs.acceptMs,
 		acceptsPerTurn: decisions.acceptsPerTurn,
+		releasesPerTurn: decisions.releasesPerTurn,
 		deferredMs: decisions.deferredMs,
 		readCostFactor: () =>
 			isCold && readRequests < coldRequests ? coldCostFactor : 1,
 	});
+	const admission = decisions.createAdmission();
 	const router = createShortageRouter({
 		host,
 		decisions,
@@ -130,6 +132,7 @@
 			},
 		},
 		decisions,
+		admission,
 		costs,
 		now,
 		random,
@@ -169,6 +172,7 @@
 		loop,
 		router,
 		decisions,
+		admission,
 		costs,
 		runAttempt,
 		retryBudget: computeRetryShare(retryBounds, options.nodeCount),
@@ -195,11 +199,10 @@
 		}
 
 		openTries.set(clientTry, answer);
-		const task = () => caller.read(clientTry, answerOpen);
 		if (isNew) {
-			loop.accept(task);
+			loop.accept((accepted) => caller.read(clientTry, answerOpen, accepted));
 		} else {
-			loop.read(task);
+			loop.read(() => caller.read(clientTry, answerOpen));
 		}
 	}
 
--- a/bench/_lib/shortage/create-shortage-router.ts
+++ b/bench/_lib/shortage/create-shortage-router.ts
@@ -40,6 +40,8 @@
 		admissionClass: string,
 		tried: ReadonlySet<string>,
 	): boolean;
+	/** Reads the highest event loop lag that a host has stated lately, ms. */
+	readMaxLag(): number;
 	recordEnd(
 		host: string,
 		end: AttemptEnd,
@@ -69,6 +71,9 @@
 	}
 }
 
+/** Age at which the lag of a host is no longer known, ms. */
+const lagExpiryMs = 500;
+
 /**
  * Creates the record of hosts of a caller's node in virtual time, round the
  * product's decisions.
@@ -159,6 +164,16 @@
 					!tried.has(host) &&
 					isAvailable(records.get(host), admissionClass, now()),
 			),
+		readMaxLag() {
+			let maxMs = 0;
+			for (const {ms, at} of lags.values()) {
+				if (now() - at < lagExpiryMs) {
+					maxMs = Math.max(maxMs, ms);
+				}
+			}
+
+			return maxMs;
+		},
 		recordEnd(host, end, {requestClass, admissionClass, latencyMs}) {
 			if (end.kind !== 'lost') {
 				lags.set(host, {ms: end.lagMs, at: now()});
--- a/bench/_lib/shortage/plain-decisions.ts
+++ b/bench/_lib/shortage/plain-decisions.ts
@@ -3,9 +3,11 @@
 /** A forwarder that admits all and picks the host with the fewest own requests. */
 export const plainDecisions: ShortageDecisions = {
 	name: 'plain',
-	decideCaller: () => true,
-	decideGate: () => true,
-	computeRetryAfterMs: () => 0,
+	createAdmission: () => ({
+		decideCaller: () => true,
+		decideGate: () => true,
+		computeRetryAfterMs: () => 0,
+	}),
 	pickHost({candidates, records, random}) {
 		const ranked = candidates.map((candidate) => ({
 			candidate,
@@ -17,6 +19,7 @@
 	},
 	deferredMs: 0,
 	acceptsPerTurn: 1,
+	releasesPerTurn: 4,
 	hasGateAdmission: false,
 	hasRetries: false,
 };
--- a/bench/_lib/shortage/product-decisions.ts
+++ b/bench/_lib/shortage/product-decisions.ts
@@ -2,11 +2,10 @@
 import {decideEventLoopAdmission} from '../../../src/coordination/decide-event-loop-admission.js';
 import {pickHost} from '../../../src/coordination/pick-host.js';
 import {busyRetryMs, msPerSecond} from '../../../src/protocol/constants.js';
-import type {ShortageDecisions} from './shortage-decisions.js';
+import type {NodeAdmission, ShortageDecisions} from './shortage-decisions.js';
 
-/** The decisions of the product. */
-export const productDecisions: ShortageDecisions = {
-	name: 'product',
+/** Admission of the product. */
+export const productAdmission: NodeAdmission = {
 	decideCaller: decideEventLoopAdmission,
 	decideGate: ({lagMs, priority, remainingMs}) =>
 		lagMs < remainingMs && decideEventLoopAdmission({lagMs, priority}),
@@ -20,6 +19,12 @@
 		});
 		return seconds * msPerSecond * (0.5 + random);
 	},
+};
+
+/** The decisions of the product. */
+export const productDecisions: ShortageDecisions = {
+	name: 'product',
+	createAdmission: () => productAdmission,
 	pickHost: ({candidates, records, random, options}) =>
 		pickHost(candidates, records, random, options) ??
 		pickHost(candidates, records, random, {
@@ -28,6 +33,7 @@
 		}),
 	deferredMs: 0,
 	acceptsPerTurn: 1,
+	releasesPerTurn: 4,
 	hasGateAdmission: true,
 	hasRetries: true,
 };
--- a/bench/_lib/shortage/run-shortage-request.ts
+++ b/bench/_lib/shortage/run-shortage-request.ts
@@ -140,6 +140,7 @@
 					hasRetries
 						? {
 								status: 503,
+								reason: effect.reason,
 								retryAfterMs:
 									(effect.retryAfterSeconds ?? computeRetrySeconds()) *
 									msPerSecond,
--- a/bench/_lib/shortage/shortage-counts.ts
+++ b/bench/_lib/shortage/shortage-counts.ts
@@ -23,6 +23,8 @@
 	readonly byClass: ReadonlyMap<string, ClassCounts>;
 	tries: number;
 	refusedTries: number;
+	/** Refused tries by reason. */
+	readonly refusedByReason: Map<string, number>;
 	/** Tries that came after the delay that the client was told. */
 	toldTries: number;
 	/** Such tries that were refused again. */
--- a/bench/_lib/shortage/shortage-decisions.ts
+++ b/bench/_lib/shortage/shortage-decisions.ts
@@ -13,11 +13,18 @@
 	readonly busyShare: number;
 	/** Requests that were read and wait for processor time. */
 	readonly deferred: number;
+	readonly className: string;
 	readonly priority: number;
 	/** Whether an upstream sends it while it runs another request. */
 	readonly isCall: boolean;
 	/** Whether upstreams of its class make calls. */
 	readonly makesCalls: boolean;
+	/** Time since the client first sent it, as the node knows it, ms. */
+	readonly ageMs: number;
+	/** Monotonic ms. */
+	readonly now: number;
+	/** Highest event loop lag that another node has stated lately, ms. */
+	readonly maxHostLagMs: number;
 	/** Time left in which an answer has its full value, ms. */
 	readonly objectiveMs: number;
 	/** Time left until the deadline, ms. */
@@ -43,6 +50,20 @@
 	readonly ownLagMs: number;
 };
 
+/** Decisions of one node about what it admits, which may keep a state. */
+export type NodeAdmission = {
+	/** Whether a caller's node admits a client's request. */
+	decideCaller(input: NodeInput): boolean;
+	/** Whether a gate admits an attempt. */
+	decideGate(input: NodeInput): boolean;
+	/** Delay after which a client that a node refuses should retry, ms. */
+	computeRetryAfterMs(input: NodeInput): number;
+	/** Learns how an admitted request ended. */
+	recordOutcome?(className: string, isInTime: boolean): void;
+	/** Changes the retry delay of a client whose request no host has admitted, ms. */
+	reviseRetryAfterMs?(input: NodeInput, retryAfterMs: number): number;
+};
+
 /** One set of decisions. */
 export type ShortageDecisions = {
 	readonly name: string;
@@ -54,16 +75,15 @@
 	readonly computeRank?: (input: NodeInput) => number;
 	/** Time of a turn for requests that were read and not started, ms. */
 	readonly deferredMs: number;
+	/** Connections accepted in a turn. */
 	readonly acceptsPerTurn: number;
+	/** Accepted connections that are read from in a turn. */
+	readonly releasesPerTurn: number;
 	/** Whether gates admit by the load of their upstream; otherwise they pass on all. */
 	readonly hasGateAdmission: boolean;
 	/** Whether nodes repeat attempts. */
 	readonly hasRetries: boolean;
-	/** Whether a caller's node admits a client's request. */
-	decideCaller(input: NodeInput): boolean;
-	/** Whether a gate admits an attempt. */
-	decideGate(input: NodeInput): boolean;
-	/** Delay after which a client that a node refuses should retry, ms. */
-	computeRetryAfterMs(input: NodeInput): number;
+	/** Creates the admission of a node that has started. */
+	createAdmission(): NodeAdmission;
 	pickHost(input: PickInput): Candidate | undefined;
 };
--- a/bench/_lib/shortage/trial-decisions.ts
+++ b/bench/_lib/shortage/trial-decisions.ts
@@ -2,7 +2,9 @@
  * Variants of the product's decisions, each with one thing changed.
  */
 import {isKnownFull} from '../../../src/coordination/is-known-full.js';
-import {productDecisions} from './product-decisions.js';
+import {createPressureAdmission} from './create-pressure-admission.js';
+import {createThrottleAdmission} from './create-throttle-admission.js';
+import {productAdmission, productDecisions} from './product-decisions.js';
 import type {
 	NodeInput,
 	PickInput,
@@ -75,11 +77,78 @@
 	{
 		...productDecisions,
 		name: 'calls admitted',
-		decideCaller: (input) =>
-			input.isCall || productDecisions.decideCaller(input),
-		decideGate: (input) => input.isCall || productDecisions.decideGate(input),
+		createAdmission: () => ({
+			...productAdmission,
+			decideCaller: (input) =>
+				input.isCall || productAdmission.decideCaller(input),
+			decideGate: (input) => input.isCall || productAdmission.decideGate(input),
+		}),
 	},
 	{...productDecisions, name: '8 accepts a turn', acceptsPerTurn: 8},
 	{...productDecisions, name: 'lag-aware hosts', pickHost: pickLagAware},
 	{...productDecisions, name: 'own host first', pickHost: pickOwnFirst},
+	{
+		...productDecisions,
+		name: 'pressure 20 ms',
+		createAdmission: () =>
+			createPressureAdmission({
+				targetLagMs: 20,
+				hasHostLags: false,
+				hasFinalRefusals: false,
+			}),
+	},
+	{
+		...productDecisions,
+		name: 'pressure of all 20 ms',
+		createAdmission: () =>
+			createPressureAdmission({
+				targetLagMs: 20,
+				hasHostLags: true,
+				hasFinalRefusals: false,
+			}),
+	},
+	{
+		...productDecisions,
+		name: 'pressure of all 40 ms',
+		createAdmission: () =>
+			createPressureAdmission({
+				targetLagMs: 40,
+				hasHostLags: true,
+				hasFinalRefusals: false,
+			}),
+	},
+	{
+		...productDecisions,
+		name: 'final refusals 20 ms',
+		createAdmission: () =>
+			createPressureAdmission({
+				targetLagMs: 20,
+				hasHostLags: true,
+				hasFinalRefusals: true,
+			}),
+	},
+	{...productDecisions, name: 'gates admit all', hasGateAdmission: false},
+	{
+		...productDecisions,
+		name: 'accept all',
+		acceptsPerTurn: 64,
+		releasesPerTurn: 64,
+	},
+	{
+		...productDecisions,
+		name: 'throttle',
+		createAdmission: () => createThrottleAdmission(false),
+	},
+	{
+		...productDecisions,
+		name: 'throttle with final refusals',
+		createAdmission: () => createThrottleAdmission(true),
+	},
+	{
+		...productDecisions,
+		name: 'throttle and order',
+		createAdmission: () => createThrottleAdmission(false),
+		computeRank: rankRequest,
+		deferredMs: startMs,
+	},
 ];
--- a/bench/_lib/simulate-shortage.ts
+++ b/bench/_lib/simulate-shortage.ts
@@ -50,6 +50,8 @@
 	readonly failed: number;
 	/** Share of the tries that were refused. */
 	readonly refusedTries: number;
+	/** The same by reason. */
+	readonly refusedByReason: Readonly<Record<string, number>>;
 	/** Share of the tries, made when the client was told to, that were refused again. */
 	readonly refusedAgain: number;
 	/** Share of the runs that make calls and ended since one failed. */
@@ -87,6 +89,7 @@
 		byClass,
 		tries: 0,
 		refusedTries: 0,
+		refusedByReason: new Map(),
 		toldTries: 0,
 		toldRefused: 0,
 		unread: 0,
@@ -132,6 +135,12 @@
 		refused: divide(sum(rows.map((row) => row.refused)), requests),
 		failed: divide(sum(rows.map((row) => row.failed)), requests),
 		refusedTries: divide(counts.refusedTries, counts.tries),
+		refusedByReason: Object.fromEntries(
+			[...counts.refusedByReason].map(([reason, count]) => [
+				reason,
+				divide(count, counts.tries),
+			]),
+		),
 		refusedAgain: divide(counts.toldRefused, counts.toldTries),
 		lostRuns: divide(
 			sum(calling.map(({lostRuns}) => lostRuns)),
--- a/bench/shortage.ts
+++ b/bench/shortage.ts
@@ -2,8 +2,8 @@
 import {
 	simulateShortage,
 	type ShortageResult,
-	type ShortageScenario,
 } from './_lib/simulate-shortage.js';
+import {disturbedDay} from './_lib/shortage/disturbed-day.js';
 import {formatShortage} from './_lib/shortage/format-shortage.js';
 import {plainDecisions} from './_lib/shortage/plain-decisions.js';
 import {productDecisions} from './_lib/shortage/product-decisions.js';
@@ -15,13 +15,6 @@
 /** Cost of the plain forwarder, as a ratio of the product's. */
 const plainCost = 0.5;
 
-const disturbances: Partial<ShortageScenario> = {
-	impatientShare: 0.2,
-	burst: {at: 12, seconds: 4, factor: 1.5},
-	restarts: {at: 5, count: 5, gapSeconds: 1.3},
-	powerCut: {at: 18, seconds: 1},
-};
-
 function parseNumbers(text: string): readonly number[] {
 	return text.split(',').map(Number);
 }
@@ -83,11 +76,11 @@
 					decisions,
 					costs,
 					{
+						...(values.disturbed && disturbedDay),
 						load,
 						seconds: Number(values.seconds),
 						share: Number(values.share),
 						upstreamFactor: Number(values.upstreams),
-						...(values.disturbed && disturbances),
 					},
 					seed,
 				),
