Prefer the own host where no other one is clearly better

A request for an upstream on its caller's own host was sent to any host of the data centre alike, although another host's node spends as much processor time on it again. Placing now counts the second node.

The test fails before (the own host gets about a third).

--- a/src/coordination/_lib/host-costs.ts
+++ b/src/coordination/_lib/host-costs.ts
@@ -29,6 +29,8 @@
 	readonly route?: string | undefined;
 	/** Transfer of the body to other hosts, if it is long. */
 	readonly transfer?: BodyTransfer | undefined;
+	/** Name of the own host, where a request passes no second node; all hosts count as remote when absent. */
+	readonly ownHost?: string | undefined;
 };
 
 /** Transfer of a long body from the own host. */
@@ -43,6 +45,9 @@
 /** Upper bound on the error share, which keeps the cost finite. */
 const maxErrorShare = 0.9;
 
+/** Added cost of a host other than the own one, whose node spends processor time on the request too. */
+const hopCost = 0.06;
+
 /** A candidate host with the expected cost of a request there. */
 export type CandidateCost = {
 	readonly candidate: Candidate;
@@ -146,7 +151,7 @@
 	pool: readonly Candidate[],
 	records: HostRecords,
 	random: () => number,
-	{now, route, objectiveMs, transfer}: CostOptions,
+	{now, route, objectiveMs, transfer, ownHost}: CostOptions,
 ): CandidateCost | undefined {
 	const poolLoad = computePoolLoad(pool, records, now);
 	const count = Math.min(hostSampleSize, pool.length);
@@ -176,7 +181,8 @@
 						},
 					) +
 					slowStartCost * (1 / computeSlowStartFactor(record, now) - 1) +
-					errorShare;
+					errorShare +
+					(candidate.host === ownHost ? 0 : hopCost);
 		if (!best || cost < best.cost) {
 			best = {candidate, cost};
 		}
--- a/src/coordination/pick-host.test.ts
+++ b/src/coordination/pick-host.test.ts
@@ -212,3 +212,30 @@
 test('uploads stay on a host whose own link has low bandwidth', () => {
 	assert.deepEqual(shareUploads(6, 'abdali-1'), {'abdali-1': 1000});
 });
+
+test('a request stays on the own host unless another host is clearly better', () => {
+	const generator = xoroshiro128plus(11);
+	const countOwn = (changes: Partial<HostRecord>): number => {
+		const records = new Map(
+			candidates.map(({host}) => [
+				host,
+				{...idle, ...(host === 'abdali-1' && changes)},
+			]),
+		);
+		let own = 0;
+		for (let index = 0; index < 1000; index++) {
+			const picked = pickHost(
+				candidates,
+				records,
+				() => uniformFloat64(generator),
+				{dataCentre: 'abdali', now, objectiveMs: 200, ownHost: 'abdali-1'},
+			);
+			own += picked?.host === 'abdali-1' ? 1 : 0;
+		}
+
+		return own;
+	};
+
+	assert.ok(countOwn({}) > 900, 'equally loaded');
+	assert.ok(countOwn({ownInFlight: 5}) < 100, 'own host busier');
+});
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -308,7 +308,7 @@
 			bodyBytes < minTransferCostBodyBytes
 				? undefined
 				: {bytes: bodyBytes, host: name, linkMbps};
-		const pick = {dataCentre, now: now(), ...route, transfer};
+		const pick = {dataCentre, ownHost: name, now: now(), ...route, transfer};
 		return (
 			pickHost(hosts, records, random, {...pick, exclude: tried}) ??
 			pickHost(hosts, records, random, pick)
