--- a/src/transport/_lib/create-pooled-agent.ts
+++ b/src/transport/_lib/create-pooled-agent.ts
@@ -3,16 +3,9 @@
 import type {Duplex} from 'node:stream';
 import {idleConnectionMs} from '../../protocol/constants.js';
 
-/** Set on a connection on which no request is in flight. */
-const isIdle = Symbol('isIdle');
-
-type PooledConnection = Duplex & {[isIdle]?: boolean};
-
-function closeIfIdle(this: PooledConnection): void {
-	if (this[isIdle]) {
-		// Data received while no request is in flight belongs to no response.
-		this.destroy();
-	}
+function closeOnData(this: Duplex): void {
+	// Data received while no request is in flight belongs to no response.
+	this.destroy();
 }
 
 /** Options of `createPooledAgent`, besides those of the Node.js agent. */
@@ -24,13 +17,10 @@
 /** Keeps connections alive, and closes idle connections on which data arrives. */
 class PooledAgent extends Agent {
 	readonly #onSocket: PooledAgentOptions['onSocket'];
-	/** The Node.js typings omit the return value, which decides whether the socket is reused. */
-	readonly #keep: (stream: Duplex) => unknown;
 
 	constructor({onSocket, ...options}: PooledAgentOptions) {
 		super(options);
 		this.#onSocket = onSocket;
-		this.#keep = super.keepSocketAlive.bind(this);
 	}
 
 	override createConnection(
@@ -39,23 +29,25 @@
 		const connection = super.createConnection(...parameters);
 		if (connection instanceof Socket) {
 			this.#onSocket?.(connection);
-			// One listener for all requests: adding one for each idle time makes the
-			// stream schedule a resumption twice a request.
-			connection.on('data', closeIfIdle);
 		}
 
 		return connection;
 	}
 
 	// eslint-disable-next-line @typescript-eslint/strict-void-return
-	override keepSocketAlive(stream: PooledConnection): boolean {
-		const isKept = this.#keep(stream) === true;
-		stream[isIdle] = isKept;
+	override keepSocketAlive(stream: Duplex): boolean {
+		// The Node.js typings omit the return value, which decides whether the socket is reused.
+		const keep: (stream: Duplex) => unknown = super.keepSocketAlive.bind(this);
+		const isKept = keep(stream) === true;
+		if (isKept) {
+			stream.on('data', closeOnData);
+		}
+
 		return isKept;
 	}
 
-	override reuseSocket(stream: PooledConnection, request: ClientRequest): void {
-		stream[isIdle] = false;
+	override reuseSocket(stream: Duplex, request: ClientRequest): void {
+		stream.off('data', closeOnData);
 		super.reuseSocket(stream, request);
 	}
 }
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -68,11 +68,6 @@
 	 * however long that took.
 	 */
 	readonly prepareSend?: (() => IncomingHttpHeaders | undefined) | undefined;
-	/**
-	 * Like `prepareSend`, for a request without headers to set then: called right
-	 * before its first byte is sent; returns whether it may still be sent.
-	 */
-	readonly maySend?: (() => boolean) | undefined;
 	/**
 	 * Whether sockets may hold the reason for an abort that has arrived long ago;
 	 * they are then read before `prepareSend` is called.
@@ -109,34 +104,6 @@
 const statusNotModified = 304;
 const statusNoContent = 204;
 
-/**
- * Lists the headers of a request for Node.js, which then stores them at once;
- * given as an object, it stores each one twice. Returns the object where Node.js
- * would add headers that depend on the body.
- */
-function listHeaders({
-	method,
-	headers,
-	body,
-}: OutgoingRequest): IncomingHttpHeaders | string[] {
-	const isComplete =
-		body === undefined
-			? method === 'GET'
-			: !(body instanceof Readable) && headers['content-length'] !== undefined;
-	if (!isComplete || headers.host === undefined) {
-		return headers;
-	}
-
-	const list: Array<string | string[]> = [];
-	for (const name of Object.keys(headers)) {
-		list.push(name, headers[name]!);
-	}
-
-	// The Node.js typings omit values that are lists.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	return list as string[];
-}
-
 /** Returns whether the body of a response is delimited only by the close of the connection. */
 function isCloseDelimited({headers}: IncomingMessage): boolean {
 	return (
@@ -160,13 +127,17 @@
 	#size = 0;
 	#isStreamed = false;
 	#onFailure: ((error: Error) => void) | undefined;
-	readonly #options: SendOptions;
+	readonly #onSend: (() => void) | undefined;
+	readonly #prepareSend: SendOptions['prepareSend'];
+	readonly #isBehind: () => boolean;
 
 	constructor(outgoing: OutgoingRequest, options: SendOptions) {
 		this.outcome = new Promise((resolve) => {
 			this.#resolve = resolve;
 		});
-		this.#options = options;
+		this.#onSend = options.onSend;
+		this.#prepareSend = options.prepareSend;
+		this.#isBehind = options.isBehind ?? (() => false);
 		const {areResponsesIdentified = false} = options;
 		if (
 			areResponsesIdentified ||
@@ -218,14 +189,13 @@
 	#startRequest(outgoing: OutgoingRequest, options: SendOptions): void {
 		const [host, port] = options.address.split(':');
 		const {method, path, headers, body} = outgoing;
-		const {prepareSend, maySend} = options;
 		const request = startRequest({
 			agent: options.agent,
 			host,
 			port,
 			method,
 			path,
-			headers: prepareSend ? headers : listHeaders(outgoing),
+			headers: {...headers},
 			setHost: headers.host === undefined,
 		});
 		this.#request = request;
@@ -262,7 +232,7 @@
 			});
 		}
 
-		if (!prepareSend && !maySend) {
+		if (!this.#prepareSend) {
 			this.#sendBody(request, body);
 		}
 	}
@@ -287,10 +257,9 @@
 
 	/** Sends the request on its connection, unless `prepareSend` decides otherwise. */
 	#beginSend(body: OutgoingRequest['body']): void {
-		const {prepareSend, maySend, isBehind} = this.#options;
-		if (!prepareSend && !maySend) {
+		if (!this.#prepareSend) {
 			this.#recordSent();
-		} else if (isBehind?.()) {
+		} else if (this.#isBehind()) {
 			void waitForTurns(turnsToReadClose).then(() => {
 				this.#sendPrepared(body);
 			});
@@ -306,40 +275,25 @@
 			return;
 		}
 
-		if (!this.#mayStillSend(request)) {
-			return;
-		}
-
-		this.#recordSent();
-		this.#sendBody(request, body);
-	}
-
-	/** Decides right before the first byte whether the request is sent, and sets its last headers. */
-	#mayStillSend(request: ClientRequest): boolean {
-		const {prepareSend, maySend} = this.#options;
-		const headers = prepareSend?.();
-		if (prepareSend ? !headers : maySend?.() === false) {
-			request.destroy(new Error('not sent'));
-			return false;
-		}
-
+		const headers = this.#prepareSend!();
 		if (!headers) {
-			return true;
+			request.destroy(new Error('not sent'));
+			return;
 		}
 
 		try {
-			for (const name of Object.keys(headers)) {
-				const value = headers[name];
+			for (const [name, value] of Object.entries(headers)) {
 				if (value !== undefined) {
 					request.setHeader(name, value);
 				}
 			}
 		} catch (error) {
 			this.#refuse(error);
-			return false;
+			return;
 		}
 
-		return true;
+		this.#recordSent();
+		this.#sendBody(request, body);
 	}
 
 	/** Ends a request that Node.js refuses to send. */
@@ -350,7 +304,7 @@
 
 	#recordSent(): void {
 		this.#isSent = true;
-		this.#options.onSend?.();
+		this.#onSend?.();
 	}
 
 	#sendBody(
--- a/src/transport/create-forwarder.ts
+++ b/src/transport/create-forwarder.ts
@@ -146,9 +146,9 @@
 					// A gate responds to each attempt once.
 					areResponsesIdentified: true,
 					isBehind: () => isBehind(readMaxWait()),
-					maySend() {
+					prepareSend() {
 						hasExpired = now() >= expiresAt;
-						return !hasExpired;
+						return hasExpired ? undefined : {};
 					},
 					onSend: attempt.onSend,
 					onInterim({headers: interim}) {
