--- a/src/transport/_lib/create-access-log.test.ts
+++ b/src/transport/_lib/create-access-log.test.ts
@@ -170,3 +170,18 @@
 		fields: {count: 90},
 	});
 });
+
+test('requests beyond the line limit are not hashed', () => {
+	const {observer} = createLog();
+	let hashed = 0;
+	const readFingerprint = (): string => {
+		hashed++;
+		return 'lamb';
+	};
+
+	for (let number = 0; number < 25; number++) {
+		observer.onRequest?.({...event, readFingerprint});
+	}
+
+	assert.equal(hashed, 10);
+});
--- a/src/transport/_lib/create-access-log.ts
+++ b/src/transport/_lib/create-access-log.ts
@@ -57,7 +57,11 @@
 	let writtenLines = 0;
 	let droppedLines = 0;
 
-	function write(message: string, fields: Record<string, unknown>): void {
+	/** Writes a line unless there are too many; the fields are created only for a line that is written. */
+	function write(
+		message: string,
+		createFields: () => Record<string, unknown>,
+	): void {
 		const at = now();
 		if (at - windowStartedAt >= msPerSecond) {
 			if (droppedLines > 0) {
@@ -75,7 +79,7 @@
 		}
 
 		writtenLines++;
-		logger.info(message, fields);
+		logger.info(message, createFields());
 	}
 
 	function shouldLog(event: {
@@ -97,7 +101,7 @@
 			}
 
 			const {requestId, route, service, outcome, reason, status} = event;
-			write('request ended', {
+			write('request ended', () => ({
 				requestId,
 				fingerprint: event.readFingerprint?.(),
 				route,
@@ -109,7 +113,7 @@
 				attempts: event.attempts,
 				lagMs: Math.round(event.lagMs),
 				durationMs: Math.round(event.durationMs),
-			});
+			}));
 		},
 		onAttempt(event) {
 			const {sendWaitMs = 0} = event;
@@ -118,7 +122,7 @@
 			}
 
 			const {requestId, attempt, host, service, outcome, reason} = event;
-			write('attempt ended', {
+			write('attempt ended', () => ({
 				requestId,
 				fingerprint: event.readFingerprint?.(),
 				attempt,
@@ -130,7 +134,7 @@
 				hadStamp: event.hadStamp,
 				sendWaitMs: roundDefined(event.sendWaitMs),
 				durationMs: Math.round(event.durationMs),
-			});
+			}));
 		},
 		onGate(event) {
 			const {ageMs = 0, unreadMs, sendWaitMs = 0, isForwarded} = event;
@@ -141,7 +145,7 @@
 			}
 
 			const {requestId, service, outcome, reason, status} = event;
-			write('gate ended attempt', {
+			write('gate ended attempt', () => ({
 				requestId,
 				fingerprint: event.readFingerprint?.(),
 				service,
@@ -154,7 +158,7 @@
 				queuedMs: Math.round(event.queuedMs),
 				sendWaitMs: roundDefined(event.sendWaitMs),
 				durationMs: Math.round(event.durationMs),
-			});
+			}));
 		},
 	};
 }
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -216,7 +216,9 @@
 			this.#fail(error);
 		});
 		request.on('close', () => {
-			this.#fail(new Error('connection closed'));
+			if (!this.#isSettled) {
+				this.#fail(new Error('connection closed'));
+			}
 		});
 		if (options.onSent) {
 			request.once('finish', options.onSent);
