--- a/src/transport/_lib/create-shared-timer.ts
+++ b/src/transport/_lib/create-shared-timer.ts
@@ -59,6 +59,8 @@
 	}
 
 	function handleDue(at: number): void {
+		// An item that was started since the expiry may have set the timer again.
+		clearTimeout(timer);
 		timerAt = Number.POSITIVE_INFINITY;
 		const due: Item[] = [];
 		let nextAt = Number.POSITIVE_INFINITY;
