Send no request whose client has left before its first attempt

A client that left while its body was read or a stamp was fetched (up to 500 ms, bodies from 16 KiB) had its request sent all the same, and the upstream worked to the end: the cancellation was looked for only from the first attempt on, and a source of it calls no listener that is added afterwards.

--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -431,6 +431,12 @@
 			},
 			Math.max(0, Math.ceil(endsAt - now()) + timerToleranceMs),
 		);
+		if (signal.aborted) {
+			// The client has left while the body was read or a stamp was fetched.
+			cancel();
+			return;
+		}
+
 		signal.addEventListener('abort', cancel);
 		dispatch({kind: 'start'});
 	});
