--- a/src/coordination/decide-event-loop-admission.ts
+++ b/src/coordination/decide-event-loop-admission.ts
@@ -17,8 +17,8 @@
  *
  * Load pattern: a node whose CPU is saturated. Each admitted request delays all
  * others, and also the detection of disconnected clients, while refusing a
- * request costs a tenth of forwarding it. The routes of highest priority are
- * refused last.
+ * request costs less than half of forwarding it. The routes of highest priority
+ * are refused last.
  *
  * @param input - see `EventLoopAdmissionInput`
  * @returns whether the request is admitted
