Keep one copy of the result of reading no body, and list expired jobs plainly

The peer server repeated the result that read-request-body.ts returns for a request without a body; the list of expired jobs was copied for each entry; the value of the label for returned requests was computed before it was known to be defined. No behaviour changes.

--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -104,15 +104,13 @@
 		: undefined;
 }
 
-const noJobs: readonly Job[] = [];
-
 /** Lists the queued jobs whose queue time has expired. */
 function listExpired({queued}: LocalUpstream, at: number): readonly Job[] {
-	let expired = noJobs;
+	const expired: Job[] = [];
 	for (const jobs of queued.values()) {
 		for (const job of jobs) {
 			if (at >= job.queueExpiresAt) {
-				expired = [...expired, job];
+				expired.push(job);
 			}
 		}
 	}
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -44,6 +44,14 @@
 
 const emptyBody = new Uint8Array();
 
+/** Result of reading the body of a request that has none. */
+export const noBody: BodyReadResult = {
+	kind: 'read',
+	body: emptyBody,
+	reservedBytes: 0,
+	prefix: emptyBody,
+};
+
 /** A body that is streamed. */
 type StreamedBody = {
 	/** Fails if the body exceeds the limit. */
@@ -131,12 +139,7 @@
 	const {maxBytes, bufferLimitBytes = maxBufferedBytes, memory} = options;
 	const {headers} = request;
 	if (!hasBody(headers)) {
-		return {
-			kind: 'read',
-			body: emptyBody,
-			reservedBytes: 0,
-			prefix: emptyBody,
-		};
+		return noBody;
 	}
 
 	const bytes = Number(headers['content-length']);
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -52,8 +52,11 @@
 function formatReturned(
 	isReturned: boolean | undefined,
 ): 'yes' | 'no' | 'unknown' {
-	const answer = isReturned ? 'yes' : 'no';
-	return isReturned === undefined ? 'unknown' : answer;
+	if (isReturned === undefined) {
+		return 'unknown';
+	}
+
+	return isReturned ? 'yes' : 'no';
 }
 
 /** Formats a refusal as labels. */
--- a/src/transport/start-peer-server.ts
+++ b/src/transport/start-peer-server.ts
@@ -41,10 +41,7 @@
 import {readAttempt, type ReceivedAttempt} from './_lib/read-attempt.js';
 import {readDeadline} from './_lib/read-deadline.js';
 import {readProcedureName} from './_lib/read-procedure-name.js';
-import {
-	readRequestBody,
-	type BodyReadResult,
-} from './_lib/read-request-body.js';
+import {noBody, readRequestBody} from './_lib/read-request-body.js';
 import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
 import {createListener} from './_lib/create-listener.js';
 import {createSharedTimer} from './_lib/create-shared-timer.js';
@@ -98,14 +95,6 @@
 
 const emptyBody = new Uint8Array();
 
-/** Result of reading the body of an attempt that has none. */
-const noBody: BodyReadResult = {
-	kind: 'read',
-	body: emptyBody,
-	reservedBytes: 0,
-	prefix: emptyBody,
-};
-
 function createResultHeaders(result: AttemptResult): Record<string, string> {
 	const headers: Record<string, string> = {[outcomeHeader]: result.kind};
 	if (result.load) {
