--- a/review/_lib/stand-ins.mjs
+++ b/review/_lib/stand-ins.mjs
@@ -39,6 +39,18 @@
 	};
 }
 
+const children = new Set();
+
+// No process that was started here outlasts this one.
+process.on('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+process.on('SIGTERM', () => {
+	process.exit(2);
+});
+
 /** Picks a loopback network that is unlikely to be in use. */
 export function pickNetwork() {
 	return `127.${randomInt(20, 250)}.${randomInt(1, 250)}`;
@@ -306,6 +318,7 @@
 		env: {PATH: process.env.PATH, HOME: directory, BORAGEHITCH_NODE_FILE: file},
 		stdio: ['ignore', 'pipe', 'pipe'],
 	});
+	children.add(child);
 	const log = [];
 	for (const stream of [child.stdout, child.stderr]) {
 		stream.on('data', (chunk) => {
@@ -433,6 +446,7 @@
 		[JSON.stringify({host, port: ports.server, id, workMs})],
 		{stdio: 'inherit'},
 	);
+	children.add(child);
 	await new Promise((resolve) => {
 		child.once('message', resolve);
 	});
