Count what bodies in small chunks cost: hold them in blocks, not as pieces

Cause: limits counted the bytes of a body, but each chunk is an object of about 200 bytes. The buffer of a response (64 KiB) held up to 65,537 of them, the streams behind it 16,384 each, and the same on the way of a request.

Change: short pieces are copied into blocks (create-piece-buffer), and bodies of requests and responses are streamed by one function (stream-body), which passes on one chunk for each read of the socket and pauses the socket itself while its reader is behind. Why it works: what is held follows the bytes, and nothing is left in buffers of Node.js that count bytes only.

--- a/bench/_lib/measure-member-memory.ts
+++ b/bench/_lib/measure-member-memory.ts
@@ -1,6 +1,4 @@
-import {setFlagsFromString} from 'node:v8';
-import {runInNewContext} from 'node:vm';
-import process from 'node:process';
+import {readUsedMemory} from '../../harness/_lib/read-used-memory.js';
 import {recordSchema, type Member} from '../../src/protocol/member.js';
 import {decodeMember} from '../../src/state/decode-member.js';
 import {encodeMember} from '../../src/state/encode-member.js';
@@ -41,27 +39,17 @@
 	readonly bytesPerMember: number;
 	readonly recordBytes: number;
 } {
-	setFlagsFromString('--expose-gc');
-	const found: unknown = runInNewContext('gc');
-	const collect = () => {
-		if (typeof found === 'function') {
-			Reflect.apply(found, undefined, []);
-		}
-	};
-
 	const texts = Array.from({length: members}, (_, index) =>
 		createRecordText(index),
 	);
-	collect();
-	const before = process.memoryUsage().heapUsed;
+	const before = readUsedMemory();
 	const table = putMembers(
 		new Map(),
 		texts.map((text) =>
 			decodeMember(recordSchema.parse(JSON.parse(text)), 1000),
 		),
 	);
-	collect();
-	const after = process.memoryUsage().heapUsed;
+	const after = readUsedMemory();
 	const bytes = texts.reduce((sum, text) => sum + text.length, 0);
 	return {
 		bytesPerMember: table.size > 0 ? (after - before) / members : 0,
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -1,6 +1,5 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {pipeline, Transform, type Readable} from 'node:stream';
+import type {Readable} from 'node:stream';
 import {
 	maxBufferedBytes,
 	maxBufferedBodyBytes,
@@ -8,9 +7,11 @@
 } from '../../protocol/constants.js';
 import type {BodyMemoryBudget} from './create-body-memory-budget.js';
 import {computeTimerDelay} from './compute-timer-delay.js';
+import {createPieceBuffer, type PieceBuffer} from './create-piece-buffer.js';
 import {discardBody} from './discard-body.js';
 import {hasBody} from './has-body.js';
 import {selectBodyPrefix} from './select-body-prefix.js';
+import {streamBody} from './stream-body.js';
 
 /** Options of `readRequestBody`. */
 export type ReadRequestBodyOptions = {
@@ -52,72 +53,51 @@
 	prefix: emptyBody,
 };
 
-/** A body that is streamed. */
-type StreamedBody = {
-	/** Fails if the body exceeds the limit. */
-	readonly body: Readable;
-	/** The first bytes of the body; fewer if it ends or the time-out passes before them. */
-	readonly prefix: Promise<Uint8Array>;
-};
-
-/** Streams a body, and keeps a copy of its first bytes. */
-function streamBody(
+/** Waits until the first bytes of a body have been received; ends earlier at the end of the body and at the timeout. */
+async function waitForPrefix(
 	request: IncomingMessage,
-	{maxBytes, timeoutMs}: Pick<ReadRequestBodyOptions, 'maxBytes' | 'timeoutMs'>,
-): StreamedBody {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	let resolvePrefix!: (prefix: Uint8Array) => void;
-	const prefix = new Promise<Uint8Array>((resolve) => {
-		resolvePrefix = resolve;
-	});
-	const finishPrefix = (): void => {
-		clearTimeout(timer);
-		resolvePrefix(Buffer.concat(chunks).subarray(0, bodyPrefixBytes));
-		chunks.length = 0;
-	};
-
-	const timer =
-		timeoutMs === undefined
-			? undefined
-			: setTimeout(finishPrefix, computeTimerDelay(timeoutMs));
-	const limit = new Transform({
-		transform(chunk: Uint8Array, _encoding, callback) {
-			const hasPrefix = size >= bodyPrefixBytes;
-			size += chunk.length;
-			if (!hasPrefix) {
-				chunks.push(chunk);
-				if (size >= bodyPrefixBytes) {
-					finishPrefix();
-				}
+	received: PieceBuffer,
+	timeoutMs: number | undefined,
+): Promise<void> {
+	await new Promise<void>((resolve) => {
+		const finish = (): void => {
+			request.off('data', handleData);
+			request.off('end', finish);
+			request.off('close', finish);
+			clearTimeout(timer);
+			resolve();
+		};
+
+		const handleData = (): void => {
+			if (received.readSize() >= bodyPrefixBytes) {
+				finish();
 			}
+		};
 
-			callback(
-				size > maxBytes ? new Error('request body is too large') : null,
-				chunk,
-			);
-		},
-	});
-	pipeline(request, limit, () => {
-		// The error is reported to the reader of `limit`.
-		finishPrefix();
+		const timer =
+			timeoutMs === undefined
+				? undefined
+				: setTimeout(finish, computeTimerDelay(timeoutMs));
+		request.on('data', handleData);
+		request.on('end', finish);
+		request.on('close', finish);
+		handleData();
 	});
-	return {body: limit, prefix};
 }
 
 /** Streams a body; returns it once its first bytes have arrived if they are needed. */
 async function readStreamed(
 	request: IncomingMessage,
-	options: ReadRequestBodyOptions,
+	{maxBytes, timeoutMs, needsPrefix = true}: ReadRequestBodyOptions,
+	received = createPieceBuffer(),
 ): Promise<BodyReadResult> {
-	const {needsPrefix = true} = options;
-	const {body, prefix} = streamBody(request, options);
-	return {
-		kind: 'read',
-		body,
-		reservedBytes: 0,
-		prefix: needsPrefix ? await prefix : emptyBody,
-	};
+	const body = streamBody(request, {received, maxBytes});
+	if (needsPrefix) {
+		await waitForPrefix(request, received, timeoutMs);
+	}
+
+	const prefix = needsPrefix ? received.copyFirst(bodyPrefixBytes) : emptyBody;
+	return {kind: 'read', body, reservedBytes: 0, prefix};
 }
 
 /**
@@ -173,8 +153,7 @@
 	options: ReadRequestBodyOptions & {readonly bufferLimitBytes: number},
 ): Promise<BodyReadResult> {
 	const {maxBytes, bufferLimitBytes, timeoutMs} = options;
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const received = createPieceBuffer();
 	return new Promise((resolve) => {
 		const stopListening = (): void => {
 			request.off('data', handleData);
@@ -188,21 +167,20 @@
 			resolve(result);
 		};
 
-		const handleData = (chunk: Uint8Array): void => {
-			chunks.push(chunk);
-			size += chunk.length;
+		const handleData = (piece: Uint8Array): void => {
+			received.add(piece);
+			const size = received.readSize();
 			if (size > maxBytes) {
 				settle({kind: 'refused', reason: 'body-too-large'});
 			} else if (size > bufferLimitBytes) {
-				request.pause();
-				request.unshift(Buffer.concat(chunks));
+				const read = readStreamed(request, options, received);
 				stopListening();
-				void readStreamed(request, options).then(resolve);
+				void read.then(resolve);
 			}
 		};
 
 		const handleEnd = (): void => {
-			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+			const body = received.take();
 			settle({
 				kind: 'read',
 				body,
--- a/src/transport/_lib/read-whole-body.ts
+++ b/src/transport/_lib/read-whole-body.ts
@@ -1,5 +1,5 @@
-import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
+import {createPieceBuffer} from './create-piece-buffer.js';
 
 /**
  * Reads the whole body of a response. If a streamed body is too long, the rest is
@@ -18,17 +18,14 @@
 		return body.length > maxBytes ? undefined : body;
 	}
 
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const received = createPieceBuffer();
 	// Leaving the loop destroys the stream, and with it the connection.
 	for await (const chunk of body as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > maxBytes) {
+		received.add(chunk);
+		if (received.readSize() > maxBytes) {
 			return undefined;
 		}
-
-		chunks.push(chunk);
 	}
 
-	return Buffer.concat(chunks);
+	return received.take();
 }
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {
 	request as startRequest,
 	type Agent,
@@ -10,12 +9,14 @@
 import {Readable} from 'node:stream';
 import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
 import type {ResponseHead} from '../../protocol/edge.js';
+import {createPieceBuffer} from './create-piece-buffer.js';
 import {discardBody} from './discard-body.js';
 import {hasIdleConnection} from './has-idle-connection.js';
 import {
 	startPostPollTimer,
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
+import {streamBody} from './stream-body.js';
 import {waitForTurns} from './wait-for-turns.js';
 
 /** Outcome of a request on one connection. */
@@ -123,8 +124,7 @@
 	#hasFailed = false;
 	#isSettled = false;
 	#response: IncomingMessage | undefined;
-	#chunks: Uint8Array[] = [];
-	#size = 0;
+	readonly #received = createPieceBuffer();
 	#isStreamed = false;
 	#onFailure: ((error: Error) => void) | undefined;
 	readonly #onSend: (() => void) | undefined;
@@ -343,7 +343,7 @@
 			this.#watchEnd(response.socket);
 		}
 
-		response.on('data', this.#bufferChunk);
+		response.on('data', this.#bufferPiece);
 		response.on('end', () => {
 			this.#finishResponse();
 		});
@@ -362,49 +362,25 @@
 		});
 	}
 
-	readonly #bufferChunk = (chunk: Uint8Array): void => {
-		this.#chunks.push(chunk);
-		this.#size += chunk.length;
-		if (this.#size > maxBufferedBytes) {
+	readonly #bufferPiece = (piece: Uint8Array): void => {
+		this.#received.add(piece);
+		if (this.#received.readSize() > maxBufferedBytes) {
 			this.#startStream();
 		}
 	};
 
 	#startStream(): void {
 		const response = this.#response!;
-		const chunks = this.#chunks;
 		this.#isStreamed = true;
-		this.#chunks = [];
-		response.off('data', this.#bufferChunk);
-		response.pause();
-		const stream = new Readable({
-			read() {
-				response.resume();
+		const stream = streamBody(response, {
+			received: this.#received,
+			onDestroy: (error) => {
+				this.#request!.destroy(
+					error ?? new Error('response stream destroyed before its end'),
+				);
 			},
-			destroy: (error, callback) => {
-				if (!response.complete || this.#hasFailed) {
-					this.#request!.destroy(
-						error ?? new Error('response stream destroyed before its end'),
-					);
-				}
-
-				callback(error);
-			},
-		});
-		for (const chunk of chunks) {
-			stream.push(chunk);
-		}
-
-		response.on('data', (chunk: Uint8Array) => {
-			if (!stream.push(chunk)) {
-				response.pause();
-			}
-		});
-		response.on('end', () => {
-			if (!this.#hasFailed) {
-				stream.push(null);
-			}
 		});
+		response.off('data', this.#bufferPiece);
 		this.#onFailure = (error) => {
 			stream.destroy(error);
 		};
@@ -418,8 +394,7 @@
 			return;
 		}
 
-		const chunks = this.#chunks;
-		const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+		const body = this.#received.take();
 		const length = Number(
 			this.#response!.headers['content-length'] ?? body.length,
 		);
