Listen for the error of a streamed body from its beginning

What callers saw: an upstream that sends 64 KiB of a body and then data that is no HTTP, in one read, ended the process that read it (uncaught parse error), with all requests that it carried.

Cause: the stream of a long response was destroyed with the error in the turn in which it was created, before its reader had a listener.

Change: the stream has a listener of its own; readers that come later find it destroyed. A request whose body has failed before is no longer sent: a pipe from it never ends, so that the upstream waited for the body.

Evidence: two tests in send-request.test.ts failed on (an uncaught exception; no outcome within 20 s) and pass now.

--- a/src/transport/_lib/read-request-body.test.ts
+++ b/src/transport/_lib/read-request-body.test.ts
@@ -9,6 +9,7 @@
 import {Readable} from 'node:stream';
 import test, {type TestContext} from 'node:test';
 import {listen} from '../../../harness/_lib/platform-node.js';
+import {recordUnhandled} from '../../../harness/record-unhandled.js';
 import {bodyPrefixBytes} from '../../protocol/constants.js';
 import {createBodyMemoryBudget} from './create-body-memory-budget.js';
 import {readRequestBody} from './read-request-body.js';
@@ -75,6 +76,17 @@
 	assert.equal(memory.tryReserve(uploadBytes), true);
 });
 
+test('a client that leaves before the first bytes of a streamed upload ends no process', async (t) => {
+	const unhandled = recordUnhandled(t);
+	const {sent, received} = await openUpload(t, uploadBytes);
+	const reading = readRequestBody(received, {maxBytes});
+	sent.destroy();
+	const read = await reading;
+	assert.ok(read.kind === 'read' && read.body instanceof Readable);
+	await assert.rejects(read.body.toArray());
+	assert.deepEqual(unhandled, []);
+});
+
 // Such a request was held for a minute, beyond its client's deadline.
 test('refuses a body that has not arrived by the deadline', async (t) => {
 	const {sent, received} = await openUpload(t, uploadBytes);
--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -201,6 +201,36 @@
 	});
 }
 
+// Regression: nobody listened for the error of the stream yet, and the process ended.
+test('a long response that turns into other data while it begins to be streamed ends no process', async (t) => {
+	const unhandled = recordUnhandled(t);
+	const {send} = await start(t, (socket) => {
+		socket.write(`${chunked}f000\r\n${'x'.repeat(0xf0_00)}\r\n`, () => {
+			setTimeout(() => {
+				socket.write(`2000\r\n${'x'.repeat(0x20_00)}\r\nhello\r\n`);
+			}, 20);
+		});
+	});
+	const outcome = await send().outcome;
+	assert.equal(await describeOutcome(outcome), 'stream broken');
+	assert.deepEqual(unhandled, []);
+});
+
+test('a request whose body has failed before is not sent', async (t) => {
+	const {address} = await start(t, () => undefined);
+	const agent = createPooledAgent();
+	t.after(() => {
+		agent.destroy();
+	});
+	const body = new Readable();
+	body.destroy();
+	const {outcome} = sendRequest(
+		{method: 'POST', path: '/', headers: {}, body},
+		{agent, address},
+	);
+	assert.deepEqual(await outcome, {kind: 'not-sent'});
+});
+
 test('a connection on which data follows the response is not reused', async (t) => {
 	const {send, sockets} = await start(t, (socket) =>
 		socket.write(`${whole}hello\r\n\r\n`),
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -179,6 +179,12 @@
 
 	/** Starts the request; Node.js throws at ports, paths and header values that it does not send. */
 	#start(outgoing: OutgoingRequest, options: SendOptions): void {
+		const {body} = outgoing;
+		if (body instanceof Readable && body.destroyed) {
+			this.#settle({kind: 'not-sent'});
+			return;
+		}
+
 		try {
 			this.#startRequest(outgoing, options);
 		} catch (error) {
--- a/src/transport/_lib/stream-body.ts
+++ b/src/transport/_lib/stream-body.ts
@@ -114,6 +114,10 @@
 		}
 	}
 
+	stream.on('error', () => {
+		// Without a listener, a failure before the reader attaches its own would end
+		// the process. The reader finds the stream destroyed.
+	});
 	message.on('data', (piece: Uint8Array) => {
 		if (stream.destroyed) {
 			return;
