Listen for errors of a socket that asked for a tunnel

Cause: Node.js removes its listeners from the socket that it hands over with `connect`; the handler added none. The socket was not read either, so that it stayed open after its client had closed.

Change: the socket gets a listener for errors and is read to its end.

--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -2,9 +2,10 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
-import {createConnection} from 'node:net';
+import {createConnection, type Socket} from 'node:net';
 import {text as readText} from 'node:stream/consumers';
 import test from 'node:test';
+import {recordUnhandled} from '../../../harness/record-unhandled.js';
 import {serverIdleMs} from '../../protocol/constants.js';
 import {startServer} from './start-server.js';
 import {waitMs} from './wait-ms.js';
@@ -216,3 +217,40 @@
 	t.mock.timers.reset();
 	assert.ok(await isStoppedInTime(server.stop()));
 });
+
+// Regression: the error of the socket had no listener, and the process ended.
+test('a client that asks for a tunnel and resets its connection ends no process', async (t) => {
+	const unhandled = recordUnhandled(t);
+	const server = await startServer('127.0.0.1:0', (_request, response) => {
+		response.end('whole');
+	});
+	const [host, port] = server.address.split(':');
+	const socket = createConnection(Number(port), host);
+	socket.pause();
+	const tunnel = new Promise<Socket>((resolve) => {
+		server.server.once('connect', (_request, stream: Socket) => {
+			resolve(stream);
+		});
+	});
+	socket.write('CONNECT a:443 HTTP/1.1\r\nhost: a:443\r\n\r\n');
+	const closed = new Promise((resolve) => {
+		void tunnel.then((stream) => stream.once('close', resolve));
+	});
+	// The response has arrived, but has not been read.
+	await waitMs(50);
+	socket.resetAndDestroy();
+	await closed;
+	assert.ok(await isStoppedInTime(server.stop()));
+	assert.deepEqual(unhandled, []);
+});
+
+test('closes the connection of a client that has asked for a tunnel', async () => {
+	const server = await startServer('127.0.0.1:0', (_request, response) => {
+		response.end('whole');
+	});
+	const [host, port] = server.address.split(':');
+	const socket = createConnection(Number(port), host);
+	socket.end('CONNECT a:443 HTTP/1.1\r\nhost: a:443\r\n\r\nlamb');
+	assert.match(await readText(socket), /^HTTP\/1\.1 501 /v);
+	assert.ok(await isStoppedInTime(server.stop()));
+});
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -234,6 +234,11 @@
 		},
 	);
 	server.on('connect', (_request, socket) => {
+		// Node.js has removed its own listeners, and no longer reads from the socket.
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.resume();
 		socket.end(connectRejection);
 	});
 	const handleConnection = server.detachConnectionHandler();
