Send a streamed body without a length in chunks, whatever the method

Cause: the framing header is removed as one of the connection, and Node.js chunks by default only for POST and the like.

Change: selectBody, which both hops use, sets `transfer-encoding: chunked`.

--- a/src/transport/_lib/select-body.ts
+++ b/src/transport/_lib/select-body.ts
@@ -2,12 +2,12 @@
 import type {IncomingHttpHeaders} from 'node:http';
 
 /**
- * Selects the body to forward, and sets `content-length` to match.
+ * Selects the body to forward, and sets the headers that delimit it.
  *
  * @param body - the body as received, empty if there is none
  * @param headers - headers to send; their `content-length` is set to the length
- * of the body and left unchanged for a stream; for an empty body it is removed
- * unless it is `0`
+ * of the body; for an empty body it is removed unless it is `0`; a stream without
+ * it is sent in chunks, which Node.js does by itself only for some methods
  * @returns the body, or undefined if there is none
  */
 export function selectBody(
@@ -15,6 +15,10 @@
 	headers: IncomingHttpHeaders,
 ): Uint8Array | Readable | undefined {
 	if (body instanceof Readable) {
+		if (headers['content-length'] === undefined) {
+			headers['transfer-encoding'] = 'chunked';
+		}
+
 		return body;
 	}
 
