Send or discard the rest of a body whose response is complete

Cause: once a response is complete, Node.js no longer passes on the `drain` of the socket, for which the pipe of the body waits.

Change: the exchange passes on `drain` itself until the body is sent; after a second without progress it closes the connection and discards the rest.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -206,6 +206,8 @@
 export const responseMarginRatio = 0.05;
 export const connectTimeoutMs = 250;
 export const idleConnectionMs = 2000;
+/** Time without progress after which the rest of a request's body is no longer sent to a server that has already responded; the client's next request waits behind it. */
+export const restTimeoutMs = 1000;
 export const maxBufferedBytes = 64 * bytesPerKibibyte;
 /** Length of the part by which bodies longer than `maxBufferedBytes` are told apart. */
 export const bodyPrefixBytes = 4 * bytesPerKibibyte;
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -7,7 +7,11 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
-import {connectTimeoutMs, maxBufferedBytes} from '../../protocol/constants.js';
+import {
+	connectTimeoutMs,
+	maxBufferedBytes,
+	restTimeoutMs,
+} from '../../protocol/constants.js';
 import type {ResponseHead} from '../../protocol/edge.js';
 import {createPieceBuffer} from './create-piece-buffer.js';
 import {discardBody} from './discard-body.js';
@@ -332,6 +336,39 @@
 		});
 	}
 
+	/**
+	 * Sends the rest of a body whose response is complete. Node.js then no longer
+	 * passes on the `drain` of the socket, for which the pipe waits. If the server
+	 * does not read on, the connection is closed.
+	 */
+	#sendRest(): void {
+		const request = this.#request!;
+		const {socket} = request;
+		if (request.writableEnded || !socket || socket.destroyed) {
+			return;
+		}
+
+		const timer = startPostPollTimer(() => {
+			request.destroy(new Error('rest of the body is not read'));
+		}, restTimeoutMs);
+		const handleDrain = (): void => {
+			timer.refresh();
+			request.emit('drain');
+		};
+
+		const stop = (): void => {
+			timer.stop();
+			socket.off('drain', handleDrain);
+		};
+
+		socket.on('drain', handleDrain);
+		request.once('finish', stop);
+		request.once('close', stop);
+		if (!socket.writableNeedDrain) {
+			handleDrain();
+		}
+	}
+
 	#handleResponse(response: IncomingMessage): void {
 		if ((response.statusCode ?? 0) < minStatus) {
 			this.#request!.destroy(new Error('invalid response status'));
@@ -352,6 +389,7 @@
 		response.on('data', this.#bufferPiece);
 		response.on('end', () => {
 			this.#finishResponse();
+			this.#sendRest();
 		});
 	}
 
