Close a refused tunnel whose client stays

A socket that asked for a tunnel was read to its end without a bound in time. It is now closed after the idle time of a server, as other idle connections are. Not shown by a test of its own; start-server.test.ts passes.

--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -4,7 +4,7 @@
 	type RequestListener,
 	type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {Socket} from 'node:net';
 import {computeSocketWait} from '../../coordination/compute-socket-wait.js';
 import {
 	headersTimeoutMs,
@@ -238,6 +238,12 @@
 		socket.on('error', () => {
 			socket.destroy();
 		});
+		if (socket instanceof Socket) {
+			socket.setTimeout(serverIdleMs, () => {
+				socket.destroy();
+			});
+		}
+
 		socket.resume();
 		socket.end(connectRejection);
 	});
