Fail the stream of a message that has been destroyed before

Such a message emits no further event, so that the reader of its body would have waited without end. Found by reading the diff; no run showed it.

--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -81,7 +81,11 @@
 		request.on('data', handleData);
 		request.on('end', finish);
 		request.on('close', finish);
-		handleData();
+		if (request.destroyed) {
+			finish();
+		} else {
+			handleData();
+		}
 	});
 }
 
--- a/src/transport/_lib/stream-body.ts
+++ b/src/transport/_lib/stream-body.ts
@@ -145,5 +145,9 @@
 			stream.destroy(new Error('body is truncated'));
 		}
 	});
+	if (message.destroyed) {
+		stream.destroy(new Error('body is truncated'));
+	}
+
 	return stream;
 }
