--- a/src/transport/_lib/early-response.test.ts
+++ b/src/transport/_lib/early-response.test.ts
@@ -9,6 +9,7 @@
 import {Readable} from 'node:stream';
 import test, {type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {restTimeoutMs} from '../../protocol/constants.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import {sendRequest} from './send-request.js';
 
@@ -22,6 +23,7 @@
 async function sendLongBody(
 	t: TestContext,
 	handleSocket: (socket: Socket) => void,
+	{pauseMs = 0} = {},
 ) {
 	const server = createServer((socket) => {
 		t.after(() => {
@@ -47,8 +49,12 @@
 	});
 	let left = bodyBytes;
 	const body = new Readable({
-		read() {
+		async read() {
 			const bytes = Math.min(left, pieceBytes);
+			if (bytes < pieceBytes && pauseMs > 0) {
+				await sleep(pauseMs);
+			}
+
 			left -= bytes;
 			this.push(bytes > 0 ? new Uint8Array(bytes) : null);
 		},
@@ -74,21 +80,29 @@
 	};
 }
 
-test('the rest of a body is sent to a server that has responded and reads on later', async (t) => {
+/** Sends a long body to a server that responds at once and reads on later. */
+async function checkRestIsSent(
+	t: TestContext,
+	options: {readonly pauseMs?: number} = {},
+): Promise<void> {
 	let received = 0;
 	let connections = 0;
-	const {hasEnded, sendNext} = await sendLongBody(t, (socket) => {
-		connections++;
-		setTimeout(() => {
-			socket.on('data', (data) => {
-				received += data.length;
-				if (data.includes('GET /next')) {
-					socket.write(response);
-				}
-			});
-			socket.resume();
-		}, 200);
-	});
+	const {hasEnded, sendNext} = await sendLongBody(
+		t,
+		(socket) => {
+			connections++;
+			setTimeout(() => {
+				socket.on('data', (data) => {
+					received += data.length;
+					if (data.includes('GET /next')) {
+						socket.write(response);
+					}
+				});
+				socket.resume();
+			}, 200);
+		},
+		options,
+	);
 	await hasEnded;
 	const next = await Promise.race([
 		sendNext(),
@@ -101,6 +115,14 @@
 		`${received} bytes received`,
 	);
 	assert.equal(connections, 1);
+}
+
+test('the rest of a body is sent to a server that has responded and reads on later', async (t) => {
+	await checkRestIsSent(t);
+});
+
+test('the rest of a body is sent although its client pauses for longer than a server may', async (t) => {
+	await checkRestIsSent(t, {pauseMs: 3 * restTimeoutMs});
 });
 
 test('the rest of a body is discarded if its server has responded and does not read on', async (t) => {
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -348,11 +348,17 @@
 			return;
 		}
 
+		let sentBytes = 0;
 		const timer = startPostPollTimer(() => {
-			request.destroy(new Error('rest of the body is not read'));
+			const sentBefore = sentBytes;
+			sentBytes = socket.bytesWritten - socket.writableLength;
+			if (socket.writableLength > 0 && sentBytes === sentBefore) {
+				request.destroy(new Error('rest of the body is not read'));
+			} else {
+				timer.refresh();
+			}
 		}, restTimeoutMs);
 		const handleDrain = (): void => {
-			timer.refresh();
 			request.emit('drain');
 		};
 
