--- a/bench/_lib/measure-member-memory.ts
+++ b/bench/_lib/measure-member-memory.ts
@@ -42,14 +42,14 @@
 	const texts = Array.from({length: members}, (_, index) =>
 		createRecordText(index),
 	);
-	const before = readUsedMemory();
+	const before = readUsedMemory().heapBytes;
 	const table = putMembers(
 		new Map(),
 		texts.map((text) =>
 			decodeMember(recordSchema.parse(JSON.parse(text)), 1000),
 		),
 	);
-	const after = readUsedMemory();
+	const after = readUsedMemory().heapBytes;
 	const bytes = texts.reduce((sum, text) => sum + text.length, 0);
 	return {
 		bytesPerMember: table.size > 0 ? (after - before) / members : 0,
--- a/harness/_lib/read-used-memory.ts
+++ b/harness/_lib/read-used-memory.ts
@@ -2,12 +2,19 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 
+/** Memory of a process, bytes. */
+export type UsedMemory = {
+	readonly heapBytes: number;
+	/** Buffers outside the heap. */
+	readonly externalBytes: number;
+};
+
 /**
  * Reads the memory that live objects and their buffers use in this process.
  *
- * @returns used memory after garbage collection, bytes
+ * @returns used memory after garbage collection
  */
-export function readUsedMemory(): number {
+export function readUsedMemory(): UsedMemory {
 	setFlagsFromString('--expose-gc');
 	const collect: unknown = runInNewContext('gc');
 	if (typeof collect !== 'function') {
@@ -18,5 +25,5 @@
 	Reflect.apply(collect, undefined, []);
 	Reflect.apply(collect, undefined, []);
 	const {heapUsed, external} = process.memoryUsage();
-	return heapUsed + external;
+	return {heapBytes: heapUsed, externalBytes: external};
 }
