Simplify the readers of bodies: one watch, one stream field, no derived state

Both readers of a request's body set up the same listeners and timer; they use watchBody. The exchange kept a flag and a function for the stream of a long response, which is now one field; the stream asks its message whether it has ended. A refused tunnel uses destroySocket, which the file had already.

--- a/src/transport/_lib/create-body-stream.ts
+++ b/src/transport/_lib/create-body-stream.ts
@@ -72,7 +72,6 @@
 	let size = received.readSize();
 	let isWanted = false;
 	let isPassOnPlanned = false;
-	let hasEnded = false;
 
 	const stream = new Readable({
 		// Further bytes are held in `received`.
@@ -82,7 +81,7 @@
 			passOn();
 		},
 		destroy(error, callback) {
-			if (!hasEnded) {
+			if (!message.readableEnded) {
 				const reason = error ?? undefined;
 				if (options.onDestroy) {
 					options.onDestroy(reason);
@@ -109,7 +108,7 @@
 			control.resume();
 		}
 
-		if (hasEnded && received.readSize() === 0) {
+		if (message.readableEnded && received.readSize() === 0) {
 			stream.push(null);
 		}
 	}
@@ -133,15 +132,12 @@
 			process.nextTick(passOn);
 		}
 	});
-	message.on('end', () => {
-		hasEnded = true;
-		passOn();
-	});
+	message.on('end', passOn);
 	message.on('error', (error) => {
 		stream.destroy(error);
 	});
 	message.on('close', () => {
-		if (!hasEnded) {
+		if (!message.readableEnded) {
 			stream.destroy(new Error('body is truncated'));
 		}
 	});
--- a/src/transport/_lib/read-request-body.ts
+++ b/src/transport/_lib/read-request-body.ts
@@ -7,11 +7,11 @@
 } from '../../protocol/constants.js';
 import type {BodyMemoryBudget} from './create-body-memory-budget.js';
 import {computeTimerDelay} from './compute-timer-delay.js';
+import {createBodyStream} from './create-body-stream.js';
 import {createPieceBuffer, type PieceBuffer} from './create-piece-buffer.js';
 import {discardBody} from './discard-body.js';
 import {hasBody} from './has-body.js';
 import {selectBodyPrefix} from './select-body-prefix.js';
-import {createBodyStream} from './create-body-stream.js';
 
 /** Options of `readRequestBody`. */
 export type ReadRequestBodyOptions = {
@@ -53,40 +53,67 @@
 	prefix: emptyBody,
 };
 
-/** Waits until the first bytes of a body have been received; ends earlier at the end of the body and at the timeout. */
-async function waitForPrefix(
+/** What `watchBody` calls. */
+type BodyWatch = {
+	readonly onData: (piece: Uint8Array) => void;
+	readonly onEnd: () => void;
+	/** Also called when the body fails, even after the watch has been stopped. */
+	readonly onClose: () => void;
+	readonly onTimeout: () => void;
+	/** None when absent, ms. */
+	readonly timeoutMs: number | undefined;
+};
+
+/** Watches the body of a request until the returned function is called. */
+function watchBody(
+	request: IncomingMessage,
+	{onData, onEnd, onClose, onTimeout, timeoutMs}: BodyWatch,
+): () => void {
+	const timer =
+		timeoutMs === undefined
+			? undefined
+			: setTimeout(onTimeout, computeTimerDelay(timeoutMs));
+	request.on('data', onData);
+	request.on('end', onEnd);
+	request.on('close', onClose);
+	request.on('error', onClose);
+	return () => {
+		request.off('data', onData);
+		request.off('end', onEnd);
+		request.off('close', onClose);
+		clearTimeout(timer);
+	};
+}
+
+/** Reads the first bytes of a streamed body; fewer if it ends or the timeout passes before them. */
+async function readPrefix(
 	request: IncomingMessage,
 	received: PieceBuffer,
 	timeoutMs: number | undefined,
-): Promise<void> {
-	await new Promise<void>((resolve) => {
-		const finish = (): void => {
-			request.off('data', handleData);
-			request.off('end', finish);
-			request.off('close', finish);
-			clearTimeout(timer);
-			resolve();
-		};
-
-		const handleData = (): void => {
-			if (received.readSize() >= bodyPrefixBytes) {
-				finish();
-			}
-		};
+): Promise<Uint8Array> {
+	const hasPrefix = (): boolean => received.readSize() >= bodyPrefixBytes;
+	if (!request.destroyed && !hasPrefix()) {
+		await new Promise<void>((resolve) => {
+			const finish = (): void => {
+				stopWatching();
+				resolve();
+			};
+
+			const stopWatching = watchBody(request, {
+				onData() {
+					if (hasPrefix()) {
+						finish();
+					}
+				},
+				onEnd: finish,
+				onClose: finish,
+				onTimeout: finish,
+				timeoutMs,
+			});
+		});
+	}
 
-		const timer =
-			timeoutMs === undefined
-				? undefined
-				: setTimeout(finish, computeTimerDelay(timeoutMs));
-		request.on('data', handleData);
-		request.on('end', finish);
-		request.on('close', finish);
-		if (request.destroyed) {
-			finish();
-		} else {
-			handleData();
-		}
-	});
+	return received.copyFirst(bodyPrefixBytes);
 }
 
 /** Streams a body; returns it once its first bytes have arrived if they are needed. */
@@ -96,11 +123,9 @@
 	received = createPieceBuffer(),
 ): Promise<BodyReadResult> {
 	const body = createBodyStream(request, {received, maxBytes});
-	if (needsPrefix) {
-		await waitForPrefix(request, received, timeoutMs);
-	}
-
-	const prefix = needsPrefix ? received.copyFirst(bodyPrefixBytes) : emptyBody;
+	const prefix = needsPrefix
+		? await readPrefix(request, received, timeoutMs)
+		: emptyBody;
 	return {kind: 'read', body, reservedBytes: 0, prefix};
 }
 
@@ -159,56 +184,40 @@
 	const {maxBytes, bufferLimitBytes, timeoutMs} = options;
 	const received = createPieceBuffer();
 	return new Promise((resolve) => {
-		const stopListening = (): void => {
-			request.off('data', handleData);
-			request.off('end', handleEnd);
-			request.off('close', handleClose);
-			clearTimeout(timer);
-		};
-
 		const settle = (result: BodyReadResult): void => {
-			stopListening();
+			stopWatching();
 			resolve(result);
 		};
 
-		const handleData = (piece: Uint8Array): void => {
-			received.add(piece);
-			const size = received.readSize();
-			if (size > maxBytes) {
-				settle({kind: 'refused', reason: 'body-too-large'});
-			} else if (size > bufferLimitBytes) {
-				const read = readStreamed(request, options, received);
-				stopListening();
-				void read.then(resolve);
-			}
-		};
-
-		const handleEnd = (): void => {
-			const body = received.take();
-			settle({
-				kind: 'read',
-				body,
-				reservedBytes: 0,
-				prefix: selectBodyPrefix(body),
-			});
-		};
-
-		const handleClose = (): void => {
-			settle({kind: 'refused', reason: 'cancelled'});
-		};
-
-		const handleTimeout = (): void => {
-			discardBody(request);
-			settle({kind: 'refused', reason: 'deadline'});
-		};
-
-		const timer =
-			timeoutMs === undefined
-				? undefined
-				: setTimeout(handleTimeout, computeTimerDelay(timeoutMs));
-		request.on('data', handleData);
-		request.on('end', handleEnd);
-		request.on('close', handleClose);
-		request.on('error', handleClose);
+		const stopWatching = watchBody(request, {
+			onData(piece) {
+				received.add(piece);
+				const size = received.readSize();
+				if (size > maxBytes) {
+					settle({kind: 'refused', reason: 'body-too-large'});
+				} else if (size > bufferLimitBytes) {
+					const read = readStreamed(request, options, received);
+					stopWatching();
+					void read.then(resolve);
+				}
+			},
+			onEnd() {
+				const body = received.take();
+				settle({
+					kind: 'read',
+					body,
+					reservedBytes: 0,
+					prefix: selectBodyPrefix(body),
+				});
+			},
+			onClose() {
+				settle({kind: 'refused', reason: 'cancelled'});
+			},
+			onTimeout() {
+				discardBody(request);
+				settle({kind: 'refused', reason: 'deadline'});
+			},
+			timeoutMs,
+		});
 	});
 }
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -13,6 +13,7 @@
 	restTimeoutMs,
 } from '../../protocol/constants.js';
 import type {ResponseHead} from '../../protocol/edge.js';
+import {createBodyStream} from './create-body-stream.js';
 import {createPieceBuffer} from './create-piece-buffer.js';
 import {discardBody} from './discard-body.js';
 import {hasIdleConnection} from './has-idle-connection.js';
@@ -20,7 +21,6 @@
 	startPostPollTimer,
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
-import {createBodyStream} from './create-body-stream.js';
 import {waitForTurns} from './wait-for-turns.js';
 
 /** Outcome of a request on one connection. */
@@ -129,8 +129,8 @@
 	#isSettled = false;
 	#response: IncomingMessage | undefined;
 	readonly #received = createPieceBuffer();
-	#isStreamed = false;
-	#onFailure: ((error: Error) => void) | undefined;
+	/** The stream of a long response; undefined while the response is buffered. */
+	#stream: Readable | undefined;
 	readonly #onSend: (() => void) | undefined;
 	readonly #prepareSend: SendOptions['prepareSend'];
 	readonly #isBehind: () => boolean;
@@ -421,8 +421,7 @@
 
 	#startStream(): void {
 		const response = this.#response!;
-		this.#isStreamed = true;
-		const stream = createBodyStream(response, {
+		this.#stream = createBodyStream(response, {
 			received: this.#received,
 			onDestroy: (error) => {
 				this.#request!.destroy(
@@ -431,16 +430,12 @@
 			},
 		});
 		response.off('data', this.#bufferPiece);
-		this.#onFailure = (error) => {
-			stream.destroy(error);
-		};
-
-		this.#settle(this.#createAnsweredOutcome(stream));
+		this.#settle(this.#createAnsweredOutcome(this.#stream));
 	}
 
 	#finishResponse(): void {
 		// After a reset, Node.js emits `end` for a response without a length as if it were complete.
-		if (this.#hasFailed || this.#isStreamed) {
+		if (this.#hasFailed || this.#stream) {
 			return;
 		}
 
@@ -477,10 +472,10 @@
 
 	#fail(error: Error): void {
 		this.#connectTimer?.stop();
-		if (this.#isStreamed) {
+		if (this.#stream) {
 			if (!this.#response!.complete || this.#hasFailed) {
 				this.#hasFailed = true;
-				this.#onFailure?.(error);
+				this.#stream.destroy(error);
 			}
 
 			return;
@@ -504,7 +499,7 @@
 	#settle(outcome: SendOutcome): void {
 		this.#connectTimer?.stop();
 		if (!this.#isSettled) {
-			this.#isSettled = !this.#isStreamed;
+			this.#isSettled = this.#stream === undefined;
 			this.#resolve(outcome);
 		}
 	}
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -5,6 +5,7 @@
 	type ServerResponse,
 } from 'node:http';
 import {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {computeSocketWait} from '../../coordination/compute-socket-wait.js';
 import {
 	headersTimeoutMs,
@@ -88,8 +89,8 @@
 /** Interval at which a stopping server closes idle connections, ms; leaves time for a request in transit on an unused connection. */
 const closeIdleIntervalMs = 200;
 
-/** Destroys a connection that its client resets before its first request is read. */
-function destroySocket(this: Socket): void {
+/** Destroys a connection that fails, or times out, while Node.js does not handle its events. */
+function destroySocket(this: Duplex): void {
 	this.destroy();
 }
 
@@ -235,13 +236,9 @@
 	);
 	server.on('connect', (_request, socket) => {
 		// Node.js has removed its own listeners, and no longer reads from the socket.
-		socket.on('error', () => {
-			socket.destroy();
-		});
+		socket.on('error', destroySocket);
 		if (socket instanceof Socket) {
-			socket.setTimeout(serverIdleMs, () => {
-				socket.destroy();
-			});
+			socket.setTimeout(serverIdleMs, destroySocket);
 		}
 
 		socket.resume();
