--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -46,6 +46,8 @@
 	readonly fingerprint?: string | undefined;
 	/** Service on whose host the request originated, if known. */
 	readonly origin?: string | undefined;
+	/** Tenant whose request it is; undefined when it needs no API key. */
+	readonly tenant?: string | undefined;
 	/** Rank among the attempts that wait for a slot; 0 is the highest. */
 	readonly priority?: number | undefined;
 	/** Objective of the request's route, ms; orders the queued attempts. */
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -1,7 +1,7 @@
 /**
  * Header names and outcomes of a request on its way from caller to upstream.
  */
-import type {RouteTarget} from './routing-document.js';
+import type {DocumentTenant, RouteTarget} from './routing-document.js';
 
 export const outcomeHeader = 'boragehitch-outcome';
 export const reasonHeader = 'boragehitch-reason';
@@ -26,6 +26,7 @@
 export const originHeader = 'boragehitch-origin';
 export const priorityHeader = 'boragehitch-priority';
 export const routeObjectiveHeader = 'boragehitch-route-objective-ms';
+export const tenantHeader = 'boragehitch-tenant';
 export const objectiveHeader = 'boragehitch-objective-ms';
 export const idempotencyKeyHeader = 'idempotency-key';
 export const traceparentHeader = 'traceparent';
@@ -62,6 +63,9 @@
 	'no-configuration',
 	'overloaded',
 	'quarantined',
+	'unknown-key',
+	'unproven-configuration',
+	'quota',
 ] as const;
 
 export type OutcomeReason = (typeof outcomeReasons)[number];
@@ -87,6 +91,10 @@
 	readonly sheddingMeansNotRun: boolean;
 	/** Whether an upstream of the service is known; otherwise the route is pending. */
 	readonly isLive: boolean;
+	/** Whether requests need no API key; false when absent. */
+	readonly isPublic?: boolean | undefined;
+	/** Name of the tenant whose request it is; undefined when it needs no API key. */
+	readonly tenant?: string | undefined;
 };
 
 /** Routes of manifests by first path segment, longest path first. */
@@ -103,6 +111,8 @@
 	readonly byHost: ReadonlyMap<string, ReadonlyMap<string, HostRoute>>;
 	/** Whether there is an unreadable route with unknown host, to which any request without a matching route may belong. */
 	readonly hasRouteWithUnknownHost: boolean;
+	/** Tenants by API key; undefined when requests need none. */
+	readonly tenantsByKey?: ReadonlyMap<string, DocumentTenant> | undefined;
 };
 
 /** Compiled routes, to be matched with `matchRoute`. */
--- a/src/protocol/routing-document.ts
+++ b/src/protocol/routing-document.ts
@@ -28,6 +28,20 @@
 	/** Maximum number of upstreams to which a request may be sent. */
 	maxAttempts: z.int().min(1),
 	targets: z.array(routeTargetSchema).min(1),
+	/** Whether requests need no API key; without effect in a document without tenants. */
+	isPublic: z.boolean().optional(),
+});
+
+/** A tenant: a customer that owns API keys. */
+export const documentTenantSchema = z.object({
+	name: z.string(),
+	keys: z.array(z.string()),
+	/** Rank that replaces the one of the route; that of the route when absent. */
+	priority: z.int().min(0).optional(),
+	/** Requests per second over all nodes; no limit when absent. */
+	ratePerSecond: z.number().positive().optional(),
+	/** Requests beyond the rate that may arrive at once, over all nodes; 0 when absent. */
+	burst: z.number().min(0).optional(),
 });
 
 /** Settings of a service in a document. */
@@ -68,7 +82,7 @@
 	/** The part is ignored. */
 	z.object({
 		kind: z.literal('left-out'),
-		part: z.enum(['service', 'limits', 'resource']),
+		part: z.enum(['service', 'limits', 'tenant', 'resource']),
 		name: z.string(),
 		reason: z.string(),
 	}),
@@ -85,12 +99,14 @@
 export const encodedDocumentSchema = z.object({
 	version: z.int().min(0),
 	routes: z.array(z.unknown()),
+	tenants: z.unknown().optional(),
 	...encodedParts,
 });
 
 export type RouteTarget = z.infer<typeof routeTargetSchema>;
 export type DocumentRoute = z.infer<typeof documentRouteSchema>;
 export type DocumentService = z.infer<typeof documentServiceSchema>;
+export type DocumentTenant = z.infer<typeof documentTenantSchema>;
 export type ClientLimits = z.infer<typeof clientLimitsSchema>;
 export type DocumentProblem = z.infer<typeof documentProblemSchema>;
 
@@ -102,10 +118,19 @@
 	readonly problems?: readonly DocumentProblem[] | undefined;
 };
 
+/** Changes of the tenants of a document. */
+export type TenantChanges = {
+	/** Names of tenants that are deleted, or are replaced by a tenant in `put`. */
+	readonly removed: readonly string[];
+	readonly put: readonly DocumentTenant[];
+};
+
 /** A full configuration as one document. */
 export type RoutingDocument = DocumentParts & {
 	readonly version: number;
 	readonly routes: readonly DocumentRoute[];
+	/** Absent when requests need no API keys. */
+	readonly tenants?: readonly DocumentTenant[] | undefined;
 	/** The problems with routes that only this node has, which are not in the changes that another one sends. */
 	readonly ownProblems?: readonly DocumentProblem[] | undefined;
 };
@@ -126,6 +151,13 @@
 	removed: z.array(z.string()),
 	/** New and replaced routes with their indices in the later document. */
 	put: z.array(z.object({index: z.int().min(0), route: documentRouteSchema})),
+	/** Absent when the later document has no tenants. A tenant that cannot be read makes the changes unusable. */
+	tenants: z
+		.object({
+			removed: z.array(z.string()),
+			put: z.array(documentTenantSchema),
+		})
+		.optional(),
 	...encodedParts,
 });
 
@@ -157,7 +189,12 @@
 
 /** Changes from the document of one version to that of a later one. */
 export type DocumentChanges = DocumentParts &
-	Omit<z.infer<typeof encodedChangesSchema>, keyof DocumentParts>;
+	Omit<
+		z.infer<typeof encodedChangesSchema>,
+		keyof DocumentParts | 'tenants'
+	> & {
+		readonly tenants?: TenantChanges | undefined;
+	};
 export type EncodedDocumentAnswer = z.infer<typeof encodedDocumentAnswerSchema>;
 
 /** The answer to a poll. */
--- a/src/state/_lib/decode-whole-document.ts
+++ b/src/state/_lib/decode-whole-document.ts
@@ -3,8 +3,10 @@
 import {decodeValue} from '../../protocol/decode-value.js';
 import {
 	documentRouteSchema,
+	documentTenantSchema,
 	encodedDocumentSchema,
 	type DocumentProblem,
+	type DocumentTenant,
 	type RoutingDocument,
 } from '../../protocol/routing-document.js';
 import {decodeDocumentParts} from './decode-document-parts.js';
@@ -32,6 +34,27 @@
 	};
 }
 
+/** Decodes tenants; the keys of one that cannot be read are unknown. */
+function decodeTenants(
+	value: unknown,
+	problems: DocumentProblem[],
+): readonly DocumentTenant[] | undefined {
+	if (value === undefined) {
+		return undefined;
+	}
+
+	const tenants = decodeList(value, {
+		schema: documentTenantSchema,
+		place: 'tenants',
+		maxLength: Infinity,
+	});
+	for (const {place, reason} of tenants.unreadable) {
+		problems.push({kind: 'left-out', part: 'tenant', name: place, reason});
+	}
+
+	return tenants.value;
+}
+
 /**
  * Decodes a whole document. Requests of a route that cannot be read are refused,
  * as they are when a route of the store cannot be read.
@@ -52,9 +75,11 @@
 			return {value: undefined, unreadable: []};
 		},
 	});
+	const tenants = decodeTenants(encoded.tenants, ownProblems);
 	return {
 		version: encoded.version,
 		routes: routes.value,
+		...(tenants && {tenants}),
 		...decodeDocumentParts(encoded, ownProblems),
 		...(ownProblems.length > 0 && {ownProblems}),
 	};
--- a/src/state/_lib/is-same-route.ts
+++ b/src/state/_lib/is-same-route.ts
@@ -11,6 +11,7 @@
 		a.objectiveMs === b.objectiveMs &&
 		a.priority === b.priority &&
 		a.maxAttempts === b.maxAttempts &&
+		a.isPublic === b.isPublic &&
 		a.targets.length === b.targets.length &&
 		a.targets.every(({service, weight}, index) => {
 			const other = b.targets[index]!;
--- a/src/state/apply-document-changes.ts
+++ b/src/state/apply-document-changes.ts
@@ -2,9 +2,20 @@
 import type {
 	DocumentChanges,
 	DocumentRoute,
+	DocumentTenant,
 	RoutingDocument,
+	TenantChanges,
 } from '../protocol/routing-document.js';
 
+/** Applies the changes of tenants, whose order has no meaning. */
+function applyTenantChanges(
+	base: readonly DocumentTenant[],
+	{removed, put}: TenantChanges,
+): readonly DocumentTenant[] {
+	const replaced = new Set([...removed, ...put.map(({name}) => name)]);
+	return [...base.filter(({name}) => !replaced.has(name)), ...put];
+}
+
 /**
  * Applies changes to their base document, either all of them or none.
  *
@@ -45,12 +56,15 @@
 		routes.push(route);
 	}
 
+	const tenants =
+		changes.tenants && applyTenantChanges(base.tenants ?? [], changes.tenants);
 	const {ownProblems = []} = base;
 	const allProblems = [...(problems ?? []), ...ownProblems];
 	return ok({
 		version: to,
 		routes,
 		services,
+		...(tenants && {tenants}),
 		...(limits && {limits}),
 		...(allProblems.length > 0 && {problems: allProblems}),
 		...(ownProblems.length > 0 && {ownProblems}),
--- a/src/state/compile-document.ts
+++ b/src/state/compile-document.ts
@@ -8,6 +8,7 @@
 	DocumentRoute,
 	RoutingDocument,
 } from '../protocol/routing-document.js';
+import {compileTenants} from './compile-tenants.js';
 
 /** Cache of compiled routes by their source. */
 const compiledRoutes = new WeakMap<DocumentRoute, CompiledRoute>();
@@ -35,6 +36,7 @@
 		maxBodyBytes: maxBytes,
 		sheddingMeansNotRun: true,
 		isLive: true,
+		isPublic: route.isPublic,
 	};
 	compiledRoutes.set(route, next);
 	return next;
@@ -91,6 +93,12 @@
 		}
 	}
 
-	const {version} = document;
-	return {kind: 'document', version, byHost, hasRouteWithUnknownHost};
+	const {version, tenants} = document;
+	return {
+		kind: 'document',
+		version,
+		byHost,
+		hasRouteWithUnknownHost,
+		...(tenants && {tenantsByKey: compileTenants(tenants)}),
+	};
 }
--- a/src/state/compute-document-changes.ts
+++ b/src/state/compute-document-changes.ts
@@ -1,9 +1,26 @@
 import type {
 	DocumentChanges,
+	DocumentTenant,
 	RoutingDocument,
+	TenantChanges,
 } from '../protocol/routing-document.js';
 import {applyDocumentChanges} from './apply-document-changes.js';
 
+/** Computes the changes of tenants; one is unchanged if it is the same object in both documents. */
+function computeTenantChanges(
+	base: readonly DocumentTenant[],
+	next: readonly DocumentTenant[],
+): TenantChanges {
+	const baseTenants = new Set(base);
+	const nextTenants = new Set(next);
+	return {
+		removed: base
+			.filter((tenant) => !nextTenants.has(tenant))
+			.map(({name}) => name),
+		put: next.filter((tenant) => !baseTenants.has(tenant)),
+	};
+}
+
 /**
  * Computes the changes from one document to a later one.
  *
@@ -31,6 +48,9 @@
 		put: next.routes.flatMap((route, index) =>
 			baseRoutes.has(route) ? [] : [{index, route}],
 		),
+		...(next.tenants && {
+			tenants: computeTenantChanges(base.tenants ?? [], next.tenants),
+		}),
 		services: next.services,
 		...(next.limits && {limits: next.limits}),
 		...(next.problems && {problems: next.problems}),
--- a/src/state/decode-document-answer.ts
+++ b/src/state/decode-document-answer.ts
@@ -38,14 +38,14 @@
 
 			case 'changes': {
 				const {kind, ageMs, text} = answer;
-				const {from, to, removed, put, ...parts} = encodedChangesSchema.parse(
-					decodeText(text),
-				);
+				const {from, to, removed, put, tenants, ...parts} =
+					encodedChangesSchema.parse(decodeText(text));
 				const changes = {
 					from,
 					to,
 					removed,
 					put,
+					...(tenants && {tenants}),
 					...decodeDocumentParts(parts),
 				};
 				return ok({kind, ageMs, changes});
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -19,6 +19,7 @@
 	shedHeader,
 	stampHeader,
 	teamHeader,
+	tenantHeader,
 	traceparentHeader,
 } from '../../protocol/request.js';
 import {copyHeaders} from './copy-headers.js';
@@ -62,6 +63,10 @@
 		headers[originHeader] = encodeHeaderText(attempt.origin);
 	}
 
+	if (attempt.tenant !== undefined) {
+		headers[tenantHeader] = encodeHeaderText(attempt.tenant);
+	}
+
 	if (attempt.fingerprint !== undefined) {
 		headers[fingerprintHeader] = attempt.fingerprint;
 	}
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -21,6 +21,7 @@
 	shedHeader,
 	stampHeader,
 	teamHeader,
+	tenantHeader,
 	traceparentHeader,
 } from '../../protocol/request.js';
 import {decodeHeaderText} from './decode-header-text.js';
@@ -95,6 +96,7 @@
 		depth: readNumber(headers[depthHeader], depthRange) ?? 0,
 		route: readText(headers[routeHeader]),
 		origin: readText(headers[originHeader]),
+		tenant: readText(headers[tenantHeader]),
 		fingerprint: headers[fingerprintHeader]?.toString(),
 		priority: readNumber(headers[priorityHeader], priorityRange),
 		routeObjectiveMs: readNumber(
--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -20,6 +20,8 @@
 	'no-route': 404,
 	upgrade: 501,
 	'body-too-large': 413,
+	'unknown-key': 401,
+	quota: 429,
 };
 
 /**
@@ -51,7 +53,7 @@
 		reasonHeader,
 		reason,
 	];
-	if (status === statusByOutcome['not-run']) {
+	if (status === statusByOutcome['not-run'] || reason === 'quota') {
 		headers.push('retry-after', edge.formatRetryAfter(retryAfterSeconds));
 	}
 
