Treat a response with a status above 599 as no response

HTTP allows statuses from 100 to 599 (RFC 9110, section 15). A status below 100 ended the connection already, but only after the head had been reported; 600 and 999 were passed on to the client with the upstream's signature. Both are now checked before anything else reads the response.

--- a/src/transport/_lib/send-request.test.ts
+++ b/src/transport/_lib/send-request.test.ts
@@ -130,6 +130,11 @@
 		(socket) => socket.write(whole.replace('200', '099')),
 		'lost',
 	],
+	[
+		'a response with a status above the range of HTTP',
+		(socket) => socket.write(whole.replace('200', '600')),
+		'lost',
+	],
 	['a connection closed immediately', (socket) => socket.destroy(), 'lost'],
 	[
 		'data that is not an HTTP response',
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -104,11 +104,16 @@
 /** Event loop turns after which the end of a client's connection has been read, here and at the node that passes it on. */
 const turnsToReadClose = 4;
 
-/** Lowest valid HTTP status; Node.js accepts lower ones in responses but refuses to write them. */
+/** Range of the HTTP statuses (RFC 9110, section 15); Node.js accepts all of three digits in responses. */
 const minStatus = 100;
+const maxStatus = 599;
 const statusNotModified = 304;
 const statusNoContent = 204;
 
+function hasValidStatus({statusCode: status = 0}: IncomingMessage): boolean {
+	return status >= minStatus && status <= maxStatus;
+}
+
 /** Returns whether the body of a response is delimited only by the close of the connection. */
 function isCloseDelimited({headers}: IncomingMessage): boolean {
 	return (
@@ -213,6 +218,11 @@
 			this.#watchSocket(socket, body);
 		});
 		request.on('response', (response) => {
+			if (!hasValidStatus(response)) {
+				request.destroy(new Error('invalid response status'));
+				return;
+			}
+
 			const {statusCode: status = 0, headers: responseHeaders} = response;
 			const head = {status, headers: responseHeaders};
 			options.onHead?.(head);
@@ -376,11 +386,6 @@
 	}
 
 	#handleResponse(response: IncomingMessage): void {
-		if ((response.statusCode ?? 0) < minStatus) {
-			this.#request!.destroy(new Error('invalid response status'));
-			return;
-		}
-
 		this.#response = response;
 		response.on('error', (error) => {
 			this.#fail(error);
