Scale expected times by how long work takes on the upstream's host

Upstreams that share their hosts report a fourth figure with their load: the time that work takes there at this moment, 100 being usual. Upstreams without the figure are treated as before.

--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -104,6 +104,8 @@
 	readonly serviceMs?: number | undefined;
 	/** Mean service time for requests of the attempt's route, ms. */
 	readonly routeMs?: number | undefined;
+	/** How long work takes on the upstream's host at this moment, relative to its usual time; only in reports of upstreams. */
+	readonly workRatio?: number | undefined;
 	/** Absent when the upstream is not leaving and has no limit. */
 	readonly notice?: UpstreamNotice | undefined;
 };
--- a/src/transport/_lib/create-lost-request-detector.ts
+++ b/src/transport/_lib/create-lost-request-detector.ts
@@ -190,6 +190,10 @@
 			at,
 		);
 		upstream.work = work;
+		if (load.workRatio !== undefined) {
+			upstream.workRatio = {ratio: load.workRatio, at};
+		}
+
 		if (work.lost > 0 && !upstream.lossConfirmTimer) {
 			const received = [...upstream.sent].filter((job) =>
 				isReceived(job, readAt),
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -24,6 +24,10 @@
 import {stepTimeMargin} from '../../coordination/step-time-margin.js';
 import type {TeamUse} from '../../coordination/step-team-use.js';
 import type {Utilization} from '../../coordination/step-utilization.js';
+import {
+	readWorkRatio,
+	type WorkRatio,
+} from '../../coordination/read-work-ratio.js';
 import type {Attempt, AttemptResult, GateLoad} from '../../protocol/attempt.js';
 import {
 	loadExpiryMs,
@@ -122,7 +126,9 @@
 	inFlight: number;
 	/** Jobs that have been sent and occupy a slot. */
 	readonly sent: Set<Job>;
-	/** Mean service time of all requests; `routeTimes` has that of each route. */
+	/** How long work takes on the host, by the last report; undefined when the upstream does not report it. */
+	workRatio: WorkRatio | undefined;
+	/** Mean service time of all requests at the host's usual speed; `routeTimes` has that of each route. */
 	serviceTime: ServiceTime | undefined;
 	readonly routeTimes: Map<string, ServiceTime>;
 	/** Load of all attempts that arrived in time, whether admitted or not. */
@@ -191,6 +197,7 @@
 		running: new Map(),
 		inFlight: 0,
 		sent: new Set(),
+		workRatio: undefined,
 		serviceTime: undefined,
 		routeTimes: new Map(),
 		utilization: undefined,
@@ -265,13 +272,16 @@
 	route?: string,
 ): GateLoad {
 	const notice = readNotice(upstream, now);
+	const ratio = readWorkRatio(upstream.workRatio, now);
+	const scale = (time: ServiceTime | undefined): number | undefined =>
+		time && time.meanMs * ratio;
 	const load = {
 		inFlight: upstream.inFlight,
 		queued: upstream.queuedCount,
 		slots: upstream.announcement.slots,
-		serviceMs: upstream.serviceTime?.meanMs,
+		serviceMs: scale(upstream.serviceTime),
 		routeMs:
-			route === undefined ? undefined : upstream.routeTimes.get(route)?.meanMs,
+			route === undefined ? undefined : scale(upstream.routeTimes.get(route)),
 	};
 	return notice ? {...load, notice} : load;
 }
@@ -312,7 +322,8 @@
 	const known =
 		route === undefined ? undefined : upstream.routeTimes.get(route);
 	return known !== undefined || objectiveMs === undefined
-		? readServiceTime(known ?? upstream.serviceTime, now)
+		? readServiceTime(known ?? upstream.serviceTime, now) *
+				readWorkRatio(upstream.workRatio, now)
 		: objectiveMs * defaultObjectiveRatio;
 }
 
@@ -331,12 +342,10 @@
 	now: number,
 ): void {
 	const {routeTimes} = upstream;
-	upstream.serviceTime = stepServiceTime(upstream.serviceTime, durationMs, now);
+	const usualMs = durationMs / readWorkRatio(upstream.workRatio, now);
+	upstream.serviceTime = stepServiceTime(upstream.serviceTime, usualMs, now);
 	if (route !== undefined) {
-		routeTimes.set(
-			route,
-			stepServiceTime(routeTimes.get(route), durationMs, now),
-		);
+		routeTimes.set(route, stepServiceTime(routeTimes.get(route), usualMs, now));
 	}
 }
 
--- a/src/transport/_lib/parse-upstream-load.test.ts
+++ b/src/transport/_lib/parse-upstream-load.test.ts
@@ -14,6 +14,16 @@
 	}
 });
 
+test('reads how long work takes on the host, if it is a percentage above 0', () => {
+	assert.equal(parseUpstreamLoad('3,1,6,150')?.workRatio, 1.5);
+	assert.equal(parseUpstreamLoad('3,1,6, 60 ,7')?.workRatio, 0.6);
+	for (const text of ['3,1,6', '3,1,6,', '3,1,6,0', '3,1,6,-1', '3,1,6,1e9']) {
+		const load = parseUpstreamLoad(text);
+		assert.equal(load?.slots, 6, text);
+		assert.equal(load.workRatio, undefined, text);
+	}
+});
+
 test('a load that is passed on can be read by other nodes', () => {
 	const load = parseUpstreamLoad('999999,0,999999');
 	assert.deepEqual(parseLoad(formatLoad(load!)), load);
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -11,6 +11,7 @@
 import {computeTransitTime} from '../coordination/compute-transit-time.js';
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import {readServiceTime} from '../coordination/read-service-time.js';
+import {readWorkRatio} from '../coordination/read-work-ratio.js';
 import {readUtilization} from '../coordination/read-utilization.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
@@ -347,7 +348,9 @@
 			lateWaitMs: wait.lateWaitMs,
 			rateLimitWaitMs: wait.rateLimitWaitMs,
 			serviceMs: readExpectedServiceTime(upstream, attempt, at),
-			meanServiceMs: readServiceTime(upstream.serviceTime, at),
+			meanServiceMs:
+				readServiceTime(upstream.serviceTime, at) *
+				readWorkRatio(upstream.workRatio, at),
 		};
 	}
 
