--- a/src/coordination/read-work-ratio.ts
+++ b/src/coordination/read-work-ratio.ts
@@ -6,8 +6,8 @@
 	readonly at: number;
 };
 
-/** A shared host changes its speed within seconds, so that an old report says little. */
-const halfLifeMs = 1500;
+/** A shared host changes its speed several times a second, so that an old report says little. */
+const halfLifeMs = 500;
 
 /**
  * Reads how long work takes on an upstream's host now, relative to its usual
