Read API keys and set the tenant header at the edge

An upstream that is told the tenant of a request must be able to trust the header, and a node must tell a repeated key from one. The edge names both headers, reads the key from the raw headers, and writes the tenant; the gate removes a client's own tenant header from every request to an upstream. Nothing uses the keys yet.

--- a/src/protocol/edge.ts
+++ b/src/protocol/edge.ts
@@ -18,6 +18,13 @@
 	readonly idempotencyKey: string | undefined;
 };
 
+/** API key of a request as its caller sent it. */
+export type KeyField =
+	| {readonly kind: 'none'}
+	| {readonly kind: 'key'; readonly key: string}
+	/** The header is repeated or has another form. */
+	| {readonly kind: 'unreadable'};
+
 /** Class of a response from an upstream. */
 export type ResponseClass =
 	/** The upstream's response to the attempt. */
@@ -78,7 +85,13 @@
 	readonly refusesAmbiguousPaths: boolean;
 	/** Whether a response identifies its request, so that `classifyResponse` detects responses to other requests. */
 	readonly identifiesResponses: boolean;
+	/** Name of the header with the caller's API key, in lower case. */
+	readonly keyHeader: string;
+	/** Name of the header with the tenant of a request to an upstream, in lower case; only this system sets it. */
+	readonly tenantHeader: string;
 	readCallerParameters(headers: IncomingHttpHeaders): CallerParameters;
+	/** Reads the API key from raw header names and values; Node.js drops repetitions from `headers`. */
+	readKey(rawHeaders: readonly string[]): KeyField;
 	/** Creates the headers that are set on a request to an upstream. */
 	createUpstreamHeaders(
 		attempt: Attempt,
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -29,6 +29,7 @@
 export const tenantHeader = 'boragehitch-tenant';
 export const objectiveHeader = 'boragehitch-objective-ms';
 export const idempotencyKeyHeader = 'idempotency-key';
+export const authorizationHeader = 'authorization';
 export const traceparentHeader = 'traceparent';
 
 /** Outcome of an attempt or of a whole request. */
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -342,7 +342,7 @@
 
 	async function runJob(job: Job): Promise<void> {
 		const {upstream, attempt} = job;
-		job.sent = sendRequest(createUpstreamRequest(attempt), {
+		job.sent = sendRequest(createUpstreamRequest(attempt, edge.tenantHeader), {
 			agent: upstream.shedRequests.has(attempt.requestId)
 				? upstream.unpooledAgent
 				: upstream.agent,
--- a/src/transport/default-edge.ts
+++ b/src/transport/default-edge.ts
@@ -1,6 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {emptyReport, type Edge} from '../protocol/edge.js';
 import {
+	authorizationHeader,
 	deadlineHeader,
 	depthHeader,
 	idempotencyKeyHeader,
@@ -8,11 +9,14 @@
 	rateLimitHeader,
 	requestIdHeader,
 	shedHeader,
+	tenantHeader,
 	traceparentHeader,
 	upstreamLoadHeader,
 } from '../protocol/request.js';
+import {encodeHeaderText} from './_lib/encode-header-text.js';
 import {parseRateLimit} from './_lib/parse-rate-limit.js';
 import {parseUpstreamLoad} from './_lib/parse-upstream-load.js';
+import {readBearerKey} from './_lib/read-bearer-key.js';
 
 const statusServiceUnavailable = 503;
 
@@ -29,6 +33,8 @@
 export const defaultEdge: Edge = {
 	refusesAmbiguousPaths: true,
 	identifiesResponses: false,
+	keyHeader: authorizationHeader,
+	tenantHeader,
 	readCallerParameters(headers) {
 		const depth = readNumber(headers, depthHeader) ?? 0;
 		const key = headers[idempotencyKeyHeader];
@@ -39,12 +45,16 @@
 			idempotencyKey: typeof key === 'string' ? key : undefined,
 		};
 	},
+	readKey: (rawHeaders) => readBearerKey(rawHeaders, authorizationHeader),
 	createUpstreamHeaders(attempt, {remainingMs, traceparent}) {
 		return {
 			[requestIdHeader]: attempt.requestId,
 			[deadlineHeader]: String(Math.floor(remainingMs)),
 			[depthHeader]: String(attempt.depth + 1),
 			...(traceparent !== undefined && {[traceparentHeader]: traceparent}),
+			...(attempt.tenant !== undefined && {
+				[tenantHeader]: encodeHeaderText(attempt.tenant),
+			}),
 		};
 	},
 	classifyResponse({status, headers}, attempt) {
