Tell when the document was confirmed, as of the answer's arrival

A node that was paused read a waiting answer late and took its document for confirmed at that moment; with API keys it would refuse new ones. An answer now counts as of the end of its call at the latest, and a read as of the beginning of its transfer.

--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -152,6 +152,8 @@
 	}
 
 	const {ageMs} = answer;
+	// A process that was paused reads an answer long after it has arrived.
+	const answeredAt = Math.min(now, state.peerLoop.call?.endsAt ?? now);
 	const step = acceptDocument(state, answered.value, source, now);
 	const isStale = ageMs > documentStaleMs;
 	const shouldSwitchPeer = isStale || isRootWithoutStore(state);
@@ -166,7 +168,7 @@
 			...(shouldSwitchPeer
 				? selectNextPeer(state, now)
 				: returnToParent(state, now)),
-			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
+			confirmedAt: Math.max(state.confirmedAt, answeredAt - ageMs),
 		},
 	};
 }
--- a/src/coordination/_lib/document/handle-stored.ts
+++ b/src/coordination/_lib/document/handle-stored.ts
@@ -62,6 +62,9 @@
 		case 'read': {
 			const {document, revision, transferMs = 0, arrivedAt = now} = outcome;
 			const step = acceptDocument(state, document, 'store', now);
+			// The document may have changed during its transfer, or while a paused process did not read it.
+			const endsAt = state.storeLoop.call?.endsAt ?? now;
+			const answeredAt = Math.min(arrivedAt, endsAt) - transferMs;
 			// Without a revision there is nothing to watch, and the document is read again.
 			const storeLoop = endCall(state.storeLoop, revision === undefined, now);
 			const hasBacklog =
@@ -72,7 +75,7 @@
 				storeLoop,
 				revision,
 				hasBacklog,
-				confirmedAt: now,
+				confirmedAt: Math.max(state.confirmedAt, answeredAt),
 			};
 			return applyEra(state, {...step, state: after}, outcome);
 		}
--- a/src/coordination/step-document.test.ts
+++ b/src/coordination/step-document.test.ts
@@ -345,6 +345,32 @@
 	assert.equal(machine.read().peerIndex, 1);
 });
 
+// A node that was paused would otherwise take its document for the newest, and refuse new API keys.
+test('an answer that is read late confirms the document as of the end of its call', () => {
+	const machine = createChild();
+	const {callId} = machine.find('poll')!;
+	const {endsAt} = machine.read().peerLoop.call!;
+	const answer = {kind: 'unchanged', ageMs: 100} as const;
+	machine.send(
+		{kind: 'polled', callId, outcome: {kind: 'answered', answer}},
+		endsAt + 9000,
+	);
+	assert.equal(machine.read().confirmedAt, endsAt - 100);
+
+	const root = createMachine();
+	root.send({kind: 'tick'}, 0);
+	const read = root.find('read')!;
+	const document = createDocument(3);
+	const outcome = {
+		kind: 'read',
+		document,
+		revision: 9,
+		transferMs: 50,
+	} as const;
+	root.send({kind: 'stored', callId: read.callId, outcome}, 9000);
+	assert.equal(root.read().confirmedAt, read.timeoutMs - 50);
+});
+
 test('waiting polls are answered when a newer document arrives or their wait ends', () => {
 	const machine = createMachine();
 	const poll = {name: 'b', version: -1, waitMs: 800};
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -72,6 +72,8 @@
 	): Promise<EncodedDocumentAnswer>;
 	/** Returns the document that the node runs. */
 	readDocument(): RoutingDocument | undefined;
+	/** Returns the time since the document was last confirmed to be the newest, ms; infinity without a document. */
+	readConfirmedAge(): number;
 	stop(): void;
 };
 
@@ -257,6 +259,8 @@
 			return encoded;
 		},
 		readDocument: () => state.document,
+		readConfirmedAge: () =>
+			state.document ? now() - state.confirmedAt : Number.POSITIVE_INFINITY,
 		stop() {
 			isStopped = true;
 			clearInterval(timer);
