Count requests by tenant

An operator could not see which tenant's requests end how. Requests with the key of a tenant are counted in boragehitch_tenant_requests_total by outcome and reason, refusals on arrival included, and their access log lines have the tenant. A node names 256 tenants at most, since each label stays in memory. The tests of the metrics pass.

--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -24,6 +24,7 @@
  */
 export const meshMetricNames = {
 	requests: 'boragehitch_requests_total',
+	tenantRequests: 'boragehitch_tenant_requests_total',
 	requestMs: 'boragehitch_request_duration_ms',
 	refusals: 'boragehitch_refusals_total',
 	attempts: 'boragehitch_attempts_total',
--- a/src/protocol/observer.ts
+++ b/src/protocol/observer.ts
@@ -35,6 +35,8 @@
 	readonly lagMs: number;
 	/** Whether its client had sent it before, as its deadline tells. */
 	readonly isReturned: boolean;
+	/** Tenant whose request it is; undefined when it needs no API key. */
+	readonly tenant?: string | undefined;
 };
 
 /** Reported when a request or an attempt is refused before it is admitted. */
@@ -46,6 +48,8 @@
 	readonly reason: OutcomeReason;
 	/** Whether the client had sent the request before; undefined when not known. */
 	readonly isReturned: boolean | undefined;
+	/** Tenant whose request it is; undefined when it needs no API key or its key is not known. */
+	readonly tenant?: string | undefined;
 	/** Whether the gate had sent fewer requests to the upstream than it has slots; undefined when not known. */
 	readonly hasFreeSlot: boolean | undefined;
 };
--- a/src/transport/_lib/create-access-log.ts
+++ b/src/transport/_lib/create-access-log.ts
@@ -100,11 +100,13 @@
 				return;
 			}
 
-			const {requestId, route, service, outcome, reason, status} = event;
+			const {requestId, route, service, outcome, reason, status, tenant} =
+				event;
 			write('request ended', () => ({
 				requestId,
 				fingerprint: event.readFingerprint?.(),
 				route,
+				...(tenant !== undefined && {tenant}),
 				service,
 				version: readVersion(),
 				outcome,
--- a/src/transport/_lib/create-outcome-counter.ts
+++ b/src/transport/_lib/create-outcome-counter.ts
@@ -4,7 +4,7 @@
 /** Counts outcomes, and adds them to a counter when that is read. */
 export type OutcomeCounter = {
 	count(
-		service: string,
+		owner: string,
 		outcome: OutcomeKind,
 		reason: OutcomeReason | 'none' | undefined,
 	): void;
@@ -25,31 +25,33 @@
  *
  * @param counter - the counter to which outcomes are added
  * @param fixedLabels - further labels, the same for all outcomes that are counted here; none by default
+ * @param ownerLabel - label by whose value outcomes are told apart; `service` by default
  * @returns the counter of outcomes
  */
 export function createOutcomeCounter(
 	counter: Counter,
 	fixedLabels: Readonly<Record<string, string>> = {},
+	ownerLabel = 'service',
 ): OutcomeCounter {
 	const tallies = new Map<string, Map<string, Map<string, Tally>>>();
 
-	function addTally(service: string, outcome: string, reason: string): Tally {
+	function addTally(owner: string, outcome: string, reason: string): Tally {
 		const tally = {
-			labels: {service, outcome, reason, ...fixedLabels},
+			labels: {[ownerLabel]: owner, outcome, reason, ...fixedLabels},
 			count: 0,
 		};
 		const outcomes =
-			tallies.get(service) ?? new Map<string, Map<string, Tally>>();
+			tallies.get(owner) ?? new Map<string, Map<string, Tally>>();
 		const reasons = outcomes.get(outcome) ?? new Map<string, Tally>();
-		tallies.set(service, outcomes.set(outcome, reasons.set(reason, tally)));
+		tallies.set(owner, outcomes.set(outcome, reasons.set(reason, tally)));
 		return tally;
 	}
 
 	return {
-		count(service, outcome, reason = 'none') {
+		count(owner, outcome, reason = 'none') {
 			const tally =
-				tallies.get(service)?.get(outcome)?.get(reason) ??
-				addTally(service, outcome, reason);
+				tallies.get(owner)?.get(outcome)?.get(reason) ??
+				addTally(owner, outcome, reason);
 			tally.count++;
 		},
 		report() {
--- a/src/transport/_lib/report-request-event.ts
+++ b/src/transport/_lib/report-request-event.ts
@@ -46,6 +46,7 @@
 		attempts: end.attempts,
 		lagMs: reported.lagMs,
 		isReturned: reported.isReturned,
+		tenant: route.tenant,
 		team: route.team,
 		service: route.service,
 		outcome: end.outcome,
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -35,12 +35,14 @@
 		attempts: 1,
 		lagMs: 0,
 		isReturned: true,
+		tenant: 'linden',
 	});
 	metrics.observer.onRefusal?.({
 		place: 'caller',
 		route: 'prices',
 		reason: 'overloaded',
 		isReturned: false,
+		tenant: 'linden',
 		hasFreeSlot: undefined,
 	});
 	metrics.observer.onRefusal?.({
@@ -86,6 +88,14 @@
 		text,
 		/boragehitch_refusals_total\{place="gate",route="none",reason="saturated",returned="unknown",slot="free"\} 1/v,
 	);
+	for (const reason of ['saturated', 'overloaded']) {
+		assert.ok(
+			text.includes(
+				`boragehitch_tenant_requests_total{tenant="linden",outcome="not-run",reason="${reason}"} 1`,
+			),
+		);
+	}
+
 	assert.match(text, /boragehitch_event_loop_lag_ms 7/v);
 	assert.match(
 		text,
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -5,6 +5,7 @@
 import {meshMetricNames} from '../protocol/metric-names.js';
 import type {ByteCount} from './_lib/create-byte-counter.js';
 import {createDurationHistogram} from './_lib/create-duration-histogram.js';
+import {createLabelLimit} from './_lib/create-label-limit.js';
 import {createOutcomeCounter} from './_lib/create-outcome-counter.js';
 import {createRefusalCounter} from './_lib/create-refusal-counter.js';
 import {readProcessorUse} from './_lib/read-processor-use.js';
@@ -48,6 +49,9 @@
 /** Upper bounds of the histogram buckets, ms; they range from the latency of one hop to a deadline. */
 const bucketsMs = [2, 5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200];
 
+/** Number of tenants that are counted by name; each takes a few lines of the text. */
+const maxNamedTenants = 256;
+
 /** Formats whether a client had sent a request before as the value of a label. */
 function formatReturned(
 	isReturned: boolean | undefined,
@@ -96,6 +100,17 @@
 		no: createOutcomeCounter(requestCounter, {returned: 'no'}),
 		unknown: createOutcomeCounter(requestCounter, {returned: 'unknown'}),
 	};
+	const tenantRequests = createOutcomeCounter(
+		new Counter({
+			name: meshMetricNames.tenantRequests,
+			help: 'Requests with the API key of a tenant that were ended or refused',
+			labelNames: ['tenant', 'outcome', 'reason'],
+			registers,
+		}),
+		{},
+		'tenant',
+	);
+	const limitTenant = createLabelLimit(maxNamedTenants);
 	const requestMs = createDurationHistogram({
 		name: meshMetricNames.requestMs,
 		help: 'Time from a request to its answer, ms',
@@ -244,6 +259,7 @@
 
 			for (const outcomes of [
 				...Object.values(requests),
+				tenantRequests,
 				attempts,
 				gateAttempts,
 			]) {
@@ -257,15 +273,25 @@
 		},
 		observer: {
 			onRequest(event) {
-				const {service, isReturned} = event;
+				const {service, isReturned, tenant} = event;
 				requests[formatReturned(isReturned)].count(
 					service,
 					event.outcome,
 					event.reason,
 				);
 				requestMs.observe(service, event.durationMs);
+				if (tenant !== undefined) {
+					const {outcome, reason} = event;
+					tenantRequests.count(limitTenant(tenant), outcome, reason);
+				}
+			},
+			onRefusal(event) {
+				const {tenant, reason} = event;
+				refusalCounter.record(event);
+				if (tenant !== undefined) {
+					tenantRequests.count(limitTenant(tenant), 'not-run', reason);
+				}
 			},
-			onRefusal: refusalCounter.record,
 			onAttempt(event) {
 				attempts.count(event.service, event.outcome, event.reason);
 				if (event.sendWaitMs !== undefined) {
