Require API keys on documents with tenants

Requests of such a document were forwarded with any key or none. The caller's node now resolves the key after the route and before the body: it drops Authorization, sets tenant and priority of the request, answers 401 only while its configuration is certainly fresh, and 503 otherwise. The admission class includes the rank of a tenant, so that a refusal of one says nothing of another.

--- a/harness/_lib/platform-node.ts
+++ b/harness/_lib/platform-node.ts
@@ -3,7 +3,14 @@
  */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, request, type Agent, type Server} from 'node:http';
+import {
+	createServer,
+	request,
+	type Agent,
+	type IncomingHttpHeaders,
+	type OutgoingHttpHeaders,
+	type Server,
+} from 'node:http';
 import type {TestContext} from 'node:test';
 import {platformDocument} from '../../fakes/platform-document.js';
 import {startPlatform} from '../../fakes/platform-stand-in.js';
@@ -51,7 +58,10 @@
 }
 
 /** An answer as a client sees it. */
-export type ClientAnswer = {readonly status: number; readonly headers: unknown};
+export type ClientAnswer = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+};
 
 export async function sendRequest(
 	address: string,
@@ -62,6 +72,8 @@
 		readonly agent?: Agent | false;
 		readonly id?: string;
 		readonly deadlineMs?: number;
+		/** Further headers, by names in any case. */
+		readonly headers?: OutgoingHttpHeaders;
 	} = {},
 ): Promise<ClientAnswer> {
 	const [host, port] = address.split(':');
@@ -77,6 +89,7 @@
 					host: 'prices.example',
 					'x-boragehitch-request-id': options.id ?? 'id',
 					'x-boragehitch-deadline-ms': String(options.deadlineMs ?? 2000),
+					...options.headers,
 				},
 			},
 			(answer) => {
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -173,6 +173,10 @@
 export const maxCallerInFlight = 2048;
 /** Time after which a request is sent again to a node that had no processor time left; its event loop lag has ended by then. */
 export const busyRetryMs = 100;
+/** Mean time after which a request is sent again to a node that could not tell whether its API key is valid; half of the wait after which a node's configuration is confirmed again. */
+export const confirmationRetryMs = documentPollWaitMs / 2;
+/** Part of the time for the revocation of a key that is reserved for requests that have been admitted already and for the precision of clocks, ms. */
+export const revocationMarginMs = 600;
 /** Event loop lag above which what a node reads may be outdated; about the time of a hop and a request. */
 export const lagThresholdMs = 50;
 export const maxDepth = 16;
--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -57,6 +57,11 @@
 		headers.push('retry-after', edge.formatRetryAfter(retryAfterSeconds));
 	}
 
+	if (reason === 'unknown-key') {
+		// A response with status 401 must name the scheme (RFC 9110, section 15.5.2).
+		headers.push('www-authenticate', 'Bearer');
+	}
+
 	if (reason === 'body-too-large') {
 		headers.push('connection', 'close');
 	}
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -3,26 +3,20 @@
 import polka from 'polka';
 import {computeRequestFingerprint} from '../coordination/compute-request-fingerprint.js';
 import {noSuspicion, type Suspicion} from '../coordination/quarantine-state.js';
-import {computeRequestAge} from '../coordination/compute-request-age.js';
 import {computeRetryAfter} from '../coordination/compute-retry-after.js';
 import {computeUnreadTime} from '../coordination/compute-unread-time.js';
-import {decideCallerAdmission} from '../coordination/decide-caller-admission.js';
 import {decideDrainAdmission} from '../coordination/decide-drain-admission.js';
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
 import type {RequestParameters} from '../coordination/request-state.js';
 import {pickTarget} from '../coordination/pick-target.js';
 import type {RetryBudgetOptions} from '../coordination/step-retry-budget.js';
-import {
-	stepUsualDeadline,
-	type UsualDeadline,
-} from '../coordination/step-usual-deadline.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
 import type {Configuration} from '../protocol/configuration.js';
 import {
 	responseMarginMs,
 	responseMarginRatio,
 	busyRetryMs,
-	maxDepth,
+	confirmationRetryMs,
 	minTransferCostBodyBytes,
 	bodyMemoryBudgetBytes,
 	msPerSecond,
@@ -42,7 +36,6 @@
 import {compileDocument} from '../state/compile-document.js';
 import {compileRoutes} from '../state/compile-routes.js';
 import {isSameKeySet} from '../state/is-same-key-set.js';
-import {matchRoute} from '../state/match-route.js';
 import {abortResponse} from './_lib/abort-response.js';
 import type {AcceptedBatch} from './_lib/create-accept-queue.js';
 import {
@@ -50,10 +43,17 @@
 	type BodyMemoryBudget,
 } from './_lib/create-body-memory-budget.js';
 import {computeRefusalDelay} from './_lib/compute-refusal-delay.js';
+import {
+	createAccessCheck,
+	type AccessCheckOptions,
+} from './_lib/create-access-check.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
+import {createInFlightCounter} from './_lib/create-in-flight-counter.js';
 import {createListener} from './_lib/create-listener.js';
 import {createServiceRouter} from './_lib/create-service-router.js';
-import {isUnambiguousPath} from './_lib/is-unambiguous-path.js';
+import {createUsualDeadlines} from './_lib/create-usual-deadlines.js';
+import {findRoute} from './_lib/find-route.js';
+import {formatAdmissionClass} from './_lib/format-admission-class.js';
 import {
 	readFingerprint,
 	type FingerprintedRequest,
@@ -74,7 +74,7 @@
 import type {RequestQuarantine} from './start-quarantine-task.js';
 
 /** Options of `startCallerTask`. */
-export type CallerTaskOptions = {
+export type CallerTaskOptions = AccessCheckOptions & {
 	readonly name: string;
 	readonly dataCentre: string;
 	readonly address: string;
@@ -172,7 +172,7 @@
 };
 
 /** Route of a refused request, and whether its client had sent it before. */
-type RefusedArrival = Pick<RefusalEvent, 'route' | 'isReturned'>;
+type RefusedArrival = Pick<RefusalEvent, 'route' | 'isReturned' | 'tenant'>;
 
 const unroutedArrival: RefusedArrival = {
 	route: undefined,
@@ -207,14 +207,6 @@
 		: undefined;
 }
 
-/** Returns the admission class of a request: requests of the same route, with more or less than half of the objective left, are admitted alike. */
-function formatAdmissionClass(
-	{name, objectiveMs = 0}: CompiledRoute,
-	leftMs: number,
-): string {
-	return leftMs < objectiveMs / 2 ? `${name} aged` : name;
-}
-
 /** Reads the `content-length` of a request, bytes; undefined when absent. */
 function readBodyBytes({headers}: IncomingMessage): number | undefined {
 	const {'content-length': length} = headers;
@@ -251,8 +243,9 @@
 	const {readLag = () => 0, quarantine} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
-	const inFlightByTeam = new Map<string, number>();
-	const usualDeadlines = new Map<string, UsualDeadline>();
+	const checkAccess = createAccessCheck(edge, options);
+	const inFlight = createInFlightCounter(now);
+	const usualDeadlines = createUsualDeadlines();
 	const targetNumbers = new Map<string, number>();
 	const {bodyMemory = createBodyMemoryBudget(bodyMemoryBudgetBytes)} = options;
 	const idPrefix = randomUUID();
@@ -260,10 +253,8 @@
 	let source: RouteSource | undefined;
 	let candidates: MembersView['candidates'] = new Map();
 	let table: RouteTable | undefined;
-	let inFlight = 0;
 	let isRefusing = false;
 	let drainBounds: DrainBounds = unboundedDrain;
-	let lastActiveAt = now();
 
 	function refuse(
 		response: ServerResponse,
@@ -299,29 +290,6 @@
 		return seconds * msPerSecond;
 	}
 
-	/** Computes the time left to meet the route's objective, ms. The age of a request is estimated from how much its deadline falls below the usual one of its route. */
-	function computeObjectiveMs(
-		{deadlineMs}: CallerParameters,
-		{name, objectiveMs}: CompiledRoute,
-	): number {
-		if (objectiveMs === undefined || deadlineMs === undefined) {
-			return objectiveMs ?? Number.POSITIVE_INFINITY;
-		}
-
-		const usual = stepUsualDeadline(usualDeadlines.get(name), deadlineMs);
-		usualDeadlines.set(name, usual);
-		return Math.max(0, objectiveMs - computeRequestAge(usual, deadlineMs));
-	}
-
-	/** Tells whether the client of a request had sent it before. */
-	function hasReturned(
-		{deadlineMs}: CallerParameters,
-		{name}: CompiledRoute,
-	): boolean {
-		const usual = usualDeadlines.get(name);
-		return deadlineMs !== undefined && computeRequestAge(usual, deadlineMs) > 0;
-	}
-
 	/** Picks the service of a request whose route has several weighted targets. */
 	function chooseService(route: CompiledRoute): CompiledRoute {
 		if (!route.targets) {
@@ -346,27 +314,6 @@
 			: parent;
 	}
 
-	function countInFlight(team: string, change: 1 | -1): void {
-		const count = (inFlightByTeam.get(team) ?? 0) + change;
-		inFlight += change;
-		lastActiveAt = now();
-		if (count === 0) {
-			inFlightByTeam.delete(team);
-		} else {
-			inFlightByTeam.set(team, count);
-		}
-	}
-
-	function canAdmit({team, concurrency}: CompiledRoute): boolean {
-		const teamInFlight = inFlightByTeam.get(team) ?? 0;
-		return decideCallerAdmission({
-			inFlight,
-			teamInFlight,
-			activeTeams: inFlightByTeam.size + (teamInFlight === 0 ? 1 : 0),
-			concurrency,
-		});
-	}
-
 	async function runRoutedRequest(
 		routed: RoutedRequest,
 		signal: CancelSignal,
@@ -441,7 +388,7 @@
 		const repeatable = route.repeatable && !isStreamed;
 		const key = formatIdempotencyKey(callerParameters, route);
 		const {depth} = callerParameters;
-		const objectiveMs = computeObjectiveMs(callerParameters, route);
+		const objectiveMs = usualDeadlines.recordRequest(callerParameters, route);
 		const admissionClass = formatAdmissionClass(route, objectiveMs);
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
@@ -495,6 +442,7 @@
 				...fingerprinted,
 				depth,
 				priority: route.priority,
+				tenant: route.tenant,
 				routeObjectiveMs: route.objectiveMs,
 				key,
 			},
@@ -560,35 +508,6 @@
 		return Math.max(readLag(), server.readAcceptWaitMs(request));
 	}
 
-	function findRoute(
-		request: IncomingMessage,
-		{depth}: CallerParameters,
-	): CompiledRoute | OutcomeReason {
-		const {url = '/', method = 'GET'} = request;
-		const [path = '/'] = url.split('?', 1);
-		const isRefused = edge.refusesAmbiguousPaths && !isUnambiguousPath(path);
-		if (isRefused || depth > maxDepth) {
-			return 'bad-request';
-		}
-
-		const {upgrade} = request.headers;
-		if (upgrade !== undefined && upgrade !== 'h2c') {
-			return 'upgrade';
-		}
-
-		if (!table) {
-			return 'no-configuration';
-		}
-
-		const {host = ''} = request.headers;
-		const route = matchRoute(table, {method, host, path});
-		if (route === 'unreadable') {
-			return 'unreadable-route';
-		}
-
-		return route?.isLive === false ? 'pending' : (route ?? 'no-route');
-	}
-
 	async function handleRequest(
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -600,13 +519,29 @@
 		}
 
 		const parameters = edge.readCallerParameters(request.headers);
-		const found = findRoute(request, parameters);
+		const found = findRoute(request, {
+			table,
+			depth: parameters.depth,
+			refusesAmbiguousPaths: edge.refusesAmbiguousPaths,
+		});
 		if (typeof found === 'string') {
 			refuse(response, found);
 			return;
 		}
 
-		const route = chooseService(found);
+		const tenantsByKey =
+			table?.kind === 'document' ? table.tenantsByKey : undefined;
+		const allowed = tenantsByKey
+			? checkAccess(request, found, tenantsByKey)
+			: found;
+		if ('reason' in allowed) {
+			const {reason, tenant} = allowed;
+			const arrival = {route: found.name, isReturned: undefined, tenant};
+			refuse(response, reason, confirmationRetryMs, arrival);
+			return;
+		}
+
+		const route = chooseService(allowed);
 		const deadlineMs = computeDeadlineMs(parameters, route);
 		if (!decideDrainAdmission({now: readAt, deadlineMs, ...drainBounds})) {
 			refuse(response, 'leaving', busyRetryMs);
@@ -618,18 +553,19 @@
 		if (!decideEventLoopAdmission({lagMs, priority})) {
 			refuse(response, 'overloaded', computeOverloadDelayMs(parameters), {
 				route: route.name,
-				isReturned: hasReturned(parameters, route),
+				isReturned: usualDeadlines.hasReturned(parameters, route),
+				...(route.tenant !== undefined && {tenant: route.tenant}),
 			});
 			return;
 		}
 
-		if (!canAdmit(route)) {
+		if (!inFlight.canAdmit(route)) {
 			refuse(response, 'team-limit');
 			return;
 		}
 
 		const parentTraceparent = request.headers[traceparentHeader]?.toString();
-		countInFlight(route.team, 1);
+		inFlight.count(route.team, 1);
 		try {
 			await handleRoutedRequest({
 				request,
@@ -642,12 +578,12 @@
 				earliestAt:
 					readAt - computeUnreadTime(server.readSocketWaitMs(request)),
 				lagMs,
-				isReturned: hasReturned(parameters, route),
+				isReturned: usualDeadlines.hasReturned(parameters, route),
 				parentTraceparent,
 				traceparent: createTraceparent(parentTraceparent),
 			});
 		} finally {
-			countInFlight(route.team, -1);
+			inFlight.count(route.team, -1);
 		}
 	}
 
@@ -684,8 +620,8 @@
 		refuseAll() {
 			isRefusing = true;
 		},
-		readInFlight: () => inFlight,
-		readIdleMs: () => (inFlight > 0 ? 0 : now() - lastActiveAt),
+		readInFlight: inFlight.read,
+		readIdleMs: inFlight.readIdleMs,
 		drain(bounds = unboundedDrain) {
 			const {servesUntil, endsAt} = bounds;
 			drainBounds = {servesUntil, endsAt: endsAt - responseMarginMs};
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -5,6 +5,7 @@
 import {
 	bodyMemoryBudgetBytes,
 	lagThresholdMs,
+	revocationMarginMs,
 	upstreamLeaseMs,
 } from '../protocol/constants.js';
 import type {Edge} from '../protocol/edge.js';
@@ -200,6 +201,10 @@
 		readMaxWait: lagMeter.readMaxWait,
 		onAccepted: reportAccepted('callers'),
 		readOrigin: () => settings.service,
+		readConfirmedAge: () => document.readConfirmedAge(),
+		maxProofAgeMs:
+			initialSettings.revocation &&
+			initialSettings.revocation.maxDelayMs - revocationMarginMs,
 		bodyMemory,
 		linkMbps: initialSettings.linkMbps,
 		computeRetryBudget: (members) =>
