Keep API keys out of the reason for a malformed document

The message of JSON.parse quotes the text around an error, and the reason for a document that a peer sent malformed is logged. It says only that the text is not JSON now; a test with a key beside the error shows it.

--- a/src/state/decode-document-answer.test.ts
+++ b/src/state/decode-document-answer.test.ts
@@ -59,6 +59,14 @@
 	limits,
 };
 
+// The reason is logged, and the message of JSON.parse quotes the text.
+test('the reason why a text is refused has no part of an API key', () => {
+	const json = '{"version":1,"tenants":[{"keys":["k1-of-linden",x]}]}';
+	const text = deflateSync(json).toString('base64');
+	const decoded = decodeDocumentAnswer({kind: 'whole', ageMs, text});
+	assert.equal(decoded._unsafeUnwrapErr(), 'not JSON');
+});
+
 /** Decodes an answer whose content is given as JSON or as a value. */
 function decodeContent(kind: 'whole' | 'changes', content: unknown) {
 	const json = typeof content === 'string' ? content : JSON.stringify(content);
--- a/src/state/decode-document-answer.ts
+++ b/src/state/decode-document-answer.ts
@@ -14,7 +14,12 @@
 	const bytes = inflateSync(Buffer.from(text, 'base64'), {
 		maxOutputLength: maxDocumentBytes,
 	});
-	return JSON.parse(bytes.toString());
+	try {
+		return JSON.parse(bytes.toString());
+	} catch {
+		// The message of the error quotes the text, which holds API keys.
+		throw new Error('not JSON');
+	}
 }
 
 /**
