Find the route without an option object

The extraction of findRoute had added an allocation to each request, also of documents without tenants. It takes the objects that the task has already. 14 tests of the caller task and of tenants pass.

--- a/src/transport/_lib/find-route.ts
+++ b/src/transport/_lib/find-route.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {maxDepth} from '../../protocol/constants.js';
+import type {CallerParameters, Edge} from '../../protocol/edge.js';
 import type {
 	CompiledRoute,
 	OutcomeReason,
@@ -8,25 +9,21 @@
 import {matchRoute} from '../../state/match-route.js';
 import {isUnambiguousPath} from './is-unambiguous-path.js';
 
-/** Options of `findRoute`. */
-export type FindRouteOptions = {
-	/** The routes; undefined while the node has no configuration. */
-	readonly table: RouteTable | undefined;
-	/** Number of upstreams that the request has passed through. */
-	readonly depth: number;
-	readonly refusesAmbiguousPaths: boolean;
-};
-
 /**
- * Finds the route of a caller's request.
+ * Finds the route of a caller's request. It takes no option object, which would
+ * be one more allocation for each request.
  *
  * @param request - the request
- * @param options - see `FindRouteOptions`
+ * @param table - the routes; undefined while the node has no configuration
+ * @param parameters - parameters of the request
+ * @param edge - whether ambiguous paths are refused
  * @returns the route, or why the request is refused
  */
 export function findRoute(
 	request: IncomingMessage,
-	{table, depth, refusesAmbiguousPaths}: FindRouteOptions,
+	table: RouteTable | undefined,
+	{depth}: Pick<CallerParameters, 'depth'>,
+	{refusesAmbiguousPaths}: Pick<Edge, 'refusesAmbiguousPaths'>,
 ): CompiledRoute | OutcomeReason {
 	const {url = '/', method = 'GET'} = request;
 	const [path = '/'] = url.split('?', 1);
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -519,11 +519,7 @@
 		}
 
 		const parameters = edge.readCallerParameters(request.headers);
-		const found = findRoute(request, {
-			table,
-			depth: parameters.depth,
-			refusesAmbiguousPaths: edge.refusesAmbiguousPaths,
-		});
+		const found = findRoute(request, table, parameters, edge);
 		if (typeof found === 'string') {
 			refuse(response, found);
 			return;
