Prove that a node's document is the newest, by its own calls and by polls

A node that is cut off goes on with its document, and nothing says how old that is: confirmedAt is set when an answer arrives and counts no suspension. The document state now keeps the time as of which the store has shown that nothing newer exists: the beginning of a read, a watch, or a check of the revision from which the node watches. Answers to polls carry the age of the proof and the hold time. With settings for revocation a watch waits 1 s at most, held polls are answered when the proof is renewed, and a node whose proof has used up 0.6 of its lease polls its peers in turn and then calls the store. Without the settings calls, waits and answers are as before.

--- a/src/coordination/_lib/document/answer-polls.ts
+++ b/src/coordination/_lib/document/answer-polls.ts
@@ -1,5 +1,9 @@
-import {documentStaleMs} from '../../../protocol/constants.js';
+import {
+	documentStaleMs,
+	revocationRenewalRatio,
+} from '../../../protocol/constants.js';
 import type {
+	AnswerProof,
 	DocumentAnswer,
 	DocumentChanges,
 	RoutingDocument,
@@ -9,7 +13,9 @@
 	DocumentEffect,
 	DocumentState,
 	DocumentStep,
+	WaitingDocumentPoll,
 } from '../../document-state.js';
+import {computeProofAge} from '../../freshness/compute-proof-age.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /** Computes the changes from each version once for all polls that need them. */
@@ -35,24 +41,60 @@
 	context: {
 		readonly ageMs: number;
 		readonly changes: DocumentChanges | undefined;
+		readonly proof: AnswerProof;
 	},
 ): DocumentAnswer {
-	const {ageMs, changes} = context;
+	const {ageMs, changes, proof} = context;
 	if (!document || document.version <= known) {
-		return {kind: 'unchanged', ageMs};
+		return {kind: 'unchanged', ageMs, ...proof};
 	}
 
 	return changes
-		? {kind: 'changes', ageMs, changes}
-		: {kind: 'whole', ageMs, document};
+		? {kind: 'changes', ageMs, ...proof, changes}
+		: {kind: 'whole', ageMs, ...proof, document};
 }
 
-/** Answers the polls whose wait has ended or for which there is a newer document. */
+/**
+ * Creates the proof of an answer. The hold time is measured by the monotonic
+ * clock, which never runs ahead of the true time, and the age by elapsed time,
+ * which counts suspensions.
+ */
+function createProof(
+	{freshness}: DocumentState,
+	{arrivedAt}: WaitingDocumentPoll,
+	now: number,
+): AnswerProof {
+	const proofAgeMs = Math.ceil(computeProofAge(freshness));
+	return Number.isFinite(proofAgeMs)
+		? {proofAgeMs, heldMs: Math.max(0, Math.floor(now - arrivedAt))}
+		: {};
+}
+
+/**
+ * Returns whether the proof is so much newer than when the poll arrived that it
+ * is passed on at once. Otherwise, each level of the tree would add the wait of
+ * a poll to the age of the proofs below it.
+ */
+function hasNewProof(
+	{freshness}: DocumentState,
+	{provenAt}: WaitingDocumentPoll,
+): boolean {
+	return (
+		freshness !== undefined &&
+		provenAt !== undefined &&
+		freshness.provenAt - provenAt >= freshness.leaseMs * revocationRenewalRatio
+	);
+}
+
+/**
+ * Answers the polls whose wait has ended, or for which there is a newer document
+ * or proof.
+ */
 export function answerPolls(state: DocumentState, now: number): DocumentStep {
 	const {document} = state;
 	const version = document?.version ?? -1;
-	const isDue = (poll: DocumentState['polls'][number]): boolean =>
-		poll.version < version || poll.endsAt <= now;
+	const isDue = (poll: WaitingDocumentPoll): boolean =>
+		poll.version < version || poll.endsAt <= now || hasNewProof(state, poll);
 	const due = state.polls.filter((poll) => isDue(poll));
 	if (due.length === 0) {
 		return createStepWithoutEffects(state);
@@ -69,12 +111,13 @@
 			changes,
 			polls: state.polls.filter((poll) => !isDue(poll)),
 		},
-		effects: due.map(({pollId, version: known}): DocumentEffect => ({
+		effects: due.map((poll): DocumentEffect => ({
 			kind: 'answer',
-			pollId,
-			answer: createAnswer(document, known, {
+			pollId: poll.pollId,
+			answer: createAnswer(document, poll.version, {
 				ageMs,
-				changes: changes.get(known),
+				changes: changes.get(poll.version),
+				proof: createProof(state, poll, now),
 			}),
 		})),
 	};
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -1,6 +1,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {
 	documentParentRetryMs,
+	documentRetryBaseMs,
 	documentStaleMs,
 } from '../../../protocol/constants.js';
 import type {
@@ -14,6 +15,8 @@
 	DocumentStep,
 	PeerDocumentOutcome,
 } from '../../document-state.js';
+import {applyPeerProof} from '../../freshness/apply-peer-proof.js';
+import {isProofStale} from '../../freshness/is-proof-stale.js';
 import {acceptDocument} from './accept-document.js';
 import {endCall} from './end-call.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
@@ -55,11 +58,16 @@
 }
 
 /**
- * Selects the next peer and polls it at once, or after a delay if every peer
- * has been polled.
+ * Selects the next peer and polls it at once or after `delayMs`, or after a
+ * longer delay if every peer has been polled.
  */
-function failPoll(state: DocumentState, now: number): DocumentState {
-	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
+function failPoll(
+	state: DocumentState,
+	now: number,
+	delayMs = 0,
+): DocumentState {
+	const nextAt = now + delayMs;
+	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt};
 	return {
 		...state,
 		...selectNextPeer(state, now),
@@ -153,20 +161,30 @@
 
 	const {ageMs} = answer;
 	const step = acceptDocument(state, answered.value, source, now);
+	// The node now runs the document of the answer or a newer one, to which the proof belongs.
+	const freshness = state.freshness && applyPeerProof(state.freshness, answer);
 	const isStale = ageMs > documentStaleMs;
 	const shouldSwitchPeer = isStale || isRootWithoutStore(state);
+	const after = {
+		...step.state,
+		freshness,
+		needsFullDocument: false,
+		confirmedAt: Math.max(state.confirmedAt, now - ageMs),
+		// The known revision of the store is older than the document from the peer.
+		hasBacklog: state.hasBacklog || step.state.document !== state.document,
+	};
+	if (isProofStale(freshness)) {
+		return {...step, state: failPoll(after, now, documentRetryBaseMs)};
+	}
+
 	return {
 		...step,
 		state: {
-			...step.state,
-			needsFullDocument: false,
-			// The known revision of the store is older than the document from the peer.
-			hasBacklog: state.hasBacklog || step.state.document !== state.document,
+			...after,
 			peerLoop: endCall(state.peerLoop, isStale, now),
 			...(shouldSwitchPeer
 				? selectNextPeer(state, now)
 				: returnToParent(state, now)),
-			confirmedAt: Math.max(state.confirmedAt, now - ageMs),
 		},
 	};
 }
--- a/src/coordination/_lib/document/plan-calls.ts
+++ b/src/coordination/_lib/document/plan-calls.ts
@@ -1,14 +1,13 @@
 import {
 	documentGraceMs,
 	maxDocumentPeerFailures,
-	documentPollWaitMs,
-	documentWatchWaitMs,
 } from '../../../protocol/constants.js';
 import type {
 	DocumentEffect,
 	DocumentState,
 	DocumentStep,
 } from '../../document-state.js';
+import {computeProofWaits} from '../../freshness/compute-proof-waits.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
 
 /**
@@ -20,7 +19,7 @@
  * names none, the document is read.
  */
 function createStoreCall(
-	{revision, hasBacklog, storeLoop}: DocumentState,
+	{revision, hasBacklog, storeLoop, freshness}: DocumentState,
 	callId: number,
 ): DocumentEffect & {readonly kind: 'read' | 'watch' | 'check'} {
 	const timeoutMs = documentGraceMs;
@@ -28,7 +27,7 @@
 		return {kind: 'read', callId, timeoutMs};
 	}
 
-	const waitMs = documentWatchWaitMs;
+	const {watchMs: waitMs} = computeProofWaits(freshness);
 	return hasBacklog || storeLoop.failures > 0
 		? {kind: 'check', callId, timeoutMs}
 		: {kind: 'watch', callId, revision, waitMs, timeoutMs: waitMs + timeoutMs};
@@ -36,7 +35,7 @@
 
 /** Calls the store if the node is a root or its peers do not answer. */
 export function planStoreCall(state: DocumentState, now: number): DocumentStep {
-	const {storeLoop, peers} = state;
+	const {storeLoop, peers, freshness} = state;
 	const isNeeded =
 		state.isRoot ||
 		state.peerLoop.failures >= Math.min(maxDocumentPeerFailures, peers.length);
@@ -49,7 +48,15 @@
 	const endsAt = now + effect.timeoutMs;
 	const call = {id: callId, endsAt, isReceiving: false};
 	return {
-		state: {...state, lastCallId: callId, storeLoop: {...storeLoop, call}},
+		state: {
+			...state,
+			lastCallId: callId,
+			storeLoop: {...storeLoop, call},
+			freshness: freshness && {
+				...freshness,
+				storeCallAt: freshness.elapsedAt,
+			},
+		},
 		effects: [effect],
 	};
 }
@@ -59,7 +66,7 @@
  * passed.
  */
 export function planPoll(state: DocumentState, now: number): DocumentStep {
-	const {peerLoop, peers, name} = state;
+	const {peerLoop, peers, name, freshness} = state;
 	const peer = peers[state.peerIndex % Math.max(1, peers.length)];
 	if (!peer || peerLoop.call !== undefined || peerLoop.nextAt > now) {
 		return createStepWithoutEffects(state);
@@ -71,11 +78,17 @@
 		: (state.document?.version ?? -1);
 	// A peer that is polled instead of one that failed answers at once, without
 	// waiting for a change.
-	const waitMs = peerLoop.failures > 0 ? 0 : documentPollWaitMs;
+	const waitMs =
+		peerLoop.failures > 0 ? 0 : computeProofWaits(freshness).pollMs;
 	const timeoutMs = waitMs + documentGraceMs;
 	const call = {id: callId, endsAt: now + timeoutMs, isReceiving: false};
 	return {
-		state: {...state, lastCallId: callId, peerLoop: {...peerLoop, call}},
+		state: {
+			...state,
+			lastCallId: callId,
+			peerLoop: {...peerLoop, call},
+			freshness: freshness && {...freshness, pollAt: freshness.elapsedAt},
+		},
 		effects: [
 			{
 				kind: 'poll',
--- a/src/coordination/create-document-state.ts
+++ b/src/coordination/create-document-state.ts
@@ -1,4 +1,6 @@
+import type {RevocationSettings} from '../protocol/mesh-settings.js';
 import type {DocumentLoop, DocumentState} from './document-state.js';
+import {createFreshnessState} from './freshness/create-freshness-state.js';
 
 const idleLoop: DocumentLoop = {call: undefined, failures: 0, nextAt: 0};
 
@@ -6,11 +8,15 @@
  * Creates the initial state of a document state machine.
  *
  * @param name - name of the node
+ * @param revocation - when absent, the document need not be proven to be fresh
  * @returns the state, without a document
  * @example
  * createDocumentState('abdali-1').document; // undefined
  */
-export function createDocumentState(name: string): DocumentState {
+export function createDocumentState(
+	name: string,
+	revocation?: RevocationSettings,
+): DocumentState {
 	return {
 		name,
 		isRoot: true,
@@ -22,6 +28,7 @@
 		changes: new Map(),
 		needsFullDocument: false,
 		confirmedAt: Number.NEGATIVE_INFINITY,
+		freshness: revocation && createFreshnessState(revocation),
 		revision: undefined,
 		era: undefined,
 		hasBacklog: false,
--- a/src/coordination/document-state.ts
+++ b/src/coordination/document-state.ts
@@ -9,6 +9,7 @@
 	DocumentPoll,
 	RoutingDocument,
 } from '../protocol/routing-document.js';
+import type {FreshnessState} from './freshness/freshness-state.js';
 
 /** A node from which the document can be polled. */
 export type DocumentPeer = {readonly name: string; readonly address: string};
@@ -34,7 +35,11 @@
 export type WaitingDocumentPoll = {
 	readonly pollId: number;
 	readonly version: number;
+	/** When the poll arrived, monotonic ms. */
+	readonly arrivedAt: number;
 	readonly endsAt: number;
+	/** Proof time of the node when the poll arrived; undefined if no proofs are required. */
+	readonly provenAt: number | undefined;
 };
 
 /** State of a node's document state machine; times are monotonic ms. */
@@ -63,6 +68,8 @@
 	readonly needsFullDocument: boolean;
 	/** When the document was last confirmed to be the newest. */
 	readonly confirmedAt: number;
+	/** Proof that the document is the newest; undefined if none is required. */
+	readonly freshness: FreshnessState | undefined;
 	/**
 	 * Revision of the store from which to watch; undefined if the document must
 	 * be read first.
@@ -90,6 +97,8 @@
 			readonly kind: 'read';
 			/** Undefined if nothing has changed or the store holds no document. */
 			readonly document: RoutingDocument | undefined;
+			/** Whether the store holds a document that cannot be read at all. */
+			readonly isUnreadable?: boolean | undefined;
 			/** Revision from which to continue watching; undefined if the store sent none that can be used. */
 			readonly revision: number | undefined;
 			/** Era of the store; undefined if it names none. */
--- a/src/coordination/step-document.ts
+++ b/src/coordination/step-document.ts
@@ -11,6 +11,8 @@
 	DocumentState,
 	DocumentStep,
 } from './document-state.js';
+import {applyStoreProof} from './freshness/apply-store-proof.js';
+import {stepLease} from './freshness/step-lease.js';
 import {listDocumentPeers} from './list-document-peers.js';
 
 function updatePeers(
@@ -59,7 +61,11 @@
 		case 'stored': {
 			// A document that arrives after its call has timed out is still used.
 			return message.callId === state.storeLoop.call?.id
-				? handleStored(state, message.outcome, now)
+				? handleStored(
+						{...state, freshness: applyStoreProof(state, message.outcome)},
+						message.outcome,
+						now,
+					)
 				: message.outcome.kind === 'read'
 					? acceptDocument(state, message.outcome.document, 'store', now)
 					: createStepWithoutEffects(state);
@@ -79,8 +85,13 @@
 
 		case 'poll': {
 			const {pollId, poll} = message;
-			const endsAt = now + poll.waitMs;
-			const waiting = {pollId, version: poll.version, endsAt};
+			const waiting = {
+				pollId,
+				version: poll.version,
+				arrivedAt: now,
+				endsAt: now + poll.waitMs,
+				provenAt: state.freshness?.provenAt,
+			};
 			return createStepWithoutEffects({
 				...state,
 				polls: [...state.polls, waiting],
@@ -102,6 +113,7 @@
  * @param state - the state before; not modified
  * @param message - the message to handle
  * @param now - monotonic ms
+ * @param elapsedAt - elapsed time, which counts suspensions of the machine, ms
  * @returns the state after and the effects to carry out
  * @example
  * stepDocument(createDocumentState('a'), {kind: 'tick'}, 0).effects[0]; // a read
@@ -110,9 +122,14 @@
 	state: DocumentState,
 	message: DocumentMessage,
 	now: number,
+	elapsedAt = now,
 ): DocumentStep {
-	let step = handleMessage(state, message, now);
-	for (const plan of [answerPolls, planStoreCall, planPoll]) {
+	const {freshness} = state;
+	const current = freshness
+		? {...state, freshness: {...freshness, elapsedAt}}
+		: state;
+	let step = handleMessage(current, message, now);
+	for (const plan of [answerPolls, planStoreCall, planPoll, stepLease]) {
 		const next = plan(step.state, now);
 		step = {state: next.state, effects: [...step.effects, ...next.effects]};
 	}
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -54,6 +54,20 @@
 export const documentWatchWaitMs = 3000;
 /** Maximum wait of a poll for a document; bounds how long a source that does not answer is relied on. */
 export const documentPollWaitMs = 800;
+/** Maximum wait of a watch on a document if its freshness must be proven; the proof at the end of a watch is as old as the watch. */
+export const revocationWatchWaitMs = 1000;
+/** Part of the time allowed for a revocation that is kept for errors of the clocks. */
+export const revocationMarginMs = 600;
+/**
+ * Part of the freshness lease above which a node looks for a proof elsewhere. In
+ * calm times a proof is up to two watches old; the rest of the lease is enough
+ * for a poll that times out at each of two nodes and a call to the store.
+ */
+export const revocationStaleRatio = 0.6;
+/** Part of the freshness lease by which a proof must have become newer for a held poll to be answered with it; with 0.125, proofs four levels below the roots were 0.7 s older. */
+export const revocationRenewalRatio = 0.05;
+/** Minimum wait of a poll that is to end before the proof becomes stale. */
+export const minProofPollWaitMs = 100;
 /** Time that the answer to a watch or poll of a document may take beyond the wait. */
 export const documentGraceMs = 400;
 /** Age above which a node's copy of a document no longer counts as confirmed: a watch, a poll and their grace periods. */
--- a/src/protocol/routing-document.ts
+++ b/src/protocol/routing-document.ts
@@ -170,17 +170,37 @@
 	readableAgeSchema,
 );
 
+/** Part of a proof of freshness, ms; one that cannot be read counts as absent. */
+const proofMsSchema = z
+	.unknown()
+	.transform((ms) => readableAgeSchema.safeParse(ms).data)
+	.optional();
+
+/** Proof of freshness in an answer; nodes of earlier versions send none. */
+const proofFields = {
+	/** Age of the proof at the answering node when it answered, ms; absent if it has none. */
+	proofAgeMs: proofMsSchema,
+	/** Time for which the answering node held the poll, ms. */
+	heldMs: proofMsSchema,
+};
+
 /** The answer to a poll as sent; texts are compressed. */
 export const encodedDocumentAnswerSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('unchanged'), ageMs: ageMsSchema}),
+	z.object({
+		kind: z.literal('unchanged'),
+		ageMs: ageMsSchema,
+		...proofFields,
+	}),
 	z.object({
 		kind: z.literal('changes'),
 		ageMs: ageMsSchema,
+		...proofFields,
 		text: z.string(),
 	}),
 	z.object({
 		kind: z.literal('whole'),
 		ageMs: ageMsSchema,
+		...proofFields,
 		text: z.string(),
 	}),
 ]);
@@ -197,18 +217,22 @@
 	};
 export type EncodedDocumentAnswer = z.infer<typeof encodedDocumentAnswerSchema>;
 
+/** Proof of freshness in an answer; absent if the answering node has none. */
+export type AnswerProof = {
+	/** Age of the proof at the answering node when it answered, ms. */
+	readonly proofAgeMs?: number | undefined;
+	/** Time for which that node held the poll, ms; never more than the true time. */
+	readonly heldMs?: number | undefined;
+};
+
 /** The answer to a poll. */
-export type DocumentAnswer =
-	/** There is no newer document. */
-	| {readonly kind: 'unchanged'; readonly ageMs: number}
-	/** Changes to the polling node's document. */
-	| {
-			readonly kind: 'changes';
-			readonly ageMs: number;
-			readonly changes: DocumentChanges;
-	  }
-	| {
-			readonly kind: 'whole';
-			readonly ageMs: number;
-			readonly document: RoutingDocument;
-	  };
+export type DocumentAnswer = AnswerProof & {
+	/** Time since the answering node's copy was last confirmed, ms. */
+	readonly ageMs: number;
+} & (
+		| /** There is no newer document. */
+		  {readonly kind: 'unchanged'}
+		  /** Changes to the polling node's document. */
+		| {readonly kind: 'changes'; readonly changes: DocumentChanges}
+		| {readonly kind: 'whole'; readonly document: RoutingDocument}
+	);
--- a/src/state/decode-document-answer.test.ts
+++ b/src/state/decode-document-answer.test.ts
@@ -16,7 +16,14 @@
 test('encoding and decoding preserves an answer', () => {
 	const answers: DocumentAnswer[] = [
 		{kind: 'unchanged', ageMs},
-		{kind: 'whole', ageMs, document: {version: 1, routes: [], services: {}}},
+		{kind: 'unchanged', ageMs, proofAgeMs: 30, heldMs: 4},
+		{
+			kind: 'whole',
+			ageMs,
+			proofAgeMs: 30,
+			heldMs: 0,
+			document: {version: 1, routes: [], services: {}},
+		},
 		{
 			kind: 'changes',
 			ageMs,
@@ -30,6 +37,22 @@
 	}
 });
 
+test('a proof that cannot be read is left out, and a hold time counts as none', () => {
+	const answer = {kind: 'unchanged', ageMs} as const;
+	for (const [proof, expected] of [
+		[{proofAgeMs: -1, heldMs: 5}, {}],
+		[{proofAgeMs: '3'}, {}],
+		[{proofAgeMs: 3}, {proofAgeMs: 3, heldMs: 0}],
+		[
+			{proofAgeMs: 3, heldMs: 'x'},
+			{proofAgeMs: 3, heldMs: 0},
+		],
+	] as const) {
+		const decoded = decodeDocumentAnswer({...answer, ...proof});
+		assert.deepEqual(decoded._unsafeUnwrap(), {...answer, ...expected});
+	}
+});
+
 test('a text that is truncated, has an invalid content or inflates beyond the limit is refused', () => {
 	const complete = deflateSync('{"version":1,"routes":[],"services":{}}');
 	const tooLong = deflateSync(' '.repeat(maxDocumentBytes + 1));
--- a/src/state/decode-document-answer.ts
+++ b/src/state/decode-document-answer.ts
@@ -31,13 +31,15 @@
 ): Result<DocumentAnswer, string> {
 	try {
 		const answer = encodedDocumentAnswerSchema.parse(value);
+		const {ageMs, proofAgeMs, heldMs = 0} = answer;
+		const proof = proofAgeMs === undefined ? {} : {proofAgeMs, heldMs};
 		switch (answer.kind) {
 			case 'unchanged': {
-				return ok(answer);
+				return ok({kind: 'unchanged', ageMs, ...proof});
 			}
 
 			case 'changes': {
-				const {kind, ageMs, text} = answer;
+				const {kind, text} = answer;
 				const {from, to, removed, put, tenants, ...parts} =
 					encodedChangesSchema.parse(decodeText(text));
 				const changes = {
@@ -48,13 +50,13 @@
 					...(tenants && {tenants}),
 					...decodeDocumentParts(parts),
 				};
-				return ok({kind, ageMs, changes});
+				return ok({kind, ageMs, ...proof, changes});
 			}
 
 			case 'whole': {
-				const {kind, ageMs, text} = answer;
+				const {kind, text} = answer;
 				const document = decodeWholeDocument(decodeText(text));
-				return ok({kind, ageMs, document});
+				return ok({kind, ageMs, ...proof, document});
 			}
 		}
 	} catch (error) {
--- a/src/state/encode-document-answer.ts
+++ b/src/state/encode-document-answer.ts
@@ -32,18 +32,21 @@
 export function encodeDocumentAnswer(
 	answer: DocumentAnswer,
 ): EncodedDocumentAnswer {
-	const {ageMs} = answer;
+	const {ageMs, proofAgeMs, heldMs} = answer;
+	const proof = proofAgeMs === undefined ? {} : {proofAgeMs, heldMs};
 	switch (answer.kind) {
 		case 'unchanged': {
-			return {kind: 'unchanged', ageMs};
+			return {kind: 'unchanged', ageMs, ...proof};
 		}
 
 		case 'changes': {
-			return {kind: 'changes', ageMs, text: encodeText(answer.changes)};
+			const text = encodeText(answer.changes);
+			return {kind: 'changes', ageMs, ...proof, text};
 		}
 
 		case 'whole': {
-			return {kind: 'whole', ageMs, text: encodeText(answer.document)};
+			const text = encodeText(answer.document);
+			return {kind: 'whole', ageMs, ...proof, text};
 		}
 	}
 }
--- a/src/transport/start-document-task.ts
+++ b/src/transport/start-document-task.ts
@@ -1,3 +1,4 @@
+import {computeProofAge} from '../coordination/freshness/compute-proof-age.js';
 import {createDocumentState} from '../coordination/create-document-state.js';
 import type {
 	DocumentEffect,
@@ -8,6 +9,7 @@
 import {stepDocument} from '../coordination/step-document.js';
 import {documentTickMs, documentTransferMs} from '../protocol/constants.js';
 import type {MembersView} from '../protocol/member.js';
+import type {RevocationSettings} from '../protocol/mesh-settings.js';
 import type {
 	DocumentAnswer,
 	DocumentPoll,
@@ -16,6 +18,7 @@
 } from '../protocol/routing-document.js';
 import {decodeDocumentAnswer} from '../state/decode-document-answer.js';
 import {encodeDocumentAnswer} from '../state/encode-document-answer.js';
+import {createElapsedClock} from './_lib/create-elapsed-clock.js';
 import type {Logger} from './create-logger.js';
 import type {PeerClients} from './create-peer-client.js';
 import type {PeerCall} from './create-peer-router.js';
@@ -61,6 +64,10 @@
 	readonly onDocument: (document: RoutingDocument) => void;
 	/** Monotonic ms; `performance.now` when absent. */
 	readonly now?: () => number;
+	/** When absent, the document need not be proven to be fresh. */
+	readonly revocation?: RevocationSettings | undefined;
+	/** Elapsed time, which counts suspensions of the machine, ms; read only with `revocation`. */
+	readonly readElapsed?: () => number;
 };
 
 /** The task that keeps a node's routing document current and serves it to other nodes. */
@@ -72,6 +79,12 @@
 	): Promise<EncodedDocumentAnswer>;
 	/** Returns the document that the node runs. */
 	readDocument(): RoutingDocument | undefined;
+	/**
+	 * Returns the age of the proof that the document is the newest, in ms of
+	 * elapsed time: every version that the store acknowledged earlier is in force.
+	 * Infinity without a proof or without settings for revocation.
+	 */
+	readProofAge(): number;
 	stop(): void;
 };
 
@@ -85,10 +98,11 @@
  * startDocumentTask({name, store, peers, logger, onDocument});
  */
 export function startDocumentTask(options: DocumentTaskOptions): DocumentTask {
-	const {name, store, peers, logger, onDocument} = options;
+	const {name, store, peers, logger, onDocument, revocation} = options;
 	const {now = () => performance.now()} = options;
+	const {readElapsed = createElapsedClock({now})} = options;
 	const resolvers = new Map<number, (answer: DocumentAnswer) => void>();
-	let state = createDocumentState(name);
+	let state = createDocumentState(name, revocation);
 	let lastPollId = 0;
 	let isStopped = false;
 
@@ -97,7 +111,8 @@
 			return;
 		}
 
-		const step = stepDocument(state, message, now());
+		const elapsedAt = revocation && readElapsed();
+		const step = stepDocument(state, message, now(), elapsedAt);
 		state = step.state;
 		for (const effect of step.effects) {
 			runEffect(effect, arrivedAt);
@@ -257,6 +272,7 @@
 			return encoded;
 		},
 		readDocument: () => state.document,
+		readProofAge: () => computeProofAge(state.freshness, readElapsed()),
 		stop() {
 			isStopped = true;
 			clearInterval(timer);
