--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -33,6 +33,7 @@
 	sendWaitMs: 'boragehitch_send_wait_ms',
 	upstreamCrashes: 'boragehitch_upstream_crashes_total',
 	version: 'boragehitch_configuration_version',
+	proofAgeMs: 'boragehitch_configuration_proof_age_ms',
 	unreadableParts: 'boragehitch_configuration_unreadable_parts',
 	members: 'boragehitch_members',
 	inFlight: 'boragehitch_requests_in_flight',
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -7,6 +7,7 @@
 	const metrics = createMeshMetrics({
 		readGauges: () => ({
 			version: 12,
+			proofAgeMs: 1250,
 			unreadableParts: 2,
 			members: 10,
 			inFlight: 3,
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -13,6 +13,8 @@
 export type MeshGauges = {
 	/** Version of the configuration; -1 when there is none. */
 	readonly version: number;
+	/** Age of the proof that the configuration is the newest, ms; infinity without a proof. */
+	readonly proofAgeMs: number;
 	/** Number of parts of the configuration that the node can't read. */
 	readonly unreadableParts: number;
 	/** Number of members that are alive. */
@@ -154,6 +156,11 @@
 		help: 'Version of the configuration that the node runs',
 		registers,
 	});
+	const proofAge = new Gauge({
+		name: meshMetricNames.proofAgeMs,
+		help: 'Age of the proof that the configuration is the newest, ms; -1 without a proof',
+		registers,
+	});
 	const unreadableParts = new Gauge({
 		name: meshMetricNames.unreadableParts,
 		help: 'Parts of the configuration that the node cannot read',
@@ -225,6 +232,8 @@
 		async formatText() {
 			const gauges = readGauges();
 			version.set(gauges.version);
+			const {proofAgeMs} = gauges;
+			proofAge.set(Number.isFinite(proofAgeMs) ? proofAgeMs : -1);
 			unreadableParts.set(gauges.unreadableParts);
 			members.set(gauges.members);
 			inFlight.set(gauges.inFlight);
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -113,6 +113,7 @@
 	const metrics = createMeshMetrics({
 		readGauges: () => ({
 			version: document.readDocument()?.version ?? -1,
+			proofAgeMs: document.readProofAge(),
 			unreadableParts: document.readDocument()?.problems?.length ?? 0,
 			members: members.readView().members.filter(({state}) => state === 'alive')
 				.length,
@@ -217,6 +218,7 @@
 		store,
 		peers,
 		logger,
+		revocation: initialSettings.revocation,
 		onDocument(next) {
 			caller.updateRoutes({kind: 'document', document: next});
 		},
