Keep leases valid where the store serves a single child

In the model, a child that alone was served by the store asked it only when its own proof had become stale, and the others found its proof after rounds of up to 1 s: the oldest proof reached 4.79 s, beyond the lease of 4.4 s. A child now goes on calling the store while its peers' proofs are stale, and a round of polls without a newer proof is repeated after 0.4 s.

--- a/harness/simulate-freshness.ts
+++ b/harness/simulate-freshness.ts
@@ -24,10 +24,14 @@
 	readonly cut: number;
 	/** Each half second, a node is suspended; half as often, it starts again or its wall clock is stepped. */
 	readonly stop: number;
+	/** The only node that the store answers; all when absent. */
+	readonly served?: string;
 };
 
 const revocation = {maxDelayMs: 5000};
 const leaseMs = 4400;
+/** Time until each node has found a source of proofs, ms. */
+const startMs = 8000;
 /** Error of times as floating-point numbers, ms. */
 const roundingMs = 1e-3;
 
@@ -48,7 +52,7 @@
  * @param endMs - time to simulate, ms
  * @returns the numbers of checks, of checks with a valid lease, of checks at
  *   which a version was missing that was written before the proof, and of calls
- *   to the store; and the highest age of a proof after the first 2 s, ms
+ *   to the store; and the highest age of a proof after the start, ms
  * @example
  * simulateFreshness(1, {lost: 0, slow: 0, cut: 0, stop: 0}, 60_000).violations; // 0
  */
@@ -77,7 +81,7 @@
 		let suspendedMs = 0;
 		let suspendedUntil = 0;
 		let wallOffsetMs = 0;
-		let cutUntil = 0;
+		let cutUntil = (faults.served ?? name) === name ? 0 : endMs;
 		let lastPollId = 0;
 		const resolvers = new Map<number, (answer: DocumentAnswer) => void>();
 
@@ -154,7 +158,10 @@
 					result.checks++;
 					result.valid += Number(ageMs <= leaseMs);
 					result.violations += Number(next < now() - ageMs - roundingMs);
-					result.maxAgeMs = Math.max(result.maxAgeMs, now() < 2000 ? 0 : ageMs);
+					result.maxAgeMs = Math.max(
+						result.maxAgeMs,
+						now() < startMs ? 0 : ageMs,
+					);
 				}
 			},
 			/** Suspends the node, starts it again, steps its wall clock or cuts it off from the store. */
--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -3,6 +3,7 @@
 	documentParentRetryMs,
 	documentRetryBaseMs,
 	documentStaleMs,
+	proofRoundDelayMs,
 } from '../../../protocol/constants.js';
 import type {
 	DocumentAnswer,
@@ -138,6 +139,27 @@
 	}
 }
 
+/**
+ * Returns whether another source of proofs is needed after an answer. The proof
+ * that a root got from the store counts for it. For other nodes only that in the
+ * answer counts, so that a node that the store serves while its peers are turned
+ * away goes on watching, and its peers get proofs from it.
+ */
+function needsOtherProof(
+	state: DocumentState,
+	answer: DocumentAnswer,
+): boolean {
+	const {freshness, isRoot} = state;
+	const provenAt = isRoot ? freshness?.provenAt : undefined;
+	return isProofStale(
+		freshness &&
+			applyPeerProof(
+				{...freshness, provenAt: provenAt ?? Number.NEGATIVE_INFINITY},
+				answer,
+			),
+	);
+}
+
 /** Handles the outcome of a poll of another node. */
 export function handlePolled(
 	state: DocumentState,
@@ -173,8 +195,13 @@
 		// The known revision of the store is older than the document from the peer.
 		hasBacklog: state.hasBacklog || step.state.document !== state.document,
 	};
-	if (isProofStale(freshness)) {
-		return {...step, state: failPoll(after, now, documentRetryBaseMs)};
+	if (needsOtherProof(state, answer)) {
+		const failed = failPoll(after, now, documentRetryBaseMs);
+		const nextAt = Math.min(failed.peerLoop.nextAt, now + proofRoundDelayMs);
+		return {
+			...step,
+			state: {...failed, peerLoop: {...failed.peerLoop, nextAt}},
+		};
 	}
 
 	return {
--- a/src/coordination/freshness/freshness-model.test.ts
+++ b/src/coordination/freshness/freshness-model.test.ts
@@ -34,3 +34,12 @@
 	// Four roots; some 40 changes each end a watch of each root early.
 	assert.ok(calls < 4 * (60 + 40) + 12, `${calls} calls`);
 });
+
+test('leases hold where the store serves one node only, root or child', () => {
+	for (const served of ['a', 'b', 'c', 'd', 'e', 'f']) {
+		const faults = {lost: 0, slow: 0, cut: 0, stop: 0, served};
+		const {violations, maxAgeMs} = simulateFreshness(1, faults, 60_000);
+		assert.equal(violations, 0);
+		assert.ok(maxAgeMs < 4400, `${served}: ${maxAgeMs} ms`);
+	}
+});
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -66,6 +66,8 @@
 export const revocationStaleRatio = 0.6;
 /** Part of the freshness lease by which a proof must have become newer for a held poll to be answered with it; with 0.125, proofs four levels below the roots were 0.7 s older. */
 export const revocationRenewalRatio = 0.05;
+/** Maximum delay until peers are polled again of which none had a newer proof; with 1 s, leases ended where the store served one child only. */
+export const proofRoundDelayMs = 400;
 /** Minimum wait of a poll that is to end before the proof becomes stale. */
 export const minProofPollWaitMs = 100;
 /** Time that the answer to a watch or poll of a document may take beyond the wait. */
