--- a/src/coordination/_lib/document/handle-polled.ts
+++ b/src/coordination/_lib/document/handle-polled.ts
@@ -1,7 +1,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {
 	documentParentRetryMs,
+	documentRetryBaseMs,
 	documentStaleMs,
+	proofRoundDelayMs,
 } from '../../../protocol/constants.js';
 import type {
 	DocumentAnswer,
@@ -14,6 +16,8 @@
 	DocumentStep,
 	PeerDocumentOutcome,
 } from '../../document-state.js';
+import {applyPeerProof} from '../../freshness/apply-peer-proof.js';
+import {isProofStale} from '../../freshness/is-proof-stale.js';
 import {acceptDocument} from './accept-document.js';
 import {endCall} from './end-call.js';
 import {createStepWithoutEffects} from './create-step-without-effects.js';
@@ -55,11 +59,16 @@
 }
 
 /**
- * Selects the next peer and polls it at once, or after a delay if every peer
- * has been polled.
+ * Selects the next peer and polls it at once or after `delayMs`, or after a
+ * longer delay if every peer has been polled.
  */
-function failPoll(state: DocumentState, now: number): DocumentState {
-	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt: now};
+function failPoll(
+	state: DocumentState,
+	now: number,
+	delayMs = 0,
+): DocumentState {
+	const nextAt = now + delayMs;
+	const peerLoop = {...endCall(state.peerLoop, true, now), nextAt};
 	return {
 		...state,
 		...selectNextPeer(state, now),
@@ -130,6 +139,27 @@
 	}
 }
 
+/**
+ * Returns whether another source of proofs is needed after an answer. The proof
+ * that a root got from the store counts for it. For other nodes only that in the
+ * answer counts, so that a node that the store serves while its peers are turned
+ * away goes on watching, and its peers get proofs from it.
+ */
+function needsOtherProof(
+	state: DocumentState,
+	answer: DocumentAnswer,
+): boolean {
+	const {freshness, isRoot} = state;
+	const provenAt = isRoot ? freshness?.provenAt : undefined;
+	return isProofStale(
+		freshness &&
+			applyPeerProof(
+				{...freshness, provenAt: provenAt ?? Number.NEGATIVE_INFINITY},
+				answer,
+			),
+	);
+}
+
 /** Handles the outcome of a poll of another node. */
 export function handlePolled(
 	state: DocumentState,
@@ -155,20 +185,35 @@
 	// A process that was paused reads an answer long after it has arrived.
 	const answeredAt = Math.min(now, state.peerLoop.call?.endsAt ?? now);
 	const step = acceptDocument(state, answered.value, source, now);
+	// The node now runs the document of the answer or a newer one, to which the proof belongs.
+	const freshness = state.freshness && applyPeerProof(state.freshness, answer);
 	const isStale = ageMs > documentStaleMs;
 	const shouldSwitchPeer = isStale || isRootWithoutStore(state);
+	const after = {
+		...step.state,
+		freshness,
+		needsFullDocument: false,
+		confirmedAt: Math.max(state.confirmedAt, answeredAt - ageMs),
+		// The known revision of the store is older than the document from the peer.
+		hasBacklog: state.hasBacklog || step.state.document !== state.document,
+	};
+	if (needsOtherProof(state, answer)) {
+		const failed = failPoll(after, now, documentRetryBaseMs);
+		const nextAt = Math.min(failed.peerLoop.nextAt, now + proofRoundDelayMs);
+		return {
+			...step,
+			state: {...failed, peerLoop: {...failed.peerLoop, nextAt}},
+		};
+	}
+
 	return {
 		...step,
 		state: {
-			...step.state,
-			needsFullDocument: false,
-			// The known revision of the store is older than the document from the peer.
-			hasBacklog: state.hasBacklog || step.state.document !== state.document,
+			...after,
 			peerLoop: endCall(state.peerLoop, isStale, now),
 			...(shouldSwitchPeer
 				? selectNextPeer(state, now)
 				: returnToParent(state, now)),
-			confirmedAt: Math.max(state.confirmedAt, answeredAt - ageMs),
 		},
 	};
 }
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -54,6 +54,22 @@
 export const documentWatchWaitMs = 3000;
 /** Maximum wait of a poll for a document; bounds how long a source that does not answer is relied on. */
 export const documentPollWaitMs = 800;
+/** Maximum wait of a watch on a document if its freshness must be proven; the proof at the end of a watch is as old as the watch. */
+export const revocationWatchWaitMs = 1000;
+/** Part of the time allowed for a revocation that is kept for errors of the clocks. */
+export const revocationMarginMs = 600;
+/**
+ * Part of the freshness lease above which a node looks for a proof elsewhere. In
+ * calm times a proof is up to two watches old; the rest of the lease is enough
+ * for a poll that times out at each of two nodes and a call to the store.
+ */
+export const revocationStaleRatio = 0.6;
+/** Part of the freshness lease by which a proof must have become newer for a held poll to be answered with it; with 0.125, proofs four levels below the roots were 0.7 s older. */
+export const revocationRenewalRatio = 0.05;
+/** Maximum delay until peers are polled again of which none had a newer proof; with 1 s, leases ended where the store served one child only. */
+export const proofRoundDelayMs = 400;
+/** Minimum wait of a poll that is to end before the proof becomes stale. */
+export const minProofPollWaitMs = 100;
 /** Time that the answer to a watch or poll of a document may take beyond the wait. */
 export const documentGraceMs = 400;
 /** Age above which a node's copy of a document no longer counts as confirmed: a watch, a poll and their grace periods. */
@@ -175,8 +191,6 @@
 export const busyRetryMs = 100;
 /** Mean time after which a request is sent again to a node that could not tell whether its API key is valid; half of the wait after which a node's configuration is confirmed again. */
 export const confirmationRetryMs = documentPollWaitMs / 2;
-/** Part of the time for the revocation of a key that is reserved for requests that have been admitted already and for the precision of clocks, ms. */
-export const revocationMarginMs = 600;
 /** Event loop lag above which what a node reads may be outdated; about the time of a hop and a request. */
 export const lagThresholdMs = 50;
 export const maxDepth = 16;
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -114,6 +114,7 @@
 	const metrics = createMeshMetrics({
 		readGauges: () => ({
 			version: document.readDocument()?.version ?? -1,
+			proofAgeMs: document.readProofAge(),
 			unreadableParts: document.readDocument()?.problems?.length ?? 0,
 			members: members.readView().members.filter(({state}) => state === 'alive')
 				.length,
@@ -202,6 +203,7 @@
 		onAccepted: reportAccepted('callers'),
 		readOrigin: () => settings.service,
 		readConfirmedAge: () => document.readConfirmedAge(),
+		readProofAge: initialSettings.revocation && (() => document.readProofAge()),
 		maxProofAgeMs:
 			initialSettings.revocation &&
 			initialSettings.revocation.maxDelayMs - revocationMarginMs,
@@ -222,6 +224,7 @@
 		store,
 		peers,
 		logger,
+		revocation: initialSettings.revocation,
 		onDocument(next) {
 			caller.updateRoutes({kind: 'document', document: next});
 		},
