--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -9,6 +9,11 @@
 	type CrashExchange,
 	type CrashExchangeAnswer,
 } from '../protocol/crash-record.js';
+import {
+	encodedQuotaAsksSchema,
+	type EncodedQuotaAsks,
+	type EncodedQuotaGrants,
+} from '../protocol/quota.js';
 import {pollSchema, type Poll, type PollAnswer} from '../protocol/peer.js';
 import {
 	documentPollSchema,
@@ -43,6 +48,8 @@
 	handleCancel(question: AttemptQuery): void;
 	handleStamp(): GateStamp;
 	handleCrashes(exchange: CrashExchange): CrashExchangeAnswer;
+	/** Handles asks for tokens of tenants; absent on nodes without quotas. */
+	handleQuota?(asks: EncodedQuotaAsks): EncodedQuotaGrants;
 	/** Handles polls for routing documents; absent on nodes without documents. */
 	handleDocument?(
 		poll: DocumentPoll,
@@ -80,6 +87,15 @@
 		crashes: t.procedure
 			.input(crashExchangeSchema)
 			.mutation(({input}) => handlers.handleCrashes(input)),
+		quota: t.procedure
+			.input(encodedQuotaAsksSchema)
+			.mutation(({input}): EncodedQuotaGrants => {
+				if (!handlers.handleQuota) {
+					throw new TRPCError({code: 'NOT_IMPLEMENTED'});
+				}
+
+				return handlers.handleQuota(input);
+			}),
 		ask: t.procedure
 			.input(attemptQuerySchema)
 			.mutation(({input}) => handlers.handleAsk(input)),
