Refuse requests over the quota of their tenant with 429

The caller task did not know quotas. It takes a token once a request has been admitted otherwise, answers 429 without one, and gives the token back when the request ends as not run.

--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -71,6 +71,7 @@
 import type {Logger} from './create-logger.js';
 import {defaultEdge} from './default-edge.js';
 import type {GateTask} from './start-gate-task.js';
+import type {QuotaTask} from './start-quota-task.js';
 import type {RequestQuarantine} from './start-quarantine-task.js';
 
 /** Options of `startCallerTask`. */
@@ -96,6 +97,8 @@
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
 	/** Tells which requests crash their upstreams; without it, none is refused for that. */
 	readonly quarantine?: Pick<RequestQuarantine, 'hasRecords' | 'readSuspicion'>;
+	/** Holds the requests of tenants to their quotas; without it, none is refused for that. */
+	readonly quota?: Pick<QuotaTask, 'take' | 'giveBack'>;
 	/** Returns the service on the local host, on whose behalf callers send requests. */
 	readonly readOrigin?: () => string | undefined;
 	/** Computes the retry budget of this node from the number of all nodes. */
@@ -248,7 +251,7 @@
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
 	const {logger, observer = {}, edge = defaultEdge} = options;
-	const {readLag = () => 0, quarantine} = options;
+	const {readLag = () => 0, quarantine, quota} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
@@ -533,7 +536,8 @@
 			}
 		});
 		if (await hasClientDisconnected(request, lagMs)) {
-			const {requestId} = routed;
+			const {requestId, route} = routed;
+			giveBackToken(route);
 			abortResponse(response, {
 				cause: {kind: 'sender-left'},
 				requestId,
@@ -544,6 +548,10 @@
 
 		router.recordRequest(routed.route.team, routed.route.service);
 		const end = await runRoutedRequest(routed, cancelSource.signal);
+		if (end.outcome === 'not-run') {
+			giveBackToken(routed.route);
+		}
+
 		try {
 			if (end.outcome === 'answered') {
 				await sendUpstreamResponse(response, end.answer, answeredHeaders);
@@ -589,6 +597,18 @@
 		return route?.isLive === false ? 'pending' : (route ?? 'no-route');
 	}
 
+	/** Takes a token from the quota of the tenant of a request. */
+	function takeToken({tenant}: CompiledRoute): ReturnType<QuotaTask['take']> {
+		return tenant !== undefined && quota ? quota.take(tenant) : {kind: 'admit'};
+	}
+
+	/** Gives back the token of a request that has not run. */
+	function giveBackToken({tenant}: CompiledRoute): void {
+		if (tenant !== undefined) {
+			quota?.giveBack(tenant);
+		}
+	}
+
 	async function handleRequest(
 		request: IncomingMessage,
 		response: ServerResponse,
@@ -631,6 +651,16 @@
 		const parentTraceparent = request.headers[traceparentHeader]?.toString();
 		countInFlight(route.team, 1);
 		try {
+			const token = takeToken(route);
+			const decision = token instanceof Promise ? await token : token;
+			if (decision.kind === 'refuse') {
+				refuse(response, 'quota', decision.retryAfterMs, {
+					route: route.name,
+					isReturned: hasReturned(parameters, route),
+				});
+				return;
+			}
+
 			await handleRoutedRequest({
 				request,
 				response,
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -37,6 +37,7 @@
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
 import {startQuarantineTask} from './start-quarantine-task.js';
+import {startQuotaTask} from './start-quota-task.js';
 
 /** Adapter of a platform: what a node needs of it. */
 export type MeshPlatform = {
@@ -160,6 +161,9 @@
 	}
 
 	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
+	const quota =
+		initialSettings.quota &&
+		startQuotaTask({name, settings: initialSettings.quota, peers, logger});
 	const gate = startGateTask({
 		logger,
 		quarantine,
@@ -193,6 +197,7 @@
 		gate,
 		forwarder,
 		quarantine,
+		...(quota && {quota}),
 		logger,
 		edge,
 		observer,
@@ -218,6 +223,7 @@
 		peers,
 		logger,
 		onDocument(next) {
+			quota?.updateTenants(next.tenants);
 			caller.updateRoutes({kind: 'document', document: next});
 		},
 		onStoreRestored() {
@@ -240,6 +246,7 @@
 			handleDocument: document.handlePoll,
 			handleExchange: (exchange) => members.handleExchange(exchange),
 			handleCrashes: quarantine.handleExchange,
+			...(quota && {handleQuota: quota.handleAsk}),
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -268,6 +275,7 @@
 		onView(view) {
 			caller.updateMembers(view);
 			quarantine.updateMembers(view);
+			quota?.updateMembers(view);
 			document.updateMembers(view);
 		},
 		onLeaseExpired: gate.withdraw,
@@ -399,6 +407,7 @@
 			document.stop();
 			members.stop();
 			quarantine.stop();
+			quota?.stop();
 			await Promise.race([
 				Promise.all([
 					caller.stop(),
