--- a/harness/create-quota-fleet.ts
+++ b/harness/create-quota-fleet.ts
@@ -43,6 +43,12 @@
 
 type Host = EndedHost & {node: SimulatedQuotaNode};
 
+/** Requests that are sent all the time; to all nodes when their number is absent. */
+type Load = {
+	readonly perSecond: number;
+	readonly nodes: number | undefined;
+};
+
 /** Tolerances of the simulated quotas. */
 export const sampleQuotaSettings: QuotaSettings = {
 	windowMs: 5000,
@@ -70,9 +76,10 @@
 	const scheduler = createScheduler(options.seed);
 	const {now, random} = scheduler;
 	const hosts = new Map<string, Host>();
+	const hostList: Host[] = [];
 	const used = new Map<string, number[]>();
 	const refused = new Map<string, number[]>();
-	const loads = new Map<string, {perSecond: number}>();
+	const loads = new Map<string, Load>();
 	let {tenants} = options;
 	let lossRatio = 0;
 	let messages = 0;
@@ -154,8 +161,8 @@
 	}
 
 	/** Lets all nodes find out which others they reach, each a little later than the first. */
-	function detect(): void {
-		const firstMs = detectionMs * random();
+	function detect(maxMs = detectionMs): void {
+		const firstMs = maxMs * random();
 		for (const host of hosts.values()) {
 			scheduler.schedule(firstMs + spreadMs * random(), () => {
 				runOn(host, () => {
@@ -186,11 +193,12 @@
 		};
 		const host = Object.assign(ended, {node: startNode(ended)});
 		hosts.set(name, host);
+		hostList.push(host);
 		return host;
 	}
 
 	function getHost(index: number): Host {
-		return [...hosts.values()][index % hosts.size]!;
+		return hostList[index % hostList.length]!;
 	}
 
 	function endHost(host: Host): void {
@@ -207,8 +215,8 @@
 	}
 
 	/** Sends one request of a tenant to a random node that serves. */
-	function sendRequest(tenant: string): void {
-		const host = getHost(Math.floor(random() * hosts.size));
+	function sendRequest(tenant: string, nodes = hosts.size): void {
+		const host = getHost(Math.floor(random() * nodes));
 		if (!host.isAlive || now() < host.suspendedUntil) {
 			return;
 		}
@@ -223,11 +231,11 @@
 		}
 	}
 
-	function planRequest(tenant: string, load: {perSecond: number}): void {
+	function planRequest(tenant: string, load: Load): void {
 		const gapMs = (-Math.log(1 - random()) * msPerSecond) / load.perSecond;
 		scheduler.schedule(gapMs, () => {
 			if (loads.get(tenant) === load) {
-				sendRequest(tenant);
+				sendRequest(tenant, load.nodes);
 				planRequest(tenant, load);
 			}
 		});
@@ -254,9 +262,13 @@
 		readRefused: (tenant: string): readonly number[] =>
 			refused.get(tenant) ?? [],
 		readMessages: () => messages,
-		/** Sends requests of a tenant at a rate, to all nodes alike. */
-		offer(tenant: string, perSecond: number): void {
-			const load = {perSecond};
+		/** Sends requests of a tenant at a rate, to all nodes alike or to the first ones only. */
+		offer(
+			tenant: string,
+			perSecond: number,
+			{nodes}: {readonly nodes?: number} = {},
+		): void {
+			const load: Load = {perSecond, nodes};
 			loads.set(tenant, load);
 			planRequest(tenant, load);
 		},
@@ -306,7 +318,10 @@
 			const host = getHost(index);
 			host.suspendedUntil = now() + durationMs;
 			detect();
-			scheduler.schedule(durationMs, detect);
+			scheduler.schedule(durationMs, () => {
+				// A node that resumes tells the others itself.
+				detect(Math.min(detectionMs, msPerSecond));
+			});
 		},
 		/** Gives all nodes another version of the tenants within a second. */
 		setTenants(next: readonly DocumentTenant[]): void {
--- a/src/coordination/quotas/create-quota-home.ts
+++ b/src/coordination/quotas/create-quota-home.ts
@@ -6,8 +6,8 @@
 export type QuotaHomeOptions = {
 	readonly limit: QuotaLimit;
 	readonly share: number;
-	/** Whether the node has just started, and may not know the other nodes yet; false by default. */
-	readonly isStarting?: boolean;
+	/** Why the node becomes the home: by a change of the members (default), as it has started and may not know the other nodes yet, or as it was suspended, in which time others may have replaced it. */
+	readonly cause?: 'members' | 'start' | 'suspension';
 };
 
 /**
@@ -25,12 +25,12 @@
 	options: QuotaHomeOptions,
 	now: number,
 ): QuotaHome {
-	const {limit, share, isStarting = false} = options;
+	const {limit, share, cause = 'members'} = options;
 	const {startTokens} = computeQuotaBucket(limit);
 	return {
 		limit,
-		level: isStarting ? 0 : startTokens * share,
-		refilledAt: now + quotaSettleMs,
+		level: cause === 'members' ? startTokens * share : 0,
+		refilledAt: now + (cause === 'suspension' ? 2 : 1) * quotaSettleMs,
 		share,
 		nextShare: undefined,
 		holders: new Map(),
--- a/src/coordination/quotas/quota-state.ts
+++ b/src/coordination/quotas/quota-state.ts
@@ -13,8 +13,10 @@
 /** Live tokens that a quota home assumes at a node. */
 export type QuotaHolder = {
 	readonly tokens: number;
-	/** When the node last asked, monotonic ms; its tokens expire `tokenLifetimeMs` later. */
+	/** When the node last asked, monotonic ms. */
 	readonly askedAt: number;
+	/** When its tokens expire, monotonic ms. */
+	readonly expiresAt: number;
 };
 
 /** Token bucket of a tenant at its quota home; times are monotonic ms. */
@@ -40,6 +42,8 @@
 			readonly want: number;
 			/** Unused tokens at the node; undefined when it does not tell. */
 			readonly held: number | undefined;
+			/** Lifetime that the node gives to the tokens; `tokenLifetimeMs` when absent. */
+			readonly lifeMs?: number | undefined;
 	  }
 	| {readonly kind: 'share'; readonly share: number}
 	| {readonly kind: 'limit'; readonly limit: QuotaLimit};
@@ -71,6 +75,8 @@
 	readonly waiting: number;
 	/** When the ask in progress was sent; undefined when there is none. */
 	readonly askedAt: number | undefined;
+	/** Lifetime of the tokens of that ask, ms. */
+	readonly lifeMs: number;
 	/** Time before which the home has no tokens, as it stated. */
 	readonly refusedUntil: number;
 	/** Time before which a home that did not answer is not asked again. */
@@ -109,7 +115,9 @@
 	/** How many of the admitted requests run on the node's own share. */
 	readonly fromOwnShare: number;
 	/** An ask to be sent to the home. */
-	readonly ask?: {readonly want: number; readonly held: number} | undefined;
+	readonly ask?:
+		| {readonly want: number; readonly held: number; readonly lifeMs: number}
+		| undefined;
 };
 
 /** Whether a request of a tenant may run. */
@@ -132,6 +140,9 @@
 /** Lifetime of a token at a node, ms. */
 export const tokenLifetimeMs = 2000;
 
+/** Lifetime of tokens that are used at once, ms: of an ask for waiting requests only, and of a grant with a wait. They take up room in the bucket for less time. */
+export const briefLifetimeMs = 500;
+
 /** Account of a tenant without requests. */
 export const emptyAccount: QuotaAccount = {
 	lots: [],
@@ -139,6 +150,7 @@
 	takenAt: 0,
 	waiting: 0,
 	askedAt: undefined,
+	lifeMs: tokenLifetimeMs,
 	refusedUntil: Number.NEGATIVE_INFINITY,
 	silentUntil: Number.NEGATIVE_INFINITY,
 	exhaustedAt: Number.NEGATIVE_INFINITY,
--- a/src/coordination/quotas/step-quota-account.ts
+++ b/src/coordination/quotas/step-quota-account.ts
@@ -1,5 +1,6 @@
 import {msPerSecond} from '../../protocol/constants.js';
 import {
+	briefLifetimeMs,
 	tokenLifetimeMs,
 	type OwnShare,
 	type QuotaAccount,
@@ -96,11 +97,12 @@
 	const needsTokens = waiting > 0 || held < stock / 2;
 	const mayAsk =
 		askedAt === undefined && now >= refusedUntil && now >= silentUntil;
+	const lifeMs = stock > 0 ? tokenLifetimeMs : briefLifetimeMs;
 	return needsTokens && mayAsk
 		? {
 				...step,
-				account: {...account, askedAt: now},
-				ask: {want: Math.max(1, waiting + stock - held), held},
+				account: {...account, askedAt: now, lifeMs},
+				ask: {want: Math.max(1, waiting + stock - held), held, lifeMs},
 			}
 		: step;
 }
@@ -177,7 +179,8 @@
 	{tokens, waitMs}: QuotaGrant,
 	now: number,
 ): QuotaAccountStep {
-	const expiresAt = (account.askedAt ?? now) + tokenLifetimeMs;
+	const lifeMs = waitMs > 0 ? briefLifetimeMs : account.lifeMs;
+	const expiresAt = (account.askedAt ?? now) + lifeMs;
 	const isExhausted = waitMs > 0 || tokens < 1;
 	const known: QuotaAccount = {
 		...account,
--- a/src/coordination/quotas/step-quota-home.ts
+++ b/src/coordination/quotas/step-quota-home.ts
@@ -1,6 +1,7 @@
 import {msPerSecond} from '../../protocol/constants.js';
 import {computeQuotaBucket} from './compute-quota-bucket.js';
 import {
+	briefLifetimeMs,
 	tokenLifetimeMs,
 	type QuotaGrant,
 	type QuotaHolder,
@@ -55,17 +56,20 @@
 	const holders = new Map(home.holders);
 	let outstanding = countOutstanding(holders);
 	let next = home;
-	for (const [name, {tokens, askedAt}] of home.holders) {
-		const expiresAt = askedAt + tokenLifetimeMs;
-		if (expiresAt > now) {
-			break;
-		}
+	const expired = [...holders]
+		.filter(([, {tokens, expiresAt}]) => tokens > 0 && expiresAt <= now)
+		.toSorted(([, a], [, b]) => a.expiresAt - b.expiresAt);
+	for (const [name, holder] of expired) {
+		next = refillUntil(next, holder.expiresAt, outstanding);
+		outstanding -= holder.tokens;
+		holders.set(name, {...holder, tokens: 0});
+	}
 
-		if (tokens > 0) {
-			next = refillUntil(next, expiresAt, outstanding);
+	for (const [name, {askedAt}] of holders) {
+		if (now - askedAt < tokenLifetimeMs) {
+			break;
 		}
 
-		outstanding -= tokens;
 		holders.delete(name);
 	}
 
@@ -91,10 +95,11 @@
 
 function answerAsk(
 	home: QuotaHome,
-	{from, want, held}: QuotaHomeMessage & {readonly kind: 'ask'},
+	message: QuotaHomeMessage & {readonly kind: 'ask'},
 	now: number,
 	random: number,
 ): QuotaHomeStep {
+	const {from, want, held, lifeMs = tokenLifetimeMs} = message;
 	const known = home.holders.get(from)?.tokens ?? 0;
 	// Without a statement of the node, all tokens of its last grant may be unused.
 	const left = held === undefined ? known : Math.max(0, held);
@@ -106,10 +111,15 @@
 		Math.max(1, Math.floor(part)),
 		Math.floor(home.level),
 	);
-	holders.set(from, {tokens: left + tokens, askedAt: now});
-	const next = {...home, holders, level: home.level - tokens};
 	// Also when a node gets a small part; else each token of a hot tenant would be asked for on its own.
 	const isExhausted = tokens < want / 2;
+	const grantedLifeMs = isExhausted ? briefLifetimeMs : lifeMs;
+	holders.set(from, {
+		tokens: left + tokens,
+		askedAt: now,
+		expiresAt: now + (left > 0 ? tokenLifetimeMs : grantedLifeMs),
+	});
+	const next = {...home, holders, level: home.level - tokens};
 	return {
 		home: next,
 		grant: {tokens, waitMs: isExhausted ? computeWaitMs(next, now, random) : 0},
--- a/src/transport/_lib/create-quota-homes.ts
+++ b/src/transport/_lib/create-quota-homes.ts
@@ -67,25 +67,36 @@
 	let granted = 0;
 
 	/** Lets this node become or cease to be the home of a tenant. */
-	function updateHome(tenant: string, limit: QuotaLimit): void {
+	function updateHome(
+		tenant: string,
+		limit: QuotaLimit,
+		isResumed = false,
+	): void {
 		if (!members) {
 			return;
 		}
 
 		const home = pickQuotaHome(members.live.keys(), tenant)!;
 		const isStarting = !homeNames.has(tenant) && members.holders === 1;
+		const cause = isStarting ? 'start' : 'members';
 		homeNames.set(tenant, home);
 		if (home !== name) {
 			homes.delete(tenant);
 		} else if (!homes.has(tenant)) {
 			const {share} = members;
-			homes.set(tenant, createQuotaHome({limit, share, isStarting}, now()));
+			homes.set(
+				tenant,
+				createQuotaHome(
+					{limit, share, cause: isResumed ? 'suspension' : cause},
+					now(),
+				),
+			);
 		}
 	}
 
-	function updateHomes(): void {
+	function updateHomes(isResumed = false): void {
 		for (const [tenant, limit] of limits) {
-			updateHome(tenant, limit);
+			updateHome(tenant, limit, isResumed);
 		}
 	}
 
@@ -116,7 +127,7 @@
 	function checkSuspension(): void {
 		if (now() - tickedAt > suspensionMs) {
 			homes.clear();
-			updateHomes();
+			updateHomes(true);
 		}
 
 		tickedAt = now();
@@ -128,8 +139,8 @@
 			return undefined;
 		}
 
-		const {want, held} = ask;
-		const message = {kind: 'ask', from, want, held} as const;
+		const {want, held, lifeMs} = ask;
+		const message = {kind: 'ask', from, want, held, lifeMs} as const;
 		const step = stepQuotaHome(home, message, now(), random());
 		homes.set(ask.tenant, step.home);
 		granted += step.grant.tokens;
