--- a/bench/main.ts
+++ b/bench/main.ts
@@ -27,6 +27,10 @@
 		const {benchRequests} = await import('./requests.js');
 		return benchRequests;
 	},
+	async quotas() {
+		const {benchQuotas} = await import('./quotas.js');
+		return benchQuotas;
+	},
 	async shortage() {
 		const {benchShortage} = await import('./shortage.js');
 		return benchShortage;
