Count asks, grants, returned tokens and own shares of the quotas

Operators could not see what the quotas do. boragehitch_quota_tokens_total counts it by kind; nodes without quotas serve no values. The test of the metrics gives counts of quotas, as it expects each name to be served.

--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -38,6 +38,7 @@
 	inFlight: 'boragehitch_requests_in_flight',
 	rateLimit: 'boragehitch_upstream_rate_limit',
 	quarantined: 'boragehitch_quarantined_requests',
+	quotaTokens: 'boragehitch_quota_tokens_total',
 	memory: 'boragehitch_memory_bytes',
 	processorSeconds: 'boragehitch_processor_seconds_total',
 	eventLoopSeconds: 'boragehitch_event_loop_seconds_total',
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -5,6 +5,7 @@
 
 test('observed events are served as text by name, service and outcome', async () => {
 	const metrics = createMeshMetrics({
+		readQuota: () => ({asked: 5, granted: 4, returned: 3, ownShare: 2}),
 		readGauges: () => ({
 			version: 12,
 			unreadableParts: 2,
@@ -70,6 +71,10 @@
 	metrics.observer.onCrash?.({id: 'a.1', service: 'pricebook'});
 	metrics.recordAcceptWait('callers', 30);
 	const text = await metrics.formatText();
+	assert.match(
+		text,
+		/^boragehitch_quota_tokens_total\{kind="own-share"\} 2$/mv,
+	);
 	for (const name of Object.values(meshMetricNames)) {
 		assert.match(text, new RegExp(`^${name}`, 'mv'));
 	}
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {Counter, Gauge, Registry} from 'prom-client';
+import type {QuotaCounts} from '../coordination/quotas/quota-state.js';
 import {msPerSecond} from '../protocol/constants.js';
 import type {RefusalEvent, RequestObserver} from '../protocol/observer.js';
 import {meshMetricNames} from '../protocol/metric-names.js';
@@ -30,6 +31,8 @@
 /** Options of `createMeshMetrics`. */
 export type MeshMetricsOptions = {
 	readonly readGauges: () => MeshGauges;
+	/** Returns what the quotas of tenants have counted since the start; absent without quotas. */
+	readonly readQuota?: (() => QuotaCounts) | undefined;
 	/** Returns the bytes sent and received on control connections since the last call. */
 	readonly takeBytes?: () => readonly ByteCount[];
 };
@@ -81,7 +84,7 @@
  * await createMeshMetrics({readGauges}).formatText();
  */
 export function createMeshMetrics(options: MeshMetricsOptions): MeshMetrics {
-	const {readGauges, takeBytes = () => []} = options;
+	const {readGauges, readQuota, takeBytes = () => []} = options;
 	const registry = new Registry();
 	const registers = [registry];
 	const labelNames = ['service', 'outcome', 'reason'] as const;
@@ -179,6 +182,12 @@
 		help: 'Requests that are not sent because they crash their upstreams',
 		registers,
 	});
+	const quotaTokens = new Counter({
+		name: meshMetricNames.quotaTokens,
+		help: 'Tokens of quotas: asks for some, tokens granted, given back, and admitted by the own share',
+		labelNames: ['kind'],
+		registers,
+	});
 	const memory = new Gauge({
 		name: meshMetricNames.memory,
 		help: 'Resident memory, bytes',
@@ -207,6 +216,19 @@
 		registers,
 	});
 
+	function updateQuotaTokens({
+		asked,
+		granted,
+		returned,
+		ownShare,
+	}: QuotaCounts): void {
+		quotaTokens.reset();
+		quotaTokens.inc({kind: 'asked'}, asked);
+		quotaTokens.inc({kind: 'granted'}, granted);
+		quotaTokens.inc({kind: 'returned'}, returned);
+		quotaTokens.inc({kind: 'own-share'}, ownShare);
+	}
+
 	/** Sets the counters of processor time to what the process has used. */
 	function updateProcessorUse(): void {
 		const {userMs, systemMs, busyMs} = readProcessorUse();
@@ -233,6 +255,10 @@
 			memory.set(process.memoryUsage.rss());
 			eventLoopLag.set(gauges.lagMs);
 			updateProcessorUse();
+			if (readQuota) {
+				updateQuotaTokens(readQuota());
+			}
+
 			for (const {count, ...refusal} of refusalCounter.take()) {
 				refusals.inc(formatRefusalLabels(refusal), count);
 			}
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -122,6 +122,7 @@
 			quarantined: quarantine.readQuarantined(),
 			lagMs: lagMeter.read(),
 		}),
+		readQuota: initialSettings.quota && (() => quota!.readCounts()),
 		takeBytes: byteCounter.take,
 	});
 	const observer = combineObservers([
