--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -38,6 +38,7 @@
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
 import {startQuarantineTask} from './start-quarantine-task.js';
+import {startQuotaTask} from './start-quota-task.js';
 
 /** Adapter of a platform: what a node needs of it. */
 export type MeshPlatform = {
@@ -123,6 +124,7 @@
 			quarantined: quarantine.readQuarantined(),
 			lagMs: lagMeter.read(),
 		}),
+		readQuota: initialSettings.quota && (() => quota!.readCounts()),
 		takeBytes: byteCounter.take,
 	});
 	const observer = combineObservers([
@@ -162,6 +164,9 @@
 	}
 
 	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
+	const quota =
+		initialSettings.quota &&
+		startQuotaTask({name, settings: initialSettings.quota, peers, logger});
 	const gate = startGateTask({
 		logger,
 		quarantine,
@@ -195,6 +200,7 @@
 		gate,
 		forwarder,
 		quarantine,
+		...(quota && {quota}),
 		logger,
 		edge,
 		observer,
@@ -226,6 +232,7 @@
 		logger,
 		revocation: initialSettings.revocation,
 		onDocument(next) {
+			quota?.updateTenants(next.tenants);
 			caller.updateRoutes({kind: 'document', document: next});
 		},
 		onStoreRestored() {
@@ -248,6 +255,7 @@
 			handleDocument: document.handlePoll,
 			handleExchange: (exchange) => members.handleExchange(exchange),
 			handleCrashes: quarantine.handleExchange,
+			...(quota && {handleQuota: quota.handleAsk}),
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -276,6 +284,7 @@
 		onView(view) {
 			caller.updateMembers(view);
 			quarantine.updateMembers(view);
+			quota?.updateMembers(view);
 			document.updateMembers(view);
 		},
 		onLeaseExpired: gate.withdraw,
@@ -407,6 +416,7 @@
 			document.stop();
 			members.stop();
 			quarantine.stop();
+			quota?.stop();
 			await Promise.race([
 				Promise.all([
 					caller.stop(),
