Carry the version of an upstream with the members' records and to its gate

Records did not say which software version an upstream runs, so that no node could tell a new version from the old one beside it. The version of the announcement now travels with the record, and a candidate lists the versions of its ready upstreams; one that cannot be read counts as absent. An attempt may name the version that must run it, and a gate with upstreams of several versions never runs it at another one.

--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -113,7 +113,7 @@
 ): MembersStep {
 	const lease = state.leases.get(id);
 	const {team, service, slots, address, incarnation = 0} = announcement;
-	const {sequence = 0} = announcement;
+	const {sequence = 0, version} = announcement;
 	const leases = new Map(state.leases).set(id, {
 		endsAt: now + state.leaseMs,
 		incarnation,
@@ -130,6 +130,7 @@
 		slots,
 		state: announcement.state,
 		since: current && isSameIncarnation ? current.since : now,
+		...(version !== undefined && {version}),
 	};
 	const accepted = {
 		kind: 'announcement' as const,
--- a/src/coordination/compute-candidates.ts
+++ b/src/coordination/compute-candidates.ts
@@ -24,14 +24,24 @@
 	return (capacity / referenceCapacity) * referenceLinkMbps;
 }
 
+function mergeVersions(
+	known: readonly string[] | undefined,
+	version: string | undefined,
+): readonly string[] | undefined {
+	return version === undefined || known?.includes(version)
+		? known
+		: [...(known ?? []), version];
+}
+
 function listOwnCandidates(
 	member: Member,
 ): ReadonlyArray<readonly [string, Candidate]> {
 	const {name, address, dataCentre, capacity} = member;
 	const byService = new Map<string, Candidate>();
-	for (const {state, service, slots, since} of member.upstreams) {
+	for (const {state, service, slots, since, version} of member.upstreams) {
 		if (state === 'ready') {
 			const known = byService.get(service);
+			const versions = mergeVersions(known?.versions, version);
 			byService.set(service, {
 				host: name,
 				address,
@@ -39,6 +49,7 @@
 				slots: (known?.slots ?? 0) + slots,
 				sinceMs: Math.min(known?.sinceMs ?? Infinity, since),
 				...(capacity !== undefined && {linkMbps: computeLinkRate(capacity)}),
+				...(versions && {versions}),
 			});
 		}
 	}
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -48,6 +48,8 @@
 	readonly origin?: string | undefined;
 	/** Tenant whose request it is; undefined when it needs no API key. */
 	readonly tenant?: string | undefined;
+	/** Software version of the upstream that must run it; undefined when any may. */
+	readonly version?: string | undefined;
 	/** Rank among the attempts that wait for a slot; 0 is the highest. */
 	readonly priority?: number | undefined;
 	/** Objective of the request's route, ms; orders the queued attempts. */
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -45,6 +45,11 @@
 	slots: z.int().min(1).max(1024),
 	state: z.enum(['ready', 'leaving']),
 	ageMs: counterSchema,
+	/** Version of its software; absent from nodes of earlier versions, and when it cannot be read. */
+	version: z
+		.unknown()
+		.transform((value) => softwareVersionSchema.safeParse(value).data)
+		.optional(),
 });
 
 /** States of a member; `dead` and `left` end an incarnation. */
@@ -242,6 +247,8 @@
 	readonly sinceMs: number;
 	/** Minimum bandwidth of its link, Mbit/s; that of the reference host when absent. */
 	readonly linkMbps?: number | undefined;
+	/** Software versions that its ready upstreams announce; absent when none does. */
+	readonly versions?: readonly string[] | undefined;
 };
 
 /** View of the members for the other tasks of a node. */
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -27,6 +27,7 @@
 export const priorityHeader = 'boragehitch-priority';
 export const routeObjectiveHeader = 'boragehitch-route-objective-ms';
 export const tenantHeader = 'boragehitch-tenant';
+export const versionHeader = 'boragehitch-version';
 export const objectiveHeader = 'boragehitch-objective-ms';
 export const idempotencyKeyHeader = 'idempotency-key';
 export const traceparentHeader = 'traceparent';
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -21,6 +21,7 @@
 	teamHeader,
 	tenantHeader,
 	traceparentHeader,
+	versionHeader,
 } from '../../protocol/request.js';
 import {copyHeaders} from './copy-headers.js';
 import {encodeHeaderText} from './encode-header-text.js';
@@ -67,6 +68,10 @@
 		headers[tenantHeader] = encodeHeaderText(attempt.tenant);
 	}
 
+	if (attempt.version !== undefined) {
+		headers[versionHeader] = encodeHeaderText(attempt.version);
+	}
+
 	if (attempt.fingerprint !== undefined) {
 		headers[fingerprintHeader] = attempt.fingerprint;
 	}
--- a/src/transport/_lib/gate-client.ts
+++ b/src/transport/_lib/gate-client.ts
@@ -12,6 +12,8 @@
 /** Client of a gate, either in this process or on another host. */
 export type GateClient = {
 	readonly host: Candidate;
+	/** Software version of the upstream that must run the attempts; undefined when any may. */
+	readonly version?: string | undefined;
 	/** Whether the gate is in this process, in which case no message can be lost. */
 	readonly isLocal: boolean;
 	readStamp(): GateStamp | undefined;
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -221,19 +221,29 @@
 /**
  * Finds the least loaded upstream of a service.
  *
- * @param upstreams - all upstreams of the host
+ * Among upstreams of several versions, an attempt without a version goes to the
+ * version that was announced first: its sender does not know of the others yet,
+ * and they may only get requests by order.
+ *
+ * @param upstreams - all upstreams of the host, in the order of their first announcement
  * @param service - full name of the service
+ * @param version - software version; any when absent
  * @returns the upstream, preferably a ready one, and the state of the service on the host
  */
 export function findLocalUpstream(
 	upstreams: Iterable<LocalUpstream>,
 	service: string,
+	version?: string,
 ): FoundUpstream {
+	let wanted = version;
 	let found: LocalUpstream | undefined;
 	let leaving: LocalUpstream | undefined;
 	for (const upstream of upstreams) {
 		const {announcement} = upstream;
-		if (formatService(announcement) !== service) {
+		if (
+			formatService(announcement) !== service ||
+			(wanted !== undefined && announcement.version !== wanted)
+		) {
 			continue;
 		}
 
@@ -241,6 +251,7 @@
 			leaving = upstream;
 		} else if (!found || upstream.inFlight < found.inFlight) {
 			found = upstream;
+			wanted ??= announcement.version;
 		}
 	}
 
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -23,6 +23,7 @@
 	teamHeader,
 	tenantHeader,
 	traceparentHeader,
+	versionHeader,
 } from '../../protocol/request.js';
 import {decodeHeaderText} from './decode-header-text.js';
 import {parseNotice} from './parse-notice.js';
@@ -97,6 +98,7 @@
 		route: readText(headers[routeHeader]),
 		origin: readText(headers[originHeader]),
 		tenant: readText(headers[tenantHeader]),
+		version: readText(headers[versionHeader]),
 		fingerprint: headers[fingerprintHeader]?.toString(),
 		priority: readNumber(headers[priorityHeader], priorityRange),
 		routeObjectiveMs: readNumber(
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -31,6 +31,7 @@
 	| 'remainingMs'
 	| 'expiresAt'
 	| 'objectiveMs'
+	| 'version'
 	| 'stamp'
 	| 'createdAtGateMs'
 	| 'notice'
@@ -222,6 +223,7 @@
 					0,
 					(parameters.objectiveAt ?? parameters.deadlineAt) - startedAt,
 				),
+				version: gate.version,
 				stamp,
 				createdAtGateMs: gate.readGateTime(startedAt),
 				notice: gate.readNotice(),
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -181,8 +181,8 @@
 
 	const suspects = createSuspectTracker({
 		quarantine: options.quarantine,
-		findUpstream: ({service}) =>
-			findLocalUpstream(upstreams.values(), service).upstream,
+		findUpstream: ({service, version}) =>
+			findLocalUpstream(upstreams.values(), service, version).upstream,
 		now,
 	});
 
@@ -399,10 +399,14 @@
 	}
 
 	/** Finds the upstream for an attempt; returns a refusal when none is available. */
-	function findUpstream({service}: Attempt): LocalUpstream | AttemptResult {
+	function findUpstream({
+		service,
+		version,
+	}: Attempt): LocalUpstream | AttemptResult {
 		const {upstream, state: found} = findLocalUpstream(
 			upstreams.values(),
 			service,
+			version,
 		);
 		const state = isDraining ? 'leaving' : found;
 		if (state === 'ready' && upstream) {
