--- a/fakes/object-store.ts
+++ b/fakes/object-store.ts
@@ -9,6 +9,8 @@
 	readonly key: string;
 	readonly version: number;
 	readonly value: unknown;
+	/** Written apart from the value; a write of the value keeps it. */
+	readonly status?: unknown;
 };
 
 /**
@@ -54,13 +56,18 @@
 	/**
 	 * Writes a value if the present version is `expected`, where 0 means absent.
 	 */
-	write(key: string, expected: number, value: unknown): WriteOutcome {
+	write(
+		key: string,
+		expected: number,
+		value: unknown,
+		status: unknown = this.get(key)?.status,
+	): WriteOutcome {
 		const version = this.get(key)?.version ?? 0;
 		if (version !== expected) {
 			return {done: false, version};
 		}
 
-		const change = this.#makeChange(key, value);
+		const change = this.#makeChange(key, value, status);
 		if (version === 0) {
 			this.#sortedKeys = undefined;
 		}
@@ -149,9 +156,9 @@
 		}
 	}
 
-	#makeChange(key: string, value: unknown): StoredObject {
+	#makeChange(key: string, value: unknown, status?: unknown): StoredObject {
 		this.#revision++;
-		return {key, version: this.#revision, value};
+		return {key, version: this.#revision, value, status};
 	}
 
 	#publish(change: StoredObject): void {
--- a/fakes/platform-requests.ts
+++ b/fakes/platform-requests.ts
@@ -17,6 +17,7 @@
 	  }
 	| {readonly kind: 'create'; readonly prefix: string}
 	| {readonly kind: 'replace'; readonly key: string}
+	| {readonly kind: 'status'; readonly key: string}
 	| {
 			readonly kind: 'delete';
 			readonly key: string;
@@ -37,10 +38,12 @@
 		name: z.string().min(1).optional(),
 		revision: z.int().min(0).optional(),
 	}),
-	spec: z.unknown(),
+	spec: z.unknown().optional(),
+	status: z.unknown().optional(),
 });
 
-const pathPattern = /^\/objects\/(?<kind>[^\/]+)(?:\/(?<name>[^\/]+))?$/v;
+const pathPattern =
+	/^\/objects\/(?<kind>[^\/]+)(?:\/(?<name>[^\/]+)(?<status>\/status)?)?$/v;
 
 /**
  * Finds what a data call counts as.
@@ -61,6 +64,7 @@
 
 		case 'create':
 		case 'replace':
+		case 'status':
 		case 'delete': {
 			return 'writes';
 		}
@@ -86,8 +90,11 @@
 	method: string | undefined,
 	url: URL,
 ): DataCall | undefined {
-	const {kind: kindPart, name: namePart} =
-		pathPattern.exec(url.pathname)?.groups ?? {};
+	const {
+		kind: kindPart,
+		name: namePart,
+		status,
+	} = pathPattern.exec(url.pathname)?.groups ?? {};
 	const kind = decodePart(kindPart);
 	const name = decodePart(namePart);
 	if (kind === undefined || (namePart !== undefined && name === undefined)) {
@@ -95,6 +102,12 @@
 	}
 
 	const prefix = `${kind}/`;
+	if (status !== undefined) {
+		return method === 'PUT'
+			? {kind: 'status', key: `${prefix}${name}`}
+			: undefined;
+	}
+
 	return name === undefined
 		? parseKindCall(method, prefix, url.searchParams)
 		: parseObjectCall(method, prefix + name, url.searchParams);
--- a/fakes/platform-stand-in.ts
+++ b/fakes/platform-stand-in.ts
@@ -124,7 +124,7 @@
 	};
 }
 
-function formatObject({key, version, value}: StoredObject): string {
+function formatObject({key, version, value, status}: StoredObject): string {
 	return isTextValue(value)
 		? value.sentAs(version)
 		: JSON.stringify({
@@ -135,7 +135,7 @@
 					deleting: false,
 				},
 				spec: value,
-				status: null,
+				status: status ?? null,
 			});
 }
 
@@ -276,6 +276,11 @@
 				break;
 			}
 
+			case 'status': {
+				this.#writeStatus(response, call.key, body);
+				break;
+			}
+
 			case 'delete': {
 				this.#remove(response, call);
 				break;
@@ -337,6 +342,28 @@
 		this.#answerWrite(response, key, this.#store.write(key, expected, spec));
 	}
 
+	#writeStatus(
+		response: ServerResponse,
+		key: string,
+		body: Uint8Array | undefined,
+	): void {
+		const written = body && writtenSchema.safeParse(parseJson(body)).data;
+		const known = this.#store.get(key);
+		if (!written?.status) {
+			this.#send(response, 400, {error: 'bad-status'});
+		} else if (known) {
+			const expected = written.metadata.revision ?? known.version;
+			const {value} = known;
+			this.#answerWrite(
+				response,
+				key,
+				this.#store.write(key, expected, value, written.status),
+			);
+		} else {
+			this.#send(response, 404, {error: 'not-found'});
+		}
+	}
+
 	#remove(
 		response: ServerResponse,
 		{key, revision}: DataCall & {readonly kind: 'delete'},
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -8,6 +8,8 @@
 	/** 0 if the platform sent none that can be used; such an object can only be written unconditionally. */
 	readonly version: number;
 	readonly value: unknown;
+	/** Status that is written apart from the value; absent when there is none. */
+	readonly status?: unknown;
 };
 
 /** Outcome of a read. */
