Lead and apply roll-outs on every node

Orders for roll-outs were not acted on. A task on each node now tells the versions of a service apart, applies the leader's directives in host selection, counts responses at the gate and reports them to the leader, which steps the orders and writes their status. Nothing runs unless the settings bound roll-outs, and a service of one version costs one look-up per request.

--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -38,6 +38,8 @@
 	inFlight: 'boragehitch_requests_in_flight',
 	rateLimit: 'boragehitch_upstream_rate_limit',
 	quarantined: 'boragehitch_quarantined_requests',
+	rolloutShare: 'boragehitch_rollout_share',
+	rolloutResponses: 'boragehitch_rollout_responses',
 	memory: 'boragehitch_memory_bytes',
 	processorSeconds: 'boragehitch_processor_seconds_total',
 	eventLoopSeconds: 'boragehitch_event_loop_seconds_total',
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -33,12 +33,14 @@
 	upstreamTombstoneMs,
 	referenceLinkMbps,
 } from '../../protocol/constants.js';
+import {pickTargetHosts} from '../../coordination/rollouts/pick-target-hosts.js';
 import type {Candidate, MembersView} from '../../protocol/member.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
 import type {Forwarder} from '../create-forwarder.js';
 import type {Logger} from '../create-logger.js';
 import type {GateTask} from '../start-gate-task.js';
+import type {VersionPicker} from '../version-picker.js';
 import {computeMedian} from './compute-median.js';
 import type {GateClient} from './gate-client.js';
 import type {AttemptEnd} from './run-request.js';
@@ -55,6 +57,8 @@
 	/** Monotonic ms. */
 	readonly now: () => number;
 	readonly random: () => number;
+	/** Picks the software versions of requests; without it, every upstream may get them. */
+	readonly rollouts?: VersionPicker | undefined;
 	/** Computes the retry budget options of this node from the number of all nodes. */
 	readonly computeRetryBudget?: (members: number) => RetryBudgetOptions;
 };
@@ -104,6 +108,13 @@
 	spendRetryBudget(team: string, service: string): void;
 };
 
+/** Hosts that a request may go to, and the version that must run it there. */
+type HostChoice = {
+	readonly hosts: readonly Candidate[];
+	/** Undefined when any version may. */
+	readonly version: string | undefined;
+};
+
 type AttemptEndedMessage = HostMessage & {readonly kind: 'ended'};
 
 type CachedStamp = {
@@ -167,6 +178,8 @@
 		{readonly ms: number; readonly at: number}
 	>();
 	let candidates: MembersView['candidates'] = new Map();
+	/** Hosts of a version, as long as the candidates stay the same. */
+	const versionHosts = new Map<string, readonly Candidate[]>();
 	let budgetOptions = options.computeRetryBudget?.(1);
 
 	function readServiceLatency(service: string): number {
@@ -238,9 +251,63 @@
 		}
 	}
 
-	function createLocalClient(host: Candidate): GateClient {
+	function listVersionHosts(
+		service: string,
+		version: string,
+		count: number | undefined,
+	): readonly Candidate[] {
+		const key = JSON.stringify([service, version, count]);
+		const known = versionHosts.get(key);
+		if (known) {
+			return known;
+		}
+
+		const hosts = pickTargetHosts(
+			(candidates.get(service) ?? []).filter(({versions}) =>
+				versions?.includes(version),
+			),
+			count,
+		);
+		versionHosts.set(key, hosts);
+		return hosts;
+	}
+
+	/** Chooses the hosts of an attempt by the versions that its service has. */
+	function chooseHosts(
+		service: string,
+		criteria: HostCriteria,
+		isRetry: boolean,
+	): HostChoice {
+		const choice = options.rollouts?.pick(service, isRetry);
+		if (!choice) {
+			return {hosts: candidates.get(service) ?? [], version: undefined};
+		}
+
+		const {versions, limited, mayFallBack} = choice;
+		let first: HostChoice | undefined;
+		for (const version of versions) {
+			const count = limited?.version === version ? limited.hosts : undefined;
+			const hosts = listVersionHosts(service, version, count);
+			if (hosts.length === 0) {
+				continue;
+			}
+
+			first ??= {hosts, version};
+			if (!mayFallBack || !findFullReason(hosts, criteria)) {
+				return {hosts, version};
+			}
+		}
+
+		return first ?? {hosts: [], version: undefined};
+	}
+
+	function createLocalClient(
+		host: Candidate,
+		version: string | undefined,
+	): GateClient {
 		return {
 			host,
+			version,
 			isLocal: true,
 			readStamp: gate.readStamp,
 			readGateTime: (at) => at,
@@ -254,10 +321,15 @@
 		};
 	}
 
-	function createRemoteClient(host: Candidate, service: string): GateClient {
+	function createRemoteClient(
+		host: Candidate,
+		service: string,
+		version: string | undefined,
+	): GateClient {
 		const {address} = host;
 		return {
 			host,
+			version,
 			isLocal: false,
 			readStamp: () => stamps.get(address)?.stamp,
 			readGateTime(at) {
@@ -293,12 +365,11 @@
 	}
 
 	function pickCandidate(
-		service: string,
+		hosts: readonly Candidate[],
 		key: string | undefined,
 		tried: ReadonlySet<string>,
 		criteria: HostCriteria,
 	): Candidate | undefined {
-		const hosts = candidates.get(service) ?? [];
 		if (key !== undefined) {
 			return pickKeyHost(hosts, key);
 		}
@@ -321,12 +392,12 @@
 	 * delays the request beyond its objective.
 	 */
 	function findFullReason(
-		service: string,
+		hosts: readonly Candidate[],
 		{admissionClass, objectiveMs = Number.POSITIVE_INFINITY}: HostCriteria,
 	): 'saturated' | 'limited' | undefined {
 		const at = now();
 		let reason: 'saturated' | 'limited' | undefined;
-		for (const {host} of candidates.get(service) ?? []) {
+		for (const {host} of hosts) {
 			const record = records.get(host);
 			if (isUnreachable(record, at)) {
 				continue;
@@ -363,6 +434,7 @@
 	return {
 		updateMembers(view) {
 			candidates = view.candidates;
+			versionHosts.clear();
 			budgetOptions = options.computeRetryBudget?.(view.members.length);
 			const known = new Set(view.members.map((member) => member.name));
 			const addresses = new Set(view.members.map((member) => member.address));
@@ -387,44 +459,55 @@
 		select(service, key, criteria = {}) {
 			const tried = new Set<string>();
 			let preselected: Candidate | undefined;
+			let choice = chooseHosts(service, criteria, false);
+
+			/** Chooses again for a retry, which goes to the old version where it can. */
+			function readHosts(): readonly Candidate[] {
+				if (tried.size > 0) {
+					choice = chooseHosts(service, criteria, true);
+				}
+
+				return choice.hosts;
+			}
+
 			return {
-				findFullReason: () => findFullReason(service, criteria),
+				findFullReason: () => findFullReason(readHosts(), criteria),
 				pickGate() {
-					const fullReason = findFullReason(service, criteria);
+					const hosts = readHosts();
+					const fullReason = findFullReason(hosts, criteria);
 					if (fullReason) {
 						return fullReason;
 					}
 
 					const host =
-						preselected ?? pickCandidate(service, key, tried, criteria);
+						preselected ?? pickCandidate(hosts, key, tried, criteria);
 					preselected = undefined;
 					if (!host) {
 						return 'pending';
 					}
 
 					tried.add(host.host);
+					const {version} = choice;
 					const isRemote = host.host !== name;
 					updateHostRecord(host.host, service, {kind: 'sent', isRemote});
 					return isRemote
-						? createRemoteClient(host, service)
-						: createLocalClient(host);
+						? createRemoteClient(host, service, version)
+						: createLocalClient(host, version);
 				},
 				hasAvailableHost() {
-					const hosts = candidates.get(service) ?? [];
-					return hosts.some(
+					return readHosts().some(
 						({host}) =>
 							!tried.has(host) &&
 							isAvailable(records.get(host), criteria.admissionClass, now()),
 					);
 				},
 				hasUntriedHost() {
-					const hosts = candidates.get(service) ?? [];
-					return hosts.some(({host}) => !tried.has(host));
+					return readHosts().some(({host}) => !tried.has(host));
 				},
 				readRateLimitWait() {
 					const at = now();
 					let waitMs: number | undefined;
-					for (const {host} of candidates.get(service) ?? []) {
+					for (const {host} of readHosts()) {
 						const record = records.get(host);
 						if (!isUnreachable(record, at)) {
 							const hostWaitMs = computeHostRateLimitWait(record, at);
@@ -435,7 +518,7 @@
 					return waitMs ?? 0;
 				},
 				async refreshStamp() {
-					preselected = pickCandidate(service, key, tried, criteria);
+					preselected = pickCandidate(readHosts(), key, tried, criteria);
 					if (preselected && preselected.host !== name) {
 						await refreshStamp(preselected.address);
 					}
@@ -448,6 +531,13 @@
 			admissionClass,
 		) {
 			const {host, address} = client.host;
+			const outcome = classifyResult(result);
+			if (client.version !== undefined) {
+				const {service} = attempt;
+				const isFailed = outcome === 'failed';
+				options.rollouts?.recordAttempt(service, client.version, isFailed);
+			}
+
 			if (result.kind !== 'lost' && result.stamp) {
 				recordStamp(address, result.stamp, endedAt);
 			}
@@ -462,7 +552,7 @@
 				!isFromHost && isUnreachable(records.get(host), endedAt);
 			updateHostRecord(host, attempt.service, {
 				kind: 'ended',
-				outcome: isUnresponsive ? 'unreachable' : classifyResult(result),
+				outcome: isUnresponsive ? 'unreachable' : outcome,
 				isFromHost,
 				latencyMs: endedAt - startedAt,
 				route: attempt.route,
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -13,6 +13,19 @@
 			rateLimit: 12.6,
 			quarantined: 2,
 			lagMs: 7,
+			rollouts: [
+				{service: 'pricebook', target: 'v2', state: 'active', share: 0.04},
+			],
+			versionCounts: [
+				{
+					service: 'pricebook',
+					version: 'v2',
+					route: 'prices',
+					responses: 5,
+					failures: 2,
+					times: [],
+				},
+			],
 		}),
 		takeBytes: () => [{purpose: 'document', sent: 400, received: 7}],
 	});
@@ -86,6 +99,14 @@
 		text,
 		/boragehitch_refusals_total\{place="gate",route="none",reason="saturated",returned="unknown",slot="free"\} 1/v,
 	);
+	assert.match(
+		text,
+		/boragehitch_rollout_share\{service="pricebook",version="v2",state="active"\} 0.04/v,
+	);
+	assert.match(
+		text,
+		/boragehitch_rollout_responses\{service="pricebook",version="v2",route="prices",result="failed"\} 2/v,
+	);
 	assert.match(text, /boragehitch_event_loop_lag_ms 7/v);
 	assert.match(
 		text,
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -3,6 +3,7 @@
 import {msPerSecond} from '../protocol/constants.js';
 import type {RefusalEvent, RequestObserver} from '../protocol/observer.js';
 import {meshMetricNames} from '../protocol/metric-names.js';
+import type {RolloutGauge, VersionCount} from '../protocol/rollout.js';
 import type {ByteCount} from './_lib/create-byte-counter.js';
 import {createDurationHistogram} from './_lib/create-duration-histogram.js';
 import {createOutcomeCounter} from './_lib/create-outcome-counter.js';
@@ -25,6 +26,10 @@
 	readonly quarantined: number;
 	/** Event loop lag, ms. */
 	readonly lagMs: number;
+	/** Roll-outs that the node knows; none when absent. */
+	readonly rollouts?: readonly RolloutGauge[] | undefined;
+	/** Responses of upstreams on the host during roll-outs; none when absent. */
+	readonly versionCounts?: readonly VersionCount[] | undefined;
 };
 
 /** Options of `createMeshMetrics`. */
@@ -179,6 +184,18 @@
 		help: 'Requests that are not sent because they crash their upstreams',
 		registers,
 	});
+	const rolloutShare = new Gauge({
+		name: meshMetricNames.rolloutShare,
+		help: 'Share of the requests that go to the target version of a roll-out',
+		labelNames: ['service', 'version', 'state'],
+		registers,
+	});
+	const rolloutResponses = new Gauge({
+		name: meshMetricNames.rolloutResponses,
+		help: 'Responses of upstreams on the host during the current roll-outs',
+		labelNames: ['service', 'version', 'route', 'result'],
+		registers,
+	});
 	const memory = new Gauge({
 		name: meshMetricNames.memory,
 		help: 'Resident memory, bytes',
@@ -230,6 +247,20 @@
 			inFlight.set(gauges.inFlight);
 			rateLimit.set(gauges.rateLimit);
 			quarantined.set(gauges.quarantined);
+			rolloutShare.reset();
+			for (const {service, target, state, share} of gauges.rollouts ?? []) {
+				rolloutShare.set({service, version: target, state}, share);
+			}
+
+			rolloutResponses.reset();
+			for (const count of gauges.versionCounts ?? []) {
+				const {service, version, route, failures} = count;
+				const labels = {service, version, route};
+				rolloutResponses.set({...labels, result: 'failed'}, failures);
+				const good = count.responses - failures;
+				rolloutResponses.set({...labels, result: 'good'}, good);
+			}
+
 			memory.set(process.memoryUsage.rss());
 			eventLoopLag.set(gauges.lagMs);
 			updateProcessorUse();
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -15,6 +15,11 @@
 	type DocumentPoll,
 	type EncodedDocumentAnswer,
 } from '../protocol/routing-document.js';
+import {
+	rolloutReportSchema,
+	type RolloutAnswer,
+	type RolloutReport,
+} from '../protocol/rollout.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import {attemptQuerySchema, type AttemptQuery} from '../protocol/attempt.js';
@@ -43,6 +48,8 @@
 	handleCancel(question: AttemptQuery): void;
 	handleStamp(): GateStamp;
 	handleCrashes(exchange: CrashExchange): CrashExchangeAnswer;
+	/** Handles reports to the leader of roll-outs; absent on nodes without roll-outs. */
+	handleRollout?(report: RolloutReport): RolloutAnswer;
 	/** Handles polls for routing documents; absent on nodes without documents. */
 	handleDocument?(
 		poll: DocumentPoll,
@@ -80,6 +87,15 @@
 		crashes: t.procedure
 			.input(crashExchangeSchema)
 			.mutation(({input}) => handlers.handleCrashes(input)),
+		rollout: t.procedure
+			.input(rolloutReportSchema)
+			.mutation(({input}): RolloutAnswer => {
+				if (!handlers.handleRollout) {
+					throw new TRPCError({code: 'NOT_IMPLEMENTED'});
+				}
+
+				return handlers.handleRollout(input);
+			}),
 		ask: t.procedure
 			.input(attemptQuerySchema)
 			.mutation(({input}) => handlers.handleAsk(input)),
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -72,6 +72,7 @@
 import {defaultEdge} from './default-edge.js';
 import type {GateTask} from './start-gate-task.js';
 import type {RequestQuarantine} from './start-quarantine-task.js';
+import type {VersionPicker} from './version-picker.js';
 
 /** Options of `startCallerTask`. */
 export type CallerTaskOptions = {
@@ -98,6 +99,8 @@
 	readonly quarantine?: Pick<RequestQuarantine, 'hasRecords' | 'readSuspicion'>;
 	/** Returns the service on the local host, on whose behalf callers send requests. */
 	readonly readOrigin?: () => string | undefined;
+	/** Picks the software versions of requests; without it, every upstream may get them. */
+	readonly rollouts?: VersionPicker | undefined;
 	/** Computes the retry budget of this node from the number of all nodes. */
 	readonly computeRetryBudget?: (members: number) => RetryBudgetOptions;
 	/** Monotonic time, ms; default `performance.now`. */
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -65,6 +65,7 @@
 	type LocalWait,
 } from './_lib/local-upstream.js';
 import {raceResult} from './_lib/race-result.js';
+import {reportJobEnd, type JobEndListener} from './_lib/report-job-end.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
 import type {Logger} from './create-logger.js';
 import {defaultEdge} from './default-edge.js';
@@ -86,6 +87,8 @@
 	readonly edge?: Edge;
 	/** Called when an upstream is found to be leaving by other means than its announcement. */
 	readonly onLeaving?: (id: string, announcement: Announcement) => void;
+	/** Counts the responses of upstreams that announce a version. */
+	readonly onJobEnd?: JobEndListener | undefined;
 	/** Keeps what is known about requests that crash their upstreams; without it, none is suspected. */
 	readonly quarantine?: RequestQuarantine;
 	/** Random identifier of the process; default a new UUID. */
@@ -296,6 +299,10 @@
 		},
 		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
+			if (options.onJobEnd) {
+				reportJobEnd(options.onJobEnd, {job, end, result, now: now()});
+			}
+
 			if (end === 'answered' && result.kind === 'answered') {
 				suspects.recordCompletion(job);
 				lostRequestDetector.recordAnswer(job);
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -36,14 +36,16 @@
 import {startGateTask} from './start-gate-task.js';
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
+import type {RolloutStore} from './rollout-store.js';
 import {startQuarantineTask} from './start-quarantine-task.js';
+import {startRolloutTask} from './start-rollout-task.js';
 
 /** Adapter of a platform: what a node needs of it. */
 export type MeshPlatform = {
 	/** Creates the client of the platform's store. */
 	readonly createStore: (
 		onSocket: (socket: Socket) => void,
-	) => PlatformClient & DocumentStore;
+	) => PlatformClient & DocumentStore & {readonly rollouts?: RolloutStore};
 	readonly edge: Edge;
 	/** Probes an upstream for its identity; undefined when it does not respond or is not healthy. */
 	readonly probeUpstream: (
@@ -120,6 +122,8 @@
 			rateLimit: gate.readRateLimit() ?? -1,
 			quarantined: quarantine.readQuarantined(),
 			lagMs: lagMeter.read(),
+			rollouts: rollouts?.listGauges(),
+			versionCounts: rollouts?.listCounts(),
 		}),
 		takeBytes: byteCounter.take,
 	});
@@ -160,7 +164,19 @@
 	}
 
 	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
+	const incarnation = Date.now();
+	const rollouts =
+		initialSettings.rollout && store.rollouts
+			? startRolloutTask({
+					name,
+					incarnation,
+					store: store.rollouts,
+					peers,
+					logger,
+				})
+			: undefined;
 	const gate = startGateTask({
+		onJobEnd: rollouts,
 		logger,
 		quarantine,
 		edge,
@@ -193,6 +209,7 @@
 		gate,
 		forwarder,
 		quarantine,
+		rollouts,
 		logger,
 		edge,
 		observer,
@@ -240,6 +257,7 @@
 			handleDocument: document.handlePoll,
 			handleExchange: (exchange) => members.handleExchange(exchange),
 			handleCrashes: quarantine.handleExchange,
+			...(rollouts && {handleRollout: rollouts.handleReport}),
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -250,7 +268,7 @@
 			name,
 			dataCentre,
 			address: initialSettings.peers,
-			incarnation: Date.now(),
+			incarnation,
 			sequence: 0,
 			state: 'alive',
 			upstreams: [],
@@ -266,6 +284,8 @@
 			maxMissedAnnouncements * initialSettings.announceIntervalMs,
 		),
 		onView(view) {
+			// Before the caller knows of new upstreams, their versions must be told apart.
+			rollouts?.updateMembers(view);
 			caller.updateMembers(view);
 			quarantine.updateMembers(view);
 			document.updateMembers(view);
@@ -399,6 +419,7 @@
 			document.stop();
 			members.stop();
 			quarantine.stop();
+			rollouts?.stop();
 			await Promise.race([
 				Promise.all([
 					caller.stop(),
