Check roll-outs under random faults of leader, links and store

Tests covered one fault at a time. A property now runs a fleet on simulated time through random faults and checks that each order ends rightly and once.

--- a/src/transport/start-rollout-task.test.ts
+++ b/src/transport/start-rollout-task.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import test, {type TestContext} from 'node:test';
+import fc from 'fast-check';
 import {createSampleMember} from '../../harness/create-sample-member.js';
 import {createSilentLogger} from '../../harness/create-silent-logger.js';
 import {computeCandidates} from '../coordination/compute-candidates.js';
@@ -111,6 +112,7 @@
 	t: TestContext,
 	initial: readonly StoredRollout[] = [newOrder],
 ) {
+	t.mock.timers.reset();
 	t.mock.timers.enable({apis: ['setTimeout', 'setInterval']});
 	const memory = createStore(t, initial);
 	const tasks = new Map<string, RolloutTask>();
@@ -294,3 +296,77 @@
 	const [gauge] = tasks.get('node-1')!.listGauges();
 	assert.equal(gauge?.target, 'v2');
 });
+
+/** Counts responses as gates of a version would. */
+function feed(
+	{tasks, members}: Awaited<ReturnType<typeof startFleet>>,
+	isBad: boolean,
+): void {
+	for (const {name, upstreams} of members) {
+		const {version = ''} = upstreams[0]!;
+		for (let count = 0; count < 6; count++) {
+			tasks.get(name)!.recordResponse({
+				service: 'profiles',
+				route: 'browse',
+				version,
+				durationMs: 90,
+				isFailed: isBad && version === 'v2' && count % 2 === 0,
+			});
+		}
+	}
+}
+
+test('whatever fails for a while, an order ends rightly and once', async (t) => {
+	const fault = fc.record({
+		at: fc.integer({min: 2, max: 34}),
+		kind: fc.constantFrom('leader', 'follower', 'store', 'answers'),
+		steps: fc.integer({min: 1, max: 8}),
+	});
+	await fc.assert(
+		fc.asyncProperty(
+			fc.boolean(),
+			fc.array(fault, {maxLength: 4}),
+			async (isBad, faults) => {
+				const fleet = await startFleet(t);
+				const {members, update, cut, state, tasks} = fleet;
+				const [first, ...others] = members;
+				const seen = new Set<string | undefined>();
+				update(members);
+				for (let step = 0; step < 58; step++) {
+					const active = faults.filter(
+						({at, steps}) => step >= at && step < at + steps,
+					);
+					const has = (kind: string): boolean =>
+						active.some((other) => other.kind === kind);
+					state.isDown = has('store');
+					state.losesAnswers = has('answers');
+					cut.clear();
+					if (has('follower')) {
+						cut.add('node-2');
+					}
+
+					if (has('leader')) {
+						cut.add(first!.name);
+						update(others);
+					} else {
+						update(members);
+					}
+
+					feed(fleet, isBad);
+					await fleet.advance(500);
+					seen.add(fleet.readStatus());
+				}
+
+				const expected = isBad ? 'rolled-back' : 'completed';
+				assert.equal(fleet.readStatus(), expected);
+				assert.ok(!seen.has(isBad ? 'completed' : 'rolled-back'));
+				for (const task of tasks.values()) {
+					const versions = task.pick('profiles', false)?.versions;
+					assert.deepEqual(versions, [isBad ? 'v1' : 'v2']);
+					task.stop();
+				}
+			},
+		),
+		{seed: 4, numRuns: 40},
+	);
+});
