Test that a leader that starts again keeps the deadline of an order

A restarted leader knows no directive and would count the deadline anew, unless the reports of the others tell it. The test fails without the directives in the reports.

--- a/harness/simulate-rollout.ts
+++ b/harness/simulate-rollout.ts
@@ -141,8 +141,8 @@
 	let failures = 0;
 	let total = 0;
 	let endedAt = Number.POSITIVE_INFINITY;
-	for (let step = 0; step * stepMs < durationMs; step++) {
-		const now = step * stepMs;
+	/** Runs the requests of a step. */
+	function runArrivals(now: number): void {
 		const loads = new Map<string, number>();
 		const arrivals = (rate * stepMs) / 1000;
 		total += arrivals;
@@ -167,7 +167,11 @@
 			exposed += isTarget && endedAt > now ? 1 : 0;
 			failures += isTarget && isBad ? 1 : 0;
 		}
+	}
 
+	for (let step = 0; step * stepMs < durationMs; step++) {
+		const now = step * stepMs;
+		runArrivals(now);
 		if (step % reportEvery === 0) {
 			reported = groupByHost(own);
 			applied = progress.directive;
--- a/src/transport/start-rollout-task.test.ts
+++ b/src/transport/start-rollout-task.test.ts
@@ -120,10 +120,12 @@
 	let at = 0;
 	const now = (): number => at;
 	const members = createMembers(['v1', 'v1', 'v2', 'v2']);
-	for (const {name} of members) {
+
+	/** Starts the task of a node, again with a later incarnation. */
+	function start(name: string, incarnation = 1): void {
 		const task = startRolloutTask({
 			name,
-			incarnation: 1,
+			incarnation,
 			store: memory.store,
 			logger: createSilentLogger(),
 			now,
@@ -151,6 +153,10 @@
 		});
 	}
 
+	for (const {name} of members) {
+		start(name);
+	}
+
 	function update(known: readonly Member[]): void {
 		for (const self of known) {
 			tasks.get(self.name)!.updateMembers(createView(known, self));
@@ -171,7 +177,7 @@
 	update(old);
 	// A leader listens for a second before it begins with an order.
 	await advance(1050);
-	return {...memory, tasks, cut, members, old, update, advance};
+	return {...memory, tasks, start, cut, members, old, update, advance};
 }
 
 function readPreferred(task: RolloutTask, isRetry = false): string | undefined {
@@ -250,6 +256,18 @@
 	assert.equal(readStatus(), 'completed');
 });
 
+test('a leader that starts again continues an order with its deadline', async (t) => {
+	const {tasks, start, update, members, advance, readStatus} =
+		await startFleet(t);
+	update(members);
+	await advance(12_000);
+	tasks.get('node-0')!.stop();
+	start('node-0', 2);
+	update(members);
+	await advance(15_000);
+	assert.equal(readStatus(), 'completed');
+});
+
 test('a node that is cut off sends nothing to the target after 3 s, and does not repeat failures', async (t) => {
 	const {tasks, update, members, advance, cut} = await startFleet(t);
 	update(members);
