--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -41,6 +41,8 @@
 	rateLimit: 'boragehitch_upstream_rate_limit',
 	quarantined: 'boragehitch_quarantined_requests',
 	quotaTokens: 'boragehitch_quota_tokens_total',
+	rolloutShare: 'boragehitch_rollout_share',
+	rolloutResponses: 'boragehitch_rollout_responses',
 	memory: 'boragehitch_memory_bytes',
 	processorSeconds: 'boragehitch_processor_seconds_total',
 	eventLoopSeconds: 'boragehitch_event_loop_seconds_total',
--- a/src/transport/create-peer-router.ts
+++ b/src/transport/create-peer-router.ts
@@ -20,6 +20,11 @@
 	type DocumentPoll,
 	type EncodedDocumentAnswer,
 } from '../protocol/routing-document.js';
+import {
+	rolloutReportSchema,
+	type RolloutAnswer,
+	type RolloutReport,
+} from '../protocol/rollout.js';
 import type {GateStamp} from '../protocol/stamp.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
 import {attemptQuerySchema, type AttemptQuery} from '../protocol/attempt.js';
@@ -50,6 +55,8 @@
 	handleCrashes(exchange: CrashExchange): CrashExchangeAnswer;
 	/** Handles asks for tokens of tenants; absent on nodes without quotas. */
 	handleQuota?(asks: EncodedQuotaAsks): EncodedQuotaGrants;
+	/** Handles reports to the leader of roll-outs; absent on nodes without roll-outs. */
+	handleRollout?(report: RolloutReport): RolloutAnswer;
 	/** Handles polls for routing documents; absent on nodes without documents. */
 	handleDocument?(
 		poll: DocumentPoll,
@@ -96,6 +103,15 @@
 
 				return handlers.handleQuota(input);
 			}),
+		rollout: t.procedure
+			.input(rolloutReportSchema)
+			.mutation(({input}): RolloutAnswer => {
+				if (!handlers.handleRollout) {
+					throw new TRPCError({code: 'NOT_IMPLEMENTED'});
+				}
+
+				return handlers.handleRollout(input);
+			}),
 		ask: t.procedure
 			.input(attemptQuerySchema)
 			.mutation(({input}) => handlers.handleAsk(input)),
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -73,6 +73,7 @@
 import type {GateTask} from './start-gate-task.js';
 import type {QuotaTask} from './start-quota-task.js';
 import type {RequestQuarantine} from './start-quarantine-task.js';
+import type {VersionPicker} from './version-picker.js';
 
 /** Options of `startCallerTask`. */
 export type CallerTaskOptions = AccessCheckOptions & {
@@ -101,6 +102,8 @@
 	readonly quota?: Pick<QuotaTask, 'take' | 'giveBack'>;
 	/** Returns the service on the local host, on whose behalf callers send requests. */
 	readonly readOrigin?: () => string | undefined;
+	/** Picks the software versions of requests; without it, every upstream may get them. */
+	readonly rollouts?: VersionPicker | undefined;
 	/** Computes the retry budget of this node from the number of all nodes. */
 	readonly computeRetryBudget?: (members: number) => RetryBudgetOptions;
 	/** Monotonic time, ms; default `performance.now`. */
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -66,6 +66,7 @@
 	type LocalWait,
 } from './_lib/local-upstream.js';
 import {raceResult} from './_lib/race-result.js';
+import {reportJobEnd, type JobEndListener} from './_lib/report-job-end.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
 import type {Logger} from './create-logger.js';
 import {defaultEdge} from './default-edge.js';
@@ -87,6 +88,8 @@
 	readonly edge?: Edge;
 	/** Called when an upstream is found to be leaving by other means than its announcement. */
 	readonly onLeaving?: (id: string, announcement: Announcement) => void;
+	/** Counts the responses of upstreams that announce a version. */
+	readonly onJobEnd?: JobEndListener | undefined;
 	/** Keeps what is known about requests that crash their upstreams; without it, none is suspected. */
 	readonly quarantine?: RequestQuarantine;
 	/** Random identifier of the process; default a new UUID. */
@@ -182,8 +185,8 @@
 
 	const suspects = createSuspectTracker({
 		quarantine: options.quarantine,
-		findUpstream: ({service}) =>
-			findLocalUpstream(upstreams.values(), service).upstream,
+		findUpstream: ({service, version}) =>
+			findLocalUpstream(upstreams.values(), service, version).upstream,
 		now,
 	});
 
@@ -297,6 +300,10 @@
 		},
 		onEnd(job, end, result) {
 			crashDetector.recordEnd(job, end);
+			if (options.onJobEnd) {
+				reportJobEnd(options.onJobEnd, {job, end, result, now: now()});
+			}
+
 			if (end === 'answered' && result.kind === 'answered') {
 				suspects.recordCompletion(job);
 				lostRequestDetector.recordAnswer(job);
@@ -402,10 +409,14 @@
 	}
 
 	/** Finds the upstream for an attempt; returns a refusal when none is available. */
-	function findUpstream({service}: Attempt): LocalUpstream | AttemptResult {
+	function findUpstream({
+		service,
+		version,
+	}: Attempt): LocalUpstream | AttemptResult {
 		const {upstream, state: found} = findLocalUpstream(
 			upstreams.values(),
 			service,
+			version,
 		);
 		const state = isDraining ? 'leaving' : found;
 		if (state === 'ready' && upstream) {
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -37,15 +37,17 @@
 import {startGateTask} from './start-gate-task.js';
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
+import type {RolloutStore} from './rollout-store.js';
 import {startQuarantineTask} from './start-quarantine-task.js';
 import {startQuotaTask} from './start-quota-task.js';
+import {startRolloutTask} from './start-rollout-task.js';
 
 /** Adapter of a platform: what a node needs of it. */
 export type MeshPlatform = {
 	/** Creates the client of the platform's store. */
 	readonly createStore: (
 		onSocket: (socket: Socket) => void,
-	) => PlatformClient & DocumentStore;
+	) => PlatformClient & DocumentStore & {readonly rollouts?: RolloutStore};
 	readonly edge: Edge;
 	/** Probes an upstream for its identity; undefined when it does not respond or is not healthy. */
 	readonly probeUpstream: (
@@ -123,6 +125,8 @@
 			rateLimit: gate.readRateLimit() ?? -1,
 			quarantined: quarantine.readQuarantined(),
 			lagMs: lagMeter.read(),
+			rollouts: rollouts?.listGauges(),
+			versionCounts: rollouts?.listCounts(),
 		}),
 		readQuota: initialSettings.quota && (() => quota!.readCounts()),
 		takeBytes: byteCounter.take,
@@ -167,7 +171,19 @@
 	const quota =
 		initialSettings.quota &&
 		startQuotaTask({name, settings: initialSettings.quota, peers, logger});
+	const incarnation = Date.now();
+	const rollouts =
+		initialSettings.rollout && store.rollouts
+			? startRolloutTask({
+					name,
+					incarnation,
+					store: store.rollouts,
+					peers,
+					logger,
+				})
+			: undefined;
 	const gate = startGateTask({
+		onJobEnd: rollouts,
 		logger,
 		quarantine,
 		edge,
@@ -201,6 +217,7 @@
 		forwarder,
 		quarantine,
 		...(quota && {quota}),
+		rollouts,
 		logger,
 		edge,
 		observer,
@@ -256,6 +273,7 @@
 			handleExchange: (exchange) => members.handleExchange(exchange),
 			handleCrashes: quarantine.handleExchange,
 			...(quota && {handleQuota: quota.handleAsk}),
+			...(rollouts && {handleRollout: rollouts.handleReport}),
 			handleAsk: gate.ask,
 			handleCancel: gate.cancel,
 			handleStamp: gate.readStamp,
@@ -266,7 +284,7 @@
 			name,
 			dataCentre,
 			address: initialSettings.peers,
-			incarnation: Date.now(),
+			incarnation,
 			sequence: 0,
 			state: 'alive',
 			upstreams: [],
@@ -282,6 +300,8 @@
 			maxMissedAnnouncements * initialSettings.announceIntervalMs,
 		),
 		onView(view) {
+			// Before the caller knows of new upstreams, their versions must be told apart.
+			rollouts?.updateMembers(view);
 			caller.updateMembers(view);
 			quarantine.updateMembers(view);
 			quota?.updateMembers(view);
@@ -417,6 +437,7 @@
 			members.stop();
 			quarantine.stop();
 			quota?.stop();
+			rollouts?.stop();
 			await Promise.race([
 				Promise.all([
 					caller.stop(),
