--- a/src/transport/start-quota-task.test.ts
+++ b/src/transport/start-quota-task.test.ts
@@ -98,8 +98,8 @@
 				settle = resolve;
 			}),
 	);
-	task.take(tenant);
-	task.take(tenant);
+	assert.deepEqual(task.take(tenant), {kind: 'admit'});
+	assert.deepEqual(task.take(tenant), {kind: 'admit'});
 	const startedAt = performance.now();
 	const decision = await task.take(tenant);
 	assert.equal(decision.kind, 'refuse');
