Use part of the quotas' tolerance for the refill of the bucket

Half of the tolerance is now added to the refill; the burst gets a quarter instead of a half and own shares an eighth instead of a quarter.

--- a/src/coordination/quotas/compute-quota-bucket.ts
+++ b/src/coordination/quotas/compute-quota-bucket.ts
@@ -5,6 +5,8 @@
 export type QuotaBucket = {
 	/** Tokens that can be in the bucket and at nodes at a time. */
 	readonly capacity: number;
+	/** Tokens per second that are added. */
+	readonly refillRate: number;
 	/** Tokens of a home that has just taken over. */
 	readonly startTokens: number;
 	/** Own shares of all nodes together, requests per second. */
@@ -12,10 +14,13 @@
 };
 
 /** Part of the tolerance that extends the burst; with it, a small tenant can have a token at several nodes. */
-const capacityRatio = 0.5;
+const capacityRatio = 0.25;
+
+/** Part of the tolerance that is added in a window; makes up for tokens that expire, and for requests that come again after a refusal. */
+const refillRatio = 0.5;
 
 /** Part of the tolerance for own shares in a window; the rest is for changes of the home. */
-const ownShareRatio = 0.25;
+const ownShareRatio = 0.125;
 
 /** Part of the slack that a new home starts with. */
 const startRatio = 0.1;
@@ -27,7 +32,7 @@
  * @param limit - limit of the tenant
  * @returns the sizes
  * @example
- * computeQuotaBucket({ratePerSecond: 3, burst: 3, windowMs: 5000, overRatio: 0.1, slack: 20}).capacity; // 13.9
+ * computeQuotaBucket({ratePerSecond: 3, burst: 3, windowMs: 5000, overRatio: 0.1, slack: 20}).capacity; // 8.45
  */
 export function computeQuotaBucket(limit: QuotaLimit): QuotaBucket {
 	const {ratePerSecond, burst, windowMs, overRatio, slack} = limit;
@@ -35,6 +40,7 @@
 	const tolerance = overRatio * (ratePerSecond * windowSeconds + burst) + slack;
 	return {
 		capacity: Math.max(1, burst + capacityRatio * tolerance),
+		refillRate: ratePerSecond + (refillRatio * tolerance) / windowSeconds,
 		startTokens: startRatio * slack,
 		ownRate: Math.min(
 			ratePerSecond,
--- a/src/coordination/quotas/step-quota-home.ts
+++ b/src/coordination/quotas/step-quota-home.ts
@@ -41,9 +41,9 @@
 ): QuotaHome {
 	const {limit, share} = home;
 	const elapsedMs = Math.max(0, at - home.refilledAt);
-	const filled =
-		home.level + (limit.ratePerSecond * share * elapsedMs) / msPerSecond;
-	const room = computeQuotaBucket(limit).capacity * share - outstanding;
+	const {capacity, refillRate} = computeQuotaBucket(limit);
+	const filled = home.level + (refillRate * share * elapsedMs) / msPerSecond;
+	const room = capacity * share - outstanding;
 	return {
 		...home,
 		level: Math.min(filled, Math.max(0, room)),
@@ -84,7 +84,7 @@
 
 /** Computes how long a node waits that gets no more tokens, ms; longer when many ask. */
 function computeWaitMs(home: QuotaHome, now: number, random: number): number {
-	const rate = home.limit.ratePerSecond * home.share;
+	const rate = computeQuotaBucket(home.limit).refillRate * home.share;
 	const settleMs = Math.max(0, home.refilledAt - now);
 	const refillMs =
 		settleMs + (Math.max(0, 1 - home.level) * msPerSecond) / rate;
