Mend what a review of quotas, roll-outs and keys found

- A leader of roll-outs that another one had replaced for a while went on with directives that all others ignored, and completed the order; it now takes the order over again, and completes only while the target serves most requests.
- An unknown key gets 401 only with a fresh proof where proofs are required: the time of a confirmation counts neither suspensions nor transit.
- Names of nodes of more than 55 characters were refused by quota homes.

--- a/src/coordination/quotas/quota-state.ts
+++ b/src/coordination/quotas/quota-state.ts
@@ -22,7 +22,7 @@
 /** Token bucket of a tenant at its quota home; times are monotonic ms. */
 export type QuotaHome = {
 	readonly limit: QuotaLimit;
-	/** Tokens that can be granted, below 0 when more requests were charged; together with those outstanding never more than the capacity. */
+	/** Tokens that can be granted; together with those outstanding never more than the capacity. */
 	readonly level: number;
 	/** Time up to which the bucket is refilled; in the future while a predecessor may still grant. */
 	readonly refilledAt: number;
@@ -42,8 +42,6 @@
 			readonly want: number;
 			/** Unused tokens at the node; undefined when it does not tell. */
 			readonly held: number | undefined;
-			/** Requests that the node has admitted without a token; none when absent. */
-			readonly charged?: number | undefined;
 			/** Lifetime that the node gives to the tokens; `tokenLifetimeMs` when absent. */
 			readonly lifeMs?: number | undefined;
 	  }
@@ -75,10 +73,6 @@
 	readonly takenAt: number;
 	/** Number of requests that wait for a token. */
 	readonly waiting: number;
-	/** Requests that were admitted without a token and that the home has not charged yet. */
-	readonly charged: number;
-	/** How many of them the ask in progress states. */
-	readonly askedCharged: number;
 	/** When the ask in progress was sent; undefined when there is none. */
 	readonly askedAt: number | undefined;
 	/** Lifetime of the tokens of that ask, ms. */
@@ -122,12 +116,7 @@
 	readonly fromOwnShare: number;
 	/** An ask to be sent to the home. */
 	readonly ask?:
-		| {
-				readonly want: number;
-				readonly held: number;
-				readonly charged: number;
-				readonly lifeMs: number;
-		  }
+		| {readonly want: number; readonly held: number; readonly lifeMs: number}
 		| undefined;
 };
 
@@ -160,8 +149,6 @@
 	demand: 0,
 	takenAt: 0,
 	waiting: 0,
-	charged: 0,
-	askedCharged: 0,
 	askedAt: undefined,
 	lifeMs: tokenLifetimeMs,
 	refusedUntil: Number.NEGATIVE_INFINITY,
--- a/src/coordination/quotas/step-quota-account.ts
+++ b/src/coordination/quotas/step-quota-account.ts
@@ -18,9 +18,6 @@
 /** Demand from which a node keeps tokens in advance, requests per second; below, most of them would expire. */
 const minStockDemand = 1;
 
-/** Requests that a node may admit before its home has granted a token for them; they are charged with the next ask. */
-const maxCharged = 2;
-
 /** Time for which a home that did not answer is not asked again, ms. */
 const silenceMs = 250;
 
@@ -97,16 +94,15 @@
 	const {waiting, askedAt, refusedUntil, silentUntil} = account;
 	const held = countTokens(account);
 	const stock = computeStock(account, now);
-	const {charged} = account;
-	const needsTokens = waiting > 0 || charged > 0 || held < stock / 2;
+	const needsTokens = waiting > 0 || held < stock / 2;
 	const mayAsk =
 		askedAt === undefined && now >= refusedUntil && now >= silentUntil;
 	const lifeMs = stock > 0 ? tokenLifetimeMs : briefLifetimeMs;
 	return needsTokens && mayAsk
 		? {
 				...step,
-				account: {...account, askedAt: now, askedCharged: charged, lifeMs},
-				ask: {want: Math.max(0, waiting + stock - held), held, charged, lifeMs},
+				account: {...account, askedAt: now, lifeMs},
+				ask: {want: Math.max(1, waiting + stock - held), held, lifeMs},
 			}
 		: step;
 }
@@ -185,11 +181,10 @@
 ): QuotaAccountStep {
 	const lifeMs = waitMs > 0 ? briefLifetimeMs : account.lifeMs;
 	const expiresAt = (account.askedAt ?? now) + lifeMs;
-	const isExhausted = waitMs > 0;
+	const isExhausted = waitMs > 0 || tokens < 1;
 	const known: QuotaAccount = {
 		...account,
 		askedAt: undefined,
-		charged: account.charged - account.askedCharged,
 		ownShare: undefined,
 		silentUntil: Number.NEGATIVE_INFINITY,
 		refusedUntil: isExhausted
@@ -223,15 +218,6 @@
 		return refuseWaiting(admitWaiting(counted), counted.refusedUntil - now);
 	}
 
-	// Waiting for the home would cost each request of a small tenant a round trip over links that may be full.
-	const mayCharge =
-		counted.charged < maxCharged && now - counted.exhaustedAt >= exhaustionMs;
-	if (mayCharge) {
-		const {waiting, charged} = counted;
-		const admitted = {...counted, waiting: waiting - 1, charged: charged + 1};
-		return decideAsk({...admitWaiting(admitted), admitted: 1}, now);
-	}
-
 	return now < counted.silentUntil
 		? useOwnShare(counted, now, ownPerSecond)
 		: decideAsk(admitWaiting(counted), now);
--- a/src/coordination/quotas/step-quota-home.ts
+++ b/src/coordination/quotas/step-quota-home.ts
@@ -46,7 +46,7 @@
 	const room = capacity * share - outstanding;
 	return {
 		...home,
-		level: Math.min(filled, Math.max(0, room)),
+		level: Math.max(0, Math.min(filled, room)),
 		refilledAt: Math.max(home.refilledAt, at),
 	};
 }
@@ -105,23 +105,21 @@
 	const left = held === undefined ? known : Math.max(0, held);
 	const holders = new Map(home.holders);
 	holders.delete(from);
-	const {charged = 0} = message;
-	const level = home.level - Math.max(0, charged);
-	const part = (grantRatio * level) / (holders.size + 1);
+	const part = (grantRatio * home.level) / (holders.size + 1);
 	const tokens = Math.min(
 		Math.max(0, Math.ceil(want)),
 		Math.max(1, Math.floor(part)),
-		Math.max(0, Math.floor(level)),
+		Math.floor(home.level),
 	);
 	// Also when a node gets a small part; else each token of a hot tenant would be asked for on its own.
-	const isExhausted = tokens < want / 2 || level < 0;
+	const isExhausted = tokens < want / 2;
 	const grantedLifeMs = isExhausted ? briefLifetimeMs : lifeMs;
 	holders.set(from, {
 		tokens: left + tokens,
 		askedAt: now,
 		expiresAt: now + (left > 0 ? tokenLifetimeMs : grantedLifeMs),
 	});
-	const next = {...home, holders, level: level - tokens};
+	const next = {...home, holders, level: home.level - tokens};
 	return {
 		home: next,
 		grant: {tokens, waitMs: isExhausted ? computeWaitMs(next, now, random) : 0},
--- a/src/coordination/rollouts/decide-rollout.ts
+++ b/src/coordination/rollouts/decide-rollout.ts
@@ -62,6 +62,20 @@
 	return verdicts.find(({kind}) => kind === 'bad') ?? good;
 }
 
+/** Tells whether the target gets most of the requests of the shortest period; nodes that follow another leader may send it none. */
+function isServing({periods: [, recent = []]}: RolloutFacts): boolean {
+	let old = 0;
+	let served = 0;
+	for (const evidence of recent) {
+		old += evidence.old.responses;
+		for (const {responses} of evidence.target) {
+			served += responses;
+		}
+	}
+
+	return served >= old;
+}
+
 /**
  * Decides how an active roll-out goes on: a canary, then a ramp near the deadline,
  * unless the target is worse than the old version.
@@ -86,7 +100,7 @@
 
 	const stage = computeStage(elapsedMs, durationMs);
 	const isHeld = !isInformed || findBad(facts, holdSignificance).kind === 'bad';
-	if (stage.isDue && fullMs >= minFullMs && !isHeld) {
+	if (stage.isDue && fullMs >= minFullMs && !isHeld && isServing(facts)) {
 		return {kind: 'complete'};
 	}
 
--- a/src/protocol/quota.ts
+++ b/src/protocol/quota.ts
@@ -6,6 +6,9 @@
 /** Maximum number of tenants in one message. */
 export const maxQuotaAsks = 1024;
 
+/** Longest name of a member, a space and part of a random identifier. */
+const maxNodeIdLength = 80;
+
 const tenantNameSchema = z.string().max(256);
 
 /** Asks for tokens of one tenant. */
@@ -15,8 +18,6 @@
 	want: z.number().min(0),
 	/** Unused tokens at the node; absent when it does not tell. */
 	held: z.number().min(0).optional(),
-	/** Requests that the node has admitted without a token; none when absent. */
-	charged: z.number().min(0).max(64).optional(),
 	/** Lifetime that the node gives to the tokens, ms; absent for the longest. */
 	lifeMs: z.number().min(0).max(2000).optional(),
 });
@@ -32,7 +33,7 @@
 /** Asks as received; each is decoded on its own. */
 export const encodedQuotaAsksSchema = z.object({
 	/** Name of the asking node. */
-	from: z.string().max(64),
+	from: z.string().max(maxNodeIdLength),
 	asks: z.unknown().optional(),
 });
 
--- a/src/transport/_lib/create-access-check.ts
+++ b/src/transport/_lib/create-access-check.ts
@@ -46,12 +46,14 @@
 	const {readProofAge = () => 0} = options;
 	return ({headers, rawHeaders}, route, tenantsByKey) => {
 		Reflect.deleteProperty(headers, edge.keyHeader);
+		const proofAgeMs = readProofAge();
 		const decision = decideAccess({
 			isPublic: route.isPublic ?? false,
 			tenantsByKey,
 			key: edge.readKey(rawHeaders),
-			confirmedAgeMs: readConfirmedAge(),
-			proofAgeMs: readProofAge(),
+			// Unlike the time of a confirmation, a proof counts suspensions and transit.
+			confirmedAgeMs: Math.max(readConfirmedAge(), proofAgeMs),
+			proofAgeMs,
 			maxProofAgeMs,
 		});
 		switch (decision.kind) {
--- a/src/transport/_lib/create-quota-homes.ts
+++ b/src/transport/_lib/create-quota-homes.ts
@@ -139,8 +139,8 @@
 			return undefined;
 		}
 
-		const {want, held, charged, lifeMs} = ask;
-		const message = {kind: 'ask', from, want, held, charged, lifeMs} as const;
+		const {want, held, lifeMs} = ask;
+		const message = {kind: 'ask', from, want, held, lifeMs} as const;
 		const step = stepQuotaHome(home, message, now(), random());
 		homes.set(ask.tenant, step.home);
 		granted += step.grant.tokens;
--- a/src/transport/_lib/create-quota-node.ts
+++ b/src/transport/_lib/create-quota-node.ts
@@ -53,7 +53,7 @@
 
 const admission: QuotaDecision = {kind: 'admit'};
 
-/** Maximum time that a request waits for its quota home, ms. */
+/** Maximum time that a request waits for its quota home, ms; calls take up to that long over links that carry long responses. */
 const maxWaitMs = 250;
 
 const tickMs = 500;
--- a/src/transport/_lib/create-rollout-leader.ts
+++ b/src/transport/_lib/create-rollout-leader.ts
@@ -132,11 +132,18 @@
 		return {...order, revision: first.revision};
 	}
 
+	/** Tells whether another leader has taken an order over, so that nodes ignore the directives of this one. */
+	function isReplaced({service, order, sequence}: RolloutDirective): boolean {
+		const heard = options.readKnown(service);
+		return heard?.order === order && heard.sequence > sequence;
+	}
+
 	function stepOrder(order: StoredRollout): void {
 		const {service, target} = order;
 		const known = rollouts.get(service);
+		const isKnown = known && isDirectiveFor(known.directive, order);
 		const before =
-			known && isDirectiveFor(known.directive, order) ? known : begin(order);
+			isKnown && !isReplaced(known.directive) ? known : begin(order);
 		if (before.directive.state !== 'active') {
 			rollouts.set(service, before);
 			writer.write(order, before.directive.state);
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -185,6 +185,9 @@
 	isReturned: undefined,
 };
 
+/** Age of a request up to which its token is given back, ms. */
+const maxTokenAgeMs = 500;
+
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
 /** Computes the time for which a request may be kept waiting: until the client's deadline or the time-out of the route, ms. */
@@ -487,8 +490,8 @@
 			}
 		});
 		if (await hasClientDisconnected(request, lagMs)) {
-			const {requestId, route} = routed;
-			giveBackToken(route);
+			const {requestId} = routed;
+			giveBackToken(routed);
 			abortResponse(response, {
 				cause: {kind: 'sender-left'},
 				requestId,
@@ -500,7 +503,7 @@
 		router.recordRequest(routed.route.team, routed.route.service);
 		const end = await runRoutedRequest(routed, cancelSource.signal);
 		if (end.outcome === 'not-run') {
-			giveBackToken(routed.route);
+			giveBackToken(routed);
 		}
 
 		try {
@@ -524,9 +527,9 @@
 		return tenant !== undefined && quota ? quota.take(tenant) : {kind: 'admit'};
 	}
 
-	/** Gives back the token of a request that has not run. */
-	function giveBackToken({tenant}: CompiledRoute): void {
-		if (tenant !== undefined) {
+	/** Gives back the token of a request that has not run, unless it was taken long ago: its part of the rate may have been granted again. */
+	function giveBackToken({route: {tenant}, readAt}: RoutedRequest): void {
+		if (tenant !== undefined && now() - readAt < maxTokenAgeMs) {
 			quota?.giveBack(tenant);
 		}
 	}
