--- a/bench/_lib/create-share-node.ts
+++ b/bench/_lib/create-share-node.ts
@@ -1,6 +1,6 @@
 import {compileQuotaLimits} from '../../src/coordination/quotas/compile-quota-limits.js';
 import type {QuotaLimit} from '../../src/coordination/quotas/quota-state.js';
-import type {SimulatedQuotaNode} from '../../harness/create-quota-fleet.js';
+import type {SimulatedQuotaNode} from '../../harness/create-quota-network.js';
 import type {QuotaNodeOptions} from '../../src/transport/_lib/create-quota-node.js';
 
 type Bucket = {tokens: number; refilledAt: number};
--- a/harness/create-quota-fleet.ts
+++ b/harness/create-quota-fleet.ts
@@ -1,47 +1,8 @@
 import type {QuotaDecision} from '../src/coordination/quotas/quota-state.js';
-import type {MembersView} from '../src/protocol/member.js';
-import type {QuotaSettings} from '../src/protocol/mesh-settings.js';
-import type {DocumentTenant} from '../src/protocol/routing-document.js';
 import {
-	createQuotaNode,
-	type QuotaNodeOptions,
-} from '../src/transport/_lib/create-quota-node.js';
-import {createSampleMember} from './create-sample-member.js';
-import {createScheduler} from './create-scheduler.js';
-
-type QuotaNode = ReturnType<typeof createQuotaNode>;
-
-/** What the simulation needs of a node. */
-export type SimulatedQuotaNode = Pick<
-	QuotaNode,
-	'take' | 'updateMembers' | 'updateTenants' | 'answerAsks' | 'stop'
->;
-
-/** Options of `createQuotaFleet`. */
-export type QuotaFleetOptions = {
-	readonly seed: number;
-	readonly nodes: number;
-	readonly tenants: readonly DocumentTenant[];
-	/** Longest time from a fault until the first node knows of it, ms; default 3000. */
-	readonly detectionMs?: number;
-	/** Longest time after that until all nodes know, ms; default 800. */
-	readonly spreadMs?: number;
-	/** Creates a node; by default one with quota homes. */
-	readonly createNode?: (options: QuotaNodeOptions) => SimulatedQuotaNode;
-};
-
-type EndedHost = {
-	readonly name: string;
-	incarnation: number;
-	isAlive: boolean;
-	/** Side of a cut. */
-	side: number;
-	suspendedUntil: number;
-	/** What it knows of the others: whether it sees them alive. */
-	readonly known: Map<string, 'alive' | 'dead'>;
-};
-
-type Host = EndedHost & {node: SimulatedQuotaNode};
+	createQuotaNetwork,
+	type QuotaNetworkOptions,
+} from './create-quota-network.js';
 
 /** Requests that are sent all the time; to all nodes when their number is absent. */
 type Load = {
@@ -49,163 +10,24 @@
 	readonly nodes: number | undefined;
 };
 
-/** Tolerances of the simulated quotas. */
-export const sampleQuotaSettings: QuotaSettings = {
-	windowMs: 5000,
-	overRatio: 0.1,
-	slack: 20,
-};
-
-const linkMs = 1.4;
-const handlingMs = 3;
-const askTimeoutMs = 500;
 const msPerSecond = 1000;
 
 /**
  * Creates nodes with quotas on simulated time, with a network that delays, loses
- * and cuts.
+ * and cuts, and the requests that they admit or refuse.
  *
- * @param options - see `QuotaFleetOptions`
- * @returns the nodes and their faults
+ * @param options - see `QuotaNetworkOptions`
+ * @returns the nodes, their load and their faults
  * @example
  * createQuotaFleet({seed: 1, nodes: 3, tenants}).offer('registry', 30);
  */
-export function createQuotaFleet(options: QuotaFleetOptions) {
-	const {createNode = createQuotaNode} = options;
-	const {detectionMs = 3000, spreadMs = 800} = options;
-	const scheduler = createScheduler(options.seed);
+export function createQuotaFleet(options: QuotaNetworkOptions) {
+	const {scheduler, countHosts, getHost, ...network} =
+		createQuotaNetwork(options);
 	const {now, random} = scheduler;
-	const hosts = new Map<string, Host>();
-	const hostList: Host[] = [];
 	const used = new Map<string, number[]>();
 	const refused = new Map<string, number[]>();
 	const loads = new Map<string, Load>();
-	let {tenants} = options;
-	let lossRatio = 0;
-	let messages = 0;
-
-	/** Runs an action on a host once it is not suspended, unless it has ended. */
-	function runOn(host: EndedHost, action: () => void): void {
-		const {incarnation} = host;
-		const attempt = (): void => {
-			if (host.incarnation !== incarnation) {
-				return;
-			}
-
-			if (now() < host.suspendedUntil) {
-				scheduler.schedule(host.suspendedUntil - now(), attempt);
-				return;
-			}
-
-			action();
-		};
-
-		attempt();
-	}
-
-	function deliver(from: EndedHost, to: EndedHost, action: () => void): void {
-		messages++;
-		const delayMs = linkMs - Math.log(1 - random()) * handlingMs;
-		const isLost = random() < lossRatio;
-		scheduler.schedule(delayMs, () => {
-			if (!isLost && to.isAlive && from.side === to.side) {
-				runOn(to, action);
-			}
-		});
-	}
-
-	function startNode(host: EndedHost): SimulatedQuotaNode {
-		const node = createNode({
-			name: host.name,
-			settings: sampleQuotaSettings,
-			now,
-			random,
-			schedule(delayMs, action) {
-				return scheduler.schedule(delayMs, () => {
-					runOn(host, action);
-				});
-			},
-			sendAsks(address, asks, onAnswer) {
-				const to = hosts.get(address)!;
-				let isEnded = false;
-				const end: typeof onAnswer = (grants) => {
-					if (!isEnded) {
-						isEnded = true;
-						onAnswer(grants);
-					}
-				};
-
-				scheduler.schedule(askTimeoutMs, () => {
-					runOn(host, () => {
-						end(undefined);
-					});
-				});
-				deliver(host, to, () => {
-					const grants = to.node.answerAsks(host.name, asks);
-					deliver(to, host, () => {
-						end(grants);
-					});
-				});
-			},
-		});
-		node.updateTenants(tenants);
-		return node;
-	}
-
-	function createView(host: Host): MembersView {
-		const members = [...host.known].map(([name, state]) =>
-			createSampleMember({name, address: name, state}),
-		);
-		const self = createSampleMember({name: host.name, address: host.name});
-		return {self, members: [self, ...members], candidates: new Map()};
-	}
-
-	/** Lets all nodes find out which others they reach, each a little later than the first. */
-	function detect(maxMs = detectionMs): void {
-		const firstMs = maxMs * random();
-		for (const host of hosts.values()) {
-			scheduler.schedule(firstMs + spreadMs * random(), () => {
-				runOn(host, () => {
-					for (const other of hosts.values()) {
-						const isSeen =
-							other.isAlive &&
-							other.side === host.side &&
-							now() >= other.suspendedUntil;
-						if (other !== host && (isSeen || host.known.has(other.name))) {
-							host.known.set(other.name, isSeen ? 'alive' : 'dead');
-						}
-					}
-
-					host.node.updateMembers(createView(host));
-				});
-			});
-		}
-	}
-
-	function addHost(name: string): Host {
-		const ended: EndedHost = {
-			name,
-			incarnation: 0,
-			isAlive: true,
-			side: 0,
-			suspendedUntil: 0,
-			known: new Map(),
-		};
-		const host = Object.assign(ended, {node: startNode(ended)});
-		hosts.set(name, host);
-		hostList.push(host);
-		return host;
-	}
-
-	function getHost(index: number): Host {
-		return hostList[index % hostList.length]!;
-	}
-
-	function endHost(host: Host): void {
-		host.isAlive = false;
-		host.incarnation++;
-		host.node.stop();
-	}
 
 	function record(tenant: string, decision: QuotaDecision): void {
 		const times = decision.kind === 'admit' ? used : refused;
@@ -215,7 +37,7 @@
 	}
 
 	/** Sends one request of a tenant to a random node that serves. */
-	function sendRequest(tenant: string, nodes = hosts.size): void {
+	function sendRequest(tenant: string, nodes = countHosts()): void {
 		const host = getHost(Math.floor(random() * nodes));
 		if (!host.isAlive || now() < host.suspendedUntil) {
 			return;
@@ -241,27 +63,13 @@
 		});
 	}
 
-	for (let index = 0; index < options.nodes; index++) {
-		addHost(`node-${index}`);
-	}
-
-	for (const host of hosts.values()) {
-		for (const other of hosts.keys()) {
-			if (other !== host.name) {
-				host.known.set(other, 'alive');
-			}
-		}
-
-		host.node.updateMembers(createView(host));
-	}
-
 	return {
+		...network,
 		runUntil: scheduler.runUntil,
 		schedule: scheduler.schedule,
 		readUsed: (tenant: string): readonly number[] => used.get(tenant) ?? [],
 		readRefused: (tenant: string): readonly number[] =>
 			refused.get(tenant) ?? [],
-		readMessages: () => messages,
 		/** Sends requests of a tenant at a rate, to all nodes alike or to the first ones only. */
 		offer(
 			tenant: string,
@@ -272,67 +80,5 @@
 			loads.set(tenant, load);
 			planRequest(tenant, load);
 		},
-		setLoss(ratio: number): void {
-			lossRatio = ratio;
-		},
-		/** Cuts the first nodes off from the others. */
-		cut(count: number): void {
-			for (const [index, host] of [...hosts.values()].entries()) {
-				host.side = index < count ? 1 : 0;
-			}
-
-			detect();
-		},
-		kill(index: number): void {
-			const host = getHost(index);
-			if (host.isAlive) {
-				endHost(host);
-				detect();
-			}
-		},
-		/** Ends a node and starts it at once with what it knew of the members. */
-		restart(index: number): void {
-			const host = getHost(index);
-			if (host.isAlive) {
-				endHost(host);
-			}
-
-			host.isAlive = true;
-			host.node = startNode(host);
-			host.node.updateMembers(createView(host));
-			detect();
-		},
-		/** Starts another node, which knows the others. */
-		addNode(): void {
-			const host = addHost(`node-${hosts.size}`);
-			for (const other of hosts.values()) {
-				if (other !== host && other.isAlive && other.side === host.side) {
-					host.known.set(other.name, 'alive');
-				}
-			}
-
-			host.node.updateMembers(createView(host));
-			detect();
-		},
-		suspend(index: number, durationMs: number): void {
-			const host = getHost(index);
-			host.suspendedUntil = now() + durationMs;
-			detect();
-			scheduler.schedule(durationMs, () => {
-				// A node that resumes tells the others itself.
-				detect(Math.min(detectionMs, msPerSecond));
-			});
-		},
-		/** Gives all nodes another version of the tenants within a second. */
-		setTenants(next: readonly DocumentTenant[]): void {
-			tenants = next;
-			for (const host of hosts.values()) {
-				scheduler.schedule(msPerSecond * random(), () => {
-					runOn(host, () => {
-						host.node.updateTenants(next);
-					});
-				});
-			}
-		},
 	};
 }
--- a/src/transport/start-rollout-task.test.ts
+++ b/src/transport/start-rollout-task.test.ts
@@ -1,191 +1,21 @@
 import assert from 'node:assert/strict';
-import test, {type TestContext} from 'node:test';
+import test from 'node:test';
 import fc from 'fast-check';
-import {createSampleMember} from '../../harness/create-sample-member.js';
-import {createSilentLogger} from '../../harness/create-silent-logger.js';
-import {computeCandidates} from '../coordination/compute-candidates.js';
-import type {Member, MembersView} from '../protocol/member.js';
-import type {StoredRollout} from '../protocol/rollout.js';
-import type {RolloutStore} from './rollout-store.js';
-import {startRolloutTask, type RolloutTask} from './start-rollout-task.js';
-
-const durationMs = 30_000;
-const newOrder: StoredRollout = {
-	name: 'profiles',
-	revision: 1,
-	service: 'profiles',
-	target: 'v2',
-	durationMs,
-	status: undefined,
-};
-
-/** Creates a store of orders in memory, whose calls can be made to fail. */
-function createStore(t: TestContext, initial: readonly StoredRollout[]) {
-	const orders = new Map(initial.map((order) => [order.name, order]));
-	let revision = 1;
-	let onChange: Array<() => void> = [];
-	const state = {isDown: false, losesAnswers: false, watches: 0, writes: 0};
-	const store: RolloutStore = {
-		async listRollouts() {
-			const listed = {
-				orders: [...orders.values()],
-				removed: [],
-				unreadable: [],
-			};
-			return state.isDown
-				? {kind: 'unavailable'}
-				: {kind: 'orders', ...listed, revision};
-		},
-		async watchRollouts() {
-			state.watches++;
-			await new Promise<void>((resolve) => {
-				onChange.push(resolve);
-			});
-			return this.listRollouts();
-		},
-		async writeRolloutStatus({name, revision: expected, target}, written) {
-			state.writes++;
-			if (state.isDown) {
-				return {kind: 'unavailable'};
-			}
-
-			const order = orders.get(name)!;
-			if (order.revision !== expected) {
-				return {kind: 'conflict'};
-			}
-
-			revision++;
-			const status = {state: written, target};
-			orders.set(name, {...order, revision, status});
-			const waiting = onChange;
-			onChange = [];
-			for (const resolve of waiting) {
-				resolve();
-			}
-
-			return state.losesAnswers
-				? {kind: 'unknown'}
-				: {kind: 'written', version: revision};
-		},
-		async readRollout(name) {
-			return state.isDown ? undefined : orders.get(name);
-		},
-	};
-	t.after(() => {
-		for (const resolve of onChange) {
-			resolve();
-		}
-	});
-	return {
-		store,
-		state,
-		readStatus: () => orders.get('profiles')?.status?.state,
-	};
-}
-
-function createMembers(versions: readonly string[]): readonly Member[] {
-	return versions.map((version, index) =>
-		createSampleMember({
-			name: `node-${index}`,
-			address: `10.0.0.${index}:1`,
-			capacity: 1000 - index,
-			upstreams: [
-				{
-					id: `up-${index}`,
-					service: 'profiles',
-					slots: 4,
-					state: 'ready',
-					since: 0,
-					version,
-				},
-			],
-		}),
-	);
-}
-
-function createView(members: readonly Member[], self: Member): MembersView {
-	return {self, members, candidates: computeCandidates(members)};
-}
-
-/** Starts the tasks of a fleet on simulated time; calls to nodes in `cut` fail. */
-async function startFleet(
-	t: TestContext,
-	initial: readonly StoredRollout[] = [newOrder],
-) {
-	t.mock.timers.reset();
-	t.mock.timers.enable({apis: ['setTimeout', 'setInterval']});
-	const memory = createStore(t, initial);
-	const tasks = new Map<string, RolloutTask>();
-	const cut = new Set<string>();
-	let at = 0;
-	const now = (): number => at;
-	const members = createMembers(['v1', 'v1', 'v2', 'v2']);
-
-	/** Starts the task of a node, again with a later incarnation. */
-	function start(name: string, incarnation = 1): void {
-		const task = startRolloutTask({
-			name,
-			incarnation,
-			store: memory.store,
-			logger: createSilentLogger(),
-			now,
-			random: () => 0.5,
-			peers: {
-				getClient: (address) => ({
-					rollout: {
-						async mutate(report) {
-							const member = members.find(
-								(other) => other.address === address,
-							)!;
-							if (cut.has(member.name) || cut.has(name)) {
-								throw new Error('cut off');
-							}
-
-							return tasks.get(member.name)!.handleReport(report);
-						},
-					},
-				}),
-			},
-		});
-		tasks.set(name, task);
-		t.after(() => {
-			task.stop();
-		});
-	}
-
-	for (const {name} of members) {
-		start(name);
-	}
-
-	function update(known: readonly Member[]): void {
-		for (const self of known) {
-			tasks.get(self.name)!.updateMembers(createView(known, self));
-		}
-	}
-
-	async function advance(durationToPass: number): Promise<void> {
-		for (let passed = 0; passed < durationToPass; passed += 50) {
-			at += 50;
-			t.mock.timers.tick(50);
-			for (let turn = 0; turn < 8; turn++) {
-				await Promise.resolve();
-			}
-		}
-	}
-
-	const old = members.slice(0, 2);
-	update(old);
-	// A leader listens for a second before it begins with an order.
-	await advance(1050);
-	return {...memory, tasks, start, cut, members, old, update, advance};
-}
+import {
+	newOrder,
+	startRolloutFleet,
+} from '../../harness/start-rollout-fleet.js';
+import type {RolloutTask} from './start-rollout-task.js';
 
 function readPreferred(task: RolloutTask, isRetry = false): string | undefined {
 	return task.pick('profiles', isRetry)?.versions[0];
 }
 
 test('a service of one version costs nothing, and a version that appears beside it gets nothing without an order', async (t) => {
-	const {tasks, update, members, advance, state} = await startFleet(t, []);
+	const {tasks, update, members, advance, state} = await startRolloutFleet(
+		t,
+		[],
+	);
 	assert.equal(tasks.get('node-1')!.pick('profiles', false), undefined);
 	update(members);
 	await advance(5000);
@@ -198,7 +28,7 @@
 
 test('a good version is completed before the deadline, after all traffic went to it', async (t) => {
 	const {tasks, update, members, advance, readStatus, state} =
-		await startFleet(t);
+		await startRolloutFleet(t);
 	update(members);
 	await advance(2000);
 	assert.equal(readStatus(), 'active');
@@ -215,7 +45,7 @@
 
 test('a version that fails is rolled back and gets nothing any more, though the response to each write is lost', async (t) => {
 	const {tasks, update, members, advance, readStatus, state} =
-		await startFleet(t);
+		await startRolloutFleet(t);
 	state.losesAnswers = true;
 	update(members);
 	await advance(2000);
@@ -240,7 +70,7 @@
 
 test('the next root takes over an order with its deadline, and writes the status once the store is back', async (t) => {
 	const {tasks, update, members, advance, readStatus, state, cut} =
-		await startFleet(t);
+		await startRolloutFleet(t);
 	update(members);
 	await advance(10_000);
 	cut.add('node-0');
@@ -258,7 +88,7 @@
 
 test('a leader that starts again continues an order with its deadline', async (t) => {
 	const {tasks, start, update, members, advance, readStatus} =
-		await startFleet(t);
+		await startRolloutFleet(t);
 	update(members);
 	await advance(12_000);
 	tasks.get('node-0')!.stop();
@@ -269,7 +99,7 @@
 });
 
 test('a node that is cut off sends nothing to the target after 3 s, and does not repeat failures', async (t) => {
-	const {tasks, update, members, advance, cut} = await startFleet(t);
+	const {tasks, update, members, advance, cut} = await startRolloutFleet(t);
 	update(members);
 	await advance(25_900);
 	const task = tasks.get('node-1')!;
@@ -293,9 +123,8 @@
 	'the running version': {...newOrder, target: 'v1'},
 })) {
 	test(`an order with ${name} has no effect and leaves the other orders alone`, async (t) => {
-		const {tasks, update, members, advance, readStatus} = await startFleet(t, [
-			order,
-		]);
+		const {tasks, update, members, advance, readStatus} =
+			await startRolloutFleet(t, [order]);
 		update(members);
 		await advance(29_500);
 		assert.equal(readStatus(), undefined);
@@ -308,7 +137,10 @@
 test('of two orders for a service the newer one counts', async (t) => {
 	const newer = {...newOrder, name: 'again', revision: 2, target: 'v2'};
 	const older = {...newOrder, target: 'v3'};
-	const {tasks, update, members, advance} = await startFleet(t, [older, newer]);
+	const {tasks, update, members, advance} = await startRolloutFleet(t, [
+		older,
+		newer,
+	]);
 	update(members);
 	await advance(1000);
 	const [gauge] = tasks.get('node-1')!.listGauges();
@@ -317,7 +149,7 @@
 
 /** Counts responses as gates of a version would. */
 function feed(
-	{tasks, members}: Awaited<ReturnType<typeof startFleet>>,
+	{tasks, members}: Awaited<ReturnType<typeof startRolloutFleet>>,
 	isBad: boolean,
 ): void {
 	for (const {name, upstreams} of members) {
@@ -345,7 +177,7 @@
 			fc.boolean(),
 			fc.array(fault, {maxLength: 4}),
 			async (isBad, faults) => {
-				const fleet = await startFleet(t);
+				const fleet = await startRolloutFleet(t);
 				const {members, update, cut, state, tasks} = fleet;
 				const [first, ...others] = members;
 				const seen = new Set<string | undefined>();
