Serve nested calls before new work, and begin runs as their calls are served

Cause: gates queued calls like new work and refused them when they could only be late, and upstreams began every run for which they had a slot. Change: the caller's node marks calls that it has found out (boragehitch-nested); gates queue them first, admit them until their deadline and evict new work from a full queue. A run that makes calls is refused with calls-saturated, which ends the request, when its calls are not served.

--- a/src/coordination/compare-waiting.test.ts
+++ b/src/coordination/compare-waiting.test.ts
@@ -66,3 +66,15 @@
 		[3, 4, 2, 1],
 	);
 });
+
+test('order: nested calls go before new work, by due time alone, so that no running request loses its work', () => {
+	const waiting: readonly WaitingRequest[] = [
+		{isLate: false, priority: 0, dueAt: 1},
+		{isLate: false, priority: 0, dueAt: 9, isNested: true},
+		{isLate: true, priority: 3, dueAt: 8, isNested: true},
+	];
+	assert.deepEqual(
+		waiting.toSorted(compareWaiting).map(({dueAt}) => dueAt),
+		[8, 9, 1],
+	);
+});
--- a/src/coordination/decide-admission.test.ts
+++ b/src/coordination/decide-admission.test.ts
@@ -187,3 +187,62 @@
 
 	assert.ok(made >= 100 && made <= 115, String(made));
 });
+
+/** A nested call that arrives at a full queue of its own team, and would be late. */
+const nested: AdmissionInput = {
+	...full,
+	teamQueued: 24,
+	maxTeamQueued: 24,
+	isNested: true,
+	objectiveMs: 30,
+	remainingMs: 200,
+};
+
+test('a nested call that would only be late is admitted, since its failure costs the work of another request', () => {
+	const admission = decideAdmission({...nested, queued: 20});
+	assert.deepEqual(admission, {
+		kind: 'admit',
+		shouldEvict: false,
+		isLate: false,
+	});
+	assert.equal(
+		decideAdmission({...nested, queued: 20, isNested: false}).kind,
+		'refuse',
+	);
+});
+
+test('a nested call takes the place of queued new work in a full queue', () => {
+	const admission = decideAdmission({...nested, hasNewWorkQueued: true});
+	assert.deepEqual(admission, {
+		kind: 'admit',
+		shouldEvict: true,
+		isLate: false,
+	});
+});
+
+test('a queue of nested calls alone is longer, but not endless', () => {
+	assert.equal(decideAdmission({...nested, queued: 24}).kind, 'admit');
+	assert.equal(decideAdmission({...nested, queued: 95}).kind, 'admit');
+	assert.equal(decideAdmission({...nested, queued: 96}).kind, 'refuse');
+});
+
+test('a nested call that would be answered after its deadline is refused', () => {
+	const input = {...nested, queued: 20, remainingMs: 60};
+	assert.equal(decideAdmission(input).kind, 'refuse');
+});
+
+test('a request whose calls cannot be served is not tried at another host', () => {
+	const input: RetryInput = {
+		outcome: 'not-run',
+		reason: 'calls-saturated',
+		repeatable: true,
+		attempts: 1,
+		maxAttempts: 3,
+		remainingMs: 500,
+		budget: 10,
+		isNested: false,
+		hasAvailableHost: true,
+	};
+	assert.equal(decideRetry(input), 'stop');
+	assert.equal(decideRetry({...input, reason: 'saturated'}), 'reroute');
+});
--- a/src/coordination/decide-admission.ts
+++ b/src/coordination/decide-admission.ts
@@ -39,11 +39,18 @@
 	 * expected time at the upstream; `defaultMarginRatio` when absent.
 	 */
 	readonly marginRatio?: number;
+	/** Whether a running request waits for the attempt; false when absent. */
+	readonly isNested?: boolean;
+	/** Whether a queued attempt at new work can be evicted for a nested call; false when absent. */
+	readonly hasNewWorkQueued?: boolean;
 };
 
 /** Whether an attempt may enter the queue. */
 export type Admission =
-	/** The attempt may enter; `shouldEvict` requires evicting an attempt of the team with the longest queue first. */
+	/**
+	 * The attempt may enter; `shouldEvict` requires evicting another first: for a
+	 * nested call one of new work, otherwise one of the team with the longest queue.
+	 */
 	| {
 			readonly kind: 'admit';
 			readonly shouldEvict: boolean;
@@ -68,6 +75,9 @@
 /** Margin for the variation of times until it is known, as a ratio of the expected time. */
 export const defaultMarginRatio = 0.4;
 
+/** Length of a queue of nested calls alone, as a ratio of the usual length; their deadlines limit it earlier. */
+const nestedQueueRatio = 4;
+
 /** Transit time of the answer, ms. */
 const returnTransitMs = 10;
 
@@ -101,6 +111,47 @@
 	return objectiveMs < remainingMs && expectedMs > objectiveMs;
 }
 
+/**
+ * Decides on a nested call, which is admitted if it can be answered before its
+ * deadline: the request that waits for it loses all its work otherwise, while a
+ * late answer costs nothing but time.
+ */
+function decideNestedAdmission(
+	input: AdmissionInput,
+	waitMs: number,
+): Admission {
+	const {serviceMs, remainingMs, rateLimitWaitMs = 0} = input;
+	const {marginRatio = defaultMarginRatio} = input;
+	// While a slot is idle, refusing the attempt would benefit no other attempt.
+	const margin = waitMs === 0 ? 0 : serviceMs * marginRatio + returnTransitMs;
+	if (waitMs + serviceMs + margin > remainingMs) {
+		return refuse(rateLimitWaitMs > 0 ? 'limited' : 'saturated');
+	}
+
+	if (input.queued < input.maxQueued) {
+		return {kind: 'admit', shouldEvict: false, isLate: false};
+	}
+
+	const {hasNewWorkQueued: shouldEvict = false} = input;
+	return shouldEvict || input.queued < input.maxQueued * nestedQueueRatio
+		? {kind: 'admit', shouldEvict, isLate: false}
+		: refuse('saturated');
+}
+
+/** Decides whether there is a place in the queue for an attempt that is not a nested call. */
+function decideQueueAdmission(
+	{queued, maxQueued, teamQueued, maxTeamQueued}: AdmissionInput,
+	isLate: boolean,
+): Admission {
+	if (queued < maxQueued) {
+		return {kind: 'admit', shouldEvict: false, isLate};
+	}
+
+	return teamQueued + 1 < maxTeamQueued
+		? {kind: 'admit', shouldEvict: true, isLate}
+		: refuse('saturated');
+}
+
 /**
  * Decides whether a gate admits an attempt that has arrived.
  *
@@ -108,7 +159,8 @@
  * so is one that can only be late while attempts in time use all slots. When the
  * queue is full, an attempt of a team with fewer queued attempts than another
  * team evicts the newest attempt of that team. Under a rate limit, an attempt
- * whose wait would make it late is refused.
+ * whose wait would make it late is refused. A nested call only has to be
+ * answered before its deadline, and evicts new work from a full queue.
  *
  * @param input - see `AdmissionInput`
  * @returns the admission, or the reason of the refusal
@@ -129,6 +181,10 @@
 		return refuse(canRunElsewhere ? 'limited' : 'deadline');
 	}
 
+	if (input.isNested) {
+		return decideNestedAdmission(input, waitMs);
+	}
+
 	if (rateLimitWaitMs > 0 && isExpectedLate(input, waitMs)) {
 		return refuse('limited');
 	}
@@ -145,11 +201,5 @@
 		return refuse('saturated');
 	}
 
-	if (input.queued < input.maxQueued) {
-		return {kind: 'admit', shouldEvict: false, isLate};
-	}
-
-	return input.teamQueued + 1 < input.maxTeamQueued
-		? {kind: 'admit', shouldEvict: true, isLate}
-		: refuse('saturated');
+	return decideQueueAdmission(input, isLate);
 }
--- a/src/coordination/decide-retry.ts
+++ b/src/coordination/decide-retry.ts
@@ -32,7 +32,8 @@
  * calls, only the node closest to the client retries. A misrouted attempt is
  * rerouted to another host at any depth and without using the budget, because it
  * reached no upstream; the same holds for an attempt refused by a full host
- * while another host may have free capacity.
+ * while another host may have free capacity. An attempt refused because its
+ * calls could not be served is the last one.
  *
  * @param input - see `RetryInput`
  * @returns `stop`; `retry`, which consumes a token; or `reroute`, which does not
@@ -44,7 +45,9 @@
 	const mayRun = repeatable || outcome === 'not-run';
 	const hasAttemptsLeft =
 		input.attempts < input.maxAttempts && input.remainingMs > 0;
-	if (!mayRun || !hasAttemptsLeft) {
+	// Calls of the request are not served wherever it runs.
+	const isFutile = reason === 'calls-saturated';
+	if (!mayRun || !hasAttemptsLeft || isFutile) {
 		return 'stop';
 	}
 
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -31,6 +31,8 @@
 	readonly expiresAt?: number | undefined;
 	/** Number of upstreams that the request has passed through. */
 	readonly depth: number;
+	/** Whether a request that runs on the host of its caller's node has made it; false when absent. */
+	readonly isNested?: boolean | undefined;
 	/** Newest known stamp of the gate. */
 	readonly stamp: GateStamp | undefined;
 	/**
--- a/src/protocol/request.ts
+++ b/src/protocol/request.ts
@@ -26,6 +26,7 @@
 export const originHeader = 'boragehitch-origin';
 export const priorityHeader = 'boragehitch-priority';
 export const routeObjectiveHeader = 'boragehitch-route-objective-ms';
+export const nestedHeader = 'boragehitch-nested';
 export const tenantHeader = 'boragehitch-tenant';
 export const objectiveHeader = 'boragehitch-objective-ms';
 export const idempotencyKeyHeader = 'idempotency-key';
@@ -66,6 +67,7 @@
 	'unknown-key',
 	'unproven-configuration',
 	'quota',
+	'calls-saturated',
 ] as const;
 
 export type OutcomeReason = (typeof outcomeReasons)[number];
--- a/src/transport/_lib/create-attempt-headers.ts
+++ b/src/transport/_lib/create-attempt-headers.ts
@@ -7,6 +7,7 @@
 	fingerprintHeader,
 	gateTimeHeader,
 	keyHeader,
+	nestedHeader,
 	noticeHeader,
 	objectiveHeader,
 	originHeader,
@@ -75,6 +76,10 @@
 		headers[repeatableHeader] = 'true';
 	}
 
+	if (attempt.isNested) {
+		headers[nestedHeader] = 'true';
+	}
+
 	if (attempt.sheddingMeansNotRun) {
 		headers[shedHeader] = 'not-run';
 	}
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -15,6 +15,7 @@
 import type {JobEnd} from './create-crash-detector.js';
 import {computeTimerDelay} from './compute-timer-delay.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
+import {isNestedAttempt} from './is-nested-attempt.js';
 import {releaseSlot, takeNextJob} from './local-slots.js';
 import {
 	addToLocalQueue,
@@ -41,7 +42,7 @@
 		upstream: LocalUpstream,
 	) => AttemptResult;
 	/** Called after an attempt has been sent. */
-	readonly onSent: (upstream: LocalUpstream) => void;
+	readonly onSent: (job: Job) => void;
 	/** Called with the head of each response. */
 	readonly onHead: (job: Job, head: ResponseHead) => void;
 	/** Called when Node.js refuses to send an attempt, with the reason. */
@@ -363,7 +364,7 @@
 			// The response that is still due may follow on the connection.
 			canReuse: (head) => edge.classifyResponse(head, attempt) !== 'misplaced',
 		});
-		onSent(upstream);
+		onSent(job);
 		if (job.earlyEndReason) {
 			job.sent.abort();
 		}
@@ -438,6 +439,7 @@
 			serviceMs,
 			expectedMs: waitMs + serviceMs,
 			priority: attempt.priority ?? 0,
+			isNested: isNestedAttempt(attempt),
 			dueAt: admittedAt + (attempt.routeObjectiveMs ?? attempt.remainingMs),
 			result,
 			resolve,
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -14,6 +14,7 @@
 	defaultMarginRatio,
 	type AdmissionInput,
 } from '../../coordination/decide-admission.js';
+import {pickEvicted} from '../../coordination/shedding/pick-evicted.js';
 import type {RateLimit} from '../../coordination/rate-limit.js';
 import {readServiceTime} from '../../coordination/read-service-time.js';
 import {
@@ -32,6 +33,7 @@
 } from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
+import {isNestedAttempt} from './is-nested-attempt.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import {readNotice} from './local-notice.js';
 import {createRecentSet, type RecentSet} from './create-recent-set.js';
@@ -69,6 +71,8 @@
 	readonly priority: number;
 	/** Admission time plus the objective of the route, monotonic ms. */
 	readonly dueAt: number;
+	/** Whether a running request waits for it. */
+	readonly isNested: boolean;
 	readonly result: Promise<AttemptResult>;
 	readonly resolve: (result: AttemptResult) => void;
 	phase: 'queued' | 'sent' | 'finished';
@@ -378,7 +382,7 @@
  */
 export function computeLocalWait(
 	upstream: LocalUpstream,
-	order: Pick<WaitingRequest, 'priority' | 'dueAt'>,
+	order: Omit<WaitingRequest, 'isLate'>,
 	now: number,
 ): LocalWait {
 	const {rateLimit, queuedCount} = upstream;
@@ -435,6 +439,20 @@
 	return longest;
 }
 
+/**
+ * Finds the queued job to evict for an attempt.
+ *
+ * @param upstream - the upstream, whose queue is full
+ * @param attempt - the attempt that is admitted in its place
+ * @returns the last new work for a nested call, otherwise the last job of the team with the longest queue
+ */
+export function findEvicted(upstream: LocalUpstream, attempt: Attempt): Job {
+	const newWork = isNestedAttempt(attempt)
+		? pickEvicted([...upstream.queued.values()].flat())
+		: undefined;
+	return newWork ?? findLongestQueue(upstream).at(-1)!;
+}
+
 /**
  * Inserts a job into its team's queue, in the order of `compareWaiting`.
  *
--- a/src/transport/_lib/read-attempt.test.ts
+++ b/src/transport/_lib/read-attempt.test.ts
@@ -107,3 +107,17 @@
 		{seed: 40, numRuns: 1000},
 	);
 });
+
+test('a nested call stays one between nodes, and a client cannot claim to be one', () => {
+	const send = (isNested: boolean) =>
+		readAttempt(
+			createAttemptHeaders({
+				...attempt,
+				isNested,
+				headers: {'boragehitch-nested': 'true'},
+			}),
+			{method, path, body, signal},
+		).isNested;
+	assert.equal(send(true), true);
+	assert.equal(send(false), false);
+});
--- a/src/transport/_lib/send-upstream-response.ts
+++ b/src/transport/_lib/send-upstream-response.ts
@@ -1,6 +1,7 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
+import type {GateLoad} from '../../protocol/attempt.js';
 import {copyHeaders} from './copy-headers.js';
 
 /** A response of an upstream. */
@@ -8,6 +9,8 @@
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
 	readonly body: Uint8Array | Readable;
+	/** Load of its gate; undefined when not known. */
+	readonly load?: GateLoad | undefined;
 };
 
 /**
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -20,7 +20,6 @@
 import type {Configuration} from '../protocol/configuration.js';
 import {
 	responseMarginMs,
-	responseMarginRatio,
 	busyRetryMs,
 	maxDepth,
 	minTransferCostBodyBytes,
@@ -49,6 +48,11 @@
 	createBodyMemoryBudget,
 	type BodyMemoryBudget,
 } from './_lib/create-body-memory-budget.js';
+import {
+	computeDeadlineMs,
+	computeRunDeadlineMs,
+} from './_lib/caller-deadlines.js';
+import type {CallMonitor} from './_lib/create-call-monitor.js';
 import {computeRefusalDelay} from './_lib/compute-refusal-delay.js';
 import {createCancelSource} from './_lib/create-cancel-source.js';
 import {createListener} from './_lib/create-listener.js';
@@ -64,6 +68,7 @@
 import {runRequest, type RequestEnd} from './_lib/run-request.js';
 import {sendUpstreamResponse} from './_lib/send-upstream-response.js';
 import {sendOutcome} from './_lib/send-outcome.js';
+import {formatAdmissionClass} from './_lib/format-admission-class.js';
 import {discardBody} from './_lib/discard-body.js';
 import {hasClientDisconnected} from './_lib/has-client-disconnected.js';
 import {startServer} from './_lib/start-server.js';
@@ -96,6 +101,8 @@
 	readonly onAccepted?: (batch: AcceptedBatch) => void;
 	/** Tells which requests crash their upstreams; without it, none is refused for that. */
 	readonly quarantine?: Pick<RequestQuarantine, 'hasRecords' | 'readSuspicion'>;
+	/** Monitor of the calls made by the requests that run on the host; without it, no request is taken for a call. */
+	readonly calls?: CallMonitor;
 	/** Returns the service on the local host, on whose behalf callers send requests. */
 	readonly readOrigin?: () => string | undefined;
 	/** Computes the retry budget of this node from the number of all nodes. */
@@ -162,6 +169,8 @@
 	readonly lagMs: number;
 	/** Whether its client had sent it before. */
 	readonly isReturned: boolean;
+	/** Whether a request that runs on this host has made it. */
+	readonly isNested: boolean;
 	readonly parentTraceparent: string | undefined;
 	readonly traceparent: string | undefined;
 };
@@ -181,23 +190,6 @@
 
 const answeredHeaders = {[outcomeHeader]: 'answered'};
 
-/** Computes the time for which a request may be kept waiting: until the client's deadline or the time-out of the route, ms. */
-function computeDeadlineMs(
-	{deadlineMs = Number.POSITIVE_INFINITY}: CallerParameters,
-	route: CompiledRoute,
-): number {
-	return Math.min(route.deadlineMs, deadlineMs);
-}
-
-/** Computes the time in which an upstream must respond for the response to reach the client before its deadline, ms. */
-function computeRunDeadlineMs(
-	{deadlineMs = Number.POSITIVE_INFINITY}: CallerParameters,
-	route: CompiledRoute,
-): number {
-	const marginMs = Math.min(responseMarginMs, deadlineMs * responseMarginRatio);
-	return Math.min(route.deadlineMs, deadlineMs - marginMs);
-}
-
 function formatIdempotencyKey(
 	{idempotencyKey}: CallerParameters,
 	route: CompiledRoute,
@@ -207,14 +199,6 @@
 		: undefined;
 }
 
-/** Returns the admission class of a request: requests of the same route, with more or less than half of the objective left, are admitted alike. */
-function formatAdmissionClass(
-	{name, objectiveMs = 0}: CompiledRoute,
-	leftMs: number,
-): string {
-	return leftMs < objectiveMs / 2 ? `${name} aged` : name;
-}
-
 /** Reads the `content-length` of a request, bytes; undefined when absent. */
 function readBodyBytes({headers}: IncomingMessage): number | undefined {
 	const {'content-length': length} = headers;
@@ -248,7 +232,7 @@
 	options: CallerTaskOptions,
 ): Promise<CallerTask> {
 	const {logger, observer = {}, edge = defaultEdge} = options;
-	const {readLag = () => 0, quarantine} = options;
+	const {readLag = () => 0, quarantine, calls} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
 	const router = createServiceRouter({...options, now, random});
 	const inFlightByTeam = new Map<string, number>();
@@ -442,7 +426,10 @@
 		const key = formatIdempotencyKey(callerParameters, route);
 		const {depth} = callerParameters;
 		const objectiveMs = computeObjectiveMs(callerParameters, route);
-		const admissionClass = formatAdmissionClass(route, objectiveMs);
+		const admissionClass = formatAdmissionClass(route, {
+			leftMs: objectiveMs,
+			isNested: routed.isNested,
+		});
 		const selection = router.select(service, key, {
 			objectiveMs: route.objectiveMs,
 			route: route.name,
@@ -494,6 +481,7 @@
 				sheddingMeansNotRun,
 				...fingerprinted,
 				depth,
+				isNested: routed.isNested,
 				priority: route.priority,
 				routeObjectiveMs: route.objectiveMs,
 				key,
@@ -544,6 +532,10 @@
 
 		router.recordRequest(routed.route.team, routed.route.service);
 		const end = await runRoutedRequest(routed, cancelSource.signal);
+		if (routed.isNested) {
+			calls?.recordCallEnd(routed, end);
+		}
+
 		try {
 			if (end.outcome === 'answered') {
 				await sendUpstreamResponse(response, end.answer, answeredHeaders);
@@ -613,9 +605,11 @@
 			return;
 		}
 
+		const isCall = calls?.recordArrival(route.name) ?? false;
+		const isNested = isCall || parameters.depth > 0;
 		const {priority = 0} = route;
 		const lagMs = readRequestLag(request);
-		if (!decideEventLoopAdmission({lagMs, priority})) {
+		if (!decideEventLoopAdmission({lagMs, priority: isNested ? 0 : priority})) {
 			refuse(response, 'overloaded', computeOverloadDelayMs(parameters), {
 				route: route.name,
 				isReturned: hasReturned(parameters, route),
@@ -643,6 +637,7 @@
 					readAt - computeUnreadTime(server.readSocketWaitMs(request)),
 				lagMs,
 				isReturned: hasReturned(parameters, route),
+				isNested,
 				parentTraceparent,
 				traceparent: createTraceparent(parentTraceparent),
 			});
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -5,12 +5,10 @@
 import {
 	decideAdmission,
 	type Admission,
-	type AdmissionInput,
 } from '../coordination/decide-admission.js';
 import {computeRemainingTime} from '../coordination/compute-remaining-time.js';
 import {computeTransitTime} from '../coordination/compute-transit-time.js';
 import {decideEventLoopAdmission} from '../coordination/decide-event-loop-admission.js';
-import {readServiceTime} from '../coordination/read-service-time.js';
 import {readUtilization} from '../coordination/read-utilization.js';
 import {stepUtilization} from '../coordination/step-utilization.js';
 import type {LedgerStep} from '../coordination/step-ledger-record.js';
@@ -22,11 +20,7 @@
 	UpstreamNotice,
 } from '../protocol/attempt.js';
 import type {CancelSignal} from '../protocol/cancel-signal.js';
-import {
-	msPerSecond,
-	queueSlotsRatio,
-	retryAfterSeconds,
-} from '../protocol/constants.js';
+import {msPerSecond, retryAfterSeconds} from '../protocol/constants.js';
 import type {Announcement} from '../protocol/member.js';
 import type {RequestObserver} from '../protocol/observer.js';
 import {
@@ -37,6 +31,10 @@
 } from '../protocol/edge.js';
 import type {OutcomeReason} from '../protocol/request.js';
 import type {GateStamp} from '../protocol/stamp.js';
+import {
+	createCallMonitor,
+	type CallMonitor,
+} from './_lib/create-call-monitor.js';
 import {createCrashDetector} from './_lib/create-crash-detector.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
 import {createReportLog} from './_lib/create-report-log.js';
@@ -44,25 +42,24 @@
 import {createSuspectTracker} from './_lib/create-suspect-tracker.js';
 import {createJobRunner} from './_lib/create-job-runner.js';
 import {createLostRequestDetector} from './_lib/create-lost-request-detector.js';
+import {
+	createAdmissionInput,
+	computeAttemptEstimate,
+	type AttemptEstimate,
+} from './_lib/attempt-estimate.js';
 import {
 	applyRemoteNotice,
 	isEarlierIncarnation,
 	isSameIncarnation,
 	recordReport,
 } from './_lib/local-notice.js';
-import {computeLocalOpenSlots} from './_lib/local-slots.js';
 import {
-	computeLocalWait,
-	countAhead,
 	createLocalUpstream,
+	findEvicted,
 	findLocalUpstream,
-	findLongestQueue,
-	readExpectedServiceTime,
 	readLocalLoad,
-	readOccupiedSlots,
 	type Job,
 	type LocalUpstream,
-	type LocalWait,
 } from './_lib/local-upstream.js';
 import {raceResult} from './_lib/race-result.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
@@ -88,6 +85,8 @@
 	readonly onLeaving?: (id: string, announcement: Announcement) => void;
 	/** Keeps what is known about requests that crash their upstreams; without it, none is suspected. */
 	readonly quarantine?: RequestQuarantine;
+	/** Monitor of the calls made by the requests that run on the host; by default one that sees no calls. */
+	readonly calls?: CallMonitor;
 	/** Random identifier of the process; default a new UUID. */
 	readonly epoch?: string;
 	/** Monotonic time, ms; default `performance.now`. */
@@ -102,10 +101,6 @@
 /** Time after its deadline in which an upstream may still respond, ms; it ends earlier when the caller's node no longer waits. */
 const upstreamDeadlineSlackMs = 250;
 
-/** Estimated wait and service time of an attempt at an upstream. */
-type AttemptEstimate = LocalWait &
-	Pick<AdmissionInput, 'serviceMs' | 'meanServiceMs'>;
-
 /** Gate of a host: the only task that sends requests to the upstreams on the host. */
 export type GateTask = {
 	/** Adds or updates an upstream; ignores an announcement of an earlier incarnation. */
@@ -163,6 +158,7 @@
 	const {readLag = () => 0} = options;
 	const {readMaxWait = readLag} = options;
 	const {now = () => performance.now(), random = Math.random} = options;
+	const {calls = createCallMonitor(now)} = options;
 	const upstreams = new Map<string, LocalUpstream>();
 	const ledger = createLedger<AttemptResult>({epoch});
 	let isDraining = false;
@@ -287,7 +283,8 @@
 		observer,
 		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
-		onSent(upstream) {
+		onSent({upstream}) {
+			calls.recordRunStart();
 			lostRequestDetector.scheduleCheck(upstream);
 		},
 		onHead: handleResponseHead,
@@ -295,6 +292,7 @@
 			logRefused([{place: upstream.announcement.address, reason}]);
 		},
 		onEnd(job, end, result) {
+			calls.recordRunEnd(job, result);
 			crashDetector.recordEnd(job, end);
 			if (end === 'answered' && result.kind === 'answered') {
 				suspects.recordCompletion(job);
@@ -334,23 +332,6 @@
 		now,
 	});
 
-	function estimateAttempt(
-		upstream: LocalUpstream,
-		attempt: Attempt,
-	): AttemptEstimate {
-		const at = now();
-		const {priority = 0, remainingMs, routeObjectiveMs = remainingMs} = attempt;
-		const dueAt = at + routeObjectiveMs;
-		const wait = computeLocalWait(upstream, {priority, dueAt}, at);
-		return {
-			waitMs: wait.waitMs,
-			lateWaitMs: wait.lateWaitMs,
-			rateLimitWaitMs: wait.rateLimitWaitMs,
-			serviceMs: readExpectedServiceTime(upstream, attempt, at),
-			meanServiceMs: readServiceTime(upstream.serviceTime, at),
-		};
-	}
-
 	/** Subtracts the transit time of an attempt from its remaining time. */
 	function subtractTransitTime(attempt: Attempt): Attempt {
 		const transitMs = computeTransitTime(attempt, now());
@@ -420,27 +401,13 @@
 		estimate: AttemptEstimate,
 		utilization: number,
 	): (Admission & {readonly kind: 'admit'}) | AttemptResult {
-		const {remainingMs, objectiveMs = remainingMs, team} = attempt;
-		const at = now();
-		const admission = decideAdmission({
-			state: 'ready',
-			remainingMs,
-			objectiveMs,
-			serviceMs: estimate.serviceMs,
-			meanServiceMs: estimate.meanServiceMs,
-			waitMs: estimate.waitMs,
-			lateWaitMs: estimate.lateWaitMs,
-			rateLimitWaitMs: estimate.rateLimitWaitMs,
-			utilization,
-			marginRatio: upstream.marginRatio,
-			slots: computeLocalOpenSlots(upstream, team, at),
-			inFlight: readOccupiedSlots(upstream, at),
-			queuedAhead: countAhead(upstream, team),
-			queued: upstream.queuedCount,
-			teamQueued: upstream.queued.get(team)?.length ?? 0,
-			maxTeamQueued: findLongestQueue(upstream).length,
-			maxQueued: upstream.announcement.slots * queueSlotsRatio,
-		});
+		const {remainingMs, objectiveMs = remainingMs} = attempt;
+		const admission = decideAdmission(
+			createAdmissionInput(upstream, attempt, estimate, {
+				utilization,
+				now: now(),
+			}),
+		);
 		if (admission.kind === 'admit') {
 			return admission;
 		}
@@ -454,6 +421,22 @@
 		return refuse('not-run', admission.reason, upstream, retryAfter);
 	}
 
+	/** Refuses an attempt whose calls could not be served. */
+	function refuseRun(
+		upstream: LocalUpstream,
+		{remainingMs}: Attempt,
+		estimate: AttemptEstimate,
+	): AttemptResult {
+		// The shortage outlasts the objective, so that a retry is spread over the time left.
+		const retryAfter = computeRetryAfter({
+			...estimate,
+			objectiveMs: 0,
+			remainingMs,
+			random: random(),
+		});
+		return refuse('not-run', 'calls-saturated', upstream, retryAfter);
+	}
+
 	function refuseBeforeBody(attempt: Attempt): AttemptResult | undefined {
 		const refusal = refuseQuarantined(attempt);
 		if (refusal) {
@@ -469,7 +452,7 @@
 		const decision = evaluateAdmission(
 			found,
 			attempt,
-			estimateAttempt(found, attempt),
+			computeAttemptEstimate(found, attempt, now()),
 			readUtilization(found.utilization, slots, now()),
 		);
 		return decision.kind === 'admit' ? undefined : decision;
@@ -487,7 +470,7 @@
 		}
 
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
-		const estimate = estimateAttempt(upstream, attempt);
+		const estimate = computeAttemptEstimate(upstream, attempt, now());
 		const utilization = recordDemand(upstream, estimate.serviceMs, objectiveMs);
 		const decision = evaluateAdmission(
 			upstream,
@@ -499,8 +482,12 @@
 			return decision;
 		}
 
+		if (!calls.decideRun(attempt)) {
+			return refuseRun(upstream, attempt, estimate);
+		}
+
 		if (decision.shouldEvict) {
-			runner.drop(findLongestQueue(upstream).at(-1)!, 'saturated');
+			runner.drop(findEvicted(upstream, attempt), 'saturated');
 		}
 
 		return runner.enqueue(attempt, upstream, {
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -33,6 +33,7 @@
 import type {PlatformClient} from './platform-client.js';
 import {startCallerTask} from './start-caller-task.js';
 import {startDocumentTask, type DocumentStore} from './start-document-task.js';
+import {createCallMonitor} from './_lib/create-call-monitor.js';
 import {startGateTask} from './start-gate-task.js';
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
@@ -160,7 +161,9 @@
 	}
 
 	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
+	const calls = createCallMonitor(() => performance.now());
 	const gate = startGateTask({
+		calls,
 		logger,
 		quarantine,
 		edge,
@@ -191,6 +194,7 @@
 		dataCentre,
 		address: initialSettings.callers,
 		gate,
+		calls,
 		forwarder,
 		quarantine,
 		logger,
--- a/src/transport/start-node.ts
+++ b/src/transport/start-node.ts
@@ -17,6 +17,7 @@
 import {startCallerTask} from './start-caller-task.js';
 import {startCommitTask} from './start-commit-task.js';
 import {startConfigurationTask} from './start-configuration-task.js';
+import {createCallMonitor} from './_lib/create-call-monitor.js';
 import {startGateTask} from './start-gate-task.js';
 import {startMembersTask} from './start-members-task.js';
 import {startPeerServer} from './start-peer-server.js';
@@ -83,7 +84,9 @@
 		createRequestLog(logger, settings.log.level),
 	]);
 	const quarantine = startQuarantineTask({name, dataCentre, peers, logger});
+	const calls = createCallMonitor(() => performance.now());
 	const gate = startGateTask({
+		calls,
 		logger,
 		quarantine,
 		observer,
@@ -102,6 +105,7 @@
 		dataCentre,
 		address: settings.node.callers,
 		gate,
+		calls,
 		forwarder,
 		quarantine,
 		logger,
