Replay load patterns of calls in virtual time, and keep a quarter for new work

Change: bench shedding, a simulator of gates without a network; calls lose their precedence while new work gets less than a quarter of the share of all; runs that are calls are not throttled; failed calls weigh more than late ones; waits are measured from the lowest time of a call lately.

--- a/bench/_lib/shortage/create-shortage-job.ts
+++ b/bench/_lib/shortage/create-shortage-job.ts
@@ -5,7 +5,7 @@
 	Job,
 	LocalUpstream,
 } from '../../../src/transport/_lib/local-upstream.js';
-import {isNestedAttempt} from '../../../src/transport/_lib/is-nested-attempt.js';
+import {hasPrecedence} from '../../../src/transport/_lib/has-precedence.js';
 import type {ShortageAttempt} from './shortage-attempt.js';
 
 /** What a gate expects of an attempt that it admits. */
@@ -81,7 +81,7 @@
 		serviceMs,
 		expectedMs: waitMs + serviceMs,
 		priority: attempt.priority ?? 0,
-		isNested: isNestedAttempt(attempt),
+		isNested: hasPrecedence(attempt),
 		dueAt: now + (attempt.routeObjectiveMs ?? remainingMs),
 		result: neverEnding,
 		resolve: ignore,
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -31,6 +31,10 @@
 		const {benchShortage} = await import('./shortage.js');
 		return benchShortage;
 	},
+	async shedding() {
+		const {benchShedding} = await import('./shedding.js');
+		return benchShedding;
+	},
 	async members() {
 		const {benchMembers} = await import('./members.js');
 		return benchMembers;
--- a/src/coordination/shedding/step-call-balance.ts
+++ b/src/coordination/shedding/step-call-balance.ts
@@ -6,7 +6,7 @@
 	readonly wanted: ReadonlyMap<number, number>;
 	/** Runs that were begun; decayed. */
 	readonly begun: number;
-	/** Calls that have ended; decayed. */
+	/** Calls that have ended, failed ones by their weight; decayed. */
 	readonly calls: number;
 	/** Calls that were answered without a long wait; decayed. */
 	readonly served: number;
@@ -22,15 +22,24 @@
 			/** Whether it was admitted. */
 			readonly isBegun: boolean;
 	  }
+	/** A call was answered. */
 	| {
 			readonly kind: 'call';
-			/** Whether it was answered, without a wait that its objective does not leave. */
+			/** Whether it had no wait that its objective does not leave. */
 			readonly isServed: boolean;
-	  };
+	  }
+	/** A call was refused, failed or was not answered. */
+	| {readonly kind: 'call-failed'};
 
 /** Time constant of the counts, ms: several calls at each node, and less than the second within which free capacity should be noticed. */
 const balanceMs = 800;
 
+/**
+ * Weight of a failed call. A call that waits long costs the run only time, a failed
+ * one all its work: about one in a hundred may fail where one in ten may wait.
+ */
+const failureWeight = 10;
+
 /** Count below which a priority is forgotten. */
 const minWanted = 0.01;
 
@@ -102,5 +111,10 @@
 				strainedAt: isServed ? faded.strainedAt : now,
 			};
 		}
+
+		case 'call-failed': {
+			const calls = faded.calls + failureWeight;
+			return {...faded, calls, strainedAt: now};
+		}
 	}
 }
--- a/src/protocol/attempt.ts
+++ b/src/protocol/attempt.ts
@@ -31,8 +31,10 @@
 	readonly expiresAt?: number | undefined;
 	/** Number of upstreams that the request has passed through. */
 	readonly depth: number;
-	/** Whether a request that runs on the host of its caller's node has made it; false when absent. */
+	/** Whether a request that runs on the host of its caller's node has made it; by its depth when absent. */
 	readonly isNested?: boolean | undefined;
+	/** Whether its gate treats a nested call like new work; not sent between nodes, false when absent. */
+	readonly isDemoted?: boolean | undefined;
 	/** Newest known stamp of the gate. */
 	readonly stamp: GateStamp | undefined;
 	/**
--- a/src/transport/_lib/attempt-estimate.ts
+++ b/src/transport/_lib/attempt-estimate.ts
@@ -2,7 +2,7 @@
 import {readServiceTime} from '../../coordination/read-service-time.js';
 import type {Attempt} from '../../protocol/attempt.js';
 import {queueSlotsRatio} from '../../protocol/constants.js';
-import {isNestedAttempt} from './is-nested-attempt.js';
+import {hasPrecedence} from './has-precedence.js';
 import {computeLocalOpenSlots} from './local-slots.js';
 import {
 	computeLocalWait,
@@ -32,7 +32,7 @@
 	now: number,
 ): AttemptEstimate {
 	const {priority = 0, remainingMs, routeObjectiveMs = remainingMs} = attempt;
-	const isNested = isNestedAttempt(attempt);
+	const isNested = hasPrecedence(attempt);
 	const dueAt = now + routeObjectiveMs;
 	const wait = computeLocalWait(upstream, {priority, dueAt, isNested}, now);
 	return {
@@ -58,7 +58,7 @@
 	{utilization, now}: {readonly utilization: number; readonly now: number},
 ): AdmissionInput {
 	const {remainingMs, objectiveMs = remainingMs, team} = attempt;
-	const isNested = isNestedAttempt(attempt);
+	const isNested = hasPrecedence(attempt);
 	return {
 		...estimate,
 		state: 'ready',
--- a/src/transport/_lib/create-call-monitor.ts
+++ b/src/transport/_lib/create-call-monitor.ts
@@ -1,5 +1,6 @@
 import {computePriorityShare} from '../../coordination/shedding/compute-priority-share.js';
 import {computeRunShare} from '../../coordination/shedding/compute-run-share.js';
+import {stepBaseTime} from '../../coordination/shedding/step-base-time.js';
 import {
 	stepCallBalance,
 	type CallBalance,
@@ -24,7 +25,7 @@
 
 /** A nested call that a caller's node has handled. */
 export type MonitoredCall = {
-	readonly route: Pick<CompiledRoute, 'objectiveMs'>;
+	readonly route: Pick<CompiledRoute, 'name' | 'objectiveMs'>;
 	/** Monotonic ms. */
 	readonly startedAt: number;
 };
@@ -59,9 +60,6 @@
 /** Lowest status by which an upstream says that it has failed. */
 const serverErrorStatus = 500;
 
-/** Priority of runs that are calls themselves: refusing one costs the work of another run. */
-const nestedPriority = -1;
-
 type TrackedRoute = {
 	evidence: NestedRoute | undefined;
 	/** Idle time of the upstream at the previous arrival, ms. */
@@ -70,23 +68,6 @@
 	arrivedAt: number;
 };
 
-/** Tells whether a call was answered without a wait that its objective does not leave, and that is longer than its work. */
-function isServedInTime(
-	{route, startedAt}: MonitoredCall,
-	end: RequestEnd,
-	now: number,
-): boolean {
-	if (end.outcome !== 'answered') {
-		return false;
-	}
-
-	const {load} = end.answer;
-	const durationMs = now - startedAt;
-	const serviceMs = load?.routeMs ?? load?.serviceMs ?? durationMs;
-	const {objectiveMs = Number.POSITIVE_INFINITY} = route;
-	return durationMs - serviceMs <= Math.max(serviceMs, objectiveMs - serviceMs);
-}
-
 /**
  * Creates the monitor of the calls that the requests running on a host make.
  *
@@ -96,6 +77,7 @@
 export function createCallMonitor(now: () => number): CallMonitor {
 	const nestedRoutes = new Map<string, TrackedRoute>();
 	const callingRoutes = new Map<string, CallingRoute>();
+	const baseTimes = new Map<string, number>();
 	/** Fractions of a run that each priority may still begin. */
 	const credits = new Map<number, number>();
 	let clock: IdleClock = {inFlight: 0, idleMs: 0, at: now()};
@@ -107,6 +89,18 @@
 		balance = stepCallBalance(balance, message, now());
 	}
 
+	/** Tells whether an answered call had no wait that its objective does not leave, or that is shorter than its work. */
+	function isServedInTime(
+		{route, startedAt}: MonitoredCall,
+		at: number,
+	): boolean {
+		const {name, objectiveMs = Number.POSITIVE_INFINITY} = route;
+		const durationMs = at - startedAt;
+		const baseMs = stepBaseTime(baseTimes.get(name), durationMs);
+		baseTimes.set(name, baseMs);
+		return durationMs <= Math.max(2 * baseMs, objectiveMs);
+	}
+
 	function recordArrival(route: string): boolean {
 		const at = now();
 		clock = stepIdleClock(clock, 0, at);
@@ -156,34 +150,34 @@
 			}
 
 			const at = now();
-			if (!isAnswered || end.answer.status >= serverErrorStatus) {
+			const isFailed = !isAnswered || end.answer.status >= serverErrorStatus;
+			if (isFailed) {
 				failedAt = at;
 			}
 
-			const message: CallBalanceMessage = {
-				kind: 'call',
-				isServed: isServedInTime(call, end, at),
-			};
+			const message: CallBalanceMessage = isFailed
+				? {kind: 'call-failed'}
+				: {kind: 'call', isServed: isServedInTime(call, at)};
 			balance = stepCallBalance(balance, message, at);
 		},
 		decideRun(attempt) {
 			const {route, priority = 0} = attempt;
 			const evidence =
 				route === undefined ? undefined : callingRoutes.get(route);
-			if (!evidence?.makesCalls) {
+			// A call that is refused costs as much as one whose own calls fail; the first run of the chain is held back instead.
+			if (!evidence?.makesCalls || isNestedAttempt(attempt)) {
 				return true;
 			}
 
-			const rank = isNestedAttempt(attempt) ? nestedPriority : priority;
 			const share = computePriorityShare(
 				computeRunShare(balance, now()),
 				balance?.wanted ?? new Map<number, number>(),
-				rank,
+				priority,
 			);
-			const credit = Math.min(1, (credits.get(rank) ?? 0) + share);
+			const credit = Math.min(1, (credits.get(priority) ?? 0) + share);
 			const isBegun = credit >= 1;
-			credits.set(rank, isBegun ? credit - 1 : credit);
-			countRun(rank, isBegun);
+			credits.set(priority, isBegun ? credit - 1 : credit);
+			countRun(priority, isBegun);
 			return isBegun;
 		},
 		readRunShare: () => computeRunShare(balance, now()),
--- a/src/transport/_lib/create-job-runner.ts
+++ b/src/transport/_lib/create-job-runner.ts
@@ -15,7 +15,7 @@
 import type {JobEnd} from './create-crash-detector.js';
 import {computeTimerDelay} from './compute-timer-delay.js';
 import {createUpstreamRequest} from './create-upstream-request.js';
-import {isNestedAttempt} from './is-nested-attempt.js';
+import {hasPrecedence} from './has-precedence.js';
 import {releaseSlot, takeNextJob} from './local-slots.js';
 import {
 	addToLocalQueue,
@@ -439,7 +439,7 @@
 			serviceMs,
 			expectedMs: waitMs + serviceMs,
 			priority: attempt.priority ?? 0,
-			isNested: isNestedAttempt(attempt),
+			isNested: hasPrecedence(attempt),
 			dueAt: admittedAt + (attempt.routeObjectiveMs ?? attempt.remainingMs),
 			result,
 			resolve,
--- a/src/transport/_lib/is-nested-attempt.ts
+++ b/src/transport/_lib/is-nested-attempt.ts
@@ -1,15 +1,15 @@
 import type {Attempt} from '../../protocol/attempt.js';
 
 /**
- * Tells whether a running request waits for an attempt: its caller's node has
- * found that out, or the caller states a depth.
+ * Tells whether a running request waits for an attempt, as its caller's node says;
+ * one of an earlier version only passes on the depth that the caller states.
  *
  * @param attempt - the attempt
  * @returns true when one does
  */
 export function isNestedAttempt({
-	isNested = false,
 	depth,
+	isNested = depth > 0,
 }: Pick<Attempt, 'isNested' | 'depth'>): boolean {
-	return isNested || depth > 0;
+	return isNested;
 }
--- a/src/transport/_lib/local-upstream.ts
+++ b/src/transport/_lib/local-upstream.ts
@@ -15,6 +15,7 @@
 	type AdmissionInput,
 } from '../../coordination/decide-admission.js';
 import {pickEvicted} from '../../coordination/shedding/pick-evicted.js';
+import type {ServedShares} from '../../coordination/shedding/step-served-shares.js';
 import type {RateLimit} from '../../coordination/rate-limit.js';
 import {readServiceTime} from '../../coordination/read-service-time.js';
 import {
@@ -33,7 +34,7 @@
 } from '../../protocol/constants.js';
 import type {Announcement} from '../../protocol/member.js';
 import {formatService} from '../../state/format-service.js';
-import {isNestedAttempt} from './is-nested-attempt.js';
+import {hasPrecedence} from './has-precedence.js';
 import {createPooledAgent} from './create-pooled-agent.js';
 import {readNotice} from './local-notice.js';
 import {createRecentSet, type RecentSet} from './create-recent-set.js';
@@ -129,6 +130,8 @@
 	/** Mean service time of all requests; `routeTimes` has that of each route. */
 	serviceTime: ServiceTime | undefined;
 	readonly routeTimes: Map<string, ServiceTime>;
+	/** How many calls and how much new work took slots lately; undefined until a nested call has arrived. */
+	servedShares: ServedShares | undefined;
 	/** Load of all attempts that arrived in time, whether admitted or not. */
 	utilization: Utilization | undefined;
 	/** By how much responses exceed their expected time, as a ratio of that time. */
@@ -197,6 +200,7 @@
 		sent: new Set(),
 		serviceTime: undefined,
 		routeTimes: new Map(),
+		servedShares: undefined,
 		utilization: undefined,
 		marginRatio: defaultMarginRatio,
 		isLeaving: false,
@@ -447,7 +451,7 @@
  * @returns the last new work for a nested call, otherwise the last job of the team with the longest queue
  */
 export function findEvicted(upstream: LocalUpstream, attempt: Attempt): Job {
-	const newWork = isNestedAttempt(attempt)
+	const newWork = hasPrecedence(attempt)
 		? pickEvicted([...upstream.queued.values()].flat())
 		: undefined;
 	return newWork ?? findLongestQueue(upstream).at(-1)!;
--- a/src/transport/_lib/read-attempt.ts
+++ b/src/transport/_lib/read-attempt.ts
@@ -95,7 +95,7 @@
 		headers,
 		remainingMs: readDeadline(headers),
 		depth: readNumber(headers[depthHeader], depthRange) ?? 0,
-		isNested: headers[nestedHeader] === 'true',
+		isNested: headers[nestedHeader] === 'true' ? true : undefined,
 		route: readText(headers[routeHeader]),
 		origin: readText(headers[originHeader]),
 		tenant: readText(headers[tenantHeader]),
--- a/src/transport/_lib/send-upstream-response.ts
+++ b/src/transport/_lib/send-upstream-response.ts
@@ -1,7 +1,6 @@
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
-import type {GateLoad} from '../../protocol/attempt.js';
 import {copyHeaders} from './copy-headers.js';
 
 /** A response of an upstream. */
@@ -9,8 +8,6 @@
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
 	readonly body: Uint8Array | Readable;
-	/** Load of its gate; undefined when not known. */
-	readonly load?: GateLoad | undefined;
 };
 
 /**
--- a/src/transport/start-gate-task.ts
+++ b/src/transport/start-gate-task.ts
@@ -61,6 +61,7 @@
 	type Job,
 	type LocalUpstream,
 } from './_lib/local-upstream.js';
+import {recordPrecedence, selectPrecedence} from './_lib/nested-precedence.js';
 import {raceResult} from './_lib/race-result.js';
 import {reportGateEvent} from './_lib/report-gate-event.js';
 import type {Logger} from './create-logger.js';
@@ -283,8 +284,9 @@
 		observer,
 		edge,
 		refuse: (reason, upstream) => refuse('not-run', reason, upstream),
-		onSent({upstream}) {
+		onSent({upstream, attempt}) {
 			calls.recordRunStart();
+			recordPrecedence(upstream, attempt, 'started', now());
 			lostRequestDetector.scheduleCheck(upstream);
 		},
 		onHead: handleResponseHead,
@@ -458,17 +460,19 @@
 		return decision.kind === 'admit' ? undefined : decision;
 	}
 
-	function admit(attempt: Attempt): Job | AttemptResult {
-		const refusal = refuseQuarantined(attempt);
+	function admit(received: Attempt): Job | AttemptResult {
+		const refusal = refuseQuarantined(received);
 		if (refusal) {
 			return refusal;
 		}
 
-		const upstream = findUpstream(attempt);
+		const upstream = findUpstream(received);
 		if ('kind' in upstream) {
 			return upstream;
 		}
 
+		recordPrecedence(upstream, received, 'arrived', now());
+		const attempt = selectPrecedence(upstream, received);
 		const {remainingMs, objectiveMs = remainingMs} = attempt;
 		const estimate = computeAttemptEstimate(upstream, attempt, now());
 		const utilization = recordDemand(upstream, estimate.serviceMs, objectiveMs);
