--- a/bench/_lib/shedding/create-shedding-gate.ts
+++ b/bench/_lib/shedding/create-shedding-gate.ts
@@ -3,7 +3,7 @@
 import {decideAdmission} from '../../../src/coordination/decide-admission.js';
 import {readUtilization} from '../../../src/coordination/read-utilization.js';
 import {stepUtilization} from '../../../src/coordination/step-utilization.js';
-import type {Attempt} from '../../../src/protocol/attempt.js';
+import type {Attempt, GateLoad} from '../../../src/protocol/attempt.js';
 import type {OutcomeReason} from '../../../src/protocol/request.js';
 import {
 	computeAttemptEstimate,
@@ -35,7 +35,6 @@
 	type RequestKind,
 	type SheddingPolicy,
 } from './shedding-parameters.js';
-import type {GateLoad} from '../../../src/protocol/attempt.js';
 
 /** An attempt in virtual time. */
 export type SheddingAttempt = {
--- a/src/coordination/shedding/step-nested-route.ts
+++ b/src/coordination/shedding/step-nested-route.ts
@@ -2,11 +2,11 @@
 export type NestedRoute = {
 	/** Whether the route is classified as one of calls. */
 	readonly isNested: boolean;
-	/** Arrivals, decayed by number. */
+	/** Arrivals, decayed like the others. */
 	readonly arrivals: number;
-	/** Arrivals while the local upstream was idle, decayed by number. */
+	/** Arrivals while the local upstream was idle, decayed likewise. */
 	readonly idleArrivals: number;
-	/** Arrivals that would have met an idle upstream if they came independently of its work, decayed by number. */
+	/** Arrivals that would have met an idle upstream if they came independently of its work, decayed by their own number. */
 	readonly expectedIdle: number;
 };
 
@@ -18,8 +18,8 @@
 	readonly idleShare: number;
 };
 
-/** Arrivals over which the evidence is kept, so that a route that changes is noticed. */
-const memoryArrivals = 1000;
+/** Expected idle arrivals over which the evidence is kept, so that a route that changes is noticed. A busy time brings no evidence and takes none away. */
+const memoryIdle = 60;
 
 const minArrivals = 30;
 
@@ -66,7 +66,7 @@
 	{inFlight, idleShare}: RouteArrival,
 ): NestedRoute {
 	const before = route ?? noEvidence;
-	const keep = 1 - 1 / memoryArrivals;
+	const keep = 1 - idleShare / memoryIdle;
 	const arrivals = before.arrivals * keep + 1;
 	const idleArrivals = before.idleArrivals * keep + (inFlight === 0 ? 1 : 0);
 	const expectedIdle = before.expectedIdle * keep + idleShare;
--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -37,6 +37,8 @@
 	members: 'boragehitch_members',
 	inFlight: 'boragehitch_requests_in_flight',
 	rateLimit: 'boragehitch_upstream_rate_limit',
+	runShare: 'boragehitch_run_share',
+	nestedRoutes: 'boragehitch_nested_routes',
 	quarantined: 'boragehitch_quarantined_requests',
 	memory: 'boragehitch_memory_bytes',
 	processorSeconds: 'boragehitch_processor_seconds_total',
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -12,6 +12,8 @@
 			inFlight: 3,
 			rateLimit: 12.6,
 			quarantined: 2,
+			runShare: 1,
+			nestedRoutes: 0,
 			lagMs: 7,
 		}),
 		takeBytes: () => [{purpose: 'document', sent: 400, received: 7}],
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -23,6 +23,10 @@
 	readonly rateLimit: number;
 	/** Number of requests that are not sent because they crash their upstreams. */
 	readonly quarantined: number;
+	/** Share of the runs that make calls that the node begins, 0 to 1. */
+	readonly runShare: number;
+	/** Number of routes that the node takes for calls of its upstream. */
+	readonly nestedRoutes: number;
 	/** Event loop lag, ms. */
 	readonly lagMs: number;
 };
@@ -179,6 +183,16 @@
 		help: 'Requests that are not sent because they crash their upstreams',
 		registers,
 	});
+	const runShare = new Gauge({
+		name: meshMetricNames.runShare,
+		help: 'Share of the runs that make calls that the node begins; below 1 while their calls are not served',
+		registers,
+	});
+	const nestedRoutes = new Gauge({
+		name: meshMetricNames.nestedRoutes,
+		help: 'Routes that the node takes for calls of its upstream',
+		registers,
+	});
 	const memory = new Gauge({
 		name: meshMetricNames.memory,
 		help: 'Resident memory, bytes',
@@ -230,6 +244,8 @@
 			inFlight.set(gauges.inFlight);
 			rateLimit.set(gauges.rateLimit);
 			quarantined.set(gauges.quarantined);
+			runShare.set(gauges.runShare);
+			nestedRoutes.set(gauges.nestedRoutes);
 			memory.set(process.memoryUsage.rss());
 			eventLoopLag.set(gauges.lagMs);
 			updateProcessorUse();
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -120,6 +120,8 @@
 			inFlight: caller.readInFlight(),
 			rateLimit: gate.readRateLimit() ?? -1,
 			quarantined: quarantine.readQuarantined(),
+			runShare: calls.readRunShare(),
+			nestedRoutes: calls.countNestedRoutes(),
 			lagMs: lagMeter.read(),
 		}),
 		takeBytes: byteCounter.take,
