--- a/src/transport/_lib/create-rollout-leader.ts
+++ b/src/transport/_lib/create-rollout-leader.ts
@@ -1,7 +1,4 @@
-import {
-	findOrderProblem,
-	type OrderProblem,
-} from '../../coordination/rollouts/find-order-problem.js';
+import {findOrderProblem} from '../../coordination/rollouts/find-order-problem.js';
 import type {ServiceVersions} from '../../coordination/rollouts/step-running-versions.js';
 import {
 	stepRollout,
@@ -12,6 +9,7 @@
 import type {Logger} from '../create-logger.js';
 import type {RolloutStore} from '../rollout-store.js';
 import {createCountTable, type NodeCounts} from './create-count-table.js';
+import {createOrderProblemLog} from './create-order-problem-log.js';
 import {createOrderWatch} from './create-order-watch.js';
 import {
 	createDirective,
@@ -69,7 +67,7 @@
 		string,
 		Pick<StoredRollout, 'target' | 'revision'>
 	>();
-	const problems = new Map<string, OrderProblem>();
+	const reportProblem = createOrderProblemLog(logger);
 	const counts = createCountTable(now);
 	let timer: NodeJS.Timeout | undefined;
 	let isLeading = false;
@@ -176,23 +174,6 @@
 		writer.write(order, state);
 	}
 
-	function reportProblem(
-		{name, service, target}: StoredRollout,
-		problem: OrderProblem | undefined,
-	): void {
-		if (problem === undefined) {
-			problems.delete(name);
-		} else if (problems.get(name) !== problem) {
-			problems.set(name, problem);
-			logger.warn('order for a roll-out not usable', {
-				order: name,
-				service,
-				version: target,
-				reason: problem,
-			});
-		}
-	}
-
 	/** Takes over the final state of an order from its stored status. */
 	function adoptFinal(order: StoredRollout): void {
 		const known = rollouts.get(order.service);
