--- a/review/_lib-2/nodes.mjs
+++ b/review/_lib-2/nodes.mjs
@@ -9,6 +9,7 @@
 	createWriteStream,
 	mkdtempSync,
 	readFileSync,
+	rmSync,
 	writeFileSync,
 } from 'node:fs';
 import {createServer, get} from 'node:http';
@@ -18,6 +19,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {listen} from './http.mjs';
 
+/** Exit code of a case that could not run. */
+const unableCode = 2;
+
 const root = path.resolve(import.meta.dirname, '..', '..');
 
 function readCommand() {
@@ -80,6 +84,21 @@
 	const folder = mkdtempSync(path.join(tmpdir(), 'boragehitch-case-'));
 	const nodes = [];
 
+	function killAll() {
+		for (const {child, ended} of nodes) {
+			if (ended === undefined) {
+				child.kill('SIGKILL');
+			}
+		}
+	}
+
+	process.once('exit', killAll);
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			process.exit(unableCode);
+		});
+	}
+
 	async function createMachine({name, host, zone, service}) {
 		const [inbound, outbound, ready, control, first] = await findPorts(host, 5);
 		return {
@@ -174,15 +193,13 @@
 
 			return false;
 		},
-		/** Ends all processes that the fleet has started. */
+		/** Ends all processes that the fleet has started, and removes their settings and logs unless KEEP_LOGS is set. */
 		async stopAll() {
-			for (const {child, ended} of nodes) {
-				if (ended === undefined) {
-					child.kill('SIGKILL');
-				}
-			}
-
+			killAll();
 			await Promise.all(nodes.map(async ({exit}) => exit));
+			if (process.env.KEEP_LOGS === undefined) {
+				rmSync(folder, {recursive: true, force: true});
+			}
 		},
 	};
 }
