Close a client's connection only after the last response that it owes

Callers saw requests end without a response during a planned stop: of two requests that a client had sent together, both ran, the first response said `Connection: close`, and the connection ended before the second one.

Cause: startServer set the header on each response after SIGTERM when its request was read, and went on to hand over the requests behind it. Node.js ends a connection after the first response with that header, whatever waits behind it.

Now a connection is a small state machine (stepConnection): only the last response that is owed may close it, decided when its head is written, and nothing that is read behind such a head, or behind an unanswered HTTP/1.0 request, is handled. Its client learns from the closed connection that it was not (RFC 9112, section 9.6). Closing responses ask for it by shouldKeepAlive instead of a header, so that there is one place that decides.

"responds to requests in flight before it stops" compared what its client had read by the moment at which stop() resolved. The connection now closes with its last response instead of up to 200 ms later, so the test waits for the end of the connection and compares all that arrived on it: as strict.

--- a/src/transport/_lib/administration/add-manifest-routes.ts
+++ b/src/transport/_lib/administration/add-manifest-routes.ts
@@ -53,9 +53,11 @@
 				currentRevision: 0,
 				problems: [...problems],
 			};
-			const headers: Record<string, string> =
-				status === 413 ? {connection: 'close'} : {};
-			sendJson(response, status, outcome, headers);
+			if (status === 413) {
+				response.shouldKeepAlive = false;
+			}
+
+			sendJson(response, status, outcome);
 		}
 
 		const text = await readJsonText(request);
--- a/src/transport/_lib/administration/add-member-routes.ts
+++ b/src/transport/_lib/administration/add-member-routes.ts
@@ -47,7 +47,8 @@
 			if (status === 0) {
 				response.destroy();
 			} else {
-				sendJson(response, status, {error: message}, {connection: 'close'});
+				response.shouldKeepAlive = false;
+				sendJson(response, status, {error: message});
 			}
 
 			return;
--- /dev/null
+++ b/src/transport/_lib/client-connection.ts
@@ -0,0 +1,127 @@
+import {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {
+	ConnectionAction,
+	ConnectionMessage,
+	ConnectionState,
+	PendingRequest,
+} from '../../coordination/client-connections/connection-state.js';
+import {stepConnection} from '../../coordination/client-connections/step-connection.js';
+import type {ReceivedRequest} from './received-request.js';
+
+type Message = ConnectionMessage<ClientResponse>;
+
+const connections = new WeakMap<Duplex, ClientConnection>();
+
+/** Release of a connection from the accept queue, after which the server reads from it. */
+export type Release = {
+	/** Longest wait of the connection before its release, ms. */
+	readonly waitMs: number;
+	/** When it was released, monotonic ms. */
+	readonly at: number;
+};
+
+/** Response to a client, whose connection decides whether it is closed afterwards. */
+export class ClientResponse
+	extends ServerResponse<ReceivedRequest>
+	implements PendingRequest
+{
+	/** The connection that owes the response; absent until its request has been read. */
+	owner: ClientConnection | undefined;
+
+	get allowsPipelining(): boolean {
+		const {httpVersionMajor: major, httpVersionMinor: minor} = this.req;
+		return major === 1 && minor === 1;
+	}
+
+	override writeHead(...parameters: unknown[]): this {
+		const connection = this.owner ?? connections.get(this.req.socket);
+		if (connection) {
+			// Without a handler, it is a refusal by Node.js, which may leave the body unread.
+			const isRefused = this.owner === undefined;
+			if (isRefused) {
+				connection.addResponse(this);
+			}
+
+			const wantsClose = isRefused || !this.shouldKeepAlive;
+			this.shouldKeepAlive = !connection.decideClose(this, wantsClose);
+		}
+
+		Reflect.apply(super.writeHead, this, parameters);
+		return this;
+	}
+}
+
+/** A client's connection to a server, with the responses that it owes. */
+export class ClientConnection {
+	/** Whether it has had a request. */
+	isUsed = false;
+	/** Release from the accept queue; undefined once its first request has been read. */
+	release: Release | undefined;
+	/** Bytes that had been read at the last look for idle connections. */
+	#bytesRead = 0;
+	readonly #socket: Socket;
+	readonly #isDraining: () => boolean;
+	#state: ConnectionState<ClientResponse> = {intake: 'open', pending: []};
+
+	constructor(socket: Socket, isDraining: () => boolean) {
+		this.#socket = socket;
+		this.#isDraining = isDraining;
+		connections.set(socket, this);
+	}
+
+	/** Whether a response that has ended is still being written. */
+	get isWriting(): boolean {
+		return this.#state.pending.some(
+			({writableEnded, writableFinished}) => writableEnded && !writableFinished,
+		);
+	}
+
+	/** Closes the connection if it owes no response and has received nothing since the last call. */
+	closeIfQuiet(): void {
+		const {bytesRead} = this.#socket;
+		const isQuiet = bytesRead === this.#bytesRead;
+		this.#bytesRead = bytesRead;
+		if (isQuiet && this.isUsed && this.#state.pending.length === 0) {
+			this.#socket.destroy();
+		}
+	}
+
+	/**
+	 * Counts a response as owed until it has been written.
+	 *
+	 * @returns whether its request is to be handled
+	 */
+	addResponse(response: ClientResponse): boolean {
+		this.isUsed = true;
+		response.owner = this;
+		if (this.#step({kind: 'request', request: response}) === 'discard') {
+			return false;
+		}
+
+		response.once('finish', () => {
+			const action = this.#step({kind: 'written', request: response});
+			if (action === 'close') {
+				this.#socket.destroySoon();
+			}
+		});
+		return true;
+	}
+
+	/** Decides whether to close the connection after a response whose head is about to be written. */
+	decideClose(request: ClientResponse, wantsClose: boolean): boolean {
+		const action = this.#step({
+			kind: 'head',
+			request,
+			wantsClose: wantsClose || this.#isDraining(),
+		});
+		return action === 'close-after';
+	}
+
+	#step(message: Message): ConnectionAction {
+		const {state, action} = stepConnection(this.#state, message);
+		this.#state = state;
+		return action;
+	}
+}
--- a/src/transport/_lib/send-outcome.ts
+++ b/src/transport/_lib/send-outcome.ts
@@ -63,7 +63,7 @@
 	}
 
 	if (reason === 'body-too-large') {
-		headers.push('connection', 'close');
+		response.shouldKeepAlive = false;
 	}
 
 	response.writeHead(status, headers);
--- a/src/transport/_lib/start-server.test.ts
+++ b/src/transport/_lib/start-server.test.ts
@@ -44,14 +44,11 @@
 	});
 	const [host, port] = server.address.split(':');
 	const socket = createConnection(Number(port), host);
-	let receivedText = '';
-	socket.on('data', (chunk) => {
-		receivedText += String(chunk);
-	});
+	const received = readText(socket);
 	socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
 	await once(server.server, 'request');
 	assert.ok(await isStoppedInTime(server.stop()));
-	assert.match(receivedText, /whole/v);
+	assert.match(await received, /whole/v);
 });
 
 test('does not truncate a response to a slow client on a stop', async () => {
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -1,9 +1,4 @@
-import {
-	IncomingMessage,
-	Server,
-	type RequestListener,
-	type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, RequestListener, Server} from 'node:http';
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {computeSocketWait} from '../../coordination/compute-socket-wait.js';
@@ -14,7 +9,10 @@
 	serverIdleMs,
 } from '../../protocol/constants.js';
 import {outcomeHeader, reasonHeader} from '../../protocol/request.js';
+import {ClientResponse, type Release} from './client-connection.js';
 import {createAcceptQueue, type AcceptedBatch} from './create-accept-queue.js';
+import {GracefulServer} from './graceful-server.js';
+import {ReceivedRequest} from './received-request.js';
 
 const connectRejection = [
 	'HTTP/1.1 501 Not Implemented',
@@ -36,7 +34,7 @@
 	readAcceptWaitMs(request: IncomingMessage): number;
 	/** Returns the longest time for which a request may have waited to be read, ms. */
 	readSocketWaitMs(request: IncomingMessage): number;
-	/** Sends `connection: close` with each further response. */
+	/** Closes each connection after the last response that it owes. */
 	drain(): void;
 	/** Stops listening and waits until requests in flight are completed. */
 	stop(): Promise<void>;
@@ -61,31 +59,6 @@
 	readonly now?: (() => number) | undefined;
 };
 
-/** Release of a connection from the accept queue, after which the server reads from it. */
-type Release = {
-	/** Longest wait of the connection before its release, ms. */
-	readonly waitMs: number;
-	/** When it was released, monotonic ms. */
-	readonly at: number;
-};
-
-/** A connection to the server. */
-type Connection = {
-	/** Undefined once its first request has been read. */
-	release: Release | undefined;
-	isUsed: boolean;
-	/** Bytes that had been read at the last look for idle connections. */
-	bytesRead: number;
-	/** The response to its last request, after earlier ones that are not written yet. */
-	readonly responses: ServerResponse[];
-};
-
-/** A request with the times for which it may have waited before it was read. */
-class ReceivedRequest extends IncomingMessage {
-	acceptWaitMs = 0;
-	socketWaitMs = 0;
-}
-
 /** Interval at which a stopping server closes idle connections, ms; leaves time for a request in transit on an unused connection. */
 const closeIdleIntervalMs = 200;
 
@@ -94,86 +67,6 @@
 	this.destroy();
 }
 
-function areAllWritten({responses}: Connection): boolean {
-	return responses.every(({writableFinished}) => writableFinished);
-}
-
-/** Server that closes idle connections only while no response is being written. */
-class GracefulServer extends Server<typeof ReceivedRequest> {
-	readonly #connections = new Map<Socket, Connection>();
-
-	/** Removes Node's handlers of new connections and returns a function that runs them, which starts to read requests. */
-	detachConnectionHandler(): (socket: Socket) => void {
-		const handlers = this.listeners('connection');
-		this.removeAllListeners('connection');
-		return (socket) => {
-			for (const handler of handlers) {
-				Reflect.apply(handler, this, [socket]);
-			}
-		};
-	}
-
-	/** Tracks a connection until it is closed. */
-	trackConnection(socket: Socket): void {
-		this.#connections.set(socket, {
-			release: undefined,
-			isUsed: false,
-			bytesRead: 0,
-			responses: [],
-		});
-		socket.once('close', () => {
-			this.#connections.delete(socket);
-		});
-	}
-
-	findConnection(socket: Socket): Connection | undefined {
-		return this.#connections.get(socket);
-	}
-
-	/** Closes the connections that have had no request. */
-	closeUnusedConnections(): void {
-		for (const [socket, {isUsed}] of this.#connections) {
-			if (!isUsed) {
-				socket.destroy();
-			}
-		}
-	}
-
-	/** Closes the connections that have been idle since the last call. */
-	closeQuietConnections(): void {
-		for (const [socket, connection] of this.#connections) {
-			const isQuiet = socket.bytesRead === connection.bytesRead;
-			connection.bytesRead = socket.bytesRead;
-			if (isQuiet && connection.isUsed && areAllWritten(connection)) {
-				socket.destroy();
-			}
-		}
-	}
-
-	override closeIdleConnections(): void {
-		// Node treats a connection as idle as soon as its response has been ended,
-		// even if it has not been written yet.
-		const isWriting = [...this.#connections.values()].some(({responses}) =>
-			responses.some(
-				({writableEnded, writableFinished}) =>
-					writableEnded && !writableFinished,
-			),
-		);
-		if (!isWriting) {
-			super.closeIdleConnections();
-		}
-	}
-}
-
-/** Keeps a response beside those of its connection that are not written yet. */
-function addResponse(connection: Connection, response: ServerResponse): void {
-	if (areAllWritten(connection)) {
-		connection.responses.length = 0;
-	}
-
-	connection.responses.push(response);
-}
-
 /**
  * Starts an HTTP server.
  *
@@ -194,7 +87,6 @@
 	const {areClientsNodes = false} = options;
 	const {readMaxWait = readLag, now = () => performance.now()} = options;
 	const [host = '', port = '0'] = address.split(':');
-	let isStopping = false;
 
 	/** Records the waits of a request that has just been read from a connection. */
 	function recordWait(
@@ -213,6 +105,8 @@
 		{
 			// eslint-disable-next-line @typescript-eslint/naming-convention
 			IncomingMessage: ReceivedRequest,
+			// eslint-disable-next-line @typescript-eslint/naming-convention
+			ServerResponse: ClientResponse,
 			keepAliveTimeout: areClientsNodes ? 0 : serverIdleMs,
 			headersTimeout: headersTimeoutMs,
 			requestTimeout: requestTimeoutMs,
@@ -223,12 +117,10 @@
 			recordWait(request, connection?.release);
 			if (connection) {
 				connection.release = undefined;
-				connection.isUsed = true;
-				addResponse(connection, response);
-			}
-
-			if (isStopping) {
-				response.setHeader('connection', 'close');
+				if (!connection.addResponse(response)) {
+					request.resume();
+					return;
+				}
 			}
 
 			listener(request, response);
@@ -293,10 +185,10 @@
 		readSocketWaitMs: (request) =>
 			request instanceof ReceivedRequest ? request.socketWaitMs : 0,
 		drain() {
-			isStopping = true;
+			server.drain();
 		},
 		async stop() {
-			isStopping = true;
+			server.drain();
 			clearInterval(quietTimer);
 			const timer = setInterval(closeIdleSockets, closeIdleIntervalMs);
 			await new Promise<void>((resolve) => {
