Answer what is owed before a connection whose bytes can't be read is closed

Callers who pipeline could lose requests that ran: when a head or a chunk behind them was malformed, late or too long, or when anything followed a request with `Connection: close`, the connection was destroyed. Before the first head was sent, its client also got the 400 for the bytes behind it in place of the response to a request that was running, and a 400 is not sent again.

Without a listener for `clientError`, Node.js writes its refusal for the response at the front and destroys the socket without regard to what is owed on it.

Now the connection takes this as the end of its intake: the responses that are owed are written, the last one closes, and only a connection that owes none gets the 400, 408, 413 or 431. A request whose own body breaks off is not waited for.

--- a/src/coordination/client-connections/connection-state.ts
+++ b/src/coordination/client-connections/connection-state.ts
@@ -24,7 +24,13 @@
 			readonly wantsClose: boolean;
 	  }
 	/** A response has been written completely. */
-	| {readonly kind: 'written'; readonly request: Request};
+	| {readonly kind: 'written'; readonly request: Request}
+	/** No further request can be read from the connection: its bytes are malformed, or they have timed out. */
+	| {
+			readonly kind: 'unreadable';
+			/** Whether the body of the last request has not been received completely. */
+			readonly isLastPartial: boolean;
+	  };
 
 /** What the owner of the socket does after a message. */
 export type ConnectionAction =
@@ -37,7 +43,9 @@
 	/** Writes `Connection: close` into the head, and closes the connection after the response. */
 	| 'close-after'
 	/** Closes the connection, on which no response is owed. */
-	| 'close';
+	| 'close'
+	/** Responds that nothing more can be read, and closes the connection. */
+	| 'reject';
 
 /** Result of one step of a connection. */
 export type ConnectionStep<Request extends PendingRequest> = {
--- a/src/coordination/client-connections/step-connection.test.ts
+++ b/src/coordination/client-connections/step-connection.test.ts
@@ -16,7 +16,8 @@
 			readonly kind: 'head';
 			readonly index: number;
 			readonly wantsClose: boolean;
-	  };
+	  }
+	| {readonly kind: 'unreadable'};
 
 const eventArbitrary: fc.Arbitrary<ModelEvent> = fc.oneof(
 	{
@@ -34,6 +35,7 @@
 			wantsClose: fc.boolean(),
 		}),
 	},
+	{weight: 1, arbitrary: fc.constant({kind: 'unreadable' as const})},
 );
 
 /** Runs a connection that writes each response once its head and those before it are there; returns what its client sees. */
@@ -47,7 +49,7 @@
 	function step(message: ConnectionMessage<PendingRequest>): ConnectionAction {
 		const result = stepConnection(state, message);
 		state = result.state;
-		isClosed ||= result.action === 'close';
+		isClosed ||= result.action === 'close' || result.action === 'reject';
 		return result.action;
 	}
 
@@ -96,6 +98,11 @@
 
 				break;
 			}
+
+			case 'unreadable': {
+				step({kind: 'unreadable', isLastPartial: false});
+				break;
+			}
 		}
 	}
 
@@ -120,3 +127,17 @@
 		{seed: 61, numRuns: 2000},
 	);
 });
+
+test('a request that is only partly received is not waited for', () => {
+	const first = {allowsPipelining: true};
+	const partial = {allowsPipelining: true};
+	const message = {kind: 'unreadable', isLastPartial: true} as const;
+	const owing = stepConnection(
+		{intake: 'open', pending: [first, partial]},
+		message,
+	);
+	assert.deepEqual(owing.state.pending, [first]);
+	assert.equal(owing.action, 'continue');
+	const only = stepConnection({intake: 'open', pending: [partial]}, message);
+	assert.equal(only.action, 'reject');
+});
--- a/src/coordination/client-connections/step-connection.ts
+++ b/src/coordination/client-connections/step-connection.ts
@@ -49,5 +49,13 @@
 				action: intake === 'ended' && rest.length === 0 ? 'close' : 'continue',
 			};
 		}
+
+		case 'unreadable': {
+			const rest = message.isLastPartial ? pending.slice(0, -1) : pending;
+			return {
+				state: {intake: 'ended', pending: rest},
+				action: rest.length === 0 ? 'reject' : 'continue',
+			};
+		}
 	}
 }
--- a/src/transport/_lib/client-connection.ts
+++ b/src/transport/_lib/client-connection.ts
@@ -1,4 +1,4 @@
-import {ServerResponse} from 'node:http';
+import {STATUS_CODES, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {
@@ -8,12 +8,26 @@
 	PendingRequest,
 } from '../../coordination/client-connections/connection-state.js';
 import {stepConnection} from '../../coordination/client-connections/step-connection.js';
+import {readErrorCode} from './read-error-code.js';
 import type {ReceivedRequest} from './received-request.js';
 
 type Message = ConnectionMessage<ClientResponse>;
 
 const connections = new WeakMap<Duplex, ClientConnection>();
 
+/** Statuses by Node's code of the error; any other error is a malformed request. */
+const statusByErrorCode: ReadonlyMap<string | undefined, number> = new Map([
+	['ERR_HTTP_REQUEST_TIMEOUT', 408],
+	['HPE_CHUNK_EXTENSIONS_OVERFLOW', 413],
+	['HPE_HEADER_OVERFLOW', 431],
+]);
+const malformedStatus = 400;
+
+function formatRejection(error: Error): string {
+	const status = statusByErrorCode.get(readErrorCode(error)) ?? malformedStatus;
+	return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`;
+}
+
 /** Release of a connection from the accept queue, after which the server reads from it. */
 export type Release = {
 	/** Longest wait of the connection before its release, ms. */
@@ -119,6 +133,24 @@
 		return action === 'close-after';
 	}
 
+	/** Handles bytes that are no request, or a request that has not been received in time. */
+	handleUnreadable(error: Error): void {
+		const [first] = this.#state.pending;
+		const last = this.#state.pending.at(-1);
+		const isLastPartial = last?.req.complete === false;
+		const action = this.#step({kind: 'unreadable', isLastPartial});
+		if (action === 'reject') {
+			if (this.#socket.writable && first?.headersSent !== true) {
+				this.#socket.write(formatRejection(error));
+			}
+
+			this.#socket.destroy(error);
+		} else if (this.#socket.readableEnded) {
+			// The client has left, so that nobody waits for what is owed.
+			this.#socket.destroy();
+		}
+	}
+
 	#step(message: Message): ConnectionAction {
 		const {state, action} = stepConnection(this.#state, message);
 		this.#state = state;
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -126,6 +126,14 @@
 			listener(request, response);
 		},
 	);
+	server.on('clientError', (error, socket) => {
+		const connection = server.findConnection(socket);
+		if (connection) {
+			connection.handleUnreadable(error);
+		} else {
+			socket.destroy(error);
+		}
+	});
 	server.on('connect', (_request, socket) => {
 		// Node.js has removed its own listeners, and no longer reads from the socket.
 		socket.on('error', destroySocket);
