Refuse a tunnel only on a connection that owes no response

A client that sent CONNECT behind a request on the same connection got the 501, which says not run, in place of the response to the request that was running, and the connection ended.

Cause: the same as at a planned stop, on a further path: the listener of `connect` ended the socket whatever was owed on it.

Now such a connection reads nothing further and closes after the last response that it owes. Node.js has removed its listeners from the socket by then, so `drain` is passed on to the response at the front, and the end of the client closes the connection.

--- a/src/transport/_lib/client-connection.ts
+++ b/src/transport/_lib/client-connection.ts
@@ -151,6 +151,28 @@
 		}
 	}
 
+	/**
+	 * Handles a request for a tunnel, after which Node.js no longer reads requests
+	 * from the connection.
+	 *
+	 * @returns whether the request can be rejected at once; if not, the connection
+	 * is closed after the responses that it owes
+	 */
+	handleTunnel(): boolean {
+		if (this.#step({kind: 'unreadable', isLastPartial: false}) === 'reject') {
+			return true;
+		}
+
+		// Node.js has removed its own listeners.
+		this.#socket.on('drain', () => {
+			this.#state.pending[0]?.emit('drain');
+		});
+		this.#socket.once('end', () => {
+			this.#socket.destroy();
+		});
+		return false;
+	}
+
 	#step(message: Message): ConnectionAction {
 		const {state, action} = stepConnection(this.#state, message);
 		this.#state = state;
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -137,11 +137,15 @@
 	server.on('connect', (_request, socket) => {
 		// Node.js has removed its own listeners, and no longer reads from the socket.
 		socket.on('error', destroySocket);
+		socket.resume();
+		if (server.findConnection(socket)?.handleTunnel() === false) {
+			return;
+		}
+
 		if (socket instanceof Socket) {
 			socket.setTimeout(serverIdleMs, destroySocket);
 		}
 
-		socket.resume();
 		socket.end(connectRejection);
 	});
 	const handleConnection = server.detachConnectionHandler();
