Tell a new process of a node which upstreams have left its host

Callers' requests reached a server 4.5 s after its deregistration had been acknowledged: its node was killed and started again, and a heartbeat that the server had sent before then made the new process offer it to all nodes as ready. They would have been lost if it had exited in between.

Cause: the acknowledgement lives in the lease of the process that gave it. The other members drop a withdrawn upstream with the record of that process, and nothing tells the next one. A server that reports `draining` is safe only as long as some other node still has its notice.

Now a record lists the upstreams that have left its host, the other members keep them apart from the record that a new process replaces, and tell them to any process of that name or address whose record does not list them, first in the answer with which it joins. It keeps them as withdrawn for what is left of the 60 s. Leaving and superseded upstreams are covered by the same list. A later incarnation under the same id is offered at once, as before. No store call and no wait is added to an acknowledgement; a departure is about 90 bytes in the copies of a record that are sent within a minute.

A process that can reach no member that knows is still not told.

--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -7,6 +7,7 @@
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
+import {decodeDepartures} from '../../../state/decode-departures.js';
 import {recordContactAnswer, recordContactFailure} from './bridges.js';
 import {resendRecords} from './resend.js';
 import {endNameCheck, handleNameConflict} from './identity.js';
@@ -16,6 +17,7 @@
 import {runActions} from './run-actions.js';
 import {describeSender, encodeRecords, createRequestEffect} from './send.js';
 import {abortSync, compareDigests, handleBucketAnswer} from './sync.js';
+import {acceptDepartures} from './upstreams.js';
 
 type AnswerMessage = Extract<MembersMessage, {readonly kind: 'answer'}>;
 
@@ -123,6 +125,16 @@
 	}
 }
 
+/** Applies what an answer says of upstreams that left this host before the process started. */
+function acceptAnsweredDepartures(
+	state: MembersState,
+	answer: ExchangeAnswer,
+	now: number,
+): MembersStep {
+	const departures = 'departures' in answer ? (answer.departures ?? []) : [];
+	return acceptDepartures(state, decodeDepartures(departures, now), now);
+}
+
 /** Handles the answer of another member to a request. */
 export function handleAnswer(
 	state: MembersState,
@@ -132,6 +144,7 @@
 	const {address, answer} = message;
 	return runActions(state, [
 		(next) => recordContactAnswer(next, answer.from.dataCentre, address, now),
+		(next) => acceptAnsweredDepartures(next, answer, now),
 		(next) => handleAnswerKind(next, message, now),
 	]);
 }
--- a/src/coordination/_lib/members/merge.ts
+++ b/src/coordination/_lib/members/merge.ts
@@ -6,13 +6,17 @@
 	maxMembersPerDataCentre,
 } from '../../../protocol/constants.js';
 import type {Member, MemberRecord} from '../../../protocol/member.js';
+import {decodeDepartures} from '../../../state/decode-departures.js';
 import {decodeMember} from '../../../state/decode-member.js';
 import {findMember} from '../../../state/find-member.js';
 import {bucketsPerDataCentre} from '../../../state/member-table.js';
 import {mergeMember} from '../../../state/merge-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
+import {recordDepartures} from './departures.js';
 import {handleSelfClaim} from './identity.js';
 import {isPlausibleIncarnation, putRecords} from './records.js';
+import {runActions} from './run-actions.js';
+import {acceptDepartures} from './upstreams.js';
 
 function isAdmissible(
 	state: MembersState,
@@ -49,7 +53,12 @@
 		}
 
 		if (record.name === state.self.name) {
-			const handled = handleSelfClaim(step.state, record, now);
+			const {departures = []} = record;
+			const handled = runActions(step.state, [
+				(next) => handleSelfClaim(next, record, now),
+				(next) =>
+					acceptDepartures(next, decodeDepartures(departures, now), now),
+			]);
 			step = {
 				state: handled.state,
 				effects: [...step.effects, ...handled.effects],
@@ -57,6 +66,7 @@
 			continue;
 		}
 
+		step = {...step, state: recordDepartures(step.state, record, now)};
 		const current =
 			changed.get(record.name) ?? findMember(state.table, record.name);
 		if (!isAdmissible(state, record, current)) {
--- a/src/coordination/_lib/members/period.ts
+++ b/src/coordination/_lib/members/period.ts
@@ -5,6 +5,7 @@
 import {listMembers} from '../../../state/list-members.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {runBridge} from './bridges.js';
+import {expireDepartures} from './departures.js';
 import {recheckName} from './identity.js';
 import {
 	handleJoinTimeout,
@@ -89,7 +90,8 @@
 		}
 
 		case 'member': {
-			return runActions(expireTombstones(abortLateSync(state, now), now), [
+			const remembered = expireDepartures(abortLateSync(state, now), now);
+			return runActions(expireTombstones(remembered, now), [
 				(next) => expireSuspicions(next, now),
 				(next) => expireProbe(next, now),
 				(next) => startProbe(next, now, random),
--- a/src/coordination/_lib/members/records.ts
+++ b/src/coordination/_lib/members/records.ts
@@ -12,6 +12,7 @@
 } from '../../../protocol/constants.js';
 import type {Member, Upstream} from '../../../protocol/member.js';
 import {putMembers} from '../../../state/put-members.js';
+import {listDepartures} from '../../departures/list-departures.js';
 import type {
 	MembersEffect,
 	MembersState,
@@ -83,10 +84,13 @@
 		readonly incarnation?: number;
 	},
 ): MembersStep {
+	const {departures: _before, ...rest} = state.self;
+	const departures = listDepartures(state.leases);
 	const self = {
-		...state.self,
+		...rest,
 		...change,
 		sequence: state.self.sequence + 1,
+		...(departures.length > 0 && {departures}),
 	};
 	return markChanged({...state, self}, [self.name]);
 }
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -5,6 +5,7 @@
 import type {Exchange, Sender} from '../../../protocol/member.js';
 import {findMember} from '../../../state/find-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
+import {listUntoldDepartures} from './departures.js';
 import {handleNameConflict} from './identity.js';
 import {mergeRecords} from './merge.js';
 import {confirmProbe} from './probe.js';
@@ -51,6 +52,7 @@
 		from: describeSender(state),
 		records: [...records, ...taken.records],
 		needsRecord,
+		...listUntoldDepartures(state, from, now),
 	};
 	return {state: taken.state, effects: [createAnswerEffect(answer)]};
 }
@@ -127,7 +129,7 @@
 		}
 
 		case 'digests': {
-			return answerDigests(state, request);
+			return answerDigests(state, request, now);
 		}
 
 		case 'bucket': {
--- a/src/coordination/_lib/members/sync.ts
+++ b/src/coordination/_lib/members/sync.ts
@@ -20,6 +20,7 @@
 import {mergeMember} from '../../../state/merge-member.js';
 import {putMembers} from '../../../state/put-members.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
+import {listUntoldDepartures} from './departures.js';
 import {mergeRecords} from './merge.js';
 import {
 	createAnswerEffect,
@@ -88,6 +89,7 @@
 export function answerDigests(
 	state: MembersState,
 	request: DigestsRequest,
+	now: number,
 ): MembersStep {
 	const table = createFullTable(state);
 	const names = new Set([...table.keys(), ...Object.keys(request.roots)]);
@@ -103,6 +105,7 @@
 		kind: 'digests' as const,
 		from: describeSender(state),
 		buckets,
+		...listUntoldDepartures(state, request.from, now),
 	};
 	return {state, effects: [createAnswerEffect(answer)]};
 }
--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -7,7 +7,11 @@
 	upstreamRenewMs,
 	upstreamTombstoneMs,
 } from '../../../protocol/constants.js';
-import type {Announcement, Upstream} from '../../../protocol/member.js';
+import type {
+	Announcement,
+	Departure,
+	Upstream,
+} from '../../../protocol/member.js';
 import {formatService} from '../../../state/format-service.js';
 import type {
 	MembersState,
@@ -181,9 +185,9 @@
 	state: MembersState,
 	id: string,
 	now: number,
-): MembersState {
+): MembersStep {
 	if (state.leases.size >= maxLeasesPerHost) {
-		return state;
+		return {state, effects: []};
 	}
 
 	const leases = new Map(state.leases).set(id, {
@@ -193,7 +197,7 @@
 		sequence: 0,
 		state: 'ended',
 	});
-	return {...state, leases};
+	return updateSelf({...state, leases}, {});
 }
 
 /** Handles the withdrawal of an upstream. */
@@ -204,7 +208,7 @@
 ): MembersStep {
 	return state.leases.has(id)
 		? endLeases(state, new Set([id]), now)
-		: {state: recordWithdrawal(state, id, now), effects: []};
+		: recordWithdrawal(state, id, now);
 }
 
 /** Ends leases that have not been renewed in time. */
@@ -227,3 +231,47 @@
 	);
 	return endLeases({...state, leases}, ids, now);
 }
+
+/** Tells whether a departure says more than what this node knows of the upstream. */
+function isUnknown(
+	state: MembersState,
+	{id, incarnation, address}: Departure,
+): boolean {
+	const lease = state.leases.get(id);
+	if (!lease) {
+		return state.leases.size < maxLeasesPerHost;
+	}
+
+	const isSame =
+		incarnation === lease.incarnation &&
+		address === lease.address &&
+		lease.state === 'ready';
+	return isSame || incarnation > lease.incarnation;
+}
+
+/**
+ * Withdraws the upstreams that left this host before the process of this node
+ * started, and keeps them as withdrawn, so that a late announcement does not add
+ * them.
+ */
+export function acceptDepartures(
+	state: MembersState,
+	departures: readonly Departure[],
+	now: number,
+): MembersStep {
+	const unknown = departures.filter(
+		(departure) => departure.endsAt > now && isUnknown(state, departure),
+	);
+	if (unknown.length === 0) {
+		return {state, effects: []};
+	}
+
+	const leases = new Map(state.leases);
+	for (const {id, incarnation, address, endsAt} of unknown) {
+		leases.set(id, {incarnation, address, endsAt, sequence: 0, state: 'ended'});
+	}
+
+	const ids = new Set(unknown.map(({id}) => id));
+	const upstreams = state.self.upstreams.filter(({id}) => !ids.has(id));
+	return updateSelf({...state, leases}, {upstreams});
+}
--- a/src/coordination/create-members-state.ts
+++ b/src/coordination/create-members-state.ts
@@ -51,6 +51,7 @@
 		pendingSpread: new Set(),
 		pendingRelays: new Set(),
 		leases: new Map(),
+		departures: new Map(),
 		probe: undefined,
 		probeOrder: [],
 		sync: undefined,
--- a/src/coordination/members-state.ts
+++ b/src/coordination/members-state.ts
@@ -3,6 +3,7 @@
  */
 import type {
 	Announcement,
+	Departure,
 	Exchange,
 	ExchangeAnswer,
 	Member,
@@ -25,6 +26,13 @@
 	readonly state: Announcement['state'] | 'ended';
 };
 
+/** Upstreams that have left the host of a member. */
+export type HostDepartures = {
+	/** Address of the member. */
+	readonly address: string;
+	readonly departures: readonly Departure[];
+};
+
 /** A probe of a member that is in progress. */
 export type Probe = {
 	readonly name: string;
@@ -128,6 +136,8 @@
 	/** Names of changed records to relay to other data centres. */
 	readonly pendingRelays: ReadonlySet<string>;
 	readonly leases: ReadonlyMap<string, UpstreamLease>;
+	/** Upstreams that have left the hosts of other members, by name of the member. */
+	readonly departures: ReadonlyMap<string, HostDepartures>;
 	readonly probe: Probe | undefined;
 	/** Names of the members still to be probed in this round. */
 	readonly probeOrder: readonly string[];
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -7,6 +7,7 @@
 	Sender,
 } from '../protocol/member.js';
 import {maxIncarnationAheadMs} from '../protocol/constants.js';
+import {decodeMember} from '../state/decode-member.js';
 import {listMembers} from '../state/list-members.js';
 import {computeMembersView} from './compute-members-view.js';
 import {createMembersState} from './create-members-state.js';
@@ -37,12 +38,10 @@
 };
 
 function createState(): MembersState {
-	const self = {
-		...record,
-		name: 'abdali-1',
-		address: '10.0.0.1:8081',
-		upstreams: [],
-	};
+	const self = decodeMember(
+		{...record, name: 'abdali-1', address: '10.0.0.1:8081'},
+		0,
+	);
 	const state = createMembersState(self, 0, 0.5, {wallMs});
 	return {...state, role: 'member'};
 }
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -114,6 +114,8 @@
 export const upstreamRenewMs = 1000;
 /** Maximum delay of an announcement that can still be told from a new one. */
 export const upstreamTombstoneMs = 60_000;
+/** Maximum time for which a departure is remembered, ms; that of a leaving upstream whose lease was just renewed. */
+export const maxDepartureMs = 2 * upstreamTombstoneMs;
 export const maxUpstreamsPerHost = 16;
 /** Leases of a host's upstreams, with those that have ended, from which withdrawals of unknown ones are no longer kept. */
 export const maxLeasesPerHost = 4 * maxUpstreamsPerHost;
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -52,6 +52,17 @@
 		.optional(),
 });
 
+/** An upstream that has left, as sent between members: a new process of its node must not take a late announcement of it for a current one. */
+export const departureSchema = z.object({
+	id: z.string().max(64),
+	/** Incarnation that has left; a later one may be offered. */
+	incarnation: counterSchema,
+	/** Address of its announcements; empty when it is not known. */
+	address: z.string().max(64),
+	/** Time for which late announcements of it may still arrive, ms. */
+	remainingMs: counterSchema,
+});
+
 /** States of a member; `dead` and `left` end an incarnation. */
 export const memberStateSchema = z.enum(['alive', 'suspect', 'dead', 'left']);
 
@@ -67,6 +78,8 @@
 	unreachable: z.array(dataCentreSchema).max(maxDataCentres).optional(),
 	/** Capacity for serving other members, in thousandths of the reference host; that of the reference host when absent. */
 	capacity: z.int().min(1).max(maxCapacity).optional(),
+	/** Upstreams of the host that have left a short time ago; absent when there are none. */
+	departures: z.array(departureSchema).max(maxUpstreamsPerHost).optional(),
 });
 
 /** Sender of a message between members. */
@@ -137,11 +150,13 @@
 		records: z.unknown().optional(),
 		needsRecord: z.unknown().optional(),
 		crashDigest: z.unknown().optional(),
+		departures: z.unknown().optional(),
 	}),
 	z.object({
 		kind: z.literal('digests'),
 		from: encodedSenderSchema,
 		buckets: z.unknown().optional(),
+		departures: z.unknown().optional(),
 	}),
 	z.object({
 		kind: z.literal('bucket'),
@@ -210,12 +225,16 @@
 			readonly needsRecord: boolean;
 			/** Digest of the crash records of the answering member; absent from earlier versions. */
 			readonly crashDigest?: number | undefined;
+			/** Upstreams that left the sender's host before its process started; absent when there are none. */
+			readonly departures?: readonly DepartureRecord[] | undefined;
 	  }
 	| {
 			readonly kind: 'digests';
 			readonly from: Sender;
 			/** Digests of the buckets of each data centre that differs. */
 			readonly buckets: Readonly<Record<string, readonly number[]>>;
+			/** As in an acknowledgement. */
+			readonly departures?: readonly DepartureRecord[] | undefined;
 	  }
 	| {
 			readonly kind: 'bucket';
@@ -232,9 +251,18 @@
 	readonly since: number;
 };
 
+export type DepartureRecord = z.infer<typeof departureSchema>;
+
+/** An upstream that has left its host. */
+export type Departure = Omit<DepartureRecord, 'remainingMs'> & {
+	/** Until when late announcements of it may arrive, on this process's monotonic clock, ms. */
+	readonly endsAt: number;
+};
+
 /** A known member; `incarnation` then `sequence` order its versions. */
-export type Member = Omit<MemberRecord, 'upstreams'> & {
+export type Member = Omit<MemberRecord, 'upstreams' | 'departures'> & {
 	readonly upstreams: readonly Upstream[];
+	readonly departures?: readonly Departure[] | undefined;
 };
 
 /** A host that has at least one upstream of a service. */
--- a/src/state/_lib/decode-records.ts
+++ b/src/state/_lib/decode-records.ts
@@ -12,17 +12,20 @@
 	upstreamSchema,
 	type MemberRecord,
 } from '../../protocol/member.js';
+import {decodeDepartureList} from './decode-departure-list.js';
 
 /** The fields that identify a member and its version; digests of records are computed from some of them. */
 const identitySchema = recordSchema.omit({
 	upstreams: true,
 	unreachable: true,
 	capacity: true,
+	departures: true,
 });
 const partsSchema = z.object({
 	upstreams: z.unknown().optional(),
 	unreachable: z.unknown().optional(),
 	capacity: z.unknown().optional(),
+	departures: z.unknown().optional(),
 });
 
 const absent = {value: undefined, unreadable: []};
@@ -56,14 +59,21 @@
 		parts.capacity,
 		`${place}.capacity`,
 	);
+	const departures = decodeDepartureList(
+		parts.departures,
+		`${place}.departures`,
+	);
 	return {
 		value: {
 			...identity.value,
 			upstreams: [...upstreams.value],
 			...(unreachable.value && {unreachable: [...unreachable.value]}),
 			...(capacity.value !== undefined && {capacity: capacity.value}),
+			...(departures.value.length > 0 && {
+				departures: [...departures.value],
+			}),
 		},
-		unreadable: [upstreams, unreachable, capacity].flatMap(
+		unreadable: [upstreams, unreachable, capacity, departures].flatMap(
 			({unreadable}) => unreadable,
 		),
 	};
--- a/src/state/decode-exchange-answer.ts
+++ b/src/state/decode-exchange-answer.ts
@@ -11,6 +11,7 @@
 	type ExchangeAnswer,
 } from '../protocol/member.js';
 import {decodeCrashDigest} from './_lib/decode-crash-digest.js';
+import {decodeDepartureList} from './_lib/decode-departure-list.js';
 import {decodeRecords} from './_lib/decode-records.js';
 import {decodeSender} from './_lib/decode-sender.js';
 import {listEntries} from './_lib/list-entries.js';
@@ -78,6 +79,7 @@
 				'needsRecord',
 			);
 			const crashDigest = decodeCrashDigest(encoded.crashDigest);
+			const departures = decodeDepartureList(encoded.departures, 'departures');
 			return ok({
 				value: {
 					kind: 'ack',
@@ -85,12 +87,14 @@
 					records: records.value,
 					needsRecord: needsRecord.value ?? false,
 					crashDigest: crashDigest.value,
+					...(departures.value.length > 0 && {departures: departures.value}),
 				},
 				unreadable: [
 					...unreadable,
 					...records.unreadable,
 					...needsRecord.unreadable,
 					...crashDigest.unreadable,
+					...departures.unreadable,
 				],
 			});
 		}
@@ -102,13 +106,19 @@
 				maxLength: maxDataCentres,
 				decodeEntry: decodeDigests,
 			});
+			const departures = decodeDepartureList(encoded.departures, 'departures');
 			return ok({
 				value: {
 					kind: 'digests',
 					from,
 					buckets: Object.fromEntries(buckets.value),
+					...(departures.value.length > 0 && {departures: departures.value}),
 				},
-				unreadable: [...unreadable, ...buckets.unreadable],
+				unreadable: [
+					...unreadable,
+					...buckets.unreadable,
+					...departures.unreadable,
+				],
 			});
 		}
 
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -21,6 +21,7 @@
 	ExchangeAnswer,
 	Member,
 	MembersView,
+	Upstream,
 } from '../protocol/member.js';
 import type {PlatformObject, WriteCondition} from '../protocol/platform.js';
 import {decodeExchangeAnswer} from '../state/decode-exchange-answer.js';
@@ -149,14 +150,32 @@
 	function reportExpiredLeases(before: Member, message: MembersMessage): void {
 		const remainingIds = new Set(state.self.upstreams.map(({id}) => id));
 		const isRequested = message.kind === 'withdraw' || message.kind === 'leave';
-		for (const {id} of isRequested ? [] : before.upstreams) {
+		for (const upstream of isRequested ? [] : before.upstreams) {
+			const {id} = upstream;
 			if (!remainingIds.has(id)) {
-				logger.warn('upstream lease expired', {id});
+				logger.warn(
+					isDeparted(upstream, message)
+						? 'upstream had left before the node started'
+						: 'upstream lease expired',
+					{id},
+				);
 				onLeaseExpired?.(id);
 			}
 		}
 	}
 
+	/** Tells whether another member has stated that an upstream had left, rather than its lease having expired. */
+	function isDeparted(
+		{id, state: upstreamState}: Upstream,
+		{kind}: MembersMessage,
+	): boolean {
+		return (
+			(kind === 'answer' || kind === 'request') &&
+			upstreamState === 'ready' &&
+			state.leases.get(id)?.state === 'ended'
+		);
+	}
+
 	function scheduleTimer(delayMs: number, action: () => void): void {
 		const timer = setTimeout(() => {
 			timers.delete(timer);
