Wait at a planned stop until the responses that are owed have been written

A client on a slow link that pipelines could lose responses at a planned stop: the node had no request in flight any more and closed, while responses that had been complete for seconds still waited for the client to read.

Cause: as in the case at SIGTERM, the end of a connection was decided without regard to what it owes. The stop waited for the handlers of requests; a response of up to 64 KiB is handed to Node.js as a whole, and its handler ends before it has been written.

Now the server counts the responses that its connections owe, a node with any is not idle, and it ends once none is left or its grace period is over. The log line `node drained` has the larger of both counts as `unanswered`.

--- a/src/transport/_lib/client-connection.ts
+++ b/src/transport/_lib/client-connection.ts
@@ -85,6 +85,11 @@
 		connections.set(socket, this);
 	}
 
+	/** Number of responses that have not been written completely. */
+	get owedCount(): number {
+		return this.#state.pending.length;
+	}
+
 	/** Whether a response that has ended is still being written. */
 	get isWriting(): boolean {
 		return this.#state.pending.some(
--- a/src/transport/_lib/graceful-server.ts
+++ b/src/transport/_lib/graceful-server.ts
@@ -41,6 +41,16 @@
 		return this.#connections.get(socket);
 	}
 
+	/** Counts the responses that are owed to clients, also those that are being written. */
+	countOwed(): number {
+		let count = 0;
+		for (const {owedCount} of this.#connections.values()) {
+			count += owedCount;
+		}
+
+		return count;
+	}
+
 	/** Closes the connections that have had no request. */
 	closeUnusedConnections(): void {
 		for (const [socket, {isUsed}] of this.#connections) {
--- a/src/transport/_lib/start-server.ts
+++ b/src/transport/_lib/start-server.ts
@@ -34,6 +34,8 @@
 	readAcceptWaitMs(request: IncomingMessage): number;
 	/** Returns the longest time for which a request may have waited to be read, ms. */
 	readSocketWaitMs(request: IncomingMessage): number;
+	/** Returns the number of responses that are owed to clients, also those that are being written. */
+	countOwed(): number;
 	/** Closes each connection after the last response that it owes. */
 	drain(): void;
 	/** Stops listening and waits until requests in flight are completed. */
@@ -196,6 +198,9 @@
 			request instanceof ReceivedRequest ? request.acceptWaitMs : 0,
 		readSocketWaitMs: (request) =>
 			request instanceof ReceivedRequest ? request.socketWaitMs : 0,
+		countOwed() {
+			return server.countOwed();
+		},
 		drain() {
 			server.drain();
 		},
--- a/src/transport/start-caller-task.ts
+++ b/src/transport/start-caller-task.ts
@@ -136,7 +136,9 @@
 	updateMembers(view: MembersView): void;
 	/** Returns the number of requests in flight. */
 	readInFlight(): number;
-	/** Returns the time since the last request started or ended, ms; 0 while requests are in flight. */
+	/** Returns the number of responses that are owed to callers, also those that are being written. */
+	countOwed(): number;
+	/** Returns the time since the last request started or ended, ms; 0 while a response is owed. */
 	readIdleMs(): number;
 	/** Refuses all further requests. */
 	refuseAll(): void;
@@ -654,7 +656,8 @@
 			isRefusing = true;
 		},
 		readInFlight: inFlight.read,
-		readIdleMs: inFlight.readIdleMs,
+		countOwed: server.countOwed,
+		readIdleMs: () => (server.countOwed() > 0 ? 0 : inFlight.readIdleMs()),
 		drain(bounds = unboundedDrain) {
 			const {servesUntil, endsAt} = bounds;
 			drainBounds = {servesUntil, endsAt: endsAt - responseMarginMs};
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -423,14 +423,16 @@
 			]);
 			await waitUntilIdle({
 				readIdleMs: () =>
-					caller.readInFlight() === 0 ? Number.POSITIVE_INFINITY : 0,
+					caller.readInFlight() === 0 && caller.countOwed() === 0
+						? Number.POSITIVE_INFINITY
+						: 0,
 				idleThresholdMs: 1,
 				minMs: 0,
 				maxMs: drainLimitMs - elapsedMs(),
 			});
 			logger.info('node drained', {
 				durationMs: Math.round(elapsedMs()),
-				unanswered: caller.readInFlight(),
+				unanswered: Math.max(caller.readInFlight(), caller.countOwed()),
 			});
 			lagMeter.stop();
 			document.stop();
