Cancel the requests behind a response when their client leaves

Cause: Node.js emits `close` only for the response that is being written. A response behind it was never told that its client had left; its pipe and its connection to the gate stayed for good, 64 of them blocked the gate, and what waited for one filled the heap.

Now the connection ends the responses that wait when its socket closes, so that each request is cancelled like the one at the front.

--- a/src/transport/_lib/client-connection.ts
+++ b/src/transport/_lib/client-connection.ts
@@ -138,6 +138,16 @@
 		return action === 'close-after';
 	}
 
+	/** Ends the responses that wait behind another one when the client has left; Node.js ends only the one that is being written. */
+	handleClose(): void {
+		for (const response of this.#state.pending) {
+			if (!response.socket) {
+				response.destroy();
+				response.emit('close');
+			}
+		}
+	}
+
 	/** Handles bytes that are no request, or a request that has not been received in time. */
 	handleUnreadable(error: Error): void {
 		const [first] = this.#state.pending;
--- a/src/transport/_lib/graceful-server.ts
+++ b/src/transport/_lib/graceful-server.ts
@@ -34,6 +34,7 @@
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
+			connection.handleClose();
 		});
 	}
 
--- a/src/transport/_lib/pipelined-requests.test.ts
+++ b/src/transport/_lib/pipelined-requests.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {Readable} from 'node:stream';
+import {pipeline} from 'node:stream/promises';
 import test from 'node:test';
 import {
 	findHeld,
@@ -94,3 +96,27 @@
 	assert.deepEqual(listResponses(await path.received), ['200 <first> close']);
 	assert.deepEqual(path.handled, ['/0']);
 });
+
+// Regression: a response that waited behind another one was never told that its client had left.
+test('all requests of a client that leaves are cancelled, also those behind another one', async (t) => {
+	const path = await startPipelinedPath(t);
+	path.socket.write(formatGet('/0') + formatGet('/1') + formatGet('/2'));
+	await findHeld(path, '/0');
+	const second = await findHeld(path, '/1');
+	const third = await findHeld(path, '/2');
+	const body = new Readable({
+		read() {
+			this.push('a'.repeat(1_000_000));
+		},
+	});
+	const streamed = pipeline(body, second);
+	third.end('<third>');
+	path.socket.destroy();
+	const premature = {code: 'ERR_STREAM_PREMATURE_CLOSE'};
+	await Promise.all([
+		assert.rejects(path.received, premature),
+		assert.rejects(streamed, premature),
+	]);
+	assert.ok(await pollUntil(async () => path.cancelled.length === 3, 5000));
+	assert.equal(path.server.countOwed(), 0);
+});
