Close a connection that brings interim responses without end

Cause: nothing counted them. Node.js parses thousands in one read of a socket, and a sender that never pauses always has the next one ready.

Now each request of a node counts them, and its connection is closed at more than 64 within a second; a gate sends three. The request counts as lost.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -212,6 +212,8 @@
 export const hostSilenceTimeoutMs = 600;
 /** Interval of the keepalives for a long-running attempt. */
 export const keepaliveIntervalMs = 400;
+/** Interim responses to one request from which its connection is closed; a gate sends three a second. */
+export const maxInterimResponsesPerSecond = 64;
 export const askTimeoutMs = 500;
 export const askRetryMs = 100;
 export const maxAsks = 3;
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -22,6 +22,7 @@
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
 import {waitForTurns} from './wait-for-turns.js';
+import {watchInterim} from './watch-interim.js';
 
 /** Outcome of a request on one connection. */
 export type SendOutcome =
@@ -244,10 +245,7 @@
 			request.once('finish', options.onSent);
 		}
 
-		if (options.onInterim) {
-			request.on('information', options.onInterim);
-		}
-
+		watchInterim(request, options);
 		if (body instanceof Readable) {
 			body.on('error', (error) => {
 				request.destroy(error);
