Name the handler of interim responses by a verb of the list, and mend its test's style

npm run lint failed on: watchInterim begins with no verb of docs/VERBS.md, and three lines of interim-responses.test.ts broke XO's rules. What the test asserts is the same.

--- a/src/transport/_lib/watch-interim.ts
+++ b/src/transport/_lib/handle-interim-responses.ts
@@ -4,7 +4,7 @@
 	msPerSecond,
 } from '../../protocol/constants.js';
 
-/** Options of `watchInterim`. */
+/** Options of `handleInterimResponses`. */
 export type InterimOptions = {
 	/** Called with each interim response (status 1xx). */
 	readonly onInterim?: ((information: InformationEvent) => void) | undefined;
@@ -13,14 +13,14 @@
 };
 
 /**
- * Watches the interim responses to a request, and destroys it when more than
+ * Handles the interim responses to a request, and destroys it when more than
  * `maxInterimResponsesPerSecond` arrive within a second: Node.js reads thousands
  * of them in one turn, in which nothing else is handled.
  *
  * @param request - the request, before it has a response
  * @param options - see `InterimOptions`
  */
-export function watchInterim(
+export function handleInterimResponses(
 	request: ClientRequest,
 	{onInterim, now = () => performance.now()}: InterimOptions,
 ): void {
--- a/src/transport/_lib/interim-responses.test.ts
+++ b/src/transport/_lib/interim-responses.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
+import type {Socket} from 'node:net';
 import test from 'node:test';
+import {setImmediate} from 'node:timers/promises';
 import {startRawServer} from '../../../harness/_lib/start-raw-server.js';
 import {writeWithoutEnd} from '../../../harness/_lib/write-without-end.js';
 import {maxInterimResponsesPerSecond} from '../../protocol/constants.js';
@@ -14,11 +16,9 @@
 // Regression: interim responses without end held up everything else on the node that read them.
 test('a request whose receiver sends interim responses without end is lost', async (t) => {
 	let seen = 0;
-	let isClosed = false;
+	const sockets: Socket[] = [];
 	const address = await startRawServer(t, (socket) => {
-		socket.once('close', () => {
-			isClosed = true;
-		});
+		sockets.push(socket);
 		socket.once('data', () => {
 			writeWithoutEnd(socket, Buffer.from(interim.repeat(4096)));
 		});
@@ -33,8 +33,8 @@
 	}).outcome;
 	assert.equal(outcome.kind, 'lost');
 	assert.equal(seen, maxInterimResponsesPerSecond);
-	while (!isClosed) {
-		await new Promise(setImmediate);
+	while (!sockets.every(({closed}) => closed)) {
+		await setImmediate();
 	}
 
 	agent.destroy();
@@ -49,7 +49,7 @@
 		void once(socket, 'end').then(() => socket.end());
 	});
 	const agent = createPooledAgent();
-	const {outcome} = sendRequest(outgoing, {agent, address});
-	assert.equal((await outcome).kind, 'answered');
+	const outcome = await sendRequest(outgoing, {agent, address}).outcome;
+	assert.equal(outcome.kind, 'answered');
 	agent.destroy();
 });
--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -22,7 +22,7 @@
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
 import {waitForTurns} from './wait-for-turns.js';
-import {watchInterim} from './watch-interim.js';
+import {handleInterimResponses} from './handle-interim-responses.js';
 
 /** Outcome of a request on one connection. */
 export type SendOutcome =
@@ -245,7 +245,7 @@
 			request.once('finish', options.onSent);
 		}
 
-		watchInterim(request, options);
+		handleInterimResponses(request, options);
 		if (body instanceof Readable) {
 			body.on('error', (error) => {
 				request.destroy(error);
