Tell a restarted node what has left its host in a request, too

Callers' requests reached an upstream that had reported its leaving: its node was stopped as planned and started again, became a member without asking anybody (the seeds held only its own address), and ran requests of its own callers at the upstream. It got to know of the departure only with the answer to its own next request.

Cause: departures were told in answers only. A member that compares its records with those of the new process sends a request first. Now that request carries the departures of the process's address, which the receiver takes in before it answers.

--- a/src/coordination/_lib/members/departures.ts
+++ b/src/coordination/_lib/members/departures.ts
@@ -69,6 +69,22 @@
 	return untold.length === 0 ? {} : {departures: encodeDepartures(untold, now)};
 }
 
+/**
+ * Lists the departures of the members at an address, for a request to a process
+ * there, which may be new and not ask anybody itself.
+ */
+export function listDeparturesAt(
+	state: MembersState,
+	address: string,
+	now: number,
+): {readonly departures?: readonly DepartureRecord[]} {
+	const remembered = [...state.departures.values()]
+		.filter((host) => host.address === address)
+		.flatMap(({departures}) => departures);
+	const merged = mergeDepartures(remembered, now);
+	return merged.length === 0 ? {} : {departures: encodeDepartures(merged, now)};
+}
+
 /** Forgets the departures of which no late announcement can arrive any more. */
 export function expireDepartures(
 	state: MembersState,
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -3,6 +3,7 @@
  */
 import {maxSeeds, spreadFanOut} from '../../../protocol/constants.js';
 import type {Exchange, Sender} from '../../../protocol/member.js';
+import {decodeDepartures} from '../../../state/decode-departures.js';
 import {findMember} from '../../../state/find-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {listUntoldDepartures} from './departures.js';
@@ -18,6 +19,7 @@
 	takeUpdates,
 } from './send.js';
 import {answerBucket, answerDigests} from './sync.js';
+import {acceptDepartures} from './upstreams.js';
 
 /** Number of members whose indirect probes a node keeps. */
 const maxRelayedProbes = spreadFanOut * 8;
@@ -129,7 +131,12 @@
 		}
 
 		case 'digests': {
-			return answerDigests(state, request, now);
+			const {departures = []} = request;
+			return runActions(state, [
+				(next) =>
+					acceptDepartures(next, decodeDepartures(departures, now), now),
+				(next) => answerDigests(next, request, now),
+			]);
 		}
 
 		case 'bucket': {
--- a/src/coordination/_lib/members/sync.ts
+++ b/src/coordination/_lib/members/sync.ts
@@ -20,7 +20,7 @@
 import {mergeMember} from '../../../state/merge-member.js';
 import {putMembers} from '../../../state/put-members.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
-import {listUntoldDepartures} from './departures.js';
+import {listDeparturesAt, listUntoldDepartures} from './departures.js';
 import {mergeRecords} from './merge.js';
 import {
 	createAnswerEffect,
@@ -77,6 +77,7 @@
 				kind: 'digests',
 				from: describeSender(state),
 				roots,
+				...listDeparturesAt(state, address, now),
 			}),
 		],
 	};
--- a/src/coordination/departures/restarted-nodes.test.ts
+++ b/src/coordination/departures/restarted-nodes.test.ts
@@ -205,3 +205,27 @@
 		assert.deepEqual(listOfferingAfter(path, first), [], `seed ${seed}`);
 	}
 });
+
+// Regression: a restarted node that read no seeds became a member without having asked anybody.
+test('a withdrawal is known to a restarted node that is asked before it asks', () => {
+	for (const seed of seeds) {
+		const scheduler = createScheduler(seed);
+		const fleet = createMembersFleet(scheduler);
+		const first = fleet.start('abdali-1', 'abdali');
+		const second = fleet.start('abdali-2', 'abdali', [first.address]);
+		fleet.announceLate(first, id, announcement);
+		scheduler.runUntil(startMs);
+		fleet.withdraw(first, id);
+		fleet.tell(first, {kind: 'leave'});
+		scheduler.runUntil(startMs + 200);
+		const path = {scheduler, fleet, first, second};
+		fleet.kill(first);
+		const restarted = fleet.start('abdali-1', 'abdali', [], first.address);
+		fleet.announceLate(restarted, id, announcement);
+		while (!restarted.state.table.has('abdali')) {
+			scheduler.runUntil(scheduler.now() + 1);
+		}
+
+		assert.deepEqual(listOffering(path), [], `seed ${seed}`);
+	}
+});
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -132,6 +132,7 @@
 		kind: z.literal('digests'),
 		from: encodedSenderSchema,
 		roots: z.unknown().optional(),
+		departures: z.unknown().optional(),
 	}),
 	z.object({
 		kind: z.literal('bucket'),
@@ -206,6 +207,8 @@
 			readonly from: Sender;
 			/** Digest of each data centre's records. */
 			readonly roots: Readonly<Record<string, number>>;
+			/** Upstreams that left the receiver's host; absent when there are none. */
+			readonly departures?: readonly DepartureRecord[] | undefined;
 	  }
 	| {
 			readonly kind: 'bucket';
--- a/src/state/decode-exchange.ts
+++ b/src/state/decode-exchange.ts
@@ -10,6 +10,7 @@
 	type Exchange,
 } from '../protocol/member.js';
 import {decodeCrashDigest} from './_lib/decode-crash-digest.js';
+import {decodeDepartureList} from './_lib/decode-departure-list.js';
 import {decodeRecords} from './_lib/decode-records.js';
 import {decodeSender} from './_lib/decode-sender.js';
 import {listEntries} from './_lib/list-entries.js';
@@ -58,9 +59,19 @@
 				place: 'roots',
 				maxLength: maxDataCentres,
 			});
+			const departures = decodeDepartureList(encoded.departures, 'departures');
 			return {
-				value: {kind: 'digests', from, roots: Object.fromEntries(roots.value)},
-				unreadable: [...unreadable, ...roots.unreadable],
+				value: {
+					kind: 'digests',
+					from,
+					roots: Object.fromEntries(roots.value),
+					...(departures.value.length > 0 && {departures: departures.value}),
+				},
+				unreadable: [
+					...unreadable,
+					...roots.unreadable,
+					...departures.unreadable,
+				],
 			};
 		}
 
