Let a client of the soak pipeline, and leave early now and then

Now one client of each host sends four lookups at once on a new connection, and leaves every fifth early; the others are judged as before.

--- a/soak/_lib/start-clients.ts
+++ b/soak/_lib/start-clients.ts
@@ -1,13 +1,14 @@
 import {Agent, request} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ClientRecord, History} from './history.js';
+import {sendPipelined, type PipelinedResponse} from './send-pipelined.js';
 
 /** Options of `startClients`. */
 export type ClientsOptions = {
 	readonly host: string;
 	/** Where the node takes requests. */
 	readonly address: string;
-	/** Number of clients, each with a connection of its own. */
+	/** Number of clients that send one request at a time, each on a connection of its own; one more client pipelines. */
 	readonly count: number;
 	readonly history: History;
 	/** Monotonic ms. */
@@ -29,6 +30,12 @@
 /** Which uploads are cut by their clients. */
 const cutUploadEvery = 5;
 
+/** Number of requests that a client which pipelines sends at once. */
+const pipelinedCount = 4;
+
+/** Which of its connections such a client leaves early. */
+const leaveEvery = 5;
+
 /** Time after which a client gives up on a connection, ms. */
 const patienceMs = 2500;
 
@@ -127,6 +134,40 @@
 	});
 }
 
+function formatLookup(id: string, isLast: boolean): string {
+	return [
+		`GET ${lookup.path} HTTP/1.1`,
+		'host: prices.example',
+		`x-boragehitch-request-id: ${id}`,
+		`x-boragehitch-deadline-ms: ${deadlineMs}`,
+		...(isLast ? ['connection: close'] : []),
+		'\r\n',
+	].join('\r\n');
+}
+
+function readOutcome(response: PipelinedResponse | undefined): Outcome {
+	if (!response) {
+		return noAnswer;
+	}
+
+	const [head = '', rest = ''] = response.text.split('\r\n\r\n', 2);
+	const [, ...lines] = head.split('\r\n');
+	const headers = new Headers(
+		lines.map((line): [string, string] => {
+			const [name = '', ...value] = line.split(':');
+			return [name, value.join(':')];
+		}),
+	);
+	return {
+		status: Number(head.split(' ')[1]),
+		// The body may come in chunks with their lengths.
+		body: /ran [\w.\-]+/v.exec(rest)?.[0] ?? rest,
+		tellsLeaving: headers.get('server-leaving') === '1',
+		isSigned: headers.has(signatureName),
+		answeredId: headers.get('x-boragehitch-request-id') ?? undefined,
+	};
+}
+
 /** Starts the clients of a host; they keep their connections until the node closes them. */
 export function startClients(options: ClientsOptions): Clients {
 	const {host, history, now} = options;
@@ -153,9 +194,49 @@
 		agent.destroy();
 	}
 
-	const clients = Array.from({length: options.count}, async (_, index) =>
-		runClient(index),
-	);
+	/** Sends several lookups at once, each time on a new connection. */
+	async function runPipeliningClient(): Promise<void> {
+		for (let round = 1; !stopping.signal.aborted; round++) {
+			const ids = Array.from(
+				{length: pipelinedCount},
+				(_, index) => `${host}.p${index}.${round}`,
+			);
+			const isLeaving = round % leaveEvery === 0;
+			const sentAt = now();
+			const responses = await sendPipelined(
+				ids.map((id) => formatLookup(id, id === ids.at(-1))),
+				{
+					address: options.address,
+					now,
+					patienceMs,
+					leavesAfterMs: isLeaving ? round % pauseMs : undefined,
+				},
+			);
+			// A client that has left is owed nothing.
+			for (const [index, id] of isLeaving ? [] : ids.entries()) {
+				const response = responses[index];
+				history.clients.push({
+					id,
+					host,
+					repeatable: true,
+					bytes: 0,
+					sentAt,
+					endedAt: response?.receivedAt ?? now(),
+					expiresAt: sentAt + Math.min(deadlineMs, lookup.timeoutMs),
+					...readOutcome(response),
+				});
+			}
+
+			await sleep(pauseMs * pipelinedCount);
+		}
+	}
+
+	const clients = [
+		...Array.from({length: options.count}, async (_, index) =>
+			runClient(index),
+		),
+		runPipeliningClient(),
+	];
 	return {
 		async stop() {
 			stopping.abort();
