--- a/src/transport/_lib/send-request.ts
+++ b/src/transport/_lib/send-request.ts
@@ -16,13 +16,13 @@
 import {createBodyStream} from './create-body-stream.js';
 import {createPieceBuffer} from './create-piece-buffer.js';
 import {discardBody} from './discard-body.js';
+import {handleInterimResponses} from './handle-interim-responses.js';
 import {hasIdleConnection} from './has-idle-connection.js';
 import {
 	startPostPollTimer,
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
 import {waitForTurns} from './wait-for-turns.js';
-import {handleInterimResponses} from './handle-interim-responses.js';
 
 /** Outcome of a request on one connection. */
 export type SendOutcome =
