Look for remembered departures and decode received ones in one place each

listDeparturesAt repeated the search of listUntoldDepartures, and three callers of acceptDepartures decoded its argument first. Behaviour and assertions are the same.

--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -7,7 +7,6 @@
 	MembersState,
 	MembersStep,
 } from '../../members-state.js';
-import {decodeDepartures} from '../../../state/decode-departures.js';
 import {recordContactAnswer, recordContactFailure} from './bridges.js';
 import {resendRecords} from './resend.js';
 import {endNameCheck, handleNameConflict} from './identity.js';
@@ -131,8 +130,8 @@
 	answer: ExchangeAnswer,
 	now: number,
 ): MembersStep {
-	const departures = 'departures' in answer ? (answer.departures ?? []) : [];
-	return acceptDepartures(state, decodeDepartures(departures, now), now);
+	const departures = 'departures' in answer ? answer.departures : undefined;
+	return acceptDepartures(state, departures, now);
 }
 
 /** Handles the answer of another member to a request. */
--- a/src/coordination/_lib/members/departures.ts
+++ b/src/coordination/_lib/members/departures.ts
@@ -3,6 +3,7 @@
  * and tell a new process of a node of those that its predecessor acknowledged.
  */
 import type {
+	Departure,
 	DepartureRecord,
 	MemberRecord,
 	Sender,
@@ -13,6 +14,32 @@
 import {mergeDepartures} from '../../departures/merge-departures.js';
 import type {MembersState} from '../../members-state.js';
 
+/** Field of a message with departures; absent when there are none. */
+type DeparturesField = {readonly departures?: readonly DepartureRecord[]};
+
+function createDeparturesField(
+	departures: readonly Departure[],
+	now: number,
+): DeparturesField {
+	return departures.length === 0
+		? {}
+		: {departures: encodeDepartures(departures, now)};
+}
+
+/** Finds the remembered departures of the members with a name or an address. */
+function findDepartures(
+	state: MembersState,
+	wanted: {readonly name?: string; readonly address: string},
+	now: number,
+): readonly Departure[] {
+	const remembered = [...state.departures]
+		.filter(
+			([name, {address}]) => name === wanted.name || address === wanted.address,
+		)
+		.flatMap(([, {departures}]) => departures);
+	return mergeDepartures(remembered, now);
+}
+
 /** Remembers the departures in a record, whether or not the record itself is newer than the known one. */
 export function recordDepartures(
 	state: MembersState,
@@ -45,7 +72,7 @@
 	state: MembersState,
 	from: Sender,
 	now: number,
-): {readonly departures?: readonly DepartureRecord[]} {
+): DeparturesField {
 	if (state.departures.size === 0) {
 		return {};
 	}
@@ -55,18 +82,13 @@
 		known && known.incarnation >= from.incarnation
 			? (known.departures ?? [])
 			: [];
-	const remembered = [...state.departures]
-		.filter(
-			([name, {address}]) => name === from.name || address === from.address,
-		)
-		.flatMap(([, {departures}]) => departures);
-	const untold = mergeDepartures(remembered, now).filter(
+	const untold = findDepartures(state, from, now).filter(
 		({id, incarnation}) =>
 			!told.some(
 				(other) => other.id === id && other.incarnation >= incarnation,
 			),
 	);
-	return untold.length === 0 ? {} : {departures: encodeDepartures(untold, now)};
+	return createDeparturesField(untold, now);
 }
 
 /**
@@ -77,12 +99,8 @@
 	state: MembersState,
 	address: string,
 	now: number,
-): {readonly departures?: readonly DepartureRecord[]} {
-	const remembered = [...state.departures.values()]
-		.filter((host) => host.address === address)
-		.flatMap(({departures}) => departures);
-	const merged = mergeDepartures(remembered, now);
-	return merged.length === 0 ? {} : {departures: encodeDepartures(merged, now)};
+): DeparturesField {
+	return createDeparturesField(findDepartures(state, {address}, now), now);
 }
 
 /** Forgets the departures of which no late announcement can arrive any more. */
--- a/src/coordination/_lib/members/merge.ts
+++ b/src/coordination/_lib/members/merge.ts
@@ -6,7 +6,6 @@
 	maxMembersPerDataCentre,
 } from '../../../protocol/constants.js';
 import type {Member, MemberRecord} from '../../../protocol/member.js';
-import {decodeDepartures} from '../../../state/decode-departures.js';
 import {decodeMember} from '../../../state/decode-member.js';
 import {findMember} from '../../../state/find-member.js';
 import {bucketsPerDataCentre} from '../../../state/member-table.js';
@@ -53,11 +52,9 @@
 		}
 
 		if (record.name === state.self.name) {
-			const {departures = []} = record;
 			const handled = runActions(step.state, [
 				(next) => handleSelfClaim(next, record, now),
-				(next) =>
-					acceptDepartures(next, decodeDepartures(departures, now), now),
+				(next) => acceptDepartures(next, record.departures, now),
 			]);
 			step = {
 				state: handled.state,
--- a/src/coordination/_lib/members/requests.ts
+++ b/src/coordination/_lib/members/requests.ts
@@ -3,7 +3,6 @@
  */
 import {maxSeeds, spreadFanOut} from '../../../protocol/constants.js';
 import type {Exchange, Sender} from '../../../protocol/member.js';
-import {decodeDepartures} from '../../../state/decode-departures.js';
 import {findMember} from '../../../state/find-member.js';
 import type {MembersState, MembersStep} from '../../members-state.js';
 import {listUntoldDepartures} from './departures.js';
@@ -131,10 +130,8 @@
 		}
 
 		case 'digests': {
-			const {departures = []} = request;
 			return runActions(state, [
-				(next) =>
-					acceptDepartures(next, decodeDepartures(departures, now), now),
+				(next) => acceptDepartures(next, request.departures, now),
 				(next) => answerDigests(next, request, now),
 			]);
 		}
--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -10,8 +10,10 @@
 import type {
 	Announcement,
 	Departure,
+	DepartureRecord,
 	Upstream,
 } from '../../../protocol/member.js';
+import {decodeDepartures} from '../../../state/decode-departures.js';
 import {formatService} from '../../../state/format-service.js';
 import type {
 	MembersState,
@@ -256,10 +258,10 @@
  */
 export function acceptDepartures(
 	state: MembersState,
-	departures: readonly Departure[],
+	records: readonly DepartureRecord[] | undefined,
 	now: number,
 ): MembersStep {
-	const unknown = departures.filter(
+	const unknown = decodeDepartures(records ?? [], now).filter(
 		(departure) => departure.endsAt > now && isUnknown(state, departure),
 	);
 	if (unknown.length === 0) {
