Show which version a node takes for the running one, and which it chooses for requests

Each change of the running version is logged with the view on which it rests; the version that was chosen for a request is counted with the reason, as a metric and every 2 s in the log. No decision changes.

--- a/src/protocol/metric-names.ts
+++ b/src/protocol/metric-names.ts
@@ -41,6 +41,8 @@
 	rateLimit: 'boragehitch_upstream_rate_limit',
 	quarantined: 'boragehitch_quarantined_requests',
 	quotaTokens: 'boragehitch_quota_tokens_total',
+	rolloutRunning: 'boragehitch_rollout_running',
+	rolloutChoices: 'boragehitch_rollout_choices_total',
 	rolloutShare: 'boragehitch_rollout_share',
 	rolloutResponses: 'boragehitch_rollout_responses',
 	memory: 'boragehitch_memory_bytes',
--- a/src/protocol/rollout.ts
+++ b/src/protocol/rollout.ts
@@ -97,6 +97,29 @@
 export type RolloutAnswer = z.infer<typeof rolloutAnswerSchema>;
 export type RunningVersion = z.infer<typeof runningVersionSchema>;
 
+/** Why a caller's node has chosen a version for a request. */
+export type ChoiceReason =
+	| 'preferred'
+	/** No host has an upstream of the preferred version. */
+	| 'no-host'
+	/** The preferred version has no capacity. */
+	| 'no-capacity'
+	/** No version that is allowed has a host. */
+	| 'none';
+
+/** A version that was chosen for a request; empty when there is none. */
+export type VersionChosen = {
+	readonly service: string;
+	readonly version: string;
+	readonly reason: ChoiceReason;
+};
+
+/** Number of requests for which a version was chosen, since the node started. */
+export type ChoiceCount = VersionChosen & {readonly count: number};
+
+/** Version of a service that a node takes for the running one, for metrics. */
+export type RunningGauge = RunningVersion & {readonly isCertain: boolean};
+
 /** Share and state of a roll-out, for metrics. */
 export type RolloutGauge = Pick<
 	RolloutDirective,
--- a/src/transport/_lib/create-service-router-versions.test.ts
+++ b/src/transport/_lib/create-service-router-versions.test.ts
@@ -38,6 +38,9 @@
 				limited,
 				mayFallBack: true,
 			}),
+			recordChoice() {
+				// Choices are not counted.
+			},
 			recordAttempt() {
 				// No attempt is made.
 			},
--- a/src/transport/_lib/create-service-router.ts
+++ b/src/transport/_lib/create-service-router.ts
@@ -35,6 +35,7 @@
 } from '../../protocol/constants.js';
 import {pickTargetHosts} from '../../coordination/rollouts/pick-target-hosts.js';
 import type {Candidate, MembersView} from '../../protocol/member.js';
+import type {VersionChosen} from '../../protocol/rollout.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import type {GateStamp} from '../../protocol/stamp.js';
 import type {Forwarder} from '../create-forwarder.js';
@@ -285,6 +286,14 @@
 
 		const {versions, limited, mayFallBack} = choice;
 		let first: HostChoice | undefined;
+
+		/** Counts the choice for a new request, but not that for a retry. */
+		function record(chosen: Omit<VersionChosen, 'service'>): void {
+			if (!isRetry) {
+				options.rollouts?.recordChoice({service, ...chosen});
+			}
+		}
+
 		for (const version of versions) {
 			const count = limited?.version === version ? limited.hosts : undefined;
 			const hosts = listVersionHosts(service, version, count);
@@ -294,11 +303,20 @@
 
 			first ??= {hosts, version};
 			if (!mayFallBack || !findFullReason(hosts, criteria)) {
+				const isFirst = version === versions[0];
+				const reason = first.version === version ? 'no-host' : 'no-capacity';
+				record({version, reason: isFirst ? 'preferred' : reason});
 				return {hosts, version};
 			}
 		}
 
-		return first ?? {hosts: [], version: undefined};
+		if (!first) {
+			record({version: '', reason: 'none'});
+			return {hosts: [], version: undefined};
+		}
+
+		record({version: first.version!, reason: 'preferred'});
+		return first;
 	}
 
 	function createLocalClient(
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -4,7 +4,12 @@
 import {msPerSecond} from '../protocol/constants.js';
 import type {RefusalEvent, RequestObserver} from '../protocol/observer.js';
 import {meshMetricNames} from '../protocol/metric-names.js';
-import type {RolloutGauge, VersionCount} from '../protocol/rollout.js';
+import type {
+	ChoiceCount,
+	RolloutGauge,
+	RunningGauge,
+	VersionCount,
+} from '../protocol/rollout.js';
 import type {ByteCount} from './_lib/create-byte-counter.js';
 import {createDurationHistogram} from './_lib/create-duration-histogram.js';
 import {createLabelLimit} from './_lib/create-label-limit.js';
@@ -32,6 +37,10 @@
 	readonly lagMs: number;
 	/** Roll-outs that the node knows; none when absent. */
 	readonly rollouts?: readonly RolloutGauge[] | undefined;
+	/** Running version of each service; none when absent. */
+	readonly runningVersions?: readonly RunningGauge[] | undefined;
+	/** Versions chosen for requests; none when absent. */
+	readonly versionChoices?: readonly ChoiceCount[] | undefined;
 	/** Responses of upstreams on the host during roll-outs; none when absent. */
 	readonly versionCounts?: readonly VersionCount[] | undefined;
 };
@@ -215,6 +224,18 @@
 		labelNames: ['kind'],
 		registers,
 	});
+	const rolloutRunning = new Gauge({
+		name: meshMetricNames.rolloutRunning,
+		help: 'Version of a service that runs without an order: 1 when certain, else 0',
+		labelNames: ['service', 'version'],
+		registers,
+	});
+	const rolloutChoices = new Counter({
+		name: meshMetricNames.rolloutChoices,
+		help: 'Requests of callers by the version that was chosen for them',
+		labelNames: ['service', 'version', 'reason'],
+		registers,
+	});
 	const rolloutShare = new Gauge({
 		name: meshMetricNames.rolloutShare,
 		help: 'Share of the requests that go to the target version of a roll-out',
@@ -298,6 +319,16 @@
 				rolloutShare.set({service, version: target, state}, share);
 			}
 
+			rolloutRunning.reset();
+			for (const {isCertain, ...running} of gauges.runningVersions ?? []) {
+				rolloutRunning.set(running, isCertain ? 1 : 0);
+			}
+
+			rolloutChoices.reset();
+			for (const {count, ...chosen} of gauges.versionChoices ?? []) {
+				rolloutChoices.inc(chosen, count);
+			}
+
 			rolloutResponses.reset();
 			for (const count of gauges.versionCounts ?? []) {
 				const {service, version, route, failures} = count;
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -127,6 +127,8 @@
 			lagMs: lagMeter.read(),
 			rollouts: rollouts?.listGauges(),
 			versionCounts: rollouts?.listCounts(),
+			runningVersions: rollouts?.listRunning(),
+			versionChoices: rollouts?.listChoices(),
 		}),
 		readQuota: initialSettings.quota && (() => quota!.readCounts()),
 		takeBytes: byteCounter.take,
--- a/src/transport/start-rollout-task.ts
+++ b/src/transport/start-rollout-task.ts
@@ -1,18 +1,15 @@
 import {computeRolloutLeader} from '../coordination/rollouts/compute-rollout-leader.js';
 import {mergeDirectives} from '../coordination/rollouts/merge-directives.js';
-import {mergeRunningVersions} from '../coordination/rollouts/merge-running-versions.js';
 import {pickVersions} from '../coordination/rollouts/pick-versions.js';
-import {
-	stepRunningVersions,
-	type ServiceVersions,
-} from '../coordination/rollouts/step-running-versions.js';
 import {msPerSecond} from '../protocol/constants.js';
 import type {Member, MembersView} from '../protocol/member.js';
 import {
+	type ChoiceCount,
 	type RolloutAnswer,
 	type RolloutDirective,
 	type RolloutGauge,
 	type RolloutReport,
+	type RunningGauge,
 	type VersionCount,
 } from '../protocol/rollout.js';
 import {decodeRolloutLists} from '../state/decode-rollout-lists.js';
@@ -23,6 +20,8 @@
 } from './_lib/create-response-counter.js';
 import {createRolloutLeader} from './_lib/create-rollout-leader.js';
 import {createVersionStops} from './_lib/create-version-stops.js';
+import {createChoiceCounter} from './_lib/rollouts/create-choice-counter.js';
+import {createVersionTracker} from './_lib/rollouts/create-version-tracker.js';
 import {
 	sendRolloutReport,
 	type RolloutPeers,
@@ -53,6 +52,10 @@
 	isCounting(service: string): boolean;
 	recordResponse(response: CountedResponse): void;
 	listGauges(): readonly RolloutGauge[];
+	/** Returns the running version of each service that has one. */
+	listRunning(): readonly RunningGauge[];
+	/** Returns the versions chosen for requests on this node. */
+	listChoices(): readonly ChoiceCount[];
 	/** Returns the responses of upstreams on this host during the current roll-outs. */
 	listCounts(): readonly VersionCount[];
 	stop(): void;
@@ -91,9 +94,9 @@
 		message: 'part of a message not readable',
 		now,
 	});
+	const tracker = createVersionTracker(logger);
+	const choices = createChoiceCounter({logger, now});
 	let counter = createResponseCounter();
-	let versions: ReadonlyMap<string, ServiceVersions> = new Map();
-	let restricted: ReadonlySet<string> = new Set();
 	let view: MembersView | undefined;
 	let leaderMember: Member | undefined;
 	let timer: NodeJS.Timeout | undefined;
@@ -104,7 +107,7 @@
 		store: options.store,
 		logger,
 		now,
-		readVersions: () => versions,
+		readVersions: tracker.read,
 		countHosts: (service, version) =>
 			(view?.candidates.get(service) ?? []).filter((candidate) =>
 				candidate.versions?.includes(version),
@@ -128,13 +131,8 @@
 
 	function updateVersions(): void {
 		const known = [...directives.values()].map(({directive}) => directive);
-		versions = stepRunningVersions(versions, view?.members ?? [], known);
-		restricted = new Set(
-			[...versions]
-				.filter(([, {isRestricted}]) => isRestricted)
-				.map(([service]) => service),
-		);
-		if (restricted.size === 0) {
+		tracker.update(view?.members ?? [], known);
+		if (!tracker.hasRestricted()) {
 			counter = createResponseCounter();
 		}
 
@@ -180,7 +178,7 @@
 	function receiveAnswer(answer: RolloutAnswer, source: string): void {
 		const decoded = decodeRolloutLists(answer);
 		logUnreadable(decoded.unreadable, source);
-		versions = mergeRunningVersions(versions, decoded.running);
+		tracker.merge(decoded.running, source);
 		applyDirectives(decoded.directives);
 	}
 
@@ -208,7 +206,7 @@
 
 	/** Reports at intervals while a service has upstreams that may not get requests. */
 	function schedule(): void {
-		if (restricted.size === 0 || isStopped) {
+		if (!tracker.hasRestricted() || isStopped) {
 			clearInterval(timer);
 			timer = undefined;
 		} else if (!timer) {
@@ -220,6 +218,12 @@
 		}
 	}
 
+	function listRunning(): readonly RunningGauge[] {
+		return [...tracker.read()].flatMap(([service, {running, isCertain}]) =>
+			running === undefined ? [] : [{service, version: running, isCertain}],
+		);
+	}
+
 	function handleReport(received: RolloutReport): RolloutAnswer {
 		const {counts, ...decoded} = decodeRolloutLists(received);
 		logUnreadable(decoded.unreadable, received.from);
@@ -233,9 +237,7 @@
 		);
 		return {
 			directives: leader.listDirectives(),
-			running: [...versions].flatMap(([service, {running, isCertain}]) =>
-				isCertain && running !== undefined ? [{service, version: running}] : [],
-			),
+			running: listRunning().filter(({isCertain}) => isCertain),
 		};
 	}
 
@@ -248,13 +250,14 @@
 
 	return {
 		pick(service, isRetry) {
-			if (!restricted.has(service)) {
+			const restricted = tracker.readRestricted(service);
+			if (!restricted) {
 				return undefined;
 			}
 
 			const known = directives.get(service);
 			const directive = known?.directive;
-			const {running} = versions.get(service)!;
+			const {running} = restricted;
 			const isHalted = known !== undefined && isTargetStopped(service, known);
 			const facts = {running, directive, isStopped: isHalted};
 			const hosts = directive?.hosts;
@@ -265,6 +268,7 @@
 				mayFallBack: directive?.state === 'active' && directive.share < 1,
 			};
 		},
+		recordChoice: choices.record,
 		recordAttempt(service, version, isFailed) {
 			if (directives.get(service)?.directive.target !== version) {
 				return;
@@ -282,10 +286,12 @@
 			leader.setLeading(leaderMember.name === name && !isStopped);
 		},
 		handleReport,
-		isCounting: (service) => restricted.has(service),
+		isCounting: (service) => tracker.readRestricted(service) !== undefined,
 		recordResponse(response) {
 			counter.record(response);
 		},
+		listRunning,
+		listChoices: choices.list,
 		listCounts: () => counter.list(),
 		listGauges: () => [...directives.values()].map(({directive}) => directive),
 		stop() {
--- a/src/transport/version-picker.ts
+++ b/src/transport/version-picker.ts
@@ -1,3 +1,5 @@
+import type {VersionChosen} from '../protocol/rollout.js';
+
 /** Versions to which a request may go. */
 export type VersionChoice = {
 	/** The preferred one first. */
@@ -13,6 +15,8 @@
 export type VersionPicker = {
 	/** Picks the versions of a request; undefined when every upstream of the service may get it. */
 	pick(service: string, isRetry: boolean): VersionChoice | undefined;
+	/** Records the version that was chosen for a request when it came. */
+	recordChoice(chosen: VersionChosen): void;
 	/** Records the end of an attempt at a version. */
 	recordAttempt(service: string, version: string, isFailed: boolean): void;
 };
