--- a/harness/start-rollout-fleet.ts
+++ b/harness/start-rollout-fleet.ts
@@ -97,7 +97,7 @@
 					service: 'profiles',
 					slots: 4,
 					state: 'ready',
-					since: 0,
+					since: version === 'v1' ? 0 : 1000,
 					version,
 				},
 			],
@@ -168,9 +168,15 @@
 		start(name);
 	}
 
+	/** Lets one node know only some members. */
+	function see(name: string, known: readonly Member[]): void {
+		const self = known.find((member) => member.name === name)!;
+		tasks.get(name)!.updateMembers(createView(known, self));
+	}
+
 	function update(known: readonly Member[]): void {
-		for (const self of known) {
-			tasks.get(self.name)!.updateMembers(createView(known, self));
+		for (const {name} of known) {
+			see(name, known);
 		}
 	}
 
@@ -188,5 +194,5 @@
 	update(old);
 	// A leader listens for a second before it begins with an order.
 	await advance(1050);
-	return {...memory, tasks, start, cut, members, old, update, advance};
+	return {...memory, tasks, start, cut, members, old, see, update, advance};
 }
--- a/src/transport/create-mesh-metrics.test.ts
+++ b/src/transport/create-mesh-metrics.test.ts
@@ -18,6 +18,12 @@
 			rollouts: [
 				{service: 'pricebook', target: 'v2', state: 'active', share: 0.04},
 			],
+			runningVersions: [
+				{service: 'pricebook', version: 'v1', isCertain: true},
+			],
+			versionChoices: [
+				{service: 'pricebook', version: 'v2', reason: 'no-capacity', count: 4},
+			],
 			versionCounts: [
 				{
 					service: 'pricebook',
@@ -115,6 +121,14 @@
 		);
 	}
 
+	assert.match(
+		text,
+		/boragehitch_rollout_running\{service="pricebook",version="v1"\} 1/v,
+	);
+	assert.match(
+		text,
+		/boragehitch_rollout_choices_total\{service="pricebook",version="v2",reason="no-capacity"\} 4/v,
+	);
 	assert.match(
 		text,
 		/boragehitch_rollout_share\{service="pricebook",version="v2",state="active"\} 0.04/v,
