Let a running version rest on what others and the store know, not on a first view

Callers got responses of a bad version (EXPOSURE), and requests at nodes that took it for the running one were served by it alone. Cause: a node that starts knows the upstream on its own host first; a single version in its view counted as the one that runs, for certain, and was never taken back. Where such a node led, it declared the order moot ('already runs'), so nobody judged the version.

A node now sends nothing until it has settled: by the answer of a settled node, by the orders in the store where it leads, or after 3 s. What runs has a basis: a completed order, having been seen alone for 3 s by a settled node (told on with its age), or the age of upstreams. The target of an order that a leader has started never runs without it, and such an order is not moot. Only a node that has joined leads.

--- a/harness/start-rollout-fleet.ts
+++ b/harness/start-rollout-fleet.ts
@@ -128,12 +128,15 @@
 	const memory = createStore(t, initial);
 	const tasks = new Map<string, RolloutTask>();
 	const cut = new Set<string>();
+	/** Nodes that know their data centre's members. */
+	const joined = new Set<string>();
 	let at = 0;
 	const now = (): number => at;
 	const members = createMembers(['v1', 'v1', 'v2', 'v2']);
 
 	/** Starts the task of a node, again with a later incarnation. */
 	function start(name: string, incarnation = 1): void {
+		joined.delete(name);
 		const task = startRolloutTask({
 			name,
 			incarnation,
@@ -141,6 +144,7 @@
 			logger: createSilentLogger(),
 			now,
 			random: () => 0.5,
+			hasJoined: () => joined.has(name),
 			peers: {
 				getClient: (address) => ({
 					rollout: {
@@ -168,7 +172,7 @@
 		start(name);
 	}
 
-	/** Lets one node know only some members. */
+	/** Lets a node that has not joined yet know only some members. */
 	function see(name: string, known: readonly Member[]): void {
 		const self = known.find((member) => member.name === name)!;
 		tasks.get(name)!.updateMembers(createView(known, self));
@@ -176,6 +180,7 @@
 
 	function update(known: readonly Member[]): void {
 		for (const {name} of known) {
+			joined.add(name);
 			see(name, known);
 		}
 	}
@@ -194,5 +199,16 @@
 	update(old);
 	// A leader listens for a second before it begins with an order.
 	await advance(1050);
-	return {...memory, tasks, start, cut, members, old, see, update, advance};
+	return {
+		...memory,
+		tasks,
+		start,
+		cut,
+		joined,
+		members,
+		old,
+		see,
+		update,
+		advance,
+	};
 }
--- a/src/coordination/rollouts/find-order-problem.ts
+++ b/src/coordination/rollouts/find-order-problem.ts
@@ -11,7 +11,7 @@
 /** What of an order decides whether it can be carried out. */
 export type OpenOrder = Pick<
 	StoredRollout,
-	'service' | 'target' | 'durationMs' | 'revision'
+	'service' | 'target' | 'durationMs' | 'revision' | 'status'
 >;
 
 /**
@@ -29,7 +29,7 @@
 	orders: readonly OpenOrder[],
 	versions: ReadonlyMap<string, ServiceVersions>,
 ): OrderProblem | undefined {
-	const {service, target, durationMs = 0} = order;
+	const {service, target, durationMs = 0, status} = order;
 	if (durationMs <= 0) {
 		return 'no duration';
 	}
@@ -47,5 +47,9 @@
 		return 'superseded by a newer order for the service';
 	}
 
-	return known.running === target ? 'already runs' : undefined;
+	// An order that a leader has started is for a version that did not run.
+	const isStarted = status?.target === target && status.state === 'active';
+	return known.running?.version === target && !isStarted
+		? 'already runs'
+		: undefined;
 }
--- a/src/protocol/rollout.ts
+++ b/src/protocol/rollout.ts
@@ -56,6 +56,8 @@
 	counts: z.unknown().optional(),
 	/** Directives that the node knows, for a leader that has just started; list of `rolloutDirectiveSchema`. */
 	directives: z.unknown().optional(),
+	/** Running versions that a settled node knows; list of `runningVersionSchema`. */
+	running: z.unknown().optional(),
 });
 
 /** What the leader has decided for a service. */
@@ -81,16 +83,36 @@
 export const rolloutAnswerSchema = z.object({
 	/** List of `rolloutDirectiveSchema`. */
 	directives: z.unknown().optional(),
-	/** List of `runningVersionSchema`. */
+	/** List of `runningVersionSchema`; empty when the answering node has not settled. */
 	running: z.unknown().optional(),
+	/** Targets of orders that have been started and not completed; list of `startedTargetSchema`. */
+	started: z.unknown().optional(),
+	/** Whether the answering node knows the orders; nodes of earlier versions state only what they are certain of. */
+	isSettled: z.boolean().default(true),
 });
 
-/** The version that served before any order. */
+/** How a node knows which version runs: by a completed order, by having seen it alone, or by the age of upstreams. */
+export const runningBasisSchema = z.enum(['ordered', 'witnessed', 'guessed']);
+
+export type RunningBasis = z.infer<typeof runningBasisSchema>;
+
+/** The version that runs without an order. */
 export const runningVersionSchema = z.object({
 	service: serviceSchema,
 	version: softwareVersionSchema,
+	basis: runningBasisSchema.default('witnessed'),
+	/** Age of the knowledge, or of the oldest upstream when guessed, ms. */
+	ageMs: countSchema.default(0),
 });
 
+/** Target of an order that does not run without it. */
+export const startedTargetSchema = runningVersionSchema.pick({
+	service: true,
+	version: true,
+});
+
+export type StartedTarget = z.infer<typeof startedTargetSchema>;
+
 export type VersionCount = z.infer<typeof versionCountSchema>;
 export type RolloutReport = z.infer<typeof rolloutReportSchema>;
 export type RolloutDirective = z.infer<typeof rolloutDirectiveSchema>;
@@ -117,9 +139,6 @@
 /** Number of requests for which a version was chosen, since the node started. */
 export type ChoiceCount = VersionChosen & {readonly count: number};
 
-/** Version of a service that a node takes for the running one, for metrics. */
-export type RunningGauge = RunningVersion & {readonly isCertain: boolean};
-
 /** Share and state of a roll-out, for metrics. */
 export type RolloutGauge = Pick<
 	RolloutDirective,
--- a/src/state/decode-rollout-lists.ts
+++ b/src/state/decode-rollout-lists.ts
@@ -3,11 +3,13 @@
 import {
 	rolloutDirectiveSchema,
 	runningVersionSchema,
+	startedTargetSchema,
 	versionCountSchema,
 	type RolloutAnswer,
 	type RolloutDirective,
 	type RolloutReport,
 	type RunningVersion,
+	type StartedTarget,
 	type VersionCount,
 } from '../protocol/rollout.js';
 
@@ -16,6 +18,7 @@
 	readonly counts: readonly VersionCount[];
 	readonly directives: readonly RolloutDirective[];
 	readonly running: readonly RunningVersion[];
+	readonly started: readonly StartedTarget[];
 	readonly unreadable: readonly UnreadablePart[];
 };
 
@@ -33,7 +36,7 @@
  * decodeRolloutLists({directives: ['odd']}).directives; // []
  */
 export function decodeRolloutLists(
-	message: Partial<RolloutReport> & RolloutAnswer,
+	message: Partial<RolloutReport> & Partial<RolloutAnswer>,
 ): RolloutLists {
 	const counts = decodeList(message.counts ?? [], {
 		schema: versionCountSchema,
@@ -50,11 +53,17 @@
 		place: 'running',
 		maxLength: maxServices,
 	});
+	const started = decodeList(message.started ?? [], {
+		schema: startedTargetSchema,
+		place: 'started',
+		maxLength: maxServices,
+	});
 	return {
 		counts: counts.value,
 		directives: directives.value,
 		running: running.value,
-		unreadable: [counts, directives, running].flatMap(
+		started: started.value,
+		unreadable: [counts, directives, running, started].flatMap(
 			({unreadable}) => unreadable,
 		),
 	};
--- a/src/transport/_lib/create-rollout-leader.ts
+++ b/src/transport/_lib/create-rollout-leader.ts
@@ -5,7 +5,11 @@
 	type RolloutProgress,
 } from '../../coordination/rollouts/step-rollout.js';
 import {msPerSecond} from '../../protocol/constants.js';
-import type {RolloutDirective, StoredRollout} from '../../protocol/rollout.js';
+import type {
+	RolloutDirective,
+	StartedTarget,
+	StoredRollout,
+} from '../../protocol/rollout.js';
 import type {Logger} from '../create-logger.js';
 import type {RolloutStore} from '../rollout-store.js';
 import {createCountTable, type NodeCounts} from './create-count-table.js';
@@ -13,8 +17,10 @@
 import {createOrderWatch} from './create-order-watch.js';
 import {
 	createDirective,
+	createProgress,
 	isDirectiveFor,
 	isFinalOrder,
+	isStartedOrder,
 } from './order-directive.js';
 import {createStatusWriter} from './create-status-writer.js';
 
@@ -30,6 +36,8 @@
 	readonly countLiveNodes: () => number;
 	/** Returns the directive that this node knows from an earlier leader, with the time left now. */
 	readonly readKnown: (service: string) => RolloutDirective | undefined;
+	/** Called with the targets of the orders that an earlier leader has started, once the orders were read and after each change. */
+	readonly onOrders: (started: readonly StartedTarget[]) => void;
 	/** Called when the directives may have changed. */
 	readonly onDirectives: () => void;
 };
@@ -96,10 +104,17 @@
 				orders.set(order.name, order);
 			}
 
+			options.onOrders(listStarted());
 			step();
 		},
 	});
 
+	function listStarted(): readonly StartedTarget[] {
+		return [...orders.values()]
+			.filter((order) => !isFinalOrder(order) && isStartedOrder(order))
+			.map(({service, target}) => ({service, version: target}));
+	}
+
 	/** Begins an order, or continues one of an earlier leader. */
 	function begin(order: StoredRollout): RolloutProgress {
 		const known = options.readKnown(order.service);
@@ -112,13 +127,8 @@
 			version: order.target,
 			remainingMs: Math.round(directive.remainingMs),
 		});
-		return {
-			directive,
-			seenAt: now() + directive.remainingMs - directive.durationMs,
-			fullSince: undefined,
-			answeredSince: undefined,
-			snapshots: [],
-		};
+		const elapsedMs = directive.durationMs - directive.remainingMs;
+		return createProgress(directive, now() - elapsedMs);
 	}
 
 	/** Returns an order with the revision at which it was first seen with its target. */
@@ -182,20 +192,25 @@
 			known?.directive.target === order.target &&
 			known.directive.state === directive.state;
 		if (!isAdopted) {
-			rollouts.set(order.service, {
-				directive: {
-					...directive,
-					order:
-						known && isDirectiveFor(known.directive, order)
-							? known.directive.order
-							: directive.order,
-					sequence: takeOverSequence,
-				},
-				seenAt: now() - directive.durationMs,
-				fullSince: undefined,
-				answeredSince: undefined,
-				snapshots: [],
-			});
+			const isKnown = known && isDirectiveFor(known.directive, order);
+			const adopted = {
+				...directive,
+				order: isKnown ? known.directive.order : directive.order,
+				sequence: takeOverSequence,
+			};
+			const seenAt = now() - directive.durationMs;
+			rollouts.set(order.service, createProgress(adopted, seenAt));
+		}
+	}
+
+	function adoptAllFinal(
+		all: readonly StoredRollout[],
+		busy: ReadonlySet<string>,
+	): void {
+		for (const order of all) {
+			if (isFinalOrder(order) && !busy.has(order.service)) {
+				adoptFinal(order);
+			}
 		}
 	}
 
@@ -204,15 +219,18 @@
 			return;
 		}
 
+		const all = [...orders.values()].toSorted(
+			(a, b) => a.revision - b.revision,
+		);
+		const open = all.filter((order) => !isFinalOrder(order));
 		if (now() < leadsFrom) {
+			// A final state needs nothing that others know.
+			adoptAllFinal(all, new Set(open.map(({service}) => service)));
+			onDirectives();
 			schedule(true);
 			return;
 		}
 
-		const all = [...orders.values()].toSorted(
-			(a, b) => a.revision - b.revision,
-		);
-		const open = all.filter((order) => !isFinalOrder(order));
 		const asSeen = open.map((order) => readAsSeen(order));
 		const versions = options.readVersions();
 		const usable = open.filter((order, index) => {
@@ -225,12 +243,7 @@
 			return isUsable;
 		});
 		const busy = new Set(usable.map(({service}) => service));
-		for (const order of all) {
-			if (isFinalOrder(order) && !busy.has(order.service)) {
-				adoptFinal(order);
-			}
-		}
-
+		adoptAllFinal(all, busy);
 		for (const order of usable) {
 			stepOrder(order);
 		}
--- a/src/transport/_lib/order-directive.ts
+++ b/src/transport/_lib/order-directive.ts
@@ -1,6 +1,7 @@
 /**
  * Relation of stored orders and directives.
  */
+import type {RolloutProgress} from '../../coordination/rollouts/step-rollout.js';
 import type {RolloutDirective, StoredRollout} from '../../protocol/rollout.js';
 
 /** Tells whether the stored status of an order is final. */
@@ -12,6 +13,11 @@
 	);
 }
 
+/** Tells whether a leader has started an order. */
+export function isStartedOrder({status, target}: StoredRollout): boolean {
+	return status?.target === target;
+}
+
 function formatOrderId({name, revision}: StoredRollout): string {
 	return `${name} ${revision}`;
 }
@@ -46,3 +52,12 @@
 		sequence: 0,
 	};
 }
+
+/** Creates the progress of an order that was first seen at a time, monotonic ms. */
+export function createProgress(
+	directive: RolloutDirective,
+	seenAt: number,
+): RolloutProgress {
+	const times = {fullSince: undefined, answeredSince: undefined};
+	return {directive, seenAt, ...times, snapshots: []};
+}
--- a/src/transport/_lib/rollouts/create-version-tracker.ts
+++ b/src/transport/_lib/rollouts/create-version-tracker.ts
@@ -1,30 +1,54 @@
+import {listRunningVersions} from '../../../coordination/rollouts/list-running-versions.js';
+import {mergeRunningVersions} from '../../../coordination/rollouts/merge-running-versions.js';
 import {
 	stepRunningVersions,
+	type KnownOrder,
 	type ServiceVersions,
 } from '../../../coordination/rollouts/step-running-versions.js';
-import {mergeRunningVersions} from '../../../coordination/rollouts/merge-running-versions.js';
+import {msPerSecond} from '../../../protocol/constants.js';
 import type {Member} from '../../../protocol/member.js';
-import type {
-	RolloutDirective,
-	RunningVersion,
-} from '../../../protocol/rollout.js';
+import type {RunningVersion, StartedTarget} from '../../../protocol/rollout.js';
 import type {Logger} from '../../create-logger.js';
 
+/** Options of `createVersionTracker`. */
+export type VersionTrackerOptions = {
+	readonly logger: Pick<Logger, 'info'>;
+	/** Monotonic ms. */
+	readonly now: () => number;
+	/** Returns the members that are known now. */
+	readonly readMembers: () => readonly Member[];
+	/** Returns the directives that are known now. */
+	readonly readDirectives: () => readonly KnownOrder[];
+};
+
+/** What a node that knows the orders has told, or the store. */
+export type ToldVersions = {
+	readonly running: readonly RunningVersion[];
+	/** Targets of orders that have been started and not completed. */
+	readonly started: readonly StartedTarget[];
+};
+
 /** Tracks which version of each service runs without an order. */
 export type VersionTracker = {
-	/** Steps the versions by the members and directives that are known now. */
-	update(
-		members: readonly Member[],
-		directives: readonly RolloutDirective[],
-	): void;
-	/** Takes over what the leader is certain of. */
+	/** Steps the versions by what is known now. */
+	update(): void;
+	/** Settles the node by what it was told; `source` is for the log. */
+	settle(told: ToldVersions, source: string): void;
+	/** Merges what another node has reported. */
 	merge(running: readonly RunningVersion[], source: string): void;
+	/** Whether the versions rest on what others and the store know, or the wait for them is over. */
+	isSettled(): boolean;
+	/** Whether the node was settled by one that knows the orders. */
+	knowsOrders(): boolean;
 	read(): ReadonlyMap<string, ServiceVersions>;
-	/** Returns the versions of a service of which not every upstream may get requests; undefined when all may. */
-	readRestricted(service: string): ServiceVersions | undefined;
+	listRunning(): readonly RunningVersion[];
+	listStarted(): readonly StartedTarget[];
 	hasRestricted(): boolean;
 };
 
+/** Time after its start for which a node waits to learn the orders, ms; afterwards, it serves by what it sees. */
+const settleTimeoutMs = 3 * msPerSecond;
+
 /** Counts the upstreams of each version of a service. */
 function countUpstreams(
 	members: readonly Member[],
@@ -44,33 +68,41 @@
  * Creates the tracker of running versions, which logs each change with what it
  * rests on.
  *
- * @param logger - where changes are logged
+ * @param options - see `VersionTrackerOptions`
  * @returns the tracker, which knows no version yet
  */
 export function createVersionTracker(
-	logger: Pick<Logger, 'info'>,
+	options: VersionTrackerOptions,
 ): VersionTracker {
+	const {logger, now, readMembers, readDirectives} = options;
+	const startedAt = now();
 	let versions: ReadonlyMap<string, ServiceVersions> = new Map();
-	let members: readonly Member[] = [];
+	let started: readonly StartedTarget[] = [];
+	let knowsOrders = false;
+
+	function isSettled(): boolean {
+		return knowsOrders || now() - startedAt >= settleTimeoutMs;
+	}
 
 	function apply(
 		next: ReadonlyMap<string, ServiceVersions>,
 		source: string,
 	): void {
-		for (const [service, after] of next) {
+		for (const [service, {running, isRestricted}] of next) {
 			const before = versions.get(service);
-			const {running, isCertain, isRestricted} = after;
-			if (
-				running !== before?.running ||
-				isCertain !== before?.isCertain ||
-				isRestricted !== before.isRestricted
-			) {
+			const hasChanged =
+				running?.version !== before?.running?.version ||
+				running?.basis !== before?.running?.basis ||
+				isRestricted !== before?.isRestricted;
+			if (hasChanged) {
+				const members = readMembers();
 				logger.info('running version', {
 					service,
-					version: running,
-					before: before?.running,
-					isCertain,
+					version: running?.version,
+					before: before?.running?.version,
+					basis: running?.basis,
 					isRestricted,
+					isSettled: isSettled(),
 					source,
 					members: members.length,
 					upstreams: countUpstreams(members, service),
@@ -81,19 +113,53 @@
 		versions = next;
 	}
 
+	/** Lists the orders that are known; a directive says more than that an order was started. */
+	function listOrders(): readonly KnownOrder[] {
+		const directives = readDirectives();
+		const services = new Set(directives.map(({service}) => service));
+		const others = started.filter(({service}) => !services.has(service));
+		return [
+			...directives,
+			...others.map(({service, version}) => {
+				const state = 'active' as const;
+				return {service, target: version, state};
+			}),
+		];
+	}
+
+	function update(): void {
+		const members = readMembers();
+		const input = {members, orders: listOrders(), isSettled: isSettled()};
+		apply(stepRunningVersions(versions, {...input, now: now()}), 'view');
+	}
+
+	function merge(running: readonly RunningVersion[], source: string): void {
+		const context = {isSettled: knowsOrders, now: now()};
+		apply(mergeRunningVersions(versions, running, context), source);
+		update();
+	}
+
 	return {
-		update(known, directives) {
-			members = known;
-			apply(stepRunningVersions(versions, known, directives), 'view');
-		},
-		merge(running, source) {
-			apply(mergeRunningVersions(versions, running), source);
+		update,
+		settle(told, source) {
+			started = told.started;
+			merge(told.running, source);
+			if (!knowsOrders) {
+				knowsOrders = true;
+				const durationMs = Math.round(now() - startedAt);
+				logger.info('versions settled', {source, durationMs});
+				update();
+			}
 		},
+		merge,
+		isSettled,
+		knowsOrders: () => knowsOrders,
 		read: () => versions,
-		readRestricted(service) {
-			const known = versions.get(service);
-			return known?.isRestricted ? known : undefined;
-		},
+		listRunning: () => listRunningVersions(versions, now()),
+		listStarted: () =>
+			listOrders()
+				.filter(({state}) => state !== 'completed')
+				.map(({service, target}) => ({service, version: target})),
 		hasRestricted: () =>
 			[...versions.values()].some(({isRestricted}) => isRestricted),
 	};
--- a/src/transport/create-mesh-metrics.ts
+++ b/src/transport/create-mesh-metrics.ts
@@ -7,7 +7,7 @@
 import type {
 	ChoiceCount,
 	RolloutGauge,
-	RunningGauge,
+	RunningVersion,
 	VersionCount,
 } from '../protocol/rollout.js';
 import type {ByteCount} from './_lib/create-byte-counter.js';
@@ -38,7 +38,7 @@
 	/** Roll-outs that the node knows; none when absent. */
 	readonly rollouts?: readonly RolloutGauge[] | undefined;
 	/** Running version of each service; none when absent. */
-	readonly runningVersions?: readonly RunningGauge[] | undefined;
+	readonly runningVersions?: readonly RunningVersion[] | undefined;
 	/** Versions chosen for requests; none when absent. */
 	readonly versionChoices?: readonly ChoiceCount[] | undefined;
 	/** Responses of upstreams on the host during roll-outs; none when absent. */
@@ -226,8 +226,8 @@
 	});
 	const rolloutRunning = new Gauge({
 		name: meshMetricNames.rolloutRunning,
-		help: 'Version of a service that runs without an order: 1 when certain, else 0',
-		labelNames: ['service', 'version'],
+		help: 'Version of a service that runs without an order, and how that is known',
+		labelNames: ['service', 'version', 'basis'],
 		registers,
 	});
 	const rolloutChoices = new Counter({
@@ -320,8 +320,8 @@
 			}
 
 			rolloutRunning.reset();
-			for (const {isCertain, ...running} of gauges.runningVersions ?? []) {
-				rolloutRunning.set(running, isCertain ? 1 : 0);
+			for (const {service, version, basis} of gauges.runningVersions ?? []) {
+				rolloutRunning.set({service, version, basis}, 1);
 			}
 
 			rolloutChoices.reset();
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -182,6 +182,7 @@
 					store: store.rollouts,
 					peers,
 					logger,
+					hasJoined: () => members.isMember(),
 				})
 			: undefined;
 	const gate = startGateTask({
@@ -352,7 +353,10 @@
 	);
 	const readiness = createReadiness({
 		hasConfiguration: () => document.readDocument() !== undefined,
-		hasJoined: () => members.isMember() && quarantine.hasAsked(),
+		hasJoined: () =>
+			members.isMember() &&
+			quarantine.hasAsked() &&
+			(rollouts?.isSettled() ?? true),
 	});
 	const readinessServer = await startServer(
 		initialSettings.readiness,
--- a/src/transport/start-rollout-task.ts
+++ b/src/transport/start-rollout-task.ts
@@ -1,16 +1,15 @@
 import {computeRolloutLeader} from '../coordination/rollouts/compute-rollout-leader.js';
-import {mergeDirectives} from '../coordination/rollouts/merge-directives.js';
 import {pickVersions} from '../coordination/rollouts/pick-versions.js';
 import {msPerSecond} from '../protocol/constants.js';
 import type {Member, MembersView} from '../protocol/member.js';
-import {
-	type ChoiceCount,
-	type RolloutAnswer,
-	type RolloutDirective,
-	type RolloutGauge,
-	type RolloutReport,
-	type RunningGauge,
-	type VersionCount,
+import type {
+	ChoiceCount,
+	RolloutAnswer,
+	RolloutDirective,
+	RolloutGauge,
+	RolloutReport,
+	RunningVersion,
+	VersionCount,
 } from '../protocol/rollout.js';
 import {decodeRolloutLists} from '../state/decode-rollout-lists.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
@@ -21,6 +20,10 @@
 import {createRolloutLeader} from './_lib/create-rollout-leader.js';
 import {createVersionStops} from './_lib/create-version-stops.js';
 import {createChoiceCounter} from './_lib/rollouts/create-choice-counter.js';
+import {
+	createDirectiveStore,
+	type HeardDirective,
+} from './_lib/rollouts/create-directive-store.js';
 import {createVersionTracker} from './_lib/rollouts/create-version-tracker.js';
 import {
 	sendRolloutReport,
@@ -38,6 +41,8 @@
 	readonly store: RolloutStore;
 	readonly peers: RolloutPeers;
 	readonly logger: Pick<Logger, 'debug' | 'info' | 'warn'>;
+	/** Whether the node knows the members of its data centre; true by default. */
+	readonly hasJoined?: () => boolean;
 	/** Monotonic time, ms; default `performance.now`. */
 	readonly now?: () => number;
 	/** Returns a number from 0 up to, but not including, 1; default `Math.random`. */
@@ -47,13 +52,15 @@
 /** Task that applies roll-outs on this node, and leads them while it is the leader. */
 export type RolloutTask = VersionPicker & {
 	updateMembers(view: MembersView): void;
+	/** Whether the node knows which versions run; until then it sends no request. */
+	isSettled(): boolean;
 	handleReport(report: RolloutReport): RolloutAnswer;
 	/** Whether responses of a service are counted. */
 	isCounting(service: string): boolean;
 	recordResponse(response: CountedResponse): void;
 	listGauges(): readonly RolloutGauge[];
 	/** Returns the running version of each service that has one. */
-	listRunning(): readonly RunningGauge[];
+	listRunning(): readonly RunningVersion[];
 	/** Returns the versions chosen for requests on this node. */
 	listChoices(): readonly ChoiceCount[];
 	/** Returns the responses of upstreams on this host during the current roll-outs. */
@@ -70,11 +77,6 @@
  */
 const directiveLifetimeMs = 3 * msPerSecond;
 
-type KnownDirective = {
-	readonly directive: RolloutDirective;
-	readonly receivedAt: number;
-};
-
 /**
  * Starts the task that applies roll-outs. It does nothing as long as each service
  * has upstreams of one version only, except that the leader watches the orders.
@@ -85,16 +87,21 @@
  * startRolloutTask({name, incarnation, store, peers, logger}).pick('a', false); // undefined
  */
 export function startRolloutTask(options: RolloutTaskOptions): RolloutTask {
-	const {name, incarnation, peers, logger} = options;
-	const {now = () => performance.now(), random = Math.random} = options;
-	const directives = new Map<string, KnownDirective>();
+	const {name, incarnation, peers, logger, random = Math.random} = options;
+	const {now = () => performance.now(), hasJoined = () => true} = options;
+	const directives = createDirectiveStore({logger, now});
 	const stops = createVersionStops(now);
 	const logUnreadable = createProblemLog({
 		logger,
 		message: 'part of a message not readable',
 		now,
 	});
-	const tracker = createVersionTracker(logger);
+	const tracker = createVersionTracker({
+		logger,
+		now,
+		readMembers: () => view?.members ?? [],
+		readDirectives: directives.list,
+	});
 	const choices = createChoiceCounter({logger, now});
 	let counter = createResponseCounter();
 	let view: MembersView | undefined;
@@ -114,24 +121,18 @@
 			).length,
 		countLiveNodes: () =>
 			(view?.members ?? []).filter(({state}) => state === 'alive').length,
-		readKnown(service) {
-			const known = directives.get(service);
-			return known && readNow(known);
-		},
+		readKnown: directives.readNow,
 		onDirectives() {
 			applyDirectives(leader.listDirectives());
 		},
+		onOrders(started) {
+			tracker.settle({running: [], started}, 'store');
+			schedule();
+		},
 	});
 
-	/** Returns a directive with the time that is left now. */
-	function readNow({directive, receivedAt}: KnownDirective): RolloutDirective {
-		const remainingMs = directive.remainingMs - (now() - receivedAt);
-		return {...directive, remainingMs};
-	}
-
 	function updateVersions(): void {
-		const known = [...directives.values()].map(({directive}) => directive);
-		tracker.update(view?.members ?? [], known);
+		tracker.update();
 		if (!tracker.hasRestricted()) {
 			counter = createResponseCounter();
 		}
@@ -140,29 +141,17 @@
 	}
 
 	function applyDirectives(received: readonly RolloutDirective[]): void {
-		let hasChanged = false;
-		for (const directive of received) {
-			const {service} = directive;
-			const before = directives.get(service)?.directive;
-			const after = mergeDirectives(before, directive);
-			if (after === directive) {
-				directives.set(service, {directive, receivedAt: now()});
-			}
-
-			hasChanged ||=
-				after.state !== before?.state || after.target !== before.target;
-			if (after.state !== before?.state || after.share !== before.share) {
-				logger.info('roll-out directive', {
-					service,
-					version: after.target,
-					state: after.state,
-					share: after.share,
-				});
-			}
+		if (directives.apply(received)) {
+			updateVersions();
 		}
+	}
 
-		if (hasChanged) {
-			updateVersions();
+	/** Begins or ends to lead; a node that does not know its data centre's members yet would always be the first. */
+	function updateLeader(): void {
+		if (view) {
+			leaderMember = computeRolloutLeader(view);
+			const isFirst = leaderMember.name === name;
+			leader.setLeading(isFirst && !isStopped && hasJoined());
 		}
 	}
 
@@ -171,25 +160,29 @@
 			from: name,
 			incarnation,
 			counts: counter.list(),
-			directives: [...directives.values()].map((known) => readNow(known)),
+			directives: directives.list(),
+			running: tracker.knowsOrders() ? tracker.listRunning() : [],
 		};
 	}
 
 	function receiveAnswer(answer: RolloutAnswer, source: string): void {
 		const decoded = decodeRolloutLists(answer);
 		logUnreadable(decoded.unreadable, source);
-		tracker.merge(decoded.running, source);
 		applyDirectives(decoded.directives);
+		if (answer.isSettled) {
+			tracker.settle(decoded, source);
+		}
 	}
 
 	async function report(): Promise<void> {
+		updateLeader();
 		const receiver = leaderMember;
-		if (!receiver || isReporting) {
+		if (!receiver || isReporting || !hasJoined()) {
 			return;
 		}
 
 		if (receiver.name === name) {
-			handleReport(createReport());
+			leader.recordCounts({from: name, incarnation, counts: counter.list()});
 			return;
 		}
 
@@ -204,13 +197,14 @@
 		}
 	}
 
-	/** Reports at intervals while a service has upstreams that may not get requests. */
+	/** Reports at intervals until the versions are settled, and while a service has upstreams that may not get requests. */
 	function schedule(): void {
-		if (!tracker.hasRestricted() || isStopped) {
+		if (isStopped || (!tracker.hasRestricted() && tracker.knowsOrders())) {
 			clearInterval(timer);
 			timer = undefined;
 		} else if (!timer) {
 			timer = setInterval(() => {
+				tracker.update();
 				void report();
 			}, reportIntervalMs);
 			timer.unref();
@@ -218,12 +212,6 @@
 		}
 	}
 
-	function listRunning(): readonly RunningGauge[] {
-		return [...tracker.read()].flatMap(([service, {running, isCertain}]) =>
-			running === undefined ? [] : [{service, version: running, isCertain}],
-		);
-	}
-
 	function handleReport(received: RolloutReport): RolloutAnswer {
 		const {counts, ...decoded} = decodeRolloutLists(received);
 		logUnreadable(decoded.unreadable, received.from);
@@ -231,34 +219,42 @@
 		// A node that has just started may have become the leader.
 		applyDirectives(
 			decoded.directives.filter(({service, order}) => {
-				const known = directives.get(service)?.directive.order;
+				const known = directives.read(service)?.directive.order;
 				return known === undefined || known === order;
 			}),
 		);
+		tracker.merge(decoded.running, received.from);
+		const isSettled = tracker.knowsOrders();
 		return {
 			directives: leader.listDirectives(),
-			running: listRunning().filter(({isCertain}) => isCertain),
+			running: isSettled ? tracker.listRunning() : [],
+			started: tracker.listStarted(),
+			isSettled,
 		};
 	}
 
 	function isTargetStopped(
 		service: string,
-		{receivedAt}: KnownDirective,
+		{receivedAt}: HeardDirective,
 	): boolean {
 		return now() - receivedAt > directiveLifetimeMs || stops.isStopped(service);
 	}
 
 	return {
 		pick(service, isRetry) {
-			const restricted = tracker.readRestricted(service);
-			if (!restricted) {
+			if (!tracker.isSettled()) {
+				return {versions: [], limited: undefined, mayFallBack: false};
+			}
+
+			const known = tracker.read().get(service);
+			if (!known?.isRestricted) {
 				return undefined;
 			}
 
-			const known = directives.get(service);
-			const directive = known?.directive;
-			const {running} = restricted;
-			const isHalted = known !== undefined && isTargetStopped(service, known);
+			const heard = directives.read(service);
+			const directive = heard?.directive;
+			const isHalted = heard !== undefined && isTargetStopped(service, heard);
+			const running = known.running?.version;
 			const facts = {running, directive, isStopped: isHalted};
 			const hosts = directive?.hosts;
 			return {
@@ -270,7 +266,7 @@
 		},
 		recordChoice: choices.record,
 		recordAttempt(service, version, isFailed) {
-			if (directives.get(service)?.directive.target !== version) {
+			if (directives.read(service)?.directive.target !== version) {
 				return;
 			}
 
@@ -282,18 +278,21 @@
 		updateMembers(next) {
 			view = next;
 			updateVersions();
-			leaderMember = computeRolloutLeader(next);
-			leader.setLeading(leaderMember.name === name && !isStopped);
+			updateLeader();
+			if (!tracker.knowsOrders()) {
+				void report();
+			}
 		},
 		handleReport,
-		isCounting: (service) => tracker.readRestricted(service) !== undefined,
+		isCounting: (service) => tracker.read().get(service)?.isRestricted === true,
 		recordResponse(response) {
 			counter.record(response);
 		},
-		listRunning,
+		isSettled: tracker.isSettled,
+		listRunning: tracker.listRunning,
 		listChoices: choices.list,
 		listCounts: () => counter.list(),
-		listGauges: () => [...directives.values()].map(({directive}) => directive),
+		listGauges: directives.list,
 		stop() {
 			isStopped = true;
 			schedule();
