Take the age of an upstream from its own start, not from when its node began to know it

After a restart of all nodes, nothing but the age of upstreams tells which of two versions ran before; it began anew with each node, so that the version of the host that started first won. Upstreams state when they started; their age is now taken from that, within the bounds for ages.

--- a/src/coordination/_lib/members/upstreams.ts
+++ b/src/coordination/_lib/members/upstreams.ts
@@ -3,6 +3,7 @@
  */
 import {
 	maxLeasesPerHost,
+	maxUpstreamAgeMs,
 	maxUpstreamsPerHost,
 	upstreamRenewMs,
 	upstreamTombstoneMs,
@@ -111,6 +112,17 @@
 	};
 }
 
+/** Computes when an upstream started, monotonic ms; a process that has been restarted gets to know it later. */
+function computeStart(
+	{wallOffsetMs}: MembersState,
+	{startedMs}: Announcement,
+	now: number,
+): number {
+	return startedMs === undefined
+		? now
+		: Math.max(now - maxUpstreamAgeMs, Math.min(now, startedMs - wallOffsetMs));
+}
+
 function renewLease(
 	state: MembersState,
 	id: string,
@@ -135,7 +147,10 @@
 		service: formatService({team, service}),
 		slots,
 		state: announcement.state,
-		since: current && isSameIncarnation ? current.since : now,
+		since:
+			current && isSameIncarnation
+				? current.since
+				: computeStart(state, announcement, now),
 		...(version !== undefined && {version}),
 	};
 	const accepted = {
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -142,6 +142,15 @@
 	assert.equal(announce(state, {}, 10_000).state.self.upstreams.length, 1);
 });
 
+test('an upstream is as old at a node that has restarted as it says', () => {
+	const startedMs = wallMs - 60_000;
+	const read = (change: Partial<Announcement>): number | undefined =>
+		announce(createState(), change, 2000).state.self.upstreams[0]?.since;
+	assert.equal(read({startedMs}), -60_000);
+	assert.equal(read({startedMs: wallMs + 60_000}), 2000);
+	assert.equal(read({}), 2000);
+});
+
 test('a process that resumes after a pause does not announce an expired lease', () => {
 	const announced = announce(createState(), {}, 0).state;
 	const asked = step(announced, ping([]), 4000);
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -23,6 +23,8 @@
 	address: z.string().regex(/^[\d.]+:\d+$/v),
 	/** Incarnation of the upstream process; a later one has a higher number. */
 	incarnation: z.int().min(0).optional(),
+	/** Wall-clock time at which the upstream process started, ms; absent when it does not state it. */
+	startedMs: z.int().min(0).optional(),
 	/** Number of the announcement within the incarnation; a delayed announcement has a lower one. */
 	sequence: z.int().min(0).optional(),
 	slots: z.int().min(1).max(1024),
@@ -250,7 +252,7 @@
 
 /** An upstream of a known member. */
 export type Upstream = Omit<z.infer<typeof upstreamSchema>, 'ageMs'> & {
-	/** When it became known, on this process's monotonic clock, ms. */
+	/** When its process started as far as it states that, else when it became known, on this process's monotonic clock, ms. */
 	readonly since: number;
 };
 
@@ -274,7 +276,7 @@
 	readonly address: string;
 	readonly dataCentre: string;
 	readonly slots: number;
-	/** When it became known, on this process's monotonic clock, ms. */
+	/** When the first of its upstreams started, as far as they state it, else when it became known, on this process's monotonic clock, ms. */
 	readonly sinceMs: number;
 	/** Minimum bandwidth of its link, Mbit/s; that of the reference host when absent. */
 	readonly linkMbps?: number | undefined;
