--- a/src/transport/_lib/create-quota-homes.ts
+++ b/src/transport/_lib/create-quota-homes.ts
@@ -21,6 +21,8 @@
 	readonly now: () => number;
 	/** Returns a number from 0 up to, but not including, 1. */
 	readonly random: () => number;
+	/** Called with a tenant whose quota home this node has become. */
+	readonly onHome: (tenant: string) => void;
 };
 
 /** Where the quota home of a tenant is. */
@@ -56,7 +58,7 @@
  * @returns the quota homes; none is known before the members are
  */
 export function createQuotaHomes(options: QuotaHomesOptions): QuotaHomes {
-	const {name, now, random} = options;
+	const {name, now, random, onHome} = options;
 	const homes = new Map<string, QuotaHome>();
 	/** Name of the home of each tenant, for the current members. */
 	const homeNames = new Map<string, string>();
@@ -84,6 +86,7 @@
 			homes.delete(tenant);
 		} else if (!homes.has(tenant)) {
 			const {share} = members;
+			onHome(tenant);
 			homes.set(
 				tenant,
 				createQuotaHome(
--- a/src/transport/_lib/create-quota-node.ts
+++ b/src/transport/_lib/create-quota-node.ts
@@ -16,6 +16,7 @@
 import type {QuotaAsk, QuotaTenantGrant} from '../../protocol/quota.js';
 import type {DocumentTenant} from '../../protocol/routing-document.js';
 import {createQuotaHomes} from './create-quota-homes.js';
+import type {QuotaLog} from './quotas/create-quota-log.js';
 
 /** Options of `createQuotaNode`. */
 export type QuotaNodeOptions = {
@@ -35,6 +36,8 @@
 	) => void;
 	/** Called when the quota of a tenant is exhausted, and when it has not been for some seconds. */
 	readonly onExhaustion?: (tenant: string, isExhausted: boolean) => void;
+	/** Records refusals and the tenants whose quota home the node becomes; nothing by default. */
+	readonly log?: QuotaLog;
 };
 
 /** A request that waits for a decision. */
@@ -70,9 +73,16 @@
  */
 export function createQuotaNode(options: QuotaNodeOptions) {
 	const {name, settings, now, random, schedule, sendAsks} = options;
-	const {onExhaustion} = options;
+	const {onExhaustion, log} = options;
 	const entries = new Map<string, Entry>();
-	const homes = createQuotaHomes({name, now, random});
+	const homes = createQuotaHomes({
+		name,
+		now,
+		random,
+		onHome(tenant) {
+			log?.recordHome(tenant);
+		},
+	});
 	const pendingAsks = new Map<string, QuotaAsk[]>();
 	const counts = {asked: 0, returned: 0, ownShare: 0};
 	let limits: ReadonlyMap<string, QuotaLimit> = new Map();
@@ -114,6 +124,11 @@
 		}
 
 		const isExhausted = refused > 0 && entry.account.refusedUntil > now();
+		if (refused > 0) {
+			const cause = isExhausted ? 'exhausted' : 'unanswered';
+			log?.recordRefused(entry.tenant, cause, refused);
+		}
+
 		if (isExhausted && !entry.isExhausted) {
 			entry.isExhausted = true;
 			onExhaustion?.(entry.tenant, true);
--- a/src/transport/start-quota-task.ts
+++ b/src/transport/start-quota-task.ts
@@ -19,6 +19,7 @@
 import type {DocumentTenant} from '../protocol/routing-document.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
 import {createQuotaNode} from './_lib/create-quota-node.js';
+import {createQuotaLog} from './_lib/quotas/create-quota-log.js';
 import {createRecentSet} from './_lib/create-recent-set.js';
 import type {Logger} from './create-logger.js';
 
@@ -145,6 +146,7 @@
 		name,
 		settings,
 		now,
+		log: createQuotaLog({logger, now}),
 		random,
 		schedule,
 		sendAsks(address, asks, onAnswer) {
