Keep the deadline of a roll-out over a restart of all nodes

After a restart of all nodes nobody knew since when an order was active, and its time began anew: a good version was completed after its deadline, a bad one watched past it. The leader that starts an order writes when into an object of its own kind; a leader that finds an order active, and no node with its directive, reads it. Two calls to the store for each order. The test of the restarted fleet fails without the record (active in place of completed).

--- a/harness/start-rollout-fleet.ts
+++ b/harness/start-rollout-fleet.ts
@@ -2,11 +2,12 @@
 import {computeCandidates} from '../src/coordination/compute-candidates.js';
 import type {Member, MembersView} from '../src/protocol/member.js';
 import type {StoredRollout} from '../src/protocol/rollout.js';
-import type {RolloutStore} from '../src/transport/rollout-store.js';
-import {
-	startRolloutTask,
-	type RolloutTask,
-} from '../src/transport/start-rollout-task.js';
+import type {
+	RolloutStart,
+	RolloutStore,
+} from '../src/transport/rollout-store.js';
+import type {RolloutTask} from '../src/transport/rollout-task.js';
+import {startRolloutTask} from '../src/transport/start-rollout-task.js';
 import {createSampleMember} from './create-sample-member.js';
 import {createSilentLogger} from './create-silent-logger.js';
 
@@ -24,6 +25,7 @@
 /** Creates a store of orders in memory, whose calls can be made to fail. */
 function createStore(t: TestContext, initial: readonly StoredRollout[]) {
 	const orders = new Map(initial.map((order) => [order.name, order]));
+	const starts = new Map<string, RolloutStart>();
 	let revision = 1;
 	let onChange: Array<() => void> = [];
 	const state = {isDown: false, losesAnswers: false, watches: 0, writes: 0};
@@ -69,6 +71,22 @@
 				? {kind: 'unknown'}
 				: {kind: 'written', version: revision};
 		},
+		async readStart(name) {
+			const start = starts.get(name);
+			if (state.isDown) {
+				return {kind: 'unavailable'};
+			}
+
+			return start ? {kind: 'found', start} : {kind: 'absent'};
+		},
+		async writeStart(name, start) {
+			if (state.isDown) {
+				return {kind: 'unavailable'};
+			}
+
+			starts.set(name, start);
+			return {kind: 'written', version: 1};
+		},
 		async readRollout(name) {
 			return state.isDown ? undefined : orders.get(name);
 		},
@@ -143,6 +161,7 @@
 			store: memory.store,
 			logger: createSilentLogger(),
 			now,
+			wallNow: now,
 			random: () => 0.5,
 			hasJoined: () => joined.has(name),
 			peers: {
--- a/src/transport/_lib/create-rollout-leader.ts
+++ b/src/transport/_lib/create-rollout-leader.ts
@@ -23,6 +23,10 @@
 	isStartedOrder,
 } from './order-directive.js';
 import {createStatusWriter} from './create-status-writer.js';
+import {
+	createOrderStarter,
+	takeOverSequence,
+} from './rollouts/create-order-starter.js';
 
 /** Options of `createRolloutLeader`. */
 export type RolloutLeaderOptions = {
@@ -30,6 +34,8 @@
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	/** Monotonic ms. */
 	readonly now: () => number;
+	/** Wall-clock ms; default `Date.now`. */
+	readonly wallNow?: (() => number) | undefined;
 	readonly readVersions: () => ReadonlyMap<string, ServiceVersions>;
 	/** Returns the number of hosts that have a ready upstream of a version. */
 	readonly countHosts: (service: string, version: string) => number;
@@ -56,9 +62,6 @@
 /** Time for which a new leader only listens, ms: two report intervals, in which it hears of the orders that an earlier one has led. */
 const listenMs = msPerSecond;
 
-/** Difference between the sequences of successive leaders, so that the directives of the earlier one are older. */
-const takeOverSequence = 1_000_000;
-
 /**
  * Creates the leader of roll-outs, which does nothing until it leads.
  *
@@ -68,7 +71,7 @@
 export function createRolloutLeader(
 	options: RolloutLeaderOptions,
 ): RolloutLeader {
-	const {store, logger, now, onDirectives} = options;
+	const {store, logger, now, wallNow = Date.now, onDirectives} = options;
 	const orders = new Map<string, StoredRollout>();
 	const rollouts = new Map<string, RolloutProgress>();
 	const firstSeen = new Map<
@@ -81,6 +84,7 @@
 	let isLeading = false;
 	let leadsFrom = 0;
 
+	const starter = createOrderStarter({...options, wallNow, onReady: step});
 	const writer = createStatusWriter({
 		store,
 		logger,
@@ -115,22 +119,6 @@
 			.map(({service, target}) => ({service, version: target}));
 	}
 
-	/** Begins an order, or continues one of an earlier leader. */
-	function begin(order: StoredRollout): RolloutProgress {
-		const known = options.readKnown(order.service);
-		const isTakenOver = known !== undefined && isDirectiveFor(known, order);
-		const directive = isTakenOver
-			? {...known, sequence: known.sequence + takeOverSequence}
-			: createDirective(order);
-		logger.info(isTakenOver ? 'roll-out taken over' : 'roll-out started', {
-			service: order.service,
-			version: order.target,
-			remainingMs: Math.round(directive.remainingMs),
-		});
-		const elapsedMs = directive.durationMs - directive.remainingMs;
-		return createProgress(directive, now() - elapsedMs);
-	}
-
 	/** Returns an order with the revision at which it was first seen with its target. */
 	function readAsSeen(order: StoredRollout): StoredRollout {
 		const {name, target, revision} = order;
@@ -151,7 +139,11 @@
 		const known = rollouts.get(service);
 		const isKnown = known && isDirectiveFor(known.directive, order);
 		const before =
-			isKnown && !isReplaced(known.directive) ? known : begin(order);
+			isKnown && !isReplaced(known.directive) ? known : starter.begin(order);
+		if (!before) {
+			return;
+		}
+
 		if (before.directive.state !== 'active') {
 			rollouts.set(service, before);
 			writer.write(order, before.directive.state);
@@ -282,6 +274,7 @@
 			orders.clear();
 			rollouts.clear();
 			firstSeen.clear();
+			starter.clear();
 			counts.clear();
 		},
 		recordCounts: counts.record,
--- a/src/transport/restarted-rollout-nodes.test.ts
+++ b/src/transport/restarted-rollout-nodes.test.ts
@@ -4,7 +4,7 @@
 	newOrder,
 	startRolloutFleet,
 } from '../../harness/start-rollout-fleet.js';
-import type {RolloutTask} from './start-rollout-task.js';
+import type {RolloutTask} from './rollout-task.js';
 
 type Fleet = Awaited<ReturnType<typeof startRolloutFleet>>;
 
@@ -135,3 +135,12 @@
 	await restart(fleet, [...fleet.tasks.keys()]);
 	assertPicked(fleet, ['v1']);
 });
+
+test('a fleet that has restarted ends a good order before the deadline that it had', async (t) => {
+	const fleet = await startRolloutFleet(t);
+	fleet.update(fleet.members);
+	await fleet.advance(15_000);
+	await restart(fleet, [...fleet.tasks.keys()]);
+	await fleet.advance(11_500);
+	assert.equal(fleet.readStatus(), 'completed');
+});
--- a/src/transport/rollout-store.ts
+++ b/src/transport/rollout-store.ts
@@ -14,6 +14,19 @@
 	  }
 	| {readonly kind: 'unavailable'};
 
+/** When an order was started, as the node that has started it wrote. */
+export type RolloutStart = {
+	readonly target: string;
+	/** Wall-clock ms. */
+	readonly startedMs: number;
+};
+
+/** Result of reading a start; one that cannot be decoded counts as absent. */
+export type StartOutcome =
+	| {readonly kind: 'found'; readonly start: RolloutStart}
+	| {readonly kind: 'absent'}
+	| {readonly kind: 'unavailable'};
+
 /** Store of the orders for roll-outs. */
 export type RolloutStore = {
 	listRollouts(): Promise<RolloutsOutcome>;
@@ -26,4 +39,8 @@
 	): Promise<WriteOutcome>;
 	/** Reads an order; undefined when the store does not answer or it is no order any more. */
 	readRollout(name: string): Promise<StoredRollout | undefined>;
+	/** Reads when the order of a name was last started. */
+	readStart(name: string): Promise<StartOutcome>;
+	/** Writes when an order was started, over what was written for earlier ones. */
+	writeStart(name: string, start: RolloutStart): Promise<WriteOutcome>;
 };
--- a/src/transport/start-rollout-task.test.ts
+++ b/src/transport/start-rollout-task.test.ts
@@ -5,7 +5,7 @@
 	newOrder,
 	startRolloutFleet,
 } from '../../harness/start-rollout-fleet.js';
-import type {RolloutTask} from './start-rollout-task.js';
+import type {RolloutTask} from './rollout-task.js';
 
 function readPreferred(task: RolloutTask, isRetry = false): string | undefined {
 	return task.pick('profiles', isRetry)?.versions[0];
--- a/src/transport/start-rollout-task.ts
+++ b/src/transport/start-rollout-task.ts
@@ -1,22 +1,14 @@
 import {computeRolloutLeader} from '../coordination/rollouts/compute-rollout-leader.js';
-import {pickVersions} from '../coordination/rollouts/pick-versions.js';
 import {msPerSecond} from '../protocol/constants.js';
 import type {Member, MembersView} from '../protocol/member.js';
 import type {
-	ChoiceCount,
 	RolloutAnswer,
 	RolloutDirective,
-	RolloutGauge,
 	RolloutReport,
-	RunningVersion,
-	VersionCount,
 } from '../protocol/rollout.js';
 import {decodeRolloutLists} from '../state/decode-rollout-lists.js';
 import {createProblemLog} from './_lib/create-problem-log.js';
-import {
-	createResponseCounter,
-	type CountedResponse,
-} from './_lib/create-response-counter.js';
+import {createResponseCounter} from './_lib/create-response-counter.js';
 import {createRolloutLeader} from './_lib/create-rollout-leader.js';
 import {createVersionStops} from './_lib/create-version-stops.js';
 import {createChoiceCounter} from './_lib/rollouts/create-choice-counter.js';
@@ -24,6 +16,10 @@
 	createDirectiveStore,
 	type HeardDirective,
 } from './_lib/rollouts/create-directive-store.js';
+import {
+	createVersionChoice,
+	noChoice,
+} from './_lib/rollouts/create-version-choice.js';
 import {createVersionTracker} from './_lib/rollouts/create-version-tracker.js';
 import {
 	sendRolloutReport,
@@ -31,7 +27,7 @@
 } from './_lib/send-rollout-report.js';
 import type {Logger} from './create-logger.js';
 import type {RolloutStore} from './rollout-store.js';
-import type {VersionPicker} from './version-picker.js';
+import type {RolloutTask} from './rollout-task.js';
 
 /** Options of `startRolloutTask`. */
 export type RolloutTaskOptions = {
@@ -45,29 +41,12 @@
 	readonly hasJoined?: () => boolean;
 	/** Monotonic time, ms; default `performance.now`. */
 	readonly now?: () => number;
+	/** Wall-clock ms; default `Date.now`. */
+	readonly wallNow?: () => number;
 	/** Returns a number from 0 up to, but not including, 1; default `Math.random`. */
 	readonly random?: () => number;
 };
 
-/** Task that applies roll-outs on this node, and leads them while it is the leader. */
-export type RolloutTask = VersionPicker & {
-	updateMembers(view: MembersView): void;
-	/** Whether the node knows which versions run; until then it sends no request. */
-	isSettled(): boolean;
-	handleReport(report: RolloutReport): RolloutAnswer;
-	/** Whether responses of a service are counted. */
-	isCounting(service: string): boolean;
-	recordResponse(response: CountedResponse): void;
-	listGauges(): readonly RolloutGauge[];
-	/** Returns the running version of each service that has one. */
-	listRunning(): readonly RunningVersion[];
-	/** Returns the versions chosen for requests on this node. */
-	listChoices(): readonly ChoiceCount[];
-	/** Returns the responses of upstreams on this host during the current roll-outs. */
-	listCounts(): readonly VersionCount[];
-	stop(): void;
-};
-
 const reportIntervalMs = msPerSecond / 2;
 
 /**
@@ -114,6 +93,7 @@
 		store: options.store,
 		logger,
 		now,
+		wallNow: options.wallNow,
 		readVersions: tracker.read,
 		countHosts: (service, version) =>
 			(view?.candidates.get(service) ?? []).filter((candidate) =>
@@ -233,17 +213,22 @@
 		};
 	}
 
-	function isTargetStopped(
+	/** Whether the node sends nothing to a target, for lack of a recent directive or by its own evidence. */
+	function isHalted(
 		service: string,
-		{receivedAt}: HeardDirective,
+		heard: HeardDirective | undefined,
 	): boolean {
-		return now() - receivedAt > directiveLifetimeMs || stops.isStopped(service);
+		return (
+			heard !== undefined &&
+			(now() - heard.receivedAt > directiveLifetimeMs ||
+				stops.isStopped(service))
+		);
 	}
 
 	return {
 		pick(service, isRetry) {
 			if (!tracker.isSettled()) {
-				return {versions: [], limited: undefined, mayFallBack: false};
+				return noChoice;
 			}
 
 			const known = tracker.read().get(service);
@@ -252,17 +237,13 @@
 			}
 
 			const heard = directives.read(service);
-			const directive = heard?.directive;
-			const isHalted = heard !== undefined && isTargetStopped(service, heard);
-			const running = known.running?.version;
-			const facts = {running, directive, isStopped: isHalted};
-			const hosts = directive?.hosts;
-			return {
-				versions: pickVersions(facts, isRetry, random()),
-				limited:
-					hosts === undefined ? undefined : {version: directive!.target, hosts},
-				mayFallBack: directive?.state === 'active' && directive.share < 1,
-			};
+			return createVersionChoice({
+				running: known.running?.version,
+				directive: heard?.directive,
+				isStopped: isHalted(service, heard),
+				isRetry,
+				random: random(),
+			});
 		},
 		recordChoice: choices.record,
 		recordAttempt(service, version, isFailed) {
