--- a/src/transport/_lib/create-quota-homes.ts
+++ b/src/transport/_lib/create-quota-homes.ts
@@ -12,6 +12,7 @@
 import {stepQuotaHome} from '../../coordination/quotas/step-quota-home.js';
 import type {MembersView} from '../../protocol/member.js';
 import type {QuotaAsk} from '../../protocol/quota.js';
+import type {QuotaLog} from './quotas/create-quota-log.js';
 
 /** Options of `createQuotaHomes`. */
 export type QuotaHomesOptions = {
@@ -21,8 +22,8 @@
 	readonly now: () => number;
 	/** Returns a number from 0 up to, but not including, 1. */
 	readonly random: () => number;
-	/** Called with a tenant whose quota home this node has become. */
-	readonly onHome: (tenant: string) => void;
+	/** Records grants, and the tenants whose quota home this node becomes; nothing by default. */
+	readonly log?: QuotaLog | undefined;
 };
 
 /** Where the quota home of a tenant is. */
@@ -58,7 +59,7 @@
  * @returns the quota homes; none is known before the members are
  */
 export function createQuotaHomes(options: QuotaHomesOptions): QuotaHomes {
-	const {name, now, random, onHome} = options;
+	const {name, now, random, log} = options;
 	const homes = new Map<string, QuotaHome>();
 	/** Name of the home of each tenant, for the current members. */
 	const homeNames = new Map<string, string>();
@@ -86,7 +87,7 @@
 			homes.delete(tenant);
 		} else if (!homes.has(tenant)) {
 			const {share} = members;
-			onHome(tenant);
+			log?.recordHome(tenant);
 			homes.set(
 				tenant,
 				createQuotaHome(
@@ -147,6 +148,7 @@
 		const step = stepQuotaHome(home, message, now(), random());
 		homes.set(ask.tenant, step.home);
 		granted += step.grant.tokens;
+		log?.recordGranted(ask.tenant, step.grant.tokens);
 		const isSettling = home.refilledAt > now();
 		return isSettling && step.grant.tokens === 0 ? undefined : step.grant;
 	}
--- a/src/transport/_lib/create-quota-node.ts
+++ b/src/transport/_lib/create-quota-node.ts
@@ -79,9 +79,7 @@
 		name,
 		now,
 		random,
-		onHome(tenant) {
-			log?.recordHome(tenant);
-		},
+		log,
 	});
 	const pendingAsks = new Map<string, QuotaAsk[]>();
 	const counts = {asked: 0, returned: 0, ownShare: 0};
@@ -123,10 +121,17 @@
 			}
 		}
 
+		log?.recordAdmitted(entry.tenant, admitted);
 		const isExhausted = refused > 0 && entry.account.refusedUntil > now();
 		if (refused > 0) {
 			const cause = isExhausted ? 'exhausted' : 'unanswered';
-			log?.recordRefused(entry.tenant, cause, refused);
+			const {ratePerSecond = 0} = limits.get(entry.tenant) ?? {};
+			log?.recordRefused({
+				tenant: entry.tenant,
+				cause,
+				count: refused,
+				ratePerSecond,
+			});
 		}
 
 		if (isExhausted && !entry.isExhausted) {
