Settle a restarted fleet by asking members at random, ten times a second

A node that has not settled now asks its leader and then random members each 100 ms, so that the knowledge spreads without all asking one node. Counts are kept by the leader only.

--- a/src/transport/_lib/create-rollout-leader.ts
+++ b/src/transport/_lib/create-rollout-leader.ts
@@ -277,7 +277,11 @@
 			starter.clear();
 			counts.clear();
 		},
-		recordCounts: counts.record,
+		recordCounts(report) {
+			if (isLeading) {
+				counts.record(report);
+			}
+		},
 		listDirectives: () =>
 			[...rollouts.values()].map(({directive, seenAt}) => ({
 				...directive,
--- a/src/transport/start-rollout-task.ts
+++ b/src/transport/start-rollout-task.ts
@@ -21,6 +21,7 @@
 	noChoice,
 } from './_lib/rollouts/create-version-choice.js';
 import {createVersionTracker} from './_lib/rollouts/create-version-tracker.js';
+import {startSettling} from './_lib/rollouts/start-settling.js';
 import {
 	sendRolloutReport,
 	type RolloutPeers,
@@ -167,9 +168,12 @@
 		}
 
 		isReporting = true;
-		const {address} = receiver;
-		const answer = await sendRolloutReport(peers, address, createReport());
+		await sendReport(receiver.address);
 		isReporting = false;
+	}
+
+	async function sendReport(address: string): Promise<void> {
+		const answer = await sendRolloutReport(peers, address, createReport());
 		if (answer.isOk()) {
 			receiveAnswer(answer.value, address);
 		} else {
@@ -177,9 +181,9 @@
 		}
 	}
 
-	/** Reports at intervals until the versions are settled, and while a service has upstreams that may not get requests. */
+	/** Reports at intervals while a service has upstreams that may not get requests. */
 	function schedule(): void {
-		if (isStopped || (!tracker.hasRestricted() && tracker.knowsOrders())) {
+		if (isStopped || !tracker.hasRestricted()) {
 			clearInterval(timer);
 			timer = undefined;
 		} else if (!timer) {
@@ -225,6 +229,21 @@
 		);
 	}
 
+	const stopSettling = startSettling({
+		hasJoined,
+		isDone: tracker.knowsOrders,
+		listOthers: () =>
+			(view?.members ?? []).filter((member) => member.name !== name),
+		readLeader() {
+			updateLeader();
+			return leaderMember?.name === name ? undefined : leaderMember;
+		},
+		ask(address) {
+			void sendReport(address);
+		},
+		random,
+	});
+
 	return {
 		pick(service, isRetry) {
 			if (!tracker.isSettled()) {
@@ -260,9 +279,6 @@
 			view = next;
 			updateVersions();
 			updateLeader();
-			if (!tracker.knowsOrders()) {
-				void report();
-			}
 		},
 		handleReport,
 		isCounting: (service) => tracker.read().get(service)?.isRestricted === true,
@@ -276,6 +292,7 @@
 		listGauges: directives.list,
 		stop() {
 			isStopped = true;
+			stopSettling();
 			schedule();
 			leader.stop();
 		},
