Replace a quota home that has been suspect for 1.5 s, not only once it counts as dead

Callers of tenants whose quota home had vanished got 429 below their quota: a suspect node stayed the home until it counted as dead, 7.7 s later at 85 nodes.

A member that has not refuted the suspicion after 1.5 s is dead, suspended or cut off, and the share already counts it as such. The simulated network now suspects a silent node for some seconds before it counts as dead, as members do, and suspects nodes that answer for up to a second. The new test failed before (every request of a tenant refused for 8 s).

--- a/harness/create-quota-network.ts
+++ b/harness/create-quota-network.ts
@@ -25,6 +25,8 @@
 	readonly detectionMs?: number;
 	/** Longest time after that until all nodes know, ms; default 800. */
 	readonly spreadMs?: number;
+	/** Time for which a node that does not answer is suspected before it counts as dead, ms; default 4000. */
+	readonly suspicionMs?: number;
 	/** Creates a node; by default one with quota homes. */
 	readonly createNode?: (options: QuotaNodeOptions) => SimulatedQuotaNode;
 };
@@ -36,8 +38,10 @@
 	/** Side of a cut. */
 	side: number;
 	suspendedUntil: number;
-	/** What it knows of the others: whether it sees them alive. */
-	readonly known: Map<string, 'alive' | 'dead'>;
+	/** Until when the others suspect it although it answers. */
+	suspectedUntil: number;
+	/** What it knows of the others. */
+	readonly known: Map<string, 'alive' | 'suspect' | 'dead'>;
 };
 
 type Host = EndedHost & {node: SimulatedQuotaNode};
@@ -70,7 +74,7 @@
  */
 export function createQuotaNetwork(options: QuotaNetworkOptions) {
 	const {createNode = createQuotaNode} = options;
-	const {detectionMs = 3000, spreadMs = 800} = options;
+	const {detectionMs = 3000, spreadMs = 800, suspicionMs = 4000} = options;
 	const scheduler = createScheduler(options.seed);
 	const {now, random} = scheduler;
 	const hosts = new Map<string, Host>();
@@ -155,6 +159,19 @@
 		return {self, members: [self, ...members], candidates: new Map()};
 	}
 
+	/** Lets a node suspect another one, which counts as dead unless it is seen again in time. */
+	function suspect(host: Host, name: string): void {
+		host.known.set(name, 'suspect');
+		scheduler.schedule(suspicionMs, () => {
+			runOn(host, () => {
+				if (host.known.get(name) === 'suspect') {
+					host.known.set(name, 'dead');
+					host.node.updateMembers(createView(host));
+				}
+			});
+		});
+	}
+
 	/** Lets all nodes find out which others they reach, each a little later than the first. */
 	function detect(maxMs = detectionMs): void {
 		const firstMs = maxMs * random();
@@ -165,9 +182,15 @@
 						const isSeen =
 							other.isAlive &&
 							other.side === host.side &&
-							now() >= other.suspendedUntil;
-						if (other !== host && (isSeen || host.known.has(other.name))) {
-							host.known.set(other.name, isSeen ? 'alive' : 'dead');
+							now() >= Math.max(other.suspendedUntil, other.suspectedUntil);
+						if (other === host) {
+							continue;
+						}
+
+						if (isSeen) {
+							host.known.set(other.name, 'alive');
+						} else if (host.known.get(other.name) === 'alive') {
+							suspect(host, other.name);
 						}
 					}
 
@@ -184,6 +207,7 @@
 			isAlive: true,
 			side: 0,
 			suspendedUntil: 0,
+			suspectedUntil: 0,
 			known: new Map(),
 		};
 		const host = Object.assign(ended, {node: startNode(ended)});
@@ -273,6 +297,15 @@
 				detect(Math.min(detectionMs, msPerSecond));
 			});
 		},
+		/** Lets the others suspect a node that answers, until it has told them that it is alive. */
+		suspect(index: number, durationMs: number): void {
+			const host = getHost(index);
+			host.suspectedUntil = now() + durationMs;
+			detect(0);
+			scheduler.schedule(durationMs, () => {
+				detect(0);
+			});
+		},
 		/** Gives all nodes another version of the tenants within a second. */
 		setTenants(next: readonly DocumentTenant[]): void {
 			tenants = next;
--- a/src/coordination/quotas/compute-quota-members.ts
+++ b/src/coordination/quotas/compute-quota-members.ts
@@ -10,14 +10,20 @@
 	readonly share: number;
 	/** When each node that counts as a holder has died, monotonic ms. */
 	readonly diedAt: ReadonlyMap<string, number>;
+	/** When each suspect node became suspect, monotonic ms. */
+	readonly suspectedAt: ReadonlyMap<string, number>;
 };
 
 /** Time for which a dead node counts as a holder of a share, ms; it may be alive behind a cut. For nodes that reach no majority it counts until it is forgotten. */
 const deadHolderMs = 15_000;
 
+/** Time for which a suspect node stays a home, ms. The records of all nodes spread within a second; one that has not refuted the suspicion by then is dead, suspended or cut off, and counts as dead only after some seconds. */
+const suspectHomeMs = 1500;
+
 /**
- * Computes what the quotas need of the members. A suspect node can be a home,
- * but counts as unreachable, since it may be behind a cut.
+ * Computes what the quotas need of the members. A suspect node counts as
+ * unreachable, since it may be behind a cut; it stays a home for as long as it may
+ * still tell the others that it is alive.
  *
  * @param before - the result for the view before, undefined when there is none
  * @param view - the view of the members
@@ -33,6 +39,7 @@
 ): QuotaMembers {
 	const live = new Map([[self.name, self.address]]);
 	const diedAt = new Map<string, number>();
+	const suspectedAt = new Map<string, number>();
 	const present = new Set([self.name]);
 	let reachable = 1;
 	let cut = 0;
@@ -43,18 +50,23 @@
 
 		present.add(name);
 		switch (state) {
-			case 'alive':
-			case 'suspect': {
+			case 'alive': {
 				if (unreachable?.has(dataCentre)) {
 					cut++;
 					break;
 				}
 
 				live.set(name, address);
-				if (state === 'alive') {
-					reachable++;
-				} else {
-					cut++;
+				reachable++;
+				break;
+			}
+
+			case 'suspect': {
+				cut++;
+				const at = before?.suspectedAt.get(name) ?? now;
+				suspectedAt.set(name, at);
+				if (!unreachable?.has(dataCentre) && now - at < suspectHomeMs) {
+					live.set(name, address);
 				}
 
 				break;
@@ -81,5 +93,5 @@
 	const dead = [...diedAt.values()].filter((at) => now - at < deadHolderMs);
 	const isMinority = reachable <= cut + diedAt.size;
 	const holders = reachable + cut + (isMinority ? diedAt.size : dead.length);
-	return {live, holders, share: reachable / holders, diedAt};
+	return {live, holders, share: reachable / holders, diedAt, suspectedAt};
 }
--- a/src/transport/_lib/create-quota-homes.ts
+++ b/src/transport/_lib/create-quota-homes.ts
@@ -180,7 +180,7 @@
 		},
 		tick() {
 			checkSuspension();
-			if (members && members.diedAt.size > 0) {
+			if (members && members.diedAt.size + members.suspectedAt.size > 0) {
 				applyView();
 			}
 		},
--- a/src/transport/_lib/create-quota-node.test.ts
+++ b/src/transport/_lib/create-quota-node.test.ts
@@ -35,6 +35,7 @@
 		'restart',
 		'join',
 		'suspend',
+		'suspect',
 		'loss',
 		'load',
 	),
@@ -86,6 +87,12 @@
 							break;
 						}
 
+						case 'suspect': {
+							// A node refutes a suspicion within a second.
+							fleet.suspect(number, gapMs / 5);
+							break;
+						}
+
 						case 'loss': {
 							fleet.setLoss(number / 20);
 							break;
@@ -149,3 +156,35 @@
 		assert.ok(used.length >= 0.9 * 30 * rate, `${used.length} ran`);
 	});
 }
+
+test('the tenants of a quota home that has died are served again before it counts as dead', () => {
+	const rate = 40;
+	const tenants = Array.from({length: 24}, (_, index) => ({
+		name: `tenant-${index}`,
+		keys: [],
+		ratePerSecond: rate,
+		burst: rate,
+	}));
+	const fleet = createQuotaFleet({
+		seed: 11,
+		nodes: 24,
+		tenants,
+		suspicionMs: 8000,
+	});
+	for (const {name} of tenants) {
+		fleet.offer(name, rate / 2);
+	}
+
+	fleet.runUntil(10_000);
+	for (const index of [2, 7, 13]) {
+		fleet.kill(index);
+	}
+
+	fleet.runUntil(18_000);
+	for (const {name} of tenants) {
+		const refused = fleet.readRefused(name).filter((at) => at > 15_500);
+		const used = fleet.readUsed(name).filter((at) => at > 15_500);
+		const share = refused.length / (used.length + refused.length);
+		assert.ok(share <= 0.05, `${name}: ${share} of the requests were refused`);
+	}
+});
