Let clients come back within a second when a quota home does not answer

A request refused because the quota home of its tenant had vanished was told to come back after up to 5 s, the time in which the own share of a node makes a token; most clients have given up by then (deadlines of 2.8 to 8 s), though the home is replaced within seconds. The test failed before (5000 ms). The function that counts the members is split, as it had become too complex.

--- a/src/coordination/quotas/compute-quota-members.ts
+++ b/src/coordination/quotas/compute-quota-members.ts
@@ -20,6 +20,17 @@
 /** Time for which a suspect node stays a home, ms. The records of all nodes spread within a second; one that has not refuted the suspicion by then is dead, suspended or cut off, and counts as dead only after some seconds. */
 const suspectHomeMs = 1500;
 
+/** Lists the dead nodes that the members no longer list, but that still count as holders. */
+function listForgotten(
+	before: QuotaMembers | undefined,
+	present: ReadonlySet<string>,
+	now: number,
+): ReadonlyArray<readonly [string, number]> {
+	return [...(before?.diedAt ?? [])].filter(
+		([name, at]) => !present.has(name) && now - at < deadHolderMs,
+	);
+}
+
 /**
  * Computes what the quotas need of the members. A suspect node counts as
  * unreachable, since it may be behind a cut; it stays a home for as long as it may
@@ -84,10 +95,8 @@
 		}
 	}
 
-	for (const [name, at] of before?.diedAt ?? []) {
-		if (!present.has(name) && now - at < deadHolderMs) {
-			diedAt.set(name, at);
-		}
+	for (const [name, at] of listForgotten(before, present, now)) {
+		diedAt.set(name, at);
 	}
 
 	const dead = [...diedAt.values()].filter((at) => now - at < deadHolderMs);
--- a/src/coordination/quotas/step-quota-account.test.ts
+++ b/src/coordination/quotas/step-quota-account.test.ts
@@ -44,3 +44,15 @@
 		assert.equal(taken.admitted + step.admitted, 0);
 	}
 });
+
+test('a request that is refused as the home does not answer may come again before most clients give up', () => {
+	const asked = stepQuotaAccount(emptyAccount, {kind: 'take'}, 0, 0.01);
+	const {refused, retryAfterMs} = stepQuotaAccount(
+		asked.account,
+		{kind: 'unanswered'},
+		100,
+		0.01,
+	);
+	assert.equal(refused, 1);
+	assert.ok(retryAfterMs <= 1000, `${retryAfterMs} ms`);
+});
--- a/src/coordination/quotas/step-quota-account.ts
+++ b/src/coordination/quotas/step-quota-account.ts
@@ -34,6 +34,9 @@
 const minRetryMs = 100;
 const maxRetryMs = 5000;
 
+/** Longest time after which a request should be tried again that was refused as the home did not answer, ms; a home that has gone is replaced within seconds. */
+const maxSilentRetryMs = 1000;
+
 function countTokens({lots}: QuotaAccount): number {
 	let tokens = 0;
 	for (const lot of lots) {
@@ -171,7 +174,7 @@
 		fromOwnShare: admitted,
 	};
 	const retryMs = ((1 - left.tokens) / perSecond) * msPerSecond;
-	return refuseWaiting(step, retryMs);
+	return refuseWaiting(step, Math.min(maxSilentRetryMs, retryMs));
 }
 
 function acceptGrant(
