Let the successor of a suspected quota home grant at once

A new home waits a second before it refills, since nodes may disagree about the members. One that takes over from a home which has been suspect for 1.5 s need not: by then all nodes know.

--- a/src/coordination/quotas/create-quota-home.ts
+++ b/src/coordination/quotas/create-quota-home.ts
@@ -6,10 +6,13 @@
 export type QuotaHomeOptions = {
 	readonly limit: QuotaLimit;
 	readonly share: number;
-	/** Why the node becomes the home: by a change of the members (default), as it has started and may not know the other nodes yet, or as it was suspended, in which time others may have replaced it. */
-	readonly cause?: 'members' | 'start' | 'suspension';
+	/** Why the node becomes the home: by a change of the members (default), as its predecessor has been suspect for so long that all nodes know, as it has started and may not know the other nodes yet, or as it was suspended, in which time others may have replaced it. */
+	readonly cause?: 'members' | 'suspicion' | 'start' | 'suspension';
 };
 
+/** Time before a new bucket is refilled, in times of `quotaSettleMs`. */
+const settleRatios = {members: 1, suspicion: 0, start: 1, suspension: 2};
+
 /**
  * Creates the bucket of a tenant at a node that becomes its quota home. It does
  * not know what its predecessor granted, so it starts nearly empty, and refills
@@ -29,8 +32,9 @@
 	const {startTokens} = computeQuotaBucket(limit);
 	return {
 		limit,
-		level: cause === 'members' ? startTokens * share : 0,
-		refilledAt: now + (cause === 'suspension' ? 2 : 1) * quotaSettleMs,
+		level:
+			cause === 'members' || cause === 'suspicion' ? startTokens * share : 0,
+		refilledAt: now + settleRatios[cause] * quotaSettleMs,
 		share,
 		nextShare: undefined,
 		holders: new Map(),
--- a/src/transport/_lib/create-quota-homes.ts
+++ b/src/transport/_lib/create-quota-homes.ts
@@ -81,7 +81,10 @@
 
 		const home = pickQuotaHome(members.live.keys(), tenant)!;
 		const isStarting = !homeNames.has(tenant) && members.holders === 1;
-		const cause = isStarting ? 'start' : 'members';
+		const before = homeNames.get(tenant);
+		const isSuspected = before !== undefined && members.suspectedAt.has(before);
+		const changed = isSuspected ? 'suspicion' : 'members';
+		const cause = isStarting ? 'start' : changed;
 		homeNames.set(tenant, home);
 		if (home !== name) {
 			homes.delete(tenant);
