Take a member for dead when its address answers under another name

Addresses are used again two seconds after a host has gone. An answer under another name now ends a member at once. The test failed before (alive in place of dead).

--- a/src/coordination/_lib/members/answers.ts
+++ b/src/coordination/_lib/members/answers.ts
@@ -12,7 +12,11 @@
 import {endNameCheck, handleNameConflict} from './identity.js';
 import {handleSeedSyncFailure, finishJoin} from './join.js';
 import {mergeRecords} from './merge.js';
-import {confirmProbe, startIndirectProbes} from './probe.js';
+import {
+	confirmProbe,
+	expireReplacedMembers,
+	startIndirectProbes,
+} from './probe.js';
 import {runActions} from './run-actions.js';
 import {describeSender, encodeRecords, createRequestEffect} from './send.js';
 import {abortSync, compareDigests, handleBucketAnswer} from './sync.js';
@@ -79,6 +83,7 @@
 			hasNameConflict
 				? handleNameConflict(next, from, now)
 				: endNameCheck(next, address, now),
+		(next) => expireReplacedMembers(next, address, from.name, now),
 		(next) => mergeRecords(next, answer.records, now),
 		(next) =>
 			answer.needsRecord && !hasSelfRecord
--- a/src/coordination/_lib/members/probe.ts
+++ b/src/coordination/_lib/members/probe.ts
@@ -112,6 +112,26 @@
 	return state.probe?.name === name ? {...state, probe: undefined} : state;
 }
 
+/**
+ * Marks as dead the members of an address at which a node of another name has
+ * answered: addresses are used again, and the new node answers every probe.
+ */
+export function expireReplacedMembers(
+	state: MembersState,
+	address: string,
+	answeredName: string,
+	now: number,
+): MembersStep {
+	const replaced = listLocalPeers(state).filter(
+		(member) => member.address === address && member.name !== answeredName,
+	);
+	const records = replaced.map((member) => ({
+		...member,
+		state: 'dead' as const,
+	}));
+	return putRecords(state, records, now);
+}
+
 /**
  * Asks other members to probe a member that did not answer the direct probe.
  */
--- a/src/coordination/step-members.test.ts
+++ b/src/coordination/step-members.test.ts
@@ -451,3 +451,28 @@
 	assert.equal(new Set(asked).size, asked.length);
 	assert.ok(asked.includes('10.0.19.3:8081'));
 });
+
+test('a member whose address answers under another name is dead, and the one that answers is not', () => {
+	const successor = {...record, name: 'abdali-7', incarnation: wallMs + 5000};
+	const {request} = ping([record, successor]);
+	const known = step(createState(), {kind: 'request', request}, 0).state;
+	const answered = step(
+		known,
+		{
+			kind: 'answer',
+			address: record.address,
+			request: {...request, records: []},
+			answer: {
+				kind: 'ack',
+				from: {...request.from, name: successor.name},
+				records: [],
+				needsRecord: false,
+			},
+		},
+		10,
+	);
+	const states = listMembers(answered.state.table).map(
+		({name, state}) => `${name} ${state}`,
+	);
+	assert.deepEqual(states.toSorted(), ['abdali-2 dead', 'abdali-7 alive']);
+});
