Read the seeds at the first chance after a start, not a second later

Callers at a node that had restarted waited a second longer than needed for the other members: the first read of the seeds has a timer of its own, Node.js runs it up to a millisecond early, the step then found the read not due yet, and the next chance was the tick of a second. The test failed before (no list of the seeds within 300 ms). Each join is logged with its time and the members that are known.

--- a/src/transport/start-members-task.test.ts
+++ b/src/transport/start-members-task.test.ts
@@ -29,6 +29,7 @@
 	t: TestContext,
 	answers: Partial<PlatformClient>,
 	durationMs: number,
+	{stepMs = 50, clockRatio = 1} = {},
 ): Promise<readonly string[]> {
 	t.mock.timers.enable({apis: ['setTimeout', 'setInterval']});
 	const clock = {nowMs: 0};
@@ -70,12 +71,12 @@
 		platform,
 		logger,
 		onView: ignoreView,
-		now: () => clock.nowMs,
+		now: () => clock.nowMs * clockRatio,
 		random: () => 0.5,
 	});
 	while (clock.nowMs < durationMs) {
-		clock.nowMs += 50;
-		t.mock.timers.tick(50);
+		clock.nowMs += stepMs;
+		t.mock.timers.tick(stepMs);
 		for (let turn = 0; turn < 40; turn++) {
 			await Promise.resolve();
 		}
@@ -209,3 +210,8 @@
 	assert.ok(calls.some((call) => call.startsWith('write')));
 	assert.equal(reads.length, 2, calls.join(', '));
 });
+
+test('a node reads the seeds within half a second although timers fire a little early', async (t) => {
+	const calls = await runTask(t, {}, 300, {stepMs: 1, clockRatio: 0.998});
+	assert.deepEqual(calls, ['list members/ after ']);
+});
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -72,6 +72,9 @@
 
 const seedsPrefix = 'members/';
 
+/** Time by which a Node.js timer may fire early, ms. */
+const timerToleranceMs = 1;
+
 /** Objects of the seeds' kind, as far as they could be listed. */
 type SeedsList = {
 	readonly items: readonly PlatformObject[];
@@ -138,6 +141,13 @@
 			runEffect(effect);
 		}
 
+		if (before.role !== state.role && state.role === 'member') {
+			logger.info('joined the members', {
+				durationMs: Math.round(now() - state.startedAt),
+				members: readView().members.length,
+			});
+		}
+
 		if (before.self !== state.self || before.table !== state.table) {
 			view = undefined;
 			reportExpiredLeases(before.self, message);
@@ -410,7 +420,8 @@
 	}, membersPeriodMs);
 	dispatch({kind: 'tick'});
 	// The first read of the seeds is due before the second tick.
-	scheduleTimer(Math.max(0, state.seeds.nextReadAt - now()), () => {
+	const firstReadMs = Math.max(0, Math.ceil(state.seeds.nextReadAt - now()));
+	scheduleTimer(firstReadMs + timerToleranceMs, () => {
 		dispatch({kind: 'tick'});
 	});
 
