Grant no quota before the members are known

A node that has just started took the members that it saw for all, itself alone at first, and granted every tenant's whole rate. A view is partial until the node knows half of its data centre or has looked for the others in vain; quotas wait for one that is not, and a node without members has no own share.

--- a/src/coordination/compute-members-view.ts
+++ b/src/coordination/compute-members-view.ts
@@ -1,6 +1,7 @@
 import type {MembersView} from '../protocol/member.js';
 import {listMembers} from '../state/list-members.js';
 import {computeBridges} from './compute-bridges.js';
+import {isUninformed} from './_lib/members/seek.js';
 import {computeCandidates} from './compute-candidates.js';
 import type {MembersState} from './members-state.js';
 
@@ -36,5 +37,6 @@
 		members,
 		candidates: computeCandidates(members, unreachable),
 		unreachable,
+		isPartial: isUninformed(state),
 	};
 }
--- a/src/protocol/member.ts
+++ b/src/protocol/member.ts
@@ -291,4 +291,6 @@
 	readonly candidates: ReadonlyMap<string, readonly Candidate[]>;
 	/** Data centres that the local one cannot reach; their members are kept. */
 	readonly unreachable?: ReadonlySet<string>;
+	/** Whether the node has just started and is about to learn of more members; false when absent. */
+	readonly isPartial?: boolean;
 };
--- a/src/transport/_lib/create-quota-homes.ts
+++ b/src/transport/_lib/create-quota-homes.ts
@@ -43,7 +43,7 @@
 	findHome(tenant: string): QuotaHomePlace;
 	/** Answers an ask; undefined when this node is not the home, or may not grant yet. */
 	answerAsk(from: string, ask: QuotaAsk): QuotaGrant | undefined;
-	/** Returns the number of nodes among which the rates are divided. */
+	/** Returns the number of nodes among which the rates are divided; infinity while it is not known. */
 	readHolders(): number;
 	/** Returns the number of tokens granted since the start. */
 	readGranted(): number;
@@ -200,7 +200,7 @@
 				: {kind: 'remote', address};
 		},
 		answerAsk,
-		readHolders: () => members?.holders ?? 1,
+		readHolders: () => members?.holders ?? Number.POSITIVE_INFINITY,
 		readGranted: () => granted,
 	};
 }
--- a/src/transport/_lib/create-quota-node.test.ts
+++ b/src/transport/_lib/create-quota-node.test.ts
@@ -2,6 +2,8 @@
 import test from 'node:test';
 import * as fc from 'fast-check';
 import {createQuotaFleet} from '../../../harness/create-quota-fleet.js';
+import {sampleQuotaSettings} from '../../../harness/create-quota-network.js';
+import {createQuotaNode} from './create-quota-node.js';
 
 const windowMs = 5000;
 
@@ -188,3 +190,24 @@
 		assert.ok(share <= 0.05, `${name}: ${share} of the requests were refused`);
 	}
 });
+
+test('a node that does not know the members yet admits nothing of a tenant with a quota', () => {
+	let now = 0;
+	const node = createQuotaNode({
+		name: 'abdali-1',
+		settings: sampleQuotaSettings,
+		now: () => now,
+		random: () => 0.5,
+		schedule: () => () => undefined,
+		sendAsks() {
+			assert.fail('no home is known');
+		},
+	});
+	node.updateTenants([{name: 'a', keys: [], ratePerSecond: 400, burst: 400}]);
+	for (; now < 5000; now += 50) {
+		const decision = node.take('a', () => undefined);
+		assert.equal(decision?.kind, 'refuse');
+	}
+
+	node.stop();
+});
--- a/src/transport/start-mesh-node.ts
+++ b/src/transport/start-mesh-node.ts
@@ -307,7 +307,11 @@
 			rollouts?.updateMembers(view);
 			caller.updateMembers(view);
 			quarantine.updateMembers(view);
-			quota?.updateMembers(view);
+			// A node that takes the first members it sees for all would grant the quotas of all.
+			if (view.isPartial !== true) {
+				quota?.updateMembers(view);
+			}
+
 			document.updateMembers(view);
 		},
 		onLeaseExpired: gate.withdraw,
