Become a member although every seed is silent

A node that starts again while all seeds are dead or out of reach never became a member: each chance for the time-out came right after the start of another sync. Once the time is over, a sync that has no answer yet no longer holds the node up.

--- a/src/coordination/_lib/members/join.ts
+++ b/src/coordination/_lib/members/join.ts
@@ -168,11 +168,11 @@
 	state: MembersState,
 	now: number,
 ): MembersStep {
-	const isOver =
-		now - state.startedAt >= joinTimeoutMs && now >= state.seeds.nextJoinAt;
-	return isOver && state.sync === undefined
-		? becomeMember(state)
-		: {state, effects: []};
+	const {startedAt, sync, seeds} = state;
+	const hasTried = sync !== undefined || now >= seeds.nextJoinAt;
+	const isAnswered = sync !== undefined && sync.remaining.length > 0;
+	const isOver = now - startedAt >= joinTimeoutMs && hasTried && !isAnswered;
+	return isOver ? becomeMember(state) : {state, effects: []};
 }
 
 /**
--- a/src/coordination/_lib/members/seek.test.ts
+++ b/src/coordination/_lib/members/seek.test.ts
@@ -62,5 +62,12 @@
 	assert.deepEqual(new Set(readPartial(size, 1500)), new Set([false]));
 	// The others do not come back.
 	assert.deepEqual(readPartial(1, 4000), [true]);
-	assert.deepEqual(readPartial(1, 40_000), [false]);
+	assert.deepEqual(readPartial(1, 20_000), [false]);
+});
+
+test('a node whose seeds are all silent becomes a member within three seconds', () => {
+	for (let seed = 1; seed <= 20; seed++) {
+		const [node] = restart(seed, 1, 3000);
+		assert.equal(node!.state.role, 'member', `seed ${seed}`);
+	}
 });
