Plan the reports of a node whose versions became restricted by what it was told

What another node tells can leave a service with upstreams that may not get requests, without a change of the members; the timer of the reports, which also lets a version without upstreams give way, was planned with the next change only.

--- a/src/transport/_lib/rollouts/start-settling.ts
+++ b/src/transport/_lib/rollouts/start-settling.ts
@@ -10,7 +10,8 @@
 	readonly listOthers: () => readonly Member[];
 	/** Returns the leader, as this node believes; undefined when it leads itself. */
 	readonly readLeader: () => Member | undefined;
-	readonly ask: (address: string) => void;
+	/** Asks a node; does not reject. */
+	readonly ask: (address: string) => Promise<void>;
 	/** Returns a number from 0 up to, but not including, 1. */
 	readonly random: () => number;
 };
@@ -46,7 +47,7 @@
 		const receiver = hasJoined() ? pickReceiver() : undefined;
 		if (receiver) {
 			asked++;
-			ask(receiver.address);
+			void ask(receiver.address);
 		}
 	}
 
--- a/src/transport/start-rollout-task.ts
+++ b/src/transport/start-rollout-task.ts
@@ -152,6 +152,7 @@
 		applyDirectives(decoded.directives);
 		if (answer.isSettled) {
 			tracker.settle(decoded, source);
+			schedule();
 		}
 	}
 
@@ -208,6 +209,7 @@
 			}),
 		);
 		tracker.merge(decoded.running, received.from);
+		schedule();
 		const isSettled = tracker.knowsOrders();
 		return {
 			directives: leader.listDirectives(),
@@ -238,9 +240,7 @@
 			updateLeader();
 			return leaderMember?.name === name ? undefined : leaderMember;
 		},
-		ask(address) {
-			void sendReport(address);
-		},
+		ask: sendReport,
 		random,
 	});
 
