Keep the tolerance of timers in one place

The members task and runRequest each had a constant for the millisecond by which Node.js may fire a timer early. Behaviour is the same; format, types, lint of the three files and the tests of both pass.

--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -121,6 +121,8 @@
 export const maxLeasesPerHost = 4 * maxUpstreamsPerHost;
 /** Maximum age of an upstream in a record; it matters only while an upstream is new. */
 export const maxUpstreamAgeMs = 24 * 60 * msPerMinute;
+/** Time by which a Node.js timer may fire early, ms. */
+export const timerToleranceMs = 1;
 export const membersPeriodMs = 1000;
 export const exchangeTimeoutMs = 500;
 export const indirectProbeMs = 1000;
--- a/src/transport/_lib/run-request.ts
+++ b/src/transport/_lib/run-request.ts
@@ -9,7 +9,11 @@
 import {stepRequest} from '../../coordination/step-request.js';
 import type {Attempt, ForwardResult} from '../../protocol/attempt.js';
 import type {CancelSignal} from '../../protocol/cancel-signal.js';
-import {askAfterMs, deadlineMarginMs} from '../../protocol/constants.js';
+import {
+	askAfterMs,
+	deadlineMarginMs,
+	timerToleranceMs,
+} from '../../protocol/constants.js';
 import type {OutcomeReason} from '../../protocol/request.js';
 import {computeRefusalDelay} from './compute-refusal-delay.js';
 import {createCancelSource, type CancelSource} from './create-cancel-source.js';
@@ -21,9 +25,6 @@
 	type PostPollTimer,
 } from './start-post-poll-timer.js';
 
-/** Time by which a Node.js timer may fire early, ms. */
-const timerToleranceMs = 1;
-
 /** Properties shared by all attempts of a request. */
 export type AttemptTemplate = Omit<
 	Attempt,
--- a/src/transport/start-members-task.ts
+++ b/src/transport/start-members-task.ts
@@ -13,6 +13,7 @@
 	maxSeedsPages,
 	membersPeriodMs,
 	seedsConflictMs,
+	timerToleranceMs,
 } from '../protocol/constants.js';
 import type {
 	Announcement,
@@ -72,9 +73,6 @@
 
 const seedsPrefix = 'members/';
 
-/** Time by which a Node.js timer may fire early, ms. */
-const timerToleranceMs = 1;
-
 /** Objects of the seeds' kind, as far as they could be listed. */
 type SeedsList = {
 	readonly items: readonly PlatformObject[];
